--- /dev/null
+++ b/cmd/lilacvane-lab/main.go
@@ -0,0 +1,11 @@
+// Command lilacvane-lab is the world around lilacvane for tests and experiments:
+// emulated engines and platform, load, measurements.
+package main
+
+import (
+	"os"
+
+	"lilacvane/internal/labcommand"
+)
+
+func main() { os.Exit(labcommand.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/command/questions.go
@@ -0,0 +1,239 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"lilacvane/internal/api"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/operator"
+	"lilacvane/internal/policy"
+)
+
+type policyCommand struct {
+	Check policyCheckCommand `cmd:"" help:"Check the Policy objects of a file, without a node."`
+	Try   policyTryCommand   `cmd:"" help:"Tell what a policy in force would do at a time and place."`
+}
+
+type policyCheckCommand struct {
+	File string `arg:"" help:"File with Policy objects."`
+}
+
+// Run checks policies.
+func (c *policyCheckCommand) Run(s streams) error {
+	objects, err := readObjects(c.File)
+	if err != nil {
+		return err
+	}
+	for _, object := range objects {
+		if object.Kind != api.KindPolicy {
+			continue
+		}
+		if err := api.Validate(object); err != nil {
+			return err
+		}
+		spec, err := api.Decode[api.Policy](object)
+		if err != nil {
+			return err
+		}
+		if _, err := policy.Compile(spec.Ready); err != nil {
+			return err
+		}
+		fmt.Fprintf(s.out, "Policy/%s is valid\n", object.Name)
+	}
+	return nil
+}
+
+type policyTryCommand struct {
+	target
+	Name     string `arg:"" help:"Name of a Policy in force."`
+	Model    string `required:"" help:"Model to ask for."`
+	Region   string `required:"" help:"Region to ask for."`
+	TimeZone string `default:"UTC" help:"IANA time zone, such as America/Montevideo."`
+	At       string `help:"Local time, such as 2026-12-07T07:40; now without it."`
+}
+
+// Run tries a policy.
+func (c *policyTryCommand) Run(s streams) error {
+	ctx := context.Background()
+	object, err := c.client().Get(ctx, api.KindPolicy, c.Name)
+	if err != nil {
+		return err
+	}
+	spec, err := api.Decode[api.Policy](object)
+	if err != nil {
+		return err
+	}
+	result, err := c.client().Evaluate(ctx, operator.Evaluation{Ready: spec.Ready, Model: c.Model, Region: c.Region, TimeZone: c.TimeZone, Time: c.At})
+	if err != nil {
+		return err
+	}
+	return c.print(s, result, func(w io.Writer) {
+		fmt.Fprintf(w, "on %s in %s, %s would keep %d replicas of %s ready\n", result.Time.Format("Monday 2006-01-02 15:04"), c.Region, c.Name, result.Ready, c.Model)
+	})
+}
+
+type drainCommand struct {
+	Start  drainStartCommand  `cmd:"" help:"Start a planned stop."`
+	Status drainStatusCommand `cmd:"" help:"Tell what is left of a planned stop."`
+	End    drainEndCommand    `cmd:"" help:"End a planned stop of a runner or zone; it serves again."`
+}
+
+type drainStartCommand struct {
+	target
+	What string `arg:"" enum:"node,runner,zone" help:"node, runner or zone."`
+	Name string `arg:"" help:"Its name."`
+	Wait bool   `help:"Wait until it is finished."`
+}
+
+func drainName(what, name string) string { return what + "-" + name }
+
+// Run starts a drain.
+func (c *drainStartCommand) Run(s streams) error {
+	ctx := context.Background()
+	object := api.NewObject(api.KindDrain, drainName(c.What, c.Name), api.Drain{Target: api.DrainTarget(c.What), Name: c.Name})
+	if err := fillGeneration(ctx, c.client(), &object); err != nil {
+		return err
+	}
+	submission := operator.Submission{Operation: operationID(""), Author: author(), Apply: []api.Object{object}}
+	if err := submit(ctx, c.target, s, submission); err != nil || !c.Wait {
+		return err
+	}
+	return waitForDrain(ctx, c.client(), s, object.Name)
+}
+
+func waitForDrain(ctx context.Context, client *operator.Client, s streams, name string) error {
+	for {
+		progress, err := client.DrainProgress(ctx, name)
+		if err != nil {
+			return err
+		}
+		printProgress(s.out, progress)
+		if progress.Finished {
+			return nil
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+func printProgress(w io.Writer, p operator.Progress) {
+	fmt.Fprintf(w, "%s %s: state %s, %d granted replicas left, %d runners with memory in use, finished %t\n", p.Target, p.Name, p.State, p.Replicas, p.Running, p.Finished)
+}
+
+type drainStatusCommand struct {
+	target
+	What string `arg:"" enum:"node,runner,zone" help:"node, runner or zone."`
+	Name string `arg:"" help:"Its name."`
+}
+
+// Run shows the progress of a drain.
+func (c *drainStatusCommand) Run(s streams) error {
+	progress, err := c.client().DrainProgress(context.Background(), drainName(c.What, c.Name))
+	if err != nil {
+		return err
+	}
+	return c.print(s, progress, func(w io.Writer) { printProgress(w, progress) })
+}
+
+type drainEndCommand struct {
+	target
+	What string `arg:"" enum:"runner,zone" help:"runner or zone."`
+	Name string `arg:"" help:"Its name."`
+}
+
+// Run ends a drain.
+func (c *drainEndCommand) Run(s streams) error {
+	deletion := deleteCommand{target: c.target, Kind: string(api.KindDrain), Name: drainName(c.What, c.Name)}
+	return deletion.Run(s)
+}
+
+type explainCommand struct {
+	target
+	Kind string `arg:"" enum:"model,replica,request" help:"model, replica (by its runner) or request."`
+	Name string `arg:"" help:"Model name, runner name or request id."`
+}
+
+// Run explains.
+func (c *explainCommand) Run(s streams) error {
+	decisions, err := c.client().Explain(context.Background(), c.Kind, c.Name)
+	if err != nil {
+		return err
+	}
+	if len(decisions) == 0 {
+		return fault.New(fault.CodeNotFound, "explain", "no node remembers a decision about %s %s", c.Kind, c.Name)
+	}
+	return c.print(s, decisions, func(w io.Writer) {
+		fmt.Fprintln(w, "TIME\tNODE\tREVISION\tSTEP\tREASON")
+		for _, decision := range decisions {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", decision.Time.Format("15:04:05.000"), decision.Node, decision.Revision, decision.Step, decision.Reason)
+		}
+	})
+}
+
+type statusCommand struct{ target }
+
+// Run shows the fleet.
+func (c *statusCommand) Run(s streams) error {
+	status, err := c.client().Status(context.Background())
+	if err != nil {
+		return err
+	}
+	return c.print(s, status, func(w io.Writer) {
+		fmt.Fprintf(w, "node %s: %s, revision %d, %d claim shards lost\n\n", status.Node, status.Ready, status.Revision, status.LostClaims)
+		fmt.Fprintln(w, "NODE\tZONE\tREGION\tSTATE\tADDRESS")
+		for _, member := range status.Members {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", member.Node, member.Zone, member.Region, member.State, member.Address)
+		}
+		fmt.Fprintln(w, "\nMODEL\tVERSION\tDECIDED\tGRANTED")
+		for _, model := range status.Models {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", model.Name, model.Version, model.Decided, model.Granted)
+		}
+		for _, failure := range status.Policies {
+			fmt.Fprintf(w, "\npolicy %s does not run: %s\n", failure.Name, failure.Reason)
+		}
+	})
+}
+
+type runnersCommand struct {
+	target
+	Name string `arg:"" optional:"" help:"Name of a runner; all without one."`
+}
+
+// Run shows runners.
+func (c *runnersCommand) Run(s streams) error {
+	runners, err := c.client().Runners(context.Background(), c.Name)
+	if err != nil {
+		return err
+	}
+	return c.print(s, runners, func(w io.Writer) {
+		fmt.Fprintln(w, "RUNNER\tZONE\tOWNER\tEPOCH\tSTATE\tMEMORY\tRESERVED\tREPLICAS")
+		for _, runner := range runners {
+			var replicas []string
+			for _, replica := range runner.Replicas {
+				replicas = append(replicas, replica.Unit+":"+replica.State.String())
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d\t%d\t%s\n", runner.Runner, runner.Zone, runner.Owner, runner.Epoch, runner.State, runner.MemoryMiB, runner.ReservedMiB, strings.Join(replicas, " "))
+		}
+	})
+}
+
+type claimsCommand struct {
+	Reset claimsResetCommand `cmd:"" help:"Replace claim groups that lost most of their members."`
+}
+
+type claimsResetCommand struct {
+	target
+	AcceptForgottenKeys bool `required:"" help:"Say that keys of requests that ran before may be forgotten, so that a duplicate may run."`
+}
+
+// Run resets lost claim groups.
+func (c *claimsResetCommand) Run(s streams) error {
+	result, err := c.client().ResetClaims(context.Background())
+	if err != nil {
+		return err
+	}
+	return c.print(s, result, func(w io.Writer) { fmt.Fprintf(w, "%d claim groups replaced\n", result.Shards) })
+}
--- /dev/null
+++ b/internal/fault/fault.go
@@ -0,0 +1,146 @@
+// Package fault defines the error value used across lilacvane. Every error
+// names the step and the peer at which it arose, whether the work it belongs to
+// was run, and when a caller may come back.
+package fault
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Outcome says what is known about an operation on another process.
+type Outcome uint8
+
+// The three outcomes every remote operation can have. Unknown is the zero value
+// so that a forgotten outcome is never mistaken for a definite one.
+const (
+	Unknown Outcome = iota
+	Done
+	NotDone
+)
+
+// String returns the outcome in the form shown to callers: yes, no or unknown.
+func (o Outcome) String() string {
+	switch o {
+	case Done:
+		return "yes"
+	case NotDone:
+		return "no"
+	default:
+		return "unknown"
+	}
+}
+
+// Code is a stable, machine-readable reason. Codes are part of the public
+// interface and never change their meaning.
+type Code string
+
+// The codes that lilacvane answers with. docs/INTERFACE.md describes each one.
+const (
+	CodeInvalid            Code = "invalid_request"
+	CodeTooLarge           Code = "body_too_large"
+	CodeUnknownModel       Code = "unknown_model"
+	CodeNotFound           Code = "not_found"
+	CodeConflict           Code = "generation_conflict"
+	CodeDeadline           Code = "deadline_cannot_be_met"
+	CodeQueueFull          Code = "queue_full"
+	CodeNoReplica          Code = "no_replica"
+	CodeNotLoaded          Code = "not_loaded"
+	CodeDraining           Code = "draining"
+	CodeOverloaded         Code = "overloaded"
+	CodeDuplicate          Code = "duplicate_request"
+	CodeClaimsUnavailable  Code = "claims_unavailable"
+	CodeInterrupted        Code = "interrupted"
+	CodeStaleEpoch         Code = "stale_epoch"
+	CodeStaleGrant         Code = "stale_grant"
+	CodeStaleIncarnation   Code = "stale_incarnation"
+	CodeMemory             Code = "memory_overcommit"
+	CodeStoreUnavailable   Code = "store_unavailable"
+	CodeRateLimited        Code = "rate_limited"
+	CodeNotReady           Code = "not_ready"
+	CodeUnsupportedVersion Code = "unsupported_version"
+	CodeCanceled           Code = "canceled"
+	CodeInternal           Code = "internal"
+)
+
+// Error is the error value of lilacvane. Step is the operation that failed, Peer
+// the address or name of the process it failed at ("self" for this process), Ran
+// whether the work was carried out, RetryAfter when to come back (zero: not
+// stated).
+type Error struct {
+	Code       Code
+	Step       string
+	Peer       string
+	Ran        Outcome
+	RetryAfter time.Duration
+	Message    string
+	Cause      error
+}
+
+// Self is the peer name of errors that arose inside this process.
+const Self = "self"
+
+// Error formats the step, peer, code and message on one line.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("%s at %s: %s", e.Step, e.Peer, e.Code)
+	if e.Message != "" {
+		text += ": " + e.Message
+	}
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// New returns an error that arose in this process before any work was run.
+func New(code Code, step, format string, arguments ...any) *Error {
+	return &Error{Code: code, Step: step, Peer: Self, Ran: NotDone, Message: fmt.Sprintf(format, arguments...)}
+}
+
+// At returns an error that arose at a peer with the given outcome.
+func At(code Code, step, peer string, ran Outcome, cause error) *Error {
+	return &Error{Code: code, Step: step, Peer: peer, Ran: ran, Cause: cause}
+}
+
+// WithRetryAfter returns a copy of the error that tells the caller when to come back.
+func (e *Error) WithRetryAfter(wait time.Duration) *Error {
+	copied := *e
+	copied.RetryAfter = wait
+	return &copied
+}
+
+// From returns err as an *Error. An error of another type becomes an internal
+// error of the given step whose outcome is unknown.
+func From(err error, step string) *Error {
+	if err == nil {
+		return nil
+	}
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return &Error{Code: CodeInternal, Step: step, Peer: Self, Ran: Unknown, Cause: err}
+}
+
+// OutcomeOf returns the outcome an error states: Done for nil, Unknown for an
+// error of a foreign type.
+func OutcomeOf(err error) Outcome {
+	if err == nil {
+		return Done
+	}
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed.Ran
+	}
+	return Unknown
+}
+
+// IsCode reports whether err carries the code.
+func IsCode(err error, code Code) bool {
+	var typed *Error
+	return errors.As(err, &typed) && typed.Code == code
+}
--- /dev/null
+++ b/internal/fault/http.go
@@ -0,0 +1,113 @@
+package fault
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+)
+
+// Body is the JSON form of an error on every HTTP surface.
+type Body struct {
+	Error BodyError `json:"error"`
+}
+
+// BodyError is the content of Body. RetryAfterSeconds is zero when not stated.
+type BodyError struct {
+	Code              Code    `json:"code"`
+	Message           string  `json:"message"`
+	Ran               string  `json:"ran"`
+	Step              string  `json:"step"`
+	Peer              string  `json:"peer"`
+	RetryAfterSeconds float64 `json:"retry_after_seconds,omitempty"`
+}
+
+// ToBody converts an error to its JSON form.
+func ToBody(e *Error) Body {
+	message := e.Message
+	if message == "" && e.Cause != nil {
+		message = e.Cause.Error()
+	}
+	return Body{Error: BodyError{
+		Code: e.Code, Message: message, Ran: e.Ran.String(), Step: e.Step, Peer: e.Peer,
+		RetryAfterSeconds: e.RetryAfter.Seconds(),
+	}}
+}
+
+var statusByCode = map[Code]int{
+	CodeInvalid: http.StatusBadRequest, CodeTooLarge: http.StatusRequestEntityTooLarge,
+	CodeUnknownModel: http.StatusNotFound, CodeNotFound: http.StatusNotFound,
+	CodeConflict: http.StatusConflict, CodeDuplicate: http.StatusConflict,
+	CodeNotLoaded: http.StatusConflict, CodeStaleEpoch: http.StatusConflict,
+	CodeStaleGrant: http.StatusConflict, CodeStaleIncarnation: http.StatusConflict,
+	CodeMemory: http.StatusConflict, CodeRateLimited: http.StatusTooManyRequests,
+	CodeQueueFull: http.StatusTooManyRequests, CodeUnsupportedVersion: http.StatusBadRequest,
+	CodeInterrupted: http.StatusBadGateway, CodeInternal: http.StatusInternalServerError,
+}
+
+// Status returns the HTTP status of a code. Codes without one of their own are
+// 503, so that callers come back.
+func Status(code Code) int {
+	if status, ok := statusByCode[code]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+// Write answers an HTTP request with the error, Retry-After included.
+func Write(w http.ResponseWriter, e *Error) {
+	w.Header().Set("Content-Type", "application/json")
+	if e.RetryAfter > 0 {
+		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(Status(e.Code))
+	_ = json.NewEncoder(w).Encode(ToBody(e))
+}
+
+const maximumErrorBody = 64 << 10
+
+// Read decodes the error body of an HTTP answer from peer. A body that is not an
+// error body becomes an internal error with an unknown outcome.
+func Read(response *http.Response, step, peer string) *Error {
+	var body Body
+	content, _ := io.ReadAll(io.LimitReader(response.Body, maximumErrorBody))
+	if err := json.Unmarshal(content, &body); err != nil || body.Error.Code == "" {
+		return &Error{Code: CodeInternal, Step: step, Peer: peer, Ran: Unknown, Message: "status " + response.Status}
+	}
+	return &Error{
+		Code: body.Error.Code, Step: step, Peer: peer, Ran: ParseOutcome(body.Error.Ran),
+		Message: body.Error.Message, RetryAfter: time.Duration(body.Error.RetryAfterSeconds * float64(time.Second)),
+	}
+}
+
+// ParseOutcome reads the form that Outcome.String writes.
+func ParseOutcome(text string) Outcome {
+	switch text {
+	case "yes":
+		return Done
+	case "no":
+		return NotDone
+	default:
+		return Unknown
+	}
+}
+
+// Transport classifies a failed HTTP exchange. Only a connection that was never
+// established is known to have had no effect.
+func Transport(err error, step, peer string) *Error {
+	ran := Unknown
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		ran = NotDone
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		ran = NotDone
+	}
+	return &Error{Code: CodeStoreUnavailable, Step: step, Peer: peer, Ran: ran, Cause: err}
+}
--- /dev/null
+++ b/internal/gateway/parse.go
@@ -0,0 +1,110 @@
+// Package gateway is the callers' interface: chat and completion calls over
+// HTTP, answered whole or as server-sent events.
+package gateway
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"lilacvane/internal/api"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/request"
+)
+
+const (
+	stepParse    = "read request"
+	prefixLength = 256
+)
+
+// parsed is a call as it was read.
+type parsed struct {
+	request    request.Request
+	completion api.Completion
+}
+
+// parse reads and checks a call. Errors say what is wrong with which part.
+func parse(r *http.Request, id string, now time.Time) (parsed, error) {
+	var call parsed
+	if err := singleHeaders(r.Header); err != nil {
+		return call, err
+	}
+	content, err := readBody(r)
+	if err != nil {
+		return call, err
+	}
+	if err := json.Unmarshal(content, &call.completion); err != nil {
+		return call, fault.New(fault.CodeInvalid, stepParse, "body: %v", err)
+	}
+	if call.completion.Model == "" {
+		return call, fault.New(fault.CodeInvalid, stepParse, "body: model is missing")
+	}
+	class, ok := api.ParseClass(r.Header.Get(api.HeaderClass))
+	if !ok {
+		return call, fault.New(fault.CodeInvalid, stepParse, "%s must be urgent, interactive, ordinary or patient", api.HeaderClass)
+	}
+	patience, err := deadline(r.Header.Get(api.HeaderDeadline))
+	if err != nil {
+		return call, err
+	}
+	key := r.Header.Get(api.HeaderIdempotencyKey)
+	if len(key) > api.MaximumIdempotencyKey {
+		return call, fault.New(fault.CodeInvalid, stepParse, "%s has more than %d bytes", api.HeaderIdempotencyKey, api.MaximumIdempotencyKey)
+	}
+	call.request = request.Request{
+		ID: id, Unit: call.completion.Model, Class: class, Deadline: now.Add(patience), Key: key,
+		Path: r.URL.Path, Body: content, Prefix: prefix(call.completion),
+	}
+	return call, nil
+}
+
+// singleHeaders refuses headers of this interface that come more than once.
+func singleHeaders(headers http.Header) error {
+	for _, name := range []string{api.HeaderClass, api.HeaderDeadline, api.HeaderIdempotencyKey} {
+		if len(headers.Values(name)) > 1 {
+			return fault.New(fault.CodeInvalid, stepParse, "header %s is given %d times", name, len(headers.Values(name)))
+		}
+	}
+	return nil
+}
+
+func readBody(r *http.Request) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(r.Body, api.MaximumBodyBytes+1))
+	if err != nil {
+		return nil, fault.New(fault.CodeInvalid, stepParse, "body: %v", err)
+	}
+	if len(content) > api.MaximumBodyBytes {
+		return nil, fault.New(fault.CodeTooLarge, stepParse, "body has more than %d bytes", api.MaximumBodyBytes)
+	}
+	return content, nil
+}
+
+// deadline reads the seconds within which the answer must begin.
+func deadline(text string) (time.Duration, error) {
+	if text == "" {
+		return api.DefaultDeadline, nil
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(seconds > 0) {
+		return 0, fault.New(fault.CodeInvalid, stepParse, "%s must be a number of seconds above 0", api.HeaderDeadline)
+	}
+	if seconds > api.MaximumDeadline.Seconds() {
+		return 0, fault.New(fault.CodeInvalid, stepParse, "%s is over the limit of %.0f seconds", api.HeaderDeadline, api.MaximumDeadline.Seconds())
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
+}
+
+// prefix is the beginning of the prompt, by which requests that share a cached
+// prefix find the same runner.
+func prefix(completion api.Completion) string {
+	text := completion.Model + "\x00" + completion.Prompt
+	for _, message := range completion.Messages {
+		if len(text) >= prefixLength {
+			break
+		}
+		text += message.Role + "\x00" + message.Content
+	}
+	return text[:min(len(text), prefixLength)]
+}
--- /dev/null
+++ b/internal/labcommand/up.go
@@ -0,0 +1,138 @@
+package labcommand
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"lilacvane/internal/api"
+	"lilacvane/internal/lab/world"
+	"lilacvane/internal/operator"
+)
+
+type upCommand struct {
+	Once     bool   `help:"Stop after the first answer instead of waiting for ctrl-c."`
+	Nodes    int    `default:"3" help:"Number of nodes, spread over the zones."`
+	Engines  int    `default:"4" help:"Number of engines, spread over the zones."`
+	Programs string `help:"Directory of the two programs; that of this one by default."`
+}
+
+var montevideoZones = []string{"mvd-cordon", "mvd-prado", "mvd-buceo", "mvd-cerro"}
+
+const (
+	sampleMemoryMiB = 3000
+	engineMemoryMiB = 16384
+	samplePrompt    = `{"model":"redactor","stream":true,"max_tokens":16,"messages":[{"role":"user","content":"Invite the neighbours to the fair"}]}`
+)
+
+// Run brings the system up, sends a request for a sleeping model, prints the
+// answer as it streams and where the time went.
+func (c *upCommand) Run(s streams) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	w, err := c.start(s.out)
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	node := w.Nodes["node-1"]
+	if err := c.applySamples(ctx, node.Client()); err != nil {
+		return err
+	}
+	fmt.Fprintf(s.out, "callers: http://%s  operators: %s  logs: %s\n", node.Callers, node.Operators, w.Directory)
+	if err := coldRequest(ctx, s.out, node.Callers); err != nil {
+		return err
+	}
+	if c.Once {
+		return nil
+	}
+	fmt.Fprintf(s.out, "\nThe system is up. Try in another terminal:\n  lilacvane status --server %s\n  lilacvane explain model redactor --server %s\nPress ctrl-c to stop all of it.\n", node.Operators, node.Operators)
+	<-ctx.Done()
+	return nil
+}
+
+func (c *upCommand) start(out io.Writer) (*world.World, error) {
+	directory, err := os.MkdirTemp("", "lilacvane-up-")
+	if err != nil {
+		return nil, err
+	}
+	programs := c.Programs
+	if programs == "" {
+		executable, err := os.Executable()
+		if err != nil {
+			return nil, err
+		}
+		programs = filepath.Dir(executable)
+	}
+	fmt.Fprintf(out, "starting the platform, %d engines and %d nodes as separate processes\n", c.Engines, c.Nodes)
+	w, err := world.New(world.Options{
+		Directory: directory, Programs: programs, Region: "montevideo", TimeZone: "America/Montevideo",
+		LoadsPerSecond: 3, Concurrency: 6, MiBPerSecond: 1024, MachineLag: time.Second, TableRate: 200,
+	})
+	if err != nil {
+		return nil, err
+	}
+	for index := range c.Engines {
+		options := world.EngineOptions{
+			Name: fmt.Sprintf("runner-%d", index+1), Zone: montevideoZones[index%len(montevideoZones)],
+			MemoryMiB: engineMemoryMiB, Slots: 16, TokenTime: 20 * time.Millisecond,
+		}
+		if _, err := w.StartEngine(options); err != nil {
+			w.Close()
+			return nil, err
+		}
+	}
+	for index := range c.Nodes {
+		if _, err := w.StartNode(fmt.Sprintf("node-%d", index+1), montevideoZones[index%len(montevideoZones)]); err != nil {
+			w.Close()
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+func (c *upCommand) applySamples(ctx context.Context, client *operator.Client) error {
+	objects := []api.Object{
+		api.NewObject(api.KindVersion, "redactor-v1", api.Version{Model: "redactor", Checkpoint: "redactor-v1", MemoryMiB: sampleMemoryMiB}),
+		api.NewObject(api.KindModel, "redactor", api.Model{ActiveVersion: "redactor-v1", Replicas: 2}),
+		api.NewObject(api.KindVersion, "buzon-v1", api.Version{Model: "buzon", Checkpoint: "buzon-v1", MemoryMiB: sampleMemoryMiB}),
+		api.NewObject(api.KindModel, "buzon", api.Model{ActiveVersion: "buzon-v1", Replicas: 2}),
+		api.NewObject(api.KindAdapter, "club-rampla", api.Adapter{Model: "redactor", Checkpoint: "club-rampla-a", MemoryMiB: 100, Replicas: 1}),
+		api.NewObject(api.KindPolicy, "mail-by-day", api.Policy{Models: []string{"buzon"}, Ready: "hour >= 7 && hour < 22 ? 1 : 0"}),
+	}
+	_, err := client.Submit(ctx, operator.Submission{Operation: "samples", Author: "lab", Apply: objects})
+	return err
+}
+
+// coldRequest sends a request for a sleeping model and prints the stream.
+func coldRequest(ctx context.Context, out io.Writer, callers string) error {
+	fmt.Fprintln(out, "\nrequest for the sleeping model redactor:")
+	began := time.Now()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+callers+"/v1/chat/completions", strings.NewReader(samplePrompt))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		if line := scanner.Text(); line != "" {
+			fmt.Fprintf(out, "%7d ms  %s\n", time.Since(began).Milliseconds(), line)
+		}
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("the request was refused: %s", response.Status)
+	}
+	return scanner.Err()
+}
--- /dev/null
+++ b/internal/operator/check.go
@@ -0,0 +1,155 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"lilacvane/internal/api"
+	"lilacvane/internal/commit"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/policy"
+)
+
+const stepCheck = "check submission"
+
+// check turns a submission into an operation, or says what is wrong with it.
+func (s *Server) check(submission Submission) (commit.Operation, error) {
+	operation := commit.Operation{ID: submission.Operation, Author: submission.Author}
+	if !api.ValidName(submission.Operation) {
+		return operation, fault.New(fault.CodeInvalid, stepCheck, "operation must be a unique name")
+	}
+	if len(submission.Apply)+len(submission.Delete) == 0 {
+		return operation, fault.New(fault.CodeInvalid, stepCheck, "nothing to apply or delete")
+	}
+	seen := make(map[api.Key]struct{})
+	for _, object := range slices.Concat(submission.Apply, submission.Delete) {
+		if _, twice := seen[object.Key()]; twice {
+			return operation, fault.New(fault.CodeInvalid, stepCheck, "%s is named twice", object.Key())
+		}
+		seen[object.Key()] = struct{}{}
+	}
+	for _, object := range submission.Apply {
+		if err := s.checkObject(object, submission.Apply); err != nil {
+			return operation, err
+		}
+		operation.Changes = append(operation.Changes, commit.Change{Key: object.Key(), Expected: object.Generation, Spec: object.Spec})
+	}
+	for _, object := range submission.Delete {
+		if !slices.Contains(api.OperatorKinds, object.Kind) {
+			return operation, fault.New(fault.CodeInvalid, stepCheck, "objects of kind %q are not deleted by operators", object.Kind)
+		}
+		operation.Changes = append(operation.Changes, commit.Change{Key: object.Key(), Expected: object.Generation, Delete: true})
+	}
+	return operation, nil
+}
+
+func (s *Server) checkObject(object api.Object, batch []api.Object) error {
+	if err := api.Validate(object); err != nil {
+		return err
+	}
+	switch object.Kind {
+	case api.KindModel:
+		model, _ := api.Decode[api.Model](object)
+		if _, adapter := s.find(batch, api.Key{Kind: api.KindAdapter, Name: object.Name}); adapter {
+			return fault.New(fault.CodeInvalid, stepCheck, "an Adapter is named %s; callers could not tell them apart", object.Name)
+		}
+		return s.checkVersion(object.Name, model, batch)
+	case api.KindAdapter:
+		adapter, _ := api.Decode[api.Adapter](object)
+		if _, model := s.find(batch, api.Key{Kind: api.KindModel, Name: object.Name}); model {
+			return fault.New(fault.CodeInvalid, stepCheck, "a Model is named %s; callers could not tell them apart", object.Name)
+		}
+		if _, exists := s.find(batch, api.Key{Kind: api.KindModel, Name: adapter.Model}); !exists {
+			return fault.New(fault.CodeInvalid, stepCheck, "%s: there is no Model %s", object.Key(), adapter.Model)
+		}
+	case api.KindPolicy:
+		spec, _ := api.Decode[api.Policy](object)
+		if _, err := policy.Compile(spec.Ready); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Server) checkVersion(name string, model api.Model, batch []api.Object) error {
+	object, exists := s.find(batch, api.Key{Kind: api.KindVersion, Name: model.ActiveVersion})
+	if !exists {
+		return fault.New(fault.CodeInvalid, stepCheck, "Model/%s: there is no Version %s", name, model.ActiveVersion)
+	}
+	version, err := api.Decode[api.Version](object)
+	if err != nil {
+		return err
+	}
+	if version.Model != name {
+		return fault.New(fault.CodeInvalid, stepCheck, "Model/%s: Version %s belongs to model %s", name, model.ActiveVersion, version.Model)
+	}
+	return nil
+}
+
+// find looks an object up among those submitted together, then in force.
+func (s *Server) find(batch []api.Object, key api.Key) (api.Object, bool) {
+	for _, object := range batch {
+		if object.Key() == key {
+			return object, true
+		}
+	}
+	return s.catalog.Get(key.Kind, key.Name)
+}
+
+// Evaluation asks what a policy program would do at a time and place. Time is
+// RFC 3339 local time in TimeZone, without an offset; empty: now.
+type Evaluation struct {
+	Ready    string `json:"ready"`
+	Model    string `json:"model"`
+	Region   string `json:"region"`
+	TimeZone string `json:"timeZone"`
+	Time     string `json:"time"`
+}
+
+// EvaluationResult is the number of ready replicas a program states.
+type EvaluationResult struct {
+	Ready int       `json:"ready"`
+	Time  time.Time `json:"time"`
+}
+
+func (s *Server) evaluate(w http.ResponseWriter, r *http.Request) {
+	const step = "evaluate policy"
+	var evaluation Evaluation
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maximumBody)).Decode(&evaluation); err != nil {
+		s.fail(w, fault.New(fault.CodeInvalid, step, "body: %v", err), step)
+		return
+	}
+	result, err := Evaluate(evaluation)
+	if err != nil {
+		s.fail(w, err, step)
+		return
+	}
+	s.write(w, result)
+}
+
+// Evaluate runs a policy program for a time and place.
+func Evaluate(evaluation Evaluation) (EvaluationResult, error) {
+	const step = "evaluate policy"
+	zone, err := time.LoadLocation(evaluation.TimeZone)
+	if err != nil {
+		return EvaluationResult{}, fault.New(fault.CodeInvalid, step, "timeZone: %v", err)
+	}
+	at := time.Now().In(zone)
+	if evaluation.Time != "" {
+		at, err = time.ParseInLocation("2006-01-02T15:04", evaluation.Time, zone)
+		if err != nil {
+			return EvaluationResult{}, fault.New(fault.CodeInvalid, step, "time must look like 2026-12-07T07:40")
+		}
+	}
+	program, err := policy.Compile(evaluation.Ready)
+	if err != nil {
+		return EvaluationResult{}, err
+	}
+	ready, err := program.Ready(policy.Input{Model: evaluation.Model, Region: evaluation.Region, Time: at})
+	if err != nil {
+		return EvaluationResult{}, err
+	}
+	return EvaluationResult{Ready: ready, Time: at}, nil
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,180 @@
+package operator
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"lilacvane/internal/api"
+	"lilacvane/internal/commit"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/wire"
+)
+
+const clientTimeout = 15 * time.Second
+
+// Client calls the operators' interface of a node.
+type Client struct {
+	address string
+	http    *http.Client
+}
+
+// NewClient returns a client of the node whose operators' interface listens on
+// address (ip:port).
+func NewClient(address string) *Client {
+	return &Client{address: address, http: &http.Client{Timeout: clientTimeout}}
+}
+
+// Submit applies and deletes objects in one operation.
+func (c *Client) Submit(ctx context.Context, submission Submission) (commit.Result, error) {
+	var result commit.Result
+	err := c.call(ctx, http.MethodPost, "/v1/operations", submission, &result, "submit")
+	return result, err
+}
+
+// Operation returns the result of an operation.
+func (c *Client) Operation(ctx context.Context, id string) (commit.Result, error) {
+	var result commit.Result
+	err := c.call(ctx, http.MethodGet, "/v1/operations/"+url.PathEscape(id), nil, &result, "find operation")
+	return result, err
+}
+
+// Get returns an object.
+func (c *Client) Get(ctx context.Context, kind api.Kind, name string) (api.Object, error) {
+	var object api.Object
+	err := c.call(ctx, http.MethodGet, "/v1/objects/"+string(kind)+"/"+url.PathEscape(name), nil, &object, "get object")
+	return object, err
+}
+
+// List returns the objects of a kind.
+func (c *Client) List(ctx context.Context, kind api.Kind) ([]api.Object, error) {
+	var objects []api.Object
+	err := c.call(ctx, http.MethodGet, "/v1/objects/"+string(kind), nil, &objects, "list objects")
+	return objects, err
+}
+
+// History returns the log entries that changed an object, or all objects of a
+// kind when name is empty.
+func (c *Client) History(ctx context.Context, kind api.Kind, name string) ([]wire.Entry, error) {
+	path := "/v1/history/" + string(kind)
+	if name != "" {
+		path += "/" + url.PathEscape(name)
+	}
+	var entries []wire.Entry
+	err := c.call(ctx, http.MethodGet, path, nil, &entries, "history")
+	return entries, err
+}
+
+// Evaluate runs a policy program for a time and place.
+func (c *Client) Evaluate(ctx context.Context, evaluation Evaluation) (EvaluationResult, error) {
+	var result EvaluationResult
+	err := c.call(ctx, http.MethodPost, "/v1/policies/evaluate", evaluation, &result, "evaluate policy")
+	return result, err
+}
+
+// Explain returns decisions about a subject, newest first.
+func (c *Client) Explain(ctx context.Context, kind, name string) ([]wire.Decision, error) {
+	var decisions []wire.Decision
+	err := c.call(ctx, http.MethodGet, "/v1/explain/"+kind+"/"+url.PathEscape(name), nil, &decisions, "explain")
+	return decisions, err
+}
+
+// Status describes the fleet.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var status Status
+	err := c.call(ctx, http.MethodGet, "/v1/status", nil, &status, "status")
+	return status, err
+}
+
+// Runners describes runners, or one by name.
+func (c *Client) Runners(ctx context.Context, name string) ([]wire.RunnerStatus, error) {
+	var runners []wire.RunnerStatus
+	err := c.call(ctx, http.MethodGet, "/v1/runners?name="+url.QueryEscape(name), nil, &runners, "list runners")
+	return runners, err
+}
+
+// DrainProgress tells what is left of a planned stop.
+func (c *Client) DrainProgress(ctx context.Context, name string) (Progress, error) {
+	var progress Progress
+	err := c.call(ctx, http.MethodGet, "/v1/drains/"+url.PathEscape(name), nil, &progress, "drain progress")
+	return progress, err
+}
+
+// ResetClaims gives lost claim groups new, empty ones.
+func (c *Client) ResetClaims(ctx context.Context) (ResetResult, error) {
+	var result ResetResult
+	err := c.call(ctx, http.MethodPost, "/v1/claims/reset", nil, &result, "reset claims")
+	return result, err
+}
+
+// Watch calls each for every log entry after a revision until ctx ends or each
+// returns an error.
+func (c *Client) Watch(ctx context.Context, after uint64, each func(wire.Entry) error) error {
+	const step = "watch"
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+"/v1/watch?after="+strconv.FormatUint(after, 10), nil)
+	if err != nil {
+		return fault.At(fault.CodeInternal, step, c.address, fault.NotDone, err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return transport(err, step, c.address)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fault.Read(response, step, c.address)
+	}
+	scanner := bufio.NewScanner(response.Body)
+	scanner.Buffer(nil, maximumBody)
+	for scanner.Scan() {
+		var entry wire.Entry
+		if err := json.Unmarshal(scanner.Bytes(), &entry); err != nil {
+			return fault.At(fault.CodeInternal, step, c.address, fault.Unknown, err)
+		}
+		if entry.Operation == "" {
+			continue
+		}
+		if err := each(entry); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body, result any, step string) error {
+	var content io.Reader
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return fault.New(fault.CodeInternal, step, "%v", err)
+		}
+		content = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, content)
+	if err != nil {
+		return fault.At(fault.CodeInternal, step, c.address, fault.NotDone, err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return transport(err, step, c.address)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fault.Read(response, step, c.address)
+	}
+	if err := json.NewDecoder(response.Body).Decode(result); err != nil {
+		return fault.At(fault.CodeInternal, step, c.address, fault.Unknown, err)
+	}
+	return nil
+}
+
+func transport(err error, step, address string) error {
+	failure := fault.Transport(err, step, address)
+	failure.Code = fault.CodeNotReady
+	return failure
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,219 @@
+// Package peer carries the messages of package wire between nodes: CBOR bodies
+// over HTTP on the peer port. It counts the bytes it moves, so that the cost of
+// control can be measured.
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"lilacvane/internal/fault"
+	"lilacvane/internal/wire"
+)
+
+const (
+	pathPrefix       = "/peer/"
+	headerFrom       = "From-Node"
+	maximumIdle      = 64
+	idleTimeout      = 30 * time.Second
+	dialTimeout      = 2 * time.Second
+	readTimeout      = 30 * time.Second
+	statusPeerFailed = http.StatusUnprocessableEntity
+)
+
+type failure struct {
+	Code       fault.Code `cbor:"1,keyasint"`
+	Step       string     `cbor:"2,keyasint"`
+	Peer       string     `cbor:"3,keyasint"`
+	Ran        string     `cbor:"4,keyasint"`
+	Message    string     `cbor:"5,keyasint"`
+	RetryAfter int64      `cbor:"6,keyasint"`
+}
+
+// Traffic counts bytes moved over sockets.
+type Traffic struct {
+	Sent     atomic.Int64
+	Received atomic.Int64
+}
+
+// Server answers the calls of other nodes. Handlers are added with Handle before
+// it is served.
+type Server struct {
+	mux     *http.ServeMux
+	node    string
+	traffic *Traffic
+	server  *http.Server
+}
+
+// NewServer returns a server that names itself node in errors.
+func NewServer(node string, traffic *Traffic) *Server {
+	mux := http.NewServeMux()
+	return &Server{
+		mux: mux, node: node, traffic: traffic,
+		server: &http.Server{Handler: mux, ReadTimeout: readTimeout, IdleTimeout: idleTimeout},
+	}
+}
+
+// Handle registers the handler of a message.
+func Handle[Request, Response any](s *Server, method string, handler func(context.Context, Request) (Response, error)) {
+	s.mux.HandleFunc("POST "+pathPrefix+method, func(w http.ResponseWriter, r *http.Request) {
+		var request Request
+		if err := readMessage(r.Body, r.Header.Get(headerFrom), &request); err != nil {
+			writeFailure(w, s.node, fault.From(err, method))
+			return
+		}
+		response, err := handler(r.Context(), request)
+		if err != nil {
+			writeFailure(w, s.node, fault.From(err, method))
+			return
+		}
+		writeMessage(w, http.StatusOK, response)
+	})
+}
+
+func readMessage(body io.Reader, from string, target any) error {
+	content, err := io.ReadAll(io.LimitReader(body, wire.MaximumMessageBytes+1))
+	if err != nil {
+		return fault.At(fault.CodeInvalid, "read message", from, fault.NotDone, err)
+	}
+	return wire.Decode(content, from, target)
+}
+
+func writeMessage(w http.ResponseWriter, status int, message any) {
+	content, err := wire.Encode(message)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header()["Date"] = nil
+	w.Header()["Content-Type"] = nil
+	w.WriteHeader(status)
+	_, _ = w.Write(content)
+}
+
+func writeFailure(w http.ResponseWriter, node string, e *fault.Error) {
+	peer := e.Peer
+	if peer == fault.Self {
+		peer = node
+	}
+	message := e.Message
+	if e.Cause != nil {
+		message += " " + e.Cause.Error()
+	}
+	writeMessage(w, statusPeerFailed, failure{
+		Code: e.Code, Step: e.Step, Peer: peer, Ran: e.Ran.String(),
+		Message: message, RetryAfter: e.RetryAfter.Milliseconds(),
+	})
+}
+
+// Serve answers calls on the listener until Close.
+func (s *Server) Serve(listener net.Listener) error {
+	return s.server.Serve(&countingListener{Listener: listener, traffic: s.traffic})
+}
+
+// Close ends the server and its connections.
+func (s *Server) Close() error { return s.server.Close() }
+
+// Client calls other nodes.
+type Client struct {
+	http *http.Client
+	node string
+}
+
+// NewClient returns a client that names itself node. Calls are bounded by their
+// context and go out from local, if that is not nil.
+func NewClient(node string, local net.IP, traffic *Traffic) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if local != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: local}
+	}
+	transport := &http.Transport{
+		MaxIdleConns: maximumIdle, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			connection, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countingConn{Conn: connection, traffic: traffic}, nil
+		},
+	}
+	return &Client{http: &http.Client{Transport: transport}, node: node}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Call sends a message and decodes the answer into response, a pointer. Errors
+// state whether the peer may have acted.
+func (c *Client) Call(ctx context.Context, address, method string, request, response any) error {
+	content, err := wire.Encode(request)
+	if err != nil {
+		return err
+	}
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+pathPrefix+method, bytes.NewReader(content))
+	if err != nil {
+		return fault.At(fault.CodeInternal, method, address, fault.NotDone, err)
+	}
+	call.Header["User-Agent"] = []string{""}
+	call.Header.Set(headerFrom, c.node)
+	answer, err := c.http.Do(call)
+	if err != nil {
+		failed := fault.Transport(err, method, address)
+		failed.Code = fault.CodeNotReady
+		return failed
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode == statusPeerFailed {
+		return readFailure(answer.Body, address)
+	}
+	if answer.StatusCode != http.StatusOK {
+		return &fault.Error{Code: fault.CodeInternal, Step: method, Peer: address, Ran: fault.Unknown, Message: answer.Status}
+	}
+	return readMessage(answer.Body, address, response)
+}
+
+func readFailure(body io.Reader, address string) error {
+	var f failure
+	if err := readMessage(body, address, &f); err != nil {
+		return err
+	}
+	return &fault.Error{
+		Code: f.Code, Step: f.Step, Peer: f.Peer, Ran: fault.ParseOutcome(f.Ran),
+		Message: f.Message, RetryAfter: time.Duration(f.RetryAfter) * time.Millisecond,
+	}
+}
+
+type countingListener struct {
+	net.Listener
+	traffic *Traffic
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: connection, traffic: l.traffic}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c *countingConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	c.traffic.Received.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(content []byte) (int, error) {
+	n, err := c.Conn.Write(content)
+	c.traffic.Sent.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/policy/policy.go
@@ -0,0 +1,114 @@
+// Package policy compiles and runs the operators' policy programs. A program is
+// one CEL expression of type int: how many replicas of a model are to be kept
+// ready at a time and place. Programs are deterministic, do no I/O and are
+// bounded in cost.
+package policy
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"cel.dev/cel-go/cel"
+	"cel.dev/cel-go/checker"
+
+	"lilacvane/internal/api"
+	"lilacvane/internal/fault"
+)
+
+// Limits of a program.
+const (
+	MaximumBytes = 4096
+	costLimit    = 10000
+)
+
+const stepCheck = "check policy"
+
+// Input is the time and place a program is asked about.
+type Input struct {
+	Model  string
+	Region string
+	// Time carries the zone in which hour, minute and weekday are read.
+	Time time.Time
+}
+
+// Program is a checked policy program.
+type Program struct {
+	program cel.Program
+}
+
+var environment = mustEnvironment()
+
+func mustEnvironment() *cel.Env {
+	env, err := cel.NewEnv(
+		cel.Variable("model", cel.StringType),
+		cel.Variable("region", cel.StringType),
+		cel.Variable("hour", cel.IntType),
+		cel.Variable("minute", cel.IntType),
+		cel.Variable("weekday", cel.IntType),
+		cel.Variable("month", cel.IntType),
+		cel.Variable("day", cel.IntType),
+	)
+	if err != nil {
+		panic(err)
+	}
+	return env
+}
+
+type noSizes struct{}
+
+func (noSizes) EstimateSize(checker.AstNode) *checker.SizeEstimate { return nil }
+func (noSizes) EstimateCallCost(string, string, *checker.AstNode, []checker.AstNode) *checker.CallEstimate {
+	return nil
+}
+
+// Compile checks a program: its syntax, types and cost. Errors name line and
+// column.
+func Compile(source string) (*Program, error) {
+	if len(source) > MaximumBytes {
+		return nil, fault.New(fault.CodeInvalid, stepCheck, "program has %d bytes, at most %d are allowed", len(source), MaximumBytes)
+	}
+	ast, issues := environment.Compile(source)
+	if issues.Err() != nil {
+		return nil, located(issues)
+	}
+	if ast.OutputType() != cel.IntType {
+		return nil, fault.New(fault.CodeInvalid, stepCheck, "line 1, column 1: the program gives %s, not int", ast.OutputType())
+	}
+	estimate, err := environment.EstimateCost(ast, noSizes{})
+	if err != nil {
+		return nil, fault.New(fault.CodeInvalid, stepCheck, "cost: %v", err)
+	}
+	if estimate.Max > costLimit {
+		return nil, fault.New(fault.CodeInvalid, stepCheck, "line 1, column 1: the program may cost %d steps, at most %d are allowed", estimate.Max, costLimit)
+	}
+	program, err := environment.Program(ast, cel.CostLimit(costLimit))
+	if err != nil {
+		return nil, fault.New(fault.CodeInvalid, stepCheck, "%v", err)
+	}
+	return &Program{program: program}, nil
+}
+
+func located(issues *cel.Issues) error {
+	first := issues.Errors()[0]
+	text := fmt.Sprintf("line %d, column %d: %s", first.Location.Line(), first.Location.Column()+1, first.Message)
+	return fault.New(fault.CodeInvalid, stepCheck, "%s", text)
+}
+
+// Ready runs the program. The result is 0 to api.MaximumReplicas.
+func (p *Program) Ready(input Input) (int, error) {
+	const step = "run policy"
+	value, _, err := p.program.Eval(map[string]any{
+		"model": input.Model, "region": input.Region,
+		"hour": input.Time.Hour(), "minute": input.Time.Minute(), "weekday": int(input.Time.Weekday()),
+		"month": int(input.Time.Month()), "day": input.Time.Day(),
+	})
+	if err != nil {
+		return 0, fault.New(fault.CodeInvalid, step, "%v", err)
+	}
+	ready, ok := value.Value().(int64)
+	if !ok {
+		return 0, fault.From(errors.New("result is not an int"), step)
+	}
+	return int(min(max(ready, 0), api.MaximumReplicas)), nil
+}
--- /dev/null
+++ b/internal/runner/manager.go
@@ -0,0 +1,303 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"lilacvane/internal/api"
+	"lilacvane/internal/catalog"
+	"lilacvane/internal/decision"
+	"lilacvane/internal/engine"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/machines"
+	"lilacvane/internal/membership"
+	"lilacvane/internal/peer"
+	"lilacvane/internal/wire"
+)
+
+const (
+	methodWake    = "wake"
+	methodRunners = "runners"
+	ownerKey      = "runner/"
+	assignEvery   = 300 * time.Millisecond
+	reportTimeout = time.Second
+)
+
+// Settings of runner ownership.
+type Settings struct {
+	// Poll is the time between two state reports of a runner at rest.
+	Poll time.Duration
+	// Region limits ownership to the runners of one region.
+	Region string
+	// StoreRate and StoreConcurrency are what the weight store allows the whole
+	// region: loads a second, and loads at once at full speed.
+	StoreRate        float64
+	StoreConcurrency int
+}
+
+// Grants commits changes of grants.
+type Grants interface {
+	// Remove takes a grant item away that the runner confirmed.
+	Remove(ctx context.Context, unit string, item api.GrantItem) error
+}
+
+// Controls opens the control interface of a runner by its address.
+type Controls func(address string) engine.Control
+
+// Manager owns the runners that fall to this node. It is safe for concurrent
+// use.
+type Manager struct {
+	settings   Settings
+	membership *membership.Membership
+	machines   *machines.List
+	catalog    *catalog.Catalog
+	controls   Controls
+	client     *peer.Client
+	grants     Grants
+	keep       KeepAlive
+	log        *decision.Log
+	logger     logr.Logger
+	loads      *LoadLimiter
+
+	mutex    sync.Mutex
+	owners   map[string]*running
+	removing map[string]struct{}
+	reports  func(wire.Replica)
+	idle     func(float64)
+}
+
+type running struct {
+	owner *owner
+	stop  context.CancelFunc
+	done  chan struct{}
+}
+
+// Dependencies are the parts of a node that ownership uses.
+type Dependencies struct {
+	Membership *membership.Membership
+	Machines   *machines.List
+	Catalog    *catalog.Catalog
+	Controls   Controls
+	Client     *peer.Client
+	Grants     Grants
+	KeepAlive  KeepAlive
+	Log        *decision.Log
+	Logger     logr.Logger
+	// Reports takes the changes of replicas whose coordinator is this node.
+	Reports func(wire.Replica)
+	// Idle takes the seconds that loaded replicas stood without work.
+	Idle func(seconds float64)
+}
+
+// NewManager returns a manager without runners.
+func NewManager(settings Settings, d Dependencies) *Manager {
+	return &Manager{
+		settings: settings, membership: d.Membership, machines: d.Machines, catalog: d.Catalog, controls: d.Controls,
+		client: d.Client, grants: d.Grants, keep: d.KeepAlive, log: d.Log, logger: d.Logger, reports: d.Reports, idle: d.Idle,
+		loads:  NewLoadLimiter(settings.StoreRate, settings.StoreConcurrency),
+		owners: make(map[string]*running), removing: make(map[string]struct{}),
+	}
+}
+
+// Register adds the handlers other nodes call.
+func (m *Manager) Register(server *peer.Server) {
+	peer.Handle(server, methodWake, func(_ context.Context, request wire.WakeRequest) (wire.WakeResponse, error) {
+		return m.Wake(request)
+	})
+	peer.Handle(server, methodRunners, func(_ context.Context, request wire.RunnersRequest) (wire.RunnersResponse, error) {
+		return wire.RunnersResponse{Runners: m.Status(request.Runner)}, nil
+	})
+}
+
+// Run keeps the set of owned runners in step with membership and the machine
+// list until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	ticker := time.NewTicker(assignEvery)
+	defer ticker.Stop()
+	for {
+		m.assign(ctx)
+		select {
+		case <-ctx.Done():
+			m.stopAll()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// runners lists what the machine list shows and, for runners it does not know
+// (it may be unreachable since this node started), what the grants name.
+func (m *Manager) runners() []machines.Machine {
+	listed := m.machines.All()
+	for _, item := range m.catalog.GrantedRunners() {
+		if _, known := m.machines.Get(item.Runner); known || m.machines.Terminated(item.Incarnation) {
+			continue
+		}
+		listed = append(listed, machines.Machine{
+			Name: item.Runner, Incarnation: item.Incarnation, Address: item.Address, Zone: item.Zone,
+			Region: m.settings.Region, State: machines.StateLive,
+		})
+	}
+	return listed
+}
+
+func (m *Manager) assign(ctx context.Context) {
+	self := m.membership.Self()
+	wanted := make(map[string]machines.Machine)
+	for _, machine := range m.runners() {
+		owner, found := m.OwnerOf(machine.Name, machine.Zone)
+		if found && owner.Node == self.Node && machine.Region == m.settings.Region {
+			wanted[machine.Name] = machine
+		}
+	}
+	m.shareStore()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for name, current := range m.owners {
+		machine, keep := wanted[name]
+		if !keep || machine.Incarnation != current.owner.machine.Incarnation {
+			current.stop()
+			delete(m.owners, name)
+		}
+	}
+	for name, machine := range wanted {
+		if _, exists := m.owners[name]; !exists {
+			m.start(ctx, machine)
+		}
+	}
+}
+
+// shareStore divides the weight store's limits among the region's nodes.
+func (m *Manager) shareStore() {
+	nodes := 0
+	for _, member := range m.membership.Alive() {
+		if member.Region == m.settings.Region {
+			nodes++
+		}
+	}
+	nodes = max(1, nodes)
+	m.loads.SetShare(m.settings.StoreRate/float64(nodes), m.settings.StoreConcurrency/nodes)
+}
+
+// start is called with the mutex held.
+func (m *Manager) start(ctx context.Context, machine machines.Machine) {
+	o := &owner{
+		machine: machine, node: m.membership.Self().Node, control: m.controls(machine.Address),
+		catalog: m.catalog, loads: m.loads, keep: m.keep, log: m.log, logger: m.logger,
+		report: m.report, revoked: m.revoked, wantRole: m.wantRole, idle: m.idle, kick: make(chan struct{}, 1),
+		wishes: make(map[string]*wish), watchers: make(map[string]string), reported: make(map[string]wire.ReplicaState), lastUse: make(map[string]time.Time),
+	}
+	ownerContext, stop := context.WithCancel(ctx)
+	entry := &running{owner: o, stop: stop, done: make(chan struct{})}
+	m.owners[machine.Name] = entry
+	go func() {
+		defer close(entry.done)
+		o.run(ownerContext, m.settings.Poll)
+	}()
+}
+
+func (m *Manager) stopAll() {
+	m.mutex.Lock()
+	owners := m.owners
+	m.owners = make(map[string]*running)
+	m.mutex.Unlock()
+	for _, entry := range owners {
+		entry.stop()
+		<-entry.done
+	}
+}
+
+// OwnerOf returns the node that should own a runner: one of the runner's zone,
+// or of the region when its zone has no node left.
+func (m *Manager) OwnerOf(runner, zone string) (wire.Member, bool) {
+	key := ownerKey + runner
+	sameZone := func(member wire.Member) bool { return member.Zone == zone }
+	if owner, found := m.membership.Owner(key, sameZone); found {
+		return owner, true
+	}
+	sameRegion := func(member wire.Member) bool { return member.Region == m.settings.Region }
+	return m.membership.Owner(key, sameRegion)
+}
+
+// Wake tells the state of a unit on a runner this node owns and, if asked,
+// starts to load it.
+func (m *Manager) Wake(request wire.WakeRequest) (wire.WakeResponse, error) {
+	m.mutex.Lock()
+	entry, owned := m.owners[request.Runner]
+	m.mutex.Unlock()
+	if !owned {
+		return wire.WakeResponse{}, fault.New(fault.CodeNotReady, methodWake, "runner %s is not owned by this node", request.Runner)
+	}
+	keepFor := time.Duration(request.KeepMilliseconds) * time.Millisecond
+	return wire.WakeResponse{Replica: entry.owner.wish(request.Unit, request.Coordinator, request.Load, keepFor)}, nil
+}
+
+// Status describes one owned runner, or all when name is empty.
+func (m *Manager) Status(name string) []wire.RunnerStatus {
+	m.mutex.Lock()
+	var owners []*owner
+	for runner, entry := range m.owners {
+		if name == "" || name == runner {
+			owners = append(owners, entry.owner)
+		}
+	}
+	m.mutex.Unlock()
+	var statuses []wire.RunnerStatus
+	for _, o := range owners {
+		statuses = append(statuses, o.status())
+	}
+	return statuses
+}
+
+func (m *Manager) report(coordinator string, replica wire.Replica) {
+	if coordinator == m.membership.Self().Address {
+		m.reports(replica)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		defer cancel()
+		var empty wire.Empty
+		_ = m.client.Call(ctx, coordinator, MethodReport, wire.ReplicaReport{Replica: replica}, &empty)
+	}()
+}
+
+// MethodReport is the peer call by which an owner tells a coordinator of a
+// change; package coordinator answers it.
+const MethodReport = "report"
+
+// revoked commits the removal of a confirmed grant item, one at a time for each
+// unit.
+func (m *Manager) revoked(unit string, item api.GrantItem) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if _, already := m.removing[unit]; already {
+		return
+	}
+	m.removing[unit] = struct{}{}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+		defer cancel()
+		if err := m.grants.Remove(ctx, unit, item); err != nil {
+			m.logger.V(1).Info("grant item not removed yet", "step", "remove grant", "model", unit, "error", err.Error())
+		}
+		m.mutex.Lock()
+		defer m.mutex.Unlock()
+		delete(m.removing, unit)
+	}()
+}
+
+const commitTimeout = 8 * time.Second
+
+// wantRole drains a runner whose machine is leaving or that a Drain names.
+func (m *Manager) wantRole(machine machines.Machine) engine.Role {
+	current, listed := m.machines.Get(machine.Name)
+	leaving := listed && current.Incarnation == machine.Incarnation && current.State == machines.StateLeaving
+	if leaving || m.catalog.Drains(api.DrainRunner, machine.Name) || m.catalog.Drains(api.DrainZone, machine.Zone) {
+		return engine.RoleDraining
+	}
+	return engine.RoleServing
+}
--- /dev/null
+++ b/internal/runner/plan.go
@@ -0,0 +1,211 @@
+package runner
+
+import (
+	"sort"
+	"time"
+
+	"lilacvane/internal/api"
+	"lilacvane/internal/catalog"
+	"lilacvane/internal/engine"
+)
+
+// KeepAlive tells how long a replica without work stays loaded.
+type KeepAlive interface {
+	// For returns the time for a unit whose checkpoint takes load to load.
+	For(unit catalog.Unit, now time.Time) time.Duration
+	// ObserveGap hears how long a loaded unit stood idle before it was used
+	// again.
+	ObserveGap(unit string, gap time.Duration)
+}
+
+// plan decides the orders of one round from the runner's state, the committed
+// grants and the wishes. It makes no calls.
+func (o *owner) plan(now time.Time) []engine.Order {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	var orders []engine.Order
+	if role := o.wantRole(o.machine); role != o.state.Role {
+		orders = append(orders, engine.Order{Kind: engine.OrderRole, Role: role})
+	}
+	orders = append(orders, o.planRevocations()...)
+	orders = append(orders, o.planSleep(now)...)
+	if o.state.Role != engine.RoleDraining {
+		orders = append(orders, o.planLoads(now)...)
+	}
+	return orders
+}
+
+// planRevocations revokes what the grants no longer allow: items marked as
+// revoking, and replicas that no item covers.
+func (o *owner) planRevocations() []engine.Order {
+	var orders []engine.Order
+	for _, unit := range o.catalog.GrantedOn(o.machine.Name) {
+		item, granted := unit.Item(o.machine.Name)
+		if !granted || item.Incarnation != o.machine.Incarnation || !item.Revoking {
+			continue
+		}
+		_, present := o.state.Find(unit.Name)
+		if present || o.state.Revoked[unit.Name] < item.Generation {
+			orders = append(orders, engine.Order{Kind: engine.OrderRevoke, Unit: unit.Name, GrantGeneration: item.Generation})
+		}
+	}
+	return withoutRunning(orders, o.state)
+}
+
+// withoutRunning leaves out revocations the runner has already accepted and is
+// still carrying out.
+func withoutRunning(orders []engine.Order, state engine.State) []engine.Order {
+	var open []engine.Order
+	for _, order := range orders {
+		unit, present := state.Find(order.Unit)
+		accepted := state.Revoked[order.Unit] >= order.GrantGeneration
+		if present && accepted && unit.State == engine.UnitUnloading {
+			continue
+		}
+		open = append(open, order)
+	}
+	return open
+}
+
+// planSleep unloads replicas of an old version, replicas on a draining runner
+// and those idle for longer than their keep-alive time.
+func (o *owner) planSleep(now time.Time) []engine.Order {
+	var orders []engine.Order
+	for _, loaded := range o.state.Units {
+		if loaded.State != engine.UnitReady {
+			continue
+		}
+		if o.shouldSleep(loaded, now) {
+			orders = append(orders, engine.Order{Kind: engine.OrderUnload, Unit: loaded.Name})
+		}
+	}
+	return orders
+}
+
+func (o *owner) shouldSleep(loaded engine.Unit, now time.Time) bool {
+	unit, known := o.catalog.Unit(loaded.Name)
+	if !known || unit.Deleted {
+		return false // the revocation of its grant unloads it
+	}
+	if unit.Version != loaded.Version {
+		return true
+	}
+	if loaded.Active > 0 || o.carriesAdapter(loaded.Name) {
+		return false
+	}
+	if o.state.Role == engine.RoleDraining {
+		return true
+	}
+	if wish, ok := o.wishes[loaded.Name]; ok && now.Before(wish.keepUntil) {
+		return false
+	}
+	idle := time.Duration(loaded.LastUsedAgo)*time.Millisecond + now.Sub(o.stateAt)
+	return idle > o.keep.For(unit, now)
+}
+
+func (o *owner) carriesAdapter(base string) bool {
+	for _, unit := range o.state.Units {
+		if unit.Base == base {
+			return true
+		}
+	}
+	return false
+}
+
+// planLoads orders the wished units that are not there: within the grants,
+// within the memory, within the weight store's rate. Where memory is short it
+// evicts what has been idle longest.
+func (o *owner) planLoads(now time.Time) []engine.Order {
+	var orders []engine.Order
+	free := o.ledger.Free()
+	for _, name := range o.wished(now) {
+		unit, item, allowed := o.allowed(name)
+		_, present := o.state.Find(name)
+		if !allowed || present || !o.baseReady(unit) {
+			continue
+		}
+		if unit.MemoryMiB > free {
+			orders = append(orders, o.evict(unit.MemoryMiB-free, now)...)
+			continue
+		}
+		free -= unit.MemoryMiB
+		orders = append(orders, engine.Order{
+			Kind: engine.OrderLoad, Unit: name, Version: unit.Version, Checkpoint: unit.Checkpoint,
+			Base: unit.Base, MemoryMiB: unit.MemoryMiB, GrantGeneration: item.Generation,
+		})
+	}
+	return orders
+}
+
+// wished returns the units to be loaded, with the bases of wished adapters
+// before them.
+func (o *owner) wished(now time.Time) []string {
+	names := make([]string, 0, len(o.wishes))
+	for name, wish := range o.wishes {
+		if now.After(wish.loadUntil) && now.After(wish.keepUntil) {
+			delete(o.wishes, name)
+			continue
+		}
+		if now.Before(wish.loadUntil) {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	var ordered []string
+	for _, name := range names {
+		if unit, ok := o.catalog.Unit(name); ok && unit.Base != "" {
+			ordered = append(ordered, unit.Base)
+		}
+	}
+	return append(ordered, names...)
+}
+
+// allowed returns the unit and this runner's grant item for it, if the item is
+// for this incarnation and not being revoked.
+func (o *owner) allowed(name string) (catalog.Unit, api.GrantItem, bool) {
+	unit, known := o.catalog.Unit(name)
+	if !known || unit.Deleted {
+		return unit, api.GrantItem{}, false
+	}
+	item, granted := unit.Item(o.machine.Name)
+	usable := granted && !item.Revoking && item.Incarnation == o.machine.Incarnation
+	return unit, item, usable
+}
+
+func (o *owner) baseReady(unit catalog.Unit) bool {
+	if unit.Base == "" {
+		return true
+	}
+	base, present := o.state.Find(unit.Base)
+	return present && base.State == engine.UnitReady
+}
+
+// evict unloads idle replicas, longest idle first, until needed MiB will be
+// free. It evicts nothing when that is not possible.
+func (o *owner) evict(needed int64, now time.Time) []engine.Order {
+	var idle []engine.Unit
+	for _, unit := range o.state.Units {
+		if unit.State == engine.UnitUnloading {
+			needed -= unit.MemoryMiB
+			continue
+		}
+		wish, wished := o.wishes[unit.Name]
+		protected := wished && now.Before(wish.keepUntil)
+		if unit.State == engine.UnitReady && unit.Active == 0 && !protected && !o.carriesAdapter(unit.Name) {
+			idle = append(idle, unit)
+		}
+	}
+	sort.Slice(idle, func(i, j int) bool { return idle[i].LastUsedAgo > idle[j].LastUsedAgo })
+	var orders []engine.Order
+	for _, unit := range idle {
+		if needed <= 0 {
+			break
+		}
+		needed -= unit.MemoryMiB
+		orders = append(orders, engine.Order{Kind: engine.OrderUnload, Unit: unit.Name})
+	}
+	if needed > 0 {
+		return nil
+	}
+	return orders
+}
