Wake a runner's owner at once when a load is wished

Cause: the owner's loop was only kicked when its own view of the replica said sleeping, but a fresh wish that the grants allow is already shown as loading, so the loop slept out its idle interval (2 s). The owner could also lack the grant's revision. Ruled out: the load itself (2.9 s, as the weight store's speed gives), the coordinator's decision (explain shows the wake 0.15 s after the grant).

Change: every load wish kicks the loop unless the replica is ready; a wake call carries the caller's revision, and an owner that is behind pulls it at once.

--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -27,9 +27,7 @@
 	self     wire.Member
 	entries  map[string]*entry
 	order    []string
-	cursor   int
 	version  uint64
-	onChange []func()
 	cached   []wire.Member
 	cachedAt uint64
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -192,6 +192,7 @@
 		Controls: func(address string) engine.Control { return dialer.Engine(address) },
 		Client:   n.client, Grants: writer, KeepAlive: n.keeper, Log: n.decisions, Logger: n.logger,
 		Reports: n.coordinator.Report, Idle: func(seconds float64) { n.metrics.AddIdle(seconds) },
+		Newer: n.spread.Newer,
 	})
 	n.coordinator.SetOwners(n.manager)
 	n.metrics = metrics.New(func() [api.ClassCount]int { return n.requests.QueueDepths() }, n.catalog.Revision, n.traffic)
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"cel.dev/cel-go/cel"
-	"cel.dev/cel-go/checker"
+	"cel.dev/cel-go/common/cost"
 
 	"lilacvane/internal/api"
 	"lilacvane/internal/fault"
@@ -57,8 +57,8 @@
 
 type noSizes struct{}
 
-func (noSizes) EstimateSize(checker.AstNode) *checker.SizeEstimate { return nil }
-func (noSizes) EstimateCallCost(string, string, *checker.AstNode, []checker.AstNode) *checker.CallEstimate {
+func (noSizes) EstimateSize(cost.AstNode) *cost.SizeEstimate { return nil }
+func (noSizes) EstimateCallCost(string, string, *cost.AstNode, []cost.AstNode) *cost.CallEstimate {
 	return nil
 }
 
--- a/internal/runner/manager.go
+++ b/internal/runner/manager.go
@@ -67,6 +67,7 @@
 	removing map[string]struct{}
 	reports  func(wire.Replica)
 	idle     func(float64)
+	newer    func(address string, revision uint64)
 }
 
 type running struct {
@@ -90,13 +91,16 @@
 	Reports func(wire.Replica)
 	// Idle takes the seconds that loaded replicas stood without work.
 	Idle func(seconds float64)
+	// Newer hears that a peer acts on a configuration revision that may be
+	// newer than this node's.
+	Newer func(address string, revision uint64)
 }
 
 // NewManager returns a manager without runners.
 func NewManager(settings Settings, d Dependencies) *Manager {
 	return &Manager{
 		settings: settings, membership: d.Membership, machines: d.Machines, catalog: d.Catalog, controls: d.Controls,
-		client: d.Client, grants: d.Grants, keep: d.KeepAlive, log: d.Log, logger: d.Logger, reports: d.Reports, idle: d.Idle,
+		client: d.Client, grants: d.Grants, keep: d.KeepAlive, log: d.Log, logger: d.Logger, reports: d.Reports, idle: d.Idle, newer: d.Newer,
 		loads:  NewLoadLimiter(settings.StoreRate, settings.StoreConcurrency),
 		owners: make(map[string]*running), removing: make(map[string]struct{}),
 	}
@@ -231,6 +235,7 @@
 	if !owned {
 		return wire.WakeResponse{}, fault.New(fault.CodeNotReady, methodWake, "runner %s is not owned by this node", request.Runner)
 	}
+	m.newer(request.Coordinator, request.Revision)
 	keepFor := time.Duration(request.KeepMilliseconds) * time.Millisecond
 	return wire.WakeResponse{Replica: entry.owner.wish(request.Unit, request.Coordinator, request.Load, keepFor)}, nil
 }
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -51,7 +51,7 @@
 	}
 	view := o.view(unit)
 	o.mutex.Unlock()
-	if load && view.State == wire.ReplicaSleeping {
+	if load && view.State != wire.ReplicaReady {
 		o.wake()
 	}
 	return view
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -217,7 +217,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.wanted = max(s.wanted, revision)
-	if s.pulling {
+	if s.pulling || revision <= s.catalog.Revision() {
 		return
 	}
 	s.pulling = true
