Ask the table and peers before a model is called unknown

Cause: a request that names a model accepted a moment ago at another node was refused as unknown_model (TestColdRequestIsServed, first run: 404 after 4 ms, the node was still at revision 0 when it looked). Ruled out: lost announcements, the node had the revision a few milliseconds later.

Change: before it answers unknown_model a node compares its catalog with the table and a few peers, at most twice a second; error answers go through the HTTP library's writer, which ended a 'superfluous WriteHeader' warning in the log.

After: both path tests pass.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -50,9 +50,15 @@
 	return result
 }
 
+// flusher is the part of a response writer that streams need.
+type flusher interface {
+	http.ResponseWriter
+	http.Flusher
+}
+
 // eventSink writes an answer as server-sent events while it comes.
 type eventSink struct {
-	writer  http.ResponseWriter
+	writer  flusher
 	control *http.ResponseController
 	call    parsed
 	chat    bool
@@ -97,7 +103,8 @@
 	if _, err := s.writer.Write([]byte(text)); err != nil {
 		return err
 	}
-	return s.control.Flush()
+	s.writer.Flush()
+	return nil
 }
 
 // end closes a whole answer. The comment line tells where the time went.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,10 +42,11 @@
 	s := &Server{service: service, catalog: c, node: node, accept: accept}
 	app := iris.New()
 	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithoutAutoFireStatusCode)
 	app.Post(pathChat, s.complete)
 	app.Post(pathComplete, s.complete)
 	app.Get(pathModels, s.models)
-	app.OnErrorCode(iris.StatusNotFound, func(ctx iris.Context) {
+	app.Any("/{path:path}", func(ctx iris.Context) {
 		fault.Write(ctx.ResponseWriter(), s.named(fault.New(fault.CodeNotFound, stepParse, "no such path or method: %s %s", ctx.Method(), ctx.Path())))
 	})
 	if err := app.Build(); err != nil {
@@ -125,8 +126,8 @@
 }
 
 func (s *Server) stream(ctx iris.Context, call parsed, chat bool) {
-	w := ctx.ResponseWriter().Naive()
-	sink := &eventSink{writer: w, control: http.NewResponseController(w), call: call, chat: chat}
+	w := ctx.ResponseWriter()
+	sink := &eventSink{writer: w, control: http.NewResponseController(w.Naive()), call: call, chat: chat}
 	timings, err := s.service.Serve(ctx.Request().Context(), call.request, sink)
 	if err == nil {
 		sink.end(timings)
--- a/internal/request/job.go
+++ b/internal/request/job.go
@@ -64,6 +64,10 @@
 	s := j.service
 	s.Freshness.Fresh(ctx)
 	unit, known := s.Catalog.Unit(j.request.Unit)
+	if !known {
+		s.Freshness.Ask(ctx)
+		unit, known = s.Catalog.Unit(j.request.Unit)
+	}
 	if !known || unit.Deleted {
 		return fault.New(fault.CodeUnknownModel, stepAdmission, "unknown model %q", j.request.Unit)
 	}
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -77,6 +77,8 @@
 // Freshness makes sure the configuration is not older than what could be known.
 type Freshness interface {
 	Fresh(ctx context.Context)
+	// Ask compares with others now, if it did not do so very lately.
+	Ask(ctx context.Context)
 }
 
 // Observer hears of each request's end, for metrics.
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
 
 	"lilacvane/internal/api"
 	"lilacvane/internal/catalog"
@@ -33,6 +34,7 @@
 	pullTimeout    = 5 * time.Second
 	checkPeers     = 4
 	startRetry     = 300 * time.Millisecond
+	asksASecond    = 2
 	trimInterval   = time.Hour
 	feederKey      = "feeder/"
 )
@@ -54,11 +56,12 @@
 	pending  map[uint64]wire.Entry
 
 	checkMutex sync.Mutex
+	asks       *rate.Limiter
 }
 
 // New returns a spreader. Feeders read the table every poll.
 func New(c *catalog.Catalog, reader *commit.Reader, m *membership.Membership, client *peer.Client, poll time.Duration, logger logr.Logger) *Spreader {
-	s := &Spreader{catalog: c, reader: reader, membership: m, client: client, poll: poll, logger: logger, pending: make(map[uint64]wire.Entry)}
+	s := &Spreader{catalog: c, reader: reader, membership: m, client: client, poll: poll, logger: logger, pending: make(map[uint64]wire.Entry), asks: rate.NewLimiter(asksASecond, asksASecond)}
 	c.OnChange(func() { m.Announce(announceFanout) })
 	return s
 }
@@ -115,6 +118,15 @@
 	return s.compared.After(limit) || s.checked.After(limit)
 }
 
+// Ask compares the catalog with the table and a few peers at once, at most
+// asksASecond times a second. It is for a caller that names something this node
+// has not heard of.
+func (s *Spreader) Ask(ctx context.Context) {
+	if s.asks.Allow() {
+		s.check(ctx, false)
+	}
+}
+
 // check asks the table and a few peers for their newest revision and catches up
 // with the newest of them. It tells whether anyone answered and all of it was
 // taken in.
