Prove replicas, memory, waiting, whole answers, once and stops with real processes

A node whose seeds did not answer at its start never asked them again once it knew any other member, so two parts of a fleet stayed apart. Now seeds that are no members are asked every fifth probe interval. - TestWaitingRequestsEndWhenModelIsDeleted: waiting requests were not told. Now every change of the configuration refuses what waits for models that are gone. - TestMemoryUnderPressure took 30.15 s: a wake by demand protected the replica from eviction for 30 s, as if it were for a policy's floor. Ruled out: lost wakes (the owners' plans showed the wish). Now only floors protect; a load that has waited a second may also make replicas in use give way once they have finished their work.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -207,7 +207,7 @@
 	var group sync.WaitGroup
 	for _, item := range c.staleItems(unit, now) {
 		group.Go(func() {
-			replica := c.ask(ctx, unit.Name, item, false)
+			replica := c.ask(ctx, unit.Name, item, look)
 			c.store(replica)
 		})
 	}
@@ -249,9 +249,21 @@
 	return items
 }
 
+// intent is what an owner is asked about a replica.
+type intent uint8
+
+const (
+	// look asks for its state.
+	look intent = iota
+	// load also wants it ready.
+	load
+	// hold also protects it from sleep, for the floor.
+	hold
+)
+
 // ask calls the owner of a runner. A runner whose owner does not answer is
 // unreachable.
-func (c *Coordinator) ask(ctx context.Context, unit string, item api.GrantItem, load bool) wire.Replica {
+func (c *Coordinator) ask(ctx context.Context, unit string, item api.GrantItem, what intent) wire.Replica {
 	replica := wire.Replica{
 		Unit: unit, Runner: item.Runner, Incarnation: item.Incarnation, Address: item.Address,
 		Zone: item.Zone, State: wire.ReplicaUnreachable,
@@ -261,8 +273,8 @@
 		return replica
 	}
 	self := c.Membership.Self()
-	request := wire.WakeRequest{Unit: unit, Runner: item.Runner, Load: load, Revision: c.Catalog.Revision(), Coordinator: self.Address}
-	if load {
+	request := wire.WakeRequest{Unit: unit, Runner: item.Runner, Load: what != look, Revision: c.Catalog.Revision(), Coordinator: self.Address}
+	if what == hold {
 		request.KeepMilliseconds = keepFor.Milliseconds()
 	}
 	response, err := c.callOwner(ctx, owner, self, request)
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -96,7 +96,7 @@
 		}
 		if replica.State == wire.ReplicaReady || replica.State == wire.ReplicaLoading {
 			floor--
-			c.store(c.ask(ctx, unit.Name, itemOf(replica), true))
+			c.store(c.ask(ctx, unit.Name, itemOf(replica), hold))
 		}
 	}
 }
@@ -118,7 +118,7 @@
 	for _, replica := range chosen {
 		reason := fmt.Sprintf("%d replicas wanted: load on runner %s", wanted, replica.Runner)
 		c.Log.Add("model/"+unit.Name, "wake", reason, c.Catalog.Revision())
-		group.Go(func() { c.store(c.ask(ctx, unit.Name, itemOf(replica), true)) })
+		group.Go(func() { c.store(c.ask(ctx, unit.Name, itemOf(replica), load)) })
 	}
 	group.Wait()
 }
@@ -355,7 +355,7 @@
 		group.Go(func() {
 			candidate := &sample[index]
 			item := api.GrantItem{Runner: candidate.Runner, Incarnation: candidate.Incarnation, Address: candidate.Address, Zone: candidate.Zone}
-			replica := c.ask(ctx, unit.Name, item, false)
+			replica := c.ask(ctx, unit.Name, item, look)
 			if replica.State != wire.ReplicaUnreachable {
 				candidate.Tier = replica.Tier
 			}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -36,7 +36,8 @@
 	leavingFor       = 10 * time.Minute
 	methodMembers    = "members"
 	membersPage      = 200
-	joinRetry        = time.Second
+	joinTimeout      = 2 * time.Second
+	seedEvery        = 5  // probe intervals
 	datagramOverhead = 28 // IPv4 and UDP headers
 )
 
@@ -48,6 +49,8 @@
 	client   *peer.Client
 	traffic  *peer.Traffic
 	logger   logr.Logger
+	// ticks counts probe intervals; only Run uses it.
+	ticks int
 
 	mutex     sync.Mutex
 	sequence  uint64
@@ -179,12 +182,33 @@
 	if len(died) > 0 {
 		m.notify()
 	}
-	target, ok := m.pickTarget()
-	if ok {
+	if target, ok := m.pickTarget(); ok {
 		go m.probe(ctx, target)
-		return
 	}
-	go m.Join(ctx)
+	m.ticks++
+	if m.ticks%seedEvery == 0 {
+		go m.joinMissingSeeds(ctx)
+	}
+}
+
+// joinMissingSeeds asks seeds that are no members yet. Without it two parts of a
+// fleet that started before they could reach each other would never meet.
+func (m *Membership) joinMissingSeeds(ctx context.Context) {
+	present := make(map[string]struct{})
+	for _, member := range m.list.all() {
+		if member.State != wire.MemberDead {
+			present[member.Address] = struct{}{}
+		}
+	}
+	self := m.Self()
+	for _, seed := range m.settings.Seeds {
+		if _, isMember := present[seed]; isMember {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+		_ = m.readMembers(ctx, seed, self)
+		cancel()
+	}
 }
 
 // pickTarget prefers members of the own zone; now and then it picks a dead one,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -363,6 +363,7 @@
 	n.policies.Refresh()
 	n.claims.Refresh()
 	n.coordinator.Refresh()
+	n.requests.Refresh()
 	n.followDrain()
 }
 
--- a/internal/request/job.go
+++ b/internal/request/job.go
@@ -63,16 +63,13 @@
 func (j *job) serve(ctx context.Context) error {
 	s := j.service
 	s.Freshness.Fresh(ctx)
-	unit, known := s.Catalog.Unit(j.request.Unit)
-	if !known {
+	unit, err := s.declared(j.request.Unit, stepAdmission)
+	if fault.IsCode(err, fault.CodeUnknownModel) {
 		s.Freshness.Ask(ctx)
-		unit, known = s.Catalog.Unit(j.request.Unit)
+		unit, err = s.declared(j.request.Unit, stepAdmission)
 	}
-	if !known || unit.Deleted {
-		return fault.New(fault.CodeUnknownModel, stepAdmission, "unknown model %q", j.request.Unit)
-	}
-	if unit.Replicas == 0 {
-		return fault.New(fault.CodeNoReplica, stepAdmission, "no replica was decided for %q", unit.Name).WithRetryAfter(10 * time.Second)
+	if err != nil {
+		return err
 	}
 	throttler := s.throttler(unit)
 	j.timings.Cold = !throttler.Ready()
@@ -106,7 +103,7 @@
 // try waits for a place and sends the request to its replica. It returns false
 // without error when the request may be tried again.
 func (j *job) try(ctx context.Context, throttler *Throttler) (bool, error) {
-	version, err := j.activeVersion()
+	unit, err := j.service.declared(j.request.Unit, stepQueue)
 	if err != nil {
 		return true, err
 	}
@@ -122,7 +119,7 @@
 	if err := j.lifecycle.Apply(EventSend); err != nil {
 		return true, err
 	}
-	err = j.exchange(ctx, place, version)
+	err = j.exchange(ctx, place, unit.Version)
 	if err == nil {
 		served = true
 		return true, j.lifecycle.Apply(EventFinish)
@@ -130,16 +127,6 @@
 	return j.afterFailure(ctx, throttler, place, err)
 }
 
-// activeVersion is the version in force. It refuses a request whose model was
-// deleted while it waited.
-func (j *job) activeVersion() (string, error) {
-	unit, known := j.service.Catalog.Unit(j.request.Unit)
-	if known && !unit.Deleted {
-		return unit.Version, nil
-	}
-	return "", fault.New(fault.CodeUnknownModel, stepQueue, "model %q was deleted", j.request.Unit)
-}
-
 // afterFailure decides whether a request goes on after its exchange failed.
 func (j *job) afterFailure(ctx context.Context, throttler *Throttler, place *Place, err error) (bool, error) {
 	failure := fault.From(err, stepServe)
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -28,6 +28,7 @@
 	resumeTries     = 5
 	resumePause     = 200 * time.Millisecond
 	cancelTimeout   = 2 * time.Second
+	noReplicaRetry  = 10 * time.Second
 	loadMiBASecond  = 1024
 	firstChunkGrace = time.Second
 )
@@ -191,6 +192,34 @@
 	}
 }
 
+// Refresh refuses what waits for models that were deleted, or for which no
+// replica is decided any more. It is called after the configuration changed.
+func (s *Service) Refresh() {
+	s.mutex.Lock()
+	throttlers := make([]*Throttler, 0, len(s.throttlers))
+	for _, throttler := range s.throttlers {
+		throttlers = append(throttlers, throttler)
+	}
+	s.mutex.Unlock()
+	for _, throttler := range throttlers {
+		if _, err := s.declared(throttler.unit, stepQueue); err != nil {
+			throttler.refuseAll(fault.From(err, stepQueue))
+		}
+	}
+}
+
+// declared returns the unit of a name if callers may use it.
+func (s *Service) declared(name, step string) (catalog.Unit, error) {
+	unit, known := s.Catalog.Unit(name)
+	if !known || unit.Deleted {
+		return unit, fault.New(fault.CodeUnknownModel, step, "unknown model %q", name)
+	}
+	if unit.Replicas == 0 {
+		return unit, fault.New(fault.CodeNoReplica, step, "no replica was decided for %q", name).WithRetryAfter(noReplicaRetry)
+	}
+	return unit, nil
+}
+
 // QueueDepths returns, by class, how many requests wait at this node.
 func (s *Service) QueueDepths() [api.ClassCount]int {
 	s.mutex.Lock()
--- a/internal/request/throttler.go
+++ b/internal/request/throttler.go
@@ -298,6 +298,16 @@
 	return soonest
 }
 
+// refuseAll gives every waiter its final answer.
+func (t *Throttler) refuseAll(refusal *fault.Error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, w := range append([]*waiter(nil), t.waiting.waiters...) {
+		t.waiting.remove(w)
+		w.granted <- grantedTarget{err: refusal}
+	}
+}
+
 // Release gives a place back. Served tells whether the request ran to its end.
 func (p *Place) Release(served bool) {
 	t := p.throttler
--- a/internal/runner/owner.go
+++ b/internal/runner/owner.go
@@ -27,6 +27,8 @@
 	keepUntil time.Time
 	// loadUntil is how long the owner goes on trying to load it.
 	loadUntil time.Time
+	// since is when the load was first wished.
+	since time.Time
 }
 
 // owner drives one incarnation of one runner. Its mutex guards all fields below
@@ -59,8 +61,10 @@
 	watchers   map[string]string
 	reported   map[string]wire.ReplicaState
 	failures   int
-	// lastUse is when units that are gone were used last.
-	lastUse map[string]time.Time
+	// lastUse is when units that are gone were used last, readySince when units
+	// that are ready became so.
+	lastUse    map[string]time.Time
+	readySince map[string]time.Time
 }
 
 const (
@@ -123,7 +127,7 @@
 		return err
 	}
 	if before.Incarnation != o.machine.Incarnation {
-		return fault.New(fault.CodeStaleIncarnation, "fence runner", "%s runs as incarnation %s, expected %s", o.machine.Name, before.Incarnation, o.machine.Incarnation)
+		return o.problem(fault.CodeStaleIncarnation, "fence runner", "it runs as incarnation "+before.Incarnation)
 	}
 	order := engine.Order{Kind: engine.OrderFence, Epoch: before.Epoch + 1, Incarnation: o.machine.Incarnation, Owner: o.node}
 	state, err := o.control.Send(ctx, order)
@@ -144,6 +148,11 @@
 	return nil
 }
 
+// problem is an error that arose at the runner.
+func (o *owner) problem(code fault.Code, step, message string) error {
+	return &fault.Error{Code: code, Step: step, Peer: o.machine.Name, Ran: fault.NotDone, Message: message}
+}
+
 // refresh reads the runner's state. After an order whose outcome is unknown it
 // sends a barrier first, so that the order can no longer take effect later.
 func (o *owner) refresh(ctx context.Context) error {
@@ -161,11 +170,11 @@
 	defer o.mutex.Unlock()
 	if state.Incarnation != o.machine.Incarnation {
 		o.fenced = false
-		return fault.New(fault.CodeStaleIncarnation, "read engine state", "%s was restarted", o.machine.Name)
+		return o.problem(fault.CodeStaleIncarnation, "read engine state", "it was restarted")
 	}
 	if state.Epoch > o.epoch {
 		o.fenced = false
-		return fault.New(fault.CodeStaleEpoch, "read engine state", "%s is owned by %s", o.machine.Name, state.Owner)
+		return o.problem(fault.CodeStaleEpoch, "read engine state", "it is owned by "+state.Owner)
 	}
 	if state.Sequence < o.sequence {
 		return nil // a report from before the last order
@@ -198,9 +207,26 @@
 	o.observeUse(state)
 	o.state = state
 	o.stateAt = time.Now()
+	o.noteReady(state)
 	o.reachable = true
 }
 
+// noteReady keeps since when units are ready. It is called with the mutex held.
+func (o *owner) noteReady(state engine.State) {
+	ready := make(map[string]time.Time)
+	for _, unit := range state.Units {
+		if unit.State != engine.UnitReady {
+			continue
+		}
+		since, known := o.readySince[unit.Name]
+		if !known {
+			since = time.Now()
+		}
+		ready[unit.Name] = since
+	}
+	o.readySince = ready
+}
+
 // observeUse counts idle time since the last report and learns the gaps between
 // uses. It is called with the mutex held, before the new state is set.
 func (o *owner) observeUse(state engine.State) {
--- a/internal/runner/plan.go
+++ b/internal/runner/plan.go
@@ -96,7 +96,7 @@
 	if o.state.Role == engine.RoleDraining {
 		return true
 	}
-	if wish, ok := o.wishes[loaded.Name]; ok && now.Before(wish.keepUntil) {
+	if o.isKept(loaded.Name, now) {
 		return false
 	}
 	idle := time.Duration(loaded.LastUsedAgo)*time.Millisecond + now.Sub(o.stateAt)
@@ -125,7 +125,7 @@
 			continue
 		}
 		if unit.MemoryMiB > free {
-			orders = append(orders, o.evict(unit.MemoryMiB-free, now)...)
+			orders = append(orders, o.evict(name, unit.MemoryMiB-free, now)...)
 			continue
 		}
 		free -= unit.MemoryMiB
@@ -180,24 +180,41 @@
 	return present && base.State == engine.UnitReady
 }
 
-// evict unloads idle replicas, longest idle first, until needed MiB will be
-// free. It evicts nothing when that is not possible.
-func (o *owner) evict(needed int64, now time.Time) []engine.Order {
-	var idle []engine.Unit
+const (
+	// preemptAfter is how long a load waits for memory before replicas in use
+	// have to make room.
+	preemptAfter = time.Second
+	// residency is how long a replica in use is left alone.
+	residency = 3 * time.Second
+)
+
+// evict unloads replicas until needed MiB will be free: idle ones, longest idle
+// first; if that is not enough and the load has waited for a while, replicas in
+// use, longest loaded first. Those finish their work; what comes for them waits
+// its turn. It evicts nothing when all of that is not enough.
+func (o *owner) evict(wished string, needed int64, now time.Time) []engine.Order {
+	var idle, inUse []engine.Unit
 	for _, unit := range o.state.Units {
-		if unit.State == engine.UnitUnloading {
+		switch {
+		case unit.State == engine.UnitUnloading:
 			needed -= unit.MemoryMiB
-			continue
-		}
-		wish, wished := o.wishes[unit.Name]
-		protected := wished && now.Before(wish.keepUntil)
-		if unit.State == engine.UnitReady && unit.Active == 0 && !protected && !o.carriesAdapter(unit.Name) {
+		case unit.State != engine.UnitReady || o.isKept(unit.Name, now) || o.carriesAdapter(unit.Name):
+		case unit.Active == 0:
 			idle = append(idle, unit)
+		case now.Sub(o.readySince[unit.Name]) > residency:
+			inUse = append(inUse, unit)
 		}
 	}
 	sort.Slice(idle, func(i, j int) bool { return idle[i].LastUsedAgo > idle[j].LastUsedAgo })
+	sort.Slice(inUse, func(i, j int) bool {
+		return o.readySince[inUse[i].Name].Before(o.readySince[inUse[j].Name])
+	})
+	candidates := idle
+	if wish, known := o.wishes[wished]; known && now.Sub(wish.since) > preemptAfter {
+		candidates = append(candidates, inUse...)
+	}
 	var orders []engine.Order
-	for _, unit := range idle {
+	for _, unit := range candidates {
 		if needed <= 0 {
 			break
 		}
@@ -209,3 +226,9 @@
 	}
 	return orders
 }
+
+// isKept tells whether a coordinator protects a replica for its floor.
+func (o *owner) isKept(unit string, now time.Time) bool {
+	wish, wished := o.wishes[unit]
+	return wished && now.Before(wish.keepUntil)
+}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -44,6 +44,9 @@
 			o.keep.ObserveGap(unit, now.Sub(slept))
 		}
 		entry.coordinator = coordinator
+		if !now.Before(entry.loadUntil) {
+			entry.since = now
+		}
 		entry.loadUntil = now.Add(loadPatience)
 		if until := now.Add(keepFor); until.After(entry.keepUntil) {
 			entry.keepUntil = until
