Count all control traffic and read the machine list through a zone's feeders

Cause: at 2,100 nodes a read of the machine list by every node every 2 s would be 1,050 reads a second at the platform. Change: two feeders in each zone read it, the others ask a feeder and fall back to the platform; a feeder whose own read failed says so. The connections to peers, platform and runners' control count their bytes in one place (four dialers were alike).

--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/traffic"
 )
 
 const (
@@ -33,22 +34,22 @@
 }
 
 // NewDialer returns a dialer whose calls go out from local, if that is not nil.
-func NewDialer(local net.IP) *Dialer {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	if local != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: local}
+// Control calls count in counter, streams do not.
+func NewDialer(local net.IP, counter *traffic.Counter) *Dialer {
+	return &Dialer{
+		stream:  &http.Client{Transport: newTransport(local, &traffic.Counter{})},
+		control: &http.Client{Transport: newTransport(local, counter), Timeout: ControlTimeout},
 	}
-	transport := &http.Transport{
-		DialContext:           dialer.DialContext,
+}
+
+func newTransport(local net.IP, counter *traffic.Counter) *http.Transport {
+	return &http.Transport{
+		DialContext:           traffic.Dialer(local, dialTimeout, counter),
 		MaxIdleConnsPerHost:   idlePerHost,
 		IdleConnTimeout:       idleTimeout,
 		DisableCompression:    true,
 		ResponseHeaderTimeout: HeaderTimeout,
 	}
-	return &Dialer{
-		stream:  &http.Client{Transport: transport},
-		control: &http.Client{Transport: transport, Timeout: ControlTimeout},
-	}
 }
 
 // Engine returns the client of the engine at address (ip:port).
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/traffic"
 )
 
 // State is the state of a machine.
@@ -59,13 +60,9 @@
 }
 
 // NewClient returns a client of the machine list at address (ip:port) whose
-// calls go out from local, if that is not nil.
-func NewClient(address string, local net.IP) *Client {
-	dialer := &net.Dialer{Timeout: callTimeout}
-	if local != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: local}
-	}
-	transport := &http.Transport{DialContext: dialer.DialContext}
+// calls go out from local, if that is not nil, and count in counter.
+func NewClient(address string, local net.IP, counter *traffic.Counter) *Client {
+	transport := &http.Transport{DialContext: traffic.Dialer(local, callTimeout, counter)}
 	return &Client{base: "http://" + address, http: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
@@ -98,12 +95,17 @@
 	version uint64
 	byName  map[string]Machine
 	// terminated holds the incarnations known to be gone.
-	terminated map[string]struct{}
+	terminated map[string]Machine
+	// learned is the version that brought each machine's newest state, by
+	// incarnation.
+	learned map[string]uint64
+	// failure is why the last Refresh failed, nil if it did not.
+	failure error
 }
 
 // NewList returns an empty copy that reads from source.
 func NewList(source Source) *List {
-	return &List{source: source, byName: make(map[string]Machine), terminated: make(map[string]struct{})}
+	return &List{source: source, byName: make(map[string]Machine), terminated: make(map[string]Machine), learned: make(map[string]uint64)}
 }
 
 // Refresh reads the changes since the last Refresh.
@@ -112,24 +114,51 @@
 	version := l.version
 	l.mutex.RUnlock()
 	changes, err := l.source.ChangesSince(ctx, version)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.failure = err
 	if err != nil {
 		return err
 	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.version = max(l.version, changes.Version)
+	if changes.Version <= l.version {
+		return nil // another source's answer from before
+	}
+	l.version = changes.Version
 	for _, machine := range changes.Machines {
+		l.learned[machine.Incarnation] = changes.Version
 		l.apply(machine)
 	}
 	return nil
 }
 
+// ChangesSince answers another node's question from this copy, unless the copy
+// could not be refreshed lately.
+func (l *List) ChangesSince(_ context.Context, version uint64) (Changes, error) {
+	l.mutex.RLock()
+	defer l.mutex.RUnlock()
+	if l.failure != nil {
+		return Changes{}, l.failure
+	}
+	changes := Changes{Version: l.version}
+	for _, machine := range l.byName {
+		if l.learned[machine.Incarnation] > version {
+			changes.Machines = append(changes.Machines, machine)
+		}
+	}
+	for _, machine := range l.terminated {
+		if l.learned[machine.Incarnation] > version {
+			changes.Machines = append(changes.Machines, machine)
+		}
+	}
+	return changes, nil
+}
+
 func (l *List) apply(machine Machine) {
 	if machine.State != StateTerminated {
 		l.byName[machine.Name] = machine
 		return
 	}
-	l.terminated[machine.Incarnation] = struct{}{}
+	l.terminated[machine.Incarnation] = machine
 	if l.byName[machine.Name].Incarnation == machine.Incarnation {
 		delete(l.byName, machine.Name)
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -11,6 +11,7 @@
 
 	"lilacvane/internal/peer"
 	"lilacvane/internal/rendezvous"
+	"lilacvane/internal/traffic"
 	"lilacvane/internal/wire"
 )
 
@@ -47,7 +48,7 @@
 	list     *list
 	socket   net.PacketConn
 	client   *peer.Client
-	traffic  *peer.Traffic
+	traffic  *traffic.Counter
 	logger   logr.Logger
 	// ticks counts probe intervals; only Run uses it.
 	ticks int
@@ -62,9 +63,9 @@
 
 // New returns the membership of the node self, which sends and receives on
 // socket.
-func New(self wire.Member, settings Settings, socket net.PacketConn, client *peer.Client, traffic *peer.Traffic, logger logr.Logger) *Membership {
+func New(self wire.Member, settings Settings, socket net.PacketConn, client *peer.Client, counter *traffic.Counter, logger logr.Logger) *Membership {
 	return &Membership{
-		settings: settings, list: newList(self), socket: socket, client: client, traffic: traffic, logger: logger,
+		settings: settings, list: newList(self), socket: socket, client: client, traffic: counter, logger: logger,
 		waiting:  make(map[uint64]chan uint64),
 		revision: func() uint64 { return 0 },
 		exchange: noExchange{},
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -10,8 +10,8 @@
 
 	"lilacvane/internal/api"
 	"lilacvane/internal/fault"
-	"lilacvane/internal/peer"
 	"lilacvane/internal/request"
+	"lilacvane/internal/traffic"
 )
 
 const millisecondsPerSecond = 1000
@@ -27,8 +27,19 @@
 	idle      prometheus.Counter
 }
 
-// New returns the figures of a node; depths and traffic are read when asked.
-func New(depths func() [api.ClassCount]int, revision func() uint64, traffic *peer.Traffic) *Metrics {
+// Traffic are the counters of a node's control connections.
+type Traffic struct {
+	Peers    *traffic.Counter
+	Platform *traffic.Counter
+	Runners  *traffic.Counter
+}
+
+func both(counter *traffic.Counter) float64 {
+	return float64(counter.Sent.Load() + counter.Received.Load())
+}
+
+// New returns the figures of a node; depths and control are read when asked.
+func New(depths func() [api.ClassCount]int, revision func() uint64, control Traffic) *Metrics {
 	buckets := prometheus.ExponentialBuckets(0.005, 2, 18)
 	m := &Metrics{
 		registry:  prometheus.NewRegistry(),
@@ -41,11 +52,11 @@
 	}
 	m.registry.MustRegister(m.requests, m.coldStart, m.firstPart, m.queueWait, m.retries, m.idle)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	m.registerGauges(depths, revision, traffic)
+	m.registerGauges(depths, revision, control)
 	return m
 }
 
-func (m *Metrics) registerGauges(depths func() [api.ClassCount]int, revision func() uint64, traffic *peer.Traffic) {
+func (m *Metrics) registerGauges(depths func() [api.ClassCount]int, revision func() uint64, control Traffic) {
 	for class := range api.Class(api.ClassCount) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "lilacvane_waiting_requests", Help: "Requests that wait at this node.", ConstLabels: prometheus.Labels{"class": class.String()},
@@ -53,8 +64,10 @@
 	}
 	m.registry.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "lilacvane_revision", Help: "Configuration revision in force at this node."}, func() float64 { return float64(revision()) }),
-		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "lilacvane_peer_sent_bytes_total", Help: "Bytes sent to other nodes."}, func() float64 { return float64(traffic.Sent.Load()) }),
-		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "lilacvane_peer_received_bytes_total", Help: "Bytes received from other nodes."}, func() float64 { return float64(traffic.Received.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "lilacvane_peer_sent_bytes_total", Help: "Bytes sent to other nodes."}, func() float64 { return float64(control.Peers.Sent.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "lilacvane_peer_received_bytes_total", Help: "Bytes received from other nodes."}, func() float64 { return float64(control.Peers.Received.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "lilacvane_platform_bytes_total", Help: "Bytes exchanged with the platform's table and machine list."}, func() float64 { return both(control.Platform) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "lilacvane_runner_control_bytes_total", Help: "Bytes of orders to and reports from runners."}, func() float64 { return both(control.Runners) }),
 	)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,12 +32,14 @@
 	"lilacvane/internal/sleep"
 	"lilacvane/internal/spread"
 	"lilacvane/internal/table"
+	"lilacvane/internal/traffic"
 	"lilacvane/internal/wire"
 )
 
 const (
 	decisionsKept   = 4096
 	methodExplain   = "explain"
+	methodMachines  = "machines"
 	refreshAtMost   = 20 * time.Millisecond
 	notReadyRetry   = 2 * time.Second
 	drainingRetry   = time.Second
@@ -57,7 +59,7 @@
 	peersListener     net.Listener
 	socket            net.PacketConn
 
-	traffic     *peer.Traffic
+	traffic     metrics.Traffic
 	client      *peer.Client
 	peers       *peer.Server
 	membership  *membership.Membership
@@ -83,7 +85,7 @@
 
 // New opens the node's sockets and assembles its parts. Nothing runs yet.
 func New(s settings.Settings, logger logr.Logger) (*Node, error) {
-	n := &Node{settings: s, logger: logger.WithValues("node", s.Node), stale: make(chan struct{}, 1), traffic: &peer.Traffic{}}
+	n := &Node{settings: s, logger: logger.WithValues("node", s.Node), stale: make(chan struct{}, 1), traffic: metrics.Traffic{Peers: &traffic.Counter{}, Platform: &traffic.Counter{}, Runners: &traffic.Counter{}}}
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -132,18 +134,18 @@
 		Node: s.Node, Incarnation: rand.Text(), Address: n.advertised(),
 		Zone: s.Zone, Region: s.Region, Started: time.Now().UnixNano(),
 	}
-	n.client = peer.NewClient(s.Node, n.localAddress(), n.traffic)
-	n.peers = peer.NewServer(s.Node, n.traffic)
+	n.client = peer.NewClient(s.Node, n.localAddress(), n.traffic.Peers)
+	n.peers = peer.NewServer(s.Node, n.traffic.Peers)
 	n.decisions = decision.NewLog(s.Node, decisionsKept)
 	n.catalog = catalog.New()
-	n.machines = machines.NewList(machines.NewClient(s.Platform.Machines, n.localAddress()))
-	store := table.NewClient(s.Platform.Table, n.localAddress())
+	n.machines = machines.NewList(&machineSource{node: n, platform: machines.NewClient(s.Platform.Machines, n.localAddress(), n.traffic.Platform)})
+	store := table.NewClient(s.Platform.Table, n.localAddress(), n.traffic.Platform)
 	n.committer = commit.New(store)
 	reader := commit.NewReader(store)
 	n.membership = membership.New(self, membership.Settings{
 		ProbeInterval: s.Membership.ProbeInterval, ProbeTimeout: s.Membership.ProbeTimeout,
 		SuspectFor: s.Membership.SuspectFor, Seeds: s.Seeds,
-	}, n.socket, n.client, n.traffic, n.logger)
+	}, n.socket, n.client, n.traffic.Peers, n.logger)
 	n.spread = spread.New(n.catalog, reader, n.membership, n.client, s.Configuration.PollInterval, n.logger)
 	n.membership.CarryRevision(n.catalog.Revision, n.spread)
 	zone, _ := time.LoadLocation(s.TimeZone)
@@ -178,7 +180,7 @@
 func (n *Node) assembleServing() error {
 	s := n.settings
 	writer := grants.NewWriter(n.committer, n.catalog, n.spread, s.Node)
-	dialer := engine.NewDialer(n.localAddress())
+	dialer := engine.NewDialer(n.localAddress(), n.traffic.Runners)
 	n.coordinator = coordinator.New(coordinator.Dependencies{
 		Membership: n.membership, Machines: n.machines, Catalog: n.catalog, Grants: writer, Policies: n.policies,
 		Keeper: n.keeper, Client: n.client, Log: n.decisions, Logger: n.logger, Region: s.Region,
@@ -221,6 +223,10 @@
 	peer.Handle(n.peers, methodExplain, func(_ context.Context, request wire.ExplainRequest) (wire.ExplainResponse, error) {
 		return wire.ExplainResponse{Decisions: n.decisions.Find(request.Subject, request.Limit)}, nil
 	})
+	peer.Handle(n.peers, methodMachines, func(ctx context.Context, request wire.MachinesRequest) (wire.MachinesResponse, error) {
+		changes, err := n.machines.ChangesSince(ctx, request.Since)
+		return wire.MachinesResponse{Changes: changes}, err
+	})
 	markStale := func() {
 		select {
 		case n.stale <- struct{}{}:
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,6 +1,5 @@
 // Package peer carries the messages of package wire between nodes: CBOR bodies
-// over HTTP on the peer port. It counts the bytes it moves, so that the cost of
-// control can be measured.
+// over HTTP on the peer port.
 package peer
 
 import (
@@ -9,10 +8,10 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/traffic"
 	"lilacvane/internal/wire"
 )
 
@@ -35,26 +34,20 @@
 	RetryAfter int64      `cbor:"6,keyasint"`
 }
 
-// Traffic counts bytes moved over sockets.
-type Traffic struct {
-	Sent     atomic.Int64
-	Received atomic.Int64
-}
-
 // Server answers the calls of other nodes. Handlers are added with Handle before
 // it is served.
 type Server struct {
 	mux     *http.ServeMux
 	node    string
-	traffic *Traffic
+	counter *traffic.Counter
 	server  *http.Server
 }
 
 // NewServer returns a server that names itself node in errors.
-func NewServer(node string, traffic *Traffic) *Server {
+func NewServer(node string, counter *traffic.Counter) *Server {
 	mux := http.NewServeMux()
 	return &Server{
-		mux: mux, node: node, traffic: traffic,
+		mux: mux, node: node, counter: counter,
 		server: &http.Server{Handler: mux, ReadTimeout: readTimeout, IdleTimeout: idleTimeout},
 	}
 }
@@ -113,7 +106,7 @@
 
 // Serve answers calls on the listener until Close.
 func (s *Server) Serve(listener net.Listener) error {
-	return s.server.Serve(&countingListener{Listener: listener, traffic: s.traffic})
+	return s.server.Serve(traffic.Listen(listener, s.counter))
 }
 
 // Close ends the server and its connections.
@@ -127,20 +120,10 @@
 
 // NewClient returns a client that names itself node. Calls are bounded by their
 // context and go out from local, if that is not nil.
-func NewClient(node string, local net.IP, traffic *Traffic) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	if local != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: local}
-	}
+func NewClient(node string, local net.IP, counter *traffic.Counter) *Client {
 	transport := &http.Transport{
 		MaxIdleConns: maximumIdle, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, DisableCompression: true,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			connection, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countingConn{Conn: connection, traffic: traffic}, nil
-		},
+		DialContext: traffic.Dialer(local, dialTimeout, counter),
 	}
 	return &Client{http: &http.Client{Transport: transport}, node: node}
 }
@@ -187,33 +170,3 @@
 		Message: f.Message, RetryAfter: time.Duration(f.RetryAfter) * time.Millisecond,
 	}
 }
-
-type countingListener struct {
-	net.Listener
-	traffic *Traffic
-}
-
-func (l *countingListener) Accept() (net.Conn, error) {
-	connection, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: connection, traffic: l.traffic}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	traffic *Traffic
-}
-
-func (c *countingConn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
-	c.traffic.Received.Add(int64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(content []byte) (int, error) {
-	n, err := c.Conn.Write(content)
-	c.traffic.Sent.Add(int64(n))
-	return n, err
-}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -414,8 +415,13 @@
 }
 
 // IsFeeder tells whether this node is one of the nodes of its zone that read the
-// table.
+// platform for the others.
 func (s *Spreader) IsFeeder() bool {
+	return slices.Contains(s.Feeders(), s.membership.Self().Node)
+}
+
+// Feeders returns the nodes of this zone that read the platform for the others.
+func (s *Spreader) Feeders() []string {
 	self := s.membership.Self()
 	var nodes []string
 	for _, member := range s.membership.Alive() {
@@ -423,10 +429,5 @@
 			nodes = append(nodes, member.Node)
 		}
 	}
-	for _, node := range rendezvous.Rank(feederKey+self.Zone, nodes, feedersPerZone) {
-		if node == self.Node {
-			return true
-		}
-	}
-	return false
+	return rendezvous.Rank(feederKey+self.Zone, nodes, feedersPerZone)
 }
--- a/internal/table/http.go
+++ b/internal/table/http.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/traffic"
 )
 
 const (
@@ -33,14 +34,10 @@
 }
 
 // NewClient returns a client of the table service at address (ip:port) whose
-// calls go out from local, if that is not nil.
-func NewClient(address string, local net.IP) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	if local != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: local}
-	}
+// calls go out from local, if that is not nil, and count in counter.
+func NewClient(address string, local net.IP, counter *traffic.Counter) *Client {
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         traffic.Dialer(local, dialTimeout, counter),
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: idleConnsAHost,
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lilacvane/internal/api"
+	"lilacvane/internal/machines"
 )
 
 // Empty is a message without content.
@@ -333,3 +334,14 @@
 type RunnersResponse struct {
 	Runners []RunnerStatus `cbor:"1,keyasint"`
 }
+
+// MachinesRequest asks a node of the same zone for the machine list's changes
+// after a version.
+type MachinesRequest struct {
+	Since uint64 `cbor:"1,keyasint"`
+}
+
+// MachinesResponse carries the changes.
+type MachinesResponse struct {
+	Changes machines.Changes `cbor:"1,keyasint"`
+}
--- a/test/configuration_test.go
+++ b/test/configuration_test.go
@@ -208,8 +208,8 @@
 }
 
 // TestConfigurationAtFrozenNode: a node is frozen while changes are accepted and
-// thaws cut off from the table; it answers no request from its old configuration,
-// and comes to the newest one from its peers.
+// thaws cut off from the table and from all that others send it. It can still ask
+// them, and does so before it answers a request from its old configuration.
 func TestConfigurationAtFrozenNode(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, nil)
@@ -227,9 +227,11 @@
 	_, err = nodes[0].Client().Submit(t.Context(), operator.Submission{Operation: "test-" + rand.Text(), Delete: []api.Object{object}})
 	assert.NilError(t, err)
 	w.TableProxy.Block(nodes[2].IP)
+	nodes[2].Proxy.Block(nodes[0].IP, nodes[1].IP)
 	assert.NilError(t, nodes[2].Thaw())
 	got := ask(t.Context(), nodes[2], call{Model: "alpha", Prompt: "stale", Tokens: 2, Deadline: 5 * time.Second}, nil)
 	assert.Equal(t, got.Code, fault.CodeUnknownModel, "%+v", got)
+	heal(w, nodes)
 	waitInForce(t, h.newest(), "raced", nodes...)
 	assert.Equal(t, readHistory(t, w).runs("stale"), 0)
 }
