Measure control's cost with hollow nodes; push small changes with announcements

Suspected causes: every change is pulled over a fresh HTTP connection by every node, the machine list is asked from the feeders every 2 s by every node (190 askers a feeder at the target), and membership had not settled.

Change: an announcement carries the newest entry when it is small; probes carry the version of the machine list, and only a node that sees a newer one asks for it.

Three proofs are sharper because their mutations survived: a moved claim from before the stop, a request during a runner's stop, a runner known unreachable.

--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -32,8 +32,8 @@
 	portTable     = 7011
 	portMachines  = 7012
 	portWeights   = 7013
-	firstNode     = 10
-	firstEngine   = 100
+	firstNode     = 120
+	firstEngine   = 160
 	startPatience = 30 * time.Second
 	pollPause     = 20 * time.Millisecond
 )
@@ -234,6 +234,17 @@
 	return w.post(http.MethodPost, w.address(1, portMachines), fmt.Sprintf("/lab/down?down=%t", down), nil)
 }
 
+// TableCounts returns how often the table was called.
+func (w *World) TableCounts() (platformstub.TableCounts, error) {
+	var counts platformstub.TableCounts
+	response, err := http.Get("http://" + w.address(1, portTable) + "/lab/counts")
+	if err != nil {
+		return counts, err
+	}
+	defer response.Body.Close()
+	return counts, json.NewDecoder(response.Body).Decode(&counts)
+}
+
 // SlowWeights divides the weight store's speed.
 func (w *World) SlowWeights(factor float64) error {
 	return w.post(http.MethodPost, w.address(1, portWeights), fmt.Sprintf("/lab/slow?factor=%g", factor), nil)
--- a/internal/labcommand/labcommand.go
+++ b/internal/labcommand/labcommand.go
@@ -17,6 +17,9 @@
 type commandLine struct {
 	Platform platformCommand `cmd:"" help:"Run the emulated platform: table, machine list, weight store."`
 	Engine   engineCommand   `cmd:"" help:"Run an emulated engine."`
+	Hollow   hollowCommand   `cmd:"" help:"Run many nodes in one process, for measurements."`
+	Engines  enginesCommand  `cmd:"" help:"Run many emulated engines in one process."`
+	Scale    scaleCommand    `cmd:"" help:"Measure what control costs a node as the fleet grows."`
 	Up       upCommand       `cmd:"" help:"Bring a whole system up on loopback and show a cold request being served."`
 }
 
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -90,7 +90,6 @@
 
 // List is a node's copy of the machine list. It is safe for concurrent use.
 type List struct {
-	source  Source
 	mutex   sync.RWMutex
 	version uint64
 	byName  map[string]Machine
@@ -99,27 +98,29 @@
 	// learned is the version that brought each machine's newest state, by
 	// incarnation.
 	learned map[string]uint64
-	// failure is why the last Refresh failed, nil if it did not.
-	failure error
 }
 
-// NewList returns an empty copy that reads from source.
-func NewList(source Source) *List {
-	return &List{source: source, byName: make(map[string]Machine), terminated: make(map[string]Machine), learned: make(map[string]uint64)}
+// NewList returns an empty copy.
+func NewList() *List {
+	return &List{byName: make(map[string]Machine), terminated: make(map[string]Machine), learned: make(map[string]uint64)}
 }
 
-// Refresh reads the changes since the last Refresh.
-func (l *List) Refresh(ctx context.Context) error {
+// Version is the newest version of the list that was read, zero if none was.
+func (l *List) Version() uint64 {
 	l.mutex.RLock()
-	version := l.version
-	l.mutex.RUnlock()
-	changes, err := l.source.ChangesSince(ctx, version)
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.failure = err
+	defer l.mutex.RUnlock()
+	return l.version
+}
+
+// Refresh reads what changed since the last Refresh from the platform, or from
+// another node's copy.
+func (l *List) Refresh(ctx context.Context, source Source) error {
+	changes, err := source.ChangesSince(ctx, l.Version())
 	if err != nil {
 		return err
 	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	if changes.Version <= l.version {
 		return nil // another source's answer from before
 	}
@@ -131,14 +132,10 @@
 	return nil
 }
 
-// ChangesSince answers another node's question from this copy, unless the copy
-// could not be refreshed lately.
+// ChangesSince answers another node's question from this copy.
 func (l *List) ChangesSince(_ context.Context, version uint64) (Changes, error) {
 	l.mutex.RLock()
 	defer l.mutex.RUnlock()
-	if l.failure != nil {
-		return Changes{}, l.failure
-	}
 	changes := Changes{Version: l.version}
 	for _, machine := range l.byName {
 		if l.learned[machine.Incarnation] > version {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -56,7 +56,6 @@
 	mutex     sync.Mutex
 	sequence  uint64
 	waiting   map[uint64]chan uint64
-	revision  func() uint64
 	exchange  RevisionExchange
 	listeners []func()
 }
@@ -67,15 +66,22 @@
 	return &Membership{
 		settings: settings, list: newList(self), socket: socket, client: client, traffic: counter, logger: logger,
 		waiting:  make(map[uint64]chan uint64),
-		revision: func() uint64 { return 0 },
 		exchange: noExchange{},
 	}
 }
 
-// RevisionExchange hears what probes tell of the peers' configuration.
+// RevisionExchange tells what this node holds, and hears what probes tell of the
+// peers.
 type RevisionExchange interface {
-	// Newer is called when a peer at address holds a newer revision.
-	Newer(address string, revision uint64)
+	// Revision is this node's configuration revision.
+	Revision() uint64
+	// MachinesVersion is this node's version of the machine list.
+	MachinesVersion() uint64
+	// Newer is called when a peer at address holds a newer revision; entries
+	// are the newest ones, if they came along.
+	Newer(address string, revision uint64, entries []wire.Entry)
+	// NewerMachines is called when a peer at address has a newer machine list.
+	NewerMachines(address string)
 	// Compared is called when a peer answered a probe that was sent at sent with
 	// a revision that was not newer.
 	Compared(sent time.Time)
@@ -83,15 +89,14 @@
 
 type noExchange struct{}
 
-func (noExchange) Newer(string, uint64) {}
-func (noExchange) Compared(time.Time)   {}
+func (noExchange) Revision() uint64                   { return 0 }
+func (noExchange) MachinesVersion() uint64            { return 0 }
+func (noExchange) Newer(string, uint64, []wire.Entry) {}
+func (noExchange) NewerMachines(string)               {}
+func (noExchange) Compared(time.Time)                 {}
 
-// CarryRevision makes probes carry this node's configuration revision. It is
-// called before Run.
-func (m *Membership) CarryRevision(revision func() uint64, exchange RevisionExchange) {
-	m.revision = revision
-	m.exchange = exchange
-}
+// Exchange makes probes carry what this node holds. It is called before Run.
+func (m *Membership) Exchange(exchange RevisionExchange) { m.exchange = exchange }
 
 // OnChange registers a function called after the member list may have changed.
 func (m *Membership) OnChange(listener func()) {
@@ -304,7 +309,7 @@
 	m.send(address, probe)
 	select {
 	case revision := <-answered:
-		if revision <= m.revision() {
+		if revision <= m.exchange.Revision() {
 			m.exchange.Compared(sent)
 		}
 		return true
@@ -331,7 +336,8 @@
 
 func (m *Membership) send(address string, probe wire.Probe) {
 	probe.From = m.list.self.Address
-	probe.Revision = m.revision()
+	probe.Revision = m.exchange.Revision()
+	probe.Machines = m.exchange.MachinesVersion()
 	probe.Updates = append(probe.Updates, m.list.updates(maximumUpdates)...)
 	content, err := wire.Encode(probe)
 	if err != nil {
@@ -366,8 +372,11 @@
 
 func (m *Membership) handle(probe wire.Probe) {
 	m.mergeAll(probe.Updates)
-	if probe.Revision > m.revision() {
-		m.exchange.Newer(probe.From, probe.Revision)
+	if probe.Revision > m.exchange.Revision() {
+		m.exchange.Newer(probe.From, probe.Revision, probe.Entries)
+	}
+	if probe.Machines > m.exchange.MachinesVersion() {
+		m.exchange.NewerMachines(probe.From)
 	}
 	switch probe.Kind {
 	case wire.ProbePing:
@@ -431,8 +440,8 @@
 }
 
 // Announce tells a few members of a newer configuration revision at once instead
-// of with the next probe.
-func (m *Membership) Announce(fanout int) {
+// of with the next probe, and sends the newest entries along.
+func (m *Membership) Announce(fanout int, entries []wire.Entry) {
 	members := m.Alive()
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	for _, member := range members {
@@ -443,7 +452,7 @@
 			return
 		}
 		fanout--
-		m.send(member.Address, wire.Probe{Kind: wire.ProbeAck})
+		m.send(member.Address, wire.Probe{Kind: wire.ProbeAck, Entries: entries})
 	}
 }
 
@@ -451,7 +460,7 @@
 // once.
 func (m *Membership) Leave() {
 	m.list.setSelf(wire.MemberLeaving)
-	m.Announce(2 * indirectHelpers)
+	m.Announce(2*indirectHelpers, nil)
 	m.notify()
 }
 
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -4,37 +4,43 @@
 	"context"
 
 	"lilacvane/internal/machines"
+	"lilacvane/internal/spread"
 	"lilacvane/internal/wire"
 )
 
-// machineSource reads the machine list for this node: from the platform if the
-// node is one of its zone's feeders, else from a feeder, so that the platform's
-// load does not grow with the fleet.
-type machineSource struct {
-	node     *Node
-	platform machines.Source
+// exchange is what the membership's probes carry of this node, and hear of
+// others: the configuration by the spreader, the machine list by the node.
+type exchange struct {
+	*spread.Spreader
+	node *Node
 }
 
-// ChangesSince returns what changed after a version.
-func (s *machineSource) ChangesSince(ctx context.Context, version uint64) (machines.Changes, error) {
-	self := s.node.membership.Self().Node
-	for _, feeder := range s.node.spread.Feeders() {
-		if feeder == self {
-			break
-		}
-		changes, err := s.ask(ctx, feeder, version)
-		if err == nil {
-			return changes, nil
-		}
+// MachinesVersion is this node's version of the machine list.
+func (e *exchange) MachinesVersion() uint64 { return e.node.machines.Version() }
+
+// NewerMachines reads what a peer's machine list has more, one read at a time.
+func (e *exchange) NewerMachines(address string) {
+	n := e.node
+	if !n.pullingMachines.CompareAndSwap(false, true) {
+		return
 	}
-	return s.platform.ChangesSince(ctx, version)
+	go func() {
+		defer n.pullingMachines.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		defer cancel()
+		n.readMachines(ctx, &peerMachines{node: n, address: address})
+	}()
+}
+
+// peerMachines is another node's copy of the machine list.
+type peerMachines struct {
+	node    *Node
+	address string
 }
 
-func (s *machineSource) ask(ctx context.Context, feeder string, version uint64) (machines.Changes, error) {
-	member, _ := s.node.membership.Get(feeder)
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
+// ChangesSince asks the peer.
+func (p *peerMachines) ChangesSince(ctx context.Context, version uint64) (machines.Changes, error) {
 	var response wire.MachinesResponse
-	err := s.node.client.Call(ctx, member.Address, methodMachines, wire.MachinesRequest{Since: version}, &response)
+	err := p.node.client.Call(ctx, p.address, methodMachines, wire.MachinesRequest{Since: version}, &response)
 	return response.Changes, err
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,24 +59,26 @@
 	peersListener     net.Listener
 	socket            net.PacketConn
 
-	traffic     metrics.Traffic
-	client      *peer.Client
-	peers       *peer.Server
-	membership  *membership.Membership
-	machines    *machines.List
-	catalog     *catalog.Catalog
-	committer   *commit.Committer
-	spread      *spread.Spreader
-	policies    *policy.Set
-	keeper      *sleep.Keeper
-	coordinator *coordinator.Coordinator
-	manager     *runner.Manager
-	claims      *claims.Service
-	requests    *request.Service
-	gateway     *gateway.Server
-	operators   *operator.Server
-	decisions   *decision.Log
-	metrics     *metrics.Metrics
+	traffic          metrics.Traffic
+	client           *peer.Client
+	peers            *peer.Server
+	membership       *membership.Membership
+	machines         *machines.List
+	platformMachines machines.Source
+	pullingMachines  atomic.Bool
+	catalog          *catalog.Catalog
+	committer        *commit.Committer
+	spread           *spread.Spreader
+	policies         *policy.Set
+	keeper           *sleep.Keeper
+	coordinator      *coordinator.Coordinator
+	manager          *runner.Manager
+	claims           *claims.Service
+	requests         *request.Service
+	gateway          *gateway.Server
+	operators        *operator.Server
+	decisions        *decision.Log
+	metrics          *metrics.Metrics
 
 	stale   chan struct{}
 	ready   atomic.Bool
@@ -138,7 +140,8 @@
 	n.peers = peer.NewServer(s.Node, n.traffic.Peers)
 	n.decisions = decision.NewLog(s.Node, decisionsKept)
 	n.catalog = catalog.New()
-	n.machines = machines.NewList(&machineSource{node: n, platform: machines.NewClient(s.Platform.Machines, n.localAddress(), n.traffic.Platform)})
+	n.platformMachines = machines.NewClient(s.Platform.Machines, n.localAddress(), n.traffic.Platform)
+	n.machines = machines.NewList()
 	store := table.NewClient(s.Platform.Table, n.localAddress(), n.traffic.Platform)
 	n.committer = commit.New(store)
 	reader := commit.NewReader(store)
@@ -147,7 +150,7 @@
 		SuspectFor: s.Membership.SuspectFor, Seeds: s.Seeds,
 	}, n.socket, n.client, n.traffic.Peers, n.logger)
 	n.spread = spread.New(n.catalog, reader, n.membership, n.client, s.Configuration.PollInterval, n.logger)
-	n.membership.CarryRevision(n.catalog.Revision, n.spread)
+	n.membership.Exchange(&exchange{Spreader: n.spread, node: n})
 	zone, _ := time.LoadLocation(s.TimeZone)
 	n.policies = policy.NewSet(n.catalog, s.Region, zone)
 	n.keeper = sleep.NewKeeper(sleep.Settings{
@@ -340,8 +343,10 @@
 	ticker := time.NewTicker(n.settings.Runners.MachineInterval)
 	defer ticker.Stop()
 	for {
-		if err := n.machines.Refresh(ctx); err != nil {
-			n.logger.V(1).Info("machine list does not answer", "step", "read machine list", "error", err.Error())
+		// Peers show a newer list by their probes; only feeders, and nodes that
+		// have none yet, read the platform's.
+		if n.machines.Version() == 0 || n.spread.IsFeeder() {
+			n.readMachines(ctx, n.platformMachines)
 		}
 		select {
 		case <-ctx.Done():
@@ -351,6 +356,12 @@
 	}
 }
 
+func (n *Node) readMachines(ctx context.Context, source machines.Source) {
+	if err := n.machines.Refresh(ctx, source); err != nil {
+		n.logger.V(1).Info("machine list does not answer", "step", "read machine list", "error", err.Error())
+	}
+}
+
 // refreshDerived brings what is derived from the catalog and the member list up
 // to date after either changed, at most once every refreshAtMost.
 func (n *Node) refreshDerived(ctx context.Context) {
--- a/internal/runner/manager.go
+++ b/internal/runner/manager.go
@@ -67,7 +67,7 @@
 	removing map[string]struct{}
 	reports  func(wire.Replica)
 	idle     func(float64)
-	newer    func(address string, revision uint64)
+	newer    func(address string, revision uint64, entries []wire.Entry)
 }
 
 type running struct {
@@ -93,7 +93,7 @@
 	Idle func(seconds float64)
 	// Newer hears that a peer acts on a configuration revision that may be
 	// newer than this node's.
-	Newer func(address string, revision uint64)
+	Newer func(address string, revision uint64, entries []wire.Entry)
 }
 
 // NewManager returns a manager without runners.
@@ -235,7 +235,7 @@
 	if !owned {
 		return wire.WakeResponse{}, fault.New(fault.CodeNotReady, methodWake, "runner %s is not owned by this node", request.Runner)
 	}
-	m.newer(request.Coordinator, request.Revision)
+	m.newer(request.Coordinator, request.Revision, nil)
 	keepFor := time.Duration(request.KeepMilliseconds) * time.Millisecond
 	return wire.WakeResponse{Replica: entry.owner.wish(request.Unit, request.Coordinator, request.Load, keepFor)}, nil
 }
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -30,14 +30,17 @@
 	snapshotPage   = 256
 	feedersPerZone = 2
 	announceFanout = 3
-	freshFor       = 3 * time.Second
-	checkTimeout   = 700 * time.Millisecond
-	pullTimeout    = 5 * time.Second
-	checkPeers     = 4
-	startRetry     = 300 * time.Millisecond
-	asksASecond    = 2
-	trimInterval   = time.Hour
-	feederKey      = "feeder/"
+	// maximumPushed bounds the entries that come along with an announcement, in
+	// bytes, so that it stays one datagram.
+	maximumPushed = 700
+	freshFor      = 3 * time.Second
+	checkTimeout  = 700 * time.Millisecond
+	pullTimeout   = 5 * time.Second
+	checkPeers    = 4
+	startRetry    = 300 * time.Millisecond
+	asksASecond   = 2
+	trimInterval  = time.Hour
+	feederKey     = "feeder/"
 )
 
 // Spreader keeps one catalog up to date. It is safe for concurrent use.
@@ -63,10 +66,29 @@
 // New returns a spreader. Feeders read the table every poll.
 func New(c *catalog.Catalog, reader *commit.Reader, m *membership.Membership, client *peer.Client, poll time.Duration, logger logr.Logger) *Spreader {
 	s := &Spreader{catalog: c, reader: reader, membership: m, client: client, poll: poll, logger: logger, pending: make(map[uint64]wire.Entry), asks: rate.NewLimiter(asksASecond, asksASecond)}
-	c.OnChange(func() { m.Announce(announceFanout) })
+	c.OnChange(s.announce)
 	return s
 }
 
+// announce tells a few members of the newest revision. A single entry that is
+// small enough comes along.
+func (s *Spreader) announce() {
+	entries, _ := s.catalog.Since(s.catalog.Revision()-1, 1)
+	if len(entries) == 1 && entrySize(entries[0]) > maximumPushed {
+		entries = nil
+	}
+	s.membership.Announce(announceFanout, entries)
+}
+
+// entrySize is the size of an entry's objects in bytes.
+func entrySize(entry wire.Entry) int {
+	size := 0
+	for _, change := range entry.Changes {
+		size += len(change.Object.Spec) + len(change.Object.Name)
+	}
+	return size
+}
+
 // Register adds the handlers by which peers read this node's catalog.
 func (s *Spreader) Register(server *peer.Server) {
 	peer.Handle(server, methodPull, func(_ context.Context, request wire.PullRequest) (wire.PullResponse, error) {
@@ -225,8 +247,13 @@
 	return false
 }
 
-// Newer is called when a peer shows a newer revision. One pull runs at a time.
-func (s *Spreader) Newer(address string, revision uint64) {
+// Revision is the newest applied revision.
+func (s *Spreader) Revision() uint64 { return s.catalog.Revision() }
+
+// Newer is called when a peer shows a newer revision, with the newest entries if
+// they came along. What they leave open is pulled, one pull at a time.
+func (s *Spreader) Newer(address string, revision uint64, entries []wire.Entry) {
+	s.take(entries)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.wanted = max(s.wanted, revision)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -100,6 +100,11 @@
 	Target   string    `cbor:"4,keyasint,omitempty"`
 	Revision uint64    `cbor:"5,keyasint"`
 	Updates  []Member  `cbor:"6,keyasint,omitempty"`
+	// Machines is the sender's version of the machine list.
+	Machines uint64 `cbor:"7,keyasint,omitempty"`
+	// Entries are the newest log entries, when they are small enough to come
+	// along; the receiver need not ask for them.
+	Entries []Entry `cbor:"8,keyasint,omitempty"`
 }
 
 // MembersRequest asks a peer for one page of its member list after a node name.
--- a/test/replicas_test.go
+++ b/test/replicas_test.go
@@ -193,7 +193,17 @@
 	assert.NilError(t, err)
 	runner := grant.Items[0].Runner
 	w.Engines[runner].Proxy.Block()
-	refused := ask(t.Context(), nodes[0], call{Model: "alpha", Prompt: "two", Tokens: 4, Deadline: 4 * time.Second}, nil)
+	waitUntil(t, "the runner is known to be unreachable", func() error {
+		runners, err := nodes[0].Client().Runners(t.Context(), runner)
+		if err != nil {
+			return err
+		}
+		if len(runners) == 0 || runners[0].State != "unreachable" {
+			return fmt.Errorf("%+v", runners)
+		}
+		return nil
+	})
+	refused := ask(t.Context(), nodes[0], call{Model: "alpha", Prompt: "two", Tokens: 4, Deadline: 8 * time.Second}, nil)
 	assert.Assert(t, !refused.Served, "served by a runner that was not granted: %+v", refused)
 	gone := killEngine(t, w, runner)
 	moved := call{Model: "alpha", Prompt: "three", Tokens: 4, Deadline: 30 * time.Second}
--- a/test/stops_test.go
+++ b/test/stops_test.go
@@ -51,6 +51,8 @@
 	nodes := startNodes(t, w, 3)
 	apply(t, nodes[0], model("alpha", 2, 300)...)
 	waitClaims(t, nodes)
+	early := call{Model: "alpha", Prompt: "early", Tokens: 4, Key: "early-key", Deadline: 30 * time.Second}
+	assertServed(t, early, ask(t.Context(), nodes[1], early, nil))
 	streams := startStreams(t, nodes[:1], longStream, 4)
 	assert.NilError(t, nodes[0].Terminate())
 	late := call{Model: "alpha", Prompt: "late", Tokens: 4, Key: "late-key", Deadline: 30 * time.Second}
@@ -61,9 +63,11 @@
 	assert.NilError(t, nodes[0].Wait(patience))
 	again := call{Model: "alpha", Prompt: "again", Tokens: 4, Deadline: 30 * time.Second}
 	assertServed(t, again, ask(t.Context(), nodes[2], again, nil))
-	duplicate := ask(t.Context(), nodes[2], late, nil)
-	assert.Assert(t, !duplicate.Served, "the moved claim was forgotten")
-	assert.Equal(t, readHistory(t, w).runs("late"), 1)
+	for _, c := range []call{early, late} {
+		duplicate := ask(t.Context(), nodes[2], c, nil)
+		assert.Assert(t, !duplicate.Served, "the moved claim of %s was forgotten", c.Key)
+		assert.Equal(t, readHistory(t, w).runs(c.Prompt), 1)
+	}
 }
 
 // TestStopOfRunnerCutsOffNoRequest: a runner is drained while long streams run
@@ -81,6 +85,9 @@
 	runner := grant.Items[0].Runner
 	drain := api.NewObject(api.KindDrain, "drain-1", api.Drain{Target: api.DrainRunner, Name: runner})
 	apply(t, nodes[0], drain)
+	// A request that comes during the stop waits until the replica has moved.
+	moved := call{Model: "alpha", Prompt: "moved", Tokens: 4, Deadline: 50 * time.Second}
+	movedResult := inBackground(t.Context(), nodes[0], moved, nil)
 	for _, stream := range streams {
 		assertServed(t, longStream, await(t, stream))
 	}
@@ -94,8 +101,7 @@
 		}
 		return nil
 	})
-	moved := call{Model: "alpha", Prompt: "moved", Tokens: 4, Deadline: 30 * time.Second}
-	assertServed(t, moved, ask(t.Context(), nodes[0], moved, nil))
+	assertServed(t, moved, await(t, movedResult))
 	h := readHistory(t, w)
 	assert.Equal(t, h.most("alpha"), 1)
 	assertNoRunAfterDrain(t, h, runner)
