Coordinate each unit once for the whole fleet, prefer runners of the own region

Change: one coordinator for each unit over all living nodes, parts that lost each other have one each; routing prefers ready replicas of the own region. An owner reports a runner it cannot reach at once, not at its next success.

--- a/internal/api/objects.go
+++ b/internal/api/objects.go
@@ -99,8 +99,9 @@
 	Incarnation string `json:"incarnation"`
 	// Address is the runner's ip:port.
 	Address string `json:"address"`
-	// Zone is the runner's zone.
-	Zone string `json:"zone"`
+	// Zone and Region are where the runner is.
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
 	// Generation is the generation of the Grant object that added this item.
 	// The runner fences by it.
 	Generation uint64 `json:"generation"`
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -1,6 +1,7 @@
 // Package coordinator decides for each unit how many of its granted replicas
-// wake and where. A unit has one coordinator in each region, a node chosen by
-// rendezvous hashing. What a coordinator knows is soft state: two of them at
+// wake and where. A unit has one coordinator, a node chosen by rendezvous hashing
+// over the living ones; parts of the fleet that lost each other have one each.
+// What a coordinator knows is soft state: two of them at
 // once, or none for a while, cost time but break nothing, because runners load
 // only within committed grants.
 package coordinator
@@ -45,7 +46,7 @@
 
 // Owners finds the owner of a runner.
 type Owners interface {
-	OwnerOf(runner, zone string) (wire.Member, bool)
+	OwnerOf(runner, zone, region string) (wire.Member, bool)
 	Wake(request wire.WakeRequest) (wire.WakeResponse, error)
 }
 
@@ -60,8 +61,6 @@
 	Client     *peer.Client
 	Log        *decision.Log
 	Logger     logr.Logger
-	// Region limits coordination to the runners of one region.
-	Region string
 	// StatusChanged takes statuses for this node itself.
 	StatusChanged func(wire.UnitStatus)
 }
@@ -123,7 +122,7 @@
 // Refresh brings the spread of units over nodes in step with the catalog and the
 // member list.
 func (c *Coordinator) Refresh() {
-	c.assignment.SetNodes(c.regionNodes())
+	c.assignment.SetNodes(c.aliveNodes())
 	units := c.Catalog.Units()
 	names := make([]string, len(units))
 	for index, unit := range units {
@@ -132,12 +131,10 @@
 	c.assignment.SetKeys(names)
 }
 
-func (c *Coordinator) regionNodes() []string {
+func (c *Coordinator) aliveNodes() []string {
 	var nodes []string
 	for _, member := range c.Membership.Alive() {
-		if member.Region == c.Region {
-			nodes = append(nodes, member.Node)
-		}
+		nodes = append(nodes, member.Node)
 	}
 	return nodes
 }
@@ -219,7 +216,7 @@
 	defer c.mutex.Unlock()
 	state := c.state(unit.Name)
 	var stale []api.GrantItem
-	for _, item := range c.regionItems(unit) {
+	for _, item := range usableItems(unit) {
 		known, ok := state.replicas[item.Runner]
 		expires := statusExpires
 		inTransition := known.replica.State != wire.ReplicaReady && known.replica.State != wire.ReplicaSleeping
@@ -236,13 +233,11 @@
 	return stale
 }
 
-// regionItems returns the unit's usable grant items in this region.
-func (c *Coordinator) regionItems(unit catalog.Unit) []api.GrantItem {
+// usableItems returns the unit's grant items that are not being taken back.
+func usableItems(unit catalog.Unit) []api.GrantItem {
 	var items []api.GrantItem
 	for _, item := range unit.Grant.Items {
-		machine, listed := c.Machines.Get(item.Runner)
-		otherRegion := listed && machine.Region != c.Region
-		if !item.Revoking && !otherRegion {
+		if !item.Revoking {
 			items = append(items, item)
 		}
 	}
@@ -266,9 +261,9 @@
 func (c *Coordinator) ask(ctx context.Context, unit string, item api.GrantItem, what intent) wire.Replica {
 	replica := wire.Replica{
 		Unit: unit, Runner: item.Runner, Incarnation: item.Incarnation, Address: item.Address,
-		Zone: item.Zone, State: wire.ReplicaUnreachable,
+		Zone: item.Zone, Region: item.Region, State: wire.ReplicaUnreachable,
 	}
-	owner, found := c.owners.OwnerOf(item.Runner, item.Zone)
+	owner, found := c.owners.OwnerOf(item.Runner, item.Zone, item.Region)
 	if !found {
 		return replica
 	}
@@ -308,7 +303,7 @@
 	defer c.mutex.Unlock()
 	state := c.state(unit.Name)
 	status := wire.UnitStatus{Unit: unit.Name, Reason: state.reason, Revision: c.Catalog.Revision()}
-	items := c.regionItems(unit)
+	items := usableItems(unit)
 	if len(items) == 0 {
 		status.Reason = noGrantReason(unit)
 	}
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -102,7 +102,7 @@
 }
 
 func itemOf(replica wire.Replica) api.GrantItem {
-	return api.GrantItem{Runner: replica.Runner, Incarnation: replica.Incarnation, Address: replica.Address, Zone: replica.Zone}
+	return api.GrantItem{Runner: replica.Runner, Incarnation: replica.Incarnation, Address: replica.Address, Zone: replica.Zone, Region: replica.Region}
 }
 
 // wake loads what is needed. Concurrent calls for one unit make one decision, so
@@ -210,7 +210,7 @@
 			return c.Grants.Revoke(ctx, unit, leaving)
 		}
 	}
-	if len(unit.Grant.Items) < unit.Replicas && c.isFirstRegion(unit) {
+	if len(unit.Grant.Items) < unit.Replicas {
 		return func(ctx context.Context) error { return c.addGrants(ctx, unit) }
 	}
 	return nil
@@ -268,17 +268,6 @@
 	return func(runner string) bool { return loaded[runner] }
 }
 
-// isFirstRegion keeps the coordinators of several regions from adding grants at
-// once: the region whose coordinator ranks first by name adds.
-func (c *Coordinator) isFirstRegion(catalog.Unit) bool {
-	for _, member := range c.Membership.Alive() {
-		if member.Region < c.Region {
-			return false
-		}
-	}
-	return true
-}
-
 func (c *Coordinator) addGrants(ctx context.Context, unit catalog.Unit) error {
 	demand := placement.Demand{Unit: unit.Name, MemoryMiB: unit.MemoryMiB, Count: unit.Replicas - len(unit.Grant.Items)}
 	for _, item := range unit.Grant.Items {
@@ -291,7 +280,7 @@
 	}
 	var items []api.GrantItem
 	for _, candidate := range chosen {
-		items = append(items, api.GrantItem{Runner: candidate.Runner, Incarnation: candidate.Incarnation, Address: candidate.Address, Zone: candidate.Zone})
+		items = append(items, api.GrantItem{Runner: candidate.Runner, Incarnation: candidate.Incarnation, Address: candidate.Address, Zone: candidate.Zone, Region: candidate.Region})
 	}
 	c.setReason(unit.Name, "")
 	if err := c.Grants.Add(ctx, unit, items); err != nil {
@@ -338,7 +327,7 @@
 		granted += unit.MemoryMiB
 	}
 	return placement.Candidate{
-		Runner: machine.Name, Incarnation: machine.Incarnation, Address: machine.Address, Zone: machine.Zone,
+		Runner: machine.Name, Incarnation: machine.Incarnation, Address: machine.Address, Zone: machine.Zone, Region: machine.Region,
 		MemoryMiB: machine.MemoryMiB, GrantedMiB: granted, Tier: wire.TierRemote, Draining: c.draining(item),
 	}
 }
@@ -354,7 +343,7 @@
 	for index := range sample {
 		group.Go(func() {
 			candidate := &sample[index]
-			item := api.GrantItem{Runner: candidate.Runner, Incarnation: candidate.Incarnation, Address: candidate.Address, Zone: candidate.Zone}
+			item := api.GrantItem{Runner: candidate.Runner, Incarnation: candidate.Incarnation, Address: candidate.Address, Zone: candidate.Zone, Region: candidate.Region}
 			replica := c.ask(ctx, unit.Name, item, look)
 			if replica.State != wire.ReplicaUnreachable {
 				candidate.Tier = replica.Tier
--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -17,6 +17,8 @@
 	Peers    float64
 	Platform float64
 	Runners  float64
+	// Kinds are the bytes of messages between nodes by kind.
+	Kinds map[string]float64
 }
 
 const clockTicksPerSecond = 100
@@ -39,7 +41,19 @@
 	return sample, readMetrics(operators, &sample)
 }
 
+const metricKinds = "lilacvane_peer_content_bytes_total{kind=\""
+
+// cutLast splits a line at its last space.
+func cutLast(line string) (string, string, bool) {
+	at := strings.LastIndexByte(line, ' ')
+	if at < 0 {
+		return line, "", false
+	}
+	return line[:at], line[at+1:], true
+}
+
 func readMetrics(operators string, sample *Sample) error {
+	sample.Kinds = make(map[string]float64)
 	response, err := http.Get("http://" + operators + "/metrics")
 	if err != nil {
 		return err
@@ -51,7 +65,11 @@
 	}
 	scanner := bufio.NewScanner(response.Body)
 	for scanner.Scan() {
-		name, value, found := strings.Cut(scanner.Text(), " ")
+		name, value, found := cutLast(scanner.Text())
+		if kind, isKind := strings.CutPrefix(name, metricKinds); isKind {
+			sample.Kinds[strings.TrimSuffix(kind, "\"}")], _ = strconv.ParseFloat(value, 64)
+			continue
+		}
 		if target, wanted := targets[name]; found && wanted {
 			number, err := strconv.ParseFloat(value, 64)
 			if err != nil {
@@ -76,13 +94,20 @@
 	// ForceSeconds is the time from the acceptance of a change until it was in
 	// force at the last of the real nodes: the longest of the measurement.
 	ForceSeconds float64 `json:"forceSeconds"`
+	// Kinds are the content bytes a second of messages between nodes by kind.
+	Kinds map[string]float64 `json:"peerKinds"`
 }
 
 // Between returns the cost of the time between two samples.
 func Between(before, after Sample, took time.Duration) Cost {
 	const mebibyte = 1 << 20
 	seconds := took.Seconds()
+	kinds := make(map[string]float64)
+	for kind, bytes := range after.Kinds {
+		kinds[kind] = (bytes - before.Kinds[kind]) / seconds
+	}
 	return Cost{
+		Kinds:      kinds,
 		CPUPercent: (after.CPU - before.CPU).Seconds() / seconds * 100, RSSMiB: float64(after.RSS) / mebibyte,
 		PeerBytes: (after.Peers - before.Peers) / seconds, PlatformBytes: (after.Platform - before.Platform) / seconds,
 		RunnerBytes: (after.Runners - before.Runners) / seconds,
@@ -91,9 +116,12 @@
 
 // Mean returns the average of costs, and the longest ForceSeconds.
 func Mean(costs []Cost) Cost {
-	var mean Cost
+	mean := Cost{Kinds: make(map[string]float64)}
 	share := 1 / float64(len(costs))
 	for _, cost := range costs {
+		for kind, bytes := range cost.Kinds {
+			mean.Kinds[kind] += bytes * share
+		}
 		mean.CPUPercent += cost.CPUPercent * share
 		mean.RSSMiB += cost.RSSMiB * share
 		mean.PeerBytes += cost.PeerBytes * share
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -184,8 +184,17 @@
 	return chosen
 }
 
+// settle ends the passing on of what is known of a member.
+func (l *list) settle(node string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if known, exists := l.entries[node]; exists && node != l.self.Node {
+		known.sends = disseminationLimit(len(l.entries))
+	}
+}
+
 func disseminationLimit(members int) int {
-	const factor = 3
+	const factor = 2
 	limit := factor
 	for size := 1; size < members; size *= 2 {
 		limit += factor
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -156,7 +156,7 @@
 		if err := m.client.Call(ctx, address, methodMembers, request, &response); err != nil {
 			return err
 		}
-		m.mergeAll(response.Members)
+		m.mergeKnown(response.Members)
 		if !response.More || len(response.Members) == 0 {
 			return nil
 		}
@@ -350,6 +350,7 @@
 	}
 	if _, err := m.socket.WriteTo(content, target); err == nil {
 		m.traffic.Sent.Add(int64(len(content) + datagramOverhead))
+		m.traffic.Note("datagram sent", len(content)+datagramOverhead)
 	}
 }
 
@@ -361,6 +362,7 @@
 			return
 		}
 		m.traffic.Received.Add(int64(size + datagramOverhead))
+		m.traffic.Note("datagram received", size+datagramOverhead)
 		var probe wire.Probe
 		if err := wire.Decode(buffer[:size], from.String(), &probe); err != nil {
 			m.logger.V(1).Info("datagram refused", "step", "membership", "peer", from.String(), "error", err.Error())
@@ -419,6 +421,14 @@
 	}
 }
 
+// mergeKnown takes members that others know already: they are not passed on.
+func (m *Membership) mergeKnown(members []wire.Member) {
+	m.mergeAll(members)
+	for _, member := range members {
+		m.list.settle(member.Node)
+	}
+}
+
 func (m *Membership) mergeAll(members []wire.Member) {
 	changed := false
 	now := time.Now()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -27,6 +27,36 @@
 	idle      prometheus.Counter
 }
 
+// kindCollector exposes the messages between nodes by kind.
+type kindCollector struct {
+	counter  *traffic.Counter
+	messages *prometheus.Desc
+	bytes    *prometheus.Desc
+}
+
+func newKindCollector(counter *traffic.Counter) *kindCollector {
+	labels := []string{"kind"}
+	return &kindCollector{
+		counter:  counter,
+		messages: prometheus.NewDesc("lilacvane_peer_messages_total", "Messages between nodes by kind.", labels, nil),
+		bytes:    prometheus.NewDesc("lilacvane_peer_content_bytes_total", "Content of messages between nodes by kind, without headers.", labels, nil),
+	}
+}
+
+// Describe sends the descriptions.
+func (k *kindCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- k.messages
+	descriptions <- k.bytes
+}
+
+// Collect sends the figures.
+func (k *kindCollector) Collect(figures chan<- prometheus.Metric) {
+	for kind, counted := range k.counter.Kinds() {
+		figures <- prometheus.MustNewConstMetric(k.messages, prometheus.CounterValue, float64(counted.Messages), kind)
+		figures <- prometheus.MustNewConstMetric(k.bytes, prometheus.CounterValue, float64(counted.Bytes), kind)
+	}
+}
+
 // Traffic are the counters of a node's control connections.
 type Traffic struct {
 	Peers    *traffic.Counter
@@ -63,6 +93,7 @@
 		}, func() float64 { return float64(depths()[class]) }))
 	}
 	m.registry.MustRegister(
+		newKindCollector(control.Peers),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "lilacvane_revision", Help: "Configuration revision in force at this node."}, func() float64 { return float64(revision()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "lilacvane_peer_sent_bytes_total", Help: "Bytes sent to other nodes."}, func() float64 { return float64(control.Peers.Sent.Load()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "lilacvane_peer_received_bytes_total", Help: "Bytes received from other nodes."}, func() float64 { return float64(control.Peers.Received.Load()) }),
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -97,13 +97,13 @@
 		}
 	case "replica":
 		if machine, listed := b.node.machines.Get(name); listed {
-			add(b.node.manager.OwnerOf(machine.Name, machine.Zone))
+			add(b.node.manager.OwnerOf(machine.Name, machine.Zone, machine.Region))
 		}
 	default:
 		add(b.node.coordinator.Of(name))
 		unit, _ := b.node.catalog.Unit(name)
 		for _, item := range unit.Grant.Items {
-			add(b.node.manager.OwnerOf(item.Runner, item.Zone))
+			add(b.node.manager.OwnerOf(item.Runner, item.Zone, item.Region))
 		}
 	}
 	list := make([]wire.Member, 0, len(members))
@@ -136,15 +136,16 @@
 	return status
 }
 
-// Runners asks the nodes of the region for the runners they own.
+// Runners asks the owners of a runner, or of all runners of this node's region.
 func (b *backend) Runners(ctx context.Context, name string) []wire.RunnerStatus {
 	n := b.node
 	owners := make(map[string]wire.Member)
 	for _, machine := range n.machines.All() {
-		if machine.Region != n.settings.Region || name != "" && machine.Name != name {
+		asked := name == machine.Name || name == "" && machine.Region == n.settings.Region
+		if !asked {
 			continue
 		}
-		if owner, found := n.manager.OwnerOf(machine.Name, machine.Zone); found {
+		if owner, found := n.manager.OwnerOf(machine.Name, machine.Zone, machine.Region); found {
 			owners[owner.Node] = owner
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -186,7 +186,7 @@
 	dialer := engine.NewDialer(n.localAddress(), n.traffic.Runners)
 	n.coordinator = coordinator.New(coordinator.Dependencies{
 		Membership: n.membership, Machines: n.machines, Catalog: n.catalog, Grants: writer, Policies: n.policies,
-		Keeper: n.keeper, Client: n.client, Log: n.decisions, Logger: n.logger, Region: s.Region,
+		Keeper: n.keeper, Client: n.client, Log: n.decisions, Logger: n.logger,
 		StatusChanged: func(status wire.UnitStatus) { n.requests.Update(status) },
 	})
 	n.manager = runner.NewManager(runner.Settings{
@@ -204,7 +204,7 @@
 	n.requests = request.NewService(request.Dependencies{
 		Catalog: n.catalog, Demand: n.coordinator, Claims: n.claims, Freshness: n.spread,
 		Dialer:   func(address string) engine.Inference { return dialer.Engine(address) },
-		Observer: n.metrics, Log: n.decisions, Logger: n.logger, Node: s.Node, Address: n.membership.Self().Address,
+		Observer: n.metrics, Log: n.decisions, Logger: n.logger, Node: s.Node, Region: s.Region, Address: n.membership.Self().Address,
 		Context: context.Background(),
 	})
 	var err error
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -56,7 +56,8 @@
 func Handle[Request, Response any](s *Server, method string, handler func(context.Context, Request) (Response, error)) {
 	s.mux.HandleFunc("POST "+pathPrefix+method, func(w http.ResponseWriter, r *http.Request) {
 		var request Request
-		if err := readMessage(r.Body, r.Header.Get(headerFrom), &request); err != nil {
+		size, err := readMessage(r.Body, r.Header.Get(headerFrom), &request)
+		if err != nil {
 			writeFailure(w, s.node, fault.From(err, method))
 			return
 		}
@@ -65,28 +66,32 @@
 			writeFailure(w, s.node, fault.From(err, method))
 			return
 		}
-		writeMessage(w, http.StatusOK, response)
+		size += writeMessage(w, http.StatusOK, response)
+		s.counter.Note(method+" answered", size)
 	})
 }
 
-func readMessage(body io.Reader, from string, target any) error {
+// readMessage decodes a body and returns its size in bytes.
+func readMessage(body io.Reader, from string, target any) (int, error) {
 	content, err := io.ReadAll(io.LimitReader(body, wire.MaximumMessageBytes+1))
 	if err != nil {
-		return fault.At(fault.CodeInvalid, "read message", from, fault.NotDone, err)
+		return 0, fault.At(fault.CodeInvalid, "read message", from, fault.NotDone, err)
 	}
-	return wire.Decode(content, from, target)
+	return len(content), wire.Decode(content, from, target)
 }
 
-func writeMessage(w http.ResponseWriter, status int, message any) {
+// writeMessage answers with a message and returns its size in bytes.
+func writeMessage(w http.ResponseWriter, status int, message any) int {
 	content, err := wire.Encode(message)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
+		return 0
 	}
 	w.Header()["Date"] = nil
 	w.Header()["Content-Type"] = nil
 	w.WriteHeader(status)
 	_, _ = w.Write(content)
+	return len(content)
 }
 
 func writeFailure(w http.ResponseWriter, node string, e *fault.Error) {
@@ -114,8 +119,9 @@
 
 // Client calls other nodes.
 type Client struct {
-	http *http.Client
-	node string
+	http    *http.Client
+	node    string
+	counter *traffic.Counter
 }
 
 // NewClient returns a client that names itself node. Calls are bounded by their
@@ -125,7 +131,7 @@
 		MaxIdleConns: maximumIdle, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, DisableCompression: true,
 		DialContext: traffic.Dialer(local, dialTimeout, counter),
 	}
-	return &Client{http: &http.Client{Transport: transport}, node: node}
+	return &Client{http: &http.Client{Transport: transport}, node: node, counter: counter}
 }
 
 // Close drops idle connections.
@@ -157,12 +163,14 @@
 	if answer.StatusCode != http.StatusOK {
 		return &fault.Error{Code: fault.CodeInternal, Step: method, Peer: address, Ran: fault.Unknown, Message: answer.Status}
 	}
-	return readMessage(answer.Body, address, response)
+	size, err := readMessage(answer.Body, address, response)
+	c.counter.Note(method+" asked", size+len(content))
+	return err
 }
 
 func readFailure(body io.Reader, address string) error {
 	var f failure
-	if err := readMessage(body, address, &f); err != nil {
+	if _, err := readMessage(body, address, &f); err != nil {
 		return err
 	}
 	return &fault.Error{
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,6 +17,7 @@
 	Incarnation string
 	Address     string
 	Zone        string
+	Region      string
 	// MemoryMiB is the runner's size, GrantedMiB the sum of the units granted
 	// on it already, which may be more.
 	MemoryMiB  int64
--- a/internal/request/service.go
+++ b/internal/request/service.go
@@ -99,7 +99,9 @@
 	Log       *decision.Log
 	Logger    logr.Logger
 	Node      string
-	Address   string
+	// Region is this node's region, whose runners are preferred.
+	Region  string
+	Address string
 	// Context ends when the node stops.
 	Context context.Context
 }
@@ -175,7 +177,7 @@
 	known, ok := s.throttlers[unit.Name]
 	if !ok {
 		guess := time.Duration(unit.MemoryMiB) * time.Second / loadMiBASecond
-		known = newThrottler(unit.Name, guess)
+		known = newThrottler(unit.Name, s.Region, guess)
 		s.throttlers[unit.Name] = known
 		go s.reportDemand(known)
 	}
--- a/internal/request/throttler.go
+++ b/internal/request/throttler.go
@@ -25,8 +25,9 @@
 // on ready replicas, the most pressing class first. It is safe for concurrent
 // use; its mutex guards all fields.
 type Throttler struct {
-	unit  string
-	mutex sync.Mutex
+	unit   string
+	region string
+	mutex  sync.Mutex
 
 	targets   map[string]*target
 	waiting   queue
@@ -41,9 +42,9 @@
 	timer     *time.Timer
 }
 
-func newThrottler(unit string, loadTime time.Duration) *Throttler {
+func newThrottler(unit, region string, loadTime time.Duration) *Throttler {
 	return &Throttler{
-		unit: unit, targets: make(map[string]*target), loadTime: loadTime, service: defaultService,
+		unit: unit, region: region, targets: make(map[string]*target), loadTime: loadTime, service: defaultService,
 		demand: make(chan struct{}, 1), lastUsed: time.Now(),
 	}
 }
@@ -208,24 +209,27 @@
 	return false
 }
 
-// usable returns the targets that take a request now; the one to avoid only if
-// there is no other.
+// usable returns the targets that take a request now: those of the own region,
+// else those of others, else the one to avoid.
 func (t *Throttler) usable(now time.Time, avoid string) []*target {
-	var usable []*target
-	var avoided *target
+	var near, far, avoided []*target
 	for _, target := range t.targets {
 		switch {
 		case !target.usable(now):
 		case target.replica.Runner == avoid:
-			avoided = target
+			avoided = append(avoided, target)
+		case target.replica.Region == t.region:
+			near = append(near, target)
 		default:
-			usable = append(usable, target)
+			far = append(far, target)
 		}
 	}
-	if len(usable) == 0 && avoided != nil {
-		usable = append(usable, avoided)
+	for _, targets := range [][]*target{near, far, avoided} {
+		if len(targets) > 0 {
+			return targets
+		}
 	}
-	return usable
+	return nil
 }
 
 // Update takes a status from the unit's coordinator.
--- a/internal/runner/manager.go
+++ b/internal/runner/manager.go
@@ -30,7 +30,7 @@
 type Settings struct {
 	// Poll is the time between two state reports of a runner at rest.
 	Poll time.Duration
-	// Region limits ownership to the runners of one region.
+	// Region is the node's region, whose nodes share its weight store.
 	Region string
 	// StoreRate and StoreConcurrency are what the weight store allows the whole
 	// region: loads a second, and loads at once at full speed.
@@ -142,7 +142,7 @@
 		}
 		listed = append(listed, machines.Machine{
 			Name: item.Runner, Incarnation: item.Incarnation, Address: item.Address, Zone: item.Zone,
-			Region: m.settings.Region, State: machines.StateLive,
+			Region: item.Region, State: machines.StateLive,
 		})
 	}
 	return listed
@@ -152,8 +152,8 @@
 	self := m.membership.Self()
 	wanted := make(map[string]machines.Machine)
 	for _, machine := range m.runners() {
-		owner, found := m.OwnerOf(machine.Name, machine.Zone)
-		if found && owner.Node == self.Node && machine.Region == m.settings.Region {
+		owner, found := m.OwnerOf(machine.Name, machine.Zone, machine.Region)
+		if found && owner.Node == self.Node {
 			wanted[machine.Name] = machine
 		}
 	}
@@ -215,15 +215,19 @@
 }
 
 // OwnerOf returns the node that should own a runner: one of the runner's zone,
-// or of the region when its zone has no node left.
-func (m *Manager) OwnerOf(runner, zone string) (wire.Member, bool) {
+// of its region when the zone has no node left, or else any.
+func (m *Manager) OwnerOf(runner, zone, region string) (wire.Member, bool) {
 	key := ownerKey + runner
-	sameZone := func(member wire.Member) bool { return member.Zone == zone }
-	if owner, found := m.membership.Owner(key, sameZone); found {
-		return owner, true
+	for _, admit := range []func(wire.Member) bool{
+		func(member wire.Member) bool { return member.Zone == zone },
+		func(member wire.Member) bool { return member.Region == region },
+		func(wire.Member) bool { return true },
+	} {
+		if owner, found := m.membership.Owner(key, admit); found {
+			return owner, true
+		}
 	}
-	sameRegion := func(member wire.Member) bool { return member.Region == m.settings.Region }
-	return m.membership.Owner(key, sameRegion)
+	return wire.Member{}, false
 }
 
 // Wake tells the state of a unit on a runner this node owns and, if asked,
--- a/internal/runner/owner.go
+++ b/internal/runner/owner.go
@@ -78,6 +78,7 @@
 func (o *owner) run(ctx context.Context, idleInterval time.Duration) {
 	for ctx.Err() == nil {
 		wait := o.step(ctx, idleInterval)
+		o.reportChanges()
 		select {
 		case <-ctx.Done():
 		case <-o.kick:
@@ -106,7 +107,6 @@
 		}
 	}
 	o.confirmRevocations()
-	o.reportChanges()
 	if busy || o.inTransition() {
 		return busyInterval
 	}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -71,7 +71,7 @@
 func (o *owner) view(unit string) wire.Replica {
 	replica := wire.Replica{
 		Unit: unit, Runner: o.machine.Name, Incarnation: o.machine.Incarnation, Address: o.machine.Address,
-		Zone: o.machine.Zone, Owner: o.node, Active: o.state.Active, Slots: o.state.Slots, Tier: wire.TierRemote,
+		Zone: o.machine.Zone, Region: o.machine.Region, Owner: o.node, Active: o.state.Active, Slots: o.state.Slots, Tier: wire.TierRemote,
 	}
 	if o.ledger != nil {
 		replica.FreeMiB = o.ledger.Free()
@@ -160,7 +160,7 @@
 	defer o.mutex.Unlock()
 	status := wire.RunnerStatus{
 		Runner: o.machine.Name, Incarnation: o.machine.Incarnation, Address: o.machine.Address,
-		Zone: o.machine.Zone, Owner: o.node, Epoch: o.epoch, MemoryMiB: o.state.MemoryMiB,
+		Zone: o.machine.Zone, Region: o.machine.Region, Owner: o.node, Epoch: o.epoch, MemoryMiB: o.state.MemoryMiB,
 	}
 	switch {
 	case !o.fenced || !o.reachable:
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -4,15 +4,48 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// Counter counts bytes moved over sockets. The zero value is ready.
+// Counter counts bytes moved over sockets, and messages by kind. The zero value
+// is ready.
 type Counter struct {
 	Sent     atomic.Int64
 	Received atomic.Int64
+
+	mutex sync.Mutex
+	kinds map[string]Kind
+}
+
+// Kind counts the messages of one kind and the bytes of their content, without
+// headers.
+type Kind struct {
+	Messages int64
+	Bytes    int64
+}
+
+// Note counts one message of a kind.
+func (c *Counter) Note(kind string, bytes int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.kinds == nil {
+		c.kinds = make(map[string]Kind)
+	}
+	counted := c.kinds[kind]
+	counted.Messages++
+	counted.Bytes += int64(bytes)
+	c.kinds[kind] = counted
+}
+
+// Kinds returns the counts by kind.
+func (c *Counter) Kinds() map[string]Kind {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return maps.Clone(c.kinds)
 }
 
 // DialFunc opens a connection; it is what net/http's Transport takes.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -163,6 +163,7 @@
 	ReadyIn     int64        `cbor:"12,keyasint" json:"readyInMilliseconds"`
 	Owner       string       `cbor:"13,keyasint" json:"owner"`
 	IdleSince   int64        `cbor:"14,keyasint" json:"idleSince"`
+	Region      string       `cbor:"15,keyasint" json:"region"`
 }
 
 // DemandReport tells a unit's coordinator what waits at a node. Waiting counts
@@ -333,6 +334,7 @@
 	MemoryMiB   int64     `cbor:"8,keyasint" json:"memoryMiB"`
 	ReservedMiB int64     `cbor:"9,keyasint" json:"reservedMiB"`
 	Replicas    []Replica `cbor:"10,keyasint" json:"replicas"`
+	Region      string    `cbor:"11,keyasint" json:"region"`
 }
 
 // RunnersResponse lists runners.
--- a/test/stops_test.go
+++ b/test/stops_test.go
@@ -85,6 +85,16 @@
 	runner := grant.Items[0].Runner
 	drain := api.NewObject(api.KindDrain, "drain-1", api.Drain{Target: api.DrainRunner, Name: runner})
 	apply(t, nodes[0], drain)
+	waitUntil(t, "the runner drains", func() error {
+		runners, err := nodes[0].Client().Runners(t.Context(), runner)
+		if err != nil {
+			return err
+		}
+		if len(runners) == 0 || runners[0].State != "draining" {
+			return fmt.Errorf("%+v", runners)
+		}
+		return nil
+	})
 	// A request that comes during the stop waits until the replica has moved.
 	moved := call{Model: "alpha", Prompt: "moved", Tokens: 4, Deadline: 50 * time.Second}
 	movedResult := inBackground(t.Context(), nodes[0], moved, nil)
