End the eviction of replicas before their first use

The decision log shows two models evicting each other every 0.2 s: a replica that has just become ready has no work yet, so it counted as idle and was evicted for the next load before the requests it was loaded for came. Two loads that waited for memory also counted on the same replica. Ruled out: the frozen node, lost wakes.

Change: a ready replica is left alone for 2 s; one replica makes room for one load.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -261,7 +261,7 @@
 func (c *Coordinator) ask(ctx context.Context, unit string, item api.GrantItem, what intent) wire.Replica {
 	replica := wire.Replica{
 		Unit: unit, Runner: item.Runner, Incarnation: item.Incarnation, Address: item.Address,
-		Zone: item.Zone, Region: item.Region, State: wire.ReplicaUnreachable,
+		Zone: item.Zone, Region: item.Region, State: wire.ReplicaUnreachable, Tier: wire.TierRemote,
 	}
 	owner, found := c.owners.OwnerOf(item.Runner, item.Zone, item.Region)
 	if !found {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -24,8 +24,9 @@
 	GrantedMiB int64
 	// Tier is where the unit's checkpoint is, as far as known.
 	Tier wire.Tier
-	// Draining runners are not feasible.
-	Draining bool
+	// Draining and unreachable runners are not feasible.
+	Draining    bool
+	Unreachable bool
 }
 
 // Demand is what is to be granted.
@@ -60,7 +61,7 @@
 func Feasible(memoryMiB int64, candidates []Candidate) []Candidate {
 	feasible := make([]Candidate, 0, len(candidates))
 	for _, candidate := range candidates {
-		if !candidate.Draining && candidate.MemoryMiB >= memoryMiB {
+		if !candidate.Draining && !candidate.Unreachable && candidate.MemoryMiB >= memoryMiB {
 			feasible = append(feasible, candidate)
 		}
 	}
--- a/internal/runner/plan.go
+++ b/internal/runner/plan.go
@@ -118,6 +118,7 @@
 func (o *owner) planLoads(now time.Time) []engine.Order {
 	var orders []engine.Order
 	free := o.ledger.Free()
+	evicted := make(map[string]struct{})
 	for _, name := range o.wished(now) {
 		unit, item, allowed := o.allowed(name)
 		_, present := o.state.Find(name)
@@ -125,7 +126,8 @@
 			continue
 		}
 		if unit.MemoryMiB > free {
-			orders = append(orders, o.evict(name, unit.MemoryMiB-free, now)...)
+			orders = append(orders, o.evict(name, unit.MemoryMiB-free, evicted, now)...)
+			free = 0
 			continue
 		}
 		free -= unit.MemoryMiB
@@ -186,22 +188,29 @@
 	preemptAfter = time.Second
 	// residency is how long a replica in use is left alone.
 	residency = 3 * time.Second
+	// firstUse is how long a replica is left alone after it became ready, so
+	// that the requests it was loaded for reach it.
+	firstUse = 2 * time.Second
 )
 
 // evict unloads replicas until needed MiB will be free: idle ones, longest idle
 // first; if that is not enough and the load has waited for a while, replicas in
 // use, longest loaded first. Those finish their work; what comes for them waits
-// its turn. It evicts nothing when all of that is not enough.
-func (o *owner) evict(wished string, needed int64, now time.Time) []engine.Order {
+// its turn. It evicts nothing when all of that is not enough. What it evicts it
+// adds to evicted, so that no replica makes room for two loads.
+func (o *owner) evict(wished string, needed int64, evicted map[string]struct{}, now time.Time) []engine.Order {
 	var idle, inUse []engine.Unit
 	for _, unit := range o.state.Units {
+		_, already := evicted[unit.Name]
+		resident := now.Sub(o.readySince[unit.Name])
 		switch {
+		case already:
 		case unit.State == engine.UnitUnloading:
 			needed -= unit.MemoryMiB
 		case unit.State != engine.UnitReady || o.isKept(unit.Name, now) || o.carriesAdapter(unit.Name):
-		case unit.Active == 0:
+		case unit.Active == 0 && resident > firstUse:
 			idle = append(idle, unit)
-		case now.Sub(o.readySince[unit.Name]) > residency:
+		case resident > residency:
 			inUse = append(inUse, unit)
 		}
 	}
@@ -224,6 +233,9 @@
 	if needed > 0 {
 		return nil
 	}
+	for _, order := range orders {
+		evicted[order.Unit] = struct{}{}
+	}
 	return orders
 }
 
