--- a/cmd/lilacvane-lab/main.go
+++ b/cmd/lilacvane-lab/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	_ "time/tzdata"
 
 	"lilacvane/internal/labcommand"
 )
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -10,6 +10,7 @@
 	"lilacvane/internal/catalog"
 	"lilacvane/internal/machines"
 	"lilacvane/internal/placement"
+	"lilacvane/internal/sleep"
 	"lilacvane/internal/wire"
 )
 
@@ -54,7 +55,7 @@
 	floor, from := c.Policies.Ready(unit.Name, now)
 	local := now.In(c.Policies.Zone())
 	c.Keeper.ObserveUse(unit.Name, local, c.inUse(state, now))
-	if floor == 0 && c.Keeper.WakeAhead(unit, local) {
+	if floor == 0 && c.Keeper.WakeAhead(unit, c.bestPlace(unit), local) {
 		floor, from = 1, "learned daily pattern"
 	}
 	c.mutex.Lock()
@@ -71,6 +72,18 @@
 	c.wake(ctx, unit, now)
 }
 
+// bestPlace is the granted runner that has the checkpoint nearest.
+func (c *Coordinator) bestPlace(unit catalog.Unit) sleep.Place {
+	best := sleep.Place{Tier: wire.TierRemote, RunnerMiB: unit.MemoryMiB}
+	for _, replica := range c.status(unit).Replicas {
+		machine, listed := c.Machines.Get(replica.Runner)
+		if listed && replica.Tier <= best.Tier {
+			best = sleep.Place{Tier: replica.Tier, RunnerMiB: machine.MemoryMiB}
+		}
+	}
+	return best
+}
+
 // inUse tells whether any node reported demand for the unit lately.
 func (c *Coordinator) inUse(state *unitState, now time.Time) bool {
 	c.mutex.Lock()
--- a/internal/lab/enginestub/engine.go
+++ b/internal/lab/enginestub/engine.go
@@ -35,6 +35,8 @@
 	// CachedShare of checkpoints, chosen by hash, is on the local disk from the
 	// start, 0 to 1.
 	CachedShare float64
+	// FlatTokenTime makes a token take TokenTime however many requests run.
+	FlatTokenTime bool
 }
 
 // Fetch gets a checkpoint from the weight store.
--- a/internal/lab/enginestub/stream.go
+++ b/internal/lab/enginestub/stream.go
@@ -136,6 +136,9 @@
 }
 
 func (e *Engine) tokenTime() time.Duration {
+	if e.settings.FlatTokenTime {
+		return e.settings.TokenTime
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	return time.Duration(float64(e.settings.TokenTime) * (1 + batchSlowdown*float64(max(0, e.active-1))))
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -110,6 +110,8 @@
 	Slots       int
 	TokenTime   time.Duration
 	CachedShare float64
+	// FlatTokenTime makes a token take the same time however many requests run.
+	FlatTokenTime bool
 }
 
 // New starts the platform of a world.
@@ -181,7 +183,7 @@
 		"--incarnation", incarnation, "--listen", listen, "--weights", w.address(1, portWeights),
 		"--memory-mib", fmt.Sprint(options.MemoryMiB), "--slots", fmt.Sprint(options.Slots),
 		"--token-time", options.TokenTime.String(), "--cached-share", fmt.Sprint(options.CachedShare),
-		"--mib-per-second", fmt.Sprint(w.MiBPerSecond), "--journal", journalPath)
+		"--mib-per-second", fmt.Sprint(w.MiBPerSecond), "--journal", journalPath, fmt.Sprintf("--flat-token-time=%t", options.FlatTokenTime))
 	if err != nil {
 		return nil, err
 	}
@@ -337,7 +339,7 @@
 	s.Node, s.Zone, s.Region, s.TimeZone = name, zone, w.Region, w.TimeZone
 	s.Listen = settings.Listen{Callers: node.Callers, Operators: node.Operators, Peers: peers}
 	s.Platform = settings.Platform{Table: w.TableAddress(), Machines: w.machinesAddress()}
-	s.WeightStore = settings.WeightStore{LoadsPerSecond: w.LoadsPerSecond, Concurrency: w.Concurrency, MiBPerSecond: w.MiBPerSecond}
+	s.WeightStore.LoadsPerSecond, s.WeightStore.Concurrency, s.WeightStore.MiBPerSecond = w.LoadsPerSecond, w.Concurrency, w.MiBPerSecond
 	s.Seeds = append([]string(nil), w.seeds...)
 	return s
 }
--- a/internal/labcommand/serve.go
+++ b/internal/labcommand/serve.go
@@ -39,19 +39,20 @@
 }
 
 type engineCommand struct {
-	Name         string        `required:"" help:"Runner name."`
-	Incarnation  string        `required:"" help:"Incarnation of the runner."`
-	Listen       string        `required:"" help:"Listening address."`
-	Weights      string        `required:"" help:"Address of the weight store."`
-	MemoryMib    int64         `default:"16384" help:"Memory in MiB."`
-	Slots        int           `default:"16" help:"Requests run at once."`
-	TokenTime    time.Duration `default:"20ms" help:"Time for a token of a lone request."`
-	PromptTime   time.Duration `default:"500us" help:"Time for a word of a prompt that is not cached."`
-	MibPerSecond float64       `default:"1024" help:"Expected speed of the weight store."`
-	DiskSpeed    float64       `default:"4096" help:"Speed of the local disk in MiB a second."`
-	ReportLag    time.Duration `default:"300ms" help:"Age of load reports."`
-	CachedShare  float64       `default:"0.2" help:"Share of checkpoints on the local disk at the start."`
-	Journal      string        `help:"File to journal to."`
+	Name          string        `required:"" help:"Runner name."`
+	Incarnation   string        `required:"" help:"Incarnation of the runner."`
+	Listen        string        `required:"" help:"Listening address."`
+	Weights       string        `required:"" help:"Address of the weight store."`
+	MemoryMib     int64         `default:"16384" help:"Memory in MiB."`
+	Slots         int           `default:"16" help:"Requests run at once."`
+	TokenTime     time.Duration `default:"20ms" help:"Time for a token of a lone request."`
+	PromptTime    time.Duration `default:"500us" help:"Time for a word of a prompt that is not cached."`
+	MibPerSecond  float64       `default:"1024" help:"Expected speed of the weight store."`
+	DiskSpeed     float64       `default:"4096" help:"Speed of the local disk in MiB a second."`
+	ReportLag     time.Duration `default:"300ms" help:"Age of load reports."`
+	CachedShare   float64       `default:"0.2" help:"Share of checkpoints on the local disk at the start."`
+	Journal       string        `help:"File to journal to."`
+	FlatTokenTime bool          `help:"A token takes the same time however many requests run."`
 }
 
 // Run serves until the process is ended.
@@ -68,7 +69,7 @@
 	engine := enginestub.New(enginestub.Settings{
 		Runner: c.Name, Incarnation: c.Incarnation, MemoryMiB: c.MemoryMib, Slots: c.Slots, TokenTime: c.TokenTime,
 		PromptTime: c.PromptTime, DiskMiBPerSecond: c.DiskSpeed, WeightSpeed: c.MibPerSecond,
-		ReportLag: c.ReportLag, CachedShare: c.CachedShare,
+		ReportLag: c.ReportLag, CachedShare: c.CachedShare, FlatTokenTime: c.FlatTokenTime,
 	}, fetchFrom(c.Weights), journal.NewWriter(output))
 	return http.ListenAndServe(c.Listen, engine.Handler())
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,8 +154,8 @@
 	zone, _ := time.LoadLocation(s.TimeZone)
 	n.policies = policy.NewSet(n.catalog, s.Region, zone)
 	n.keeper = sleep.NewKeeper(sleep.Settings{
-		Fixed: s.Sleep.FixedKeepAlive, Exchange: s.Sleep.IdleSecondsPerColdSecond,
-		Limit: s.Sleep.Limit, MiBPerSecond: s.WeightStore.MiBPerSecond,
+		Fixed: s.Sleep.FixedKeepAlive, Exchange: s.Sleep.IdleSecondsPerColdSecond, TailPower: s.Sleep.TailPower,
+		Limit: s.Sleep.Limit, StoreMiB: s.WeightStore.MiBPerSecond, DiskMiB: s.WeightStore.DiskMiBPerSecond,
 	})
 	n.claims = claims.New(claims.Dependencies{
 		Catalog: n.catalog, Membership: n.membership, Client: n.client, Committer: n.committer,
--- a/internal/runner/plan.go
+++ b/internal/runner/plan.go
@@ -7,12 +7,14 @@
 	"lilacvane/internal/api"
 	"lilacvane/internal/catalog"
 	"lilacvane/internal/engine"
+	"lilacvane/internal/sleep"
+	"lilacvane/internal/wire"
 )
 
 // KeepAlive tells how long a replica without work stays loaded.
 type KeepAlive interface {
-	// For returns the time for a unit whose checkpoint takes load to load.
-	For(unit catalog.Unit, now time.Time) time.Duration
+	// For returns the time for a unit at a place.
+	For(unit catalog.Unit, place sleep.Place) time.Duration
 	// ObserveGap hears how long a loaded unit stood idle before it was used
 	// again.
 	ObserveGap(unit string, gap time.Duration)
@@ -68,14 +70,21 @@
 }
 
 // planSleep unloads replicas of an old version, replicas on a draining runner
-// and those idle for longer than their keep-alive time.
+// and those idle for longer than their keep-alive time. A base takes its idle
+// adapters along: they go first, the base in a later round.
 func (o *owner) planSleep(now time.Time) []engine.Order {
 	var orders []engine.Order
+	sleepy := make(map[string]struct{})
 	for _, loaded := range o.state.Units {
-		if loaded.State != engine.UnitReady {
-			continue
+		if loaded.State == engine.UnitReady && o.shouldSleep(loaded, now) {
+			sleepy[loaded.Name] = struct{}{}
 		}
-		if o.shouldSleep(loaded, now) {
+	}
+	for _, loaded := range o.state.Units {
+		_, own := sleepy[loaded.Name]
+		_, withBase := sleepy[loaded.Base]
+		idleAdapter := withBase && loaded.State == engine.UnitReady && loaded.Active == 0
+		if idleAdapter || own && !o.carriesAdapter(loaded.Name) {
 			orders = append(orders, engine.Order{Kind: engine.OrderUnload, Unit: loaded.Name})
 		}
 	}
@@ -90,7 +99,7 @@
 	if unit.Version != loaded.Version {
 		return true
 	}
-	if loaded.Active > 0 || o.carriesAdapter(loaded.Name) {
+	if loaded.Active > 0 {
 		return false
 	}
 	if o.state.Role == engine.RoleDraining {
@@ -100,7 +109,15 @@
 		return false
 	}
 	idle := time.Duration(loaded.LastUsedAgo)*time.Millisecond + now.Sub(o.stateAt)
-	return idle > o.keep.For(unit, now)
+	return idle > o.keep.For(unit, sleep.Place{Tier: o.tierOf(unit), RunnerMiB: o.state.MemoryMiB})
+}
+
+// tierOf tells where a unit's checkpoint is for this runner.
+func (o *owner) tierOf(unit catalog.Unit) wire.Tier {
+	if tier, cached := o.state.Cached[unit.Checkpoint]; cached {
+		return wire.Tier(tier)
+	}
+	return wire.TierRemote
 }
 
 func (o *owner) carriesAdapter(base string) bool {
--- a/internal/runner/plan_test.go
+++ b/internal/runner/plan_test.go
@@ -11,6 +11,7 @@
 	"lilacvane/internal/engine"
 	"lilacvane/internal/ledger"
 	"lilacvane/internal/machines"
+	"lilacvane/internal/sleep"
 	"lilacvane/internal/wire"
 )
 
@@ -19,8 +20,8 @@
 // fixedKeep is a keep-alive time for all units.
 type fixedKeep time.Duration
 
-func (k fixedKeep) For(catalog.Unit, time.Time) time.Duration { return time.Duration(k) }
-func (k fixedKeep) ObserveGap(string, time.Duration)          {}
+func (k fixedKeep) For(catalog.Unit, sleep.Place) time.Duration { return time.Duration(k) }
+func (k fixedKeep) ObserveGap(string, time.Duration)            {}
 
 // testOwner returns an owner of a runner with 1000 MiB on which units of 400 MiB
 // are granted.
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -71,16 +71,14 @@
 func (o *owner) view(unit string) wire.Replica {
 	replica := wire.Replica{
 		Unit: unit, Runner: o.machine.Name, Incarnation: o.machine.Incarnation, Address: o.machine.Address,
-		Zone: o.machine.Zone, Region: o.machine.Region, Owner: o.node, Active: o.state.Active, Slots: o.state.Slots, Tier: wire.TierRemote,
+		Zone: o.machine.Zone, Region: o.machine.Region, Owner: o.node, Active: o.state.Active, Slots: o.state.Slots,
 	}
 	if o.ledger != nil {
 		replica.FreeMiB = o.ledger.Free()
 	}
 	if declared, ok := o.catalog.Unit(unit); ok {
 		replica.Version = declared.Version
-		if tier, cached := o.state.Cached[declared.Checkpoint]; cached {
-			replica.Tier = wire.Tier(tier)
-		}
+		replica.Tier = o.tierOf(declared)
 	}
 	loaded, present := o.state.Find(unit)
 	switch {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,8 +67,10 @@
 	LoadsPerSecond float64 `yaml:"loadsPerSecond"`
 	// Concurrency is how many loads run at full speed at once.
 	Concurrency int `yaml:"concurrency"`
-	// MiBPerSecond is the expected speed of one load.
-	MiBPerSecond float64 `yaml:"mibPerSecond"`
+	// MiBPerSecond is the expected speed of one load, DiskMiBPerSecond that of a
+	// load from a runner's disk.
+	MiBPerSecond     float64 `yaml:"mibPerSecond"`
+	DiskMiBPerSecond float64 `yaml:"diskMibPerSecond"`
 }
 
 // Membership tunes failure detection.
@@ -93,8 +95,11 @@
 type Sleep struct {
 	// FixedKeepAlive is a fixed time; zero means learned.
 	FixedKeepAlive time.Duration `yaml:"fixedKeepAlive"`
-	// IdleSecondsPerColdSecond is the exchange rate.
+	// IdleSecondsPerColdSecond is the exchange rate: the idle seconds that a cold
+	// start of one second is worth.
 	IdleSecondsPerColdSecond float64 `yaml:"idleSecondsPerColdSecond"`
+	// TailPower makes a cold start n times as long worth n^TailPower as much.
+	TailPower float64 `yaml:"tailPower"`
 	// Limit is the longest keep-alive time.
 	Limit time.Duration `yaml:"limit"`
 }
@@ -114,11 +119,11 @@
 func Default() Settings {
 	return Settings{
 		TimeZone:      "UTC",
-		WeightStore:   WeightStore{LoadsPerSecond: 3, Concurrency: 6, MiBPerSecond: 1024},
+		WeightStore:   WeightStore{LoadsPerSecond: 3, Concurrency: 6, MiBPerSecond: 1024, DiskMiBPerSecond: 4096},
 		Membership:    Membership{ProbeInterval: time.Second, ProbeTimeout: 500 * time.Millisecond, SuspectFor: 3 * time.Second},
 		Configuration: Configuration{PollInterval: time.Second},
 		Runners:       Runners{PollInterval: 2 * time.Second, MachineInterval: 2 * time.Second},
-		Sleep:         Sleep{IdleSecondsPerColdSecond: 10, Limit: time.Hour},
+		Sleep:         Sleep{IdleSecondsPerColdSecond: 10, TailPower: 1, Limit: time.Hour},
 		Claims:        Claims{Shards: 16},
 		Log:           Log{Level: "info"},
 	}
@@ -209,6 +214,8 @@
 	positive("runners.pollInterval", float64(s.Runners.PollInterval))
 	positive("runners.machineInterval", float64(s.Runners.MachineInterval))
 	positive("sleep.limit", float64(s.Sleep.Limit))
+	positive("weightStore.diskMibPerSecond", s.WeightStore.DiskMiBPerSecond)
+	positive("sleep.tailPower", s.Sleep.TailPower)
 	positive("sleep.idleSecondsPerColdSecond", s.Sleep.IdleSecondsPerColdSecond)
 	const maximumShards = 4096
 	if s.Claims.Shards < 1 || s.Claims.Shards > maximumShards {
--- a/internal/sleep/gaps.go
+++ b/internal/sleep/gaps.go
@@ -46,10 +46,9 @@
 }
 
 // KeepAlive returns the time to stay loaded that costs least: the expected idle
-// time plus exchange idle seconds for each second of a cold start, weighted by
-// how likely it is. Limit bounds it.
-func (g *Gaps) KeepAlive(load time.Duration, exchange float64, limit time.Duration) time.Duration {
-	penalty := load.Seconds() * exchange
+// time plus penalty, the idle seconds that a cold start is worth, weighted by how
+// likely it is. Limit bounds it.
+func (g *Gaps) KeepAlive(penalty float64, limit time.Duration) time.Duration {
 	if g.total < enoughGaps {
 		// Without knowledge, staying loaded for as long as a cold start is worth
 		// costs at most twice the best choice.
--- a/internal/sleep/keeper.go
+++ b/internal/sleep/keeper.go
@@ -1,27 +1,59 @@
 package sleep
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"lilacvane/internal/catalog"
+	"lilacvane/internal/wire"
 )
 
 // Settings say how a deployment weighs cold starts against idle accelerators.
 type Settings struct {
 	// Fixed is a fixed keep-alive time; zero means that it is learned.
 	Fixed time.Duration
-	// Exchange is how many idle seconds one second of a cold start is worth.
-	Exchange float64
+	// Exchange is how many idle seconds a cold start of one second is worth. A
+	// cold start n times as long is worth n to the power TailPower times as
+	// much: what is weighed is the tail, not the mean.
+	Exchange  float64
+	TailPower float64
 	// Limit is the longest time a replica without work stays loaded.
 	Limit time.Duration
-	// MiBPerSecond is the speed at which weights are expected to load.
-	MiBPerSecond float64
+	// StoreMiB and DiskMiB are the speeds in MiB a second at which weights are
+	// expected to load from the weight store and from a runner's disk.
+	StoreMiB float64
+	DiskMiB  float64
 }
 
-// LoadTime is the expected time to load a unit.
-func (s Settings) LoadTime(memoryMiB int64) time.Duration {
-	return time.Duration(float64(memoryMiB) / s.MiBPerSecond * float64(time.Second))
+// LoadTime is the expected time to load a unit from where its checkpoint is.
+func (s Settings) LoadTime(memoryMiB int64, tier wire.Tier) time.Duration {
+	speed := s.StoreMiB
+	if tier != wire.TierRemote {
+		speed = s.DiskMiB
+	}
+	return time.Duration(float64(memoryMiB) / speed * float64(time.Second))
+}
+
+// penalty is what a cold start of a unit is worth in seconds of its own idle
+// time: a unit that takes a small share of a runner costs little to keep.
+func (s Settings) penalty(load time.Duration, share float64) float64 {
+	return s.Exchange * math.Pow(load.Seconds(), s.TailPower) / max(share, smallestShare)
+}
+
+// smallestShare bounds how cheap a small unit is to keep.
+const smallestShare = 0.001
+
+// Place is where a unit would be loaded.
+type Place struct {
+	// Tier is where its checkpoint is.
+	Tier wire.Tier
+	// RunnerMiB is the runner's memory.
+	RunnerMiB int64
+}
+
+func (p Place) share(memoryMiB int64) float64 {
+	return float64(memoryMiB) / float64(max(1, p.RunnerMiB))
 }
 
 // Keeper learns the idle gaps of units and says how long they stay loaded. It is
@@ -38,8 +70,9 @@
 	return &Keeper{settings: settings, gaps: make(map[string]*Gaps), patterns: make(map[string]*Pattern)}
 }
 
-// For returns how long a replica of the unit without work stays loaded.
-func (k *Keeper) For(unit catalog.Unit, _ time.Time) time.Duration {
+// For returns how long a replica of the unit without work stays loaded at a
+// place.
+func (k *Keeper) For(unit catalog.Unit, place Place) time.Duration {
 	if k.settings.Fixed > 0 {
 		return k.settings.Fixed
 	}
@@ -49,7 +82,8 @@
 	if !known {
 		gaps = &Gaps{}
 	}
-	return gaps.KeepAlive(k.settings.LoadTime(unit.MemoryMiB), k.settings.Exchange, k.settings.Limit)
+	load := k.settings.LoadTime(unit.MemoryMiB, place.Tier)
+	return gaps.KeepAlive(k.settings.penalty(load, place.share(unit.MemoryMiB)), k.settings.Limit)
 }
 
 // ObserveGap adds the idle time between two uses of a unit.
@@ -74,12 +108,13 @@
 
 // WakeAhead tells whether a unit should be ready now because it usually is used
 // about this time.
-func (k *Keeper) WakeAhead(unit catalog.Unit, local time.Time) bool {
+func (k *Keeper) WakeAhead(unit catalog.Unit, place Place, local time.Time) bool {
 	if k.settings.Fixed > 0 {
 		return false
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	pattern, known := k.patterns[unit.Name]
-	return known && pattern.WakeAhead(local, k.settings.LoadTime(unit.MemoryMiB), k.settings.Exchange)
+	load := k.settings.LoadTime(unit.MemoryMiB, place.Tier)
+	return known && pattern.WakeAhead(local, load, k.settings.penalty(load, place.share(unit.MemoryMiB)))
 }
--- a/internal/sleep/pattern.go
+++ b/internal/sleep/pattern.go
@@ -5,16 +5,19 @@
 const (
 	slotLength = 10 * time.Minute
 	slotsADay  = int(24 * time.Hour / slotLength)
-	daySmooth  = 0.4
+	daySmooth  = 0.15
+	daysAWeek  = 7
+	// enoughWeeks is how often a weekday must have been seen to count alone.
+	enoughWeeks = 2
 )
 
-// Pattern learns at which times of the day a unit is used. Slots are local clock
-// times of slotLength.
+// Pattern learns at which times of the week a unit is used. Slots are local
+// clock times of slotLength.
 type Pattern struct {
-	// share is the smoothed share of days on which the slot saw use.
-	share [slotsADay]float64
-	// days counts the days seen, in use or not, by slot.
-	days    [slotsADay]int
+	// daily holds every day's slots, weekly those of each weekday.
+	daily   [slotsADay]slotShare
+	weekly  [daysAWeek][slotsADay]slotShare
+	weekday time.Weekday
 	current int
 	used    bool
 	started bool
@@ -32,7 +35,7 @@
 	if p.started && slot != p.current {
 		p.close()
 	}
-	p.current, p.started = slot, true
+	p.current, p.weekday, p.started = slot, local.Weekday(), true
 	p.used = p.used || used
 }
 
@@ -42,26 +45,40 @@
 		seen = 1
 	}
 	p.used = false
-	if p.days[p.current] == 0 {
-		p.share[p.current] = seen
-	} else {
-		p.share[p.current] = (1-daySmooth)*p.share[p.current] + daySmooth*seen
-	}
-	p.days[p.current]++
+	p.daily[p.current].observe(seen)
+	p.weekly[p.weekday][p.current].observe(seen)
 }
 
-// Expect returns how likely a use is in the slot that begins within ahead of a
-// local time. Without a day seen it is zero.
+// Expect returns how likely a use is in the slot that lies ahead of a local
+// time: what was seen at this time of the day, or on this weekday if that says
+// more. Without a day seen it is zero.
 func (p *Pattern) Expect(local time.Time, ahead time.Duration) float64 {
-	return p.share[slotOf(local.Add(ahead))]
+	at := local.Add(ahead)
+	slot := slotOf(at)
+	sameWeekday := p.weekly[at.Weekday()][slot]
+	if sameWeekday.days < enoughWeeks {
+		return p.daily[slot].share
+	}
+	return max(p.daily[slot].share, sameWeekday.share)
+}
+
+// slotShare is the smoothed share of days on which a slot saw use.
+type slotShare struct {
+	share float64
+	days  int
+}
+
+func (s *slotShare) observe(seen float64) {
+	smooth := max(daySmooth, 1/float64(s.days+1))
+	s.share = (1-smooth)*s.share + smooth*seen
+	s.days++
 }
 
 // WakeAhead tells whether waking now is worth more than the idle time it costs:
-// the chance of a use times what its cold start is worth, against the part of a
-// slot the replica would stand idle. Exchange is idle seconds for each second of
-// a cold start.
-func (p *Pattern) WakeAhead(local time.Time, load time.Duration, exchange float64) bool {
+// the chance of a use times penalty, the idle seconds that its cold start is
+// worth, against the part of a slot the replica would stand idle.
+func (p *Pattern) WakeAhead(local time.Time, load time.Duration, penalty float64) bool {
 	likely := max(p.Expect(local, 0), p.Expect(local, load+slotLength/4))
-	expectedIdle := slotLength.Seconds() / 2
-	return likely > 0 && likely*load.Seconds()*exchange > expectedIdle
+	expectedIdle := slotLength.Seconds() * (1 - likely/2)
+	return likely > 0 && likely*penalty > expectedIdle
 }
--- /dev/null
+++ b/internal/sleep/sleep_test.go
@@ -0,0 +1,61 @@
+package sleep
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lilacvane/internal/catalog"
+	"lilacvane/internal/wire"
+)
+
+// TestKeepAliveFollowsGaps: uses that follow each other within a minute are kept
+// for, those that come after hours are not.
+func TestKeepAliveFollowsGaps(t *testing.T) {
+	var short, long Gaps
+	for range 20 {
+		short.Observe(30 * time.Second)
+		long.Observe(5 * time.Hour)
+	}
+	const penalty = 300
+	kept := short.KeepAlive(penalty, time.Hour)
+	assert.Assert(t, kept >= 30*time.Second && kept < 5*time.Minute, "%s", kept)
+	assert.Equal(t, long.KeepAlive(penalty, time.Hour), minimumKeep)
+}
+
+// TestKeepAliveGrowsWithPenalty: the more a cold start is worth, the longer a
+// replica is kept, within its bounds.
+func TestKeepAliveGrowsWithPenalty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var gaps Gaps
+		for _, seconds := range rapid.SliceOfN(rapid.IntRange(1, 20000), 0, 30).Draw(t, "gaps") {
+			gaps.Observe(time.Duration(seconds) * time.Second)
+		}
+		low := rapid.Float64Range(0, 1e5).Draw(t, "low")
+		high := low + rapid.Float64Range(0, 1e5).Draw(t, "more")
+		limit := time.Hour
+		shorter, longer := gaps.KeepAlive(low, limit), gaps.KeepAlive(high, limit)
+		if shorter > longer || longer > limit || shorter < minimumKeep {
+			t.Fatalf("penalty %g keeps %s, %g keeps %s", low, shorter, high, longer)
+		}
+	})
+}
+
+// TestPatternWakesAhead: a model used every morning wakes ahead of it, and not at
+// night.
+func TestPatternWakesAhead(t *testing.T) {
+	keeper := NewKeeper(Settings{Exchange: 60, TailPower: 1, Limit: time.Hour, StoreMiB: 1024, DiskMiB: 4096})
+	start := time.Date(2026, time.March, 2, 0, 0, 0, 0, time.UTC)
+	for minute := 0; minute < 5*24*60; minute += 5 {
+		at := start.Add(time.Duration(minute) * time.Minute)
+		used := at.Hour() == 7 && at.Minute() >= 30
+		keeper.ObserveUse("m", at, used)
+	}
+	unit := catalog.Unit{Name: "m", MemoryMiB: 30 * 1024}
+	place := Place{Tier: wire.TierRemote, RunnerMiB: 80 * 1024}
+	next := start.AddDate(0, 0, 5)
+	assert.Assert(t, keeper.WakeAhead(unit, place, next.Add(7*time.Hour+28*time.Minute)))
+	assert.Assert(t, !keeper.WakeAhead(unit, place, next.Add(3*time.Hour)))
+}
--- a/test/main_test.go
+++ b/test/main_test.go
@@ -8,6 +8,11 @@
 	"os"
 	"os/exec"
 	"testing"
+
+	// The programs under test are built by TestMain; these imports make the
+	// toolchain run the tests again whenever the programs change.
+	_ "lilacvane/internal/command"
+	_ "lilacvane/internal/labcommand"
 )
 
 // programs is the directory of the binaries under test.
