Schedule loads from the weight store as one resource of a region

Cause: the store's limits were divided by the number of nodes. With 64 nodes in a region an owner could start one load in 21 s; requests waited and reported demand every 0.2 s, which showed as 1828 B/s of demand reports a node at 192 nodes (281 at 12).

Change: one node of a region, by rendezvous hashing, hands out permits within the rate and concurrency, the most pressing class first; without it each node falls back to one load at a time. Loads from a runner's own disk need none. Also: grant changes of a node are bounded to four at once (a starting fleet left 7275 closed connections at the table in a minute); runners at rest report every 5 s instead of 2 s (230 B/s a runner measured), and owners look at once when a grant, a Drain or the machine list changed.

Tests pass, 30 s.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -19,10 +19,12 @@
 // Catalog is safe for concurrent use. Its mutex guards every field; listeners
 // are called without it.
 type Catalog struct {
-	mutex     sync.RWMutex
-	revision  uint64
-	objects   map[api.Key]api.Object
-	names     map[api.Kind]map[string]struct{}
+	mutex    sync.RWMutex
+	revision uint64
+	objects  map[api.Key]api.Object
+	names    map[api.Kind]map[string]struct{}
+	// newest holds, by kind, the newest revision that changed an object of it.
+	newest    map[api.Kind]uint64
 	entries   []wire.Entry
 	listeners []func()
 	changed   chan struct{}
@@ -33,7 +35,7 @@
 
 // New returns an empty catalog at revision zero.
 func New() *Catalog {
-	return &Catalog{objects: make(map[api.Key]api.Object), names: make(map[api.Kind]map[string]struct{}), changed: make(chan struct{}), units: make(map[string]Unit), onRunner: make(map[string]map[string]struct{})}
+	return &Catalog{objects: make(map[api.Key]api.Object), names: make(map[api.Kind]map[string]struct{}), newest: make(map[api.Kind]uint64), changed: make(chan struct{}), units: make(map[string]Unit), onRunner: make(map[string]map[string]struct{})}
 }
 
 // Revision returns the newest applied revision.
@@ -91,6 +93,9 @@
 	c.onRunner = make(map[string]map[string]struct{})
 	c.entries = nil
 	c.names = make(map[api.Kind]map[string]struct{})
+	for kind := range c.newest {
+		c.newest[kind] = revision
+	}
 	for _, object := range objects {
 		c.put(object)
 	}
@@ -102,6 +107,7 @@
 func (c *Catalog) applyEntry(entry wire.Entry) {
 	for _, change := range entry.Changes {
 		key := change.Object.Key()
+		c.newest[key.Kind] = entry.Revision
 		if c.objects[key].Generation > entry.Revision {
 			continue
 		}
@@ -122,6 +128,7 @@
 
 // put is called with the mutex held.
 func (c *Catalog) put(object api.Object) {
+	c.newest[object.Kind] = max(c.newest[object.Kind], object.Generation)
 	c.objects[object.Key()] = object
 	if c.names[object.Kind] == nil {
 		c.names[object.Kind] = make(map[string]struct{})
@@ -183,6 +190,17 @@
 	return c.revision, objects, more
 }
 
+// Newest returns the newest revision that changed an object of the kinds.
+func (c *Catalog) Newest(kinds ...api.Kind) uint64 {
+	c.mutex.RLock()
+	defer c.mutex.RUnlock()
+	var newest uint64
+	for _, kind := range kinds {
+		newest = max(newest, c.newest[kind])
+	}
+	return newest
+}
+
 // Get returns an object.
 func (c *Catalog) Get(kind api.Kind, name string) (api.Object, bool) {
 	c.mutex.RLock()
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -60,8 +61,10 @@
 	acceptor   *Acceptor
 	assignment *rendezvous.Assignment
 
-	mutex  sync.Mutex
-	groups []group
+	// refreshed is the revision of the groups taken last.
+	refreshed atomic.Uint64
+	mutex     sync.Mutex
+	groups    []group
 }
 
 // group is the committed group of one shard.
@@ -99,6 +102,10 @@
 
 // Refresh takes the committed groups from the catalog.
 func (s *Service) Refresh() {
+	newest := s.Catalog.Newest(api.KindClaimGroup)
+	if s.refreshed.Swap(newest) == newest {
+		return
+	}
 	objects := s.Catalog.List(api.KindClaimGroup)
 	groups := make([]group, 0, len(objects))
 	keys := make([]string, 0, len(objects))
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -41,6 +41,7 @@
 	busyStatus      = 500 * time.Millisecond
 	keepFor         = 30 * time.Second
 	floorEvery      = 5 * time.Second
+	maximumChanges  = 4
 	tickEvery       = 500 * time.Millisecond
 )
 
@@ -75,6 +76,9 @@
 	mutex sync.Mutex
 	units map[string]*unitState
 	busy  map[string]struct{}
+	// changes bounds the grant changes this node makes at once, so that a fleet
+	// that starts does not flood the table.
+	changes chan struct{}
 }
 
 // unitState is what a coordinator knows of one unit.
@@ -101,6 +105,7 @@
 	return &Coordinator{
 		Dependencies: d, assignment: rendezvous.NewAssignment(),
 		units: make(map[string]*unitState), busy: make(map[string]struct{}),
+		changes: make(chan struct{}, maximumChanges),
 	}
 }
 
@@ -269,6 +274,7 @@
 	}
 	self := c.Membership.Self()
 	request := wire.WakeRequest{Unit: unit, Runner: item.Runner, Load: what != look, Revision: c.Catalog.Revision(), Coordinator: self.Address}
+	request.Class = uint8(c.pressing(unit))
 	if what == hold {
 		request.KeepMilliseconds = keepFor.Milliseconds()
 	}
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -170,6 +170,21 @@
 	return placement.Wanted(state.floor, waiting, active, slots), zone
 }
 
+// pressing is the most pressing class that waits for a unit anywhere.
+func (c *Coordinator) pressing(unit string) api.Class {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	most := api.ClassPatient
+	for _, known := range c.state(unit).reporters {
+		for class, count := range known.report.Waiting {
+			if count > 0 {
+				most = min(most, api.Class(class))
+			}
+		}
+	}
+	return most
+}
+
 func (c *Coordinator) begin(task string) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -194,8 +209,15 @@
 	if change == nil || !c.begin("grant/"+unit.Name) {
 		return
 	}
+	select {
+	case c.changes <- struct{}{}:
+	default:
+		c.end("grant/" + unit.Name)
+		return // the next tick tries again
+	}
 	go func() {
 		defer c.end("grant/" + unit.Name)
+		defer func() { <-c.changes }()
 		ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 		defer cancel()
 		if err := change(ctx); err != nil {
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -48,6 +48,7 @@
 }
 
 const (
+	settleANode    = 700 * time.Millisecond
 	realNodes      = 3
 	hollowAProcess = 80
 	modelMemoryMiB = 8
@@ -80,7 +81,8 @@
 	loadContext, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	go f.use(loadContext)
-	time.Sleep(options.Settle)
+	// What is known of members that joined is passed on for a while.
+	time.Sleep(options.Settle + time.Duration(size.Nodes)*settleANode)
 	return point, f.measure(ctx, &point)
 }
 
@@ -112,6 +114,7 @@
 		f.world.Adjust = func(s *settings.Settings) {
 			s.Log.Level = "error"
 			s.Region = place.Region
+			s.Sleep.FixedKeepAlive = time.Hour
 		}
 		node, err := f.world.StartNode(fmt.Sprintf("real-%d", index), place.Zone)
 		if err != nil {
--- a/internal/labcommand/hollow.go
+++ b/internal/labcommand/hollow.go
@@ -36,6 +36,7 @@
 	base.Node = c.Name
 	base.Seeds = c.Seed
 	base.Platform = settings.Platform{Table: c.Table, Machines: c.Machines}
+	base.Sleep.FixedKeepAlive = time.Hour
 	return scale.RunNodes(ctx, base, scale.Places(c.Zones, c.Regions), c.Count, c.IP)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"lilacvane/internal/metrics"
 	"lilacvane/internal/operator"
 	"lilacvane/internal/peer"
+	"lilacvane/internal/permits"
 	"lilacvane/internal/policy"
 	"lilacvane/internal/request"
 	"lilacvane/internal/runner"
@@ -74,6 +75,7 @@
 	coordinator      *coordinator.Coordinator
 	manager          *runner.Manager
 	claims           *claims.Service
+	permits          *permits.Service
 	requests         *request.Service
 	gateway          *gateway.Server
 	operators        *operator.Server
@@ -82,6 +84,7 @@
 
 	stale   chan struct{}
 	ready   atomic.Bool
+	looked  atomic.Uint64
 	leaving atomic.Int64
 }
 
@@ -183,6 +186,9 @@
 func (n *Node) assembleServing() error {
 	s := n.settings
 	writer := grants.NewWriter(n.committer, n.catalog, n.spread, s.Node)
+	n.permits = permits.NewService(s.Region, permits.Limits{
+		LoadsPerSecond: s.WeightStore.LoadsPerSecond, Concurrency: s.WeightStore.Concurrency,
+	}, n.membership, n.client)
 	dialer := engine.NewDialer(n.localAddress(), n.traffic.Runners)
 	n.coordinator = coordinator.New(coordinator.Dependencies{
 		Membership: n.membership, Machines: n.machines, Catalog: n.catalog, Grants: writer, Policies: n.policies,
@@ -190,12 +196,11 @@
 		StatusChanged: func(status wire.UnitStatus) { n.requests.Update(status) },
 	})
 	n.manager = runner.NewManager(runner.Settings{
-		Poll: s.Runners.PollInterval, Region: s.Region,
-		StoreRate: s.WeightStore.LoadsPerSecond, StoreConcurrency: s.WeightStore.Concurrency,
+		Poll: s.Runners.PollInterval,
 	}, runner.Dependencies{
 		Membership: n.membership, Machines: n.machines, Catalog: n.catalog,
 		Controls: func(address string) engine.Control { return dialer.Engine(address) },
-		Client:   n.client, Grants: writer, KeepAlive: n.keeper, Log: n.decisions, Logger: n.logger,
+		Client:   n.client, Grants: writer, KeepAlive: n.keeper, Permits: n.permits, Log: n.decisions, Logger: n.logger,
 		Reports: n.coordinator.Report, Idle: func(seconds float64) { n.metrics.AddIdle(seconds) },
 		Newer: n.spread.Newer,
 	})
@@ -217,6 +222,7 @@
 	n.membership.Register(n.peers)
 	n.spread.Register(n.peers)
 	n.claims.Register(n.peers)
+	n.permits.Register(n.peers)
 	n.manager.Register(n.peers)
 	n.coordinator.Register(n.peers)
 	peer.Handle(n.peers, coordinator.MethodStatus, func(_ context.Context, status wire.UnitStatus) (wire.Empty, error) {
@@ -357,6 +363,12 @@
 }
 
 func (n *Node) readMachines(ctx context.Context, source machines.Source) {
+	before := n.machines.Version()
+	defer func() {
+		if n.machines.Version() != before {
+			n.manager.Look()
+		}
+	}()
 	if err := n.machines.Refresh(ctx, source); err != nil {
 		n.logger.V(1).Info("machine list does not answer", "step", "read machine list", "error", err.Error())
 	}
@@ -382,6 +394,16 @@
 	n.coordinator.Refresh()
 	n.requests.Refresh()
 	n.followDrain()
+	n.lookIfConcerned()
+}
+
+// lookIfConcerned makes the owners of runners look at once when a grant or a
+// Drain may have changed.
+func (n *Node) lookIfConcerned() {
+	newest := n.catalog.Newest(api.KindGrant, api.KindDrain)
+	if n.looked.Swap(newest) != newest {
+		n.manager.Look()
+	}
 }
 
 // followDrain leaves when a Drain names this node. A node that has begun to leave
--- a/internal/runner/manager.go
+++ b/internal/runner/manager.go
@@ -30,12 +30,6 @@
 type Settings struct {
 	// Poll is the time between two state reports of a runner at rest.
 	Poll time.Duration
-	// Region is the node's region, whose nodes share its weight store.
-	Region string
-	// StoreRate and StoreConcurrency are what the weight store allows the whole
-	// region: loads a second, and loads at once at full speed.
-	StoreRate        float64
-	StoreConcurrency int
 }
 
 // Grants commits changes of grants.
@@ -60,7 +54,7 @@
 	keep       KeepAlive
 	log        *decision.Log
 	logger     logr.Logger
-	loads      *LoadLimiter
+	permits    Permits
 
 	mutex    sync.Mutex
 	owners   map[string]*running
@@ -85,6 +79,7 @@
 	Client     *peer.Client
 	Grants     Grants
 	KeepAlive  KeepAlive
+	Permits    Permits
 	Log        *decision.Log
 	Logger     logr.Logger
 	// Reports takes the changes of replicas whose coordinator is this node.
@@ -101,8 +96,7 @@
 	return &Manager{
 		settings: settings, membership: d.Membership, machines: d.Machines, catalog: d.Catalog, controls: d.Controls,
 		client: d.Client, grants: d.Grants, keep: d.KeepAlive, log: d.Log, logger: d.Logger, reports: d.Reports, idle: d.Idle, newer: d.Newer,
-		loads:  NewLoadLimiter(settings.StoreRate, settings.StoreConcurrency),
-		owners: make(map[string]*running), removing: make(map[string]struct{}),
+		permits: d.Permits, owners: make(map[string]*running), removing: make(map[string]struct{}),
 	}
 }
 
@@ -157,7 +151,6 @@
 			wanted[machine.Name] = machine
 		}
 	}
-	m.shareStore()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	for name, current := range m.owners {
@@ -174,23 +167,11 @@
 	}
 }
 
-// shareStore divides the weight store's limits among the region's nodes.
-func (m *Manager) shareStore() {
-	nodes := 0
-	for _, member := range m.membership.Alive() {
-		if member.Region == m.settings.Region {
-			nodes++
-		}
-	}
-	nodes = max(1, nodes)
-	m.loads.SetShare(m.settings.StoreRate/float64(nodes), m.settings.StoreConcurrency/nodes)
-}
-
 // start is called with the mutex held.
 func (m *Manager) start(ctx context.Context, machine machines.Machine) {
 	o := &owner{
 		machine: machine, node: m.membership.Self().Node, control: m.controls(machine.Address),
-		catalog: m.catalog, loads: m.loads, keep: m.keep, log: m.log, logger: m.logger,
+		catalog: m.catalog, permits: m.permits, held: make(map[string]struct{}), keep: m.keep, log: m.log, logger: m.logger,
 		report: m.report, revoked: m.revoked, wantRole: m.wantRole, idle: m.idle, kick: make(chan struct{}, 1),
 		wishes: make(map[string]*wish), watchers: make(map[string]string), reported: make(map[string]wire.ReplicaState), lastUse: make(map[string]time.Time),
 	}
@@ -214,6 +195,16 @@
 	}
 }
 
+// Look makes all owners look at once, because the grants or the machine list
+// changed.
+func (m *Manager) Look() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, entry := range m.owners {
+		entry.owner.wake()
+	}
+}
+
 // OwnerOf returns the node that should own a runner: one of the runner's zone,
 // of its region when the zone has no node left, or else any.
 func (m *Manager) OwnerOf(runner, zone, region string) (wire.Member, bool) {
@@ -241,7 +232,7 @@
 	}
 	m.newer(request.Coordinator, request.Revision, nil)
 	keepFor := time.Duration(request.KeepMilliseconds) * time.Millisecond
-	return wire.WakeResponse{Replica: entry.owner.wish(request.Unit, request.Coordinator, request.Load, keepFor)}, nil
+	return wire.WakeResponse{Replica: entry.owner.wish(request.Unit, request.Coordinator, request.Load, api.Class(request.Class), keepFor)}, nil
 }
 
 // Status describes one owned runner, or all when name is empty.
--- a/internal/runner/owner.go
+++ b/internal/runner/owner.go
@@ -20,9 +20,19 @@
 	"lilacvane/internal/wire"
 )
 
+// Permits schedules loads from the weight store.
+type Permits interface {
+	// Acquire returns zero when the holder may load, else when to ask again.
+	Acquire(ctx context.Context, holder string, class api.Class) time.Duration
+	// Release gives the holder's permit back.
+	Release(holder string)
+}
+
 // wish is a unit that a coordinator wants ready on the runner.
 type wish struct {
 	coordinator string
+	// class is the most pressing class that waits for the unit.
+	class api.Class
 	// keepUntil protects the replica from sleeping.
 	keepUntil time.Time
 	// loadUntil is how long the owner goes on trying to load it.
@@ -38,7 +48,7 @@
 	node     string
 	control  engine.Control
 	catalog  *catalog.Catalog
-	loads    *LoadLimiter
+	permits  Permits
 	keep     KeepAlive
 	log      *decision.Log
 	logger   logr.Logger
@@ -65,6 +75,11 @@
 	// that are ready became so.
 	lastUse    map[string]time.Time
 	readySince map[string]time.Time
+
+	// permitMutex guards held, the units whose loads have a permit of the weight
+	// store. It may be taken with mutex held, never the other way round.
+	permitMutex sync.Mutex
+	held        map[string]struct{}
 }
 
 const (
@@ -85,7 +100,7 @@
 		case <-time.After(wait):
 		}
 	}
-	o.loads.releaseAll(o.machine.Incarnation)
+	o.releasePermits(func(string) bool { return false })
 }
 
 // step does one round of work and returns how long to wait before the next.
@@ -102,6 +117,9 @@
 	busy := false
 	for _, order := range o.plan(time.Now()) {
 		busy = true
+		if order.Kind == engine.OrderLoad && !o.permitted(ctx, order) {
+			continue // the next round asks again
+		}
 		if err := o.send(ctx, order); err != nil {
 			return o.failed(err)
 		}
@@ -188,7 +206,7 @@
 // order, no longer has. It is called with the mutex held.
 func (o *owner) releaseGone(state engine.State) {
 	o.ledger.Confirm(memoryByUnit(state))
-	o.loads.retain(o.machine.Incarnation, func(unit string) bool {
+	o.releasePermits(func(unit string) bool {
 		loading, present := state.Find(unit)
 		return present && loading.State == engine.UnitLoading
 	})
@@ -258,10 +276,6 @@
 func (o *owner) send(ctx context.Context, order engine.Order) error {
 	o.mutex.Lock()
 	if order.Kind == engine.OrderLoad {
-		if !o.loads.acquire(o.machine.Incarnation, order.Unit) {
-			o.mutex.Unlock()
-			return nil // the weight store's rate is used up; the next round tries again
-		}
 		if err := o.ledger.Reserve(order.Unit, order.MemoryMiB); err != nil {
 			o.mutex.Unlock()
 			return err
@@ -298,7 +312,7 @@
 	if order.Kind != engine.OrderLoad {
 		return
 	}
-	o.loads.retain(o.machine.Incarnation, func(unit string) bool { return unit != order.Unit })
+	o.releasePermits(func(unit string) bool { return unit != order.Unit })
 	if _, present := o.state.Find(order.Unit); !present {
 		o.ledger.Release(order.Unit)
 	}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lilacvane/internal/api"
 	"lilacvane/internal/engine"
 	"lilacvane/internal/wire"
 )
@@ -27,7 +28,7 @@
 
 // wish records that a coordinator wants to hear of a unit and, if load is set,
 // wants it ready; it returns the owner's view.
-func (o *owner) wish(unit, coordinator string, load bool, keepFor time.Duration) wire.Replica {
+func (o *owner) wish(unit, coordinator string, load bool, class api.Class, keepFor time.Duration) wire.Replica {
 	o.mutex.Lock()
 	if coordinator != "" {
 		o.watchers[unit] = coordinator
@@ -44,6 +45,7 @@
 			o.keep.ObserveGap(unit, now.Sub(slept))
 		}
 		entry.coordinator = coordinator
+		entry.class = class
 		if !now.Before(entry.loadUntil) {
 			entry.since = now
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -122,7 +122,7 @@
 		WeightStore:   WeightStore{LoadsPerSecond: 3, Concurrency: 6, MiBPerSecond: 1024, DiskMiBPerSecond: 4096},
 		Membership:    Membership{ProbeInterval: time.Second, ProbeTimeout: 500 * time.Millisecond, SuspectFor: 3 * time.Second},
 		Configuration: Configuration{PollInterval: time.Second},
-		Runners:       Runners{PollInterval: 2 * time.Second, MachineInterval: 2 * time.Second},
+		Runners:       Runners{PollInterval: 5 * time.Second, MachineInterval: 2 * time.Second},
 		Sleep:         Sleep{IdleSecondsPerColdSecond: 10, TailPower: 1, Limit: time.Hour},
 		Claims:        Claims{Shards: 16},
 		Log:           Log{Level: "info"},
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -199,6 +199,8 @@
 	Revision uint64 `cbor:"4,keyasint"`
 	// Coordinator is the address that wants to hear of changes.
 	Coordinator string `cbor:"5,keyasint"`
+	// Class is the most pressing class that waits for the unit.
+	Class uint8 `cbor:"7,keyasint"`
 	// KeepMilliseconds protects the replica from sleeping for a while.
 	KeepMilliseconds int64 `cbor:"6,keyasint"`
 }
@@ -352,3 +354,15 @@
 type MachinesResponse struct {
 	Changes machines.Changes `cbor:"1,keyasint"`
 }
+
+// PermitRequest asks for, or gives back, the permit for a load from the region's
+// weight store.
+type PermitRequest struct {
+	Holder string `cbor:"1,keyasint"`
+	Class  uint8  `cbor:"2,keyasint"`
+}
+
+// PermitResponse tells when to ask again; zero means that the permit is held.
+type PermitResponse struct {
+	WaitMilliseconds int64 `cbor:"1,keyasint"`
+}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -316,3 +316,22 @@
 	assert.Assert(t, got.Served, "%+v: %+v", c, got)
 	assert.Equal(t, got.Text, expected(c.Prompt, c.Tokens))
 }
+
+// submitEventually applies or deletes one object, trying again while the store
+// or the node cannot take it.
+func submitEventually(t *testing.T, node *world.Node, object api.Object, remove bool) {
+	t.Helper()
+	operation := "test-" + rand.Text()
+	waitUntil(t, "a change is accepted", func() error {
+		submission := operator.Submission{Operation: operation, Author: "test", Apply: []api.Object{object}}
+		if remove {
+			current, err := node.Client().Get(t.Context(), object.Kind, object.Name)
+			if err != nil {
+				return err
+			}
+			submission = operator.Submission{Operation: operation, Author: "test", Delete: []api.Object{current}}
+		}
+		_, err := node.Client().Submit(t.Context(), submission)
+		return err
+	})
+}
