--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,32 @@
+package api
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/fault"
+)
+
+// TestValidateRefusesBadObjects: each bad object gives a typed error that names
+// the object.
+func TestValidateRefusesBadObjects(t *testing.T) {
+	good := NewObject(KindModel, "redactor", Model{ActiveVersion: "redactor-v1", Replicas: 2})
+	assert.NilError(t, Validate(good))
+	unknownField := good
+	unknownField.Spec = []byte(`{"activeVersion":"v","replicas":1,"replica":2}`)
+	for name, object := range map[string]Object{
+		"unknown kind":  {Kind: "Modell", Name: "m", Spec: good.Spec},
+		"grant":         NewObject(KindGrant, "m", Grant{}),
+		"bad name":      {Kind: KindModel, Name: "a/b", Spec: good.Spec},
+		"unknown field": unknownField,
+		"too many":      NewObject(KindModel, "m", Model{ActiveVersion: "v", Replicas: MaximumReplicas + 1}),
+		"no memory":     NewObject(KindVersion, "v", Version{Model: "m", Checkpoint: "c"}),
+		"no base":       NewObject(KindAdapter, "a", Adapter{Checkpoint: "c", MemoryMiB: 1}),
+		"no selection":  NewObject(KindPolicy, "p", Policy{Ready: "1"}),
+		"bad target":    NewObject(KindDrain, "d", Drain{Target: "rack", Name: "r"}),
+	} {
+		err := Validate(object)
+		assert.Assert(t, fault.IsCode(err, fault.CodeInvalid), "%s: %v", name, err)
+	}
+}
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,84 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lilacvane/internal/api"
+	"lilacvane/internal/wire"
+)
+
+func entryOf(revision uint64, name string, deleted bool) wire.Entry {
+	object := api.NewObject(api.KindPolicy, name, api.Policy{Models: []string{"*"}, Ready: fmt.Sprint(revision)})
+	object.Generation = revision
+	return wire.Entry{Revision: revision, Changes: []wire.Change{{Object: object, Deleted: deleted}}}
+}
+
+// TestCatalogsConverge: whatever parts of the log arrive in whatever order, with
+// snapshots in between, a catalog never steps back, and in the end it is the same
+// as one that read the log in order.
+func TestCatalogsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		length := rapid.IntRange(1, 40).Draw(t, "length")
+		var log []wire.Entry
+		for revision := 1; revision <= length; revision++ {
+			name := fmt.Sprint("p", rapid.IntRange(0, 3).Draw(t, "name"))
+			log = append(log, entryOf(uint64(revision), name, rapid.Bool().Draw(t, "deleted")))
+		}
+		reference := New()
+		reference.Apply(log)
+		c := New()
+		for range rapid.IntRange(0, 20).Draw(t, "steps") {
+			before := c.Revision()
+			if rapid.Bool().Draw(t, "snapshot") {
+				peer := New()
+				peer.Apply(log[:rapid.IntRange(0, length).Draw(t, "peer")])
+				revision, objects, _ := peer.Page("", length)
+				c.ApplySnapshot(revision, objects)
+			} else {
+				from := rapid.IntRange(0, length-1).Draw(t, "from")
+				c.Apply(log[from:rapid.IntRange(from, length).Draw(t, "to")])
+			}
+			if c.Revision() < before {
+				t.Fatalf("stepped back from %d to %d", before, c.Revision())
+			}
+		}
+		c.Apply(log)
+		if fmt.Sprint(c.List(api.KindPolicy)) != fmt.Sprint(reference.List(api.KindPolicy)) {
+			t.Fatalf("%v, expected %v", c.List(api.KindPolicy), reference.List(api.KindPolicy))
+		}
+	})
+}
+
+// TestUnitsFollowObjects: a unit resolves a model's active version and its grant,
+// stays as deleted while a grant remains, and the index by runner keeps up.
+func TestUnitsFollowObjects(t *testing.T) {
+	c := New()
+	revision := uint64(0)
+	change := func(object api.Object, deleted bool) {
+		revision++
+		object.Generation = revision
+		assert.Equal(t, c.Apply([]wire.Entry{{Revision: revision, Changes: []wire.Change{{Object: object, Deleted: deleted}}}}), 1)
+	}
+	model := api.NewObject(api.KindModel, "m", api.Model{ActiveVersion: "m-v2", Replicas: 1})
+	change(model, false)
+	_, known := c.Unit("m")
+	assert.Assert(t, !known, "its version is missing")
+	change(api.NewObject(api.KindVersion, "m-v2", api.Version{Model: "m", Checkpoint: "c", MemoryMiB: 5}), false)
+	unit, known := c.Unit("m")
+	assert.Assert(t, known)
+	assert.Equal(t, unit.MemoryMiB, int64(5))
+	grant := api.NewObject(api.KindGrant, "m", api.Grant{Items: []api.GrantItem{{Runner: "r", Generation: 3}}})
+	change(grant, false)
+	assert.Equal(t, len(c.GrantedOn("r")), 1)
+	change(model, true)
+	unit, known = c.Unit("m")
+	assert.Assert(t, known && unit.Deleted)
+	change(grant, true)
+	_, known = c.Unit("m")
+	assert.Assert(t, !known)
+	assert.Equal(t, len(c.GrantedOn("r")), 0)
+}
--- /dev/null
+++ b/internal/gateway/parse_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/api"
+	"lilacvane/internal/fault"
+)
+
+func callWith(body string, headers map[string][]string) *http.Request {
+	r := httptest.NewRequest(http.MethodPost, pathChat, strings.NewReader(body))
+	for name, values := range headers {
+		r.Header[http.CanonicalHeaderKey(name)] = values
+	}
+	return r
+}
+
+// TestBadCallsAreRefused: each gives a typed error that the request was not run.
+func TestBadCallsAreRefused(t *testing.T) {
+	const good = `{"model":"m"}`
+	for name, test := range map[string]struct {
+		request *http.Request
+		code    fault.Code
+	}{
+		"malformed":        {callWith(`{"model":`, nil), fault.CodeInvalid},
+		"no model":         {callWith(`{}`, nil), fault.CodeInvalid},
+		"wrong type":       {callWith(`{"model":7}`, nil), fault.CodeInvalid},
+		"huge":             {callWith(strings.Repeat(" ", api.MaximumBodyBytes+1), nil), fault.CodeTooLarge},
+		"unknown class":    {callWith(good, map[string][]string{api.HeaderClass: {"now"}}), fault.CodeInvalid},
+		"duplicate header": {callWith(good, map[string][]string{api.HeaderIdempotencyKey: {"a", "b"}}), fault.CodeInvalid},
+		"long key":         {callWith(good, map[string][]string{api.HeaderIdempotencyKey: {strings.Repeat("k", api.MaximumIdempotencyKey+1)}}), fault.CodeInvalid},
+		"no number":        {callWith(good, map[string][]string{api.HeaderDeadline: {"soon"}}), fault.CodeInvalid},
+		"not a number":     {callWith(good, map[string][]string{api.HeaderDeadline: {"NaN"}}), fault.CodeInvalid},
+		"over-long":        {callWith(good, map[string][]string{api.HeaderDeadline: {"1e9"}}), fault.CodeInvalid},
+	} {
+		_, err := parse(test.request, "id", time.Now())
+		assert.Assert(t, fault.IsCode(err, test.code), "%s: %v", name, err)
+		assert.Equal(t, fault.OutcomeOf(err), fault.NotDone, name)
+	}
+}
+
+// TestGoodCall: headers and body are read into the request.
+func TestGoodCall(t *testing.T) {
+	now := time.Now()
+	call, err := parse(callWith(`{"model":"m","stream":true,"messages":[{"role":"user","content":"hello"}]}`,
+		map[string][]string{api.HeaderClass: {"urgent"}, api.HeaderDeadline: {"1.5"}, api.HeaderIdempotencyKey: {"k"}}), "id", now)
+	assert.NilError(t, err)
+	assert.Equal(t, call.request.Class, api.ClassUrgent)
+	assert.Equal(t, call.request.Deadline, now.Add(1500*time.Millisecond))
+	assert.Equal(t, call.request.Key, "k")
+	assert.Assert(t, call.completion.Stream)
+}
