--- a/internal/lab/world/process.go
+++ b/internal/lab/world/process.go
@@ -72,6 +72,16 @@
 // Done is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
+// Ended tells whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Wait waits for the process to end.
 func (p *Process) Wait(timeout time.Duration) error {
 	select {
