--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -16,26 +16,32 @@
 // lag; a peer further behind reads a snapshot.
 const KeptEntries = 4096
 
+// keptBytes bounds the objects in the kept entries.
+const keptBytes = 1 << 20
+
 // Catalog is safe for concurrent use. Its mutex guards every field; listeners
 // are called without it.
 type Catalog struct {
 	mutex    sync.RWMutex
 	revision uint64
-	objects  map[api.Key]api.Object
-	names    map[api.Kind]map[string]struct{}
+	// objects holds, by kind and name, the objects. The spec of a grant is not
+	// kept beside its unit; see export.
+	objects map[api.Kind]map[string]api.Object
 	// newest holds, by kind, the newest revision that changed an object of it.
-	newest    map[api.Kind]uint64
-	entries   []wire.Entry
-	listeners []func()
-	changed   chan struct{}
-	units     map[string]Unit
+	newest  map[api.Kind]uint64
+	entries []wire.Entry
+	// entryBytes is the size of the objects in entries.
+	entryBytes int
+	listeners  []func()
+	changed    chan struct{}
+	units      map[string]Unit
 	// onRunner holds, by runner, the names of the units granted on it.
-	onRunner map[string]map[string]struct{}
+	onRunner map[string][]string
 }
 
 // New returns an empty catalog at revision zero.
 func New() *Catalog {
-	return &Catalog{objects: make(map[api.Key]api.Object), names: make(map[api.Kind]map[string]struct{}), newest: make(map[api.Kind]uint64), changed: make(chan struct{}), units: make(map[string]Unit), onRunner: make(map[string]map[string]struct{})}
+	return &Catalog{objects: make(map[api.Kind]map[string]api.Object), newest: make(map[api.Kind]uint64), changed: make(chan struct{}), units: make(map[string]Unit), onRunner: make(map[string][]string)}
 }
 
 // Revision returns the newest applied revision.
@@ -88,18 +94,21 @@
 		return false
 	}
 	c.revision = revision
-	c.objects = make(map[api.Key]api.Object, len(objects))
+	c.objects = make(map[api.Kind]map[string]api.Object)
 	c.units = make(map[string]Unit)
-	c.onRunner = make(map[string]map[string]struct{})
-	c.entries = nil
-	c.names = make(map[api.Kind]map[string]struct{})
+	c.onRunner = make(map[string][]string)
+	c.entries, c.entryBytes = nil, 0
 	for kind := range c.newest {
 		c.newest[kind] = revision
 	}
 	for _, object := range objects {
 		c.put(object)
 	}
-	c.indexAll()
+	for _, kind := range []api.Kind{api.KindModel, api.KindAdapter, api.KindGrant} {
+		for name := range c.objects[kind] {
+			c.indexUnit(name)
+		}
+	}
 	c.unlockAndNotify(true)
 	return true
 }
@@ -108,32 +117,52 @@
 	for _, change := range entry.Changes {
 		key := change.Object.Key()
 		c.newest[key.Kind] = entry.Revision
-		if c.objects[key].Generation > entry.Revision {
+		if c.objects[key.Kind][key.Name].Generation > entry.Revision {
 			continue
 		}
 		if change.Deleted {
-			delete(c.objects, key)
-			delete(c.names[key.Kind], key.Name)
+			delete(c.objects[key.Kind], key.Name)
 		} else {
 			c.put(change.Object)
 		}
 		c.index(key)
 	}
 	c.revision = entry.Revision
+	c.keep(entry)
+}
+
+// keep adds an entry to those kept for peers and drops the oldest ones over the
+// limits. It is called with the mutex held.
+func (c *Catalog) keep(entry wire.Entry) {
 	c.entries = append(c.entries, entry)
-	if len(c.entries) > 2*KeptEntries {
-		c.entries = append([]wire.Entry(nil), c.entries[len(c.entries)-KeptEntries:]...)
+	c.entryBytes += entry.Size()
+	drop := 0
+	for len(c.entries)-drop > KeptEntries || c.entryBytes > keptBytes && len(c.entries)-drop > 1 {
+		c.entryBytes -= c.entries[drop].Size()
+		c.entries[drop] = wire.Entry{}
+		drop++
 	}
+	c.entries = c.entries[drop:]
 }
 
 // put is called with the mutex held.
 func (c *Catalog) put(object api.Object) {
 	c.newest[object.Kind] = max(c.newest[object.Kind], object.Generation)
-	c.objects[object.Key()] = object
-	if c.names[object.Kind] == nil {
-		c.names[object.Kind] = make(map[string]struct{})
+	if c.objects[object.Kind] == nil {
+		c.objects[object.Kind] = make(map[string]api.Object)
+	}
+	c.objects[object.Kind][object.Name] = object
+}
+
+// export returns an object as it was committed: the spec of a grant is written
+// anew from its unit.
+func (c *Catalog) export(object api.Object) api.Object {
+	if object.Kind != api.KindGrant || object.Spec != nil {
+		return object
 	}
-	c.names[object.Kind][object.Name] = struct{}{}
+	exported := api.NewObject(object.Kind, object.Name, c.units[object.Name].Grant)
+	exported.Generation = object.Generation
+	return exported
 }
 
 // unlockAndNotify releases the mutex and then calls the listeners, which may
@@ -172,22 +201,20 @@
 func (c *Catalog) Page(after string, limit int) (uint64, []api.Object, bool) {
 	c.mutex.RLock()
 	defer c.mutex.RUnlock()
-	keys := make([]string, 0, len(c.objects))
-	byKey := make(map[string]api.Object, len(c.objects))
-	for key, object := range c.objects {
-		text := key.String()
-		if text > after {
-			keys = append(keys, text)
-			byKey[text] = object
+	var following []api.Object
+	for _, named := range c.objects {
+		for _, object := range named {
+			if object.Key().String() > after {
+				following = append(following, object)
+			}
 		}
 	}
-	sort.Strings(keys)
-	more := len(keys) > limit
-	objects := make([]api.Object, 0, min(limit, len(keys)))
-	for _, key := range keys[:min(limit, len(keys))] {
-		objects = append(objects, byKey[key])
+	sort.Slice(following, func(i, j int) bool { return following[i].Key().String() < following[j].Key().String() })
+	objects := make([]api.Object, min(limit, len(following)))
+	for index := range objects {
+		objects[index] = c.export(following[index])
 	}
-	return c.revision, objects, more
+	return c.revision, objects, len(following) > limit
 }
 
 // Newest returns the newest revision that changed an object of the kinds.
@@ -205,17 +232,17 @@
 func (c *Catalog) Get(kind api.Kind, name string) (api.Object, bool) {
 	c.mutex.RLock()
 	defer c.mutex.RUnlock()
-	object, ok := c.objects[api.Key{Kind: kind, Name: name}]
-	return object, ok
+	object, ok := c.objects[kind][name]
+	return c.export(object), ok
 }
 
 // List returns the objects of a kind in name order.
 func (c *Catalog) List(kind api.Kind) []api.Object {
 	c.mutex.RLock()
 	defer c.mutex.RUnlock()
-	objects := make([]api.Object, 0, len(c.names[kind]))
-	for name := range c.names[kind] {
-		objects = append(objects, c.objects[api.Key{Kind: kind, Name: name}])
+	objects := make([]api.Object, 0, len(c.objects[kind]))
+	for _, object := range c.objects[kind] {
+		objects = append(objects, c.export(object))
 	}
 	sort.Slice(objects, func(i, j int) bool { return objects[i].Name < objects[j].Name })
 	return objects
--- a/internal/catalog/units.go
+++ b/internal/catalog/units.go
@@ -1,6 +1,9 @@
 package catalog
 
 import (
+	"slices"
+	"unique"
+
 	"lilacvane/internal/api"
 )
 
@@ -58,15 +61,7 @@
 	case api.KindModel, api.KindAdapter, api.KindGrant:
 		c.indexUnit(key.Name)
 	case api.KindVersion:
-		for name := range c.names[api.KindModel] {
-			c.indexUnit(name)
-		}
-	}
-}
-
-func (c *Catalog) indexAll() {
-	for _, kind := range []api.Kind{api.KindModel, api.KindAdapter, api.KindGrant} {
-		for name := range c.names[kind] {
+		for name := range c.objects[api.KindModel] {
 			c.indexUnit(name)
 		}
 	}
@@ -74,7 +69,8 @@
 
 func (c *Catalog) indexUnit(name string) {
 	unit, declared := c.resolve(name)
-	grantObject, granted := c.objects[api.Key{Kind: api.KindGrant, Name: name}]
+	grantObject, granted := c.objects[api.KindGrant][name]
+	before := c.units[name]
 	c.unindexRunners(name)
 	if !declared && !granted {
 		delete(c.units, name)
@@ -83,25 +79,44 @@
 	unit.Name = name
 	unit.Deleted = !declared
 	if granted {
-		grant, err := api.Decode[api.Grant](grantObject)
-		if err == nil {
-			unit.Grant = grant
-			unit.GrantGeneration = grantObject.Generation
+		unit.Grant = before.Grant
+		if grantObject.Spec != nil {
+			unit.Grant = c.takeGrant(grantObject)
 		}
+		unit.GrantGeneration = grantObject.Generation
 	}
 	c.units[name] = unit
 	for _, item := range unit.Grant.Items {
-		if c.onRunner[item.Runner] == nil {
-			c.onRunner[item.Runner] = make(map[string]struct{})
+		c.onRunner[item.Runner] = append(c.onRunner[item.Runner], name)
+	}
+}
+
+// takeGrant decodes a grant and drops its spec, which takes more memory than the
+// rest of a unit. Names that many grants share are kept once.
+func (c *Catalog) takeGrant(object api.Object) api.Grant {
+	grant, err := api.Decode[api.Grant](object)
+	if err != nil {
+		return api.Grant{}
+	}
+	for index := range grant.Items {
+		item := &grant.Items[index]
+		for _, shared := range []*string{&item.Runner, &item.Incarnation, &item.Address, &item.Zone, &item.Region} {
+			*shared = unique.Make(*shared).Value()
 		}
-		c.onRunner[item.Runner][name] = struct{}{}
 	}
+	object.Spec = nil
+	c.objects[api.KindGrant][object.Name] = object
+	return grant
 }
 
 func (c *Catalog) unindexRunners(name string) {
 	for _, item := range c.units[name].Grant.Items {
-		delete(c.onRunner[item.Runner], name)
-		if len(c.onRunner[item.Runner]) == 0 {
+		names := c.onRunner[item.Runner]
+		if at := slices.Index(names, name); at >= 0 {
+			names = slices.Delete(names, at, at+1)
+		}
+		c.onRunner[item.Runner] = names
+		if len(names) == 0 {
 			delete(c.onRunner, item.Runner)
 		}
 	}
@@ -112,7 +127,7 @@
 	c.mutex.RLock()
 	defer c.mutex.RUnlock()
 	units := make([]Unit, 0, len(c.onRunner[runner]))
-	for name := range c.onRunner[runner] {
+	for _, name := range c.onRunner[runner] {
 		units = append(units, c.units[name])
 	}
 	return units
@@ -125,7 +140,7 @@
 	newest := make([]api.GrantItem, 0, len(c.onRunner))
 	for runner, names := range c.onRunner {
 		var latest api.GrantItem
-		for name := range names {
+		for _, name := range names {
 			item, _ := c.units[name].Item(runner)
 			if item.Generation >= latest.Generation {
 				latest = item
@@ -137,10 +152,10 @@
 }
 
 func (c *Catalog) resolve(name string) (Unit, bool) {
-	if object, ok := c.objects[api.Key{Kind: api.KindModel, Name: name}]; ok {
+	if object, ok := c.objects[api.KindModel][name]; ok {
 		return c.resolveModel(object)
 	}
-	object, ok := c.objects[api.Key{Kind: api.KindAdapter, Name: name}]
+	object, ok := c.objects[api.KindAdapter][name]
 	if !ok {
 		return Unit{}, false
 	}
@@ -159,7 +174,7 @@
 	if err != nil {
 		return Unit{}, false
 	}
-	versionObject, ok := c.objects[api.Key{Kind: api.KindVersion, Name: model.ActiveVersion}]
+	versionObject, ok := c.objects[api.KindVersion][model.ActiveVersion]
 	if !ok {
 		return Unit{}, false
 	}
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"lilacvane/internal/fault"
@@ -13,6 +14,10 @@
 	"lilacvane/internal/settings"
 )
 
+// gcPercent trades a little processor time for memory: a node's configuration
+// lives long, and its budget of memory is the tighter one.
+const gcPercent = 40
+
 // nodeCommand runs a node. Flags and environment go before the settings file.
 type nodeCommand struct {
 	Settings  string   `help:"Settings file (YAML)." env:"LILACVANE_SETTINGS" type:"existingfile"`
@@ -42,6 +47,9 @@
 	if err != nil {
 		return err
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	n, err := node.New(s, logger)
 	if err != nil {
 		return err
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -74,21 +74,12 @@
 // small enough comes along.
 func (s *Spreader) announce() {
 	entries, _ := s.catalog.Since(s.catalog.Revision()-1, 1)
-	if len(entries) == 1 && entrySize(entries[0]) > maximumPushed {
+	if len(entries) == 1 && entries[0].Size() > maximumPushed {
 		entries = nil
 	}
 	s.membership.Announce(announceFanout, entries)
 }
 
-// entrySize is the size of an entry's objects in bytes.
-func entrySize(entry wire.Entry) int {
-	size := 0
-	for _, change := range entry.Changes {
-		size += len(change.Object.Spec) + len(change.Object.Name)
-	}
-	return size
-}
-
 // Register adds the handlers by which peers read this node's catalog.
 func (s *Spreader) Register(server *peer.Server) {
 	peer.Handle(server, methodPull, func(_ context.Context, request wire.PullRequest) (wire.PullResponse, error) {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -25,6 +25,15 @@
 	Changes   []Change  `cbor:"5,keyasint" json:"changes"`
 }
 
+// Size is the size of an entry's objects in bytes.
+func (e Entry) Size() int {
+	size := 0
+	for _, change := range e.Changes {
+		size += len(change.Object.Spec) + len(change.Object.Name)
+	}
+	return size
+}
+
 // PullRequest asks a peer for the log entries after a revision.
 type PullRequest struct {
 	After uint64 `cbor:"1,keyasint"`
