Believe a runner's own refusal before an older status

Cause: TestVersionChangesUnderLoad failed at its first run: after the active version changed, requests were refused as overloaded because the node's retry budget was used up in 0.1 s. The coordinator showed the replica as ready for up to 10 s, the runner refused (not loaded in that version), the next status made it ready again.

Change: after a refusal a node keeps away from the runner for 50 ms, doubling to 2 s, whatever statuses say; its next demand report names the runner, and the coordinator asks the owner anew; a replica in another version counts as unloading; owners look at once when a version may have changed.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -174,6 +174,9 @@
 	c.mutex.Lock()
 	state := c.state(report.Unit)
 	state.reporters[report.Node] = reporter{report: report, at: now}
+	for _, runner := range report.Doubted {
+		delete(state.replicas, runner)
+	}
 	c.mutex.Unlock()
 	c.learn(ctx, unit, now)
 	c.wake(ctx, unit, now)
@@ -316,7 +319,7 @@
 	for _, item := range items {
 		known, ok := state.replicas[item.Runner]
 		if ok && known.replica.Incarnation == item.Incarnation {
-			status.Replicas = append(status.Replicas, known.replica)
+			status.Replicas = append(status.Replicas, inVersion(known.replica, unit.Version))
 		}
 		if len(status.Replicas) == wire.MaximumStatus {
 			break
@@ -325,6 +328,15 @@
 	return status
 }
 
+// inVersion shows a replica that is ready in another version than the active one
+// as unloading, which it soon will be.
+func inVersion(replica wire.Replica, version string) wire.Replica {
+	if replica.State == wire.ReplicaReady && replica.Version != version {
+		replica.State = wire.ReplicaUnloading
+	}
+	return replica
+}
+
 func noGrantReason(unit catalog.Unit) string {
 	switch {
 	case unit.Deleted:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -397,10 +397,10 @@
 	n.lookIfConcerned()
 }
 
-// lookIfConcerned makes the owners of runners look at once when a grant or a
-// Drain may have changed.
+// lookIfConcerned makes the owners of runners look at once when a grant, a
+// Drain or a version may have changed.
 func (n *Node) lookIfConcerned() {
-	newest := n.catalog.Newest(api.KindGrant, api.KindDrain)
+	newest := n.catalog.Newest(api.KindGrant, api.KindDrain, api.KindModel, api.KindVersion, api.KindAdapter)
 	if n.looked.Swap(newest) != newest {
 		n.manager.Look()
 	}
--- a/internal/request/routing.go
+++ b/internal/request/routing.go
@@ -15,9 +15,27 @@
 	// time of the report.
 	inFlight int
 	atReport int
-	// fullUntil keeps new requests away for a moment after the runner refused
-	// one because it is full.
-	fullUntil time.Time
+	// awayUntil keeps new requests away for a while after the runner refused
+	// one; what a status says of the replica meanwhile may be older than that.
+	awayUntil time.Time
+	// refusals counts refusals in a row.
+	refusals int
+}
+
+// Pauses after refusals: the first, and the longest.
+const (
+	firstPause   = 50 * time.Millisecond
+	longestPause = 2 * time.Second
+)
+
+// refuse keeps new requests away, longer after each refusal in a row, and
+// returns for how long.
+func (t *target) refuse(now time.Time) time.Duration {
+	const doublings = 6
+	pause := min(longestPause, firstPause<<min(t.refusals, doublings))
+	t.refusals++
+	t.awayUntil = now.Add(pause)
+	return pause
 }
 
 // load estimates the requests the runner has now.
@@ -26,7 +44,7 @@
 }
 
 func (t *target) usable(now time.Time) bool {
-	return t.replica.State == wire.ReplicaReady && now.After(t.fullUntil) && t.load() < max(1, t.replica.Slots)
+	return t.replica.State == wire.ReplicaReady && now.After(t.awayUntil) && t.load() < max(1, t.replica.Slots)
 }
 
 // affinityFactor is how much more than the average a runner may have to do and
--- a/internal/request/throttler.go
+++ b/internal/request/throttler.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	fullPause       = 50 * time.Millisecond
 	minimumRetry    = time.Second
 	defaultService  = time.Second
 	smoothing       = 0.2
@@ -39,13 +38,15 @@
 	service   time.Duration
 	coldSince time.Time
 	demand    chan struct{}
-	timer     *time.Timer
+	// doubted are runners that refused a request since the last report.
+	doubted map[string]struct{}
+	timer   *time.Timer
 }
 
 func newThrottler(unit, region string, loadTime time.Duration) *Throttler {
 	return &Throttler{
 		unit: unit, region: region, targets: make(map[string]*target), loadTime: loadTime, service: defaultService,
-		demand: make(chan struct{}, 1), lastUsed: time.Now(),
+		demand: make(chan struct{}, 1), doubted: make(map[string]struct{}), lastUsed: time.Now(),
 	}
 }
 
@@ -239,6 +240,7 @@
 	now := time.Now()
 	wasReady := t.anyReady()
 	t.reason = status.Reason
+	clear(t.doubted)
 	t.statusAt = now
 	present := make(map[string]struct{}, len(status.Replicas))
 	for _, replica := range status.Replicas {
@@ -320,6 +322,7 @@
 	p.target.inFlight--
 	t.lastUsed = time.Now()
 	if served {
+		p.target.refusals = 0
 		took := time.Since(p.taken)
 		t.service = time.Duration((1-smoothing)*float64(t.service) + smoothing*float64(took))
 	}
@@ -340,10 +343,12 @@
 	t := p.throttler
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.dispatchLater(p.target.refuse(time.Now()))
+	if code != fault.CodeOverloaded {
+		t.doubted[p.target.replica.Runner] = struct{}{}
+	}
 	switch code {
 	case fault.CodeOverloaded:
-		p.target.fullUntil = time.Now().Add(fullPause)
-		t.dispatchLater(fullPause)
 	case fault.CodeDraining:
 		p.target.replica.State = wire.ReplicaDraining
 	case fault.CodeNotLoaded:
@@ -378,6 +383,11 @@
 	for _, target := range t.targets {
 		report.Active += target.inFlight
 	}
+	for runner := range t.doubted {
+		if len(report.Doubted) < wire.MaximumStatus {
+			report.Doubted = append(report.Doubted, runner)
+		}
+	}
 	if first := t.waiting.first(); first != nil {
 		report.Deadline = time.Until(first.deadline).Milliseconds()
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -185,6 +185,9 @@
 	Active   int                 `cbor:"5,keyasint"`
 	Deadline int64               `cbor:"6,keyasint"`
 	Revision uint64              `cbor:"7,keyasint"`
+	// Doubted are runners that refused a request though they were shown as
+	// ready, at most MaximumStatus.
+	Doubted []string `cbor:"8,keyasint,omitempty"`
 }
 
 // UnitStatus answers a DemandReport, and is pushed to the nodes that reported
