--- /dev/null
+++ b/test/command_test.go
@@ -0,0 +1,176 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/command"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/lab/journal"
+	"lilacvane/internal/lab/world"
+)
+
+// lilacvane runs the command line against a node and returns its output and exit
+// code.
+func lilacvane(t *testing.T, node *world.Node, arguments ...string) (string, int) {
+	t.Helper()
+	run := exec.CommandContext(t.Context(), filepath.Join(programs, "lilacvane"), arguments...)
+	run.Env = append(os.Environ(), "LILACVANE_SERVER="+node.Operators)
+	output, err := run.CombinedOutput()
+	if err != nil && run.ProcessState == nil {
+		t.Fatal(err)
+	}
+	return string(output), run.ProcessState.ExitCode()
+}
+
+// write puts a file into the test's directory.
+func writeFile(t *testing.T, name, content string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	assert.NilError(t, os.WriteFile(path, []byte(content), 0o644))
+	return path
+}
+
+const objectsFile = `
+kind: Version
+name: alpha-v1
+spec: {model: alpha, checkpoint: alpha-v1, memoryMiB: 300}
+---
+kind: Model
+name: alpha
+spec: {activeVersion: alpha-v1, replicas: 1}
+---
+kind: Policy
+name: mornings
+spec: {models: [alpha], ready: "weekday >= 1 && weekday <= 5 && hour >= 7 ? 1 : 0"}
+`
+
+// TestCommandLine: an operator's day: apply, conflicts, dry runs, policies,
+// explanations, a drain; exit codes as documented.
+func TestCommandLine(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	startEngines(t, w, 2, 1000)
+	nodes := startNodes(t, w, 2)
+	objects := writeFile(t, "objects.yaml", objectsFile)
+	expect := func(code int, contains string, arguments ...string) string {
+		t.Helper()
+		output, got := lilacvane(t, nodes[0], arguments...)
+		assert.Equal(t, got, code, "%v: %s", arguments, output)
+		assert.Assert(t, strings.Contains(output, contains), "%v: %s", arguments, output)
+		return output
+	}
+	expect(command.ExitOK, "nothing was changed", "apply", "-f", objects, "--dry-run")
+	expect(command.ExitNotFound, "not_found", "get", "model", "alpha")
+	expect(command.ExitOK, "accepted at revision", "apply", "-f", objects, "--operation", "day-1")
+	expect(command.ExitOK, "accepted at revision", "operation", "day-1")
+	expect(command.ExitOK, "alpha-v1", "get", "models")
+	stale := writeFile(t, "stale.yaml", "kind: Model\nname: alpha\ngeneration: 999999\nspec: {activeVersion: alpha-v1, replicas: 2}\n")
+	expect(command.ExitConflict, "you saw 999999", "apply", "-f", stale)
+	bad := writeFile(t, "bad.yaml", "kind: Policy\nname: bad\nspec: {models: ['*'], ready: 'hour >= 7 &&\\n  nosuch'}\n")
+	expect(command.ExitUsage, "line 1, column", "policy", "check", bad)
+	expect(command.ExitUsage, "line 1, column", "apply", "-f", bad)
+	expect(command.ExitOK, "keep 1 replicas of alpha ready", "policy", "try", "mornings", "--model", "alpha", "--region", "region-1", "--time-zone", "America/Montevideo", "--at", "2026-12-07T07:40")
+	expect(command.ExitOK, "keep 0 replicas", "policy", "try", "mornings", "--model", "alpha", "--region", "region-1", "--at", "2026-12-06T07:40")
+	c := call{Model: "alpha", Prompt: "words", Tokens: 3, Deadline: 30 * time.Second}
+	got := ask(t.Context(), nodes[0], c, nil)
+	assertServed(t, c, got)
+	expect(command.ExitOK, "served by runner", "explain", "request", got.ID)
+	expect(command.ExitOK, "order load", "explain", "model", "alpha")
+	expect(command.ExitOK, "day-1", "history", "model", "alpha")
+	expect(command.ExitOK, "node-2", "status")
+	output := expect(command.ExitOK, "runner-1", "runners", "-o", "json")
+	assert.Assert(t, json.Valid([]byte(output)))
+	expect(command.ExitOK, "finished true", "drain", "start", "runner", "runner-1", "--wait")
+	expect(command.ExitOK, "accepted", "drain", "end", "runner", "runner-1")
+	expect(command.ExitOK, "accepted", "delete", "policy", "mornings")
+	expect(command.ExitUsage, "unexpected argument", "status", "surplus")
+	nodes[0].Kill()
+	expect(command.ExitUnavailable, "not_ready", "status")
+}
+
+// TestConfigCheck: all problems of a settings file at once, unknown fields with
+// their line.
+func TestConfigCheck(t *testing.T) {
+	t.Parallel()
+	run := func(content string) (string, int) {
+		check := exec.CommandContext(t.Context(), filepath.Join(programs, "lilacvane"), "config", "check", writeFile(t, "settings.yaml", content))
+		output, _ := check.CombinedOutput()
+		return string(output), check.ProcessState.ExitCode()
+	}
+	output, code := run("node: n\nzoen: z\n")
+	assert.Equal(t, code, command.ExitUsage)
+	assert.Assert(t, strings.Contains(output, "line 2") && strings.Contains(output, "zoen"), output)
+	output, code = run("node: n\nlog: {level: loud}\n")
+	assert.Equal(t, code, command.ExitUsage)
+	for _, problem := range []string{"zone is missing", "listen.callers", "platform.table", "log.level"} {
+		assert.Assert(t, strings.Contains(output, problem), output)
+	}
+}
+
+// TestCallerThatGoesAwayCancels: a caller that closes its connection stops its
+// request on the runner.
+func TestCallerThatGoesAwayCancels(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	startEngines(t, w, 1, 1000)
+	nodes := startNodes(t, w, 1)
+	apply(t, nodes[0], model("alpha", 1, 300)...)
+	ctx, cancel := context.WithCancel(t.Context())
+	begun := make(chan struct{}, 1)
+	result := inBackground(ctx, nodes[0], call{Model: "alpha", Prompt: "endless", Tokens: 50000, Deadline: 30 * time.Second}, func(got outcome) {
+		if got.Tokens == 1 {
+			begun <- struct{}{}
+		}
+	})
+	<-begun
+	cancel()
+	assert.Assert(t, await(t, result).Broken)
+	waitUntil(t, "the runner stops", func() error {
+		for _, record := range readHistory(t, w).records {
+			if record.Event == journal.EventCanceled {
+				return nil
+			}
+		}
+		return fault.New(fault.CodeNotFound, "read journal", "not canceled yet")
+	})
+}
+
+// TestHealthMeansWhatItSays: a node without table or peers is alive, not ready,
+// and refuses requests as not run.
+func TestHealthMeansWhatItSays(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	w.TableProxy.Block()
+	node, err := w.LaunchNode("lonely", zones[0])
+	assert.NilError(t, err)
+	status := func(path string) int {
+		response, err := http.Get("http://" + node.Operators + path)
+		if err != nil {
+			return 0
+		}
+		defer response.Body.Close()
+		return response.StatusCode
+	}
+	waitUntil(t, "the node is alive", func() error {
+		if status("/healthz") != http.StatusOK {
+			return fault.New(fault.CodeNotReady, "health", "not alive yet")
+		}
+		return nil
+	})
+	assert.Equal(t, status("/readyz"), http.StatusServiceUnavailable)
+	got := ask(t.Context(), node, call{Model: "alpha", Prompt: "p", Tokens: 1}, nil)
+	assert.Equal(t, got.Code, fault.CodeNotReady)
+	assert.Equal(t, got.Ran, "no")
+	w.TableProxy.Heal()
+	assert.NilError(t, node.WaitReady())
+}
