Save what was learned about units in the platform's object store

A unit's coordinator saves pattern and gaps hourly (about 8 KB as CBOR) and when it leaves; the next one reads them. A base is not revoked on a runner before the adapters there; the emulated engine journals it as a violation if that happens.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -144,6 +144,11 @@
 	return nodes
 }
 
+// Owned returns the units this node coordinates, in no order.
+func (c *Coordinator) Owned() []string {
+	return c.assignment.OwnedBy(c.Membership.Self().Node)
+}
+
 // Of returns the node that coordinates a unit.
 func (c *Coordinator) Of(unit string) (wire.Member, bool) {
 	return c.Membership.Get(c.assignment.Owner(unit))
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -30,7 +30,7 @@
 }
 
 func (c *Coordinator) tick(ctx context.Context, now time.Time) {
-	for _, name := range c.assignment.OwnedBy(c.Membership.Self().Node) {
+	for _, name := range c.Owned() {
 		unit, known := c.Catalog.Unit(name)
 		if !known {
 			continue
--- a/internal/lab/enginestub/engine.go
+++ b/internal/lab/enginestub/engine.go
@@ -319,6 +319,11 @@
 }
 
 func (e *Engine) remove(u *unit) {
+	for _, other := range e.units {
+		if other.Base == u.Name {
+			e.record(journal.Record{Event: journal.EventViolation, Unit: u.Name, Detail: "unloaded under adapter " + other.Name})
+		}
+	}
 	u.cancel()
 	delete(e.units, u.Name)
 	e.recordUnit(journal.EventGone, u)
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -32,6 +32,7 @@
 	portTable     = 7011
 	portMachines  = 7012
 	portWeights   = 7013
+	portObjects   = 7014
 	firstNode     = 120
 	firstEngine   = 160
 	startPatience = 30 * time.Second
@@ -121,7 +122,7 @@
 		nextNode: firstNode, nextEngine: firstEngine,
 	}
 	platform, err := start(w.Directory, "platform", w.lab(), "platform",
-		"--table", w.address(1, portTable), "--machines", w.address(1, portMachines), "--weights", w.address(1, portWeights),
+		"--table", w.address(1, portTable), "--machines", w.address(1, portMachines), "--weights", w.address(1, portWeights), "--objects", w.address(1, portObjects),
 		"--loads-per-second", fmt.Sprint(options.LoadsPerSecond), "--concurrency", fmt.Sprint(options.Concurrency),
 		"--mib-per-second", fmt.Sprint(options.MiBPerSecond), "--machine-lag", options.MachineLag.String(),
 		"--table-rate", fmt.Sprint(options.TableRate))
@@ -338,7 +339,7 @@
 	s := settings.Default()
 	s.Node, s.Zone, s.Region, s.TimeZone = name, zone, w.Region, w.TimeZone
 	s.Listen = settings.Listen{Callers: node.Callers, Operators: node.Operators, Peers: peers}
-	s.Platform = settings.Platform{Table: w.TableAddress(), Machines: w.machinesAddress()}
+	s.Platform = settings.Platform{Table: w.TableAddress(), Machines: w.machinesAddress(), Objects: w.address(1, portObjects)}
 	s.WeightStore.LoadsPerSecond, s.WeightStore.Concurrency, s.WeightStore.MiBPerSecond = w.LoadsPerSecond, w.Concurrency, w.MiBPerSecond
 	s.Seeds = append([]string(nil), w.seeds...)
 	return s
--- a/internal/labcommand/serve.go
+++ b/internal/labcommand/serve.go
@@ -17,6 +17,7 @@
 type platformCommand struct {
 	Table          string        `required:"" help:"Listening address of the table."`
 	Machines       string        `required:"" help:"Listening address of the machine list."`
+	Objects        string        `help:"Listening address of the object store."`
 	Weights        string        `required:"" help:"Listening address of the weight store."`
 	LoadsPerSecond float64       `default:"3" help:"New loads a second the weight store allows."`
 	Concurrency    int           `default:"6" help:"Loads at once at full speed."`
@@ -27,7 +28,7 @@
 
 // Run serves until the process is ended.
 func (c *platformCommand) Run() error {
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	store := weightstub.New(weightstub.Limits{LoadsPerSecond: c.LoadsPerSecond, Concurrency: c.Concurrency, MiBPerSecond: c.MibPerSecond})
 	serve := func(address string, handler http.Handler) {
 		go func() { failed <- http.ListenAndServe(address, handler) }()
@@ -35,6 +36,9 @@
 	serve(c.Table, platformstub.NewTable(c.TableRate).Handler())
 	serve(c.Weights, store.Handler())
 	serve(c.Machines, platformstub.NewMachines(c.MachineLag).Handler())
+	if c.Objects != "" {
+		serve(c.Objects, platformstub.NewObjects(c.TableRate).Handler())
+	}
 	return <-failed
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,7 +23,9 @@
 	"lilacvane/internal/machines"
 	"lilacvane/internal/membership"
 	"lilacvane/internal/metrics"
+	"lilacvane/internal/objects"
 	"lilacvane/internal/operator"
+	"lilacvane/internal/patterns"
 	"lilacvane/internal/peer"
 	"lilacvane/internal/permits"
 	"lilacvane/internal/policy"
@@ -76,11 +78,13 @@
 	manager          *runner.Manager
 	claims           *claims.Service
 	permits          *permits.Service
-	requests         *request.Service
-	gateway          *gateway.Server
-	operators        *operator.Server
-	decisions        *decision.Log
-	metrics          *metrics.Metrics
+	// patterns is nil when there is no object store.
+	patterns  *patterns.Saver
+	requests  *request.Service
+	gateway   *gateway.Server
+	operators *operator.Server
+	decisions *decision.Log
+	metrics   *metrics.Metrics
 
 	stale   chan struct{}
 	ready   atomic.Bool
@@ -212,6 +216,10 @@
 		Observer: n.metrics, Log: n.decisions, Logger: n.logger, Node: s.Node, Region: s.Region, Address: n.membership.Self().Address,
 		Context: context.Background(),
 	})
+	if s.Platform.Objects != "" {
+		store := objects.NewClient(s.Platform.Objects, n.localAddress(), n.traffic.Platform)
+		n.patterns = patterns.NewSaver(store, n.keeper, n.coordinator.Owned, s.Sleep.SaveEvery, n.logger)
+	}
 	var err error
 	n.gateway, err = gateway.New(n.requests, n.catalog, s.Node, n.accept)
 	n.operators = operator.New(&backend{node: n}, n.catalog, s.Node, n.metrics.Handler())
@@ -279,6 +287,9 @@
 	go n.spread.Run(running)
 	go n.claims.Run(running)
 	go n.coordinator.Run(running)
+	if n.patterns != nil {
+		go n.patterns.Run(running)
+	}
 	go func() {
 		defer close(managerDone)
 		n.manager.Run(managerContext)
@@ -333,6 +344,11 @@
 
 // leave waits until the node may stop.
 func (n *Node) leave() {
+	if n.patterns != nil {
+		saveContext, cancel := context.WithTimeout(context.Background(), leaveGrace)
+		defer cancel()
+		go n.patterns.SaveAll(saveContext)
+	}
 	n.startLeaving()
 	began := time.Unix(0, n.leaving.Load())
 	for {
--- a/internal/runner/plan.go
+++ b/internal/runner/plan.go
@@ -46,6 +46,9 @@
 		if !granted || item.Incarnation != o.machine.Incarnation || !item.Revoking {
 			continue
 		}
+		if o.carriesAdapter(unit.Name) {
+			continue // their grants go first, since they need this one
+		}
 		_, present := o.state.Find(unit.Name)
 		if present || o.state.Revoked[unit.Name] < item.Generation {
 			orders = append(orders, engine.Order{Kind: engine.OrderRevoke, Unit: unit.Name, GrantGeneration: item.Generation})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,6 +59,8 @@
 type Platform struct {
 	Table    string `yaml:"table"`
 	Machines string `yaml:"machines"`
+	// Objects is optional: without it learned patterns are lost with a node.
+	Objects string `yaml:"objects"`
 }
 
 // WeightStore are limits of the region's weight store.
@@ -102,6 +104,8 @@
 	TailPower float64 `yaml:"tailPower"`
 	// Limit is the longest keep-alive time.
 	Limit time.Duration `yaml:"limit"`
+	// SaveEvery is how often what was learned of a unit is saved.
+	SaveEvery time.Duration `yaml:"saveEvery"`
 }
 
 // Claims tunes claims.
@@ -123,7 +127,7 @@
 		Membership:    Membership{ProbeInterval: time.Second, ProbeTimeout: 500 * time.Millisecond, SuspectFor: 3 * time.Second},
 		Configuration: Configuration{PollInterval: time.Second},
 		Runners:       Runners{PollInterval: 5 * time.Second, MachineInterval: 2 * time.Second},
-		Sleep:         Sleep{IdleSecondsPerColdSecond: 10, TailPower: 1, Limit: time.Hour},
+		Sleep:         Sleep{IdleSecondsPerColdSecond: 10, TailPower: 1, Limit: time.Hour, SaveEvery: time.Hour},
 		Claims:        Claims{Shards: 16},
 		Log:           Log{Level: "info"},
 	}
@@ -176,6 +180,9 @@
 	}
 	address("platform.table", s.Platform.Table)
 	address("platform.machines", s.Platform.Machines)
+	if s.Platform.Objects != "" {
+		address("platform.objects", s.Platform.Objects)
+	}
 	for index, seed := range s.Seeds {
 		address(fmt.Sprintf("seeds[%d]", index), seed)
 	}
@@ -213,6 +220,7 @@
 	positive("configuration.pollInterval", float64(s.Configuration.PollInterval))
 	positive("runners.pollInterval", float64(s.Runners.PollInterval))
 	positive("runners.machineInterval", float64(s.Runners.MachineInterval))
+	positive("sleep.saveEvery", float64(s.Sleep.SaveEvery))
 	positive("sleep.limit", float64(s.Sleep.Limit))
 	positive("weightStore.diskMibPerSecond", s.WeightStore.DiskMiBPerSecond)
 	positive("sleep.tailPower", s.Sleep.TailPower)
--- a/internal/sleep/keeper.go
+++ b/internal/sleep/keeper.go
@@ -118,3 +118,72 @@
 	load := k.settings.LoadTime(unit.MemoryMiB, place.Tier)
 	return known && pattern.WakeAhead(local, load, k.settings.penalty(load, place.share(unit.MemoryMiB)))
 }
+
+// Learned is what was learned of one unit, in the form that is saved. Daily has
+// a share for each slot of the day, Weekly for each slot of the week from Sunday
+// on, Days and Weeks how often the first slot of them was seen, Gaps the weights
+// of the histogram of idle gaps.
+type Learned struct {
+	Daily  []float32 `cbor:"1,keyasint"`
+	Weekly []float32 `cbor:"2,keyasint"`
+	Days   []uint16  `cbor:"3,keyasint"`
+	Weeks  []uint16  `cbor:"4,keyasint"`
+	Gaps   []float64 `cbor:"5,keyasint"`
+}
+
+// Learned returns what was learned of a unit; it reports false when that is
+// nothing.
+func (k *Keeper) Learned(unit string) (Learned, bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	var learned Learned
+	if pattern, known := k.patterns[unit]; known {
+		for slot := range pattern.daily {
+			learned.Daily = append(learned.Daily, pattern.daily[slot].share)
+			learned.Days = append(learned.Days, pattern.daily[slot].days)
+		}
+		for day := range pattern.weekly {
+			for slot := range pattern.weekly[day] {
+				learned.Weekly = append(learned.Weekly, pattern.weekly[day][slot].share)
+				learned.Weeks = append(learned.Weeks, pattern.weekly[day][slot].days)
+			}
+		}
+	}
+	if gaps, known := k.gaps[unit]; known {
+		learned.Gaps = gaps.weights[:]
+	}
+	return learned, len(learned.Daily)+len(learned.Gaps) > 0
+}
+
+// Restore takes what was saved of a unit, unless this keeper knows it already or
+// the form does not fit.
+func (k *Keeper) Restore(unit string, learned Learned) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	fits := len(learned.Daily) == slotsADay && len(learned.Days) == slotsADay &&
+		len(learned.Weekly) == daysAWeek*slotsADay && len(learned.Weeks) == daysAWeek*slotsADay
+	if _, known := k.patterns[unit]; fits && !known {
+		k.patterns[unit] = restorePattern(learned)
+	}
+	if _, known := k.gaps[unit]; len(learned.Gaps) == gapBuckets && !known {
+		gaps := &Gaps{weights: [gapBuckets]float64(learned.Gaps)}
+		for _, weight := range gaps.weights {
+			gaps.total += weight
+		}
+		k.gaps[unit] = gaps
+	}
+}
+
+func restorePattern(learned Learned) *Pattern {
+	pattern := &Pattern{}
+	for slot := range pattern.daily {
+		pattern.daily[slot] = slotShare{share: learned.Daily[slot], days: learned.Days[slot]}
+	}
+	for day := range pattern.weekly {
+		for slot := range pattern.weekly[day] {
+			at := day*slotsADay + slot
+			pattern.weekly[day][slot] = slotShare{share: learned.Weekly[at], days: learned.Weeks[at]}
+		}
+	}
+	return pattern
+}
--- a/internal/sleep/pattern.go
+++ b/internal/sleep/pattern.go
@@ -1,6 +1,9 @@
 package sleep
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	slotLength = 10 * time.Minute
@@ -57,21 +60,23 @@
 	slot := slotOf(at)
 	sameWeekday := p.weekly[at.Weekday()][slot]
 	if sameWeekday.days < enoughWeeks {
-		return p.daily[slot].share
+		return float64(p.daily[slot].share)
 	}
-	return max(p.daily[slot].share, sameWeekday.share)
+	return float64(max(p.daily[slot].share, sameWeekday.share))
 }
 
 // slotShare is the smoothed share of days on which a slot saw use.
 type slotShare struct {
-	share float64
-	days  int
+	share float32
+	days  uint16
 }
 
 func (s *slotShare) observe(seen float64) {
 	smooth := max(daySmooth, 1/float64(s.days+1))
-	s.share = (1-smooth)*s.share + smooth*seen
-	s.days++
+	s.share = float32((1-smooth)*float64(s.share) + smooth*seen)
+	if s.days < math.MaxUint16 {
+		s.days++
+	}
 }
 
 // WakeAhead tells whether waking now is worth more than the idle time it costs:
