Do work for each unit only when units come or go

Every change copied all units to spread them over the nodes, and every look at a grant listed and sorted the Drains.

Change: the spread of units follows a version of their names, Drains are indexed.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -37,6 +37,10 @@
 	units      map[string]Unit
 	// onRunner holds, by runner, the names of the units granted on it.
 	onRunner map[string][]string
+	// namesVersion grows whenever a unit comes or goes.
+	namesVersion uint64
+	// drains holds the planned stops in force.
+	drains map[api.Drain]struct{}
 }
 
 // New returns an empty catalog at revision zero.
@@ -109,6 +113,8 @@
 			c.indexUnit(name)
 		}
 	}
+	c.indexDrains()
+	c.namesVersion++
 	c.unlockAndNotify(true)
 	return true
 }
--- a/internal/catalog/units.go
+++ b/internal/catalog/units.go
@@ -43,6 +43,24 @@
 	return unit, ok
 }
 
+// NamesVersion grows whenever a unit comes or goes.
+func (c *Catalog) NamesVersion() uint64 {
+	c.mutex.RLock()
+	defer c.mutex.RUnlock()
+	return c.namesVersion
+}
+
+// UnitNames returns the names of all units in no order.
+func (c *Catalog) UnitNames() []string {
+	c.mutex.RLock()
+	defer c.mutex.RUnlock()
+	names := make([]string, 0, len(c.units))
+	for name := range c.units {
+		names = append(names, name)
+	}
+	return names
+}
+
 // Units returns all units in no order.
 func (c *Catalog) Units() []Unit {
 	c.mutex.RLock()
@@ -60,6 +78,8 @@
 	switch key.Kind {
 	case api.KindModel, api.KindAdapter, api.KindGrant:
 		c.indexUnit(key.Name)
+	case api.KindDrain:
+		c.indexDrains()
 	case api.KindVersion:
 		for name := range c.objects[api.KindModel] {
 			c.indexUnit(name)
@@ -73,9 +93,15 @@
 	before := c.units[name]
 	c.unindexRunners(name)
 	if !declared && !granted {
-		delete(c.units, name)
+		if before.Name != "" {
+			delete(c.units, name)
+			c.namesVersion++
+		}
 		return
 	}
+	if before.Name == "" {
+		c.namesVersion++
+	}
 	unit.Name = name
 	unit.Deleted = !declared
 	if granted {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -72,6 +73,8 @@
 	Dependencies
 	owners     Owners
 	assignment *rendezvous.Assignment
+	// names is the version of the unit names the assignment has.
+	names atomic.Uint64
 
 	mutex sync.Mutex
 	units map[string]*unitState
@@ -128,12 +131,10 @@
 // member list.
 func (c *Coordinator) Refresh() {
 	c.assignment.SetNodes(c.aliveNodes())
-	units := c.Catalog.Units()
-	names := make([]string, len(units))
-	for index, unit := range units {
-		names[index] = unit.Name
+	version := c.Catalog.NamesVersion()
+	if c.names.Swap(version) != version {
+		c.assignment.SetKeys(c.Catalog.UnitNames())
 	}
-	c.assignment.SetKeys(names)
 }
 
 func (c *Coordinator) aliveNodes() []string {
