--- a/internal/labcommand/labcommand.go
+++ b/internal/labcommand/labcommand.go
@@ -22,6 +22,7 @@
 	Scale      scaleCommand      `cmd:"" help:"Measure what control costs a node as the fleet grows."`
 	Experiment experimentCommand `cmd:"" help:"Run a scenario file in virtual time and report."`
 	Repair     repairCommand     `cmd:"" help:"Measure the time from a loss to full service."`
+	Load       loadCommand       `cmd:"" help:"Send requests to nodes, open loop, and print what callers saw."`
 	Path       pathCommand       `cmd:"" help:"Measure the data path of one node against going to the engine directly."`
 	Up         upCommand         `cmd:"" help:"Bring a whole system up on loopback and show a cold request being served."`
 }
--- a/test/main_test.go
+++ b/test/main_test.go
@@ -7,14 +7,18 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"runtime"
 	"testing"
 
-	// The programs under test are built by TestMain; these imports make the
-	// toolchain run the tests again whenever the programs change.
-	_ "lilacvane/internal/command"
-	_ "lilacvane/internal/labcommand"
+	"lilacvane/internal/command"
+	"lilacvane/internal/labcommand"
 )
 
+// linked holds the programs' code in the test binary. TestMain builds them
+// itself; without this the toolchain would not see that they changed and answer
+// from its cache of results.
+var linked = [...]any{command.Main, labcommand.Main}
+
 // programs is the directory of the binaries under test.
 var programs string
 
@@ -30,6 +34,7 @@
 		os.Exit(1)
 	}
 	programs = directory
+	runtime.KeepAlive(linked)
 	code := m.Run()
 	_ = os.RemoveAll(directory)
 	os.Exit(code)
