--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -1,11 +1,9 @@
 package world
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -15,6 +13,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"lilacvane/internal/lab/faultproxy"
+	"lilacvane/internal/lab/httpcall"
 	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/platformstub"
 	"lilacvane/internal/machines"
@@ -269,24 +268,7 @@
 }
 
 func (w *World) post(method, address, path string, body any) error {
-	content, err := json.Marshal(body)
-	if err != nil {
-		return err
-	}
-	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+address+path, bytes.NewReader(content))
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(response.Body)
-		return fmt.Errorf("%s %s: %s %s", method, path, response.Status, text)
-	}
-	return nil
+	return httpcall.Send(context.Background(), method, "http://"+address+path, body)
 }
 
 // StartNode starts a node and waits until it is ready.
--- a/internal/labcommand/hollow.go
+++ b/internal/labcommand/hollow.go
@@ -1,10 +1,7 @@
 package labcommand
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
@@ -12,6 +9,7 @@
 	"time"
 
 	"lilacvane/internal/lab/enginestub"
+	"lilacvane/internal/lab/httpcall"
 	"lilacvane/internal/lab/scale"
 	"lilacvane/internal/machines"
 	"lilacvane/internal/settings"
@@ -66,21 +64,5 @@
 }
 
 func putMachine(address string, machine machines.Machine) error {
-	content, err := json.Marshal(machine)
-	if err != nil {
-		return err
-	}
-	request, err := http.NewRequest(http.MethodPut, "http://"+address+"/lab/machines", bytes.NewReader(content))
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("machine list: %s", response.Status)
-	}
-	return nil
+	return httpcall.Send(context.Background(), http.MethodPut, "http://"+address+"/lab/machines", machine)
 }
--- a/internal/labcommand/serve.go
+++ b/internal/labcommand/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lilacvane/internal/lab/enginestub"
+	"lilacvane/internal/lab/httpcall"
 	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/platformstub"
 	"lilacvane/internal/lab/weightstub"
@@ -82,18 +83,6 @@
 func fetchFrom(address string) enginestub.Fetch {
 	return func(ctx context.Context, checkpoint string, mib int64) error {
 		url := fmt.Sprintf("http://%s/v1/weights/%s?mib=%d", address, checkpoint, mib)
-		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-		if err != nil {
-			return err
-		}
-		response, err := http.DefaultClient.Do(request)
-		if err != nil {
-			return err
-		}
-		defer response.Body.Close()
-		if response.StatusCode != http.StatusOK {
-			return fmt.Errorf("weight store: %s", response.Status)
-		}
-		return nil
+		return httpcall.Send(ctx, http.MethodGet, url, nil)
 	}
 }
