Check generations against the own catalog when it is at the log head

Change: while a node's catalog is at the log head, its generations are exact and the transaction, conditional on the head, needs no other reads: three calls for any operation. A catalog behind the head reads rows as before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -234,6 +234,14 @@
 	return newest
 }
 
+// GenerationAt returns an object's generation, zero if there is none, if the
+// catalog is at exactly a revision.
+func (c *Catalog) GenerationAt(revision uint64, key api.Key) (uint64, bool) {
+	c.mutex.RLock()
+	defer c.mutex.RUnlock()
+	return c.objects[key.Kind][key.Name].Generation, c.revision == revision
+}
+
 // Get returns an object.
 func (c *Catalog) Get(kind api.Kind, name string) (api.Object, bool) {
 	c.mutex.RLock()
--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -62,13 +62,21 @@
 	Entry *wire.Entry `json:"-"`
 }
 
+// Known is this node's copy of the configuration.
+type Known interface {
+	// GenerationAt returns an object's generation, zero if there is none, if the
+	// copy is at exactly that revision.
+	GenerationAt(revision uint64, key api.Key) (uint64, bool)
+}
+
 // Committer writes operations. It holds no state besides the table.
 type Committer struct {
 	table table.Table
+	known Known
 }
 
-// New returns a committer on the table.
-func New(t table.Table) *Committer { return &Committer{table: t} }
+// New returns a committer on the table, which saves reads with what is known.
+func New(t table.Table, known Known) *Committer { return &Committer{table: t, known: known} }
 
 // Find returns the result of an operation. It reports false when the operation
 // is not in the table, which does not prove that it never will be.
@@ -213,27 +221,17 @@
 		{Key: prefixOperation + operation.ID},
 	}}
 	for _, change := range operation.Changes {
-		row, err := c.table.Get(ctx, prefixObject+change.Key.String())
-		if err != nil {
-			return transaction, result, err
-		}
-		if err := checkGeneration(change, row); err != nil {
+		if err := c.require(ctx, &transaction, revision-1, change.Key, change.Expected); err != nil {
 			return transaction, result, err
 		}
 		object := api.Object{Kind: change.Key.Kind, Name: change.Key.Name, Generation: revision, Spec: change.Spec}
 		entry.Changes = append(entry.Changes, wire.Change{Object: object, Deleted: change.Delete})
-		transaction.Conditions = append(transaction.Conditions, table.Condition{Key: row.Key, Revision: row.Revision})
-		transaction.Writes = append(transaction.Writes, objectWrite(row.Key, object, change.Delete))
+		transaction.Writes = append(transaction.Writes, objectWrite(prefixObject+change.Key.String(), object, change.Delete))
 	}
 	for _, requirement := range operation.Requires {
-		row, err := c.table.Get(ctx, prefixObject+requirement.Key.String())
-		if err != nil {
+		if err := c.require(ctx, &transaction, revision-1, requirement.Key, requirement.Generation); err != nil {
 			return transaction, result, err
 		}
-		if err := checkGeneration(Change{Key: requirement.Key, Expected: requirement.Generation}, row); err != nil {
-			return transaction, result, err
-		}
-		transaction.Conditions = append(transaction.Conditions, table.Condition{Key: row.Key, Revision: row.Revision})
 	}
 	result.Entry = &entry
 	transaction.Writes = append(transaction.Writes,
@@ -251,23 +249,39 @@
 	return table.Write{Key: key, Value: mustJSON(object)}
 }
 
-func checkGeneration(change Change, row table.Row) error {
+// require checks that an object has the generation its author saw. While this
+// node's copy of the configuration is at the log head, that copy is exact and the
+// condition on the head makes the transaction safe; else the object's row is read
+// and the transaction is conditional on it.
+func (c *Committer) require(ctx context.Context, transaction *table.Transaction, head uint64, key api.Key, expected uint64) error {
+	if generation, exact := c.known.GenerationAt(head, key); exact {
+		return checkGeneration(key, expected, generation)
+	}
+	row, err := c.table.Get(ctx, prefixObject+key.String())
+	if err != nil {
+		return err
+	}
 	var current api.Object
 	if row.Revision != 0 {
 		if err := json.Unmarshal(row.Value, &current); err != nil {
 			return fault.New(fault.CodeInternal, step, "object row %s: %v", row.Key, err)
 		}
 	}
-	if current.Generation == change.Expected {
+	transaction.Conditions = append(transaction.Conditions, table.Condition{Key: row.Key, Revision: row.Revision})
+	return checkGeneration(key, expected, current.Generation)
+}
+
+func checkGeneration(key api.Key, expected, current uint64) error {
+	switch {
+	case current == expected:
 		return nil
+	case current == 0:
+		return fault.New(fault.CodeConflict, step, "%s does not exist; you saw generation %d", key, expected)
+	case expected == 0:
+		return fault.New(fault.CodeConflict, step, "%s exists already at generation %d", key, current)
+	default:
+		return fault.New(fault.CodeConflict, step, "%s is at generation %d; you saw %d", key, current, expected)
 	}
-	if current.Generation == 0 {
-		return fault.New(fault.CodeConflict, step, "%s does not exist; you saw generation %d", change.Key, change.Expected)
-	}
-	if change.Expected == 0 {
-		return fault.New(fault.CodeConflict, step, "%s exists already at generation %d", change.Key, current.Generation)
-	}
-	return fault.New(fault.CodeConflict, step, "%s is at generation %d; you saw %d", change.Key, current.Generation, change.Expected)
 }
 
 func logKey(revision uint64) string { return fmt.Sprintf("%s%020d", prefixLog, revision) }
--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -17,8 +17,10 @@
 	Peers    float64
 	Platform float64
 	Runners  float64
-	// Kinds are the bytes of messages between nodes by kind.
-	Kinds map[string]float64
+	// Kinds are the bytes of messages between nodes by kind, Messages their
+	// number.
+	Kinds    map[string]float64
+	Messages map[string]float64
 }
 
 const clockTicksPerSecond = 100
@@ -41,7 +43,11 @@
 	return sample, readMetrics(operators, &sample)
 }
 
-const metricKinds = "lilacvane_peer_content_bytes_total{kind=\""
+const (
+	metricKinds    = "lilacvane_peer_content_bytes_total{kind=\""
+	metricMessages = "lilacvane_peer_messages_total{kind=\""
+	kindDatagram   = "datagram sent"
+)
 
 // cutLast splits a line at its last space.
 func cutLast(line string) (string, string, bool) {
@@ -54,6 +60,7 @@
 
 func readMetrics(operators string, sample *Sample) error {
 	sample.Kinds = make(map[string]float64)
+	sample.Messages = make(map[string]float64)
 	response, err := http.Get("http://" + operators + "/metrics")
 	if err != nil {
 		return err
@@ -70,6 +77,10 @@
 			sample.Kinds[strings.TrimSuffix(kind, "\"}")], _ = strconv.ParseFloat(value, 64)
 			continue
 		}
+		if kind, isKind := strings.CutPrefix(name, metricMessages); isKind {
+			sample.Messages[strings.TrimSuffix(kind, "\"}")], _ = strconv.ParseFloat(value, 64)
+			continue
+		}
 		if target, wanted := targets[name]; found && wanted {
 			number, err := strconv.ParseFloat(value, 64)
 			if err != nil {
@@ -131,3 +142,9 @@
 	}
 	return mean
 }
+
+// datagramSize is the mean size of the datagrams sent between two samples.
+func datagramSize(before, after Sample) float64 {
+	messages := after.Messages[kindDatagram] - before.Messages[kindDatagram]
+	return (after.Kinds[kindDatagram] - before.Kinds[kindDatagram]) / max(1, messages)
+}
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -48,16 +48,20 @@
 }
 
 const (
-	settleANode    = 700 * time.Millisecond
-	realNodes      = 3
-	hollowAProcess = 80
-	modelMemoryMiB = 8
-	engineMemory   = 1 << 20
-	applyBatch     = 50
-	startPatience  = 4 * time.Minute
-	pollPause      = 100 * time.Millisecond
-	forcePause     = 5 * time.Millisecond
-	forcePatience  = 30 * time.Second
+	// settledDatagram is the size in bytes below which datagrams carry hardly
+	// any news of members.
+	settledDatagram = 200.0
+	settleLook      = 5 * time.Second
+	settlePatience  = 10 * time.Minute
+	realNodes       = 3
+	hollowAProcess  = 80
+	modelMemoryMiB  = 8
+	engineMemory    = 1 << 20
+	applyBatch      = 50
+	startPatience   = 4 * time.Minute
+	pollPause       = 100 * time.Millisecond
+	forcePause      = 5 * time.Millisecond
+	forcePatience   = 30 * time.Second
 )
 
 // Run brings a fleet of a size up and measures the real nodes.
@@ -81,8 +85,10 @@
 	loadContext, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	go f.use(loadContext)
-	// What is known of members that joined is passed on for a while.
-	time.Sleep(options.Settle + time.Duration(size.Nodes)*settleANode)
+	time.Sleep(options.Settle)
+	if err := f.waitSettled(); err != nil {
+		return point, err
+	}
 	return point, f.measure(ctx, &point)
 }
 
@@ -192,6 +198,33 @@
 	return nil
 }
 
+// waitSettled waits until the real nodes have passed on what they learned of the
+// members that joined at the start, so that the measurement shows a fleet at
+// rest.
+func (f *fleet) waitSettled() error {
+	deadline := time.Now().Add(settlePatience)
+	before, err := f.samples()
+	for err == nil && time.Now().Before(deadline) {
+		time.Sleep(settleLook)
+		var after []Sample
+		if after, err = f.samples(); err != nil {
+			return err
+		}
+		largest := 0.0
+		for index := range after {
+			largest = max(largest, datagramSize(before[index], after[index]))
+		}
+		if largest < settledDatagram {
+			return nil
+		}
+		before = after
+	}
+	if err == nil {
+		err = fmt.Errorf("the fleet did not settle within %s", settlePatience)
+	}
+	return err
+}
+
 func (f *fleet) measure(ctx context.Context, point *Point) error {
 	before, err := f.samples()
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,7 +150,7 @@
 	n.platformMachines = machines.NewClient(s.Platform.Machines, n.localAddress(), n.traffic.Platform)
 	n.machines = machines.NewList()
 	store := table.NewClient(s.Platform.Table, n.localAddress(), n.traffic.Platform)
-	n.committer = commit.New(store)
+	n.committer = commit.New(store, n.catalog)
 	reader := commit.NewReader(store)
 	n.membership = membership.New(self, membership.Settings{
 		ProbeInterval: s.Membership.ProbeInterval, ProbeTimeout: s.Membership.ProbeTimeout,
