--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -42,7 +42,7 @@
 	busyStatus      = 500 * time.Millisecond
 	keepFor         = 30 * time.Second
 	floorEvery      = 5 * time.Second
-	maximumChanges  = 4
+	maximumChanges  = 16
 	tickEvery       = 500 * time.Millisecond
 )
 
