Spread runners over nodes by change, not by the clock

Cause, found by reading for the target's size: every 0.3 s each node computed the owner of every listed runner over every member, 10,000 x 2,100 weights, about 70 million a second. No measurement here could show it (192 runners and 24 nodes).

Change: a node looks only when members, machines or (without a machine list) grants changed; runners of its own zone are spread by an assignment that costs one weight a runner when a node comes and nothing else; only runners of zones without a living node are looked at one by one. Lists of living members are kept by version instead of copied at each use.

--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -30,6 +30,9 @@
 	version  uint64
 	cached   []wire.Member
 	cachedAt uint64
+	// alive holds the members that take work, as of aliveAt.
+	alive   []wire.Member
+	aliveAt uint64
 }
 
 func newList(self wire.Member) *list {
@@ -217,6 +220,11 @@
 func (l *list) all() []wire.Member {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	return l.sorted()
+}
+
+// sorted is called with the mutex held.
+func (l *list) sorted() []wire.Member {
 	if l.cachedAt == l.version {
 		return l.cached
 	}
@@ -228,3 +236,29 @@
 	l.cached, l.cachedAt = members, l.version
 	return members
 }
+
+// living returns the members that are alive or suspect, in name order. The slice
+// is shared and must not be changed.
+func (l *list) living() []wire.Member {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.aliveAt == l.version {
+		return l.alive
+	}
+	all := l.sorted()
+	alive := make([]wire.Member, 0, len(all))
+	for _, member := range all {
+		if member.State == wire.MemberAlive || member.State == wire.MemberSuspect {
+			alive = append(alive, member)
+		}
+	}
+	l.alive, l.aliveAt = alive, l.version
+	return alive
+}
+
+// currentVersion grows with every change of the list.
+func (l *list) currentVersion() uint64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.version
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -248,18 +248,27 @@
 // Announce tells a few members of a newer configuration revision at once instead
 // of with the next probe, and sends the newest entries along.
 func (m *Membership) Announce(fanout int, entries []wire.Entry) {
-	members := m.Alive()
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	for _, member := range members {
-		if member.Node == m.list.self.Node {
+	for _, member := range m.some(fanout, "") {
+		m.send(member.Address, wire.Probe{Kind: wire.ProbeAck, Entries: entries})
+	}
+}
+
+// some returns up to count living members at random, without this node and
+// another one.
+func (m *Membership) some(count int, without string) []wire.Member {
+	alive := m.Alive()
+	var chosen []wire.Member
+	for _, index := range rand.Perm(len(alive)) {
+		member := alive[index]
+		if member.Node == m.list.self.Node || member.Node == without {
 			continue
 		}
-		if fanout == 0 {
-			return
+		if len(chosen) == count {
+			break
 		}
-		fanout--
-		m.send(member.Address, wire.Probe{Kind: wire.ProbeAck, Entries: entries})
+		chosen = append(chosen, member)
 	}
+	return chosen
 }
 
 // Leave announces that this node is leaving. It is told to a few members at
@@ -283,25 +292,19 @@
 func (m *Membership) All() []wire.Member { return m.list.all() }
 
 // Alive returns the members not known to be dead or leaving, suspects and this
-// node included.
-func (m *Membership) Alive() []wire.Member {
-	var alive []wire.Member
-	for _, member := range m.list.all() {
-		if member.State == wire.MemberAlive || member.State == wire.MemberSuspect {
-			alive = append(alive, member)
-		}
-	}
-	return alive
-}
+// node included, in name order. The slice is shared and must not be changed.
+func (m *Membership) Alive() []wire.Member { return m.list.living() }
+
+// Version grows with every change of the member list.
+func (m *Membership) Version() uint64 { return m.list.currentVersion() }
 
 // Owner returns the member responsible for a key among the alive members that
 // the filter admits; the second result is false when there is none.
 func (m *Membership) Owner(key string, admit func(wire.Member) bool) (wire.Member, bool) {
 	best := wire.Member{}
 	var bestWeight uint64
-	for _, member := range m.list.all() {
-		usable := member.State == wire.MemberAlive || member.State == wire.MemberSuspect
-		if !usable || !admit(member) {
+	for _, member := range m.list.living() {
+		if !admit(member) {
 			continue
 		}
 		weight := rendezvous.Weight(key, member.Node)
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -66,22 +66,14 @@
 }
 
 func (m *Membership) askOthers(target wire.Member) bool {
-	helpers := m.Alive()
-	rand.Shuffle(len(helpers), func(i, j int) { helpers[i], helpers[j] = helpers[j], helpers[i] })
 	answered := make(chan uint64, 1)
-	asked := 0
+	helpers := m.some(indirectHelpers, target.Node)
 	for _, helper := range helpers {
-		if helper.Node == target.Node || helper.Node == m.list.self.Node {
-			continue
-		}
 		sequence := m.nextSequence(answered)
 		defer m.stopWaiting(sequence)
 		m.send(helper.Address, wire.Probe{Kind: wire.ProbeRequest, Sequence: sequence, Target: target.Address})
-		if asked++; asked == indirectHelpers {
-			break
-		}
 	}
-	if asked == 0 {
+	if len(helpers) == 0 {
 		return false
 	}
 	select {
--- a/internal/runner/manager.go
+++ b/internal/runner/manager.go
@@ -15,6 +15,7 @@
 	"lilacvane/internal/machines"
 	"lilacvane/internal/membership"
 	"lilacvane/internal/peer"
+	"lilacvane/internal/rendezvous"
 	"lilacvane/internal/wire"
 )
 
@@ -56,6 +57,10 @@
 	logger     logr.Logger
 	permits    Permits
 
+	assignment *rendezvous.Assignment
+	// seen is what the owned runners were derived from; only Run uses it.
+	seen seenVersions
+
 	mutex    sync.Mutex
 	owners   map[string]*running
 	removing map[string]struct{}
@@ -96,7 +101,8 @@
 	return &Manager{
 		settings: settings, membership: d.Membership, machines: d.Machines, catalog: d.Catalog, controls: d.Controls,
 		client: d.Client, grants: d.Grants, keep: d.KeepAlive, log: d.Log, logger: d.Logger, reports: d.Reports, idle: d.Idle, newer: d.Newer,
-		permits: d.Permits, owners: make(map[string]*running), removing: make(map[string]struct{}),
+		assignment: rendezvous.NewAssignment(),
+		permits:    d.Permits, owners: make(map[string]*running), removing: make(map[string]struct{}),
 	}
 }
 
@@ -142,15 +148,67 @@
 	return listed
 }
 
-func (m *Manager) assign(ctx context.Context) {
+// seenVersions are the versions of what the set of owned runners follows from.
+type seenVersions struct {
+	members  uint64
+	machines uint64
+	// grants counts only while no machine list has been read.
+	grants uint64
+}
+
+func (m *Manager) versions() seenVersions {
+	versions := seenVersions{members: m.membership.Version(), machines: m.machines.Version()}
+	if versions.machines == 0 {
+		versions.grants = m.catalog.Newest(api.KindGrant)
+	}
+	return versions
+}
+
+// wanted returns the runners that fall to this node. Those of the own zone are
+// spread by an assignment that costs little when a node comes or goes; those of
+// zones without a living node are looked at one by one.
+func (m *Manager) wanted() map[string]machines.Machine {
 	self := m.membership.Self()
+	populated := make(map[string]struct{})
+	var zoneNodes []string
+	for _, member := range m.membership.Alive() {
+		populated[member.Zone] = struct{}{}
+		if member.Zone == self.Zone {
+			zoneNodes = append(zoneNodes, member.Node)
+		}
+	}
 	wanted := make(map[string]machines.Machine)
+	own := make(map[string]machines.Machine)
+	var keys []string
 	for _, machine := range m.runners() {
-		owner, found := m.OwnerOf(machine.Name, machine.Zone, machine.Region)
-		if found && owner.Node == self.Node {
-			wanted[machine.Name] = machine
+		_, hasNodes := populated[machine.Zone]
+		switch {
+		case machine.Zone == self.Zone:
+			key := ownerKey + machine.Name
+			own[key] = machine
+			keys = append(keys, key)
+		case !hasNodes:
+			if owner, found := m.OwnerOf(machine.Name, machine.Zone, machine.Region); found && owner.Node == self.Node {
+				wanted[machine.Name] = machine
+			}
 		}
 	}
+	m.assignment.SetNodes(zoneNodes)
+	m.assignment.SetKeys(keys)
+	for _, key := range m.assignment.OwnedBy(self.Node) {
+		wanted[own[key].Name] = own[key]
+	}
+	return wanted
+}
+
+// assign starts and stops owners after members, machines or grants changed.
+func (m *Manager) assign(ctx context.Context) {
+	versions := m.versions()
+	if versions == m.seen {
+		return
+	}
+	m.seen = versions
+	wanted := m.wanted()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	for name, current := range m.owners {
