--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -371,7 +371,7 @@
 const sampledTiers = 12
 
 // withTiers asks the owners of the candidates that rank first without knowledge
-// of tiers whether they have the unit's checkpoint.
+// of tiers whether they reach the runner and have the unit's checkpoint there.
 func (c *Coordinator) withTiers(ctx context.Context, unit catalog.Unit, candidates []placement.Candidate) []placement.Candidate {
 	sample := placement.Grants(placement.Demand{Unit: unit.Name, MemoryMiB: unit.MemoryMiB, Count: sampledTiers + unit.Replicas}, candidates)
 	var group sync.WaitGroup
@@ -380,9 +380,8 @@
 			candidate := &sample[index]
 			item := api.GrantItem{Runner: candidate.Runner, Incarnation: candidate.Incarnation, Address: candidate.Address, Zone: candidate.Zone, Region: candidate.Region}
 			replica := c.ask(ctx, unit.Name, item, look)
-			if replica.State != wire.ReplicaUnreachable {
-				candidate.Tier = replica.Tier
-			}
+			candidate.Unreachable = replica.State == wire.ReplicaUnreachable
+			candidate.Tier = replica.Tier
 		})
 	}
 	group.Wait()
