--- a/internal/labcommand/scale.go
+++ b/internal/labcommand/scale.go
@@ -11,7 +11,7 @@
 )
 
 type scaleCommand struct {
-	Vary    []string      `default:"nodes,runners,models,changes,zones,active" help:"Sizes to vary, one at a time."`
+	Vary    []string      `default:"nodes,runners,models,owned,changes,zones,active" help:"Sizes to vary, one at a time."`
 	Out     string        `default:"docs/capacity" help:"Directory for points (JSON) and plots."`
 	Settle  time.Duration `default:"8s" help:"Time to settle before a measurement."`
 	Measure time.Duration `default:"20s" help:"Length of a measurement."`
@@ -32,8 +32,11 @@
 	"runners": {[]float64{24, 48, 96, 192}, func(s *scale.Size, v float64) { s.Runners = int(v) }, func(s scale.Size) float64 { return float64(s.Runners) / float64(s.Nodes) }, 10000.0 / 2100},
 	"models":  {[]float64{100, 400, 1600, 3200}, func(s *scale.Size, v float64) { s.Models = int(v) }, func(s scale.Size) float64 { return float64(s.Models) }, 11093},
 	"changes": {[]float64{0.25, 1, 2, 4}, func(s *scale.Size, v float64) { s.Changes = v }, func(s scale.Size) float64 { return s.Changes }, 25000.0 / 86400},
-	"zones":   {[]float64{3, 6, 9, 12}, func(s *scale.Size, v float64) { s.Zones = int(v) }, func(s scale.Size) float64 { return float64(s.Zones) }, 11},
-	"active":  {[]float64{0, 8, 16, 32}, func(s *scale.Size, v float64) { s.Active = int(v) }, func(s scale.Size) float64 { return float64(s.Active) }, 30},
+	// owned varies the models that one node coordinates, at a fixed number of
+	// models, to tell its cost from that of knowing the models.
+	"owned":  {[]float64{12, 24, 48, 96}, func(s *scale.Size, v float64) { s.Nodes, s.Models = int(v), 1600 }, func(s scale.Size) float64 { return float64(s.Models) / float64(s.Nodes) }, 11093.0 / 2100},
+	"zones":  {[]float64{3, 6, 9, 12}, func(s *scale.Size, v float64) { s.Zones = int(v) }, func(s scale.Size) float64 { return float64(s.Zones) }, 11},
+	"active": {[]float64{0, 8, 16, 32}, func(s *scale.Size, v float64) { s.Active = int(v) }, func(s scale.Size) float64 { return float64(s.Active) }, 30},
 }
 
 // Run measures the slopes and stores points, fits and plots.
