Let no two worlds of the lab share a network

Cause: a full run of the tests failed once (69 s) while the mutations ran beside it, and again when two runs went side by side: 'address already in use'. A world's loopback network was computed from the process id, so two processes could get the same one. Ruled out: a fault of the product; each of eight full runs on their own passed. Change: a world claims a random network by listening on it.

--- a/internal/lab/world/process.go
+++ b/internal/lab/world/process.go
@@ -5,6 +5,8 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -97,11 +99,18 @@
 // ID returns the process's id.
 func (p *Process) ID() int { return p.command.Process.Pid }
 
-// subnet returns the loopback network of world number n of this process. Worlds
-// of other processes use other numbers with high likelihood; a clash shows as an
-// address in use.
-func subnet(n int) string {
-	const octets, first = 250, 2
-	seed := os.Getpid()*7 + n
-	return fmt.Sprintf("127.%d.%d", first+(seed/octets)%octets, first+seed%octets)
+// claimNetwork takes a loopback network that no other world uses, in this process
+// or another: it is held by the listener until that is closed.
+func claimNetwork() (string, net.Listener, error) {
+	const octets, first, tries = 250, 2, 200
+	var failure error
+	for range tries {
+		network := fmt.Sprintf("127.%d.%d", first+rand.IntN(octets), first+rand.IntN(octets))
+		claim, err := net.Listen("tcp", fmt.Sprintf("%s.1:%d", network, portClaim))
+		if err == nil {
+			return network, claim, nil
+		}
+		failure = err
+	}
+	return "", nil, failure
 }
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -4,10 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
-	"sync/atomic"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -23,6 +23,7 @@
 
 // Ports within a world; every process has an IP address of its own.
 const (
+	portClaim     = 7000
 	portCallers   = 7001
 	portOperators = 7002
 	portPeers     = 7003
@@ -38,8 +39,6 @@
 	pollPause     = 20 * time.Millisecond
 )
 
-var worlds atomic.Int64
-
 // Options of a world.
 type Options struct {
 	// Directory holds settings, logs and journals.
@@ -67,6 +66,8 @@
 type World struct {
 	Options
 	network string
+	// claim holds the network.
+	claim net.Listener
 	// Platform is the process with table, machine list and weight store.
 	Platform *Process
 	Nodes    map[string]*Node
@@ -116,8 +117,12 @@
 
 // New starts the platform of a world.
 func New(options Options) (*World, error) {
+	network, claim, err := claimNetwork()
+	if err != nil {
+		return nil, err
+	}
 	w := &World{
-		Options: options, network: subnet(int(worlds.Add(1))), Nodes: make(map[string]*Node), Engines: make(map[string]*Engine),
+		Options: options, network: network, claim: claim, Nodes: make(map[string]*Node), Engines: make(map[string]*Engine),
 		nextNode: firstNode, nextEngine: firstEngine,
 	}
 	platform, err := start(w.Directory, "platform", w.lab(), "platform",
@@ -126,6 +131,7 @@
 		"--mib-per-second", fmt.Sprint(options.MiBPerSecond), "--machine-lag", options.MachineLag.String(),
 		"--table-rate", fmt.Sprint(options.TableRate))
 	if err != nil {
+		_ = claim.Close()
 		return nil, err
 	}
 	w.Platform = platform
@@ -362,6 +368,7 @@
 		}
 	}
 	w.Platform.Kill()
+	_ = w.claim.Close()
 	for _, proxy := range []*faultproxy.Proxy{w.TableProxy, w.MachinesProxy} {
 		if proxy != nil {
 			proxy.Close()
