Name the owners' peer calls in one place; say in refusals why there is no replica

Two calls were named by bare strings in other packages. The reason that a coordinator gives (no runner large enough, no replica decided) was kept by the nodes and never shown; it is part of the refusal's message now.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -302,7 +302,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	var response wire.WakeResponse
-	err := c.Client.Call(ctx, owner.Address, "wake", request, &response)
+	err := c.Client.Call(ctx, owner.Address, runner.MethodWake, request, &response)
 	return response, err
 }
 
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -11,6 +11,7 @@
 	"lilacvane/internal/commit"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/operator"
+	"lilacvane/internal/runner"
 	"lilacvane/internal/wire"
 )
 
@@ -154,7 +155,7 @@
 			ctx, cancel := context.WithTimeout(ctx, askTimeout)
 			defer cancel()
 			var response wire.RunnersResponse
-			if n.client.Call(ctx, owner.Address, "runners", wire.RunnersRequest{Runner: name}, &response) != nil {
+			if n.client.Call(ctx, owner.Address, runner.MethodRunners, wire.RunnersRequest{Runner: name}, &response) != nil {
 				return
 			}
 			mutex.Lock()
--- a/internal/request/throttler.go
+++ b/internal/request/throttler.go
@@ -99,7 +99,7 @@
 	case <-ctx.Done():
 		failure = fault.New(fault.CodeCanceled, stepQueue, "the caller went away")
 	case <-timer.C:
-		failure = fault.New(fault.CodeDeadline, stepQueue, "the deadline passed while waiting").WithRetryAfter(t.ComeBack())
+		failure = fault.New(fault.CodeDeadline, stepQueue, "the deadline passed while waiting%s", t.why()).WithRetryAfter(t.ComeBack())
 	}
 	t.mutex.Lock()
 	stillWaiting := t.waiting.remove(w)
@@ -172,6 +172,16 @@
 	return max(0, t.loadTime-now.Sub(t.coldSince))
 }
 
+// why is what the coordinator said of a unit that has no replica, for refusals.
+func (t *Throttler) why() string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.reason == "" {
+		return ""
+	}
+	return ": " + t.reason
+}
+
 // ComeBack tells a refused caller when to come back.
 func (t *Throttler) ComeBack() time.Duration {
 	t.mutex.Lock()
--- a/internal/runner/manager.go
+++ b/internal/runner/manager.go
@@ -19,9 +19,15 @@
 	"lilacvane/internal/wire"
 )
 
+// The peer calls that a runner's owner answers.
+const (
+	// MethodWake asks for a replica's state, and to load it.
+	MethodWake = "wake"
+	// MethodRunners asks for the runners a node owns.
+	MethodRunners = "runners"
+)
+
 const (
-	methodWake    = "wake"
-	methodRunners = "runners"
 	ownerKey      = "runner/"
 	assignEvery   = 300 * time.Millisecond
 	reportTimeout = time.Second
@@ -108,10 +114,10 @@
 
 // Register adds the handlers other nodes call.
 func (m *Manager) Register(server *peer.Server) {
-	peer.Handle(server, methodWake, func(_ context.Context, request wire.WakeRequest) (wire.WakeResponse, error) {
+	peer.Handle(server, MethodWake, func(_ context.Context, request wire.WakeRequest) (wire.WakeResponse, error) {
 		return m.Wake(request)
 	})
-	peer.Handle(server, methodRunners, func(_ context.Context, request wire.RunnersRequest) (wire.RunnersResponse, error) {
+	peer.Handle(server, MethodRunners, func(_ context.Context, request wire.RunnersRequest) (wire.RunnersResponse, error) {
 		return wire.RunnersResponse{Runners: m.Status(request.Runner)}, nil
 	})
 }
@@ -286,7 +292,7 @@
 	entry, owned := m.owners[request.Runner]
 	m.mutex.Unlock()
 	if !owned {
-		return wire.WakeResponse{}, fault.New(fault.CodeNotReady, methodWake, "runner %s is not owned by this node", request.Runner)
+		return wire.WakeResponse{}, fault.New(fault.CodeNotReady, MethodWake, "runner %s is not owned by this node", request.Runner)
 	}
 	m.newer(request.Coordinator, request.Revision, nil)
 	keepFor := time.Duration(request.KeepMilliseconds) * time.Millisecond
