Describe a place as it was when it was given

Cause: a data race, found by running the programs of the real-process tests under the race detector: a place copied its replica without the lock while another request's answer changed it. The new test showed the race first and passes now.

--- a/internal/request/queue.go
+++ b/internal/request/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lilacvane/internal/api"
+	"lilacvane/internal/wire"
 )
 
 // waiter is one request that waits for a replica.
@@ -21,7 +22,9 @@
 // grantedTarget is the answer to a waiter: a place on a replica, or an error.
 type grantedTarget struct {
 	target *target
-	err    error
+	// replica is the target's replica as it was when the place was given.
+	replica wire.Replica
+	err     error
 }
 
 // queue orders waiters by class and then by arrival, and bounds each class.
--- a/internal/request/throttler.go
+++ b/internal/request/throttler.go
@@ -118,7 +118,7 @@
 	if granted.err != nil {
 		return nil, granted.err
 	}
-	return &Place{throttler: t, target: granted.target, taken: time.Now(), Replica: granted.target.replica}, nil
+	return &Place{throttler: t, target: granted.target, taken: time.Now(), Replica: granted.replica}, nil
 }
 
 // admit is called with the mutex held.
@@ -207,7 +207,7 @@
 		}
 		t.waiting.remove(w)
 		chosen.inFlight++
-		w.granted <- grantedTarget{target: chosen}
+		w.granted <- grantedTarget{target: chosen, replica: chosen.replica}
 	}
 }
 
--- a/internal/request/throttler_test.go
+++ b/internal/request/throttler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -120,3 +121,28 @@
 	_, err = throttler.Acquire(context.Background(), patientAsk(api.ClassOrdinary))
 	assert.NilError(t, err)
 }
+
+// TestPlacesAreTakenWhileStatusesChange: requests, answers and statuses come at
+// the same time. It failed first under the race detector: a place was described
+// from the replica while an answer changed it.
+func TestPlacesAreTakenWhileStatusesChange(t *testing.T) {
+	throttler := newThrottler("unit", "here", time.Second)
+	status := wire.UnitStatus{Replicas: []wire.Replica{readyReplica("a", "here", 4), readyReplica("b", "here", 4)}}
+	throttler.Update(status)
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for number := range 200 {
+				place, err := throttler.Acquire(context.Background(), patientAsk(api.ClassOrdinary))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				place.Heard(number % 3)
+				throttler.Update(status)
+				place.Release(true)
+			}
+		})
+	}
+	group.Wait()
+}
