--- a/internal/labcommand/scale.go
+++ b/internal/labcommand/scale.go
@@ -79,7 +79,7 @@
 	}
 	const cpu, peers = 0, 2
 	for _, cost := range []int{cpu, peers} {
-		path := filepath.Join(c.Out, fmt.Sprintf("%s-%d.svg", name, cost))
+		path := filepath.Join(c.Out, fmt.Sprintf("%s-%s.svg", name, series.Fits[cost].Cost))
 		if err := series.Plot(path, d.of, cost); err != nil {
 			return err
 		}
