Say what the node's flags mean

Read as a newcomer: the node's fields stale, ready, looked, leaving and the two of the machine list had no comment, units or zero value. Comments and line breaks only, behaviour is unchanged.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,11 +63,13 @@
 	peersListener     net.Listener
 	socket            net.PacketConn
 
-	traffic          metrics.Traffic
-	client           *peer.Client
-	peers            *peer.Server
-	membership       *membership.Membership
-	machines         *machines.List
+	traffic    metrics.Traffic
+	client     *peer.Client
+	peers      *peer.Server
+	membership *membership.Membership
+	machines   *machines.List
+	// platformMachines is the platform's own machine list, which only feeders
+	// read; pullingMachines is set while a peer's copy is read.
 	platformMachines machines.Source
 	pullingMachines  atomic.Bool
 	catalog          *catalog.Catalog
@@ -88,15 +90,24 @@
 	decisions *decision.Log
 	metrics   *metrics.Metrics
 
-	stale   chan struct{}
-	ready   atomic.Bool
-	looked  atomic.Uint64
+	// stale holds a token while what is derived from the catalog and the member
+	// list is out of date.
+	stale chan struct{}
+	// ready is set once the configuration has caught up.
+	ready atomic.Bool
+	// looked is the newest revision that the owners of runners were told of.
+	looked atomic.Uint64
+	// leaving is when the node began to leave, in Unix nanoseconds; zero: it did
+	// not.
 	leaving atomic.Int64
 }
 
 // New opens the node's sockets and assembles its parts. Nothing runs yet.
 func New(s settings.Settings, logger logr.Logger) (*Node, error) {
-	n := &Node{settings: s, logger: logger.WithValues("node", s.Node), stale: make(chan struct{}, 1), traffic: metrics.Traffic{Peers: &traffic.Counter{}, Platform: &traffic.Counter{}, Runners: &traffic.Counter{}}}
+	n := &Node{
+		settings: s, logger: logger.WithValues("node", s.Node), stale: make(chan struct{}, 1),
+		traffic: metrics.Traffic{Peers: &traffic.Counter{}, Platform: &traffic.Counter{}, Runners: &traffic.Counter{}},
+	}
 	if err := n.listen(); err != nil {
 		n.closeListeners()
 		return nil, err
