--- /dev/null
+++ b/internal/agent/figures.go
@@ -0,0 +1,78 @@
+package agent
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"lilacvane/internal/dispatch"
+)
+
+// figures are the counters and latency histograms of a node.
+type figures struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	attempts prometheus.Counter
+	resumes  prometheus.Counter
+	first    *prometheus.HistogramVec
+	waited   prometheus.Histogram
+}
+
+// latencyBuckets are in seconds.
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16}
+
+func newFigures(a *Agent) *figures {
+	f := &figures{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lilacvane_requests_total", Help: "Requests by route and result.",
+		}, []string{"route", "result"}),
+		attempts: prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacvane_attempts_total", Help: "Requests sent to runners."}),
+		resumes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacvane_resumes_total", Help: "Streams resumed at another runner."}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "lilacvane_first_byte_seconds", Help: "Time to the first byte of the answer.", Buckets: latencyBuckets,
+		}, []string{"route"}),
+		waited: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "lilacvane_wait_seconds", Help: "Time in which no runner could take the request.", Buckets: latencyBuckets,
+		}),
+	}
+	f.registry.MustRegister(f.requests, f.attempts, f.resumes, f.first, f.waited)
+	gauge := func(name, help string, value func() float64) {
+		f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("lilacvane_requests_active", "Requests under way.", func() float64 { return float64(a.ingress.Active()) })
+	gauge("lilacvane_runners", "Runners listed.", func() float64 { return float64(a.fleet.Count()) })
+	gauge("lilacvane_log_lines_dropped", "Log lines dropped.", func() float64 { return float64(a.log.Dropped()) })
+	gauge("lilacvane_configuration_revision", "Configuration in force.", func() float64 {
+		if configuration := a.configuration.Load(); configuration != nil {
+			return float64(configuration.Revision)
+		}
+		return 0
+	})
+	gauge("lilacvane_leases_held", "Control leases held.", func() float64 {
+		held := 0.0
+		for _, s := range a.controls.all() {
+			if s.lessor.Holds() {
+				held++
+			}
+		}
+		return held
+	})
+	return f
+}
+
+func (f *figures) handler() http.Handler {
+	return promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{})
+}
+
+// observe counts a request that ended.
+func (f *figures) observe(o dispatch.Outcome) {
+	f.requests.WithLabelValues(o.Route, o.Result).Inc()
+	f.attempts.Add(float64(o.Attempts))
+	f.resumes.Add(float64(o.Resumes))
+	f.waited.Observe(o.Waited.Seconds())
+	if o.First > 0 {
+		f.first.WithLabelValues(o.Route).Observe(o.First.Seconds())
+	}
+}
--- /dev/null
+++ b/internal/backend/backend.go
@@ -0,0 +1,126 @@
+// Package backend is the seam to the runners: what they tell of themselves, and
+// the orders they take. Runners themselves fence nothing; an order carries the
+// sequence number its author expects, and the runner refuses any other.
+package backend
+
+import (
+	"context"
+	"time"
+)
+
+// Runner is one incarnation of a runner as the platform lists it.
+type Runner struct {
+	// ID is unique for each incarnation.
+	ID      string
+	Service string
+	// Address is ip:port. It may be given to another runner later.
+	Address  string
+	Zone     string
+	Slots    int
+	Draining bool
+	// Models is what the runner held when it last told the platform.
+	Models []Holding
+	// Copies are the weights the runner keeps near.
+	Copies Copies
+	// Sequence is the number of orders it had taken by then.
+	Sequence uint64
+	// Missing is set when the platform dropped the runner without saying that
+	// it left, in a time when the platform's word is not proof.
+	Missing bool
+}
+
+// Holding is a loaded model with its loaded adapters.
+type Holding struct {
+	Model    string
+	Adapters []string
+}
+
+// Copies lists weights kept in host memory and on disk.
+type Copies struct {
+	Host []string
+	Disk []string
+}
+
+// Report is a runner's account of itself. It lags by some hundred milliseconds.
+type Report struct {
+	Models []Holding
+	// Pending are adapters on their way.
+	Pending []Unit
+	Copies  Copies
+	// Busy is set while a model is loaded or unloaded.
+	Busy     bool
+	Sequence uint64
+	Queued   int
+	Active   int
+	// CacheUsed and CacheTotal are tokens.
+	CacheUsed  int
+	CacheTotal int
+}
+
+// Unit is a model, or an adapter of a model.
+type Unit struct {
+	Model string
+	// Adapter is empty for the model itself.
+	Adapter string
+}
+
+// String returns the model's name, or model/adapter.
+func (u Unit) String() string {
+	if u.Adapter == "" {
+		return u.Model
+	}
+	return u.Model + "/" + u.Adapter
+}
+
+// Action is what an order does.
+type Action string
+
+// The actions.
+const (
+	Load   Action = "load"
+	Unload Action = "unload"
+)
+
+// Order loads or unloads a unit.
+type Order struct {
+	Action Action
+	Unit   Unit
+	// Expected is the sequence number at which the runner may accept the order.
+	Expected uint64
+	// Owner and Token name the lease under which the order is given.
+	Owner string
+	Token uint64
+}
+
+// Verdict is a runner's answer to an order.
+type Verdict uint8
+
+// The verdicts. Lost means that no answer came: the order may be carried out
+// later, as long as the runner's sequence number is still the expected one.
+const (
+	Lost Verdict = iota
+	Accepted
+	AlreadyHeld
+	Conflict
+	Refused
+	// NotSent means that no byte of the order left this process.
+	NotSent
+)
+
+// String names the verdict.
+func (v Verdict) String() string {
+	return [...]string{"lost", "accepted", "already_held", "conflict", "refused", "not_sent"}[v]
+}
+
+// Control gives orders to runners and reads their reports.
+type Control interface {
+	// Order gives an order. The error explains every verdict but Accepted and
+	// AlreadyHeld.
+	Order(ctx context.Context, runner Runner, order Order) (Verdict, error)
+	// Report reads a runner's report. It fails with fault.CodeNotFound when
+	// another incarnation has the address.
+	Report(ctx context.Context, runner Runner) (Report, error)
+}
+
+// ReportLag is how far a report may be behind the runner's state.
+const ReportLag = 150 * time.Millisecond
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,146 @@
+// Package config holds the routing configuration in force: routes, services and
+// limits. A Configuration is immutable; the newest one replaces the last.
+package config
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says how often a route's requests may run.
+type Kind string
+
+// The kinds of routes.
+const (
+	// Safe requests may run more than once.
+	Safe Kind = "safe"
+	// Unsafe requests run at most once.
+	Unsafe Kind = "unsafe"
+	// Stream requests are answered with events. They run at most once unless
+	// the route is resumable.
+	Stream Kind = "stream"
+)
+
+// Configuration is one revision of everything operators configure.
+type Configuration struct {
+	// Revision grows with every change.
+	Revision uint64
+	Routes   []Route
+	Services map[string]*Service
+	Limits   Limits
+
+	byHost map[string][]*Route
+}
+
+// Route sends the requests of a host and path prefix to services.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Kind       Kind
+	// Resumable streams may be continued at another runner after the last
+	// event that arrived.
+	Resumable bool
+	// Timeout is the longest time a request is held; zero means no limit.
+	Timeout time.Duration
+	// Objective is the time within which an answer, or a stream's first event,
+	// counts as prompt.
+	Objective time.Duration
+	// PauseObjective is the longest pause between events of a prompt stream.
+	PauseObjective time.Duration
+	// Priority is the route's rank; 0 is served first.
+	Priority int
+	// Attempts is the largest number of runners one request may run at.
+	Attempts int
+	// Backends share the requests by weight.
+	Backends []Backend
+}
+
+// Backend is a service's share of a route.
+type Backend struct {
+	Service string
+	Weight  int
+}
+
+// Idempotent reports whether a request of the route may run more than once.
+func (r *Route) Idempotent() bool {
+	return r.Kind == Safe || (r.Kind == Stream && r.Resumable)
+}
+
+// Service is a set of runners of one kind.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaximumConnections is how many connections a runner accepts from all
+	// nodes together; zero means no limit.
+	MaximumConnections int
+	// Engine is set for services of model engines.
+	Engine *Engine
+}
+
+// Engine describes the runners of a model service.
+type Engine struct {
+	// Slots is how many requests a runner runs at once.
+	Slots int
+	// CacheTokens is a runner's memory for prompts and answers, in tokens.
+	CacheTokens int
+	// ModelMemory is a runner's memory for weights and adapters, in MB.
+	ModelMemory float64
+	// HostMemory and Disk keep copies of weights beside it, in MB.
+	HostMemory float64
+	Disk       float64
+	// AdapterSlots is how many adapters a runner holds.
+	AdapterSlots int
+	// LoadsPerSecond is what the weight store allows all runners together.
+	LoadsPerSecond float64
+	Models         map[string]*Model
+}
+
+// Model is one set of weights.
+type Model struct {
+	Name string
+	// Size is the size of the weights in MB.
+	Size float64
+	// LoadTime, DiskLoadTime and HostLoadTime are the times of a load from the
+	// weight store, a runner's disk and its host memory.
+	LoadTime     time.Duration
+	DiskLoadTime time.Duration
+	HostLoadTime time.Duration
+	// AdapterSize is the size of each adapter in MB.
+	AdapterSize float64
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	MaximumHeaderBytes int
+	MaximumBodyBytes   int64
+	HeaderTimeout      time.Duration
+	IdleTimeout        time.Duration
+}
+
+// Finish builds the lookup tables. It is called once, before the configuration
+// is shared.
+func (c *Configuration) Finish() {
+	c.byHost = make(map[string][]*Route, len(c.Routes))
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		c.byHost[route.Host] = append(c.byHost[route.Host], route)
+	}
+	for _, routes := range c.byHost {
+		slices.SortFunc(routes, func(a, b *Route) int {
+			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+		})
+	}
+}
+
+// Match returns the route of a host with the longest prefix of path, or nil.
+func (c *Configuration) Match(host, path string) *Route {
+	for _, route := range c.byHost[host] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/controller.go
@@ -0,0 +1,384 @@
+// Package control is the work of the node that holds a service's control lease:
+// it gathers the nodes' demand, keeps the runners' accounts, plans, and gives
+// orders. Every node runs a Controller; it works only while its node holds the
+// lease.
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/config"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/fleet"
+	"lilacvane/internal/lease"
+	"lilacvane/internal/orders"
+	"lilacvane/internal/scheduler"
+	"lilacvane/internal/wire"
+)
+
+const (
+	// OrderTimeout bounds one order.
+	OrderTimeout = 400 * time.Millisecond
+	// reportTimeout bounds one report.
+	reportTimeout = 300 * time.Millisecond
+	// reportRetry is the time until a runner that did not report is asked again.
+	reportRetry = 500 * time.Millisecond
+	// planInterval is how often a plan is made unasked, leastInterval the least
+	// time between two plans.
+	planInterval  = 200 * time.Millisecond
+	leastInterval = 8 * time.Millisecond
+	// loadBurst bounds the loads from the weight store begun at once.
+	loadBurst = 2
+)
+
+// Controller controls the runners of one service. Its methods may be called
+// concurrently.
+type Controller struct {
+	service       string
+	node          string
+	lessor        *lease.Lessor
+	runners       backend.Control
+	fleet         *fleet.Fleet
+	configuration func() *config.Configuration
+	log           logr.Logger
+	trigger       chan struct{}
+
+	mutex sync.Mutex
+	// token is the lease under which the accounts were made; zero for none.
+	token    uint64
+	version  uint64
+	changed  chan struct{}
+	ledgers  map[string]*orders.Ledger
+	intents  map[string]scheduler.Intent
+	demand   *demandBook
+	limiter  *rate.Limiter
+	inFlight sync.WaitGroup
+}
+
+// NewController returns a controller for a service.
+func NewController(service, node string, lessor *lease.Lessor, runners backend.Control, known *fleet.Fleet,
+	configuration func() *config.Configuration, log logr.Logger) *Controller {
+	return &Controller{
+		service: service, node: node, lessor: lessor, runners: runners, fleet: known, configuration: configuration,
+		log: log.WithValues("service", service), trigger: make(chan struct{}, 1), changed: make(chan struct{}),
+	}
+}
+
+// Run works whenever the node holds the lease, until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	defer c.inFlight.Wait()
+	timer := time.NewTicker(planInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-c.trigger:
+		}
+		if engine := c.engine(); engine != nil {
+			c.tick(ctx, engine)
+		}
+		sleep(ctx, leastInterval)
+	}
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Wake asks for a plan soon.
+func (c *Controller) Wake() {
+	select {
+	case c.trigger <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Controller) engine() *config.Engine {
+	configuration := c.configuration()
+	if configuration == nil || configuration.Services[c.service] == nil {
+		return nil
+	}
+	return configuration.Services[c.service].Engine
+}
+
+// tick brings the accounts up to date and carries out one plan.
+func (c *Controller) tick(ctx context.Context, engine *config.Engine) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.ownToken(engine) {
+		return
+	}
+	now := time.Now()
+	c.takeRunners()
+	c.askReports(ctx, now)
+	for _, ledger := range c.ledgers {
+		if ledger.Settle(now) {
+			c.changedView(ledger)
+		}
+	}
+	if !c.lessor.Acting() {
+		return
+	}
+	c.setRate(engine)
+	state := c.state(engine, now)
+	plan := scheduler.MakePlan(state)
+	c.intents = plan.Intents
+	c.carryOut(ctx, plan)
+}
+
+// ownToken begins new accounts when the lease was newly taken, and drops them
+// when it is lost. mutex is held.
+func (c *Controller) ownToken(engine *config.Engine) bool {
+	record, _ := c.lessor.Holder()
+	if !c.lessor.Holds() {
+		if c.token != 0 {
+			c.log.Info("control ended", "token", c.token)
+		}
+		c.token = 0
+		return false
+	}
+	if c.token == record.Token {
+		return true
+	}
+	c.token = record.Token
+	c.version = 1
+	c.ledgers = make(map[string]*orders.Ledger)
+	c.intents = nil
+	c.demand = newDemandBook()
+	// The new holder does not know what the old one loaded last, so its rate
+	// starts from nothing.
+	c.limiter = rate.NewLimiter(rate.Limit(engine.LoadsPerSecond), loadBurst)
+	c.limiter.AllowN(time.Now(), loadBurst)
+	c.log.Info("control begun", "token", c.token, "loadsPerSecond", engine.LoadsPerSecond)
+	return true
+}
+
+func (c *Controller) setRate(engine *config.Engine) {
+	if limit := rate.Limit(engine.LoadsPerSecond); c.limiter.Limit() != limit {
+		c.limiter.SetLimit(limit)
+	}
+}
+
+// takeRunners follows the platform's list. mutex is held.
+func (c *Controller) takeRunners() {
+	listed := make(map[string]bool)
+	for _, runner := range c.fleet.Runners(c.service) {
+		listed[runner.ID] = true
+		ledger := c.ledgers[runner.ID]
+		if ledger == nil {
+			ledger = orders.NewLedger(runner)
+			c.ledgers[runner.ID] = ledger
+		}
+		ledger.Runner = runner
+	}
+	for id := range c.ledgers {
+		if !listed[id] {
+			delete(c.ledgers, id)
+		}
+	}
+}
+
+// askReports asks the runners whose state may have changed. mutex is held.
+func (c *Controller) askReports(ctx context.Context, now time.Time) {
+	for _, ledger := range c.ledgers {
+		if ledger.Runner.Draining || !ledger.WantsReport(now) {
+			continue
+		}
+		c.inFlight.Add(1)
+		go c.askReport(ctx, c.token, ledger.Runner)
+	}
+}
+
+func (c *Controller) askReport(ctx context.Context, token uint64, runner backend.Runner) {
+	defer c.inFlight.Done()
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	asked := time.Now()
+	report, err := c.runners.Report(ctx, runner)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	ledger := c.ledgers[runner.ID]
+	if c.token != token || ledger == nil {
+		return
+	}
+	if err != nil {
+		ledger.ReportFailed(time.Now(), reportRetry)
+		c.log.Info("report missing", "runner", runner.ID, "error", err.Error())
+		return
+	}
+	if ledger.Reported(report, asked, time.Now()) {
+		c.changedView(ledger)
+		c.log.Info("runner reported", "runner", runner.ID, "sequence", report.Sequence, "busy", report.Busy, "models", len(report.Models),
+			"active", report.Active, "queued", report.Queued)
+	}
+	c.Wake()
+}
+
+// changedView makes a runner's new account known to waiting nodes. mutex is
+// held.
+func (c *Controller) changedView(ledger *orders.Ledger) {
+	c.version++
+	ledger.Version = c.version
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// state builds the scheduler's input. mutex is held.
+func (c *Controller) state(engine *config.Engine, now time.Time) *scheduler.State {
+	running := c.demand.running(now)
+	state := &scheduler.State{
+		Now: now, Engine: engine, Demand: c.demand.units(now), Intents: c.intents, Loads: int(c.limiter.TokensAt(now)),
+	}
+	for id, ledger := range c.ledgers {
+		if !ledger.Known() || ledger.Runner.Draining {
+			continue
+		}
+		state.Runners = append(state.Runners, describe(id, ledger, engine, running[id], now))
+	}
+	return state
+}
+
+// carryOut sends the orders of a plan. mutex is held.
+func (c *Controller) carryOut(ctx context.Context, plan scheduler.Plan) {
+	chains := make(map[string][]scheduler.Step)
+	for _, step := range plan.Steps {
+		chains[step.Runner] = append(chains[step.Runner], step)
+	}
+	for runner, steps := range chains {
+		ledger := c.ledgers[runner]
+		order, ok := c.begin(ledger, steps[0])
+		if !ok {
+			continue
+		}
+		c.inFlight.Add(1)
+		go c.sendChain(ctx, c.token, ledger, order, steps)
+	}
+}
+
+// begin notes a step as being sent. The lease is checked here, right before.
+// mutex is held.
+func (c *Controller) begin(ledger *orders.Ledger, step scheduler.Step) (backend.Order, bool) {
+	token, ok := c.lessor.Act()
+	if !ok || token != c.token || !ledger.MayOrder(step.Unit, time.Now()) {
+		return backend.Order{}, false
+	}
+	if step.FromStore && !c.limiter.Allow() {
+		return backend.Order{}, false
+	}
+	return ledger.Begin(step.Action, step.Unit, c.node, token), true
+}
+
+// sendChain sends a runner's orders one after the other, as long as each is
+// accepted.
+func (c *Controller) sendChain(ctx context.Context, token uint64, ledger *orders.Ledger, order backend.Order, steps []scheduler.Step) {
+	defer c.inFlight.Done()
+	for i := range steps {
+		if !c.send(ctx, token, ledger, order, steps[i]) || i+1 == len(steps) {
+			break
+		}
+		c.mutex.Lock()
+		next, ok := c.begin(ledger, steps[i+1])
+		c.mutex.Unlock()
+		if !ok {
+			break
+		}
+		order = next
+	}
+	c.Wake()
+}
+
+func (c *Controller) send(ctx context.Context, token uint64, ledger *orders.Ledger, order backend.Order, step scheduler.Step) bool {
+	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
+	defer cancel()
+	start := time.Now()
+	verdict, err := c.runners.Order(ctx, ledger.Runner, order)
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	ledger.End(order, verdict, now, now.Add(step.Expected))
+	if c.token == token {
+		c.changedView(ledger)
+	}
+	fields := []any{"runner", ledger.Runner.ID, "action", string(order.Action), "unit", order.Unit.String(), "expected", order.Expected,
+		"token", order.Token, "verdict", verdict.String(), "reason", step.Reason, "fromStore", step.FromStore,
+		"dueMs", step.Expected.Milliseconds(), "elapsedMs", now.Sub(start).Milliseconds()}
+	if err != nil {
+		fields = append(fields, "error", err.Error())
+	}
+	c.log.Info("order", fields...)
+	return verdict == backend.Accepted || verdict == backend.AlreadyHeld
+}
+
+// Sync answers a node's demand with what changed since the account it has.
+func (c *Controller) Sync(ctx context.Context, request wire.SyncRequest) (wire.SyncResponse, error) {
+	c.mutex.Lock()
+	if c.token == 0 {
+		c.mutex.Unlock()
+		return wire.SyncResponse{}, fault.New(fault.CodeNotHolder, "sync", "this node does not hold the lease of %s", request.Service)
+	}
+	urgent := c.demand.report(request, time.Now())
+	c.mutex.Unlock()
+	if urgent {
+		c.Wake()
+	}
+	c.waitChange(ctx, request)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.token == 0 {
+		return wire.SyncResponse{}, fault.New(fault.CodeNotHolder, "sync", "the lease of %s was lost", request.Service)
+	}
+	return c.account(request), nil
+}
+
+// waitChange waits until there is something new for the node, at most for the
+// time it names.
+func (c *Controller) waitChange(ctx context.Context, request wire.SyncRequest) {
+	if request.HoldMs <= 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(min(request.HoldMs, maximumHoldMs))*time.Millisecond)
+	defer cancel()
+	for {
+		c.mutex.Lock()
+		news := c.token != request.Token || c.version > request.Version
+		changed := c.changed
+		c.mutex.Unlock()
+		if news {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+const maximumHoldMs = 5000
+
+// account lists the runners that changed since the node's account. mutex is
+// held.
+func (c *Controller) account(request wire.SyncRequest) wire.SyncResponse {
+	response := wire.SyncResponse{Token: c.token, Version: c.version, Nodes: c.demand.nodes(time.Now())}
+	response.Whole = request.Token != c.token
+	for id, ledger := range c.ledgers {
+		if !ledger.Known() || (!response.Whole && ledger.Version <= request.Version) {
+			continue
+		}
+		response.Runners = append(response.Runners, viewOf(id, ledger, time.Now()))
+	}
+	return response
+}
--- /dev/null
+++ b/internal/control/demand.go
@@ -0,0 +1,155 @@
+package control
+
+import (
+	"math"
+	"time"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/scheduler"
+	"lilacvane/internal/wire"
+)
+
+const (
+	// reportLifetime is how long a node's word is believed.
+	reportLifetime = 2 * time.Second
+	// rateHalfLife is how fast the rate of a unit follows its use.
+	rateHalfLife = 3 * time.Second
+	// tokensPerSecond is what a runner reads when it does nothing else.
+	tokensPerSecond = 35_000.0
+	// forgetAfter drops units that were not asked for.
+	forgetAfter = 5 * time.Minute
+)
+
+// demandBook gathers what the nodes ask for. Controller.mutex guards it.
+type demandBook struct {
+	reports map[string]nodeReport
+	used    map[backend.Unit]*use
+}
+
+type nodeReport struct {
+	at      time.Time
+	waiting []wire.UnitWaiting
+	running []wire.RunnerUsage
+}
+
+// use follows the rate of a unit as an exponentially fading count.
+type use struct {
+	requests float64
+	tokens   float64
+	at       time.Time
+	last     time.Time
+}
+
+func newDemandBook() *demandBook {
+	return &demandBook{reports: make(map[string]nodeReport), used: make(map[backend.Unit]*use)}
+}
+
+// report takes a node's demand. It returns whether something waits.
+func (d *demandBook) report(request wire.SyncRequest, now time.Time) bool {
+	for _, usage := range request.Usage {
+		d.use(backend.Unit{Model: usage.Model}, usage, now)
+		if usage.Adapter != "" {
+			d.use(backend.Unit{Model: usage.Model, Adapter: usage.Adapter}, usage, now)
+		}
+	}
+	if !request.Report {
+		return false
+	}
+	d.reports[request.Node] = nodeReport{at: now, waiting: request.Waiting, running: request.Running}
+	return len(request.Waiting) > 0
+}
+
+func (d *demandBook) use(unit backend.Unit, usage wire.UnitUsage, now time.Time) {
+	known := d.used[unit]
+	if known == nil {
+		known = &use{at: now}
+		d.used[unit] = known
+	}
+	known.fade(now)
+	known.requests += float64(usage.Requests)
+	known.tokens += float64(usage.Tokens)
+	known.last = now
+}
+
+func (u *use) fade(now time.Time) {
+	factor := math.Exp2(-float64(now.Sub(u.at)) / float64(rateHalfLife))
+	u.requests *= factor
+	u.tokens *= factor
+	u.at = now
+}
+
+// perSecond turns a fading count into a rate.
+func perSecond(count float64) float64 { return count * math.Ln2 / rateHalfLife.Seconds() }
+
+// nodes counts the nodes that reported lately.
+func (d *demandBook) nodes(now time.Time) int {
+	for node, report := range d.reports {
+		if now.Sub(report.at) > reportLifetime {
+			delete(d.reports, node)
+		}
+	}
+	return len(d.reports)
+}
+
+// running returns the requests under way by runner and model.
+func (d *demandBook) running(now time.Time) map[string]map[string]int {
+	sums := make(map[string]map[string]int)
+	for _, report := range d.reports {
+		if now.Sub(report.at) > reportLifetime {
+			continue
+		}
+		for _, usage := range report.running {
+			if sums[usage.Runner] == nil {
+				sums[usage.Runner] = make(map[string]int)
+			}
+			for model, count := range usage.Models {
+				sums[usage.Runner][model] += count
+			}
+		}
+	}
+	return sums
+}
+
+// units returns the demand by unit. What waits for an adapter waits for its
+// model as well.
+func (d *demandBook) units(now time.Time) map[backend.Unit]*scheduler.Demand {
+	units := make(map[backend.Unit]*scheduler.Demand, len(d.used))
+	for unit, use := range d.used {
+		if now.Sub(use.last) > forgetAfter {
+			delete(d.used, unit)
+			continue
+		}
+		use.fade(now)
+		units[unit] = &scheduler.Demand{
+			Rate: perSecond(use.requests), Work: perSecond(use.tokens) / tokensPerSecond, LastUse: use.last,
+		}
+	}
+	for _, report := range d.reports {
+		if now.Sub(report.at) > reportLifetime {
+			continue
+		}
+		for _, waiting := range report.waiting {
+			left := time.Duration(waiting.LeftMs)*time.Millisecond - now.Sub(report.at)
+			wait(units, backend.Unit{Model: waiting.Model}, waiting, left)
+			if waiting.Adapter != "" {
+				wait(units, backend.Unit{Model: waiting.Model, Adapter: waiting.Adapter}, waiting, left)
+			}
+		}
+	}
+	return units
+}
+
+func wait(units map[backend.Unit]*scheduler.Demand, unit backend.Unit, waiting wire.UnitWaiting, left time.Duration) {
+	demand := units[unit]
+	if demand == nil {
+		demand = &scheduler.Demand{}
+		units[unit] = demand
+	}
+	if demand.Waiting == 0 || left < demand.Left {
+		demand.Left = left
+	}
+	if demand.Waiting == 0 || waiting.Priority < demand.Priority {
+		demand.Priority = waiting.Priority
+	}
+	demand.Waiting += waiting.Count
+}
--- /dev/null
+++ b/internal/control/describe.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/config"
+	"lilacvane/internal/orders"
+	"lilacvane/internal/scheduler"
+	"lilacvane/internal/wire"
+)
+
+// describe turns a runner's account into the scheduler's form.
+func describe(id string, ledger *orders.Ledger, engine *config.Engine, running map[string]int, now time.Time) *scheduler.Runner {
+	runner := &scheduler.Runner{
+		ID: id, Zone: ledger.Runner.Zone, Models: make(map[string]*scheduler.Held), Free: ledger.Free(engine),
+		AdapterSlots: ledger.FreeAdapterSlots(engine), Idle: ledger.Idle(now),
+		Ready: ledger.MayOrder(backend.Unit{Model: "any", Adapter: "any"}, now),
+		Host:  setOf(ledger.Copies().Host), Disk: setOf(ledger.Copies().Disk),
+	}
+	for name, model := range ledger.Models() {
+		held := &scheduler.Held{
+			Coming: model.Coming, Leaving: model.Leaving, Active: running[name], Adapters: make(map[string]*scheduler.Adapter),
+		}
+		for adapter, state := range model.Adapters {
+			held.Adapters[adapter] = &scheduler.Adapter{Coming: state.Coming}
+		}
+		runner.Models[name] = held
+		runner.Active += running[name]
+	}
+	return runner
+}
+
+func setOf(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, name := range names {
+		set[name] = true
+	}
+	return set
+}
+
+// viewOf turns a runner's account into what nodes are told.
+func viewOf(id string, ledger *orders.Ledger, now time.Time) wire.RunnerView {
+	view := wire.RunnerView{Runner: id}
+	for name, model := range ledger.Models() {
+		if model.Leaving {
+			continue
+		}
+		if model.Coming {
+			view.Coming = append(view.Coming, wire.UnitComing{Model: name, InMs: max(model.Due.Sub(now), 0).Milliseconds()})
+			continue
+		}
+		held := wire.UnitHeld{Model: name}
+		for adapter, state := range model.Adapters {
+			if state.Coming {
+				coming := wire.UnitComing{Model: name, Adapter: adapter, InMs: max(state.Due.Sub(now), 0).Milliseconds()}
+				view.Coming = append(view.Coming, coming)
+				continue
+			}
+			held.Adapters = append(held.Adapters, adapter)
+		}
+		slices.Sort(held.Adapters)
+		view.Ready = append(view.Ready, held)
+	}
+	return view
+}
--- /dev/null
+++ b/internal/control/errors.go
@@ -0,0 +1,5 @@
+package control
+
+import "lilacvane/internal/fault"
+
+var errNoHolder = fault.New(fault.CodeNotHolder, "sync", "no holder is known")
--- /dev/null
+++ b/internal/control/syncer.go
@@ -0,0 +1,200 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/demand"
+	"lilacvane/internal/fleet"
+	"lilacvane/internal/lease"
+	"lilacvane/internal/peer"
+	"lilacvane/internal/wire"
+)
+
+const (
+	// watchHold is how long the holder keeps a watch without news.
+	watchHold = 600 * time.Millisecond
+	// reportInterval is the time between two reports of a node's demand.
+	reportInterval = 250 * time.Millisecond
+	// urgentInterval is the least time between two reports.
+	urgentInterval = 10 * time.Millisecond
+	// syncTimeout bounds a call beyond its hold.
+	syncTimeout = 500 * time.Millisecond
+	// retryPause follows a failed call.
+	retryPause = 150 * time.Millisecond
+)
+
+// Syncer tells the lease holder of a service what this node's requests need and
+// takes over its accounts of the runners.
+type Syncer struct {
+	service    string
+	node       string
+	lessor     *lease.Lessor
+	controller *Controller
+	client     *peer.Client
+	book       *demand.Book
+	fleet      *fleet.Fleet
+	setNodes   func(int)
+	log        logr.Logger
+
+	mutex   sync.Mutex
+	token   uint64
+	version uint64
+	lost    bool
+}
+
+// NewSyncer returns a syncer for a service.
+func NewSyncer(service, node string, lessor *lease.Lessor, controller *Controller, client *peer.Client, book *demand.Book,
+	known *fleet.Fleet, setNodes func(int), log logr.Logger) *Syncer {
+	return &Syncer{
+		service: service, node: node, lessor: lessor, controller: controller, client: client, book: book, fleet: known,
+		setNodes: setNodes, log: log.WithValues("service", service),
+	}
+}
+
+// Run watches and reports until ctx ends.
+func (s *Syncer) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { s.watch(ctx) })
+	loops.Go(func() { s.reportLoop(ctx) })
+	loops.Wait()
+}
+
+// watch takes over changes as they come.
+func (s *Syncer) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := s.call(ctx, wire.SyncRequest{HoldMs: watchHold.Milliseconds()}); err != nil {
+			sleep(ctx, retryPause)
+		}
+	}
+}
+
+// reportLoop reports the demand at intervals, and at once when a request begins
+// to wait.
+func (s *Syncer) reportLoop(ctx context.Context) {
+	timer := time.NewTimer(reportInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-s.book.Urgent():
+		}
+		err := s.call(ctx, s.report())
+		pause := reportInterval
+		if err != nil {
+			pause = retryPause
+		}
+		timer.Reset(pause)
+		sleep(ctx, urgentInterval)
+	}
+}
+
+// report sums up the node's demand.
+func (s *Syncer) report() wire.SyncRequest {
+	request := wire.SyncRequest{Report: true}
+	now := time.Now()
+	for _, waiting := range s.book.Waiting() {
+		if waiting.Service != s.service {
+			continue
+		}
+		request.Waiting = append(request.Waiting, wire.UnitWaiting{
+			Model: waiting.Unit.Model, Adapter: waiting.Unit.Adapter, Count: waiting.Count,
+			LeftMs: waiting.Deadline.Sub(now).Milliseconds(), Priority: waiting.Priority,
+		})
+	}
+	for _, usage := range s.book.TakeUsage(s.service) {
+		request.Usage = append(request.Usage, wire.UnitUsage{
+			Model: usage.Unit.Model, Adapter: usage.Unit.Adapter, Requests: usage.Requests, Tokens: usage.Tokens,
+		})
+	}
+	for _, usage := range s.fleet.Usage(s.service) {
+		request.Running = append(request.Running, wire.RunnerUsage{Runner: usage.Runner, Models: usage.Models})
+	}
+	return request
+}
+
+// call makes one call to the holder, wherever it is, and takes over its answer.
+func (s *Syncer) call(ctx context.Context, request wire.SyncRequest) error {
+	request.Service, request.Node = s.service, s.node
+	s.mutex.Lock()
+	request.Token, request.Version = s.token, s.version
+	s.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.HoldMs)*time.Millisecond+syncTimeout)
+	defer cancel()
+	response, err := s.ask(ctx, request)
+	s.note(ctx, err)
+	if err != nil {
+		return err
+	}
+	s.take(response)
+	return nil
+}
+
+func (s *Syncer) ask(ctx context.Context, request wire.SyncRequest) (wire.SyncResponse, error) {
+	if s.lessor.Holds() {
+		return s.controller.Sync(ctx, request)
+	}
+	record, known := s.lessor.Holder()
+	if !known {
+		return wire.SyncResponse{}, errNoHolder
+	}
+	var response wire.SyncResponse
+	err := s.client.Call(ctx, record.Address, wire.MethodSync, request, &response)
+	return response, err
+}
+
+// take applies an answer unless a newer one was applied meanwhile.
+func (s *Syncer) take(response wire.SyncResponse) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if response.Token < s.token || (response.Token == s.token && response.Version < s.version) {
+		return
+	}
+	if response.Token != s.token && !response.Whole {
+		return
+	}
+	s.token, s.version = response.Token, response.Version
+	s.setNodes(response.Nodes)
+	views := make([]fleet.View, 0, len(response.Runners))
+	for _, runner := range response.Runners {
+		views = append(views, fleetView(runner))
+	}
+	s.fleet.ApplyViews(s.service, views, response.Whole)
+}
+
+func fleetView(runner wire.RunnerView) fleet.View {
+	view := fleet.View{Runner: runner.Runner}
+	for _, held := range runner.Ready {
+		view.Ready = append(view.Ready, backend.Holding{Model: held.Model, Adapters: held.Adapters})
+	}
+	for _, coming := range runner.Coming {
+		view.Coming = append(view.Coming, fleet.Coming{
+			Unit: backend.Unit{Model: coming.Model, Adapter: coming.Adapter}, In: time.Duration(coming.InMs) * time.Millisecond,
+		})
+	}
+	return view
+}
+
+// note logs the loss and the return of the holder once each.
+func (s *Syncer) note(ctx context.Context, err error) {
+	if ctx.Err() != nil && err == nil {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if (err != nil) == s.lost {
+		return
+	}
+	s.lost = err != nil
+	if err != nil {
+		s.log.Info("dependency lost", "dependency", "control holder", "error", err.Error())
+		return
+	}
+	s.log.Info("dependency regained", "dependency", "control holder", "token", s.token)
+}
--- /dev/null
+++ b/internal/dispatch/answer.go
@@ -0,0 +1,182 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"lilacvane/internal/fault"
+	"lilacvane/internal/fleet"
+	"lilacvane/internal/upstream"
+)
+
+// maximumWhole bounds an answer that is read before it is passed on.
+const maximumWhole = 32 << 20
+
+// wholeAnswer is a runner's complete answer.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// connectionHeaders concern one connection only.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// StripConnectionHeaders removes the headers that concern one connection only,
+// also those that the Connection header names.
+func StripConnectionHeaders(header http.Header) {
+	for _, value := range header.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		header.Del(name)
+	}
+}
+
+// passWhole reads an answer to its end and passes it on. A failure of a request
+// that may be repeated is kept back while another runner is tried.
+func (j *job) passWhole(ctx context.Context, choice fleet.Choice, answer *upstream.Answer) (exchanged, error) {
+	body, err := io.ReadAll(io.LimitReader(answer, maximumWhole+1))
+	if err != nil {
+		return exchanged{fleet: j.failure(ctx)}, err
+	}
+	if len(body) > maximumWhole {
+		return exchanged{fleet: fleet.Failed}, fault.At(fault.CodeTooLarge, "read answer", choice.Runner.ID, fault.Unknown, nil)
+	}
+	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
+	if !j.genuine(whole) {
+		err := errors.New("success without the runner's signature")
+		return exchanged{fleet: fleet.Failed}, fault.At(fault.CodeInterrupted, "read answer", choice.Runner.ID, fault.Unknown, err)
+	}
+	if whole.status >= http.StatusInternalServerError {
+		return j.runnerFailed(choice, whole)
+	}
+	j.writeWhole(whole, ResultServed)
+	return exchanged{fleet: fleet.Served}, nil
+}
+
+// runnerFailed handles a runner's own failure: it has run.
+func (j *job) runnerFailed(choice fleet.Choice, whole *wholeAnswer) (exchanged, error) {
+	result := exchanged{fleet: fleet.Failed}
+	if j.route.Idempotent() && j.ran+1 < j.route.Attempts {
+		j.last = whole
+		return result, fault.At(fault.CodeInterrupted, "send request", choice.Runner.ID, fault.Done, errors.New("runner answered "+strconv.Itoa(whole.status)))
+	}
+	if promisesNotRun(whole.status) {
+		// Without the runner's statement this status would be a false promise.
+		return result, fault.At(fault.CodeInterrupted, "send request", choice.Runner.ID, fault.Unknown, errors.New("runner answered "+strconv.Itoa(whole.status)))
+	}
+	j.writeWhole(whole, ResultPassed)
+	return result, nil
+}
+
+// promisesNotRun reports whether clients take a status as a promise that the
+// request did not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+// genuine reports whether an answer may be passed on as the runner's.
+func (j *job) genuine(whole *wholeAnswer) bool {
+	if whole.header.Get("Content-Encoding") != "" {
+		return false
+	}
+	return whole.status >= http.StatusMultipleChoices || whole.header.Get(j.dispatcher.Names.Signature) != ""
+}
+
+func (j *job) copyHeader(header http.Header) {
+	StripConnectionHeaders(header)
+	target := j.writer.Header()
+	for name, values := range header {
+		target[name] = append(target[name], values...)
+	}
+	suppress(target, "Content-Type")
+	suppress(target, "Date")
+}
+
+// suppress keeps the HTTP library from adding a header of its own.
+func suppress(header http.Header, name string) {
+	if len(header[name]) == 0 {
+		header[name] = nil
+	}
+}
+
+func (j *job) writeWhole(whole *wholeAnswer, result string) {
+	j.copyHeader(whole.header)
+	j.writer.Header().Set("Content-Length", strconv.Itoa(len(whole.body)))
+	j.outcome.First = time.Since(j.request.Arrived)
+	j.outcome.Result, j.outcome.Status = result, whole.status
+	j.writer.WriteHeader(whole.status)
+	_, _ = j.writer.Write(whole.body)
+}
+
+// refuse answers a request that did not run and will not, with the time to come
+// back.
+func (j *job) refuse(problem *fault.Error) {
+	problem.Ran = fault.NotDone
+	status := fault.Status(problem.Code)
+	if problem.Code != fault.CodeNotFound && !promisesNotRun(status) {
+		status = http.StatusServiceUnavailable
+	}
+	if promisesNotRun(status) && problem.RetryAfter == 0 {
+		problem = problem.WithRetryAfter(defaultReturn)
+	}
+	j.writeProblem(status, problem, ResultRefused)
+}
+
+// fail answers a request that may have run.
+func (j *job) fail(ctx context.Context, problem *fault.Error) {
+	status := http.StatusBadGateway
+	if errors.Is(context.Cause(ctx), errTimeout) {
+		status = http.StatusGatewayTimeout
+	}
+	problem.RetryAfter = 0
+	j.writeProblem(status, problem, ResultFailed)
+}
+
+func (j *job) writeProblem(status int, problem *fault.Error, result string) {
+	j.outcome.Result, j.outcome.Status = result, status
+	j.outcome.Step, j.outcome.Reason = problem.Step, problem.Error()
+	body, err := json.Marshal(fault.ToBody(problem))
+	if err != nil {
+		body = nil
+	}
+	header := j.writer.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if problem.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(problem.RetryAfter.Seconds(), 'f', 2, 64))
+	}
+	j.writer.WriteHeader(status)
+	_, _ = j.writer.Write(body)
+}
+
+// parseLoad reads "running,waiting,slots".
+func parseLoad(text string) (running, waiting int, ok bool) {
+	fields := strings.Split(text, ",")
+	if len(fields) < 2 {
+		return 0, 0, false
+	}
+	running, err := strconv.Atoi(strings.TrimSpace(fields[0]))
+	if err != nil {
+		return 0, 0, false
+	}
+	waiting, err = strconv.Atoi(strings.TrimSpace(fields[1]))
+	return running, waiting, err == nil
+}
--- /dev/null
+++ b/internal/dispatch/attempt.go
@@ -0,0 +1,183 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"lilacvane/internal/config"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/fleet"
+	"lilacvane/internal/upstream"
+)
+
+var (
+	errTimeout = errors.New("the request's time is over")
+	// errClosing ends all requests of a node whose grace is over.
+	errClosing = errors.New("the node stops")
+	// errSilent ends an attempt whose runner is silent while another may serve.
+	errSilent = errors.New("the runner is silent")
+)
+
+// attempt places the request at a runner once and says whether to go on.
+func (j *job) attempt(ctx context.Context) (again bool) {
+	choice, err := j.place(ctx)
+	if err != nil {
+		j.end(ctx, err)
+		return false
+	}
+	j.sent++
+	j.outcome.Attempts = j.sent
+	j.outcome.Runner = choice.Runner.ID
+	j.outcome.KeptTokens = choice.KeptTokens
+	j.log.V(1).Info("request sent", "runner", choice.Runner.ID, "unit", j.query.Unit.String(), "costMs", int(choice.Cost),
+		"keptTokens", choice.KeptTokens, "unreadTokens", choice.UnreadTokens, "inFlight", choice.InFlight,
+		"candidates", choice.Candidates, "attempt", j.sent)
+	start := time.Now()
+	result, err := j.exchange(ctx, choice)
+	j.dispatcher.Fleet.Done(choice, j.query, result.fleet, time.Since(start), result.started)
+	if err == nil {
+		return false
+	}
+	j.log.Info("attempt failed", "runner", choice.Runner.ID, "attempt", j.sent, "error", err.Error(), "ran", fault.OutcomeOf(err).String(),
+		"elapsedMs", time.Since(start).Milliseconds())
+	j.query.Exclude = append(j.query.Exclude, choice.Runner.ID)
+	if fault.OutcomeOf(err) != fault.NotDone {
+		j.ran++
+	}
+	if j.mayRepeat(ctx, err) {
+		return true
+	}
+	j.end(ctx, err)
+	return false
+}
+
+// mayRepeat decides whether a failed attempt may be followed by another one: it
+// must not have run, or may run again; tries, time and budget must be left.
+func (j *job) mayRepeat(ctx context.Context, err error) bool {
+	if ctx.Err() != nil || time.Until(j.deadline) < minimumTime {
+		return false
+	}
+	notRun := fault.OutcomeOf(err) == fault.NotDone
+	if !notRun && !j.route.Idempotent() {
+		return false
+	}
+	if j.relay != nil && (!j.relay.resumable || j.relay.lastEvent == "") {
+		return false
+	}
+	if j.ran >= j.route.Attempts || j.sent >= maximumSends {
+		return false
+	}
+	if !j.dispatcher.budget(j.query.Service).Take() {
+		j.log.Info("retry budget spent", "service", j.query.Service)
+		return false
+	}
+	return true
+}
+
+const (
+	// minimumTime is the least time left for another attempt to be of use.
+	minimumTime = 20 * time.Millisecond
+	// maximumSends bounds the attempts of a request that runners keep refusing.
+	maximumSends = 4
+)
+
+// exchanged is what an attempt taught about its runner.
+type exchanged struct {
+	fleet   fleet.Result
+	started bool
+}
+
+// exchange sends the request to the chosen runner and passes its answer on. A
+// nil error means that the client has its final answer.
+func (j *job) exchange(ctx context.Context, choice fleet.Choice) (exchanged, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := newSilenceWatch(cancel, j.silenceLimit())
+	defer watch.stop()
+	answer, err := j.dispatcher.Pool.Do(ctx, j.call(choice))
+	if err != nil {
+		return exchanged{fleet: j.failure(ctx)}, err
+	}
+	defer answer.Close()
+	j.noteLoad(choice.Runner.ID, answer.Header)
+	if answer.NotRun {
+		return j.notRun(choice, answer)
+	}
+	if j.streams(answer) {
+		return j.relayStream(ctx, choice, answer, watch)
+	}
+	if j.relay != nil {
+		return exchanged{fleet: fleet.Failed}, fault.At(fault.CodeInterrupted, "resume stream", choice.Runner.ID, fault.Done,
+			fmt.Errorf("runner answered %d", answer.Status))
+	}
+	return j.passWhole(ctx, choice, answer)
+}
+
+// failure tells whose doing the end of an attempt was.
+func (j *job) failure(ctx context.Context) fleet.Result {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) {
+		return fleet.Canceled
+	}
+	return fleet.Failed
+}
+
+// notRun takes a runner's statement that it did not run the request.
+func (j *job) notRun(choice fleet.Choice, answer *upstream.Answer) (exchanged, error) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer, refusalLimit))
+	err := fault.At(fault.CodeOverloaded, "send request", choice.Runner.ID, fault.NotDone, fmt.Errorf("runner answered %d, not run", answer.Status))
+	if answer.Status == http.StatusMisdirectedRequest {
+		err.Code = fault.CodeNotLoaded
+		return exchanged{fleet: fleet.NotHeld}, err
+	}
+	return exchanged{fleet: fleet.Busy}, err
+}
+
+// refusalLimit bounds what is read of a refusal's body.
+const refusalLimit = 64 << 10
+
+func (j *job) streams(answer *upstream.Answer) bool {
+	return j.route.Kind == config.Stream && answer.Status == http.StatusOK
+}
+
+func (j *job) call(choice fleet.Choice) upstream.Call {
+	header := j.request.Header.Clone()
+	names := j.dispatcher.Names
+	header.Set(names.RequestID, j.request.ID)
+	header.Set(names.ExpectRunner, choice.Runner.ID)
+	header.Set(names.Deadline, strconv.FormatInt(max(j.clientTimeLeft().Milliseconds(), 1), 10))
+	if j.engine {
+		header.Set(names.Urgency, strconv.Itoa(min(max(j.route.Priority, 0), lowestUrgency)))
+	}
+	if j.relay != nil && j.relay.lastEvent != "" {
+		header.Set(names.ResumeAfter, j.relay.lastEvent)
+	}
+	if header["User-Agent"] == nil {
+		header["User-Agent"] = []string{""}
+	}
+	return upstream.Call{
+		Runner: choice.Runner.ID, Address: choice.Runner.Address, Method: j.request.Method, Target: j.request.Target,
+		Host: j.request.Host, Header: header, Body: j.request.Body, RequestID: j.request.ID,
+	}
+}
+
+const lowestUrgency = 9
+
+// clientTimeLeft is the time the client still waits.
+func (j *job) clientTimeLeft() time.Duration {
+	if j.request.Patience == 0 {
+		return time.Until(j.deadline)
+	}
+	return j.request.Patience - time.Since(j.request.Arrived)
+}
+
+func (j *job) noteLoad(runner string, header http.Header) {
+	running, waiting, ok := parseLoad(header.Get(j.dispatcher.Names.Load))
+	if ok {
+		j.dispatcher.Fleet.Told(runner, running, waiting)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/request.go
@@ -0,0 +1,78 @@
+// Package dispatch carries a client's request from its arrival to its one final
+// outcome: it finds the route, waits for a runner, sends the request, sends it
+// again or resumes it where that is allowed, and refuses it truthfully.
+package dispatch
+
+import (
+	"net/http"
+	"time"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/fleet"
+)
+
+// Request is one request of a client.
+type Request struct {
+	// ID is the client's identifier of this request.
+	ID     string
+	Method string
+	// Target is the path and query as sent; Path is the path alone.
+	Target string
+	Path   string
+	Host   string
+	// Header are the headers to forward.
+	Header http.Header
+	Body   []byte
+	// Arrived is when its header was read.
+	Arrived time.Time
+	// Patience is how long the client waits, counted from Arrived; zero when it
+	// did not say.
+	Patience time.Duration
+	// Unit is the model or adapter asked for; empty for other services.
+	Unit backend.Unit
+	// Prompt are the parts of the prompt in order.
+	Prompt []fleet.Part
+	// TokensIn and TokensOut are the sizes of the prompt and, at most, of the
+	// answer.
+	TokensIn  int
+	TokensOut int
+}
+
+// Outcome is how a request ended, for the log and the figures.
+type Outcome struct {
+	// Result is a short word: served, passed, refused, failed, broken, canceled.
+	Result string
+	Status int
+	Step   string
+	Reason string
+	Runner string
+	Route  string
+	// Attempts counts the runners it was sent to, Resumes those that continued it.
+	Attempts int
+	Resumes  int
+	// Waited is how long no runner could take it.
+	Waited time.Duration
+	// First is the time to the first byte of the answer, Total the whole time.
+	First time.Duration
+	Total time.Duration
+	// Revision is the configuration that decided.
+	Revision uint64
+	// KeptTokens is what its last runner was believed to keep of its prompt.
+	KeptTokens int
+}
+
+// The words of Outcome.Result.
+const (
+	// ResultServed is a success that reached the client whole.
+	ResultServed = "served"
+	// ResultPassed is a runner's failure that was passed on.
+	ResultPassed = "passed"
+	// ResultRefused is a request that did not run and will not.
+	ResultRefused = "refused"
+	// ResultFailed is a request that may have run without an answer.
+	ResultFailed = "failed"
+	// ResultBroken is an answer that ended early.
+	ResultBroken = "broken"
+	// ResultCanceled is a request whose client left.
+	ResultCanceled = "canceled"
+)
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -61,6 +61,9 @@
 	CodeNotReady           Code = "not_ready"
 	CodeUnsupportedVersion Code = "unsupported_version"
 	CodeCanceled           Code = "canceled"
+	CodeCompacted          Code = "history_gone"
+	CodeStale              Code = "stale_read"
+	CodeNotHolder          Code = "not_lease_holder"
 	CodeInternal           Code = "internal"
 )
 
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,196 @@
+// Package feed follows a table of the platform: it reads the table whole, then
+// its changes, and never steps back behind the newest revision it has seen.
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"lilacvane/internal/fault"
+)
+
+// Row is one row of a followed table.
+type Row struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	// Deleted is set in changes that remove the row.
+	Deleted bool
+}
+
+// Batch is the whole of a table, or its changes, up to Revision. Revisions are
+// drawn from one counter for all tables.
+type Batch struct {
+	Rows     []Row
+	Revision uint64
+}
+
+// Source reads one table.
+type Source interface {
+	// Read returns all rows as of one revision, which may be older than others
+	// that were seen.
+	Read(ctx context.Context) (Batch, error)
+	// Watch returns the changes after a revision as soon as there are any, and
+	// an empty batch after wait. It fails with fault.CodeCompacted when the
+	// changes are no longer kept.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+}
+
+// Handler takes what was read.
+type Handler interface {
+	// Whole takes all rows. gap is how long nothing was heard before; zero for
+	// the first read.
+	Whole(rows []Row, gap time.Duration)
+	// Changed takes changed rows in the order of their changes.
+	Changed(rows []Row)
+}
+
+// Options tune a follower.
+type Options struct {
+	// Name names the table in logs.
+	Name string
+	// Wait is how long one watch call waits for a change.
+	Wait time.Duration
+	// Interval is the least time between two watch calls, so that changes are
+	// gathered.
+	Interval time.Duration
+	// Timeout is how long a call may take beyond its wait.
+	Timeout time.Duration
+}
+
+const (
+	firstBackoff = 50 * time.Millisecond
+	lastBackoff  = 800 * time.Millisecond
+)
+
+// Follower follows one table.
+type Follower struct {
+	source  Source
+	handler Handler
+	options Options
+	log     logr.Logger
+
+	// newest is the newest revision seen; nothing older is taken over.
+	newest uint64
+	// position is the revision up to which changes were taken over, if the
+	// table was read whole.
+	position uint64
+	whole    bool
+	// heard is when the source last answered.
+	heard   time.Time
+	lost    bool
+	backoff time.Duration
+}
+
+// NewFollower returns a follower. Run starts it.
+func NewFollower(source Source, handler Handler, options Options, log logr.Logger) *Follower {
+	return &Follower{source: source, handler: handler, options: options, log: log.WithValues("table", options.Name)}
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		f.note(err)
+		pause := f.options.Interval - time.Since(started)
+		if err != nil {
+			pause = f.nextBackoff()
+		}
+		if pause > 0 {
+			sleep(ctx, pause)
+		}
+	}
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	if !f.whole {
+		return f.read(ctx)
+	}
+	return f.watch(ctx)
+}
+
+func (f *Follower) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
+	defer cancel()
+	batch, err := f.source.Read(ctx)
+	if err != nil {
+		return err
+	}
+	if batch.Revision < f.newest {
+		return fault.New(fault.CodeStale, "read table", "revision %d is older than %d", batch.Revision, f.newest)
+	}
+	gap := time.Duration(0)
+	if !f.heard.IsZero() {
+		gap = time.Since(f.heard)
+	}
+	f.advance(batch.Revision)
+	f.whole = true
+	f.log.Info("table read", "revision", batch.Revision, "rows", len(batch.Rows), "gapMs", gap.Milliseconds())
+	f.handler.Whole(batch.Rows, gap)
+	return nil
+}
+
+func (f *Follower) watch(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+f.options.Timeout)
+	defer cancel()
+	batch, err := f.source.Watch(ctx, f.position, f.options.Wait)
+	if fault.IsCode(err, fault.CodeCompacted) {
+		f.log.Info("history gone, reading the table anew", "after", f.position)
+		f.whole = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if batch.Revision < f.position {
+		return fault.New(fault.CodeStale, "watch table", "revision %d is older than %d", batch.Revision, f.position)
+	}
+	f.advance(batch.Revision)
+	if len(batch.Rows) > 0 {
+		f.handler.Changed(batch.Rows)
+	}
+	return nil
+}
+
+func (f *Follower) advance(revision uint64) {
+	f.position = revision
+	f.newest = max(f.newest, revision)
+	f.heard = time.Now()
+}
+
+// note logs the loss and the return of the source once each.
+func (f *Follower) note(err error) {
+	if err == nil {
+		if f.lost {
+			f.log.Info("dependency regained", "position", f.position)
+		}
+		f.lost = false
+		f.backoff = 0
+		return
+	}
+	if !f.lost {
+		f.log.Info("dependency lost", "position", f.position, "error", err.Error())
+	}
+	f.lost = true
+}
+
+func (f *Follower) nextBackoff() time.Duration {
+	f.backoff = min(max(2*f.backoff, firstBackoff), lastBackoff)
+	return f.backoff/2 + rand.N(f.backoff/2)
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/fleet/choose.go
@@ -0,0 +1,217 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"lilacvane/internal/backend"
+)
+
+// Costs of choosing a runner, in milliseconds of expected delay.
+const (
+	// prefillTokensPerMillisecond is how fast a runner is expected to read a
+	// prompt.
+	prefillTokensPerMillisecond = 35.0
+	costPerRequest              = 4.0
+	costWhenFull                = 400.0
+	costOtherZone               = 2.0
+	costDraining                = 5_000.0
+	costMissing                 = 20_000.0
+	// tieSpread is the random part of a cost, so that nodes with the same
+	// beliefs do not all choose the same runner.
+	tieSpread = 1.0
+)
+
+// Query describes a request to be placed.
+type Query struct {
+	Service string
+	// Unit is empty for services that are not engines.
+	Unit backend.Unit
+	// Prompt are the parts of the prompt, in order.
+	Prompt []Part
+	// Exclude are runners that were tried already.
+	Exclude []string
+}
+
+// Choice is the runner chosen for a request, and why.
+type Choice struct {
+	Runner backend.Runner
+	// Cost is the expected delay in milliseconds.
+	Cost float64
+	// KeptTokens is how much of the prompt the runner is believed to keep, and
+	// UnreadTokens how much it has to read.
+	KeptTokens   int
+	UnreadTokens int
+	// InFlight is this node's requests at the runner before this one.
+	InFlight int
+	// Candidates is how many runners could have been chosen.
+	Candidates int
+	// Full is set when all slots of the runner are believed taken.
+	Full bool
+}
+
+// Choose returns the runner with the least expected delay, and counts the
+// request as under way there until Done is called.
+func (f *Fleet) Choose(query Query) (Choice, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.sweep()
+	var best Choice
+	var chosen *runner
+	candidates := 0
+	for _, known := range f.runners {
+		if !f.feasible(known, query) {
+			continue
+		}
+		candidates++
+		choice := f.rank(known, query)
+		if chosen == nil || choice.Cost < best.Cost {
+			best, chosen = choice, known
+		}
+	}
+	if chosen == nil {
+		return Choice{}, false
+	}
+	best.Candidates = candidates
+	best.InFlight = chosen.inFlight
+	f.begin(chosen, query, best)
+	return best, true
+}
+
+// feasible reports whether a request may be sent to a runner at all.
+func (f *Fleet) feasible(known *runner, query Query) bool {
+	if known.listed.Service != query.Service {
+		return false
+	}
+	if !known.present && !known.listed.Missing {
+		return false
+	}
+	if known.listed.Draining {
+		return false
+	}
+	for _, id := range query.Exclude {
+		if id == known.listed.ID {
+			return false
+		}
+	}
+	return query.Unit == backend.Unit{} || f.holds(known, query.Unit)
+}
+
+// rank estimates the delay of a request at a runner.
+func (f *Fleet) rank(known *runner, query Query) Choice {
+	choice := Choice{Runner: known.listed}
+	running := known.told.estimate(f.now(), known.inFlight)
+	cost := rand.Float64() * tieSpread
+	if query.Unit == (backend.Unit{}) {
+		cost += max(known.latency, 1) * float64(running+1) / float64(max(known.listed.Slots, 1))
+	} else {
+		total, kept := known.prompts.match(query.Unit, query.Prompt, f.now())
+		choice.KeptTokens = kept
+		choice.UnreadTokens = total - kept
+		cost += float64(choice.UnreadTokens+known.prefill) / prefillTokensPerMillisecond
+		cost += float64(running) * costPerRequest
+	}
+	if known.listed.Slots > 0 && running >= known.listed.Slots {
+		choice.Full = true
+		cost += costWhenFull * float64(running-known.listed.Slots+1)
+	}
+	if known.listed.Zone != f.zone {
+		cost += costOtherZone
+	}
+	if known.listed.Missing {
+		cost += costMissing
+	}
+	cost += known.health.penalty(f.now())
+	choice.Cost = cost
+	return choice
+}
+
+func (f *Fleet) begin(known *runner, query Query, choice Choice) {
+	known.inFlight++
+	if query.Unit == (backend.Unit{}) {
+		return
+	}
+	known.byModel[query.Unit.Model]++
+	known.prefill += choice.UnreadTokens
+	known.prompts.add(query.Unit, query.Prompt, f.now())
+}
+
+// Started notes that the runner began to answer a request for a unit: its prompt
+// has been read.
+func (f *Fleet) Started(choice Choice) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if known := f.runners[choice.Runner.ID]; known != nil {
+		known.prefill = max(known.prefill-choice.UnreadTokens, 0)
+	}
+}
+
+// Result is how an attempt at a runner ended.
+type Result uint8
+
+// The results.
+const (
+	// Served means that the runner answered.
+	Served Result = iota
+	// Failed means that the runner failed the request or broke off.
+	Failed
+	// Busy means that the runner stated that it did not run the request.
+	Busy
+	// NotHeld means that the runner stated that it does not hold the unit.
+	NotHeld
+	// Canceled means that the attempt was ended from this side.
+	Canceled
+)
+
+// Done notes the end of an attempt. started tells whether Started was called for
+// it.
+func (f *Fleet) Done(choice Choice, query Query, result Result, elapsed time.Duration, started bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	known := f.runners[choice.Runner.ID]
+	if known == nil {
+		return
+	}
+	known.inFlight--
+	if query.Unit != (backend.Unit{}) {
+		if known.byModel[query.Unit.Model]--; known.byModel[query.Unit.Model] <= 0 {
+			delete(known.byModel, query.Unit.Model)
+		}
+		if !started {
+			known.prefill = max(known.prefill-choice.UnreadTokens, 0)
+		}
+	}
+	f.learn(known, query, result, elapsed)
+	if known.inFlight == 0 && !known.present {
+		f.sweep()
+	}
+}
+
+func (f *Fleet) learn(known *runner, query Query, result Result, elapsed time.Duration) {
+	now := f.now()
+	switch result {
+	case Served:
+		known.health.success()
+		known.latency += latencyWeight * (milliseconds(elapsed) - known.latency)
+	case Failed:
+		known.health.failure(now)
+		known.prompts.clear()
+	case Busy:
+		known.health.failure(now)
+		known.refused[query.Unit] = now.Add(refusalPause)
+	case NotHeld:
+		known.refused[query.Unit] = now.Add(refusalPause)
+	case Canceled:
+	}
+}
+
+// Told notes the load a runner told in an answer.
+func (f *Fleet) Told(id string, running, waiting int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if known := f.runners[id]; known != nil {
+		known.told = toldLoad{running: running, waiting: waiting, own: known.inFlight, at: f.now()}
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,303 @@
+// Package fleet keeps what this node knows of the runners: which there are,
+// what they hold, how loaded they are and which prompts they keep. It answers
+// where a request is best sent.
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"lilacvane/internal/backend"
+)
+
+const (
+	// viewLifetime is how long the control holder's account of a runner goes
+	// before the platform's list without being renewed.
+	viewLifetime = 3 * time.Second
+	// missingLifetime is how long a runner that vanished from the list without
+	// a word stays as a last choice.
+	missingLifetime = 2 * time.Second
+	// refusalPause keeps requests for a unit from a runner that has just
+	// refused one.
+	refusalPause = 250 * time.Millisecond
+)
+
+// View is the control holder's account of a runner.
+type View struct {
+	Runner string
+	Ready  []backend.Holding
+	// Coming lists units being loaded.
+	Coming []Coming
+}
+
+// Coming is a unit that is being loaded and the time until it is expected.
+type Coming struct {
+	Unit backend.Unit
+	In   time.Duration
+}
+
+// Fleet is the node's knowledge of the runners. Its methods may be called
+// concurrently; mutex guards all fields.
+type Fleet struct {
+	zone string
+	now  func() time.Time
+
+	mutex   sync.Mutex
+	runners map[string]*runner
+	// viewAt is when each service's control holder last confirmed its views.
+	viewAt map[string]time.Time
+	// changed is closed and replaced whenever a waiting request may find a
+	// runner that it did not find before.
+	changed chan struct{}
+}
+
+// runner is one incarnation. Fleet.mutex guards it.
+type runner struct {
+	listed  backend.Runner
+	present bool
+	// goneAt is when the runner left the list.
+	goneAt time.Time
+	view   *view
+	// units is what the runner is believed to hold.
+	units    map[backend.Unit]bool
+	refused  map[backend.Unit]time.Time
+	inFlight int
+	byModel  map[string]int
+	prefill  int
+	told     toldLoad
+	health   health
+	prompts  promptCache
+	// latency is the moving average of answer times in milliseconds.
+	latency float64
+}
+
+type view struct {
+	ready  map[backend.Unit]bool
+	coming map[backend.Unit]time.Time
+}
+
+// New returns an empty fleet for a node in zone.
+func New(zone string, now func() time.Time) *Fleet {
+	return &Fleet{zone: zone, now: now, runners: make(map[string]*runner), viewAt: make(map[string]time.Time), changed: make(chan struct{})}
+}
+
+// Changed returns a channel that is closed at the next change that could let a
+// waiting request go on.
+func (f *Fleet) Changed() <-chan struct{} {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.changed
+}
+
+func (f *Fleet) notify() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Apply takes over a change of the platform's list. With doubtful set, the
+// runners removed stay as a last choice for a while.
+func (f *Fleet) Apply(changed []backend.Runner, removed []string, doubtful bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, listed := range changed {
+		f.add(listed)
+	}
+	for _, id := range removed {
+		f.remove(id, doubtful)
+	}
+	f.notify()
+}
+
+// Replace takes over the whole list. Runners that are not in it have left; with
+// doubtful set they stay as a last choice for a while, as the list was read
+// after a time without the platform.
+func (f *Fleet) Replace(listed []backend.Runner, doubtful bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	there := make(map[string]bool, len(listed))
+	for _, runner := range listed {
+		there[runner.ID] = true
+		f.add(runner)
+	}
+	for id, known := range f.runners {
+		if known.present && !there[id] {
+			f.remove(id, doubtful)
+		}
+	}
+	f.notify()
+}
+
+func (f *Fleet) add(listed backend.Runner) {
+	known := f.runners[listed.ID]
+	if known == nil {
+		known = &runner{
+			refused: make(map[backend.Unit]time.Time), byModel: make(map[string]int),
+			prompts: newPromptCache(),
+		}
+		f.runners[listed.ID] = known
+	}
+	known.listed = listed
+	known.present = true
+	known.units = unitsOf(listed.Models)
+}
+
+// remove takes a runner out. While requests are under way at it, its entry
+// stays until the last one has ended.
+func (f *Fleet) remove(id string, doubtful bool) {
+	known := f.runners[id]
+	if known == nil || !known.present {
+		return
+	}
+	known.present = false
+	known.goneAt = f.now()
+	known.listed.Missing = doubtful
+	f.sweep()
+}
+
+// sweep forgets runners that left and have no request under way.
+func (f *Fleet) sweep() {
+	for id, known := range f.runners {
+		expired := !known.listed.Missing || f.now().Sub(known.goneAt) > missingLifetime
+		if !known.present && known.inFlight == 0 && expired {
+			delete(f.runners, id)
+		}
+	}
+}
+
+// ApplyViews takes over the accounts of a service's control holder. With whole
+// set, they replace all earlier ones.
+func (f *Fleet) ApplyViews(service string, views []View, whole bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.viewAt[service] = f.now()
+	if whole {
+		f.dropViews(service)
+	}
+	for _, account := range views {
+		if known := f.runners[account.Runner]; known != nil {
+			known.view = f.newView(account)
+			clear(known.refused)
+		}
+	}
+	if whole || len(views) > 0 {
+		f.notify()
+	}
+}
+
+func (f *Fleet) dropViews(service string) {
+	for _, known := range f.runners {
+		if known.listed.Service == service {
+			known.view = nil
+		}
+	}
+}
+
+func (f *Fleet) newView(account View) *view {
+	taken := &view{ready: unitsOf(account.Ready), coming: make(map[backend.Unit]time.Time, len(account.Coming))}
+	for _, coming := range account.Coming {
+		taken.coming[coming.Unit] = f.now().Add(coming.In)
+	}
+	return taken
+}
+
+func unitsOf(models []backend.Holding) map[backend.Unit]bool {
+	units := make(map[backend.Unit]bool, len(models))
+	for _, holding := range models {
+		units[backend.Unit{Model: holding.Model}] = true
+		for _, adapter := range holding.Adapters {
+			units[backend.Unit{Model: holding.Model, Adapter: adapter}] = true
+		}
+	}
+	return units
+}
+
+// holds reports whether the runner is believed to hold the unit.
+func (f *Fleet) holds(known *runner, unit backend.Unit) bool {
+	if until, ok := known.refused[unit]; ok && f.now().Before(until) {
+		return false
+	}
+	if known.view != nil && f.now().Sub(f.viewAt[known.listed.Service]) < viewLifetime {
+		return known.view.ready[unit]
+	}
+	return known.units[unit]
+}
+
+// Expected returns the shortest time until a runner of the service holds the
+// unit, as far as a load is known to be under way.
+func (f *Fleet) Expected(service string, unit backend.Unit) (time.Duration, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var shortest time.Duration
+	found := false
+	for _, known := range f.runners {
+		if known.view == nil || known.listed.Service != service {
+			continue
+		}
+		at, coming := known.view.coming[unit]
+		if !coming {
+			continue
+		}
+		in := max(at.Sub(f.now()), 0)
+		if !found || in < shortest {
+			shortest, found = in, true
+		}
+	}
+	return shortest, found
+}
+
+// Runners returns what the platform lists of a service's runners.
+func (f *Fleet) Runners(service string) []backend.Runner {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var listed []backend.Runner
+	for _, known := range f.runners {
+		if known.present && known.listed.Service == service {
+			listed = append(listed, known.listed)
+		}
+	}
+	return listed
+}
+
+// Usage is the requests of this node under way at a runner, by model.
+type Usage struct {
+	Runner string
+	Models map[string]int
+}
+
+// Usage returns the requests of this node under way at a service's runners.
+func (f *Fleet) Usage(service string) []Usage {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var usages []Usage
+	for id, known := range f.runners {
+		if known.listed.Service != service || len(known.byModel) == 0 {
+			continue
+		}
+		usage := Usage{Runner: id, Models: make(map[string]int, len(known.byModel))}
+		for model, count := range known.byModel {
+			usage.Models[model] = count
+		}
+		usages = append(usages, usage)
+	}
+	return usages
+}
+
+// Known reports whether a runner is listed or has requests under way.
+func (f *Fleet) Known(id string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.runners[id] != nil
+}
+
+// Count returns how many runners are listed.
+func (f *Fleet) Count() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	count := 0
+	for _, known := range f.runners {
+		if known.present {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/fleet/load.go
@@ -0,0 +1,58 @@
+package fleet
+
+import "time"
+
+const (
+	// toldLifetime is how long the load a runner told is believed.
+	toldLifetime  = time.Second
+	latencyWeight = 0.1
+	// failureWeight moves the failure share of a runner with each answer.
+	failureWeight = 0.25
+	// failurePenalty is the cost of a runner that always fails, in milliseconds.
+	failurePenalty = 2_000.0
+	// failureMemory halves the failure share of a runner that gets no requests.
+	failureMemory = 2 * time.Second
+)
+
+// toldLoad is the load a runner told, and this node's own share of it.
+type toldLoad struct {
+	running int
+	waiting int
+	own     int
+	at      time.Time
+}
+
+// estimate returns the requests expected at the runner: this node's own, and
+// those of others as last told, fading with age.
+func (t toldLoad) estimate(now time.Time, own int) int {
+	age := now.Sub(t.at)
+	if t.at.IsZero() || age >= toldLifetime {
+		return own
+	}
+	others := max(t.running+t.waiting-t.own, 0)
+	left := float64(toldLifetime-age) / float64(toldLifetime)
+	return own + int(float64(others)*left+0.5)
+}
+
+// health follows how often a runner fails.
+type health struct {
+	failureShare float64
+	at           time.Time
+}
+
+func (h *health) success() { h.failureShare -= failureWeight * h.failureShare }
+
+func (h *health) failure(now time.Time) {
+	h.failureShare += failureWeight * (1 - h.failureShare)
+	h.at = now
+}
+
+// penalty returns the cost of a runner that failed lately, in milliseconds.
+func (h *health) penalty(now time.Time) float64 {
+	if h.failureShare < 0.01 {
+		return 0
+	}
+	age := now.Sub(h.at)
+	fading := 1 / (1 + float64(age)/float64(failureMemory))
+	return failurePenalty * h.failureShare * h.failureShare * fading
+}
--- /dev/null
+++ b/internal/fleet/prompts.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"container/list"
+	"time"
+
+	"lilacvane/internal/backend"
+)
+
+const (
+	// promptEntries bounds what is remembered of one runner's kept prompts.
+	promptEntries = 512
+	// promptLifetime is how long a prompt is believed kept after its last use.
+	promptLifetime = 30 * time.Second
+)
+
+// Part is one part of a prompt. Requests share parts; a part is kept only
+// together with all parts before it.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+type promptKey struct {
+	unit backend.Unit
+	// chain joins the identifiers of a part and all before it.
+	chain string
+}
+
+type promptEntry struct {
+	key  promptKey
+	used time.Time
+}
+
+// promptCache is what a runner is believed to keep of prompts, least recently
+// used first out.
+type promptCache struct {
+	entries map[promptKey]*list.Element
+	order   *list.List
+}
+
+func newPromptCache() promptCache {
+	return promptCache{entries: make(map[promptKey]*list.Element), order: list.New()}
+}
+
+// match returns the tokens of a prompt and how many of its leading ones are
+// believed kept.
+func (c *promptCache) match(unit backend.Unit, prompt []Part, now time.Time) (total, kept int) {
+	chain := ""
+	matching := true
+	for _, part := range prompt {
+		total += part.Tokens
+		chain += part.ID + "."
+		if !matching {
+			continue
+		}
+		element := c.entries[promptKey{unit, chain}]
+		if element == nil || now.Sub(element.Value.(*promptEntry).used) > promptLifetime {
+			matching = false
+			continue
+		}
+		kept += part.Tokens
+	}
+	return total, kept
+}
+
+// add notes that the runner reads a prompt.
+func (c *promptCache) add(unit backend.Unit, prompt []Part, now time.Time) {
+	chain := ""
+	for _, part := range prompt {
+		chain += part.ID + "."
+		c.use(promptKey{unit, chain}, now)
+	}
+	for c.order.Len() > promptEntries {
+		oldest := c.order.Back()
+		delete(c.entries, oldest.Value.(*promptEntry).key)
+		c.order.Remove(oldest)
+	}
+}
+
+func (c *promptCache) use(key promptKey, now time.Time) {
+	if element := c.entries[key]; element != nil {
+		element.Value.(*promptEntry).used = now
+		c.order.MoveToFront(element)
+		return
+	}
+	c.entries[key] = c.order.PushFront(&promptEntry{key: key, used: now})
+}
+
+func (c *promptCache) clear() {
+	clear(c.entries)
+	c.order.Init()
+}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,141 @@
+// Package ingress is the HTTP surface for clients of services: it reads requests,
+// hands them to the dispatcher and tells the entry whether this node is ready.
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"lilacvane/internal/config"
+	"lilacvane/internal/dispatch"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/upstream"
+)
+
+const (
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = 75 * time.Second
+	defaultHeaderBytes   = 64 << 10
+	defaultBodyBytes     = 8 << 20
+)
+
+// Server takes requests of clients.
+type Server struct {
+	names         upstream.Names
+	dispatcher    *dispatch.Dispatcher
+	configuration func() *config.Configuration
+	log           logr.Logger
+	http          *http.Server
+
+	stopping atomic.Bool
+	active   atomic.Int64
+}
+
+// New returns a server that is not serving yet.
+func New(names upstream.Names, dispatcher *dispatch.Dispatcher, log logr.Logger) *Server {
+	s := &Server{names: names, dispatcher: dispatcher, configuration: dispatcher.Configuration, log: log}
+	s.http = &http.Server{
+		Handler: s, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		MaxHeaderBytes: defaultHeaderBytes, DisableGeneralOptionsHandler: true,
+	}
+	return s
+}
+
+// Serve takes requests from the listener until Shutdown.
+func (s *Server) Serve(listener net.Listener) error {
+	err := s.http.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Stop lets answers say that their connection closes. Requests are still taken.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Shutdown stops taking requests and waits for those under way until ctx ends;
+// then it cuts them off.
+func (s *Server) Shutdown(ctx context.Context) {
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.log.Info("requests cut off at the end of the stop", "active", s.active.Load())
+		_ = s.http.Close()
+	}
+}
+
+// Active returns how many requests are under way.
+func (s *Server) Active() int64 { return s.active.Load() }
+
+// ServeHTTP serves one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	request, err := s.read(w, r)
+	if err != nil {
+		s.reject(w, fault.From(err, "read request"))
+		return
+	}
+	outcome := s.dispatcher.Serve(r.Context(), w, request)
+	if outcome.Broken() || outcome.Result == dispatch.ResultCanceled {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// read reads a whole request.
+func (s *Server) read(w http.ResponseWriter, r *http.Request) (*dispatch.Request, error) {
+	request := &dispatch.Request{
+		ID: r.Header.Get(s.names.RequestID), Method: r.Method, Target: r.RequestURI, Path: r.URL.EscapedPath(), Host: hostOf(r.Host),
+		Arrived: time.Now(),
+	}
+	if request.ID == "" {
+		return nil, fault.New(fault.CodeInvalid, "read request", "header %s is missing", s.names.RequestID)
+	}
+	if err := parseModel(r.Header, s.names, request); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.bodyLimit()))
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	request.Body = body
+	dispatch.StripConnectionHeaders(r.Header)
+	request.Header = r.Header
+	return request, nil
+}
+
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return fault.New(fault.CodeTooLarge, "read request", "body is larger than %d bytes", tooLarge.Limit)
+	}
+	return fault.New(fault.CodeInvalid, "read request", "body: %v", err)
+}
+
+func (s *Server) bodyLimit() int64 {
+	if configuration := s.configuration(); configuration != nil && configuration.Limits.MaximumBodyBytes > 0 {
+		return configuration.Limits.MaximumBodyBytes
+	}
+	return defaultBodyBytes
+}
+
+func (s *Server) reject(w http.ResponseWriter, problem *fault.Error) {
+	s.log.Info("request rejected", "step", problem.Step, "error", problem.Error())
+	http.Error(w, problem.Error(), fault.Status(problem.Code))
+}
+
+// hostOf drops a port from a Host header.
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,344 @@
+// Package lease lets one node at a time hold a named lease, kept as one row of
+// the platform's table. A holder may act while its lease is valid by its own
+// steady clock; a new holder acts only when the turn gap has passed since the
+// last moment at which the old one can have acted.
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"lilacvane/internal/fault"
+)
+
+// Record is the row's value.
+type Record struct {
+	// Holder is the node that holds the lease.
+	Holder string `json:"holder"`
+	// Address is where the holder's peers reach it (ip:port).
+	Address string `json:"address"`
+	// Process tells two processes of one node apart.
+	Process string `json:"process"`
+	// Token grows with every change of the holding process.
+	Token uint64 `json:"token"`
+	// Renewal grows with every renewal.
+	Renewal uint64 `json:"renewal"`
+	// Settled is set once the holder waited out the turn gap after the one
+	// before it.
+	Settled bool `json:"settled,omitempty"`
+	// Released is set when the holder gave the lease back: it acts no more.
+	Released bool `json:"released,omitempty"`
+	// QuietMs is how long the holder had not acted when it released.
+	QuietMs int64 `json:"quietMs,omitempty"`
+}
+
+// Store keeps the row.
+type Store interface {
+	// Get reads the row; revision zero means that it is absent. The row may be
+	// older than others that were seen.
+	Get(ctx context.Context, key string) (value []byte, revision uint64, err error)
+	// Put writes the row if it has the expected revision and returns its new
+	// one. It fails with fault.CodeConflict when it has another; any other
+	// error's outcome tells whether it may have been written, or may be yet.
+	Put(ctx context.Context, key string, value []byte, expected uint64) (uint64, error)
+}
+
+// Options are the times of a lease.
+type Options struct {
+	// Validity is how long the holder may act after it sent a renewal.
+	Validity time.Duration
+	// Interval is the time between renewals, and between looks of the others.
+	Interval time.Duration
+	// TurnGap must lie between the last act of one node and the first of
+	// another.
+	TurnGap time.Duration
+	// ActMargin is how long before the end of its validity a holder stops to
+	// act: the time that one act may take.
+	ActMargin time.Duration
+	// CallTimeout bounds one call to the store.
+	CallTimeout time.Duration
+}
+
+// Lessor takes part in holding one lease. Its methods may be called
+// concurrently.
+type Lessor struct {
+	store   Store
+	key     string
+	self    Record
+	options Options
+	log     logr.Logger
+
+	mutex sync.Mutex
+	// seen is the newest record known, seenAt when its revision was first seen.
+	seen     Record
+	revision uint64
+	seenAt   time.Time
+	read     bool
+	// othersUntil is until when an earlier holder's acts forbid those of this
+	// process.
+	othersUntil time.Time
+	// held is set while this process is the holder by the newest record.
+	held       bool
+	validUntil time.Time
+	actsFrom   time.Time
+	lastAct    time.Time
+	stopped    bool
+	lost       bool
+}
+
+// New returns a lessor for a node. process tells this process from an earlier
+// one of the same node.
+func New(store Store, key, node, address, process string, options Options, log logr.Logger) *Lessor {
+	return &Lessor{
+		store: store, key: key, options: options, log: log.WithValues("lease", key),
+		self: Record{Holder: node, Address: address, Process: process},
+	}
+}
+
+// Run takes, renews and watches the lease until ctx ends.
+func (l *Lessor) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.step(ctx)
+		pause := l.options.Interval/2 + rand.N(l.options.Interval)
+		if l.Holds() {
+			pause = l.options.Interval
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (l *Lessor) step(ctx context.Context) {
+	if l.Holds() {
+		l.renew(ctx)
+		return
+	}
+	if err := l.look(ctx); err != nil {
+		l.noteLoss(err)
+		return
+	}
+	l.noteLoss(nil)
+	if l.mayTake() {
+		l.take(ctx)
+	}
+}
+
+// Holds reports whether this process is the holder by the newest record.
+func (l *Lessor) Holds() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.held
+}
+
+// Act returns the lease's token if the holder may act now, and notes the act.
+// It must be called right before each act.
+func (l *Lessor) Act() (token uint64, ok bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.mayAct() {
+		return 0, false
+	}
+	l.lastAct = time.Now()
+	return l.seen.Token, true
+}
+
+// Acting reports whether the holder may act now.
+func (l *Lessor) Acting() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.mayAct()
+}
+
+func (l *Lessor) mayAct() bool {
+	now := time.Now()
+	return l.held && !l.stopped && now.Add(l.options.ActMargin).Before(l.validUntil) && !now.Before(l.actsFrom)
+}
+
+// Holder returns the newest record known.
+func (l *Lessor) Holder() (Record, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.seen, l.read && !l.seen.Released && l.seen.Holder != ""
+}
+
+func (l *Lessor) look(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, l.options.CallTimeout)
+	defer cancel()
+	value, revision, err := l.store.Get(ctx, l.key)
+	if err != nil {
+		return err
+	}
+	return l.saw(value, revision)
+}
+
+// saw takes over a record that was read. An older one than known is passed over.
+func (l *Lessor) saw(value []byte, revision uint64) error {
+	var record Record
+	if revision != 0 {
+		if err := json.Unmarshal(value, &record); err != nil {
+			return fault.New(fault.CodeInvalid, "read lease", "%v", err)
+		}
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.read && revision <= l.revision {
+		return nil
+	}
+	if record.Holder != l.seen.Holder || record.Token != l.seen.Token || record.Released != l.seen.Released {
+		l.log.Info("lease seen", "holder", record.Holder, "token", record.Token, "released", record.Released, "revision", revision)
+	}
+	l.seen, l.revision, l.seenAt, l.read = record, revision, time.Now(), true
+	l.noteOthers()
+	return nil
+}
+
+// noteOthers derives from the record just seen until when the acts of others
+// forbid those of this process. The holder acts no longer than its validity
+// after its last renewal, which was sent before it was seen. mutex is held.
+func (l *Lessor) noteOthers() {
+	switch {
+	case l.seen.Holder == "":
+	case l.seen.Process == l.self.Process:
+	case l.seen.Holder == l.self.Holder && l.seen.Settled:
+	case l.seen.Released && l.seen.Settled:
+		l.othersUntil = l.seenAt.Add(l.options.TurnGap - time.Duration(l.seen.QuietMs)*time.Millisecond)
+	default:
+		l.othersUntil = l.seenAt.Add(l.options.Validity + l.options.TurnGap)
+	}
+}
+
+// mayTake decides whether the lease may be taken. The revision that was last
+// seen is the condition of the write, so a renewal that was not seen makes the
+// write fail.
+func (l *Lessor) mayTake() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.stopped || !l.read {
+		return false
+	}
+	if l.seen.Released || l.seen.Holder == "" || l.seen.Holder == l.self.Holder {
+		return true
+	}
+	return time.Since(l.seenAt) >= l.options.Validity+l.options.Interval
+}
+
+// take writes this process as the holder.
+func (l *Lessor) take(ctx context.Context) {
+	l.mutex.Lock()
+	record := l.self
+	record.Token = l.seen.Token + 1
+	record.Renewal = 1
+	expected := l.revision
+	actsFrom := l.othersUntil
+	record.Settled = !time.Now().Before(actsFrom)
+	l.mutex.Unlock()
+	revision, sent, err := l.put(ctx, record, expected)
+	if err != nil {
+		l.log.Info("lease not taken", "token", record.Token, "expected", expected, "error", err.Error())
+		return
+	}
+	l.hold(record, revision, sent, actsFrom)
+	l.log.Info("lease taken", "token", record.Token, "revision", revision, "actsInMs", time.Until(actsFrom).Milliseconds())
+}
+
+func (l *Lessor) put(ctx context.Context, record Record, expected uint64) (uint64, time.Time, error) {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return 0, time.Time{}, fault.From(err, "encode lease")
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.options.CallTimeout)
+	defer cancel()
+	sent := time.Now()
+	revision, err := l.store.Put(ctx, l.key, value, expected)
+	return revision, sent, err
+}
+
+func (l *Lessor) hold(record Record, revision uint64, sent, actsFrom time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.seen, l.revision, l.seenAt, l.held = record, revision, time.Now(), true
+	l.validUntil = sent.Add(l.options.Validity)
+	l.actsFrom = actsFrom
+}
+
+// renew writes the next renewal. When its answer is lost, the row tells at the
+// next step whether it, or another holder's write, took effect.
+func (l *Lessor) renew(ctx context.Context) {
+	l.mutex.Lock()
+	if l.stopped {
+		l.mutex.Unlock()
+		return
+	}
+	record := l.seen
+	record.Renewal++
+	expected, actsFrom := l.revision, l.actsFrom
+	record.Settled = !time.Now().Before(actsFrom)
+	l.mutex.Unlock()
+	revision, sent, err := l.put(ctx, record, expected)
+	l.noteLoss(err)
+	if err == nil {
+		l.hold(record, revision, sent, actsFrom)
+		return
+	}
+	l.reconcile(ctx)
+}
+
+// reconcile reads the row after a renewal that was not confirmed. A late own
+// renewal keeps the lease, but does not lengthen its validity: when it was sent
+// is not known any more.
+func (l *Lessor) reconcile(ctx context.Context) {
+	if err := l.look(ctx); err != nil {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	own := l.seen.Holder == l.self.Holder && l.seen.Process == l.self.Process && !l.seen.Released
+	if l.held && !own {
+		l.held = false
+		l.log.Info("lease lost", "holder", l.seen.Holder, "token", l.seen.Token)
+	}
+}
+
+func (l *Lessor) noteLoss(err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if (err != nil) == l.lost {
+		return
+	}
+	l.lost = err != nil
+	if err != nil {
+		l.log.Info("dependency lost", "error", err.Error())
+		return
+	}
+	l.log.Info("dependency regained")
+}
+
+// Release gives the lease back: this process acts no more from here on.
+func (l *Lessor) Release(ctx context.Context) {
+	l.mutex.Lock()
+	l.stopped = true
+	held := l.held
+	record := l.seen
+	record.Released = true
+	record.Renewal++
+	record.QuietMs = int64(min(time.Since(l.lastAct), l.options.TurnGap) / time.Millisecond)
+	expected := l.revision
+	l.mutex.Unlock()
+	if !held {
+		return
+	}
+	_, _, err := l.put(ctx, record, expected)
+	l.log.Info("lease released", "token", record.Token, "confirmed", err == nil)
+	l.mutex.Lock()
+	l.held = false
+	l.mutex.Unlock()
+}
--- /dev/null
+++ b/internal/orders/ledger.go
@@ -0,0 +1,321 @@
+// Package orders keeps the holder's account of one runner: what it holds, what
+// was ordered, and what may still happen because an order's answer was lost. It
+// is pure: time is passed in, and nothing is sent from here.
+package orders
+
+import (
+	"slices"
+	"time"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/config"
+)
+
+const (
+	// maximumComingAdapters is how many adapters may be on their way to a runner.
+	maximumComingAdapters = 4
+	// adapterTime is how long an adapter is expected to take.
+	adapterTime = 25 * time.Millisecond
+	// reportInterval is the time between two reports of a busy runner.
+	reportInterval = 60 * time.Millisecond
+	// restingInterval is the same for a runner with nothing under way.
+	restingInterval = 6 * time.Second
+	// settledReport is the age at which an order must show in every report.
+	settledReport = 500 * time.Millisecond
+	// conflictPause follows a refused order.
+	conflictPause = 120 * time.Millisecond
+)
+
+// Ledger is the account of one runner. It is not safe for concurrent use.
+type Ledger struct {
+	Runner backend.Runner
+	// Version is the controller's version of the last change of the view.
+	Version uint64
+
+	known    bool
+	sequence uint64
+	models   map[string]*Model
+	// lost are orders without an answer that may still be carried out, until
+	// another order is accepted at the same sequence number.
+	lost []backend.Order
+	// unsure is set from a lost order to a report that was asked after it.
+	unsure     bool
+	lastOrder  time.Time
+	busy       bool
+	copies     backend.Copies
+	nextReport time.Time
+	// sending is set while an order is on its way.
+	sending  bool
+	notUntil time.Time
+}
+
+// Model is a model on a runner.
+type Model struct {
+	// Coming is set while it is loaded, Leaving while it is unloaded.
+	Coming   bool
+	Leaving  bool
+	Due      time.Time
+	Adapters map[string]*Adapter
+}
+
+// Adapter is an adapter of a model on a runner.
+type Adapter struct {
+	Coming bool
+	Due    time.Time
+}
+
+// NewLedger returns an account of a runner of which nothing is known yet.
+func NewLedger(runner backend.Runner) *Ledger {
+	return &Ledger{Runner: runner, models: make(map[string]*Model)}
+}
+
+// Known reports whether the runner has told its state.
+func (l *Ledger) Known() bool { return l.known }
+
+// Models returns the models by name. The map must not be changed.
+func (l *Ledger) Models() map[string]*Model { return l.models }
+
+// Copies returns the weights kept near the runner.
+func (l *Ledger) Copies() backend.Copies { return l.copies }
+
+// WantsReport reports whether the runner should be asked for a report now, and
+// notes that it is.
+func (l *Ledger) WantsReport(now time.Time) bool {
+	if l.sending || now.Before(l.nextReport) {
+		return false
+	}
+	l.nextReport = now.Add(reportInterval)
+	return true
+}
+
+// ReportFailed delays the next report of a runner that does not answer.
+func (l *Ledger) ReportFailed(now time.Time, pause time.Duration) { l.nextReport = now.Add(pause) }
+
+// Reported takes over a report that was asked for at a time. One that is behind
+// the last accepted order is passed over, unless it was asked so long after it
+// that it must show it. It returns whether the view changed.
+func (l *Ledger) Reported(report backend.Report, asked, now time.Time) bool {
+	settled := asked.Sub(l.lastOrder) >= settledReport
+	if l.sending || (l.known && report.Sequence < l.sequence && !settled) {
+		return false
+	}
+	if asked.Sub(l.lastOrder) >= backend.ReportLag {
+		l.unsure = false
+	}
+	before := l.fingerprint()
+	l.known = true
+	l.sequence = report.Sequence
+	l.lost = slices.DeleteFunc(l.lost, func(order backend.Order) bool { return order.Expected < report.Sequence })
+	l.busy = report.Busy
+	l.copies = report.Copies
+	l.takeModels(report, now)
+	l.nextReport = now.Add(restingInterval)
+	if l.busy || l.unsure || l.comingAdapters() > 0 {
+		l.nextReport = now.Add(reportInterval)
+	}
+	return before != l.fingerprint()
+}
+
+func (l *Ledger) takeModels(report backend.Report, now time.Time) {
+	before := l.models
+	l.models = make(map[string]*Model, len(report.Models))
+	for _, holding := range report.Models {
+		model := &Model{Adapters: make(map[string]*Adapter, len(holding.Adapters))}
+		for _, name := range holding.Adapters {
+			model.Adapters[name] = &Adapter{}
+		}
+		if was := before[holding.Model]; was != nil {
+			model.Leaving = was.Leaving && report.Busy
+		}
+		l.models[holding.Model] = model
+	}
+	for _, unit := range report.Pending {
+		if model := l.models[unit.Model]; model != nil {
+			model.Adapters[unit.Adapter] = &Adapter{Coming: true, Due: now.Add(adapterTime)}
+		}
+	}
+	if !report.Busy {
+		return
+	}
+	for name, was := range before {
+		if was.Coming && l.models[name] == nil {
+			l.models[name] = was
+		}
+	}
+}
+
+// Free returns the memory in MB that is neither taken nor may become taken.
+func (l *Ledger) Free(engine *config.Engine) float64 {
+	free := engine.ModelMemory
+	for name, model := range l.models {
+		free -= sizeOf(engine, backend.Unit{Model: name})
+		for adapter := range model.Adapters {
+			free -= sizeOf(engine, backend.Unit{Model: name, Adapter: adapter})
+		}
+	}
+	for _, order := range l.lost {
+		if order.Action == backend.Load {
+			free -= sizeOf(engine, order.Unit)
+		}
+	}
+	return free
+}
+
+// FreeAdapterSlots returns how many more adapters may be ordered.
+func (l *Ledger) FreeAdapterSlots(engine *config.Engine) int {
+	free := engine.AdapterSlots
+	for _, model := range l.models {
+		free -= len(model.Adapters)
+	}
+	for _, order := range l.lost {
+		if order.Action == backend.Load && order.Unit.Adapter != "" {
+			free--
+		}
+	}
+	return free
+}
+
+func sizeOf(engine *config.Engine, unit backend.Unit) float64 {
+	model := engine.Models[unit.Model]
+	if model == nil {
+		// A model that the configuration no longer names takes an unknown room.
+		return engine.ModelMemory
+	}
+	if unit.Adapter != "" {
+		return model.AdapterSize
+	}
+	return model.Size
+}
+
+func (l *Ledger) comingAdapters() int {
+	count := 0
+	for _, model := range l.models {
+		for _, adapter := range model.Adapters {
+			if adapter.Coming {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// MayOrder reports whether the runner may take an order now: a model order needs
+// a runner without any other under way.
+func (l *Ledger) MayOrder(unit backend.Unit, now time.Time) bool {
+	if !l.known || l.sending || l.unsure || now.Before(l.notUntil) {
+		return false
+	}
+	if unit.Adapter != "" {
+		return l.comingAdapters() < maximumComingAdapters
+	}
+	return !l.busy
+}
+
+// Idle reports whether a model order would be taken.
+func (l *Ledger) Idle(now time.Time) bool { return l.MayOrder(backend.Unit{}, now) }
+
+// Begin notes that an order is about to be sent and returns it complete.
+func (l *Ledger) Begin(action backend.Action, unit backend.Unit, owner string, token uint64) backend.Order {
+	l.sending = true
+	return backend.Order{Action: action, Unit: unit, Expected: l.sequence, Owner: owner, Token: token}
+}
+
+// End notes an order's verdict. due is when an accepted load is expected to be
+// done.
+func (l *Ledger) End(order backend.Order, verdict backend.Verdict, now, due time.Time) {
+	l.sending = false
+	l.lastOrder = now
+	switch verdict {
+	case backend.Accepted:
+		l.accepted(order, now, due)
+	case backend.AlreadyHeld:
+		l.accepted(order, now, now)
+		l.busy = false
+		l.nextReport = now.Add(backend.ReportLag)
+	case backend.Lost:
+		l.lost = append(l.lost, order)
+		l.unsure = true
+		l.nextReport = now.Add(backend.ReportLag)
+	case backend.Conflict, backend.Refused:
+		l.notUntil = now.Add(conflictPause)
+		l.unsure = true
+		l.nextReport = now.Add(backend.ReportLag)
+	case backend.NotSent:
+		l.notUntil = now.Add(conflictPause)
+	}
+}
+
+func (l *Ledger) accepted(order backend.Order, now, due time.Time) {
+	l.sequence = order.Expected + 1
+	unit := order.Unit
+	if unit.Adapter != "" {
+		l.adapterAccepted(order, now)
+		return
+	}
+	l.busy = true
+	l.nextReport = due
+	if order.Action == backend.Load {
+		l.models[unit.Model] = &Model{Coming: true, Due: due, Adapters: make(map[string]*Adapter)}
+		return
+	}
+	if model := l.models[unit.Model]; model != nil {
+		model.Leaving = true
+		model.Due = due
+	}
+}
+
+func (l *Ledger) adapterAccepted(order backend.Order, now time.Time) {
+	model := l.models[order.Unit.Model]
+	if model == nil {
+		return
+	}
+	if order.Action == backend.Unload {
+		delete(model.Adapters, order.Unit.Adapter)
+		return
+	}
+	model.Adapters[order.Unit.Adapter] = &Adapter{Coming: true, Due: now.Add(adapterTime)}
+	if l.nextReport.After(now.Add(adapterTime)) {
+		l.nextReport = now.Add(adapterTime + backend.ReportLag)
+	}
+}
+
+// Settle takes adapters as loaded whose time has come. It returns whether any
+// were.
+func (l *Ledger) Settle(now time.Time) bool {
+	settled := false
+	for _, model := range l.models {
+		for _, adapter := range model.Adapters {
+			if adapter.Coming && !now.Before(adapter.Due) {
+				adapter.Coming = false
+				settled = true
+			}
+		}
+	}
+	return settled
+}
+
+// fingerprint sums up what other nodes are told of the runner.
+func (l *Ledger) fingerprint() string {
+	units := make([]string, 0, len(l.models))
+	for name, model := range l.models {
+		state := "+"
+		if model.Coming {
+			state = "?"
+		}
+		if model.Leaving {
+			state = "-"
+		}
+		units = append(units, name+state)
+		for adapter, held := range model.Adapters {
+			if !held.Coming {
+				units = append(units, name+"/"+adapter)
+			}
+		}
+	}
+	slices.Sort(units)
+	text := ""
+	for _, unit := range units {
+		text += unit + " "
+	}
+	return text
+}
--- /dev/null
+++ b/internal/scheduler/rank.go
@@ -0,0 +1,131 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"lilacvane/internal/backend"
+)
+
+// Costs are in seconds of a waiting request's time.
+const (
+	// storeCost is the price of a load from the weight store.
+	storeCost = 0.6
+	// reloadCost is what a request waits, on average, for a model that was
+	// unloaded.
+	reloadCost = 1.5
+	// horizon is the time for which a model that is unloaded is missed.
+	horizon = 12.0
+	// drainCost is the cost of each request that an unload has to wait for.
+	drainCost = 0.5
+	// activeCost is the cost of sharing a runner with one more request.
+	activeCost = 0.02
+	// surplusFactor lowers the loss of a replica that others stand in for.
+	surplusFactor = 0.25
+	// gainPerWork is what a replica is worth for each share of a runner's time
+	// that it takes over.
+	gainPerWork = 20.0
+	// recentUse is the rate assumed of a model at its last use, halved with
+	// each recentHalf since.
+	recentUse  = 0.06
+	recentHalf = 8 * time.Second
+)
+
+// cost estimates what loading a model at a runner costs; false when it cannot.
+func (p *planner) cost(runner *Runner, n need) (float64, bool) {
+	if p.taken[runner.ID] || !runner.Idle || runner.Models[n.model] != nil {
+		return 0, false
+	}
+	loadTime, fromStore := p.loadTime(runner, n.model)
+	cost := loadTime.Seconds() + activeCost*float64(runner.Active)
+	if fromStore {
+		if p.loads <= 0 {
+			return 0, false
+		}
+		cost += storeCost
+	}
+	missing := p.state.Engine.Models[n.model].Size - runner.Free
+	for _, victim := range p.victims(runner, n.model) {
+		if missing <= 0 {
+			break
+		}
+		missing -= p.state.Engine.Models[victim].Size
+		cost += p.loss(runner, victim)
+	}
+	return cost, missing <= 0
+}
+
+// gain is what one more replica is worth.
+func (p *planner) gain(n need) float64 { return gainPerWork * perHolder(n) }
+
+// victims lists the models of a runner that may be unloaded, least loss first.
+func (p *planner) victims(runner *Runner, wanted string) []string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(runner.Models)) {
+		held := runner.Models[name]
+		if name == wanted || held.Coming || held.Leaving || p.state.Engine.Models[name] == nil || p.needed(name) {
+			continue
+		}
+		names = append(names, name)
+	}
+	slices.SortStableFunc(names, func(a, b string) int {
+		return compareFloat(p.loss(runner, a), p.loss(runner, b))
+	})
+	return names
+}
+
+func compareFloat(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// needed reports whether requests wait for a model that only one runner holds.
+func (p *planner) needed(model string) bool {
+	demand := p.state.Demand[backend.Unit{Model: model}]
+	return demand != nil && demand.Waiting > 0 && p.copies[model] <= 1
+}
+
+func (p *planner) nextVictim(runner *Runner, wanted string) string {
+	victims := p.victims(runner, wanted)
+	if len(victims) == 0 {
+		return ""
+	}
+	return victims[0]
+}
+
+// loss is what unloading a model at a runner costs.
+func (p *planner) loss(runner *Runner, model string) float64 {
+	demand := p.state.Demand[backend.Unit{Model: model}]
+	cost := drainCost * float64(runner.Models[model].Active)
+	if demand == nil {
+		return cost
+	}
+	missed := min(p.expectedRate(demand)*horizon, 1) * reloadCost
+	if p.copies[model] > p.desired(model, demand) && p.copies[model] > 1 {
+		return cost + surplusFactor*missed
+	}
+	if p.copies[model] > 1 {
+		return cost + p.gain(need{model: model, demand: demand, holders: p.copies[model] - 1})
+	}
+	return cost + missed + demand.Work*gainPerWork
+}
+
+// expectedRate estimates the requests a second to come from the recent ones.
+func (p *planner) expectedRate(demand *Demand) float64 {
+	age := p.state.Now.Sub(demand.LastUse)
+	if demand.LastUse.IsZero() || age < 0 {
+		return demand.Rate
+	}
+	fading := 1.0
+	for ; age > recentHalf; age -= recentHalf {
+		fading /= 2
+	}
+	return max(demand.Rate, recentUse*fading)
+}
--- /dev/null
+++ b/internal/scheduler/state.go
@@ -0,0 +1,100 @@
+// Package scheduler decides which models and adapters are loaded where. It is
+// pure: from a state of runners and demand it makes a plan, with no I/O and no
+// clock of its own.
+package scheduler
+
+import (
+	"time"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/config"
+)
+
+// State is everything a plan is made from.
+type State struct {
+	Now     time.Time
+	Engine  *config.Engine
+	Runners []*Runner
+	// Demand by unit. Models appear with the demand of their adapters included.
+	Demand map[backend.Unit]*Demand
+	// Loads is how many loads the weight store allows now.
+	Loads int
+	// Intents are loads decided earlier that wait for room, by runner.
+	Intents map[string]Intent
+}
+
+// Runner is one runner as the scheduler sees it.
+type Runner struct {
+	ID   string
+	Zone string
+	// Models are the models it holds or is loading.
+	Models map[string]*Held
+	// Free is the room left in MB, AdapterSlots the free places for adapters.
+	Free         float64
+	AdapterSlots int
+	// Idle is set when it would take a model order now, Ready when it would
+	// take one for an adapter.
+	Idle  bool
+	Ready bool
+	// Host and Disk are the models it keeps copies of.
+	Host map[string]bool
+	Disk map[string]bool
+	// Active is how many requests are under way at it.
+	Active int
+}
+
+// Held is a model on a runner.
+type Held struct {
+	Coming  bool
+	Leaving bool
+	// Active is how many requests for it are under way.
+	Active   int
+	Adapters map[string]*Adapter
+}
+
+// Adapter is an adapter on a runner.
+type Adapter struct {
+	Coming bool
+}
+
+// Demand is what is known of the requests for a unit.
+type Demand struct {
+	// Waiting is how many requests wait for it now, Left the time until the
+	// first of them is given up, Priority the most urgent among them.
+	Waiting  int
+	Left     time.Duration
+	Priority int
+	// Rate is the requests a second lately, Work the share of one runner's time
+	// that they take.
+	Rate float64
+	Work float64
+	// LastUse is when it was asked for last.
+	LastUse time.Time
+}
+
+// Intent is a decision to load a model at a runner once there is room.
+type Intent struct {
+	Model string
+	Until time.Time
+}
+
+// Step is one order of a plan.
+type Step struct {
+	Runner string
+	Action backend.Action
+	Unit   backend.Unit
+	// FromStore is set for loads that take from the weight store.
+	FromStore bool
+	// Expected is how long the order is expected to take.
+	Expected time.Duration
+	// Reason is a short word for the log.
+	Reason string
+}
+
+// Plan is what is to be ordered now: at most one step a runner, but for an
+// adapter's unload that makes room for another's load.
+type Plan struct {
+	Steps []Step
+	// Intents replaces those of the state.
+	Intents map[string]Intent
+}
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,233 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"lilacvane/internal/fault"
+)
+
+const (
+	// inlineBody is the largest body written before the answer is awaited. A
+	// larger one is written beside it, as a runner may answer early.
+	inlineBody = 4 << 10
+	// foreignLimit bounds the body of an answer that belongs to another request.
+	foreignLimit = 1 << 20
+	// foreignAnswers bounds how many such answers are passed over.
+	foreignAnswers = 2
+	// idleMargin keeps a resting connection clear of the runner's own limit.
+	idleMargin = time.Second
+)
+
+// Call is a request to one runner.
+type Call struct {
+	// Runner is the incarnation it is meant for, Address its ip:port.
+	Runner  string
+	Address string
+	Method  string
+	// Target is the path and query as the client sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// RequestID is what the answer must carry.
+	RequestID string
+}
+
+// Answer is the beginning of a runner's answer. Its body must be read to the end
+// or the answer closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	// NotRun is set when the runner stated that it did not run the request.
+	NotRun bool
+	// Length is the body's length, or -1.
+	Length int64
+
+	body     io.ReadCloser
+	conn     *connection
+	pool     *Pool
+	runner   string
+	address  string
+	written  <-chan error
+	stop     func() bool
+	reusable bool
+	ended    bool
+}
+
+// Do sends a call and returns the beginning of its answer. The error's outcome
+// is NotDone only if no byte of the request can have reached the runner. Ending
+// ctx closes the connection at once, also while the body is read.
+func (p *Pool) Do(ctx context.Context, call Call) (*Answer, error) {
+	conn, err := p.take(ctx, call.Runner, call.Address)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	written, err := send(conn, call)
+	if err != nil {
+		stop()
+		_ = conn.Close()
+		return nil, unknown(ctx, "send request", call.Address, err)
+	}
+	response, err := p.readOwn(conn, call)
+	if err != nil {
+		stop()
+		_ = conn.Close()
+		return nil, unknown(ctx, "read answer", call.Address, err)
+	}
+	return &Answer{
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
+		NotRun: response.Header.Get(p.names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest,
+		body:   response.Body, conn: conn, pool: p, runner: call.Runner, address: call.Address, written: written, stop: stop,
+		reusable: !response.Close && framed(response),
+	}, nil
+}
+
+func unknown(ctx context.Context, step, address string, cause error) error {
+	code := fault.CodeInterrupted
+	if ctx.Err() != nil {
+		code = fault.CodeCanceled
+	}
+	return fault.At(code, step, address, fault.Unknown, cause)
+}
+
+// framed reports whether the end of the body is marked other than by the end of
+// the connection.
+func framed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
+// send writes the request. A large body is written beside the caller; the
+// channel tells when it is out.
+func send(conn *connection, call Call) (<-chan error, error) {
+	request := &http.Request{
+		Method: call.Method, Host: call.Host, Header: call.Header,
+		URL:           &url.URL{Scheme: "http", Host: call.Host, Opaque: call.Target},
+		ContentLength: int64(len(call.Body)),
+	}
+	if len(call.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(call.Body))
+	} else if call.Method == http.MethodPost || call.Method == http.MethodPut {
+		request.Body = http.NoBody
+	}
+	written := make(chan error, 1)
+	if len(call.Body) <= inlineBody {
+		err := write(conn, request)
+		written <- err
+		return written, err
+	}
+	go func() { written <- write(conn, request) }()
+	return written, nil
+}
+
+func write(conn *connection, request *http.Request) error {
+	writer := bufio.NewWriterSize(conn, bufferSize)
+	if err := request.Write(writer); err != nil {
+		return err
+	}
+	return writer.Flush()
+}
+
+// readOwn reads answers until the one that carries the request's identifier.
+func (p *Pool) readOwn(conn *connection, call Call) (*http.Response, error) {
+	for range foreignAnswers + 1 {
+		response, err := readFinal(conn.reader, call.Method)
+		if err != nil {
+			return nil, err
+		}
+		if response.Header.Get(p.names.RequestID) == call.RequestID {
+			conn.served++
+			return response, nil
+		}
+		if !framed(response) || conn.served == 0 {
+			return nil, errors.New("answer to another request")
+		}
+		if _, err := io.CopyN(io.Discard, response.Body, foreignLimit); err != io.EOF {
+			return nil, errors.New("unfinished answer to another request")
+		}
+	}
+	return nil, errors.New("answers to other requests only")
+}
+
+// readFinal reads an answer, passing over interim ones.
+func readFinal(reader *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			return response, nil
+		}
+	}
+}
+
+// Read reads the body. io.EOF means that the answer is whole.
+func (a *Answer) Read(buffer []byte) (int, error) {
+	count, err := a.body.Read(buffer)
+	if err == io.EOF {
+		a.finish()
+		return count, io.EOF
+	}
+	if err != nil {
+		a.Close()
+		return count, fault.At(fault.CodeInterrupted, "read answer", a.address, fault.Unknown, err)
+	}
+	return count, nil
+}
+
+// finish lays the connection to rest if nothing but the whole request and the
+// whole answer went over it.
+func (a *Answer) finish() {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	sound := a.stop() && a.reusable && a.conn.reader.Buffered() == 0
+	select {
+	case err := <-a.written:
+		sound = sound && err == nil
+	default:
+		sound = false
+	}
+	if !sound {
+		_ = a.conn.Close()
+		return
+	}
+	a.pool.put(a.runner, a.conn, restingTime(a.Header))
+}
+
+// Close ends the exchange. Unless the answer is whole, its connection is closed.
+func (a *Answer) Close() {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.stop()
+	_ = a.conn.Close()
+}
+
+// restingTime returns how long a connection may rest by the runner's word; zero
+// when it named no time, negative when it may not rest at all.
+func restingTime(header http.Header) time.Duration {
+	for _, value := range header.Values("Keep-Alive") {
+		for parameter := range strings.SplitSeq(value, ",") {
+			name, text, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+			seconds, err := strconv.Atoi(text)
+			if strings.EqualFold(name, "timeout") && err == nil {
+				idle := time.Duration(seconds) * time.Second
+				return max(idle-idleMargin, idle/2)
+			}
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/upstream/names.go
@@ -0,0 +1,27 @@
+package upstream
+
+// Names are the headers that travel with requests and answers between nodes and
+// runners.
+type Names struct {
+	// RequestID identifies a request; the runner gives it back.
+	RequestID string
+	// Deadline is the time the client still waits, in milliseconds.
+	Deadline string
+	// ExpectRunner names the incarnation a request is meant for.
+	ExpectRunner string
+	// Signature is the runner's mark on an answer.
+	Signature string
+	// NotRun is the runner's statement that it did not run the request.
+	NotRun string
+	// Load is the load a runner tells: running, waiting, slots.
+	Load string
+	// Urgency is 0 (first) to 9.
+	Urgency string
+	// Model, Tokens, Prompt and LengthHint describe a model request.
+	Model      string
+	Tokens     string
+	Prompt     string
+	LengthHint string
+	// ResumeAfter is the last event that arrived of a stream.
+	ResumeAfter string
+}
--- /dev/null
+++ b/internal/wire/sync.go
@@ -0,0 +1,77 @@
+package wire
+
+// MethodSync is the call by which a node tells the holder of a service's control
+// lease what its requests need, and learns what the runners hold.
+const MethodSync = "control/sync"
+
+// SyncRequest is a node's demand.
+type SyncRequest struct {
+	Service string `cbor:"1,keyasint"`
+	Node    string `cbor:"2,keyasint"`
+	// Token and Version name the newest account the node has; the answer holds
+	// what changed since.
+	Token   uint64 `cbor:"3,keyasint"`
+	Version uint64 `cbor:"4,keyasint"`
+	// HoldMs is how long the answer may wait for a change.
+	HoldMs  int64         `cbor:"5,keyasint"`
+	Waiting []UnitWaiting `cbor:"6,keyasint,omitempty"`
+	Usage   []UnitUsage   `cbor:"7,keyasint,omitempty"`
+	Running []RunnerUsage `cbor:"8,keyasint,omitempty"`
+	// Report is set when Waiting and Running are the whole of the node's demand.
+	Report bool `cbor:"9,keyasint,omitempty"`
+}
+
+// UnitWaiting is what waits for a unit at the node.
+type UnitWaiting struct {
+	Model   string `cbor:"1,keyasint"`
+	Adapter string `cbor:"2,keyasint,omitempty"`
+	Count   int    `cbor:"3,keyasint"`
+	// LeftMs is the time until the first of them is given up.
+	LeftMs   int64 `cbor:"4,keyasint"`
+	Priority int   `cbor:"5,keyasint"`
+}
+
+// UnitUsage is how often a unit was asked for since the node's last report.
+type UnitUsage struct {
+	Model    string `cbor:"1,keyasint"`
+	Adapter  string `cbor:"2,keyasint,omitempty"`
+	Requests int    `cbor:"3,keyasint"`
+	Tokens   int    `cbor:"4,keyasint"`
+}
+
+// RunnerUsage is the node's requests under way at a runner, by model.
+type RunnerUsage struct {
+	Runner string         `cbor:"1,keyasint"`
+	Models map[string]int `cbor:"2,keyasint"`
+}
+
+// SyncResponse is the holder's account of the runners.
+type SyncResponse struct {
+	Token   uint64 `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+	// Whole is set when Runners replaces all earlier accounts.
+	Whole   bool         `cbor:"3,keyasint,omitempty"`
+	Runners []RunnerView `cbor:"4,keyasint,omitempty"`
+	// Nodes is how many nodes reported lately.
+	Nodes int `cbor:"5,keyasint"`
+}
+
+// RunnerView is what a runner holds and what is being loaded there.
+type RunnerView struct {
+	Runner string       `cbor:"1,keyasint"`
+	Ready  []UnitHeld   `cbor:"2,keyasint,omitempty"`
+	Coming []UnitComing `cbor:"3,keyasint,omitempty"`
+}
+
+// UnitHeld is a loaded model with its adapters.
+type UnitHeld struct {
+	Model    string   `cbor:"1,keyasint"`
+	Adapters []string `cbor:"2,keyasint,omitempty"`
+}
+
+// UnitComing is a unit being loaded.
+type UnitComing struct {
+	Model   string `cbor:"1,keyasint"`
+	Adapter string `cbor:"2,keyasint,omitempty"`
+	InMs    int64  `cbor:"3,keyasint"`
+}
