--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -15,12 +15,19 @@
 	Now     time.Time
 	Engine  *config.Engine
 	Runners []*Runner
+	// Unknown is how many runners have not told what they hold.
+	Unknown int
 	// Demand by unit. Models appear with the demand of their adapters included.
 	Demand map[backend.Unit]*Demand
 	// Loads is how many loads the weight store allows now.
 	Loads int
 	// Intents are loads decided earlier that wait for room, by runner.
 	Intents map[string]Intent
+	// Floors are the replicas that policies keep ready, by model.
+	Floors map[string]int
+	// KeepAlive is how long a model without use stays loaded; a model that is
+	// not named stays until its room is needed.
+	KeepAlive map[string]time.Duration
 }
 
 // Runner is one runner as the scheduler sees it.
@@ -41,12 +48,16 @@
 	Disk map[string]bool
 	// Active is how many requests are under way at it.
 	Active int
+	// Drained is set while a planned stop empties it.
+	Drained bool
 }
 
 // Held is a model on a runner.
 type Held struct {
 	Coming  bool
 	Leaving bool
+	// Uncertain is set when only an order without an answer may load it.
+	Uncertain bool
 	// Active is how many requests for it are under way.
 	Active   int
 	Adapters map[string]*Adapter
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -3,44 +3,45 @@
 // whether it was done, not done or is unknown.
 package table
 
-import (
-	"context"
-)
+import "context"
 
 // Row is one row. Revision is zero when the row is absent.
 type Row struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value"`
-	Revision uint64 `json:"revision"`
+	Key      string
+	Value    []byte
+	Revision uint64
 }
 
 // Condition demands that a row has a revision; zero demands that it is absent.
 type Condition struct {
-	Key      string `json:"key"`
-	Revision uint64 `json:"revision"`
+	Key      string
+	Revision uint64
 }
 
 // Write sets or deletes a row.
 type Write struct {
-	Key    string `json:"key"`
-	Value  []byte `json:"value,omitempty"`
-	Delete bool   `json:"delete,omitempty"`
+	Key    string
+	Value  []byte
+	Delete bool
 }
 
 // Transaction is carried out whole if all conditions hold, else not at all.
 type Transaction struct {
-	Conditions []Condition `json:"conditions"`
-	Writes     []Write     `json:"writes"`
+	Conditions []Condition
+	Writes     []Write
 }
 
-// Table is the service. Commit fails with fault.CodeConflict when a condition
-// does not hold. The outcome of an error tells whether it took effect.
+// Table is one table of the service.
 type Table interface {
-	// Get reads one row. A row that is absent has revision zero.
+	// Get reads one row. A row that is absent has revision zero. What is read
+	// may be older than what was read before.
 	Get(ctx context.Context, key string) (Row, error)
-	// List reads up to limit rows with the prefix and a key above after, in
-	// key order.
+	// List reads up to limit rows with the prefix and a key above after, in key
+	// order.
 	List(ctx context.Context, prefix, after string, limit int) ([]Row, error)
-	// Commit carries out a transaction.
-	Commit(ctx context.Context, transaction Transaction) error
+	// Commit carries out a transaction and returns the revision it gave its
+	// rows. It fails with fault.CodeConflict when a condition does not hold. The
+	// outcome of any other error tells whether it took effect; one that is
+	// unknown may take effect later, as long as its conditions hold.
+	Commit(ctx context.Context, transaction Transaction) (uint64, error)
 }
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -8,6 +8,9 @@
 type SyncRequest struct {
 	Service string `cbor:"1,keyasint"`
 	Node    string `cbor:"2,keyasint"`
+	// Zone and Address (ip:port for peers) tell where the node is.
+	Zone    string `cbor:"10,keyasint,omitempty"`
+	Address string `cbor:"11,keyasint,omitempty"`
 	// Token and Version name the newest account the node has; the answer holds
 	// what changed since.
 	Token   uint64 `cbor:"3,keyasint"`
