Send clients back at once when their model cannot be there in time

Change: a pure admission decision; a request waits if it can be served within its objective, is sent back at once with the time of the load if not, and waits when it came back; a client's patience for the next event bounds the wait. The controller wakes when a report or an adapter is due.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -58,6 +58,9 @@
 	Objective time.Duration
 	// PauseObjective is the longest pause between events of a prompt stream.
 	PauseObjective time.Duration
+	// Patience is how long clients of a stream wait for its next event, the
+	// first included, before they leave; zero when that is not known.
+	Patience time.Duration
 	// Priority is the route's rank; 0 is served first.
 	Priority int
 	// Attempts is the largest number of runners one request may run at.
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -102,7 +102,7 @@
 // Run works whenever the node holds the lease, until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	defer c.inFlight.Wait()
-	timer := time.NewTicker(planInterval)
+	timer := time.NewTimer(planInterval)
 	defer timer.Stop()
 	for {
 		select {
@@ -115,9 +115,27 @@
 			c.tick(ctx, engine)
 		}
 		sleep(ctx, leastInterval)
+		timer.Reset(c.untilDue())
 	}
 }
 
+// untilDue is the time until the next plan: when a report or an adapter is due, at
+// most planInterval.
+func (c *Controller) untilDue() time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	pause := planInterval
+	if c.token == 0 {
+		return pause
+	}
+	for _, ledger := range c.ledgers {
+		if !ledger.Runner.Draining {
+			pause = min(pause, max(time.Until(ledger.NextDue()), leastInterval))
+		}
+	}
+	return pause
+}
+
 func sleep(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
--- /dev/null
+++ b/internal/dispatch/admission.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import "time"
+
+// wait is what is known of a request that no runner can take now.
+type wait struct {
+	// elapsed is the time since the request arrived, hold the longest time that
+	// it may be held.
+	elapsed time.Duration
+	hold    time.Duration
+	// objective is the time of a prompt answer; zero for none.
+	objective time.Duration
+	// expected is the time until a runner can take it, if known.
+	expected time.Duration
+	known    bool
+	// returned is set when the client was refused before and came back.
+	returned bool
+}
+
+const (
+	// promptRefusal is the part of the objective within which a refusal costs
+	// the client little.
+	promptRefusal = 0.22
+	// startMargin is the part of the objective that the runner needs itself.
+	startMargin = 0.3
+	// leastReturn is the shortest time after which a refused client comes back.
+	leastReturn = 100 * time.Millisecond
+	// returnShare is the part of its time left that a client waits at most
+	// before it comes back.
+	returnShare = 1.0 / 3
+)
+
+// verdict says what to do with a waiting request.
+type verdict uint8
+
+const (
+	// keepWaiting holds it until again.
+	keepWaiting verdict = iota
+	// sendBack refuses it, as it is better served when it comes back.
+	sendBack
+	// giveUp refuses it, as its time is over.
+	giveUp
+)
+
+// decide weighs a wait against a refusal. A request that can still be served
+// within its objective waits. One that cannot is refused at once, with the time
+// at which it can be served, unless the client was sent back already or could
+// not come back in time. again is when to decide anew.
+func (w wait) decide() (decision verdict, retryAfter, again time.Duration) {
+	if w.elapsed >= w.hold {
+		return giveUp, max(w.expected, defaultReturn), 0
+	}
+	rest := w.hold - w.elapsed
+	prompt := time.Duration(promptRefusal * float64(w.objective))
+	if w.objective == 0 || w.returned || w.elapsed > prompt+promptSlack {
+		return keepWaiting, 0, rest
+	}
+	if !w.known {
+		// News of a load come within this time.
+		return keepWaiting, 0, min(max(prompt-w.elapsed, time.Millisecond), rest)
+	}
+	budget := time.Duration((1 - startMargin) * float64(w.objective))
+	if w.elapsed+w.expected <= budget {
+		return keepWaiting, 0, rest
+	}
+	return sendBack, max(w.expected, leastReturn), 0
+}
+
+// promptSlack is how late the decision on a prompt refusal may come.
+const promptSlack = 30 * time.Millisecond
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -108,7 +108,9 @@
 	defer cancel(nil)
 	watch := newSilenceWatch(cancel, j.silenceLimit(), j.beginLimit())
 	defer watch.stop()
-	defer func() { result.timedOut = err != nil && parent.Err() == nil && errors.Is(context.Cause(ctx), errTimeout) }()
+	defer func() {
+		result.timedOut = err != nil && parent.Err() == nil && errors.Is(context.Cause(ctx), errTimeout)
+	}()
 	answer, err := j.dispatcher.Pool.Do(ctx, j.call(choice))
 	if err != nil {
 		return exchanged{fleet: j.failure(ctx)}, err
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -17,8 +17,15 @@
 	// latestStart is the part of a request's time after which it is no longer
 	// begun.
 	latestStart = 0.85
-	// placeInterval is how often a waiting request looks again unasked.
-	placeInterval = 100 * time.Millisecond
+	// patienceMargin keeps an answer clear of the moment at which its client
+	// leaves.
+	patienceMargin = 250 * time.Millisecond
+	// returnedShare of the route's time-out is the most that the clients of a
+	// request that was refused before have left.
+	returnedShare = 0.93
+	// waitRemembered is how much longer than its retry time a refused request
+	// counts as waiting.
+	waitRemembered = time.Second
 )
 
 // place waits for a runner that can take the request.
@@ -28,58 +35,99 @@
 		return choice, nil
 	}
 	start := time.Now()
-	latest := j.latestStart()
 	defer func() { j.outcome.Waited += time.Since(start) }()
+	end := func() {}
 	if j.engine {
-		end := j.dispatcher.Demand.Wait(demand.Key{Service: j.query.Service, Unit: j.query.Unit}, latest, j.route.Priority)
-		defer end()
+		end = j.dispatcher.Demand.Wait(demand.Key{Service: j.query.Service, Unit: j.query.Unit}, j.latestStart(), j.route.Priority)
 	}
-	timer := time.NewTimer(placeInterval)
+	choice, retryAfter, err := j.await(ctx, changed)
+	if retryAfter > 0 {
+		// The client comes back: what it waits for is still wanted.
+		time.AfterFunc(retryAfter+waitRemembered, end)
+		return choice, err
+	}
+	end()
+	return choice, err
+}
+
+// await looks for a runner whenever something changed. A retryAfter above zero
+// says that the client is sent back.
+func (j *job) await(ctx context.Context, changed <-chan struct{}) (choice fleet.Choice, retryAfter time.Duration, err error) {
+	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
-		if err := j.stillWorthWaiting(latest); err != nil {
-			return fleet.Choice{}, err
+		if j.request.Allowed != nil {
+			if err := j.request.Allowed(); err != nil {
+				return fleet.Choice{}, 0, err
+			}
 		}
+		decision, back, again := j.waitNow().decide()
+		switch decision {
+		case giveUp:
+			return fleet.Choice{}, 0, fault.New(fault.CodeDeadline, "wait for a runner", "no runner can take %s in time", j.query.Unit).WithRetryAfter(back)
+		case sendBack:
+			return fleet.Choice{}, back, fault.New(fault.CodeDeadline, "wait for a runner", "%s is expected in %s", j.query.Unit, back.Round(time.Millisecond)).WithRetryAfter(back)
+		}
+		timer.Reset(again)
 		select {
 		case <-ctx.Done():
-			return fleet.Choice{}, fault.At(fault.CodeCanceled, "wait for a runner", fault.Self, fault.NotDone, context.Cause(ctx))
+			return fleet.Choice{}, 0, fault.At(fault.CodeCanceled, "wait for a runner", fault.Self, fault.NotDone, context.Cause(ctx))
 		case <-changed:
 		case <-timer.C:
-			timer.Reset(placeInterval)
 		}
 		changed = j.dispatcher.Fleet.Changed()
 		if choice, ok := j.dispatcher.Fleet.Choose(j.query); ok {
-			return choice, nil
+			return choice, 0, nil
 		}
 	}
 }
 
-// latestStart is when a waiting request is given up.
-func (j *job) latestStart() time.Time {
-	if j.request.StartWithin > 0 {
-		return j.request.Arrived.Add(j.request.StartWithin)
+// waitNow describes the request's wait at this moment.
+func (j *job) waitNow() wait {
+	w := wait{
+		elapsed: time.Since(j.request.Arrived), hold: j.latestStart().Sub(j.request.Arrived), objective: j.route.Objective, returned: j.returned(),
 	}
-	whole := j.deadline.Sub(j.request.Arrived)
-	return j.request.Arrived.Add(time.Duration(latestStart * float64(whole)))
+	if j.engine {
+		w.expected, w.known = j.dispatcher.Fleet.Expected(j.query.Service, j.query.Unit)
+		if !w.known && w.elapsed >= time.Duration(promptRefusal*float64(w.objective)) {
+			w.expected, w.known = j.loadTime()
+		}
+	}
+	return w
 }
 
-// stillWorthWaiting refuses a request whose wait cannot end in time, with the
-// time at which its model is expected.
-func (j *job) stillWorthWaiting(latest time.Time) error {
-	if j.request.Allowed != nil {
-		if err := j.request.Allowed(); err != nil {
-			return err
-		}
+// loadTime is how long a load of the model takes when nobody has begun one.
+func (j *job) loadTime() (time.Duration, bool) {
+	service := j.dispatcher.Configuration().Services[j.query.Service]
+	if service == nil || service.Engine == nil || service.Engine.Models[j.query.Unit.Model] == nil {
+		return 0, false
 	}
-	expected, coming := j.dispatcher.Fleet.Expected(j.query.Service, j.query.Unit)
-	if time.Now().After(latest) {
-		back := defaultReturn
-		if coming {
-			back = max(expected, back)
-		}
-		return fault.New(fault.CodeDeadline, "wait for a runner", "no runner can take %s in time", j.query.Unit).WithRetryAfter(back)
+	if j.dispatcher.Fleet.Holds(j.query.Service, j.query.Unit.Model) {
+		return 0, true
+	}
+	return service.Engine.Models[j.query.Unit.Model].LoadTime, true
+}
+
+// returned reports whether the client was refused before: it has less time left
+// than the route gives.
+func (j *job) returned() bool {
+	if j.request.StartWithin > 0 || j.sent > 0 {
+		return true
+	}
+	return j.request.Patience > 0 && float64(j.request.Patience) < returnedShare*float64(j.route.Timeout)
+}
+
+// latestStart is when a waiting request is given up: before its time is over and
+// before its client leaves.
+func (j *job) latestStart() time.Time {
+	if j.request.StartWithin > 0 {
+		return j.request.Arrived.Add(j.request.StartWithin)
+	}
+	hold := time.Duration(latestStart * float64(j.deadline.Sub(j.request.Arrived)))
+	if j.route.Patience > patienceMargin {
+		hold = min(hold, j.route.Patience-patienceMargin)
 	}
-	return nil
+	return j.request.Arrived.Add(hold)
 }
 
 func mayHaveRun(problem *fault.Error) *fault.Error {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -255,6 +255,18 @@
 	return shortest, found
 }
 
+// Holds reports whether a runner of the service is believed to hold a model.
+func (f *Fleet) Holds(service, model string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, known := range f.runners {
+		if known.present && known.listed.Service == service && f.holds(known, backend.Unit{Model: model}) {
+			return true
+		}
+	}
+	return false
+}
+
 // Runners returns what the platform lists of a service's runners.
 func (f *Fleet) Runners(service string) []backend.Runner {
 	f.mutex.Lock()
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -15,7 +15,7 @@
 	// maximumComingAdapters is how many adapters may be on their way to a runner.
 	maximumComingAdapters = 4
 	// adapterTime is how long an adapter is expected to take.
-	adapterTime = 25 * time.Millisecond
+	adapterTime = 20 * time.Millisecond
 	// reportInterval is the time between two reports of a busy runner.
 	reportInterval = 60 * time.Millisecond
 	// restingInterval is the same for a runner with nothing under way.
@@ -108,6 +108,20 @@
 // Copies returns the weights kept near the runner.
 func (l *Ledger) Copies() backend.Copies { return l.copies }
 
+// NextDue returns when something of the account is due: a report, or an
+// adapter's load.
+func (l *Ledger) NextDue() time.Time {
+	due := l.nextReport
+	for _, model := range l.models {
+		for _, adapter := range model.Adapters {
+			if adapter.Coming && adapter.Due.Before(due) {
+				due = adapter.Due
+			}
+		}
+	}
+	return due
+}
+
 // WantsReport reports whether the runner should be asked for a report now, and
 // notes that it is.
 func (l *Ledger) WantsReport(now time.Time) bool {
