--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -23,6 +23,9 @@
 	activeCost = 0.02
 	// surplusFactor lowers the loss of a replica that others stand in for.
 	surplusFactor = 0.25
+	// unusedRate is the requests a second assumed of a model that was not asked
+	// for yet.
+	unusedRate = 0.03
 	// gainPerWork is what a replica is worth for each share of a runner's time
 	// that it takes over.
 	gainPerWork = 20.0
@@ -112,7 +115,10 @@
 	demand := p.state.Demand[backend.Unit{Model: model}]
 	cost := drainCost * float64(runner.Models[model].Active)
 	if demand == nil {
-		return cost
+		demand = &Demand{Rate: unusedRate}
+		if p.copies[model] > 1 {
+			demand.Rate = 0
+		}
 	}
 	missed := min(p.expectedRate(demand)*horizon, 1) * reloadCost
 	if p.copies[model] > p.desired(model, demand) && p.copies[model] > 1 {
