End a stop within its grace on a slow machine; send back requests that a runner refused as not run

And a request that a runner had refused as not run was held as if its client had come back.

Change: background work is waited for 100 ms at most, the margins at the end of the grace are wider; only a request that may have run counts as returned.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -111,7 +111,7 @@
 // returned reports whether the client was refused before: it has less time left
 // than the route gives.
 func (j *job) returned() bool {
-	if j.request.StartWithin > 0 || j.sent > 0 {
+	if j.request.StartWithin > 0 || j.ran > 0 {
 		return true
 	}
 	return j.request.Patience > 0 && float64(j.request.Patience) < returnedShare*float64(j.route.Timeout)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,7 +64,9 @@
 const (
 	// decisionsKept is how many decisions a node remembers for operators.
 	decisionsKept = 2000
-	logCloseLimit = 200 * time.Millisecond
+	logCloseLimit = 50 * time.Millisecond
+	// endLimit bounds the wait for background work after a stop.
+	endLimit = 100 * time.Millisecond
 )
 
 // Node is one process.
@@ -165,13 +167,26 @@
 	<-ctx.Done()
 	n.stop(s.Stop)
 	end()
-	n.controls.wait()
-	work.Wait()
+	work.Go(n.controls.wait)
+	waitAtMost(&work, endLimit)
 	n.log.Info("node stopped", "node", s.Node)
 	n.log.Close(logCloseLimit)
 	return nil
 }
 
+// waitAtMost waits for work, but not longer than a stop allows.
+func waitAtMost(work *sync.WaitGroup, limit time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		work.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(limit):
+	}
+}
+
 // listeners are the open listening sockets; nil for what is not served.
 type listeners struct {
 	clients   net.Listener
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -14,7 +14,7 @@
 const (
 	// stopMargin is the part of the grace that is kept for the very end, and
 	// answerMargin the time in which the last requests get their answers.
-	stopMargin   = 400 * time.Millisecond
+	stopMargin   = 700 * time.Millisecond
 	answerMargin = 500 * time.Millisecond
 	pathReady    = "/readyz"
 	pathFigures  = "/metrics"
