Count only copies that serve when one is to make way

Change: the loss of a copy, and whether requests need it, is judged by the copies that serve. TestOnlyReadyCopyIsKept failed first.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -42,6 +42,8 @@
 	// object, for the bound on replicas.
 	copies  map[string]int
 	present map[string]int
+	// ready counts the runners at which a model is served.
+	ready map[string]int
 	// staying counts, by object, the replicas that are not being unloaded.
 	staying map[string]int
 }
@@ -49,7 +51,7 @@
 // MakePlan decides what to order now.
 func MakePlan(state *State) Plan {
 	p := &planner{
-		state: state, taken: make(map[string]bool), loads: state.Loads, copies: make(map[string]int), present: make(map[string]int), staying: make(map[string]int),
+		state: state, taken: make(map[string]bool), loads: state.Loads, copies: make(map[string]int), present: make(map[string]int), staying: make(map[string]int), ready: make(map[string]int),
 		plan: Plan{Intents: make(map[string]Intent)},
 	}
 	p.countCopies()
@@ -72,6 +74,9 @@
 			}
 			if !held.Leaving && !held.Uncertain && !runner.Drained {
 				p.copies[model]++
+				if !held.Coming {
+					p.ready[model]++
+				}
 			}
 		}
 	}
@@ -289,6 +294,7 @@
 			return
 		}
 		p.copies[victim]--
+		p.ready[victim]--
 		p.plan.Steps = append(p.plan.Steps, Step{
 			Runner: runner.ID, Action: backend.Unload, Unit: backend.Unit{Model: victim}, Reason: "room for " + model,
 		})
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -114,6 +114,23 @@
 	assert.Equal(t, len(MakePlan(state).Steps), 0)
 }
 
+// TestOnlyReadyCopyIsKept: a copy that is still coming elsewhere does not make the
+// only one that serves superfluous. It failed first: a model was unloaded 0.3 s
+// after it came, as a second copy had been decided.
+func TestOnlyReadyCopyIsKept(t *testing.T) {
+	state := testState(2, 4)
+	state.Runners[0].hold("m0")
+	state.Runners[0].hold("m1")
+	state.Runners[1].hold("m0").Coming = true
+	state.Runners[1].Idle = false
+	state.Demand[backend.Unit{Model: "m0"}] = &Demand{Rate: 1, Work: 0.02, LastUse: testNow}
+	state.Demand[backend.Unit{Model: "m1"}] = &Demand{Rate: 0.1, Work: 0.01, LastUse: testNow.Add(-time.Second)}
+	waits(state, backend.Unit{Model: "m2"})
+	steps := MakePlan(state).Steps
+	assert.Equal(t, len(steps), 1)
+	assert.Equal(t, steps[0].Unit.Model, "m1")
+}
+
 // TestAdapterMakesRoomFirst: with all places taken, the adapter used the longest
 // ago is unloaded and the one waited for loaded, in this order.
 func TestAdapterMakesRoomFirst(t *testing.T) {
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -96,10 +96,10 @@
 	}
 }
 
-// needed reports whether requests wait for a model that only one runner holds.
+// needed reports whether requests wait for a model that only one runner serves.
 func (p *planner) needed(model string) bool {
 	demand := p.state.Demand[backend.Unit{Model: model}]
-	return demand != nil && demand.Waiting > 0 && p.copies[model] <= 1
+	return demand != nil && demand.Waiting > 0 && p.ready[model] <= 1
 }
 
 func (p *planner) nextVictim(runner *Runner, wanted string) string {
@@ -114,20 +114,23 @@
 func (p *planner) loss(runner *Runner, model string) float64 {
 	demand := p.state.Demand[backend.Unit{Model: model}]
 	cost := drainCost * float64(runner.Models[model].Active)
+	others := p.ready[model] - 1
 	if demand == nil {
-		demand = &Demand{Rate: unusedRate}
-		if p.copies[model] > 1 {
-			demand.Rate = 0
+		demand = &Demand{}
+		if others <= 0 {
+			demand.Rate = unusedRate
 		}
 	}
 	missed := min(p.expectedRate(demand)*horizon, 1) * reloadCost
-	if p.copies[model] > p.desired(model, demand) && p.copies[model] > 1 {
+	switch {
+	case others <= 0:
+		// Copies that are still coming stand in for nothing yet.
+		return cost + missed + demand.Work*gainPerWork
+	case p.ready[model] > p.desired(model, demand):
 		return cost + surplusFactor*missed
+	default:
+		return cost + p.gain(need{model: model, demand: demand, holders: others})
 	}
-	if p.copies[model] > 1 {
-		return cost + p.gain(need{model: model, demand: demand, holders: p.copies[model] - 1})
-	}
-	return cost + missed + demand.Work*gainPerWork
 }
 
 // expectedRate estimates the requests a second to come from the recent ones.
