Keep the holder's work and memory bounded as runners grow

The holder asked all runners for reports one by one, told every node every runner's state again and again, and kept a connection to each.

Ruled out: the plan itself as the main cost (it is short next to reports); fewer nodes reporting (they are what demand is known by).

Change: a resting runner is believed as the platform lists it, an order needs a report first (TestListedRunnerIsConfirmedFirst); at most 24 reports at once; a plan waits three times as long as the last one took; nodes are told only the changes of the last 8 s; a node at which nothing waits gathers news for 200 ms; nodes report less often the more there are; few resting connections.

--- a/cmd/lilacvane/main.go
+++ b/cmd/lilacvane/main.go
@@ -15,8 +15,11 @@
 )
 
 const (
-	idleConnections = 4
-	idleTimeout     = 20 * time.Second
+	// Calls to one peer come in bursts; resting connections are few in all, as
+	// there may be thousands of runners.
+	idleConnections    = 2
+	idleConnectionsAll = 48
+	idleTimeout        = 10 * time.Second
 )
 
 func main() {
@@ -39,6 +42,6 @@
 
 func client() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		MaxIdleConns: idleConnectionsAll, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}}
 }
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -31,6 +31,13 @@
 	reportTimeout = 300 * time.Millisecond
 	// reportRetry is the time until a runner that did not report is asked again.
 	reportRetry = 500 * time.Millisecond
+	// maximumReports bounds the reports asked for at once.
+	maximumReports = 24
+	// planShare is how many times as long as a plan took the next one waits.
+	planShare = 3
+	// recentView is how long a change of a runner is told to nodes that did not
+	// hear of it; by then the platform's list tells it.
+	recentView = 8 * time.Second
 	// planInterval is how often a plan is made unasked, leastInterval the least
 	// time between two plans.
 	planInterval  = 200 * time.Millisecond
@@ -80,16 +87,18 @@
 
 	mutex sync.Mutex
 	// token is the lease under which the accounts were made; zero for none.
-	token    uint64
-	version  uint64
-	changed  chan struct{}
-	ledgers  map[string]*orders.Ledger
-	intents  map[string]scheduler.Intent
-	demand   *demandBook
-	limiter  *rate.Limiter
-	floors   map[string]int
-	keep     map[string]time.Duration
-	rulesAt  time.Time
+	token   uint64
+	version uint64
+	changed chan struct{}
+	ledgers map[string]*orders.Ledger
+	intents map[string]scheduler.Intent
+	demand  *demandBook
+	limiter *rate.Limiter
+	floors  map[string]int
+	keep    map[string]time.Duration
+	rulesAt time.Time
+	// asking counts the reports that are being asked for.
+	asking   int
 	inFlight sync.WaitGroup
 }
 
@@ -111,10 +120,11 @@
 		case <-timer.C:
 		case <-c.trigger:
 		}
+		started := time.Now()
 		if engine := c.engine(); engine != nil {
 			c.tick(ctx, engine)
 		}
-		sleep(ctx, leastInterval)
+		sleep(ctx, max(leastInterval, planShare*time.Since(started)))
 		timer.Reset(c.untilDue())
 	}
 }
@@ -129,8 +139,8 @@
 		return pause
 	}
 	for _, ledger := range c.ledgers {
-		if !ledger.Runner.Draining {
-			pause = min(pause, max(time.Until(ledger.NextDue()), leastInterval))
+		if due := ledger.NextDue(); !due.IsZero() && !ledger.Runner.Draining {
+			pause = min(pause, max(time.Until(due), leastInterval))
 		}
 	}
 	return pause
@@ -169,7 +179,7 @@
 		return
 	}
 	now := time.Now()
-	c.takeRunners()
+	c.takeRunners(now)
 	c.askReports(ctx, now)
 	for _, ledger := range c.ledgers {
 		if ledger.Settle(now) {
@@ -220,7 +230,7 @@
 }
 
 // takeRunners follows the platform's list. mutex is held.
-func (c *Controller) takeRunners() {
+func (c *Controller) takeRunners(now time.Time) {
 	listed := make(map[string]bool)
 	for _, runner := range c.Fleet.Runners(c.Service) {
 		listed[runner.ID] = true
@@ -229,7 +239,9 @@
 			ledger = orders.NewLedger(runner)
 			c.ledgers[runner.ID] = ledger
 		}
-		ledger.Runner = runner
+		if ledger.Listed(runner, now) {
+			c.changedView(ledger)
+		}
 	}
 	for id := range c.ledgers {
 		if !listed[id] {
@@ -241,9 +253,13 @@
 // askReports asks the runners whose state may have changed. mutex is held.
 func (c *Controller) askReports(ctx context.Context, now time.Time) {
 	for _, ledger := range c.ledgers {
+		if c.asking >= maximumReports {
+			return
+		}
 		if ledger.Runner.Draining || !ledger.WantsReport(now) {
 			continue
 		}
+		c.asking++
 		c.inFlight.Add(1)
 		go c.askReport(ctx, c.token, ledger.Runner)
 	}
@@ -257,6 +273,7 @@
 	report, err := c.Runners.Report(ctx, runner)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.asking--
 	ledger := c.ledgers[runner.ID]
 	if c.token != token || ledger == nil {
 		return
@@ -279,6 +296,7 @@
 func (c *Controller) changedView(ledger *orders.Ledger) {
 	c.version++
 	ledger.Version = c.version
+	ledger.ChangedAt = time.Now()
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
@@ -398,6 +416,10 @@
 // begin notes a step as being sent. The lease is checked here, right before.
 // mutex is held.
 func (c *Controller) begin(ledger *orders.Ledger, step scheduler.Step) (backend.Order, bool) {
+	if !ledger.Confirm(time.Now()) {
+		c.Wake()
+		return backend.Order{}, false
+	}
 	token, ok := c.Lessor.Act()
 	if !ok || token != c.token || !ledger.MayOrder(step.Unit, time.Now()) {
 		return backend.Order{}, false
@@ -499,16 +521,19 @@
 
 const maximumHoldMs = 5000
 
-// account lists the runners that changed since the node's account. mutex is
-// held.
+// account lists the runners that changed lately and since the node's account; the
+// platform's list tells of the others. mutex is held.
 func (c *Controller) account(request wire.SyncRequest) wire.SyncResponse {
-	response := wire.SyncResponse{Token: c.token, Version: c.version, Nodes: c.demand.nodes(time.Now())}
-	response.Whole = request.Token != c.token
+	now := time.Now()
+	response := wire.SyncResponse{Token: c.token, Version: c.version, Nodes: c.demand.nodes(now)}
+	known := request.Version
+	if request.Token != c.token {
+		known = 0
+	}
 	for id, ledger := range c.ledgers {
-		if !ledger.Known() || (!response.Whole && ledger.Version <= request.Version) {
-			continue
+		if ledger.Known() && ledger.Version > known && now.Sub(ledger.ChangedAt) < recentView {
+			response.Runners = append(response.Runners, viewOf(id, ledger, now))
 		}
-		response.Runners = append(response.Runners, viewOf(id, ledger, time.Now()))
 	}
 	return response
 }
--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// reportLifetime is how long a node's word is believed.
-	reportLifetime = 2 * time.Second
+	// reportLifetime is how long a node's word is believed, in reports.
+	reportLifetime = 8
 	// rateHalfLife is how fast the rate of a unit follows its use.
 	rateHalfLife = 3 * time.Second
 	// tokensPerSecond is what a runner reads when it does nothing else.
@@ -85,10 +85,13 @@
 // perSecond turns a fading count into a rate.
 func perSecond(count float64) float64 { return count * math.Ln2 / rateHalfLife.Seconds() }
 
+// lifetime is how long a node's word is believed.
+func (d *demandBook) lifetime() time.Duration { return reportLifetime * reportEvery(len(d.reports)) }
+
 // nodes counts the nodes that reported lately.
 func (d *demandBook) nodes(now time.Time) int {
 	for node, report := range d.reports {
-		if now.Sub(report.at) > reportLifetime {
+		if now.Sub(report.at) > d.lifetime() {
 			delete(d.reports, node)
 		}
 	}
@@ -109,7 +112,7 @@
 func (d *demandBook) running(now time.Time) map[string]map[string]int {
 	sums := make(map[string]map[string]int)
 	for _, report := range d.reports {
-		if now.Sub(report.at) > reportLifetime {
+		if now.Sub(report.at) > d.lifetime() {
 			continue
 		}
 		for _, usage := range report.running {
@@ -139,7 +142,7 @@
 		}
 	}
 	for _, report := range d.reports {
-		if now.Sub(report.at) > reportLifetime {
+		if now.Sub(report.at) > d.lifetime() {
 			continue
 		}
 		for _, waiting := range report.waiting {
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -24,6 +24,8 @@
 	urgentInterval = 10 * time.Millisecond
 	// syncTimeout bounds a call beyond its hold.
 	syncTimeout = 500 * time.Millisecond
+	// restingPause lies between two watches of a node at which nothing waits.
+	restingPause = 200 * time.Millisecond
 	// retryPause follows a failed call.
 	retryPause = 150 * time.Millisecond
 )
@@ -44,7 +46,9 @@
 	mutex   sync.Mutex
 	token   uint64
 	version uint64
-	lost    bool
+	// nodeCount is how many nodes the holder knows.
+	nodeCount int
+	lost      bool
 }
 
 // NewSyncer returns a syncer for a service.
@@ -67,8 +71,13 @@
 // watch takes over changes as they come.
 func (s *Syncer) watch(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := s.call(ctx, wire.SyncRequest{HoldMs: watchHold.Milliseconds()}); err != nil {
+		err := s.call(ctx, wire.SyncRequest{HoldMs: watchHold.Milliseconds()})
+		switch {
+		case err != nil:
 			sleep(ctx, retryPause)
+		case !s.book.Waits(s.service):
+			// Nothing waits for news, so they are gathered.
+			sleep(ctx, restingPause)
 		}
 	}
 }
@@ -86,7 +95,7 @@
 		case <-s.book.Urgent():
 		}
 		err := s.call(ctx, s.report())
-		pause := reportInterval
+		pause := reportEvery(s.nodes())
 		if err != nil {
 			pause = retryPause
 		}
@@ -95,6 +104,22 @@
 	}
 }
 
+// nodesPerInterval is how many nodes may report to a holder within
+// reportInterval.
+const nodesPerInterval = 32
+
+// reportEvery is the time between two reports of a node: the more nodes there are,
+// the longer, so that the holder's work stays bounded.
+func reportEvery(nodes int) time.Duration {
+	return reportInterval * time.Duration(max(1, nodes/nodesPerInterval))
+}
+
+func (s *Syncer) nodes() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.nodeCount
+}
+
 // report sums up the node's demand.
 func (s *Syncer) report() wire.SyncRequest {
 	request := wire.SyncRequest{Report: true}
@@ -159,16 +184,14 @@
 	if response.Token < s.token || (response.Token == s.token && response.Version < s.version) {
 		return
 	}
-	if response.Token != s.token && !response.Whole {
-		return
-	}
 	s.token, s.version = response.Token, response.Version
+	s.nodeCount = response.Nodes
 	s.setNodes(response.Nodes)
 	views := make([]fleet.View, 0, len(response.Runners))
 	for _, runner := range response.Runners {
 		views = append(views, fleetView(runner))
 	}
-	s.fleet.ApplyViews(s.service, views, response.Whole)
+	s.fleet.ApplyViews(views)
 }
 
 func fleetView(runner wire.RunnerView) fleet.View {
--- a/internal/demand/book.go
+++ b/internal/demand/book.go
@@ -101,6 +101,18 @@
 	usage.Tokens += tokens
 }
 
+// Waits reports whether anything waits at a service.
+func (b *Book) Waits(service string) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for key := range b.waiting {
+		if key.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // Waiting returns what waits now.
 func (b *Book) Waiting() []Waiting {
 	b.mutex.Lock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,7 +12,7 @@
 
 const (
 	// viewLifetime is how long the control holder's account of a runner goes
-	// before the platform's list without being renewed.
+	// before a newer word of the platform's list, which lags.
 	viewLifetime = 3 * time.Second
 	// missingLifetime is how long a runner that vanished from the list without
 	// a word stays as a last choice.
@@ -46,8 +46,6 @@
 
 	mutex   sync.Mutex
 	runners map[string]*runner
-	// viewAt is when each service's control holder last confirmed its views.
-	viewAt map[string]time.Time
 	// changed is closed and replaced whenever a waiting request may find a
 	// runner that it did not find before.
 	changed chan struct{}
@@ -55,8 +53,9 @@
 
 // runner is one incarnation. Fleet.mutex guards it.
 type runner struct {
-	listed  backend.Runner
-	present bool
+	listed   backend.Runner
+	listedAt time.Time
+	present  bool
 	// goneAt is when the runner left the list.
 	goneAt time.Time
 	view   *view
@@ -74,6 +73,7 @@
 }
 
 type view struct {
+	at     time.Time
 	ready  map[backend.Unit]bool
 	coming map[backend.Unit]time.Time
 }
@@ -81,7 +81,7 @@
 // New returns an empty fleet for a node in zone. drained tells runners that a
 // planned stop empties.
 func New(zone string, now func() time.Time, drained func(runner, zone string) bool) *Fleet {
-	return &Fleet{zone: zone, now: now, drained: drained, runners: make(map[string]*runner), viewAt: make(map[string]time.Time), changed: make(chan struct{})}
+	return &Fleet{zone: zone, now: now, drained: drained, runners: make(map[string]*runner), changed: make(chan struct{})}
 }
 
 // Wake lets waiting requests look again.
@@ -147,6 +147,7 @@
 		f.runners[listed.ID] = known
 	}
 	known.listed = listed
+	known.listedAt = f.now()
 	known.present = true
 	known.units = unitsOf(listed.Models)
 }
@@ -174,36 +175,23 @@
 	}
 }
 
-// ApplyViews takes over the accounts of a service's control holder. With whole
-// set, they replace all earlier ones.
-func (f *Fleet) ApplyViews(service string, views []View, whole bool) {
+// ApplyViews takes over accounts of a service's control holder.
+func (f *Fleet) ApplyViews(views []View) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.viewAt[service] = f.now()
-	if whole {
-		f.dropViews(service)
-	}
 	for _, account := range views {
 		if known := f.runners[account.Runner]; known != nil {
 			known.view = f.newView(account)
 			clear(known.refused)
 		}
 	}
-	if whole || len(views) > 0 {
+	if len(views) > 0 {
 		f.notify()
 	}
 }
 
-func (f *Fleet) dropViews(service string) {
-	for _, known := range f.runners {
-		if known.listed.Service == service {
-			known.view = nil
-		}
-	}
-}
-
 func (f *Fleet) newView(account View) *view {
-	taken := &view{ready: unitsOf(account.Ready), coming: make(map[backend.Unit]time.Time, len(account.Coming))}
+	taken := &view{at: f.now(), ready: unitsOf(account.Ready), coming: make(map[backend.Unit]time.Time, len(account.Coming))}
 	for _, coming := range account.Coming {
 		taken.coming[coming.Unit] = f.now().Add(coming.In)
 	}
@@ -226,12 +214,18 @@
 	if until, ok := known.refused[unit]; ok && f.now().Before(until) {
 		return false
 	}
-	if known.view != nil && f.now().Sub(f.viewAt[known.listed.Service]) < viewLifetime {
+	if known.view != nil && f.viewCounts(known) {
 		return known.view.ready[unit]
 	}
 	return known.units[unit]
 }
 
+// viewCounts reports whether the holder's account of a runner goes before the
+// list's: it is young, or the list told nothing since.
+func (f *Fleet) viewCounts(known *runner) bool {
+	return f.now().Sub(known.view.at) < viewLifetime || !known.listedAt.After(known.view.at)
+}
+
 // Expected returns the shortest time until a runner of the service holds the
 // unit, as far as a load is known to be under way.
 func (f *Fleet) Expected(service string, unit backend.Unit) (time.Duration, bool) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -73,12 +73,12 @@
 	assert.Assert(t, !ok)
 }
 
-// TestHolderIsBelievedWhileItSpeaks: the lease holder's account goes before the
-// list until it has not been renewed.
-func TestHolderIsBelievedWhileItSpeaks(t *testing.T) {
+// TestHolderIsBelievedBeforeTheList: the lease holder's account goes before the
+// list's until the list says something newer and the account is old.
+func TestHolderIsBelievedBeforeTheList(t *testing.T) {
 	f, c := testFleet()
 	f.Replace([]backend.Runner{listed("r1", "old")}, false)
-	f.ApplyViews("s", []View{{Runner: "r1", Ready: []backend.Holding{{Model: "new"}}, Coming: []Coming{{Unit: backend.Unit{Model: "next"}, In: time.Second}}}}, true)
+	f.ApplyViews([]View{{Runner: "r1", Ready: []backend.Holding{{Model: "new"}}, Coming: []Coming{{Unit: backend.Unit{Model: "next"}, In: time.Second}}}})
 	_, holds := f.Choose(Query{Service: "s", Unit: backend.Unit{Model: "new"}})
 	assert.Assert(t, holds)
 	_, holds = f.Choose(Query{Service: "s", Unit: backend.Unit{Model: "old"}})
@@ -86,6 +86,9 @@
 	in, coming := f.Expected("s", backend.Unit{Model: "next"})
 	assert.Assert(t, coming && in == time.Second)
 	c.now = c.now.Add(viewLifetime)
+	_, holds = f.Choose(Query{Service: "s", Unit: backend.Unit{Model: "new"}})
+	assert.Assert(t, holds, "the list told nothing since")
+	f.Apply([]backend.Runner{listed("r1", "old")}, nil, false)
 	_, holds = f.Choose(Query{Service: "s", Unit: backend.Unit{Model: "old"}})
 	assert.Assert(t, holds)
 }
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -4,6 +4,7 @@
 package orders
 
 import (
+	"reflect"
 	"slices"
 	"time"
 
@@ -18,8 +19,9 @@
 	adapterTime = 20 * time.Millisecond
 	// reportInterval is the time between two reports of a busy runner.
 	reportInterval = 60 * time.Millisecond
-	// restingInterval is the same for a runner with nothing under way.
-	restingInterval = 6 * time.Second
+	// longestInterval is the longest time without a report of a runner with
+	// something under way. One with nothing under way is believed as listed.
+	longestInterval = time.Second
 	// settledReport is the age at which an order must show in every report.
 	settledReport = 500 * time.Millisecond
 	// conflictPause follows a refused order.
@@ -31,8 +33,12 @@
 	Runner backend.Runner
 	// Version is the controller's version of the last change of the view.
 	Version uint64
+	// ChangedAt is when that was.
+	ChangedAt time.Time
 
+	// known is set once the runner's state was told, reported once by itself.
 	known    bool
+	reported bool
 	sequence uint64
 	models   map[string]*Model
 	// lost are orders without an answer that may still be carried out, until
@@ -109,12 +115,12 @@
 func (l *Ledger) Copies() backend.Copies { return l.copies }
 
 // NextDue returns when something of the account is due: a report, or an
-// adapter's load.
+// adapter's load; zero when nothing is.
 func (l *Ledger) NextDue() time.Time {
 	due := l.nextReport
 	for _, model := range l.models {
 		for _, adapter := range model.Adapters {
-			if adapter.Coming && adapter.Due.Before(due) {
+			if adapter.Coming && (due.IsZero() || adapter.Due.Before(due)) {
 				due = adapter.Due
 			}
 		}
@@ -125,7 +131,7 @@
 // WantsReport reports whether the runner should be asked for a report now, and
 // notes that it is.
 func (l *Ledger) WantsReport(now time.Time) bool {
-	if l.sending != nil || now.Before(l.nextReport) {
+	if l.sending != nil || l.nextReport.IsZero() || now.Before(l.nextReport) {
 		return false
 	}
 	l.nextReport = now.Add(reportInterval)
@@ -135,6 +141,39 @@
 // ReportFailed delays the next report of a runner that does not answer.
 func (l *Ledger) ReportFailed(now time.Time, pause time.Duration) { l.nextReport = now.Add(pause) }
 
+// Listed takes over the platform's word of the runner. It lags and leaves out what
+// is on its way, so it is only believed of a runner that has not reported, and
+// only to plan with: an order needs a report. A word that differs from the
+// account asks for one. It returns whether the view changed.
+func (l *Ledger) Listed(runner backend.Runner, now time.Time) bool {
+	changed := !reflect.DeepEqual(runner.Models, l.Runner.Models) || runner.Sequence != l.Runner.Sequence
+	l.Runner = runner
+	if l.reported {
+		if changed && (l.busy || runner.Sequence > l.sequence) {
+			l.nextReport = now
+		}
+		return false
+	}
+	if l.known && !changed {
+		return false
+	}
+	before := l.fingerprint()
+	l.known = true
+	l.sequence = runner.Sequence
+	l.copies = runner.Copies
+	l.takeModels(backend.Report{Models: runner.Models}, now)
+	return before != l.fingerprint()
+}
+
+// Confirm asks for a report of a runner that is to be ordered and has not
+// reported yet. It returns whether the runner has.
+func (l *Ledger) Confirm(now time.Time) bool {
+	if !l.reported && l.nextReport.IsZero() {
+		l.nextReport = now
+	}
+	return l.reported
+}
+
 // Reported takes over a report that was asked for at a time. One that is behind
 // the last accepted order is passed over, unless it was asked so long after it
 // that it must show it. It returns whether the view changed.
@@ -147,13 +186,13 @@
 		l.unsure = false
 	}
 	before := l.fingerprint()
-	l.known = true
+	l.known, l.reported = true, true
 	l.sequence = report.Sequence
 	l.forgetPassed()
 	l.busy = report.Busy
 	l.copies = report.Copies
 	l.takeModels(report, now)
-	l.nextReport = now.Add(restingInterval)
+	l.nextReport = time.Time{}
 	if l.busy || l.unsure || l.comingAdapters() > 0 {
 		l.nextReport = now.Add(reportInterval)
 	}
@@ -308,6 +347,9 @@
 	}
 	l.busy = true
 	l.nextReport = due
+	if soon := now.Add(longestInterval); due.After(soon) {
+		l.nextReport = soon
+	}
 	if order.Action == backend.Load {
 		l.models[unit.Model] = &Model{Coming: true, Due: due, Adapters: make(map[string]*Adapter)}
 		return
@@ -328,7 +370,7 @@
 		return
 	}
 	model.Adapters[order.Unit.Adapter] = &Adapter{Coming: true, Due: now.Add(adapterTime)}
-	if l.nextReport.After(now.Add(adapterTime)) {
+	if l.nextReport.IsZero() || l.nextReport.After(now.Add(adapterTime)) {
 		l.nextReport = now.Add(adapterTime + backend.ReportLag)
 	}
 }
--- a/internal/orders/ledger_test.go
+++ b/internal/orders/ledger_test.go
@@ -119,13 +119,18 @@
 		ledger.Reported(runner.report(), now, now)
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 120).Draw(t, "ms")) * time.Millisecond)
-			switch rapid.SampledFrom([]string{"order", "order", "report", "report", "loaded", "late"}).Draw(t, "what") {
+			switch rapid.SampledFrom([]string{"order", "order", "report", "report", "listed", "loaded", "late"}).Draw(t, "what") {
 			case "order":
 				unit := backend.Unit{Model: fmt.Sprintf("m%d", rapid.IntRange(0, 4).Draw(t, "model"))}
 				if rapid.Bool().Draw(t, "adapter") {
 					unit.Adapter = fmt.Sprintf("a%d", rapid.IntRange(0, 2).Draw(t, "name"))
 				}
 				giveOrder(t, ledger, runner, engine, unit, now)
+			case "listed":
+				// The platform's list is older still.
+				index := rapid.IntRange(0, len(reports)-1).Draw(t, "row")
+				row := reports[index].report
+				ledger.Listed(backend.Runner{ID: "r", Models: row.Models, Sequence: row.Sequence}, now)
 			case "report":
 				// A report is as old as the lag allows, and may be old for longer.
 				lag := now.Add(-time.Duration(rapid.IntRange(0, 140).Draw(t, "lag")) * time.Millisecond)
@@ -199,3 +204,23 @@
 	assert.Equal(t, ledger.Free(engine), 60.0, "the number that it expects has passed")
 	assert.Equal(t, len(ledger.Uncertain()), 0)
 }
+
+// TestListedRunnerIsConfirmedFirst: the platform's word leaves out adapters on
+// their way, so an order waits for a report. It failed first: adapters were
+// ordered beyond a runner's places on the strength of the list.
+func TestListedRunnerIsConfirmedFirst(t *testing.T) {
+	engine := testEngine()
+	now := time.Unix(1000, 0)
+	ledger := NewLedger(backend.Runner{ID: "r"})
+	row := backend.Runner{ID: "r", Sequence: 4, Models: []backend.Holding{{Model: "m0", Adapters: []string{"a0"}}}}
+	assert.Assert(t, ledger.Listed(row, now))
+	assert.Equal(t, ledger.FreeAdapterSlots(engine), 1)
+	assert.Assert(t, !ledger.Confirm(now))
+	assert.Assert(t, ledger.WantsReport(now))
+	report := backend.Report{Sequence: 4, Models: row.Models, Pending: []backend.Unit{{Model: "m0", Adapter: "a1"}}}
+	ledger.Reported(report, now, now)
+	assert.Assert(t, ledger.Confirm(now))
+	assert.Equal(t, ledger.FreeAdapterSlots(engine), 0)
+	assert.Assert(t, !ledger.Listed(row, now.Add(time.Second)), "the list is behind the account")
+	assert.Equal(t, ledger.FreeAdapterSlots(engine), 0)
+}
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -50,10 +50,8 @@
 
 // SyncResponse is the holder's account of the runners.
 type SyncResponse struct {
-	Token   uint64 `cbor:"1,keyasint"`
-	Version uint64 `cbor:"2,keyasint"`
-	// Whole is set when Runners replaces all earlier accounts.
-	Whole   bool         `cbor:"3,keyasint,omitempty"`
+	Token   uint64       `cbor:"1,keyasint"`
+	Version uint64       `cbor:"2,keyasint"`
 	Runners []RunnerView `cbor:"4,keyasint,omitempty"`
 	// Nodes is how many nodes reported lately.
 	Nodes int `cbor:"5,keyasint"`
