Count what an earlier holder's orders may still be loading

Cause: read while writing the mutations, and shown by a test that failed: a holder is killed while a runner loads a model of which one replica is allowed; the next holder believed the platform's list, which leaves out loads under way, and loaded a second one (TestReplicaOnItsWayCountsForNextHolder: 2, not 1). The runner's own report does not tell what it is busy with either, so before that belief the fault was there as well, hidden by the stand-in: its report told the account before the last change however long ago that was. For the same reason an adapter could be ordered beside an unknown load and overcommit the runner.

Ruled out: the turn gap, the two holders' orders lay 2.5 s apart as they must after an early release by the lease's record; the scheduler, which already subtracts runners of which nothing is known.

Change: a runner counts as known only when it has reported itself and, if it is busy, the account says with what; while replicas are bounded every runner is asked; no adapter is ordered on a runner that is busy with something unknown (TestBusyRunnerOfEarlierHolder). The stand-in's report is the account of ReportLag ago. On the users' platform models have no bound, so no more reports are asked for there.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -109,6 +109,16 @@
 	Models         map[string]*Model
 }
 
+// Bounded reports whether the replicas of some model are bounded.
+func (e *Engine) Bounded() bool {
+	for _, model := range e.Models {
+		if model.MaximumReplicas != Unlimited {
+			return true
+		}
+	}
+	return false
+}
+
 // Model is one set of weights.
 type Model struct {
 	Name string
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -179,7 +179,7 @@
 		return
 	}
 	now := time.Now()
-	c.takeRunners(now)
+	c.takeRunners(engine, now)
 	c.askReports(ctx, now)
 	for _, ledger := range c.ledgers {
 		if ledger.Settle(now) {
@@ -229,8 +229,10 @@
 	}
 }
 
-// takeRunners follows the platform's list. mutex is held.
-func (c *Controller) takeRunners(now time.Time) {
+// takeRunners follows the platform's list. While replicas are bounded each runner
+// has to tell itself what it loads. mutex is held.
+func (c *Controller) takeRunners(engine *config.Engine, now time.Time) {
+	bounded := engine.Bounded()
 	listed := make(map[string]bool)
 	for _, runner := range c.Fleet.Runners(c.Service) {
 		listed[runner.ID] = true
@@ -242,6 +244,9 @@
 		if ledger.Listed(runner, now) {
 			c.changedView(ledger)
 		}
+		if bounded {
+			ledger.Confirm(now)
+		}
 	}
 	for id := range c.ledgers {
 		if !listed[id] {
@@ -312,11 +317,11 @@
 	}
 	configuration := c.Configuration()
 	for id, ledger := range c.ledgers {
-		if !ledger.Known() {
+		if !ledger.Confirmed() {
+			// The list does not tell what the runner is loading.
 			state.Unknown++
-			continue
 		}
-		if ledger.Runner.Draining {
+		if !ledger.Known() || ledger.Runner.Draining {
 			continue
 		}
 		runner := describe(id, ledger, engine, running[id], now)
--- a/internal/lab/runnerstub/runner.go
+++ b/internal/lab/runnerstub/runner.go
@@ -99,11 +99,14 @@
 	active   int
 	faults   Faults
 	reports  []pastReport
-	fallen   bool
+	// changedAt is when the account last changed.
+	changedAt time.Time
+	fallen    bool
 }
 
+// pastReport is an account that was true from a moment until the next change.
 type pastReport struct {
-	at     time.Time
+	since  time.Time
 	report protocol.Report
 }
 
@@ -193,20 +196,29 @@
 
 // report returns the account of ReportLag ago. mutex is held.
 func (r *Runner) report() protocol.Report {
-	now := time.Now()
-	current := protocol.Report{
-		Models: r.held(), Available: r.available(), Busy: r.busy, Sequence: r.sequence, Active: r.active, Pending: r.pending(),
+	limit := time.Now().Add(-r.settings.ReportLag)
+	if !r.changedAt.After(limit) {
+		r.reports = nil
+		return r.account()
 	}
-	r.reports = append(r.reports, pastReport{at: now, report: current})
-	limit := now.Add(-r.settings.ReportLag)
-	for len(r.reports) > 1 && !r.reports[1].at.After(limit) {
+	for len(r.reports) > 1 && !r.reports[1].since.After(limit) {
 		r.reports = r.reports[1:]
 	}
 	return r.reports[0].report
 }
 
-// note keeps the account before a change, so that reports lag. mutex is held.
-func (r *Runner) note() { r.report() }
+// account returns the account of this moment. mutex is held.
+func (r *Runner) account() protocol.Report {
+	return protocol.Report{
+		Models: r.held(), Available: r.available(), Busy: r.busy, Sequence: r.sequence, Active: r.active, Pending: r.pending(),
+	}
+}
+
+// note keeps the account that a change is about to replace. mutex is held.
+func (r *Runner) note() {
+	r.reports = append(r.reports, pastReport{since: r.changedAt, report: r.account()})
+	r.changedAt = time.Now()
+}
 
 func (r *Runner) pending() []string {
 	pending := []string{}
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -78,6 +78,21 @@
 // Known reports whether the runner has told its state.
 func (l *Ledger) Known() bool { return l.known }
 
+// Confirmed reports whether all is known of what the runner holds and loads: it
+// has told its state itself, and when it is busy the account says with what, as
+// a report does not. An order of an earlier holder may be under way otherwise.
+func (l *Ledger) Confirmed() bool {
+	if !l.reported || !l.busy {
+		return l.reported
+	}
+	for _, model := range l.models {
+		if model.Coming || model.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // Models returns the models by name. The map must not be changed.
 func (l *Ledger) Models() map[string]*Model { return l.models }
 
@@ -295,7 +310,7 @@
 		return false
 	}
 	if unit.Adapter != "" {
-		return l.comingAdapters() < maximumComingAdapters
+		return l.Confirmed() && l.comingAdapters() < maximumComingAdapters
 	}
 	return !l.busy
 }
--- a/internal/orders/ledger_test.go
+++ b/internal/orders/ledger_test.go
@@ -224,3 +224,17 @@
 	assert.Assert(t, !ledger.Listed(row, now.Add(time.Second)), "the list is behind the account")
 	assert.Equal(t, ledger.FreeAdapterSlots(engine), 0)
 }
+
+// TestBusyRunnerOfEarlierHolder: a runner that is busy with what an earlier holder
+// ordered tells only that it is; until it is idle again nothing is certain of
+// what it holds, and no adapter is ordered beside the load.
+func TestBusyRunnerOfEarlierHolder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ledger := NewLedger(backend.Runner{ID: "r"})
+	ledger.Reported(backend.Report{Sequence: 1, Busy: true, Models: []backend.Holding{{Model: "m0"}}}, now, now)
+	assert.Assert(t, !ledger.Confirmed())
+	assert.Assert(t, !ledger.MayOrder(backend.Unit{Model: "m0", Adapter: "a0"}, now))
+	ledger.Reported(backend.Report{Sequence: 1, Models: []backend.Holding{{Model: "m0"}, {Model: "m1"}}}, now, now)
+	assert.Assert(t, ledger.Confirmed())
+	assert.Assert(t, ledger.MayOrder(backend.Unit{Model: "m0", Adapter: "a0"}, now))
+}
--- a/test/replicas_test.go
+++ b/test/replicas_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -77,6 +79,40 @@
 	load.assertTruthful(t, h)
 }
 
+// TestReplicaOnItsWayCountsForNextHolder: the holder of the lease is killed while
+// a runner loads a model, which the platform's list does not tell; the next
+// holder counts that replica and loads no other one.
+func TestReplicaOnItsWayCountsForNextHolder(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	for index := range 4 {
+		_, err := w.StartRunner(world.RunnerOptions{
+			Name: fmt.Sprintf("runner-%d", index+1), Zone: zones[index%len(zones)], MemoryMB: w.Engine.SizeMB, ModelMB: modelMiB * megabytesPerMiB,
+			Slots: w.Engine.Slots, AdapterSlots: w.Engine.LoRASlots, TokenTime: 10 * time.Millisecond, LoadTime: 10 * time.Second,
+		})
+		assert.NilError(t, err)
+	}
+	nodes := startNodes(t, w, 3)
+	apply(t, nodes[0], model("alpha", 1)...)
+	waitNamed(t, "alpha", nodes...)
+	holder := holderOf(t, w, nodes[0])
+	caller := other(nodes, holder)
+	var waiting sync.WaitGroup
+	request := call{Model: "alpha", Prompt: "one", Tokens: 4, Deadline: 25 * time.Second}
+	var got outcome
+	waiting.Go(func() { got = ask(t.Context(), caller, request, nil) })
+	waitUntil(t, "the load has begun", func() error {
+		if h := readHistory(t, w); h.most("alpha") == 0 {
+			return errors.New("nothing is loaded")
+		}
+		return nil
+	})
+	holder.Kill()
+	waiting.Wait()
+	assertServed(t, request, got)
+	assert.Equal(t, readHistory(t, w).most("alpha"), 1)
+}
+
 // TestControlWhenHolderIsLost: the holder is killed, then the next one is cut
 // off from the store, then the next one stops in order; each time another one
 // goes on, and the orders of two nodes lie apart.
