Leave resting runners to the platform's list; keep adapters in the plan

Change: what the list says of a resting runner is no longer told on.

A runner counts as busy with something unknown only when its report says that it is busy; TestListedRunnerIsConfirmedFirst says that it is planned with.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -241,9 +241,7 @@
 			ledger = orders.NewLedger(runner)
 			c.ledgers[runner.ID] = ledger
 		}
-		if ledger.Listed(runner, now) {
-			c.changedView(ledger)
-		}
+		ledger.Listed(runner, now)
 		if bounded {
 			ledger.Confirm(now)
 		}
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -79,18 +79,21 @@
 func (l *Ledger) Known() bool { return l.known }
 
 // Confirmed reports whether all is known of what the runner holds and loads: it
-// has told its state itself, and when it is busy the account says with what, as
-// a report does not. An order of an earlier holder may be under way otherwise.
-func (l *Ledger) Confirmed() bool {
-	if !l.reported || !l.busy {
-		return l.reported
+// has told its state itself and is not busy with something unknown.
+func (l *Ledger) Confirmed() bool { return l.reported && !l.foreignWork() }
+
+// foreignWork reports whether the runner is busy with an order of an earlier
+// holder: its report does not tell with what.
+func (l *Ledger) foreignWork() bool {
+	if !l.busy {
+		return false
 	}
 	for _, model := range l.models {
 		if model.Coming || model.Leaving {
-			return true
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // Models returns the models by name. The map must not be changed.
@@ -159,25 +162,23 @@
 // Listed takes over the platform's word of the runner. It lags and leaves out what
 // is on its way, so it is only believed of a runner that has not reported, and
 // only to plan with: an order needs a report. A word that differs from the
-// account asks for one. It returns whether the view changed.
-func (l *Ledger) Listed(runner backend.Runner, now time.Time) bool {
+// account asks for one. Other nodes hear it from the platform themselves.
+func (l *Ledger) Listed(runner backend.Runner, now time.Time) {
 	changed := !reflect.DeepEqual(runner.Models, l.Runner.Models) || runner.Sequence != l.Runner.Sequence
 	l.Runner = runner
 	if l.reported {
 		if changed && (l.busy || runner.Sequence > l.sequence) {
 			l.nextReport = now
 		}
-		return false
+		return
 	}
 	if l.known && !changed {
-		return false
+		return
 	}
-	before := l.fingerprint()
 	l.known = true
 	l.sequence = runner.Sequence
 	l.copies = runner.Copies
 	l.takeModels(backend.Report{Models: runner.Models}, now)
-	return before != l.fingerprint()
 }
 
 // Confirm asks for a report of a runner that is to be ordered and has not
@@ -310,7 +311,7 @@
 		return false
 	}
 	if unit.Adapter != "" {
-		return l.Confirmed() && l.comingAdapters() < maximumComingAdapters
+		return !l.foreignWork() && l.comingAdapters() < maximumComingAdapters
 	}
 	return !l.busy
 }
--- a/internal/orders/ledger_test.go
+++ b/internal/orders/ledger_test.go
@@ -213,7 +213,9 @@
 	now := time.Unix(1000, 0)
 	ledger := NewLedger(backend.Runner{ID: "r"})
 	row := backend.Runner{ID: "r", Sequence: 4, Models: []backend.Holding{{Model: "m0", Adapters: []string{"a0"}}}}
-	assert.Assert(t, ledger.Listed(row, now))
+	ledger.Listed(row, now)
+	assert.Assert(t, ledger.Known())
+	assert.Assert(t, ledger.MayOrder(backend.Unit{Model: "m0", Adapter: "a1"}, now), "it is planned with")
 	assert.Equal(t, ledger.FreeAdapterSlots(engine), 1)
 	assert.Assert(t, !ledger.Confirm(now))
 	assert.Assert(t, ledger.WantsReport(now))
@@ -221,7 +223,7 @@
 	ledger.Reported(report, now, now)
 	assert.Assert(t, ledger.Confirm(now))
 	assert.Equal(t, ledger.FreeAdapterSlots(engine), 0)
-	assert.Assert(t, !ledger.Listed(row, now.Add(time.Second)), "the list is behind the account")
+	ledger.Listed(row, now.Add(time.Second)) // behind the account
 	assert.Equal(t, ledger.FreeAdapterSlots(engine), 0)
 }
 
--- /dev/null
+++ b/internal/scheduler/bench_test.go
@@ -0,0 +1,61 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"lilacvane/internal/backend"
+)
+
+const (
+	benchmarkModels   = 93
+	benchmarkAdapters = 11_000
+	// benchmarkWaiting is one in how many adapters somebody waits for.
+	benchmarkWaiting = 200
+)
+
+// BenchmarkPlan makes plans for the target's models and adapters and a growing
+// number of runners, each of which holds two models and two adapters.
+func BenchmarkPlan(b *testing.B) {
+	for _, runners := range []int{100, 300, 1000, 3000, 10_000} {
+		b.Run(fmt.Sprintf("runners-%d", runners), func(b *testing.B) {
+			state := benchmarkState(runners)
+			b.ReportAllocs()
+			for b.Loop() {
+				MakePlan(state)
+			}
+		})
+	}
+}
+
+func benchmarkState(runners int) *State {
+	state := testState(runners, benchmarkModels)
+	for index, runner := range state.Runners {
+		for copy := range 2 {
+			model := (index*2 + copy) % benchmarkModels
+			held := runner.hold(fmt.Sprintf("m%d", model))
+			held.Adapters[adapterName(index+copy)] = &Adapter{}
+			runner.AdapterSlots--
+		}
+	}
+	for index := range benchmarkAdapters {
+		model := fmt.Sprintf("m%d", index%benchmarkModels)
+		adapter := backend.Unit{Model: model, Adapter: adapterName(index)}
+		demand := &Demand{Rate: 0.1, Work: 0.01, LastUse: testNow}
+		if index%benchmarkWaiting == 0 {
+			demand.Waiting = 1
+		}
+		state.Demand[adapter] = demand
+		whole := state.Demand[backend.Unit{Model: model}]
+		if whole == nil {
+			whole = &Demand{LastUse: testNow}
+			state.Demand[backend.Unit{Model: model}] = whole
+		}
+		whole.Rate += demand.Rate
+		whole.Work += demand.Work
+		whole.Waiting += demand.Waiting
+	}
+	return state
+}
+
+func adapterName(index int) string { return fmt.Sprintf("a%d", index%benchmarkAdapters) }
