--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -169,6 +169,33 @@
 	})
 }
 
+// TestNextHolderWaitsTheGap: the holder is cut off from the table and acts as long
+// as it may; the next one acts no sooner than the turn gap after that. The random
+// schedules rarely come this close.
+func TestNextHolderWaitsTheGap(t *testing.T) {
+	const tick = 50 * time.Millisecond
+	w := newWorld(2)
+	holder, next := w.nodes[0], w.nodes[1]
+	var cutAt, lastAct, firstAct time.Time
+	for firstAct.IsZero() {
+		w.now = w.now.Add(tick)
+		if w.now.Before(time.Unix(1003, 0)) {
+			holder.step(t.Context())
+			cutAt = w.now
+		}
+		next.step(t.Context())
+		if _, ok := holder.Act(); ok {
+			lastAct = w.now
+		}
+		if _, ok := next.Act(); ok {
+			firstAct = w.now
+		}
+		assert.Assert(t, w.now.Sub(cutAt) < time.Minute, "nobody acts again")
+	}
+	assert.Assert(t, !lastAct.IsZero())
+	assert.Assert(t, firstAct.Sub(lastAct) >= testGap, "%s", firstAct.Sub(lastAct))
+}
+
 // TestSomebodyHolds: on a sound store one node acts, and after its end another.
 func TestSomebodyHolds(t *testing.T) {
 	w := newWorld(3)
