--- a/test/stops_test.go
+++ b/test/stops_test.go
@@ -71,7 +71,9 @@
 }
 
 // TestStopAnswersWaitingRequests: a node whose grace ends while a client's
-// request still waits for a model refuses it, before it closes the connection.
+// request still waits for a model refuses it, before it closes the connection. The
+// client has less time left than the route gives, as one that came back, so it is
+// not sent back at once.
 func TestStopAnswersWaitingRequests(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, func(o *world.Options) {
@@ -87,7 +89,7 @@
 	waitNamed(t, "alpha", nodes...)
 	result := make(chan clientAnswer, 1)
 	go func() {
-		result <- send(t.Context(), nodes[0], clientRequest{Path: "/draft/x", Model: "alpha", Events: 3})
+		result <- send(t.Context(), nodes[0], clientRequest{Path: "/draft/x", Model: "alpha", Events: 3, Deadline: 8 * time.Second})
 	}()
 	waitWaiting(t, nodes[0], 1)
 	assert.NilError(t, nodes[0].Terminate())
