Let stale reads after a lost history really be stale in the stand-in

Cause: the mutation configuration-steps-back survived TestRoutesNeverStepBack even with both checks removed. The stand-in's store forgot its own past with the history, so a read after that was never stale, and followers that had heard of every change were not made to read anew; the test looked once, before the nodes read again. Ruled out: a third check, with the three mended the mutation fails at once ("node-2 went from 2 back to 1").

Change: forgetting cuts every watcher and keeps the past for stale reads; the test looks for as long as the nodes read anew. TestWaitFollowsVersion fails by its own assertion when the request does not follow, it panicked before.

--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -24,12 +24,14 @@
 	defer cancel()
 	asked := 0
 	j := &job{
-		dispatcher: &Dispatcher{Fleet: known, Demand: demand.NewBook()},
-		log:        logr.Discard(),
-		route:      &config.Route{Kind: config.Safe, Attempts: 1},
-		engine:     true,
-		query:      fleet.Query{Service: "s", Unit: old},
-		deadline:   time.Now().Add(time.Hour),
+		dispatcher: &Dispatcher{
+			Fleet: known, Demand: demand.NewBook(), Configuration: func() *config.Configuration { return &config.Configuration{} },
+		},
+		log:      logr.Discard(),
+		route:    &config.Route{Kind: config.Safe, Attempts: 1},
+		engine:   true,
+		query:    fleet.Query{Service: "s", Unit: old},
+		deadline: time.Now().Add(time.Hour),
 		request: &Request{Arrived: time.Now(), Resolve: func() (backend.Unit, error) {
 			asked++
 			if asked == 1 {
--- a/internal/lab/storestub/store.go
+++ b/internal/lab/storestub/store.go
@@ -66,6 +66,8 @@
 	history []change
 	// compacted is the newest version whose change was dropped.
 	compacted uint64
+	// forgotten is the newest version that the feed no longer tells.
+	forgotten uint64
 	changed   chan struct{}
 	faults    Faults
 	counts    Counts
@@ -91,12 +93,13 @@
 	s.faults = faults
 }
 
-// Forget drops the history, so that all watchers must read anew.
+// Forget drops the history, so that all watchers must read anew, also those that
+// had heard of every change. Stale reads still see what was before.
 func (s *Store) Forget() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.history = nil
-	s.compacted = s.version
+	s.version++
+	s.forgotten = s.version
 	s.notify()
 }
 
@@ -257,7 +260,7 @@
 func (s *Store) since(table string, after uint64) (answer protocol.RowsAnswer, kept bool, changed <-chan struct{}) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if after < s.compacted {
+	if after < max(s.compacted, s.forgotten) {
 		return protocol.RowsAnswer{}, false, nil
 	}
 	var rows []protocol.Row
--- a/test/configuration_test.go
+++ b/test/configuration_test.go
@@ -343,6 +343,10 @@
 		if number%4 == 2 {
 			assert.NilError(t, w.SetStoreFaults(storestub.Faults{StaleMs: 500}))
 			assert.NilError(t, w.ForgetHistory())
+			for range 20 { // while the nodes read anew
+				look(number)
+				time.Sleep(20 * time.Millisecond)
+			}
 		}
 		look(number)
 	}
