Read a runner's address under the lock when an order is sent

Torn, an order could have gone to an address that is no runner's. Since the list is believed it is replaced more often; the unlocked read is older.

Ruled out: the report's read, its argument is taken under the lock.

Change: the runner is copied under the lock. TestOrderBesideNewList fails under the race detector without the change (3 of 3 runs) and passes with it (3 of 3).

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -455,8 +455,11 @@
 func (c *Controller) send(ctx context.Context, token uint64, ledger *orders.Ledger, order backend.Order, step scheduler.Step) bool {
 	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
 	defer cancel()
+	c.mutex.Lock()
+	runner := ledger.Runner
+	c.mutex.Unlock()
 	start := time.Now()
-	verdict, err := c.Runners.Order(ctx, ledger.Runner, order)
+	verdict, err := c.Runners.Order(ctx, runner, order)
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -464,16 +467,16 @@
 	if c.token == token {
 		c.changedView(ledger)
 	}
-	fields := []any{"runner", ledger.Runner.ID, "action", string(order.Action), "unit", order.Unit.String(), "expected", order.Expected,
+	fields := []any{"runner", runner.ID, "action", string(order.Action), "unit", order.Unit.String(), "expected", order.Expected,
 		"token", order.Token, "verdict", verdict.String(), "reason", step.Reason, "fromStore", step.FromStore,
 		"dueMs", step.Expected.Milliseconds(), "elapsedMs", now.Sub(start).Milliseconds()}
 	if err != nil {
 		fields = append(fields, "error", err.Error())
 	}
 	c.Log.Info("order", fields...)
-	what := string(order.Action) + " " + order.Unit.String() + " at " + ledger.Runner.ID + ": " + verdict.String() + " (" + step.Reason + ")"
+	what := string(order.Action) + " " + order.Unit.String() + " at " + runner.ID + ": " + verdict.String() + " (" + step.Reason + ")"
 	c.Decide("model/"+order.Unit.Model, "order "+string(order.Action), what)
-	c.Decide("replica/"+ledger.Runner.ID, "order "+string(order.Action), what)
+	c.Decide("replica/"+runner.ID, "order "+string(order.Action), what)
 	return verdict == backend.Accepted || verdict == backend.AlreadyHeld
 }
 
--- /dev/null
+++ b/internal/control/controller_test.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/orders"
+	"lilacvane/internal/scheduler"
+)
+
+// acceptingRunners accept every order.
+type acceptingRunners struct{}
+
+func (acceptingRunners) Order(context.Context, backend.Runner, backend.Order) (backend.Verdict, error) {
+	return backend.Accepted, nil
+}
+
+func (acceptingRunners) Report(context.Context, backend.Runner) (backend.Report, error) {
+	return backend.Report{}, nil
+}
+
+// TestOrderBesideNewList: an order is sent while the platform's list changes the
+// runner's account. The race detector fails it when one reads what the other
+// writes.
+func TestOrderBesideNewList(t *testing.T) {
+	c := NewController(Options{Runners: acceptingRunners{}, Decide: func(string, string, string) {}, Log: logr.Discard()})
+	runner := backend.Runner{ID: "r"}
+	ledger := orders.NewLedger(runner)
+	ledger.Reported(backend.Report{}, time.Now(), time.Now())
+	step := scheduler.Step{Runner: "r", Action: backend.Load, Unit: backend.Unit{Model: "m"}}
+	order := ledger.Begin(step.Action, step.Unit, "node", 1)
+	done := make(chan bool)
+	go func() { done <- c.send(t.Context(), 1, ledger, order, step) }()
+	c.mutex.Lock()
+	ledger.Listed(runner, time.Now())
+	c.mutex.Unlock()
+	assert.Assert(t, <-done)
+}
