--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -14,9 +14,11 @@
 	ID      string
 	Service string
 	// Address is ip:port. It may be given to another runner later.
-	Address  string
-	Zone     string
-	Slots    int
+	Address string
+	Zone    string
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Draining is set when the platform takes it away: nothing new goes there.
 	Draining bool
 	// Models is what the runner held when it last told the platform.
 	Models []Holding
@@ -48,10 +50,12 @@
 	Pending []Unit
 	Copies  Copies
 	// Busy is set while a model is loaded or unloaded.
-	Busy     bool
+	Busy bool
+	// Sequence is the number of orders it has taken.
 	Sequence uint64
-	Queued   int
-	Active   int
+	// Queued and Active are requests that wait and that run there.
+	Queued int
+	Active int
 	// CacheUsed and CacheTotal are tokens.
 	CacheUsed  int
 	CacheTotal int
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -4,19 +4,14 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 
-	"github.com/alecthomas/kong"
-
+	"lilacvane/internal/commandline"
 	"lilacvane/internal/fault"
 )
 
-// The exit codes, for scripts.
+// The exit codes beside those that all programs share, for scripts.
 const (
-	ExitOK          = 0
-	ExitFailed      = 1
-	ExitUsage       = 2
 	ExitConflict    = 3
 	ExitNotFound    = 4
 	ExitUnavailable = 5
@@ -39,12 +34,6 @@
 	Runners runnersCommand `cmd:"" help:"Show runners and what they hold."`
 }
 
-// streams are where a command prints.
-type streams struct {
-	out io.Writer
-	err io.Writer
-}
-
 // target is shared by the commands that call a node.
 type target struct {
 	Server string `help:"Operators' address (ip:port) of any node." env:"LILACVANE_SERVER" default:"127.0.0.1:7002"`
@@ -54,40 +43,22 @@
 // Main runs the command line and returns the exit code. connect joins the
 // platform's adapter to a node.
 func Main(arguments []string, connect Connect, out, errors io.Writer) int {
-	var line commandLine
-	exit := -1
-	parser, err := kong.New(&line, kong.Name("lilacvane"),
-		kong.Description("A serving system for rarely used models."),
-		kong.Writers(out, errors), kong.Exit(func(code int) { exit = code }), kong.Bind(streams{out: out, err: errors}), kong.Bind(connect))
-	if err != nil {
-		fmt.Fprintln(errors, err)
-		return ExitFailed
-	}
-	context, err := parser.Parse(arguments)
-	if exit >= 0 {
-		return exit
-	}
-	if err != nil {
-		fmt.Fprintln(errors, "lilacvane: error:", err)
-		return ExitUsage
-	}
-	if err := context.Run(); err != nil {
-		fmt.Fprintln(errors, "lilacvane: error:", err)
-		return exitCode(err)
-	}
-	return ExitOK
+	return commandline.Run(commandline.Program{
+		Name: "lilacvane", Description: "A serving system for rarely used models.", Commands: &commandLine{},
+		Bindings: []any{connect}, ExitCode: exitCode,
+	}, arguments, commandline.Streams{Out: out, Errors: errors})
 }
 
 func exitCode(err error) int {
 	var failure *fault.Error
 	if !errors.As(err, &failure) {
-		return ExitFailed
+		return commandline.ExitFailed
 	}
 	switch {
 	case failure.Ran == fault.Unknown && failure.Code == fault.CodeStoreUnavailable:
 		return ExitUnknown
 	case failure.Code == fault.CodeInvalid:
-		return ExitUsage
+		return commandline.ExitUsage
 	case failure.Code == fault.CodeConflict:
 		return ExitConflict
 	case failure.Code == fault.CodeNotFound:
@@ -95,6 +66,6 @@
 	case failure.Code == fault.CodeNotReady || failure.Code == fault.CodeStoreUnavailable:
 		return ExitUnavailable
 	default:
-		return ExitFailed
+		return commandline.ExitFailed
 	}
 }
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -3,14 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"lilacvane/internal/commandline"
+	"lilacvane/internal/logging"
+	"lilacvane/internal/node"
+	"lilacvane/internal/settings"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-
-	"lilacvane/internal/logging"
-	"lilacvane/internal/node"
-	"lilacvane/internal/settings"
 )
 
 // gcPercent trades processor time for memory, which is the tighter budget.
@@ -72,10 +72,10 @@
 
 // Run checks the file. Unlike a running node, which passes over fields that it
 // does not know, it reports them as problems.
-func (c *configCheckCommand) Run(streams streams) error {
+func (c *configCheckCommand) Run(streams commandline.Streams) error {
 	read, unknown, err := node.ReadSettings(c.File)
 	for _, field := range unknown {
-		fmt.Fprintf(streams.err, "unknown field: %s\n", field)
+		fmt.Fprintf(streams.Errors, "unknown field: %s\n", field)
 	}
 	if err != nil {
 		return err
@@ -83,6 +83,6 @@
 	if len(unknown) > 0 {
 		return errUnknownFields
 	}
-	fmt.Fprintf(streams.out, "%s is valid: node %s in zone %s, region %s\n", c.File, read.Node, read.Zone, read.Region)
+	fmt.Fprintf(streams.Out, "%s is valid: node %s in zone %s, region %s\n", c.File, read.Node, read.Zone, read.Region)
 	return nil
 }
--- a/internal/command/objects.go
+++ b/internal/command/objects.go
@@ -15,8 +15,8 @@
 	"text/tabwriter"
 
 	"go.yaml.in/yaml/v3"
-
 	"lilacvane/internal/api"
+	"lilacvane/internal/commandline"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/operator"
 	"lilacvane/internal/wire"
@@ -25,13 +25,13 @@
 func (t target) client() *operator.Client { return operator.NewClient(t.Server) }
 
 // print writes the value as JSON, or calls table on a tab writer.
-func (t target) print(s streams, value any, table func(io.Writer)) error {
+func (t target) print(s commandline.Streams, value any, table func(io.Writer)) error {
 	if t.Output == "json" {
-		encoder := json.NewEncoder(s.out)
+		encoder := json.NewEncoder(s.Out)
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(value)
 	}
-	writer := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+	writer := tabwriter.NewWriter(s.Out, 0, 0, 2, ' ', 0)
 	table(writer)
 	return writer.Flush()
 }
@@ -54,7 +54,7 @@
 
 // Run applies the objects of all files in one operation. An object without a
 // generation is applied over the one in force, as read just before.
-func (c *applyCommand) Run(s streams) error {
+func (c *applyCommand) Run(s commandline.Streams) error {
 	ctx := context.Background()
 	submission := operator.Submission{Operation: operationID(c.Operation), Author: author(), DryRun: c.DryRun}
 	for _, file := range c.File {
@@ -79,11 +79,11 @@
 	return "cli-" + rand.Text()
 }
 
-func submit(ctx context.Context, t target, s streams, submission operator.Submission) error {
+func submit(ctx context.Context, t target, s commandline.Streams, submission operator.Submission) error {
 	result, err := t.client().Submit(ctx, submission)
 	if err != nil {
 		if fault.OutcomeOf(err) == fault.Unknown {
-			fmt.Fprintf(s.err, "the outcome is unknown; ask: lilacvane operation %s\n", submission.Operation)
+			fmt.Fprintf(s.Errors, "the outcome is unknown; ask: lilacvane operation %s\n", submission.Operation)
 		}
 		return err
 	}
@@ -157,7 +157,7 @@
 }
 
 // Run shows objects.
-func (c *getCommand) Run(s streams) error {
+func (c *getCommand) Run(s commandline.Streams) error {
 	objects, err := c.read()
 	if err != nil {
 		return err
@@ -201,7 +201,7 @@
 }
 
 // Run deletes an object.
-func (c *deleteCommand) Run(s streams) error {
+func (c *deleteCommand) Run(s commandline.Streams) error {
 	kind, err := parseKind(c.Kind)
 	if err != nil {
 		return err
@@ -226,7 +226,7 @@
 }
 
 // Run shows the history.
-func (c *historyCommand) Run(s streams) error {
+func (c *historyCommand) Run(s commandline.Streams) error {
 	kind, err := parseKind(c.Kind)
 	if err != nil {
 		return err
@@ -259,7 +259,7 @@
 }
 
 // Run prints changes until interrupted.
-func (c *watchCommand) Run(s streams) error {
+func (c *watchCommand) Run(s commandline.Streams) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	err := c.client().Watch(ctx, c.After, func(entry wire.Entry) error {
@@ -277,7 +277,7 @@
 }
 
 // Run asks for an operation's result.
-func (c *askCommand) Run(s streams) error {
+func (c *askCommand) Run(s commandline.Streams) error {
 	result, err := c.client().Operation(context.Background(), c.ID)
 	if err != nil {
 		return err
--- a/internal/command/questions.go
+++ b/internal/command/questions.go
@@ -4,14 +4,14 @@
 	"context"
 	"fmt"
 	"io"
-	"strconv"
-	"strings"
-	"time"
-
 	"lilacvane/internal/api"
+	"lilacvane/internal/commandline"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/operator"
 	"lilacvane/internal/policy"
+	"strconv"
+	"strings"
+	"time"
 )
 
 type policyCommand struct {
@@ -24,7 +24,7 @@
 }
 
 // Run checks policies.
-func (c *policyCheckCommand) Run(s streams) error {
+func (c *policyCheckCommand) Run(s commandline.Streams) error {
 	objects, err := readObjects(c.File)
 	if err != nil {
 		return err
@@ -43,7 +43,7 @@
 		if _, err := policy.Compile(spec.Ready); err != nil {
 			return err
 		}
-		fmt.Fprintf(s.out, "Policy/%s is valid\n", object.Name)
+		fmt.Fprintf(s.Out, "Policy/%s is valid\n", object.Name)
 	}
 	return nil
 }
@@ -58,7 +58,7 @@
 }
 
 // Run tries a policy.
-func (c *policyTryCommand) Run(s streams) error {
+func (c *policyTryCommand) Run(s commandline.Streams) error {
 	ctx := context.Background()
 	object, err := c.client().Get(ctx, api.KindPolicy, c.Name)
 	if err != nil {
@@ -93,7 +93,7 @@
 func drainName(what, name string) string { return what + "-" + name }
 
 // Run starts a drain.
-func (c *drainStartCommand) Run(s streams) error {
+func (c *drainStartCommand) Run(s commandline.Streams) error {
 	ctx := context.Background()
 	object := api.NewObject(api.KindDrain, drainName(c.What, c.Name), api.Drain{Target: api.DrainTarget(c.What), Name: c.Name})
 	if err := fillGeneration(ctx, c.client(), &object); err != nil {
@@ -106,13 +106,13 @@
 	return waitForDrain(ctx, c.client(), s, object.Name)
 }
 
-func waitForDrain(ctx context.Context, client *operator.Client, s streams, name string) error {
+func waitForDrain(ctx context.Context, client *operator.Client, s commandline.Streams, name string) error {
 	for {
 		progress, err := client.DrainProgress(ctx, name)
 		if err != nil {
 			return err
 		}
-		printProgress(s.out, progress)
+		printProgress(s.Out, progress)
 		if progress.Finished {
 			return nil
 		}
@@ -131,7 +131,7 @@
 }
 
 // Run shows the progress of a drain.
-func (c *drainStatusCommand) Run(s streams) error {
+func (c *drainStatusCommand) Run(s commandline.Streams) error {
 	progress, err := c.client().DrainProgress(context.Background(), drainName(c.What, c.Name))
 	if err != nil {
 		return err
@@ -146,7 +146,7 @@
 }
 
 // Run ends a drain.
-func (c *drainEndCommand) Run(s streams) error {
+func (c *drainEndCommand) Run(s commandline.Streams) error {
 	deletion := deleteCommand{target: c.target, Kind: string(api.KindDrain), Name: drainName(c.What, c.Name)}
 	return deletion.Run(s)
 }
@@ -158,7 +158,7 @@
 }
 
 // Run explains.
-func (c *explainCommand) Run(s streams) error {
+func (c *explainCommand) Run(s commandline.Streams) error {
 	decisions, err := c.client().Explain(context.Background(), c.Kind, c.Name)
 	if err != nil {
 		return err
@@ -177,7 +177,7 @@
 type statusCommand struct{ target }
 
 // Run shows the fleet.
-func (c *statusCommand) Run(s streams) error {
+func (c *statusCommand) Run(s commandline.Streams) error {
 	status, err := c.client().Status(context.Background())
 	if err != nil {
 		return err
@@ -207,7 +207,7 @@
 }
 
 // Run shows runners.
-func (c *runnersCommand) Run(s streams) error {
+func (c *runnersCommand) Run(s commandline.Streams) error {
 	runners, err := c.client().Runners(context.Background(), c.Name)
 	if err != nil {
 		return err
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -72,7 +72,8 @@
 // Backend is a service's share of a route.
 type Backend struct {
 	Service string
-	Weight  int
+	// Weight is relative to the other backends' of the route.
+	Weight int
 }
 
 // Idempotent reports whether a request of the route may run more than once.
@@ -146,8 +147,10 @@
 type Limits struct {
 	MaximumHeaderBytes int
 	MaximumBodyBytes   int64
-	HeaderTimeout      time.Duration
-	IdleTimeout        time.Duration
+	// HeaderTimeout bounds the time until a request's header is in, IdleTimeout
+	// the time between two requests of a connection.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Finish builds the lookup tables. It is called once, before the configuration
--- a/internal/control/describe.go
+++ b/internal/control/describe.go
@@ -7,6 +7,7 @@
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
+	"lilacvane/internal/fault"
 	"lilacvane/internal/orders"
 	"lilacvane/internal/scheduler"
 	"lilacvane/internal/wire"
@@ -114,3 +115,28 @@
 		return "ready"
 	}
 }
+
+// Describe lists the runners and the nodes that reported lately.
+func (c *Controller) Describe() (wire.FleetResponse, error) {
+	engine := c.engine()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.token == 0 || engine == nil {
+		return wire.FleetResponse{}, fault.New(fault.CodeNotHolder, "describe fleet", "this node does not hold the lease of %s", c.Service)
+	}
+	now := time.Now()
+	response := wire.FleetResponse{Members: c.demand.members(now)}
+	running := c.demand.running(now)
+	configuration := c.Configuration()
+	for _, id := range slices.Sorted(maps.Keys(c.ledgers)) {
+		ledger := c.ledgers[id]
+		drained := configuration.Drained(id, ledger.Runner.Zone)
+		response.Runners = append(response.Runners, statusOf(id, ledger, engine, running[id], drained))
+	}
+	for index := range response.Members {
+		if response.Members[index].Node == c.Node {
+			response.Members[index].Holds = []string{c.Service}
+		}
+	}
+	return response, nil
+}
--- /dev/null
+++ b/internal/control/state.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"time"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/config"
+	"lilacvane/internal/scheduler"
+)
+
+// state builds the scheduler's input. mutex is held.
+func (c *Controller) state(engine *config.Engine, now time.Time) *scheduler.State {
+	running := c.demand.running(now)
+	demand := c.demand.units(now)
+	c.applyRules(engine, demand, now)
+	state := &scheduler.State{
+		Now: now, Engine: engine, Demand: demand, Intents: c.intents, Loads: int(c.limiter.TokensAt(now)),
+		Floors: c.floors, KeepAlive: c.keep,
+	}
+	configuration := c.Configuration()
+	for id, ledger := range c.ledgers {
+		if !ledger.Confirmed() {
+			// The list does not tell what the runner is loading.
+			state.Unknown++
+		}
+		if !ledger.Known() || ledger.Runner.Draining {
+			continue
+		}
+		runner := describe(id, ledger, engine, running[id], now)
+		runner.Drained = configuration.Drained(id, ledger.Runner.Zone)
+		state.Runners = append(state.Runners, runner)
+	}
+	return state
+}
+
+// rulesInterval is how often policies and keep-alive times are looked up.
+const rulesInterval = time.Second
+
+// applyRules brings the policies' floors and the keep-alive times up to date.
+// mutex is held.
+func (c *Controller) applyRules(engine *config.Engine, demand map[backend.Unit]*scheduler.Demand, now time.Time) {
+	if now.Sub(c.rulesAt) < rulesInterval {
+		return
+	}
+	c.rulesAt = now
+	c.floors = make(map[string]int)
+	c.keep = make(map[string]time.Duration)
+	for name, model := range engine.Models {
+		if floor, _ := c.Policies.Ready(nameOf(model), now); floor > 0 && model.Active {
+			c.floors[name] = boundedBy(floor, model.MaximumReplicas)
+		}
+		if !c.Sleeper.Enabled() {
+			continue
+		}
+		if used := demand[backend.Unit{Model: name}]; used != nil {
+			c.Sleeper.Observe(model, used.LastUse, now)
+		}
+		share := model.Size / engine.ModelMemory
+		c.keep[name] = c.Sleeper.KeepAlive(model, share)
+		if c.floors[name] == 0 && model.Active && model.MaximumReplicas != 0 && c.Sleeper.WakeAhead(model, share, now) {
+			c.floors[name] = 1
+		}
+	}
+}
+
+// nameOf is the name by which policies select a model.
+func nameOf(model *config.Model) string {
+	if model.Object != "" {
+		return model.Object
+	}
+	return model.Name
+}
+
+func boundedBy(floor, replicas int) int {
+	if replicas == config.Unlimited {
+		return floor
+	}
+	return min(floor, replicas)
+}
--- /dev/null
+++ b/internal/control/sync.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"lilacvane/internal/fault"
+	"lilacvane/internal/wire"
+)
+
+const (
+	// recentView is how long a change of a runner is told to nodes that did not
+	// hear of it; by then the platform's list tells it.
+	recentView = 8 * time.Second
+	// maximumHoldMs is the longest time, in milliseconds, that a node may have its
+	// question held.
+	maximumHoldMs = 5000
+)
+
+// Sync answers a node's demand with what changed since the account it has.
+func (c *Controller) Sync(ctx context.Context, request wire.SyncRequest) (wire.SyncResponse, error) {
+	c.mutex.Lock()
+	if c.token == 0 {
+		c.mutex.Unlock()
+		return wire.SyncResponse{}, fault.New(fault.CodeNotHolder, "sync", "this node does not hold the lease of %s", request.Service)
+	}
+	urgent := c.demand.report(request, time.Now())
+	c.mutex.Unlock()
+	if urgent {
+		c.Wake()
+	}
+	c.waitChange(ctx, request)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.token == 0 {
+		return wire.SyncResponse{}, fault.New(fault.CodeNotHolder, "sync", "the lease of %s was lost", request.Service)
+	}
+	return c.account(request), nil
+}
+
+// waitChange waits until there is something new for the node, at most for the
+// time it names.
+func (c *Controller) waitChange(ctx context.Context, request wire.SyncRequest) {
+	if request.HoldMs <= 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(min(request.HoldMs, maximumHoldMs))*time.Millisecond)
+	defer cancel()
+	for {
+		c.mutex.Lock()
+		news := c.token != request.Token || c.version > request.Version
+		changed := c.changed
+		c.mutex.Unlock()
+		if news {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// account lists the runners that changed lately and since the node's account; the
+// platform's list tells of the others. mutex is held.
+func (c *Controller) account(request wire.SyncRequest) wire.SyncResponse {
+	now := time.Now()
+	response := wire.SyncResponse{Token: c.token, Version: c.version, Nodes: c.demand.nodes(now)}
+	known := request.Version
+	if request.Token != c.token {
+		known = 0
+	}
+	for id, ledger := range c.ledgers {
+		if ledger.Known() && ledger.Version > known && now.Sub(ledger.ChangedAt) < recentView {
+			response.Runners = append(response.Runners, viewOf(id, ledger, now))
+		}
+	}
+	return response
+}
--- a/internal/fault/http.go
+++ b/internal/fault/http.go
@@ -43,11 +43,9 @@
 	CodeInvalid: http.StatusBadRequest, CodeTooLarge: http.StatusRequestEntityTooLarge,
 	CodeUnknownModel: http.StatusNotFound, CodeNotFound: http.StatusNotFound,
 	CodeConflict: http.StatusConflict, CodeDuplicate: http.StatusConflict,
-	CodeNotLoaded: http.StatusConflict, CodeStaleEpoch: http.StatusConflict,
-	CodeStaleGrant: http.StatusConflict, CodeStaleIncarnation: http.StatusConflict,
-	CodeMemory: http.StatusConflict, CodeRateLimited: http.StatusTooManyRequests,
-	CodeQueueFull: http.StatusTooManyRequests, CodeUnsupportedVersion: http.StatusBadRequest,
-	CodeInterrupted: http.StatusBadGateway, CodeInternal: http.StatusInternalServerError,
+	CodeNotLoaded: http.StatusConflict, CodeRateLimited: http.StatusTooManyRequests,
+	CodeUnsupportedVersion: http.StatusBadRequest,
+	CodeInterrupted:        http.StatusBadGateway, CodeInternal: http.StatusInternalServerError,
 }
 
 // Status returns the HTTP status of a code. Codes without one of their own are
--- a/internal/labcommand/experiment.go
+++ b/internal/labcommand/experiment.go
@@ -12,7 +12,7 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
-
+	"lilacvane/internal/commandline"
 	"lilacvane/internal/lab/experiment"
 )
 
@@ -46,7 +46,7 @@
 }
 
 // Run runs the scenario and writes its report.
-func (c *experimentCommand) Run(s streams) error {
+func (c *experimentCommand) Run(s commandline.Streams) error {
 	content, err := os.ReadFile(c.Scenario)
 	if err != nil {
 		return err
@@ -69,7 +69,7 @@
 	report := experimentReport{Scenario: described.Name, Deployment: deployment, Options: experiment.Options{
 		Seed: described.Seed, LearnDays: described.LearnDays, MeasureDays: described.MeasureDays, Deadline: described.Deadline,
 	}}
-	fmt.Fprintf(s.out, "%-28s %9s %9s %9s %9s %9s %9s %8s %8s %6s\n", described.Name, "coldP50", "coldP95", "coldP99", "allP95", "allP99", "idleHours", "cold", "refused", "loads")
+	fmt.Fprintf(s.Out, "%-28s %9s %9s %9s %9s %9s %9s %8s %8s %6s\n", described.Name, "coldP50", "coldP95", "coldP99", "allP95", "allP99", "idleHours", "cold", "refused", "loads")
 	for _, configured := range described.Configurations {
 		configuration := experiment.Configuration{Name: configured.Name, Fixed: configured.FixedKeepAlive, Ahead: configured.WakeAhead}
 		outcome, err := experiment.Run(deployment, configuration, report.Options)
@@ -77,7 +77,7 @@
 			return err
 		}
 		report.Outcomes = append(report.Outcomes, outcome)
-		fmt.Fprintf(s.out, "%-28s %8.2fs %8.2fs %8.2fs %8.2fs %8.2fs %9.1f %8d %8d %6d of %d requests\n", outcome.Configuration.Name,
+		fmt.Fprintf(s.Out, "%-28s %8.2fs %8.2fs %8.2fs %8.2fs %8.2fs %9.1f %8d %8d %6d of %d requests\n", outcome.Configuration.Name,
 			outcome.ColdP50, outcome.ColdP95, outcome.ColdP99, outcome.AllP95, outcome.AllP99, outcome.IdleHours, outcome.Cold, outcome.Refused, outcome.Loads, outcome.Requests)
 	}
 	return c.write(report)
--- a/internal/labcommand/labcommand.go
+++ b/internal/labcommand/labcommand.go
@@ -2,16 +2,9 @@
 package labcommand
 
 import (
-	"fmt"
 	"io"
 
-	"github.com/alecthomas/kong"
-)
-
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
+	"lilacvane/internal/commandline"
 )
 
 type commandLine struct {
@@ -22,32 +15,10 @@
 	Up         upCommand         `cmd:"" help:"Bring a whole system up on loopback and show a cold request being served."`
 }
 
-type streams struct {
-	out io.Writer
-	err io.Writer
-}
-
 // Main runs the command line and returns the exit code.
 func Main(arguments []string, out, errors io.Writer) int {
-	var line commandLine
-	exit := -1
-	parser, err := kong.New(&line, kong.Name("lilacvane-lab"), kong.Description("The world around lilacvane, emulated."),
-		kong.Writers(out, errors), kong.Exit(func(code int) { exit = code }), kong.Bind(streams{out: out, err: errors}))
-	if err != nil {
-		fmt.Fprintln(errors, err)
-		return exitFailed
-	}
-	context, err := parser.Parse(arguments)
-	if exit >= 0 {
-		return exit
-	}
-	if err != nil {
-		fmt.Fprintln(errors, "lilacvane-lab: error:", err)
-		return exitUsage
-	}
-	if err := context.Run(); err != nil {
-		fmt.Fprintln(errors, "lilacvane-lab: error:", err)
-		return exitFailed
-	}
-	return exitOK
+	return commandline.Run(commandline.Program{
+		Name: "lilacvane-lab", Description: "The world around lilacvane, emulated.", Commands: &commandLine{},
+		ExitCode: func(error) int { return commandline.ExitFailed },
+	}, arguments, commandline.Streams{Out: out, Errors: errors})
 }
--- a/internal/labcommand/load.go
+++ b/internal/labcommand/load.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"lilacvane/internal/api"
+	"lilacvane/internal/commandline"
+	"lilacvane/internal/lab/load"
 	"net/http"
 	"strings"
 	"time"
-
-	"lilacvane/internal/api"
-	"lilacvane/internal/lab/load"
 )
 
 type loadCommand struct {
@@ -23,7 +23,7 @@
 }
 
 // Run sends requests, open loop, and prints what callers saw.
-func (c *loadCommand) Run(s streams) error {
+func (c *loadCommand) Run(s commandline.Streams) error {
 	prefix := time.Now().UnixNano()
 	result := load.Run(context.Background(), load.Options{Rate: c.Rate, Duration: c.Duration, Request: func(ctx context.Context, number int) (*http.Request, error) {
 		body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"prompt":"load %d"}`, c.Models[number%len(c.Models)], c.Tokens, number)
@@ -39,9 +39,9 @@
 		return request, nil
 	}})
 	const microsAMilli = 1000.0
-	fmt.Fprintf(s.out, "outcomes: %v\n", result.Codes)
+	fmt.Fprintf(s.Out, "outcomes: %v\n", result.Codes)
 	for _, quantile := range []float64{50, 95, 99} {
-		fmt.Fprintf(s.out, "p%g: first part %.1f ms, between parts %.1f ms, whole %.1f ms\n", quantile,
+		fmt.Fprintf(s.Out, "p%g: first part %.1f ms, between parts %.1f ms, whole %.1f ms\n", quantile,
 			float64(result.First.ValueAtQuantile(quantile))/microsAMilli, float64(result.Between.ValueAtQuantile(quantile))/microsAMilli,
 			float64(result.Whole.ValueAtQuantile(quantile))/microsAMilli)
 	}
--- a/internal/labcommand/up.go
+++ b/internal/labcommand/up.go
@@ -5,6 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"lilacvane/internal/api"
+	"lilacvane/internal/commandline"
+	"lilacvane/internal/lab/world"
+	"lilacvane/internal/operator"
+	"lilacvane/platform/protocol"
 	"net/http"
 	"os"
 	"os/signal"
@@ -12,11 +17,6 @@
 	"strings"
 	"syscall"
 	"time"
-
-	"lilacvane/internal/api"
-	"lilacvane/internal/lab/world"
-	"lilacvane/internal/operator"
-	"lilacvane/platform/protocol"
 )
 
 type upCommand struct {
@@ -41,10 +41,10 @@
 
 // Run brings the system up, sends a request for a sleeping model, prints the
 // answer as it streams and where the time went.
-func (c *upCommand) Run(s streams) error {
+func (c *upCommand) Run(s commandline.Streams) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	w, err := c.start(s.out)
+	w, err := c.start(s.Out)
 	if err != nil {
 		return err
 	}
@@ -53,14 +53,14 @@
 	if err := c.applySamples(ctx, node.Client()); err != nil {
 		return err
 	}
-	fmt.Fprintf(s.out, "callers: http://%s  operators: %s  logs: %s\n", node.Callers, node.Operators, w.Directory)
-	if err := coldRequest(ctx, s.out, node.Callers); err != nil {
+	fmt.Fprintf(s.Out, "callers: http://%s  operators: %s  logs: %s\n", node.Callers, node.Operators, w.Directory)
+	if err := coldRequest(ctx, s.Out, node.Callers); err != nil {
 		return err
 	}
 	if c.Once {
 		return nil
 	}
-	fmt.Fprintf(s.out, "\nThe system is up. Try in another terminal:\n  lilacvane status --server %s\n  lilacvane explain model redactor --server %s\nPress ctrl-c to stop all of it.\n", node.Operators, node.Operators)
+	fmt.Fprintf(s.Out, "\nThe system is up. Try in another terminal:\n  lilacvane status --server %s\n  lilacvane explain model redactor --server %s\nPress ctrl-c to stop all of it.\n", node.Operators, node.Operators)
 	<-ctx.Done()
 	return nil
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -1,38 +1,150 @@
 // Package logging makes the JSON-lines logger of all programs: one line an
-// event on standard error, with the keys step, peer, request, model and revision
+// event on standard output, with the keys step, peer, request, model and revision
 // wherever they apply.
 package logging
 
 import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
 	"github.com/go-logr/logr"
 	"github.com/go-logr/zapr"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+	"golang.org/x/time/rate"
 
 	"lilacvane/internal/fault"
 )
 
-// New returns a logger for a level: error, info or debug.
-func New(level string) (logr.Logger, error) {
-	config := zap.NewProductionConfig()
-	config.Sampling = nil
-	config.DisableStacktrace = true
-	config.DisableCaller = true
-	config.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	config.EncoderConfig.TimeKey = "time"
-	switch level {
-	case "error":
-		config.Level = zap.NewAtomicLevelAt(zap.ErrorLevel)
-	case "info":
-		config.Level = zap.NewAtomicLevelAt(zap.InfoLevel)
-	case "debug":
-		config.Level = zap.NewAtomicLevelAt(zap.DebugLevel)
-	default:
-		return logr.Discard(), fault.New(fault.CodeInvalid, "open log", "unknown level %q", level)
+const (
+	// queueLines is how many lines may wait to be written.
+	queueLines = 512
+	// linesPerSecond and lineBurst bound the volume.
+	linesPerSecond = 150
+	lineBurst      = 400
+	// dropNotice is how often dropped lines are reported.
+	dropNotice = 2 * time.Second
+)
+
+// Bounded is a log that never blocks its writers: lines beyond its rate or its
+// queue are dropped, counted, and said to be.
+type Bounded struct {
+	logr.Logger
+	level zap.AtomicLevel
+	sink  *boundedSink
+}
+
+// NewBounded returns a log of JSON lines written to out.
+func NewBounded(level string, out io.Writer) (*Bounded, error) {
+	sink := newBoundedSink(out)
+	b := &Bounded{level: zap.NewAtomicLevel(), sink: sink}
+	if err := b.SetLevel(level); err != nil {
+		return nil, err
 	}
-	logger, err := config.Build()
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	encoding.TimeKey = "time"
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), sink, b.level)
+	b.Logger = zapr.NewLogger(zap.New(core))
+	return b, nil
+}
+
+// SetLevel changes the level: error, info or debug.
+func (b *Bounded) SetLevel(level string) error {
+	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
-		return logr.Discard(), fault.From(err, "open log")
+		return fault.New(fault.CodeInvalid, "open log", "unknown level %q", level)
+	}
+	b.level.SetLevel(parsed)
+	return nil
+}
+
+// Dropped returns how many lines were dropped.
+func (b *Bounded) Dropped() int64 { return b.sink.dropped.Load() }
+
+// Close writes what waits, for at most the time given.
+func (b *Bounded) Close(limit time.Duration) { b.sink.close(limit) }
+
+// boundedSink writes lines from a queue in a goroutine of its own.
+type boundedSink struct {
+	lines   chan []byte
+	limiter *rate.Limiter
+	dropped atomic.Int64
+	done    chan struct{}
+	once    sync.Once
+	stop    chan struct{}
+}
+
+func newBoundedSink(out io.Writer) *boundedSink {
+	s := &boundedSink{
+		lines: make(chan []byte, queueLines), limiter: rate.NewLimiter(linesPerSecond, lineBurst),
+		done: make(chan struct{}), stop: make(chan struct{}),
+	}
+	go s.run(out)
+	return s
+}
+
+// Write queues a line.
+func (s *boundedSink) Write(line []byte) (int, error) {
+	if !s.limiter.Allow() {
+		s.dropped.Add(1)
+		return len(line), nil
+	}
+	select {
+	case s.lines <- append([]byte(nil), line...):
+	default:
+		s.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Sync does nothing: lines are written as they come.
+func (s *boundedSink) Sync() error { return nil }
+
+func (s *boundedSink) run(out io.Writer) {
+	defer close(s.done)
+	ticker := time.NewTicker(dropNotice)
+	defer ticker.Stop()
+	reported := int64(0)
+	for {
+		select {
+		case line := <-s.lines:
+			_, _ = out.Write(line)
+		case <-ticker.C:
+			reported = s.reportDrops(out, reported)
+		case <-s.stop:
+			s.drain(out)
+			return
+		}
+	}
+}
+
+func (s *boundedSink) reportDrops(out io.Writer, reported int64) int64 {
+	dropped := s.dropped.Load()
+	if dropped > reported {
+		_, _ = fmt.Fprintf(out, "{\"level\":\"info\",\"msg\":\"log lines dropped\",\"lines\":%d,\"total\":%d}\n", dropped-reported, dropped)
+	}
+	return dropped
+}
+
+func (s *boundedSink) drain(out io.Writer) {
+	for {
+		select {
+		case line := <-s.lines:
+			_, _ = out.Write(line)
+		default:
+			return
+		}
+	}
+}
+
+func (s *boundedSink) close(limit time.Duration) {
+	s.once.Do(func() { close(s.stop) })
+	select {
+	case <-s.done:
+	case <-time.After(limit):
 	}
-	return zapr.NewLogger(logger), nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,7 +31,6 @@
 	"lilacvane/internal/retry"
 	"lilacvane/internal/settings"
 	"lilacvane/internal/table"
-	"lilacvane/internal/traffic"
 	"lilacvane/internal/upstream"
 )
 
@@ -128,9 +127,8 @@
 		Node: s.Node, Names: platform.Headers, Dispatcher: n.dispatcher, Configuration: n.configuration.Load, Claims: n.claims, Accept: n.accept,
 	})
 	n.operator = operator.New(n, n.catalog, s.Node, n.figures.handler())
-	counter := &traffic.Counter{}
-	n.peers = peer.NewServer(s.Node, counter)
-	n.client = peer.NewClient(s.Node, nil, counter)
+	n.peers = peer.NewServer(s.Node)
+	n.client = peer.NewClient(s.Node)
 	n.controls = newControls(n)
 	n.knowledge = newKnowledge(n)
 	n.registerQuestions()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"lilacvane/internal/fault"
-	"lilacvane/internal/traffic"
 	"lilacvane/internal/wire"
 )
 
@@ -37,17 +36,16 @@
 // Server answers the calls of other nodes. Handlers are added with Handle before
 // it is served.
 type Server struct {
-	mux     *http.ServeMux
-	node    string
-	counter *traffic.Counter
-	server  *http.Server
+	mux    *http.ServeMux
+	node   string
+	server *http.Server
 }
 
 // NewServer returns a server that names itself node in errors.
-func NewServer(node string, counter *traffic.Counter) *Server {
+func NewServer(node string) *Server {
 	mux := http.NewServeMux()
 	return &Server{
-		mux: mux, node: node, counter: counter,
+		mux: mux, node: node,
 		server: &http.Server{Handler: mux, ReadTimeout: readTimeout, IdleTimeout: idleTimeout},
 	}
 }
@@ -56,8 +54,7 @@
 func Handle[Request, Response any](s *Server, method string, handler func(context.Context, Request) (Response, error)) {
 	s.mux.HandleFunc("POST "+pathPrefix+method, func(w http.ResponseWriter, r *http.Request) {
 		var request Request
-		size, err := readMessage(r.Body, r.Header.Get(headerFrom), &request)
-		if err != nil {
+		if err := readMessage(r.Body, r.Header.Get(headerFrom), &request); err != nil {
 			writeFailure(w, s.node, fault.From(err, method))
 			return
 		}
@@ -66,32 +63,30 @@
 			writeFailure(w, s.node, fault.From(err, method))
 			return
 		}
-		size += writeMessage(w, http.StatusOK, response)
-		s.counter.Note(method+" answered", size)
+		writeMessage(w, http.StatusOK, response)
 	})
 }
 
-// readMessage decodes a body and returns its size in bytes.
-func readMessage(body io.Reader, from string, target any) (int, error) {
+// readMessage decodes a body, which came from a peer, into target.
+func readMessage(body io.Reader, from string, target any) error {
 	content, err := io.ReadAll(io.LimitReader(body, wire.MaximumMessageBytes+1))
 	if err != nil {
-		return 0, fault.At(fault.CodeInvalid, "read message", from, fault.NotDone, err)
+		return fault.At(fault.CodeInvalid, "read message", from, fault.NotDone, err)
 	}
-	return len(content), wire.Decode(content, from, target)
+	return wire.Decode(content, from, target)
 }
 
-// writeMessage answers with a message and returns its size in bytes.
-func writeMessage(w http.ResponseWriter, status int, message any) int {
+// writeMessage answers with a message.
+func writeMessage(w http.ResponseWriter, status int, message any) {
 	content, err := wire.Encode(message)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return 0
+		return
 	}
 	w.Header()["Date"] = nil
 	w.Header()["Content-Type"] = nil
 	w.WriteHeader(status)
 	_, _ = w.Write(content)
-	return len(content)
 }
 
 func writeFailure(w http.ResponseWriter, node string, e *fault.Error) {
@@ -111,7 +106,7 @@
 
 // Serve answers calls on the listener until Close.
 func (s *Server) Serve(listener net.Listener) error {
-	return s.server.Serve(traffic.Listen(listener, s.counter))
+	return s.server.Serve(listener)
 }
 
 // Close ends the server and its connections.
@@ -119,19 +114,18 @@
 
 // Client calls other nodes.
 type Client struct {
-	http    *http.Client
-	node    string
-	counter *traffic.Counter
+	http *http.Client
+	node string
 }
 
 // NewClient returns a client that names itself node. Calls are bounded by their
-// context and go out from local, if that is not nil.
-func NewClient(node string, local net.IP, counter *traffic.Counter) *Client {
+// context.
+func NewClient(node string) *Client {
 	transport := &http.Transport{
 		MaxIdleConns: maximumIdle, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, DisableCompression: true,
-		DialContext: traffic.Dialer(local, dialTimeout, counter),
+		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
-	return &Client{http: &http.Client{Transport: transport}, node: node, counter: counter}
+	return &Client{http: &http.Client{Transport: transport}, node: node}
 }
 
 // Close drops idle connections.
@@ -163,14 +157,12 @@
 	if answer.StatusCode != http.StatusOK {
 		return &fault.Error{Code: fault.CodeInternal, Step: method, Peer: address, Ran: fault.Unknown, Message: answer.Status}
 	}
-	size, err := readMessage(answer.Body, address, response)
-	c.counter.Note(method+" asked", size+len(content))
-	return err
+	return readMessage(answer.Body, address, response)
 }
 
 func readFailure(body io.Reader, address string) error {
 	var f failure
-	if _, err := readMessage(body, address, &f); err != nil {
+	if err := readMessage(body, address, &f); err != nil {
 		return err
 	}
 	return &fault.Error{
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -15,7 +15,7 @@
 	// what changed since.
 	Token   uint64 `cbor:"3,keyasint"`
 	Version uint64 `cbor:"4,keyasint"`
-	// HoldMs is how long the answer may wait for a change.
+	// HoldMs is how long the answer may wait for a change, in milliseconds.
 	HoldMs  int64         `cbor:"5,keyasint"`
 	Waiting []UnitWaiting `cbor:"6,keyasint,omitempty"`
 	Usage   []UnitUsage   `cbor:"7,keyasint,omitempty"`
@@ -29,7 +29,7 @@
 	Model   string `cbor:"1,keyasint"`
 	Adapter string `cbor:"2,keyasint,omitempty"`
 	Count   int    `cbor:"3,keyasint"`
-	// LeftMs is the time until the first of them is given up.
+	// LeftMs is the time until the first of them is given up, in milliseconds.
 	LeftMs   int64 `cbor:"4,keyasint"`
 	Priority int   `cbor:"5,keyasint"`
 }
@@ -39,7 +39,9 @@
 	Model    string `cbor:"1,keyasint"`
 	Adapter  string `cbor:"2,keyasint,omitempty"`
 	Requests int    `cbor:"3,keyasint"`
-	Tokens   int    `cbor:"4,keyasint"`
+	// Tokens is their cost: the prompts plus the expected answers, weighted by
+	// what an answer takes of a runner beside a prompt.
+	Tokens int `cbor:"4,keyasint"`
 }
 
 // RunnerUsage is the node's requests under way at a runner, by model.
@@ -74,5 +76,6 @@
 type UnitComing struct {
 	Model   string `cbor:"1,keyasint"`
 	Adapter string `cbor:"2,keyasint,omitempty"`
-	InMs    int64  `cbor:"3,keyasint"`
+	// InMs is the time until it is expected to be loaded, in milliseconds.
+	InMs int64 `cbor:"3,keyasint"`
 }
--- a/test/command_test.go
+++ b/test/command_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/command"
+	"lilacvane/internal/commandline"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/storestub"
@@ -70,31 +71,31 @@
 		assert.Assert(t, strings.Contains(output, contains), "%v: %s", arguments, output)
 		return output
 	}
-	expect(command.ExitOK, "nothing was changed", "apply", "-f", objects, "--dry-run")
+	expect(commandline.ExitOK, "nothing was changed", "apply", "-f", objects, "--dry-run")
 	expect(command.ExitNotFound, "not_found", "get", "model", "alpha")
-	expect(command.ExitOK, "accepted at revision", "apply", "-f", objects, "--operation", "day-1")
-	expect(command.ExitOK, "accepted at revision", "operation", "day-1")
-	expect(command.ExitOK, "alpha-v1", "get", "models")
+	expect(commandline.ExitOK, "accepted at revision", "apply", "-f", objects, "--operation", "day-1")
+	expect(commandline.ExitOK, "accepted at revision", "operation", "day-1")
+	expect(commandline.ExitOK, "alpha-v1", "get", "models")
 	stale := writeFile(t, "stale.yaml", "kind: Model\nname: alpha\ngeneration: 999999\nspec: {activeVersion: alpha-v1, replicas: 2}\n")
 	expect(command.ExitConflict, "you saw 999999", "apply", "-f", stale)
 	bad := writeFile(t, "bad.yaml", "kind: Policy\nname: bad\nspec: {models: ['*'], ready: 'hour >= 7 &&\\n  nosuch'}\n")
-	expect(command.ExitUsage, "line 1, column", "policy", "check", bad)
-	expect(command.ExitUsage, "line 1, column", "apply", "-f", bad)
-	expect(command.ExitOK, "keep 1 replicas of alpha ready", "policy", "try", "mornings", "--model", "alpha", "--region", "region-1", "--time-zone", "America/Montevideo", "--at", "2026-12-07T07:40")
-	expect(command.ExitOK, "keep 0 replicas", "policy", "try", "mornings", "--model", "alpha", "--region", "region-1", "--at", "2026-12-06T07:40")
+	expect(commandline.ExitUsage, "line 1, column", "policy", "check", bad)
+	expect(commandline.ExitUsage, "line 1, column", "apply", "-f", bad)
+	expect(commandline.ExitOK, "keep 1 replicas of alpha ready", "policy", "try", "mornings", "--model", "alpha", "--region", "region-1", "--time-zone", "America/Montevideo", "--at", "2026-12-07T07:40")
+	expect(commandline.ExitOK, "keep 0 replicas", "policy", "try", "mornings", "--model", "alpha", "--region", "region-1", "--at", "2026-12-06T07:40")
 	c := call{Model: "alpha", Prompt: "words", Tokens: 3, Deadline: 30 * time.Second}
 	got := ask(t.Context(), nodes[0], c, nil)
 	assertServed(t, c, got)
-	expect(command.ExitOK, "served by runner", "explain", "request", got.ID)
-	expect(command.ExitOK, "order load", "explain", "model", "alpha")
-	expect(command.ExitOK, "day-1", "history", "model", "alpha")
-	expect(command.ExitOK, "node-2", "status")
-	output := expect(command.ExitOK, "runner-1", "runners", "-o", "json")
+	expect(commandline.ExitOK, "served by runner", "explain", "request", got.ID)
+	expect(commandline.ExitOK, "order load", "explain", "model", "alpha")
+	expect(commandline.ExitOK, "day-1", "history", "model", "alpha")
+	expect(commandline.ExitOK, "node-2", "status")
+	output := expect(commandline.ExitOK, "runner-1", "runners", "-o", "json")
 	assert.Assert(t, json.Valid([]byte(output)))
-	expect(command.ExitOK, "finished true", "drain", "start", "runner", "runner-1", "--wait")
-	expect(command.ExitOK, "accepted", "drain", "end", "runner", "runner-1")
-	expect(command.ExitOK, "accepted", "delete", "policy", "mornings")
-	expect(command.ExitUsage, "unexpected argument", "status", "surplus")
+	expect(commandline.ExitOK, "finished true", "drain", "start", "runner", "runner-1", "--wait")
+	expect(commandline.ExitOK, "accepted", "drain", "end", "runner", "runner-1")
+	expect(commandline.ExitOK, "accepted", "delete", "policy", "mornings")
+	expect(commandline.ExitUsage, "unexpected argument", "status", "surplus")
 	nodes[0].Kill()
 	expect(command.ExitUnavailable, "not_ready", "status")
 }
@@ -109,10 +110,10 @@
 		return string(output), check.ProcessState.ExitCode()
 	}
 	output, code := run("node: n\nzoen: z\n")
-	assert.Equal(t, code, command.ExitUsage)
+	assert.Equal(t, code, commandline.ExitUsage)
 	assert.Assert(t, strings.Contains(output, "line 2") && strings.Contains(output, "zoen"), output)
 	output, code = run("node: n\nlog: {level: loud}\n")
-	assert.Equal(t, code, command.ExitUsage)
+	assert.Equal(t, code, commandline.ExitUsage)
 	for _, problem := range []string{"zone: required", "listen.peers", "store.address", "log.level"} {
 		assert.Assert(t, strings.Contains(output, problem), output)
 	}
--- a/test/configuration_test.go
+++ b/test/configuration_test.go
@@ -244,11 +244,7 @@
 // the thaw it does not serve from its old configuration.
 func TestConfigurationAtFrozenNode(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	startRunners(t, w, 2)
-	nodes := startNodes(t, w, 3)
-	apply(t, nodes[0], model("alpha", 1)...)
-	waitNamed(t, "alpha", nodes...)
+	w, nodes := startWithAlpha(t, 2, 3, model("alpha", 1)...)
 	frozen := other(nodes, nodes[0], holderOf(t, w, nodes[0]))
 	first := call{Model: "alpha", Prompt: "first", Tokens: 2}
 	assertServed(t, first, ask(t.Context(), frozen, first, nil))
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -190,6 +190,23 @@
 	})
 }
 
+// keep is a policy that keeps replicas of a model ready.
+func keep(name string, replicas int) api.Object {
+	return api.NewObject(api.KindPolicy, "keep-"+name, api.Policy{Models: []string{name}, Ready: fmt.Sprint(replicas)})
+}
+
+// startWithAlpha starts a world with runners and nodes, applies objects that make
+// up the model alpha, and waits until all nodes know its name.
+func startWithAlpha(t *testing.T, runners, nodes int, objects ...api.Object) (*world.World, []*world.Node) {
+	t.Helper()
+	w := newWorld(t, nil)
+	startRunners(t, w, runners)
+	started := startNodes(t, w, nodes)
+	apply(t, started[0], objects...)
+	waitNamed(t, "alpha", started...)
+	return w, started
+}
+
 // holderOf returns the node that holds the control lease, as another sees it.
 func holderOf(t *testing.T, w *world.World, from *world.Node) *world.Node {
 	t.Helper()
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -7,7 +7,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"lilacvane/internal/api"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/lab/world"
 	"lilacvane/platform/protocol"
@@ -17,11 +16,7 @@
 // and whole, by any node.
 func TestColdRequestIsServed(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	startRunners(t, w, 2)
-	nodes := startNodes(t, w, 2)
-	apply(t, nodes[0], model("alpha", 1)...)
-	waitNamed(t, "alpha", nodes...)
+	w, nodes := startWithAlpha(t, 2, 2, model("alpha", 1)...)
 	streamed := call{Model: "alpha", Prompt: "first words", Tokens: 8}
 	assertServed(t, streamed, ask(t.Context(), nodes[1], streamed, nil))
 	whole := call{Model: "alpha", Prompt: "second words", Tokens: 8, Whole: true}
@@ -52,7 +47,7 @@
 	w := newWorld(t, nil)
 	startRunners(t, w, 2)
 	nodes := startNodes(t, w, 1)
-	apply(t, nodes[0], append(model("alpha", 2), api.NewObject(api.KindPolicy, "always", api.Policy{Models: []string{"alpha"}, Ready: "2"}))...)
+	apply(t, nodes[0], append(model("alpha", 2), keep("alpha", 2))...)
 	waitUntil(t, "two replicas are loaded", func() error {
 		if len(runnersOf(t, nodes[0], "alpha")) != 2 {
 			return fault.New(fault.CodeNotLoaded, "test", "not yet")
--- a/test/replicas_test.go
+++ b/test/replicas_test.go
@@ -30,11 +30,6 @@
 	return err
 }
 
-// keep is a policy that keeps replicas of a model ready.
-func keep(name string, replicas int) api.Object {
-	return api.NewObject(api.KindPolicy, "keep-"+name, api.Policy{Models: []string{name}, Ready: fmt.Sprint(replicas)})
-}
-
 // TestReplicasWhenHolderFreezes: the holder of the lease is frozen and another
 // node takes over; after the thaw the old one gives no orders, never more
 // replicas are loaded than decided, and the orders of the two lie apart.
@@ -158,11 +153,7 @@
 // appears.
 func TestReplicasWhileOperatorsChangeThem(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	startRunners(t, w, 4)
-	nodes := startNodes(t, w, 3)
-	apply(t, nodes[0], append(model("alpha", 1), keep("alpha", 4))...)
-	waitNamed(t, "alpha", nodes...)
+	w, nodes := startWithAlpha(t, 4, 3, append(model("alpha", 1), keep("alpha", 4))...)
 	load := startBackground(t, 8, func(who, number int) (*world.Node, call) {
 		return nodes[who%2], call{Model: "alpha", Prompt: fmt.Sprintf("p%d-%d", who, number), Tokens: 20, Deadline: 20 * time.Second}
 	})
@@ -194,11 +185,7 @@
 // replica until the platform drops it; only then another one loads the model.
 func TestReplicaAtUnreachableRunnerCounts(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	startRunners(t, w, 2)
-	nodes := startNodes(t, w, 2)
-	apply(t, nodes[0], model("alpha", 1)...)
-	waitNamed(t, "alpha", nodes...)
+	w, nodes := startWithAlpha(t, 2, 2, model("alpha", 1)...)
 	first := call{Model: "alpha", Prompt: "one", Tokens: 4}
 	assertServed(t, first, ask(t.Context(), nodes[0], first, nil))
 	runner := runnersOf(t, nodes[0], "alpha")[0]
@@ -292,11 +279,7 @@
 // under the new version only, and versions together stay within the replicas.
 func TestVersionChangesUnderLoad(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	startRunners(t, w, 3)
-	nodes := startNodes(t, w, 3)
-	apply(t, nodes[0], model("alpha", 2)...)
-	waitNamed(t, "alpha", nodes...)
+	w, nodes := startWithAlpha(t, 3, 3, model("alpha", 2)...)
 	load := startBackground(t, 6, func(who, number int) (*world.Node, call) {
 		return nodes[who%2], call{Model: "alpha", Prompt: fmt.Sprintf("p%d-%d", who, number), Tokens: 4, Deadline: 30 * time.Second}
 	})
--- a/test/requests_test.go
+++ b/test/requests_test.go
@@ -152,11 +152,7 @@
 // its own request, resumed where it broke, or a truthful error.
 func TestWholeAnswersThroughCuts(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	startRunners(t, w, 2)
-	nodes := startNodes(t, w, 2)
-	apply(t, nodes[0], append(model("alpha", 2), api.NewObject(api.KindPolicy, "both", api.Policy{Models: []string{"alpha"}, Ready: "2"}))...)
-	waitNamed(t, "alpha", nodes...)
+	w, nodes := startWithAlpha(t, 2, 2, append(model("alpha", 2), keep("alpha", 2))...)
 	load := startBackground(t, 8, func(who, number int) (*world.Node, call) {
 		return nodes[who%2], call{Model: "alpha", Prompt: fmt.Sprintf("p%d-%d", who, number), Tokens: 60, Deadline: 20 * time.Second}
 	})
@@ -186,11 +182,7 @@
 // what may not be repeated runs at most once.
 func TestNotRunIsTrueThroughFaults(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	startRunners(t, w, 3)
-	nodes := startNodes(t, w, 3)
-	apply(t, nodes[0], append(model("alpha", 3), api.NewObject(api.KindPolicy, "all", api.Policy{Models: []string{"alpha"}, Ready: "3"}))...)
-	waitNamed(t, "alpha", nodes...)
+	w, nodes := startWithAlpha(t, 3, 3, append(model("alpha", 3), keep("alpha", 3))...)
 	load := startBackground(t, 9, func(who, number int) (*world.Node, call) {
 		c := call{Model: "alpha", Prompt: fmt.Sprintf("p%d-%d", who, number), Tokens: 30, Deadline: 2 * time.Second}
 		if who%3 == 0 {
@@ -230,11 +222,7 @@
 // loses answers; no key runs twice.
 func TestOnceUnderRaces(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	startRunners(t, w, 3)
-	nodes := startNodes(t, w, 4)
-	apply(t, nodes[0], append(model("alpha", 3), api.NewObject(api.KindPolicy, "all", api.Policy{Models: []string{"alpha"}, Ready: "3"}))...)
-	waitNamed(t, "alpha", nodes...)
+	w, nodes := startWithAlpha(t, 3, 4, append(model("alpha", 3), keep("alpha", 3))...)
 	first := call{Model: "alpha", Prompt: "first", Tokens: 2}
 	assertServed(t, first, ask(t.Context(), nodes[0], first, nil))
 	const keys = 40
--- a/test/stops_test.go
+++ b/test/stops_test.go
@@ -46,11 +46,7 @@
 // refusal, the node ends, and claims made there are remembered.
 func TestStopOfNodeCutsOffNoRequest(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	startRunners(t, w, 2)
-	nodes := startNodes(t, w, 3)
-	apply(t, nodes[0], model("alpha", 2)...)
-	waitNamed(t, "alpha", nodes...)
+	w, nodes := startWithAlpha(t, 2, 3, model("alpha", 2)...)
 	early := call{Model: "alpha", Prompt: "early", Tokens: 4, Key: "early-key", Deadline: 30 * time.Second}
 	assertServed(t, early, ask(t.Context(), nodes[1], early, nil))
 	streams := startStreams(t, nodes[:1], longStream, 4)
@@ -105,11 +101,7 @@
 // it once the drain was in force everywhere.
 func TestStopOfRunnerCutsOffNoRequest(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	startRunners(t, w, 3)
-	nodes := startNodes(t, w, 2)
-	apply(t, nodes[0], model("alpha", 1)...)
-	waitNamed(t, "alpha", nodes...)
+	w, nodes := startWithAlpha(t, 3, 2, model("alpha", 1)...)
 	streams := startStreams(t, nodes, longStream, 4)
 	runner := runnersOf(t, nodes[0], "alpha")[0]
 	revision := apply(t, nodes[0], api.NewObject(api.KindDrain, "drain-1", api.Drain{Target: api.DrainRunner, Name: runner}))
@@ -162,11 +154,7 @@
 // holder of the lease is killed at the same moment.
 func TestLeavingRunnerGetsNoNewWork(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	startRunners(t, w, 3)
-	nodes := startNodes(t, w, 3)
-	apply(t, nodes[0], model("alpha", 2)...)
-	waitNamed(t, "alpha", nodes...)
+	w, nodes := startWithAlpha(t, 3, 3, model("alpha", 2)...)
 	first := call{Model: "alpha", Prompt: "first", Tokens: 4}
 	assertServed(t, first, ask(t.Context(), nodes[0], first, nil))
 	runner := runnersOf(t, nodes[0], "alpha")[0]
