Explain orders by the operators' model; print commands as a newcomer types them

Cause: typing what `lilacvane-lab up` prints in a fresh clone. `lilacvane` is not on the path, it lies in bin/; and `explain model redactor` found no decision, because orders were noted under the name of the version's weights. The command's test did not show it: its model and weights have one name. Ruled out: the question, which asks all nodes; the log, which had the entry.

--- a/internal/control/controller_test.go
+++ b/internal/control/controller_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/config"
 	"lilacvane/internal/orders"
 	"lilacvane/internal/scheduler"
 )
@@ -28,7 +29,10 @@
 // runner's account. The race detector fails it when one reads what the other
 // writes.
 func TestOrderBesideNewList(t *testing.T) {
-	c := NewController(Options{Runners: acceptingRunners{}, Decide: func(string, string, string) {}, Log: logr.Discard()})
+	c := NewController(Options{
+		Runners: acceptingRunners{}, Decide: func(string, string, string) {}, Log: logr.Discard(),
+		Configuration: func() *config.Configuration { return nil },
+	})
 	runner := backend.Runner{ID: "r"}
 	ledger := orders.NewLedger(runner)
 	ledger.Reported(backend.Report{}, time.Now(), time.Now())
@@ -41,3 +45,21 @@
 	c.mutex.Unlock()
 	assert.Assert(t, <-done)
 }
+
+// TestOrdersAreExplainedByModel: operators ask by the name of their model, not by
+// the name of the weights of its version.
+func TestOrdersAreExplainedByModel(t *testing.T) {
+	engine := &config.Engine{Models: map[string]*config.Model{"alpha-v1": {Name: "alpha-v1", Object: "alpha"}}}
+	configuration := &config.Configuration{Services: map[string]*config.Service{"s": {Engine: engine}}}
+	var subjects []string
+	c := NewController(Options{
+		Service: "s", Runners: acceptingRunners{}, Log: logr.Discard(),
+		Decide:        func(subject, _, _ string) { subjects = append(subjects, subject) },
+		Configuration: func() *config.Configuration { return configuration },
+	})
+	ledger := orders.NewLedger(backend.Runner{ID: "r"})
+	ledger.Reported(backend.Report{}, time.Now(), time.Now())
+	step := scheduler.Step{Runner: "r", Action: backend.Load, Unit: backend.Unit{Model: "alpha-v1"}}
+	assert.Assert(t, c.send(t.Context(), 1, ledger, ledger.Begin(step.Action, step.Unit, "node", 1), step))
+	assert.DeepEqual(t, subjects, []string{"model/alpha", "replica/r"})
+}
--- a/internal/control/ordering.go
+++ b/internal/control/ordering.go
@@ -88,7 +88,16 @@
 	}
 	c.Log.Info("order", fields...)
 	what := string(order.Action) + " " + order.Unit.String() + " at " + runner.ID + ": " + verdict.String() + " (" + step.Reason + ")"
-	c.Decide("model/"+order.Unit.Model, "order "+string(order.Action), what)
+	c.Decide("model/"+c.objectOf(order.Unit.Model), "order "+string(order.Action), what)
 	c.Decide("replica/"+runner.ID, "order "+string(order.Action), what)
 	return verdict == backend.Accepted || verdict == backend.AlreadyHeld
 }
+
+// objectOf is the name by which operators know weights: their model's, or the
+// weights' own when no model of theirs has them.
+func (c *Controller) objectOf(weights string) string {
+	if engine := c.engine(); engine != nil && engine.Models[weights] != nil {
+		return nameOf(engine.Models[weights])
+	}
+	return weights
+}
--- a/internal/labcommand/up.go
+++ b/internal/labcommand/up.go
@@ -60,7 +60,7 @@
 	if c.Once {
 		return nil
 	}
-	fmt.Fprintf(s.Out, "\nThe system is up. Try in another terminal:\n  lilacvane status --server %s\n  lilacvane explain model redactor --server %s\nPress ctrl-c to stop all of it.\n", node.Operators, node.Operators)
+	fmt.Fprintf(s.Out, "\nThe system is up. Try in another terminal:\n  ./bin/lilacvane status --server %s\n  ./bin/lilacvane explain model redactor --server %s\nPress ctrl-c to stop all of it.\n", node.Operators, node.Operators)
 	<-ctx.Done()
 	return nil
 }
