Hand each key of a batch over once, as it is at its end

Cause: when the store comes back from an outage, all runners' rows are removed and written again within one batch of the feed. The handler of the runner list split the batch into changed and removed rows and applied the removals last, so runners that were back stayed gone for the node until their rows changed again.

Ruled out: 429 of the store (reads stay under the bound), the routes themselves (in force at 34.09 s), the lease (a holder acted throughout).

Change: the follower keeps the last change of each key before it hands a batch over. feed.TestRowsThatCameBackStay failed first.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -45,7 +45,8 @@
 	// Whole takes all rows. gap is how long nothing was heard before; zero for
 	// the first read.
 	Whole(rows []Row, gap time.Duration)
-	// Changed takes changed rows in the order of their changes.
+	// Changed takes changed rows in the order of their changes, each key once, as
+	// it is at the end of the batch.
 	Changed(rows []Row)
 }
 
@@ -155,12 +156,29 @@
 		return fault.New(fault.CodeStale, "watch table", "revision %d is older than %d", batch.Revision, f.position)
 	}
 	if len(batch.Rows) > 0 {
-		f.handler.Changed(batch.Rows)
+		f.handler.Changed(newest(batch.Rows))
 	}
 	f.advance(batch.Revision)
 	return nil
 }
 
+// newest keeps the last change of each key. A key that was removed and written
+// again, as all runners' are after an outage of the store, must not be taken for
+// removed by a handler that looks at removals last.
+func newest(rows []Row) []Row {
+	last := make(map[string]int, len(rows))
+	for i, row := range rows {
+		last[row.Key] = i
+	}
+	kept := make([]Row, 0, len(last))
+	for i, row := range rows {
+		if last[row.Key] == i {
+			kept = append(kept, row)
+		}
+	}
+	return kept
+}
+
 func (f *Follower) advance(revision uint64) {
 	f.position = revision
 	f.newest = max(f.newest, revision)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -48,6 +48,7 @@
 }
 
 func (r *recorder) Changed(rows []Row) {
+	r.last = rows
 	for _, row := range rows {
 		r.changed = append(r.changed, row.Key)
 	}
@@ -88,3 +89,23 @@
 	assert.Assert(t, f.Read())
 	assert.NilError(t, f.step(t.Context()))
 }
+
+// TestRowsThatCameBackStay: a row that is removed and written again within one
+// batch, as runners do after an outage of the store, is told once, as it is now.
+func TestRowsThatCameBackStay(t *testing.T) {
+	source := &scriptedSource{
+		reads: []Batch{{Revision: 4}},
+		watches: []Batch{{Revision: 9, Rows: []Row{
+			{Key: "left", Revision: 5}, {Key: "back", Revision: 6, Deleted: true}, {Key: "left", Revision: 7, Deleted: true},
+			{Key: "back", Revision: 8, Value: []byte("new")},
+		}}},
+		errs: []error{nil},
+	}
+	handler := &recorder{}
+	f := follow(source, handler)
+	assert.NilError(t, f.step(t.Context()))
+	assert.NilError(t, f.step(t.Context()))
+	assert.DeepEqual(t, handler.last, []Row{
+		{Key: "left", Revision: 7, Deleted: true}, {Key: "back", Revision: 8, Value: []byte("new")},
+	})
+}
