Let nodes with more to spare take leases first

Change: settings know the machine's cores and link; a node with less than half a core or 100 Mbit/s takes a free lease, of the relay or of control, up to 0.4 s later. TestReluctantNodeWaitsLonger, TestSpare, and first tests of the settings.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -52,6 +52,9 @@
 	ActMargin time.Duration
 	// CallTimeout bounds one call to the store.
 	CallTimeout time.Duration
+	// Reluctance is how much later than others this node takes a lease that is
+	// free, so that nodes with more to spare come first.
+	Reluctance time.Duration
 	// Heard reports whether the holder was heard of by other means just now, so
 	// that the others need not look at the row; they always look when it is not set.
 	Heard func() bool
@@ -103,7 +106,7 @@
 // Run takes, renews and watches the lease until ctx ends.
 func (l *Lessor) Run(ctx context.Context) {
 	// Nodes that start together do not all try to take it at once.
-	sleep(ctx, rand.N(l.options.Interval/2))
+	sleep(ctx, rand.N(l.options.Interval/2)+l.options.Reluctance)
 	for ctx.Err() == nil {
 		l.step(ctx)
 		pause := l.options.Interval/2 + rand.N(l.options.Interval)
@@ -244,7 +247,7 @@
 	if l.seen.Released || l.seen.Holder == "" || l.seen.Holder == l.self.Holder {
 		return true
 	}
-	return l.options.Now().Sub(l.seenAt) >= l.options.Validity+l.options.Interval
+	return l.options.Now().Sub(l.seenAt) >= l.options.Validity+l.options.Interval+l.options.Reluctance
 }
 
 // take writes this process as the holder.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -258,3 +258,22 @@
 	w.nodes[1].step(t.Context())
 	assert.Assert(t, w.nodes[1].Acting())
 }
+
+// TestReluctantNodeWaitsLonger: of two nodes that see the same lease run out, the
+// one with more to spare takes it.
+func TestReluctantNodeWaitsLonger(t *testing.T) {
+	w := newWorld(3)
+	holder, small, large := w.nodes[0], w.nodes[1], w.nodes[2]
+	small.options.Reluctance = 400 * time.Millisecond
+	holder.step(t.Context())
+	small.step(t.Context())
+	large.step(t.Context())
+	w.now = w.now.Add(testValidity + testInterval + 200*time.Millisecond)
+	small.step(t.Context())
+	assert.Assert(t, !small.Holds())
+	large.step(t.Context())
+	assert.Assert(t, large.Holds())
+	w.now = w.now.Add(testValidity)
+	small.step(t.Context())
+	assert.Assert(t, !small.Holds())
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,7 +135,7 @@
 	n.controls = newControls(n)
 	n.relay = relay.New(relay.Options{
 		Group: relayGroup(s), Node: s.Node, Leases: platform.Leases, Address: s.Listen.PeerAddress(), Process: n.process,
-		Client: n.client, Log: log.Logger,
+		Client: n.client, Reluctance: reluctance(s.Capacity), Log: log.Logger,
 	})
 	peer.Handle(n.peers, wire.MethodFollow, n.relay.Follow)
 	n.knowledge = newKnowledge(n)
@@ -143,6 +143,16 @@
 	return n, nil
 }
 
+// longestReluctance is how much later than others a node with nothing to spare
+// takes a lease.
+const longestReluctance = 400 * time.Millisecond
+
+// reluctance lets nodes with more to spare take leases first, as their holders
+// work for others.
+func reluctance(capacity settings.Capacity) time.Duration {
+	return time.Duration((1 - capacity.Spare()) * float64(longestReluctance))
+}
+
 // relayGroup is the group of nodes that read the store through one of them.
 func relayGroup(s settings.Settings) relay.Group {
 	if s.Relay.Scope == settings.ScopeZone {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -84,7 +84,9 @@
 	Address string
 	Process string
 	Client  *peer.Client
-	Log     logr.Logger
+	// Reluctance is how much later than others this node becomes the relay.
+	Reluctance time.Duration
+	Log        logr.Logger
 }
 
 // Relay is a node's part in its group, as reader and as relay. Its methods may
@@ -112,7 +114,7 @@
 func New(o Options) *Relay {
 	r := &Relay{client: o.Client, log: o.Log.WithValues("group", o.Group), mirrors: make(map[Table]*mirror), gone: make(chan struct{})}
 	r.lessor = lease.New(o.Leases, o.Group.LeaseKey(), o.Node, o.Address, o.Process, lease.Options{
-		Validity: leaseValidity, Interval: leaseInterval, CallTimeout: leaseTimeout, Heard: r.relayHeard,
+		Validity: leaseValidity, Interval: leaseInterval, CallTimeout: leaseTimeout, Reluctance: o.Reluctance, Heard: r.relayHeard,
 	}, o.Log)
 	return r
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,8 @@
 	Listen Listen `yaml:"listen"`
 	// Store is where the platform's store is.
 	Store Store `yaml:"store"`
+	// Capacity is what the machine gives this process.
+	Capacity Capacity `yaml:"capacity"`
 	// Relay says which nodes read the store through one of them.
 	Relay Relay `yaml:"relay"`
 	// Retries bounds repeated requests of a service over all nodes.
@@ -77,6 +79,33 @@
 	Address string `yaml:"address"`
 }
 
+// Capacity is what a machine gives a process; zero where it is not known.
+type Capacity struct {
+	// Cores is the part of a core, or the number of cores.
+	Cores float64 `yaml:"cores"`
+	// LinkMbps is the machine's link, in Mbit a second.
+	LinkMbps float64 `yaml:"linkMbps"`
+}
+
+// What a node that works for others should have.
+const (
+	amplyCores    = 0.5
+	amplyLinkMbps = 100
+)
+
+// Spare is the part, 0 to 1, that the machine has of what a node should have that
+// works for others. It is 1 where nothing is known.
+func (c Capacity) Spare() float64 {
+	spare := 1.0
+	if c.Cores > 0 {
+		spare = min(spare, c.Cores/amplyCores)
+	}
+	if c.LinkMbps > 0 {
+		spare = min(spare, c.LinkMbps/amplyLinkMbps)
+	}
+	return spare
+}
+
 // Scope is a part of the fleet.
 type Scope string
 
@@ -192,6 +221,8 @@
 		check(address == "" || isAddress(address), "listen.%s: %q is not ip:port", name, address)
 	}
 	check(isAddress(s.Store.Address), "store.address: %q is not ip:port", s.Store.Address)
+	check(s.Capacity.Cores >= 0, "capacity.cores: must not be negative")
+	check(s.Capacity.LinkMbps >= 0, "capacity.linkMbps: must not be negative")
 	check(s.Relay.Scope == ScopeZone || s.Relay.Scope == ScopeRegion, "relay.scope: zone or region")
 	check(s.Retries.Ratio >= 0 && s.Retries.Ratio <= 1, "retries.ratio: must be 0 to 1")
 	check(s.Retries.Slack >= 0, "retries.slack: must not be negative")
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,52 @@
+package settings
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const least = `
+node: n
+zone: z
+listen: {ready: "127.0.0.1:1", peers: "127.0.0.1:2"}
+store: {address: "127.0.0.1:3"}
+`
+
+// TestBadSettingsAreNamedAtOnce: all problems of a file are reported, each with
+// its field.
+func TestBadSettingsAreNamedAtOnce(t *testing.T) {
+	read, unknown, err := Parse([]byte(least + "relay: {scope: galaxy}\ncapacity: {cores: -1, linkMbps: -1}\nretries: {ratio: 2}\nstop: {grace: 1s, notice: 2s}\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(unknown), 0)
+	err = read.Validate()
+	for _, field := range []string{"relay.scope", "capacity.cores", "capacity.linkMbps", "retries.ratio", "stop.notice"} {
+		assert.ErrorContains(t, err, field)
+	}
+}
+
+// TestUnknownFieldsChangeNothing: a field that is not known is named, and the
+// others count.
+func TestUnknownFieldsChangeNothing(t *testing.T) {
+	read, unknown, err := Parse([]byte(least + "relay: {scope: zone, radius: 3}\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(unknown), 1)
+	assert.Equal(t, read.Relay.Scope, ScopeZone)
+	assert.NilError(t, read.Validate())
+}
+
+// TestSpare: the scarcer of processor and link counts; what is not known does not.
+func TestSpare(t *testing.T) {
+	for _, c := range []struct {
+		capacity Capacity
+		spare    float64
+	}{
+		{Capacity{}, 1},
+		{Capacity{Cores: 0.8, LinkMbps: 200}, 1},
+		{Capacity{Cores: 0.25, LinkMbps: 1000}, 0.5},
+		{Capacity{Cores: 0.8, LinkMbps: 10}, 0.1},
+		{Capacity{LinkMbps: 10}, 0.1},
+	} {
+		assert.Equal(t, c.capacity.Spare(), c.spare, "%+v", c.capacity)
+	}
+}
