Ask less often while the store does not answer

Cause: while the store is silent all nodes follow it themselves; five loops a node call it again after at most 0.8 s each, and every call is priced.

Change: a node that does not hold a lease looks at its row a quarter as often while the store does not answer it, and the followers' longest pause is 1.6 s.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -65,7 +65,7 @@
 
 const (
 	firstBackoff = 50 * time.Millisecond
-	lastBackoff  = 800 * time.Millisecond
+	lastBackoff  = 1600 * time.Millisecond
 )
 
 // Follower follows one table.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -109,11 +109,26 @@
 	sleep(ctx, rand.N(l.options.Interval/2)+l.options.Reluctance)
 	for ctx.Err() == nil {
 		l.step(ctx)
-		pause := l.options.Interval/2 + rand.N(l.options.Interval)
-		if l.Holds() {
-			pause = l.options.Interval
-		}
-		sleep(ctx, pause)
+		sleep(ctx, l.pause())
+	}
+}
+
+// unreachablePause is how many times as long the others wait between two looks
+// while the store does not answer them.
+const unreachablePause = 4
+
+// pause is the time until the next step.
+func (l *Lessor) pause() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	pause := l.options.Interval/2 + rand.N(l.options.Interval)
+	switch {
+	case l.held:
+		return l.options.Interval
+	case l.lost:
+		return unreachablePause * pause
+	default:
+		return pause
 	}
 }
 
