--- a/internal/relay/mirror.go
+++ b/internal/relay/mirror.go
@@ -19,6 +19,8 @@
 // other nodes can be told what changed after any revision from floor on. Its
 // methods may be called concurrently.
 type mirror struct {
+	packer packer
+
 	mu sync.Mutex
 	// rows are the present rows, removed the newest revisions of absent ones.
 	rows    map[string]feed.Row
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -230,10 +230,10 @@
 		return wire.FollowResponse{}, err
 	}
 	response := wire.FollowResponse{Revision: batch.Revision, AgeMs: r.age().Milliseconds()}
-	for _, row := range batch.Rows {
-		response.Rows = append(response.Rows, wire.TableRow(row))
+	if err := m.packer.put(&response, request, batch); err != nil {
+		return wire.FollowResponse{}, err
 	}
-	if len(response.Rows) > 0 {
+	if len(batch.Rows) > 0 {
 		response.Peers = r.known(peersTold)
 	}
 	return response, nil
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -230,3 +231,21 @@
 	assert.Equal(t, store.reads.Load(), before+1)
 	until(t, func() bool { return follower.lessor.Holds() })
 }
+
+// TestManyRowsArePackedOnce: a batch of many rows reaches the followers whole, and
+// those at the same revision are told the same bytes.
+func TestManyRowsArePackedOnce(t *testing.T) {
+	store := &fakeStore{}
+	const rows = 2000
+	for i := range rows {
+		store.write(fmt.Sprintf("a-rather-long-key-%d", i))
+	}
+	relay, follower := pair(t, store)
+	batch, err := follower.source.Read(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(batch.Rows), rows)
+	first := relay.mirror(testTable).packer.packed
+	_, err = start(t, store, "three").source.Read(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, &first[0] == &relay.mirror(testTable).packer.packed[0])
+}
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -99,9 +99,6 @@
 	}
 	s.relay.noteRelay()
 	s.relay.meet(response.Peers...)
-	batch := feed.Batch{Revision: response.Revision}
-	for _, row := range response.Rows {
-		batch.Rows = append(batch.Rows, feed.Row(row))
-	}
-	return batch, nil
+	rows, err := rowsOf(response, relay)
+	return feed.Batch{Rows: rows, Revision: response.Revision}, err
 }
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -18,8 +18,10 @@
 
 // FollowResponse carries rows as of a revision.
 type FollowResponse struct {
-	Rows     []TableRow `cbor:"1,keyasint,omitempty"`
-	Revision uint64     `cbor:"2,keyasint"`
+	Rows []TableRow `cbor:"1,keyasint,omitempty"`
+	// Packed are the rows in place of Rows where there are many; see PackRows.
+	Packed   []byte `cbor:"5,keyasint,omitempty"`
+	Revision uint64 `cbor:"2,keyasint"`
 	// AgeMs is how long ago the relay heard of the store, in milliseconds.
 	AgeMs int64 `cbor:"3,keyasint"`
 	// Peers are addresses of some other readers, told with changes.
