Let a resting watch go on when a request begins to wait

Cause: between two watches of the lease holder a node rests 0.2 s so that news are gathered; a request that began to wait in that time heard of its adapter, loaded in 10 ms, only afterwards. Besides, one channel told all services that something waits, and the reader of another service could take the signal.

Change: a channel for each service; its signal also ends the watch's rest. TestUrgentTellsTheServiceThatWaits failed first (it did not build with the old book).

--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -42,6 +42,9 @@
 	fleet      *fleet.Fleet
 	setNodes   func(int)
 	log        logr.Logger
+	// begun is signalled when a request begins to wait, so that a resting watch
+	// goes on.
+	begun chan struct{}
 
 	mutex   sync.Mutex
 	token   uint64
@@ -58,7 +61,7 @@
 	known *fleet.Fleet, setNodes func(int), log logr.Logger) *Syncer {
 	return &Syncer{
 		service: service, self: self, lessor: lessor, controller: controller, client: client, book: book, fleet: known,
-		setNodes: setNodes, log: log.WithValues("service", service),
+		setNodes: setNodes, log: log.WithValues("service", service), begun: make(chan struct{}, 1),
 	}
 }
 
@@ -79,22 +82,42 @@
 			sleep(ctx, retryPause)
 		case !s.book.Waits(s.service):
 			// Nothing waits for news, so they are gathered.
-			sleep(ctx, restingPause)
+			s.rest(ctx)
 		}
 	}
 }
 
+// rest pauses until a request begins to wait.
+func (s *Syncer) rest(ctx context.Context) {
+	timer := time.NewTimer(restingPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-s.begun:
+	}
+}
+
+func (s *Syncer) wakeWatch() {
+	select {
+	case s.begun <- struct{}{}:
+	default:
+	}
+}
+
 // reportLoop reports the demand at intervals, and at once when a request begins
 // to wait.
 func (s *Syncer) reportLoop(ctx context.Context) {
 	timer := time.NewTimer(reportInterval)
 	defer timer.Stop()
+	urgent := s.book.Urgent(s.service)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
-		case <-s.book.Urgent():
+		case <-urgent:
+			s.wakeWatch()
 		}
 		err := s.call(ctx, s.report())
 		pause := reportEvery(s.nodes())
--- a/internal/demand/book.go
+++ b/internal/demand/book.go
@@ -39,8 +39,9 @@
 	next    int
 	waiting map[Key]map[int]waiter
 	usage   map[Key]*Usage
-	// urgent is signalled when a unit begins to be waited for.
-	urgent chan struct{}
+	// urgent holds a channel for each service, signalled when one of its units
+	// begins to be waited for.
+	urgent map[string]chan struct{}
 }
 
 type waiter struct {
@@ -50,12 +51,24 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{waiting: make(map[Key]map[int]waiter), usage: make(map[Key]*Usage), urgent: make(chan struct{}, 1)}
+	return &Book{waiting: make(map[Key]map[int]waiter), usage: make(map[Key]*Usage), urgent: make(map[string]chan struct{})}
 }
 
-// Urgent returns the channel that is signalled when a unit that nobody waited
-// for is waited for.
-func (b *Book) Urgent() <-chan struct{} { return b.urgent }
+// Urgent returns the channel that is signalled when a unit of the service that
+// nobody waited for is waited for. It has one reader.
+func (b *Book) Urgent(service string) <-chan struct{} {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.urgentOf(service)
+}
+
+// urgentOf returns a service's channel; mutex is held.
+func (b *Book) urgentOf(service string) chan struct{} {
+	if b.urgent[service] == nil {
+		b.urgent[service] = make(chan struct{}, 1)
+	}
+	return b.urgent[service]
+}
 
 // Wait notes that a request waits for a unit until deadline. The function
 // returned ends that.
@@ -66,7 +79,7 @@
 	id := b.next
 	if b.waiting[key] == nil {
 		b.waiting[key] = make(map[int]waiter)
-		b.signal()
+		b.signal(key.Service)
 	}
 	b.waiting[key][id] = waiter{deadline: deadline, priority: priority}
 	return func() { b.end(key, id) }
@@ -81,9 +94,10 @@
 	}
 }
 
-func (b *Book) signal() {
+// signal tells a service's reader; mutex is held.
+func (b *Book) signal(service string) {
 	select {
-	case b.urgent <- struct{}{}:
+	case b.urgentOf(service) <- struct{}{}:
 	default:
 	}
 }
