--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -216,7 +216,9 @@
 // no two nodes wait for each other's news.
 func TestFollowersDoNotRelay(t *testing.T) {
 	_, follower := pair(t, &fakeStore{})
-	_, err := follower.Follow(t.Context(), wire.FollowRequest{Table: string(testTable), Whole: true})
+	_, err := follower.source.Read(t.Context())
+	assert.NilError(t, err)
+	_, err = follower.Follow(t.Context(), wire.FollowRequest{Table: string(testTable), Whole: true})
 	assert.Assert(t, fault.IsCode(err, fault.CodeNotReady), "%v", err)
 }
 
