Load elsewhere what a silent runner holds

Cause: a runner that goes dark stays on the platform's list for three heartbeats. Until then requests are sent to it, and models that only it holds are not loaded elsewhere, as the copy counts.

Change: a node that gets no answer for half its objective (0.25 to 0.6 s) names the runner to the lease holder, which asks it for a report; when neither is answered the holder calls it silent. Its copies serve nothing for the plan, but count for the bound on replicas; nodes that had no answer since leave it alone. One report at a time is asked of a runner now: unanswered ones overlapped. TestSilentRunnerIsReplaced failed first (timeout, 'deadline_cannot_be_met').

--- a/internal/control/describe.go
+++ b/internal/control/describe.go
@@ -18,8 +18,8 @@
 	runner := &scheduler.Runner{
 		ID: id, Zone: ledger.Runner.Zone, Models: make(map[string]*scheduler.Held), Free: ledger.Free(engine),
 		AdapterSlots: ledger.FreeAdapterSlots(engine), Idle: ledger.Idle(now),
-		Ready: ledger.MayOrder(backend.Unit{Model: "any", Adapter: "any"}, now),
-		Host:  setOf(ledger.Copies().Host), Disk: setOf(ledger.Copies().Disk),
+		Ready:  ledger.MayOrder(backend.Unit{Model: "any", Adapter: "any"}, now),
+		Silent: ledger.Silent(), Host: setOf(ledger.Copies().Host), Disk: setOf(ledger.Copies().Disk),
 	}
 	for name, model := range ledger.Models() {
 		held := &scheduler.Held{
@@ -50,7 +50,7 @@
 
 // viewOf turns a runner's account into what nodes are told.
 func viewOf(id string, ledger *orders.Ledger, now time.Time) wire.RunnerView {
-	view := wire.RunnerView{Runner: id}
+	view := wire.RunnerView{Runner: id, Silent: ledger.Silent()}
 	for name, model := range ledger.Models() {
 		if model.Leaving {
 			continue
@@ -85,6 +85,8 @@
 		status.State = "draining"
 	case !ledger.Known():
 		status.State = "unknown"
+	case ledger.Silent():
+		status.State = "silent"
 	}
 	for _, name := range slices.Sorted(maps.Keys(ledger.Models())) {
 		model := ledger.Models()[name]
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -71,8 +71,11 @@
 		return
 	}
 	if err != nil {
-		ledger.ReportFailed(time.Now(), reportRetry)
-		c.Log.Info("report missing", "runner", runner.ID, "error", err.Error())
+		if ledger.ReportFailed(time.Now(), reportRetry) {
+			c.changedView(ledger)
+			c.Wake()
+		}
+		c.Log.Info("report missing", "runner", runner.ID, "silent", ledger.Silent(), "error", err.Error())
 		return
 	}
 	if ledger.Reported(report, asked, time.Now()) {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -25,6 +25,7 @@
 		return wire.SyncResponse{}, fault.New(fault.CodeNotHolder, "sync", "this node does not hold the lease of %s", request.Service)
 	}
 	urgent := c.demand.report(request, time.Now())
+	urgent = c.suspect(request) || urgent
 	c.mutex.Unlock()
 	if urgent {
 		c.Wake()
@@ -38,6 +39,19 @@
 	return c.account(request), nil
 }
 
+// suspect asks the runners that a node suspects. It returns whether there are any.
+// mutex is held.
+func (c *Controller) suspect(request wire.SyncRequest) bool {
+	asked := false
+	for _, id := range request.Suspects {
+		if ledger := c.ledgers[id]; ledger != nil && ledger.Suspect(time.Now()) {
+			c.Log.Info("runner suspected", "runner", id, "node", request.Node)
+			asked = true
+		}
+	}
+	return asked
+}
+
 // waitChange waits until there is something new for the node, at most for the
 // time it names.
 func (c *Controller) waitChange(ctx context.Context, request wire.SyncRequest) {
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -147,7 +147,7 @@
 
 // report sums up the node's demand.
 func (s *Syncer) report() wire.SyncRequest {
-	request := wire.SyncRequest{Report: true}
+	request := wire.SyncRequest{Report: true, Suspects: s.fleet.TakeSuspects(s.service)}
 	now := time.Now()
 	for _, waiting := range s.book.Waiting() {
 		if waiting.Service != s.service {
@@ -240,7 +240,7 @@
 }
 
 func fleetView(runner wire.RunnerView) fleet.View {
-	view := fleet.View{Runner: runner.Runner}
+	view := fleet.View{Runner: runner.Runner, Silent: runner.Silent}
 	for _, held := range runner.Ready {
 		view.Ready = append(view.Ready, backend.Holding{Model: held.Model, Adapters: held.Adapters})
 	}
--- a/internal/demand/book.go
+++ b/internal/demand/book.go
@@ -70,6 +70,13 @@
 	return b.urgent[service]
 }
 
+// Nudge asks a service's reader for a report at once.
+func (b *Book) Nudge(service string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.signal(service)
+}
+
 // Wait notes that a request waits for a unit until deadline. The function
 // returned ends that.
 func (b *Book) Wait(key Key, deadline time.Time, priority int) (end func()) {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -115,7 +115,9 @@
 	defer func() {
 		result.timedOut = err != nil && parent.Err() == nil && errors.Is(context.Cause(ctx), errTimeout)
 	}()
+	suspicion := j.suspectLater(choice)
 	answer, err := j.dispatcher.Pool.Do(ctx, j.call(choice))
+	suspicion.Stop()
 	if err != nil {
 		if fault.IsCode(err, fault.CodeUnreachable) && ctx.Err() == nil {
 			return exchanged{fleet: fleet.Unreachable}, err
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"lilacvane/internal/fleet"
 )
 
 const (
@@ -39,6 +41,31 @@
 	return time.Duration(pauseFactor * float64(j.route.PauseObjective))
 }
 
+const (
+	// suspectFactor is the part of the objective after which a runner that has
+	// said nothing is suspected to be gone, with these bounds.
+	suspectFactor   = 0.5
+	earliestSuspect = 250 * time.Millisecond
+	latestSuspect   = 600 * time.Millisecond
+)
+
+// suspectLater lets the control holder ask a runner that says nothing for a while.
+// The attempt goes on: the runner may only be slow.
+func (j *job) suspectLater(choice fleet.Choice) *time.Timer {
+	if !j.engine {
+		return time.AfterFunc(unlimited, func() {})
+	}
+	after := time.Duration(suspectFactor * float64(j.route.Objective))
+	after = min(max(after, earliestSuspect), latestSuspect)
+	service, runner, log := j.query.Service, choice.Runner.ID, j.log
+	return time.AfterFunc(after, func() {
+		if j.dispatcher.Fleet.Suspect(runner) {
+			log.V(1).Info("runner suspected", "runner", runner, "silentMs", after.Milliseconds())
+			j.dispatcher.Demand.Nudge(service)
+		}
+	})
+}
+
 // longestPause ends a stream that may not be resumed and stands still.
 const longestPause = time.Minute
 
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -94,7 +94,7 @@
 			return false
 		}
 	}
-	return query.Unit == backend.Unit{} || f.holds(known, query.Unit)
+	return query.Unit == backend.Unit{} || (f.holds(known, query.Unit) && !f.silent(known))
 }
 
 // rank estimates the delay of a request at a runner.
@@ -142,6 +142,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if known := f.runners[choice.Runner.ID]; known != nil {
+		known.answeredAt = f.now()
 		known.prefill = max(known.prefill-choice.UnreadTokens, 0)
 	}
 }
@@ -193,6 +194,7 @@
 	now := f.now()
 	switch result {
 	case Served:
+		known.answeredAt = now
 		known.health.success()
 		known.latency += latencyWeight * (milliseconds(elapsed) - known.latency)
 	case Failed:
@@ -201,9 +203,11 @@
 	case Unreachable:
 		known.health.lost(now)
 	case Busy:
+		known.answeredAt = now
 		known.health.failure(now)
 		known.refused[query.Unit] = now.Add(refusalPause)
 	case NotHeld:
+		known.answeredAt = now
 		known.refused[query.Unit] = now.Add(refusalPause)
 	case Canceled:
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,6 +28,9 @@
 	Ready  []backend.Holding
 	// Coming lists units being loaded.
 	Coming []Coming
+	// Silent is set while the runner does not answer the holder, after nodes
+	// suspected it.
+	Silent bool
 }
 
 // Coming is a unit that is being loaded and the time until it is expected.
@@ -70,12 +73,18 @@
 	prompts  promptCache
 	// latency is the moving average of answer times in milliseconds.
 	latency float64
+	// answeredAt is when the runner last answered this node, suspect is set from
+	// the time it does not until that was told, suspectedAt is when it last was.
+	answeredAt  time.Time
+	suspect     bool
+	suspectedAt time.Time
 }
 
 type view struct {
 	at     time.Time
 	ready  map[backend.Unit]bool
 	coming map[backend.Unit]time.Time
+	silent bool
 }
 
 // New returns an empty fleet for a node in zone. drained tells runners that a
@@ -191,7 +200,7 @@
 }
 
 func (f *Fleet) newView(account View) *view {
-	taken := &view{at: f.now(), ready: unitsOf(account.Ready), coming: make(map[backend.Unit]time.Time, len(account.Coming))}
+	taken := &view{at: f.now(), silent: account.Silent, ready: unitsOf(account.Ready), coming: make(map[backend.Unit]time.Time, len(account.Coming))}
 	for _, coming := range account.Coming {
 		taken.coming[coming.Unit] = f.now().Add(coming.In)
 	}
@@ -254,7 +263,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, known := range f.runners {
-		if known.present && known.listed.Service == service && f.holds(known, backend.Unit{Model: model}) {
+		if known.present && known.listed.Service == service && f.holds(known, backend.Unit{Model: model}) && !f.silent(known) {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/fleet/suspect_test.go
@@ -0,0 +1,53 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
+)
+
+// TestSilentRunnerIsLeftAlone: what the holder found silent gets no request, until
+// the holder's word is old or the runner has answered this node.
+func TestSilentRunnerIsLeftAlone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	unit := backend.Unit{Model: "m"}
+	f := New("zone", func() time.Time { return now }, func(string, string) bool { return false })
+	f.Apply([]backend.Runner{{ID: "r", Service: "s", Models: []backend.Holding{{Model: "m"}}}}, nil, false)
+	query := Query{Service: "s", Unit: unit}
+	first, found := f.Choose(query)
+	assert.Assert(t, found)
+	silent := View{Runner: "r", Ready: []backend.Holding{{Model: "m"}}, Silent: true}
+	f.ApplyViews([]View{silent})
+	_, found = f.Choose(query)
+	assert.Assert(t, !found)
+	assert.Assert(t, !f.Holds("s", "m"))
+	now = now.Add(time.Millisecond)
+	f.Done(first, query, Served, time.Millisecond, true)
+	_, found = f.Choose(query)
+	assert.Assert(t, found, "it answered this node")
+	now = now.Add(time.Second)
+	f.ApplyViews([]View{silent})
+	_, found = f.Choose(query)
+	assert.Assert(t, !found)
+	now = now.Add(silentLifetime)
+	_, found = f.Choose(query)
+	assert.Assert(t, found, "the holder does not repeat it")
+}
+
+// TestSuspicionsAreToldOnce: a runner is suspected at intervals, and told once.
+func TestSuspicionsAreToldOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := New("zone", func() time.Time { return now }, func(string, string) bool { return false })
+	f.Apply([]backend.Runner{{ID: "r", Service: "s"}, {ID: "q", Service: "other"}}, nil, false)
+	assert.Assert(t, !f.Suspect("unknown"))
+	assert.Assert(t, f.Suspect("r"))
+	assert.Assert(t, f.Suspect("q"))
+	assert.Assert(t, !f.Suspect("r"))
+	assert.DeepEqual(t, f.TakeSuspects("s"), []string{"r"})
+	assert.Equal(t, len(f.TakeSuspects("s")), 0)
+	now = now.Add(suspectPause)
+	assert.Assert(t, f.Suspect("r"))
+}
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -39,8 +39,10 @@
 	// known is set once the runner's state was told, reported once by itself.
 	known    bool
 	reported bool
-	sequence uint64
-	models   map[string]*Model
+	// reportedAt is when it last did.
+	reportedAt time.Time
+	sequence   uint64
+	models     map[string]*Model
 	// lost are orders without an answer that may still be carried out, until
 	// another order is accepted at the same sequence number.
 	lost []backend.Order
@@ -50,6 +52,12 @@
 	busy       bool
 	copies     backend.Copies
 	nextReport time.Time
+	// asking is set while a report is being asked for.
+	asking bool
+	// suspected is set when a node got no answer from the runner, silent when the
+	// holder then got none either.
+	suspected bool
+	silent    bool
 	// sending is the order on its way, if any.
 	sending  *backend.Order
 	notUntil time.Time
@@ -149,15 +157,40 @@
 // WantsReport reports whether the runner should be asked for a report now, and
 // notes that it is.
 func (l *Ledger) WantsReport(now time.Time) bool {
-	if l.sending != nil || l.nextReport.IsZero() || now.Before(l.nextReport) {
+	if l.asking || l.sending != nil || l.nextReport.IsZero() || now.Before(l.nextReport) {
 		return false
 	}
+	l.asking = true
 	l.nextReport = now.Add(reportInterval)
 	return true
 }
 
-// ReportFailed delays the next report of a runner that does not answer.
-func (l *Ledger) ReportFailed(now time.Time, pause time.Duration) { l.nextReport = now.Add(pause) }
+// suspectAgain is the age at which a report no longer clears a runner.
+const suspectAgain = 300 * time.Millisecond
+
+// Suspect notes that a node got no answer from the runner. It returns whether the
+// runner is to be asked for a report.
+func (l *Ledger) Suspect(now time.Time) bool {
+	if l.silent || l.suspected || now.Sub(l.reportedAt) < suspectAgain {
+		return false
+	}
+	l.suspected = true
+	l.nextReport = now
+	return true
+}
+
+// Silent reports whether the runner answers neither a node nor the holder. What it
+// holds stays in the account, but nothing is to be expected of it.
+func (l *Ledger) Silent() bool { return l.silent }
+
+// ReportFailed delays the next report of a runner that does not answer. It returns
+// whether nodes are to be told that it is silent.
+func (l *Ledger) ReportFailed(now time.Time, pause time.Duration) bool {
+	l.asking = false
+	l.nextReport = now.Add(pause)
+	l.silent = l.silent || l.suspected
+	return l.silent
+}
 
 // Listed takes over the platform's word of the runner. It lags and leaves out what
 // is on its way, so it is only believed of a runner that has not reported, and
@@ -194,9 +227,12 @@
 // the last accepted order is passed over, unless it was asked so long after it
 // that it must show it. It returns whether the view changed.
 func (l *Ledger) Reported(report backend.Report, asked, now time.Time) bool {
+	spoke := l.silent
+	l.asking, l.suspected, l.silent = false, false, false
+	l.reportedAt = now
 	settled := asked.Sub(l.lastOrder) >= settledReport
 	if l.sending != nil || (l.known && report.Sequence < l.sequence && !settled) {
-		return false
+		return spoke
 	}
 	if asked.Sub(l.lastOrder) >= backend.ReportLag {
 		l.unsure = false
@@ -212,7 +248,7 @@
 	if l.busy || l.unsure || l.comingAdapters() > 0 {
 		l.nextReport = now.Add(reportInterval)
 	}
-	return before != l.fingerprint()
+	return spoke || before != l.fingerprint()
 }
 
 // forgetPassed drops the orders without an answer that can no longer be carried
@@ -307,7 +343,7 @@
 // MayOrder reports whether the runner may take an order now: a model order needs
 // a runner without any other under way.
 func (l *Ledger) MayOrder(unit backend.Unit, now time.Time) bool {
-	if !l.known || l.sending != nil || l.unsure || now.Before(l.notUntil) {
+	if !l.known || l.silent || l.sending != nil || l.unsure || now.Before(l.notUntil) {
 		return false
 	}
 	if unit.Adapter != "" {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -72,7 +72,7 @@
 			if !held.Leaving && !held.Uncertain {
 				p.staying[p.bounded(model)]++
 			}
-			if !held.Leaving && !held.Uncertain && !runner.Drained {
+			if !held.Leaving && !held.Uncertain && runner.serves() {
 				p.copies[model]++
 				if !held.Coming {
 					p.ready[model]++
@@ -184,7 +184,7 @@
 func (p *planner) continueIntents() {
 	for _, runner := range p.state.Runners {
 		intent, ok := p.state.Intents[runner.ID]
-		if !ok || p.taken[runner.ID] || runner.Drained || p.state.Now.After(intent.Until) {
+		if !ok || p.taken[runner.ID] || !runner.serves() || p.state.Now.After(intent.Until) {
 			continue
 		}
 		if held := runner.Models[intent.Model]; held != nil && !held.Uncertain {
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -268,3 +268,18 @@
 	}
 	return state
 }
+
+// TestSilentRunnerServesNothing: what a silent runner holds does not stand in for a
+// load elsewhere, but counts for the bound on replicas; it gets no orders.
+func TestSilentRunnerServesNothing(t *testing.T) {
+	state := testState(2, 1)
+	state.Runners[0].hold("m0")
+	waits(state, backend.Unit{Model: "m0"})
+	assert.Equal(t, len(MakePlan(state).Steps), 0)
+	state.Runners[0].Silent = true
+	plan := MakePlan(state)
+	assert.Equal(t, len(plan.Steps), 1)
+	assert.Equal(t, plan.Steps[0].Runner, "r1")
+	state.Engine.Models["m0"].MaximumReplicas = 1
+	assert.Equal(t, len(MakePlan(state).Steps), 0)
+}
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -37,7 +37,7 @@
 
 // cost estimates what loading a model at a runner costs; false when it cannot.
 func (p *planner) cost(runner *Runner, n need) (float64, bool) {
-	if p.taken[runner.ID] || !runner.Idle || runner.Drained {
+	if p.taken[runner.ID] || !runner.Idle || !runner.serves() {
 		return 0, false
 	}
 	held := runner.Models[n.model]
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -50,8 +50,14 @@
 	Active int
 	// Drained is set while a planned stop empties it.
 	Drained bool
+	// Silent is set while it answers nobody: what it holds counts for the bound on
+	// replicas, but serves no request.
+	Silent bool
 }
 
+// serves reports whether what the runner holds counts as served.
+func (r *Runner) serves() bool { return !r.Drained && !r.Silent }
+
 // Held is a model on a runner.
 type Held struct {
 	Coming  bool
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -22,6 +22,8 @@
 	Running []RunnerUsage `cbor:"8,keyasint,omitempty"`
 	// Report is set when Waiting and Running are the whole of the node's demand.
 	Report bool `cbor:"9,keyasint,omitempty"`
+	// Suspects are runners that left a request of the node without an answer.
+	Suspects []string `cbor:"12,keyasint,omitempty"`
 }
 
 // UnitWaiting is what waits for a unit at the node.
@@ -66,6 +68,8 @@
 	Runner string       `cbor:"1,keyasint"`
 	Ready  []UnitHeld   `cbor:"2,keyasint,omitempty"`
 	Coming []UnitComing `cbor:"3,keyasint,omitempty"`
+	// Silent is set while the runner does not answer the holder.
+	Silent bool `cbor:"4,keyasint,omitempty"`
 }
 
 // UnitHeld is a loaded model with its adapters.
--- a/test/replicas_test.go
+++ b/test/replicas_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/api"
+	"lilacvane/internal/lab/faultproxy"
 	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/runnerstub"
 	"lilacvane/internal/lab/world"
@@ -339,3 +340,38 @@
 	c := call{Model: "listed", Prompt: "chat", Tokens: 3}
 	assertServed(t, c, ask(t.Context(), nodes[0], c, nil))
 }
+
+// TestSilentRunnerIsReplaced: the only runner that holds a model falls silent, and
+// the platform still lists it; the model is loaded at another one, within its
+// bound, and the runner serves again when it answers. It failed first: the copy
+// counted as served, and nobody loaded another.
+func TestSilentRunnerIsReplaced(t *testing.T) {
+	t.Parallel()
+	w, nodes := startWithAlpha(t, 3, 3, model("alpha", 2)...)
+	number := 0
+	next := func() (call, outcome) {
+		number++
+		c := call{Model: "alpha", Prompt: fmt.Sprintf("p%d", number), Tokens: 2, Deadline: 5 * time.Second}
+		return c, ask(t.Context(), nodes[number%len(nodes)], c, nil)
+	}
+	c, got := next()
+	assertServed(t, c, got)
+	holders := runnersOf(t, nodes[0], "alpha")
+	assert.Equal(t, len(holders), 1)
+	silent := w.Runners[holders[0]]
+	silent.Proxy.Set(faultproxy.Silence)
+	waitUntil(t, "another runner serves", func() error {
+		if _, got := next(); !got.Served {
+			return fmt.Errorf("%+v", got)
+		}
+		return nil
+	})
+	silent.Proxy.Heal()
+	waitUntil(t, "two runners hold it", func() error {
+		if holders := runnersOf(t, nodes[0], "alpha"); len(holders) != 2 {
+			return fmt.Errorf("%v", holders)
+		}
+		return nil
+	})
+	assert.Assert(t, readHistory(t, w).most("alpha") <= 2)
+}
