--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -277,3 +277,20 @@
 	small.step(t.Context())
 	assert.Assert(t, !small.Holds())
 }
+
+// TestReleaseAfterLateRenewal: a renewal without an answer is carried out right
+// before the lease is given back; it is given back all the same. It failed first:
+// the release was refused, and the next holder waited until the lease ran out.
+func TestReleaseAfterLateRenewal(t *testing.T) {
+	w := newWorld(2)
+	holder, next := w.nodes[0], w.nodes[1]
+	holder.step(t.Context())
+	assert.Assert(t, holder.Holds())
+	w.table.next = "late"
+	holder.step(t.Context())
+	w.table.next = ""
+	w.table.apply(w.table.late[0])
+	holder.Release(t.Context())
+	next.step(t.Context())
+	assert.Assert(t, next.Holds())
+}
