--- /dev/null
+++ b/internal/lease/run.go
@@ -0,0 +1,161 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"lilacvane/internal/fault"
+	"lilacvane/internal/table"
+)
+
+// Run takes, renews and watches the lease until ctx ends.
+func (l *Lessor) Run(ctx context.Context) {
+	// Nodes that start together do not all try to take it at once.
+	sleep(ctx, rand.N(l.options.Interval/2)+l.options.Reluctance)
+	for ctx.Err() == nil {
+		l.step(ctx)
+		sleep(ctx, l.pause())
+	}
+}
+
+// unreachablePause is how many times as long the others wait between two looks
+// while the store does not answer them.
+const unreachablePause = 4
+
+// pause is the time until the next step.
+func (l *Lessor) pause() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	pause := l.options.Interval/2 + rand.N(l.options.Interval)
+	switch {
+	case l.held:
+		return l.options.Interval
+	case l.lost:
+		return unreachablePause * pause
+	default:
+		return pause
+	}
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (l *Lessor) step(ctx context.Context) {
+	if l.Holds() {
+		l.renew(ctx)
+		return
+	}
+	if _, known := l.Holder(); known && l.options.Heard != nil && l.options.Heard() {
+		return
+	}
+	if err := l.look(ctx); err != nil {
+		l.noteLoss(err)
+		return
+	}
+	l.noteLoss(nil)
+	if l.mayTake() {
+		l.take(ctx)
+	}
+}
+
+// take writes this process as the holder.
+func (l *Lessor) take(ctx context.Context) {
+	l.mutex.Lock()
+	record := l.self
+	record.Token = l.seen.Token + 1
+	record.Renewal = 1
+	expected := l.revision
+	actsFrom := l.othersUntil
+	record.Settled = !l.options.Now().Before(actsFrom)
+	l.mutex.Unlock()
+	revision, sent, err := l.put(ctx, record, expected)
+	if err != nil {
+		l.log.Info("lease not taken", "token", record.Token, "expected", expected, "error", err.Error())
+		return
+	}
+	l.hold(record, revision, sent, actsFrom)
+	l.log.Info("lease taken", "token", record.Token, "revision", revision, "actsInMs", max(actsFrom.Sub(l.options.Now()), 0).Milliseconds())
+}
+
+func (l *Lessor) put(ctx context.Context, record Record, expected uint64) (uint64, time.Time, error) {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return 0, time.Time{}, fault.From(err, "encode lease")
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.options.CallTimeout)
+	defer cancel()
+	sent := l.options.Now()
+	revision, err := l.table.Commit(ctx, table.Transaction{
+		Conditions: []table.Condition{{Key: l.key, Revision: expected}},
+		Writes:     []table.Write{{Key: l.key, Value: value}},
+	})
+	return revision, sent, err
+}
+
+func (l *Lessor) hold(record Record, revision uint64, sent, actsFrom time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.seen, l.revision, l.seenAt, l.held = record, revision, l.options.Now(), true
+	l.validUntil = sent.Add(l.options.Validity)
+	l.actsFrom = actsFrom
+}
+
+// renew writes the next renewal. When its answer is lost, the row tells at the
+// next step whether it, or another holder's write, took effect.
+func (l *Lessor) renew(ctx context.Context) {
+	l.mutex.Lock()
+	if l.stopped {
+		l.mutex.Unlock()
+		return
+	}
+	record := l.seen
+	record.Renewal++
+	expected, actsFrom := l.revision, l.actsFrom
+	record.Settled = !l.options.Now().Before(actsFrom)
+	l.mutex.Unlock()
+	revision, sent, err := l.put(ctx, record, expected)
+	l.noteLoss(err)
+	if err == nil {
+		l.hold(record, revision, sent, actsFrom)
+		return
+	}
+	l.reconcile(ctx)
+}
+
+// reconcile reads the row after a renewal that was not confirmed. A late own
+// renewal keeps the lease, but does not lengthen its validity: when it was sent
+// is not known any more.
+func (l *Lessor) reconcile(ctx context.Context) {
+	if err := l.look(ctx); err != nil {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	own := l.seen.Holder == l.self.Holder && l.seen.Process == l.self.Process && !l.seen.Released
+	if l.held && !own {
+		l.held = false
+		l.log.Info("lease lost", "holder", l.seen.Holder, "token", l.seen.Token)
+	}
+}
+
+func (l *Lessor) noteLoss(err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if (err != nil) == l.lost {
+		return
+	}
+	l.lost = err != nil
+	if err != nil {
+		l.log.Info("dependency lost", "error", err.Error())
+		return
+	}
+	l.log.Info("dependency regained")
+}
--- /dev/null
+++ b/internal/orders/room.go
@@ -0,0 +1,61 @@
+package orders
+
+import (
+	"lilacvane/internal/backend"
+	"lilacvane/internal/config"
+)
+
+// Free returns the memory in MB that is neither taken nor may become taken.
+func (l *Ledger) Free(engine *config.Engine) float64 {
+	free := engine.ModelMemory
+	for name, model := range l.models {
+		free -= sizeOf(engine, backend.Unit{Model: name})
+		for adapter := range model.Adapters {
+			free -= sizeOf(engine, backend.Unit{Model: name, Adapter: adapter})
+		}
+	}
+	for _, order := range l.open() {
+		if order.Action == backend.Load {
+			free -= sizeOf(engine, order.Unit)
+		}
+	}
+	return free
+}
+
+// FreeAdapterSlots returns how many more adapters may be ordered.
+func (l *Ledger) FreeAdapterSlots(engine *config.Engine) int {
+	free := engine.AdapterSlots
+	for _, model := range l.models {
+		free -= len(model.Adapters)
+	}
+	for _, order := range l.open() {
+		if order.Action == backend.Load && order.Unit.Adapter != "" {
+			free--
+		}
+	}
+	return free
+}
+
+func sizeOf(engine *config.Engine, unit backend.Unit) float64 {
+	model := engine.Models[unit.Model]
+	if model == nil {
+		// A model that the configuration no longer names takes an unknown room.
+		return engine.ModelMemory
+	}
+	if unit.Adapter != "" {
+		return model.AdapterSize
+	}
+	return model.Size
+}
+
+func (l *Ledger) comingAdapters() int {
+	count := 0
+	for _, model := range l.models {
+		for _, adapter := range model.Adapters {
+			if adapter.Coming {
+				count++
+			}
+		}
+	}
+	return count
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -71,7 +71,10 @@
 func (Store) upstream() {}
 func (Peer) upstream()  {}
 
-func (Store) String() string  { return "store" }
+// String returns store.
+func (Store) String() string { return "store" }
+
+// String returns the relay's address.
 func (p Peer) String() string { return p.Address }
 
 // Options are the parts of a relay.
