--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -18,6 +18,7 @@
 	"lilacvane/internal/lease"
 	"lilacvane/internal/orders"
 	"lilacvane/internal/scheduler"
+	"lilacvane/internal/wait"
 )
 
 const (
@@ -109,7 +110,7 @@
 		if engine := c.engine(); engine != nil {
 			c.tick(ctx, engine)
 		}
-		sleep(ctx, max(leastInterval, planShare*time.Since(started)))
+		wait.For(ctx, max(leastInterval, planShare*time.Since(started)))
 		timer.Reset(c.untilDue())
 	}
 }
@@ -131,15 +132,6 @@
 	return pause
 }
 
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Wake asks for a plan soon.
 func (c *Controller) Wake() {
 	select {
--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -147,16 +147,16 @@
 		}
 		for _, waiting := range report.waiting {
 			left := time.Duration(waiting.LeftMs)*time.Millisecond - now.Sub(report.at)
-			wait(units, backend.Unit{Model: waiting.Model}, waiting, left)
+			noteWaiting(units, backend.Unit{Model: waiting.Model}, waiting, left)
 			if waiting.Adapter != "" {
-				wait(units, backend.Unit{Model: waiting.Model, Adapter: waiting.Adapter}, waiting, left)
+				noteWaiting(units, backend.Unit{Model: waiting.Model, Adapter: waiting.Adapter}, waiting, left)
 			}
 		}
 	}
 	return units
 }
 
-func wait(units map[backend.Unit]*scheduler.Demand, unit backend.Unit, waiting wire.UnitWaiting, left time.Duration) {
+func noteWaiting(units map[backend.Unit]*scheduler.Demand, unit backend.Unit, waiting wire.UnitWaiting, left time.Duration) {
 	demand := units[unit]
 	if demand == nil {
 		demand = &scheduler.Demand{}
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -12,6 +12,7 @@
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/lease"
 	"lilacvane/internal/peer"
+	"lilacvane/internal/wait"
 	"lilacvane/internal/wire"
 )
 
@@ -79,7 +80,7 @@
 		err := s.call(ctx, wire.SyncRequest{HoldMs: watchHold.Milliseconds()})
 		switch {
 		case err != nil:
-			sleep(ctx, retryPause)
+			wait.For(ctx, retryPause)
 		case !s.book.Waits(s.service):
 			// Nothing waits for news, so they are gathered.
 			s.rest(ctx)
@@ -125,7 +126,7 @@
 			pause = retryPause
 		}
 		timer.Reset(pause)
-		sleep(ctx, urgentInterval)
+		wait.For(ctx, urgentInterval)
 	}
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/wait"
 )
 
 // Row is one row of a followed table.
@@ -107,7 +108,7 @@
 			pause = f.nextBackoff()
 		}
 		if pause > 0 {
-			sleep(ctx, pause)
+			wait.For(ctx, pause)
 		}
 	}
 }
@@ -218,12 +219,3 @@
 	f.backoff = min(max(2*f.backoff, firstBackoff), lastBackoff)
 	return f.backoff/2 + rand.N(f.backoff/2)
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -8,15 +8,16 @@
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/table"
+	"lilacvane/internal/wait"
 )
 
 // Run takes, renews and watches the lease until ctx ends.
 func (l *Lessor) Run(ctx context.Context) {
 	// Nodes that start together do not all try to take it at once.
-	sleep(ctx, rand.N(l.options.Interval/2)+l.options.Reluctance)
+	wait.For(ctx, rand.N(l.options.Interval/2)+l.options.Reluctance)
 	for ctx.Err() == nil {
 		l.step(ctx)
-		sleep(ctx, l.pause())
+		wait.For(ctx, l.pause())
 	}
 }
 
@@ -39,15 +40,6 @@
 	}
 }
 
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (l *Lessor) step(ctx context.Context) {
 	if l.Holds() {
 		l.renew(ctx)
