Break a silent runner's answer off only where the next runner is reserved

Cause: a node ended a resumable stream that rested for 2.5 pause objectives in order to go on elsewhere and then found no runner that holds the model, or no retry left. Ruled out: the runner breaking off itself (its run ended by our close, 0 to 2 ms after it began to run on the shown requests). Change: the watch of an attempt finds and pays for the next runner first and ends the attempt only then; without one the silent runner is waited for and looked at again. Streams rest for 4 pause objectives before that, as half of what clients bear. Test: TestRestingStreamIsNotBrokenOff failed first (one runner, rests of 2.5 s).

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -25,7 +25,7 @@
 
 // attempt places the request at a runner once and says whether to go on.
 func (j *job) attempt(ctx context.Context) (again bool) {
-	choice, err := j.place(ctx)
+	choice, err := j.nextChoice(ctx)
 	if err != nil {
 		j.end(ctx, err)
 		return false
@@ -43,6 +43,10 @@
 	start := time.Now()
 	result, err := j.exchange(ctx, choice)
 	j.dispatcher.Fleet.Done(choice, j.query, result.fleet, time.Since(start), result.started)
+	if result.next != nil && (err == nil || result.timedOut || ctx.Err() != nil) {
+		j.dispatcher.Fleet.Done(*result.next, j.query, fleet.Canceled, 0, false)
+		result.next = nil
+	}
 	if err == nil {
 		return false
 	}
@@ -56,6 +60,10 @@
 	if fault.OutcomeOf(err) != fault.NotDone {
 		j.ran++
 	}
+	if result.next != nil {
+		j.reserved = result.next
+		return true
+	}
 	if j.mayRepeat(ctx, err) {
 		return true
 	}
@@ -63,6 +71,17 @@
 	return false
 }
 
+// nextChoice returns the runner that was reserved while the last one was silent,
+// or waits for one.
+func (j *job) nextChoice(ctx context.Context) (fleet.Choice, error) {
+	if j.reserved == nil {
+		return j.place(ctx)
+	}
+	choice := *j.reserved
+	j.reserved = nil
+	return choice, nil
+}
+
 // mayRepeat decides whether a failed attempt may be followed by another one: it
 // must not have run, or may run again; tries, time and budget must be left.
 func (j *job) mayRepeat(ctx context.Context, err error) bool {
@@ -103,6 +122,8 @@
 	started bool
 	// timedOut is set when the request's time ended during the attempt.
 	timedOut bool
+	// next is the runner reserved to go on when the attempt's was silent.
+	next *fleet.Choice
 }
 
 // exchange sends the request to the chosen runner and passes its answer on. A
@@ -110,9 +131,9 @@
 func (j *job) exchange(parent context.Context, choice fleet.Choice) (result exchanged, err error) {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	watch := newSilenceWatch(cancel, j.silenceLimit(), j.beginLimit())
-	defer watch.stop()
+	watch := newSilenceWatch(cancel, j.reserveAfter(ctx, choice), j.silenceLimit(), j.beginLimit())
 	defer func() {
+		result.next = watch.stop()
 		result.timedOut = err != nil && parent.Err() == nil && errors.Is(context.Cause(ctx), errTimeout)
 	}()
 	suspicion := j.suspectLater(choice)
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -45,8 +45,8 @@
 				result.started = true
 				j.dispatcher.Fleet.Started(choice)
 			}
-			watch.heard(j.pauseLimit())
 			j.passEvents(answer, pending[:whole])
+			watch.heard(j.pauseLimit())
 			pending = pending[:copy(pending, pending[whole:])]
 		}
 		if err == io.EOF {
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"lilacvane/internal/fleet"
@@ -16,7 +18,10 @@
 	// minimumSilence keeps the limit clear of ordinary work.
 	minimumSilence = 100 * time.Millisecond
 	// pauseFactor is how many pause objectives a resumable stream may rest.
-	pauseFactor = 2.5
+	pauseFactor = 4
+	// seekInterval is the time between two looks for a runner that can go on with
+	// what a silent one does not.
+	seekInterval = 50 * time.Millisecond
 )
 
 // silenceLimit is how long a runner may be silent before the request is taken to
@@ -33,9 +38,10 @@
 }
 
 // pauseLimit is how long a stream may rest between events before it is resumed
-// at another runner; zero when it may not be resumed.
+// at another runner; zero when it may not be resumed, as it names no event to go
+// on from.
 func (j *job) pauseLimit() time.Duration {
-	if !j.route.Resumable || j.ran+1 >= j.route.Attempts || j.route.PauseObjective == 0 {
+	if !j.route.Resumable || j.ran+1 >= j.route.Attempts || j.route.PauseObjective == 0 || j.relay.lastEvent == "" {
 		return 0
 	}
 	return time.Duration(pauseFactor * float64(j.route.PauseObjective))
@@ -78,19 +84,30 @@
 	return max(time.Until(j.request.Arrived.Add(j.request.StartWithin)), minimumTime)
 }
 
-// silenceWatch ends an attempt whose runner is silent for too long: so that
-// another one is tried, or as the request's time is over.
+// silenceWatch ends an attempt whose runner is silent for too long: as the
+// request's time is over, or so that another runner goes on with it, which is
+// found and paid for first. It is used by the job's goroutine and its timers.
 type silenceWatch struct {
+	cancel context.CancelCauseFunc
+	// reserve chooses and pays for the next runner; false when there is none now.
+	reserve func() (fleet.Choice, bool)
+	final   *time.Timer
+
+	mutex sync.Mutex
 	again *time.Timer
-	final *time.Timer
+	ended bool
+	// next is the runner that was reserved, if any.
+	next *fleet.Choice
 }
 
 // newSilenceWatch starts a watch. A limit of zero is none.
-func newSilenceWatch(cancel context.CancelCauseFunc, again, final time.Duration) *silenceWatch {
-	return &silenceWatch{
-		again: time.AfterFunc(orUnlimited(again), func() { cancel(errSilent) }),
-		final: time.AfterFunc(final, func() { cancel(errTimeout) }),
-	}
+func newSilenceWatch(cancel context.CancelCauseFunc, reserve func() (fleet.Choice, bool), again, final time.Duration) *silenceWatch {
+	w := &silenceWatch{cancel: cancel, reserve: reserve}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.final = time.AfterFunc(final, func() { cancel(errTimeout) })
+	w.again = time.AfterFunc(orUnlimited(again), w.seek)
+	return w
 }
 
 const unlimited = 24 * time.Hour
@@ -102,13 +119,59 @@
 	return limit
 }
 
+// seek ends the attempt once another runner is reserved; without one the silent
+// runner is waited for.
+func (w *silenceWatch) seek() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.ended || w.next != nil {
+		return
+	}
+	choice, ok := w.reserve()
+	if !ok {
+		w.again.Reset(seekInterval)
+		return
+	}
+	w.next = &choice
+	w.cancel(errSilent)
+}
+
 // heard starts the watch anew.
 func (w *silenceWatch) heard(again time.Duration) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	w.again.Reset(orUnlimited(again))
 	w.final.Reset(longestPause)
 }
 
-func (w *silenceWatch) stop() {
+// stop ends the watch and returns the runner that was reserved, if any.
+func (w *silenceWatch) stop() *fleet.Choice {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.ended = true
 	w.again.Stop()
 	w.final.Stop()
+	return w.next
+}
+
+// reserveAfter returns a function that finds and pays for a runner other than the
+// silent one. It is called beside the job, so it uses a copy of the query.
+func (j *job) reserveAfter(ctx context.Context, silent fleet.Choice) func() (fleet.Choice, bool) {
+	query, deadline := j.query, j.deadline
+	query.Exclude = append(slices.Clone(query.Exclude), silent.Runner.ID)
+	mayGoOn := j.sent < maximumSends && j.ran+1 < j.route.Attempts
+	return func() (fleet.Choice, bool) {
+		if !mayGoOn || ctx.Err() != nil || time.Until(deadline) < minimumTime {
+			return fleet.Choice{}, false
+		}
+		choice, ok := j.dispatcher.Fleet.Choose(query)
+		if !ok {
+			return fleet.Choice{}, false
+		}
+		if choice.Full || !j.dispatcher.budget(query.Service).Take() {
+			j.dispatcher.Fleet.Done(choice, query, fleet.Canceled, 0, false)
+			return fleet.Choice{}, false
+		}
+		return choice, true
+	}
 }
--- a/internal/lab/runnerstub/http.go
+++ b/internal/lab/runnerstub/http.go
@@ -294,6 +294,9 @@
 		r.mutex.Lock()
 		pause := r.slowed(r.settings.TokenTime)
 		r.mutex.Unlock()
+		if index == this.from+(this.events-this.from)/2 {
+			pause += time.Duration(this.faults.RestMs) * time.Millisecond
+		}
 		if !r.rest(ctx, pause) {
 			return
 		}
--- a/internal/lab/runnerstub/runner.go
+++ b/internal/lab/runnerstub/runner.go
@@ -64,6 +64,8 @@
 	ShedShare float64 `json:"shedShare,omitempty"`
 	// BreakShare of the streams break off in the middle of an event.
 	BreakShare float64 `json:"breakShare,omitempty"`
+	// RestMs is how long streams rest in their middle.
+	RestMs int `json:"restMs,omitempty"`
 	// Extra sends a second answer after each, Unframed sends no length, Early
 	// answers 500 before the body of a request is read.
 	Extra    bool `json:"extra,omitempty"`
--- a/test/traps_test.go
+++ b/test/traps_test.go
@@ -80,6 +80,24 @@
 	t.Logf("%d of 12 streams that may not be resumed broke off", broken)
 }
 
+// TestRestingStreamIsNotBrokenOff: a runner rests in the middle of streams for
+// longer than they are meant to. They are broken off only in order to go on at
+// another runner that holds the model: with none, their clients get the rest late.
+func TestRestingStreamIsNotBrokenOff(t *testing.T) {
+	t.Parallel()
+	rests := runnerstub.Faults{RestMs: 2500}
+	for _, runners := range []int{1, 2} {
+		w, nodes := startLoaded(t, runners, 1)
+		assert.NilError(t, w.SetRunnerFaults("runner-1", rests))
+		for range 2 {
+			id := newID()
+			got := send(t.Context(), nodes[0], clientRequest{ID: id, Path: "/draft/x", Model: "alpha", Events: 9})
+			assert.Assert(t, got.Whole, "%+v", got)
+			assert.Equal(t, got.Body, expectedEvents(id, 9))
+		}
+	}
+}
+
 // TestUnsafeRequestsRunOnce: runners lose answers, fail, break connections and
 // send extra answers; a request that may not be repeated runs at most once, and a
 // refusal is true.
