Bound the loads under way by what the weight store shows to carry

Cause: the planner knew only how many loads may begin a second; the store carries few at full speed, and ten and more ran at once, each several times as long as told. Ruled out: the rate of beginnings (never reached here). The holder begins no load beyond it; nodes hear the estimate with each account, so the next holder goes on from it. Loads of an earlier holder count as under way.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -19,6 +19,7 @@
 	"lilacvane/internal/orders"
 	"lilacvane/internal/scheduler"
 	"lilacvane/internal/wait"
+	"lilacvane/internal/weightstore"
 )
 
 const (
@@ -80,6 +81,11 @@
 	intents map[string]scheduler.Intent
 	demand  *demandBook
 	limiter *rate.Limiter
+	// store follows the loads from the weight store, storeLoads names the model of
+	// each by its runner; known is what an earlier holder learned.
+	store      *weightstore.Estimator
+	storeLoads map[string]string
+	known      weightstore.Estimate
 	floors  map[string]int
 	keep    map[string]time.Duration
 	rulesAt time.Time
@@ -163,6 +169,7 @@
 			c.changedView(ledger)
 		}
 	}
+	c.followLoads(now)
 	if !c.Lessor.Acting() {
 		return
 	}
@@ -179,6 +186,7 @@
 	record, _ := c.Lessor.Holder()
 	if !c.Lessor.Holds() {
 		if c.token != 0 {
+			c.known = c.store.Estimate()
 			c.Log.Info("control ended", "token", c.token)
 		}
 		c.token = 0
@@ -192,11 +200,14 @@
 	c.ledgers = make(map[string]*orders.Ledger)
 	c.intents = nil
 	c.demand = newDemandBook()
+	c.store = weightstore.New(c.known)
+	c.storeLoads = make(map[string]string)
 	// The new holder does not know what the old one loaded last, so its rate
 	// starts from nothing.
 	c.limiter = rate.NewLimiter(rate.Limit(engine.LoadsPerSecond), loadBurst)
 	c.limiter.AllowN(time.Now(), loadBurst)
-	c.Log.Info("control begun", "token", c.token, "loadsPerSecond", engine.LoadsPerSecond)
+	c.Log.Info("control begun", "token", c.token, "loadsPerSecond", engine.LoadsPerSecond,
+		"storeLimit", c.store.Estimate().Limit, "storeCapacity", c.store.Estimate().Capacity)
 	return true
 }
 
--- a/internal/control/describe.go
+++ b/internal/control/describe.go
@@ -31,6 +31,7 @@
 		runner.Models[name] = held
 		runner.Active += running[name]
 	}
+	runner.BusyFor = ledger.BusyFor(func(model string) bool { return running[model] > 0 }, now)
 	for _, name := range ledger.Uncertain() {
 		runner.Models[name] = &scheduler.Held{Coming: true, Uncertain: true}
 	}
--- a/internal/control/ordering.go
+++ b/internal/control/ordering.go
@@ -40,7 +40,7 @@
 	if !ok || token != c.token || !ledger.MayOrder(step.Unit, time.Now()) {
 		return backend.Order{}, false
 	}
-	if step.FromStore && !c.limiter.Allow() {
+	if step.FromStore && (c.store.Free() == 0 || !c.limiter.Allow()) {
 		return backend.Order{}, false
 	}
 	return ledger.Begin(step.Action, step.Unit, c.Node, token), true
@@ -78,6 +78,9 @@
 	defer c.mutex.Unlock()
 	ledger.End(order, verdict, now, now.Add(step.Expected))
 	if c.token == token {
+		if step.FromStore && verdict == backend.Accepted {
+			c.beginLoad(runner.ID, step, now)
+		}
 		c.changedView(ledger)
 	}
 	fields := []any{"runner", runner.ID, "action", string(order.Action), "unit", order.Unit.String(), "expected", order.Expected,
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -80,7 +80,8 @@
 // platform's list tells of the others. mutex is held.
 func (c *Controller) account(request wire.SyncRequest) wire.SyncResponse {
 	now := time.Now()
-	response := wire.SyncResponse{Token: c.token, Version: c.version, Nodes: c.demand.nodes(now), Valid: c.Lessor.Valid()}
+	response := wire.SyncResponse{Token: c.token, Version: c.version, Nodes: c.demand.nodes(now), Valid: c.Lessor.Valid(),
+		StoreLimit: c.store.Estimate().Limit, StoreCapacity: c.store.Estimate().Capacity}
 	known := request.Version
 	if request.Token != c.token {
 		known = 0
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -13,6 +13,7 @@
 	"lilacvane/internal/lease"
 	"lilacvane/internal/peer"
 	"lilacvane/internal/wait"
+	"lilacvane/internal/weightstore"
 	"lilacvane/internal/wire"
 )
 
@@ -233,6 +234,7 @@
 	s.token, s.version = response.Token, response.Version
 	s.nodeCount = response.Nodes
 	s.setNodes(response.Nodes)
+	s.controller.LearnStore(weightstore.Estimate{Limit: response.StoreLimit, Capacity: response.StoreCapacity})
 	views := make([]fleet.View, 0, len(response.Runners))
 	for _, runner := range response.Runners {
 		views = append(views, fleetView(runner))
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -22,6 +22,9 @@
 	longestInterval = time.Second
 	// settledReport is the age at which an order must show in every report.
 	settledReport = 500 * time.Millisecond
+	// drainTime is how long the requests of a model that is unloaded are expected
+	// to take yet.
+	drainTime = time.Second
 	// conflictPause follows a refused order.
 	conflictPause = 120 * time.Millisecond
 )
@@ -86,11 +89,11 @@
 
 // Confirmed reports whether all is known of what the runner holds and loads: it
 // has told its state itself and is not busy with something unknown.
-func (l *Ledger) Confirmed() bool { return l.reported && !l.foreignWork() }
+func (l *Ledger) Confirmed() bool { return l.reported && !l.ForeignWork() }
 
-// foreignWork reports whether the runner is busy with an order of an earlier
+// ForeignWork reports whether the runner is busy with an order of an earlier
 // holder: its report does not tell with what.
-func (l *Ledger) foreignWork() bool {
+func (l *Ledger) ForeignWork() bool {
 	if !l.busy {
 		return false
 	}
@@ -150,6 +153,25 @@
 	return unit.Adapter == "" || l.comingAdapters() < maximumComingAdapters
 }
 
+// BusyFor is how long the runner is expected to take no order: until what is under
+// way there is done and seen; zero when it takes one now. active tells whether
+// requests use a model.
+func (l *Ledger) BusyFor(active func(model string) bool, now time.Time) time.Duration {
+	if l.Idle(now) {
+		return 0
+	}
+	busy := max(l.notUntil.Sub(now), backend.ReportLag)
+	for name, model := range l.models {
+		switch {
+		case model.Coming:
+			busy = max(busy, model.Due.Sub(now)+backend.ReportLag)
+		case model.Leaving && active(name):
+			busy = max(busy, drainTime)
+		}
+	}
+	return busy
+}
+
 // Idle reports whether a model order would be taken.
 func (l *Ledger) Idle(now time.Time) bool { return l.MayOrder(backend.Unit{}, now) }
 
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -21,6 +21,10 @@
 	Demand map[backend.Unit]*Demand
 	// Loads is how many loads the weight store allows now.
 	Loads int
+	// StoreWait is the time until the weight store carries another load,
+	// StoreSlowdown how many times its nominal time that load would take.
+	StoreWait     time.Duration
+	StoreSlowdown float64
 	// Intents are loads decided earlier that wait for room, by runner.
 	Intents map[string]Intent
 	// Floors are the replicas that policies keep ready, by model.
@@ -39,6 +43,8 @@
 	// Free is the room left in MB, AdapterSlots the free places for adapters.
 	Free         float64
 	AdapterSlots int
+	// BusyFor is how long it is expected to take no order.
+	BusyFor time.Duration
 	// Idle is set when it would take a model order now, Ready when it would
 	// take one for an adapter.
 	Idle  bool
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -61,6 +61,10 @@
 	Nodes int `cbor:"5,keyasint"`
 	// Valid is set while the holder's last renewal of the lease is valid.
 	Valid bool `cbor:"6,keyasint,omitempty"`
+	// StoreLimit and StoreCapacity are what the holder has learned of the weight
+	// store (weightstore.Estimate), for the next holder to go on from.
+	StoreLimit    int     `cbor:"7,keyasint,omitempty"`
+	StoreCapacity float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // RunnerView is what a runner holds and what is being loaded there.
