Let a need wait for the runner that keeps its weights near

Cause: the planner passed over runners that were carrying out an order, so a model that lies on the disk of a runner busy for a moment was taken from the store at another one (6 s in place of 0.8 s), and needs that the store could not carry now went to whichever runner was idle. Change: a busy runner costs the time until it is free, the store its wait and its slowdown; where the best place is not free, it is kept for the need and nothing is ordered. The store's slowdown counts in the time that waiting nodes are told. Test: scheduler.TestNeedWaitsForNearWeights (fails before); TestOnlyReadyCopyIsKept now says how long its busy runner is busy, as strict as before.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -86,9 +86,9 @@
 	store      *weightstore.Estimator
 	storeLoads map[string]string
 	known      weightstore.Estimate
-	floors  map[string]int
-	keep    map[string]time.Duration
-	rulesAt time.Time
+	floors     map[string]int
+	keep       map[string]time.Duration
+	rulesAt    time.Time
 	// asking counts the reports that are being asked for.
 	asking   int
 	inFlight sync.WaitGroup
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -264,6 +264,11 @@
 		return
 	}
 	p.taken[best.ID] = true
+	if !best.Idle || p.storeBusy(best, n.model) {
+		// The best place is not free yet: it is kept for this need, and a worse
+		// one is not taken meanwhile.
+		return
+	}
 	p.decide(best, n.model)
 	p.plan.Intents[best.ID] = Intent{Model: n.model, Until: p.state.Now.Add(intentLifetime)}
 	p.advance(best, n.model, n.reason())
@@ -306,6 +311,7 @@
 			return
 		}
 		p.loads--
+		expected = time.Duration(float64(expected) * max(p.state.StoreSlowdown, 1))
 	}
 	delete(p.plan.Intents, runner.ID)
 	p.plan.Steps = append(p.plan.Steps, Step{
@@ -313,6 +319,12 @@
 	})
 }
 
+// storeBusy reports whether a load would have to wait for the weight store.
+func (p *planner) storeBusy(runner *Runner, model string) bool {
+	_, fromStore := p.loadTime(runner, model)
+	return fromStore && p.loads <= 0
+}
+
 // loadTime returns how long a load is expected to take and whether it takes from
 // the weight store.
 func (p *planner) loadTime(runner *Runner, model string) (time.Duration, bool) {
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -102,6 +102,22 @@
 	assert.Equal(t, MakePlan(state).Steps[0].Action, backend.Load)
 }
 
+// TestNeedWaitsForNearWeights: a runner that keeps the weights on its disk and is
+// busy for a moment goes before an idle one that would take them from the store. It
+// failed first: any busy runner was passed over.
+func TestNeedWaitsForNearWeights(t *testing.T) {
+	state := testState(2, 1)
+	waits(state, backend.Unit{Model: "m0"})
+	near := state.Runners[1]
+	near.Disk["m0"] = true
+	near.Idle, near.BusyFor = false, 300*time.Millisecond
+	assert.Equal(t, len(MakePlan(state).Steps), 0)
+	near.BusyFor = 5 * time.Second
+	steps := MakePlan(state).Steps
+	assert.Equal(t, len(steps), 1)
+	assert.Equal(t, steps[0].Runner, "r0")
+}
+
 // TestNeededModelIsNotEvicted: the only replica of a model that requests wait for
 // does not make way for another one.
 func TestNeededModelIsNotEvicted(t *testing.T) {
@@ -123,6 +139,7 @@
 	state.Runners[0].hold("m1")
 	state.Runners[1].hold("m0").Coming = true
 	state.Runners[1].Idle = false
+	state.Runners[1].BusyFor = 5 * time.Second
 	state.Demand[backend.Unit{Model: "m0"}] = &Demand{Rate: 1, Work: 0.02, LastUse: testNow}
 	state.Demand[backend.Unit{Model: "m1"}] = &Demand{Rate: 0.1, Work: 0.01, LastUse: testNow.Add(-time.Second)}
 	waits(state, backend.Unit{Model: "m2"})
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -37,7 +37,7 @@
 
 // cost estimates what loading a model at a runner costs; false when it cannot.
 func (p *planner) cost(runner *Runner, n need) (float64, bool) {
-	if p.taken[runner.ID] || !runner.Idle || !runner.serves() {
+	if p.taken[runner.ID] || !runner.serves() {
 		return 0, false
 	}
 	held := runner.Models[n.model]
@@ -45,13 +45,16 @@
 		return 0, false
 	}
 	loadTime, fromStore := p.loadTime(runner, n.model)
-	cost := loadTime.Seconds() + activeCost*float64(runner.Active)
+	wait := runner.BusyFor
+	cost := activeCost * float64(runner.Active)
 	if fromStore {
+		loadTime = time.Duration(float64(loadTime) * max(p.state.StoreSlowdown, 1))
+		cost += storeCost
 		if p.loads <= 0 {
-			return 0, false
+			wait = max(wait, p.state.StoreWait)
 		}
-		cost += storeCost
 	}
+	cost += (wait + loadTime).Seconds()
 	missing := p.state.Engine.Models[n.model].Size - runner.Free
 	if held != nil {
 		missing = 0
