Tell nodes when loads that are planned are expected

Change: a plan tells for each model waited for when it will be ready, counting busy runners, unloads and the store's wait; nodes hear it with the accounts. Where no holder answers, nodes take the nearest copy that the list tells of.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -79,6 +79,8 @@
 	changed chan struct{}
 	ledgers map[string]*orders.Ledger
 	intents map[string]scheduler.Intent
+	// planned is when models that are waited for are expected.
+	planned map[string]time.Time
 	demand  *demandBook
 	limiter *rate.Limiter
 	// store follows the loads from the weight store, storeLoads names the model of
@@ -177,6 +179,7 @@
 	state := c.state(engine, now)
 	plan := scheduler.MakePlan(state)
 	c.intents = plan.Intents
+	c.notePlanned(plan.Ready, now)
 	c.carryOut(ctx, plan)
 }
 
@@ -199,6 +202,7 @@
 	c.version = 1
 	c.ledgers = make(map[string]*orders.Ledger)
 	c.intents = nil
+	c.planned = nil
 	c.demand = newDemandBook()
 	c.store = weightstore.New(c.known)
 	c.storeLoads = make(map[string]string)
--- /dev/null
+++ b/internal/control/planned.go
@@ -0,0 +1,35 @@
+package control
+
+import "time"
+
+// plannedShift is how far the expected time of a planned load moves before nodes
+// are told at once.
+const plannedShift = 300 * time.Millisecond
+
+// notePlanned takes over when waited-for models are expected, and tells nodes when
+// that changed. mutex is held.
+func (c *Controller) notePlanned(ready map[string]time.Duration, now time.Time) {
+	planned := make(map[string]time.Time, len(ready))
+	changed := false
+	for model, in := range ready {
+		at := now.Add(in)
+		before, known := c.planned[model]
+		if known && before.Sub(at).Abs() < plannedShift {
+			at = before
+		} else {
+			changed = true
+		}
+		planned[model] = at
+	}
+	c.planned = planned
+	if changed {
+		c.tell()
+	}
+}
+
+// tell lets waiting nodes take over what changed. mutex is held.
+func (c *Controller) tell() {
+	c.version++
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -89,9 +89,7 @@
 // changedView makes a runner's new account known to waiting nodes. mutex is
 // held.
 func (c *Controller) changedView(ledger *orders.Ledger) {
-	c.version++
+	c.tell()
 	ledger.Version = c.version
 	ledger.ChangedAt = time.Now()
-	close(c.changed)
-	c.changed = make(chan struct{})
 }
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -239,18 +239,29 @@
 	for _, runner := range response.Runners {
 		views = append(views, fleetView(runner))
 	}
+	s.fleet.ApplyPlanned(s.service, plannedUnits(response.Planned))
 	s.fleet.ApplyViews(views)
 }
 
+func plannedUnits(planned []wire.UnitComing) []fleet.Coming {
+	units := make([]fleet.Coming, 0, len(planned))
+	for _, coming := range planned {
+		units = append(units, comingUnit(coming))
+	}
+	return units
+}
+
+func comingUnit(coming wire.UnitComing) fleet.Coming {
+	return fleet.Coming{Unit: backend.Unit{Model: coming.Model, Adapter: coming.Adapter}, In: time.Duration(coming.InMs) * time.Millisecond}
+}
+
 func fleetView(runner wire.RunnerView) fleet.View {
 	view := fleet.View{Runner: runner.Runner, Silent: runner.Silent}
 	for _, held := range runner.Ready {
 		view.Ready = append(view.Ready, backend.Holding{Model: held.Model, Adapters: held.Adapters})
 	}
 	for _, coming := range runner.Coming {
-		view.Coming = append(view.Coming, fleet.Coming{
-			Unit: backend.Unit{Model: coming.Model, Adapter: coming.Adapter}, In: time.Duration(coming.InMs) * time.Millisecond,
-		})
+		view.Coming = append(view.Coming, comingUnit(coming))
 	}
 	return view
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -143,7 +143,7 @@
 	if j.dispatcher.Fleet.Holds(j.query.Service, j.query.Unit.Model) {
 		return 0, true
 	}
-	return service.Engine.Models[j.query.Unit.Model].LoadTime, true
+	return j.dispatcher.Fleet.LoadTime(j.query.Service, service.Engine.Models[j.query.Unit.Model]), true
 }
 
 // returned reports whether the client was refused before: it has less time left
--- /dev/null
+++ b/internal/fleet/expected.go
@@ -0,0 +1,75 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/config"
+)
+
+// plannedLifetime is how long after its time a planned load is still believed.
+const plannedLifetime = time.Second
+
+// ApplyPlanned takes over when the control holder expects the models that are
+// waited for at a service and that nothing loads yet.
+func (f *Fleet) ApplyPlanned(service string, planned []Coming) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	expected := make(map[string]time.Time, len(planned))
+	for _, coming := range planned {
+		expected[coming.Unit.Model] = f.now().Add(coming.In)
+	}
+	news := len(expected) > 0
+	f.planned[service] = expected
+	if news {
+		f.notify()
+	}
+}
+
+// Expected returns the shortest time until a runner of the service holds the
+// unit, as far as a load is known to be under way or planned.
+func (f *Fleet) Expected(service string, unit backend.Unit) (time.Duration, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var shortest time.Duration
+	found := false
+	note := func(at time.Time) {
+		in := max(at.Sub(f.now()), 0)
+		if !found || in < shortest {
+			shortest, found = in, true
+		}
+	}
+	for _, known := range f.runners {
+		if known.view == nil || known.listed.Service != service {
+			continue
+		}
+		if at, coming := known.view.coming[unit]; coming {
+			note(at)
+		}
+	}
+	if at, planned := f.planned[service][unit.Model]; planned && f.now().Sub(at) < plannedLifetime {
+		note(at)
+	}
+	return shortest, found
+}
+
+// LoadTime returns how long a load of a model takes at least, by where the runners
+// of the service are listed to keep its weights.
+func (f *Fleet) LoadTime(service string, model *config.Model) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	least := model.LoadTime
+	for _, known := range f.runners {
+		if !known.present || known.listed.Service != service || known.listed.Draining {
+			continue
+		}
+		switch copies := known.listed.Copies; {
+		case model.HostLoadTime > 0 && slices.Contains(copies.Host, model.Name):
+			least = min(least, model.HostLoadTime)
+		case model.DiskLoadTime > 0 && slices.Contains(copies.Disk, model.Name):
+			least = min(least, model.DiskLoadTime)
+		}
+	}
+	return least
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,6 +49,9 @@
 
 	mutex   sync.Mutex
 	runners map[string]*runner
+	// planned is, by service, when models that are waited for are expected though
+	// nothing loads them yet.
+	planned map[string]map[string]time.Time
 	// changed is closed and replaced whenever a waiting request may find a
 	// runner that it did not find before.
 	changed chan struct{}
@@ -90,7 +93,7 @@
 // New returns an empty fleet for a node in zone. drained tells runners that a
 // planned stop empties.
 func New(zone string, now func() time.Time, drained func(runner, zone string) bool) *Fleet {
-	return &Fleet{zone: zone, now: now, drained: drained, runners: make(map[string]*runner), changed: make(chan struct{})}
+	return &Fleet{zone: zone, now: now, drained: drained, runners: make(map[string]*runner), planned: make(map[string]map[string]time.Time), changed: make(chan struct{})}
 }
 
 // Wake lets waiting requests look again.
@@ -235,29 +238,6 @@
 	return f.now().Sub(known.view.at) < viewLifetime || !known.listedAt.After(known.view.at)
 }
 
-// Expected returns the shortest time until a runner of the service holds the
-// unit, as far as a load is known to be under way.
-func (f *Fleet) Expected(service string, unit backend.Unit) (time.Duration, bool) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	var shortest time.Duration
-	found := false
-	for _, known := range f.runners {
-		if known.view == nil || known.listed.Service != service {
-			continue
-		}
-		at, coming := known.view.coming[unit]
-		if !coming {
-			continue
-		}
-		in := max(at.Sub(f.now()), 0)
-		if !found || in < shortest {
-			shortest, found = in, true
-		}
-	}
-	return shortest, found
-}
-
 // Holds reports whether a runner of the service is believed to hold a model.
 func (f *Fleet) Holds(service, model string) bool {
 	f.mutex.Lock()
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -52,7 +52,7 @@
 func MakePlan(state *State) Plan {
 	p := &planner{
 		state: state, taken: make(map[string]bool), loads: state.Loads, copies: make(map[string]int), present: make(map[string]int), staying: make(map[string]int), ready: make(map[string]int),
-		plan: Plan{Intents: make(map[string]Intent)},
+		plan: Plan{Intents: make(map[string]Intent), Ready: make(map[string]time.Duration)},
 	}
 	p.countCopies()
 	p.empty()
@@ -194,6 +194,7 @@
 			continue
 		}
 		p.decide(runner, intent.Model)
+		p.expect(runner, intent.Model)
 		p.plan.Intents[runner.ID] = intent
 		p.taken[runner.ID] = true
 		if runner.Idle {
@@ -264,6 +265,9 @@
 		return
 	}
 	p.taken[best.ID] = true
+	if n.waiting {
+		p.expect(best, n.model)
+	}
 	if !best.Idle || p.storeBusy(best, n.model) {
 		// The best place is not free yet: it is kept for this need, and a worse
 		// one is not taken meanwhile.
@@ -319,6 +323,31 @@
 	})
 }
 
+// unloadTime is how long the unload of an idle model takes to be seen.
+const unloadTime = 200 * time.Millisecond
+
+// expect notes when a model will be loaded at a runner that is to load it.
+func (p *planner) expect(runner *Runner, model string) {
+	if p.ready[model] > 0 {
+		return
+	}
+	ready, fromStore := p.loadTime(runner, model)
+	wait := runner.BusyFor
+	if fromStore {
+		ready = time.Duration(float64(ready) * max(p.state.StoreSlowdown, 1))
+		if p.loads <= 0 {
+			wait = max(wait, p.state.StoreWait)
+		}
+	}
+	if runner.Idle && runner.Free < p.state.Engine.Models[model].Size {
+		wait += unloadTime
+	}
+	ready += wait
+	if known, ok := p.plan.Ready[model]; !ok || ready < known {
+		p.plan.Ready[model] = ready
+	}
+}
+
 // storeBusy reports whether a load would have to wait for the weight store.
 func (p *planner) storeBusy(runner *Runner, model string) bool {
 	_, fromStore := p.loadTime(runner, model)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -120,4 +120,7 @@
 	Steps []Step
 	// Intents replaces those of the state.
 	Intents map[string]Intent
+	// Ready is the time until each model that is waited for, and that nothing loads
+	// yet, is expected to be loaded.
+	Ready map[string]time.Duration
 }
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -57,6 +57,9 @@
 	Token   uint64       `cbor:"1,keyasint"`
 	Version uint64       `cbor:"2,keyasint"`
 	Runners []RunnerView `cbor:"4,keyasint,omitempty"`
+	// Planned are the models that are waited for and that nothing loads yet, with
+	// the time until they are expected.
+	Planned []UnitComing `cbor:"9,keyasint,omitempty"`
 	// Nodes is how many nodes reported lately.
 	Nodes int `cbor:"5,keyasint"`
 	// Valid is set while the holder's last renewal of the lease is valid.
