Measure a model's work by prompts read and slots taken

Cause: replicas were wanted for 10 tokens read per token written, as if answers did not share steps: two busy models were given eight and more of 27 places, models asked for rarely changed places all the time (loads and unloads beside running streams). Ruled out: the store (fewer loads did not mend it), the planned times. Change: work is the share of a runner's time for reading prompts plus the share of its slots taken, smoothed; a replica is meant to take half of a runner.

--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -40,8 +40,10 @@
 type use struct {
 	requests float64
 	tokens   float64
-	at       time.Time
-	last     time.Time
+	// running is the number of requests under way, smoothed.
+	running float64
+	at      time.Time
+	last    time.Time
 }
 
 func newDemandBook() *demandBook {
@@ -82,6 +84,19 @@
 	u.at = now
 }
 
+// run moves the smoothed number of requests under way towards count. It is called
+// before the use fades.
+func (u *use) run(count int, now time.Time) {
+	kept := math.Exp2(-float64(now.Sub(u.at)) / float64(rateHalfLife))
+	u.running = kept*u.running + (1-kept)*float64(count)
+}
+
+// work is the share of a runner that the requests take: of its time for reading
+// prompts, and of its slots.
+func (u *use) work(slots int) float64 {
+	return perSecond(u.tokens)/tokensPerSecond + u.running/float64(max(slots, 1))
+}
+
 // perSecond turns a fading count into a rate.
 func perSecond(count float64) float64 { return count * math.Ln2 / rateHalfLife.Seconds() }
 
@@ -127,18 +142,32 @@
 	return sums
 }
 
-// units returns the demand by unit. What waits for an adapter waits for its
-// model as well.
-func (d *demandBook) units(now time.Time) map[backend.Unit]*scheduler.Demand {
+// runningByModel sums up the requests under way.
+func runningByModel(running map[string]map[string]int) map[string]int {
+	sums := make(map[string]int)
+	for _, models := range running {
+		for model, count := range models {
+			sums[model] += count
+		}
+	}
+	return sums
+}
+
+// units returns the demand by unit, given the requests under way by runner and
+// model and the slots of a runner. What waits for an adapter waits for its model as
+// well.
+func (d *demandBook) units(running map[string]map[string]int, slots int, now time.Time) map[backend.Unit]*scheduler.Demand {
+	sums := runningByModel(running)
 	units := make(map[backend.Unit]*scheduler.Demand, len(d.used))
 	for unit, use := range d.used {
 		if now.Sub(use.last) > forgetAfter {
 			delete(d.used, unit)
 			continue
 		}
+		use.run(sums[unit.Model], now)
 		use.fade(now)
 		units[unit] = &scheduler.Demand{
-			Rate: perSecond(use.requests), Work: perSecond(use.tokens) / tokensPerSecond, LastUse: use.last,
+			Rate: perSecond(use.requests), Work: use.work(slots), LastUse: use.last,
 		}
 	}
 	for _, report := range d.reports {
--- a/internal/demand/book.go
+++ b/internal/demand/book.go
@@ -29,7 +29,7 @@
 type Usage struct {
 	Key
 	Requests int
-	// Tokens counts prompt tokens to be read and tokens to be written.
+	// Tokens counts prompt tokens to be read.
 	Tokens int
 }
 
@@ -109,7 +109,7 @@
 	}
 }
 
-// Use notes a request for a unit and the tokens it costs.
+// Use notes a request for a unit and the tokens of its prompt.
 func (b *Book) Use(key Key, tokens int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -181,7 +181,7 @@
 	if j.engine {
 		j.query.Unit = j.request.Unit
 		j.query.Prompt = j.request.Prompt
-		j.dispatcher.Demand.Use(demand.Key{Service: service, Unit: j.request.Unit}, j.request.TokensIn+tokenWeight*j.request.TokensOut)
+		j.dispatcher.Demand.Use(demand.Key{Service: service, Unit: j.request.Unit}, j.request.TokensIn)
 	}
 	j.deadline = j.finalTime()
 	j.dispatcher.budget(service).Request()
@@ -207,9 +207,6 @@
 	return j.dispatcher.service(j.route), true
 }
 
-// tokenWeight is the cost of a token written, in tokens read.
-const tokenWeight = 10
-
 // finalTime is when the request must have its final answer.
 func (j *job) finalTime() time.Time {
 	hold := j.request.Patience
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -13,7 +13,7 @@
 const (
 	// targetWork is the share of a runner's time that one replica's requests
 	// should take.
-	targetWork = 0.3
+	targetWork = 0.5
 	// maximumShare bounds the replicas of one model to a part of the runners.
 	maximumShare = 0.45
 	// intentLifetime is how long a decided load waits for room.
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -41,8 +41,7 @@
 	Model    string `cbor:"1,keyasint"`
 	Adapter  string `cbor:"2,keyasint,omitempty"`
 	Requests int    `cbor:"3,keyasint"`
-	// Tokens is their cost: the prompts plus the expected answers, weighted by
-	// what an answer takes of a runner beside a prompt.
+	// Tokens is the size of their prompts.
 	Tokens int `cbor:"4,keyasint"`
 }
 
