Let a holder that lost the store say when it acts no more

Ruled out: a holder that goes on while the whole store is down. It would have to be certain that no node takes the lease; a fresh node, or one that reaches the store and not the holder, is not asked by anybody, so no promise of the known ones is enough. Change: a holder's answers name its newest confirmed renewal and, once that has run out, that it acts no more under its token and how long nobody has acted. A holder that yielded and was not replaced goes on under a new token and keeps its accounts. Test: lease.TestYieldedLeaseIsTakenSoon (failed first), TestYieldedHolderGoesOn, and words that are said and heard late, twice or never in lease.TestNeverTwoHolders.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -91,6 +91,8 @@
 	floors     map[string]int
 	keep       map[string]time.Duration
 	rulesAt    time.Time
+	// toldYield is the lease of which nodes were told that it was yielded.
+	toldYield uint64
 	// asking counts the reports that are being asked for.
 	asking   int
 	inFlight sync.WaitGroup
@@ -173,8 +175,10 @@
 	}
 	c.followLoads(now)
 	if !c.Lessor.Acting() {
+		c.tellYield()
 		return
 	}
+	c.toldYield = 0
 	c.setRate(engine)
 	state := c.state(engine, now)
 	plan := scheduler.MakePlan(state)
@@ -198,6 +202,12 @@
 	if c.token == record.Token {
 		return true
 	}
+	if c.token != 0 && record.Token == c.token+1 {
+		// This process yielded and went on before anybody else took the lease.
+		c.Log.Info("control goes on", "token", record.Token)
+		c.token = record.Token
+		return true
+	}
 	c.token = record.Token
 	c.version = 1
 	c.ledgers = make(map[string]*orders.Ledger)
--- a/internal/control/planned.go
+++ b/internal/control/planned.go
@@ -27,6 +27,17 @@
 	}
 }
 
+// tellYield lets waiting nodes hear at once that this holder acts no more. mutex is
+// held.
+func (c *Controller) tellYield() {
+	word, ok := c.Lessor.Word()
+	if !ok || !word.Yielded || c.toldYield == word.Token {
+		return
+	}
+	c.toldYield = word.Token
+	c.tell()
+}
+
 // tell lets waiting nodes take over what changed. mutex is held.
 func (c *Controller) tell() {
 	c.version++
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -82,6 +82,9 @@
 	now := time.Now()
 	response := wire.SyncResponse{Token: c.token, Version: c.version, Nodes: c.demand.nodes(now), Valid: c.Lessor.Valid(),
 		StoreLimit: c.store.Estimate().Limit, StoreCapacity: c.store.Estimate().Capacity}
+	if word, ok := c.Lessor.Word(); ok && word.Token == c.token {
+		response.LeaseRenewal, response.LeaseYielded, response.LeaseQuietMs = word.Renewal, word.Yielded, word.Quiet.Milliseconds()
+	}
 	for model, at := range c.planned {
 		response.Planned = append(response.Planned, wire.UnitComing{Model: model, InMs: max(at.Sub(now), 0).Milliseconds()})
 	}
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -201,16 +201,26 @@
 	}
 	var response wire.SyncResponse
 	err := s.client.Call(ctx, record.Address, wire.MethodSync, request, &response)
-	if err == nil && response.Token == record.Token && response.Valid {
-		s.noteHeard()
+	if err == nil && response.Token == record.Token {
+		s.noteHeard(response)
 	}
 	return response, err
 }
 
-func (s *Syncer) noteHeard() {
+// noteHeard takes over the holder's word of its lease.
+func (s *Syncer) noteHeard(response wire.SyncResponse) {
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.heard = time.Now()
+	s.heard = time.Time{}
+	if response.Valid {
+		s.heard = time.Now()
+	}
+	s.mutex.Unlock()
+	if response.LeaseRenewal > 0 {
+		s.lessor.Hear(lease.Word{
+			Token: response.Token, Renewal: response.LeaseRenewal, Yielded: response.LeaseYielded,
+			Quiet: time.Duration(response.LeaseQuietMs) * time.Millisecond,
+		})
+	}
 }
 
 // holderHeard is how long an answer of the holder proves that it is there.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -80,12 +80,22 @@
 	// process.
 	othersUntil time.Time
 	// held is set while this process is the holder by the newest record.
-	held       bool
-	validUntil time.Time
-	actsFrom   time.Time
-	lastAct    time.Time
-	stopped    bool
-	lost       bool
+	held bool
+	// confirmed is the newest renewal of this process that the store confirmed.
+	confirmed uint64
+	// yieldedToken is the lease under which this process gave its word not to act
+	// any more.
+	yieldedToken uint64
+	heard        heard
+	validUntil   time.Time
+	actsFrom     time.Time
+	lastAct      time.Time
+	stopped      bool
+	lost         bool
+	// retry is set while a renewal was not confirmed.
+	retry bool
+	// wake ends the pause between two steps.
+	wake chan struct{}
 }
 
 // New returns a lessor for a node. process tells this process from an earlier
@@ -99,6 +109,7 @@
 		self: Record{Holder: node, Address: address, Process: process},
 		// An earlier process of this node may have acted until now.
 		lastAct: options.Now(),
+		wake:    make(chan struct{}, 1),
 	}
 }
 
@@ -125,7 +136,7 @@
 func (l *Lessor) Valid() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.held && !l.stopped && l.options.Now().Before(l.validUntil)
+	return l.held && !l.stopped && !l.yielded() && l.options.Now().Before(l.validUntil)
 }
 
 // Acting reports whether the holder may act now.
@@ -137,7 +148,7 @@
 
 func (l *Lessor) mayAct() bool {
 	now := l.options.Now()
-	return l.held && !l.stopped && now.Add(l.options.ActMargin).Before(l.validUntil) && !now.Before(l.actsFrom)
+	return l.held && !l.stopped && !l.yielded() && now.Add(l.options.ActMargin).Before(l.validUntil) && !now.Before(l.actsFrom)
 }
 
 // Holder returns the newest record known.
@@ -173,7 +184,7 @@
 	if record.Holder != l.seen.Holder || record.Token != l.seen.Token || record.Released != l.seen.Released {
 		l.log.Info("lease seen", "holder", record.Holder, "token", record.Token, "released", record.Released, "revision", revision)
 	}
-	l.seen, l.revision, l.seenAt, l.read = record, revision, l.options.Now(), true
+	l.seen, l.revision, l.seenAt, l.read = record, revision, l.seenSince(record), true
 	l.noteOthers()
 	return nil
 }
@@ -188,6 +199,8 @@
 	case l.seen.Holder == l.self.Holder && l.seen.Settled:
 	case l.seen.Released && l.seen.Settled:
 		l.othersUntil = l.seenAt.Add(l.options.TurnGap - time.Duration(l.seen.QuietMs)*time.Millisecond)
+	case l.heardYield():
+		l.othersUntil = l.heard.quietSince.Add(l.options.TurnGap)
 	default:
 		l.othersUntil = l.seenAt.Add(l.options.Validity + l.options.TurnGap)
 	}
@@ -205,5 +218,8 @@
 	if l.seen.Released || l.seen.Holder == "" || l.seen.Holder == l.self.Holder {
 		return true
 	}
+	if l.heardYield() {
+		return l.options.Now().Sub(l.heard.yieldedAt) >= yieldPatience+l.options.Reluctance
+	}
 	return l.options.Now().Sub(l.seenAt) >= l.options.Validity+l.options.Interval+l.options.Reluctance
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -92,6 +92,8 @@
 	// acts are the last acts, by node.
 	lastBy string
 	lastAt time.Time
+	// words are those of holders that were not heard yet.
+	words []Word
 }
 
 func newWorld(nodes int) *world {
@@ -141,7 +143,7 @@
 	var newest uint64
 	for range rapid.IntRange(1, 150).Draw(t, "steps") {
 		index := rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")
-		switch rapid.SampledFrom([]string{"step", "step", "step", "act", "act", "wait", "wait", "pause", "fault", "fault", "late", "restart", "release"}).Draw(t, "what") {
+		switch rapid.SampledFrom([]string{"step", "step", "step", "act", "act", "wait", "wait", "pause", "fault", "fault", "late", "restart", "release", "say", "say", "hear", "hear"}).Draw(t, "what") {
 		case "step":
 			w.nodes[index].step(context.Background())
 		case "act":
@@ -167,6 +169,14 @@
 			}
 		case "restart":
 			w.nodes[index] = w.start(index)
+		case "say":
+			if word, ok := w.nodes[index].Word(); ok {
+				w.words = append(w.words, word)
+			}
+		case "hear":
+			if len(w.words) > 0 {
+				w.nodes[index].Hear(w.words[rapid.IntRange(0, len(w.words)-1).Draw(t, "word")])
+			}
 		case "release":
 			w.nodes[index].Release(context.Background())
 			w.nodes[index] = w.start(index)
@@ -201,6 +211,56 @@
 	assert.Assert(t, firstAct.Sub(lastAct) >= testGap, "%s", firstAct.Sub(lastAct))
 }
 
+// TestYieldedLeaseIsTakenSoon: a holder without the store acts as long as it may
+// and says when it acts no more; another one that hears it acts the turn gap after
+// its last act. It failed first: the next holder waited for validity and gap from
+// the moment at which it looked at the row.
+func TestYieldedLeaseIsTakenSoon(t *testing.T) {
+	const tick = 50 * time.Millisecond
+	w := newWorld(2)
+	holder, next := w.nodes[0], w.nodes[1]
+	var lastAct, firstAct time.Time
+	began := w.now
+	for firstAct.IsZero() {
+		w.now = w.now.Add(tick)
+		if w.now.Before(began.Add(3 * time.Second)) {
+			holder.step(t.Context())
+		}
+		if word, ok := holder.Word(); ok {
+			next.Hear(word)
+		}
+		if _, ok := holder.Act(); ok {
+			lastAct = w.now
+		}
+		if lastAct.IsZero() || w.now.Sub(lastAct) > yieldPatience {
+			next.step(t.Context())
+		}
+		if _, ok := next.Act(); ok {
+			firstAct = w.now
+		}
+		assert.Assert(t, w.now.Sub(began) < time.Minute, "nobody acts again")
+	}
+	gap := firstAct.Sub(lastAct)
+	assert.Assert(t, gap >= testGap && gap <= testGap+yieldPatience, "%s", gap)
+}
+
+// TestYieldedHolderGoesOn: a holder that yielded and that nobody replaced goes on at
+// once under a new token, when the store answers again.
+func TestYieldedHolderGoesOn(t *testing.T) {
+	w := newWorld(1)
+	holder := w.nodes[0]
+	holder.step(t.Context())
+	before, acts := holder.Act()
+	assert.Assert(t, acts)
+	w.now = w.now.Add(testValidity)
+	word, _ := holder.Word()
+	assert.Assert(t, word.Yielded)
+	holder.step(t.Context())
+	after, acts := holder.Act()
+	assert.Assert(t, acts)
+	assert.Equal(t, after, before+1)
+}
+
 // TestSomebodyHolds: on a sound store one node acts, and after its end another.
 func TestSomebodyHolds(t *testing.T) {
 	w := newWorld(3)
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -17,10 +17,25 @@
 	wait.For(ctx, rand.N(l.options.Interval/2)+l.options.Reluctance)
 	for ctx.Err() == nil {
 		l.step(ctx)
-		wait.For(ctx, l.pause())
+		l.rest(ctx, l.pause())
 	}
 }
 
+// rest waits until the next step is due, or a holder yielded.
+func (l *Lessor) rest(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-l.wake:
+		wait.For(ctx, yieldPatience+l.options.Reluctance+rand.N(l.options.Interval/2))
+	}
+}
+
+// retryPause lies between a renewal that was not confirmed and the next one.
+const retryPause = 50 * time.Millisecond
+
 // unreachablePause is how many times as long the others wait between two looks
 // while the store does not answer them.
 const unreachablePause = 4
@@ -31,6 +46,8 @@
 	defer l.mutex.Unlock()
 	pause := l.options.Interval/2 + rand.N(l.options.Interval)
 	switch {
+	case l.held && l.retry:
+		return retryPause
 	case l.held:
 		return l.options.Interval
 	case l.lost:
@@ -98,6 +115,7 @@
 	l.seen, l.revision, l.seenAt, l.held = record, revision, l.options.Now(), true
 	l.validUntil = sent.Add(l.options.Validity)
 	l.actsFrom = actsFrom
+	l.confirmed = record.Renewal
 }
 
 // renew writes the next renewal. When its answer is lost, the row tells at the
@@ -110,11 +128,15 @@
 	}
 	record := l.seen
 	record.Renewal++
+	if l.yielded() {
+		record.Token++
+	}
 	expected, actsFrom := l.revision, l.actsFrom
 	record.Settled = !l.options.Now().Before(actsFrom)
 	l.mutex.Unlock()
 	revision, sent, err := l.put(ctx, record, expected)
 	l.noteLoss(err)
+	l.noteRetry(err)
 	if err == nil {
 		l.hold(record, revision, sent, actsFrom)
 		return
@@ -122,6 +144,14 @@
 	l.reconcile(ctx)
 }
 
+// noteRetry lets the next renewal follow soon after one that got no answer; a store
+// that refuses is left alone for the usual time.
+func (l *Lessor) noteRetry(err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.retry = err != nil && fault.OutcomeOf(err) != fault.NotDone
+}
+
 // reconcile reads the row after a renewal that was not confirmed. A late own
 // renewal keeps the lease, but does not lengthen its validity: when it was sent
 // is not known any more.
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -61,6 +61,11 @@
 	Planned []UnitComing `cbor:"9,keyasint,omitempty"`
 	// Nodes is how many nodes reported lately.
 	Nodes int `cbor:"5,keyasint"`
+	// LeaseRenewal, LeaseYielded and LeaseQuietMs are the holder's word of its lease
+	// (lease.Word), of the lease Token.
+	LeaseRenewal uint64 `cbor:"10,keyasint,omitempty"`
+	LeaseYielded bool   `cbor:"11,keyasint,omitempty"`
+	LeaseQuietMs int64  `cbor:"12,keyasint,omitempty"`
 	// Valid is set while the holder's last renewal of the lease is valid.
 	Valid bool `cbor:"6,keyasint,omitempty"`
 	// StoreLimit and StoreCapacity are what the holder has learned of the weight
