Keep adapters that requests use; count their places as work

Cause: the adapter used the longest ago made room though requests still used it; the runner then unloads it later and moves its number again, so the next order was refused (409), and with 8 places for 15 or 28 adapters of one replica requests waited 3.4 s and were given up. Change: nodes report requests under way by adapter too; an adapter in use is no victim; one whose unload waits keeps its place, and the runner takes no other order until it has told its number. A model's work is at least the share of a runner's places that its adapters in use take, so that it gets the replicas they need. Test: orders.TestAdapterInUseLeavesLater (failed first), scheduler.TestAdapterInUseStays.

--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/config"
 	"lilacvane/internal/scheduler"
 	"lilacvane/internal/wire"
 )
@@ -123,51 +124,76 @@
 	return members
 }
 
-// running returns the requests under way by runner and model.
-func (d *demandBook) running(now time.Time) map[string]map[string]int {
-	sums := make(map[string]map[string]int)
+// runnerLoad is the requests under way at a runner, by model, and those for
+// adapters also by model/adapter.
+type runnerLoad struct {
+	models   map[string]int
+	adapters map[string]int
+}
+
+// running returns the requests under way by runner.
+func (d *demandBook) running(now time.Time) map[string]runnerLoad {
+	sums := make(map[string]runnerLoad)
 	for _, report := range d.reports {
 		if now.Sub(report.at) > d.lifetime() {
 			continue
 		}
 		for _, usage := range report.running {
-			if sums[usage.Runner] == nil {
-				sums[usage.Runner] = make(map[string]int)
+			sum, known := sums[usage.Runner]
+			if !known {
+				sum = runnerLoad{models: make(map[string]int), adapters: make(map[string]int)}
+				sums[usage.Runner] = sum
 			}
 			for model, count := range usage.Models {
-				sums[usage.Runner][model] += count
+				sum.models[model] += count
+			}
+			for adapter, count := range usage.Adapters {
+				sum.adapters[adapter] += count
 			}
 		}
 	}
 	return sums
 }
 
-// runningByModel sums up the requests under way.
-func runningByModel(running map[string]map[string]int) map[string]int {
+// runningByUnit sums up the requests under way, by the name of the model or of the
+// adapter with its model.
+func runningByUnit(running map[string]runnerLoad) map[string]int {
 	sums := make(map[string]int)
-	for _, models := range running {
-		for model, count := range models {
+	for _, load := range running {
+		for model, count := range load.models {
 			sums[model] += count
 		}
+		for adapter, count := range load.adapters {
+			sums[adapter] += count
+		}
 	}
 	return sums
 }
 
-// units returns the demand by unit, given the requests under way by runner and
-// model and the slots of a runner. What waits for an adapter waits for its model as
+// units returns the demand by unit, given the requests under way by runner and what
+// a runner has of slots and places for adapters. What waits for an adapter waits for its model as
 // well.
-func (d *demandBook) units(running map[string]map[string]int, slots int, now time.Time) map[backend.Unit]*scheduler.Demand {
-	sums := runningByModel(running)
+func (d *demandBook) units(running map[string]runnerLoad, engine *config.Engine, now time.Time) map[backend.Unit]*scheduler.Demand {
+	sums := runningByUnit(running)
+	adapters := make(map[string]float64)
 	units := make(map[backend.Unit]*scheduler.Demand, len(d.used))
 	for unit, use := range d.used {
 		if now.Sub(use.last) > forgetAfter {
 			delete(d.used, unit)
 			continue
 		}
-		use.run(sums[unit.Model], now)
+		use.run(sums[unit.String()], now)
 		use.fade(now)
 		units[unit] = &scheduler.Demand{
-			Rate: perSecond(use.requests), Work: use.work(slots), LastUse: use.last,
+			Rate: perSecond(use.requests), Work: use.work(engine.Slots), LastUse: use.last,
+		}
+		if unit.Adapter != "" {
+			adapters[unit.Model] += min(use.running, 1)
+		}
+	}
+	for model, inUse := range adapters {
+		if demand := units[backend.Unit{Model: model}]; demand != nil {
+			demand.Work = max(demand.Work, inUse/float64(max(engine.AdapterSlots, 1)))
 		}
 	}
 	for _, report := range d.reports {
--- a/internal/control/describe.go
+++ b/internal/control/describe.go
@@ -14,7 +14,7 @@
 )
 
 // describe turns a runner's account into the scheduler's form.
-func describe(id string, ledger *orders.Ledger, engine *config.Engine, running map[string]int, now time.Time) *scheduler.Runner {
+func describe(id string, ledger *orders.Ledger, engine *config.Engine, running runnerLoad, now time.Time) *scheduler.Runner {
 	runner := &scheduler.Runner{
 		ID: id, Zone: ledger.Runner.Zone, Models: make(map[string]*scheduler.Held), Free: ledger.Free(engine),
 		AdapterSlots: ledger.FreeAdapterSlots(engine), Idle: ledger.Idle(now),
@@ -23,15 +23,17 @@
 	}
 	for name, model := range ledger.Models() {
 		held := &scheduler.Held{
-			Coming: model.Coming, Leaving: model.Leaving, Active: running[name], Adapters: make(map[string]*scheduler.Adapter),
+			Coming: model.Coming, Leaving: model.Leaving, Active: running.models[name], Adapters: make(map[string]*scheduler.Adapter),
 		}
 		for adapter, state := range model.Adapters {
-			held.Adapters[adapter] = &scheduler.Adapter{Coming: state.Coming}
+			held.Adapters[adapter] = &scheduler.Adapter{
+				Coming: state.Coming, Leaving: state.Leaving, Active: running.adapters[backend.Unit{Model: name, Adapter: adapter}.String()],
+			}
 		}
 		runner.Models[name] = held
-		runner.Active += running[name]
+		runner.Active += running.models[name]
 	}
-	runner.BusyFor = ledger.BusyFor(func(model string) bool { return running[model] > 0 }, now)
+	runner.BusyFor = ledger.BusyFor(func(model string) bool { return running.models[model] > 0 }, now)
 	for _, name := range ledger.Uncertain() {
 		runner.Models[name] = &scheduler.Held{Coming: true, Uncertain: true}
 	}
@@ -62,6 +64,9 @@
 		}
 		held := wire.UnitHeld{Model: name}
 		for adapter, state := range model.Adapters {
+			if state.Leaving {
+				continue
+			}
 			if state.Coming {
 				coming := wire.UnitComing{Model: name, Adapter: adapter, InMs: max(state.Due.Sub(now), 0).Milliseconds()}
 				view.Coming = append(view.Coming, coming)
@@ -76,7 +81,7 @@
 }
 
 // statusOf describes a runner to operators.
-func statusOf(id string, ledger *orders.Ledger, engine *config.Engine, running map[string]int, drained bool) wire.RunnerStatus {
+func statusOf(id string, ledger *orders.Ledger, engine *config.Engine, running runnerLoad, drained bool) wire.RunnerStatus {
 	status := wire.RunnerStatus{
 		Runner: id, Service: ledger.Runner.Service, Zone: ledger.Runner.Zone, Address: ledger.Runner.Address, State: "ready",
 		FreeMB: ledger.Free(engine), Sequence: ledger.Sequence(), Units: []wire.ReplicaStatus{},
@@ -91,15 +96,11 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(ledger.Models())) {
 		model := ledger.Models()[name]
-		status.Running += running[name]
+		status.Running += running.models[name]
 		status.Units = append(status.Units, wire.ReplicaStatus{Unit: name, State: stateOf(model)})
 		for _, adapter := range slices.Sorted(maps.Keys(model.Adapters)) {
 			unit := backend.Unit{Model: name, Adapter: adapter}
-			state := "ready"
-			if model.Adapters[adapter].Coming {
-				state = "loading"
-			}
-			status.Units = append(status.Units, wire.ReplicaStatus{Unit: unit.String(), State: state})
+			status.Units = append(status.Units, wire.ReplicaStatus{Unit: unit.String(), State: stateOfAdapter(model.Adapters[adapter])})
 		}
 	}
 	for _, name := range ledger.Uncertain() {
@@ -108,6 +109,17 @@
 	return status
 }
 
+func stateOfAdapter(adapter *orders.Adapter) string {
+	switch {
+	case adapter.Coming:
+		return "loading"
+	case adapter.Leaving:
+		return "unloading"
+	default:
+		return "ready"
+	}
+}
+
 func stateOf(model *orders.Model) string {
 	switch {
 	case model.Coming:
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -11,7 +11,7 @@
 // state builds the scheduler's input. mutex is held.
 func (c *Controller) state(engine *config.Engine, now time.Time) *scheduler.State {
 	running := c.demand.running(now)
-	demand := c.demand.units(running, engine.Slots, now)
+	demand := c.demand.units(running, engine, now)
 	c.applyRules(engine, demand, now)
 	state := &scheduler.State{
 		Now: now, Engine: engine, Demand: demand, Intents: c.intents, Loads: min(int(c.limiter.TokensAt(now)), c.store.Free()),
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -166,7 +166,7 @@
 		})
 	}
 	for _, usage := range s.fleet.Usage(s.service) {
-		request.Running = append(request.Running, wire.RunnerUsage{Runner: usage.Runner, Models: usage.Models})
+		request.Running = append(request.Running, wire.RunnerUsage{Runner: usage.Runner, Models: usage.Models, Adapters: usage.Adapters})
 	}
 	return request
 }
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -131,7 +131,7 @@
 	if query.Unit == (backend.Unit{}) {
 		return
 	}
-	known.byModel[query.Unit.Model]++
+	known.byUnit[query.Unit]++
 	known.prefill += choice.UnreadTokens
 	known.prompts.add(query.Unit, query.Prompt, f.now())
 }
@@ -177,8 +177,8 @@
 	}
 	known.inFlight--
 	if query.Unit != (backend.Unit{}) {
-		if known.byModel[query.Unit.Model]--; known.byModel[query.Unit.Model] <= 0 {
-			delete(known.byModel, query.Unit.Model)
+		if known.byUnit[query.Unit]--; known.byUnit[query.Unit] <= 0 {
+			delete(known.byUnit, query.Unit)
 		}
 		if !started {
 			known.prefill = max(known.prefill-choice.UnreadTokens, 0)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -69,7 +69,7 @@
 	units    map[backend.Unit]bool
 	refused  map[backend.Unit]time.Time
 	inFlight int
-	byModel  map[string]int
+	byUnit   map[backend.Unit]int
 	prefill  int
 	told     toldLoad
 	health   health
@@ -153,7 +153,7 @@
 	known := f.runners[listed.ID]
 	if known == nil {
 		known = &runner{
-			refused: make(map[backend.Unit]time.Time), byModel: make(map[string]int),
+			refused: make(map[backend.Unit]time.Time), byUnit: make(map[backend.Unit]int),
 			prompts: newPromptCache(),
 		}
 		f.runners[listed.ID] = known
@@ -263,10 +263,12 @@
 	return listed
 }
 
-// Usage is the requests of this node under way at a runner, by model.
+// Usage is the requests of this node under way at a runner, by model, and those
+// for adapters also by model/adapter.
 type Usage struct {
-	Runner string
-	Models map[string]int
+	Runner   string
+	Models   map[string]int
+	Adapters map[string]int
 }
 
 // Usage returns the requests of this node under way at a service's runners.
@@ -275,12 +277,15 @@
 	defer f.mutex.Unlock()
 	var usages []Usage
 	for id, known := range f.runners {
-		if known.listed.Service != service || len(known.byModel) == 0 {
+		if known.listed.Service != service || len(known.byUnit) == 0 {
 			continue
 		}
-		usage := Usage{Runner: id, Models: make(map[string]int, len(known.byModel))}
-		for model, count := range known.byModel {
-			usage.Models[model] = count
+		usage := Usage{Runner: id, Models: make(map[string]int, len(known.byUnit)), Adapters: make(map[string]int)}
+		for unit, count := range known.byUnit {
+			usage.Models[unit.Model] += count
+			if unit.Adapter != "" {
+				usage.Adapters[unit.String()] = count
+			}
 		}
 		usages = append(usages, usage)
 	}
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -76,7 +76,9 @@
 // Adapter is an adapter of a model on a runner.
 type Adapter struct {
 	Coming bool
-	Due    time.Time
+	// Leaving is set while requests still use it that is to be unloaded.
+	Leaving bool
+	Due     time.Time
 }
 
 // NewLedger returns an account of a runner of which nothing is known yet.
@@ -192,6 +194,7 @@
 		l.accepted(order, now, due)
 	case backend.AlreadyHeld:
 		l.accepted(order, now, now)
+		l.adapterGone(order)
 		l.busy = false
 		l.nextReport = now.Add(backend.ReportLag)
 	case backend.Lost:
@@ -238,7 +241,7 @@
 		return
 	}
 	if order.Action == backend.Unload {
-		delete(model.Adapters, order.Unit.Adapter)
+		l.adapterLeaves(model, order, now)
 		return
 	}
 	model.Adapters[order.Unit.Adapter] = &Adapter{Coming: true, Due: now.Add(adapterTime)}
@@ -247,6 +250,27 @@
 	}
 }
 
+// adapterLeaves notes that an adapter goes once no request uses it any more. Until
+// a report shows it, the runner takes no other order: its number moves again.
+func (l *Ledger) adapterLeaves(model *Model, order backend.Order, now time.Time) {
+	if adapter := model.Adapters[order.Unit.Adapter]; adapter != nil {
+		adapter.Leaving = true
+	}
+	l.unsure = true
+	l.nextReport = now.Add(backend.ReportLag)
+}
+
+// adapterGone notes that an adapter's unload was done at once.
+func (l *Ledger) adapterGone(order backend.Order) {
+	if order.Action != backend.Unload || order.Unit.Adapter == "" {
+		return
+	}
+	if model := l.models[order.Unit.Model]; model != nil {
+		delete(model.Adapters, order.Unit.Adapter)
+	}
+	l.unsure = false
+}
+
 // Settle takes adapters as loaded whose time has come. It returns whether any
 // were.
 func (l *Ledger) Settle(now time.Time) bool {
--- a/internal/orders/ledger_test.go
+++ b/internal/orders/ledger_test.go
@@ -21,6 +21,33 @@
 	return engine
 }
 
+// TestAdapterInUseLeavesLater: an adapter whose unload waits for requests keeps its
+// place, and the runner takes no other order until it has told its number. It failed
+// first: the next order expected a number that the runner did not have.
+func TestAdapterInUseLeavesLater(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ledger := NewLedger(backend.Runner{ID: "r"})
+	holding := []backend.Holding{{Model: "m0", Adapters: []string{"a1", "a2"}}}
+	ledger.Reported(backend.Report{Models: holding, Sequence: 3}, now, now)
+	unit := backend.Unit{Model: "m0", Adapter: "a1"}
+	other := backend.Unit{Model: "m0", Adapter: "a3"}
+	order := ledger.Begin(backend.Unload, unit, "node", 1)
+	ledger.End(order, backend.Accepted, now, now)
+	assert.Assert(t, !ledger.MayOrder(other, now.Add(time.Hour)))
+	assert.Equal(t, ledger.FreeAdapterSlots(testEngine()), 0)
+	now = now.Add(time.Second)
+	ledger.Reported(backend.Report{Models: holding, Sequence: 4}, now, now)
+	assert.Assert(t, ledger.Models()["m0"].Adapters["a1"].Leaving)
+	assert.Assert(t, ledger.MayOrder(other, now))
+	holding[0].Adapters = []string{"a2"}
+	ledger.Reported(backend.Report{Models: holding, Sequence: 5}, now, now)
+	assert.Equal(t, ledger.FreeAdapterSlots(testEngine()), 1)
+	order = ledger.Begin(backend.Unload, backend.Unit{Model: "m0", Adapter: "a2"}, "node", 1)
+	ledger.End(order, backend.AlreadyHeld, now, now)
+	assert.Equal(t, ledger.FreeAdapterSlots(testEngine()), 2)
+	assert.Assert(t, ledger.MayOrder(other, now))
+}
+
 // fakeRunner takes orders as the platform's runners do: by expected number, one
 // model at a time, some without an answer and some late.
 type fakeRunner struct {
--- a/internal/orders/reports.go
+++ b/internal/orders/reports.go
@@ -125,6 +125,15 @@
 	l.lost = slices.DeleteFunc(l.lost, func(order backend.Order) bool { return order.Expected < l.sequence })
 }
 
+// keepLeaving goes on counting adapters as leaving that are still there.
+func (m *Model) keepLeaving(was *Model) {
+	for name, adapter := range m.Adapters {
+		if before := was.Adapters[name]; before != nil {
+			adapter.Leaving = before.Leaving
+		}
+	}
+}
+
 func (l *Ledger) takeModels(report backend.Report, now time.Time) {
 	before := l.models
 	l.models = make(map[string]*Model, len(report.Models))
@@ -135,6 +144,7 @@
 		}
 		if was := before[holding.Model]; was != nil {
 			model.Leaving = was.Leaving && report.Busy
+			model.keepLeaving(was)
 		}
 		l.models[holding.Model] = model
 	}
--- a/internal/scheduler/adapters.go
+++ b/internal/scheduler/adapters.go
@@ -35,7 +35,10 @@
 func (p *planner) adapterAnywhere(unit backend.Unit) bool {
 	for _, runner := range p.state.Runners {
 		held := runner.Models[unit.Model]
-		if held != nil && !held.Leaving && !runner.Drained && held.Adapters[unit.Adapter] != nil {
+		if held == nil || held.Leaving || runner.Drained {
+			continue
+		}
+		if adapter := held.Adapters[unit.Adapter]; adapter != nil && !adapter.Leaving {
 			return true
 		}
 	}
@@ -67,6 +70,10 @@
 
 func (p *planner) adapterCost(runner *Runner, unit backend.Unit) (float64, bool) {
 	held := runner.Models[unit.Model]
+	if held != nil && held.Adapters[unit.Adapter] != nil {
+		// It is still being unloaded there.
+		return 0, false
+	}
 	if !runner.Ready || runner.Drained || p.taken[runner.ID] || held == nil || held.Coming || held.Leaving || held.Uncertain {
 		return 0, false
 	}
@@ -83,14 +90,16 @@
 	return cost, true
 }
 
-// adapterVictim returns the adapter of a runner that was used the longest ago.
+// adapterVictim returns the adapter of a runner that was used the longest ago and
+// that no request uses.
 func (p *planner) adapterVictim(runner *Runner, wanted backend.Unit) backend.Unit {
 	var victim backend.Unit
 	var oldest time.Time
 	for _, model := range slices.Sorted(maps.Keys(runner.Models)) {
 		for _, name := range slices.Sorted(maps.Keys(runner.Models[model].Adapters)) {
 			unit := backend.Unit{Model: model, Adapter: name}
-			if unit == wanted || runner.Models[model].Adapters[name].Coming {
+			adapter := runner.Models[model].Adapters[name]
+			if unit == wanted || adapter.Coming || adapter.Leaving || adapter.Active > 0 {
 				continue
 			}
 			used := time.Time{}
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -167,6 +167,24 @@
 	assert.Equal(t, steps[1].Unit.Adapter, "a9")
 }
 
+// TestAdapterInUseStays: an adapter that requests use makes room for no other one,
+// however long ago it was asked for.
+func TestAdapterInUseStays(t *testing.T) {
+	state := testState(1, 1)
+	held := state.Runners[0].hold("m0")
+	held.Adapters["a0"] = &Adapter{Active: 1}
+	held.Adapters["a1"] = &Adapter{}
+	state.Demand[backend.Unit{Model: "m0", Adapter: "a0"}] = &Demand{LastUse: testNow.Add(-time.Minute)}
+	state.Demand[backend.Unit{Model: "m0", Adapter: "a1"}] = &Demand{LastUse: testNow}
+	state.Runners[0].AdapterSlots = 0
+	waits(state, backend.Unit{Model: "m0", Adapter: "a9"})
+	steps := MakePlan(state).Steps
+	assert.Equal(t, len(steps), 2)
+	assert.Equal(t, steps[0].Unit.Adapter, "a1")
+	held.Adapters["a1"].Active = 1
+	assert.Equal(t, len(MakePlan(state).Steps), 0)
+}
+
 // TestDrainedRunnerIsEmptied: what it holds is unloaded and loaded elsewhere if a
 // policy wants it ready; nothing new is loaded there.
 func TestDrainedRunnerIsEmptied(t *testing.T) {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -77,7 +77,10 @@
 
 // Adapter is an adapter on a runner.
 type Adapter struct {
-	Coming bool
+	Coming  bool
+	Leaving bool
+	// Active is how many requests for it are under way.
+	Active int
 }
 
 // Demand is what is known of the requests for a unit.
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -49,6 +49,8 @@
 type RunnerUsage struct {
 	Runner string         `cbor:"1,keyasint"`
 	Models map[string]int `cbor:"2,keyasint"`
+	// Adapters counts those for adapters apart, by model/adapter.
+	Adapters map[string]int `cbor:"3,keyasint,omitempty"`
 }
 
 // SyncResponse is the holder's account of the runners.
