--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -126,7 +126,7 @@
 	d.Log.Info("request ended", "request", request.ID, "result", o.Result, "status", o.Status, "step", o.Step,
 		"reason", o.Reason, "route", o.Route, "revision", o.Revision, "unit", request.Unit.String(), "runner", o.Runner,
 		"attempts", o.Attempts, "resumes", o.Resumes, "waitedMs", o.Waited.Milliseconds(), "firstMs", o.First.Milliseconds(),
-		"totalMs", o.Total.Milliseconds(), "patienceMs", request.Patience.Milliseconds(), "keptTokens", o.KeptTokens,
+		"totalMs", o.Total.Milliseconds(), "pauseMs", o.Pause.Milliseconds(), "patienceMs", request.Patience.Milliseconds(), "keptTokens", o.KeptTokens,
 		"tokensIn", request.TokensIn)
 }
 
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -26,6 +26,8 @@
 	// lastEvent is the identifier of the last whole event passed on.
 	lastEvent string
 	passed    int
+	// passedAt is when events were passed on last.
+	passedAt time.Time
 }
 
 // relayStream passes a stream on, whole events only, as they come. The head goes
@@ -84,6 +86,7 @@
 	if id, ok := lastIdentifier(events); ok {
 		j.relay.lastEvent = id
 	}
+	j.notePause(time.Now())
 	j.relay.passed++
 	_, _ = j.writer.Write(events)
 	if flusher, ok := j.writer.(http.Flusher); ok {
@@ -91,6 +94,14 @@
 	}
 }
 
+// notePause follows the longest time between two events.
+func (j *job) notePause(now time.Time) {
+	if j.relay.passed > 0 {
+		j.outcome.Pause = max(j.outcome.Pause, now.Sub(j.relay.passedAt))
+	}
+	j.relay.passedAt = now
+}
+
 // openStream sends the head of a stream's first runner.
 func (j *job) openStream(answer *upstream.Answer) {
 	if j.relay != nil {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -74,6 +74,8 @@
 	// First is the time to the first byte of the answer, Total the whole time.
 	First time.Duration
 	Total time.Duration
+	// Pause is the longest time between two events of a stream.
+	Pause time.Duration
 	// Revision is the configuration that decided.
 	Revision uint64
 	// KeptTokens is what its last runner was believed to keep of its prompt.
