Tell who waits when orders go on, and wait as long as the objective allows

Cause: while no node may give orders (the turn gap after a holder), requests were refused after 0.55 s with the time of a load (0.38 s), came back, and were refused again, up to ten times; requests whose load was due 1.76 s ahead were sent back though their objective is 2.5 s, as a third of it was held back for the runner. Change: holders tell in how long they give orders, a node without one assumes the turn gap; the time of a load that nobody began counts from there, and one that fits the objective is waited for. The runner's own part is 0.3 s at most. Test: dispatch.TestWaitDecisions (a load just within the objective; one that nobody began goes by its time alone, as its time now counts the gap).

--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -82,6 +82,7 @@
 	now := time.Now()
 	response := wire.SyncResponse{Token: c.token, Version: c.version, Nodes: c.demand.nodes(now), Valid: c.Lessor.Valid(),
 		StoreLimit: c.store.Estimate().Limit, StoreCapacity: c.store.Estimate().Capacity}
+	response.ActsInMs = c.Lessor.ActsIn().Milliseconds()
 	if word, ok := c.Lessor.Word(); ok && word.Token == c.token {
 		response.LeaseRenewal, response.LeaseYielded, response.LeaseQuietMs = word.Renewal, word.Yielded, word.Quiet.Milliseconds()
 	}
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -54,6 +54,8 @@
 	// nodeCount is how many nodes the holder knows.
 	nodeCount int
 	lost      bool
+	// orderless is set while no holder is heard of that may give orders.
+	orderless bool
 	// heard is when the holder, another node, answered last with its lease valid.
 	heard time.Time
 }
@@ -184,6 +186,7 @@
 	defer cancel()
 	response, err := s.ask(ctx, request)
 	s.note(ctx, err)
+	s.noteOrders(response, err)
 	if err != nil {
 		return err
 	}
@@ -207,6 +210,21 @@
 	return response, err
 }
 
+// noteOrders follows when somebody gives orders: the holder tells; without one it
+// takes the turn gap at least.
+func (s *Syncer) noteOrders(response wire.SyncResponse, err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch {
+	case err == nil && response.Valid:
+		s.orderless = false
+		s.fleet.SetOrdersIn(s.service, time.Duration(response.ActsInMs)*time.Millisecond)
+	case !s.orderless:
+		s.orderless = true
+		s.fleet.SetOrdersIn(s.service, s.lessor.TurnGap())
+	}
+}
+
 // noteHeard takes over the holder's word of its lease.
 func (s *Syncer) noteHeard(response wire.SyncResponse) {
 	s.mutex.Lock()
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -13,9 +13,6 @@
 	// expected is the time until a runner can take it, if known.
 	expected time.Duration
 	known    bool
-	// guessed is set when expected is no more than the time of a load that
-	// nobody has begun.
-	guessed bool
 	// returned is set when the client was refused before and came back.
 	returned bool
 }
@@ -24,8 +21,10 @@
 	// promptRefusal is the part of the objective within which a refusal costs
 	// the client little.
 	promptRefusal = 0.22
-	// startMargin is the part of the objective that the runner needs itself.
-	startMargin = 0.3
+	// startMargin is the part of the objective that the runner needs itself, at
+	// most longestMargin.
+	startMargin   = 0.3
+	longestMargin = 300 * time.Millisecond
 	// leastReturn is the shortest time after which a refused client comes back.
 	leastReturn = 100 * time.Millisecond
 )
@@ -44,8 +43,7 @@
 
 // decide weighs a wait against a refusal. A request that can still be served
 // within its objective waits. One that cannot is refused at once, with the time
-// at which it can be served; so is one whose load nobody has begun, which is
-// better served when it comes back than late. A client that was sent back
+// at which it can be served. A client that was sent back
 // already, or could not come back in time, waits. again is when to decide anew.
 func (w wait) decide() (decision verdict, retryAfter, again time.Duration) {
 	if w.elapsed >= w.hold {
@@ -60,8 +58,8 @@
 		// News of a load come within this time.
 		return keepWaiting, 0, min(max(prompt-w.elapsed, time.Millisecond), rest)
 	}
-	budget := time.Duration((1 - startMargin) * float64(w.objective))
-	if !w.guessed && w.elapsed+w.expected <= budget {
+	margin := min(time.Duration(startMargin*float64(w.objective)), longestMargin)
+	if w.elapsed+w.expected <= w.objective-margin {
 		return keepWaiting, 0, rest
 	}
 	return sendBack, max(w.expected, leastReturn), 0
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -18,11 +18,11 @@
 		elapsed  time.Duration
 		unknown  bool
 		returned bool
-		guessed  bool
 		verdict  verdict
 	}{
 		"load within the objective":    {wait: patient, expected: 2000 * ms, verdict: keepWaiting},
-		"load that nobody began":       {wait: patient, expected: 1300 * ms, elapsed: 880 * ms, guessed: true, verdict: sendBack},
+		"load that nobody began":       {wait: patient, expected: 3300 * ms, elapsed: 880 * ms, verdict: sendBack},
+		"load just within objective":   {wait: patient, expected: 3600 * ms, elapsed: 20 * ms, verdict: keepWaiting},
 		"load after the objective":     {wait: hurried, expected: 2000 * ms, verdict: sendBack},
 		"adapter within the objective": {wait: hurried, expected: 40 * ms, verdict: keepWaiting},
 		"nothing known yet":            {wait: hurried, unknown: true, verdict: keepWaiting},
@@ -31,7 +31,7 @@
 		"its time is over":             {wait: hurried, expected: 900 * ms, elapsed: 2100 * ms, verdict: giveUp},
 	} {
 		w := test.wait
-		w.expected, w.known, w.elapsed, w.returned, w.guessed = test.expected, !test.unknown, test.elapsed, test.returned, test.guessed
+		w.expected, w.known, w.elapsed, w.returned = test.expected, !test.unknown, test.elapsed, test.returned
 		decision, retryAfter, again := w.decide()
 		assert.Equal(t, decision, test.verdict, name)
 		switch decision {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -128,13 +128,13 @@
 		w.expected, w.known = j.dispatcher.Fleet.Expected(j.query.Service, j.query.Unit)
 		if !w.known && w.elapsed >= time.Duration(promptRefusal*float64(w.objective)) {
 			w.expected, w.known = j.loadTime()
-			w.guessed = w.known && w.expected > 0
 		}
 	}
 	return w
 }
 
-// loadTime is how long a load of the model takes when nobody has begun one.
+// loadTime is how long it takes at least until the model is loaded when nobody has
+// begun to: until somebody gives orders, and the load.
 func (j *job) loadTime() (time.Duration, bool) {
 	service := j.dispatcher.Configuration().Services[j.query.Service]
 	if service == nil || service.Engine == nil || service.Engine.Models[j.query.Unit.Model] == nil {
@@ -143,7 +143,8 @@
 	if j.dispatcher.Fleet.Holds(j.query.Service, j.query.Unit.Model) {
 		return 0, true
 	}
-	return j.dispatcher.Fleet.LoadTime(j.query.Service, service.Engine.Models[j.query.Unit.Model]), true
+	load := j.dispatcher.Fleet.LoadTime(j.query.Service, service.Engine.Models[j.query.Unit.Model])
+	return j.dispatcher.Fleet.OrdersIn(j.query.Service) + load, true
 }
 
 // returned reports whether the client was refused before: it has less time left
--- a/internal/fleet/expected.go
+++ b/internal/fleet/expected.go
@@ -73,3 +73,18 @@
 	}
 	return least
 }
+
+// SetOrdersIn tells when a service's control holder is expected to give orders;
+// zero when it does.
+func (f *Fleet) SetOrdersIn(service string, in time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.ordersAt[service] = f.now().Add(in)
+}
+
+// OrdersIn is the time until a service's control holder is expected to give orders.
+func (f *Fleet) OrdersIn(service string) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return max(f.ordersAt[service].Sub(f.now()), 0)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,6 +52,8 @@
 	// planned is, by service, when models that are waited for are expected though
 	// nothing loads them yet.
 	planned map[string]map[string]time.Time
+	// ordersAt is, by service, when a control holder is expected to give orders.
+	ordersAt map[string]time.Time
 	// changed is closed and replaced whenever a waiting request may find a
 	// runner that it did not find before.
 	changed chan struct{}
@@ -93,7 +95,8 @@
 // New returns an empty fleet for a node in zone. drained tells runners that a
 // planned stop empties.
 func New(zone string, now func() time.Time, drained func(runner, zone string) bool) *Fleet {
-	return &Fleet{zone: zone, now: now, drained: drained, runners: make(map[string]*runner), planned: make(map[string]map[string]time.Time), changed: make(chan struct{})}
+	return &Fleet{zone: zone, now: now, drained: drained, runners: make(map[string]*runner), planned: make(map[string]map[string]time.Time),
+		ordersAt: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
 // Wake lets waiting requests look again.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -151,6 +151,17 @@
 	return l.held && !l.stopped && !l.yielded() && now.Add(l.options.ActMargin).Before(l.validUntil) && !now.Before(l.actsFrom)
 }
 
+// ActsIn is the time until this process may act if it holds the lease: until the
+// turn gap after the holder before it has passed.
+func (l *Lessor) ActsIn() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return max(l.actsFrom.Sub(l.options.Now()), 0)
+}
+
+// TurnGap is the least time between the acts of two nodes.
+func (l *Lessor) TurnGap() time.Duration { return l.options.TurnGap }
+
 // Holder returns the newest record known.
 func (l *Lessor) Holder() (Record, bool) {
 	l.mutex.Lock()
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -68,6 +68,9 @@
 	LeaseRenewal uint64 `cbor:"10,keyasint,omitempty"`
 	LeaseYielded bool   `cbor:"11,keyasint,omitempty"`
 	LeaseQuietMs int64  `cbor:"12,keyasint,omitempty"`
+	// ActsInMs is the time until the holder gives orders, in milliseconds: while it
+	// waits out the turn gap.
+	ActsInMs int64 `cbor:"13,keyasint,omitempty"`
 	// Valid is set while the holder's last renewal of the lease is valid.
 	Valid bool `cbor:"6,keyasint,omitempty"`
 	// StoreLimit and StoreCapacity are what the holder has learned of the weight
