Name in the lease's row how long its holder still waits out the gap before it

Change: each record names what is left of the wait; a release counts the quiet time from the earlier holder's last possible act too (below zero while that lies ahead). Test: lease.TestUnsettledHolderReleases (failed first); lease.TestNeverTwoHolders covers it with random releases and restarts.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"sync"
 	"time"
 
@@ -33,8 +34,12 @@
 	Settled bool `json:"settled,omitempty"`
 	// Released is set when the holder gave the lease back: it acts no more.
 	Released bool `json:"released,omitempty"`
-	// QuietMs is how long the holder had not acted when it released.
+	// QuietMs is how long nobody had acted when the holder released; below zero
+	// while an earlier holder may still have been acting.
 	QuietMs int64 `json:"quietMs,omitempty"`
+	// WaitMs is how long the holder still waits out the turn gap of the one before
+	// it; zero once it is settled.
+	WaitMs int64 `json:"waitMs,omitempty"`
 }
 
 // Options are the times of a lease.
@@ -146,6 +151,28 @@
 	return l.mayAct()
 }
 
+// quiet is how long nobody can have acted: since this process's last act, and since
+// the last moment at which the holder before it can have acted, which may lie ahead.
+// mutex is held.
+func (l *Lessor) quiet() time.Duration {
+	last := l.lastAct
+	if others := l.actsFrom.Add(-l.options.TurnGap); !l.actsFrom.IsZero() && others.After(last) {
+		last = others
+	}
+	return l.options.Now().Sub(last)
+}
+
+// wholeMs rounds down to milliseconds, below zero too.
+func wholeMs(d time.Duration) int64 { return int64(math.Floor(float64(d) / float64(time.Millisecond))) }
+
+// settle says in a record whether the holder waits out a gap, and for how long. It
+// is called before the record is sent.
+func (l *Lessor) settle(record *Record, actsFrom time.Time) {
+	wait := actsFrom.Sub(l.options.Now())
+	record.Settled = wait <= 0
+	record.WaitMs = max(-wholeMs(-wait), 0)
+}
+
 func (l *Lessor) mayAct() bool {
 	now := l.options.Now()
 	return l.held && !l.stopped && !l.yielded() && now.Add(l.options.ActMargin).Before(l.validUntil) && !now.Before(l.actsFrom)
@@ -207,8 +234,10 @@
 	switch {
 	case l.seen.Holder == "":
 	case l.seen.Process == l.self.Process:
-	case l.seen.Holder == l.self.Holder && l.seen.Settled:
-	case l.seen.Released && l.seen.Settled:
+	case l.seen.Holder == l.self.Holder:
+		// An earlier process of this node: only those before it count.
+		l.othersUntil = l.seenAt.Add(time.Duration(l.seen.WaitMs) * time.Millisecond)
+	case l.seen.Released:
 		l.othersUntil = l.seenAt.Add(l.options.TurnGap - time.Duration(l.seen.QuietMs)*time.Millisecond)
 	case l.heardYield():
 		l.othersUntil = l.heard.quietSince.Add(l.options.TurnGap)
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -319,6 +319,37 @@
 	assert.Assert(t, w.nodes[1].Acting())
 }
 
+// TestUnsettledHolderReleases: a holder that still waits out the gap of the one
+// before gives the lease back, and is restarted in the middle of its wait; the next
+// one waits no longer than that gap. It failed first: it waited validity and gap anew.
+func TestUnsettledHolderReleases(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		w := newWorld(3)
+		w.nodes[0].step(t.Context())
+		_, acted := w.nodes[0].Act()
+		assert.Assert(t, acted)
+		w.nodes[0].Release(t.Context())
+		w.nodes[1].step(t.Context())
+		w.now = w.now.Add(time.Second)
+		w.nodes[1].step(t.Context())
+		assert.Assert(t, w.nodes[1].Holds() && !w.nodes[1].Acting())
+		next := 2
+		if restarted {
+			next = 1
+			w.nodes[next] = w.start(next)
+		} else {
+			w.nodes[1].Release(t.Context())
+		}
+		w.nodes[next].step(t.Context())
+		w.now = w.now.Add(testGap - time.Second - time.Millisecond)
+		w.nodes[next].step(t.Context())
+		assert.Assert(t, !w.nodes[next].Acting())
+		w.now = w.now.Add(2 * time.Millisecond)
+		w.nodes[next].step(t.Context())
+		assert.Assert(t, w.nodes[next].Acting(), "restarted %t", restarted)
+	}
+}
+
 // TestReluctantNodeWaitsLonger: of two nodes that see the same lease run out, the
 // one with more to spare takes it.
 func TestReluctantNodeWaitsLonger(t *testing.T) {
--- a/internal/lease/release.go
+++ b/internal/lease/release.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"lilacvane/internal/fault"
 )
@@ -47,6 +46,7 @@
 	record = l.seen
 	record.Released = true
 	record.Renewal++
-	record.QuietMs = int64(min(l.options.Now().Sub(l.lastAct), l.options.TurnGap) / time.Millisecond)
+	record.QuietMs = wholeMs(min(l.quiet(), l.options.TurnGap))
+	l.settle(&record, l.actsFrom)
 	return record, l.revision, l.seen.Process == l.self.Process && !l.seen.Released
 }
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -83,7 +83,7 @@
 	record.Renewal = 1
 	expected := l.revision
 	actsFrom := l.othersUntil
-	record.Settled = !l.options.Now().Before(actsFrom)
+	l.settle(&record, actsFrom)
 	l.mutex.Unlock()
 	revision, sent, err := l.put(ctx, record, expected)
 	if err != nil {
@@ -132,7 +132,7 @@
 		record.Token++
 	}
 	expected, actsFrom := l.revision, l.actsFrom
-	record.Settled = !l.options.Now().Before(actsFrom)
+	l.settle(&record, actsFrom)
 	l.mutex.Unlock()
 	revision, sent, err := l.put(ctx, record, expected)
 	l.noteLoss(err)
--- a/internal/lease/word.go
+++ b/internal/lease/word.go
@@ -42,12 +42,7 @@
 	if now.Add(l.options.ActMargin).Before(l.validUntil) {
 		return word, true
 	}
-	// Others may have acted until the turn gap before this holder's turn.
-	last := l.lastAct
-	if others := l.actsFrom.Add(-l.options.TurnGap); !l.actsFrom.IsZero() && others.After(last) {
-		last = others
-	}
-	if quiet := now.Sub(last); quiet >= 0 {
+	if quiet := l.quiet(); quiet >= 0 {
 		l.yieldedToken = l.seen.Token
 		word.Yielded, word.Quiet = true, quiet
 	}
