Wait 0.15 s for the answer to an order

Change: the answer is waited for 0.15 s; a report tells what became of the order. The margin at the end of the lease stays 0.4 s, as an order may be on its way for longer.

--- a/internal/control/ordering.go
+++ b/internal/control/ordering.go
@@ -9,8 +9,14 @@
 	"lilacvane/internal/scheduler"
 )
 
-// OrderTimeout bounds one order.
-const OrderTimeout = 400 * time.Millisecond
+const (
+	// OrderMargin is how long an order may be on its way: none is sent when the
+	// lease may end sooner.
+	OrderMargin = 400 * time.Millisecond
+	// orderTimeout is how long an answer to an order is waited for. Runners answer
+	// at once, before the order is carried out; without an answer a report tells.
+	orderTimeout = 150 * time.Millisecond
+)
 
 // carryOut sends the orders of a plan. mutex is held.
 func (c *Controller) carryOut(ctx context.Context, plan scheduler.Plan) {
@@ -66,7 +72,7 @@
 }
 
 func (c *Controller) send(ctx context.Context, token uint64, ledger *orders.Ledger, order backend.Order, step scheduler.Step) bool {
-	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	c.mutex.Lock()
 	runner := ledger.Runner
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -71,7 +71,7 @@
 	s := n.settings.Load()
 	options := lease.Options{
 		Validity: leaseValidity, Interval: leaseInterval, TurnGap: s.Lease.TurnGap + turnGapMargin,
-		ActMargin: control.OrderTimeout, CallTimeout: leaseCallTimeout, Reluctance: reluctance(s.Capacity),
+		ActMargin: control.OrderMargin, CallTimeout: leaseCallTimeout, Reluctance: reluctance(s.Capacity),
 	}
 	ctx, end := context.WithCancel(c.ctx)
 	var syncer *control.Syncer
