Call a store that is away less often, the more nodes there are

Ruled out: the relay's ordinary reading (45 calls in four seconds), renewals. Change: a call that the store failed speaks 0.4 s for a node's other tables; a node whose relay has not heard of the store looks once for itself and then leaves it to some of the nodes for 2 s; pauses between looks at a lease whose store is away, and the spread of those that take a yielded lease, grow with the number of nodes. Test: relay.TestManyNodesLeaveStoreThatIsAway. Conclusion: kept; up to 8 nodes nothing changes but the sharing of a failed call.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -62,6 +62,10 @@
 	// Heard reports whether the holder was heard of by other means just now, so
 	// that the others need not look at the row; they always look when it is not set.
 	Heard func() bool
+	// Nodes is how many nodes contend for the lease, as far as is known; not set for
+	// few. The more there are, the less often each looks at a row whose store does
+	// not answer.
+	Nodes func() int
 	// Now is the steady clock; time.Now when it is not set.
 	Now func() time.Time
 }
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -29,7 +29,8 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-l.wake:
-		wait.For(ctx, yieldPatience+l.options.Reluctance+rand.N(l.options.Interval/2))
+		spread := l.options.Interval / 2 * time.Duration(l.crowd())
+		wait.For(ctx, yieldPatience+l.options.Reluctance+rand.N(spread))
 	}
 }
 
@@ -40,6 +41,22 @@
 // while the store does not answer them.
 const unreachablePause = 4
 
+const (
+	// nodesPerCrowd is for how many nodes the pauses of each need not be longer.
+	nodesPerCrowd = 16
+	// largestCrowd bounds how many times as long they are.
+	largestCrowd = 4
+)
+
+// crowd is how many times as long each node waits, so that many do not all call the
+// store at once.
+func (l *Lessor) crowd() int {
+	if l.options.Nodes == nil {
+		return 1
+	}
+	return min(max(l.options.Nodes()/nodesPerCrowd, 1), largestCrowd)
+}
+
 // pause is the time until the next step.
 func (l *Lessor) pause() time.Duration {
 	l.mutex.Lock()
@@ -50,6 +67,8 @@
 		return retryPause
 	case l.held:
 		return l.options.Interval
+	case l.lost && l.read:
+		return unreachablePause * pause * time.Duration(l.crowd())
 	case l.lost:
 		return unreachablePause * pause
 	default:
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -72,6 +72,7 @@
 	options := lease.Options{
 		Validity: leaseValidity, Interval: leaseInterval, TurnGap: s.Lease.TurnGap + turnGapMargin,
 		ActMargin: control.OrderMargin, CallTimeout: leaseCallTimeout, Reluctance: reluctance(s.Capacity),
+		Nodes: n.relay.Nodes,
 	}
 	ctx, end := context.WithCancel(c.ctx)
 	var syncer *control.Syncer
@@ -82,13 +83,19 @@
 		Policies: n.policies, Sleeper: newSleeper(s.Sleep, n.policies.Zone()), Decide: n.decide, Log: n.log.Logger,
 	})
 	self := wire.Member{Node: s.Node, Zone: s.Zone, Address: s.Listen.PeerAddress()}
-	syncer = control.NewSyncer(service, self, lessor, controller, n.client, n.demand, n.fleet, n.dispatcher.SetNodes, n.log.Logger)
+	syncer = control.NewSyncer(service, self, lessor, controller, n.client, n.demand, n.fleet, n.setNodes, n.log.Logger)
 	c.work.Go(func() { lessor.Run(ctx) })
 	c.work.Go(func() { controller.Run(ctx) })
 	c.work.Go(func() { syncer.Run(ctx) })
 	return &serviceControl{lessor: lessor, controller: controller, end: end}
 }
 
+// setNodes tells all parts how many nodes there are.
+func (n *Node) setNodes(nodes int) {
+	n.dispatcher.SetNodes(nodes)
+	n.relay.SetNodes(nodes)
+}
+
 func (c *controls) get(service string) *serviceControl {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,6 +46,14 @@
 	// suspension is the least time for which a relay that failed is left alone;
 	// up to half as much is added by chance.
 	suspension = 1500 * time.Millisecond
+	// lookers is how many nodes look for themselves when the relay has not heard of
+	// the store for long.
+	lookers = 8
+	// lookAgain is after which time every node looks for itself once more.
+	lookAgain = 2 * time.Second
+	// refusalShared is how long a call that the store failed speaks for the node's
+	// other tables.
+	refusalShared = 400 * time.Millisecond
 	// maxHoldMs bounds, in milliseconds, how long a reader may have its question held.
 	maxHoldMs = 15_000
 )
@@ -112,6 +120,11 @@
 	gone      chan struct{}
 	last      Upstream
 	stopped   bool
+	// nodes is how many nodes there are, as far as is known. refusedAt is when the
+	// store last failed a call of this node, refusedTable for which table.
+	nodes        int
+	refusedAt    time.Time
+	refusedTable Table
 	// peers are addresses of other readers, for the case that the store is lost;
 	// hint is the relay that they named, sought when they were asked last.
 	peers  addressSet
@@ -126,6 +139,7 @@
 	}
 	r.lessor = lease.New(o.Leases, o.Group.LeaseKey(), o.Node, o.Address, o.Process, lease.Options{
 		Validity: leaseValidity, Interval: leaseInterval, CallTimeout: leaseTimeout, Reluctance: o.Reluctance, Heard: r.relayHeard,
+		Nodes: r.Nodes,
 	}, o.Log)
 	return r
 }
@@ -203,6 +217,48 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.heard = time.Now()
+	r.refusedAt = time.Time{}
+}
+
+// noteRefusal notes that the store failed this node's call for a table.
+func (r *Relay) noteRefusal(table Table) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusedAt, r.refusedTable = time.Now(), table
+}
+
+// SetNodes tells how many nodes there are.
+func (r *Relay) SetNodes(nodes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nodes = nodes
+}
+
+// Nodes returns how many nodes there are, as far as is known.
+func (r *Relay) Nodes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.nodes
+}
+
+// mayLook decides whether this node looks for itself at a store of which its relay
+// has not heard for long. Once the store failed this node too, the relay's word is
+// enough: of many nodes only some look again soon.
+func (r *Relay) mayLook() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Since(r.refusedAt) > lookAgain || r.nodes <= lookers {
+		return true
+	}
+	return rand.Float64() < lookers/float64(r.nodes)
+}
+
+// refused reports whether the store has just failed another table's call of this
+// node: one of them at a time finds out when it is back.
+func (r *Relay) refused(table Table) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return table != r.refusedTable && time.Since(r.refusedAt) < refusalShared
 }
 
 func (r *Relay) noteRelay() {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -212,6 +212,30 @@
 	assert.Equal(t, follower.Upstream(), Store{})
 }
 
+// TestManyNodesLeaveStoreThatIsAway: while the relay has not heard of the store, a
+// node finds out once whether it is away for itself too, for all of its tables; of
+// many nodes only some look again soon.
+func TestManyNodesLeaveStoreThatIsAway(t *testing.T) {
+	store := &fakeStore{}
+	store.write("a")
+	relay, follower := pair(t, store)
+	follower.SetNodes(1000 * lookers)
+	store.down.Store(true)
+	relay.mu.Lock()
+	relay.heard = time.Now().Add(-time.Hour)
+	relay.mu.Unlock()
+	before := store.reads.Load()
+	_, err := follower.source.Read(t.Context())
+	assert.Assert(t, err != nil)
+	assert.Equal(t, store.reads.Load(), before+1, "the store is looked at by itself first")
+	assert.Assert(t, follower.refused("another table") && !follower.refused(testTable))
+	assert.Assert(t, !follower.mayLook())
+	store.down.Store(false)
+	_, err = follower.source.direct(t.Context(), store.Read)
+	assert.NilError(t, err)
+	assert.Assert(t, follower.mayLook() && !follower.refused("another table"))
+}
+
 // TestFollowersDoNotRelay: a node that follows a relay refuses to be one, so that
 // no two nodes wait for each other's news.
 func TestFollowersDoNotRelay(t *testing.T) {
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -57,13 +57,25 @@
 		if err == nil || fault.IsCode(err, fault.CodeCompacted) || ctx.Err() != nil {
 			return batch, err
 		}
+		if fault.IsCode(err, fault.CodeStale) && !s.relay.mayLook() {
+			return batch, err
+		}
 		s.relay.fail(relay, s.table, err)
 	}
+	return s.direct(ctx, store)
+}
+
+// direct asks the store itself.
+func (s *Source) direct(ctx context.Context, store func(context.Context) (feed.Batch, error)) (feed.Batch, error) {
+	if s.relay.refused(s.table) {
+		return feed.Batch{}, fault.New(fault.CodeStoreUnavailable, "ask store", "the store has just failed another table's call")
+	}
 	batch, err := store(ctx)
 	switch {
 	case err == nil:
 		s.relay.noteStore()
 	case !fault.IsCode(err, fault.CodeCompacted):
+		s.relay.noteRefusal(s.table)
 		s.relay.seek(context.WithoutCancel(ctx))
 	}
 	return batch, err
