Tell operators what is known of the weight store

Cause: on call, 'the store of weights is the limit' could not be told from 'the runners are full' or 'nobody orders'.

--- a/internal/command/questions.go
+++ b/internal/command/questions.go
@@ -188,6 +188,10 @@
 		for _, member := range status.Members {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", member.Node, member.Zone, member.Address, strings.Join(member.Holds, " "))
 		}
+		for _, store := range status.Stores {
+			fmt.Fprintf(w, "\nweights of %s: %d loads from the store under way, at most %d at once (carries %s), %d models waited for that nothing loads yet\n",
+				store.Service, store.UnderWay, store.Limit, carried(store.Capacity), store.Planned)
+		}
 		fmt.Fprintln(w, "\nMODEL\tSERVICE\tWEIGHTS\tDECIDED\tLOADED\tREADY")
 		for _, model := range status.Models {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\n", model.Name, model.Service, model.Weights, decided(model.Decided), model.Loaded, model.Ready)
@@ -224,6 +228,14 @@
 	})
 }
 
+// carried shows how many loads a weight store carries at full speed.
+func carried(capacity float64) string {
+	if capacity == 0 {
+		return "not known yet"
+	}
+	return strconv.FormatFloat(capacity, 'f', 1, 64)
+}
+
 // decided shows a bound on replicas.
 func decided(replicas int) string {
 	if replicas < 0 {
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -60,6 +60,9 @@
 	Configuration func() *config.Configuration
 	Policies      Policies
 	Sleeper       Sleeper
+	// ObserveLoad is told how long a load from the weight store took, and how long it
+	// was expected to take; not set for nobody.
+	ObserveLoad func(took, expected time.Duration)
 	// Decide notes a decision about a subject (model/NAME, replica/RUNNER) for
 	// operators' questions.
 	Decide func(subject, step, reason string)
@@ -83,10 +86,10 @@
 	planned map[string]time.Time
 	demand  *demandBook
 	limiter *rate.Limiter
-	// store follows the loads from the weight store, storeLoads names the model of
-	// each by its runner; known is what an earlier holder learned.
+	// store follows the loads from the weight store, storeLoads lists them by
+	// runner; known is what an earlier holder learned.
 	store      *weightstore.Estimator
-	storeLoads map[string]string
+	storeLoads map[string]storeLoad
 	known      weightstore.Estimate
 	floors     map[string]int
 	keep       map[string]time.Duration
@@ -215,7 +218,7 @@
 	c.planned = nil
 	c.demand = newDemandBook()
 	c.store = weightstore.New(c.known)
-	c.storeLoads = make(map[string]string)
+	c.storeLoads = make(map[string]storeLoad)
 	// The new holder does not know what the old one loaded last, so its rate
 	// starts from nothing.
 	c.limiter = rate.NewLimiter(rate.Limit(engine.LoadsPerSecond), loadBurst)
--- a/internal/control/describe.go
+++ b/internal/control/describe.go
@@ -140,7 +140,8 @@
 		return wire.FleetResponse{}, fault.New(fault.CodeNotHolder, "describe fleet", "this node does not hold the lease of %s", c.Service)
 	}
 	now := time.Now()
-	response := wire.FleetResponse{Members: c.demand.members(now)}
+	store := c.storeStatus()
+	response := wire.FleetResponse{Members: c.demand.members(now), Store: &store}
 	running := c.demand.running(now)
 	configuration := c.Configuration()
 	for _, id := range slices.Sorted(maps.Keys(c.ledgers)) {
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -80,7 +80,7 @@
 	lessor := lease.New(n.platform.Leases, leasePrefix+service, s.Node, s.Listen.PeerAddress(), n.process, options, n.log.Logger)
 	controller := control.NewController(control.Options{
 		Service: service, Node: s.Node, Lessor: lessor, Runners: n.platform.Control, Fleet: n.fleet, Configuration: n.configuration.Load,
-		Policies: n.policies, Sleeper: newSleeper(s.Sleep, n.policies.Zone()), Decide: n.decide, Log: n.log.Logger,
+		Policies: n.policies, Sleeper: newSleeper(s.Sleep, n.policies.Zone()), ObserveLoad: n.figures.observeLoad, Decide: n.decide, Log: n.log.Logger,
 	})
 	self := wire.Member{Node: s.Node, Zone: s.Zone, Address: s.Listen.PeerAddress()}
 	syncer = control.NewSyncer(service, self, lessor, controller, n.client, n.demand, n.fleet, n.setNodes, n.log.Logger)
@@ -90,6 +90,18 @@
 	return &serviceControl{lessor: lessor, controller: controller, end: end}
 }
 
+// sumStores sums a figure of the weight stores of the services that this node
+// controls.
+func (c *controls) sumStores(value func(wire.StoreStatus) float64) float64 {
+	sum := 0.0
+	for _, s := range c.all() {
+		if status, holds := s.controller.Store(); holds {
+			sum += value(status)
+		}
+	}
+	return sum
+}
+
 // setNodes tells all parts how many nodes there are.
 func (n *Node) setNodes(nodes int) {
 	n.dispatcher.SetNodes(nodes)
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"lilacvane/internal/dispatch"
+	"lilacvane/internal/wire"
 )
 
 // figures are the counters and latency histograms of a node.
@@ -17,11 +19,15 @@
 	resumes  prometheus.Counter
 	first    *prometheus.HistogramVec
 	waited   prometheus.Histogram
+	loadTime prometheus.Histogram
 }
 
 // latencyBuckets are in seconds.
 var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16}
 
+// errorBuckets are parts of what was expected.
+var errorBuckets = []float64{0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2}
+
 func newFigures(n *Node) *figures {
 	f := &figures{
 		registry: prometheus.NewRegistry(),
@@ -37,7 +43,11 @@
 			Name: "lilacvane_wait_seconds", Help: "Time in which no runner could take the request.", Buckets: latencyBuckets,
 		}),
 	}
-	f.registry.MustRegister(f.requests, f.attempts, f.resumes, f.first, f.waited)
+	f.loadTime = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "lilacvane_load_time_error_ratio", Buckets: errorBuckets,
+		Help: "How far loads from the weight store were from the time that was told, as a part of it.",
+	})
+	f.registry.MustRegister(f.loadTime, f.requests, f.attempts, f.resumes, f.first, f.waited)
 	gauge := func(name, help string, value func() float64) {
 		f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
@@ -50,6 +60,17 @@
 		}
 		return 0
 	})
+	store := func(value func(wire.StoreStatus) float64) func() float64 {
+		return func() float64 { return n.controls.sumStores(value) }
+	}
+	gauge("lilacvane_store_loads_limit", "Loads from the weight store that may be under way at once, at the holder.",
+		store(func(s wire.StoreStatus) float64 { return float64(s.Limit) }))
+	gauge("lilacvane_store_loads_capacity", "Loads that the weight store carries at full speed; zero while not known.",
+		store(func(s wire.StoreStatus) float64 { return s.Capacity }))
+	gauge("lilacvane_store_loads", "Loads from the weight store under way, at the holder.",
+		store(func(s wire.StoreStatus) float64 { return float64(s.UnderWay) }))
+	gauge("lilacvane_models_planned", "Models waited for that nothing loads yet, at the holder.",
+		store(func(s wire.StoreStatus) float64 { return float64(s.Planned) }))
 	gauge("lilacvane_leases_held", "Control leases held.", func() float64 {
 		held := 0.0
 		for _, s := range n.controls.all() {
@@ -66,6 +87,13 @@
 	return promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{})
 }
 
+// observeLoad notes how far a load was from its expected time.
+func (f *figures) observeLoad(took, expected time.Duration) {
+	if expected > 0 {
+		f.loadTime.Observe((took - expected).Abs().Seconds() / expected.Seconds())
+	}
+}
+
 // observe counts a request that ended.
 func (f *figures) observe(o dispatch.Outcome) {
 	f.requests.WithLabelValues(o.Route, o.Result).Inc()
--- a/internal/node/questions.go
+++ b/internal/node/questions.go
@@ -175,6 +175,7 @@
 	status := operator.Status{
 		Node: n.settings.Load().Node, Ready: "ready", Revision: n.catalog.Revision(), Members: n.members(ctx), Tables: n.relay.Upstream().String(),
 		Models: []operator.ModelStatus{}, Waiting: make(map[string]int), Policies: []operator.PolicyFailure{}, Problems: []string{},
+		Stores: n.stores(ctx),
 	}
 	if err := n.Ready(); err != nil {
 		status.Ready = err.Error()
@@ -197,6 +198,18 @@
 	return status
 }
 
+// stores asks the lease holders for what they know of their weight stores.
+func (n *Node) stores(ctx context.Context) []wire.StoreStatus {
+	stores := []wire.StoreStatus{}
+	for _, service := range slices.Sorted(maps.Keys(n.controls.all())) {
+		response, err := n.controls.ask(ctx, service)
+		if err == nil && response.Store != nil {
+			stores = append(stores, *response.Store)
+		}
+	}
+	return stores
+}
+
 // modelStatus counts the replicas of what callers can name.
 func modelStatus(configuration *config.Configuration, runners []wire.RunnerStatus) []operator.ModelStatus {
 	loaded := make(map[string]int)
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -55,11 +55,13 @@
 	Configuration uint64 `json:"configuration"`
 	// Tables is where the node reads the store's tables: store, or the address of
 	// the node that relays them.
-	Tables   string          `json:"tables"`
-	Members  []wire.Member   `json:"members"`
-	Models   []ModelStatus   `json:"models"`
-	Waiting  map[string]int  `json:"waiting"`
-	Policies []PolicyFailure `json:"policyFailures"`
+	Tables  string         `json:"tables"`
+	Members []wire.Member  `json:"members"`
+	Models  []ModelStatus  `json:"models"`
+	Waiting map[string]int `json:"waiting"`
+	// Stores are the weight stores as the holders of their services know them.
+	Stores   []wire.StoreStatus `json:"weightStores"`
+	Policies []PolicyFailure    `json:"policyFailures"`
 	// Problems are objects in force that cannot be used.
 	Problems []string `json:"problems"`
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -70,6 +70,20 @@
 type FleetResponse struct {
 	Members []Member       `cbor:"1,keyasint,omitempty"`
 	Runners []RunnerStatus `cbor:"2,keyasint,omitempty"`
+	Store   *StoreStatus   `cbor:"3,keyasint,omitempty"`
+}
+
+// StoreStatus is what a service's lease holder knows of the weight store.
+type StoreStatus struct {
+	Service string `cbor:"1,keyasint" json:"service"`
+	// Limit is how many loads may be under way at once, Capacity how many the store
+	// carries at full speed; zero while no load was slowed.
+	Limit    int     `cbor:"2,keyasint" json:"limit"`
+	Capacity float64 `cbor:"3,keyasint" json:"capacity"`
+	// UnderWay is how many loads there are, Planned how many models are waited for
+	// that nothing loads yet.
+	UnderWay int `cbor:"4,keyasint" json:"underWay"`
+	Planned  int `cbor:"5,keyasint" json:"planned"`
 }
 
 // Member is a node that reported to a lease holder lately.
