--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -32,6 +32,8 @@
 	// behind is how many writes a read is behind; down refuses all.
 	behind int
 	down   bool
+	// during is called while a write is under way.
+	during func()
 }
 
 func (f *fakeTable) row() table.Row {
@@ -54,6 +56,9 @@
 func (f *fakeTable) List(context.Context, string, string, int) ([]table.Row, error) { return nil, nil }
 
 func (f *fakeTable) Commit(_ context.Context, t table.Transaction) (uint64, error) {
+	if f.during != nil {
+		f.during()
+	}
 	unknown := fault.At(fault.CodeStoreUnavailable, "write", "table", fault.Unknown, errors.New("no answer"))
 	if f.down {
 		return 0, fault.At(fault.CodeStoreUnavailable, "write", "table", fault.NotDone, errors.New("down"))
@@ -244,6 +249,29 @@
 	assert.Assert(t, gap >= testGap && gap <= testGap+yieldPatience, "%s", gap)
 }
 
+// TestRenewalUnderWayDuringYield: a renewal that was sent before the holder yielded
+// and is confirmed after it does not let it act under the token that it gave up.
+func TestRenewalUnderWayDuringYield(t *testing.T) {
+	w := newWorld(1)
+	holder := w.nodes[0]
+	holder.step(t.Context())
+	before, acts := holder.Act()
+	assert.Assert(t, acts)
+	w.now = w.now.Add(testValidity)
+	w.table.during = func() {
+		word, _ := holder.Word()
+		assert.Assert(t, word.Yielded)
+	}
+	holder.step(t.Context())
+	w.table.during = nil
+	_, acts = holder.Act()
+	assert.Assert(t, !acts)
+	holder.step(t.Context())
+	after, acts := holder.Act()
+	assert.Assert(t, acts)
+	assert.Equal(t, after, before+1)
+}
+
 // TestYieldedHolderGoesOn: a holder that yielded and that nobody replaced goes on at
 // once under a new token, when the store answers again.
 func TestYieldedHolderGoesOn(t *testing.T) {
