Reckon the time until a model is ready in one place; name the steps of a plan

Cause: the wait for a busy runner, the wait for the store and its slowdown stood twice (the cost of a place, the time told to nodes), and a newcomer did not find the order of a plan's steps. Change: readyIn serves both; the package comment names the steps. No decision changed.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -315,7 +315,6 @@
 			return
 		}
 		p.loads--
-		expected = time.Duration(float64(expected) * max(p.state.StoreSlowdown, 1))
 	}
 	delete(p.plan.Intents, runner.ID)
 	p.plan.Steps = append(p.plan.Steps, Step{
@@ -331,18 +330,10 @@
 	if p.ready[model] > 0 {
 		return
 	}
-	ready, fromStore := p.loadTime(runner, model)
-	wait := runner.BusyFor
-	if fromStore {
-		ready = time.Duration(float64(ready) * max(p.state.StoreSlowdown, 1))
-		if p.loads <= 0 {
-			wait = max(wait, p.state.StoreWait)
-		}
-	}
+	ready, _ := p.readyIn(runner, model)
 	if runner.Idle && runner.Free < p.state.Engine.Models[model].Size {
-		wait += unloadTime
+		ready += unloadTime
 	}
-	ready += wait
 	if known, ok := p.plan.Ready[model]; !ok || ready < known {
 		p.plan.Ready[model] = ready
 	}
@@ -354,6 +345,18 @@
 	return fromStore && p.loads <= 0
 }
 
+// readyIn returns how long it takes until a runner with room holds a model, and
+// whether that takes from the weight store: the runner has to be free, the store has
+// to carry the load, then it is loaded.
+func (p *planner) readyIn(runner *Runner, model string) (time.Duration, bool) {
+	load, fromStore := p.loadTime(runner, model)
+	wait := runner.BusyFor
+	if fromStore && p.loads <= 0 {
+		wait = max(wait, p.state.StoreWait)
+	}
+	return wait + load, fromStore
+}
+
 // loadTime returns how long a load is expected to take and whether it takes from
 // the weight store.
 func (p *planner) loadTime(runner *Runner, model string) (time.Duration, bool) {
@@ -364,6 +367,6 @@
 	case runner.Disk[model] && weights.DiskLoadTime > 0:
 		return weights.DiskLoadTime, false
 	default:
-		return weights.LoadTime, true
+		return time.Duration(float64(weights.LoadTime) * max(p.state.StoreSlowdown, 1)), true
 	}
 }
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -44,17 +44,11 @@
 	if held != nil && !held.Uncertain || p.roomAt(runner, n.model) <= 0 {
 		return 0, false
 	}
-	loadTime, fromStore := p.loadTime(runner, n.model)
-	wait := runner.BusyFor
-	cost := activeCost * float64(runner.Active)
+	readyIn, fromStore := p.readyIn(runner, n.model)
+	cost := readyIn.Seconds() + activeCost*float64(runner.Active)
 	if fromStore {
-		loadTime = time.Duration(float64(loadTime) * max(p.state.StoreSlowdown, 1))
 		cost += storeCost
-		if p.loads <= 0 {
-			wait = max(wait, p.state.StoreWait)
-		}
 	}
-	cost += (wait + loadTime).Seconds()
 	missing := p.state.Engine.Models[n.model].Size - runner.Free
 	if held != nil {
 		missing = 0
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -1,6 +1,12 @@
 // Package scheduler decides which models and adapters are loaded where. It is
 // pure: from a state of runners and demand it makes a plan, with no I/O and no
 // clock of its own.
+//
+// A plan is made in these steps: what each model has of replicas is counted; what
+// should not be loaded is unloaded (empty); loads that wait for room go on
+// (continueIntents); models that lack a replica are served in the order of their
+// urgency, each at the runner where it costs least (needs, serve, with the costs of
+// rank.go); adapters that requests wait for are placed (planAdapters).
 package scheduler
 
 import (
