--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -37,9 +37,9 @@
 	// QuietMs is how long nobody had acted when the holder released; below zero
 	// while an earlier holder may still have been acting.
 	QuietMs int64 `json:"quietMs,omitempty"`
-	// WaitMs is how long the holder still waits out the turn gap of the one before
+	// GapLeftMs is how long the holder still waits out the turn gap of the one before
 	// it; zero once it is settled.
-	WaitMs int64 `json:"waitMs,omitempty"`
+	GapLeftMs int64 `json:"gapLeftMs,omitempty"`
 }
 
 // Options are the times of a lease.
@@ -174,7 +174,7 @@
 func (l *Lessor) settle(record *Record, actsFrom time.Time) {
 	wait := actsFrom.Sub(l.options.Now())
 	record.Settled = wait <= 0
-	record.WaitMs = max(-wholeMs(-wait), 0)
+	record.GapLeftMs = max(-wholeMs(-wait), 0)
 }
 
 func (l *Lessor) mayAct() bool {
@@ -240,7 +240,7 @@
 	case l.seen.Process == l.self.Process:
 	case l.seen.Holder == l.self.Holder:
 		// An earlier process of this node: only those before it count.
-		l.othersUntil = l.seenAt.Add(time.Duration(l.seen.WaitMs) * time.Millisecond)
+		l.othersUntil = l.seenAt.Add(time.Duration(l.seen.GapLeftMs) * time.Millisecond)
 	case l.seen.Released:
 		l.othersUntil = l.seenAt.Add(l.options.TurnGap - time.Duration(l.seen.QuietMs)*time.Millisecond)
 	case l.heardYield():
