Ask two runners for their queues before a request is sent

Change: where there is a choice, the two best runners by what the node knows are asked for a report (30 ms at most); the request goes to the one with less to read. A runner that does not answer is passed over while another does.

--- /dev/null
+++ b/internal/dispatch/ask_test.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/fleet"
+)
+
+// asker is a job whose model two runners hold, of which reports tell.
+func asker(report func(id string) (backend.Report, error), asked *atomic.Int64) *job {
+	unit := backend.Unit{Model: "alpha"}
+	known := fleet.New("zone", time.Now, func(string, string) bool { return false })
+	holding := []backend.Holding{{Model: unit.Model}}
+	known.Replace([]backend.Runner{
+		{ID: "r1", Service: "s", Slots: 64, Models: holding}, {ID: "r2", Service: "s", Slots: 64, Models: holding}, {ID: "r3", Service: "s", Slots: 64},
+	}, false)
+	return &job{
+		dispatcher: &Dispatcher{Fleet: known, Report: func(_ context.Context, runner backend.Runner) (backend.Report, error) {
+			asked.Add(1)
+			return report(runner.ID)
+		}},
+		log:    logr.Discard(),
+		engine: true,
+		query:  fleet.Query{Service: "s", Unit: unit, Prompt: []fleet.Part{{ID: "a", Tokens: 9000}}},
+	}
+}
+
+// TestShorterQueueIsChosen: a request goes where fewer wait, whatever this node sent.
+func TestShorterQueueIsChosen(t *testing.T) {
+	for _, busy := range []string{"r1", "r2"} {
+		var asked atomic.Int64
+		j := asker(func(id string) (backend.Report, error) {
+			if id == busy {
+				return backend.Report{Queued: 5, Active: 9}, nil
+			}
+			return backend.Report{Active: 9}, nil
+		}, &asked)
+		// What waits is counted in requests of the mean size, learned from the first.
+		first, _ := j.dispatcher.Fleet.Choose(j.query)
+		j.dispatcher.Fleet.Done(first, j.query, fleet.Served, time.Millisecond, true)
+		for range 20 {
+			choice, ok := j.choose(t.Context())
+			assert.Assert(t, ok)
+			assert.Assert(t, choice.Runner.ID != busy)
+			j.dispatcher.Fleet.Started(choice)
+			j.dispatcher.Fleet.Done(choice, j.query, fleet.Served, time.Millisecond, true)
+		}
+		assert.Equal(t, asked.Load(), int64(40))
+	}
+}
+
+// TestMuteRunnerIsPassedOver: a runner that does not tell its load in time gets the
+// request only when no other one does.
+func TestMuteRunnerIsPassedOver(t *testing.T) {
+	var asked atomic.Int64
+	j := asker(func(id string) (backend.Report, error) {
+		if id == "r1" {
+			return backend.Report{}, errors.New("silent")
+		}
+		return backend.Report{Queued: 50}, nil
+	}, &asked)
+	choice, ok := j.choose(t.Context())
+	assert.Assert(t, ok)
+	assert.Equal(t, choice.Runner.ID, "r2")
+	j = asker(func(string) (backend.Report, error) { return backend.Report{}, errors.New("silent") }, &asked)
+	_, ok = j.choose(t.Context())
+	assert.Assert(t, ok, "the fault is more likely on this side")
+}
+
+// TestOnlyRunnerIsNotAsked: without a choice there is nothing to ask for.
+func TestOnlyRunnerIsNotAsked(t *testing.T) {
+	var asked atomic.Int64
+	j := asker(func(string) (backend.Report, error) { return backend.Report{}, nil }, &asked)
+	j.query.Exclude = []string{"r1"}
+	choice, ok := j.choose(t.Context())
+	assert.Assert(t, ok)
+	assert.Equal(t, choice.Runner.ID, "r2")
+	assert.Equal(t, asked.Load(), int64(0))
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 
+	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
 	"lilacvane/internal/demand"
 	"lilacvane/internal/fault"
@@ -37,7 +38,9 @@
 	// last pause, or cannot be made so.
 	Fresh   func(ctx context.Context)
 	Retries retry.Limits
-	Log     logr.Logger
+	// Report reads a runner's report; not set where runners cannot be asked.
+	Report func(ctx context.Context, runner backend.Runner) (backend.Report, error)
+	Log    logr.Logger
 	// Observe is called at the end of each request.
 	Observe func(request string, outcome Outcome)
 
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -66,7 +66,7 @@
 // placeUnit waits for a runner that holds the unit.
 func (j *job) placeUnit(ctx context.Context) (fleet.Choice, error) {
 	changed := j.dispatcher.Fleet.Changed()
-	if choice, ok := j.dispatcher.Fleet.Choose(j.query); ok {
+	if choice, ok := j.choose(ctx); ok {
 		return choice, nil
 	}
 	start := time.Now()
@@ -113,7 +113,7 @@
 		case <-timer.C:
 		}
 		changed = j.dispatcher.Fleet.Changed()
-		if choice, ok := j.dispatcher.Fleet.Choose(j.query); ok {
+		if choice, ok := j.choose(ctx); ok {
 			return choice, 0, nil
 		}
 	}
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lilacvane/internal/backend"
@@ -31,6 +33,8 @@
 	Prompt []Part
 	// Exclude are runners that were tried already.
 	Exclude []string
+	// Among bounds the choice to these runners; not set for all.
+	Among []string
 }
 
 // Choice is the runner chosen for a request, and why.
@@ -78,6 +82,29 @@
 	return best, true
 }
 
+// Candidates returns the runners of which a request is best sent to one, count at
+// most, best first by what this node knows; none where there is no choice.
+func (f *Fleet) Candidates(query Query, count int) []backend.Runner {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.sweep()
+	var choices []Choice
+	for _, known := range f.runners {
+		if f.feasible(known, query) {
+			choices = append(choices, f.rank(known, query))
+		}
+	}
+	if len(choices) < 2 {
+		return nil
+	}
+	slices.SortFunc(choices, func(a, b Choice) int { return cmp.Compare(a.Cost, b.Cost) })
+	candidates := make([]backend.Runner, 0, count)
+	for _, choice := range choices[:min(count, len(choices))] {
+		candidates = append(candidates, choice.Runner)
+	}
+	return candidates
+}
+
 // feasible reports whether a request may be sent to a runner at all.
 func (f *Fleet) feasible(known *runner, query Query) bool {
 	if known.listed.Service != query.Service {
@@ -94,6 +121,9 @@
 			return false
 		}
 	}
+	if query.Among != nil && !slices.Contains(query.Among, known.listed.ID) {
+		return false
+	}
 	return query.Unit == backend.Unit{} || (f.holds(known, query.Unit) && !f.silent(known))
 }
 
@@ -108,7 +138,8 @@
 		total, kept := known.prompts.match(query.Unit, query.Prompt, f.now())
 		choice.KeptTokens = kept
 		choice.UnreadTokens = total - kept
-		cost += float64(choice.UnreadTokens+known.prefill) / prefillTokensPerMillisecond
+		queued := max(known.told.queued(f.now(), known.prefill, f.meanUnread), known.prefill)
+		cost += float64(choice.UnreadTokens+queued) / prefillTokensPerMillisecond
 		cost += float64(running) * costPerRequest
 	}
 	if known.listed.Slots > 0 && running >= known.listed.Slots {
@@ -132,6 +163,7 @@
 		return
 	}
 	known.byUnit[query.Unit]++
+	f.meanUnread += unreadWeight * (float64(choice.UnreadTokens) - f.meanUnread)
 	known.prefill += choice.UnreadTokens
 	known.prompts.add(query.Unit, query.Prompt, f.now())
 }
@@ -213,12 +245,15 @@
 	}
 }
 
+// Reported notes the load that a runner told when it was asked.
+func (f *Fleet) Reported(id string, report backend.Report) { f.Told(id, report.Active, report.Queued) }
+
 // Told notes the load a runner told in an answer.
 func (f *Fleet) Told(id string, running, waiting int) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if known := f.runners[id]; known != nil {
-		known.told = toldLoad{running: running, waiting: waiting, own: known.inFlight, at: f.now()}
+		known.told = toldLoad{running: running, waiting: waiting, own: known.inFlight, prefill: known.prefill, at: f.now()}
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,6 +54,9 @@
 	planned map[string]map[string]time.Time
 	// ordersAt is, by service, when a control holder is expected to give orders.
 	ordersAt map[string]time.Time
+	// meanUnread is how many tokens of a request's prompt a runner has to read, in a
+	// moving mean over this node's requests.
+	meanUnread float64
 	// changed is closed and replaced whenever a waiting request may find a
 	// runner that it did not find before.
 	changed chan struct{}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -6,6 +6,8 @@
 	// toldLifetime is how long the load a runner told is believed.
 	toldLifetime  = time.Second
 	latencyWeight = 0.1
+	// unreadWeight moves the mean of what a request has to be read with each one.
+	unreadWeight = 0.1
 	// failureWeight moves the failure share of a runner with each answer.
 	failureWeight = 0.25
 	// failurePenalty is the cost of a runner that always fails, in milliseconds.
@@ -19,9 +21,24 @@
 	running int
 	waiting int
 	own     int
+	// prefill is what this node had sent there to be read by then, in tokens.
+	prefill int
 	at      time.Time
 }
 
+// queued is how many tokens are expected to be read at the runner before another
+// prompt: those of the requests that waited when it told, fading with age, and those
+// that this node sent since. meanUnread is what one request has to be read, prefill
+// what this node's requests there still have.
+func (t toldLoad) queued(now time.Time, prefill int, meanUnread float64) int {
+	age := now.Sub(t.at)
+	if t.at.IsZero() || age >= toldLifetime {
+		return prefill
+	}
+	left := float64(toldLifetime-age) / float64(toldLifetime)
+	return int(float64(t.waiting)*meanUnread*left) + max(prefill-t.prefill, 0)
+}
+
 // estimate returns the requests expected at the runner: this node's own, and
 // those of others as last told, fading with age.
 func (t toldLoad) estimate(now time.Time, own int) int {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,7 +127,7 @@
 	n.figures = newFigures(n)
 	n.dispatcher = &dispatch.Dispatcher{
 		Node: s.Node, Fleet: n.fleet, Pool: n.pool, Demand: n.demand, Names: platform.Headers,
-		Configuration: n.configuration.Load, Fresh: n.fresh, Retries: retryLimits(s.Retries), Log: log.Logger, Observe: n.observe, Closing: n.closing,
+		Configuration: n.configuration.Load, Fresh: n.fresh, Retries: retryLimits(s.Retries), Report: platform.Control.Report, Log: log.Logger, Observe: n.observe, Closing: n.closing,
 	}
 	n.ingress = ingress.New(platform.Headers, n.dispatcher, log.Logger)
 	n.gateway = gateway.New(gateway.Options{
