Let a few nodes turn to the store; the others read from them

Each node read three tables and two leases when it started, and all nodes turned to the store by themselves whenever their relay, or the holder of the control lease, was not heard.

Change: settings name seeds; a starting node asks them for the relay, or for a node that reads the store, and waits 1.2 s at most before it turns to the store. The control holder names eight nodes with the most to spare: when a relay or a holder is lost, they look at the store and may take the lease, the others read the tables and the lease's row from them. A row told by a peer is taken over like an old answer of the store; who only asks never takes a lease.

--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -1,11 +1,14 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
 	"lilacvane/internal/scheduler"
@@ -132,6 +135,24 @@
 	return best
 }
 
+// standbyCount is how many nodes turn to the store first: enough that a lost zone or
+// machine leaves some.
+const standbyCount = 8
+
+// standbys are the addresses of the nodes other than self with the most to spare.
+func (d *demandBook) standbys(self string) []string {
+	nodes := slices.DeleteFunc(slices.Collect(maps.Keys(d.reports)), func(node string) bool { return node == self })
+	slices.SortFunc(nodes, func(a, b string) int {
+		// Names are hashed so that equal machines are taken from all zones.
+		return cmp.Or(cmp.Compare(d.reports[b].spare, d.reports[a].spare), cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)))
+	})
+	addresses := make([]string, 0, standbyCount)
+	for _, node := range nodes[:min(standbyCount, len(nodes))] {
+		addresses = append(addresses, d.reports[node].address)
+	}
+	return addresses
+}
+
 // members lists the nodes that reported lately.
 func (d *demandBook) members(now time.Time) []wire.Member {
 	d.nodes(now)
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -71,6 +71,9 @@
 		}
 		response.Planned = append(response.Planned, wire.UnitComing{Model: model, InMs: max(at.Sub(now), 0).Milliseconds()})
 	}
+	if request.Report {
+		response.Standbys = c.demand.standbys(c.Node)
+	}
 	known := request.Version
 	if request.Token != c.token {
 		known = 0
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -61,9 +61,20 @@
 	heard time.Time
 }
 
-// Observe is told how many nodes reported lately, and the largest part of what a
-// holder should have that one of them has, the holder left out.
-type Observe func(nodes int, bestSpare float64)
+// Observed is what a holder knows of the fleet's nodes.
+type Observed struct {
+	// Nodes is how many reported lately.
+	Nodes int
+	// BestSpare is the largest part of what a holder should have that one of them has,
+	// the holder left out.
+	BestSpare float64
+	// Standbys are addresses of the nodes that turn to the store first when a holder is
+	// lost; not set when they were not told.
+	Standbys []string
+}
+
+// Observe is told what the holder knows of the fleet's nodes.
+type Observe func(Observed)
 
 // NewSyncer returns a syncer for a service.
 func NewSyncer(service string, self wire.Member, spare float64, lessor *lease.Lessor, controller *Controller, client *peer.Client, book *demand.Book,
@@ -266,7 +277,7 @@
 	}
 	s.token, s.version = response.Token, response.Version
 	s.nodeCount = response.Nodes
-	s.observe(response.Nodes, response.BestSpare)
+	s.observe(Observed{Nodes: response.Nodes, BestSpare: response.BestSpare, Standbys: response.Standbys})
 	s.controller.LearnStore(weightstore.Estimate{Limit: response.StoreLimit, Capacity: response.StoreCapacity})
 	views := make([]fleet.View, 0, len(response.Runners))
 	for _, runner := range response.Runners {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -62,6 +62,10 @@
 	// Heard reports whether the holder was heard of by other means just now, so
 	// that the others need not look at the row; they always look when it is not set.
 	Heard func() bool
+	// Ask reads the row from another node in place of the store; not set for none. ok is
+	// false when this node is to look itself. The row may be old: it is taken over like
+	// an old answer of the store, and never taken by who only asks.
+	Ask func(ctx context.Context) (value []byte, revision uint64, ok bool)
 	// Nodes is how many nodes contend for the lease, as far as is known; not set for
 	// few. The more there are, the less often each looks at a row whose store does
 	// not answer.
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -81,7 +81,10 @@
 		l.renew(ctx)
 		return
 	}
-	if _, known := l.Holder(); known && l.options.Heard != nil && l.options.Heard() {
+	if l.options.Heard != nil && l.options.Heard() {
+		return
+	}
+	if l.ask(ctx) {
 		return
 	}
 	if err := l.look(ctx); err != nil {
@@ -94,6 +97,36 @@
 	}
 }
 
+// ask reads the row from another node. It returns whether this one need not look itself.
+func (l *Lessor) ask(ctx context.Context) bool {
+	if l.options.Ask == nil {
+		return false
+	}
+	value, revision, ok := l.options.Ask(ctx)
+	if !ok {
+		return false
+	}
+	if revision == 0 {
+		return true
+	}
+	if err := l.saw(value, revision); err != nil {
+		l.log.Info("lease told by a peer unreadable", "revision", revision, "error", err.Error())
+		return false
+	}
+	return true
+}
+
+// Row returns the row as this process knows it; a revision of zero is none.
+func (l *Lessor) Row() (value []byte, revision uint64, err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.read || l.revision == 0 {
+		return nil, 0, nil
+	}
+	value, err = json.Marshal(l.seen)
+	return value, l.revision, err
+}
+
 // take writes this process as the holder.
 func (l *Lessor) take(ctx context.Context) {
 	l.mutex.Lock()
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -46,6 +46,7 @@
 	c.ctx, c.end = context.WithCancel(context.Background())
 	peer.Handle(n.peers, wire.MethodSync, c.sync)
 	peer.Handle(n.peers, wire.MethodFleet, c.describe)
+	peer.Handle(n.peers, wire.MethodLease, c.tellLease)
 	return c
 }
 
@@ -73,7 +74,7 @@
 	options := lease.Options{
 		Validity: leaseValidity, Interval: leaseInterval, TurnGap: s.Lease.TurnGap + turnGapMargin,
 		ActMargin: control.OrderMargin, CallTimeout: leaseCallTimeout, Reluctance: n.reluctance,
-		Nodes: n.relay.Nodes,
+		Nodes: n.relay.Nodes, Ask: c.askLease(service),
 	}
 	ctx, end := context.WithCancel(c.ctx)
 	var syncer *control.Syncer
@@ -103,12 +104,51 @@
 	return sum
 }
 
-// observeFleet tells all parts how many nodes there are and how much the best of
-// them has to spare.
-func (n *Node) observeFleet(nodes int, bestSpare float64) {
-	n.dispatcher.SetNodes(nodes)
-	n.relay.SetNodes(nodes)
-	n.bestSpare.Store(math.Float64bits(bestSpare))
+// observeFleet tells all parts what is known of the fleet's nodes.
+func (n *Node) observeFleet(observed control.Observed) {
+	n.dispatcher.SetNodes(observed.Nodes)
+	n.relay.SetNodes(observed.Nodes)
+	n.relay.SetStandbys(observed.Standbys)
+	n.bestSpare.Store(math.Float64bits(observed.BestSpare))
+}
+
+const (
+	// leaseAskTimeout bounds the question for a lease's row at another node.
+	leaseAskTimeout = 300 * time.Millisecond
+	// leaseAskPatience is how long a node goes without an answer before it looks at the
+	// row in the store: some questions, each at another node.
+	leaseAskPatience = 2 * time.Second
+)
+
+// askLease returns a function that reads a service's lease from another node; a node
+// that turns to the store by itself does not ask. It is for one goroutine.
+func (c *controls) askLease(service string) func(context.Context) ([]byte, uint64, bool) {
+	told := time.Now()
+	return func(ctx context.Context) ([]byte, uint64, bool) {
+		informant := c.node.relay.Informant()
+		if informant == "" {
+			return nil, 0, false
+		}
+		ctx, cancel := context.WithTimeout(ctx, leaseAskTimeout)
+		defer cancel()
+		var response wire.LeaseResponse
+		if err := c.node.client.Call(ctx, informant, wire.MethodLease, wire.LeaseRequest{Service: service}, &response); err != nil {
+			c.node.log.Info("lease not told by a peer", "service", service, "peer", informant, "error", err.Error())
+			return nil, 0, time.Since(told) < leaseAskPatience
+		}
+		told = time.Now()
+		return response.Value, response.Revision, true
+	}
+}
+
+// tellLease answers the call of another node.
+func (c *controls) tellLease(_ context.Context, request wire.LeaseRequest) (wire.LeaseResponse, error) {
+	s := c.get(request.Service)
+	if s == nil {
+		return wire.LeaseResponse{}, nil
+	}
+	value, revision, err := s.lessor.Row()
+	return wire.LeaseResponse{Value: value, Revision: revision}, err
 }
 
 func (c *controls) get(service string) *serviceControl {
--- /dev/null
+++ b/internal/relay/join.go
@@ -0,0 +1,148 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"lilacvane/internal/fault"
+)
+
+const (
+	// readerPatience is how long a node looks for another one to read from before it
+	// turns to the store: a relay's lease that ran out is taken within 2 s, and some
+	// node reads the store long before that.
+	readerPatience = 1200 * time.Millisecond
+	// readerInterval is the least time between two looks.
+	readerInterval = 150 * time.Millisecond
+	// readersAsked is how many nodes are asked at each.
+	readersAsked = 2
+)
+
+// SetStandbys tells the nodes that turn to the store first when a holder is lost.
+func (r *Relay) SetStandbys(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.standbys = addresses
+}
+
+// Direct reports whether this node turns to the store as soon as it has no relay. In
+// a large fleet only some do, and the others read from them, as a call of each of some
+// hundred nodes is more than the store should have to bear at once.
+func (r *Relay) Direct() bool {
+	if r.lessor.Holds() {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.direct()
+}
+
+// direct is Direct of a node that is not the relay; mu is held.
+func (r *Relay) direct() bool {
+	switch {
+	case len(r.standbys) > 0:
+		return slices.Contains(r.standbys, r.address) || r.nodes <= lookers
+	case len(r.seeds) > 0:
+		return r.ample || slices.Contains(r.seeds, r.address)
+	default:
+		return true
+	}
+}
+
+// find looks for a node to read from in place of the store. It fails while one may
+// still be found; found is false when this node is to turn to the store.
+func (r *Relay) find(ctx context.Context) (reader Peer, found bool, err error) {
+	if r.Direct() {
+		return Peer{}, false, nil
+	}
+	r.mu.Lock()
+	now := time.Now()
+	if r.lookingSince.IsZero() || now.Sub(r.lookedAt) > 2*readerPatience {
+		r.lookingSince = now
+	}
+	if now.Sub(r.lookingSince) > readerPatience {
+		r.mu.Unlock()
+		return Peer{}, false, nil
+	}
+	due := now.Sub(r.lookedAt) >= readerInterval
+	if due {
+		r.lookedAt = now
+	}
+	addresses := r.readers()
+	r.mu.Unlock()
+	if due {
+		for _, address := range addresses {
+			if r.seekAt(ctx, address) {
+				break
+			}
+		}
+	}
+	if reader, ok := r.Upstream().(Peer); ok {
+		return reader, true, nil
+	}
+	return Peer{}, false, fault.New(fault.CodeNotReady, "find reader", "no node that reads the store was found yet")
+}
+
+// readers are some nodes that are likely to read the store or to know who does; mu is
+// held.
+func (r *Relay) readers() []string {
+	likely := addressSet(slices.Concat(r.standbys, r.seeds))
+	return append(likely.pick(readersAsked), r.peers.pick(1)...)
+}
+
+// Informant returns the address of a node that is likely to know who holds the leases:
+// the one that this node reads from, or else one that turns to the store first. It is
+// empty when this node is to look itself.
+func (r *Relay) Informant() string {
+	if r.Direct() {
+		return ""
+	}
+	if reader, ok := r.Upstream().(Peer); ok {
+		return reader.Address
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, address := range r.readers() {
+		return address
+	}
+	return ""
+}
+
+// looking reports whether this node looks for another one to read from; mu is held.
+func (r *Relay) looking() bool {
+	return !r.direct() && !r.lookingSince.IsZero() && time.Since(r.lookingSince) <= readerPatience
+}
+
+// foundReader ends a look; mu is held.
+func (r *Relay) foundReader() { r.lookingSince = time.Time{} }
+
+// leaveReader forgets the node that this one read from, which no longer reads the
+// store, and the calls to it end.
+func (r *Relay) leaveReader(reader Peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.reader != reader {
+		return
+	}
+	r.reader = Peer{}
+	close(r.gone)
+	r.gone = make(chan struct{})
+}
+
+// reads reports whether this node reads all tables from the store itself, so that
+// others may read from it; mu is held.
+func (r *Relay) reads() bool {
+	if r.stopped || len(r.mirrors) == 0 || time.Since(r.heard) > maxAge {
+		return false
+	}
+	for _, m := range r.mirrors {
+		if !m.wasRead() {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/relay/mirror.go
+++ b/internal/relay/mirror.go
@@ -117,6 +117,13 @@
 	maps.DeleteFunc(m.removed, func(_ string, revision uint64) bool { return revision <= m.floor })
 }
 
+// wasRead reports whether the table was read.
+func (m *mirror) wasRead() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.read
+}
+
 // whole returns all rows. It fails with fault.CodeNotReady as long as the table
 // was not read.
 func (m *mirror) whole() (feed.Batch, error) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -97,7 +97,13 @@
 	Client  *peer.Client
 	// Reluctance is how much later than others this node becomes the relay.
 	Reluctance func() time.Duration
-	Log        logr.Logger
+	// Seeds are addresses of nodes that a starting node asks for the relay, this one's
+	// perhaps among them; without any it turns to the store.
+	Seeds []string
+	// Ample is set when this node has all that one should have that works for others:
+	// it does not need to be asked to.
+	Ample bool
+	Log   logr.Logger
 }
 
 // Relay is a node's part in its group, as reader and as relay. Its methods may
@@ -130,12 +136,24 @@
 	peers  addressSet
 	hint   Peer
 	sought time.Time
+	// seeds, ample and standbys decide whether this node turns to the store by itself;
+	// see Direct.
+	seeds    []string
+	ample    bool
+	standbys []string
+	// reader is a node without the lease that reads the store, from which this one
+	// reads while there is no relay. lookingSince is when the look for one began, zero
+	// for none, lookedAt when others were asked last.
+	reader       Peer
+	lookingSince time.Time
+	lookedAt     time.Time
 }
 
 // New returns a node's part in its group. Run starts it.
 func New(o Options) *Relay {
 	r := &Relay{
 		client: o.Client, address: o.Address, log: o.Log.WithValues("group", o.Group), mirrors: make(map[Table]*mirror), gone: make(chan struct{}),
+		seeds: o.Seeds, ample: o.Ample,
 	}
 	r.lessor = lease.New(o.Leases, o.Group.LeaseKey(), o.Node, o.Address, o.Process, lease.Options{
 		Validity: leaseValidity, Interval: leaseInterval, CallTimeout: leaseTimeout, Reluctance: o.Reluctance, Heard: r.relayHeard,
@@ -178,18 +196,24 @@
 	if r.hint.Token > record.Token {
 		relay, other = r.hint, true
 	}
-	if !other || r.stopped || relay.Address == r.address || (relay == r.failed && time.Now().Before(r.suspended)) {
+	reading := r.reader.Address != "" && !r.stopped
+	failed := relay == r.failed && (reading || time.Now().Before(r.suspended))
+	switch {
+	case other && !r.stopped && relay.Address != r.address && !failed:
+		return relay
+	case reading:
+		return r.reader
+	default:
 		return Store{}
 	}
-	return relay
 }
 
 // relayHeard tells the lessor that the lease need not be looked at, as the
-// holder's relay answers.
+// holder's relay answers, or as others look first.
 func (r *Relay) relayHeard() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.answered) < heardFor
+	return time.Since(r.answered) < heardFor || r.looking()
 }
 
 // fail leaves a relay alone for a while and ends the calls to it.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -28,9 +28,12 @@
 	model storeModel
 	down  atomic.Bool
 	reads atomic.Int64
+	// looks counts the reads of the lease's row.
+	looks atomic.Int64
 }
 
 func (s *fakeStore) Get(context.Context, string) (table.Row, error) {
+	s.looks.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.lease, nil
@@ -111,20 +114,25 @@
 
 const testTable Table = "things"
 
-func start(t *testing.T, store *fakeStore, name string) *member {
+func start(t *testing.T, store *fakeStore, name string, change ...func(*Options)) *member {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	m := &member{listener: &resetter{Listener: listener}}
-	m.Relay = New(Options{
+	options := Options{
 		Group: "group", Node: name, Leases: store, Address: listener.Addr().String(), Process: name, Client: peer.NewClient(name), Log: logr.Discard(),
-	})
+	}
+	for _, apply := range change {
+		apply(&options)
+	}
+	m.Relay = New(options)
 	m.source = m.Relay.Source(testTable, store)
 	server := peer.NewServer(name)
 	peer.Handle(server, wire.MethodFollow, func(ctx context.Context, request wire.FollowRequest) (wire.FollowResponse, error) {
 		m.asked.Add(1)
 		return m.Follow(ctx, request)
 	})
+	peer.Handle(server, wire.MethodRelay, m.Which)
 	go func() { _ = server.Serve(m.listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/relay/seek.go
+++ b/internal/relay/seek.go
@@ -71,23 +71,34 @@
 		return
 	}
 	for _, address := range r.known(peersAsked) {
-		r.seekAt(ctx, address)
+		_ = r.seekAt(ctx, address)
 	}
 }
 
-func (r *Relay) seekAt(ctx context.Context, address string) {
+// seekAt asks one node for the relay. It returns whether that named one, or a reader of
+// the store while this node looks for one.
+func (r *Relay) seekAt(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, seekTimeout)
 	defer cancel()
 	var response wire.RelayResponse
 	if err := r.client.Call(ctx, address, wire.MethodRelay, wire.Empty{}, &response); err != nil {
-		return
+		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if response.Address != "" && response.Token > r.hint.Token {
-		r.hint = Peer{Address: response.Address, Token: response.Token}
-		r.log.Info("relay named by a peer", "peer", address, "relay", response.Address, "token", response.Token)
+	named := Peer{Address: response.Address, Token: response.Token}
+	switch {
+	case named.Address == "" || named.Address == r.address || (named == r.failed && time.Now().Before(r.suspended)):
+		return false
+	case named.Token > r.hint.Token:
+		r.hint = named
+		r.log.Info("relay named by a peer", "peer", address, "relay", named.Address, "token", named.Token)
+	case named.Token == 0 && r.looking():
+		r.reader = named
+		r.log.Info("reader named by a peer", "peer", address, "reader", named.Address)
 	}
+	r.foundReader()
+	return true
 }
 
 // Which answers another node's question for the relay.
@@ -100,6 +111,11 @@
 		if known && r.lessor.Valid() {
 			return wire.RelayResponse{Address: r.address, Token: record.Token}, nil
 		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.reads() {
+			return wire.RelayResponse{Address: r.address}, nil
+		}
 	}
 	return wire.RelayResponse{}, nil
 }
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -48,7 +48,14 @@
 
 // fetch asks the relay, and the store when there is none or it fails.
 func (s *Source) fetch(ctx context.Context, request wire.FollowRequest, store func(context.Context) (feed.Batch, error)) (feed.Batch, error) {
-	if relay, ok := s.relay.Upstream().(Peer); ok {
+	relay, ok := s.relay.Upstream().(Peer)
+	if !ok {
+		var err error
+		if relay, ok, err = s.relay.find(ctx); err != nil {
+			return feed.Batch{}, err
+		}
+	}
+	if ok {
 		batch, err := s.ask(ctx, relay, request)
 		if err != nil && connectionLost(err) {
 			// A connection that was reset does not show that the relay is gone.
@@ -60,7 +67,15 @@
 		if fault.IsCode(err, fault.CodeStale) && !s.relay.mayLook() {
 			return batch, err
 		}
+		if relay.Token == 0 {
+			// Another node may already be named by it, or by others.
+			s.relay.leaveReader(relay)
+			return feed.Batch{}, err
+		}
 		s.relay.fail(relay, s.table, err)
+		if !s.relay.Direct() {
+			return feed.Batch{}, err
+		}
 	}
 	return s.direct(ctx, store)
 }
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -28,18 +28,35 @@
 	Peers []string `cbor:"4,keyasint,omitempty"`
 }
 
-// MethodRelay is the call by which a node that cannot reach the store learns
-// from another one which node relays the tables now.
+// MethodRelay is the call by which a node that cannot reach the store, or leaves it
+// to others, learns from another one which node relays the tables now.
 const MethodRelay = "relay/which"
 
 // RelayResponse names the relay that the answering node knows. Address is empty
 // when it knows none.
 type RelayResponse struct {
 	Address string `cbor:"1,keyasint,omitempty"`
-	// Token is that of the relay's lease; a later holder's is higher.
+	// Token is that of the relay's lease; a later holder's is higher. It is zero when
+	// Address reads the store without holding the lease.
 	Token uint64 `cbor:"2,keyasint,omitempty"`
 }
 
+// MethodLease is the call by which a node learns from the one that it reads the tables
+// from who holds a service's control lease.
+const MethodLease = "relay/lease"
+
+// LeaseRequest asks for the lease of a service.
+type LeaseRequest struct {
+	Service string `cbor:"1,keyasint"`
+}
+
+// LeaseResponse is the lease's row as the answering node knows it; Revision is zero
+// when it knows none.
+type LeaseResponse struct {
+	Value    []byte `cbor:"1,keyasint,omitempty"`
+	Revision uint64 `cbor:"2,keyasint,omitempty"`
+}
+
 // TableRow is one row of a table of the store.
 type TableRow struct {
 	Key      string `cbor:"1,keyasint"`
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -69,6 +69,9 @@
 	// BestSpare is the largest Spare among the nodes that reported lately, the holder
 	// left out.
 	BestSpare float64 `cbor:"14,keyasint,omitempty"`
+	// Standbys are addresses of the nodes that turn to the store first when a holder is
+	// lost; told in answer to reports.
+	Standbys []string `cbor:"15,keyasint,omitempty"`
 	// LeaseRenewal, LeaseYielded and LeaseQuietMs are the holder's word of its lease
 	// (lease.Word), of the lease Token.
 	LeaseRenewal uint64 `cbor:"10,keyasint,omitempty"`
