Learn the weight store's capacity from the loads under way at a load's begin

Change: capacity = number at the begin x nominal / took; a load that kept its nominal time as one of n proves n, and the bound is twice that until one was slow; a load that is late bounds the capacity before it ends; the first bound is 4.

The tests' store shared its capacity among the loads under way, which the users' store does not; it now sets times at the begin, and four tests are new: the start neither jams nor starves a store of 1 to 64, an overdue load tells before its end, a proof counts for its number only, promised times hold within 15 % in the median.

--- a/internal/control/storeloads.go
+++ b/internal/control/storeloads.go
@@ -33,7 +33,7 @@
 		ledger := c.ledgers[runner]
 		switch {
 		case ledger == nil || ledger.Models()[load.model] == nil:
-			c.store.Drop(runner, now)
+			c.store.Drop(runner)
 		case !ledger.Models()[load.model].Coming:
 			c.endLoad(runner, load, now)
 		default:
@@ -47,7 +47,7 @@
 			foreign++
 		}
 	}
-	c.store.SetForeign(foreign, now)
+	c.store.Follow(foreign, now)
 }
 
 func (c *Controller) endLoad(runner string, load storeLoad, now time.Time) {
--- a/internal/weightstore/weightstore_test.go
+++ b/internal/weightstore/weightstore_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,43 +13,45 @@
 
 const step = 20 * time.Millisecond
 
-// store is a weight store with a capacity, in virtual time.
+// store is a weight store with a capacity, in virtual time. As the users' store, it
+// sets the time of a load at its begin: by the loads under way then.
 type store struct {
 	capacity float64
-	left     map[string]time.Duration
+	ends     map[string]time.Time
 	now      time.Time
 	next     int
 }
 
 func newStore(capacity float64) *store {
-	return &store{capacity: capacity, left: make(map[string]time.Duration), now: time.Unix(1000, 0)}
+	return &store{capacity: capacity, ends: make(map[string]time.Time), now: time.Unix(1000, 0)}
 }
 
-// run keeps as many loads under way as the estimator allows, for a time.
-func (s *store) run(e *Estimator, nominal, lag, length time.Duration) (most int) {
+func (s *store) begin(e *Estimator, nominal time.Duration) {
+	s.next++
+	runner := fmt.Sprint("r", s.next)
+	slowdown := max(1, float64(len(s.ends)+1)/s.capacity)
+	s.ends[runner] = s.now.Add(time.Duration(float64(nominal) * slowdown))
+	e.Begin(runner, nominal, s.now)
+}
+
+// run keeps as many loads under way as the estimator allows, for a time. It returns
+// the most at once, and how many ended.
+func (s *store) run(e *Estimator, nominal, lag, length time.Duration) (most, ended int) {
 	for end := s.now.Add(length); s.now.Before(end); s.now = s.now.Add(step) {
+		e.Follow(0, s.now)
 		for e.Free() > 0 {
-			s.next++
-			runner := fmt.Sprint("r", s.next)
-			s.left[runner] = nominal
-			e.Begin(runner, nominal, s.now)
+			s.begin(e, nominal)
 		}
-		most = max(most, len(s.left))
-		speed := min(1, s.capacity/float64(len(s.left)))
-		for runner, left := range s.left {
-			if left <= -lag {
-				delete(s.left, runner)
+		most = max(most, len(s.ends))
+		for runner, at := range s.ends {
+			if !s.now.Before(at.Add(lag)) {
+				delete(s.ends, runner)
 				e.End(runner, lag, s.now)
-				continue
-			}
-			if left <= 0 {
-				s.left[runner] = left - step
-				continue
+				ended++
 			}
-			s.left[runner] = left - time.Duration(float64(step)*speed)
 		}
 	}
-	return most
+	return most, ended
 }
 
 // TestLimitFindsCapacity: whatever the store carries, the bound settles near it,
@@ -80,7 +83,7 @@
 	s.run(e, nominal, 0, 60*nominal)
 	s.capacity = 4
 	e = New(e.Estimate())
-	s.left = make(map[string]time.Duration)
+	s.ends = make(map[string]time.Time)
 	s.run(e, nominal, 0, 60*nominal)
 	assert.Assert(t, e.Estimate().Limit <= 6, "%+v", e.Estimate())
 	s.capacity = 10
@@ -103,12 +106,79 @@
 			case 1:
 				e.End(runner, 100*time.Millisecond, now)
 			case 2:
-				e.Drop(runner, now)
+				e.Drop(runner)
 			case 3:
-				e.SetForeign(rapid.IntRange(0, 4).Draw(t, "foreign"), now)
+				e.Follow(rapid.IntRange(0, 4).Draw(t, "foreign"), now)
 			}
 			assert.Assert(t, e.Estimate().Limit >= 1 && e.Free() >= 0 && e.NextFree(now) >= 0)
 			assert.Assert(t, e.Slowdown(e.UnderWay()) >= 1)
 		}
 	})
 }
+
+// TestStartNeitherJamsNorStarves: a store that is asked for all that the bound allows
+// from the first moment on does, within the first nominal times, nearly what it can,
+// and never begins more than twice what it carries, or the first bound.
+func TestStartNeitherJamsNorStarves(t *testing.T) {
+	const nominal = 6 * time.Second
+	for _, c := range []struct {
+		capacity float64
+		// ended is the least number of loads that end within five nominal times.
+		ended int
+	}{
+		{1, 4}, {2, 8}, {6, 22}, {10, 32}, {64, 70},
+	} {
+		e := New(Estimate{})
+		most, ended := newStore(c.capacity).run(e, nominal, 100*time.Millisecond, 5*nominal+time.Second)
+		assert.Assert(t, float64(most) <= max(firstLimit, 2*slowFactor*c.capacity) && ended >= c.ended, "%+v: most %d, ended %d", c, most, ended)
+	}
+}
+
+// TestOverdueLoadBoundsCapacity: that a load is not done in its nominal time tells
+// before its end that the bound was passed.
+func TestOverdueLoadBoundsCapacity(t *testing.T) {
+	const nominal = 6 * time.Second
+	e, s := New(Estimate{Limit: 16}), newStore(2)
+	for range 16 {
+		s.begin(e, nominal)
+	}
+	e.Follow(0, s.now.Add(nominal))
+	assert.Equal(t, e.Estimate().Limit, 16)
+	e.Follow(0, s.now.Add(2*nominal))
+	assert.Assert(t, e.Estimate().Limit <= 3, "%+v", e.Estimate())
+}
+
+// TestProofCountsForItsNumber: loads that began before the bound rose prove nothing for
+// the new one. Each of them doubled it once: 2, 4, 8, 16 from loads of two at once.
+func TestProofCountsForItsNumber(t *testing.T) {
+	const nominal = time.Second
+	e, s := New(Estimate{}), newStore(4)
+	for range firstLimit {
+		s.begin(e, nominal)
+	}
+	for i := range firstLimit {
+		e.End(fmt.Sprint("r", i+1), 0, s.now.Add(nominal))
+	}
+	assert.Equal(t, e.Estimate(), Estimate{Limit: 2 * firstLimit})
+}
+
+// TestPromisedTimesHold: the time that a load is told to take is, in the median, within
+// a seventh of what it takes.
+func TestPromisedTimesHold(t *testing.T) {
+	const nominal = 3 * time.Second
+	for _, capacity := range []float64{2, 6, 13} {
+		e, s := New(Estimate{}), newStore(capacity)
+		s.run(e, nominal, 0, 20*nominal)
+		var off []float64
+		for range 40 {
+			s.run(e, nominal, 0, nominal/3)
+			if e.Free() > 0 {
+				told := e.Slowdown(e.UnderWay() + 1)
+				off = append(off, math.Abs(told/max(1, float64(len(s.ends)+1)/capacity)-1))
+				s.begin(e, nominal)
+			}
+		}
+		slices.Sort(off)
+		assert.Assert(t, len(off) == 0 || off[len(off)/2] <= 0.15, "capacity %v: %v", capacity, off)
+	}
+}
