Serve the need first that is worth more, waiting or not

Cause: a model that nobody holds went before every model that is short of replicas, so with 299 models a new holder loaded nothing but rarely used ones for 8 s while the busiest model was left with one to three runners.

Change: needs are ordered by the requests that one more runner is expected to serve in time: those that wait, less urgent ones counted less, and of those to come the part that would be late. The check of a replica's cost stays.

Test: TestBusyModelGoesBeforeColdOnes failed first.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -217,7 +217,7 @@
 	return max(min(count, limit), floor)
 }
 
-// needs lists the models to be loaded, most urgent first.
+// needs lists the models to be loaded, the one that is worth most first.
 func (p *planner) needs() []need {
 	var needs []need
 	for _, model := range slices.Sorted(maps.Keys(p.state.Engine.Models)) {
@@ -236,17 +236,10 @@
 	return needs
 }
 
+// compareNeeds puts the need first that is worth more: neither waiting requests nor busy
+// models go before the others as such.
 func compareNeeds(a, b need) int {
-	if a.waiting != b.waiting {
-		if a.waiting {
-			return -1
-		}
-		return 1
-	}
-	if a.waiting {
-		return cmp.Or(cmp.Compare(a.demand.Priority, b.demand.Priority), cmp.Compare(a.demand.Left, b.demand.Left))
-	}
-	return cmp.Compare(perHolder(b), perHolder(a))
+	return cmp.Or(cmp.Compare(b.worth(), a.worth()), cmp.Compare(a.demand.Left, b.demand.Left), cmp.Compare(perHolder(b), perHolder(a)))
 }
 
 func perHolder(n need) float64 { return n.demand.Work / float64(n.holders+1) }
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -304,6 +304,44 @@
 	return state
 }
 
+// fewRunners is a state in which one runner serves m0 and two more take orders.
+func fewRunners(models int) *State {
+	state := testState(6, models)
+	state.Runners[0].hold("m0")
+	state.Runners[0].Idle, state.Runners[0].BusyFor = false, time.Minute
+	for _, runner := range state.Runners[3:] {
+		runner.Drained = true
+	}
+	return state
+}
+
+// TestBusyModelGoesBeforeColdOnes: a model whose only runner is asked for several times
+// what it can do has its replica before models for which one request waits, even when
+// those could take all runners. All of a holder's loads for 8 s went to cold models while
+// the busiest model was left with one to three runners.
+func TestBusyModelGoesBeforeColdOnes(t *testing.T) {
+	state := fewRunners(6)
+	state.Demand[backend.Unit{Model: "m0"}] = &Demand{Rate: 40, Work: 5, LastUse: testNow}
+	for index := 1; index < 6; index++ {
+		waits(state, backend.Unit{Model: fmt.Sprintf("m%d", index)})
+	}
+	steps := MakePlan(state).Steps
+	assert.Equal(t, steps[0].Unit.Model, "m0")
+	assert.Equal(t, steps[0].Reason, "replica")
+	assert.Equal(t, steps[1].Reason, "waiting")
+}
+
+// TestManyWaitingGoBeforeOneMoreReplica: a replica that would bring little in time is
+// worth less than a model for which requests wait.
+func TestManyWaitingGoBeforeOneMoreReplica(t *testing.T) {
+	state := fewRunners(2)
+	state.Demand[backend.Unit{Model: "m0"}] = &Demand{Rate: 2, Work: 0.9, LastUse: testNow}
+	waits(state, backend.Unit{Model: "m1"})
+	state.Demand[backend.Unit{Model: "m1"}].Waiting = 12
+	steps := MakePlan(state).Steps
+	assert.Equal(t, steps[0].Unit.Model, "m1", "%+v", steps)
+}
+
 // TestSilentRunnerServesNothing: what a silent runner holds does not stand in for a
 // load elsewhere, but counts for the bound on replicas; it gets no orders.
 func TestSilentRunnerServesNothing(t *testing.T) {
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -63,6 +63,25 @@
 	return cost, missing <= 0
 }
 
+// worth is how many requests one more runner that loads the model is expected to serve in
+// time within horizon: those that wait, the less urgent counted less, and of those to
+// come the part that would be late without it.
+func (n need) worth() float64 {
+	late := 1.0
+	waiting := 0.0
+	if n.holders > 0 {
+		late = lateShare(n.demand.Work / float64(n.holders))
+	} else {
+		waiting = float64(n.demand.Waiting) / float64(1+max(n.demand.Priority, 0))
+	}
+	return waiting + n.demand.Rate*horizon*(late-lateShare(perHolder(n)))
+}
+
+// lateShare is the part of the requests that is late at runners of which they take a
+// part of the time: little at half of it, half of them at all of it, and nearly all when
+// they ask for several times as much.
+func lateShare(work float64) float64 { return work * work / (1 + work*work) }
+
 // gain is what one more replica is worth.
 func (p *planner) gain(n need) float64 { return gainPerWork * perHolder(n) }
 
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -4,8 +4,8 @@
 //
 // A plan is made in these steps: what each model has of replicas is counted; what
 // should not be loaded is unloaded (empty); loads that wait for room go on
-// (continueIntents); models that lack a replica are served in the order of their
-// urgency, each at the runner where it costs least (needs, serve, with the costs of
+// (continueIntents); models that lack a replica are served in the order of what
+// that is worth, each at the runner where it costs least (needs, serve, with the costs of
 // rank.go); adapters that requests wait for are placed (planAdapters).
 package scheduler
 
