Log runners that leave in one line a batch

Change: `runners gone` and `runners leaving` list the runners of a batch. The test that reads the log looks for the new line.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -174,17 +174,27 @@
 	changed, removed := h.decode(rows)
 	doubtful := len(removed) >= doubtfulCount && float64(len(removed)) >= doubtfulShare*float64(h.fleet.Count())
 	h.fleet.Apply(changed, removed, doubtful)
-	for _, runner := range changed {
-		if runner.Draining {
-			h.log.Info("runner leaving", "runner", runner.ID)
-		}
+	// One line a batch: each of hundreds of nodes tells of hundreds of runners.
+	if leaving := drainingOf(changed); len(leaving) > 0 {
+		h.log.Info("runners leaving", "runners", leaving)
 	}
-	for _, id := range removed {
-		h.log.Info("runner gone", "runner", id, "doubtful", doubtful)
+	if len(removed) > 0 {
+		h.log.Info("runners gone", "runners", removed, "doubtful", doubtful)
 	}
 	h.tidy()
 }
 
+// drainingOf lists the runners that leave.
+func drainingOf(runners []backend.Runner) []string {
+	var leaving []string
+	for _, runner := range runners {
+		if runner.Draining {
+			leaving = append(leaving, runner.ID)
+		}
+	}
+	return leaving
+}
+
 // tidy drops connections to runners that left and tells the controllers.
 func (h *runnerHandler) tidy() {
 	h.pool.Forget(h.fleet.Known)
--- a/test/stops_test.go
+++ b/test/stops_test.go
@@ -168,7 +168,7 @@
 	holder.Kill()
 	waitUntil(t, "the node learned of it", func() error {
 		content := readLog(t, w, caller)
-		if !containsAll(content, "runner leaving", runner) {
+		if !containsAll(content, "runners leaving", runner) {
 			return fmt.Errorf("not in its log yet")
 		}
 		return nil
