--- /dev/null
+++ b/internal/fleet/affinity_test.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
+)
+
+// sharing is a request for a prompt whose first two parts others share.
+func sharing(shared, own int) Query {
+	return Query{Service: "s", Unit: apartUnit, Prompt: []Part{
+		{ID: "system", Tokens: 2800}, {ID: fmt.Sprint("shared", shared), Tokens: 3500}, {ID: fmt.Sprint("own", own), Tokens: 2900},
+	}}
+}
+
+// TestNodesAgreeOnSharedPrompts: nodes that know nothing of each other's requests send
+// those that share parts to one runner, and different ones to different runners.
+func TestNodesAgreeOnSharedPrompts(t *testing.T) {
+	used := make(map[string]int)
+	for shared := range 60 {
+		var runner string
+		for node := range 5 {
+			choice, ok := apartFleet(8).Choose(sharing(shared, node))
+			assert.Assert(t, ok)
+			assert.Assert(t, runner == "" || runner == choice.Runner.ID)
+			runner = choice.Runner.ID
+		}
+		used[runner]++
+	}
+	assert.Equal(t, len(used), 6, "all but those kept for short prompts: %v", used)
+	for runner, count := range used {
+		assert.Assert(t, count < 25, "%s: %d of 60", runner, count)
+	}
+}
+
+// TestQueueOutweighsSharedPrompt: a prompt is read anew rather than behind a long queue.
+func TestQueueOutweighsSharedPrompt(t *testing.T) {
+	f := apartFleet(8)
+	first, _ := f.Choose(sharing(1, 1))
+	f = apartFleet(8)
+	f.Reported(first.Runner.ID, backend.Report{Queued: 3})
+	second, _ := f.Choose(sharing(1, 2))
+	assert.Assert(t, second.Runner.ID != first.Runner.ID)
+}
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -82,17 +82,21 @@
 	}
 	last, apart := lastKept(feasible)
 	choices := make([]Choice, 0, len(feasible))
+	fitting := make([]bool, 0, len(feasible))
 	for _, known := range feasible {
-		if query.Among != nil && !slices.Contains(query.Among, known.listed.ID) {
-			continue
-		}
 		choice := f.rank(known, query)
-		if apart && query.Unit != (backend.Unit{}) && f.mixes(known, choice.UnreadTokens, last) {
+		fits := !apart || query.Unit == (backend.Unit{}) || !f.mixes(known, choice.UnreadTokens, last)
+		if !fits {
 			choice.Cost += costOfMixing
 		}
 		choices = append(choices, choice)
+		fitting = append(fitting, fits)
+	}
+	f.preferShared(choices, query, fitting)
+	if query.Among == nil {
+		return choices
 	}
-	return choices
+	return slices.DeleteFunc(choices, func(choice Choice) bool { return !slices.Contains(query.Among, choice.Runner.ID) })
 }
 
 func compareChoices(a, b Choice) int { return cmp.Compare(a.Cost, b.Cost) }
--- a/internal/relay/join.go
+++ b/internal/relay/join.go
@@ -4,9 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/wait"
 )
 
 const (
@@ -14,9 +16,13 @@
 	// turns to the store: a relay's lease that ran out is taken within 2 s, and some
 	// node reads the store long before that.
 	readerPatience = 1200 * time.Millisecond
-	// readerInterval is the least time between two looks.
-	readerInterval = 150 * time.Millisecond
-	// readersAsked is how many nodes are asked at each.
+	// lookInterval is the least time between two looks, and the longest one takes: a
+	// call between zones with a new connection takes some 5 ms, and 300 nodes that all
+	// start ask three seeds some 1,600 times a second each.
+	lookInterval = 120 * time.Millisecond
+	// lookStep is the time after which a table's follower sees what another one found.
+	lookStep = 10 * time.Millisecond
+	// readersAsked is how many likely nodes are asked at each look.
 	readersAsked = 2
 )
 
@@ -54,38 +60,60 @@
 	}
 }
 
-// find looks for a node to read from in place of the store. It fails while one may
-// still be found; found is false when this node is to turn to the store.
+// find looks for a node to read from in place of the store, and waits until one is found.
+// found is false when this node is to turn to the store; it fails when ctx ends first.
 func (r *Relay) find(ctx context.Context) (reader Peer, found bool, err error) {
-	if r.Direct() {
-		return Peer{}, false, nil
+	for ctx.Err() == nil {
+		if r.Direct() || !r.mayFind() {
+			return Peer{}, false, nil
+		}
+		r.look(ctx)
+		if reader, ok := r.Upstream().(Peer); ok {
+			return reader, true, nil
+		}
+		wait.For(ctx, lookStep)
 	}
+	return Peer{}, false, fault.New(fault.CodeNotReady, "find reader", "no node that reads the store was found yet")
+}
+
+// mayFind begins a look, or reports whether the one that has begun goes on.
+func (r *Relay) mayFind() bool {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	now := time.Now()
 	if r.lookingSince.IsZero() || now.Sub(r.lookedAt) > 2*readerPatience {
 		r.lookingSince = now
 	}
-	if now.Sub(r.lookingSince) > readerPatience {
-		r.mu.Unlock()
-		return Peer{}, false, nil
-	}
-	due := now.Sub(r.lookedAt) >= readerInterval
+	return now.Sub(r.lookingSince) <= readerPatience
+}
+
+// look asks some nodes at once, unless that was just done for another table. It waits
+// until one of them names a reader, at most for lookInterval: machines without power do
+// not answer, and the others should not wait for them.
+func (r *Relay) look(ctx context.Context) {
+	r.mu.Lock()
+	due := time.Since(r.lookedAt) >= lookInterval
 	if due {
-		r.lookedAt = now
+		r.lookedAt = time.Now()
 	}
 	addresses := r.readers()
 	r.mu.Unlock()
-	if due {
-		for _, address := range addresses {
-			if r.seekAt(ctx, address) {
-				break
-			}
-		}
+	if !due {
+		return
 	}
-	if reader, ok := r.Upstream().(Peer); ok {
-		return reader, true, nil
+	ctx, cancel := context.WithTimeout(ctx, lookInterval)
+	defer cancel()
+	asked, stop := context.WithCancel(ctx)
+	var asking sync.WaitGroup
+	for _, address := range addresses {
+		asking.Go(func() {
+			if r.seekAt(asked, address) {
+				stop()
+			}
+		})
 	}
-	return Peer{}, false, fault.New(fault.CodeNotReady, "find reader", "no node that reads the store was found yet")
+	asking.Wait()
+	stop()
 }
 
 // readers are some nodes that are likely to read the store or to know who does; mu is
--- a/internal/relay/join_test.go
+++ b/internal/relay/join_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -70,7 +72,9 @@
 	store := &fakeStore{}
 	store.write("a")
 	alone := start(t, store, "alone", seeded("127.0.0.1:1"))
-	_, err := alone.source.Read(t.Context())
+	soon, cancel := context.WithTimeout(t.Context(), readerPatience/10)
+	defer cancel()
+	_, err := alone.source.Read(soon)
 	assert.Assert(t, fault.IsCode(err, fault.CodeNotReady), "%v", err)
 	assert.Equal(t, store.reads.Load(), int64(0))
 	readsInTime(t, alone)
@@ -115,7 +119,9 @@
 	assert.Equal(t, r.Upstream(), reader)
 	r.leaveReader(reader)
 	assert.Equal(t, r.Upstream(), Store{})
-	_, _, err := r.find(t.Context())
+	soon, cancel := context.WithTimeout(t.Context(), readerPatience/10)
+	defer cancel()
+	_, _, err := r.find(soon)
 	assert.Assert(t, fault.IsCode(err, fault.CodeNotReady), "%v", err)
 	assert.Assert(t, r.relayHeard(), "the lease is left to others meanwhile")
 	r.lookingSince = time.Now().Add(-time.Hour)
@@ -157,3 +163,22 @@
 	r.SetStandbys([]string{"10.0.0.1:1"})
 	assert.Assert(t, !r.relayHeard())
 }
+
+// TestMuteSeedDelaysNobody: a seed that accepts calls and answers none, as a machine that
+// has just lost its power, does not keep a starting node from asking another one.
+func TestMuteSeedDelaysNobody(t *testing.T) {
+	mute, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = mute.Close() })
+	store := &fakeStore{}
+	store.write("a")
+	relay := start(t, store, "one")
+	until(t, func() bool { return relay.lessor.Holds() })
+	_, err = relay.source.Read(t.Context())
+	assert.NilError(t, err)
+	reads := store.reads.Load()
+	joined := start(t, store, "two", seeded(mute.Addr().String(), relay.address))
+	_, err = joined.source.Read(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, store.reads.Load(), reads, "the relay was found within the patience")
+}
