--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -62,6 +62,9 @@
 	// Heard reports whether the holder was heard of by other means just now, so
 	// that the others need not look at the row; they always look when it is not set.
 	Heard func() bool
+	// LookFirst is set when this process looks at the row itself once, whatever Heard and
+	// Ask say: its node may be the holder that was lost, and goes on at once.
+	LookFirst bool
 	// Ask reads the row from another node in place of the store; not set for none. ok is
 	// false when this node is to look itself. The row may be old: it is taken over like
 	// an old answer of the store, and never taken by who only asks.
@@ -105,6 +108,8 @@
 	lastAct      time.Time
 	stopped      bool
 	lost         bool
+	// looked is set once this process looked at the row itself.
+	looked bool
 	// retry is set while a renewal was not confirmed.
 	retry bool
 	// wake ends the pause between two steps.
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -81,12 +81,10 @@
 		l.renew(ctx)
 		return
 	}
-	if l.options.Heard != nil && l.options.Heard() {
-		return
-	}
-	if l.ask(ctx) {
+	if l.othersTell(ctx) {
 		return
 	}
+	l.looked = true
 	if err := l.look(ctx); err != nil {
 		l.noteLoss(err)
 		return
@@ -97,6 +95,15 @@
 	}
 }
 
+// othersTell reports whether this process need not look at the row now, as it hears of the
+// holder, or of the row, from others.
+func (l *Lessor) othersTell(ctx context.Context) bool {
+	if l.options.LookFirst && !l.looked {
+		return false
+	}
+	return l.options.Heard != nil && l.options.Heard() || l.ask(ctx)
+}
+
 // ask reads the row from another node. It returns whether this one need not look itself.
 func (l *Lessor) ask(ctx context.Context) bool {
 	if l.options.Ask == nil {
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -74,7 +74,7 @@
 	options := lease.Options{
 		Validity: leaseValidity, Interval: leaseInterval, TurnGap: s.Lease.TurnGap + turnGapMargin,
 		ActMargin: control.OrderMargin, CallTimeout: leaseCallTimeout, Reluctance: n.reluctance,
-		Nodes: n.relay.Nodes, Ask: c.askLease(service),
+		Nodes: n.relay.Nodes, Ask: c.askLease(service), LookFirst: !s.Relay.FirstStart,
 	}
 	ctx, end := context.WithCancel(c.ctx)
 	var syncer *control.Syncer
@@ -131,12 +131,16 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, leaseAskTimeout)
 		defer cancel()
+		request := wire.LeaseRequest{Service: service, Spare: c.node.settings.Load().Capacity.Spare()}
 		var response wire.LeaseResponse
-		if err := c.node.client.Call(ctx, informant, wire.MethodLease, wire.LeaseRequest{Service: service}, &response); err != nil {
+		if err := c.node.client.Call(ctx, informant, wire.MethodLease, request, &response); err != nil {
 			c.node.log.Info("lease not told by a peer", "service", service, "peer", informant, "error", err.Error())
 			return nil, 0, time.Since(told) < leaseAskPatience
 		}
 		told = time.Now()
+		if response.Free {
+			return nil, 0, false
+		}
 		return response.Value, response.Revision, true
 	}
 }
@@ -148,7 +152,9 @@
 		return wire.LeaseResponse{}, nil
 	}
 	value, revision, err := s.lessor.Row()
-	return wire.LeaseResponse{Value: value, Revision: revision}, err
+	_, held := s.lessor.Holder()
+	free := !held && request.Spare >= c.node.settings.Load().Capacity.Spare()
+	return wire.LeaseResponse{Value: value, Revision: revision, Free: free}, err
 }
 
 func (c *controls) get(service string) *serviceControl {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -139,7 +139,7 @@
 	n.controls = newControls(n)
 	n.relay = relay.New(relay.Options{
 		Group: relayGroup(s), Node: s.Node, Leases: platform.Leases, Address: s.Listen.PeerAddress(), Process: n.process,
-		Client: n.client, Reluctance: n.reluctance, Seeds: s.Relay.Seeds, Ample: s.Capacity.Spare() >= 1, Log: log.Logger,
+		Client: n.client, Reluctance: n.reluctance, FirstStart: s.Relay.FirstStart, Log: log.Logger,
 	})
 	peer.Handle(n.peers, wire.MethodFollow, n.relay.Follow)
 	peer.Handle(n.peers, wire.MethodRelay, n.relay.Which)
--- a/internal/relay/join.go
+++ b/internal/relay/join.go
@@ -51,12 +51,15 @@
 // direct is Direct of a node that is not the relay; mu is held.
 func (r *Relay) direct() bool {
 	switch {
+	case !r.firstStart && r.heard.IsZero() && r.answered.IsZero():
+		// It starts while the fleet serves: requests wait for its tables, and after a
+		// loss of power everywhere nobody else can tell them yet.
+		return true
 	case len(r.standbys) > 0:
 		return slices.Contains(r.standbys, r.address) || r.nodes <= lookers
-	case len(r.seeds) > 0:
-		return r.ample || slices.Contains(r.seeds, r.address)
 	default:
-		return true
+		// The lease's row, which each process looks at once, names the relay.
+		return !r.firstStart
 	}
 }
 
@@ -119,8 +122,7 @@
 // readers are some nodes that are likely to read the store or to know who does; mu is
 // held.
 func (r *Relay) readers() []string {
-	likely := addressSet(slices.Concat(r.standbys, r.seeds))
-	return append(likely.pick(readersAsked), r.peers.pick(1)...)
+	return append(addressSet(r.standbys).pick(readersAsked), r.peers.pick(1)...)
 }
 
 // Informant returns the address of a node that is likely to know who holds the leases:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -97,13 +97,10 @@
 	Client  *peer.Client
 	// Reluctance is how much later than others this node becomes the relay.
 	Reluctance func() time.Duration
-	// Seeds are addresses of nodes that a starting node asks for the relay, this one's
-	// perhaps among them; without any it turns to the store.
-	Seeds []string
-	// Ample is set when this node has all that one should have that works for others:
-	// it does not need to be asked to.
-	Ample bool
-	Log   logr.Logger
+	// FirstStart is set when the whole system starts for the first time: nobody waits
+	// for it yet.
+	FirstStart bool
+	Log        logr.Logger
 }
 
 // Relay is a node's part in its group, as reader and as relay. Its methods may
@@ -136,11 +133,10 @@
 	peers  addressSet
 	hint   Peer
 	sought time.Time
-	// seeds, ample and standbys decide whether this node turns to the store by itself;
-	// see Direct.
-	seeds    []string
-	ample    bool
-	standbys []string
+	// firstStart and standbys decide whether this node turns to the store by itself; see
+	// Direct.
+	firstStart bool
+	standbys   []string
 	// reader is a node without the lease that reads the store, from which this one
 	// reads while there is no relay. lookingSince is when the look for one began, zero
 	// for none, lookedAt when others were asked last.
@@ -153,11 +149,11 @@
 func New(o Options) *Relay {
 	r := &Relay{
 		client: o.Client, address: o.Address, log: o.Log.WithValues("group", o.Group), mirrors: make(map[Table]*mirror), gone: make(chan struct{}),
-		seeds: o.Seeds, ample: o.Ample,
+		firstStart: o.FirstStart,
 	}
 	r.lessor = lease.New(o.Leases, o.Group.LeaseKey(), o.Node, o.Address, o.Process, lease.Options{
 		Validity: leaseValidity, Interval: leaseInterval, CallTimeout: leaseTimeout, Reluctance: o.Reluctance, Heard: r.relayHeard,
-		Nodes: r.Nodes,
+		Nodes: r.Nodes, LookFirst: true,
 	}, o.Log)
 	return r
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -119,9 +119,9 @@
 type Relay struct {
 	// Scope is zone or region.
 	Scope Scope `yaml:"scope"`
-	// Seeds are addresses of other nodes (ip:port for peers) that a starting node asks
-	// for the relay. They may be out of date.
-	Seeds []string `yaml:"seeds"`
+	// FirstStart is set when the whole system starts for the first time: a node then
+	// leaves the store to others for longer, as nobody waits for it.
+	FirstStart bool `yaml:"firstStart"`
 }
 
 // Retries are the bounds of a service's budget of retries.
@@ -227,9 +227,6 @@
 	check(s.Capacity.Cores >= 0, "capacity.cores: must not be negative")
 	check(s.Capacity.LinkMbps >= 0, "capacity.linkMbps: must not be negative")
 	check(s.Relay.Scope == ScopeZone || s.Relay.Scope == ScopeRegion, "relay.scope: zone or region")
-	for _, seed := range s.Relay.Seeds {
-		check(isAddress(seed), "relay.seeds: %q is not ip:port", seed)
-	}
 	check(s.Retries.Ratio >= 0 && s.Retries.Ratio <= 1, "retries.ratio: must be 0 to 1")
 	check(s.Retries.Slack >= 0, "retries.slack: must not be negative")
 	check(s.Retries.Window > 0, "retries.window: must be above zero")
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -48,6 +48,9 @@
 // LeaseRequest asks for the lease of a service.
 type LeaseRequest struct {
 	Service string `cbor:"1,keyasint"`
+	// Spare is the part, 0 to 1, that the asking node's machine has of what a holder
+	// should have.
+	Spare float64 `cbor:"2,keyasint,omitempty"`
 }
 
 // LeaseResponse is the lease's row as the answering node knows it; Revision is zero
@@ -55,6 +58,9 @@
 type LeaseResponse struct {
 	Value    []byte `cbor:"1,keyasint,omitempty"`
 	Revision uint64 `cbor:"2,keyasint,omitempty"`
+	// Free is set when nobody is known to hold the lease and the asking node has as much
+	// to spare as the answering one: it may look at the row itself and take it.
+	Free bool `cbor:"3,keyasint,omitempty"`
 }
 
 // TableRow is one row of a table of the store.
