Take the work at each runner out of the plan again

Conclusion: what others do at a runner is seen by requests that ask for queues; moving models for it costs loads that the store does not have.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -17,12 +16,6 @@
 	targetWork = 0.5
 	// maximumShare bounds the replicas of one model to a part of the runners.
 	maximumShare = 0.45
-	// fullWork is the work of others at a runner from which on it does not count as a
-	// place for a model's requests: they wait for more than half a runner's time.
-	fullWork = 0.6
-	// leastRate is the rate of requests from which on a model is given another runner
-	// because its own are full of others' work: one in four seconds.
-	leastRate = 0.25
 	// intentLifetime is how long a decided load waits for room.
 	intentLifetime = 4 * time.Second
 )
@@ -53,11 +46,6 @@
 	ready map[string]int
 	// staying counts, by object, the replicas that are not being unloaded.
 	staying map[string]int
-	// holders are the runners that hold or load a model, by its name; load is the work at
-	// each runner, by its name: what its models' requests take of its time, shared alike
-	// among a model's holders.
-	holders map[string][]*Runner
-	load    map[string]float64
 }
 
 // MakePlan decides what to order now.
@@ -67,7 +55,6 @@
 		plan: Plan{Intents: make(map[string]Intent), Ready: make(map[string]time.Duration)},
 	}
 	p.countCopies()
-	p.countLoad()
 	p.empty()
 	p.continueIntents()
 	for _, need := range p.needs() {
@@ -95,46 +82,6 @@
 	}
 }
 
-// countLoad sums up the work at each runner.
-func (p *planner) countLoad() {
-	p.holders = make(map[string][]*Runner, len(p.state.Engine.Models))
-	for _, runner := range p.state.Runners {
-		for model, held := range runner.Models {
-			if !held.Leaving && !held.Uncertain && runner.serves() {
-				p.holders[model] = append(p.holders[model], runner)
-			}
-		}
-	}
-	p.load = make(map[string]float64, len(p.state.Runners))
-	for model, holders := range p.holders {
-		share := p.work(model) / float64(len(holders))
-		for _, runner := range holders {
-			p.load[runner.ID] += share
-		}
-	}
-}
-
-// work is the share of one runner's time that a model's requests take.
-func (p *planner) work(model string) float64 {
-	if demand := p.state.Demand[backend.Unit{Model: model}]; demand != nil {
-		return demand.Work
-	}
-	return 0
-}
-
-// crowded is the least work of others at the runners that hold or load a model.
-func (p *planner) crowded(model string) float64 {
-	holders := p.holders[model]
-	if len(holders) == 0 {
-		return 0
-	}
-	least := math.Inf(1)
-	for _, runner := range holders {
-		least = min(least, p.load[runner.ID])
-	}
-	return least - p.work(model)/float64(len(holders))
-}
-
 // bounded is the name under which a model's replicas are bounded.
 func (p *planner) bounded(model string) string {
 	if weights := p.state.Engine.Models[model]; weights != nil && weights.Object != "" {
@@ -263,10 +210,6 @@
 		return floor
 	}
 	count := int(demand.Work/targetWork + 0.5)
-	if holders := p.copies[model]; demand.Rate >= leastRate && p.crowded(model) > fullWork {
-		// What its runners do for other models leaves it no time.
-		count = max(count, holders+1)
-	}
 	limit := max(int(maximumShare*float64(len(p.state.Runners))), 1)
 	if demand.Waiting > 0 {
 		count = max(count, 1)
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -21,9 +21,6 @@
 	drainCost = 0.5
 	// activeCost is the cost of sharing a runner with one more request.
 	activeCost = 0.02
-	// loadedCost is the cost of loading a rarely used model at a runner whose time is
-	// taken whole.
-	loadedCost = 2.0
 	// surplusFactor lowers the loss of a replica that others stand in for.
 	surplusFactor = 0.25
 	// unusedRate is the requests a second assumed of a model that was not asked
@@ -48,7 +45,7 @@
 		return 0, false
 	}
 	readyIn, fromStore := p.readyIn(runner, n.model)
-	cost := readyIn.Seconds() + activeCost*float64(runner.Active) + p.waitAt(runner, n)
+	cost := readyIn.Seconds() + activeCost*float64(runner.Active)
 	if fromStore {
 		cost += storeCost
 	}
@@ -66,15 +63,6 @@
 	return cost, missing <= 0
 }
 
-// waitAt is what requests for a model would wait at a runner for those of others.
-func (p *planner) waitAt(runner *Runner, n need) float64 {
-	load := min(p.load[runner.ID], 1)
-	if n.waiting || n.floor {
-		return loadedCost * load
-	}
-	return p.gain(n) * load
-}
-
 // worth is how many requests one more runner that loads the model is expected to serve in
 // time within horizon: those that wait, the less urgent counted less, and of those to
 // come the part that would be late without it.
