Let few of many nodes turn to a store that is away

Change: after a look in vain 8 in so many nodes as there are turn to the store, four times as many after the next, and all in the fifth second, as a configuration must not be missed when all that should read the store are gone.

--- a/internal/relay/join.go
+++ b/internal/relay/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -16,6 +17,9 @@
 	// turns to the store: a relay's lease that ran out is taken within 2 s, and some
 	// node reads the store long before that.
 	readerPatience = 1200 * time.Millisecond
+	// turnGrowth is how many times as many nodes turn to the store after each look in
+	// vain: of 300 all do in the fifth second, as a configuration may take some seconds.
+	turnGrowth = 4
 	// lookInterval is the least time between two looks, and the longest one takes: a
 	// call between zones with a new connection takes some 5 ms, and 300 nodes that all
 	// start ask three seeds some 1,600 times a second each.
@@ -85,9 +89,27 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	if r.lookingSince.IsZero() || now.Sub(r.lookedAt) > 2*readerPatience {
-		r.lookingSince = now
+		r.lookingSince, r.looks = now, 0
 	}
-	return now.Sub(r.lookingSince) <= readerPatience
+	if now.Sub(r.lookingSince) <= readerPatience {
+		return true
+	}
+	if rand.Float64() < r.turnShare() {
+		return false
+	}
+	r.lookingSince = now
+	r.looks++
+	return true
+}
+
+// turnShare is the part of the nodes that turn to the store after they looked in vain: few
+// at first, as the store itself may be away, then more, as those that should read it may
+// all be gone; mu is held.
+func (r *Relay) turnShare() float64 {
+	if r.nodes <= lookers {
+		return 1
+	}
+	return lookers / float64(r.nodes) * math.Pow(turnGrowth, float64(r.looks))
 }
 
 // look asks some nodes at once, unless that was just done for another table. It waits
@@ -156,7 +178,7 @@
 }
 
 // foundReader ends a look; mu is held.
-func (r *Relay) foundReader() { r.lookingSince = time.Time{} }
+func (r *Relay) foundReader() { r.lookingSince, r.looks = time.Time{}, 0 }
 
 // leaveReader forgets the node that this one read from, which no longer reads the
 // store, and the calls to it end.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -140,9 +140,11 @@
 	// reader is a node without the lease that reads the store, from which this one
 	// reads while there is no relay. lookingSince is when the look for one began, zero
 	// for none, lookedAt when others were asked last.
-	reader       Peer
+	reader Peer
+	// looks is how many looks in vain there were before this one.
 	lookingSince time.Time
 	lookedAt     time.Time
+	looks        int
 }
 
 // New returns a node's part in its group. Run starts it.
