Know tenants by their keys; look a route up by its path's slashes

Cause: nothing spoke of tenants or keys: keys were passed on to runners, unknown and revoked ones ran, a tenant's name was never set, its priority not known; client headers that are the system's to set went through. A lookup went over all routes of a host. Ruled out: the configuration's way to the nodes; it is in force in time for routes and is the same for keys. Change: package tenant (directory by digest of the key), 401 before a runner is chosen, the tenant's name set and the key dropped on the way to a runner, reserved headers of clients dropped, a tenant's priority before its route's in urgency and demand. Routes are found by the slashes of the path. Quotas are not in it yet.

--- a/internal/config/compose.go
+++ b/internal/config/compose.go
@@ -39,7 +39,7 @@
 		result: &Configuration{ObjectRevision: revision, Services: make(map[string]*Service), Names: make(map[string]Name), Drains: make(map[api.Drain]bool)},
 	}
 	if base != nil {
-		c.result.Revision, c.result.Limits = base.Revision, base.Limits
+		c.result.Revision, c.result.Limits, c.result.Tenants = base.Revision, base.Limits, base.Tenants
 		c.result.Routes = append(c.result.Routes, base.Routes...)
 		for name, service := range base.Services {
 			c.result.Services[name] = service.clone()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,12 +3,10 @@
 package config
 
 import (
-	"cmp"
-	"slices"
-	"strings"
 	"time"
 
 	"lilacvane/internal/api"
+	"lilacvane/internal/tenant"
 )
 
 // Kind says how often a route's requests may run.
@@ -38,8 +36,10 @@
 	Names map[string]Name
 	// Drains are the planned stops.
 	Drains map[api.Drain]bool
+	// Tenants are those whose keys requests must carry; nil when everybody may call.
+	Tenants *tenant.Directory
 
-	byHost map[string][]*Route
+	byHost map[string]*hostRoutes
 }
 
 // Route sends the requests of a host and path prefix to services.
@@ -65,6 +65,8 @@
 	Priority int
 	// Attempts is the largest number of runners one request may run at.
 	Attempts int
+	// Public routes need no key.
+	Public bool
 	// Backends share the requests by weight.
 	Backends []Backend
 }
@@ -156,15 +158,15 @@
 // Finish builds the lookup tables. It is called once, before the configuration
 // is shared.
 func (c *Configuration) Finish() {
-	c.byHost = make(map[string][]*Route, len(c.Routes))
+	c.byHost = make(map[string]*hostRoutes, len(c.Routes))
 	for i := range c.Routes {
 		route := &c.Routes[i]
-		c.byHost[route.Host] = append(c.byHost[route.Host], route)
-	}
-	for _, routes := range c.byHost {
-		slices.SortFunc(routes, func(a, b *Route) int {
-			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
-		})
+		routes := c.byHost[route.Host]
+		if routes == nil {
+			routes = &hostRoutes{byPrefix: make(map[string]*Route)}
+			c.byHost[route.Host] = routes
+		}
+		routes.add(route)
 	}
 }
 
@@ -175,10 +177,9 @@
 
 // Match returns the route of a host with the longest prefix of path, or nil.
 func (c *Configuration) Match(host, path string) *Route {
-	for _, route := range c.byHost[host] {
-		if strings.HasPrefix(path, route.PathPrefix) {
-			return route
-		}
+	routes := c.byHost[host]
+	if routes == nil {
+		return nil
 	}
-	return nil
+	return routes.match(path)
 }
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -133,7 +133,7 @@
 func (j *job) refuse(problem *fault.Error) {
 	problem.Ran = fault.NotDone
 	status := fault.Status(problem.Code)
-	if status != http.StatusNotFound && !promisesNotRun(status) {
+	if !promisesNotRun(status) && !final(status) {
 		status = http.StatusServiceUnavailable
 	}
 	if promisesNotRun(status) && problem.RetryAfter == 0 {
@@ -142,6 +142,16 @@
 	j.writeProblem(status, problem, ResultRefused)
 }
 
+// final reports whether a refusal with the status is of no use to repeat.
+func final(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound:
+		return true
+	default:
+		return false
+	}
+}
+
 // fail answers a request that may have run.
 func (j *job) fail(timedOut bool, problem *fault.Error) {
 	if j.relay != nil {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -192,8 +192,9 @@
 	header.Set(names.RequestID, j.request.ID)
 	header.Set(names.ExpectRunner, choice.Runner.ID)
 	header.Set(names.Deadline, strconv.FormatInt(max(j.clientTimeLeft().Milliseconds(), 1), 10))
+	j.tellTenant(header)
 	if j.engine {
-		header.Set(names.Urgency, strconv.Itoa(min(max(j.route.Priority, 0), lowestUrgency)))
+		header.Set(names.Urgency, strconv.Itoa(min(j.priority(), lowestUrgency)))
 	}
 	if j.relay != nil && j.relay.lastEvent != "" {
 		header.Set(names.ResumeAfter, j.relay.lastEvent)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/retry"
+	"lilacvane/internal/tenant"
 	"lilacvane/internal/upstream"
 )
 
@@ -127,7 +128,7 @@
 
 func (d *Dispatcher) logOutcome(o *Outcome, request *Request) {
 	d.Log.Info("request ended", "request", request.ID, "result", o.Result, "status", o.Status, "step", o.Step,
-		"reason", o.Reason, "route", o.Route, "revision", o.Revision, "unit", request.Unit.String(), "runner", o.Runner,
+		"reason", o.Reason, "route", o.Route, "tenant", string(o.Tenant), "revision", o.Revision, "unit", request.Unit.String(), "runner", o.Runner,
 		"attempts", o.Attempts, "resumes", o.Resumes, "waitedMs", o.Waited.Milliseconds(), "firstMs", o.First.Milliseconds(),
 		"totalMs", o.Total.Milliseconds(), "pauseMs", o.Pause.Milliseconds(), "patienceMs", request.Patience.Milliseconds(), "keptTokens", o.KeptTokens,
 		"tokensIn", request.TokensIn)
@@ -150,7 +151,11 @@
 	log        logr.Logger
 	outcome    Outcome
 
-	route    *config.Route
+	route *config.Route
+	// tenant is whose request it is; nil where nobody needs a key.
+	tenant *tenant.Tenant
+	// closed is set when callers have keys, which are kept from runners.
+	closed   bool
 	engine   bool
 	query    fleet.Query
 	deadline time.Time
@@ -179,6 +184,10 @@
 		return
 	}
 	j.outcome.Route = j.route.Name
+	if problem := j.identify(configuration); problem != nil {
+		j.refuse(problem)
+		return
+	}
 	j.engine = configuration.Services[service].Engine != nil
 	j.query = fleet.Query{Service: service}
 	if j.engine {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -73,7 +73,7 @@
 	defer func() { j.outcome.Waited += time.Since(start) }()
 	end := func() {}
 	if j.engine {
-		end = j.dispatcher.Demand.Wait(demand.Key{Service: j.query.Service, Unit: j.query.Unit}, j.latestStart(), j.route.Priority)
+		end = j.dispatcher.Demand.Wait(demand.Key{Service: j.query.Service, Unit: j.query.Unit}, j.latestStart(), j.priority())
 	}
 	choice, retryAfter, err := j.await(ctx, changed)
 	if retryAfter > 0 {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -11,6 +11,7 @@
 	"lilacvane/internal/config"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
+	"lilacvane/internal/tenant"
 )
 
 // Request is one request of a client.
@@ -51,8 +52,26 @@
 	// answer.
 	TokensIn  int
 	TokensOut int
+	// Counts says whether the client told TokensIn and TokensOut.
+	Counts Counts
+	// Key is the caller's key; empty when it sent none that can be read. It is never
+	// logged.
+	Key string
 }
 
+// Counts says what a client told of a request's token counts.
+type Counts uint8
+
+// What may have been told.
+const (
+	// CountsAbsent means that the client told none.
+	CountsAbsent Counts = iota
+	// CountsGiven means that both counts are known.
+	CountsGiven
+	// CountsUnreadable means that the client told something that is not two counts.
+	CountsUnreadable
+)
+
 // Outcome is how a request ended, for the log and the figures.
 type Outcome struct {
 	// Result is a short word: served, passed, refused, failed, broken, canceled.
@@ -78,6 +97,8 @@
 	Pause time.Duration
 	// Revision is the configuration that decided.
 	Revision uint64
+	// Tenant is the tenant that the request belongs to; empty when it is not known.
+	Tenant tenant.Name
 	// KeptTokens is what its last runner was believed to keep of its prompt.
 	KeptTokens int
 }
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -60,6 +60,8 @@
 	CodeCompacted          Code = "history_gone"
 	CodeStale              Code = "stale_read"
 	CodeNotHolder          Code = "not_lease_holder"
+	CodeUnauthorized       Code = "unauthorized"
+	CodeOverLimit          Code = "over_limit"
 	CodeInternal           Code = "internal"
 )
 
--- a/internal/fault/http.go
+++ b/internal/fault/http.go
@@ -44,6 +44,7 @@
 	CodeUnknownModel: http.StatusNotFound, CodeNotFound: http.StatusNotFound,
 	CodeConflict: http.StatusConflict, CodeDuplicate: http.StatusConflict,
 	CodeNotLoaded: http.StatusConflict, CodeRateLimited: http.StatusTooManyRequests,
+	CodeUnauthorized: http.StatusUnauthorized, CodeOverLimit: http.StatusTooManyRequests,
 	CodeUnsupportedVersion: http.StatusBadRequest,
 	CodeInterrupted:        http.StatusBadGateway, CodeInternal: http.StatusInternalServerError,
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -108,6 +108,9 @@
 	}
 	request.Body = body
 	dispatch.StripConnectionHeaders(r.Header)
+	for _, name := range s.names.Reserved {
+		r.Header.Del(name)
+	}
 	request.Header = r.Header
 	return request, nil
 }
--- a/internal/ingress/parse.go
+++ b/internal/ingress/parse.go
@@ -32,18 +32,44 @@
 	}
 	model, adapter, _ := strings.Cut(header.Get(names.Model), "/")
 	request.Unit = backend.Unit{Model: model, Adapter: adapter}
-	request.TokensIn, request.TokensOut = parseTokens(header.Get(names.Tokens))
+	request.TokensIn, request.TokensOut, request.Counts = parseTokens(header.Values(names.Tokens))
 	request.Prompt = parsePrompt(header.Get(names.Prompt))
+	request.Key = parseKey(header.Values(names.Key), names.KeyScheme)
 	return nil
 }
 
-// parseTokens reads "IN,OUT". Sizes only guide placement, so an unreadable one
-// counts as zero; the runner judges the header itself.
-func parseTokens(text string) (in, out int) {
-	before, after, _ := strings.Cut(text, ",")
-	in, _ = strconv.Atoi(strings.TrimSpace(before))
-	out, _ = strconv.Atoi(strings.TrimSpace(after))
-	return max(in, 0), max(out, 0)
+// parseKey reads "SCHEME KEY". It returns nothing for what is not of that form, and for
+// several values, of which none can be told to be the caller's.
+func parseKey(values []string, scheme string) string {
+	if len(values) != 1 {
+		return ""
+	}
+	named, key, _ := strings.Cut(strings.TrimSpace(values[0]), " ")
+	if !strings.EqualFold(named, scheme) {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+// maximumTokens bounds each count of tokens, so that sums of them stay exact.
+const maximumTokens = 1 << 40
+
+// parseTokens reads "IN,OUT". Sizes that cannot be read count as zero where they only
+// guide placement; the runner judges the header itself.
+func parseTokens(values []string) (in, out int, counts dispatch.Counts) {
+	if len(values) == 0 {
+		return 0, 0, dispatch.CountsAbsent
+	}
+	before, after, _ := strings.Cut(values[0], ",")
+	in, errIn := strconv.Atoi(strings.TrimSpace(before))
+	out, errOut := strconv.Atoi(strings.TrimSpace(after))
+	readable := len(values) == 1 && errIn == nil && errOut == nil && in >= 0 && out >= 0 && in <= maximumTokens && out <= maximumTokens
+	if !readable {
+		counts = dispatch.CountsUnreadable
+	} else {
+		counts = dispatch.CountsGiven
+	}
+	return min(max(in, 0), maximumTokens), min(max(out, 0), maximumTokens), counts
 }
 
 // parsePrompt reads "ID:TOKENS,ID:TOKENS". It stops at the first part that it
--- /dev/null
+++ b/internal/tenant/tenant.go
@@ -0,0 +1,207 @@
+// Package tenant tells who a caller is: tenants, the keys by which their requests
+// are recognized, and the limits that operators gave them. It is pure. Keys are kept
+// as digests only, so that neither a log line nor a copy of memory's tables shows one.
+package tenant
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"lilacvane/internal/fault"
+)
+
+// Name identifies a tenant.
+type Name string
+
+// Digest stands for a key.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of a key.
+func DigestOf(key string) Digest { return sha256.Sum256([]byte(key)) }
+
+// Unit is what a limit counts.
+type Unit uint8
+
+// The units of limits.
+const (
+	// Requests counts each request as one.
+	Requests Unit = iota
+	// Tokens counts the tokens of a request's prompt and, at most, of its answer.
+	Tokens
+)
+
+// String returns the unit's name.
+func (u Unit) String() string {
+	if u == Tokens {
+		return "tokens"
+	}
+	return "requests"
+}
+
+// Limit is what a tenant may use over all nodes together, in units of Unit.
+type Limit struct {
+	Unit Unit
+	// Rate is units a second; zero is no limit.
+	Rate float64
+	// Burst is what may be used on top at once.
+	Burst float64
+	// PlainCost is what a request without token counts costs when Unit is Tokens.
+	PlainCost float64
+}
+
+// Limited reports whether there is a limit at all.
+func (l Limit) Limited() bool { return l.Rate > 0 }
+
+// Cost is what a request costs, given its token counts; counted is false for a
+// request that has none.
+func (l Limit) Cost(tokens int, counted bool) float64 {
+	switch {
+	case l.Unit == Requests:
+		return 1
+	case !counted:
+		return l.PlainCost
+	default:
+		return float64(tokens)
+	}
+}
+
+// Tolerance is by how much the use counted over all nodes may pass a limit, and over
+// which sliding window it is counted.
+type Tolerance struct {
+	Window time.Duration
+	// Share is the part of the limit, Slack the units beyond that.
+	Share float64
+	Slack float64
+}
+
+// leastBurst is the least part of what may be used in a window that may be used at
+// once: a limit without a burst would admit nothing.
+const leastBurst = 0.1
+
+// Bucket is a token bucket that keeps a limit within its tolerance: what is used in any
+// window is at most Capacity plus Rate times the window.
+type Bucket struct {
+	// Rate is units a second, Capacity units.
+	Rate     float64
+	Capacity float64
+}
+
+// Bucket returns the largest token bucket that the tolerance allows.
+func (l Limit) Bucket(t Tolerance) Bucket {
+	window := t.Window.Seconds()
+	total := (l.Rate*window+l.Burst)*(1+t.Share) + t.Slack
+	capacity := max(l.Burst*(1+t.Share)+t.Slack, leastBurst*total)
+	return Bucket{Rate: (total - capacity) / window, Capacity: capacity}
+}
+
+// Tenant is one tenant.
+type Tenant struct {
+	Name Name
+	// Priority goes before that of routes; 0 is served first.
+	Priority int
+	Limit    Limit
+	// Keys are the digests of its keys.
+	Keys []Digest
+}
+
+// Directory finds the tenant that holds a key, in a time that does not grow with
+// their number. It is immutable.
+type Directory struct {
+	byKey  map[Digest]*Tenant
+	byName map[Name]*Tenant
+}
+
+const stepDirectory = "read tenants"
+
+// NewDirectory returns a directory of tenants. The error names the first tenant that
+// cannot be used and its field.
+func NewDirectory(tenants []Tenant) (*Directory, error) {
+	d := &Directory{byKey: make(map[Digest]*Tenant), byName: make(map[Name]*Tenant, len(tenants))}
+	for i := range tenants {
+		if err := d.add(&tenants[i]); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+func (d *Directory) add(t *Tenant) error {
+	if problem := t.problem(); problem != "" {
+		return invalid(t.Name, problem)
+	}
+	if d.byName[t.Name] != nil {
+		return invalid(t.Name, "name: used twice")
+	}
+	d.byName[t.Name] = t
+	for i, key := range t.Keys {
+		if owner := d.byKey[key]; owner != nil {
+			return invalid(t.Name, fmt.Sprintf("keys[%d]: also a key of tenant %q", i, owner.Name))
+		}
+		d.byKey[key] = t
+	}
+	return nil
+}
+
+func invalid(name Name, problem string) error {
+	return fault.New(fault.CodeInvalid, stepDirectory, "tenant %q: %s", name, problem)
+}
+
+// MaximumName is the longest name of a tenant, in bytes: it travels in a header.
+const MaximumName = 128
+
+func (t *Tenant) problem() string {
+	switch {
+	case t.Name == "" || len(t.Name) > MaximumName:
+		return fmt.Sprintf("name: must have 1 to %d bytes", MaximumName)
+	case !printable(string(t.Name)):
+		return "name: must be printable ASCII, as it travels in a header"
+	case t.Priority < 0:
+		return "priority: must not be negative"
+	case !finite(t.Limit.Rate):
+		return "limit.rate: must be a finite number, not negative"
+	case !finite(t.Limit.Burst):
+		return "limit.burst: must be a finite number, not negative"
+	case !finite(t.Limit.PlainCost):
+		return "limit.plainCost: must be a finite number, not negative"
+	default:
+		return ""
+	}
+}
+
+func printable(text string) bool {
+	for i := range len(text) {
+		if text[i] <= ' ' || text[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+func finite(value float64) bool { return value >= 0 && !math.IsInf(value, 0) }
+
+// Resolve returns the tenant that holds a key.
+func (d *Directory) Resolve(key string) (*Tenant, bool) {
+	found := d.byKey[DigestOf(key)]
+	return found, found != nil
+}
+
+// Find returns a tenant by its name.
+func (d *Directory) Find(name Name) (*Tenant, bool) {
+	if d == nil {
+		return nil, false
+	}
+	found := d.byName[name]
+	return found, found != nil
+}
+
+// Names lists the tenants' names in order.
+func (d *Directory) Names() []Name {
+	if d == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(d.byName))
+}
--- /dev/null
+++ b/internal/tenant/tenant_test.go
@@ -0,0 +1,89 @@
+package tenant
+
+import (
+	"math"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/fault"
+)
+
+func keys(texts ...string) []Digest {
+	var digests []Digest
+	for _, text := range texts {
+		digests = append(digests, DigestOf(text))
+	}
+	return digests
+}
+
+// TestKeysFindTheirTenant: each of a tenant's keys finds it; others find nobody.
+func TestKeysFindTheirTenant(t *testing.T) {
+	directory, err := NewDirectory([]Tenant{{Name: "a", Keys: keys("one", "two")}, {Name: "b", Keys: keys("\x00\xff", "three")}})
+	assert.NilError(t, err)
+	for key, name := range map[string]Name{"one": "a", "two": "a", "\x00\xff": "b", "three": "b", "": "", "One": "", "one ": ""} {
+		found, known := directory.Resolve(key)
+		assert.Equal(t, known, name != "", "%q", key)
+		if known {
+			assert.Equal(t, found.Name, name)
+		}
+	}
+}
+
+// TestBadTenantsAreNamed: what cannot be used is refused with the tenant and field.
+func TestBadTenantsAreNamed(t *testing.T) {
+	for text, tenants := range map[string][]Tenant{
+		`tenant "a": name: used twice`:                            {{Name: "a"}, {Name: "a"}},
+		`tenant "b": keys[1]: also a key of tenant "a"`:           {{Name: "a", Keys: keys("k")}, {Name: "b", Keys: keys("l", "k")}},
+		`tenant "a": keys[1]: also a key of tenant "a"`:           {{Name: "a", Keys: keys("k", "k")}},
+		`tenant "": name: must have 1 to 128 bytes`:               {{}},
+		`tenant "a\nb": name: must be printable ASCII`:            {{Name: "a\nb"}},
+		`tenant "a": priority: must not be negative`:              {{Name: "a", Priority: -1}},
+		`tenant "a": limit.rate: must be a finite number`:         {{Name: "a", Limit: Limit{Rate: -1}}},
+		`tenant "b": limit.burst: must be a finite number`:        {{Name: "b", Limit: Limit{Burst: math.Inf(1)}}},
+		`tenant "c": limit.plainCost: must be a finite number`:    {{Name: "c", Limit: Limit{PlainCost: math.NaN()}}},
+		`tenant "d": limit.rate: must be a finite number, not ne`: {{Name: "d", Limit: Limit{Rate: math.NaN()}}},
+	} {
+		_, err := NewDirectory(tenants)
+		assert.ErrorContains(t, err, text)
+		assert.Assert(t, fault.IsCode(err, fault.CodeInvalid))
+	}
+}
+
+// TestBucketKeepsWithinTolerance: what a bucket lets through in a window is the limit
+// with its tolerance, and a limit without a burst still admits something.
+func TestBucketKeepsWithinTolerance(t *testing.T) {
+	tolerance := Tolerance{Window: 8 * time.Second, Share: 0.1, Slack: 1000}
+	for _, limit := range []Limit{{Rate: 100, Burst: 100}, {Rate: 100}, {Rate: 1, Burst: 1e6}, {Rate: 1e6, Burst: 1}} {
+		bucket := limit.Bucket(tolerance)
+		total := (limit.Rate*8+limit.Burst)*1.1 + 1000
+		assert.Assert(t, math.Abs(bucket.Capacity+8*bucket.Rate-total) < 1e-6*total)
+		assert.Assert(t, bucket.Capacity > 0 && bucket.Rate > 0)
+	}
+}
+
+// TestCosts: what a request costs by the unit of its tenant's limit.
+func TestCosts(t *testing.T) {
+	assert.Equal(t, Limit{PlainCost: 200}.Cost(5000, true), 1.0)
+	assert.Equal(t, Limit{Unit: Tokens, PlainCost: 200}.Cost(5000, true), 5000.0)
+	assert.Equal(t, Limit{Unit: Tokens, PlainCost: 200}.Cost(0, false), 200.0)
+}
+
+// BenchmarkResolve shows that finding a tenant takes the same time among many.
+func BenchmarkResolve(b *testing.B) {
+	for _, count := range []int{16, 16_000} {
+		tenants := make([]Tenant, count)
+		for i := range tenants {
+			tenants[i] = Tenant{Name: Name("t" + strconv.Itoa(i)), Keys: keys("key-" + strconv.Itoa(i))}
+		}
+		directory, err := NewDirectory(tenants)
+		assert.NilError(b, err)
+		b.Run(strconv.Itoa(count), func(b *testing.B) {
+			for b.Loop() {
+				directory.Resolve("key-7")
+			}
+		})
+	}
+}
--- a/internal/upstream/names.go
+++ b/internal/upstream/names.go
@@ -24,4 +24,11 @@
 	LengthHint string
 	// ResumeAfter is the last event that arrived of a stream.
 	ResumeAfter string
+	// Tenant names to a runner the tenant that a request belongs to.
+	Tenant string
+	// Key carries the caller's key after KeyScheme and a space.
+	Key       string
+	KeyScheme string
+	// Reserved are the system's to set: what a client sends under them is dropped.
+	Reserved []string
 }
