--- a/cmd/lilacvane/main.go
+++ b/cmd/lilacvane/main.go
@@ -36,6 +36,7 @@
 		DecodeConfiguration: platform.DecodeConfiguration,
 		Runners:             store.Table(protocol.RunnerTable), DecodeRunner: platform.DecodeRunner,
 		Objects: store.Table(protocol.ObjectTable), Leases: store.Table(protocol.LeaseTable), Claims: store.Table(protocol.ClaimTable),
+		Limits:  store.Table(protocol.LimitTable),
 		Control: platform.NewRunners(client()),
 	}
 }
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -16,6 +16,7 @@
 	"lilacvane/internal/config"
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/lease"
+	"lilacvane/internal/limit"
 	"lilacvane/internal/orders"
 	"lilacvane/internal/scheduler"
 	"lilacvane/internal/wait"
@@ -63,6 +64,9 @@
 	// ObserveLoad is told how long a load from the weight store took, and how long it
 	// was expected to take; not set for nobody.
 	ObserveLoad func(took, expected time.Duration)
+	// Divide answers a node's report on shared limits while this node holds the lease;
+	// not set where another service's holder divides them.
+	Divide func(report limit.Report) *limit.Grant
 	// Decide notes a decision about a subject (model/NAME, replica/RUNNER) for
 	// operators' questions.
 	Decide func(subject, step, reason string)
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/limit"
 	"lilacvane/internal/wire"
 )
 
@@ -39,7 +40,14 @@
 	if c.token == 0 {
 		return wire.SyncResponse{}, fault.New(fault.CodeNotHolder, "sync", "the lease of %s was lost", request.Service)
 	}
-	return c.account(request), nil
+	response := c.account(request)
+	if request.Limits != nil && response.Valid && c.Divide != nil {
+		response.Limits = c.Divide(limit.Report{
+			Node: request.Node, Process: request.Limits.Process, Address: request.Address, Spare: request.Spare,
+			Version: request.Limits.Version, Asked: request.Limits.Asked,
+		})
+	}
+	return response, nil
 }
 
 // suspect asks the runners that a node suspects. It returns whether there are any.
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -11,6 +11,7 @@
 	"lilacvane/internal/demand"
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/lease"
+	"lilacvane/internal/limit"
 	"lilacvane/internal/peer"
 	"lilacvane/internal/wait"
 	"lilacvane/internal/weightstore"
@@ -43,6 +44,7 @@
 	client     *peer.Client
 	book       *demand.Book
 	fleet      *fleet.Fleet
+	limits     Limits
 	observe    Observe
 	log        logr.Logger
 	// begun is signalled when a request begins to wait, so that a resting watch
@@ -73,15 +75,25 @@
 	Standbys []string
 }
 
+// Limits are a node's shares of limits, which travel with its demand.
+type Limits interface {
+	// Report returns what to tell; nil when another service's holder divides limits.
+	Report() *wire.LimitReport
+	// Undelivered takes back a report that got no answer.
+	Undelivered(report *wire.LimitReport)
+	// Apply takes over the answer to a report sent then.
+	Apply(grant *limit.Grant, sent time.Time)
+}
+
 // Observe is told what the holder knows of the fleet's nodes.
 type Observe func(Observed)
 
 // NewSyncer returns a syncer for a service.
 func NewSyncer(service string, self wire.Member, spare float64, lessor *lease.Lessor, controller *Controller, client *peer.Client, book *demand.Book,
-	known *fleet.Fleet, observe Observe, log logr.Logger) *Syncer {
+	known *fleet.Fleet, limits Limits, observe Observe, log logr.Logger) *Syncer {
 	return &Syncer{
 		service: service, self: self, spare: spare, lessor: lessor, controller: controller, client: client, book: book, fleet: known,
-		observe: observe, log: log.WithValues("service", service), begun: make(chan struct{}, 1),
+		limits: limits, observe: observe, log: log.WithValues("service", service), begun: make(chan struct{}, 1),
 	}
 }
 
@@ -139,7 +151,7 @@
 		case <-urgent:
 			s.wakeWatch()
 		}
-		err := s.call(ctx, s.report())
+		err := s.tell(ctx)
 		pause := reportEvery(s.nodes())
 		if err != nil {
 			pause = retryPause
@@ -149,6 +161,17 @@
 	}
 }
 
+// tell makes one report, with what was asked of limits.
+func (s *Syncer) tell(ctx context.Context) error {
+	request := s.report()
+	request.Limits = s.limits.Report()
+	err := s.call(ctx, request)
+	if err != nil && request.Limits != nil {
+		s.limits.Undelivered(request.Limits)
+	}
+	return err
+}
+
 // nodesPerInterval is how many nodes may report to a holder within reportInterval:
 // some 400 reports a second of about 0.5 kB, a tenth of the smallest link seen.
 const nodesPerInterval = 96
@@ -200,12 +223,16 @@
 	s.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.HoldMs)*time.Millisecond+syncTimeout)
 	defer cancel()
+	sent := time.Now()
 	response, err := s.ask(ctx, request)
 	s.note(ctx, err)
 	s.noteOrders(response, err)
 	if err != nil {
 		return err
 	}
+	if response.Limits != nil {
+		s.limits.Apply(response.Limits, sent)
+	}
 	s.take(response)
 	return nil
 }
--- a/internal/dispatch/caller.go
+++ b/internal/dispatch/caller.go
@@ -1,12 +1,44 @@
 package dispatch
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	"lilacvane/internal/config"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/tenant"
 )
 
+// Verdict says whether a request is within its tenant's limit.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Within means that it may run; its cost was spent.
+	Within Verdict = iota
+	// Over means that the limit is used up now.
+	Over
+	// TooLarge means that the request costs more than the limit ever lets through at once.
+	TooLarge
+	// NotKnown means that nobody can be asked now.
+	NotKnown
+)
+
+// Admission is the decision on a request.
+type Admission struct {
+	Verdict Verdict
+	// In is when a request that is Over may come back.
+	In time.Duration
+	// By is the node whose share decided, or its address.
+	By string
+}
+
+// Limiter decides on requests of tenants.
+type Limiter interface {
+	Admit(ctx context.Context, t *tenant.Tenant, cost float64) Admission
+}
+
 // routeRanks is how many priorities of routes are told apart below one of tenants: with
 // three, those of the first three tenants' priorities fit the ten urgencies of engines.
 const routeRanks = 3
@@ -33,6 +65,43 @@
 	return fault.New(fault.CodeUnauthorized, "identify caller", "no tenant holds the request's key")
 }
 
+const (
+	stepLimit = "check limit"
+	// leastOverReturn is the shortest time after which a request over its tenant's limit
+	// may come back, so that many small waits do not become a storm.
+	leastOverReturn = 200 * time.Millisecond
+	// tooLargeReturn is when a request that is larger than its tenant's limit may come
+	// back: the limit may have been changed by then.
+	tooLargeReturn = 10 * time.Second
+)
+
+// admit charges the request to its tenant's limit, or says why it cannot. What a request
+// is charged for is a run: sending it again or going on with its stream costs no more.
+func (j *job) admit(ctx context.Context) *fault.Error {
+	if j.tenant == nil || j.dispatcher.Limits == nil {
+		return nil
+	}
+	limit := j.tenant.Limit
+	if limit.Limited() && limit.Unit == tenant.Tokens && j.request.Counts == CountsUnreadable {
+		return fault.New(fault.CodeInvalid, stepLimit, "header %s: not two counts of tokens", j.dispatcher.Names.Tokens)
+	}
+	cost := limit.Cost(j.request.TokensIn+j.request.TokensOut, j.request.Counts == CountsGiven)
+	admission := j.dispatcher.Limits.Admit(ctx, j.tenant, cost)
+	j.outcome.Cost, j.outcome.AdmittedBy = cost, admission.By
+	switch admission.Verdict {
+	case Over:
+		return fault.New(fault.CodeOverLimit, stepLimit, "tenant %s is over %g %s a second", j.tenant.Name, limit.Rate, limit.Unit).
+			WithRetryAfter(max(admission.In, leastOverReturn))
+	case TooLarge:
+		return fault.New(fault.CodeOverLimit, stepLimit, "the request costs %g %s, more than the limit of tenant %s holds", cost, limit.Unit, j.tenant.Name).
+			WithRetryAfter(tooLargeReturn)
+	case NotKnown:
+		return fault.New(fault.CodeNotReady, stepLimit, "nobody can be asked for the limit of tenant %s", j.tenant.Name).WithRetryAfter(defaultReturn)
+	default:
+		return nil
+	}
+}
+
 // priority is the request's rank, 0 first: its tenant's priority goes before its
 // route's.
 func (j *job) priority() int {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -39,6 +39,8 @@
 	// last pause, or cannot be made so.
 	Fresh   func(ctx context.Context)
 	Retries retry.Limits
+	// Limits decides on requests of tenants; not set where none has a limit.
+	Limits Limiter
 	// Report reads a runner's report; not set where runners cannot be asked.
 	Report func(ctx context.Context, runner backend.Runner) (backend.Report, error)
 	Log    logr.Logger
@@ -128,7 +130,7 @@
 
 func (d *Dispatcher) logOutcome(o *Outcome, request *Request) {
 	d.Log.Info("request ended", "request", request.ID, "result", o.Result, "status", o.Status, "step", o.Step,
-		"reason", o.Reason, "route", o.Route, "tenant", string(o.Tenant), "revision", o.Revision, "unit", request.Unit.String(), "runner", o.Runner,
+		"reason", o.Reason, "route", o.Route, "tenant", string(o.Tenant), "cost", o.Cost, "admittedBy", o.AdmittedBy, "revision", o.Revision, "unit", request.Unit.String(), "runner", o.Runner,
 		"attempts", o.Attempts, "resumes", o.Resumes, "waitedMs", o.Waited.Milliseconds(), "firstMs", o.First.Milliseconds(),
 		"totalMs", o.Total.Milliseconds(), "pauseMs", o.Pause.Milliseconds(), "patienceMs", request.Patience.Milliseconds(), "keptTokens", o.KeptTokens,
 		"tokensIn", request.TokensIn)
@@ -188,6 +190,10 @@
 		j.refuse(problem)
 		return
 	}
+	if problem := j.admit(ctx); problem != nil {
+		j.refuse(problem)
+		return
+	}
 	j.engine = configuration.Services[service].Engine != nil
 	j.query = fleet.Query{Service: service}
 	if j.engine {
--- a/internal/lab/journal/journal.go
+++ b/internal/lab/journal/journal.go
@@ -42,6 +42,7 @@
 	TotalMiB    int64     `json:"totalMiB,omitempty"`
 	Request     string    `json:"request,omitempty"`
 	Prompt      string    `json:"prompt,omitempty"`
+	Tenant      string    `json:"tenant,omitempty"`
 	Detail      string    `json:"detail,omitempty"`
 }
 
--- a/internal/lab/runnerstub/http.go
+++ b/internal/lab/runnerstub/http.go
@@ -100,6 +100,7 @@
 type run struct {
 	runner  *Runner
 	id      string
+	tenant  string
 	model   string
 	adapter string
 	word    string
@@ -141,7 +142,8 @@
 }
 
 func (r *Runner) describe(request *http.Request, body []byte) *run {
-	this := &run{runner: r, id: request.Header.Get(protocol.HeaderRequestID), events: defaultEvents, chat: strings.HasPrefix(request.URL.Path, completions)}
+	this := &run{runner: r, id: request.Header.Get(protocol.HeaderRequestID), tenant: request.Header.Get(protocol.HeaderTenant), events: defaultEvents}
+	this.chat = strings.HasPrefix(request.URL.Path, completions)
 	this.model, this.adapter, _ = strings.Cut(request.Header.Get(protocol.HeaderModel), "/")
 	if last := request.Header.Get(protocol.HeaderResumeAfter); last != "" {
 		if number, err := strconv.Atoi(last); err == nil {
@@ -190,7 +192,7 @@
 		m.active++
 	}
 	r.active++
-	r.record(journal.Record{Event: journal.EventRun, Unit: this.model, Request: this.id, Prompt: this.word, Detail: strconv.Itoa(this.from)})
+	r.record(journal.Record{Event: journal.EventRun, Unit: this.model, Request: this.id, Prompt: this.word, Tenant: this.tenant, Detail: strconv.Itoa(this.from)})
 	return 0
 }
 
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -83,6 +83,7 @@
 	nextRunner int
 	version    uint64
 	routes     []protocol.Route
+	tenants    []protocol.Tenant
 }
 
 // Node is a running node.
@@ -172,11 +173,21 @@
 
 // Configure writes the platform's part of the configuration with these routes.
 func (w *World) Configure(routes []protocol.Route) error {
-	w.version += 3
 	w.routes = routes
+	return w.configure()
+}
+
+// ConfigureTenants writes it with these tenants; nil lets everybody call.
+func (w *World) ConfigureTenants(tenants []protocol.Tenant) error {
+	w.tenants = tenants
+	return w.configure()
+}
+
+func (w *World) configure() error {
+	w.version += 3
 	engine := w.Engine
 	content, err := json.Marshal(protocol.Configuration{
-		Version: w.version, Routes: routes,
+		Version: w.version, Routes: w.routes, Tenants: w.tenants,
 		Services: []protocol.Service{{Name: EngineService, HealthPath: "/healthz", Engine: &engine}, {Name: MailService, HealthPath: "/healthz"}},
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/limit/divider.go
@@ -0,0 +1,418 @@
+package limit
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lilacvane/internal/tenant"
+)
+
+const (
+	// lenderCount is how many lenders a limit has: two of three carry what a tenant uses
+	// in ordinary times when one is lost.
+	lenderCount = 3
+	// ownHeadroom is how much more than what is asked at a node its own part is, and
+	// ownMost the most of a limit that lies with nodes other than lenders: the lenders
+	// even out what comes unevenly.
+	ownHeadroom = 1.3
+	ownMost     = 0.7
+	// ownRequests is how many mean requests a node's own part must hold to be of use.
+	ownRequests = 4
+	// leastPart is the least part that is given anew: a thousandth is less than one request.
+	leastPart = Whole / 1000
+	// hysteresis is by which part of itself a share must be off before it is changed:
+	// each change is written to a row and told to nodes.
+	hysteresis = 0.3
+	// useHalfLife is how fast a node's weight follows what is asked there. A tenant asks
+	// at most nodes every few seconds only.
+	useHalfLife = 8 * time.Second
+	// lenderSilence is how long a lender may be silent before another one is chosen:
+	// eight reports.
+	lenderSilence = 2 * time.Second
+	// silenceMargin is how much longer than Lifetime a silent node's part is kept.
+	silenceMargin = time.Second
+)
+
+// Divider divides limits among nodes. It works on a row (Record) that holds what nodes
+// may have in force; its user writes what Next returns on condition that the row is still
+// the one written before, and says with Confirmed that it was. When a write fails, or its
+// outcome is not known, a new divider begins. It is not safe for concurrent use.
+type Divider struct {
+	// record is the row as it was read or confirmed last, next the one being written.
+	record    *Record
+	next      *Record
+	nodes     map[string]*member
+	tolerance tenant.Tolerance
+	// began is when this divider took over: nodes may have been told something just
+	// before.
+	began time.Time
+}
+
+// member is a node that reported.
+type member struct {
+	address  string
+	spare    float64
+	process  string
+	replaced map[string]bool
+	// acked is the newest version that its process said it has, firstTold the first one
+	// that it was told: it has that one at least, or none.
+	acked     Version
+	firstTold Version
+	heard     time.Time
+	used      map[tenant.Name]*flow
+	// seeded is set once used was filled from the parts that an earlier divider gave.
+	seeded bool
+}
+
+// has reports whether what the node may have in force is of a version or newer.
+func (m *member) has(version Version) bool {
+	if m.acked > 0 {
+		return m.acked >= version
+	}
+	return m.firstTold >= version
+}
+
+// flow is a fading sum of what was asked, by so many requests.
+type flow struct {
+	cost     float64
+	requests float64
+	at       time.Time
+}
+
+func (m *member) flow(name tenant.Name, now time.Time) *flow {
+	if m.used[name] == nil {
+		m.used[name] = &flow{at: now}
+	}
+	return m.used[name]
+}
+
+func (f *flow) add(cost, requests float64, now time.Time) {
+	f.fade(now)
+	f.cost += cost
+	f.requests += requests
+}
+
+func (f *flow) fade(now time.Time) {
+	kept := math.Exp2(-float64(now.Sub(f.at)) / float64(useHalfLife))
+	f.cost *= kept
+	f.requests *= kept
+	f.at = now
+}
+
+// perSecond is what is asked a second.
+func (f *flow) perSecond(now time.Time) float64 {
+	f.fade(now)
+	return f.cost * math.Ln2 / useHalfLife.Seconds()
+}
+
+// NewDivider returns a divider that goes on from a row. Nothing may be told of a row
+// that was only read, as what is read may be old: its user first writes the record that
+// Begin makes of it, on condition that the row is still the one read.
+func NewDivider(begun *Record, tolerance tenant.Tolerance, now time.Time) *Divider {
+	return &Divider{record: begun, nodes: make(map[string]*member), tolerance: tolerance, began: now}
+}
+
+// Begin returns the record that a new divider writes over the one it read; an empty one
+// where there is none.
+func Begin(read *Record) *Record {
+	begun := read.clone()
+	begun.Version++
+	return begun
+}
+
+// Report takes a node's report and returns what it is to have in force.
+func (d *Divider) Report(report Report, now time.Time) Grant {
+	m := d.nodes[report.Node]
+	if m == nil {
+		m = &member{process: report.Process, replaced: make(map[string]bool), used: make(map[tenant.Name]*flow)}
+		d.nodes[report.Node] = m
+	}
+	if m.replaced[report.Process] {
+		// An old process's word that came late.
+		return Grant{Same: true}
+	}
+	if m.process != report.Process {
+		m.replaced[m.process] = true
+		m.process, m.acked, m.firstTold = report.Process, 0, 0
+	}
+	m.address, m.spare, m.heard = report.Address, report.Spare, now
+	m.acked = max(m.acked, report.Version)
+	for _, use := range report.Asked {
+		m.flow(use.Tenant, now).add(use.Cost, float64(use.Requests), now)
+	}
+	if m.firstTold == 0 {
+		m.firstTold = d.record.Version
+	}
+	if report.Version > 0 && report.Version >= d.record.changed(report.Node) {
+		return Grant{Version: d.record.Version, Same: true}
+	}
+	return Grant{Version: d.record.Version, Shares: d.record.shares(report.Node)}
+}
+
+// Next returns the row that is to be written now; nil when nothing changes. limited are
+// the tenants that have a limit.
+func (d *Divider) Next(limited []*tenant.Tenant, now time.Time) *Record {
+	d.next = nil
+	next := d.record.clone()
+	next.Version++
+	d.settle(next, now)
+	d.seed(next, limited, now)
+	changed := false
+	for _, t := range limited {
+		if d.divide(t, next, now) {
+			changed = true
+		}
+	}
+	if d.withdraw(next, limited) {
+		changed = true
+	}
+	if !changed {
+		// What nodes have given back is noted in memory; the next row holds it.
+		next.Version--
+		d.record = next
+		return nil
+	}
+	d.next = next
+	return next
+}
+
+// withdraw takes back the parts of tenants that have no limit any more.
+func (d *Divider) withdraw(next *Record, limited []*tenant.Tenant) (changed bool) {
+	for name, division := range next.Tenants {
+		if slices.ContainsFunc(limited, func(t *tenant.Tenant) bool { return t.Name == name }) {
+			continue
+		}
+		for _, entry := range division.Nodes {
+			if entry.Told > 0 {
+				entry.Told, entry.Since = 0, next.Version
+				changed = true
+			}
+		}
+		if len(division.Nodes) == 0 {
+			delete(next.Tenants, name)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// seed gives nodes that are new to this divider the weight by which an earlier one gave
+// them their parts.
+func (d *Divider) seed(record *Record, limited []*tenant.Tenant, now time.Time) {
+	for node, m := range d.nodes {
+		if m.seeded {
+			continue
+		}
+		m.seeded = true
+		for _, t := range limited {
+			division := record.division(t.Name)
+			entry := division.Nodes[node]
+			if entry == nil || division.lends(node) {
+				continue
+			}
+			asked := float64(entry.Told) / float64(Whole) / ownHeadroom * t.Limit.Rate
+			m.flow(t.Name, now).add(asked*useHalfLife.Seconds()/math.Ln2, 0, now)
+		}
+	}
+}
+
+// Confirmed notes that the row returned by Next was written.
+func (d *Divider) Confirmed() { d.record, d.next = d.next, nil }
+
+// settle notes what nodes gave back: those that have what they were told last, and those
+// that are silent for so long that they use nothing.
+func (d *Divider) settle(next *Record, now time.Time) {
+	for _, division := range next.Tenants {
+		for node, entry := range division.Nodes {
+			heard := d.began
+			if m := d.nodes[node]; m != nil {
+				heard = m.heard
+				if m.has(entry.Since) {
+					entry.Bound = entry.Told
+				}
+			}
+			if now.Sub(heard) > Lifetime+silenceMargin {
+				entry.Bound, entry.Told = 0, 0
+			}
+			if entry.Bound == 0 && entry.Told == 0 {
+				delete(division.Nodes, node)
+			}
+		}
+	}
+}
+
+// divide moves a tenant's limit to where it is asked for. It returns whether that
+// changes the row.
+func (d *Divider) divide(t *tenant.Tenant, next *Record, now time.Time) bool {
+	division := next.division(t.Name)
+	changed := d.chooseLenders(t.Name, division, next.Version, now)
+	targets := d.targets(t, division, now)
+	for node, entry := range division.Nodes {
+		if off(entry.Told, targets[node]) && targets[node] < entry.Told {
+			entry.Told, entry.Since = targets[node], next.Version
+			changed = true
+		}
+	}
+	return d.raise(division, targets, next.Version) || changed
+}
+
+// off reports whether a part is so far from its target that it is changed.
+func off(part, target Part) bool {
+	return math.Abs(float64(target)-float64(part)) > hysteresis*float64(max(part, target))
+}
+
+// raise gives nodes more, as far as nobody may have it in force.
+func (d *Divider) raise(division *Division, targets map[string]Part, version Version) bool {
+	type wish struct {
+		node string
+		more Part
+	}
+	var wishes []wish
+	free := int64(Whole)
+	for _, entry := range division.Nodes {
+		free -= int64(entry.Bound)
+	}
+	changed := false
+	sum := int64(0)
+	for _, node := range slices.Sorted(maps.Keys(targets)) {
+		target := targets[node]
+		entry := division.Nodes[node]
+		if entry == nil {
+			entry = &Entry{}
+		}
+		if target <= entry.Told || !off(entry.Told, target) {
+			continue
+		}
+		if entry.Bound > entry.Told {
+			// It may still have more than it was told to have.
+			entry.Told, entry.Since = min(target, entry.Bound), version
+			changed = true
+		}
+		if target > entry.Bound {
+			wishes = append(wishes, wish{node: node, more: target - entry.Bound})
+			sum += int64(target - entry.Bound)
+		}
+	}
+	for _, w := range wishes {
+		given := Part(min(int64(w.more), free*int64(w.more)/sum))
+		if free <= 0 || given < leastPart {
+			continue
+		}
+		entry := division.node(w.node)
+		entry.Bound += given
+		entry.Told, entry.Since = entry.Bound, version
+		changed = true
+	}
+	return changed
+}
+
+// targets are the parts that nodes should have: their own where that is of use, and what
+// is left the lenders. What silent nodes may have in force is left to them.
+func (d *Divider) targets(t *tenant.Tenant, division *Division, now time.Time) map[string]Part {
+	targets := make(map[string]Part)
+	left := float64(Whole)
+	for node, entry := range division.Nodes {
+		if d.silent(node, now) {
+			targets[node] = entry.Told
+			left -= float64(entry.Bound)
+		}
+	}
+	own := d.ownParts(t, division, now)
+	sum := 0.0
+	for _, part := range own {
+		sum += part
+	}
+	scale := min(1, ownMost*left/max(sum, 1))
+	for node, part := range own {
+		targets[node] = Part(part * scale)
+		left -= part * scale
+	}
+	for _, lender := range division.Lenders {
+		if !d.silent(lender.Node, now) {
+			targets[lender.Node] = Part(left / float64(len(division.Lenders)))
+		}
+	}
+	return targets
+}
+
+// ownParts are the parts that nodes other than lenders can use themselves.
+func (d *Divider) ownParts(t *tenant.Tenant, division *Division, now time.Time) map[string]float64 {
+	cost, requests := 0.0, 0.0
+	asked := make(map[string]float64)
+	for node, m := range d.nodes {
+		used := m.used[t.Name]
+		if used == nil || d.silent(node, now) {
+			continue
+		}
+		perSecond := used.perSecond(now)
+		cost += used.cost
+		requests += used.requests
+		if !division.lends(node) {
+			asked[node] = perSecond
+		}
+	}
+	bucket := t.Limit.Bucket(d.tolerance)
+	least := ownRequests * cost / max(requests, 1) / bucket.Capacity * float64(Whole)
+	own := make(map[string]float64)
+	for node, perSecond := range asked {
+		part := min(ownHeadroom*perSecond/bucket.Rate, 1) * float64(Whole)
+		if part >= max(least, float64(leastPart)) {
+			own[node] = part
+		}
+	}
+	return own
+}
+
+// silent reports whether a node has not reported lately.
+func (d *Divider) silent(node string, now time.Time) bool {
+	m := d.nodes[node]
+	return m == nil || now.Sub(m.heard) > lenderSilence
+}
+
+// chooseLenders keeps a tenant's lenders while they report. The lenders of all tenants are
+// spread over the nodes with the most to spare.
+func (d *Divider) chooseLenders(name tenant.Name, division *Division, version Version, now time.Time) bool {
+	var lenders []Lender
+	for _, lender := range division.Lenders {
+		if !d.silent(lender.Node, now) {
+			lenders = append(lenders, Lender{Node: lender.Node, Address: d.nodes[lender.Node].address})
+		}
+	}
+	for _, node := range d.candidates(name, now) {
+		if len(lenders) == lenderCount {
+			break
+		}
+		if !slices.ContainsFunc(lenders, func(l Lender) bool { return l.Node == node }) {
+			lenders = append(lenders, Lender{Node: node, Address: d.nodes[node].address})
+		}
+	}
+	if len(lenders) == 0 || slices.Equal(lenders, division.Lenders) {
+		return false
+	}
+	division.Lenders, division.LendersSince = lenders, version
+	return true
+}
+
+// candidates lists the nodes that may lend, best first.
+func (d *Divider) candidates(name tenant.Name, now time.Time) []string {
+	var nodes []string
+	for node := range d.nodes {
+		if !d.silent(node, now) {
+			nodes = append(nodes, node)
+		}
+	}
+	slices.SortFunc(nodes, func(a, b string) int {
+		return cmp.Or(cmp.Compare(d.nodes[b].spare, d.nodes[a].spare), cmp.Compare(place(name, a), place(name, b)))
+	})
+	return nodes
+}
+
+// place is a node's place in a tenant's order of lenders (rendezvous hashing).
+func place(name tenant.Name, node string) uint64 {
+	return xxhash.Sum64String(string(name) + "/" + node)
+}
--- /dev/null
+++ b/internal/limit/keeper.go
@@ -0,0 +1,263 @@
+package limit
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"lilacvane/internal/tenant"
+)
+
+// longestDry bounds how long a lender's refusal is believed without asking it again:
+// its bucket fills, and other nodes ask for less.
+const longestDry = 200 * time.Millisecond
+
+// Keeper is a node's side of the limits. Its methods may be called concurrently.
+type Keeper struct {
+	now func() time.Time
+
+	mutex     sync.Mutex
+	tolerance tenant.Tolerance
+	version   Version
+	// validUntil is until when the shares are in force.
+	validUntil time.Time
+	accounts   map[tenant.Name]*account
+}
+
+// account is this node's part of one tenant's limit.
+type account struct {
+	part    Part
+	lenders []string
+	// level is what may be spent, as of at.
+	level float64
+	at    time.Time
+	// asked is what was asked since the last report, by so many requests, used all that
+	// was admitted.
+	asked    float64
+	requests int
+	used     float64
+	// dryUntil and dryCost are until when, and from which cost on, the lenders have
+	// nothing.
+	dryUntil time.Time
+	dryCost  float64
+	// next is the lender that is asked first next time.
+	next int
+}
+
+// NewKeeper returns a keeper without any share.
+func NewKeeper(tolerance tenant.Tolerance, now func() time.Time) *Keeper {
+	return &Keeper{now: now, tolerance: tolerance, accounts: make(map[tenant.Name]*account)}
+}
+
+// SetTolerance changes by how much use may pass limits.
+func (k *Keeper) SetTolerance(tolerance tenant.Tolerance) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.tolerance = tolerance
+}
+
+// Ask notes that a request of the cost was asked for; it moves shares to this node.
+func (k *Keeper) Ask(t *tenant.Tenant, cost float64) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	a := k.account(t.Name)
+	a.asked += cost
+	a.requests++
+}
+
+// Spend takes the cost from this node's share. Where that does not suffice, in is the
+// time until it does if nothing else is spent, never when it cannot.
+func (k *Keeper) Spend(t *tenant.Tenant, cost float64) (ok bool, in time.Duration) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.expire()
+	a := k.account(t.Name)
+	rate := k.refill(a, t)
+	if cost <= a.level {
+		a.level -= cost
+		a.used += cost
+		return true, 0
+	}
+	if cost > a.capacity(t.Limit.Bucket(k.tolerance)) || rate <= 0 {
+		return false, Never
+	}
+	return false, time.Duration((cost - a.level) / rate * float64(time.Second))
+}
+
+// Never is the time until something that cannot be.
+const Never = 24 * time.Hour
+
+// Fits reports whether the whole of a limit is ever enough for the cost.
+func (k *Keeper) Fits(t *tenant.Tenant, cost float64) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return cost <= t.Limit.Bucket(k.tolerance).Capacity
+}
+
+// Lenders returns who may spend for this node, in the order in which to ask: each is the
+// first in turn. dry is above zero when they said a moment ago that they cannot.
+func (k *Keeper) Lenders(t *tenant.Tenant, cost float64) (addresses []string, dry time.Duration) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	a := k.account(t.Name)
+	if left := a.dryUntil.Sub(k.now()); left > 0 && cost >= a.dryCost {
+		return nil, left
+	}
+	count := len(a.lenders)
+	for i := range count {
+		addresses = append(addresses, a.lenders[(a.next+i)%count])
+	}
+	a.next++
+	return addresses, 0
+}
+
+// Refused notes that the lenders have nothing for the cost until in.
+func (k *Keeper) Refused(t *tenant.Tenant, cost float64, in time.Duration) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	a := k.account(t.Name)
+	a.dryUntil, a.dryCost = k.now().Add(min(in, longestDry)), cost
+}
+
+// Report returns what was asked since the last report, and the version of the shares in
+// force. Restore gives it back when the report was not delivered.
+func (k *Keeper) Report() (Version, []Use) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.expire()
+	var uses []Use
+	for _, name := range slices.Sorted(maps.Keys(k.accounts)) {
+		if a := k.accounts[name]; a.asked > 0 {
+			uses = append(uses, Use{Tenant: name, Cost: a.asked, Requests: a.requests})
+			a.asked, a.requests = 0, 0
+		}
+	}
+	return k.version, uses
+}
+
+// Restore takes back what a report that was not delivered told.
+func (k *Keeper) Restore(uses []Use) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for _, use := range uses {
+		a := k.account(use.Tenant)
+		a.asked += use.Cost
+		a.requests += use.Requests
+	}
+}
+
+// Apply takes over a grant. sent is when the report was sent that it answers: a divider
+// that lost touch since counts the shares as unused from Lifetime after its answer on.
+func (k *Keeper) Apply(grant Grant, sent time.Time) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.expire()
+	if grant.Version < k.version {
+		return
+	}
+	switch {
+	case !grant.Same:
+		k.setShares(grant.Shares)
+	case k.version == 0:
+		// They expired while the divider answered.
+		return
+	}
+	k.version = grant.Version
+	if until := sent.Add(Lifetime); until.After(k.validUntil) {
+		k.validUntil = until
+	}
+}
+
+// setShares replaces all shares. What is at hand stays, as far as the new share holds
+// it; a larger share fills by its rate. mutex is held.
+func (k *Keeper) setShares(shares []Share) {
+	told := make(map[tenant.Name]Share, len(shares))
+	for _, share := range shares {
+		told[share.Tenant] = share
+		k.account(share.Tenant)
+	}
+	for name, a := range k.accounts {
+		a.nextPart(told[name].Part, k.now())
+		a.lenders = told[name].Lenders
+	}
+}
+
+// nextPart changes the part. Nothing is filled up for the time before: the rate of that
+// time is not known here, and less is on the safe side.
+func (a *account) nextPart(part Part, now time.Time) {
+	if a.part == part {
+		return
+	}
+	if a.part > 0 && part < a.part {
+		a.level *= float64(part) / float64(a.part)
+	}
+	a.part, a.at = part, now
+}
+
+// expire drops the shares when no divider was heard for too long. mutex is held.
+func (k *Keeper) expire() {
+	if k.version == 0 || k.now().Before(k.validUntil) {
+		return
+	}
+	k.version = 0
+	for _, a := range k.accounts {
+		a.part, a.level = 0, 0
+	}
+}
+
+// refill brings an account's level up to date and returns its rate. mutex is held.
+func (k *Keeper) refill(a *account, t *tenant.Tenant) (rate float64) {
+	bucket := t.Limit.Bucket(k.tolerance)
+	now := k.now()
+	rate = bucket.Rate * float64(a.part) / float64(Whole)
+	a.level = min(a.level+rate*now.Sub(a.at).Seconds(), a.capacity(bucket))
+	a.at = now
+	return rate
+}
+
+func (a *account) capacity(bucket tenant.Bucket) float64 {
+	return bucket.Capacity * float64(a.part) / float64(Whole)
+}
+
+// account returns a tenant's account. mutex is held.
+func (k *Keeper) account(name tenant.Name) *account {
+	a := k.accounts[name]
+	if a == nil {
+		a = &account{at: k.now()}
+		k.accounts[name] = a
+	}
+	return a
+}
+
+// Forget drops the accounts of tenants that are no more.
+func (k *Keeper) Forget(known func(tenant.Name) bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	maps.DeleteFunc(k.accounts, func(name tenant.Name, _ *account) bool { return !known(name) })
+}
+
+// Status is a tenant's account at this node.
+type Status struct {
+	Tenant tenant.Name
+	// Part is the node's part, 0 to 1, Level what it may spend, Used all that it has
+	// admitted.
+	Part  float64
+	Level float64
+	Used  float64
+	// Lenders are who spends for the node.
+	Lenders []string
+}
+
+// Statuses lists the accounts by tenant.
+func (k *Keeper) Statuses() []Status {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.expire()
+	list := make([]Status, 0, len(k.accounts))
+	for _, name := range slices.Sorted(maps.Keys(k.accounts)) {
+		a := k.accounts[name]
+		list = append(list, Status{Tenant: name, Part: float64(a.part) / float64(Whole), Level: a.level, Used: a.used, Lenders: a.lenders})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,197 @@
+package limit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lilacvane/internal/tenant"
+)
+
+// fleet is a model of nodes, of the row and of one divider at a time, with messages that
+// are lost and processes that are started again.
+type fleet struct {
+	t         *rapid.T
+	now       time.Time
+	tolerance tenant.Tolerance
+	tenants   []*tenant.Tenant
+	nodes     []*node
+	processes int
+	row       *Record
+	divider   *Divider
+	// spent lists what was spent, by tenant.
+	spent map[tenant.Name][]spending
+}
+
+type node struct {
+	name    string
+	process string
+	keeper  *Keeper
+	// old is a report of this node that may come late.
+	old *Report
+}
+
+type spending struct {
+	at   time.Time
+	cost float64
+}
+
+func newFleet(t *rapid.T, nodes int) *fleet {
+	f := &fleet{
+		t: t, now: time.Unix(1000, 0), tolerance: tenant.Tolerance{Window: 8 * time.Second, Share: 0.1, Slack: 50}, spent: make(map[tenant.Name][]spending),
+		tenants: []*tenant.Tenant{{Name: "a", Limit: tenant.Limit{Rate: 100, Burst: 100}}, {Name: "b", Limit: tenant.Limit{Rate: 10, Burst: 3}}},
+	}
+	for i := range nodes {
+		f.nodes = append(f.nodes, &node{name: fmt.Sprintf("n%d", i)})
+		f.restart(f.nodes[i])
+	}
+	f.takeOver()
+	return f
+}
+
+func (f *fleet) clock() time.Time { return f.now }
+
+func (f *fleet) restart(n *node) {
+	f.processes++
+	n.process = fmt.Sprintf("p%d", f.processes)
+	n.keeper = NewKeeper(f.tolerance, f.clock)
+}
+
+// takeOver lets a new divider go on from the row.
+func (f *fleet) takeOver() {
+	f.row = Begin(f.readRow())
+	f.divider = NewDivider(f.row.clone(), f.tolerance, f.now)
+}
+
+func (f *fleet) readRow() *Record {
+	if f.row == nil {
+		return NewRecord()
+	}
+	return f.row.clone()
+}
+
+func (f *fleet) report(n *node, lost, answerLost bool) {
+	version, asked := n.keeper.Report()
+	report := Report{Node: n.name, Process: n.process, Address: n.name, Spare: 1, Version: version, Asked: asked}
+	n.old = &report
+	if lost {
+		n.keeper.Restore(asked)
+		return
+	}
+	sent := f.now
+	grant := f.divider.Report(report, f.now)
+	if !answerLost {
+		n.keeper.Apply(grant, sent)
+	}
+}
+
+// divide lets the divider write its row. A write may fail, and may be done all the same.
+func (f *fleet) divide(done, told bool) {
+	next := f.divider.Next(f.tenants, f.now)
+	if next == nil {
+		return
+	}
+	if done {
+		f.row = next.clone()
+	}
+	if done && told {
+		f.divider.Confirmed()
+		return
+	}
+	f.takeOver()
+}
+
+func (f *fleet) spend(n *node, t *tenant.Tenant, cost float64) {
+	n.keeper.Ask(t, cost)
+	ok, _ := n.keeper.Spend(t, cost)
+	addresses, _ := n.keeper.Lenders(t, cost)
+	for _, address := range addresses {
+		for _, lender := range f.nodes {
+			if !ok && lender.name == address {
+				ok, _ = lender.keeper.Spend(t, cost)
+			}
+		}
+	}
+	if ok {
+		f.spent[t.Name] = append(f.spent[t.Name], spending{at: f.now, cost: cost})
+	}
+}
+
+// check compares with the reference: the parts in force are no more than the whole, and
+// what was spent in each window is no more than the undivided bucket lets through.
+func (f *fleet) check() {
+	for _, t := range f.tenants {
+		sum := 0.0
+		for _, n := range f.nodes {
+			for _, status := range n.keeper.Statuses() {
+				if status.Tenant == t.Name {
+					sum += status.Part
+				}
+			}
+		}
+		assert.Assert(f.t, sum <= 1+1e-9, "parts of %s in force: %g", t.Name, sum)
+		assert.Assert(f.t, f.divider.record.Check())
+		bucket := t.Limit.Bucket(f.tolerance)
+		most := bucket.Capacity + bucket.Rate*f.tolerance.Window.Seconds()
+		list := f.spent[t.Name]
+		first, total := 0, 0.0
+		for _, s := range list {
+			total += s.cost
+			for s.at.Sub(list[first].at) > f.tolerance.Window {
+				total -= list[first].cost
+				first++
+			}
+			assert.Assert(f.t, total <= most+1e-6, "%g of %s spent in a window, at most %g", total, t.Name, most)
+		}
+	}
+}
+
+// TestLimitIsNeverPassed: whatever the order of spending, reports, losses, restarts and
+// changes of divider, all nodes together keep each limit in each window.
+func TestLimitIsNeverPassed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, rapid.IntRange(1, 6).Draw(t, "nodes"))
+		anyNode := rapid.SampledFrom(f.nodes)
+		anyTenant := rapid.SampledFrom(f.tenants)
+		t.Repeat(map[string]func(*rapid.T){
+			"pass": func(t *rapid.T) {
+				f.now = f.now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+			},
+			"silence": func(t *rapid.T) {
+				f.now = f.now.Add(time.Duration(rapid.IntRange(1, 25).Draw(t, "s")) * time.Second)
+			},
+			"report": func(t *rapid.T) { f.report(anyNode.Draw(t, "node"), false, false) },
+			"report all": func(t *rapid.T) {
+				for _, n := range f.nodes {
+					f.report(n, false, false)
+				}
+			},
+			"report lost":          func(t *rapid.T) { f.report(anyNode.Draw(t, "node"), true, false) },
+			"report's answer lost": func(t *rapid.T) { f.report(anyNode.Draw(t, "node"), false, true) },
+			"late report": func(t *rapid.T) {
+				if n := anyNode.Draw(t, "node"); n.old != nil {
+					f.divider.Report(*n.old, f.now)
+				}
+			},
+			"divide":              func(*rapid.T) { f.divide(true, true) },
+			"divide again":        func(*rapid.T) { f.divide(true, true) },
+			"write refused":       func(*rapid.T) { f.divide(false, false) },
+			"write's answer lost": func(*rapid.T) { f.divide(true, false) },
+			"restart":             func(t *rapid.T) { f.restart(anyNode.Draw(t, "node")) },
+			"new divider":         func(*rapid.T) { f.takeOver() },
+			"spend": func(t *rapid.T) {
+				f.spend(anyNode.Draw(t, "node"), anyTenant.Draw(t, "tenant"), rapid.Float64Range(0, 60).Draw(t, "cost"))
+			},
+			"spend much": func(t *rapid.T) {
+				n, owner := anyNode.Draw(t, "node"), anyTenant.Draw(t, "tenant")
+				for range 30 {
+					f.spend(n, owner, owner.Limit.Rate/20)
+				}
+			},
+			"": func(*rapid.T) { f.check() },
+		})
+	})
+}
--- /dev/null
+++ b/internal/node/limits.go
@@ -0,0 +1,300 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"lilacvane/internal/config"
+	"lilacvane/internal/dispatch"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/limit"
+	"lilacvane/internal/peer"
+	"lilacvane/internal/settings"
+	"lilacvane/internal/table"
+	"lilacvane/internal/tenant"
+	"lilacvane/internal/wire"
+)
+
+const (
+	// divisionKey is the row that holds how limits are divided.
+	divisionKey = "division"
+	// divideInterval is how often parts are moved: a tenant that asks at other nodes than
+	// before has its parts there within two of these, and goes by its lender till then.
+	divideInterval = 700 * time.Millisecond
+	// divideTimeout bounds a call to the store.
+	divideTimeout = 800 * time.Millisecond
+	// spendTimeout bounds the question to a lender: it answers within 5 ms in another
+	// zone, and later only when its machine is at its limit.
+	spendTimeout = 250 * time.Millisecond
+)
+
+// limits are this node's part in the limits that all nodes share. The holder of one
+// service's control lease divides them.
+type limits struct {
+	node    *Node
+	keeper  *limit.Keeper
+	rows    table.Table
+	service atomic.Pointer[string]
+	log     logr.Logger
+
+	mutex sync.Mutex
+	// divider is set while this node divides limits; revision is that of the row it works
+	// on, and used by run alone.
+	divider  *limit.Divider
+	revision uint64
+}
+
+func newLimits(n *Node, s settings.Limits) *limits {
+	l := &limits{node: n, keeper: limit.NewKeeper(tolerance(s), time.Now), rows: n.platform.Limits, log: n.log.Logger}
+	none := ""
+	l.service.Store(&none)
+	peer.Handle(n.peers, wire.MethodSpend, l.spend)
+	return l
+}
+
+func tolerance(s settings.Limits) tenant.Tolerance {
+	return tenant.Tolerance{Window: s.Window, Share: s.Share, Slack: s.Slack}
+}
+
+// follow takes over a configuration: the first service of engines, by name, is the one
+// whose holder divides limits.
+func (l *limits) follow(configuration *config.Configuration) {
+	first := ""
+	for name, service := range configuration.Services {
+		if service.Engine != nil && (first == "" || name < first) {
+			first = name
+		}
+	}
+	limited := limitedTenants(configuration)
+	if len(limited) == 0 {
+		first = ""
+	} else if first == "" {
+		l.log.Error(fault.New(fault.CodeInvalid, "divide limits", "no service of engines, whose holder would divide them"), "limits are not kept", "tenants", len(limited))
+	}
+	l.service.Store(&first)
+	l.keeper.Forget(func(name tenant.Name) bool {
+		_, known := configuration.Tenants.Find(name)
+		return known
+	})
+}
+
+// limitedTenants lists the tenants that have a limit.
+func limitedTenants(configuration *config.Configuration) []*tenant.Tenant {
+	var limited []*tenant.Tenant
+	for _, name := range configuration.Tenants.Names() {
+		if t, _ := configuration.Tenants.Find(name); t.Limit.Limited() {
+			limited = append(limited, t)
+		}
+	}
+	return limited
+}
+
+// of returns the part of the limits that travels with the demand of a service.
+func (l *limits) of(service string) serviceLimits { return serviceLimits{limits: l, service: service} }
+
+// serviceLimits are a node's reports on limits to the holder of one service.
+type serviceLimits struct {
+	limits  *limits
+	service string
+}
+
+// Report returns what to tell; nil when another service's holder divides limits.
+func (s serviceLimits) Report() *wire.LimitReport {
+	if *s.limits.service.Load() != s.service {
+		return nil
+	}
+	version, asked := s.limits.keeper.Report()
+	return &wire.LimitReport{Process: s.limits.node.process, Version: version, Asked: asked}
+}
+
+// Undelivered takes back a report that got no answer.
+func (s serviceLimits) Undelivered(report *wire.LimitReport) { s.limits.keeper.Restore(report.Asked) }
+
+// Apply takes over the answer to a report sent then.
+func (s serviceLimits) Apply(grant *limit.Grant, sent time.Time) { s.limits.keeper.Apply(*grant, sent) }
+
+// divide answers a node's report; nil while this node does not divide.
+func (l *limits) divide(report limit.Report) *limit.Grant {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.divider == nil {
+		return nil
+	}
+	grant := l.divider.Report(report, time.Now())
+	return &grant
+}
+
+// run divides limits whenever this node holds the lease, until ctx ends.
+func (l *limits) run(ctx context.Context) {
+	ticker := time.NewTicker(divideInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := l.step(ctx); err != nil {
+			l.log.Info("limits not divided anew", "error", err.Error())
+		}
+	}
+}
+
+// step moves parts once.
+func (l *limits) step(ctx context.Context) error {
+	control := l.node.controls.get(*l.service.Load())
+	if control == nil || !control.lessor.Acting() {
+		l.mutex.Lock()
+		l.divider = nil
+		l.mutex.Unlock()
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, divideTimeout)
+	defer cancel()
+	if l.divider == nil {
+		return l.begin(ctx)
+	}
+	l.mutex.Lock()
+	next := l.divider.Next(limitedTenants(l.node.configuration.Load()), time.Now())
+	l.mutex.Unlock()
+	if next == nil {
+		return nil
+	}
+	err := l.write(ctx, next)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if err != nil {
+		// Whether it was written is not known: the next step begins anew.
+		l.divider = nil
+		return err
+	}
+	l.divider.Confirmed()
+	return nil
+}
+
+// begin reads the row and goes on from it once that was confirmed by a write.
+func (l *limits) begin(ctx context.Context) error {
+	record, err := l.read(ctx)
+	if err != nil {
+		return err
+	}
+	begun := limit.Begin(record)
+	if err := l.write(ctx, begun); err != nil {
+		return err
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.divider = limit.NewDivider(begun, tolerance(l.node.settings.Load().Limits), time.Now())
+	l.log.Info("division of limits begun", "version", begun.Version, "tenants", len(begun.Tenants))
+	return nil
+}
+
+// read reads the row; an empty record when there is none.
+func (l *limits) read(ctx context.Context) (*limit.Record, error) {
+	row, err := l.rows.Get(ctx, divisionKey)
+	if err != nil {
+		return nil, err
+	}
+	record := limit.NewRecord()
+	l.revision = row.Revision
+	if row.Revision == 0 {
+		return record, nil
+	}
+	if err := wire.Decode(row.Value, "store", record); err != nil {
+		return nil, err
+	}
+	if !record.Check() {
+		return nil, fault.New(fault.CodeInvalid, "read division of limits", "parts add up to more than the whole")
+	}
+	return record, nil
+}
+
+// write writes the row on condition that nobody else did.
+func (l *limits) write(ctx context.Context, record *limit.Record) error {
+	content, err := wire.Encode(record)
+	if err != nil {
+		return err
+	}
+	l.revision, err = l.rows.Commit(ctx, table.Transaction{
+		Conditions: []table.Condition{{Key: divisionKey, Revision: l.revision}},
+		Writes:     []table.Write{{Key: divisionKey, Value: content}},
+	})
+	return err
+}
+
+// spend answers a node whose own share does not suffice.
+func (l *limits) spend(_ context.Context, request wire.SpendRequest) (wire.SpendResponse, error) {
+	configuration := l.node.configuration.Load()
+	if configuration == nil {
+		return wire.SpendResponse{}, fault.New(fault.CodeNotReady, wire.MethodSpend, "no configuration is known yet")
+	}
+	t, known := configuration.Tenants.Find(request.Tenant)
+	if !known || request.Cost < 0 {
+		return wire.SpendResponse{}, fault.New(fault.CodeInvalid, wire.MethodSpend, "tenant %q, cost %g", request.Tenant, request.Cost)
+	}
+	ok, in := l.keeper.Spend(t, request.Cost)
+	return wire.SpendResponse{Spent: ok, InMs: in.Milliseconds()}, nil
+}
+
+// Admit decides whether a request is within its tenant's limit: by this node's share, or
+// else by the lender's.
+func (l *limits) Admit(ctx context.Context, t *tenant.Tenant, cost float64) dispatch.Admission {
+	if !t.Limit.Limited() || *l.service.Load() == "" {
+		return dispatch.Admission{Verdict: dispatch.Within}
+	}
+	l.keeper.Ask(t, cost)
+	ok, in := l.keeper.Spend(t, cost)
+	if ok {
+		return dispatch.Admission{Verdict: dispatch.Within, By: l.node.settings.Load().Node}
+	}
+	if !l.keeper.Fits(t, cost) {
+		return dispatch.Admission{Verdict: dispatch.TooLarge}
+	}
+	lenders, dry := l.keeper.Lenders(t, cost)
+	if dry > 0 {
+		return dispatch.Admission{Verdict: dispatch.Over, In: min(in, dry)}
+	}
+	return l.askLenders(ctx, lenders, t, cost, in)
+}
+
+// askLenders lets another node spend; in is when this node's own share would suffice.
+func (l *limits) askLenders(ctx context.Context, lenders []string, t *tenant.Tenant, cost float64, in time.Duration) dispatch.Admission {
+	answered := false
+	self := l.node.settings.Load().Listen.PeerAddress()
+	for _, lender := range lenders {
+		if lender == self {
+			answered = true
+			continue
+		}
+		response, err := l.askLender(ctx, lender, wire.SpendRequest{Tenant: t.Name, Cost: cost})
+		if err != nil {
+			l.log.Info("lender did not answer", "tenant", string(t.Name), "peer", lender, "error", err.Error())
+			continue
+		}
+		if response.Spent {
+			return dispatch.Admission{Verdict: dispatch.Within, By: lender}
+		}
+		answered = true
+		in = min(in, time.Duration(response.InMs)*time.Millisecond)
+	}
+	if !answered {
+		return dispatch.Admission{Verdict: dispatch.NotKnown}
+	}
+	l.keeper.Refused(t, cost, in)
+	return dispatch.Admission{Verdict: dispatch.Over, In: in}
+}
+
+func (l *limits) askLender(ctx context.Context, lender string, request wire.SpendRequest) (response wire.SpendResponse, err error) {
+	ctx, cancel := context.WithTimeout(ctx, spendTimeout)
+	defer cancel()
+	err = l.node.client.Call(ctx, lender, wire.MethodSpend, request, &response)
+	return response, err
+}
+
+// statuses lists the shares of this node, for operators.
+func (l *limits) statuses() []limit.Status { return slices.Clone(l.keeper.Statuses()) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,10 +55,11 @@
 	// Runners is the table of runners by identifier.
 	Runners      feed.Source
 	DecodeRunner func(id string, content []byte) (backend.Runner, error)
-	// Objects, Leases and Claims are lilacvane's own tables.
+	// Objects, Leases, Claims and Limits are lilacvane's own tables.
 	Objects Table
 	Leases  table.Table
 	Claims  table.Table
+	Limits  table.Table
 	// Control orders runners.
 	Control backend.Control
 }
@@ -97,6 +98,7 @@
 	client        *peer.Client
 	figures       *figures
 	controls      *controls
+	limits        *limits
 	pauses        *pauseWatch
 	closing       context.Context
 	close         context.CancelFunc
@@ -129,12 +131,14 @@
 		Node: s.Node, Fleet: n.fleet, Pool: n.pool, Demand: n.demand, Names: platform.Headers,
 		Configuration: n.configuration.Load, Fresh: n.fresh, Retries: retryLimits(s.Retries), Report: platform.Control.Report, Log: log.Logger, Observe: n.observe, Closing: n.closing,
 	}
+	n.peers = peer.NewServer(s.Node)
+	n.limits = newLimits(n, s.Limits)
+	n.dispatcher.Limits = n.limits
 	n.ingress = ingress.New(platform.Headers, n.dispatcher, log.Logger)
 	n.gateway = gateway.New(gateway.Options{
 		Node: s.Node, Names: platform.Headers, Dispatcher: n.dispatcher, Configuration: n.configuration.Load, Claims: n.claims, Accept: n.accept,
 	})
 	n.operator = operator.New(n, n.catalog, s.Node, n.figures.handler())
-	n.peers = peer.NewServer(s.Node)
 	n.client = peer.NewClient(s.Node)
 	n.controls = newControls(n)
 	n.relay = relay.New(relay.Options{
@@ -204,6 +208,7 @@
 	work.Go(func() { n.pauses.run(background) })
 	work.Go(func() { n.watchSettings(background, reload, settingsPath) })
 	work.Go(func() { n.sweepClaims(background) })
+	work.Go(func() { n.limits.run(background) })
 	n.serve(open)
 	<-ctx.Done()
 	n.stop(s.Stop)
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -70,5 +70,6 @@
 		n.log.Error(err, "log level refused")
 	}
 	n.dispatcher.SetRetries(retryLimits(read.Retries))
+	n.limits.keeper.SetTolerance(tolerance(read.Limits))
 	n.log.Info("settings in force", "signalled", signalled)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,8 @@
 	Relay Relay `yaml:"relay"`
 	// Retries bounds repeated requests of a service over all nodes.
 	Retries Retries `yaml:"retries"`
+	// Limits says how exactly tenants' limits are kept.
+	Limits Limits `yaml:"limits"`
 	// Lease bounds who may order runners.
 	Lease Lease `yaml:"lease"`
 	// Stop bounds a planned stop.
@@ -134,6 +136,17 @@
 	Window time.Duration `yaml:"window"`
 }
 
+// Limits says how exactly tenants' limits are kept over all nodes: the use within any
+// Window may pass what the limit allows by Share of it and by Slack.
+type Limits struct {
+	// Window is the sliding window in which use is counted.
+	Window time.Duration `yaml:"window"`
+	// Share is a part of the limit, 0 to 1.
+	Share float64 `yaml:"share"`
+	// Slack is in the limit's unit: requests or tokens.
+	Slack float64 `yaml:"slack"`
+}
+
 // Lease bounds who may order runners.
 type Lease struct {
 	// TurnGap must lie between orders of two nodes.
@@ -175,6 +188,7 @@
 		TimeZone: "UTC",
 		Relay:    Relay{Scope: ScopeRegion},
 		Retries:  Retries{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		Limits:   Limits{Window: 10 * time.Second},
 		Lease:    Lease{TurnGap: 3 * time.Second},
 		Stop:     Stop{Grace: 8 * time.Second, Notice: 3 * time.Second},
 		Sleep:    Sleep{TailPower: 1, Limit: time.Hour},
@@ -230,6 +244,9 @@
 	check(s.Retries.Ratio >= 0 && s.Retries.Ratio <= 1, "retries.ratio: must be 0 to 1")
 	check(s.Retries.Slack >= 0, "retries.slack: must not be negative")
 	check(s.Retries.Window > 0, "retries.window: must be above zero")
+	check(s.Limits.Window > 0, "limits.window: must be above zero")
+	check(s.Limits.Share >= 0 && s.Limits.Share <= 1, "limits.share: must be 0 to 1")
+	check(s.Limits.Slack >= 0, "limits.slack: must not be negative")
 	check(s.Lease.TurnGap > 0, "lease.turnGap: must be above zero")
 	check(s.Stop.Grace > 0, "stop.grace: must be above zero")
 	check(s.Stop.Notice >= 0 && s.Stop.Notice < s.Stop.Grace, "stop.notice: must be less than stop.grace")
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -90,11 +90,12 @@
 	Capacity float64
 }
 
-// Bucket returns the largest token bucket that the tolerance allows.
+// Bucket returns the token bucket that the tolerance allows. It refills at the limit's
+// rate; all of the tolerance is room for requests that come together.
 func (l Limit) Bucket(t Tolerance) Bucket {
 	window := t.Window.Seconds()
 	total := (l.Rate*window+l.Burst)*(1+t.Share) + t.Slack
-	capacity := max(l.Burst*(1+t.Share)+t.Slack, leastBurst*total)
+	capacity := max(total-l.Rate*window, leastBurst*total)
 	return Bucket{Rate: (total - capacity) / window, Capacity: capacity}
 }
 
--- /dev/null
+++ b/internal/wire/limits.go
@@ -0,0 +1,35 @@
+package wire
+
+import (
+	"lilacvane/internal/limit"
+	"lilacvane/internal/tenant"
+)
+
+// LimitReport is what a node tells with its demand of the limits that all nodes share.
+type LimitReport struct {
+	// Process tells two processes of the node apart.
+	Process string `cbor:"1,keyasint"`
+	// Version is that of the shares the node has in force.
+	Version limit.Version `cbor:"2,keyasint,omitempty"`
+	// Asked is what was asked of each tenant's limit since the last report.
+	Asked []limit.Use `cbor:"3,keyasint,omitempty"`
+}
+
+// MethodSpend asks the lender of a tenant's limit to spend for a node whose own share does
+// not suffice.
+const MethodSpend = "limits/spend"
+
+// SpendRequest asks for the cost of one request.
+type SpendRequest struct {
+	Tenant tenant.Name `cbor:"1,keyasint"`
+	Cost   float64     `cbor:"2,keyasint"`
+}
+
+// SpendResponse is the lender's answer.
+type SpendResponse struct {
+	// Spent is set when the request may run.
+	Spent bool `cbor:"1,keyasint,omitempty"`
+	// InMs is otherwise the time until the lender's share holds the cost, in
+	// milliseconds.
+	InMs int64 `cbor:"2,keyasint,omitempty"`
+}
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -1,5 +1,7 @@
 package wire
 
+import "lilacvane/internal/limit"
+
 // MethodSync is the call by which a node tells the holder of a service's control
 // lease what its requests need, and learns what the runners hold.
 const MethodSync = "control/sync"
@@ -27,6 +29,8 @@
 	// Spare is the part, 0 to 1, that the node's machine has of what a holder should
 	// have (settings.Capacity).
 	Spare float64 `cbor:"13,keyasint,omitempty"`
+	// Limits is told with reports to the holder that divides limits.
+	Limits *LimitReport `cbor:"14,keyasint,omitempty"`
 }
 
 // UnitWaiting is what waits for a unit at the node.
@@ -86,6 +90,8 @@
 	// store (weightstore.Estimate), for the next holder to go on from.
 	StoreLimit    int     `cbor:"7,keyasint,omitempty"`
 	StoreCapacity float64 `cbor:"8,keyasint,omitempty"`
+	// Limits answers the request's.
+	Limits *limit.Grant `cbor:"16,keyasint,omitempty"`
 }
 
 // RunnerView is what a runner holds and what is being loaded there.
--- a/test/client_test.go
+++ b/test/client_test.go
@@ -24,6 +24,9 @@
 	Body     []byte
 	Events   int
 	Deadline time.Duration
+	// Key is the caller's key, Header more headers.
+	Key    string
+	Header http.Header
 }
 
 // clientAnswer is what a client saw. Whole is false when the answer ended early
@@ -71,6 +74,12 @@
 	request.Host = world.RouteHost
 	request.Header.Set(protocol.HeaderRequestID, c.ID)
 	request.Header.Set(protocol.HeaderDeadline, strconv.FormatInt(c.Deadline.Milliseconds(), 10))
+	for name, values := range c.Header {
+		request.Header[name] = values
+	}
+	if c.Key != "" {
+		request.Header.Set(protocol.HeaderKey, protocol.KeyScheme+" "+c.Key)
+	}
 	if c.Model != "" && (strings.HasPrefix(c.Path, "/draft/") || strings.HasPrefix(c.Path, "/reply/")) {
 		request.Header.Set(protocol.HeaderModel, c.Model)
 		request.Header.Set(protocol.HeaderTokens, "20,"+strconv.Itoa(max(c.Events, 1)))
--- /dev/null
+++ b/test/tenants_test.go
@@ -0,0 +1,219 @@
+package test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/lab/faultproxy"
+	"lilacvane/internal/lab/journal"
+	"lilacvane/internal/lab/world"
+	"lilacvane/internal/settings"
+	"lilacvane/platform/protocol"
+)
+
+// tenantOf is a tenant whose only key is its name with "-key".
+func tenantOf(name string, rate, burst float64) protocol.Tenant {
+	return protocol.Tenant{Name: name, APIKeys: []string{name + "-key"}, RatePerS: rate, Burst: burst}
+}
+
+// waitStatus waits until a request by key is answered with a status at each node.
+func waitStatus(t *testing.T, key string, status int, nodes ...*world.Node) {
+	t.Helper()
+	for _, node := range nodes {
+		waitUntil(t, fmt.Sprintf("key %q is answered with %d", key, status), func() error {
+			if got := send(t.Context(), node, clientRequest{Path: "/read/x", Key: key}); got.Status != status {
+				return fmt.Errorf("status %d at %s", got.Status, node.Name)
+			}
+			return nil
+		})
+	}
+}
+
+// TestKeysAreChecked: a request runs with its tenant's name and without its key; unknown,
+// missing and revoked keys do not run, and headers that are the system's to set do not
+// reach a runner as the client sent them.
+func TestKeysAreChecked(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	startMailers(t, w, 1)
+	nodes := startNodes(t, w, 2)
+	assert.NilError(t, w.ConfigureTenants([]protocol.Tenant{tenantOf("first", 0, 0), tenantOf("second", 0, 0)}))
+	waitStatus(t, "", http.StatusUnauthorized, nodes...)
+	forged := http.Header{protocol.HeaderTenant: {"second"}}
+	served := send(t.Context(), nodes[1], clientRequest{Path: "/read/x", Key: "first-key", Header: forged})
+	assert.Equal(t, served.Status, http.StatusOK)
+	assert.Equal(t, readHistory(t, w).runOf(served.ID).Tenant, "first")
+	unknown := send(t.Context(), nodes[0], clientRequest{Path: "/read/x", Key: "third-key"})
+	assert.Equal(t, unknown.Status, http.StatusUnauthorized)
+	assert.NilError(t, w.ConfigureTenants([]protocol.Tenant{tenantOf("second", 0, 0)}))
+	waitStatus(t, "first-key", http.StatusUnauthorized, nodes...)
+	waitStatus(t, "second-key", http.StatusOK, nodes...)
+	assert.Equal(t, readHistory(t, w).runOf(unknown.ID).Event, journal.Event(""))
+}
+
+// TestRevokedKeyBesideStoreThatTurnsANodeAway: a node that the store does not answer
+// learns of a revoked key from the others.
+func TestRevokedKeyBesideStoreThatTurnsANodeAway(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	startMailers(t, w, 1)
+	nodes := startNodes(t, w, 3)
+	assert.NilError(t, w.ConfigureTenants([]protocol.Tenant{tenantOf("first", 0, 0), tenantOf("second", 0, 0)}))
+	waitStatus(t, "first-key", http.StatusOK, nodes...)
+	nodes[2].StoreProxy.Block()
+	assert.NilError(t, w.ConfigureTenants([]protocol.Tenant{tenantOf("second", 0, 0)}))
+	waitStatus(t, "first-key", http.StatusUnauthorized, nodes...)
+}
+
+// runOf returns the record of a request's run; an empty one when it did not run.
+func (h history) runOf(id string) journal.Record {
+	for _, record := range h.records {
+		if record.Event == journal.EventRun && record.Request == id {
+			return record
+		}
+	}
+	return journal.Record{}
+}
+
+const (
+	hotRate   = 20.0
+	hotBurst  = 10.0
+	hotWindow = 2 * time.Second
+	hotShare  = 0.1
+)
+
+// exact counts the use of tenants' limits in short windows.
+func exact(s *settings.Settings) {
+	fast(s)
+	s.Limits = settings.Limits{Window: hotWindow, Share: hotShare}
+}
+
+// press sends requests of a tenant to a node, rate a second, until ctx ends, and tells
+// the status of each.
+func press(ctx context.Context, group *sync.WaitGroup, node *world.Node, key string, rate float64, told func(int)) {
+	group.Go(func() {
+		ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				group.Go(func() { told(send(context.WithoutCancel(ctx), node, clientRequest{Path: "/read/x", Key: key}).Status) })
+			}
+		}
+	})
+}
+
+// assertWithinLimit checks every window of a tenant's runs.
+func (h history) assertWithinLimit(t *testing.T, tenant string) (runs int) {
+	t.Helper()
+	most := int((hotRate*hotWindow.Seconds() + hotBurst) * (1 + hotShare))
+	var times []time.Time
+	for _, record := range h.records {
+		if record.Event == journal.EventRun && record.Tenant == tenant {
+			times = append(times, record.Time)
+		}
+	}
+	first := 0
+	for i, at := range times {
+		for at.Sub(times[first]) > hotWindow {
+			first++
+		}
+		assert.Assert(t, i-first+1 <= most, "%d runs of %s within %s, at most %d", i-first+1, tenant, hotWindow, most)
+	}
+	return len(times)
+}
+
+// TestHotTenantKeepsItsLimit: a tenant that asks for several times its limit, at few of
+// the nodes, gets about its limit and never more, also while nodes are killed, started
+// again, frozen and cut off from each other and the store; another one within its limit
+// loses nothing.
+func TestHotTenantKeepsItsLimit(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, func(o *world.Options) { o.Adjust = exact })
+	startMailers(t, w, 3)
+	nodes := startNodes(t, w, 4)
+	assert.NilError(t, w.ConfigureTenants([]protocol.Tenant{tenantOf("hot", hotRate, hotBurst), tenantOf("calm", hotRate, hotBurst)}))
+	waitStatus(t, "hot-key", http.StatusOK, nodes...)
+	waitStatus(t, "calm-key", http.StatusOK, nodes...)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	hot, calm := make(map[int]int), make(map[int]int)
+	count := func(counts map[int]int) func(int) {
+		return func(status int) {
+			mutex.Lock()
+			defer mutex.Unlock()
+			counts[status]++
+		}
+	}
+	press(ctx, &group, nodes[0], "hot-key", 2*hotRate, count(hot))
+	press(ctx, &group, nodes[1], "hot-key", 2*hotRate, count(hot))
+	press(ctx, &group, nodes[0], "calm-key", hotRate/6, count(calm))
+	press(ctx, &group, nodes[2], "calm-key", hotRate/6, count(calm))
+	time.Sleep(5 * time.Second)
+	mutex.Lock()
+	served, asked := hot[http.StatusOK], hot[http.StatusOK]+hot[http.StatusTooManyRequests]
+	lost := calm[http.StatusTooManyRequests] + calm[http.StatusServiceUnavailable]
+	mutex.Unlock()
+	assert.Assert(t, float64(served) > 0.7*hotRate*5, "%d of %d served", served, asked)
+	assert.Equal(t, lost, 0, "%v", calm)
+
+	nodes[1].Proxy.Set(faultproxy.Deaf)
+	time.Sleep(2 * time.Second)
+	nodes[1].Proxy.Heal()
+	nodes[3].Kill()
+	assert.NilError(t, w.RestartNode(nodes[3]))
+	press(ctx, &group, nodes[3], "hot-key", hotRate, count(hot))
+	time.Sleep(2 * time.Second)
+	assert.NilError(t, nodes[2].Freeze())
+	time.Sleep(2 * time.Second)
+	assert.NilError(t, nodes[2].Thaw())
+	cancel()
+	group.Wait()
+	runs := readHistory(t, w).assertWithinLimit(t, "hot")
+	readHistory(t, w).assertWithinLimit(t, "calm")
+	assert.Assert(t, runs >= served)
+}
+
+// TestLimitedRequestsAreTold: what is over a limit is refused with the time to come back,
+// what could never be within it too, and counts that cannot be read are an error.
+func TestLimitedRequestsAreTold(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, func(o *world.Options) { o.Adjust = exact })
+	startMailers(t, w, 1)
+	nodes := startNodes(t, w, 1)
+	words := tenantOf("words", 100, 100)
+	words.Unit, words.RawTokens = protocol.UnitToken, 1
+	assert.NilError(t, w.ConfigureTenants([]protocol.Tenant{words}))
+	waitStatus(t, "words-key", http.StatusOK, nodes...)
+	ask := func(tokens string) clientAnswer {
+		return send(t.Context(), nodes[0], clientRequest{Path: "/read/x", Key: "words-key", Header: http.Header{protocol.HeaderTokens: {tokens}}})
+	}
+	for _, tokens := range []string{"-1,2", "x", "1e3,5", "99999999999999999999,1", ""} {
+		assert.Equal(t, ask(tokens).Status, http.StatusBadRequest, "%q", tokens)
+	}
+	tooLarge := ask("100000,1")
+	assert.Equal(t, tooLarge.Status, http.StatusTooManyRequests)
+	waitUntil(t, "the limit is used up", func() error {
+		got := ask("30,10")
+		if got.Status != http.StatusTooManyRequests {
+			return errors.New("still served")
+		}
+		seconds, err := strconv.ParseFloat(got.Retry, 64)
+		assert.NilError(t, err)
+		assert.Assert(t, seconds > 0 && seconds < 2, "%s", got.Retry)
+		return nil
+	})
+}
