Tenants as operators' objects, keys on the command line, a moment's wait for a limit

Change: Tenant objects with digests of keys, lilacvane tenant list, add, rotate and revoke, keys of chat calls, GET /v1/tenants; a request waits for its limit as long as a refusal costs its client little.

--- a/internal/api/objects.go
+++ b/internal/api/objects.go
@@ -22,10 +22,11 @@
 	KindDrain   Kind = "Drain"
 	KindService Kind = "Service"
 	KindRoute   Kind = "Route"
+	KindTenant  Kind = "Tenant"
 )
 
 // Kinds lists all kinds.
-var Kinds = []Kind{KindModel, KindVersion, KindAdapter, KindPolicy, KindDrain, KindService, KindRoute}
+var Kinds = []Kind{KindModel, KindVersion, KindAdapter, KindPolicy, KindDrain, KindService, KindRoute, KindTenant}
 
 // Model is a model that callers can name. Replicas is the number of replicas
 // decided for it: at most that many are ever loaded.
@@ -134,6 +135,8 @@
 	Priority int `json:"priority,omitempty"`
 	// Attempts is the largest number of runners a request may run at.
 	Attempts int `json:"attempts"`
+	// Public routes need no key.
+	Public bool `json:"public,omitempty"`
 	// Backends share the requests by weight.
 	Backends []Backend `json:"backends"`
 }
@@ -144,6 +147,41 @@
 	Weight  int    `json:"weight"`
 }
 
+// Tenant is a caller with keys of its own. Once there is one, requests need a key that a
+// tenant holds, but for those on public routes.
+type Tenant struct {
+	// Priority goes before that of routes; 0 is served first.
+	Priority int `json:"priority,omitempty"`
+	// Limit is what it may use over all nodes together; without one there is none.
+	Limit *TenantLimit `json:"limit,omitempty"`
+	Keys  []TenantKey  `json:"keys,omitempty"`
+}
+
+// The units of a TenantLimit.
+const (
+	UnitRequests = "requests"
+	UnitTokens   = "tokens"
+)
+
+// TenantLimit bounds what a tenant uses.
+type TenantLimit struct {
+	// Unit is requests or tokens.
+	Unit string `json:"unit"`
+	// Rate is units a second, Burst what may be used on top at once.
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst,omitempty"`
+	// PlainCost is what a request without token counts costs, in tokens.
+	PlainCost float64 `json:"plainCost,omitempty"`
+}
+
+// TenantKey is a key, known by its digest only.
+type TenantKey struct {
+	// ID names the key to operators.
+	ID string `json:"id"`
+	// SHA256 is the digest of the key, in hexadecimal digits.
+	SHA256 string `json:"sha256"`
+}
+
 // Object is a named, versioned record of the configuration. Spec is the JSON of
 // the type its Kind names.
 type Object struct {
--- a/internal/api/validate.go
+++ b/internal/api/validate.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"regexp"
 	"slices"
 	"strings"
 
@@ -33,6 +35,8 @@
 		return validateSpec(object, validateService)
 	case KindRoute:
 		return validateSpec(object, validateRoute)
+	case KindTenant:
+		return validateSpec(object, validateTenant)
 	default:
 		return validateSpec(object, validateDrain)
 	}
@@ -165,3 +169,47 @@
 	}
 	return ""
 }
+
+// digestPattern is that of a SHA-256 digest in hexadecimal digits.
+var digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// maximumKeys bounds a tenant's keys.
+const maximumKeys = 64
+
+func validateTenant(t Tenant) string {
+	switch {
+	case t.Priority < 0:
+		return "priority must not be negative"
+	case len(t.Keys) > maximumKeys:
+		return "keys: at most 64"
+	}
+	for i, key := range t.Keys {
+		if !ValidName(key.ID) {
+			return fmt.Sprintf("keys[%d].id must be a name", i)
+		}
+		if !digestPattern.MatchString(key.SHA256) {
+			return fmt.Sprintf("keys[%d].sha256 must be 64 hexadecimal digits", i)
+		}
+		if slices.ContainsFunc(t.Keys[:i], func(k TenantKey) bool { return k.ID == key.ID || k.SHA256 == key.SHA256 }) {
+			return fmt.Sprintf("keys[%d] is there twice", i)
+		}
+	}
+	return validateLimit(t.Limit)
+}
+
+func validateLimit(l *TenantLimit) string {
+	switch {
+	case l == nil:
+		return ""
+	case l.Unit != UnitRequests && l.Unit != UnitTokens:
+		return "limit.unit must be requests or tokens"
+	case l.Rate <= 0:
+		return "limit.rate must be above 0"
+	case l.Burst < 0:
+		return "limit.burst must not be negative"
+	case l.PlainCost < 0:
+		return "limit.plainCost must not be negative"
+	default:
+		return ""
+	}
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -32,6 +32,7 @@
 	Explain explainCommand `cmd:"" help:"Tell why: of a model, a replica's runner or a request."`
 	Status  statusCommand  `cmd:"" help:"Show the fleet as a node sees it."`
 	Runners runnersCommand `cmd:"" help:"Show runners and what they hold."`
+	Tenant  tenantCommand  `cmd:"" help:"Show tenants and their use; add, rotate and revoke their keys."`
 }
 
 // target is shared by the commands that call a node.
--- a/internal/command/objects.go
+++ b/internal/command/objects.go
@@ -152,7 +152,7 @@
 
 type getCommand struct {
 	target
-	Kind string `arg:"" help:"Model, Version, Adapter, Policy, Drain, Service or Route."`
+	Kind string `arg:"" help:"Model, Version, Adapter, Policy, Drain, Service, Route or Tenant."`
 	Name string `arg:"" optional:"" help:"Name; all of the kind without one."`
 }
 
--- a/internal/config/compose.go
+++ b/internal/config/compose.go
@@ -6,6 +6,7 @@
 	"lilacvane/internal/api"
 	"lilacvane/internal/backend"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/tenant"
 )
 
 const (
@@ -47,6 +48,10 @@
 	}
 	each(c, objects(api.KindService), c.service)
 	each(c, objects(api.KindRoute), c.route)
+	if tenants := objects(api.KindTenant); len(tenants) > 0 {
+		c.result.Tenants = c.result.Tenants.Clone()
+		each(c, tenants, c.tenant)
+	}
 	c.listedModels()
 	versions := make(map[string]api.Version)
 	each(c, objects(api.KindVersion), func(name string, version api.Version) error {
@@ -102,7 +107,7 @@
 	route := Route{
 		Name: name, Host: spec.Host, PathPrefix: spec.PathPrefix, Kind: Kind(spec.Kind), Resumable: spec.Resumable,
 		Timeout: seconds(spec.TimeoutSeconds), Objective: seconds(spec.ObjectiveSeconds), PauseObjective: seconds(spec.PauseObjectiveSeconds),
-		Priority: spec.Priority, Attempts: spec.Attempts,
+		Priority: spec.Priority, Attempts: spec.Attempts, Public: spec.Public,
 	}
 	for _, part := range spec.Backends {
 		route.Backends = append(route.Backends, Backend{Service: part.Service, Weight: part.Weight})
@@ -114,6 +119,25 @@
 	return nil
 }
 
+// tenant adds a tenant; one of the base's name or with a key of another one is left out.
+func (c *composer) tenant(name string, spec api.Tenant) error {
+	added := tenant.Tenant{Name: tenant.Name(name), Priority: spec.Priority}
+	if l := spec.Limit; l != nil {
+		added.Limit = tenant.Limit{Rate: l.Rate, Burst: l.Burst, PlainCost: l.PlainCost}
+		if l.Unit == api.UnitTokens {
+			added.Limit.Unit = tenant.Tokens
+		}
+	}
+	for _, key := range spec.Keys {
+		digest, err := tenant.ParseDigest(key.SHA256)
+		if err != nil {
+			return err
+		}
+		added.Keys = append(added.Keys, digest)
+	}
+	return c.result.Tenants.Add(added)
+}
+
 // listedModels lets callers name the models that the base lists.
 func (c *composer) listedModels() {
 	for name, service := range c.result.Services {
--- a/internal/dispatch/caller_test.go
+++ b/internal/dispatch/caller_test.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -72,3 +74,80 @@
 	first.route.Priority, second.route.Priority = 9, 0
 	assert.Assert(t, first.priority() < second.priority())
 }
+
+// limiter answers with its admissions in turn.
+type limiter struct {
+	admissions []Admission
+	asked      float64
+	cost       float64
+}
+
+func (l *limiter) Ask(_ *tenant.Tenant, cost float64) { l.asked += cost }
+
+func (l *limiter) Admit(_ context.Context, _ *tenant.Tenant, cost float64) Admission {
+	l.cost = cost
+	next := l.admissions[0]
+	if len(l.admissions) > 1 {
+		l.admissions = l.admissions[1:]
+	}
+	return next
+}
+
+func limitedJob(l *limiter, request *Request) *job {
+	request.Arrived = time.Now()
+	return &job{
+		dispatcher: &Dispatcher{Limits: l}, request: request, route: &config.Route{Objective: time.Second},
+		tenant: &tenant.Tenant{Name: "t", Limit: tenant.Limit{Unit: tenant.Tokens, Rate: 10, PlainCost: 3}},
+	}
+}
+
+// TestLimitIsCharged: each request is asked for once and costs its tokens, or what one
+// without counts costs.
+func TestLimitIsCharged(t *testing.T) {
+	l := &limiter{admissions: []Admission{{Verdict: NotKnown}, {Verdict: Within}}}
+	assert.NilError(t, limitedJob(l, &Request{TokensIn: 5, TokensOut: 2, Counts: CountsGiven}).admit(t.Context()))
+	assert.Equal(t, l.asked, 7.0)
+	assert.Equal(t, l.cost, 7.0)
+	assert.NilError(t, limitedJob(l, &Request{}).admit(t.Context()))
+	assert.Equal(t, l.cost, 3.0)
+}
+
+// TestOverLimitIsRefused: what is over is refused at once with the time to come back, but
+// for a moment that costs the client less than a refusal.
+func TestOverLimitIsRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		admissions []Admission
+		code       fault.Code
+		retry      time.Duration
+	}{
+		"over for long":     {[]Admission{{Verdict: Over, In: 2 * time.Second}}, fault.CodeOverLimit, 2 * time.Second},
+		"over for a moment": {[]Admission{{Verdict: Over, In: 20 * time.Millisecond}, {Verdict: Within}}, "", 0},
+		"larger than ever":  {[]Admission{{Verdict: TooLarge}}, fault.CodeOverLimit, tooLargeReturn},
+		"nobody to ask":     {[]Admission{{Verdict: NotKnown}}, fault.CodeNotReady, defaultReturn},
+	} {
+		err := limitedJob(&limiter{admissions: test.admissions}, &Request{}).admit(t.Context())
+		if test.code == "" {
+			assert.NilError(t, err, name)
+			continue
+		}
+		problem := fault.From(err, "test")
+		assert.Equal(t, problem.Code, test.code, name)
+		assert.Equal(t, problem.RetryAfter, test.retry, name)
+		assert.Equal(t, problem.Ran, fault.NotDone, name)
+	}
+}
+
+// TestUnreadableCountsAreRefused: a tenant whose limit counts tokens cannot have counts
+// that cannot be read.
+func TestUnreadableCountsAreRefused(t *testing.T) {
+	err := limitedJob(&limiter{}, &Request{Counts: CountsUnreadable}).admit(t.Context())
+	assert.Assert(t, fault.IsCode(err, fault.CodeInvalid))
+}
+
+// TestLeavingClientEndsWaitForLimit: nobody waits for a limit whose client left.
+func TestLeavingClientEndsWaitForLimit(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	err := limitedJob(&limiter{admissions: []Admission{{Verdict: NotKnown}}}, &Request{}).admit(ctx)
+	assert.Assert(t, fault.IsCode(err, fault.CodeCanceled))
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -190,8 +190,8 @@
 		j.refuse(problem)
 		return
 	}
-	if problem := j.admit(ctx); problem != nil {
-		j.refuse(problem)
+	if err := j.admit(ctx); err != nil {
+		j.end(ctx, err)
 		return
 	}
 	j.engine = configuration.Services[service].Engine != nil
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -64,11 +64,21 @@
 	call.request = dispatch.Request{
 		ID: id, Method: http.MethodPost, Target: r.URL.Path, Path: r.URL.Path, Host: r.Host, Body: content, Arrived: now,
 		Header: http.Header{"Content-Type": {"application/json"}}, StartWithin: patience,
+		Key: callersKey(r.Header), Counts: dispatch.CountsGiven,
 	}
 	describePrompt(&call)
 	return call, nil
 }
 
+// callersKey reads a key as model servers take it; empty when there is none.
+func callersKey(header http.Header) string {
+	scheme, key, _ := strings.Cut(header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
 // defaultAnswerTokens is the length assumed of an answer without a bound.
 const defaultAnswerTokens = 256
 
@@ -90,7 +100,7 @@
 
 // singleHeaders refuses headers of this interface that come more than once.
 func singleHeaders(headers http.Header) error {
-	for _, name := range []string{api.HeaderClass, api.HeaderDeadline, api.HeaderIdempotencyKey} {
+	for _, name := range []string{api.HeaderClass, api.HeaderDeadline, api.HeaderIdempotencyKey, "Authorization"} {
 		if len(headers.Values(name)) > 1 {
 			return fault.New(fault.CodeInvalid, stepParse, "header %s is given %d times", name, len(headers.Values(name)))
 		}
--- a/internal/limit/divider.go
+++ b/internal/limit/divider.go
@@ -154,6 +154,28 @@
 	return Grant{Version: d.record.Version, Shares: d.record.shares(report.Node)}
 }
 
+// Asked is what is asked of a tenant's limit, in units a second.
+func (d *Divider) Asked(name tenant.Name, now time.Time) float64 {
+	sum := 0.0
+	for _, m := range d.nodes {
+		if used := m.used[name]; used != nil {
+			sum += used.perSecond(now)
+		}
+	}
+	return sum
+}
+
+// Lenders are the nodes that lend a tenant's limit.
+func (d *Divider) Lenders(name tenant.Name) []string {
+	var nodes []string
+	if division := d.record.Tenants[name]; division != nil {
+		for _, lender := range division.Lenders {
+			nodes = append(nodes, lender.Node)
+		}
+	}
+	return nodes
+}
+
 // Next returns the row that is to be written now; nil when nothing changes. limited are
 // the tenants that have a limit.
 func (d *Divider) Next(limited []*tenant.Tenant, now time.Time) *Record {
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +12,7 @@
 	"lilacvane/internal/dispatch"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/limit"
+	"lilacvane/internal/operator"
 	"lilacvane/internal/peer"
 	"lilacvane/internal/settings"
 	"lilacvane/internal/table"
@@ -54,6 +54,7 @@
 	none := ""
 	l.service.Store(&none)
 	peer.Handle(n.peers, wire.MethodSpend, l.spend)
+	peer.Handle(n.peers, wire.MethodDivision, l.division)
 	return l
 }
 
@@ -241,13 +242,19 @@
 	return wire.SpendResponse{Spent: ok, InMs: in.Milliseconds()}, nil
 }
 
+// Ask notes that a request of the cost was asked for.
+func (l *limits) Ask(t *tenant.Tenant, cost float64) {
+	if t.Limit.Limited() {
+		l.keeper.Ask(t, cost)
+	}
+}
+
 // Admit decides whether a request is within its tenant's limit: by this node's share, or
 // else by the lender's.
 func (l *limits) Admit(ctx context.Context, t *tenant.Tenant, cost float64) dispatch.Admission {
 	if !t.Limit.Limited() || *l.service.Load() == "" {
 		return dispatch.Admission{Verdict: dispatch.Within}
 	}
-	l.keeper.Ask(t, cost)
 	ok, in := l.keeper.Spend(t, cost)
 	if ok {
 		return dispatch.Admission{Verdict: dispatch.Within, By: l.node.settings.Load().Node}
@@ -296,5 +303,68 @@
 	return response, err
 }
 
-// statuses lists the shares of this node, for operators.
-func (l *limits) statuses() []limit.Status { return slices.Clone(l.keeper.Statuses()) }
+// division answers the call of another node.
+func (l *limits) division(context.Context, wire.Empty) (wire.DivisionResponse, error) {
+	configuration := l.node.configuration.Load()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.divider == nil || configuration == nil {
+		return wire.DivisionResponse{}, fault.New(fault.CodeNotHolder, wire.MethodDivision, "this node does not divide limits")
+	}
+	var response wire.DivisionResponse
+	for _, t := range limitedTenants(configuration) {
+		response.Tenants = append(response.Tenants, wire.TenantDivision{
+			Tenant: t.Name, AskedPerSecond: l.divider.Asked(t.Name, time.Now()), Lenders: l.divider.Lenders(t.Name),
+		})
+	}
+	return response, nil
+}
+
+// askDivision asks the holder that divides limits.
+func (l *limits) askDivision(ctx context.Context) (wire.DivisionResponse, error) {
+	control := l.node.controls.get(*l.service.Load())
+	if control == nil {
+		return wire.DivisionResponse{}, nil
+	}
+	if control.lessor.Holds() {
+		return l.division(ctx, wire.Empty{})
+	}
+	holder, known := control.lessor.Holder()
+	if !known {
+		return wire.DivisionResponse{}, fault.New(fault.CodeNotHolder, wire.MethodDivision, "no holder is known")
+	}
+	var response wire.DivisionResponse
+	err := l.node.client.Call(ctx, holder.Address, wire.MethodDivision, wire.Empty{}, &response)
+	return response, err
+}
+
+// Tenants describes the tenants in force, with this node's shares of their limits.
+func (n *Node) Tenants(ctx context.Context) []operator.TenantStatus {
+	list := []operator.TenantStatus{}
+	configuration := n.configuration.Load()
+	if configuration == nil {
+		return list
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	divided := make(map[tenant.Name]wire.TenantDivision)
+	division, err := n.limits.askDivision(ctx)
+	if err != nil {
+		n.log.V(1).Info("division of limits not asked", "error", err.Error())
+	}
+	for _, t := range division.Tenants {
+		divided[t.Tenant] = t
+	}
+	shares := make(map[tenant.Name]limit.Status)
+	for _, status := range n.limits.keeper.Statuses() {
+		shares[status.Tenant] = status
+	}
+	for _, name := range configuration.Tenants.Names() {
+		t, _ := configuration.Tenants.Find(name)
+		list = append(list, operator.TenantStatus{
+			Name: string(name), Priority: t.Priority, Keys: len(t.Keys), Unit: t.Limit.Unit.String(), Rate: t.Limit.Rate, Burst: t.Limit.Burst,
+			AskedPerSecond: divided[name].AskedPerSecond, Lenders: divided[name].Lenders, Part: shares[name].Part, Level: shares[name].Level,
+		})
+	}
+	return list
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -99,6 +99,13 @@
 	return runners, err
 }
 
+// Tenants describes the tenants in force.
+func (c *Client) Tenants(ctx context.Context) ([]TenantStatus, error) {
+	var tenants []TenantStatus
+	err := c.call(ctx, http.MethodGet, "/v1/tenants", nil, &tenants, "list tenants")
+	return tenants, err
+}
+
 // DrainProgress tells what is left of a planned stop.
 func (c *Client) DrainProgress(ctx context.Context, name string) (Progress, error) {
 	var progress Progress
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -39,6 +39,8 @@
 	Status(ctx context.Context) Status
 	// Runners describes the runners, or one by name.
 	Runners(ctx context.Context, name string) []wire.RunnerStatus
+	// Tenants describes the tenants in force.
+	Tenants(ctx context.Context) []TenantStatus
 	// DrainProgress tells what is left of a planned stop.
 	DrainProgress(ctx context.Context, drain api.Drain) Progress
 	// Ready returns nil when the node serves.
@@ -76,6 +78,24 @@
 	Ready   int    `json:"ready"`
 }
 
+// TenantStatus is a tenant, its limit and its use. Rate, Burst, AskedPerSecond and Level
+// are in Unit; a Rate of zero is no limit.
+type TenantStatus struct {
+	Name     string  `json:"name"`
+	Priority int     `json:"priority"`
+	Keys     int     `json:"keys"`
+	Unit     string  `json:"unit"`
+	Rate     float64 `json:"rate"`
+	Burst    float64 `json:"burst"`
+	// AskedPerSecond is what is asked at all nodes, Lenders are the nodes that lend the
+	// limit to those without a part of their own.
+	AskedPerSecond float64  `json:"askedPerSecond"`
+	Lenders        []string `json:"lenders"`
+	// Part, 0 to 1, is the answering node's part of the limit, Level what it may spend.
+	Part  float64 `json:"part"`
+	Level float64 `json:"level"`
+}
+
 // PolicyFailure tells why a policy does not run.
 type PolicyFailure struct {
 	Name   string `json:"name"`
@@ -131,6 +151,7 @@
 	mux.HandleFunc("GET /v1/runners", func(w http.ResponseWriter, r *http.Request) {
 		s.write(w, backend.Runners(r.Context(), r.URL.Query().Get("name")))
 	})
+	mux.HandleFunc("GET /v1/tenants", func(w http.ResponseWriter, r *http.Request) { s.write(w, backend.Tenants(r.Context())) })
 	mux.HandleFunc("GET /v1/drains/{name}", s.drain)
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	return s
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -5,6 +5,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"maps"
 	"math"
@@ -23,6 +24,20 @@
 // DigestOf returns the digest of a key.
 func DigestOf(key string) Digest { return sha256.Sum256([]byte(key)) }
 
+// ParseDigest reads a digest in hexadecimal digits.
+func ParseDigest(text string) (Digest, error) {
+	var digest Digest
+	content, err := hex.DecodeString(text)
+	if err != nil || len(content) != len(digest) {
+		return digest, fault.New(fault.CodeInvalid, stepDirectory, "digest: not %d hexadecimal digits", 2*len(digest))
+	}
+	copy(digest[:], content)
+	return digest, nil
+}
+
+// String returns the digest in hexadecimal digits.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
 // Unit is what a limit counts.
 type Unit uint8
 
@@ -110,7 +125,7 @@
 }
 
 // Directory finds the tenant that holds a key, in a time that does not grow with
-// their number. It is immutable.
+// their number. It is not changed once it is shared.
 type Directory struct {
 	byKey  map[Digest]*Tenant
 	byName map[Name]*Tenant
@@ -122,27 +137,41 @@
 // cannot be used and its field.
 func NewDirectory(tenants []Tenant) (*Directory, error) {
 	d := &Directory{byKey: make(map[Digest]*Tenant), byName: make(map[Name]*Tenant, len(tenants))}
-	for i := range tenants {
-		if err := d.add(&tenants[i]); err != nil {
+	for _, t := range tenants {
+		if err := d.Add(t); err != nil {
 			return nil, err
 		}
 	}
 	return d, nil
 }
 
-func (d *Directory) add(t *Tenant) error {
+// Clone returns a copy that can be added to; that of nil is empty.
+func (d *Directory) Clone() *Directory {
+	if d == nil {
+		return &Directory{byKey: make(map[Digest]*Tenant), byName: make(map[Name]*Tenant)}
+	}
+	return &Directory{byKey: maps.Clone(d.byKey), byName: maps.Clone(d.byName)}
+}
+
+// Add adds a tenant. The directory is as before when it cannot be added.
+func (d *Directory) Add(t Tenant) error {
 	if problem := t.problem(); problem != "" {
 		return invalid(t.Name, problem)
 	}
 	if d.byName[t.Name] != nil {
 		return invalid(t.Name, "name: used twice")
 	}
-	d.byName[t.Name] = t
 	for i, key := range t.Keys {
+		if slices.Contains(t.Keys[:i], key) {
+			return invalid(t.Name, fmt.Sprintf("keys[%d]: there twice", i))
+		}
 		if owner := d.byKey[key]; owner != nil {
 			return invalid(t.Name, fmt.Sprintf("keys[%d]: also a key of tenant %q", i, owner.Name))
 		}
-		d.byKey[key] = t
+	}
+	d.byName[t.Name] = &t
+	for _, key := range t.Keys {
+		d.byKey[key] = &t
 	}
 	return nil
 }
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -33,3 +33,19 @@
 	// milliseconds.
 	InMs int64 `cbor:"2,keyasint,omitempty"`
 }
+
+// MethodDivision asks the holder that divides limits what is asked of them.
+const MethodDivision = "limits/division"
+
+// DivisionResponse lists the tenants with a limit.
+type DivisionResponse struct {
+	Tenants []TenantDivision `cbor:"1,keyasint,omitempty"`
+}
+
+// TenantDivision is what is asked of a tenant's limit and who lends it.
+type TenantDivision struct {
+	Tenant tenant.Name `cbor:"1,keyasint"`
+	// AskedPerSecond is in the limit's unit, smoothed over some seconds.
+	AskedPerSecond float64  `cbor:"2,keyasint,omitempty"`
+	Lenders        []string `cbor:"3,keyasint,omitempty"`
+}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -264,6 +264,8 @@
 	Deadline time.Duration
 	// Whole asks for the answer in one piece instead of a stream.
 	Whole bool
+	// Bearer is the caller's key.
+	Bearer string
 }
 
 // outcome is the final outcome of a request as its caller saw it.
@@ -306,6 +308,9 @@
 	}
 	setHeader(api.HeaderIdempotencyKey, c.Key)
 	setHeader(api.HeaderClass, c.Class)
+	if c.Bearer != "" {
+		setHeader("Authorization", "Bearer "+c.Bearer)
+	}
 	if c.Deadline > 0 {
 		setHeader(api.HeaderDeadline, strconv.FormatFloat(c.Deadline.Seconds(), 'f', 3, 64))
 	}
--- a/test/tenants_test.go
+++ b/test/tenants_test.go
@@ -5,13 +5,17 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"lilacvane/internal/command"
+	"lilacvane/internal/commandline"
 	"lilacvane/internal/lab/faultproxy"
 	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/world"
@@ -217,3 +221,60 @@
 		return nil
 	})
 }
+
+// keyIn finds the key that a command showed.
+func keyIn(t *testing.T, output string) string {
+	t.Helper()
+	_, key, found := strings.Cut(output, "key: ")
+	assert.Assert(t, found, output)
+	return strings.TrimSpace(key)
+}
+
+// TestOperatorsKeys: an operator adds a tenant, gives it a key, rotates and revokes it; a
+// key is shown once and kept nowhere; callers of chat calls need one from then on.
+func TestOperatorsKeys(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	startRunners(t, w, 1)
+	nodes := startNodes(t, w, 2)
+	apply(t, nodes[0], model("alpha", 1)...)
+	waitNamed(t, "alpha", nodes...)
+	run := func(code int, arguments ...string) string {
+		t.Helper()
+		output, got := lilacvane(t, nodes[0], arguments...)
+		assert.Equal(t, got, code, "%v: %s", arguments, output)
+		return output
+	}
+	answered := func(key string, status int) {
+		t.Helper()
+		for _, node := range nodes {
+			waitUntil(t, fmt.Sprintf("a key is answered with %d", status), func() error {
+				if got := ask(t.Context(), node, call{Model: "alpha", Prompt: "x", Tokens: 1, Bearer: key}, nil); got.Status != status {
+					return fmt.Errorf("status %d", got.Status)
+				}
+				return nil
+			})
+		}
+	}
+	answered("", http.StatusOK)
+	run(command.ExitNotFound, "tenant", "add", "club")
+	bad := writeFile(t, "bad.yaml", "kind: Tenant\nname: club\nspec: {limit: {unit: words, rate: 1}}\n")
+	run(commandline.ExitUsage, "apply", "-f", bad)
+	good := writeFile(t, "good.yaml", "kind: Tenant\nname: club\nspec: {priority: 1, limit: {unit: tokens, rate: 100000, burst: 1000}}\n")
+	run(commandline.ExitOK, "apply", "-f", good)
+	answered("", http.StatusUnauthorized)
+	first := keyIn(t, run(commandline.ExitOK, "tenant", "add", "club", "--id", "old"))
+	answered(first, http.StatusOK)
+	second := keyIn(t, run(commandline.ExitOK, "tenant", "rotate", "club", "--id", "new"))
+	answered(second, http.StatusOK)
+	answered(first, http.StatusUnauthorized)
+	assert.Assert(t, strings.Contains(run(commandline.ExitOK, "tenant", "list"), "club"))
+	run(command.ExitNotFound, "tenant", "revoke", "club", "old")
+	run(commandline.ExitOK, "tenant", "revoke", "club", "new")
+	answered(second, http.StatusUnauthorized)
+	for _, node := range nodes {
+		content, err := os.ReadFile(w.LogPath(node))
+		assert.NilError(t, err)
+		assert.Assert(t, !strings.Contains(string(content), first) && !strings.Contains(string(content), second))
+	}
+}
