Divide a reserve of each limit among all nodes, for small requests and for cuts

Ruled out: own parts of the bucket at every node: a part of 84 holds a fifth of one request. Change: a quarter of what a limit lets through in a window is divided evenly; a node spends no more than its part of it in any window, small requests first, others when the lenders cannot be asked. A lender that did not answer is not asked for a second. What a node has is believed only when it said so to this divider.

--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -13,6 +13,9 @@
 
 // Run takes, renews and watches the lease until ctx ends.
 func (l *Lessor) Run(ctx context.Context) {
+	if l.options.LookFirst {
+		l.lookFirst(ctx)
+	}
 	// Nodes that start together do not all try to take it at once.
 	wait.For(ctx, rand.N(l.options.Interval/2)+l.options.Reluctance())
 	for ctx.Err() == nil {
@@ -21,6 +24,30 @@
 	}
 }
 
+// firstLookSpread spreads the first looks of nodes that start together.
+const firstLookSpread = 80 * time.Millisecond
+
+// lookFirst looks at the row before this process waits for its turn to take it: who holds
+// the lease is needed at once. Only the lease of an earlier process of this node is taken.
+func (l *Lessor) lookFirst(ctx context.Context) {
+	wait.For(ctx, rand.N(firstLookSpread))
+	l.looked = true
+	if err := l.look(ctx); err != nil {
+		l.noteLoss(err)
+		return
+	}
+	if l.holdsAsBefore() {
+		l.take(ctx)
+	}
+}
+
+// holdsAsBefore reports whether an earlier process of this node holds the lease.
+func (l *Lessor) holdsAsBefore() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return !l.stopped && l.seen.Holder == l.self.Holder && !l.seen.Released
+}
+
 // rest waits until the next step is due, or a holder yielded.
 func (l *Lessor) rest(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
--- a/internal/limit/divider.go
+++ b/internal/limit/divider.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -20,11 +19,17 @@
 	// ownMost the most of a limit that lies with nodes other than lenders: the lenders
 	// even out what comes unevenly.
 	ownHeadroom = 1.3
-	ownMost     = 0.7
+	ownMost     = 0.5
 	// ownRequests is how many mean requests a node's own part must hold to be of use.
 	ownRequests = 4
-	// leastPart is the least part that is given anew: a thousandth is less than one request.
+	// leastPart is the least part of a bucket that is of use: a thousandth is less than one
+	// request.
 	leastPart = Whole / 1000
+	// leastGiven is the least that is worth a row and a word to the node.
+	leastGiven = Whole / 100_000
+	// unevenLender is how many times an even part a lender may keep: when one of three is
+	// lost, the even part falls to two thirds.
+	unevenLender = 1.6
 	// hysteresis is by which part of itself a share must be off before it is changed:
 	// each change is written to a row and told to nodes.
 	hysteresis = 0.3
@@ -34,6 +39,12 @@
 	// lenderSilence is how long a lender may be silent before another one is chosen:
 	// eight reports.
 	lenderSilence = 2 * time.Second
+	// reserveAfter is how long a divider gathers reports before it divides the reserve: parts
+	// for too few nodes would have to be taken back.
+	reserveAfter = 3 * time.Second
+	// reserveRoom is for how many times as many nodes the reserve is divided, so that some
+	// may join before parts are taken back.
+	reserveRoom = 1.25
 	// silenceMargin is how much longer than Lifetime a silent node's part is kept.
 	silenceMargin = time.Second
 )
@@ -59,24 +70,15 @@
 	spare    float64
 	process  string
 	replaced map[string]bool
-	// acked is the newest version that its process said it has, firstTold the first one
-	// that it was told: it has that one at least, or none.
-	acked     Version
-	firstTold Version
-	heard     time.Time
-	used      map[tenant.Name]*flow
+	// acked is the newest version that its process said it has; zero when it has said none
+	// to this divider: what it has then is not known.
+	acked Version
+	heard time.Time
+	used  map[tenant.Name]*flow
 	// seeded is set once used was filled from the parts that an earlier divider gave.
 	seeded bool
 }
 
-// has reports whether what the node may have in force is of a version or newer.
-func (m *member) has(version Version) bool {
-	if m.acked > 0 {
-		return m.acked >= version
-	}
-	return m.firstTold >= version
-}
-
 // flow is a fading sum of what was asked, by so many requests.
 type flow struct {
 	cost     float64
@@ -138,20 +140,17 @@
 	}
 	if m.process != report.Process {
 		m.replaced[m.process] = true
-		m.process, m.acked, m.firstTold = report.Process, 0, 0
+		m.process, m.acked = report.Process, 0
 	}
 	m.address, m.spare, m.heard = report.Address, report.Spare, now
 	m.acked = max(m.acked, report.Version)
 	for _, use := range report.Asked {
 		m.flow(use.Tenant, now).add(use.Cost, float64(use.Requests), now)
 	}
-	if m.firstTold == 0 {
-		m.firstTold = d.record.Version
-	}
 	if report.Version > 0 && report.Version >= d.record.changed(report.Node) {
 		return Grant{Version: d.record.Version, Same: true}
 	}
-	return Grant{Version: d.record.Version, Shares: d.record.shares(report.Node)}
+	return Grant{Version: d.record.Version, Shares: d.record.shares(report.Node), Reserve: d.record.Reserve.told(report.Node)}
 }
 
 // Asked is what is asked of a tenant's limit, in units a second.
@@ -193,6 +192,9 @@
 	if d.withdraw(next, limited) {
 		changed = true
 	}
+	if d.divideReserve(next, now) {
+		changed = true
+	}
 	if !changed {
 		// What nodes have given back is noted in memory; the next row holds it.
 		next.Version--
@@ -211,7 +213,7 @@
 		}
 		for _, entry := range division.Nodes {
 			if entry.Told > 0 {
-				entry.Told, entry.Since = 0, next.Version
+				entry.tell(0, next.Version)
 				changed = true
 			}
 		}
@@ -246,25 +248,35 @@
 // Confirmed notes that the row returned by Next was written.
 func (d *Divider) Confirmed() { d.record, d.next = d.next, nil }
 
-// settle notes what nodes gave back: those that have what they were told last, and those
-// that are silent for so long that they use nothing.
+// settle notes what nodes gave back of all pools. What was spent of a reserve before it was
+// given back counts for a window from then on.
 func (d *Divider) settle(next *Record, now time.Time) {
 	for _, division := range next.Tenants {
-		for node, entry := range division.Nodes {
-			heard := d.began
-			if m := d.nodes[node]; m != nil {
-				heard = m.heard
-				if m.has(entry.Since) {
-					entry.Bound = entry.Told
-				}
-			}
-			if now.Sub(heard) > Lifetime+silenceMargin {
-				entry.Bound, entry.Told = 0, 0
-			}
-			if entry.Bound == 0 && entry.Told == 0 {
-				delete(division.Nodes, node)
+		d.settlePool(division.Nodes, 0, now)
+	}
+	d.settlePool(next.Reserve, d.tolerance.Window, now)
+}
+
+// settlePool notes what nodes gave back: those that have what they were told last, and
+// those that are silent for so long that they use nothing. It is free after delay.
+func (d *Divider) settlePool(pool Pool, delay time.Duration, now time.Time) {
+	for node, entry := range pool {
+		heard := d.began
+		if m := d.nodes[node]; m != nil {
+			heard = m.heard
+			if entry.givenBack.IsZero() && m.acked >= entry.Since {
+				entry.givenBack = now
 			}
 		}
+		if !entry.givenBack.IsZero() && now.Sub(entry.givenBack) >= delay {
+			entry.Bound = entry.Told
+		}
+		if now.Sub(heard) > Lifetime+silenceMargin+delay {
+			entry.Bound, entry.Told = 0, 0
+		}
+		if entry.Bound == 0 && entry.Told == 0 {
+			delete(pool, node)
+		}
 	}
 }
 
@@ -274,13 +286,28 @@
 	division := next.division(t.Name)
 	changed := d.chooseLenders(t.Name, division, next.Version, now)
 	targets := d.targets(t, division, now)
-	for node, entry := range division.Nodes {
-		if off(entry.Told, targets[node]) && targets[node] < entry.Told {
-			entry.Told, entry.Since = targets[node], next.Version
-			changed = true
+	return division.Nodes.move(targets, next.Version) || changed
+}
+
+// divideReserve gives all nodes an even part of the reserve.
+func (d *Divider) divideReserve(next *Record, now time.Time) bool {
+	if now.Sub(d.began) < reserveAfter {
+		return false
+	}
+	targets := make(map[string]Part)
+	for node := range d.nodes {
+		if !d.silent(node, now) {
+			targets[node] = 0
 		}
 	}
-	return d.raise(division, targets, next.Version) || changed
+	for node := range next.Reserve {
+		targets[node] = 0
+	}
+	even := Part(float64(Whole) / reserveRoom / float64(max(len(targets), 1)))
+	for node := range targets {
+		targets[node] = even
+	}
+	return next.Reserve.move(targets, next.Version)
 }
 
 // off reports whether a part is so far from its target that it is changed.
@@ -288,46 +315,48 @@
 	return math.Abs(float64(target)-float64(part)) > hysteresis*float64(max(part, target))
 }
 
-// raise gives nodes more, as far as nobody may have it in force.
-func (d *Divider) raise(division *Division, targets map[string]Part, version Version) bool {
-	type wish struct {
-		node string
-		more Part
-	}
-	var wishes []wish
-	free := int64(Whole)
-	for _, entry := range division.Nodes {
-		free -= int64(entry.Bound)
+// move tells nodes to have what they should: at once where that is less, and where it is
+// more as far as nobody else may have it in force. It returns whether that changes the
+// pool.
+func (p Pool) move(targets map[string]Part, version Version) (changed bool) {
+	for node, entry := range p {
+		if off(entry.Told, targets[node]) && targets[node] < entry.Told {
+			entry.tell(targets[node], version)
+			changed = true
+		}
 	}
-	changed := false
+	return p.raise(targets, version) || changed
+}
+
+// raise gives nodes more, in proportion to what they lack.
+func (p Pool) raise(targets map[string]Part, version Version) (changed bool) {
+	lacking := make(map[string]int64)
 	sum := int64(0)
-	for _, node := range slices.Sorted(maps.Keys(targets)) {
-		target := targets[node]
-		entry := division.Nodes[node]
-		if entry == nil {
-			entry = &Entry{}
-		}
-		if target <= entry.Told || !off(entry.Told, target) {
+	for node, target := range targets {
+		told := p.told(node)
+		if target <= told || !off(told, target) {
 			continue
 		}
+		entry := p.entry(node)
 		if entry.Bound > entry.Told {
 			// It may still have more than it was told to have.
-			entry.Told, entry.Since = min(target, entry.Bound), version
+			entry.tell(min(target, entry.Bound), version)
 			changed = true
 		}
 		if target > entry.Bound {
-			wishes = append(wishes, wish{node: node, more: target - entry.Bound})
-			sum += int64(target - entry.Bound)
+			lacking[node] = int64(target - entry.Bound)
+			sum += lacking[node]
 		}
 	}
-	for _, w := range wishes {
-		given := Part(min(int64(w.more), free*int64(w.more)/sum))
-		if free <= 0 || given < leastPart {
+	free := p.free()
+	for node, lacks := range lacking {
+		given := Part(min(lacks, max(free, 0)*lacks/sum))
+		if given < leastGiven {
 			continue
 		}
-		entry := division.node(w.node)
+		entry := p[node]
 		entry.Bound += given
-		entry.Told, entry.Since = entry.Bound, version
+		entry.tell(entry.Bound, version)
 		changed = true
 	}
 	return changed
@@ -344,28 +373,34 @@
 			left -= float64(entry.Bound)
 		}
 	}
-	own := d.ownParts(t, division, now)
-	sum := 0.0
-	for _, part := range own {
-		sum += part
-	}
-	scale := min(1, ownMost*left/max(sum, 1))
-	for node, part := range own {
-		targets[node] = Part(part * scale)
-		left -= part * scale
+	for node, part := range d.ownParts(t, division, ownMost*left, now) {
+		targets[node] = Part(part)
+		left -= part
 	}
 	for _, lender := range division.Lenders {
 		if !d.silent(lender.Node, now) {
-			targets[lender.Node] = Part(left / float64(len(division.Lenders)))
+			targets[lender.Node] = lenderTarget(division.Nodes.told(lender.Node), left/float64(len(division.Lenders)))
 		}
 	}
 	return targets
 }
 
-// ownParts are the parts that nodes other than lenders can use themselves.
-func (d *Divider) ownParts(t *tenant.Tenant, division *Division, now time.Time) map[string]float64 {
+// lenderTarget is what a lender should have when an even part is so much. What it has is
+// moved only when it is much more: until the others have it, it is of use to nobody.
+func lenderTarget(told Part, even float64) Part {
+	if float64(told) > even && float64(told) <= unevenLender*even {
+		return told
+	}
+	return Part(even)
+}
+
+// ownParts are the parts, up to most in all, that nodes other than lenders can use
+// themselves: those of the nodes at which most is asked, as far as each holds some
+// requests.
+func (d *Divider) ownParts(t *tenant.Tenant, division *Division, most float64, now time.Time) map[string]float64 {
 	cost, requests := 0.0, 0.0
-	asked := make(map[string]float64)
+	var asked []ownPart
+	bucket, _ := t.Limit.Budget(d.tolerance)
 	for node, m := range d.nodes {
 		used := m.used[t.Name]
 		if used == nil || d.silent(node, now) {
@@ -375,18 +410,34 @@
 		cost += used.cost
 		requests += used.requests
 		if !division.lends(node) {
-			asked[node] = perSecond
+			asked = append(asked, ownPart{node: node, part: min(ownHeadroom*perSecond/bucket.Rate, 1) * float64(Whole)})
 		}
 	}
-	bucket := t.Limit.Bucket(d.tolerance)
-	least := ownRequests * cost / max(requests, 1) / bucket.Capacity * float64(Whole)
-	own := make(map[string]float64)
-	for node, perSecond := range asked {
-		part := min(ownHeadroom*perSecond/bucket.Rate, 1) * float64(Whole)
-		if part >= max(least, float64(leastPart)) {
-			own[node] = part
+	slices.SortFunc(asked, func(a, b ownPart) int { return cmp.Or(cmp.Compare(b.part, a.part), cmp.Compare(a.node, b.node)) })
+	least := max(ownRequests*cost/max(requests, 1)/bucket.Capacity*float64(Whole), float64(leastPart))
+	return fitting(asked, least, most)
+}
+
+// ownPart is what a node could use itself.
+type ownPart struct {
+	node string
+	part float64
+}
+
+// fitting gives the first of a list, the largest first, their parts in proportion: to as
+// many as can have least each and most in all.
+func fitting(asked []ownPart, least, most float64) map[string]float64 {
+	sum, count, scale := 0.0, 0, 1.0
+	for i, own := range asked {
+		sum += own.part
+		if fits := min(1, most/max(sum, 1)); own.part*fits >= least {
+			count, scale = i+1, fits
 		}
 	}
+	own := make(map[string]float64, count)
+	for _, a := range asked[:count] {
+		own[a.node] = a.part * scale
+	}
 	return own
 }
 
--- a/internal/limit/keeper.go
+++ b/internal/limit/keeper.go
@@ -23,6 +23,10 @@
 	// validUntil is until when the shares are in force.
 	validUntil time.Time
 	accounts   map[tenant.Name]*account
+	// reserve is the node's part of each tenant's reserve. An earlier process may have
+	// spent it until this one began.
+	reserve Part
+	began   time.Time
 }
 
 // account is this node's part of one tenant's limit.
@@ -37,6 +41,10 @@
 	asked    float64
 	requests int
 	used     float64
+	// taken is what was spent of the reserve within a window, oldest first, takenSum the
+	// sum of it.
+	taken    []taken
+	takenSum float64
 	// dryUntil and dryCost are until when, and from which cost on, the lenders have
 	// nothing.
 	dryUntil time.Time
@@ -45,9 +53,15 @@
 	next int
 }
 
+// taken is one spending of the reserve.
+type taken struct {
+	at   time.Time
+	cost float64
+}
+
 // NewKeeper returns a keeper without any share.
 func NewKeeper(tolerance tenant.Tolerance, now func() time.Time) *Keeper {
-	return &Keeper{now: now, tolerance: tolerance, accounts: make(map[tenant.Name]*account)}
+	return &Keeper{now: now, tolerance: tolerance, accounts: make(map[tenant.Name]*account), began: now()}
 }
 
 // SetTolerance changes by how much use may pass limits.
@@ -79,7 +93,8 @@
 		a.used += cost
 		return true, 0
 	}
-	if cost > a.capacity(t.Limit.Bucket(k.tolerance)) || rate <= 0 {
+	bucket, _ := t.Limit.Budget(k.tolerance)
+	if cost > a.capacity(bucket) || rate <= 0 {
 		return false, Never
 	}
 	return false, time.Duration((cost - a.level) / rate * float64(time.Second))
@@ -88,11 +103,87 @@
 // Never is the time until something that cannot be.
 const Never = 24 * time.Hour
 
-// Fits reports whether the whole of a limit is ever enough for the cost.
+// smallPart is the part of a node's reserve up to which a request is small: small ones
+// together leave half of the reserve for when the lenders cannot be asked.
+const (
+	smallPart  = 0.1
+	smallLimit = 0.5
+)
+
+// SpendSmall takes the cost of a small request from the reserve.
+func (k *Keeper) SpendSmall(t *tenant.Tenant, cost float64) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	a, reserve := k.reserveOf(t)
+	if cost > smallPart*reserve || a.takenSum+cost > smallLimit*reserve {
+		return false
+	}
+	a.take(cost, k.now())
+	return true
+}
+
+// SpendReserve takes the cost from the reserve. Where that does not suffice, in is the
+// time until it does, Never when it cannot.
+func (k *Keeper) SpendReserve(t *tenant.Tenant, cost float64) (ok bool, in time.Duration) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	a, reserve := k.reserveOf(t)
+	if a.takenSum+cost <= reserve {
+		a.take(cost, k.now())
+		return true, 0
+	}
+	if cost > reserve {
+		return false, Never
+	}
+	left := a.takenSum
+	for _, spent := range a.taken {
+		if left -= spent.cost; left+cost <= reserve {
+			return false, spent.at.Add(k.tolerance.Window).Sub(k.now())
+		}
+	}
+	return false, Never
+}
+
+// reserveOf returns a tenant's account and this node's part of its reserve. mutex is held.
+func (k *Keeper) reserveOf(t *tenant.Tenant) (*account, float64) {
+	k.expire()
+	a := k.account(t.Name)
+	now := k.now()
+	a.forget(now.Add(-k.tolerance.Window))
+	if now.Sub(k.began) < k.tolerance.Window {
+		return a, 0
+	}
+	_, reserve := t.Limit.Budget(k.tolerance)
+	return a, reserve * float64(k.reserve) / float64(Whole)
+}
+
+func (a *account) take(cost float64, now time.Time) {
+	a.taken = append(a.taken, taken{at: now, cost: cost})
+	a.takenSum += cost
+	a.used += cost
+}
+
+// forget drops what was spent of the reserve before a moment.
+func (a *account) forget(before time.Time) {
+	count := 0
+	for count < len(a.taken) && a.taken[count].at.Before(before) {
+		a.takenSum -= a.taken[count].cost
+		count++
+	}
+	if count > 0 {
+		a.taken = append(a.taken[:0], a.taken[count:]...)
+	}
+	if len(a.taken) == 0 {
+		a.takenSum = 0
+	}
+}
+
+// Fits reports whether the whole of a limit's bucket is ever enough for the cost.
 func (k *Keeper) Fits(t *tenant.Tenant, cost float64) bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return cost <= t.Limit.Bucket(k.tolerance).Capacity
+	bucket, _ := t.Limit.Budget(k.tolerance)
+	return cost <= bucket.Capacity
 }
 
 // Lenders returns who may spend for this node, in the order in which to ask: each is the
@@ -159,6 +250,7 @@
 	switch {
 	case !grant.Same:
 		k.setShares(grant.Shares)
+		k.reserve = grant.Reserve
 	case k.version == 0:
 		// They expired while the divider answered.
 		return
@@ -200,7 +292,7 @@
 	if k.version == 0 || k.now().Before(k.validUntil) {
 		return
 	}
-	k.version = 0
+	k.version, k.reserve = 0, 0
 	for _, a := range k.accounts {
 		a.part, a.level = 0, 0
 	}
@@ -208,7 +300,7 @@
 
 // refill brings an account's level up to date and returns its rate. mutex is held.
 func (k *Keeper) refill(a *account, t *tenant.Tenant) (rate float64) {
-	bucket := t.Limit.Bucket(k.tolerance)
+	bucket, _ := t.Limit.Budget(k.tolerance)
 	now := k.now()
 	rate = bucket.Rate * float64(a.part) / float64(Whole)
 	a.level = min(a.level+rate*now.Sub(a.at).Seconds(), a.capacity(bucket))
--- a/internal/limit/part.go
+++ b/internal/limit/part.go
@@ -1,11 +1,14 @@
 // Package limit keeps limits that all nodes share: what a tenant may use over the whole
 // fleet. It is pure: time is passed in, and messages and rows are carried by others.
 //
-// Each limit is a token bucket (tenant.Bucket) that is divided: a node has a part of it,
-// with that part of the rate and of the capacity, and spends from it without a word to
-// anybody (Keeper). One node, the divider, moves parts to where requests arrive
-// (Divider). What no node has so many requests for that a part of its own would be of
-// use lies with a few nodes, the limit's lenders, which spend from it for the others.
+// What a limit lets through in a window is divided in two (tenant.Limit.Budget). A token
+// bucket is divided among nodes: each has a part of it, with that part of the rate and of
+// the capacity, and spends from it without a word to anybody (Keeper). One node, the
+// divider, moves parts to where requests arrive (Divider). What no node has so many
+// requests for that a part of its own would be of use lies with a few nodes, the limit's
+// lenders, which spend from it for the others. A reserve is divided evenly among all
+// nodes, for small requests and for when a node reaches no lender: of its part a node
+// spends, in any window, no more than the part.
 //
 // The parts of a limit that are in force never add up to more than the whole, so all
 // nodes together spend, in any window, no more than the undivided bucket lets through:
@@ -49,6 +52,8 @@
 	Version Version `cbor:"1,keyasint"`
 	// Shares are all of the node's; not set when Same is.
 	Shares []Share `cbor:"2,keyasint,omitempty"`
+	// Reserve is the node's part of each tenant's reserve.
+	Reserve Part `cbor:"4,keyasint,omitempty"`
 	// Same is set when the node has the shares of this version in force.
 	Same bool `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/limit/record.go
+++ b/internal/limit/record.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"lilacvane/internal/tenant"
 )
@@ -12,15 +13,21 @@
 	// Version is one more than that of the row it replaced.
 	Version Version                   `cbor:"2,keyasint"`
 	Tenants map[tenant.Name]*Division `cbor:"1,keyasint"`
+	// Reserve is how the reserves of all tenants are divided.
+	Reserve Pool `cbor:"3,keyasint,omitempty"`
 }
 
+// Pool is something whole that is divided among nodes.
+type Pool map[string]*Entry
+
 // Division is how one tenant's limit is divided.
 type Division struct {
 	// Lenders are the nodes that spend for others, LendersSince the version from which on
 	// nodes are told so.
-	Lenders      []Lender          `cbor:"1,keyasint"`
-	LendersSince Version           `cbor:"3,keyasint,omitempty"`
-	Nodes        map[string]*Entry `cbor:"2,keyasint"`
+	Lenders      []Lender `cbor:"1,keyasint"`
+	LendersSince Version  `cbor:"3,keyasint,omitempty"`
+	// Nodes is how the bucket is divided.
+	Nodes Pool `cbor:"2,keyasint"`
 }
 
 // Lender is a node that spends for others.
@@ -42,47 +49,88 @@
 	Told  Part `cbor:"2,keyasint,omitempty"`
 	// Since is the version from which on it is told so.
 	Since Version `cbor:"3,keyasint,omitempty"`
+	// givenBack is when the node was first known to have no more than Told.
+	givenBack time.Time
+}
+
+// tell changes what the node is to have.
+func (e *Entry) tell(part Part, version Version) {
+	e.Told, e.Since, e.givenBack = part, version, time.Time{}
 }
 
 // NewRecord returns a record of nothing.
-func NewRecord() *Record { return &Record{Tenants: make(map[tenant.Name]*Division)} }
+func NewRecord() *Record {
+	return &Record{Tenants: make(map[tenant.Name]*Division), Reserve: make(Pool)}
+}
 
 // Check reports whether a record that was read keeps what it must: parts that do not
 // add up to more than the whole.
 func (r *Record) Check() bool {
 	for _, division := range r.Tenants {
-		if division == nil || division.sum() > int64(Whole) {
+		if division == nil || !division.Nodes.check() {
 			return false
 		}
-		for _, entry := range division.Nodes {
-			if entry == nil || entry.Told > entry.Bound {
-				return false
-			}
-		}
 	}
-	return r.Tenants != nil
+	return r.Tenants != nil && r.Reserve.check()
 }
 
-func (d *Division) sum() int64 {
-	sum := int64(0)
-	for _, entry := range d.Nodes {
-		if entry != nil {
-			sum += int64(entry.Bound)
+func (p Pool) check() bool {
+	for _, entry := range p {
+		if entry == nil || entry.Told > entry.Bound {
+			return false
 		}
 	}
-	return sum
+	return p.free() >= 0
+}
+
+// free is what nobody may have in force.
+func (p Pool) free() int64 {
+	free := int64(Whole)
+	for _, entry := range p {
+		free -= int64(entry.Bound)
+	}
+	return free
+}
+
+func (p Pool) clone() Pool {
+	copied := make(Pool, len(p))
+	for node, entry := range p {
+		own := *entry
+		copied[node] = &own
+	}
+	return copied
+}
+
+// entry returns a node's entry.
+func (p Pool) entry(node string) *Entry {
+	entry := p[node]
+	if entry == nil {
+		entry = &Entry{}
+		p[node] = entry
+	}
+	return entry
+}
+
+// told is what a node is to have.
+func (p Pool) told(node string) Part {
+	if entry := p[node]; entry != nil {
+		return entry.Told
+	}
+	return 0
+}
+
+// since is the version from which on a node is told so.
+func (p Pool) since(node string) Version {
+	if entry := p[node]; entry != nil {
+		return entry.Since
+	}
+	return 0
 }
 
 func (r *Record) clone() *Record {
-	copied := NewRecord()
-	copied.Version = r.Version
+	copied := &Record{Version: r.Version, Tenants: make(map[tenant.Name]*Division, len(r.Tenants)), Reserve: r.Reserve.clone()}
 	for name, division := range r.Tenants {
-		target := &Division{Lenders: division.Lenders, LendersSince: division.LendersSince, Nodes: make(map[string]*Entry, len(division.Nodes))}
-		for node, entry := range division.Nodes {
-			own := *entry
-			target.Nodes[node] = &own
-		}
-		copied.Tenants[name] = target
+		copied.Tenants[name] = &Division{Lenders: division.Lenders, LendersSince: division.LendersSince, Nodes: division.Nodes.clone()}
 	}
 	return copied
 }
@@ -91,30 +139,17 @@
 func (r *Record) division(name tenant.Name) *Division {
 	division := r.Tenants[name]
 	if division == nil {
-		division = &Division{Nodes: make(map[string]*Entry)}
+		division = &Division{Nodes: make(Pool)}
 		r.Tenants[name] = division
 	}
 	return division
 }
 
-// node returns a node's entry.
-func (d *Division) node(name string) *Entry {
-	entry := d.Nodes[name]
-	if entry == nil {
-		entry = &Entry{}
-		d.Nodes[name] = entry
-	}
-	return entry
-}
-
 // changed is the version from which on a node's shares are what they are.
 func (r *Record) changed(node string) Version {
-	last := Version(0)
+	last := r.Reserve.since(node)
 	for _, division := range r.Tenants {
-		last = max(last, division.LendersSince)
-		if entry := division.Nodes[node]; entry != nil {
-			last = max(last, entry.Since)
-		}
+		last = max(last, division.LendersSince, division.Nodes.since(node))
 	}
 	return last
 }
@@ -123,13 +158,10 @@
 func (r *Record) shares(node string) []Share {
 	shares := make([]Share, 0, len(r.Tenants))
 	for name, division := range r.Tenants {
-		share := Share{Tenant: name}
+		share := Share{Tenant: name, Part: division.Nodes.told(node)}
 		for _, lender := range division.Lenders {
 			share.Lenders = append(share.Lenders, lender.Address)
 		}
-		if entry := division.Nodes[node]; entry != nil {
-			share.Part = entry.Told
-		}
 		shares = append(shares, share)
 	}
 	slices.SortFunc(shares, func(a, b Share) int {
--- /dev/null
+++ b/internal/limit/share_test.go
@@ -0,0 +1,148 @@
+package limit
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/tenant"
+)
+
+// caller asks for a tenant's limit at some nodes: so many requests a second of a mean
+// cost, most of them smaller and some several times as large.
+type caller struct {
+	tenant *tenant.Tenant
+	nodes  []int
+	rate   float64
+	mean   float64
+}
+
+// play lets callers ask for some seconds and returns the part of the cost that each was
+// granted.
+func (f *fleet) play(callers []caller, seconds int, random *rand.Rand) []float64 {
+	const step = 50 * time.Millisecond
+	asked, granted := make([]float64, len(callers)), make([]float64, len(callers))
+	for tick := range seconds * int(time.Second/step) {
+		f.now = f.now.Add(step)
+		if tick%5 == 0 {
+			for _, n := range f.nodes {
+				f.report(n, false, false)
+			}
+		}
+		if tick%14 == 0 {
+			f.divide(true, true)
+		}
+		for i, c := range callers {
+			for range poisson(c.rate*step.Seconds(), random) {
+				cost := c.mean * random.ExpFloat64()
+				asked[i] += cost
+				if f.spend(f.nodes[c.nodes[random.IntN(len(c.nodes))]], c.tenant, cost) {
+					granted[i] += cost
+				}
+			}
+		}
+	}
+	for i := range granted {
+		granted[i] /= asked[i]
+	}
+	return granted
+}
+
+func poisson(mean float64, random *rand.Rand) int {
+	count, at := 0, random.ExpFloat64()
+	for at < mean {
+		count++
+		at += random.ExpFloat64()
+	}
+	return count
+}
+
+func upTo(count int) []int {
+	list := make([]int, count)
+	for i := range list {
+		list[i] = i
+	}
+	return list
+}
+
+// TestLimitIsWhereItIsAskedFor: a tenant within its limit that asks at all nodes loses next
+// to nothing beside one that asks for four times its own at three nodes, which gets nearly
+// all of it there.
+func TestLimitIsWhereItIsAskedFor(t *testing.T) {
+	const nodes = 84
+	f := newFleet(t, nodes)
+	f.tolerance = tenant.Tolerance{Window: 8 * time.Second, Share: 0.1, Slack: 110_000}
+	calm := &tenant.Tenant{Name: "calm", Limit: tenant.Limit{Unit: tenant.Tokens, Rate: 107_000, Burst: 107_000}}
+	hot := &tenant.Tenant{Name: "hot", Limit: tenant.Limit{Unit: tenant.Tokens, Rate: 200_000, Burst: 200_000}}
+	f.tenants = []*tenant.Tenant{calm, hot}
+	for _, n := range f.nodes {
+		f.restart(n)
+	}
+	f.takeOver()
+	random := rand.New(rand.NewPCG(1, 2))
+	callers := []caller{{tenant: calm, nodes: upTo(nodes), rate: 6, mean: 9_200}, {tenant: hot, nodes: []int{5, 6, 7}, rate: 87, mean: 9_200}}
+	f.play(callers[:1], 10, random)
+	granted := f.play(callers, 20, random)
+	f.check()
+	assert.Assert(t, granted[0] > 0.99, "calm: %.3f", granted[0])
+	assert.Assert(t, granted[1] > 0.9/4, "hot: %.3f of four times its limit", granted[1])
+}
+
+// TestLostLenderCostsLittle: when one of a tenant's lenders is gone for good, the others
+// carry what the tenant uses in ordinary times.
+func TestLostLenderCostsLittle(t *testing.T) {
+	f := newFleet(t, 20)
+	calm := &tenant.Tenant{Name: "calm", Limit: tenant.Limit{Rate: 100, Burst: 100}}
+	f.tenants = []*tenant.Tenant{calm}
+	random := rand.New(rand.NewPCG(3, 4))
+	everywhere := []caller{{tenant: calm, nodes: upTo(20), rate: 55, mean: 1}}
+	f.play(everywhere, 10, random)
+	lost := f.divider.Lenders("calm")[0]
+	for i, n := range f.nodes {
+		if n.name == lost {
+			f.nodes = append(f.nodes[:i:i], f.nodes[i+1:]...)
+			break
+		}
+	}
+	everywhere[0].nodes = upTo(19)
+	granted := f.play(everywhere, 10, random)
+	f.check()
+	assert.Assert(t, granted[0] > 0.97, "%.3f", granted[0])
+}
+
+// BenchmarkSpend is what a node takes to decide by its own share.
+func BenchmarkSpend(b *testing.B) {
+	keeper := NewKeeper(tenant.Tolerance{Window: time.Second}, time.Now)
+	t := &tenant.Tenant{Name: "t", Limit: tenant.Limit{Rate: 1e9, Burst: 1e9}}
+	keeper.Apply(Grant{Version: 1, Shares: []Share{{Tenant: "t", Part: Whole}}}, time.Now())
+	for b.Loop() {
+		keeper.Ask(t, 1)
+		keeper.Spend(t, 1)
+	}
+}
+
+// BenchmarkDivide is what a divider takes to move the limits of 16 tenants among so many
+// nodes, all of which ask for all of them.
+func BenchmarkDivide(b *testing.B) {
+	for _, nodes := range []int{84, 300} {
+		f := newFleet(b, nodes)
+		f.tenants = nil
+		for i := range 16 {
+			f.tenants = append(f.tenants, &tenant.Tenant{Name: tenant.Name("t" + strconv.Itoa(i)), Limit: tenant.Limit{Rate: 1e5, Burst: 1e5}})
+		}
+		for _, n := range f.nodes {
+			for _, t := range f.tenants {
+				n.keeper.Ask(t, 1000)
+			}
+			f.report(n, false, false)
+		}
+		b.Run(strconv.Itoa(nodes), func(b *testing.B) {
+			for b.Loop() {
+				f.divider.Next(f.tenants, f.now)
+			}
+		})
+	}
+}
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -17,6 +17,7 @@
 	"lilacvane/internal/settings"
 	"lilacvane/internal/table"
 	"lilacvane/internal/tenant"
+	"lilacvane/internal/wait"
 	"lilacvane/internal/wire"
 )
 
@@ -26,11 +27,17 @@
 	// divideInterval is how often parts are moved: a tenant that asks at other nodes than
 	// before has its parts there within two of these, and goes by its lender till then.
 	divideInterval = 700 * time.Millisecond
+	// beginInterval is how often a node looks whether it is to divide limits: nobody knows
+	// the lenders until it does.
+	beginInterval = 100 * time.Millisecond
 	// divideTimeout bounds a call to the store.
 	divideTimeout = 800 * time.Millisecond
 	// spendTimeout bounds the question to a lender: it answers within 5 ms in another
 	// zone, and later only when its machine is at its limit.
 	spendTimeout = 250 * time.Millisecond
+	// mutePause is how long a lender that did not answer is not asked: a cut lasts for
+	// seconds, and each question would hold a request for spendTimeout.
+	mutePause = time.Second
 )
 
 // limits are this node's part in the limits that all nodes share. The holder of one
@@ -41,6 +48,8 @@
 	rows    table.Table
 	service atomic.Pointer[string]
 	log     logr.Logger
+	// mute are lenders that did not answer just now.
+	mute *muted
 
 	mutex sync.Mutex
 	// divider is set while this node divides limits; revision is that of the row it works
@@ -50,7 +59,7 @@
 }
 
 func newLimits(n *Node, s settings.Limits) *limits {
-	l := &limits{node: n, keeper: limit.NewKeeper(tolerance(s), time.Now), rows: n.platform.Limits, log: n.log.Logger}
+	l := &limits{node: n, keeper: limit.NewKeeper(tolerance(s), time.Now), rows: n.platform.Limits, log: n.log.Logger, mute: newMuted(mutePause)}
 	none := ""
 	l.service.Store(&none)
 	peer.Handle(n.peers, wire.MethodSpend, l.spend)
@@ -132,20 +141,25 @@
 
 // run divides limits whenever this node holds the lease, until ctx ends.
 func (l *limits) run(ctx context.Context) {
-	ticker := time.NewTicker(divideInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if err := l.step(ctx); err != nil {
+	for ctx.Err() == nil {
+		pause := divideInterval
+		err := l.step(ctx)
+		switch {
+		case err != nil:
 			l.log.Info("limits not divided anew", "error", err.Error())
+		case !l.divides():
+			pause = beginInterval
 		}
+		wait.For(ctx, pause)
 	}
 }
 
+func (l *limits) divides() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.divider != nil
+}
+
 // step moves parts once.
 func (l *limits) step(ctx context.Context) error {
 	control := l.node.controls.get(*l.service.Load())
@@ -255,22 +269,37 @@
 	if !t.Limit.Limited() || *l.service.Load() == "" {
 		return dispatch.Admission{Verdict: dispatch.Within}
 	}
+	self := l.node.settings.Load().Node
+	if l.keeper.SpendSmall(t, cost) {
+		return dispatch.Admission{Verdict: dispatch.Within, By: self}
+	}
 	ok, in := l.keeper.Spend(t, cost)
 	if ok {
-		return dispatch.Admission{Verdict: dispatch.Within, By: l.node.settings.Load().Node}
+		return dispatch.Admission{Verdict: dispatch.Within, By: self}
 	}
-	if !l.keeper.Fits(t, cost) {
+	admission := l.askLenders(ctx, t, cost, in)
+	if admission.Verdict == dispatch.Within {
+		return admission
+	}
+	ok, in = l.keeper.SpendReserve(t, cost)
+	switch {
+	case ok:
+		return dispatch.Admission{Verdict: dispatch.Within, By: self}
+	case !l.keeper.Fits(t, cost):
 		return dispatch.Admission{Verdict: dispatch.TooLarge}
+	case admission.Verdict == dispatch.NotKnown && in < limit.Never:
+		return dispatch.Admission{Verdict: dispatch.Over, In: in}
+	default:
+		return admission
 	}
+}
+
+// askLenders lets another node spend; in is when this node's own share would suffice.
+func (l *limits) askLenders(ctx context.Context, t *tenant.Tenant, cost float64, in time.Duration) dispatch.Admission {
 	lenders, dry := l.keeper.Lenders(t, cost)
 	if dry > 0 {
 		return dispatch.Admission{Verdict: dispatch.Over, In: min(in, dry)}
 	}
-	return l.askLenders(ctx, lenders, t, cost, in)
-}
-
-// askLenders lets another node spend; in is when this node's own share would suffice.
-func (l *limits) askLenders(ctx context.Context, lenders []string, t *tenant.Tenant, cost float64, in time.Duration) dispatch.Admission {
 	answered := false
 	self := l.node.settings.Load().Listen.PeerAddress()
 	for _, lender := range lenders {
@@ -278,8 +307,12 @@
 			answered = true
 			continue
 		}
+		if l.mute.holds(lender) {
+			continue
+		}
 		response, err := l.askLender(ctx, lender, wire.SpendRequest{Tenant: t.Name, Cost: cost})
 		if err != nil {
+			l.mute.add(lender)
 			l.log.Info("lender did not answer", "tenant", string(t.Name), "peer", lender, "error", err.Error())
 			continue
 		}
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -93,25 +93,35 @@
 	Slack float64
 }
 
-// leastBurst is the least part of what may be used in a window that may be used at
-// once: a limit without a burst would admit nothing.
-const leastBurst = 0.1
+const (
+	// standbyShare is the part of what may be used in a window that nodes have in reserve
+	// for when they reach nobody.
+	standbyShare = 0.25
+	// bucketRate is the rate of the bucket against the limit's. Together with the reserve
+	// that is more than the limit's.
+	bucketRate = 0.8
+	// leastBurst is the least part of a bucket that may be used at once: one without would
+	// admit nothing.
+	leastBurst = 0.1
+)
 
-// Bucket is a token bucket that keeps a limit within its tolerance: what is used in any
-// window is at most Capacity plus Rate times the window.
+// Bucket is a token bucket: what is used in any window is at most Capacity plus Rate
+// times the window.
 type Bucket struct {
 	// Rate is units a second, Capacity units.
 	Rate     float64
 	Capacity float64
 }
 
-// Bucket returns the token bucket that the tolerance allows. It refills at the limit's
-// rate; all of the tolerance is room for requests that come together.
-func (l Limit) Bucket(t Tolerance) Bucket {
+// Budget divides what a limit lets through in any window, its tolerance included, into a
+// bucket and a reserve: so much may be used of the reserve in any window.
+func (l Limit) Budget(t Tolerance) (bucket Bucket, reserve float64) {
 	window := t.Window.Seconds()
 	total := (l.Rate*window+l.Burst)*(1+t.Share) + t.Slack
-	capacity := max(total-l.Rate*window, leastBurst*total)
-	return Bucket{Rate: (total - capacity) / window, Capacity: capacity}
+	reserve = standbyShare * total
+	rest := total - reserve
+	capacity := max(rest-bucketRate*l.Rate*window, leastBurst*rest)
+	return Bucket{Rate: (rest - capacity) / window, Capacity: capacity}, reserve
 }
 
 // Tenant is one tenant.
