--- a/internal/limit/divider.go
+++ b/internal/limit/divider.go
@@ -368,7 +368,7 @@
 	targets := make(map[string]Part)
 	left := float64(Whole)
 	for node, entry := range division.Nodes {
-		if d.silent(node, now) {
+		if !d.reports(node, now) {
 			targets[node] = entry.Told
 			left -= float64(entry.Bound)
 		}
@@ -377,10 +377,9 @@
 		targets[node] = Part(part)
 		left -= part
 	}
-	for _, lender := range division.Lenders {
-		if !d.silent(lender.Node, now) {
-			targets[lender.Node] = lenderTarget(division.Nodes.told(lender.Node), left/float64(len(division.Lenders)))
-		}
+	lenders := slices.DeleteFunc(slices.Clone(division.Lenders), func(l Lender) bool { return !d.reports(l.Node, now) })
+	for _, lender := range lenders {
+		targets[lender.Node] = lenderTarget(division.Nodes.told(lender.Node), left/float64(len(lenders)))
 	}
 	return targets
 }
@@ -441,26 +440,44 @@
 	return own
 }
 
-// silent reports whether a node has not reported lately.
+// silent reports whether a node has not reported lately. A new divider takes nobody for
+// silent until all had time to find it.
 func (d *Divider) silent(node string, now time.Time) bool {
 	m := d.nodes[node]
-	return m == nil || now.Sub(m.heard) > lenderSilence
+	if m == nil {
+		return now.Sub(d.began) > lenderSilence
+	}
+	return now.Sub(m.heard) > lenderSilence
 }
 
-// chooseLenders keeps a tenant's lenders while they report. The lenders of all tenants are
-// spread over the nodes with the most to spare.
+// reports reports whether a node reported to this divider lately.
+func (d *Divider) reports(node string, now time.Time) bool {
+	return d.nodes[node] != nil && !d.silent(node, now)
+}
+
+// chooseLenders keeps a tenant's lenders while they report, and finds others for those that
+// do not. One that is silent goes on to be asked as long as it may have a part: nodes may
+// reach it that the divider does not. The lenders of all tenants are spread over the nodes
+// with the most to spare.
 func (d *Divider) chooseLenders(name tenant.Name, division *Division, version Version, now time.Time) bool {
 	var lenders []Lender
+	reporting := 0
 	for _, lender := range division.Lenders {
-		if !d.silent(lender.Node, now) {
-			lenders = append(lenders, Lender{Node: lender.Node, Address: d.nodes[lender.Node].address})
+		switch {
+		case d.silent(lender.Node, now) && division.Nodes.bound(lender.Node) == 0:
+		case d.silent(lender.Node, now):
+			lenders = append(lenders, lender)
+		case reporting < lenderCount:
+			reporting++
+			lenders = append(lenders, d.lender(lender))
 		}
 	}
 	for _, node := range d.candidates(name, now) {
-		if len(lenders) == lenderCount {
+		if reporting == lenderCount {
 			break
 		}
 		if !slices.ContainsFunc(lenders, func(l Lender) bool { return l.Node == node }) {
+			reporting++
 			lenders = append(lenders, Lender{Node: node, Address: d.nodes[node].address})
 		}
 	}
@@ -471,6 +488,14 @@
 	return true
 }
 
+// lender brings a lender's address up to date.
+func (d *Divider) lender(known Lender) Lender {
+	if m := d.nodes[known.Node]; m != nil {
+		known.Address = m.address
+	}
+	return known
+}
+
 // candidates lists the nodes that may lend, best first.
 func (d *Divider) candidates(name tenant.Name, now time.Time) []string {
 	var nodes []string
--- a/internal/limit/record.go
+++ b/internal/limit/record.go
@@ -119,6 +119,14 @@
 	return 0
 }
 
+// bound is the most that a node may have in force.
+func (p Pool) bound(node string) Part {
+	if entry := p[node]; entry != nil {
+		return entry.Bound
+	}
+	return 0
+}
+
 // since is the version from which on a node is told so.
 func (p Pool) since(node string) Version {
 	if entry := p[node]; entry != nil {
--- a/internal/limit/share_test.go
+++ b/internal/limit/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -113,6 +114,32 @@
 	assert.Assert(t, granted[0] > 0.97, "%.3f", granted[0])
 }
 
+// TestNewDividerKeepsLenders: a new divider does not take nodes for gone that had no time to
+// report to it, and goes on to have a lender asked that it does not hear itself.
+func TestNewDividerKeepsLenders(t *testing.T) {
+	f := newFleet(t, 20)
+	calm := &tenant.Tenant{Name: "calm", Limit: tenant.Limit{Rate: 100, Burst: 100}}
+	f.tenants = []*tenant.Tenant{calm}
+	random := rand.New(rand.NewPCG(5, 6))
+	everywhere := []caller{{tenant: calm, nodes: upTo(20), rate: 55, mean: 4}}
+	f.play(everywhere, 10, random)
+	before := f.divider.Lenders("calm")
+	f.takeOver()
+	f.report(f.nodes[7], false, false)
+	f.divide(true, true)
+	assert.DeepEqual(t, f.divider.Lenders("calm"), before)
+	for f.now = f.now.Add(lenderSilence); len(f.divider.Lenders("calm")) < 2*lenderCount; {
+		f.now = f.now.Add(time.Second)
+		for _, n := range f.nodes {
+			if !slices.Contains(before, n.name) {
+				f.report(n, false, false)
+			}
+		}
+		f.divide(true, true)
+	}
+	assert.DeepEqual(t, f.divider.Lenders("calm")[:lenderCount], before)
+}
+
 // BenchmarkSpend is what a node takes to decide by its own share.
 func BenchmarkSpend(b *testing.B) {
 	keeper := NewKeeper(tenant.Tolerance{Window: time.Second}, time.Now)
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -96,10 +96,10 @@
 const (
 	// standbyShare is the part of what may be used in a window that nodes have in reserve
 	// for when they reach nobody.
-	standbyShare = 0.25
+	standbyShare = 0.1
 	// bucketRate is the rate of the bucket against the limit's. Together with the reserve
 	// that is more than the limit's.
-	bucketRate = 0.8
+	bucketRate = 0.95
 	// leastBurst is the least part of a bucket that may be used at once: one without would
 	// admit nothing.
 	leastBurst = 0.1
