Refuse at once what nothing can take in its time; expect late loads later

A load that was late was expected at once. Ruled out: loads in another order: the store carries one, the times are the same. Change: a request that came back is refused as soon as it is known that nothing can take it in its time; a late load is expected at the next time that a store which carries fewer would give; a lender that does not answer is asked less and less.

--- a/internal/control/storeloads.go
+++ b/internal/control/storeloads.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/orders"
 	"lilacvane/internal/scheduler"
 	"lilacvane/internal/weightstore"
 	"lilacvane/internal/wire"
@@ -37,6 +38,7 @@
 		case !ledger.Models()[load.model].Coming:
 			c.endLoad(runner, load, now)
 		default:
+			c.delayLoad(ledger, load.model, now)
 			continue
 		}
 		delete(c.storeLoads, runner)
@@ -50,6 +52,15 @@
 	c.store.Follow(foreign, now)
 }
 
+// delayLoad tells nodes when a load takes longer than they were told: requests that would
+// be too late for it are not held. mutex is held.
+func (c *Controller) delayLoad(ledger *orders.Ledger, model string, now time.Time) {
+	left := c.store.Left(ledger.Runner.ID, now)
+	if left > 0 && ledger.Delay(model, now.Add(left)) {
+		c.changedView(ledger)
+	}
+}
+
 func (c *Controller) endLoad(runner string, load storeLoad, now time.Time) {
 	before := c.store.Estimate()
 	took := c.store.End(runner, backend.ReportLag, now)
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -44,13 +44,21 @@
 // decide weighs a wait against a refusal. A request that can still be served
 // within its objective waits. One that cannot is refused at once, with the time
 // at which it can be served. A client that was sent back
-// already, or could not come back in time, waits. again is when to decide anew.
+// already, or could not come back in time, waits if it can be served in its time at all.
+// again is when to decide anew.
 func (w wait) decide() (decision verdict, retryAfter, again time.Duration) {
 	if w.elapsed >= w.hold {
 		return giveUp, max(w.expected, defaultReturn), 0
 	}
+	if w.returned && w.known && w.elapsed+w.expected > w.hold {
+		// Nothing can take it before its time is over, and nobody gains by its wait.
+		return giveUp, w.expected, 0
+	}
 	rest := w.hold - w.elapsed
 	prompt := time.Duration(promptRefusal * float64(w.objective))
+	if w.returned && !w.known && w.elapsed < prompt {
+		return keepWaiting, 0, min(prompt-w.elapsed, rest)
+	}
 	if w.objective == 0 || w.returned || w.elapsed > prompt+promptSlack {
 		return keepWaiting, 0, rest
 	}
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -28,6 +28,8 @@
 		"nothing known yet":            {wait: hurried, unknown: true, verdict: keepWaiting},
 		"came back already":            {wait: hurried, expected: 900 * ms, returned: true, verdict: keepWaiting},
 		"too late to be sent back":     {wait: hurried, expected: 900 * ms, elapsed: 300 * ms, verdict: keepWaiting},
+		"came back for nothing":        {wait: hurried, expected: 2000 * ms, elapsed: 200 * ms, returned: true, verdict: giveUp},
+		"came back, nothing known":     {wait: hurried, unknown: true, returned: true, verdict: keepWaiting},
 		"its time is over":             {wait: hurried, expected: 900 * ms, elapsed: 2100 * ms, verdict: giveUp},
 	} {
 		w := test.wait
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -38,6 +38,9 @@
 	// mutePause is how long a lender that did not answer is not asked: a cut lasts for
 	// seconds, and each question would hold a request for spendTimeout.
 	mutePause = time.Second
+	// longestMute is the longest such pause: a machine that was killed or cut off is back
+	// within some seconds, or not at all.
+	longestMute = 8 * time.Second
 )
 
 // limits are this node's part in the limits that all nodes share. The holder of one
@@ -59,7 +62,7 @@
 }
 
 func newLimits(n *Node, s settings.Limits) *limits {
-	l := &limits{node: n, keeper: limit.NewKeeper(tolerance(s), time.Now), rows: n.platform.Limits, log: n.log.Logger, mute: newMuted(mutePause)}
+	l := &limits{node: n, keeper: limit.NewKeeper(tolerance(s), time.Now), rows: n.platform.Limits, log: n.log.Logger, mute: newMuted(mutePause, longestMute, time.Now)}
 	none := ""
 	l.service.Store(&none)
 	peer.Handle(n.peers, wire.MethodSpend, l.spend)
@@ -316,6 +319,7 @@
 			l.log.Info("lender did not answer", "tenant", string(t.Name), "peer", lender, "error", err.Error())
 			continue
 		}
+		l.mute.clear(lender)
 		if response.Spent {
 			return dispatch.Admission{Verdict: dispatch.Within, By: lender}
 		}
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -184,6 +184,17 @@
 	return order
 }
 
+// Delay notes that a load under way is expected later than was thought. It returns whether
+// that is so by more than a report tells apart.
+func (l *Ledger) Delay(model string, due time.Time) bool {
+	loading := l.models[model]
+	if loading == nil || !loading.Coming || due.Sub(loading.Due) <= backend.ReportLag {
+		return false
+	}
+	loading.Due = due
+	return true
+}
+
 // End notes an order's verdict. due is when an accepted load is expected to be
 // done.
 func (l *Ledger) End(order backend.Order, verdict backend.Verdict, now, due time.Time) {
--- a/internal/weightstore/weightstore.go
+++ b/internal/weightstore/weightstore.go
@@ -121,6 +121,22 @@
 	return took
 }
 
+// Left is how much longer a runner's load is expected to take; zero when it is not
+// followed. A load that is late already shows that the store carries less than was thought:
+// the next time that a smaller whole number carried at full speed would give it.
+func (e *Estimator) Left(runner string, now time.Time) time.Duration {
+	l := e.loads[runner]
+	if l == nil {
+		return 0
+	}
+	passed := now.Sub(l.began)
+	expected := time.Duration(float64(l.nominal) * e.Slowdown(l.number))
+	for carried := l.number; expected < passed && carried > 0; carried-- {
+		expected = max(expected, l.nominal*time.Duration(l.number)/time.Duration(carried))
+	}
+	return max(expected-passed, 0)
+}
+
 // slowed takes over the capacity that a slowed load shows.
 func (e *Estimator) slowed(capacity float64) {
 	if e.estimate.Capacity > 0 {
--- a/internal/weightstore/weightstore_test.go
+++ b/internal/weightstore/weightstore_test.go
@@ -182,3 +182,20 @@
 		assert.Assert(t, len(off) == 0 || off[len(off)/2] <= 0.15, "capacity %v: %v", capacity, off)
 	}
 }
+
+// TestLateLoadIsExpectedLater: a load that is late is expected at the next time that a
+// store which carries fewer would give it, not at once.
+func TestLateLoadIsExpectedLater(t *testing.T) {
+	e := New(Estimate{})
+	at := time.Unix(0, 0)
+	for _, runner := range []string{"a", "b", "c", "d"} {
+		e.Begin(runner, 10*time.Second, at)
+	}
+	for _, test := range []struct{ passed, left time.Duration }{
+		{0, 10 * time.Second}, {9 * time.Second, time.Second}, {11 * time.Second, 2333 * time.Millisecond}, {14 * time.Second, 6 * time.Second}, {21 * time.Second, 19 * time.Second}, {50 * time.Second, 0},
+	} {
+		left := e.Left("d", at.Add(test.passed))
+		assert.Assert(t, (left-test.left).Abs() < time.Millisecond, "%s: %s", test.passed, left)
+	}
+	assert.Equal(t, e.Left("nobody", at), time.Duration(0))
+}
