Serve a tenant's urgent requests first; wait longer for a limit; no shares beside a row being written

Change: a request leaves a part of its tenant's bucket to more urgent ones, unless it is cheap; a request waits for its limit up to half of its objective (measured apart). The model of the lending, made stricter by nodes that report while a row is written, found that a node which comes back from a long silence was told shares that the row being written gave to others: no shares are told beside it now.

--- a/internal/dispatch/caller.go
+++ b/internal/dispatch/caller.go
@@ -38,8 +38,9 @@
 type Limiter interface {
 	// Ask notes that a request of the cost was asked for, once a request.
 	Ask(t *tenant.Tenant, cost float64)
-	// Admit decides on it now; it may be asked again.
-	Admit(ctx context.Context, t *tenant.Tenant, cost float64) Admission
+	// Admit decides on it now; it may be asked again. rank is its place among the requests
+	// of its tenant, 0 the most urgent.
+	Admit(ctx context.Context, t *tenant.Tenant, cost float64, rank int) Admission
 }
 
 // routeRanks is how many priorities of routes are told apart below one of tenants: with
@@ -95,7 +96,7 @@
 	j.outcome.Cost = cost
 	j.dispatcher.Limits.Ask(j.tenant, cost)
 	for {
-		admission := j.dispatcher.Limits.Admit(ctx, j.tenant, cost)
+		admission := j.dispatcher.Limits.Admit(ctx, j.tenant, cost, j.route.Priority)
 		j.outcome.AdmittedBy = admission.By
 		if admission.Verdict == Within {
 			return nil
@@ -112,10 +113,13 @@
 	}
 }
 
-// limitPatience is how long the request may still wait for its tenant's limit: as long as
-// a refusal costs the client little.
+// limitWait is the part of a request's objective in which it may wait for its tenant's
+// limit: what is left is enough for a runner to begin its answer in time.
+const limitWait = 0.5
+
+// limitPatience is how long the request may still wait for its tenant's limit.
 func (j *job) limitPatience() time.Duration {
-	return time.Duration(promptRefusal*float64(j.route.Objective)) - time.Since(j.request.Arrived)
+	return time.Duration(limitWait*float64(j.route.Objective)) - time.Since(j.request.Arrived)
 }
 
 // waits reports whether a request is better held for a moment than sent back, and for how
--- a/internal/dispatch/caller_test.go
+++ b/internal/dispatch/caller_test.go
@@ -84,7 +84,7 @@
 
 func (l *limiter) Ask(_ *tenant.Tenant, cost float64) { l.asked += cost }
 
-func (l *limiter) Admit(_ context.Context, _ *tenant.Tenant, cost float64) Admission {
+func (l *limiter) Admit(_ context.Context, _ *tenant.Tenant, cost float64, _ int) Admission {
 	l.cost = cost
 	next := l.admissions[0]
 	if len(l.admissions) > 1 {
--- a/internal/limit/divider.go
+++ b/internal/limit/divider.go
@@ -150,6 +150,10 @@
 	if report.Version > 0 && report.Version >= d.record.changed(report.Node) {
 		return Grant{Version: d.record.Version, Same: true}
 	}
+	if d.next != nil {
+		// The row being written may give to others what a node had that was silent for long.
+		return Grant{Same: true}
+	}
 	return Grant{Version: d.record.Version, Shares: d.record.shares(report.Node), Reserve: d.record.Reserve.told(report.Node)}
 }
 
--- a/internal/limit/keeper.go
+++ b/internal/limit/keeper.go
@@ -45,10 +45,11 @@
 	// sum of it.
 	taken    []taken
 	takenSum float64
-	// dryUntil and dryCost are until when, and from which cost on, the lenders have
-	// nothing.
+	// dryUntil is until when the lenders have nothing for requests of dryCost and dryRank,
+	// and for larger and less urgent ones.
 	dryUntil time.Time
 	dryCost  float64
+	dryRank  int
 	// next is the lender that is asked first next time.
 	next int
 }
@@ -80,24 +81,47 @@
 	a.requests++
 }
 
-// Spend takes the cost from this node's share. Where that does not suffice, in is the
-// time until it does if nothing else is spent, never when it cannot.
-func (k *Keeper) Spend(t *tenant.Tenant, cost float64) (ok bool, in time.Duration) {
+const (
+	// rankFloor is the part of a bucket that a request leaves to more urgent ones of its
+	// tenant, for each rank that it stands behind the first: where a tenant asks for more
+	// than its limit, what it holds urgent is served first.
+	rankFloor = 0.15
+	// highestRank bounds the ranks that are told apart.
+	highestRank = 4
+	// cheapPart is the part of a bucket up to which a request leaves nothing: it takes next
+	// to nothing from the others.
+	cheapPart = 0.01
+)
+
+// needed is the level at which a request of the rank is let through.
+func needed(cost float64, rank int, capacity float64) float64 {
+	if cost <= cheapPart*capacity {
+		return cost
+	}
+	floor := float64(min(max(rank, 0), highestRank)) * rankFloor * capacity
+	return max(cost, min(cost+floor, capacity))
+}
+
+// Spend takes the cost from this node's share for a request of a rank, 0 the most urgent.
+// Where that does not suffice, in is the time until it does if nothing else is spent,
+// Never when it cannot.
+func (k *Keeper) Spend(t *tenant.Tenant, cost float64, rank int) (ok bool, in time.Duration) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.expire()
 	a := k.account(t.Name)
-	rate := k.refill(a, t)
-	if cost <= a.level {
+	bucket, _ := t.Limit.Budget(k.tolerance)
+	rate := k.refill(a, bucket)
+	level := needed(cost, rank, a.capacity(bucket))
+	if level <= a.level {
 		a.level -= cost
 		a.used += cost
 		return true, 0
 	}
-	bucket, _ := t.Limit.Budget(k.tolerance)
 	if cost > a.capacity(bucket) || rate <= 0 {
 		return false, Never
 	}
-	return false, time.Duration((cost - a.level) / rate * float64(time.Second))
+	return false, time.Duration((level - a.level) / rate * float64(time.Second))
 }
 
 // Never is the time until something that cannot be.
@@ -188,11 +212,11 @@
 
 // Lenders returns who may spend for this node, in the order in which to ask: each is the
 // first in turn. dry is above zero when they said a moment ago that they cannot.
-func (k *Keeper) Lenders(t *tenant.Tenant, cost float64) (addresses []string, dry time.Duration) {
+func (k *Keeper) Lenders(t *tenant.Tenant, cost float64, rank int) (addresses []string, dry time.Duration) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	a := k.account(t.Name)
-	if left := a.dryUntil.Sub(k.now()); left > 0 && cost >= a.dryCost {
+	if left := a.dryUntil.Sub(k.now()); left > 0 && cost >= a.dryCost && rank >= a.dryRank {
 		return nil, left
 	}
 	count := len(a.lenders)
@@ -203,12 +227,12 @@
 	return addresses, 0
 }
 
-// Refused notes that the lenders have nothing for the cost until in.
-func (k *Keeper) Refused(t *tenant.Tenant, cost float64, in time.Duration) {
+// Refused notes that the lenders have nothing for the cost and rank until in.
+func (k *Keeper) Refused(t *tenant.Tenant, cost float64, rank int, in time.Duration) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	a := k.account(t.Name)
-	a.dryUntil, a.dryCost = k.now().Add(min(in, longestDry)), cost
+	a.dryUntil, a.dryCost, a.dryRank = k.now().Add(min(in, longestDry)), cost, rank
 }
 
 // Report returns what was asked since the last report, and the version of the shares in
@@ -299,8 +323,7 @@
 }
 
 // refill brings an account's level up to date and returns its rate. mutex is held.
-func (k *Keeper) refill(a *account, t *tenant.Tenant) (rate float64) {
-	bucket, _ := t.Limit.Budget(k.tolerance)
+func (k *Keeper) refill(a *account, bucket tenant.Bucket) (rate float64) {
 	now := k.now()
 	rate = bucket.Rate * float64(a.part) / float64(Whole)
 	a.level = min(a.level+rate*now.Sub(a.at).Seconds(), a.capacity(bucket))
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -22,6 +22,8 @@
 	processes int
 	row       *Record
 	divider   *Divider
+	// rank is that of the requests.
+	rank int
 	// spent lists what was spent, by tenant.
 	spent map[tenant.Name][]spending
 }
@@ -94,6 +96,10 @@
 	if next == nil {
 		return
 	}
+	for _, n := range f.nodes {
+		// Nodes report while the row is being written.
+		f.report(n, false, false)
+	}
 	if done {
 		f.row = next.clone()
 	}
@@ -108,13 +114,13 @@
 	n.keeper.Ask(t, cost)
 	ok := n.keeper.SpendSmall(t, cost)
 	if !ok {
-		ok, _ = n.keeper.Spend(t, cost)
+		ok, _ = n.keeper.Spend(t, cost, f.rank)
 	}
-	addresses, _ := n.keeper.Lenders(t, cost)
+	addresses, _ := n.keeper.Lenders(t, cost, f.rank)
 	for _, address := range addresses {
 		for _, lender := range f.nodes {
 			if !ok && lender.name == address {
-				ok, _ = lender.keeper.Spend(t, cost)
+				ok, _ = lender.keeper.Spend(t, cost, f.rank)
 			}
 		}
 	}
@@ -204,6 +210,18 @@
 					f.spend(n, owner, owner.Limit.Rate/20)
 				}
 			},
+			"restart and spend much": func(t *rapid.T) {
+				n, owner := anyNode.Draw(t, "node"), anyTenant.Draw(t, "tenant")
+				f.restart(n)
+				for range 3 {
+					f.report(n, false, false)
+					f.divide(true, true)
+				}
+				f.now = f.now.Add(100 * time.Millisecond)
+				for range 30 {
+					f.spend(n, owner, owner.Limit.Rate/20)
+				}
+			},
 			"": func(*rapid.T) { f.check() },
 		})
 	})
--- a/internal/limit/share_test.go
+++ b/internal/limit/share_test.go
@@ -19,6 +19,7 @@
 	nodes  []int
 	rate   float64
 	mean   float64
+	rank   int
 }
 
 // play lets callers ask for some seconds and returns the part of the cost that each was
@@ -40,6 +41,7 @@
 			for range poisson(c.rate*step.Seconds(), random) {
 				cost := c.mean * random.ExpFloat64()
 				asked[i] += cost
+				f.rank = c.rank
 				if f.spend(f.nodes[c.nodes[random.IntN(len(c.nodes))]], c.tenant, cost) {
 					granted[i] += cost
 				}
@@ -140,6 +142,21 @@
 	assert.DeepEqual(t, f.divider.Lenders("calm")[:lenderCount], before)
 }
 
+// TestUrgentRequestsOfATenantGoFirst: of a tenant that asks for three times its limit the
+// urgent requests are served, and what is left goes to the others.
+func TestUrgentRequestsOfATenantGoFirst(t *testing.T) {
+	f := newFleet(t, 12)
+	hot := &tenant.Tenant{Name: "hot", Limit: tenant.Limit{Rate: 1000, Burst: 1000}}
+	f.tenants = []*tenant.Tenant{hot}
+	random := rand.New(rand.NewPCG(7, 8))
+	asked := []caller{{tenant: hot, nodes: upTo(12), rate: 140, mean: 5, rank: 0}, {tenant: hot, nodes: upTo(12), rate: 460, mean: 5, rank: 2}}
+	f.play(asked, 5, random)
+	granted := f.play(asked, 20, random)
+	f.check()
+	assert.Assert(t, granted[0] > 0.95, "urgent: %.3f", granted[0])
+	assert.Assert(t, granted[1] > 0.1 && granted[1] < 0.3, "others: %.3f", granted[1])
+}
+
 // BenchmarkSpend is what a node takes to decide by its own share.
 func BenchmarkSpend(b *testing.B) {
 	keeper := NewKeeper(tenant.Tolerance{Window: time.Second}, time.Now)
@@ -147,7 +164,7 @@
 	keeper.Apply(Grant{Version: 1, Shares: []Share{{Tenant: "t", Part: Whole}}}, time.Now())
 	for b.Loop() {
 		keeper.Ask(t, 1)
-		keeper.Spend(t, 1)
+		keeper.Spend(t, 1, 0)
 	}
 }
 
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -255,7 +255,7 @@
 	if !known || request.Cost < 0 {
 		return wire.SpendResponse{}, fault.New(fault.CodeInvalid, wire.MethodSpend, "tenant %q, cost %g", request.Tenant, request.Cost)
 	}
-	ok, in := l.keeper.Spend(t, request.Cost)
+	ok, in := l.keeper.Spend(t, request.Cost, request.Rank)
 	return wire.SpendResponse{Spent: ok, InMs: in.Milliseconds()}, nil
 }
 
@@ -268,7 +268,7 @@
 
 // Admit decides whether a request is within its tenant's limit: by this node's share, or
 // else by the lender's.
-func (l *limits) Admit(ctx context.Context, t *tenant.Tenant, cost float64) dispatch.Admission {
+func (l *limits) Admit(ctx context.Context, t *tenant.Tenant, cost float64, rank int) dispatch.Admission {
 	if !t.Limit.Limited() || *l.service.Load() == "" {
 		return dispatch.Admission{Verdict: dispatch.Within}
 	}
@@ -276,11 +276,11 @@
 	if l.keeper.SpendSmall(t, cost) {
 		return dispatch.Admission{Verdict: dispatch.Within, By: self}
 	}
-	ok, in := l.keeper.Spend(t, cost)
+	ok, in := l.keeper.Spend(t, cost, rank)
 	if ok {
 		return dispatch.Admission{Verdict: dispatch.Within, By: self}
 	}
-	admission := l.askLenders(ctx, t, cost, in)
+	admission := l.askLenders(ctx, t, wire.SpendRequest{Tenant: t.Name, Cost: cost, Rank: rank}, in)
 	if admission.Verdict == dispatch.Within {
 		return admission
 	}
@@ -298,8 +298,8 @@
 }
 
 // askLenders lets another node spend; in is when this node's own share would suffice.
-func (l *limits) askLenders(ctx context.Context, t *tenant.Tenant, cost float64, in time.Duration) dispatch.Admission {
-	lenders, dry := l.keeper.Lenders(t, cost)
+func (l *limits) askLenders(ctx context.Context, t *tenant.Tenant, request wire.SpendRequest, in time.Duration) dispatch.Admission {
+	lenders, dry := l.keeper.Lenders(t, request.Cost, request.Rank)
 	if dry > 0 {
 		return dispatch.Admission{Verdict: dispatch.Over, In: min(in, dry)}
 	}
@@ -313,7 +313,7 @@
 		if l.mute.holds(lender) {
 			continue
 		}
-		response, err := l.askLender(ctx, lender, wire.SpendRequest{Tenant: t.Name, Cost: cost})
+		response, err := l.askLender(ctx, lender, request)
 		if err != nil {
 			l.mute.add(lender)
 			l.log.Info("lender did not answer", "tenant", string(t.Name), "peer", lender, "error", err.Error())
@@ -329,7 +329,7 @@
 	if !answered {
 		return dispatch.Admission{Verdict: dispatch.NotKnown}
 	}
-	l.keeper.Refused(t, cost, in)
+	l.keeper.Refused(t, request.Cost, request.Rank, in)
 	return dispatch.Admission{Verdict: dispatch.Over, In: in}
 }
 
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -23,6 +23,8 @@
 type SpendRequest struct {
 	Tenant tenant.Name `cbor:"1,keyasint"`
 	Cost   float64     `cbor:"2,keyasint"`
+	// Rank is the request's place among those of its tenant, 0 the most urgent.
+	Rank int `cbor:"3,keyasint,omitempty"`
 }
 
 // SpendResponse is the lender's answer.
