--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -20,6 +20,7 @@
 	first    *prometheus.HistogramVec
 	waited   prometheus.Histogram
 	loadTime prometheus.Histogram
+	tenants  *tenantFigures
 }
 
 // latencyBuckets are in seconds.
@@ -47,6 +48,7 @@
 		Name: "lilacvane_load_time_error_ratio", Buckets: errorBuckets,
 		Help: "How far loads from the weight store were from the time that was told, as a part of it.",
 	})
+	f.tenants = newTenantFigures(f.registry)
 	f.registry.MustRegister(f.loadTime, f.requests, f.attempts, f.resumes, f.first, f.waited)
 	gauge := func(name, help string, value func() float64) {
 		f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
@@ -97,6 +99,7 @@
 // observe counts a request that ended.
 func (f *figures) observe(o dispatch.Outcome) {
 	f.requests.WithLabelValues(o.Route, o.Result).Inc()
+	f.tenants.observe(o)
 	f.attempts.Add(float64(o.Attempts))
 	f.resumes.Add(float64(o.Resumes))
 	f.waited.Observe(o.Waited.Seconds())
--- a/internal/node/questions.go
+++ b/internal/node/questions.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -44,7 +45,24 @@
 	n.decide("request/"+id, "end request", describeOutcome(o))
 }
 
+// describeOutcome says what became of a request, and whose it was by which share of the
+// limit.
 func describeOutcome(o dispatch.Outcome) string {
+	text := describeResult(o)
+	if o.Tenant == "" {
+		return text
+	}
+	text += "; tenant " + string(o.Tenant)
+	if o.Cost > 0 {
+		text += ", cost " + strconv.FormatFloat(o.Cost, 'f', -1, 64)
+	}
+	if o.AdmittedBy != "" {
+		text += ", admitted by " + o.AdmittedBy
+	}
+	return text
+}
+
+func describeResult(o dispatch.Outcome) string {
 	switch o.Result {
 	case dispatch.ResultServed, dispatch.ResultPassed:
 		return o.Result + " by runner " + o.Runner + ", waited " + o.Waited.Round(time.Millisecond).String() + ", first part after " + o.First.Round(time.Millisecond).String()
--- /dev/null
+++ b/internal/node/tenantfigures_test.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/dispatch"
+	"lilacvane/internal/tenant"
+)
+
+// TestTenantFiguresStayBounded: tenants beyond the first share a counter.
+func TestTenantFiguresStayBounded(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	f := newTenantFigures(registry)
+	for i := range 1000 {
+		f.observe(dispatch.Outcome{Tenant: tenant.Name(fmt.Sprintf("t%d", i)), Result: dispatch.ResultServed, Status: http.StatusOK, Cost: 2})
+	}
+	f.observe(dispatch.Outcome{Result: dispatch.ResultServed})
+	families, err := registry.Gather()
+	assert.NilError(t, err)
+	for _, family := range families {
+		assert.Equal(t, len(family.Metric), namedTenants+1)
+	}
+}
+
+// TestExplanationNamesTheTenant: what is told of a request names its tenant, what it cost
+// and whose share admitted it.
+func TestExplanationNamesTheTenant(t *testing.T) {
+	text := describeOutcome(dispatch.Outcome{Result: dispatch.ResultRefused, Reason: "over", Tenant: "club", Cost: 9190, AdmittedBy: "node-2"})
+	assert.Equal(t, text, "refused: over; tenant club, cost 9190, admitted by node-2")
+	assert.Equal(t, describeOutcome(dispatch.Outcome{Result: dispatch.ResultRefused, Reason: "over"}), "refused: over")
+}
