Let buckets begin with something when all nodes start again; repeat the first look at a lease

Change: 0.08 of a window's limit is given once to buckets that begin, at most once in a window by the store's clock; the next step looks at the lease again; a returned request is refused for what is known at least, not for what is expected.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -13,6 +13,9 @@
 	// expected is the time until a runner can take it, if known.
 	expected time.Duration
 	known    bool
+	// least is the least time until a runner can take it, if known: what is expected may
+	// turn out better, as another runner may take over.
+	least time.Duration
 	// returned is set when the client was refused before and came back.
 	returned bool
 }
@@ -50,7 +53,7 @@
 	if w.elapsed >= w.hold {
 		return giveUp, max(w.expected, defaultReturn), 0
 	}
-	if w.returned && w.known && w.elapsed+w.expected > w.hold {
+	if w.returned && w.known && w.elapsed+w.least > w.hold {
 		// Nothing can take it before its time is over, and nobody gains by its wait.
 		return giveUp, w.expected, 0
 	}
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -34,6 +34,7 @@
 	} {
 		w := test.wait
 		w.expected, w.known, w.elapsed, w.returned = test.expected, !test.unknown, test.elapsed, test.returned
+		w.least = min(test.expected, 2*time.Second)
 		decision, retryAfter, again := w.decide()
 		assert.Equal(t, decision, test.verdict, name)
 		switch decision {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -127,14 +127,28 @@
 	if j.engine {
 		w.expected, w.known = j.dispatcher.Fleet.Expected(j.query.Service, j.query.Unit)
 		if !w.known && w.elapsed >= time.Duration(promptRefusal*float64(w.objective)) {
-			w.expected, w.known = j.loadTime()
+			w.expected, w.known = j.loadExpected()
+		}
+		if w.returned && w.known {
+			load, _ := j.loadTime()
+			w.least = min(w.expected, load)
 		}
 	}
 	return w
 }
 
-// loadTime is how long it takes at least until the model is loaded when nobody has
+// loadExpected is how long it takes at least until the model is loaded when nobody has
 // begun to: until somebody gives orders, and the load.
+func (j *job) loadExpected() (time.Duration, bool) {
+	load, known := j.loadTime()
+	if !known || load == 0 {
+		return load, known
+	}
+	return j.dispatcher.Fleet.OrdersIn(j.query.Service) + load, true
+}
+
+// loadTime is how long a load of the model takes at least; nothing when a runner holds it,
+// of which only an adapter may be missing.
 func (j *job) loadTime() (time.Duration, bool) {
 	service := j.dispatcher.Configuration().Services[j.query.Service]
 	if service == nil || service.Engine == nil || service.Engine.Models[j.query.Unit.Model] == nil {
@@ -143,8 +157,7 @@
 	if j.dispatcher.Fleet.Holds(j.query.Service, j.query.Unit.Model) {
 		return 0, true
 	}
-	load := j.dispatcher.Fleet.LoadTime(j.query.Service, service.Engine.Models[j.query.Unit.Model])
-	return j.dispatcher.Fleet.OrdersIn(j.query.Service) + load, true
+	return j.dispatcher.Fleet.LoadTime(j.query.Service, service.Engine.Models[j.query.Unit.Model]), true
 }
 
 // returned reports whether the client was refused before: it has less time left
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -29,9 +29,9 @@
 
 // lookFirst looks at the row before this process waits for its turn to take it: who holds
 // the lease is needed at once. Only the lease of an earlier process of this node is taken.
+// The next step looks again: where all were started together, the row may be from before.
 func (l *Lessor) lookFirst(ctx context.Context) {
 	wait.For(ctx, rand.N(firstLookSpread))
-	l.looked = true
 	if err := l.look(ctx); err != nil {
 		l.noteLoss(err)
 		return
--- a/internal/limit/divider.go
+++ b/internal/limit/divider.go
@@ -60,8 +60,12 @@
 	nodes     map[string]*member
 	tolerance tenant.Tolerance
 	// began is when this divider took over: nodes may have been told something just
-	// before.
-	began time.Time
+	// before. startUntil is until when it lets buckets begin with something.
+	began      time.Time
+	startUntil time.Time
+	// begun is the version of its first row: what buckets begin with goes by its parts, so
+	// that it is no more than the whole.
+	begun Version
 }
 
 // member is a node that reported.
@@ -75,6 +79,8 @@
 	acked Version
 	heard time.Time
 	used  map[tenant.Name]*flow
+	// started is set once the node's buckets began with something.
+	started bool
 	// seeded is set once used was filled from the parts that an earlier divider gave.
 	seeded bool
 }
@@ -112,19 +118,36 @@
 	return f.cost * math.Ln2 / useHalfLife.Seconds()
 }
 
+// startSpread is how long after it took over a divider lets buckets begin with something:
+// the nodes that were started with it have found it by then. startMargin is what may lie
+// between the reading of the row and that, two calls to the store.
+const (
+	startSpread = 2 * time.Second
+	startMargin = 3 * time.Second
+)
+
 // NewDivider returns a divider that goes on from a row. Nothing may be told of a row
 // that was only read, as what is read may be old: its user first writes the record that
 // Begin makes of it, on condition that the row is still the one read.
-func NewDivider(begun *Record, tolerance tenant.Tolerance, now time.Time) *Divider {
-	return &Divider{record: begun, nodes: make(map[string]*member), tolerance: tolerance, began: now}
+func NewDivider(begun *Record, starts bool, tolerance tenant.Tolerance, now time.Time) *Divider {
+	d := &Divider{record: begun, nodes: make(map[string]*member), tolerance: tolerance, began: now, begun: begun.Version}
+	if starts {
+		d.startUntil = now.Add(startSpread)
+	}
+	return d
 }
 
-// Begin returns the record that a new divider writes over the one it read; an empty one
-// where there is none.
-func Begin(read *Record) *Record {
-	begun := read.clone()
+// Begin returns the record that a new divider writes over the one it read at a time of
+// the table's clock; an empty one where there is none. starts tells whether the divider
+// may let buckets begin with something: no other one did within a window.
+func Begin(read *Record, readAt time.Duration, tolerance tenant.Tolerance) (begun *Record, starts bool) {
+	begun = read.clone()
 	begun.Version++
-	return begun
+	if read.StartedAt > 0 && readAt-read.StartedAt < tolerance.Window+startSpread+startMargin {
+		return begun, false
+	}
+	begun.StartedAt = max(readAt, time.Millisecond)
+	return begun, true
 }
 
 // Report takes a node's report and returns what it is to have in force.
@@ -154,7 +177,11 @@
 		// The row being written may give to others what a node had that was silent for long.
 		return Grant{Same: true}
 	}
-	return Grant{Version: d.record.Version, Shares: d.record.shares(report.Node), Reserve: d.record.Reserve.told(report.Node)}
+	grant := Grant{Version: d.record.Version, Shares: d.record.shares(report.Node), Reserve: d.record.Reserve.told(report.Node)}
+	if report.Version == 0 && !m.started && d.record.Version == d.begun && now.Before(d.startUntil) {
+		m.started, grant.Start = true, true
+	}
+	return grant
 }
 
 // Asked is what is asked of a tenant's limit, in units a second.
@@ -403,7 +430,7 @@
 func (d *Divider) ownParts(t *tenant.Tenant, division *Division, most float64, now time.Time) map[string]float64 {
 	cost, requests := 0.0, 0.0
 	var asked []ownPart
-	bucket, _ := t.Limit.Budget(d.tolerance)
+	bucket := t.Limit.Budget(d.tolerance).Bucket
 	for node, m := range d.nodes {
 		used := m.used[t.Name]
 		if used == nil || d.silent(node, now) {
--- a/internal/limit/keeper.go
+++ b/internal/limit/keeper.go
@@ -36,6 +36,8 @@
 	// level is what may be spent, as of at.
 	level float64
 	at    time.Time
+	// startPart is the part by which the bucket is still to be given what it begins with.
+	startPart Part
 	// asked is what was asked since the last report, by so many requests, used all that
 	// was admitted.
 	asked    float64
@@ -110,8 +112,9 @@
 	defer k.mutex.Unlock()
 	k.expire()
 	a := k.account(t.Name)
-	bucket, _ := t.Limit.Budget(k.tolerance)
-	rate := k.refill(a, bucket)
+	budget := t.Limit.Budget(k.tolerance)
+	bucket := budget.Bucket
+	rate := k.refill(a, bucket, budget.Start)
 	level := needed(cost, rank, a.capacity(bucket))
 	if level <= a.level {
 		a.level -= cost
@@ -177,8 +180,7 @@
 	if now.Sub(k.began) < k.tolerance.Window {
 		return a, 0
 	}
-	_, reserve := t.Limit.Budget(k.tolerance)
-	return a, reserve * float64(k.reserve) / float64(Whole)
+	return a, t.Limit.Budget(k.tolerance).Reserve * float64(k.reserve) / float64(Whole)
 }
 
 func (a *account) take(cost float64, now time.Time) {
@@ -206,7 +208,7 @@
 func (k *Keeper) Fits(t *tenant.Tenant, cost float64) bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	bucket, _ := t.Limit.Budget(k.tolerance)
+	bucket := t.Limit.Budget(k.tolerance).Bucket
 	return cost <= bucket.Capacity
 }
 
@@ -273,7 +275,7 @@
 	}
 	switch {
 	case !grant.Same:
-		k.setShares(grant.Shares)
+		k.setShares(grant.Shares, grant.Start)
 		k.reserve = grant.Reserve
 	case k.version == 0:
 		// They expired while the divider answered.
@@ -286,8 +288,9 @@
 }
 
 // setShares replaces all shares. What is at hand stays, as far as the new share holds
-// it; a larger share fills by its rate. mutex is held.
-func (k *Keeper) setShares(shares []Share) {
+// it; a larger share fills by its rate. start lets them begin with something. mutex is
+// held.
+func (k *Keeper) setShares(shares []Share, start bool) {
 	told := make(map[tenant.Name]Share, len(shares))
 	for _, share := range shares {
 		told[share.Tenant] = share
@@ -296,6 +299,9 @@
 	for name, a := range k.accounts {
 		a.nextPart(told[name].Part, k.now())
 		a.lenders = told[name].Lenders
+		if start {
+			a.startPart = a.part
+		}
 	}
 }
 
@@ -318,14 +324,17 @@
 	}
 	k.version, k.reserve = 0, 0
 	for _, a := range k.accounts {
-		a.part, a.level = 0, 0
+		a.part, a.level, a.startPart = 0, 0, 0
 	}
 }
 
-// refill brings an account's level up to date and returns its rate. mutex is held.
-func (k *Keeper) refill(a *account, bucket tenant.Bucket) (rate float64) {
+// refill brings an account's level up to date and returns its rate; start is what the
+// whole bucket may begin with. mutex is held.
+func (k *Keeper) refill(a *account, bucket tenant.Bucket, start float64) (rate float64) {
 	now := k.now()
 	rate = bucket.Rate * float64(a.part) / float64(Whole)
+	a.level += start * float64(a.startPart) / float64(Whole)
+	a.startPart = 0
 	a.level = min(a.level+rate*now.Sub(a.at).Seconds(), a.capacity(bucket))
 	a.at = now
 	return rate
--- a/internal/limit/part.go
+++ b/internal/limit/part.go
@@ -16,7 +16,9 @@
 // lost, late or told twice. For that, what a node may have in force is written to a
 // row before the node is told; it is taken as less only when the node said that it
 // has less, or has heard nothing for so long that it uses none (Lifetime). A process
-// begins with no part and an empty bucket.
+// begins with no part and an empty bucket; a new divider may have the buckets of processes
+// without a share begin with something, at most once in a window by the clock of the row's
+// table (Record.StartedAt).
 package limit
 
 import (
@@ -56,6 +58,8 @@
 	Reserve Part `cbor:"4,keyasint,omitempty"`
 	// Same is set when the node has the shares of this version in force.
 	Same bool `cbor:"3,keyasint,omitempty"`
+	// Start is set when the shares' buckets begin with their part of tenant.Budget.Start.
+	Start bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Use is what was asked of a tenant's limit at a node, by so many requests.
--- a/internal/limit/record.go
+++ b/internal/limit/record.go
@@ -13,6 +13,9 @@
 	// Version is one more than that of the row it replaced.
 	Version Version                   `cbor:"2,keyasint"`
 	Tenants map[tenant.Name]*Division `cbor:"1,keyasint"`
+	// StartedAt is when a divider last let buckets begin with something, on the clock of the
+	// row's table.
+	StartedAt time.Duration `cbor:"4,keyasint,omitempty"`
 	// Reserve is how the reserves of all tenants are divided.
 	Reserve Pool `cbor:"3,keyasint,omitempty"`
 }
@@ -136,7 +139,7 @@
 }
 
 func (r *Record) clone() *Record {
-	copied := &Record{Version: r.Version, Tenants: make(map[tenant.Name]*Division, len(r.Tenants)), Reserve: r.Reserve.clone()}
+	copied := &Record{Version: r.Version, StartedAt: r.StartedAt, Tenants: make(map[tenant.Name]*Division, len(r.Tenants)), Reserve: r.Reserve.clone()}
 	for name, division := range r.Tenants {
 		copied.Tenants[name] = &Division{Lenders: division.Lenders, LendersSince: division.LendersSince, Nodes: division.Nodes.clone()}
 	}
--- a/internal/limit/share_test.go
+++ b/internal/limit/share_test.go
@@ -157,6 +157,25 @@
 	assert.Assert(t, granted[1] > 0.1 && granted[1] < 0.3, "others: %.3f", granted[1])
 }
 
+// TestAllStartedAgainBeginWithSomething: when all nodes are started again, a tenant that asks
+// for what it asked before is served from the first second on.
+func TestAllStartedAgainBeginWithSomething(t *testing.T) {
+	f := newFleet(t, 20)
+	calm := &tenant.Tenant{Name: "calm", Limit: tenant.Limit{Rate: 1000, Burst: 1000}}
+	f.tenants = []*tenant.Tenant{calm}
+	random := rand.New(rand.NewPCG(9, 10))
+	everywhere := []caller{{tenant: calm, nodes: upTo(20), rate: 110, mean: 5}}
+	f.play(everywhere, 20, random)
+	f.now = f.now.Add(time.Second)
+	for _, n := range f.nodes {
+		f.restart(n)
+	}
+	f.takeOver()
+	granted := f.play(everywhere, 1, random)
+	f.check()
+	assert.Assert(t, granted[0] > 0.9, "%.3f", granted[0])
+}
+
 // BenchmarkSpend is what a node takes to decide by its own share.
 func BenchmarkSpend(b *testing.B) {
 	keeper := NewKeeper(tenant.Tolerance{Window: time.Second}, time.Now)
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -197,39 +197,41 @@
 
 // begin reads the row and goes on from it once that was confirmed by a write.
 func (l *limits) begin(ctx context.Context) error {
-	record, err := l.read(ctx)
+	record, readAt, err := l.read(ctx)
 	if err != nil {
 		return err
 	}
-	begun := limit.Begin(record)
+	tolerance := tolerance(l.node.settings.Load().Limits)
+	begun, starts := limit.Begin(record, readAt, tolerance)
 	if err := l.write(ctx, begun); err != nil {
 		return err
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.divider = limit.NewDivider(begun, tolerance(l.node.settings.Load().Limits), time.Now())
-	l.log.Info("division of limits begun", "version", begun.Version, "tenants", len(begun.Tenants))
+	l.divider = limit.NewDivider(begun, starts, tolerance, time.Now())
+	l.log.Info("division of limits begun", "version", begun.Version, "tenants", len(begun.Tenants), "starts", starts)
 	return nil
 }
 
-// read reads the row; an empty record when there is none.
-func (l *limits) read(ctx context.Context) (*limit.Record, error) {
+// read reads the row, an empty record when there is none, and tells when that was on the
+// table's clock.
+func (l *limits) read(ctx context.Context) (*limit.Record, time.Duration, error) {
 	row, err := l.rows.Get(ctx, divisionKey)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	record := limit.NewRecord()
 	l.revision = row.Revision
 	if row.Revision == 0 {
-		return record, nil
+		return record, row.ReadAt, nil
 	}
 	if err := wire.Decode(row.Value, "store", record); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	if !record.Check() {
-		return nil, fault.New(fault.CodeInvalid, "read division of limits", "parts add up to more than the whole")
+		return nil, 0, fault.New(fault.CodeInvalid, "read division of limits", "parts add up to more than the whole")
 	}
-	return record, nil
+	return record, row.ReadAt, nil
 }
 
 // write writes the row on condition that nobody else did.
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -3,13 +3,18 @@
 // whether it was done, not done or is unknown.
 package table
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Row is one row. Revision is zero when the row is absent.
 type Row struct {
 	Key      string
 	Value    []byte
 	Revision uint64
+	// ReadAt is the table's own steady clock when the row was read, which all nodes share.
+	ReadAt time.Duration
 }
 
 // Condition demands that a row has a revision; zero demands that it is absent.
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -94,12 +94,15 @@
 }
 
 const (
-	// standbyShare is the part of what may be used in a window that nodes have in reserve
+	// reserveShare is the part of what may be used in a window that nodes have in reserve
 	// for when they reach nobody.
-	standbyShare = 0.1
+	reserveShare = 0.1
+	// startShare is the part that is there at once when all nodes are started again: about
+	// what a tenant uses in a second in which all its clients come back.
+	startShare = 0.08
 	// bucketRate is the rate of the bucket against the limit's. Together with the reserve
 	// that is more than the limit's.
-	bucketRate = 0.95
+	bucketRate = 0.9
 	// leastBurst is the least part of a bucket that may be used at once: one without would
 	// admit nothing.
 	leastBurst = 0.1
@@ -113,15 +116,25 @@
 	Capacity float64
 }
 
-// Budget divides what a limit lets through in any window, its tolerance included, into a
-// bucket and a reserve: so much may be used of the reserve in any window.
-func (l Limit) Budget(t Tolerance) (bucket Bucket, reserve float64) {
+// Budget is what a limit lets through in any window, its tolerance included, divided by
+// how it is used. Reserve and Start are units.
+type Budget struct {
+	Bucket Bucket
+	// Reserve is so much in any window.
+	Reserve float64
+	// Start is what a bucket that begins empty may be given, at most once in a window.
+	Start float64
+}
+
+// Budget divides what the limit lets through.
+func (l Limit) Budget(t Tolerance) Budget {
 	window := t.Window.Seconds()
 	total := (l.Rate*window+l.Burst)*(1+t.Share) + t.Slack
-	reserve = standbyShare * total
-	rest := total - reserve
+	rest := (1 - reserveShare - startShare) * total
 	capacity := max(rest-bucketRate*l.Rate*window, leastBurst*rest)
-	return Bucket{Rate: (rest - capacity) / window, Capacity: capacity}, reserve
+	return Budget{
+		Bucket: Bucket{Rate: (rest - capacity) / window, Capacity: capacity}, Reserve: reserveShare * total, Start: startShare * total,
+	}
 }
 
 // Tenant is one tenant.
