Claim what buckets begin with only when most nodes were started anew; look at the control lease alone at once

Cause: a change of holder used up what buckets begin with, 5.8 s before all nodes were killed. Change: a divider claims it in the row when half of the nodes came with nothing; only who holds the control lease is looked at at once, and nothing is taken then.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -65,6 +65,9 @@
 	// LookFirst is set when this process looks at the row itself once, whatever Heard and
 	// Ask say: its node may be the holder that was lost, and goes on at once.
 	LookFirst bool
+	// LookAtOnce is set when this process looks at the row once as soon as it runs, to know
+	// who holds the lease.
+	LookAtOnce bool
 	// Ask reads the row from another node in place of the store; not set for none. ok is
 	// false when this node is to look itself. The row may be old: it is taken over like
 	// an old answer of the store, and never taken by who only asks.
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -13,8 +13,8 @@
 
 // Run takes, renews and watches the lease until ctx ends.
 func (l *Lessor) Run(ctx context.Context) {
-	if l.options.LookFirst {
-		l.lookFirst(ctx)
+	if l.options.LookAtOnce {
+		l.lookAtOnce(ctx)
 	}
 	// Nodes that start together do not all try to take it at once.
 	wait.For(ctx, rand.N(l.options.Interval/2)+l.options.Reluctance())
@@ -27,25 +27,12 @@
 // firstLookSpread spreads the first looks of nodes that start together.
 const firstLookSpread = 80 * time.Millisecond
 
-// lookFirst looks at the row before this process waits for its turn to take it: who holds
-// the lease is needed at once. Only the lease of an earlier process of this node is taken.
-// The next step looks again: where all were started together, the row may be from before.
-func (l *Lessor) lookFirst(ctx context.Context) {
+// lookAtOnce looks at the row before this process waits for its turn to take it, so that who
+// holds the lease is known soon. The next step looks again: where all were started
+// together, the row may be from before.
+func (l *Lessor) lookAtOnce(ctx context.Context) {
 	wait.For(ctx, rand.N(firstLookSpread))
-	if err := l.look(ctx); err != nil {
-		l.noteLoss(err)
-		return
-	}
-	if l.holdsAsBefore() {
-		l.take(ctx)
-	}
-}
-
-// holdsAsBefore reports whether an earlier process of this node holds the lease.
-func (l *Lessor) holdsAsBefore() bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return !l.stopped && l.seen.Holder == l.self.Holder && !l.seen.Released
+	l.noteLoss(l.look(ctx))
 }
 
 // rest waits until the next step is due, or a holder yielded.
--- a/internal/limit/divider.go
+++ b/internal/limit/divider.go
@@ -60,12 +60,12 @@
 	nodes     map[string]*member
 	tolerance tenant.Tolerance
 	// began is when this divider took over: nodes may have been told something just
-	// before. startUntil is until when it lets buckets begin with something.
-	began      time.Time
-	startUntil time.Time
-	// begun is the version of its first row: what buckets begin with goes by its parts, so
-	// that it is no more than the whole.
-	begun Version
+	// before. readAt is that on the clock of the row's table, or a little sooner.
+	began  time.Time
+	readAt time.Duration
+	// startVersion is that of the row that lets buckets begin with something: what they
+	// begin with goes by its parts, so that it is no more than the whole.
+	startVersion Version
 }
 
 // member is a node that reported.
@@ -79,7 +79,9 @@
 	acked Version
 	heard time.Time
 	used  map[tenant.Name]*flow
-	// started is set once the node's buckets began with something.
+	// fresh is set when it had nothing at its first report, started once its buckets began
+	// with something.
+	fresh   bool
 	started bool
 	// seeded is set once used was filled from the parts that an earlier divider gave.
 	seeded bool
@@ -118,43 +120,64 @@
 	return f.cost * math.Ln2 / useHalfLife.Seconds()
 }
 
-// startSpread is how long after it took over a divider lets buckets begin with something:
-// the nodes that were started with it have found it by then. startMargin is what may lie
-// between the reading of the row and that, two calls to the store.
 const (
+	// startSpread is how long after it took over a divider lets buckets begin with
+	// something: the nodes that were started with it have found it by then.
 	startSpread = 2 * time.Second
+	// startMargin is what may lie between the reading of the row and the divider's begin:
+	// two calls to the store, and some.
 	startMargin = 3 * time.Second
+	// startedShare is the part of the nodes that have parts that must be started anew.
+	startedShare = 0.5
 )
 
-// NewDivider returns a divider that goes on from a row. Nothing may be told of a row
-// that was only read, as what is read may be old: its user first writes the record that
-// Begin makes of it, on condition that the row is still the one read.
-func NewDivider(begun *Record, starts bool, tolerance tenant.Tolerance, now time.Time) *Divider {
-	d := &Divider{record: begun, nodes: make(map[string]*member), tolerance: tolerance, began: now, begun: begun.Version}
-	if starts {
-		d.startUntil = now.Add(startSpread)
-	}
-	return d
+// NewDivider returns a divider that goes on from a row that was read at a time of the
+// table's clock. Nothing may be told of a row that was only read, as what is read may be
+// old: its user first writes the record that Begin makes of it, on condition that the row
+// is still the one read.
+func NewDivider(begun *Record, readAt time.Duration, tolerance tenant.Tolerance, now time.Time) *Divider {
+	return &Divider{record: begun, nodes: make(map[string]*member), tolerance: tolerance, began: now, readAt: readAt}
 }
 
-// Begin returns the record that a new divider writes over the one it read at a time of
-// the table's clock; an empty one where there is none. starts tells whether the divider
-// may let buckets begin with something: no other one did within a window.
-func Begin(read *Record, readAt time.Duration, tolerance tenant.Tolerance) (begun *Record, starts bool) {
-	begun = read.clone()
+// Begin returns the record that a new divider writes over the one it read; an empty one
+// where there is none.
+func Begin(read *Record) *Record {
+	begun := read.clone()
 	begun.Version++
-	if read.StartedAt > 0 && readAt-read.StartedAt < tolerance.Window+startSpread+startMargin {
-		return begun, false
+	return begun
+}
+
+// Young reports whether the divider may still let buckets begin with something.
+func (d *Divider) Young(now time.Time) bool { return now.Sub(d.began) < startSpread }
+
+// claimStart says in the row that buckets begin with something, where most nodes were
+// started anew and none did so within a window. It returns whether it did.
+func (d *Divider) claimStart(next *Record, now time.Time) bool {
+	if !d.Young(now) || d.startVersion > 0 {
+		return false
+	}
+	if next.StartedAt > 0 && d.readAt-next.StartedAt < d.tolerance.Window+startSpread+startMargin {
+		return false
+	}
+	fresh := 0
+	for _, m := range d.nodes {
+		if m.fresh {
+			fresh++
+		}
+	}
+	if fresh == 0 || float64(fresh) < startedShare*float64(len(next.Reserve)) {
+		return false
 	}
-	begun.StartedAt = max(readAt, time.Millisecond)
-	return begun, true
+	next.StartedAt = max(d.readAt, time.Millisecond)
+	d.startVersion = next.Version
+	return true
 }
 
 // Report takes a node's report and returns what it is to have in force.
 func (d *Divider) Report(report Report, now time.Time) Grant {
 	m := d.nodes[report.Node]
 	if m == nil {
-		m = &member{process: report.Process, replaced: make(map[string]bool), used: make(map[tenant.Name]*flow)}
+		m = &member{fresh: report.Version == 0, process: report.Process, replaced: make(map[string]bool), used: make(map[tenant.Name]*flow)}
 		d.nodes[report.Node] = m
 	}
 	if m.replaced[report.Process] {
@@ -170,18 +193,16 @@
 	for _, use := range report.Asked {
 		m.flow(use.Tenant, now).add(use.Cost, float64(use.Requests), now)
 	}
-	if report.Version > 0 && report.Version >= d.record.changed(report.Node) {
+	starts := m.fresh && !m.started && d.startVersion > 0 && d.record.Version == d.startVersion && d.Young(now)
+	if !starts && report.Version > 0 && report.Version >= d.record.changed(report.Node) {
 		return Grant{Version: d.record.Version, Same: true}
 	}
 	if d.next != nil {
 		// The row being written may give to others what a node had that was silent for long.
 		return Grant{Same: true}
 	}
-	grant := Grant{Version: d.record.Version, Shares: d.record.shares(report.Node), Reserve: d.record.Reserve.told(report.Node)}
-	if report.Version == 0 && !m.started && d.record.Version == d.begun && now.Before(d.startUntil) {
-		m.started, grant.Start = true, true
-	}
-	return grant
+	m.started = m.started || starts
+	return Grant{Version: d.record.Version, Shares: d.record.shares(report.Node), Reserve: d.record.Reserve.told(report.Node), Start: starts}
 }
 
 // Asked is what is asked of a tenant's limit, in units a second.
@@ -226,6 +247,9 @@
 	if d.divideReserve(next, now) {
 		changed = true
 	}
+	if d.claimStart(next, now) {
+		changed = true
+	}
 	if !changed {
 		// What nodes have given back is noted in memory; the next row holds it.
 		next.Version--
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -64,9 +64,8 @@
 
 // takeOver lets a new divider go on from the row.
 func (f *fleet) takeOver() {
-	begun, starts := Begin(f.readRow(), f.now.Sub(time.Unix(0, 0)), f.tolerance)
-	f.row = begun
-	f.divider = NewDivider(f.row.clone(), starts, f.tolerance, f.now)
+	f.row = Begin(f.readRow())
+	f.divider = NewDivider(f.row.clone(), f.now.Sub(time.Unix(0, 0)), f.tolerance, f.now)
 }
 
 func (f *fleet) readRow() *Record {
@@ -229,6 +228,10 @@
 					f.restart(n)
 				}
 				f.takeOver()
+				for _, n := range f.nodes {
+					f.report(n, false, false)
+				}
+				f.divide(true, true)
 				for range 40 {
 					f.report(f.nodes[0], false, false)
 					f.spend(f.nodes[0], owner, owner.Limit.Rate/20)
--- a/internal/limit/share_test.go
+++ b/internal/limit/share_test.go
@@ -171,6 +171,10 @@
 		f.restart(n)
 	}
 	f.takeOver()
+	for _, n := range f.nodes {
+		f.report(n, false, false)
+	}
+	f.divide(true, true)
 	granted := f.play(everywhere, 1, random)
 	f.check()
 	assert.Assert(t, granted[0] > 0.9, "%.3f", granted[0])
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -74,7 +74,7 @@
 	options := lease.Options{
 		Validity: leaseValidity, Interval: leaseInterval, TurnGap: s.Lease.TurnGap + turnGapMargin,
 		ActMargin: control.OrderMargin, CallTimeout: leaseCallTimeout, Reluctance: n.reluctance,
-		Nodes: n.relay.Nodes, Ask: c.askLease(service), LookFirst: !s.Relay.FirstStart,
+		Nodes: n.relay.Nodes, Ask: c.askLease(service), LookFirst: !s.Relay.FirstStart, LookAtOnce: !s.Relay.FirstStart,
 	}
 	ctx, end := context.WithCancel(c.ctx)
 	var syncer *control.Syncer
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -150,17 +150,19 @@
 		switch {
 		case err != nil:
 			l.log.Info("limits not divided anew", "error", err.Error())
-		case !l.divides():
+		case l.soon():
 			pause = beginInterval
 		}
 		wait.For(ctx, pause)
 	}
 }
 
-func (l *limits) divides() bool {
+// soon reports whether the next step is due soon: nothing is divided yet, or nodes that
+// were all started anew may be given something to begin with.
+func (l *limits) soon() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.divider != nil
+	return l.divider == nil || l.divider.Young(time.Now())
 }
 
 // step moves parts once.
@@ -202,14 +204,14 @@
 		return err
 	}
 	tolerance := tolerance(l.node.settings.Load().Limits)
-	begun, starts := limit.Begin(record, readAt, tolerance)
+	begun := limit.Begin(record)
 	if err := l.write(ctx, begun); err != nil {
 		return err
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.divider = limit.NewDivider(begun, starts, tolerance, time.Now())
-	l.log.Info("division of limits begun", "version", begun.Version, "tenants", len(begun.Tenants), "starts", starts)
+	l.divider = limit.NewDivider(begun, readAt, tolerance, time.Now())
+	l.log.Info("division of limits begun", "version", begun.Version, "tenants", len(begun.Tenants))
 	return nil
 }
 
