Serve a request that is larger than any one lender's part; keep accounts that are in force

Change: lenders spend such a request together, after all have said that they can; an account is dropped once nothing of it is in force. Figures: TestLargeRequestIsLentTogether fails first; spending at once without asking before never served it beside a client that came back every 50 ms, as what the first lenders spent was lost.

--- a/internal/limit/keeper.go
+++ b/internal/limit/keeper.go
@@ -110,21 +110,38 @@
 func (k *Keeper) Spend(t *tenant.Tenant, cost float64, rank int) (ok bool, in time.Duration) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
+	if in = k.untilEnough(t, cost, rank); in > 0 {
+		return false, in
+	}
+	a := k.account(t.Name)
+	a.level -= cost
+	a.used += cost
+	return true, 0
+}
+
+// UntilEnough is the time until Spend would take the cost; zero when it would now.
+func (k *Keeper) UntilEnough(t *tenant.Tenant, cost float64, rank int) time.Duration {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.untilEnough(t, cost, rank)
+}
+
+// untilEnough is UntilEnough; mutex is held.
+func (k *Keeper) untilEnough(t *tenant.Tenant, cost float64, rank int) time.Duration {
 	k.expire()
 	a := k.account(t.Name)
 	budget := t.Limit.Budget(k.tolerance)
-	bucket := budget.Bucket
-	rate := k.refill(a, bucket, budget.Start)
-	level := needed(cost, rank, a.capacity(bucket))
-	if level <= a.level {
-		a.level -= cost
-		a.used += cost
-		return true, 0
-	}
-	if cost > a.capacity(bucket) || rate <= 0 {
-		return false, Never
+	capacity := a.capacity(budget.Bucket)
+	rate := k.refill(a, budget.Bucket, budget.Start)
+	level := needed(cost, rank, capacity)
+	switch {
+	case level <= a.level:
+		return 0
+	case cost > capacity || rate <= 0:
+		return Never
+	default:
+		return max(time.Duration((level-a.level)/rate*float64(time.Second)), time.Nanosecond)
 	}
-	return false, time.Duration((level - a.level) / rate * float64(time.Second))
 }
 
 // Never is the time until something that cannot be.
@@ -354,11 +371,13 @@
 	return a
 }
 
-// Forget drops the accounts of tenants that are no more.
+// Forget drops the accounts of tenants that are no more, once nothing of them is in force.
 func (k *Keeper) Forget(known func(tenant.Name) bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	maps.DeleteFunc(k.accounts, func(name tenant.Name, _ *account) bool { return !known(name) })
+	maps.DeleteFunc(k.accounts, func(name tenant.Name, a *account) bool {
+		return !known(name) && a.part == 0 && len(a.taken) == 0
+	})
 }
 
 // Status is a tenant's account at this node.
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -259,8 +260,17 @@
 	if !known || request.Cost < 0 {
 		return wire.SpendResponse{}, fault.New(fault.CodeInvalid, wire.MethodSpend, "tenant %q, cost %g", request.Tenant, request.Cost)
 	}
+	return l.spendHere(t, request), nil
+}
+
+// spendHere spends from this node's share, or tells whether it would.
+func (l *limits) spendHere(t *tenant.Tenant, request wire.SpendRequest) wire.SpendResponse {
+	if request.Probe {
+		in := l.keeper.UntilEnough(t, request.Cost, request.Rank)
+		return wire.SpendResponse{Spent: in == 0, InMs: in.Milliseconds()}
+	}
 	ok, in := l.keeper.Spend(t, request.Cost, request.Rank)
-	return wire.SpendResponse{Spent: ok, InMs: in.Milliseconds()}, nil
+	return wire.SpendResponse{Spent: ok, InMs: in.Milliseconds()}
 }
 
 // Ask notes that a request of the cost was asked for.
@@ -307,41 +317,67 @@
 	if dry > 0 {
 		return dispatch.Admission{Verdict: dispatch.Over, In: min(in, dry)}
 	}
-	answered := false
-	self := l.node.settings.Load().Listen.PeerAddress()
+	var answered []string
 	for _, lender := range lenders {
-		if lender == self {
-			answered = true
-			continue
-		}
-		if l.mute.holds(lender) {
-			continue
-		}
-		response, err := l.askLender(ctx, lender, request)
-		if err != nil {
-			l.mute.add(lender)
-			l.log.Info("lender did not answer", "tenant", string(t.Name), "peer", lender, "error", err.Error())
+		response, ok := l.askLender(ctx, t, lender, request)
+		if !ok {
 			continue
 		}
-		l.mute.clear(lender)
 		if response.Spent {
 			return dispatch.Admission{Verdict: dispatch.Within, By: lender}
 		}
-		answered = true
+		answered = append(answered, lender)
 		in = min(in, time.Duration(response.InMs)*time.Millisecond)
 	}
-	if !answered {
+	switch {
+	case len(answered) == 0:
 		return dispatch.Admission{Verdict: dispatch.NotKnown}
+	case in >= limit.Never:
+		return l.askTogether(ctx, t, answered, request)
 	}
 	l.keeper.Refused(t, request.Cost, request.Rank, in)
 	return dispatch.Admission{Verdict: dispatch.Over, In: in}
 }
 
-func (l *limits) askLender(ctx context.Context, lender string, request wire.SpendRequest) (response wire.SpendResponse, err error) {
+// askTogether lets several lenders spend an even part each of what none of them can ever
+// spend alone, once all say that they can. What the first ones spent is lost when a later
+// one cannot any more.
+func (l *limits) askTogether(ctx context.Context, t *tenant.Tenant, lenders []string, request wire.SpendRequest) dispatch.Admission {
+	request.Cost /= float64(len(lenders))
+	for _, probe := range []bool{true, false} {
+		request.Probe = probe
+		for _, lender := range lenders {
+			response, ok := l.askLender(ctx, t, lender, request)
+			switch {
+			case !ok:
+				return dispatch.Admission{Verdict: dispatch.NotKnown}
+			case !response.Spent && response.InMs >= limit.Never.Milliseconds():
+				return dispatch.Admission{Verdict: dispatch.TooLarge}
+			case !response.Spent:
+				return dispatch.Admission{Verdict: dispatch.Over, In: time.Duration(response.InMs) * time.Millisecond}
+			}
+		}
+	}
+	return dispatch.Admission{Verdict: dispatch.Within, By: strings.Join(lenders, ",")}
+}
+
+// askLender asks one lender, which may be this node; false when it does not answer.
+func (l *limits) askLender(ctx context.Context, t *tenant.Tenant, lender string, request wire.SpendRequest) (response wire.SpendResponse, ok bool) {
+	if lender == l.node.settings.Load().Listen.PeerAddress() {
+		return l.spendHere(t, request), true
+	}
+	if l.mute.holds(lender) {
+		return response, false
+	}
 	ctx, cancel := context.WithTimeout(ctx, spendTimeout)
 	defer cancel()
-	err = l.node.client.Call(ctx, lender, wire.MethodSpend, request, &response)
-	return response, err
+	if err := l.node.client.Call(ctx, lender, wire.MethodSpend, request, &response); err != nil {
+		l.mute.add(lender)
+		l.log.Info("lender did not answer", "tenant", string(t.Name), "peer", lender, "error", err.Error())
+		return response, false
+	}
+	l.mute.clear(lender)
+	return response, true
 }
 
 // division answers the call of another node.
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -25,6 +25,8 @@
 	Cost   float64     `cbor:"2,keyasint"`
 	// Rank is the request's place among those of its tenant, 0 the most urgent.
 	Rank int `cbor:"3,keyasint,omitempty"`
+	// Probe asks whether it would be spent; nothing is.
+	Probe bool `cbor:"4,keyasint,omitempty"`
 }
 
 // SpendResponse is the lender's answer.
--- a/test/tenants_test.go
+++ b/test/tenants_test.go
@@ -210,6 +210,7 @@
 	}
 	tooLarge := ask("100000,1")
 	assert.Equal(t, tooLarge.Status, http.StatusTooManyRequests)
+	assert.Equal(t, tooLarge.Retry, "10.00")
 	waitUntil(t, "the limit is used up", func() error {
 		got := ask("30,10")
 		if got.Status != http.StatusTooManyRequests {
@@ -278,3 +279,25 @@
 		assert.Assert(t, !strings.Contains(string(content), first) && !strings.Contains(string(content), second))
 	}
 }
+
+// TestLargeRequestIsLentTogether: a request that costs more than any one lender's part, but
+// less than the limit lets through at once, is served.
+func TestLargeRequestIsLentTogether(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, func(o *world.Options) { o.Adjust = exact })
+	startMailers(t, w, 1)
+	nodes := startNodes(t, w, 4)
+	words := tenantOf("words", 1000, 1000)
+	words.Unit, words.RawTokens = protocol.UnitToken, 1
+	assert.NilError(t, w.ConfigureTenants([]protocol.Tenant{words}))
+	waitStatus(t, "words-key", http.StatusOK, nodes...)
+	for _, node := range nodes {
+		waitUntil(t, "a large request is served", func() error {
+			header := http.Header{protocol.HeaderTokens: {"600,10"}}
+			if got := send(t.Context(), node, clientRequest{Path: "/read/x", Key: "words-key", Header: header}); got.Status != http.StatusOK {
+				return fmt.Errorf("status %d", got.Status)
+			}
+			return nil
+		})
+	}
+}
