--- a/internal/node/muted_test.go
+++ b/internal/node/muted_test.go
@@ -24,5 +24,7 @@
 		now = now.Add(100 * time.Millisecond)
 	}
 	m.clear("p")
-	assert.Assert(t, !m.holds("p") && !m.holds("p"))
+	for range 2 {
+		assert.Assert(t, !m.holds("p"), "a peer that answered")
+	}
 }
