--- /dev/null
+++ b/test/limit_soak_test.go
@@ -0,0 +1,122 @@
+package test
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/lab/journal"
+	"lilacvane/internal/lab/world"
+	"lilacvane/platform/protocol"
+)
+
+// sending is a request that a client sent.
+type sending struct {
+	tenant string
+	at     time.Time
+}
+
+// pressure sends requests of tenants all the time and remembers when.
+type pressure struct {
+	mutex sync.Mutex
+	sent  map[string]sending
+	group sync.WaitGroup
+}
+
+// press sends rate requests a second of a tenant to a node until ctx ends.
+func (p *pressure) press(ctx context.Context, node *world.Node, tenant string, rate float64) {
+	p.group.Go(func() {
+		ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				id := newID()
+				p.mutex.Lock()
+				p.sent[id] = sending{tenant: tenant, at: time.Now()}
+				p.mutex.Unlock()
+				p.group.Go(func() {
+					send(context.WithoutCancel(ctx), node, clientRequest{ID: id, Path: "/read/x", Key: tenant + "-key", Deadline: 3 * time.Second})
+				})
+			}
+		}
+	})
+}
+
+// assertKept checks that in each window no more of a tenant's requests were both sent and
+// ran than its limit allows.
+func (p *pressure) assertKept(t *testing.T, h history, tenant string) (runs int) {
+	t.Helper()
+	type pair struct{ sent, ran time.Time }
+	var pairs []pair
+	for _, record := range h.records {
+		if record.Event != journal.EventRun || record.Tenant != tenant {
+			continue
+		}
+		from, known := p.sent[record.Request]
+		assert.Assert(t, known && from.tenant == tenant, "a request ran for %s that it did not send: %+v", tenant, record)
+		pairs = append(pairs, pair{sent: from.at, ran: record.Time})
+	}
+	slices.SortFunc(pairs, func(a, b pair) int { return a.sent.Compare(b.sent) })
+	most := int((hotRate*hotWindow.Seconds() + hotBurst) * (1 + hotShare))
+	for i, first := range pairs {
+		end := first.sent.Add(hotWindow)
+		count := 0
+		for _, other := range pairs[i:] {
+			if other.sent.After(end) {
+				break
+			}
+			if !other.ran.After(end) {
+				count++
+			}
+		}
+		assert.Assert(t, count <= most, "%d of %s sent and run within %s, at most %d", count, tenant, hotWindow, most)
+	}
+	return len(pairs)
+}
+
+// limitFaults are the groups of faults that strike nodes, their peers and the store.
+var limitFaults = []string{groupLastNode, "freeze", "peers", "store"}
+
+// TestLimitSoak lets faults of nodes, links and the store come by a schedule that the seed
+// fixes, while a tenant asks for several times its limit at all nodes and another one
+// stays within its own. At the end every window of both is checked.
+func TestLimitSoak(t *testing.T) {
+	t.Parallel()
+	t.Logf("seed %d, %d rounds", *soakSeed, *soakRounds)
+	w := newWorld(t, func(o *world.Options) {
+		o.Adjust = exact
+		o.Seed = *soakSeed
+	})
+	startMailers(t, w, 3)
+	s := &soak{t: t, w: w, nodes: startNodes(t, w, 4), random: rand.New(rand.NewPCG(*soakSeed, 1))}
+	for _, fault := range soakFaults {
+		if slices.Contains(limitFaults, fault.group) && fault.name != "drain a runner" {
+			s.kinds = append(s.kinds, fault)
+		}
+	}
+	assert.NilError(t, w.ConfigureTenants([]protocol.Tenant{tenantOf("hot", hotRate, hotBurst), tenantOf("calm", hotRate, hotBurst)}))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	p := &pressure{sent: make(map[string]sending)}
+	for _, node := range s.nodes {
+		p.press(ctx, node, "hot", hotRate)
+		p.press(ctx, node, "calm", hotRate/10)
+	}
+	for range *soakRounds {
+		s.round()
+	}
+	cancel()
+	p.group.Wait()
+	h := readHistory(t, w)
+	hot, calm := p.assertKept(t, h, "hot"), p.assertKept(t, h, "calm")
+	t.Logf("%d sent, of hot %d ran, of calm %d", len(p.sent), hot, calm)
+	assert.Assert(t, hot > 0 && calm > 0)
+}
