--- a/internal/limit/keeper.go
+++ b/internal/limit/keeper.go
@@ -119,6 +119,14 @@
 	return true, 0
 }
 
+// Holds is the most that this node's share of a bucket ever holds.
+func (k *Keeper) Holds(t *tenant.Tenant) float64 {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.expire()
+	return k.account(t.Name).capacity(t.Limit.Budget(k.tolerance).Bucket)
+}
+
 // UntilEnough is the time until Spend would take the cost; zero when it would now.
 func (k *Keeper) UntilEnough(t *tenant.Tenant, cost float64, rank int) time.Duration {
 	k.mutex.Lock()
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -267,10 +267,10 @@
 func (l *limits) spendHere(t *tenant.Tenant, request wire.SpendRequest) wire.SpendResponse {
 	if request.Probe {
 		in := l.keeper.UntilEnough(t, request.Cost, request.Rank)
-		return wire.SpendResponse{Spent: in == 0, InMs: in.Milliseconds()}
+		return wire.SpendResponse{Spent: in == 0, InMs: in.Milliseconds(), Holds: l.keeper.Holds(t)}
 	}
 	ok, in := l.keeper.Spend(t, request.Cost, request.Rank)
-	return wire.SpendResponse{Spent: ok, InMs: in.Milliseconds()}
+	return wire.SpendResponse{Spent: ok, InMs: in.Milliseconds(), Holds: l.keeper.Holds(t)}
 }
 
 // Ask notes that a request of the cost was asked for.
@@ -317,7 +317,7 @@
 	if dry > 0 {
 		return dispatch.Admission{Verdict: dispatch.Over, In: min(in, dry)}
 	}
-	var answered []string
+	var answered []answeredLender
 	for _, lender := range lenders {
 		response, ok := l.askLender(ctx, t, lender, request)
 		if !ok {
@@ -326,7 +326,7 @@
 		if response.Spent {
 			return dispatch.Admission{Verdict: dispatch.Within, By: lender}
 		}
-		answered = append(answered, lender)
+		answered = append(answered, answeredLender{address: lender, holds: response.Holds})
 		in = min(in, time.Duration(response.InMs)*time.Millisecond)
 	}
 	switch {
@@ -339,26 +339,40 @@
 	return dispatch.Admission{Verdict: dispatch.Over, In: in}
 }
 
-// askTogether lets several lenders spend an even part each of what none of them can ever
-// spend alone, once all say that they can. What the first ones spent is lost when a later
+// answeredLender is a lender that cannot spend now, and the most it ever can at once.
+type answeredLender struct {
+	address string
+	holds   float64
+}
+
+// askTogether lets several lenders spend what none of them can ever spend alone, each by
+// what it holds, once all say that they can. What the first ones spent is lost when a later
 // one cannot any more.
-func (l *limits) askTogether(ctx context.Context, t *tenant.Tenant, lenders []string, request wire.SpendRequest) dispatch.Admission {
-	request.Cost /= float64(len(lenders))
+func (l *limits) askTogether(ctx context.Context, t *tenant.Tenant, lenders []answeredLender, request wire.SpendRequest) dispatch.Admission {
+	whole, sum := request.Cost, 0.0
+	var addresses []string
+	for _, lender := range lenders {
+		sum += lender.holds
+		addresses = append(addresses, lender.address)
+	}
+	if sum < whole {
+		// A lender is not heard, or parts are being moved.
+		return dispatch.Admission{Verdict: dispatch.NotKnown}
+	}
 	for _, probe := range []bool{true, false} {
 		request.Probe = probe
 		for _, lender := range lenders {
-			response, ok := l.askLender(ctx, t, lender, request)
+			request.Cost = whole * lender.holds / sum
+			response, ok := l.askLender(ctx, t, lender.address, request)
 			switch {
 			case !ok:
 				return dispatch.Admission{Verdict: dispatch.NotKnown}
-			case !response.Spent && response.InMs >= limit.Never.Milliseconds():
-				return dispatch.Admission{Verdict: dispatch.TooLarge}
 			case !response.Spent:
-				return dispatch.Admission{Verdict: dispatch.Over, In: time.Duration(response.InMs) * time.Millisecond}
+				return dispatch.Admission{Verdict: dispatch.Over, In: min(time.Duration(response.InMs)*time.Millisecond, divideInterval)}
 			}
 		}
 	}
-	return dispatch.Admission{Verdict: dispatch.Within, By: strings.Join(lenders, ",")}
+	return dispatch.Admission{Verdict: dispatch.Within, By: strings.Join(addresses, ",")}
 }
 
 // askLender asks one lender, which may be this node; false when it does not answer.
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -36,6 +36,8 @@
 	// InMs is otherwise the time until the lender's share holds the cost, in
 	// milliseconds.
 	InMs int64 `cbor:"2,keyasint,omitempty"`
+	// Holds is the most that the lender's share ever holds.
+	Holds float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // MethodDivision asks the holder that divides limits what is asked of them.
