--- a/internal/labcommand/load.go
+++ b/internal/labcommand/load.go
@@ -19,6 +19,7 @@
 	Tokens   int           `default:"16" help:"Tokens of an answer."`
 	Class    string        `default:"ordinary" help:"Class of the requests."`
 	Deadline time.Duration `default:"60s" help:"Deadline of the requests."`
+	Key      string        `help:"Key of the tenant whose requests these are."`
 	Once     bool          `help:"Give each request an idempotency key of its own."`
 }
 
@@ -33,6 +34,9 @@
 		}
 		request.Header.Set(api.HeaderClass, c.Class)
 		request.Header.Set(api.HeaderDeadline, fmt.Sprint(c.Deadline.Seconds()))
+		if c.Key != "" {
+			request.Header.Set("Authorization", "Bearer "+c.Key)
+		}
 		if c.Once {
 			request.Header.Set(api.HeaderIdempotencyKey, fmt.Sprintf("load-%d-%d", prefix, number))
 		}
--- a/internal/labcommand/up.go
+++ b/internal/labcommand/up.go
@@ -9,6 +9,7 @@
 	"lilacvane/internal/commandline"
 	"lilacvane/internal/lab/world"
 	"lilacvane/internal/operator"
+	"lilacvane/internal/tenant"
 	"lilacvane/platform/protocol"
 	"net/http"
 	"os"
@@ -23,6 +24,7 @@
 	Once     bool   `help:"Stop after the first answer instead of waiting for ctrl-c."`
 	Nodes    int    `default:"3" help:"Number of nodes, spread over the zones."`
 	Runners  int    `default:"4" help:"Number of runners, spread over the zones."`
+	Tenants  bool   `help:"Give callers keys: two sample tenants, one of them with a small limit."`
 	Programs string `help:"Directory of the two programs; that of this one by default."`
 }
 
@@ -54,13 +56,16 @@
 		return err
 	}
 	fmt.Fprintf(s.Out, "callers: http://%s  operators: %s  logs: %s\n", node.Callers, node.Operators, w.Directory)
-	if err := coldRequest(ctx, s.Out, node.Callers); err != nil {
+	if err := coldRequest(ctx, s.Out, node.Callers, c.key()); err != nil {
 		return err
 	}
 	if c.Once {
 		return nil
 	}
 	fmt.Fprintf(s.Out, "\nThe system is up. Try in another terminal:\n  ./bin/lilacvane status --server %s\n  ./bin/lilacvane explain model redactor --server %s\nPress ctrl-c to stop all of it.\n", node.Operators, node.Operators)
+	if c.Tenants {
+		fmt.Fprintf(s.Out, "Press a tenant's limit:\n  ./bin/lilacvane-lab load --callers %s --models redactor --key %s --rate 40\n", node.Callers, clubKey)
+	}
 	<-ctx.Done()
 	return nil
 }
@@ -120,18 +125,50 @@
 		api.NewObject(api.KindAdapter, "club-rampla", api.Adapter{Model: "redactor", Checkpoint: "club-rampla-a", MemoryMiB: 100, Replicas: 1}),
 		api.NewObject(api.KindPolicy, "mail-by-day", api.Policy{Models: []string{"buzon"}, Ready: "hour >= 7 && hour < 22 ? 1 : 0"}),
 	}
+	if c.Tenants {
+		objects = append(objects, sampleTenants()...)
+	}
 	_, err := client.Submit(ctx, operator.Submission{Operation: "samples", Author: "lab", Apply: objects})
 	return err
 }
 
+// The keys of the sample tenants.
+const (
+	councilKey = "sample-council-key"
+	clubKey    = "sample-club-key"
+)
+
+// sampleTenants are a council without a limit and a club with a small one.
+func sampleTenants() []api.Object {
+	keys := func(key string) []api.TenantKey {
+		return []api.TenantKey{{ID: "sample", SHA256: tenant.DigestOf(key).String()}}
+	}
+	limit := &api.TenantLimit{Unit: api.UnitTokens, Rate: 500, Burst: 500}
+	return []api.Object{
+		api.NewObject(api.KindTenant, "council", api.Tenant{Keys: keys(councilKey)}),
+		api.NewObject(api.KindTenant, "club-rampla", api.Tenant{Priority: 1, Limit: limit, Keys: keys(clubKey)}),
+	}
+}
+
+// key is the key of the first request; empty when nobody needs one.
+func (c *upCommand) key() string {
+	if c.Tenants {
+		return councilKey
+	}
+	return ""
+}
+
 // coldRequest sends a request for a sleeping model and prints the stream.
-func coldRequest(ctx context.Context, out io.Writer, callers string) error {
+func coldRequest(ctx context.Context, out io.Writer, callers, key string) error {
 	fmt.Fprintln(out, "\nrequest for the sleeping model redactor:")
 	began := time.Now()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+callers+"/v1/chat/completions", strings.NewReader(samplePrompt))
 	if err != nil {
 		return err
 	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return err
--- a/test/tenants_test.go
+++ b/test/tenants_test.go
@@ -259,6 +259,7 @@
 	}
 	answered("", http.StatusOK)
 	run(command.ExitNotFound, "tenant", "add", "club")
+	run(commandline.ExitOK, "apply", "-f", "../samples/tenants.yaml", "--dry-run")
 	bad := writeFile(t, "bad.yaml", "kind: Tenant\nname: club\nspec: {limit: {unit: words, rate: 1}}\n")
 	run(commandline.ExitUsage, "apply", "-f", bad)
 	good := writeFile(t, "good.yaml", "kind: Tenant\nname: club\nspec: {priority: 1, limit: {unit: tokens, rate: 100000, burst: 1000}}\n")
