--- a/internal/limit/record.go
+++ b/internal/limit/record.go
@@ -20,9 +20,6 @@
 	Reserve Pool `cbor:"3,keyasint,omitempty"`
 }
 
-// Pool is something whole that is divided among nodes.
-type Pool map[string]*Entry
-
 // Division is how one tenant's limit is divided.
 type Division struct {
 	// Lenders are the nodes that spend for others, LendersSince the version from which on
@@ -45,22 +42,6 @@
 	return slices.ContainsFunc(d.Lenders, func(l Lender) bool { return l.Node == node })
 }
 
-// Entry is one node's part.
-type Entry struct {
-	// Bound is the most that the node may have in force, Told what it is to have.
-	Bound Part `cbor:"1,keyasint"`
-	Told  Part `cbor:"2,keyasint,omitempty"`
-	// Since is the version from which on it is told so.
-	Since Version `cbor:"3,keyasint,omitempty"`
-	// givenBack is when the node was first known to have no more than Told.
-	givenBack time.Time
-}
-
-// tell changes what the node is to have.
-func (e *Entry) tell(part Part, version Version) {
-	e.Told, e.Since, e.givenBack = part, version, time.Time{}
-}
-
 // NewRecord returns a record of nothing.
 func NewRecord() *Record {
 	return &Record{Tenants: make(map[tenant.Name]*Division), Reserve: make(Pool)}
@@ -77,67 +58,6 @@
 	return r.Tenants != nil && r.Reserve.check()
 }
 
-func (p Pool) check() bool {
-	for _, entry := range p {
-		if entry == nil || entry.Told > entry.Bound {
-			return false
-		}
-	}
-	return p.free() >= 0
-}
-
-// free is what nobody may have in force.
-func (p Pool) free() int64 {
-	free := int64(Whole)
-	for _, entry := range p {
-		free -= int64(entry.Bound)
-	}
-	return free
-}
-
-func (p Pool) clone() Pool {
-	copied := make(Pool, len(p))
-	for node, entry := range p {
-		own := *entry
-		copied[node] = &own
-	}
-	return copied
-}
-
-// entry returns a node's entry.
-func (p Pool) entry(node string) *Entry {
-	entry := p[node]
-	if entry == nil {
-		entry = &Entry{}
-		p[node] = entry
-	}
-	return entry
-}
-
-// told is what a node is to have.
-func (p Pool) told(node string) Part {
-	if entry := p[node]; entry != nil {
-		return entry.Told
-	}
-	return 0
-}
-
-// bound is the most that a node may have in force.
-func (p Pool) bound(node string) Part {
-	if entry := p[node]; entry != nil {
-		return entry.Bound
-	}
-	return 0
-}
-
-// since is the version from which on a node is told so.
-func (p Pool) since(node string) Version {
-	if entry := p[node]; entry != nil {
-		return entry.Since
-	}
-	return 0
-}
-
 func (r *Record) clone() *Record {
 	copied := &Record{Version: r.Version, StartedAt: r.StartedAt, Tenants: make(map[tenant.Name]*Division, len(r.Tenants)), Reserve: r.Reserve.clone()}
 	for name, division := range r.Tenants {
