--- a/internal/lease/ask_test.go
+++ b/internal/lease/ask_test.go
@@ -79,3 +79,22 @@
 	}
 	assert.Equal(t, store.calls, 1)
 }
+
+// TestHolderIsLookedAtOnce: a started process knows who holds the lease before its turn to
+// take it comes, takes nothing then, not even its own node's lease, and looks again at its
+// first step.
+func TestHolderIsLookedAtOnce(t *testing.T) {
+	for _, holder := range []string{"other", "self"} {
+		store := held(t, holder)
+		l := asking(store, true)
+		l.lookAtOnce(t.Context())
+		record, known := l.Holder()
+		assert.Assert(t, known)
+		assert.Equal(t, record.Holder, holder)
+		assert.Assert(t, !l.Holds())
+		assert.Equal(t, store.calls, 1)
+		l.step(t.Context())
+		assert.Assert(t, store.calls > 1)
+		assert.Equal(t, l.Holds(), holder == "self")
+	}
+}
