Divide the limits' code by its jobs; drop what nobody reads

Cause: a reading of the change as a newcomer found one file (node/limits.go, 461 lines) with four jobs, three methods of limit.Pool of one shape, the sum of all that was admitted kept by each account and read by nobody, the same steps of adding and rotating a key written twice, constants in the middle of a file, and a number of keys that stood in a message beside its constant. Ruled out: one fading sum for limit.flow and control.use, which have the same two lines: their half-lives and what they sum differ. Change: node/limits.go keeps the type and what travels with reports; dividing, admitting and the operators' questions are files of their own; limit/member.go holds what a divider knows of a node; Pool.at replaces told, bound and since; keyTarget.addKey serves add and rotate. No decision, message or row changes.

--- a/internal/api/validate.go
+++ b/internal/api/validate.go
@@ -181,7 +181,7 @@
 	case t.Priority < 0:
 		return "priority must not be negative"
 	case len(t.Keys) > maximumKeys:
-		return "keys: at most 64"
+		return fmt.Sprintf("keys: at most %d", maximumKeys)
 	}
 	for i, key := range t.Keys {
 		if !ValidName(key.ID) {
--- a/internal/command/tenants.go
+++ b/internal/command/tenants.go
@@ -79,14 +79,25 @@
 	return submit(ctx, k.target, s, operator.Submission{Operation: operationID(k.Operation), Author: author(), Apply: []api.Object{changed}})
 }
 
-// addKey draws a key and adds its digest.
-func addKey(spec *api.Tenant, id string) (key string) {
+// addKey draws a key, adds its digest to the object after another change of it, and prints
+// the key once it is in force.
+func (k *keyTarget) addKey(s commandline.Streams, id string, before func(*api.Tenant) error) error {
 	if id == "" {
 		id = "key-" + time.Now().UTC().Format("20060102T150405")
 	}
-	key = rand.Text()
-	spec.Keys = append(spec.Keys, api.TenantKey{ID: id, SHA256: tenant.DigestOf(key).String()})
-	return key
+	key := rand.Text()
+	err := k.change(s, func(spec *api.Tenant) error {
+		if err := before(spec); err != nil {
+			return err
+		}
+		spec.Keys = append(spec.Keys, api.TenantKey{ID: id, SHA256: tenant.DigestOf(key).String()})
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(s.Out, "key: %s\n", key)
+	return nil
 }
 
 type tenantAddCommand struct {
@@ -96,21 +107,7 @@
 
 // Run adds a key.
 func (c *tenantAddCommand) Run(s commandline.Streams) error {
-	key := ""
-	err := c.change(s, func(spec *api.Tenant) error {
-		key = addKey(spec, c.ID)
-		return nil
-	})
-	return showKey(s, key, err)
-}
-
-// showKey prints a new key once it is in force.
-func showKey(s commandline.Streams, key string, err error) error {
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(s.Out, "key: %s\n", key)
-	return nil
+	return c.addKey(s, c.ID, func(*api.Tenant) error { return nil })
 }
 
 type tenantRotateCommand struct {
@@ -120,16 +117,13 @@
 
 // Run adds a key and drops the oldest one.
 func (c *tenantRotateCommand) Run(s commandline.Streams) error {
-	key := ""
-	err := c.change(s, func(spec *api.Tenant) error {
+	return c.addKey(s, c.ID, func(spec *api.Tenant) error {
 		if len(spec.Keys) == 0 {
 			return fault.New(fault.CodeInvalid, stepKeys, "%s has no key to replace; add one", c.Name)
 		}
 		spec.Keys = spec.Keys[1:]
-		key = addKey(spec, c.ID)
 		return nil
 	})
-	return showKey(s, key, err)
 }
 
 type tenantRevokeCommand struct {
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -70,9 +70,12 @@
 	return call, nil
 }
 
+// headerKey carries the caller's key, as model servers take it.
+const headerKey = "Authorization"
+
 // callersKey reads a key as model servers take it; empty when there is none.
 func callersKey(header http.Header) string {
-	scheme, key, _ := strings.Cut(header.Get("Authorization"), " ")
+	scheme, key, _ := strings.Cut(header.Get(headerKey), " ")
 	if !strings.EqualFold(scheme, "Bearer") {
 		return ""
 	}
@@ -100,7 +103,7 @@
 
 // singleHeaders refuses headers of this interface that come more than once.
 func singleHeaders(headers http.Header) error {
-	for _, name := range []string{api.HeaderClass, api.HeaderDeadline, api.HeaderIdempotencyKey, "Authorization"} {
+	for _, name := range []string{api.HeaderClass, api.HeaderDeadline, api.HeaderIdempotencyKey, headerKey} {
 		if len(headers.Values(name)) > 1 {
 			return fault.New(fault.CodeInvalid, stepParse, "header %s is given %d times", name, len(headers.Values(name)))
 		}
--- a/internal/limit/divider.go
+++ b/internal/limit/divider.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -9,9 +8,6 @@
 )
 
 const (
-	// useHalfLife is how fast a node's weight follows what is asked there. A tenant asks
-	// at most nodes every few seconds only.
-	useHalfLife = 8 * time.Second
 	// lenderSilence is how long a lender may be silent before another one is chosen:
 	// eight reports.
 	lenderSilence = 2 * time.Second
@@ -23,6 +19,14 @@
 	reserveRoom = 1.25
 	// silenceMargin is how much longer than Lifetime a silent node's part is kept.
 	silenceMargin = time.Second
+	// startSpread is how long after it took over a divider lets buckets begin with
+	// something: the nodes that were started with it have found it by then.
+	startSpread = 2 * time.Second
+	// startMargin is what may lie between the reading of the row and the divider's begin:
+	// two calls to the store, and some.
+	startMargin = 3 * time.Second
+	// startedShare is the part of the nodes that have parts that must be started anew.
+	startedShare = 0.5
 )
 
 // Divider divides limits among nodes. It works on a row (Record) that holds what nodes
@@ -44,69 +48,6 @@
 	startVersion Version
 }
 
-// member is a node that reported.
-type member struct {
-	address  string
-	spare    float64
-	process  string
-	replaced map[string]bool
-	// acked is the newest version that its process said it has; zero when it has said none
-	// to this divider: what it has then is not known.
-	acked Version
-	heard time.Time
-	used  map[tenant.Name]*flow
-	// fresh is set when it had nothing at its first report, started once its buckets began
-	// with something.
-	fresh   bool
-	started bool
-	// seeded is set once used was filled from the parts that an earlier divider gave.
-	seeded bool
-}
-
-// flow is a fading sum of what was asked, by so many requests.
-type flow struct {
-	cost     float64
-	requests float64
-	at       time.Time
-}
-
-func (m *member) flow(name tenant.Name, now time.Time) *flow {
-	if m.used[name] == nil {
-		m.used[name] = &flow{at: now}
-	}
-	return m.used[name]
-}
-
-func (f *flow) add(cost, requests float64, now time.Time) {
-	f.fade(now)
-	f.cost += cost
-	f.requests += requests
-}
-
-func (f *flow) fade(now time.Time) {
-	kept := math.Exp2(-float64(now.Sub(f.at)) / float64(useHalfLife))
-	f.cost *= kept
-	f.requests *= kept
-	f.at = now
-}
-
-// perSecond is what is asked a second.
-func (f *flow) perSecond(now time.Time) float64 {
-	f.fade(now)
-	return f.cost * math.Ln2 / useHalfLife.Seconds()
-}
-
-const (
-	// startSpread is how long after it took over a divider lets buckets begin with
-	// something: the nodes that were started with it have found it by then.
-	startSpread = 2 * time.Second
-	// startMargin is what may lie between the reading of the row and the divider's begin:
-	// two calls to the store, and some.
-	startMargin = 3 * time.Second
-	// startedShare is the part of the nodes that have parts that must be started anew.
-	startedShare = 0.5
-)
-
 // NewDivider returns a divider that goes on from a row that was read at a time of the
 // table's clock. Nothing may be told of a row that was only read, as what is read may be
 // old: its user first writes the record that Begin makes of it, on condition that the row
@@ -178,7 +119,7 @@
 		return Grant{Same: true}
 	}
 	m.started = m.started || starts
-	return Grant{Version: d.record.Version, Shares: d.record.shares(report.Node), Reserve: d.record.Reserve.told(report.Node), Start: starts}
+	return Grant{Version: d.record.Version, Shares: d.record.shares(report.Node), Reserve: d.record.Reserve.at(report.Node).Told, Start: starts}
 }
 
 // Asked is what is asked of a tenant's limit, in units a second.
@@ -270,8 +211,7 @@
 			if entry == nil || division.lends(node) {
 				continue
 			}
-			asked := float64(entry.Told) / float64(Whole) / ownHeadroom * t.Limit.Rate
-			m.flow(t.Name, now).add(asked*useHalfLife.Seconds()/math.Ln2, 0, now)
+			m.flow(t.Name, now).addRate(float64(entry.Told)/float64(Whole)/ownHeadroom*t.Limit.Rate, now)
 		}
 	}
 }
--- a/internal/limit/divider_test.go
+++ b/internal/limit/divider_test.go
@@ -46,12 +46,12 @@
 		divideOnce(d, now)
 		now = now.Add(100 * time.Millisecond)
 	}
-	assert.Equal(t, d.record.Tenants["t"].Nodes.bound("a"), Whole)
+	assert.Equal(t, d.record.Tenants["t"].Nodes.at("a").Bound, Whole)
 	acked := late
 	acked.Version = d.record.Version
 	d.Report(acked, now)
 	divideOnce(d, now)
-	assert.Assert(t, d.record.Tenants["t"].Nodes.bound("a") < Whole)
+	assert.Assert(t, d.record.Tenants["t"].Nodes.at("a").Bound < Whole)
 }
 
 // TestNothingIsToldOfARowBeingWritten: nodes are told what the last written row says until
--- a/internal/limit/keeper.go
+++ b/internal/limit/keeper.go
@@ -38,11 +38,9 @@
 	at    time.Time
 	// startPart is the part by which the bucket is still to be given what it begins with.
 	startPart Part
-	// asked is what was asked since the last report, by so many requests, used all that
-	// was admitted.
+	// asked is what was asked since the last report, by so many requests.
 	asked    float64
 	requests int
-	used     float64
 	// taken is what was spent of the reserve within a window, oldest first, takenSum the
 	// sum of it.
 	taken    []taken
@@ -115,7 +113,6 @@
 	}
 	a := k.account(t.Name)
 	a.level -= cost
-	a.used += cost
 	return true, 0
 }
 
@@ -211,7 +208,6 @@
 func (a *account) take(cost float64, now time.Time) {
 	a.taken = append(a.taken, taken{at: now, cost: cost})
 	a.takenSum += cost
-	a.used += cost
 }
 
 // forget drops what was spent of the reserve before a moment.
@@ -391,11 +387,9 @@
 // Status is a tenant's account at this node.
 type Status struct {
 	Tenant tenant.Name
-	// Part is the node's part, 0 to 1, Level what it may spend, Used all that it has
-	// admitted.
+	// Part is the node's part, 0 to 1, Level what it may spend now, in the limit's unit.
 	Part  float64
 	Level float64
-	Used  float64
 	// Lenders are who spends for the node.
 	Lenders []string
 }
@@ -408,7 +402,7 @@
 	list := make([]Status, 0, len(k.accounts))
 	for _, name := range slices.Sorted(maps.Keys(k.accounts)) {
 		a := k.accounts[name]
-		list = append(list, Status{Tenant: name, Part: float64(a.part) / float64(Whole), Level: a.level, Used: a.used, Lenders: a.lenders})
+		list = append(list, Status{Tenant: name, Part: float64(a.part) / float64(Whole), Level: a.level, Lenders: a.lenders})
 	}
 	return list
 }
--- a/internal/limit/pool.go
+++ b/internal/limit/pool.go
@@ -69,28 +69,12 @@
 	return entry
 }
 
-// told is what a node is to have.
-func (p Pool) told(node string) Part {
+// at is a node's part; nothing for a node without an entry.
+func (p Pool) at(node string) Entry {
 	if entry := p[node]; entry != nil {
-		return entry.Told
+		return *entry
 	}
-	return 0
-}
-
-// bound is the most that a node may have in force.
-func (p Pool) bound(node string) Part {
-	if entry := p[node]; entry != nil {
-		return entry.Bound
-	}
-	return 0
-}
-
-// since is the version from which on a node is told so.
-func (p Pool) since(node string) Version {
-	if entry := p[node]; entry != nil {
-		return entry.Since
-	}
-	return 0
+	return Entry{}
 }
 
 // off reports whether a part is so far from its target that it is changed.
@@ -116,7 +100,7 @@
 	lacking := make(map[string]int64)
 	sum := int64(0)
 	for node, target := range targets {
-		told := p.told(node)
+		told := p.at(node).Told
 		if target <= told || !off(told, target) {
 			continue
 		}
--- a/internal/limit/record.go
+++ b/internal/limit/record.go
@@ -78,9 +78,9 @@
 
 // changed is the version from which on a node's shares are what they are.
 func (r *Record) changed(node string) Version {
-	last := r.Reserve.since(node)
+	last := r.Reserve.at(node).Since
 	for _, division := range r.Tenants {
-		last = max(last, division.LendersSince, division.Nodes.since(node))
+		last = max(last, division.LendersSince, division.Nodes.at(node).Since)
 	}
 	return last
 }
@@ -89,7 +89,7 @@
 func (r *Record) shares(node string) []Share {
 	shares := make([]Share, 0, len(r.Tenants))
 	for name, division := range r.Tenants {
-		share := Share{Tenant: name, Part: division.Nodes.told(node)}
+		share := Share{Tenant: name, Part: division.Nodes.at(node).Told}
 		for _, lender := range division.Lenders {
 			share.Lenders = append(share.Lenders, lender.Address)
 		}
--- a/internal/limit/targets.go
+++ b/internal/limit/targets.go
@@ -46,7 +46,7 @@
 	}
 	lenders := slices.DeleteFunc(slices.Clone(division.Lenders), func(l Lender) bool { return !d.reports(l.Node, now) })
 	for _, lender := range lenders {
-		targets[lender.Node] = lenderTarget(division.Nodes.told(lender.Node), left/float64(len(lenders)))
+		targets[lender.Node] = lenderTarget(division.Nodes.at(lender.Node).Told, left/float64(len(lenders)))
 	}
 	return targets
 }
@@ -131,7 +131,7 @@
 	reporting := 0
 	for _, lender := range division.Lenders {
 		switch {
-		case d.silent(lender.Node, now) && division.Nodes.bound(lender.Node) == 0:
+		case d.silent(lender.Node, now) && division.Nodes.at(lender.Node).Bound == 0:
 		case d.silent(lender.Node, now):
 			lenders = append(lenders, lender)
 		case reporting < lenderCount:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -139,9 +139,9 @@
 	standbys   []string
 	// reader is a node without the lease that reads the store, from which this one
 	// reads while there is no relay. lookingSince is when the look for one began, zero
-	// for none, lookedAt when others were asked last.
-	reader Peer
-	// looks is how many looks in vain there were before this one.
+	// for none, lookedAt when others were asked last, looks how many looks in vain there
+	// were before this one.
+	reader       Peer
 	lookingSince time.Time
 	lookedAt     time.Time
 	looks        int
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -15,7 +15,7 @@
 	Asked []limit.Use `cbor:"3,keyasint,omitempty"`
 }
 
-// MethodSpend asks the lender of a tenant's limit to spend for a node whose own share does
+// MethodSpend asks a lender of a tenant's limit to spend for a node whose own share does
 // not suffice.
 const MethodSpend = "limits/spend"
 
