--- a/test/tenants_test.go
+++ b/test/tenants_test.go
@@ -191,17 +191,25 @@
 	assert.Assert(t, runs >= served)
 }
 
-// TestLimitedRequestsAreTold: what is over a limit is refused with the time to come back,
-// what could never be within it too, and counts that cannot be read are an error.
-func TestLimitedRequestsAreTold(t *testing.T) {
-	t.Parallel()
+// startWordsNodes starts nodes that serve a tenant, words, whose limit counts tokens: rate a
+// second, and as many on top.
+func startWordsNodes(t *testing.T, count int, rate float64) []*world.Node {
+	t.Helper()
 	w := newWorld(t, func(o *world.Options) { o.Adjust = exact })
 	startMailers(t, w, 1)
-	nodes := startNodes(t, w, 1)
-	words := tenantOf("words", 100, 100)
+	nodes := startNodes(t, w, count)
+	words := tenantOf("words", rate, rate)
 	words.Unit, words.RawTokens = protocol.UnitToken, 1
 	assert.NilError(t, w.ConfigureTenants([]protocol.Tenant{words}))
 	waitStatus(t, "words-key", http.StatusOK, nodes...)
+	return nodes
+}
+
+// TestLimitedRequestsAreTold: what is over a limit is refused with the time to come back,
+// what could never be within it too, and counts that cannot be read are an error.
+func TestLimitedRequestsAreTold(t *testing.T) {
+	t.Parallel()
+	nodes := startWordsNodes(t, 1, 100)
 	ask := func(tokens string) clientAnswer {
 		return send(t.Context(), nodes[0], clientRequest{Path: "/read/x", Key: "words-key", Header: http.Header{protocol.HeaderTokens: {tokens}}})
 	}
@@ -285,13 +293,7 @@
 // less than the limit lets through at once, is served.
 func TestLargeRequestIsLentTogether(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, func(o *world.Options) { o.Adjust = exact })
-	startMailers(t, w, 1)
-	nodes := startNodes(t, w, 4)
-	words := tenantOf("words", 1000, 1000)
-	words.Unit, words.RawTokens = protocol.UnitToken, 1
-	assert.NilError(t, w.ConfigureTenants([]protocol.Tenant{words}))
-	waitStatus(t, "words-key", http.StatusOK, nodes...)
+	nodes := startWordsNodes(t, 4, 1000)
 	for _, node := range nodes {
 		waitUntil(t, "a large request is served", func() error {
 			header := http.Header{protocol.HeaderTokens: {"600,10"}}
