Count a request's cost only once it was charged

Cause: lilacvane_tenant_cost_total says that it counts what admitted requests were charged, but a request's cost was noted before its admission, so one that ended with 503 for want of anybody to ask, or whose client left meanwhile, was counted as well. Ruled out: noting the cost only on admission, as the log and explanations of a refused request tell what it would have cost. Change: dispatch.Outcome.Charged is set when the cost was spent, and only then the counter grows. Nothing but the counter reads it.

--- a/internal/dispatch/caller.go
+++ b/internal/dispatch/caller.go
@@ -99,6 +99,7 @@
 		admission := j.dispatcher.Limits.Admit(ctx, j.tenant, cost, j.route.Priority)
 		j.outcome.AdmittedBy = admission.By
 		if admission.Verdict == Within {
+			j.outcome.Charged = true
 			return nil
 		}
 		again, ok := admission.waits(j.limitPatience())
--- a/internal/dispatch/caller_test.go
+++ b/internal/dispatch/caller_test.go
@@ -112,6 +112,17 @@
 	assert.Equal(t, l.cost, 3.0)
 }
 
+// TestOnlyAdmittedRequestsAreCharged: what a request costs is told of each, and that it was
+// charged only of one that was admitted.
+func TestOnlyAdmittedRequestsAreCharged(t *testing.T) {
+	for verdict, charged := range map[Verdict]bool{Within: true, Over: false, TooLarge: false, NotKnown: false} {
+		j := limitedJob(&limiter{admissions: []Admission{{Verdict: verdict, In: time.Hour}}}, &Request{})
+		_ = j.admit(t.Context())
+		assert.Equal(t, j.outcome.Cost, 3.0, "%d", verdict)
+		assert.Equal(t, j.outcome.Charged, charged, "%d", verdict)
+	}
+}
+
 // TestOverLimitIsRefused: what is over is refused at once with the time to come back, but
 // for a moment that costs the client less than a refusal.
 func TestOverLimitIsRefused(t *testing.T) {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -99,9 +99,10 @@
 	Revision uint64
 	// Tenant is the tenant that the request belongs to; empty when it is not known.
 	Tenant tenant.Name
-	// Cost is what it was charged to its tenant's limit, in the limit's unit, AdmittedBy
-	// the node whose share was asked, or its address.
+	// Cost is what it costs of its tenant's limit, in the limit's unit, Charged is set once
+	// that was spent, AdmittedBy is the node whose share was asked, or its address.
 	Cost       float64
+	Charged    bool
 	AdmittedBy string
 	// KeptTokens is what its last runner was believed to keep of its prompt.
 	KeptTokens int
--- a/internal/node/tenantfigures.go
+++ b/internal/node/tenantfigures.go
@@ -53,7 +53,9 @@
 		return
 	}
 	f.requests.WithLabelValues(label, o.Result).Inc()
-	f.cost.WithLabelValues(label).Add(o.Cost)
+	if o.Charged {
+		f.cost.WithLabelValues(label).Add(o.Cost)
+	}
 }
 
 // label is the tenant's name, or one for all beyond the first ones.
--- a/internal/node/tenantfigures_test.go
+++ b/internal/node/tenantfigures_test.go
@@ -17,7 +17,7 @@
 	registry := prometheus.NewRegistry()
 	f := newTenantFigures(registry)
 	for i := range 1000 {
-		f.observe(dispatch.Outcome{Tenant: tenant.Name(fmt.Sprintf("t%d", i)), Result: dispatch.ResultServed, Status: http.StatusOK, Cost: 2})
+		f.observe(dispatch.Outcome{Tenant: tenant.Name(fmt.Sprintf("t%d", i)), Result: dispatch.ResultServed, Status: http.StatusOK, Cost: 2, Charged: true})
 	}
 	f.observe(dispatch.Outcome{Result: dispatch.ResultServed})
 	families, err := registry.Gather()
@@ -27,6 +27,25 @@
 	}
 }
 
+// TestOnlyChargedCostIsCounted: a request that was not admitted adds nothing to its tenant's
+// cost, whatever it was answered with.
+func TestOnlyChargedCostIsCounted(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	f := newTenantFigures(registry)
+	f.observe(dispatch.Outcome{Tenant: "club", Result: dispatch.ResultServed, Status: http.StatusOK, Cost: 2, Charged: true})
+	f.observe(dispatch.Outcome{Tenant: "club", Result: dispatch.ResultRefused, Status: http.StatusServiceUnavailable, Cost: 5})
+	f.observe(dispatch.Outcome{Tenant: "club", Result: dispatch.ResultRefused, Status: http.StatusTooManyRequests, Cost: 7})
+	families, err := registry.Gather()
+	assert.NilError(t, err)
+	counted := -1.0
+	for _, family := range families {
+		if family.GetName() == "lilacvane_tenant_cost_total" {
+			counted = family.Metric[0].Counter.GetValue()
+		}
+	}
+	assert.Equal(t, counted, 2.0)
+}
+
 // TestExplanationNamesTheTenant: what is told of a request names its tenant, what it cost
 // and whose share admitted it.
 func TestExplanationNamesTheTenant(t *testing.T) {
