Ask in one place whether something may go to a runner; read zones' regions, homes, cold starts

Cause: each choice of a runner looks at its own fields, and nothing knows a region, homes, or a cold runner. What must hold for requests, questions, loads and unloads alike has no place. Ruled out: rules as further fields of each choice, as a new call site would forget one of them. Change: internal/eligible answers the question with a typed reason; internal/place names zones, regions and homes. The fleet's choices go through it; its rules are those that stood before. Homes, cold rates and cold times are read from the configuration and the runners' rows, and the settings carry the zones' regions and the bounds. Nothing decides by them yet. Figures: BenchmarkCheck, 10,000 runners, 0 allocations an answer (TestCheckAllocatesNothing).

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -16,10 +16,15 @@
 	// Address is ip:port. It may be given to another runner later.
 	Address string
 	Zone    string
+	// Region is where the zone lies; empty when it is not known.
+	Region string
 	// Slots is how many requests it runs at once.
 	Slots int
 	// Draining is set when the platform takes it away: nothing new goes there.
 	Draining bool
+	// ColdFor is how much longer the runner said it stays cold: it bears only few
+	// requests a second until then.
+	ColdFor time.Duration
 	// Models is what the runner held when it last told the platform.
 	Models []Holding
 	// Copies are the weights the runner keeps near.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lilacvane/internal/api"
+	"lilacvane/internal/place"
 	"lilacvane/internal/tenant"
 )
 
@@ -67,6 +68,8 @@
 	Attempts int
 	// Public routes need no key.
 	Public bool
+	// Homes are the regions in which alone its requests are served.
+	Homes place.Homes
 	// Backends share the requests by weight.
 	Backends []Backend
 }
@@ -90,6 +93,10 @@
 	// MaximumConnections is how many connections a runner accepts from all
 	// nodes together; zero means no limit.
 	MaximumConnections int
+	// ColdStart is how long a runner is cold after its start, ColdRate how many requests a
+	// second it bears while it is cold; zero where runners are never cold.
+	ColdStart time.Duration
+	ColdRate  float64
 	// Engine is set for services of model engines.
 	Engine *Engine
 }
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -60,6 +60,9 @@
 }
 
 func (s *Service) validate() error {
+	if s.ColdStart < 0 || s.ColdRate < 0 {
+		return invalid("coldStart", "times and rates must not be negative")
+	}
 	if s.Engine == nil {
 		return nil
 	}
--- a/internal/dispatch/ask_test.go
+++ b/internal/dispatch/ask_test.go
@@ -17,7 +17,7 @@
 // asker is a job whose model two runners hold, of which reports tell.
 func asker(report func(id string) (backend.Report, error), asked *atomic.Int64) *job {
 	unit := backend.Unit{Model: "alpha"}
-	known := fleet.New("zone", time.Now, func(string, string) bool { return false })
+	known := fleet.New("zone", time.Now, noRules{})
 	holding := []backend.Holding{{Model: unit.Model}}
 	known.Replace([]backend.Runner{
 		{ID: "r1", Service: "s", Slots: 64, Models: holding}, {ID: "r2", Service: "s", Slots: 64, Models: holding}, {ID: "r3", Service: "s", Slots: 64},
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -18,7 +18,7 @@
 // the active one is served by the new one.
 func TestWaitFollowsVersion(t *testing.T) {
 	old, current := backend.Unit{Model: "alpha"}, backend.Unit{Model: "alpha-2"}
-	known := fleet.New("zone", time.Now, func(string, string) bool { return false })
+	known := fleet.New("zone", time.Now, noRules{})
 	known.Replace([]backend.Runner{{ID: "r1", Service: "s", Models: []backend.Holding{{Model: current.Model}}}}, false)
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
--- /dev/null
+++ b/internal/dispatch/rules_test.go
@@ -0,0 +1,10 @@
+package dispatch
+
+import "lilacvane/internal/place"
+
+// noRules take nothing out.
+type noRules struct{}
+
+func (noRules) Drained(_, _ string) bool { return false }
+
+func (noRules) ZoneOut(place.Zone) bool { return false }
--- /dev/null
+++ b/internal/eligible/eligible_test.go
@@ -0,0 +1,87 @@
+package eligible
+
+import (
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/place"
+)
+
+// rules are fixed rules.
+type rules struct {
+	drained map[string]bool
+	out     map[place.Zone]bool
+}
+
+func (r rules) Drained(runner, _ string) bool { return r.drained[runner] }
+
+func (r rules) ZoneOut(zone place.Zone) bool { return r.out[zone] }
+
+func TestCheck(t *testing.T) {
+	sound := Runner{ID: "r1", Service: "engines", Zone: "a", Region: "north", Listed: true, Permit: true}
+	changed := func(change func(*Runner)) Runner {
+		runner := sound
+		change(&runner)
+		return runner
+	}
+	north, south := place.NewHomes([]place.Region{"north"}), place.NewHomes([]place.Region{"south"})
+	request := Request{Service: "engines"}
+	out := rules{out: map[place.Zone]bool{"a": true}}
+	drained := rules{drained: map[string]bool{"r1": true}}
+	cold := changed(func(r *Runner) { r.Permit = false })
+	leaving := changed(func(r *Runner) { r.Draining = true })
+	for _, test := range []struct {
+		name    string
+		rules   rules
+		runner  Runner
+		purpose Purpose
+		want    Reason
+	}{
+		{"request", rules{}, sound, request, Yes},
+		{"request of another service", rules{}, sound, Request{Service: "mail"}, OtherService},
+		{"runner gone", rules{}, changed(func(r *Runner) { r.Listed = false }), request, Gone},
+		{"runner leaves", rules{}, leaving, request, Draining},
+		{"runner drained", drained, sound, request, Drained},
+		{"zone out", out, sound, request, ZoneOut},
+		{"question in a zone out", out, sound, Question{request}, ZoneOut},
+		{"load in a zone out", out, sound, Load{Service: "engines"}, ZoneOut},
+		{"unload in a zone out", out, sound, Unload{Service: "engines"}, Yes},
+		{"unload at a drained runner", drained, sound, Unload{Service: "engines"}, Yes},
+		{"unload at a runner that leaves", rules{}, leaving, Unload{Service: "engines"}, Draining},
+		{"at home", rules{}, sound, Request{Service: "engines", Homes: north}, Yes},
+		{"outside homes", rules{}, sound, Request{Service: "engines", Homes: south}, OutsideHomes},
+		{"question outside homes", rules{}, sound, Question{Request{Service: "engines", Homes: south}}, OutsideHomes},
+		{"load outside homes", rules{}, sound, Load{Service: "engines", Homes: south}, OutsideHomes},
+		{"cold", rules{}, cold, request, Cold},
+		{"question at a cold runner", rules{}, cold, Question{request}, Yes},
+		{"load at a cold runner", rules{}, cold, Load{Service: "engines"}, Yes},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			assert.Equal(t, Check(test.rules, &test.runner, test.purpose).String(), test.want.String())
+		})
+	}
+}
+
+// BenchmarkCheck asks about each of 10,000 runners in turn.
+func BenchmarkCheck(b *testing.B) {
+	runners := make([]Runner, 10_000)
+	for i := range runners {
+		runners[i] = Runner{ID: strconv.Itoa(i), Service: "engines", Zone: place.Zone(strconv.Itoa(i % 6)), Region: "north", Listed: true, Permit: true}
+	}
+	var inForce Rules = rules{out: map[place.Zone]bool{"2": true}}
+	request := Request{Service: "engines", Homes: place.NewHomes([]place.Region{"north", "south"})}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		Check(inForce, &runners[i%len(runners)], request)
+	}
+}
+
+func TestCheckAllocatesNothing(t *testing.T) {
+	runner := Runner{ID: "r1", Service: "engines", Zone: "a", Region: "north", Listed: true, Permit: true}
+	inForce := rules{}
+	request := Request{Service: "engines", Homes: place.NewHomes([]place.Region{"south", "north"})}
+	var asked Rules = inForce
+	assert.Equal(t, testing.AllocsPerRun(100, func() { Check(asked, &runner, request) }), 0.0)
+}
--- a/internal/fleet/apart_test.go
+++ b/internal/fleet/apart_test.go
@@ -14,7 +14,7 @@
 
 // apartFleet knows some runners that hold one model, and the mean prompt.
 func apartFleet(runners int) *Fleet {
-	f := New("zone", time.Now, func(string, string) bool { return false })
+	f := New("zone", time.Now, noRules{})
 	listed := make([]backend.Runner, 0, runners)
 	for i := range runners {
 		listed = append(listed, backend.Runner{
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/eligible"
+	"lilacvane/internal/place"
 )
 
 // Costs of choosing a runner, in milliseconds of expected delay.
@@ -31,6 +33,8 @@
 	Unit backend.Unit
 	// Prompt are the parts of the prompt, in order.
 	Prompt []Part
+	// Homes are the regions in which alone the request may be served.
+	Homes place.Homes
 	// Exclude are runners that were tried already.
 	Exclude []string
 	// Among bounds the choice to these runners; not set for all.
@@ -121,13 +125,7 @@
 
 // feasible reports whether a request may be sent to a runner at all.
 func (f *Fleet) feasible(known *runner, query Query) bool {
-	if known.listed.Service != query.Service {
-		return false
-	}
-	if !known.present && !known.listed.Missing {
-		return false
-	}
-	if known.listed.Draining || f.drained(known.listed.ID, known.listed.Zone) {
+	if f.eligible(known, eligible.Request{Service: query.Service, Homes: query.Homes}) != eligible.Yes {
 		return false
 	}
 	for _, id := range query.Exclude {
@@ -138,6 +136,15 @@
 	return query.Unit == backend.Unit{} || (f.holds(known, query.Unit) && !f.silent(known))
 }
 
+// eligible says whether something may go to a runner now.
+func (f *Fleet) eligible(known *runner, purpose eligible.Purpose) eligible.Reason {
+	listed := &known.listed
+	return eligible.Check(f.rules, &eligible.Runner{
+		ID: listed.ID, Service: listed.Service, Zone: place.Zone(listed.Zone), Region: place.Region(listed.Region),
+		Listed: known.present || listed.Missing, Draining: listed.Draining, Permit: true,
+	}, purpose)
+}
+
 // rank estimates the delay of a request at a runner.
 func (f *Fleet) rank(known *runner, query Query) Choice {
 	choice := Choice{Runner: known.listed}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/eligible"
 )
 
 const (
@@ -44,8 +45,8 @@
 type Fleet struct {
 	zone string
 	now  func() time.Time
-	// drained tells runners that a planned stop empties.
-	drained func(runner, zone string) bool
+	// rules are what operators decided about runners and zones.
+	rules eligible.Rules
 
 	mutex   sync.Mutex
 	runners map[string]*runner
@@ -97,10 +98,9 @@
 	silent bool
 }
 
-// New returns an empty fleet for a node in zone. drained tells runners that a
-// planned stop empties.
-func New(zone string, now func() time.Time, drained func(runner, zone string) bool) *Fleet {
-	return &Fleet{zone: zone, now: now, drained: drained, runners: make(map[string]*runner), planned: make(map[string]map[string]time.Time),
+// New returns an empty fleet for a node in zone; rules are what operators decided.
+func New(zone string, now func() time.Time, rules eligible.Rules) *Fleet {
+	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), planned: make(map[string]map[string]time.Time),
 		ordersAt: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -17,7 +17,7 @@
 
 func testFleet() (*Fleet, *clock) {
 	c := &clock{now: time.Unix(1000, 0)}
-	return New("zone-a", c.read, func(string, string) bool { return false }), c
+	return New("zone-a", c.read, noRules{}), c
 }
 
 func listed(id string, models ...string) backend.Runner {
@@ -112,7 +112,7 @@
 // TestDrainingRunnerGetsNothing: neither one that says that it leaves nor one
 // that an operator empties.
 func TestDrainingRunnerGetsNothing(t *testing.T) {
-	f := New("zone-a", time.Now, func(runner, _ string) bool { return runner == "r2" })
+	f := New("zone-a", time.Now, drains{"r2": true})
 	leaving := listed("r1")
 	leaving.Draining = true
 	f.Replace([]backend.Runner{leaving, listed("r2")}, false)
--- a/internal/fleet/suspect_test.go
+++ b/internal/fleet/suspect_test.go
@@ -14,7 +14,7 @@
 func TestSilentRunnerIsLeftAlone(t *testing.T) {
 	now := time.Unix(1000, 0)
 	unit := backend.Unit{Model: "m"}
-	f := New("zone", func() time.Time { return now }, func(string, string) bool { return false })
+	f := New("zone", func() time.Time { return now }, noRules{})
 	f.Apply([]backend.Runner{{ID: "r", Service: "s", Models: []backend.Holding{{Model: "m"}}}}, nil, false)
 	query := Query{Service: "s", Unit: unit}
 	first, found := f.Choose(query)
@@ -40,7 +40,7 @@
 // TestSuspicionsAreToldOnce: a runner is suspected at intervals, and told once.
 func TestSuspicionsAreToldOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
-	f := New("zone", func() time.Time { return now }, func(string, string) bool { return false })
+	f := New("zone", func() time.Time { return now }, noRules{})
 	f.Apply([]backend.Runner{{ID: "r", Service: "s"}, {ID: "q", Service: "other"}}, nil, false)
 	assert.Assert(t, !f.Suspect("unknown"))
 	assert.Assert(t, f.Suspect("r"))
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -9,6 +9,7 @@
 	"lilacvane/internal/commit"
 	"lilacvane/internal/config"
 	"lilacvane/internal/feed"
+	"lilacvane/internal/place"
 	"lilacvane/internal/relay"
 )
 
@@ -213,6 +214,7 @@
 			h.log.Error(err, "runner's row unreadable", "runner", row.Key)
 			continue
 		}
+		runner.Region = string(h.settings.Load().Zones.Region(place.Zone(runner.Zone)))
 		changed = append(changed, runner)
 	}
 	return changed, removed
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,7 +122,7 @@
 		decisions: decision.NewLog(s.Node, decisionsKept), claims: claim.New(platform.Claims), pauses: newPauseWatch(),
 	}
 	n.settings.Store(&s)
-	n.fleet = fleet.New(s.Zone, time.Now, n.drained)
+	n.fleet = fleet.New(s.Zone, time.Now, (*operatorRules)(n))
 	n.committer = commit.New(platform.Objects, n.catalog)
 	n.policies = policy.NewSet(n.catalog, s.Region, zone)
 	n.closing, n.close = context.WithCancel(context.Background())
@@ -185,11 +185,6 @@
 	return retry.Limits{Ratio: s.Ratio, Slack: s.Slack, Window: s.Window}
 }
 
-func (n *Node) drained(runner, zone string) bool {
-	configuration := n.configuration.Load()
-	return configuration != nil && configuration.Drained(runner, zone)
-}
-
 // Run runs the node until ctx ends, then stops it without cutting off requests.
 // reload is signalled when the settings file may have changed.
 func (n *Node) Run(ctx context.Context, reload <-chan os.Signal, settingsPath string) error {
--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,41 @@
+package place
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestHomesBind(t *testing.T) {
+	north, south := NewHomes([]Region{"north"}), NewHomes([]Region{"south"})
+	both := NewHomes([]Region{"south", "north", "south"})
+	for _, test := range []struct {
+		name   string
+		homes  Homes
+		region Region
+		want   bool
+	}{
+		{"no homes", Homes{}, "north", true},
+		{"no homes, region not known", Homes{}, "", true},
+		{"home", north, "north", true},
+		{"not home", north, "south", false},
+		{"part of a name", north, "nor", false},
+		{"region not known", north, "", false},
+		{"one of two", both, "south", true},
+		{"both bind", both.And(south), "south", true},
+		{"both bind, other region", both.And(south), "north", false},
+		{"nothing in common", north.And(south), "north", false},
+		{"only one bound", Homes{}.And(south), "north", false},
+		{"only names that cannot be", NewHomes([]Region{""}), "north", false},
+		{"empty list", NewHomes([]Region{}), "north", true},
+	} {
+		t.Run(test.name, func(t *testing.T) { assert.Equal(t, test.homes.Allows(test.region), test.want) })
+	}
+}
+
+func TestHomesAreComparable(t *testing.T) {
+	assert.Equal(t, NewHomes([]Region{"a", "b"}), NewHomes([]Region{"b", "a", "b"}))
+	assert.Equal(t, NewHomes([]Region{"a", "b"}).And(NewHomes([]Region{"b", "c"})), NewHomes([]Region{"b"}))
+	assert.Equal(t, NewHomes([]Region{"b", "a"}).String(), "a,b")
+	assert.DeepEqual(t, NewHomes([]Region{"b", "a"}).Regions(), []Region{"a", "b"})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/place"
 )
 
 // Settings of one node.
@@ -24,6 +25,8 @@
 	// Zone and Region place the node.
 	Zone   string `yaml:"zone"`
 	Region string `yaml:"region"`
+	// Zones tells the region of each zone of the deployment.
+	Zones place.Map `yaml:"zones"`
 	// TimeZone is the IANA zone in which policies read the clock.
 	TimeZone string `yaml:"timeZone"`
 	// Listen are the addresses this node listens on.
@@ -34,6 +37,12 @@
 	Capacity Capacity `yaml:"capacity"`
 	// Relay says which nodes read the store through one of them.
 	Relay Relay `yaml:"relay"`
+	// Configuration bounds how late a change of the configuration may be in force.
+	Configuration Within `yaml:"configuration"`
+	// Evacuation bounds how late after a zone was taken out something may still go there.
+	Evacuation Within `yaml:"evacuation"`
+	// ColdStart says how far the requests at a cold runner may pass its service's rate.
+	ColdStart ColdStart `yaml:"coldStart"`
 	// Retries bounds repeated requests of a service over all nodes.
 	Retries Retries `yaml:"retries"`
 	// Limits says how exactly tenants' limits are kept.
@@ -126,6 +135,19 @@
 	FirstStart bool `yaml:"firstStart"`
 }
 
+// Within bounds how late after its acknowledgement by the store a change is in force at
+// every node that hears it.
+type Within struct {
+	Within time.Duration `yaml:"within"`
+}
+
+// ColdStart says what a cold runner may get of all nodes together within a second: Share
+// times the rate that it bears (config.Service.ColdRate), and Slack requests.
+type ColdStart struct {
+	Share float64 `yaml:"share"`
+	Slack float64 `yaml:"slack"`
+}
+
 // Retries are the bounds of a service's budget of retries.
 type Retries struct {
 	// Ratio is the part of the requests that may be sent again.
@@ -185,14 +207,17 @@
 // Default returns the settings that a file changes.
 func Default() Settings {
 	return Settings{
-		TimeZone: "UTC",
-		Relay:    Relay{Scope: ScopeRegion},
-		Retries:  Retries{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
-		Limits:   Limits{Window: 10 * time.Second},
-		Lease:    Lease{TurnGap: 3 * time.Second},
-		Stop:     Stop{Grace: 8 * time.Second, Notice: 3 * time.Second},
-		Sleep:    Sleep{TailPower: 1, Limit: time.Hour},
-		Log:      Log{Level: "info"},
+		TimeZone:      "UTC",
+		Relay:         Relay{Scope: ScopeRegion},
+		Configuration: Within{Within: 3 * time.Second},
+		Evacuation:    Within{Within: 5 * time.Second},
+		ColdStart:     ColdStart{Share: 1},
+		Retries:       Retries{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		Limits:        Limits{Window: 10 * time.Second},
+		Lease:         Lease{TurnGap: 3 * time.Second},
+		Stop:          Stop{Grace: 8 * time.Second, Notice: 3 * time.Second},
+		Sleep:         Sleep{TailPower: 1, Limit: time.Hour},
+		Log:           Log{Level: "info"},
 	}
 }
 
@@ -241,6 +266,10 @@
 	check(s.Capacity.Cores >= 0, "capacity.cores: must not be negative")
 	check(s.Capacity.LinkMbps >= 0, "capacity.linkMbps: must not be negative")
 	check(s.Relay.Scope == ScopeZone || s.Relay.Scope == ScopeRegion, "relay.scope: zone or region")
+	check(s.Configuration.Within > 0, "configuration.within: must be above zero")
+	check(s.Evacuation.Within > 0, "evacuation.within: must be above zero")
+	check(s.ColdStart.Share >= 0, "coldStart.share: must not be negative")
+	check(s.ColdStart.Slack >= 0, "coldStart.slack: must not be negative")
 	check(s.Retries.Ratio >= 0 && s.Retries.Ratio <= 1, "retries.ratio: must be 0 to 1")
 	check(s.Retries.Slack >= 0, "retries.slack: must not be negative")
 	check(s.Retries.Window > 0, "retries.window: must be above zero")
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/place"
 )
 
 // Name identifies a tenant.
@@ -143,6 +144,8 @@
 	// Priority goes before that of routes; 0 is served first.
 	Priority int
 	Limit    Limit
+	// Homes are the regions in which alone its requests are served.
+	Homes place.Homes
 	// Keys are the digests of its keys.
 	Keys []Digest
 }
