Tell why no runner could take a request

Cause: a request that waited or was refused told how long, and not what kept the runners from it; whether its model was on none of them, or on those that leave or are silent, had to be guessed from other lines. Ruled out: reasons kept by each look of a waiting request, as each would be paid for and only the first and the last are read. Change: Fleet.Obstacles counts the runners of a service by the reason that keeps each from a request (those of internal/eligible, and not_held, silent, tried), how many of them hold the unit and how old that knowledge is. The choice asks the same function, so the two cannot differ. It is looked at as a wait begins and, 200 ms later or more, as it ends without a runner; "request ended" and the decision that explain prints carry it.

--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -22,10 +22,10 @@
 	return &Log{node: node, entries: make([]wire.Decision, 0, capacity)}
 }
 
-// Add records a decision about a subject: model/NAME, replica/RUNNER or
-// request/ID. Revision is the configuration it was based on.
-func (l *Log) Add(subject, step, reason string, revision uint64) {
-	entry := wire.Decision{Time: time.Now().UTC(), Node: l.node, Subject: subject, Step: step, Reason: reason, Revision: revision}
+// Add records a decision; its time and node are set here. Its subject is model/NAME,
+// replica/RUNNER, zone/NAME or request/ID, its revision the configuration it was based on.
+func (l *Log) Add(entry wire.Decision) {
+	entry.Time, entry.Node = time.Now().UTC(), l.node
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if len(l.entries) < cap(l.entries) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -129,7 +129,11 @@
 }
 
 func (d *Dispatcher) logOutcome(o *Outcome, request *Request) {
-	d.Log.Info("request ended", "request", request.ID, "result", o.Result, "status", o.Status, "step", o.Step,
+	log := d.Log
+	if o.Unplaced != nil {
+		log = log.WithValues("unplacedMs", o.Unplaced.At.Milliseconds(), "obstacles", o.Unplaced.Obstacles.Wire())
+	}
+	log.Info("request ended", "request", request.ID, "result", o.Result, "status", o.Status, "step", o.Step,
 		"reason", o.Reason, "route", o.Route, "tenant", string(o.Tenant), "cost", o.Cost, "admittedBy", o.AdmittedBy, "revision", o.Revision, "unit", request.Unit.String(), "runner", o.Runner,
 		"attempts", o.Attempts, "resumes", o.Resumes, "waitedMs", o.Waited.Milliseconds(), "firstMs", o.First.Milliseconds(),
 		"totalMs", o.Total.Milliseconds(), "pauseMs", o.Pause.Milliseconds(), "patienceMs", request.Patience.Milliseconds(), "keptTokens", o.KeptTokens,
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -26,6 +26,9 @@
 	// waitRemembered is how much longer than its retry time a refused request
 	// counts as waiting.
 	waitRemembered = time.Second
+	// obstaclesFresh is how long what kept runners from a request stands without
+	// another look: lists change every 200 ms at most (runnerInterval of a node).
+	obstaclesFresh = 200 * time.Millisecond
 )
 
 // errRenamed says that the model asked for is served by another unit now.
@@ -71,11 +74,15 @@
 	}
 	start := time.Now()
 	defer func() { j.outcome.Waited += time.Since(start) }()
+	j.noteObstacles()
 	end := func() {}
 	if j.engine {
 		end = j.dispatcher.Demand.Wait(demand.Key{Service: j.query.Service, Unit: j.query.Unit}, j.latestStart(), j.priority())
 	}
 	choice, retryAfter, err := j.await(ctx, changed)
+	if err != nil && time.Since(start) >= obstaclesFresh {
+		j.noteObstacles()
+	}
 	if retryAfter > 0 {
 		// The client comes back: what it waits for is still wanted.
 		time.AfterFunc(retryAfter+waitRemembered, end)
@@ -85,6 +92,11 @@
 	return choice, err
 }
 
+// noteObstacles notes why no runner can take the request now.
+func (j *job) noteObstacles() {
+	j.outcome.Unplaced = &Unplaced{Obstacles: j.dispatcher.Fleet.Obstacles(j.query), At: time.Since(j.request.Arrived)}
+}
+
 // await looks for a runner whenever something changed. A retryAfter above zero
 // says that the client is sent back.
 func (j *job) await(ctx context.Context, changed <-chan struct{}) (choice fleet.Choice, retryAfter time.Duration, err error) {
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -11,6 +11,7 @@
 	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
 	"lilacvane/internal/demand"
+	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
 )
 
@@ -45,3 +46,36 @@
 	assert.Equal(t, choice.Runner.ID, "r1")
 	assert.Equal(t, j.query.Unit, current)
 }
+
+// waiter is a job for a model that no runner holds, with the time that it may wait.
+func waiter(known *fleet.Fleet, within time.Duration) *job {
+	return &job{
+		dispatcher: &Dispatcher{
+			Fleet: known, Demand: demand.NewBook(), Configuration: func() *config.Configuration { return &config.Configuration{} },
+		},
+		log: logr.Discard(), route: &config.Route{Kind: config.Safe, Attempts: 1}, engine: true,
+		query:    fleet.Query{Service: "s", Unit: backend.Unit{Model: "alpha"}},
+		deadline: time.Now().Add(within), request: &Request{Arrived: time.Now()},
+	}
+}
+
+// TestWaitTellsWhatKeptRunners: a request that no runner could take tells why, also when
+// the reason changed while it waited; one that is placed at once tells nothing.
+func TestWaitTellsWhatKeptRunners(t *testing.T) {
+	known := fleet.New("zone", time.Now, noRules{})
+	known.Replace([]backend.Runner{{ID: "r1", Service: "s"}}, false)
+	j := waiter(known, 2*time.Second)
+	leaving := time.AfterFunc(20*time.Millisecond, func() {
+		known.Apply([]backend.Runner{{ID: "r1", Service: "s", Draining: true, Models: []backend.Holding{{Model: "alpha"}}}}, nil, false)
+	})
+	defer leaving.Stop()
+	_, err := j.place(t.Context())
+	assert.Assert(t, fault.IsCode(err, fault.CodeDeadline))
+	assert.Equal(t, j.outcome.Unplaced.Obstacles.Main().String(), "draining")
+
+	known.Replace([]backend.Runner{{ID: "r2", Service: "s", Models: []backend.Holding{{Model: "alpha"}}}}, false)
+	j = waiter(known, 2*time.Second)
+	_, err = j.place(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, j.outcome.Unplaced == nil)
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -86,6 +86,9 @@
 	Resumes  int
 	// Waited is how long no runner could take it.
 	Waited time.Duration
+	// Unplaced is why no runner could take it: as it began to wait, or as its wait ended
+	// without one. It is not set for a request that never waited.
+	Unplaced *Unplaced
 	// Problem is the error of a request that was not served.
 	Problem *fault.Error
 	// Placed is the time until a runner was first chosen.
@@ -108,6 +111,13 @@
 	KeptTokens int
 }
 
+// Unplaced is why no runner could take a request.
+type Unplaced struct {
+	Obstacles fleet.Obstacles
+	// At is the time since the request's arrival.
+	At time.Duration
+}
+
 // The words of Outcome.Result.
 const (
 	// ResultServed is a success that reached the client whole.
--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,43 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lilacvane/internal/backend"
+)
+
+// BenchmarkChoose: the choice among 1,000 runners of which one in ten holds the unit.
+func BenchmarkChoose(b *testing.B) {
+	f := New("zone-a", time.Now, noRules{})
+	runners := make([]backend.Runner, 1000)
+	for i := range runners {
+		runners[i] = listed(fmt.Sprint("r", i), fmt.Sprint("m", i%10))
+	}
+	f.Replace(runners, false)
+	query := Query{Service: "s", Unit: backend.Unit{Model: "m3"}}
+	b.ReportAllocs()
+	for b.Loop() {
+		choice, ok := f.Choose(query)
+		if !ok {
+			b.Fatal("no choice")
+		}
+		f.Done(choice, query, Served, time.Millisecond, false)
+	}
+}
+
+// BenchmarkObstacles: why none of 10,000 runners may take a request.
+func BenchmarkObstacles(b *testing.B) {
+	f := New("zone-a", time.Now, noRules{})
+	runners := make([]backend.Runner, 10_000)
+	for i := range runners {
+		runners[i] = listed(fmt.Sprint("r", i), fmt.Sprint("m", i%10))
+	}
+	f.Replace(runners, false)
+	query := Query{Service: "s", Unit: backend.Unit{Model: "none"}}
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Obstacles(query)
+	}
+}
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -125,15 +125,27 @@
 
 // feasible reports whether a request may be sent to a runner at all.
 func (f *Fleet) feasible(known *runner, query Query) bool {
-	if f.eligible(known, eligible.Request{Service: query.Service, Homes: query.Homes}) != eligible.Yes {
-		return false
+	return f.hinders(known, query) == unhindered
+}
+
+// hinders says why a request may not be sent to a runner, or that it may. mutex is held.
+func (f *Fleet) hinders(known *runner, query Query) Reason {
+	if reason := f.eligible(known, eligible.Request{Service: query.Service, Homes: query.Homes}); reason != eligible.Yes {
+		return Reason(reason)
 	}
-	for _, id := range query.Exclude {
-		if id == known.listed.ID {
-			return false
-		}
+	if slices.Contains(query.Exclude, known.listed.ID) {
+		return AlreadyTried
+	}
+	switch {
+	case query.Unit == backend.Unit{}:
+		return unhindered
+	case !f.holds(known, query.Unit):
+		return UnitNotHeld
+	case f.silent(known):
+		return RunnerSilent
+	default:
+		return unhindered
 	}
-	return query.Unit == backend.Unit{} || (f.holds(known, query.Unit) && !f.silent(known))
 }
 
 // eligible says whether something may go to a runner now.
--- a/internal/node/questions.go
+++ b/internal/node/questions.go
@@ -36,19 +36,26 @@
 
 // decide remembers a decision for operators' questions.
 func (n *Node) decide(subject, step, reason string) {
-	n.decisions.Add(subject, step, reason, n.catalog.Revision())
+	n.decisions.Add(wire.Decision{Subject: subject, Step: step, Reason: reason, Revision: n.catalog.Revision()})
 }
 
 // observe counts a request that ended and remembers what became of it.
 func (n *Node) observe(id string, o dispatch.Outcome) {
 	n.figures.observe(o)
-	n.decide("request/"+id, "end request", describeOutcome(o))
+	ended := wire.Decision{Subject: "request/" + id, Step: "end request", Reason: describeOutcome(o), Revision: n.catalog.Revision()}
+	if o.Unplaced != nil {
+		ended.Obstacles = o.Unplaced.Obstacles.Wire()
+	}
+	n.decisions.Add(ended)
 }
 
 // describeOutcome says what became of a request, and whose it was by which share of the
 // limit.
 func describeOutcome(o dispatch.Outcome) string {
 	text := describeResult(o)
+	if o.Unplaced != nil {
+		text += "; no runner could take it after " + o.Unplaced.At.Round(time.Millisecond).String() + ": " + o.Unplaced.Obstacles.String()
+	}
 	if o.Tenant == "" {
 		return text
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -50,6 +50,18 @@
 	Step     string    `cbor:"4,keyasint" json:"step"`
 	Reason   string    `cbor:"5,keyasint" json:"reason"`
 	Revision uint64    `cbor:"6,keyasint" json:"revision"`
+	// Obstacles are why no runner could take a request, where it is about one that waited.
+	Obstacles []Obstacle `cbor:"7,keyasint,omitempty" json:"obstacles,omitempty"`
+}
+
+// Obstacle tells how many runners could not take a request for one reason.
+type Obstacle struct {
+	Reason  string `cbor:"1,keyasint" json:"reason"`
+	Runners int    `cbor:"2,keyasint" json:"runners"`
+	// Holding is how many of the runners held what the request names.
+	Holding int `cbor:"3,keyasint" json:"holding"`
+	// AgeMs is how long the node had not heard of the runner that it heard of longest ago.
+	AgeMs int64 `cbor:"4,keyasint" json:"ageMs"`
 }
 
 // ExplainResponse carries the newest decisions first.
