Show zones, cold runners and what refuses requests to operators

Cause: lilacvane shows no zones and no cold runners, and figures do not tell why requests are refused; a zone that a planned stop empties shows only as draining runners. Ruled out: zones as objects of lilacvane's own, which would be a second word where the platform takes zones out; labels by zone or model, as their number is not bounded here. Planned stops of zones are decisions about them. A zone, runner, kind of subject or flag that is not known is refused with field and step: exit code 4 or 2. Figures: none of speed; the path of a request is unchanged but for one counter of a refusal.

--- a/internal/command/objects.go
+++ b/internal/command/objects.go
@@ -22,6 +22,8 @@
 	"lilacvane/internal/wire"
 )
 
+const stepArguments = "read arguments"
+
 func (t target) client() *operator.Client { return operator.NewClient(t.Server) }
 
 // print writes the value as JSON, or calls table on a tab writer.
@@ -152,12 +154,26 @@
 
 type getCommand struct {
 	target
-	Kind string `arg:"" help:"Model, Version, Adapter, Policy, Drain, Service, Route or Tenant."`
+	Kind string `arg:"" help:"Model, Version, Adapter, Policy, Drain, Service, Route or Tenant; zones or runners."`
 	Name string `arg:"" optional:"" help:"Name; all of the kind without one."`
+	Cold bool   `help:"Only runners that are cold."`
 }
 
-// Run shows objects.
+// Run shows objects, zones or runners.
 func (c *getCommand) Run(s commandline.Streams) error {
+	switch kind := singular(c.Kind); {
+	case kind == "runner":
+		return c.runners(s)
+	case c.Cold:
+		return fault.New(fault.CodeInvalid, stepArguments, "--cold: goes with runners, not with %q", c.Kind)
+	case kind == "zone":
+		return c.zones(s)
+	default:
+		return c.objects(s)
+	}
+}
+
+func (c *getCommand) objects(s commandline.Streams) error {
 	objects, err := c.read()
 	if err != nil {
 		return err
@@ -185,13 +201,16 @@
 // parseKind reads a kind without regard to case or a plural s.
 func parseKind(text string) (api.Kind, error) {
 	for _, kind := range api.Kinds {
-		if strings.EqualFold(strings.TrimSuffix(text, "s"), string(kind)) {
+		if singular(text) == strings.ToLower(string(kind)) {
 			return kind, nil
 		}
 	}
-	return "", fault.New(fault.CodeInvalid, "read arguments", "unknown kind %q", text)
+	return "", fault.New(fault.CodeInvalid, stepArguments, "unknown kind %q", text)
 }
 
+// singular spells a kind in small letters and without a plural s.
+func singular(kind string) string { return strings.TrimSuffix(strings.ToLower(kind), "s") }
+
 type deleteCommand struct {
 	target
 	Kind       string `arg:"" help:"Kind."`
--- a/internal/command/questions.go
+++ b/internal/command/questions.go
@@ -95,6 +95,11 @@
 // Run starts a drain.
 func (c *drainStartCommand) Run(s commandline.Streams) error {
 	ctx := context.Background()
+	if api.DrainTarget(c.What) == api.DrainZone {
+		if _, err := c.client().Zones(ctx, c.Name); err != nil {
+			return err
+		}
+	}
 	object := api.NewObject(api.KindDrain, drainName(c.What, c.Name), api.Drain{Target: api.DrainTarget(c.What), Name: c.Name})
 	if err := fillGeneration(ctx, c.client(), &object); err != nil {
 		return err
@@ -153,8 +158,8 @@
 
 type explainCommand struct {
 	target
-	Kind string `arg:"" enum:"model,replica,request" help:"model, replica (by its runner) or request."`
-	Name string `arg:"" help:"Model name, runner name or request id."`
+	Kind string `arg:"" enum:"model,replica,request,zone" help:"model, replica (by its runner), request or zone."`
+	Name string `arg:"" help:"Model name, runner name, request id or zone name."`
 }
 
 // Run explains.
@@ -216,16 +221,7 @@
 	if err != nil {
 		return err
 	}
-	return c.print(s, runners, func(w io.Writer) {
-		fmt.Fprintln(w, "RUNNER\tSERVICE\tZONE\tSTATE\tRUNNING\tFREE_MB\tORDERS\tUNITS")
-		for _, runner := range runners {
-			var units []string
-			for _, unit := range runner.Units {
-				units = append(units, unit.Unit+":"+unit.State)
-			}
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%.0f\t%d\t%s\n", runner.Runner, runner.Service, runner.Zone, runner.State, runner.Running, runner.FreeMB, runner.Sequence, strings.Join(units, " "))
-		}
-	})
+	return c.printRunners(s, runners)
 }
 
 // carried shows how many loads a weight store carries at full speed.
--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -8,14 +8,20 @@
 	"lilacvane/internal/backend"
 )
 
-// BenchmarkChoose: the choice among 1,000 runners of which one in ten holds the unit.
-func BenchmarkChoose(b *testing.B) {
+// largeFleet is a fleet in which one runner in ten holds each of ten models.
+func largeFleet(size int) *Fleet {
 	f := New("zone-a", time.Now, noRules{})
-	runners := make([]backend.Runner, 1000)
+	runners := make([]backend.Runner, size)
 	for i := range runners {
 		runners[i] = listed(fmt.Sprint("r", i), fmt.Sprint("m", i%10))
 	}
 	f.Replace(runners, false)
+	return f
+}
+
+// BenchmarkChoose: the choice among 1,000 runners of which one in ten holds the unit.
+func BenchmarkChoose(b *testing.B) {
+	f := largeFleet(1000)
 	query := Query{Service: "s", Unit: backend.Unit{Model: "m3"}}
 	b.ReportAllocs()
 	for b.Loop() {
@@ -29,12 +35,7 @@
 
 // BenchmarkObstacles: why none of 10,000 runners may take a request.
 func BenchmarkObstacles(b *testing.B) {
-	f := New("zone-a", time.Now, noRules{})
-	runners := make([]backend.Runner, 10_000)
-	for i := range runners {
-		runners[i] = listed(fmt.Sprint("r", i), fmt.Sprint("m", i%10))
-	}
-	f.Replace(runners, false)
+	f := largeFleet(10_000)
 	query := Query{Service: "s", Unit: backend.Unit{Model: "none"}}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/fleet/obstacles.go
+++ b/internal/fleet/obstacles.go
@@ -87,12 +87,12 @@
 }
 
 // Main is the obstacle that keeps most of the runners that hold the unit from the request;
-// UnitNotHeld where none holds it.
+// UnitNotHeld where none holds it and one of them might be loaded with it.
 func (o Obstacles) Main() Reason {
 	switch {
 	case len(o) == 0:
 		return NoneKnown
-	case o[0].Holding == 0:
+	case o[0].Holding == 0 && slices.ContainsFunc(o, func(obstacle Obstacle) bool { return obstacle.Reason == UnitNotHeld }):
 		return UnitNotHeld
 	default:
 		return o[0].Reason
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -15,6 +15,7 @@
 type figures struct {
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
+	refused  *prometheus.CounterVec
 	attempts prometheus.Counter
 	resumes  prometheus.Counter
 	first    *prometheus.HistogramVec
@@ -49,7 +50,8 @@
 		Help: "How far loads from the weight store were from the time that was told, as a part of it.",
 	})
 	f.tenants = newTenantFigures(f.registry)
-	f.registry.MustRegister(f.loadTime, f.requests, f.attempts, f.resumes, f.first, f.waited)
+	f.refused = newRefused()
+	f.registry.MustRegister(newRunnerStates(n.runnersByState), f.refused, f.loadTime, f.requests, f.attempts, f.resumes, f.first, f.waited)
 	gauge := func(name, help string, value func() float64) {
 		f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
@@ -100,6 +102,9 @@
 func (f *figures) observe(o dispatch.Outcome) {
 	f.requests.WithLabelValues(o.Route, o.Result).Inc()
 	f.tenants.observe(o)
+	if o.Result == dispatch.ResultRefused {
+		f.refused.WithLabelValues(refusalReason(o)).Inc()
+	}
 	f.attempts.Add(float64(o.Attempts))
 	f.resumes.Add(float64(o.Resumes))
 	f.waited.Observe(o.Waited.Seconds())
--- /dev/null
+++ b/internal/node/fleetfigures_test.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/dispatch"
+	"lilacvane/internal/eligible"
+	"lilacvane/internal/fleet"
+	"lilacvane/internal/place"
+)
+
+// TestRunnersCountOnceByState: the states add up to the runners, also with a zone taken out.
+func TestRunnersCountOnceByState(t *testing.T) {
+	zones := map[place.Zone]fleet.Standing{"a": {Ready: 4, Cold: 2, Draining: 1}, "b": {Ready: 3, Cold: 1}}
+	counts := countStates(zones, func(zone place.Zone) bool { return zone == "b" })
+	assert.DeepEqual(t, counts, map[string]int{"ready": 4, "cold": 2, "draining": 1, "zone_out": 4})
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(newRunnerStates(func() map[string]int { return counts }))
+	families, err := registry.Gather()
+	assert.NilError(t, err)
+	assert.Equal(t, len(families[0].Metric), len(counts))
+}
+
+// TestRefusalsHaveBoundedReasons: a refusal counts by what kept the runners away, whatever
+// its route, model or tenant.
+func TestRefusalsHaveBoundedReasons(t *testing.T) {
+	refused := func(obstacles fleet.Obstacles) string {
+		return refusalReason(dispatch.Outcome{Unplaced: &dispatch.Unplaced{Obstacles: obstacles}})
+	}
+	assert.Equal(t, refusalReason(dispatch.Outcome{}), "other")
+	assert.Equal(t, refused(nil), "none_known")
+	assert.Equal(t, refused(fleet.Obstacles{{Reason: fleet.UnitNotHeld, Runners: 9}}), "not_held")
+	assert.Equal(t, refused(fleet.Obstacles{{Reason: fleet.Reason(eligible.ZoneOut), Runners: 9}}), "zone_out")
+	assert.Equal(t, refused(fleet.Obstacles{{Reason: fleet.Reason(eligible.ZoneOut), Runners: 9}, {Reason: fleet.UnitNotHeld, Runners: 1}}), "not_held")
+	assert.Equal(t, refused(fleet.Obstacles{{Reason: fleet.RunnerSilent, Runners: 1, Holding: 1}, {Reason: fleet.UnitNotHeld, Runners: 9}}), "silent")
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -151,12 +151,13 @@
 	for _, problem := range problems {
 		n.log.Error(problem, "object not usable", "step", "compose configuration")
 	}
-	n.configuration.Store(composed)
+	old := n.configuration.Swap(composed)
 	n.log.Info("configuration in force", "revision", composed.Revision, "objects", composed.ObjectRevision, "routes", len(composed.Routes),
 		"services", len(composed.Services), "names", len(composed.Names))
 	n.limits.follow(composed)
 	n.controls.follow(composed)
 	n.fleet.Wake()
+	n.decideZones(old, composed)
 }
 
 // runnerHandler takes over the list of runners.
--- a/internal/node/questions.go
+++ b/internal/node/questions.go
@@ -177,6 +177,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	runners := []wire.RunnerStatus{}
+	cold := n.fleet.Cold()
 	for service := range n.controls.all() {
 		response, err := n.controls.ask(ctx, service)
 		if err != nil {
@@ -185,6 +186,7 @@
 		}
 		for _, runner := range response.Runners {
 			if name == "" || runner.Runner == name {
+				runner.ColdMs = cold[runner.Runner].Milliseconds()
 				runners = append(runners, runner)
 			}
 		}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -99,6 +99,20 @@
 	return runners, err
 }
 
+// ColdRunners describes runners that are cold, or one by name if it is.
+func (c *Client) ColdRunners(ctx context.Context, name string) ([]wire.RunnerStatus, error) {
+	var runners []wire.RunnerStatus
+	err := c.call(ctx, http.MethodGet, "/v1/runners?cold=true&name="+url.QueryEscape(name), nil, &runners, "list runners")
+	return runners, err
+}
+
+// Zones describes the zones, or one by name.
+func (c *Client) Zones(ctx context.Context, name string) ([]wire.ZoneStatus, error) {
+	var zones []wire.ZoneStatus
+	err := c.call(ctx, http.MethodGet, "/v1/zones?name="+url.QueryEscape(name), nil, &zones, "list zones")
+	return zones, err
+}
+
 // Tenants describes the tenants in force.
 func (c *Client) Tenants(ctx context.Context) ([]TenantStatus, error) {
 	var tenants []TenantStatus
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -39,6 +39,8 @@
 	Status(ctx context.Context) Status
 	// Runners describes the runners, or one by name.
 	Runners(ctx context.Context, name string) []wire.RunnerStatus
+	// Zones describes the zones of which anything is known.
+	Zones(ctx context.Context) []wire.ZoneStatus
 	// Tenants describes the tenants in force.
 	Tenants(ctx context.Context) []TenantStatus
 	// DrainProgress tells what is left of a planned stop.
@@ -148,9 +150,8 @@
 	mux.HandleFunc("POST /v1/policies/evaluate", s.evaluate)
 	mux.HandleFunc("GET /v1/explain/{kind}/{name}", s.explain)
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) { s.write(w, backend.Status(r.Context())) })
-	mux.HandleFunc("GET /v1/runners", func(w http.ResponseWriter, r *http.Request) {
-		s.write(w, backend.Runners(r.Context(), r.URL.Query().Get("name")))
-	})
+	mux.HandleFunc("GET /v1/runners", s.runners)
+	mux.HandleFunc("GET /v1/zones", s.zones)
 	mux.HandleFunc("GET /v1/tenants", func(w http.ResponseWriter, r *http.Request) { s.write(w, backend.Tenants(r.Context())) })
 	mux.HandleFunc("GET /v1/drains/{name}", s.drain)
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
@@ -298,15 +299,6 @@
 	}
 }
 
-func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
-	const explainLimit = 50
-	decisions := s.backend.Explain(r.Context(), r.PathValue("kind")+"/"+r.PathValue("name"), explainLimit)
-	if decisions == nil {
-		decisions = []wire.Decision{}
-	}
-	s.write(w, decisions)
-}
-
 func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
 	const step = "drain progress"
 	object, found := s.catalog.Get(api.KindDrain, r.PathValue("name"))
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -122,6 +122,9 @@
 	FreeMB   float64         `cbor:"7,keyasint" json:"freeMB"`
 	Sequence uint64          `cbor:"8,keyasint" json:"sequence"`
 	Units    []ReplicaStatus `cbor:"9,keyasint,omitempty" json:"units"`
+	// ColdMs is how much longer it stays cold, as the node that was asked knows; zero when
+	// it is not.
+	ColdMs int64 `cbor:"10,keyasint,omitempty" json:"coldMs,omitempty"`
 }
 
 // ReplicaStatus is one unit on a runner: ready, loading, unloading or uncertain.
--- a/test/command_test.go
+++ b/test/command_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,10 +16,12 @@
 
 	"lilacvane/internal/command"
 	"lilacvane/internal/commandline"
+	"lilacvane/internal/eligible"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/storestub"
 	"lilacvane/internal/lab/world"
+	"lilacvane/internal/wire"
 )
 
 // lilacvane runs the command line against a node and returns its output and exit
@@ -64,13 +67,7 @@
 	startRunners(t, w, 2)
 	nodes := startNodes(t, w, 2)
 	objects := writeFile(t, "objects.yaml", objectsFile)
-	expect := func(code int, contains string, arguments ...string) string {
-		t.Helper()
-		output, got := lilacvane(t, nodes[0], arguments...)
-		assert.Equal(t, got, code, "%v: %s", arguments, output)
-		assert.Assert(t, strings.Contains(output, contains), "%v: %s", arguments, output)
-		return output
-	}
+	expect := operate(t, nodes[0])
 	expect(commandline.ExitOK, "nothing was changed", "apply", "-f", objects, "--dry-run")
 	expect(command.ExitNotFound, "not_found", "get", "model", "alpha")
 	expect(commandline.ExitOK, "accepted at revision", "apply", "-f", objects, "--operation", "day-1")
@@ -100,6 +97,80 @@
 	expect(command.ExitUnavailable, "not_ready", "status")
 }
 
+// operate returns a check of a command's exit code and of what its output contains.
+func operate(t *testing.T, node *world.Node) func(code int, contains string, arguments ...string) string {
+	return func(code int, contains string, arguments ...string) string {
+		t.Helper()
+		output, got := lilacvane(t, node, arguments...)
+		assert.Equal(t, got, code, "%v: %s", arguments, output)
+		assert.Assert(t, strings.Contains(output, contains), "%v: %s", arguments, output)
+		return output
+	}
+}
+
+// read returns the body of a call that succeeds.
+func read(t *testing.T, url string) string {
+	t.Helper()
+	response, err := http.Get(url)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	return string(body)
+}
+
+// TestZoneCommands: zones, a planned stop of one, why a request found no runner, and errors
+// that name the field and the step.
+func TestZoneCommands(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	startRunners(t, w, 2)
+	nodes := startNodes(t, w, 2)
+	expect := operate(t, nodes[0])
+	expect(commandline.ExitOK, "zone-b", "get", "zones")
+	var found []wire.ZoneStatus
+	zone := func(name string) wire.ZoneStatus {
+		t.Helper()
+		assert.NilError(t, json.Unmarshal([]byte(expect(commandline.ExitOK, name, "get", "zone", name, "--output", "json")), &found))
+		assert.Equal(t, len(found), 1)
+		return found[0]
+	}
+	assert.DeepEqual(t, zone("zone-a"), wire.ZoneStatus{Zone: "zone-a", Region: "region-1", State: wire.ZoneIn, Ready: 1, Nodes: 1})
+	for _, name := range []string{"zone-a", "zone-b"} {
+		expect(commandline.ExitOK, "accepted", "drain", "start", "zone", name)
+	}
+	drained := zone("zone-b")
+	assert.Equal(t, drained.State, wire.ZoneDrained)
+	assert.Assert(t, drained.Since != nil && drained.Draining == 1 && drained.Ready == 0, "%+v", drained)
+	expect(commandline.ExitOK, "drain zone", "explain", "zone", "zone-b")
+	apply(t, nodes[0], model("alpha", 1)...)
+	got := ask(t.Context(), nodes[0], call{Model: "alpha", Prompt: "words", Tokens: 3, Deadline: time.Second}, nil)
+	assert.Assert(t, !got.Served)
+	expect(commandline.ExitOK, "2 drained", "explain", "request", got.ID)
+	var decisions []wire.Decision
+	assert.NilError(t, json.Unmarshal([]byte(expect(commandline.ExitOK, "obstacles", "explain", "request", got.ID, "-o", "json")), &decisions))
+	assert.Equal(t, decisions[0].Obstacles[0].Reason, eligible.Drained.String())
+	assert.Equal(t, decisions[0].Obstacles[0].Runners, 2)
+	figures := read(t, "http://"+nodes[0].Metrics+"/metrics")
+	for _, figure := range []string{`lilacvane_requests_refused_total{reason="drained"} 1`, `lilacvane_runners_by_state{state="draining"} 2`, `lilacvane_runners_by_state{state="ready"} 0`} {
+		assert.Assert(t, strings.Contains(figures, figure), figures)
+	}
+	expect(commandline.ExitOK, "accepted", "drain", "end", "zone", "zone-b")
+	expect(commandline.ExitOK, "end drain of zone", "explain", "zone", "zone-b", "--output", "json")
+	assert.Equal(t, zone("zone-b").State, wire.ZoneIn)
+
+	expect(commandline.ExitOK, "RUNNER", "get", "runners", "--cold")
+	expect(commandline.ExitOK, "runner-1", "get", "runner", "runner-1")
+	expect(command.ExitNotFound, "list zones", "get", "zone", "nowhere")
+	expect(command.ExitNotFound, "zone: no zone", "explain", "zone", "nowhere")
+	expect(command.ExitNotFound, "zone: no zone", "drain", "start", "zone", "nowhere")
+	expect(command.ExitNotFound, "name: no runner", "get", "runner", "nobody")
+	expect(commandline.ExitUsage, "--cold", "get", "zones", "--cold")
+	expect(commandline.ExitUsage, "--output", "get", "zones", "--output", "xml")
+	expect(commandline.ExitUsage, "unknown kind", "get", "weather")
+}
+
 // TestConfigCheck: all problems of a settings file at once, unknown fields with
 // their line.
 func TestConfigCheck(t *testing.T) {
