--- a/internal/node/zones.go
+++ b/internal/node/zones.go
@@ -160,6 +160,6 @@
 func (n *Node) decideZone(zone place.Zone, step, reason string, revision uint64) {
 	runners := n.fleet.Zones()[zone]
 	n.log.Info("zone changed", "zone", string(zone), "step", step, "runners", runners.Total(), "revision", revision)
-	n.decide("zone/"+string(zone), step, reason+" at revision "+strconv.FormatUint(revision, 10)+": "+strconv.Itoa(runners.Total())+" runners, "+
-		strconv.Itoa(runners.Cold)+" of them cold, "+strconv.Itoa(runners.Draining)+" draining")
+	n.decide("zone/"+string(zone), step, reason+" at revision "+strconv.FormatUint(revision, 10)+"; its runners: ready "+strconv.Itoa(runners.Ready)+
+		", cold "+strconv.Itoa(runners.Cold)+", draining "+strconv.Itoa(runners.Draining))
 }
