Look once at what keeps runners from many requests for the same

Cause: each waiting request looked at all runners for its obstacles, which costs more than a choice that finds none, under the fleet's lock; requests for a model that nobody holds come many at once. Ruled out: a look by one request in so many, as the one that an operator asks about may be another. Change: obstacles stand for 200 ms, or until the list or the holder's account changes, for requests for the same unit and homes that were not sent yet; at most 256 are kept.

--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -33,12 +33,22 @@
 	}
 }
 
-// BenchmarkObstacles: why none of 10,000 runners may take a request.
+// BenchmarkChooseNone: the look at 10,000 runners of which none may take a request.
+func BenchmarkChooseNone(b *testing.B) {
+	f := largeFleet(10_000)
+	query := Query{Service: "s", Unit: backend.Unit{Model: "none"}}
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Choose(query)
+	}
+}
+
+// BenchmarkObstacles: why none of 10,000 runners may take a request, asked anew each time.
 func BenchmarkObstacles(b *testing.B) {
 	f := largeFleet(10_000)
 	query := Query{Service: "s", Unit: backend.Unit{Model: "none"}}
 	b.ReportAllocs()
 	for b.Loop() {
-		f.Obstacles(query)
+		f.findObstacles(query)
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,6 +58,8 @@
 	// meanUnread is how many tokens of a request's prompt a runner has to read, in a
 	// moving mean over this node's requests.
 	meanUnread float64
+	// obstacles are those found since the last change, by what was asked for.
+	obstacles map[asked]foundObstacles
 	// changed is closed and replaced whenever a waiting request may find a
 	// runner that it did not find before.
 	changed chan struct{}
@@ -101,7 +103,7 @@
 // New returns an empty fleet for a node in zone; rules are what operators decided.
 func New(zone string, now func() time.Time, rules eligible.Rules) *Fleet {
 	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), planned: make(map[string]map[string]time.Time),
-		ordersAt: make(map[string]time.Time), changed: make(chan struct{})}
+		ordersAt: make(map[string]time.Time), obstacles: make(map[asked]foundObstacles), changed: make(chan struct{})}
 }
 
 // Wake lets waiting requests look again.
@@ -122,6 +124,7 @@
 func (f *Fleet) notify() {
 	close(f.changed)
 	f.changed = make(chan struct{})
+	clear(f.obstacles)
 }
 
 // Apply takes over a change of the platform's list. With doubtful set, the
--- a/internal/fleet/obstacles.go
+++ b/internal/fleet/obstacles.go
@@ -9,6 +9,7 @@
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/eligible"
+	"lilacvane/internal/place"
 	"lilacvane/internal/wire"
 )
 
@@ -99,11 +100,50 @@
 	}
 }
 
-// Obstacles tells why no runner of its service may take a request now. It looks at each
-// runner once, as a choice does; it is asked only for requests that no runner could take.
+const (
+	// obstaclesLifetime is how long obstacles stand for further requests that ask for the
+	// same: many requests for a unit that nobody holds come at once. Runners' rows are read
+	// every 200 ms at most.
+	obstaclesLifetime = 200 * time.Millisecond
+	// obstaclesKept bounds them: 256 units asked for in vain within that time.
+	obstaclesKept = 256
+)
+
+// asked is what a request that was not sent yet asks a runner for.
+type asked struct {
+	service string
+	unit    backend.Unit
+	homes   place.Homes
+}
+
+type foundObstacles struct {
+	obstacles Obstacles
+	at        time.Time
+}
+
+// Obstacles tells why no runner of its service may take a request now, or a moment ago. It
+// looks at each runner once, as a choice does; it is asked only for requests that no runner
+// could take.
 func (f *Fleet) Obstacles(query Query) Obstacles {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if len(query.Exclude) > 0 {
+		return f.findObstacles(query)
+	}
+	key := asked{service: query.Service, unit: query.Unit, homes: query.Homes}
+	if found, known := f.obstacles[key]; known && f.now().Sub(found.at) < obstaclesLifetime {
+		return found.obstacles
+	}
+	if len(f.obstacles) >= obstaclesKept {
+		clear(f.obstacles)
+	}
+	found := foundObstacles{obstacles: f.findObstacles(query), at: f.now()}
+	f.obstacles[key] = found
+	return found.obstacles
+}
+
+// findObstacles looks at all runners. mutex is held.
+func (f *Fleet) findObstacles(query Query) Obstacles {
 	// A reason is a small number: the bound on entries is the number of reasons.
 	found := make(map[Reason]*Obstacle)
 	now := f.now()
--- a/internal/fleet/obstacles_test.go
+++ b/internal/fleet/obstacles_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,3 +88,23 @@
 		}
 	}
 }
+
+// TestObstaclesAreLookedAtOnce: requests for the same at the same time share one look; a
+// change of the list, or some time, brings a new one, and what is kept is bounded.
+func TestObstaclesAreLookedAtOnce(t *testing.T) {
+	f, c := testFleet()
+	f.Replace([]backend.Runner{listed("r1", "m")}, false)
+	query := Query{Service: "s", Unit: backend.Unit{Model: "none"}}
+	for range 100 {
+		f.Obstacles(query)
+	}
+	assert.Equal(t, len(f.obstacles), 1)
+	f.Apply([]backend.Runner{listed("r2")}, nil, false)
+	assert.Equal(t, f.Obstacles(query)[0].Runners, 2)
+	c.now = c.now.Add(obstaclesLifetime)
+	assert.Equal(t, f.Obstacles(query)[0].Age, obstaclesLifetime)
+	for i := range 2 * obstaclesKept {
+		f.Obstacles(Query{Service: "s", Unit: backend.Unit{Model: fmt.Sprint(i)}})
+		assert.Assert(t, len(f.obstacles) <= obstaclesKept)
+	}
+}
