Let soaks that name no first kinds draw from all of theirs

Cause: since TestSoakParts draws a round's first fault from kinds of its own, TestLimitSoak, which makes its soak itself, drew from none and panicked. Ruled out: setting it in TestLimitSoak, which the next soak would forget too. Change: a round draws its first fault from all kinds where none are named.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -42,7 +42,7 @@
 	// others.
 	runners []string
 	started int
-	// first are the kinds of which each round brings one.
+	// first are the kinds of which each round brings one; without any, kinds are.
 	first []injected
 	// apart are the nodes that the round keeps out of touch, least is how long it lasts at
 	// least.
@@ -268,9 +268,6 @@
 	})
 	startRunners(t, w, soakRunners)
 	s := &soak{t: t, w: w, kinds: plan.kinds, first: plan.first, nodes: startNodes(t, w, 4), random: rand.New(rand.NewPCG(seed, 0))}
-	if s.first == nil {
-		s.first = s.kinds
-	}
 	for index := range soakRunners {
 		s.runners = append(s.runners, fmt.Sprintf("runner-%d", index+1))
 	}
@@ -301,11 +298,18 @@
 	s.verify(load)
 }
 
+// draw returns one of the kinds.
+func (s *soak) draw(kinds []injected) injected { return kinds[s.random.IntN(len(kinds))] }
+
 // round begins one or two faults, lets them last and ends them.
 func (s *soak) round() {
 	s.apart, s.least = nil, 0
-	first := s.first[s.random.IntN(len(s.first))]
-	second := s.kinds[s.random.IntN(len(s.kinds))]
+	firsts := s.first
+	if len(firsts) == 0 {
+		firsts = s.kinds
+	}
+	first := s.draw(firsts)
+	second := s.draw(s.kinds)
 	brought := []injected{first}
 	if second.group != first.group {
 		brought = append(brought, second)
