--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lilacvane/internal/backend"
+)
+
+// largeFleet is a fleet in which one runner in ten holds each of ten models.
+func largeFleet(size int) *Fleet {
+	f := New("zone-a", time.Now, noRules{})
+	runners := make([]backend.Runner, size)
+	for i := range runners {
+		runners[i] = listed(fmt.Sprint("r", i), fmt.Sprint("m", i%10))
+	}
+	f.Replace(runners, false)
+	return f
+}
+
+// BenchmarkChoose: the choice among 1,000 runners of which one in ten holds the unit.
+func BenchmarkChoose(b *testing.B) {
+	f := largeFleet(1000)
+	query := Query{Service: "s", Unit: backend.Unit{Model: "m3"}}
+	b.ReportAllocs()
+	for b.Loop() {
+		choice, ok := f.Choose(query)
+		if !ok {
+			b.Fatal("no choice")
+		}
+		f.Done(choice, query, Served, time.Millisecond, false)
+	}
+}
+
+// BenchmarkChooseNone: the look at 10,000 runners of which none may take a request.
+func BenchmarkChooseNone(b *testing.B) {
+	f := largeFleet(10_000)
+	query := Query{Service: "s", Unit: backend.Unit{Model: "none"}}
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Choose(query)
+	}
+}
+
+// BenchmarkObstacles: why none of 10,000 runners may take a request, asked anew each time.
+func BenchmarkObstacles(b *testing.B) {
+	f := largeFleet(10_000)
+	query := Query{Service: "s", Unit: backend.Unit{Model: "none"}}
+	b.ReportAllocs()
+	for b.Loop() {
+		f.findObstacles(query)
+	}
+}
