--- a/test/configuration_test.go
+++ b/test/configuration_test.go
@@ -48,6 +48,17 @@
 	return false
 }
 
+// lastLine returns the last line of a log that contains all texts; empty for none.
+func lastLine(log string, texts ...string) string {
+	last := ""
+	for line := range strings.SplitSeq(log, "\n") {
+		if containsAll(line, texts...) {
+			last = line
+		}
+	}
+	return last
+}
+
 // write is one operator's change of an object that it saw at a generation.
 type write struct {
 	seen uint64
--- /dev/null
+++ b/test/zones_test.go
@@ -0,0 +1,196 @@
+package test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/lab/journal"
+	"lilacvane/internal/lab/storestub"
+	"lilacvane/internal/lab/world"
+	"lilacvane/platform/protocol"
+)
+
+// takeOut takes out a zone, or takes it back, as the platform's operator does.
+func takeOut(t *testing.T, w *world.World, zone string, back bool) {
+	t.Helper()
+	assert.NilError(t, w.PutRows(protocol.Row{
+		Table: protocol.OperatorTable, Key: protocol.EvacuationPrefix + zone, Value: []byte("{}"), Deleted: back,
+	}))
+}
+
+// waitZone waits until the newest word of each node on a zone is a state.
+func waitZone(t *testing.T, w *world.World, zone, state string, nodes ...*world.Node) {
+	t.Helper()
+	for _, node := range nodes {
+		waitUntil(t, node.Name+" knows that "+zone+" is "+state, func() error {
+			if last := lastLine(readLog(t, w, node), "zone's state changed", `"zone":"`+zone+`"`); !containsAll(last, `"state":"`+state+`"`) {
+				return fmt.Errorf("its last word is %q", last)
+			}
+			return nil
+		})
+	}
+}
+
+// assertNothingNewIn checks that nothing was begun in a zone between two instants, and that
+// nothing was unloaded there.
+func assertNothingNewIn(t *testing.T, h history, zone string, from, until time.Time) {
+	t.Helper()
+	for _, record := range h.records {
+		if zoneOf(record.Runner) != zone || record.Time.Before(from) || record.Time.After(until) {
+			continue
+		}
+		switch record.Event {
+		case journal.EventRun, journal.EventLoad, journal.EventGone:
+			t.Errorf("in %s, which is out: %+v", zone, record)
+		}
+	}
+}
+
+// zoneOf is the zone that startRunners places a runner in.
+func zoneOf(runner string) string {
+	var number int
+	if _, err := fmt.Sscanf(runner, "runner-%d", &number); err != nil {
+		return ""
+	}
+	return zones[(number-1)%len(zones)]
+}
+
+// runnerOfPrompt waits until a prompt runs and returns where.
+func runnerOfPrompt(t *testing.T, w *world.World, prompt string) (runner string) {
+	t.Helper()
+	waitUntil(t, prompt+" runs", func() error {
+		for _, record := range readHistory(t, w).records {
+			if record.Event == journal.EventRun && record.Prompt == prompt {
+				runner = record.Runner
+				return nil
+			}
+		}
+		return fmt.Errorf("not yet")
+	})
+	return runner
+}
+
+// TestZoneOutGetsNothingNew: a zone is taken out under load, with a stream running there
+// and a request waiting for a model that nobody holds: the stream ends whole, the waiting
+// request and all others are served elsewhere, nothing is run, loaded or unloaded in the
+// zone, also for a model that may have its only replica there, and after its return it
+// serves again.
+func TestZoneOutGetsNothingNew(t *testing.T) {
+	t.Parallel()
+	w, nodes := startWithAlpha(t, 3, 3, append(model("alpha", 3), keep("alpha", 3))...)
+	apply(t, nodes[0], append(model("beta", 3), model("only", 1)...)...)
+	waitNamed(t, "beta", nodes...)
+	waitNamed(t, "only", nodes...)
+	long := call{Model: "only", Prompt: "long", Tokens: 600, Deadline: 50 * time.Second}
+	stream := inBackground(t.Context(), nodes[0], long, nil)
+	zone := zoneOf(runnerOfPrompt(t, w, "long"))
+	load := startBackground(t, 3, func(who, number int) (*world.Node, call) {
+		return nodes[who], call{Model: "alpha", Prompt: fmt.Sprintf("p%d-%d", who, number), Tokens: 4, Deadline: 20 * time.Second}
+	})
+	load.waitServed(t, 5)
+	takeOut(t, w, zone, false)
+	waitZone(t, w, zone, "out", nodes...)
+	learned := time.Now()
+	waits := call{Model: "beta", Prompt: "waits", Tokens: 4, Deadline: 20 * time.Second}
+	assertServed(t, waits, await(t, inBackground(t.Context(), nodes[1], waits, nil)))
+	unserved := call{Model: "only", Prompt: "unserved", Tokens: 4, Deadline: 2 * time.Second}
+	got := await(t, inBackground(t.Context(), nodes[1], unserved, nil))
+	assert.Assert(t, !got.Served && got.Ran == "no", "%+v", got)
+	load.waitServed(t, 10)
+	assertServed(t, long, await(t, stream))
+	assert.Assert(t, zoneOf(runnerOfPrompt(t, w, "waits")) != zone)
+	assertNothingNewIn(t, readHistory(t, w), zone, learned, time.Now())
+	takeOut(t, w, zone, true)
+	waitZone(t, w, zone, "in", nodes...)
+	returned := call{Model: "only", Prompt: "returned", Tokens: 4, Deadline: 20 * time.Second}
+	assertServed(t, returned, ask(t.Context(), nodes[2], returned, nil))
+	load.finish()
+	load.assertTruthful(t, readHistory(t, w))
+}
+
+// TestZoneOutThroughFaults: the zone is taken out while the store turns away a node, one
+// is frozen, another killed right after and started again, the history dropped: nothing
+// new goes there from any node that knows it, and each does in the end, without stepping
+// back. Then a second zone goes, and the first is taken back and out again at once.
+func TestZoneOutThroughFaults(t *testing.T) {
+	t.Parallel()
+	w, nodes := startWithAlpha(t, 6, 4, append(model("alpha", 6), keep("alpha", 3))...)
+	load := startBackground(t, 4, func(who, number int) (*world.Node, call) {
+		return nodes[who], call{Model: "alpha", Prompt: fmt.Sprintf("p%d-%d", who, number), Tokens: 4, Deadline: 10 * time.Second}
+	})
+	load.waitServed(t, 5)
+	assert.NilError(t, w.SetStoreFaults(storestub.Faults{Down: storestub.Busy, Only: []string{nodes[3].StoreHost()}}))
+	assert.NilError(t, nodes[2].Freeze())
+	takeOut(t, w, zones[0], false)
+	nodes[1].Kill()
+	assert.NilError(t, w.RestartNode(nodes[1]))
+	assert.NilError(t, w.ForgetHistory())
+	assert.NilError(t, nodes[2].Thaw())
+	waitZone(t, w, zones[0], "out", nodes...)
+	first := time.Now()
+	assert.NilError(t, w.SetStoreFaults(storestub.Faults{}))
+	load.waitServed(t, 10)
+	takeOut(t, w, zones[1], false)
+	waitZone(t, w, zones[1], "out", nodes...)
+	second := time.Now()
+	load.waitServed(t, 10)
+	again := time.Now()
+	h := readHistory(t, w)
+	assertNothingNewIn(t, h, zones[0], first, again)
+	assertNothingNewIn(t, h, zones[1], second, again)
+	takeOut(t, w, zones[0], true)
+	takeOut(t, w, zones[0], false)
+	waitZone(t, w, zones[0], "out", nodes...)
+	third := time.Now()
+	load.waitServed(t, 10)
+	load.finish()
+	h = readHistory(t, w)
+	assertNothingNewIn(t, h, zones[0], third, time.Now())
+	load.assertTruthful(t, h)
+}
+
+// TestAllZonesOut: requests are refused as not run, at once and with a time, and served
+// again when a zone is back. Nodes that are all killed right after it know it when they
+// serve again.
+func TestAllZonesOut(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	startMailers(t, w, 3)
+	nodes := startNodes(t, w, 3)
+	read := clientRequest{Path: "/read/x"}
+	for _, zone := range zones {
+		takeOut(t, w, zone, false)
+	}
+	takeOut(t, w, "zone-nobody-knows", false)
+	var restarts sync.WaitGroup
+	for _, node := range nodes {
+		node.Kill()
+	}
+	for _, node := range nodes {
+		restarts.Go(func() { assert.Check(t, w.RestartNode(node)) })
+	}
+	restarts.Wait()
+	for _, node := range nodes {
+		assert.NilError(t, node.WaitReady())
+		got := send(t.Context(), node, read)
+		assert.Equal(t, got.Status, 503)
+		assert.Assert(t, got.Retry != "", "%+v", got)
+	}
+	ran := len(readHistory(t, w).records)
+	takeOut(t, w, zones[0], true)
+	for _, node := range nodes {
+		waitUntil(t, "requests are served again", func() error {
+			if got := send(t.Context(), node, read); got.Status != 200 {
+				return fmt.Errorf("%+v", got)
+			}
+			return nil
+		})
+	}
+	for _, record := range readHistory(t, w).records[ran:] {
+		assert.Assert(t, record.Event != journal.EventRun || record.Runner == "mailer-1", "%+v", record)
+	}
+}
