--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -130,7 +130,7 @@
 	if j.relay != nil || j.dispatcher.Fleet.Refusal(j.query) != eligible.ZoneOut {
 		return nil
 	}
-	return fault.New(fault.CodeNoReplica, "wait for a runner", "all zones with runners of %s are taken out", j.query.Service).
+	return fault.New(fault.CodeZonesOut, "wait for a runner", "all zones with runners of %s are taken out", j.query.Service).
 		WithRetryAfter(max(j.dispatcher.NewsWithin, defaultReturn))
 }
 
--- a/internal/dispatch/zones_test.go
+++ b/internal/dispatch/zones_test.go
@@ -46,7 +46,7 @@
 func TestAllZonesOutIsRefusedAtOnce(t *testing.T) {
 	j := zonedJob(zonesOut{"a": true, "b": true})
 	_, err := j.place(t.Context())
-	assert.Assert(t, fault.IsCode(err, fault.CodeNoReplica))
+	assert.Assert(t, fault.IsCode(err, fault.CodeZonesOut))
 	assert.ErrorContains(t, err, "taken out")
 	problem := fault.From(err, "")
 	assert.Equal(t, problem.Ran, fault.NotDone)
@@ -75,7 +75,7 @@
 	}
 	rules.all.Store(true)
 	j.dispatcher.Fleet.Wake()
-	assert.Assert(t, fault.IsCode(<-ended, fault.CodeNoReplica))
+	assert.Assert(t, fault.IsCode(<-ended, fault.CodeZonesOut))
 }
 
 // TestReservedRunnerInZoneOutIsPassedOver: what was reserved before the zone was taken out
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -46,6 +46,7 @@
 	CodeDeadline           Code = "deadline_cannot_be_met"
 	CodeNoReplica          Code = "no_replica"
 	CodeNotLoaded          Code = "not_loaded"
+	CodeZonesOut           Code = "zones_out"
 	CodeDraining           Code = "draining"
 	CodeOverloaded         Code = "overloaded"
 	CodeDuplicate          Code = "duplicate_request"
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -95,7 +95,12 @@
 func (h *configurationHandler) evacuated(rows []feed.Row) []evacuation.Row {
 	var evacuated []evacuation.Row
 	for _, row := range rows {
-		if zone, ok := h.platform.EvacuatedZone(row.Key); ok {
+		zone, ok := h.platform.EvacuatedZone(row.Key)
+		switch {
+		case !ok:
+		case zone == "":
+			h.log.Info("row names no zone", "step", "follow zones", "key", row.Key, "revision", row.Revision)
+		default:
 			evacuated = append(evacuated, evacuation.Row{Zone: zone, Revision: row.Revision, Back: row.Deleted})
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,8 +53,8 @@
 	Configuration       feed.Source
 	ConfigurationKey    string
 	DecodeConfiguration func(content []byte) (decoded *config.Configuration, unknown string, err error)
-	// EvacuatedZone returns the zone that a row of Configuration with this key takes out;
-	// false for any other row.
+	// EvacuatedZone returns the zone that a row of Configuration with this key takes out,
+	// which is empty when it names none; false for any other row.
 	EvacuatedZone func(key string) (place.Zone, bool)
 	// Runners is the table of runners by identifier.
 	Runners      feed.Source
