--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -169,6 +169,22 @@
 	return func() { submitEventually(s.t, s.nodes[0], drain, true) }
 }
 
+// takeZoneOut takes out a zone.
+func (s *soak) takeZoneOut() func() {
+	zone := zones[s.random.IntN(len(zones))]
+	takeOut(s.t, s.w, zone, false)
+	return func() { takeOut(s.t, s.w, zone, true) }
+}
+
+// takeZoneOutAgain takes out a zone, back and out again at once.
+func (s *soak) takeZoneOutAgain() func() {
+	zone := zones[s.random.IntN(len(zones))]
+	takeOut(s.t, s.w, zone, false)
+	takeOut(s.t, s.w, zone, true)
+	takeOut(s.t, s.w, zone, false)
+	return func() { takeOut(s.t, s.w, zone, true) }
+}
+
 // groupLastNode is the group of faults that end with the start of a node.
 const groupLastNode = "last node"
 
@@ -201,6 +217,8 @@
 	{"runners' rows lapse", "store", (*soak).lapse},
 	{"slow links of a node", "peers", (*soak).slowLinks},
 	{"reset connections of a node", "peers", (*soak).resetNode},
+	{"take a zone out", "zones", (*soak).takeZoneOut},
+	{"take a zone out, back and out", "zones", (*soak).takeZoneOutAgain},
 }
 
 // firstKinds is how many kinds there were when the first seeds failed.
