--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -22,7 +22,7 @@
 	return &Log{node: node, entries: make([]wire.Decision, 0, capacity)}
 }
 
-// Add records a decision about a subject: model/NAME, replica/RUNNER or
+// Add records a decision about a subject: model/NAME, replica/RUNNER, zone/NAME or
 // request/ID. Revision is the configuration it was based on.
 func (l *Log) Add(subject, step, reason string, revision uint64) {
 	entry := wire.Decision{Time: time.Now().UTC(), Node: l.node, Subject: subject, Step: step, Reason: reason, Revision: revision}
