Send shared prompts out of a zone that is left together

Cause: the runner that all nodes send a prompt's shared parts to was named among all that hold the model, those of a zone about to be left or just back included. Where it stood there, its cost kept requests away and no other one was named, so nodes spread them and each runner read the parts anew. Ruled out: leaving such runners out of the choice, as they serve what nobody else holds. Change: a runner whose zone costs it something is not named. A test that failed first: one prompt went to three runners.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -89,13 +89,14 @@
 	fitting := make([]bool, 0, len(feasible))
 	for _, known := range feasible {
 		choice := f.rank(known, query)
-		choice.Cost += f.zoneCost(known, drawn)
+		zoneCost := f.zoneCost(known, drawn)
+		choice.Cost += zoneCost
 		fits := !apart || query.Unit == (backend.Unit{}) || !f.mixes(known, choice.UnreadTokens, last)
 		if !fits {
 			choice.Cost += costOfMixing
 		}
 		choices = append(choices, choice)
-		fitting = append(fitting, fits)
+		fitting = append(fitting, fits && zoneCost == 0)
 	}
 	f.preferShared(choices, query, fitting)
 	if query.Among == nil {
--- a/internal/fleet/zones_test.go
+++ b/internal/fleet/zones_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -132,3 +133,25 @@
 	f.Apply([]backend.Runner{inZone("r1", "zone-a")}, nil, false)
 	assert.Assert(t, !f.UnheardSinceReturn("r1"))
 }
+
+// TestSharedPromptsLeaveTheZoneTogether: while a zone is left, prompts that nodes sent to
+// one runner there go to one other runner, the same from all nodes.
+func TestSharedPromptsLeaveTheZoneTogether(t *testing.T) {
+	const prompts = 20
+	var runners []backend.Runner
+	for i := range 8 {
+		runners = append(runners, inZone(fmt.Sprint("r", i), []string{"zone-a", "zone-b"}[i%2], "m"))
+	}
+	for prompt := range prompts {
+		query := Query{Service: "s", Unit: backend.Unit{Model: "m"}, Prompt: []Part{{ID: fmt.Sprint("shared", prompt), Tokens: 6000}, {ID: "own", Tokens: 10}}}
+		chosen := make(map[string]bool)
+		for range 5 {
+			f, z, _ := zonedFleet(runners...)
+			z.share["zone-a"] = 0
+			choice, ok := f.Choose(query)
+			assert.Assert(t, ok)
+			chosen[choice.Runner.ID] = true
+		}
+		assert.Equal(t, len(chosen), 1, "prompt %d went to %v", prompt, chosen)
+	}
+}
