--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -19,7 +19,6 @@
 	costPerRequest              = 4.0
 	costWhenFull                = 400.0
 	costOtherZone               = 2.0
-	costDraining                = 5_000.0
 	costMissing                 = 20_000.0
 	// tieSpread is the random part of a cost, so that nodes with the same
 	// beliefs do not all choose the same runner.
@@ -85,16 +84,19 @@
 		}
 	}
 	last, apart := lastKept(feasible)
+	drawn := rand.Float64()
 	choices := make([]Choice, 0, len(feasible))
 	fitting := make([]bool, 0, len(feasible))
 	for _, known := range feasible {
 		choice := f.rank(known, query)
+		zoneCost := f.zoneCost(known, drawn)
+		choice.Cost += zoneCost
 		fits := !apart || query.Unit == (backend.Unit{}) || !f.mixes(known, choice.UnreadTokens, last)
 		if !fits {
 			choice.Cost += costOfMixing
 		}
 		choices = append(choices, choice)
-		fitting = append(fitting, fits)
+		fitting = append(fitting, fits && zoneCost == 0)
 	}
 	f.preferShared(choices, query, fitting)
 	if query.Among == nil {
@@ -130,7 +132,7 @@
 
 // hinders says why a request may not be sent to a runner, or that it may. mutex is held.
 func (f *Fleet) hinders(known *runner, query Query) Reason {
-	if reason := f.eligible(known, eligible.Request{Service: query.Service, Homes: query.Homes}); reason != eligible.Yes {
+	if reason := f.eligible(known, request(query)); reason != eligible.Yes {
 		return Reason(reason)
 	}
 	if slices.Contains(query.Exclude, known.listed.ID) {
--- a/internal/node/zones.go
+++ b/internal/node/zones.go
@@ -1,165 +1,136 @@
 package node
 
 import (
-	"cmp"
 	"context"
-	"maps"
-	"slices"
-	"strconv"
+	"sync/atomic"
 	"time"
 
-	"lilacvane/internal/api"
-	"lilacvane/internal/config"
-	"lilacvane/internal/fleet"
+	"lilacvane/internal/evacuation"
 	"lilacvane/internal/place"
-	"lilacvane/internal/wire"
 )
 
-// zoneWord is what operators decided about a zone, and since when; the zero time when that
-// is not known. Whatever else takes zones out or back joins here.
-func (n *Node) zoneWord(zone place.Zone) (wire.ZoneState, time.Time) {
-	if (*operatorRules)(n).ZoneOut(zone) {
-		return wire.ZoneOut, time.Time{}
-	}
-	configuration := n.configuration.Load()
-	if configuration == nil || !configuration.Drains[zoneDrain(zone)] {
-		return wire.ZoneIn, time.Time{}
-	}
-	return wire.ZoneDrained, n.drainedSince(zone)
+// zones keeps which zones operators have taken out, and tells the parts of the node when
+// that changes. The follower of the operators' table writes, run tells, anybody reads.
+type zones struct {
+	node *Node
+	// table is nil until the operators' table was read whole.
+	table atomic.Pointer[evacuation.Table]
+	// news holds a word when the table changed and run has not looked yet.
+	news chan struct{}
+	// told is what run last told of each zone.
+	told map[place.Zone]evacuation.State
 }
 
-func zoneDrain(zone place.Zone) api.Drain {
-	return api.Drain{Target: api.DrainZone, Name: string(zone)}
+func newZones(n *Node) *zones {
+	return &zones{node: n, news: make(chan struct{}, 1), told: make(map[place.Zone]evacuation.State)}
 }
 
-// drainedSince is when the planned stop of a zone came into force, as far as the kept
-// history tells.
-func (n *Node) drainedSince(zone place.Zone) time.Time {
-	for _, object := range n.catalog.List(api.KindDrain) {
-		drain, err := api.Decode[api.Drain](object)
-		if err != nil || drain != zoneDrain(zone) {
-			continue
-		}
-		return createdAt(n.catalog.History(api.KindDrain, object.Name), object.Key())
-	}
-	return time.Time{}
+// whole takes all zones that are out.
+func (z *zones) whole(rows []evacuation.Row) { z.put(z.table.Load().Whole(rows, time.Now())) }
+
+// changed takes changes. gap is how long nothing had been heard before.
+func (z *zones) changed(rows []evacuation.Row, gap time.Duration) {
+	s := z.node.settings.Load()
+	bounds := evacuation.Bounds{Within: s.Evacuation.Within, News: s.Configuration.Within}
+	z.put(z.table.Load().Changed(rows, gap, bounds, time.Now()))
 }
 
-// createdAt is when an object was written first after it was last deleted.
-func createdAt(entries []wire.Entry, key api.Key) time.Time {
-	var created time.Time
-	for _, entry := range entries {
-		for _, change := range entry.Changes {
-			switch {
-			case change.Object.Key() != key:
-			case change.Deleted:
-				created = time.Time{}
-			case created.IsZero():
-				created = entry.Time
-			}
-		}
+func (z *zones) put(table *evacuation.Table) {
+	z.table.Store(table)
+	select {
+	case z.news <- struct{}{}:
+	default:
 	}
-	return created
 }
 
-// Zones describes the zones that the settings name, and those in which runners or nodes
-// are or that operators decided about.
-func (n *Node) Zones(ctx context.Context) []wire.ZoneStatus {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	return n.zoneStates(n.fleet.Zones(), n.nodesByZone(ctx))
+// state returns how far a zone is out.
+func (z *zones) state(zone place.Zone) evacuation.State {
+	table := z.table.Load()
+	if table.Quiet() {
+		return evacuation.In
+	}
+	return table.State(zone, time.Now())
 }
 
-// zoneStates describes each zone by the runners and nodes there.
-func (n *Node) zoneStates(runners map[place.Zone]fleet.Standing, nodes map[place.Zone]int) []wire.ZoneStatus {
-	states := []wire.ZoneStatus{}
-	for _, zone := range n.knownZones(runners, nodes) {
-		word, since := n.zoneWord(zone)
-		status := wire.ZoneStatus{
-			Zone: zone, Region: n.regionOf(zone), State: word, Nodes: nodes[zone],
-			Ready: runners[zone].Ready, Cold: runners[zone].Cold, Draining: runners[zone].Draining,
+// since returns how far a zone is out, and when that was heard; the zero time when that is
+// not known.
+func (z *zones) since(zone place.Zone) (evacuation.State, time.Time) {
+	now := time.Now()
+	table := z.table.Load()
+	for _, status := range table.Zones(now) {
+		if status.Zone != zone {
+			continue
 		}
-		if !since.IsZero() {
-			status.Since = &since
+		if status.State == evacuation.Returning {
+			return status.State, status.ReturnedAt
 		}
-		states = append(states, status)
-	}
-	return states
-}
-
-// knownZones lists the zones of which anything is known, sorted.
-func (n *Node) knownZones(runners map[place.Zone]fleet.Standing, nodes map[place.Zone]int) []place.Zone {
-	known := make(map[place.Zone]bool)
-	for zone := range n.settings.Load().Zones {
-		known[zone] = true
-	}
-	for zone := range runners {
-		known[zone] = true
-	}
-	for zone := range nodes {
-		known[zone] = true
+		return status.State, status.HeardAt
 	}
-	for _, zone := range drainedZones(n.configuration.Load()) {
-		known[zone] = true
-	}
-	return slices.Sorted(maps.Keys(known))
+	return table.State(zone, now), time.Time{}
 }
 
-// drainedZones lists the zones that planned stops empty, sorted.
-func drainedZones(configuration *config.Configuration) []place.Zone {
-	var zones []place.Zone
-	if configuration == nil {
-		return nil
-	}
-	for drain := range configuration.Drains {
-		if drain.Target == api.DrainZone {
-			zones = append(zones, place.Zone(drain.Name))
-		}
+// Share is the part, 0 to 1, of what a zone would be given that it is to be given now,
+// where there is a choice.
+func (z *zones) Share(zone place.Zone) float64 {
+	table := z.table.Load()
+	if table.Quiet() {
+		return 1
 	}
-	slices.Sort(zones)
-	return zones
+	return table.Share(zone, time.Now())
 }
 
-// regionOf is the region of a zone; empty when it is not known.
-func (n *Node) regionOf(zone place.Zone) place.Region {
-	s := n.settings.Load()
-	if string(zone) == s.Zone {
-		return cmp.Or(s.Zones.Region(zone), place.Region(s.Region))
-	}
-	return s.Zones.Region(zone)
+// ReturnedAt returns when a zone was heard to be taken back; false when it never was.
+func (z *zones) ReturnedAt(zone place.Zone) (time.Time, bool) {
+	return z.table.Load().ReturnedAt(zone)
 }
 
-// nodesByZone counts the nodes that report, this one always.
-func (n *Node) nodesByZone(ctx context.Context) map[place.Zone]int {
-	s := n.settings.Load()
-	counts := map[place.Zone]int{place.Zone(s.Zone): 1}
-	for _, member := range n.members(ctx) {
-		if member.Node != s.Node {
-			counts[place.Zone(member.Zone)]++
+// run tells the parts of the node of each change of a zone's state until ctx ends.
+func (z *zones) run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-z.news:
+		case <-timer.C:
+		}
+		now := time.Now()
+		z.tell(now)
+		if next, ok := z.table.Load().Next(now); ok {
+			timer.Reset(time.Until(next))
 		}
 	}
-	return counts
 }
 
-// decideZones remembers which planned stops of zones a new configuration began or ended.
-func (n *Node) decideZones(old, composed *config.Configuration) {
-	before, after := drainedZones(old), drainedZones(composed)
-	for _, zone := range after {
-		if !slices.Contains(before, zone) {
-			n.decideZone(zone, "drain zone", "a planned stop is in force", composed.ObjectRevision)
+// tell wakes what waits, and the controllers, when a zone's state changed.
+func (z *zones) tell(now time.Time) {
+	changed := false
+	for _, status := range z.table.Load().Zones(now) {
+		if z.told[status.Zone] == status.State {
+			continue
 		}
+		changed = true
+		z.note(status, now)
+		z.told[status.Zone] = status.State
 	}
-	for _, zone := range before {
-		if !slices.Contains(after, zone) {
-			n.decideZone(zone, "end drain of zone", "the planned stop has ended", composed.ObjectRevision)
-		}
+	if changed {
+		z.node.fleet.Wake()
+		z.node.controls.wake()
 	}
 }
 
-// decideZone remembers a decision about a zone, with the runners that it concerns.
-func (n *Node) decideZone(zone place.Zone, step, reason string, revision uint64) {
-	runners := n.fleet.Zones()[zone]
-	n.log.Info("zone changed", "zone", string(zone), "step", step, "runners", runners.Total(), "revision", revision)
-	n.decide("zone/"+string(zone), step, reason+" at revision "+strconv.FormatUint(revision, 10)+"; its runners: ready "+strconv.Itoa(runners.Ready)+
-		", cold "+strconv.Itoa(runners.Cold)+", draining "+strconv.Itoa(runners.Draining))
+// note logs a change of a zone's state with what it came from.
+func (z *zones) note(status evacuation.Status, now time.Time) {
+	runners := z.node.fleet.CountIn(status.Zone)
+	region := z.node.settings.Load().Zones.Region(status.Zone)
+	fields := []any{"zone", string(status.Zone), "before", z.told[status.Zone].String(), "state", status.State.String(),
+		"revision", status.Revision, "runners", runners, "known", region != "" || runners > 0}
+	if status.State == evacuation.In || status.State == evacuation.Returning {
+		fields = append(fields, "returnedMs", now.Sub(status.ReturnedAt).Milliseconds())
+	} else {
+		fields = append(fields, "heardMs", now.Sub(status.HeardAt).Milliseconds(), "leftInMs", max(status.LeftAt.Sub(now), 0).Milliseconds())
+	}
+	z.node.log.Info("zone's state changed", fields...)
+	z.node.decide("zone/"+string(status.Zone), "change zone's state", status.State.String())
 }
--- a/internal/node/zones_test.go
+++ b/internal/node/zones_test.go
@@ -4,64 +4,48 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
-	"lilacvane/internal/api"
-	"lilacvane/internal/catalog"
-	"lilacvane/internal/config"
-	"lilacvane/internal/decision"
-	"lilacvane/internal/fleet"
-	"lilacvane/internal/logging"
+	"lilacvane/internal/evacuation"
+	"lilacvane/internal/feed"
 	"lilacvane/internal/place"
 	"lilacvane/internal/settings"
-	"lilacvane/internal/wire"
 )
 
-// zoneNode is a node of zone a in region north, with zones a and b and a drain of one.
-func zoneNode(t *testing.T, drained place.Zone) *Node {
-	t.Helper()
-	log, err := logging.NewBounded("error", t.Output())
-	assert.NilError(t, err)
-	n := &Node{catalog: catalog.New(), decisions: decision.NewLog("n1", 10), log: log}
-	n.settings.Store(&settings.Settings{Node: "n1", Zone: "a", Region: "north", Zones: place.Map{"b": "south"}})
-	n.fleet = fleet.New("a", time.Now, (*operatorRules)(n))
-	n.configuration.Store(&config.Configuration{Drains: map[api.Drain]bool{zoneDrain(drained): true, {Target: api.DrainRunner, Name: "r1"}: true}})
+// zonedNode is a node that follows only which zones are out; rows name a zone by their key.
+func zonedNode() *Node {
+	n := &Node{knowledge: &knowledge{}}
+	n.platform.EvacuatedZone = func(key string) (place.Zone, bool) { return place.Zone(key), key != "configuration" }
+	n.platform.ConfigurationKey = "none"
+	defaults := settings.Default()
+	n.settings.Store(&defaults)
+	n.zones = newZones(n)
+	n.knowledge.configuration = feed.NewFollower(nil, (*configurationHandler)(n), feed.Options{}, logr.Discard())
 	return n
 }
 
-// TestZoneStatesNameEveryKnownZone: zones of the settings, of runners, of nodes and of
-// planned stops are all told of, with the time since which a stop is in force.
-func TestZoneStatesNameEveryKnownZone(t *testing.T) {
-	n := zoneNode(t, "d")
-	at := time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC)
-	object := api.NewObject(api.KindDrain, "any", zoneDrain("d"))
-	other := api.NewObject(api.KindDrain, "other", zoneDrain("c"))
-	n.catalog.Apply([]wire.Entry{
-		{Revision: 1, Time: at, Changes: []wire.Change{{Object: object}}},
-		{Revision: 2, Time: at.Add(time.Minute), Changes: []wire.Change{{Object: object, Deleted: true}}},
-		{Revision: 3, Time: at.Add(2 * time.Minute), Changes: []wire.Change{{Object: object}, {Object: other}}},
-		{Revision: 4, Time: at.Add(3 * time.Minute), Changes: []wire.Change{{Object: object}}},
-	})
-	since := at.Add(2 * time.Minute)
-	states := n.zoneStates(map[place.Zone]fleet.Standing{"c": {Ready: 3, Cold: 2, Draining: 1}}, map[place.Zone]int{"a": 2})
-	assert.DeepEqual(t, states, []wire.ZoneStatus{
-		{Zone: "a", Region: "north", State: wire.ZoneIn, Nodes: 2},
-		{Zone: "b", Region: "south", State: wire.ZoneIn},
-		{Zone: "c", State: wire.ZoneIn, Ready: 3, Cold: 2, Draining: 1},
-		{Zone: "d", State: wire.ZoneDrained, Since: &since},
-	})
+// TestZonesFollowTheOperatorsTable: every zone is out until the table was read whole; a
+// whole read replaces what was known.
+func TestZonesFollowTheOperatorsTable(t *testing.T) {
+	n := zonedNode()
+	handler, rules, staying := (*configurationHandler)(n), (*operatorRules)(n), stayingRules{(*operatorRules)(n)}
+	assert.Assert(t, rules.ZoneOut("a") && staying.ZoneOut("a"))
+	handler.Whole([]feed.Row{{Key: "configuration", Revision: 3}, {Key: "a", Revision: 4}}, 0)
+	assert.Assert(t, rules.ZoneOut("a") && !rules.ZoneOut("b"))
+	handler.Whole([]feed.Row{{Key: "b", Revision: 7}}, time.Second)
+	assert.Assert(t, !rules.ZoneOut("a") && rules.ZoneOut("b"))
+	assert.Equal(t, n.zones.state("a"), evacuation.Returning)
+	handler.Changed([]feed.Row{{Key: "b", Revision: 9, Deleted: true}})
+	assert.Assert(t, !rules.ZoneOut("b"))
 }
 
-// TestDrainOfZoneIsADecision: its begin and its end are remembered, once each.
-func TestDrainOfZoneIsADecision(t *testing.T) {
-	n := zoneNode(t, "b")
-	drained, none := n.configuration.Load(), &config.Configuration{ObjectRevision: 8}
-	n.decideZones(nil, none)
-	n.decideZones(none, drained)
-	n.decideZones(drained, drained)
-	n.decideZones(drained, none)
-	found := n.decisions.Find("zone/b", 10)
-	assert.Equal(t, len(found), 2)
-	assert.Equal(t, found[0].Step, "end drain of zone")
-	assert.Equal(t, found[1].Step, "drain zone")
+// TestLoadsLeaveAZoneFirst: while a zone is left, requests may still go there and loads
+// may not.
+func TestLoadsLeaveAZoneFirst(t *testing.T) {
+	n := zonedNode()
+	n.zones.whole(nil)
+	n.zones.changed([]evacuation.Row{{Zone: "a", Revision: 4}}, 0)
+	assert.Assert(t, !(*operatorRules)(n).ZoneOut("a"))
+	assert.Assert(t, stayingRules{(*operatorRules)(n)}.ZoneOut("a"))
 }
