--- a/internal/lab/runnerstub/http.go
+++ b/internal/lab/runnerstub/http.go
@@ -42,6 +42,7 @@
 		}
 		r.SetFaults(faults)
 	})
+	mux.HandleFunc("POST "+PathCold, r.handleCold)
 	mux.HandleFunc("POST "+PathDrain, func(http.ResponseWriter, *http.Request) { r.Drain() })
 	mux.HandleFunc("/", r.handleRequest)
 	return mux
@@ -175,7 +176,7 @@
 func (r *Runner) begin(this *run) int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.active >= r.settings.Slots+queueRoom || r.random.Float64() < this.faults.ShedShare || r.fallen {
+	if r.active >= r.settings.Slots+queueRoom || r.random.Float64() < this.faults.ShedShare || r.fallen || r.collapsed() {
 		return http.StatusServiceUnavailable
 	}
 	if this.model != "" {
--- a/internal/lab/runnerstub/runner.go
+++ b/internal/lab/runnerstub/runner.go
@@ -104,6 +104,7 @@
 	// changedAt is when the account last changed.
 	changedAt time.Time
 	fallen    bool
+	cold      coldness
 }
 
 // pastReport is an account that was true from a moment until the next change.
@@ -145,6 +146,7 @@
 	row := protocol.ListedRunner{
 		Service: r.settings.Service, Zone: r.settings.Zone, Slots: r.settings.Slots, State: protocol.StateReady,
 		Models: r.held(), Available: r.available(), Sequence: r.sequence,
+		ColdLeftMs: r.cold.left(),
 	}
 	if r.draining {
 		row.State = protocol.StateDraining
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -66,6 +66,10 @@
 	StoreRate float64
 	// Engine describes the runners of EngineService to the nodes.
 	Engine protocol.Engine
+	// ColdStart is how long a runner of EngineService is cold after its start, ColdRate how
+	// many requests a second it bears then; zero where none is cold.
+	ColdStart time.Duration
+	ColdRate  float64
 	// Seed fixes what the stand-ins draw.
 	Seed uint64
 }
@@ -188,7 +192,8 @@
 	engine := w.Engine
 	content, err := json.Marshal(protocol.Configuration{
 		Version: w.version, Routes: w.routes, Tenants: w.tenants,
-		Services: []protocol.Service{{Name: EngineService, HealthPath: "/healthz", Engine: &engine}, {Name: MailService, HealthPath: "/healthz"}},
+		Services: []protocol.Service{{Name: EngineService, HealthPath: "/healthz", Engine: &engine,
+			ColdStartS: w.ColdStart.Seconds(), ColdPerS: w.ColdRate}, {Name: MailService, HealthPath: "/healthz"}},
 	})
 	if err != nil {
 		return err
@@ -270,6 +275,11 @@
 	return w.post(w.Runners[id].address, runnerstub.PathDrain, nil)
 }
 
+// SetRunnerCold makes a runner cold, or warm again.
+func (w *World) SetRunnerCold(id string, cold runnerstub.Cold) error {
+	return w.post(w.Runners[id].address, runnerstub.PathCold, cold)
+}
+
 // SetRunnerFaults changes what a runner suffers.
 func (w *World) SetRunnerFaults(id string, faults runnerstub.Faults) error {
 	return w.post(w.Runners[id].address, runnerstub.PathFaults, faults)
--- /dev/null
+++ b/test/cold_test.go
@@ -0,0 +1,155 @@
+package test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/lab/journal"
+	"lilacvane/internal/lab/runnerstub"
+	"lilacvane/internal/lab/world"
+	"lilacvane/internal/settings"
+)
+
+const (
+	// A cold runner of these tests bears coldRate requests a second and may get coldShare
+	// times that and coldSlack more: coldMost.
+	coldRate  = 4.0
+	coldShare = 1.5
+	coldSlack = 2.0
+	coldMost  = 8
+)
+
+// newColdWorld starts a world whose runners may be cold.
+func newColdWorld(t *testing.T) *world.World {
+	return newWorld(t, func(o *world.Options) {
+		o.ColdStart, o.ColdRate = 2*time.Second, coldRate
+		o.Adjust = func(s *settings.Settings) {
+			fast(s)
+			s.ColdStart = settings.ColdStart{Share: coldShare, Slack: coldSlack}
+		}
+	})
+}
+
+// waitCold waits until each node knows so many cold runners.
+func waitCold(t *testing.T, count int, nodes ...*world.Node) {
+	t.Helper()
+	for _, node := range nodes {
+		waitUntil(t, fmt.Sprintf("%s knows %d cold runners", node.Name, count), func() error {
+			response, err := http.Get("http://" + node.Metrics + "/metrics")
+			if err != nil {
+				return err
+			}
+			defer response.Body.Close()
+			text, err := io.ReadAll(response.Body)
+			if err != nil {
+				return err
+			}
+			if wanted := fmt.Sprintf("\nlilacvane_runners_cold %d\n", count); !strings.Contains(string(text), wanted) {
+				return fmt.Errorf("no line %q", wanted)
+			}
+			return nil
+		})
+	}
+}
+
+// sentTo returns when each request was sent to a runner last, by the nodes' logs.
+func sentTo(t *testing.T, w *world.World, runner string) map[string]time.Time {
+	t.Helper()
+	sent := make(map[string]time.Time)
+	for _, node := range w.Nodes {
+		file, err := os.Open(w.LogPath(node))
+		assert.NilError(t, err)
+		lines := bufio.NewScanner(file)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			var line struct {
+				Time    time.Time
+				Msg     string
+				Request string
+				Runner  string
+			}
+			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "request sent" && line.Runner == runner {
+				sent[line.Request] = line.Time
+			}
+		}
+		assert.NilError(t, lines.Err())
+		assert.NilError(t, file.Close())
+	}
+	return sent
+}
+
+// mostInASecond is the largest number of requests that were both sent to a runner and ran
+// there within one second between two times.
+func mostInASecond(t *testing.T, w *world.World, runner string, from, to time.Time) (most, all int) {
+	t.Helper()
+	type exchange struct{ sent, ran time.Time }
+	var exchanges []exchange
+	sent := sentTo(t, w, runner)
+	for _, record := range readHistory(t, w).records {
+		if record.Event != journal.EventRun || record.Runner != runner || record.Time.Before(from) || record.Time.After(to) {
+			continue
+		}
+		at, known := sent[record.Request]
+		assert.Assert(t, known, "no node sent %+v", record)
+		exchanges = append(exchanges, exchange{sent: at, ran: record.Time})
+	}
+	slices.SortFunc(exchanges, func(a, b exchange) int { return a.sent.Compare(b.sent) })
+	for i, first := range exchanges {
+		end, count := first.sent.Add(time.Second), 0
+		for _, other := range exchanges[i:] {
+			if !other.sent.After(end) && !other.ran.After(end) {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most, len(exchanges)
+}
+
+// TestColdRunnerGetsItsBound: a runner that becomes cold under load gets no more than its
+// bound of all nodes together, also while the node that lends permits is frozen, and it
+// does not fall over; it serves, and serves more when it is warm.
+func TestColdRunnerGetsItsBound(t *testing.T) {
+	t.Parallel()
+	w := newColdWorld(t)
+	startRunners(t, w, 1)
+	nodes := startNodes(t, w, 4)
+	apply(t, nodes[0], model("alpha", 1)...)
+	waitNamed(t, "alpha", nodes...)
+	assertServed(t, call{Model: "alpha", Prompt: "first", Tokens: 2}, ask(t.Context(), nodes[0], call{Model: "alpha", Prompt: "first", Tokens: 2, Deadline: patience}, nil))
+	assert.NilError(t, w.SetRunnerCold("runner-1", runnerstub.Cold{ForMs: int(time.Hour.Milliseconds()), Collapse: 3 * coldMost}))
+	waitCold(t, 1, nodes...)
+	from := time.Now()
+	load := startBackground(t, 12, func(who, number int) (*world.Node, call) {
+		return nodes[who%len(nodes)], call{Model: "alpha", Prompt: fmt.Sprintf("p%d-%d", who, number), Tokens: 2, Deadline: 20 * time.Second}
+	})
+	load.waitServed(t, 2*coldMost)
+	holder := holderOf(t, w, nodes[0])
+	assert.NilError(t, holder.Freeze())
+	load.waitServed(t, 2*coldMost)
+	assert.NilError(t, holder.Thaw())
+	load.waitServed(t, 2*coldMost)
+	to := time.Now()
+	assert.NilError(t, w.SetRunnerCold("runner-1", runnerstub.Cold{}))
+	waitCold(t, 0, nodes...)
+	load.waitServed(t, 10*coldMost)
+	load.finish()
+	most, all := mostInASecond(t, w, "runner-1", from, to)
+	assert.Assert(t, all >= 6*coldMost, "%d ran", all)
+	assert.Assert(t, most <= coldMost, "%d in one second, at most %d", most, coldMost)
+	h := readHistory(t, w)
+	for _, record := range h.records {
+		assert.Assert(t, record.Event != journal.EventViolation, "%+v", record)
+	}
+	load.assertTruthful(t, h)
+}
