Let what waits for a cold runner look again by itself

Cause: a request that waits where draws decide was woken by nothing when its second came, and one whose report was lost waited for the next change. Ruled out: a timer in the fleet, which has none. Change: such a wait is decided anew when a permit or a drawn second is expected, 10 ms later at the least.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -16,10 +16,16 @@
 	// least is the least time until a runner can take it, if known: what is expected may
 	// turn out better, as another runner may take over.
 	least time.Duration
+	// permit is set when it waits for a cold runner, which it may be sent to by then.
+	permit bool
 	// returned is set when the client was refused before and came back.
 	returned bool
 }
 
+// leastLook is the shortest time after which a request that waits for a cold runner looks
+// again by itself.
+const leastLook = 10 * time.Millisecond
+
 const (
 	// promptRefusal is the part of the objective within which a refusal costs
 	// the client little.
@@ -62,6 +68,9 @@
 	if w.returned && !w.known && w.elapsed < prompt {
 		return keepWaiting, 0, min(prompt-w.elapsed, rest)
 	}
+	if w.permit {
+		rest = min(rest, max(w.expected, leastLook))
+	}
 	if w.objective == 0 || w.returned || w.elapsed > prompt+promptSlack {
 		return keepWaiting, 0, rest
 	}
--- /dev/null
+++ b/internal/dispatch/cold_test.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/coldstart"
+	"lilacvane/internal/config"
+	"lilacvane/internal/demand"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/fleet"
+)
+
+// coldJob is a request for a model that one runner holds, cold for a time.
+func coldJob(coldFor time.Duration) (*job, *fleet.Fleet, *demand.Book) {
+	unit := backend.Unit{Model: "alpha"}
+	known := fleet.New("zone", time.Now, noRules{})
+	terms := coldstart.NewTerms(6.9, 1.5, 5, 3*time.Second, coldstart.Lent{})
+	known.SetColdStarts(fleet.ColdStarts{Terms: func(string) coldstart.Terms { return terms }})
+	known.Replace([]backend.Runner{{ID: "r1", Service: "s", Models: []backend.Holding{{Model: unit.Model}}, ColdFor: coldFor}}, false)
+	book := demand.NewBook()
+	return &job{
+		dispatcher: &Dispatcher{Fleet: known, Demand: book, Configuration: func() *config.Configuration { return &config.Configuration{} }},
+		log:        logr.Discard(),
+		route:      &config.Route{Kind: config.Safe, Attempts: 1, Objective: time.Second},
+		engine:     true,
+		query:      fleet.Query{Service: "s", Unit: unit},
+		deadline:   time.Now().Add(time.Hour),
+		request:    &Request{Arrived: time.Now()},
+	}, known, book
+}
+
+// TestRequestWaitsForAPermit: what only a cold runner could serve asks for a permit at
+// once, is woken when one comes, and spends it.
+func TestRequestWaitsForAPermit(t *testing.T) {
+	j, known, book := coldJob(time.Hour)
+	urgent := book.Urgent("s")
+	go func() {
+		<-urgent
+		known.ApplyPermits([]fleet.PermitsLent{{Runner: "r1", Count: 1}}, time.Now())
+	}()
+	choice, err := j.place(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, choice.Runner.ID, "r1")
+	assert.Equal(t, known.ColdFigures().Spent, uint64(1))
+	assert.Assert(t, !book.Waits("s"))
+}
+
+// TestRequestWithoutAPermitIsRefused: at once, and told when the runner is warm, where
+// nobody lends before that.
+func TestRequestWithoutAPermitIsRefused(t *testing.T) {
+	j, known, _ := coldJob(9 * time.Second)
+	known.SetOrdersIn("s", time.Minute)
+	_, err := j.place(t.Context())
+	assert.Assert(t, fault.IsCode(err, fault.CodeDeadline), "%v", err)
+	retryAfter := fault.From(err, "").RetryAfter
+	assert.Assert(t, retryAfter > 5*time.Second && retryAfter <= 9*time.Second, retryAfter)
+	assert.Equal(t, fault.OutcomeOf(err), fault.NotDone)
+}
+
+// TestWaitForAPermitLooksAgain: by itself when a permit may be there, or a draw allows it.
+func TestWaitForAPermitLooksAgain(t *testing.T) {
+	w := wait{hold: 8 * time.Second, objective: 4 * time.Second, expected: 700 * time.Millisecond, known: true, permit: true}
+	decision, _, again := w.decide()
+	assert.Equal(t, decision, keepWaiting)
+	assert.Equal(t, again, w.expected)
+	w.expected, w.returned = 0, true
+	_, _, again = w.decide()
+	assert.Equal(t, again, leastLook)
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -128,7 +128,7 @@
 		elapsed: time.Since(j.request.Arrived), hold: j.latestStart().Sub(j.request.Arrived), objective: j.route.Objective, returned: j.returned(),
 	}
 	if in, cold := j.dispatcher.Fleet.PermitIn(j.query); cold {
-		w.expected, w.least, w.known = in, in, true
+		w.expected, w.least, w.known, w.permit = in, in, true, true
 		return w
 	}
 	if j.engine {
