Take a runner whose row vanished and came back for no newcomer

Cause: while the store is down rows may be dropped, and written again later; a runner whose entry was forgotten meanwhile was supposed cold when it came back, all of them at once. Ruled out: believing first rows, as a runner that started just now may not say yet that it is cold.

--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -61,12 +61,30 @@
 }
 
 // hearCold takes over a row's word of a runner's coldness. known.listed is still the row
-// before it; a row that was heard already says nothing new. mutex is held.
+// before it; a row that was heard already says nothing new. A runner that was listed
+// before is no newcomer: its identifier is that of one incarnation. mutex is held.
 func (f *Fleet) hearCold(known *runner, row backend.Runner, came bool) {
 	if !came && row.Revision != 0 && row.Revision == known.listed.Revision {
 		return
 	}
-	known.cold.Hear(coldstart.Word{For: row.ColdFor, Proof: !came || !f.replaced}, f.now())
+	_, returns := f.left[row.ID]
+	delete(f.left, row.ID)
+	known.cold.Hear(coldstart.Word{For: row.ColdFor, Proof: !came || returns || !f.replaced}, f.now())
+}
+
+// leftLifetime is how long a runner that left the list is remembered as no newcomer: rows
+// may vanish while the store is down, and come back.
+const leftLifetime = coldstart.Longest
+
+// noteLeft remembers a runner that is forgotten. mutex is held.
+func (f *Fleet) noteLeft(id string) {
+	now := f.now()
+	f.left[id] = now
+	for earlier, at := range f.left {
+		if now.Sub(at) > leftLifetime {
+			delete(f.left, earlier)
+		}
+	}
 }
 
 // terms are those of a runner's service; those of never being cold for a runner that
--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -110,6 +110,26 @@
 	assert.Assert(t, ok)
 }
 
+// TestRelistedRunnerIsNoNewcomer: a row that vanished and came back is believed, for a while.
+func TestRelistedRunnerIsNoNewcomer(t *testing.T) {
+	f, c := coldFleet(listed("r1", "m"))
+	f.Apply(nil, []string{"r1"}, false)
+	assert.Assert(t, !f.Known("r1"))
+	f.Apply([]backend.Runner{listed("r1", "m")}, nil, false)
+	_, ok := f.Choose(coldQuery)
+	assert.Assert(t, ok)
+	f.Replace(nil, false)
+	f.Done(Choice{Runner: listed("r1")}, coldQuery, Served, 0, true)
+	assert.Assert(t, !f.Known("r1"))
+	c.now = c.now.Add(leftLifetime + time.Second)
+	f.Apply([]backend.Runner{listed("r2")}, nil, false)
+	f.Apply(nil, []string{"r2"}, false)
+	assert.Equal(t, len(f.left), 1, "only the last is remembered")
+	f.Apply([]backend.Runner{listed("r1", "m")}, nil, false)
+	_, ok = f.Choose(coldQuery)
+	assert.Assert(t, !ok)
+}
+
 // TestReturnedZoneIsCold: its runners are cold until their rows say otherwise.
 func TestReturnedZoneIsCold(t *testing.T) {
 	f, c := testFleet()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,8 +62,9 @@
 	// coldStarts tells which runners are cold, coldFigures counts their permits.
 	coldStarts  ColdStarts
 	coldFigures ColdFigures
-	// replaced is set once the whole list was read.
+	// replaced is set once the whole list was read, left is when runners were forgotten.
 	replaced bool
+	left     map[string]time.Time
 	// changed is closed and replaced whenever a waiting request may find a
 	// runner that it did not find before.
 	changed chan struct{}
@@ -110,7 +111,7 @@
 // New returns an empty fleet for a node in zone; rules are what operators decided.
 func New(zone string, now func() time.Time, rules eligible.Rules) *Fleet {
 	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), planned: make(map[string]map[string]time.Time),
-		ordersAt: make(map[string]time.Time), changed: make(chan struct{})}
+		ordersAt: make(map[string]time.Time), left: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
 // Wake lets waiting requests look again.
@@ -203,6 +204,7 @@
 		expired := !known.listed.Missing || f.now().Sub(known.goneAt) > missingLifetime
 		if !known.present && known.inFlight == 0 && expired {
 			delete(f.runners, id)
+			f.noteLeft(id)
 		}
 	}
 }
