Order the runners that permits are wanted for by a cost of their own

Cause: the comparison's tie-break read its operators in another order than was meant, so that it ordered nothing consistently, and nodes with the same beliefs asked for the same runner first. Ruled out: a hash of node and runner, as the spread by chance does it elsewhere. Change: each runner's cost is reckoned once, with a random part.

--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -202,7 +204,7 @@
 	if len(cold) == 0 {
 		return nil
 	}
-	slices.SortFunc(cold, f.compareForPermits)
+	f.sortForPermits(cold)
 	wanted := make([]PermitsWanted, 0, min(len(cold), count))
 	for i, known := range cold[:min(len(cold), count)] {
 		share := (count + len(cold) - 1 - i) / len(cold)
@@ -211,25 +213,20 @@
 	return wanted
 }
 
-// compareForPermits orders runners for which permits are asked: those that lend sooner
-// first, then those with fewer requests of this node, then those nearer. mutex is held.
-func (f *Fleet) compareForPermits(a, b *runner) int {
-	rank := func(known *runner) float64 {
+// sortForPermits orders runners for which permits are asked: those that lend sooner first,
+// then those with fewer requests of this node, then those nearer, else by chance, so that
+// the nodes do not all ask for the same one. mutex is held.
+func (f *Fleet) sortForPermits(cold []*runner) {
+	costs := make(map[*runner]float64, len(cold))
+	for _, known := range cold {
 		wait := known.cold.Next(known.listed.ID, f.terms(known), 0, f.now())
-		cost := milliseconds(wait) + costPerRequest*float64(known.inFlight)
+		cost := milliseconds(wait) + costPerRequest*float64(known.inFlight) + rand.Float64()*tieSpread
 		if known.listed.Zone != f.zone {
 			cost += costOtherZone
 		}
-		return cost
-	}
-	switch left, right := rank(a), rank(b); {
-	case left < right:
-		return -1
-	case left > right:
-		return 1
-	default:
-		return int(int64(a.order>>1) - int64(b.order>>1)>>32)
+		costs[known] = cost
 	}
+	slices.SortFunc(cold, func(a, b *runner) int { return cmp.Compare(costs[a], costs[b]) })
 }
 
 // PermitsLent is what the holder lent for a runner.
--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -166,6 +166,23 @@
 	assert.Assert(t, !known)
 }
 
+// TestPermitsAreWantedNearFirst: as many as wait, spread over the holders of the model,
+// those first that are near and that the holder expects to lend for.
+func TestPermitsAreWantedNearFirst(t *testing.T) {
+	far := coldFor(listed("far", "m"), time.Minute)
+	far.Zone = "zone-b"
+	f, c := coldFleet(far, coldFor(listed("near", "m"), time.Minute), coldFor(listed("lent", "m"), time.Minute), listed("warm", "other"))
+	f.ApplyPermits([]PermitsLent{{Runner: "lent", Next: time.Second}}, c.now)
+	for count, wanted := range map[int][]PermitsWanted{
+		1: {{Runner: "near", Count: 1}},
+		2: {{Runner: "near", Count: 1}, {Runner: "far", Count: 1}},
+		5: {{Runner: "near", Count: 2}, {Runner: "far", Count: 2}, {Runner: "lent", Count: 1}},
+	} {
+		assert.DeepEqual(t, f.PermitsWanted("s", coldQuery.Unit, count), wanted)
+	}
+	assert.Equal(t, len(f.PermitsWanted("s", backend.Unit{Model: "other"}, 3)), 0, "a warm runner holds it")
+}
+
 // TestQuestionsTakeNoPermit: asking for candidates sends nothing.
 func TestQuestionsTakeNoPermit(t *testing.T) {
 	f, c := coldFleet(coldFor(listed("r1", "m"), 2*time.Second), listed("r2", "m"))
