Merge cold runners

The lab's two ways of making a runner cold are one; what operators are shown of cold runners comes from the fleet's own word of them. A runner that was not heard since its zone came back is told of as cold, which replaces the hook for it.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -80,6 +80,9 @@
 	if j.engine {
 		end = j.dispatcher.Demand.Wait(demand.Key{Service: j.query.Service, Unit: j.query.Unit}, j.latestStart(), j.priority())
 	}
+	if j.dispatcher.Fleet.WaitsForPermit(j.query) {
+		j.dispatcher.Demand.Nudge(j.query.Service)
+	}
 	choice, retryAfter, err := j.await(ctx, changed)
 	if err != nil && time.Since(start) >= obstaclesFresh {
 		j.noteObstacles()
@@ -151,6 +154,10 @@
 	w := wait{
 		elapsed: time.Since(j.request.Arrived), hold: j.latestStart().Sub(j.request.Arrived), objective: j.route.Objective, returned: j.returned(),
 	}
+	if in, cold := j.dispatcher.Fleet.PermitIn(j.query); cold {
+		w.expected, w.least, w.known, w.permit = in, in, true, true
+		return w
+	}
 	if j.engine {
 		w.expected, w.known = j.dispatcher.Fleet.Expected(j.query.Service, j.query.Unit)
 		if !w.known && w.elapsed >= time.Duration(promptRefusal*float64(w.objective)) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/coldstart"
 	"lilacvane/internal/eligible"
 )
 
@@ -62,6 +63,12 @@
 	meanUnread float64
 	// obstacles are those found since the last change, by what was asked for.
 	obstacles map[asked]foundObstacles
+	// coldStarts tells which runners are cold, coldFigures counts their permits.
+	coldStarts  ColdStarts
+	coldFigures ColdFigures
+	// replaced is set once the whole list was read, left is when runners were forgotten.
+	replaced bool
+	left     map[string]time.Time
 	// changed is closed and replaced whenever a waiting request may find a
 	// runner that it did not find before.
 	changed chan struct{}
@@ -86,6 +93,9 @@
 	told     toldLoad
 	health   health
 	prompts  promptCache
+	cold     coldstart.Runner
+	// toldCold is set while the last news of the runner were that it is cold.
+	toldCold bool
 	// latency is the moving average of answer times in milliseconds.
 	latency float64
 	// answeredAt is when the runner last answered this node, suspect is set from
@@ -105,7 +115,7 @@
 // New returns an empty fleet for a node in zone; rules are what operators decided.
 func New(zone string, now func() time.Time, rules eligible.Rules) *Fleet {
 	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), planned: make(map[string]map[string]time.Time),
-		ordersAt: make(map[string]time.Time), obstacles: make(map[asked]foundObstacles), changed: make(chan struct{})}
+		ordersAt: make(map[string]time.Time), obstacles: make(map[asked]foundObstacles), left: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
 // SetZones tells what operators' decisions about zones weigh. It is called before the
@@ -158,6 +168,7 @@
 		there[runner.ID] = true
 		f.add(runner)
 	}
+	f.replaced = true
 	for id, known := range f.runners {
 		if known.present && !there[id] {
 			f.remove(id, doubtful)
@@ -168,13 +179,15 @@
 
 func (f *Fleet) add(listed backend.Runner) {
 	known := f.runners[listed.ID]
-	if known == nil {
+	came := known == nil
+	if came {
 		known = &runner{
 			refused: make(map[backend.Unit]time.Time), byUnit: make(map[backend.Unit]int),
 			prompts: newPromptCache(), order: order(listed.ID),
 		}
 		f.runners[listed.ID] = known
 	}
+	f.hearCold(known, listed, came)
 	known.listed = listed
 	known.listedAt = f.now()
 	known.present = true
@@ -200,6 +213,7 @@
 		expired := !known.listed.Missing || f.now().Sub(known.goneAt) > missingLifetime
 		if !known.present && known.inFlight == 0 && expired {
 			delete(f.runners, id)
+			f.noteLeft(id)
 		}
 	}
 }
--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -1,8 +1,6 @@
 package fleet
 
 import (
-	"time"
-
 	"lilacvane/internal/eligible"
 	"lilacvane/internal/place"
 )
@@ -17,8 +15,6 @@
 	// Share is the part, 0 to 1, of what a zone would be given that it is to be given now:
 	// nothing while it is about to be left, rising after it was taken back.
 	Share(zone place.Zone) float64
-	// ReturnedAt returns when a zone was heard to be taken back; false when it never was.
-	ReturnedAt(zone place.Zone) (time.Time, bool)
 }
 
 // zoneCost is the cost in milliseconds of a runner's zone. drawn, 0 to 1, is the same for
@@ -37,30 +33,6 @@
 	}
 }
 
-// ReturnedAt returns when a zone was heard to be taken back; false when it never was. What
-// a runner there said before need not hold any more: see UnheardSinceReturn.
-func (f *Fleet) ReturnedAt(zone place.Zone) (time.Time, bool) {
-	if f.zones == nil {
-		return time.Time{}, false
-	}
-	return f.zones.ReturnedAt(zone)
-}
-
-// UnheardSinceReturn reports whether a runner's zone was taken back and the platform's
-// list told nothing of the runner since: it may be cold whatever it said before.
-func (f *Fleet) UnheardSinceReturn(id string) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	known := f.runners[id]
-	return known != nil && f.unheardSinceReturn(known)
-}
-
-// unheardSinceReturn is UnheardSinceReturn with mutex held.
-func (f *Fleet) unheardSinceReturn(known *runner) bool {
-	returned, ok := f.ReturnedAt(place.Zone(known.listed.Zone))
-	return ok && known.listedAt.Before(returned)
-}
-
 // Refusal says why no runner of a service may get a request, whatever it holds;
 // eligible.Yes when one may, now or once it takes more. A zone that is out goes before
 // other reasons, as it is what may be undone.
--- a/internal/lab/world/places.go
+++ b/internal/lab/world/places.go
@@ -33,5 +33,5 @@
 
 // ChillRunner makes a runner cold for a while, as its row then tells.
 func (w *World) ChillRunner(id string, lasting time.Duration) error {
-	return w.post(w.Runners[id].address, runnerstub.PathCold, runnerstub.Cold{Ms: lasting.Milliseconds()})
+	return w.SetRunnerCold(id, runnerstub.Cold{ForMs: lasting.Milliseconds()})
 }
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -60,9 +60,6 @@
 	TimeZone string
 	// Zones tells the region of zones that do not lie in Region.
 	Zones place.Map
-	// ColdRate is the requests a second that a cold runner bears; zero where runners are
-	// never cold.
-	ColdRate float64
 	// Proxied puts a fault proxy before every process, and before the store one
 	// for each node.
 	Proxied bool
@@ -72,6 +69,10 @@
 	StoreRate float64
 	// Engine describes the runners of EngineService to the nodes.
 	Engine protocol.Engine
+	// ColdStart is how long a runner of EngineService is cold after its start, ColdRate how
+	// many requests a second it bears then; zero where none is cold.
+	ColdStart time.Duration
+	ColdRate  float64
 	// Seed fixes what the stand-ins draw.
 	Seed uint64
 }
@@ -195,7 +196,8 @@
 	content, err := json.Marshal(protocol.Configuration{
 		Version: w.version, Routes: w.routes, Tenants: w.tenants,
 		Services: []protocol.Service{
-			{Name: EngineService, HealthPath: "/healthz", ColdPerS: w.ColdRate, Engine: &engine}, {Name: MailService, HealthPath: "/healthz", ColdPerS: w.ColdRate},
+			{Name: EngineService, HealthPath: "/healthz", ColdStartS: w.ColdStart.Seconds(), ColdPerS: w.ColdRate, Engine: &engine},
+			{Name: MailService, HealthPath: "/healthz"},
 		},
 	})
 	if err != nil {
@@ -278,6 +280,11 @@
 	return w.post(w.Runners[id].address, runnerstub.PathDrain, nil)
 }
 
+// SetRunnerCold makes a runner cold, or warm again.
+func (w *World) SetRunnerCold(id string, cold runnerstub.Cold) error {
+	return w.post(w.Runners[id].address, runnerstub.PathCold, cold)
+}
+
 // SetRunnerFaults changes what a runner suffers.
 func (w *World) SetRunnerFaults(id string, faults runnerstub.Faults) error {
 	return w.post(w.Runners[id].address, runnerstub.PathFaults, faults)
--- a/internal/node/zones.go
+++ b/internal/node/zones.go
@@ -79,9 +79,10 @@
 	return table.Share(zone, time.Now())
 }
 
-// ReturnedAt returns when a zone was heard to be taken back; false when it never was.
-func (z *zones) ReturnedAt(zone place.Zone) (time.Time, bool) {
-	return z.table.Load().ReturnedAt(zone)
+// returned returns when a zone was heard to be taken back last; the zero time for never.
+func (z *zones) returned(zone place.Zone) time.Time {
+	at, _ := z.table.Load().ReturnedAt(zone)
+	return at
 }
 
 // run tells the parts of the node of each change of a zone's state until ctx ends.
