Bound silence on every connection, and distrust what rested beside a silent one

Cause: connections to runners were made without keep-alive, so one on which nothing was unacknowledged was never noticed when it went silent; those to the store, to peers and for orders had Go's defaults (15 s, nine probes), accepted ones as well. Each silent resting connection cost a request or call its whole time, as nothing was learned from the first. Change: package link has the bounds of each kind in one table, dials and listens with them, counts connections made and dropped by kind and reason, and logs silent ones with step and peer. After one silent connection its runner's older resting ones are dropped, after two runners' within 2 s all older ones, unless one that rested across the silence answers; HTTP clients of store, peers and control drop all that rest. The proxy of the tests silences open connections for good. Conclusion: one request pays for a silence, not one for each connection.

--- a/cmd/lilacvane/main.go
+++ b/cmd/lilacvane/main.go
@@ -8,6 +8,7 @@
 	_ "time/tzdata"
 
 	"lilacvane/internal/command"
+	"lilacvane/internal/link"
 	"lilacvane/internal/node"
 	"lilacvane/internal/settings"
 	"lilacvane/platform"
@@ -29,7 +30,8 @@
 
 // connectPlatform joins the platform's adapter to a node's seams.
 func connectPlatform(s settings.Settings) node.Platform {
-	store := platform.NewStore(s.Store.Address, client())
+	links := &link.Record{}
+	store := platform.NewStore(s.Store.Address, client(link.Store, links))
 	return node.Platform{
 		Headers:       platform.Headers,
 		Configuration: store.Table(protocol.OperatorTable), ConfigurationKey: protocol.ConfigurationKey,
@@ -37,12 +39,11 @@
 		Runners:             store.Table(protocol.RunnerTable), DecodeRunner: platform.DecodeRunner,
 		Objects: store.Table(protocol.ObjectTable), Leases: store.Table(protocol.LeaseTable), Claims: store.Table(protocol.ClaimTable),
 		Limits:  store.Table(protocol.LimitTable),
-		Control: platform.NewRunners(client()),
+		Control: platform.NewRunners(client(link.Control, links)),
+		Links:   links,
 	}
 }
 
-func client() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConns: idleConnectionsAll, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}}
+func client(kind link.Kind, links *link.Record) *http.Client {
+	return &http.Client{Transport: link.NewTransport(kind, links, idleConnectionsAll, idleConnections, idleTimeout)}
 }
--- a/internal/lab/faultproxy/faultproxy.go
+++ b/internal/lab/faultproxy/faultproxy.go
@@ -1,5 +1,6 @@
 // Package faultproxy stands in front of one process's TCP address and harms the
-// connections to it: cut, silenced in one or both ways, reset, or delayed.
+// connections to it: cut, silenced in one or both ways or for good, reset, or
+// delayed.
 package faultproxy
 
 import (
@@ -37,7 +38,13 @@
 	delay       time.Duration
 	changed     chan struct{}
 	closed      bool
-	connections map[net.Conn]bool
+	connections map[net.Conn]*state
+}
+
+// state is one connection's, read and set under the proxy's lock.
+type state struct {
+	// silent is set when nothing goes on from it any more, whatever the mode.
+	silent bool
 }
 
 // New listens on address and forwards to target (both ip:port).
@@ -46,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: listener, changed: make(chan struct{}), connections: make(map[net.Conn]bool)}
+	p := &Proxy{target: target, listener: listener, changed: make(chan struct{}), connections: make(map[net.Conn]*state)}
 	go p.accept()
 	return p, nil
 }
@@ -79,6 +86,17 @@
 	p.delay = delay
 }
 
+// SilenceOpen silences the open connections for good and returns how many they
+// are. New ones work. Neither end is told when the other closes.
+func (p *Proxy) SilenceOpen() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, s := range p.connections {
+		s.silent = true
+	}
+	return len(p.connections)
+}
+
 // Reset closes the open connections.
 func (p *Proxy) Reset() {
 	p.mutex.Lock()
@@ -112,8 +130,9 @@
 	defer connection.Close()
 	p.mutex.Lock()
 	refused := p.mode == Refuse
+	s := &state{}
 	if !refused {
-		p.connections[connection] = true
+		p.connections[connection] = s
 	}
 	p.mutex.Unlock()
 	if refused {
@@ -126,8 +145,8 @@
 	}
 	defer onward.Close()
 	done := make(chan struct{}, 2)
-	go p.copy(onward, connection, false, done)
-	go p.copy(connection, onward, true, done)
+	go p.copy(onward, connection, s, false, done)
+	go p.copy(connection, onward, s, true, done)
 	<-done
 }
 
@@ -148,13 +167,13 @@
 }
 
 // copy forwards one way; answers tells whether it is the target's.
-func (p *Proxy) copy(destination io.Writer, origin io.Reader, answers bool, done chan<- struct{}) {
+func (p *Proxy) copy(destination io.Writer, origin io.Reader, s *state, answers bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buffer := make([]byte, chunkSize)
 	for {
 		count, err := origin.Read(buffer)
 		if count > 0 {
-			if !p.hold(answers) {
+			if !p.hold(s, answers) {
 				return
 			}
 			if _, err := destination.Write(buffer[:count]); err != nil {
@@ -162,16 +181,28 @@
 			}
 		}
 		if err != nil {
+			p.keepFromEnd(s)
 			return
 		}
 	}
 }
 
+// keepFromEnd holds the end of a connection that was silenced for good until the
+// proxy ends.
+func (p *Proxy) keepFromEnd(s *state) {
+	p.mutex.Lock()
+	silent := s.silent
+	p.mutex.Unlock()
+	if silent {
+		p.hold(s, false)
+	}
+}
+
 // hold waits until bytes may go on; false when the proxy ended.
-func (p *Proxy) hold(answers bool) bool {
+func (p *Proxy) hold(s *state, answers bool) bool {
 	for {
 		p.mutex.Lock()
-		held := p.mode == Silence || (p.mode == Deaf && answers)
+		held := s.silent || p.mode == Silence || (p.mode == Deaf && answers)
 		delay, changed, closed := p.delay, p.changed, p.closed
 		p.mutex.Unlock()
 		if closed {
--- /dev/null
+++ b/internal/link/trust.go
@@ -0,0 +1,74 @@
+package link
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// strikeWindow is the time in which silences count together: what silences one
+	// connection without a reset, such as an address translation that lost its table,
+	// strikes all at once, and each is noticed when it is used next.
+	strikeWindow = 2 * time.Second
+	// silentPeers is how many peers must be silent before all are distrusted. One may
+	// have stopped alone.
+	silentPeers = 2
+)
+
+// Scope says whose resting connections are not to be used again.
+type Scope uint8
+
+// The scopes.
+const (
+	// OnePeer is the peer whose connection was silent.
+	OnePeer Scope = iota
+	// AllPeers are all peers.
+	AllPeers
+)
+
+// Trust learns from silent connections whether others that rested as long can be
+// trusted. Its methods may be called concurrently.
+type Trust struct {
+	now func() time.Time
+
+	mutex sync.Mutex
+	// silent are peers by when a connection to them was found silent.
+	silent map[string]time.Time
+}
+
+// NewTrust returns a Trust that has seen nothing.
+func NewTrust(now func() time.Time) *Trust {
+	return &Trust{now: now, silent: make(map[string]time.Time)}
+}
+
+// Silent notes that a connection to the peer was silent, and returns whose resting
+// connections to drop.
+func (t *Trust) Silent(peer string) Scope {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := t.now()
+	for other, at := range t.silent {
+		if now.Sub(at) > strikeWindow {
+			delete(t.silent, other)
+		}
+	}
+	t.silent[peer] = now
+	if len(t.silent) < silentPeers {
+		return OnePeer
+	}
+	clear(t.silent)
+	return AllPeers
+}
+
+// Answered notes an answer on a connection that had rested since then: one that
+// rested before a silence was noticed, and works, shows that the silence is not
+// everywhere.
+func (t *Trust) Answered(restedSince time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for peer, at := range t.silent {
+		if restedSince.Before(at) {
+			delete(t.silent, peer)
+		}
+	}
+}
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -49,6 +49,7 @@
 		Help: "How far loads from the weight store were from the time that was told, as a part of it.",
 	})
 	f.tenants = newTenantFigures(f.registry)
+	f.registry.MustRegister(newLinkFigures(n.platform.Links))
 	f.registry.MustRegister(f.loadTime, f.requests, f.attempts, f.resumes, f.first, f.waited)
 	gauge := func(name, help string, value func() float64) {
 		f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/gateway"
 	"lilacvane/internal/ingress"
+	"lilacvane/internal/link"
 	"lilacvane/internal/logging"
 	"lilacvane/internal/operator"
 	"lilacvane/internal/peer"
@@ -62,6 +63,9 @@
 	Limits  table.Table
 	// Control orders runners.
 	Control backend.Control
+	// Links counts the connections of the above, and the node's own; not set where
+	// nobody counts.
+	Links *link.Record
 }
 
 const (
@@ -122,6 +126,7 @@
 		decisions: decision.NewLog(s.Node, decisionsKept), claims: claim.New(platform.Claims), pauses: newPauseWatch(),
 	}
 	n.settings.Store(&s)
+	n.countLinks()
 	n.fleet = fleet.New(s.Zone, time.Now, (*operatorRules)(n))
 	n.committer = commit.New(platform.Objects, n.catalog)
 	n.policies = policy.NewSet(n.catalog, s.Region, zone)
@@ -139,7 +144,7 @@
 		Node: s.Node, Names: platform.Headers, Dispatcher: n.dispatcher, Configuration: n.configuration.Load, Claims: n.claims, Accept: n.accept,
 	})
 	n.operator = operator.New(n, n.catalog, s.Node, n.figures.handler())
-	n.client = peer.NewClient(s.Node)
+	n.client = peer.NewClient(s.Node, n.platform.Links)
 	n.controls = newControls(n)
 	n.relay = relay.New(relay.Options{
 		Group: relayGroup(s), Node: s.Node, Leases: platform.Leases, Address: s.Listen.PeerAddress(), Process: n.process,
@@ -189,7 +194,7 @@
 // reload is signalled when the settings file may have changed.
 func (n *Node) Run(ctx context.Context, reload <-chan os.Signal, settingsPath string) error {
 	s := n.settings.Load()
-	open, err := listen(s.Listen)
+	open, err := listen(ctx, s.Listen)
 	if err != nil {
 		return err
 	}
@@ -238,19 +243,21 @@
 	metrics   net.Listener
 }
 
-func listen(addresses settings.Listen) (*listeners, error) {
+func listen(ctx context.Context, addresses settings.Listen) (*listeners, error) {
 	l := &listeners{}
 	for _, socket := range []struct {
 		target  *net.Listener
 		address string
+		kind    link.Kind
 	}{
-		{&l.clients, addresses.Clients}, {&l.callers, addresses.Callers}, {&l.operators, addresses.Operators},
-		{&l.ready, addresses.Ready}, {&l.peers, addresses.Peers}, {&l.metrics, addresses.Metrics},
+		{&l.clients, addresses.Clients, link.Client}, {&l.callers, addresses.Callers, link.Client},
+		{&l.operators, addresses.Operators, link.Client}, {&l.ready, addresses.Ready, link.Client},
+		{&l.peers, addresses.Peers, link.Peer}, {&l.metrics, addresses.Metrics, link.Client},
 	} {
 		if socket.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", socket.address)
+		listener, err := socket.kind.Listen(ctx, socket.address)
 		if err != nil {
 			return nil, fault.At(fault.CodeInternal, "listen", socket.address, fault.NotDone, err)
 		}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/link"
 	"lilacvane/internal/wire"
 )
 
@@ -21,7 +22,6 @@
 	// idlePerHost covers the calls that one node holds at another.
 	idlePerHost      = 8
 	idleTimeout      = 30 * time.Second
-	dialTimeout      = 2 * time.Second
 	readTimeout      = 30 * time.Second
 	statusPeerFailed = http.StatusUnprocessableEntity
 )
@@ -121,12 +121,9 @@
 }
 
 // NewClient returns a client that names itself node. Calls are bounded by their
-// context.
-func NewClient(node string) *Client {
-	transport := &http.Transport{
-		MaxIdleConns: maximumIdle, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout, DisableCompression: true,
-		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
-	}
+// context. links counts connections; it may be nil.
+func NewClient(node string, links *link.Record) *Client {
+	transport := link.NewTransport(link.Peer, links, maximumIdle, idlePerHost, idleTimeout)
 	return &Client{http: &http.Client{Transport: transport}, node: node}
 }
 
--- a/internal/relay/join_test.go
+++ b/internal/relay/join_test.go
@@ -126,7 +126,7 @@
 func TestReaderThatIsLostIsLeft(t *testing.T) {
 	store := &fakeStore{}
 	r := New(Options{
-		Group: "group", Address: "10.0.0.1:1", Leases: store, Client: peer.NewClient("one"), FirstStart: true,
+		Group: "group", Address: "10.0.0.1:1", Leases: store, Client: peer.NewClient("one", nil), FirstStart: true,
 	})
 	r.SetStandbys([]string{"127.0.0.1:1"})
 	r.SetNodes(300)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -120,7 +120,7 @@
 	assert.NilError(t, err)
 	m := &member{listener: &resetter{Listener: listener}}
 	options := Options{
-		Group: "group", Node: name, Leases: store, Address: listener.Addr().String(), Process: name, Client: peer.NewClient(name), Log: logr.Discard(),
+		Group: "group", Node: name, Leases: store, Address: listener.Addr().String(), Process: name, Client: peer.NewClient(name, nil), Log: logr.Discard(),
 	}
 	for _, apply := range change {
 		apply(&options)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/link"
 )
 
 const (
@@ -67,22 +68,26 @@
 // is NotDone only if no byte of the request can have reached the runner. Ending
 // ctx closes the connection at once, also while the body is read.
 func (p *Pool) Do(ctx context.Context, call Call) (*Answer, error) {
+	if ctx.Err() != nil {
+		// Its closing would race with the first bytes.
+		return nil, fault.At(fault.CodeCanceled, "send request", call.Address, fault.NotDone, context.Cause(ctx))
+	}
 	conn, err := p.take(ctx, call.Runner, call.Address)
 	if err != nil {
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	conn.send()
 	written, err := send(conn, call)
 	if err != nil {
-		stop()
-		_ = conn.Close()
-		return nil, unknown(ctx, "send request", call.Address, err)
+		return nil, p.failed(ctx, conn, stop, "send request", call, err)
 	}
 	response, err := p.readOwn(conn, call)
 	if err != nil {
-		stop()
-		_ = conn.Close()
-		return nil, unknown(ctx, "read answer", call.Address, err)
+		return nil, p.failed(ctx, conn, stop, "read answer", call, err)
+	}
+	if !conn.restedSince.IsZero() {
+		p.trust.Answered(conn.restedSince)
 	}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
@@ -92,6 +97,14 @@
 	}, nil
 }
 
+// failed ends a connection that gave no answer.
+func (p *Pool) failed(ctx context.Context, conn *connection, stop func() bool, step string, call Call, cause error) error {
+	stop()
+	conn.end()
+	p.judge(ctx, conn, step, call.Runner, cause)
+	return unknown(ctx, step, call.Address, cause)
+}
+
 func unknown(ctx context.Context, step, address string, cause error) error {
 	code := fault.CodeInterrupted
 	if ctx.Err() != nil {
@@ -180,6 +193,9 @@
 	}
 	if err != nil {
 		a.Close()
+		if link.Lost(err) {
+			a.pool.silent(a.conn, link.Unacknowledged, "read answer", a.runner, err)
+		}
 		return count, fault.At(fault.CodeInterrupted, "read answer", a.address, fault.Unknown, err)
 	}
 	return count, nil
@@ -200,9 +216,10 @@
 		sound = false
 	}
 	if !sound {
-		_ = a.conn.Close()
+		a.conn.end()
 		return
 	}
+	a.conn.rest()
 	a.pool.put(a.runner, a.conn, restingTime(a.Header))
 }
 
@@ -213,7 +230,7 @@
 	}
 	a.ended = true
 	a.stop()
-	_ = a.conn.Close()
+	a.conn.end()
 }
 
 // restingTime returns how long a connection may rest by the runner's word; zero
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,13 +13,10 @@
 	"time"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/link"
 )
 
 const (
-	dialTimeout = 350 * time.Millisecond
-	// unacknowledgedLimit ends a connection whose bytes the peer's machine has
-	// not acknowledged for so long.
-	unacknowledgedLimit = 1200 * time.Millisecond
 	// defaultIdle is how long a connection may rest when the runner named no
 	// time of its own.
 	defaultIdle = 20 * time.Second
@@ -31,7 +28,11 @@
 // Pool keeps resting connections by runner. Its methods may be called
 // concurrently.
 type Pool struct {
+	// Links counts connections; it may be nil, and is set before the pool is used.
+	Links *link.Record
+
 	names Names
+	trust *link.Trust
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
@@ -43,13 +44,21 @@
 	reader *bufio.Reader
 	// served counts the answers read from it.
 	served int
+	// taken is when it was taken up, restedSince when it was laid to rest last; zero
+	// for a new one.
+	taken       time.Time
+	restedSince time.Time
 	// idleUntil is when it may no longer be taken up again.
 	idleUntil time.Time
+	// waiting fires once the bytes of a request must be out; patient is set when it
+	// did during the last exchange.
+	waiting *time.Timer
+	patient bool
 }
 
 // NewPool returns an empty pool.
 func NewPool(names Names) *Pool {
-	return &Pool{names: names, idle: make(map[string][]*connection)}
+	return &Pool{names: names, trust: link.NewTrust(time.Now), idle: make(map[string][]*connection)}
 }
 
 // take returns a resting connection that is still sound, or a new one.
@@ -57,13 +66,24 @@
 	for {
 		resting := p.pop(runner)
 		if resting == nil {
-			return dial(ctx, address)
+			return p.dial(ctx, address)
 		}
-		if time.Now().Before(resting.idleUntil) && quiet(resting.Conn) {
+		now := time.Now()
+		if now.Before(resting.idleUntil) && quiet(resting.Conn) {
+			resting.taken = now
 			return resting, nil
 		}
 		_ = resting.Close()
+		p.Links.Drop(link.Runner, restingEnd(resting, now), 1)
+	}
+}
+
+// restingEnd is why a connection that rested cannot be used again.
+func restingEnd(resting *connection, now time.Time) link.Reason {
+	if now.Before(resting.idleUntil) {
+		return link.Ended
 	}
+	return link.Expired
 }
 
 func (p *Pool) pop(runner string) *connection {
@@ -83,11 +103,13 @@
 	if idle <= 0 {
 		idle = defaultIdle
 	}
-	conn.idleUntil = time.Now().Add(idle)
+	conn.restedSince = time.Now()
+	conn.idleUntil = conn.restedSince.Add(idle)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if len(p.idle[runner]) >= maximumIdlePerRunner {
 		_ = conn.Close()
+		p.Links.Drop(link.Runner, link.Spare, 1)
 		return
 	}
 	p.idle[runner] = append(p.idle[runner], conn)
@@ -108,23 +130,13 @@
 	}
 }
 
-func dial(ctx context.Context, address string) (*connection, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: limitUnacknowledged, KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
+	conn, err := link.Runner.Dialer().DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.At(fault.CodeUnreachable, "connect", address, fault.NotDone, err)
 	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}, nil
-}
-
-// tcpUserTimeout is the option's number on Linux.
-const tcpUserTimeout = 0x12
-
-func limitUnacknowledged(_, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(descriptor uintptr) {
-		// A kernel without the option only notices a lost peer later.
-		_ = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledgedLimit.Milliseconds()))
-	})
+	p.Links.Dialed(link.Runner)
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize), taken: time.Now()}, nil
 }
 
 // quiet reports whether a resting connection is open and holds no bytes: any
--- /dev/null
+++ b/internal/upstream/silent_test.go
@@ -0,0 +1,223 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/fault"
+	"lilacvane/internal/link"
+)
+
+// errOver ends requests as their time does.
+var errOver = errors.New("the request's time is over")
+
+// serveOnce serves a runner that answers one request on each connection and is
+// silent from then on.
+func serveOnce(t *testing.T) *scripted {
+	return serveScript(t, func(s *scripted, _ int, conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		id, err := s.next(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answerText(id, "whole"))
+		for err == nil {
+			_, err = s.next(reader)
+		}
+	})
+}
+
+// rest lays connections to a runner to rest.
+func rest(t *testing.T, pool *Pool, s *scripted, runner string, count int) {
+	t.Helper()
+	var answers []*Answer
+	for range count {
+		call := s.call("rest")
+		call.Runner = runner
+		answer, err := pool.Do(t.Context(), call)
+		assert.NilError(t, err)
+		answers = append(answers, answer)
+	}
+	for _, answer := range answers {
+		_, err := io.ReadAll(answer)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(restingOf(pool, runner)), count)
+}
+
+// outlive sends a request that gets no answer in its time.
+func outlive(t *testing.T, pool *Pool, s *scripted, runner string) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeoutCause(t.Context(), muteLimit+50*time.Millisecond, errOver)
+	defer cancel()
+	call := s.call("lost")
+	call.Runner = runner
+	_, err := pool.Do(ctx, call)
+	assert.Equal(t, fault.OutcomeOf(err), fault.Unknown)
+	return err
+}
+
+// TestSilentConnectionDistrustsOthersOfItsRunner: one request pays for the resting
+// connections of a runner that went silent, and no other runner's are dropped.
+func TestSilentConnectionDistrustsOthersOfItsRunner(t *testing.T) {
+	s := serveOnce(t)
+	pool := NewPool(testNames)
+	pool.Links = &link.Record{}
+	rest(t, pool, s, "a", 3)
+	rest(t, pool, s, "b", 2)
+	_ = outlive(t, pool, s, "a")
+	assert.Equal(t, len(pool.idle["a"]), 0)
+	assert.Equal(t, len(pool.idle["b"]), 2)
+	assert.Equal(t, dropped(pool, link.Mute), uint64(1))
+	assert.Equal(t, dropped(pool, link.Distrusted), uint64(2))
+	call := s.call("next")
+	call.Runner = "a"
+	content, err := exchange(pool, call)
+	assert.NilError(t, err)
+	assert.Equal(t, content, "whole")
+}
+
+func dropped(pool *Pool, wanted link.Reason) uint64 {
+	found := uint64(0)
+	pool.Links.Each(func(_ link.Kind, reason link.Reason, count uint64) {
+		if reason == wanted {
+			found += count
+		}
+	})
+	return found
+}
+
+// TestSilenceOfTwoRunnersDistrustsAll: a third runner's request that may not be
+// repeated is not trusted to a connection that rested as long.
+func TestSilenceOfTwoRunnersDistrustsAll(t *testing.T) {
+	s := serveOnce(t)
+	pool := NewPool(testNames)
+	for _, runner := range []string{"a", "b", "c"} {
+		rest(t, pool, s, runner, 2)
+	}
+	var both sync.WaitGroup
+	for _, runner := range []string{"a", "b"} {
+		both.Go(func() { _ = outlive(t, pool, s, runner) })
+	}
+	both.Wait()
+	assert.Equal(t, len(pool.idle["c"]), 0)
+}
+
+// TestNewerConnectionsAreTrusted: what was used after the silent connection was
+// taken up stays.
+func TestNewerConnectionsAreTrusted(t *testing.T) {
+	s := serveOnce(t)
+	pool := NewPool(testNames)
+	rest(t, pool, s, "a", 1)
+	var silent sync.WaitGroup
+	silent.Go(func() { _ = outlive(t, pool, s, "a") })
+	for len(restingOf(pool, "a")) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	rest(t, pool, s, "a", 1)
+	silent.Wait()
+	assert.Equal(t, len(pool.idle["a"]), 1)
+}
+
+func restingOf(pool *Pool, runner string) []*connection {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return pool.idle[runner]
+}
+
+// TestClientThatLeavesTellsNothing: a client that leaves without an answer, however
+// late, does not make connections distrusted.
+func TestClientThatLeavesTellsNothing(t *testing.T) {
+	s := serveOnce(t)
+	pool := NewPool(testNames)
+	rest(t, pool, s, "a", 3)
+	ctx, leave := context.WithCancel(t.Context())
+	time.AfterFunc(muteLimit+50*time.Millisecond, leave)
+	call := s.call("left")
+	call.Runner = "a"
+	_, err := pool.Do(ctx, call)
+	assert.Assert(t, fault.IsCode(err, fault.CodeCanceled))
+	assert.Equal(t, len(pool.idle["a"]), 2)
+}
+
+// TestNewSilentConnectionTellsNothing: a runner that gives no answer on a new
+// connection may only be slow.
+func TestNewSilentConnectionTellsNothing(t *testing.T) {
+	mute := serveScript(t, func(s *scripted, _ int, conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			if _, err := s.next(reader); err != nil {
+				return
+			}
+		}
+	})
+	s := serveOnce(t)
+	pool := NewPool(testNames)
+	rest(t, pool, s, "a", 2)
+	rest(t, pool, s, "b", 2)
+	pool.idle["a"], pool.idle["kept"] = nil, pool.idle["a"]
+	_ = outlive(t, pool, mute, "a")
+	_ = outlive(t, pool, mute, "c")
+	assert.Equal(t, len(pool.idle["kept"]), 2)
+	assert.Equal(t, len(pool.idle["b"]), 2)
+}
+
+// TestNothingIsSentForAClientThatLeft: not even a byte, however soon its
+// connection would be closed.
+func TestNothingIsSentForAClientThatLeft(t *testing.T) {
+	s := serveOnce(t)
+	pool := NewPool(testNames)
+	rest(t, pool, s, "r", 1)
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	for range 100 {
+		_, err := pool.Do(ctx, s.call("left"))
+		assert.Equal(t, fault.OutcomeOf(err), fault.NotDone)
+	}
+	assert.Equal(t, len(pool.idle["r"]), 1)
+	assert.Equal(t, s.requests.Load(), int32(1))
+}
+
+// TestConnectionAttemptEndsWithItsRequest: a runner that does not accept is not
+// waited for once the client left.
+func TestConnectionAttemptEndsWithItsRequest(t *testing.T) {
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	_, err := NewPool(testNames).dial(ctx, "127.0.0.1:1")
+	assert.Equal(t, fault.OutcomeOf(err), fault.NotDone)
+	assert.Assert(t, errors.Is(err, context.Canceled), "%v", err)
+}
+
+// TestSecondExchangeSendsWithTheShortBound: a connection whose first answer took
+// long sends its next request with the bound for sending.
+func TestSecondExchangeSendsWithTheShortBound(t *testing.T) {
+	s := serveScript(t, func(s *scripted, _ int, conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			id, err := s.next(reader)
+			if err != nil {
+				return
+			}
+			if id == "slow" {
+				time.Sleep(link.RunnerSending + 100*time.Millisecond)
+			}
+			_, _ = io.WriteString(conn, answerText(id, "whole"))
+		}
+	})
+	pool := NewPool(testNames)
+	_, err := exchange(pool, s.call("slow"))
+	assert.NilError(t, err)
+	assert.Assert(t, pool.idle["r"][0].patient)
+	_, err = exchange(pool, s.call("quick"))
+	assert.NilError(t, err)
+	assert.Assert(t, !pool.idle["r"][0].patient)
+	assert.Equal(t, s.accepted.Load(), int32(1))
+}
