Take an answer that stops for a sign of silence, and distrust all that rests then

Cause: the new test with real processes showed two holes. A stream that was under way when connections went silent told nothing, so the next request that may not be repeated paid at a connection that rested. And connections laid to rest while a silent one was still waited on were kept as newer, though nothing tells when the silence began. Ruled out: 2 s as the time in which silences count together; requests notice after their own patience, seconds apart. Change: an answer that began and stopped for 200 ms until its time was over counts; what rests when a silence is noticed is dropped, once: connections taken up before that tell nothing new. Conclusion: each node pays once for a silence.

--- a/internal/link/trust.go
+++ b/internal/link/trust.go
@@ -8,8 +8,9 @@
 const (
 	// strikeWindow is the time in which silences count together: what silences one
 	// connection without a reset, such as an address translation that lost its table,
-	// strikes all at once, and each is noticed when it is used next.
-	strikeWindow = 2 * time.Second
+	// strikes all at once, and each is noticed when it is used next. Connections do not
+	// rest for longer than some 20 s.
+	strikeWindow = 20 * time.Second
 	// silentPeers is how many peers must be silent before all are distrusted. One may
 	// have stopped alone.
 	silentPeers = 2
@@ -20,8 +21,10 @@
 
 // The scopes.
 const (
+	// Nobody: they were dropped since the silent connection was taken up.
+	Nobody Scope = iota
 	// OnePeer is the peer whose connection was silent.
-	OnePeer Scope = iota
+	OnePeer
 	// AllPeers are all peers.
 	AllPeers
 )
@@ -34,6 +37,8 @@
 	mutex sync.Mutex
 	// silent are peers by when a connection to them was found silent.
 	silent map[string]time.Time
+	// dropped is when all peers were distrusted last.
+	dropped time.Time
 }
 
 // NewTrust returns a Trust that has seen nothing.
@@ -41,9 +46,9 @@
 	return &Trust{now: now, silent: make(map[string]time.Time)}
 }
 
-// Silent notes that a connection to the peer was silent, and returns whose resting
-// connections to drop.
-func (t *Trust) Silent(peer string) Scope {
+// Silent notes that a connection to the peer, taken up then, was silent, and returns
+// whose resting connections to drop.
+func (t *Trust) Silent(peer string, taken time.Time) Scope {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := t.now()
@@ -52,11 +57,15 @@
 			delete(t.silent, other)
 		}
 	}
+	if t.dropped.After(taken) || t.silent[peer].After(taken) {
+		return Nobody
+	}
 	t.silent[peer] = now
 	if len(t.silent) < silentPeers {
 		return OnePeer
 	}
 	clear(t.silent)
+	t.dropped = now
 	return AllPeers
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"lilacvane/internal/fault"
-	"lilacvane/internal/link"
 )
 
 const (
@@ -62,6 +61,9 @@
 	stop     func() bool
 	reusable bool
 	ended    bool
+	// ctx is the request's, read is when the last bytes of the answer came.
+	ctx  context.Context
+	read time.Time
 }
 
 // Do sends a call and returns the beginning of its answer. The error's outcome
@@ -92,7 +94,7 @@
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		NotRun: response.Header.Get(p.names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest,
-		body:   response.Body, conn: conn, pool: p, runner: call.Runner, address: call.Address, written: written, stop: stop,
+		body:   response.Body, conn: conn, pool: p, runner: call.Runner, address: call.Address, written: written, stop: stop, ctx: ctx, read: time.Now(),
 		reusable: !response.Close && framed(response),
 	}, nil
 }
@@ -101,7 +103,7 @@
 func (p *Pool) failed(ctx context.Context, conn *connection, stop func() bool, step string, call Call, cause error) error {
 	stop()
 	conn.end()
-	p.judge(ctx, conn, step, call.Runner, cause)
+	p.judge(ctx, conn, step, call.Runner, conn.restedFrom(), cause)
 	return unknown(ctx, step, call.Address, cause)
 }
 
@@ -193,11 +195,10 @@
 	}
 	if err != nil {
 		a.Close()
-		if link.Lost(err) {
-			a.pool.silent(a.conn, link.Unacknowledged, "read answer", a.runner, err)
-		}
+		a.pool.judge(a.ctx, a.conn, "read answer", a.runner, a.read, err)
 		return count, fault.At(fault.CodeInterrupted, "read answer", a.address, fault.Unknown, err)
 	}
+	a.read = time.Now()
 	return count, nil
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -119,14 +119,10 @@
 func (p *Pool) Forget(keep func(runner string) bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for runner, resting := range p.idle {
-		if keep(runner) {
-			continue
+	for runner := range p.idle {
+		if !keep(runner) {
+			p.closeResting(runner)
 		}
-		for _, conn := range resting {
-			_ = conn.Close()
-		}
-		delete(p.idle, runner)
 	}
 }
 
--- a/internal/upstream/silent.go
+++ b/internal/upstream/silent.go
@@ -8,9 +8,9 @@
 	"lilacvane/internal/link"
 )
 
-// muteLimit is the least time without an answer after which a connection that
-// rested is taken for silent when its request's time, or the time in which another
-// runner is not tried, is over: shorter ones end for many reasons.
+// muteLimit is the least time without a byte after which a connection that rested, or
+// had begun its answer, is taken for silent when its request's time, or the time in
+// which another runner is not tried, is over: shorter ones end for many reasons.
 const muteLimit = 200 * time.Millisecond
 
 // send bounds how long the bytes of a request may stay unacknowledged. Once they
@@ -31,44 +31,59 @@
 	_ = c.Close()
 }
 
-// judge tells from a request without an answer whether its connection was silent.
-// A client that left says nothing about it.
-func (p *Pool) judge(ctx context.Context, conn *connection, step, runner string, cause error) {
+// restedFrom is when a connection that rested was taken up; zero for a new one, whose
+// runner may only be slow.
+func (c *connection) restedFrom() time.Time {
+	if c.restedSince.IsZero() {
+		return time.Time{}
+	}
+	return c.taken
+}
+
+// judge tells from an exchange that failed whether its connection was silent. silentFrom
+// is when it last was known to work; zero when it never was. A client that left says
+// nothing about it.
+func (p *Pool) judge(ctx context.Context, conn *connection, step, runner string, silentFrom time.Time, cause error) {
 	if link.Lost(cause) {
 		p.silent(conn, link.Unacknowledged, step, runner, cause)
 		return
 	}
 	outlived := ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.Canceled)
-	if outlived && !conn.restedSince.IsZero() && time.Since(conn.taken) >= muteLimit {
+	if outlived && !silentFrom.IsZero() && time.Since(silentFrom) >= muteLimit {
 		p.silent(conn, link.Mute, step, runner, context.Cause(ctx))
 	}
 }
 
 // silent drops the resting connections that are not to be trusted after a silent
-// one.
+// one: nothing tells when since it was taken up the silence began, so all that rest
+// now are as old.
 func (p *Pool) silent(conn *connection, reason link.Reason, step, runner string, cause error) {
 	p.Links.Silent(link.Runner, reason, step, runner, time.Since(conn.taken), cause)
-	all := p.trust.Silent(runner) == link.AllPeers
+	switch p.trust.Silent(runner, conn.taken) {
+	case link.OnePeer:
+		p.distrust(func(other string) bool { return other == runner })
+	case link.AllPeers:
+		p.distrust(func(string) bool { return true })
+	}
+}
+
+// distrust closes the resting connections to runners that silent names.
+func (p *Pool) distrust(silent func(runner string) bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for other, resting := range p.idle {
-		if all || other == runner {
-			p.idle[other] = p.distrust(resting, conn.taken)
+	for runner, resting := range p.idle {
+		if !silent(runner) {
+			continue
 		}
+		p.Links.Drop(link.Runner, link.Distrusted, len(resting))
+		p.closeResting(runner)
 	}
 }
 
-// distrust closes resting connections but those that have been used since the
-// silent one was taken up, and returns these. Its caller holds the lock.
-func (p *Pool) distrust(resting []*connection, since time.Time) []*connection {
-	var kept []*connection
-	for _, conn := range resting {
-		if conn.restedSince.After(since) {
-			kept = append(kept, conn)
-			continue
-		}
+// closeResting closes a runner's resting connections. Its caller holds the lock.
+func (p *Pool) closeResting(runner string) {
+	for _, conn := range p.idle[runner] {
 		_ = conn.Close()
 	}
-	p.Links.Drop(link.Runner, link.Distrusted, len(resting)-len(kept))
-	return kept
+	delete(p.idle, runner)
 }
