Leave nothing of a client that left: no demand, no charge, no lender muted

Cause: read through from the close to the runner. Ruled out: connection attempts, the wait between retries and the reserve of the silence watch: they ended with the context. Conclusion: what is left is what a runner itself does after its connection closed.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -76,7 +76,7 @@
 		end = j.dispatcher.Demand.Wait(demand.Key{Service: j.query.Service, Unit: j.query.Unit}, j.latestStart(), j.priority())
 	}
 	choice, retryAfter, err := j.await(ctx, changed)
-	if retryAfter > 0 {
+	if retryAfter > 0 && ctx.Err() == nil {
 		// The client comes back: what it waits for is still wanted.
 		time.AfterFunc(retryAfter+waitRemembered, end)
 		return choice, err
@@ -91,6 +91,9 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
+		if ctx.Err() != nil {
+			return fleet.Choice{}, 0, fault.At(fault.CodeCanceled, "wait for a runner", fault.Self, fault.NotDone, context.Cause(ctx))
+		}
 		unit := j.query.Unit
 		if err := j.resolve(); err != nil {
 			return fleet.Choice{}, 0, err
@@ -108,7 +111,7 @@
 		timer.Reset(again)
 		select {
 		case <-ctx.Done():
-			return fleet.Choice{}, 0, fault.At(fault.CodeCanceled, "wait for a runner", fault.Self, fault.NotDone, context.Cause(ctx))
+			continue
 		case <-changed:
 		case <-timer.C:
 		}
--- a/internal/node/admitting.go
+++ b/internal/node/admitting.go
@@ -69,7 +69,8 @@
 		return dispatch.Admission{Verdict: dispatch.Within, By: self}
 	}
 	admission := l.askLenders(ctx, t, wire.SpendRequest{Tenant: t.Name, Cost: cost, Rank: rank}, in)
-	if admission.Verdict == dispatch.Within {
+	if admission.Verdict == dispatch.Within || ctx.Err() != nil {
+		// For a client that left nothing more is spent.
 		return admission
 	}
 	ok, in = l.keeper.SpendReserve(t, cost)
@@ -94,6 +95,9 @@
 	var answered []answeredLender
 	for _, lender := range lenders {
 		response, ok := l.askLender(ctx, t, lender, request)
+		if !ok && ctx.Err() != nil {
+			return dispatch.Admission{Verdict: dispatch.NotKnown}
+		}
 		if !ok {
 			continue
 		}
@@ -157,9 +161,14 @@
 	if l.mute.holds(lender) {
 		return response, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, spendTimeout)
+	asking, cancel := context.WithTimeout(ctx, spendTimeout)
 	defer cancel()
-	if err := l.node.client.Call(ctx, lender, wire.MethodSpend, request, &response); err != nil {
+	if err := l.node.client.Call(asking, lender, wire.MethodSpend, request, &response); err != nil {
+		if ctx.Err() != nil {
+			// The client left, which says nothing about the lender.
+			l.log.V(1).Info("question to a lender ended", "tenant", string(t.Name), "peer", lender, "error", err.Error())
+			return response, false
+		}
 		l.mute.add(lender)
 		l.log.Info("lender did not answer", "tenant", string(t.Name), "peer", lender, "error", err.Error())
 		return response, false
