Ask runners and give orders on the connections that carry requests

Cause: questions for a runner's load, orders and reports had an HTTP client of their own beside the pool of requests, so a request that asks two runners first made up to three new connections, and each client learned of silence by itself. Ruled out: longer rests: a connection rests as long as its runner says. Change: the pool is a RoundTripper for the node's own requests to runners; what rests is bounded in all (96), the longest rest goes first, where requests had a bound for each runner only and the client for orders 48 in all. Conclusion: whether connections are saved is to be measured.

--- a/cmd/lilacvane/main.go
+++ b/cmd/lilacvane/main.go
@@ -11,16 +11,15 @@
 	"lilacvane/internal/link"
 	"lilacvane/internal/node"
 	"lilacvane/internal/settings"
+	"lilacvane/internal/upstream"
 	"lilacvane/platform"
 	"lilacvane/platform/protocol"
 )
 
 const (
-	// Calls to one peer come in bursts; resting connections are few in all, as
-	// there may be thousands of runners.
-	idleConnections    = 2
-	idleConnectionsAll = 48
-	idleTimeout        = 10 * time.Second
+	// Calls of the store come in bursts.
+	idleConnections = 2
+	idleTimeout     = 10 * time.Second
 )
 
 func main() {
@@ -31,7 +30,10 @@
 // connectPlatform joins the platform's adapter to a node's seams.
 func connectPlatform(s settings.Settings) node.Platform {
 	links := &link.Record{}
-	store := platform.NewStore(s.Store.Address, client(link.Store, links))
+	pool := upstream.NewPool(platform.Headers)
+	pool.Links = links
+	storeCalls := &http.Client{Transport: link.NewTransport(link.Store, links, idleConnections, idleConnections, idleTimeout)}
+	store := platform.NewStore(s.Store.Address, storeCalls)
 	return node.Platform{
 		Headers:       platform.Headers,
 		Configuration: store.Table(protocol.OperatorTable), ConfigurationKey: protocol.ConfigurationKey,
@@ -39,11 +41,7 @@
 		Runners:             store.Table(protocol.RunnerTable), DecodeRunner: platform.DecodeRunner,
 		Objects: store.Table(protocol.ObjectTable), Leases: store.Table(protocol.LeaseTable), Claims: store.Table(protocol.ClaimTable),
 		Limits:  store.Table(protocol.LimitTable),
-		Control: platform.NewRunners(client(link.Control, links)),
-		Links:   links,
+		Control: platform.NewRunners(&http.Client{Transport: pool}),
+		Pool:    pool, Links: links,
 	}
 }
-
-func client(kind link.Kind, links *link.Record) *http.Client {
-	return &http.Client{Transport: link.NewTransport(kind, links, idleConnectionsAll, idleConnections, idleTimeout)}
-}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -15,10 +15,8 @@
 
 // The kinds.
 const (
-	// Runner carries requests to runners.
+	// Runner carries requests, orders and questions to runners.
 	Runner Kind = iota
-	// Control carries orders to runners and their reports.
-	Control
 	// Store carries calls of the platform's store.
 	Store
 	// Peer carries calls between nodes; both ends have its bounds.
@@ -33,8 +31,6 @@
 	switch k {
 	case Runner:
 		return "runner"
-	case Control:
-		return "control"
 	case Store:
 		return "store"
 	case Peer:
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -34,7 +34,7 @@
 // TestSocketsHaveTheirBounds: both ends of a connection have the options of their
 // kind, also those that a listening socket hands on.
 func TestSocketsHaveTheirBounds(t *testing.T) {
-	for _, kind := range []Kind{Runner, Control, Store, Peer, Client} {
+	for _, kind := range []Kind{Runner, Store, Peer, Client} {
 		listener, err := kind.Listen(t.Context(), "127.0.0.1:0")
 		assert.NilError(t, err)
 		near, err := kind.Dialer().DialContext(t.Context(), "tcp", listener.Addr().String())
@@ -52,7 +52,7 @@
 // TestNoProbeIsTheLast: a bound that a lost probe would reach alone would end sound
 // connections on a link that loses packets.
 func TestNoProbeIsTheLast(t *testing.T) {
-	for _, kind := range []Kind{Control, Store, Peer, Client} {
+	for _, kind := range []Kind{Store, Peer, Client} {
 		b := kind.Bounds()
 		assert.Assert(t, b.Unacknowledged > b.Idle+b.Interval, "%s", kind)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,8 @@
 	Limits  table.Table
 	// Control orders runners.
 	Control backend.Control
+	// Pool holds the connections to runners, Control's too.
+	Pool *upstream.Pool
 	// Links counts the connections of the above, and the node's own; not set where
 	// nobody counts.
 	Links *link.Record
@@ -122,7 +124,7 @@
 	}
 	n := &Node{
 		platform: platform, log: log, process: strconv.Itoa(os.Getpid()) + "-" + strconv.FormatInt(time.Now().UnixNano(), 36),
-		pool: upstream.NewPool(platform.Headers), demand: demand.NewBook(), catalog: catalog.New(),
+		pool: platform.Pool, demand: demand.NewBook(), catalog: catalog.New(),
 		decisions: decision.NewLog(s.Node, decisionsKept), claims: claim.New(platform.Claims), pauses: newPauseWatch(),
 	}
 	n.settings.Store(&s)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -20,8 +20,11 @@
 	// defaultIdle is how long a connection may rest when the runner named no
 	// time of its own.
 	defaultIdle = 20 * time.Second
-	// maximumIdlePerRunner bounds resting connections to one runner.
+	// maximumIdlePerRunner bounds resting connections to one runner, maximumIdle those
+	// to all: there may be hundreds of nodes and thousands of runners, and a runner
+	// takes some hundreds of connections.
 	maximumIdlePerRunner = 8
+	maximumIdle          = 96
 	bufferSize           = 4 << 10
 )
 
@@ -36,6 +39,8 @@
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
+	// resting counts the connections in idle.
+	resting int
 }
 
 // connection is one connection to a runner, used for one request at a time.
@@ -94,7 +99,7 @@
 		return nil
 	}
 	last := resting[len(resting)-1]
-	p.idle[runner] = resting[:len(resting)-1]
+	p.keep(runner, resting[:len(resting)-1])
 	return last
 }
 
@@ -112,7 +117,34 @@
 		p.Links.Drop(link.Runner, link.Spare, 1)
 		return
 	}
-	p.idle[runner] = append(p.idle[runner], conn)
+	if p.resting >= maximumIdle {
+		p.dropOldest()
+	}
+	p.keep(runner, append(p.idle[runner], conn))
+}
+
+// keep sets a runner's resting connections. Its caller holds the lock.
+func (p *Pool) keep(runner string, resting []*connection) {
+	p.resting += len(resting) - len(p.idle[runner])
+	if len(resting) == 0 {
+		delete(p.idle, runner)
+		return
+	}
+	p.idle[runner] = resting
+}
+
+// dropOldest makes room. Each runner's first connection has rested longest, as the
+// last one is taken up first. Its caller holds the lock.
+func (p *Pool) dropOldest() {
+	oldest := ""
+	for runner, resting := range p.idle {
+		if oldest == "" || resting[0].restedSince.Before(p.idle[oldest][0].restedSince) {
+			oldest = runner
+		}
+	}
+	_ = p.idle[oldest][0].Close()
+	p.keep(oldest, p.idle[oldest][1:])
+	p.Links.Drop(link.Runner, link.Spare, 1)
 }
 
 // Forget closes the resting connections to runners that keep does not name.
--- /dev/null
+++ b/internal/upstream/roundtrip.go
@@ -0,0 +1,53 @@
+package upstream
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+)
+
+// leftoverLimit bounds what is read of an answer after its reader is done, so that
+// its connection can be used again.
+const leftoverLimit = 4 << 10
+
+// RoundTrip sends a request that is the node's own, such as a question for a
+// runner's load, on the connections that carry the requests of clients. The runner
+// is the one that the header Names.ExpectRunner names. It is sent once.
+func (p *Pool) RoundTrip(request *http.Request) (*http.Response, error) {
+	body, err := wholeBody(request)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := p.Do(request.Context(), Call{
+		Runner: request.Header.Get(p.names.ExpectRunner), Address: request.URL.Host, Method: request.Method,
+		Target: request.URL.RequestURI(), Host: request.URL.Host, Header: request.Header, Body: body,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &http.Response{
+		Status: strconv.Itoa(answer.Status) + " " + http.StatusText(answer.Status), StatusCode: answer.Status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: answer.Header, Body: ownAnswer{answer}, ContentLength: answer.Length, Request: request,
+	}, nil
+}
+
+func wholeBody(request *http.Request) ([]byte, error) {
+	if request.Body == nil {
+		return nil, nil
+	}
+	defer request.Body.Close()
+	return io.ReadAll(request.Body)
+}
+
+// ownAnswer is the body of an answer to a request of the node's own.
+type ownAnswer struct{ *Answer }
+
+// Close ends the answer. What little is left of it is read first.
+func (a ownAnswer) Close() error {
+	if !a.ended {
+		// An error closes the connection, which is all that it means here.
+		_, _ = io.CopyN(io.Discard, a.Answer, leftoverLimit)
+	}
+	a.Answer.Close()
+	return nil
+}
--- a/internal/upstream/silent.go
+++ b/internal/upstream/silent.go
@@ -85,5 +85,5 @@
 	for _, conn := range p.idle[runner] {
 		_ = conn.Close()
 	}
-	delete(p.idle, runner)
+	p.keep(runner, nil)
 }
