Show that half a close is taken for a leaving

Ruled out: nothing. Change: TestHalfACloseIsALeaving; the wait until nothing waits at a node is one function, also for TestClientThatLeavesEndsTheWork, which waits for the same as before. Conclusion: the choice is held by a test.

--- a/test/links_test.go
+++ b/test/links_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -13,6 +15,7 @@
 	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/runnerstub"
 	"lilacvane/internal/lab/world"
+	"lilacvane/platform/protocol"
 )
 
 const (
@@ -164,16 +167,7 @@
 		return nil
 	})
 	for _, node := range nodes {
-		waitUntil(t, "nothing waits at "+node.Name, func() error {
-			status, err := node.Client().Status(t.Context())
-			if err != nil {
-				return err
-			}
-			if len(status.Waiting) > 0 {
-				return fmt.Errorf("%+v", status.Waiting)
-			}
-			return nil
-		})
+		waitNothingWaits(t, node)
 	}
 	late, last := 0, time.Duration(0)
 	for _, record := range readHistory(t, w).records {
@@ -190,6 +184,21 @@
 	assert.Assert(t, late <= stragglers, "runners did something for %d clients after %s", late, afterLeaving)
 }
 
+// waitNothingWaits waits until no request waits at a node.
+func waitNothingWaits(t *testing.T, node *world.Node) {
+	t.Helper()
+	waitUntil(t, "nothing waits at "+node.Name, func() error {
+		status, err := node.Client().Status(t.Context())
+		if err != nil {
+			return err
+		}
+		if len(status.Waiting) > 0 {
+			return fmt.Errorf("%+v", status.Waiting)
+		}
+		return nil
+	})
+}
+
 // working returns the requests among ids that runners began and did not end.
 func working(h history, ids map[string]bool) map[string]bool {
 	running := make(map[string]bool)
@@ -205,3 +214,22 @@
 	}
 	return running
 }
+
+// TestHalfACloseIsALeaving: a client that ends its sending side after its request is
+// taken for one that left, as the two look alike: nothing waits for it any more.
+func TestHalfACloseIsALeaving(t *testing.T) {
+	t.Parallel()
+	_, nodes := startLoaded(t, 1, 1)
+	conn, err := net.Dial("tcp", nodes[0].Clients)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "GET /draft/x HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: 20,1\r\n%s: 20000\r\n\r\n", world.RouteHost,
+		protocol.HeaderRequestID, newID(), protocol.HeaderModel, "unknown", protocol.HeaderTokens, protocol.HeaderDeadline)
+	assert.NilError(t, err)
+	waitWaiting(t, nodes[0], 1)
+	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+	waitNothingWaits(t, nodes[0])
+	content, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Equal(t, string(content), "")
+}
--- a/test/traps_test.go
+++ b/test/traps_test.go
@@ -176,16 +176,7 @@
 	waitWaiting(t, nodes[0], 1)
 	leave()
 	<-done
-	waitUntil(t, "nothing waits", func() error {
-		status, err := nodes[0].Client().Status(t.Context())
-		if err != nil {
-			return err
-		}
-		if len(status.Waiting) > 0 {
-			return fmt.Errorf("%+v", status.Waiting)
-		}
-		return nil
-	})
+	waitNothingWaits(t, nodes[0])
 }
 
 // TestTimeoutOfRouteIsFinal: a request that outlasts its route's time-out gets
