Ask a runner once more on a new connection where a rested one failed

Cause: Go's client repeats a GET that fails on a reused connection before its answer; the pool, which carries questions now, did not, so a runner that gives up resting connections would have looked silent to the holder. Found by reading the change again. Ruled out: the same for orders, which are sent once. Change: RoundTrip repeats a GET that failed on a connection that had rested, on a new one; such failures say that it had rested. Conclusion: questions are as robust as before they shared connections.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -40,6 +40,8 @@
 	Body   []byte
 	// RequestID is what the answer must carry.
 	RequestID string
+	// Fresh asks for a new connection.
+	Fresh bool
 }
 
 // Answer is the beginning of a runner's answer. Its body must be read to the end
@@ -74,7 +76,7 @@
 		// Its closing would race with the first bytes.
 		return nil, fault.At(fault.CodeCanceled, "send request", call.Address, fault.NotDone, context.Cause(ctx))
 	}
-	conn, err := p.take(ctx, call.Runner, call.Address)
+	conn, err := p.take(ctx, call)
 	if err != nil {
 		return nil, err
 	}
@@ -104,6 +106,9 @@
 	stop()
 	conn.end()
 	p.judge(ctx, conn, step, call.Runner, conn.restedFrom(), cause)
+	if !conn.restedSince.IsZero() {
+		cause = &restedError{cause: cause}
+	}
 	return unknown(ctx, step, call.Address, cause)
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -67,11 +67,14 @@
 }
 
 // take returns a resting connection that is still sound, or a new one.
-func (p *Pool) take(ctx context.Context, runner, address string) (*connection, error) {
+func (p *Pool) take(ctx context.Context, call Call) (*connection, error) {
+	if call.Fresh {
+		return p.dial(ctx, call.Address)
+	}
 	for {
-		resting := p.pop(runner)
+		resting := p.pop(call.Runner)
 		if resting == nil {
-			return p.dial(ctx, address)
+			return p.dial(ctx, call.Address)
 		}
 		now := time.Now()
 		if now.Before(resting.idleUntil) && quiet(resting.Conn) {
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,23 +11,41 @@
 // its connection can be used again.
 const leftoverLimit = 4 << 10
 
+// restedError is the failure of a connection that had rested, which its runner may
+// have given up since.
+type restedError struct{ cause error }
+
+// Error says that the connection had rested.
+func (e *restedError) Error() string { return "connection that had rested: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *restedError) Unwrap() error { return e.cause }
+
 // RoundTrip sends a request that is the node's own, such as a question for a
 // runner's load, on the connections that carry the requests of clients. The runner
-// is the one that the header Names.ExpectRunner names. It is sent once.
+// is the one that the header Names.ExpectRunner names. A GET that failed on a
+// connection that had rested is sent once more, on a new one; others are sent once.
 func (p *Pool) RoundTrip(request *http.Request) (*http.Response, error) {
 	body, err := wholeBody(request)
 	if err != nil {
 		return nil, err
 	}
-	answer, err := p.Do(request.Context(), Call{
+	call := Call{
 		Runner: request.Header.Get(p.names.ExpectRunner), Address: request.URL.Host, Method: request.Method,
 		Target: request.URL.RequestURI(), Host: request.URL.Host, Header: request.Header, Body: body,
-	})
+	}
+	answer, err := p.Do(request.Context(), call)
+	var rested *restedError
+	if errors.As(err, &rested) && request.Method == http.MethodGet && request.Context().Err() == nil {
+		call.Fresh = true
+		answer, err = p.Do(request.Context(), call)
+	}
 	if err != nil {
 		return nil, err
 	}
 	return &http.Response{
-		Status: strconv.Itoa(answer.Status) + " " + http.StatusText(answer.Status), StatusCode: answer.Status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Status: strconv.Itoa(answer.Status) + " " + http.StatusText(answer.Status), StatusCode: answer.Status,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: answer.Header, Body: ownAnswer{answer}, ContentLength: answer.Length, Request: request,
 	}, nil
 }
--- a/internal/upstream/roundtrip_test.go
+++ b/internal/upstream/roundtrip_test.go
@@ -35,14 +35,44 @@
 // question asks a runner something of the node's own.
 func question(t *testing.T, client *http.Client, s *scripted) *http.Response {
 	t.Helper()
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.listener.Addr().String()+"/load?x=1", strings.NewReader("{}"))
-	assert.NilError(t, err)
-	request.Header.Set(ownNames.ExpectRunner, "r")
-	response, err := client.Do(request)
+	response, err := own(t, client, s, http.MethodPost)
 	assert.NilError(t, err)
 	return response
 }
 
+// own sends a request of the node's own to a runner.
+func own(t *testing.T, client *http.Client, s *scripted, method string) (*http.Response, error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+s.listener.Addr().String()+"/load?x=1", strings.NewReader("{}"))
+	assert.NilError(t, err)
+	request.Header.Set(ownNames.ExpectRunner, "r")
+	return client.Do(request)
+}
+
+// TestOrdersAreSentOnce: a runner that ends a connection as the next request comes on
+// it is asked again on a new one, but is not given an order again.
+func TestOrdersAreSentOnce(t *testing.T) {
+	for method, sent := range map[string]int32{http.MethodGet: 3, http.MethodPost: 2} {
+		s := serveScript(t, func(s *scripted, number int, conn net.Conn) {
+			reader := bufio.NewReader(conn)
+			id, err := s.next(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, answerText(id, "whole"))
+			_, _ = s.next(reader)
+		})
+		pool := NewPool(ownNames)
+		rest(t, pool, s, "r", 1)
+		response, err := own(t, &http.Client{Transport: pool}, s, method)
+		assert.Equal(t, s.requests.Load(), sent, "%s: %v", method, err)
+		assert.Equal(t, err == nil, method == http.MethodGet)
+		if err == nil {
+			assert.NilError(t, response.Body.Close())
+		}
+	}
+}
+
 // TestQuestionsShareConnectionsWithRequests: a question and the request that follows
 // need one connection, also when the question's answer is not read to its end.
 func TestQuestionsShareConnectionsWithRequests(t *testing.T) {
