--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -87,7 +87,7 @@
 	if err != nil && time.Since(start) >= obstaclesFresh {
 		j.noteObstacles()
 	}
-	if retryAfter > 0 {
+	if retryAfter > 0 && ctx.Err() == nil {
 		// The client comes back: what it waits for is still wanted.
 		time.AfterFunc(retryAfter+waitRemembered, end)
 		return choice, err
@@ -107,6 +107,9 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
+		if ctx.Err() != nil {
+			return fleet.Choice{}, 0, fault.At(fault.CodeCanceled, "wait for a runner", fault.Self, fault.NotDone, context.Cause(ctx))
+		}
 		unit := j.query.Unit
 		if err := j.resolve(); err != nil {
 			return fleet.Choice{}, 0, err
@@ -127,7 +130,7 @@
 		timer.Reset(again)
 		select {
 		case <-ctx.Done():
-			return fleet.Choice{}, 0, fault.At(fault.CodeCanceled, "wait for a runner", fault.Self, fault.NotDone, context.Cause(ctx))
+			continue
 		case <-changed:
 		case <-timer.C:
 		}
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -53,6 +53,7 @@
 	f.tenants = newTenantFigures(f.registry)
 	f.refused = newRefused()
 	f.registry.MustRegister(newRunnerStates(n.runnersByState), f.refused, f.loadTime, f.requests, f.attempts, f.resumes, f.first, f.waited)
+	f.registry.MustRegister(newLinkFigures(n.platform.Links))
 	gauge := func(name, help string, value func() float64) {
 		f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/gateway"
 	"lilacvane/internal/ingress"
+	"lilacvane/internal/link"
 	"lilacvane/internal/logging"
 	"lilacvane/internal/operator"
 	"lilacvane/internal/peer"
@@ -66,6 +67,11 @@
 	Limits  table.Table
 	// Control orders runners.
 	Control backend.Control
+	// Pool holds the connections to runners, Control's too.
+	Pool *upstream.Pool
+	// Links counts the connections of the above, and the node's own; not set where
+	// nobody counts.
+	Links *link.Record
 }
 
 const (
@@ -126,11 +132,12 @@
 	}
 	n := &Node{
 		platform: platform, log: log, process: strconv.Itoa(os.Getpid()) + "-" + strconv.FormatInt(time.Now().UnixNano(), 36),
-		pool: upstream.NewPool(platform.Headers), demand: demand.NewBook(), catalog: catalog.New(),
+		pool: platform.Pool, demand: demand.NewBook(), catalog: catalog.New(),
 		decisions: decision.NewLog(s.Node, decisionsKept), claims: claim.New(platform.Claims), pauses: newPauseWatch(),
 	}
 	n.settings.Store(&s)
 	n.zones = newZones(n)
+	n.countLinks()
 	n.fleet = fleet.New(s.Zone, time.Now, (*operatorRules)(n))
 	n.fleet.SetZones(n.zones)
 	n.cold = newColdWatch(n)
@@ -151,7 +158,7 @@
 		Node: s.Node, Names: platform.Headers, Dispatcher: n.dispatcher, Configuration: n.configuration.Load, Claims: n.claims, Accept: n.accept,
 	})
 	n.operator = operator.New(n, n.catalog, s.Node, n.figures.handler())
-	n.client = peer.NewClient(s.Node)
+	n.client = peer.NewClient(s.Node, n.platform.Links)
 	n.controls = newControls(n)
 	n.relay = relay.New(relay.Options{
 		Group: relayGroup(s), Node: s.Node, Leases: platform.Leases, Address: s.Listen.PeerAddress(), Process: n.process,
@@ -201,7 +208,7 @@
 // reload is signalled when the settings file may have changed.
 func (n *Node) Run(ctx context.Context, reload <-chan os.Signal, settingsPath string) error {
 	s := n.settings.Load()
-	open, err := listen(s.Listen)
+	open, err := listen(ctx, s.Listen)
 	if err != nil {
 		return err
 	}
@@ -252,19 +259,21 @@
 	metrics   net.Listener
 }
 
-func listen(addresses settings.Listen) (*listeners, error) {
+func listen(ctx context.Context, addresses settings.Listen) (*listeners, error) {
 	l := &listeners{}
 	for _, socket := range []struct {
 		target  *net.Listener
 		address string
+		kind    link.Kind
 	}{
-		{&l.clients, addresses.Clients}, {&l.callers, addresses.Callers}, {&l.operators, addresses.Operators},
-		{&l.ready, addresses.Ready}, {&l.peers, addresses.Peers}, {&l.metrics, addresses.Metrics},
+		{&l.clients, addresses.Clients, link.Client}, {&l.callers, addresses.Callers, link.Client},
+		{&l.operators, addresses.Operators, link.Client}, {&l.ready, addresses.Ready, link.Client},
+		{&l.peers, addresses.Peers, link.Peer}, {&l.metrics, addresses.Metrics, link.Client},
 	} {
 		if socket.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", socket.address)
+		listener, err := socket.kind.Listen(ctx, socket.address)
 		if err != nil {
 			return nil, fault.At(fault.CodeInternal, "listen", socket.address, fault.NotDone, err)
 		}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -40,6 +40,8 @@
 	Body   []byte
 	// RequestID is what the answer must carry.
 	RequestID string
+	// Fresh asks for a new connection.
+	Fresh bool
 }
 
 // Answer is the beginning of a runner's answer. Its body must be read to the end
@@ -61,37 +63,55 @@
 	stop     func() bool
 	reusable bool
 	ended    bool
+	// ctx is the request's, read is when the last bytes of the answer came.
+	ctx  context.Context
+	read time.Time
 }
 
 // Do sends a call and returns the beginning of its answer. The error's outcome
 // is NotDone only if no byte of the request can have reached the runner. Ending
 // ctx closes the connection at once, also while the body is read.
 func (p *Pool) Do(ctx context.Context, call Call) (*Answer, error) {
-	conn, err := p.take(ctx, call.Runner, call.Address)
+	if ctx.Err() != nil {
+		// Its closing would race with the first bytes.
+		return nil, fault.At(fault.CodeCanceled, "send request", call.Address, fault.NotDone, context.Cause(ctx))
+	}
+	conn, err := p.take(ctx, call)
 	if err != nil {
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	conn.send()
 	written, err := send(conn, call)
 	if err != nil {
-		stop()
-		_ = conn.Close()
-		return nil, unknown(ctx, "send request", call.Address, err)
+		return nil, p.failed(ctx, conn, stop, "send request", call, err)
 	}
 	response, err := p.readOwn(conn, call)
 	if err != nil {
-		stop()
-		_ = conn.Close()
-		return nil, unknown(ctx, "read answer", call.Address, err)
+		return nil, p.failed(ctx, conn, stop, "read answer", call, err)
+	}
+	if !conn.restedSince.IsZero() {
+		p.trust.Answered(conn.restedSince)
 	}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		NotRun: response.Header.Get(p.names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest,
-		body:   response.Body, conn: conn, pool: p, runner: call.Runner, address: call.Address, written: written, stop: stop,
+		body:   response.Body, conn: conn, pool: p, runner: call.Runner, address: call.Address, written: written, stop: stop, ctx: ctx, read: time.Now(),
 		reusable: !response.Close && framed(response),
 	}, nil
 }
 
+// failed ends a connection that gave no answer.
+func (p *Pool) failed(ctx context.Context, conn *connection, stop func() bool, step string, call Call, cause error) error {
+	stop()
+	conn.end()
+	p.judge(ctx, conn, step, call.Runner, conn.restedFrom(), cause)
+	if !conn.restedSince.IsZero() {
+		cause = &restedError{cause: cause}
+	}
+	return unknown(ctx, step, call.Address, cause)
+}
+
 func unknown(ctx context.Context, step, address string, cause error) error {
 	code := fault.CodeInterrupted
 	if ctx.Err() != nil {
@@ -180,8 +200,10 @@
 	}
 	if err != nil {
 		a.Close()
+		a.pool.judge(a.ctx, a.conn, "read answer", a.runner, a.read, err)
 		return count, fault.At(fault.CodeInterrupted, "read answer", a.address, fault.Unknown, err)
 	}
+	a.read = time.Now()
 	return count, nil
 }
 
@@ -200,9 +222,10 @@
 		sound = false
 	}
 	if !sound {
-		_ = a.conn.Close()
+		a.conn.end()
 		return
 	}
+	a.conn.rest()
 	a.pool.put(a.runner, a.conn, restingTime(a.Header))
 }
 
@@ -213,7 +236,7 @@
 	}
 	a.ended = true
 	a.stop()
-	_ = a.conn.Close()
+	a.conn.end()
 }
 
 // restingTime returns how long a connection may rest by the runner's word; zero
