--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -95,7 +95,7 @@
 	ledgers  map[string]*orders.Ledger
 	intents  map[string]scheduler.Intent
 	// planned is when models that are waited for are expected.
-	planned map[string]time.Time
+	planned map[scheduler.Want]time.Time
 	demand  *demandBook
 	limiter *rate.Limiter
 	// store follows the loads from the weight store, storeLoads lists them by
--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -11,6 +11,7 @@
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
+	"lilacvane/internal/place"
 	"lilacvane/internal/scheduler"
 	"lilacvane/internal/wire"
 )
@@ -30,6 +31,8 @@
 type demandBook struct {
 	reports map[string]nodeReport
 	used    map[backend.Unit]*use
+	// bound follows apart what requests with homes ask for; used counts it as well.
+	bound map[scheduler.Want]*use
 	// began is when the first report came.
 	began time.Time
 }
@@ -55,7 +58,7 @@
 }
 
 func newDemandBook() *demandBook {
-	return &demandBook{reports: make(map[string]nodeReport), used: make(map[backend.Unit]*use)}
+	return &demandBook{reports: make(map[string]nodeReport), used: make(map[backend.Unit]*use), bound: make(map[scheduler.Want]*use)}
 }
 
 // report takes a node's demand. It returns whether something waits.
@@ -64,9 +67,11 @@
 		d.began = now
 	}
 	for _, usage := range request.Usage {
-		d.use(backend.Unit{Model: usage.Model}, usage, now)
-		if usage.Adapter != "" {
-			d.use(backend.Unit{Model: usage.Model, Adapter: usage.Adapter}, usage, now)
+		for _, unit := range unitsNamed(usage.Model, usage.Adapter) {
+			note(d.used, unit, usage, now)
+			if homes := place.HomesOf(usage.Homes); homes.Bound() {
+				note(d.bound, scheduler.Want{Unit: unit, Homes: homes}, usage, now)
+			}
 		}
 	}
 	if !request.Report {
@@ -76,11 +81,22 @@
 	return len(request.Waiting) > 0
 }
 
-func (d *demandBook) use(unit backend.Unit, usage wire.UnitUsage, now time.Time) {
-	known := d.used[unit]
+// unitsNamed lists what requests for a model, or for an adapter of it, ask for: what is
+// asked of an adapter is asked of its model as well.
+func unitsNamed(model, adapter string) []backend.Unit {
+	units := []backend.Unit{{Model: model}}
+	if adapter != "" {
+		units = append(units, backend.Unit{Model: model, Adapter: adapter})
+	}
+	return units
+}
+
+// note counts a node's use of something.
+func note[K comparable](uses map[K]*use, key K, usage wire.UnitUsage, now time.Time) {
+	known := uses[key]
 	if known == nil {
 		known = &use{at: now, ranAt: now}
-		d.used[unit] = known
+		uses[key] = known
 	}
 	known.fade(now)
 	known.requests += float64(usage.Requests)
@@ -257,20 +273,19 @@
 		}
 		for _, waiting := range report.waiting {
 			left := time.Duration(waiting.LeftMs)*time.Millisecond - now.Sub(report.at)
-			noteWaiting(units, backend.Unit{Model: waiting.Model}, waiting, left)
-			if waiting.Adapter != "" {
-				noteWaiting(units, backend.Unit{Model: waiting.Model, Adapter: waiting.Adapter}, waiting, left)
+			for _, unit := range unitsNamed(waiting.Model, waiting.Adapter) {
+				noteWaiting(units, unit, waiting, left)
 			}
 		}
 	}
 	return units
 }
 
-func noteWaiting(units map[backend.Unit]*scheduler.Demand, unit backend.Unit, waiting wire.UnitWaiting, left time.Duration) {
-	demand := units[unit]
+func noteWaiting[K comparable](demands map[K]*scheduler.Demand, key K, waiting wire.UnitWaiting, left time.Duration) {
+	demand := demands[key]
 	if demand == nil {
 		demand = &scheduler.Demand{}
-		units[unit] = demand
+		demands[key] = demand
 	}
 	if demand.Waiting == 0 || left < demand.Left {
 		demand.Left = left
--- a/internal/control/describe.go
+++ b/internal/control/describe.go
@@ -9,6 +9,7 @@
 	"lilacvane/internal/config"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/orders"
+	"lilacvane/internal/place"
 	"lilacvane/internal/scheduler"
 	"lilacvane/internal/wire"
 )
@@ -16,7 +17,7 @@
 // describe turns a runner's account into the scheduler's form.
 func describe(id string, ledger *orders.Ledger, engine *config.Engine, running runnerLoad, now time.Time) *scheduler.Runner {
 	runner := &scheduler.Runner{
-		ID: id, Zone: ledger.Runner.Zone, Models: make(map[string]*scheduler.Held), Free: ledger.Free(engine),
+		ID: id, Zone: ledger.Runner.Zone, Region: place.Region(ledger.Runner.Region), Models: make(map[string]*scheduler.Held), Free: ledger.Free(engine),
 		AdapterSlots: ledger.FreeAdapterSlots(engine), Idle: ledger.Idle(now),
 		Ready:  ledger.MayOrder(backend.Unit{Model: "any", Adapter: "any"}, now),
 		Silent: ledger.Silent(), Host: setOf(ledger.Copies().Host), Disk: setOf(ledger.Copies().Disk),
--- /dev/null
+++ b/internal/control/parts.go
@@ -0,0 +1,118 @@
+package control
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/place"
+	"lilacvane/internal/scheduler"
+	"lilacvane/internal/wire"
+)
+
+// parts divides the demand of the units that requests with homes ask for by these homes,
+// sorted. It is empty where nobody has homes.
+func (d *demandBook) parts(units map[backend.Unit]*scheduler.Demand, now time.Time) map[backend.Unit][]scheduler.Part {
+	if len(d.bound) == 0 && !d.waitsBound() {
+		return nil
+	}
+	demands := d.waitingParts(now)
+	d.boundUse(demands, units, now)
+	d.freeUse(demands, units)
+	parts := make(map[backend.Unit][]scheduler.Part)
+	for _, want := range slices.SortedFunc(maps.Keys(demands), compareWants) {
+		parts[want.Unit] = append(parts[want.Unit], scheduler.Part{Homes: want.Homes, Demand: demands[want]})
+	}
+	maps.DeleteFunc(parts, func(_ backend.Unit, of []scheduler.Part) bool { return !of[len(of)-1].Homes.Bound() && len(of) == 1 })
+	return parts
+}
+
+// waitsBound reports whether requests with homes were told to wait.
+func (d *demandBook) waitsBound() bool {
+	for _, report := range d.reports {
+		if slices.ContainsFunc(report.waiting, func(w wire.UnitWaiting) bool { return len(w.Homes) > 0 }) {
+			return true
+		}
+	}
+	return false
+}
+
+// compareWants sorts by unit and homes, those without homes last.
+func compareWants(a, b scheduler.Want) int {
+	bound := 0
+	if a.Homes.Bound() != b.Homes.Bound() {
+		bound = 1
+		if a.Homes.Bound() {
+			bound = -1
+		}
+	}
+	return cmp.Or(cmp.Compare(a.Unit.String(), b.Unit.String()), bound, cmp.Compare(a.Homes.String(), b.Homes.String()))
+}
+
+// waitingParts sums up what waits by unit and homes.
+func (d *demandBook) waitingParts(now time.Time) map[scheduler.Want]*scheduler.Demand {
+	demands := make(map[scheduler.Want]*scheduler.Demand)
+	for _, report := range d.reports {
+		if now.Sub(report.at) > d.lifetime() {
+			continue
+		}
+		for _, waiting := range report.waiting {
+			left := time.Duration(waiting.LeftMs)*time.Millisecond - now.Sub(report.at)
+			for _, unit := range unitsNamed(waiting.Model, waiting.Adapter) {
+				noteWaiting(demands, scheduler.Want{Unit: unit, Homes: place.HomesOf(waiting.Homes)}, waiting, left)
+			}
+		}
+	}
+	return demands
+}
+
+// boundUse adds what requests with homes take of a unit: the part of its rate and work
+// that is theirs by the number of requests.
+func (d *demandBook) boundUse(demands map[scheduler.Want]*scheduler.Demand, units map[backend.Unit]*scheduler.Demand, now time.Time) {
+	for want, use := range d.bound {
+		whole := d.used[want.Unit]
+		if whole == nil || now.Sub(use.last) > forgetAfter {
+			delete(d.bound, want)
+			continue
+		}
+		use.fade(now)
+		if demands[want] == nil {
+			demands[want] = &scheduler.Demand{}
+		}
+		share := 0.0
+		if whole.requests > 0 {
+			share = min(use.requests/whole.requests, 1)
+		}
+		demand, all := demands[want], units[want.Unit]
+		demand.Rate, demand.Work, demand.LastUse = share*all.Rate, share*all.Work, use.last
+	}
+}
+
+// leastShare is the least part of a unit's rate that counts: less is an error of rounding.
+const leastShare = 1e-6
+
+// freeUse leaves the rest of each unit to the requests without homes.
+func (d *demandBook) freeUse(demands map[scheduler.Want]*scheduler.Demand, units map[backend.Unit]*scheduler.Demand) {
+	taken := make(map[backend.Unit]scheduler.Demand)
+	for want, demand := range demands {
+		if !want.Homes.Bound() {
+			continue
+		}
+		sum := taken[want.Unit]
+		sum.Rate += demand.Rate
+		sum.Work += demand.Work
+		taken[want.Unit] = sum
+	}
+	for unit, bound := range taken {
+		free := scheduler.Want{Unit: unit}
+		if demands[free] == nil {
+			demands[free] = &scheduler.Demand{}
+		}
+		demand, all := demands[free], units[unit]
+		if rest := all.Rate - bound.Rate; rest > leastShare*all.Rate {
+			demand.Rate, demand.Work, demand.LastUse = rest, max(all.Work-bound.Work, 0), all.LastUse
+		}
+	}
+}
--- a/internal/control/planned.go
+++ b/internal/control/planned.go
@@ -1,6 +1,10 @@
 package control
 
-import "time"
+import (
+	"time"
+
+	"lilacvane/internal/scheduler"
+)
 
 // plannedShift is how far the expected time of a planned load moves before nodes
 // are told at once.
@@ -8,18 +12,18 @@
 
 // notePlanned takes over when waited-for models are expected, and tells nodes when
 // that changed. mutex is held.
-func (c *Controller) notePlanned(ready map[string]time.Duration, now time.Time) {
-	planned := make(map[string]time.Time, len(ready))
+func (c *Controller) notePlanned(ready map[scheduler.Want]time.Duration, now time.Time) {
+	planned := make(map[scheduler.Want]time.Time, len(ready))
 	var changed []string
-	for model, in := range ready {
+	for want, in := range ready {
 		at := now.Add(in)
-		before, known := c.planned[model]
+		before, known := c.planned[want]
 		if known && before.Sub(at).Abs() < plannedShift {
 			at = before
 		} else {
-			changed = append(changed, model)
+			changed = append(changed, want.Unit.Model)
 		}
-		planned[model] = at
+		planned[want] = at
 	}
 	c.planned = planned
 	if len(changed) > 0 {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -73,11 +73,13 @@
 	if word, ok := c.Lessor.Word(); ok && word.Token == c.token {
 		response.LeaseRenewal, response.LeaseYielded, response.LeaseQuietMs = word.Renewal, word.Yielded, word.Quiet.Milliseconds()
 	}
-	for model, at := range c.planned {
-		if !c.demand.waitsFor(request.Node, model) {
+	for want, at := range c.planned {
+		if !c.demand.waitsFor(request.Node, want.Unit.Model) {
 			continue
 		}
-		response.Planned = append(response.Planned, wire.UnitComing{Model: model, InMs: max(at.Sub(now), 0).Milliseconds()})
+		response.Planned = append(response.Planned, wire.UnitComing{
+			Model: want.Unit.Model, InMs: max(at.Sub(now), 0).Milliseconds(), Homes: want.Homes.Names(),
+		})
 	}
 	if request.Report {
 		response.Standbys = c.demand.standbys(c.Node)
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -13,6 +13,7 @@
 	"lilacvane/internal/lease"
 	"lilacvane/internal/limit"
 	"lilacvane/internal/peer"
+	"lilacvane/internal/place"
 	"lilacvane/internal/wait"
 	"lilacvane/internal/weightstore"
 	"lilacvane/internal/wire"
@@ -199,11 +200,13 @@
 		request.Waiting = append(request.Waiting, wire.UnitWaiting{
 			Model: waiting.Unit.Model, Adapter: waiting.Unit.Adapter, Count: waiting.Count,
 			LeftMs: waiting.Deadline.Sub(now).Milliseconds(), Priority: waiting.Priority,
+			Homes: waiting.Homes.Names(),
 		})
 	}
 	for _, usage := range s.book.TakeUsage(s.service) {
 		request.Usage = append(request.Usage, wire.UnitUsage{
 			Model: usage.Unit.Model, Adapter: usage.Unit.Adapter, Requests: usage.Requests, Tokens: usage.Tokens,
+			Homes: usage.Homes.Names(),
 		})
 	}
 	for _, usage := range s.fleet.Usage(s.service) {
@@ -323,7 +326,10 @@
 }
 
 func comingUnit(coming wire.UnitComing) fleet.Coming {
-	return fleet.Coming{Unit: backend.Unit{Model: coming.Model, Adapter: coming.Adapter}, In: time.Duration(coming.InMs) * time.Millisecond}
+	return fleet.Coming{
+		Unit: backend.Unit{Model: coming.Model, Adapter: coming.Adapter}, In: time.Duration(coming.InMs) * time.Millisecond,
+		Homes: place.HomesOf(coming.Homes),
+	}
 }
 
 func fleetView(runner wire.RunnerView) fleet.View {
--- a/internal/demand/book.go
+++ b/internal/demand/book.go
@@ -7,12 +7,15 @@
 	"time"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/place"
 )
 
-// Key names a unit of a service.
+// Key names a unit of a service, and where alone it may be served.
 type Key struct {
 	Service string
 	Unit    backend.Unit
+	// Homes are those of the requests.
+	Homes place.Homes
 }
 
 // Waiting is what waits for a unit at one node.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -130,7 +130,7 @@
 
 func (d *Dispatcher) logOutcome(o *Outcome, request *Request) {
 	d.Log.Info("request ended", "request", request.ID, "result", o.Result, "status", o.Status, "step", o.Step,
-		"reason", o.Reason, "route", o.Route, "tenant", string(o.Tenant), "cost", o.Cost, "admittedBy", o.AdmittedBy, "revision", o.Revision, "unit", request.Unit.String(), "runner", o.Runner,
+		"reason", o.Reason, "route", o.Route, "tenant", string(o.Tenant), "homes", o.Homes.String(), "cost", o.Cost, "admittedBy", o.AdmittedBy, "revision", o.Revision, "unit", request.Unit.String(), "runner", o.Runner,
 		"attempts", o.Attempts, "resumes", o.Resumes, "waitedMs", o.Waited.Milliseconds(), "firstMs", o.First.Milliseconds(),
 		"totalMs", o.Total.Milliseconds(), "pauseMs", o.Pause.Milliseconds(), "patienceMs", request.Patience.Milliseconds(), "keptTokens", o.KeptTokens,
 		"tokensIn", request.TokensIn)
@@ -190,16 +190,20 @@
 		j.refuse(problem)
 		return
 	}
+	j.query = fleet.Query{Service: service, Homes: j.homes()}
+	if problem := j.checkHomes(); problem != nil {
+		j.refuse(problem)
+		return
+	}
 	if err := j.admit(ctx); err != nil {
 		j.end(ctx, err)
 		return
 	}
 	j.engine = configuration.Services[service].Engine != nil
-	j.query = fleet.Query{Service: service}
 	if j.engine {
 		j.query.Unit = j.request.Unit
 		j.query.Prompt = j.request.Prompt
-		j.dispatcher.Demand.Use(demand.Key{Service: service, Unit: j.request.Unit}, j.request.TokensIn)
+		j.dispatcher.Demand.Use(demand.Key{Service: service, Unit: j.request.Unit, Homes: j.query.Homes}, j.request.TokensIn)
 	}
 	j.deadline = j.finalTime()
 	j.dispatcher.budget(service).Request()
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -73,7 +73,7 @@
 	defer func() { j.outcome.Waited += time.Since(start) }()
 	end := func() {}
 	if j.engine {
-		end = j.dispatcher.Demand.Wait(demand.Key{Service: j.query.Service, Unit: j.query.Unit}, j.latestStart(), j.priority())
+		end = j.dispatcher.Demand.Wait(demand.Key{Service: j.query.Service, Unit: j.query.Unit, Homes: j.query.Homes}, j.latestStart(), j.priority())
 	}
 	choice, retryAfter, err := j.await(ctx, changed)
 	if retryAfter > 0 {
@@ -98,6 +98,9 @@
 		if unit != j.query.Unit {
 			return fleet.Choice{}, 0, errRenamed
 		}
+		if problem := j.checkHomes(); problem != nil {
+			return fleet.Choice{}, 0, problem
+		}
 		decision, back, again := j.waitNow().decide()
 		switch decision {
 		case giveUp:
@@ -125,7 +128,7 @@
 		elapsed: time.Since(j.request.Arrived), hold: j.latestStart().Sub(j.request.Arrived), objective: j.route.Objective, returned: j.returned(),
 	}
 	if j.engine {
-		w.expected, w.known = j.dispatcher.Fleet.Expected(j.query.Service, j.query.Unit)
+		w.expected, w.known = j.dispatcher.Fleet.Expected(j.query.Service, j.query.Unit, j.query.Homes)
 		if !w.known && w.elapsed >= time.Duration(promptRefusal*float64(w.objective)) {
 			w.expected, w.known = j.loadExpected()
 		}
@@ -154,10 +157,10 @@
 	if service == nil || service.Engine == nil || service.Engine.Models[j.query.Unit.Model] == nil {
 		return 0, false
 	}
-	if j.dispatcher.Fleet.Holds(j.query.Service, j.query.Unit.Model) {
+	if j.dispatcher.Fleet.Holds(j.query.Service, j.query.Unit.Model, j.query.Homes) {
 		return 0, true
 	}
-	return j.dispatcher.Fleet.LoadTime(j.query.Service, service.Engine.Models[j.query.Unit.Model]), true
+	return j.dispatcher.Fleet.LoadTime(j.query.Service, service.Engine.Models[j.query.Unit.Model], j.query.Homes), true
 }
 
 // returned reports whether the client was refused before: it has less time left
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -11,6 +11,7 @@
 	"lilacvane/internal/config"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
+	"lilacvane/internal/place"
 	"lilacvane/internal/tenant"
 )
 
@@ -99,6 +100,8 @@
 	Revision uint64
 	// Tenant is the tenant that the request belongs to; empty when it is not known.
 	Tenant tenant.Name
+	// Homes are the regions in which alone it may be served.
+	Homes place.Homes
 	// Cost is what it costs of its tenant's limit, in the limit's unit, Charged is set once
 	// that was spent, AdmittedBy is the node whose share was asked, or its address.
 	Cost       float64
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -62,6 +62,7 @@
 	CodeNotHolder          Code = "not_lease_holder"
 	CodeUnauthorized       Code = "unauthorized"
 	CodeOverLimit          Code = "over_limit"
+	CodeOutsideHomes       Code = "outside_homes"
 	CodeInternal           Code = "internal"
 )
 
--- a/internal/fleet/expected.go
+++ b/internal/fleet/expected.go
@@ -6,6 +6,7 @@
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
+	"lilacvane/internal/place"
 )
 
 // plannedLifetime is how long after its time a planned load is still believed.
@@ -16,9 +17,9 @@
 func (f *Fleet) ApplyPlanned(service string, planned []Coming) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	expected := make(map[string]time.Time, len(planned))
+	expected := make(map[homedModel]time.Time, len(planned))
 	for _, coming := range planned {
-		expected[coming.Unit.Model] = f.now().Add(coming.In)
+		expected[homedModel{model: coming.Unit.Model, homes: coming.Homes}] = f.now().Add(coming.In)
 	}
 	news := len(expected) > 0
 	f.planned[service] = expected
@@ -27,9 +28,9 @@
 	}
 }
 
-// Expected returns the shortest time until a runner of the service holds the
-// unit, as far as a load is known to be under way or planned.
-func (f *Fleet) Expected(service string, unit backend.Unit) (time.Duration, bool) {
+// Expected returns the shortest time until a runner of the service in the homes holds
+// the unit, as far as a load is known to be under way or planned.
+func (f *Fleet) Expected(service string, unit backend.Unit, homes place.Homes) (time.Duration, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	var shortest time.Duration
@@ -41,27 +42,33 @@
 		}
 	}
 	for _, known := range f.runners {
-		if known.view == nil || known.listed.Service != service {
+		if known.view == nil || !known.serves(service, homes) {
 			continue
 		}
 		if at, coming := known.view.coming[unit]; coming {
 			note(at)
 		}
 	}
-	if at, planned := f.planned[service][unit.Model]; planned && f.now().Sub(at) < plannedLifetime {
-		note(at)
+	for planned, at := range f.planned[service] {
+		if planned.model == unit.Model && planned.serves(homes) && f.now().Sub(at) < plannedLifetime {
+			note(at)
+		}
 	}
 	return shortest, found
 }
 
+// serves reports whether a planned load is of use to requests with the homes: it is
+// planned for them, or they may be served anywhere.
+func (m homedModel) serves(homes place.Homes) bool { return !homes.Bound() || m.homes == homes }
+
 // LoadTime returns how long a load of a model takes at least, by where the runners
-// of the service are listed to keep its weights.
-func (f *Fleet) LoadTime(service string, model *config.Model) time.Duration {
+// of the service in the homes are listed to keep its weights.
+func (f *Fleet) LoadTime(service string, model *config.Model, homes place.Homes) time.Duration {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	least := model.LoadTime
 	for _, known := range f.runners {
-		if !known.present || known.listed.Service != service || known.listed.Draining {
+		if !known.present || !known.serves(service, homes) || known.listed.Draining {
 			continue
 		}
 		switch copies := known.listed.Copies; {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/eligible"
+	"lilacvane/internal/place"
 )
 
 const (
@@ -38,6 +39,14 @@
 type Coming struct {
 	Unit backend.Unit
 	In   time.Duration
+	// Homes are those of the requests that a planned load is for.
+	Homes place.Homes
+}
+
+// homedModel is a model that is waited for with homes.
+type homedModel struct {
+	model string
+	homes place.Homes
 }
 
 // Fleet is the node's knowledge of the runners. Its methods may be called
@@ -52,7 +61,7 @@
 	runners map[string]*runner
 	// planned is, by service, when models that are waited for are expected though
 	// nothing loads them yet.
-	planned map[string]map[string]time.Time
+	planned map[string]map[homedModel]time.Time
 	// ordersAt is, by service, when a control holder is expected to give orders.
 	ordersAt map[string]time.Time
 	// meanUnread is how many tokens of a request's prompt a runner has to read, in a
@@ -100,7 +109,7 @@
 
 // New returns an empty fleet for a node in zone; rules are what operators decided.
 func New(zone string, now func() time.Time, rules eligible.Rules) *Fleet {
-	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), planned: make(map[string]map[string]time.Time),
+	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), planned: make(map[string]map[homedModel]time.Time),
 		ordersAt: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
@@ -246,18 +255,37 @@
 	return f.now().Sub(known.view.at) < viewLifetime || !known.listedAt.After(known.view.at)
 }
 
-// Holds reports whether a runner of the service is believed to hold a model.
-func (f *Fleet) Holds(service, model string) bool {
+// Holds reports whether a runner of the service is believed to hold a model. One held
+// outside the homes alone is not held.
+func (f *Fleet) Holds(service, model string, homes place.Homes) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, known := range f.runners {
-		if known.present && known.listed.Service == service && f.holds(known, backend.Unit{Model: model}) && !f.silent(known) {
+		if known.present && known.serves(service, homes) && f.holds(known, backend.Unit{Model: model}) && !f.silent(known) {
 			return true
 		}
 	}
 	return false
 }
 
+// Serves reports whether a runner of the service is listed in the homes, whatever it does
+// now: without one a request with these homes can never be taken.
+func (f *Fleet) Serves(service string, homes place.Homes) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, known := range f.runners {
+		if (known.present || known.listed.Missing) && known.serves(service, homes) {
+			return true
+		}
+	}
+	return false
+}
+
+// serves reports whether the runner is one of the service in the homes.
+func (r *runner) serves(service string, homes place.Homes) bool {
+	return r.listed.Service == service && homes.Allows(place.Region(r.listed.Region))
+}
+
 // Runners returns what the platform lists of a service's runners.
 func (f *Fleet) Runners(service string) []backend.Runner {
 	f.mutex.Lock()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/place"
 )
 
 // clock is a clock that a test moves.
@@ -83,7 +84,7 @@
 	assert.Assert(t, holds)
 	_, holds = f.Choose(Query{Service: "s", Unit: backend.Unit{Model: "old"}})
 	assert.Assert(t, !holds)
-	in, coming := f.Expected("s", backend.Unit{Model: "next"})
+	in, coming := f.Expected("s", backend.Unit{Model: "next"}, place.Homes{})
 	assert.Assert(t, coming && in == time.Second)
 	c.now = c.now.Add(viewLifetime)
 	_, holds = f.Choose(Query{Service: "s", Unit: backend.Unit{Model: "new"}})
--- /dev/null
+++ b/internal/fleet/homes_test.go
@@ -0,0 +1,106 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/config"
+	"lilacvane/internal/place"
+)
+
+var (
+	north = place.NewHomes([]place.Region{"north"})
+	south = place.NewHomes([]place.Region{"south"})
+)
+
+func listedIn(region, id string, models ...string) backend.Runner {
+	runner := listed(id, models...)
+	runner.Region, runner.Zone = region, region+"-zone"
+	return runner
+}
+
+// TestNoChoiceLeavesHomes: whatever the fleet, its load and what was tried, a request is
+// sent to, or asked about at, no runner outside its homes; also one whose region is not
+// known.
+func TestNoChoiceLeavesHomes(t *testing.T) {
+	regions := []string{"north", "south", "east", ""}
+	rapid.Check(t, func(t *rapid.T) {
+		f, c := testFleet()
+		count := rapid.IntRange(0, 8).Draw(t, "runners")
+		for number := range count {
+			runner := listedIn(rapid.SampledFrom(regions).Draw(t, "region"), fmt.Sprint(number), "m")
+			runner.Draining = rapid.Bool().Draw(t, "draining")
+			f.Apply([]backend.Runner{runner}, nil, false)
+		}
+		var chosen []place.Region
+		for range rapid.IntRange(0, 2).Draw(t, "homes") {
+			chosen = append(chosen, place.Region(rapid.SampledFrom(regions[:3]).Draw(t, "home")))
+		}
+		query := Query{Service: "s", Unit: backend.Unit{Model: "m"}, Homes: place.NewHomes(chosen), Prompt: []Part{{ID: "a", Tokens: 900}, {ID: "b", Tokens: 10}}}
+		for range rapid.IntRange(1, 12).Draw(t, "requests") {
+			for _, asked := range f.Candidates(query, 2) {
+				assert.Assert(t, query.Homes.Allows(place.Region(asked.Region)), "asked %s in %q", asked.ID, asked.Region)
+			}
+			choice, ok := f.Choose(query)
+			if !ok {
+				break
+			}
+			assert.Assert(t, query.Homes.Allows(place.Region(choice.Runner.Region)), "sent to %s in %q", choice.Runner.ID, choice.Runner.Region)
+			assert.Assert(t, f.Serves("s", query.Homes))
+			result := rapid.SampledFrom([]Result{Served, Failed, Busy, NotHeld, Unreachable}).Draw(t, "result")
+			f.Done(choice, query, result, time.Millisecond, false)
+			if rapid.Bool().Draw(t, "exclude") {
+				query.Exclude = append(query.Exclude, choice.Runner.ID)
+			}
+			if rapid.Bool().Draw(t, "vanish") {
+				f.Apply(nil, []string{choice.Runner.ID}, rapid.Bool().Draw(t, "doubtful"))
+			}
+			c.now = c.now.Add(100 * time.Millisecond)
+		}
+	})
+}
+
+// TestEstimatesAreOfHomes: what is held, comes, is planned or is kept near outside its
+// homes is of no use to a request.
+func TestEstimatesAreOfHomes(t *testing.T) {
+	f, _ := testFleet()
+	there := listedIn("south", "r1", "m")
+	there.Copies.Host = []string{"next"}
+	f.Replace([]backend.Runner{there, listedIn("north", "r2")}, false)
+	next := &config.Model{Name: "next", LoadTime: 4 * time.Second, HostLoadTime: time.Second}
+	assert.Assert(t, f.Holds("s", "m", south) && f.Holds("s", "m", place.Homes{}) && !f.Holds("s", "m", north))
+	assert.Equal(t, f.LoadTime("s", next, south), time.Second)
+	assert.Equal(t, f.LoadTime("s", next, north), 4*time.Second)
+	f.ApplyViews([]View{{Runner: "r1", Coming: []Coming{{Unit: backend.Unit{Model: "next"}, In: time.Second}}}})
+	_, coming := f.Expected("s", backend.Unit{Model: "next"}, north)
+	assert.Assert(t, !coming)
+	in, coming := f.Expected("s", backend.Unit{Model: "next"}, south)
+	assert.Assert(t, coming && in == time.Second)
+	f.ApplyPlanned("s", []Coming{{Unit: backend.Unit{Model: "last"}, In: 2 * time.Second, Homes: north}})
+	_, planned := f.Expected("s", backend.Unit{Model: "last"}, south)
+	assert.Assert(t, !planned)
+	in, planned = f.Expected("s", backend.Unit{Model: "last"}, north)
+	assert.Assert(t, planned && in == 2*time.Second)
+	in, planned = f.Expected("s", backend.Unit{Model: "last"}, place.Homes{})
+	assert.Assert(t, planned && in == 2*time.Second)
+}
+
+// TestServesByListAlone: a runner that is listed in the homes may take a request some day,
+// also while it leaves, is full or holds nothing; of another service or region it never does.
+func TestServesByListAlone(t *testing.T) {
+	f, _ := testFleet()
+	leaving := listedIn("north", "r1")
+	leaving.Draining = true
+	f.Replace([]backend.Runner{leaving, listedIn("", "r2")}, false)
+	assert.Assert(t, f.Serves("s", north))
+	assert.Assert(t, !f.Serves("s", south))
+	assert.Assert(t, !f.Serves("other", north))
+	assert.Assert(t, !f.Serves("s", place.NewHomes([]place.Region{""})))
+	f.Replace([]backend.Runner{listedIn("", "r2")}, true)
+	assert.Assert(t, f.Serves("s", north), "the list is doubted")
+}
--- a/internal/fleet/suspect_test.go
+++ b/internal/fleet/suspect_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/place"
 )
 
 // TestSilentRunnerIsLeftAlone: what the holder found silent gets no request, until
@@ -23,7 +24,7 @@
 	f.ApplyViews([]View{silent})
 	_, found = f.Choose(query)
 	assert.Assert(t, !found)
-	assert.Assert(t, !f.Holds("s", "m"))
+	assert.Assert(t, !f.Holds("s", "m", place.Homes{}))
 	now = now.Add(time.Millisecond)
 	f.Done(first, query, Served, time.Millisecond, true)
 	_, found = f.Choose(query)
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"lilacvane/internal/dispatch"
+	"lilacvane/internal/fault"
 	"lilacvane/internal/wire"
 )
 
@@ -15,12 +16,14 @@
 type figures struct {
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
-	attempts prometheus.Counter
-	resumes  prometheus.Counter
-	first    *prometheus.HistogramVec
-	waited   prometheus.Histogram
-	loadTime prometheus.Histogram
-	tenants  *tenantFigures
+	// outsideHomes counts refusals as no runner was listed in the homes.
+	outsideHomes *prometheus.CounterVec
+	attempts     prometheus.Counter
+	resumes      prometheus.Counter
+	first        *prometheus.HistogramVec
+	waited       prometheus.Histogram
+	loadTime     prometheus.Histogram
+	tenants      *tenantFigures
 }
 
 // latencyBuckets are in seconds.
@@ -35,6 +38,9 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lilacvane_requests_total", Help: "Requests by route and result.",
 		}, []string{"route", "result"}),
+		outsideHomes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lilacvane_outside_homes_total", Help: "Requests refused as no runner was listed in their homes, by route.",
+		}, []string{"route"}),
 		attempts: prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacvane_attempts_total", Help: "Requests sent to runners."}),
 		resumes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacvane_resumes_total", Help: "Streams resumed at another runner."}),
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -49,7 +55,7 @@
 		Help: "How far loads from the weight store were from the time that was told, as a part of it.",
 	})
 	f.tenants = newTenantFigures(f.registry)
-	f.registry.MustRegister(f.loadTime, f.requests, f.attempts, f.resumes, f.first, f.waited)
+	f.registry.MustRegister(f.loadTime, f.requests, f.outsideHomes, f.attempts, f.resumes, f.first, f.waited)
 	gauge := func(name, help string, value func() float64) {
 		f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
@@ -99,6 +105,9 @@
 // observe counts a request that ended.
 func (f *figures) observe(o dispatch.Outcome) {
 	f.requests.WithLabelValues(o.Route, o.Result).Inc()
+	if o.Problem != nil && o.Problem.Code == fault.CodeOutsideHomes {
+		f.outsideHomes.WithLabelValues(o.Route).Inc()
+	}
 	f.tenants.observe(o)
 	f.attempts.Add(float64(o.Attempts))
 	f.resumes.Add(float64(o.Resumes))
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -19,6 +19,16 @@
 // Region returns the region of a zone; empty when it is not known.
 func (m Map) Region(zone Zone) Region { return m[zone] }
 
+// Knows reports whether a zone lies in a region.
+func (m Map) Knows(region Region) bool {
+	for _, of := range m {
+		if of == region {
+			return region != ""
+		}
+	}
+	return false
+}
+
 // Homes are the regions in which alone something may be served. The zero Homes bounds
 // nothing. Homes are comparable: equal ones allow the same regions.
 type Homes struct {
@@ -84,6 +94,28 @@
 	return regions
 }
 
+// Names lists the regions for messages; one empty name when no region is allowed, none
+// when nothing is bound.
+func (h Homes) Names() []string {
+	if h.bound && h.regions == "" {
+		return []string{""}
+	}
+	var names []string
+	for _, region := range h.Regions() {
+		names = append(names, string(region))
+	}
+	return names
+}
+
+// HomesOf reads what Names lists.
+func HomesOf(names []string) Homes {
+	regions := make([]Region, 0, len(names))
+	for _, name := range names {
+		regions = append(regions, Region(name))
+	}
+	return NewHomes(regions)
+}
+
 // And returns the homes that both allow. Where both bind and have no region in common,
 // nothing may be served.
 func (h Homes) And(other Homes) Homes {
@@ -100,10 +132,14 @@
 	return NewHomes(common)
 }
 
-// String lists the regions for logs; "any" when nothing is bound.
+// String lists the regions for logs; "any" when nothing is bound, "none" when
+// no region is allowed.
 func (h Homes) String() string {
 	if !h.bound {
 		return "any"
 	}
+	if h.regions == "" {
+		return "none"
+	}
 	return strings.ReplaceAll(strings.Trim(h.regions, separator), separator, ",")
 }
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -38,4 +38,9 @@
 	assert.Equal(t, NewHomes([]Region{"a", "b"}).And(NewHomes([]Region{"b", "c"})), NewHomes([]Region{"b"}))
 	assert.Equal(t, NewHomes([]Region{"b", "a"}).String(), "a,b")
 	assert.DeepEqual(t, NewHomes([]Region{"b", "a"}).Regions(), []Region{"a", "b"})
+	assert.Equal(t, NewHomes([]Region{""}).String(), "none")
+	for _, homes := range []Homes{{}, NewHomes([]Region{"b", "a"}), NewHomes([]Region{""})} {
+		assert.Equal(t, HomesOf(homes.Names()), homes)
+	}
+	assert.Equal(t, len(Homes{}.Names()), 0)
 }
--- a/internal/scheduler/adapters.go
+++ b/internal/scheduler/adapters.go
@@ -7,33 +7,62 @@
 	"time"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/place"
 )
 
 // planAdapters loads the adapters that requests wait for at runners that hold
 // their model.
 func (p *planner) planAdapters() {
-	for _, unit := range p.waitingAdapters() {
-		p.placeAdapter(unit)
+	for _, want := range p.waitingAdapters() {
+		if !p.loadsWithin(want) {
+			p.placeAdapter(want)
+		}
 	}
 }
 
-func (p *planner) waitingAdapters() []backend.Unit {
-	var units []backend.Unit
+// waitingAdapters lists the adapters that requests wait for and that no runner in their
+// homes holds or loads, the most urgent first.
+func (p *planner) waitingAdapters() []Want {
+	var wants []Want
+	demands := make(map[Want]*Demand)
 	for unit, demand := range p.state.Demand {
-		if unit.Adapter != "" && demand.Waiting > 0 && !p.adapterAnywhere(unit) {
-			units = append(units, unit)
+		if unit.Adapter == "" || demand.Waiting == 0 {
+			continue
+		}
+		for _, part := range p.parts(unit) {
+			want := Want{Unit: unit, Homes: part.Homes}
+			if part.waits() && !p.adapterWithin(want) {
+				wants = append(wants, want)
+				demands[want] = part.Demand
+			}
 		}
 	}
-	slices.SortFunc(units, func(a, b backend.Unit) int {
-		first, second := p.state.Demand[a], p.state.Demand[b]
-		return cmp.Or(cmp.Compare(first.Priority, second.Priority), cmp.Compare(first.Left, second.Left), cmp.Compare(a.String(), b.String()))
+	slices.SortFunc(wants, func(a, b Want) int {
+		first, second := demands[a], demands[b]
+		return cmp.Or(cmp.Compare(first.Priority, second.Priority), cmp.Compare(first.Left, second.Left),
+			cmp.Compare(a.Unit.String(), b.Unit.String()), compareHomes(a.Homes, b.Homes))
 	})
-	return units
+	return wants
+}
+
+// compareHomes puts what has homes before what has none.
+func compareHomes(a, b place.Homes) int {
+	if a.Bound() != b.Bound() {
+		if a.Bound() {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.String(), b.String())
 }
 
-// adapterAnywhere reports whether a runner holds or loads the adapter.
-func (p *planner) adapterAnywhere(unit backend.Unit) bool {
+// adapterWithin reports whether a runner in the homes holds or loads the adapter.
+func (p *planner) adapterWithin(want Want) bool {
+	unit := want.Unit
 	for _, runner := range p.state.Runners {
+		if !want.Homes.Allows(runner.Region) {
+			continue
+		}
 		held := runner.Models[unit.Model]
 		if held == nil || held.Leaving || runner.Drained {
 			continue
@@ -45,10 +74,19 @@
 	return false
 }
 
+// loadsWithin reports whether the plan loads the adapter at a runner in the homes already.
+func (p *planner) loadsWithin(want Want) bool {
+	return slices.ContainsFunc(p.loading[want.Unit], want.Homes.Allows)
+}
+
 // placeAdapter chooses the runner with the most free places and the least work.
-func (p *planner) placeAdapter(unit backend.Unit) {
+func (p *planner) placeAdapter(want Want) {
+	unit := want.Unit
 	best, bestCost := (*Runner)(nil), 0.0
 	for _, runner := range p.state.Runners {
+		if !want.Homes.Allows(runner.Region) {
+			continue
+		}
 		cost, ok := p.adapterCost(runner, unit)
 		if ok && (best == nil || cost < bestCost) {
 			best, bestCost = runner, cost
@@ -58,6 +96,7 @@
 		return
 	}
 	p.taken[best.ID] = true
+	p.loading[unit] = append(p.loading[unit], best.Region)
 	if victim := p.adapterVictim(best, unit); best.AdapterSlots <= 0 {
 		p.plan.Steps = append(p.plan.Steps, Step{Runner: best.ID, Action: backend.Unload, Unit: victim, Reason: "room for " + unit.String()})
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -8,6 +8,7 @@
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
+	"lilacvane/internal/place"
 )
 
 const (
@@ -20,12 +21,13 @@
 	intentLifetime = 4 * time.Second
 )
 
-// need is a model that should be loaded at one more runner.
+// need is a model that should be loaded at one more runner in homes.
 type need struct {
 	model   string
+	homes   place.Homes
 	demand  *Demand
 	holders int
-	// waiting is set when requests wait and no runner holds or loads it.
+	// waiting is set when requests wait and no runner in the homes holds or loads it.
 	waiting bool
 	// floor is set when a policy keeps more replicas ready.
 	floor bool
@@ -36,14 +38,16 @@
 	state *State
 	plan  Plan
 	taken map[string]bool
-	loads int
+	// loading are the regions in which the plan loads adapters.
+	loading map[backend.Unit][]place.Region
+	loads   int
 	// copies counts the runners that hold, load or were decided to load a
 	// model; present counts all that may have it in memory, by the model's
 	// object, for the bound on replicas.
-	copies  map[string]int
+	copies  replicas
 	present map[string]int
 	// ready counts the runners at which a model is served.
-	ready map[string]int
+	ready replicas
 	// staying counts, by object, the replicas that are not being unloaded.
 	staying map[string]int
 }
@@ -51,8 +55,8 @@
 // MakePlan decides what to order now.
 func MakePlan(state *State) Plan {
 	p := &planner{
-		state: state, taken: make(map[string]bool), loads: state.Loads, copies: make(map[string]int), present: make(map[string]int), staying: make(map[string]int), ready: make(map[string]int),
-		plan: Plan{Intents: make(map[string]Intent), Ready: make(map[string]time.Duration)},
+		state: state, taken: make(map[string]bool), loading: make(map[backend.Unit][]place.Region), loads: state.Loads, copies: newReplicas(), present: make(map[string]int), staying: make(map[string]int), ready: newReplicas(),
+		plan: Plan{Intents: make(map[string]Intent), Ready: make(map[Want]time.Duration)},
 	}
 	p.countCopies()
 	p.empty()
@@ -73,9 +77,9 @@
 				p.staying[p.bounded(model)]++
 			}
 			if !held.Leaving && !held.Uncertain && runner.serves() {
-				p.copies[model]++
+				p.copies.add(runner, model, 1)
 				if !held.Coming {
-					p.ready[model]++
+					p.ready.add(runner, model, 1)
 				}
 			}
 		}
@@ -110,10 +114,10 @@
 	return room
 }
 
-// roomAnywhere reports whether some runner may load a model.
-func (p *planner) roomAnywhere(model string) bool {
+// roomAnywhere reports whether some runner in the homes may load a model.
+func (p *planner) roomAnywhere(model string, homes place.Homes) bool {
 	for _, runner := range p.state.Runners {
-		if p.roomAt(runner, model) > 0 {
+		if homes.Allows(runner.Region) && p.roomAt(runner, model) > 0 {
 			return true
 		}
 	}
@@ -122,7 +126,7 @@
 
 // decide counts a load that was decided.
 func (p *planner) decide(runner *Runner, model string) {
-	p.copies[model]++
+	p.copies.add(runner, model, 1)
 	if held := runner.Models[model]; held == nil || !held.Uncertain {
 		p.present[p.bounded(model)]++
 	}
@@ -145,7 +149,7 @@
 			p.taken[runner.ID] = true
 			p.staying[p.bounded(model)]--
 			if !runner.Drained {
-				p.copies[model]--
+				p.copies.add(runner, model, -1)
 			}
 			p.plan.Steps = append(p.plan.Steps, Step{
 				Runner: runner.ID, Action: backend.Unload, Unit: backend.Unit{Model: model}, Reason: reason,
@@ -171,7 +175,7 @@
 		return "over the bound of replicas"
 	}
 	keep, sleeps := p.state.KeepAlive[model]
-	if !sleeps || runner.Models[model].Active > 0 || p.copies[model] <= p.state.Floors[model] {
+	if !sleeps || runner.Models[model].Active > 0 || p.copies.total[model] <= p.state.Floors[model] {
 		return ""
 	}
 	if demand != nil && (demand.Waiting > 0 || p.state.Now.Sub(demand.LastUse) < keep) {
@@ -194,7 +198,7 @@
 			continue
 		}
 		p.decide(runner, intent.Model)
-		p.expect(runner, intent.Model)
+		p.expect(runner, intent.Model, intent.Homes)
 		p.plan.Intents[runner.ID] = intent
 		p.taken[runner.ID] = true
 		if runner.Idle {
@@ -203,9 +207,13 @@
 	}
 }
 
-// desired is how many runners should hold a model.
-func (p *planner) desired(model string, demand *Demand) int {
-	floor := p.state.Floors[model]
+// desired is how many runners should hold a model for a part of its demand. Floors say
+// nothing of homes.
+func (p *planner) desired(model string, part Part) int {
+	floor, demand := 0, part.Demand
+	if !part.Homes.Bound() {
+		floor = p.state.Floors[model]
+	}
 	if demand == nil {
 		return floor
 	}
@@ -221,24 +229,46 @@
 func (p *planner) needs() []need {
 	var needs []need
 	for _, model := range slices.Sorted(maps.Keys(p.state.Engine.Models)) {
-		demand := p.state.Demand[backend.Unit{Model: model}]
-		holders := p.copies[model]
-		weights := p.state.Engine.Models[model]
-		if holders >= p.desired(model, demand) || !weights.Active || !p.roomAnywhere(model) {
+		if !p.state.Engine.Models[model].Active {
 			continue
 		}
-		if demand == nil {
-			demand = &Demand{}
+		for _, part := range p.parts(backend.Unit{Model: model}) {
+			if need, ok := p.need(model, part); ok {
+				needs = append(needs, need)
+			}
 		}
-		needs = append(needs, need{model: model, demand: demand, holders: holders, waiting: holders == 0 && demand.Waiting > 0, floor: holders < p.state.Floors[model]})
 	}
 	slices.SortStableFunc(needs, compareNeeds)
 	return needs
 }
 
+// need returns what a part of a model's demand lacks; false when it lacks nothing that can
+// be had.
+func (p *planner) need(model string, part Part) (need, bool) {
+	holders := p.copies.of(model, part.Homes)
+	if holders >= p.desired(model, part) || !p.roomAnywhere(model, part.Homes) {
+		return need{}, false
+	}
+	demand := part.Demand
+	if demand == nil {
+		demand = &Demand{}
+	}
+	return need{
+		model: model, homes: part.Homes, demand: demand, holders: holders, waiting: holders == 0 && demand.Waiting > 0,
+		floor: !part.Homes.Bound() && holders < p.state.Floors[model],
+	}, true
+}
+
 // compareNeeds puts the need first that is worth more: neither waiting requests nor busy
-// models go before the others as such.
+// models go before the others as such. Of those that wait for the same model, one with
+// homes goes first, as what serves it serves the others too.
 func compareNeeds(a, b need) int {
+	if a.model == b.model && a.waiting && b.waiting && a.homes.Bound() != b.homes.Bound() {
+		if a.homes.Bound() {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Or(cmp.Compare(b.worth(), a.worth()), cmp.Compare(a.demand.Left, b.demand.Left), cmp.Compare(perHolder(b), perHolder(a)))
 }
 
@@ -247,6 +277,10 @@
 // serve chooses a runner for a need and begins the load, or the unload that
 // makes room for it.
 func (p *planner) serve(n need) {
+	if n.waiting && p.copies.of(n.model, n.homes) > 0 {
+		// A load for other homes, decided in this plan, serves these requests too.
+		return
+	}
 	best, bestCost := (*Runner)(nil), 0.0
 	for _, runner := range p.state.Runners {
 		cost, ok := p.cost(runner, n)
@@ -259,7 +293,7 @@
 	}
 	p.taken[best.ID] = true
 	if n.waiting {
-		p.expect(best, n.model)
+		p.expect(best, n.model, n.homes)
 	}
 	if !best.Idle || p.storeBusy(best, n.model) {
 		// The best place is not free yet: it is kept for this need, and a worse
@@ -267,7 +301,7 @@
 		return
 	}
 	p.decide(best, n.model)
-	p.plan.Intents[best.ID] = Intent{Model: n.model, Until: p.state.Now.Add(intentLifetime)}
+	p.plan.Intents[best.ID] = Intent{Model: n.model, Homes: n.homes, Until: p.state.Now.Add(intentLifetime)}
 	p.advance(best, n.model, n.reason())
 }
 
@@ -295,8 +329,8 @@
 			delete(p.plan.Intents, runner.ID)
 			return
 		}
-		p.copies[victim]--
-		p.ready[victim]--
+		p.copies.add(runner, victim, -1)
+		p.ready.add(runner, victim, -1)
 		p.plan.Steps = append(p.plan.Steps, Step{
 			Runner: runner.ID, Action: backend.Unload, Unit: backend.Unit{Model: victim}, Reason: "room for " + model,
 		})
@@ -318,17 +352,19 @@
 // unloadTime is how long the unload of an idle model takes to be seen.
 const unloadTime = 200 * time.Millisecond
 
-// expect notes when a model will be loaded at a runner that is to load it.
-func (p *planner) expect(runner *Runner, model string) {
-	if p.ready[model] > 0 {
+// expect notes when a model will be loaded at a runner that is to load it, for the
+// requests with the homes that wait for it.
+func (p *planner) expect(runner *Runner, model string, homes place.Homes) {
+	if p.ready.of(model, homes) > 0 {
 		return
 	}
 	ready, _ := p.readyIn(runner, model)
 	if runner.Idle && runner.Free < p.state.Engine.Models[model].Size {
 		ready += unloadTime
 	}
-	if known, ok := p.plan.Ready[model]; !ok || ready < known {
-		p.plan.Ready[model] = ready
+	want := Want{Unit: backend.Unit{Model: model}, Homes: homes}
+	if known, ok := p.plan.Ready[want]; !ok || ready < known {
+		p.plan.Ready[want] = ready
 	}
 }
 
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -37,7 +37,7 @@
 
 // cost estimates what loading a model at a runner costs; false when it cannot.
 func (p *planner) cost(runner *Runner, n need) (float64, bool) {
-	if p.taken[runner.ID] || !runner.serves() {
+	if p.taken[runner.ID] || !runner.serves() || !n.homes.Allows(runner.Region) {
 		return 0, false
 	}
 	held := runner.Models[n.model]
@@ -90,7 +90,7 @@
 	var names []string
 	for _, name := range slices.Sorted(maps.Keys(runner.Models)) {
 		held := runner.Models[name]
-		if name == wanted || p.copies[name] <= p.state.Floors[name] || held.Coming || held.Leaving || held.Uncertain || p.state.Engine.Models[name] == nil || p.needed(name) {
+		if name == wanted || p.copies.total[name] <= p.state.Floors[name] || held.Coming || held.Leaving || held.Uncertain || p.state.Engine.Models[name] == nil || p.needed(runner, name) {
 			continue
 		}
 		names = append(names, name)
@@ -112,10 +112,12 @@
 	}
 }
 
-// needed reports whether requests wait for a model that only one runner serves.
-func (p *planner) needed(model string) bool {
-	demand := p.state.Demand[backend.Unit{Model: model}]
-	return demand != nil && demand.Waiting > 0 && p.ready[model] <= 1
+// needed reports whether requests that a runner may serve wait for a model that only one
+// runner serves to them.
+func (p *planner) needed(runner *Runner, model string) bool {
+	return slices.ContainsFunc(p.parts(backend.Unit{Model: model}), func(part Part) bool {
+		return part.waits() && part.Homes.Allows(runner.Region) && p.ready.of(model, part.Homes) <= 1
+	})
 }
 
 func (p *planner) nextVictim(runner *Runner, wanted string) string {
@@ -128,9 +130,19 @@
 
 // loss is what unloading a model at a runner costs.
 func (p *planner) loss(runner *Runner, model string) float64 {
-	demand := p.state.Demand[backend.Unit{Model: model}]
 	cost := drainCost * float64(runner.Models[model].Active)
-	others := p.ready[model] - 1
+	for _, part := range p.parts(backend.Unit{Model: model}) {
+		if part.Homes.Allows(runner.Region) {
+			cost += p.lossOf(model, part)
+		}
+	}
+	return cost
+}
+
+// lossOf is what one replica less costs a part of a model's demand.
+func (p *planner) lossOf(model string, part Part) float64 {
+	demand := part.Demand
+	others := p.ready.of(model, part.Homes) - 1
 	if demand == nil {
 		demand = &Demand{}
 		if others <= 0 {
@@ -141,11 +153,11 @@
 	switch {
 	case others <= 0:
 		// Copies that are still coming stand in for nothing yet.
-		return cost + missed + demand.Work*gainPerWork
-	case p.ready[model] > p.desired(model, demand):
-		return cost + surplusFactor*missed
+		return missed + demand.Work*gainPerWork
+	case p.ready.of(model, part.Homes) > p.desired(model, Part{Homes: part.Homes, Demand: demand}):
+		return surplusFactor * missed
 	default:
-		return cost + p.gain(need{model: model, demand: demand, holders: others})
+		return p.gain(need{model: model, demand: demand, holders: others})
 	}
 }
 
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -14,6 +14,7 @@
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
+	"lilacvane/internal/place"
 )
 
 // State is everything a plan is made from.
@@ -25,6 +26,9 @@
 	Unknown int
 	// Demand by unit. Models appear with the demand of their adapters included.
 	Demand map[backend.Unit]*Demand
+	// Parts divides the demand of units by the homes of the requests, sorted by homes.
+	// A unit that is not named is asked for without homes alone.
+	Parts map[backend.Unit][]Part
 	// Loads is how many loads the weight store allows now.
 	Loads int
 	// StoreWait is the time until the weight store carries another load,
@@ -42,8 +46,9 @@
 
 // Runner is one runner as the scheduler sees it.
 type Runner struct {
-	ID   string
-	Zone string
+	ID     string
+	Zone   string
+	Region place.Region
 	// Models are the models it holds or is loading.
 	Models map[string]*Held
 	// Free is the room left in MB, AdapterSlots the free places for adapters.
@@ -104,9 +109,23 @@
 	LastUse time.Time
 }
 
+// Part is the demand of the requests for a unit that have the same homes.
+type Part struct {
+	Homes place.Homes
+	*Demand
+}
+
+// Want is a unit that is wanted in homes.
+type Want struct {
+	Unit  backend.Unit
+	Homes place.Homes
+}
+
 // Intent is a decision to load a model at a runner once there is room.
 type Intent struct {
 	Model string
+	// Homes are those of the requests that it is for.
+	Homes place.Homes
 	Until time.Time
 }
 
@@ -130,6 +149,6 @@
 	// Intents replaces those of the state.
 	Intents map[string]Intent
 	// Ready is the time until each model that is waited for, and that nothing loads
-	// yet, is expected to be loaded.
-	Ready map[string]time.Duration
+	// yet in the homes, is expected to be loaded there.
+	Ready map[Want]time.Duration
 }
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -41,6 +41,8 @@
 	// LeftMs is the time until the first of them is given up, in milliseconds.
 	LeftMs   int64 `cbor:"4,keyasint"`
 	Priority int   `cbor:"5,keyasint"`
+	// Homes are the regions in which alone they may be served (place.Homes.Names).
+	Homes []string `cbor:"6,keyasint,omitempty"`
 }
 
 // UnitUsage is how often a unit was asked for since the node's last report.
@@ -50,6 +52,8 @@
 	Requests int    `cbor:"3,keyasint"`
 	// Tokens is the size of their prompts.
 	Tokens int `cbor:"4,keyasint"`
+	// Homes are the regions in which alone they may be served (place.Homes.Names).
+	Homes []string `cbor:"5,keyasint,omitempty"`
 }
 
 // RunnerUsage is the node's requests under way at a runner, by model.
@@ -115,4 +119,6 @@
 	Adapter string `cbor:"2,keyasint,omitempty"`
 	// InMs is the time until it is expected to be loaded, in milliseconds.
 	InMs int64 `cbor:"3,keyasint"`
+	// Homes are those of the requests that a planned load is for (place.Homes.Names).
+	Homes []string `cbor:"4,keyasint,omitempty"`
 }
