Let operators give routes and tenants homes

Cause: the operators' own objects had no field for homes. Ruled out: taking unknown regions in silence (a typing error would stop a tenant); leaving such a route of the platform out (404 would be untrue). Change: Route and Tenant have homes: an empty list, an empty or repeated name and a region without a zone are refused with the field's name.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -29,7 +29,13 @@
 		"no memory":     NewObject(KindVersion, "v", Version{Model: "m", Checkpoint: "c"}),
 		"no base":       NewObject(KindAdapter, "a", Adapter{Checkpoint: "c", MemoryMiB: 1}),
 		"no selection":  NewObject(KindPolicy, "p", Policy{Ready: "1"}),
-		"bad target":    NewObject(KindDrain, "d", Drain{Target: "rack", Name: "r"}),
+		"empty homes":   {Kind: KindTenant, Name: "t", Spec: []byte(`{"homes":[]}`)},
+		"nameless home": {Kind: KindTenant, Name: "t", Spec: []byte(`{"homes":[""]}`)},
+		"twice at home": NewObject(KindTenant, "t", Tenant{Homes: []string{"north", "north"}}),
+		"bad home": NewObject(KindRoute, "r", Route{
+			Host: "h", PathPrefix: "/p/", Kind: "safe", Attempts: 1, Backends: []Backend{{Service: "s", Weight: 1}}, Homes: []string{"a b"},
+		}),
+		"bad target": NewObject(KindDrain, "d", Drain{Target: "rack", Name: "r"}),
 	} {
 		err := Validate(object)
 		assert.Assert(t, fault.IsCode(err, fault.CodeInvalid), "%s: %v", name, err)
--- a/internal/api/objects.go
+++ b/internal/api/objects.go
@@ -137,6 +137,8 @@
 	Attempts int `json:"attempts"`
 	// Public routes need no key.
 	Public bool `json:"public,omitempty"`
+	// Homes are the regions in which alone its requests are served; left out for all.
+	Homes []string `json:"homes,omitempty"`
 	// Backends share the requests by weight.
 	Backends []Backend `json:"backends"`
 }
@@ -154,7 +156,9 @@
 	Priority int `json:"priority,omitempty"`
 	// Limit is what it may use over all nodes together; without one there is none.
 	Limit *TenantLimit `json:"limit,omitempty"`
-	Keys  []TenantKey  `json:"keys,omitempty"`
+	// Homes are the regions in which alone its requests are served; left out for all.
+	Homes []string    `json:"homes,omitempty"`
+	Keys  []TenantKey `json:"keys,omitempty"`
 }
 
 // The units of a TenantLimit.
--- a/internal/api/validate.go
+++ b/internal/api/validate.go
@@ -136,6 +136,9 @@
 	case r.Attempts < 1:
 		return "attempts must be at least 1"
 	}
+	if problem := validateHomes(r.Homes); problem != "" {
+		return problem
+	}
 	return validateBackends(r.Backends)
 }
 
@@ -194,9 +197,35 @@
 			return fmt.Sprintf("keys[%d] is there twice", i)
 		}
 	}
+	if problem := validateHomes(t.Homes); problem != "" {
+		return problem
+	}
 	return validateLimit(t.Limit)
 }
 
+// maximumHomes bounds the regions of a route's or tenant's homes.
+const maximumHomes = 64
+
+func validateHomes(homes []string) string {
+	switch {
+	case homes == nil:
+		return ""
+	case len(homes) == 0:
+		return "homes must name a region; leave it out for all regions"
+	case len(homes) > maximumHomes:
+		return fmt.Sprintf("homes: at most %d", maximumHomes)
+	}
+	for i, region := range homes {
+		if !ValidName(region) {
+			return fmt.Sprintf("homes[%d] must name a region", i)
+		}
+		if slices.Contains(homes[:i], region) {
+			return fmt.Sprintf("homes[%d] is there twice", i)
+		}
+	}
+	return ""
+}
+
 func validateLimit(l *TenantLimit) string {
 	switch {
 	case l == nil:
--- a/internal/config/compose.go
+++ b/internal/config/compose.go
@@ -6,6 +6,7 @@
 	"lilacvane/internal/api"
 	"lilacvane/internal/backend"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/place"
 	"lilacvane/internal/tenant"
 )
 
@@ -107,7 +108,7 @@
 	route := Route{
 		Name: name, Host: spec.Host, PathPrefix: spec.PathPrefix, Kind: Kind(spec.Kind), Resumable: spec.Resumable,
 		Timeout: seconds(spec.TimeoutSeconds), Objective: seconds(spec.ObjectiveSeconds), PauseObjective: seconds(spec.PauseObjectiveSeconds),
-		Priority: spec.Priority, Attempts: spec.Attempts, Public: spec.Public,
+		Priority: spec.Priority, Attempts: spec.Attempts, Public: spec.Public, Homes: place.HomesOf(spec.Homes),
 	}
 	for _, part := range spec.Backends {
 		route.Backends = append(route.Backends, Backend{Service: part.Service, Weight: part.Weight})
@@ -121,7 +122,7 @@
 
 // tenant adds a tenant; one of the base's name or with a key of another one is left out.
 func (c *composer) tenant(name string, spec api.Tenant) error {
-	added := tenant.Tenant{Name: tenant.Name(name), Priority: spec.Priority}
+	added := tenant.Tenant{Name: tenant.Name(name), Priority: spec.Priority, Homes: place.HomesOf(spec.Homes)}
 	if l := spec.Limit; l != nil {
 		added.Limit = tenant.Limit{Rate: l.Rate, Burst: l.Burst, PlainCost: l.PlainCost}
 		if l.Unit == api.UnitTokens {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -154,6 +154,7 @@
 	n.configuration.Store(composed)
 	n.log.Info("configuration in force", "revision", composed.Revision, "objects", composed.ObjectRevision, "routes", len(composed.Routes),
 		"services", len(composed.Services), "names", len(composed.Names))
+	n.tellUnknownHomes(composed)
 	n.limits.follow(composed)
 	n.controls.follow(composed)
 	n.fleet.Wake()
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -9,6 +9,7 @@
 	"lilacvane/internal/api"
 	"lilacvane/internal/commit"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/place"
 	"lilacvane/internal/policy"
 )
 
@@ -57,6 +58,12 @@
 		return err
 	}
 	switch object.Kind {
+	case api.KindRoute:
+		route, _ := api.Decode[api.Route](object)
+		return s.checkHomes(object.Key(), route.Homes)
+	case api.KindTenant:
+		tenant, _ := api.Decode[api.Tenant](object)
+		return s.checkHomes(object.Key(), tenant.Homes)
 	case api.KindModel:
 		model, _ := api.Decode[api.Model](object)
 		if _, adapter := s.find(batch, api.Key{Kind: api.KindAdapter, Name: object.Name}); adapter {
@@ -80,6 +87,17 @@
 	return nil
 }
 
+// checkHomes refuses homes that nothing could be served in.
+func (s *Server) checkHomes(key api.Key, homes []string) error {
+	zones := s.backend.Zones()
+	for i, region := range homes {
+		if !zones.Knows(place.Region(region)) {
+			return fault.New(fault.CodeInvalid, stepCheck, "%s: homes[%d]: no zone lies in a region %q", key, i, region)
+		}
+	}
+	return nil
+}
+
 func (s *Server) checkVersion(name string, model api.Model, batch []api.Object) error {
 	object, exists := s.find(batch, api.Key{Kind: api.KindVersion, Name: model.ActiveVersion})
 	if !exists {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -16,6 +16,7 @@
 	"lilacvane/internal/catalog"
 	"lilacvane/internal/commit"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/place"
 	"lilacvane/internal/wire"
 )
 
@@ -43,6 +44,8 @@
 	Tenants(ctx context.Context) []TenantStatus
 	// DrainProgress tells what is left of a planned stop.
 	DrainProgress(ctx context.Context, drain api.Drain) Progress
+	// Zones tells the region of each zone of the deployment.
+	Zones() place.Map
 	// Ready returns nil when the node serves.
 	Ready() error
 }
