Test homes with real processes in two regions

Cause: homes were tested in one process only. Ruled out: a simulator of regions: zones of the lab's world lie in regions. Change: the world has a map of zones to regions.

--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -18,6 +18,7 @@
 	"lilacvane/internal/lab/runnerstub"
 	"lilacvane/internal/lab/storestub"
 	"lilacvane/internal/operator"
+	"lilacvane/internal/place"
 	"lilacvane/internal/settings"
 	"lilacvane/platform/protocol"
 )
@@ -57,6 +58,8 @@
 	// Region and TimeZone of all nodes.
 	Region   string
 	TimeZone string
+	// Zones tells the region of each zone; nodes in zones that are not named are in Region.
+	Zones place.Map
 	// Proxied puts a fault proxy before every process, and before the store one
 	// for each node.
 	Proxied bool
@@ -270,6 +273,9 @@
 	return w.post(w.Runners[id].address, runnerstub.PathDrain, nil)
 }
 
+// ZoneOf is the zone of a runner, also of one that ended.
+func (w *World) ZoneOf(id string) string { return w.Runners[id].options.Zone }
+
 // SetRunnerFaults changes what a runner suffers.
 func (w *World) SetRunnerFaults(id string, faults runnerstub.Faults) error {
 	return w.post(w.Runners[id].address, runnerstub.PathFaults, faults)
@@ -332,7 +338,7 @@
 		Operators: w.address(host, portOperators), Ready: w.address(host, portReady), Metrics: w.address(host, portMetrics),
 	}
 	s := settings.Default()
-	s.Node, s.Zone, s.Region, s.TimeZone = name, zone, w.Region, w.TimeZone
+	s.Node, s.Zone, s.Region, s.TimeZone, s.Zones = name, zone, w.regionOf(zone), w.TimeZone, w.Zones
 	s.Listen = settings.Listen{
 		Clients: node.Clients, Callers: node.Callers, Operators: node.Operators, Ready: node.Ready, Metrics: node.Metrics,
 		Peers: w.address(host, portPeers),
@@ -354,6 +360,14 @@
 	return node, w.run(node)
 }
 
+// regionOf is the region of a node's zone.
+func (w *World) regionOf(zone string) string {
+	if region := w.Zones.Region(place.Zone(zone)); region != "" {
+		return string(region)
+	}
+	return w.Region
+}
+
 func (w *World) run(node *Node) error {
 	process, err := start(w.Directory, "node-"+node.Name, filepath.Join(w.Programs, "lilacvane"), "node", "--settings", node.settings)
 	node.Process = process
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -173,6 +173,13 @@
 	return result.Revision
 }
 
+// submit tries to create an object and returns the node's error.
+func submit(t *testing.T, node *world.Node, object api.Object) error {
+	t.Helper()
+	_, err := node.Client().Submit(t.Context(), operator.Submission{Operation: "test-" + rand.Text(), Author: "test", Apply: []api.Object{object}})
+	return err
+}
+
 // waitNamed waits until nodes know a model or adapter.
 func waitNamed(t *testing.T, name string, nodes ...*world.Node) {
 	t.Helper()
