Take regions into the choice of a runner, by how long their answers take

Cause: a runner of another region cost as much as one of another zone (2 ms), and the question for its load was given 30 ms, less than a new connection there takes (2 x 24 ms between regions 12 ms apart). Ruled out: a fixed cost (deployments differ); the time of connecting alone (a relay on the way may accept it near by); asking far runners beside near ones (the wait for them costs more than they are worth). Change: a node learns by region how long runners take to tell their load; what another region takes longer is its cost, 40 ms until known. Far runners are asked only where fewer than two near ones have places, and get that much longer to answer.

--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -14,7 +14,7 @@
 	// sent. Two choices by chance do nearly as well as all (the power of two choices).
 	askedRunners = 2
 	// askTimeout bounds the answers: a runner in another zone answers within some
-	// 5 ms, a new connection included.
+	// 5 ms, a new connection included. One in another region may take the way there longer.
 	askTimeout = 30 * time.Millisecond
 )
 
@@ -40,17 +40,19 @@
 // ask reads the reports of runners and returns those that answered in time; all when
 // none did, as the fault then is more likely on this side.
 func (j *job) ask(ctx context.Context, runners []backend.Runner) []string {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout+j.dispatcher.Fleet.Beyond(runners))
 	defer cancel()
 	answered := make([]string, len(runners))
 	var asking sync.WaitGroup
 	for i, runner := range runners {
 		asking.Go(func() {
+			start := time.Now()
 			report, err := j.dispatcher.Report(ctx, runner)
 			if err != nil {
 				j.log.V(1).Info("runner did not tell its load", "runner", runner.ID, "error", err.Error())
 				return
 			}
+			j.dispatcher.Fleet.Answered(runner.ID, time.Since(start))
 			j.dispatcher.Fleet.Reported(runner.ID, report)
 			answered[i] = runner.ID
 		})
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -106,7 +106,8 @@
 func compareChoices(a, b Choice) int { return cmp.Compare(a.Cost, b.Cost) }
 
 // Candidates returns the runners of which a request is best sent to one, count at
-// most, best first by what this node knows; none where there is no choice.
+// most, best first by what this node knows; none where there is no choice. Where several
+// in this node's region have places, no others are among them.
 func (f *Fleet) Candidates(query Query, count int) []backend.Runner {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -115,6 +116,9 @@
 	if len(choices) < 2 {
 		return nil
 	}
+	if near := f.nearWithPlaces(choices); len(near) > 1 {
+		choices = near
+	}
 	slices.SortFunc(choices, compareChoices)
 	candidates := make([]backend.Runner, 0, count)
 	for _, choice := range choices[:min(count, len(choices))] {
@@ -123,6 +127,17 @@
 	return candidates
 }
 
+// nearWithPlaces returns the choices in this node's region that are not full.
+func (f *Fleet) nearWithPlaces(choices []Choice) []Choice {
+	near := make([]Choice, 0, len(choices))
+	for _, choice := range choices {
+		if f.ways.near(&choice.Runner) && !choice.Full {
+			near = append(near, choice)
+		}
+	}
+	return near
+}
+
 // feasible reports whether a request may be sent to a runner at all.
 func (f *Fleet) feasible(known *runner, query Query) bool {
 	if f.eligible(known, eligible.Request{Service: query.Service, Homes: query.Homes}) != eligible.Yes {
@@ -164,9 +179,7 @@
 		choice.Full = true
 		cost += costWhenFull * float64(running-known.listed.Slots+1)
 	}
-	if known.listed.Zone != f.zone {
-		cost += costOtherZone
-	}
+	cost += f.costOfWay(&known.listed)
 	if known.listed.Missing {
 		cost += costMissing
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -53,6 +53,8 @@
 // concurrently; mutex guards all fields.
 type Fleet struct {
 	zone string
+	// ways are how far the regions are.
+	ways ways
 	now  func() time.Time
 	// rules are what operators decided about runners and zones.
 	rules eligible.Rules
@@ -113,6 +115,10 @@
 		ordersAt: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
+// SetRegion tells the region of the node. It is called before the fleet is used; without
+// it all runners count as near.
+func (f *Fleet) SetRegion(region place.Region) { f.ways.own = region }
+
 // Wake lets waiting requests look again.
 func (f *Fleet) Wake() {
 	f.mutex.Lock()
--- /dev/null
+++ b/internal/fleet/ways_test.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
+)
+
+// regionFleet is a fleet of a node in the north with so many runners in each region, which
+// hold m and have so many slots.
+func regionFleet(near, far, slots int) *Fleet {
+	f, _ := testFleet()
+	f.SetRegion("north")
+	var runners []backend.Runner
+	for number := range near {
+		runners = append(runners, listedIn("north", fmt.Sprintf("near-%d", number), "m"))
+	}
+	for number := range far {
+		runners = append(runners, listedIn("south", fmt.Sprintf("far-%d", number), "m"))
+	}
+	for number := range runners {
+		runners[number].Slots = slots
+	}
+	f.Replace(runners, false)
+	return f
+}
+
+var forM = Query{Service: "s", Unit: backend.Unit{Model: "m"}, Prompt: []Part{{ID: "a", Tokens: 100}}}
+
+// TestNearRunnersGoFirst: a runner of another region is chosen once the near ones have more
+// to do than the way there takes, and sooner when the way proves short.
+func TestNearRunnersGoFirst(t *testing.T) {
+	sentNear := func(f *Fleet) int {
+		for count := range 100 {
+			if choice, _ := f.Choose(forM); choice.Runner.Region != "north" {
+				return count
+			}
+		}
+		return 100
+	}
+	assumed := sentNear(regionFleet(1, 1, 64))
+	assert.Assert(t, assumed > 1 && assumed < 100, "%d", assumed)
+	long := regionFleet(1, 1, 64)
+	long.Answered("near-0", 2*time.Millisecond)
+	long.Answered("far-0", 202*time.Millisecond)
+	assert.Assert(t, sentNear(long) > assumed)
+	short := regionFleet(1, 1, 64)
+	short.Answered("near-0", 2*time.Millisecond)
+	short.Answered("far-0", 3*time.Millisecond)
+	assert.Assert(t, sentNear(short) < assumed)
+}
+
+// TestQuestionsStayNear: runners of other regions are asked for their load only while
+// near ones with places leave no choice.
+func TestQuestionsStayNear(t *testing.T) {
+	f := regionFleet(2, 3, 16)
+	for range 8 {
+		for _, asked := range f.Candidates(forM, 2) {
+			assert.Equal(t, asked.Region, "north")
+		}
+		f.Choose(forM)
+	}
+	f.Told("near-0", 16, 9)
+	f.Told("near-1", 16, 9)
+	assert.Equal(t, f.Candidates(forM, 2)[0].Region, "south")
+	assert.Equal(t, len(regionFleet(0, 2, 16).Candidates(forM, 2)), 2)
+}
+
+// TestWaysFollowAnswers: the time of a region is the least lately; one slow answer moves it
+// little, a longer way moves it in the end.
+func TestWaysFollowAnswers(t *testing.T) {
+	f := regionFleet(1, 1, 64)
+	far := []backend.Runner{listedIn("south", "far-0")}
+	assert.Equal(t, f.Beyond(far), assumedWay)
+	f.Answered("far-0", 30*time.Millisecond)
+	f.Answered("far-0", time.Second)
+	assert.Assert(t, f.Beyond(far) < 60*time.Millisecond)
+	for range 500 {
+		f.Answered("far-0", time.Second)
+	}
+	assert.Assert(t, f.Beyond(far) > 900*time.Millisecond)
+	assert.Equal(t, f.Beyond([]backend.Runner{listedIn("north", "near-0"), listedIn("", "unknown")}), time.Duration(0))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"lilacvane/internal/logging"
 	"lilacvane/internal/operator"
 	"lilacvane/internal/peer"
+	"lilacvane/internal/place"
 	"lilacvane/internal/policy"
 	"lilacvane/internal/relay"
 	"lilacvane/internal/retry"
@@ -123,6 +124,7 @@
 	}
 	n.settings.Store(&s)
 	n.fleet = fleet.New(s.Zone, time.Now, (*operatorRules)(n))
+	n.fleet.SetRegion(place.Region(s.Region))
 	n.committer = commit.New(platform.Objects, n.catalog)
 	n.policies = policy.NewSet(n.catalog, s.Region, zone)
 	n.closing, n.close = context.WithCancel(context.Background())
