Load where it is waited for, and ask the lenders of one's region first

Cause: the plan chose among like runners without a look at where requests wait, and lenders were asked in turn whatever their region: a request over its node's share then waits for the way between regions. Ruled out: a cost against copies on disk or in host memory (a load from the store takes seconds, the way some 50 ms); lenders for each region (parts would be divided twice); an order by time of answer (it is the region's). Change: reports tell the node's region; what waits is counted by it and decides among like places. Lenders carry their region in the row, nodes are told how many of theirs are near, and ask these in turn first. Conclusion: a lender of each region is not assured: all three may lie in one region; then nothing changes there.

--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -40,6 +40,7 @@
 type nodeReport struct {
 	at      time.Time
 	zone    string
+	region  place.Region
 	address string
 	spare   float64
 	waiting []wire.UnitWaiting
@@ -77,7 +78,7 @@
 	if !request.Report {
 		return false
 	}
-	d.reports[request.Node] = nodeReport{at: now, zone: request.Zone, address: request.Address, spare: request.Spare, waiting: request.Waiting, running: request.Running}
+	d.reports[request.Node] = nodeReport{at: now, zone: request.Zone, region: place.Region(request.Region), address: request.Address, spare: request.Spare, waiting: request.Waiting, running: request.Running}
 	return len(request.Waiting) > 0
 }
 
@@ -189,7 +190,7 @@
 	d.nodes(now)
 	members := make([]wire.Member, 0, len(d.reports))
 	for _, node := range slices.Sorted(maps.Keys(d.reports)) {
-		members = append(members, wire.Member{Node: node, Zone: d.reports[node].zone, Address: d.reports[node].address})
+		members = append(members, wire.Member{Node: node, Zone: d.reports[node].zone, Region: string(d.reports[node].region), Address: d.reports[node].address})
 	}
 	return members
 }
@@ -274,14 +275,14 @@
 		for _, waiting := range report.waiting {
 			left := time.Duration(waiting.LeftMs)*time.Millisecond - now.Sub(report.at)
 			for _, unit := range unitsNamed(waiting.Model, waiting.Adapter) {
-				noteWaiting(units, unit, waiting, left)
+				noteWaiting(units, unit, waiting, left, report.region)
 			}
 		}
 	}
 	return units
 }
 
-func noteWaiting[K comparable](demands map[K]*scheduler.Demand, key K, waiting wire.UnitWaiting, left time.Duration) {
+func noteWaiting[K comparable](demands map[K]*scheduler.Demand, key K, waiting wire.UnitWaiting, left time.Duration, region place.Region) {
 	demand := demands[key]
 	if demand == nil {
 		demand = &scheduler.Demand{}
@@ -294,4 +295,11 @@
 		demand.Priority = waiting.Priority
 	}
 	demand.Waiting += waiting.Count
+	if region == "" {
+		return
+	}
+	if demand.From == nil {
+		demand.From = make(map[place.Region]int)
+	}
+	demand.From[region] += waiting.Count
 }
--- a/internal/control/parts.go
+++ b/internal/control/parts.go
@@ -61,7 +61,7 @@
 		for _, waiting := range report.waiting {
 			left := time.Duration(waiting.LeftMs)*time.Millisecond - now.Sub(report.at)
 			for _, unit := range unitsNamed(waiting.Model, waiting.Adapter) {
-				noteWaiting(demands, scheduler.Want{Unit: unit, Homes: place.HomesOf(waiting.Homes)}, waiting, left)
+				noteWaiting(demands, scheduler.Want{Unit: unit, Homes: place.HomesOf(waiting.Homes)}, waiting, left, report.region)
 			}
 		}
 	}
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -43,7 +43,7 @@
 	response := c.account(request)
 	if request.Limits != nil && response.Valid && c.Divide != nil {
 		response.Limits = c.Divide(limit.Report{
-			Node: request.Node, Process: request.Limits.Process, Address: request.Address, Spare: request.Spare,
+			Node: request.Node, Process: request.Limits.Process, Address: request.Address, Region: request.Region, Spare: request.Spare,
 			Version: request.Limits.Version, Asked: request.Limits.Asked,
 		})
 	}
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -219,7 +219,7 @@
 func (s *Syncer) call(ctx context.Context, request wire.SyncRequest) error {
 	request.Service, request.Node = s.service, s.self.Node
 	if request.Report {
-		request.Zone, request.Address = s.self.Zone, s.self.Address
+		request.Zone, request.Region, request.Address = s.self.Zone, s.self.Region, s.self.Address
 	}
 	s.mutex.Lock()
 	request.Token, request.Version = s.token, s.version
--- a/internal/limit/divider.go
+++ b/internal/limit/divider.go
@@ -105,7 +105,7 @@
 		m.replaced[m.process] = true
 		m.process, m.acked = report.Process, 0
 	}
-	m.address, m.spare, m.heard = report.Address, report.Spare, now
+	m.address, m.region, m.spare, m.heard = report.Address, report.Region, report.Spare, now
 	m.acked = max(m.acked, report.Version)
 	for _, use := range report.Asked {
 		m.flow(use.Tenant, now).add(use.Cost, float64(use.Requests), now)
@@ -119,7 +119,7 @@
 		return Grant{Same: true}
 	}
 	m.started = m.started || starts
-	return Grant{Version: d.record.Version, Shares: d.record.shares(report.Node), Reserve: d.record.Reserve.at(report.Node).Told, Start: starts}
+	return Grant{Version: d.record.Version, Shares: d.record.shares(report.Node, report.Region), Reserve: d.record.Reserve.at(report.Node).Told, Start: starts}
 }
 
 // Asked is what is asked of a tenant's limit, in units a second.
--- a/internal/limit/divider_test.go
+++ b/internal/limit/divider_test.go
@@ -76,3 +76,52 @@
 	kept := Report{Node: "b", Process: "q", Address: "b", Spare: 1, Version: written}
 	assert.Equal(t, d.Report(kept, now).Version, written)
 }
+
+// TestNearLendersAreAskedFirst: a node is told which lenders lie in its region, and asks
+// these in turn before the others, which it still asks.
+func TestNearLendersAreAskedFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDivider(Begin(NewRecord()), 0, tenant.Tolerance{Window: time.Second}, now)
+	regions := map[string]string{"n1": "north", "n2": "north", "s1": "south", "x": ""}
+	for node, region := range regions {
+		d.Report(Report{Node: node, Process: "p" + node, Address: node, Region: region, Spare: 1}, now)
+	}
+	limited := &tenant.Tenant{Name: "t", Limit: tenant.Limit{Rate: 10, Burst: 10}}
+	assert.Assert(t, d.Next([]*tenant.Tenant{limited}, now) != nil)
+	d.Confirmed()
+	for node, region := range regions {
+		grant := d.Report(Report{Node: node, Process: "p" + node, Address: node, Region: region, Spare: 1}, now)
+		keeper := NewKeeper(tenant.Tolerance{Window: time.Second}, func() time.Time { return now })
+		keeper.Apply(grant, now)
+		near := 0
+		for _, lender := range grant.Shares[0].Lenders {
+			if region != "" && regions[lender] == region {
+				near++
+			}
+		}
+		assert.Equal(t, grant.Shares[0].Near, near)
+		first := make(map[string]bool)
+		for range 6 {
+			lenders, _ := keeper.Lenders(limited, 1, 0)
+			assert.Equal(t, len(lenders), lenderCount)
+			first[lenders[0]] = true
+			for i, lender := range lenders[:near] {
+				assert.Equal(t, regions[lender], region, "%d", i)
+			}
+		}
+		if near > 0 {
+			assert.Equal(t, len(first), near, "each near lender is the first in turn")
+		}
+	}
+}
+
+// TestOddNearIsBounded: a count of near lenders that cannot be is of no harm.
+func TestOddNearIsBounded(t *testing.T) {
+	limited := &tenant.Tenant{Name: "t", Limit: tenant.Limit{Rate: 10, Burst: 10}}
+	for _, near := range []int{-3, 9} {
+		keeper := NewKeeper(tenant.Tolerance{Window: time.Second}, time.Now)
+		keeper.Apply(Grant{Version: 1, Shares: []Share{{Tenant: "t", Part: 1, Lenders: []string{"a", "b"}, Near: near}}}, time.Now())
+		lenders, _ := keeper.Lenders(limited, 1, 0)
+		assert.Equal(t, len(lenders), 2)
+	}
+}
--- a/internal/limit/keeper.go
+++ b/internal/limit/keeper.go
@@ -33,6 +33,8 @@
 type account struct {
 	part    Part
 	lenders []string
+	// near is how many of the lenders, the first ones, lie in this node's region.
+	near int
 	// level is what may be spent, as of at.
 	level float64
 	at    time.Time
@@ -233,8 +235,8 @@
 	return cost <= bucket.Capacity
 }
 
-// Lenders returns who may spend for this node, in the order in which to ask: each is the
-// first in turn. dry is above zero when they said a moment ago that they cannot.
+// Lenders returns who may spend for this node, in the order in which to ask: those of its
+// region first, and of these each in turn. dry is above zero when they said a moment ago that they cannot.
 func (k *Keeper) Lenders(t *tenant.Tenant, cost float64, rank int) (addresses []string, dry time.Duration) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -242,14 +244,21 @@
 	if left := a.dryUntil.Sub(k.now()); left > 0 && cost >= a.dryCost && rank >= a.dryRank {
 		return nil, left
 	}
-	count := len(a.lenders)
-	for i := range count {
-		addresses = append(addresses, a.lenders[(a.next+i)%count])
-	}
+	near := min(max(a.near, 0), len(a.lenders))
+	addresses = appendTurned(addresses, a.lenders[:near], a.next)
+	addresses = appendTurned(addresses, a.lenders[near:], a.next)
 	a.next++
 	return addresses, 0
 }
 
+// appendTurned appends all of a list, beginning at another one each turn.
+func appendTurned(to, list []string, turn int) []string {
+	for i := range list {
+		to = append(to, list[(turn+i)%len(list)])
+	}
+	return to
+}
+
 // Refused notes that the lenders have nothing for the cost and rank until in.
 func (k *Keeper) Refused(t *tenant.Tenant, cost float64, rank int, in time.Duration) {
 	k.mutex.Lock()
@@ -319,7 +328,7 @@
 	}
 	for name, a := range k.accounts {
 		a.nextPart(told[name].Part, k.now())
-		a.lenders = told[name].Lenders
+		a.lenders, a.near = told[name].Lenders, told[name].Near
 		if start {
 			a.startPart = a.part
 		}
--- a/internal/limit/member.go
+++ b/internal/limit/member.go
@@ -14,6 +14,7 @@
 // member is a node that reported.
 type member struct {
 	address  string
+	region   string
 	spare    float64
 	process  string
 	replaced map[string]bool
--- a/internal/limit/part.go
+++ b/internal/limit/part.go
@@ -47,6 +47,8 @@
 	Part   Part        `cbor:"2,keyasint,omitempty"`
 	// Lenders are the addresses (ip:port for peers) of the nodes that spend for others.
 	Lenders []string `cbor:"3,keyasint,omitempty"`
+	// Near is how many of them lie in the node's region; these are the first.
+	Near int `cbor:"4,keyasint,omitempty"`
 }
 
 // Grant is what a divider tells a node.
@@ -76,6 +78,8 @@
 	Process string
 	// Address is where peers reach the node (ip:port).
 	Address string
+	// Region is where the node is; empty when it is not known.
+	Region string
 	// Spare is the part, 0 to 1, that the node's machine has of what one should have that
 	// works for others.
 	Spare float64
--- a/internal/limit/record.go
+++ b/internal/limit/record.go
@@ -35,6 +35,22 @@
 	Node string `cbor:"1,keyasint"`
 	// Address is where peers reach it (ip:port).
 	Address string `cbor:"2,keyasint"`
+	// Region is where it is; empty when it is not known.
+	Region string `cbor:"3,keyasint,omitempty"`
+}
+
+// nearFirst lists the addresses of the lenders, those in a region first, and how many
+// these are.
+func (d *Division) nearFirst(region string) (addresses []string, near int) {
+	var others []string
+	for _, lender := range d.Lenders {
+		if region == "" || lender.Region != region {
+			others = append(others, lender.Address)
+			continue
+		}
+		addresses = append(addresses, lender.Address)
+	}
+	return append(addresses, others...), len(addresses)
 }
 
 // lends reports whether a node is one of the lenders.
@@ -85,14 +101,12 @@
 	return last
 }
 
-// shares lists what a node is to have, by tenant.
-func (r *Record) shares(node string) []Share {
+// shares lists what a node in a region is to have, by tenant.
+func (r *Record) shares(node, region string) []Share {
 	shares := make([]Share, 0, len(r.Tenants))
 	for name, division := range r.Tenants {
 		share := Share{Tenant: name, Part: division.Nodes.at(node).Told}
-		for _, lender := range division.Lenders {
-			share.Lenders = append(share.Lenders, lender.Address)
-		}
+		share.Lenders, share.Near = division.nearFirst(region)
 		shares = append(shares, share)
 	}
 	slices.SortFunc(shares, func(a, b Share) int {
--- a/internal/limit/targets.go
+++ b/internal/limit/targets.go
@@ -145,7 +145,7 @@
 		}
 		if !slices.ContainsFunc(lenders, func(l Lender) bool { return l.Node == node }) {
 			reporting++
-			lenders = append(lenders, Lender{Node: node, Address: d.nodes[node].address})
+			lenders = append(lenders, Lender{Node: node, Address: d.nodes[node].address, Region: d.nodes[node].region})
 		}
 	}
 	if len(lenders) == 0 || slices.Equal(lenders, division.Lenders) {
@@ -158,7 +158,7 @@
 // lender brings a lender's address up to date.
 func (d *Divider) lender(known Lender) Lender {
 	if m := d.nodes[known.Node]; m != nil {
-		known.Address = m.address
+		known.Address, known.Region = m.address, m.region
 	}
 	return known
 }
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -84,7 +84,7 @@
 		Service: service, Node: s.Node, Lessor: lessor, Runners: n.platform.Control, Fleet: n.fleet, Configuration: n.configuration.Load,
 		Policies: n.policies, Sleeper: newSleeper(s.Sleep, n.policies.Zone()), ObserveLoad: n.figures.observeLoad, Divide: n.limits.divide, Decide: n.decide, Log: n.log.Logger,
 	})
-	self := wire.Member{Node: s.Node, Zone: s.Zone, Address: s.Listen.PeerAddress()}
+	self := wire.Member{Node: s.Node, Zone: s.Zone, Region: s.Region, Address: s.Listen.PeerAddress()}
 	syncer = control.NewSyncer(service, self, s.Capacity.Spare(), lessor, controller, n.client, n.demand, n.fleet, n.limits.of(service), n.observeFleet, n.log.Logger)
 	c.work.Go(func() { lessor.Run(ctx) })
 	c.work.Go(func() { controller.Run(ctx) })
--- a/internal/scheduler/adapters.go
+++ b/internal/scheduler/adapters.go
@@ -107,6 +107,10 @@
 // under way.
 const evictAdapterCost = 4.0
 
+// farAdapterCost is the price of a place in another region than all that wait, in requests
+// under way: the way there is as long as a runner takes for some of them.
+const farAdapterCost = 2.0
+
 func (p *planner) adapterCost(runner *Runner, unit backend.Unit) (float64, bool) {
 	held := runner.Models[unit.Model]
 	if held != nil && held.Adapters[unit.Adapter] != nil {
@@ -119,7 +123,7 @@
 	if runner.Free < p.state.Engine.Models[unit.Model].AdapterSize {
 		return 0, false
 	}
-	cost := float64(runner.Active) - 0.5*float64(runner.AdapterSlots)
+	cost := float64(runner.Active) - 0.5*float64(runner.AdapterSlots) + farAdapterCost*p.state.Demand[unit].far(runner)
 	if runner.AdapterSlots <= 0 {
 		if p.adapterVictim(runner, unit) == (backend.Unit{}) {
 			return 0, false
--- a/internal/scheduler/homes.go
+++ b/internal/scheduler/homes.go
@@ -70,5 +70,19 @@
 	return Part{Demand: &demand}
 }
 
+// far is the part of what waits whose nodes are known to lie in other regions than a runner.
+func (d *Demand) far(runner *Runner) float64 {
+	if runner.Region == "" || d.Waiting == 0 {
+		return 0
+	}
+	elsewhere := 0
+	for region, count := range d.From {
+		if region != runner.Region {
+			elsewhere += count
+		}
+	}
+	return float64(elsewhere) / float64(d.Waiting)
+}
+
 // waits reports whether requests of the part wait.
 func (p Part) waits() bool { return p.Demand != nil && p.Waiting > 0 }
--- a/internal/scheduler/homes_test.go
+++ b/internal/scheduler/homes_test.go
@@ -191,3 +191,31 @@
 		}
 	})
 }
+
+// TestModelIsLoadedWhereItIsWaitedFor: among like places one in the region of the nodes
+// whose requests wait goes first, but not before a copy that is nearer to a runner.
+func TestModelIsLoadedWhereItIsWaitedFor(t *testing.T) {
+	state := regionState(4, 1)
+	waits(state, backend.Unit{Model: "m0"})
+	demand := state.Demand[backend.Unit{Model: "m0"}]
+	demand.Waiting, demand.From = 3, map[place.Region]int{"south": 2, "north": 1}
+	assert.Equal(t, MakePlan(state).Steps[0].Runner, "r2")
+	state.Runners[2].Active, state.Runners[3].Active = 1, 1
+	assert.Equal(t, MakePlan(state).Steps[0].Runner, "r2")
+	state.Runners[1].Disk["m0"] = true
+	assert.Equal(t, MakePlan(state).Steps[0].Runner, "r1")
+}
+
+// TestAdapterIsLoadedWhereItIsWaitedFor is the same for adapters.
+func TestAdapterIsLoadedWhereItIsWaitedFor(t *testing.T) {
+	state := regionState(4, 1)
+	adapter := backend.Unit{Model: "m0", Adapter: "a"}
+	waits(state, adapter)
+	state.Demand[adapter].From = map[place.Region]int{"south": 1}
+	state.Runners[0].hold("m0")
+	state.Runners[3].hold("m0").Active = 1
+	state.Runners[3].Active = 1
+	assert.Equal(t, MakePlan(state).Steps[0].Runner, "r3")
+	state.Runners[3].Active = 9
+	assert.Equal(t, MakePlan(state).Steps[0].Runner, "r0")
+}
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -15,6 +15,10 @@
 	// reloadCost is what a request waits, on average, for a model that was
 	// unloaded.
 	reloadCost = 1.5
+	// farCost is the price of a place in another region than all that wait: the way of
+	// those to come too, and what it carries. It decides among like places, and
+	// not against a copy that is nearer to the runner.
+	farCost = 0.1
 	// horizon is the time for which a model that is unloaded is missed.
 	horizon = 12.0
 	// drainCost is the cost of each request that an unload has to wait for.
@@ -49,6 +53,7 @@
 	if fromStore {
 		cost += storeCost
 	}
+	cost += farCost * n.demand.far(runner)
 	missing := p.state.Engine.Models[n.model].Size - runner.Free
 	if held != nil {
 		missing = 0
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -101,6 +101,8 @@
 	Waiting  int
 	Left     time.Duration
 	Priority int
+	// From counts those that wait by the region of their nodes, where that is known.
+	From map[place.Region]int
 	// Rate is the requests a second lately, Work the share of one runner's time
 	// that they take.
 	Rate float64
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -90,6 +90,8 @@
 type Member struct {
 	Node string `cbor:"1,keyasint" json:"node"`
 	Zone string `cbor:"2,keyasint" json:"zone"`
+	// Region is empty when it is not known.
+	Region string `cbor:"5,keyasint,omitempty" json:"region,omitempty"`
 	// Address is its peers' ip:port.
 	Address string `cbor:"3,keyasint" json:"address"`
 	// Holds lists the services whose lease it holds.
