Count the bytes that cross regions, by purpose

Cause: nobody could tell what fills a narrow link between regions. Ruled out: a count at connections between nodes (several purposes share one); a header with each call (it would be a tenth of a report); counts at both ends (each byte twice); the store's (nodes are not told its region). Change: package traffic. A node learns a peer's region with its first call to it and counts the messages it begins both ways; connections to runners of other regions count all bytes. lilacvane_region_bytes_total has ten series at most. Figures: none measured.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -334,6 +334,16 @@
 	return usages
 }
 
+// RegionOf is the region in which a runner is listed; empty when that is not known.
+func (f *Fleet) RegionOf(id string) place.Region {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if known := f.runners[id]; known != nil {
+		return place.Region(known.listed.Region)
+	}
+	return ""
+}
+
 // Known reports whether a runner is listed or has requests under way.
 func (f *Fleet) Known(id string) bool {
 	f.mutex.Lock()
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -9,6 +9,7 @@
 
 	"lilacvane/internal/dispatch"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/traffic"
 	"lilacvane/internal/wire"
 )
 
@@ -19,11 +20,13 @@
 	// outsideHomes counts refusals as no runner was listed in the homes.
 	outsideHomes *prometheus.CounterVec
 	attempts     prometheus.Counter
-	resumes      prometheus.Counter
-	first        *prometheus.HistogramVec
-	waited       prometheus.Histogram
-	loadTime     prometheus.Histogram
-	tenants      *tenantFigures
+	// regionBytes are exchanged with other regions.
+	regionBytes *prometheus.CounterVec
+	resumes     prometheus.Counter
+	first       *prometheus.HistogramVec
+	waited      prometheus.Histogram
+	loadTime    prometheus.Histogram
+	tenants     *tenantFigures
 }
 
 // latencyBuckets are in seconds.
@@ -41,6 +44,9 @@
 		outsideHomes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lilacvane_outside_homes_total", Help: "Requests refused as no runner was listed in their homes, by route.",
 		}, []string{"route"}),
+		regionBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lilacvane_region_bytes_total", Help: "Bytes exchanged with other regions, counted where the exchange began.",
+		}, []string{"purpose", "direction"}),
 		attempts: prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacvane_attempts_total", Help: "Requests sent to runners."}),
 		resumes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacvane_resumes_total", Help: "Streams resumed at another runner."}),
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -55,7 +61,7 @@
 		Help: "How far loads from the weight store were from the time that was told, as a part of it.",
 	})
 	f.tenants = newTenantFigures(f.registry)
-	f.registry.MustRegister(f.loadTime, f.requests, f.outsideHomes, f.attempts, f.resumes, f.first, f.waited)
+	f.registry.MustRegister(f.loadTime, f.requests, f.outsideHomes, f.regionBytes, f.attempts, f.resumes, f.first, f.waited)
 	gauge := func(name, help string, value func() float64) {
 		f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
@@ -102,6 +108,11 @@
 	}
 }
 
+// countRegion counts bytes exchanged with another region.
+func (f *figures) countRegion(purpose traffic.Purpose, direction traffic.Direction, bytes int) {
+	f.regionBytes.WithLabelValues(string(purpose), string(direction)).Add(float64(bytes))
+}
+
 // observe counts a request that ended.
 func (f *figures) observe(o dispatch.Outcome) {
 	f.requests.WithLabelValues(o.Route, o.Result).Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	"lilacvane/internal/retry"
 	"lilacvane/internal/settings"
 	"lilacvane/internal/table"
+	"lilacvane/internal/traffic"
 	"lilacvane/internal/upstream"
 	"lilacvane/internal/wire"
 )
@@ -129,11 +130,14 @@
 	n.policies = policy.NewSet(n.catalog, s.Region, zone)
 	n.closing, n.close = context.WithCancel(context.Background())
 	n.figures = newFigures(n)
+	meter := traffic.NewMeter(place.Region(s.Region), n.figures.countRegion)
+	n.pool.Wrap = func(runner string, conn net.Conn) net.Conn { return meter.Connection(conn, n.fleet.RegionOf(runner)) }
 	n.dispatcher = &dispatch.Dispatcher{
 		Node: s.Node, Fleet: n.fleet, Pool: n.pool, Demand: n.demand, Names: platform.Headers,
 		Configuration: n.configuration.Load, Fresh: n.fresh, Retries: retryLimits(s.Retries), Report: platform.Control.Report, Log: log.Logger, Observe: n.observe, Closing: n.closing,
 	}
 	n.peers = peer.NewServer(s.Node)
+	n.peers.SetRegion(place.Region(s.Region))
 	n.limits = newLimits(n, s.Limits)
 	n.dispatcher.Limits = n.limits
 	n.ingress = ingress.New(platform.Headers, n.dispatcher, log.Logger)
@@ -142,6 +146,7 @@
 	})
 	n.operator = operator.New(n, n.catalog, s.Node, n.figures.handler())
 	n.client = peer.NewClient(s.Node)
+	n.client.SetMeter(meter)
 	n.controls = newControls(n)
 	n.relay = relay.New(relay.Options{
 		Group: relayGroup(s), Node: s.Node, Leases: platform.Leases, Address: s.Listen.PeerAddress(), Process: n.process,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,13 +11,17 @@
 	"time"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/place"
+	"lilacvane/internal/traffic"
 	"lilacvane/internal/wire"
 )
 
 const (
-	pathPrefix  = "/peer/"
-	headerFrom  = "From-Node"
-	maximumIdle = 64
+	pathPrefix = "/peer/"
+	headerFrom = "From-Node"
+	// headerRegion asks a peer, and tells, where it is: with the first call to it.
+	headerRegion = "Node-Region"
+	maximumIdle  = 64
 	// idlePerHost covers the calls that one node holds at another.
 	idlePerHost      = 8
 	idleTimeout      = 30 * time.Second
@@ -40,6 +44,7 @@
 type Server struct {
 	mux    *http.ServeMux
 	node   string
+	region place.Region
 	server *http.Server
 }
 
@@ -52,9 +57,15 @@
 	}
 }
 
+// SetRegion tells the region of the node. It is called before the server is served.
+func (s *Server) SetRegion(region place.Region) { s.region = region }
+
 // Handle registers the handler of a message.
 func Handle[Request, Response any](s *Server, method string, handler func(context.Context, Request) (Response, error)) {
 	s.mux.HandleFunc("POST "+pathPrefix+method, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerRegion) != "" {
+			w.Header().Set(headerRegion, string(s.region))
+		}
 		var request Request
 		if err := readMessage(r.Body, r.Header.Get(headerFrom), &request); err != nil {
 			writeFailure(w, s.node, fault.From(err, method))
@@ -118,6 +129,8 @@
 type Client struct {
 	http *http.Client
 	node string
+	// meter counts what goes to other regions; not set for nobody.
+	meter *traffic.Meter
 }
 
 // NewClient returns a client that names itself node. Calls are bounded by their
@@ -130,6 +143,9 @@
 	return &Client{http: &http.Client{Transport: transport}, node: node}
 }
 
+// SetMeter lets calls to other regions be counted. It is called before the first call.
+func (c *Client) SetMeter(meter *traffic.Meter) { c.meter = meter }
+
 // Close drops idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -146,6 +162,10 @@
 	}
 	call.Header["User-Agent"] = []string{""}
 	call.Header.Set(headerFrom, c.node)
+	learn := c.meter != nil && !c.meter.Knows(address)
+	if learn {
+		call.Header.Set(headerRegion, "?")
+	}
 	answer, err := c.http.Do(call)
 	if err != nil {
 		failed := fault.Transport(err, method, address)
@@ -153,13 +173,47 @@
 		return failed
 	}
 	defer answer.Body.Close()
+	if learn {
+		c.meter.Learn(address, place.Region(answer.Header.Get(headerRegion)))
+	}
+	body := &countedBody{Reader: answer.Body}
+	if c.meter != nil {
+		defer func() { c.meter.Exchanged(address, purposeOf(method), len(content), body.count) }()
+	}
 	if answer.StatusCode == statusPeerFailed {
-		return readFailure(answer.Body, address)
+		return readFailure(body, address)
 	}
 	if answer.StatusCode != http.StatusOK {
 		return &fault.Error{Code: fault.CodeInternal, Step: method, Peer: address, Ran: fault.Unknown, Message: answer.Status}
 	}
-	return readMessage(answer.Body, address, response)
+	return readMessage(body, address, response)
+}
+
+// countedBody counts what is read of an answer.
+type countedBody struct {
+	io.Reader
+	count int
+}
+
+// Read reads and counts.
+func (b *countedBody) Read(buffer []byte) (int, error) {
+	read, err := b.Reader.Read(buffer)
+	b.count += read
+	return read, err
+}
+
+// purposeOf says what a call is for.
+func purposeOf(method string) traffic.Purpose {
+	switch method {
+	case wire.MethodSync:
+		return traffic.Demand
+	case wire.MethodFollow, wire.MethodRelay, wire.MethodLease:
+		return traffic.Relay
+	case wire.MethodSpend, wire.MethodDivision:
+		return traffic.Limits
+	default:
+		return traffic.Operators
+	}
 }
 
 func readFailure(body io.Reader, address string) error {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -31,6 +31,9 @@
 // Pool keeps resting connections by runner. Its methods may be called
 // concurrently.
 type Pool struct {
+	// Wrap stands around each new connection to a runner; not set for none.
+	Wrap func(runner string, conn net.Conn) net.Conn
+
 	names Names
 
 	mutex sync.Mutex
@@ -57,7 +60,7 @@
 	for {
 		resting := p.pop(runner)
 		if resting == nil {
-			return dial(ctx, address)
+			return p.dial(ctx, runner, address)
 		}
 		if time.Now().Before(resting.idleUntil) && quiet(resting.Conn) {
 			return resting, nil
@@ -108,12 +111,15 @@
 	}
 }
 
-func dial(ctx context.Context, address string) (*connection, error) {
+func (p *Pool) dial(ctx context.Context, runner, address string) (*connection, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: limitUnacknowledged, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.At(fault.CodeUnreachable, "connect", address, fault.NotDone, err)
 	}
+	if p.Wrap != nil {
+		conn = p.Wrap(runner, conn)
+	}
 	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}, nil
 }
 
--- a/test/homes_test.go
+++ b/test/homes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -86,6 +87,14 @@
 		assertRefusedAtOnce(t, node, clientRequest{Path: "/read/x", Key: "northern-key"})
 		assert.Equal(t, send(t.Context(), node, clientRequest{Path: "/read/x", Key: "southern-key"}).Status, http.StatusOK)
 	}
+	waitUntil(t, "bytes between regions are counted", func() error {
+		for _, purpose := range []string{"requests", "demand"} {
+			if !countsBetweenRegions(t, nodes, purpose) {
+				return fmt.Errorf("none for %s", purpose)
+			}
+		}
+		return nil
+	})
 	startMailer(t, w, "north-3", "zone-a")
 	waitStatus(t, "northern-key", http.StatusOK, nodes...)
 	cancel()
@@ -97,6 +106,22 @@
 	assert.Assert(t, strings.Contains(readFile(t, w.LogPath(nodes[0])), "outside_homes"), "the log names the reason")
 }
 
+// countsBetweenRegions reports whether a node counts bytes to other regions for a purpose.
+func countsBetweenRegions(t *testing.T, nodes []*world.Node, purpose string) bool {
+	t.Helper()
+	for _, node := range nodes {
+		response, err := http.Get("http://" + node.Metrics + "/metrics")
+		assert.NilError(t, err)
+		content, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		if strings.Contains(string(content), `lilacvane_region_bytes_total{direction="sent",purpose="`+purpose+`"}`) {
+			return true
+		}
+	}
+	return false
+}
+
 // assertRefusedAtOnce checks that a request is refused with its reason, as not run and with
 // a time to come back, long before its own time is over.
 func assertRefusedAtOnce(t *testing.T, node *world.Node, c clientRequest) {
