--- a/test/homes_test.go
+++ b/test/homes_test.go
@@ -173,8 +173,12 @@
 	killRunner(t, w, first)
 	got := <-done
 	assert.Assert(t, got.Whole && got.Body == expectedEvents(id, 150), "%d: %d events", got.Status, got.Events)
+	for _, node := range nodes {
+		c := call{Model: "alpha", Prompt: "at home " + node.Name, Tokens: 3, Key: "once-" + node.Name, Bearer: "northern-key"}
+		assertServed(t, c, ask(t.Context(), node, c, nil))
+	}
 	h := readHistory(t, w)
-	assert.Assert(t, h.assertHome(t, w, "northern", "north") > 1)
+	assert.Assert(t, h.assertHome(t, w, "northern", "north") >= 1+len(nodes))
 	h.assertHome(t, w, "southern", "south")
 }
 
