Go through what waits in one place

Cause: demand in all and by homes went through the reports in like loops. Ruled out: nothing else. Change: demandBook.eachWaiting. Conclusion: no change of behaviour; the package's tests pass.

--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -268,6 +268,15 @@
 			demand.Work = max(demand.Work, inUse/float64(max(engine.AdapterSlots, 1)))
 		}
 	}
+	d.eachWaiting(now, func(unit backend.Unit, waiting wire.UnitWaiting, left time.Duration, region place.Region) {
+		noteWaiting(units, unit, waiting, left, region)
+	})
+	return units
+}
+
+// eachWaiting tells of all that waits at nodes that reported lately, by unit, with the time
+// left and the node's region.
+func (d *demandBook) eachWaiting(now time.Time, tell func(backend.Unit, wire.UnitWaiting, time.Duration, place.Region)) {
 	for _, report := range d.reports {
 		if now.Sub(report.at) > d.lifetime() {
 			continue
@@ -275,11 +284,10 @@
 		for _, waiting := range report.waiting {
 			left := time.Duration(waiting.LeftMs)*time.Millisecond - now.Sub(report.at)
 			for _, unit := range unitsNamed(waiting.Model, waiting.Adapter) {
-				noteWaiting(units, unit, waiting, left, report.region)
+				tell(unit, waiting, left, report.region)
 			}
 		}
 	}
-	return units
 }
 
 func noteWaiting[K comparable](demands map[K]*scheduler.Demand, key K, waiting wire.UnitWaiting, left time.Duration, region place.Region) {
--- a/internal/control/parts.go
+++ b/internal/control/parts.go
@@ -54,17 +54,9 @@
 // waitingParts sums up what waits by unit and homes.
 func (d *demandBook) waitingParts(now time.Time) map[scheduler.Want]*scheduler.Demand {
 	demands := make(map[scheduler.Want]*scheduler.Demand)
-	for _, report := range d.reports {
-		if now.Sub(report.at) > d.lifetime() {
-			continue
-		}
-		for _, waiting := range report.waiting {
-			left := time.Duration(waiting.LeftMs)*time.Millisecond - now.Sub(report.at)
-			for _, unit := range unitsNamed(waiting.Model, waiting.Adapter) {
-				noteWaiting(demands, scheduler.Want{Unit: unit, Homes: place.HomesOf(waiting.Homes)}, waiting, left, report.region)
-			}
-		}
-	}
+	d.eachWaiting(now, func(unit backend.Unit, waiting wire.UnitWaiting, left time.Duration, region place.Region) {
+		noteWaiting(demands, scheduler.Want{Unit: unit, Homes: place.HomesOf(waiting.Homes)}, waiting, left, region)
+	})
 	return demands
 }
 
