Test that a wait ends when the homes have no runner left

Cause: only new requests were shown to be refused at once. Ruled out: nothing else. Change: a test of a request that waits for its model. Conclusion: none.

--- a/internal/dispatch/homes_test.go
+++ b/internal/dispatch/homes_test.go
@@ -5,10 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
+	"lilacvane/internal/demand"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/place"
@@ -52,3 +54,30 @@
 	assert.Equal(t, fault.Status(problem.Code), http.StatusServiceUnavailable)
 	assert.ErrorContains(t, problem, "north")
 }
+
+// TestWaitEndsWhenHomesEmpty: a request that waits for its model is refused as soon as the
+// last runner of its homes is unlisted, though another region holds the model.
+func TestWaitEndsWhenHomesEmpty(t *testing.T) {
+	known := fleet.New("z", time.Now, noRules{})
+	holding := []backend.Holding{{Model: "m"}}
+	known.Replace([]backend.Runner{{ID: "home", Service: "s", Region: "north"}, {ID: "away", Service: "s", Region: "south", Models: holding}}, false)
+	book := demand.NewBook()
+	j := &job{
+		dispatcher: &Dispatcher{Fleet: known, Demand: book, Configuration: func() *config.Configuration { return &config.Configuration{} }},
+		request:    &Request{Arrived: time.Now(), StartWithin: time.Minute}, route: &config.Route{}, log: logr.Discard(), engine: true,
+		query: fleet.Query{Service: "s", Unit: backend.Unit{Model: "m"}, Homes: place.NewHomes([]place.Region{"north"})},
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := j.place(t.Context())
+		ended <- err
+	}()
+	for !book.Waits("s") {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, book.Waiting()[0].Homes.String(), "north")
+	known.Apply(nil, []string{"home"}, false)
+	err := <-ended
+	assert.Assert(t, fault.IsCode(err, fault.CodeOutsideHomes), "%v", err)
+	assert.Assert(t, !book.Waits("s"))
+}
