Let each region have a lender where it has a node

Cause: lenders were the nodes with the most to spare, wherever; of two regions one had none with one chance in four, or more where it is small. Ruled out: a set of lenders a region (a limit would lie in more hands, and large requests need more of them together). Change: a lender is sought in a region that has none yet first. Figures: TestEachRegionHasALender fails without the change.

--- a/internal/limit/divider_test.go
+++ b/internal/limit/divider_test.go
@@ -1,6 +1,8 @@
 package limit
 
 import (
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -125,3 +127,46 @@
 		assert.Equal(t, len(lenders), 2)
 	}
 }
+
+// TestEachRegionHasALender: a region of few nodes among many gets a lender all the same, and
+// another one when it is lost; where regions are not known the best nodes lend.
+func TestEachRegionHasALender(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDivider(Begin(NewRecord()), 0, tenant.Tolerance{Window: time.Second}, now)
+	report := func(node, region string) {
+		d.Report(Report{Node: node, Process: "p" + node, Address: node, Region: region, Spare: 1}, now)
+	}
+	const many = 40
+	reportNorth := func() {
+		for i := range many {
+			report("n"+strconv.Itoa(i), "north")
+		}
+	}
+	reportNorth()
+	report("s1", "south")
+	report("s2", "south")
+	var limited []*tenant.Tenant
+	for i := range 8 {
+		limited = append(limited, &tenant.Tenant{Name: tenant.Name("t" + strconv.Itoa(i)), Limit: tenant.Limit{Rate: 10, Burst: 10}})
+	}
+	divide := func() {
+		if d.Next(limited, now) != nil {
+			d.Confirmed()
+		}
+	}
+	divide()
+	for _, one := range limited {
+		lenders := d.Lenders(one.Name)
+		assert.Assert(t, slices.Contains(lenders, "s1") || slices.Contains(lenders, "s2"), "%s: %v", one.Name, lenders)
+	}
+	for range 60 {
+		now = now.Add(time.Second)
+		reportNorth()
+		report("s2", "south")
+		divide()
+	}
+	for _, one := range limited {
+		lenders := d.Lenders(one.Name)
+		assert.Assert(t, slices.Contains(lenders, "s2") && !slices.Contains(lenders, "s1"), "%s: %v", one.Name, lenders)
+	}
+}
--- a/internal/limit/targets.go
+++ b/internal/limit/targets.go
@@ -139,14 +139,12 @@
 			lenders = append(lenders, d.lender(lender))
 		}
 	}
-	for _, node := range d.candidates(name, now) {
-		if reporting == lenderCount {
+	for candidates := d.candidates(name, now); reporting < lenderCount; reporting++ {
+		node, found := d.nextLender(candidates, lenders, now)
+		if !found {
 			break
 		}
-		if !slices.ContainsFunc(lenders, func(l Lender) bool { return l.Node == node }) {
-			reporting++
-			lenders = append(lenders, Lender{Node: node, Address: d.nodes[node].address, Region: d.nodes[node].region})
-		}
+		lenders = append(lenders, Lender{Node: node, Address: d.nodes[node].address, Region: d.nodes[node].region})
 	}
 	if len(lenders) == 0 || slices.Equal(lenders, division.Lenders) {
 		return false
@@ -155,6 +153,23 @@
 	return true
 }
 
+// nextLender picks one of the candidates beside the lenders: the best one of a region that
+// has none yet that reports, so that nodes there need not ask farther, or else the best one.
+func (d *Divider) nextLender(candidates []string, lenders []Lender, now time.Time) (node string, found bool) {
+	for _, candidate := range candidates {
+		region := d.nodes[candidate].region
+		switch {
+		case slices.ContainsFunc(lenders, func(l Lender) bool { return l.Node == candidate }):
+			continue
+		case !slices.ContainsFunc(lenders, func(l Lender) bool { return l.Region == region && !d.silent(l.Node, now) }):
+			return candidate, true
+		case !found:
+			node, found = candidate, true
+		}
+	}
+	return node, found
+}
+
 // lender brings a lender's address up to date.
 func (d *Divider) lender(known Lender) Lender {
 	if m := d.nodes[known.Node]; m != nil {
