Show that a refusal did not wait by its log, not by the clock

Cause: a test of homes asserted a wall-clock time, which is not done here. Ruled out: nothing else. Conclusion: none.

--- a/test/homes_test.go
+++ b/test/homes_test.go
@@ -84,7 +84,7 @@
 	assert.NilError(t, w.Unlist("north-2"))
 	waitStatus(t, "northern-key", http.StatusServiceUnavailable, nodes...)
 	for _, node := range nodes {
-		assertRefusedAtOnce(t, node, clientRequest{Path: "/read/x", Key: "northern-key"})
+		assertRefusedAtOnce(t, w, node, clientRequest{Path: "/read/x", Key: "northern-key"})
 		assert.Equal(t, send(t.Context(), node, clientRequest{Path: "/read/x", Key: "southern-key"}).Status, http.StatusOK)
 	}
 	waitUntil(t, "bytes between regions are counted", func() error {
@@ -103,7 +103,6 @@
 	for tenant, region := range map[string]string{"northern": "north", "southern": "south"} {
 		assert.Assert(t, h.assertHome(t, w, tenant, region) > 0, "%s ran nothing", tenant)
 	}
-	assert.Assert(t, strings.Contains(readFile(t, w.LogPath(nodes[0])), "outside_homes"), "the log names the reason")
 }
 
 // countsBetweenRegions reports whether a node counts bytes to other regions for a purpose.
@@ -123,17 +122,24 @@
 }
 
 // assertRefusedAtOnce checks that a request is refused with its reason, as not run and with
-// a time to come back, long before its own time is over.
-func assertRefusedAtOnce(t *testing.T, node *world.Node, c clientRequest) {
+// a time to come back, without a wait.
+func assertRefusedAtOnce(t *testing.T, w *world.World, node *world.Node, c clientRequest) {
 	t.Helper()
-	start := time.Now()
 	got := send(t.Context(), node, c)
 	assert.Equal(t, got.Status, http.StatusServiceUnavailable, got.Body)
 	assert.Assert(t, strings.Contains(got.Body, "outside_homes"), got.Body)
 	retry, err := strconv.ParseFloat(got.Retry, 64)
 	assert.NilError(t, err)
 	assert.Assert(t, retry > 0)
-	assert.Assert(t, time.Since(start) < patience/4, "refused after %s", time.Since(start))
+	waitUntil(t, "the refusal is logged", func() error {
+		for line := range strings.Lines(readFile(t, w.LogPath(node))) {
+			if strings.Contains(line, "request ended") && strings.Contains(line, got.ID) {
+				assert.Assert(t, strings.Contains(line, `"waitedMs":0,`) && strings.Contains(line, "outside_homes"), line)
+				return nil
+			}
+		}
+		return fmt.Errorf("not yet")
+	})
 }
 
 // TestModelsAreLoadedAtHome: a model that another region holds is loaded in the region of a
@@ -217,6 +223,6 @@
 	}
 	assert.NilError(t, w.Configure(routes))
 	waitStatus(t, "", http.StatusServiceUnavailable, nodes...)
-	assertRefusedAtOnce(t, nodes[0], clientRequest{Path: "/read/x"})
+	assertRefusedAtOnce(t, w, nodes[0], clientRequest{Path: "/read/x"})
 	assert.Equal(t, strings.Count(readFile(t, w.LogPath(nodes[0])), "homes in regions that are not known"), 1)
 }
