--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -102,7 +102,7 @@
 	ledgers  map[string]*orders.Ledger
 	intents  map[string]scheduler.Intent
 	// planned is when models that are waited for are expected.
-	planned map[string]time.Time
+	planned map[scheduler.Want]time.Time
 	demand  *demandBook
 	// lender is the account of permits for cold runners.
 	lender  *coldstart.Lender
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -44,7 +44,7 @@
 	response.Permits = c.lend(request, time.Now())
 	if request.Limits != nil && response.Valid && c.Divide != nil {
 		response.Limits = c.Divide(limit.Report{
-			Node: request.Node, Process: request.Limits.Process, Address: request.Address, Spare: request.Spare,
+			Node: request.Node, Process: request.Limits.Process, Address: request.Address, Region: request.Region, Spare: request.Spare,
 			Version: request.Limits.Version, Asked: request.Limits.Asked,
 		})
 	}
@@ -74,11 +74,13 @@
 	if word, ok := c.Lessor.Word(); ok && word.Token == c.token {
 		response.LeaseRenewal, response.LeaseYielded, response.LeaseQuietMs = word.Renewal, word.Yielded, word.Quiet.Milliseconds()
 	}
-	for model, at := range c.planned {
-		if !c.demand.waitsFor(request.Node, model) {
+	for want, at := range c.planned {
+		if !c.demand.waitsFor(request.Node, want.Unit.Model) {
 			continue
 		}
-		response.Planned = append(response.Planned, wire.UnitComing{Model: model, InMs: max(at.Sub(now), 0).Milliseconds()})
+		response.Planned = append(response.Planned, wire.UnitComing{
+			Model: want.Unit.Model, InMs: max(at.Sub(now), 0).Milliseconds(), Homes: want.Homes.Names(),
+		})
 	}
 	if request.Report {
 		response.Standbys = c.demand.standbys(c.Node)
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -14,6 +14,7 @@
 	"lilacvane/internal/lease"
 	"lilacvane/internal/limit"
 	"lilacvane/internal/peer"
+	"lilacvane/internal/place"
 	"lilacvane/internal/wait"
 	"lilacvane/internal/weightstore"
 	"lilacvane/internal/wire"
@@ -200,6 +201,7 @@
 		request.Waiting = append(request.Waiting, wire.UnitWaiting{
 			Model: waiting.Unit.Model, Adapter: waiting.Unit.Adapter, Count: waiting.Count,
 			LeftMs: waiting.Deadline.Sub(now).Milliseconds(), Priority: waiting.Priority,
+			Homes: waiting.Homes.Names(),
 		})
 		for _, wanted := range s.fleet.PermitsWanted(s.service, waiting.Unit, waiting.Count) {
 			request.Permits = append(request.Permits, wire.PermitsWanted{Runner: wanted.Runner, Count: wanted.Count})
@@ -208,6 +210,7 @@
 	for _, usage := range s.book.TakeUsage(s.service) {
 		request.Usage = append(request.Usage, wire.UnitUsage{
 			Model: usage.Unit.Model, Adapter: usage.Unit.Adapter, Requests: usage.Requests, Tokens: usage.Tokens,
+			Homes: usage.Homes.Names(),
 		})
 	}
 	for _, usage := range s.fleet.Usage(s.service) {
@@ -220,7 +223,7 @@
 func (s *Syncer) call(ctx context.Context, request wire.SyncRequest) error {
 	request.Service, request.Node = s.service, s.self.Node
 	if request.Report {
-		request.Zone, request.Address = s.self.Zone, s.self.Address
+		request.Zone, request.Region, request.Address = s.self.Zone, s.self.Region, s.self.Address
 	}
 	s.mutex.Lock()
 	request.Token, request.Version = s.token, s.version
@@ -340,7 +343,10 @@
 }
 
 func comingUnit(coming wire.UnitComing) fleet.Coming {
-	return fleet.Coming{Unit: backend.Unit{Model: coming.Model, Adapter: coming.Adapter}, In: time.Duration(coming.InMs) * time.Millisecond}
+	return fleet.Coming{
+		Unit: backend.Unit{Model: coming.Model, Adapter: coming.Adapter}, In: time.Duration(coming.InMs) * time.Millisecond,
+		Homes: place.HomesOf(coming.Homes),
+	}
 }
 
 func fleetView(runner wire.RunnerView) fleet.View {
--- /dev/null
+++ b/internal/dispatch/homes_test.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/config"
+	"lilacvane/internal/demand"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/fleet"
+	"lilacvane/internal/place"
+	"lilacvane/internal/tenant"
+)
+
+// TestHomesOfRouteAndTenantBothBind: a request may be served where both allow it.
+func TestHomesOfRouteAndTenantBothBind(t *testing.T) {
+	north, both := place.NewHomes([]place.Region{"north"}), place.NewHomes([]place.Region{"north", "south"})
+	for _, test := range []struct {
+		name          string
+		route, tenant place.Homes
+		want          string
+	}{
+		{"none", place.Homes{}, place.Homes{}, "any"},
+		{"route alone", north, place.Homes{}, "north"},
+		{"tenant alone", place.Homes{}, north, "north"},
+		{"both", both, north, "north"},
+		{"nothing in common", north, place.NewHomes([]place.Region{"south"}), "none"},
+	} {
+		j := &job{route: &config.Route{Homes: test.route}, tenant: &tenant.Tenant{Homes: test.tenant}}
+		assert.Equal(t, j.homes().String(), test.want, test.name)
+		assert.Equal(t, j.outcome.Homes.String(), test.want, test.name)
+	}
+}
+
+// TestHomesWithoutRunnerAreRefused: a request that no listed runner may ever take is
+// refused as not run, with its reason and a time; one that a runner may take waits.
+func TestHomesWithoutRunnerAreRefused(t *testing.T) {
+	known := fleet.New("z", time.Now, noRules{})
+	known.Replace([]backend.Runner{{ID: "r", Service: "s", Zone: "z", Region: "south", Draining: true}}, false)
+	j := &job{dispatcher: &Dispatcher{Fleet: known}, query: fleet.Query{Service: "s"}}
+	assert.Assert(t, j.checkHomes() == nil)
+	j.query.Homes = place.NewHomes([]place.Region{"south"})
+	assert.Assert(t, j.checkHomes() == nil)
+	j.query.Homes = place.NewHomes([]place.Region{"north"})
+	problem := j.checkHomes()
+	assert.Equal(t, problem.Code, fault.CodeOutsideHomes)
+	assert.Equal(t, problem.Ran, fault.NotDone)
+	assert.Equal(t, problem.RetryAfter, homesReturn)
+	assert.Equal(t, fault.Status(problem.Code), http.StatusServiceUnavailable)
+	assert.ErrorContains(t, problem, "north")
+}
+
+// TestWaitEndsWhenHomesEmpty: a request that waits for its model is refused as soon as the
+// last runner of its homes is unlisted, though another region holds the model.
+func TestWaitEndsWhenHomesEmpty(t *testing.T) {
+	known := fleet.New("z", time.Now, noRules{})
+	holding := []backend.Holding{{Model: "m"}}
+	known.Replace([]backend.Runner{{ID: "home", Service: "s", Region: "north"}, {ID: "away", Service: "s", Region: "south", Models: holding}}, false)
+	book := demand.NewBook()
+	j := &job{
+		dispatcher: &Dispatcher{Fleet: known, Demand: book, Configuration: func() *config.Configuration { return &config.Configuration{} }},
+		request:    &Request{Arrived: time.Now(), StartWithin: time.Minute}, route: &config.Route{}, log: logr.Discard(), engine: true,
+		query: fleet.Query{Service: "s", Unit: backend.Unit{Model: "m"}, Homes: place.NewHomes([]place.Region{"north"})},
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := j.place(t.Context())
+		ended <- err
+	}()
+	for !book.Waits("s") {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, book.Waiting()[0].Homes.String(), "north")
+	known.Apply(nil, []string{"home"}, false)
+	err := <-ended
+	assert.Assert(t, fault.IsCode(err, fault.CodeOutsideHomes), "%v", err)
+	assert.Assert(t, !book.Waits("s"))
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -78,7 +78,7 @@
 	j.noteObstacles()
 	end := func() {}
 	if j.engine {
-		end = j.dispatcher.Demand.Wait(demand.Key{Service: j.query.Service, Unit: j.query.Unit}, j.latestStart(), j.priority())
+		end = j.dispatcher.Demand.Wait(demand.Key{Service: j.query.Service, Unit: j.query.Unit, Homes: j.query.Homes}, j.latestStart(), j.priority())
 	}
 	if j.dispatcher.Fleet.WaitsForPermit(j.query) {
 		j.dispatcher.Demand.Nudge(j.query.Service)
@@ -120,6 +120,9 @@
 		if err := j.zonesOut(); err != nil {
 			return fleet.Choice{}, 0, err
 		}
+		if problem := j.checkHomes(); problem != nil {
+			return fleet.Choice{}, 0, problem
+		}
 		decision, back, again := j.waitNow().decide()
 		switch decision {
 		case giveUp:
@@ -162,7 +165,7 @@
 		return w
 	}
 	if j.engine {
-		w.expected, w.known = j.dispatcher.Fleet.Expected(j.query.Service, j.query.Unit)
+		w.expected, w.known = j.dispatcher.Fleet.Expected(j.query.Service, j.query.Unit, j.query.Homes)
 		if !w.known && w.elapsed >= time.Duration(promptRefusal*float64(w.objective)) {
 			w.expected, w.known = j.loadExpected()
 		}
@@ -191,10 +194,10 @@
 	if service == nil || service.Engine == nil || service.Engine.Models[j.query.Unit.Model] == nil {
 		return 0, false
 	}
-	if j.dispatcher.Fleet.Holds(j.query.Service, j.query.Unit.Model) {
+	if j.dispatcher.Fleet.Holds(j.query.Service, j.query.Unit.Model, j.query.Homes) {
 		return 0, true
 	}
-	return j.dispatcher.Fleet.LoadTime(j.query.Service, service.Engine.Models[j.query.Unit.Model]), true
+	return j.dispatcher.Fleet.LoadTime(j.query.Service, service.Engine.Models[j.query.Unit.Model], j.query.Homes), true
 }
 
 // returned reports whether the client was refused before: it has less time left
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"lilacvane/internal/backend"
 	"lilacvane/internal/coldstart"
 	"lilacvane/internal/eligible"
+	"lilacvane/internal/place"
 )
 
 const (
@@ -39,12 +40,22 @@
 type Coming struct {
 	Unit backend.Unit
 	In   time.Duration
+	// Homes are those of the requests that a planned load is for.
+	Homes place.Homes
+}
+
+// homedModel is a model that is waited for with homes.
+type homedModel struct {
+	model string
+	homes place.Homes
 }
 
 // Fleet is the node's knowledge of the runners. Its methods may be called
 // concurrently; mutex guards all fields.
 type Fleet struct {
 	zone string
+	// ways are how far the regions are.
+	ways ways
 	now  func() time.Time
 	// rules are what operators decided about runners and zones.
 	rules eligible.Rules
@@ -55,7 +66,7 @@
 	runners map[string]*runner
 	// planned is, by service, when models that are waited for are expected though
 	// nothing loads them yet.
-	planned map[string]map[string]time.Time
+	planned map[string]map[homedModel]time.Time
 	// ordersAt is, by service, when a control holder is expected to give orders.
 	ordersAt map[string]time.Time
 	// meanUnread is how many tokens of a request's prompt a runner has to read, in a
@@ -114,7 +125,7 @@
 
 // New returns an empty fleet for a node in zone; rules are what operators decided.
 func New(zone string, now func() time.Time, rules eligible.Rules) *Fleet {
-	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), planned: make(map[string]map[string]time.Time),
+	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), planned: make(map[string]map[homedModel]time.Time),
 		ordersAt: make(map[string]time.Time), obstacles: make(map[asked]foundObstacles), left: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
@@ -122,6 +133,10 @@
 // fleet is used.
 func (f *Fleet) SetZones(zones Zones) { f.zones = zones }
 
+// SetRegion tells the region of the node. It is called before the fleet is used; without
+// it all runners count as near.
+func (f *Fleet) SetRegion(region place.Region) { f.ways.own = region }
+
 // Wake lets waiting requests look again.
 func (f *Fleet) Wake() {
 	f.mutex.Lock()
@@ -270,18 +285,36 @@
 }
 
 // Holds reports whether a runner of the service to which something may go is believed to
-// hold a model.
-func (f *Fleet) Holds(service, model string) bool {
+// hold a model. One held outside the homes alone is not held.
+func (f *Fleet) Holds(service, model string, homes place.Homes) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, known := range f.runners {
-		if known.present && f.asked(known, service) && f.holds(known, backend.Unit{Model: model}) && !f.silent(known) {
+		if known.present && f.asked(known, service, homes) && f.holds(known, backend.Unit{Model: model}) && !f.silent(known) {
 			return true
 		}
 	}
 	return false
 }
 
+// Serves reports whether a runner of the service is listed in the homes, whatever it does
+// now: without one a request with these homes can never be taken.
+func (f *Fleet) Serves(service string, homes place.Homes) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, known := range f.runners {
+		if (known.present || known.listed.Missing) && known.serves(service, homes) {
+			return true
+		}
+	}
+	return false
+}
+
+// serves reports whether the runner is one of the service in the homes.
+func (r *runner) serves(service string, homes place.Homes) bool {
+	return r.listed.Service == service && homes.Allows(place.Region(r.listed.Region))
+}
+
 // Runners returns what the platform lists of a service's runners.
 func (f *Fleet) Runners(service string) []backend.Runner {
 	f.mutex.Lock()
@@ -324,6 +357,16 @@
 	return usages
 }
 
+// RegionOf is the region in which a runner is listed; empty when that is not known.
+func (f *Fleet) RegionOf(id string) place.Region {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if known := f.runners[id]; known != nil {
+		return place.Region(known.listed.Region)
+	}
+	return ""
+}
+
 // Known reports whether a runner is listed or has requests under way.
 func (f *Fleet) Known(id string) bool {
 	f.mutex.Lock()
--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -84,6 +84,6 @@
 }
 
 // asked reports whether a runner of a service may be asked for anything. mutex is held.
-func (f *Fleet) asked(known *runner, service string) bool {
-	return f.eligible(known, eligible.Question{Request: eligible.Request{Service: service}}) == eligible.Yes
+func (f *Fleet) asked(known *runner, service string, homes place.Homes) bool {
+	return f.eligible(known, eligible.Question{Request: eligible.Request{Service: service, Homes: homes}}) == eligible.Yes
 }
--- a/internal/fleet/zones_test.go
+++ b/internal/fleet/zones_test.go
@@ -61,12 +61,12 @@
 			assert.Assert(t, candidate.ID != "r1")
 		}
 	}
-	_, expected := f.Expected("s", coming)
+	_, expected := f.Expected("s", coming, place.Homes{})
 	assert.Assert(t, !expected)
 	assert.Equal(t, f.Refusal(query), eligible.Yes)
 	z.out["zone-b"] = true
 	_, ok := f.Choose(query)
-	assert.Assert(t, !ok && !f.Holds("s", "m"))
+	assert.Assert(t, !ok && !f.Holds("s", "m", place.Homes{}))
 	assert.Equal(t, f.Refusal(query), eligible.ZoneOut)
 }
 
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -285,6 +285,9 @@
 	return w.post(w.Runners[id].address, runnerstub.PathCold, cold)
 }
 
+// ZoneOf is the zone of a runner, also of one that ended.
+func (w *World) ZoneOf(id string) string { return w.Runners[id].options.Zone }
+
 // SetRunnerFaults changes what a runner suffers.
 func (w *World) SetRunnerFaults(id string, faults runnerstub.Faults) error {
 	return w.post(w.Runners[id].address, runnerstub.PathFaults, faults)
--- a/internal/limit/grants.go
+++ b/internal/limit/grants.go
@@ -69,7 +69,7 @@
 	}
 	for name, a := range k.accounts {
 		a.nextPart(told[name].Part, k.now())
-		a.lenders = told[name].Lenders
+		a.lenders, a.near = told[name].Lenders, told[name].Near
 		if start {
 			a.startPart = a.part
 		}
--- a/internal/limit/keeper.go
+++ b/internal/limit/keeper.go
@@ -29,6 +29,8 @@
 type account struct {
 	part    Part
 	lenders []string
+	// near is how many of the lenders, the first ones, lie in this node's region.
+	near int
 	// level is what may be spent, as of at.
 	level float64
 	at    time.Time
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -8,7 +8,9 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"lilacvane/internal/dispatch"
+	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
+	"lilacvane/internal/traffic"
 	"lilacvane/internal/wire"
 )
 
@@ -17,12 +19,16 @@
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
 	refused  *prometheus.CounterVec
-	attempts prometheus.Counter
-	resumes  prometheus.Counter
-	first    *prometheus.HistogramVec
-	waited   prometheus.Histogram
-	loadTime prometheus.Histogram
-	tenants  *tenantFigures
+	// outsideHomes counts refusals as no runner was listed in the homes.
+	outsideHomes *prometheus.CounterVec
+	attempts     prometheus.Counter
+	// regionBytes are exchanged with other regions.
+	regionBytes *prometheus.CounterVec
+	resumes     prometheus.Counter
+	first       *prometheus.HistogramVec
+	waited      prometheus.Histogram
+	loadTime    prometheus.Histogram
+	tenants     *tenantFigures
 }
 
 // latencyBuckets are in seconds.
@@ -37,6 +43,12 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lilacvane_requests_total", Help: "Requests by route and result.",
 		}, []string{"route", "result"}),
+		outsideHomes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lilacvane_outside_homes_total", Help: "Requests refused as no runner was listed in their homes, by route.",
+		}, []string{"route"}),
+		regionBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lilacvane_region_bytes_total", Help: "Bytes exchanged with other regions, counted where the exchange began.",
+		}, []string{"purpose", "direction"}),
 		attempts: prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacvane_attempts_total", Help: "Requests sent to runners."}),
 		resumes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacvane_resumes_total", Help: "Streams resumed at another runner."}),
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -52,7 +64,7 @@
 	})
 	f.tenants = newTenantFigures(f.registry)
 	f.refused = newRefused()
-	f.registry.MustRegister(newRunnerStates(n.runnersByState), f.refused, f.loadTime, f.requests, f.attempts, f.resumes, f.first, f.waited)
+	f.registry.MustRegister(newRunnerStates(n.runnersByState), f.refused, f.loadTime, f.requests, f.outsideHomes, f.regionBytes, f.attempts, f.resumes, f.first, f.waited)
 	f.registry.MustRegister(newLinkFigures(n.platform.Links))
 	gauge := func(name, help string, value func() float64) {
 		f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
@@ -102,9 +114,17 @@
 	}
 }
 
+// countRegion counts bytes exchanged with another region.
+func (f *figures) countRegion(purpose traffic.Purpose, direction traffic.Direction, bytes int) {
+	f.regionBytes.WithLabelValues(string(purpose), string(direction)).Add(float64(bytes))
+}
+
 // observe counts a request that ended.
 func (f *figures) observe(o dispatch.Outcome) {
 	f.requests.WithLabelValues(o.Route, o.Result).Inc()
+	if o.Problem != nil && o.Problem.Code == fault.CodeOutsideHomes {
+		f.outsideHomes.WithLabelValues(o.Route).Inc()
+	}
 	f.tenants.observe(o)
 	if o.Result == dispatch.ResultRefused {
 		f.refused.WithLabelValues(refusalReason(o)).Inc()
--- a/internal/scheduler/zones.go
+++ b/internal/scheduler/zones.go
@@ -14,9 +14,9 @@
 )
 
 // moves reports whether a model that requests are expected for is served only by runners in
-// zones that are out, so that it is to be brought up elsewhere.
-func (p *planner) moves(model string, demand *Demand) bool {
-	return demand != nil && p.out[model] > 0 && p.copies[model] == 0 && p.worthMoving(demand) > leastMoved
+// zones that are out, so that it is to be brought up elsewhere in the requests' homes.
+func (p *planner) moves(model string, part Part) bool {
+	return part.Demand != nil && p.out[model] > 0 && p.copies.of(model, part.Homes) == 0 && p.worthMoving(part.Demand) > leastMoved
 }
 
 // worthMoving is what it would lose that a model is loaded nowhere.
--- a/internal/scheduler/zones_test.go
+++ b/internal/scheduler/zones_test.go
@@ -86,11 +86,11 @@
 	state := testState(8, 1)
 	busy := &Demand{Rate: 50, Work: 10, LastUse: testNow}
 	state.Demand[backend.Unit{Model: "m0"}] = busy
-	assert.Equal(t, newPlanner(state).desired("m0", busy), 3)
+	assert.Equal(t, newPlanner(state).desired("m0", Part{Demand: busy}), 3)
 	for _, runner := range state.Runners[:4] {
 		runner.Out = true
 	}
-	assert.Equal(t, newPlanner(state).desired("m0", busy), 1)
+	assert.Equal(t, newPlanner(state).desired("m0", Part{Demand: busy}), 1)
 }
 
 // TestZonesOut: whatever is held, loaded, waited for and out, no load goes to a zone that
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -33,6 +33,8 @@
 type Pool struct {
 	// Links counts connections; it may be nil, and is set before the pool is used.
 	Links *link.Record
+	// Wrap stands around each new connection to a runner; not set for none.
+	Wrap func(runner string, conn net.Conn) net.Conn
 
 	names Names
 	trust *link.Trust
@@ -69,12 +71,12 @@
 // take returns a resting connection that is still sound, or a new one.
 func (p *Pool) take(ctx context.Context, call Call) (*connection, error) {
 	if call.Fresh {
-		return p.dial(ctx, call.Address)
+		return p.dial(ctx, call.Runner, call.Address)
 	}
 	for {
 		resting := p.pop(call.Runner)
 		if resting == nil {
-			return p.dial(ctx, call.Address)
+			return p.dial(ctx, call.Runner, call.Address)
 		}
 		now := time.Now()
 		if now.Before(resting.idleUntil) && quiet(resting.Conn) {
@@ -161,12 +163,15 @@
 	}
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
+func (p *Pool) dial(ctx context.Context, runner, address string) (*connection, error) {
 	conn, err := link.Runner.Dialer().DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.At(fault.CodeUnreachable, "connect", address, fault.NotDone, err)
 	}
 	p.Links.Dialed(link.Runner)
+	if p.Wrap != nil {
+		conn = p.Wrap(runner, conn)
+	}
 	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize), taken: time.Now()}, nil
 }
 
--- a/internal/upstream/silent_test.go
+++ b/internal/upstream/silent_test.go
@@ -195,7 +195,7 @@
 func TestConnectionAttemptEndsWithItsRequest(t *testing.T) {
 	ctx, leave := context.WithCancel(t.Context())
 	leave()
-	_, err := NewPool(testNames).dial(ctx, "127.0.0.1:1")
+	_, err := NewPool(testNames).dial(ctx, "r1", "127.0.0.1:1")
 	assert.Equal(t, fault.OutcomeOf(err), fault.NotDone)
 	assert.Assert(t, errors.Is(err, context.Canceled), "%v", err)
 }
