End the test of cold runners when it fails with a node frozen

Cause: the mutation without permits was caught only by the run's time limit: the runner falls over, the test fails while a node is frozen, and waits for requests there that never end. Ruled out: a runner that does not fall over, as that is what the bound is for. Change: the node is thawed before the callers are waited for.

--- a/test/cold_test.go
+++ b/test/cold_test.go
@@ -135,6 +135,8 @@
 	})
 	load.waitServed(t, 2*coldMost)
 	holder := holderOf(t, w, nodes[0])
+	// A request at a frozen node never ends, and the test would wait for it.
+	t.Cleanup(func() { assert.Check(t, holder.Thaw()) })
 	assert.NilError(t, holder.Freeze())
 	load.waitServed(t, 2*coldMost)
 	assert.NilError(t, holder.Thaw())
