Try a runner again that stated that it did not run the request

Cause: a runner that refused a request once, as a load was not done yet or as it was full, was left out for the rest of the request. Ruled out: more sends; the bounds on sends, runs and the budget of retries stay. Change: after a runner's own statement the request may return to it once fleet.RefusalPause is over; a wait looks again by then. Runners that may have run it, broke off or could not be reached stay left out.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -56,7 +56,9 @@
 	}
 	j.log.Info("attempt failed", "runner", choice.Runner.ID, "attempt", j.sent, "error", err.Error(), "ran", fault.OutcomeOf(err).String(),
 		"elapsedMs", time.Since(start).Milliseconds())
-	j.query.Exclude = append(j.query.Exclude, choice.Runner.ID)
+	if !j.mayReturn(err) {
+		j.query.Exclude = append(j.query.Exclude, choice.Runner.ID)
+	}
 	if fault.OutcomeOf(err) != fault.NotDone {
 		j.ran++
 	}
@@ -87,6 +89,14 @@
 	return j.place(ctx)
 }
 
+// mayReturn reports whether the request may go to the same runner again: the runner stated
+// that it did not run it, as it holds the unit in a moment or is full now. The fleet leaves
+// it alone for fleet.RefusalPause. Without that a request whose only runner refused it once
+// waited for its whole time and was refused though the runner held its model.
+func (j *job) mayReturn(err error) bool {
+	return j.engine && (fault.IsCode(err, fault.CodeNotLoaded) || fault.IsCode(err, fault.CodeOverloaded))
+}
+
 // mayRepeat decides whether a failed attempt may be followed by another one: it
 // must not have run, or may run again; tries, time and budget must be left.
 func (j *job) mayRepeat(ctx context.Context, err error) bool {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -130,6 +130,10 @@
 		case sendBack:
 			return fleet.Choice{}, back, fault.New(fault.CodeDeadline, "wait for a runner", "%s is expected in %s", j.query.Unit, back.Round(time.Millisecond)).WithRetryAfter(back)
 		}
+		if j.sent > 0 {
+			// The runner that refused it may be the only one.
+			again = min(again, fleet.RefusalPause)
+		}
 		timer.Reset(again)
 		select {
 		case <-ctx.Done():
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -303,10 +303,10 @@
 	case Busy:
 		known.answeredAt = now
 		known.health.failure(now)
-		known.refused[query.Unit] = now.Add(refusalPause)
+		known.refused[query.Unit] = now.Add(RefusalPause)
 	case NotHeld:
 		known.answeredAt = now
-		known.refused[query.Unit] = now.Add(refusalPause)
+		known.refused[query.Unit] = now.Add(RefusalPause)
 	case Canceled:
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,9 +20,9 @@
 	// missingLifetime is how long a runner that vanished from the list without
 	// a word stays as a last choice.
 	missingLifetime = 2 * time.Second
-	// refusalPause keeps requests for a unit from a runner that has just
+	// RefusalPause keeps requests for a unit from a runner that has just
 	// refused one.
-	refusalPause = 250 * time.Millisecond
+	RefusalPause = 250 * time.Millisecond
 )
 
 // View is the control holder's account of a runner.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -105,7 +105,7 @@
 	f.Done(choice, query, NotHeld, 0, false)
 	_, ok = f.Choose(query)
 	assert.Assert(t, !ok)
-	c.now = c.now.Add(refusalPause)
+	c.now = c.now.Add(RefusalPause)
 	_, ok = f.Choose(query)
 	assert.Assert(t, ok)
 }
