Let the soak of the parts bring all of them

Cause: the operator's row of a zone, cold runners and homes were off in TestSoakParts until the parts that keep them were there. Change: -soak.parts is zones,cold,homes where it is not given. Conclusion: on from now on.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -20,7 +20,7 @@
 var (
 	soakSeed   = flag.Uint64("soak.seed", 1, "seed of the schedule of faults")
 	soakRounds = flag.Int("soak.rounds", 4, "rounds of one or two faults at once")
-	soakParts  = flag.String("soak.parts", "", "parts of the product that TestSoakParts brings and checks beside planned stops of zones: zones, cold, homes")
+	soakParts  = flag.String("soak.parts", "zones,cold,homes", "parts of the product that TestSoakParts brings and checks beside planned stops of zones; empty for none")
 )
 
 const (
