Ask for a runner's cold terms only where it may be cold

Cause: since zones' returns are known to the fleet, each choice composed the terms of cold starts anew for each runner, several times, though nearly no runner ever was cold: the short way for those held only where no return is known at all. Ruled out: keeping the terms in the fleet, as configuration and settings change. Change: a runner that no row called cold, in a zone that never came back, has no terms to be asked for. The benchmarks' fleet now has cold starts and returns, as a node's has.

--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -6,11 +6,21 @@
 	"time"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/coldstart"
+	"lilacvane/internal/place"
 )
 
-// largeFleet is a fleet in which one runner in ten holds each of ten models.
+// largeFleet is a fleet in which one runner in ten holds each of ten models. Its runners
+// may be cold and its zones may have come back, as those of a node, but none did.
 func largeFleet(size int) *Fleet {
 	f := New("zone-a", time.Now, noRules{})
+	services, returns := map[string]float64{"s": 6.9}, map[place.Zone]time.Time{}
+	f.SetColdStarts(ColdStarts{
+		Terms: func(service string) coldstart.Terms {
+			return coldstart.NewTerms(services[service], 1.5, 5, 3*time.Second, coldstart.Lent{})
+		},
+		Returned: func(zone place.Zone) time.Time { return returns[zone] },
+	})
 	runners := make([]backend.Runner, size)
 	for i := range runners {
 		runners[i] = listed(fmt.Sprint("r", i), fmt.Sprint("m", i%10))
--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -92,19 +92,23 @@
 // terms are those of a runner's service; those of never being cold for a runner that
 // never was, which are most and are asked about with each choice. mutex is held.
 func (f *Fleet) terms(known *runner) coldstart.Terms {
-	if f.coldStarts.Terms == nil || (known.cold.NeverCold() && f.coldStarts.Returned == nil) {
+	if f.coldStarts.Terms == nil || (known.cold.NeverCold() && f.returnedAt(known).IsZero()) {
 		return coldstart.Terms{}
 	}
 	return f.coldStarts.Terms(known.listed.Service)
 }
 
+// returnedAt is when a runner's zone was taken back last; the zero time for never.
+func (f *Fleet) returnedAt(known *runner) time.Time {
+	if f.coldStarts.Returned == nil {
+		return time.Time{}
+	}
+	return f.coldStarts.Returned(place.Zone(known.listed.Zone))
+}
+
 // coldUntil is until when a runner is cold, which may lie in the past. mutex is held.
 func (f *Fleet) coldUntil(known *runner, terms coldstart.Terms) time.Time {
-	var returned time.Time
-	if f.coldStarts.Returned != nil {
-		returned = f.coldStarts.Returned(place.Zone(known.listed.Zone))
-	}
-	return known.cold.Until(terms, returned)
+	return known.cold.Until(terms, f.returnedAt(known))
 }
 
 // isCold reports whether a runner is cold now. mutex is held.
