Ask for permits in the homes of what waits

Cause: PermitsWanted looked at all cold runners of a unit, as the report left out the homes of the requests that wait. A request homed far from its node asked for a permit for the cold runner next door, which it may not use, and none for its own. Ruled out: the choice itself, which keeps to the homes. Change: the homes are part of the question. Figures: TestPermitsAreAskedForInHomes fails before (asked for r1 too), passes after; the packages fleet and control pass.

--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -203,7 +203,7 @@
 			LeftMs: waiting.Deadline.Sub(now).Milliseconds(), Priority: waiting.Priority,
 			Homes: waiting.Homes.Names(),
 		})
-		for _, wanted := range s.fleet.PermitsWanted(s.service, waiting.Unit, waiting.Count) {
+		for _, wanted := range s.fleet.PermitsWanted(s.service, waiting.Unit, waiting.Homes, waiting.Count) {
 			request.Permits = append(request.Permits, wire.PermitsWanted{Runner: wanted.Runner, Count: wanted.Count})
 		}
 	}
--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -195,11 +195,11 @@
 
 // PermitsWanted returns for which cold runners permits are wanted by requests that wait
 // for a unit, count of them: as many as wait and have none yet, spread over the runners
-// that hold it, those in this node's zone first.
-func (f *Fleet) PermitsWanted(service string, unit backend.Unit, count int) []PermitsWanted {
+// in the homes that hold it, those in this node's zone first.
+func (f *Fleet) PermitsWanted(service string, unit backend.Unit, homes place.Homes, count int) []PermitsWanted {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	cold := f.coldOnly(Query{Service: service, Unit: unit})
+	cold := f.coldOnly(Query{Service: service, Unit: unit, Homes: homes})
 	if len(cold) == 0 {
 		return nil
 	}
--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -40,7 +40,7 @@
 	_, ok := f.Choose(coldQuery)
 	assert.Assert(t, !ok)
 	assert.Assert(t, f.WaitsForPermit(coldQuery))
-	assert.DeepEqual(t, f.PermitsWanted("s", coldQuery.Unit, 2), []PermitsWanted{{Runner: "r1", Count: 2}})
+	assert.DeepEqual(t, f.PermitsWanted("s", coldQuery.Unit, place.Homes{}, 2), []PermitsWanted{{Runner: "r1", Count: 2}})
 	changed := f.Changed()
 	lend(f, c, "r1", 2)
 	select {
@@ -48,7 +48,7 @@
 	default:
 		t.Fatal("nobody was woken")
 	}
-	assert.Equal(t, len(f.PermitsWanted("s", coldQuery.Unit, 2)), 0, "there are permits")
+	assert.Equal(t, len(f.PermitsWanted("s", coldQuery.Unit, place.Homes{}, 2)), 0, "there are permits")
 	for range 2 {
 		_, ok = f.Choose(coldQuery)
 		assert.Assert(t, ok)
@@ -178,9 +178,9 @@
 		2: {{Runner: "near", Count: 1}, {Runner: "far", Count: 1}},
 		5: {{Runner: "near", Count: 2}, {Runner: "far", Count: 2}, {Runner: "lent", Count: 1}},
 	} {
-		assert.DeepEqual(t, f.PermitsWanted("s", coldQuery.Unit, count), wanted)
+		assert.DeepEqual(t, f.PermitsWanted("s", coldQuery.Unit, place.Homes{}, count), wanted)
 	}
-	assert.Equal(t, len(f.PermitsWanted("s", backend.Unit{Model: "other"}, 3)), 0, "a warm runner holds it")
+	assert.Equal(t, len(f.PermitsWanted("s", backend.Unit{Model: "other"}, place.Homes{}, 3)), 0, "a warm runner holds it")
 }
 
 // TestQuestionsTakeNoPermit: asking for candidates sends nothing.
@@ -230,3 +230,13 @@
 	news, _ = f.TakeColdNews()
 	assert.Equal(t, len(news), 0)
 }
+
+// TestPermitsAreAskedForInHomes: for requests with homes of the runners there alone, how
+// near others may be.
+func TestPermitsAreAskedForInHomes(t *testing.T) {
+	near, far := coldFor(listed("r1", "m"), 2*time.Second), coldFor(listed("r2", "m"), 2*time.Second)
+	near.Region, far.Region, far.Zone = "north", "south", "zone-far"
+	f, _ := coldFleet(near, far)
+	assert.DeepEqual(t, f.PermitsWanted("s", coldQuery.Unit, south, 3), []PermitsWanted{{Runner: "r2", Count: 3}})
+	assert.Equal(t, len(f.PermitsWanted("s", coldQuery.Unit, place.Homes{}, 3)), 2)
+}
