Lend nothing by the account of an earlier lease

Cause: lend asked whether the node may act, and not by which lease. After a lease was lost and taken again, a report that comes before the controller's next tick was answered from the old account, which does not wait for what another holder lent since. Ruled out: orders, which compare the token. Change: lend compares it too. TestOnlyTheHolderLends had a controller with no token, which none that is asked has: it takes the lease's now, its assertions are as they were. Figures: TestAccountOfAnEarlierLeaseLendsNothing fails before (one answer with permits), passes after; the package control passes.

--- a/internal/control/lend.go
+++ b/internal/control/lend.go
@@ -11,13 +11,14 @@
 const mostPermitsWanted = 64
 
 // lend lends permits for cold runners, by the account of this lease. Like an order it is
-// an act under the lease. mutex is held.
+// an act under the lease. A lease that was lost and taken again has no account before the
+// next tick: another holder may have lent meanwhile. mutex is held.
 func (c *Controller) lend(request wire.SyncRequest, now time.Time) []wire.PermitsLent {
 	if len(request.Permits) == 0 || c.Terms == nil {
 		return nil
 	}
 	terms := c.Terms(c.Service)
-	if _, acts := c.Lessor.Act(); !acts || terms.Rate == 0 {
+	if token, acts := c.Lessor.Act(); !acts || token != c.token || terms.Rate == 0 {
 		return nil
 	}
 	lent := make([]wire.PermitsLent, 0, min(len(request.Permits), mostPermitsWanted))
--- a/internal/control/lend_test.go
+++ b/internal/control/lend_test.go
@@ -71,6 +71,14 @@
 	})
 }
 
+// adopt makes the account of a controller that of the lease which its node holds.
+func adopt(t *testing.T, c *Controller) {
+	t.Helper()
+	token, acts := c.Lessor.Act()
+	assert.Assert(t, acts)
+	c.token = token
+}
+
 // TestOnlyTheHolderLends: for runners it knows, of a service whose runners may be cold.
 func TestOnlyTheHolderLends(t *testing.T) {
 	request := wire.SyncRequest{Node: "other", Permits: []wire.PermitsWanted{{Runner: "r1", Count: 2}, {Runner: "unknown", Count: 2}}}
@@ -78,9 +86,22 @@
 	c := lending(terms)
 	assert.Equal(t, len(c.lend(request, time.Now())), 0)
 	hold(t, c)
+	adopt(t, c)
 	assert.DeepEqual(t, c.lend(request, time.Now()), []wire.PermitsLent{{Runner: "r1", Count: 2}})
 	assert.Equal(t, len(c.lend(wire.SyncRequest{Node: "other"}, time.Now())), 0)
 	never := lending(coldstart.Terms{})
 	hold(t, never)
+	adopt(t, never)
 	assert.Equal(t, len(never.lend(request, time.Now())), 0)
 }
+
+// TestAccountOfAnEarlierLeaseLendsNothing: another holder may have lent since, until the
+// node has begun the account of the lease that it took again.
+func TestAccountOfAnEarlierLeaseLendsNothing(t *testing.T) {
+	request := wire.SyncRequest{Node: "other", Permits: []wire.PermitsWanted{{Runner: "r1", Count: 2}}}
+	c := lending(coldstart.NewTerms(6.9, 1.5, 5, 3*time.Second, coldstart.Lent{}))
+	hold(t, c)
+	adopt(t, c)
+	c.token += 2
+	assert.Equal(t, len(c.lend(request, time.Now())), 0)
+}
