Send a reserved runner that is cold what its permit was spent for

Cause: the runner reserved for a silent one's request spends a permit when it is chosen, and Allowed asked for another one before the send. With one permit the runner was not used and the permit lost. With two, or with one that came later for another request, it was sent by a permit that stayed to be spent: one request more than was lent, as was one reserved while the runner was warm. Ruled out: first choices, which are sent at once. Change: a choice keeps until when its permit holds; Allowed takes that in place of another permit. A draw is good at once only, so a reserved runner that was drawn is looked for again, as before.

--- a/internal/coldstart/runner.go
+++ b/internal/coldstart/runner.go
@@ -138,15 +138,19 @@
 	}
 }
 
-// Spend notes that one request is sent to a cold runner. May has allowed it.
-func (r *Runner) Spend(terms Terms, now time.Time) {
+// Spend notes that one request is sent to a cold runner. May has allowed it. until is when
+// it must have been sent if it is held back; now where a draw allowed it.
+func (r *Runner) Spend(terms Terms, now time.Time) (until time.Time) {
 	r.sentAt = now
 	if _, lent := terms.Way.(Lent); !lent {
-		return
+		return now
 	}
-	if permits := r.current(now); len(permits) > 0 {
-		permits[0].count--
+	permits := r.current(now)
+	if len(permits) == 0 {
+		return now
 	}
+	permits[0].count--
+	return permits[0].until
 }
 
 // Next is the time until a request may be sent to a cold runner, as far as is known;
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -64,6 +64,9 @@
 	// answer is to begin; zero where none is told.
 	begun  time.Time
 	prompt time.Duration
+	// permitUntil is until when the permit holds that was spent on the request; zero
+	// where the runner needed none.
+	permitUntil time.Time
 }
 
 // Choose returns the runner with the least expected delay, and counts the
@@ -81,6 +84,7 @@
 	best.Candidates = len(choices)
 	best.InFlight = chosen.inFlight
 	best.begun, best.prompt = f.now(), query.Objective
+	best.permitUntil = f.spendPermit(chosen)
 	f.begin(chosen, query, best)
 	return best, true
 }
@@ -182,10 +186,15 @@
 
 // eligible says whether something may go to a runner now.
 func (f *Fleet) eligible(known *runner, purpose eligible.Purpose) eligible.Reason {
+	return f.check(known, purpose, f.permit(known))
+}
+
+// check is eligible for a runner to which one request may go, or not, if it is cold.
+func (f *Fleet) check(known *runner, purpose eligible.Purpose, permit bool) eligible.Reason {
 	listed := &known.listed
 	return eligible.Check(f.rules, &eligible.Runner{
 		ID: listed.ID, Service: listed.Service, Zone: place.Zone(listed.Zone), Region: place.Region(listed.Region),
-		Listed: known.present || listed.Missing, Draining: listed.Draining, Permit: f.permit(known),
+		Listed: known.present || listed.Missing, Draining: listed.Draining, Permit: permit,
 	}, purpose)
 }
 
@@ -219,7 +228,6 @@
 }
 
 func (f *Fleet) begin(known *runner, query Query, choice Choice) {
-	f.spendPermit(known)
 	known.inFlight++
 	if query.Unit == (backend.Unit{}) {
 		return
--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -121,12 +121,22 @@
 	return known.cold.May(known.listed.ID, terms, f.now())
 }
 
-// spendPermit counts one request that is sent to a runner. mutex is held.
-func (f *Fleet) spendPermit(known *runner) {
+// spendPermit counts one request that is sent to a runner, and returns until when the
+// permit holds; the zero time for a runner that needs none. mutex is held.
+func (f *Fleet) spendPermit(known *runner) (until time.Time) {
 	if terms := f.terms(known); terms.Rate > 0 && f.isCold(known, terms) {
-		known.cold.Spend(terms, f.now())
+		until = known.cold.Spend(terms, f.now())
 		f.coldFigures.Spent++
 	}
+	return until
+}
+
+// permitted reports whether a request may be sent to a runner that was chosen for it some
+// time ago: a cold one only by the permit that was spent then, as those left are for other
+// requests. mutex is held.
+func (f *Fleet) permitted(known *runner, choice Choice) bool {
+	terms := f.terms(known)
+	return terms.Rate == 0 || !f.isCold(known, terms) || f.now().Before(choice.permitUntil)
 }
 
 // costOfCold is how much dearer a runner is that is cold, or was just now. mutex is held.
--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -240,3 +240,35 @@
 	assert.DeepEqual(t, f.PermitsWanted("s", coldQuery.Unit, south, 3), []PermitsWanted{{Runner: "r2", Count: 3}})
 	assert.Equal(t, len(f.PermitsWanted("s", coldQuery.Unit, place.Homes{}, 3)), 2)
 }
+
+// TestReservedColdRunnerKeepsItsPermit: what was spent when it was chosen is for the request
+// that goes on there, once, and until the permit has run out.
+func TestReservedColdRunnerKeepsItsPermit(t *testing.T) {
+	f, c := coldFleet(coldFor(listed("r1", "m"), time.Minute))
+	lend(f, c, "r1", 1)
+	choice, ok := f.Choose(coldQuery)
+	assert.Assert(t, ok)
+	c.now = c.now.Add(coldstart.Validity - time.Millisecond)
+	assert.Assert(t, f.Allowed(choice, coldQuery))
+	c.now = c.now.Add(time.Millisecond)
+	assert.Assert(t, !f.Allowed(choice, coldQuery))
+	lend(f, c, "r1", 1)
+	assert.Assert(t, !f.Allowed(choice, coldQuery), "the new permit is another request's")
+	_, ok = f.Choose(coldQuery)
+	assert.Assert(t, ok)
+}
+
+// TestReservedRunnerThatBecameCold: no permit was spent for it, so it gets nothing.
+func TestReservedRunnerThatBecameCold(t *testing.T) {
+	f, c := coldFleet(listed("r1", "m"))
+	choice, ok := f.Choose(coldQuery)
+	assert.Assert(t, ok)
+	row := coldFor(listed("r1", "m"), time.Minute)
+	row.Revision = 1
+	f.Apply([]backend.Runner{row}, nil, false)
+	assert.Assert(t, !f.Allowed(choice, coldQuery))
+	lend(f, c, "r1", 1)
+	assert.Assert(t, !f.Allowed(choice, coldQuery), "the permit is another request's")
+	_, ok = f.Choose(coldQuery)
+	assert.Assert(t, ok)
+}
