Move a model only where its requests' homes lost it

Cause: whether a model moves asked if any runner in a zone that is out holds it. Requests homed elsewhere, which that runner never served, got a load ahead of their need, though other models of the zone had none left. Ruled out: the place of the load, which keeps to the homes. Change: what is held in zones that are out is counted by region as the replicas are.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -54,7 +54,7 @@
 	staying map[string]int
 	// out counts the runners in zones that are out at which a model is loaded, and
 	// runnersOut all of them.
-	out        map[string]int
+	out        replicas
 	runnersOut int
 	// moved is how many models of zones that are out were looked at.
 	moved int
@@ -64,7 +64,7 @@
 func newPlanner(state *State) *planner {
 	p := &planner{
 		state: state, taken: make(map[string]bool), loading: make(map[backend.Unit][]place.Region), loads: state.Loads,
-		copies: newReplicas(), present: make(map[string]int), staying: make(map[string]int), ready: newReplicas(), out: make(map[string]int),
+		copies: newReplicas(), present: make(map[string]int), staying: make(map[string]int), ready: newReplicas(), out: newReplicas(),
 		plan: Plan{Intents: make(map[string]Intent), Ready: make(map[Want]time.Duration)},
 	}
 	p.countCopies()
@@ -91,7 +91,7 @@
 		}
 		for model, held := range runner.Models {
 			if runner.Out && !runner.Silent && !held.Coming && !held.Leaving {
-				p.out[model]++
+				p.out.add(runner, model, 1)
 			}
 			p.present[p.bounded(model)]++
 			if !held.Leaving && !held.Uncertain {
--- a/internal/scheduler/zones.go
+++ b/internal/scheduler/zones.go
@@ -13,10 +13,10 @@
 	movesPerPlan = 8
 )
 
-// moves reports whether a model that requests are expected for is served only by runners in
-// zones that are out, so that it is to be brought up elsewhere in the requests' homes.
+// moves reports whether a model that requests are expected for is served in their homes
+// only by runners in zones that are out, so that it is to be brought up elsewhere there.
 func (p *planner) moves(model string, part Part) bool {
-	return part.Demand != nil && p.out[model] > 0 && p.copies.of(model, part.Homes) == 0 && p.worthMoving(part.Demand) > leastMoved
+	return part.Demand != nil && p.out.of(model, part.Homes) > 0 && p.copies.of(model, part.Homes) == 0 && p.worthMoving(part.Demand) > leastMoved
 }
 
 // worthMoving is what it would lose that a model is loaded nowhere.
--- a/internal/scheduler/zones_test.go
+++ b/internal/scheduler/zones_test.go
@@ -128,3 +128,22 @@
 func drawModel(t *rapid.T, state *State) string {
 	return fmt.Sprintf("m%d", rapid.IntRange(0, len(state.Engine.Models)-1).Draw(t, "model"))
 }
+
+// TestZoneOutsideTheHomesMovesNothing: where a zone is out that did not serve requests with
+// homes, they have lost nothing, and no load is made for them before they wait.
+func TestZoneOutsideTheHomesMovesNothing(t *testing.T) {
+	state := regionState(4, 1)
+	state.Runners[0].Out = true
+	state.Runners[0].hold("m0")
+	state.Runners[1].hold("m0")
+	unit := backend.Unit{Model: "m0"}
+	state.Demand[unit] = asked(2)
+	state.Parts[unit] = []Part{{Homes: inSouth, Demand: asked(2)}}
+	assert.Equal(t, len(MakePlan(state).Steps), 0)
+	state.Runners[2].Out = true
+	state.Runners[2].hold("m0")
+	steps := MakePlan(state).Steps
+	assert.Equal(t, len(steps), 1)
+	assert.Equal(t, steps[0].Runner, "r3")
+	assert.Equal(t, steps[0].Reason, "zone out")
+}
