Tell what waits for a cold runner of a load that is sooner

Cause: once a cold runner could serve a request, the time until a permit, or until it is warm, was all that the wait was weighed by. Where nobody lends, or the bound allows none, the request was refused for up to the whole cold time though another runner was about to hold the model. Ruled out: the guess of a load that nobody has begun: a cold runner counts as a replica, so none may come. Change: the sooner of the two is expected.

--- a/internal/dispatch/cold_test.go
+++ b/internal/dispatch/cold_test.go
@@ -72,3 +72,15 @@
 	_, _, again = w.decide()
 	assert.Equal(t, again, leastLook)
 }
+
+// TestColdRunnerDoesNotHideALoad: a request that a cold runner could serve late is told of
+// the load under way that serves it sooner.
+func TestColdRunnerDoesNotHideALoad(t *testing.T) {
+	j, known, _ := coldJob(time.Minute)
+	known.Apply([]backend.Runner{{ID: "r2", Service: "s"}}, nil, false)
+	known.ApplyViews([]fleet.View{{Runner: "r2", Coming: []fleet.Coming{{Unit: j.query.Unit, In: 2 * time.Second}}}})
+	known.SetOrdersIn("s", time.Minute)
+	w := j.waitNow()
+	assert.Assert(t, w.known && w.expected <= 2*time.Second, w.expected)
+	assert.Assert(t, w.least <= w.expected)
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -165,6 +165,10 @@
 		elapsed: time.Since(j.request.Arrived), hold: j.latestStart().Sub(j.request.Arrived), objective: j.route.Objective, returned: j.returned(),
 	}
 	if in, cold := j.dispatcher.Fleet.PermitIn(j.query); cold {
+		// A load that is under way elsewhere may be sooner.
+		if at, coming := j.dispatcher.Fleet.Expected(j.query.Service, j.query.Unit, j.query.Homes); coming && j.engine {
+			in = min(in, at)
+		}
 		w.expected, w.least, w.known, w.permit = in, in, true, true
 		return w
 	}
