Refuse for a zone that is out only what it could serve

Cause: Refusal looked at all runners of a service, and a zone that is out goes before homes. A request whose own runners were leaving for a moment was refused as zones_out when a zone outside its homes was out, in place of waiting; without a runner in its homes it was told of zones, not of homes. Ruled out: the choice, which was right. Change: runners outside the homes are passed over. Figures: TestZoneOutsideTheHomesRefusesNothing fails before and passes after; the packages fleet and dispatch pass.

--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// Refusal says why no runner of a service may get a request, whatever it holds;
+// Refusal says why no runner of a service in its homes may get a request, whatever it holds;
 // eligible.Yes when one may, now or once it takes more. A zone that is out goes before
 // other reasons, as it is what may be undone.
 func (f *Fleet) Refusal(query Query) eligible.Reason {
@@ -41,10 +41,12 @@
 	defer f.mutex.Unlock()
 	refusal := eligible.Gone
 	for _, known := range f.runners {
+		if !known.serves(query.Service, query.Homes) {
+			continue
+		}
 		switch reason := f.eligible(known, eligible.Question{Request: request(query)}); reason {
 		case eligible.Yes:
 			return eligible.Yes
-		case eligible.OtherService:
 		case eligible.ZoneOut:
 			refusal = reason
 		default:
--- a/internal/fleet/zones_test.go
+++ b/internal/fleet/zones_test.go
@@ -156,3 +156,15 @@
 		assert.Equal(t, len(chosen), 1, "prompt %d went to %v", prompt, chosen)
 	}
 }
+
+// TestZoneOutsideTheHomesRefusesNothing: a zone that could not serve the request anyway is
+// not why it is not served.
+func TestZoneOutsideTheHomesRefusesNothing(t *testing.T) {
+	home, away := inZone("r1", "zone-a"), inZone("r2", "zone-b")
+	home.Region, away.Region, home.Draining = "north", "south", true
+	f, z, _ := zonedFleet(home, away)
+	z.out["zone-b"] = true
+	assert.Equal(t, f.Refusal(Query{Service: "s", Homes: north}), eligible.Draining)
+	assert.Equal(t, f.Refusal(Query{Service: "s", Homes: south}), eligible.ZoneOut)
+	assert.Equal(t, f.Refusal(Query{Service: "s"}), eligible.ZoneOut)
+}
