Give back the permit of a request that was not sent

Cause: a runner is reserved for a silent one's request by a choice, which spends a permit. Where it was full, no repetition was left in the budget, or the silent one answered after all, nothing was sent and the permit was lost; while a runner is silent that is one every 50 ms, of permits that other requests wait for. Ruled out: giving permits back to the holder, which counts them as spent until they run out. Change: Fleet.Release ends a choice that was not sent, in place of Done; the permit holds as long as it would have, and what waits looks again. What a draw allowed counts as sent.

--- a/internal/coldstart/runner.go
+++ b/internal/coldstart/runner.go
@@ -1,6 +1,7 @@
 package coldstart
 
 import (
+	"slices"
 	"time"
 )
 
@@ -153,6 +154,18 @@
 	return permits[0].until
 }
 
+// Return gives back a permit that held until then, of a request that was not sent.
+func (r *Runner) Return(until, now time.Time) {
+	if !now.Before(until) {
+		return
+	}
+	first := 0
+	for first < len(r.permits) && !r.permits[first].until.After(until) {
+		first++
+	}
+	r.permits = slices.Insert(r.permits, first, permit{count: 1, until: until})
+}
+
 // Next is the time until a request may be sent to a cold runner, as far as is known;
 // holderIn is the time until a holder lends at all.
 func (r *Runner) Next(id string, terms Terms, holderIn time.Duration, now time.Time) time.Duration {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -44,7 +44,7 @@
 	result, err := j.exchange(ctx, choice)
 	j.dispatcher.Fleet.Done(choice, j.query, result.fleet, time.Since(start), result.started)
 	if result.next != nil && (err == nil || result.timedOut || ctx.Err() != nil) {
-		j.dispatcher.Fleet.Done(*result.next, j.query, fleet.Canceled, 0, false)
+		j.dispatcher.Fleet.Release(*result.next, j.query)
 		result.next = nil
 	}
 	if err == nil {
@@ -85,7 +85,7 @@
 		return choice, nil
 	}
 	j.log.Info("reserved runner not used", "runner", choice.Runner.ID)
-	j.dispatcher.Fleet.Done(choice, j.query, fleet.Canceled, 0, false)
+	j.dispatcher.Fleet.Release(choice, j.query)
 	return j.place(ctx)
 }
 
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -169,7 +169,7 @@
 			return fleet.Choice{}, false
 		}
 		if choice.Full || !j.dispatcher.budget(query.Service).Take() {
-			j.dispatcher.Fleet.Done(choice, query, fleet.Canceled, 0, false)
+			j.dispatcher.Fleet.Release(choice, query)
 			return fleet.Choice{}, false
 		}
 		return choice, true
--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -131,6 +131,26 @@
 	return until
 }
 
+// Release ends a choice whose request was not sent: what was counted for it counts no more.
+func (f *Fleet) Release(choice Choice, query Query) {
+	f.returnPermit(choice)
+	f.Done(choice, query, Canceled, 0, false)
+}
+
+// returnPermit lets others spend what was spent on a choice. What a draw allowed counts as
+// sent.
+func (f *Fleet) returnPermit(choice Choice) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	known := f.runners[choice.Runner.ID]
+	if known == nil || !f.now().Before(choice.permitUntil) {
+		return
+	}
+	known.cold.Return(choice.permitUntil, f.now())
+	f.coldFigures.Spent--
+	f.notify()
+}
+
 // permitted reports whether a request may be sent to a runner that was chosen for it some
 // time ago: a cold one only by the permit that was spent then, as those left are for other
 // requests. mutex is held.
--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -272,3 +272,28 @@
 	_, ok = f.Choose(coldQuery)
 	assert.Assert(t, ok)
 }
+
+// TestPermitOfARequestThatWasNotSentIsGivenBack: to what waits for one, for as long as it
+// would have held.
+func TestPermitOfARequestThatWasNotSentIsGivenBack(t *testing.T) {
+	f, c := coldFleet(coldFor(listed("r1", "m"), time.Minute))
+	lend(f, c, "r1", 1)
+	choice, ok := f.Choose(coldQuery)
+	assert.Assert(t, ok && !f.WaitsForPermit(Query{Service: "s", Unit: backend.Unit{Model: "other"}}))
+	changed := f.Changed()
+	f.Release(choice, coldQuery)
+	select {
+	case <-changed:
+	default:
+		t.Fatal("nobody was woken")
+	}
+	assert.Equal(t, f.ColdFigures().Spent, uint64(0))
+	choice, ok = f.Choose(coldQuery)
+	assert.Assert(t, ok)
+	_, ok = f.Choose(coldQuery)
+	assert.Assert(t, !ok, "one came back, not more")
+	c.now = c.now.Add(coldstart.Validity)
+	f.Release(choice, coldQuery)
+	_, ok = f.Choose(coldQuery)
+	assert.Assert(t, !ok, "it has run out")
+}
