Believe a return whose beginning was not heard

Cause: of each row the last change in a batch of news is told. A zone that went out and came back within one, as after a time in which nothing was heard, was taken for in: its runners got their full share at once, and rows from before counted as word that they are warm. Ruled out: replayed deletions: the follower passes over what lies before its position, and older revisions are passed over here. Change: a deletion newer than what is known begins a return, whatever came before it. Figures: TestSecondReturnThatAloneWasHeard fails before (in, not returning) and passes after; the packages evacuation and node pass with the race detector.

--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -123,11 +123,10 @@
 			// Older news.
 		case !row.Back:
 			next.take(row, now, now.Add(bounds.lead(gap)))
-		case seen && known.out:
+		default:
+			// The zone was out since, even where this is the first word of it: of each row
+			// the last change alone is told.
 			next.zones[row.Zone] = known.back(row.Revision, now)
-		case seen:
-			known.revision = row.Revision
-			next.zones[row.Zone] = known
 		}
 	}
 	return next
--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -243,3 +243,19 @@
 		}
 	}
 }
+
+// TestSecondReturnThatAloneWasHeard: a zone that went out and came back again within one
+// batch of news, of which the last word of each row is kept, is returning anew.
+func TestSecondReturnThatAloneWasHeard(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := (*Table)(nil).Whole([]Row{{Zone: "a", Revision: 1}}, now)
+	table = table.Changed([]Row{{Zone: "a", Revision: 2, Back: true}}, 0, Bounds{}, now)
+	later := now.Add(time.Minute)
+	table = table.Changed([]Row{{Zone: "a", Revision: 4, Back: true}}, 0, Bounds{}, later)
+	assert.Equal(t, table.State("a", later), Returning)
+	at, back := table.ReturnedAt("a")
+	assert.Assert(t, back && at.Equal(later))
+	table = table.Changed([]Row{{Zone: "b", Revision: 6, Back: true}}, 0, Bounds{}, later)
+	assert.Equal(t, table.State("b", later), Returning)
+	assert.Equal(t, table.State("b", later.Add(returnRamp)), In)
+}
