--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -125,12 +125,42 @@
 	return known.cold.May(known.listed.ID, terms, f.now())
 }
 
-// spendPermit counts one request that is sent to a runner. mutex is held.
-func (f *Fleet) spendPermit(known *runner) {
+// spendPermit counts one request that is sent to a runner, and returns until when the
+// permit holds; the zero time for a runner that needs none. mutex is held.
+func (f *Fleet) spendPermit(known *runner) (until time.Time) {
 	if terms := f.terms(known); terms.Rate > 0 && f.isCold(known, terms) {
-		known.cold.Spend(terms, f.now())
+		until = known.cold.Spend(terms, f.now())
 		f.coldFigures.Spent++
 	}
+	return until
+}
+
+// Release ends a choice whose request was not sent: what was counted for it counts no more.
+func (f *Fleet) Release(choice Choice, query Query) {
+	f.returnPermit(choice)
+	f.Done(choice, query, Canceled, 0, false)
+}
+
+// returnPermit lets others spend what was spent on a choice. What a draw allowed counts as
+// sent.
+func (f *Fleet) returnPermit(choice Choice) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	known := f.runners[choice.Runner.ID]
+	if known == nil || !f.now().Before(choice.permitUntil) {
+		return
+	}
+	known.cold.Return(choice.permitUntil, f.now())
+	f.coldFigures.Spent--
+	f.notify()
+}
+
+// permitted reports whether a request may be sent to a runner that was chosen for it some
+// time ago: a cold one only by the permit that was spent then, as those left are for other
+// requests. mutex is held.
+func (f *Fleet) permitted(known *runner, choice Choice) bool {
+	terms := f.terms(known)
+	return terms.Rate == 0 || !f.isCold(known, terms) || f.now().Before(choice.permitUntil)
 }
 
 // costOfCold is how much dearer a runner is that is cold, or was just now. mutex is held.
@@ -199,11 +229,11 @@
 
 // PermitsWanted returns for which cold runners permits are wanted by requests that wait
 // for a unit, count of them: as many as wait and have none yet, spread over the runners
-// that hold it, those in this node's zone first.
-func (f *Fleet) PermitsWanted(service string, unit backend.Unit, count int) []PermitsWanted {
+// in the homes that hold it, those in this node's zone first.
+func (f *Fleet) PermitsWanted(service string, unit backend.Unit, homes place.Homes, count int) []PermitsWanted {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	cold := f.coldOnly(Query{Service: service, Unit: unit})
+	cold := f.coldOnly(Query{Service: service, Unit: unit, Homes: homes})
 	if len(cold) == 0 {
 		return nil
 	}
