Tell a node's region and the permits it wants under numbers of their own

Cause: SyncRequest.Region and SyncRequest.Permits, which came from two parts, both had number 15. The codec leaves out both of two fields with one number, and says nothing, so no report carried a region or asked for a permit. Ruled out: that one of the two wins: a report with both came out of the codec with neither. Change: Region has number 16. A test looks for numbers used twice in every message, another sends both fields.

--- /dev/null
+++ b/internal/wire/numbers_test.go
@@ -0,0 +1,45 @@
+package wire
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestFieldNumbersAreUnique: the codec leaves out every field whose number another one of
+// the message has, and says nothing.
+func TestFieldNumbersAreUnique(t *testing.T) {
+	for _, message := range []any{
+		SyncRequest{}, SyncResponse{}, FleetResponse{}, ExplainResponse{}, Entry{}, Decision{}, Obstacle{}, Member{},
+		RunnerStatus{}, ReplicaStatus{}, StoreStatus{}, PermitsWanted{}, PermitsLent{}, UnitWaiting{}, UnitUsage{},
+		RunnerUsage{}, RunnerView{}, UnitHeld{}, UnitComing{}, ZoneStatus{}, LimitReport{},
+	} {
+		assertUnique(t, reflect.TypeOf(message))
+	}
+}
+
+func assertUnique(t *testing.T, of reflect.Type) {
+	t.Helper()
+	named := make(map[string]string)
+	for field := range of.Fields() {
+		number, _, _ := strings.Cut(field.Tag.Get("cbor"), ",")
+		if number == "" || number == "-" {
+			continue
+		}
+		assert.Check(t, named[number] == "", "%s: %s and %s have number %s", of, named[number], field.Name, number)
+		named[number] = field.Name
+	}
+}
+
+// TestReportsTellRegionAndPermits: a node's report carries both where it is and the
+// permits that it wants.
+func TestReportsTellRegionAndPermits(t *testing.T) {
+	sent := SyncRequest{Service: "s", Node: "n", Region: "north", Permits: []PermitsWanted{{Runner: "r", Count: 2}}}
+	content, err := Encode(sent)
+	assert.NilError(t, err)
+	var received SyncRequest
+	assert.NilError(t, Decode(content, "peer", &received))
+	assert.DeepEqual(t, received, sent)
+}
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -14,7 +14,7 @@
 	Zone    string `cbor:"10,keyasint,omitempty"`
 	Address string `cbor:"11,keyasint,omitempty"`
 	// Region is the node's; empty when it is not known.
-	Region string `cbor:"15,keyasint,omitempty"`
+	Region string `cbor:"16,keyasint,omitempty"`
 	// Token and Version name the newest account the node has; the answer holds
 	// what changed since.
 	Token   uint64 `cbor:"3,keyasint"`
