Test that a zone out elsewhere moves nothing into homes

Cause: two reviews found the same fault apart; the test of the second asks for the part in the homes as well. Ruled out: nothing.

--- a/internal/scheduler/homes_test.go
+++ b/internal/scheduler/homes_test.go
@@ -219,3 +219,19 @@
 	state.Runners[3].Active = 9
 	assert.Equal(t, MakePlan(state).Steps[0].Runner, "r0")
 }
+
+// TestZoneOutElsewhereMovesNothingIntoHomes: a model that is served only outside the homes
+// was never brought up in them, so a zone that is out there is no reason to load it in them.
+func TestZoneOutElsewhereMovesNothingIntoHomes(t *testing.T) {
+	state := regionState(4, 1)
+	state.Runners[0].Out = true
+	state.Runners[0].hold("m0")
+	unit := backend.Unit{Model: "m0"}
+	state.Demand[unit] = asked(2)
+	state.Parts[unit] = []Part{{Homes: inSouth, Demand: asked(2)}}
+	assert.Equal(t, len(MakePlan(state).Steps), 0)
+	state.Parts[unit] = []Part{{Homes: inNorth, Demand: asked(2)}}
+	steps := MakePlan(state).Steps
+	assert.Equal(t, len(steps), 1)
+	assert.Equal(t, steps[0].Runner, "r1")
+}
