--- a/test/cold_test.go
+++ b/test/cold_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
@@ -67,24 +68,32 @@
 	t.Helper()
 	sent := make(map[string]time.Time)
 	for _, node := range w.Nodes {
-		file, err := os.Open(w.LogPath(node))
-		assert.NilError(t, err)
-		lines := bufio.NewScanner(file)
-		lines.Buffer(nil, 1<<20)
-		for lines.Scan() {
-			var line struct {
-				Time    time.Time
-				Msg     string
-				Request string
-				Runner  string
-			}
-			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "request sent" && line.Runner == runner {
-				sent[line.Request] = line.Time
-			}
+		maps.Copy(sent, sentBy(t, w, node, runner))
+	}
+	return sent
+}
+
+// sentBy is sentTo for one node.
+func sentBy(t *testing.T, w *world.World, node *world.Node, runner string) map[string]time.Time {
+	t.Helper()
+	sent := make(map[string]time.Time)
+	file, err := os.Open(w.LogPath(node))
+	assert.NilError(t, err)
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		var line struct {
+			Time    time.Time
+			Msg     string
+			Request string
+			Runner  string
+		}
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "request sent" && line.Runner == runner {
+			sent[line.Request] = line.Time
 		}
-		assert.NilError(t, lines.Err())
-		assert.NilError(t, file.Close())
 	}
+	assert.NilError(t, lines.Err())
 	return sent
 }
 
@@ -116,6 +125,26 @@
 	return most, len(exchanges)
 }
 
+// sendersTo returns the nodes whose requests ran at a runner between two times.
+func sendersTo(t *testing.T, w *world.World, runner string, from, to time.Time) map[string]bool {
+	t.Helper()
+	ran := make(map[string]bool)
+	for _, record := range readHistory(t, w).records {
+		if record.Event == journal.EventRun && record.Runner == runner && record.Time.After(from) && record.Time.Before(to) {
+			ran[record.Request] = true
+		}
+	}
+	senders := make(map[string]bool)
+	for _, node := range w.Nodes {
+		for request := range sentBy(t, w, node, runner) {
+			if ran[request] {
+				senders[node.Name] = true
+			}
+		}
+	}
+	return senders
+}
+
 // TestColdRunnerGetsItsBound: a runner that becomes cold under load gets no more than its
 // bound of all nodes together, also while the node that lends permits is frozen, and it
 // does not fall over; it serves, and serves more when it is warm.
@@ -147,6 +176,7 @@
 	load.waitServed(t, 10*coldMost)
 	load.finish()
 	most, all := mostInASecond(t, w, "runner-1", from, to)
+	assert.Equal(t, len(sendersTo(t, w, "runner-1", from, to)), len(nodes), "permits reach every node")
 	assert.Assert(t, all >= 6*coldMost, "%d ran", all)
 	assert.Assert(t, most <= coldMost, "%d in one second, at most %d", most, coldMost)
 	h := readHistory(t, w)
