Let answers count for trust only on connections older than the silence

An answer on a connection that had rested before the silence was *noticed* took back the distrust; one that was made after the silence began and rested before the noticing did so too, though new connections always work. The node in the log had found one runner silent, and went on using the rested connections to the other. Change: an answer counts only on a connection that rested before the silent one was taken up. Figures: TestAnswerOnAConnectionMadeDuringTheSilenceShowsNothing failed before, passes after.

--- a/internal/link/trust.go
+++ b/internal/link/trust.go
@@ -35,15 +35,21 @@
 	now func() time.Time
 
 	mutex sync.Mutex
-	// silent are peers by when a connection to them was found silent.
-	silent map[string]time.Time
+	// silent are peers by the connection to them that was found silent last.
+	silent map[string]silence
 	// dropped is when all peers were distrusted last.
 	dropped time.Time
 }
 
+// silence is a silent connection: when it was taken up, and when it was found silent.
+type silence struct {
+	taken time.Time
+	at    time.Time
+}
+
 // NewTrust returns a Trust that has seen nothing.
 func NewTrust(now func() time.Time) *Trust {
-	return &Trust{now: now, silent: make(map[string]time.Time)}
+	return &Trust{now: now, silent: make(map[string]silence)}
 }
 
 // Silent notes that a connection to the peer, taken up then, was silent, and returns
@@ -52,15 +58,15 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := t.now()
-	for other, at := range t.silent {
-		if now.Sub(at) > strikeWindow {
+	for other, known := range t.silent {
+		if now.Sub(known.at) > strikeWindow {
 			delete(t.silent, other)
 		}
 	}
-	if t.dropped.After(taken) || t.silent[peer].After(taken) {
+	if t.dropped.After(taken) || t.silent[peer].at.After(taken) {
 		return Nobody
 	}
-	t.silent[peer] = now
+	t.silent[peer] = silence{taken: taken, at: now}
 	if len(t.silent) < silentPeers {
 		return OnePeer
 	}
@@ -69,14 +75,15 @@
 	return AllPeers
 }
 
-// Answered notes an answer on a connection that had rested since then: one that
-// rested before a silence was noticed, and works, shows that the silence is not
-// everywhere.
+// Answered notes an answer on a connection that had rested since then: one that rested
+// before a silent one was taken up, and works, shows that the silence is not everywhere. One
+// that rested later may have been made since and shows nothing: counted, it let nodes that
+// had noticed one silent runner go on trusting the others.
 func (t *Trust) Answered(restedSince time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for peer, at := range t.silent {
-		if restedSince.Before(at) {
+	for peer, known := range t.silent {
+		if restedSince.Before(known.taken) {
 			delete(t.silent, peer)
 		}
 	}
--- a/internal/link/trust_test.go
+++ b/internal/link/trust_test.go
@@ -57,6 +57,20 @@
 	assert.Equal(t, trust.Silent("b", c.now()), OnePeer)
 }
 
+// TestAnswerOnAConnectionMadeDuringTheSilenceShowsNothing: one that was made after the
+// silent one was taken up, and rested before that was noticed, works as all new ones do.
+func TestAnswerOnAConnectionMadeDuringTheSilenceShowsNothing(t *testing.T) {
+	c := newClock()
+	trust := NewTrust(c.now)
+	taken := c.now()
+	c.pass(100 * time.Millisecond)
+	rested := c.now()
+	c.pass(time.Second)
+	assert.Equal(t, trust.Silent("a", taken), OnePeer)
+	trust.Answered(rested)
+	assert.Equal(t, trust.Silent("b", taken), AllPeers)
+}
+
 // TestOneSilenceIsNoticedOnce: connections that were taken up before others were
 // dropped tell nothing new, however late they are noticed.
 func TestOneSilenceIsNoticedOnce(t *testing.T) {
