Write the tests' jobs and late answers once; name a zone's state

Cause: five tests of dispatch built the same job, two of upstream the same runner, and zoneWord needed explaining. Ruled out: joining what only has the same shape (messages, constants, loops of watches). Change: waiter is the one job for a model, lateExtra the one runner with an extra answer; zoneWord is zoneState. No assertion and no behaviour changed.

--- a/internal/dispatch/again_test.go
+++ b/internal/dispatch/again_test.go
@@ -8,12 +8,10 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
-	"lilacvane/internal/demand"
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/retry"
 	"lilacvane/internal/upstream"
@@ -51,16 +49,12 @@
 			known.Replace([]backend.Runner{{ID: "r1", Service: "s", Slots: 1, Address: strings.TrimPrefix(runner.URL, "http://"), Models: []backend.Holding{{Model: "alpha"}}}}, false)
 			names := upstream.Names{RequestID: "X-Id", Deadline: "X-Deadline", ExpectRunner: "X-Runner", Signature: "X-Signature", NotRun: "X-Not-Run", Urgency: "X-Urgency"}
 			written := httptest.NewRecorder()
-			j := &job{
-				dispatcher: &Dispatcher{
-					Fleet: known, Demand: demand.NewBook(), Pool: upstream.NewPool(names), Names: names, Retries: retry.Limits{Ratio: 1, Slack: 100, Window: time.Second},
-					Configuration: func() *config.Configuration { return &config.Configuration{} },
-				},
-				log: logr.Discard(), writer: written, route: &config.Route{Kind: config.Unsafe, Attempts: 2, Objective: 3 * time.Second}, engine: true,
-				query:    fleet.Query{Service: "s", Unit: backend.Unit{Model: "alpha"}},
-				deadline: time.Now().Add(10 * time.Second),
-				request:  &Request{ID: "1", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Arrived: time.Now()},
-			}
+			j := waiter(known, 10*time.Second)
+			j.dispatcher.Pool, j.dispatcher.Names = upstream.NewPool(names), names
+			j.dispatcher.Retries = retry.Limits{Ratio: 1, Slack: 100, Window: time.Second}
+			j.writer = written
+			j.route = &config.Route{Kind: config.Unsafe, Attempts: 2, Objective: 3 * time.Second}
+			j.request = &Request{ID: "1", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Arrived: time.Now()}
 			for j.attempt(t.Context()) {
 			}
 			assert.Equal(t, written.Code, test.status, "%s", written.Body)
--- a/internal/dispatch/cold_test.go
+++ b/internal/dispatch/cold_test.go
@@ -4,12 +4,10 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/coldstart"
-	"lilacvane/internal/config"
 	"lilacvane/internal/demand"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
@@ -22,16 +20,9 @@
 	terms := coldstart.NewTerms(6.9, 1.5, 5, 3*time.Second, coldstart.Lent{})
 	known.SetColdStarts(fleet.ColdStarts{Terms: func(string) coldstart.Terms { return terms }})
 	known.Replace([]backend.Runner{{ID: "r1", Service: "s", Models: []backend.Holding{{Model: unit.Model}}, ColdFor: coldFor}}, false)
-	book := demand.NewBook()
-	return &job{
-		dispatcher: &Dispatcher{Fleet: known, Demand: book, Configuration: func() *config.Configuration { return &config.Configuration{} }},
-		log:        logr.Discard(),
-		route:      &config.Route{Kind: config.Safe, Attempts: 1, Objective: time.Second},
-		engine:     true,
-		query:      fleet.Query{Service: "s", Unit: unit},
-		deadline:   time.Now().Add(time.Hour),
-		request:    &Request{Arrived: time.Now()},
-	}, known, book
+	j := waiter(known, time.Hour)
+	j.route.Objective = time.Second
+	return j, known, j.dispatcher.Demand
 }
 
 // TestRequestWaitsForAPermit: what only a cold runner could serve asks for a permit at
--- a/internal/dispatch/left_test.go
+++ b/internal/dispatch/left_test.go
@@ -5,10 +5,8 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
-	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
 	"lilacvane/internal/demand"
 	"lilacvane/internal/fault"
@@ -23,14 +21,12 @@
 		"s": {Engine: &config.Engine{Models: map[string]*config.Model{"alpha": alpha}}},
 	}}
 	const elapsed = 230 * time.Millisecond
-	return &job{
-		dispatcher: &Dispatcher{
-			Fleet: fleet.New("zone", time.Now, noRules{}), Demand: book, Configuration: func() *config.Configuration { return configuration },
-		},
-		log: logr.Discard(), route: &config.Route{Kind: config.Safe, Attempts: 1, Objective: time.Second}, engine: true,
-		query: fleet.Query{Service: "s", Unit: backend.Unit{Model: "alpha"}}, deadline: time.Now().Add(time.Hour),
-		request: &Request{Arrived: time.Now().Add(-elapsed)},
-	}
+	j := waiter(fleet.New("zone", time.Now, noRules{}), time.Hour)
+	j.dispatcher.Demand = book
+	j.dispatcher.Configuration = func() *config.Configuration { return configuration }
+	j.route.Objective = time.Second
+	j.request.Arrived = time.Now().Add(-elapsed)
+	return j
 }
 
 // TestRefusedRequestIsStillWanted: a client that is sent back comes back, so what it
--- a/internal/dispatch/place_test.go
+++ b/internal/dispatch/place_test.go
@@ -47,7 +47,8 @@
 	assert.Equal(t, j.query.Unit, current)
 }
 
-// waiter is a job for a model that no runner holds, with the time that it may wait.
+// waiter is a request for model alpha of service s that arrived just now, with the time that
+// it may wait.
 func waiter(known *fleet.Fleet, within time.Duration) *job {
 	return &job{
 		dispatcher: &Dispatcher{
--- a/internal/dispatch/zones_test.go
+++ b/internal/dispatch/zones_test.go
@@ -5,12 +5,9 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/backend"
-	"lilacvane/internal/config"
-	"lilacvane/internal/demand"
 	"lilacvane/internal/eligible"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
@@ -32,13 +29,9 @@
 	known.Replace([]backend.Runner{
 		{ID: "r1", Service: "s", Zone: "a", Models: held}, {ID: "r2", Service: "s", Zone: "b", Models: held},
 	}, false)
-	return &job{
-		dispatcher: &Dispatcher{
-			Fleet: known, Demand: demand.NewBook(), NewsWithin: 3 * time.Second, Configuration: func() *config.Configuration { return &config.Configuration{} },
-		},
-		log: logr.Discard(), route: &config.Route{Kind: config.Safe, Attempts: 1}, engine: true, query: fleet.Query{Service: "s", Unit: unit},
-		deadline: time.Now().Add(time.Hour), request: &Request{Arrived: time.Now()},
-	}
+	j := waiter(known, time.Hour)
+	j.dispatcher.NewsWithin = 3 * time.Second
+	return j
 }
 
 // TestAllZonesOutIsRefusedAtOnce: as not run, with the reason and the earliest time at
--- a/internal/node/fleetfigures.go
+++ b/internal/node/fleetfigures.go
@@ -47,7 +47,7 @@
 // runnersByState counts the listed runners by state.
 func (n *Node) runnersByState() map[string]int {
 	return countStates(n.fleet.Zones(), func(zone place.Zone) bool {
-		word, _ := n.zoneWord(zone)
+		word, _ := n.zoneState(zone)
 		return word == wire.ZoneOut || word == wire.ZoneLeaving
 	})
 }
--- a/internal/node/zonestatus.go
+++ b/internal/node/zonestatus.go
@@ -16,16 +16,16 @@
 	"lilacvane/internal/wire"
 )
 
-// zoneWords are how a zone that was taken out is told of.
-var zoneWords = map[evacuation.State]wire.ZoneState{
+// toldZoneStates are how a zone that was taken out is told of.
+var toldZoneStates = map[evacuation.State]wire.ZoneState{
 	evacuation.Leaving: wire.ZoneLeaving, evacuation.Out: wire.ZoneOut, evacuation.Returning: wire.ZoneReturning,
 }
 
-// zoneWord is what operators decided about a zone, and since when; the zero time when that
+// zoneState is what operators decided about a zone, and since when; the zero time when that
 // is not known. Whatever else takes zones out or back joins here.
-func (n *Node) zoneWord(zone place.Zone) (wire.ZoneState, time.Time) {
+func (n *Node) zoneState(zone place.Zone) (wire.ZoneState, time.Time) {
 	if state, since := n.zones.since(zone); state != evacuation.In {
-		return zoneWords[state], since
+		return toldZoneStates[state], since
 	}
 	configuration := n.configuration.Load()
 	if configuration == nil || !configuration.Drains[zoneDrain(zone)] {
@@ -80,7 +80,7 @@
 func (n *Node) zoneStates(runners map[place.Zone]fleet.Standing, nodes map[place.Zone]int) []wire.ZoneStatus {
 	states := []wire.ZoneStatus{}
 	for _, zone := range n.knownZones(runners, nodes) {
-		word, since := n.zoneWord(zone)
+		word, since := n.zoneState(zone)
 		status := wire.ZoneStatus{
 			Zone: zone, Region: n.regionOf(zone), State: word, Nodes: nodes[zone],
 			Ready: runners[zone].Ready, Cold: runners[zone].Cold, Draining: runners[zone].Draining,
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -182,10 +182,10 @@
 	assert.Equal(t, s.accepted.Load(), int32(2))
 }
 
-// TestLateExtraAnswerIsPassedOver: an extra answer that comes in the place of the
-// next request's own is known by its identifier.
-func TestLateExtraAnswerIsPassedOver(t *testing.T) {
-	s := serveScript(t, func(s *scripted, _ int, conn net.Conn) {
+// lateExtra answers a request and, in the place of the next one's answer, once more; own is
+// the answer to the second one.
+func lateExtra(own func(second string) string) func(s *scripted, number int, conn net.Conn) {
+	return func(s *scripted, _ int, conn net.Conn) {
 		reader := bufio.NewReader(conn)
 		first, err := s.next(reader)
 		if err != nil {
@@ -196,8 +196,14 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.WriteString(conn, answerText(first, "extra")+answerText(second, "second"))
-	})
+		_, _ = io.WriteString(conn, answerText(first, "extra")+own(second))
+	}
+}
+
+// TestLateExtraAnswerIsPassedOver: an extra answer that comes in the place of the
+// next request's own is known by its identifier.
+func TestLateExtraAnswerIsPassedOver(t *testing.T) {
+	s := serveScript(t, lateExtra(func(second string) string { return answerText(second, "second") }))
 	pool := NewPool(testNames)
 	_, err := exchange(pool, s.call("1"))
 	assert.NilError(t, err)
--- a/internal/upstream/roundtrip_test.go
+++ b/internal/upstream/roundtrip_test.go
@@ -98,18 +98,7 @@
 // TestLateAnswerIsNotTheQuestions: an extra answer to a client's request is passed
 // over by the question that follows it.
 func TestLateAnswerIsNotTheQuestions(t *testing.T) {
-	s := serveScript(t, func(s *scripted, _ int, conn net.Conn) {
-		reader := bufio.NewReader(conn)
-		first, err := s.next(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.WriteString(conn, answerText(first, "first"))
-		if _, err := s.next(reader); err != nil {
-			return
-		}
-		_, _ = io.WriteString(conn, answerText(first, "extra")+answerText("", "own"))
-	})
+	s := serveScript(t, lateExtra(func(string) string { return answerText("", "own") }))
 	pool := NewPool(ownNames)
 	_, err := exchange(pool, s.call("1"))
 	assert.NilError(t, err)
