Tell a runner that ended from a connection that broke, and tries of one content in the log

Cause: the logs of a request that ended runner after runner could not tell which tries carried the same content, nor whether a broken connection was a runner's end. Change: attempts that break off are logged with a digest of their content (method, host, path, caller, unit, body); a runner under which one broke off is asked whether it is still the process that it was (connection refused, another identifier, a later start), or the platform's list tells. Runners' start times (born) are read. No decision about requests goes by it yet.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -10,9 +10,12 @@
 
 // Runner is one incarnation of a runner as the platform lists it.
 type Runner struct {
-	// ID is unique for each incarnation.
+	// ID is unique for each incarnation, but for those that Born tells apart.
 	ID      string
 	Service string
+	// Born is the start of the runner's process, in Unix milliseconds; zero when it did not
+	// tell. One that starts again may keep its identifier, and holds nothing then.
+	Born int64
 	// Address is ip:port. It may be given to another runner later.
 	Address string
 	Zone    string
@@ -38,6 +41,19 @@
 	Missing bool
 }
 
+// Life tells one process of a runner from the next under the same identifier.
+type Life struct {
+	Runner string
+	// Born is as in Runner.
+	Born int64
+}
+
+// Life returns the life in which the runner was listed.
+func (r Runner) Life() Life { return Life{Runner: r.ID, Born: r.Born} }
+
+// EndedBy reports whether a runner that says it was born then has ended this life.
+func (l Life) EndedBy(born int64) bool { return l.Born != 0 && born > l.Born }
+
 // Holding is a loaded model with its loaded adapters.
 type Holding struct {
 	Model    string
@@ -52,6 +68,8 @@
 
 // Report is a runner's account of itself. It lags by some hundred milliseconds.
 type Report struct {
+	// Born is as in Runner.
+	Born   int64
 	Models []Holding
 	// Pending are adapters on their way.
 	Pending []Unit
--- /dev/null
+++ b/internal/crash/detector.go
@@ -0,0 +1,232 @@
+// Package crash tells runners that ended under their requests from connections that broke:
+// it asks a runner whose answer broke off whether it is still the process that it was.
+package crash
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/poison"
+	"lilacvane/internal/wait"
+)
+
+const (
+	// firstPause lies between the first two questions to a runner that neither answers nor
+	// refuses connections; each further pause is twice as long, up to longestPause.
+	firstPause   = 50 * time.Millisecond
+	longestPause = 800 * time.Millisecond
+	// questionTimeout bounds one question: a runner answers within some ms in its region.
+	questionTimeout = 400 * time.Millisecond
+	// inquiryLimit is how long it is asked: one that is restarted is back within some
+	// seconds, and the platform's list drops one that is gone within about as many.
+	inquiryLimit = 10 * time.Second
+	// remembered is how long an ended life is known, for answers that break off later.
+	remembered = 30 * time.Second
+	// mostPending bounds the requests kept for one life: more than a runner's slots and
+	// queue hold.
+	mostPending = 512
+)
+
+// Crash is a runner that ended, and the requests of this node that were there.
+type Crash struct {
+	Life backend.Life
+	// How is the sign by which it was known.
+	How      string
+	Requests []poison.Identity
+}
+
+// Detector finds out which runners ended. Its methods may be called concurrently.
+type Detector struct {
+	report func(ctx context.Context, runner backend.Runner) (backend.Report, error)
+	ended  func(Crash)
+	log    logr.Logger
+
+	ctx  context.Context
+	end  context.CancelFunc
+	work sync.WaitGroup
+
+	mutex   sync.Mutex
+	pending map[backend.Life]*inquiry
+	// known are the lives that ended lately.
+	known map[backend.Life]pastLife
+}
+
+// inquiry is a runner of which it is not known yet whether it ended.
+type inquiry struct {
+	requests []poison.Identity
+	// brokeAt is when the last answer of them broke off.
+	brokeAt time.Time
+}
+
+type pastLife struct {
+	how string
+	at  time.Time
+}
+
+// NewDetector returns a detector. report asks a runner, ended is told each crash under
+// requests of this node, possibly several times for one life, each request once.
+func NewDetector(report func(ctx context.Context, runner backend.Runner) (backend.Report, error), ended func(Crash), log logr.Logger) *Detector {
+	d := &Detector{report: report, ended: ended, log: log, pending: make(map[backend.Life]*inquiry), known: make(map[backend.Life]pastLife)}
+	d.ctx, d.end = context.WithCancel(context.Background())
+	return d
+}
+
+// Close ends all inquiries and waits for them.
+func (d *Detector) Close() {
+	d.end()
+	d.work.Wait()
+}
+
+// Broke notes that the answer to a request broke off, or never came, at a runner. asks is
+// set where the runner answers questions; of others only the platform's list tells. One that
+// leaves ends by plan, which is no crash.
+func (d *Detector) Broke(runner backend.Runner, request poison.Identity, asks bool) {
+	if runner.Draining {
+		return
+	}
+	life := runner.Life()
+	d.mutex.Lock()
+	d.forget()
+	if past, ended := d.known[life]; ended {
+		d.mutex.Unlock()
+		d.ended(Crash{Life: life, How: past.how, Requests: []poison.Identity{request}})
+		return
+	}
+	defer d.mutex.Unlock()
+	if d.ctx.Err() != nil {
+		return
+	}
+	open := d.pending[life]
+	if open == nil {
+		open = &inquiry{}
+		d.pending[life] = open
+		d.work.Go(func() { d.inquire(runner, asks) })
+	}
+	open.brokeAt = time.Now()
+	if len(open.requests) < mostPending {
+		open.requests = append(open.requests, request)
+	}
+}
+
+// inquire asks a runner until it is known whether it ended, at most inquiryLimit.
+func (d *Detector) inquire(runner backend.Runner, asks bool) {
+	ctx, cancel := context.WithTimeout(d.ctx, inquiryLimit)
+	defer cancel()
+	for pause := firstPause; ctx.Err() == nil && d.open(runner.Life()); pause = min(2*pause, longestPause) {
+		if asks {
+			asked := time.Now()
+			switch how, known := d.ask(ctx, runner); {
+			case known && how != "":
+				d.Ended(runner.Life(), how)
+				return
+			case known && d.lives(runner.Life(), asked):
+				return
+			}
+		}
+		wait.For(ctx, pause)
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if open := d.pending[runner.Life()]; open != nil {
+		delete(d.pending, runner.Life())
+		d.log.V(1).Info("not known whether a runner ended", "runner", runner.ID, "requests", len(open.requests))
+	}
+}
+
+// The signs of a runner that ended.
+const (
+	howRefused = "its address refuses connections"
+	howOther   = "another runner has its address"
+	// HowBorn is that of a runner that tells of a later start than before.
+	HowBorn = "it started anew"
+	// HowGone is that of a runner that left the platform's list without a word.
+	HowGone = "it is not listed any more"
+)
+
+// ask asks a runner once. known is set when its answer tells, how is the sign that it
+// ended; empty when it lives.
+func (d *Detector) ask(ctx context.Context, runner backend.Runner) (how string, known bool) {
+	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
+	defer cancel()
+	report, err := d.report(ctx, runner)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return howRefused, true
+	case fault.IsCode(err, fault.CodeNotFound):
+		return howOther, true
+	case err != nil:
+		return "", false
+	case runner.Life().EndedBy(report.Born):
+		return HowBorn, true
+	default:
+		return "", true
+	}
+}
+
+// open reports whether it is still to be found out whether a life ended.
+func (d *Detector) open(life backend.Life) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.pending[life] != nil
+}
+
+// lives notes that a runner answered a question sent then; false when another answer broke
+// off since.
+func (d *Detector) lives(life backend.Life, asked time.Time) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if open := d.pending[life]; open != nil && open.brokeAt.After(asked) {
+		return false
+	}
+	delete(d.pending, life)
+	return true
+}
+
+// Refused notes that a runner's address refused a connection: it ended, if an answer of it
+// broke off before. Alone it may only have too many connections.
+func (d *Detector) Refused(life backend.Life) {
+	if d.open(life) {
+		d.Ended(life, howRefused)
+	}
+}
+
+// Gone notes that the platform's list does not tell of a runner's life any more: it was
+// dropped, or another life is listed. One that said that it leaves ended by plan.
+func (d *Detector) Gone(runner backend.Runner, how string) {
+	if !runner.Draining {
+		d.Ended(runner.Life(), how)
+	}
+}
+
+// Ended notes that a life of a runner ended, and tells of the requests that were there.
+func (d *Detector) Ended(life backend.Life, how string) {
+	d.mutex.Lock()
+	d.forget()
+	open := d.pending[life]
+	delete(d.pending, life)
+	if _, known := d.known[life]; !known {
+		d.known[life] = pastLife{how: how, at: time.Now()}
+	}
+	d.mutex.Unlock()
+	if open == nil {
+		return
+	}
+	d.log.Info("runner ended under requests", "runner", life.Runner, "born", life.Born, "how", how, "requests", len(open.requests))
+	d.ended(Crash{Life: life, How: how, Requests: open.requests})
+}
+
+// forget drops lives that ended long ago. mutex is held.
+func (d *Detector) forget() {
+	for life, past := range d.known {
+		if time.Since(past.at) > remembered {
+			delete(d.known, life)
+		}
+	}
+}
--- /dev/null
+++ b/internal/crash/detector_test.go
@@ -0,0 +1,167 @@
+package crash
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/poison"
+)
+
+var (
+	runner  = backend.Runner{ID: "r", Born: 1000}
+	request = poison.Identity{1}
+	errGone = fault.At(fault.CodeInterrupted, "read report", "r", fault.Unknown,
+		fault.At(fault.CodeUnreachable, "connect", "a:1", fault.NotDone, syscall.ECONNREFUSED))
+	errOther = &fault.Error{Code: fault.CodeNotFound, Step: "read report", Peer: "r"}
+	errReset = fault.At(fault.CodeInterrupted, "read report", "r", fault.Unknown, errors.New("reset"))
+)
+
+// answers is a runner that answers questions in turn, the last answer again and again.
+type answers struct {
+	list  []answer
+	asked int
+}
+
+type answer struct {
+	report backend.Report
+	err    error
+}
+
+func (a *answers) report(context.Context, backend.Runner) (backend.Report, error) {
+	given := a.list[min(a.asked, len(a.list)-1)]
+	a.asked++
+	return given.report, given.err
+}
+
+// detect lets a request break off at a runner that answers so, and returns the crashes told.
+func detect(t *testing.T, a *answers, then func(*Detector)) []Crash {
+	t.Helper()
+	var crashes []Crash
+	synctest.Test(t, func(*testing.T) {
+		d := NewDetector(a.report, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
+		d.Broke(runner, request, true)
+		if then != nil {
+			then(d)
+		}
+		time.Sleep(2 * inquiryLimit)
+		d.Close()
+	})
+	return crashes
+}
+
+// TestEndOfARunnerIsToldFromABrokenConnection: by what the runner answers, at once or later.
+func TestEndOfARunnerIsToldFromABrokenConnection(t *testing.T) {
+	lives := answer{report: backend.Report{Born: runner.Born}}
+	for name, test := range map[string]struct {
+		answers []answer
+		how     string
+	}{
+		"refuses connections":    {[]answer{{err: errGone}}, howRefused},
+		"another one is there":   {[]answer{{err: errOther}}, howOther},
+		"started anew":           {[]answer{{report: backend.Report{Born: runner.Born + 1}}}, HowBorn},
+		"silent, then anew":      {[]answer{{err: errReset}, {err: errReset}, {report: backend.Report{Born: runner.Born + 1}}}, HowBorn},
+		"only a connection":      {[]answer{lives}, ""},
+		"silent, then there":     {[]answer{{err: errReset}, lives}, ""},
+		"tells no start":         {[]answer{{}}, ""},
+		"silent for all of time": {[]answer{{err: errReset}}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			crashes := detect(t, &answers{list: test.answers}, nil)
+			if test.how == "" {
+				assert.Equal(t, len(crashes), 0)
+				return
+			}
+			assert.DeepEqual(t, crashes, []Crash{{Life: runner.Life(), How: test.how, Requests: []poison.Identity{request}}})
+		})
+	}
+}
+
+// TestEndThatTheListTellsCounts: of a silent runner the platform's list tells, also when an
+// answer breaks off after that.
+func TestEndThatTheListTellsCounts(t *testing.T) {
+	later := poison.Identity{2}
+	crashes := detect(t, &answers{list: []answer{{err: errReset}}}, func(d *Detector) {
+		time.Sleep(3 * time.Second)
+		d.Ended(runner.Life(), HowGone)
+		d.Ended(runner.Life(), HowGone)
+		d.Broke(runner, later, true)
+	})
+	assert.DeepEqual(t, crashes, []Crash{
+		{Life: runner.Life(), How: HowGone, Requests: []poison.Identity{request}},
+		{Life: runner.Life(), How: HowGone, Requests: []poison.Identity{later}},
+	})
+}
+
+// TestRefusedConnectionTellsOfARunnerThatIsNotAsked: but not without an answer that broke off.
+func TestRefusedConnectionTellsOfARunnerThatIsNotAsked(t *testing.T) {
+	var crashes []Crash
+	synctest.Test(t, func(*testing.T) {
+		d := NewDetector(nil, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
+		other := backend.Life{Runner: "other"}
+		d.Refused(other)
+		d.Broke(runner, request, false)
+		d.Refused(runner.Life())
+		d.Broke(backend.Runner{ID: other.Runner}, request, false)
+		d.Close()
+	})
+	assert.DeepEqual(t, crashes, []Crash{{Life: runner.Life(), How: howRefused, Requests: []poison.Identity{request}}})
+}
+
+// TestEndByPlanIsNoCrash: of a runner that said that it leaves.
+func TestEndByPlanIsNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := NewDetector(nil, func(c Crash) { t.Errorf("told %+v", c) }, logr.Discard())
+		leaving := runner
+		leaving.Draining = true
+		d.Broke(leaving, request, false)
+		d.Broke(runner, request, false)
+		d.Gone(leaving, HowGone)
+		d.Close()
+	})
+}
+
+// TestAnswerThatBrokeAfterTheQuestionIsAskedFor: a runner that answered just before it ended
+// is asked again for the request that broke off after that.
+func TestAnswerThatBrokeAfterTheQuestionIsAskedFor(t *testing.T) {
+	var crashes []Crash
+	synctest.Test(t, func(t *testing.T) {
+		var d *Detector
+		asked := 0
+		report := func(context.Context, backend.Runner) (backend.Report, error) {
+			asked++
+			if asked > 1 {
+				return backend.Report{}, errGone
+			}
+			time.Sleep(time.Millisecond)
+			d.Broke(runner, poison.Identity{2}, true)
+			return backend.Report{Born: runner.Born}, nil
+		}
+		d = NewDetector(report, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
+		d.Broke(runner, request, true)
+		time.Sleep(time.Second)
+		d.Close()
+	})
+	assert.Equal(t, len(crashes), 1)
+	assert.Equal(t, len(crashes[0].Requests), 2)
+}
+
+// TestPendingRequestsAreBounded: a silent runner keeps so many and not more.
+func TestPendingRequestsAreBounded(t *testing.T) {
+	crashes := detect(t, &answers{list: []answer{{err: errReset}}}, func(d *Detector) {
+		for number := range 2 * mostPending {
+			d.Broke(runner, poison.Identity{byte(number), byte(number >> 8), 1}, true)
+		}
+		d.Ended(runner.Life(), HowGone)
+	})
+	assert.Equal(t, len(crashes), 1)
+	assert.Equal(t, len(crashes[0].Requests), mostPending)
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -49,6 +49,7 @@
 	}
 	j.outcome.Endings = append(j.outcome.Endings, result.ending)
 	if result.timedOut {
+		j.noteBroken(choice.Runner, result.ending, err)
 		j.fail(true, fault.From(err, "send request"))
 		return false
 	}
@@ -93,7 +94,11 @@
 // noteFailure logs an attempt that failed, with what tells a runner that was silent from a
 // node that stood still: how late its own timer was.
 func (j *job) noteFailure(choice fleet.Choice, result exchanged, err error, elapsed time.Duration) {
-	j.log.Info("attempt failed", "runner", choice.Runner.ID, "attempt", j.sent, "error", err.Error(), "ran", fault.OutcomeOf(err).String(),
+	log := j.log
+	if j.noteBroken(choice.Runner, result.ending, err) {
+		log = log.WithValues("content", j.content().Short())
+	}
+	log.Info("attempt failed", "runner", choice.Runner.ID, "attempt", j.sent, "error", err.Error(), "ran", fault.OutcomeOf(err).String(),
 		"elapsedMs", elapsed.Milliseconds(), "endedBy", string(result.ending), "events", j.passed(),
 		"silentMs", result.silent.Milliseconds(), "lateMs", result.late.Milliseconds())
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -13,6 +13,7 @@
 	"lilacvane/internal/demand"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
+	"lilacvane/internal/poison"
 	"lilacvane/internal/retry"
 	"lilacvane/internal/tenant"
 	"lilacvane/internal/upstream"
@@ -45,7 +46,9 @@
 	Limits Limiter
 	// Report reads a runner's report; not set where runners cannot be asked.
 	Report func(ctx context.Context, runner backend.Runner) (backend.Report, error)
-	Log    logr.Logger
+	// Crashes is told what may be signs of a runner's end; not set for nobody.
+	Crashes Crashes
+	Log     logr.Logger
 	// Observe is called at the end of each request.
 	Observe func(request string, outcome Outcome)
 
@@ -59,6 +62,15 @@
 	splits  map[string]*splitter
 }
 
+// Crashes is told what may be signs of a runner's end.
+type Crashes interface {
+	// Broke tells of a request whose answer broke off, or never came; asks is set where the
+	// runner answers questions.
+	Broke(runner backend.Runner, request poison.Identity, asks bool)
+	// Refused tells of an address that refused a connection.
+	Refused(life backend.Life)
+}
+
 // assumedNodes is how many nodes share a budget until the number is known.
 const assumedNodes = 16
 
@@ -177,6 +189,9 @@
 	last *wholeAnswer
 	// relay is set once a stream's head went out.
 	relay *relay
+	// identity stands for the content as sent to identified; see content.
+	identity   poison.Identity
+	identified *backend.Unit
 }
 
 func (j *job) run(ctx context.Context) {
--- a/internal/eligible/callers_test.go
+++ b/internal/eligible/callers_test.go
@@ -30,6 +30,7 @@
 	"internal/node/zonestatus.go":    "tells it to operators",
 	"internal/node/fleetfigures.go":  "counts it for operators",
 	"internal/fleet/standing.go":     "counts it for operators",
+	"internal/crash/detector.go":     "tells an end by plan from a crash",
 	"internal/command/fleet.go":      "prints it for operators",
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -367,6 +367,17 @@
 	return ""
 }
 
+// Listed returns what the platform's list told of a runner last; false when it is not listed.
+func (f *Fleet) Listed(id string) (backend.Runner, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	known := f.runners[id]
+	if known == nil || !known.present {
+		return backend.Runner{}, false
+	}
+	return known.listed, true
+}
+
 // Known reports whether a runner is listed or has requests under way.
 func (f *Fleet) Known(id string) bool {
 	f.mutex.Lock()
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -26,6 +26,8 @@
 	// answer did not come to its end, by who ended the last attempt.
 	failed *prometheus.CounterVec
 	ended  *prometheus.CounterVec
+	// crashes counts runners that ended under requests of this node.
+	crashes prometheus.Counter
 	// regionBytes are exchanged with other regions.
 	regionBytes *prometheus.CounterVec
 	resumes     prometheus.Counter
@@ -60,6 +62,9 @@
 		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lilacvane_answers_broken_total", Help: "Answers that had begun and did not come to their end, by who ended the last attempt.",
 		}, []string{"by"}),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lilacvane_runners_crashed_total", Help: "Runners that ended under requests of this node.",
+		}),
 		resumes: prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacvane_resumes_total", Help: "Streams resumed at another runner."}),
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "lilacvane_first_byte_seconds", Help: "Time to the first byte of the answer.", Buckets: latencyBuckets,
@@ -74,7 +79,7 @@
 	})
 	f.tenants = newTenantFigures(f.registry)
 	f.refused = newRefused()
-	f.registry.MustRegister(newRunnerStates(n.runnersByState), f.refused, f.loadTime, f.requests, f.outsideHomes, f.regionBytes, f.attempts, f.failed, f.ended, f.resumes, f.first, f.waited)
+	f.registry.MustRegister(newRunnerStates(n.runnersByState), f.refused, f.loadTime, f.requests, f.outsideHomes, f.regionBytes, f.attempts, f.failed, f.ended, f.crashes, f.resumes, f.first, f.waited)
 	f.registry.MustRegister(newLinkFigures(n.platform.Links))
 	gauge := func(name, help string, value func() float64) {
 		f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -206,6 +206,7 @@
 // Whole takes the whole list.
 func (h *runnerHandler) Whole(rows []feed.Row, gap time.Duration) {
 	runners, _ := h.decode(rows)
+	h.noteNewLives(runners)
 	h.fleet.Replace(runners, gap > doubtfulGap)
 	h.listed.Store(true)
 	h.log.Info("runners listed", "runners", len(runners), "doubtful", gap > doubtfulGap)
@@ -216,6 +217,10 @@
 func (h *runnerHandler) Changed(rows []feed.Row) {
 	changed, removed := h.decode(rows)
 	doubtful := len(removed) >= doubtfulCount && float64(len(removed)) >= doubtfulShare*float64(h.fleet.Count())
+	h.noteNewLives(changed)
+	if !doubtful {
+		h.noteGone(removed)
+	}
 	h.fleet.Apply(changed, removed, doubtful)
 	// One line a batch: each of hundreds of nodes tells of hundreds of runners.
 	if leaving := drainingOf(changed); len(leaving) > 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"lilacvane/internal/claim"
 	"lilacvane/internal/commit"
 	"lilacvane/internal/config"
+	"lilacvane/internal/crash"
 	"lilacvane/internal/decision"
 	"lilacvane/internal/demand"
 	"lilacvane/internal/dispatch"
@@ -98,6 +99,7 @@
 	pool          *upstream.Pool
 	demand        *demand.Book
 	dispatcher    *dispatch.Dispatcher
+	crashes       *crash.Detector
 	catalog       *catalog.Catalog
 	committer     *commit.Committer
 	claims        *claim.Claims
@@ -154,6 +156,8 @@
 		Node: s.Node, Fleet: n.fleet, Pool: n.pool, Demand: n.demand, Names: platform.Headers,
 		Configuration: n.inForce, Fresh: n.fresh, Retries: retryLimits(s.Retries), Report: platform.Control.Report, NewsWithin: s.Configuration.Within, Log: log.Logger, Observe: n.observe, Closing: n.closing,
 	}
+	n.crashes = crash.NewDetector(platform.Control.Report, n.crashed, log.Logger)
+	n.dispatcher.Crashes = n.crashes
 	n.peers = peer.NewServer(s.Node)
 	n.peers.SetRegion(place.Region(s.Region))
 	n.limits = newLimits(n, s.Limits)
@@ -236,6 +240,7 @@
 	n.stop(s.Stop)
 	end()
 	work.Go(n.controls.wait)
+	work.Go(n.crashes.Close)
 	waitAtMost(&work, endLimit)
 	n.log.Info("node stopped", "node", s.Node)
 	n.log.Close(logCloseLimit)
--- /dev/null
+++ b/internal/poison/identity_test.go
@@ -0,0 +1,57 @@
+package poison
+
+import (
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
+)
+
+// TestTriesOfARequestAreTheSame: what clients change from try to try does not count, and no
+// part of a content can be moved into another part.
+func TestTriesOfARequestAreTheSame(t *testing.T) {
+	first := Content{Method: "POST", Host: "a.example", Path: "/x/y", Query: "try=1", Caller: "c", Unit: backend.Unit{Model: "m"}, Body: []byte("b")}
+	again := first
+	again.Query, again.Body = "try=2", slices.Clone(first.Body)
+	assert.Equal(t, first.Identity(), again.Identity())
+
+	for name, change := range map[string]func(*Content){
+		"method":  func(c *Content) { c.Method = "PUT" },
+		"host":    func(c *Content) { c.Host = "b.example" },
+		"path":    func(c *Content) { c.Path = "/x/z" },
+		"caller":  func(c *Content) { c.Caller = "" },
+		"model":   func(c *Content) { c.Unit.Model = "m2" },
+		"adapter": func(c *Content) { c.Unit.Adapter = "a" },
+		"body":    func(c *Content) { c.Body = []byte("bb") },
+		"moved":   func(c *Content) { c.Host, c.Path = c.Host+"/x", "/y" },
+		"no body": func(c *Content) { c.Body = nil },
+	} {
+		other := first
+		change(&other)
+		assert.Assert(t, first.Identity() != other.Identity(), name)
+	}
+
+	plain, asked := Content{Method: "GET", Path: "/p", Query: "page=1"}, Content{Method: "GET", Path: "/p", Query: "page=2"}
+	assert.Assert(t, plain.Identity() != asked.Identity(), "without a body the query is the content")
+}
+
+func TestIdentityIsReadBack(t *testing.T) {
+	identity := Content{Path: "/p"}.Identity()
+	read, err := ParseIdentity(identity.String())
+	assert.NilError(t, err)
+	assert.Equal(t, read, identity)
+	for _, text := range []string{"", "zz", identity.Short(), identity.String() + "00"} {
+		_, err := ParseIdentity(text)
+		assert.ErrorContains(t, err, "hexadecimal", text)
+	}
+}
+
+// BenchmarkIdentity is what it costs to know a request: 22 us for a body of 30 kB on an Intel Xeon.
+func BenchmarkIdentity(b *testing.B) {
+	content := Content{Method: "POST", Host: "a.example", Path: "/x/y", Body: make([]byte, 30_000)}
+	for b.Loop() {
+		content.Identity()
+	}
+}
