Show by a test that a request that ends runners is sent on

Change: emulated runners can end by a request and are started again at the same address, under another identifier or their own with a later start, with nothing loaded. The test sends such a request again and again at three nodes beside innocent ones in the same batches, for streams and for safe requests of a service without models. What starts and stops runners in the lab has a file of its own.

--- a/internal/lab/journal/journal.go
+++ b/internal/lab/journal/journal.go
@@ -31,6 +31,10 @@
 	// (Detail) of requests within a second of it.
 	EventCold  Event = "cold"
 	EventCrowd Event = "crowd"
+	// EventPoison is a request that reached the engine and ends it if it runs, EventCrash
+	// the end of the engine by it.
+	EventPoison Event = "poison"
+	EventCrash  Event = "crash"
 )
 
 // Record is one line. MemoryMiB is the unit's memory, TotalMiB all memory in use
--- a/internal/lab/runnerstub/http.go
+++ b/internal/lab/runnerstub/http.go
@@ -132,16 +132,36 @@
 	}
 	this := r.describe(request, body)
 	this.faults = faults
+	crashes := r.crashesBy(request, body)
+	if crashes {
+		r.record(journal.Record{Event: journal.EventPoison, Unit: this.model, Request: this.id})
+	}
 	if status := r.begin(this); status != 0 {
 		header.Set(protocol.HeaderNotRun, "1")
 		w.WriteHeader(status)
 		return
 	}
+	if crashes {
+		// What runs beside it goes on until then, as in a batch.
+		time.Sleep(crashAfter)
+		r.record(journal.Record{Event: journal.EventCrash, Unit: this.model, Request: this.id})
+		r.settings.Crash()
+		return
+	}
 	finished := false
 	defer func() { r.end(this, finished) }()
 	r.serve(w, request, this, body, &finished)
 }
 
+// crashAfter is how long a request that ends the runner runs before it does.
+const crashAfter = 60 * time.Millisecond
+
+// crashesBy reports whether a request ends the runner as it begins to run.
+func (r *Runner) crashesBy(request *http.Request, body []byte) bool {
+	text := r.settings.CrashBy
+	return text != "" && (strings.Contains(request.URL.Path, text) || strings.Contains(string(body), text))
+}
+
 func (r *Runner) describe(request *http.Request, body []byte) *run {
 	this := &run{runner: r, id: request.Header.Get(protocol.HeaderRequestID), tenant: request.Header.Get(protocol.HeaderTenant), events: defaultEvents}
 	this.chat = strings.HasPrefix(request.URL.Path, completions)
--- a/internal/lab/runnerstub/runner.go
+++ b/internal/lab/runnerstub/runner.go
@@ -46,6 +46,12 @@
 	// ReportLag is how old a report is.
 	ReportLag time.Duration
 	Seed      uint64
+	// Born is when the runner started, in Unix milliseconds.
+	Born int64
+	// CrashBy is a text by which a request, in its path or body, ends the runner as it
+	// begins to run; empty for none. Crash ends the process.
+	CrashBy string
+	Crash   func()
 }
 
 // Faults are what a runner suffers. Shares are 0 to 1.
@@ -144,7 +150,7 @@
 func (r *Runner) Announce() {
 	r.mutex.Lock()
 	row := protocol.ListedRunner{
-		Service: r.settings.Service, Zone: r.settings.Zone, Slots: r.settings.Slots, State: protocol.StateReady,
+		Born: r.settings.Born, Service: r.settings.Service, Zone: r.settings.Zone, Slots: r.settings.Slots, State: protocol.StateReady,
 		Models: r.held(), Available: r.available(), Sequence: r.sequence,
 		ColdLeftMs: r.cold.left(),
 	}
@@ -214,7 +220,7 @@
 // account returns the account of this moment. mutex is held.
 func (r *Runner) account() protocol.Report {
 	return protocol.Report{
-		Models: r.held(), Available: r.available(), Busy: r.busy, Sequence: r.sequence, Active: r.active, Pending: r.pending(),
+		Born: r.settings.Born, Models: r.held(), Available: r.available(), Busy: r.busy, Sequence: r.sequence, Active: r.active, Pending: r.pending(),
 	}
 }
 
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -16,7 +16,6 @@
 	"lilacvane/internal/lab/faultproxy"
 	"lilacvane/internal/lab/httpcall"
 	"lilacvane/internal/lab/journal"
-	"lilacvane/internal/lab/runnerstub"
 	"lilacvane/internal/lab/storestub"
 	"lilacvane/internal/operator"
 	"lilacvane/internal/place"
@@ -124,33 +123,6 @@
 // Client calls the node's operators' interface.
 func (n *Node) Client() *operator.Client { return operator.NewClient(n.Operators) }
 
-// Runner is a running emulated runner.
-type Runner struct {
-	*Process
-	ID      string
-	Journal string
-	Proxy   *faultproxy.Proxy
-	address string
-	options RunnerOptions
-}
-
-// RunnerOptions describe a runner to start.
-type RunnerOptions struct {
-	Name    string
-	Service string
-	Zone    string
-	// MemoryMB and Slots are its memory and places; AdapterSlots those for
-	// adapters.
-	MemoryMB     float64
-	Slots        int
-	AdapterSlots int
-	TokenTime    time.Duration
-	// LoadTime is the time of a load from the weight store.
-	LoadTime time.Duration
-	// ModelMB is the size the runner takes each model to have.
-	ModelMB float64
-}
-
 // New starts the store of a world and writes its first configuration.
 func New(options Options) (*World, error) {
 	network, claim, err := claimNetwork()
@@ -252,66 +224,6 @@
 	return fmt.Errorf("%s did not answer", url)
 }
 
-// StartRunner starts a runner, which puts itself on the platform's list.
-func (w *World) StartRunner(options RunnerOptions) (*Runner, error) {
-	host := w.nextRunner
-	w.nextRunner++
-	if options.Service == "" {
-		options.Service = EngineService
-	}
-	runner := &Runner{ID: options.Name, options: options, address: w.address(host, portRunner)}
-	runner.Journal = filepath.Join(w.Directory, fmt.Sprintf("journal-%s-%d.jsonl", options.Name, host))
-	advertise := runner.address
-	if w.Proxied {
-		proxy, err := faultproxy.New(w.address(host, portProxy), runner.address)
-		if err != nil {
-			return nil, err
-		}
-		runner.Proxy = proxy
-		advertise = proxy.Address()
-	}
-	process, err := start(w.Directory, "runner-"+options.Name, w.lab(), "runner", "--id", options.Name, "--service", options.Service,
-		"--zone", options.Zone, "--listen", runner.address, "--advertise", advertise, "--store", w.address(hostStore, portStore),
-		"--memory-mb", fmt.Sprint(options.MemoryMB), "--model-mb", fmt.Sprint(options.ModelMB), "--slots", fmt.Sprint(options.Slots),
-		"--adapter-slots", fmt.Sprint(options.AdapterSlots), "--token-time", options.TokenTime.String(), "--load-time", options.LoadTime.String(),
-		"--journal", runner.Journal, "--seed", fmt.Sprint(w.Seed+uint64(host)))
-	if err != nil {
-		return nil, err
-	}
-	runner.Process = process
-	w.Runners[options.Name] = runner
-	return runner, waitFor("http://" + runner.address + protocol.PathReport)
-}
-
-// KillRunner kills a runner and lets the platform's list drop it.
-func (w *World) KillRunner(id string) error {
-	w.Runners[id].Kill()
-	return w.Unlist(id)
-}
-
-// Unlist drops a runner from the platform's list.
-func (w *World) Unlist(id string) error {
-	return w.PutRows(protocol.Row{Table: protocol.RunnerTable, Key: id, Deleted: true})
-}
-
-// DrainRunner lets a runner say that it leaves.
-func (w *World) DrainRunner(id string) error {
-	return w.post(w.Runners[id].address, runnerstub.PathDrain, nil)
-}
-
-// SetRunnerCold makes a runner cold, or warm again.
-func (w *World) SetRunnerCold(id string, cold runnerstub.Cold) error {
-	return w.post(w.Runners[id].address, runnerstub.PathCold, cold)
-}
-
-// ZoneOf is the zone of a runner, also of one that ended.
-func (w *World) ZoneOf(id string) string { return w.Runners[id].options.Zone }
-
-// SetRunnerFaults changes what a runner suffers.
-func (w *World) SetRunnerFaults(id string, faults runnerstub.Faults) error {
-	return w.post(w.Runners[id].address, runnerstub.PathFaults, faults)
-}
-
 // SetStoreFaults changes what the store suffers.
 func (w *World) SetStoreFaults(faults storestub.Faults) error {
 	return w.post(w.address(hostStore, portStore), storestub.PathFaults, faults)
@@ -322,11 +234,6 @@
 	return w.post(w.address(hostStore, portStore), storestub.PathForget, nil)
 }
 
-// LapseRunners lets the store drop the rows of all runners and write them again.
-func (w *World) LapseRunners() error {
-	return w.post(w.address(hostStore, portStore), storestub.PathLapse, protocol.RunnerTable)
-}
-
 // StoreHost is the host (IP) from which the store sees the node's calls.
 func (n *Node) StoreHost() string {
 	host, _, err := net.SplitHostPort(n.StoreProxy.Address())
@@ -469,7 +376,7 @@
 		closeProxies(node.Proxy, node.StoreProxy)
 	}
 	for _, runner := range w.Runners {
-		runner.Kill()
+		runner.end()
 		closeProxies(runner.Proxy)
 	}
 	w.Store.Kill()
--- a/internal/labcommand/serve.go
+++ b/internal/labcommand/serve.go
@@ -41,6 +41,7 @@
 	PromptTime   time.Duration `default:"30us" help:"Time for a token of a prompt that is not kept."`
 	LoadTime     time.Duration `default:"1s" help:"Time of a load from the weight store."`
 	ReportLag    time.Duration `default:"100ms" help:"Age of reports."`
+	CrashBy      string        `help:"Text in a request's path or body by which it ends the process as it begins to run."`
 	Journal      string        `help:"File to journal to."`
 	Seed         uint64        `default:"1" help:"Seed of the faults."`
 }
@@ -52,7 +53,9 @@
 	diskPart        = 3
 	hostPart        = 5
 	publishAttempts = 20
-	publishPause    = 100 * time.Millisecond
+	// exitCrashed is the exit code of a runner that a request ended.
+	exitCrashed  = 70
+	publishPause = 100 * time.Millisecond
 )
 
 // Run serves until the process is ended.
@@ -72,6 +75,7 @@
 			SizeMB: c.ModelMB, Load: c.LoadTime, DiskLoad: c.LoadTime / diskPart, HostLoad: c.LoadTime / hostPart,
 		},
 		TokenTime: c.TokenTime, PromptTime: c.PromptTime, AdapterTime: adapterTime, ReportLag: c.ReportLag, Seed: c.Seed,
+		Born: time.Now().UnixMilli(), CrashBy: c.CrashBy, Crash: func() { os.Exit(exitCrashed) },
 	}, journal.NewWriter(output), c.publish)
 	go runner.Announce()
 	return http.ListenAndServe(c.Listen, runner.Handler())
--- /dev/null
+++ b/test/poison_test.go
@@ -0,0 +1,236 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/fault"
+	"lilacvane/internal/lab/journal"
+	"lilacvane/internal/lab/world"
+)
+
+// A request ended each runner that began to run it, and came again under other identifiers at
+// other nodes. No node knew that two tries were one request, and a broken connection was taken
+// for the runner's trouble, so each try went to the next runner, and what waited for a model
+// went to the first runner that was back: "attempt failed ... attempt 1 ... interrupted:
+// unexpected EOF" at five runners within 2.1 s, each from another node, and 14 runners ended
+// under one request in 12 s, beside 78 other requests of which none was at two of these ends.
+
+const (
+	// poisonText makes a request one that ends runners.
+	poisonText = "ends-its-runner"
+	// contact is the platform's bound on how soon nodes must hear of each other's news.
+	contact = 3 * time.Second
+	// crashesAllowed is after how many ends a request may not be sent on, sendsAllowed how
+	// often it may be all the same once contact has passed since the last of these.
+	crashesAllowed = 3
+	sendsAllowed   = 3
+	codePoison     = fault.Code("crashes_runners")
+	// poisonPause and innocentPause lie between requests.
+	poisonPause   = 150 * time.Millisecond
+	innocentPause = 40 * time.Millisecond
+	// innocentTries is how often a client sends an innocent request.
+	innocentTries = 3
+)
+
+// TestRequestThatEndsRunnersIsNotSentOn: such a request comes again and again, at all nodes,
+// beside innocent ones in the same batches. Runners come back with another identifier or
+// with their own, and are reached directly or through a proxy that accepts connections for
+// them while they are away.
+func TestRequestThatEndsRunnersIsNotSentOn(t *testing.T) {
+	t.Parallel()
+	stream := clientRequest{Path: "/reply/x", Model: "alpha", Events: 30}
+	for name, test := range map[string]struct {
+		renamed, proxied bool
+		request          clientRequest
+	}{
+		"other identifier": {renamed: true, request: stream},
+		"same identifier":  {proxied: true, request: stream},
+		// Of a service without models, whose runners answer no questions; the node itself
+		// sends it to several runners.
+		"safe": {renamed: true, request: clientRequest{Path: "/read/x"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			runPoison(t, test.renamed, test.proxied, test.request)
+		})
+	}
+}
+
+// poisoned is a world in which one request ends the runners that run it.
+type poisoned struct {
+	world *world.World
+	nodes []*world.Node
+	// request is the one that ends runners, without its identifier.
+	request clientRequest
+
+	mutex sync.Mutex
+	// innocents are the answers to other requests, by what became of them.
+	innocents map[string]int
+}
+
+func runPoison(t *testing.T, renamed, proxied bool, request clientRequest) {
+	t.Helper()
+	p := startPoisoned(t, renamed, proxied, request)
+	ctx, end := context.WithCancel(t.Context())
+	defer end()
+	var senders sync.WaitGroup
+	senders.Go(func() { p.sendPoison(ctx) })
+	senders.Go(func() { p.sendInnocent(ctx) })
+	var third time.Time
+	waitUntil(t, "the request ended its runners", func() error {
+		crashes := eventsOf(readHistory(t, p.world), journal.EventCrash)
+		if len(crashes) < crashesAllowed {
+			return fmt.Errorf("%d ended", len(crashes))
+		}
+		third = crashes[crashesAllowed-1]
+		return nil
+	})
+	// Tries go on for as long again as nodes may take to hear of it.
+	time.Sleep(time.Until(third.Add(2 * contact)))
+	end()
+	senders.Wait()
+	late := 0
+	for _, at := range eventsOf(readHistory(t, p.world), journal.EventPoison) {
+		if at.Sub(third) > contact {
+			late++
+		}
+	}
+	crashes := eventsOf(readHistory(t, p.world), journal.EventCrash)
+	t.Logf("%d runners ended, %d sends after the bound; innocent requests: %v", len(crashes), late, p.innocents)
+	assert.Assert(t, late <= sendsAllowed, "sent %d times more, %d runners ended", late, len(crashes))
+	p.checkAnswers(t)
+}
+
+func startPoisoned(t *testing.T, renamed, proxied bool, request clientRequest) *poisoned {
+	t.Helper()
+	const runners, nodes = 5, 3
+	w := newWorld(t, func(o *world.Options) { o.Proxied = proxied })
+	p := &poisoned{world: w, request: request, innocents: make(map[string]int)}
+	returns := world.Return{After: time.Second, Renamed: renamed}
+	for index := range runners {
+		_, err := w.StartRunner(world.RunnerOptions{
+			Name: fmt.Sprintf("runner-%d", index+1), Zone: zones[index%len(zones)], MemoryMB: w.Engine.SizeMB, ModelMB: modelMiB * megabytesPerMiB,
+			Slots: w.Engine.Slots, AdapterSlots: w.Engine.LoRASlots, TokenTime: 10 * time.Millisecond, LoadTime: 150 * time.Millisecond,
+			CrashBy: poisonText, Returns: returns,
+		})
+		assert.NilError(t, err)
+		_, err = w.StartRunner(world.RunnerOptions{
+			Name: fmt.Sprintf("mailer-%d", index+1), Service: world.MailService, Zone: zones[index%len(zones)], Slots: 8, TokenTime: time.Millisecond,
+			CrashBy: poisonText, Returns: returns,
+		})
+		assert.NilError(t, err)
+	}
+	p.nodes = startNodes(t, w, nodes)
+	apply(t, p.nodes[0], append(model("alpha", runners), keep("alpha", runners))...)
+	waitNamed(t, "alpha", p.nodes...)
+	waitUntil(t, "all runners hold the model", func() error {
+		if got := len(runnersOf(t, p.nodes[0], "alpha")); got != runners {
+			return fmt.Errorf("%d do", got)
+		}
+		return nil
+	})
+	return p
+}
+
+// sendPoison sends the request that ends runners until ctx ends, without waiting for answers.
+func (p *poisoned) sendPoison(ctx context.Context) {
+	var tries sync.WaitGroup
+	defer tries.Wait()
+	for number := 0; ctx.Err() == nil; number++ {
+		tries.Go(func() { p.tryPoison(ctx, p.nodes[number%len(p.nodes)]) })
+		time.Sleep(poisonPause)
+	}
+}
+
+func (p *poisoned) tryPoison(ctx context.Context, node *world.Node) clientAnswer {
+	request := p.request
+	request.Method, request.Body, request.Deadline = http.MethodPost, []byte("please "+poisonText), 4*time.Second
+	return send(ctx, node, request)
+}
+
+// sendInnocent sends other requests of the same kind until ctx ends. Their clients come
+// again, with the same content, where they are not served.
+func (p *poisoned) sendInnocent(ctx context.Context) {
+	var tries sync.WaitGroup
+	defer tries.Wait()
+	for number := 0; ctx.Err() == nil; number++ {
+		tries.Go(func() {
+			for try := range innocentTries {
+				if p.tryInnocent(ctx, number, p.nodes[(number+try)%len(p.nodes)]) {
+					return
+				}
+				time.Sleep(poisonPause)
+			}
+		})
+		time.Sleep(innocentPause)
+	}
+}
+
+// tryInnocent sends an innocent request and reports whether it was served.
+func (p *poisoned) tryInnocent(ctx context.Context, number int, node *world.Node) bool {
+	request := p.request
+	request.Method, request.Body, request.Deadline = http.MethodPost, []byte("innocent "+strconv.Itoa(number)), 4*time.Second
+	got := send(ctx, node, request)
+	what := strconv.Itoa(got.Status)
+	if codeOf(got) == codePoison {
+		what = string(codePoison)
+	}
+	if ctx.Err() != nil {
+		return true
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.innocents[what]++
+	return got.Status == http.StatusOK && got.Whole
+}
+
+// checkAnswers checks that no innocent request was taken for the one that ends runners, that
+// this one gets a final answer at each node and runs no more, and that others are served.
+func (p *poisoned) checkAnswers(t *testing.T) {
+	t.Helper()
+	assert.Equal(t, p.innocents[string(codePoison)], 0, "%v", p.innocents)
+	before := len(eventsOf(readHistory(t, p.world), journal.EventPoison))
+	for _, node := range p.nodes {
+		got := p.tryPoison(t.Context(), node)
+		assert.Equal(t, got.Status, http.StatusBadRequest, "%+v", got)
+		assert.Equal(t, codeOf(got), codePoison, "%+v", got)
+		waitUntil(t, "innocent requests are served", func() error {
+			if !p.tryInnocent(t.Context(), int(time.Now().UnixNano()), node) {
+				return fmt.Errorf("%v", p.innocents)
+			}
+			return nil
+		})
+	}
+	assert.Equal(t, len(eventsOf(readHistory(t, p.world), journal.EventPoison)), before)
+}
+
+// codeOf is the code of an error that a node answered with; empty for other answers.
+func codeOf(got clientAnswer) fault.Code {
+	var body fault.Body
+	if json.Unmarshal([]byte(got.Body), &body) != nil {
+		return ""
+	}
+	return body.Error.Code
+}
+
+// eventsOf returns when an event happened at any runner, in order.
+func eventsOf(h history, event journal.Event) []time.Time {
+	var times []time.Time
+	for _, record := range h.records {
+		if record.Event == event {
+			times = append(times, record.Time)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
