Keep what is known of runners by their life, not by their name

Cause: a runner may start again under its name, told by a later start, with nothing loaded; what it held, its orders' number, its trust and connections were kept by the name. Ruled out: forgetting single fields as the new row comes: what is on its way of the earlier life (the holder's views, reports, answers) would still be taken for the new one. Change: a runner's identifier inside holds its start, so that fleet, accounts, permits, views and reports of an earlier life concern nobody any more; on the wire and to operators it is its name. A report of another life is told as one of another runner. Connections to the earlier life are dropped. Left: an order to the earlier life without an answer may be carried out by the later one, if its number fits there.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -5,16 +5,18 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"time"
 )
 
 // Runner is one incarnation of a runner as the platform lists it.
 type Runner struct {
-	// ID is unique for each incarnation, but for those that Born tells apart.
+	// ID is unique for each life; see LifeID.
 	ID      string
 	Service string
 	// Born is the start of the runner's process, in Unix milliseconds; zero when it did not
-	// tell. One that starts again may keep its identifier, and holds nothing then.
+	// tell. One that starts again may keep its name, and holds nothing then.
 	Born int64
 	// Address is ip:port. It may be given to another runner later.
 	Address string
@@ -41,18 +43,29 @@
 	Missing bool
 }
 
-// Life tells one process of a runner from the next under the same identifier.
-type Life struct {
-	Runner string
-	// Born is as in Runner.
-	Born int64
+// lifeMark stands between a runner's name and its start in its identifier.
+const lifeMark = "@"
+
+// LifeID identifies one life of a runner: its name on the platform, and its start where it
+// told that. All that is known of a runner is kept by it, so that nothing of an earlier life
+// counts for a later one.
+func LifeID(name string, born int64) string {
+	if born == 0 {
+		return name
+	}
+	return name + lifeMark + strconv.FormatInt(born, 10)
 }
 
-// Life returns the life in which the runner was listed.
-func (r Runner) Life() Life { return Life{Runner: r.ID, Born: r.Born} }
+// Name is the runner's name on the platform, which several lives may have.
+func (r Runner) Name() string {
+	if r.Born == 0 {
+		return r.ID
+	}
+	return strings.TrimSuffix(r.ID, lifeMark+strconv.FormatInt(r.Born, 10))
+}
 
-// EndedBy reports whether a runner that says it was born then has ended this life.
-func (l Life) EndedBy(born int64) bool { return l.Born != 0 && born > l.Born }
+// EndedBy reports whether a runner of this name that tells this start is a later life.
+func (r Runner) EndedBy(born int64) bool { return r.Born != 0 && born > r.Born }
 
 // Holding is a loaded model with its loaded adapters.
 type Holding struct {
@@ -68,8 +81,6 @@
 
 // Report is a runner's account of itself. It lags by some hundred milliseconds.
 type Report struct {
-	// Born is as in Runner.
-	Born   int64
 	Models []Holding
 	// Pending are adapters on their way.
 	Pending []Unit
@@ -146,8 +157,8 @@
 	// Order gives an order. The error explains every verdict but Accepted and
 	// AlreadyHeld.
 	Order(ctx context.Context, runner Runner, order Order) (Verdict, error)
-	// Report reads a runner's report. It fails with fault.CodeNotFound when
-	// another incarnation has the address.
+	// Report reads a runner's report. It fails with fault.CodeNotFound when another runner
+	// has the address, or a later life of this one.
 	Report(ctx context.Context, runner Runner) (Report, error)
 }
 
--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,24 @@
+package backend
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestLivesOfARunner: a later start is another life of the same name; a runner that tells no
+// start has only one.
+func TestLivesOfARunner(t *testing.T) {
+	first := Runner{ID: LifeID("r", 1000), Born: 1000}
+	second := Runner{ID: LifeID("r", 2000), Born: 2000}
+	assert.Assert(t, first.ID != second.ID)
+	assert.Equal(t, first.Name(), "r")
+	assert.Equal(t, second.Name(), "r")
+	assert.Assert(t, first.EndedBy(second.Born))
+	assert.Assert(t, !second.EndedBy(first.Born))
+	assert.Assert(t, !first.EndedBy(first.Born))
+
+	plain := Runner{ID: LifeID("r@2000", 0)}
+	assert.Equal(t, plain.Name(), "r@2000", "a name may hold the mark")
+	assert.Assert(t, !plain.EndedBy(2000))
+}
--- a/internal/control/describe.go
+++ b/internal/control/describe.go
@@ -83,9 +83,9 @@
 }
 
 // statusOf describes a runner to operators.
-func statusOf(id string, ledger *orders.Ledger, engine *config.Engine, running runnerLoad, reason eligible.Reason) wire.RunnerStatus {
+func statusOf(ledger *orders.Ledger, engine *config.Engine, running runnerLoad, reason eligible.Reason) wire.RunnerStatus {
 	status := wire.RunnerStatus{
-		Runner: id, Service: ledger.Runner.Service, Zone: ledger.Runner.Zone, Address: ledger.Runner.Address, State: "ready",
+		Runner: ledger.Runner.Name(), Service: ledger.Runner.Service, Zone: ledger.Runner.Zone, Address: ledger.Runner.Address, State: "ready",
 		FreeMB: ledger.Free(engine), Sequence: ledger.Sequence(), Units: []wire.ReplicaStatus{},
 	}
 	switch {
@@ -150,7 +150,7 @@
 	for _, id := range slices.Sorted(maps.Keys(c.ledgers)) {
 		ledger := c.ledgers[id]
 		reason := c.eligible(ledger, eligible.Load{Service: c.Service})
-		response.Runners = append(response.Runners, statusOf(id, ledger, engine, running[id], reason))
+		response.Runners = append(response.Runners, statusOf(ledger, engine, running[id], reason))
 	}
 	for index := range response.Members {
 		if response.Members[index].Node == c.Node {
--- a/internal/control/eligible.go
+++ b/internal/control/eligible.go
@@ -13,7 +13,7 @@
 func (c *Controller) eligible(ledger *orders.Ledger, purpose eligible.Purpose) eligible.Reason {
 	runner := &ledger.Runner
 	return eligible.Check(c.Rules, &eligible.Runner{
-		ID: runner.ID, Service: runner.Service, Zone: place.Zone(runner.Zone), Region: place.Region(runner.Region),
+		ID: runner.Name(), Service: runner.Service, Zone: place.Zone(runner.Zone), Region: place.Region(runner.Region),
 		Listed: true, Draining: runner.Draining, Permit: true,
 	}, purpose)
 }
--- a/internal/control/ordering.go
+++ b/internal/control/ordering.go
@@ -101,7 +101,7 @@
 	c.Log.Info("order", fields...)
 	what := string(order.Action) + " " + order.Unit.String() + " at " + runner.ID + ": " + verdict.String() + " (" + step.Reason + ")"
 	c.Decide("model/"+c.objectOf(order.Unit.Model), "order "+string(order.Action), what)
-	c.Decide("replica/"+runner.ID, "order "+string(order.Action), what)
+	c.Decide("replica/"+runner.Name(), "order "+string(order.Action), what)
 	return verdict == backend.Accepted || verdict == backend.AlreadyHeld
 }
 
--- a/internal/crash/detector.go
+++ b/internal/crash/detector.go
@@ -27,16 +27,17 @@
 	// inquiryLimit is how long it is asked: one that is restarted is back within some
 	// seconds, and the platform's list drops one that is gone within about as many.
 	inquiryLimit = 10 * time.Second
-	// remembered is how long an ended life is known, for answers that break off later.
+	// remembered is how long an ended runner is known, for answers that break off later.
 	remembered = 30 * time.Second
-	// mostPending bounds the requests kept for one life: more than a runner's slots and
+	// mostPending bounds the requests kept for one runner: more than a runner's slots and
 	// queue hold.
 	mostPending = 512
 )
 
 // Crash is a runner that ended, and the requests of this node that were there.
 type Crash struct {
-	Life backend.Life
+	// Runner identifies the life of the runner that ended.
+	Runner string
 	// How is the sign by which it was known.
 	How      string
 	Requests []poison.Identity
@@ -52,10 +53,10 @@
 	end  context.CancelFunc
 	work sync.WaitGroup
 
-	mutex   sync.Mutex
-	pending map[backend.Life]*inquiry
-	// known are the lives that ended lately.
-	known map[backend.Life]pastLife
+	mutex sync.Mutex
+	// pending and known are by runner; known are those that ended lately.
+	pending map[string]*inquiry
+	known   map[string]pastRunner
 }
 
 // inquiry is a runner of which it is not known yet whether it ended.
@@ -65,15 +66,15 @@
 	brokeAt time.Time
 }
 
-type pastLife struct {
+type pastRunner struct {
 	how string
 	at  time.Time
 }
 
 // NewDetector returns a detector. report asks a runner, ended is told each crash under
-// requests of this node, possibly several times for one life, each request once.
+// requests of this node, possibly several times for one runner, each request once.
 func NewDetector(report func(ctx context.Context, runner backend.Runner) (backend.Report, error), ended func(Crash), log logr.Logger) *Detector {
-	d := &Detector{report: report, ended: ended, log: log, pending: make(map[backend.Life]*inquiry), known: make(map[backend.Life]pastLife)}
+	d := &Detector{report: report, ended: ended, log: log, pending: make(map[string]*inquiry), known: make(map[string]pastRunner)}
 	d.ctx, d.end = context.WithCancel(context.Background())
 	return d
 }
@@ -91,22 +92,21 @@
 	if runner.Draining {
 		return
 	}
-	life := runner.Life()
 	d.mutex.Lock()
 	d.forget()
-	if past, ended := d.known[life]; ended {
+	if past, ended := d.known[runner.ID]; ended {
 		d.mutex.Unlock()
-		d.ended(Crash{Life: life, How: past.how, Requests: []poison.Identity{request}})
+		d.ended(Crash{Runner: runner.ID, How: past.how, Requests: []poison.Identity{request}})
 		return
 	}
 	defer d.mutex.Unlock()
 	if d.ctx.Err() != nil {
 		return
 	}
-	open := d.pending[life]
+	open := d.pending[runner.ID]
 	if open == nil {
 		open = &inquiry{}
-		d.pending[life] = open
+		d.pending[runner.ID] = open
 		d.work.Go(func() { d.inquire(runner, asks) })
 	}
 	open.brokeAt = time.Now()
@@ -119,14 +119,14 @@
 func (d *Detector) inquire(runner backend.Runner, asks bool) {
 	ctx, cancel := context.WithTimeout(d.ctx, inquiryLimit)
 	defer cancel()
-	for pause := firstPause; ctx.Err() == nil && d.open(runner.Life()); pause = min(2*pause, longestPause) {
+	for pause := firstPause; ctx.Err() == nil && d.open(runner.ID); pause = min(2*pause, longestPause) {
 		if asks {
 			asked := time.Now()
 			switch how, known := d.ask(ctx, runner); {
 			case known && how != "":
-				d.Ended(runner.Life(), how)
+				d.Ended(runner.ID, how)
 				return
-			case known && d.lives(runner.Life(), asked):
+			case known && d.lives(runner.ID, asked):
 				return
 			}
 		}
@@ -134,8 +134,8 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if open := d.pending[runner.Life()]; open != nil {
-		delete(d.pending, runner.Life())
+	if open := d.pending[runner.ID]; open != nil {
+		delete(d.pending, runner.ID)
 		d.log.V(1).Info("not known whether a runner ended", "runner", runner.ID, "requests", len(open.requests))
 	}
 }
@@ -143,8 +143,8 @@
 // The signs of a runner that ended.
 const (
 	howRefused = "its address refuses connections"
-	howOther   = "another runner has its address"
-	// HowBorn is that of a runner that tells of a later start than before.
+	howOther   = "another runner, or a later life of it, has its address"
+	// HowBorn is that of a runner that is listed with a later start.
 	HowBorn = "it started anew"
 	// HowGone is that of a runner that left the platform's list without a word.
 	HowGone = "it is not listed any more"
@@ -155,7 +155,7 @@
 func (d *Detector) ask(ctx context.Context, runner backend.Runner) (how string, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
 	defer cancel()
-	report, err := d.report(ctx, runner)
+	_, err := d.report(ctx, runner)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return howRefused, true
@@ -163,70 +163,68 @@
 		return howOther, true
 	case err != nil:
 		return "", false
-	case runner.Life().EndedBy(report.Born):
-		return HowBorn, true
 	default:
 		return "", true
 	}
 }
 
 // open reports whether it is still to be found out whether a life ended.
-func (d *Detector) open(life backend.Life) bool {
+func (d *Detector) open(id string) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.pending[life] != nil
+	return d.pending[id] != nil
 }
 
 // lives notes that a runner answered a question sent then; false when another answer broke
 // off since.
-func (d *Detector) lives(life backend.Life, asked time.Time) bool {
+func (d *Detector) lives(id string, asked time.Time) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if open := d.pending[life]; open != nil && open.brokeAt.After(asked) {
+	if open := d.pending[id]; open != nil && open.brokeAt.After(asked) {
 		return false
 	}
-	delete(d.pending, life)
+	delete(d.pending, id)
 	return true
 }
 
 // Refused notes that a runner's address refused a connection: it ended, if an answer of it
 // broke off before. Alone it may only have too many connections.
-func (d *Detector) Refused(life backend.Life) {
-	if d.open(life) {
-		d.Ended(life, howRefused)
+func (d *Detector) Refused(id string) {
+	if d.open(id) {
+		d.Ended(id, howRefused)
 	}
 }
 
-// Gone notes that the platform's list does not tell of a runner's life any more: it was
-// dropped, or another life is listed. One that said that it leaves ended by plan.
+// Gone notes that the platform's list does not tell of a runner any more: it was dropped, or
+// a later life is listed. One that said that it leaves ended by plan.
 func (d *Detector) Gone(runner backend.Runner, how string) {
 	if !runner.Draining {
-		d.Ended(runner.Life(), how)
+		d.Ended(runner.ID, how)
 	}
 }
 
-// Ended notes that a life of a runner ended, and tells of the requests that were there.
-func (d *Detector) Ended(life backend.Life, how string) {
+// Ended notes that a runner ended, and tells of the requests that were there.
+func (d *Detector) Ended(id string, how string) {
 	d.mutex.Lock()
 	d.forget()
-	open := d.pending[life]
-	delete(d.pending, life)
-	if _, known := d.known[life]; !known {
-		d.known[life] = pastLife{how: how, at: time.Now()}
+	open := d.pending[id]
+	delete(d.pending, id)
+	if _, known := d.known[id]; !known {
+		d.known[id] = pastRunner{how: how, at: time.Now()}
 	}
 	d.mutex.Unlock()
 	if open == nil {
 		return
 	}
-	d.log.Info("runner ended under requests", "runner", life.Runner, "born", life.Born, "how", how, "requests", len(open.requests))
-	d.ended(Crash{Life: life, How: how, Requests: open.requests})
+	d.log.Info("runner ended under requests", "runner", id, "how", how, "requests", len(open.requests))
+	d.ended(Crash{Runner: id, How: how, Requests: open.requests})
 }
 
 // forget drops lives that ended long ago. mutex is held.
 func (d *Detector) forget() {
-	for life, past := range d.known {
+	for id, past := range d.known {
 		if time.Since(past.at) > remembered {
-			delete(d.known, life)
+			delete(d.known, id)
 		}
 	}
 }
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -260,7 +260,7 @@
 	header := j.request.Header.Clone()
 	names := j.dispatcher.Names
 	header.Set(names.RequestID, j.request.ID)
-	header.Set(names.ExpectRunner, choice.Runner.ID)
+	header.Set(names.ExpectRunner, choice.Runner.Name())
 	header.Set(names.Deadline, strconv.FormatInt(max(j.clientTimeLeft().Milliseconds(), 1), 10))
 	j.tellTenant(header)
 	if j.engine {
@@ -273,7 +273,7 @@
 		header["User-Agent"] = []string{""}
 	}
 	return upstream.Call{
-		Runner: choice.Runner.ID, Address: choice.Runner.Address, Method: j.request.Method, Target: j.request.Target,
+		Runner: choice.Runner.Name(), Address: choice.Runner.Address, Method: j.request.Method, Target: j.request.Target,
 		Host: j.request.Host, Header: header, Body: j.request.Body, RequestID: j.request.ID,
 		Once: !j.route.Idempotent(),
 	}
--- a/internal/dispatch/content.go
+++ b/internal/dispatch/content.go
@@ -41,7 +41,7 @@
 		return false
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		j.dispatcher.Crashes.Refused(runner.Life())
+		j.dispatcher.Crashes.Refused(runner.ID)
 	}
 	if fault.OutcomeOf(err) != fault.Unknown {
 		return false
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -67,8 +67,8 @@
 	// Broke tells of a request whose answer broke off, or never came; asks is set where the
 	// runner answers questions.
 	Broke(runner backend.Runner, request poison.Identity, asks bool)
-	// Refused tells of an address that refused a connection.
-	Refused(life backend.Life)
+	// Refused tells of a runner whose address refused a connection.
+	Refused(runner string)
 }
 
 // assumedNodes is how many nodes share a budget until the number is known.
--- a/internal/eligible/eligible.go
+++ b/internal/eligible/eligible.go
@@ -39,6 +39,7 @@
 
 // Runner is what decides about a runner.
 type Runner struct {
+	// ID is the name by which operators know it.
 	ID      string
 	Service string
 	Zone    place.Zone
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -193,7 +193,7 @@
 func (f *Fleet) check(known *runner, purpose eligible.Purpose, permit bool) eligible.Reason {
 	listed := &known.listed
 	return eligible.Check(f.rules, &eligible.Runner{
-		ID: listed.ID, Service: listed.Service, Zone: place.Zone(listed.Zone), Region: place.Region(listed.Region),
+		ID: listed.Name(), Service: listed.Service, Zone: place.Zone(listed.Zone), Region: place.Region(listed.Region),
 		Listed: known.present || listed.Missing, Draining: listed.Draining, Permit: permit,
 	}, purpose)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -64,6 +64,8 @@
 
 	mutex   sync.Mutex
 	runners map[string]*runner
+	// lives is the identifier of the newest life listed, by the runner's name.
+	lives map[string]string
 	// planned is, by service, when models that are waited for are expected though
 	// nothing loads them yet.
 	planned map[string]map[homedModel]time.Time
@@ -125,7 +127,7 @@
 
 // New returns an empty fleet for a node in zone; rules are what operators decided.
 func New(zone string, now func() time.Time, rules eligible.Rules) *Fleet {
-	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), planned: make(map[string]map[homedModel]time.Time),
+	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), lives: make(map[string]string), planned: make(map[string]map[homedModel]time.Time),
 		ordersAt: make(map[string]time.Time), obstacles: make(map[asked]foundObstacles), left: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
@@ -193,6 +195,7 @@
 }
 
 func (f *Fleet) add(listed backend.Runner) {
+	f.endEarlier(listed)
 	known := f.runners[listed.ID]
 	came := known == nil
 	if came {
@@ -209,6 +212,16 @@
 	known.units = unitsOf(listed.Models)
 }
 
+// endEarlier takes out the life of a runner before the one that is listed now.
+func (f *Fleet) endEarlier(listed backend.Runner) {
+	name := listed.Name()
+	if before := f.runners[f.lives[name]]; before != nil && before.listed.ID != listed.ID {
+		f.remove(before.listed.ID, false)
+		before.listed.Missing = false
+	}
+	f.lives[name] = listed.ID
+}
+
 // remove takes a runner out. While requests are under way at it, its entry
 // stays until the last one has ended.
 func (f *Fleet) remove(id string, doubtful bool) {
@@ -229,6 +242,9 @@
 		if !known.present && known.inFlight == 0 && expired {
 			delete(f.runners, id)
 			f.noteLeft(id)
+			if name := known.listed.Name(); f.lives[name] == id {
+				delete(f.lives, name)
+			}
 		}
 	}
 }
@@ -357,20 +373,33 @@
 	return usages
 }
 
-// RegionOf is the region in which a runner is listed; empty when that is not known.
-func (f *Fleet) RegionOf(id string) place.Region {
+// RegionOf is the region in which the runner of a name is listed; empty when that is not known.
+func (f *Fleet) RegionOf(name string) place.Region {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if known := f.runners[id]; known != nil {
+	if known := f.runners[f.lives[name]]; known != nil {
 		return place.Region(known.listed.Region)
 	}
 	return ""
 }
 
-// Listed returns what the platform's list told of a runner last; false when it is not listed.
-func (f *Fleet) Listed(id string) (backend.Runner, bool) {
+// Listed returns what the platform's list told last of the runner of a name; false when
+// there is none.
+func (f *Fleet) Listed(name string) (backend.Runner, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.listed(f.lives[name])
+}
+
+// Find returns what the platform's list told of a runner last; false when it is not listed.
+func (f *Fleet) Find(id string) (backend.Runner, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	return f.listed(id)
+}
+
+// listed is Find. mutex is held.
+func (f *Fleet) listed(id string) (backend.Runner, bool) {
 	known := f.runners[id]
 	if known == nil || !known.present {
 		return backend.Runner{}, false
@@ -378,6 +407,13 @@
 	return known.listed, true
 }
 
+// Named reports whether a runner of the name is listed or has requests under way.
+func (f *Fleet) Named(name string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.lives[name] != ""
+}
+
 // Known reports whether a runner is listed or has requests under way.
 func (f *Fleet) Known(id string) bool {
 	f.mutex.Lock()
--- /dev/null
+++ b/internal/fleet/lives_test.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
+)
+
+// life is a runner of the name r that was born then.
+func life(born int64, models ...string) backend.Runner {
+	runner := listed(backend.LifeID("r", born), models...)
+	runner.Born = born
+	return runner
+}
+
+// TestNothingOfAnEarlierLifeCounts: whatever comes of a runner's earlier life, before or
+// after its new one is listed, nothing is sent to the new one for what only the earlier one
+// held.
+func TestNothingOfAnEarlierLifeCounts(t *testing.T) {
+	query := Query{Service: "s", Unit: backend.Unit{Model: "m"}}
+	old, anew := life(1000, "m"), life(2000)
+	view := View{Runner: old.ID, Ready: []backend.Holding{{Model: "m"}}}
+	for name, late := range map[string]func(*Fleet, Choice){
+		"nothing":        func(*Fleet, Choice) {},
+		"holder's view":  func(f *Fleet, _ Choice) { f.ApplyViews([]View{view}) },
+		"report":         func(f *Fleet, _ Choice) { f.Reported(old.ID, backend.Report{Active: 3}) },
+		"answer":         func(f *Fleet, c Choice) { f.Started(c); f.Done(c, query, Served, time.Second, true) },
+		"broken answer":  func(f *Fleet, c Choice) { f.Done(c, query, Failed, time.Second, false) },
+		"permits":        func(f *Fleet, _ Choice) { f.ApplyPermits([]PermitsLent{{Runner: old.ID, Count: 5}}, f.now()) },
+		"row taken away": func(f *Fleet, _ Choice) { f.Apply(nil, []string{old.ID}, true) },
+	} {
+		for _, before := range []bool{true, false} {
+			f, _ := testFleet()
+			f.Replace([]backend.Runner{old}, false)
+			f.ApplyViews([]View{view})
+			choice, ok := f.Choose(query)
+			assert.Assert(t, ok)
+			if before {
+				late(f, choice)
+			}
+			f.Apply([]backend.Runner{anew}, nil, false)
+			if !before {
+				late(f, choice)
+			}
+			_, ok = f.Choose(query)
+			assert.Assert(t, !ok, "%s, before the new life is listed: %v", name, before)
+			known, _ := f.Listed("r")
+			assert.Equal(t, known.ID, anew.ID, name)
+			assert.Assert(t, f.Named("r"))
+
+			f.Apply([]backend.Runner{life(2000, "m")}, nil, false)
+			choice, ok = f.Choose(query)
+			assert.Assert(t, ok, name)
+			assert.Equal(t, choice.InFlight, 0, name)
+		}
+	}
+}
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"slices"
+
 	"lilacvane/internal/backend"
 	"lilacvane/internal/crash"
 )
@@ -8,21 +10,27 @@
 // crashed is told of a runner that ended under requests of this node.
 func (n *Node) crashed(_ crash.Crash) { n.figures.crashes.Inc() }
 
-// noteNewLives tells of runners that started anew under their identifier.
+// noteNewLives tells of runners that started anew under their name. Connections to the
+// earlier life are of no use.
 func (h *runnerHandler) noteNewLives(listed []backend.Runner) {
+	var anew []string
 	for _, runner := range listed {
-		before, known := h.fleet.Listed(runner.ID)
-		if known && before.Life().EndedBy(runner.Born) {
-			h.log.Info("runner started anew", "runner", runner.ID, "born", runner.Born, "before", before.Born)
+		before, known := h.fleet.Listed(runner.Name())
+		if known && before.EndedBy(runner.Born) {
+			anew = append(anew, runner.Name())
 			h.crashes.Gone(before, crash.HowBorn)
 		}
 	}
+	if len(anew) > 0 {
+		h.log.Info("runners started anew", "runners", anew)
+		h.pool.Forget(func(name string) bool { return !slices.Contains(anew, name) })
+	}
 }
 
 // noteGone tells of runners that left the list.
 func (h *runnerHandler) noteGone(removed []string) {
 	for _, id := range removed {
-		if before, known := h.fleet.Listed(id); known {
+		if before, known := h.fleet.Find(id); known {
 			h.crashes.Gone(before, crash.HowGone)
 		}
 	}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -245,7 +245,7 @@
 
 // tidy drops connections to runners that left and tells the controllers.
 func (h *runnerHandler) tidy() {
-	h.pool.Forget(h.fleet.Known)
+	h.pool.Forget(h.fleet.Named)
 	h.cold.look()
 	h.controls.wake()
 }
@@ -253,7 +253,9 @@
 func (h *runnerHandler) decode(rows []feed.Row) (changed []backend.Runner, removed []string) {
 	for _, row := range rows {
 		if row.Deleted {
-			removed = append(removed, row.Key)
+			if listed, known := h.fleet.Listed(row.Key); known {
+				removed = append(removed, listed.ID)
+			}
 			continue
 		}
 		runner, err := h.platform.DecodeRunner(row.Key, row.Value)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -29,7 +29,7 @@
 
 // Call is a request to one runner.
 type Call struct {
-	// Runner is the incarnation it is meant for, Address its ip:port.
+	// Runner is the name of the runner it is meant for, Address its ip:port.
 	Runner  string
 	Address string
 	Method  string
--- a/internal/upstream/names.go
+++ b/internal/upstream/names.go
@@ -7,7 +7,7 @@
 	RequestID string
 	// Deadline is the time the client still waits, in milliseconds.
 	Deadline string
-	// ExpectRunner names the incarnation a request is meant for.
+	// ExpectRunner names the runner a request is meant for.
 	ExpectRunner string
 	// Signature is the runner's mark on an answer.
 	Signature string
