Stop running requests under which three runners ended

Cause: a request is known by the identifier of one try. Nothing connected the tries of one content, at one node or several, and a broken connection was taken for the runner's trouble, so a request that ends its runner went to the next one, and what waited for the model to the first that was back. Class: an input that ends whatever handles it is retried without memory of what it did (a poison request). Change: nodes count the runners that ended under a content and tell the holder of the first control lease, which counts those of all nodes; who finds one at two ends writes it to a table that all nodes follow. At the third it is refused before a runner is chosen, while it waits, and before it is sent again: for two seconds with the time to come back, then for good (400). A try that ends well anywhere clears it. Marks outlive holders, restarts and losses of power; they expire after 30 minutes.

--- a/cmd/lilacvane/main.go
+++ b/cmd/lilacvane/main.go
@@ -42,6 +42,7 @@
 		Runners:             store.Table(protocol.RunnerTable), DecodeRunner: platform.DecodeRunner,
 		Objects: store.Table(protocol.ObjectTable), Leases: store.Table(protocol.LeaseTable), Claims: store.Table(protocol.ClaimTable),
 		Limits:  store.Table(protocol.LimitTable),
+		Poison:  store.Table(protocol.PoisonTable),
 		Control: platform.NewRunners(&http.Client{Transport: pool}),
 		Pool:    pool, Links: links,
 	}
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -23,6 +23,7 @@
 	"lilacvane/internal/scheduler"
 	"lilacvane/internal/wait"
 	"lilacvane/internal/weightstore"
+	"lilacvane/internal/wire"
 )
 
 const (
@@ -72,6 +73,8 @@
 	// Divide answers a node's report on shared limits while this node holds the lease;
 	// not set where another service's holder divides them.
 	Divide func(report limit.Report) *limit.Grant
+	// Count takes a node's report of runners that ended under its requests.
+	Count func(report wire.PoisonReport)
 	// Terms returns what holds for the service's cold runners; not set where none is cold.
 	Terms func(service string) coldstart.Terms
 	// Decide notes a decision about a subject (model/NAME, replica/RUNNER) for
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -34,6 +34,9 @@
 	if urgent {
 		c.Wake()
 	}
+	if request.Poison != nil && c.Count != nil {
+		c.Count(*request.Poison)
+	}
 	c.waitChange(ctx, request)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -47,6 +47,7 @@
 	book       *demand.Book
 	fleet      *fleet.Fleet
 	limits     Limits
+	crashes    Crashes
 	observe    Observe
 	log        logr.Logger
 	// begun is signalled when a request begins to wait, so that a resting watch
@@ -87,15 +88,24 @@
 	Apply(grant *limit.Grant, sent time.Time)
 }
 
+// Crashes are the ends of runners under this node's requests, which are told with its demand.
+type Crashes interface {
+	// Report returns what to tell the holder of the lease; nil for nothing. What it did not
+	// get before is told to a holder anew.
+	Report(token uint64) *wire.PoisonReport
+	// Undelivered takes back a report that got no answer.
+	Undelivered(report *wire.PoisonReport)
+}
+
 // Observe is told what the holder knows of the fleet's nodes.
 type Observe func(Observed)
 
 // NewSyncer returns a syncer for a service.
 func NewSyncer(service string, self wire.Member, spare float64, lessor *lease.Lessor, controller *Controller, client *peer.Client, book *demand.Book,
-	known *fleet.Fleet, limits Limits, observe Observe, log logr.Logger) *Syncer {
+	known *fleet.Fleet, limits Limits, crashes Crashes, observe Observe, log logr.Logger) *Syncer {
 	return &Syncer{
 		service: service, self: self, spare: spare, lessor: lessor, controller: controller, client: client, book: book, fleet: known,
-		limits: limits, observe: observe, log: log.WithValues("service", service), begun: make(chan struct{}, 1),
+		limits: limits, crashes: crashes, observe: observe, log: log.WithValues("service", service), begun: make(chan struct{}, 1),
 	}
 }
 
@@ -163,17 +173,28 @@
 	}
 }
 
-// tell makes one report, with what was asked of limits.
+// tell makes one report, with what was asked of limits and the runners that ended.
 func (s *Syncer) tell(ctx context.Context) error {
 	request := s.report()
 	request.Limits = s.limits.Report()
+	request.Poison = s.crashes.Report(s.holderToken())
 	err := s.call(ctx, request)
 	if err != nil && request.Limits != nil {
 		s.limits.Undelivered(request.Limits)
 	}
+	if err != nil && request.Poison != nil {
+		s.crashes.Undelivered(request.Poison)
+	}
 	return err
 }
 
+// holderToken is the token of the holder that answered last.
+func (s *Syncer) holderToken() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.token
+}
+
 // nodesPerInterval is how many nodes may report to a holder within reportInterval:
 // some 400 reports a second of about 0.5 kB, a tenth of the smallest link seen.
 const nodesPerInterval = 96
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -30,6 +30,11 @@
 		j.end(ctx, err)
 		return false
 	}
+	if problem := j.quarantined(); problem != nil && begun == nil {
+		j.dispatcher.Fleet.Release(choice, j.query)
+		j.end(ctx, problem)
+		return false
+	}
 	if j.sent == 0 {
 		j.outcome.Placed = time.Since(j.request.Arrived)
 	}
@@ -45,6 +50,7 @@
 	j.dispatcher.Fleet.Done(choice, j.query, result.fleet, time.Since(start), result.started)
 	j.noteHedges(result.hedges)
 	if err == nil {
+		j.noteRan()
 		return false
 	}
 	j.outcome.Endings = append(j.outcome.Endings, result.ending)
--- a/internal/dispatch/content.go
+++ b/internal/dispatch/content.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
+	"net/http"
 	"strings"
 	"syscall"
+	"time"
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/fault"
@@ -54,3 +57,45 @@
 		return false
 	}
 }
+
+// quarantined refuses a request under which runners ended: at first with the time to come
+// back, as tries that are running may yet end well, then for good.
+func (j *job) quarantined() *fault.Error {
+	mark, refused := j.mark()
+	if !refused {
+		return nil
+	}
+	const step = "check quarantine"
+	now := time.Now()
+	if mark.Provisional(now) {
+		return fault.New(fault.CodeCrashSuspected, step, "%s", describeMark(mark)).WithRetryAfter(poison.Provisional - now.Sub(mark.Since))
+	}
+	return fault.New(fault.CodeCrashesRunners, step, "%s", describeMark(mark))
+}
+
+func describeMark(mark poison.Mark) string {
+	return fmt.Sprintf("%d runners ended under requests with this content (%s): %s", len(mark.Runners), mark.Request.Short(), strings.Join(mark.Runners, ", "))
+}
+
+// isQuarantined reports whether the request is refused.
+func (j *job) isQuarantined() bool {
+	_, refused := j.mark()
+	return refused
+}
+
+// mark returns the mark of a request that is not to be run.
+func (j *job) mark() (poison.Mark, bool) {
+	quarantine := j.dispatcher.Quarantine
+	if quarantine == nil || quarantine.Idle() {
+		return poison.Mark{}, false
+	}
+	return quarantine.Refused(j.content())
+}
+
+// noteRan tells of a request that ended well.
+func (j *job) noteRan() {
+	quarantine := j.dispatcher.Quarantine
+	if quarantine != nil && !quarantine.Idle() && j.outcome.Result == ResultServed && j.outcome.Status < http.StatusMultipleChoices {
+		quarantine.Ran(j.content())
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -46,6 +46,8 @@
 	Limits Limiter
 	// Report reads a runner's report; not set where runners cannot be asked.
 	Report func(ctx context.Context, runner backend.Runner) (backend.Report, error)
+	// Quarantine knows which requests are not run; not set where all are.
+	Quarantine Quarantine
 	// Crashes is told what may be signs of a runner's end; not set for nobody.
 	Crashes Crashes
 	Log     logr.Logger
@@ -62,6 +64,16 @@
 	splits  map[string]*splitter
 }
 
+// Quarantine knows the requests under which runners ended.
+type Quarantine interface {
+	// Idle reports that none is known, so that nobody needs to know what a request holds.
+	Idle() bool
+	// Refused returns the mark of a request that is not to be run.
+	Refused(request poison.Identity) (poison.Mark, bool)
+	// Ran tells of a request that ended well.
+	Ran(request poison.Identity)
+}
+
 // Crashes is told what may be signs of a runner's end.
 type Crashes interface {
 	// Broke tells of a request whose answer broke off, or never came; asks is set where the
@@ -217,14 +229,20 @@
 		j.refuse(problem)
 		return
 	}
+	j.engine = configuration.Services[service].Engine != nil
+	if j.engine {
+		j.query.Unit = j.request.Unit
+	}
+	if problem := j.quarantined(); problem != nil {
+		j.refuse(problem)
+		return
+	}
 	if err := j.admit(ctx); err != nil {
 		j.end(ctx, err)
 		return
 	}
-	j.engine = configuration.Services[service].Engine != nil
 	j.query.Priority, j.query.Objective = j.priority(), j.route.Objective
 	if j.engine {
-		j.query.Unit = j.request.Unit
 		j.query.Prompt = j.request.Prompt
 		j.dispatcher.Demand.Use(demand.Key{Service: service, Unit: j.request.Unit, Homes: j.query.Homes}, j.request.TokensIn)
 	}
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -65,7 +65,7 @@
 // mayAsk reports whether the request may go to one more runner: the attempt beside the
 // hedge counts, as it may run.
 func (h *hedges) mayAsk() bool {
-	return h.sent < maximumSends && h.ran+1 < h.job.route.Attempts && h.ctx.Err() == nil && time.Until(h.job.deadline) >= minimumTime
+	return !h.job.isQuarantined() && h.sent < maximumSends && h.ran+1 < h.job.route.Attempts && h.ctx.Err() == nil && time.Until(h.job.deadline) >= minimumTime
 }
 
 // reserve chooses and pays for a runner; false when there is none now.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -120,6 +120,9 @@
 		if err := j.zonesOut(); err != nil {
 			return fleet.Choice{}, 0, err
 		}
+		if problem := j.quarantined(); problem != nil {
+			return fleet.Choice{}, 0, problem
+		}
 		if problem := j.checkHomes(); problem != nil {
 			return fleet.Choice{}, 0, problem
 		}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -64,6 +64,8 @@
 	CodeUnauthorized       Code = "unauthorized"
 	CodeOverLimit          Code = "over_limit"
 	CodeOutsideHomes       Code = "outside_homes"
+	CodeCrashSuspected     Code = "crash_suspected"
+	CodeCrashesRunners     Code = "crashes_runners"
 	CodeInternal           Code = "internal"
 )
 
--- a/internal/fault/http.go
+++ b/internal/fault/http.go
@@ -45,8 +45,8 @@
 	CodeConflict: http.StatusConflict, CodeDuplicate: http.StatusConflict,
 	CodeNotLoaded: http.StatusConflict, CodeRateLimited: http.StatusTooManyRequests,
 	CodeUnauthorized: http.StatusUnauthorized, CodeOverLimit: http.StatusTooManyRequests,
-	CodeUnsupportedVersion: http.StatusBadRequest,
-	CodeInterrupted:        http.StatusBadGateway, CodeInternal: http.StatusInternalServerError,
+	CodeUnsupportedVersion: http.StatusBadRequest, CodeCrashesRunners: http.StatusBadRequest,
+	CodeInterrupted: http.StatusBadGateway, CodeInternal: http.StatusInternalServerError,
 }
 
 // Status returns the HTTP status of a code. Codes without one of their own are
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -7,8 +7,15 @@
 	"lilacvane/internal/crash"
 )
 
-// crashed is told of a runner that ended under requests of this node.
-func (n *Node) crashed(_ crash.Crash) { n.figures.crashes.Inc() }
+// crashed is told of a runner that ended under requests of this node. The holder is told
+// too, so that what it held is loaded elsewhere before the platform's list drops it.
+func (n *Node) crashed(c crash.Crash) {
+	n.figures.crashes.Inc()
+	n.quarantine.crashed(c)
+	if runner, known := n.fleet.Find(c.Runner); known && n.fleet.Suspect(c.Runner) {
+		n.demand.Nudge(runner.Service)
+	}
+}
 
 // noteNewLives tells of runners that started anew under their name. Connections to the
 // earlier life are of no use.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -19,6 +19,7 @@
 	tableConfiguration relay.Table = "configuration"
 	tableObjects       relay.Table = "objects"
 	tableRunners       relay.Table = "runners"
+	tablePoison        relay.Table = "poison"
 )
 
 const (
@@ -27,7 +28,8 @@
 	configurationWait = 400 * time.Millisecond
 	runnerWait        = 2 * time.Second
 	feedTimeout       = 900 * time.Millisecond
-	// objectWait is the wait for operators' objects, which change rarely.
+	// objectWait is the wait for operators' objects and for requests that are not run, which
+	// change rarely.
 	objectWait = 10 * time.Second
 	// runnerInterval gathers changes of the runner list.
 	runnerInterval = 200 * time.Millisecond
@@ -45,6 +47,7 @@
 	configuration *feed.Follower
 	objects       *feed.Follower
 	runners       *feed.Follower
+	poison        *feed.Follower
 
 	// mutex orders the changes of the configuration in force.
 	mutex sync.Mutex
@@ -63,12 +66,14 @@
 			feed.Options{Name: string(tableObjects), Wait: objectWait, Timeout: feedTimeout}, log),
 		runners: feed.NewFollower(runners, (*runnerHandler)(n),
 			feed.Options{Name: string(tableRunners), Wait: runnerWait, Interval: runnerInterval, Timeout: feedTimeout}, log),
+		poison: feed.NewFollower(n.relay.Source(tablePoison, n.platform.Poison), (*poisonHandler)(n.quarantine),
+			feed.Options{Name: string(tablePoison), Wait: objectWait, Timeout: feedTimeout}, log),
 	}
 }
 
 // run follows all tables until ctx ends.
 func (k *knowledge) run(ctx context.Context, work *sync.WaitGroup) {
-	for _, follower := range []*feed.Follower{k.configuration, k.objects, k.runners} {
+	for _, follower := range []*feed.Follower{k.configuration, k.objects, k.runners, k.poison} {
 		work.Go(func() { follower.Run(ctx) })
 	}
 }
@@ -195,6 +200,7 @@
 		"services", len(composed.Services), "names", len(composed.Names))
 	n.tellUnknownHomes(composed)
 	n.limits.follow(composed)
+	n.quarantine.follow(composed)
 	n.controls.follow(composed)
 	n.fleet.Wake()
 	n.decideZones(old, composed)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,11 +62,13 @@
 	// Runners is the table of runners by identifier.
 	Runners      feed.Source
 	DecodeRunner func(id string, content []byte) (backend.Runner, error)
-	// Objects, Leases, Claims and Limits are lilacvane's own tables.
+	// Objects, Leases, Claims, Limits and Poison are lilacvane's own tables.
 	Objects Table
 	Leases  table.Table
 	Claims  table.Table
 	Limits  table.Table
+	// Poison is the table of requests that are not run as runners end under them.
+	Poison Table
 	// Control orders runners.
 	Control backend.Control
 	// Pool holds the connections to runners, Control's too.
@@ -100,6 +102,7 @@
 	demand        *demand.Book
 	dispatcher    *dispatch.Dispatcher
 	crashes       *crash.Detector
+	quarantine    *quarantine
 	catalog       *catalog.Catalog
 	committer     *commit.Committer
 	claims        *claim.Claims
@@ -156,6 +159,8 @@
 		Node: s.Node, Fleet: n.fleet, Pool: n.pool, Demand: n.demand, Names: platform.Headers,
 		Configuration: n.inForce, Fresh: n.fresh, Retries: retryLimits(s.Retries), Report: platform.Control.Report, NewsWithin: s.Configuration.Within, Log: log.Logger, Observe: n.observe, Closing: n.closing,
 	}
+	n.quarantine = newQuarantine(n)
+	n.dispatcher.Quarantine = n.quarantine
 	n.crashes = crash.NewDetector(platform.Control.Report, n.crashed, log.Logger)
 	n.dispatcher.Crashes = n.crashes
 	n.peers = peer.NewServer(s.Node)
@@ -235,6 +240,7 @@
 	work.Go(func() { n.sweepClaims(background) })
 	work.Go(func() { n.limits.run(background) })
 	work.Go(func() { n.cold.run(background) })
+	work.Go(func() { n.quarantine.run(background) })
 	n.serve(open)
 	<-ctx.Done()
 	n.stop(s.Stop)
--- /dev/null
+++ b/internal/node/quarantine.go
@@ -0,0 +1,216 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"lilacvane/internal/config"
+	"lilacvane/internal/crash"
+	"lilacvane/internal/poison"
+	"lilacvane/internal/table"
+	"lilacvane/internal/wire"
+)
+
+// quarantine is this node's part in keeping requests from runners that end under them. Each
+// node counts the ends under its own requests and tells the holder of one service's control
+// lease, which counts those of all nodes. Whoever finds a request at several ends writes it
+// to a table that all nodes follow, so that it outlives holders, restarts and losses of
+// power, and reaches nodes that the holder does not.
+type quarantine struct {
+	node *Node
+	rows table.Table
+	log  logr.Logger
+	// marks are the requests in the table, and those about to be written.
+	marks *poison.Marks
+	// service is the one whose holder counts; empty where there is none, and each node
+	// counts for itself.
+	service atomic.Pointer[string]
+	// watches is set while anything is marked or counted.
+	watches atomic.Bool
+
+	mutex sync.Mutex
+	// tally counts what this node knows of, and that of all nodes while it is the holder.
+	tally *poison.Tally
+	// untold is what the holder was not told yet, told the token of the one that was told
+	// all before.
+	untold wire.PoisonReport
+	told   uint64
+	// writes are the rows to be written, nil for those to be removed; written are those
+	// in the table.
+	writes  map[poison.Identity][]string
+	written map[poison.Identity]bool
+	// due is signalled when there is something to write.
+	due chan struct{}
+}
+
+func newQuarantine(n *Node) *quarantine {
+	q := &quarantine{
+		node: n, rows: n.platform.Poison, log: n.log.Logger, marks: poison.NewMarks(), tally: poison.NewTally(),
+		writes: make(map[poison.Identity][]string), written: make(map[poison.Identity]bool), due: make(chan struct{}, 1),
+	}
+	none := ""
+	q.service.Store(&none)
+	return q
+}
+
+// follow takes over a configuration: it names the service whose holder counts.
+func (q *quarantine) follow(configuration *config.Configuration) {
+	first := firstEngines(configuration)
+	q.service.Store(&first)
+}
+
+// Idle reports that no runner is known to have ended under any request.
+func (q *quarantine) Idle() bool { return !q.watches.Load() }
+
+// Refused returns the mark of a request that is not to be run.
+func (q *quarantine) Refused(request poison.Identity) (poison.Mark, bool) {
+	mark, known := q.marks.Find(request)
+	return mark, known && mark.Refused()
+}
+
+// Ran notes that a try of a request ended well: it does not end its runners.
+func (q *quarantine) Ran(request poison.Identity) {
+	_, marked := q.marks.Find(request)
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if !q.tally.Clear(request) && !marked {
+		return
+	}
+	q.untold.Cleared = append(q.untold.Cleared, request)
+	if marked {
+		q.log.Info("request no longer suspected of ending runners", "content", request.Short(), "reason", "a try of it ended well")
+		q.lift(request)
+	}
+	q.node.demand.Nudge(*q.service.Load())
+}
+
+// crashed takes a runner that ended under requests of this node.
+func (q *quarantine) crashed(c crash.Crash) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.untold.Crashes = append(q.untold.Crashes, wire.CrashReport{Runner: c.Runner, Requests: c.Requests})
+	q.add(c.Runner, c.Requests)
+	q.node.demand.Nudge(*q.service.Load())
+}
+
+// count takes the report of a node while this one is the holder.
+func (q *quarantine) count(report wire.PoisonReport) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for _, request := range report.Cleared {
+		q.tally.Clear(request)
+	}
+	for _, c := range report.Crashes {
+		q.add(c.Runner, c.Requests)
+	}
+}
+
+// add counts a runner that ended, with what is known of the requests from the table, and
+// marks those that are suspected of it. mutex is held.
+func (q *quarantine) add(runner string, requests []poison.Identity) {
+	now := time.Now()
+	q.watches.Store(true)
+	for _, request := range requests {
+		if mark, known := q.marks.Find(request); known {
+			q.tally.Learn(mark.Finding, now)
+		}
+	}
+	findings := q.tally.Crashed(runner, requests, now)
+	if len(findings) == 0 {
+		return
+	}
+	q.take(findings)
+	for _, finding := range findings {
+		q.writes[finding.Request] = finding.Runners
+	}
+	q.signal()
+}
+
+// take puts findings into force. What waits for a runner looks again. mutex is held.
+func (q *quarantine) take(findings []poison.Finding) {
+	q.watches.Store(true)
+	refused := q.marks.Put(findings, time.Now())
+	for _, mark := range refused {
+		q.log.Info("request refused as runners end under it", "content", mark.Request.Short(), "runners", mark.Runners)
+		q.node.decide("content/"+mark.Request.Short(), "refuse request", describeRunners(mark.Runners))
+	}
+	if len(refused) > 0 {
+		q.node.fleet.Wake()
+	}
+}
+
+// lift forgets a request everywhere. mutex is held.
+func (q *quarantine) lift(request poison.Identity) {
+	q.forget(request)
+	q.writes[request] = nil
+	q.signal()
+}
+
+// forget forgets a request at this node. mutex is held.
+func (q *quarantine) forget(request poison.Identity) {
+	q.marks.Drop(request)
+	q.tally.Clear(request)
+	delete(q.writes, request)
+}
+
+func (q *quarantine) signal() {
+	select {
+	case q.due <- struct{}{}:
+	default:
+	}
+}
+
+// of returns the reports that travel with the demand of a service.
+func (q *quarantine) of(service string) serviceCrashes {
+	return serviceCrashes{quarantine: q, service: service}
+}
+
+// serviceCrashes are a node's reports to the holder of one service.
+type serviceCrashes struct {
+	quarantine *quarantine
+	service    string
+}
+
+// Report returns what to tell the holder; nil for nothing, and when another service's
+// holder counts. A holder that was not told before is told all that is known.
+func (s serviceCrashes) Report(token uint64) *wire.PoisonReport {
+	q := s.quarantine
+	if *q.service.Load() != s.service || q.Idle() {
+		return nil
+	}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	report := q.untold
+	q.untold = wire.PoisonReport{}
+	if token != q.told {
+		q.told = token
+		report.Crashes = allCrashes(q.tally)
+	}
+	if len(report.Crashes) == 0 && len(report.Cleared) == 0 {
+		return nil
+	}
+	return &report
+}
+
+// Undelivered takes back a report that got no answer.
+func (s serviceCrashes) Undelivered(report *wire.PoisonReport) {
+	q := s.quarantine
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.untold.Crashes = append(report.Crashes, q.untold.Crashes...)
+	q.untold.Cleared = append(report.Cleared, q.untold.Cleared...)
+}
+
+func allCrashes(tally *poison.Tally) []wire.CrashReport {
+	crashes := tally.Crashes()
+	reports := make([]wire.CrashReport, 0, len(crashes))
+	for _, runner := range slices.Sorted(maps.Keys(crashes)) {
+		reports = append(reports, wire.CrashReport{Runner: runner, Requests: crashes[runner]})
+	}
+	return reports
+}
--- /dev/null
+++ b/internal/node/quarantinetable.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"lilacvane/internal/fault"
+	"lilacvane/internal/feed"
+	"lilacvane/internal/poison"
+	"lilacvane/internal/table"
+	"lilacvane/internal/wait"
+	"lilacvane/internal/wire"
+)
+
+const (
+	// quarantineTimeout bounds a write to the table, quarantineRetry follows one that
+	// failed: it is soon enough for a store that is back to be told within the platform's
+	// bound on news.
+	quarantineTimeout = 800 * time.Millisecond
+	quarantineRetry   = 300 * time.Millisecond
+	// quarantineSweep is how often the holder looks for marks that have expired.
+	quarantineSweep = time.Minute
+	// quarantineBatch bounds the rows of one transaction: the store takes a hundred.
+	quarantineBatch = 100
+)
+
+// poisonHandler takes over the table of requests that are not run.
+type poisonHandler quarantine
+
+// Whole takes the whole table: what it does not hold any more was lifted.
+func (h *poisonHandler) Whole(rows []feed.Row, _ time.Duration) {
+	q := (*quarantine)(h)
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	lifted := q.written
+	q.written = make(map[poison.Identity]bool)
+	for _, request := range q.takeRows(rows) {
+		delete(lifted, request)
+	}
+	for request := range lifted {
+		q.forget(request)
+	}
+}
+
+// Changed takes changed rows.
+func (h *poisonHandler) Changed(rows []feed.Row) {
+	q := (*quarantine)(h)
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.takeRows(rows)
+}
+
+// takeRows takes rows over and returns the requests that they name. A row that cannot be
+// read names none. mutex is held.
+func (q *quarantine) takeRows(rows []feed.Row) []poison.Identity {
+	var findings []poison.Finding
+	var named []poison.Identity
+	for _, row := range rows {
+		request, err := poison.ParseIdentity(row.Key)
+		if err == nil && row.Deleted {
+			q.removed(request)
+			continue
+		}
+		var record wire.PoisonRecord
+		if err == nil {
+			err = wire.Decode(row.Value, "store", &record)
+		}
+		if err != nil {
+			q.log.Error(err, "row unreadable", "step", "follow quarantine", "key", row.Key, "revision", row.Revision)
+			continue
+		}
+		q.written[request] = true
+		named = append(named, request)
+		findings = append(findings, poison.Finding{Request: request, Runners: record.Runners})
+	}
+	if len(findings) > 0 {
+		q.take(findings)
+	}
+	return named
+}
+
+// removed takes over that a row was removed. mutex is held.
+func (q *quarantine) removed(request poison.Identity) {
+	if mark, known := q.marks.Find(request); known && mark.Refused() {
+		q.log.Info("request no longer refused", "content", request.Short())
+	}
+	delete(q.written, request)
+	q.forget(request)
+}
+
+// run writes what is found, and lets marks expire, until ctx ends.
+func (q *quarantine) run(ctx context.Context) {
+	sweep := time.NewTicker(quarantineSweep)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sweep.C:
+			q.sweep()
+		case <-q.due:
+		}
+		for ctx.Err() == nil {
+			again, err := q.write(ctx)
+			if err != nil {
+				q.log.Info("requests that end runners not written", "error", err.Error())
+				wait.For(ctx, quarantineRetry)
+			} else if !again {
+				break
+			}
+		}
+	}
+}
+
+// sweep lifts marks that have expired, or that are too many, at the holder.
+func (q *quarantine) sweep() {
+	if control := q.node.controls.get(*q.service.Load()); control == nil || !control.lessor.Holds() {
+		return
+	}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for _, request := range q.marks.Spare(time.Now()) {
+		q.log.Info("mark of a request expired", "content", request.Short())
+		q.lift(request)
+	}
+}
+
+// write writes what is due, and reports whether something is left. Rows are written without
+// a condition: what several nodes found of a request is equally true.
+func (q *quarantine) write(ctx context.Context) (again bool, err error) {
+	writes := q.takeWrites()
+	if len(writes) == 0 {
+		return false, nil
+	}
+	var transaction table.Transaction
+	for request, runners := range writes {
+		row := table.Write{Key: request.String(), Delete: runners == nil}
+		if runners != nil {
+			if row.Value, err = wire.Encode(wire.PoisonRecord{Runners: runners}); err != nil {
+				return false, err
+			}
+		}
+		transaction.Writes = append(transaction.Writes, row)
+	}
+	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
+	defer cancel()
+	if _, err := q.rows.Commit(ctx, transaction); err != nil {
+		q.putBack(writes)
+		return true, fault.From(err, "write quarantine")
+	}
+	return true, nil
+}
+
+func (q *quarantine) takeWrites() map[poison.Identity][]string {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	writes := make(map[poison.Identity][]string)
+	for request, runners := range q.writes {
+		if len(writes) == quarantineBatch {
+			break
+		}
+		writes[request] = runners
+		delete(q.writes, request)
+	}
+	return writes
+}
+
+// putBack lets writes that failed be made again, unless newer ones are due.
+func (q *quarantine) putBack(writes map[poison.Identity][]string) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for request, runners := range writes {
+		if _, newer := q.writes[request]; !newer {
+			q.writes[request] = runners
+		}
+	}
+}
+
+func describeRunners(runners []string) string {
+	return fmt.Sprintf("%d runners ended under it: %s", len(runners), strings.Join(runners, ", "))
+}
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -35,6 +35,8 @@
 	Limits *LimitReport `cbor:"14,keyasint,omitempty"`
 	// Permits are wanted for requests that only cold runners could serve.
 	Permits []PermitsWanted `cbor:"15,keyasint,omitempty"`
+	// Poison is told to the holder that counts the ends of runners under requests.
+	Poison *PoisonReport `cbor:"17,keyasint,omitempty"`
 }
 
 // PermitsWanted is how many permits a node wants for a cold runner.
