--- a/test/poison_test.go
+++ b/test/poison_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -49,38 +50,63 @@
 func TestRequestThatEndsRunnersIsNotSentOn(t *testing.T) {
 	t.Parallel()
 	stream := clientRequest{Path: "/reply/x", Model: "alpha", Events: 30}
-	for name, test := range map[string]struct {
-		renamed, proxied bool
-		request          clientRequest
-	}{
+	for name, test := range map[string]poisonTest{
 		"other identifier": {renamed: true, request: stream},
 		"same identifier":  {proxied: true, request: stream},
 		// Of a service without models, whose runners answer no questions; the node itself
 		// sends it to several runners.
 		"safe": {renamed: true, request: clientRequest{Path: "/read/x"}},
+		// Hardly anything else is sent, so that no other request shows that a runner is away.
+		"once, alone": {renamed: true, request: clientRequest{Path: "/send/x"}, innocentPause: time.Second},
+		// There are enough others that no node turns to a runner again that ended, until it
+		// is back after some seconds.
+		"once, seldom": {renamed: true, request: clientRequest{Path: "/send/x"}, innocentPause: time.Second,
+			mailers: 16, poisonPause: 400 * time.Millisecond, away: 8 * time.Second},
+		// The node that counts for all stands still from before the first end.
+		"holder still": {renamed: true, request: stream, holderStill: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			runPoison(t, test.renamed, test.proxied, test.request)
+			runPoison(t, test)
 		})
 	}
 }
 
+// poisonTest is a request that ends runners, and its world.
+type poisonTest struct {
+	request clientRequest
+	// renamed is set where runners come back with another identifier, proxied where they are
+	// reached through a proxy.
+	renamed, proxied bool
+	// innocentPause lies between innocent requests; innocentPause where it is not set.
+	innocentPause time.Duration
+	// mailers is how many runners without models there are, away how long runners are before
+	// they are back, poisonPause lies between requests that end them; the usual where not set.
+	mailers           int
+	away, poisonPause time.Duration
+	// holderStill lets the holder of the control lease stand still meanwhile.
+	holderStill bool
+}
+
 // poisoned is a world in which one request ends the runners that run it.
 type poisoned struct {
 	world *world.World
 	nodes []*world.Node
-	// request is the one that ends runners, without its identifier.
-	request clientRequest
+	poisonTest
 
 	mutex sync.Mutex
 	// innocents are the answers to other requests, by what became of them.
 	innocents map[string]int
 }
 
-func runPoison(t *testing.T, renamed, proxied bool, request clientRequest) {
+func runPoison(t *testing.T, test poisonTest) {
 	t.Helper()
-	p := startPoisoned(t, renamed, proxied, request)
+	p := startPoisoned(t, test)
+	if test.holderStill {
+		holder := holderOf(t, p.world, p.nodes[0])
+		assert.NilError(t, holder.Freeze())
+		p.nodes = slices.DeleteFunc(p.nodes, func(node *world.Node) bool { return node == holder })
+	}
 	ctx, end := context.WithCancel(t.Context())
 	defer end()
 	var senders sync.WaitGroup
@@ -111,12 +137,14 @@
 	p.checkAnswers(t)
 }
 
-func startPoisoned(t *testing.T, renamed, proxied bool, request clientRequest) *poisoned {
+func startPoisoned(t *testing.T, test poisonTest) *poisoned {
 	t.Helper()
-	const runners, nodes = 5, 3
-	w := newWorld(t, func(o *world.Options) { o.Proxied = proxied })
-	p := &poisoned{world: w, request: request, innocents: make(map[string]int)}
-	returns := world.Return{After: time.Second, Renamed: renamed}
+	const runners, nodes = 5, 4
+	w := newWorld(t, func(o *world.Options) { o.Proxied = test.proxied })
+	p := &poisoned{world: w, poisonTest: test, innocents: make(map[string]int)}
+	p.innocentPause = cmp.Or(p.innocentPause, innocentPause)
+	p.poisonPause = cmp.Or(p.poisonPause, poisonPause)
+	returns := world.Return{After: cmp.Or(test.away, time.Second), Renamed: test.renamed}
 	for index := range runners {
 		_, err := w.StartRunner(world.RunnerOptions{
 			Name: fmt.Sprintf("runner-%d", index+1), Zone: zones[index%len(zones)], MemoryMB: w.Engine.SizeMB, ModelMB: modelMiB * megabytesPerMiB,
@@ -124,7 +152,9 @@
 			CrashBy: poisonText, Returns: returns,
 		})
 		assert.NilError(t, err)
-		_, err = w.StartRunner(world.RunnerOptions{
+	}
+	for index := range cmp.Or(test.mailers, runners) {
+		_, err := w.StartRunner(world.RunnerOptions{
 			Name: fmt.Sprintf("mailer-%d", index+1), Service: world.MailService, Zone: zones[index%len(zones)], Slots: 8, TokenTime: time.Millisecond,
 			CrashBy: poisonText, Returns: returns,
 		})
@@ -148,7 +178,7 @@
 	defer tries.Wait()
 	for number := 0; ctx.Err() == nil; number++ {
 		tries.Go(func() { p.tryPoison(ctx, p.nodes[number%len(p.nodes)]) })
-		time.Sleep(poisonPause)
+		time.Sleep(p.poisonPause)
 	}
 }
 
@@ -172,7 +202,7 @@
 				time.Sleep(poisonPause)
 			}
 		})
-		time.Sleep(innocentPause)
+		time.Sleep(p.innocentPause)
 	}
 }
 
