Find ends of runners without models at once, and count them at more nodes than the holder

Between nodes, only the holder counted, which may stand still; the table's rows were not joined with what a node knew itself. A model's name in a client's header made two tries different contents. Change: a runner without reports is connected to once after an answer broke off. The reports of ends go to three further nodes beside the holder, and a node joins its own knowledge with rows that come. The unit counts as content only where the node chose it. A client that leaves after a second of silence is a sign.

--- a/internal/crash/detector.go
+++ b/internal/crash/detector.go
@@ -43,9 +43,17 @@
 	Requests []poison.Identity
 }
 
+// Ask are the ways to ask a runner whether it is there.
+type Ask struct {
+	// Report reads its report.
+	Report func(ctx context.Context, runner backend.Runner) (backend.Report, error)
+	// Connect makes a connection to an address and closes it.
+	Connect func(ctx context.Context, address string) error
+}
+
 // Detector finds out which runners ended. Its methods may be called concurrently.
 type Detector struct {
-	report func(ctx context.Context, runner backend.Runner) (backend.Report, error)
+	asking Ask
 	ended  func(Crash)
 	log    logr.Logger
 
@@ -71,10 +79,10 @@
 	at  time.Time
 }
 
-// NewDetector returns a detector. report asks a runner, ended is told each crash under
-// requests of this node, possibly several times for one runner, each request once.
-func NewDetector(report func(ctx context.Context, runner backend.Runner) (backend.Report, error), ended func(Crash), log logr.Logger) *Detector {
-	d := &Detector{report: report, ended: ended, log: log, pending: make(map[string]*inquiry), known: make(map[string]pastRunner)}
+// NewDetector returns a detector. ended is told each crash under requests of this node,
+// possibly several times for one runner, each request once.
+func NewDetector(asking Ask, ended func(Crash), log logr.Logger) *Detector {
+	d := &Detector{asking: asking, ended: ended, log: log, pending: make(map[string]*inquiry), known: make(map[string]pastRunner)}
 	d.ctx, d.end = context.WithCancel(context.Background())
 	return d
 }
@@ -85,10 +93,10 @@
 	d.work.Wait()
 }
 
-// Broke notes that the answer to a request broke off, or never came, at a runner. asks is
-// set where the runner answers questions; of others only the platform's list tells. One that
-// leaves ends by plan, which is no crash.
-func (d *Detector) Broke(runner backend.Runner, request poison.Identity, asks bool) {
+// Broke notes that the answer to a request broke off, or never came, at a runner. reports is
+// set where it tells reports; another one is only tried to be connected to. One that leaves
+// ends by plan, which is no crash.
+func (d *Detector) Broke(runner backend.Runner, request poison.Identity, reports bool) {
 	if runner.Draining {
 		return
 	}
@@ -107,7 +115,7 @@
 	if open == nil {
 		open = &inquiry{}
 		d.pending[runner.ID] = open
-		d.work.Go(func() { d.inquire(runner, asks) })
+		d.work.Go(func() { d.inquire(runner, reports) })
 	}
 	open.brokeAt = time.Now()
 	if len(open.requests) < mostPending {
@@ -116,19 +124,21 @@
 }
 
 // inquire asks a runner until it is known whether it ended, at most inquiryLimit.
-func (d *Detector) inquire(runner backend.Runner, asks bool) {
+func (d *Detector) inquire(runner backend.Runner, reports bool) {
 	ctx, cancel := context.WithTimeout(d.ctx, inquiryLimit)
 	defer cancel()
+	answered := unclear
 	for pause := firstPause; ctx.Err() == nil && d.open(runner.ID); pause = min(2*pause, longestPause) {
-		if asks {
-			asked := time.Now()
-			switch how, known := d.ask(ctx, runner); {
-			case known && how != "":
-				d.Ended(runner.ID, how)
-				return
-			case known && d.lives(runner.ID, asked):
-				return
-			}
+		asked, how := time.Now(), ""
+		if answered != accepts {
+			answered, how = d.ask(ctx, runner, reports)
+		}
+		switch {
+		case answered == ended:
+			d.Ended(runner.ID, how)
+			return
+		case answered == lives && d.lives(runner.ID, asked):
+			return
 		}
 		wait.For(ctx, pause)
 	}
@@ -150,21 +160,39 @@
 	HowGone = "it is not listed any more"
 )
 
-// ask asks a runner once. known is set when its answer tells, how is the sign that it
-// ended; empty when it lives.
-func (d *Detector) ask(ctx context.Context, runner backend.Runner) (how string, known bool) {
+// verdict is what an answer of a runner tells.
+type verdict uint8
+
+const (
+	unclear verdict = iota
+	ended
+	lives
+	// accepts is a connection to a runner that tells no reports: it lives, or started anew
+	// already, which only the platform's list tells.
+	accepts
+)
+
+// ask asks a runner once. how is the sign that it ended.
+func (d *Detector) ask(ctx context.Context, runner backend.Runner, reports bool) (answered verdict, how string) {
 	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
 	defer cancel()
-	_, err := d.report(ctx, runner)
+	var err error
+	if reports {
+		_, err = d.asking.Report(ctx, runner)
+	} else {
+		err = d.asking.Connect(ctx, runner.Address)
+	}
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return howRefused, true
+		return ended, howRefused
 	case fault.IsCode(err, fault.CodeNotFound):
-		return howOther, true
+		return ended, howOther
 	case err != nil:
-		return "", false
+		return unclear, ""
+	case !reports:
+		return accepts, ""
 	default:
-		return "", true
+		return lives, ""
 	}
 }
 
--- a/internal/crash/detector_test.go
+++ b/internal/crash/detector_test.go
@@ -17,7 +17,7 @@
 )
 
 var (
-	runner  = backend.Runner{ID: "r"}
+	runner  = backend.Runner{ID: "r", Address: "a:1"}
 	request = poison.Identity{1}
 	errGone = fault.At(fault.CodeInterrupted, "read report", "r", fault.Unknown,
 		fault.At(fault.CodeUnreachable, "connect", "a:1", fault.NotDone, syscall.ECONNREFUSED))
@@ -47,7 +47,7 @@
 	t.Helper()
 	var crashes []Crash
 	synctest.Test(t, func(*testing.T) {
-		d := NewDetector(a.report, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
+		d := NewDetector(Ask{Report: a.report}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
 		d.Broke(runner, request, true)
 		if then != nil {
 			then(d)
@@ -99,11 +99,38 @@
 	})
 }
 
-// TestRefusedConnectionTellsOfARunnerThatIsNotAsked: but not without an answer that broke off.
+// noConnection is a connection that comes to nothing.
+func noConnection(context.Context, string) error { return errReset }
+
+// TestRunnerWithoutReportsIsConnectedTo: one that refuses connections has ended; of one that
+// accepts them the list may tell yet that it did.
+func TestRunnerWithoutReportsIsConnectedTo(t *testing.T) {
+	for _, gone := range []bool{true, false} {
+		var crashes []Crash
+		connect := func(_ context.Context, address string) error {
+			assert.Equal(t, address, runner.Address)
+			if gone {
+				return errGone
+			}
+			return nil
+		}
+		synctest.Test(t, func(*testing.T) {
+			d := NewDetector(Ask{Connect: connect}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
+			d.Broke(runner, request, false)
+			time.Sleep(time.Second)
+			assert.Equal(t, len(crashes) == 1, gone)
+			d.Gone(runner, HowBorn)
+			d.Close()
+		})
+		assert.Equal(t, len(crashes), 1)
+	}
+}
+
+// TestRefusedConnectionOfARequestTells: but not without an answer that broke off.
 func TestRefusedConnectionTellsOfARunnerThatIsNotAsked(t *testing.T) {
 	var crashes []Crash
 	synctest.Test(t, func(*testing.T) {
-		d := NewDetector(nil, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
+		d := NewDetector(Ask{Connect: noConnection}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
 		other := backend.Runner{ID: "other"}
 		d.Refused(other.ID)
 		d.Broke(runner, request, false)
@@ -117,7 +144,7 @@
 // TestEndByPlanIsNoCrash: of a runner that said that it leaves.
 func TestEndByPlanIsNoCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := NewDetector(nil, func(c Crash) { t.Errorf("told %+v", c) }, logr.Discard())
+		d := NewDetector(Ask{Connect: noConnection}, func(c Crash) { t.Errorf("told %+v", c) }, logr.Discard())
 		leaving := runner
 		leaving.Draining = true
 		d.Broke(leaving, request, false)
@@ -143,7 +170,7 @@
 			d.Broke(runner, poison.Identity{2}, true)
 			return backend.Report{}, nil
 		}
-		d = NewDetector(report, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
+		d = NewDetector(Ask{Report: report}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
 		d.Broke(runner, request, true)
 		time.Sleep(time.Second)
 		d.Close()
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -55,7 +55,7 @@
 	}
 	j.outcome.Endings = append(j.outcome.Endings, result.ending)
 	if result.timedOut {
-		j.noteBroken(choice.Runner, result.ending, err)
+		j.noteBroken(choice.Runner, result, err)
 		j.fail(true, fault.From(err, "send request"))
 		return false
 	}
@@ -101,7 +101,7 @@
 // node that stood still: how late its own timer was.
 func (j *job) noteFailure(choice fleet.Choice, result exchanged, err error, elapsed time.Duration) {
 	log := j.log
-	if j.noteBroken(choice.Runner, result.ending, err) {
+	if j.noteBroken(choice.Runner, result, err) {
 		log = log.WithValues("content", j.content().Short())
 	}
 	log.Info("attempt failed", "runner", choice.Runner.ID, "attempt", j.sent, "error", err.Error(), "ran", fault.OutcomeOf(err).String(),
--- a/internal/dispatch/content.go
+++ b/internal/dispatch/content.go
@@ -16,13 +16,16 @@
 // content returns what all tries of the request have in common. It is computed when it is
 // first asked for: only requests that failed, or that may be like one that did, need it.
 func (j *job) content() poison.Identity {
-	if j.identified != nil && *j.identified == j.query.Unit {
+	unit := backend.Unit{}
+	if j.request.Resolve != nil {
+		unit = j.query.Unit
+	}
+	if j.identified != nil && *j.identified == unit {
 		return j.identity
 	}
-	unit := j.query.Unit
 	_, query, _ := strings.Cut(j.request.Target, "?")
 	j.identity = poison.Content{
-		Method: j.request.Method, Host: j.request.Host, Path: j.request.Path, Query: query, Caller: j.caller(), Unit: unit, Body: j.request.Body,
+		Method: j.request.Method, Host: strings.ToLower(j.request.Host), Path: j.request.Path, Query: query, Caller: j.caller(), Unit: unit, Body: j.request.Body,
 	}.Identity()
 	j.identified = &unit
 	return j.identity
@@ -37,9 +40,13 @@
 	return j.request.Key
 }
 
+// leftSilent is how long a runner was silent before its client left, so that the runner may
+// have ended: clients leave for other reasons earlier.
+const leftSilent = time.Second
+
 // noteBroken tells of an attempt that may have run and got no answer from its runner, as the
 // runner may have ended under it, and reports whether it was one.
-func (j *job) noteBroken(runner backend.Runner, ending Ending, err error) bool {
+func (j *job) noteBroken(runner backend.Runner, result exchanged, err error) bool {
 	if j.dispatcher.Crashes == nil {
 		return false
 	}
@@ -49,13 +56,17 @@
 	if fault.OutcomeOf(err) != fault.Unknown {
 		return false
 	}
-	switch ending {
+	switch result.ending {
 	case EndedByRunner, EndedBySilence, EndedByTime:
-		j.dispatcher.Crashes.Broke(runner, j.content(), j.engine)
-		return true
+	case EndedByClient:
+		if result.silent < leftSilent {
+			return false
+		}
 	default:
 		return false
 	}
+	j.dispatcher.Crashes.Broke(runner, j.content(), j.engine)
+	return true
 }
 
 // quarantined refuses a request under which runners ended: at first with the time to come
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -76,9 +76,9 @@
 
 // Crashes is told what may be signs of a runner's end.
 type Crashes interface {
-	// Broke tells of a request whose answer broke off, or never came; asks is set where the
-	// runner answers questions.
-	Broke(runner backend.Runner, request poison.Identity, asks bool)
+	// Broke tells of a request whose answer broke off, or never came; reports is set where
+	// the runner tells reports.
+	Broke(runner backend.Runner, request poison.Identity, reports bool)
 	// Refused tells of a runner whose address refused a connection.
 	Refused(runner string)
 }
@@ -201,7 +201,8 @@
 	last *wholeAnswer
 	// relay is set once a stream's head went out.
 	relay *relay
-	// identity stands for the content as sent to identified; see content.
+	// identity stands for the content as run by identified, not set before it was asked for;
+	// see content.
 	identity   poison.Identity
 	identified *backend.Unit
 }
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -110,6 +110,7 @@
 	n.dispatcher.SetNodes(observed.Nodes)
 	n.relay.SetNodes(observed.Nodes)
 	n.relay.SetStandbys(observed.Standbys)
+	n.quarantine.setCounters(observed.Standbys)
 	n.bestSpare.Store(math.Float64bits(observed.BestSpare))
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -159,12 +159,12 @@
 		Node: s.Node, Fleet: n.fleet, Pool: n.pool, Demand: n.demand, Names: platform.Headers,
 		Configuration: n.inForce, Fresh: n.fresh, Retries: retryLimits(s.Retries), Report: platform.Control.Report, NewsWithin: s.Configuration.Within, Log: log.Logger, Observe: n.observe, Closing: n.closing,
 	}
-	n.quarantine = newQuarantine(n)
-	n.dispatcher.Quarantine = n.quarantine
-	n.crashes = crash.NewDetector(platform.Control.Report, n.crashed, log.Logger)
+	n.crashes = crash.NewDetector(crash.Ask{Report: platform.Control.Report, Connect: n.pool.Connect}, n.crashed, log.Logger)
 	n.dispatcher.Crashes = n.crashes
 	n.peers = peer.NewServer(s.Node)
 	n.peers.SetRegion(place.Region(s.Region))
+	n.quarantine = newQuarantine(n)
+	n.dispatcher.Quarantine = n.quarantine
 	n.limits = newLimits(n, s.Limits)
 	n.dispatcher.Limits = n.limits
 	n.ingress = ingress.New(platform.Headers, n.dispatcher, log.Logger)
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -11,14 +12,15 @@
 
 	"lilacvane/internal/config"
 	"lilacvane/internal/crash"
+	"lilacvane/internal/peer"
 	"lilacvane/internal/poison"
 	"lilacvane/internal/table"
 	"lilacvane/internal/wire"
 )
 
 // quarantine is this node's part in keeping requests from runners that end under them. Each
-// node counts the ends under its own requests and tells the holder of one service's control
-// lease, which counts those of all nodes. Whoever finds a request at several ends writes it
+// node counts the ends under its own requests and tells a few others, the holder of one
+// service's control lease among them, which count those of all nodes. Whoever finds a request at several ends writes it
 // to a table that all nodes follow, so that it outlives holders, restarts and losses of
 // power, and reaches nodes that the holder does not.
 type quarantine struct {
@@ -30,11 +32,14 @@
 	// service is the one whose holder counts; empty where there is none, and each node
 	// counts for itself.
 	service atomic.Pointer[string]
+	// counters are addresses of other nodes that count besides the holder, which may stand
+	// still or be on its way out.
+	counters atomic.Pointer[[]string]
 	// watches is set while anything is marked or counted.
 	watches atomic.Bool
 
 	mutex sync.Mutex
-	// tally counts what this node knows of, and that of all nodes while it is the holder.
+	// tally counts what this node knows of: that of all nodes if it counts for them.
 	tally *poison.Tally
 	// untold is what the holder was not told yet, told the token of the one that was told
 	// all before.
@@ -46,6 +51,11 @@
 	written map[poison.Identity]bool
 	// due is signalled when there is something to write.
 	due chan struct{}
+
+	// calls are those under way to other nodes, which end with ctx.
+	calls sync.WaitGroup
+	ctx   context.Context
+	end   context.CancelFunc
 }
 
 func newQuarantine(n *Node) *quarantine {
@@ -53,11 +63,66 @@
 		node: n, rows: n.platform.Poison, log: n.log.Logger, marks: poison.NewMarks(), tally: poison.NewTally(),
 		writes: make(map[poison.Identity][]string), written: make(map[poison.Identity]bool), due: make(chan struct{}, 1),
 	}
+	q.ctx, q.end = context.WithCancel(context.Background())
 	none := ""
 	q.service.Store(&none)
+	q.counters.Store(&[]string{})
+	peer.Handle(n.peers, wire.MethodPoison, q.takeReport)
 	return q
 }
 
+// counterCount is how many nodes count besides the holder: one of them is there when
+// another one is lost together with the holder.
+const counterCount = 3
+
+// setCounters tells the nodes that count besides the holder, alike at all nodes.
+func (q *quarantine) setCounters(addresses []string) {
+	if len(addresses) > 0 {
+		counters := slices.Clone(addresses[:min(counterCount, len(addresses))])
+		q.counters.Store(&counters)
+	}
+}
+
+// takeReport takes the report of another node.
+func (q *quarantine) takeReport(_ context.Context, report wire.PoisonReport) (wire.Empty, error) {
+	q.count(report)
+	return wire.Empty{}, nil
+}
+
+// tellCounters tells those that count besides the holder. What one of them does not get,
+// the holder does, or the next one.
+// mutex is held.
+func (q *quarantine) tellCounters(report wire.PoisonReport) {
+	if q.ctx.Err() != nil {
+		return
+	}
+	self := q.node.settings.Load().Listen.PeerAddress()
+	for _, address := range *q.counters.Load() {
+		if address == self {
+			continue
+		}
+		q.calls.Go(func() {
+			ctx, cancel := context.WithTimeout(q.ctx, tellTimeout)
+			defer cancel()
+			if err := q.node.client.Call(ctx, address, wire.MethodPoison, report, &wire.Empty{}); err != nil {
+				q.log.V(1).Info("ends of runners not told", "peer", address, "error", err.Error())
+			}
+		})
+	}
+}
+
+// close ends the calls to other nodes and waits for them.
+func (q *quarantine) close() {
+	q.mutex.Lock()
+	q.end()
+	q.mutex.Unlock()
+	q.calls.Wait()
+}
+
+// tellTimeout bounds the telling: a node in reach answers within some ms, in another region
+// within some ten.
+const tellTimeout = 500 * time.Millisecond
+
 // follow takes over a configuration: it names the service whose holder counts.
 func (q *quarantine) follow(configuration *config.Configuration) {
 	first := firstEngines(configuration)
@@ -82,6 +147,7 @@
 		return
 	}
 	q.untold.Cleared = append(q.untold.Cleared, request)
+	q.tellCounters(wire.PoisonReport{Cleared: []poison.Identity{request}})
 	if marked {
 		q.log.Info("request no longer suspected of ending runners", "content", request.Short(), "reason", "a try of it ended well")
 		q.lift(request)
@@ -93,12 +159,14 @@
 func (q *quarantine) crashed(c crash.Crash) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.untold.Crashes = append(q.untold.Crashes, wire.CrashReport{Runner: c.Runner, Requests: c.Requests})
+	ended := wire.CrashReport{Runner: c.Runner, Requests: c.Requests}
+	q.untold.Crashes = append(q.untold.Crashes, ended)
 	q.add(c.Runner, c.Requests)
+	q.tellCounters(wire.PoisonReport{Crashes: []wire.CrashReport{ended}})
 	q.node.demand.Nudge(*q.service.Load())
 }
 
-// count takes the report of a node while this one is the holder.
+// count takes the report of a node.
 func (q *quarantine) count(report wire.PoisonReport) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -120,7 +188,11 @@
 			q.tally.Learn(mark.Finding, now)
 		}
 	}
-	findings := q.tally.Crashed(runner, requests, now)
+	q.find(q.tally.Crashed(runner, requests, now))
+}
+
+// find puts findings into force and lets them be written. mutex is held.
+func (q *quarantine) find(findings []poison.Finding) {
 	if len(findings) == 0 {
 		return
 	}
--- a/internal/node/quarantinetable.go
+++ b/internal/node/quarantinetable.go
@@ -77,10 +77,29 @@
 	}
 	if len(findings) > 0 {
 		q.take(findings)
+		q.find(q.merge(findings))
 	}
 	return named
 }
 
+// merge adds what this node knows of requests to what rows tell of them, and returns what is
+// news: nodes that reach the table but not each other find together what none finds alone.
+// mutex is held.
+func (q *quarantine) merge(findings []poison.Finding) []poison.Finding {
+	var news []poison.Finding
+	for _, finding := range findings {
+		if !q.tally.Knows(finding.Request) {
+			continue
+		}
+		before := len(finding.Runners)
+		merged := q.tally.Learn(finding, time.Now())
+		if len(merged.Runners) > before {
+			news = append(news, merged)
+		}
+	}
+	return news
+}
+
 // removed takes over that a row was removed. mutex is held.
 func (q *quarantine) removed(request poison.Identity) {
 	if mark, known := q.marks.Find(request); known && mark.Refused() {
@@ -94,6 +113,7 @@
 func (q *quarantine) run(ctx context.Context) {
 	sweep := time.NewTicker(quarantineSweep)
 	defer sweep.Stop()
+	defer q.close()
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -202,7 +202,7 @@
 // purposeOf says what a call is for.
 func purposeOf(method string) traffic.Purpose {
 	switch method {
-	case wire.MethodSync:
+	case wire.MethodSync, wire.MethodPoison:
 		return traffic.Demand
 	case wire.MethodFollow, wire.MethodRelay, wire.MethodLease:
 		return traffic.Relay
--- a/internal/poison/identity.go
+++ b/internal/poison/identity.go
@@ -16,8 +16,8 @@
 // node. It is a cryptographic digest, so that nobody can give a request that of another.
 type Identity [sha256.Size]byte
 
-// Content is what makes two tries the same request. Headers are left out but for the unit
-// and the caller: clients set others anew for each try.
+// Content is what makes two tries the same request. Headers are left out but for the caller,
+// as clients may set others anew for each try.
 type Content struct {
 	Method string
 	Host   string
@@ -28,7 +28,8 @@
 	Query string
 	// Caller is the tenant, or else the key that came with the request; empty for none.
 	Caller string
-	// Unit is what runs it: a new version of a model may bear what the last one did not.
+	// Unit is what runs it, where the node and not the client chose that: a new version of a
+	// model may bear what the last one did not.
 	Unit backend.Unit
 	Body []byte
 }
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -73,11 +73,16 @@
 	return true
 }
 
-// Learn takes over what an earlier tally had found.
-func (t *Tally) Learn(finding Finding, now time.Time) {
+// Learn takes over what another tally found, and returns it with what this one knew.
+func (t *Tally) Learn(finding Finding, now time.Time) Finding {
 	for _, runner := range finding.Runners {
 		t.add(finding.Request, runner, now)
 	}
+	known := t.entries[finding.Request]
+	if known == nil {
+		return finding
+	}
+	return Finding{Request: finding.Request, Runners: slices.Clone(known.runners)}
 }
 
 // Clear forgets a request, as a try of it ended well or an operator says so. It returns
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -181,6 +181,19 @@
 	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize), taken: time.Now()}, nil
 }
 
+// Connect makes a connection to an address and closes it, to find out whether anybody
+// listens there.
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	conn, err := p.dial(ctx, "", address)
+	if err != nil {
+		return err
+	}
+	if err := conn.Close(); err != nil {
+		return fault.At(fault.CodeUnreachable, "close connection", address, fault.NotDone, err)
+	}
+	return nil
+}
+
 // quiet reports whether a resting connection is open and holds no bytes: any
 // that arrived belong to no request.
 func quiet(conn net.Conn) bool {
--- a/internal/wire/poison.go
+++ b/internal/wire/poison.go
@@ -2,6 +2,9 @@
 
 import "lilacvane/internal/poison"
 
+// MethodPoison tells a node that counts besides the holder what a holder is told.
+const MethodPoison = "poison/report"
+
 // PoisonReport is what a node tells of requests that were at runners as these ended.
 type PoisonReport struct {
 	Crashes []CrashReport `cbor:"1,keyasint,omitempty"`
