Let operators see requests that are not run, and let them run again

Cause: a request that is refused for its content needs an explanation and a way back. Change: lilacvane quarantine list and lift, explain content, a gauge of such contents, refusals counted by their reason, log lines as one is suspected and refused. Tests: TestRefusedRequestIsKnownAfterNodesEnded (nodes stopped in turn, then all killed: it reaches no runner; listed, explained, lifted, runs again), operator.TestQuarantineCalls.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -19,20 +19,21 @@
 )
 
 type commandLine struct {
-	Node    nodeCommand    `cmd:"" help:"Run a node."`
-	Config  configCommand  `cmd:"" help:"Work with settings files."`
-	Apply   applyCommand   `cmd:"" help:"Create or change objects from YAML or JSON files."`
-	Get     getCommand     `cmd:"" help:"Show an object or all of a kind, zones, or runners."`
-	Delete  deleteCommand  `cmd:"" help:"Delete an object."`
-	History historyCommand `cmd:"" help:"Show how an object, or all of a kind, changed."`
-	Watch   watchCommand   `cmd:"" help:"Print changes as they come into force."`
-	Ask     askCommand     `cmd:"" name:"operation" help:"Ask for the result of an operation whose answer was lost."`
-	Policy  policyCommand  `cmd:"" help:"Check and try policy programs."`
-	Drain   drainCommand   `cmd:"" help:"Start, follow or end a planned stop."`
-	Explain explainCommand `cmd:"" help:"Tell why: of a model, a replica's runner, a request or a zone."`
-	Status  statusCommand  `cmd:"" help:"Show the fleet as a node sees it."`
-	Runners runnersCommand `cmd:"" help:"Show runners and what they hold."`
-	Tenant  tenantCommand  `cmd:"" help:"Show tenants and their use; add, rotate and revoke their keys."`
+	Node       nodeCommand       `cmd:"" help:"Run a node."`
+	Config     configCommand     `cmd:"" help:"Work with settings files."`
+	Apply      applyCommand      `cmd:"" help:"Create or change objects from YAML or JSON files."`
+	Get        getCommand        `cmd:"" help:"Show an object or all of a kind, zones, or runners."`
+	Delete     deleteCommand     `cmd:"" help:"Delete an object."`
+	History    historyCommand    `cmd:"" help:"Show how an object, or all of a kind, changed."`
+	Watch      watchCommand      `cmd:"" help:"Print changes as they come into force."`
+	Ask        askCommand        `cmd:"" name:"operation" help:"Ask for the result of an operation whose answer was lost."`
+	Policy     policyCommand     `cmd:"" help:"Check and try policy programs."`
+	Drain      drainCommand      `cmd:"" help:"Start, follow or end a planned stop."`
+	Explain    explainCommand    `cmd:"" help:"Tell why: of a model, a replica's runner, a request, the content of requests or a zone."`
+	Status     statusCommand     `cmd:"" help:"Show the fleet as a node sees it."`
+	Runners    runnersCommand    `cmd:"" help:"Show runners and what they hold."`
+	Quarantine quarantineCommand `cmd:"" help:"Show requests that are not run as runners end under them, and let them run again."`
+	Tenant     tenantCommand     `cmd:"" help:"Show tenants and their use; add, rotate and revoke their keys."`
 }
 
 // target is shared by the commands that call a node.
--- a/internal/command/questions.go
+++ b/internal/command/questions.go
@@ -158,8 +158,8 @@
 
 type explainCommand struct {
 	target
-	Kind string `arg:"" enum:"model,replica,request,zone" help:"model, replica (by its runner), request or zone."`
-	Name string `arg:"" help:"Model name, runner name, request id or zone name."`
+	Kind string `arg:"" enum:"model,replica,request,content,zone" help:"model, replica (by its runner), request, content or zone."`
+	Name string `arg:"" help:"Model name, runner name, request id, content as logs show it, or zone name."`
 }
 
 // Run explains.
--- a/internal/node/fleetfigures.go
+++ b/internal/node/fleetfigures.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"lilacvane/internal/dispatch"
+	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/place"
 	"lilacvane/internal/wire"
@@ -18,6 +19,9 @@
 	runnersZoneOut  = "zone_out"
 )
 
+// quarantinedReason counts refusals as runners ended under the request's content.
+const quarantinedReason = "quarantined"
+
 // otherReason counts refusals that no runner's state has to do with, such as unknown keys.
 const otherReason = "other"
 
@@ -76,6 +80,9 @@
 // refusalReason names why a request was refused; there are as many names as a fleet has
 // reasons, and one more.
 func refusalReason(o dispatch.Outcome) string {
+	if o.Problem != nil && (o.Problem.Code == fault.CodeCrashSuspected || o.Problem.Code == fault.CodeCrashesRunners) {
+		return quarantinedReason
+	}
 	if o.Unplaced == nil {
 		return otherReason
 	}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -138,6 +138,17 @@
 	return mark, known && mark.Refused()
 }
 
+// countRefused is how many requests are not run.
+func (q *quarantine) countRefused() int {
+	count := 0
+	for _, mark := range q.marks.All() {
+		if mark.Refused() {
+			count++
+		}
+	}
+	return count
+}
+
 // Ran notes that a try of a request ended well: it does not end its runners.
 func (q *quarantine) Ran(request poison.Identity) {
 	_, marked := q.marks.Find(request)
@@ -206,12 +217,17 @@
 // take puts findings into force. What waits for a runner looks again. mutex is held.
 func (q *quarantine) take(findings []poison.Finding) {
 	q.watches.Store(true)
-	refused := q.marks.Put(findings, time.Now())
-	for _, mark := range refused {
+	wake := false
+	for _, mark := range q.marks.Put(findings, time.Now()) {
+		if !mark.Refused() {
+			q.log.Info("request suspected of ending runners", "content", mark.Request.Short(), "runners", mark.Runners)
+			continue
+		}
+		wake = true
 		q.log.Info("request refused as runners end under it", "content", mark.Request.Short(), "runners", mark.Runners)
 		q.node.decide("content/"+mark.Request.Short(), "refuse request", describeRunners(mark.Runners))
 	}
-	if len(refused) > 0 {
+	if wake {
 		q.node.fleet.Wake()
 	}
 }
--- a/internal/node/quarantinetable.go
+++ b/internal/node/quarantinetable.go
@@ -198,6 +198,39 @@
 	}
 }
 
+// Quarantine lists the requests under which runners ended.
+func (n *Node) Quarantine() []wire.PoisonStatus {
+	requests := []wire.PoisonStatus{}
+	for _, mark := range n.quarantine.marks.All() {
+		status := wire.PoisonStatus{Request: mark.Request.String(), State: wire.PoisonSuspected, Runners: mark.Runners}
+		if mark.Refused() {
+			status.State, status.RefusedMs = wire.PoisonRefused, time.Since(mark.Since).Milliseconds()
+		}
+		requests = append(requests, status)
+	}
+	return requests
+}
+
+// LiftQuarantine lets a request run again.
+func (n *Node) LiftQuarantine(ctx context.Context, request poison.Identity) error {
+	const step = "lift quarantine"
+	q := n.quarantine
+	if _, known := q.marks.Find(request); !known {
+		return fault.New(fault.CodeNotFound, step, "request: no runner is known to have ended under %s", request)
+	}
+	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
+	defer cancel()
+	if _, err := q.rows.Commit(ctx, table.Transaction{Writes: []table.Write{{Key: request.String(), Delete: true}}}); err != nil {
+		return fault.From(err, step)
+	}
+	q.log.Info("request no longer refused", "content", request.Short(), "reason", "an operator lifted it")
+	n.decide("content/"+request.Short(), "lift quarantine", "an operator lifted it")
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.forget(request)
+	return nil
+}
+
 func describeRunners(runners []string) string {
 	return fmt.Sprintf("%d runners ended under it: %s", len(runners), strings.Join(runners, ", "))
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -85,6 +85,20 @@
 	return decisions, err
 }
 
+// Quarantine lists the requests under which runners ended, as the node knows them.
+func (c *Client) Quarantine(ctx context.Context) ([]wire.PoisonStatus, error) {
+	var requests []wire.PoisonStatus
+	err := c.call(ctx, http.MethodGet, "/v1/quarantine", nil, &requests, "list quarantine")
+	return requests, err
+}
+
+// LiftQuarantine lets a request run again and returns what is still known of others.
+func (c *Client) LiftQuarantine(ctx context.Context, request string) ([]wire.PoisonStatus, error) {
+	var left []wire.PoisonStatus
+	err := c.call(ctx, http.MethodDelete, "/v1/quarantine/"+url.PathEscape(request), nil, &left, "lift quarantine")
+	return left, err
+}
+
 // Status describes the fleet.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	var status Status
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -7,6 +7,7 @@
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/place"
+	"lilacvane/internal/poison"
 	"lilacvane/internal/wire"
 )
 
@@ -19,9 +20,11 @@
 	SubjectReplica Subject = "replica"
 	SubjectRequest Subject = "request"
 	SubjectZone    Subject = "zone"
+	// SubjectContent is the content of requests, by the digits that logs show of it.
+	SubjectContent Subject = "content"
 )
 
-var subjects = []Subject{SubjectModel, SubjectReplica, SubjectRequest, SubjectZone}
+var subjects = []Subject{SubjectModel, SubjectReplica, SubjectRequest, SubjectZone, SubjectContent}
 
 // runners answers with the runners, one by name, or those that are cold.
 func (s *Server) runners(w http.ResponseWriter, r *http.Request) {
@@ -77,6 +80,20 @@
 	return wire.ZoneStatus{}, fault.New(fault.CodeNotFound, step, "zone: no zone %q is known", name)
 }
 
+// lift lets a request run again, and answers with what is still known of others.
+func (s *Server) lift(w http.ResponseWriter, r *http.Request) {
+	const step = "lift quarantine"
+	request, err := poison.ParseIdentity(r.PathValue("request"))
+	if err == nil {
+		err = s.backend.LiftQuarantine(r.Context(), request)
+	}
+	if err != nil {
+		s.fail(w, err, step)
+		return
+	}
+	s.write(w, s.backend.Quarantine())
+}
+
 // explain answers with the decisions about a subject, newest first.
 func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
 	const (
--- a/internal/operator/fleet_test.go
+++ b/internal/operator/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"lilacvane/internal/catalog"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/poison"
 	"lilacvane/internal/wire"
 )
 
@@ -41,6 +42,40 @@
 	return recorder.Code, recorder.Body.String()
 }
 
+// quarantineBackend knows one request under which runners ended.
+type quarantineBackend struct{ Backend }
+
+func (quarantineBackend) Quarantine() []wire.PoisonStatus {
+	return []wire.PoisonStatus{{Request: poison.Identity{1}.String(), State: wire.PoisonRefused, Runners: []string{"r1"}}}
+}
+
+func (quarantineBackend) LiftQuarantine(_ context.Context, request poison.Identity) error {
+	if request != (poison.Identity{1}) {
+		return fault.New(fault.CodeNotFound, "lift quarantine", "request: not known")
+	}
+	return nil
+}
+
+// TestQuarantineCalls: what is not known or cannot be read is refused with the step.
+func TestQuarantineCalls(t *testing.T) {
+	s := New(quarantineBackend{}, catalog.New(), "n1", http.NotFoundHandler())
+	for _, test := range []struct {
+		method, path string
+		status       int
+		part         string
+	}{
+		{http.MethodGet, "/v1/quarantine", http.StatusOK, `"refused"`},
+		{http.MethodDelete, "/v1/quarantine/" + poison.Identity{1}.String(), http.StatusOK, "r1"},
+		{http.MethodDelete, "/v1/quarantine/" + poison.Identity{2}.String(), http.StatusNotFound, "lift quarantine"},
+		{http.MethodDelete, "/v1/quarantine/01", http.StatusBadRequest, "hexadecimal"},
+	} {
+		recorder := httptest.NewRecorder()
+		s.http.Handler.ServeHTTP(recorder, httptest.NewRequest(test.method, test.path, nil))
+		assert.Equal(t, recorder.Code, test.status, test.path)
+		assert.Assert(t, strings.Contains(recorder.Body.String(), test.part), "%s: %s", test.path, recorder.Body)
+	}
+}
+
 // TestFleetCalls: zones, cold runners and decisions about zones are answered; what is not
 // known or cannot be read is refused with the field and the step.
 func TestFleetCalls(t *testing.T) {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -17,6 +17,7 @@
 	"lilacvane/internal/commit"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/place"
+	"lilacvane/internal/poison"
 	"lilacvane/internal/wire"
 )
 
@@ -44,6 +45,11 @@
 	Zones(ctx context.Context) []wire.ZoneStatus
 	// Tenants describes the tenants in force.
 	Tenants(ctx context.Context) []TenantStatus
+	// Quarantine lists the requests under which runners ended, as this node knows them.
+	Quarantine() []wire.PoisonStatus
+	// LiftQuarantine lets a request run again; its error is fault.CodeNotFound when nothing
+	// is known of it. It returns once that outlives the node.
+	LiftQuarantine(ctx context.Context, request poison.Identity) error
 	// DrainProgress tells what is left of a planned stop.
 	DrainProgress(ctx context.Context, drain api.Drain) Progress
 	// Regions tells the region of each zone of the deployment.
@@ -159,6 +165,8 @@
 	mux.HandleFunc("GET /v1/runners", s.runners)
 	mux.HandleFunc("GET /v1/zones", s.zones)
 	mux.HandleFunc("GET /v1/tenants", func(w http.ResponseWriter, r *http.Request) { s.write(w, backend.Tenants(r.Context())) })
+	mux.HandleFunc("GET /v1/quarantine", func(w http.ResponseWriter, _ *http.Request) { s.write(w, backend.Quarantine()) })
+	mux.HandleFunc("DELETE /v1/quarantine/{request}", s.lift)
 	mux.HandleFunc("GET /v1/drains/{name}", s.drain)
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	s.stopping, s.stop = context.WithCancel(context.Background())
--- a/internal/poison/marks.go
+++ b/internal/poison/marks.go
@@ -71,23 +71,26 @@
 	})
 }
 
-// Put adds findings to the marks and returns those that are refused from now on.
+// Put adds findings to the marks and returns those that are suspected, or refused, from now
+// on.
 func (m *Marks) Put(findings []Finding, now time.Time) []Mark {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	changed := maps.Clone(*m.current.Load())
-	var refused []Mark
+	var news []Mark
 	for _, finding := range findings {
 		before, known := changed[finding.Request]
 		after := merge(before, finding, known, now)
 		if after.Refused() && !before.Refused() {
 			after.Since = now
-			refused = append(refused, after)
+		}
+		if !known || after.Refused() != before.Refused() {
+			news = append(news, after)
 		}
 		changed[finding.Request] = after
 	}
 	m.current.Store(&changed)
-	return refused
+	return news
 }
 
 func merge(before Mark, finding Finding, known bool, now time.Time) Mark {
--- a/test/poison_test.go
+++ b/test/poison_test.go
@@ -14,9 +14,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"lilacvane/internal/command"
+	"lilacvane/internal/commandline"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/world"
+	"lilacvane/internal/wire"
 )
 
 // A request ended each runner that began to run it, and came again under other identifiers at
@@ -244,6 +247,62 @@
 	assert.Equal(t, len(eventsOf(readHistory(t, p.world), journal.EventPoison)), before)
 }
 
+// refusedEverywhere waits until each node refuses the request for good, and returns how often
+// it has reached runners by then.
+func (p *poisoned) refusedEverywhere(t *testing.T) int {
+	t.Helper()
+	for _, node := range p.nodes {
+		waitUntil(t, "the request is refused at "+node.Name, func() error {
+			if got := p.tryPoison(t.Context(), node); codeOf(got) != codePoison {
+				return fmt.Errorf("%d %s", got.Status, got.Body)
+			}
+			return nil
+		})
+	}
+	return len(eventsOf(readHistory(t, p.world), journal.EventPoison))
+}
+
+// TestRefusedRequestIsKnownAfterNodesEnded: nodes that are started again one by one, or that
+// all ended at once, refuse what was refused before. Operators see it and why, and may let it
+// run again.
+func TestRefusedRequestIsKnownAfterNodesEnded(t *testing.T) {
+	t.Parallel()
+	p := startPoisoned(t, poisonTest{renamed: true, request: clientRequest{Path: "/read/x"}})
+	reached := p.refusedEverywhere(t)
+	for _, node := range p.nodes {
+		assert.NilError(t, node.Terminate())
+		assert.NilError(t, node.Wait(fastGrace))
+		assert.NilError(t, p.world.RestartNode(node))
+	}
+	assert.Equal(t, p.refusedEverywhere(t), reached, "after nodes were stopped in turn")
+	for _, node := range p.nodes {
+		node.Kill()
+	}
+	for _, node := range p.nodes {
+		assert.NilError(t, p.world.RestartNode(node))
+	}
+	assert.Equal(t, p.refusedEverywhere(t), reached, "after all nodes were killed")
+
+	expect := operate(t, p.nodes[1])
+	var listed []wire.PoisonStatus
+	assert.NilError(t, json.Unmarshal([]byte(expect(commandline.ExitOK, wire.PoisonRefused, "quarantine", "list", "-o", "json")), &listed))
+	assert.Equal(t, len(listed), 1)
+	assert.Assert(t, len(listed[0].Runners) >= crashesAllowed, "%+v", listed)
+	short := listed[0].Request[:16]
+	got := p.tryPoison(t.Context(), p.nodes[0])
+	expect(commandline.ExitOK, short, "explain", "request", got.ID)
+	expect(commandline.ExitOK, listed[0].Runners[0], "explain", "content", short)
+	expect(command.ExitNotFound, "lift quarantine", "quarantine", "lift", "0123")
+	expect(commandline.ExitOK, "may run again", "quarantine", "lift", short)
+	waitUntil(t, "it runs again at another node", func() error {
+		if got := p.tryPoison(t.Context(), p.nodes[2]); codeOf(got) != "" && codeOf(got) == codePoison {
+			return fmt.Errorf("%+v", got)
+		}
+		return nil
+	})
+	assert.Assert(t, len(eventsOf(readHistory(t, p.world), journal.EventPoison)) > reached)
+}
+
 // codeOf is the code of an error that a node answered with; empty for other answers.
 func codeOf(got clientAnswer) fault.Code {
 	var body fault.Body
