Go by the clock that counts suspensions for leases, and notice a suspension as a pause

Cause: while a machine is suspended the steady clock stands still. A holder that wakes up would take its lease for valid for up to two seconds, beside the one that took it over, and give orders under an old token; a node that wakes up would serve by old news without looking again. Change: leases read CLOCK_BOOTTIME, the pause watch compares both clocks at its ticks. By reading only: no suspension could be brought about here.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 
+	"lilacvane/internal/clock"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/table"
 )
@@ -76,7 +77,8 @@
 	// few. The more there are, the less often each looks at a row whose store does
 	// not answer.
 	Nodes func() int
-	// Now is the steady clock; time.Now when it is not set.
+	// Now is the steady clock; clock.Now when it is not set: a holder that was suspended must
+	// not take its lease for valid by a clock that stood still.
 	Now func() time.Time
 }
 
@@ -123,7 +125,7 @@
 // one of the same node.
 func New(rows table.Table, key, node, address, process string, options Options, log logr.Logger) *Lessor {
 	if options.Now == nil {
-		options.Now = time.Now
+		options.Now = clock.Now
 	}
 	if options.Reluctance == nil {
 		options.Reluctance = func() time.Duration { return 0 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"lilacvane/internal/backend"
 	"lilacvane/internal/catalog"
 	"lilacvane/internal/claim"
+	"lilacvane/internal/clock"
 	"lilacvane/internal/commit"
 	"lilacvane/internal/config"
 	"lilacvane/internal/crash"
@@ -229,6 +230,9 @@
 	}
 	n.log.Info("node started", "node", s.Node, "zone", s.Zone, "process", n.process, "clients", s.Listen.Clients,
 		"peers", s.Listen.Peers, "store", s.Store.Address)
+	if !clock.CountsSuspensions() {
+		n.log.Info("suspensions of the machine are not seen", "step", "read clock")
+	}
 	background, end := context.WithCancel(context.Background())
 	defer end()
 	var work sync.WaitGroup
--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"lilacvane/internal/clock"
 )
 
 const (
@@ -24,6 +26,9 @@
 	ticked atomic.Int64
 	woken  atomic.Int64
 	began  time.Time
+	// suspended is how long the machine had been suspended at the last tick of run, in
+	// nanoseconds. It is run's.
+	suspended time.Duration
 }
 
 func newPauseWatch() *pauseWatch { return &pauseWatch{began: time.Now()} }
@@ -38,6 +43,7 @@
 			return
 		case <-ticker.C:
 			p.tick()
+			p.noteSuspension(clock.Suspended())
 		}
 	}
 }
@@ -51,6 +57,14 @@
 	p.ticked.Store(int64(max(now.Sub(p.began), 1)))
 }
 
+// noteSuspension notes a suspension of the machine, in which the clock of tick stood still.
+func (p *pauseWatch) noteSuspension(suspended time.Duration) {
+	if suspended-p.suspended > longestTick {
+		p.woken.Store(int64(time.Since(p.began)))
+	}
+	p.suspended = suspended
+}
+
 // wokenAt returns when the newest pause ended. It looks at the clock itself, as
 // a request may come before the first tick after a pause.
 func (p *pauseWatch) wokenAt() (time.Time, bool) {
