Let rows of other writers name no runner

Cause: a row with an unknown state counted as ready, one without an address or service was taken over, and a runner whose row became unreadable was used by what was known before. Change: a row that misses what names a runner, or gives it another type or an unknown state, is refused by its key and field, and its runner is used no more until it writes a good row; all other rows hold. It tells nothing of the runner's end.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -211,7 +211,7 @@
 
 // Whole takes the whole list.
 func (h *runnerHandler) Whole(rows []feed.Row, gap time.Duration) {
-	runners, _ := h.decode(rows)
+	runners, _, _ := h.decode(rows)
 	h.noteNewLives(runners)
 	h.fleet.Replace(runners, gap > doubtfulGap)
 	h.listed.Store(true)
@@ -221,13 +221,13 @@
 
 // Changed takes changed rows.
 func (h *runnerHandler) Changed(rows []feed.Row) {
-	changed, removed := h.decode(rows)
+	changed, removed, unusable := h.decode(rows)
 	doubtful := len(removed) >= doubtfulCount && float64(len(removed)) >= doubtfulShare*float64(h.fleet.Count())
 	h.noteNewLives(changed)
 	if !doubtful {
 		h.noteGone(removed)
 	}
-	h.fleet.Apply(changed, removed, doubtful)
+	h.fleet.Apply(changed, append(removed, unusable...), doubtful)
 	// One line a batch: each of hundreds of nodes tells of hundreds of runners.
 	if leaving := drainingOf(changed); len(leaving) > 0 {
 		h.log.Info("runners leaving", "runners", leaving)
@@ -256,7 +256,9 @@
 	h.controls.wake()
 }
 
-func (h *runnerHandler) decode(rows []feed.Row) (changed []backend.Runner, removed []string) {
+// decode reads rows. unusable are runners whose row names none to use any more; it tells
+// nothing of their end.
+func (h *runnerHandler) decode(rows []feed.Row) (changed []backend.Runner, removed, unusable []string) {
 	for _, row := range rows {
 		if row.Deleted {
 			if listed, known := h.fleet.Listed(row.Key); known {
@@ -266,12 +268,15 @@
 		}
 		runner, err := h.platform.DecodeRunner(row.Key, row.Value)
 		if err != nil {
-			h.log.Error(err, "runner's row unreadable", "runner", row.Key)
+			h.log.Error(err, "runner's row unreadable", "runner", row.Key, "revision", row.Revision)
+			if listed, known := h.fleet.Listed(row.Key); known {
+				unusable = append(unusable, listed.ID)
+			}
 			continue
 		}
 		runner.Revision = row.Revision
 		runner.Region = string(h.settings.Load().Zones.Region(place.Zone(runner.Zone)))
 		changed = append(changed, runner)
 	}
-	return changed, removed
+	return changed, removed, unusable
 }
--- a/test/traps_test.go
+++ b/test/traps_test.go
@@ -319,3 +319,42 @@
 	submitEventually(t, nodes[0], drain, true)
 	assert.NilError(t, nodes[1].WaitReady())
 }
+
+// TestForeignRowNamesNoRunner: another writer puts rows that cannot be used among those of the
+// runners, and over one of them. Nothing goes there; all other rows hold, and the one that
+// was written over counts again once its runner wrote it anew.
+func TestForeignRowNamesNoRunner(t *testing.T) {
+	t.Parallel()
+	w, nodes := startLoaded(t, 2, 2)
+	row := func(key, value string) protocol.Row {
+		return protocol.Row{Table: protocol.RunnerTable, Key: key, Value: []byte(value)}
+	}
+	assert.NilError(t, w.PutRows(
+		row("foreign-1", "\xff\x00not JSON"), row("foreign-2", "null"), row("foreign-3", `{"svc":7}`), row("foreign-4", `{"svc":"engines"}`),
+		row("runner-1", `{"svc":"engines","address":"127.0.0.1:1","az":"zone-a","slots":8,"state":"zombie"}`),
+	))
+	waitUntil(t, "only the other runner counts", func() error {
+		for _, node := range nodes {
+			if got := runnersOf(t, node, "alpha"); len(got) != 1 || got[0] != "runner-2" {
+				return fmt.Errorf("%v do at %s", got, node.Name)
+			}
+		}
+		return nil
+	})
+	for number := range 12 {
+		id := newID()
+		got := send(t.Context(), nodes[number%2], clientRequest{ID: id, Path: "/reply/x", Model: "alpha", Events: 3})
+		assert.Assert(t, got.Whole && got.Status == http.StatusOK, "%+v", got)
+		for _, record := range readHistory(t, w).records {
+			assert.Assert(t, record.Request != id || record.Runner == "runner-2", "%+v", record)
+		}
+	}
+	assert.NilError(t, w.DrainRunner("runner-1"))
+	waitUntil(t, "the runner's own row counts", func() error {
+		runners, err := nodes[0].Client().Runners(t.Context(), "runner-1")
+		if err != nil || len(runners) != 1 {
+			return fmt.Errorf("%v %w", runners, err)
+		}
+		return nil
+	})
+}
