--- a/internal/lab/world/runners.go
+++ b/internal/lab/world/runners.go
@@ -139,6 +139,10 @@
 	r.Kill()
 }
 
+// CrashRunner ends a runner's process as a crash does: the platform's list is not told, and
+// it is started again if its options say so.
+func (w *World) CrashRunner(id string) { w.Runners[id].current().Kill() }
+
 // KillRunner kills a runner and lets the platform's list drop it.
 func (w *World) KillRunner(id string) error {
 	w.Runners[id].Kill()
--- a/test/poison_test.go
+++ b/test/poison_test.go
@@ -186,9 +186,14 @@
 }
 
 func (p *poisoned) tryPoison(ctx context.Context, node *world.Node) clientAnswer {
+	return send(ctx, node, p.poison("please"))
+}
+
+// poison is a request that ends runners, one content for each word.
+func (p *poisoned) poison(word string) clientRequest {
 	request := p.request
-	request.Method, request.Body, request.Deadline = http.MethodPost, []byte("please "+poisonText), 4*time.Second
-	return send(ctx, node, request)
+	request.ID, request.Method, request.Body, request.Deadline = newID(), http.MethodPost, []byte(word+" "+poisonText), 4*time.Second
+	return request
 }
 
 // sendInnocent sends other requests of the same kind until ctx ends. Their clients come
@@ -215,8 +220,8 @@
 	request.Method, request.Body, request.Deadline = http.MethodPost, []byte("innocent "+strconv.Itoa(number)), 4*time.Second
 	got := send(ctx, node, request)
 	what := strconv.Itoa(got.Status)
-	if codeOf(got) == codePoison {
-		what = string(codePoison)
+	if code := codeOf(got); code == codePoison || code == fault.CodeCrashSuspected {
+		what = string(code)
 	}
 	if ctx.Err() != nil {
 		return true
@@ -231,7 +236,7 @@
 // this one gets a final answer at each node and runs no more, and that others are served.
 func (p *poisoned) checkAnswers(t *testing.T) {
 	t.Helper()
-	assert.Equal(t, p.innocents[string(codePoison)], 0, "%v", p.innocents)
+	assert.Equal(t, p.innocents[string(codePoison)]+p.innocents[string(fault.CodeCrashSuspected)], 0, "%v", p.innocents)
 	before := len(eventsOf(readHistory(t, p.world), journal.EventPoison))
 	for _, node := range p.nodes {
 		got := p.tryPoison(t.Context(), node)
