--- a/test/poison_test.go
+++ b/test/poison_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -135,7 +136,8 @@
 		}
 	}
 	crashes := eventsOf(readHistory(t, p.world), journal.EventCrash)
-	t.Logf("%d runners ended, %d sends after the bound; innocent requests: %v", len(crashes), late, p.innocents)
+	t.Logf("%d runners ended, %d sends after the bound; refused at nodes %v after the third end; innocent requests: %v",
+		len(crashes), late, p.refusedAfter(t, third), p.innocents)
 	assert.Assert(t, late <= sendsAllowed, "sent %d times more, %d runners ended", late, len(crashes))
 	p.checkAnswers(t)
 }
@@ -232,6 +234,25 @@
 	return got.Status == http.StatusOK && got.Whole
 }
 
+// refusedAfter returns how long after an instant each node refused the request, by its log.
+func (p *poisoned) refusedAfter(t *testing.T, instant time.Time) []time.Duration {
+	t.Helper()
+	var times []time.Duration
+	for _, node := range p.nodes {
+		for line := range strings.Lines(readFile(t, p.world.LogPath(node))) {
+			var entry struct {
+				Time time.Time
+				Msg  string
+			}
+			if json.Unmarshal([]byte(line), &entry) == nil && entry.Msg == "request refused as runners end under it" {
+				times = append(times, entry.Time.Sub(instant).Round(time.Millisecond))
+				break
+			}
+		}
+	}
+	return times
+}
+
 // checkAnswers checks that no innocent request was taken for the one that ends runners, that
 // this one gets a final answer at each node and runs no more, and that others are served.
 func (p *poisoned) checkAnswers(t *testing.T) {
