Ask a runner again at once for each answer of it that breaks off

Cause: while it was still open whether a runner ended, as requests of it had timed out or a connection to it was accepted, it was not asked again for an answer that broke off then. Change: each answer that breaks off is asked for at once; one that only timed out at a runner without reports leaves it to the platform's list; what broke off more than 10 s ago has no part in an end.

--- a/internal/crash/detector.go
+++ b/internal/crash/detector.go
@@ -14,7 +14,6 @@
 	"lilacvane/internal/backend"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/poison"
-	"lilacvane/internal/wait"
 )
 
 const (
@@ -67,11 +66,48 @@
 	known   map[string]pastRunner
 }
 
-// inquiry is a runner of which it is not known yet whether it ended.
+// Way is how to find out whether a runner ended.
+type Way uint8
+
+// The ways, each tells more than the one before.
+const (
+	// Wait leaves it to the platform's list: the answer only took too long.
+	Wait Way = iota
+	// Connect tries whether the runner accepts connections.
+	Connect
+	// Report asks for its report.
+	Report
+)
+
+// inquiry is a runner of which it is not known yet whether it ended. Detector.mutex guards it.
 type inquiry struct {
-	requests []poison.Identity
-	// brokeAt is when the last answer of them broke off.
-	brokeAt time.Time
+	runner   backend.Runner
+	requests []brokenRequest
+	way      Way
+	// due is set while the runner is to be asked, wake is signalled as it becomes so.
+	due  bool
+	wake chan struct{}
+}
+
+// brokenRequest is a request whose answer broke off.
+type brokenRequest struct {
+	request poison.Identity
+	at      time.Time
+}
+
+// last is when the last answer broke off.
+func (i *inquiry) last() time.Time { return i.requests[len(i.requests)-1].at }
+
+// fresh are the requests whose answers broke off within inquiryLimit: what broke off earlier
+// has no part in an end now.
+func (i *inquiry) fresh() []poison.Identity {
+	var requests []poison.Identity
+	for _, broken := range i.requests {
+		if time.Since(broken.at) <= inquiryLimit {
+			requests = append(requests, broken.request)
+		}
+	}
+	return requests
 }
 
 type pastRunner struct {
@@ -93,10 +129,9 @@
 	d.work.Wait()
 }
 
-// Broke notes that the answer to a request broke off, or never came, at a runner. reports is
-// set where it tells reports; another one is only tried to be connected to. One that leaves
-// ends by plan, which is no crash.
-func (d *Detector) Broke(runner backend.Runner, request poison.Identity, reports bool) {
+// Broke notes that the answer to a request broke off, or never came, at a runner, and how to
+// find out whether that ended. One that leaves ends by plan, which is no crash.
+func (d *Detector) Broke(runner backend.Runner, request poison.Identity, way Way) {
 	if runner.Draining {
 		return
 	}
@@ -113,40 +148,86 @@
 	}
 	open := d.pending[runner.ID]
 	if open == nil {
-		open = &inquiry{}
+		open = &inquiry{runner: runner, wake: make(chan struct{}, 1)}
 		d.pending[runner.ID] = open
-		d.work.Go(func() { d.inquire(runner, reports) })
+		d.work.Go(func() { d.inquire(open) })
+	}
+	if len(open.requests) == mostPending {
+		open.requests = open.requests[1:]
 	}
-	open.brokeAt = time.Now()
-	if len(open.requests) < mostPending {
-		open.requests = append(open.requests, request)
+	open.requests = append(open.requests, brokenRequest{request: request, at: time.Now()})
+	open.way = max(open.way, way)
+	if way != Wait {
+		open.due = true
+		select {
+		case open.wake <- struct{}{}:
+		default:
+		}
 	}
 }
 
-// inquire asks a runner until it is known whether it ended, at most inquiryLimit.
-func (d *Detector) inquire(runner backend.Runner, reports bool) {
-	ctx, cancel := context.WithTimeout(d.ctx, inquiryLimit)
-	defer cancel()
-	answered := unclear
-	for pause := firstPause; ctx.Err() == nil && d.open(runner.ID); pause = min(2*pause, longestPause) {
-		asked, how := time.Now(), ""
-		if answered != accepts {
-			answered, how = d.ask(ctx, runner, reports)
+// inquire asks a runner until it is known whether it ended, or for inquiryLimit after the
+// last answer that broke off.
+func (d *Detector) inquire(open *inquiry) {
+	pause := firstPause
+	for d.ctx.Err() == nil {
+		way, due, ok := d.next(open)
+		if !ok {
+			return
+		}
+		if !due {
+			// Only a further answer that breaks off, or the platform's list, tells more.
+			pause = firstPause
+			d.rest(open, longestPause)
+			continue
 		}
+		asked := time.Now()
+		answered, how := d.ask(d.ctx, open.runner, way)
 		switch {
 		case answered == ended:
-			d.Ended(runner.ID, how)
+			d.Ended(open.runner.ID, how)
 			return
-		case answered == lives && d.lives(runner.ID, asked):
+		case answered == lives && d.lives(open, asked):
 			return
+		case answered == unclear:
+			d.askAgain(open)
+			d.rest(open, pause)
+			pause = min(2*pause, longestPause)
 		}
-		wait.For(ctx, pause)
 	}
+}
+
+// next returns what to do about an inquiry; false when it is over.
+func (d *Detector) next(open *inquiry) (way Way, due, ok bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if open := d.pending[runner.ID]; open != nil {
-		delete(d.pending, runner.ID)
-		d.log.V(1).Info("not known whether a runner ended", "runner", runner.ID, "requests", len(open.requests))
+	if d.pending[open.runner.ID] != open {
+		return Wait, false, false
+	}
+	if time.Since(open.last()) > inquiryLimit {
+		delete(d.pending, open.runner.ID)
+		d.log.V(1).Info("not known whether a runner ended", "runner", open.runner.ID, "requests", len(open.requests))
+		return Wait, false, false
+	}
+	due = open.due
+	open.due = false
+	return open.way, due, true
+}
+
+func (d *Detector) askAgain(open *inquiry) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	open.due = true
+}
+
+// rest waits for a pause, or until another answer breaks off.
+func (d *Detector) rest(open *inquiry, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-d.ctx.Done():
+	case <-open.wake:
+	case <-timer.C:
 	}
 }
 
@@ -173,11 +254,11 @@
 )
 
 // ask asks a runner once. how is the sign that it ended.
-func (d *Detector) ask(ctx context.Context, runner backend.Runner, reports bool) (answered verdict, how string) {
+func (d *Detector) ask(ctx context.Context, runner backend.Runner, way Way) (answered verdict, how string) {
 	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
 	defer cancel()
 	var err error
-	if reports {
+	if way == Report {
 		_, err = d.asking.Report(ctx, runner)
 	} else {
 		err = d.asking.Connect(ctx, runner.Address)
@@ -189,7 +270,7 @@
 		return ended, howOther
 	case err != nil:
 		return unclear, ""
-	case !reports:
+	case way == Connect:
 		return accepts, ""
 	default:
 		return lives, ""
@@ -205,20 +286,23 @@
 
 // lives notes that a runner answered a question sent then; false when another answer broke
 // off since.
-func (d *Detector) lives(id string, asked time.Time) bool {
+func (d *Detector) lives(open *inquiry, asked time.Time) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if open := d.pending[id]; open != nil && open.brokeAt.After(asked) {
+	if open.last().After(asked) {
 		return false
 	}
-	delete(d.pending, id)
+	delete(d.pending, open.runner.ID)
 	return true
 }
 
 // Refused notes that a runner's address refused a connection: it ended, if an answer of it
 // broke off before. Alone it may only have too many connections.
 func (d *Detector) Refused(id string) {
-	if d.open(id) {
+	d.mutex.Lock()
+	open := d.pending[id] != nil
+	d.mutex.Unlock()
+	if open {
 		d.Ended(id, howRefused)
 	}
 }
@@ -244,8 +328,12 @@
 	if open == nil {
 		return
 	}
-	d.log.Info("runner ended under requests", "runner", id, "how", how, "requests", len(open.requests))
-	d.ended(Crash{Runner: id, How: how, Requests: open.requests})
+	requests := open.fresh()
+	if len(requests) == 0 {
+		return
+	}
+	d.log.Info("runner ended under requests", "runner", id, "how", how, "requests", len(requests))
+	d.ended(Crash{Runner: id, How: how, Requests: requests})
 }
 
 // forget drops lives that ended long ago. mutex is held.
--- a/internal/crash/detector_test.go
+++ b/internal/crash/detector_test.go
@@ -48,7 +48,7 @@
 	var crashes []Crash
 	synctest.Test(t, func(*testing.T) {
 		d := NewDetector(Ask{Report: a.report}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
-		d.Broke(runner, request, true)
+		d.Broke(runner, request, Report)
 		if then != nil {
 			then(d)
 		}
@@ -91,7 +91,7 @@
 		time.Sleep(3 * time.Second)
 		d.Ended(runner.ID, HowGone)
 		d.Ended(runner.ID, HowGone)
-		d.Broke(runner, later, true)
+		d.Broke(runner, later, Report)
 	})
 	assert.DeepEqual(t, crashes, []Crash{
 		{Runner: runner.ID, How: HowGone, Requests: []poison.Identity{request}},
@@ -116,7 +116,7 @@
 		}
 		synctest.Test(t, func(*testing.T) {
 			d := NewDetector(Ask{Connect: connect}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
-			d.Broke(runner, request, false)
+			d.Broke(runner, request, Connect)
 			time.Sleep(time.Second)
 			assert.Equal(t, len(crashes) == 1, gone)
 			d.Gone(runner, HowBorn)
@@ -126,6 +126,50 @@
 	}
 }
 
+// TestLaterAnswerThatBreaksOffIsAskedFor: a runner that was only slow, or accepted a
+// connection, is asked again at once when an answer of it breaks off.
+func TestLaterAnswerThatBreaksOffIsAskedFor(t *testing.T) {
+	for _, first := range []Way{Wait, Connect} {
+		var crashes []Crash
+		gone := false
+		connect := func(context.Context, string) error {
+			if gone {
+				return errGone
+			}
+			return nil
+		}
+		synctest.Test(t, func(t *testing.T) {
+			d := NewDetector(Ask{Connect: connect}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
+			d.Broke(runner, poison.Identity{9}, first)
+			time.Sleep(inquiryLimit - time.Second)
+			gone = true
+			start := time.Now()
+			d.Broke(runner, request, Connect)
+			synctest.Wait()
+			assert.Assert(t, time.Since(start) < time.Millisecond)
+			assert.Equal(t, len(crashes), 1)
+			assert.DeepEqual(t, crashes[0].Requests, []poison.Identity{{9}, request})
+			d.Close()
+		})
+	}
+}
+
+// TestWhatBrokeOffLongAgoHasNoPart: in the end of a runner that goes on breaking off.
+func TestWhatBrokeOffLongAgoHasNoPart(t *testing.T) {
+	var crashes []Crash
+	synctest.Test(t, func(t *testing.T) {
+		d := NewDetector(Ask{Connect: func(context.Context, string) error { return nil }}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
+		for number := range 8 {
+			d.Broke(runner, poison.Identity{byte(number)}, Wait)
+			time.Sleep(inquiryLimit / 4)
+		}
+		d.Gone(runner, HowGone)
+		d.Close()
+	})
+	assert.Equal(t, len(crashes), 1)
+	assert.DeepEqual(t, crashes[0].Requests, []poison.Identity{{4}, {5}, {6}, {7}})
+}
+
 // TestRefusedConnectionOfARequestTells: but not without an answer that broke off.
 func TestRefusedConnectionTellsOfARunnerThatIsNotAsked(t *testing.T) {
 	var crashes []Crash
@@ -133,9 +177,9 @@
 		d := NewDetector(Ask{Connect: noConnection}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
 		other := backend.Runner{ID: "other"}
 		d.Refused(other.ID)
-		d.Broke(runner, request, false)
+		d.Broke(runner, request, Connect)
 		d.Refused(runner.ID)
-		d.Broke(other, request, false)
+		d.Broke(other, request, Connect)
 		d.Close()
 	})
 	assert.DeepEqual(t, crashes, []Crash{{Runner: runner.ID, How: howRefused, Requests: []poison.Identity{request}}})
@@ -147,8 +191,8 @@
 		d := NewDetector(Ask{Connect: noConnection}, func(c Crash) { t.Errorf("told %+v", c) }, logr.Discard())
 		leaving := runner
 		leaving.Draining = true
-		d.Broke(leaving, request, false)
-		d.Broke(runner, request, false)
+		d.Broke(leaving, request, Connect)
+		d.Broke(runner, request, Connect)
 		d.Gone(leaving, HowGone)
 		d.Close()
 	})
@@ -167,11 +211,11 @@
 				return backend.Report{}, errGone
 			}
 			time.Sleep(time.Millisecond)
-			d.Broke(runner, poison.Identity{2}, true)
+			d.Broke(runner, poison.Identity{2}, Report)
 			return backend.Report{}, nil
 		}
 		d = NewDetector(Ask{Report: report}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
-		d.Broke(runner, request, true)
+		d.Broke(runner, request, Report)
 		time.Sleep(time.Second)
 		d.Close()
 	})
@@ -183,7 +227,7 @@
 func TestPendingRequestsAreBounded(t *testing.T) {
 	crashes := detect(t, &answers{list: []answer{{err: errReset}}}, func(d *Detector) {
 		for number := range 2 * mostPending {
-			d.Broke(runner, poison.Identity{byte(number), byte(number >> 8), 1}, true)
+			d.Broke(runner, poison.Identity{byte(number), byte(number >> 8), 1}, Report)
 		}
 		d.Ended(runner.ID, HowGone)
 	})
--- a/internal/dispatch/content.go
+++ b/internal/dispatch/content.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/crash"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/poison"
 )
@@ -65,10 +66,23 @@
 	default:
 		return false
 	}
-	j.dispatcher.Crashes.Broke(runner, j.content(), j.engine)
+	j.dispatcher.Crashes.Broke(runner, j.content(), j.wayToAsk(result.ending))
 	return true
 }
 
+// wayToAsk is how to find out whether a runner ended: services of engines tell reports. Of the
+// others only one that broke off itself is worth a connection, as many are just slow.
+func (j *job) wayToAsk(ending Ending) crash.Way {
+	switch {
+	case j.engine:
+		return crash.Report
+	case ending == EndedByRunner:
+		return crash.Connect
+	default:
+		return crash.Wait
+	}
+}
+
 // quarantined refuses a request under which runners ended: at first with the time to come
 // back, as tries that are running may yet end well, then for good.
 func (j *job) quarantined() *fault.Error {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
+	"lilacvane/internal/crash"
 	"lilacvane/internal/demand"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
@@ -76,9 +77,9 @@
 
 // Crashes is told what may be signs of a runner's end.
 type Crashes interface {
-	// Broke tells of a request whose answer broke off, or never came; reports is set where
-	// the runner tells reports.
-	Broke(runner backend.Runner, request poison.Identity, reports bool)
+	// Broke tells of a request whose answer broke off, or never came, and how to find out
+	// whether its runner ended.
+	Broke(runner backend.Runner, request poison.Identity, way crash.Way)
 	// Refused tells of a runner whose address refused a connection.
 	Refused(runner string)
 }
--- a/test/poison_test.go
+++ b/test/poison_test.go
@@ -19,6 +19,7 @@
 	"lilacvane/internal/commandline"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/lab/journal"
+	"lilacvane/internal/lab/runnerstub"
 	"lilacvane/internal/lab/world"
 	"lilacvane/internal/wire"
 )
@@ -66,6 +67,9 @@
 		// is back after some seconds.
 		"once, seldom": {renamed: true, request: clientRequest{Path: "/send/x"}, innocentPause: time.Second,
 			mailers: 16, poisonPause: 400 * time.Millisecond, away: 8 * time.Second},
+		// The same, after requests of all nodes timed out at all of the runners.
+		"once, after time-outs": {renamed: true, request: clientRequest{Path: "/send/x"}, innocentPause: time.Second,
+			mailers: 16, poisonPause: 400 * time.Millisecond, away: 8 * time.Second, timeOuts: true},
 		// The node that counts for all stands still from before the first end.
 		"holder still": {renamed: true, request: stream, holderStill: true},
 	} {
@@ -88,6 +92,8 @@
 	// they are back, poisonPause lies between requests that end them; the usual where not set.
 	mailers           int
 	away, poisonPause time.Duration
+	// timeOuts lets requests time out at all runners without models before.
+	timeOuts bool
 	// holderStill lets the holder of the control lease stand still meanwhile.
 	holderStill bool
 }
@@ -106,6 +112,9 @@
 func runPoison(t *testing.T, test poisonTest) {
 	t.Helper()
 	p := startPoisoned(t, test)
+	if test.timeOuts {
+		p.timeOut(t)
+	}
 	if test.holderStill {
 		holder := holderOf(t, p.world, p.nodes[0])
 		assert.NilError(t, holder.Freeze())
@@ -177,6 +186,24 @@
 	return p
 }
 
+// timeOut lets requests of each node time out at the runners without models.
+func (p *poisoned) timeOut(t *testing.T) {
+	t.Helper()
+	for _, faults := range []runnerstub.Faults{{MuteShare: 1}, {}} {
+		for index := range p.mailers {
+			assert.NilError(t, p.world.SetRunnerFaults(fmt.Sprintf("mailer-%d", index+1), faults))
+		}
+		if faults.MuteShare == 0 {
+			return
+		}
+		var requests []clientRequest
+		for range 3 * p.mailers * len(p.nodes) {
+			requests = append(requests, clientRequest{Path: p.request.Path, Method: http.MethodPost, Body: []byte(newID()), Deadline: time.Second})
+		}
+		sendAll(t, p.nodes, requests)
+	}
+}
+
 // sendPoison sends the request that ends runners until ctx ends, without waiting for answers.
 func (p *poisoned) sendPoison(ctx context.Context) {
 	var tries sync.WaitGroup
