--- a/internal/crash/detector.go
+++ b/internal/crash/detector.go
@@ -277,13 +277,6 @@
 	}
 }
 
-// open reports whether it is still to be found out whether a life ended.
-func (d *Detector) open(id string) bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.pending[id] != nil
-}
-
 // lives notes that a runner answered a question sent then; false when another answer broke
 // off since.
 func (d *Detector) lives(open *inquiry, asked time.Time) bool {
--- a/internal/crash/detector_test.go
+++ b/internal/crash/detector_test.go
@@ -118,6 +118,7 @@
 			d := NewDetector(Ask{Connect: connect}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
 			d.Broke(runner, request, Connect)
 			time.Sleep(time.Second)
+			synctest.Wait()
 			assert.Equal(t, len(crashes) == 1, gone)
 			d.Gone(runner, HowBorn)
 			d.Close()
@@ -142,6 +143,7 @@
 			d := NewDetector(Ask{Connect: connect}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
 			d.Broke(runner, poison.Identity{9}, first)
 			time.Sleep(inquiryLimit - time.Second)
+			synctest.Wait()
 			gone = true
 			start := time.Now()
 			d.Broke(runner, request, Connect)
