Bound what is kept for an absent holder, forget old ends at every node, keep callers' contents apart

Cause: read as a newcomer would. What a holder is to be told grew while nobody counted; once a runner had ended each request was digested for good; without a holder no mark ever expired; a hedge read what the request's goroutine writes; a key on a public route could be a tenant's name.

--- a/internal/dispatch/caller_test.go
+++ b/internal/dispatch/caller_test.go
@@ -10,6 +10,7 @@
 
 	"lilacvane/internal/config"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/poison"
 	"lilacvane/internal/tenant"
 	"lilacvane/internal/upstream"
 )
@@ -162,3 +163,19 @@
 	err := limitedJob(&limiter{admissions: []Admission{{Verdict: NotKnown}}}, &Request{}).admit(ctx)
 	assert.Assert(t, fault.IsCode(err, fault.CodeCanceled))
 }
+
+// TestCallersContentsAreApart: nobody can send what counts as another caller's request, and a
+// tenant's stays the same with another key.
+func TestCallersContentsAreApart(t *testing.T) {
+	content := func(key string) poison.Identity {
+		j, _ := caller(t, key, true)
+		j.request.Target, j.request.Path = "/p?try=1", "/p"
+		j.request.Body = []byte("b")
+		return j.content()
+	}
+	first, second := content("k1"), content("k2")
+	assert.Assert(t, first != second)
+	assert.Assert(t, content("first") != first, "a key may be a tenant's name")
+	assert.Assert(t, content("") != first)
+	assert.Equal(t, content("k1"), first)
+}
--- a/internal/dispatch/content.go
+++ b/internal/dispatch/content.go
@@ -33,12 +33,12 @@
 }
 
 // caller tells callers apart: by their tenant, as that keeps its name when it gets another
-// key, or else by the key that they sent.
+// key, or else by the key that they sent, which may be a tenant's name.
 func (j *job) caller() string {
 	if j.tenant != nil {
-		return string(j.tenant.Name)
+		return "tenant " + string(j.tenant.Name)
 	}
-	return j.request.Key
+	return "key " + j.request.Key
 }
 
 // leftSilent is how long a runner was silent before its client left, so that the runner may
@@ -102,25 +102,22 @@
 	return fmt.Sprintf("%d runners ended under requests with this content (%s): %s", len(mark.Runners), mark.Request.Short(), strings.Join(mark.Runners, ", "))
 }
 
-// isQuarantined reports whether the request is refused.
-func (j *job) isQuarantined() bool {
-	_, refused := j.mark()
-	return refused
-}
-
 // mark returns the mark of a request that is not to be run.
 func (j *job) mark() (poison.Mark, bool) {
-	quarantine := j.dispatcher.Quarantine
-	if quarantine == nil || quarantine.Idle() {
+	if !j.watched() {
 		return poison.Mark{}, false
 	}
-	return quarantine.Refused(j.content())
+	return j.dispatcher.Quarantine.Refused(j.content())
+}
+
+// watched reports whether any request is known under which runners ended.
+func (j *job) watched() bool {
+	return j.dispatcher.Quarantine != nil && !j.dispatcher.Quarantine.Idle()
 }
 
 // noteRan tells of a request that ended well.
 func (j *job) noteRan() {
-	quarantine := j.dispatcher.Quarantine
-	if quarantine != nil && !quarantine.Idle() && j.outcome.Result == ResultServed && j.outcome.Status < http.StatusMultipleChoices {
-		quarantine.Ran(j.content())
+	if j.watched() && j.outcome.Result == ResultServed && j.outcome.Status < http.StatusMultipleChoices {
+		j.dispatcher.Quarantine.Ran(j.content())
 	}
 }
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -10,6 +10,7 @@
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
+	"lilacvane/internal/poison"
 	"lilacvane/internal/upstream"
 )
 
@@ -46,6 +47,8 @@
 	ctx context.Context
 	// query chooses the runners, all but those that were tried.
 	query fleet.Query
+	// content is the job's; not set where no runner had ended under any request.
+	content *poison.Identity
 	// sent and ran are the job's, hedges included.
 	sent, ran int
 
@@ -59,13 +62,26 @@
 func (j *job) newHedges(ctx context.Context, silent fleet.Choice) *hedges {
 	h := &hedges{job: j, ctx: ctx, query: j.query, sent: j.sent, ran: j.ran}
 	h.query.Exclude = append(slices.Clone(j.query.Exclude), silent.Runner.ID)
+	if j.watched() {
+		content := j.content()
+		h.content = &content
+	}
 	return h
 }
 
+// quarantined reports whether the request is not to be run any more.
+func (h *hedges) quarantined() bool {
+	if h.content == nil {
+		return false
+	}
+	_, refused := h.job.dispatcher.Quarantine.Refused(*h.content)
+	return refused
+}
+
 // mayAsk reports whether the request may go to one more runner: the attempt beside the
 // hedge counts, as it may run.
 func (h *hedges) mayAsk() bool {
-	return !h.job.isQuarantined() && h.sent < maximumSends && h.ran+1 < h.job.route.Attempts && h.ctx.Err() == nil && time.Until(h.job.deadline) >= minimumTime
+	return !h.quarantined() && h.sent < maximumSends && h.ran+1 < h.job.route.Attempts && h.ctx.Err() == nil && time.Until(h.job.deadline) >= minimumTime
 }
 
 // reserve chooses and pays for a runner; false when there is none now.
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -20,9 +20,9 @@
 
 // quarantine is this node's part in keeping requests from runners that end under them. Each
 // node counts the ends under its own requests and tells a few others, the holder of one
-// service's control lease among them, which count those of all nodes. Whoever finds a request at several ends writes it
-// to a table that all nodes follow, so that it outlives holders, restarts and losses of
-// power, and reaches nodes that the holder does not.
+// service's control lease among them, which count those of all nodes. Whoever finds a
+// request at several ends writes it to a table that all nodes follow, so that it outlives
+// holders, restarts and losses of power, and reaches nodes that the holder does not.
 type quarantine struct {
 	node *Node
 	rows table.Table
@@ -89,9 +89,8 @@
 	return wire.Empty{}, nil
 }
 
-// tellCounters tells those that count besides the holder. What one of them does not get,
-// the holder does, or the next one.
-// mutex is held.
+// tellCounters tells those that count besides the holder. What one of them does not get, the
+// holder does, or the next one. mutex is held.
 func (q *quarantine) tellCounters(report wire.PoisonReport) {
 	if q.ctx.Err() != nil {
 		return
@@ -135,7 +134,7 @@
 // Refused returns the mark of a request that is not to be run.
 func (q *quarantine) Refused(request poison.Identity) (poison.Mark, bool) {
 	mark, known := q.marks.Find(request)
-	return mark, known && mark.Refused()
+	return mark, known && mark.Refused() && !mark.Expired(time.Now())
 }
 
 // countRefused is how many requests are not run.
@@ -157,7 +156,7 @@
 	if !q.tally.Clear(request) && !marked {
 		return
 	}
-	q.untold.Cleared = append(q.untold.Cleared, request)
+	q.untold.Cleared = newest(append(q.untold.Cleared, request))
 	q.tellCounters(wire.PoisonReport{Cleared: []poison.Identity{request}})
 	if marked {
 		q.log.Info("request no longer suspected of ending runners", "content", request.Short(), "reason", "a try of it ended well")
@@ -171,7 +170,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	ended := wire.CrashReport{Runner: c.Runner, Requests: c.Requests}
-	q.untold.Crashes = append(q.untold.Crashes, ended)
+	q.untold.Crashes = newest(append(q.untold.Crashes, ended))
 	q.add(c.Runner, c.Requests)
 	q.tellCounters(wire.PoisonReport{Crashes: []wire.CrashReport{ended}})
 	q.node.demand.Nudge(*q.service.Load())
@@ -290,10 +289,17 @@
 	q := s.quarantine
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.untold.Crashes = append(report.Crashes, q.untold.Crashes...)
-	q.untold.Cleared = append(report.Cleared, q.untold.Cleared...)
+	q.untold.Crashes = newest(append(report.Crashes, q.untold.Crashes...))
+	q.untold.Cleared = newest(append(report.Cleared, q.untold.Cleared...))
 }
 
+// mostUntold bounds what is kept for a holder that is not there: the next one is told all that
+// is known.
+const mostUntold = 1024
+
+// newest keeps the newest mostUntold of a list.
+func newest[T any](list []T) []T { return list[max(len(list)-mostUntold, 0):] }
+
 func allCrashes(tally *poison.Tally) []wire.CrashReport {
 	crashes := tally.Crashes()
 	reports := make([]wire.CrashReport, 0, len(crashes))
--- a/internal/node/quarantinetable.go
+++ b/internal/node/quarantinetable.go
@@ -134,8 +134,10 @@
 	}
 }
 
-// sweep lifts marks that have expired, or that are too many, at the holder.
+// sweep forgets ends that are long past. The holder lifts marks that have expired, or that
+// are too many.
 func (q *quarantine) sweep() {
+	q.expire()
 	if control := q.node.controls.get(*q.service.Load()); control == nil || !control.lessor.Holds() {
 		return
 	}
@@ -147,6 +149,14 @@
 	}
 }
 
+// expire forgets ends that are long past, so that requests need not be known any more.
+func (q *quarantine) expire() {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	left := q.tally.Expire(time.Now())
+	q.watches.Store(left > 0 || !q.marks.Empty())
+}
+
 // write writes what is due, and reports whether something is left. Rows are written without
 // a condition: what several nodes found of a request is equally true.
 func (q *quarantine) write(ctx context.Context) (again bool, err error) {
--- a/internal/poison/marks.go
+++ b/internal/poison/marks.go
@@ -80,6 +80,10 @@
 	var news []Mark
 	for _, finding := range findings {
 		before, known := changed[finding.Request]
+		if known && before.Expired(now) {
+			// The ends after it count anew.
+			before, known = Mark{}, false
+		}
 		after := merge(before, finding, known, now)
 		if after.Refused() && !before.Refused() {
 			after.Since = now
--- a/internal/poison/marks_test.go
+++ b/internal/poison/marks_test.go
@@ -32,6 +32,12 @@
 	assert.Assert(t, mark.Refused() && mark.Provisional(later) && !mark.Provisional(later.Add(Provisional)))
 	marks.Drop(numbered(0))
 	assert.Assert(t, marks.Empty())
+
+	marks.Put([]Finding{finding(0, 3)}, start)
+	expired := start.Add(MarkLifetime + time.Millisecond)
+	assert.Equal(t, len(marks.Put([]Finding{finding(0, 3)}, expired)), 1, "an expired mark is a new one")
+	mark, _ = marks.Find(numbered(0))
+	assert.Assert(t, !mark.Expired(expired))
 }
 
 // TestSpareMarks: what has expired goes, and what has the fewest ends beyond the bound.
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -107,19 +107,24 @@
 	return crashes
 }
 
+// Expire forgets ends that are long past, and returns how many requests are left.
+func (t *Tally) Expire(now time.Time) int {
+	maps.DeleteFunc(t.entries, func(_ Identity, known *entry) bool { return known.expired(now) })
+	return len(t.entries)
+}
+
 func (e *entry) expired(now time.Time) bool { return now.Sub(e.last) > evidenceLifetime }
 
 // trim makes room, a quarter of it at once as it looks at all entries.
 func (t *Tally) trim(now time.Time) {
-	if len(t.entries) <= mostEntries {
+	if len(t.entries) <= mostEntries || t.Expire(now) <= mostEntries {
 		return
 	}
-	maps.DeleteFunc(t.entries, func(_ Identity, known *entry) bool { return known.expired(now) })
 	requests := slices.SortedFunc(maps.Keys(t.entries), func(a, b Identity) int {
 		left, right := t.entries[a], t.entries[b]
 		return cmp.Or(cmp.Compare(len(left.runners), len(right.runners)), left.last.Compare(right.last))
 	})
-	for _, request := range requests[:max(len(requests)-mostEntries*3/4, 0)] {
+	for _, request := range requests[:len(requests)-mostEntries*3/4] {
 		delete(t.entries, request)
 	}
 }
--- a/internal/poison/tally_test.go
+++ b/internal/poison/tally_test.go
@@ -54,6 +54,8 @@
 	tally := NewTally()
 	tally.Crashed("r1", []Identity{numbered(0)}, start)
 	assert.Equal(t, len(tally.Crashed("r2", []Identity{numbered(0)}, start.Add(evidenceLifetime+1))), 0)
+	assert.Equal(t, tally.Expire(start.Add(2*evidenceLifetime)), 1)
+	assert.Equal(t, tally.Expire(start.Add(2*evidenceLifetime+2)), 0)
 }
 
 // TestFloodLeavesWhatIsSuspected: a million different requests, each at one end, neither
