Lay settings whole in the soak; print why a process ended

The soak truncates the settings file and writes it anew, at any moment; an empty file ends a starting node with that code (by hand). Shown is that this ends a node so, not that it was it: the log was not kept. Change: the file is replaced as a whole; lines that are no log lines are printed of processes of failed tests.

--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -78,7 +78,8 @@
 	return w
 }
 
-// showLogs prints the last lines of each process's log.
+// showLogs prints the last lines of each process's log, and all that are no log lines: why a
+// process ended.
 func showLogs(t *testing.T, directory string) {
 	const lines = 15
 	entries, err := os.ReadDir(directory)
@@ -91,7 +92,9 @@
 		}
 		content, _ := os.ReadFile(directory + "/" + entry.Name())
 		all := strings.Split(strings.TrimSpace(string(content)), "\n")
-		t.Logf("%s:\n%s", entry.Name(), strings.Join(all[max(0, len(all)-lines):], "\n"))
+		last := max(0, len(all)-lines)
+		plain := slices.DeleteFunc(slices.Clone(all[:last]), func(line string) bool { return strings.HasPrefix(line, "{") })
+		t.Logf("%s:\n%s", entry.Name(), strings.Join(append(plain, all[last:]...), "\n"))
 	}
 }
 
--- a/test/kept_soak_test.go
+++ b/test/kept_soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"net/http"
 	"strings"
 	"sync"
@@ -296,7 +297,10 @@
 	if changed == content {
 		changed = strings.Replace(content, "level: debug", "level: info", 1)
 	}
-	writeTo(s.t, node.SettingsPath(), changed)
+	// Laid whole: a process that starts reads the old file or the new one, never a part.
+	laid := node.SettingsPath() + ".new"
+	writeTo(s.t, laid, changed)
+	assert.Check(s.t, os.Rename(laid, node.SettingsPath()))
 	if random.IntN(2) == 0 {
 		_ = node.Current().Reload() // It may just have ended.
 	}
