Call a runner's processes incarnations everywhere; one description of a finding; drop what nothing used

Cause: read as a newcomer would. A runner's process had two names, life and incarnation, of which the second is the field's and the older one here; what ended under a request was described in two places with other words; poison.Marks.Keep served only its own test, crash.Detector.Ended only its package. Ruled out: moving the comparison of starts out of platform/: a report of another incarnation is told as one of another runner, as the interface of reports asks for; nothing is decided there.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -12,7 +12,7 @@
 
 // Runner is one incarnation of a runner as the platform lists it.
 type Runner struct {
-	// ID is unique for each life; see LifeID.
+	// ID is unique for each incarnation; see IncarnationID.
 	ID      string
 	Service string
 	// Born is the start of the runner's process, in Unix milliseconds; zero when it did not
@@ -43,28 +43,28 @@
 	Missing bool
 }
 
-// lifeMark stands between a runner's name and its start in its identifier.
-const lifeMark = "@"
+// incarnationMark stands between a runner's name and its start in its identifier.
+const incarnationMark = "@"
 
-// LifeID identifies one life of a runner: its name on the platform, and its start where it
-// told that. All that is known of a runner is kept by it, so that nothing of an earlier life
+// IncarnationID identifies one incarnation of a runner: its name on the platform, and its start where it
+// told that. All that is known of a runner is kept by it, so that nothing of an earlier incarnation
 // counts for a later one.
-func LifeID(name string, born int64) string {
+func IncarnationID(name string, born int64) string {
 	if born == 0 {
 		return name
 	}
-	return name + lifeMark + strconv.FormatInt(born, 10)
+	return name + incarnationMark + strconv.FormatInt(born, 10)
 }
 
-// Name is the runner's name on the platform, which several lives may have.
+// Name is the runner's name on the platform, which several incarnations may have.
 func (r Runner) Name() string {
 	if r.Born == 0 {
 		return r.ID
 	}
-	return strings.TrimSuffix(r.ID, lifeMark+strconv.FormatInt(r.Born, 10))
+	return strings.TrimSuffix(r.ID, incarnationMark+strconv.FormatInt(r.Born, 10))
 }
 
-// EndedBy reports whether a runner of this name that tells this start is a later life.
+// EndedBy reports whether a runner of this name that tells this start is a later incarnation.
 func (r Runner) EndedBy(born int64) bool { return r.Born != 0 && born > r.Born }
 
 // Holding is a loaded model with its loaded adapters.
@@ -158,7 +158,7 @@
 	// AlreadyHeld.
 	Order(ctx context.Context, runner Runner, order Order) (Verdict, error)
 	// Report reads a runner's report. It fails with fault.CodeNotFound when another runner
-	// has the address, or a later life of this one.
+	// has the address, or a later incarnation of this one.
 	Report(ctx context.Context, runner Runner) (Report, error)
 }
 
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -6,11 +6,11 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestLivesOfARunner: a later start is another life of the same name; a runner that tells no
+// TestIncarnationsOfARunner: a later start is another incarnation of the same name; a runner that tells no
 // start has only one.
-func TestLivesOfARunner(t *testing.T) {
-	first := Runner{ID: LifeID("r", 1000), Born: 1000}
-	second := Runner{ID: LifeID("r", 2000), Born: 2000}
+func TestIncarnationsOfARunner(t *testing.T) {
+	first := Runner{ID: IncarnationID("r", 1000), Born: 1000}
+	second := Runner{ID: IncarnationID("r", 2000), Born: 2000}
 	assert.Assert(t, first.ID != second.ID)
 	assert.Equal(t, first.Name(), "r")
 	assert.Equal(t, second.Name(), "r")
@@ -18,7 +18,7 @@
 	assert.Assert(t, !second.EndedBy(first.Born))
 	assert.Assert(t, !first.EndedBy(first.Born))
 
-	plain := Runner{ID: LifeID("r@2000", 0)}
+	plain := Runner{ID: IncarnationID("r@2000", 0)}
 	assert.Equal(t, plain.Name(), "r@2000", "a name may hold the mark")
 	assert.Assert(t, !plain.EndedBy(2000))
 }
--- a/internal/crash/detector.go
+++ b/internal/crash/detector.go
@@ -35,7 +35,7 @@
 
 // Crash is a runner that ended, and the requests of this node that were there.
 type Crash struct {
-	// Runner identifies the life of the runner that ended.
+	// Runner identifies the incarnation that ended.
 	Runner string
 	// How is the sign by which it was known.
 	How      string
@@ -185,7 +185,7 @@
 		answered, how := d.ask(d.ctx, open.runner, way)
 		switch {
 		case answered == ended:
-			d.Ended(open.runner.ID, how)
+			d.noteEnd(open.runner.ID, how)
 			return
 		case answered == lives && d.lives(open, asked):
 			return
@@ -234,7 +234,7 @@
 // The signs of a runner that ended.
 const (
 	howRefused = "its address refuses connections"
-	howOther   = "another runner, or a later life of it, has its address"
+	howOther   = "another runner, or a later incarnation of it, has its address"
 	// HowBorn is that of a runner that is listed with a later start.
 	HowBorn = "it started anew"
 	// HowGone is that of a runner that left the platform's list without a word.
@@ -296,20 +296,20 @@
 	open := d.pending[id] != nil
 	d.mutex.Unlock()
 	if open {
-		d.Ended(id, howRefused)
+		d.noteEnd(id, howRefused)
 	}
 }
 
 // Gone notes that the platform's list does not tell of a runner any more: it was dropped, or
-// a later life is listed. One that said that it leaves ended by plan.
+// a later incarnation is listed. One that said that it leaves ended by plan.
 func (d *Detector) Gone(runner backend.Runner, how string) {
 	if !runner.Draining {
-		d.Ended(runner.ID, how)
+		d.noteEnd(runner.ID, how)
 	}
 }
 
-// Ended notes that a runner ended, and tells of the requests that were there.
-func (d *Detector) Ended(id string, how string) {
+// noteEnd notes that a runner ended, and tells of the requests that were there.
+func (d *Detector) noteEnd(id, how string) {
 	d.mutex.Lock()
 	d.forget()
 	open := d.pending[id]
@@ -329,7 +329,7 @@
 	d.ended(Crash{Runner: id, How: how, Requests: requests})
 }
 
-// forget drops lives that ended long ago. mutex is held.
+// forget drops runners that ended long ago. mutex is held.
 func (d *Detector) forget() {
 	for id, past := range d.known {
 		if time.Since(past.at) > remembered {
--- a/internal/crash/detector_test.go
+++ b/internal/crash/detector_test.go
@@ -89,8 +89,8 @@
 	later := poison.Identity{2}
 	crashes := detect(t, &answers{list: []answer{{err: errReset}}}, func(d *Detector) {
 		time.Sleep(3 * time.Second)
-		d.Ended(runner.ID, HowGone)
-		d.Ended(runner.ID, HowGone)
+		d.Gone(runner, HowGone)
+		d.Gone(runner, HowGone)
 		d.Broke(runner, later, Report)
 	})
 	assert.DeepEqual(t, crashes, []Crash{
@@ -231,7 +231,7 @@
 		for number := range 2 * mostPending {
 			d.Broke(runner, poison.Identity{byte(number), byte(number >> 8), 1}, Report)
 		}
-		d.Ended(runner.ID, HowGone)
+		d.Gone(runner, HowGone)
 	})
 	assert.Equal(t, len(crashes), 1)
 	assert.Equal(t, len(crashes[0].Requests), mostPending)
--- a/internal/dispatch/content.go
+++ b/internal/dispatch/content.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/http"
 	"strings"
 	"syscall"
@@ -93,13 +92,9 @@
 	const step = "check quarantine"
 	now := time.Now()
 	if mark.Provisional(now) {
-		return fault.New(fault.CodeCrashSuspected, step, "%s", describeMark(mark)).WithRetryAfter(poison.Provisional - now.Sub(mark.Since))
+		return fault.New(fault.CodeCrashSuspected, step, "%s", mark.Finding).WithRetryAfter(poison.Provisional - now.Sub(mark.Since))
 	}
-	return fault.New(fault.CodeCrashesRunners, step, "%s", describeMark(mark))
-}
-
-func describeMark(mark poison.Mark) string {
-	return fmt.Sprintf("%d runners ended under requests with this content (%s): %s", len(mark.Runners), mark.Request.Short(), strings.Join(mark.Runners, ", "))
+	return fault.New(fault.CodeCrashesRunners, step, "%s", mark.Finding)
 }
 
 // mark returns the mark of a request that is not to be run.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -66,8 +66,8 @@
 
 	mutex   sync.Mutex
 	runners map[string]*runner
-	// lives is the identifier of the newest life listed, by the runner's name.
-	lives map[string]string
+	// incarnations is the identifier of the newest incarnation listed, by the runner's name.
+	incarnations map[string]string
 	// planned is, by service, when models that are waited for are expected though
 	// nothing loads them yet.
 	planned map[string]map[homedModel]time.Time
@@ -131,7 +131,7 @@
 
 // New returns an empty fleet for a node in zone; rules are what operators decided.
 func New(zone string, now func() time.Time, rules eligible.Rules) *Fleet {
-	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), lives: make(map[string]string), planned: make(map[string]map[homedModel]time.Time), firm: make(map[string]map[string]bool),
+	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), incarnations: make(map[string]string), planned: make(map[string]map[homedModel]time.Time), firm: make(map[string]map[string]bool),
 		ordersAt: make(map[string]time.Time), obstacles: make(map[asked]foundObstacles), left: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
@@ -216,14 +216,14 @@
 	known.units = unitsOf(listed.Models)
 }
 
-// endEarlier takes out the life of a runner before the one that is listed now.
+// endEarlier takes out the incarnation of a runner before the one that is listed now.
 func (f *Fleet) endEarlier(listed backend.Runner) {
 	name := listed.Name()
-	if before := f.runners[f.lives[name]]; before != nil && before.listed.ID != listed.ID {
+	if before := f.runners[f.incarnations[name]]; before != nil && before.listed.ID != listed.ID {
 		f.remove(before.listed.ID, false)
 		before.listed.Missing = false
 	}
-	f.lives[name] = listed.ID
+	f.incarnations[name] = listed.ID
 }
 
 // remove takes a runner out. While requests are under way at it, its entry
@@ -246,8 +246,8 @@
 		if !known.present && known.inFlight == 0 && expired {
 			delete(f.runners, id)
 			f.noteLeft(id)
-			if name := known.listed.Name(); f.lives[name] == id {
-				delete(f.lives, name)
+			if name := known.listed.Name(); f.incarnations[name] == id {
+				delete(f.incarnations, name)
 			}
 		}
 	}
@@ -381,7 +381,7 @@
 func (f *Fleet) RegionOf(name string) place.Region {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if known := f.runners[f.lives[name]]; known != nil {
+	if known := f.runners[f.incarnations[name]]; known != nil {
 		return place.Region(known.listed.Region)
 	}
 	return ""
@@ -392,7 +392,7 @@
 func (f *Fleet) Listed(name string) (backend.Runner, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.listed(f.lives[name])
+	return f.listed(f.incarnations[name])
 }
 
 // Find returns what the platform's list told of a runner last; false when it is not listed.
@@ -415,7 +415,7 @@
 func (f *Fleet) Named(name string) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.lives[name] != ""
+	return f.incarnations[name] != ""
 }
 
 // Known reports whether a runner is listed or has requests under way.
--- a/internal/fleet/lives_test.go
+++ b/internal/fleet/incarnations_test.go
@@ -9,19 +9,19 @@
 	"lilacvane/internal/backend"
 )
 
-// life is a runner of the name r that was born then.
-func life(born int64, models ...string) backend.Runner {
-	runner := listed(backend.LifeID("r", born), models...)
+// incarnation is a runner of the name r that was born then.
+func incarnation(born int64, models ...string) backend.Runner {
+	runner := listed(backend.IncarnationID("r", born), models...)
 	runner.Born = born
 	return runner
 }
 
-// TestNothingOfAnEarlierLifeCounts: whatever comes of a runner's earlier life, before or
+// TestNothingOfAnEarlierIncarnationCounts: whatever comes of a runner's earlier incarnation, before or
 // after its new one is listed, nothing is sent to the new one for what only the earlier one
 // held.
-func TestNothingOfAnEarlierLifeCounts(t *testing.T) {
+func TestNothingOfAnEarlierIncarnationCounts(t *testing.T) {
 	query := Query{Service: "s", Unit: backend.Unit{Model: "m"}}
-	old, anew := life(1000, "m"), life(2000)
+	old, anew := incarnation(1000, "m"), incarnation(2000)
 	view := View{Runner: old.ID, Ready: []backend.Holding{{Model: "m"}}}
 	for name, late := range map[string]func(*Fleet, Choice){
 		"nothing":        func(*Fleet, Choice) {},
@@ -46,12 +46,12 @@
 				late(f, choice)
 			}
 			_, ok = f.Choose(query)
-			assert.Assert(t, !ok, "%s, before the new life is listed: %v", name, before)
+			assert.Assert(t, !ok, "%s, before the new incarnation is listed: %v", name, before)
 			known, _ := f.Listed("r")
 			assert.Equal(t, known.ID, anew.ID, name)
 			assert.Assert(t, f.Named("r"))
 
-			f.Apply([]backend.Runner{life(2000, "m")}, nil, false)
+			f.Apply([]backend.Runner{incarnation(2000, "m")}, nil, false)
 			choice, ok = f.Choose(query)
 			assert.Assert(t, ok, name)
 			assert.Equal(t, choice.InFlight, 0, name)
--- a/internal/lab/world/runners.go
+++ b/internal/lab/world/runners.go
@@ -103,13 +103,13 @@
 // restart starts a runner again whenever its process ends by itself.
 func (w *World) restart(runner *Runner) {
 	id := runner.options.Name
-	for life := 2; ; life++ {
+	for incarnation := 2; ; incarnation++ {
 		<-runner.current().Done()
 		time.Sleep(runner.options.Returns.After)
 		if runner.options.Returns.Renamed {
 			// The platform's list drops what does not write to it any more.
 			_ = w.Unlist(id)
-			id = fmt.Sprintf("%s-%d", runner.options.Name, life)
+			id = fmt.Sprintf("%s-%d", runner.options.Name, incarnation)
 		}
 		if !w.startAgain(runner, id) {
 			return
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -18,7 +18,7 @@
 }
 
 // noteNewLives tells of runners that started anew under their name. Connections to the
-// earlier life are of no use.
+// earlier incarnation are of no use.
 func (h *runnerHandler) noteNewLives(listed []backend.Runner) {
 	var anew []string
 	for _, runner := range listed {
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -224,7 +224,7 @@
 		}
 		wake = true
 		q.log.Info("request refused as runners end under it", "content", mark.Request.Short(), "runners", mark.Runners)
-		q.node.decide("content/"+mark.Request.Short(), "refuse request", describeRunners(mark.Runners))
+		q.node.decide("content/"+mark.Request.Short(), "refuse request", mark.Finding.String())
 	}
 	if wake {
 		q.node.fleet.Wake()
--- a/internal/node/quarantinetable.go
+++ b/internal/node/quarantinetable.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"strings"
 	"time"
 
 	"lilacvane/internal/fault"
@@ -240,7 +238,3 @@
 	q.forget(request)
 	return nil
 }
-
-func describeRunners(runners []string) string {
-	return fmt.Sprintf("%d runners ended under it: %s", len(runners), strings.Join(runners, ", "))
-}
--- a/internal/poison/marks.go
+++ b/internal/poison/marks.go
@@ -110,25 +110,13 @@
 	return before
 }
 
-// Keep drops the marks of all other requests than those named, and returns what it dropped.
-func (m *Marks) Keep(named func(Identity) bool) []Identity {
+// Drop lifts the mark of a request.
+func (m *Marks) Drop(request Identity) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	changed := maps.Clone(*m.current.Load())
-	var dropped []Identity
-	for request := range changed {
-		if !named(request) {
-			dropped = append(dropped, request)
-			delete(changed, request)
-		}
-	}
+	delete(changed, request)
 	m.current.Store(&changed)
-	return dropped
-}
-
-// Drop lifts the marks of requests.
-func (m *Marks) Drop(requests ...Identity) {
-	m.Keep(func(request Identity) bool { return !slices.Contains(requests, request) })
 }
 
 // Spare returns the marks that are to go: those that have expired and, beyond MostMarks,
--- a/internal/poison/marks_test.go
+++ b/internal/poison/marks_test.go
@@ -55,8 +55,10 @@
 	}
 	assert.Equal(t, len(marks.Spare(start.Add(MarkLifetime+time.Millisecond))), 4, "one has expired, three are too many")
 	assert.Equal(t, len(marks.Spare(start.Add(2*MarkLifetime))), MostMarks+4)
-	dropped := marks.Keep(func(request Identity) bool { return request == numbered(0) })
-	assert.Equal(t, len(dropped), MostMarks+3)
+	for _, request := range marks.Spare(start.Add(2 * MarkLifetime)) {
+		marks.Drop(request)
+	}
+	assert.Assert(t, marks.Empty())
 }
 
 // BenchmarkFind is what a request pays while anything is marked, beside its digest.
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -27,10 +29,15 @@
 // Finding is a request under which runners ended.
 type Finding struct {
 	Request Identity
-	// Runners are the lives of runners that ended under it, in order.
+	// Runners are the incarnations of runners that ended under it, in order.
 	Runners []string
 }
 
+// String describes the finding to operators and callers.
+func (f Finding) String() string {
+	return fmt.Sprintf("%d runners ended under requests with this content (%s): %s", len(f.Runners), f.Request.Short(), strings.Join(f.Runners, ", "))
+}
+
 // Tally counts the runners that ended under requests. It is not safe for concurrent use.
 type Tally struct {
 	entries map[Identity]*entry
--- a/internal/wire/poison.go
+++ b/internal/wire/poison.go
@@ -14,7 +14,7 @@
 
 // CrashReport is a runner that ended and the node's requests that were there.
 type CrashReport struct {
-	// Runner identifies the life that ended.
+	// Runner identifies the incarnation that ended.
 	Runner   string            `cbor:"1,keyasint"`
 	Requests []poison.Identity `cbor:"2,keyasint"`
 }
--- a/test/cold_test.go
+++ b/test/cold_test.go
@@ -92,7 +92,7 @@
 		if json.Unmarshal(lines.Bytes(), &line) != nil || line.Msg != "request sent" {
 			continue
 		}
-		// Nodes log the life of a runner: its name and, after a mark, its start.
+		// Nodes log the incarnation of a runner: its name and, after a mark, its start.
 		if name, _, _ := strings.Cut(line.Runner, "@"); name == runner {
 			sent[line.Request] = line.Time
 		}
