Hear and log what runners state of themselves in answers

Cause: no line and no metric told what an answer said of its runner, so logs could not tell a node that did not hear a runner's word from one that heard it and sent all the same. Change: sight only. The pool of connections, which requests, hedges, questions, reports and orders all pass, hands the head of each answer to a book of statements, by the incarnation that was meant; the book logs what is news, with the request whose answer held it, and counts it by kind. Nobody asks the book. What is no number of seconds, or too many, is bounded by settings and logged. Ruled out: reading the words where attempts are handled: hedges, questions and orders would need it too.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -279,7 +279,7 @@
 		header["User-Agent"] = []string{""}
 	}
 	return upstream.Call{
-		Runner: choice.Runner.Name(), Address: choice.Runner.Address, Method: j.request.Method, Target: j.request.Target,
+		Runner: choice.Runner.Name(), Incarnation: choice.Runner.ID, Address: choice.Runner.Address, Method: j.request.Method, Target: j.request.Target,
 		Host: j.request.Host, Header: header, Body: j.request.Body, RequestID: j.request.ID,
 		Once: !j.route.Idempotent(),
 	}
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -28,6 +28,8 @@
 	ended  *prometheus.CounterVec
 	// crashes counts runners that ended under requests of this node.
 	crashes prometheus.Counter
+	// statements counts what runners stated of themselves.
+	statements *prometheus.CounterVec
 	// regionBytes are exchanged with other regions.
 	regionBytes *prometheus.CounterVec
 	resumes     prometheus.Counter
@@ -79,7 +81,8 @@
 	})
 	f.tenants = newTenantFigures(f.registry)
 	f.refused = newRefused()
-	f.registry.MustRegister(newRunnerStates(n.runnersByState), f.refused, f.loadTime, f.requests, f.outsideHomes, f.regionBytes, f.attempts, f.failed, f.ended, f.crashes, f.resumes, f.first, f.waited)
+	f.statements = newStatementFigures()
+	f.registry.MustRegister(newRunnerStates(n.runnersByState), f.refused, f.loadTime, f.requests, f.outsideHomes, f.regionBytes, f.attempts, f.failed, f.ended, f.crashes, f.statements, f.resumes, f.first, f.waited)
 	f.registry.MustRegister(newLinkFigures(n.platform.Links))
 	gauge := func(name, help string, value func() float64) {
 		f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,7 @@
 	"lilacvane/internal/relay"
 	"lilacvane/internal/retry"
 	"lilacvane/internal/settings"
+	"lilacvane/internal/statement"
 	"lilacvane/internal/table"
 	"lilacvane/internal/traffic"
 	"lilacvane/internal/upstream"
@@ -100,6 +101,7 @@
 	relay         *relay.Relay
 	fleet         *fleet.Fleet
 	pool          *upstream.Pool
+	statements    *statement.Book
 	demand        *demand.Book
 	dispatcher    *dispatch.Dispatcher
 	crashes       *crash.Detector
@@ -143,6 +145,7 @@
 		decisions: decision.NewLog(s.Node, decisionsKept), claims: claim.New(platform.Claims), pauses: newPauseWatch(),
 	}
 	n.settings.Store(&s)
+	n.hearStatements()
 	n.zones = newZones(n)
 	n.countLinks()
 	n.fleet = fleet.New(s.Zone, time.Now, (*operatorRules)(n))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,8 @@
 	Evacuation Within `yaml:"evacuation"`
 	// ColdStart says how far the requests at a cold runner may pass its service's rate.
 	ColdStart ColdStart `yaml:"coldStart"`
+	// Statements bounds what is believed of runners' statements of themselves.
+	Statements Statements `yaml:"statements"`
 	// Retries bounds repeated requests of a service over all nodes.
 	Retries Retries `yaml:"retries"`
 	// Limits says how exactly tenants' limits are kept.
@@ -148,6 +150,19 @@
 	Slack float64 `yaml:"slack"`
 }
 
+// Statements bounds what is believed of what runners state in their answers.
+type Statements struct {
+	// LongestRest is the longest time without requests that a runner may ask for: more than
+	// any queue of a runner takes to empty, as routes' time-outs are some ten seconds.
+	LongestRest time.Duration `yaml:"longestRest"`
+	// UnreadableRest is the rest of a runner that names no time that can be read: some of the
+	// longest answers.
+	UnreadableRest time.Duration `yaml:"unreadableRest"`
+	// LeavingFor is how long a runner that does not end is left alone after it said that it
+	// leaves: platforms give runners a minute or so to finish what they have.
+	LeavingFor time.Duration `yaml:"leavingFor"`
+}
+
 // Retries are the bounds of a service's budget of retries.
 type Retries struct {
 	// Ratio is the part of the requests that may be sent again.
@@ -212,6 +227,7 @@
 		Configuration: Within{Within: 3 * time.Second},
 		Evacuation:    Within{Within: 5 * time.Second},
 		ColdStart:     ColdStart{Share: 1},
+		Statements:    Statements{LongestRest: time.Minute, UnreadableRest: time.Second, LeavingFor: 5 * time.Minute},
 		Retries:       Retries{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Limits:        Limits{Window: 10 * time.Second},
 		Lease:         Lease{TurnGap: 3 * time.Second},
@@ -270,6 +286,9 @@
 	check(s.Evacuation.Within > 0, "evacuation.within: must be above zero")
 	check(s.ColdStart.Share >= 0, "coldStart.share: must not be negative")
 	check(s.ColdStart.Slack >= 0, "coldStart.slack: must not be negative")
+	check(s.Statements.LongestRest > 0, "statements.longestRest: must be above zero")
+	check(s.Statements.UnreadableRest > 0 && s.Statements.UnreadableRest <= s.Statements.LongestRest, "statements.unreadableRest: must be above zero and at most longestRest")
+	check(s.Statements.LeavingFor > 0, "statements.leavingFor: must be above zero")
 	check(s.Retries.Ratio >= 0 && s.Retries.Ratio <= 1, "retries.ratio: must be 0 to 1")
 	check(s.Retries.Slack >= 0, "retries.slack: must not be negative")
 	check(s.Retries.Window > 0, "retries.window: must be above zero")
--- /dev/null
+++ b/internal/statement/read.go
@@ -0,0 +1,92 @@
+// Package statement keeps what runners state of themselves in the heads of their answers:
+// that they leave, or want no requests for a while. All exchanges with runners pass the heads
+// of their answers through a Book, which reads, bounds and remembers the statements by the
+// incarnation that made them.
+package statement
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Statement is what a runner states of itself: Leaving or Rest.
+type Statement interface{ statement() }
+
+// Leaving means that the runner ends soon: it serves what it has, and nothing new is to go there.
+type Leaving struct{}
+
+// Rest means that the runner wants nothing from this node for a while.
+type Rest struct{ For time.Duration }
+
+func (Leaving) statement() {}
+func (Rest) statement()    {}
+
+// Limits bound what is believed.
+type Limits struct {
+	// LongestRest cuts a longer rest, so that no runner is out for long by a wrong number.
+	LongestRest time.Duration
+	// UnreadableRest is the rest of a runner that names no time that can be read.
+	UnreadableRest time.Duration
+	// LeavingFor is how long a runner that stays is left alone after it said last that it
+	// leaves.
+	LeavingFor time.Duration
+}
+
+const (
+	// headerRest names the time, in seconds, after which a runner that turned a request away
+	// takes another one.
+	headerRest = "Retry-After"
+	// leaves is the value of a runner that leaves in the platform's header; others that do not
+	// may leave the header out, or say stays.
+	leaves = "1"
+	stays  = "0"
+)
+
+// read returns the statements in the head of an answer, and what of it could not be taken as
+// it was said. leavingHeader is the name of the header in which runners say that they leave.
+func read(leavingHeader string, limits Limits, status int, header http.Header) (statements []Statement, problems []string) {
+	for _, value := range header.Values(leavingHeader) {
+		switch strings.TrimSpace(value) {
+		case leaves:
+			statements = append(statements, Leaving{})
+		case stays, "":
+		default:
+			problems = append(problems, fmt.Sprintf("leaving: %q is not known", value))
+		}
+	}
+	if !turnsAway(status) {
+		return statements, problems
+	}
+	for _, value := range header.Values(headerRest) {
+		lasting, problem := restOf(value, limits)
+		if problem != "" {
+			problems = append(problems, problem)
+		}
+		if lasting > 0 {
+			statements = append(statements, Rest{For: lasting})
+		}
+	}
+	return statements, problems
+}
+
+// turnsAway reports whether an answer with the status may ask for a rest.
+func turnsAway(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+// restOf reads the time of a rest. problem says why it is not the time that was named.
+func restOf(value string, limits Limits) (lasting time.Duration, problem string) {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	switch {
+	case err != nil, math.IsNaN(seconds), seconds < 0:
+		return limits.UnreadableRest, fmt.Sprintf("rest: %q is no number of seconds, %s is taken", value, limits.UnreadableRest)
+	case seconds > limits.LongestRest.Seconds():
+		return limits.LongestRest, fmt.Sprintf("rest: %q seconds are cut to %s", value, limits.LongestRest)
+	default:
+		return time.Duration(seconds * float64(time.Second)), ""
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/statement"
 )
 
 const (
@@ -29,10 +30,12 @@
 
 // Call is a request to one runner.
 type Call struct {
-	// Runner is the name of the runner it is meant for, Address its ip:port.
-	Runner  string
-	Address string
-	Method  string
+	// Runner is the name of the runner it is meant for, Incarnation the incarnation, Address
+	// its ip:port.
+	Runner      string
+	Incarnation string
+	Address     string
+	Method      string
 	// Target is the path and query as the client sent them.
 	Target string
 	Host   string
@@ -96,6 +99,7 @@
 	if !conn.restedSince.IsZero() {
 		p.trust.Answered(conn.restedSince)
 	}
+	p.Statements.Hear(statement.Source{Runner: call.Incarnation, Request: call.RequestID}, response.StatusCode, response.Header)
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		NotRun: response.Header.Get(p.names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest,
--- a/internal/upstream/names.go
+++ b/internal/upstream/names.go
@@ -13,6 +13,8 @@
 	Signature string
 	// NotRun is the runner's statement that it did not run the request.
 	NotRun string
+	// Leaving is the runner's statement that it leaves.
+	Leaving string
 	// Load is the load a runner tells: running, waiting, slots.
 	Load string
 	// Urgency is 0 (first) to 9.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -14,6 +14,7 @@
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/link"
+	"lilacvane/internal/statement"
 )
 
 const (
@@ -33,6 +34,9 @@
 type Pool struct {
 	// Links counts connections; it may be nil, and is set before the pool is used.
 	Links *link.Record
+	// Statements hears the heads of all answers; it may be nil, and is set before the pool is
+	// used.
+	Statements *statement.Book
 	// Wrap stands around each new connection to a runner; not set for none.
 	Wrap func(runner string, conn net.Conn) net.Conn
 
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -21,6 +22,21 @@
 // Unwrap returns the cause.
 func (e *restedError) Unwrap() error { return e.cause }
 
+// incarnationKey is the context's key of the incarnation that a request of the node's own is
+// meant for.
+type incarnationKey struct{}
+
+// WithIncarnation names the incarnation that a request with the context is meant for, so that
+// what the runner states in its answer is heard as its word.
+func WithIncarnation(ctx context.Context, id string) context.Context {
+	return context.WithValue(ctx, incarnationKey{}, id)
+}
+
+func incarnationOf(ctx context.Context) string {
+	id, _ := ctx.Value(incarnationKey{}).(string)
+	return id
+}
+
 // RoundTrip sends a request that is the node's own, such as a question for a
 // runner's load, on the connections that carry the requests of clients. The runner
 // is the one that the header Names.ExpectRunner names. A GET that failed on a
@@ -31,7 +47,7 @@
 		return nil, err
 	}
 	call := Call{
-		Runner: request.Header.Get(p.names.ExpectRunner), Address: request.URL.Host, Method: request.Method,
+		Runner: request.Header.Get(p.names.ExpectRunner), Incarnation: incarnationOf(request.Context()), Address: request.URL.Host, Method: request.Method,
 		Target: request.URL.RequestURI(), Host: request.URL.Host, Header: request.Header, Body: body,
 	}
 	answer, err := p.Do(request.Context(), call)
