Bring about requests at runners that said that they leave, or want rest: two failing tests

Two tests with real processes on four nodes, with the platform's store well, down, or refusing two of the nodes, half of the runners or all, and 40 requests at once at each node three times.

--- a/internal/lab/runnerstub/http.go
+++ b/internal/lab/runnerstub/http.go
@@ -45,7 +45,10 @@
 	mux.HandleFunc("POST "+PathCold, r.handleCold)
 	mux.HandleFunc("POST "+PathDrain, func(http.ResponseWriter, *http.Request) { r.Drain() })
 	mux.HandleFunc("/", r.handleRequest)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		r.state(w.Header())
+		mux.ServeHTTP(w, request)
+	})
 }
 
 // expected answers 421 to a call that is meant for another incarnation.
@@ -136,8 +139,11 @@
 	if crashes {
 		r.record(journal.Record{Event: journal.EventPoison, Unit: this.model, Request: this.id})
 	}
-	if status := r.begin(this); status != 0 {
+	status := r.begin(this)
+	r.noteArrival(this, status)
+	if status != 0 {
 		header.Set(protocol.HeaderNotRun, "1")
+		r.wantRest(header, status)
 		w.WriteHeader(status)
 		return
 	}
@@ -393,6 +399,9 @@
 		return
 	}
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n", protocol.HeaderRequestID, this.id, protocol.HeaderSignature, signature+r.settings.ID)
+	if value := w.Header().Get(protocol.HeaderLeaving); value != "" {
+		head += protocol.HeaderLeaving + ": " + value + "\r\n"
+	}
 	if this.faults.Unframed {
 		_, _ = buffer.WriteString(head + "Connection: close\r\n\r\n" + content)
 		_ = buffer.Flush()
--- a/internal/lab/runnerstub/runner.go
+++ b/internal/lab/runnerstub/runner.go
@@ -69,6 +69,11 @@
 	MuteShare float64 `json:"muteShare,omitempty"`
 	// ShedShare of the requests are refused as not run.
 	ShedShare float64 `json:"shedShare,omitempty"`
+	// Rest is the time, in seconds, after which a refused request may come again; it may be
+	// any text. Empty for none.
+	Rest string `json:"rest,omitempty"`
+	// Leaving says in all answers that the runner leaves, which its row does not tell.
+	Leaving bool `json:"leaving,omitempty"`
 	// BreakShare of the streams break off in the middle of an event.
 	BreakShare float64 `json:"breakShare,omitempty"`
 	// RestMs is how long streams rest in their middle.
--- /dev/null
+++ b/test/statements_test.go
@@ -0,0 +1,318 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/lab/journal"
+	"lilacvane/internal/lab/runnerstub"
+	"lilacvane/internal/lab/storestub"
+	"lilacvane/internal/lab/world"
+)
+
+// Runners said in answers that they leave, or turned requests away and asked for rest, and were
+// sent requests all the same. Nodes read neither from an answer: that a runner leaves was known
+// from the platform's list alone, which stood still for 12 s while the store was away ("request
+// ended ... served" at six nodes between 35.7 and 41.2 s, "runners leaving" after 47.6 s), and a
+// runner that refused a request was left alone for 250 ms and one model ("attempt failed ...
+// 503, not run" at 7.34, 7.60, 7.85, 8.13 and 8.61 s of a rest until 9.26 s).
+
+const (
+	// leavingBound is how long after an answer that said so a runner that leaves may still be
+	// sent requests by the node that passed it on.
+	leavingBound = 2 * time.Second
+	// restSlack is when a rest binds after the answer that asked for it, restSends how many
+	// requests of the node may reach the runner all the same.
+	restSlack = 500 * time.Millisecond
+	restSends = 2
+	// statedPause lies between requests of a test.
+	statedPause = 15 * time.Millisecond
+)
+
+// statedTest is how runners state something of themselves, and in which world.
+type statedTest struct {
+	// leave is set where runners leave, rest is what they ask for else.
+	leave bool
+	rest  string
+	// listed is set where the platform's list tells of a leaving, unless the store is away.
+	listed bool
+	// store is what the store suffers meanwhile; refused is how many nodes it turns away.
+	store   storestub.Down
+	refused int
+	// crowd is how many requests each node gets at once besides, all is set where all runners
+	// state the same.
+	crowd int
+	all   bool
+}
+
+// TestRunnersThatLeaveGetNothing: half of the runners, or all, say in their answers that they
+// leave, and serve on.
+func TestRunnersThatLeaveGetNothing(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]statedTest{
+		"in answers alone":    {leave: true},
+		"store down":          {leave: true, listed: true, store: storestub.Busy},
+		"store refuses some":  {leave: true, store: storestub.Reset, refused: 2},
+		"many requests":       {leave: true, crowd: 40},
+		"all of them":         {leave: true, all: true},
+		"all, in the list":    {leave: true, all: true, listed: true},
+		"all, many, no store": {leave: true, all: true, crowd: 40, store: storestub.Busy},
+	} {
+		t.Run(name, func(t *testing.T) { runStated(t, test) })
+	}
+}
+
+// TestRunnersThatWantRestGetIt: half of the runners, or all, turn all requests away and ask for
+// a time without any, until they take requests again.
+func TestRunnersThatWantRestGetIt(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]statedTest{
+		"seconds":            {rest: "3"},
+		"a fraction":         {rest: "1.5"},
+		"store down":         {rest: "2", store: storestub.Busy},
+		"store refuses some": {rest: "2", store: storestub.Reset, refused: 2},
+		"many requests":      {rest: "2", crowd: 40},
+		"all of them":        {rest: "2", all: true},
+		"all, many requests": {rest: "1.5", all: true, crowd: 40},
+	} {
+		t.Run(name, func(t *testing.T) { runStated(t, test) })
+	}
+}
+
+// stated is a world in which runners state something, and all that clients saw of it.
+type stated struct {
+	statedTest
+	world *world.World
+	nodes []*world.Node
+
+	mutex sync.Mutex
+	// tries are all requests, by identifier.
+	tries map[string]try
+}
+
+// try is a request of a client, and what became of it.
+type try struct {
+	request   clientRequest
+	answer    clientAnswer
+	node      *world.Node
+	sent, end time.Time
+}
+
+// runnersEach is how many runners there are of each service.
+const runnersEach = 4
+
+func startStated(t *testing.T, test statedTest) *stated {
+	t.Helper()
+	w := newWorld(t, nil)
+	startRunners(t, w, runnersEach)
+	startMailers(t, w, runnersEach)
+	s := &stated{statedTest: test, world: w, nodes: startNodes(t, w, 4), tries: make(map[string]try)}
+	apply(t, s.nodes[0], append(model("alpha", runnersEach), keep("alpha", runnersEach))...)
+	waitNamed(t, "alpha", s.nodes...)
+	waitUntil(t, "all runners hold the model", func() error {
+		if got := len(runnersOf(t, s.nodes[0], "alpha")); got != runnersEach {
+			return fmt.Errorf("%d do", got)
+		}
+		return nil
+	})
+	return s
+}
+
+func runStated(t *testing.T, test statedTest) {
+	t.Helper()
+	s := startStated(t, test)
+	ctx, end := context.WithCancel(t.Context())
+	defer end()
+	var senders sync.WaitGroup
+	senders.Go(func() { s.send(ctx) })
+	time.Sleep(time.Second)
+	assert.NilError(t, s.suffer())
+	s.state(t)
+	s.sendCrowds(ctx, &senders)
+	time.Sleep(leavingBound + 2*time.Second)
+	if !test.leave {
+		s.takeAgain(t)
+		time.Sleep(s.lasting() + time.Second)
+	}
+	end()
+	senders.Wait()
+	assert.NilError(t, s.world.SetStoreFaults(storestub.Faults{}))
+	s.checkRunners(t)
+	s.checkClients(t)
+}
+
+// suffer brings what the store suffers.
+func (s *stated) suffer() error {
+	var hosts []string
+	for _, node := range s.nodes[:s.refused] {
+		hosts = append(hosts, node.StoreHost())
+	}
+	return s.world.SetStoreFaults(storestub.Faults{Down: s.store, Only: hosts})
+}
+
+// stating are the names of the runners that state something.
+func (s *stated) stating() []string {
+	count := runnersEach / 2
+	if s.all {
+		count = runnersEach
+	}
+	var names []string
+	for index := range count {
+		names = append(names, fmt.Sprintf("runner-%d", index+1), fmt.Sprintf("mailer-%d", index+1))
+	}
+	return names
+}
+
+// state lets runners state it.
+func (s *stated) state(t *testing.T) {
+	t.Helper()
+	for _, name := range s.stating() {
+		switch {
+		case s.leave && s.listed:
+			assert.NilError(t, s.world.DrainRunner(name))
+		case s.leave:
+			assert.NilError(t, s.world.SetRunnerFaults(name, runnerstub.Faults{Leaving: true}))
+		default:
+			assert.NilError(t, s.world.SetRunnerFaults(name, runnerstub.Faults{ShedShare: 1, Rest: s.rest}))
+		}
+	}
+}
+
+// takeAgain lets runners that wanted rest take requests again.
+func (s *stated) takeAgain(t *testing.T) {
+	t.Helper()
+	for _, name := range s.stating() {
+		assert.NilError(t, s.world.SetRunnerFaults(name, runnerstub.Faults{Rest: s.rest}))
+	}
+}
+
+// lasting is the rest that runners ask for.
+func (s *stated) lasting() time.Duration {
+	seconds, _ := strconv.ParseFloat(s.rest, 64)
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// send sends requests of all kinds to all nodes in turn until ctx ends, without waiting for
+// answers.
+func (s *stated) send(ctx context.Context) {
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	for number := 0; ctx.Err() == nil; number++ {
+		sending.Go(func() { s.try(mixed(number), s.nodes[(number/4)%len(s.nodes)]) })
+		time.Sleep(statedPause)
+	}
+}
+
+// sendCrowds sends many requests at once to each node, now and twice again.
+func (s *stated) sendCrowds(ctx context.Context, senders *sync.WaitGroup) {
+	for after := range 3 {
+		for number := range s.crowd {
+			for _, node := range s.nodes {
+				senders.Go(func() {
+					select {
+					case <-ctx.Done():
+					case <-time.After(time.Duration(after) * time.Second):
+						s.try(mixed(number), node)
+					}
+				})
+			}
+		}
+	}
+}
+
+// try sends a request and notes what became of it.
+func (s *stated) try(request clientRequest, node *world.Node) {
+	ctx, cancel := context.WithTimeout(context.Background(), request.Deadline+answerMargin)
+	defer cancel()
+	made := try{request: request, node: node, sent: time.Now()}
+	s.note(made)
+	made.answer = send(ctx, node, request)
+	made.end = time.Now()
+	s.note(made)
+}
+
+func (s *stated) note(made try) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.tries[made.request.ID] = made
+}
+
+// visit is a request of a node that reached a runner which states something.
+type visit struct {
+	try
+	at     time.Time
+	runner string
+	turned bool
+}
+
+// visits are all such requests, in the order of their arrival.
+func (s *stated) visits(t *testing.T) []visit {
+	t.Helper()
+	var visits []visit
+	for _, record := range readHistory(t, s.world).records {
+		if made, ours := s.tries[record.Request]; ours && record.Event == journal.EventArrival {
+			visits = append(visits, visit{try: made, at: record.Time, runner: record.Runner, turned: record.Detail != "0"})
+		}
+	}
+	return visits
+}
+
+// checkRunners checks that no node sent a runner what it had said that it does not want.
+func (s *stated) checkRunners(t *testing.T) {
+	t.Helper()
+	visits := s.visits(t)
+	assert.Assert(t, len(visits) > 0, "no request reached a runner that states something")
+	late := make(map[string]bool)
+	for index, told := range visits {
+		unwanted := unwantedAfterLeaving
+		allowed := 0
+		if !s.leave {
+			unwanted, allowed = s.unwantedInRest, restSends
+		}
+		var found []visit
+		for _, later := range visits[index+1:] {
+			if later.node == told.node && later.runner == told.runner && unwanted(told, later) {
+				found = append(found, later)
+			}
+		}
+		if len(found) > allowed {
+			for _, visit := range found {
+				late[visit.request.ID+visit.at.String()] = true
+			}
+		}
+	}
+	t.Logf("%d of %d requests at runners that stated something were not wanted", len(late), len(visits))
+	assert.Equal(t, len(late), 0)
+}
+
+// unwantedAfterLeaving reports whether a client sent a request later than the bound after the
+// node had passed on an answer of a runner that leaves.
+func unwantedAfterLeaving(told, later visit) bool {
+	return told.answer.Whole && !told.turned && later.sent.Sub(told.end) > leavingBound
+}
+
+// unwantedInRest reports whether a request reached a runner during the rest that an answer asked
+// for.
+func (s *stated) unwantedInRest(told, later visit) bool {
+	after := later.at.Sub(told.at)
+	return told.turned && after > restSlack && after < s.lasting()
+}
+
+// checkClients checks that each client had a final answer in time, and that none was told that a
+// request did not run which did.
+func (s *stated) checkClients(t *testing.T) {
+	t.Helper()
+	statuses := make(map[int]int)
+	for _, made := range s.tries {
+		statuses[made.answer.Status]++
+		assert.Check(t, made.answer.Whole, "%s: no whole answer after %s", made.request.Path, made.end.Sub(made.sent))
+		assert.Check(t, made.end.Sub(made.sent) < made.request.Deadline+answerMargin, "%s", made.request.Path)
+	}
+	t.Logf("answers by status: %v", statuses)
+}
