Give runners the rest that they ask for when they turn a request away

The time after which a runner that turns a request away takes another one was read nowhere; it was left alone for 250 ms and for one model, so the requests of a node that asked for other models, came anew or were sent again went there all the same. The holder's reports go on, as they need no slot. What waits is told the end of the first rest: it waits if that lies within its time and no more wait for it than the runners took before, else it is refused at once, with a time that is later for those that are refused later. After its rest a runner is given two requests, and more with each answer (slow start). A request of a service without models may go to the same runner again once it has rested.

--- a/internal/control/eligible.go
+++ b/internal/control/eligible.go
@@ -12,9 +12,10 @@
 // lists have a ledger.
 func (c *Controller) eligible(ledger *orders.Ledger, purpose eligible.Purpose) eligible.Reason {
 	runner := &ledger.Runner
+	stated := c.Statements.Of(runner.ID)
 	return eligible.Check(c.Rules, &eligible.Runner{
 		ID: runner.Name(), Service: runner.Service, Zone: place.Zone(runner.Zone), Region: place.Region(runner.Region),
-		Listed: true, Draining: runner.Draining || c.Statements.Of(runner.ID).Leaving, Permit: true,
+		Listed: true, Draining: runner.Draining || stated.Leaving, Resting: stated.Rest > 0, Permit: true,
 	}, purpose)
 }
 
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -30,6 +30,10 @@
 		}
 		runner := describe(id, ledger, engine, running[id], now)
 		runner.Drained, runner.Out = reason == eligible.Drained, reason == eligible.ZoneOut
+		if reason == eligible.Resting {
+			// It is to take no order until then, so loads go elsewhere or wait.
+			runner.BusyFor, runner.Idle, runner.Ready = max(runner.BusyFor, c.Statements.Of(id).Rest), false, false
+		}
 		state.Runners = append(state.Runners, runner)
 	}
 	return state
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -16,13 +16,17 @@
 	// least is the least time until a runner can take it, if known: what is expected may
 	// turn out better, as another runner may take over.
 	least time.Duration
-	// permit is set when it waits for a cold runner, which it may be sent to by then.
-	permit bool
+	// dated is set when a runner may take it by then without any further news: a cold one, or
+	// one that rests.
+	dated bool
+	// firm is set when what is expected cannot come sooner, crowded when those that wait for
+	// it already are as many as it can be expected to take.
+	firm, crowded bool
 	// returned is set when the client was refused before and came back.
 	returned bool
 }
 
-// leastLook is the shortest time after which a request that waits for a cold runner looks
+// leastLook is the shortest time after which a request that waits for a known moment looks
 // again by itself.
 const leastLook = 10 * time.Millisecond
 
@@ -56,10 +60,10 @@
 // already, or could not come back in time, waits if it can be served in its time at all.
 // again is when to decide anew.
 func (w wait) decide() (decision verdict, retryAfter, again time.Duration) {
-	if w.elapsed >= w.hold {
+	if w.elapsed >= w.hold || w.crowded {
 		return giveUp, max(w.expected, defaultReturn), 0
 	}
-	if w.returned && w.known && w.elapsed+w.least > w.hold {
+	if (w.returned || w.firm) && w.known && w.elapsed+w.least > w.hold {
 		// Nothing can take it before its time is over, and nobody gains by its wait.
 		return giveUp, w.expected, 0
 	}
@@ -68,7 +72,7 @@
 	if w.returned && !w.known && w.elapsed < prompt {
 		return keepWaiting, 0, min(prompt-w.elapsed, rest)
 	}
-	if w.permit {
+	if w.dated {
 		rest = min(rest, max(w.expected, leastLook))
 	}
 	if w.objective == 0 || w.returned || w.elapsed > prompt+promptSlack {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -64,7 +64,7 @@
 	}
 	j.noteFailure(choice, result, err, time.Since(start))
 	// One that was only silent may be all that is left when the next one fails.
-	if !j.mayReturn(err) && result.ending != EndedBySilence {
+	if !j.mayReturn(choice, err) && result.ending != EndedBySilence {
 		j.query.Exclude = append(j.query.Exclude, choice.Runner.ID)
 	}
 	if fault.OutcomeOf(err) != fault.NotDone {
@@ -102,7 +102,7 @@
 		j.outcome.Attempts = j.sent
 		j.outcome.Endings = append(j.outcome.Endings, h.result.ending)
 		j.noteFailure(h.choice, h.result, h.err, h.result.silent)
-		if !j.mayReturn(h.err) {
+		if !j.mayReturn(h.choice, h.err) {
 			j.query.Exclude = append(j.query.Exclude, h.choice.Runner.ID)
 		}
 		if fault.OutcomeOf(h.err) != fault.NotDone {
@@ -138,10 +138,18 @@
 
 // mayReturn reports whether the request may go to the same runner again: the runner stated
 // that it did not run it, as it holds the unit in a moment or is full now. The fleet leaves
-// it alone for fleet.RefusalPause. Without that a request whose only runner refused it once
-// waited for its whole time and was refused though the runner held its model.
-func (j *job) mayReturn(err error) bool {
-	return j.engine && (fault.IsCode(err, fault.CodeNotLoaded) || fault.IsCode(err, fault.CodeOverloaded))
+// it alone for fleet.RefusalPause, or for the rest that it asked for. Without that a request
+// whose only runner refused it once waited for its whole time and was refused though the runner
+// held its model.
+func (j *job) mayReturn(choice fleet.Choice, err error) bool {
+	switch {
+	case fault.IsCode(err, fault.CodeOverloaded):
+		return j.engine || j.dispatcher.Fleet.Rests(choice.Runner.ID)
+	case fault.IsCode(err, fault.CodeNotLoaded):
+		return j.engine
+	default:
+		return false
+	}
 }
 
 // mayRepeat decides whether a failed attempt may be followed by another one: it
--- a/internal/dispatch/cold_test.go
+++ b/internal/dispatch/cold_test.go
@@ -55,7 +55,7 @@
 
 // TestWaitForAPermitLooksAgain: by itself when a permit may be there, or a draw allows it.
 func TestWaitForAPermitLooksAgain(t *testing.T) {
-	w := wait{hold: 8 * time.Second, objective: 4 * time.Second, expected: 700 * time.Millisecond, known: true, permit: true}
+	w := wait{hold: 8 * time.Second, objective: 4 * time.Second, expected: 700 * time.Millisecond, known: true, dated: true}
 	decision, _, again := w.decide()
 	assert.Equal(t, decision, keepWaiting)
 	assert.Equal(t, again, w.expected)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -200,6 +200,10 @@
 	begun *hedge
 	// last is a runner's failure kept back while another runner is tried.
 	last *wholeAnswer
+	// restAhead is how many requests waited for a rest to end before this one, endRestWait ends
+	// its wait; not set while it waits for none.
+	restAhead   int
+	endRestWait func()
 	// relay is set once a stream's head went out.
 	relay *relay
 	// identity stands for the content as run by identified, not set before it was asked for;
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -188,7 +188,7 @@
 	if fault.OutcomeOf(failed.err) != fault.NotDone {
 		h.ran++
 	}
-	if !h.job.mayReturn(failed.err) {
+	if !h.job.mayReturn(failed.choice, failed.err) {
 		h.query.Exclude = append(h.query.Exclude, failed.choice.Runner.ID)
 	}
 	if errors.Is(failed.err, errNotAdmitted) {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -106,6 +106,7 @@
 func (j *job) await(ctx context.Context, changed <-chan struct{}) (choice fleet.Choice, retryAfter time.Duration, err error) {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	defer j.leaveRest()
 	for {
 		if ctx.Err() != nil {
 			return fleet.Choice{}, 0, fault.At(fault.CodeCanceled, "wait for a runner", fault.Self, fault.NotDone, context.Cause(ctx))
@@ -129,7 +130,11 @@
 		if problem := j.checkHomes(); problem != nil {
 			return fleet.Choice{}, 0, problem
 		}
-		decision, back, again := j.waitNow().decide()
+		w := j.waitNow()
+		decision, back, again := w.decide()
+		if w.firm && decision != keepWaiting {
+			back = max(back, j.dispatcher.Fleet.ReturnAfterRest(j.query))
+		}
 		switch decision {
 		case giveUp:
 			return fleet.Choice{}, 0, fault.New(fault.CodeDeadline, "wait for a runner", "no runner can take %s in time", j.query.Unit).WithRetryAfter(back)
@@ -181,12 +186,9 @@
 	w := wait{
 		elapsed: time.Since(j.request.Arrived), hold: j.latestStart().Sub(j.request.Arrived), objective: j.route.Objective, returned: j.returned(),
 	}
-	if in, cold := j.dispatcher.Fleet.PermitIn(j.query); cold {
-		// A load that is under way elsewhere may be sooner.
-		if at, coming := j.dispatcher.Fleet.Expected(j.query.Service, j.query.Unit, j.query.Homes); coming && j.engine {
-			in = min(in, at)
-		}
-		w.expected, w.least, w.known, w.permit = in, in, true, true
+	if in, room, known := j.soonest(); known {
+		w.expected, w.least, w.known, w.dated, w.firm = in, in, true, true, room > 0
+		w.crowded = room > 0 && j.behindRest() >= room
 		return w
 	}
 	if j.engine {
@@ -205,6 +207,43 @@
 	return w
 }
 
+// soonest is the time until a runner that could serve the request but for its coldness or its
+// rest may take it, or a load that is under way elsewhere is there. Where that is the end of a
+// rest alone, room is how many requests the runners took before; else it is zero.
+func (j *job) soonest() (in time.Duration, room int, known bool) {
+	in, known = j.dispatcher.Fleet.PermitIn(j.query)
+	after, took, rests := j.dispatcher.Fleet.RestEndsIn(j.query)
+	switch {
+	case !known && !rests:
+		return 0, 0, false
+	case !known:
+		in, room = after, took
+	case rests:
+		in = min(in, after)
+	}
+	if at, coming := j.dispatcher.Fleet.Expected(j.query.Service, j.query.Unit, j.query.Homes); coming && j.engine && at < in {
+		in, room = at, 0
+	}
+	return in, room, true
+}
+
+// behindRest is how many requests waited for the same rest to end before this one, which counts
+// as waiting from now on until it is placed or refused.
+func (j *job) behindRest() int {
+	if j.endRestWait == nil {
+		j.restAhead, j.endRestWait = j.dispatcher.Fleet.AwaitRest(j.query)
+	}
+	return j.restAhead
+}
+
+// leaveRest ends its wait for a rest, if there was one.
+func (j *job) leaveRest() {
+	if j.endRestWait != nil {
+		j.endRestWait()
+		j.endRestWait = nil
+	}
+}
+
 // loadExpected is how long it takes at least until the model is loaded when nobody has
 // begun to: until somebody gives orders, and the load.
 func (j *job) loadExpected() (time.Duration, bool) {
--- /dev/null
+++ b/internal/dispatch/rest_test.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/fleet"
+	"lilacvane/internal/statement"
+)
+
+// restingFleet is a fleet whose only runner of model alpha asked for a rest.
+func restingFleet(seconds string) *fleet.Fleet {
+	known := fleet.New("zone", time.Now, noRules{})
+	book := statement.NewBook(statement.Options{
+		LeavingHeader: "X-Leaves", Now: time.Now, Log: logr.Discard(),
+		Limits: func() statement.Limits {
+			return statement.Limits{LongestRest: time.Minute, UnreadableRest: time.Second, LeavingFor: time.Minute}
+		},
+	})
+	known.SetStatements(book)
+	known.Replace([]backend.Runner{{ID: "r1", Service: "s", Slots: 4, Models: []backend.Holding{{Model: "alpha"}}}}, false)
+	book.Hear(statement.Source{Runner: "r1"}, http.StatusServiceUnavailable, http.Header{"Retry-After": {seconds}})
+	return known
+}
+
+// TestRequestWaitsForTheEndOfARest: it is sent once the rest has ended, if that lies within its
+// time, and refused at once with that time if not.
+func TestRequestWaitsForTheEndOfARest(t *testing.T) {
+	known := restingFleet("0.2")
+	j := waiter(known, 2*time.Second)
+	choice, err := j.place(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, choice.Runner.ID, "r1")
+	assert.Equal(t, j.outcome.Unplaced.Obstacles.Main().String(), "resting")
+
+	j = waiter(restingFleet("3"), 2*time.Second)
+	_, err = j.place(t.Context())
+	assert.Assert(t, fault.IsCode(err, fault.CodeDeadline))
+	back := fault.From(err, "").RetryAfter
+	assert.Assert(t, back > 2*time.Second && back <= 3*time.Second, "%s", back)
+}
+
+// TestNoMoreWaitForARestThanTheRunnerTook: those beyond are refused at once.
+func TestNoMoreWaitForARestThanTheRunnerTook(t *testing.T) {
+	known := restingFleet("1")
+	for range 2 {
+		_, end := known.AwaitRest(fleet.Query{Service: "s", Unit: backend.Unit{Model: "alpha"}})
+		defer end()
+	}
+	j := waiter(known, 20*time.Second)
+	_, err := j.place(t.Context())
+	assert.Assert(t, fault.IsCode(err, fault.CodeDeadline))
+	assert.Assert(t, fault.From(err, "").RetryAfter > 500*time.Millisecond)
+	assert.Assert(t, j.endRestWait == nil)
+}
--- a/internal/eligible/eligible.go
+++ b/internal/eligible/eligible.go
@@ -30,11 +30,14 @@
 	OutsideHomes
 	// Cold means that the runner is cold and takes no more from this node now.
 	Cold
+	// Resting means that the runner asked this node for a time without requests, or has rested
+	// and takes no more at once.
+	Resting
 )
 
 // String names the reason as logs and explanations spell it.
 func (r Reason) String() string {
-	return [...]string{"eligible", "other_service", "gone", "draining", "drained", "zone_out", "outside_homes", "cold"}[r]
+	return [...]string{"eligible", "other_service", "gone", "draining", "drained", "zone_out", "outside_homes", "cold", "resting"}[r]
 }
 
 // Runner is what decides about a runner.
@@ -48,6 +51,9 @@
 	Listed bool
 	// Draining is the runner's own word that it leaves, on the platform's list or in an answer.
 	Draining bool
+	// Resting is set while the runner wants nothing from this node, or no more at once. Its
+	// reports need no slot, so it is asked questions all the same.
+	Resting bool
 	// Permit is set unless the runner is cold and this node may send it nothing now.
 	Permit bool
 }
@@ -95,13 +101,16 @@
 	case Question:
 		// A question counts as nothing that a cold runner has to bear.
 		asked := *runner
-		asked.Permit = true
+		asked.Permit, asked.Resting = true, false
 		return checkRequest(rules, &asked, p.Request)
 	case Load:
 		if reason := check(rules, runner, p.Service); reason != Yes {
 			return reason
 		}
-		return checkHomes(runner, p.Homes)
+		if reason := checkHomes(runner, p.Homes); reason != Yes {
+			return reason
+		}
+		return checkRest(runner)
 	case Unload:
 		return checkUnload(runner, p)
 	default:
@@ -137,6 +146,13 @@
 	if !runner.Permit {
 		return Cold
 	}
+	return checkRest(runner)
+}
+
+func checkRest(runner *Runner) Reason {
+	if runner.Resting {
+		return Resting
+	}
 	return Yes
 }
 
@@ -156,6 +172,6 @@
 	case runner.Draining:
 		return Draining
 	default:
-		return Yes
+		return checkRest(runner)
 	}
 }
--- a/internal/eligible/eligible_test.go
+++ b/internal/eligible/eligible_test.go
@@ -32,6 +32,7 @@
 	drained := rules{drained: map[string]bool{"r1": true}}
 	cold := changed(func(r *Runner) { r.Permit = false })
 	leaving := changed(func(r *Runner) { r.Draining = true })
+	resting := changed(func(r *Runner) { r.Resting = true })
 	for _, test := range []struct {
 		name    string
 		rules   rules
@@ -57,6 +58,11 @@
 		{"cold", rules{}, cold, request, Cold},
 		{"question at a cold runner", rules{}, cold, Question{request}, Yes},
 		{"load at a cold runner", rules{}, cold, Load{Service: "engines"}, Yes},
+		{"request at a runner that rests", rules{}, resting, request, Resting},
+		{"question at a runner that rests", rules{}, resting, Question{request}, Yes},
+		{"load at a runner that rests", rules{}, resting, Load{Service: "engines"}, Resting},
+		{"unload at a runner that rests", rules{}, resting, Unload{Service: "engines"}, Resting},
+		{"runner that rests and leaves", rules{}, changed(func(r *Runner) { r.Resting, r.Draining = true, true }), request, Draining},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			assert.Equal(t, Check(test.rules, &test.runner, test.purpose).String(), test.want.String())
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -186,15 +186,16 @@
 
 // eligible says whether something may go to a runner now.
 func (f *Fleet) eligible(known *runner, purpose eligible.Purpose) eligible.Reason {
-	return f.check(known, purpose, f.permit(known))
+	return f.check(known, purpose, f.permit(known), f.rests(known))
 }
 
-// check is eligible for a runner to which one request may go, or not, if it is cold.
-func (f *Fleet) check(known *runner, purpose eligible.Purpose, permit bool) eligible.Reason {
+// check is eligible for a runner to which one request may go, or not, if it is cold, and which
+// rests or not.
+func (f *Fleet) check(known *runner, purpose eligible.Purpose, permit, resting bool) eligible.Reason {
 	listed := &known.listed
 	return eligible.Check(f.rules, &eligible.Runner{
 		ID: listed.Name(), Service: listed.Service, Zone: place.Zone(listed.Zone), Region: place.Region(listed.Region),
-		Listed: known.present || listed.Missing, Draining: f.leaves(known), Permit: permit,
+		Listed: known.present || listed.Missing, Draining: f.leaves(known), Resting: resting, Permit: permit,
 	}, purpose)
 }
 
@@ -229,6 +230,7 @@
 
 func (f *Fleet) begin(known *runner, query Query, choice Choice) {
 	known.inFlight++
+	known.unanswered++
 	if query.Unit == (backend.Unit{}) {
 		return
 	}
@@ -245,6 +247,7 @@
 	defer f.mutex.Unlock()
 	if known := f.runners[choice.Runner.ID]; known != nil {
 		known.answeredAt = f.now()
+		known.unanswered--
 		known.cold.Answered(choice.prompt == 0 || f.now().Sub(choice.begun) <= choice.prompt)
 		known.prefill = max(known.prefill-choice.UnreadTokens, 0)
 	}
@@ -279,6 +282,9 @@
 		return
 	}
 	known.inFlight--
+	if !started {
+		known.unanswered--
+	}
 	if query.Unit != (backend.Unit{}) {
 		if known.byUnit[query.Unit]--; known.byUnit[query.Unit] <= 0 {
 			delete(known.byUnit, query.Unit)
@@ -311,7 +317,9 @@
 	case Busy:
 		known.answeredAt = now
 		known.health.failure(now)
-		known.refused[query.Unit] = now.Add(RefusalPause)
+		if !f.noteRest(known) {
+			known.refused[query.Unit] = now.Add(RefusalPause)
+		}
 	case NotHeld:
 		known.answeredAt = now
 		known.refused[query.Unit] = now.Add(RefusalPause)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -86,6 +86,8 @@
 	// coldStarts tells which runners are cold, coldFigures counts their permits.
 	coldStarts  ColdStarts
 	coldFigures ColdFigures
+	// restWaits counts the requests that wait for a rest to end, by what they ask for.
+	restWaits map[asked]int
 	// replaced is set once the whole list was read, left is when runners were forgotten.
 	replaced bool
 	left     map[string]time.Time
@@ -108,12 +110,22 @@
 	units    map[backend.Unit]bool
 	refused  map[backend.Unit]time.Time
 	inFlight int
-	byUnit   map[backend.Unit]int
-	prefill  int
-	told     toldLoad
-	health   health
-	prompts  promptCache
-	cold     coldstart.Runner
+	// unanswered is how many of the requests under way it has not begun to answer.
+	unanswered int
+	// restsUntil is the end of its last rest that was noted, tookBefore how many requests of
+	// this node it was answering as that began.
+	restsUntil time.Time
+	tookBefore int
+	// deferred is how many requests were told to come back after its rest, which ends at
+	// deferredTo.
+	deferred   int
+	deferredTo time.Time
+	byUnit     map[backend.Unit]int
+	prefill    int
+	told       toldLoad
+	health     health
+	prompts    promptCache
+	cold       coldstart.Runner
 	// toldCold is set while the last news of the runner were that it is cold.
 	toldCold bool
 	// latency is the moving average of answer times in milliseconds.
@@ -135,7 +147,7 @@
 // New returns an empty fleet for a node in zone; rules are what operators decided.
 func New(zone string, now func() time.Time, rules eligible.Rules) *Fleet {
 	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), incarnations: make(map[string]string), planned: make(map[string]map[homedModel]time.Time), firm: make(map[string]map[string]bool),
-		ordersAt: make(map[string]time.Time), obstacles: make(map[asked]foundObstacles), left: make(map[string]time.Time), changed: make(chan struct{})}
+		ordersAt: make(map[string]time.Time), obstacles: make(map[asked]foundObstacles), restWaits: make(map[asked]int), left: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
 // SetZones tells what operators' decisions about zones weigh. It is called before the
--- a/internal/fleet/statements_test.go
+++ b/internal/fleet/statements_test.go
@@ -96,3 +96,112 @@
 	f.Apply([]backend.Runner{listed("r3")}, nil, false)
 	assert.Assert(t, !f.AllLeave(statedQuery), "one without the model may load it")
 }
+
+// askRest lets a runner ask for a rest as it turns a request away.
+func askRest(book *statement.Book, id, seconds string) {
+	book.Hear(statement.Source{Runner: id}, http.StatusServiceUnavailable, http.Header{"Retry-After": {seconds}})
+}
+
+// answer lets a runner answer a request.
+func answer(f *Fleet, book *statement.Book, choice Choice) {
+	book.Hear(statement.Source{Runner: choice.Runner.ID, Request: "q"}, http.StatusOK, http.Header{})
+	f.Started(choice)
+	f.Done(choice, statedQuery, Served, time.Millisecond, true)
+}
+
+// TestRunnerThatRestsGetsNothing: for any unit, until its rest has ended; others are chosen.
+func TestRunnerThatRestsGetsNothing(t *testing.T) {
+	f, book, c := statedFleet("r1", "r2")
+	f.Apply([]backend.Runner{listed("r1", "m", "other")}, nil, false)
+	askRest(book, "r1", "3")
+	for range 20 {
+		choice, ok := f.Choose(statedQuery)
+		assert.Assert(t, ok && choice.Runner.ID == "r2")
+		f.Release(choice, statedQuery)
+	}
+	other := Query{Service: "s", Unit: backend.Unit{Model: "other"}}
+	_, ok := f.Choose(other)
+	assert.Assert(t, !ok, "of another model")
+	assert.Assert(t, f.Holds("s", "other", other.Homes), "it holds it all the same")
+	assert.Equal(t, f.Obstacles(other).Main().String(), "resting")
+	in, _, rests := f.RestEndsIn(other)
+	assert.Assert(t, rests && in == 3*time.Second, "%s", in)
+	c.now = c.now.Add(3 * time.Second)
+	choice, ok := f.Choose(other)
+	assert.Assert(t, ok && choice.Runner.ID == "r1")
+}
+
+// TestRunnerReturnsByDegrees: after its rest a runner gets two requests, then more with each
+// answer, until it takes any number; another refusal starts anew.
+func TestRunnerReturnsByDegrees(t *testing.T) {
+	f, book, c := statedFleet("r1")
+	take := func() (taken []Choice) {
+		for range 100 {
+			choice, ok := f.Choose(statedQuery)
+			if !ok {
+				break
+			}
+			taken = append(taken, choice)
+		}
+		return taken
+	}
+	askRest(book, "r1", "1")
+	assert.Equal(t, len(take()), 0)
+	c.now = c.now.Add(time.Second)
+	for _, together := range []int{2, 4, 8, 16, 32, 100} {
+		taken := take()
+		assert.Equal(t, len(taken), together)
+		for _, choice := range taken {
+			answer(f, book, choice)
+		}
+	}
+	askRest(book, "r1", "1")
+	c.now = c.now.Add(time.Second)
+	assert.Equal(t, len(take()), 2)
+	in, room, rests := f.RestEndsIn(statedQuery)
+	assert.Assert(t, rests && in == returnLook && room == leastTaken, "%s %d", in, room)
+}
+
+// TestReturnIsTrueForTheNumberThatWaits: who is refused later comes back later, by the runner's
+// time for an answer and its slots.
+func TestReturnIsTrueForTheNumberThatWaits(t *testing.T) {
+	f, book, c := statedFleet("r1")
+	for range 200 {
+		choice, ok := f.Choose(statedQuery)
+		assert.Assert(t, ok)
+		f.Done(choice, statedQuery, Served, 400*time.Millisecond, false)
+	}
+	assert.Equal(t, f.ReturnAfterRest(statedQuery), time.Duration(0))
+	askRest(book, "r1", "2")
+	first := f.ReturnAfterRest(statedQuery)
+	assert.Equal(t, first, 2*time.Second)
+	for range 9 {
+		f.ReturnAfterRest(statedQuery)
+	}
+	eleventh := f.ReturnAfterRest(statedQuery)
+	assert.Assert(t, eleventh > 2900*time.Millisecond && eleventh <= 3*time.Second, "%s", eleventh)
+	c.now = c.now.Add(3 * time.Second)
+	askRest(book, "r1", "2")
+	assert.Equal(t, f.ReturnAfterRest(statedQuery), 2*time.Second, "of the next rest")
+}
+
+// TestRoomIsWhatARunnerTook: as many wait for its return as it was answering when it began to
+// rest.
+func TestRoomIsWhatARunnerTook(t *testing.T) {
+	f, book, _ := statedFleet("r1")
+	for range 5 {
+		choice, _ := f.Choose(statedQuery)
+		f.Started(choice)
+	}
+	refused, _ := f.Choose(statedQuery)
+	askRest(book, "r1", "2")
+	f.Done(refused, statedQuery, Busy, time.Millisecond, false)
+	_, room, rests := f.RestEndsIn(statedQuery)
+	assert.Assert(t, rests)
+	assert.Equal(t, room, 5)
+	for want := range 3 {
+		ahead, end := f.AwaitRest(statedQuery)
+		assert.Equal(t, ahead, want)
+		defer end()
+	}
+}
--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -64,7 +64,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	known := f.runners[choice.Runner.ID]
-	return known != nil && f.check(known, request(query), f.permitted(known, choice)) == eligible.Yes
+	return known != nil && f.check(known, request(query), f.permitted(known, choice), f.Rests(known.listed.ID)) == eligible.Yes
 }
 
 // CountIn returns how many runners are listed in a zone.
--- a/internal/node/statements.go
+++ b/internal/node/statements.go
@@ -12,7 +12,7 @@
 	n.statements = statement.NewBook(statement.Options{
 		LeavingHeader: n.platform.Headers.Leaving, Limits: n.statementLimits, Now: clock.Now, Log: n.log.Logger,
 		Observe: func(kind statement.Kind) { n.figures.statements.WithLabelValues(string(kind)).Inc() },
-		News:    n.heardStatement,
+		News:    n.heardStatement, Widened: func() { n.fleet.Wake() },
 	})
 	n.pool.Statements = n.statements
 }
--- a/internal/statement/book.go
+++ b/internal/statement/book.go
@@ -41,6 +41,9 @@
 	Observe func(Kind)
 	// News is told what a runner did not state before; not set where nobody wants to know.
 	News func(source Source, made Statement)
+	// Widened is called when a runner that has rested may have more at once; not set where
+	// nobody waits for that.
+	Widened func()
 }
 
 // Book remembers the statements of runners. Its methods may be called concurrently; a nil Book
@@ -60,8 +63,22 @@
 	// zero for never.
 	leavingAt  time.Time
 	restsUntil time.Time
+	// window is how many requests that it has not begun to answer it may have after its rest;
+	// zero when it may have any number.
+	window int
 }
 
+const (
+	// firstWindow is what a runner may have at once after a rest. As long as it turns nothing
+	// away, each answer adds as much as came, so that the window doubles with each round
+	// (slow start). When all that waited went there at once, it asked for the next rest.
+	firstWindow = 2
+	// lastWindow ends that: more requests than a node mostly has at one runner.
+	lastWindow = 64
+	// returnLimit ends it for a runner that is not used.
+	returnLimit = 10 * time.Second
+)
+
 // NewBook returns an empty book.
 func NewBook(options Options) *Book {
 	return &Book{options: options, runners: make(map[string]*told)}
@@ -75,6 +92,9 @@
 	}
 	statements, problems := read(b.options.LeavingHeader, b.options.Limits(), status, header)
 	if len(statements)+len(problems) == 0 {
+		if source.Request != "" && !turnsAway(status) {
+			b.widen(source.Runner)
+		}
 		return
 	}
 	for _, problem := range problems {
@@ -86,6 +106,20 @@
 	}
 }
 
+// widen lets a runner that has rested have more at once, as it answered a request.
+func (b *Book) widen(runner string) {
+	if b.known.Load() == 0 {
+		return
+	}
+	b.mutex.Lock()
+	known := b.runners[runner]
+	widened := known != nil && known.widen(b.options.Now())
+	b.mutex.Unlock()
+	if widened && b.options.Widened != nil {
+		b.options.Widened()
+	}
+}
+
 func (b *Book) count(kind Kind) {
 	if b.options.Observe != nil {
 		b.options.Observe(kind)
@@ -138,6 +172,9 @@
 	Leaving bool
 	// Rest is how much longer it wants nothing; zero when it does not rest.
 	Rest time.Duration
+	// Window is how many requests that it has not begun to answer it may have after its rest;
+	// zero when it may have any number.
+	Window int
 }
 
 // Of returns what a runner stated that is still in force.
@@ -152,7 +189,11 @@
 		return State{}
 	}
 	now := b.options.Now()
-	return State{Leaving: known.leaves(now, b.options.Limits().LeavingFor), Rest: max(known.restsUntil.Sub(now), 0)}
+	state := State{Leaving: known.leaves(now, b.options.Limits().LeavingFor), Rest: max(known.restsUntil.Sub(now), 0)}
+	if known.returns(now) {
+		state.Window = known.window
+	}
+	return state
 }
 
 // leave notes that the runner leaves, and reports whether that is news.
@@ -166,17 +207,35 @@
 // earlier answer asked for it, and a shorter rest asked for later does not take that back.
 func (t *told) rest(now time.Time, lasting time.Duration) bool {
 	news := !now.Before(t.restsUntil)
+	t.window = firstWindow
 	if end := now.Add(lasting); end.After(t.restsUntil) {
 		t.restsUntil = end
 	}
 	return news
 }
 
+// returns reports whether the runner has rested and is still given little at once.
+func (t *told) returns(now time.Time) bool {
+	return t.window > 0 && !now.Before(t.restsUntil) && now.Sub(t.restsUntil) < returnLimit
+}
+
+// widen lets the runner have more at once, if it has rested, and reports whether it did so.
+func (t *told) widen(now time.Time) bool {
+	if !t.returns(now) {
+		return false
+	}
+	t.window++
+	if t.window >= lastWindow {
+		t.window = 0
+	}
+	return true
+}
+
 // sweep forgets what is over. mutex is held.
 func (b *Book) sweep(now time.Time) {
 	lasting := b.options.Limits().LeavingFor
 	for id, known := range b.runners {
-		if !known.leaves(now, lasting) && !now.Before(known.restsUntil) {
+		if !known.leaves(now, lasting) && !now.Before(known.restsUntil) && !known.returns(now) {
 			delete(b.runners, id)
 		}
 	}
--- a/test/statements_test.go
+++ b/test/statements_test.go
@@ -144,8 +144,8 @@
 	end()
 	senders.Wait()
 	assert.NilError(t, s.world.SetStoreFaults(storestub.Faults{}))
-	s.checkRunners(t)
 	s.checkClients(t)
+	s.checkRunners(t)
 }
 
 // suffer brings what the store suffers.
