Soak runners that leave or want rest under faults

Change: TestStatementSoak: by its seed runners state both, alone and all at once, end and are back under their names, beside requests on kept connections, new ones and in crowds, nodes that are killed or stand still, and a store that is away or refuses some. The check is that of the two tests, with nodes excused that were started or stood still. Options of runners stand once in the tests.

--- a/internal/lab/journal/journal.go
+++ b/internal/lab/journal/journal.go
@@ -31,8 +31,8 @@
 	// (Detail) of requests within a second of it.
 	EventCold  Event = "cold"
 	EventCrowd Event = "crowd"
-	// EventArrival is a request that reached an engine that leaves or asks for rests, with the
-	// status (Detail) by which it was turned away; zero for none.
+	// EventArrival is a request that reached an engine that leaves or asks for rests; Detail is
+	// what the engine answered.
 	EventArrival Event = "arrival"
 	// EventPoison is a request that reached the engine and ends it if it runs, EventCrash
 	// the end of the engine by it.
--- a/internal/lab/runnerstub/statements.go
+++ b/internal/lab/runnerstub/statements.go
@@ -1,8 +1,8 @@
 package runnerstub
 
 import (
+	"encoding/json"
 	"net/http"
-	"strconv"
 
 	"lilacvane/internal/lab/journal"
 	"lilacvane/platform/protocol"
@@ -33,7 +33,23 @@
 func (r *Runner) noteArrival(this *run, status int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.draining || r.faults.Leaving || r.faults.Rest != "" {
-		r.record(journal.Record{Event: journal.EventArrival, Unit: this.model, Request: this.id, Detail: strconv.Itoa(status)})
+	leaving := r.draining || r.faults.Leaving
+	if !leaving && r.faults.Rest == "" {
+		return
 	}
+	detail, err := json.Marshal(Arrival{Status: status, Leaving: leaving, Rest: r.faults.Rest, Born: r.settings.Born})
+	if err != nil {
+		return
+	}
+	r.record(journal.Record{Event: journal.EventArrival, Unit: this.model, Request: this.id, Detail: string(detail)})
+}
+
+// Arrival is the detail of a journaled request at a runner that states something of itself.
+type Arrival struct {
+	// Status is that by which it was turned away; zero where it ran.
+	Status int `json:"status"`
+	// Leaving and Rest are what the answer states, Born tells incarnations apart.
+	Leaving bool   `json:"leaving"`
+	Rest    string `json:"rest"`
+	Born    int64  `json:"born"`
 }
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -135,24 +135,32 @@
 
 func startRunner(t *testing.T, w *world.World, name, zone string) {
 	t.Helper()
-	_, err := w.StartRunner(world.RunnerOptions{
+	_, err := w.StartRunner(engineOptions(w, name, zone))
+	assert.NilError(t, err)
+}
+
+// engineOptions describe a runner of the engine service.
+func engineOptions(w *world.World, name, zone string) world.RunnerOptions {
+	return world.RunnerOptions{
 		Name: name, Zone: zone, MemoryMB: w.Engine.SizeMB, ModelMB: modelMiB * megabytesPerMiB, Slots: w.Engine.Slots,
 		AdapterSlots: w.Engine.LoRASlots, TokenTime: 10 * time.Millisecond, LoadTime: 150 * time.Millisecond,
-	})
-	assert.NilError(t, err)
+	}
 }
 
 // startMailers starts runners of the service that holds no models.
 func startMailers(t *testing.T, w *world.World, count int) {
 	t.Helper()
 	for index := range count {
-		_, err := w.StartRunner(world.RunnerOptions{
-			Name: fmt.Sprintf("mailer-%d", index+1), Service: world.MailService, Zone: zones[index%len(zones)], Slots: 8, TokenTime: time.Millisecond,
-		})
+		_, err := w.StartRunner(mailerOptions(fmt.Sprintf("mailer-%d", index+1), zones[index%len(zones)]))
 		assert.NilError(t, err)
 	}
 }
 
+// mailerOptions describe a runner of the service that holds no models.
+func mailerOptions(name, zone string) world.RunnerOptions {
+	return world.RunnerOptions{Name: name, Service: world.MailService, Zone: zone, Slots: 8, TokenTime: time.Millisecond}
+}
+
 // waitUntil polls a condition.
 func waitUntil(t *testing.T, what string, condition func() error) {
 	t.Helper()
--- a/test/poison_test.go
+++ b/test/poison_test.go
@@ -158,18 +158,15 @@
 	p.poisonPause = cmp.Or(p.poisonPause, poisonPause)
 	returns := world.Return{After: cmp.Or(test.away, time.Second), Renamed: test.renamed}
 	for index := range runners {
-		_, err := w.StartRunner(world.RunnerOptions{
-			Name: fmt.Sprintf("runner-%d", index+1), Zone: zones[index%len(zones)], MemoryMB: w.Engine.SizeMB, ModelMB: modelMiB * megabytesPerMiB,
-			Slots: w.Engine.Slots, AdapterSlots: w.Engine.LoRASlots, TokenTime: 10 * time.Millisecond, LoadTime: 150 * time.Millisecond,
-			CrashBy: poisonText, Returns: returns,
-		})
+		options := engineOptions(w, fmt.Sprintf("runner-%d", index+1), zones[index%len(zones)])
+		options.CrashBy, options.Returns = poisonText, returns
+		_, err := w.StartRunner(options)
 		assert.NilError(t, err)
 	}
 	for index := range cmp.Or(test.mailers, runners) {
-		_, err := w.StartRunner(world.RunnerOptions{
-			Name: fmt.Sprintf("mailer-%d", index+1), Service: world.MailService, Zone: zones[index%len(zones)], Slots: 8, TokenTime: time.Millisecond,
-			CrashBy: poisonText, Returns: returns,
-		})
+		options := mailerOptions(fmt.Sprintf("mailer-%d", index+1), zones[index%len(zones)])
+		options.CrashBy, options.Returns = poisonText, returns
+		_, err := w.StartRunner(options)
 		assert.NilError(t, err)
 	}
 	p.nodes = startNodes(t, w, nodes)
--- /dev/null
+++ b/test/statements_soak_test.go
@@ -0,0 +1,185 @@
+package test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/lab/runnerstub"
+	"lilacvane/internal/lab/storestub"
+	"lilacvane/internal/lab/world"
+)
+
+var (
+	statedSeed  = flag.Uint64("stated.seed", 1, "first seed of the soak of runners that leave or want rest")
+	statedSeeds = flag.Int("stated.seeds", 1, "how many seeds it plays, one after the other")
+)
+
+// TestStatementSoak: runners say that they leave, or turn requests away and ask for rests of all
+// lengths, alone and many at once, end and are back under their names, while requests come on
+// kept connections and new ones and in crowds, nodes are killed and started or stand still, and
+// the store is away, or for some. No node sends a runner what it said that it does not want.
+// By hand: go test ./test -run TestStatementSoak -stated.seed=100 -stated.seeds=50 -timeout 1h
+func TestStatementSoak(t *testing.T) {
+	t.Parallel()
+	for seed := *statedSeed; seed < *statedSeed+uint64(*statedSeeds); seed++ {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runStatementSoak(t, seed) })
+	}
+}
+
+// statementSoak is a world with such runners under faults.
+type statementSoak struct {
+	*stated
+	t      *testing.T
+	random *rand.Rand
+	// states counts what was brought, by its name.
+	states map[string]int
+}
+
+const (
+	// statementSoakLasts is how long requests and faults come in the soak.
+	statementSoakLasts = 12 * time.Second
+	// keptEach is how many clients with a kept connection each node has.
+	keptEach = 2
+)
+
+func runStatementSoak(t *testing.T, seed uint64) {
+	s := &statementSoak{stated: startStatedReturning(t), t: t, random: rand.New(rand.NewPCG(seed, 1)), states: make(map[string]int)}
+	ctx, end := context.WithTimeout(t.Context(), statementSoakLasts)
+	defer end()
+	var senders sync.WaitGroup
+	senders.Go(func() { s.send(ctx) })
+	for _, node := range s.nodes {
+		for number := range keptEach {
+			senders.Go(func() { s.keep(ctx, node, number) })
+		}
+	}
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(100+s.random.IntN(500)) * time.Millisecond)
+		s.bring(ctx, &senders)
+	}
+	assert.NilError(t, s.world.SetStoreFaults(storestub.Faults{}))
+	senders.Wait()
+	t.Logf("seed %d: %v", seed, s.states)
+	s.checkRunners(t)
+}
+
+// startStatedReturning starts a world whose runners are back under their names after they ended.
+func startStatedReturning(t *testing.T) *stated {
+	t.Helper()
+	return startStatedWith(t, statedTest{}, world.Return{After: 700 * time.Millisecond})
+}
+
+// keep sends requests of all kinds to a node on a connection that it keeps, one after the other.
+func (s *statementSoak) keep(ctx context.Context, node *world.Node, number int) {
+	client := &keptClient{node: node}
+	defer client.close()
+	for ; ctx.Err() == nil; number++ {
+		request := mixed(number)
+		s.note(try{request: request, node: node, sent: time.Now()})
+		ended, sent := client.do(request)
+		if !sent {
+			time.Sleep(statedPause)
+			continue
+		}
+		s.note(try{request: request, node: node, sent: ended.sent, answer: ended.answer, end: ended.end})
+	}
+}
+
+// bring lets one thing happen. What lasts goes on beside what comes after it.
+func (s *statementSoak) bring(ctx context.Context, lasting *sync.WaitGroup) {
+	pause := time.Duration(300+s.random.IntN(2500)) * time.Millisecond
+	node := s.nodes[s.random.IntN(len(s.nodes))]
+	switch kind := s.random.IntN(10); {
+	case kind < 3:
+		s.bringRest(pause, lasting)
+	case kind < 5:
+		s.bringLeaving(pause, lasting)
+	case kind == 5:
+		s.states["crowd"]++
+		s.crowd = 20 + s.random.IntN(40)
+		s.sendCrowds(ctx, lasting)
+	case kind == 6:
+		s.states["kill"]++
+		node.Kill()
+		s.disturb(node)
+		assert.NilError(s.t, s.world.RestartNode(node))
+		s.disturb(node)
+	case kind == 7:
+		s.states["freeze"]++
+		assert.NilError(s.t, node.Freeze())
+		s.disturb(node)
+		time.Sleep(pause / 2)
+		assert.NilError(s.t, node.Thaw())
+		s.disturb(node)
+	default:
+		s.states["store"]++
+		faults := storestub.Faults{Down: storestub.Busy}
+		if kind == 8 {
+			faults = storestub.Faults{Down: storestub.Reset, Only: []string{node.StoreHost()}}
+		}
+		assert.NilError(s.t, s.world.SetStoreFaults(faults))
+		time.Sleep(pause / 2)
+		assert.NilError(s.t, s.world.SetStoreFaults(storestub.Faults{}))
+	}
+}
+
+// some draws runners, one or all of a service.
+func (s *statementSoak) some() []string {
+	service := []string{"runner", "mailer"}[s.random.IntN(2)]
+	if s.random.IntN(4) > 0 {
+		return []string{fmt.Sprintf("%s-%d", service, 1+s.random.IntN(runnersEach))}
+	}
+	var all []string
+	for index := range runnersEach {
+		all = append(all, fmt.Sprintf("%s-%d", service, index+1))
+	}
+	return all
+}
+
+// bringRest lets runners turn some or all requests away, or what they have no room for, and ask
+// for rest.
+func (s *statementSoak) bringRest(lasts time.Duration, lasting *sync.WaitGroup) {
+	faults := runnerstub.Faults{ShedShare: []float64{0, 0.5, 1}[s.random.IntN(3)], Rest: strconv.FormatFloat(float64(s.random.IntN(40))/10, 'f', -1, 64)}
+	s.states["rest"]++
+	s.suffering(s.some(), faults, lasts, lasting)
+}
+
+// bringLeaving lets runners say in their answers that they leave, and end.
+func (s *statementSoak) bringLeaving(lasts time.Duration, lasting *sync.WaitGroup) {
+	names := s.some()
+	s.states["leaving"]++
+	s.suffering(names, runnerstub.Faults{Leaving: true}, leavingBound+lasts, lasting)
+}
+
+// suffering brings faults to runners for a while. Those that left end then.
+func (s *statementSoak) suffering(names []string, faults runnerstub.Faults, lasts time.Duration, lasting *sync.WaitGroup) {
+	for _, name := range names {
+		// One that just ended takes none.
+		if s.world.SetRunnerFaults(name, faults) != nil {
+			continue
+		}
+		lasting.Go(func() {
+			time.Sleep(lasts)
+			if faults.Leaving {
+				s.world.CrashRunner(name)
+				return
+			}
+			if err := s.world.SetRunnerFaults(name, runnerstub.Faults{}); err != nil {
+				s.t.Logf("%s: %v", name, err)
+			}
+		})
+	}
+}
+
+// disturb notes that a node was killed, started, or stood still.
+func (s *statementSoak) disturb(node *world.Node) {
+	s.disturbed[node] = append(s.disturbed[node], time.Now())
+}
--- a/test/statements_test.go
+++ b/test/statements_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -99,6 +101,8 @@
 	mutex sync.Mutex
 	// tries are all requests, by identifier.
 	tries map[string]try
+	// disturbed is when nodes were killed, started, or went on after they stood still.
+	disturbed map[*world.Node][]time.Time
 }
 
 // try is a request of a client, and what became of it.
@@ -113,11 +117,24 @@
 const runnersEach = 4
 
 func startStated(t *testing.T, test statedTest) *stated {
+	t.Helper()
+	return startStatedWith(t, test, world.Return{})
+}
+
+// startStatedWith starts such a world with runners that are started again as it says.
+func startStatedWith(t *testing.T, test statedTest, returns world.Return) *stated {
 	t.Helper()
 	w := newWorld(t, nil)
-	startRunners(t, w, runnersEach)
-	startMailers(t, w, runnersEach)
-	s := &stated{statedTest: test, world: w, nodes: startNodes(t, w, 4), tries: make(map[string]try)}
+	for index := range runnersEach {
+		zone := zones[index%len(zones)]
+		engine, mailer := engineOptions(w, fmt.Sprintf("runner-%d", index+1), zone), mailerOptions(fmt.Sprintf("mailer-%d", index+1), zone)
+		engine.Returns, mailer.Returns = returns, returns
+		for _, options := range []world.RunnerOptions{engine, mailer} {
+			_, err := w.StartRunner(options)
+			assert.NilError(t, err)
+		}
+	}
+	s := &stated{statedTest: test, world: w, nodes: startNodes(t, w, 4), tries: make(map[string]try), disturbed: make(map[*world.Node][]time.Time)}
 	apply(t, s.nodes[0], append(model("alpha", runnersEach), keep("alpha", runnersEach))...)
 	waitNamed(t, "alpha", s.nodes...)
 	waitUntil(t, "all runners hold the model", func() error {
@@ -253,9 +270,21 @@
 // visit is a request of a node that reached a runner which states something.
 type visit struct {
 	try
+	runnerstub.Arrival
 	at     time.Time
 	runner string
-	turned bool
+}
+
+// turned reports whether the runner turned the request away.
+func (v *visit) turned() bool { return v.Status != 0 }
+
+// lasting is the rest that the answer asked for.
+func (v *visit) lasting() time.Duration {
+	if !v.turned() {
+		return 0
+	}
+	seconds, _ := strconv.ParseFloat(v.Rest, 64)
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // visits are all such requests, in the order of their arrival.
@@ -263,9 +292,13 @@
 	t.Helper()
 	var visits []visit
 	for _, record := range readHistory(t, s.world).records {
-		if made, ours := s.tries[record.Request]; ours && record.Event == journal.EventArrival {
-			visits = append(visits, visit{try: made, at: record.Time, runner: record.Runner, turned: record.Detail != "0"})
+		made, ours := s.tries[record.Request]
+		if !ours || record.Event != journal.EventArrival {
+			continue
 		}
+		visited := visit{try: made, at: record.Time, runner: record.Runner}
+		assert.NilError(t, json.Unmarshal([]byte(record.Detail), &visited.Arrival))
+		visits = append(visits, visited)
 	}
 	return visits
 }
@@ -276,45 +309,44 @@
 	visits := s.visits(t)
 	assert.Assert(t, len(visits) > 0, "no request reached a runner that states something")
 	late := make(map[string]bool)
+	turned := 0
 	for index, told := range visits {
-		unwanted := unwantedAfterLeaving
-		allowed := 0
-		if !s.leave {
-			unwanted, allowed = s.unwantedInRest, restSends
+		if told.turned() {
+			turned++
 		}
-		var found []visit
-		for _, later := range visits[index+1:] {
-			if later.node == told.node && later.runner == told.runner && unwanted(told, later) {
-				found = append(found, later)
-			}
+		leaving, resting := s.unwanted(told, visits[index+1:])
+		if len(resting) <= restSends {
+			resting = nil
 		}
-		if len(found) > allowed {
-			for _, visit := range found {
-				late[visit.request.ID+visit.at.String()] = true
-			}
-		}
-	}
-	turned := 0
-	for _, visit := range visits {
-		if visit.turned {
-			turned++
+		for _, visited := range append(leaving, resting...) {
+			late[visited.request.ID+visited.at.String()] = true
 		}
 	}
 	t.Logf("%d of %d requests at runners that stated something were not wanted, %d were turned away", len(late), len(visits), turned)
 	assert.Equal(t, len(late), 0)
 }
 
-// unwantedAfterLeaving reports whether a client sent a request later than the bound after the
-// node had passed on an answer of a runner that leaves.
-func unwantedAfterLeaving(told, later visit) bool {
-	return told.answer.Whole && !told.turned && later.sent.Sub(told.end) > leavingBound
+// unwanted are the later requests of the same node at the same incarnation that an answer does
+// not want: what clients sent after the bound of a leaving that the node passed on, and what
+// arrived in a rest. A node that was started or stood still since then is excused.
+func (s *stated) unwanted(told visit, later []visit) (leaving, resting []visit) {
+	for _, visited := range later {
+		if visited.node != told.node || visited.runner != told.runner || visited.Born != told.Born || s.disturbedWithin(told.node, told.at, visited.at) {
+			continue
+		}
+		if told.Leaving && told.answer.Whole && !told.turned() && visited.sent.Sub(told.end) > leavingBound {
+			leaving = append(leaving, visited)
+		}
+		if after := visited.at.Sub(told.at); after > restSlack && after < told.lasting() {
+			resting = append(resting, visited)
+		}
+	}
+	return leaving, resting
 }
 
-// unwantedInRest reports whether a request reached a runner during the rest that an answer asked
-// for.
-func (s *stated) unwantedInRest(told, later visit) bool {
-	after := later.at.Sub(told.at)
-	return told.turned && after > restSlack && after < s.lasting()
+// disturbedWithin reports whether a node was started or stood still between two moments.
+func (s *stated) disturbedWithin(node *world.Node, from, to time.Time) bool {
+	return slices.ContainsFunc(s.disturbed[node], func(at time.Time) bool { return at.After(from) && at.Before(to) })
 }
 
 // checkClients checks that each client had a final answer in time, and that none was told that a
