Give the quarantine of requests a package of its own; show rests to operators

The service whose holder works for all is named by the configuration. Also: a runner's state resting and the time left of its rest in the operators' answers and figures. Ruled out: moving poison, crash and quarantine into one package: the first is pure, the second asks runners.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -190,3 +190,15 @@
 	}
 	return routes.match(path)
 }
+
+// FirstEngines is the first service of engines, by name, whose holder does what one node does
+// for all services; empty where there is none.
+func (c *Configuration) FirstEngines() string {
+	first := ""
+	for name, service := range c.Services {
+		if service.Engine != nil && (first == "" || name < first) {
+			first = name
+		}
+	}
+	return first
+}
--- a/internal/control/describe.go
+++ b/internal/control/describe.go
@@ -91,7 +91,7 @@
 	switch {
 	case reason == eligible.Draining || reason == eligible.Drained:
 		status.State = "draining"
-	case reason == eligible.ZoneOut:
+	case reason == eligible.ZoneOut, reason == eligible.Resting:
 		status.State = reason.String()
 	case !ledger.Known():
 		status.State = "unknown"
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -82,10 +82,10 @@
 	lessor := lease.New(n.platform.Leases, leasePrefix+service, s.Node, s.Listen.PeerAddress(), n.process, options, n.log.Logger)
 	controller := control.NewController(control.Options{
 		Service: service, Node: s.Node, Lessor: lessor, Runners: n.platform.Control, Fleet: n.fleet, Rules: stayingRules{(*operatorRules)(n)}, Statements: n.statements, Leavings: (*leavings)(n), Configuration: n.configuration.Load,
-		Policies: n.policies, Sleeper: newSleeper(s.Sleep, n.policies.Zone()), ObserveLoad: n.figures.observeLoad, Divide: n.limits.divide, Count: n.quarantine.count, Terms: n.coldTerms, Decide: n.decide, Log: n.log.Logger,
+		Policies: n.policies, Sleeper: newSleeper(s.Sleep, n.policies.Zone()), ObserveLoad: n.figures.observeLoad, Divide: n.limits.divide, Count: n.quarantine.Count, Terms: n.coldTerms, Decide: n.decide, Log: n.log.Logger,
 	})
 	self := wire.Member{Node: s.Node, Zone: s.Zone, Region: s.Region, Address: s.Listen.PeerAddress()}
-	syncer = control.NewSyncer(service, self, s.Capacity.Spare(), lessor, controller, n.client, n.demand, n.fleet, n.limits.of(service), n.quarantine.of(service), (*leavings)(n), n.observeFleet, n.log.Logger)
+	syncer = control.NewSyncer(service, self, s.Capacity.Spare(), lessor, controller, n.client, n.demand, n.fleet, n.limits.of(service), n.quarantine.Of(service), (*leavings)(n), n.observeFleet, n.log.Logger)
 	c.work.Go(func() { lessor.Run(ctx) })
 	c.work.Go(func() { controller.Run(ctx) })
 	c.work.Go(func() { syncer.Run(ctx) })
@@ -110,7 +110,7 @@
 	n.dispatcher.SetNodes(observed.Nodes)
 	n.relay.SetNodes(observed.Nodes)
 	n.relay.SetStandbys(observed.Standbys)
-	n.quarantine.setCounters(observed.Standbys)
+	n.quarantine.SetCounters(observed.Standbys)
 	n.bestSpare.Store(math.Float64bits(observed.BestSpare))
 }
 
@@ -165,6 +165,12 @@
 	return c.services[service]
 }
 
+// holds reports whether this node holds the control lease of a service.
+func (c *controls) holds(service string) bool {
+	s := c.get(service)
+	return s != nil && s.lessor.Holds()
+}
+
 func (c *controls) all() map[string]*serviceControl {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -89,7 +89,8 @@
 	}
 	gauge("lilacvane_requests_active", "Requests under way.", func() float64 { return float64(n.ingress.Active()) })
 	gauge("lilacvane_runners", "Runners listed.", func() float64 { return float64(n.fleet.Count()) })
-	gauge("lilacvane_requests_quarantined", "Contents of requests that are not run as runners ended under them.", func() float64 { return float64(n.quarantine.countRefused()) })
+	gauge("lilacvane_runners_resting", "Runners that want nothing from this node for a while.", func() float64 { return float64(n.statements.CountResting()) })
+	gauge("lilacvane_requests_quarantined", "Contents of requests that are not run as runners ended under them.", func() float64 { return float64(n.quarantine.CountRefused()) })
 	gauge("lilacvane_zones_out", "Zones that operators took out.", func() float64 { return float64(n.zones.table.Load().CountOut()) })
 	registerCold(f.registry, n.fleet.ColdFigures)
 	gauge("lilacvane_log_lines_dropped", "Log lines dropped.", func() float64 { return float64(n.log.Dropped()) })
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -11,6 +11,7 @@
 	"lilacvane/internal/evacuation"
 	"lilacvane/internal/feed"
 	"lilacvane/internal/place"
+	"lilacvane/internal/quarantine"
 	"lilacvane/internal/relay"
 )
 
@@ -66,7 +67,7 @@
 			feed.Options{Name: string(tableObjects), Wait: objectWait, Timeout: feedTimeout}, log),
 		runners: feed.NewFollower(runners, (*runnerHandler)(n),
 			feed.Options{Name: string(tableRunners), Wait: runnerWait, Interval: runnerInterval, Timeout: feedTimeout}, log),
-		poison: feed.NewFollower(n.relay.Source(tablePoison, n.platform.Poison), (*poisonHandler)(n.quarantine),
+		poison: feed.NewFollower(n.relay.Source(tablePoison, n.platform.Poison), (*quarantine.Handler)(n.quarantine),
 			feed.Options{Name: string(tablePoison), Wait: objectWait, Timeout: feedTimeout}, log),
 	}
 }
@@ -200,7 +201,7 @@
 		"services", len(composed.Services), "names", len(composed.Names))
 	n.tellUnknownHomes(composed)
 	n.limits.follow(composed)
-	n.quarantine.follow(composed)
+	n.quarantine.Follow(composed)
 	n.controls.follow(composed)
 	n.fleet.Wake()
 	n.decideZones(old, composed)
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -51,7 +51,7 @@
 // follow takes over a configuration: the first service of engines, by name, is the one
 // whose holder divides limits.
 func (l *limits) follow(configuration *config.Configuration) {
-	first := firstEngines(configuration)
+	first := configuration.FirstEngines()
 	limited := limitedTenants(configuration)
 	if len(limited) == 0 {
 		first = ""
@@ -65,18 +65,6 @@
 	})
 }
 
-// firstEngines is the first service of engines, by name, whose holder does what one node
-// does for all services; empty where there is none.
-func firstEngines(configuration *config.Configuration) string {
-	first := ""
-	for name, service := range configuration.Services {
-		if service.Engine != nil && (first == "" || name < first) {
-			first = name
-		}
-	}
-	return first
-}
-
 // limitedTenants lists the tenants that have a limit.
 func limitedTenants(configuration *config.Configuration) []*tenant.Tenant {
 	var limited []*tenant.Tenant
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	"lilacvane/internal/peer"
 	"lilacvane/internal/place"
 	"lilacvane/internal/policy"
+	"lilacvane/internal/quarantine"
 	"lilacvane/internal/relay"
 	"lilacvane/internal/retry"
 	"lilacvane/internal/settings"
@@ -105,7 +106,7 @@
 	demand        *demand.Book
 	dispatcher    *dispatch.Dispatcher
 	crashes       *crash.Detector
-	quarantine    *quarantine
+	quarantine    *quarantine.Quarantine
 	catalog       *catalog.Catalog
 	committer     *commit.Committer
 	claims        *claim.Claims
@@ -248,7 +249,7 @@
 	work.Go(func() { n.sweepClaims(background) })
 	work.Go(func() { n.limits.run(background) })
 	work.Go(func() { n.cold.run(background) })
-	work.Go(func() { n.quarantine.run(background) })
+	work.Go(func() { n.quarantine.Run(background) })
 	n.serve(open)
 	<-ctx.Done()
 	n.stop(s.Stop)
--- a/internal/node/questions.go
+++ b/internal/node/questions.go
@@ -187,6 +187,7 @@
 		for _, runner := range response.Runners {
 			if name == "" || runner.Runner == name {
 				runner.ColdMs = cold[runner.Runner].Milliseconds()
+				runner.RestMs = n.restOf(runner.Runner).Milliseconds()
 				runners = append(runners, runner)
 			}
 		}
--- a/internal/node/statements.go
+++ b/internal/node/statements.go
@@ -103,6 +103,15 @@
 // leaves reports whether a runner said in an answer that it leaves.
 func (n *Node) leaves(runner string) bool { return n.statements.Of(runner).Leaving }
 
+// restOf is how much longer the runner of a name wants nothing from this node.
+func (n *Node) restOf(name string) time.Duration {
+	runner, listed := n.fleet.Listed(name)
+	if !listed {
+		return 0
+	}
+	return n.statements.Of(runner.ID).Rest
+}
+
 // statementLimits are the bounds in force of what is believed.
 func (n *Node) statementLimits() statement.Limits {
 	s := n.settings.Load().Statements
--- a/internal/node/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,4 +1,9 @@
-package node
+// Package quarantine is a node's part in keeping requests from runners that end under them. Each
+// node counts the ends under its own requests and tells a few others, the holder of one
+// service's control lease among them, which count those of all nodes. Whoever finds a request at
+// several ends writes it to a table that all nodes follow, so that it outlives holders, restarts
+// and losses of power, and reaches nodes that the holder does not.
+package quarantine
 
 import (
 	"context"
@@ -12,21 +17,33 @@
 
 	"lilacvane/internal/config"
 	"lilacvane/internal/crash"
-	"lilacvane/internal/peer"
 	"lilacvane/internal/poison"
 	"lilacvane/internal/table"
 	"lilacvane/internal/wire"
 )
 
-// quarantine is this node's part in keeping requests from runners that end under them. Each
-// node counts the ends under its own requests and tells a few others, the holder of one
-// service's control lease among them, which count those of all nodes. Whoever finds a
-// request at several ends writes it to a table that all nodes follow, so that it outlives
-// holders, restarts and losses of power, and reaches nodes that the holder does not.
-type quarantine struct {
-	node *Node
-	rows table.Table
-	log  logr.Logger
+// Options are what a quarantine needs of its node.
+type Options struct {
+	// Rows is the table of requests that are not run.
+	Rows table.Table
+	// Self returns the address at which other nodes reach this one.
+	Self func() string
+	// Tell tells the node at an address what the holder is told.
+	Tell func(ctx context.Context, address string, report wire.PoisonReport) error
+	// Nudge lets the demand of a service be reported to its holder at once.
+	Nudge func(service string)
+	// Holds reports whether this node holds the control lease of a service.
+	Holds func(service string) bool
+	// Wake lets what waits for a runner look again.
+	Wake func()
+	// Decide notes a decision about a subject for operators' questions.
+	Decide func(subject, step, reason string)
+	Log    logr.Logger
+}
+
+// Quarantine is a node's part. Its methods may be called concurrently.
+type Quarantine struct {
+	Options
 	// marks are the requests in the table, and those about to be written.
 	marks *poison.Marks
 	// service is the one whose holder counts; empty where there is none, and each node
@@ -58,16 +75,16 @@
 	end   context.CancelFunc
 }
 
-func newQuarantine(n *Node) *quarantine {
-	q := &quarantine{
-		node: n, rows: n.platform.Poison, log: n.log.Logger, marks: poison.NewMarks(), tally: poison.NewTally(),
+// New returns the quarantine of a node that knows of no ends.
+func New(options Options) *Quarantine {
+	q := &Quarantine{
+		Options: options, marks: poison.NewMarks(), tally: poison.NewTally(),
 		writes: make(map[poison.Identity][]string), written: make(map[poison.Identity]bool), due: make(chan struct{}, 1),
 	}
 	q.ctx, q.end = context.WithCancel(context.Background())
 	none := ""
 	q.service.Store(&none)
 	q.counters.Store(&[]string{})
-	peer.Handle(n.peers, wire.MethodPoison, q.takeReport)
 	return q
 }
 
@@ -75,27 +92,21 @@
 // another one is lost together with the holder.
 const counterCount = 3
 
-// setCounters tells the nodes that count besides the holder, alike at all nodes.
-func (q *quarantine) setCounters(addresses []string) {
+// SetCounters tells the nodes that count besides the holder, alike at all nodes.
+func (q *Quarantine) SetCounters(addresses []string) {
 	if len(addresses) > 0 {
 		counters := slices.Clone(addresses[:min(counterCount, len(addresses))])
 		q.counters.Store(&counters)
 	}
 }
 
-// takeReport takes the report of another node.
-func (q *quarantine) takeReport(_ context.Context, report wire.PoisonReport) (wire.Empty, error) {
-	q.count(report)
-	return wire.Empty{}, nil
-}
-
 // tellCounters tells those that count besides the holder. What one of them does not get, the
 // holder does, or the next one. mutex is held.
-func (q *quarantine) tellCounters(report wire.PoisonReport) {
+func (q *Quarantine) tellCounters(report wire.PoisonReport) {
 	if q.ctx.Err() != nil {
 		return
 	}
-	self := q.node.settings.Load().Listen.PeerAddress()
+	self := q.Self()
 	for _, address := range *q.counters.Load() {
 		if address == self {
 			continue
@@ -103,15 +114,15 @@
 		q.calls.Go(func() {
 			ctx, cancel := context.WithTimeout(q.ctx, tellTimeout)
 			defer cancel()
-			if err := q.node.client.Call(ctx, address, wire.MethodPoison, report, &wire.Empty{}); err != nil {
-				q.log.V(1).Info("ends of runners not told", "peer", address, "error", err.Error())
+			if err := q.Tell(ctx, address, report); err != nil {
+				q.Log.V(1).Info("ends of runners not told", "peer", address, "error", err.Error())
 			}
 		})
 	}
 }
 
 // close ends the calls to other nodes and waits for them.
-func (q *quarantine) close() {
+func (q *Quarantine) close() {
 	q.mutex.Lock()
 	q.end()
 	q.mutex.Unlock()
@@ -122,23 +133,23 @@
 // within some ten.
 const tellTimeout = 500 * time.Millisecond
 
-// follow takes over a configuration: it names the service whose holder counts.
-func (q *quarantine) follow(configuration *config.Configuration) {
-	first := firstEngines(configuration)
+// Follow takes over a configuration: it names the service whose holder counts.
+func (q *Quarantine) Follow(configuration *config.Configuration) {
+	first := configuration.FirstEngines()
 	q.service.Store(&first)
 }
 
 // Idle reports that no runner is known to have ended under any request.
-func (q *quarantine) Idle() bool { return !q.watches.Load() }
+func (q *Quarantine) Idle() bool { return !q.watches.Load() }
 
 // Refused returns the mark of a request that is not to be run.
-func (q *quarantine) Refused(request poison.Identity) (poison.Mark, bool) {
+func (q *Quarantine) Refused(request poison.Identity) (poison.Mark, bool) {
 	mark, known := q.marks.Find(request)
 	return mark, known && mark.Refused() && !mark.Expired(time.Now())
 }
 
-// countRefused is how many requests are not run.
-func (q *quarantine) countRefused() int {
+// CountRefused is how many requests are not run.
+func (q *Quarantine) CountRefused() int {
 	count := 0
 	for _, mark := range q.marks.All() {
 		if mark.Refused() {
@@ -149,7 +160,7 @@
 }
 
 // Ran notes that a try of a request ended well: it does not end its runners.
-func (q *quarantine) Ran(request poison.Identity) {
+func (q *Quarantine) Ran(request poison.Identity) {
 	_, marked := q.marks.Find(request)
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -159,25 +170,25 @@
 	q.untold.Cleared = newest(append(q.untold.Cleared, request))
 	q.tellCounters(wire.PoisonReport{Cleared: []poison.Identity{request}})
 	if marked {
-		q.log.Info("request no longer suspected of ending runners", "content", request.Short(), "reason", "a try of it ended well")
+		q.Log.Info("request no longer suspected of ending runners", "content", request.Short(), "reason", "a try of it ended well")
 		q.lift(request)
 	}
-	q.node.demand.Nudge(*q.service.Load())
+	q.Nudge(*q.service.Load())
 }
 
-// crashed takes a runner that ended under requests of this node.
-func (q *quarantine) crashed(c crash.Crash) {
+// Crashed takes a runner that ended under requests of this node.
+func (q *Quarantine) Crashed(c crash.Crash) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	ended := wire.CrashReport{Runner: c.Runner, Requests: c.Requests}
 	q.untold.Crashes = newest(append(q.untold.Crashes, ended))
 	q.add(c.Runner, c.Requests)
 	q.tellCounters(wire.PoisonReport{Crashes: []wire.CrashReport{ended}})
-	q.node.demand.Nudge(*q.service.Load())
+	q.Nudge(*q.service.Load())
 }
 
-// count takes the report of a node.
-func (q *quarantine) count(report wire.PoisonReport) {
+// Count takes the report of a node.
+func (q *Quarantine) Count(report wire.PoisonReport) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	for _, request := range report.Cleared {
@@ -190,7 +201,7 @@
 
 // add counts a runner that ended, with what is known of the requests from the table, and
 // marks those that are suspected of it. mutex is held.
-func (q *quarantine) add(runner string, requests []poison.Identity) {
+func (q *Quarantine) add(runner string, requests []poison.Identity) {
 	now := time.Now()
 	q.watches.Store(true)
 	for _, request := range requests {
@@ -202,7 +213,7 @@
 }
 
 // find puts findings into force and lets them be written. mutex is held.
-func (q *quarantine) find(findings []poison.Finding) {
+func (q *Quarantine) find(findings []poison.Finding) {
 	if len(findings) == 0 {
 		return
 	}
@@ -214,58 +225,58 @@
 }
 
 // take puts findings into force. What waits for a runner looks again. mutex is held.
-func (q *quarantine) take(findings []poison.Finding) {
+func (q *Quarantine) take(findings []poison.Finding) {
 	q.watches.Store(true)
 	wake := false
 	for _, mark := range q.marks.Put(findings, time.Now()) {
 		if !mark.Refused() {
-			q.log.Info("request suspected of ending runners", "content", mark.Request.Short(), "runners", mark.Runners)
+			q.Log.Info("request suspected of ending runners", "content", mark.Request.Short(), "runners", mark.Runners)
 			continue
 		}
 		wake = true
-		q.log.Info("request refused as runners end under it", "content", mark.Request.Short(), "runners", mark.Runners)
-		q.node.decide("content/"+mark.Request.Short(), "refuse request", mark.Finding.String())
+		q.Log.Info("request refused as runners end under it", "content", mark.Request.Short(), "runners", mark.Runners)
+		q.Decide("content/"+mark.Request.Short(), "refuse request", mark.Finding.String())
 	}
 	if wake {
-		q.node.fleet.Wake()
+		q.Wake()
 	}
 }
 
 // lift forgets a request everywhere. mutex is held.
-func (q *quarantine) lift(request poison.Identity) {
+func (q *Quarantine) lift(request poison.Identity) {
 	q.forget(request)
 	q.writes[request] = nil
 	q.signal()
 }
 
 // forget forgets a request at this node. mutex is held.
-func (q *quarantine) forget(request poison.Identity) {
+func (q *Quarantine) forget(request poison.Identity) {
 	q.marks.Drop(request)
 	q.tally.Clear(request)
 	delete(q.writes, request)
 }
 
-func (q *quarantine) signal() {
+func (q *Quarantine) signal() {
 	select {
 	case q.due <- struct{}{}:
 	default:
 	}
 }
 
-// of returns the reports that travel with the demand of a service.
-func (q *quarantine) of(service string) serviceCrashes {
-	return serviceCrashes{quarantine: q, service: service}
+// Of returns the reports that travel with the demand of a service.
+func (q *Quarantine) Of(service string) Reports {
+	return Reports{quarantine: q, service: service}
 }
 
-// serviceCrashes are a node's reports to the holder of one service.
-type serviceCrashes struct {
-	quarantine *quarantine
+// Reports are a node's reports to the holder of one service.
+type Reports struct {
+	quarantine *Quarantine
 	service    string
 }
 
 // Report returns what to tell the holder; nil for nothing, and when another service's
 // holder counts. A holder that was not told before is told all that is known.
-func (s serviceCrashes) Report(token uint64) *wire.PoisonReport {
+func (s Reports) Report(token uint64) *wire.PoisonReport {
 	q := s.quarantine
 	if *q.service.Load() != s.service || q.Idle() {
 		return nil
@@ -285,7 +296,7 @@
 }
 
 // Undelivered takes back a report that got no answer.
-func (s serviceCrashes) Undelivered(report *wire.PoisonReport) {
+func (s Reports) Undelivered(report *wire.PoisonReport) {
 	q := s.quarantine
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,64 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/crash"
+	"lilacvane/internal/poison"
+	"lilacvane/internal/table"
+	"lilacvane/internal/wire"
+)
+
+// written is a table that keeps what is committed, and refuses while it is down.
+type written struct {
+	table.Table
+	down bool
+	rows map[string]bool
+}
+
+func (w *written) Commit(_ context.Context, transaction table.Transaction) (uint64, error) {
+	if w.down {
+		return 0, fmt.Errorf("down")
+	}
+	for _, row := range transaction.Writes {
+		w.rows[row.Key] = !row.Delete
+	}
+	return 1, nil
+}
+
+func testQuarantine(rows *written) *Quarantine {
+	return New(Options{
+		Rows: rows, Self: func() string { return "self" }, Nudge: func(string) {}, Wake: func() {}, Decide: func(_, _, _ string) {},
+		Tell: func(context.Context, string, wire.PoisonReport) error { return nil }, Holds: func(string) bool { return true }, Log: logr.Discard(),
+	})
+}
+
+// TestThirdEndIsWritten: a request at three ends is refused, and written once the table can be; an
+// operator's lift takes both back.
+func TestThirdEndIsWritten(t *testing.T) {
+	rows := &written{rows: make(map[string]bool), down: true}
+	q := testQuarantine(rows)
+	request := poison.Content{Path: "/x"}.Identity()
+	for number := range 3 {
+		_, refused := q.Refused(request)
+		assert.Assert(t, !refused, "after %d ends", number)
+		q.Crashed(crash.Crash{Runner: fmt.Sprint("r", number), Requests: []poison.Identity{request}})
+	}
+	_, refused := q.Refused(request)
+	assert.Assert(t, refused)
+	assert.Equal(t, q.CountRefused(), 1)
+	_, err := q.write(t.Context())
+	assert.ErrorContains(t, err, "down")
+	rows.down = false
+	_, err = q.write(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, rows.rows[request.String()])
+	assert.NilError(t, q.Lift(t.Context(), request))
+	_, refused = q.Refused(request)
+	assert.Assert(t, !refused && !rows.rows[request.String()])
+}
--- a/internal/node/quarantinetable.go
+++ b/internal/quarantine/table.go
@@ -1,4 +1,4 @@
-package node
+package quarantine
 
 import (
 	"context"
@@ -13,23 +13,23 @@
 )
 
 const (
-	// quarantineTimeout bounds a write to the table, quarantineRetry follows one that
+	// writeTimeout bounds a write to the table, writeRetry follows one that
 	// failed: it is soon enough for a store that is back to be told within the platform's
 	// bound on news.
-	quarantineTimeout = 800 * time.Millisecond
-	quarantineRetry   = 300 * time.Millisecond
-	// quarantineSweep is how often the holder looks for marks that have expired.
-	quarantineSweep = time.Minute
-	// quarantineBatch bounds the rows of one transaction: the store takes a hundred.
-	quarantineBatch = 100
+	writeTimeout = 800 * time.Millisecond
+	writeRetry   = 300 * time.Millisecond
+	// sweepEvery is how often the holder looks for marks that have expired.
+	sweepEvery = time.Minute
+	// batch bounds the rows of one transaction: the store takes a hundred.
+	batch = 100
 )
 
-// poisonHandler takes over the table of requests that are not run.
-type poisonHandler quarantine
+// Handler takes over the table of requests that are not run.
+type Handler Quarantine
 
 // Whole takes the whole table: what it does not hold any more was lifted.
-func (h *poisonHandler) Whole(rows []feed.Row, _ time.Duration) {
-	q := (*quarantine)(h)
+func (h *Handler) Whole(rows []feed.Row, _ time.Duration) {
+	q := (*Quarantine)(h)
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	lifted := q.written
@@ -43,8 +43,8 @@
 }
 
 // Changed takes changed rows.
-func (h *poisonHandler) Changed(rows []feed.Row) {
-	q := (*quarantine)(h)
+func (h *Handler) Changed(rows []feed.Row) {
+	q := (*Quarantine)(h)
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.takeRows(rows)
@@ -52,7 +52,7 @@
 
 // takeRows takes rows over and returns the requests that they name. A row that cannot be
 // read names none. mutex is held.
-func (q *quarantine) takeRows(rows []feed.Row) []poison.Identity {
+func (q *Quarantine) takeRows(rows []feed.Row) []poison.Identity {
 	var findings []poison.Finding
 	var named []poison.Identity
 	for _, row := range rows {
@@ -66,7 +66,7 @@
 			err = wire.Decode(row.Value, "store", &record)
 		}
 		if err != nil {
-			q.log.Error(err, "row unreadable", "step", "follow quarantine", "key", row.Key, "revision", row.Revision)
+			q.Log.Error(err, "row unreadable", "step", "follow quarantine", "key", row.Key, "revision", row.Revision)
 			continue
 		}
 		q.written[request] = true
@@ -83,7 +83,7 @@
 // merge adds what this node knows of requests to what rows tell of them, and returns what is
 // news: nodes that reach the table but not each other find together what none finds alone.
 // mutex is held.
-func (q *quarantine) merge(findings []poison.Finding) []poison.Finding {
+func (q *Quarantine) merge(findings []poison.Finding) []poison.Finding {
 	var news []poison.Finding
 	for _, finding := range findings {
 		if !q.tally.Knows(finding.Request) {
@@ -99,17 +99,17 @@
 }
 
 // removed takes over that a row was removed. mutex is held.
-func (q *quarantine) removed(request poison.Identity) {
+func (q *Quarantine) removed(request poison.Identity) {
 	if mark, known := q.marks.Find(request); known && mark.Refused() {
-		q.log.Info("request no longer refused", "content", request.Short())
+		q.Log.Info("request no longer refused", "content", request.Short())
 	}
 	delete(q.written, request)
 	q.forget(request)
 }
 
-// run writes what is found, and lets marks expire, until ctx ends.
-func (q *quarantine) run(ctx context.Context) {
-	sweep := time.NewTicker(quarantineSweep)
+// Run writes what is found, and lets marks expire, until ctx ends.
+func (q *Quarantine) Run(ctx context.Context) {
+	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
 	defer q.close()
 	for {
@@ -123,8 +123,8 @@
 		for ctx.Err() == nil {
 			again, err := q.write(ctx)
 			if err != nil {
-				q.log.Info("requests that end runners not written", "error", err.Error())
-				wait.For(ctx, quarantineRetry)
+				q.Log.Info("requests that end runners not written", "error", err.Error())
+				wait.For(ctx, writeRetry)
 			} else if !again {
 				break
 			}
@@ -134,21 +134,21 @@
 
 // sweep forgets ends that are long past. The holder lifts marks that have expired, or that
 // are too many.
-func (q *quarantine) sweep() {
+func (q *Quarantine) sweep() {
 	q.expire()
-	if control := q.node.controls.get(*q.service.Load()); control == nil || !control.lessor.Holds() {
+	if !q.Holds(*q.service.Load()) {
 		return
 	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	for _, request := range q.marks.Spare(time.Now()) {
-		q.log.Info("mark of a request expired", "content", request.Short())
+		q.Log.Info("mark of a request expired", "content", request.Short())
 		q.lift(request)
 	}
 }
 
 // expire forgets ends that are long past, so that requests need not be known any more.
-func (q *quarantine) expire() {
+func (q *Quarantine) expire() {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	left := q.tally.Expire(time.Now())
@@ -157,7 +157,7 @@
 
 // write writes what is due, and reports whether something is left. Rows are written without
 // a condition: what several nodes found of a request is equally true.
-func (q *quarantine) write(ctx context.Context) (again bool, err error) {
+func (q *Quarantine) write(ctx context.Context) (again bool, err error) {
 	writes := q.takeWrites()
 	if len(writes) == 0 {
 		return false, nil
@@ -172,21 +172,21 @@
 		}
 		transaction.Writes = append(transaction.Writes, row)
 	}
-	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	if _, err := q.rows.Commit(ctx, transaction); err != nil {
+	if _, err := q.Rows.Commit(ctx, transaction); err != nil {
 		q.putBack(writes)
 		return true, fault.From(err, "write quarantine")
 	}
 	return true, nil
 }
 
-func (q *quarantine) takeWrites() map[poison.Identity][]string {
+func (q *Quarantine) takeWrites() map[poison.Identity][]string {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	writes := make(map[poison.Identity][]string)
 	for request, runners := range q.writes {
-		if len(writes) == quarantineBatch {
+		if len(writes) == batch {
 			break
 		}
 		writes[request] = runners
@@ -196,7 +196,7 @@
 }
 
 // putBack lets writes that failed be made again, unless newer ones are due.
-func (q *quarantine) putBack(writes map[poison.Identity][]string) {
+func (q *Quarantine) putBack(writes map[poison.Identity][]string) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	for request, runners := range writes {
@@ -206,10 +206,10 @@
 	}
 }
 
-// Quarantine lists the requests under which runners ended.
-func (n *Node) Quarantine() []wire.PoisonStatus {
+// List returns the requests under which runners ended.
+func (q *Quarantine) List() []wire.PoisonStatus {
 	requests := []wire.PoisonStatus{}
-	for _, mark := range n.quarantine.marks.All() {
+	for _, mark := range q.marks.All() {
 		status := wire.PoisonStatus{Request: mark.Request.String(), State: wire.PoisonSuspected, Runners: mark.Runners}
 		if mark.Refused() {
 			status.State, status.RefusedMs = wire.PoisonRefused, time.Since(mark.Since).Milliseconds()
@@ -219,20 +219,19 @@
 	return requests
 }
 
-// LiftQuarantine lets a request run again.
-func (n *Node) LiftQuarantine(ctx context.Context, request poison.Identity) error {
+// Lift lets a request run again.
+func (q *Quarantine) Lift(ctx context.Context, request poison.Identity) error {
 	const step = "lift quarantine"
-	q := n.quarantine
 	if _, known := q.marks.Find(request); !known {
 		return fault.New(fault.CodeNotFound, step, "request: no runner is known to have ended under %s", request)
 	}
-	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	if _, err := q.rows.Commit(ctx, table.Transaction{Writes: []table.Write{{Key: request.String(), Delete: true}}}); err != nil {
+	if _, err := q.Rows.Commit(ctx, table.Transaction{Writes: []table.Write{{Key: request.String(), Delete: true}}}); err != nil {
 		return fault.From(err, step)
 	}
-	q.log.Info("request no longer refused", "content", request.Short(), "reason", "an operator lifted it")
-	n.decide("content/"+request.Short(), "lift quarantine", "an operator lifted it")
+	q.Log.Info("request no longer refused", "content", request.Short(), "reason", "an operator lifted it")
+	q.Decide("content/"+request.Short(), "lift quarantine", "an operator lifted it")
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.forget(request)
--- a/internal/statement/book.go
+++ b/internal/statement/book.go
@@ -209,6 +209,19 @@
 	return state
 }
 
+// CountResting returns how many runners want nothing from this node now.
+func (b *Book) CountResting() int {
+	b.mutex.RLock()
+	defer b.mutex.RUnlock()
+	now, count := b.options.Now(), 0
+	for _, known := range b.runners {
+		if now.Before(known.restsUntil) {
+			count++
+		}
+	}
+	return count
+}
+
 // leave notes that the runner leaves, and reports whether that is news.
 func (t *told) leave(now time.Time, lasting time.Duration) bool {
 	news := !t.leaves(now, lasting)
--- a/internal/statement/book_test.go
+++ b/internal/statement/book_test.go
@@ -61,6 +61,7 @@
 	assert.Equal(t, book.Of("r1").Rest, 2*time.Second)
 	book.Hear(runner, http.StatusServiceUnavailable, restHead("2.5"))
 	assert.Equal(t, book.Of("r1").Rest, 2500*time.Millisecond)
+	assert.Equal(t, book.CountResting(), 1)
 	assert.Equal(t, len(*news), 1)
 	*now = now.Add(3 * time.Second)
 	assert.Equal(t, book.Of("r1").Rest, time.Duration(0))
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -116,7 +116,8 @@
 	Service string `cbor:"2,keyasint" json:"service"`
 	Zone    string `cbor:"3,keyasint" json:"zone"`
 	Address string `cbor:"4,keyasint" json:"address"`
-	// State is ready, draining or unknown (it has not reported yet).
+	// State is ready, draining, zone_out, resting (it wants nothing from the holder for a while),
+	// silent or unknown (it has not reported yet).
 	State string `cbor:"5,keyasint" json:"state"`
 	// Running is the requests that nodes have under way there.
 	Running int `cbor:"6,keyasint" json:"running"`
@@ -127,6 +128,9 @@
 	// ColdMs is how much longer it stays cold, as the node that was asked knows; zero when
 	// it is not.
 	ColdMs int64 `cbor:"10,keyasint,omitempty" json:"coldMs,omitempty"`
+	// RestMs is how much longer it wants nothing from the node that was asked; zero when it
+	// does not rest.
+	RestMs int64 `cbor:"11,keyasint,omitempty" json:"restMs,omitempty"`
 }
 
 // ReplicaStatus is one unit on a runner: ready, loading, unloading or uncertain.
