Let a stream that has begun wait for the end of a rest as long as its client does

Cause: read while the documents were written: where as many waited for a rest to end as the runners took, a stream that was to be resumed would have been broken off, as a new request is refused. Change: such a stream is not counted among those. Ruled out: the same for runners that all leave: there a stream that has begun waits already.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -188,7 +188,8 @@
 	}
 	if in, room, known := j.soonest(); known {
 		w.expected, w.least, w.known, w.dated, w.firm = in, in, true, true, room > 0
-		w.crowded = room > 0 && j.behindRest() >= room
+		// A stream that has begun waits as long as its client does.
+		w.crowded = room > 0 && j.relay == nil && j.behindRest() >= room
 		return w
 	}
 	if j.engine {
