Names that differ by more than a letter where runners' statements are kept

Cause: read as a newcomer would. told was a type, tell a method that logs and Told one of the fleet that takes loads; rests, Rests and resting were three things in one file; entry made an entry besides returning one. Change: record, recordOf, announce, takesNoMore, restingRunners; three mutations follow. Ruled out: one moment for the end of a rest instead of three (the book's, the fleet's two): the fleet's tell when what a runner took, and what was told callers, was noted, and joining them changes a time that is told. Measured: package tests of statement, fleet, dispatch, eligible, control and node passed; the three mutations fail their tests as they must.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -186,7 +186,7 @@
 
 // eligible says whether something may go to a runner now.
 func (f *Fleet) eligible(known *runner, purpose eligible.Purpose) eligible.Reason {
-	return f.check(known, purpose, f.permit(known), f.rests(known))
+	return f.check(known, purpose, f.permit(known), f.takesNoMore(known))
 }
 
 // check is eligible for a runner to which one request may go, or not, if it is cold, and which
--- a/internal/fleet/statements.go
+++ b/internal/fleet/statements.go
@@ -31,9 +31,9 @@
 	return found
 }
 
-// rests reports whether a runner wants nothing from this node, or has rested and has as much as
+// takesNoMore reports whether a runner wants nothing from this node, or has rested and has as much as
 // it may have at once. mutex is held.
-func (f *Fleet) rests(known *runner) bool {
+func (f *Fleet) takesNoMore(known *runner) bool {
 	stated := f.statements.Of(known.listed.ID)
 	return stated.Rest > 0 || (stated.Window > 0 && known.unanswered >= stated.Window)
 }
@@ -80,8 +80,8 @@
 // have at once: some answers.
 const returnLook = 50 * time.Millisecond
 
-// resting are the runners that could serve a request but for their rest. mutex is held.
-type resting struct {
+// restingRunners are those that could serve a request but for their rest. Fleet.mutex guards first.
+type restingRunners struct {
 	// first is the one whose rest ends first, in that time; nil when there is none.
 	first *runner
 	in    time.Duration
@@ -90,8 +90,8 @@
 }
 
 // restOnly finds the runners that could serve a request but for their rest. mutex is held.
-func (f *Fleet) restOnly(query Query) resting {
-	var found resting
+func (f *Fleet) restOnly(query Query) restingRunners {
+	var found restingRunners
 	for id, known := range f.runners {
 		if f.eligible(known, request(query)) != eligible.Resting || slices.Contains(query.Exclude, id) || f.serves(known, query.Unit) != unhindered {
 			continue
--- a/internal/statement/book.go
+++ b/internal/statement/book.go
@@ -56,11 +56,11 @@
 	known atomic.Int64
 
 	mutex   sync.RWMutex
-	runners map[string]*told
+	runners map[string]*record
 }
 
-// told is what an incarnation stated. Book.mutex guards it.
-type told struct {
+// record is what an incarnation stated. Book.mutex guards it.
+type record struct {
 	// leavingAt is when it said last that it leaves, to any node, heardAt to this one;
 	// restsUntil is the latest end of its rests, doubtedAt when a statement in doubt was logged
 	// last. They are zero for never.
@@ -84,7 +84,7 @@
 
 // NewBook returns an empty book.
 func NewBook(options Options) *Book {
-	return &Book{options: options, runners: make(map[string]*told)}
+	return &Book{options: options, runners: make(map[string]*record)}
 }
 
 // Hear reads the head of a runner's answer. One of 421 is passed over: another runner that
@@ -117,7 +117,7 @@
 	b.count(KindDoubtful)
 	now := b.options.Now()
 	b.mutex.Lock()
-	known := b.entry(source.Runner, now)
+	known := b.recordOf(source.Runner, now)
 	log := !within(known.doubtedAt, now, doubtPause)
 	if log {
 		known.doubtedAt = now
@@ -148,15 +148,15 @@
 	}
 }
 
-// take notes a statement and tells it if it is news.
+// take notes a statement and announces it if it is news.
 func (b *Book) take(source Source, made Statement) {
 	if b.note(source, made) {
-		b.tell(source, made)
+		b.announce(source, made)
 	}
 }
 
-// tell logs news and hands them on.
-func (b *Book) tell(source Source, made Statement) {
+// announce logs news and hands them on.
+func (b *Book) announce(source Source, made Statement) {
 	switch made := made.(type) {
 	case Leaving:
 		b.options.Log.Info("runner says that it leaves", "runner", source.Runner, "request", source.Request, "peer", source.Peer)
@@ -173,7 +173,7 @@
 	now := b.options.Now()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	known := b.entry(source.Runner, now)
+	known := b.recordOf(source.Runner, now)
 	switch made := made.(type) {
 	case Leaving:
 		b.count(KindLeaving)
@@ -186,13 +186,13 @@
 	}
 }
 
-// entry returns what a runner stated, which may be nothing yet, and forgets what is over of
+// recordOf returns what a runner stated, which may be nothing yet, and forgets what is over of
 // others. mutex is held.
-func (b *Book) entry(runner string, now time.Time) *told {
+func (b *Book) recordOf(runner string, now time.Time) *record {
 	b.sweep(now)
 	known := b.runners[runner]
 	if known == nil {
-		known = &told{}
+		known = &record{}
 		b.runners[runner] = known
 	}
 	b.known.Store(int64(len(b.runners)))
@@ -243,36 +243,36 @@
 }
 
 // leave notes that the runner leaves, and reports whether that is news.
-func (t *told) leave(now time.Time, lasting time.Duration) bool {
-	news := !t.leaves(now, lasting)
-	t.leavingAt, t.heardAt = now, now
+func (r *record) leave(now time.Time, lasting time.Duration) bool {
+	news := !r.leaves(now, lasting)
+	r.leavingAt, r.heardAt = now, now
 	return news
 }
 
 // rest notes a rest, and reports whether the runner did not rest yet. The latest end counts: an
 // earlier answer asked for it, and a shorter rest asked for later does not take that back.
-func (t *told) rest(now time.Time, lasting time.Duration) bool {
-	news := !now.Before(t.restsUntil)
-	t.window = firstWindow
-	if end := now.Add(lasting); end.After(t.restsUntil) {
-		t.restsUntil = end
+func (r *record) rest(now time.Time, lasting time.Duration) bool {
+	news := !now.Before(r.restsUntil)
+	r.window = firstWindow
+	if end := now.Add(lasting); end.After(r.restsUntil) {
+		r.restsUntil = end
 	}
 	return news
 }
 
 // returns reports whether the runner has rested and is still given little at once.
-func (t *told) returns(now time.Time) bool {
-	return t.window > 0 && !now.Before(t.restsUntil) && now.Sub(t.restsUntil) < returnLimit
+func (r *record) returns(now time.Time) bool {
+	return r.window > 0 && !now.Before(r.restsUntil) && now.Sub(r.restsUntil) < returnLimit
 }
 
 // widen lets the runner have more at once, if it has rested, and reports whether it did so.
-func (t *told) widen(now time.Time) bool {
-	if !t.returns(now) {
+func (r *record) widen(now time.Time) bool {
+	if !r.returns(now) {
 		return false
 	}
-	t.window++
-	if t.window >= lastWindow {
-		t.window = 0
+	r.window++
+	if r.window >= lastWindow {
+		r.window = 0
 	}
 	return true
 }
@@ -288,8 +288,8 @@
 }
 
 // leaves reports whether the runner said within the last time that it leaves.
-func (t *told) leaves(now time.Time, lasting time.Duration) bool {
-	return within(t.leavingAt, now, lasting)
+func (r *record) leaves(now time.Time, lasting time.Duration) bool {
+	return within(r.leavingAt, now, lasting)
 }
 
 // within reports whether a moment, zero for never, lies within the last time.
--- a/internal/statement/share.go
+++ b/internal/statement/share.go
@@ -14,17 +14,17 @@
 
 // Leaving returns the runners that are believed to leave, those that said so last first.
 func (b *Book) Leaving() []Heard {
-	return b.heard(func(t *told) time.Time { return t.leavingAt })
+	return b.heard(func(r *record) time.Time { return r.leavingAt })
 }
 
 // HeardLeaving returns those of them that this node heard in answers, by these alone. Nodes
 // report no others, so that they do not keep alive among each other what no runner says any more.
 func (b *Book) HeardLeaving() []Heard {
-	return b.heard(func(t *told) time.Time { return t.heardAt })
+	return b.heard(func(r *record) time.Time { return r.heardAt })
 }
 
 // heard returns the runners that leave by a time that is told of each.
-func (b *Book) heard(at func(*told) time.Time) []Heard {
+func (b *Book) heard(at func(*record) time.Time) []Heard {
 	if b == nil || b.known.Load() == 0 {
 		return nil
 	}
@@ -45,7 +45,7 @@
 func (b *Book) Learn(peer string, heard []Heard) {
 	for _, told := range heard {
 		if b.learn(told) {
-			b.tell(Source{Runner: told.Runner, Peer: peer}, Leaving{})
+			b.announce(Source{Runner: told.Runner, Peer: peer}, Leaving{})
 		}
 	}
 }
@@ -59,7 +59,7 @@
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	known := b.entry(heard.Runner, now)
+	known := b.recordOf(heard.Runner, now)
 	news := !known.leaves(now, lasting)
 	if at := now.Add(-age); at.After(known.leavingAt) {
 		known.leavingAt = at
