Say why a hedge's runner is asked about before there is a connection

Cause: read as a newcomer would: the same question stands right before the first byte. Change: a comment. Ruled out: asking once only: a connection would be made in vain. Measured: package tests of dispatch passed.

--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -108,6 +108,7 @@
 func (h *hedges) ask(asked *hedge, after string) {
 	j, runner := h.job, asked.choice.Runner.ID
 	if !j.dispatcher.Fleet.Allowed(asked.choice, h.query) {
+		// No connection is made for what may not go there.
 		asked.err = fault.At(fault.CodeUnreachable, "send request", runner, fault.NotDone, errNotAdmitted)
 		return
 	}
