Let a stream of the statements' tests end with its client's time

Cause: with the mutation rest-ignored the tests of runners that want rest failed at "no whole answer after 3.004 s": a stream that had begun shortly before its client's 3 s were over, with its first events passed on, was cut off as they ended, which is what the product promises. Under load that could come without a mutation. Change: only a stream of which events came, and no sooner than its client's time, may end so; the check of what reaches runners, and all other answers, are as they were. The comment claimed a check that is not made there. Ruled out by the trace: an answer lost: status 200, signature and events were there, and no sooner end was seen.

--- a/test/statements_test.go
+++ b/test/statements_test.go
@@ -349,8 +349,8 @@
 	return slices.ContainsFunc(s.disturbed[node], func(at time.Time) bool { return at.After(from) && at.Before(to) })
 }
 
-// checkClients checks that each client had a final answer in time, and that none was told that a
-// request did not run which did.
+// checkClients checks that each client had a final answer in time, and each refused one the time to
+// come back.
 func (s *stated) checkClients(t *testing.T) {
 	t.Helper()
 	statuses := make(map[int]int)
@@ -361,7 +361,10 @@
 			held += made.end.Sub(made.sent)
 			assert.Check(t, made.answer.Retry != "", "%s: refused without a time to come back", made.request.Path)
 		}
-		assert.Check(t, made.answer.Whole, "%s: no whole answer after %s", made.request.Path, made.end.Sub(made.sent))
+		took := made.end.Sub(made.sent)
+		// A stream that began late is cut off as its client's time ends.
+		cutInTime := made.answer.Status == http.StatusOK && made.answer.Body != "" && took >= made.request.Deadline
+		assert.Check(t, made.answer.Whole || cutInTime, "%s: no whole answer after %s", made.request.Path, took)
 		assert.Check(t, made.end.Sub(made.sent) < made.request.Deadline+answerMargin, "%s", made.request.Path)
 	}
 	t.Logf("answers by status: %v; refused ones took %s in the mean", statuses, held/time.Duration(max(statuses[http.StatusServiceUnavailable], 1)))
