Tell a reader its changes without a look at each row

Cause: the relay looked at each row of a table, and sorted what it found, for each question of each reader: readers times runners. At 985 nodes and 10,000 runners one change that all readers ask for is 9.9 million rows looked at by one node. Ruled out: answers shared by readers at the same revision; readers are at many. Change: a mirror keeps the log of its changes in the order of their revisions, compacted to twice its rows; a reader costs what changed since its revision. Test: TestReaderCostsItsChanges does not build before; TestOldChangeIsToldInOrder.

--- /dev/null
+++ b/internal/relay/changes_test.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/feed"
+)
+
+// largeMirror is the mirror of a table of so many rows.
+func largeMirror(rows int) *mirror {
+	m := newMirror()
+	batch := feed.Batch{Revision: uint64(rows)}
+	for i := range rows {
+		batch.Rows = append(batch.Rows, feed.Row{Key: fmt.Sprint("runner-", i), Revision: uint64(i + 1), Value: []byte("v")})
+	}
+	m.replace(batch)
+	return m
+}
+
+// TestReaderCostsItsChanges: what is looked at for a reader is what changed since its
+// revision, however many rows there are and however often others changed before.
+func TestReaderCostsItsChanges(t *testing.T) {
+	const rows, written = 10_000, 3
+	m := largeMirror(rows)
+	revision := uint64(rows)
+	for range 20 {
+		batch := feed.Batch{}
+		for i := range rows / 4 {
+			revision++
+			batch.Rows = append(batch.Rows, feed.Row{Key: fmt.Sprint("runner-", i), Revision: revision, Value: []byte("w"), Deleted: i%10 == 0})
+		}
+		batch.Revision = revision
+		m.apply(batch)
+	}
+	assert.Assert(t, len(m.log.changes) <= 3*rows, "%d changes are kept of %d rows", len(m.log.changes), rows)
+	before := revision
+	for i := range written {
+		revision++
+		m.apply(feed.Batch{Revision: revision, Rows: []feed.Row{{Key: fmt.Sprint("runner-", rows-i), Revision: revision}}})
+	}
+	assert.Equal(t, len(m.log.after(before)), written)
+	batch, err := m.after(ended(), before)
+	assert.NilError(t, err)
+	assert.Equal(t, len(batch.Rows), written)
+}
+
+// TestOldChangeIsToldInOrder: a change that is told again, with an older revision than the
+// newest, is found from any revision before it.
+func TestOldChangeIsToldInOrder(t *testing.T) {
+	m := newMirror()
+	m.replace(feed.Batch{Revision: 10, Rows: []feed.Row{{Key: "a", Revision: 14}}})
+	m.apply(feed.Batch{Revision: 14, Rows: []feed.Row{{Key: "b", Revision: 12}, {Key: "a", Revision: 14}}})
+	batch, err := m.after(ended(), 11)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, batch.Rows, []feed.Row{{Key: "b", Revision: 12}, {Key: "a", Revision: 14}})
+}
+
+// BenchmarkReaderAtLargeTable: the question of one reader that missed three changes of
+// 10,000 rows.
+func BenchmarkReaderAtLargeTable(b *testing.B) {
+	m := largeMirror(10_000)
+	for i := range uint64(3) {
+		m.apply(feed.Batch{Revision: 10_001 + i, Rows: []feed.Row{{Key: fmt.Sprint("runner-", i), Revision: 10_001 + i}}})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := m.after(ended(), 10_000); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/relay/mirror.go
+++ b/internal/relay/mirror.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -25,6 +24,8 @@
 	// rows are the present rows, removed the newest revisions of absent ones.
 	rows    map[string]feed.Row
 	removed map[string]uint64
+	// log lists the changes of both.
+	log changeLog
 	// position is the revision up to which all changes are in. What was removed
 	// is not known below floor, nor, for a reader whose revision lies between
 	// unseen and resumed, for rows that came and went there: the table was read
@@ -91,6 +92,9 @@
 
 // put notes one row; mu is held.
 func (m *mirror) put(row feed.Row) {
+	if known, ok := m.row(change{revision: row.Revision, key: row.Key}); !ok || known.Deleted != row.Deleted {
+		m.log.add(row.Key, row.Revision)
+	}
 	if row.Deleted {
 		delete(m.rows, row.Key)
 		m.removed[row.Key] = row.Revision
@@ -106,6 +110,10 @@
 	if len(m.removed) > maxRemoved {
 		m.forget()
 	}
+	m.log.compact(len(m.rows)+len(m.removed), func(c change) bool {
+		_, current := m.row(c)
+		return current
+	})
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
@@ -163,16 +171,10 @@
 	if m.position <= revision {
 		return batch, m.changed, nil
 	}
-	for _, row := range m.rows {
-		if row.Revision > revision {
+	for _, changed := range m.log.after(revision) {
+		if row, current := m.row(changed); current {
 			batch.Rows = append(batch.Rows, row)
 		}
 	}
-	for key, removed := range m.removed {
-		if removed > revision {
-			batch.Rows = append(batch.Rows, feed.Row{Key: key, Revision: removed, Deleted: true})
-		}
-	}
-	slices.SortFunc(batch.Rows, func(a, b feed.Row) int { return cmp.Compare(a.Revision, b.Revision) })
 	return batch, m.changed, nil
 }
