Keep the rows of a large table only where they are told

Cause: each node kept the rows of all runners so as to tell them at once should it become the relay; one of 985 nodes is. Ruled out: no mirror at all at readers; a new relay could not tell then which rows were removed while the old one was lost, so that every node would read the whole table anew. Change: beyond 256 KB a reader keeps what was removed alone. A node that turns to the store reads the rows once and goes on from its position, so its readers miss nothing.

--- a/internal/relay/mirror.go
+++ b/internal/relay/mirror.go
@@ -5,14 +5,22 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/feed"
 )
 
-// maxRemoved bounds the removed rows that a mirror remembers; with more, the
-// older half is forgotten.
-const maxRemoved = 4096
+const (
+	// maxRemoved bounds the removed rows that a mirror remembers; with more, the
+	// older half is forgotten.
+	maxRemoved = 4096
+	// keptSize is the size of a table, in bytes, up to which a node that reads it from
+	// another one keeps its rows, to tell them at once should it become the relay.
+	keptSize = 256 << 10
+	// wholeWait is how long a question for all rows waits for a mirror that is being read.
+	wholeWait = 250 * time.Millisecond
+)
 
 // mirror keeps a table as it was last read, with its removed rows, so that
 // other nodes can be told what changed after any revision from floor on. Its
@@ -26,6 +34,11 @@
 	removed map[string]uint64
 	// log lists the changes of both.
 	log changeLog
+	// size is that of the rows in bytes.
+	size int
+	// light is set while the rows are not kept: only what was removed is, so that fill
+	// makes a mirror again that tells readers what they missed.
+	light bool
 	// position is the revision up to which all changes are in. What was removed
 	// is not known below floor, nor, for a reader whose revision lies between
 	// unseen and resumed, for rows that came and went there: the table was read
@@ -51,6 +64,10 @@
 	if m.read && batch.Revision < m.position {
 		return
 	}
+	if m.light {
+		// Which rows were removed since the mirror's position is not known.
+		m.light, m.floor = false, batch.Revision
+	}
 	there := make(map[string]bool, len(batch.Rows))
 	for _, row := range batch.Rows {
 		there[row.Key] = true
@@ -95,13 +112,65 @@
 	if known, ok := m.row(change{revision: row.Revision, key: row.Key}); !ok || known.Deleted != row.Deleted {
 		m.log.add(row.Key, row.Revision)
 	}
+	if known, ok := m.rows[row.Key]; ok {
+		m.size -= sizeOf(known)
+	}
 	if row.Deleted {
 		delete(m.rows, row.Key)
 		m.removed[row.Key] = row.Revision
 		return
 	}
 	delete(m.removed, row.Key)
-	m.rows[row.Key] = row
+	if !m.light {
+		m.rows[row.Key] = row
+		m.size += sizeOf(row)
+	}
+}
+
+// lighten drops the rows of a large table, which a node that reads it from another one
+// does not tell. A table of at most kept bytes stays.
+func (m *mirror) lighten(kept int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.light || m.size <= kept {
+		return
+	}
+	m.light, m.size = true, 0
+	m.rows, m.log = make(map[string]feed.Row), changeLog{}
+}
+
+// wasRead reports whether the mirror has the table's rows.
+func (m *mirror) wasRead() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.read && !m.light
+}
+
+// isLight reports whether the rows are not kept.
+func (m *mirror) isLight() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.light
+}
+
+// fill takes over all rows of a table of which only the removed ones were kept. What was
+// removed since the mirror's position has to be told by apply yet; rows may be newer than
+// that, and are told again. It fails with fault.CodeStale when they are older.
+func (m *mirror) fill(batch feed.Batch) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if batch.Revision < m.position {
+		return fault.New(fault.CodeStale, "fill mirror", "revision %d is older than %d", batch.Revision, m.position)
+	}
+	m.light, m.log = false, changeLog{}
+	for key, revision := range m.removed {
+		m.log.add(key, revision)
+	}
+	for _, row := range batch.Rows {
+		m.put(row)
+	}
+	m.advance(m.position)
+	return nil
 }
 
 // advance tells waiting readers of changes up to a revision; mu is held.
@@ -125,27 +194,42 @@
 	maps.DeleteFunc(m.removed, func(_ string, revision uint64) bool { return revision <= m.floor })
 }
 
-// wasRead reports whether the table was read.
-func (m *mirror) wasRead() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.read
+// errUnread is the error of a mirror that has no rows yet.
+func errUnread() error {
+	return fault.New(fault.CodeNotReady, "relay table", "the table was not read yet")
 }
 
-// whole returns all rows. It fails with fault.CodeNotReady as long as the table
-// was not read.
-func (m *mirror) whole() (feed.Batch, error) {
+// whole returns all rows. It fails with fault.CodeNotReady when the table is not read
+// before ctx ends.
+func (m *mirror) whole(ctx context.Context) (feed.Batch, error) {
+	for {
+		batch, changed, ok := m.present()
+		if ok {
+			return batch, nil
+		}
+		select {
+		case <-ctx.Done():
+			return feed.Batch{}, errUnread()
+		case <-changed:
+		}
+	}
+}
+
+// present returns all rows; false, with the channel of the next change, when the mirror has
+// none.
+func (m *mirror) present() (batch feed.Batch, changed <-chan struct{}, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.read {
-		return feed.Batch{}, fault.New(fault.CodeNotReady, "relay table", "the table was not read yet")
+	if !m.read || m.light {
+		return feed.Batch{}, m.changed, false
 	}
-	return feed.Batch{Rows: slices.Collect(maps.Values(m.rows)), Revision: m.position}, nil
+	return feed.Batch{Rows: slices.Collect(maps.Values(m.rows)), Revision: m.position}, nil, true
 }
 
 // after returns the changes after a revision, in their order, as soon as there
 // are any, and none when ctx ends first. It fails with fault.CodeCompacted when
-// not all of them are known.
+// not all of them are known, and with fault.CodeNotReady when the table is not read
+// before ctx ends.
 func (m *mirror) after(ctx context.Context, revision uint64) (feed.Batch, error) {
 	for {
 		batch, changed, err := m.since(revision)
@@ -154,6 +238,9 @@
 		}
 		select {
 		case <-ctx.Done():
+			if m.isLight() {
+				return feed.Batch{}, errUnread()
+			}
 			return batch, nil
 		case <-changed:
 		}
@@ -168,7 +255,7 @@
 	}
 	// A reader that is ahead of the mirror is told nothing until it caught up.
 	batch := feed.Batch{Revision: max(revision, m.position)}
-	if m.position <= revision {
+	if m.position <= revision || m.light {
 		return batch, m.changed, nil
 	}
 	for _, changed := range m.log.after(revision) {
--- a/internal/relay/pack.go
+++ b/internal/relay/pack.go
@@ -28,7 +28,7 @@
 
 // put fills in the rows of a response, packed where they are many.
 func (p *packer) put(response *wire.FollowResponse, request wire.FollowRequest, batch feed.Batch) error {
-	if sizeOf(batch.Rows) < packFrom {
+	if sizeOfAll(batch.Rows) < packFrom {
 		response.Rows = wireRows(batch.Rows)
 		return nil
 	}
@@ -46,10 +46,13 @@
 	return nil
 }
 
-func sizeOf(rows []feed.Row) int {
+// sizeOf is the size of a row in bytes.
+func sizeOf(row feed.Row) int { return len(row.Key) + len(row.Value) }
+
+func sizeOfAll(rows []feed.Row) int {
 	size := 0
 	for _, row := range rows {
-		size += len(row.Key) + len(row.Value)
+		size += sizeOf(row)
 	}
 	return size
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -304,7 +304,11 @@
 	}
 	r.meet(request.From)
 	m := r.mirror(Table(request.Table))
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(min(request.HoldMs, maxHoldMs))*time.Millisecond)
+	hold := time.Duration(min(request.HoldMs, maxHoldMs)) * time.Millisecond
+	if request.Whole {
+		hold = wholeWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, hold)
 	defer cancel()
 	batch, err := read(ctx, m, request)
 	if err != nil {
@@ -322,7 +326,7 @@
 
 func read(ctx context.Context, m *mirror, request wire.FollowRequest) (feed.Batch, error) {
 	if request.Whole {
-		return m.whole()
+		return m.whole(ctx)
 	}
 	return m.after(ctx, request.After)
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -77,6 +77,12 @@
 	s.model.write(key, false)
 }
 
+func (s *fakeStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.model.write(key, true)
+}
+
 // resetter is a listener whose connections a test can reset.
 type resetter struct {
 	net.Listener
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -31,6 +31,7 @@
 	batch, err := s.fetch(ctx, wire.FollowRequest{Whole: true}, s.store.Read)
 	if err == nil {
 		s.mirror.replace(batch)
+		s.lighten()
 	}
 	return batch, err
 }
@@ -39,13 +40,38 @@
 // not tell them. It fails with fault.CodeCompacted when they are no longer kept.
 func (s *Source) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Batch, error) {
 	request := wire.FollowRequest{After: after, HoldMs: wait.Milliseconds()}
-	batch, err := s.fetch(ctx, request, func(ctx context.Context) (feed.Batch, error) { return s.store.Watch(ctx, after, wait) })
+	batch, err := s.fetch(ctx, request, func(ctx context.Context) (feed.Batch, error) {
+		if err := s.fill(ctx); err != nil {
+			return feed.Batch{}, err
+		}
+		return s.store.Watch(ctx, after, wait)
+	})
 	if err == nil {
 		s.mirror.apply(batch)
+		s.lighten()
 	}
 	return batch, err
 }
 
+// lighten drops the rows of the mirror if they are many and this node tells nobody of them.
+func (s *Source) lighten() {
+	if _, reads := s.relay.Upstream().(Store); !reads {
+		s.mirror.lighten(keptSize)
+	}
+}
+
+// fill reads the rows of a mirror that does not keep them, before this node tells others.
+func (s *Source) fill(ctx context.Context) error {
+	if !s.mirror.isLight() {
+		return nil
+	}
+	batch, err := s.store.Read(ctx)
+	if err != nil {
+		return err
+	}
+	return s.mirror.fill(batch)
+}
+
 // fetch asks the relay, and the store when there is none or it fails.
 func (s *Source) fetch(ctx context.Context, request wire.FollowRequest, store func(context.Context) (feed.Batch, error)) (feed.Batch, error) {
 	relay, ok := s.relay.Upstream().(Peer)
