Bound what a node keeps of the runners

Ruled out: fewer bytes a runner (still grows with the fleet); the same part for all nodes (few runners would serve everybody); a node's own part only (no two nodes would send a prompt's shared parts to the same runner). The holder of a control lease keeps all, and plans only once it has them. A node whose requests wait for a model is told by the holder where that is, with what the list says of these runners; never where the node's list is newer. A node that lost most of a service reads the list anew.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -68,7 +68,13 @@
 	// Statements are what runners stated of themselves in answers; nil where nobody hears.
 	Statements *statement.Book
 	// Leavings tell nodes of runners that leave, and are told of them; not set for nobody.
-	Leavings      Leavings
+	Leavings Leavings
+	// NeedList is told whether this node needs all runners of the platform's list, as its
+	// plans do; not set where it has them anyway.
+	NeedList func(needed bool)
+	// ListRevision returns the revision up to which all changes of the list are in Fleet; not
+	// set where nobody asks.
+	ListRevision  func() uint64
 	Configuration func() *config.Configuration
 	Policies      Policies
 	Sleeper       Sleeper
@@ -213,6 +219,11 @@
 	if !c.ownToken(engine) {
 		return
 	}
+	if !c.Fleet.Whole() {
+		// A plan from a part of the runners would load what the others hold.
+		c.needList(true)
+		return
+	}
 	now := time.Now()
 	c.takeRunners(engine, now)
 	c.askReports(ctx, engine, now)
@@ -243,6 +254,7 @@
 	if !c.Lessor.Holds() {
 		if c.token != 0 {
 			c.known = c.store.Estimate()
+			c.needList(false)
 			c.Log.Info("control ended", "token", c.token)
 		}
 		c.token = 0
@@ -278,6 +290,12 @@
 	return true
 }
 
+func (c *Controller) needList(needed bool) {
+	if c.NeedList != nil {
+		c.NeedList(needed)
+	}
+}
+
 func (c *Controller) setRate(engine *config.Engine) {
 	if limit := rate.Limit(engine.LoadsPerSecond); c.limiter.Limit() != limit {
 		c.limiter.SetLimit(limit)
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -98,10 +98,12 @@
 	if request.Token != c.token {
 		known = 0
 	}
+	waits := c.waitsFor(request)
 	for id, ledger := range c.ledgers {
 		if ledger.Known() && ledger.Version > known && now.Sub(ledger.ChangedAt) < recentView {
 			response.Runners = append(response.Runners, viewOf(id, ledger, now))
 		}
 	}
+	c.listForWaiting(&response, waits, now)
 	return response
 }
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -250,7 +250,7 @@
 
 // call makes one call to the holder, wherever it is, and takes over its answer.
 func (s *Syncer) call(ctx context.Context, request wire.SyncRequest) error {
-	request.Service, request.Node = s.service, s.self.Node
+	request.Service, request.Node, request.Partial = s.service, s.self.Node, !s.fleet.Whole()
 	if request.Report {
 		request.Zone, request.Region, request.Address = s.self.Zone, s.self.Region, s.self.Address
 	}
@@ -346,10 +346,10 @@
 	s.controller.LearnStore(weightstore.Estimate{Limit: response.StoreLimit, Capacity: response.StoreCapacity})
 	views := make([]fleet.View, 0, len(response.Runners))
 	for _, runner := range response.Runners {
-		views = append(views, fleetView(runner))
+		views = append(views, fleetView(s.service, runner))
 	}
 	s.fleet.ApplyPlanned(s.service, plannedUnits(response.Planned))
-	s.fleet.ApplyViews(views)
+	s.fleet.ApplyViews(views, response.ListRevision)
 }
 
 func plannedUnits(planned []wire.UnitComing) []fleet.Coming {
@@ -379,11 +379,17 @@
 	}
 }
 
-func fleetView(runner wire.RunnerView) fleet.View {
+func fleetView(service string, runner wire.RunnerView) fleet.View {
 	view := fleet.View{Runner: runner.Runner, Silent: runner.Silent}
 	for _, held := range runner.Ready {
 		view.Ready = append(view.Ready, backend.Holding{Model: held.Model, Adapters: held.Adapters})
 	}
+	if listed := runner.Listed; listed != nil {
+		view.Listed = &backend.Runner{
+			ID: runner.Runner, Born: listed.Born, Service: service, Address: listed.Address, Zone: listed.Zone, Region: listed.Region,
+			Slots: listed.Slots, Revision: listed.Revision, Models: view.Ready,
+		}
+	}
 	for _, coming := range runner.Coming {
 		view.Coming = append(view.Coming, comingUnit(coming))
 	}
--- a/internal/dispatch/cold_test.go
+++ b/internal/dispatch/cold_test.go
@@ -69,7 +69,7 @@
 func TestColdRunnerDoesNotHideALoad(t *testing.T) {
 	j, known, _ := coldJob(time.Minute)
 	known.Apply([]backend.Runner{{ID: "r2", Service: "s"}}, nil, false)
-	known.ApplyViews([]fleet.View{{Runner: "r2", Coming: []fleet.Coming{{Unit: j.query.Unit, In: 2 * time.Second}}}})
+	known.ApplyViews([]fleet.View{{Runner: "r2", Coming: []fleet.Coming{{Unit: j.query.Unit, In: 2 * time.Second}}}}, 0)
 	known.SetOrdersIn("s", time.Minute)
 	w := j.waitNow()
 	assert.Assert(t, w.known && w.expected <= 2*time.Second, w.expected)
--- a/internal/eligible/callers_test.go
+++ b/internal/eligible/callers_test.go
@@ -19,6 +19,7 @@
 var readers = map[string]string{
 	"internal/eligible/eligible.go":  "decides",
 	"internal/fleet/choose.go":       "hands it to Check",
+	"internal/fleet/keep.go":         "decides what is kept of the list, sends nothing",
 	"internal/fleet/statements.go":   "joins the list's word and the runner's, for Check",
 	"internal/control/eligible.go":   "hands it to Check",
 	"internal/control/state.go":      "hands Check's answer to the plan",
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -82,9 +82,16 @@
 	// table was read whole.
 	position uint64
 	whole    bool
-	// heard is when the source last answered; mutex guards it.
+	// mutex guards the fields up to stop. heard is when the source last answered, taken the
+	// revision up to which the handler has taken changes, taking that of the newest rows
+	// that it was given. reread is set when the table is to be read anew; stop ends the
+	// call that is under way.
 	mutex   sync.Mutex
 	heard   time.Time
+	taken   uint64
+	taking  uint64
+	reread  bool
+	stop    context.CancelFunc
 	lost    bool
 	backoff time.Duration
 }
@@ -102,6 +109,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if f.takeReread() {
+			f.whole = false
+			continue
+		}
 		f.note(err)
 		pause := f.options.Interval - time.Since(started)
 		if err != nil {
@@ -120,6 +131,37 @@
 	return f.watch(ctx)
 }
 
+// Reread lets the table be read anew, at once.
+func (f *Follower) Reread() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.reread = true
+	if f.stop != nil {
+		f.stop()
+	}
+}
+
+// takeReread reports whether the table is to be read anew, once.
+func (f *Follower) takeReread() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	reread := f.reread
+	f.reread = false
+	return reread
+}
+
+// watching bounds a call that Reread ends.
+func (f *Follower) watching(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+f.options.Timeout)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.stop = cancel
+	if f.reread {
+		cancel()
+	}
+	return ctx, cancel
+}
+
 func (f *Follower) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
 	defer cancel()
@@ -135,6 +177,7 @@
 		gap = time.Since(heard)
 	}
 	f.log.Info("table read", "revision", batch.Revision, "rows", len(batch.Rows), "gapMs", gap.Milliseconds())
+	f.take(batch.Revision)
 	f.handler.Whole(batch.Rows, gap)
 	f.whole = true
 	f.advance(batch.Revision)
@@ -142,7 +185,7 @@
 }
 
 func (f *Follower) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+f.options.Timeout)
+	ctx, cancel := f.watching(ctx)
 	defer cancel()
 	batch, err := f.source.Watch(ctx, f.position, f.options.Wait)
 	if fault.IsCode(err, fault.CodeCompacted) {
@@ -157,6 +200,7 @@
 		return fault.New(fault.CodeStale, "watch table", "revision %d is older than %d", batch.Revision, f.position)
 	}
 	if len(batch.Rows) > 0 {
+		f.take(batch.Revision)
 		f.handler.Changed(newest(batch.Rows))
 	}
 	f.advance(batch.Revision)
@@ -186,6 +230,29 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.heard = time.Now()
+	f.taken = revision
+}
+
+// take notes the revision of rows that are about to be handed over.
+func (f *Follower) take(revision uint64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.taking = revision
+}
+
+// Taken returns the revision up to which the handler has taken all changes.
+func (f *Follower) Taken() uint64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.taken
+}
+
+// Taking returns a revision up to which no change was handed over after it: the handler may
+// still be taking those before.
+func (f *Follower) Taking() uint64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.taking
 }
 
 // Heard returns when the source last answered. The handler has taken that
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -109,3 +109,38 @@
 		{Key: "left", Revision: 7, Deleted: true}, {Key: "back", Revision: 8, Value: []byte("new")},
 	})
 }
+
+// heldSource holds watches until they end.
+type heldSource struct {
+	scriptedSource
+	held chan struct{}
+}
+
+func (s *heldSource) Watch(ctx context.Context, _ uint64, _ time.Duration) (Batch, error) {
+	s.held <- struct{}{}
+	<-ctx.Done()
+	return Batch{}, ctx.Err()
+}
+
+// wholeHandler tells of each whole table.
+type wholeHandler struct{ whole chan struct{} }
+
+func (h wholeHandler) Whole([]Row, time.Duration) { h.whole <- struct{}{} }
+func (h wholeHandler) Changed([]Row)              {}
+
+// TestTableIsReadAnewAtOnce: a table that is to be read anew is not waited for.
+func TestTableIsReadAnewAtOnce(t *testing.T) {
+	source := &heldSource{scriptedSource: scriptedSource{reads: []Batch{{Revision: 1}, {Revision: 1}}}, held: make(chan struct{})}
+	handler := wholeHandler{whole: make(chan struct{}, 1)}
+	f := NewFollower(source, handler, Options{Name: "test", Wait: time.Hour, Timeout: time.Hour}, logr.Discard())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	<-handler.whole
+	<-source.held
+	f.Reread()
+	<-handler.whole
+	<-source.held
+	cancel()
+	<-done
+}
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -234,6 +234,9 @@
 	if query.Unit == (backend.Unit{}) {
 		return
 	}
+	if known.byUnit == nil {
+		known.byUnit = make(map[backend.Unit]int)
+	}
 	known.byUnit[query.Unit]++
 	f.meanUnread += unreadWeight * (float64(choice.UnreadTokens) - f.meanUnread)
 	known.prefill += choice.UnreadTokens
@@ -318,15 +321,23 @@
 		known.answeredAt = now
 		known.health.failure(now)
 		if !f.noteRest(known) {
-			known.refused[query.Unit] = now.Add(RefusalPause)
+			known.refuse(query.Unit, now)
 		}
 	case NotHeld:
 		known.answeredAt = now
-		known.refused[query.Unit] = now.Add(RefusalPause)
+		known.refuse(query.Unit, now)
 	case Canceled:
 	}
 }
 
+// refuse notes that the runner refused a request for a unit.
+func (r *runner) refuse(unit backend.Unit, now time.Time) {
+	if r.refused == nil {
+		r.refused = make(map[backend.Unit]time.Time)
+	}
+	r.refused[unit] = now.Add(RefusalPause)
+}
+
 // Reported notes the load that a runner told when it was asked.
 func (f *Fleet) Reported(id string, report backend.Report) { f.Told(id, report.Active, report.Queued) }
 
--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -64,14 +64,15 @@
 
 // hearCold takes over a row's word of a runner's coldness. known.listed is still the row
 // before it; a row that was heard already says nothing new. A runner that was listed
-// before is no newcomer: its identifier is that of one incarnation. mutex is held.
+// before is no newcomer: its identifier is that of one incarnation; nor is one taken to be
+// that may have been passed over. mutex is held.
 func (f *Fleet) hearCold(known *runner, row backend.Runner, came bool) {
 	if !came && row.Revision != 0 && row.Revision == known.listed.Revision {
 		return
 	}
 	_, returns := f.left[row.ID]
 	delete(f.left, row.ID)
-	known.cold.Hear(coldstart.Word{For: row.ColdFor, Proof: !came || returns || !f.replaced}, f.now())
+	known.cold.Hear(coldstart.Word{For: row.ColdFor, Proof: !came || returns || !f.replaced || f.keep.partial}, f.now())
 }
 
 // leftLifetime is how long a runner that left the list is remembered as no newcomer: rows
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,9 @@
 // View is the control holder's account of a runner.
 type View struct {
 	Runner string
+	// Listed is what the platform lists of the runner, told to a node that may have passed it
+	// over and waits for what it holds; nil otherwise.
+	Listed *backend.Runner
 	Ready  []backend.Holding
 	// Coming lists units being loaded.
 	Coming []Coming
@@ -69,6 +72,10 @@
 
 	mutex   sync.Mutex
 	runners map[string]*runner
+	// gone are those of runners that left the list.
+	gone map[string]*runner
+	// keep decides which of the listed runners are among them.
+	keep keeper
 	// incarnations is the identifier of the newest incarnation listed, by the runner's name.
 	incarnations map[string]string
 	// planned is, by service, when models that are waited for are expected though
@@ -146,7 +153,7 @@
 
 // New returns an empty fleet for a node in zone; rules are what operators decided.
 func New(zone string, now func() time.Time, rules eligible.Rules) *Fleet {
-	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), incarnations: make(map[string]string), planned: make(map[string]map[homedModel]time.Time), firm: make(map[string]map[string]bool),
+	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), gone: make(map[string]*runner), incarnations: make(map[string]string), planned: make(map[string]map[homedModel]time.Time), firm: make(map[string]map[string]bool),
 		ordersAt: make(map[string]time.Time), obstacles: make(map[asked]foundObstacles), restWaits: make(map[asked]int), left: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
@@ -193,6 +200,7 @@
 	for _, id := range removed {
 		f.remove(id, doubtful)
 	}
+	f.sweep()
 	f.notify()
 }
 
@@ -205,29 +213,52 @@
 	there := make(map[string]bool, len(listed))
 	for _, runner := range listed {
 		there[runner.ID] = true
-		f.add(runner)
 	}
-	f.replaced = true
 	for id, known := range f.runners {
 		if known.present && !there[id] {
 			f.remove(id, doubtful)
 		}
 	}
+	f.keep.partial = false
+	f.keep.sort(listed)
+	for _, runner := range listed {
+		f.add(runner)
+	}
+	f.replaced = true
+	f.sweep()
 	f.notify()
 }
 
+// add takes over what the list tells of a runner, unless it is passed over.
 func (f *Fleet) add(listed backend.Runner) {
 	f.endEarlier(listed)
 	known := f.runners[listed.ID]
+	came := known == nil
+	if came && !f.keep.takes(&listed, len(f.runners)) {
+		f.keep.partial = true
+		return
+	}
+	f.put(listed, known)
+	if !came && f.idle(known) && f.keep.spares(&listed, len(f.runners)-1) {
+		f.drop(listed.ID)
+	}
+}
+
+// put keeps what the list tells of a runner; known is nil for one that was not kept. mutex is
+// held.
+func (f *Fleet) put(listed backend.Runner, known *runner) {
 	came := known == nil
 	if came {
-		known = &runner{
-			refused: make(map[backend.Unit]time.Time), byUnit: make(map[backend.Unit]int),
-			prompts: newPromptCache(), order: order(listed.ID),
-		}
+		known = &runner{order: order(listed.ID)}
 		f.runners[listed.ID] = known
 	}
+	f.incarnations[listed.Name()] = listed.ID
 	f.hearCold(known, listed, came)
+	if known.present {
+		f.keep.count(&known.listed, -1)
+	}
+	f.keep.count(&listed, 1)
+	delete(f.gone, listed.ID)
 	known.listed = listed
 	known.listedAt = f.now()
 	known.present = true
@@ -236,12 +267,10 @@
 
 // endEarlier takes out the incarnation of a runner before the one that is listed now.
 func (f *Fleet) endEarlier(listed backend.Runner) {
-	name := listed.Name()
-	if before := f.runners[f.incarnations[name]]; before != nil && before.listed.ID != listed.ID {
+	if before := f.runners[f.incarnations[listed.Name()]]; before != nil && before.listed.ID != listed.ID {
 		f.remove(before.listed.ID, false)
 		before.listed.Missing = false
 	}
-	f.incarnations[name] = listed.ID
 }
 
 // remove takes a runner out. While requests are under way at it, its entry
@@ -251,31 +280,40 @@
 	if known == nil || !known.present {
 		return
 	}
+	f.keep.count(&known.listed, -1)
 	known.present = false
 	known.goneAt = f.now()
 	known.listed.Missing = doubtful
-	f.sweep()
+	f.gone[id] = known
 }
 
 // sweep forgets runners that left and have no request under way.
 func (f *Fleet) sweep() {
-	for id, known := range f.runners {
+	for id, known := range f.gone {
 		expired := !known.listed.Missing || f.now().Sub(known.goneAt) > missingLifetime
-		if !known.present && known.inFlight == 0 && expired {
-			delete(f.runners, id)
+		if known.inFlight == 0 && expired {
+			f.forget(id)
 			f.noteLeft(id)
-			if name := known.listed.Name(); f.incarnations[name] == id {
-				delete(f.incarnations, name)
-			}
 		}
 	}
 }
 
-// ApplyViews takes over accounts of a service's control holder.
-func (f *Fleet) ApplyViews(views []View) {
+// forget drops what is known of a runner. mutex is held.
+func (f *Fleet) forget(id string) {
+	name := f.runners[id].listed.Name()
+	delete(f.runners, id)
+	delete(f.gone, id)
+	if f.incarnations[name] == id {
+		delete(f.incarnations, name)
+	}
+}
+
+// ApplyViews takes over accounts of a service's control holder, whose list is of listRevision.
+func (f *Fleet) ApplyViews(views []View, listRevision uint64) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, account := range views {
+		f.admit(account.Listed, listRevision)
 		if known := f.runners[account.Runner]; known != nil {
 			known.view = f.newView(account)
 			clear(known.refused)
--- a/internal/fleet/homes_test.go
+++ b/internal/fleet/homes_test.go
@@ -76,7 +76,7 @@
 	assert.Assert(t, f.Holds("s", "m", south) && f.Holds("s", "m", place.Homes{}) && !f.Holds("s", "m", north))
 	assert.Equal(t, f.LoadTime("s", next, south), time.Second)
 	assert.Equal(t, f.LoadTime("s", next, north), 4*time.Second)
-	f.ApplyViews([]View{{Runner: "r1", Coming: []Coming{{Unit: backend.Unit{Model: "next"}, In: time.Second}}}})
+	f.ApplyViews([]View{{Runner: "r1", Coming: []Coming{{Unit: backend.Unit{Model: "next"}, In: time.Second}}}}, 0)
 	_, coming := f.Expected("s", backend.Unit{Model: "next"}, north)
 	assert.Assert(t, !coming)
 	in, coming := f.Expected("s", backend.Unit{Model: "next"}, south)
--- a/internal/fleet/incarnations_test.go
+++ b/internal/fleet/incarnations_test.go
@@ -25,7 +25,7 @@
 	view := View{Runner: old.ID, Ready: []backend.Holding{{Model: "m"}}}
 	for name, late := range map[string]func(*Fleet, Choice){
 		"nothing":        func(*Fleet, Choice) {},
-		"holder's view":  func(f *Fleet, _ Choice) { f.ApplyViews([]View{view}) },
+		"holder's view":  func(f *Fleet, _ Choice) { f.ApplyViews([]View{view}, 0) },
 		"report":         func(f *Fleet, _ Choice) { f.Reported(old.ID, backend.Report{Active: 3}) },
 		"answer":         func(f *Fleet, c Choice) { f.Started(c); f.Done(c, query, Served, time.Second, true) },
 		"broken answer":  func(f *Fleet, c Choice) { f.Done(c, query, Failed, time.Second, false) },
@@ -35,7 +35,7 @@
 		for _, before := range []bool{true, false} {
 			f, _ := testFleet()
 			f.Replace([]backend.Runner{old}, false)
-			f.ApplyViews([]View{view})
+			f.ApplyViews([]View{view}, 0)
 			choice, ok := f.Choose(query)
 			assert.Assert(t, ok)
 			if before {
--- /dev/null
+++ b/internal/fleet/keep_test.go
@@ -0,0 +1,211 @@
+package fleet
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/place"
+)
+
+const (
+	// rareModels are held by one runner each, busyModels by all the others.
+	rareModels = 250
+	busyModels = 50
+	largeZones = 6
+)
+
+// largeList is the list of a fleet of so many runners, each of which holds two models.
+func largeList(size int) []backend.Runner {
+	runners := make([]backend.Runner, size)
+	for i := range runners {
+		model := fmt.Sprint("busy-", i%busyModels)
+		if i < rareModels {
+			model = fmt.Sprint("rare-", i)
+		}
+		runners[i] = listed(fmt.Sprintf("i-%010x", i), model, fmt.Sprint("busy-", (i+7)%busyModels))
+		runners[i].Zone = fmt.Sprint("zone-", i%largeZones)
+		runners[i].Address = fmt.Sprintf("10.128.%d.%d:8080", i/250, i%250)
+		runners[i].Revision = uint64(i + 1)
+	}
+	return runners
+}
+
+// boundedFleet is the fleet of a node of zone-0.
+func boundedFleet(node string) *Fleet {
+	f := New("zone-0", time.Now, noRules{})
+	f.SetBound(node, DefaultBound)
+	return f
+}
+
+// state is how many entries a fleet keeps of whatever kind.
+func (f *Fleet) state() int {
+	return len(f.runners) + len(f.incarnations) + len(f.gone) + len(f.left) + len(f.keep.kept)
+}
+
+// TestStateDoesNotGrowWithUnusedRunners: of twice as many runners a node keeps no more, also
+// after all of them changed what they hold and a part of them left.
+func TestStateDoesNotGrowWithUnusedRunners(t *testing.T) {
+	kept := make(map[int]int)
+	for _, size := range []int{10_000, 20_000} {
+		f := boundedFleet("node")
+		list := largeList(size)
+		f.Replace(list, false)
+		for round := range 5 {
+			for i := range list {
+				list[i].Models[1].Model = fmt.Sprint("busy-", (i+round*11)%busyModels)
+			}
+			f.Apply(list, nil, false)
+		}
+		kept[size] = f.state()
+	}
+	assert.Assert(t, float64(kept[20_000]) <= 1.2*float64(kept[10_000]), "entries kept: %v", kept)
+	assert.Assert(t, kept[20_000] < 10_000, "entries kept: %v", kept)
+}
+
+// TestEachUnitStaysKnown: of each unit that a runner holds a node knows some, from its zone and
+// from others where there are any; nodes of a zone know the same of it.
+func TestEachUnitStaysKnown(t *testing.T) {
+	f, other := boundedFleet("node"), boundedFleet("other")
+	f.Replace(largeList(10_000), false)
+	other.Replace(largeList(10_000), false)
+	for i := range rareModels {
+		assert.Assert(t, f.Holds("s", fmt.Sprint("rare-", i), place.Homes{}), "rare-%d", i)
+	}
+	for i := range busyModels {
+		near, shared, far := 0, 0, 0
+		for id, known := range f.runners {
+			if !known.units[backend.Unit{Model: fmt.Sprint("busy-", i)}] {
+				continue
+			}
+			if known.listed.Zone != "zone-0" {
+				far++
+				continue
+			}
+			near++
+			if other.runners[id] != nil {
+				shared++
+			}
+		}
+		assert.Assert(t, near >= DefaultBound.Unit && far >= DefaultBound.Unit, "busy-%d: %d near, %d far", i, near, far)
+		assert.Assert(t, shared >= DefaultBound.Unit, "busy-%d: %d of %d near ones are shared", i, shared, near)
+	}
+}
+
+// TestSmallFleetIsKeptWhole: a node passes nothing over while there are few runners.
+func TestSmallFleetIsKeptWhole(t *testing.T) {
+	f := boundedFleet("node")
+	f.Replace(largeList(DefaultBound.Runners), false)
+	assert.Equal(t, f.Count(), DefaultBound.Runners)
+	assert.Assert(t, f.Whole())
+}
+
+// TestHolderKeepsAll: a node that controls keeps all runners once the list was read anew, and
+// drops those that it does not need when it controls no more, but not what it uses.
+func TestHolderKeepsAll(t *testing.T) {
+	const size = 5000
+	f := boundedFleet("node")
+	f.Replace(largeList(size), false)
+	assert.Assert(t, !f.Whole())
+	f.KeepAll(true)
+	assert.Assert(t, !f.Whole())
+	f.Replace(largeList(size), false)
+	assert.Assert(t, f.Whole())
+	assert.Equal(t, f.Count(), size)
+	query := Query{Service: "s", Unit: backend.Unit{Model: "busy-3"}}
+	choice, ok := f.Choose(query)
+	assert.Assert(t, ok)
+	f.KeepAll(false)
+	assert.Assert(t, f.Count() < size/2 && !f.Whole(), "%d runners are kept", f.Count())
+	assert.Assert(t, f.Known(choice.Runner.ID))
+	f.Done(choice, query, Served, time.Millisecond, false)
+}
+
+// TestLostRunnersAreReplaced: a node that lost most of what it knows of a service, of which it
+// passed others over, asks for the list; one that lost a zone does not.
+func TestLostRunnersAreReplaced(t *testing.T) {
+	f := boundedFleet("node")
+	list := largeList(10_000)
+	f.Replace(list, false)
+	remove := func(lost func(known *runner) bool) {
+		var gone []string
+		for id, known := range f.runners {
+			if lost(known) {
+				gone = append(gone, id)
+			}
+		}
+		f.Apply(nil, gone, false)
+	}
+	remove(func(known *runner) bool { return known.listed.Zone == "zone-0" })
+	assert.Assert(t, !f.Lacks())
+	left := 0
+	remove(func(*runner) bool { left++; return left >= DefaultBound.Service })
+	assert.Assert(t, f.Lacks())
+	f.Replace(list, false)
+	assert.Assert(t, !f.Lacks())
+}
+
+// BenchmarkStateBytes states the bytes that a node holds of the runners.
+func BenchmarkStateBytes(b *testing.B) {
+	for _, size := range []int{2500, 10_000, 20_000} {
+		for _, bound := range []Bound{{}, DefaultBound} {
+			name := "all"
+			if bound != (Bound{}) {
+				name = "bounded"
+			}
+			b.Run(fmt.Sprintf("%s-%d", name, size), func(b *testing.B) {
+				var held float64
+				for b.Loop() {
+					before := heapInUse()
+					f := New("zone-0", time.Now, noRules{})
+					f.SetBound("node", bound)
+					f.Replace(largeList(size), false)
+					held = heapInUse() - before
+					runtime.KeepAlive(f)
+				}
+				b.ReportMetric(held, "B/node")
+				b.ReportMetric(held/float64(size), "B/runner")
+			})
+		}
+	}
+}
+
+// heapInUse is how many bytes of the heap are reachable.
+func heapInUse() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+// TestHolderTellsOfPassedOverRunner: a runner that a node passed over is used as soon as the
+// holder tells where it is, unless the node's own list is newer than the holder's: the runner
+// may have left since.
+func TestHolderTellsOfPassedOverRunner(t *testing.T) {
+	list := largeList(10_000)
+	for _, c := range []struct {
+		holder, own uint64
+		known       bool
+	}{{holder: 9, own: 9, known: true}, {holder: 9, own: 8, known: true}, {holder: 9, own: 10}} {
+		f := boundedFleet("node")
+		f.SetListRevision(c.own)
+		f.Replace(list, false)
+		var passed backend.Runner
+		for _, runner := range list {
+			if !f.Known(runner.ID) {
+				passed = runner
+			}
+		}
+		passed.Models = []backend.Holding{{Model: "new"}}
+		f.ApplyViews([]View{{Runner: passed.ID, Listed: &passed, Ready: passed.Models}}, c.holder)
+		choice, ok := f.Choose(Query{Service: "s", Unit: backend.Unit{Model: "new"}})
+		assert.Equal(t, ok, c.known, "list of the holder at %d, of the node at %d", c.holder, c.own)
+		if ok {
+			assert.Equal(t, choice.Runner.Address, passed.Address)
+		}
+	}
+}
--- a/internal/fleet/obstacles_test.go
+++ b/internal/fleet/obstacles_test.go
@@ -34,7 +34,7 @@
 	f.Replace([]backend.Runner{out, second, leaving, silent, other, listed("r6"), listed("r7"), listed("r8"), listed("r9", "m")}, false)
 	query := Query{Service: "s", Unit: unit, Exclude: []string{"r9"}}
 	c.now = c.now.Add(300 * time.Millisecond)
-	f.ApplyViews([]View{{Runner: "r4", Ready: []backend.Holding{{Model: "m"}}, Silent: true}})
+	f.ApplyViews([]View{{Runner: "r4", Ready: []backend.Holding{{Model: "m"}}, Silent: true}}, 0)
 	found := f.Obstacles(query)
 	assert.DeepEqual(t, found, Obstacles{
 		{Reason: Reason(eligible.ZoneOut), Runners: 2, Holding: 1, Age: 300 * time.Millisecond},
--- a/internal/fleet/prompts.go
+++ b/internal/fleet/prompts.go
@@ -33,16 +33,12 @@
 }
 
 // promptCache is what a runner is believed to keep of prompts, least recently
-// used first out.
+// used first out. The zero cache is empty, as those of most runners stay.
 type promptCache struct {
 	entries map[promptKey]*list.Element
 	order   *list.List
 }
 
-func newPromptCache() promptCache {
-	return promptCache{entries: make(map[promptKey]*list.Element), order: list.New()}
-}
-
 // match returns the tokens of a prompt and how many of its leading ones are
 // believed kept.
 func (c *promptCache) match(unit backend.Unit, prompt []Part, now time.Time) (total, kept int) {
@@ -66,6 +62,9 @@
 
 // add notes that the runner reads a prompt.
 func (c *promptCache) add(unit backend.Unit, prompt []Part, now time.Time) {
+	if c.entries == nil {
+		c.entries, c.order = make(map[promptKey]*list.Element), list.New()
+	}
 	chain := ""
 	for _, part := range prompt {
 		chain += part.ID + "."
@@ -88,6 +87,5 @@
 }
 
 func (c *promptCache) clear() {
-	clear(c.entries)
-	c.order.Init()
+	*c = promptCache{}
 }
--- a/internal/fleet/suspect_test.go
+++ b/internal/fleet/suspect_test.go
@@ -21,7 +21,7 @@
 	first, found := f.Choose(query)
 	assert.Assert(t, found)
 	silent := View{Runner: "r", Ready: []backend.Holding{{Model: "m"}}, Silent: true}
-	f.ApplyViews([]View{silent})
+	f.ApplyViews([]View{silent}, 0)
 	_, found = f.Choose(query)
 	assert.Assert(t, !found)
 	assert.Assert(t, !f.Holds("s", "m", place.Homes{}))
@@ -30,7 +30,7 @@
 	_, found = f.Choose(query)
 	assert.Assert(t, found, "it answered this node")
 	now = now.Add(time.Second)
-	f.ApplyViews([]View{silent})
+	f.ApplyViews([]View{silent}, 0)
 	_, found = f.Choose(query)
 	assert.Assert(t, !found)
 	now = now.Add(silentLifetime)
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -214,9 +214,10 @@
 func (h *runnerHandler) Whole(rows []feed.Row, gap time.Duration) {
 	runners, _, _ := h.decode(rows)
 	h.noteNewLives(runners)
+	h.fleet.SetListRevision(h.knowledge.runners.Taking())
 	h.fleet.Replace(runners, gap > doubtfulGap)
 	h.listed.Store(true)
-	h.log.Info("runners listed", "runners", len(runners), "doubtful", gap > doubtfulGap)
+	h.log.Info("runners listed", "runners", len(runners), "kept", h.fleet.Count(), "doubtful", gap > doubtfulGap)
 	h.tidy()
 }
 
@@ -228,6 +229,7 @@
 	if !doubtful {
 		h.noteGone(removed)
 	}
+	h.fleet.SetListRevision(h.knowledge.runners.Taking())
 	h.fleet.Apply(changed, append(removed, unusable...), doubtful)
 	// One line a batch: each of hundreds of nodes tells of hundreds of runners.
 	if leaving := drainingOf(changed); len(leaving) > 0 {
@@ -237,6 +239,18 @@
 		h.log.Info("runners gone", "runners", removed, "doubtful", doubtful)
 	}
 	h.tidy()
+	if h.fleet.Lacks() {
+		h.log.Info("runners lost, reading the list anew", "kept", h.fleet.Count())
+		h.knowledge.runners.Reread()
+	}
+}
+
+// needList lets this node keep all runners while it controls a service.
+func (n *Node) needList(needed bool) {
+	if n.fleet.KeepAll(needed || n.holdsAny()) && needed {
+		n.log.Info("all runners needed", "kept", n.fleet.Count())
+		n.knowledge.runners.Reread()
+	}
 }
 
 // drainingOf lists the runners that leave.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,6 +150,7 @@
 	n.zones = newZones(n)
 	n.countLinks()
 	n.fleet = fleet.New(s.Zone, time.Now, (*operatorRules)(n))
+	n.fleet.SetBound(s.Node, fleet.DefaultBound)
 	n.fleet.SetZones(n.zones)
 	n.fleet.SetStatements(n.statements)
 	n.cold = newColdWatch(n)
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -37,6 +37,8 @@
 	Permits []PermitsWanted `cbor:"15,keyasint,omitempty"`
 	// Poison is told to the holder that counts the ends of runners under requests.
 	Poison *PoisonReport `cbor:"17,keyasint,omitempty"`
+	// Partial is set while the node knows only some of the runners.
+	Partial bool `cbor:"19,keyasint,omitempty"`
 	// Leaving are runners that said in answers that they leave, which the platform's list does
 	// not tell yet.
 	Leaving []RunnerLeaving `cbor:"18,keyasint,omitempty"`
@@ -101,6 +103,9 @@
 	Token   uint64       `cbor:"1,keyasint"`
 	Version uint64       `cbor:"2,keyasint"`
 	Runners []RunnerView `cbor:"4,keyasint,omitempty"`
+	// ListRevision is the revision of the platform's list up to which the holder has taken all
+	// changes; see RunnerView.Listed.
+	ListRevision uint64 `cbor:"19,keyasint,omitempty"`
 	// Planned are the models that the node waits for and that nothing loads yet,
 	// with the time until they are expected.
 	Planned []UnitComing `cbor:"9,keyasint,omitempty"`
@@ -141,6 +146,21 @@
 	Coming []UnitComing `cbor:"3,keyasint,omitempty"`
 	// Silent is set while the runner does not answer the holder.
 	Silent bool `cbor:"4,keyasint,omitempty"`
+	// Listed is told to a node that knows only some runners and waits for a model here.
+	Listed *ListedRunner `cbor:"5,keyasint,omitempty"`
+}
+
+// ListedRunner is what the platform lists of a runner, as of SyncResponse.ListRevision.
+type ListedRunner struct {
+	// Born is the start of its process in Unix milliseconds; zero when it did not tell.
+	Born int64 `cbor:"1,keyasint,omitempty"`
+	// Address is ip:port.
+	Address string `cbor:"2,keyasint"`
+	Zone    string `cbor:"3,keyasint,omitempty"`
+	Region  string `cbor:"4,keyasint,omitempty"`
+	Slots   int    `cbor:"5,keyasint,omitempty"`
+	// Revision is that of its row.
+	Revision uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // UnitHeld is a loaded model with its adapters.
