Tell a whole table in pages

Cause: a reader was told a whole table in one message of at most 4 MiB. Beyond some 14,000 runners it is refused, each node turns to the store instead, and goes on doing so: the table grows, the bound does not. Ruled out: a larger bound (the same again later; a message is held whole at both ends). Change: pages of 512 KB by key, cut and packed once for the readers that start together; what changes between pages is told by the changes after the oldest one. Older nodes are answered as before. A page may take 2 s, as hundreds may ask at once. TestManyRowsArePackedOnce looks for the shared bytes where they lie now, as strictly.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -62,6 +62,8 @@
 	Interval time.Duration
 	// Timeout is how long a call may take beyond its wait.
 	Timeout time.Duration
+	// ReadTimeout is the same of a read of the whole table, where that takes longer.
+	ReadTimeout time.Duration
 }
 
 const (
@@ -163,7 +165,7 @@
 }
 
 func (f *Follower) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.options.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, max(f.options.Timeout, f.options.ReadTimeout))
 	defer cancel()
 	batch, err := f.source.Read(ctx)
 	if err != nil {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -29,6 +29,8 @@
 	configurationWait = 400 * time.Millisecond
 	runnerWait        = 2 * time.Second
 	feedTimeout       = 900 * time.Millisecond
+	// listTimeout bounds a read of all runners, which takes a page for some 2,000 of them.
+	listTimeout = 6 * time.Second
 	// objectWait is the wait for operators' objects and for requests that are not run, which
 	// change rarely.
 	objectWait = 10 * time.Second
@@ -66,7 +68,7 @@
 		objects: feed.NewFollower(objects, &objectHandler{Follower: commit.Follower{Copy: n.catalog, Log: log}, node: n},
 			feed.Options{Name: string(tableObjects), Wait: objectWait, Timeout: feedTimeout}, log),
 		runners: feed.NewFollower(runners, (*runnerHandler)(n),
-			feed.Options{Name: string(tableRunners), Wait: runnerWait, Interval: runnerInterval, Timeout: feedTimeout}, log),
+			feed.Options{Name: string(tableRunners), Wait: runnerWait, Interval: runnerInterval, Timeout: feedTimeout, ReadTimeout: listTimeout}, log),
 		poison: feed.NewFollower(n.relay.Source(tablePoison, n.platform.Poison), (*quarantine.Handler)(n.quarantine),
 			feed.Options{Name: string(tablePoison), Wait: objectWait, Timeout: feedTimeout}, log),
 	}
--- a/internal/relay/mirror.go
+++ b/internal/relay/mirror.go
@@ -27,6 +27,7 @@
 // methods may be called concurrently.
 type mirror struct {
 	packer packer
+	pager  pager
 
 	mu sync.Mutex
 	// rows are the present rows, removed the newest revisions of absent ones.
--- a/internal/relay/mirror_test.go
+++ b/internal/relay/mirror_test.go
@@ -64,7 +64,7 @@
 func (s *storeModel) whole(revision uint64) feed.Batch {
 	batch := feed.Batch{Revision: revision}
 	for key, at := range s.present(revision) {
-		batch.Rows = append(batch.Rows, feed.Row{Key: key, Revision: at})
+		batch.Rows = append(batch.Rows, feed.Row{Key: key, Revision: at, Value: s.changes[at-1].Value})
 	}
 	return batch
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,6 +39,9 @@
 	leaseTimeout  = 800 * time.Millisecond
 	// callMargin is how long a relay's answer may take beyond its hold.
 	callMargin = 350 * time.Millisecond
+	// wholeMargin is the same for a page of a whole table, which hundreds of readers may ask
+	// for at once. That the relay is lost other calls show sooner.
+	wholeMargin = 2 * time.Second
 	// maxAge is how long ago a relay may have heard of the store.
 	maxAge = 900 * time.Millisecond
 	// heardFor is how long an answer of the relay proves that it is there.
@@ -310,6 +313,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, hold)
 	defer cancel()
+	if request.Whole && request.Paged {
+		return r.tellPage(ctx, m, request.FromKey)
+	}
 	batch, err := read(ctx, m, request)
 	if err != nil {
 		return wire.FollowResponse{}, err
@@ -324,6 +330,18 @@
 	return response, nil
 }
 
+// tellPage answers the question for a page of a table.
+func (r *Relay) tellPage(ctx context.Context, m *mirror, from string) (wire.FollowResponse, error) {
+	all, err := m.pager.get(ctx, m)
+	if err != nil {
+		return wire.FollowResponse{}, err
+	}
+	response := wire.FollowResponse{AgeMs: r.age().Milliseconds()}
+	all.put(&response, from)
+	response.Peers = r.known(peersTold)
+	return response, nil
+}
+
 func read(ctx context.Context, m *mirror, request wire.FollowRequest) (feed.Batch, error) {
 	if request.Whole {
 		return m.whole(ctx)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -284,8 +284,8 @@
 	batch, err := follower.source.Read(t.Context())
 	assert.NilError(t, err)
 	assert.Equal(t, len(batch.Rows), rows)
-	first := relay.mirror(testTable).packer.packed
+	first := relay.mirror(testTable).pager.last.list[0].packed
 	_, err = start(t, store, "three").source.Read(t.Context())
 	assert.NilError(t, err)
-	assert.Assert(t, &first[0] == &relay.mirror(testTable).packer.packed[0])
+	assert.Assert(t, &first[0] == &relay.mirror(testTable).pager.last.list[0].packed[0])
 }
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -28,7 +28,7 @@
 
 // Read returns all rows, from the store when the relay does not tell them.
 func (s *Source) Read(ctx context.Context) (feed.Batch, error) {
-	batch, err := s.fetch(ctx, wire.FollowRequest{Whole: true}, s.store.Read)
+	batch, err := s.fetch(ctx, wire.FollowRequest{Whole: true, Paged: true}, s.store.Read)
 	if err == nil {
 		s.mirror.replace(batch)
 		s.lighten()
@@ -128,11 +128,33 @@
 	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
-// ask calls the relay. The call ends early when another one shows that the relay
-// is gone.
+// ask asks the relay, page by page for all rows. What changes meanwhile is told again by the
+// changes after the batch's revision, which is that of its oldest page.
 func (s *Source) ask(ctx context.Context, relay Peer, request wire.FollowRequest) (feed.Batch, error) {
+	batch, next, err := s.askPage(ctx, relay, request)
+	for err == nil && next != "" {
+		if next <= request.FromKey {
+			return feed.Batch{}, fault.At(fault.CodeInvalid, "follow relay", relay.Address, fault.NotDone,
+				fault.New(fault.CodeInvalid, "read pages", "page %q follows page %q", next, request.FromKey))
+		}
+		var more feed.Batch
+		request.FromKey = next
+		more, next, err = s.askPage(ctx, relay, request)
+		batch.Rows = append(batch.Rows, more.Rows...)
+		batch.Revision = min(batch.Revision, more.Revision)
+	}
+	return batch, err
+}
+
+// askPage calls the relay, and returns the first key of the next page. The call ends early
+// when another one shows that the relay is gone.
+func (s *Source) askPage(ctx context.Context, relay Peer, request wire.FollowRequest) (batch feed.Batch, next string, err error) {
 	request.Table, request.From = string(s.table), s.relay.address
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.HoldMs)*time.Millisecond+callMargin)
+	margin := callMargin
+	if request.Whole {
+		margin = wholeMargin
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.HoldMs)*time.Millisecond+margin)
 	defer cancel()
 	gone := s.relay.goneChannel()
 	go func() {
@@ -144,14 +166,14 @@
 	}()
 	var response wire.FollowResponse
 	if err := s.relay.client.Call(ctx, relay.Address, wire.MethodFollow, request, &response); err != nil {
-		return feed.Batch{}, err
+		return feed.Batch{}, "", err
 	}
 	if age := time.Duration(response.AgeMs) * time.Millisecond; age > maxAge {
-		return feed.Batch{}, fault.At(fault.CodeStale, "follow relay", relay.Address, fault.NotDone,
+		return feed.Batch{}, "", fault.At(fault.CodeStale, "follow relay", relay.Address, fault.NotDone,
 			fault.New(fault.CodeStale, "hear store", "the relay heard of the store %v ago", age))
 	}
 	s.relay.noteRelay()
 	s.relay.meet(response.Peers...)
 	rows, err := rowsOf(response, relay)
-	return feed.Batch{Rows: rows, Revision: response.Revision}, err
+	return feed.Batch{Rows: rows, Revision: response.Revision}, response.Next, err
 }
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -14,6 +14,10 @@
 	HoldMs int64 `cbor:"4,keyasint"`
 	// From is the reader's address for peers (ip:port).
 	From string `cbor:"5,keyasint,omitempty"`
+	// Paged asks for the rows of Whole in pages, as all in one may be too large a message.
+	// FromKey is where to go on: the last answer's Next, empty for the first page.
+	Paged   bool   `cbor:"6,keyasint,omitempty"`
+	FromKey string `cbor:"7,keyasint,omitempty"`
 }
 
 // FollowResponse carries rows as of a revision.
@@ -22,6 +26,8 @@
 	// Packed are the rows in place of Rows where there are many; see PackRows.
 	Packed   []byte `cbor:"5,keyasint,omitempty"`
 	Revision uint64 `cbor:"2,keyasint"`
+	// Next is the first key of the next page; empty when there is none.
+	Next string `cbor:"6,keyasint,omitempty"`
 	// AgeMs is how long ago the relay heard of the store, in milliseconds.
 	AgeMs int64 `cbor:"3,keyasint"`
 	// Peers are addresses of some other readers, told with changes.
