Let readers of a relay gather news for longer where they are many

Cause: each reader asks for the configuration every 0.4 s and for runners up to every 0.2 s: the relay's answers grow with the nodes, 7,400 a second at 985 (2,460 and up to 4,925, by the intervals). Ruled out: a second level of relays for this alone; it adds a hop that can be lost. Change: what is no urgent news is gathered 1 ms a node, 2 s at most, so that one relay gives at most some 2,000 such answers a second. A change of the configuration still ends each wait at once; the relay itself gathers nothing. That a relay is heard of counts as much longer. Tests: TestReadersPaceThemselves and TestPaceLengthensWaits do not build before.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -60,6 +60,9 @@
 	// Interval is the least time between two watch calls, so that changes are
 	// gathered.
 	Interval time.Duration
+	// Pace returns what Wait, and Interval where there is one, are at least: the more nodes
+	// ask the same source, the longer. Not set for nothing.
+	Pace func() time.Duration
 	// Timeout is how long a call may take beyond its wait.
 	Timeout time.Duration
 	// ReadTimeout is the same of a read of the whole table, where that takes longer.
@@ -116,7 +119,7 @@
 			continue
 		}
 		f.note(err)
-		pause := f.options.Interval - time.Since(started)
+		pause := f.interval() - time.Since(started)
 		if err != nil {
 			pause = f.nextBackoff()
 		}
@@ -126,6 +129,24 @@
 	}
 }
 
+// wait is how long a watch call waits for a change now.
+func (f *Follower) wait() time.Duration { return max(f.options.Wait, f.pace()) }
+
+// interval is the least time between two watch calls now.
+func (f *Follower) interval() time.Duration {
+	if f.options.Interval == 0 {
+		return 0
+	}
+	return max(f.options.Interval, f.pace())
+}
+
+func (f *Follower) pace() time.Duration {
+	if f.options.Pace == nil {
+		return 0
+	}
+	return f.options.Pace()
+}
+
 func (f *Follower) step(ctx context.Context) error {
 	if !f.whole {
 		return f.read(ctx)
@@ -154,7 +175,7 @@
 
 // watching bounds a call that Reread ends.
 func (f *Follower) watching(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(ctx, f.options.Wait+f.options.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, f.wait()+f.options.Timeout)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.stop = cancel
@@ -189,7 +210,7 @@
 func (f *Follower) watch(ctx context.Context) error {
 	ctx, cancel := f.watching(ctx)
 	defer cancel()
-	batch, err := f.source.Watch(ctx, f.position, f.options.Wait)
+	batch, err := f.source.Watch(ctx, f.position, f.wait())
 	if fault.IsCode(err, fault.CodeCompacted) {
 		f.log.Info("history gone, reading the table anew", "after", f.position)
 		f.whole = false
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -144,3 +144,18 @@
 	cancel()
 	<-done
 }
+
+// TestPaceLengthensWaits: a pace lengthens the wait for changes, and the time between two calls
+// only of a table whose changes are gathered.
+func TestPaceLengthensWaits(t *testing.T) {
+	pace := time.Duration(0)
+	at := func() time.Duration { return pace }
+	gathered := NewFollower(nil, nil, Options{Wait: time.Second, Interval: 200 * time.Millisecond, Pace: at}, logr.Discard())
+	prompt := NewFollower(nil, nil, Options{Wait: 400 * time.Millisecond, Pace: at}, logr.Discard())
+	assert.Equal(t, gathered.interval(), 200*time.Millisecond)
+	pace = 700 * time.Millisecond
+	assert.Equal(t, gathered.interval(), pace)
+	assert.Equal(t, gathered.wait(), time.Second)
+	assert.Equal(t, prompt.interval(), time.Duration(0))
+	assert.Equal(t, prompt.wait(), pace)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,6 +46,11 @@
 	maxAge = 900 * time.Millisecond
 	// heardFor is how long an answer of the relay proves that it is there.
 	heardFor = 1200 * time.Millisecond
+	// pacePerNode is the least time between two answers of a relay that bring no urgent news, so
+	// that the work for its readers stays bounded however many they are.
+	pacePerNode = time.Millisecond
+	// longestPace bounds the age of news.
+	longestPace = 2 * time.Second
 	// suspension is the least time for which a relay that failed is left alone;
 	// up to half as much is added by chance.
 	suspension = 1500 * time.Millisecond
@@ -214,7 +219,7 @@
 func (r *Relay) relayHeard() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.answered) < heardFor || r.looking() || r.leavesLease()
+	return time.Since(r.answered) < heardFor+r.pace() || r.looking() || r.leavesLease()
 }
 
 // fail leaves a relay alone for a while and ends the calls to it.
@@ -266,6 +271,22 @@
 	return r.nodes
 }
 
+// Pace is how long this node gathers news that are not urgent: nothing where it reads the store
+// itself, the longer the more nodes read from the same relay.
+func (r *Relay) Pace() time.Duration {
+	if _, follows := r.Upstream().(Peer); !follows {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pace()
+}
+
+// pace is Pace of a node that follows a relay; mu is held.
+func (r *Relay) pace() time.Duration {
+	return min(time.Duration(r.nodes)*pacePerNode, longestPace)
+}
+
 // mayLook decides whether this node looks for itself at a store of which its relay
 // has not heard for long. Once the store failed this node too, the relay's word is
 // enough: of many nodes only some look again soon.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -289,3 +289,18 @@
 	assert.NilError(t, err)
 	assert.Assert(t, &first[0] == &relay.mirror(testTable).pager.last.list[0].packed[0])
 }
+
+// TestReadersPaceThemselves: the more nodes read from a relay, the longer each gathers news that
+// are not urgent, up to a bound; the relay gathers nothing.
+func TestReadersPaceThemselves(t *testing.T) {
+	relay, follower := pair(t, &fakeStore{})
+	for _, test := range []struct {
+		nodes int
+		pace  time.Duration
+	}{{0, 0}, {7, 7 * time.Millisecond}, {985, 985 * time.Millisecond}, {5000, longestPace}} {
+		relay.SetNodes(test.nodes)
+		follower.SetNodes(test.nodes)
+		assert.Equal(t, follower.Pace(), test.pace)
+		assert.Equal(t, relay.Pace(), time.Duration(0))
+	}
+}
