Choose by how long work takes at a runner at the moment

Cause: the load header's fourth figure, how long work takes there now, was not read; nor was the header of reports, which a node asks two runners for before each choice. Ruled out: believing it as long as the queues (it changes many times a second). Change: it scales what a request's work costs at a runner, fading within 0.2 s.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -92,6 +92,8 @@
 	// Queued and Active are requests that wait and that run there.
 	Queued int
 	Active int
+	// Slowness is that of Workload; zero where it was not told.
+	Slowness float64
 	// CacheUsed and CacheTotal are tokens.
 	CacheUsed  int
 	CacheTotal int
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -196,17 +196,3 @@
 	j.writer.WriteHeader(status)
 	_, _ = j.writer.Write(body)
 }
-
-// parseLoad reads "running,waiting,slots".
-func parseLoad(text string) (running, waiting int, ok bool) {
-	fields := strings.Split(text, ",")
-	if len(fields) < 2 {
-		return 0, 0, false
-	}
-	running, err := strconv.Atoi(strings.TrimSpace(fields[0]))
-	if err != nil {
-		return 0, 0, false
-	}
-	waiting, err = strconv.Atoi(strings.TrimSpace(fields[1]))
-	return running, waiting, err == nil
-}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
@@ -339,8 +340,7 @@
 }
 
 func (j *job) noteLoad(runner string, header http.Header) {
-	running, waiting, ok := parseLoad(header.Get(j.dispatcher.Names.Load))
-	if ok {
-		j.dispatcher.Fleet.Told(runner, running, waiting)
+	if load, ok := backend.ParseWorkload(header.Get(j.dispatcher.Names.Load)); ok {
+		j.dispatcher.Fleet.Told(runner, load)
 	}
 }
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -203,17 +203,17 @@
 func (f *Fleet) rank(known *runner, query Query) Choice {
 	choice := Choice{Runner: known.listed}
 	running := known.told.estimate(f.now(), known.inFlight)
-	cost := rand.Float64() * tieSpread
+	work := 0.0
 	if query.Unit == (backend.Unit{}) {
-		cost += max(known.latency, 1) * float64(running+1) / float64(max(known.listed.Slots, 1))
+		work = max(known.latency, 1) * float64(running+1) / float64(max(known.listed.Slots, 1))
 	} else {
 		total, kept := known.prompts.match(query.Unit, query.Prompt, f.now())
 		choice.KeptTokens = kept
 		choice.UnreadTokens = total - kept
 		queued := max(known.told.queued(f.now(), known.prefill, f.meanUnread), known.prefill)
-		cost += float64(choice.UnreadTokens+queued) / prefillTokensPerMillisecond
-		cost += float64(running) * costPerRequest
+		work = float64(choice.UnreadTokens+queued)/prefillTokensPerMillisecond + float64(running)*costPerRequest
 	}
+	cost := rand.Float64()*tieSpread + work*known.told.factor(f.now())
 	if known.listed.Slots > 0 && running >= known.listed.Slots {
 		choice.Full = true
 		cost += costWhenFull * float64(running-known.listed.Slots+1)
@@ -339,14 +339,16 @@
 }
 
 // Reported notes the load that a runner told when it was asked.
-func (f *Fleet) Reported(id string, report backend.Report) { f.Told(id, report.Active, report.Queued) }
+func (f *Fleet) Reported(id string, report backend.Report) {
+	f.Told(id, backend.Workload{Running: report.Active, Waiting: report.Queued, Slowness: report.Slowness})
+}
 
 // Told notes the load a runner told in an answer.
-func (f *Fleet) Told(id string, running, waiting int) {
+func (f *Fleet) Told(id string, load backend.Workload) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if known := f.runners[id]; known != nil {
-		known.told = toldLoad{running: running, waiting: waiting, own: known.inFlight, prefill: known.prefill, at: f.now()}
+		known.told = toldLoad{running: load.Running, waiting: load.Waiting, slowness: load.Slowness, own: known.inFlight, prefill: known.prefill, at: f.now()}
 	}
 }
 
--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -198,7 +198,7 @@
 func TestShareGrowsAfterTheCold(t *testing.T) {
 	f, c := coldFleet(coldFor(listed("r1", "m"), time.Second), listed("r2", "m"))
 	c.now = c.now.Add(time.Second)
-	f.Told("r2", 3, 0)
+	f.Told("r2", backend.Workload{Running: 3})
 	at := map[string]int{}
 	for range 3 {
 		choice, ok := f.Choose(coldQuery)
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -4,8 +4,11 @@
 
 const (
 	// toldLifetime is how long the load a runner told is believed.
-	toldLifetime  = time.Second
-	latencyWeight = 0.1
+	toldLifetime = time.Second
+	// slownessLifetime is how long the slowness a runner told is believed, fading: it may
+	// change many times a second, and told later it would send requests to the wrong runners.
+	slownessLifetime = 200 * time.Millisecond
+	latencyWeight    = 0.1
 	// unreadWeight moves the mean of what a request has to be read with each one.
 	unreadWeight = 0.1
 	// failureWeight moves the failure share of a runner with each answer.
@@ -23,7 +26,19 @@
 	own     int
 	// prefill is what this node had sent there to be read by then, in tokens.
 	prefill int
-	at      time.Time
+	// slowness is how long work took there then, against the usual; zero where not told.
+	slowness float64
+	at       time.Time
+}
+
+// factor is how many times as long as usual work is expected to take now.
+func (t toldLoad) factor(now time.Time) float64 {
+	age := now.Sub(t.at)
+	if t.slowness == 0 || age >= slownessLifetime {
+		return 1
+	}
+	left := float64(slownessLifetime-age) / float64(slownessLifetime)
+	return 1 + (t.slowness-1)*left
 }
 
 // queued is how many tokens are expected to be read at the runner before another
--- /dev/null
+++ b/internal/fleet/load_test.go
@@ -0,0 +1,40 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
+)
+
+// TestSlowMomentIsAvoided: of two runners with the same queue the one at which work takes as long
+// as usual is chosen, but only as long as the other's word is fresh.
+func TestSlowMomentIsAvoided(t *testing.T) {
+	for name, query := range map[string]Query{
+		"plain":  {Service: "s"},
+		"engine": {Service: "s", Unit: backend.Unit{Model: "m"}, Prompt: []Part{{ID: "own", Tokens: 4000}}},
+	} {
+		f, clock := testFleet()
+		f.Replace([]backend.Runner{listed("usual", "m"), listed("slow", "m")}, false)
+		choose := func() string {
+			choice, ok := f.Choose(query)
+			assert.Assert(t, ok)
+			f.Done(choice, query, Served, 100*time.Millisecond, false)
+			return choice.Runner.ID
+		}
+		for range 40 {
+			f.learn(f.runners["usual"], query, Served, 100*time.Millisecond)
+			f.learn(f.runners["slow"], query, Served, 100*time.Millisecond)
+		}
+		for range 20 {
+			f.Told("usual", backend.Workload{Running: 1, Slowness: 1})
+			f.Told("slow", backend.Workload{Running: 1, Slowness: 4})
+			assert.Equal(t, choose(), "usual", name)
+		}
+		f.Told("slow", backend.Workload{Running: 1, Slowness: 4})
+		clock.now = clock.now.Add(slownessLifetime)
+		assert.Equal(t, f.runners["slow"].told.factor(clock.now), 1.0, name)
+	}
+}
--- a/internal/fleet/ways_test.go
+++ b/internal/fleet/ways_test.go
@@ -64,8 +64,8 @@
 		}
 		f.Choose(forM)
 	}
-	f.Told("near-0", 16, 9)
-	f.Told("near-1", 16, 9)
+	f.Told("near-0", backend.Workload{Running: 16, Waiting: 9})
+	f.Told("near-1", backend.Workload{Running: 16, Waiting: 9})
 	assert.Equal(t, f.Candidates(forM, 2)[0].Region, "south")
 	assert.Equal(t, len(regionFleet(0, 2, 16).Candidates(forM, 2)), 2)
 }
