Serve profiles of the runtime behind a setting

What a node's memory and goroutines are spent on could not be asked of a running node. listen.profiles serves /debug/pprof/; nothing is served where it is not set.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -284,6 +284,7 @@
 	ready     net.Listener
 	peers     net.Listener
 	metrics   net.Listener
+	profiles  net.Listener
 }
 
 func listen(ctx context.Context, addresses settings.Listen) (*listeners, error) {
@@ -295,7 +296,7 @@
 	}{
 		{&l.clients, addresses.Clients, link.Client}, {&l.callers, addresses.Callers, link.Client},
 		{&l.operators, addresses.Operators, link.Client}, {&l.ready, addresses.Ready, link.Client},
-		{&l.peers, addresses.Peers, link.Peer}, {&l.metrics, addresses.Metrics, link.Client},
+		{&l.peers, addresses.Peers, link.Peer}, {&l.metrics, addresses.Metrics, link.Client}, {&l.profiles, addresses.Profiles, link.Client},
 	} {
 		if socket.address == "" {
 			continue
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 	answerMargin = 500 * time.Millisecond
 	pathReady    = "/readyz"
 	pathFigures  = "/metrics"
+	pathProfiles = "/debug/pprof/"
 	// statusTimeout bounds the calls of the entry and of metrics.
 	statusTimeout = 5 * time.Second
 )
@@ -29,6 +31,7 @@
 	n.start("clients", l.clients, n.ingress.Serve)
 	n.start("callers", l.callers, n.gateway.Serve)
 	n.start("operators", l.operators, n.operator.Serve)
+	n.start("profiles", l.profiles, func(l net.Listener) error { return serveStatus(l, pathProfiles, pprof.Index) })
 	n.start("metrics", l.metrics, func(l net.Listener) error { return serveStatus(l, pathFigures, n.figures.handler().ServeHTTP) })
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -76,6 +76,8 @@
 	Advertise string `yaml:"advertise"`
 	// Metrics is where figures are read.
 	Metrics string `yaml:"metrics"`
+	// Profiles is where the Go runtime's profiles are read (/debug/pprof/).
+	Profiles string `yaml:"profiles"`
 }
 
 // PeerAddress is where other nodes reach this one.
@@ -274,7 +276,7 @@
 	check(isAddress(s.Listen.Peers), "listen.peers: %q is not ip:port", s.Listen.Peers)
 	for name, address := range map[string]string{
 		"clients": s.Listen.Clients, "callers": s.Listen.Callers, "operators": s.Listen.Operators,
-		"advertise": s.Listen.Advertise, "metrics": s.Listen.Metrics,
+		"advertise": s.Listen.Advertise, "metrics": s.Listen.Metrics, "profiles": s.Listen.Profiles,
 	} {
 		check(address == "" || isAddress(address), "listen.%s: %q is not ip:port", name, address)
 	}
