Let machines with more memory take leases first, and say when one is too small

Cause: a holder of 10,000 runners and a thousand nodes takes some 200 MB; which machine takes a lease went by cores and link alone. Change: capacity.memoryMB counts like the other two. A machine with less than a node needs says so at its start, with both figures. Tests: TestSpare (the case with memory fails before), TestTooSmallMachineIsNamed.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -236,6 +236,9 @@
 	}
 	n.log.Info("node started", "node", s.Node, "zone", s.Zone, "process", n.process, "clients", s.Listen.Clients,
 		"peers", s.Listen.Peers, "store", s.Store.Address)
+	if !s.Capacity.Fits() {
+		n.log.Info("machine has too little memory for a node", "step", "start node", "memoryMB", s.Capacity.MemoryMB, "neededMB", settings.LeastMemoryMB)
+	}
 	if !clock.CountsSuspensions() {
 		n.log.Info("suspensions of the machine are not seen", "step", "read clock")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -100,14 +100,26 @@
 	Cores float64 `yaml:"cores"`
 	// LinkMbps is the machine's link, in Mbit a second.
 	LinkMbps float64 `yaml:"linkMbps"`
+	// MemoryMB is the memory that the process may take, in megabytes.
+	MemoryMB float64 `yaml:"memoryMB"`
 }
 
 // What a node that works for others should have.
 const (
 	amplyCores    = 0.5
 	amplyLinkMbps = 100
+	// amplyMemoryMB bears the accounts of some 10,000 runners and the connections of a
+	// thousand nodes.
+	amplyMemoryMB = 512
 )
 
+// LeastMemoryMB is what a node needs for itself: its runtime, the configuration, the runners
+// that it keeps, and some hundred requests.
+const LeastMemoryMB = 48
+
+// Fits reports whether the machine has what a node needs at least, where that is known.
+func (c Capacity) Fits() bool { return c.MemoryMB == 0 || c.MemoryMB >= LeastMemoryMB }
+
 // Spare is the part, 0 to 1, that the machine has of what a node should have that
 // works for others. It is 1 where nothing is known.
 func (c Capacity) Spare() float64 {
@@ -118,6 +130,9 @@
 	if c.LinkMbps > 0 {
 		spare = min(spare, c.LinkMbps/amplyLinkMbps)
 	}
+	if c.MemoryMB > 0 {
+		spare = min(spare, c.MemoryMB/amplyMemoryMB)
+	}
 	return spare
 }
 
@@ -283,6 +298,7 @@
 	check(isAddress(s.Store.Address), "store.address: %q is not ip:port", s.Store.Address)
 	check(s.Capacity.Cores >= 0, "capacity.cores: must not be negative")
 	check(s.Capacity.LinkMbps >= 0, "capacity.linkMbps: must not be negative")
+	check(s.Capacity.MemoryMB >= 0, "capacity.memoryMB: must not be negative")
 	check(s.Relay.Scope == ScopeZone || s.Relay.Scope == ScopeRegion, "relay.scope: zone or region")
 	check(s.Configuration.Within > 0, "configuration.within: must be above zero")
 	check(s.Evacuation.Within > 0, "evacuation.within: must be above zero")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -16,11 +16,11 @@
 // TestBadSettingsAreNamedAtOnce: all problems of a file are reported, each with
 // its field.
 func TestBadSettingsAreNamedAtOnce(t *testing.T) {
-	read, unknown, err := Parse([]byte(least + "relay: {scope: galaxy}\ncapacity: {cores: -1, linkMbps: -1}\nretries: {ratio: 2}\nstop: {grace: 1s, notice: 2s}\n"))
+	read, unknown, err := Parse([]byte(least + "relay: {scope: galaxy}\ncapacity: {cores: -1, linkMbps: -1, memoryMB: -1}\nretries: {ratio: 2}\nstop: {grace: 1s, notice: 2s}\n"))
 	assert.NilError(t, err)
 	assert.Equal(t, len(unknown), 0)
 	err = read.Validate()
-	for _, field := range []string{"relay.scope", "capacity.cores", "capacity.linkMbps", "retries.ratio", "stop.notice"} {
+	for _, field := range []string{"relay.scope", "capacity.cores", "capacity.linkMbps", "capacity.memoryMB", "retries.ratio", "stop.notice"} {
 		assert.ErrorContains(t, err, field)
 	}
 }
@@ -35,7 +35,7 @@
 	assert.NilError(t, read.Validate())
 }
 
-// TestSpare: the scarcer of processor and link counts; what is not known does not.
+// TestSpare: the scarcest of processor, link and memory counts; what is not known does not.
 func TestSpare(t *testing.T) {
 	for _, c := range []struct {
 		capacity Capacity
@@ -46,7 +46,16 @@
 		{Capacity{Cores: 0.25, LinkMbps: 1000}, 0.5},
 		{Capacity{Cores: 0.8, LinkMbps: 10}, 0.1},
 		{Capacity{LinkMbps: 10}, 0.1},
+		{Capacity{Cores: 0.8, LinkMbps: 200, MemoryMB: 128}, 0.25},
 	} {
 		assert.Equal(t, c.capacity.Spare(), c.spare, "%+v", c.capacity)
 	}
 }
+
+// TestTooSmallMachineIsNamed: a machine fits that has what a node needs, or of which that is
+// not known.
+func TestTooSmallMachineIsNamed(t *testing.T) {
+	for memory, fits := range map[float64]bool{0: true, LeastMemoryMB: true, LeastMemoryMB - 1: false} {
+		assert.Equal(t, Capacity{MemoryMB: memory}.Fits(), fits, "%v MB", memory)
+	}
+}
