Read a runner's stream on while its client reads slowly

Cause: events went to the client from the loop that reads the runner, so a client that paused kept its runner's answer unread; a runner cuts that off after some seconds. Ruled out: larger socket buffers (their size is the machine's affair, and nothing bounds them over all streams). Tests: TestSlowClientDoesNotHoldUpItsRunner, TestSlowClientIsKeptLittle, TestSlowClientThatStaysIsGivenUp do not build before.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -63,6 +63,8 @@
 	nodes   int
 	budgets map[string]*retry.Budget
 	splits  map[string]*splitter
+	// spools counts what is kept for clients that read slowly.
+	spools spools
 }
 
 // Quarantine knows the requests under which runners ended.
@@ -147,6 +149,7 @@
 func (d *Dispatcher) Serve(ctx context.Context, w http.ResponseWriter, request *Request) Outcome {
 	j := &job{dispatcher: d, request: request, writer: w, log: d.Log.WithValues("request", request.ID)}
 	j.run(ctx)
+	j.closeStream(ctx)
 	j.outcome.Total = time.Since(request.Arrived)
 	j.outcome.Events = j.passed()
 	d.logOutcome(&j.outcome, request)
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net/http"
 	"strings"
 	"time"
 
@@ -22,6 +21,8 @@
 // relay is a stream whose head went out to the client.
 type relay struct {
 	resumable bool
+	// spool passes the events on to the client.
+	spool *spool
 	// lastEvent is the identifier of the last whole event passed on.
 	lastEvent string
 	passed    int
@@ -49,12 +50,12 @@
 				result.started = true
 				j.dispatcher.Fleet.Started(choice)
 			}
-			j.passEvents(answer, pending[:whole])
+			j.passEvents(ctx, answer, pending[:whole])
 			watch.expect(j.lastEvent(), j.pauseLimit())
 			pending = pending[:copy(pending, pending[whole:])]
 		}
 		if err == io.EOF {
-			j.finishStream(answer, pending)
+			j.finishStream(ctx, answer, pending)
 			result.fleet = fleet.Served
 			return result, nil
 		}
@@ -83,17 +84,14 @@
 }
 
 // passEvents sends whole events to the client.
-func (j *job) passEvents(answer *upstream.Answer, events []byte) {
+func (j *job) passEvents(ctx context.Context, answer *upstream.Answer, events []byte) {
 	j.openStream(answer)
 	if id, ok := lastIdentifier(events); ok {
 		j.relay.lastEvent = id
 	}
 	j.notePause(time.Now())
 	j.relay.passed++
-	_, _ = j.writer.Write(events)
-	if flusher, ok := j.writer.(http.Flusher); ok {
-		flusher.Flush()
-	}
+	j.relay.spool.write(ctx, events)
 }
 
 // lastEvent is the last event that was passed on and names itself; empty for none.
@@ -131,14 +129,22 @@
 	j.copyHeader(answer.Header)
 	j.writer.Header().Del("Content-Length")
 	j.writer.WriteHeader(answer.Status)
+	j.relay.spool = newSpool(j.writer, &j.dispatcher.spools)
+}
+
+// closeStream waits until the client, whose leaving ends ctx, has read what is kept of a stream.
+func (j *job) closeStream(ctx context.Context) {
+	if j.relay != nil {
+		j.relay.spool.close(ctx)
+	}
 }
 
 // finishStream ends a stream that its runner ended whole. What is left after its
 // last event belongs to the answer as well.
-func (j *job) finishStream(answer *upstream.Answer, rest []byte) {
+func (j *job) finishStream(ctx context.Context, answer *upstream.Answer, rest []byte) {
 	j.openStream(answer)
 	if len(rest) > 0 {
-		_, _ = j.writer.Write(rest)
+		j.relay.spool.write(ctx, rest)
 	}
 	j.outcome.Result = ResultServed
 	j.outcome.Resumes = j.sent - 1
--- /dev/null
+++ b/internal/dispatch/spool_test.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// slowClient is a writer to a client that reads nothing until it is let.
+type slowClient struct {
+	*httptest.ResponseRecorder
+	read chan struct{}
+	left chan struct{}
+	once sync.Once
+}
+
+func newSlowClient() *slowClient {
+	return &slowClient{ResponseRecorder: httptest.NewRecorder(), read: make(chan struct{}), left: make(chan struct{})}
+}
+
+func (c *slowClient) Write(content []byte) (int, error) {
+	select {
+	case <-c.read:
+		return c.ResponseRecorder.Write(content)
+	case <-c.left:
+		return 0, errors.New("gone")
+	}
+}
+
+func (c *slowClient) SetWriteDeadline(time.Time) error {
+	c.once.Do(func() { close(c.left) })
+	return nil
+}
+
+var _ http.ResponseWriter = (*slowClient)(nil)
+
+// TestSlowClientDoesNotHoldUpItsRunner: a runner's answer is read on while its client reads
+// nothing, and the client gets all of it once it reads.
+func TestSlowClientDoesNotHoldUpItsRunner(t *testing.T) {
+	client, all := newSlowClient(), &spools{}
+	s := newSpool(client, all)
+	for range 100 {
+		s.write(t.Context(), []byte("data: word\n\n"))
+	}
+	close(client.read)
+	s.close(t.Context())
+	assert.Equal(t, client.Body.Len(), 100*len("data: word\n\n"))
+	assert.Equal(t, all.kept.Load(), int64(0))
+}
+
+// TestSlowClientIsKeptLittle: what is kept for a client that reads nothing is bounded, for each
+// stream and for all together; nothing is kept of a stream whose client left.
+func TestSlowClientIsKeptLittle(t *testing.T) {
+	all := &spools{}
+	events := make([]byte, 8<<10)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	var writing sync.WaitGroup
+	var streams []*spool
+	for range 3 * spoolsLimit / spoolLimit {
+		s := newSpool(newSlowClient(), all)
+		streams = append(streams, s)
+		writing.Go(func() {
+			for ctx.Err() == nil {
+				s.write(ctx, events)
+			}
+		})
+	}
+	writing.Wait()
+	for _, s := range streams {
+		assert.Assert(t, len(s.pending) <= spoolLimit)
+	}
+	kept, most := all.kept.Load(), int64(spoolsLimit+2*len(streams)*len(events))
+	assert.Assert(t, kept > spoolsLimit/2 && kept <= most, "%d bytes are kept, %d at most", kept, most)
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	for _, s := range streams {
+		s.close(gone)
+	}
+	assert.Equal(t, all.kept.Load(), int64(0))
+}
+
+// TestSlowClientThatStaysIsGivenUp: an answer that has ended does not hold its node for ever.
+func TestSlowClientThatStaysIsGivenUp(t *testing.T) {
+	client := newSlowClient()
+	s := newSpool(client, &spools{})
+	s.write(t.Context(), []byte("data: word\n\n"))
+	_ = client.SetWriteDeadline(time.Time{})
+	s.close(t.Context())
+	s.write(t.Context(), []byte("data: more\n\n"))
+	assert.Equal(t, client.Body.Len(), 0)
+}
