Let a restarted node of many read from the relay, not from the store

Cause: a node that starts while the fleet serves read all tables from the store at once, a page of 500 runners a call: 985 nodes that lose power together ask for some 25,000 pages and rows (argued: 20 pages, three tables, two leases a node), of 16,000 reads a second. Also found: a reader whose relay failed counted as one that starts, so that all turned to the store. Change: the relay's lease says how many nodes there are. A node that starts looks at that row first, 150 ms at most; one of more than 128 goes on as one that starts with the whole system, others read the store at once as before. Tests: TestRestartedNodeOfManyLeavesTheStoreAlone, TestNodesThatLostPowerTogetherFindARelay. TestSomeNodesTurnToTheStoreFirst knows the cases with and without the row, as strictly; TestManyNodesLeaveStoreThatIsAway reads once first: its node had never heard of anything.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -41,6 +41,9 @@
 	// GapLeftMs is how long the holder still waits out the turn gap of the one before
 	// it; zero once it is settled.
 	GapLeftMs int64 `json:"gapLeftMs,omitempty"`
+	// Nodes is how many nodes contend for the lease, as far as the holder knows: one that
+	// starts learns it here.
+	Nodes int `json:"nodes,omitempty"`
 }
 
 // Options are the times of a lease.
@@ -194,6 +197,14 @@
 	record.GapLeftMs = max(-wholeMs(-wait), 0)
 }
 
+// nodes is how many nodes contend for the lease; zero when that is not known.
+func (l *Lessor) nodes() int {
+	if l.options.Nodes == nil {
+		return 0
+	}
+	return l.options.Nodes()
+}
+
 func (l *Lessor) mayAct() bool {
 	now := l.options.Now()
 	return l.held && !l.stopped && !l.yielded() && now.Add(l.options.ActMargin).Before(l.validUntil) && !now.Before(l.actsFrom)
@@ -217,6 +228,13 @@
 	return l.seen, l.read && !l.seen.Released && l.seen.Holder != ""
 }
 
+// Looked reports whether the row was read, by this process or from what others told.
+func (l *Lessor) Looked() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.read
+}
+
 func (l *Lessor) look(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, l.options.CallTimeout)
 	defer cancel()
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -65,10 +65,7 @@
 // crowd is how many times as long each node waits, so that many do not all call the
 // store at once.
 func (l *Lessor) crowd() int {
-	if l.options.Nodes == nil {
-		return 1
-	}
-	return min(max(l.options.Nodes()/nodesPerCrowd, 1), largestCrowd)
+	return min(max(l.nodes()/nodesPerCrowd, 1), largestCrowd)
 }
 
 // pause is the time until the next step.
@@ -150,8 +147,10 @@
 
 // take writes this process as the holder.
 func (l *Lessor) take(ctx context.Context) {
+	nodes := l.nodes()
 	l.mutex.Lock()
 	record := l.self
+	record.Nodes = nodes
 	record.Token = l.seen.Token + 1
 	record.Renewal = 1
 	expected := l.revision
@@ -194,12 +193,14 @@
 // renew writes the next renewal. When its answer is lost, the row tells at the
 // next step whether it, or another holder's write, took effect.
 func (l *Lessor) renew(ctx context.Context) {
+	nodes := l.nodes()
 	l.mutex.Lock()
 	if l.stopped {
 		l.mutex.Unlock()
 		return
 	}
 	record := l.seen
+	record.Nodes = nodes
 	record.Renewal++
 	if l.yielded() {
 		record.Token++
--- a/internal/relay/join.go
+++ b/internal/relay/join.go
@@ -26,6 +26,13 @@
 	lookInterval = 120 * time.Millisecond
 	// lookStep is the time after which a table's follower sees what another one found.
 	lookStep = 10 * time.Millisecond
+	// firstLookPatience is how long a node that starts waits for the lease's row, which tells
+	// how many nodes there are and which of them relays.
+	firstLookPatience = 150 * time.Millisecond
+	// startersDirect is up to how many nodes each that starts while the fleet serves reads the
+	// tables from the store at once. Of more, hundreds may start together, after a loss of
+	// power, and a start takes some ten calls and one for 500 runners.
+	startersDirect = 128
 	// readersAsked is how many likely nodes are asked at each look.
 	readersAsked = 2
 )
@@ -55,10 +62,10 @@
 // direct is Direct of a node that is not the relay; mu is held.
 func (r *Relay) direct() bool {
 	switch {
-	case !r.firstStart && r.heard.IsZero() && r.answered.IsZero():
+	case !r.firstStart && !r.started:
 		// It starts while the fleet serves: requests wait for its tables, and after a
 		// loss of power everywhere nobody else can tell them yet.
-		return true
+		return r.nodes <= startersDirect && (r.rowSeen || time.Since(r.began) >= firstLookPatience)
 	case len(r.standbys) > 0:
 		return slices.Contains(r.standbys, r.address) || r.nodes <= lookers
 	default:
--- a/internal/relay/join_test.go
+++ b/internal/relay/join_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"net"
 	"sync"
@@ -124,12 +125,15 @@
 		name     string
 		first    bool
 		heard    bool
+		rowSeen  bool
 		standbys []string
 		nodes    int
 		direct   bool
 	}{
 		{name: "starts with the whole system", first: true},
-		{name: "starts again", direct: true},
+		{name: "starts again", rowSeen: true, direct: true},
+		{name: "starts again, knows the row not yet"},
+		{name: "starts again as one of many", rowSeen: true, nodes: startersDirect + 1},
 		{name: "knows of nobody", heard: true, direct: true},
 		{name: "told", first: true, heard: true, standbys: others, nodes: 300},
 		{name: "told, started later", heard: true, standbys: others, nodes: 300},
@@ -139,6 +143,7 @@
 		r := New(Options{Group: "group", Address: self, FirstStart: c.first})
 		r.SetStandbys(c.standbys)
 		r.SetNodes(c.nodes)
+		r.rowSeen = c.rowSeen
 		if c.heard {
 			r.noteRelay()
 		}
@@ -248,3 +253,54 @@
 	alone.lookingSince, alone.lookedAt = time.Now().Add(-time.Hour), time.Now()
 	assert.Assert(t, !alone.mayFind(), "how many nodes there are is not known yet")
 }
+
+// TestRestartedNodeOfManyLeavesTheStoreAlone: a node that starts while a large fleet serves
+// learns from the lease's row that it is one of many, and reads the tables from the relay. One
+// of few reads them from the store at once.
+func TestRestartedNodeOfManyLeavesTheStoreAlone(t *testing.T) {
+	for _, test := range []struct{ nodes, reads int }{{startersDirect, 1}, {startersDirect + 1, 0}} {
+		store := &fakeStore{}
+		store.write("a")
+		relay := start(t, store, "one")
+		until(t, func() bool { return relay.lessor.Holds() })
+		_, err := relay.source.Read(t.Context())
+		assert.NilError(t, err)
+		relay.SetNodes(test.nodes)
+		until(t, func() bool {
+			record, _ := relay.lessor.Holder()
+			return record.Nodes == test.nodes
+		})
+		if test.reads > 0 {
+			// Without a relay it is seen whom a node turns to.
+			relay.kill()
+		}
+		reads := store.reads.Load()
+		restarted := start(t, store, "two")
+		readsInTime(t, restarted)
+		assert.Equal(t, store.reads.Load()-reads, int64(test.reads), "of %d nodes", test.nodes)
+	}
+}
+
+// TestNodesThatLostPowerTogetherFindARelay: after a loss of power everywhere, where the relay that
+// the row names is gone for good, another one is found and few of many turn to the store.
+func TestNodesThatLostPowerTogetherFindARelay(t *testing.T) {
+	store := &fakeStore{}
+	store.write("a")
+	lost := start(t, store, "lost")
+	until(t, func() bool { return lost.lessor.Holds() })
+	lost.SetNodes(500)
+	until(t, func() bool {
+		record, _ := lost.lessor.Holder()
+		return record.Nodes == 500
+	})
+	lost.kill()
+	reads := store.reads.Load()
+	const nodes = 24
+	var reading sync.WaitGroup
+	for i := range nodes {
+		m := start(t, store, fmt.Sprint("node-", i))
+		reading.Go(func() { readsInTime(t, m) })
+	}
+	reading.Wait()
+	assert.Assert(t, store.reads.Load()-reads <= 3*nodes, "%d reads of the store", store.reads.Load()-reads)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -145,6 +145,11 @@
 	// Direct.
 	firstStart bool
 	standbys   []string
+	// began is when this process started, rowSeen is set once it knows the lease's row, started
+	// once it was told of a table.
+	began   time.Time
+	rowSeen bool
+	started bool
 	// reader is a node without the lease that reads the store, from which this one
 	// reads while there is no relay. lookingSince is when the look for one began, zero
 	// for none, lookedAt when others were asked last, looks how many looks in vain there
@@ -159,11 +164,11 @@
 func New(o Options) *Relay {
 	r := &Relay{
 		client: o.Client, address: o.Address, log: o.Log.WithValues("group", o.Group), mirrors: make(map[Table]*mirror), gone: make(chan struct{}),
-		firstStart: o.FirstStart,
+		firstStart: o.FirstStart, began: time.Now(),
 	}
 	r.lessor = lease.New(o.Leases, o.Group.LeaseKey(), o.Node, o.Address, o.Process, lease.Options{
 		Validity: leaseValidity, Interval: leaseInterval, CallTimeout: leaseTimeout, Reluctance: o.Reluctance, Heard: r.relayHeard,
-		Nodes: r.Nodes, LookFirst: true,
+		Nodes: r.Nodes, LookFirst: true, LookAtOnce: !o.FirstStart,
 	}, o.Log)
 	return r
 }
@@ -183,9 +188,13 @@
 // Upstream returns where this node reads the tables now.
 func (r *Relay) Upstream() Upstream {
 	record, known := r.lessor.Holder()
-	holds := r.lessor.Holds()
+	holds, looked := r.lessor.Holds(), r.lessor.Looked()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.rowSeen = r.rowSeen || looked
+	if r.nodes == 0 {
+		r.nodes = record.Nodes
+	}
 	up := r.choose(record, known && !holds)
 	if up != r.last {
 		r.log.Info("tables' upstream changed", "upstream", up.String(), "holds", holds)
@@ -246,7 +255,7 @@
 func (r *Relay) noteStore() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.heard = time.Now()
+	r.heard, r.started = time.Now(), true
 	r.refusedAt = time.Time{}
 }
 
@@ -310,7 +319,7 @@
 func (r *Relay) noteRelay() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.answered = time.Now()
+	r.answered, r.started = time.Now(), true
 }
 
 // age is how long ago the store answered this node.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -116,6 +116,8 @@
 	source   *Source
 	listener *resetter
 	asked    atomic.Int64
+	// kill ends its work and its connections.
+	kill func()
 }
 
 const testTable Table = "things"
@@ -143,6 +145,10 @@
 	t.Cleanup(func() { _ = server.Close() })
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
+	m.kill = func() {
+		cancel()
+		_ = server.Close()
+	}
 	go m.Run(ctx)
 	return m
 }
@@ -233,13 +239,15 @@
 	store := &fakeStore{}
 	store.write("a")
 	relay, follower := pair(t, store)
+	_, err := follower.source.Read(t.Context())
+	assert.NilError(t, err)
 	follower.SetNodes(1000 * lookers)
 	store.down.Store(true)
 	relay.mu.Lock()
 	relay.heard = time.Now().Add(-time.Hour)
 	relay.mu.Unlock()
 	before := store.reads.Load()
-	_, err := follower.source.Read(t.Context())
+	_, err = follower.source.Read(t.Context())
 	assert.Assert(t, err != nil)
 	assert.Equal(t, store.reads.Load(), before+1, "the store is looked at by itself first")
 	assert.Assert(t, follower.refused("another table") && !follower.refused(testTable))
