--- a/internal/node/fleetfigures.go
+++ b/internal/figures/runners.go
@@ -1,4 +1,4 @@
-package node
+package figures
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
@@ -7,7 +7,6 @@
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/place"
-	"lilacvane/internal/wire"
 )
 
 // The states in which listed runners are counted. Each runner counts once: one in a zone
@@ -48,15 +47,8 @@
 	}
 }
 
-// runnersByState counts the listed runners by state.
-func (n *Node) runnersByState() map[string]int {
-	return countStates(n.fleet.Zones(), func(zone place.Zone) bool {
-		word, _ := n.zoneState(zone)
-		return word == wire.ZoneOut || word == wire.ZoneLeaving
-	})
-}
-
-func countStates(zones map[place.Zone]fleet.Standing, out func(place.Zone) bool) map[string]int {
+// CountStates counts runners by state, given those of each zone and which zones are out.
+func CountStates(zones map[place.Zone]fleet.Standing, out func(place.Zone) bool) map[string]int {
 	counts := map[string]int{runnersReady: 0, runnersDraining: 0, runnersCold: 0, runnersZoneOut: 0}
 	for zone, standing := range zones {
 		if out(zone) {
--- a/internal/node/tenantfigures.go
+++ b/internal/figures/tenants.go
@@ -1,4 +1,4 @@
-package node
+package figures
 
 import (
 	"net/http"
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -82,7 +82,7 @@
 	lessor := lease.New(n.platform.Leases, leasePrefix+service, s.Node, s.Listen.PeerAddress(), n.process, options, n.log.Logger)
 	controller := control.NewController(control.Options{
 		Service: service, Node: s.Node, Lessor: lessor, Runners: n.platform.Control, Fleet: n.fleet, Rules: stayingRules{(*operatorRules)(n)}, Statements: n.statements, Leavings: (*leavings)(n), NeedList: n.needList, ListRevision: n.knowledge.runners.Taken, Configuration: n.configuration.Load,
-		Policies: n.policies, Sleeper: newSleeper(s.Sleep, n.policies.Zone()), ObserveLoad: n.figures.observeLoad, Divide: n.limits.divide, Count: n.quarantine.Count, Terms: n.coldTerms, Decide: n.decide, Log: n.log.Logger,
+		Policies: n.policies, Sleeper: newSleeper(s.Sleep, n.policies.Zone()), ObserveLoad: n.figures.ObserveLoad, Divide: n.limits.divide, Count: n.quarantine.Count, Terms: n.coldTerms, Decide: n.decide, Log: n.log.Logger,
 	})
 	self := wire.Member{Node: s.Node, Zone: s.Zone, Region: s.Region, Address: s.Listen.PeerAddress()}
 	syncer = control.NewSyncer(service, self, s.Capacity.Spare(), lessor, controller, n.client, n.demand, n.fleet, n.limits.of(service), n.quarantine.Of(service), (*leavings)(n), n.observeFleet, n.log.Logger)
@@ -92,6 +92,17 @@
 	return &serviceControl{lessor: lessor, controller: controller, end: end}
 }
 
+// countHeld is how many control leases this node holds.
+func (c *controls) countHeld() int {
+	held := 0
+	for _, s := range c.all() {
+		if s.lessor.Holds() {
+			held++
+		}
+	}
+	return held
+}
+
 // sumStores sums a figure of the weight stores of the services that this node
 // controls.
 func (c *controls) sumStores(value func(wire.StoreStatus) float64) float64 {
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -15,7 +15,7 @@
 // crashed is told of a runner that ended under requests of this node. The holder is told
 // too, so that what it held is loaded elsewhere before the platform's list drops it.
 func (n *Node) crashed(c crash.Crash) {
-	n.figures.crashes.Inc()
+	n.figures.CountCrash()
 	n.quarantine.Crashed(c)
 	if runner, known := n.fleet.Find(c.Runner); known && n.fleet.Suspect(c.Runner) {
 		n.demand.Nudge(runner.Service)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"lilacvane/internal/dispatch"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/feed"
+	"lilacvane/internal/figures"
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/gateway"
 	"lilacvane/internal/ingress"
@@ -117,7 +118,7 @@
 	operator      *operator.Server
 	peers         *peer.Server
 	client        *peer.Client
-	figures       *figures
+	figures       *figures.Figures
 	controls      *controls
 	limits        *limits
 	cold          *coldWatch
@@ -160,7 +161,7 @@
 	n.policies = policy.NewSet(n.catalog, s.Region, zone)
 	n.closing, n.close = context.WithCancel(context.Background())
 	n.figures = newFigures(n)
-	meter := traffic.NewMeter(place.Region(s.Region), n.figures.countRegion)
+	meter := traffic.NewMeter(place.Region(s.Region), n.figures.CountRegion)
 	n.pool.Wrap = func(runner string, conn net.Conn) net.Conn { return meter.Connection(conn, n.fleet.RegionOf(runner)) }
 	n.dispatcher = &dispatch.Dispatcher{
 		Node: s.Node, Fleet: n.fleet, Pool: n.pool, Demand: n.demand, Names: platform.Headers,
@@ -178,7 +179,7 @@
 	n.gateway = gateway.New(gateway.Options{
 		Node: s.Node, Names: platform.Headers, Dispatcher: n.dispatcher, Configuration: n.inForce, Claims: n.claims, Accept: n.accept,
 	})
-	n.operator = operator.New(n, n.catalog, s.Node, n.figures.handler())
+	n.operator = operator.New(n, n.catalog, s.Node, n.figures.Handler())
 	n.client = peer.NewClient(s.Node, n.platform.Links)
 	n.client.SetMeter(meter)
 	n.controls = newControls(n)
--- a/internal/node/questions.go
+++ b/internal/node/questions.go
@@ -41,7 +41,7 @@
 
 // observe counts a request that ended and remembers what became of it.
 func (n *Node) observe(id string, o dispatch.Outcome) {
-	n.figures.observe(o)
+	n.figures.Observe(o)
 	ended := wire.Decision{Subject: "request/" + id, Step: "end request", Reason: describeOutcome(o), Revision: n.catalog.Revision()}
 	if o.Unplaced != nil {
 		ended.Obstacles = o.Unplaced.Obstacles.Wire()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -32,7 +32,7 @@
 	n.start("callers", l.callers, n.gateway.Serve)
 	n.start("operators", l.operators, n.operator.Serve)
 	n.start("profiles", l.profiles, func(l net.Listener) error { return serveStatus(l, pathProfiles, pprof.Index) })
-	n.start("metrics", l.metrics, func(l net.Listener) error { return serveStatus(l, pathFigures, n.figures.handler().ServeHTTP) })
+	n.start("metrics", l.metrics, func(l net.Listener) error { return serveStatus(l, pathFigures, n.figures.Handler().ServeHTTP) })
 }
 
 func (n *Node) start(name string, listener net.Listener, serve func(net.Listener) error) {
--- a/internal/node/statements.go
+++ b/internal/node/statements.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"lilacvane/internal/clock"
 	"lilacvane/internal/statement"
 	"lilacvane/internal/wire"
@@ -14,7 +12,7 @@
 func (n *Node) hearStatements() {
 	n.statements = statement.NewBook(statement.Options{
 		LeavingHeader: n.platform.Headers.Leaving, Limits: n.statementLimits, Now: clock.Now, Log: n.log.Logger,
-		Observe: func(kind statement.Kind) { n.figures.statements.WithLabelValues(string(kind)).Inc() },
+		Observe: func(kind statement.Kind) { n.figures.CountStatement(kind) },
 		News:    n.heardStatement, Widened: func() { n.fleet.Wake() },
 	})
 	n.pool.Statements = n.statements
@@ -117,10 +115,3 @@
 	s := n.settings.Load().Statements
 	return statement.Limits{LongestRest: s.LongestRest, UnreadableRest: s.UnreadableRest, LeavingFor: s.LeavingFor}
 }
-
-// newStatementFigures counts statements by kind.
-func newStatementFigures() *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "lilacvane_runner_statements_total", Help: "What runners stated of themselves in answers, by kind; doubtful is what could not be taken as it was said.",
-	}, []string{"kind"})
-}
