--- a/internal/relay/pages_test.go
+++ b/internal/relay/pages_test.go
@@ -85,3 +85,20 @@
 	told.put(&response, "")
 	assert.DeepEqual(t, response, wire.FollowResponse{Revision: 3})
 }
+
+// TestPagesThatCannotBeFollowedAreCutAnew: pages are not told, however fresh, when not all that
+// changed after them is known: their reader could not be told what it missed.
+func TestPagesThatCannotBeFollowedAreCutAnew(t *testing.T) {
+	m := newMirror()
+	m.replace(feed.Batch{Revision: 10, Rows: []feed.Row{{Key: "gone", Revision: 3}}})
+	first, err := m.pager.get(ended(), m)
+	assert.NilError(t, err)
+	again, err := m.pager.get(ended(), m)
+	assert.NilError(t, err)
+	assert.Equal(t, first, again)
+	m.lighten(0)
+	m.replace(feed.Batch{Revision: 20})
+	anew, err := m.pager.get(ended(), m)
+	assert.NilError(t, err)
+	assert.Equal(t, anew.revision, uint64(20))
+}
