Let a plan look at what each runner may unload once

Cause: for each model that is waited for a plan listed, sorted and weighed the models of each runner, and for each adapter it looked at all runners: needs times runners. Ruled out: a plan of fewer needs (they would wait for the next one); places drawn from some runners (worse places at small sizes, where it costs nothing to look at all). Change: what may be unloaded from a runner is kept until the plan changes the count of one of its models; a place that costs more without room is passed over before its room is reckoned; adapters are looked for at the runners that hold their model. The plans are the same. Tests: TestPlanLooksAtEachRunnerOnce fails before; TestEvictionsFollowCounts. TestLastReplicaInHomesStays begins its plan as MakePlan does, with what it counts.

--- a/internal/scheduler/adapters.go
+++ b/internal/scheduler/adapters.go
@@ -59,7 +59,7 @@
 // adapterWithin reports whether a runner in the homes holds or loads the adapter.
 func (p *planner) adapterWithin(want Want) bool {
 	unit := want.Unit
-	for _, runner := range p.state.Runners {
+	for _, runner := range p.holding[unit.Model] {
 		if !want.Homes.Allows(runner.Region) {
 			continue
 		}
@@ -83,7 +83,7 @@
 func (p *planner) placeAdapter(want Want) {
 	unit := want.Unit
 	best, bestCost := (*Runner)(nil), 0.0
-	for _, runner := range p.state.Runners {
+	for _, runner := range p.holding[unit.Model] {
 		if !want.Homes.Allows(runner.Region) {
 			continue
 		}
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -59,3 +59,35 @@
 }
 
 func adapterName(index int) string { return fmt.Sprintf("a%d", index%benchmarkAdapters) }
+
+// BenchmarkPlanOfWaitingModels: a plan for 299 models, of which 30 that nobody holds are waited
+// for, at runners that are full.
+func BenchmarkPlanOfWaitingModels(b *testing.B) {
+	for _, runners := range []int{1000, 9640, 20_000} {
+		b.Run(fmt.Sprintf("runners-%d", runners), func(b *testing.B) {
+			state := fullState(runners, 299, 30)
+			b.ReportAllocs()
+			for b.Loop() {
+				MakePlan(state)
+			}
+		})
+	}
+}
+
+// fullState is a state of runners that hold two models each and have no room for a third. The
+// last of the models are held by nobody and waited for.
+func fullState(runners, models, waiting int) *State {
+	state := testState(runners, models)
+	held := models - waiting
+	for index, runner := range state.Runners {
+		for copy := range 2 {
+			name := fmt.Sprintf("m%d", (index+copy*7)%held)
+			runner.hold(name).Active = index % 3
+			state.Demand[backend.Unit{Model: name}] = &Demand{Rate: float64(index%held) / 50, Work: float64(index%held) / 40, LastUse: testNow}
+		}
+	}
+	for index := range waiting {
+		waits(state, backend.Unit{Model: fmt.Sprintf("m%d", held+index)})
+	}
+	return state
+}
--- a/internal/scheduler/homes_test.go
+++ b/internal/scheduler/homes_test.go
@@ -124,8 +124,7 @@
 	state.Demand[backend.Unit{Model: "m1"}] = &Demand{Rate: 2, Work: 0.2, LastUse: testNow}
 	state.Runners[0].Idle = false
 	waits(state, backend.Unit{Model: "m2"})
-	p := &planner{state: state, copies: newReplicas(), ready: newReplicas(), present: make(map[string]int), staying: make(map[string]int)}
-	p.countCopies()
+	p := newPlanner(state)
 	assert.Assert(t, p.loss(state.Runners[1], "m0") > p.loss(state.Runners[1], "m1"), "the only replica in the homes")
 	assert.Assert(t, p.loss(state.Runners[0], "m0") < p.loss(state.Runners[0], "m1"), "a replica outside the homes")
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -56,6 +56,12 @@
 	// runnersOut all of them.
 	out        replicas
 	runnersOut int
+	// holding lists the runners that hold or load each model, or may do so.
+	holding map[string][]*Runner
+	// versions rise with each change of a model's counts, evictions are what may be unloaded
+	// from each runner as of them.
+	versions  map[string]*int
+	evictions map[*Runner]*evictions
 	// moved is how many models of zones that are out were looked at.
 	moved int
 }
@@ -65,6 +71,7 @@
 	p := &planner{
 		state: state, taken: make(map[string]bool), loading: make(map[backend.Unit][]place.Region), loads: state.Loads,
 		copies: newReplicas(), present: make(map[string]int), staying: make(map[string]int), ready: newReplicas(), out: newReplicas(),
+		holding: make(map[string][]*Runner), versions: make(map[string]*int), evictions: make(map[*Runner]*evictions),
 		plan: Plan{Intents: make(map[string]Intent), Ready: make(map[Want]time.Duration)},
 	}
 	p.countCopies()
@@ -90,6 +97,7 @@
 			p.runnersOut++
 		}
 		for model, held := range runner.Models {
+			p.holding[model] = append(p.holding[model], runner)
 			if runner.Out && !runner.Silent && !held.Coming && !held.Leaving {
 				p.out.add(runner, model, 1)
 			}
@@ -98,9 +106,9 @@
 				p.staying[p.bounded(model)]++
 			}
 			if !held.Leaving && !held.Uncertain && runner.serves() {
-				p.copies.add(runner, model, 1)
+				p.countCopy(runner, model, 1)
 				if !held.Coming {
-					p.ready.add(runner, model, 1)
+					p.countReady(runner, model, 1)
 				}
 			}
 		}
@@ -156,7 +164,7 @@
 
 // decide counts a load that was decided.
 func (p *planner) decide(runner *Runner, model string) {
-	p.copies.add(runner, model, 1)
+	p.countCopy(runner, model, 1)
 	if held := runner.Models[model]; held == nil || !held.Uncertain {
 		p.present[p.bounded(model)]++
 	}
@@ -179,7 +187,7 @@
 			p.taken[runner.ID] = true
 			p.staying[p.bounded(model)]--
 			if runner.serves() {
-				p.copies.add(runner, model, -1)
+				p.countCopy(runner, model, -1)
 			}
 			p.plan.Steps = append(p.plan.Steps, Step{
 				Runner: runner.ID, Action: backend.Unload, Unit: backend.Unit{Model: model}, Reason: reason,
@@ -316,9 +324,14 @@
 	}
 	best, bestCost := (*Runner)(nil), 0.0
 	for _, runner := range p.state.Runners {
-		cost, ok := p.cost(runner, n)
-		if ok && (best == nil || cost < bestCost) {
-			best, bestCost = runner, cost
+		cost, ok := p.placeCost(runner, n)
+		if !ok || best != nil && cost >= bestCost {
+			// Room only adds to it.
+			continue
+		}
+		room, ok := p.roomCost(runner, n)
+		if ok && (best == nil || cost+room < bestCost) {
+			best, bestCost = runner, cost+room
 		}
 	}
 	if best == nil || (!n.waiting && !n.floor && bestCost > p.worthPaying(best, n)) {
@@ -362,13 +375,13 @@
 		size = 0
 	}
 	if runner.Free < size {
-		victim := p.nextVictim(runner, model)
+		victim := p.nextVictim(runner)
 		if victim == "" {
 			delete(p.plan.Intents, runner.ID)
 			return
 		}
-		p.copies.add(runner, victim, -1)
-		p.ready.add(runner, victim, -1)
+		p.countCopy(runner, victim, -1)
+		p.countReady(runner, victim, -1)
 		p.plan.Steps = append(p.plan.Steps, Step{
 			Runner: runner.ID, Action: backend.Unload, Unit: backend.Unit{Model: victim}, Reason: "room for " + model,
 		})
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
+	"lilacvane/internal/place"
 )
 
 var testNow = time.Unix(10_000, 0)
@@ -356,3 +358,35 @@
 	state.Engine.Models["m0"].MaximumReplicas = 1
 	assert.Equal(t, len(MakePlan(state).Steps), 0)
 }
+
+// TestEvictionsFollowCounts: what a plan keeps of what may be unloaded from a runner is what a new
+// look finds, after each need that was served.
+func TestEvictionsFollowCounts(t *testing.T) {
+	state := fullState(200, 60, 20)
+	for index, runner := range state.Runners {
+		runner.Region = place.Region(fmt.Sprint("region-", index%2))
+		runner.Silent, runner.Out = index%17 == 0, index%13 == 0
+	}
+	state.Floors = map[string]int{"m1": 2, "m2": 200}
+	waits(state, backend.Unit{Model: "m3"})
+	p := newPlanner(state)
+	for _, need := range p.needs() {
+		p.serve(need)
+		for _, runner := range state.Runners {
+			assert.Assert(t, slices.Equal(p.victims(runner), p.findVictims(runner)), runner.ID)
+		}
+	}
+	assert.Assert(t, len(p.plan.Steps) > 5)
+}
+
+// TestPlanLooksAtEachRunnerOnce: a plan in which forty models are waited for allocates little more
+// than one in which one is, as it looks at what each runner may unload once.
+func TestPlanLooksAtEachRunnerOnce(t *testing.T) {
+	allocations := func(waiting int) float64 {
+		state := fullState(1000, 100, waiting)
+		state.Loads = 0
+		return testing.AllocsPerRun(3, func() { MakePlan(state) })
+	}
+	one, many := allocations(1), allocations(40)
+	assert.Assert(t, many < 2*one, "%v allocations for one model, %v for forty", one, many)
+}
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -39,8 +38,9 @@
 	recentHalf = 8 * time.Second
 )
 
-// cost estimates what loading a model at a runner costs; false when it cannot.
-func (p *planner) cost(runner *Runner, n need) (float64, bool) {
+// placeCost estimates what loading a model at a runner costs, but for the room that it takes;
+// false when it may not be loaded there.
+func (p *planner) placeCost(runner *Runner, n need) (float64, bool) {
 	if p.taken[runner.ID] || !runner.serves() || !n.homes.Allows(runner.Region) {
 		return 0, false
 	}
@@ -53,19 +53,25 @@
 	if fromStore {
 		cost += storeCost
 	}
-	cost += farCost * n.demand.far(runner)
+	return cost + farCost*n.demand.far(runner), true
+}
+
+// roomCost estimates what making room for a model at a runner costs; false when there is none.
+func (p *planner) roomCost(runner *Runner, n need) (float64, bool) {
 	missing := p.state.Engine.Models[n.model].Size - runner.Free
-	if held != nil {
-		missing = 0
+	if runner.Models[n.model] != nil || missing <= 0 {
+		// An order without an answer takes the room already.
+		return 0, true
 	}
-	for _, victim := range p.victims(runner, n.model) {
+	cost := 0.0
+	for _, victim := range p.victims(runner) {
+		missing -= victim.size
+		cost += victim.loss
 		if missing <= 0 {
-			break
+			return cost, true
 		}
-		missing -= p.state.Engine.Models[victim].Size
-		cost += p.loss(runner, victim)
 	}
-	return cost, missing <= 0
+	return cost, false
 }
 
 // worth is how many requests one more runner that loads the model is expected to serve in
@@ -90,33 +96,6 @@
 // gain is what one more replica is worth.
 func (p *planner) gain(n need) float64 { return gainPerWork * perHolder(n) }
 
-// victims lists the models of a runner that may be unloaded, least loss first.
-func (p *planner) victims(runner *Runner, wanted string) []string {
-	var names []string
-	for _, name := range slices.Sorted(maps.Keys(runner.Models)) {
-		held := runner.Models[name]
-		if name == wanted || p.copies.total[name] <= p.state.Floors[name] || held.Coming || held.Leaving || held.Uncertain || p.state.Engine.Models[name] == nil || p.needed(runner, name) {
-			continue
-		}
-		names = append(names, name)
-	}
-	slices.SortStableFunc(names, func(a, b string) int {
-		return compareFloat(p.loss(runner, a), p.loss(runner, b))
-	})
-	return names
-}
-
-func compareFloat(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // needed reports whether requests that a runner may serve wait for a model that only one
 // runner serves to them.
 func (p *planner) needed(runner *Runner, model string) bool {
@@ -125,14 +104,6 @@
 	})
 }
 
-func (p *planner) nextVictim(runner *Runner, wanted string) string {
-	victims := p.victims(runner, wanted)
-	if len(victims) == 0 {
-		return ""
-	}
-	return victims[0]
-}
-
 // loss is what unloading a model at a runner costs.
 func (p *planner) loss(runner *Runner, model string) float64 {
 	cost := drainCost * float64(runner.Models[model].Active)
