Let a holder read the list of runners without gathering news

Cause: the holder tells nodes of runners that they passed over, and a node whose list is newer passes them over again. The holder gathered news as long as the others did, so about half of them had a newer list at any moment, and their requests went on waiting (argued). Ruled out: nodes that believe an older list (the runner may have left since). Change: a node that controls a service does not gather news of runners.

--- a/internal/fleet/keep.go
+++ b/internal/fleet/keep.go
@@ -152,6 +152,13 @@
 	return true
 }
 
+// KeepsAll reports whether the fleet keeps all runners that it is told of.
+func (f *Fleet) KeepsAll() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.keep.all
+}
+
 // SetListRevision tells the revision of changes of the list before they are applied.
 func (f *Fleet) SetListRevision(revision uint64) {
 	f.mutex.Lock()
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -10,6 +10,7 @@
 	"lilacvane/internal/config"
 	"lilacvane/internal/evacuation"
 	"lilacvane/internal/feed"
+	"lilacvane/internal/fleet"
 	"lilacvane/internal/place"
 	"lilacvane/internal/quarantine"
 	"lilacvane/internal/relay"
@@ -68,7 +69,7 @@
 		objects: feed.NewFollower(objects, &objectHandler{Follower: commit.Follower{Copy: n.catalog, Log: log}, node: n},
 			feed.Options{Name: string(tableObjects), Wait: objectWait, Timeout: feedTimeout}, log),
 		runners: feed.NewFollower(runners, (*runnerHandler)(n),
-			feed.Options{Name: string(tableRunners), Wait: runnerWait, Interval: runnerInterval, Pace: n.relay.Pace, Timeout: feedTimeout, ReadTimeout: listTimeout}, log),
+			feed.Options{Name: string(tableRunners), Wait: runnerWait, Interval: runnerInterval, Pace: n.listPace, Timeout: feedTimeout, ReadTimeout: listTimeout}, log),
 		poison: feed.NewFollower(n.relay.Source(tablePoison, n.platform.Poison), (*quarantine.Handler)(n.quarantine),
 			feed.Options{Name: string(tablePoison), Wait: objectWait, Timeout: feedTimeout}, log),
 	}
@@ -247,6 +248,18 @@
 	}
 }
 
+// listPace is how long this node gathers news of runners. One that controls a service gathers
+// none: it tells the others of runners, who believe it only as far as its list is as new as
+// theirs.
+func (n *Node) listPace() time.Duration { return paceOf(n.fleet, n.relay.Pace) }
+
+func paceOf(known *fleet.Fleet, reader func() time.Duration) time.Duration {
+	if known.KeepsAll() {
+		return 0
+	}
+	return reader()
+}
+
 // needList lets this node keep all runners while it controls a service.
 func (n *Node) needList(needed bool) {
 	if n.fleet.KeepAll(needed || n.holdsAny()) && needed {
