Keep the relay of two tests hearing of the store while it packs

Both failed with the race detector beside other work: packing 40,960 rows took longer than maxAge, and nothing kept the relay reading the store as a node's followers do, so its reader rightly turned to the store. The checks are as strict: every read of the store but the relay's own is counted.

--- a/internal/relay/mirror_test.go
+++ b/internal/relay/mirror_test.go
@@ -168,7 +168,10 @@
 		store.write(fmt.Sprintf("a-key-%d", i))
 	}
 	relay, follower := pair(t, store)
+	// Nobody reads from a relay that has not heard of the store for maxAge.
+	stop, _ := keepWatching(t, relay, rows)
 	batch, err := follower.source.Read(t.Context())
+	stop()
 	assert.NilError(t, err)
 	held := follower.mirror(testTable)
 	assert.Assert(t, len(held.rows) == 0 && len(held.log.changes) == 0, "%d rows are kept", len(held.rows))
--- a/internal/relay/pages_test.go
+++ b/internal/relay/pages_test.go
@@ -22,11 +22,14 @@
 	}
 	relay, follower := pair(t, store)
 	before := store.reads.Load()
+	// Nobody reads from a relay that has not heard of the store for maxAge.
+	stop, watches := keepWatching(t, relay, rows)
 	batch, err := follower.source.Read(t.Context())
+	stop()
 	assert.NilError(t, err)
 	assert.Equal(t, len(batch.Rows), rows)
 	assert.Assert(t, len(relay.mirror(testTable).pager.last.list) > 1)
-	assert.Equal(t, store.reads.Load(), before)
+	assert.Equal(t, store.reads.Load()-before, watches.Load(), "only the relay read the store")
 }
 
 // TestChangesBetweenPagesAreTold: rows that come, change and go while a reader is between two
