Keep small fleets whole, few runners of a service known, and rounds with loads under way close

Tests: TestSmallFleetIsKeptWhole with one that leaves, TestLostRunnersAreReplaced with a service of three; both fail before (the second: Lacks at once). TestRoundIsQuietOnlyAtRest.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -30,8 +30,8 @@
 const (
 	// planShare is how many times as long as a plan took the next one waits.
 	planShare = 3
-	// quietShare is the same after a round that ordered nothing while nothing waits: with
-	// thousands of runners it finds what it found before.
+	// quietShare is the same after a quiet round: with thousands of runners the next one finds
+	// what it found.
 	quietShare = 15
 	// planInterval is how often a plan is made unasked, leastInterval the least
 	// time between two plans.
@@ -250,8 +250,8 @@
 	return configuration.Services[c.Service].Engine
 }
 
-// tick brings the accounts up to date and carries out one plan. It returns whether that ordered
-// nothing and nothing waits.
+// tick brings the accounts up to date and carries out one plan. It returns whether the round was
+// quiet.
 func (c *Controller) tick(ctx context.Context, engine *config.Engine) (quiet bool) {
 	select {
 	case <-c.urgency:
@@ -288,7 +288,26 @@
 	c.tellPaused(plan.Ready, state, now)
 	c.notePlanned(plan.Ready, now)
 	c.carryOut(ctx, plan)
-	return len(plan.Steps) == 0 && len(plan.Intents) == 0 && len(plan.Ready) == 0
+	return c.isQuiet(&plan, state)
+}
+
+// isQuiet reports whether a plan orders nothing, no request waits, and no runner has a report or
+// an adapter due: the next round needs not come soon. mutex is held.
+func (c *Controller) isQuiet(plan *scheduler.Plan, state *scheduler.State) bool {
+	if len(plan.Steps) > 0 || len(plan.Intents) > 0 || len(plan.Ready) > 0 {
+		return false
+	}
+	for _, demand := range state.Demand {
+		if demand.Waiting > 0 {
+			return false
+		}
+	}
+	for _, ledger := range c.ledgers {
+		if !ledger.NextDue().IsZero() {
+			return false
+		}
+	}
+	return true
 }
 
 // ownToken begins new accounts when the lease was newly taken, and drops them
--- a/internal/control/rounds_test.go
+++ b/internal/control/rounds_test.go
@@ -10,6 +10,7 @@
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
+	"lilacvane/internal/scheduler"
 )
 
 // TestUnchangedListIsNotTakenAgain: a round looks at the platform's list only after it changed.
@@ -52,3 +53,37 @@
 		})
 	}
 }
+
+// TestRoundIsQuietOnlyAtRest: a round is not quiet while requests wait, also for a load that is
+// under way, while a runner is to report, or when it orders something.
+func TestRoundIsQuietOnlyAtRest(t *testing.T) {
+	unit := backend.Unit{Model: "m1"}
+	for _, test := range []struct {
+		name   string
+		change func(c *Controller, plan *scheduler.Plan, state *scheduler.State)
+		quiet  bool
+	}{
+		{"at rest", func(*Controller, *scheduler.Plan, *scheduler.State) {}, true},
+		{"used, nobody waits", func(_ *Controller, _ *scheduler.Plan, state *scheduler.State) {
+			state.Demand = map[backend.Unit]*scheduler.Demand{unit: {Rate: 2}}
+		}, true},
+		{"requests wait", func(_ *Controller, _ *scheduler.Plan, state *scheduler.State) {
+			state.Demand = map[backend.Unit]*scheduler.Demand{unit: {Waiting: 1}}
+		}, false},
+		{"a runner is to report", func(c *Controller, _ *scheduler.Plan, _ *scheduler.State) {
+			c.ledgers["i-0000000003"].Confirm(time.Now())
+		}, false},
+		{"an order", func(_ *Controller, plan *scheduler.Plan, _ *scheduler.State) {
+			plan.Steps = []scheduler.Step{{Unit: unit}}
+		}, false},
+		{"a place is kept", func(_ *Controller, plan *scheduler.Plan, _ *scheduler.State) {
+			plan.Intents = map[string]scheduler.Intent{"r": {Model: "m1"}}
+		}, false},
+	} {
+		c, engine := largeHolder(10, 3, 1)
+		c.takeRunners(engine, time.Now())
+		plan, state := &scheduler.Plan{}, &scheduler.State{}
+		test.change(c, plan, state)
+		assert.Equal(t, c.isQuiet(plan, state), test.quiet, test.name)
+	}
+}
--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -72,7 +72,7 @@
 	}
 	_, returns := f.left[row.ID]
 	delete(f.left, row.ID)
-	known.cold.Hear(coldstart.Word{For: row.ColdFor, Proof: !came || returns || !f.replaced || f.keep.partial}, f.now())
+	known.cold.Hear(coldstart.Word{For: row.ColdFor, Proof: !came || returns || !f.replaced || len(f.keep.passed) > 0}, f.now())
 }
 
 // leftLifetime is how long a runner that left the list is remembered as no newcomer: rows
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -223,7 +223,7 @@
 		}
 	}
 	f.listVersion++
-	f.keep.partial = false
+	clear(f.keep.passed)
 	f.keep.sort(listed)
 	for _, runner := range listed {
 		f.add(runner)
@@ -239,7 +239,7 @@
 	known := f.runners[listed.ID]
 	came := known == nil
 	if came && !f.keep.takes(&listed, len(f.runners)) {
-		f.keep.partial = true
+		f.keep.pass(&listed)
 		return
 	}
 	f.put(listed, known)
--- a/internal/fleet/keep.go
+++ b/internal/fleet/keep.go
@@ -45,10 +45,10 @@
 	zone  string
 	// seed makes the order of other zones' runners the node's own.
 	seed uint64
-	// all is set while the node needs all runners, partial once one was passed over
-	// since the whole list was read.
-	all     bool
-	partial bool
+	// all is set while the node needs all runners. passed are the services of which one was
+	// passed over since the whole list was read; true where one was that does not leave.
+	all    bool
+	passed map[string]bool
 	// kept counts the present runners by share.
 	kept map[share]int
 	// listRevision is that of the newest change of the list that this node may have taken.
@@ -95,16 +95,18 @@
 	return lacking
 }
 
+// pass notes that a runner is not kept.
+func (k *keeper) pass(listed *backend.Runner) {
+	k.passed[listed.Service] = k.passed[listed.Service] || !listed.Draining
+}
+
 // takes reports whether a runner that is not kept yet is to be, beside so many others. One
 // that leaves is of use to nobody new.
 func (k *keeper) takes(listed *backend.Runner, others int) bool {
-	if k.bound == (Bound{}) || k.all {
+	if k.bound == (Bound{}) || k.all || others < k.bound.Runners {
 		return true
 	}
-	if listed.Draining {
-		return false
-	}
-	return others < k.bound.Runners || k.lacks(listed, func(s share) int { return k.kept[s] })
+	return !listed.Draining && k.lacks(listed, func(s share) int { return k.kept[s] })
 }
 
 // spares reports whether a runner that is kept, beside so many others, need not be.
@@ -132,7 +134,7 @@
 // SetBound bounds the runners that the node of a name keeps. It is called before the fleet is
 // used; without it all are kept.
 func (f *Fleet) SetBound(node string, bound Bound) {
-	f.keep = keeper{bound: bound, zone: f.zone, seed: order(node), kept: make(map[share]int)}
+	f.keep = keeper{bound: bound, zone: f.zone, seed: order(node), passed: make(map[string]bool), kept: make(map[share]int)}
 }
 
 // KeepAll lets the fleet keep all runners that it is told of from now on, or no more than its
@@ -181,16 +183,16 @@
 func (f *Fleet) Whole() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.replaced && !f.keep.partial
+	return f.replaced && len(f.keep.passed) == 0
 }
 
-// Lacks reports whether few runners of a service are left while others were passed over, so
-// that the whole list should be read anew. Of what holds a unit the service's control holder
+// Lacks reports whether few runners of a service are left while others of it were passed over,
+// so that the whole list should be read anew. Of what holds a unit the service's control holder
 // tells.
 func (f *Fleet) Lacks() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if !f.keep.partial {
+	if len(f.keep.passed) == 0 {
 		return false
 	}
 	left := make(map[string]int)
@@ -199,8 +201,8 @@
 			left[s.service] += count
 		}
 	}
-	for _, count := range left {
-		if count < f.keep.bound.Service {
+	for service, ready := range f.keep.passed {
+		if ready && left[service] < f.keep.bound.Service {
 			return true
 		}
 	}
@@ -221,7 +223,7 @@
 func (f *Fleet) drop(id string) {
 	known := f.runners[id]
 	f.keep.count(&known.listed, -1)
-	f.keep.partial = true
+	f.keep.pass(&known.listed)
 	f.forget(id)
 }
 
--- a/internal/fleet/keep_test.go
+++ b/internal/fleet/keep_test.go
@@ -96,10 +96,13 @@
 	}
 }
 
-// TestSmallFleetIsKeptWhole: a node passes nothing over while there are few runners.
+// TestSmallFleetIsKeptWhole: a node passes nothing over while there are few runners, also none that
+// leaves.
 func TestSmallFleetIsKeptWhole(t *testing.T) {
 	f := boundedFleet("node")
-	f.Replace(largeList(DefaultBound.Runners), false)
+	list := largeList(DefaultBound.Runners)
+	list[7].Draining = true
+	f.Replace(list, false)
 	assert.Equal(t, f.Count(), DefaultBound.Runners)
 	assert.Assert(t, f.Whole())
 }
@@ -130,7 +133,13 @@
 func TestLostRunnersAreReplaced(t *testing.T) {
 	f := boundedFleet("node")
 	list := largeList(10_000)
+	// A service of few runners is known whole.
+	for i := range 3 {
+		list[i].Service = "few"
+		list[i].Draining = i == 2
+	}
 	f.Replace(list, false)
+	assert.Assert(t, !f.Lacks())
 	remove := func(lost func(known *runner) bool) {
 		var gone []string
 		for id, known := range f.runners {
