--- a/internal/dispatch/spool_test.go
+++ b/internal/dispatch/spool_test.go
@@ -74,7 +74,9 @@
 	}
 	writing.Wait()
 	for _, s := range streams {
-		assert.Assert(t, len(s.pending) <= spoolLimit)
+		s.mutex.Lock()
+		assert.Check(t, len(s.pending) <= spoolLimit)
+		s.mutex.Unlock()
 	}
 	kept, most := all.kept.Load(), int64(spoolsLimit+2*len(streams)*len(events))
 	assert.Assert(t, kept > spoolsLimit/2 && kept <= most, "%d bytes are kept, %d at most", kept, most)
