Tell how old the configuration is that answers 404, and a relay without word of the store

Why: of a node that stays with a relay whose word of the store is too old, no log line told, so the hypotheses of the late configuration could not be told apart; a 404 said its revision only. Change: one line when a relay's word of the store becomes too old for its reader, and one when it is young again; configurationAgeMs and upstream in 'request ended' of a request that no route matches; lilacvane_configuration_age_seconds. No decision changes.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -37,6 +37,8 @@
 	Names  upstream.Names
 	// Configuration returns the one in force, or nil when none is known yet.
 	Configuration func() *config.Configuration
+	// Knowledge returns what the configuration is known from; not set where that is not told.
+	Knowledge func() Knowledge
 	// Fresh returns when what the node knows is not older than the end of its
 	// last pause, or cannot be made so.
 	Fresh   func(ctx context.Context)
@@ -164,6 +166,9 @@
 	if o.Unplaced != nil {
 		log = log.WithValues("unplacedMs", o.Unplaced.At.Milliseconds(), "obstacles", o.Unplaced.Obstacles.Wire())
 	}
+	if o.Knowledge != nil {
+		log = log.WithValues("configurationAgeMs", o.Knowledge.Age.Milliseconds(), "upstream", o.Knowledge.Source)
+	}
 	log.Info("request ended", "request", request.ID, "result", o.Result, "status", o.Status, "step", o.Step,
 		"reason", o.Reason, "route", o.Route, "tenant", string(o.Tenant), "homes", o.Homes.String(), "cost", o.Cost, "admittedBy", o.AdmittedBy, "revision", o.Revision, "unit", request.Unit.String(), "runner", o.Runner,
 		"attempts", o.Attempts, "endings", o.Endings, "resumes", o.Resumes, "events", o.Events, "waitedMs", o.Waited.Milliseconds(), "firstMs", o.First.Milliseconds(),
@@ -225,6 +230,7 @@
 	j.outcome.Revision = configuration.Revision
 	service, found := j.findRoute(configuration)
 	if !found {
+		j.noteKnowledge()
 		j.refuse(fault.New(fault.CodeNotFound, "route request", "no route for host %q and path %q", j.request.Host, j.request.Path))
 		return
 	}
@@ -266,6 +272,14 @@
 	}
 }
 
+// noteKnowledge notes what the configuration is known from.
+func (j *job) noteKnowledge() {
+	if j.dispatcher.Knowledge != nil {
+		known := j.dispatcher.Knowledge()
+		j.outcome.Knowledge = &known
+	}
+}
+
 // findRoute sets the request's route and returns its service.
 func (j *job) findRoute(configuration *config.Configuration) (service string, found bool) {
 	if j.request.Route != nil {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -105,6 +105,8 @@
 	Pause time.Duration
 	// Revision is the configuration that decided.
 	Revision uint64
+	// Knowledge is how old that was, for a request that no route matches; nil for others.
+	Knowledge *Knowledge
 	// Tenant is the tenant that the request belongs to; empty when it is not known.
 	Tenant tenant.Name
 	// Homes are the regions in which alone it may be served.
@@ -118,6 +120,14 @@
 	KeptTokens int
 }
 
+// Knowledge is what a node knew the configuration from.
+type Knowledge struct {
+	// Age is the time since its source last answered.
+	Age time.Duration
+	// Source is the node's upstream for the store's tables.
+	Source string
+}
+
 // Unplaced is why no runner could take a request.
 type Unplaced struct {
 	Obstacles fleet.Obstacles
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -28,6 +28,8 @@
 	Partial        func() bool
 	// ListAge is how long ago the list was heard of; not known as long as it was not read.
 	ListAge func() (age time.Duration, known bool)
+	// ConfigurationAge is the same of the configuration.
+	ConfigurationAge func() (age time.Duration, known bool)
 	// Resting is how many runners want nothing from the node for a while.
 	Resting func() int
 	// Quarantined is how many contents of requests are not run.
@@ -129,12 +131,11 @@
 	gauge("lilacvane_requests_active", "Requests under way.", func() float64 { return float64(sources.Active()) })
 	count("lilacvane_runners", "Runners of the platform's list that this node keeps.", sources.Runners)
 	gauge("lilacvane_runners_partial", "1 when this node passed over other runners of the list.", func() float64 { return boolValue(sources.Partial()) })
-	gauge("lilacvane_list_age_seconds", "How long ago the list of runners was heard of; -1 when it was not read.", func() float64 {
-		if age, known := sources.ListAge(); known {
-			return age.Seconds()
-		}
-		return -1
-	})
+	age := func(name, what string, value func() (time.Duration, bool)) {
+		gauge(name, "How long ago "+what+" was heard of; -1 when it was not read.", func() float64 { return ageValue(value()) })
+	}
+	age("lilacvane_list_age_seconds", "the list of runners", sources.ListAge)
+	age("lilacvane_configuration_age_seconds", "the configuration", sources.ConfigurationAge)
 	count("lilacvane_runners_resting", "Runners that want nothing from this node for a while.", sources.Resting)
 	count("lilacvane_requests_quarantined", "Contents of requests that are not run as runners ended under them.", sources.Quarantined)
 	count("lilacvane_zones_out", "Zones that operators took out.", sources.ZonesOut)
@@ -156,6 +157,14 @@
 	return f
 }
 
+// ageValue is an age in seconds; -1 when it is not known.
+func ageValue(age time.Duration, known bool) float64 {
+	if !known {
+		return -1
+	}
+	return age.Seconds()
+}
+
 // boolValue is 1 for true.
 func boolValue(b bool) float64 {
 	if b {
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lilacvane/internal/dispatch"
 	"lilacvane/internal/figures"
 	"lilacvane/internal/place"
 	"lilacvane/internal/wire"
@@ -12,7 +13,8 @@
 func newFigures(n *Node) *figures.Figures {
 	return figures.New(figures.Sources{
 		Active:  func() int64 { return n.ingress.Active() },
-		Runners: n.fleet.Count, RunnersByState: n.runnersByState, Partial: func() bool { return !n.fleet.Whole() }, ListAge: n.listAge,
+		Runners: n.fleet.Count, RunnersByState: n.runnersByState, Partial: func() bool { return !n.fleet.Whole() },
+		ListAge: n.listAge, ConfigurationAge: n.configurationAge,
 		Resting:     func() int { return n.statements.CountResting() },
 		Quarantined: func() int { return n.quarantine.CountRefused() },
 		ZonesOut:    func() int { return n.zones.table.Load().CountOut() },
@@ -37,6 +39,19 @@
 	return time.Since(heard), !heard.IsZero()
 }
 
+// configurationAge is how long ago the configuration's source answered; false as long as it
+// was not read.
+func (n *Node) configurationAge() (time.Duration, bool) {
+	heard := n.knowledge.configuration.Heard()
+	return time.Since(heard), !heard.IsZero()
+}
+
+// knowledgeOfConfiguration is what the configuration is known from now.
+func (n *Node) knowledgeOfConfiguration() dispatch.Knowledge {
+	age, _ := n.configurationAge()
+	return dispatch.Knowledge{Age: age, Source: n.relay.Upstream().String()}
+}
+
 // revisionInForce is that of the configuration in force; zero for none.
 func (n *Node) revisionInForce() uint64 {
 	if configuration := n.configuration.Load(); configuration != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -136,6 +136,8 @@
 	nodes        int
 	refusedAt    time.Time
 	refusedTable Table
+	// stale is the relay whose word of the store was too old when this node asked it last.
+	stale Peer
 	// peers are addresses of other readers, for the case that the store is lost;
 	// hint is the relay that they named, sought when they were asked last.
 	peers  addressSet
@@ -320,6 +322,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.answered, r.started = time.Now(), true
+	if r.stale != (Peer{}) {
+		r.log.Info("dependency regained", "dependency", "relay's word of the store")
+		r.stale = Peer{}
+	}
+}
+
+// noteStale tells once of a relay whose word of the store is too old.
+func (r *Relay) noteStale(relay Peer, table Table, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stale == relay {
+		return
+	}
+	r.stale = relay
+	r.log.Info("dependency lost", "dependency", "relay's word of the store", "peer", relay.Address, "table", table, "error", err.Error())
 }
 
 // age is how long ago the store answered this node.
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -90,8 +90,11 @@
 		if err == nil || fault.IsCode(err, fault.CodeCompacted) || ctx.Err() != nil {
 			return batch, err
 		}
-		if fault.IsCode(err, fault.CodeStale) && !s.relay.mayLook() {
-			return batch, err
+		if fault.IsCode(err, fault.CodeStale) {
+			s.relay.noteStale(relay, s.table, err)
+			if !s.relay.mayLook() {
+				return batch, err
+			}
 		}
 		if relay.Token == 0 {
 			// Another node may already be named by it, or by others.
