--- /dev/null
+++ b/internal/relay/group_test.go
@@ -0,0 +1,263 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"lilacvane/internal/fault"
+	"lilacvane/internal/feed"
+	"lilacvane/internal/table"
+	"lilacvane/internal/wait"
+	"lilacvane/internal/wire"
+)
+
+const (
+	// storeLatency and peerLatency are how long a call takes in a simulated group.
+	storeLatency = 4 * time.Millisecond
+	peerLatency  = time.Millisecond
+	// simulatedStandbys is how many nodes of a simulated group turn to the store first.
+	simulatedStandbys = 8
+)
+
+// simulatedStore is a store with a lease and some tables, which single nodes may not reach.
+type simulatedStore struct {
+	mu      sync.Mutex
+	lease   table.Row
+	tables  map[Table]*storeModel
+	changed chan struct{}
+	// silent is set while no call is answered.
+	silent atomic.Bool
+}
+
+func newSimulatedStore(names ...Table) *simulatedStore {
+	s := &simulatedStore{tables: make(map[Table]*storeModel), changed: make(chan struct{})}
+	for _, name := range names {
+		s.tables[name] = &storeModel{}
+		s.tables[name].write("first", false)
+	}
+	return s
+}
+
+// write changes a table and returns the revision.
+func (s *simulatedStore) write(name Table) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tables[name].write("changed", false)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.tables[name].revision
+}
+
+// storeView is the store as one node reaches it.
+type storeView struct {
+	*simulatedStore
+	table Table
+	// cut is set while no call of the node is answered.
+	cut *atomic.Bool
+}
+
+// reach waits for the store; it fails when that does not answer before ctx ends.
+func (v storeView) reach(ctx context.Context) error {
+	if v.silent.Load() || v.cut.Load() {
+		<-ctx.Done()
+	}
+	wait.For(ctx, storeLatency)
+	if ctx.Err() != nil {
+		return fault.At(fault.CodeStoreUnavailable, "call store", "store", fault.Unknown, ctx.Err())
+	}
+	return nil
+}
+
+func (v storeView) Get(ctx context.Context, _ string) (table.Row, error) {
+	if err := v.reach(ctx); err != nil {
+		return table.Row{}, err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.lease, nil
+}
+
+func (v storeView) List(context.Context, string, string, int) ([]table.Row, error) { return nil, nil }
+
+func (v storeView) Commit(ctx context.Context, change table.Transaction) (uint64, error) {
+	if err := v.reach(ctx); err != nil {
+		return 0, err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if change.Conditions[0].Revision != v.lease.Revision {
+		return 0, fault.New(fault.CodeConflict, "commit", "changed")
+	}
+	v.lease = table.Row{Value: change.Writes[0].Value, Revision: v.lease.Revision + 1}
+	return v.lease.Revision, nil
+}
+
+func (v storeView) Read(ctx context.Context) (feed.Batch, error) {
+	if err := v.reach(ctx); err != nil {
+		return feed.Batch{}, err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	model := v.tables[v.table]
+	return model.whole(model.revision), nil
+}
+
+func (v storeView) Watch(ctx context.Context, after uint64, hold time.Duration) (feed.Batch, error) {
+	if err := v.reach(ctx); err != nil {
+		return feed.Batch{}, err
+	}
+	end := time.After(hold)
+	for {
+		v.mu.Lock()
+		batch, changed := v.tables[v.table].since(after), v.changed
+		v.mu.Unlock()
+		if len(batch.Rows) > 0 {
+			return batch, v.reach(ctx)
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return batch, v.reach(ctx)
+		case <-ctx.Done():
+			return feed.Batch{}, fault.At(fault.CodeStoreUnavailable, "watch table", "store", fault.Unknown, ctx.Err())
+		}
+	}
+}
+
+// simulatedGroup is a group of nodes whose calls pass through memory, in a synctest bubble.
+type simulatedGroup struct {
+	store   *simulatedStore
+	nodes   []*simulatedNode
+	address map[string]*simulatedNode
+}
+
+// simulatedNode is a node of the group that follows all tables.
+type simulatedNode struct {
+	*Relay
+	group     *simulatedGroup
+	followers map[Table]*feed.Follower
+	// cut is set while the node does not reach the store, gone while nobody reaches the node,
+	// mute while its peers get no answer.
+	cut, gone, mute atomic.Bool
+}
+
+// simulatedTables are the tables that a node follows, and how.
+var simulatedTables = map[Table]feed.Options{
+	"configuration": {Wait: 400 * time.Millisecond, Timeout: 900 * time.Millisecond},
+	"runners":       {Wait: 2 * time.Second, Interval: 200 * time.Millisecond, Timeout: 900 * time.Millisecond},
+	"objects":       {Wait: 10 * time.Second, Timeout: 900 * time.Millisecond},
+}
+
+// newSimulatedGroup starts nodes that run until ctx ends; done waits for their end.
+func newSimulatedGroup(ctx context.Context, count int) (g *simulatedGroup, done func()) {
+	g = &simulatedGroup{store: newSimulatedStore("configuration", "runners", "objects"), address: make(map[string]*simulatedNode)}
+	var running sync.WaitGroup
+	for i := range count {
+		n := &simulatedNode{group: g, followers: make(map[Table]*feed.Follower)}
+		late := time.Duration(0)
+		if i >= simulatedStandbys {
+			late = time.Second
+		}
+		address := fmt.Sprintf("10.0.0.%d:1", i)
+		n.Relay = New(Options{
+			Group: "group", Node: fmt.Sprint("node-", i), Leases: storeView{simulatedStore: g.store, cut: &n.cut}, Address: address, Process: fmt.Sprint("process-", i),
+			Client: n, Reluctance: func() time.Duration { return late }, Now: time.Now, Log: logr.Discard(),
+		})
+		for name, options := range simulatedTables {
+			options.Name, options.Pace = string(name), n.Pace
+			source := n.Source(name, storeView{simulatedStore: g.store, table: name, cut: &n.cut})
+			n.followers[name] = feed.NewFollower(source, ignored{}, options, logr.Discard())
+		}
+		g.nodes, g.address[address] = append(g.nodes, n), n
+	}
+	standbys := make([]string, 0, simulatedStandbys)
+	for _, n := range g.nodes[:min(count, simulatedStandbys)] {
+		standbys = append(standbys, n.address())
+	}
+	for i, n := range g.nodes {
+		n.SetNodes(count)
+		n.SetStandbys(standbys)
+		running.Go(func() { n.Run(ctx) })
+		for _, follower := range n.followers {
+			running.Go(func() { follower.Run(ctx) })
+		}
+		if i == 0 {
+			// The others find a relay that has read all tables.
+			time.Sleep(2 * time.Second)
+		}
+	}
+	return g, running.Wait
+}
+
+// ignored is a handler that takes nothing.
+type ignored struct{}
+
+func (ignored) Whole([]feed.Row, time.Duration) {}
+func (ignored) Changed([]feed.Row)              {}
+
+func (n *simulatedNode) address() string { return n.Relay.address }
+
+// Call calls another node of the group.
+func (n *simulatedNode) Call(ctx context.Context, address, method string, request, response any) error {
+	failed := func(cause error) error { return fault.At(fault.CodeNotReady, method, address, fault.Unknown, cause) }
+	other := n.group.address[address]
+	if other == nil || other.gone.Load() {
+		return failed(syscall.ECONNREFUSED)
+	}
+	if other.mute.Load() || n.mute.Load() {
+		<-ctx.Done()
+		return failed(ctx.Err())
+	}
+	wait.For(ctx, 2*peerLatency)
+	var err error
+	switch answer := response.(type) {
+	case *wire.FollowResponse:
+		*answer, err = other.Follow(ctx, request.(wire.FollowRequest))
+	case *wire.RelayResponse:
+		*answer, err = other.Which(ctx, wire.Empty{})
+	default:
+		return failed(errors.New("no such method"))
+	}
+	if ctx.Err() != nil || other.gone.Load() || other.mute.Load() {
+		<-ctx.Done()
+		return failed(ctx.Err())
+	}
+	return err
+}
+
+// holder returns the node that holds the group's lease.
+func (g *simulatedGroup) holder() *simulatedNode {
+	for _, n := range g.nodes {
+		if !n.gone.Load() && n.lessor.Valid() {
+			return n
+		}
+	}
+	return nil
+}
+
+// lateness changes the configuration and returns how long the last of the nodes that reach
+// the store, and are reached, takes to have it; up to a bound.
+func (g *simulatedGroup) lateness(bound time.Duration) time.Duration {
+	revision, written := g.store.write("configuration"), time.Now()
+	for time.Since(written) < bound && !g.allHave(revision) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(written)
+}
+
+func (g *simulatedGroup) allHave(revision uint64) bool {
+	for _, n := range g.nodes {
+		inTouch := !n.cut.Load() && !n.gone.Load() && !n.mute.Load()
+		if inTouch && n.followers["configuration"].Taken() < revision {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,7 +19,6 @@
 	"lilacvane/internal/fault"
 	"lilacvane/internal/feed"
 	"lilacvane/internal/lease"
-	"lilacvane/internal/peer"
 	"lilacvane/internal/table"
 	"lilacvane/internal/wire"
 )
@@ -93,6 +92,13 @@
 // String returns the relay's address.
 func (p Peer) String() string { return p.Address }
 
+// Caller calls other nodes, as *peer.Client does.
+type Caller interface {
+	// Call sends a message and decodes the answer into response, a pointer. Its error is a
+	// *fault.Error; ctx bounds it.
+	Call(ctx context.Context, address, method string, request, response any) error
+}
+
 // Options are the parts of a relay.
 type Options struct {
 	Group  Group
@@ -102,20 +108,22 @@
 	// process from earlier ones of the node.
 	Address string
 	Process string
-	Client  *peer.Client
+	Client  Caller
 	// Reluctance is how much later than others this node becomes the relay.
 	Reluctance func() time.Duration
 	// FirstStart is set when the whole system starts for the first time: nobody waits
 	// for it yet.
 	FirstStart bool
-	Log        logr.Logger
+	// Now is the clock of the group's lease; see lease.Options.
+	Now func() time.Time
+	Log logr.Logger
 }
 
 // Relay is a node's part in its group, as reader and as relay. Its methods may
 // be called concurrently.
 type Relay struct {
 	lessor  *lease.Lessor
-	client  *peer.Client
+	client  Caller
 	address string
 	log     logr.Logger
 
@@ -170,7 +178,7 @@
 	}
 	r.lessor = lease.New(o.Leases, o.Group.LeaseKey(), o.Node, o.Address, o.Process, lease.Options{
 		Validity: leaseValidity, Interval: leaseInterval, CallTimeout: leaseTimeout, Reluctance: o.Reluctance, Heard: r.relayHeard,
-		Nodes: r.Nodes, LookFirst: true, LookAtOnce: !o.FirstStart,
+		Nodes: r.Nodes, LookFirst: true, LookAtOnce: !o.FirstStart, Now: o.Now,
 	}, o.Log)
 	return r
 }
