Read again as soon as any source answers: a relay without the store kept its readers

Cause: after an outage a node trusted one source and its own pauses. A relay that does not reach the store held each question and then said so; its reader believed that the store was away for all, asked it again after up to 1.6 s, and turned elsewhere by chance or after 2 s. A table's follower slept on though another table, or the lease's row, showed that the source was back; calls begun in the outage waited out their time on silent connections. The sum is over 3 s. Class: a pause or a trust that outlives the loss that caused it. Whatever shows that a source answers ends the pauses of all followers, and of the lease, and begins calls anew that wait on a silent store; a store that failed is probed without a wait. The longest pause is 0.8 s. An old reader that was never forgotten no longer keeps a new one from being taken. Why it works: the time from the store's return is now one silent call and two pauses, bounded by 2.9 s. TestManyNodesLeaveStoreThatIsAway and the others of the package hold unchanged.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -63,6 +63,9 @@
 	// Pace returns what Wait, and Interval where there is one, are at least: the more nodes
 	// ask the same source, the longer. Not set for nothing.
 	Pace func() time.Duration
+	// Woken returns a channel that is closed once the source may answer again, which ends the
+	// pause after an error. Not set for a source that does not tell.
+	Woken func() <-chan struct{}
 	// Timeout is how long a call may take beyond its wait.
 	Timeout time.Duration
 	// ReadTimeout is the same of a read of the whole table, where that takes longer.
@@ -71,7 +74,7 @@
 
 const (
 	firstBackoff = 50 * time.Millisecond
-	lastBackoff  = 1600 * time.Millisecond
+	lastBackoff  = 800 * time.Millisecond
 )
 
 // Follower follows one table.
@@ -109,7 +112,7 @@
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		started := time.Now()
+		started, woken := time.Now(), f.woken()
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -119,16 +122,36 @@
 			continue
 		}
 		f.note(err)
-		pause := f.interval() - time.Since(started)
 		if err != nil {
-			pause = f.nextBackoff()
+			f.backOff(ctx, woken)
+			continue
 		}
-		if pause > 0 {
+		if pause := f.interval() - time.Since(started); pause > 0 {
 			wait.For(ctx, pause)
 		}
 	}
 }
 
+func (f *Follower) woken() <-chan struct{} {
+	if f.options.Woken == nil {
+		return nil
+	}
+	return f.options.Woken()
+}
+
+// backOff pauses after an error, at least for firstBackoff, until woken is closed.
+func (f *Follower) backOff(ctx context.Context, woken <-chan struct{}) {
+	pause := f.nextBackoff()
+	wait.For(ctx, min(pause, firstBackoff))
+	timer := time.NewTimer(pause - min(pause, firstBackoff))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-woken:
+	}
+}
+
 // wait is how long a watch call waits for a change now.
 func (f *Follower) wait() time.Duration { return max(f.options.Wait, f.pace()) }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -159,3 +161,42 @@
 	assert.Equal(t, prompt.interval(), time.Duration(0))
 	assert.Equal(t, prompt.wait(), pace)
 }
+
+// failingSource fails until it is mended, and counts its calls.
+type failingSource struct {
+	mended atomic.Bool
+	calls  atomic.Int64
+}
+
+func (s *failingSource) Read(context.Context) (Batch, error) {
+	s.calls.Add(1)
+	if !s.mended.Load() {
+		return Batch{}, fault.New(fault.CodeStoreUnavailable, "read table", "away")
+	}
+	return Batch{Revision: 1}, nil
+}
+
+func (s *failingSource) Watch(ctx context.Context, after uint64, _ time.Duration) (Batch, error) {
+	<-ctx.Done()
+	return Batch{Revision: after}, nil
+}
+
+// TestFollowerSleptThoughItsSourceWasBack: a follower that backs off reads again as soon as it
+// is woken, and not in a loop while it is not.
+func TestFollowerSleptThoughItsSourceWasBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source, woken := &failingSource{}, make(chan struct{})
+		options := Options{Name: "test", Wait: time.Second, Timeout: time.Second, Woken: func() <-chan struct{} { return woken }}
+		f := NewFollower(source, &recorder{}, options, logr.Discard())
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, source.calls.Load() < 40, "%d calls in 10 s", source.calls.Load())
+		source.mended.Store(true)
+		close(woken)
+		time.Sleep(2 * firstBackoff)
+		assert.Assert(t, f.Read())
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -80,6 +80,9 @@
 	// few. The more there are, the less often each looks at a row whose store does
 	// not answer.
 	Nodes func() int
+	// Regained is called when the store answers again after it failed a call; not set for
+	// nobody.
+	Regained func()
 	// Now is the steady clock; clock.Now when it is not set: a holder that was suspended must
 	// not take its lease for valid by a clock that stood still.
 	Now func() time.Time
@@ -120,8 +123,9 @@
 	looked bool
 	// retry is set while a renewal was not confirmed.
 	retry bool
-	// wake ends the pause between two steps.
-	wake chan struct{}
+	// wake ends the pause between two steps as a holder yielded, again as the store answers.
+	wake  chan struct{}
+	again chan struct{}
 }
 
 // New returns a lessor for a node. process tells this process from an earlier
@@ -139,6 +143,7 @@
 		// An earlier process of this node may have acted until now.
 		lastAct: options.Now(),
 		wake:    make(chan struct{}, 1),
+		again:   make(chan struct{}, 1),
 	}
 }
 
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -35,13 +35,22 @@
 	l.noteLoss(l.look(ctx))
 }
 
-// rest waits until the next step is due, or a holder yielded.
+// Retry ends the pause before the next step: other calls show that the store answers again.
+func (l *Lessor) Retry() {
+	select {
+	case l.again <- struct{}{}:
+	default:
+	}
+}
+
+// rest waits until the next step is due, the store answers again, or a holder yielded.
 func (l *Lessor) rest(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
+	case <-l.again:
 	case <-l.wake:
 		spread := l.options.Interval / 2 * time.Duration(l.crowd())
 		wait.For(ctx, yieldPatience+l.options.Reluctance()+rand.N(spread))
@@ -243,15 +252,24 @@
 }
 
 func (l *Lessor) noteLoss(err error) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if (err != nil) == l.lost {
+	if !l.changeLoss(err != nil) {
 		return
 	}
-	l.lost = err != nil
 	if err != nil {
 		l.log.Info("dependency lost", "error", err.Error())
 		return
 	}
 	l.log.Info("dependency regained")
+	if l.options.Regained != nil {
+		l.options.Regained()
+	}
+}
+
+// changeLoss notes whether the store is lost, and reports whether that is new.
+func (l *Lessor) changeLoss(lost bool) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	changed := lost != l.lost
+	l.lost = lost
+	return changed
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -65,13 +65,13 @@
 	runners := n.relay.Source(tableRunners, n.platform.Runners)
 	return &knowledge{
 		configuration: feed.NewFollower(configuration, (*configurationHandler)(n),
-			feed.Options{Name: string(tableConfiguration), Wait: configurationWait, Pace: n.relay.Pace, Timeout: feedTimeout}, log),
+			feed.Options{Name: string(tableConfiguration), Wait: configurationWait, Pace: n.relay.Pace, Woken: n.relay.Found, Timeout: feedTimeout}, log),
 		objects: feed.NewFollower(objects, &objectHandler{Follower: commit.Follower{Copy: n.catalog, Log: log}, node: n},
-			feed.Options{Name: string(tableObjects), Wait: objectWait, Timeout: feedTimeout}, log),
+			feed.Options{Name: string(tableObjects), Wait: objectWait, Woken: n.relay.Found, Timeout: feedTimeout}, log),
 		runners: feed.NewFollower(runners, (*runnerHandler)(n),
-			feed.Options{Name: string(tableRunners), Wait: runnerWait, Interval: runnerInterval, Pace: n.listPace, Timeout: feedTimeout, ReadTimeout: listTimeout}, log),
+			feed.Options{Name: string(tableRunners), Wait: runnerWait, Interval: runnerInterval, Pace: n.listPace, Woken: n.relay.Found, Timeout: feedTimeout, ReadTimeout: listTimeout}, log),
 		poison: feed.NewFollower(n.relay.Source(tablePoison, n.platform.Poison), (*quarantine.Handler)(n.quarantine),
-			feed.Options{Name: string(tablePoison), Wait: objectWait, Timeout: feedTimeout}, log),
+			feed.Options{Name: string(tablePoison), Wait: objectWait, Woken: n.relay.Found, Timeout: feedTimeout}, log),
 	}
 }
 
--- a/internal/relay/join.go
+++ b/internal/relay/join.go
@@ -33,8 +33,8 @@
 	// tables from the store at once. Of more, hundreds may start together, after a loss of
 	// power, and a start takes some ten calls and one for 500 runners.
 	startersDirect = 128
-	// readersAsked is how many likely nodes are asked at each look.
-	readersAsked = 2
+	// nodesAsked is how many likely nodes are asked at each look, one of them at least no standby.
+	nodesAsked = 3
 )
 
 // SetStandbys tells the nodes that turn to the store first when a holder is lost.
@@ -151,7 +151,8 @@
 // readers are some nodes that are likely to read the store or to know who does; mu is
 // held.
 func (r *Relay) readers() []string {
-	return append(addressSet(r.standbys).pick(readersAsked), r.peers.pick(1)...)
+	asked := addressSet(r.standbys).pick(nodesAsked - 1)
+	return append(asked, r.peers.pick(nodesAsked-len(asked))...)
 }
 
 // Informant returns the address of a node that is likely to know who holds the leases:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,6 +62,8 @@
 	// refusalShared is how long a call that the store failed speaks for the node's
 	// other tables.
 	refusalShared = 400 * time.Millisecond
+	// probeTimeout bounds a call that finds out whether the store answers again.
+	probeTimeout = 500 * time.Millisecond
 	// maxHoldMs bounds, in milliseconds, how long a reader may have its question held.
 	maxHoldMs = 15_000
 )
@@ -137,8 +140,10 @@
 	failed    Peer
 	suspended time.Time
 	gone      chan struct{}
-	last      Upstream
-	stopped   bool
+	// found is closed when this node has found where to read again.
+	found   chan struct{}
+	last    Upstream
+	stopped bool
 	// nodes is how many nodes there are, as far as is known. refusedAt is when the
 	// store last failed a call of this node, refusedTable for which table.
 	nodes        int
@@ -173,12 +178,12 @@
 // New returns a node's part in its group. Run starts it.
 func New(o Options) *Relay {
 	r := &Relay{
-		client: o.Client, address: o.Address, log: o.Log.WithValues("group", o.Group), mirrors: make(map[Table]*mirror), gone: make(chan struct{}),
+		client: o.Client, address: o.Address, log: o.Log.WithValues("group", o.Group), mirrors: make(map[Table]*mirror), gone: make(chan struct{}), found: make(chan struct{}),
 		firstStart: o.FirstStart, began: time.Now(),
 	}
 	r.lessor = lease.New(o.Leases, o.Group.LeaseKey(), o.Node, o.Address, o.Process, lease.Options{
 		Validity: leaseValidity, Interval: leaseInterval, CallTimeout: leaseTimeout, Reluctance: o.Reluctance, Heard: r.relayHeard,
-		Nodes: r.Nodes, LookFirst: true, LookAtOnce: !o.FirstStart, Now: o.Now,
+		Nodes: r.Nodes, LookFirst: true, LookAtOnce: !o.FirstStart, Regained: r.regainStore, Now: o.Now,
 	}, o.Log)
 	return r
 }
@@ -256,17 +261,64 @@
 	r.log.Info("dependency lost", "dependency", "relay", "peer", relay.Address, "table", table, "error", err.Error())
 }
 
+// failedRelay is the relay that failed last.
+func (r *Relay) failedRelay() Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failed
+}
+
 func (r *Relay) goneChannel() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.gone
 }
 
+// Found returns a channel that is closed once this node has found where to read again: a
+// table's follower that backs off need not wait longer.
+func (r *Relay) Found() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.found
+}
+
+// tellFound wakes the followers of all tables; mu is held.
+func (r *Relay) tellFound() {
+	close(r.found)
+	r.found = make(chan struct{})
+}
+
 func (r *Relay) noteStore() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.heard, r.started = time.Now(), true
-	r.refusedAt = time.Time{}
+	r.clearRefusal()
+}
+
+// regainStore notes that the store answers calls for the group's lease again.
+func (r *Relay) regainStore() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.clearRefusal()
+}
+
+// clearRefusal forgets that the store failed this node's calls; mu is held.
+func (r *Relay) clearRefusal() {
+	if !r.refusedAt.IsZero() {
+		r.refusedAt = time.Time{}
+		r.tellFound()
+		r.lessor.Retry()
+	}
+}
+
+// lost returns the channel of Found while the store fails this node's calls, and nil otherwise.
+func (r *Relay) lost() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.refusedAt.IsZero() {
+		return nil
+	}
+	return r.found
 }
 
 // noteRefusal notes that the store failed this node's call for a table.
@@ -308,11 +360,11 @@
 
 // mayLook decides whether this node looks for itself at a store of which its relay
 // has not heard for long. Once the store failed this node too, the relay's word is
-// enough: of many nodes only some look again soon.
+// enough: of many nodes only the standbys, and some others, look again soon.
 func (r *Relay) mayLook() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if time.Since(r.refusedAt) > lookAgain || r.nodes <= lookers {
+	if time.Since(r.refusedAt) > lookAgain || r.nodes <= lookers || slices.Contains(r.standbys, r.address) {
 		return true
 	}
 	return rand.Float64() < lookers/float64(r.nodes)
@@ -333,6 +385,7 @@
 	if r.stale != (Peer{}) {
 		r.log.Info("dependency regained", "dependency", "relay's word of the store")
 		r.stale = Peer{}
+		r.tellFound()
 	}
 }
 
@@ -361,6 +414,10 @@
 		return wire.FollowResponse{}, fault.New(fault.CodeNotReady, "relay table", "this node does not relay")
 	}
 	r.meet(request.From)
+	if age := r.age(); age > maxAge {
+		// The reader would pass over what it is told: it is not kept waiting for that.
+		return wire.FollowResponse{AgeMs: age.Milliseconds()}, nil
+	}
 	m := r.mirror(Table(request.Table))
 	hold := time.Duration(min(request.HoldMs, maxHoldMs)) * time.Millisecond
 	if request.Whole {
--- a/internal/relay/seek.go
+++ b/internal/relay/seek.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"lilacvane/internal/wire"
@@ -12,12 +13,10 @@
 const (
 	// maxPeers bounds the addresses that a node keeps.
 	maxPeers = 16
-	// peersTold and peersAsked are how many addresses are told to a reader and
-	// asked for the relay.
-	peersTold  = 4
-	peersAsked = 3
-	// seekInterval is the least time between two questions, seekTimeout bounds one.
-	seekInterval = 500 * time.Millisecond
+	// peersTold is how many addresses are told to a reader.
+	peersTold = 4
+	// seekInterval is the least time between two looks, seekTimeout bounds one.
+	seekInterval = 250 * time.Millisecond
 	seekTimeout  = 300 * time.Millisecond
 )
 
@@ -58,35 +57,75 @@
 	return r.peers.pick(count)
 }
 
-// seek asks some peers for the relay, as the store does not answer this node: it
-// may serve the others, and another relay may have taken over.
-func (r *Relay) seek(ctx context.Context) {
+// seekDue reports whether peers may be asked again, and notes that they are. The more nodes there
+// are, the less often each asks, as all ask the same few standbys.
+func (r *Relay) seekDue() bool {
 	r.mu.Lock()
-	due := time.Since(r.sought) >= seekInterval
-	if due {
-		r.sought = time.Now()
+	defer r.mu.Unlock()
+	if time.Since(r.sought) < max(seekInterval, r.pace()/2) {
+		return false
 	}
-	r.mu.Unlock()
-	if !due {
+	r.sought = time.Now()
+	return true
+}
+
+// seek looks for another node to read from than a relay, as this node, or the relay, does not
+// reach the store: the store may answer others. The relay is left as soon as one is found.
+func (r *Relay) seek(ctx context.Context, relay Peer) {
+	if !r.seekDue() {
 		return
 	}
-	for _, address := range r.known(peersAsked) {
-		_ = r.seekAt(ctx, address)
+	r.mu.Lock()
+	addresses := r.readers()
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, seekTimeout)
+	defer cancel()
+	var asking sync.WaitGroup
+	for _, address := range addresses {
+		asking.Go(func() {
+			named, err := r.askWhich(ctx, address)
+			if err == nil && named.Address != "" && named.Address != r.address && named != relay {
+				r.changeTo(named, relay, address)
+			}
+		})
 	}
+	asking.Wait()
 }
 
-// seekAt asks one node for the relay. It returns whether that named one, or a reader of
-// the store while this node looks for one.
-func (r *Relay) seekAt(ctx context.Context, address string) bool {
+// changeTo reads from a node that a peer named in place of a relay.
+func (r *Relay) changeTo(named, relay Peer, peer string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case named.Token > r.hint.Token && named.Token > relay.Token:
+		r.hint = named
+	case named.Token == 0 && (r.failed != relay || r.reader == Peer{}):
+		r.reader, r.failed = named, relay
+	default:
+		return
+	}
+	r.log.Info("source named by a peer in place of the relay", "peer", peer, "source", named.Address, "token", named.Token, "relay", relay.Address)
+	r.tellFound()
+}
+
+// askWhich asks one node where it reads the tables.
+func (r *Relay) askWhich(ctx context.Context, address string) (Peer, error) {
 	ctx, cancel := context.WithTimeout(ctx, seekTimeout)
 	defer cancel()
 	var response wire.RelayResponse
-	if err := r.client.Call(ctx, address, wire.MethodRelay, wire.Empty{}, &response); err != nil {
+	err := r.client.Call(ctx, address, wire.MethodRelay, wire.Empty{}, &response)
+	return Peer{Address: response.Address, Token: response.Token}, err
+}
+
+// seekAt asks one node for the relay. It returns whether that named one, or a reader of
+// the store while this node looks for one.
+func (r *Relay) seekAt(ctx context.Context, address string) bool {
+	named, err := r.askWhich(ctx, address)
+	if err != nil {
 		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	named := Peer{Address: response.Address, Token: response.Token}
 	switch {
 	case named.Address == "" || named.Address == r.address || (named == r.failed && time.Now().Before(r.suspended)):
 		return false
@@ -98,6 +137,7 @@
 		r.log.Info("reader named by a peer", "peer", address, "reader", named.Address)
 	}
 	r.foundReader()
+	r.tellFound()
 	return true
 }
 
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -44,6 +44,9 @@
 		if err := s.fill(ctx); err != nil {
 			return feed.Batch{}, err
 		}
+		if s.relay.lost() != nil {
+			return s.probe(ctx, after)
+		}
 		return s.store.Watch(ctx, after, wait)
 	})
 	if err == nil {
@@ -53,6 +56,14 @@
 	return batch, err
 }
 
+// probe reads the changes of a store that failed this node's last call. It does not wait for
+// any, so that it is soon known whether the store answers again.
+func (s *Source) probe(ctx context.Context, after uint64) (feed.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return s.store.Watch(ctx, after, 0)
+}
+
 // lighten drops the rows of the mirror if they are many and this node tells nobody of them.
 func (s *Source) lighten() {
 	if _, reads := s.relay.Upstream().(Store); !reads {
@@ -92,7 +103,8 @@
 		}
 		if fault.IsCode(err, fault.CodeStale) {
 			s.relay.noteStale(relay, s.table, err)
-			if !s.relay.mayLook() {
+			if !s.relay.Direct() || !s.relay.mayLook() {
+				s.relay.seek(ctx, relay)
 				return batch, err
 			}
 		}
@@ -109,22 +121,44 @@
 	return s.direct(ctx, store)
 }
 
-// direct asks the store itself.
+// direct asks the store itself. A call that began while the store failed others ends as soon as
+// the store answers one of them: it may wait on a connection that stays silent.
 func (s *Source) direct(ctx context.Context, store func(context.Context) (feed.Batch, error)) (feed.Batch, error) {
 	if s.relay.refused(s.table) {
 		return feed.Batch{}, fault.New(fault.CodeStoreUnavailable, "ask store", "the store has just failed another table's call")
 	}
-	batch, err := store(ctx)
+	asked, stop := endWith(ctx, s.relay.lost())
+	defer stop()
+	batch, err := store(asked)
 	switch {
 	case err == nil:
 		s.relay.noteStore()
+	case asked.Err() != nil && ctx.Err() == nil:
+		return s.direct(ctx, store)
 	case !fault.IsCode(err, fault.CodeCompacted):
 		s.relay.noteRefusal(s.table)
-		s.relay.seek(context.WithoutCancel(ctx))
+		s.relay.seek(context.WithoutCancel(ctx), s.relay.failedRelay())
 	}
 	return batch, err
 }
 
+// endWith returns a context that ends with ctx, or as soon as a channel is closed. stop releases
+// it.
+func endWith(ctx context.Context, closed <-chan struct{}) (ended context.Context, stop context.CancelFunc) {
+	ended, stop = context.WithCancel(ctx)
+	if closed == nil {
+		return ended, stop
+	}
+	go func() {
+		select {
+		case <-closed:
+			stop()
+		case <-ended.Done():
+		}
+	}()
+	return ended, stop
+}
+
 // connectionLost reports whether a call ended with its connection, and not by its
 // time or by an answer.
 func connectionLost(err error) bool {
@@ -159,14 +193,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.HoldMs)*time.Millisecond+margin)
 	defer cancel()
-	gone := s.relay.goneChannel()
-	go func() {
-		select {
-		case <-gone:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
+	ctx, stop := endWith(ctx, s.relay.goneChannel())
+	defer stop()
 	var response wire.FollowResponse
 	if err := s.relay.client.Call(ctx, relay.Address, wire.MethodFollow, request, &response); err != nil {
 		return feed.Batch{}, "", err
