Reproduce stopping nodes that hear of no change

TestChangeInTimeAtStoppingNodes fails: nodes that have given their leases back, and still serve, do not have a change after 9 s; the bound is 3 s. TestChangeInTimeThoughAllStop fails: 3.24 s where all nodes stop at once.

--- a/internal/relay/late_test.go
+++ b/internal/relay/late_test.go
@@ -97,3 +97,25 @@
 	})
 	assert.Assert(t, late < newsWithin, "%v", late)
 }
+
+// TestChangeInTimeAtStoppingNodes: a node that has given its leases back still serves.
+func TestChangeInTimeAtStoppingNodes(t *testing.T) {
+	late := worst(t, func(g *simulatedGroup) {
+		for _, n := range g.nodes[simulatedStandbys/2 : simulatedStandbys*2] {
+			n.Release(context.Background())
+		}
+		time.Sleep(500 * time.Millisecond)
+	})
+	assert.Assert(t, late < newsWithin, "%v", late)
+}
+
+// TestChangeInTimeThoughAllStop: all nodes have given their leases back.
+func TestChangeInTimeThoughAllStop(t *testing.T) {
+	late := worst(t, func(g *simulatedGroup) {
+		for _, n := range g.nodes {
+			n.Release(context.Background())
+		}
+		time.Sleep(500 * time.Millisecond)
+	})
+	assert.Assert(t, late < newsWithin, "%v", late)
+}
