Do not deny a route or key for good by a configuration that may be out of date

Callers: 404 to a request whose route was acknowledged seconds before; clients do not try again after it. Cause: absence was taken for proof whatever the age of what was read. The way of the late configuration is mended; others may come (a node cut off from all sources goes by what it has), and a node can tell its age. Class: a final answer from what is not known. Change: an answer of a relay carries its age into the batch, so a follower knows when the store told what it has. Where that is longer ago than configuration.within, an unknown route or key is answered 503 with a time to come back (true: it has not run). The wait for a change of the configuration is at most half of that time, so that a node in touch is never that old: a relay of thousands would have let its readers wait for 2 s. Evidence: TestOldConfigurationDeniedARoute fails without the comparison (404), run on this tree. Looked for elsewhere: keys of tenants, same change. Operators' objects wait 10 s for a change, so their age shows nothing; names in the callers' interface come from them and are left. Zones that are out, token limits and marks of poison have bounds of their own (evacuation.Bounds, lenders, counters) and refuse nothing for good.

--- a/internal/dispatch/caller.go
+++ b/internal/dispatch/caller.go
@@ -66,7 +66,7 @@
 	if j.request.Key == "" {
 		return fault.New(fault.CodeUnauthorized, "identify caller", "the request carries no key that can be read")
 	}
-	return fault.New(fault.CodeUnauthorized, "identify caller", "no tenant holds the request's key")
+	return j.missing(fault.New(fault.CodeUnauthorized, "identify caller", "no tenant holds the request's key"))
 }
 
 const (
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -230,8 +230,7 @@
 	j.outcome.Revision = configuration.Revision
 	service, found := j.findRoute(configuration)
 	if !found {
-		j.noteKnowledge()
-		j.refuse(fault.New(fault.CodeNotFound, "route request", "no route for host %q and path %q", j.request.Host, j.request.Path))
+		j.refuse(j.missing(fault.New(fault.CodeNotFound, "route request", "no route for host %q and path %q", j.request.Host, j.request.Path)))
 		return
 	}
 	j.outcome.Route = j.route.Name
@@ -272,12 +271,20 @@
 	}
 }
 
-// noteKnowledge notes what the configuration is known from.
-func (j *job) noteKnowledge() {
-	if j.dispatcher.Knowledge != nil {
-		known := j.dispatcher.Knowledge()
-		j.outcome.Knowledge = &known
+// missing is the refusal of a request whose route or key the configuration does not have. One that
+// is older than news may be does not show that there is none: the request may be tried again.
+func (j *job) missing(problem *fault.Error) *fault.Error {
+	if j.dispatcher.Knowledge == nil {
+		return problem
 	}
+	known := j.dispatcher.Knowledge()
+	j.outcome.Knowledge = &known
+	if known.Age <= j.dispatcher.NewsWithin {
+		return problem
+	}
+	return fault.At(fault.CodeNotReady, problem.Step, j.dispatcher.Node, fault.NotDone,
+		fault.New(fault.CodeStale, "know configuration", "%s; the store was last heard of %v ago", problem.Message, known.Age.Round(time.Millisecond))).
+		WithRetryAfter(defaultReturn)
 }
 
 // findRoute sets the request's route and returns its service.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -105,7 +105,8 @@
 	Pause time.Duration
 	// Revision is the configuration that decided.
 	Revision uint64
-	// Knowledge is how old that was, for a request that no route matches; nil for others.
+	// Knowledge is how old that was, for a request whose route or key it does not have; nil for
+	// others.
 	Knowledge *Knowledge
 	// Tenant is the tenant that the request belongs to; empty when it is not known.
 	Tenant tenant.Name
@@ -122,7 +123,7 @@
 
 // Knowledge is what a node knew the configuration from.
 type Knowledge struct {
-	// Age is the time since its source last answered.
+	// Age is the time since the store told it.
 	Age time.Duration
 	// Source is the node's upstream for the store's tables.
 	Source string
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -13,18 +13,34 @@
 	"lilacvane/internal/config"
 )
 
-// TestUnknownRouteTellsWhatIsKnown: the outcome of a request that no route matches says which
-// configuration decided, how old its source's answer is, and whose.
-func TestUnknownRouteTellsWhatIsKnown(t *testing.T) {
-	known := Knowledge{Age: 3 * time.Second, Source: "10.0.0.2:7200"}
+// unknownRoute serves a request that no route matches.
+func unknownRoute(t *testing.T, known Knowledge) (Outcome, *httptest.ResponseRecorder) {
+	t.Helper()
 	d := &Dispatcher{
 		Configuration: func() *config.Configuration { return &config.Configuration{Revision: 7} },
 		Knowledge:     func() Knowledge { return known },
+		NewsWithin:    3 * time.Second,
 		Fresh:         func(context.Context) {},
 		Log:           logr.Discard(),
 	}
-	outcome := d.Serve(t.Context(), httptest.NewRecorder(), &Request{Host: "a.example", Path: "/b", Arrived: time.Now()})
+	answer := httptest.NewRecorder()
+	return d.Serve(t.Context(), answer, &Request{Host: "a.example", Path: "/b", Arrived: time.Now()}), answer
+}
+
+// TestUnknownRouteTellsWhatIsKnown: the outcome of a request that no route matches says which
+// configuration decided, how old it is, and from whom.
+func TestUnknownRouteTellsWhatIsKnown(t *testing.T) {
+	known := Knowledge{Age: 3 * time.Second, Source: "10.0.0.2:7200"}
+	outcome, _ := unknownRoute(t, known)
 	assert.Equal(t, outcome.Status, http.StatusNotFound)
 	assert.Equal(t, outcome.Revision, uint64(7))
 	assert.Equal(t, *outcome.Knowledge, known)
 }
+
+// TestOldConfigurationDeniedARoute: a node whose configuration is older than news may be does not say for
+// good that there is no route.
+func TestOldConfigurationDeniedARoute(t *testing.T) {
+	outcome, answer := unknownRoute(t, Knowledge{Age: 3*time.Second + time.Millisecond})
+	assert.Equal(t, outcome.Status, http.StatusServiceUnavailable)
+	assert.Assert(t, answer.Header().Get("Retry-After") != "")
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -28,6 +28,8 @@
 type Batch struct {
 	Rows     []Row
 	Revision uint64
+	// Age is how long ago the store told it; zero where the store itself answered.
+	Age time.Duration
 }
 
 // Source reads one table.
@@ -90,12 +92,13 @@
 	// table was read whole.
 	position uint64
 	whole    bool
-	// mutex guards the fields up to stop. heard is when the source last answered, taken the
-	// revision up to which the handler has taken changes, taking that of the newest rows
+	// mutex guards the fields up to stop. heard is when the source last answered, told when the
+	// store had told that, taken the revision up to which the handler has taken changes, taking that of the newest rows
 	// that it was given. reread is set when the table is to be read anew; stop ends the
 	// call that is under way.
 	mutex   sync.Mutex
 	heard   time.Time
+	told    time.Time
 	taken   uint64
 	taking  uint64
 	reread  bool
@@ -226,7 +229,7 @@
 	f.take(batch.Revision)
 	f.handler.Whole(batch.Rows, gap)
 	f.whole = true
-	f.advance(batch.Revision)
+	f.advance(batch)
 	return nil
 }
 
@@ -249,7 +252,7 @@
 		f.take(batch.Revision)
 		f.handler.Changed(newest(batch.Rows))
 	}
-	f.advance(batch.Revision)
+	f.advance(batch)
 	return nil
 }
 
@@ -270,13 +273,14 @@
 	return kept
 }
 
-func (f *Follower) advance(revision uint64) {
-	f.position = revision
-	f.newest = max(f.newest, revision)
+func (f *Follower) advance(batch Batch) {
+	f.position = batch.Revision
+	f.newest = max(f.newest, batch.Revision)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.heard = time.Now()
-	f.taken = revision
+	f.told = f.heard.Add(-batch.Age)
+	f.taken = batch.Revision
 }
 
 // take notes the revision of rows that are about to be handed over.
@@ -309,6 +313,14 @@
 	return f.heard
 }
 
+// Told returns when the store told the newest answer, as far as the source knows: the handler has
+// taken all that was acknowledged before. It is the zero time as long as the table was not read.
+func (f *Follower) Told() time.Time {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.told
+}
+
 // Read reports whether the table was read.
 func (f *Follower) Read() bool { return !f.Heard().IsZero() }
 
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -39,11 +39,11 @@
 	return time.Since(heard), !heard.IsZero()
 }
 
-// configurationAge is how long ago the configuration's source answered; false as long as it
-// was not read.
+// configurationAge is how long ago the store told the configuration; false as long as it was not
+// read.
 func (n *Node) configurationAge() (time.Duration, bool) {
-	heard := n.knowledge.configuration.Heard()
-	return time.Since(heard), !heard.IsZero()
+	told := n.knowledge.configuration.Told()
+	return time.Since(told), !told.IsZero()
 }
 
 // knowledgeOfConfiguration is what the configuration is known from now.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -65,7 +65,7 @@
 	runners := n.relay.Source(tableRunners, n.platform.Runners)
 	return &knowledge{
 		configuration: feed.NewFollower(configuration, (*configurationHandler)(n),
-			feed.Options{Name: string(tableConfiguration), Wait: configurationWait, Pace: n.relay.Pace, Woken: n.relay.Found, Timeout: feedTimeout}, log),
+			feed.Options{Name: string(tableConfiguration), Wait: configurationWait, Pace: n.configurationPace, Woken: n.relay.Found, Timeout: feedTimeout}, log),
 		objects: feed.NewFollower(objects, &objectHandler{Follower: commit.Follower{Copy: n.catalog, Log: log}, node: n},
 			feed.Options{Name: string(tableObjects), Wait: objectWait, Woken: n.relay.Found, Timeout: feedTimeout}, log),
 		runners: feed.NewFollower(runners, (*runnerHandler)(n),
@@ -248,6 +248,12 @@
 	}
 }
 
+// configurationPace is how long this node waits for a change of the configuration: at most half of
+// the time within which it must hear of one, so that its age shows whether it may have missed one.
+func (n *Node) configurationPace() time.Duration {
+	return min(n.relay.Pace(), n.settings.Load().Configuration.Within/2)
+}
+
 // listPace is how long this node gathers news of runners. One that controls a service gathers
 // none: it tells the others of runners, who believe it only as far as its list is as new as
 // theirs.
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -179,6 +179,7 @@
 		more, next, err = s.askPage(ctx, relay, request)
 		batch.Rows = append(batch.Rows, more.Rows...)
 		batch.Revision = min(batch.Revision, more.Revision)
+		batch.Age = max(batch.Age, more.Age)
 	}
 	return batch, err
 }
@@ -199,12 +200,13 @@
 	if err := s.relay.client.Call(ctx, relay.Address, wire.MethodFollow, request, &response); err != nil {
 		return feed.Batch{}, "", err
 	}
-	if age := time.Duration(response.AgeMs) * time.Millisecond; age > maxAge {
+	age := time.Duration(response.AgeMs) * time.Millisecond
+	if age > maxAge {
 		return feed.Batch{}, "", fault.At(fault.CodeStale, "follow relay", relay.Address, fault.NotDone,
 			fault.New(fault.CodeStale, "hear store", "the relay heard of the store %v ago", age))
 	}
 	s.relay.noteRelay()
 	s.relay.meet(response.Peers...)
 	rows, err := rowsOf(response, relay)
-	return feed.Batch{Rows: rows, Revision: response.Revision}, response.Next, err
+	return feed.Batch{Rows: rows, Revision: response.Revision, Age: age}, response.Next, err
 }
