Hear and log the limit that a runner names, without a change of choices

Why: the hypotheses of the passed limit cannot be told apart without a line that says which node heard it. Change: the book of statements reads the header, bounds it (zero and less than statements.leastRate are raised to that, what is no number is passed over, each with a log line), remembers the newest for statements.limitFor, and ends it with an answer to a request that names none; one that may have crossed it (250 ms) ends nothing. Lines 'runner names a limit' and '... no limit any more', a count by kind, a decision for explain. The emulated runner names a limit and journals arrivals meanwhile. Nothing asks for it yet. Tests: TestLimitLastsAsLongAsItIsNamed, nine cases in TestStatementsAreRead.

--- a/internal/dispatch/rest_test.go
+++ b/internal/dispatch/rest_test.go
@@ -18,7 +18,7 @@
 func restingFleet(seconds string) *fleet.Fleet {
 	known := fleet.New("zone", time.Now, noRules{})
 	book := statement.NewBook(statement.Options{
-		LeavingHeader: "X-Leaves", Now: time.Now, Log: logr.Discard(),
+		Headers: statement.Headers{Leaving: "X-Leaves"}, Now: time.Now, Log: logr.Discard(),
 		Limits: func() statement.Limits {
 			return statement.Limits{LongestRest: time.Minute, UnreadableRest: time.Second, LeavingFor: time.Minute}
 		},
--- a/internal/fleet/statements_test.go
+++ b/internal/fleet/statements_test.go
@@ -13,15 +13,18 @@
 	"lilacvane/internal/statement"
 )
 
-const leavingHeader = "X-Leaves"
+const (
+	leavingHeader = "X-Leaves"
+	limitHeader   = "X-Limit"
+)
 
 // statedFleet is a fleet of runners of model m, and what they state.
 func statedFleet(names ...string) (*Fleet, *statement.Book, *clock) {
 	f, c := testFleet()
 	book := statement.NewBook(statement.Options{
-		LeavingHeader: leavingHeader, Now: c.read, Log: logr.Discard(),
+		Headers: statement.Headers{Leaving: leavingHeader, Limit: limitHeader}, Now: c.read, Log: logr.Discard(),
 		Limits: func() statement.Limits {
-			return statement.Limits{LongestRest: time.Minute, UnreadableRest: time.Second, LeavingFor: 5 * time.Minute}
+			return statement.Limits{LongestRest: time.Minute, UnreadableRest: time.Second, LeavingFor: 5 * time.Minute, LeastRate: 0.1, LimitFor: time.Minute}
 		},
 	})
 	f.SetStatements(book)
--- a/internal/lab/runnerstub/runner.go
+++ b/internal/lab/runnerstub/runner.go
@@ -74,6 +74,9 @@
 	Rest string `json:"rest,omitempty"`
 	// Leaving says in all answers that the runner leaves, which its row does not tell.
 	Leaving bool `json:"leaving,omitempty"`
+	// Limit is named in all answers as the requests a second that the runner takes; it may be any
+	// text. Empty for none.
+	Limit string `json:"limit,omitempty"`
 	// BreakShare of the streams break off in the middle of an event.
 	BreakShare float64 `json:"breakShare,omitempty"`
 	// RestMs is how long streams rest in their middle.
--- a/internal/lab/runnerstub/statements.go
+++ b/internal/lab/runnerstub/statements.go
@@ -18,6 +18,9 @@
 	if r.draining || r.faults.Leaving {
 		header.Set(protocol.HeaderLeaving, leaves)
 	}
+	if r.faults.Limit != "" {
+		header.Set(protocol.HeaderLimit, r.faults.Limit)
+	}
 }
 
 // wantRest asks in a refusal for a time without requests.
@@ -29,15 +32,15 @@
 	}
 }
 
-// noteArrival journals a request at a runner that leaves or asks for rests.
+// noteArrival journals a request at a runner that leaves, asks for rests or names a limit.
 func (r *Runner) noteArrival(this *run, status int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	leaving := r.draining || r.faults.Leaving
-	if !leaving && r.faults.Rest == "" {
+	if !leaving && r.faults.Rest == "" && r.faults.Limit == "" {
 		return
 	}
-	detail, err := json.Marshal(Arrival{Status: status, Leaving: leaving, Rest: r.faults.Rest, Born: r.settings.Born})
+	detail, err := json.Marshal(Arrival{Status: status, Leaving: leaving, Rest: r.faults.Rest, Limit: r.faults.Limit, Born: r.settings.Born})
 	if err != nil {
 		return
 	}
@@ -48,8 +51,9 @@
 type Arrival struct {
 	// Status is that by which it was turned away; zero where it ran.
 	Status int `json:"status"`
-	// Leaving and Rest are what the answer states, Born tells incarnations apart.
+	// Leaving, Rest and Limit are what the answer states, Born tells incarnations apart.
 	Leaving bool   `json:"leaving"`
 	Rest    string `json:"rest"`
+	Limit   string `json:"limit"`
 	Born    int64  `json:"born"`
 }
--- a/internal/node/statements.go
+++ b/internal/node/statements.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"time"
 
 	"lilacvane/internal/clock"
@@ -11,7 +12,7 @@
 // hearStatements lets the pool of connections to runners hear what they state of themselves.
 func (n *Node) hearStatements() {
 	n.statements = statement.NewBook(statement.Options{
-		LeavingHeader: n.platform.Headers.Leaving, Limits: n.statementLimits, Now: clock.Now, Log: n.log.Logger,
+		Headers: statement.Headers{Leaving: n.platform.Headers.Leaving, Limit: n.platform.Headers.Limit}, Limits: n.statementLimits, Now: clock.Now, Log: n.log.Logger,
 		Observe: func(kind statement.Kind) { n.figures.CountStatement(kind) },
 		News:    n.heardStatement, Widened: func() { n.fleet.Wake() },
 	})
@@ -33,6 +34,9 @@
 		if source.Peer == "" {
 			n.controls.nudge()
 		}
+	case statement.Limit:
+		n.decide(subject, "hear its limit", fmt.Sprintf("%g requests a second, %s", made.Rate, whereHeard(source)))
+		n.fleet.Wake()
 	case statement.Rest:
 		n.decide(subject, "hear that it wants rest", made.For.String()+", "+whereHeard(source))
 	}
@@ -113,5 +117,7 @@
 // statementLimits are the bounds in force of what is believed.
 func (n *Node) statementLimits() statement.Limits {
 	s := n.settings.Load().Statements
-	return statement.Limits{LongestRest: s.LongestRest, UnreadableRest: s.UnreadableRest, LeavingFor: s.LeavingFor}
+	return statement.Limits{
+		LongestRest: s.LongestRest, UnreadableRest: s.UnreadableRest, LeavingFor: s.LeavingFor, LeastRate: s.LeastRate, LimitFor: s.LimitFor,
+	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -178,6 +178,11 @@
 	// LeavingFor is how long a runner that does not end is left alone after it said that it
 	// leaves: platforms give runners a minute or so to finish what they have.
 	LeavingFor time.Duration `yaml:"leavingFor"`
+	// LeastRate is taken, in requests a second, where a runner names a smaller limit: some request
+	// must find out when it is over.
+	LeastRate float64 `yaml:"leastRate"`
+	// LimitFor is how long a runner's limit is believed that no answer names or lifts.
+	LimitFor time.Duration `yaml:"limitFor"`
 }
 
 // Retries are the bounds of a service's budget of retries.
@@ -244,7 +249,7 @@
 		Configuration: Within{Within: 3 * time.Second},
 		Evacuation:    Within{Within: 5 * time.Second},
 		ColdStart:     ColdStart{Share: 1},
-		Statements:    Statements{LongestRest: time.Minute, UnreadableRest: time.Second, LeavingFor: 5 * time.Minute},
+		Statements:    Statements{LongestRest: time.Minute, UnreadableRest: time.Second, LeavingFor: 5 * time.Minute, LeastRate: 0.1, LimitFor: time.Minute},
 		Retries:       Retries{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Limits:        Limits{Window: 10 * time.Second},
 		Lease:         Lease{TurnGap: 3 * time.Second},
@@ -307,6 +312,8 @@
 	check(s.Statements.LongestRest > 0, "statements.longestRest: must be above zero")
 	check(s.Statements.UnreadableRest > 0 && s.Statements.UnreadableRest <= s.Statements.LongestRest, "statements.unreadableRest: must be above zero and at most longestRest")
 	check(s.Statements.LeavingFor > 0, "statements.leavingFor: must be above zero")
+	check(s.Statements.LeastRate > 0, "statements.leastRate: must be above zero")
+	check(s.Statements.LimitFor > 0, "statements.limitFor: must be above zero")
 	check(s.Retries.Ratio >= 0 && s.Retries.Ratio <= 1, "retries.ratio: must be 0 to 1")
 	check(s.Retries.Slack >= 0, "retries.slack: must not be negative")
 	check(s.Retries.Window > 0, "retries.window: must be above zero")
--- a/internal/statement/book.go
+++ b/internal/statement/book.go
@@ -16,6 +16,7 @@
 const (
 	KindLeaving  Kind = "leaving"
 	KindRest     Kind = "rest"
+	KindLimit    Kind = "limit"
 	KindDoubtful Kind = "doubtful"
 )
 
@@ -32,8 +33,8 @@
 
 // Options of a book.
 type Options struct {
-	// LeavingHeader is the name of the header in which runners say that they leave.
-	LeavingHeader string
+	// Headers are the names of those that are read.
+	Headers Headers
 	// Limits returns those in force.
 	Limits func() Limits
 	// Now reads a clock that goes on while the machine is suspended: rests end meanwhile.
@@ -65,6 +66,10 @@
 	// restsUntil is the latest end of its rests, doubtedAt when a statement in doubt was logged
 	// last. They are zero for never.
 	leavingAt, heardAt, restsUntil, doubtedAt time.Time
+	// rate is the limit that it named, in requests a second, zero for none; limitedAt is when it did
+	// so last, limitedFrom when it began to.
+	rate                   float64
+	limitedAt, limitedFrom time.Time
 	// window is how many requests that it has not begun to answer it may have after its rest;
 	// zero when it may have any number.
 	window int
@@ -93,7 +98,10 @@
 	if b == nil || source.Runner == "" || status == http.StatusMisdirectedRequest {
 		return
 	}
-	statements, problems := read(b.options.LeavingHeader, b.options.Limits(), status, header)
+	statements, problems := read(b.options.Headers, b.options.Limits(), status, header)
+	if source.Request != "" && len(header.Values(b.options.Headers.Limit)) == 0 {
+		b.lift(source)
+	}
 	if len(statements)+len(problems) == 0 {
 		if source.Request != "" && !turnsAway(status) {
 			b.widen(source.Runner)
@@ -162,6 +170,8 @@
 		b.options.Log.Info("runner says that it leaves", "runner", source.Runner, "request", source.Request, "peer", source.Peer)
 	case Rest:
 		b.options.Log.Info("runner wants rest", "runner", source.Runner, "request", source.Request, "forMs", made.For.Milliseconds())
+	case Limit:
+		b.options.Log.Info("runner names a limit", "runner", source.Runner, "request", source.Request, "peer", source.Peer, "rate", made.Rate)
 	}
 	if b.options.News != nil {
 		b.options.News(source, made)
@@ -181,6 +191,9 @@
 	case Rest:
 		b.count(KindRest)
 		return known.rest(now, made.For)
+	case Limit:
+		b.count(KindLimit)
+		return known.limit(now, made.Rate, b.options.Limits().LimitFor)
 	default:
 		return false
 	}
@@ -208,6 +221,10 @@
 	// Window is how many requests that it has not begun to answer it may have after its rest;
 	// zero when it may have any number.
 	Window int
+	// Rate is how many requests a second it takes from all nodes together, RateFor how much longer
+	// that is believed; zero when it named no limit.
+	Rate    float64
+	RateFor time.Duration
 }
 
 // Of returns what a runner stated that is still in force.
@@ -226,6 +243,9 @@
 	if known.returns(now) {
 		state.Window = known.window
 	}
+	if lasting := b.options.Limits().LimitFor; known.limited(now, lasting) {
+		state.Rate, state.RateFor = known.rate, known.limitedAt.Add(lasting).Sub(now)
+	}
 	return state
 }
 
@@ -281,7 +301,7 @@
 func (b *Book) sweep(now time.Time) {
 	lasting := b.options.Limits().LeavingFor
 	for id, known := range b.runners {
-		if !known.leaves(now, lasting) && !now.Before(known.restsUntil) && !known.returns(now) && !within(known.doubtedAt, now, doubtPause) {
+		if !known.leaves(now, lasting) && !known.limited(now, b.options.Limits().LimitFor) && !now.Before(known.restsUntil) && !known.returns(now) && !within(known.doubtedAt, now, doubtPause) {
 			delete(b.runners, id)
 		}
 	}
--- a/internal/statement/book_test.go
+++ b/internal/statement/book_test.go
@@ -16,7 +16,7 @@
 	now, news = new(time.Time), new([]Statement)
 	*now = time.Unix(1000, 0)
 	book = NewBook(Options{
-		LeavingHeader: testHeader, Now: func() time.Time { return *now }, Log: logr.Discard(),
+		Headers: Headers{Leaving: testHeader, Limit: testLimitHeader}, Now: func() time.Time { return *now }, Log: logr.Discard(),
 		Limits: func() Limits { return testLimits },
 		News:   func(_ Source, made Statement) { *news = append(*news, made) },
 	})
@@ -111,7 +111,7 @@
 
 // TestManyHearAtOnce is for the race detector.
 func TestManyHearAtOnce(t *testing.T) {
-	book := NewBook(Options{LeavingHeader: testHeader, Now: time.Now, Log: logr.Discard(), Limits: func() Limits { return testLimits }})
+	book := NewBook(Options{Headers: Headers{Leaving: testHeader, Limit: testLimitHeader}, Now: time.Now, Log: logr.Discard(), Limits: func() Limits { return testLimits }})
 	var hearing sync.WaitGroup
 	for range 8 {
 		hearing.Go(func() {
@@ -128,7 +128,7 @@
 
 // BenchmarkOf asks for a runner that stated nothing, beside one that did.
 func BenchmarkOf(b *testing.B) {
-	book := NewBook(Options{LeavingHeader: testHeader, Now: time.Now, Log: logr.Discard(), Limits: func() Limits { return testLimits }})
+	book := NewBook(Options{Headers: Headers{Leaving: testHeader, Limit: testLimitHeader}, Now: time.Now, Log: logr.Discard(), Limits: func() Limits { return testLimits }})
 	book.Hear(Source{Runner: "r1"}, http.StatusOK, leavingHead)
 	for b.Loop() {
 		book.Of("r2")
--- a/internal/statement/read.go
+++ b/internal/statement/read.go
@@ -1,5 +1,5 @@
 // Package statement keeps what runners state of themselves in the heads of their answers:
-// that they leave, or want no requests for a while. All exchanges with runners pass the heads
+// that they leave, want no requests for a while, or only so many a second. All exchanges with runners pass the heads
 // of their answers through a Book, which reads, bounds and remembers the statements by the
 // incarnation that made them.
 package statement
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// Statement is what a runner states of itself: Leaving or Rest.
+// Statement is what a runner states of itself: Leaving, Rest or Limit.
 type Statement interface{ statement() }
 
 // Leaving means that the runner ends soon: it serves what it has, and nothing new is to go there.
@@ -22,8 +22,13 @@
 // Rest means that the runner wants nothing from this node for a while.
 type Rest struct{ For time.Duration }
 
+// Limit is how many requests a second the runner takes from all nodes together, for as long as it
+// says so; above zero.
+type Limit struct{ Rate float64 }
+
 func (Leaving) statement() {}
 func (Rest) statement()    {}
+func (Limit) statement()   {}
 
 // Limits bound what is believed.
 type Limits struct {
@@ -34,6 +39,11 @@
 	// LeavingFor is how long a runner that stays is left alone after it said last that it
 	// leaves.
 	LeavingFor time.Duration
+	// LeastRate is taken, in requests a second, where a runner names a smaller limit or zero, so
+	// that some request finds out when it is over.
+	LeastRate float64
+	// LimitFor is how long a limit is believed that no answer names or lifts.
+	LimitFor time.Duration
 }
 
 const (
@@ -46,10 +56,27 @@
 	stays  = "0"
 )
 
+// Headers are the names of the headers in which runners make statements.
+type Headers struct {
+	// Leaving says that the runner leaves.
+	Leaving string
+	// Limit names how many requests a second it takes.
+	Limit string
+}
+
 // read returns the statements in the head of an answer, and what of it could not be taken as
-// it was said. leavingHeader is the name of the header in which runners say that they leave.
-func read(leavingHeader string, limits Limits, status int, header http.Header) (statements []Statement, problems []string) {
-	for _, value := range header.Values(leavingHeader) {
+// it was said.
+func read(names Headers, limits Limits, status int, header http.Header) (statements []Statement, problems []string) {
+	for _, value := range header.Values(names.Limit) {
+		rate, problem := rateOf(value, limits)
+		if problem != "" {
+			problems = append(problems, problem)
+		}
+		if rate > 0 {
+			statements = append(statements, Limit{Rate: rate})
+		}
+	}
+	for _, value := range header.Values(names.Leaving) {
 		switch strings.TrimSpace(value) {
 		case leaves:
 			statements = append(statements, Leaving{})
@@ -73,6 +100,19 @@
 	return statements, problems
 }
 
+// rateOf reads a limit; zero for none that can be taken. problem says why it is not what was named.
+func rateOf(value string, limits Limits) (rate float64, problem string) {
+	rate, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	switch {
+	case err != nil, math.IsNaN(rate), math.IsInf(rate, 0), rate < 0:
+		return 0, fmt.Sprintf("limit: %q is no number of requests a second, it is passed over", value)
+	case rate < limits.LeastRate:
+		return limits.LeastRate, fmt.Sprintf("limit: %q requests a second are raised to %g", value, limits.LeastRate)
+	default:
+		return rate, ""
+	}
+}
+
 // turnsAway reports whether an answer with the status may ask for a rest.
 func turnsAway(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
--- a/internal/statement/read_test.go
+++ b/internal/statement/read_test.go
@@ -8,9 +8,12 @@
 	"gotest.tools/v3/assert"
 )
 
-const testHeader = "X-Leaves"
+const (
+	testHeader      = "X-Leaves"
+	testLimitHeader = "X-Limit"
+)
 
-var testLimits = Limits{LongestRest: time.Minute, UnreadableRest: time.Second, LeavingFor: 5 * time.Minute}
+var testLimits = Limits{LongestRest: time.Minute, UnreadableRest: time.Second, LeavingFor: 5 * time.Minute, LeastRate: 0.1, LimitFor: time.Minute}
 
 // TestStatementsAreRead: what is no number of seconds, or too many, is bounded and named.
 func TestStatementsAreRead(t *testing.T) {
@@ -18,6 +21,7 @@
 	for name, test := range map[string]struct {
 		status   int
 		leaving  []string
+		limits   []string
 		rests    []string
 		want     []Statement
 		problems int
@@ -40,6 +44,15 @@
 		"of an answer that ran":   {status: http.StatusOK, rests: []string{"2"}},
 		"of a failure":            {status: http.StatusInternalServerError, rests: []string{"2"}},
 		"named twice":             {status: http.StatusServiceUnavailable, rests: []string{"2", "1"}, want: []Statement{Rest{For: 2 * time.Second}, Rest{For: time.Second}}},
+		"a limit":                 {status: http.StatusOK, limits: []string{" 2 "}, want: []Statement{Limit{Rate: 2}}},
+		"a fraction as limit":     {status: http.StatusServiceUnavailable, limits: []string{"0.5"}, want: []Statement{Limit{Rate: 0.5}}},
+		"a million as limit":      {status: http.StatusOK, limits: []string{"1e6"}, want: []Statement{Limit{Rate: 1e6}}},
+		"zero as limit":           {status: http.StatusOK, limits: []string{"0"}, want: []Statement{Limit{Rate: 0.1}}, problems: 1},
+		"limit below zero":        {status: http.StatusOK, limits: []string{"-1"}, problems: 1},
+		"limit that is no number": {status: http.StatusOK, limits: []string{"few"}, problems: 1},
+		"nan as limit":            {status: http.StatusOK, limits: []string{"NaN"}, problems: 1},
+		"endless limit":           {status: http.StatusOK, limits: []string{"Inf"}, problems: 1},
+		"empty limit":             {status: http.StatusOK, limits: []string{""}, problems: 1},
 		"a time beyond any clock": {status: http.StatusServiceUnavailable, rests: []string{"1e300"}, want: rest(time.Minute), problems: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -50,7 +63,10 @@
 			for _, value := range test.rests {
 				header.Add(headerRest, value)
 			}
-			statements, problems := read(testHeader, testLimits, test.status, header)
+			for _, value := range test.limits {
+				header.Add(testLimitHeader, value)
+			}
+			statements, problems := read(Headers{Leaving: testHeader, Limit: testLimitHeader}, testLimits, test.status, header)
 			assert.DeepEqual(t, statements, test.want)
 			assert.Equal(t, len(problems), test.problems, "%v", problems)
 		})
--- a/internal/upstream/names.go
+++ b/internal/upstream/names.go
@@ -15,6 +15,8 @@
 	NotRun string
 	// Leaving is the runner's statement that it leaves.
 	Leaving string
+	// Limit is how many requests a second the runner takes from all nodes together.
+	Limit string
 	// Load is the load a runner tells: running, waiting, slots.
 	Load string
 	// Urgency is 0 (first) to 9.
