Reproduce the passed limit of a runner

TestRunnerGotMoreThanItsLimit fails: four nodes, half of the runners or all name a limit of 0.3 to 4.5 requests a second; where all name 2, one got 34 to 52 in 4 s from nodes that had passed its answer on, where 17 are allowed. No logic is changed.

--- /dev/null
+++ b/test/runner_limit_test.go
@@ -0,0 +1,109 @@
+package test
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/lab/runnerstub"
+	"lilacvane/internal/lab/storestub"
+	"lilacvane/internal/lab/world"
+)
+
+const (
+	// limitContact is how long after a runner first named its limit that binds, limitTold how long
+	// after a node passed such an answer on it binds that node.
+	limitContact = 3 * time.Second
+	limitTold    = 500 * time.Millisecond
+	// limitWindow is the sliding window of the bound, limitShare and limitSlack what of the limit
+	// may come within it, and how many requests more.
+	limitWindow = 4 * time.Second
+	limitShare  = 1.5
+	limitSlack  = 5
+	// limitedFor is how long runners name their limits.
+	limitedFor = 11 * time.Second
+)
+
+// TestRunnerGotMoreThanItsLimit: runners that name a limit get no more of all nodes together.
+func TestRunnerGotMoreThanItsLimit(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]statedTest{
+		"one a second":       {limit: "1"},
+		"less than one":      {limit: "0.3"},
+		"some":               {limit: "4.5"},
+		"store down":         {limit: "1", store: storestub.Busy},
+		"many requests":      {limit: "2", crowd: 40},
+		"all of them":        {limit: "2", all: true},
+		"all, many requests": {limit: "1", all: true, crowd: 40},
+	} {
+		t.Run(name, func(t *testing.T) { runLimited(t, test) })
+	}
+}
+
+func runLimited(t *testing.T, test statedTest) {
+	t.Helper()
+	s := startStated(t, test)
+	ctx, end := context.WithCancel(t.Context())
+	defer end()
+	var senders sync.WaitGroup
+	senders.Go(func() { s.send(ctx) })
+	time.Sleep(time.Second)
+	assert.NilError(t, s.suffer())
+	for _, name := range s.stating() {
+		assert.NilError(t, s.world.SetRunnerFaults(name, runnerstub.Faults{Limit: test.limit}))
+	}
+	s.sendCrowds(ctx, &senders)
+	time.Sleep(limitedFor)
+	end()
+	senders.Wait()
+	assert.NilError(t, s.world.SetStoreFaults(storestub.Faults{}))
+	s.checkClients(t)
+	s.checkLimits(t)
+}
+
+// checkLimits checks each window of each runner that named a limit.
+func (s *stated) checkLimits(t *testing.T) {
+	t.Helper()
+	rate, err := strconv.ParseFloat(s.limit, 64)
+	assert.NilError(t, err)
+	allowed := int(rate*limitShare*limitWindow.Seconds() + limitSlack)
+	byRunner := make(map[string][]visit)
+	for _, visited := range s.visits(t) {
+		byRunner[visited.runner] = append(byRunner[visited.runner], visited)
+	}
+	assert.Equal(t, len(byRunner), len(s.stating()), "all runners that name a limit got requests")
+	for runner, visits := range byRunner {
+		most := mostInWindow(visits)
+		t.Logf("%s got %d requests, %d at most in %v, allowed %d", runner, len(visits), most, limitWindow, allowed)
+		assert.Check(t, most <= allowed, "%s got %d in %v, allowed %d", runner, most, limitWindow, allowed)
+	}
+}
+
+// mostInWindow is how many requests of nodes that knew the limit reached a runner within one window
+// at most, once the limit binds.
+func mostInWindow(visits []visit) int {
+	told := make(map[*world.Node]time.Time)
+	for _, visited := range visits {
+		if known, heard := told[visited.node]; (!heard || visited.end.Before(known)) && visited.answer.Status != 0 {
+			told[visited.node] = visited.end
+		}
+	}
+	var counted []time.Time
+	most, first := 0, 0
+	for _, visited := range visits {
+		knew := !told[visited.node].IsZero() && visited.at.Sub(told[visited.node]) >= limitTold
+		if !knew || visited.at.Sub(visits[0].at) < limitContact {
+			continue
+		}
+		counted = append(counted, visited.at)
+		for visited.at.Sub(counted[first]) > limitWindow {
+			first++
+		}
+		most = max(most, len(counted)-first)
+	}
+	return most
+}
--- a/test/statements_test.go
+++ b/test/statements_test.go
@@ -45,6 +45,8 @@
 	// leave is set where runners leave, rest is what they ask for else.
 	leave bool
 	rest  string
+	// limit is named by runners as the requests a second that they take.
+	limit string
 	// listed is set where the platform's list tells of a leaving, unless the store is away.
 	listed bool
 	// store is what the store suffers meanwhile; refused is how many nodes it turns away.
