Send a runner no more than the limit it names, all nodes together

Cause: nothing read the statement; nodes chose by load alone. Class: a word of an outside system that is passed on and not heard (as leaving and rest were before). Change: a limit is one more reason for which a node needs permits, beside coldness, and uses the same account. The holder of the service's control lease lends as many whole requests as the runner takes in a second, one at least, and counts them for the time in which it takes them. Without a holder (services without engines, or one that was not heard of for 2 s) each node has turns of its own, by its name, which together use half of the rate, so that those who still hear a holder do not add up to more than one and a half times it. A limited runner costs as much as a cold one, so others go first. A request that only limited runners could serve is told when it can be, by the rate and those that wait before it, and is refused at once where that is too late for it. Ruled out: a share of 1 / nodes each (leaves most of a low rate unused); permits alone (nothing goes to services without a holder); a fourth mechanism. TestLentLimitIsKept, TestTurnsKeepALimit (1 to 985 nodes), TestRunnerThatNamedALimitNeedsAPermit. The bound is unchanged.

--- a/internal/coldstart/lender.go
+++ b/internal/coldstart/lender.go
@@ -29,6 +29,8 @@
 type lending struct {
 	at    time.Time
 	count int
+	// counts is how long it counts.
+	counts time.Duration
 }
 
 // NewLender returns the account of a holder that took its lease at now. Nobody else has
@@ -37,9 +39,14 @@
 	return &Lender{from: now.Add(Held), runners: make(map[string][]lending), sweptAt: now}
 }
 
-// Lend lends permits for a runner, as many as are wanted at most. next is the time until
+// Lend lends permits for a cold runner, as many as are wanted at most. next is the time until
 // another one can be lent; zero when one can now.
 func (l *Lender) Lend(runner string, wanted int, bound Bound, now time.Time) (count int, next time.Duration) {
+	return l.LendWithin(runner, wanted, bound, Held, now)
+}
+
+// LendWithin is Lend for a runner for which what is lent counts for period.
+func (l *Lender) LendWithin(runner string, wanted int, bound Bound, period time.Duration, now time.Time) (count int, next time.Duration) {
 	if now.Before(l.from) {
 		return 0, l.from.Sub(now)
 	}
@@ -48,7 +55,7 @@
 	left := int(bound) - sum(lent)
 	count = max(min(wanted, left, max(int(bound)/nodeShare, 1)), 0)
 	if count > 0 {
-		lent = append(lent, lending{at: now, count: count})
+		lent = append(lent, lending{at: now, count: count, counts: period})
 	}
 	if len(lent) > 0 {
 		l.runners[runner] = lent
@@ -65,7 +72,7 @@
 		// The bound allows none at all.
 		return Longest
 	default:
-		return lent[0].at.Add(Held).Sub(now)
+		return lent[0].at.Add(lent[0].counts).Sub(now)
 	}
 }
 
@@ -86,7 +93,7 @@
 // moment, as the window's ends belong to it.
 func current(lent []lending, now time.Time) []lending {
 	first := 0
-	for first < len(lent) && now.Sub(lent[first].at) > Held {
+	for first < len(lent) && now.Sub(lent[first].at) > lent[first].counts {
 		first++
 	}
 	return lent[first:]
--- /dev/null
+++ b/internal/coldstart/limit_test.go
@@ -0,0 +1,102 @@
+package coldstart
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// limitSpan is the window in which the sends of the tests are counted, limitTimes and limitMore
+	// what of a rate may come in it, and how many requests more.
+	limitSpan  = 4 * time.Second
+	limitTimes = 1.5
+	limitMore  = 5
+)
+
+// mostWithin is how many of some moments lie in one span at most.
+func mostWithin(moments []time.Time, span time.Duration) int {
+	slices.SortFunc(moments, time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range moments {
+		for at.Sub(moments[first]) > span {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// TestLimitTerms: the rate is kept by whole requests, whatever was named.
+func TestLimitTerms(t *testing.T) {
+	for rate, want := range map[float64]struct {
+		bound  Bound
+		period time.Duration
+	}{1: {1, time.Second}, 0.25: {1, 4 * time.Second}, 2.5: {2, 800 * time.Millisecond}, 1e300: {largestBound, 0}, 1e-9: {1, Longest}} {
+		terms := NewLimit(rate, Lent{})
+		assert.Equal(t, terms.Bound, want.bound, "%g", rate)
+		assert.Equal(t, terms.Period, want.period, "%g", rate)
+	}
+}
+
+// TestLentLimitIsKept: nodes that want more all the time get the rate in the mean, and no more than a
+// few requests beyond it in any window, though permits are spent as late as they may be.
+func TestLentLimitIsKept(t *testing.T) {
+	for _, rate := range []float64{0.3, 1, 4.5, 40} {
+		terms, lender, now := NewLimit(rate, Lent{}), NewLender(start), start.Add(Held)
+		var sent []time.Time
+		end := now.Add(2 * time.Minute)
+		for ; now.Before(end); now = now.Add(25 * time.Millisecond) {
+			count, _ := lender.LendWithin("r", 1+rand.IntN(5), terms.Bound, terms.Period, now)
+			for range count {
+				sent = append(sent, now.Add(rand.N(Validity)))
+			}
+		}
+		most, allowed := mostWithin(sent, limitSpan), rate*limitTimes*limitSpan.Seconds()+limitMore
+		assert.Assert(t, float64(most) <= allowed, "%g a second: %d", rate, most)
+		assert.Assert(t, math.Abs(float64(len(sent))/120-rate) < 0.1*rate+0.02, "%g a second: %d in 2 min", rate, len(sent))
+	}
+}
+
+// TestTurnsKeepALimit: nodes without a holder, which all begin to send at the same moment.
+func TestTurnsKeepALimit(t *testing.T) {
+	for _, nodes := range []int{1, 4, 7, 64, 985} {
+		for _, rate := range []float64{0.3, 1, 4.5, 40} {
+			var sent []time.Time
+			for node := range nodes {
+				var runner Runner
+				terms := NewLimit(rate, Shared{Node: fmt.Sprint("node-", node), Nodes: nodes})
+				runner.Sent(start)
+				for now := start; now.Before(start.Add(time.Minute)); now = now.Add(20 * time.Millisecond) {
+					if runner.May("r", terms, now) {
+						runner.Spend(terms, now)
+						sent = append(sent, now)
+					}
+				}
+			}
+			most, allowed := mostWithin(sent, limitSpan), rate*limitTimes*limitSpan.Seconds()+limitMore
+			assert.Assert(t, float64(most) <= allowed, "%d nodes, %g a second: %d", nodes, rate, most)
+		}
+	}
+}
+
+// TestTurnComesInTime: the time until a node's turn is true.
+func TestTurnComesInTime(t *testing.T) {
+	var runner Runner
+	terms := NewLimit(1, Shared{Node: "n", Nodes: 4})
+	now := start
+	for range 5 {
+		now = now.Add(rand.N(time.Minute))
+		next := runner.Next("r", terms, 0, now)
+		assert.Assert(t, runner.May("r", terms, now.Add(next)))
+		assert.Assert(t, next <= 8*time.Second)
+		now = now.Add(next)
+		runner.Spend(terms, now)
+		assert.Assert(t, !runner.May("r", terms, now))
+	}
+}
--- a/internal/coldstart/runner.go
+++ b/internal/coldstart/runner.go
@@ -29,7 +29,7 @@
 	saidAt time.Time
 	// permits are what may be spent, oldest first.
 	permits []permit
-	// sentAt is when this node sent last to it while it was cold.
+	// sentAt is when this node sent last to it.
 	sentAt time.Time
 	// nextAt is when the holder expects to have another permit.
 	nextAt time.Time
@@ -134,16 +134,25 @@
 		return len(r.current(now)) > 0
 	case Drawn:
 		return now.Sub(r.sentAt) > Second && way.drawn(id, terms.Bound, now)
+	case Shared:
+		return way.turns(id, terms.Rate).may(r.sentAt, now)
 	default:
 		return false
 	}
 }
 
+// Sent notes that one request is sent to a runner that gets any number.
+func (r *Runner) Sent(now time.Time) { r.sentAt = now }
+
 // Spend notes that one request is sent to a cold runner. May has allowed it. until is when
 // it must have been sent if it is held back; now where a draw allowed it.
 func (r *Runner) Spend(terms Terms, now time.Time) (until time.Time) {
 	r.sentAt = now
-	if _, lent := terms.Way.(Lent); !lent {
+	switch terms.Way.(type) {
+	case Lent:
+	case Shared:
+		return now.Add(Validity)
+	default:
 		return now
 	}
 	permits := r.current(now)
@@ -174,6 +183,8 @@
 		return max(holderIn, r.nextAt.Sub(now), 0) + answerTime
 	case Drawn:
 		return max(way.next(id, terms.Bound, now), r.sentAt.Add(Second).Sub(now), 0)
+	case Shared:
+		return way.turns(id, terms.Rate).next(r.sentAt, now)
 	default:
 		return Longest
 	}
--- a/internal/coldstart/terms.go
+++ b/internal/coldstart/terms.go
@@ -1,6 +1,6 @@
-// Package coldstart bounds what a cold runner gets. A runner is cold for a while after
-// it started, and may become cold again: it bears only few requests a second then, of
-// all nodes together. The package decides who may send how much now: what a node knows
+// Package coldstart bounds what a cold runner, or one that named a limit, gets. A runner is
+// cold for a while after it started, and may become cold again: it bears only few requests a
+// second then, of all nodes together. The package decides who may send how much now: what a node knows
 // of a runner's coldness (Runner), what the holder of the service's control lease lends
 // (Lender), and draws where no node holds a lease (Drawn). It is pure; the time is
 // passed in, always that of a steady clock.
@@ -34,15 +34,16 @@
 	return Bound(min(bound, largestBound))
 }
 
-// Terms are what holds for the runners of a service. With the zero Terms no runner is
-// ever cold.
+// Terms are what holds for the runners of a service, or for one that named a limit. With the
+// zero Terms no runner is ever cold.
 type Terms struct {
-	// Rate is how many requests a second a cold runner bears; zero where none is cold.
+	// Rate is how many requests a second such a runner bears; zero where none is cold.
 	Rate float64
 	// Start is how long a runner is cold after its start.
 	Start time.Duration
-	// Bound is what a cold runner may get.
-	Bound Bound
+	// Bound is what such a runner may get within Period of what is lent.
+	Bound  Bound
+	Period time.Duration
 	// Way is how the bound is kept.
 	Way Way
 }
@@ -53,10 +54,18 @@
 	if !(rate > 0) || math.IsInf(rate, 1) {
 		return Terms{}
 	}
-	return Terms{Rate: rate, Start: min(max(start, 0), Longest), Bound: NewBound(rate, share, slack), Way: way}
+	return Terms{Rate: rate, Start: min(max(start, 0), Longest), Bound: NewBound(rate, share, slack), Period: Held, Way: way}
 }
 
-// Way is how nodes keep the bound together: Lent or Drawn.
+// NewLimit returns the terms of a runner that takes rate requests a second, above zero, as it says:
+// as many whole requests as it takes in a second, one at least, in the time in which it takes them.
+func NewLimit(rate float64, way Way) Terms {
+	count := math.Floor(min(max(rate, 1), largestBound))
+	period := time.Duration(min(count/rate, Longest.Seconds()) * float64(time.Second))
+	return Terms{Rate: rate, Bound: Bound(count), Period: period, Way: way}
+}
+
+// Way is how nodes keep the bound together: Lent, Drawn or Shared.
 type Way interface{ way() }
 
 // Lent means that a node sends only what the holder of the service's control lease lent
@@ -72,5 +81,15 @@
 	Nodes int
 }
 
-func (Lent) way()  {}
-func (Drawn) way() {}
+// Shared means that each node has turns of its own, in which it may send one request. It needs no
+// message, and leaves half of the rate unused.
+type Shared struct {
+	// Node is this node's name.
+	Node string
+	// Nodes is how many nodes there are, as far as is known; zero while it is not.
+	Nodes int
+}
+
+func (Lent) way()   {}
+func (Drawn) way()  {}
+func (Shared) way() {}
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -233,7 +233,7 @@
 			Homes: waiting.Homes.Names(),
 		})
 		for _, wanted := range s.fleet.PermitsWanted(s.service, waiting.Unit, waiting.Homes, waiting.Count) {
-			request.Permits = append(request.Permits, wire.PermitsWanted{Runner: wanted.Runner, Count: wanted.Count})
+			request.Permits = append(request.Permits, wire.PermitsWanted{Runner: wanted.Runner, Count: wanted.Count, Rate: wanted.Rate})
 		}
 	}
 	for _, usage := range s.book.TakeUsage(s.service) {
@@ -299,6 +299,7 @@
 	switch {
 	case err == nil && response.Valid:
 		s.orderless = false
+		s.fleet.HearLender(s.service)
 		s.fleet.SetOrdersIn(s.service, time.Duration(response.ActsInMs)*time.Millisecond)
 	case !s.orderless:
 		s.orderless = true
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -101,6 +101,21 @@
 	}
 }
 
+// nodeCount is how many nodes there are, as far as is known.
+func (d *Dispatcher) nodeCount() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.knownNodes()
+}
+
+// knownNodes is nodeCount; mutex is held.
+func (d *Dispatcher) knownNodes() int {
+	if d.nodes == 0 {
+		return assumedNodes
+	}
+	return d.nodes
+}
+
 // SetRetries changes the bounds of the budgets of retries.
 func (d *Dispatcher) SetRetries(limits retry.Limits) {
 	d.mutex.Lock()
@@ -116,14 +131,10 @@
 	defer d.mutex.Unlock()
 	budget := d.budgets[service]
 	if budget == nil {
-		nodes := d.nodes
-		if nodes == 0 {
-			nodes = assumedNodes
-		}
 		if d.budgets == nil {
 			d.budgets = make(map[string]*retry.Budget)
 		}
-		budget = retry.NewBudget(d.Retries, nodes, time.Now)
+		budget = retry.NewBudget(d.Retries, d.knownNodes(), time.Now)
 		d.budgets[service] = budget
 	}
 	return budget
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -186,6 +186,11 @@
 	w := wait{
 		elapsed: time.Since(j.request.Arrived), hold: j.latestStart().Sub(j.request.Arrived), objective: j.route.Objective, returned: j.returned(),
 	}
+	if in, limited := j.afterLimit(); limited {
+		w.expected, w.least, w.known, w.dated = in, in, true, true
+		w.firm = j.relay == nil
+		return w
+	}
 	if in, room, known := j.soonest(); known {
 		w.expected, w.least, w.known, w.dated, w.firm = in, in, true, true, room > 0
 		// A stream that has begun waits as long as its client does.
@@ -228,7 +233,25 @@
 	return in, room, true
 }
 
-// behindRest is how many requests waited for the same rest to end before this one, which counts
+// afterLimit is the time until a runner may take the request that could but for the limit it named:
+// those that wait before it go first. It is false where that is not what it waits for alone.
+func (j *job) afterLimit() (in time.Duration, limited bool) {
+	rate, limited := j.dispatcher.Fleet.LimitedRate(j.query, j.dispatcher.nodeCount())
+	if !limited {
+		return 0, false
+	}
+	if _, _, rests := j.dispatcher.Fleet.RestEndsIn(j.query); rests {
+		return 0, false
+	}
+	in, known := j.dispatcher.Fleet.PermitIn(j.query)
+	in += time.Duration(float64(j.behindRest()) / rate * float64(time.Second))
+	if at, coming := j.dispatcher.Fleet.Expected(j.query.Service, j.query.Unit, j.query.Homes); coming && j.engine {
+		in = min(in, at)
+	}
+	return in, known
+}
+
+// behindRest is how many requests waited for the same runners before this one, which counts
 // as waiting from now on until it is placed or refused.
 func (j *job) behindRest() int {
 	if j.endRestWait == nil {
--- a/internal/eligible/eligible.go
+++ b/internal/eligible/eligible.go
@@ -30,6 +30,8 @@
 	OutsideHomes
 	// Cold means that the runner is cold and takes no more from this node now.
 	Cold
+	// Limited means that the runner named a limit and takes no more from this node now.
+	Limited
 	// Resting means that the runner asked this node for a time without requests, or has rested
 	// and takes no more at once.
 	Resting
@@ -37,7 +39,7 @@
 
 // String names the reason as logs and explanations spell it.
 func (r Reason) String() string {
-	return [...]string{"eligible", "other_service", "gone", "draining", "drained", "zone_out", "outside_homes", "cold", "resting"}[r]
+	return [...]string{"eligible", "other_service", "gone", "draining", "drained", "zone_out", "outside_homes", "cold", "limited", "resting"}[r]
 }
 
 // Runner is what decides about a runner.
@@ -54,8 +56,10 @@
 	// Resting is set while the runner wants nothing from this node, or no more at once. Its
 	// reports need no slot, so it is asked questions all the same.
 	Resting bool
-	// Permit is set unless the runner is cold and this node may send it nothing now.
-	Permit bool
+	// Permit is set unless the runner is cold, or named a limit, and this node may send it nothing
+	// now; Limited is set where that is for its limit.
+	Permit  bool
+	Limited bool
 }
 
 // Purpose is what is to go to a runner: a Request, a Question, a Load or an Unload.
@@ -143,7 +147,11 @@
 	if reason := checkHomes(runner, request.Homes); reason != Yes {
 		return reason
 	}
-	if !runner.Permit {
+	switch {
+	case runner.Permit:
+	case runner.Limited:
+		return Limited
+	default:
 		return Cold
 	}
 	return checkRest(runner)
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -195,7 +195,7 @@
 	listed := &known.listed
 	return eligible.Check(f.rules, &eligible.Runner{
 		ID: listed.Name(), Service: listed.Service, Zone: place.Zone(listed.Zone), Region: place.Region(listed.Region),
-		Listed: known.present || listed.Missing, Draining: f.leaves(known), Resting: resting, Permit: permit,
+		Listed: known.present || listed.Missing, Draining: f.leaves(known), Resting: resting, Permit: permit, Limited: f.limited(known),
 	}, purpose)
 }
 
--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -27,6 +27,9 @@
 type ColdStarts struct {
 	// Terms returns the terms of a service; the zero Terms where no runner is ever cold.
 	Terms func(service string) coldstart.Terms
+	// Limit returns the terms of a runner that takes so many requests a second, above zero; lent is
+	// set where a holder lends permits. It is not set where runners name no limits.
+	Limit func(rate float64, lent bool) coldstart.Terms
 	// Returned returns when a zone that was taken out was taken back last; zero for
 	// never. It is not set where no zone is ever taken out.
 	Returned func(zone place.Zone) time.Time
@@ -117,10 +120,47 @@
 	return f.now().Before(f.coldUntil(known, terms))
 }
 
+// bounds are the terms by which a runner gets requests, and until when: until lies in the past for
+// one that gets any number. One that is cold and named a limit gets what the lower rate allows.
+// mutex is held.
+func (f *Fleet) bounds(known *runner) (terms coldstart.Terms, until time.Time) {
+	terms = f.terms(known)
+	until = f.coldUntil(known, terms)
+	stated := f.statements.Of(known.listed.ID)
+	if stated.Rate == 0 || f.coldStarts.Limit == nil {
+		return terms, until
+	}
+	if f.now().Before(until) && terms.Rate <= stated.Rate {
+		return terms, until
+	}
+	return f.coldStarts.Limit(stated.Rate, f.lends(known.listed.Service)), f.now().Add(stated.RateFor)
+}
+
+// lenderHeard is how long an answer of a holder shows that it lends permits.
+const lenderHeard = 2 * time.Second
+
+// HearLender notes that the holder of a service's control lease answered, with its lease valid.
+func (f *Fleet) HearLender(service string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.lenders[service] = f.now()
+}
+
+// lends reports whether a holder lends permits for a service. mutex is held.
+func (f *Fleet) lends(service string) bool {
+	heard, known := f.lenders[service]
+	return known && f.now().Sub(heard) < lenderHeard
+}
+
+// limited reports whether a runner named a limit that is in force. mutex is held.
+func (f *Fleet) limited(known *runner) bool {
+	return f.coldStarts.Limit != nil && f.statements.Of(known.listed.ID).Rate > 0
+}
+
 // permit reports whether one request may be sent to a runner now, cold or not. mutex is held.
 func (f *Fleet) permit(known *runner) bool {
-	terms := f.terms(known)
-	if terms.Rate == 0 || !f.isCold(known, terms) {
+	terms, until := f.bounds(known)
+	if !f.now().Before(until) {
 		return true
 	}
 	return known.cold.May(known.listed.ID, terms, f.now())
@@ -129,11 +169,13 @@
 // spendPermit counts one request that is sent to a runner, and returns until when the
 // permit holds; the zero time for a runner that needs none. mutex is held.
 func (f *Fleet) spendPermit(known *runner) (until time.Time) {
-	if terms := f.terms(known); terms.Rate > 0 && f.isCold(known, terms) {
-		until = known.cold.Spend(terms, f.now())
-		f.coldFigures.Spent++
+	terms, bounded := f.bounds(known)
+	if !f.now().Before(bounded) {
+		known.cold.Sent(f.now())
+		return until
 	}
-	return until
+	f.coldFigures.Spent++
+	return known.cold.Spend(terms, f.now())
 }
 
 // Release ends a choice whose request was not sent: what was counted for it counts no more.
@@ -160,15 +202,15 @@
 // time ago: a cold one only by the permit that was spent then, as those left are for other
 // requests. mutex is held.
 func (f *Fleet) permitted(known *runner, choice Choice) bool {
-	terms := f.terms(known)
-	return terms.Rate == 0 || !f.isCold(known, terms) || f.now().Before(choice.permitUntil)
+	_, until := f.bounds(known)
+	return !f.now().Before(until) || f.now().Before(choice.permitUntil)
 }
 
 // costOfCold is how much dearer a runner is that is cold, or was just now. mutex is held.
 func (f *Fleet) costOfCold(known *runner, query Query) float64 {
 	terms := f.terms(known)
 	until := f.coldUntil(known, terms)
-	if f.now().Before(until) {
+	if f.now().Before(until) || f.limited(known) {
 		return costCold / float64(1+max(query.Priority, 0))
 	}
 	share, warming := known.cold.Warming(until, terms, f.now())
@@ -183,7 +225,7 @@
 func (f *Fleet) coldOnly(query Query) []*runner {
 	var cold []*runner
 	for id, known := range f.runners {
-		if f.eligible(known, request(query)) != eligible.Cold || slices.Contains(query.Exclude, id) {
+		if reason := f.eligible(known, request(query)); (reason != eligible.Cold && reason != eligible.Limited) || slices.Contains(query.Exclude, id) {
 			continue
 		}
 		if f.serves(known, query.Unit) == unhindered {
@@ -213,8 +255,8 @@
 	var shortest time.Duration
 	found := false
 	for _, known := range f.coldOnly(query) {
-		terms := f.terms(known)
-		in := min(known.cold.Next(known.listed.ID, terms, holderIn, now), f.coldUntil(known, terms).Sub(now))
+		terms, until := f.bounds(known)
+		in := min(known.cold.Next(known.listed.ID, terms, holderIn, now), until.Sub(now))
 		if !found || in < shortest {
 			shortest, found = max(in, 0), true
 		}
@@ -222,10 +264,31 @@
 	return shortest, found
 }
 
+// shareOfRate is how many times its even share of a rate one node may expect, as not all nodes want
+// something at once.
+const shareOfRate = 2
+
+// LimitedRate returns how many requests a second this node may expect to send to the runners that
+// could serve a request but for the limits they named, of so many nodes; false where there is none, or
+// a cold one may serve it.
+func (f *Fleet) LimitedRate(query Query, nodes int) (rate float64, limited bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, known := range f.coldOnly(query) {
+		if !f.limited(known) {
+			return 0, false
+		}
+		rate += f.statements.Of(known.listed.ID).Rate
+	}
+	return rate * min(shareOfRate/float64(max(nodes, 1)), 1), rate > 0
+}
+
 // PermitsWanted is how many permits for a runner this node wants.
 type PermitsWanted struct {
 	Runner string
 	Count  int
+	// Rate is the limit that the runner named, in requests a second; zero for none.
+	Rate float64
 }
 
 // PermitsWanted returns for which cold runners permits are wanted by requests that wait
@@ -242,7 +305,7 @@
 	wanted := make([]PermitsWanted, 0, min(len(cold), count))
 	for i, known := range cold[:min(len(cold), count)] {
 		share := (count + len(cold) - 1 - i) / len(cold)
-		wanted = append(wanted, PermitsWanted{Runner: known.listed.ID, Count: share})
+		wanted = append(wanted, PermitsWanted{Runner: known.listed.ID, Count: share, Rate: f.statements.Of(known.listed.ID).Rate})
 	}
 	return wanted
 }
@@ -253,7 +316,8 @@
 func (f *Fleet) sortForPermits(cold []*runner) {
 	costs := make(map[*runner]float64, len(cold))
 	for _, known := range cold {
-		wait := known.cold.Next(known.listed.ID, f.terms(known), 0, f.now())
+		terms, _ := f.bounds(known)
+		wait := known.cold.Next(known.listed.ID, terms, 0, f.now())
 		cost := milliseconds(wait) + costPerRequest*float64(known.inFlight) + rand.Float64()*tieSpread
 		if known.listed.Zone != f.zone {
 			cost += costOtherZone
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -87,6 +87,8 @@
 	firm map[string]map[string]bool
 	// ordersAt is, by service, when a control holder is expected to give orders.
 	ordersAt map[string]time.Time
+	// lenders is, by service, when its holder answered last.
+	lenders map[string]time.Time
 	// meanUnread is how many tokens of a request's prompt a runner has to read, in a
 	// moving mean over this node's requests.
 	meanUnread float64
@@ -156,7 +158,7 @@
 // New returns an empty fleet for a node in zone; rules are what operators decided.
 func New(zone string, now func() time.Time, rules eligible.Rules) *Fleet {
 	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), gone: make(map[string]*runner), incarnations: make(map[string]string), planned: make(map[string]map[homedModel]time.Time), firm: make(map[string]map[string]bool),
-		ordersAt: make(map[string]time.Time), obstacles: make(map[asked]foundObstacles), restWaits: make(map[asked]int), left: make(map[string]time.Time), changed: make(chan struct{})}
+		ordersAt: make(map[string]time.Time), lenders: make(map[string]time.Time), obstacles: make(map[asked]foundObstacles), restWaits: make(map[asked]int), left: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
 // SetZones tells what operators' decisions about zones weigh. It is called before the
--- a/internal/fleet/statements_test.go
+++ b/internal/fleet/statements_test.go
@@ -9,7 +9,9 @@
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/coldstart"
 	"lilacvane/internal/eligible"
+	"lilacvane/internal/place"
 	"lilacvane/internal/statement"
 )
 
@@ -208,3 +210,36 @@
 		defer end()
 	}
 }
+
+// TestRunnerThatNamedALimitNeedsAPermit: others go first; each request takes a permit, and the limit
+// ends with the runner's word.
+func TestRunnerThatNamedALimitNeedsAPermit(t *testing.T) {
+	f, book, c := statedFleet("r1")
+	f.SetColdStarts(ColdStarts{
+		Terms: func(string) coldstart.Terms { return coldstart.Terms{} },
+		Limit: func(rate float64, lent bool) coldstart.Terms {
+			assert.Assert(t, lent)
+			return coldstart.NewLimit(rate, coldstart.Lent{})
+		},
+	})
+	f.HearLender("s")
+	before, ok := f.Choose(statedQuery)
+	assert.Assert(t, ok)
+	named := http.Header{limitHeader: {"2"}}
+	book.Hear(statement.Source{Runner: "r1", Request: "a"}, http.StatusOK, named)
+	assert.Assert(t, !f.Allowed(before, statedQuery), "one that was chosen before goes there")
+	_, ok = f.Choose(statedQuery)
+	assert.Assert(t, !ok)
+	assert.Assert(t, f.WaitsForPermit(statedQuery))
+	assert.Equal(t, f.eligible(f.runners["r1"], request(statedQuery)), eligible.Limited)
+	assert.DeepEqual(t, f.PermitsWanted("s", statedQuery.Unit, place.Homes{}, 1), []PermitsWanted{{Runner: "r1", Count: 1, Rate: 2}})
+	f.ApplyPermits([]PermitsLent{{Runner: "r1", Count: 1}}, c.now)
+	chosen, ok := f.Choose(statedQuery)
+	assert.Assert(t, ok && f.Allowed(chosen, statedQuery))
+	_, ok = f.Choose(statedQuery)
+	assert.Assert(t, !ok)
+	c.now = c.now.Add(time.Second)
+	book.Hear(statement.Source{Runner: "r1", Request: "b"}, http.StatusOK, http.Header{})
+	_, ok = f.Choose(statedQuery)
+	assert.Assert(t, ok)
+}
--- a/internal/node/cold.go
+++ b/internal/node/cold.go
@@ -26,6 +26,15 @@
 	return coldstart.NewTerms(described.ColdRate, s.ColdStart.Share, s.ColdStart.Slack, described.ColdStart, way)
 }
 
+// limitTerms are what holds for a runner that takes rate requests a second. Its permits are lent where
+// the holder of a control lease is heard; else each node has turns of its own.
+func (n *Node) limitTerms(rate float64, lent bool) coldstart.Terms {
+	if lent {
+		return coldstart.NewLimit(rate, coldstart.Lent{})
+	}
+	return coldstart.NewLimit(rate, coldstart.Shared{Node: n.settings.Load().Node, Nodes: int(n.nodes.Load())})
+}
+
 // coldWatch logs which runners become cold and warm, and lets what waits look again when
 // one became warm.
 type coldWatch struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,7 +155,7 @@
 	n.fleet.SetZones(n.zones)
 	n.fleet.SetStatements(n.statements)
 	n.cold = newColdWatch(n)
-	n.fleet.SetColdStarts(fleet.ColdStarts{Terms: n.coldTerms, Returned: n.zones.returned})
+	n.fleet.SetColdStarts(fleet.ColdStarts{Terms: n.coldTerms, Limit: n.limitTerms, Returned: n.zones.returned})
 	n.fleet.SetRegion(place.Region(s.Region))
 	n.committer = commit.New(platform.Objects, n.catalog)
 	n.policies = policy.NewSet(n.catalog, s.Region, zone)
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -33,7 +33,7 @@
 	Spare float64 `cbor:"13,keyasint,omitempty"`
 	// Limits is told with reports to the holder that divides limits.
 	Limits *LimitReport `cbor:"14,keyasint,omitempty"`
-	// Permits are wanted for requests that only cold runners could serve.
+	// Permits are wanted for requests that only runners could serve that are cold, or named a limit.
 	Permits []PermitsWanted `cbor:"15,keyasint,omitempty"`
 	// Poison is told to the holder that counts the ends of runners under requests.
 	Poison *PoisonReport `cbor:"17,keyasint,omitempty"`
@@ -52,13 +52,15 @@
 	AgeMs int64 `cbor:"2,keyasint,omitempty"`
 }
 
-// PermitsWanted is how many permits a node wants for a cold runner.
+// PermitsWanted is how many permits a node wants for a runner that is cold, or named a limit.
 type PermitsWanted struct {
 	Runner string `cbor:"1,keyasint"`
 	Count  int    `cbor:"2,keyasint"`
+	// Rate is the limit that the runner named, in requests a second; zero for none.
+	Rate float64 `cbor:"3,keyasint,omitempty"`
 }
 
-// PermitsLent is how many permits the holder lends for a cold runner. They may be spent
+// PermitsLent is how many permits the holder lends for such a runner. They may be spent
 // within a set time (coldstart.Validity) after the node sent its question.
 type PermitsLent struct {
 	Runner string `cbor:"1,keyasint"`
