Let nodes tell each other of the limits that runners name

Why: each node learned a limit by a request of its own, so a runner that takes one a second got one request of each node of a fleet before it was spared, and again after each start of a node. Change: limits travel with leavings: a node reports those it heard itself to the holder of the service, which tells all nodes, with their age. A node believes no word that is older than its own, nor than its own hearing that the limit is over. What runners stated is one interface of the controller now (Stated). Tests: TestNodesTellEachOtherOfLimits (real processes: all four nodes log the limit that one heard), TestNodesLearnOfLimits.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -70,8 +70,8 @@
 	Rules eligible.Rules
 	// Statements are what runners stated of themselves in answers; nil where nobody hears.
 	Statements *statement.Book
-	// Leavings tell nodes of runners that leave, and are told of them; not set for nobody.
-	Leavings Leavings
+	// Stated tells nodes what runners stated in answers, and is told of it; not set for nobody.
+	Stated Stated
 	// NeedList is told whether this node needs all runners of the platform's list, as its
 	// plans do; not set where it has them anyway.
 	NeedList func(needed bool)
@@ -97,14 +97,14 @@
 	Log    logr.Logger
 }
 
-// Leavings are the runners that said in answers that they leave, as one node knows them. Nodes
-// tell each other by way of the holder, as long as the platform's list does not tell.
-type Leavings interface {
-	// Own returns those that this node heard itself, All also those that it was told of.
-	Own() []wire.RunnerLeaving
-	All() []wire.RunnerLeaving
+// Stated is what runners stated in answers, as one node knows it: that they leave, as long as the
+// platform's list does not tell, and their limits. Nodes tell each other by way of the holder.
+type Stated interface {
+	// Own returns what this node heard itself, All also what it was told of.
+	Own() ([]wire.RunnerLeaving, []wire.RunnerLimit)
+	All() ([]wire.RunnerLeaving, []wire.RunnerLimit)
 	// Learn takes what another node told.
-	Learn(node string, heard []wire.RunnerLeaving)
+	Learn(node string, leaving []wire.RunnerLeaving, limited []wire.RunnerLimit)
 }
 
 // Controller controls the runners of one service. Its methods may be called
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -37,8 +37,8 @@
 	if request.Poison != nil && c.Count != nil {
 		c.Count(*request.Poison)
 	}
-	if c.Leavings != nil {
-		c.Leavings.Learn(request.Node, request.Leaving)
+	if c.Stated != nil {
+		c.Stated.Learn(request.Node, request.Leaving, request.Limited)
 	}
 	c.waitChange(ctx, request)
 	c.mutex.Lock()
@@ -48,8 +48,8 @@
 	}
 	response := c.account(request)
 	response.Permits = c.lend(request, time.Now())
-	if c.Leavings != nil {
-		response.Leaving = c.Leavings.All()
+	if c.Stated != nil {
+		response.Leaving, response.Limited = c.Stated.All()
 	}
 	if request.Limits != nil && response.Valid && c.Divide != nil {
 		response.Limits = c.Divide(limit.Report{
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -48,7 +48,7 @@
 	fleet      *fleet.Fleet
 	limits     Limits
 	crashes    Crashes
-	leavings   Leavings
+	stated     Stated
 	observe    Observe
 	log        logr.Logger
 	// begun is signalled when a request begins to wait, so that a resting watch
@@ -103,10 +103,10 @@
 
 // NewSyncer returns a syncer for a service.
 func NewSyncer(service string, self wire.Member, spare float64, lessor *lease.Lessor, controller *Controller, client *peer.Client, book *demand.Book,
-	known *fleet.Fleet, limits Limits, crashes Crashes, leavings Leavings, observe Observe, log logr.Logger) *Syncer {
+	known *fleet.Fleet, limits Limits, crashes Crashes, stated Stated, observe Observe, log logr.Logger) *Syncer {
 	return &Syncer{
 		service: service, self: self, spare: spare, lessor: lessor, controller: controller, client: client, book: book, fleet: known,
-		limits: limits, crashes: crashes, leavings: leavings, observe: observe, log: log.WithValues("service", service), begun: make(chan struct{}, 1),
+		limits: limits, crashes: crashes, stated: stated, observe: observe, log: log.WithValues("service", service), begun: make(chan struct{}, 1),
 	}
 }
 
@@ -179,7 +179,7 @@
 	request := s.report()
 	request.Limits = s.limits.Report()
 	request.Poison = s.crashes.Report(s.holderToken())
-	request.Leaving = s.leavings.Own()
+	request.Leaving, request.Limited = s.stated.Own()
 	err := s.call(ctx, request)
 	if err != nil && request.Limits != nil {
 		s.limits.Undelivered(request.Limits)
@@ -270,7 +270,7 @@
 		s.limits.Apply(response.Limits, sent)
 	}
 	s.fleet.ApplyPermits(permitsLent(response.Permits), sent)
-	s.leavings.Learn(s.holderName(), response.Leaving)
+	s.stated.Learn(s.holderName(), response.Leaving, response.Limited)
 	s.take(response)
 	return nil
 }
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -81,11 +81,11 @@
 	options.Heard = func() bool { return syncer.Heard() }
 	lessor := lease.New(n.platform.Leases, leasePrefix+service, s.Node, s.Listen.PeerAddress(), n.process, options, n.log.Logger)
 	controller := control.NewController(control.Options{
-		Service: service, Node: s.Node, Lessor: lessor, Runners: n.platform.Control, Fleet: n.fleet, Rules: stayingRules{(*operatorRules)(n)}, Statements: n.statements, Leavings: (*leavings)(n), NeedList: n.needList, ListRevision: n.knowledge.runners.Taken, Configuration: n.configuration.Load,
+		Service: service, Node: s.Node, Lessor: lessor, Runners: n.platform.Control, Fleet: n.fleet, Rules: stayingRules{(*operatorRules)(n)}, Statements: n.statements, Stated: (*stated)(n), NeedList: n.needList, ListRevision: n.knowledge.runners.Taken, Configuration: n.configuration.Load,
 		Policies: n.policies, Sleeper: newSleeper(s.Sleep, n.policies.Zone()), ObserveLoad: n.figures.ObserveLoad, Divide: n.limits.divide, Count: n.quarantine.Count, Terms: n.coldTerms, Decide: n.decide, Log: n.log.Logger,
 	})
 	self := wire.Member{Node: s.Node, Zone: s.Zone, Region: s.Region, Address: s.Listen.PeerAddress()}
-	syncer = control.NewSyncer(service, self, s.Capacity.Spare(), lessor, controller, n.client, n.demand, n.fleet, n.limits.of(service), n.quarantine.Of(service), (*leavings)(n), n.observeFleet, n.log.Logger)
+	syncer = control.NewSyncer(service, self, s.Capacity.Spare(), lessor, controller, n.client, n.demand, n.fleet, n.limits.of(service), n.quarantine.Of(service), (*stated)(n), n.observeFleet, n.log.Logger)
 	c.work.Go(func() { lessor.Run(ctx) })
 	c.work.Go(func() { controller.Run(ctx) })
 	c.work.Go(func() { syncer.Run(ctx) })
--- a/internal/node/statements.go
+++ b/internal/node/statements.go
@@ -37,6 +37,9 @@
 	case statement.Limit:
 		n.decide(subject, "hear its limit", fmt.Sprintf("%g requests a second, %s", made.Rate, whereHeard(source)))
 		n.fleet.Wake()
+		if source.Peer == "" {
+			n.controls.nudge()
+		}
 	case statement.Rest:
 		n.decide(subject, "hear that it wants rest", made.For.String()+", "+whereHeard(source))
 	}
@@ -54,35 +57,49 @@
 	}
 }
 
-// leavings are the runners that said in answers that they leave, as the node tells others.
-type leavings Node
+// stated is what runners stated in answers, as the node tells others.
+type stated Node
 
-// mostLeavings bounds what one message tells: more than leave at once between two writes of
+// mostStated bounds what one message tells of a kind: more than leave at once between two writes of
 // their rows, some seconds.
-const mostLeavings = 64
+const mostStated = 64
 
-// oldestLeaving cuts the ages that are told: far beyond what is believed.
-const oldestLeaving = 24 * time.Hour
+// oldestStated cuts the ages that are told: far beyond what is believed.
+const oldestStated = 24 * time.Hour
 
-// Own returns those that the node heard itself.
-func (l *leavings) Own() []wire.RunnerLeaving {
-	return l.unlisted(l.statements.HeardLeaving())
+// Own returns what the node heard itself.
+func (l *stated) Own() ([]wire.RunnerLeaving, []wire.RunnerLimit) {
+	return l.unlisted(l.statements.HeardLeaving()), l.limited(l.statements.HeardLimits())
 }
 
-// All returns also those that other nodes told of.
-func (l *leavings) All() []wire.RunnerLeaving {
-	return l.unlisted(l.statements.Leaving())
+// All returns also what other nodes told of.
+func (l *stated) All() ([]wire.RunnerLeaving, []wire.RunnerLimit) {
+	return l.unlisted(l.statements.Leaving()), l.limited(l.statements.Limits())
+}
+
+// limited returns the first of the limits, of runners that are listed.
+func (l *stated) limited(heard []statement.HeardLimit) []wire.RunnerLimit {
+	var told []wire.RunnerLimit
+	for _, limit := range heard {
+		if len(told) == mostStated {
+			break
+		}
+		if l.fleet.Known(limit.Runner) {
+			told = append(told, wire.RunnerLimit{Runner: limit.Runner, Rate: limit.Rate, AgeMs: limit.Age.Milliseconds()})
+		}
+	}
+	return told
 }
 
 // unlisted returns the first of the runners that the platform's list does not tell of yet.
-func (l *leavings) unlisted(leaving []statement.Heard) []wire.RunnerLeaving {
+func (l *stated) unlisted(leaving []statement.Heard) []wire.RunnerLeaving {
 	var told []wire.RunnerLeaving
 	for _, heard := range leaving {
 		runner, listed := l.fleet.Find(heard.Runner)
 		if !listed || runner.Draining {
 			continue
 		}
-		if len(told) == mostLeavings {
+		if len(told) == mostStated {
 			break
 		}
 		told = append(told, wire.RunnerLeaving{Runner: heard.Runner, AgeMs: heard.Age.Milliseconds()})
@@ -91,15 +108,26 @@
 }
 
 // Learn takes what another node told of runners that are listed.
-func (l *leavings) Learn(node string, told []wire.RunnerLeaving) {
+func (l *stated) Learn(node string, leaving []wire.RunnerLeaving, limited []wire.RunnerLimit) {
 	var heard []statement.Heard
-	for _, leaving := range told[:min(len(told), mostLeavings)] {
-		if l.fleet.Known(leaving.Runner) {
-			age := min(max(leaving.AgeMs, 0), oldestLeaving.Milliseconds())
-			heard = append(heard, statement.Heard{Runner: leaving.Runner, Age: time.Duration(age) * time.Millisecond})
+	for _, told := range leaving[:min(len(leaving), mostStated)] {
+		if l.fleet.Known(told.Runner) {
+			heard = append(heard, statement.Heard{Runner: told.Runner, Age: ageOf(told.AgeMs)})
 		}
 	}
 	l.statements.Learn(node, heard)
+	var limits []statement.HeardLimit
+	for _, told := range limited[:min(len(limited), mostStated)] {
+		if l.fleet.Known(told.Runner) {
+			limits = append(limits, statement.HeardLimit{Runner: told.Runner, Rate: told.Rate, Age: ageOf(told.AgeMs)})
+		}
+	}
+	l.statements.LearnLimits(node, limits)
+}
+
+// ageOf reads an age that another node told, in milliseconds.
+func ageOf(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), oldestStated.Milliseconds())) * time.Millisecond
 }
 
 // leaves reports whether a runner said in an answer that it leaves.
--- a/internal/statement/book.go
+++ b/internal/statement/book.go
@@ -67,9 +67,9 @@
 	// last. They are zero for never.
 	leavingAt, heardAt, restsUntil, doubtedAt time.Time
 	// rate is the limit that it named, in requests a second, zero for none; limitedAt is when it did
-	// so last, limitedFrom when it began to.
-	rate                   float64
-	limitedAt, limitedFrom time.Time
+	// so last to any node, ownLimitAt to this one, liftedAt when it named none in an answer.
+	rate                            float64
+	limitedAt, ownLimitAt, liftedAt time.Time
 	// window is how many requests that it has not begun to answer it may have after its rest;
 	// zero when it may have any number.
 	window int
@@ -193,6 +193,7 @@
 		return known.rest(now, made.For)
 	case Limit:
 		b.count(KindLimit)
+		known.ownLimitAt = now
 		return known.limit(now, made.Rate, b.options.Limits().LimitFor)
 	default:
 		return false
@@ -301,7 +302,7 @@
 func (b *Book) sweep(now time.Time) {
 	lasting := b.options.Limits().LeavingFor
 	for id, known := range b.runners {
-		if !known.leaves(now, lasting) && !known.limited(now, b.options.Limits().LimitFor) && !now.Before(known.restsUntil) && !known.returns(now) && !within(known.doubtedAt, now, doubtPause) {
+		if !known.leaves(now, lasting) && !known.limited(now, b.options.Limits().LimitFor) && !within(known.liftedAt, now, b.options.Limits().LimitFor) && !now.Before(known.restsUntil) && !known.returns(now) && !within(known.doubtedAt, now, doubtPause) {
 			delete(b.runners, id)
 		}
 	}
--- a/internal/statement/limit_test.go
+++ b/internal/statement/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -33,3 +34,25 @@
 	*now = now.Add(testLimits.LimitFor)
 	assert.Equal(t, book.Of("r1"), State{})
 }
+
+// TestNodesLearnOfLimits: what a node was told binds it, and is not reported as its own; a word that is
+// older than what it heard, or no number, changes nothing.
+func TestNodesLearnOfLimits(t *testing.T) {
+	book, now, news := testBook()
+	own := Source{Runner: "r1", Request: "a"}
+	book.LearnLimits("node-2", []HeardLimit{{Runner: "r1", Rate: 2, Age: time.Second}, {Runner: "r2", Rate: 1, Age: time.Hour}, {Runner: "r3", Rate: -1}, {Rate: 1}})
+	assert.DeepEqual(t, book.Limits(), []HeardLimit{{Runner: "r1", Rate: 2, Age: time.Second}})
+	assert.Equal(t, len(book.HeardLimits()), 0)
+	assert.Equal(t, len(*news), 1)
+	book.Hear(own, http.StatusOK, http.Header{testLimitHeader: {"3"}})
+	book.LearnLimits("node-2", []HeardLimit{{Runner: "r1", Rate: 2, Age: time.Second}})
+	assert.Equal(t, book.Of("r1").Rate, 3.0)
+	assert.DeepEqual(t, book.HeardLimits(), []HeardLimit{{Runner: "r1", Rate: 3}})
+	*now = now.Add(time.Second)
+	book.Hear(own, http.StatusOK, plainHead)
+	*now = now.Add(time.Second)
+	book.LearnLimits("node-2", []HeardLimit{{Runner: "r1", Rate: 2, Age: 2 * time.Second}})
+	assert.Equal(t, book.Of("r1").Rate, 0.0, "it was lifted since")
+	book.LearnLimits("node-2", []HeardLimit{{Runner: "r1", Rate: 2}})
+	assert.Equal(t, book.Of("r1").Rate, 2.0)
+}
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -42,6 +42,18 @@
 	// Leaving are runners that said in answers that they leave, which the platform's list does
 	// not tell yet.
 	Leaving []RunnerLeaving `cbor:"18,keyasint,omitempty"`
+	// Limited are runners that named limits in answers.
+	Limited []RunnerLimit `cbor:"20,keyasint,omitempty"`
+}
+
+// RunnerLimit is the limit that a runner named in an answer.
+type RunnerLimit struct {
+	// Runner identifies the incarnation.
+	Runner string `cbor:"1,keyasint"`
+	// Rate is how many requests a second it takes from all nodes together.
+	Rate float64 `cbor:"2,keyasint"`
+	// AgeMs is how long ago it said so last, in milliseconds.
+	AgeMs int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // RunnerLeaving is a runner that said in an answer that it leaves.
@@ -137,8 +149,9 @@
 	Limits *limit.Grant `cbor:"16,keyasint,omitempty"`
 	// Permits answer those wanted.
 	Permits []PermitsLent `cbor:"17,keyasint,omitempty"`
-	// Leaving are those that the holder knows of, from its own answers and other nodes.
+	// Leaving and Limited are those that the holder knows of, from its own answers and other nodes.
 	Leaving []RunnerLeaving `cbor:"18,keyasint,omitempty"`
+	Limited []RunnerLimit   `cbor:"20,keyasint,omitempty"`
 }
 
 // RunnerView is what a runner holds and what is being loaded there.
--- a/test/runner_limit_test.go
+++ b/test/runner_limit_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"strconv"
 	"sync"
 	"testing"
@@ -9,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lilacvane/internal/commandline"
 	"lilacvane/internal/lab/runnerstub"
 	"lilacvane/internal/lab/storestub"
 	"lilacvane/internal/lab/world"
@@ -104,3 +107,32 @@
 	}
 	return most
 }
+
+// TestNodesTellEachOtherOfLimits: one node hears a runner's limit in an answer; the others know it
+// before they have sent the runner anything.
+func TestNodesTellEachOtherOfLimits(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	startRunners(t, w, 1)
+	nodes := startNodes(t, w, 4)
+	apply(t, nodes[0], model("alpha", 1)...)
+	waitNamed(t, "alpha", nodes...)
+	request := clientRequest{Path: "/draft/x", Model: "alpha", Events: 5, Deadline: 10 * time.Second}
+	served := func(node *world.Node) func() error {
+		return func() error {
+			if got := send(t.Context(), node, request); got.Status != http.StatusOK {
+				return fmt.Errorf("%+v", got)
+			}
+			return nil
+		}
+	}
+	waitUntil(t, "the model is served", served(nodes[0]))
+	limited := runnersOf(t, nodes[0], "alpha")[0]
+	assert.NilError(t, w.SetRunnerFaults(limited, runnerstub.Faults{Limit: "5"}))
+	waitUntil(t, "a request is served", served(nodes[1]))
+	waitUntil(t, "all nodes are told", func() error { return loggedBy(t, w, namesLimit, limited, nodes...) })
+	for _, node := range nodes {
+		waitUntil(t, "the limited runner serves", served(node))
+	}
+	operate(t, nodes[0])(commandline.ExitOK, "hear its limit", "explain", "replica", limited)
+}
--- a/test/statements_test.go
+++ b/test/statements_test.go
@@ -397,9 +397,9 @@
 		if got.Signature == "" {
 			return fmt.Errorf("%+v", got)
 		}
-		return toldLeaving(t, w, leaving, hears)
+		return loggedBy(t, w, saysLeaving, leaving, hears)
 	})
-	waitUntil(t, "all nodes are told", func() error { return toldLeaving(t, w, leaving, nodes...) })
+	waitUntil(t, "all nodes are told", func() error { return loggedBy(t, w, saysLeaving, leaving, nodes...) })
 	before := len(eventsOf(readHistory(t, w), journal.EventArrival))
 	for _, node := range nodes {
 		waitUntil(t, "the model is served from elsewhere", func() error {
@@ -413,13 +413,19 @@
 	operate(t, nodes[0])(commandline.ExitOK, "hear that it leaves", "explain", "replica", leaving)
 }
 
-// toldLeaving returns nil once all nodes have logged that a runner leaves.
-func toldLeaving(t *testing.T, w *world.World, runner string, nodes ...*world.Node) error {
+// What nodes log of runners' statements.
+const (
+	saysLeaving = "runner says that it leaves"
+	namesLimit  = "runner names a limit"
+)
+
+// loggedBy returns nil once all nodes have logged that a runner stated something.
+func loggedBy(t *testing.T, w *world.World, stated, runner string, nodes ...*world.Node) error {
 	t.Helper()
 	for _, node := range nodes {
 		found := false
 		for line := range strings.Lines(readFile(t, w.LogPath(node))) {
-			found = found || strings.Contains(line, "runner says that it leaves") && strings.Contains(line, runner)
+			found = found || strings.Contains(line, stated) && strings.Contains(line, runner)
 		}
 		if !found {
 			return fmt.Errorf("%s does not know", node.Name)
