--- a/internal/relay/mirror.go
+++ b/internal/relay/mirror.go
@@ -203,28 +203,37 @@
 // whole returns all rows. It fails with fault.CodeNotReady when the table is not read
 // before ctx ends.
 func (m *mirror) whole(ctx context.Context) (feed.Batch, error) {
+	if err := m.await(ctx); err != nil {
+		return feed.Batch{}, err
+	}
+	return m.present()
+}
+
+// await waits until the mirror has rows. It fails with fault.CodeNotReady when ctx ends first.
+func (m *mirror) await(ctx context.Context) error {
 	for {
-		batch, changed, ok := m.present()
-		if ok {
-			return batch, nil
+		m.mu.Lock()
+		there, changed := m.read && !m.light, m.changed
+		m.mu.Unlock()
+		if there {
+			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return feed.Batch{}, errUnread()
+			return errUnread()
 		case <-changed:
 		}
 	}
 }
 
-// present returns all rows; false, with the channel of the next change, when the mirror has
-// none.
-func (m *mirror) present() (batch feed.Batch, changed <-chan struct{}, ok bool) {
+// present returns all rows. It fails with fault.CodeNotReady when the mirror has none.
+func (m *mirror) present() (feed.Batch, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.read || m.light {
-		return feed.Batch{}, m.changed, false
+		return feed.Batch{}, errUnread()
 	}
-	return feed.Batch{Rows: slices.Collect(maps.Values(m.rows)), Revision: m.position}, nil, true
+	return feed.Batch{Rows: slices.Collect(maps.Values(m.rows)), Revision: m.position}, nil
 }
 
 // after returns the changes after a revision, in their order, as soon as there
--- a/internal/relay/pages.go
+++ b/internal/relay/pages.go
@@ -45,12 +45,15 @@
 // get returns the pages of a mirror. It fails with fault.CodeNotReady when the mirror is not
 // read before ctx ends.
 func (p *pager) get(ctx context.Context, m *mirror) (*pages, error) {
+	if err := m.await(ctx); err != nil {
+		return nil, err
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.last != nil && m.serves(p.last.revision, time.Since(p.last.at) < pagesLifetime) {
 		return p.last, nil
 	}
-	batch, err := m.whole(ctx)
+	batch, err := m.present()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,18 +10,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 
-	"lilacvane/internal/fault"
-	"lilacvane/internal/feed"
 	"lilacvane/internal/lease"
 	"lilacvane/internal/table"
-	"lilacvane/internal/wire"
 )
 
 // Table names a table that is relayed; all nodes of a group use the same names.
@@ -238,96 +233,6 @@
 	}
 }
 
-// relayHeard tells the lessor that the lease need not be looked at, as the
-// holder's relay answers, or as others look first.
-func (r *Relay) relayHeard() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return time.Since(r.answered) < heardFor+r.pace() || r.looking() || r.leavesLease()
-}
-
-// fail leaves a relay alone for a while and ends the calls to it.
-func (r *Relay) fail(relay Peer, table Table, err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if relay == r.failed && time.Now().Before(r.suspended) {
-		return
-	}
-	r.failed = relay
-	r.suspended = time.Now().Add(suspension + rand.N(suspension/2))
-	r.answered = time.Time{}
-	close(r.gone)
-	r.gone = make(chan struct{})
-	r.log.Info("dependency lost", "dependency", "relay", "peer", relay.Address, "table", table, "error", err.Error())
-}
-
-// failedRelay is the relay that failed last.
-func (r *Relay) failedRelay() Peer {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.failed
-}
-
-func (r *Relay) goneChannel() <-chan struct{} {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.gone
-}
-
-// Found returns a channel that is closed once this node has found where to read again: a
-// table's follower that backs off need not wait longer.
-func (r *Relay) Found() <-chan struct{} {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.found
-}
-
-// tellFound wakes the followers of all tables; mu is held.
-func (r *Relay) tellFound() {
-	close(r.found)
-	r.found = make(chan struct{})
-}
-
-func (r *Relay) noteStore() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.heard, r.started = time.Now(), true
-	r.clearRefusal()
-}
-
-// regainStore notes that the store answers calls for the group's lease again.
-func (r *Relay) regainStore() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.clearRefusal()
-}
-
-// clearRefusal forgets that the store failed this node's calls; mu is held.
-func (r *Relay) clearRefusal() {
-	if !r.refusedAt.IsZero() {
-		r.refusedAt = time.Time{}
-		r.tellFound()
-		r.lessor.Retry()
-	}
-}
-
-// lost returns the channel of Found while the store fails this node's calls, and nil otherwise.
-func (r *Relay) lost() <-chan struct{} {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.refusedAt.IsZero() {
-		return nil
-	}
-	return r.found
-}
-
-// noteRefusal notes that the store failed this node's call for a table.
-func (r *Relay) noteRefusal(table Table) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.refusedAt, r.refusedTable = time.Now(), table
-}
-
 // SetNodes tells how many nodes there are.
 func (r *Relay) SetNodes(nodes int) {
 	r.mu.Lock()
@@ -357,122 +262,3 @@
 func (r *Relay) pace() time.Duration {
 	return min(time.Duration(r.nodes)*pacePerNode, longestPace)
 }
-
-// mayLook decides whether this node looks for itself at a store of which its relay
-// has not heard for long. Once the store failed this node too, the relay's word is
-// enough: of many nodes only the standbys, and some others, look again soon.
-func (r *Relay) mayLook() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if time.Since(r.refusedAt) > lookAgain || r.nodes <= lookers || slices.Contains(r.standbys, r.address) {
-		return true
-	}
-	return rand.Float64() < lookers/float64(r.nodes)
-}
-
-// refused reports whether the store has just failed another table's call of this
-// node: one of them at a time finds out when it is back.
-func (r *Relay) refused(table Table) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return table != r.refusedTable && time.Since(r.refusedAt) < refusalShared
-}
-
-func (r *Relay) noteRelay() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.answered, r.started = time.Now(), true
-	if r.stale != (Peer{}) {
-		r.log.Info("dependency regained", "dependency", "relay's word of the store")
-		r.stale = Peer{}
-		r.tellFound()
-	}
-}
-
-// noteStale tells once of a relay whose word of the store is too old.
-func (r *Relay) noteStale(relay Peer, table Table, err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.stale == relay {
-		return
-	}
-	r.stale = relay
-	r.log.Info("dependency lost", "dependency", "relay's word of the store", "peer", relay.Address, "table", table, "error", err.Error())
-}
-
-// age is how long ago the store answered this node.
-func (r *Relay) age() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return time.Since(r.heard)
-}
-
-// Follow answers another node's call. It fails with fault.CodeNotReady when this
-// node follows a relay itself, is stopping or has not read the table.
-func (r *Relay) Follow(ctx context.Context, request wire.FollowRequest) (wire.FollowResponse, error) {
-	if _, direct := r.Upstream().(Store); !direct || r.isStopped() {
-		return wire.FollowResponse{}, fault.New(fault.CodeNotReady, "relay table", "this node does not relay")
-	}
-	r.meet(request.From)
-	if age := r.age(); age > maxAge {
-		// The reader would pass over what it is told: it is not kept waiting for that.
-		return wire.FollowResponse{AgeMs: age.Milliseconds()}, nil
-	}
-	m := r.mirror(Table(request.Table))
-	hold := time.Duration(min(request.HoldMs, maxHoldMs)) * time.Millisecond
-	if request.Whole {
-		hold = wholeWait
-	}
-	ctx, cancel := context.WithTimeout(ctx, hold)
-	defer cancel()
-	if request.Whole && request.Paged {
-		return r.tellPage(ctx, m, request.FromKey)
-	}
-	batch, err := read(ctx, m, request)
-	if err != nil {
-		return wire.FollowResponse{}, err
-	}
-	response := wire.FollowResponse{Revision: batch.Revision, AgeMs: r.age().Milliseconds()}
-	if err := m.packer.put(&response, request, batch); err != nil {
-		return wire.FollowResponse{}, err
-	}
-	if len(batch.Rows) > 0 {
-		response.Peers = r.known(peersTold)
-	}
-	return response, nil
-}
-
-// tellPage answers the question for a page of a table.
-func (r *Relay) tellPage(ctx context.Context, m *mirror, from string) (wire.FollowResponse, error) {
-	all, err := m.pager.get(ctx, m)
-	if err != nil {
-		return wire.FollowResponse{}, err
-	}
-	response := wire.FollowResponse{AgeMs: r.age().Milliseconds()}
-	all.put(&response, from)
-	response.Peers = r.known(peersTold)
-	return response, nil
-}
-
-func read(ctx context.Context, m *mirror, request wire.FollowRequest) (feed.Batch, error) {
-	if request.Whole {
-		return m.whole(ctx)
-	}
-	return m.after(ctx, request.After)
-}
-
-func (r *Relay) isStopped() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.stopped
-}
-
-// mirror returns the mirror of a table, which is empty and unread at first.
-func (r *Relay) mirror(name Table) *mirror {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.mirrors[name] == nil {
-		r.mirrors[name] = newMirror()
-	}
-	return r.mirrors[name]
-}
