Give a probe of the store as long as any call

Found on reading: a probe bounded by 500 ms would take a store that answers after 0.5 to 0.9 s for one that is away, where a call is given 0.9 s beyond its wait.

--- a/internal/relay/late_test.go
+++ b/internal/relay/late_test.go
@@ -67,6 +67,17 @@
 	assert.Assert(t, late < newsWithin, "%v", late)
 }
 
+// TestChangeInTimeThoughStoreIsSlowAfterOutage: the store answers late, and within the time of a call.
+func TestChangeInTimeThoughStoreIsSlowAfterOutage(t *testing.T) {
+	late := worst(t, func(g *simulatedGroup) {
+		g.store.silent.Store(true)
+		time.Sleep(6500 * time.Millisecond)
+		g.store.slow.Store(int64(350 * time.Millisecond))
+		g.store.silent.Store(false)
+	})
+	assert.Assert(t, late < 2*newsWithin, "%v", late)
+}
+
 // TestChangeInTimeThoughRelayIsCutOff: the relay has just lost the store.
 func TestChangeInTimeThoughRelayIsCutOff(t *testing.T) {
 	late := worst(t, func(g *simulatedGroup) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,8 +57,9 @@
 	// refusalShared is how long a call that the store failed speaks for the node's
 	// other tables.
 	refusalShared = 400 * time.Millisecond
-	// probeTimeout bounds a call that finds out whether the store answers again.
-	probeTimeout = 500 * time.Millisecond
+	// probeTimeout bounds a call that finds out whether the store answers again; as much as a call
+	// may take beyond its wait, so that a slow store is not taken for one that is away.
+	probeTimeout = 900 * time.Millisecond
 	// maxHoldMs bounds, in milliseconds, how long a reader may have its question held.
 	maxHoldMs = 15_000
 )
