Send what cannot be sent again on a connection that is known to work

What callers saw: after all open connections had gone silent, without a reset, a request that may not be repeated waited on a connection that had rested and ended with 504 at its deadline ("connection that had rested"); a read that may be repeated did so on two connections, its own and its hedge's.

Cause: a connection that rests shows nothing of its path until it is used. The pool doubted one only after another connection to a runner had been found silent, and a node whose requests had all ended before the silence had found none. A hedge, and an attempt after which no other is made, trusted resting connections like any other.

Change: a call that nobody follows (may not be repeated, last attempt, only runner, hedge) goes on a proved connection: a new one, or one whose last answer ended within 50 ms. The unproved one is closed, so that a runner has no more connections than before; dropped ones count as `unproved`. Bytes that a proxy or a middlebox acknowledged say nothing of the runner, so such a request still ends with 504 and an unknown outcome where it is silenced under way.

TestRequestWaitsOnOneSilentConnectionAtMost and TestOnlyRunnerIsAskedOnProvedConnection failed before with 504 after the whole time.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -253,7 +253,10 @@
 		"candidates", choice.Candidates, "attempt", j.sent)
 	suspicion := j.suspectLater(choice)
 	defer suspicion.Stop()
-	return j.dispatcher.Pool.Do(ctx, j.call(choice, j.query, j.lastEvent()))
+	call := j.call(choice, j.query, j.lastEvent())
+	// Nobody else is asked when nothing comes back on a connection that rested.
+	call.Proved = j.silenceLimit() == 0 || choice.Candidates == 1
+	return j.dispatcher.Pool.Do(ctx, call)
 }
 
 // unanswered tells what an attempt taught whose runner began no answer.
@@ -319,7 +322,6 @@
 	return upstream.Call{
 		Runner: choice.Runner.Name(), Incarnation: choice.Runner.ID, Address: choice.Runner.Address, Method: j.request.Method, Target: j.request.Target,
 		Host: j.request.Host, Header: header, Body: j.request.Body, RequestID: j.request.ID,
-		Once: !j.route.Idempotent(),
 		Admit: func() error {
 			if j.dispatcher.Fleet.Allowed(choice, query) {
 				return nil
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -115,7 +115,10 @@
 	j.log.V(1).Info("request sent", "runner", runner, "unit", h.query.Unit.String(), "hedge", true, "resumeAfter", after)
 	suspicion := j.suspectLater(asked.choice)
 	defer suspicion.Stop()
-	answer, err := j.dispatcher.Pool.Do(asked.ctx, j.call(asked.choice, h.query, after))
+	call := j.call(asked.choice, h.query, after)
+	// The attempt beside it may wait on a connection that is silent already.
+	call.Proved = true
+	answer, err := j.dispatcher.Pool.Do(asked.ctx, call)
 	if err != nil {
 		asked.result, asked.err = j.unanswered(asked.ctx, err)
 		return
--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -77,6 +80,18 @@
 
 func fails(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
 
+// onceEach answers the first request of each connection and is silent on it from then on.
+func onceEach(text string) http.HandlerFunc {
+	var answered sync.Map
+	return func(w http.ResponseWriter, r *http.Request) {
+		if _, before := answered.LoadOrStore(r.RemoteAddr, true); before {
+			<-r.Context().Done()
+			return
+		}
+		answers(text)(w, r)
+	}
+}
+
 func breaksOff(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
 // TestSilentRunnerIsKeptUntilAnotherAnswers: whichever of a silent runner and its hedge
@@ -123,6 +138,53 @@
 	assert.Equal(t, j.sent, 1)
 }
 
+// restAtEach lays a connection to each runner of the job to rest, until it is not proved.
+func restAtEach(t *testing.T, j *job) {
+	t.Helper()
+	for _, id := range []string{"r1", "r2"} {
+		listed, known := j.dispatcher.Fleet.Find(id)
+		if !known {
+			continue
+		}
+		answer, err := j.dispatcher.Pool.Do(t.Context(), j.call(fleet.Choice{Runner: listed}, j.query, ""))
+		assert.NilError(t, err)
+		_, err = io.ReadAll(answer)
+		assert.NilError(t, err)
+	}
+	time.Sleep(minimumSilence)
+}
+
+// TestRequestWaitsOnOneSilentConnectionAtMost: a request that may be repeated and its hedge both
+// went on connections that had gone silent as they rested, and waited there to the end.
+func TestRequestWaitsOnOneSilentConnectionAtMost(t *testing.T) {
+	answered := onceEach("answer")
+	j, written := hedgedJob(t, answered, answered)
+	restAtEach(t, j)
+	j.deadline = time.Now().Add(10 * minimumSilence)
+	ctx, cancel := context.WithDeadlineCause(t.Context(), j.deadline, errTimeout)
+	defer cancel()
+	for j.attempt(ctx) {
+	}
+	assert.Equal(t, written.Body.String(), "answer")
+	assert.DeepEqual(t, j.outcome.Endings, []Ending{EndedBySilence})
+}
+
+// TestOnlyRunnerIsAskedOnProvedConnection: a request whose only runner's connection had gone
+// silent as it rested was not sent anywhere else, and waited there to the end.
+func TestOnlyRunnerIsAskedOnProvedConnection(t *testing.T) {
+	answered := onceEach("answer")
+	j, written := hedgedJob(t, answered, answered)
+	j.dispatcher.Fleet.Apply(nil, []string{"r2"}, false)
+	restAtEach(t, j)
+	j.deadline = time.Now().Add(10 * minimumSilence)
+	ctx, cancel := context.WithDeadlineCause(t.Context(), j.deadline, errTimeout)
+	defer cancel()
+	for j.attempt(ctx) {
+	}
+	assert.Equal(t, written.Body.String(), "answer")
+	assert.Equal(t, len(j.outcome.Endings), 0)
+}
+
 // TestHedgeCountsWhereTheFirstIsNotAdmitted: while a request waits for a connection its runner
 // says that it leaves, and a hedge is sent beside it. The hedge goes on with the request, or
 // counts as a run where it failed.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -74,6 +74,9 @@
 	clientIdle     = 5 * time.Second
 	clientInterval = 2 * time.Second
 	clientPatience = 10 * time.Second
+	// ProvedFor is how long the end of an answer shows that its connection works: one may
+	// lose its path at any time while it rests, and nothing tells so until it is used.
+	ProvedFor = 50 * time.Millisecond
 	// probes is not reached, as the time without an acknowledgement ends a connection
 	// first; it does where the kernel has no such bound.
 	probes = 3
--- a/internal/link/record.go
+++ b/internal/link/record.go
@@ -24,6 +24,8 @@
 	Expired
 	// Spare means that enough others rest.
 	Spare
+	// Unproved means that it rested for too long to be known to work, which its user asked for.
+	Unproved
 	reasons
 )
 
@@ -40,6 +42,8 @@
 		return "ended"
 	case Expired:
 		return "expired"
+	case Unproved:
+		return "unproved"
 	default:
 		return "spare"
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -45,9 +45,10 @@
 	RequestID string
 	// Fresh asks for a new connection.
 	Fresh bool
-	// Once is set when the request may not be sent again: it goes on no connection that
-	// rested through the silence of another.
-	Once bool
+	// Proved asks for a connection that is known to work, for a request that cannot be sent
+	// again if nothing comes back: a new one, or one whose last answer ended within
+	// link.ProvedFor.
+	Proved bool
 	// Admit is asked once there is a connection, right before the request is written: an error
 	// ends the call. Not set where the request goes out in any case.
 	Admit func() error
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -83,26 +83,32 @@
 			return p.dial(ctx, call.Runner, call.Address)
 		}
 		now := time.Now()
-		reason, ended := p.restingEnd(resting, now, call.Once)
+		reason, ended := p.restingEnd(resting, now, call.Proved)
 		if !ended {
 			resting.taken = now
 			return resting, nil
 		}
 		_ = resting.Close()
 		p.Links.Drop(link.Runner, reason, 1)
+		if reason == link.Unproved {
+			// The others rested for longer. They serve calls that may be sent again.
+			return p.dial(ctx, call.Runner, call.Address)
+		}
 	}
 }
 
-// restingEnd is why a connection that rested cannot be used again, if so; once is set for
-// a request that may not be repeated.
-func (p *Pool) restingEnd(resting *connection, now time.Time, once bool) (link.Reason, bool) {
+// restingEnd is why a connection that rested cannot be used again, if so; proved is set for
+// a call that asks for one that is known to work.
+func (p *Pool) restingEnd(resting *connection, now time.Time, proved bool) (link.Reason, bool) {
 	switch {
 	case !now.Before(resting.idleUntil):
 		return link.Expired, true
 	case !quiet(resting.Conn):
 		return link.Ended, true
+	case proved && p.trust.Doubts(resting.restedSince):
+		return link.Distrusted, true
 	default:
-		return link.Distrusted, once && p.trust.Doubts(resting.restedSince)
+		return link.Unproved, proved && now.Sub(resting.restedSince) >= link.ProvedFor
 	}
 }
 
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -40,7 +40,8 @@
 // RoundTrip sends a request that is the node's own, such as a question for a
 // runner's load, on the connections that carry the requests of clients. The runner
 // is the one that the header Names.ExpectRunner names. A GET that failed on a
-// connection that had rested is sent once more, on a new one; others are sent once.
+// connection that had rested is sent once more, on a new one; others are sent once, on one
+// that is known to work.
 func (p *Pool) RoundTrip(request *http.Request) (*http.Response, error) {
 	body, err := wholeBody(request)
 	if err != nil {
@@ -50,6 +51,7 @@
 		Runner: request.Header.Get(p.names.ExpectRunner), Incarnation: incarnationOf(request.Context()), Address: request.URL.Host, Method: request.Method,
 		Target: request.URL.RequestURI(), Host: request.URL.Host, Header: request.Header, Body: body,
 	}
+	call.Proved = request.Method != http.MethodGet
 	answer, err := p.Do(request.Context(), call)
 	var rested *restedError
 	if errors.As(err, &rested) && request.Method == http.MethodGet && request.Context().Err() == nil {
--- a/internal/upstream/silent_test.go
+++ b/internal/upstream/silent_test.go
@@ -121,7 +121,7 @@
 	rest(t, pool, s, "b", 2)
 	_ = outlive(t, pool, s, "a")
 	call := s.call("once")
-	call.Runner, call.Once = "b", true
+	call.Runner, call.Proved = "b", true
 	ctx, cancel := context.WithTimeoutCause(t.Context(), muteLimit, errOver)
 	defer cancel()
 	answer, err := pool.Do(ctx, call)
--- a/test/links_test.go
+++ b/test/links_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -125,6 +127,36 @@
 	}
 }
 
+// strike sends requests while all connections go silent, and returns the answers and how many
+// connections were silenced.
+type strike func(t *testing.T, w *world.World, nodes []*world.Node, paying []clientRequest) ([]clientAnswer, int)
+
+// strikeAtRest silences connections before the requests are sent.
+func strikeAtRest(t *testing.T, w *world.World, nodes []*world.Node, paying []clientRequest) ([]clientAnswer, int) {
+	silenced := silenceAll(w, nodes)
+	return sendAll(t, nodes, paying), silenced
+}
+
+// strikeStreams silences connections while a stream of each node runs.
+func strikeStreams(t *testing.T, w *world.World, nodes []*world.Node, paying []clientRequest) ([]clientAnswer, int) {
+	lengthen(paying)
+	answers := make(chan []clientAnswer, 1)
+	go func() { answers <- sendAll(t, nodes, paying) }()
+	waitStreaming(t, w, len(nodes), paying)
+	silenced := silenceAll(w, nodes)
+	return <-answers, silenced
+}
+
+// strikeAfter silences connections a while after the requests were sent, however far these are.
+func strikeAfter(delay time.Duration) strike {
+	return func(t *testing.T, w *world.World, nodes []*world.Node, paying []clientRequest) ([]clientAnswer, int) {
+		silenced := make(chan int, 1)
+		time.AfterFunc(delay, func() { silenced <- silenceAll(w, nodes) })
+		answers := sendAll(t, nodes, paying)
+		return answers, <-silenced
+	}
+}
+
 // TestAllConnectionsGoSilent: every open connection between nodes, store and runners
 // goes silent for good, in the middle of requests and at rest. Each request has a
 // final answer in its time, or an answer that visibly ends early; none that may not
@@ -132,26 +164,49 @@
 // changes.
 func TestAllConnectionsGoSilent(t *testing.T) {
 	t.Parallel()
+	runSilences(t, strikeStreams)
+}
+
+// TestAllConnectionsGoSilentSoonAfterRequests: the same, where a node whose requests all ended
+// before may have found no connection silent.
+func TestAllConnectionsGoSilentSoonAfterRequests(t *testing.T) {
+	t.Parallel()
+	runSilences(t, strikeAfter(50*time.Millisecond))
+}
+
+var (
+	silenceSeed  = flag.Uint64("silence.seed", 1, "first seed of the moments at which connections go silent")
+	silenceSeeds = flag.Int("silence.seeds", 3, "how many seeds are played")
+)
+
+// TestAllConnectionsGoSilentAtAnyMoment: the same at moments that seeds draw.
+func TestAllConnectionsGoSilentAtAnyMoment(t *testing.T) {
+	t.Parallel()
+	for seed := *silenceSeed; seed < *silenceSeed+uint64(*silenceSeeds); seed++ {
+		moment := time.Duration(rand.New(rand.NewPCG(seed, 0)).IntN(150)) * time.Millisecond
+		t.Run(fmt.Sprintf("seed %d, %s", seed, moment), func(t *testing.T) {
+			t.Parallel()
+			runSilences(t, strikeAfter(moment))
+		})
+	}
+}
+
+// runSilences lets connections go silent in the middle of requests and at rest.
+func runSilences(t *testing.T, inUse strike) {
+	t.Helper()
 	w, nodes := startLoaded(t, 3, 3)
 	sent := mixedFor(nodes, 4)
 	sendAll(t, nodes, sent)
 	for _, when := range []string{"in use", "at rest"} {
 		paying := mixedFor(nodes, 4)
 		sent = append(sent, paying...)
-		silenced := 0
-		if when == "at rest" {
-			silenced = silenceAll(w, nodes)
-		} else {
-			lengthen(paying)
-		}
-		answers := make(chan []clientAnswer, 1)
-		go func() { answers <- sendAll(t, nodes, paying) }()
+		strikes := strikeAtRest
 		if when == "in use" {
-			waitStreaming(t, w, len(nodes), paying)
-			silenced = silenceAll(w, nodes)
+			strikes = inUse
 		}
+		answers, silenced := strikes(t, w, nodes, paying)
 		lost := 0
-		for index, got := range <-answers {
+		for index, got := range answers {
 			if got.Status != http.StatusOK || !got.Whole {
 				lost++
 			}
