Leave time for another call when the table does not answer an operator's change

What operators saw: with the store in reach, a change was refused after 5 s as "store_unavailable: not accepted".

Cause: one call of the table had the whole patience of the change. On a connection to the store that had gone silent it took all of it.

A commit that ends so has an unknown outcome, which the next attempt resolves by the operation's row as before. TestSilentCallLeavesTimeForAnother failed before after 5 s.

--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -28,6 +28,9 @@
 	step          = "commit operation"
 	retryPause    = 50 * time.Millisecond
 	resolveWindow = 5 * time.Second
+	// callTimeout bounds one call of the table: a connection that went silent answers none,
+	// a slow table takes a second or more.
+	callTimeout = 2 * time.Second
 )
 
 // Change writes or deletes one object. Expected is the generation its author
@@ -82,7 +85,7 @@
 
 // New returns a committer on the table, which saves reads with what is known.
 func New(t table.Table, known Known) *Committer {
-	return &Committer{table: t, known: known, patience: resolveWindow, pause: retryPause}
+	return &Committer{table: table.WithTimeout(t, callTimeout), known: known, patience: resolveWindow, pause: retryPause}
 }
 
 // Find returns the result of an operation. It reports false when the operation
--- a/internal/commit/commit_test.go
+++ b/internal/commit/commit_test.go
@@ -158,3 +158,27 @@
 	_, err = c.Apply(context.Background(), Operation{ID: "b", Changes: []Change{{Key: key, Expected: first.Revision, Spec: []byte("2")}}})
 	assert.NilError(t, err)
 }
+
+// silentTable answers its first calls never.
+type silentTable struct {
+	*faultyTable
+	silent int
+}
+
+func (s *silentTable) Get(ctx context.Context, key string) (table.Row, error) {
+	if s.silent > 0 {
+		s.silent--
+		<-ctx.Done()
+		return table.Row{}, fault.At(fault.CodeStoreUnavailable, "table", "table", fault.Unknown, ctx.Err())
+	}
+	return s.faultyTable.Get(ctx, key)
+}
+
+// TestSilentCallLeavesTimeForAnother: one call without an answer took the whole patience of an
+// operator's change, which was refused though the table answered others.
+func TestSilentCallLeavesTimeForAnother(t *testing.T) {
+	f := &faultyTable{rows: make(map[string]table.Row)}
+	c := New(&silentTable{faultyTable: f, silent: 2}, f)
+	_, err := c.Apply(t.Context(), Operation{ID: "a", Changes: []Change{{Key: api.Key{Kind: api.KindPolicy, Name: "p"}, Spec: []byte("1")}}})
+	assert.NilError(t, err)
+}
