Let connections to the store rest for a moment only

What callers would see (argued from the code, not seen at a client): a write to the store, such as the claim of a key, that goes on a connection which went silent as it rested is lost. The request is refused after 0.8 s; a lease loses one renewal.

Cause: as with runners: nothing tells of a silence while a connection rests. An unanswered write may still be carried out, so the store's client may not repeat it.

Change: connections to the store rest for link.ProvedFor. How long connections rest is a bound of their kind. The same for connections between nodes was measured and ruled out: 5 a second from each node to the holder, which grows with the fleet. There one call pays for a silence, by its own bound: 0.25 s for a question of limits, 0.15 s for an order, 0.5 s beyond its hold for demand.

--- a/cmd/lilacvane/main.go
+++ b/cmd/lilacvane/main.go
@@ -4,7 +4,6 @@
 import (
 	"net/http"
 	"os"
-	"time"
 	_ "time/tzdata"
 
 	"lilacvane/internal/command"
@@ -16,11 +15,8 @@
 	"lilacvane/platform/protocol"
 )
 
-const (
-	// Calls of the store come in bursts.
-	idleConnections = 2
-	idleTimeout     = 10 * time.Second
-)
+// Calls of the store come in bursts.
+const idleConnections = 2
 
 func main() {
 	connect := command.Connect{SettingsPath: platform.SettingsPath, Platform: connectPlatform}
@@ -32,7 +28,7 @@
 	links := &link.Record{}
 	pool := upstream.NewPool(platform.Headers)
 	pool.Links = links
-	storeCalls := &http.Client{Transport: link.NewTransport(link.Store, links, idleConnections, idleConnections, idleTimeout)}
+	storeCalls := &http.Client{Transport: link.NewTransport(link.Store, links, idleConnections, idleConnections)}
 	store := platform.NewStore(s.Store.Address, storeCalls)
 	return node.Platform{
 		Headers:       platform.Headers,
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -51,6 +51,8 @@
 	// machine, Interval the time between two probes; both in whole seconds.
 	Idle     time.Duration
 	Interval time.Duration
+	// Rest is how long a Transport keeps a connection without a call for the next one.
+	Rest time.Duration
 }
 
 const (
@@ -77,6 +79,9 @@
 	// ProvedFor is how long the end of an answer shows that its connection works: one may
 	// lose its path at any time while it rests, and nothing tells so until it is used.
 	ProvedFor = 50 * time.Millisecond
+	// peerRest is longer than the pauses between a node's calls: one that answers hundreds of
+	// nodes could not take a new connection from each several times a second.
+	peerRest = 30 * time.Second
 	// probes is not reached, as the time without an acknowledgement ends a connection
 	// first; it does where the kernel has no such bound.
 	probes = 3
@@ -89,8 +94,10 @@
 		return Bounds{Connect: runnerConnect, Unacknowledged: RunnerSending, Idle: probeIdle, Interval: probeInterval}
 	case Client:
 		return Bounds{Unacknowledged: clientPatience, Idle: clientIdle, Interval: clientInterval}
+	case Store:
+		return Bounds{Connect: connect, Unacknowledged: patience, Idle: probeIdle, Interval: probeInterval, Rest: ProvedFor}
 	default:
-		return Bounds{Connect: connect, Unacknowledged: patience, Idle: probeIdle, Interval: probeInterval}
+		return Bounds{Connect: connect, Unacknowledged: patience, Idle: probeIdle, Interval: probeInterval, Rest: peerRest}
 	}
 }
 
--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -27,8 +27,8 @@
 }
 
 // NewTransport returns a transport that keeps resting connections, in all and for
-// each peer, for a time. record may be nil.
-func NewTransport(kind Kind, record *Record, idleAll, idlePerPeer int, idle time.Duration) *Transport {
+// each peer, as long as the kind's may rest. record may be nil.
+func NewTransport(kind Kind, record *Record, idleAll, idlePerPeer int) *Transport {
 	t := &Transport{kind: kind, record: record}
 	dialer := kind.Dialer()
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -39,7 +39,7 @@
 		return conn, err
 	}
 	t.base = &http.Transport{
-		MaxIdleConns: idleAll, MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: idle, DisableCompression: true, DialContext: dial,
+		MaxIdleConns: idleAll, MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: kind.Bounds().Rest, DisableCompression: true, DialContext: dial,
 	}
 	return t
 }
--- a/internal/link/transport_test.go
+++ b/internal/link/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -16,7 +17,7 @@
 
 // startSilenceable returns a server behind a proxy, and a client with connections
 // that rest at it.
-func startSilenceable(t *testing.T, resting int) (client *http.Client, proxy *faultproxy.Proxy, record *Record) {
+func startSilenceable(t *testing.T, kind Kind, resting int) (client *http.Client, proxy *faultproxy.Proxy, record *Record) {
 	t.Helper()
 	var together sync.WaitGroup
 	together.Add(resting)
@@ -32,7 +33,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(proxy.Close)
 	record = &Record{}
-	client = &http.Client{Transport: NewTransport(Peer, record, 16, 16, time.Minute)}
+	client = &http.Client{Transport: NewTransport(kind, record, 16, 16)}
 	t.Cleanup(client.CloseIdleConnections)
 	var calls sync.WaitGroup
 	for range resting {
@@ -65,7 +66,7 @@
 // one call pays; the next ones are answered on new connections.
 func TestOneSilentConnectionIsEnough(t *testing.T) {
 	const resting = 4
-	client, proxy, record := startSilenceable(t, resting)
+	client, proxy, record := startSilenceable(t, Peer, resting)
 	assert.Equal(t, proxy.SilenceOpen(), resting)
 	assert.Assert(t, !get(t.Context(), client, proxy, "/", 2*muteLimit))
 	for range resting {
@@ -77,7 +78,7 @@
 // TestBrokenOffCallsTellNothing: calls that their caller gives up, or that had no
 // time for an answer, do not drop what rests.
 func TestBrokenOffCallsTellNothing(t *testing.T) {
-	client, proxy, record := startSilenceable(t, 3)
+	client, proxy, record := startSilenceable(t, Peer, 3)
 	proxy.Set(faultproxy.Silence)
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(2*muteLimit, cancel)
@@ -89,3 +90,29 @@
 	assert.Equal(t, record.dialed[Peer].Load(), dialed, "the connection that still rested was dropped")
 	assert.Equal(t, record.count(Peer, Mute), uint64(0))
 }
+
+// TestSilenceAfterAnyRest: connections that rested for a drawn time, and for longer than an answer
+// proves them, go silent. One call to a peer pays, none to the store does.
+func TestSilenceAfterAnyRest(t *testing.T) {
+	const seeds, calls = 8, 4
+	for _, test := range []struct {
+		kind Kind
+		lost int
+	}{{Peer, 1}, {Store, 0}} {
+		t.Run(test.kind.String(), func(t *testing.T) {
+			for seed := range uint64(seeds) {
+				client, proxy, _ := startSilenceable(t, test.kind, 4)
+				rest := 2*ProvedFor + time.Duration(rand.New(rand.NewPCG(seed, 0)).Int64N(int64(2*ProvedFor)))
+				time.Sleep(rest)
+				proxy.SilenceOpen()
+				lost := 0
+				for range calls {
+					if !get(t.Context(), client, proxy, "/", 2*muteLimit) {
+						lost++
+					}
+				}
+				assert.Assert(t, lost <= test.lost, "seed %d: %d calls lost after a rest of %s", seed, lost, rest)
+			}
+		})
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -136,7 +136,7 @@
 // NewClient returns a client that names itself node. Calls are bounded by their
 // context. links counts connections; it may be nil.
 func NewClient(node string, links *link.Record) *Client {
-	transport := link.NewTransport(link.Peer, links, maximumIdle, idlePerHost, idleTimeout)
+	transport := link.NewTransport(link.Peer, links, maximumIdle, idlePerHost)
 	return &Client{http: &http.Client{Transport: transport}, node: node}
 }
 
