Count the ends of runners whose load order has no answer

What callers saw: a model that ends its runners ended more of them than the three that are borne, one after the other, which served other models.

Cause: the holder counted an end only of a runner whose account showed the load as accepted, and took the account into the count once a round. An order whose answer was lost, or comes later than 0.15 s, is not in the account; neither is one accepted since the last round.

Change: the count follows the account with its unanswered orders, and looks at it again as a runner ends. TestEndsOfRunnersWithUnansweredOrdersCount failed before.

--- a/internal/control/loadends.go
+++ b/internal/control/loadends.go
@@ -11,6 +11,8 @@
 
 // noteEnd notes that a runner ended, and which models it was loading then. mutex is held.
 func (c *Controller) noteEnd(ledger *orders.Ledger, now time.Time) {
+	// Orders since the last round count.
+	c.ends.Follow(ledger)
 	planned := c.eligible(ledger, eligible.Load{Service: c.Service}) == eligible.Draining
 	for _, model := range c.ends.Ended(ledger.Runner.ID, planned, now) {
 		until := c.ends.Paused(now)[model]
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -32,11 +32,11 @@
 		c.listVersion, c.listTaken = version, true
 	}
 	bounded := engine.Bounded()
-	for id, ledger := range c.ledgers {
+	for _, ledger := range c.ledgers {
 		if bounded {
 			ledger.Confirm(now)
 		}
-		c.ends.Follow(id, ledger.Models())
+		c.ends.Follow(ledger)
 	}
 }
 
--- a/internal/orders/ends.go
+++ b/internal/orders/ends.go
@@ -33,30 +33,21 @@
 }
 
 // Follow takes over what a runner loads and holds. A load that was carried out clears its
-// model.
-func (e *Ends) Follow(runner string, models map[string]*Model) {
+// model; an order without an answer may be a load.
+func (e *Ends) Follow(ledger *Ledger) {
+	runner := ledger.Runner.ID
 	if e.ended[runner] {
 		return
 	}
+	coming := ledger.mayLoad()
 	for name := range e.loading[runner] {
-		if model := models[name]; model == nil || !model.Coming {
-			delete(e.loading[runner], name)
-			if model != nil {
-				delete(e.models, name)
-			}
+		if !coming[name] && ledger.models[name] != nil {
+			delete(e.models, name)
 		}
 	}
-	for name, model := range models {
-		if !model.Coming {
-			continue
-		}
-		if e.loading[runner] == nil {
-			e.loading[runner] = make(map[string]bool)
-		}
-		e.loading[runner][name] = true
-	}
-	if len(e.loading[runner]) == 0 {
-		delete(e.loading, runner)
+	delete(e.loading, runner)
+	if len(coming) > 0 {
+		e.loading[runner] = coming
 	}
 }
 
--- a/internal/orders/ends_test.go
+++ b/internal/orders/ends_test.go
@@ -6,13 +6,24 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
 )
 
+// account is a runner's, with models that it holds, or loads where so says their value.
+func account(runner string, models map[string]bool) *Ledger {
+	l := NewLedger(backend.Runner{ID: runner})
+	for name, coming := range models {
+		l.models[name] = &Model{Coming: coming}
+	}
+	return l
+}
+
 // loads lets runners load a model and end, one after the other.
 func loads(e *Ends, first, count int, now time.Time) {
 	for number := first; number < first+count; number++ {
 		runner := fmt.Sprint("r", number)
-		e.Follow(runner, map[string]*Model{"m": {Coming: true}})
+		e.Follow(account(runner, map[string]bool{"m": true}))
 		e.Ended(runner, false, now)
 	}
 }
@@ -38,12 +49,12 @@
 	now := time.Unix(1000, 0)
 	ends := NewEnds()
 	loads(ends, 0, endsBorne-1, now)
-	ends.Follow("held", map[string]*Model{"m": {}})
+	ends.Follow(account("held", map[string]bool{"m": false}))
 	loads(ends, 10, 1, now)
 	assert.Equal(t, len(ends.Paused(now)), 1, "one that was held all the time proves nothing")
 
-	ends.Follow("good", map[string]*Model{"m": {Coming: true}, "other": {Coming: true}})
-	ends.Follow("good", map[string]*Model{"m": {}, "other": {Coming: true}})
+	ends.Follow(account("good", map[string]bool{"m": true, "other": true}))
+	ends.Follow(account("good", map[string]bool{"m": false, "other": true}))
 	assert.Equal(t, len(ends.Paused(now)), 0)
 	assert.DeepEqual(t, ends.Ended("good", false, now), []string{"other"})
 }
@@ -53,7 +64,7 @@
 	now := time.Unix(1000, 0)
 	ends := NewEnds()
 	for range 2 * endsBorne {
-		ends.Follow("r", map[string]*Model{"m": {Coming: true}})
+		ends.Follow(account("r", map[string]bool{"m": true}))
 		ends.Ended("r", false, now)
 	}
 	assert.Equal(t, len(ends.Paused(now)), 0)
@@ -66,12 +77,12 @@
 	ends := NewEnds()
 	for number := range 2 * endsBorne {
 		runner := fmt.Sprint("r", number)
-		ends.Follow(runner, map[string]*Model{"m": {Coming: true}})
+		ends.Follow(account(runner, map[string]bool{"m": true}))
 		ends.Ended(runner, true, now)
 		ends.Ended(runner, false, now)
 		given := fmt.Sprint("given up", number)
-		ends.Follow(given, map[string]*Model{"m": {Coming: true}})
-		ends.Follow(given, nil)
+		ends.Follow(account(given, map[string]bool{"m": true}))
+		ends.Follow(account(given, nil))
 		ends.Ended(given, false, now)
 	}
 	assert.Equal(t, len(ends.Paused(now)), 0)
@@ -81,3 +92,21 @@
 	}
 	assert.Equal(t, len(ends.loading)+len(ends.ended), 0)
 }
+
+// TestEndsOfRunnersWithUnansweredOrdersCount: the answer to an order was lost, or had not come yet,
+// and the runner ended as it loaded the model: no such end counted, so that a model whose loads
+// ended their runners before they answered was ordered to all of them.
+func TestEndsOfRunnersWithUnansweredOrdersCount(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ends := NewEnds()
+	for number := range endsBorne {
+		ledger := account(fmt.Sprint("r", number), nil)
+		order := ledger.Begin(backend.Load, backend.Unit{Model: "m"}, "", 0)
+		if number > 0 {
+			ledger.End(order, backend.Lost, now, now)
+		}
+		ends.Follow(ledger)
+		assert.DeepEqual(t, ends.Ended(ledger.Runner.ID, false, now), []string{"m"})
+	}
+	assert.Equal(t, len(ends.Paused(now)), 1)
+}
--- a/internal/orders/ledger.go
+++ b/internal/orders/ledger.go
@@ -127,6 +127,22 @@
 	return l.sending.Unit.Model
 }
 
+// mayLoad returns the models that the runner loads, or may load by an order that has no answer.
+func (l *Ledger) mayLoad() map[string]bool {
+	models := make(map[string]bool)
+	for name, model := range l.models {
+		if model.Coming {
+			models[name] = true
+		}
+	}
+	for _, order := range l.open() {
+		if order.Action == backend.Load && order.Unit.Adapter == "" && l.models[order.Unit.Model] == nil {
+			models[order.Unit.Model] = true
+		}
+	}
+	return models
+}
+
 // open lists the orders that may take effect and are not in the account yet.
 func (l *Ledger) open() []backend.Order {
 	if l.sending == nil {
--- a/test/poison_test.go
+++ b/test/poison_test.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -356,8 +358,53 @@
 // for longer and longer; its requests are told when to come back, and others are served.
 func TestModelThatEndsItsRunnersDoesNotEndAll(t *testing.T) {
 	t.Parallel()
+	runModelThatEndsRunners(t, 2, nil)
+}
+
+// TestModelThatEndsItsRunnersIsCountedThroughFaults: ends were not counted of runners whose
+// orders got no answer.
+func TestModelThatEndsItsRunnersIsCountedThroughFaults(t *testing.T) {
+	t.Parallel()
+	random := rand.New(rand.NewPCG(*endsSeed, 0))
+	pause := 200*time.Millisecond + time.Duration(random.Int64N(int64(800*time.Millisecond)))
+	until := func(t *testing.T, w *world.World, count int) {
+		t.Helper()
+		waitUntil(t, "runners ended", func() error {
+			if ended := len(eventsOf(readHistory(t, w), journal.EventCrash)); ended < count {
+				return fmt.Errorf("%d did", ended)
+			}
+			return nil
+		})
+	}
+	for name, disturb := range map[string]func(t *testing.T, w *world.World, holder *world.Node){
+		"orders without answers": func(t *testing.T, w *world.World, _ *world.Node) {
+			for index := range endingRunners {
+				assert.NilError(t, w.SetRunnerFaults(fmt.Sprintf("runner-%d", index+1), runnerstub.Faults{OrderLostShare: 1}))
+			}
+		},
+		"holder stands still": func(t *testing.T, w *world.World, holder *world.Node) {
+			until(t, w, 1)
+			assert.NilError(t, holder.Freeze())
+			time.Sleep(pause)
+			assert.NilError(t, holder.Thaw())
+		},
+	} {
+		t.Run(name, func(t *testing.T) { runModelThatEndsRunners(t, 3, disturb) })
+	}
+}
+
+// endsSeed draws how long the holder stands still.
+var endsSeed = flag.Uint64("ends.seed", 1, "seed of the pause of the holder while a model ends its runners")
+
+// endingRunners is how many runners a model may end.
+const endingRunners = 6
+
+// runModelThatEndsRunners asks nodes for a model that ends its runners, while something happens to
+// the node that holds the control lease, which is not asked then.
+func runModelThatEndsRunners(t *testing.T, count int, disturb func(t *testing.T, w *world.World, holder *world.Node)) {
+	t.Helper()
 	const (
-		runners, ends = 6, 3
+		runners, ends = endingRunners, 3
 		// asked is how long requests go on after the third end: less than loads rest then.
 		asked = 7 * time.Second
 		// together is how many more runners may be loading it as the third ends.
@@ -372,11 +419,16 @@
 		})
 		assert.NilError(t, err)
 	}
-	nodes := startNodes(t, w, 2)
+	nodes := startNodes(t, w, count)
 	apply(t, nodes[0], append(model("alpha", 2), keep("alpha", 2))...)
 	apply(t, nodes[0], model(poisonText, 2)...)
 	waitNamed(t, "alpha", nodes...)
 	waitNamed(t, poisonText, nodes...)
+	var holder *world.Node
+	if disturb != nil {
+		holder = holderOf(t, w, nodes[0])
+		nodes = slices.DeleteFunc(nodes, func(node *world.Node) bool { return node == holder })
+	}
 	request := func(model string) call {
 		return call{Model: model, Prompt: "words", Tokens: 3, Deadline: 5 * time.Second}
 	}
@@ -388,6 +440,9 @@
 			time.Sleep(poisonPause)
 		}
 	})
+	if disturb != nil {
+		disturb(t, w, holder)
+	}
 	var third time.Time
 	waitUntil(t, "runners ended", func() error {
 		crashes := eventsOf(readHistory(t, w), journal.EventCrash)
