Let the next holder go on from the counted ends of runners

What callers saw: when the node that gives orders ended, a model that ends its runners was loaded again at once, in the middle of its pause, and ended three further runners.

Cause: the count stood in the holder's memory alone.

Change: nodes are told the count and the pause in answers to their reports, as they are told the estimate of the weight store, and a node that becomes the holder goes on from them. Ruled out: a row in the store (one more table to follow, for what may be lost when all nodes end at once). Ends in the time without a holder are not counted, as before.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -142,8 +142,10 @@
 	// lender is the account of permits for cold runners.
 	lender  *coldstart.Lender
 	limiter *rate.Limiter
-	// ends counts the runners that ended as they loaded a model.
-	ends *orders.Ends
+	// ends counts the runners that ended as they loaded a model; knownEnds is what an earlier
+	// holder counted.
+	ends      *orders.Ends
+	knownEnds []orders.ModelEnds
 	// resting are the models of which requests are told that their loads rest.
 	resting map[string]bool
 	// store follows the loads from the weight store, storeLoads lists them by
@@ -165,7 +167,7 @@
 func NewController(options Options) *Controller {
 	options.Log = options.Log.WithValues("service", options.Service)
 	return &Controller{Options: options, trigger: make(chan struct{}, 1), urgency: make(chan struct{}, 1), news: make(map[string]uint64), demand: newDemandBook(),
-		changed: make(chan struct{}), urgent: make(chan struct{}), reported: make(map[string]chan struct{})}
+		changed: make(chan struct{}), urgent: make(chan struct{}), reported: make(map[string]chan struct{}), ends: orders.NewEnds(nil)}
 }
 
 // Run works whenever the node holds the lease, until ctx ends.
@@ -317,6 +319,7 @@
 	if !c.Lessor.Holds() {
 		if c.token != 0 {
 			c.known = c.store.Estimate()
+			c.knownEnds = c.ends.Known()
 			c.needList(false)
 			c.Log.Info("control ended", "token", c.token)
 		}
@@ -345,7 +348,7 @@
 	c.lender = coldstart.NewLender(time.Now())
 	c.store = weightstore.New(c.known)
 	c.storeLoads = make(map[string]storeLoad)
-	c.ends = orders.NewEnds()
+	c.ends = orders.NewEnds(c.knownEnds)
 	// The new holder does not know what the old one loaded last, so its rate
 	// starts from nothing.
 	c.limiter = rate.NewLimiter(rate.Limit(engine.LoadsPerSecond), loadBurst)
--- a/internal/control/loadends.go
+++ b/internal/control/loadends.go
@@ -7,6 +7,7 @@
 	"lilacvane/internal/eligible"
 	"lilacvane/internal/orders"
 	"lilacvane/internal/scheduler"
+	"lilacvane/internal/wire"
 )
 
 // noteEnd notes that a runner ended, and which models it was loading then. mutex is held.
@@ -23,6 +24,31 @@
 	}
 }
 
+// loadEnds is what the next holder goes on from. mutex is held.
+func (c *Controller) loadEnds(now time.Time) []wire.LoadEnds {
+	var ends []wire.LoadEnds
+	for _, known := range c.ends.Known() {
+		ends = append(ends, wire.LoadEnds{Model: known.Model, Count: known.Count, PauseMs: max(known.Until.Sub(now), 0).Milliseconds()})
+	}
+	return ends
+}
+
+// LearnLoadEnds takes over what the holder knows of runners that ended as they loaded models, to
+// go on from when this node becomes the holder.
+func (c *Controller) LearnLoadEnds(told []wire.LoadEnds) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.token != 0 {
+		return
+	}
+	now := time.Now()
+	c.knownEnds = c.knownEnds[:0]
+	for _, one := range told {
+		pause := min(max(time.Duration(one.PauseMs)*time.Millisecond, 0), orders.LongestLoadPause)
+		c.knownEnds = append(c.knownEnds, orders.ModelEnds{Model: one.Model, Count: max(one.Count, 0), Until: now.Add(pause)})
+	}
+}
+
 // tellPaused adds to the times of loads those of models whose loads rest, so that requests
 // for them are told when to come back. mutex is held.
 func (c *Controller) tellPaused(ready map[scheduler.Want]time.Duration, state *scheduler.State, now time.Time) {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -93,7 +93,7 @@
 		})
 	}
 	if request.Report {
-		response.Standbys = nodes.standbys
+		response.Standbys, response.LoadEnds = nodes.standbys, c.loadEnds(now)
 	}
 	known := request.Version
 	if request.Token != c.token {
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -271,6 +271,9 @@
 	}
 	s.fleet.ApplyPermits(permitsLent(response.Permits), sent)
 	s.stated.Learn(s.holderName(), response.Leaving, response.Limited)
+	if request.Report {
+		s.controller.LearnLoadEnds(response.LoadEnds)
+	}
 	s.take(response)
 	return nil
 }
--- a/internal/control/tick_bench_test.go
+++ b/internal/control/tick_bench_test.go
@@ -52,7 +52,7 @@
 		Configuration: func() *config.Configuration { return nil },
 	})
 	c.token, c.version, c.ledgers, c.store = 1, 1, make(map[string]*orders.Ledger), weightstore.New(weightstore.Estimate{})
-	c.ends, c.limiter, c.storeLoads = orders.NewEnds(), rate.NewLimiter(100, loadBurst), make(map[string]storeLoad)
+	c.ends, c.limiter, c.storeLoads = orders.NewEnds(nil), rate.NewLimiter(100, loadBurst), make(map[string]storeLoad)
 	for i := range nodes {
 		c.demand.report(wire.SyncRequest{
 			Node: fmt.Sprint("n", i), Report: true,
--- a/internal/orders/ends.go
+++ b/internal/orders/ends.go
@@ -6,10 +6,11 @@
 	// endsBorne is how many runners may end one after the other as they load a model until
 	// it is loaded less and less often: single ends have other causes.
 	endsBorne = 3
-	// firstLoadPause follows the last of them, each further one is twice as long, up to
-	// longestLoadPause: a model that was mended is served again within that.
-	firstLoadPause   = 10 * time.Second
-	longestLoadPause = 5 * time.Minute
+	// firstLoadPause follows the last of them, each further one is twice as long.
+	firstLoadPause = 10 * time.Second
+	// LongestLoadPause is the longest of them: a model that was mended is served again within
+	// that.
+	LongestLoadPause = 5 * time.Minute
 )
 
 // Ends counts the runners that ended as they loaded a model, so that a model that ends its
@@ -27,9 +28,31 @@
 	until time.Time
 }
 
-// NewEnds returns an account without any end.
-func NewEnds() *Ends {
-	return &Ends{loading: make(map[string]map[string]bool), ended: make(map[string]bool), models: make(map[string]*modelEnds)}
+// ModelEnds is what an account knows of one model, for the next holder to go on from.
+type ModelEnds struct {
+	Model string
+	// Count is how many runners ended since the model was loaded last.
+	Count int
+	// Until is when the model may be loaded again; in the past where it may be now.
+	Until time.Time
+}
+
+// NewEnds returns an account that goes on from what an earlier one knew.
+func NewEnds(known []ModelEnds) *Ends {
+	e := &Ends{loading: make(map[string]map[string]bool), ended: make(map[string]bool), models: make(map[string]*modelEnds)}
+	for _, one := range known {
+		e.models[one.Model] = &modelEnds{count: one.Count, until: one.Until}
+	}
+	return e
+}
+
+// Known returns what the next holder goes on from.
+func (e *Ends) Known() []ModelEnds {
+	known := make([]ModelEnds, 0, len(e.models))
+	for name, ends := range e.models {
+		known = append(known, ModelEnds{Model: name, Count: ends.count, Until: ends.until})
+	}
+	return known
 }
 
 // Follow takes over what a runner loads and holds. A load that was carried out clears its
@@ -85,8 +108,8 @@
 func loadPause(beyond int) time.Duration {
 	pause := firstLoadPause
 	for range beyond {
-		if pause = 2 * pause; pause >= longestLoadPause {
-			return longestLoadPause
+		if pause = 2 * pause; pause >= LongestLoadPause {
+			return LongestLoadPause
 		}
 	}
 	return pause
--- a/internal/orders/ends_test.go
+++ b/internal/orders/ends_test.go
@@ -32,7 +32,7 @@
 // longer, up to a bound.
 func TestModelThatEndsItsRunnersIsLoadedLessOften(t *testing.T) {
 	now := time.Unix(1000, 0)
-	ends := NewEnds()
+	ends := NewEnds(nil)
 	loads(ends, 0, endsBorne-1, now)
 	assert.Equal(t, len(ends.Paused(now)), 0)
 	loads(ends, 10, 1, now)
@@ -41,13 +41,13 @@
 	loads(ends, 20, 1, now)
 	assert.Equal(t, ends.Paused(now)["m"], now.Add(2*firstLoadPause))
 	loads(ends, 30, 100, now)
-	assert.Equal(t, ends.Paused(now)["m"], now.Add(longestLoadPause))
+	assert.Equal(t, ends.Paused(now)["m"], now.Add(LongestLoadPause))
 }
 
 // TestLoadThatWasCarriedOutClearsItsModel: and so does nothing else.
 func TestLoadThatWasCarriedOutClearsItsModel(t *testing.T) {
 	now := time.Unix(1000, 0)
-	ends := NewEnds()
+	ends := NewEnds(nil)
 	loads(ends, 0, endsBorne-1, now)
 	ends.Follow(account("held", map[string]bool{"m": false}))
 	loads(ends, 10, 1, now)
@@ -62,7 +62,7 @@
 // TestEndThatIsToldTwiceCountsOnce: a runner that refused a connection stays listed for a while.
 func TestEndThatIsToldTwiceCountsOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
-	ends := NewEnds()
+	ends := NewEnds(nil)
 	for range 2 * endsBorne {
 		ends.Follow(account("r", map[string]bool{"m": true}))
 		ends.Ended("r", false, now)
@@ -74,7 +74,7 @@
 // given up.
 func TestOtherEndsDoNotCount(t *testing.T) {
 	now := time.Unix(1000, 0)
-	ends := NewEnds()
+	ends := NewEnds(nil)
 	for number := range 2 * endsBorne {
 		runner := fmt.Sprint("r", number)
 		ends.Follow(account(runner, map[string]bool{"m": true}))
@@ -98,7 +98,7 @@
 // ended their runners before they answered was ordered to all of them.
 func TestEndsOfRunnersWithUnansweredOrdersCount(t *testing.T) {
 	now := time.Unix(1000, 0)
-	ends := NewEnds()
+	ends := NewEnds(nil)
 	for number := range endsBorne {
 		ledger := account(fmt.Sprint("r", number), nil)
 		order := ledger.Begin(backend.Load, backend.Unit{Model: "m"}, "", 0)
@@ -110,3 +110,14 @@
 	}
 	assert.Equal(t, len(ends.Paused(now)), 1)
 }
+
+// TestNextHolderGoesOnFromCountedEnds: the count began anew at each holder, and so did the ends.
+func TestNextHolderGoesOnFromCountedEnds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ends := NewEnds(nil)
+	loads(ends, 0, endsBorne-1, now)
+	ends = NewEnds(ends.Known())
+	loads(ends, 10, 1, now)
+	assert.Equal(t, ends.Paused(now)["m"], now.Add(firstLoadPause))
+	assert.DeepEqual(t, NewEnds(ends.Known()).Paused(now), ends.Paused(now))
+}
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -145,6 +145,9 @@
 	// store (weightstore.Estimate), for the next holder to go on from.
 	StoreLimit    int     `cbor:"7,keyasint,omitempty"`
 	StoreCapacity float64 `cbor:"8,keyasint,omitempty"`
+	// LoadEnds are the runners that ended as they loaded models, for the next holder to go on
+	// from; told in answer to reports.
+	LoadEnds []LoadEnds `cbor:"21,keyasint,omitempty"`
 	// Limits answers the request's.
 	Limits *limit.Grant `cbor:"16,keyasint,omitempty"`
 	// Permits answer those wanted.
@@ -154,6 +157,14 @@
 	Limited []RunnerLimit   `cbor:"20,keyasint,omitempty"`
 }
 
+// LoadEnds is how many runners ended, one after the other, as they loaded a model.
+type LoadEnds struct {
+	Model string `cbor:"1,keyasint"`
+	Count int    `cbor:"2,keyasint"`
+	// PauseMs is the time until the model may be loaded again, in milliseconds.
+	PauseMs int64 `cbor:"3,keyasint,omitempty"`
+}
+
 // RunnerView is what a runner holds and what is being loaded there.
 type RunnerView struct {
 	Runner string       `cbor:"1,keyasint"`
--- a/test/poison_test.go
+++ b/test/poison_test.go
@@ -362,7 +362,7 @@
 }
 
 // TestModelThatEndsItsRunnersIsCountedThroughFaults: ends were not counted of runners whose
-// orders got no answer.
+// orders got no answer, and those before the holder's own end or pause were forgotten.
 func TestModelThatEndsItsRunnersIsCountedThroughFaults(t *testing.T) {
 	t.Parallel()
 	random := rand.New(rand.NewPCG(*endsSeed, 0))
@@ -388,6 +388,15 @@
 			time.Sleep(pause)
 			assert.NilError(t, holder.Thaw())
 		},
+		"holder ends": func(t *testing.T, w *world.World, holder *world.Node) {
+			until(t, w, 3)
+			waitUntil(t, "the holder counted the ends", func() error {
+				return loggedBy(t, w, "runner ended as it loaded a model", `"pausedMs":1`, holder)
+			})
+			// Other nodes report to it, and are told, several times a second.
+			time.Sleep(500 * time.Millisecond)
+			holder.Kill()
+		},
 	} {
 		t.Run(name, func(t *testing.T) { runModelThatEndsRunners(t, 3, disturb) })
 	}
