Answer the first requests of connections that were accepted before a stop

What callers saw: a request on a new connection to a node that was stopping was read, and the connection closed without an answer after 40 to 240 ms; it had not run. Clients that may not send again could not tell.

Cause: http.Server.Shutdown: a connection whose first request is read after the call is closed without handing the request to anybody. The node calls it as its notice is over, and a connection that was accepted just before, or whose request comes a little later, falls into that. The same class as the lost requests of known failures: a stop that is told to one end alone.

Change: internal/httpserver closes the listener first, serves what comes first on the connections that were accepted, for up to 0.5 s, and those whose request is being read, and only then calls Shutdown. Clients', callers' and operators' interfaces use it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"lilacvane/internal/config"
 	"lilacvane/internal/dispatch"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/httpserver"
 	"lilacvane/internal/upstream"
 )
 
@@ -57,7 +58,7 @@
 // larger library costs a node more memory than all of its own state.
 type Server struct {
 	Options
-	http *http.Server
+	http *httpserver.Server
 }
 
 // New returns the interface.
@@ -70,7 +71,7 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		fault.Write(w, s.named(fault.New(fault.CodeNotFound, stepParse, "no such path or method: %s %s", r.Method, r.URL.Path)))
 	})
-	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout}
+	s.http = httpserver.New(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout})
 	return s
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"lilacvane/internal/config"
 	"lilacvane/internal/dispatch"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/httpserver"
 	"lilacvane/internal/upstream"
 )
 
@@ -32,7 +33,7 @@
 	dispatcher    *dispatch.Dispatcher
 	configuration func() *config.Configuration
 	log           logr.Logger
-	http          *http.Server
+	http          *httpserver.Server
 
 	stopping atomic.Bool
 	active   atomic.Int64
@@ -41,10 +42,10 @@
 // New returns a server that is not serving yet.
 func New(names upstream.Names, dispatcher *dispatch.Dispatcher, log logr.Logger) *Server {
 	s := &Server{names: names, dispatcher: dispatcher, configuration: dispatcher.Configuration, log: log}
-	s.http = &http.Server{
+	s.http = httpserver.New(&http.Server{
 		Handler: s, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		MaxHeaderBytes: defaultHeaderBytes, DisableGeneralOptionsHandler: true, ConnContext: withConnection,
-	}
+	})
 	return s
 }
 
@@ -60,8 +61,8 @@
 // Stop lets answers say that their connection closes. Requests are still taken.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
-// Shutdown stops taking requests and waits for those under way until ctx ends;
-// then it cuts them off.
+// Shutdown stops taking connections, and waits for the first requests of new ones and those under
+// way until ctx ends; then it cuts them off.
 func (s *Server) Shutdown(ctx context.Context) {
 	if err := s.http.Shutdown(ctx); err != nil {
 		s.log.Info("requests cut off at the end of the stop", "active", s.active.Load())
--- a/internal/operator/fleet_test.go
+++ b/internal/operator/fleet_test.go
@@ -38,7 +38,7 @@
 	t.Helper()
 	s := New(zoneBackend{}, catalog.New(), "n1", http.NotFoundHandler())
 	recorder := httptest.NewRecorder()
-	s.http.Handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
+	s.http.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
 	return recorder.Code, recorder.Body.String()
 }
 
@@ -70,7 +70,7 @@
 		{http.MethodDelete, "/v1/quarantine/01", http.StatusBadRequest, "hexadecimal"},
 	} {
 		recorder := httptest.NewRecorder()
-		s.http.Handler.ServeHTTP(recorder, httptest.NewRequest(test.method, test.path, nil))
+		s.http.ServeHTTP(recorder, httptest.NewRequest(test.method, test.path, nil))
 		assert.Equal(t, recorder.Code, test.status, test.path)
 		assert.Assert(t, strings.Contains(recorder.Body.String(), test.part), "%s: %s", test.path, recorder.Body)
 	}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -16,6 +16,7 @@
 	"lilacvane/internal/catalog"
 	"lilacvane/internal/commit"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/httpserver"
 	"lilacvane/internal/place"
 	"lilacvane/internal/poison"
 	"lilacvane/internal/wire"
@@ -139,7 +140,7 @@
 	backend Backend
 	catalog *catalog.Catalog
 	node    string
-	http    *http.Server
+	http    *httpserver.Server
 	// stopping ends with stop, and watches with it.
 	stopping context.Context
 	stop     context.CancelFunc
@@ -168,7 +169,7 @@
 	mux.HandleFunc("GET /v1/quarantine", func(w http.ResponseWriter, _ *http.Request) { s.write(w, backend.Quarantine()) })
 	mux.HandleFunc("DELETE /v1/quarantine/{request}", s.lift)
 	mux.HandleFunc("GET /v1/drains/{name}", s.drain)
-	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	s.http = httpserver.New(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
 	s.stopping, s.stop = context.WithCancel(context.Background())
 	return s
 }
