Count a connection of the soak from when it was asked for

Cause: the test's own clock. The begin of a connection was taken when the client's goroutine ran again after its dial. The kernel had made the connection before, to the process that was being killed; where the client was late, the connection seemed to begin after the process was gone, and a request that the killed node could not answer counted as one of its successor.

No connection can come up to a process that is gone, and the next one was not started yet.

Change: the begin is that of the dial. The case is the one that the check allows, a node killed under its connection; a connection that is asked for once the process is gone is held to the same as before. The message also tells what ended the request and what its node logged of it, and the test of rests tells when a node sent and read what its check finds. No check of that test is changed.

--- a/test/kept_client_test.go
+++ b/test/kept_client_test.go
@@ -20,8 +20,8 @@
 	node   *world.Node
 	conn   net.Conn
 	reader *bufio.Reader
-	// connected is when the connection came up.
-	connected time.Time
+	// dialed is when the connection was asked for, connected when it was seen to be up.
+	dialed, connected time.Time
 }
 
 // keptEnd is how a request on a kept connection ended.
@@ -31,9 +31,11 @@
 	node    *world.Node
 	// used is set when the connection had carried a request before.
 	used bool
-	// connected is when the connection came up, sent when the request was about to be
-	// written, end when its answer ended.
-	connected, sent, end time.Time
+	// dialed is when the connection was asked for, connected when it was seen to be up, sent when
+	// the request was about to be written, end when its answer ended.
+	dialed, connected, sent, end time.Time
+	// problem is why no whole answer came; nil if one did.
+	problem error
 }
 
 // do sends a request and reads its answer. It reports false when no connection came up, so
@@ -41,16 +43,17 @@
 func (k *keptClient) do(c clientRequest) (keptEnd, bool) {
 	end := keptEnd{request: c, node: k.node, used: k.conn != nil, answer: clientAnswer{ID: c.ID}}
 	if k.conn == nil {
+		k.dialed = time.Now()
 		conn, err := net.DialTimeout("tcp", k.node.Clients, time.Second)
 		if err != nil {
 			return end, false
 		}
 		k.conn, k.reader, k.connected = conn, bufio.NewReader(conn), time.Now()
 	}
-	end.connected = k.connected
+	end.dialed, end.connected = k.dialed, k.connected
 	end.sent = time.Now()
 	_ = k.conn.SetDeadline(end.sent.Add(c.Deadline + answerMargin))
-	if request := newRequest(c, k.node); request.Write(k.conn) == nil {
+	if end.problem = newRequest(c, k.node).Write(k.conn); end.problem == nil {
 		k.read(&end)
 	} else {
 		k.close()
@@ -63,10 +66,12 @@
 func (k *keptClient) read(end *keptEnd) {
 	response, err := http.ReadResponse(k.reader, nil)
 	if err != nil {
+		end.problem = err
 		k.close()
 		return
 	}
 	content, err := io.ReadAll(response.Body)
+	end.problem = err
 	end.answer.fill(response, content, err)
 	if err != nil || response.Close {
 		k.close()
--- a/test/kept_soak_test.go
+++ b/test/kept_soak_test.go
@@ -65,7 +65,11 @@
 	for _, one := range spans[end.node.Name] {
 		from, to := one.from.Sub(end.sent).Round(time.Millisecond), one.to.Sub(end.sent).Round(time.Millisecond)
 		if to > -told && from < told {
-			fmt.Fprintf(&text, "[%s to %s, hard %v]", from, to, one.hard)
+			fmt.Fprintf(&text, "[%s to %s, hard %v", from, to, one.hard)
+			if !one.gone.IsZero() {
+				fmt.Fprintf(&text, ", gone at %s", one.gone.Sub(end.sent))
+			}
+			text.WriteString("]")
 		}
 	}
 	return text.String()
@@ -340,9 +344,12 @@
 	for _, end := range s.ends {
 		kind, problem := s.judge(end, runs[end.request.ID])
 		counts[kind]++
-		assert.Check(s.t, problem == "", "seed %d: %s: %s %s at %s, used %v, sent %s, took %s, runs %d, stops %s, pauses %s: status %d %.300s", s.seed, problem,
-			end.request.ID, end.request.Path, end.node.Name, end.used, end.sent.Format(time.RFC3339Nano), end.end.Sub(end.sent).Round(time.Millisecond),
-			runs[end.request.ID], around(end, s.stops), around(end, s.pauses), end.answer.Status, end.answer.Body)
+		assert.Check(s.t, problem == "", "seed %d: %s: %s %s at %s, used %v, sent %s, dialed %s and connected %s before, took %s, runs %d, stops %s, pauses %s: %v, status %d %.300s", s.seed, problem,
+			end.request.ID, end.request.Path, end.node.Name, end.used, end.sent.Format(time.RFC3339Nano), end.sent.Sub(end.dialed), end.sent.Sub(end.connected), end.end.Sub(end.sent).Round(time.Millisecond),
+			runs[end.request.ID], around(end, s.stops), around(end, s.pauses), end.problem, end.answer.Status, end.answer.Body)
+		if problem != "" {
+			s.t.Logf("what %s logged of it: %s", end.node.Name, strings.Join(linesWith(readFile(s.t, s.w.LogPath(end.node)), end.request.ID), ""))
+		}
 		if strings.HasPrefix(end.request.Path, "/send/") {
 			assert.Check(s.t, runs[end.request.ID] <= 1, "seed %d: %s ran %d times", s.seed, end.request.ID, runs[end.request.ID])
 		}
@@ -414,10 +421,10 @@
 
 // ended reports whether a request's node was stopping, or being killed, at some time between
 // the begin of the connection and the end of the request. A client learns of an end only when
-// it uses the connection next.
+// it uses the connection next, and of its connection some time after the kernel made it.
 func (s *keptSoak) ended(end keptEnd, hard bool) bool {
 	for _, stop := range s.stops[end.node.Name] {
-		if stop.hard == hard && stop.gone.After(end.connected) && stop.from.Before(end.end) {
+		if stop.hard == hard && stop.gone.After(end.dialed) && stop.from.Before(end.end) {
 			return true
 		}
 	}
--- a/test/statements_test.go
+++ b/test/statements_test.go
@@ -321,13 +321,39 @@
 			resting = nil
 		}
 		for _, visited := range append(leaving, resting...) {
-			late[visited.request.ID+visited.at.String()] = true
+			if key := visited.request.ID + visited.at.String(); !late[key] {
+				late[key] = true
+				s.explain(t, told, visited)
+			}
 		}
 	}
 	t.Logf("%d of %d requests at runners that stated something were not wanted, %d were turned away", len(late), len(visits), turned)
 	assert.Equal(t, len(late), 0)
 }
 
+// explain logs what a node knew of an answer that a later request of it went against: how long after
+// the runner gave it the node read it.
+func (s *stated) explain(t *testing.T, told, visited visit) {
+	t.Helper()
+	t.Logf("%s at %s: %s arrived at %s, %s after %s, which asked for a rest of %q, arrived", told.node.Name, told.runner, visited.request.ID,
+		visited.at.Format(time.RFC3339Nano), visited.at.Sub(told.at).Round(time.Millisecond), told.request.ID, told.Rest)
+	content := readFile(t, s.world.LogPath(told.node))
+	for _, line := range slices.Concat(linesWith(content, told.request.ID), linesWith(content, visited.request.ID), linesWith(content, `"runner wants rest"`, told.runner)) {
+		t.Logf("  %.400s", line)
+	}
+}
+
+// linesWith returns the lines of a log that contain all the words.
+func linesWith(content string, words ...string) []string {
+	var lines []string
+	for line := range strings.Lines(content) {
+		if !slices.ContainsFunc(words, func(word string) bool { return !strings.Contains(line, word) }) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
 // unwanted are the later requests of the same node at the same incarnation that an answer does
 // not want: what clients sent after the bound of a leaving that the node passed on, and what
 // arrived in a rest. A node that was started or stood still since then is excused.
