Read what came while the node stood still before more is sent

What runners saw: a node that stood still for 0.6 to 0.8 s sent them further requests for up to 0.1 s after it went on, though answers in which they asked for rest had reached it meanwhile.

Cause: after a pause all that waits runs at once, in any order; the requests that were already chosen did not wait for the answers that were not read yet.

Change: before a request is written, a node that stood still for 0.4 s or more waits 50 ms for its readers; whether the runner may have the request is asked after that, as before.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -323,6 +323,9 @@
 		Runner: choice.Runner.Name(), Incarnation: choice.Runner.ID, Address: choice.Runner.Address, Method: j.request.Method, Target: j.request.Target,
 		Host: j.request.Host, Header: header, Body: j.request.Body, RequestID: j.request.ID,
 		Admit: func() error {
+			if j.dispatcher.AwaitReading != nil {
+				j.dispatcher.AwaitReading()
+			}
 			if j.dispatcher.Fleet.Allowed(choice, query) {
 				return nil
 			}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -41,8 +41,11 @@
 	Knowledge func() Knowledge
 	// Fresh returns when what the node knows is not older than the end of its
 	// last pause, or cannot be made so.
-	Fresh   func(ctx context.Context)
-	Retries retry.Limits
+	Fresh func(ctx context.Context)
+	// AwaitReading returns once what came while the node stood still has been read; not set
+	// where it never does.
+	AwaitReading func()
+	Retries      retry.Limits
 	// NewsWithin is how long it takes at most until this node hears what operators decide.
 	NewsWithin time.Duration
 	// Limits decides on requests of tenants; not set where none has a limit.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -165,7 +165,7 @@
 	n.pool.Wrap = func(runner string, conn net.Conn) net.Conn { return meter.Connection(conn, n.fleet.RegionOf(runner)) }
 	n.dispatcher = &dispatch.Dispatcher{
 		Node: s.Node, Fleet: n.fleet, Pool: n.pool, Demand: n.demand, Names: platform.Headers,
-		Configuration: n.inForce, Knowledge: n.knowledgeOfConfiguration, Fresh: n.fresh, Retries: retryLimits(s.Retries), Report: platform.Control.Report, NewsWithin: s.Configuration.Within, Log: log.Logger, Observe: n.observe, Closing: n.closing,
+		Configuration: n.inForce, Knowledge: n.knowledgeOfConfiguration, Fresh: n.fresh, AwaitReading: n.pauses.awaitReading, Retries: retryLimits(s.Retries), Report: platform.Control.Report, NewsWithin: s.Configuration.Within, Log: log.Logger, Observe: n.observe, Closing: n.closing,
 	}
 	n.crashes = crash.NewDetector(crash.Ask{Report: platform.Control.Report, Connect: n.pool.Connect, Leaves: n.leaves}, n.crashed, log.Logger)
 	n.dispatcher.Crashes = n.crashes
--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -13,6 +13,11 @@
 	// longestTick is the time between two ticks of a process that did not stand
 	// still.
 	longestTick = 1200 * time.Millisecond
+	// longestStill is the same for what a node reads late: runners' answers may have come
+	// meanwhile that say what they want no more.
+	longestStill = 400 * time.Millisecond
+	// readingTime is what the node needs to read them.
+	readingTime = 50 * time.Millisecond
 	// freshLimit bounds how long a request waits for news after a pause.
 	freshLimit = 700 * time.Millisecond
 	freshPoll  = 5 * time.Millisecond
@@ -25,7 +30,9 @@
 	// nanoseconds since began.
 	ticked atomic.Int64
 	woken  atomic.Int64
-	began  time.Time
+	// stirred is the end of the newest time without a tick for longestStill, like woken.
+	stirred atomic.Int64
+	began   time.Time
 	// suspended is how long the machine had been suspended at the last tick of run, in
 	// nanoseconds. It is run's.
 	suspended time.Duration
@@ -49,12 +56,24 @@
 }
 
 func (p *pauseWatch) tick() {
-	now := time.Now()
-	last := p.ticked.Load()
-	if last != 0 && now.Sub(p.began)-time.Duration(last) > longestTick {
-		p.woken.Store(int64(now.Sub(p.began)))
+	now := max(time.Since(p.began), 1)
+	last := time.Duration(p.ticked.Load())
+	if last != 0 && now-last > longestTick {
+		p.woken.Store(int64(now))
+	}
+	if last != 0 && now-last > longestStill {
+		p.stirred.Store(int64(now))
+	}
+	p.ticked.Store(int64(now))
+}
+
+// awaitReading waits, after the process stood still, until what came meanwhile is read: a runner
+// may have asked for rest in an answer that waits to be read.
+func (p *pauseWatch) awaitReading() {
+	p.tick()
+	if stirred := p.stirred.Load(); stirred != 0 {
+		time.Sleep(time.Duration(stirred) + readingTime - time.Since(p.began))
 	}
-	p.ticked.Store(int64(max(now.Sub(p.began), 1)))
 }
 
 // noteSuspension notes a suspension of the machine, in which the clock of tick stood still.
