Read an answer that has arrived though its request's time is over

What callers would see (shown by a unit test): a node that stood still through the deadline of a request found the deadline and the runner's answer at once, and closed the connection unread: 504 in place of the answer, and what the answer said of its runner, such as a rest, was never heard.

Cause: the end of a request's time closed its connection whatever had arrived.

Change: where the deadline passed and bytes of the answer are there, the connection is closed 50 ms later. A client that left, another runner that answered and a node that stops end it at once as before, and so does a deadline with nothing to read. The end of a request's time is now a context.DeadlineExceeded, by which the pool tells it from those.

TestAnswerThatHasArrivedIsReadAfterTheDeadline failed before ("use of closed network connection"). Found while tracing rests: in 38 cases a node had given up a request and went on sending to its runner; whether the answer had arrived by then is not known of these, the runners were late themselves.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -16,8 +16,17 @@
 	"lilacvane/internal/upstream"
 )
 
+// timeoutError is the end of a request's time. It is context.DeadlineExceeded.
+type timeoutError struct{}
+
+// Error says what ended.
+func (timeoutError) Error() string { return "the request's time is over" }
+
+// Is reports that a deadline has passed.
+func (timeoutError) Is(target error) bool { return target == context.DeadlineExceeded }
+
 var (
-	errTimeout = errors.New("the request's time is over")
+	errTimeout error = timeoutError{}
 	// errClosing ends all requests of a node whose grace is over.
 	errClosing = errors.New("the node stops")
 	// errSilent ends an attempt whose runner is silent while another may serve.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -80,7 +80,8 @@
 
 // Do sends a call and returns the beginning of its answer. The error's outcome
 // is NotDone only if no byte of the request can have reached the runner. Ending
-// ctx closes the connection at once, also while the body is read.
+// ctx closes the connection, also while the body is read: at once, or after
+// readingTime where its deadline passed and some of the answer has arrived.
 func (p *Pool) Do(ctx context.Context, call Call) (*Answer, error) {
 	if ctx.Err() != nil {
 		// Its closing would race with the first bytes.
@@ -96,7 +97,7 @@
 			return nil, fault.At(fault.CodeUnreachable, "send request", call.Address, fault.NotDone, err)
 		}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, func() { conn.expire(context.Cause(ctx)) })
 	conn.send()
 	written, err := send(conn, call)
 	if err != nil {
--- a/internal/upstream/silent.go
+++ b/internal/upstream/silent.go
@@ -31,6 +31,19 @@
 	_ = c.Close()
 }
 
+// readingTime is how long what has arrived of an answer may still be read once its request's
+// time is over: a process that stood still finds both at once.
+const readingTime = 50 * time.Millisecond
+
+// expire closes a connection in use, as the context of its request ended.
+func (c *connection) expire(cause error) {
+	if errors.Is(cause, context.DeadlineExceeded) && !quiet(c.Conn) {
+		time.AfterFunc(readingTime, func() { _ = c.Close() })
+		return
+	}
+	_ = c.Close()
+}
+
 // restedFrom is when a connection that rested was taken up; zero for a new one, whose
 // runner may only be slow.
 func (c *connection) restedFrom() time.Time {
