Play the first form of the test of resting streams beside the new one

The first form, in which streams begin at both and both pause, stands again under a name of its own, with the same check.

--- a/test/handover_test.go
+++ b/test/handover_test.go
@@ -10,6 +10,7 @@
 
 	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/runnerstub"
+	"lilacvane/internal/lab/world"
 )
 
 // A client lost the rest of a stream that its runner would have finished. The runner had
@@ -28,13 +29,7 @@
 // reaches its client whole, from the runner that paused.
 func TestRestingStreamIsKeptUntilAnotherRunnerHasIt(t *testing.T) {
 	t.Parallel()
-	const streams, events = 4, 40
-	for name, other := range map[string]runnerstub.Faults{
-		"refuses":    {ShedShare: 1},
-		"fails":      {ErrorShare: 1},
-		"breaks off": {BreakShare: 1},
-		"is mute":    {MuteShare: 1},
-	} {
+	for name, other := range spareFaults {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			w, nodes := startLoaded(t, 2, 1)
@@ -43,28 +38,83 @@
 			// All begin at one runner: one that begins at the spare has no other left where
 			// that breaks off and the first one rests.
 			w.Runners[spare].Proxy.Block()
-			answers := make(chan clientAnswer, streams)
-			for range streams {
-				go func() {
-					answers <- send(t.Context(), nodes[0], clientRequest{Path: "/draft/x", Model: "alpha", Events: events})
-				}()
-			}
+			answers := sendResting(t, nodes[0])
 			waitUntil(t, "all streams have begun", func() error {
-				if at := running(readHistory(t, w)); at[first] < streams {
+				if at := running(readHistory(t, w)); at[first] < restingStreams {
 					return fmt.Errorf("%v have", at)
 				}
 				return nil
 			})
 			assert.NilError(t, w.SetRunnerFaults(spare, other))
 			w.Runners[spare].Proxy.Heal()
-			for range streams {
-				got := <-answers
-				assert.Check(t, got.Status == http.StatusOK && got.Whole && got.Body == expectedEvents(got.ID, events), "%+v", got)
+			checkWhole(t, answers)
+		})
+	}
+}
+
+// TestRestingStreamIsKeptWhereverItBegan: the same, where streams began at both runners and both
+// pause: one may break off at the spare once it has moved there for a pause.
+func TestRestingStreamIsKeptWhereverItBegan(t *testing.T) {
+	t.Parallel()
+	for name, other := range spareFaults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w, nodes := startLoaded(t, 2, 1)
+			runners := []string{"runner-1", "runner-2"}
+			for _, runner := range runners {
+				assert.NilError(t, w.SetRunnerFaults(runner, runnerstub.Faults{RestMs: 2500}))
+			}
+			answers := sendResting(t, nodes[0])
+			var at map[string]int
+			waitUntil(t, "all streams have begun", func() error {
+				if at = running(readHistory(t, w)); at[runners[0]]+at[runners[1]] < restingStreams {
+					return fmt.Errorf("%v have", at)
+				}
+				return nil
+			})
+			// The faults are of what runners begin from now on.
+			spare := runners[1]
+			if at[spare] > at[runners[0]] {
+				spare = runners[0]
 			}
+			assert.NilError(t, w.SetRunnerFaults(spare, other))
+			checkWhole(t, answers)
 		})
 	}
 }
 
+// restingStreams is how many streams pause, restingEvents how many events each has.
+const restingStreams, restingEvents = 4, 40
+
+// spareFaults are what the runner does to which a resting stream may go.
+var spareFaults = map[string]runnerstub.Faults{
+	"refuses":    {ShedShare: 1},
+	"fails":      {ErrorShare: 1},
+	"breaks off": {BreakShare: 1},
+	"is mute":    {MuteShare: 1},
+}
+
+// sendResting sends the streams to a node, and returns their answers as they come.
+func sendResting(t *testing.T, node *world.Node) <-chan clientAnswer {
+	t.Helper()
+	answers := make(chan clientAnswer, restingStreams)
+	for range restingStreams {
+		go func() {
+			answers <- send(t.Context(), node, clientRequest{Path: "/draft/x", Model: "alpha", Events: restingEvents})
+		}()
+	}
+	return answers
+}
+
+// checkWhole checks that each stream reaches its client whole.
+func checkWhole(t *testing.T, answers <-chan clientAnswer) {
+	t.Helper()
+	for range restingStreams {
+		got := <-answers
+		assert.Check(t, got.Status == http.StatusOK && got.Whole && got.Body == expectedEvents(got.ID, restingEvents), "%+v", got)
+	}
+}
+
 // running counts the requests that runners began and did not end, by runner.
 func running(h history) map[string]int {
 	where := make(map[string]string)
