--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -138,6 +138,17 @@
 	assert.Equal(t, j.sent, 1)
 }
 
+// attemptAfterRest makes the job's attempts once connections have rested at its runners.
+func attemptAfterRest(t *testing.T, j *job) {
+	t.Helper()
+	restAtEach(t, j)
+	j.deadline = time.Now().Add(10 * minimumSilence)
+	ctx, cancel := context.WithDeadlineCause(t.Context(), j.deadline, errTimeout)
+	defer cancel()
+	for j.attempt(ctx) {
+	}
+}
+
 // restAtEach lays a connection to each runner of the job to rest, until it is not proved.
 func restAtEach(t *testing.T, j *job) {
 	t.Helper()
@@ -159,12 +170,7 @@
 func TestRequestWaitsOnOneSilentConnectionAtMost(t *testing.T) {
 	answered := onceEach("answer")
 	j, written := hedgedJob(t, answered, answered)
-	restAtEach(t, j)
-	j.deadline = time.Now().Add(10 * minimumSilence)
-	ctx, cancel := context.WithDeadlineCause(t.Context(), j.deadline, errTimeout)
-	defer cancel()
-	for j.attempt(ctx) {
-	}
+	attemptAfterRest(t, j)
 	assert.Equal(t, written.Body.String(), "answer")
 	assert.DeepEqual(t, j.outcome.Endings, []Ending{EndedBySilence})
 }
@@ -175,12 +181,7 @@
 	answered := onceEach("answer")
 	j, written := hedgedJob(t, answered, answered)
 	j.dispatcher.Fleet.Apply(nil, []string{"r2"}, false)
-	restAtEach(t, j)
-	j.deadline = time.Now().Add(10 * minimumSilence)
-	ctx, cancel := context.WithDeadlineCause(t.Context(), j.deadline, errTimeout)
-	defer cancel()
-	for j.attempt(ctx) {
-	}
+	attemptAfterRest(t, j)
 	assert.Equal(t, written.Body.String(), "answer")
 	assert.Equal(t, len(j.outcome.Endings), 0)
 }
