--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -28,16 +28,15 @@
 	// served is closed once nothing is accepted any more.
 	served   chan struct{}
 	stopping bool
-	// unread are the connections of which no request has reached the handler, or the newest has
-	// not.
+	// unread are the connections whose newest request has not reached the handler, or that have
+	// sent none yet.
 	unread map[net.Conn]bool
 }
 
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
-// New returns a server with the handler, bounds and connection context of another one, which is
-// not to be used any more.
+// New takes over a server that has a handler. It is not to be used by itself any more.
 func New(server *http.Server) *Server {
 	s := &Server{http: server, served: make(chan struct{}), unread: make(map[net.Conn]bool)}
 	handler, connContext := server.Handler, server.ConnContext
@@ -66,7 +65,7 @@
 	return s.stopping
 }
 
-// follow keeps the connections of which a request is read or was not read yet.
+// follow is told of the states of connections.
 func (s *Server) follow(conn net.Conn, state http.ConnState) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -13,8 +13,8 @@
 	// longestTick is the time between two ticks of a process that did not stand
 	// still.
 	longestTick = 1200 * time.Millisecond
-	// longestStill is the same for what a node reads late: runners' answers may have come
-	// meanwhile that say what they want no more.
+	// longestStill is the time between two ticks after which answers of runners may lie unread
+	// that ask for less.
 	longestStill = 400 * time.Millisecond
 	// readingTime is what the node needs to read them.
 	readingTime = 50 * time.Millisecond
@@ -30,8 +30,8 @@
 	// nanoseconds since began.
 	ticked atomic.Int64
 	woken  atomic.Int64
-	// stirred is the end of the newest time without a tick for longestStill, like woken.
-	stirred atomic.Int64
+	// resumed is like woken for times without a tick of longestStill.
+	resumed atomic.Int64
 	began   time.Time
 	// suspended is how long the machine had been suspended at the last tick of run, in
 	// nanoseconds. It is run's.
@@ -62,7 +62,7 @@
 		p.woken.Store(int64(now))
 	}
 	if last != 0 && now-last > longestStill {
-		p.stirred.Store(int64(now))
+		p.resumed.Store(int64(now))
 	}
 	p.ticked.Store(int64(now))
 }
@@ -71,8 +71,8 @@
 // may have asked for rest in an answer that waits to be read.
 func (p *pauseWatch) awaitReading() {
 	p.tick()
-	if stirred := p.stirred.Load(); stirred != 0 {
-		time.Sleep(time.Duration(stirred) + readingTime - time.Since(p.began))
+	if resumed := p.resumed.Load(); resumed != 0 {
+		time.Sleep(time.Duration(resumed) + readingTime - time.Since(p.began))
 	}
 }
 
