Log and count which runners a node reaches

The logs could not tell a node that is cut off from runners that are gone: a line named the error of one attempt. A node now logs when it begins and ceases to fail at a runner and counts the runners it reaches and does not reach. Nothing is decided by it yet.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -12,6 +12,7 @@
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/link"
+	"lilacvane/internal/reach"
 	"lilacvane/internal/statement"
 	"lilacvane/internal/traffic"
 	"lilacvane/internal/wire"
@@ -31,6 +32,8 @@
 	// ConfigurationAge is the time since the configuration was last confirmed; unknown until it was
 	// read.
 	ConfigurationAge func() (age time.Duration, known bool)
+	// Reach returns how many runners the node reaches.
+	Reach func() reach.Figures
 	// Resting is the number of runners that asked the node to send nothing for a while.
 	Resting func() int
 	// Quarantined is the number of request contents that are not run because runners ended under
@@ -137,6 +140,8 @@
 	}
 	age("lilacvane_list_age_seconds", "the list of runners", sources.ListAge)
 	age("lilacvane_configuration_age_seconds", "the configuration", sources.ConfigurationAge)
+	count("lilacvane_runners_reached", "Runners that this node connected to lately.", func() int { return sources.Reach().Reached })
+	count("lilacvane_runners_unreached", "Runners that this node last failed to connect to.", func() int { return sources.Reach().Unreached })
 	count("lilacvane_runners_resting", "Runners that want nothing from this node for a while.", sources.Resting)
 	count("lilacvane_requests_quarantined", "Contents of requests that are not run as runners ended under them.", sources.Quarantined)
 	count("lilacvane_zones_out", "Zones that operators took out.", sources.ZonesOut)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -6,6 +6,7 @@
 	"lilacvane/internal/dispatch"
 	"lilacvane/internal/metrics"
 	"lilacvane/internal/place"
+	"lilacvane/internal/reach"
 	"lilacvane/internal/wire"
 )
 
@@ -15,6 +16,7 @@
 		Active:  func() int64 { return n.ingress.Active() },
 		Runners: n.fleet.Count, RunnersByState: n.runnersByState, Partial: func() bool { return !n.fleet.Complete() },
 		ListAge: n.listAge, ConfigurationAge: n.configurationAge,
+		Reach:       func() reach.Figures { return n.reach.Figures() },
 		Resting:     func() int { return n.statements.CountResting() },
 		Quarantined: func() int { return n.quarantine.CountRefused() },
 		ZonesOut:    func() int { return n.zones.table.Load().CountOut() },
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	"lilacvane/internal/place"
 	"lilacvane/internal/policy"
 	"lilacvane/internal/quarantine"
+	"lilacvane/internal/reach"
 	"lilacvane/internal/relay"
 	"lilacvane/internal/retry"
 	"lilacvane/internal/settings"
@@ -103,6 +104,7 @@
 	fleet         *fleet.Fleet
 	pool          *upstream.Pool
 	statements    *statement.Registry
+	reach         *reach.Tracker
 	demand        *demand.Tracker
 	dispatcher    *dispatch.Dispatcher
 	crashes       *crash.Detector
@@ -149,6 +151,8 @@
 	}
 	n.settings.Store(&s)
 	n.initStatements()
+	n.reach = reach.New(clock.Now, log.Logger)
+	n.pool.Reach = n.reach
 	n.zones = newZones(n)
 	n.initLinks()
 	n.fleet = fleet.New(s.Zone, time.Now, (*operatorRules)(n))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,6 +13,7 @@
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/link"
+	"lilacvane/internal/reach"
 	"lilacvane/internal/statement"
 )
 
@@ -35,6 +36,9 @@
 	// Statements receives the heads of all answers; it may be nil, and is set before the pool is
 	// used.
 	Statements *statement.Registry
+	// Reach receives the outcome of each connection attempt; it may be nil, and is set before the
+	// pool is used.
+	Reach *reach.Tracker
 	// Wrap wraps each new connection to a runner; nil for none.
 	Wrap func(runner string, conn net.Conn) net.Conn
 
@@ -195,6 +199,7 @@
 // dial opens a connection to a runner.
 func (p *Pool) dial(ctx context.Context, runner, address string) (*connection, error) {
 	conn, err := link.Runner.Dialer().DialContext(ctx, "tcp", address)
+	p.recordReach(ctx, runner, err)
 	if err != nil {
 		return nil, fault.At(fault.CodeUnreachable, "connect", address, fault.NotDone, err)
 	}
@@ -205,6 +210,18 @@
 	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize), acquired: time.Now()}, nil
 }
 
+// recordReach records the outcome of a connection attempt. One that its caller ended says
+// nothing.
+func (p *Pool) recordReach(ctx context.Context, runner string, err error) {
+	switch {
+	case runner == "":
+	case err == nil:
+		p.Reach.Connected(runner)
+	case ctx.Err() == nil:
+		p.Reach.Failed(runner, err)
+	}
+}
+
 // Connect opens a connection to an address and closes it, to find out whether anything listens
 // there. Its error is that of the dialer.
 func (p *Pool) Connect(ctx context.Context, address string) error {
