Add failing tests of nodes that are cut off from the runners

The lab's nodes connect to runners through links that can hang, be reset, or refuse new connections while open ones work, for each node by itself. On this code, of some 50 first tries at each node that is cut off, 0 to 25 are served where the others serve all; a lease holder that is cut off keeps the lease, so that a model that nobody holds is not loaded within 60 s; nodes that reach the runners answer 503 for what these hold once the holder finds them silent.

--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -16,6 +16,7 @@
 	"lilacvane/internal/lab/faultproxy"
 	"lilacvane/internal/lab/httpcall"
 	"lilacvane/internal/lab/journal"
+	"lilacvane/internal/lab/linkfault"
 	"lilacvane/internal/lab/storestub"
 	"lilacvane/internal/operator"
 	"lilacvane/internal/place"
@@ -35,6 +36,7 @@
 	portProxy       = 7007
 	portStore       = 7008
 	portRunner      = 7009
+	portLinks       = 7010
 	hostStore       = 1
 	firstNodeHost   = 120
 	firstRunnerHost = 160
@@ -63,6 +65,8 @@
 	// Proxied puts a fault proxy in front of every node and runner, and one per node in front
 	// of the store.
 	Proxied bool
+	// FaultyLinks makes the paths from nodes to runners subject to the faults of SetLinks.
+	FaultyLinks bool
 	// Adjust changes the settings of a node before it starts.
 	Adjust func(*settings.Settings)
 	// StoreRate is the number of calls per second that the store accepts.
@@ -108,7 +112,9 @@
 	// store.
 	Proxy      *faultproxy.Proxy
 	StoreProxy *faultproxy.Proxy
-	settings   string
+	// links is the address of the calls that inject faults into the paths to runners.
+	links    string
+	settings string
 	// mutex guards Process while the node is restarted.
 	mutex sync.Mutex
 }
@@ -275,6 +281,7 @@
 	node := &Node{
 		Name: name, Zone: zone, Clients: w.address(host, portClients), Callers: w.address(host, portCallers),
 		Operators: w.address(host, portOperators), Ready: w.address(host, portReady), Metrics: w.address(host, portMetrics),
+		links: w.address(host, portLinks),
 	}
 	s := settings.Default()
 	s.Node, s.Zone, s.TimeZone = name, zone, w.TimeZone
@@ -301,7 +308,11 @@
 }
 
 func (w *World) startNodeProcess(node *Node) error {
-	process, err := start(w.Directory, "node-"+node.Name, filepath.Join(w.Programs, "lilacvane"), "node", "--settings", node.settings)
+	program, arguments := filepath.Join(w.Programs, "lilacvane"), []string{"node", "--settings", node.settings}
+	if w.FaultyLinks {
+		program, arguments = w.labProgram(), append(arguments, "--faults", node.links)
+	}
+	process, err := start(w.Directory, "node-"+node.Name, program, arguments...)
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
 	node.Process = process
@@ -352,6 +363,11 @@
 	return waitUntilServing(n.Current().Done(), "http://"+n.Ready+"/readyz")
 }
 
+// SetLinks replaces the fault on a node's paths to runners.
+func (w *World) SetLinks(node *Node, fault linkfault.Fault) error {
+	return w.post(node.links, linkfault.Path, fault)
+}
+
 // Journals returns the records of all runners, also of those that have ended.
 func (w *World) Journals() ([]journal.Record, error) {
 	paths, err := filepath.Glob(filepath.Join(w.Directory, "journal-*.jsonl"))
--- a/internal/labcommand/labcommand.go
+++ b/internal/labcommand/labcommand.go
@@ -10,6 +10,7 @@
 type commandLine struct {
 	Store      storeCommand      `cmd:"" help:"Run the emulated store of the platform."`
 	Runner     runnerCommand     `cmd:"" help:"Run an emulated runner."`
+	Node       nodeCommand       `cmd:"" help:"Run a node of lilacvane whose paths to runners can be made to fail."`
 	Experiment experimentCommand `cmd:"" help:"Run a scenario file in virtual time and report."`
 	Load       loadCommand       `cmd:"" help:"Send requests to nodes, open loop, and print what callers saw."`
 	Up         upCommand         `cmd:"" help:"Bring a whole system up on loopback and show a cold request being served."`
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -39,6 +39,8 @@
 	// Reach receives the outcome of each connection attempt; it may be nil, and is set before the
 	// pool is used.
 	Reach *reach.Tracker
+	// Dial connects to runners; NewPool sets it to the dialer of link.Runner.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Wrap wraps each new connection to a runner; nil for none.
 	Wrap func(runner string, conn net.Conn) net.Conn
 
@@ -71,7 +73,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(names HeaderNames) *Pool {
-	return &Pool{names: names, trust: link.NewTrust(time.Now), idle: make(map[string][]*connection)}
+	return &Pool{Dial: link.Runner.Dialer().DialContext, names: names, trust: link.NewTrust(time.Now), idle: make(map[string][]*connection)}
 }
 
 // acquire returns an idle connection that is still usable, or a new one.
@@ -198,7 +200,7 @@
 
 // dial opens a connection to a runner.
 func (p *Pool) dial(ctx context.Context, runner, address string) (*connection, error) {
-	conn, err := link.Runner.Dialer().DialContext(ctx, "tcp", address)
+	conn, err := p.Dial(ctx, "tcp", address)
 	p.recordReach(ctx, runner, err)
 	if err != nil {
 		return nil, fault.At(fault.CodeUnreachable, "connect", address, fault.NotDone, err)
--- a/test/connections_test.go
+++ b/test/connections_test.go
@@ -43,10 +43,13 @@
 	return count
 }
 
+// mixedDeadline is how long the client of a mixedRequest waits.
+const mixedDeadline = 3 * time.Second
+
 // mixedRequest returns a request of one of the kinds of the default routes, which take
 // turns by number.
 func mixedRequest(number int) clientRequest {
-	c := clientRequest{ID: newID(), Deadline: 3 * time.Second}
+	c := clientRequest{ID: newID(), Deadline: mixedDeadline}
 	switch number % 4 {
 	case 0:
 		c.Path, c.Method, c.Body = "/send/x", http.MethodPost, []byte("body")
--- a/test/statements_soak_test.go
+++ b/test/statements_soak_test.go
@@ -77,7 +77,7 @@
 // they have ended.
 func startRestartingWorld(t *testing.T) *statementWorld {
 	t.Helper()
-	return startStatementWorldWith(t, statementTest{}, world.RestartPolicy{After: 700 * time.Millisecond})
+	return startStatementWorldWith(t, statementTest{}, world.RestartPolicy{After: 700 * time.Millisecond}, nil)
 }
 
 // sendOnOneConnection sends requests of all kinds to a node on a connection that it reuses,
--- a/test/statements_test.go
+++ b/test/statements_test.go
@@ -126,14 +126,14 @@
 
 func startStatementWorld(t *testing.T, test statementTest) *statementWorld {
 	t.Helper()
-	return startStatementWorldWith(t, test, world.RestartPolicy{})
+	return startStatementWorldWith(t, test, world.RestartPolicy{}, nil)
 }
 
 // startStatementWorldWith starts a statementWorld; restart determines whether and how its
-// runners are restarted.
-func startStatementWorldWith(t *testing.T, test statementTest, restart world.RestartPolicy) *statementWorld {
+// runners are restarted, and adjust, if not nil, changes the options of the world.
+func startStatementWorldWith(t *testing.T, test statementTest, restart world.RestartPolicy, adjust func(*world.Options)) *statementWorld {
 	t.Helper()
-	w := newWorld(t, nil)
+	w := newWorld(t, adjust)
 	for index := range runnersPerService {
 		zone := zones[index%len(zones)]
 		engine, mailer := engineOptions(w, fmt.Sprintf("runner-%d", index+1), zone), mailerOptions(fmt.Sprintf("mailer-%d", index+1), zone)
