Let the connection of a call between nodes be taken over

A call may ask for the connection to be used for something else, as an HTTP upgrade does. A peer that does not take part answers as to other calls, one of an older build that it knows no such call.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -66,9 +66,7 @@
 // Handle registers the handler of a method. An error that it returns is sent to the caller.
 func Handle[Request, Response any](s *Server, method string, handler func(context.Context, Request) (Response, error)) {
 	s.mux.HandleFunc("POST "+pathPrefix+method, func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(headerRegion) != "" {
-			w.Header().Set(headerRegion, string(s.region))
-		}
+		s.answerRegion(w, r)
 		var request Request
 		if err := readMessage(r.Body, r.Header.Get(headerFrom), &request); err != nil {
 			writeFailure(w, s.node, fault.From(err, method))
@@ -131,8 +129,9 @@
 
 // Client calls other nodes.
 type Client struct {
-	http *http.Client
-	node string
+	http  *http.Client
+	node  string
+	links *link.Record
 	// meter counts the traffic to other regions; it may be nil.
 	meter *traffic.Meter
 }
@@ -141,7 +140,7 @@
 // counts connections; it may be nil.
 func NewClient(node string, links *link.Record) *Client {
 	transport := link.NewTransport(link.Peer, links, maximumIdle, idlePerHost)
-	return &Client{http: &http.Client{Transport: transport}, node: node}
+	return &Client{http: &http.Client{Transport: transport}, node: node, links: links}
 }
 
 // SetMeter sets the meter that counts calls to other regions. It must be called before the first
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -103,3 +103,16 @@
 	}
 	return &countedConn{Conn: conn, count: m.count}
 }
+
+// PeerConnection returns a connection that counts all bytes exchanged over it with the peer at
+// an address. If the peer is not known to be in another region, conn is returned unchanged; a
+// nil Meter counts nothing.
+func (m *Meter) PeerConnection(address string, conn net.Conn) net.Conn {
+	if m == nil {
+		return conn
+	}
+	m.mutex.Lock()
+	region := m.peers[address]
+	m.mutex.Unlock()
+	return m.Connection(conn, region)
+}
