Reach runners through peers where a node's own path is broken

Callers of nodes that had lost their links to all runners were served 0 of 52 and 1 of 50 first tries, the others 79 of 172 and 76 of 165.

Cause: whether a runner can be reached was kept as a fact of the runner, and a node had one path to it, its own. What the lease holder did not reach was reported as silent to nodes that reach it.

A node now opens a tunnel at a peer where its own connection attempt fails or takes long. All that the pool carries goes over it unchanged, except orders. A refused connection counts as a runner's end only if peers confirm it.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -20,6 +20,7 @@
 	"lilacvane/internal/lease"
 	"lilacvane/internal/limit"
 	"lilacvane/internal/orders"
+	"lilacvane/internal/reach"
 	"lilacvane/internal/scheduler"
 	"lilacvane/internal/statement"
 	"lilacvane/internal/wait"
@@ -72,6 +73,8 @@
 	// Rules are the operators' decisions about runners and zones, as they apply to work that
 	// is meant to last: a zone that is about to be evacuated counts as out.
 	Rules eligible.Rules
+	// Reach tracks which runners this node reaches by itself; it may be nil.
+	Reach *reach.Tracker
 	// Statements holds what runners stated about themselves in answers; it may be nil.
 	Statements *statement.Registry
 	// StatementExchange exchanges what runners stated in answers with other nodes; it may be nil.
--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -50,6 +50,8 @@
 	// capacity.
 	bestSpare float64
 	standbys  []string
+	// reaching are the nodes that are not cut off from the runners.
+	reaching nodePlaces
 }
 
 type nodeReport struct {
@@ -58,6 +60,7 @@
 	region  place.Region
 	address string
 	spare   float64
+	cutOff  bool
 	waiting []wire.UnitWaiting
 	running []wire.RunnerUsage
 }
@@ -93,7 +96,7 @@
 	if !request.Report {
 		return false
 	}
-	d.reports[request.Node] = nodeReport{at: now, zone: request.Zone, region: place.Region(request.Region), address: request.Address, spare: request.Spare, waiting: request.Waiting, running: request.Running}
+	d.reports[request.Node] = nodeReport{at: now, zone: request.Zone, region: place.Region(request.Region), address: request.Address, spare: request.Spare, cutOff: request.CutOff, waiting: request.Waiting, running: request.Running}
 	return len(request.Waiting) > 0
 }
 
@@ -175,7 +178,7 @@
 // summary returns a summary of the nodes that reported recently; self is the holder.
 func (d *demandTracker) summary(self string, now time.Time) nodeSummary {
 	if now.Sub(d.lastSummary.at) >= time.Duration(d.lastSummary.count)*summaryPerNode {
-		d.lastSummary = nodeSummary{at: now, count: d.countNodes(now), bestSpare: d.bestSpare(self), standbys: d.standbys(self)}
+		d.lastSummary = nodeSummary{at: now, count: d.countNodes(now), bestSpare: d.bestSpare(self), standbys: d.standbys(self), reaching: d.reaching()}
 	}
 	return d.lastSummary
 }
--- a/internal/control/eligible.go
+++ b/internal/control/eligible.go
@@ -15,7 +15,7 @@
 	stated := c.Statements.State(runner.ID)
 	return eligible.Check(c.Rules, &eligible.Runner{
 		ID: runner.Name(), Service: runner.Service, Zone: place.Zone(runner.Zone), Region: place.Region(runner.Region),
-		Listed: true, Draining: runner.Draining || stated.Leaving, Resting: stated.Rest > 0, Permit: true,
+		Listed: true, Draining: runner.Draining || stated.Leaving, Resting: c.pauseOf(ledger, stated) > 0, Permit: true,
 	}, purpose)
 }
 
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -31,9 +31,8 @@
 		runner := describe(id, ledger, engine, running[id], now)
 		runner.Drained, runner.Out = reason == eligible.Drained, reason == eligible.ZoneOut
 		if reason == eligible.Resting {
-			// A resting runner must not get orders until its rest ends, so loads go elsewhere or
-			// wait.
-			runner.BusyFor, runner.Idle, runner.Ready = max(runner.BusyFor, c.Statements.State(id).Rest), false, false
+			// The runner must not get orders until its pause ends, so loads go elsewhere or wait.
+			runner.BusyFor, runner.Idle, runner.Ready = max(runner.BusyFor, c.pauseOf(ledger, c.Statements.State(id))), false, false
 		}
 		state.Runners = append(state.Runners, runner)
 	}
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -95,6 +95,7 @@
 	}
 	if request.Report {
 		response.Standbys, response.LoadCrashes = nodes.standbys, c.loadCrashCounts(now)
+		response.TunnelPeers = nodes.reaching.tunnelPeers(request)
 	}
 	known := request.Version
 	if request.Token != c.token {
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -73,6 +73,9 @@
 	// BestSpare is the largest fraction of a holder's desired capacity that any of them has,
 	// except the holder itself.
 	BestSpare float64
+	// TunnelPeers are addresses of nodes through which runners may be reached; empty if the answer
+	// did not contain any.
+	TunnelPeers []string
 	// Standbys are addresses of the nodes that turn to the store first when a holder is lost;
 	// empty if the answer did not contain them.
 	Standbys []string
@@ -253,6 +256,7 @@
 	request.Service, request.Node, request.Partial = s.service, s.self.Node, !s.fleet.Complete()
 	if request.Report {
 		request.Zone, request.Region, request.Address = s.self.Zone, s.self.Region, s.self.Address
+		request.CutOff = s.controller.Reach.CutOff()
 	}
 	s.mutex.Lock()
 	request.Token, request.Version = s.token, s.version
@@ -347,7 +351,7 @@
 	}
 	s.token, s.version = response.Token, response.Version
 	s.nodeCount = response.Nodes
-	s.observe(Observed{Nodes: response.Nodes, BestSpare: response.BestSpare, Standbys: response.Standbys})
+	s.observe(Observed{Nodes: response.Nodes, BestSpare: response.BestSpare, Standbys: response.Standbys, TunnelPeers: response.TunnelPeers})
 	s.controller.LearnStore(weightstore.Estimate{Limit: response.StoreLimit, Capacity: response.StoreCapacity})
 	views := make([]fleet.View, 0, len(response.Runners))
 	for _, runner := range response.Runners {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -241,6 +241,7 @@
 		return j.noAnswerResult(ctx, err)
 	}
 	defer answer.Close()
+	j.outcome.Via = answer.Via
 	j.recordLoad(choice.Runner.ID, answer.Header)
 	if answer.NotRun {
 		return j.notRun(choice, answer)
@@ -321,7 +322,7 @@
 	names := j.dispatcher.Headers
 	header.Set(names.RequestID, j.request.ID)
 	header.Set(names.ExpectRunner, choice.Runner.Name())
-	header.Set(names.Deadline, strconv.FormatInt(max(j.clientTimeLeft().Milliseconds(), 1), 10))
+	header.Set(names.Deadline, j.formatTimeLeft())
 	j.setTenantHeader(header)
 	if j.engine {
 		header.Set(names.Urgency, strconv.Itoa(min(j.priority(), lowestUrgency)))
@@ -339,6 +340,8 @@
 			if j.dispatcher.AwaitPendingReads != nil {
 				j.dispatcher.AwaitPendingReads()
 			}
+			// Connecting took a part of the time.
+			header.Set(names.Deadline, j.formatTimeLeft())
 			if j.dispatcher.Fleet.Allowed(choice, query) {
 				return nil
 			}
@@ -350,6 +353,12 @@
 // lowestUrgency is the last of the ten urgencies of engines.
 const lowestUrgency = 9
 
+// formatTimeLeft returns the time that the client will still wait as runners read it, in
+// milliseconds.
+func (j *job) formatTimeLeft() string {
+	return strconv.FormatInt(max(j.clientTimeLeft().Milliseconds(), 1), 10)
+}
+
 // clientTimeLeft returns how long the client will still wait.
 func (j *job) clientTimeLeft() time.Duration {
 	if j.request.Patience == 0 {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -77,7 +77,10 @@
 	Step   string
 	Reason string
 	Runner string
-	Route  string
+	// Via is the address of the peer through which the last runner that answered was reached;
+	// empty if directly.
+	Via   string
+	Route string
 	// Attempts counts the runners it was sent to, Resumes those that continued it.
 	Attempts int
 	Resumes  int
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -154,13 +154,34 @@
 	})
 }
 
-// RelaxAckTimeout makes a connection tolerate lost probes once its own bytes are sent.
-// RestoreAckTimeout limits again how long bytes may stay unacknowledged. Neither has an effect on
-// closed connections or on those that are not TCP.
-func RelaxAckTimeout(conn net.Conn) { setAckTimeout(conn, ackTimeout) }
+// SendBound bounds how long the bytes of a request to a runner may stay unacknowledged. The
+// bound is relaxed after RunnerAckTimeout, when the request must have arrived: from then on only
+// probes are sent, and some of these may get lost. It is used by one goroutine, for one
+// connection.
+type SendBound struct {
+	timer *time.Timer
+	// relaxed is set if the bound was relaxed during the last exchange.
+	relaxed bool
+}
+
+// Start bounds the bytes that are about to be sent over a connection. It has no effect on a
+// connection that is not TCP.
+func (s *SendBound) Start(conn net.Conn) {
+	if s.relaxed {
+		setAckTimeout(conn, RunnerAckTimeout)
+	}
+	s.timer = time.AfterFunc(RunnerAckTimeout, func() { setAckTimeout(conn, ackTimeout) })
+}
 
-// RestoreAckTimeout undoes RelaxAckTimeout.
-func RestoreAckTimeout(conn net.Conn) { setAckTimeout(conn, RunnerAckTimeout) }
+// Relaxed reports whether the bound was relaxed during the last exchange.
+func (s *SendBound) Relaxed() bool { return s.relaxed }
+
+// Stop ends the exchange that Start began.
+func (s *SendBound) Stop() {
+	if s.timer != nil {
+		s.relaxed = !s.timer.Stop()
+	}
+}
 
 func setAckTimeout(conn net.Conn, limit time.Duration) {
 	control, ok := conn.(syscall.Conn)
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -59,7 +59,7 @@
 	assert.Assert(t, ackTimeout > probeIdle+probeInterval)
 }
 
-// TestRelaxedAckTimeoutIsRestored checks that a connection waiting for an answer has the longer
+// TestRelaxedAckTimeoutIsRestored checks that a connection waiting for an answer gets the longer
 // timeout until it sends again, and that closed connections are ignored.
 func TestRelaxedAckTimeoutIsRestored(t *testing.T) {
 	listener, err := Peer.Listen(t.Context(), "127.0.0.1:0")
@@ -67,14 +67,23 @@
 	defer listener.Close()
 	conn, err := Runner.Dialer().DialContext(t.Context(), "tcp", listener.Addr().String())
 	assert.NilError(t, err)
-	RelaxAckTimeout(conn)
-	assert.Equal(t, option(t, conn, syscall.IPPROTO_TCP, tcpUserTimeout), int(ackTimeout.Milliseconds()))
-	RestoreAckTimeout(conn)
-	assert.Equal(t, option(t, conn, syscall.IPPROTO_TCP, tcpUserTimeout), int(RunnerAckTimeout.Milliseconds()))
+	timeout := func() int { return option(t, conn, syscall.IPPROTO_TCP, tcpUserTimeout) }
+	var bound SendBound
+	bound.Start(conn)
+	assert.Equal(t, timeout(), int(RunnerAckTimeout.Milliseconds()))
+	for timeout() != int(ackTimeout.Milliseconds()) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	bound.Stop()
+	assert.Assert(t, bound.Relaxed())
+	bound.Start(conn)
+	assert.Equal(t, timeout(), int(RunnerAckTimeout.Milliseconds()))
+	bound.Stop()
+	assert.Assert(t, !bound.Relaxed())
 	assert.NilError(t, conn.Close())
-	RelaxAckTimeout(conn)
+	setAckTimeout(conn, ackTimeout)
 	near, far := net.Pipe()
-	RelaxAckTimeout(near)
+	setAckTimeout(near, ackTimeout)
 	assert.NilError(t, near.Close())
 	assert.NilError(t, far.Close())
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -34,6 +34,8 @@
 	ConfigurationAge func() (age time.Duration, known bool)
 	// Reach returns how many runners the node reaches.
 	Reach func() reach.Figures
+	// Carried is the number of connections to runners that the node carries for others.
+	Carried func() int
 	// Resting is the number of runners that asked the node to send nothing for a while.
 	Resting func() int
 	// Quarantined is the number of request contents that are not run because runners ended under
@@ -142,6 +144,8 @@
 	age("lilacvane_configuration_age_seconds", "the configuration", sources.ConfigurationAge)
 	count("lilacvane_runners_reached", "Runners that this node connected to lately.", func() int { return sources.Reach().Reached })
 	count("lilacvane_runners_unreached", "Runners that this node last failed to connect to.", func() int { return sources.Reach().Unreached })
+	count("lilacvane_runners_through_peers", "Runners that this node reaches through peers only.", func() int { return sources.Reach().Broken })
+	count("lilacvane_tunnels_carried", "Connections to runners that this node carries for others.", sources.Carried)
 	count("lilacvane_runners_resting", "Runners that want nothing from this node for a while.", sources.Resting)
 	count("lilacvane_requests_quarantined", "Contents of requests that are not run as runners ended under them.", sources.Quarantined)
 	count("lilacvane_zones_out", "Zones that operators took out.", sources.ZonesOut)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -17,6 +17,7 @@
 		Runners: n.fleet.Count, RunnersByState: n.runnersByState, Partial: func() bool { return !n.fleet.Complete() },
 		ListAge: n.listAge, ConfigurationAge: n.configurationAge,
 		Reach:       func() reach.Figures { return n.reach.Figures() },
+		Carried:     func() int { return n.tunnels.Count() },
 		Resting:     func() int { return n.statements.CountResting() },
 		Quarantined: func() int { return n.quarantine.CountRefused() },
 		ZonesOut:    func() int { return n.zones.table.Load().CountOut() },
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,7 @@
 	"lilacvane/internal/statement"
 	"lilacvane/internal/table"
 	"lilacvane/internal/traffic"
+	"lilacvane/internal/tunnel"
 	"lilacvane/internal/upstream"
 	"lilacvane/internal/wire"
 )
@@ -105,6 +106,8 @@
 	pool          *upstream.Pool
 	statements    *statement.Registry
 	reach         *reach.Tracker
+	tunnels       *tunnel.Server
+	tunnelDialer  *tunnel.Dialer
 	demand        *demand.Tracker
 	dispatcher    *dispatch.Dispatcher
 	crashes       *crash.Detector
@@ -151,7 +154,7 @@
 	}
 	n.settings.Store(&s)
 	n.initStatements()
-	n.reach = reach.New(clock.Now, log.Logger)
+	n.reach = reach.New(time.Now, log.Logger)
 	n.pool.Reach = n.reach
 	n.zones = newZones(n)
 	n.initLinks()
@@ -192,6 +195,7 @@
 		Group: relayGroup(s), Node: s.Node, Leases: platform.Leases, Address: s.Listen.PeerAddress(), Process: n.process,
 		Client: n.client, TakeoverDelay: n.takeoverDelay, FirstStart: s.Relay.FirstStart, Log: log.Logger,
 	})
+	n.initPaths()
 	peer.Handle(n.peers, wire.MethodFollow, n.relay.Follow)
 	peer.Handle(n.peers, wire.MethodRelay, n.relay.ReportUpstream)
 	n.followers = newFollowers(n)
@@ -260,6 +264,7 @@
 	work.Go(func() { n.limits.run(background) })
 	work.Go(func() { n.cold.run(background) })
 	work.Go(func() { n.quarantine.Run(background) })
+	work.Go(func() { n.pool.RetryBrokenPaths(background) })
 	n.serve(open)
 	<-ctx.Done()
 	n.stop(s.Stop)
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -72,12 +72,20 @@
 func describeResult(o dispatch.Outcome) string {
 	switch o.Result {
 	case dispatch.ResultServed, dispatch.ResultPassed:
-		return o.Result + " by runner " + o.Runner + ", waited " + o.Waited.Round(time.Millisecond).String() + ", first part after " + o.First.Round(time.Millisecond).String()
+		return o.Result + " by runner " + o.Runner + describeVia(o) + ", waited " + o.Waited.Round(time.Millisecond).String() + ", first part after " + o.First.Round(time.Millisecond).String()
 	default:
 		return o.Result + ": " + o.Reason
 	}
 }
 
+// describeVia names the peer through which a request's runner was reached.
+func describeVia(o dispatch.Outcome) string {
+	if o.Via == "" {
+		return ""
+	}
+	return " through node " + o.Via
+}
+
 // Commit commits an operation and applies it to this node.
 func (n *Node) Commit(ctx context.Context, operation commit.Operation) (commit.Result, error) {
 	result, err := n.committer.Apply(ctx, operation)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -69,14 +69,15 @@
 	n.stopping.Store(true)
 	n.ingress.DisableKeepAlives()
 	n.log.Info("node stopping", "active", n.ingress.Active(), "graceMs", limits.Grace.Milliseconds())
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(limits.Grace-stopMargin))
+	defer cancel()
+	var ends sync.WaitGroup
+	ends.Go(func() { n.tunnels.Shutdown(ctx) })
 	n.releaseLeases()
 	time.Sleep(limits.Notice - time.Since(start))
 	n.refusing.Store(true)
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(limits.Grace-stopMargin))
-	defer cancel()
 	timer := time.AfterFunc(time.Until(start.Add(limits.Grace-stopMargin-answerMargin)), n.close)
 	defer timer.Stop()
-	var ends sync.WaitGroup
 	ends.Go(func() { n.ingress.Shutdown(ctx) })
 	ends.Go(func() {
 		if err := n.operator.Shutdown(ctx); err != nil {
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -20,14 +20,14 @@
 // reached, and runners that nobody tries are forgotten.
 func TestFiguresFollowAttempts(t *testing.T) {
 	tracker, now := testTracker()
-	tracker.Connected("a")
-	tracker.Failed("b", errTest)
-	tracker.Failed("c", errTest)
+	tracker.Connected(Runner{Name: "a"})
+	tracker.Failed(Runner{Name: "b"}, errTest)
+	tracker.Failed(Runner{Name: "c"}, errTest)
 	assert.DeepEqual(t, tracker.Figures(), Figures{Reached: 1, Unreached: 2})
-	tracker.Connected("c")
+	tracker.Connected(Runner{Name: "c"})
 	assert.DeepEqual(t, tracker.Figures(), Figures{Reached: 2, Unreached: 1})
 	*now = now.Add(pathLifetime)
-	tracker.Connected("a")
+	tracker.Connected(Runner{Name: "a"})
 	*now = now.Add(time.Second)
 	assert.DeepEqual(t, tracker.Figures(), Figures{Reached: 1})
 }
@@ -35,7 +35,106 @@
 // TestNilTrackerTracksNothing: a pool without a tracker works.
 func TestNilTrackerTracksNothing(t *testing.T) {
 	var tracker *Tracker
-	tracker.Connected("a")
-	tracker.Failed("a", errTest)
+	tracker.Connected(Runner{Name: "a"})
+	tracker.Failed(Runner{Name: "a"}, errTest)
 	assert.DeepEqual(t, tracker.Figures(), Figures{})
 }
+
+// TestPathIsBrokenWhereOnlyPeersReach: a failed attempt alone does not make a path broken, nor
+// one that peers share; a peer's success beside it does, until the node connects again.
+func TestPathIsBrokenWhereOnlyPeersReach(t *testing.T) {
+	tracker, now := testTracker()
+	r := Runner{Name: "a", Address: "10.0.0.1:1"}
+	assert.Equal(t, tracker.Way(r), Direct)
+	tracker.Failed(r, errTest)
+	assert.Equal(t, tracker.Way(r), Either)
+	tracker.PeersFailed(r)
+	assert.Equal(t, tracker.Way(r), Alone)
+	*now = now.Add(peersFailedLifetime)
+	assert.Equal(t, tracker.Way(r), Either)
+	tracker.PeerConnected(r)
+	assert.Equal(t, tracker.Way(r), ViaPeer)
+	since, broken := tracker.BrokenSince("a")
+	assert.Assert(t, broken && since.Equal(now.Add(-peersFailedLifetime)))
+	tracker.Connected(r)
+	assert.Equal(t, tracker.Way(r), Direct)
+	*now = now.Add(2 * peerReachedLifetime)
+	tracker.Failed(r, errTest)
+	assert.Equal(t, tracker.Way(r), Either, "the peer's success is older than the failure")
+}
+
+// TestOneSilentRunnerIsNoCut: a runner that is silent for everyone, for a while, does not make
+// the node count as cut off, and neither do several that peers do not reach.
+func TestOneSilentRunnerIsNoCut(t *testing.T) {
+	tracker, _ := testTracker()
+	for _, name := range []string{"a", "b", "c"} {
+		tracker.Failed(Runner{Name: name}, errTest)
+		tracker.PeersFailed(Runner{Name: name})
+	}
+	assert.Assert(t, !tracker.CutOff())
+	tracker.Failed(Runner{Name: "d"}, errTest)
+	tracker.PeerConnected(Runner{Name: "d"})
+	assert.Assert(t, !tracker.CutOff(), "one broken path")
+}
+
+// TestCutOffIsMostOfThePaths: the node counts as cut off while most of the paths that it tried
+// lately are broken.
+func TestCutOffIsMostOfThePaths(t *testing.T) {
+	tracker, now := testTracker()
+	breakPath := func(name string) {
+		tracker.Failed(Runner{Name: name}, errTest)
+		tracker.PeerConnected(Runner{Name: name})
+	}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		tracker.Connected(Runner{Name: name})
+	}
+	breakPath("a")
+	breakPath("b")
+	assert.Assert(t, !tracker.CutOff(), "as many paths work")
+	breakPath("c")
+	assert.Assert(t, tracker.CutOff())
+	assert.Equal(t, tracker.Way(Runner{Name: "new"}), Either)
+	*now = now.Add(recently)
+	assert.Equal(t, tracker.Way(Runner{Name: "d"}), Either, "d worked before the others were lost")
+	tracker.Connected(Runner{Name: "b"})
+	tracker.Connected(Runner{Name: "c"})
+	assert.Assert(t, !tracker.CutOff())
+}
+
+// TestBrokenPathsInUseAreRetried: a few at a time, not again at once, and only those in use. A
+// success makes the others due soon.
+func TestBrokenPathsInUseAreRetried(t *testing.T) {
+	tracker, now := testTracker()
+	for _, name := range []string{"a", "b", "c", "d"} {
+		r := Runner{Name: name, Address: name + ":1"}
+		tracker.Way(r)
+		tracker.Failed(r, errTest)
+		tracker.PeerConnected(r)
+	}
+	assert.Equal(t, len(tracker.TakeDue(4)), 0)
+	*now = now.Add(2 * retryInterval)
+	first := tracker.TakeDue(3)
+	assert.Equal(t, len(first), 3)
+	assert.Equal(t, len(tracker.TakeDue(3)), 1)
+	assert.Equal(t, len(tracker.TakeDue(3)), 0)
+	tracker.Connected(first[0])
+	*now = now.Add(retryInterval)
+	assert.Equal(t, len(tracker.TakeDue(4)), 3)
+	*now = now.Add(retriedAfterUse)
+	assert.Equal(t, len(tracker.TakeDue(4)), 0)
+}
+
+// TestChecksAreRare: a path is checked once a while, and not while a connection to its runner
+// was just made.
+func TestChecksAreRare(t *testing.T) {
+	tracker, now := testTracker()
+	r := Runner{Name: "a"}
+	tracker.Connected(r)
+	assert.Assert(t, !tracker.BeginCheck(r))
+	*now = now.Add(checkInterval)
+	assert.Assert(t, tracker.BeginCheck(r))
+	assert.Assert(t, !tracker.BeginCheck(r))
+	*now = now.Add(checkInterval)
+	tracker.Failed(r, errTest)
+	assert.Assert(t, tracker.BeginCheck(r))
+}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -52,6 +52,9 @@
 	}
 }
 
+// Peers returns the addresses of some other nodes.
+func (r *Relay) Peers() []string { return r.samplePeers(maxPeers) }
+
 // samplePeers returns up to count known addresses at random.
 func (r *Relay) samplePeers(count int) []string {
 	r.mu.Lock()
--- /dev/null
+++ b/internal/upstream/dial.go
@@ -0,0 +1,263 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+
+	"lilacvane/internal/fault"
+	"lilacvane/internal/link"
+	"lilacvane/internal/reach"
+	"lilacvane/internal/tunnel"
+)
+
+const (
+	// fallbackDelay is how long a direct connection attempt may take until a peer is asked as
+	// well: longer than one between regions takes.
+	fallbackDelay = 200 * time.Millisecond
+	// retriesPerRound bounds the attempts on broken paths that begin together, retryRound is the
+	// time between two rounds.
+	retriesPerRound = 8
+	retryRound      = 100 * time.Millisecond
+	// checkDelay is how long a request on a connection that had been idle may go without an answer
+	// until the path to its runner is checked, checkTimeout bounds the check.
+	checkDelay   = 250 * time.Millisecond
+	checkTimeout = 2 * time.Second
+)
+
+// connect opens a connection for a call.
+func (p *Pool) connect(ctx context.Context, call Call) (*connection, error) {
+	runner := reach.Runner{Name: call.Runner, Address: call.Address}
+	if !call.Direct && p.Tunnels != nil {
+		return p.connectAnyWay(ctx, runner)
+	}
+	conn, err := p.dial(ctx, runner)
+	if err != nil {
+		go p.Check(runner)
+	}
+	return conn, err
+}
+
+// connectAnyWay opens a connection to a runner, directly or through a peer, in the way that is
+// expected to work.
+func (p *Pool) connectAnyWay(ctx context.Context, runner reach.Runner) (*connection, error) {
+	switch p.Reach.Way(runner) {
+	case reach.Alone:
+		return p.dial(ctx, runner)
+	case reach.ViaPeer:
+		conn, peerErr := p.dialPeer(ctx, runner)
+		if peerErr == nil || ctx.Err() != nil {
+			return conn, peerErr
+		}
+		// The path may work again.
+		conn, err := p.dial(ctx, runner)
+		if err != nil {
+			return nil, conclude(runner, err, peerErr)
+		}
+		return conn, nil
+	case reach.Either:
+		return p.race(ctx, runner, 0)
+	default:
+		return p.race(ctx, runner, fallbackDelay)
+	}
+}
+
+// dialing is the outcome of a connection attempt.
+type dialing struct {
+	conn *connection
+	err  error
+}
+
+// race connects directly and, once that has failed or taken delay, through a peer as well, and
+// returns the connection that is there first. The direct attempt goes on, as its outcome shows
+// whether the path is broken, and its connection is kept for the next call.
+func (p *Pool) race(ctx context.Context, runner reach.Runner, delay time.Duration) (*connection, error) {
+	peerCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	direct := p.dialAside(context.WithoutCancel(ctx), runner)
+	var peer <-chan dialing
+	var directErr, peerErr error
+	for directErr == nil || peerErr == nil {
+		select {
+		case <-ctx.Done():
+			p.keep(runner, direct)
+			p.keep(runner, peer)
+			return nil, fault.At(fault.CodeUnreachable, "connect", runner.Address, fault.NotDone, context.Cause(ctx))
+		case result := <-direct:
+			if result.err == nil {
+				p.keep(runner, peer)
+				return result.conn, nil
+			}
+			direct, directErr = nil, result.err
+			timer.Reset(0)
+		case <-timer.C:
+			if peer == nil && peerErr == nil {
+				peer = p.dialPeerAside(peerCtx, runner)
+			}
+		case result := <-peer:
+			if result.err == nil {
+				p.keep(runner, direct)
+				return result.conn, nil
+			}
+			peer, peerErr = nil, result.err
+		}
+	}
+	return nil, conclude(runner, directErr, peerErr)
+}
+
+// dialAside connects to a runner directly and sends the outcome.
+func (p *Pool) dialAside(ctx context.Context, runner reach.Runner) <-chan dialing {
+	outcome := make(chan dialing, 1)
+	go func() {
+		conn, err := p.dial(ctx, runner)
+		outcome <- dialing{conn: conn, err: err}
+	}()
+	return outcome
+}
+
+// dialPeerAside connects to a runner through a peer and sends the outcome.
+func (p *Pool) dialPeerAside(ctx context.Context, runner reach.Runner) <-chan dialing {
+	outcome := make(chan dialing, 1)
+	go func() {
+		conn, err := p.dialPeer(ctx, runner)
+		outcome <- dialing{conn: conn, err: err}
+	}()
+	return outcome
+}
+
+// keep keeps the connection of an attempt that is not needed now for the next call.
+func (p *Pool) keep(runner reach.Runner, pending <-chan dialing) {
+	if pending == nil {
+		return
+	}
+	go func() {
+		if result := <-pending; result.conn != nil {
+			p.returnUnused(runner.Name, result.conn)
+		}
+	}()
+}
+
+// dial connects to a runner directly.
+func (p *Pool) dial(ctx context.Context, runner reach.Runner) (*connection, error) {
+	conn, err := p.Dial(ctx, "tcp", runner.Address)
+	p.recordReach(ctx, runner, err)
+	if err != nil {
+		return nil, fault.At(fault.CodeUnreachable, "connect", runner.Address, fault.NotDone, err)
+	}
+	p.Links.Dialed(link.Runner)
+	if p.Wrap != nil {
+		conn = p.Wrap(runner.Name, conn)
+	}
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize), acquired: time.Now()}, nil
+}
+
+// recordReach records the outcome of a direct connection attempt. One that its caller ended says
+// nothing.
+func (p *Pool) recordReach(ctx context.Context, runner reach.Runner, err error) {
+	switch {
+	case runner.Name == "":
+	case err == nil:
+		p.Reach.Connected(runner)
+	case ctx.Err() == nil:
+		p.Reach.Failed(runner, err)
+	}
+}
+
+// dialPeer connects to a runner through a peer.
+func (p *Pool) dialPeer(ctx context.Context, runner reach.Runner) (*connection, error) {
+	conn, err := p.Tunnels.Dial(ctx, runner.Name, runner.Address)
+	var unreached *tunnel.UnreachedError
+	switch {
+	case runner.Name == "":
+	case err == nil:
+		p.Reach.PeerConnected(runner)
+	case errors.As(err, &unreached):
+		p.Reach.PeersFailed(runner)
+	}
+	if err != nil {
+		return nil, fault.At(fault.CodeUnreachable, "connect through a peer", runner.Address, fault.NotDone, err)
+	}
+	return &connection{Conn: conn, tunnel: conn, reader: bufio.NewReaderSize(conn, bufferSize), acquired: time.Now()}, nil
+}
+
+// conclude returns the error of a runner that is reached neither directly nor through peers. That
+// its address refuses connections only counts if peers say the same, or if there are none: a broken
+// path may refuse them as well.
+func conclude(runner reach.Runner, directErr, peerErr error) error {
+	var unreached *tunnel.UnreachedError
+	confirmed := errors.As(peerErr, &unreached) && unreached.Refused || errors.Is(peerErr, tunnel.ErrNoPeer)
+	if confirmed || !errors.Is(directErr, syscall.ECONNREFUSED) {
+		return directErr
+	}
+	return fault.At(fault.CodeUnreachable, "connect", runner.Address, fault.NotDone, fmt.Errorf("%s; not confirmed: %w", directErr.Error(), peerErr))
+}
+
+// Connect opens a connection to an address and closes it, to find out whether anything listens
+// there. Its error is that of the dialer if peers confirm it.
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	runner := reach.Runner{Address: address}
+	conn, err := p.dial(ctx, runner)
+	if err != nil && p.Tunnels != nil {
+		var peerErr error
+		if conn, peerErr = p.dialPeer(ctx, runner); peerErr != nil {
+			return conclude(runner, err, peerErr)
+		}
+	} else if err != nil {
+		return err
+	}
+	if err := conn.Close(); err != nil {
+		return fault.At(fault.CodeUnreachable, "close connection", address, fault.NotDone, err)
+	}
+	return nil
+}
+
+// DialRunner opens a direct connection to a runner for a peer.
+func (p *Pool) DialRunner(ctx context.Context, name, address string) (net.Conn, error) {
+	conn, err := p.dial(ctx, reach.Runner{Name: name, Address: address})
+	if err != nil {
+		return nil, err
+	}
+	return conn.Conn, nil
+}
+
+// checkLater returns a timer that, unless it is stopped, checks the path to the runner of a request
+// that was sent on a connection that had been idle: that it had answered before says nothing of the
+// path now.
+func (p *Pool) checkLater(call Call) *time.Timer {
+	return time.AfterFunc(checkDelay, func() { p.Check(reach.Runner{Name: call.Runner, Address: call.Address}) })
+}
+
+// Check finds out whether the path to a runner works, unless that is known.
+func (p *Pool) Check(runner reach.Runner) {
+	if p.Tunnels == nil || !p.Reach.BeginCheck(runner) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	conn, err := p.connectAnyWay(ctx, runner)
+	if err == nil {
+		p.returnUnused(runner.Name, conn)
+	}
+}
+
+// RetryBrokenPaths tries broken paths to runners again until ctx ends.
+func (p *Pool) RetryBrokenPaths(ctx context.Context) {
+	ticker := time.NewTicker(retryRound)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, runner := range p.Reach.TakeDue(retriesPerRound) {
+			p.keep(runner, p.dialAside(ctx, runner))
+		}
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -14,6 +14,7 @@
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/statement"
+	"lilacvane/internal/tunnel"
 )
 
 const (
@@ -48,6 +49,8 @@
 	// Proved requires a connection that is known to work, for a request that cannot be sent again
 	// if nothing comes back: a new one, or one whose last answer ended within link.TrustedIdle.
 	Proved bool
+	// Direct allows only a connection of this node itself: orders of a service come from one machine.
+	Direct bool
 	// Admit is called once there is a connection, right before the request is written; an error
 	// ends the call. It may be nil, then the request is sent in any case.
 	Admit func() error
@@ -62,6 +65,8 @@
 	NotRun bool
 	// Length is the body's length, or -1.
 	Length int64
+	// Via is the address of the peer through which the runner was reached; empty if directly.
+	Via string
 
 	body     io.ReadCloser
 	conn     *connection
@@ -97,7 +102,11 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { conn.expire(context.Cause(ctx)) })
-	conn.startSend()
+	if !conn.idleSince.IsZero() && conn.tunnel == nil {
+		check := p.checkLater(call)
+		defer check.Stop()
+	}
+	conn.beginExchange(call.RequestID)
 	written, err := send(conn, call)
 	if err != nil {
 		return nil, p.failed(ctx, conn, stop, "send request", call, err)
@@ -106,14 +115,14 @@
 	if err != nil {
 		return nil, p.failed(ctx, conn, stop, "read answer", call, err)
 	}
-	if !conn.idleSince.IsZero() {
+	if !conn.idleSince.IsZero() && conn.tunnel == nil {
 		p.trust.Answered(conn.idleSince)
 	}
 	p.Statements.ReadHeader(statement.Source{Runner: call.Incarnation, Request: call.RequestID}, response.StatusCode, response.Header)
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		NotRun: response.Header.Get(p.names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest,
-		body:   response.Body, conn: conn, pool: p, runner: call.Runner, address: call.Address, written: written, stop: stop, ctx: ctx, lastRead: time.Now(),
+		Via:    conn.via(), body: response.Body, conn: conn, pool: p, runner: call.Runner, address: call.Address, written: written, stop: stop, ctx: ctx, lastRead: time.Now(),
 		reusable: !response.Close && framed(response),
 	}, nil
 }
@@ -122,6 +131,10 @@
 func (p *Pool) failed(ctx context.Context, conn *connection, stop func() bool, step string, call Call, cause error) error {
 	stop()
 	conn.discard()
+	if errors.Is(cause, tunnel.ErrRefused) {
+		return fault.At(fault.CodeUnreachable, step, call.Address, fault.NotDone, conn.describe(cause))
+	}
+	cause = conn.describe(cause)
 	p.checkSilence(ctx, conn, step, call.Runner, conn.reusedSince(), cause)
 	if !conn.idleSince.IsZero() {
 		cause = &idleError{cause: cause}
@@ -255,7 +268,10 @@
 		a.conn.discard()
 		return
 	}
-	a.conn.endExchange()
+	if !a.conn.endExchange() {
+		a.conn.discard()
+		return
+	}
 	a.pool.release(a.runner, a.conn, keepAliveTime(a.Header))
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,14 +7,15 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
-	"lilacvane/internal/fault"
 	"lilacvane/internal/link"
 	"lilacvane/internal/reach"
 	"lilacvane/internal/statement"
+	"lilacvane/internal/tunnel"
 )
 
 const (
@@ -36,9 +37,10 @@
 	// Statements receives the heads of all answers; it may be nil, and is set before the pool is
 	// used.
 	Statements *statement.Registry
-	// Reach receives the outcome of each connection attempt; it may be nil, and is set before the
-	// pool is used.
-	Reach *reach.Tracker
+	// Reach tracks the paths to runners, Tunnels connects to runners through peers. Both may be nil,
+	// and are set before the pool is used.
+	Reach   *reach.Tracker
+	Tunnels *tunnel.Dialer
 	// Dial connects to runners; NewPool sets it to the dialer of link.Runner.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Wrap wraps each new connection to a runner; nil for none.
@@ -56,6 +58,8 @@
 // connection is one connection to a runner, used for one request at a time.
 type connection struct {
 	net.Conn
+	// tunnel is Conn if that leads through a peer; nil for a direct one.
+	tunnel *tunnel.Conn
 	reader *bufio.Reader
 	// served counts the answers read from it.
 	served int
@@ -65,10 +69,8 @@
 	idleSince time.Time
 	// idleUntil is when it may no longer be reused.
 	idleUntil time.Time
-	// sendTimer fires once the bytes of a request must have been acknowledged; sendTimedOut is set
-	// when it did during the last exchange.
-	sendTimer    *time.Timer
-	sendTimedOut bool
+	// send bounds how long the bytes of a request may stay unacknowledged.
+	send link.SendBound
 }
 
 // NewPool returns an empty pool.
@@ -79,15 +81,15 @@
 // acquire returns an idle connection that is still usable, or a new one.
 func (p *Pool) acquire(ctx context.Context, call Call) (*connection, error) {
 	if call.Fresh {
-		return p.dial(ctx, call.Runner, call.Address)
+		return p.connect(ctx, call)
 	}
 	for {
-		conn := p.popIdle(call.Runner)
+		conn := p.popIdle(call.Runner, call.Direct)
 		if conn == nil {
-			return p.dial(ctx, call.Runner, call.Address)
+			return p.connect(ctx, call)
 		}
 		now := time.Now()
-		reason, ended := p.unusable(conn, now, call.Proved)
+		reason, ended := p.unusable(conn, now, call)
 		if !ended {
 			conn.acquired = now
 			return conn, nil
@@ -96,15 +98,22 @@
 		p.Links.Drop(link.Runner, reason, 1)
 		if reason == link.Unproved {
 			// The others have been idle for longer. They are kept for calls that may be sent again.
-			return p.dial(ctx, call.Runner, call.Address)
+			return p.connect(ctx, call)
 		}
 	}
 }
 
-// unusable reports whether an idle connection cannot be used again, and why; proved is set for a
-// call that requires one that is known to work.
-func (p *Pool) unusable(conn *connection, now time.Time, proved bool) (link.Reason, bool) {
+// unusable reports whether an idle connection cannot be used for a call, and why. While the path to
+// the runner is broken, a direct connection must have answered since; once it works, none through a
+// peer is used.
+func (p *Pool) unusable(conn *connection, now time.Time, call Call) (link.Reason, bool) {
+	brokenSince, broken := p.Reach.BrokenSince(call.Runner)
+	proved := call.Proved
 	switch {
+	case conn.tunnel != nil && !broken:
+		return link.Spare, true
+	case conn.tunnel == nil && broken && conn.idleSince.Before(brokenSince):
+		return link.Distrusted, true
 	case !now.Before(conn.idleUntil):
 		return link.Expired, true
 	case !quiescent(conn.Conn):
@@ -116,17 +125,19 @@
 	}
 }
 
-// popIdle takes the connection to a runner that became idle last; nil for none.
-func (p *Pool) popIdle(runner string) *connection {
+// popIdle takes the connection to a runner that became idle last; nil for none. direct takes none
+// through a peer.
+func (p *Pool) popIdle(runner string, direct bool) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	idle := p.idle[runner]
-	if len(idle) == 0 {
-		return nil
+	for at := len(idle) - 1; at >= 0; at-- {
+		if last := idle[at]; last.tunnel == nil || !direct {
+			p.setIdle(runner, slices.Delete(idle, at, at+1))
+			return last
+		}
 	}
-	last := idle[len(idle)-1]
-	p.setIdle(runner, idle[:len(idle)-1])
-	return last
+	return nil
 }
 
 // release keeps a connection idle for at most the time that the runner gave.
@@ -198,48 +209,12 @@
 	}
 }
 
-// dial opens a connection to a runner.
-func (p *Pool) dial(ctx context.Context, runner, address string) (*connection, error) {
-	conn, err := p.Dial(ctx, "tcp", address)
-	p.recordReach(ctx, runner, err)
-	if err != nil {
-		return nil, fault.At(fault.CodeUnreachable, "connect", address, fault.NotDone, err)
-	}
-	p.Links.Dialed(link.Runner)
-	if p.Wrap != nil {
-		conn = p.Wrap(runner, conn)
-	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize), acquired: time.Now()}, nil
-}
-
-// recordReach records the outcome of a connection attempt. One that its caller ended says
-// nothing.
-func (p *Pool) recordReach(ctx context.Context, runner string, err error) {
-	switch {
-	case runner == "":
-	case err == nil:
-		p.Reach.Connected(runner)
-	case ctx.Err() == nil:
-		p.Reach.Failed(runner, err)
-	}
-}
-
-// Connect opens a connection to an address and closes it, to find out whether anything listens
-// there. Its error is that of the dialer.
-func (p *Pool) Connect(ctx context.Context, address string) error {
-	conn, err := p.dial(ctx, "", address)
-	if err != nil {
-		return err
-	}
-	if err := conn.Close(); err != nil {
-		return fault.At(fault.CodeUnreachable, "close connection", address, fault.NotDone, err)
-	}
-	return nil
-}
-
 // quiescent reports whether an idle connection is open and has no bytes to read: any that arrived
 // belong to no request.
 func quiescent(conn net.Conn) bool {
+	if buffered, ok := conn.(interface{ Buffered() int }); ok && buffered.Buffered() > 0 {
+		return false
+	}
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -41,7 +41,7 @@
 // RoundTrip sends a request of the node itself, such as one for a runner's load, on the connections
 // that carry the requests of clients. The runner is the one that the header HeaderNames.ExpectRunner
 // names. A GET that failed on a connection that had been idle is sent once more, on a new one;
-// others are sent once, on one that is known to work.
+// others, such as orders, are sent once, on one that is known to work and leads through no peer.
 func (p *Pool) RoundTrip(request *http.Request) (*http.Response, error) {
 	body, err := readBody(request)
 	if err != nil {
@@ -52,6 +52,7 @@
 		Target: request.URL.RequestURI(), Host: request.URL.Host, Header: request.Header, Body: body,
 	}
 	call.Proved = request.Method != http.MethodGet
+	call.Direct = request.Method != http.MethodGet
 	answer, err := p.Do(request.Context(), call)
 	var idle *idleError
 	if errors.As(err, &idle) && request.Method == http.MethodGet && request.Context().Err() == nil {
--- a/internal/upstream/silent.go
+++ b/internal/upstream/silent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"lilacvane/internal/link"
@@ -14,22 +15,39 @@
 // had been idle before the request, or had begun their answer.
 const minMuteTime = 200 * time.Millisecond
 
-// startSend bounds how long the bytes of a request may stay unacknowledged. The bound is relaxed
-// after link.RunnerSending, when the request must have arrived: from then on only probes are sent,
-// and some of these may get lost.
-func (c *connection) startSend() {
-	if c.sendTimedOut {
-		link.RestoreAckTimeout(c.Conn)
+// beginExchange prepares a connection for a request.
+func (c *connection) beginExchange(request string) {
+	c.send.Start(c.Conn)
+	if c.tunnel != nil {
+		c.tunnel.Begin(request)
 	}
-	c.sendTimer = time.AfterFunc(link.RunnerAckTimeout, func() { link.RelaxAckTimeout(c.Conn) })
 }
 
-// endExchange ends an exchange whose connection may be used again.
-func (c *connection) endExchange() { c.sendTimedOut = !c.sendTimer.Stop() }
+// endExchange reports whether a connection may be used again after a complete answer.
+func (c *connection) endExchange() bool {
+	c.send.Stop()
+	return c.tunnel == nil || !c.tunnel.Closing() && c.tunnel.Done() == nil
+}
+
+// via returns the address of the peer that the connection leads through; empty if it is direct.
+func (c *connection) via() string {
+	if c.tunnel == nil {
+		return ""
+	}
+	return c.tunnel.Peer
+}
+
+// describe adds the peer that the connection leads through to an error.
+func (c *connection) describe(cause error) error {
+	if c.tunnel == nil {
+		return cause
+	}
+	return fmt.Errorf("through %s: %w", c.tunnel.Peer, cause)
+}
 
 // discard closes a connection in use.
 func (c *connection) discard() {
-	c.sendTimer.Stop()
+	c.send.Stop()
 	_ = c.Close()
 }
 
@@ -73,6 +91,12 @@
 // unknown when since the silent one was acquired the silence began, so all idle ones may be
 // affected as well.
 func (p *Pool) handleSilence(conn *connection, reason link.Reason, step, runner string, cause error) {
+	if conn.tunnel != nil {
+		p.Links.Silent(link.Peer, reason, step, conn.tunnel.Peer, time.Since(conn.acquired), cause)
+		p.Tunnels.Failed(conn.tunnel.Peer)
+		p.dropIdleThrough(conn.tunnel.Peer)
+		return
+	}
 	p.Links.Silent(link.Runner, reason, step, runner, time.Since(conn.acquired), cause)
 	switch p.trust.Silent(runner, conn.acquired) {
 	case link.OnePeer:
@@ -95,6 +119,24 @@
 	}
 }
 
+// dropIdleThrough closes the idle connections that lead through a peer.
+func (p *Pool) dropIdleThrough(peer string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for runner, idle := range p.idle {
+		kept := make([]*connection, 0, len(idle))
+		for _, conn := range idle {
+			if conn.via() != peer {
+				kept = append(kept, conn)
+				continue
+			}
+			_ = conn.Close()
+			p.Links.Drop(link.Peer, link.Distrusted, 1)
+		}
+		p.setIdle(runner, kept)
+	}
+}
+
 // closeIdle closes a runner's idle connections. Its caller holds the lock.
 func (p *Pool) closeIdle(runner string) {
 	for _, conn := range p.idle[runner] {
--- a/internal/upstream/silent_test.go
+++ b/internal/upstream/silent_test.go
@@ -14,6 +14,7 @@
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/link"
+	"lilacvane/internal/reach"
 )
 
 // errDeadline ends requests whose deadline passed.
@@ -217,7 +218,7 @@
 func TestConnectionAttemptEndsWithItsRequest(t *testing.T) {
 	ctx, leave := context.WithCancel(t.Context())
 	leave()
-	_, err := NewPool(testNames).dial(ctx, "r1", "127.0.0.1:1")
+	_, err := NewPool(testNames).dial(ctx, reach.Runner{Name: "r1", Address: "127.0.0.1:1"})
 	assert.Equal(t, fault.OutcomeOf(err), fault.NotDone)
 	assert.Assert(t, errors.Is(err, context.Canceled), "%v", err)
 }
@@ -241,10 +242,10 @@
 	pool := NewPool(testNames)
 	_, err := exchange(pool, s.call("slow"))
 	assert.NilError(t, err)
-	assert.Assert(t, pool.idle["r"][0].sendTimedOut)
+	assert.Assert(t, pool.idle["r"][0].send.Relaxed())
 	_, err = exchange(pool, s.call("quick"))
 	assert.NilError(t, err)
-	assert.Assert(t, !pool.idle["r"][0].sendTimedOut)
+	assert.Assert(t, !pool.idle["r"][0].send.Relaxed())
 	assert.Equal(t, s.accepted.Load(), int32(1))
 }
 
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -47,6 +47,8 @@
 	Leaving []RunnerLeaving `cbor:"18,keyasint,omitempty"`
 	// Limited are runners that stated limits in answers.
 	Limited []RunnerLimit `cbor:"20,keyasint,omitempty"`
+	// CutOff is set while the node itself reaches few of the runners that others reach.
+	CutOff bool `cbor:"21,keyasint,omitempty"`
 }
 
 // RunnerLimit is the limit that a runner stated in an answer.
@@ -159,6 +161,9 @@
 	// Leaving and Limited are the runners that stated so to the holder itself or to other nodes.
 	Leaving []RunnerLeaving `cbor:"18,keyasint,omitempty"`
 	Limited []RunnerLimit   `cbor:"20,keyasint,omitempty"`
+	// TunnelPeers are the addresses of nodes through which the node may reach runners, nearest first.
+	// Sent in answer to reports.
+	TunnelPeers []string `cbor:"22,keyasint,omitempty"`
 }
 
 // ModelCrashes is the number of runners that crashed, one after the other, while loading a model.
