Hand the control lease over where the holder is cut off from the runners

Callers of all nodes waited for models that nobody loaded: the lease holder had lost its links to the runners and kept renewing its lease at the store; none of its orders arrived from the begin of the cut to its end.

Cause: who holds the lease was decided without asking who reaches the runners. A holder that finds most paths broken, while another node that reports to it does not, now releases the lease; a node that is cut off takes a free lease only 2 s after others could have. Orders still come from one machine at a time, and never through a peer.

TestNeverTwoHolders now also draws hand-overs.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -75,6 +75,8 @@
 	Rules eligible.Rules
 	// Reach tracks which runners this node reaches by itself; it may be nil.
 	Reach *reach.Tracker
+	// CheckPath finds out whether this node reaches a runner by itself; it may be nil.
+	CheckPath func(runner backend.Runner)
 	// Statements holds what runners stated about themselves in answers; it may be nil.
 	Statements *statement.Registry
 	// StatementExchange exchanges what runners stated in answers with other nodes; it may be nil.
@@ -168,6 +170,12 @@
 	rulesAt    time.Time
 	// announcedYield is the token of the lease whose yielding was announced to the nodes.
 	announcedYield uint64
+	// cutOffSince is since when this node, as the holder, is cut off from the runners; handingOver
+	// is set while it gives the lease up for that.
+	cutOffSince time.Time
+	handingOver bool
+	// pathsCheckedAt is when paths to runners were last checked because one was broken.
+	pathsCheckedAt time.Time
 	// pendingReports is the number of report requests in flight.
 	pendingReports int
 	inFlight       sync.WaitGroup
@@ -288,6 +296,10 @@
 		}
 	}
 	c.updateStoreLoads(now)
+	c.checkPaths(now)
+	if c.handOverIfCutOff(ctx, now) {
+		return false
+	}
 	if !c.Elector.Acting() {
 		c.announceYield()
 		return false
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -62,6 +62,9 @@
 	// TakeoverDelay is how much longer than others this node waits before it takes a free
 	// lease, so that nodes with more spare capacity take it first. Nil means no delay.
 	TakeoverDelay func() time.Duration
+	// Unfit reports whether this node cannot act under the lease now, so that it takes a free one
+	// unfitDelay later than others. Nil means that it always can.
+	Unfit func() bool
 	// HolderAnswered reports whether this node recently received an answer from the holder by other
 	// means, in which case the row need not be read. If nil, the row is always read.
 	HolderAnswered func() bool
@@ -116,7 +119,9 @@
 	actsFrom     time.Time
 	lastAct      time.Time
 	stopped      bool
-	storeLost    bool
+	// handingOver is set while this process gives the lease up to another node.
+	handingOver bool
+	storeLost   bool
 	// readStore is set once this process has read the row from the store.
 	readStore bool
 	// retrySoon is set while a renewal is unconfirmed.
@@ -169,7 +174,7 @@
 func (l *Elector) Valid() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.held && !l.stopped && !l.yielded() && l.options.Now().Before(l.validUntil)
+	return l.held && !l.ending() && !l.yielded() && l.options.Now().Before(l.validUntil)
 }
 
 // Acting reports whether this process holds the lease and may act now.
@@ -214,9 +219,13 @@
 // and the turn gap after the previous holder has passed. The caller holds mutex.
 func (l *Elector) mayAct() bool {
 	now := l.options.Now()
-	return l.held && !l.stopped && !l.yielded() && now.Add(l.options.ActMargin).Before(l.validUntil) && !now.Before(l.actsFrom)
+	return l.held && !l.ending() && !l.yielded() && now.Add(l.options.ActMargin).Before(l.validUntil) && !now.Before(l.actsFrom)
 }
 
+// ending reports whether this process gives the lease up or gave it up for good. The caller holds
+// mutex.
+func (l *Elector) ending() bool { return l.stopped || l.handingOver }
+
 // ActsIn returns the time until this process may act if it holds the lease, that is until
 // the turn gap after the previous holder has passed.
 func (l *Elector) ActsIn() time.Duration {
@@ -293,12 +302,19 @@
 	}
 }
 
+// unfitDelay leaves others the time to take a lease that has become free, even if each of them
+// loses an answer of the store.
+const unfitDelay = 2 * time.Second
+
 // mayTake reports whether this process may try to take the lease. The write is conditional
 // on the revision last seen, so it fails if the holder has renewed since.
 func (l *Elector) mayTake() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.stopped || !l.rowKnown {
+	if l.ending() || !l.rowKnown {
+		return false
+	}
+	if l.options.Unfit != nil && l.options.Unfit() && l.options.Now().Sub(l.seenAt) < l.options.Validity+l.options.Interval+l.options.TakeoverDelay()+unfitDelay {
 		return false
 	}
 	if l.latest.Released || l.latest.Holder == "" || l.latest.Holder == l.self.Holder {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -149,7 +149,7 @@
 	var newest uint64
 	for range rapid.IntRange(1, 150).Draw(t, "steps") {
 		index := rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")
-		switch rapid.SampledFrom([]string{"step", "step", "step", "act", "act", "wait", "wait", "pause", "fault", "fault", "late", "restart", "release", "say", "say", "hear", "hear"}).Draw(t, "what") {
+		switch rapid.SampledFrom([]string{"step", "step", "step", "act", "act", "wait", "wait", "pause", "fault", "fault", "late", "restart", "release", "hand over", "say", "say", "hear", "hear"}).Draw(t, "what") {
 		case "step":
 			w.nodes[index].step(context.Background())
 		case "act":
@@ -186,6 +186,8 @@
 		case "release":
 			w.nodes[index].Release(context.Background())
 			w.nodes[index] = w.start(index)
+		case "hand over":
+			w.nodes[index].HandOver(context.Background())
 		}
 	}
 }
@@ -415,3 +417,37 @@
 	next.step(t.Context())
 	assert.Assert(t, next.Holds())
 }
+
+// TestUnfitHolderHandsOver covers a holder that gives the lease up because it is unfit to act: a
+// fit node takes it and acts once the turn gap is over, and the unfit one leaves it to others but
+// takes it if nobody else does.
+func TestUnfitHolderHandsOver(t *testing.T) {
+	const tick = 10 * time.Millisecond
+	for _, alone := range []bool{false, true} {
+		w := newCluster(2)
+		holder, other := w.nodes[0], w.nodes[1]
+		unfit := false
+		holder.options.Unfit = func() bool { return unfit }
+		holder.step(t.Context())
+		_, acted := holder.Act()
+		assert.Assert(t, acted)
+		lastAct := w.now
+		unfit = true
+		w.now = w.now.Add(time.Second)
+		holder.HandOver(t.Context())
+		assert.Assert(t, !holder.Holds() && !holder.Acting())
+		holder.step(t.Context())
+		assert.Assert(t, !holder.Holds(), "the unfit node takes it back at once")
+		for !other.Acting() && !holder.Holds() {
+			w.now = w.now.Add(tick)
+			if !alone {
+				other.step(t.Context())
+			}
+			holder.step(t.Context())
+		}
+		assert.Equal(t, holder.Holds(), alone)
+		if !alone {
+			assert.Assert(t, w.now.Sub(lastAct) >= testGap && w.now.Sub(lastAct) <= testGap+tick, "%s", w.now.Sub(lastAct))
+		}
+	}
+}
--- a/internal/lease/release.go
+++ b/internal/lease/release.go
@@ -9,15 +9,31 @@
 // releaseTries is how often a release is attempted in total when it conflicts.
 const releaseTries = 3
 
-// Release gives up the lease; this process does not act any more afterwards. A renewal
-// still in flight may change the row in the meantime, so a release that conflicts is
-// retried on the newest row as long as that row belongs to this process.
+// Release gives up the lease; this process does not act any more afterwards.
 func (l *Elector) Release(ctx context.Context) {
 	l.mutex.Lock()
 	l.stopped = true
-	held := l.held
 	l.mutex.Unlock()
-	if !held {
+	l.giveUp(ctx)
+}
+
+// HandOver gives up the lease to another node, as this one is unfit to act under it. This process
+// competes for it again later.
+func (l *Elector) HandOver(ctx context.Context) {
+	l.mutex.Lock()
+	l.handingOver = true
+	l.mutex.Unlock()
+	l.giveUp(ctx)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.handingOver = false
+}
+
+// giveUp writes that the lease is free. A renewal still in flight may change the row in the
+// meantime, so a write that conflicts is retried on the newest row as long as that row belongs to
+// this process.
+func (l *Elector) giveUp(ctx context.Context) {
+	if !l.Holds() {
 		return
 	}
 	confirmed := false
@@ -26,8 +42,11 @@
 		if !own {
 			break
 		}
-		_, _, err := l.writeRow(ctx, record, revision)
+		written, _, err := l.writeRow(ctx, record, revision)
 		confirmed = err == nil
+		if confirmed {
+			l.recordReleased(record, written)
+		}
 		if !fault.IsCode(err, fault.CodeConflict) || l.readRow(ctx) != nil {
 			break
 		}
@@ -38,6 +57,15 @@
 	l.log.Info("lease released", "token", l.latest.Token, "confirmed", confirmed)
 }
 
+// recordReleased records the row with which this process gave the lease up.
+func (l *Elector) recordReleased(record Record, revision uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if revision > l.revision {
+		l.latest, l.revision, l.seenAt = record, revision, l.options.Now()
+	}
+}
+
 // releaseRecord returns the record that releases the lease and the revision it replaces.
 // own is false if another process holds the lease.
 func (l *Elector) releaseRecord() (record Record, revision uint64, own bool) {
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -215,7 +215,7 @@
 func (l *Elector) renew(ctx context.Context) {
 	nodes := l.nodes()
 	l.mutex.Lock()
-	if l.stopped {
+	if l.ending() {
 		l.mutex.Unlock()
 		return
 	}
--- a/internal/lease/status.go
+++ b/internal/lease/status.go
@@ -34,7 +34,7 @@
 func (l *Elector) Status() (HolderStatus, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if !l.held || l.stopped {
+	if !l.held || l.ending() {
 		return HolderStatus{}, false
 	}
 	status := HolderStatus{Token: l.latest.Token, Renewal: l.confirmed}
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -75,7 +75,7 @@
 	s := n.settings.Load()
 	options := lease.Options{
 		Validity: leaseValidity, Interval: leaseInterval, TurnGap: s.Lease.TurnGap + turnGapMargin,
-		ActMargin: control.OrderMargin, CallTimeout: leaseCallTimeout, TakeoverDelay: n.takeoverDelay,
+		ActMargin: control.OrderMargin, CallTimeout: leaseCallTimeout, TakeoverDelay: n.takeoverDelay, Unfit: n.reach.CutOff,
 		Nodes: n.relay.Nodes, ReadFromPeer: c.peerLeaseReader(service), ReadStoreOnce: !s.Relay.FirstStart, ReadAtStart: !s.Relay.FirstStart,
 	}
 	ctx, end := context.WithCancel(c.ctx)
@@ -83,7 +83,7 @@
 	options.HolderAnswered = func() bool { return syncer.HolderAnswered() }
 	elector := lease.New(n.platform.Leases, leasePrefix+service, s.Node, s.Listen.PeerAddress(), n.process, options, n.log.Logger)
 	controller := control.NewController(control.Options{
-		Service: service, Node: s.Node, Elector: elector, Runners: n.platform.Control, Fleet: n.fleet, Rules: placementRules{(*operatorRules)(n)}, Reach: n.reach, Statements: n.statements, StatementExchange: (*statementExchange)(n), NeedList: n.requireFullList, ListRevision: n.followers.runners.AppliedRevision, Configuration: n.configuration.Load,
+		Service: service, Node: s.Node, Elector: elector, Runners: n.platform.Control, Fleet: n.fleet, Rules: placementRules{(*operatorRules)(n)}, Reach: n.reach, CheckPath: n.checkPath, Statements: n.statements, StatementExchange: (*statementExchange)(n), NeedList: n.requireFullList, ListRevision: n.followers.runners.AppliedRevision, Configuration: n.configuration.Load,
 		Policies: n.policies, Sleeper: newSleeper(s.Sleep, n.policies.Zone()), ObserveLoad: n.metrics.ObserveLoad, Divide: n.limits.divide, CountCrashes: n.quarantine.AddReport, Terms: n.coldTerms, RecordDecision: n.recordDecision, Log: n.log.Logger,
 	})
 	self := wire.Member{Node: s.Node, Zone: s.Zone, Region: s.Region, Address: s.Listen.PeerAddress()}
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"lilacvane/internal/backend"
 	"lilacvane/internal/peer"
+	"lilacvane/internal/reach"
 	"lilacvane/internal/tunnel"
 	"lilacvane/internal/wire"
 )
@@ -23,6 +25,11 @@
 	return broken
 }
 
+// checkPath finds out whether this node reaches a runner by itself.
+func (n *Node) checkPath(runner backend.Runner) {
+	n.pool.Check(reach.Runner{Name: runner.Name(), Address: runner.Address})
+}
+
 // runnerAddress returns the address of a listed runner.
 func (n *Node) runnerAddress(name string) (string, bool) {
 	listed, known := n.fleet.Listed(name)
