Keep the bound of runners that say that they are brittle

A runner that says Server-Brittle = N in its answers ends if it has to turn more than N requests away in a second. Nodes did not read it: each sent until it was turned away itself.

Nodes now hear the statement as they hear limits, and bound what may be turned away: a node's requests without an answer and its rejections of the last 1.25 s stay within its part of N; where the part is less than one, permits as for limits are needed. What a runner has free slots for is not bounded; its load is asked for when requests wait for it. One that has just started counts as brittle while others of its service are.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -108,15 +108,22 @@
 }
 
 // StatementExchange gives access to what runners stated in answers and this node knows: that they are
-// leaving, until the platform's list says so, and their limits. Nodes exchange these
-// statements by way of the holder.
+// leaving, until the platform's list says so, their limits, and that they are brittle. Nodes
+// exchange these statements by way of the holder.
 type StatementExchange interface {
 	// Own returns what this node itself read from answers; All also includes what other nodes
 	// passed on.
-	Own() ([]wire.RunnerLeaving, []wire.RunnerLimit)
-	All() ([]wire.RunnerLeaving, []wire.RunnerLimit)
+	Own() Stated
+	All() Stated
 	// Learn records what another node passed on.
-	Learn(node string, leaving []wire.RunnerLeaving, limited []wire.RunnerLimit)
+	Learn(node string, stated Stated)
+}
+
+// Stated is what runners stated.
+type Stated struct {
+	Leaving []wire.RunnerLeaving
+	Limited []wire.RunnerNumber
+	Brittle []wire.RunnerNumber
 }
 
 // Controller controls the runners of one service. Its methods may be called concurrently.
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -39,7 +39,7 @@
 		c.CountCrashes(*request.Poison)
 	}
 	if c.StatementExchange != nil {
-		c.StatementExchange.Learn(request.Node, request.Leaving, request.Limited)
+		c.StatementExchange.Learn(request.Node, Stated{Leaving: request.Leaving, Limited: request.Limited, Brittle: request.Brittle})
 	}
 	c.waitForChange(ctx, request)
 	c.mutex.Lock()
@@ -50,7 +50,8 @@
 	response := c.buildResponse(request)
 	response.Permits = c.lend(request, time.Now())
 	if c.StatementExchange != nil {
-		response.Leaving, response.Limited = c.StatementExchange.All()
+		all := c.StatementExchange.All()
+		response.Leaving, response.Limited, response.Brittle = all.Leaving, all.Limited, all.Brittle
 	}
 	if request.Limits != nil && response.Valid && c.Divide != nil {
 		response.Limits = c.Divide(limit.Report{
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -182,7 +182,8 @@
 	request := s.buildReport()
 	request.Limits = s.limits.Report()
 	request.Poison = s.crashes.Report(s.holderToken())
-	request.Leaving, request.Limited = s.stated.Own()
+	own := s.stated.Own()
+	request.Leaving, request.Limited, request.Brittle = own.Leaving, own.Limited, own.Brittle
 	err := s.call(ctx, request)
 	if err != nil && request.Limits != nil {
 		s.limits.Undelivered(request.Limits)
@@ -274,7 +275,7 @@
 		s.limits.Apply(response.Limits, sent)
 	}
 	s.fleet.ApplyPermits(permitsLent(response.Permits), sent)
-	s.stated.Learn(s.holderName(), response.Leaving, response.Limited)
+	s.stated.Learn(s.holderName(), Stated{Leaving: response.Leaving, Limited: response.Limited, Brittle: response.Brittle})
 	if request.Report {
 		s.controller.LearnLoadCrashes(response.LoadCrashes)
 	}
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -127,6 +127,11 @@
 		if problem := j.checkHomes(); problem != nil {
 			return fleet.Choice{}, 0, problem
 		}
+		if j.learnLoads(ctx) {
+			if choice, ok := j.choose(ctx); ok {
+				return choice, 0, nil
+			}
+		}
 		w := j.currentWait()
 		decision, delay, recheck := w.decide()
 		if w.exact && decision != keepWaiting {
@@ -156,6 +161,16 @@
 	}
 }
 
+// learnLoads asks brittle runners, which the request may only be sent to if they have room, for their
+// load. It reports whether any answered.
+func (j *job) learnLoads(ctx context.Context) bool {
+	if !j.engine || j.dispatcher.Report == nil {
+		return false
+	}
+	unknown := j.dispatcher.Fleet.TakeUnknownLoads(j.query)
+	return len(unknown) > 0 && len(j.probe(ctx, unknown)) > 0
+}
+
 // checkZones refuses a request while operators have taken out every zone that could serve it. It
 // cannot be served before the node learns that a zone is back. A stream that has begun waits as
 // long as its client does.
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -72,6 +72,9 @@
 	// permitUntil is when the permit spent on the request expires; zero if the runner needed
 	// none.
 	permitUntil time.Time
+	// roomUntil is until when the request may be sent to a brittle runner because that had room;
+	// zero if the runner is not brittle or had none.
+	roomUntil time.Time
 }
 
 // Choose returns the runner with the lowest expected delay and counts the request as in flight
@@ -89,6 +92,7 @@
 	best.Candidates = len(choices)
 	best.InFlight = chosen.inFlight
 	best.startedAt, best.objective = f.now(), query.Objective
+	best.roomUntil = f.roomUntil(chosen)
 	best.permitUntil = f.spendPermit(chosen)
 	f.recordStart(chosen, query, best)
 	return best, true
@@ -261,6 +265,7 @@
 		known.unanswered--
 		known.cold.Answered(choice.objective == 0 || f.now().Sub(choice.startedAt) <= choice.objective)
 		known.prefill = max(known.prefill-choice.UnreadTokens, 0)
+		f.wakeHeldBack(known)
 	}
 }
 
@@ -307,6 +312,7 @@
 		known.cold.Answered(choice.objective == 0 || elapsed <= choice.objective)
 	}
 	f.recordResult(known, query, result, elapsed)
+	f.wakeHeldBack(known)
 	if known.inFlight == 0 && !known.present {
 		f.forgetDeparted()
 	}
@@ -327,6 +333,7 @@
 	case Busy:
 		known.answeredAt = now
 		known.health.failure(now)
+		known.recordRejection(now)
 		if !f.recordRest(known) {
 			known.recordRefusal(query.Unit, now)
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -81,6 +81,10 @@
 	coldFigures ColdFigures
 	// restWaiters counts the requests that wait for a rest to end, by what they request.
 	restWaiters map[requestKey]int
+	// nodes is how many nodes send requests to the runners; zero while unknown.
+	nodes int
+	// brittleServices caches what the runners of services stated about being brittle.
+	brittleServices map[string]brittleness
 	// listRead is set once the whole list was read; departedAt is when runners were forgotten.
 	listRead   bool
 	departedAt map[string]time.Time
@@ -116,6 +120,12 @@
 	// deferredUntil.
 	deferred      int
 	deferredUntil time.Time
+	// rejectedAt is when the runner rejected requests, heldBack whether requests wait because it is
+	// brittle.
+	rejectedAt []time.Time
+	heldBack   bool
+	// loadAskedAt is when the load of a brittle runner was last asked for because requests wait.
+	loadAskedAt time.Time
 	// byUnit counts those requests in flight that name a unit; prefill is how many of their
 	// tokens the runner still has to read.
 	byUnit  map[backend.Unit]int
@@ -139,7 +149,7 @@
 // New returns an empty fleet for a node in zone; rules are the decisions of operators.
 func New(zone string, now func() time.Time, rules eligible.Rules) *Fleet {
 	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), departed: make(map[string]*runner), incarnations: make(map[string]string), planned: make(map[string]map[modelInHomes]time.Time), firm: make(map[string]map[string]bool),
-		ordersAt: make(map[string]time.Time), lenderSeenAt: make(map[string]time.Time), obstacles: make(map[requestKey]cachedObstacles), restWaiters: make(map[requestKey]int), departedAt: make(map[string]time.Time), changed: make(chan struct{})}
+		ordersAt: make(map[string]time.Time), lenderSeenAt: make(map[string]time.Time), obstacles: make(map[requestKey]cachedObstacles), restWaiters: make(map[requestKey]int), brittleServices: make(map[string]brittleness), departedAt: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
 // SetZones sets how zones weigh on choices. It must be called before the fleet is used.
--- a/internal/fleet/permits.go
+++ b/internal/fleet/permits.go
@@ -13,19 +13,19 @@
 )
 
 // permitTerms returns the terms on which a runner gets requests and the time until which they
-// apply; that time has passed if the runner gets any number. For a cold runner that stated a
+// apply; that time has passed if the runner gets any number. For a cold runner with another
 // limit, the lower rate applies. mutex must be held.
 func (f *Fleet) permitTerms(known *runner) (terms coldstart.Terms, until time.Time) {
 	terms = f.terms(known)
 	until = f.coldUntil(known, terms)
-	stated := f.statements.State(known.listed.ID)
-	if stated.Rate == 0 || f.coldStarts.Limit == nil {
+	rate, lasts := f.rate(known)
+	if rate == 0 || f.coldStarts.Limit == nil {
 		return terms, until
 	}
-	if f.now().Before(until) && terms.Rate <= stated.Rate {
+	if f.now().Before(until) && terms.Rate <= rate {
 		return terms, until
 	}
-	return f.coldStarts.Limit(stated.Rate, f.lends(known.listed.Service)), f.now().Add(stated.RateFor)
+	return f.coldStarts.Limit(rate, f.lends(known.listed.Service)), f.now().Add(lasts)
 }
 
 // lenderLifetime is how long after an answer a lease holder is taken to lend permits.
@@ -45,9 +45,11 @@
 	return ok && f.now().Sub(seenAt) < lenderLifetime
 }
 
-// limited reports whether a limit that the runner stated is in force. mutex must be held.
+// limited reports whether the rate of requests to a runner is bounded other than by a cold start.
+// mutex must be held.
 func (f *Fleet) limited(known *runner) bool {
-	return f.coldStarts.Limit != nil && f.statements.State(known.listed.ID).Rate > 0
+	rate, _ := f.rate(known)
+	return f.coldStarts.Limit != nil && rate > 0
 }
 
 // hasPermit reports whether one more request may be sent to a runner now: it needs no permit,
@@ -94,10 +96,10 @@
 
 // permitted reports whether a request may still be sent to the runner chosen for it earlier. A
 // cold runner is only permitted by the permit spent at that time, as the remaining ones are
-// for other requests. mutex must be held.
+// for other requests, a brittle one also if it had room then. mutex must be held.
 func (f *Fleet) permitted(known *runner, choice Choice) bool {
 	_, until := f.permitTerms(known)
-	return !f.now().Before(until) || f.now().Before(choice.permitUntil)
+	return !f.now().Before(until) || f.now().Before(choice.permitUntil) || f.now().Before(choice.roomUntil)
 }
 
 // permitBlocked returns the runners that could serve a request if this node had permits for
@@ -159,7 +161,8 @@
 		if !f.limited(known) {
 			return 0, false
 		}
-		rate += f.statements.State(known.listed.ID).Rate
+		bound, _ := f.rate(known)
+		rate += bound
 	}
 	return rate * min(rateShareFactor/float64(max(nodes, 1)), 1), rate > 0
 }
@@ -186,7 +189,8 @@
 	wanted := make([]PermitsWanted, 0, min(len(cold), count))
 	for i, known := range cold[:min(len(cold), count)] {
 		share := (count + len(cold) - 1 - i) / len(cold)
-		wanted = append(wanted, PermitsWanted{Runner: known.listed.ID, Count: share, Rate: f.statements.State(known.listed.ID).Rate})
+		rate, _ := f.rate(known)
+		wanted = append(wanted, PermitsWanted{Runner: known.listed.ID, Count: share, Rate: rate})
 	}
 	return wanted
 }
--- a/internal/fleet/statements.go
+++ b/internal/fleet/statements.go
@@ -31,11 +31,11 @@
 	return found
 }
 
-// isResting reports whether a runner asked for a rest, or has rested and has as many requests
-// as it may have at once afterwards. mutex must be held.
+// isResting reports whether a runner asked for a rest, or has as many requests as it may have at
+// once after one or while it is brittle. mutex must be held.
 func (f *Fleet) isResting(known *runner) bool {
 	stated := f.statements.State(known.listed.ID)
-	return stated.Rest > 0 || (stated.Window > 0 && known.unanswered >= stated.Window)
+	return stated.Rest > 0 || (stated.Window > 0 && known.unanswered >= stated.Window) || f.atRejectionPart(known)
 }
 
 // Rests reports whether a runner asked this node for a rest that has not ended.
@@ -100,7 +100,7 @@
 		if f.eligibility(known, request(query)) != eligible.Resting || slices.Contains(query.Exclude, id) || f.unitBlockedBy(known, query.Unit) != unblocked {
 			continue
 		}
-		found.capacity += max(known.activeBeforeRest, minRestCapacity)
+		found.capacity += f.waitingCapacity(known)
 		left := max(f.statements.State(id).Rest, restRecheckInterval)
 		if found.first == nil || left < found.in {
 			found.first, found.in = known, left
--- a/internal/fleet/statements_test.go
+++ b/internal/fleet/statements_test.go
@@ -25,7 +25,7 @@
 func statedFleet(names ...string) (*Fleet, *statement.Registry, *clock) {
 	f, c := testFleet()
 	registry := statement.NewRegistry(statement.Options{
-		Headers: statement.Headers{Leaving: leavingHeader, Limit: limitHeader}, Now: c.read, Log: logr.Discard(),
+		Headers: statement.Headers{Leaving: leavingHeader, Limit: limitHeader, Brittle: brittleHeader}, Now: c.read, Log: logr.Discard(),
 		Limits: func() statement.Limits {
 			return statement.Limits{LongestRest: time.Minute, UnreadableRest: time.Second, LeavingFor: 5 * time.Minute, LeastRate: 0.1, LimitFor: time.Minute}
 		},
--- a/internal/lab/journal/journal.go
+++ b/internal/lab/journal/journal.go
@@ -45,6 +45,8 @@
 	// EventCrash is the crash that a request or a load caused.
 	EventPoison Event = "poison"
 	EventCrash  Event = "crash"
+	// EventFall is the end of a brittle runner that rejected too many requests within a second.
+	EventFall Event = "fall"
 )
 
 // Record is one line of a journal. MemoryMiB is the memory of Unit, TotalMiB all memory
--- a/internal/lab/runnerstub/http.go
+++ b/internal/lab/runnerstub/http.go
@@ -218,7 +218,7 @@
 
 // admit is start without the count of arrivals at a cold runner. The caller holds r.mutex.
 func (r *Runner) admit(j *job) int {
-	if r.active >= r.settings.Slots+queueSize || r.random.Float64() < j.faults.ShedShare || r.collapsed {
+	if !r.hasRoom() || r.random.Float64() < j.faults.ShedShare || r.collapsed {
 		return http.StatusServiceUnavailable
 	}
 	if j.model != "" {
--- a/internal/lab/runnerstub/runner.go
+++ b/internal/lab/runnerstub/runner.go
@@ -79,6 +79,13 @@
 	// Limit is announced in all responses as the requests per second that the runner accepts;
 	// a number or, to test malformed values, any text. Empty for none.
 	Limit string `json:"limit,omitempty"`
+	// Brittle is announced in all responses as the number of requests that the runner may reject
+	// within a second for lack of room; its process ends when it rejects more. A number or, to
+	// test malformed values, any text. Empty for none.
+	Brittle string `json:"brittle,omitempty"`
+	// Room is the number of requests that the runner admits at once; zero means its slots and
+	// queue.
+	Room int `json:"room,omitempty"`
 	// BreakShare of the streams are aborted in the middle of an event.
 	BreakShare float64 `json:"breakShare,omitempty"`
 	// RestMs is how long streams pause halfway, in milliseconds.
@@ -126,6 +133,8 @@
 	// collapsed is set after a violation: the runner refuses all further requests.
 	collapsed bool
 	cold      coldPeriod
+	// rejections are the times of the requests rejected within the last second for lack of room.
+	rejections []time.Time
 }
 
 // pastReport is a report that was current from since until the next change.
--- a/internal/lab/runnerstub/statements.go
+++ b/internal/lab/runnerstub/statements.go
@@ -12,7 +12,8 @@
 const leavingValue = "1"
 
 // setStatementHeaders sets the headers in which the runner announces in every response
-// that it is about to leave and its rate limit.
+// that it is about to leave and its rate limit, or that it
+// is brittle.
 func (r *Runner) setStatementHeaders(header http.Header) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -22,6 +23,9 @@
 	if r.faults.Limit != "" {
 		header.Set(protocol.HeaderLimit, r.faults.Limit)
 	}
+	if r.faults.Brittle != "" {
+		header.Set(protocol.HeaderBrittle, r.faults.Brittle)
+	}
 }
 
 // setRetryAfter sets Retry-After in a refusal with 503.
--- a/internal/lab/world/runners.go
+++ b/internal/lab/world/runners.go
@@ -22,9 +22,10 @@
 	options RunnerOptions
 	seed    uint64
 	// mutex guards Process while the runner is restarted. ended is set once it must not be
-	// restarted any more.
-	mutex sync.Mutex
-	ended bool
+	// restarted any more; faults are those of its next process.
+	mutex  sync.Mutex
+	ended  bool
+	faults runnerstub.Faults
 }
 
 // RunnerOptions are the options of a runner to start.
@@ -117,9 +118,22 @@
 		if !w.restartUnlessEnded(runner, id) {
 			return
 		}
+		w.restoreFaults(runner)
 	}
 }
 
+// restoreFaults gives a runner's new process the faults of the one before.
+func (w *World) restoreFaults(runner *Runner) {
+	runner.mutex.Lock()
+	faults := runner.faults
+	runner.mutex.Unlock()
+	if faults == (runnerstub.Faults{}) || waitUntilServing(runner.currentProcess().Done(), "http://"+runner.address+protocol.PathReport) != nil {
+		return
+	}
+	// A process that has ended again gets them with its next start.
+	_ = w.post(runner.address, runnerstub.PathFaults, faults)
+}
+
 // restartUnlessEnded starts a runner's process again unless the runner was killed for
 // good. It returns whether it was started.
 func (w *World) restartUnlessEnded(runner *Runner, id string) bool {
@@ -171,8 +185,12 @@
 // ZoneOf returns the zone of a runner, also of one that has ended.
 func (w *World) ZoneOf(id string) string { return w.Runners[id].options.Zone }
 
-// SetRunnerFaults replaces the faults injected into a runner.
+// SetRunnerFaults replaces the faults injected into a runner, also for its later processes.
 func (w *World) SetRunnerFaults(id string, faults runnerstub.Faults) error {
+	runner := w.Runners[id]
+	runner.mutex.Lock()
+	runner.faults = faults
+	runner.mutex.Unlock()
 	return w.post(w.Runners[id].address, runnerstub.PathFaults, faults)
 }
 
--- a/internal/node/statements.go
+++ b/internal/node/statements.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lilacvane/internal/clock"
+	"lilacvane/internal/control"
 	"lilacvane/internal/statement"
 	"lilacvane/internal/wire"
 )
@@ -12,7 +13,7 @@
 // initStatements makes the runner connection pool record what runners state about themselves.
 func (n *Node) initStatements() {
 	n.statements = statement.NewRegistry(statement.Options{
-		Headers: statement.Headers{Leaving: n.platform.Headers.Leaving, Limit: n.platform.Headers.Limit}, Limits: n.statementLimits, Now: clock.Now, Log: n.log.Logger,
+		Headers: statement.Headers{Leaving: n.platform.Headers.Leaving, Limit: n.platform.Headers.Limit, Brittle: n.platform.Headers.Brittle}, Limits: n.statementLimits, Now: clock.Now, Log: n.log.Logger,
 		Observe:  func(kind statement.Kind) { n.metrics.CountStatement(kind) },
 		OnChange: n.onStatement, OnCapacity: func() { n.fleet.Wake() },
 	})
@@ -40,6 +41,11 @@
 		if source.Peer == "" {
 			n.controls.reportDemandNow()
 		}
+	case statement.Brittle:
+		n.recordDecision(subject, "hear that it is brittle", fmt.Sprintf("%g rejections a second, %s", made.Rejections, statementOrigin(source)))
+		if source.Peer == "" {
+			n.controls.reportDemandNow()
+		}
 	case statement.Rest:
 		n.recordDecision(subject, "hear that it wants rest", made.For.String()+", "+statementOrigin(source))
 	}
@@ -68,24 +74,32 @@
 const maxStatementAge = 24 * time.Hour
 
 // Own returns the statements that this node received itself.
-func (e *statementExchange) Own() ([]wire.RunnerLeaving, []wire.RunnerLimit) {
-	return e.leavingReports(e.statements.OwnLeaving()), e.limitReports(e.statements.OwnLimits())
+func (e *statementExchange) Own() control.Stated {
+	return control.Stated{
+		Leaving: e.leavingReports(e.statements.OwnLeaving()),
+		Limited: e.numberReports(e.statements.OwnReports(statement.KindLimit)),
+		Brittle: e.numberReports(e.statements.OwnReports(statement.KindBrittle)),
+	}
 }
 
 // All also returns statements received from other nodes.
-func (e *statementExchange) All() ([]wire.RunnerLeaving, []wire.RunnerLimit) {
-	return e.leavingReports(e.statements.Leaving()), e.limitReports(e.statements.Limits())
+func (e *statementExchange) All() control.Stated {
+	return control.Stated{
+		Leaving: e.leavingReports(e.statements.Leaving()),
+		Limited: e.numberReports(e.statements.Reports(statement.KindLimit)),
+		Brittle: e.numberReports(e.statements.Reports(statement.KindBrittle)),
+	}
 }
 
-// limitReports returns the limits of listed runners, at most maxStatements.
-func (e *statementExchange) limitReports(limits []statement.LimitReport) []wire.RunnerLimit {
-	var reports []wire.RunnerLimit
-	for _, limit := range limits {
+// numberReports returns the numbers of listed runners, at most maxStatements.
+func (e *statementExchange) numberReports(stated []statement.Report) []wire.RunnerNumber {
+	var reports []wire.RunnerNumber
+	for _, report := range stated {
 		if len(reports) == maxStatements {
 			break
 		}
-		if e.fleet.Known(limit.Runner) {
-			reports = append(reports, wire.RunnerLimit{Runner: limit.Runner, Rate: limit.Rate, AgeMs: limit.Age.Milliseconds()})
+		if e.fleet.Known(report.Runner) {
+			reports = append(reports, wire.RunnerNumber{Runner: report.Runner, Value: report.Value, AgeMs: report.Age.Milliseconds()})
 		}
 	}
 	return reports
@@ -109,21 +123,27 @@
 }
 
 // Learn records the statements about listed runners that another node reported.
-func (e *statementExchange) Learn(node string, leaving []wire.RunnerLeaving, limited []wire.RunnerLimit) {
-	var leavingReports []statement.LeavingReport
-	for _, report := range leaving[:min(len(leaving), maxStatements)] {
+func (e *statementExchange) Learn(node string, stated control.Stated) {
+	var leaving []statement.LeavingReport
+	for _, report := range stated.Leaving[:min(len(stated.Leaving), maxStatements)] {
 		if e.fleet.Known(report.Runner) {
-			leavingReports = append(leavingReports, statement.LeavingReport{Runner: report.Runner, Age: decodeAge(report.AgeMs)})
+			leaving = append(leaving, statement.LeavingReport{Runner: report.Runner, Age: decodeAge(report.AgeMs)})
 		}
 	}
-	e.statements.LearnLeaving(node, leavingReports)
-	var limitReports []statement.LimitReport
-	for _, report := range limited[:min(len(limited), maxStatements)] {
+	e.statements.LearnLeaving(node, leaving)
+	e.statements.Learn(node, statement.KindLimit, e.decodeNumbers(stated.Limited))
+	e.statements.Learn(node, statement.KindBrittle, e.decodeNumbers(stated.Brittle))
+}
+
+// decodeNumbers returns the reports about listed runners.
+func (e *statementExchange) decodeNumbers(stated []wire.RunnerNumber) []statement.Report {
+	var reports []statement.Report
+	for _, report := range stated[:min(len(stated), maxStatements)] {
 		if e.fleet.Known(report.Runner) {
-			limitReports = append(limitReports, statement.LimitReport{Runner: report.Runner, Rate: report.Rate, Age: decodeAge(report.AgeMs)})
+			reports = append(reports, statement.Report{Runner: report.Runner, Value: report.Value, Age: decodeAge(report.AgeMs)})
 		}
 	}
-	e.statements.LearnLimits(node, limitReports)
+	return reports
 }
 
 // decodeAge converts an age in milliseconds from another node.
--- a/internal/statement/limit_test.go
+++ b/internal/statement/limit_test.go
@@ -41,19 +41,47 @@
 func TestLimitsFromPeers(t *testing.T) {
 	registry, now, changes := testRegistry()
 	own := Source{Runner: "r1", Request: "a"}
-	registry.LearnLimits("node-2", []LimitReport{{Runner: "r1", Rate: 2, Age: time.Second}, {Runner: "r2", Rate: 1, Age: time.Hour}, {Runner: "r3", Rate: -1}, {Rate: 1}})
-	assert.DeepEqual(t, registry.Limits(), []LimitReport{{Runner: "r1", Rate: 2, Age: time.Second}})
-	assert.Equal(t, len(registry.OwnLimits()), 0)
+	registry.Learn("node-2", KindLimit, []Report{{Runner: "r1", Value: 2, Age: time.Second}, {Runner: "r2", Value: 1, Age: time.Hour}, {Runner: "r3", Value: -1}, {Value: 1}})
+	assert.DeepEqual(t, registry.Reports(KindLimit), []Report{{Runner: "r1", Value: 2, Age: time.Second}})
+	assert.Equal(t, len(registry.OwnReports(KindLimit)), 0)
 	assert.Equal(t, len(*changes), 1)
 	registry.ReadHeader(own, http.StatusOK, http.Header{testLimitHeader: {"3"}})
-	registry.LearnLimits("node-2", []LimitReport{{Runner: "r1", Rate: 2, Age: time.Second}})
+	registry.Learn("node-2", KindLimit, []Report{{Runner: "r1", Value: 2, Age: time.Second}})
 	assert.Equal(t, registry.State("r1").Rate, 3.0)
-	assert.DeepEqual(t, registry.OwnLimits(), []LimitReport{{Runner: "r1", Rate: 3}})
+	assert.DeepEqual(t, registry.OwnReports(KindLimit), []Report{{Runner: "r1", Value: 3}})
 	*now = now.Add(time.Second)
 	registry.ReadHeader(own, http.StatusOK, plainHead)
 	*now = now.Add(time.Second)
-	registry.LearnLimits("node-2", []LimitReport{{Runner: "r1", Rate: 2, Age: 2 * time.Second}})
+	registry.Learn("node-2", KindLimit, []Report{{Runner: "r1", Value: 2, Age: 2 * time.Second}})
 	assert.Equal(t, registry.State("r1").Rate, 0.0, "the limit was lifted after that report")
-	registry.LearnLimits("node-2", []LimitReport{{Runner: "r1", Rate: 2}})
+	registry.Learn("node-2", KindLimit, []Report{{Runner: "r1", Value: 2}})
 	assert.Equal(t, registry.State("r1").Rate, 2.0)
 }
+
+// TestBrittleEndsWithAnAnswer: a runner is brittle until an answer to a request does not say so,
+// also if it endures no rejection at all, and apart from its limit.
+func TestBrittleEndsWithAnAnswer(t *testing.T) {
+	registry, now, changes := testRegistry()
+	request := Source{Runner: "r1", Request: "a"}
+	brittle := http.Header{testBrittle: {"0"}}
+	registry.ReadHeader(request, http.StatusOK, brittle)
+	registry.ReadHeader(request, http.StatusOK, brittle)
+	assert.DeepEqual(t, registry.State("r1"), State{Brittle: true})
+	assert.Equal(t, len(*changes), 1)
+	assert.DeepEqual(t, registry.OwnReports(KindBrittle), []Report{{Runner: "r1"}})
+	assert.Equal(t, len(registry.Reports(KindLimit)), 0)
+	registry.ReadHeader(request, http.StatusOK, plainHead)
+	assert.Assert(t, registry.State("r1").Brittle, "the answer may have been in flight")
+	*now = now.Add(inFlightGrace)
+	registry.ReadHeader(Source{Runner: "r1"}, http.StatusOK, plainHead)
+	assert.Assert(t, registry.State("r1").Brittle, "answers to questions may omit it")
+	registry.ReadHeader(request, http.StatusOK, http.Header{testLimitHeader: {"2"}})
+	assert.Assert(t, !registry.State("r1").Brittle)
+	assert.Equal(t, registry.State("r1").Rate, 2.0)
+	registry.Learn("node-2", KindBrittle, []Report{{Runner: "r1", Value: 3, Age: time.Second}, {Runner: "r2", Value: 3, Age: time.Second}, {Runner: "r3", Value: -1}})
+	assert.Assert(t, !registry.State("r1").Brittle, "the answer is newer")
+	assert.DeepEqual(t, registry.State("r2"), State{Brittle: true, Rejections: 3})
+	assert.Assert(t, !registry.State("r3").Brittle)
+	*now = now.Add(testLimits.LimitFor)
+	assert.DeepEqual(t, registry.State("r2"), State{})
+}
--- a/internal/statement/read.go
+++ b/internal/statement/read.go
@@ -1,6 +1,6 @@
 // Package statement tracks what runners state about themselves in the headers of their answers:
-// that they are leaving, that they want no requests for a while, or how many they take per
-// second. The headers of all answers from runners pass through a Registry, which reads, bounds
+// that they are leaving, that they want no requests for a while, how many they take per second, or
+// that they end if they have to reject many. The headers of all answers from runners pass through a Registry, which reads, bounds
 // and stores the statements by the incarnation that made them.
 package statement
 
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// Statement is what a runner states about itself: Leaving, Rest or Limit.
+// Statement is what a runner states about itself: Leaving, Rest, Limit or Brittle.
 type Statement interface{ statement() }
 
 // Leaving means that the runner will end soon: it finishes the requests it has and must get no
@@ -27,9 +27,14 @@
 // answers say so. Rate is above zero.
 type Limit struct{ Rate float64 }
 
+// Brittle means that the runner ends if it has to reject more than Rejections requests within a
+// second for lack of room, from all nodes together, as long as its answers say so.
+type Brittle struct{ Rejections float64 }
+
 func (Leaving) statement() {}
 func (Rest) statement()    {}
 func (Limit) statement()   {}
+func (Brittle) statement() {}
 
 // Limits bound the effect of statements.
 type Limits struct {
@@ -43,7 +48,8 @@
 	// LeastRate, in requests per second, replaces smaller limits and zero, so that some request
 	// gets through and finds out when the limit has ended.
 	LeastRate float64
-	// LimitFor is how long a limit lasts that no answer repeats or lifts.
+	// LimitFor is how long a limit, or the statement that a runner is brittle, lasts that no answer
+	// repeats or lifts.
 	LimitFor time.Duration
 }
 
@@ -63,6 +69,8 @@
 	Leaving string
 	// Limit is the header with the number of requests per second that the runner takes.
 	Limit string
+	// Brittle is the header with the number of requests that the runner may reject in a second.
+	Brittle string
 }
 
 // read returns the statements in an answer's header, and the problems with those that were not
@@ -77,6 +85,13 @@
 			statements = append(statements, Limit{Rate: rate})
 		}
 	}
+	for _, value := range header.Values(names.Brittle) {
+		rejections, problem := rejectionsOf(value)
+		if problem != "" {
+			problems = append(problems, problem)
+		}
+		statements = append(statements, Brittle{Rejections: rejections})
+	}
 	for _, value := range header.Values(names.Leaving) {
 		switch strings.TrimSpace(value) {
 		case valueLeaving:
@@ -115,6 +130,16 @@
 	}
 }
 
+// rejectionsOf parses how many rejections a brittle runner endures: none if that is unreadable, as
+// the runner is brittle all the same. problem says why the result differs from the stated value.
+func rejectionsOf(value string) (rejections float64, problem string) {
+	rejections, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || math.IsNaN(rejections) || math.IsInf(rejections, 0) || rejections < 0 {
+		return 0, fmt.Sprintf("brittle: %q is no number of requests, 0 is taken", value)
+	}
+	return rejections, ""
+}
+
 // mayRequestRest reports whether an answer with the status may ask for a rest.
 func mayRequestRest(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
--- a/internal/statement/read_test.go
+++ b/internal/statement/read_test.go
@@ -11,6 +11,7 @@
 const (
 	testHeader      = "X-Leaves"
 	testLimitHeader = "X-Limit"
+	testBrittle     = "X-Brittle"
 )
 
 var testLimits = Limits{LongestRest: time.Minute, UnreadableRest: time.Second, LeavingFor: 5 * time.Minute, LeastRate: 0.1, LimitFor: time.Minute}
@@ -23,6 +24,7 @@
 		status   int
 		leaving  []string
 		limits   []string
+		brittle  []string
 		rests    []string
 		want     []Statement
 		problems int
@@ -54,6 +56,11 @@
 		"nan as limit":            {status: http.StatusOK, limits: []string{"NaN"}, problems: 1},
 		"endless limit":           {status: http.StatusOK, limits: []string{"Inf"}, problems: 1},
 		"empty limit":             {status: http.StatusOK, limits: []string{""}, problems: 1},
+		"brittle":                 {status: http.StatusOK, brittle: []string{" 4 "}, want: []Statement{Brittle{Rejections: 4}}},
+		"brittle, none endured":   {status: http.StatusServiceUnavailable, brittle: []string{"0"}, want: []Statement{Brittle{}}},
+		"brittle, no number":      {status: http.StatusOK, brittle: []string{"very"}, want: []Statement{Brittle{}}, problems: 1},
+		"brittle, below zero":     {status: http.StatusOK, brittle: []string{"-1"}, want: []Statement{Brittle{}}, problems: 1},
+		"brittle, endless":        {status: http.StatusOK, brittle: []string{"Inf"}, want: []Statement{Brittle{}}, problems: 1},
 		"a time beyond any clock": {status: http.StatusServiceUnavailable, rests: []string{"1e300"}, want: rest(time.Minute), problems: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -61,13 +68,16 @@
 			for _, value := range test.leaving {
 				header.Add(testHeader, value)
 			}
+			for _, value := range test.brittle {
+				header.Add(testBrittle, value)
+			}
 			for _, value := range test.rests {
 				header.Add(headerRest, value)
 			}
 			for _, value := range test.limits {
 				header.Add(testLimitHeader, value)
 			}
-			statements, problems := read(Headers{Leaving: testHeader, Limit: testLimitHeader}, testLimits, test.status, header)
+			statements, problems := read(Headers{Leaving: testHeader, Limit: testLimitHeader, Brittle: testBrittle}, testLimits, test.status, header)
 			assert.DeepEqual(t, statements, test.want)
 			assert.Equal(t, len(problems), test.problems, "%v", problems)
 		})
--- a/internal/statement/registry.go
+++ b/internal/statement/registry.go
@@ -17,6 +17,7 @@
 	KindLeaving  Kind = "leaving"
 	KindRest     Kind = "rest"
 	KindLimit    Kind = "limit"
+	KindBrittle  Kind = "brittle"
 	KindDoubtful Kind = "doubtful"
 )
 
@@ -68,11 +69,9 @@
 	// problemLoggedAt is when a problem with its statements was last logged. All are zero for
 	// never.
 	leavingAt, ownLeavingAt, restsUntil, problemLoggedAt time.Time
-	// rate is the limit that the runner stated, in requests per second; zero for none. limitedAt
-	// is when it last stated a limit to any node, ownLimitAt when this node last read one from an
-	// answer. liftedAt is when an answer without a limit ended it.
-	rate                            float64
-	limitedAt, ownLimitAt, liftedAt time.Time
+	// limit is how many requests per second the runner takes from all nodes together, brittle how
+	// many it may reject within a second.
+	limit, brittle number
 	// window is how many requests that the runner has not begun to answer it may have after its
 	// rest; zero for any number.
 	window int
@@ -104,8 +103,8 @@
 		return
 	}
 	statements, problems := read(reg.options.Headers, reg.options.Limits(), status, header)
-	if source.Request != "" && len(header.Values(reg.options.Headers.Limit)) == 0 {
-		reg.lift(source)
+	if source.Request != "" {
+		reg.liftUnstated(source, header)
 	}
 	if len(statements)+len(problems) == 0 {
 		if source.Request != "" && !mayRequestRest(status) {
@@ -121,6 +120,16 @@
 	}
 }
 
+// liftUnstated ends the numbers that an answer to a request does not state.
+func (reg *Registry) liftUnstated(source Source, header http.Header) {
+	if len(header.Values(reg.options.Headers.Limit)) == 0 {
+		reg.lift(source, KindLimit)
+	}
+	if len(header.Values(reg.options.Headers.Brittle)) == 0 {
+		reg.lift(source, KindBrittle)
+	}
+}
+
 // problemLogInterval is the minimum time between two log lines about problems with one runner's
 // statements: a runner that sends malformed headers does so with each answer.
 const problemLogInterval = time.Second
@@ -177,6 +186,8 @@
 		reg.options.Log.Info("runner wants rest", "runner", source.Runner, "request", source.Request, "forMs", statement.For.Milliseconds())
 	case Limit:
 		reg.options.Log.Info("runner names a limit", "runner", source.Runner, "request", source.Request, "peer", source.Peer, "rate", statement.Rate)
+	case Brittle:
+		reg.options.Log.Info("runner says that it is brittle", "runner", source.Runner, "request", source.Request, "peer", source.Peer, "rejections", statement.Rejections)
 	}
 	if reg.options.OnChange != nil {
 		reg.options.OnChange(source, statement)
@@ -198,8 +209,12 @@
 		return rec.rest(now, statement.For)
 	case Limit:
 		reg.count(KindLimit)
-		rec.ownLimitAt = now
-		return rec.limit(now, statement.Rate, reg.options.Limits().LimitFor)
+		rec.limit.ownAt = now
+		return rec.limit.set(now, statement.Rate, reg.options.Limits().LimitFor)
+	case Brittle:
+		reg.count(KindBrittle)
+		rec.brittle.ownAt = now
+		return rec.brittle.set(now, statement.Rejections, reg.options.Limits().LimitFor)
 	default:
 		return false
 	}
@@ -231,11 +246,15 @@
 	// much longer that applies. Both are zero if it stated no limit.
 	Rate    float64
 	RateFor time.Duration
+	// Brittle is set while the runner ends if it has to reject more than Rejections requests within
+	// a second for lack of room.
+	Brittle    bool
+	Rejections float64
 }
 
 // State returns what a runner stated that is still in force.
 func (reg *Registry) State(runner string) State {
-	if reg == nil || reg.recordCount.Load() == 0 {
+	if reg.Empty() {
 		return State{}
 	}
 	reg.mutex.RLock()
@@ -249,12 +268,19 @@
 	if rec.recovering(now) {
 		state.Window = rec.window
 	}
-	if duration := reg.options.Limits().LimitFor; rec.limited(now, duration) {
-		state.Rate, state.RateFor = rec.rate, rec.limitedAt.Add(duration).Sub(now)
+	duration := reg.options.Limits().LimitFor
+	if rec.limit.inForce(now, duration) {
+		state.Rate, state.RateFor = rec.limit.value, rec.limit.at.Add(duration).Sub(now)
+	}
+	if rec.brittle.inForce(now, duration) {
+		state.Brittle, state.Rejections = true, rec.brittle.value
 	}
 	return state
 }
 
+// Empty reports whether no runner's statement is in force.
+func (reg *Registry) Empty() bool { return reg == nil || reg.recordCount.Load() == 0 }
+
 // CountResting returns the number of runners that want no requests from this node now.
 func (reg *Registry) CountResting() int {
 	reg.mutex.RLock()
@@ -305,14 +331,20 @@
 
 // sweep removes records with nothing in force. mutex is held.
 func (reg *Registry) sweep(now time.Time) {
-	duration := reg.options.Limits().LeavingFor
+	limits := reg.options.Limits()
 	for id, rec := range reg.runners {
-		if !rec.leaves(now, duration) && !rec.limited(now, reg.options.Limits().LimitFor) && !within(rec.liftedAt, now, reg.options.Limits().LimitFor) && !now.Before(rec.restsUntil) && !rec.recovering(now) && !within(rec.problemLoggedAt, now, problemLogInterval) {
+		if !rec.needed(now, limits) {
 			delete(reg.runners, id)
 		}
 	}
 }
 
+// needed reports whether a record says anything that still matters.
+func (r *record) needed(now time.Time, limits Limits) bool {
+	return r.leaves(now, limits.LeavingFor) || r.limit.known(now, limits.LimitFor) || r.brittle.known(now, limits.LimitFor) ||
+		now.Before(r.restsUntil) || r.recovering(now) || within(r.problemLoggedAt, now, problemLogInterval)
+}
+
 // leaves reports whether the runner said within the given duration that it leaves.
 func (r *record) leaves(now time.Time, duration time.Duration) bool {
 	return within(r.leavingAt, now, duration)
--- a/internal/statement/registry_test.go
+++ b/internal/statement/registry_test.go
@@ -17,7 +17,7 @@
 	now, changes = new(time.Time), new([]Statement)
 	*now = time.Unix(1000, 0)
 	registry = NewRegistry(Options{
-		Headers: Headers{Leaving: testHeader, Limit: testLimitHeader}, Now: func() time.Time { return *now }, Log: logr.Discard(),
+		Headers: Headers{Leaving: testHeader, Limit: testLimitHeader, Brittle: testBrittle}, Now: func() time.Time { return *now }, Log: logr.Discard(),
 		Limits:   func() Limits { return testLimits },
 		OnChange: func(_ Source, statement Statement) { *changes = append(*changes, statement) },
 	})
@@ -114,7 +114,7 @@
 
 // TestConcurrentReads reads headers concurrently, for the race detector.
 func TestConcurrentReads(t *testing.T) {
-	registry := NewRegistry(Options{Headers: Headers{Leaving: testHeader, Limit: testLimitHeader}, Now: time.Now, Log: logr.Discard(), Limits: func() Limits { return testLimits }})
+	registry := NewRegistry(Options{Headers: Headers{Leaving: testHeader, Limit: testLimitHeader, Brittle: testBrittle}, Now: time.Now, Log: logr.Discard(), Limits: func() Limits { return testLimits }})
 	var readers sync.WaitGroup
 	for range 8 {
 		readers.Go(func() {
@@ -131,7 +131,7 @@
 
 // BenchmarkState measures the lookup of a runner that stated nothing, next to one that did.
 func BenchmarkState(b *testing.B) {
-	registry := NewRegistry(Options{Headers: Headers{Leaving: testHeader, Limit: testLimitHeader}, Now: time.Now, Log: logr.Discard(), Limits: func() Limits { return testLimits }})
+	registry := NewRegistry(Options{Headers: Headers{Leaving: testHeader, Limit: testLimitHeader, Brittle: testBrittle}, Now: time.Now, Log: logr.Discard(), Limits: func() Limits { return testLimits }})
 	registry.ReadHeader(Source{Runner: "r1"}, http.StatusOK, leavingHead)
 	for b.Loop() {
 		registry.State("r2")
--- a/internal/upstream/names.go
+++ b/internal/upstream/names.go
@@ -16,6 +16,8 @@
 	Leaving string
 	// Limit is how many requests per second the runner takes from all nodes together.
 	Limit string
+	// Brittle is the runner's statement that it ends if it has to reject more requests in a second.
+	Brittle string
 	// Load is the load that a runner reports: running, waiting, slots.
 	Load string
 	// Urgency is the request's priority at the runner, from 0 (first) to 9.
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -46,18 +46,21 @@
 	// platform does not show it yet.
 	Leaving []RunnerLeaving `cbor:"18,keyasint,omitempty"`
 	// Limited are runners that stated limits in answers.
-	Limited []RunnerLimit `cbor:"20,keyasint,omitempty"`
+	Limited []RunnerNumber `cbor:"20,keyasint,omitempty"`
+	// Brittle are runners that stated in answers that they are brittle.
+	Brittle []RunnerNumber `cbor:"23,keyasint,omitempty"`
 	// CutOff is set while the node itself reaches few of the runners that others reach.
 	CutOff bool `cbor:"21,keyasint,omitempty"`
 }
 
-// RunnerLimit is the limit that a runner stated in an answer.
-type RunnerLimit struct {
+// RunnerNumber is a number that a runner stated in an answer.
+type RunnerNumber struct {
 	// Runner identifies the incarnation.
 	Runner string `cbor:"1,keyasint"`
-	// Rate is the number of requests per second that it accepts from all nodes together.
-	Rate float64 `cbor:"2,keyasint"`
-	// AgeMs is how long ago it last stated the limit, in milliseconds.
+	// Value is the number: in Limited, the requests per second that it accepts from all nodes
+	// together; in Brittle, the requests that it may reject within a second.
+	Value float64 `cbor:"2,keyasint"`
+	// AgeMs is how long ago it last stated the number, in milliseconds.
 	AgeMs int64 `cbor:"3,keyasint,omitempty"`
 }
 
@@ -158,9 +161,11 @@
 	Limits *limit.Grant `cbor:"16,keyasint,omitempty"`
 	// Permits answers the Permits of the request.
 	Permits []PermitsLent `cbor:"17,keyasint,omitempty"`
-	// Leaving and Limited are the runners that stated so to the holder itself or to other nodes.
+	// Leaving, Limited and Brittle are the runners that stated so to the holder itself or to other
+	// nodes.
 	Leaving []RunnerLeaving `cbor:"18,keyasint,omitempty"`
-	Limited []RunnerLimit   `cbor:"20,keyasint,omitempty"`
+	Limited []RunnerNumber  `cbor:"20,keyasint,omitempty"`
+	Brittle []RunnerNumber  `cbor:"23,keyasint,omitempty"`
 	// TunnelPeers are the addresses of nodes through which the node may reach runners, nearest first.
 	// Sent in answer to reports.
 	TunnelPeers []string `cbor:"22,keyasint,omitempty"`
