Find the peers that reach a runner where many nodes are cut off

A node now asks the peer first that reached the runner last, then those that reached other runners, up to four. A peer that fails at a runner says so at once. A node tries some paths before it takes a control lease, and counts as cut off by what it tried since the paths broke. A direct attempt that fails waits for peers only a moment if nothing else is broken.

--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -16,6 +16,9 @@
 const (
 	// reportTimeout is the timeout of one report request.
 	reportTimeout = 300 * time.Millisecond
+	// pathReportTimeout is the same for a runner that this node failed to connect to, so that peers
+	// may be asked one after the other.
+	pathReportTimeout = 900 * time.Millisecond
 	// reportRetry is the time until a runner that did not report is asked again.
 	reportRetry = 500 * time.Millisecond
 	// maxPendingReports limits how many reports are requested at the same time.
@@ -81,7 +84,11 @@
 // runner's ledger.
 func (c *Controller) requestReport(ctx context.Context, token uint64, runner backend.Runner) {
 	defer c.inFlight.Done()
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	timeout := reportTimeout
+	if c.Reach.Fails(runner.Name()) {
+		timeout = pathReportTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	asked := time.Now()
 	report, err := c.Runners.Report(ctx, runner)
--- a/internal/fleet/brittle_test.go
+++ b/internal/fleet/brittle_test.go
@@ -19,8 +19,8 @@
 	f, registry, c := statedFleet(append(names, "r1")...)
 	f.SetNodes(nodes)
 	f.SetColdStarts(ColdStarts{
-		Terms:    func(string) coldstart.Terms { return coldstart.Terms{} },
-		Limit:    func(rate float64, _ bool) coldstart.Terms { return coldstart.NewLimit(rate, coldstart.Lent{}) },
+		Terms: func(string) coldstart.Terms { return coldstart.Terms{} },
+		Limit: func(rate float64, _ bool) coldstart.Terms { return coldstart.NewLimit(rate, coldstart.Lent{}) },
 	})
 	registry.ReadHeader(statement.Source{Runner: "r1", Request: "a"}, http.StatusOK, http.Header{brittleHeader: {rejections}})
 	return f, c
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -62,9 +62,9 @@
 	// TakeoverDelay is how much longer than others this node waits before it takes a free
 	// lease, so that nodes with more spare capacity take it first. Nil means no delay.
 	TakeoverDelay func() time.Duration
-	// Unfit reports whether this node cannot act under the lease now, so that it takes a free one
-	// unfitDelay later than others. Nil means that it always can.
-	Unfit func() bool
+	// Fit finds out whether this node can act under the lease now. If not, it takes a free one only
+	// unfitDelay later than others could. Nil means that it always can.
+	Fit func(ctx context.Context) bool
 	// HolderAnswered reports whether this node recently received an answer from the holder by other
 	// means, in which case the row need not be read. If nil, the row is always read.
 	HolderAnswered func() bool
@@ -306,6 +306,13 @@
 // loses an answer of the store.
 const unfitDelay = 2 * time.Second
 
+// mayTakeUnfit reports whether others had the time to take the lease.
+func (l *Elector) mayTakeUnfit() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.options.Now().Sub(l.seenAt) >= l.options.Validity+l.options.Interval+l.options.TakeoverDelay()+unfitDelay
+}
+
 // mayTake reports whether this process may try to take the lease. The write is conditional
 // on the revision last seen, so it fails if the holder has renewed since.
 func (l *Elector) mayTake() bool {
@@ -314,9 +321,6 @@
 	if l.ending() || !l.rowKnown {
 		return false
 	}
-	if l.options.Unfit != nil && l.options.Unfit() && l.options.Now().Sub(l.seenAt) < l.options.Validity+l.options.Interval+l.options.TakeoverDelay()+unfitDelay {
-		return false
-	}
 	if l.latest.Released || l.latest.Holder == "" || l.latest.Holder == l.self.Holder {
 		return true
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -427,7 +427,7 @@
 		w := newCluster(2)
 		holder, other := w.nodes[0], w.nodes[1]
 		unfit := false
-		holder.options.Unfit = func() bool { return unfit }
+		holder.options.Fit = func(context.Context) bool { return !unfit }
 		holder.step(t.Context())
 		_, acted := holder.Act()
 		assert.Assert(t, acted)
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -115,7 +115,7 @@
 		return
 	}
 	l.logStoreChange(nil)
-	if l.mayTake() {
+	if l.mayTake() && (l.options.Fit == nil || l.options.Fit(ctx) || l.mayTakeUnfit()) {
 		l.take(ctx)
 	}
 }
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -75,7 +75,7 @@
 	s := n.settings.Load()
 	options := lease.Options{
 		Validity: leaseValidity, Interval: leaseInterval, TurnGap: s.Lease.TurnGap + turnGapMargin,
-		ActMargin: control.OrderMargin, CallTimeout: leaseCallTimeout, TakeoverDelay: n.takeoverDelay, Unfit: n.reach.CutOff,
+		ActMargin: control.OrderMargin, CallTimeout: leaseCallTimeout, TakeoverDelay: n.takeoverDelay, Fit: func(ctx context.Context) bool { return n.reachesRunners(ctx, service) },
 		Nodes: n.relay.Nodes, ReadFromPeer: c.peerLeaseReader(service), ReadStoreOnce: !s.Relay.FirstStart, ReadAtStart: !s.Relay.FirstStart,
 	}
 	ctx, end := context.WithCancel(c.ctx)
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -1,6 +1,11 @@
 package node
 
 import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
 	"lilacvane/internal/backend"
 	"lilacvane/internal/peer"
 	"lilacvane/internal/reach"
@@ -12,24 +17,47 @@
 // carries the connections of peers that do not reach them.
 func (n *Node) initPaths() {
 	n.tunnels = tunnel.NewServer(tunnel.ServerOptions{
-		Connect: n.pool.DialRunner, Broken: n.pathBroken, AddressOf: n.runnerAddress, Carried: n.recordCarried, Log: n.log.Logger,
+		Connect: n.pool.DialRunner, Fails: n.reach.Fails, AddressOf: n.runnerAddress, Carried: n.recordCarried, Log: n.log.Logger,
 	})
 	peer.HandleUpgrade(n.peers, wire.MethodTunnel, n.tunnels.Open)
 	n.tunnelDialer = tunnel.NewDialer(n.client.Upgrade, n.relay.Peers, n.log.Logger)
 	n.pool.Tunnels = n.tunnelDialer
 }
 
-// pathBroken reports whether this node is known not to reach a runner by itself.
-func (n *Node) pathBroken(runner string) bool {
-	_, broken := n.reach.BrokenSince(runner)
-	return broken
-}
-
 // checkPath finds out whether this node reaches a runner by itself.
 func (n *Node) checkPath(runner backend.Runner) {
 	n.pool.Check(reach.Runner{Name: runner.Name(), Address: runner.Address})
 }
 
+const (
+	// fitnessChecks is how many paths a node tries before it takes a control lease.
+	fitnessChecks = 4
+	// fitnessTimeout bounds that.
+	fitnessTimeout = time.Second
+)
+
+// reachesRunners finds out whether this node reaches the runners of a service by itself.
+func (n *Node) reachesRunners(ctx context.Context, service string) bool {
+	ctx, cancel := context.WithTimeout(ctx, fitnessTimeout)
+	defer cancel()
+	runners := n.fleet.Runners(service)
+	rand.Shuffle(len(runners), func(i, j int) { runners[i], runners[j] = runners[j], runners[i] })
+	var checks sync.WaitGroup
+	for _, runner := range runners[:min(fitnessChecks, len(runners))] {
+		checks.Go(func() { n.checkPath(runner) })
+	}
+	done := make(chan struct{})
+	go func() {
+		checks.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	return !n.reach.CutOff()
+}
+
 // runnerAddress returns the address of a listed runner.
 func (n *Node) runnerAddress(name string) (string, bool) {
 	listed, known := n.fleet.Listed(name)
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -74,6 +74,8 @@
 	// peerReachedLifetime is how long before a failed attempt a peer may have reached the
 	// runner to show that the path of this node is broken: the two attempts overlap.
 	peerReachedLifetime = time.Second
+	// failedLifetime is how long a failed attempt shows that another one would fail.
+	failedLifetime = time.Second
 	// recently is the age up to which connections count for whether the node is cut off.
 	recently = 3 * time.Second
 	// minBroken is how many paths must be broken before the node counts as cut off.
@@ -197,6 +199,17 @@
 	return p.failedSince, true
 }
 
+// Fails reports whether the node failed to connect to a runner lately, and did not connect since.
+func (t *Tracker) Fails(runner string) bool {
+	if t == nil {
+		return false
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	p := t.paths[runner]
+	return p != nil && !p.failedSince.IsZero() && t.now().Sub(p.failedAt) < failedLifetime
+}
+
 // checkInterval is the time between two checks of a path.
 const checkInterval = time.Second
 
@@ -228,18 +241,33 @@
 	return t.cutOff()
 }
 
-// cutOff implements CutOff. mutex must be held.
+// cutOff implements CutOff. Connections made before the paths broke say nothing. mutex must be held.
 func (t *Tracker) cutOff() bool {
-	broken, sound := 0, 0
+	broken := 0
+	begun := t.now()
 	for _, p := range t.paths {
-		switch {
-		case p.broken():
+		if p.broken() {
 			broken++
-		case p.failedSince.IsZero() && t.now().Sub(p.connectedAt) < recently:
+			begun = earlier(begun, p.failedSince)
+		}
+	}
+	if broken < minBroken {
+		return false
+	}
+	sound := 0
+	for _, p := range t.paths {
+		if p.failedSince.IsZero() && p.connectedAt.After(begun) && t.now().Sub(p.connectedAt) < recently {
 			sound++
 		}
 	}
-	return broken >= minBroken && broken > sound
+	return broken > sound
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // TakeDue returns at most count runners whose broken paths are to be tried now.
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -77,25 +77,29 @@
 	assert.Assert(t, !tracker.CutOff(), "one broken path")
 }
 
-// TestCutOffIsMostOfThePaths: the node counts as cut off while most of the paths that it tried
-// lately are broken.
+// TestCutOffIsMostOfThePaths: the node counts as cut off while most of the paths that it tried since
+// the first of them broke are broken.
 func TestCutOffIsMostOfThePaths(t *testing.T) {
 	tracker, now := testTracker()
 	breakPath := func(name string) {
 		tracker.Failed(Runner{Name: name}, errTest)
 		tracker.PeerConnected(Runner{Name: name})
 	}
-	for _, name := range []string{"a", "b", "c", "d"} {
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
 		tracker.Connected(Runner{Name: name})
 	}
 	breakPath("a")
 	breakPath("b")
+	assert.Assert(t, tracker.CutOff(), "the others were tried before")
+	*now = now.Add(time.Millisecond)
+	tracker.Connected(Runner{Name: "d"})
+	tracker.Connected(Runner{Name: "e"})
 	assert.Assert(t, !tracker.CutOff(), "as many paths work")
 	breakPath("c")
 	assert.Assert(t, tracker.CutOff())
 	assert.Equal(t, tracker.Way(Runner{Name: "new"}), Either)
 	*now = now.Add(recently)
-	assert.Equal(t, tracker.Way(Runner{Name: "d"}), Either, "d worked before the others were lost")
+	assert.Equal(t, tracker.Way(Runner{Name: "d"}), Either, "d worked a while ago")
 	tracker.Connected(Runner{Name: "b"})
 	tracker.Connected(Runner{Name: "c"})
 	assert.Assert(t, !tracker.CutOff())
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -16,21 +16,22 @@
 )
 
 const (
-	// maxPeers bounds the peers that are asked for one connection. maxUnreached is how many of
-	// them need to answer that they do not reach the runner either to be believed.
-	maxPeers     = 3
-	maxUnreached = 2
+	// maxPeers bounds the peers that are asked for one connection: each may have lost the path to the
+	// runner as well.
+	maxPeers = 4
 	// peerStagger is the time without an answer after which one more peer is asked.
-	peerStagger = 150 * time.Millisecond
-	// openTimeout bounds an attempt: two attempts to connect, one of them at another region's
-	// distance.
-	openTimeout = 800 * time.Millisecond
+	peerStagger = 100 * time.Millisecond
+	// OpenTimeout bounds Dial: the peers are asked one after the other, and each may take as long as an
+	// attempt to connect to the runner.
+	OpenTimeout = 900 * time.Millisecond
 	// peerPause is how long a peer that did not help is asked only after the others,
 	// unsupportedPause the same for one that does not know the call.
 	peerPause        = time.Second
 	unsupportedPause = time.Minute
 	// preferredPeers is among how many peers, nearest first, the first one is drawn.
 	preferredPeers = 3
+	// maxRemembered bounds the runners for which it is remembered which peers reach them.
+	maxRemembered = 1024
 )
 
 // Upgrade makes a call to a peer after which the connection belongs to the caller; see
@@ -49,12 +50,24 @@
 	peers []string
 	// paused maps peers that did not help to the end of their pause.
 	paused map[string]time.Time
+	// reached maps runners to what is known of the peers that reach them; helped maps peers to when
+	// they last reached any.
+	reached map[string]*knownPeers
+	helped  map[string]time.Time
+}
+
+// knownPeers is what is known of the peers that reach a runner.
+type knownPeers struct {
+	// last is the peer that reached it last.
+	last string
+	// unreached maps peers that did not reach it to the end of their pause.
+	unreached map[string]time.Time
 }
 
 // NewDialer returns a Dialer that asks peers by upgrade. fallback returns the addresses of some
 // peers, for as long as SetPeers was not called.
 func NewDialer(upgrade Upgrade, fallback func() []string, log logr.Logger) *Dialer {
-	return &Dialer{upgrade: upgrade, fallback: fallback, log: log, paused: make(map[string]time.Time)}
+	return &Dialer{upgrade: upgrade, fallback: fallback, log: log, paused: make(map[string]time.Time), reached: make(map[string]*knownPeers), helped: make(map[string]time.Time)}
 }
 
 // SetPeers replaces the addresses of the peers to ask, nearest first.
@@ -93,58 +106,80 @@
 // Dial connects to a runner through a peer. It returns an UnreachedError if peers answered that
 // they do not reach the runner, and another error if no peer answered that.
 func (d *Dialer) Dial(ctx context.Context, runner, address string) (*Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	ctx, cancel := context.WithTimeout(ctx, OpenTimeout)
 	defer cancel()
-	order := d.order()
-	if len(order) == 0 {
+	search := &search{dialer: d, ctx: ctx, request: wire.TunnelRequest{Runner: runner, Address: address}, order: d.order(runner), results: make(chan attempt, maxPeers)}
+	if len(search.order) == 0 {
 		return nil, ErrNoPeer
 	}
-	results := make(chan attempt, len(order))
-	request := wire.TunnelRequest{Runner: runner, Address: address}
-	next, open := 0, 0
-	ask := func() {
-		peer := order[next]
-		next, open = next+1, open+1
-		go func() { results <- d.ask(ctx, peer, request) }()
-	}
 	// The attempts that are still open end with ctx.
-	defer func() { go discard(results, open) }()
-	ask()
+	defer func() { go discard(search.results, search.open) }()
+	return search.run()
+}
+
+// search asks peers for a connection to a runner, one after the other, until one has it.
+type search struct {
+	dialer  *Dialer
+	ctx     context.Context
+	request wire.TunnelRequest
+	// order are the peers to ask; asked counts those that were, open those that did not answer yet.
+	order       []string
+	asked, open int
+	results     chan attempt
+	// unreached and refused are set if a peer answered that it does not reach the runner, and that
+	// the runner refuses connections; last is the last error of a peer that gave no answer.
+	unreached, refused bool
+	last               error
+}
+
+// run returns the first connection.
+func (s *search) run() (*Conn, error) {
 	stagger := time.NewTicker(peerStagger)
 	defer stagger.Stop()
-	var unreached []attempt
-	var last error
-	for open > 0 {
+	s.askNext()
+	for s.open > 0 {
 		select {
 		case <-stagger.C:
-			if next < len(order) {
-				ask()
-			}
-			continue
-		case result := <-results:
-			open--
-			switch {
-			case result.conn != nil:
-				d.pauseOthers(unreached)
+			s.askNext()
+		case result := <-s.results:
+			s.open--
+			if result.conn != nil {
+				s.dialer.remember(s.request.Runner, result.peer)
 				return result.conn, nil
-			case result.reached:
-				unreached = append(unreached, result)
-			default:
-				d.pause(result)
-				last = result.err
 			}
-		}
-		if len(unreached) == maxUnreached {
-			break
-		}
-		if next < len(order) {
-			ask()
+			s.record(result)
+			s.askNext()
 		}
 	}
-	if len(unreached) > 0 {
-		return nil, &UnreachedError{Refused: slices.ContainsFunc(unreached, func(a attempt) bool { return a.refused })}
+	if s.unreached {
+		return nil, &UnreachedError{Refused: s.refused}
+	}
+	return nil, s.last
+}
+
+// askNext asks the next peer, if there is one and the search goes on.
+func (s *search) askNext() {
+	if s.asked == len(s.order) || s.ctx.Err() != nil {
+		return
+	}
+	peer := s.order[s.asked]
+	s.asked++
+	s.open++
+	go func() { s.results <- s.dialer.ask(s.ctx, peer, s.request) }()
+}
+
+// record records a peer's answer without a connection.
+func (s *search) record(result attempt) {
+	switch {
+	case result.reached:
+		s.unreached, s.refused = true, s.refused || result.refused
+		s.dialer.avoid(s.request.Runner, result.peer)
+	default:
+		s.last = result.err
+		if s.ctx.Err() == nil {
+			s.dialer.pause(result)
+		}
 	}
-	return nil, last
 }
 
 // ask asks one peer for a connection to a runner.
@@ -170,9 +205,9 @@
 	}
 }
 
-// order returns the peers to ask, in this order: one of the nearest first, those that did not
-// help lately last.
-func (d *Dialer) order() []string {
+// order returns the peers to ask for a runner, in this order: the one that reached it last, those that
+// reached others lately, one of the nearest, one of the others, and last those that did not help.
+func (d *Dialer) order(runner string) []string {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	peers := slices.Clone(d.peers)
@@ -188,23 +223,32 @@
 		near[1], far[0] = far[0], near[1]
 	}
 	now := time.Now()
-	slices.SortStableFunc(peers, func(a, b string) int { return d.pausedAt(a, now) - d.pausedAt(b, now) })
+	known := d.reached[runner]
+	slices.SortStableFunc(peers, func(a, b string) int { return d.rank(known, a, now) - d.rank(known, b, now) })
 	return peers[:min(maxPeers, len(peers))]
 }
 
-func shuffle(peers []string) {
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-}
+// helpedLifetime is how long a peer that reached a runner is asked before others, also for others.
+const helpedLifetime = 5 * time.Second
 
-// pausedAt returns 1 for a peer whose pause is not over, else 0. mutex must be held.
-func (d *Dialer) pausedAt(peer string, now time.Time) int {
-	if until, paused := d.paused[peer]; paused {
-		if now.Before(until) {
-			return 1
-		}
-		delete(d.paused, peer)
+// rank returns how early a peer is asked, the lowest first. mutex must be held.
+func (d *Dialer) rank(known *knownPeers, peer string, now time.Time) int {
+	switch {
+	case now.Before(d.paused[peer]):
+		return 4
+	case known != nil && now.Before(known.unreached[peer]):
+		return 3
+	case known != nil && peer == known.last:
+		return 0
+	case now.Sub(d.helped[peer]) < helpedLifetime:
+		return 1
+	default:
+		return 2
 	}
-	return 0
+}
+
+func shuffle(peers []string) {
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 }
 
 // pause makes a peer that gave no answer be asked after the others for a while.
@@ -217,11 +261,38 @@
 	d.setPause(failed.peer, pause)
 }
 
-// pauseOthers is pause for peers that do not reach a runner that another peer reaches.
-func (d *Dialer) pauseOthers(unreached []attempt) {
-	for _, a := range unreached {
-		d.setPause(a.peer, peerPause)
+// remember records that a peer reached a runner.
+func (d *Dialer) remember(runner, peer string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known := d.knownPeers(runner)
+	known.last = peer
+	delete(known.unreached, peer)
+	d.helped[peer] = time.Now()
+}
+
+// avoid records that a peer did not reach a runner.
+func (d *Dialer) avoid(runner, peer string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known := d.knownPeers(runner)
+	if known.last == peer {
+		known.last = ""
+	}
+	known.unreached[peer] = time.Now().Add(peerPause)
+}
+
+// knownPeers returns what is known of the peers that reach a runner. mutex must be held.
+func (d *Dialer) knownPeers(runner string) *knownPeers {
+	known := d.reached[runner]
+	if known == nil {
+		if len(d.reached) >= maxRemembered {
+			clear(d.reached)
+		}
+		known = &knownPeers{unreached: make(map[string]time.Time)}
+		d.reached[runner] = known
 	}
+	return known
 }
 
 func (d *Dialer) setPause(peer string, pause time.Duration) {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -30,10 +30,9 @@
 
 // ServerOptions configures a Server.
 type ServerOptions struct {
-	// Connect connects to a runner. Broken reports whether this node is known not to reach it
-	// by itself.
+	// Connect connects to a runner. Fails reports whether that is known to fail.
 	Connect Connect
-	Broken  func(runner string) bool
+	Fails   func(runner string) bool
 	// AddressOf returns the address of a listed runner; false if this node does not know it.
 	AddressOf func(runner string) (string, bool)
 	// Carried is called with each request that this node passes on; it may be nil.
@@ -66,7 +65,7 @@
 		return nil, wire.TunnelResponse{}, err
 	}
 	defer s.release()
-	if s.options.Broken(request.Runner) {
+	if s.options.Fails(request.Runner) {
 		return nil, wire.TunnelResponse{}, nil
 	}
 	address := request.Address
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -43,7 +44,7 @@
 		Connect: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return link.Runner.Dialer().DialContext(ctx, "tcp", address)
 		},
-		Broken:    func(string) bool { return false },
+		Fails:     func(string) bool { return false },
 		AddressOf: func(string) (string, bool) { return "", false },
 		Carried:   func(request, _ string, _ peer.Caller) { c.requests <- request },
 		Log:       logr.Discard(),
@@ -210,7 +211,7 @@
 	_, err := testDialer(first.address, second.address).Dial(t.Context(), "r1", refusing)
 	assert.Assert(t, errors.As(err, &unreached), "%v", err)
 	assert.Assert(t, unreached.Refused)
-	first.options.Broken = func(string) bool { return true }
+	first.options.Fails = func(string) bool { return true }
 	_, err = testDialer(first.address).Dial(t.Context(), "r1", refusing)
 	assert.Assert(t, errors.As(err, &unreached), "%v", err)
 	assert.Assert(t, !unreached.Refused)
@@ -224,7 +225,7 @@
 // and one that does not reach the runner do not keep another one from being used.
 func TestOneWorkingPeerIsEnough(t *testing.T) {
 	working, cut := startCarrier(t), startCarrier(t)
-	cut.options.Broken = func(string) bool { return true }
+	cut.options.Fails = func(string) bool { return true }
 	older := peer.NewServer("older")
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -239,18 +240,38 @@
 	for name, other := range map[string]string{"older": listener.Addr().String(), "mute": mute.Addr().String(), "gone": gone.Addr().String(), "cut off": cut.address} {
 		t.Run(name, func(t *testing.T) {
 			dialer := testDialer(other, working.address)
-			for range 10 {
-				conn, err := dialer.Dial(t.Context(), "r1", working.runner.Addr().String())
+			for number := range 10 {
+				conn, err := dialer.Dial(t.Context(), strconv.Itoa(number), working.runner.Addr().String())
 				assert.NilError(t, err)
 				assert.NilError(t, conn.Close())
 			}
 			if name == "older" || name == "gone" {
-				assert.Equal(t, dialer.order()[0], working.address)
+				assert.Equal(t, dialer.order("new")[0], working.address)
 			}
 		})
 	}
 }
 
+// TestPeerThatReachedTheRunnerIsAskedFirst: each runner may be reached by other peers.
+func TestPeerThatReachedTheRunnerIsAskedFirst(t *testing.T) {
+	dialer := testDialer("a", "b", "c", "d")
+	dialer.remember("r1", "c")
+	dialer.avoid("r2", "c")
+	dialer.avoid("r2", "d")
+	for range 20 {
+		assert.Equal(t, dialer.order("r1")[0], "c")
+		assert.Equal(t, dialer.order("r3")[0], "c", "it reached another one")
+		order := dialer.order("r2")
+		assert.Assert(t, order[0] != "c" && order[0] != "d", "%v", order)
+	}
+	dialer.avoid("r1", "c")
+	assert.Equal(t, dialer.order("r1")[3], "c")
+	for number := range 2 * maxRemembered {
+		dialer.remember(strconv.Itoa(number), "a")
+		assert.Assert(t, len(dialer.reached) <= maxRemembered)
+	}
+}
+
 // TestCarriedConnectionsAreBounded: beyond maxCarried connections, a peer is told so.
 func TestCarriedConnectionsAreBounded(t *testing.T) {
 	c := startCarrier(t)
@@ -265,7 +286,7 @@
 func TestPeersOfOtherZonesAreAskedToo(t *testing.T) {
 	dialer := testDialer("near-1", "near-2", "near-3", "far-1", "far-2")
 	for range 50 {
-		order := dialer.order()
+		order := dialer.order("r1")
 		assert.Equal(t, len(order), maxPeers)
 		assert.Assert(t, strings.HasPrefix(order[0], "near"), "%v", order)
 		assert.Assert(t, strings.HasPrefix(order[1], "far"), "%v", order)
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -19,6 +19,9 @@
 	// fallbackDelay is how long a direct connection attempt may take until a peer is asked as
 	// well: longer than one between regions takes.
 	fallbackDelay = 200 * time.Millisecond
+	// peerGrace is how long a peer may still take after a direct attempt failed for no known cause: a
+	// runner that has just ended is not waited for.
+	peerGrace = 150 * time.Millisecond
 	// retriesPerRound bounds the attempts on broken paths that begin together, retryRound is the
 	// time between two rounds.
 	retriesPerRound = 8
@@ -60,9 +63,9 @@
 		}
 		return conn, nil
 	case reach.Either:
-		return p.race(ctx, runner, 0)
+		return p.race(ctx, runner, 0, tunnel.OpenTimeout)
 	default:
-		return p.race(ctx, runner, fallbackDelay)
+		return p.race(ctx, runner, fallbackDelay, peerGrace)
 	}
 }
 
@@ -73,44 +76,54 @@
 }
 
 // race connects directly and, once that has failed or taken delay, through a peer as well, and
-// returns the connection that is there first. The direct attempt goes on, as its outcome shows
-// whether the path is broken, and its connection is kept for the next call.
-func (p *Pool) race(ctx context.Context, runner reach.Runner, delay time.Duration) (*connection, error) {
-	peerCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	direct := p.dialAside(context.WithoutCancel(ctx), runner)
+// returns the connection that is there first. If the direct attempt has failed, peers get grace to
+// do better. Attempts that are left go on: their outcomes show whether the path is broken, and their
+// connections are kept for the next call.
+func (p *Pool) race(ctx context.Context, runner reach.Runner, delay, grace time.Duration) (*connection, error) {
+	aside := context.WithoutCancel(ctx)
+	direct := p.dialAside(aside, runner)
 	var peer <-chan dialing
+	defer func() {
+		p.keep(runner, direct)
+		p.keep(runner, peer)
+	}()
+	askPeer := time.NewTimer(delay)
+	defer askPeer.Stop()
+	giveUp := time.NewTimer(tunnel.OpenTimeout + delay)
+	defer giveUp.Stop()
 	var directErr, peerErr error
 	for directErr == nil || peerErr == nil {
 		select {
 		case <-ctx.Done():
-			p.keep(runner, direct)
-			p.keep(runner, peer)
 			return nil, fault.At(fault.CodeUnreachable, "connect", runner.Address, fault.NotDone, context.Cause(ctx))
 		case result := <-direct:
+			direct = nil
 			if result.err == nil {
-				p.keep(runner, peer)
 				return result.conn, nil
 			}
-			direct, directErr = nil, result.err
-			timer.Reset(0)
-		case <-timer.C:
+			directErr = result.err
+			askPeer.Reset(0)
+			giveUp.Reset(grace)
+		case <-askPeer.C:
 			if peer == nil && peerErr == nil {
-				peer = p.dialPeerAside(peerCtx, runner)
+				peer = p.dialPeerAside(aside, runner)
 			}
 		case result := <-peer:
+			peer = nil
 			if result.err == nil {
-				p.keep(runner, direct)
 				return result.conn, nil
 			}
-			peer, peerErr = nil, result.err
+			peerErr = result.err
+		case <-giveUp.C:
+			peerErr = errUndecided
 		}
 	}
 	return nil, conclude(runner, directErr, peerErr)
 }
 
+// errUndecided means that no peer has answered in time.
+var errUndecided = errors.New("no peer has answered yet")
+
 // dialAside connects to a runner directly and sends the outcome.
 func (p *Pool) dialAside(ctx context.Context, runner reach.Runner) <-chan dialing {
 	outcome := make(chan dialing, 1)
@@ -131,15 +144,22 @@
 	return outcome
 }
 
-// keep keeps the connection of an attempt that is not needed now for the next call.
+// keep keeps the connection of an attempt that is not needed now for the next call. One through a
+// peer is closed if the direct path works.
 func (p *Pool) keep(runner reach.Runner, pending <-chan dialing) {
 	if pending == nil {
 		return
 	}
 	go func() {
-		if result := <-pending; result.conn != nil {
-			p.returnUnused(runner.Name, result.conn)
+		result := <-pending
+		if result.conn == nil {
+			return
+		}
+		if _, broken := p.Reach.BrokenSince(runner.Name); result.conn.tunnel != nil && !broken {
+			_ = result.conn.Close()
+			return
 		}
+		p.returnUnused(runner.Name, result.conn)
 	}()
 }
 
