--- a/test/cut_test.go
+++ b/test/cut_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/linkfault"
 	"lilacvane/internal/lab/world"
 )
@@ -52,7 +53,13 @@
 
 func startCutWorld(t *testing.T) *cutWorld {
 	t.Helper()
-	w := &cutWorld{statementWorld: startStatementWorldWith(t, statementTest{}, world.RestartPolicy{}, func(o *world.Options) { o.FaultyLinks = true })}
+	return startCutWorldWith(t, statementTest{}, world.RestartPolicy{})
+}
+
+// startCutWorldWith starts a cutWorld; restart determines how its runners are restarted.
+func startCutWorldWith(t *testing.T, test statementTest, restart world.RestartPolicy) *cutWorld {
+	t.Helper()
+	w := &cutWorld{statementWorld: startStatementWorldWith(t, test, restart, func(o *world.Options) { o.FaultyLinks = true })}
 	routes := world.DefaultRoutes()
 	for index := range routes {
 		if routes[index].Name == "reply" {
@@ -142,16 +149,23 @@
 	assert.Check(t, sound[""].share() >= leastSoundShare, "%d of %d at nodes that reach all runners", sound[""].served, sound[""].all)
 }
 
-// checkRuns checks that requests that may not be repeated ran at most once, and that no
-// refused request ran.
-func (w *cutWorld) checkRuns(t *testing.T) {
+// countRuns returns how often runners ran each request.
+func (w *cutWorld) countRuns(t *testing.T) map[string]int {
 	t.Helper()
 	runs := make(map[string]int)
 	for _, record := range readHistory(t, w.world).records {
-		if record.Event == "run" {
+		if record.Event == journal.EventRun {
 			runs[record.Request]++
 		}
 	}
+	return runs
+}
+
+// checkRuns checks that requests that may not be repeated ran at most once, and that no
+// refused request ran.
+func (w *cutWorld) checkRuns(t *testing.T) {
+	t.Helper()
+	runs := w.countRuns(t)
 	for id, exchange := range w.exchanges {
 		if exchange.request.Method == http.MethodPost {
 			assert.Check(t, runs[id] <= 1, "%s ran %d times", id, runs[id])
--- a/test/statements_test.go
+++ b/test/statements_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -62,8 +63,13 @@
 	crowd int
 	all   bool
 	full  bool
+	// nodes is the number of nodes; zero means defaultNodes.
+	nodes int
 }
 
+// defaultNodes is the number of nodes of most tests.
+const defaultNodes = 4
+
 // TestRunnersThatLeaveGetNothing: half of the runners, or all, announce in their answers
 // that they leave, and keep serving.
 func TestRunnersThatLeaveGetNothing(t *testing.T) {
@@ -143,7 +149,7 @@
 			assert.NilError(t, err)
 		}
 	}
-	s := &statementWorld{statementTest: test, world: w, nodes: startNodes(t, w, 4), exchanges: make(map[string]clientExchange), disturbed: make(map[*world.Node][]time.Time)}
+	s := &statementWorld{statementTest: test, world: w, nodes: startNodes(t, w, cmp.Or(test.nodes, defaultNodes)), exchanges: make(map[string]clientExchange), disturbed: make(map[*world.Node][]time.Time)}
 	apply(t, s.nodes[0], append(model("alpha", runnersPerService), readyPolicy("alpha", runnersPerService))...)
 	waitKnown(t, "alpha", s.nodes...)
 	waitUntil(t, "all runners hold the model", func() error {
