Believe a refused connection only of nodes that reach other runners

A peer now says that a runner refuses connections only if it connects to another runner at that moment, and a node without peers does the same.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"lilacvane/internal/coldstart"
 	"lilacvane/internal/eligible"
 	"lilacvane/internal/place"
+	"lilacvane/internal/reach"
 	"lilacvane/internal/statement"
 )
 
@@ -303,6 +304,23 @@
 	return known.listed, true
 }
 
+// Sample returns up to count listed runners of all services, other than the one with that name,
+// beginning anywhere.
+func (f *Fleet) Sample(count int, except string) []reach.Runner {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	sample := make([]reach.Runner, 0, count)
+	for _, known := range f.runners {
+		if len(sample) == count {
+			break
+		}
+		if known.present && known.listed.Name() != except {
+			sample = append(sample, reach.Runner{Name: known.listed.Name(), Address: known.listed.Address})
+		}
+	}
+	return sample
+}
+
 // Named reports whether a runner with that name is listed or has requests in flight.
 func (f *Fleet) Named(name string) bool {
 	f.mutex.Lock()
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -17,11 +17,11 @@
 // carries the connections of peers that do not reach them.
 func (n *Node) initPaths() {
 	n.tunnels = tunnel.NewServer(tunnel.ServerOptions{
-		Connect: n.pool.DialRunner, Fails: n.reach.Fails, AddressOf: n.runnerAddress, Carried: n.recordCarried, Log: n.log.Logger,
+		Connect: n.pool.DialRunner, Fails: n.reach.Fails, ReachesOthers: n.pool.ReachesOthers, AddressOf: n.runnerAddress, Carried: n.recordCarried, Log: n.log.Logger,
 	})
 	peer.HandleUpgrade(n.peers, wire.MethodTunnel, n.tunnels.Open)
 	n.tunnelDialer = tunnel.NewDialer(n.client.Upgrade, n.relay.Peers, n.log.Logger)
-	n.pool.Tunnels = n.tunnelDialer
+	n.pool.Tunnels, n.pool.Others = n.tunnelDialer, n.otherRunners
 }
 
 // checkPath finds out whether this node reaches a runner by itself.
@@ -29,6 +29,15 @@
 	n.pool.Check(reach.Runner{Name: runner.Name(), Address: runner.Address})
 }
 
+// comparedRunners is how many other runners are tried to find out whether a refused connection is
+// due to the path.
+const comparedRunners = 2
+
+// otherRunners returns a few runners other than the named one.
+func (n *Node) otherRunners(name string) []reach.Runner {
+	return n.fleet.Sample(comparedRunners, name)
+}
+
 const (
 	// fitnessChecks is how many paths a node tries before it takes a control lease.
 	fitnessChecks = 4
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -38,8 +38,10 @@
 	// succeeded, failedAt when the last one failed; zero for none.
 	failedSince, failedAt time.Time
 	// peerReachedAt is when a peer last connected to the runner for this node, peersFailedAt
-	// when peers that were asked last did not reach it; zero for never.
+	// when peers that were asked last did not reach it; zero for never. peersRefused is set if they
+	// were refused.
 	peerReachedAt, peersFailedAt time.Time
+	peersRefused                 bool
 	// usedAt is when a connection was last asked for.
 	usedAt time.Time
 	// checkedAt is when a check of the path last began.
@@ -158,15 +160,27 @@
 	t.noteBroken(runner, p, before)
 }
 
-// PeersFailed records that the peers that were asked did not reach a runner either.
-func (t *Tracker) PeersFailed(runner Runner) {
+// PeersFailed records that the peers that were asked did not reach a runner either, and whether its
+// address refused them.
+func (t *Tracker) PeersFailed(runner Runner, refused bool) {
 	if t == nil {
 		return
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	p := t.path(runner)
-	p.peerReachedAt, p.peersFailedAt = time.Time{}, t.now()
+	p.peerReachedAt, p.peersFailedAt, p.peersRefused = time.Time{}, t.now(), refused
+}
+
+// RefusesPeers reports whether a runner's address lately refused connections of peers.
+func (t *Tracker) RefusesPeers(runner string) bool {
+	if t == nil {
+		return false
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	p := t.paths[runner]
+	return p != nil && p.peersRefused && t.now().Sub(p.peersFailedAt) < peersFailedLifetime
 }
 
 // noteBroken logs and schedules the next attempt of a path that was just found broken. mutex
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -48,8 +48,9 @@
 	assert.Equal(t, tracker.Way(r), Direct)
 	tracker.Failed(r, errTest)
 	assert.Equal(t, tracker.Way(r), Either)
-	tracker.PeersFailed(r)
+	tracker.PeersFailed(r, true)
 	assert.Equal(t, tracker.Way(r), Alone)
+	assert.Assert(t, tracker.RefusesPeers("a"))
 	*now = now.Add(peersFailedLifetime)
 	assert.Equal(t, tracker.Way(r), Either)
 	tracker.PeerConnected(r)
@@ -69,7 +70,7 @@
 	tracker, _ := testTracker()
 	for _, name := range []string{"a", "b", "c"} {
 		tracker.Failed(Runner{Name: name}, errTest)
-		tracker.PeersFailed(Runner{Name: name})
+		tracker.PeersFailed(Runner{Name: name}, false)
 	}
 	assert.Assert(t, !tracker.CutOff())
 	tracker.Failed(Runner{Name: "d"}, errTest)
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -33,6 +33,9 @@
 	// Connect connects to a runner. Fails reports whether that is known to fail.
 	Connect Connect
 	Fails   func(runner string) bool
+	// ReachesOthers reports whether this node connects to other runners than the named one. If not,
+	// a refused connection says nothing about the runner.
+	ReachesOthers func(ctx context.Context, runner string) bool
 	// AddressOf returns the address of a listed runner; false if this node does not know it.
 	AddressOf func(runner string) (string, bool)
 	// Carried is called with each request that this node passes on; it may be nil.
@@ -74,7 +77,8 @@
 	}
 	runner, err := s.options.Connect(ctx, request.Runner, address)
 	if err != nil {
-		return nil, wire.TunnelResponse{Refused: errors.Is(err, syscall.ECONNREFUSED)}, nil
+		refused := errors.Is(err, syscall.ECONNREFUSED) && s.options.ReachesOthers(ctx, request.Runner)
+		return nil, wire.TunnelResponse{Refused: refused}, nil
 	}
 	return func(conn net.Conn, reader *bufio.Reader) {
 		t := &tunnel{server: s, name: request.Runner, caller: caller, peer: conn, reader: reader, runner: runner}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -44,10 +44,11 @@
 		Connect: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return link.Runner.Dialer().DialContext(ctx, "tcp", address)
 		},
-		Fails:     func(string) bool { return false },
-		AddressOf: func(string) (string, bool) { return "", false },
-		Carried:   func(request, _ string, _ peer.Caller) { c.requests <- request },
-		Log:       logr.Discard(),
+		Fails:         func(string) bool { return false },
+		ReachesOthers: func(context.Context, string) bool { return true },
+		AddressOf:     func(string) (string, bool) { return "", false },
+		Carried:       func(request, _ string, _ peer.Caller) { c.requests <- request },
+		Log:           logr.Discard(),
 	})
 	peer.HandleUpgrade(c.peers, wire.MethodTunnel, c.Open)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -211,6 +212,9 @@
 	_, err := testDialer(first.address, second.address).Dial(t.Context(), "r1", refusing)
 	assert.Assert(t, errors.As(err, &unreached), "%v", err)
 	assert.Assert(t, unreached.Refused)
+	first.options.ReachesOthers = func(context.Context, string) bool { return false }
+	_, err = testDialer(first.address).Dial(t.Context(), "r1", refusing)
+	assert.Assert(t, errors.As(err, &unreached) && !unreached.Refused, "the peer may be cut off: %v", err)
 	first.options.Fails = func(string) bool { return true }
 	_, err = testDialer(first.address).Dial(t.Context(), "r1", refusing)
 	assert.Assert(t, errors.As(err, &unreached), "%v", err)
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -50,7 +50,11 @@
 func (p *Pool) connectAnyWay(ctx context.Context, runner reach.Runner) (*connection, error) {
 	switch p.Reach.Way(runner) {
 	case reach.Alone:
-		return p.dial(ctx, runner)
+		conn, err := p.dial(ctx, runner)
+		if errors.Is(err, syscall.ECONNREFUSED) && !p.Reach.RefusesPeers(runner.Name) {
+			return nil, unconfirmed(runner, err, errUndecided)
+		}
+		return conn, err
 	case reach.ViaPeer:
 		conn, peerErr := p.dialPeer(ctx, runner)
 		if peerErr == nil || ctx.Err() != nil {
@@ -59,7 +63,7 @@
 		// The path may work again.
 		conn, err := p.dial(ctx, runner)
 		if err != nil {
-			return nil, conclude(runner, err, peerErr)
+			return nil, p.conclude(ctx, runner, err, peerErr)
 		}
 		return conn, nil
 	case reach.Either:
@@ -118,7 +122,7 @@
 			peerErr = errUndecided
 		}
 	}
-	return nil, conclude(runner, directErr, peerErr)
+	return nil, p.conclude(ctx, runner, directErr, peerErr)
 }
 
 // errUndecided means that no peer has answered in time.
@@ -198,7 +202,7 @@
 	case err == nil:
 		p.Reach.PeerConnected(runner)
 	case errors.As(err, &unreached):
-		p.Reach.PeersFailed(runner)
+		p.Reach.PeersFailed(runner, unreached.Refused)
 	}
 	if err != nil {
 		return nil, fault.At(fault.CodeUnreachable, "connect through a peer", runner.Address, fault.NotDone, err)
@@ -207,17 +211,51 @@
 }
 
 // conclude returns the error of a runner that is reached neither directly nor through peers. That
-// its address refuses connections only counts if peers say the same, or if there are none: a broken
-// path may refuse them as well.
-func conclude(runner reach.Runner, directErr, peerErr error) error {
+// its address refuses connections only counts if peers say the same, or, without any, if this node
+// reaches other runners: a broken path may refuse them as well.
+func (p *Pool) conclude(ctx context.Context, runner reach.Runner, directErr, peerErr error) error {
+	if !errors.Is(directErr, syscall.ECONNREFUSED) {
+		return directErr
+	}
 	var unreached *tunnel.UnreachedError
-	confirmed := errors.As(peerErr, &unreached) && unreached.Refused || errors.Is(peerErr, tunnel.ErrNoPeer)
-	if confirmed || !errors.Is(directErr, syscall.ECONNREFUSED) {
+	if errors.As(peerErr, &unreached) && unreached.Refused || errors.Is(peerErr, tunnel.ErrNoPeer) && p.ReachesOthers(ctx, runner.Name) {
 		return directErr
 	}
+	return unconfirmed(runner, directErr, peerErr)
+}
+
+// unconfirmed returns the error of a refused connection that does not show the runner's end.
+func unconfirmed(runner reach.Runner, directErr, peerErr error) error {
 	return fault.At(fault.CodeUnreachable, "connect", runner.Address, fault.NotDone, fmt.Errorf("%s; not confirmed: %w", directErr.Error(), peerErr))
 }
 
+// othersTimeout bounds the attempts to connect to other runners.
+const othersTimeout = 300 * time.Millisecond
+
+// ReachesOthers reports whether this node itself connects to a runner other than the named one, of
+// some that are tried. It also does if there is no other.
+func (p *Pool) ReachesOthers(ctx context.Context, runner string) bool {
+	if p.Others == nil {
+		return true
+	}
+	others := p.Others(runner)
+	ctx, cancel := context.WithTimeout(ctx, othersTimeout)
+	defer cancel()
+	attempts := make([]<-chan dialing, 0, len(others))
+	for _, other := range others {
+		attempts = append(attempts, p.dialAside(ctx, other))
+	}
+	reached := len(others) == 0
+	for i, attempt := range attempts {
+		result := <-attempt
+		if result.err == nil {
+			reached = true
+			p.returnUnused(others[i].Name, result.conn)
+		}
+	}
+	return reached
+}
+
 // Connect opens a connection to an address and closes it, to find out whether anything listens
 // there. Its error is that of the dialer if peers confirm it.
 func (p *Pool) Connect(ctx context.Context, address string) error {
@@ -226,7 +264,7 @@
 	if err != nil && p.Tunnels != nil {
 		var peerErr error
 		if conn, peerErr = p.dialPeer(ctx, runner); peerErr != nil {
-			return conclude(runner, err, peerErr)
+			return p.conclude(ctx, runner, err, peerErr)
 		}
 	} else if err != nil {
 		return err
--- /dev/null
+++ b/internal/upstream/paths_test.go
@@ -0,0 +1,214 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/fault"
+	"lilacvane/internal/link"
+	"lilacvane/internal/peer"
+	"lilacvane/internal/reach"
+	"lilacvane/internal/tunnel"
+	"lilacvane/internal/wire"
+)
+
+// pathWorld is a pool whose direct path to all runners can be lost, beside a peer.
+type pathWorld struct {
+	pool *Pool
+	// direct and carried count the connections of the pool itself and through the peer.
+	direct, carried atomic.Int32
+	// lost is the error of the pool's own connection attempts, peerLost that of the peer's; nil while
+	// they work. A timeout takes as long as one.
+	lost, peerLost atomic.Pointer[error]
+}
+
+func startPathWorld(t *testing.T) *pathWorld {
+	t.Helper()
+	w := &pathWorld{pool: NewPool(testNames)}
+	w.pool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if err := waitLost(&w.lost); err != nil {
+			return nil, err
+		}
+		w.direct.Add(1)
+		return link.Runner.Dialer().DialContext(ctx, network, address)
+	}
+	server := tunnel.NewServer(tunnel.ServerOptions{
+		Connect: func(ctx context.Context, _, address string) (net.Conn, error) {
+			if err := waitLost(&w.peerLost); err != nil {
+				return nil, err
+			}
+			w.carried.Add(1)
+			return link.Runner.Dialer().DialContext(ctx, "tcp", address)
+		},
+		Fails: func(string) bool { return false }, ReachesOthers: func(context.Context, string) bool { return true }, AddressOf: func(string) (string, bool) { return "", false }, Log: logr.Discard(),
+	})
+	peers := peer.NewServer("peer")
+	peer.HandleUpgrade(peers, wire.MethodTunnel, server.Open)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = peers.Serve(listener) }()
+	t.Cleanup(func() { _ = peers.Close() })
+	w.pool.Reach = reach.New(time.Now, logr.Discard())
+	w.pool.Tunnels = tunnel.NewDialer(peer.NewClient("self", nil).Upgrade, func() []string { return []string{listener.Addr().String()} }, logr.Discard())
+	return w
+}
+
+// waitLost returns the error of a connection attempt on a path, after the time that it takes.
+func waitLost(lost *atomic.Pointer[error]) error {
+	cause := lost.Load()
+	if cause == nil {
+		return nil
+	}
+	if errors.Is(*cause, os.ErrDeadlineExceeded) {
+		time.Sleep(link.Runner.Bounds().ConnectTimeout)
+	}
+	return &net.OpError{Op: "dial", Net: "tcp", Err: *cause}
+}
+
+func lose(lost *atomic.Pointer[error], cause error) { lost.Store(&cause) }
+
+// TestRequestsGoThroughAPeerWhileThePathIsBroken: requests are answered while the pool's own path
+// hangs or is refused, without another attempt on it for each, and directly once it works again.
+func TestRequestsGoThroughAPeerWhileThePathIsBroken(t *testing.T) {
+	for name, cause := range map[string]error{"hangs": os.ErrDeadlineExceeded, "refused": syscall.ECONNREFUSED} {
+		t.Run(name, func(t *testing.T) {
+			s := serveOnce(t)
+			w := startPathWorld(t)
+			lose(&w.lost, cause)
+			for range 5 {
+				call := s.call("a")
+				call.Fresh = true
+				_, err := exchange(w.pool, call)
+				assert.NilError(t, err)
+			}
+			assert.Equal(t, w.direct.Load(), int32(0))
+			assert.Equal(t, w.carried.Load(), int32(5))
+			assert.Equal(t, w.pool.Reach.Figures().Broken, 1)
+			w.lost.Store(nil)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go w.pool.RetryBrokenPaths(ctx)
+			for w.pool.Reach.Figures().Broken > 0 {
+				time.Sleep(10 * time.Millisecond)
+			}
+			_, err := exchange(w.pool, s.call("a"))
+			assert.NilError(t, err)
+			assert.Equal(t, w.carried.Load(), int32(5))
+			assert.Equal(t, w.direct.Load(), int32(1), "the connection of the attempt is used")
+		})
+	}
+}
+
+// TestOrdersNeverLeadThroughPeers: a call that is not a question is sent on a connection of the node
+// itself or not at all, while questions go through a peer.
+func TestOrdersNeverLeadThroughPeers(t *testing.T) {
+	s := serveOnce(t)
+	w := startPathWorld(t)
+	lose(&w.lost, syscall.ECONNREFUSED)
+	client := &http.Client{Transport: w.pool}
+	ask := func(method string) error {
+		request, err := http.NewRequestWithContext(t.Context(), method, "http://"+s.call("a").Address+"/", http.NoBody)
+		assert.NilError(t, err)
+		request.Header.Set(testNames.ExpectRunner, "r")
+		response, err := client.Do(request)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			err = response.Body.Close()
+		}
+		return err
+	}
+	for range 3 {
+		err := ask(http.MethodPost)
+		assert.Equal(t, fault.OutcomeOf(err), fault.NotDone, "%v", err)
+	}
+	assert.Equal(t, s.requests.Load(), int32(0))
+	assert.NilError(t, ask(http.MethodGet))
+	assert.Assert(t, w.carried.Load() > 0)
+}
+
+// TestRefusalNeedsConfirmation: that a runner's address refuses connections shows its end only if a
+// peer is refused as well, or if there is no peer.
+func TestRefusalNeedsConfirmation(t *testing.T) {
+	s := serveOnce(t)
+	address := s.call("a").Address
+	w := startPathWorld(t)
+	refused := func() bool {
+		w.pool.Reach = reach.New(time.Now, logr.Discard())
+		_, err := exchange(w.pool, s.call("a"))
+		assert.Assert(t, err != nil)
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	lose(&w.lost, syscall.ECONNREFUSED)
+	assert.NilError(t, w.pool.Connect(t.Context(), address), "the peer connects")
+	lose(&w.peerLost, os.ErrDeadlineExceeded)
+	assert.Assert(t, !refused())
+	err := w.pool.Connect(t.Context(), address)
+	assert.Assert(t, err != nil && !errors.Is(err, syscall.ECONNREFUSED), "%v", err)
+	lose(&w.peerLost, syscall.ECONNREFUSED)
+	assert.Assert(t, refused())
+	assert.Assert(t, errors.Is(w.pool.Connect(t.Context(), address), syscall.ECONNREFUSED))
+	w.pool.Tunnels = tunnel.NewDialer(nil, func() []string { return nil }, logr.Discard())
+	assert.Assert(t, refused())
+}
+
+// TestRunnerThatEndedIsNotWaitedFor: where nobody reaches a runner, a call fails soon after the
+// direct attempt, and peers are not asked for each further call.
+func TestRunnerThatEndedIsNotWaitedFor(t *testing.T) {
+	s := serveOnce(t)
+	w := startPathWorld(t)
+	lose(&w.lost, os.ErrDeadlineExceeded)
+	lose(&w.peerLost, os.ErrDeadlineExceeded)
+	start := time.Now()
+	_, err := exchange(w.pool, s.call("a"))
+	assert.Equal(t, fault.OutcomeOf(err), fault.NotDone, "%v", err)
+	assert.Assert(t, time.Since(start) < tunnel.OpenTimeout)
+	for w.pool.Reach.Way(reach.Runner{Name: "r"}) != reach.Alone {
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, w.pool.Reach.Figures().Broken, 0)
+}
+
+// TestOldConnectionsAreUsedIfTheyAnswered: while new connections are refused, an open one that
+// answered since is used again, and one that did not is not.
+func TestOldConnectionsAreUsedIfTheyAnswered(t *testing.T) {
+	s := serveScript(t, func(s *scriptedRunner, _ int, conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			id, err := s.next(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, answerText(id, "whole"))
+		}
+	})
+	w := startPathWorld(t)
+	_, err := exchange(w.pool, s.call("a"))
+	assert.NilError(t, err)
+	lose(&w.lost, syscall.ECONNREFUSED)
+	fresh := s.call("a")
+	fresh.Fresh = true
+	inUse, err := w.pool.Do(t.Context(), s.call("a"))
+	assert.NilError(t, err)
+	_, err = exchange(w.pool, fresh)
+	assert.NilError(t, err)
+	assert.Equal(t, w.carried.Load(), int32(1))
+	_, err = io.Copy(io.Discard, inUse)
+	assert.NilError(t, err)
+	answer, err := w.pool.Do(t.Context(), s.call("a"))
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Via, "")
+	answer.Close()
+	assert.Equal(t, w.direct.Load(), int32(1))
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -41,6 +41,9 @@
 	// and are set before the pool is used.
 	Reach   *reach.Tracker
 	Tunnels *tunnel.Dialer
+	// Others returns a few runners other than the named one, to tell a runner that refuses connections
+	// from a path that does; it may be nil, and is set before the pool is used.
+	Others func(runner string) []reach.Runner
 	// Dial connects to runners; NewPool sets it to the dialer of link.Runner.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Wrap wraps each new connection to a runner; nil for none.
--- a/internal/wire/tunnel.go
+++ b/internal/wire/tunnel.go
@@ -13,6 +13,6 @@
 
 // TunnelResponse is the response of a node that did not connect to the runner.
 type TunnelResponse struct {
-	// Refused is set if the runner's address refused the connection.
+	// Refused is set if the runner's address refused the connection while others accepted one.
 	Refused bool `cbor:"1,keyasint,omitempty"`
 }
--- a/test/cut_soak_test.go
+++ b/test/cut_soak_test.go
@@ -96,11 +96,29 @@
 	s.checkRuns(t)
 	s.checkAnswers()
 	s.checkBrittlePhases()
+	if t.Failed() {
+		s.logEnds()
+	}
 	h := readHistory(t, s.world)
 	h.assertOrderGap(t, turnGap)
 	h.assertMemoryNeverExceeded(t)
 }
 
+// logEnds logs which runners ended by their own journals, and which ended under requests by the
+// nodes' logs: a content under which several ended is not run any more.
+func (s *cutSoak) logEnds() {
+	for _, node := range s.nodes {
+		for _, line := range linesContaining(readFile(s.t, s.world.LogPath(node)), "runner ended under requests") {
+			s.t.Logf("%s: %s", node.Name, line)
+		}
+	}
+	for _, record := range readHistory(s.t, s.world).records {
+		if record.Event == journal.EventFall || record.Event == journal.EventStart {
+			s.t.Logf("%s %s %s", record.Time.Format(time.TimeOnly+".000"), record.Event, record.Runner)
+		}
+	}
+}
+
 // sendOnOneConnection sends requests of all kinds to a node on a connection that it reuses, one
 // after the other, until the node closes it or has ended.
 func (w *cutWorld) sendOnOneConnection(ctx context.Context, node *world.Node, number int) {
