--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -95,92 +95,120 @@
 }
 
 // Way returns how to connect to a runner now.
-func (t *Tracker) Way(runner Runner) Way {
-	if t == nil {
-		return Alone
-	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	p := t.path(runner)
-	p.usedAt = t.now()
-	switch {
-	case p.broken():
-		return ViaPeer
-	case t.now().Sub(p.peersFailedAt) < peersFailedLifetime:
-		return Alone
-	case !p.failedSince.IsZero() || t.cutOff() && t.now().Sub(p.connectedAt) >= recently:
-		return Either
-	default:
-		return Direct
-	}
+func (t *Tracker) Way(runner Runner) (way Way) {
+	way = Alone
+	t.update(runner, func(p *path) {
+		p.usedAt = t.now()
+		switch {
+		case p.broken():
+			way = ViaPeer
+		case t.now().Sub(p.peersFailedAt) < peersFailedLifetime:
+			way = Alone
+		case !p.failedSince.IsZero() || t.cutOff() && t.now().Sub(p.connectedAt) >= recently:
+			way = Either
+		default:
+			way = Direct
+		}
+	})
+	return way
 }
 
 // Connected records that the node connected to a runner.
 func (t *Tracker) Connected(runner Runner) {
-	if t == nil {
-		return
-	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	p := t.path(runner)
-	if !p.failedSince.IsZero() {
-		t.log.Info("runner reached again", "runner", runner.Name, "afterMs", t.now().Sub(p.failedSince).Milliseconds(), "throughPeers", p.broken())
-		t.retrySoon()
-	}
-	*p = path{address: runner.Address, connectedAt: t.now(), usedAt: p.usedAt}
+	t.update(runner, func(p *path) {
+		if !p.failedSince.IsZero() {
+			t.log.Info("runner reached again", "runner", runner.Name, "afterMs", t.now().Sub(p.failedSince).Milliseconds(), "throughPeers", p.broken())
+			t.retrySoon()
+		}
+		*p = path{address: runner.Address, connectedAt: t.now(), usedAt: p.usedAt}
+	})
 }
 
 // Failed records that a connection attempt to a runner failed.
 func (t *Tracker) Failed(runner Runner, cause error) {
-	if t == nil {
-		return
-	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	p := t.path(runner)
-	before := p.broken()
-	p.failedAt = t.now()
-	if p.failedSince.IsZero() {
-		p.failedSince = p.failedAt
-		t.log.Info("runner not reached", "runner", runner.Name, "error", cause.Error())
-	}
-	t.noteBroken(runner, p, before)
+	t.update(runner, func(p *path) {
+		before := p.broken()
+		p.failedAt = t.now()
+		if p.failedSince.IsZero() {
+			p.failedSince = p.failedAt
+			t.log.Info("runner not reached", "runner", runner.Name, "error", cause.Error())
+		}
+		t.noteBroken(runner, p, before)
+	})
 }
 
 // PeerConnected records that a peer connected to a runner for this node.
 func (t *Tracker) PeerConnected(runner Runner) {
-	if t == nil {
-		return
-	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	p := t.path(runner)
-	before := p.broken()
-	p.peerReachedAt = t.now()
-	t.noteBroken(runner, p, before)
+	t.update(runner, func(p *path) {
+		before := p.broken()
+		p.peerReachedAt = t.now()
+		t.noteBroken(runner, p, before)
+	})
 }
 
 // PeersFailed records that the peers that were asked did not reach a runner either, and whether its
 // address refused them.
 func (t *Tracker) PeersFailed(runner Runner, refused bool) {
+	t.update(runner, func(p *path) {
+		p.peerReachedAt, p.peersFailedAt, p.peersRefused = time.Time{}, t.now(), refused
+	})
+}
+
+// RefusesPeers reports whether a runner's address lately refused connections of peers.
+func (t *Tracker) RefusesPeers(runner string) bool {
+	return t.check(runner, func(p *path) bool { return p.peersRefused && t.now().Sub(p.peersFailedAt) < peersFailedLifetime })
+}
+
+// Fails reports whether the node failed to connect to a runner lately, and did not connect since.
+func (t *Tracker) Fails(runner string) bool {
+	return t.check(runner, func(p *path) bool { return !p.failedSince.IsZero() && t.now().Sub(p.failedAt) < failedLifetime })
+}
+
+// BrokenSince returns since when the path to a runner is broken; false if it is not.
+// Connections that the node made to it before may be lost.
+func (t *Tracker) BrokenSince(runner string) (since time.Time, broken bool) {
+	broken = t.check(runner, func(p *path) bool {
+		since = p.failedSince
+		return p.broken()
+	})
+	return since, broken
+}
+
+// checkInterval is the time between two checks of a path.
+const checkInterval = time.Second
+
+// BeginCheck reports whether to check the path to a runner after a sign that it is broken: not
+// if the node connected to the runner or checked the path lately.
+func (t *Tracker) BeginCheck(runner Runner) (begun bool) {
+	t.update(runner, func(p *path) {
+		now := t.now()
+		begun = now.Sub(p.connectedAt) >= checkInterval && now.Sub(p.checkedAt) >= checkInterval
+		if begun {
+			p.checkedAt = now
+		}
+	})
+	return begun
+}
+
+// update changes the path to a runner under the lock; a nil Tracker does nothing.
+func (t *Tracker) update(runner Runner, change func(p *path)) {
 	if t == nil {
 		return
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	p := t.path(runner)
-	p.peerReachedAt, p.peersFailedAt, p.peersRefused = time.Time{}, t.now(), refused
+	change(t.path(runner))
 }
 
-// RefusesPeers reports whether a runner's address lately refused connections of peers.
-func (t *Tracker) RefusesPeers(runner string) bool {
+// check reports whether a condition holds for the path to a runner; false if there is none.
+func (t *Tracker) check(runner string, condition func(p *path) bool) bool {
 	if t == nil {
 		return false
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	p := t.paths[runner]
-	return p != nil && p.peersRefused && t.now().Sub(p.peersFailedAt) < peersFailedLifetime
+	return p != nil && condition(p)
 }
 
 // noteBroken logs and schedules the next attempt of a path that was just found broken. mutex
@@ -198,52 +226,6 @@
 	return !p.failedSince.IsZero() && p.peerReachedAt.After(p.failedSince.Add(-peerReachedLifetime))
 }
 
-// BrokenSince returns since when the path to a runner is broken; false if it is not.
-// Connections that the node made to it before may be lost.
-func (t *Tracker) BrokenSince(runner string) (time.Time, bool) {
-	if t == nil {
-		return time.Time{}, false
-	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	p := t.paths[runner]
-	if p == nil || !p.broken() {
-		return time.Time{}, false
-	}
-	return p.failedSince, true
-}
-
-// Fails reports whether the node failed to connect to a runner lately, and did not connect since.
-func (t *Tracker) Fails(runner string) bool {
-	if t == nil {
-		return false
-	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	p := t.paths[runner]
-	return p != nil && !p.failedSince.IsZero() && t.now().Sub(p.failedAt) < failedLifetime
-}
-
-// checkInterval is the time between two checks of a path.
-const checkInterval = time.Second
-
-// BeginCheck reports whether to check the path to a runner after a sign that it is broken: not
-// if the node connected to the runner or checked the path lately.
-func (t *Tracker) BeginCheck(runner Runner) bool {
-	if t == nil {
-		return false
-	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	p := t.path(runner)
-	now := t.now()
-	if now.Sub(p.connectedAt) < checkInterval || now.Sub(p.checkedAt) < checkInterval {
-		return false
-	}
-	p.checkedAt = now
-	return true
-}
-
 // CutOff reports whether the node itself has lost its links: most of the paths that it tried
 // lately are broken.
 func (t *Tracker) CutOff() bool {
--- a/internal/upstream/paths_test.go
+++ b/internal/upstream/paths_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -183,16 +182,7 @@
 // TestOldConnectionsAreUsedIfTheyAnswered: while new connections are refused, an open one that
 // answered since is used again, and one that did not is not.
 func TestOldConnectionsAreUsedIfTheyAnswered(t *testing.T) {
-	s := serveScript(t, func(s *scriptedRunner, _ int, conn net.Conn) {
-		reader := bufio.NewReader(conn)
-		for {
-			id, err := s.next(reader)
-			if err != nil {
-				return
-			}
-			_, _ = io.WriteString(conn, answerText(id, "whole"))
-		}
-	})
+	s := serveAll(t, "whole")
 	w := startPathWorld(t)
 	_, err := exchange(w.pool, s.call("a"))
 	assert.NilError(t, err)
--- a/internal/upstream/proved_test.go
+++ b/internal/upstream/proved_test.go
@@ -1,10 +1,7 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
 	"testing"
 	"time"
 
@@ -36,16 +33,7 @@
 // TestProvedConnectionIsUsedAgain checks that requests that follow each other closely share a
 // connection.
 func TestProvedConnectionIsUsedAgain(t *testing.T) {
-	s := serveScript(t, func(s *scriptedRunner, _ int, conn net.Conn) {
-		reader := bufio.NewReader(conn)
-		for {
-			id, err := s.next(reader)
-			if err != nil {
-				return
-			}
-			_, _ = io.WriteString(conn, answerText(id, "whole"))
-		}
-	})
+	s := serveAll(t, "whole")
 	pool := NewPool(testNames)
 	pool.Links = &link.Record{}
 	leaveIdle(t, pool, s, "a", 1)
