--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"testing"
 	"time"
 
@@ -143,3 +144,19 @@
 	tracker.Failed(r, errTest)
 	assert.Assert(t, tracker.BeginCheck(r))
 }
+
+// BenchmarkWay measures the decision how to connect by the number of paths that are tracked.
+func BenchmarkWay(b *testing.B) {
+	for _, paths := range []int{8, 64, 512, 4096} {
+		b.Run(strconv.Itoa(paths), func(b *testing.B) {
+			tracker, now := testTracker()
+			for number := range paths {
+				tracker.Connected(Runner{Name: strconv.Itoa(number)})
+			}
+			*now = now.Add(recently)
+			for b.Loop() {
+				tracker.Way(Runner{Name: "0"})
+			}
+		})
+	}
+}
