--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -162,40 +162,6 @@
 	}
 }
 
-// learnLoads asks brittle runners, which the request may only be sent to if they have room, for their
-// load. It reports whether any answered.
-func (j *job) learnLoads(ctx context.Context) bool {
-	if !j.engine || j.dispatcher.Report == nil {
-		return false
-	}
-	unknown := j.dispatcher.Fleet.TakeUnknownLoads(j.query)
-	return len(unknown) > 0 && len(j.probe(ctx, unknown)) > 0
-}
-
-// silentTimeout bounds the question whether a runner that the holder found silent answers this node,
-// also through peers.
-const silentTimeout = 900 * time.Millisecond
-
-// askSilent asks runners that could serve the request but for the holder's finding that they are
-// silent: this node may reach runners that the holder does not. The request waits meanwhile.
-func (j *job) askSilent(ctx context.Context) {
-	if !j.engine || j.dispatcher.Report == nil {
-		return
-	}
-	for _, runner := range j.dispatcher.Fleet.TakeSilent(j.query) {
-		d := j.dispatcher
-		go func() {
-			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), silentTimeout)
-			defer cancel()
-			if _, err := d.Report(ctx, runner); err != nil {
-				d.Log.V(1).Info("silent runner did not answer", "runner", runner.ID, "error", err.Error())
-				return
-			}
-			d.Fleet.Answered(runner.ID)
-		}()
-	}
-}
-
 // checkZones refuses a request while operators have taken out every zone that could serve it. It
 // cannot be served before the node learns that a zone is back. A stream that has begun waits as
 // long as its client does.
