Look at the socket alone when a deadline passes during an exchange

When a request's deadline passes, another goroutine looks whether part of the answer has arrived; for a connection through a peer it also read what its reader had buffered, beside that reader.

It asks the socket alone now. TestDeadlineEndsCallsThroughAPeer plays the case, but passes before the change as well; the soak shows the race.

--- a/internal/upstream/paths_test.go
+++ b/internal/upstream/paths_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -215,3 +216,22 @@
 	answer.Close()
 	assert.Equal(t, w.direct.Load(), int32(1))
 }
+
+// TestDeadlineEndsCallsThroughAPeer: the deadline of a request ends its exchange while the answer is
+// read from a peer.
+func TestDeadlineEndsCallsThroughAPeer(t *testing.T) {
+	s := serveScript(t, func(s *scriptedRunner, _ int, conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for _, err := s.next(reader); err == nil; _, err = s.next(reader) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 102 Processing\r\n\r\n")
+		}
+	})
+	w := startPathWorld(t)
+	lose(&w.lost, syscall.ECONNREFUSED)
+	for range 10 {
+		ctx, cancel := context.WithTimeoutCause(t.Context(), 50*time.Millisecond, errDeadline)
+		_, err := w.pool.Do(ctx, s.call("a"))
+		cancel()
+		assert.Equal(t, fault.OutcomeOf(err), fault.Unknown, "%v", err)
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -218,6 +218,12 @@
 	if buffered, ok := conn.(interface{ Buffered() int }); ok && buffered.Buffered() > 0 {
 		return false
 	}
+	return socketQuiescent(conn)
+}
+
+// socketQuiescent reports whether a connection's socket is open and has no bytes to read. It may be
+// called while the connection is read from.
+func socketQuiescent(conn net.Conn) bool {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/upstream/silent.go
+++ b/internal/upstream/silent.go
@@ -57,7 +57,7 @@
 
 // expire closes a connection in use, as the context of its request ended.
 func (c *connection) expire(cause error) {
-	if errors.Is(cause, context.DeadlineExceeded) && !quiescent(c.Conn) {
+	if errors.Is(cause, context.DeadlineExceeded) && !socketQuiescent(c.Conn) {
 		time.AfterFunc(readGrace, func() { _ = c.Close() })
 		return
 	}
