--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -82,9 +82,8 @@
 	}
 	return func(conn net.Conn, reader *bufio.Reader) {
 		t := &tunnel{server: s, name: request.Runner, caller: caller, peer: conn, reader: reader, runner: runner}
-		if s.add(t) {
-			t.run()
-		}
+		s.add(t)
+		t.run()
 		t.close()
 		s.remove(t)
 	}, wire.TunnelResponse{}, nil
@@ -110,15 +109,15 @@
 	s.opening--
 }
 
-// add records an open tunnel; false if the node stops.
-func (s *Server) add(t *tunnel) bool {
+// add records an open tunnel. If the node stops meanwhile, no exchange may begin on it.
+func (s *Server) add(t *tunnel) {
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.stopping {
-		return false
-	}
 	s.tunnels[t] = true
-	return true
+	stopping := s.stopping
+	s.mutex.Unlock()
+	if stopping {
+		t.announceClosing()
+	}
 }
 
 func (s *Server) remove(t *tunnel) {
