--- /dev/null
+++ b/internal/upstream/confirm.go
@@ -0,0 +1,81 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"syscall"
+	"time"
+
+	"lilacvane/internal/fault"
+	"lilacvane/internal/reach"
+	"lilacvane/internal/tunnel"
+)
+
+// errUndecided means that no peer has answered in time.
+var errUndecided = errors.New("no peer has answered yet")
+
+// conclude returns the error of a runner that is reached neither directly nor through peers. That
+// its address refuses connections only counts if peers say the same, or, without any, if this node
+// reaches other runners: a broken path may refuse them as well.
+func (p *Pool) conclude(ctx context.Context, runner reach.Runner, directErr, peerErr error) error {
+	if !errors.Is(directErr, syscall.ECONNREFUSED) {
+		return directErr
+	}
+	var unreached *tunnel.UnreachedError
+	if errors.As(peerErr, &unreached) && unreached.Refused || errors.Is(peerErr, tunnel.ErrNoPeer) && p.ReachesOthers(ctx, runner.Name) {
+		return directErr
+	}
+	return unconfirmed(runner, directErr, peerErr)
+}
+
+// unconfirmed returns the error of a refused connection that does not show the runner's end.
+func unconfirmed(runner reach.Runner, directErr, peerErr error) error {
+	return fault.At(fault.CodeUnreachable, "connect", runner.Address, fault.NotDone, fmt.Errorf("%s; not confirmed: %w", directErr.Error(), peerErr))
+}
+
+// othersTimeout bounds the attempts to connect to other runners.
+const othersTimeout = 300 * time.Millisecond
+
+// ReachesOthers reports whether this node itself connects to a runner other than the named one, of
+// some that are tried. It also does if there is no other.
+func (p *Pool) ReachesOthers(ctx context.Context, runner string) bool {
+	if p.Others == nil {
+		return true
+	}
+	others := p.Others(runner)
+	ctx, cancel := context.WithTimeout(ctx, othersTimeout)
+	defer cancel()
+	attempts := make([]<-chan dialing, 0, len(others))
+	for _, other := range others {
+		attempts = append(attempts, p.dialAside(ctx, other))
+	}
+	reached := len(others) == 0
+	for i, attempt := range attempts {
+		result := <-attempt
+		if result.err == nil {
+			reached = true
+			p.returnUnused(others[i].Name, result.conn)
+		}
+	}
+	return reached
+}
+
+// Connect opens a connection to an address and closes it, to find out whether anything listens
+// there. Its error is that of the dialer if peers confirm it.
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	runner := reach.Runner{Address: address}
+	conn, err := p.dial(ctx, runner)
+	if err != nil && p.Tunnels != nil {
+		var peerErr error
+		if conn, peerErr = p.dialPeer(ctx, runner); peerErr != nil {
+			return p.conclude(ctx, runner, err, peerErr)
+		}
+	} else if err != nil {
+		return err
+	}
+	if err := conn.Close(); err != nil {
+		return fault.At(fault.CodeUnreachable, "close connection", address, fault.NotDone, err)
+	}
+	return nil
+}
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -22,14 +21,6 @@
 	// peerGrace is how long a peer may still take after a direct attempt failed for no known cause: a
 	// runner that has just ended is not waited for.
 	peerGrace = 150 * time.Millisecond
-	// retriesPerRound bounds the attempts on broken paths that begin together, retryRound is the
-	// time between two rounds.
-	retriesPerRound = 8
-	retryRound      = 100 * time.Millisecond
-	// checkDelay is how long a request on a connection that had been idle may go without an answer
-	// until the path to its runner is checked, checkTimeout bounds the check.
-	checkDelay   = 250 * time.Millisecond
-	checkTimeout = 2 * time.Second
 )
 
 // connect opens a connection for a call.
@@ -125,9 +116,6 @@
 	return nil, p.conclude(ctx, runner, directErr, peerErr)
 }
 
-// errUndecided means that no peer has answered in time.
-var errUndecided = errors.New("no peer has answered yet")
-
 // dialAside connects to a runner directly and sends the outcome.
 func (p *Pool) dialAside(ctx context.Context, runner reach.Runner) <-chan dialing {
 	outcome := make(chan dialing, 1)
@@ -210,71 +198,6 @@
 	return &connection{Conn: conn, tunnel: conn, reader: bufio.NewReaderSize(conn, bufferSize), acquired: time.Now()}, nil
 }
 
-// conclude returns the error of a runner that is reached neither directly nor through peers. That
-// its address refuses connections only counts if peers say the same, or, without any, if this node
-// reaches other runners: a broken path may refuse them as well.
-func (p *Pool) conclude(ctx context.Context, runner reach.Runner, directErr, peerErr error) error {
-	if !errors.Is(directErr, syscall.ECONNREFUSED) {
-		return directErr
-	}
-	var unreached *tunnel.UnreachedError
-	if errors.As(peerErr, &unreached) && unreached.Refused || errors.Is(peerErr, tunnel.ErrNoPeer) && p.ReachesOthers(ctx, runner.Name) {
-		return directErr
-	}
-	return unconfirmed(runner, directErr, peerErr)
-}
-
-// unconfirmed returns the error of a refused connection that does not show the runner's end.
-func unconfirmed(runner reach.Runner, directErr, peerErr error) error {
-	return fault.At(fault.CodeUnreachable, "connect", runner.Address, fault.NotDone, fmt.Errorf("%s; not confirmed: %w", directErr.Error(), peerErr))
-}
-
-// othersTimeout bounds the attempts to connect to other runners.
-const othersTimeout = 300 * time.Millisecond
-
-// ReachesOthers reports whether this node itself connects to a runner other than the named one, of
-// some that are tried. It also does if there is no other.
-func (p *Pool) ReachesOthers(ctx context.Context, runner string) bool {
-	if p.Others == nil {
-		return true
-	}
-	others := p.Others(runner)
-	ctx, cancel := context.WithTimeout(ctx, othersTimeout)
-	defer cancel()
-	attempts := make([]<-chan dialing, 0, len(others))
-	for _, other := range others {
-		attempts = append(attempts, p.dialAside(ctx, other))
-	}
-	reached := len(others) == 0
-	for i, attempt := range attempts {
-		result := <-attempt
-		if result.err == nil {
-			reached = true
-			p.returnUnused(others[i].Name, result.conn)
-		}
-	}
-	return reached
-}
-
-// Connect opens a connection to an address and closes it, to find out whether anything listens
-// there. Its error is that of the dialer if peers confirm it.
-func (p *Pool) Connect(ctx context.Context, address string) error {
-	runner := reach.Runner{Address: address}
-	conn, err := p.dial(ctx, runner)
-	if err != nil && p.Tunnels != nil {
-		var peerErr error
-		if conn, peerErr = p.dialPeer(ctx, runner); peerErr != nil {
-			return p.conclude(ctx, runner, err, peerErr)
-		}
-	} else if err != nil {
-		return err
-	}
-	if err := conn.Close(); err != nil {
-		return fault.At(fault.CodeUnreachable, "close connection", address, fault.NotDone, err)
-	}
-	return nil
-}
-
 // DialRunner opens a direct connection to a runner for a peer.
 func (p *Pool) DialRunner(ctx context.Context, name, address string) (net.Conn, error) {
 	conn, err := p.dial(ctx, reach.Runner{Name: name, Address: address})
@@ -283,39 +206,3 @@
 	}
 	return conn.Conn, nil
 }
-
-// checkLater returns a timer that, unless it is stopped, checks the path to the runner of a request
-// that was sent on a connection that had been idle: that it had answered before says nothing of the
-// path now.
-func (p *Pool) checkLater(call Call) *time.Timer {
-	return time.AfterFunc(checkDelay, func() { p.Check(reach.Runner{Name: call.Runner, Address: call.Address}) })
-}
-
-// Check finds out whether the path to a runner works, unless that is known.
-func (p *Pool) Check(runner reach.Runner) {
-	if p.Tunnels == nil || !p.Reach.BeginCheck(runner) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
-	defer cancel()
-	conn, err := p.connectAnyWay(ctx, runner)
-	if err == nil {
-		p.returnUnused(runner.Name, conn)
-	}
-}
-
-// RetryBrokenPaths tries broken paths to runners again until ctx ends.
-func (p *Pool) RetryBrokenPaths(ctx context.Context) {
-	ticker := time.NewTicker(retryRound)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		for _, runner := range p.Reach.TakeDue(retriesPerRound) {
-			p.keep(runner, p.dialAside(ctx, runner))
-		}
-	}
-}
