Keep the number of nodes in the fleet alone

Cause: fleet and dispatch each kept the number of nodes and the number assumed until it is known, set one after the other, and passed it between them.

Change: Fleet.Nodes is the one copy; Dispatcher.SetNodes sets it and tells the retry budgets. LimitedRate takes no number any more.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -67,7 +67,6 @@
 	Closing context.Context
 
 	mutex     sync.Mutex
-	nodes     int
 	budgets   map[string]*retry.Budget
 	splitters map[string]*splitter
 	// spooled counts the bytes kept for clients that read slowly.
@@ -93,34 +92,17 @@
 	Refused(runner string)
 }
 
-// assumedNodes is how many nodes are assumed to share a retry budget until the number is known.
-const assumedNodes = 16
-
-// SetNodes sets how many nodes share the retry budgets.
+// SetNodes sets how many nodes send requests, each of which has its part of what runners take and of
+// the retry budgets.
 func (d *Dispatcher) SetNodes(nodes int) {
+	d.Fleet.SetNodes(nodes)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.nodes = nodes
 	for _, budget := range d.budgets {
 		budget.SetNodes(nodes)
 	}
 }
 
-// nodeCount returns the number of nodes, or assumedNodes until it is known.
-func (d *Dispatcher) nodeCount() int {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.nodeCountLocked()
-}
-
-// nodeCountLocked is nodeCount; mutex is held.
-func (d *Dispatcher) nodeCountLocked() int {
-	if d.nodes == 0 {
-		return assumedNodes
-	}
-	return d.nodes
-}
-
 // SetRetries changes the limits of the retry budgets.
 func (d *Dispatcher) SetRetries(limits retry.Limits) {
 	d.mutex.Lock()
@@ -140,7 +122,7 @@
 		if d.budgets == nil {
 			d.budgets = make(map[string]*retry.Budget)
 		}
-		budget = retry.NewBudget(d.Retries, d.nodeCountLocked(), time.Now)
+		budget = retry.NewBudget(d.Retries, d.Fleet.Nodes(), time.Now)
 		d.budgets[service] = budget
 	}
 	return budget
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -240,7 +240,7 @@
 // the request: requests that wait already go first. limited is false if the request waits for
 // anything else.
 func (j *job) limitedDelay() (in time.Duration, limited bool) {
-	rate, limited := j.dispatcher.Fleet.LimitedRate(j.query, j.dispatcher.nodeCount())
+	rate, limited := j.dispatcher.Fleet.LimitedRate(j.query)
 	if !limited {
 		return 0, false
 	}
--- a/internal/fleet/brittle.go
+++ b/internal/fleet/brittle.go
@@ -55,6 +55,21 @@
 // assumedNodes is how many nodes are assumed until the number is known.
 const assumedNodes = 16
 
+// Nodes returns how many nodes send requests to the runners, or assumedNodes until it is known.
+func (f *Fleet) Nodes() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.nodeCount()
+}
+
+// nodeCount is Nodes; mutex must be held.
+func (f *Fleet) nodeCount() int {
+	if f.nodes == 0 {
+		return assumedNodes
+	}
+	return f.nodes
+}
+
 // rejectionPart returns how many rejections of a brittle runner within a second are this node's
 // part. One that stated nothing yet, as it has just started, counts as brittle while others of its
 // service are. mutex must be held.
@@ -158,14 +173,6 @@
 	return f.now().Add(roomLifetime)
 }
 
-// nodeCount returns how many nodes send requests to the runners. mutex must be held.
-func (f *Fleet) nodeCount() int {
-	if f.nodes == 0 {
-		return assumedNodes
-	}
-	return f.nodes
-}
-
 // rate returns how many requests per second a runner takes from all nodes together; zero for any
 // number. mutex must be held.
 func (f *Fleet) rate(known *runner) (rate float64, lasts time.Duration) {
--- a/internal/fleet/permits.go
+++ b/internal/fleet/permits.go
@@ -150,11 +150,10 @@
 // nodes send requests at the same time.
 const rateShareFactor = 2
 
-// LimitedRate returns how many requests a second this node, as one of the given number of
-// nodes, may expect to send to the runners that could serve a request but for the limits they
-// stated. It returns false if there are none or if one of the runners is cold and stated no
-// limit.
-func (f *Fleet) LimitedRate(query Query, nodes int) (rate float64, limited bool) {
+// LimitedRate returns how many requests a second this node, as one of several, may expect to send to
+// the runners that could serve a request but for the limits they stated. It returns false if there
+// are none or if one of the runners is cold and stated no limit.
+func (f *Fleet) LimitedRate(query Query) (rate float64, limited bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, known := range f.permitBlocked(query) {
@@ -164,7 +163,7 @@
 		bound, _ := f.rate(known)
 		rate += bound
 	}
-	return rate * min(rateShareFactor/float64(max(nodes, 1)), 1), rate > 0
+	return rate * min(rateShareFactor/float64(f.nodeCount()), 1), rate > 0
 }
 
 // PermitsWanted is the number of permits that this node wants for a runner.
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -120,7 +120,6 @@
 func (n *Node) observeFleet(observed control.Observed) {
 	n.nodes.Store(int64(observed.Nodes))
 	n.dispatcher.SetNodes(observed.Nodes)
-	n.fleet.SetNodes(observed.Nodes)
 	n.relay.SetNodes(observed.Nodes)
 	n.relay.SetStandbys(observed.Standbys)
 	n.quarantine.SetAggregators(observed.Standbys)
