--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -41,6 +41,9 @@
 func (p *Pool) connectAnyWay(ctx context.Context, runner reach.Runner) (*connection, error) {
 	switch p.Reach.Way(runner) {
 	case reach.Alone:
+		if p.Reach.Fails(runner.Name) {
+			return nil, fault.At(fault.CodeUnreachable, "connect", runner.Address, fault.NotDone, errFailedLately)
+		}
 		conn, err := p.dial(ctx, runner)
 		if errors.Is(err, syscall.ECONNREFUSED) && !p.Reach.RefusesPeers(runner.Name) {
 			return nil, unconfirmed(runner, err, errUndecided)
@@ -116,6 +119,9 @@
 	return nil, p.conclude(ctx, runner, directErr, peerErr)
 }
 
+// errFailedLately means that another attempt would only take the caller's time.
+var errFailedLately = errors.New("neither this node nor its peers reached the runner a moment ago")
+
 // dialAside connects to a runner directly and sends the outcome.
 func (p *Pool) dialAside(ctx context.Context, runner reach.Runner) <-chan dialing {
 	outcome := make(chan dialing, 1)
