Remove two mechanisms that gained nothing

Cause: nodes asked runners themselves that the holder found silent, and checked the path of a request that got no answer on a kept connection within 250 ms. Reports reach the holder through peers since, and silence finds paths as well.

--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -77,29 +77,3 @@
 	unknown := j.dispatcher.Fleet.TakeUnknownLoads(j.query)
 	return len(unknown) > 0 && len(j.probe(ctx, unknown)) > 0
 }
-
-// silentTimeout bounds the question whether a runner that the holder found silent answers this node,
-// also through peers.
-const silentTimeout = 900 * time.Millisecond
-
-// askSilent asks runners that could serve the request but for the holder's finding that they are
-// silent: this node may reach runners that the holder does not. The request waits meanwhile.
-func (j *job) askSilent(ctx context.Context) {
-	if !j.engine || j.dispatcher.Report == nil {
-		return
-	}
-	for _, runner := range j.dispatcher.Fleet.TakeSilent(j.query) {
-		go j.askWhetherSilent(context.WithoutCancel(ctx), runner)
-	}
-}
-
-// askWhetherSilent asks a runner for its report, of which only the arrival matters.
-func (j *job) askWhetherSilent(ctx context.Context, runner backend.Runner) {
-	ctx, cancel := context.WithTimeout(ctx, silentTimeout)
-	defer cancel()
-	if _, err := j.dispatcher.Report(ctx, runner); err != nil {
-		j.log.V(1).Info("silent runner did not answer", "runner", runner.ID, "error", err.Error())
-		return
-	}
-	j.dispatcher.Fleet.Answered(runner.ID)
-}
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -132,7 +132,6 @@
 				return choice, 0, nil
 			}
 		}
-		j.askSilent(ctx)
 		w := j.currentWait()
 		decision, delay, recheck := w.decide()
 		if w.exact && decision != keepWaiting {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -145,8 +145,6 @@
 	answeredAt  time.Time
 	suspect     bool
 	suspectedAt time.Time
-	// silentAskedAt is when this node last asked the runner itself as the holder found it silent.
-	silentAskedAt time.Time
 }
 
 // New returns an empty fleet for a node in zone; rules are the decisions of operators.
--- a/internal/fleet/suspect.go
+++ b/internal/fleet/suspect.go
@@ -1,10 +1,6 @@
 package fleet
 
-import (
-	"time"
-
-	"lilacvane/internal/backend"
-)
+import "time"
 
 const (
 	// suspectInterval is the least time between two suspicions of a runner.
@@ -47,32 +43,3 @@
 	v := known.view
 	return v != nil && v.silent && f.now().Sub(v.at) < silentLifetime && known.answeredAt.Before(v.at)
 }
-
-// silentInquiryInterval is the time between two questions of this node to a runner that the holder
-// found silent.
-const silentInquiryInterval = 500 * time.Millisecond
-
-// TakeSilent returns the runners that could serve a request but for the holder's finding that they
-// are silent, and that this node has not asked lately.
-func (f *Fleet) TakeSilent(query Query) []backend.Runner {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	var silent []backend.Runner
-	for _, known := range f.runners {
-		if f.now().Sub(known.silentAskedAt) >= silentInquiryInterval && f.blockedBy(known, query) == RunnerSilent {
-			known.silentAskedAt = f.now()
-			silent = append(silent, known.listed)
-		}
-	}
-	return silent
-}
-
-// Answered records that a runner answered a question of this node.
-func (f *Fleet) Answered(id string) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if known := f.runners[id]; known != nil {
-		known.answeredAt = f.now()
-		f.notify()
-	}
-}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -102,10 +102,6 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { conn.expire(context.Cause(ctx)) })
-	if !conn.idleSince.IsZero() && conn.tunnel == nil {
-		check := p.checkLater(call)
-		defer check.Stop()
-	}
 	conn.beginExchange(call.RequestID)
 	written, err := send(conn, call)
 	if err != nil {
