Log how a node learns of refused requests, and what clears or loses crashes

The incident of late refusals cannot be told from the logs: not whether a node counted or followed the table, not which reports of crashes reached nobody, not which attempt cleared a request. Now 'request refused...' has its source, 'crash report not delivered' is logged and counted (lilacvane_crash_reports_undelivered_total), and the attempt that clears crashes is named with its runner. No change of logic.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -79,8 +79,9 @@
 	Idle() bool
 	// Refused returns the mark of a request that is not to be run.
 	Refused(request poison.Identity) (poison.Mark, bool)
-	// Succeeded reports a request that succeeded.
-	Succeeded(request poison.Identity)
+	// Succeeded reports a request that succeeded. It returns whether crashes under it were known,
+	// which no longer count.
+	Succeeded(request poison.Identity) (cleared bool)
 }
 
 // Crashes receives possible signs of a runner's crash.
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -115,6 +115,9 @@
 // reportSuccess reports a request that succeeded to the quarantine.
 func (j *job) reportSuccess() {
 	if j.quarantineActive() && j.outcome.Result == ResultServed && j.outcome.Status < http.StatusMultipleChoices {
-		j.dispatcher.Quarantine.Succeeded(j.contentIdentity())
+		content := j.contentIdentity()
+		if j.dispatcher.Quarantine.Succeeded(content) {
+			j.log.Info("crashes under request cleared by its success", "content", content.Short(), "runner", j.outcome.Runner, "via", j.outcome.Via)
+		}
 	}
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -71,6 +71,8 @@
 	broken *prometheus.CounterVec
 	// crashes counts runners that ended under requests of this node.
 	crashes prometheus.Counter
+	// undeliveredCrashReports counts reports of crashes that a node did not accept.
+	undeliveredCrashReports prometheus.Counter
 	// statements counts what runners stated about themselves.
 	statements *prometheus.CounterVec
 	// regionBytes counts bytes exchanged with other regions.
@@ -111,6 +113,9 @@
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lilacvane_runners_crashed_total", Help: "Runners that ended under requests of this node.",
 		}),
+		undeliveredCrashReports: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lilacvane_crash_reports_undelivered_total", Help: "Reports of runners that ended that another node did not accept.",
+		}),
 		resumes: prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacvane_resumes_total", Help: "Streams resumed at another runner."}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "lilacvane_first_byte_seconds", Help: "Time to the first byte of the answer.", Buckets: latencyBuckets,
@@ -126,7 +131,7 @@
 	m.tenants = newTenantMetrics(m.registry)
 	m.refused = newRefusalCounter()
 	m.statements = newStatementCounter()
-	m.registry.MustRegister(newRunnerCollector(sources.RunnersByState), m.refused, m.loadTimeError, m.requests, m.outsideHomes, m.regionBytes, m.attempts, m.failed, m.broken, m.crashes, m.statements, m.resumes, m.firstByte, m.waitTime)
+	m.registry.MustRegister(newRunnerCollector(sources.RunnersByState), m.refused, m.loadTimeError, m.requests, m.outsideHomes, m.regionBytes, m.attempts, m.failed, m.broken, m.crashes, m.undeliveredCrashReports, m.statements, m.resumes, m.firstByte, m.waitTime)
 	m.registry.MustRegister(newLinkCollector(sources.Links))
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
@@ -222,6 +227,9 @@
 // CountCrash counts a runner that ended under a request of the node.
 func (m *Metrics) CountCrash() { m.crashes.Inc() }
 
+// CountUndeliveredCrashReport counts a report of crashes that a node did not accept.
+func (m *Metrics) CountUndeliveredCrashReport() { m.undeliveredCrashReports.Inc() }
+
 // CountStatement counts a runner's statement about itself.
 func (m *Metrics) CountStatement(kind statement.Kind) {
 	m.statements.WithLabelValues(string(kind)).Inc()
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -57,7 +57,8 @@
 		SendReport: func(ctx context.Context, address string, report wire.PoisonReport) error {
 			return n.client.Call(ctx, address, wire.MethodPoison, report, &wire.Empty{})
 		},
-		Holds: func(service string) bool { return n.controls.holds(service) },
+		Holds:            func(service string) bool { return n.controls.holds(service) },
+		CountUndelivered: n.metrics.CountUndeliveredCrashReport,
 	})
 	peer.Handle(n.peers, wire.MethodPoison, func(_ context.Context, report wire.PoisonReport) (wire.Empty, error) {
 		q.AddReport(report)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -40,9 +40,22 @@
 	Wake func()
 	// RecordDecision records a decision about a subject for operators to query.
 	RecordDecision func(subject, step, reason string)
-	Log            logr.Logger
+	// CountUndelivered counts reports that a node did not accept.
+	CountUndelivered func()
+	Log              logr.Logger
 }
 
+// Source is how a node learned of a crash or of a refused request.
+type Source string
+
+// The sources.
+const (
+	// SourceCount is this node's own count of the crashes reported to it.
+	SourceCount Source = "count"
+	// SourceTable is a row of the table.
+	SourceTable Source = "table"
+)
+
 // Quarantine tracks suspected and refused requests at one node. Its methods may be called
 // concurrently.
 type Quarantine struct {
@@ -119,7 +132,8 @@
 			ctx, cancel := context.WithTimeout(q.ctx, reportTimeout)
 			defer cancel()
 			if err := q.SendReport(ctx, address, report); err != nil {
-				q.Log.V(1).Info("crash report not delivered", "peer", address, "error", err.Error())
+				q.CountUndelivered()
+				q.Log.Info("crash report not delivered", "peer", address, "crashes", len(report.Crashes), "cleared", len(report.Cleared), "error", err.Error())
 			}
 		})
 	}
@@ -164,13 +178,13 @@
 }
 
 // Succeeded records that an attempt of a request succeeded, which shows that it does not crash
-// runners.
-func (q *Quarantine) Succeeded(request poison.Identity) {
+// runners. It reports whether crashes under the request were known.
+func (q *Quarantine) Succeeded(request poison.Identity) (cleared bool) {
 	_, marked := q.marks.Find(request)
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if !q.tally.Clear(request) && !marked {
-		return
+		return false
 	}
 	q.unreported.Cleared = newest(append(q.unreported.Cleared, request))
 	q.reportToAggregators(wire.PoisonReport{Cleared: []poison.Identity{request}})
@@ -179,6 +193,7 @@
 		q.lift(request)
 	}
 	q.ReportNow(*q.service.Load())
+	return true
 }
 
 // Crashed records a runner that crashed while running requests of this node.
@@ -222,7 +237,7 @@
 	if len(findings) == 0 {
 		return
 	}
-	q.apply(findings)
+	q.apply(findings, SourceCount)
 	for _, finding := range findings {
 		q.pendingWrites[finding.Request] = finding.Runners
 	}
@@ -231,16 +246,16 @@
 
 // apply marks the requests of findings. If one of them becomes refused, requests that wait for a
 // runner check again. mutex is held.
-func (q *Quarantine) apply(findings []poison.Finding) {
+func (q *Quarantine) apply(findings []poison.Finding, source Source) {
 	q.tracking.Store(true)
 	wake := false
 	for _, mark := range q.marks.Put(findings, time.Now()) {
 		if !mark.Refused() {
-			q.Log.Info("request suspected of ending runners", "content", mark.Request.Short(), "runners", mark.Runners)
+			q.Log.Info("request suspected of ending runners", "content", mark.Request.Short(), "runners", mark.Runners, "source", source)
 			continue
 		}
 		wake = true
-		q.Log.Info("request refused as runners end under it", "content", mark.Request.Short(), "runners", mark.Runners)
+		q.Log.Info("request refused as runners end under it", "content", mark.Request.Short(), "runners", mark.Runners, "source", source)
 		q.RecordDecision("content/"+mark.Request.Short(), "refuse request", mark.Finding.String())
 	}
 	if wake {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -74,7 +74,7 @@
 		findings = append(findings, poison.Finding{Request: request, Runners: record.Runners})
 	}
 	if len(findings) > 0 {
-		q.apply(findings)
+		q.apply(findings, SourceTable)
 		q.publish(q.merge(findings))
 	}
 	return requests
