--- /dev/null
+++ b/internal/dispatch/quarantine_test.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/crash"
+	"lilacvane/internal/poison"
+)
+
+// quarantineStub refuses all requests once refuses is set.
+type quarantineStub struct {
+	refuses   atomic.Bool
+	succeeded atomic.Int64
+}
+
+func (q *quarantineStub) Idle() bool { return !q.refuses.Load() }
+
+func (q *quarantineStub) Refused(poison.Identity) (poison.Mark, bool) {
+	return poison.Mark{}, q.refuses.Load()
+}
+
+func (q *quarantineStub) Succeeded(poison.Identity) bool {
+	q.succeeded.Add(1)
+	return true
+}
+
+// TestHedgeWasSentThoughRequestWasRefusedMeanwhile: an attempt that began while no crash was known
+// sent its hedge without asking whether the request is refused by then.
+func TestHedgeWasSentThoughRequestWasRefusedMeanwhile(t *testing.T) {
+	j, written := hedgedJob(t, after(time.Hour, refuses), answers("second"))
+	quarantine := &quarantineStub{}
+	j.dispatcher.Quarantine = quarantine
+	time.AfterFunc(minSilence/2, func() { quarantine.refuses.Store(true) })
+	j.deadline = time.Now().Add(5 * minSilence)
+	ctx, cancel := context.WithDeadlineCause(t.Context(), j.deadline, errTimeout)
+	defer cancel()
+	for j.attempt(ctx) {
+	}
+	assert.Equal(t, j.sent, 1)
+	assert.Assert(t, written.Code != http.StatusOK, "%s", written.Body)
+}
+
+// TestRequestWasSentThoughRefusedWhileConnecting: a request that became refused while its node
+// connected to the runner was sent all the same.
+func TestRequestWasSentThoughRefusedWhileConnecting(t *testing.T) {
+	j, written := hedgedJob(t, answers("first"), answers("second"))
+	quarantine := &quarantineStub{}
+	j.dispatcher.Quarantine = quarantine
+	dial := j.dispatcher.Pool.Dial
+	j.dispatcher.Pool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		quarantine.refuses.Store(true)
+		return dial(ctx, network, address)
+	}
+	for j.attempt(t.Context()) {
+	}
+	assert.Equal(t, written.Code, http.StatusServiceUnavailable, "%s", written.Body)
+}
+
+// crashesStub counts the signs of crashes.
+type crashesStub struct{ interrupted atomic.Int64 }
+
+func (c *crashesStub) Interrupted(backend.Runner, poison.Identity, crash.ProbeMethod) {
+	c.interrupted.Add(1)
+}
+
+func (c *crashesStub) Refused(string) {}
+
+// TestCrashWithoutLengthCountedAsSuccess: an answer without a length ends with its connection, also
+// when its runner crashes. It cleared the crashes under its request.
+func TestCrashWithoutLengthCountedAsSuccess(t *testing.T) {
+	unframed := func(w http.ResponseWriter, r *http.Request) {
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nX-Signature: s\r\n\r\npart")
+		_ = buffered.Flush()
+		_ = conn.Close()
+	}
+	j, written := hedgedJob(t, unframed, answers("second"))
+	quarantine, crashes := &quarantineStub{}, &crashesStub{}
+	j.dispatcher.Quarantine, j.dispatcher.Crashes = &activeQuarantine{quarantine}, crashes
+	for j.attempt(t.Context()) {
+	}
+	assert.Equal(t, written.Code, http.StatusOK)
+	assert.Equal(t, quarantine.succeeded.Load(), int64(0))
+	assert.Equal(t, crashes.interrupted.Load(), int64(1))
+}
+
+// activeQuarantine is a quarantineStub that knows of crashes.
+type activeQuarantine struct{ *quarantineStub }
+
+func (q *activeQuarantine) Idle() bool { return false }
--- a/internal/lab/world/runners.go
+++ b/internal/lab/world/runners.go
@@ -71,7 +71,7 @@
 	runner := &Runner{ID: options.Name, options: options, address: w.address(host, portRunner)}
 	runner.Journal = filepath.Join(w.Directory, fmt.Sprintf("journal-%s-%d.jsonl", options.Name, host))
 	runner.seed = w.Seed + uint64(host)
-	if w.Proxied {
+	if w.Proxied && !w.DirectRunners {
 		proxy, err := faultproxy.New(w.address(host, portProxy), runner.address)
 		if err != nil {
 			return nil, err
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -65,6 +65,8 @@
 	// Proxied puts a fault proxy in front of every node and runner, and one per node in front
 	// of the store.
 	Proxied bool
+	// DirectRunners leaves out the proxies in front of runners.
+	DirectRunners bool
 	// FaultyLinks makes the paths from nodes to runners subject to the faults of SetLinks.
 	FaultyLinks bool
 	// Adjust changes the settings of a node before it starts.
--- a/test/poison_test.go
+++ b/test/poison_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -85,15 +86,15 @@
 type poisonTest struct {
 	request clientRequest
 	// renamed is set if runners are restarted under another identifier, proxied if they are
-	// reached through a proxy.
-	renamed, proxied bool
+	// reached through a proxy, proxiedNodes if only nodes and the store are.
+	renamed, proxied, proxiedNodes bool
 	// harmlessPause is the time between harmless requests; the constant harmlessPause if
 	// not set.
 	harmlessPause time.Duration
-	// mailers is the number of runners without models, downtime how long runners are down
+	// nodes is the number of nodes, mailers that of runners without models, downtime how long runners are down
 	// after a crash, poisonPause the time between requests that crash them. Each has a
 	// default.
-	mailers               int
+	nodes, mailers        int
 	downtime, poisonPause time.Duration
 	// timeOuts makes requests time out at all runners without models first.
 	timeOuts bool
@@ -157,7 +158,9 @@
 func startPoisonWorld(t *testing.T, test poisonTest) *poisonWorld {
 	t.Helper()
 	const runners, nodes = 5, 4
-	w := newWorld(t, func(o *world.Options) { o.Proxied = test.proxied })
+	w := newWorld(t, func(o *world.Options) {
+		o.Proxied, o.DirectRunners = test.proxied || test.proxiedNodes, test.proxiedNodes
+	})
 	p := &poisonWorld{world: w, poisonTest: test, harmlessAnswers: make(map[string]int)}
 	p.harmlessPause = cmp.Or(p.harmlessPause, harmlessPause)
 	p.poisonPause = cmp.Or(p.poisonPause, poisonPause)
@@ -174,7 +177,7 @@
 		_, err := w.StartRunner(options)
 		assert.NilError(t, err)
 	}
-	p.nodes = startNodes(t, w, nodes)
+	p.nodes = startNodes(t, w, cmp.Or(test.nodes, nodes))
 	apply(t, p.nodes[0], append(model("alpha", runners), readyPolicy("alpha", runners))...)
 	waitKnown(t, "alpha", p.nodes...)
 	waitUntil(t, "all runners hold the model", func() error {
@@ -360,6 +363,8 @@
 	assert.Assert(t, len(eventTimes(readHistory(t, p.world), journal.EventPoison)) > reached)
 }
 
+var errNoNodeRefuses = errors.New("not yet")
+
 // errorCode returns the code of an error answer, or "" for other answers.
 func errorCode(got clientAnswer) fault.Code {
 	var body fault.Body
