Repeat held calls once the store answers again

Callers saw a request under which three runners had crashed sent on to runners, seconds after nodes had refused it, with a store that answered and nodes that nothing disturbed.

Cause: a call for the table of refused requests is held for 10 s. One that had begun before the store, or its connection, went silent never gets an answer. readStore repeated only calls that began while the store was known to fail, so such a call hung until it timed out, for the node and for all that follow its tables, while the configuration, held 0.4 s, was current again. Each node that missed the row let up to three more runners crash until its own count refused.

Change: every call to the store is repeated once the store answers again after a failure. This also serves the table of operators' objects, held as long.

--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -122,14 +122,14 @@
 	return s.readStore(ctx, store)
 }
 
-// readStore calls the store itself. A call that began while the store failed others is canceled and
-// repeated as soon as the store answers one of them, because it may be waiting on a dead
+// readStore calls the store itself. Once the store answers again after it failed a call, all others
+// are canceled and repeated, also those that had begun before: they may be waiting on a dead
 // connection.
 func (s *Source) readStore(ctx context.Context, store func(context.Context) (feed.Batch, error)) (feed.Batch, error) {
 	if s.relay.otherTableFailed(s.table) {
 		return feed.Batch{}, fault.New(fault.CodeStoreUnavailable, "ask store", "the store has just failed another table's call")
 	}
-	callCtx, stop := withCancelOn(ctx, s.relay.storeRecovery())
+	callCtx, stop := withCancelOn(ctx, s.relay.UpstreamFound())
 	defer stop()
 	batch, err := store(callCtx)
 	switch {
