Tell refused requests from node to node

Callers saw a request under which three runners had crashed sent on by nodes that did not know that others refused it.

Cause: the holder and three further nodes count; all others learned by a row of the store. Where the store was away, slow, or lost for some, each of them sent on until three runners had crashed under its own requests. Reports of crashes were sent once, to nodes that might be gone. Class: urgent news between nodes took the way of what must last.

Change: a node that learns that a request is refused tells its neighbors on a ring of all nodes, which the holder names (internal/ring); while anything is refused, each node compares a digest with one neighbor a second. Reports go on to other nodes where the first are gone and are repeated while they count; answers say what is known. Clearing strikes the crashes that were known, so that late news does not mark a request again. The holder writes missing rows. Nodes of earlier builds still get Cleared; a message of theirs is understood.

TestThreeCrashesAreRefused and the test of cleared requests follow the changed meaning: a crash that was struck stays out, also when it is reported again, and all others count; they check more than before.

--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -52,6 +52,8 @@
 	standbys  []string
 	// reaching are the nodes that are not cut off from the runners.
 	reaching nodePlaces
+	// addresses are those of all nodes, in order.
+	addresses []string
 }
 
 type nodeReport struct {
@@ -178,7 +180,7 @@
 // summary returns a summary of the nodes that reported recently; self is the holder.
 func (d *demandTracker) summary(self string, now time.Time) nodeSummary {
 	if now.Sub(d.lastSummary.at) >= time.Duration(d.lastSummary.count)*summaryPerNode {
-		d.lastSummary = nodeSummary{at: now, count: d.countNodes(now), bestSpare: d.bestSpare(self), standbys: d.standbys(self), reaching: d.reaching()}
+		d.lastSummary = nodeSummary{at: now, count: d.countNodes(now), bestSpare: d.bestSpare(self), standbys: d.standbys(self), reaching: d.reaching(), addresses: d.addresses()}
 	}
 	return d.lastSummary
 }
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -57,9 +57,11 @@
 	mutex   sync.Mutex
 	token   uint64
 	version uint64
-	// nodeCount is how many nodes the holder knows.
-	nodeCount  int
-	holderLost bool
+	// nodeCount is how many nodes the holder knows, neighborsDigest the digest of the neighbors that
+	// it sent last.
+	nodeCount       int
+	neighborsDigest uint64
+	holderLost      bool
 	// withoutOrders is set while no holder is known that may send orders.
 	withoutOrders bool
 	// lastValidAnswer is when another node, as the holder, last answered with its lease valid.
@@ -79,6 +81,9 @@
 	// Standbys are addresses of the nodes that turn to the store first when a holder is lost;
 	// empty if the answer did not contain them.
 	Standbys []string
+	// Neighbors are addresses of the nodes to which urgent news is passed on; empty if the answer did
+	// not contain any.
+	Neighbors []string
 }
 
 // Limits are a node's shares of rate limits, which are reported along with its demand.
@@ -261,6 +266,9 @@
 	}
 	s.mutex.Lock()
 	request.Token, request.Version = s.token, s.version
+	if request.Report {
+		request.NeighborsDigest = s.neighborsDigest
+	}
 	s.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.HoldMs)*time.Millisecond+syncTimeout)
 	defer cancel()
@@ -352,7 +360,10 @@
 	}
 	s.token, s.version = response.Token, response.Version
 	s.nodeCount = response.Nodes
-	s.observe(Observed{Nodes: response.Nodes, BestSpare: response.BestSpare, Standbys: response.Standbys, TunnelPeers: response.TunnelPeers})
+	if len(response.Neighbors) > 0 {
+		s.neighborsDigest = wire.NeighborsDigest(response.Neighbors)
+	}
+	s.observe(Observed{Nodes: response.Nodes, BestSpare: response.BestSpare, Standbys: response.Standbys, TunnelPeers: response.TunnelPeers, Neighbors: response.Neighbors})
 	s.controller.LearnStore(weightstore.Estimate{Limit: response.StoreLimit, Capacity: response.StoreCapacity})
 	views := make([]fleet.View, 0, len(response.Runners))
 	for _, runner := range response.Runners {
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -54,15 +54,15 @@
 	q := quarantine.New(quarantine.Options{
 		Rows: n.platform.Poison, Wake: n.fleet.Wake, ReportNow: n.demand.RequestReport, RecordDecision: n.recordDecision, Log: n.log.Logger,
 		Self: func() string { return n.settings.Load().Listen.PeerAddress() },
-		SendReport: func(ctx context.Context, address string, report wire.PoisonReport) error {
-			return n.client.Call(ctx, address, wire.MethodPoison, report, &wire.Empty{})
+		SendReport: func(ctx context.Context, address string, report wire.PoisonReport) (answer wire.PoisonAnswer, err error) {
+			err = n.client.Call(ctx, address, wire.MethodPoison, report, &answer)
+			return answer, err
 		},
 		Holds:            func(service string) bool { return n.controls.holds(service) },
 		CountUndelivered: n.metrics.CountUndeliveredCrashReport,
 	})
-	peer.Handle(n.peers, wire.MethodPoison, func(_ context.Context, report wire.PoisonReport) (wire.Empty, error) {
-		q.AddReport(report)
-		return wire.Empty{}, nil
+	peer.Handle(n.peers, wire.MethodPoison, func(_ context.Context, report wire.PoisonReport) (wire.PoisonAnswer, error) {
+		return q.Answer(report), nil
 	})
 	return q
 }
--- a/internal/poison/marks.go
+++ b/internal/poison/marks.go
@@ -36,6 +36,9 @@
 // Provisional reports whether running attempts may still lift the mark.
 func (m Mark) Provisional(now time.Time) bool { return now.Sub(m.Since) < ProvisionalPeriod }
 
+// Known returns how long the request has been known to any node, as far as this one knows.
+func (m Mark) Known(now time.Time) time.Duration { return now.Sub(m.first) }
+
 // Expired reports whether the mark has outlived MarkLifetime.
 func (m Mark) Expired(now time.Time) bool { return now.Sub(m.first) > MarkLifetime }
 
@@ -80,6 +83,9 @@
 	changed := maps.Clone(*m.current.Load())
 	var updated []Mark
 	for _, finding := range findings {
+		if finding.Age > MarkLifetime {
+			continue
+		}
 		before, known := changed[finding.Request]
 		if known && before.Expired(now) {
 			// Crashes after the expiry are counted from zero.
@@ -101,7 +107,7 @@
 // merge adds a finding's runners to a mark, or makes a new mark of it.
 func merge(before Mark, finding Finding, known bool, now time.Time) Mark {
 	if !known {
-		return Mark{Finding: finding, first: now}
+		return Mark{Finding: finding, first: now.Add(-finding.Age)}
 	}
 	before.Runners = slices.Clone(before.Runners)
 	for _, runner := range finding.Runners {
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -32,6 +32,14 @@
 	Request Identity
 	// Runners are the incarnations that ended while running the request, in order.
 	Runners []string
+	// Age is how long the finding had been known to the node that sent it; zero for an own one.
+	Age time.Duration
+}
+
+// For returns the finding as one of a request, also if it is the zero Finding.
+func (f Finding) For(request Identity) Finding {
+	f.Request = request
+	return f
 }
 
 // String describes the finding for operators and callers.
@@ -45,9 +53,12 @@
 	entries map[Identity]*entry
 }
 
-// entry is what a tally records of one request: the runners that ended, and when the last one did.
+// entry is what a tally records of one request: the runners whose ends count, those whose ends no
+// longer do, and when the last end was recorded or struck. A runner in struck stays out of runners,
+// so that nodes agree in whichever order they learn of an end and of what strikes it.
 type entry struct {
 	runners   []string
+	struck    []string
 	lastCrash time.Time
 }
 
@@ -76,7 +87,7 @@
 		known = &entry{}
 		t.entries[request] = known
 	}
-	if slices.Contains(known.runners, runner) || len(known.runners) >= maxRunners {
+	if slices.Contains(known.runners, runner) || slices.Contains(known.struck, runner) || len(known.runners) >= maxRunners {
 		return false
 	}
 	known.runners = append(known.runners, runner)
@@ -96,16 +107,49 @@
 	return Finding{Request: finding.Request, Runners: slices.Clone(known.runners)}
 }
 
-// Clear removes a request, because an attempt of it succeeded or an operator asked for it. It
-// reports whether the request was known.
-func (t *Tally) Clear(request Identity) bool {
-	_, known := t.entries[request]
-	delete(t.entries, request)
-	return known
+// Strike makes the ends of some runners no longer count for a request, because an attempt of it
+// succeeded or an operator asked for it.
+func (t *Tally) Strike(request Identity, runners []string, now time.Time) {
+	if len(runners) == 0 {
+		return
+	}
+	known := t.entries[request]
+	if known == nil {
+		known = &entry{}
+		t.entries[request] = known
+	}
+	for _, runner := range runners {
+		if !slices.Contains(known.struck, runner) {
+			known.struck = append(known.struck, runner)
+		}
+	}
+	known.struck = known.struck[max(len(known.struck)-maxRunners, 0):]
+	known.runners = slices.DeleteFunc(known.runners, func(runner string) bool { return slices.Contains(runners, runner) })
+	known.lastCrash = now
+	t.trim(now)
+}
+
+// Runners returns the runners whose ends count for a request.
+func (t *Tally) Runners(request Identity) []string {
+	if known := t.entries[request]; known != nil {
+		return slices.Clone(known.runners)
+	}
+	return nil
 }
 
-// Contains reports whether a crash is recorded for a request.
-func (t *Tally) Contains(request Identity) bool { return t.entries[request] != nil }
+// Struck returns the runners whose ends no longer count for a request.
+func (t *Tally) Struck(request Identity) []string {
+	if known := t.entries[request]; known != nil {
+		return slices.Clone(known.struck)
+	}
+	return nil
+}
+
+// Contains reports whether an end counts for a request.
+func (t *Tally) Contains(request Identity) bool {
+	known := t.entries[request]
+	return known != nil && len(known.runners) > 0
+}
 
 // Crashes returns all recorded crashes by runner, for transfer to another tally.
 func (t *Tally) Crashes() map[string][]Identity {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,9 +1,10 @@
 // Package quarantine implements a node's part in protecting runners from requests that crash them.
 // Each node records the crashes of runners during its own requests and reports them to a few other
 // nodes, among them the holder of one service's control lease. These aggregate the reports of all
-// nodes. Whichever node finds a request involved in several crashes writes it to a table that all
-// nodes follow, so that the entry outlives holders, restarts and power failures, and reaches nodes
-// that the holder does not.
+// nodes. A node that learns that a request is refused tells its neighbors, so that all nodes know
+// within a few calls, without the store and the holder. Whichever node finds a request involved in
+// several crashes also writes it to a table that all nodes follow, so that the entry outlives
+// holders, restarts and power failures.
 package quarantine
 
 import (
@@ -29,8 +30,8 @@
 	Rows table.Table
 	// Self returns the address at which other nodes reach this one.
 	Self func() string
-	// SendReport sends a report, which the holder also gets, to the node at an address.
-	SendReport func(ctx context.Context, address string, report wire.PoisonReport) error
+	// SendReport sends a report to the node at an address.
+	SendReport func(ctx context.Context, address string, report wire.PoisonReport) (wire.PoisonAnswer, error)
 	// ReportNow causes the demand for a service, and the reports sent along with it, to be sent to
 	// the service's holder immediately.
 	ReportNow func(service string)
@@ -54,6 +55,8 @@
 	SourceCount Source = "count"
 	// SourceTable is a row of the table.
 	SourceTable Source = "table"
+	// SourcePeer is another node that refuses the request.
+	SourcePeer Source = "peer"
 )
 
 // Quarantine tracks suspected and refused requests at one node. Its methods may be called
@@ -65,9 +68,8 @@
 	// service is the service whose holder aggregates; empty if there is none, in which case each
 	// node only counts for itself.
 	service atomic.Pointer[string]
-	// aggregators are the addresses of other nodes that aggregate in addition to the holder,
-	// which may be stalled or about to leave.
-	aggregators atomic.Pointer[[]string]
+	// nodes are the nodes to tell.
+	nodes atomic.Pointer[nodes]
 	// tracking is set while any request is marked or counted.
 	tracking atomic.Bool
 
@@ -78,6 +80,8 @@
 	// the holder that got a full report.
 	unreported    wire.PoisonReport
 	reportedToken uint64
+	// witnessed are the recent crashes under this node's own requests.
+	witnessed []witnessedCrash
 	// pendingWrites are the rows to write, with nil for those to remove. written are the rows in
 	// the table.
 	pendingWrites map[poison.Identity][]string
@@ -100,45 +104,10 @@
 	q.ctx, q.cancel = context.WithCancel(context.Background())
 	none := ""
 	q.service.Store(&none)
-	q.aggregators.Store(&[]string{})
+	q.nodes.Store(&nodes{})
 	return q
 }
 
-// maxAggregators is how many nodes aggregate in addition to the holder. One of them is still
-// there if another one is lost together with the holder.
-const maxAggregators = 3
-
-// SetAggregators sets the nodes that aggregate in addition to the holder. All nodes set the same
-// ones.
-func (q *Quarantine) SetAggregators(addresses []string) {
-	if len(addresses) > 0 {
-		aggregators := slices.Clone(addresses[:min(maxAggregators, len(addresses))])
-		q.aggregators.Store(&aggregators)
-	}
-}
-
-// reportToAggregators sends a report to the nodes that aggregate in addition to the holder. A
-// report that one of them misses reaches the holder or another one. mutex is held.
-func (q *Quarantine) reportToAggregators(report wire.PoisonReport) {
-	if q.ctx.Err() != nil {
-		return
-	}
-	self := q.Self()
-	for _, address := range *q.aggregators.Load() {
-		if address == self {
-			continue
-		}
-		q.calls.Go(func() {
-			ctx, cancel := context.WithTimeout(q.ctx, reportTimeout)
-			defer cancel()
-			if err := q.SendReport(ctx, address, report); err != nil {
-				q.CountUndelivered()
-				q.Log.Info("crash report not delivered", "peer", address, "crashes", len(report.Crashes), "cleared", len(report.Cleared), "error", err.Error())
-			}
-		})
-	}
-}
-
 // close cancels the calls to other nodes and waits for them.
 func (q *Quarantine) close() {
 	q.mutex.Lock()
@@ -147,10 +116,6 @@
 	q.calls.Wait()
 }
 
-// reportTimeout bounds the sending of a report: a reachable node answers within a few
-// milliseconds, one in another region within some tens of milliseconds.
-const reportTimeout = 500 * time.Millisecond
-
 // Follow applies a configuration, which determines the service whose holder aggregates.
 func (q *Quarantine) Follow(configuration *config.Configuration) {
 	first := configuration.FirstEngineService()
@@ -180,18 +145,22 @@
 // Succeeded records that an attempt of a request succeeded, which shows that it does not crash
 // runners. It reports whether crashes under the request were known.
 func (q *Quarantine) Succeeded(request poison.Identity) (cleared bool) {
-	_, marked := q.marks.Find(request)
+	mark, marked := q.marks.Find(request)
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if !q.tally.Clear(request) && !marked {
+	if !q.tally.Contains(request) && !marked {
 		return false
 	}
-	q.unreported.Cleared = newest(append(q.unreported.Cleared, request))
-	q.reportToAggregators(wire.PoisonReport{Cleared: []poison.Identity{request}})
+	struck := wire.CrashesStruck{Request: request, Runners: q.tally.Merge(mark.Finding.For(request), time.Now()).Runners}
+	q.unreported.Struck = newest(append(q.unreported.Struck, struck))
 	if marked {
 		q.Log.Info("request no longer suspected of ending runners", "content", request.Short(), "reason", "an attempt of it succeeded")
-		q.lift(request)
+		q.pendingWrites[request] = nil
+		q.signal()
+		q.tellNeighbors(wire.PoisonReport{Struck: []wire.CrashesStruck{struck}})
 	}
+	q.strike(struck)
+	q.tellAggregators(wire.PoisonReport{Struck: []wire.CrashesStruck{struck}})
 	q.ReportNow(*q.service.Load())
 	return true
 }
@@ -201,9 +170,10 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	report := wire.CrashReport{Runner: c.Runner, Requests: c.Requests}
+	q.witnessed = newest(append(q.witnessed, witnessedCrash{CrashReport: report, at: time.Now()}))
 	q.unreported.Crashes = newest(append(q.unreported.Crashes, report))
 	q.add(c.Runner, c.Requests)
-	q.reportToAggregators(wire.PoisonReport{Crashes: []wire.CrashReport{report}})
+	q.tellAggregators(wire.PoisonReport{Crashes: []wire.CrashReport{report}})
 	q.ReportNow(*q.service.Load())
 }
 
@@ -211,12 +181,23 @@
 func (q *Quarantine) AddReport(report wire.PoisonReport) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	for _, request := range report.Cleared {
-		q.tally.Clear(request)
+	q.addReport(report)
+}
+
+// addReport is AddReport for a caller that holds mutex.
+func (q *Quarantine) addReport(report wire.PoisonReport) {
+	for _, struck := range report.Struck {
+		q.learnStruck(struck)
+	}
+	if len(report.Struck) == 0 {
+		for _, request := range report.Cleared {
+			q.tally.Strike(request, q.tally.Runners(request), time.Now())
+		}
 	}
 	for _, c := range report.Crashes {
 		q.add(c.Runner, c.Requests)
 	}
+	q.learnMarks(report.Marks)
 }
 
 // add counts a crash, together with what the table says about the requests, and marks those that
@@ -244,37 +225,68 @@
 	q.signal()
 }
 
-// apply marks the requests of findings. If one of them becomes refused, requests that wait for a
-// runner check again. mutex is held.
+// apply marks the requests of findings, without crashes that no longer count. If one of them becomes
+// refused, the neighbors are told and requests that wait for a runner check again. mutex is held.
 func (q *Quarantine) apply(findings []poison.Finding, source Source) {
 	q.tracking.Store(true)
-	wake := false
-	for _, mark := range q.marks.Put(findings, time.Now()) {
+	var refused []poison.Mark
+	for _, mark := range q.marks.Put(q.countable(findings), time.Now()) {
 		if !mark.Refused() {
 			q.Log.Info("request suspected of ending runners", "content", mark.Request.Short(), "runners", mark.Runners, "source", source)
 			continue
 		}
-		wake = true
+		refused = append(refused, mark)
 		q.Log.Info("request refused as runners end under it", "content", mark.Request.Short(), "runners", mark.Runners, "source", source)
 		q.RecordDecision("content/"+mark.Request.Short(), "refuse request", mark.Finding.String())
 	}
-	if wake {
+	if len(refused) > 0 {
 		q.Wake()
+		q.tellNeighbors(wire.PoisonReport{Marks: wireMarks(refused)})
 	}
 }
 
+// countable returns findings without the crashes that no longer count, if enough are left. mutex is
+// held.
+func (q *Quarantine) countable(findings []poison.Finding) []poison.Finding {
+	var counted []poison.Finding
+	for _, finding := range findings {
+		struck := q.tally.Struck(finding.Request)
+		finding.Runners = slices.DeleteFunc(slices.Clone(finding.Runners), func(runner string) bool { return slices.Contains(struck, runner) })
+		if len(finding.Runners) >= poison.SuspectThreshold {
+			counted = append(counted, finding)
+		}
+	}
+	return counted
+}
+
 // lift removes a request at all nodes. mutex is held.
 func (q *Quarantine) lift(request poison.Identity) {
-	q.forget(request)
+	struck := q.forget(request)
 	q.pendingWrites[request] = nil
 	q.signal()
+	q.tellNeighbors(wire.PoisonReport{Struck: []wire.CrashesStruck{struck}})
 }
 
-// forget removes a request at this node. mutex is held.
-func (q *Quarantine) forget(request poison.Identity) {
-	q.marks.Drop(request)
-	q.tally.Clear(request)
+// forget makes all known crashes of a request no longer count at this node, and returns them. mutex
+// is held.
+func (q *Quarantine) forget(request poison.Identity) wire.CrashesStruck {
+	mark, _ := q.marks.Find(request)
+	struck := wire.CrashesStruck{Request: request, Runners: q.tally.Merge(mark.Finding.For(request), time.Now()).Runners}
 	delete(q.pendingWrites, request)
+	q.strike(struck)
+	return struck
+}
+
+// strike makes crashes no longer count at this node. mutex is held.
+func (q *Quarantine) strike(struck wire.CrashesStruck) {
+	q.tally.Strike(struck.Request, struck.Runners, time.Now())
+	mark, marked := q.marks.Find(struck.Request)
+	if !marked {
+		return
+	}
+	q.marks.Drop(struck.Request)
+	mark.Age = mark.Known(time.Now())
+	q.marks.Put(q.countable([]poison.Finding{mark.Finding}), time.Now())
 }
 
 // signal wakes Run to write pending rows.
@@ -312,7 +324,10 @@
 		q.reportedToken = token
 		report.Crashes = allCrashes(q.tally)
 	}
-	if len(report.Crashes) == 0 && len(report.Cleared) == 0 {
+	for _, struck := range report.Struck {
+		report.Cleared = append(report.Cleared, struck.Request)
+	}
+	if len(report.Crashes) == 0 && len(report.Struck) == 0 {
 		return nil
 	}
 	return &report
@@ -324,7 +339,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.unreported.Crashes = newest(append(report.Crashes, q.unreported.Crashes...))
-	q.unreported.Cleared = newest(append(report.Cleared, q.unreported.Cleared...))
+	q.unreported.Struck = newest(append(report.Struck, q.unreported.Struck...))
 }
 
 // maxUnreported bounds what is kept while there is no holder: the next holder gets a full report
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -109,8 +109,10 @@
 
 // Run writes findings to the table and lets marks expire, until ctx ends.
 func (q *Quarantine) Run(ctx context.Context) {
-	sweep := time.NewTicker(sweepInterval)
+	sweep, exchange := time.NewTicker(sweepInterval), time.NewTicker(exchangeInterval)
 	defer sweep.Stop()
+	defer exchange.Stop()
+	exchanged := time.Now()
 	defer q.close()
 	for {
 		select {
@@ -118,6 +120,14 @@
 			return
 		case <-sweep.C:
 			q.sweep()
+			continue
+		case <-exchange.C:
+			if time.Since(exchanged) > lateExchange {
+				q.compare()
+			}
+			exchanged = time.Now()
+			q.exchange()
+			continue
 		case <-q.due:
 		}
 		for ctx.Err() == nil {
@@ -147,6 +157,23 @@
 	}
 }
 
+// repair writes the marks that the table lacks, as the node that found them may have ended before it
+// wrote them, and removes rows whose crashes no longer count. mutex is held.
+func (q *Quarantine) repair() {
+	for _, mark := range q.refused() {
+		if _, pending := q.pendingWrites[mark.Request]; !pending && !q.written[mark.Request] {
+			q.pendingWrites[mark.Request] = mark.Runners
+			q.signal()
+		}
+	}
+	for request := range q.written {
+		if _, marked := q.marks.Find(request); !marked && len(q.tally.Struck(request)) > 0 {
+			q.pendingWrites[request] = nil
+			q.signal()
+		}
+	}
+}
+
 // expire removes expired crashes, so that requests need not be identified once none are left.
 func (q *Quarantine) expire() {
 	q.mutex.Lock()
--- a/internal/wire/poison.go
+++ b/internal/wire/poison.go
@@ -2,14 +2,49 @@
 
 import "lilacvane/internal/poison"
 
-// MethodPoison sends a PoisonReport to a node that counts crashes in addition to the holder.
+// MethodPoison exchanges a PoisonReport for a PoisonAnswer with a node other than the holder.
 const MethodPoison = "poison/report"
 
-// PoisonReport lists the requests of a node that were running on runners when these crashed.
+// PoisonReport is what a node tells another one about requests that crash runners.
 type PoisonReport struct {
 	Crashes []CrashReport `cbor:"1,keyasint,omitempty"`
-	// Cleared are requests of which an attempt ended normally.
+	// Cleared are the requests of Struck, for nodes of earlier builds, which send Cleared alone: no
+	// crash of these requests counts any more.
 	Cleared []poison.Identity `cbor:"2,keyasint,omitempty"`
+	// Marks are the requests that the sender refuses.
+	Marks []PoisonMark `cbor:"3,keyasint,omitempty"`
+	// Struck are crashes that no longer count.
+	Struck []CrashesStruck `cbor:"4,keyasint,omitempty"`
+	// Compare is set when the receiver is to answer with all requests that it refuses, unless their
+	// digest is Digest.
+	Compare bool   `cbor:"5,keyasint,omitempty"`
+	Digest  uint64 `cbor:"6,keyasint,omitempty"`
+}
+
+// PoisonAnswer is what a node knows beyond a report.
+type PoisonAnswer struct {
+	// Marks are suspected or refused requests.
+	Marks  []PoisonMark    `cbor:"1,keyasint,omitempty"`
+	Struck []CrashesStruck `cbor:"2,keyasint,omitempty"`
+	// Digest is that of the requests that the receiver refuses, if the report asked to compare.
+	Digest uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// PoisonMark is a request and the runners that crashed while running it.
+type PoisonMark struct {
+	Request poison.Identity `cbor:"1,keyasint"`
+	// Runners identify the incarnations.
+	Runners []string `cbor:"2,keyasint"`
+	// AgeMs is how long the request has been marked, in milliseconds.
+	AgeMs int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// CrashesStruck are crashes of a request that no longer count, as an attempt of it succeeded or an
+// operator lifted its quarantine.
+type CrashesStruck struct {
+	Request poison.Identity `cbor:"1,keyasint"`
+	// Runners identify the incarnations that had crashed.
+	Runners []string `cbor:"2,keyasint"`
 }
 
 // CrashReport is a crashed runner and the requests of the node that were running there.
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -1,6 +1,10 @@
 package wire
 
-import "lilacvane/internal/limit"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"lilacvane/internal/limit"
+)
 
 // MethodSync is the call by which a node reports the demand of its requests to the holder of the
 // control lease of a service, and learns what the runners hold.
@@ -49,6 +53,8 @@
 	Limited []RunnerNumber `cbor:"20,keyasint,omitempty"`
 	// Brittle are runners that stated in answers that they are brittle.
 	Brittle []RunnerNumber `cbor:"23,keyasint,omitempty"`
+	// NeighborsDigest is the digest of the neighbors that the node knows; zero for none.
+	NeighborsDigest uint64 `cbor:"24,keyasint,omitempty"`
 	// CutOff is set while the node itself reaches few of the runners that others reach.
 	CutOff bool `cbor:"21,keyasint,omitempty"`
 }
@@ -169,6 +175,18 @@
 	// TunnelPeers are the addresses of nodes through which the node may reach runners, nearest first.
 	// Sent in answer to reports.
 	TunnelPeers []string `cbor:"22,keyasint,omitempty"`
+	// Neighbors are the addresses of the nodes to which the node passes urgent news on. Sent in answer
+	// to reports whose NeighborsDigest is another one.
+	Neighbors []string `cbor:"24,keyasint,omitempty"`
+}
+
+// NeighborsDigest returns the digest of a list of neighbors.
+func NeighborsDigest(neighbors []string) uint64 {
+	digest := xxhash.New()
+	for _, address := range neighbors {
+		_, _ = digest.WriteString(address + "\n")
+	}
+	return digest.Sum64()
 }
 
 // ModelCrashes is the number of runners that crashed, one after the other, while loading a model.
