Look refused requests up right before they are sent

Callers saw a request that crashes runners sent after it was refused, at any distance in time.

Cause: hedges looked a request up only if some crash was known when their attempt began, and a request that was placed was not looked up again while its node connected. An attempt that waits for a runner hedges each 50 ms, so once runners are back all attempts of such a request went there. Class: a decision is kept beyond the moment for which it was made.

Change: both ask right before the request is sent, for the unit that it is sent to.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -92,8 +92,7 @@
 	return false
 }
 
-// endUnsent ends an attempt whose request was not sent, as its runner became ineligible after it
-// was chosen, and reports whether to try again. Hedges may have been sent while the attempt waited
+// endUnsent ends an attempt whose request was not sent, as errNotAdmitted says, and reports whether to try again. Hedges may have been sent while the attempt waited
 // for a connection.
 func (j *job) endUnsent(ctx context.Context, choice fleet.Choice, result attemptResult, err error) (again bool) {
 	j.dispatcher.Fleet.Release(choice, j.query)
@@ -310,13 +309,14 @@
 	return j.route.Kind == config.Stream && answer.Status == http.StatusOK
 }
 
-// errNotAdmitted is the error of a request that was not sent, as its runner became ineligible after
-// it was chosen.
-var errNotAdmitted = errors.New("the runner may get nothing any more")
+// errNotAdmitted is the error of a request that was not sent, as its runner became ineligible, or the
+// request itself refused, after the runner was chosen.
+var errNotAdmitted = errors.New("the runner may not get the request any more")
 
 // call builds the request as it is sent to a runner that was chosen by a query; a stream resumes
-// after the given event. Whether the runner is eligible is checked again right before the request
-// is sent: connecting may take seconds, in which the runner may have announced that it leaves.
+// after the given event. Whether the runner is eligible and the request allowed is checked again right
+// before the request is sent: connecting may take seconds, in which the runner may have announced
+// that it leaves, or the request have crashed others.
 func (j *job) call(choice fleet.Choice, query fleet.Query, after string) upstream.Call {
 	header := j.request.Header.Clone()
 	names := j.dispatcher.Headers
@@ -342,10 +342,10 @@
 			}
 			// Connecting took a part of the time.
 			header.Set(names.Deadline, j.formatTimeLeft())
-			if j.dispatcher.Fleet.Allowed(choice, query) {
-				return nil
+			if !j.dispatcher.Fleet.Allowed(choice, query) || j.refusedNow(query.Unit) {
+				return errNotAdmitted
 			}
-			return errNotAdmitted
+			return nil
 		},
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -216,9 +216,10 @@
 	// stream is set once the head of a stream was sent.
 	stream *clientStream
 	// identity is the request's content identity for the unit identityUnit, which is nil until
-	// contentIdentity has computed it.
-	identity     poison.Identity
-	identityUnit *backend.Unit
+	// identityFor has computed it. identityMutex guards both.
+	identityMutex sync.Mutex
+	identity      poison.Identity
+	identityUnit  *backend.Unit
 }
 
 // run serves the request until its final answer.
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -10,7 +10,6 @@
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
-	"lilacvane/internal/poison"
 	"lilacvane/internal/upstream"
 )
 
@@ -45,8 +44,6 @@
 	ctx context.Context
 	// query chooses the runners, excluding those that were tried.
 	query fleet.Query
-	// content is the identity of the request; nil while no request is known that crashed runners.
-	content *poison.Identity
 	// sent and ran are the job's counts, including hedges.
 	sent, ran int
 
@@ -60,26 +57,13 @@
 func (j *job) newHedges(ctx context.Context, silent fleet.Choice) *hedges {
 	h := &hedges{job: j, ctx: ctx, query: j.query, sent: j.sent, ran: j.ran}
 	h.query.Exclude = append(slices.Clone(j.query.Exclude), silent.Runner.ID)
-	if j.quarantineActive() {
-		content := j.contentIdentity()
-		h.content = &content
-	}
 	return h
 }
 
-// quarantined reports whether the request must no longer be run.
-func (h *hedges) quarantined() bool {
-	if h.content == nil {
-		return false
-	}
-	_, refused := h.job.dispatcher.Quarantine.Refused(*h.content)
-	return refused
-}
-
 // mayHedge reports whether the request may go to one more runner. The attempt beside the hedge
 // counts as a run, as it may be one.
 func (h *hedges) mayHedge() bool {
-	return !h.quarantined() && h.sent < maxSends && h.ran+1 < h.job.route.Attempts && h.ctx.Err() == nil && time.Until(h.job.deadline) >= minAttemptTime
+	return !h.job.refusedNow(h.query.Unit) && h.sent < maxSends && h.ran+1 < h.job.route.Attempts && h.ctx.Err() == nil && time.Until(h.job.deadline) >= minAttemptTime
 }
 
 // reserve chooses a runner and takes a retry from the budget; false when there is none now.
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -15,11 +15,17 @@
 
 // contentIdentity returns the digest of what all attempts of the request have in common. It is
 // computed on first use: only requests that failed, or that may match one that did, need it.
-func (j *job) contentIdentity() poison.Identity {
-	unit := backend.Unit{}
-	if j.request.Resolve != nil {
-		unit = j.query.Unit
+func (j *job) contentIdentity() poison.Identity { return j.identityFor(j.query.Unit) }
+
+// identityFor is contentIdentity of a request that is sent to a runner of the unit. Hedges call it
+// beside the job's goroutine.
+func (j *job) identityFor(unit backend.Unit) poison.Identity {
+	if j.request.Resolve == nil {
+		// The client chose the unit: it is part of the body.
+		unit = backend.Unit{}
 	}
+	j.identityMutex.Lock()
+	defer j.identityMutex.Unlock()
 	if j.identityUnit != nil && *j.identityUnit == unit {
 		return j.identity
 	}
@@ -31,6 +37,15 @@
 	return j.identity
 }
 
+// refusedNow reports whether the request must not be sent to a runner of the unit.
+func (j *job) refusedNow(unit backend.Unit) bool {
+	if !j.quarantineActive() {
+		return false
+	}
+	_, refused := j.dispatcher.Quarantine.Refused(j.identityFor(unit))
+	return refused
+}
+
 // callerID identifies the caller: by its tenant, as that keeps its name when it gets another key,
 // or else by the key that it sent. The prefixes keep the two kinds apart, as a key may equal a
 // tenant's name.
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -24,7 +24,7 @@
 func (q *quarantineStub) Idle() bool { return !q.refuses.Load() }
 
 func (q *quarantineStub) Refused(poison.Identity) (poison.Mark, bool) {
-	return poison.Mark{}, q.refuses.Load()
+	return poison.Mark{Since: time.Now()}, q.refuses.Load()
 }
 
 func (q *quarantineStub) Succeeded(poison.Identity) bool {
