Do not take the end of an answer without a length for a success

Callers saw a request that crashes runners sent again after crashes under it had been counted.

Cause: an answer without a length ends with its connection, also where its runner crashes in the middle of it. It counted as a success, so the crash was not counted, and all crashes that were known were cleared at all nodes.

Change: such an answer is still forwarded, as nothing else can tell its end, but clears nothing; the runner is asked whether it is still there, as after an answer that breaks off.

Evidence: TestCrashWithoutLengthCountedAsSuccess cleared the crash and asked nobody; now it passes.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -63,7 +63,7 @@
 	j.dispatcher.Fleet.Done(choice, j.query, result.fleet, time.Since(start), result.started)
 	j.recordHedges(result.failedHedges)
 	if err == nil {
-		j.reportSuccess()
+		j.reportSuccess(choice.Runner, result)
 		return false
 	}
 	j.outcome.Endings = append(j.outcome.Endings, result.ending)
@@ -206,6 +206,8 @@
 type attemptResult struct {
 	fleet   fleet.Result
 	started bool
+	// unframed is set for an answer whose end does not show that the runner completed it.
+	unframed bool
 	// timedOut is set when the request's deadline passed during the attempt.
 	timedOut bool
 	// ending says who ended a failed attempt.
@@ -222,6 +224,7 @@
 // exchange sends the request to the chosen runner, unless it was sent as a hedge already, and
 // forwards its answer. A nil error means that the client has its final answer.
 func (j *job) exchange(parent context.Context, choice fleet.Choice, takeover *hedge) (result attemptResult, err error) {
+	var answer *upstream.Answer
 	ctx, cancel := context.WithCancelCause(parent)
 	if takeover != nil {
 		ctx, cancel = takeover.ctx, takeover.cancel
@@ -233,9 +236,10 @@
 		result.silent, result.timerDelay = watch.silence()
 		result.takeover = watch.stop(err != nil && parent.Err() == nil && !errors.Is(context.Cause(ctx), errTimeout))
 		result.failedHedges = watch.hedges.failed
+		result.unframed = answer != nil && answer.Unframed
 		result.timedOut = err != nil && result.takeover == nil && parent.Err() == nil && errors.Is(context.Cause(ctx), errTimeout)
 	}()
-	answer, err := j.begin(ctx, choice, takeover)
+	answer, err = j.begin(ctx, choice, takeover)
 	if err != nil {
 		return j.noAnswerResult(ctx, err)
 	}
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -127,12 +127,23 @@
 	return j.dispatcher.Quarantine != nil && !j.dispatcher.Quarantine.Idle()
 }
 
-// reportSuccess reports a request that succeeded to the quarantine.
-func (j *job) reportSuccess() {
-	if j.quarantineActive() && j.outcome.Result == ResultServed && j.outcome.Status < http.StatusMultipleChoices {
-		content := j.contentIdentity()
-		if j.dispatcher.Quarantine.Succeeded(content) {
-			j.log.Info("crashes under request cleared by its success", "content", content.Short(), "runner", j.outcome.Runner, "via", j.outcome.Via)
+// reportSuccess reports a request that succeeded to the quarantine. An answer whose end does not show
+// that its runner completed it may be a crash: the runner is asked instead.
+func (j *job) reportSuccess(runner backend.Runner, result attemptResult) {
+	if j.outcome.Result != ResultServed || j.outcome.Status >= http.StatusMultipleChoices {
+		return
+	}
+	if result.unframed {
+		if j.dispatcher.Crashes != nil {
+			j.dispatcher.Crashes.Interrupted(runner, j.contentIdentity(), j.probeMethod(EndedByRunner))
 		}
+		return
+	}
+	if !j.quarantineActive() {
+		return
+	}
+	content := j.contentIdentity()
+	if j.dispatcher.Quarantine.Succeeded(content) {
+		j.log.Info("crashes under request cleared by its success", "content", content.Short(), "runner", j.outcome.Runner, "via", j.outcome.Via)
 	}
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -67,6 +67,9 @@
 	Length int64
 	// Via is the address of the peer through which the runner was reached; empty if directly.
 	Via string
+	// Unframed is set if the body ends with the connection, so that a runner that ends in the middle
+	// of it looks like one that completed it.
+	Unframed bool
 
 	body     io.ReadCloser
 	conn     *connection
@@ -118,7 +121,7 @@
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		NotRun: response.Header.Get(p.names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest,
-		Via:    conn.via(), body: response.Body, conn: conn, pool: p, runner: call.Runner, address: call.Address, written: written, stop: stop, ctx: ctx, lastRead: time.Now(),
+		Via:    conn.via(), Unframed: !framed(response), body: response.Body, conn: conn, pool: p, runner: call.Runner, address: call.Address, written: written, stop: stop, ctx: ctx, lastRead: time.Now(),
 		reusable: !response.Close && framed(response),
 	}, nil
 }
