Believe refused connections where no peer is left to confirm them

Callers saw a request that crashes runners sent on although nodes had lost runners under it.

Cause: a refused connection to a runner counts if peers are refused as well. Where the peers that were asked had ended themselves, none said anything, and the crash was not counted at all, or only once the platform's list showed it. Beside it: the error of such an attempt wrapped that of the peer, so a peer that refused connections made an unconfirmed end look confirmed. Class: no answer is taken for an answer.

Change: where no peer answers about the runner, the refusal counts if this node reaches other runners. The error wraps nothing.

TestCrashWasNotSeenWhilePeersWereGone failed in both of its parts.

--- a/internal/upstream/confirm.go
+++ b/internal/upstream/confirm.go
@@ -16,22 +16,36 @@
 var errUndecided = errors.New("no peer has answered yet")
 
 // conclude returns the error of a runner that is reached neither directly nor through peers. That
-// its address refuses connections only counts if peers say the same, or, without any, if this node
-// reaches other runners: a broken path may refuse them as well.
+// its address refuses connections only counts if peers say the same, or, if none says anything, if
+// this node reaches other runners: a broken path may refuse them as well.
 func (p *Pool) conclude(ctx context.Context, runner reach.Runner, directErr, peerErr error) error {
 	if !errors.Is(directErr, syscall.ECONNREFUSED) {
 		return directErr
 	}
-	var unreached *tunnel.UnreachedError
-	if errors.As(peerErr, &unreached) && unreached.Refused || errors.Is(peerErr, tunnel.ErrNoPeer) && p.ReachesOthers(ctx, runner.Name) {
+	if p.confirms(ctx, runner, peerErr) {
 		return directErr
 	}
 	return unconfirmed(runner, directErr, peerErr)
 }
 
-// unconfirmed returns the error of a refused connection that does not show the runner's end.
+// confirms reports whether a refused connection counts after peers were asked.
+func (p *Pool) confirms(ctx context.Context, runner reach.Runner, peerErr error) bool {
+	var unreached *tunnel.UnreachedError
+	switch {
+	case errors.As(peerErr, &unreached):
+		return unreached.Refused
+	case errors.Is(peerErr, errUndecided):
+		return false
+	default:
+		// The peers may have used up the time of ctx.
+		return p.ReachesOthers(context.WithoutCancel(ctx), runner.Name)
+	}
+}
+
+// unconfirmed returns the error of a refused connection that does not show the runner's end. It wraps
+// nothing: a peer that has ended refuses connections as well.
 func unconfirmed(runner reach.Runner, directErr, peerErr error) error {
-	return fault.At(fault.CodeUnreachable, "connect", runner.Address, fault.NotDone, fmt.Errorf("%s; not confirmed: %w", directErr.Error(), peerErr))
+	return fault.At(fault.CodeUnreachable, "connect", runner.Address, fault.NotDone, fmt.Errorf("%s; not confirmed: %s", directErr.Error(), peerErr.Error()))
 }
 
 // othersTimeout bounds the attempts to connect to other runners.
--- a/internal/upstream/paths_test.go
+++ b/internal/upstream/paths_test.go
@@ -176,6 +176,26 @@
 	assert.Assert(t, refused(alone))
 }
 
+// TestCrashWasNotSeenWhilePeersWereGone: a refused connection did not count while the peers that were
+// to confirm it had ended themselves. It counts if this node reaches other runners.
+func TestCrashWasNotSeenWhilePeersWereGone(t *testing.T) {
+	s := serveOnce(t)
+	address := s.call("a").Address
+	other := reach.Runner{Name: "other", Address: address}
+	w := startPathWorld(t)
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, gone.Close())
+	w.pool.Tunnels = tunnel.NewDialer(peer.NewClient("self", nil).Upgrade, func() []string { return []string{gone.Addr().String()} }, logr.Discard())
+	w.pool.Others = func(string) []reach.Runner { return []reach.Runner{other} }
+	ended, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, ended.Close())
+	assert.Assert(t, errors.Is(w.pool.Connect(t.Context(), ended.Addr().String()), syscall.ECONNREFUSED))
+	lose(&w.lost, syscall.ECONNREFUSED)
+	assert.Assert(t, !errors.Is(w.pool.Connect(t.Context(), ended.Addr().String()), syscall.ECONNREFUSED), "all paths are broken")
+}
+
 // TestRunnerThatEndedIsNotWaitedFor: where nobody reaches a runner, a call fails soon after the
 // direct attempt, and peers are not asked for each further call.
 func TestRunnerThatEndedIsNotWaitedFor(t *testing.T) {
