Overlap faults in the soak of requests that crash runners, with a bound in seconds

Several nodes are killed at once, frozen, the store is silent, lost for half of the nodes, or all connections to it go silent, overlapping, with 4 to 12 nodes as the seed draws.

--- a/test/poison_soak_test.go
+++ b/test/poison_soak_test.go
@@ -1,10 +1,13 @@
 package test
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,18 +17,23 @@
 	"lilacvane/internal/fault"
 	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/storestub"
+	"lilacvane/internal/lab/world"
+	"lilacvane/internal/poison"
 )
 
 var (
 	poisonSeed  = flag.Uint64("poison.seed", 1, "first seed of the soak of requests that crash their runners")
 	poisonSeeds = flag.Int("poison.seeds", 1, "number of seeds that it runs, one after the other")
+	poisonNodes = flag.Int("poison.nodes", 0, "nodes of its world; 0 lets the seed draw them")
 )
 
 // TestPoisonSoak: two requests that crash their runners are sent again and again together
-// with harmless ones, while runners crash for other reasons, nodes are killed and restarted
-// or frozen, and the store is down, as drawn by the seed. Once all nodes may know of the
-// third crash under a request, it reaches runners no more often than allowed, and no
-// harmless request is refused as one that crashes runners. To run more seeds: go test
+// with harmless ones, while runners crash for other reasons, nodes are killed and restarted,
+// several at once, or frozen, and the store is down, silent or lost for some, all overlapping as
+// drawn by the seed. Once all nodes may know of the third crash under a request, it reaches
+// runners no more often than allowed, undisturbed nodes do not send it spreadBound after one of
+// them refuses it, and no harmless request is refused as one that crashes runners. To run more
+// seeds: go test
 // ./test -run TestPoisonSoak -poison.seed=100 -poison.seeds=50 -timeout 1h
 func TestPoisonSoak(t *testing.T) {
 	t.Parallel()
@@ -39,13 +47,19 @@
 	*poisonWorld
 	random *rand.Rand
 
-	// mutex guards all fields below. sent is the content of each request, by identifier.
-	mutex sync.Mutex
-	sent  map[string]string
+	// mutex guards all fields below. sent is the content of each request, sentTo the node that got
+	// it, both by identifier.
+	mutex  sync.Mutex
+	sent   map[string]string
+	sentTo map[string]*world.Node
 	// storeBackAt is when the store last became available again; disturbed is when nodes
-	// were restarted or resumed after a freeze.
-	storeBackAt time.Time
-	disturbed   []time.Time
+	// were restarted or resumed after a freeze, busy are the nodes that are being, disturbances
+	// the times by node.
+	storeBackAt  time.Time
+	storeDown    bool
+	disturbed    []time.Time
+	busy         map[*world.Node]bool
+	disturbances map[*world.Node][]interval
 }
 
 // soakDuration is how long the soak sends requests and injects faults.
@@ -58,8 +72,11 @@
 		request = clientRequest{Path: "/read/x"}
 	}
 	s := &poisonSoak{
-		poisonWorld: startPoisonWorld(t, poisonTest{request: request, renamed: random.IntN(2) == 0, downtime: time.Duration(500+random.IntN(2500)) * time.Millisecond}),
-		random:      random, sent: make(map[string]string),
+		poisonWorld: startPoisonWorld(t, poisonTest{
+			request: request, renamed: random.IntN(2) == 0, proxiedNodes: true, downtime: time.Duration(500+random.IntN(2500)) * time.Millisecond,
+			nodes: cmp.Or(*poisonNodes, 4+random.IntN(9)),
+		}),
+		random: random, sent: make(map[string]string), sentTo: make(map[string]*world.Node), busy: make(map[*world.Node]bool), disturbances: make(map[*world.Node][]interval),
 	}
 	ctx, end := context.WithTimeout(t.Context(), soakDuration)
 	defer end()
@@ -80,44 +97,153 @@
 	defer tries.Wait()
 	for number := 0; ctx.Err() == nil; number++ {
 		request := s.poison(word)
+		node := s.nodes[number%len(s.nodes)]
 		s.mutex.Lock()
-		s.sent[request.ID] = word
+		s.sent[request.ID], s.sentTo[request.ID] = word, node
 		s.mutex.Unlock()
-		tries.Go(func() { send(ctx, s.nodes[number%len(s.nodes)], request) })
+		tries.Go(func() { send(ctx, node, request) })
 		time.Sleep(2 * poisonPause)
 	}
 }
 
-// injectFaults injects faults one after the other until ctx ends.
+// injectFaults injects faults that overlap until ctx ends, and waits for their end.
 func (s *poisonSoak) injectFaults(ctx context.Context, t *testing.T) {
 	t.Helper()
+	var running sync.WaitGroup
+	defer running.Wait()
 	for ctx.Err() == nil {
-		time.Sleep(time.Duration(200+s.random.IntN(800)) * time.Millisecond)
-		node := s.nodes[s.random.IntN(len(s.nodes))]
+		time.Sleep(time.Duration(100+s.random.IntN(700)) * time.Millisecond)
+		first := s.random.IntN(len(s.nodes))
 		pause := time.Duration(200+s.random.IntN(2500)) * time.Millisecond
-		switch s.random.IntN(4) {
+		switch s.random.IntN(6) {
 		case 0:
 			for range 2 {
 				s.world.CrashRunner(fmt.Sprintf("runner-%d", 1+s.random.IntN(5)))
 				s.world.CrashRunner(fmt.Sprintf("mailer-%d", 1+s.random.IntN(5)))
 			}
-		case 1:
-			node.Kill()
-			assert.NilError(t, s.world.RestartNode(node))
-			s.recordNow(&s.disturbed)
-		case 2:
-			assert.NilError(t, node.Freeze())
-			time.Sleep(pause)
-			assert.NilError(t, node.Thaw())
-			s.recordNow(&s.disturbed)
+		case 1, 2:
+			for number := range 1 + s.random.IntN(len(s.nodes)/2) {
+				running.Go(func() { s.restart(t, s.nodes[(first+number)%len(s.nodes)]) })
+			}
 		case 3:
-			assert.NilError(t, s.world.SetStoreFaults(storestub.Faults{Down: storestub.Busy}))
-			time.Sleep(pause / 2)
-			assert.NilError(t, s.world.SetStoreFaults(storestub.Faults{}))
-			s.mutex.Lock()
-			s.storeBackAt = time.Now()
-			s.mutex.Unlock()
+			running.Go(func() { s.freeze(t, s.nodes[first], pause) })
+		case 4:
+			faults := []storestub.Faults{{Down: storestub.Busy}, {Down: storestub.Silent}, {Down: storestub.Reset, Only: s.someHosts(first)}}[s.random.IntN(3)]
+			running.Go(func() { s.failStore(t, faults, pause) })
+		case 5:
+			for _, node := range s.nodes {
+				node.StoreProxy.SilenceOpen()
+			}
+		}
+	}
+}
+
+// someHosts returns the addresses of half of the nodes.
+func (s *poisonSoak) someHosts(first int) []string {
+	var hosts []string
+	for number := range len(s.nodes) / 2 {
+		hosts = append(hosts, s.nodes[(first+number)%len(s.nodes)].StoreHost())
+	}
+	return hosts
+}
+
+// disturb runs a fault of a node unless it has another one, and records the time.
+func (s *poisonSoak) disturb(node *world.Node, fault func()) {
+	s.mutex.Lock()
+	if s.busy[node] {
+		s.mutex.Unlock()
+		return
+	}
+	s.busy[node] = true
+	s.mutex.Unlock()
+	from := time.Now()
+	fault()
+	s.recordNow(&s.disturbed)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.busy[node] = false
+	s.disturbances[node] = append(s.disturbances[node], interval{from: from, to: time.Now()})
+}
+
+func (s *poisonSoak) restart(t *testing.T, node *world.Node) {
+	s.disturb(node, func() {
+		node.Kill()
+		assert.Check(t, s.world.RestartNode(node) == nil)
+	})
+}
+
+func (s *poisonSoak) freeze(t *testing.T, node *world.Node, pause time.Duration) {
+	s.disturb(node, func() {
+		assert.Check(t, node.Freeze() == nil)
+		time.Sleep(pause)
+		assert.Check(t, node.Thaw() == nil)
+	})
+}
+
+// failStore makes the store fail for a while unless it already does.
+func (s *poisonSoak) failStore(t *testing.T, faults storestub.Faults, pause time.Duration) {
+	s.mutex.Lock()
+	down := s.storeDown
+	s.storeDown = true
+	s.mutex.Unlock()
+	if down {
+		return
+	}
+	assert.Check(t, s.world.SetStoreFaults(faults) == nil)
+	time.Sleep(pause)
+	assert.Check(t, s.world.SetStoreFaults(storestub.Faults{}) == nil)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.storeDown, s.storeBackAt = false, time.Now()
+}
+
+// undisturbed reports whether a node had no fault between two times.
+func (s *poisonSoak) undisturbed(node *world.Node, from, to time.Time) bool {
+	return !slices.ContainsFunc(s.disturbances[node], func(d interval) bool { return d.from.Before(to) && d.to.After(from) })
+}
+
+// knownSince returns when an undisturbed node first refused a content, by its identity in logs; false
+// if none did.
+func (s *poisonSoak) knownSince(t *testing.T, content string) (since time.Time, known bool) {
+	t.Helper()
+	for _, node := range s.nodes {
+		for _, line := range linesContaining(readFile(t, s.world.LogPath(node)), "request refused as runners end under it") {
+			var entry struct {
+				Time    time.Time
+				Content string
+			}
+			if json.Unmarshal([]byte(line), &entry) != nil || entry.Content != content {
+				continue
+			}
+			if (!known || entry.Time.Before(since)) && s.undisturbed(node, entry.Time.Add(-contactTime), entry.Time.Add(spreadBound)) {
+				since, known = entry.Time, true
+			}
+		}
+	}
+	return since, known
+}
+
+// contentOf returns the identity in logs of one of the two contents.
+func (s *poisonSoak) contentOf(word string) string {
+	request := s.poison(word)
+	content := poison.Content{Method: request.Method, Host: world.RouteHost, Path: request.Path, Caller: "key ", Body: request.Body}
+	return content.Identity().Short()
+}
+
+// checkSpread checks that undisturbed nodes did not send a request later than spreadBound after one
+// of them refused it.
+func (s *poisonSoak) checkSpread(t *testing.T, word string, records []journal.Record) {
+	t.Helper()
+	since, known := s.knownSince(t, s.contentOf(word))
+	if !known {
+		return
+	}
+	for _, record := range records {
+		node := s.sentTo[record.Request]
+		if record.Event != journal.EventPoison || s.sent[record.Request] != word || !record.Time.After(since.Add(spreadBound)) {
+			continue
 		}
+		assert.Check(t, !s.undisturbed(node, record.Time.Add(-contactTime), record.Time), "%s: %s sent it %s after an undisturbed node refused it", word, node.Name, record.Time.Sub(since))
 	}
 }
 
@@ -152,6 +278,7 @@
 		allowed, late := maxSendsAfterCrashes+countAfter(s.disturbed, third), countAfter(reached, laterTime(third, s.storeBackAt).Add(propagationBound))
 		t.Logf("%s: %d crashes, %d sends after the bound of at most %d; harmless: %v", word, len(crashes), late, allowed, s.harmlessAnswers)
 		assert.Check(t, late <= allowed)
+		s.checkSpread(t, word, h.records)
 	}
 	assert.Check(t, s.harmlessAnswers[string(codePoison)] == 0 && s.harmlessAnswers[string(fault.CodeCrashSuspected)] == 0, "%v", s.harmlessAnswers)
 }
