Log the build of a runner's software, and which request a resumed stream continues

Rows' ver and the Resumes header are read; the stand-in runner has a build, which its events carry. No change of logic.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -25,6 +25,8 @@
 	Region string
 	// Slots is the number of requests it runs at once.
 	Slots int
+	// Build is the version of its software; empty if not reported.
+	Build Build
 	// Draining is set if the platform is removing the runner: nothing new is sent there.
 	Draining bool
 	// ColdFor is how much longer the runner reported to stay cold; until then it handles only
@@ -43,6 +45,10 @@
 	Missing bool
 }
 
+// Build is a version of the runners' software, not of a model's weights. Builds are equal or not and
+// have no order. What two of them write does not fit together.
+type Build string
+
 // incarnationSeparator separates a runner's name from its start time in the identifier.
 const incarnationSeparator = "@"
 
--- a/internal/control/listed.go
+++ b/internal/control/listed.go
@@ -104,6 +104,6 @@
 		return nil
 	}
 	return &wire.ListedRunner{
-		Born: runner.Born, Address: runner.Address, Zone: runner.Zone, Region: runner.Region, Slots: runner.Slots, Revision: runner.Revision,
+		Born: runner.Born, Address: runner.Address, Zone: runner.Zone, Region: runner.Region, Build: runner.Build, Slots: runner.Slots, Revision: runner.Revision,
 	}
 }
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -408,7 +408,7 @@
 	}
 	if listed := runner.Listed; listed != nil {
 		view.Listed = &backend.Runner{
-			ID: runner.Runner, Born: listed.Born, Service: service, Address: listed.Address, Zone: listed.Zone, Region: listed.Region,
+			ID: runner.Runner, Born: listed.Born, Service: service, Address: listed.Address, Zone: listed.Zone, Region: listed.Region, Build: listed.Build,
 			Slots: listed.Slots, Revision: listed.Revision, Models: view.Ready,
 		}
 	}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -50,7 +50,7 @@
 	}
 	j.sent++
 	j.outcome.Attempts = j.sent
-	j.outcome.Runner = choice.Runner.ID
+	j.outcome.Runner, j.outcome.Build = choice.Runner.ID, choice.Runner.Build
 	j.outcome.KeptTokens = choice.KeptTokens
 	start := time.Now()
 	if takeover != nil {
@@ -137,7 +137,7 @@
 	if j.reportPossibleCrash(choice.Runner, result, err) {
 		log = log.WithValues("content", j.contentIdentity().Short())
 	}
-	log.Info("attempt failed", "runner", choice.Runner.ID, "attempt", j.sent, "error", err.Error(), "ran", fault.OutcomeOf(err).String(),
+	log.Info("attempt failed", "runner", choice.Runner.ID, "build", string(choice.Runner.Build), "attempt", j.sent, "error", err.Error(), "ran", fault.OutcomeOf(err).String(),
 		"elapsedMs", elapsed.Milliseconds(), "endedBy", string(result.ending), "events", j.forwarded(),
 		"silentMs", result.silent.Milliseconds(), "lateMs", result.timerDelay.Milliseconds())
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -29,6 +29,11 @@
 	Body   []byte
 	// Arrived is when its header was read.
 	Arrived time.Time
+	// ResumeAfter is the last event that the client has of a stream that it resumes; empty for a new
+	// one. Resumes is the ID of the request that brought the stream's first event; empty if the client
+	// did not say.
+	ResumeAfter string
+	Resumes     string
 	// Patience is how long the client waits, counted from Arrived; zero when it did not say.
 	Patience time.Duration
 	// Route and Service are set if the caller of Serve has chosen them; otherwise the route is
@@ -77,6 +82,8 @@
 	Step   string
 	Reason string
 	Runner string
+	// Build is the build of that runner.
+	Build backend.Build
 	// Via is the address of the peer through which the last runner that answered was reached;
 	// empty if directly.
 	Via   string
--- a/internal/ingress/parse.go
+++ b/internal/ingress/parse.go
@@ -34,6 +34,7 @@
 	request.Unit = backend.Unit{Model: model, Adapter: adapter}
 	request.TokensIn, request.TokensOut, request.Counts = parseTokens(header.Values(names.Tokens))
 	request.Prompt = parsePrompt(header.Get(names.Prompt))
+	request.ResumeAfter, request.Resumes = header.Get(names.ResumeAfter), header.Get(names.Resumes)
 	request.Key = parseKey(header.Values(names.Key), names.KeyScheme)
 	return nil
 }
--- a/internal/lab/runnerstub/http.go
+++ b/internal/lab/runnerstub/http.go
@@ -366,6 +366,9 @@
 // event returns an event of a stream, with its index as identifier.
 func (j *job) event(index int) string {
 	text := fmt.Sprintf("%s-%d ", j.textPrefix, index)
+	if build := j.runner.settings.Build; build != "" {
+		text = fmt.Sprintf("%s-%d@%s ", j.textPrefix, index, build)
+	}
 	if !j.isCompletion {
 		return fmt.Sprintf("id: %d\ndata: %s\n\n", index, text)
 	}
--- a/internal/lab/runnerstub/runner.go
+++ b/internal/lab/runnerstub/runner.go
@@ -49,6 +49,9 @@
 	Seed      uint64
 	// Born is the start time of the runner, in Unix milliseconds.
 	Born int64
+	// Build is the version of its software, which its row states and its events carry; empty for
+	// none.
+	Build string
 	// CrashBy is a text that crashes the runner: a request with it in its path or body when
 	// it is run, a model with it in its name while it is loaded. Empty for none. Crash ends
 	// the process.
@@ -174,7 +177,7 @@
 func (r *Runner) Announce() {
 	r.mutex.Lock()
 	row := protocol.ListedRunner{
-		Born: r.settings.Born, Service: r.settings.Service, Zone: r.settings.Zone, Slots: r.settings.Slots, State: protocol.StateReady,
+		Born: r.settings.Born, Service: r.settings.Service, Zone: r.settings.Zone, Build: r.settings.Build, Slots: r.settings.Slots, State: protocol.StateReady,
 		Models: r.readyModels(), Available: r.available(), Sequence: r.sequence,
 		ColdLeftMs: r.cold.remaining(),
 	}
--- a/internal/lab/world/runners.go
+++ b/internal/lab/world/runners.go
@@ -48,6 +48,8 @@
 	// the process is restarted.
 	CrashBy string
 	Restart RestartPolicy
+	// Build is the version of its software; empty for none.
+	Build string
 }
 
 // RestartPolicy determines how a runner whose process has ended, for example by a crash, is
@@ -99,7 +101,7 @@
 		"--zone", options.Zone, "--listen", runner.address, "--advertise", advertise, "--store", w.address(hostStore, portStore),
 		"--memory-mb", fmt.Sprint(options.MemoryMB), "--model-mb", fmt.Sprint(options.ModelMB), "--slots", fmt.Sprint(options.Slots),
 		"--adapter-slots", fmt.Sprint(options.AdapterSlots), "--token-time", options.TokenTime.String(), "--load-time", options.LoadTime.String(),
-		"--journal", runner.Journal, "--seed", fmt.Sprint(runner.seed), "--crash-by", options.CrashBy)
+		"--journal", runner.Journal, "--seed", fmt.Sprint(runner.seed), "--crash-by", options.CrashBy, "--build", options.Build)
 	runner.Process = process
 	return err
 }
--- a/internal/upstream/names.go
+++ b/internal/upstream/names.go
@@ -30,6 +30,9 @@
 	LengthHint string
 	// ResumeAfter is the last event of a stream that arrived.
 	ResumeAfter string
+	// Resumes is the client's identifier of the request that brought the first event of the stream
+	// that it resumes.
+	Resumes string
 	// Tenant names the tenant that a request belongs to, for the runner.
 	Tenant string
 	// Key holds the caller's key after KeyScheme and a space.
--- a/internal/wire/numbers_test.go
+++ b/internal/wire/numbers_test.go
@@ -15,7 +15,7 @@
 		SyncRequest{}, SyncResponse{}, FleetResponse{}, ExplainResponse{}, Entry{}, Decision{}, Obstacle{}, Member{},
 		RunnerStatus{}, ReplicaStatus{}, StoreStatus{}, PermitsWanted{}, PermitsLent{}, UnitWaiting{}, UnitUsage{},
 		RunnerUsage{}, RunnerView{}, UnitHeld{}, PendingUnit{}, ZoneStatus{}, LimitReport{},
-		PoisonReport{}, PoisonAnswer{}, PoisonMark{}, CrashesStruck{}, CrashReport{},
+		PoisonReport{}, PoisonAnswer{}, PoisonMark{}, CrashesStruck{}, CrashReport{}, ListedRunner{},
 	} {
 		assertUnique(t, reflect.TypeOf(message))
 	}
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
+	"lilacvane/internal/backend"
 	"lilacvane/internal/limit"
 )
 
@@ -218,6 +219,8 @@
 	Zone    string `cbor:"3,keyasint,omitempty"`
 	Region  string `cbor:"4,keyasint,omitempty"`
 	Slots   int    `cbor:"5,keyasint,omitempty"`
+	// Build is the version of its software.
+	Build backend.Build `cbor:"7,keyasint,omitempty"`
 	// Revision is the revision of its row.
 	Revision uint64 `cbor:"6,keyasint,omitempty"`
 }
