--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -69,6 +69,8 @@
 	CodeOutsideHomes       Code = "outside_homes"
 	CodeCrashSuspected     Code = "crash_suspected"
 	CodeCrashesRunners     Code = "crashes_runners"
+	CodeBuildUnknown       Code = "build_unknown"
+	CodeBuildGone          Code = "build_gone"
 	CodeInternal           Code = "internal"
 )
 
