Continue a stream only at runners of the build that began it

Callers saw answers with events of two versions of the runners' software, which do not fit together.

Cause: after its first event a stream went on at any runner that holds the model, by a retry or by the hedge beside a silent runner. Nothing read the build of a runner.

Change: the first event that is forwarded binds the request to the build of its runner; every choice, each hedge and the check right before the send honour that. Before it nothing is bound, and a hedge that loses binds nothing. Where no runner of the build holds the model any more, the answer ends at once as broken.

--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -18,10 +18,12 @@
 var errAnswered = fmt.Errorf("another runner answered: %w", context.Canceled)
 
 // hedge is an attempt that runs beside another one whose runner is silent. The one that answers
-// first serves the request. All fields but choice, ctx, start and done belong to its goroutine
+// first serves the request. All fields but choice, query, ctx, start and done belong to its goroutine
 // until done is closed.
 type hedge struct {
 	choice fleet.Choice
+	// query is the one that chose the runner.
+	query fleet.Query
 	// ctx is the context of the attempt, cancel ends it.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -83,7 +85,7 @@
 // begin records a hedge that is about to be sent.
 func (h *hedges) begin(choice fleet.Choice) *hedge {
 	ctx, cancel := context.WithCancelCause(h.ctx)
-	h.pending = &hedge{choice: choice, ctx: ctx, cancel: cancel, start: time.Now(), done: make(chan struct{})}
+	h.pending = &hedge{choice: choice, query: h.query, ctx: ctx, cancel: cancel, start: time.Now(), done: make(chan struct{})}
 	h.sent++
 	return h.pending
 }
@@ -92,15 +94,15 @@
 // of an answer that can take over the request.
 func (h *hedges) send(attempt *hedge, after string) {
 	j, runner := h.job, attempt.choice.Runner.ID
-	if !j.dispatcher.Fleet.Allowed(attempt.choice, h.query) {
+	if !j.dispatcher.Fleet.Allowed(attempt.choice, attempt.query) {
 		// No connection is made to a runner that became ineligible.
 		attempt.err = fault.At(fault.CodeUnreachable, "send request", runner, fault.NotDone, errNotAdmitted)
 		return
 	}
-	j.log.V(1).Info("request sent", "runner", runner, "unit", h.query.Unit.String(), "hedge", true, "resumeAfter", after)
+	j.log.V(1).Info("request sent", "runner", runner, "unit", attempt.query.Unit.String(), "hedge", true, "resumeAfter", after)
 	suspectTimer := j.suspectLater(attempt.choice)
 	defer suspectTimer.Stop()
-	call := j.call(attempt.choice, h.query, after)
+	call := j.call(attempt.choice, attempt.query, after)
 	// The attempt beside it may be waiting on a connection that is already silent.
 	call.Proved = true
 	answer, err := j.dispatcher.Pool.Do(attempt.ctx, call)
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -115,6 +115,9 @@
 		if unit != j.query.Unit {
 			return fleet.Choice{}, 0, errUnitChanged
 		}
+		if err := j.checkBuild(); err != nil {
+			return fleet.Choice{}, 0, err
+		}
 		if err := j.checkZones(); err != nil {
 			return fleet.Choice{}, 0, err
 		}
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"lilacvane/internal/backend"
 	"lilacvane/internal/fleet"
 )
 
@@ -200,6 +201,13 @@
 	return true
 }
 
+// bindBuild makes further hedges go to runners of a build only.
+func (w *silenceWatch) bindBuild(build *backend.Build) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.hedges.query.Build = build
+}
+
 // restart restarts the watch after events that were forwarded.
 func (w *silenceWatch) restart(resumeAfter string, hedgeAfter time.Duration) {
 	w.mutex.Lock()
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -52,6 +52,10 @@
 				result.started = true
 				j.dispatcher.Fleet.Started(choice)
 			}
+			if j.query.Build == nil {
+				j.query.Build = &choice.Runner.Build
+				watch.bindBuild(j.query.Build)
+			}
 			j.forwardEvents(ctx, answer, pending[:complete])
 			watch.restart(j.lastEventID(), j.pauseLimit())
 			pending = pending[:copy(pending, pending[complete:])]
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -44,6 +44,9 @@
 	// Objective is the time within which the first byte of the answer is due; zero if none is
 	// set.
 	Objective time.Duration
+	// Build is the only build that may serve the request, as it began a stream that the request
+	// continues; nil allows all.
+	Build *backend.Build
 	// Exclude lists the runners that were tried already.
 	Exclude []string
 	// Among restricts the choice to these runners; nil allows all.
@@ -175,6 +178,9 @@
 	if reason := f.eligibility(known, request(query)); reason != eligible.Yes {
 		return Reason(reason)
 	}
+	if !query.allowsBuild(known) {
+		return OtherBuild
+	}
 	if slices.Contains(query.Exclude, known.listed.ID) {
 		return AlreadyTried
 	}
--- a/internal/fleet/obstacles.go
+++ b/internal/fleet/obstacles.go
@@ -25,6 +25,9 @@
 	RunnerSilent
 	// AlreadyTried means that the request was already sent to the runner.
 	AlreadyTried
+	// OtherBuild means that the request continues a stream that another build of the runners'
+	// software began.
+	OtherBuild
 	// NoneKnown means that no runner of the service is known.
 	NoneKnown
 )
@@ -41,6 +44,8 @@
 		return "silent"
 	case AlreadyTried:
 		return "tried"
+	case OtherBuild:
+		return "other_build"
 	case NoneKnown:
 		return "none_known"
 	default:
--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -65,7 +65,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	known := f.runners[choice.Runner.ID]
-	return known != nil && f.eligibilityWith(known, request(query), f.permitted(known, choice), f.Rests(known.listed.ID)) == eligible.Yes
+	return known != nil && query.allowsBuild(known) && f.eligibilityWith(known, request(query), f.permitted(known, choice), f.Rests(known.listed.ID)) == eligible.Yes
 }
 
 // CountIn returns the number of runners listed in a zone.
