Resume streams of clients at the build that began them

Callers who took a stream up, at any node, saw events of another version of the runners' software than the one that began it.

Cause: a resumed stream was a new request. Nothing connected it with the attempt that brought its first event, and the Resumes header was not read. Class: state of a caller's work was kept by the attempt alone, at the node that served it.

Change: the node that forwards a first event remembers the build (internal/origin). While several builds serve, three of the standbys, by the stream's digest, are told as well, in batches; a node that does not know asks all standbys at once. Unknown is refused at once with 421, not run, if several builds serve or served within five minutes at any node that answers; a build that no runner has any more, too. One that no runner is known to hold the model at is waited for a second at most, as what runners hold is told within that time. Streams that ended are forgotten, nothing is sent while one build serves. The digest contains the caller.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 	"lilacvane/internal/demand"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
+	"lilacvane/internal/origin"
 	"lilacvane/internal/poison"
 	"lilacvane/internal/retry"
 	"lilacvane/internal/tenant"
@@ -59,6 +60,8 @@
 	Quarantine Quarantine
 	// Crashes receives possible signs of a runner's crash; nil for none.
 	Crashes Crashes
+	// Origins knows which builds began streams; nil where streams are not resumed by clients.
+	Origins Origins
 	Log     logr.Logger
 	// Observe is called at the end of each request.
 	Observe func(request string, outcome Outcome)
@@ -93,6 +96,16 @@
 	Refused(runner string)
 }
 
+// Origins knows which build of the runners' software began each stream.
+type Origins interface {
+	// Began records that a runner of a build brought the first event of a stream.
+	Began(service string, stream origin.Stream, build backend.Build)
+	// Ended records that a stream came to its end.
+	Ended(stream origin.Stream)
+	// Find returns what is known of the origin of a stream.
+	Find(ctx context.Context, service string, stream origin.Stream) origin.Origin
+}
+
 // SetNodes sets how many nodes send requests, each of which has its part of what runners take and of
 // the retry budgets.
 func (d *Dispatcher) SetNodes(nodes int) {
@@ -254,6 +267,10 @@
 		j.refuse(problem)
 		return
 	}
+	if problem := j.bindToOrigin(ctx); problem != nil {
+		j.refuse(problem)
+		return
+	}
 	if err := j.admit(ctx); err != nil {
 		j.end(ctx, err)
 		return
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -104,6 +104,7 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	defer j.leaveRestQueue()
+	since := time.Now()
 	for {
 		if ctx.Err() != nil {
 			return fleet.Choice{}, 0, fault.At(fault.CodeCanceled, "wait for a runner", fault.Self, fault.NotDone, context.Cause(ctx))
@@ -115,7 +116,8 @@
 		if unit != j.query.Unit {
 			return fleet.Choice{}, 0, errUnitChanged
 		}
-		if err := j.checkBuild(); err != nil {
+		buildWait, err := j.checkBuild(since)
+		if err != nil {
 			return fleet.Choice{}, 0, err
 		}
 		if err := j.checkZones(); err != nil {
@@ -150,6 +152,9 @@
 			// The runner that refused the request may be the only one.
 			recheck = min(recheck, fleet.RefusalPause)
 		}
+		if buildWait > 0 {
+			recheck = min(recheck, buildWait)
+		}
 		timer.Reset(recheck)
 		select {
 		case <-ctx.Done():
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -9,6 +9,7 @@
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
+	"lilacvane/internal/origin"
 	"lilacvane/internal/upstream"
 )
 
@@ -52,10 +53,7 @@
 				result.started = true
 				j.dispatcher.Fleet.Started(choice)
 			}
-			if j.query.Build == nil {
-				j.query.Build = &choice.Runner.Build
-				watch.bindBuild(j.query.Build)
-			}
+			j.recordOrigin(choice.Runner.Build, watch)
 			j.forwardEvents(ctx, answer, pending[:complete])
 			watch.restart(j.lastEventID(), j.pauseLimit())
 			pending = pending[:copy(pending, pending[complete:])]
@@ -155,6 +153,9 @@
 	}
 	j.outcome.Result = ResultServed
 	j.outcome.Resumes = j.sent - 1
+	if j.dispatcher.Origins != nil && j.begins() {
+		j.dispatcher.Origins.Ended(origin.NewStream(j.callerID(), j.request.ID))
+	}
 }
 
 // abortStream ends an answer that cannot be completed so that it looks incomplete: the connection
--- a/internal/fault/http.go
+++ b/internal/fault/http.go
@@ -47,6 +47,7 @@
 	CodeNotLoaded: http.StatusConflict, CodeRateLimited: http.StatusTooManyRequests,
 	CodeUnauthorized: http.StatusUnauthorized, CodeOverLimit: http.StatusTooManyRequests,
 	CodeUnsupportedVersion: http.StatusBadRequest, CodeCrashesRunners: http.StatusBadRequest,
+	CodeBuildUnknown: http.StatusMisdirectedRequest, CodeBuildGone: http.StatusMisdirectedRequest,
 	CodeInterrupted: http.StatusBadGateway, CodeInternal: http.StatusInternalServerError,
 }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -217,6 +217,7 @@
 	runners, _, _ := h.decode(rows)
 	h.recordRestarts(runners)
 	h.fleet.SetListRevision(h.followers.runners.DeliveringRevision())
+	h.origins.SetListed(runners)
 	h.fleet.Replace(runners, gap > doubtfulGap)
 	h.runnersListed.Store(true)
 	h.log.Info("runners listed", "runners", len(runners), "kept", h.fleet.Count(), "doubtful", gap > doubtfulGap)
@@ -232,6 +233,7 @@
 		h.recordRemovals(removed)
 	}
 	h.fleet.SetListRevision(h.followers.runners.DeliveringRevision())
+	h.origins.Change(changed, deletedKeys(rows))
 	h.fleet.Apply(changed, append(removed, unusable...), doubtful)
 	// One line per batch, as each of hundreds of nodes reports hundreds of runners.
 	if draining := drainingRunners(changed); len(draining) > 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"lilacvane/internal/logging"
 	"lilacvane/internal/metrics"
 	"lilacvane/internal/operator"
+	"lilacvane/internal/origin"
 	"lilacvane/internal/peer"
 	"lilacvane/internal/place"
 	"lilacvane/internal/policy"
@@ -112,6 +113,7 @@
 	dispatcher    *dispatch.Dispatcher
 	crashes       *crash.Detector
 	quarantine    *quarantine.Quarantine
+	origins       *origin.Registry
 	catalog       *catalog.Catalog
 	committer     *commit.Committer
 	claims        *claim.Claims
@@ -181,6 +183,8 @@
 	n.peers.SetRegion(place.Region(s.Region))
 	n.quarantine = newQuarantine(n)
 	n.dispatcher.Quarantine = n.quarantine
+	n.origins = newOrigins(n)
+	n.dispatcher.Origins = n.origins
 	n.limits = newLimits(n, s.Limits)
 	n.dispatcher.Limits = n.limits
 	n.ingress = ingress.New(platform.Headers, n.dispatcher, log.Logger)
@@ -264,6 +268,7 @@
 	work.Go(func() { n.limits.run(background) })
 	work.Go(func() { n.cold.run(background) })
 	work.Go(func() { n.quarantine.Run(background) })
+	work.Go(func() { n.origins.Run(background) })
 	work.Go(func() { n.pool.RetryBrokenPaths(background) })
 	n.serve(open)
 	<-ctx.Done()
--- /dev/null
+++ b/internal/origin/keepers.go
@@ -0,0 +1,207 @@
+package origin
+
+import (
+	"cmp"
+	"context"
+	"encoding/binary"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/wait"
+	"lilacvane/internal/wire"
+)
+
+const (
+	// copies is how many keepers are told of a stream.
+	copies = 3
+	// batchInterval is the time in which records for keepers are collected.
+	batchInterval = 20 * time.Millisecond
+	// maxBatch bounds the records of one message.
+	maxBatch = 1000
+	// callTimeout bounds a call to a keeper: a client waits for the answer.
+	callTimeout = 200 * time.Millisecond
+	// keepersTimeout is how long a question waits until keepers are known: nodes report to the lease
+	// holder, which names them, about every 250 ms.
+	keepersTimeout = 400 * time.Millisecond
+)
+
+// Origin is what is known of a stream.
+type Origin struct {
+	// Build is the build that began it, if Known is set.
+	Build backend.Build
+	Known bool
+	// Several is set if runners of several builds serve, or served lately.
+	Several bool
+}
+
+// SetKeepers sets the addresses of the nodes that may keep records. An empty list changes nothing.
+func (r *Registry) SetKeepers(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.keepers == nil {
+		close(r.keepersKnown)
+	}
+	r.keepers = addresses
+}
+
+// awaitKeepers waits until keepers are known, which a node that starts is told after a moment.
+func (r *Registry) awaitKeepers(ctx context.Context) []string {
+	timer := time.NewTimer(keepersTimeout)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-r.keepersKnown:
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return slices.Clone(r.keepers)
+}
+
+// keepersOf returns the keepers in the order in which they keep a stream. mutex is held.
+func (r *Registry) keepersOf(stream Stream) []string {
+	ordered := slices.Clone(r.keepers)
+	rank := func(address string) uint64 {
+		return xxhash.Sum64(append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64String(address)), stream[:]...))
+	}
+	slices.SortFunc(ordered, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+	return ordered
+}
+
+// Run tells keepers of streams until ctx ends.
+func (r *Registry) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.due:
+		}
+		wait.For(ctx, batchInterval)
+		r.tellKeepers(ctx)
+	}
+}
+
+// tellKeepers sends the collected records. One that a keeper misses is known to others.
+func (r *Registry) tellKeepers(ctx context.Context) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for rank, pending := 0, r.takeUntold(); rank < copies; rank++ {
+		for address, records := range r.byKeeper(pending, rank) {
+			calls.Go(func() { r.tellKeeper(ctx, address, records) })
+		}
+	}
+}
+
+// takeUntold returns the records to tell.
+func (r *Registry) takeUntold() []wire.OriginRecord {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var records []wire.OriginRecord
+	for _, stream := range r.untold {
+		if known, found := r.records[stream]; found {
+			records = append(records, wire.OriginRecord{Stream: stream[:], Service: known.service, Build: known.build})
+		}
+	}
+	r.untold = nil
+	return records
+}
+
+// byKeeper groups records by the keeper of a rank that each of them has.
+func (r *Registry) byKeeper(records []wire.OriginRecord, rank int) map[string][]wire.OriginRecord {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	groups := make(map[string][]wire.OriginRecord)
+	for _, told := range records {
+		if keepers := r.keepersOf(Stream(told.Stream)); rank < len(keepers) {
+			groups[keepers[rank]] = append(groups[keepers[rank]], told)
+		}
+	}
+	return groups
+}
+
+// tellKeeper sends records to one keeper.
+func (r *Registry) tellKeeper(ctx context.Context, address string, records []wire.OriginRecord) {
+	if address == r.Self() {
+		return
+	}
+	for batch := range slices.Chunk(records, maxBatch) {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		_, err := r.Send(callCtx, address, wire.OriginRequest{Records: batch})
+		cancel()
+		if err != nil {
+			r.Log.Info("origins of streams not delivered", "peer", address, "streams", len(batch), "error", err.Error())
+		}
+	}
+}
+
+// Find returns what this node or a keeper knows of the origin of a stream.
+func (r *Registry) Find(ctx context.Context, service string, stream Stream) Origin {
+	r.mutex.Lock()
+	known, found := r.find(service, stream)
+	origin := Origin{Build: known.build, Known: found, Several: r.several(service)}
+	r.mutex.Unlock()
+	if found {
+		return origin
+	}
+	asked := r.ask(ctx, r.awaitKeepers(ctx), wire.OriginRequest{Asked: stream[:], Service: service})
+	origin.Build, origin.Known, origin.Several = asked.Build, asked.Known, origin.Several || asked.Several
+	if !origin.Known && !origin.Several {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		origin.Build, origin.Known = r.only(service)
+	}
+	return origin
+}
+
+// ask asks keepers until one knows the stream or all have answered.
+func (r *Registry) ask(ctx context.Context, keepers []string, request wire.OriginRequest) Origin {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answers := make(chan wire.OriginAnswer, len(keepers))
+	for _, address := range keepers {
+		go func() {
+			var answer wire.OriginAnswer
+			if address != r.Self() {
+				var err error
+				if answer, err = r.Send(ctx, address, request); err != nil {
+					r.Log.V(1).Info("origin of a stream not told", "peer", address, "error", err.Error())
+				}
+			}
+			answers <- answer
+		}()
+	}
+	var origin Origin
+	for range keepers {
+		answer := <-answers
+		origin.Several = origin.Several || answer.Several
+		if answer.Known {
+			return Origin{Build: answer.Build, Known: true, Several: true}
+		}
+	}
+	return origin
+}
+
+// Answer keeps the records of another node and answers its question.
+func (r *Registry) Answer(request wire.OriginRequest) wire.OriginAnswer {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, told := range request.Records {
+		if len(told.Stream) == len(Stream{}) {
+			r.put(Stream(told.Stream), record{service: told.Service, build: told.Build, at: r.Now()})
+		}
+	}
+	answer := wire.OriginAnswer{Several: r.several(request.Service)}
+	if len(request.Asked) == len(Stream{}) {
+		if known, found := r.find(request.Service, Stream(request.Asked)); found {
+			answer.Build, answer.Known = known.build, true
+		}
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/origin/origin_test.go
@@ -0,0 +1,176 @@
+package origin
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/wire"
+)
+
+// group is a number of nodes that reach each other unless they are gone.
+type group struct {
+	nodes map[string]*Registry
+	order []string
+	calls atomic.Int64
+
+	mutex sync.Mutex
+	gone  map[string]bool
+}
+
+func newGroup(t *testing.T, count int, listed ...backend.Runner) *group {
+	g := &group{nodes: make(map[string]*Registry), gone: make(map[string]bool)}
+	for number := range count {
+		address := fmt.Sprintf("10.0.0.%d:1", number+1)
+		g.order = append(g.order, address)
+		r := New(Options{Self: func() string { return address }, Send: g.send, Now: time.Now, Log: logr.Discard()})
+		r.SetListed(listed)
+		g.nodes[address] = r
+		go r.Run(t.Context())
+	}
+	for _, r := range g.nodes {
+		r.SetKeepers(g.order[:min(count, 8)])
+	}
+	return g
+}
+
+func (g *group) send(_ context.Context, address string, request wire.OriginRequest) (wire.OriginAnswer, error) {
+	g.calls.Add(1)
+	g.mutex.Lock()
+	gone := g.gone[address]
+	g.mutex.Unlock()
+	if gone {
+		return wire.OriginAnswer{}, fault.New(fault.CodeNotReady, "call peer", "gone")
+	}
+	return g.nodes[address].Answer(request), nil
+}
+
+// end makes a node unreachable.
+func (g *group) end(address string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.gone[address] = true
+}
+
+func runnersOf(builds ...backend.Build) []backend.Runner {
+	var runners []backend.Runner
+	for number, build := range builds {
+		runners = append(runners, backend.Runner{ID: fmt.Sprint("r", number), Service: "s", Build: build})
+	}
+	return runners
+}
+
+var stream = NewStream("caller", "id")
+
+// TestOriginIsKnownThoughNodesAreGone: any node finds the build though the node that began the stream
+// and two of its keepers are gone, and no other caller's or service's stream is told.
+func TestOriginIsKnownThoughNodesAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 12, runnersOf("b1", "b2")...)
+		began := g.nodes[g.order[11]]
+		began.Began("s", stream, "b2")
+		time.Sleep(time.Second)
+		for _, keeper := range began.keepersOf(stream)[:copies-1] {
+			g.end(keeper)
+		}
+		g.end(g.order[11])
+		asking := g.nodes[g.order[10]]
+		assert.Equal(t, asking.Find(t.Context(), "s", stream), Origin{Build: "b2", Known: true, Several: true})
+		for _, other := range []Origin{asking.Find(t.Context(), "s", NewStream("other", "id")), asking.Find(t.Context(), "elsewhere", stream)} {
+			assert.Assert(t, !other.Known)
+		}
+	})
+}
+
+// TestNothingIsToldWhileOneBuildServes: a stream costs no call while one build serves, and is told once
+// another one comes, unless it ended.
+func TestNothingIsToldWhileOneBuildServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 12, runnersOf("b1")...)
+		began, asking := g.nodes[g.order[11]], g.nodes[g.order[10]]
+		ended := NewStream("caller", "ended")
+		began.Began("s", stream, "b1")
+		began.Began("s", ended, "b1")
+		began.Ended(ended)
+		time.Sleep(time.Minute)
+		assert.Equal(t, g.calls.Load(), int64(0))
+		assert.Equal(t, asking.Find(t.Context(), "s", NewStream("caller", "unknown")), Origin{Build: "b1", Known: true})
+		for _, r := range g.nodes {
+			r.Change(runnersOf("b1", "b2"), nil)
+		}
+		time.Sleep(time.Second)
+		g.end(g.order[11])
+		assert.Equal(t, asking.Find(t.Context(), "s", stream), Origin{Build: "b1", Known: true, Several: true})
+		assert.Equal(t, asking.Find(t.Context(), "s", ended), Origin{Several: true})
+	})
+}
+
+// TestBuildThatLeftCountsForAWhile: after the last runner of a build left, streams may still be resumed
+// that it began, so nothing is guessed; after that time it is.
+func TestBuildThatLeftCountsForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3, runnersOf("b1", "b2")...)
+		for _, r := range g.nodes {
+			r.Change(nil, []string{"r0"})
+		}
+		unknown := NewStream("caller", "unknown")
+		r := g.nodes[g.order[0]]
+		assert.Equal(t, r.Find(t.Context(), "s", unknown), Origin{Several: true})
+		time.Sleep(recordLifetime)
+		assert.Equal(t, r.Find(t.Context(), "s", unknown), Origin{Build: "b2", Known: true})
+	})
+}
+
+// TestRestartedNodeDoesNotGuess: a node that has seen one build only asks those that saw more.
+func TestRestartedNodeDoesNotGuess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3, runnersOf("b1", "b2")...)
+		for _, r := range g.nodes {
+			r.Change(nil, []string{"r0"})
+		}
+		restarted := New(Options{Self: func() string { return g.order[0] }, Send: g.send, Now: time.Now, Log: logr.Discard()})
+		restarted.SetListed(runnersOf("b1", "b2")[1:])
+		go func() {
+			time.Sleep(keepersTimeout / 2)
+			restarted.SetKeepers(g.order)
+		}()
+		assert.Equal(t, restarted.Find(t.Context(), "s", NewStream("caller", "unknown")), Origin{Several: true})
+	})
+}
+
+// TestRecordsAreBounded: a flood of streams neither exhausts memory nor drops the newest.
+func TestRecordsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newGroup(t, 1, runnersOf("b1")...).nodes["10.0.0.1:1"]
+		for number := range 2 * maxRecords {
+			r.Began("s", NewStream("caller", fmt.Sprint(number)), "b1")
+			if number%1000 == 0 {
+				time.Sleep(time.Second)
+			}
+		}
+		assert.Assert(t, len(r.records) <= maxRecords)
+		_, found := r.find("s", NewStream("caller", fmt.Sprint(2*maxRecords-1)))
+		assert.Assert(t, found)
+	})
+}
+
+// TestRunnerThatStartsWithAnotherBuildCounts: the list names a runner with another build under the same
+// name.
+func TestRunnerThatStartsWithAnotherBuildCounts(t *testing.T) {
+	g := &group{nodes: make(map[string]*Registry)}
+	r := New(Options{Self: func() string { return "" }, Send: g.send, Now: time.Now, Log: logr.Discard()})
+	r.SetListed(runnersOf("b1"))
+	r.Change(runnersOf("b2"), nil)
+	assert.Assert(t, r.several("s"))
+	build, only := r.only("s")
+	assert.Assert(t, only && build == "b2")
+}
--- a/internal/wire/numbers_test.go
+++ b/internal/wire/numbers_test.go
@@ -16,6 +16,7 @@
 		RunnerStatus{}, ReplicaStatus{}, StoreStatus{}, PermitsWanted{}, PermitsLent{}, UnitWaiting{}, UnitUsage{},
 		RunnerUsage{}, RunnerView{}, UnitHeld{}, PendingUnit{}, ZoneStatus{}, LimitReport{},
 		PoisonReport{}, PoisonAnswer{}, PoisonMark{}, CrashesStruck{}, CrashReport{}, ListedRunner{},
+		OriginRequest{}, OriginRecord{}, OriginAnswer{},
 	} {
 		assertUnique(t, reflect.TypeOf(message))
 	}
--- /dev/null
+++ b/internal/wire/origin.go
@@ -0,0 +1,29 @@
+package wire
+
+import "lilacvane/internal/backend"
+
+// MethodOrigin tells a node which builds began streams, or asks it.
+const MethodOrigin = "stream/origin"
+
+// OriginRequest tells and asks which builds began streams.
+type OriginRequest struct {
+	Records []OriginRecord `cbor:"1,keyasint,omitempty"`
+	// Asked is the stream of Service that the sender asks about; empty for none.
+	Asked   []byte `cbor:"2,keyasint,omitempty"`
+	Service string `cbor:"3,keyasint,omitempty"`
+}
+
+// OriginRecord is a stream of a service, by a digest, and the build that began it.
+type OriginRecord struct {
+	Stream  []byte        `cbor:"1,keyasint"`
+	Service string        `cbor:"2,keyasint"`
+	Build   backend.Build `cbor:"3,keyasint"`
+}
+
+// OriginAnswer is what a node knows of the stream that it was asked about.
+type OriginAnswer struct {
+	Build backend.Build `cbor:"1,keyasint,omitempty"`
+	Known bool          `cbor:"2,keyasint,omitempty"`
+	// Several is set if runners of several builds serve, or served lately.
+	Several bool `cbor:"3,keyasint,omitempty"`
+}
