--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -81,6 +81,8 @@
 	// Standbys are addresses of the nodes that turn to the store first when a holder is lost;
 	// empty if the answer did not contain them.
 	Standbys []string
+	// Holder is the holder's address.
+	Holder string
 	// Neighbors are addresses of the nodes to which urgent news is passed on; empty if the answer did
 	// not contain any.
 	Neighbors []string
@@ -363,7 +365,8 @@
 	if len(response.Neighbors) > 0 {
 		s.neighborsDigest = wire.NeighborsDigest(response.Neighbors)
 	}
-	s.observe(Observed{Nodes: response.Nodes, BestSpare: response.BestSpare, Standbys: response.Standbys, TunnelPeers: response.TunnelPeers, Neighbors: response.Neighbors})
+	record, _ := s.elector.Holder()
+	s.observe(Observed{Holder: record.Address, Nodes: response.Nodes, BestSpare: response.BestSpare, Standbys: response.Standbys, TunnelPeers: response.TunnelPeers, Neighbors: response.Neighbors})
 	s.controller.LearnStore(weightstore.Estimate{Limit: response.StoreLimit, Capacity: response.StoreCapacity})
 	views := make([]fleet.View, 0, len(response.Runners))
 	for _, runner := range response.Runners {
--- a/internal/dispatch/builds.go
+++ b/internal/dispatch/builds.go
@@ -23,7 +23,11 @@
 	if j.dispatcher.Origins == nil || j.route.Kind != config.Stream || !j.route.Resumable || j.request.ResumeAfter == "" {
 		return nil
 	}
-	found := j.dispatcher.Origins.Find(ctx, j.query.Service, origin.NewStream(j.callerID(), j.request.Resumes))
+	var stream origin.Stream
+	if j.request.Resumes != "" {
+		stream = origin.NewStream(j.callerID(), j.request.Resumes)
+	}
+	found := j.dispatcher.Origins.Find(ctx, j.query.Service, stream)
 	switch {
 	case found.Known:
 		j.query.Build = &found.Build
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -122,7 +122,9 @@
 	n.dispatcher.SetNodes(observed.Nodes)
 	n.relay.SetNodes(observed.Nodes)
 	n.relay.SetStandbys(observed.Standbys)
-	n.origins.SetKeepers(observed.Standbys)
+	if len(observed.Standbys) > 0 && observed.Holder != "" {
+		n.origins.SetKeepers(append([]string{observed.Holder}, observed.Standbys...))
+	}
 	n.quarantine.SetNodes(observed.Nodes, observed.Standbys, observed.Neighbors)
 	n.setTunnelPeers(observed.TunnelPeers)
 	n.bestSpare.Store(math.Float64bits(observed.BestSpare))
--- a/internal/origin/builds.go
+++ b/internal/origin/builds.go
@@ -17,12 +17,17 @@
 type listedRunner struct {
 	service string
 	build   backend.Build
+	// born is its start time in Unix milliseconds; zero if not reported.
+	born int64
 }
 
 // SetListed replaces the listed runners.
 func (r *Registry) SetListed(runners []backend.Runner) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if r.listedSince.IsZero() {
+		r.listedSince = r.Now()
+	}
 	present := make(map[string]bool, len(runners))
 	for _, runner := range runners {
 		present[runner.Name()] = true
@@ -50,7 +55,7 @@
 // list counts a runner. When a service gets a second build, the streams that this node began are told
 // to keepers. mutex is held.
 func (r *Registry) list(runner backend.Runner) {
-	after := listedRunner{service: runner.Service, build: runner.Build}
+	after := listedRunner{service: runner.Service, build: runner.Build, born: runner.Born}
 	if r.listed[runner.Name()] == after {
 		return
 	}
@@ -105,6 +110,23 @@
 	return count > 1
 }
 
+// sure reports whether this node has followed the list for long enough to know of all builds that may
+// have begun streams which clients resume now. mutex is held.
+func (r *Registry) sure() bool {
+	return !r.listedSince.IsZero() && r.Now().Sub(r.listedSince) >= returnTime
+}
+
+// changedLately reports whether a runner of a service started within returnTime, as when builds are
+// replaced. mutex is held.
+func (r *Registry) changedLately(service string) bool {
+	for _, known := range r.listed {
+		if known.service == service && known.born > r.Now().Add(-returnTime).UnixMilli() {
+			return true
+		}
+	}
+	return false
+}
+
 // only returns the build of all listed runners of a service; false if there is none or several.
 // mutex is held.
 func (r *Registry) only(service string) (backend.Build, bool) {
--- a/internal/origin/keepers.go
+++ b/internal/origin/keepers.go
@@ -88,15 +88,42 @@
 	}
 }
 
-// tellKeepers sends the collected records. One that a keeper misses is known to others.
+// tellKeepers sends the collected records to copies keepers each, and to one more where one did not
+// accept them.
 func (r *Registry) tellKeepers(ctx context.Context) {
+	pending := r.takeUntold()
+	var missed []wire.OriginRecord
+	for rank := range copies {
+		missed = append(missed, r.tellRank(ctx, pending, rank)...)
+	}
+	for rank := copies; rank < r.countKeepers() && len(missed) > 0; rank++ {
+		missed = r.tellRank(ctx, missed, rank)
+	}
+}
+
+// tellRank sends each record to its keeper of a rank, and returns those that were not accepted.
+func (r *Registry) tellRank(ctx context.Context, records []wire.OriginRecord, rank int) []wire.OriginRecord {
+	var mutex sync.Mutex
+	var missed []wire.OriginRecord
 	var calls sync.WaitGroup
-	defer calls.Wait()
-	for rank, pending := 0, r.takeUntold(); rank < copies; rank++ {
-		for address, records := range r.byKeeper(pending, rank) {
-			calls.Go(func() { r.tellKeeper(ctx, address, records) })
-		}
+	for address, group := range r.byKeeper(records, rank) {
+		calls.Go(func() {
+			if err := r.tellKeeper(ctx, address, group); err != nil {
+				r.Log.Info("origins of streams not delivered", "peer", address, "streams", len(group), "error", err.Error())
+				mutex.Lock()
+				defer mutex.Unlock()
+				missed = append(missed, group...)
+			}
+		})
 	}
+	calls.Wait()
+	return missed
+}
+
+func (r *Registry) countKeepers() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.keepers)
 }
 
 // takeUntold returns the records to tell.
@@ -126,22 +153,24 @@
 	return groups
 }
 
-// tellKeeper sends records to one keeper.
-func (r *Registry) tellKeeper(ctx context.Context, address string, records []wire.OriginRecord) {
+// tellKeeper sends records to one keeper. It does nothing if that is this node.
+func (r *Registry) tellKeeper(ctx context.Context, address string, records []wire.OriginRecord) error {
 	if address == r.Self() {
-		return
+		return nil
 	}
 	for batch := range slices.Chunk(records, maxBatch) {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		_, err := r.Send(callCtx, address, wire.OriginRequest{Records: batch})
 		cancel()
 		if err != nil {
-			r.Log.Info("origins of streams not delivered", "peer", address, "streams", len(batch), "error", err.Error())
+			return err
 		}
 	}
+	return nil
 }
 
-// Find returns what this node or a keeper knows of the origin of a stream.
+// Find returns what this node or a keeper knows of the origin of a stream. Without a stream, as the
+// client did not name it, the build is known only where there is no other.
 func (r *Registry) Find(ctx context.Context, service string, stream Stream) Origin {
 	r.mutex.Lock()
 	known, found := r.find(service, stream)
@@ -152,16 +181,21 @@
 	}
 	asked := r.ask(ctx, r.awaitKeepers(ctx), wire.OriginRequest{Asked: stream[:], Service: service})
 	origin.Build, origin.Known, origin.Several = asked.Build, asked.Known, origin.Several || asked.Several
-	if !origin.Known && !origin.Several {
-		r.mutex.Lock()
-		defer r.mutex.Unlock()
-		origin.Build, origin.Known = r.only(service)
+	if origin.Known || origin.Several {
+		return origin
 	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if stream != (Stream{}) && !asked.Sure && !r.sure() && r.changedLately(service) {
+		// All nodes that answered have started lately: another build may have served before.
+		return Origin{Several: true}
+	}
+	origin.Build, origin.Known = r.only(service)
 	return origin
 }
 
 // ask asks keepers until one knows the stream or all have answered.
-func (r *Registry) ask(ctx context.Context, keepers []string, request wire.OriginRequest) Origin {
+func (r *Registry) ask(ctx context.Context, keepers []string, request wire.OriginRequest) wire.OriginAnswer {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	answers := make(chan wire.OriginAnswer, len(keepers))
@@ -177,15 +211,15 @@
 			answers <- answer
 		}()
 	}
-	var origin Origin
+	var all wire.OriginAnswer
 	for range keepers {
 		answer := <-answers
-		origin.Several = origin.Several || answer.Several
+		all.Several, all.Sure = all.Several || answer.Several, all.Sure || answer.Sure
 		if answer.Known {
-			return Origin{Build: answer.Build, Known: true, Several: true}
+			return wire.OriginAnswer{Build: answer.Build, Known: true, Several: true}
 		}
 	}
-	return origin
+	return all
 }
 
 // Answer keeps the records of another node and answers its question.
@@ -197,7 +231,7 @@
 			r.put(Stream(told.Stream), record{service: told.Service, build: told.Build, at: r.Now()})
 		}
 	}
-	answer := wire.OriginAnswer{Several: r.several(request.Service)}
+	answer := wire.OriginAnswer{Several: r.several(request.Service), Sure: r.sure()}
 	if len(request.Asked) == len(Stream{}) {
 		if known, found := r.find(request.Service, Stream(request.Asked)); found {
 			answer.Build, answer.Known = known.build, true
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -1,7 +1,8 @@
 // Package origin knows which build of the runners' software began each stream, so that a client that
 // resumes a stream at any node gets events that fit. The node that forwards a stream's first event
 // records it. While runners of several builds serve, it also tells a few nodes, chosen by the stream,
-// that every node asks. Streams that came to their end are forgotten.
+// that every node asks; so it does for a while after its start, when it does not know which builds served
+// before. Streams that came to their end are forgotten.
 package origin
 
 import (
@@ -23,6 +24,8 @@
 	recordLifetime = 5 * time.Minute
 	// maxRecords bounds the streams that a node remembers. Beyond it the oldest half is forgotten.
 	maxRecords = 1 << 16
+	// returnTime is within what time clients resume nearly all streams.
+	returnTime = 30 * time.Second
 )
 
 // Stream identifies a stream: the request that brought its first event, and its caller, so that
@@ -63,6 +66,8 @@
 	keepers []string
 	// keepersKnown is closed once there are keepers.
 	keepersKnown chan struct{}
+	// listedSince is when the list of runners was first read.
+	listedSince time.Time
 	// untold are the records to tell keepers; due is signalled when there are any.
 	untold []Stream
 	due    chan struct{}
@@ -90,7 +95,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.put(stream, record{service: service, build: build, at: r.Now(), own: true})
-	if r.several(service) {
+	if r.several(service) || !r.sure() {
 		r.tellLater(stream)
 	}
 }
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -97,6 +97,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, 12, runnersOf("b1")...)
 		began, asking := g.nodes[g.order[11]], g.nodes[g.order[10]]
+		time.Sleep(returnTime)
 		ended := NewStream("caller", "ended")
 		began.Began("s", stream, "b1")
 		began.Began("s", ended, "b1")
@@ -174,3 +175,22 @@
 	build, only := r.only("s")
 	assert.Assert(t, only && build == "b2")
 }
+
+// TestAllNodesStartedAfterABuildLeft: nodes that all started after the last runner of a build left do
+// not guess while runners are being replaced, and do where none started lately.
+func TestAllNodesStartedAfterABuildLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		unknown := NewStream("caller", "unknown")
+		runner := backend.Runner{ID: "r", Service: "s", Build: "b2", Born: time.Now().UnixMilli()}
+		asking := newGroup(t, 3, runner).nodes["10.0.0.1:1"]
+		assert.Equal(t, asking.Find(t.Context(), "s", unknown), Origin{Several: true})
+		assert.Equal(t, asking.Find(t.Context(), "s", Stream{}), Origin{Build: "b2", Known: true}, "its client names no stream")
+		asking.Began("s", stream, "b2")
+		time.Sleep(time.Second)
+		assert.Equal(t, asking.Find(t.Context(), "s", stream), Origin{Build: "b2", Known: true})
+		time.Sleep(returnTime)
+		assert.Equal(t, asking.Find(t.Context(), "s", unknown), Origin{Build: "b2", Known: true})
+		restarted := newGroup(t, 3, runner).nodes["10.0.0.1:1"]
+		assert.Equal(t, restarted.Find(t.Context(), "s", unknown), Origin{Build: "b2", Known: true})
+	})
+}
