Let a stream that nobody holds the model of wait for its load

A stream that is bound to a build gave up after a second also where no runner of any build held its model, which is then loaded, maybe on a runner of its build; with one build it always is. Now the second applies only where runners of other builds hold the model. TestBuildState has the cases.

--- a/internal/dispatch/builds.go
+++ b/internal/dispatch/builds.go
@@ -60,9 +60,9 @@
 // its unit: the lease holder tells within that time what runners hold.
 const maxUnitWait = time.Second
 
-// checkBuild ends the wait of a request that is bound to a build if no runner of it is left, or none was
-// found to hold its unit: others would write what does not fit. left is how long to wait at most until
-// the next check; zero for any time.
+// checkBuild ends the wait of a request that is bound to a build if no runner of it is left, or if only
+// others hold its unit after maxUnitWait: they would write what does not fit. left is how long to wait at
+// most until the next check; zero for any time.
 func (j *job) checkBuild(waitsSince time.Time) (left time.Duration, err error) {
 	if j.query.Build == nil {
 		return 0, nil
--- a/internal/fleet/builds.go
+++ b/internal/fleet/builds.go
@@ -18,9 +18,11 @@
 const (
 	// BuildGone means that there is no such runner.
 	BuildGone BuildState = iota
-	// BuildLacksUnit means that none of them is known to hold the unit.
+	// BuildLacksUnit means that runners of other builds hold the unit and none of these is known to, so
+	// that it may never be loaded there.
 	BuildLacksUnit
-	// BuildServes means that some hold the unit, though they may take nothing now.
+	// BuildServes means that some hold the unit, though they may take nothing now, or that no runner
+	// does, so that it is loaded somewhere.
 	BuildServes
 )
 
@@ -28,16 +30,28 @@
 func (f *Fleet) BuildState(query Query) BuildState {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	state := BuildGone
+	left, heldElsewhere := false, false
 	for _, known := range f.runners {
-		usable := known.present && !f.isDraining(known) && !slices.Contains(query.Exclude, known.listed.ID)
-		if !usable || !known.belongsTo(query.Service, query.Homes) || !query.allowsBuild(known) {
+		if !known.present || f.isDraining(known) || !known.belongsTo(query.Service, query.Homes) {
 			continue
 		}
-		if query.Unit == (backend.Unit{}) || f.holds(known, query.Unit) {
+		holds := query.Unit == (backend.Unit{}) || f.holds(known, query.Unit)
+		switch {
+		case !query.allowsBuild(known):
+			heldElsewhere = heldElsewhere || holds
+		case slices.Contains(query.Exclude, known.listed.ID):
+		case holds:
 			return BuildServes
+		default:
+			left = true
 		}
-		state = BuildLacksUnit
 	}
-	return state
+	switch {
+	case !left:
+		return BuildGone
+	case heldElsewhere:
+		return BuildLacksUnit
+	default:
+		return BuildServes
+	}
 }
