--- a/internal/origin/keepers.go
+++ b/internal/origin/keepers.go
@@ -48,12 +48,16 @@
 	if r.keepers == nil {
 		close(r.keepersKnown)
 	}
-	r.keepers = addresses
+	if !slices.Equal(r.keepers, addresses) {
+		r.formerKeepers = r.keepers
+		r.keepers = addresses
+	}
 }
 
-// awaitKeepers waits until keepers are known, which a node that starts is told after a moment. If there is
-// no holder that names them, it returns other nodes that may know them, with forward set.
-func (r *Registry) awaitKeepers(ctx context.Context) (addresses []string, forward bool) {
+// nodesToAsk waits until keepers are known, which a node that starts is told after a moment, and returns
+// the nodes that may know a stream. forward is set if these are to ask further: a node that has started
+// knows only the keepers of now, or none.
+func (r *Registry) nodesToAsk(ctx context.Context) (addresses []string, forward bool) {
 	timer := time.NewTimer(keepersTimeout)
 	defer timer.Stop()
 	select {
@@ -63,10 +67,24 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if len(r.keepers) == 0 {
-		return r.Peers(), true
+	if r.sure() {
+		return r.allKeepers(), false
+	}
+	return unique(append(r.allKeepers(), r.Peers()...)), true
+}
+
+// allKeepers returns the keepers and those before the last change. mutex is held.
+func (r *Registry) allKeepers() []string { return unique(slices.Concat(r.keepers, r.formerKeepers)) }
+
+// unique returns a list without repetitions, in its order.
+func unique(list []string) []string {
+	var kept []string
+	for _, element := range list {
+		if !slices.Contains(kept, element) {
+			kept = append(kept, element)
+		}
 	}
-	return slices.Clone(r.keepers), false
+	return kept
 }
 
 // keepersOf returns the keepers in the order in which they keep a stream. mutex is held.
@@ -183,7 +201,7 @@
 	if found {
 		return origin
 	}
-	addresses, forward := r.awaitKeepers(ctx)
+	addresses, forward := r.nodesToAsk(ctx)
 	asked := r.ask(ctx, addresses, wire.OriginRequest{Asked: stream[:], Service: service, Forward: forward})
 	origin.Build, origin.Known, origin.Several = asked.Build, asked.Known, origin.Several || asked.Several
 	if origin.Known || origin.Several {
@@ -253,5 +271,5 @@
 			answer.Build, answer.Known = known.build, true
 		}
 	}
-	return answer, slices.Clone(r.keepers)
+	return answer, r.allKeepers()
 }
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -66,6 +66,8 @@
 	listed map[string]listedRunner
 	// keepers are addresses of nodes that may keep records. All nodes have the same ones.
 	keepers []string
+	// formerKeepers are those before the last change: a lease holder that is new names few at first.
+	formerKeepers []string
 	// keepersKnown is closed once there are keepers.
 	keepersKnown chan struct{}
 	// listedSince is when the list of runners was first read.
--- a/internal/wire/origin.go
+++ b/internal/wire/origin.go
@@ -11,7 +11,7 @@
 	// Asked is the stream of Service that the sender asks about; empty for none.
 	Asked   []byte `cbor:"2,keyasint,omitempty"`
 	Service string `cbor:"3,keyasint,omitempty"`
-	// Forward is set when the receiver is to ask the keepers that it knows, as the sender knows none.
+	// Forward is set when the receiver is to ask the keepers that it knows, as the sender may know too few.
 	Forward bool `cbor:"4,keyasint,omitempty"`
 }
 
