--- a/test/builds_soak_test.go
+++ b/test/builds_soak_test.go
@@ -59,15 +59,12 @@
 // buildsSoak is a world whose runners are replaced by ones of other builds, under faults.
 type buildsSoak struct {
 	*buildWorld
+	faults *nodeFaults
 	random *rand.Rand
 
-	// mutex guards the fields below. live are the runners of each build with when they began to
-	// serve, disturbances the faults of nodes, busy the nodes that have one.
-	mutex        sync.Mutex
-	live         map[string]runnerLife
-	disturbances map[*world.Node][]interval
-	busy         map[*world.Node]bool
-	storeDown    bool
+	// mutex guards the fields below. live are the runners by name.
+	mutex sync.Mutex
+	live  map[string]runnerLife
 	// begun and resumed count tries at undisturbed nodes, resumed those while two runners of the
 	// build serve; mixed are the streams with events of several builds.
 	begun, resumed served
@@ -88,8 +85,9 @@
 	if nodes == 0 {
 		nodes = 3 + random.IntN(6)
 	}
-	s := &buildsSoak{random: random, live: make(map[string]runnerLife), disturbances: make(map[*world.Node][]interval), busy: make(map[*world.Node]bool), refusals: make(map[string]int)}
+	s := &buildsSoak{random: random, live: make(map[string]runnerLife), refusals: make(map[string]int)}
 	s.buildWorld = startBuildWorld(t, nodes, "b1", "b1", "b1")
+	s.faults = newNodeFaults(s.world)
 	for number := range rolloutRunners {
 		s.live[fmt.Sprintf("runner-%d", number+1)] = runnerLife{build: "b1", started: time.Now()}
 	}
@@ -146,31 +144,15 @@
 		case 5, 6:
 			for range 1 + s.random.IntN(max(len(s.nodes)/3, 1)) {
 				victim := s.nodes[s.random.IntN(len(s.nodes))]
-				running.Go(func() {
-					s.withFault(victim, func() {
-						victim.Kill()
-						assert.Check(t, s.world.RestartNode(victim) == nil)
-					})
-				})
+				running.Go(func() { s.faults.kill(t, victim) })
 			}
 		case 7:
-			running.Go(func() {
-				s.withFault(node, func() {
-					assert.Check(t, node.Terminate() == nil && node.Wait(stopGrace+answerMargin) == nil)
-					assert.Check(t, s.world.RestartNode(node) == nil)
-				})
-			})
+			running.Go(func() { s.faults.stop(t, node) })
 		case 8:
-			running.Go(func() {
-				s.withFault(node, func() {
-					assert.Check(t, node.Freeze() == nil)
-					time.Sleep(pause)
-					assert.Check(t, node.Thaw() == nil)
-				})
-			})
+			running.Go(func() { s.faults.freeze(t, node, pause) })
 		case 9:
 			faults := []storestub.Faults{{Down: storestub.Busy}, {Down: storestub.Silent}, {Down: storestub.Reset, Only: []string{node.StoreHost()}}}[s.random.IntN(3)]
-			running.Go(func() { s.failStore(t, faults, pause) })
+			running.Go(func() { s.faults.failStore(t, faults, pause) })
 		}
 	}
 }
@@ -223,50 +205,9 @@
 	})
 }
 
-// withFault runs a fault of a node unless it has another one, and records the time.
-func (s *buildsSoak) withFault(node *world.Node, fault func()) {
-	s.mutex.Lock()
-	if s.busy[node] {
-		s.mutex.Unlock()
-		return
-	}
-	s.busy[node] = true
-	s.disturbances[node] = append(s.disturbances[node], interval{from: time.Now()})
-	s.mutex.Unlock()
-	fault()
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.busy[node] = false
-	s.disturbances[node][len(s.disturbances[node])-1].to = time.Now()
-}
-
-// failStore makes the store fail for a while unless it already does.
-func (s *buildsSoak) failStore(t *testing.T, faults storestub.Faults, pause time.Duration) {
-	s.mutex.Lock()
-	down := s.storeDown
-	s.storeDown = true
-	s.mutex.Unlock()
-	if down {
-		return
-	}
-	assert.Check(t, s.world.SetStoreFaults(faults) == nil)
-	time.Sleep(pause)
-	assert.Check(t, s.world.SetStoreFaults(storestub.Faults{}) == nil)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.storeDown = false
-}
-
-// undisturbed reports whether a node has had no fault for contactTime.
-func (s *buildsSoak) undisturbed(node *world.Node, at time.Time) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for _, d := range s.disturbances[node] {
-		if d.to.IsZero() || d.to.After(at.Add(-contactTime)) {
-			return false
-		}
-	}
-	return true
+// inTouch reports whether a node has had no fault from contactTime before an instant until now.
+func (s *buildsSoak) inTouch(node *world.Node, since time.Time) bool {
+	return s.faults.undisturbed(node, since.Add(-contactTime), time.Now())
 }
 
 // twoServe reports whether two runners of a build have served for contactTime.
@@ -295,7 +236,7 @@
 		stream := &clientStream{clientRequest: draftRequest(rolloutEvents), builds: make(map[string]bool)}
 		node, sent := s.nodes[draws.IntN(len(s.nodes))], time.Now()
 		began, whole, _ := s.read(ctx, node, stream, stream.clientRequest, 1+draws.IntN(rolloutEvents))
-		if s.undisturbed(node, sent) && s.undisturbed(node, time.Now()) {
+		if s.inTouch(node, sent) {
 			s.count(ctx, &s.begun, began, "")
 		}
 		for try := 0; try < clientTries && stream.lastEvent != "" && !whole && ctx.Err() == nil; try++ {
@@ -306,7 +247,7 @@
 			var goesOn bool
 			var refusal string
 			goesOn, whole, refusal = s.read(ctx, node, stream, request, 1+draws.IntN(rolloutEvents))
-			if serve && s.servedBuild(stream, time.Now()) && s.undisturbed(node, sent) && s.undisturbed(node, time.Now()) {
+			if serve && s.servedBuild(stream, time.Now()) && s.inTouch(node, sent) {
 				s.count(ctx, &s.resumed, goesOn, refusal)
 			}
 		}
--- a/test/poison_soak_test.go
+++ b/test/poison_soak_test.go
@@ -7,7 +7,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -45,6 +44,7 @@
 // poisonSoak is a world with requests that crash runners, under faults.
 type poisonSoak struct {
 	*poisonWorld
+	faults *nodeFaults
 	random *rand.Rand
 
 	// mutex guards all fields below. sent is the content of each request, sentTo the node that got
@@ -52,14 +52,6 @@
 	mutex  sync.Mutex
 	sent   map[string]string
 	sentTo map[string]*world.Node
-	// storeBackAt is when the store last became available again; disturbed is when nodes
-	// were restarted or resumed after a freeze, busy are the nodes that are being, disturbances
-	// the times by node.
-	storeBackAt  time.Time
-	storeDown    bool
-	disturbed    []time.Time
-	busy         map[*world.Node]bool
-	disturbances map[*world.Node][]interval
 }
 
 // soakDuration is how long the soak sends requests and injects faults.
@@ -76,8 +68,9 @@
 			request: request, renamed: random.IntN(2) == 0, proxiedNodes: true, downtime: time.Duration(500+random.IntN(2500)) * time.Millisecond,
 			nodes: cmp.Or(*poisonNodes, 4+random.IntN(9)),
 		}),
-		random: random, sent: make(map[string]string), sentTo: make(map[string]*world.Node), busy: make(map[*world.Node]bool), disturbances: make(map[*world.Node][]interval),
+		random: random, sent: make(map[string]string), sentTo: make(map[string]*world.Node),
 	}
+	s.faults = newNodeFaults(s.world)
 	ctx, end := context.WithTimeout(t.Context(), soakDuration)
 	defer end()
 	var running sync.WaitGroup
@@ -123,13 +116,13 @@
 			}
 		case 1, 2:
 			for number := range 1 + s.random.IntN(len(s.nodes)/2) {
-				running.Go(func() { s.restart(t, s.nodes[(first+number)%len(s.nodes)]) })
+				running.Go(func() { s.faults.kill(t, s.nodes[(first+number)%len(s.nodes)]) })
 			}
 		case 3:
-			running.Go(func() { s.freeze(t, s.nodes[first], pause) })
+			running.Go(func() { s.faults.freeze(t, s.nodes[first], pause) })
 		case 4:
 			faults := []storestub.Faults{{Down: storestub.Busy}, {Down: storestub.Silent}, {Down: storestub.Reset, Only: s.someHosts(first)}}[s.random.IntN(3)]
-			running.Go(func() { s.failStore(t, faults, pause) })
+			running.Go(func() { s.faults.failStore(t, faults, pause) })
 		case 5:
 			for _, node := range s.nodes {
 				node.StoreProxy.SilenceOpen()
@@ -147,61 +140,6 @@
 	return hosts
 }
 
-// disturb runs a fault of a node unless it has another one, and records the time.
-func (s *poisonSoak) disturb(node *world.Node, fault func()) {
-	s.mutex.Lock()
-	if s.busy[node] {
-		s.mutex.Unlock()
-		return
-	}
-	s.busy[node] = true
-	s.mutex.Unlock()
-	from := time.Now()
-	fault()
-	s.recordNow(&s.disturbed)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.busy[node] = false
-	s.disturbances[node] = append(s.disturbances[node], interval{from: from, to: time.Now()})
-}
-
-func (s *poisonSoak) restart(t *testing.T, node *world.Node) {
-	s.disturb(node, func() {
-		node.Kill()
-		assert.Check(t, s.world.RestartNode(node) == nil)
-	})
-}
-
-func (s *poisonSoak) freeze(t *testing.T, node *world.Node, pause time.Duration) {
-	s.disturb(node, func() {
-		assert.Check(t, node.Freeze() == nil)
-		time.Sleep(pause)
-		assert.Check(t, node.Thaw() == nil)
-	})
-}
-
-// failStore makes the store fail for a while unless it already does.
-func (s *poisonSoak) failStore(t *testing.T, faults storestub.Faults, pause time.Duration) {
-	s.mutex.Lock()
-	down := s.storeDown
-	s.storeDown = true
-	s.mutex.Unlock()
-	if down {
-		return
-	}
-	assert.Check(t, s.world.SetStoreFaults(faults) == nil)
-	time.Sleep(pause)
-	assert.Check(t, s.world.SetStoreFaults(storestub.Faults{}) == nil)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.storeDown, s.storeBackAt = false, time.Now()
-}
-
-// undisturbed reports whether a node had no fault between two times.
-func (s *poisonSoak) undisturbed(node *world.Node, from, to time.Time) bool {
-	return !slices.ContainsFunc(s.disturbances[node], func(d interval) bool { return d.from.Before(to) && d.to.After(from) })
-}
-
 // knownSince returns when an undisturbed node first refused a content, by its identity in logs; false
 // if none did.
 func (s *poisonSoak) knownSince(t *testing.T, content string) (since time.Time, known bool) {
@@ -215,7 +153,7 @@
 			if json.Unmarshal([]byte(line), &entry) != nil || entry.Content != content {
 				continue
 			}
-			if (!known || entry.Time.Before(since)) && s.undisturbed(node, entry.Time.Add(-contactTime), entry.Time.Add(spreadBound)) {
+			if (!known || entry.Time.Before(since)) && s.faults.undisturbed(node, entry.Time.Add(-contactTime), entry.Time.Add(spreadBound)) {
 				since, known = entry.Time, true
 			}
 		}
@@ -243,16 +181,10 @@
 		if record.Event != journal.EventPoison || s.sent[record.Request] != word || !record.Time.After(since.Add(spreadBound)) {
 			continue
 		}
-		assert.Check(t, !s.undisturbed(node, record.Time.Add(-contactTime), record.Time), "%s: %s sent it %s after an undisturbed node refused it", word, node.Name, record.Time.Sub(since))
+		assert.Check(t, !s.faults.undisturbed(node, record.Time.Add(-contactTime), record.Time), "%s: %s sent it %s after an undisturbed node refused it", word, node.Name, record.Time.Sub(since))
 	}
 }
 
-func (s *poisonSoak) recordNow(times *[]time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	*times = append(*times, time.Now())
-}
-
 // check checks the bound for each request, and the answers to harmless ones.
 func (s *poisonSoak) check(t *testing.T) {
 	t.Helper()
@@ -275,7 +207,7 @@
 		third := crashes[maxCrashes-1]
 		// A node that was restarted or frozen may not know of the crashes: it may send once
 		// more.
-		allowed, late := maxSendsAfterCrashes+countAfter(s.disturbed, third), countAfter(reached, laterTime(third, s.storeBackAt).Add(propagationBound))
+		allowed, late := maxSendsAfterCrashes+s.faults.countEndedAfter(third), countAfter(reached, laterTime(third, s.faults.storeBackAt).Add(propagationBound))
 		t.Logf("%s: %d crashes, %d sends after the bound of at most %d; harmless: %v", word, len(crashes), late, allowed, s.harmlessAnswers)
 		assert.Check(t, late <= allowed)
 		s.checkSpread(t, word, h.records)
