Do not wait for keepers where none will be named

A node that has run for long without keepers, as one alone has, waited 0.4 s for them at each resumed stream. A flood of streams within a second was not bounded.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -92,8 +92,8 @@
 	return false
 }
 
-// endUnsent ends an attempt whose request was not sent, as errNotAdmitted says, and reports whether to try again. Hedges may have been sent while the attempt waited
-// for a connection.
+// endUnsent ends an attempt whose request was not sent, as errNotAdmitted says, and reports whether to
+// try again. Hedges may have been sent while the attempt waited for a connection.
 func (j *job) endUnsent(ctx context.Context, choice fleet.Choice, result attemptResult, err error) (again bool) {
 	j.dispatcher.Fleet.Release(choice, j.query)
 	j.sent--
--- a/internal/origin/keepers.go
+++ b/internal/origin/keepers.go
@@ -54,10 +54,8 @@
 	}
 }
 
-// nodesToAsk waits until keepers are known, which a node that starts is told after a moment, and returns
-// the nodes that may know a stream. forward is set if these are to ask further: a node that has started
-// knows only the keepers of now, or none.
-func (r *Registry) nodesToAsk(ctx context.Context) (addresses []string, forward bool) {
+// awaitKeepers waits until keepers are known, which a node that starts is told after a moment.
+func (r *Registry) awaitKeepers(ctx context.Context) {
 	timer := time.NewTimer(keepersTimeout)
 	defer timer.Stop()
 	select {
@@ -65,11 +63,19 @@
 	case <-timer.C:
 	case <-r.keepersKnown:
 	}
+}
+
+// nodesToAsk returns the nodes that may know a stream. forward is set if these are to ask further: a node
+// that has started knows only the keepers of now, or none.
+func (r *Registry) nodesToAsk(ctx context.Context) (addresses []string, forward bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.sure() {
 		return r.allKeepers(), false
 	}
+	r.mutex.Unlock()
+	r.awaitKeepers(ctx)
+	r.mutex.Lock()
 	return unique(append(r.allKeepers(), r.Peers()...)), true
 }
 
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -22,7 +22,7 @@
 	// recordLifetime is how long a stream that did not come to its end is remembered, and for how long
 	// a build counts as serving after its last runner left: clients return within seconds.
 	recordLifetime = 5 * time.Minute
-	// maxRecords bounds the streams that a node remembers. Beyond it the oldest half is forgotten.
+	// maxRecords bounds the streams that a node remembers. Beyond it the oldest are forgotten.
 	maxRecords = 1 << 16
 	// returnTime is within what time clients resume nearly all streams.
 	returnTime = 30 * time.Second
@@ -119,10 +119,10 @@
 	r.records[stream] = added
 }
 
-// trim forgets records that are too old, and all older than half of recordLifetime if none are. mutex
-// is held.
+// trim makes room: it forgets records that are too old, or else those older than half of that time, and
+// so on. mutex is held.
 func (r *Registry) trim() {
-	for lifetime := recordLifetime; len(r.records) >= maxRecords && lifetime > time.Second; lifetime /= 2 {
+	for lifetime := recordLifetime; len(r.records) >= maxRecords && lifetime > 0; lifetime /= 2 {
 		r.forgetOlder(lifetime)
 	}
 }
