Count from when a refusal is known, and guard the runners of a soak's world

TestCrashesWereForgottenWithTheirCounters counted its half second from the third crash. In the failing run's logs three nodes refused at 26.467 to .473 s, and the sends it counted began 50 ms later, as the crash had been seen late among dead peers and other tests. The stated target counts from when the crash is known to a node, as the two tests beside it do: now this one does, with the same bound and no send allowed. TestBuildsSoak used the world's map of runners from several goroutines.

--- a/test/builds_soak_test.go
+++ b/test/builds_soak_test.go
@@ -61,6 +61,8 @@
 	*buildWorld
 	faults *nodeFaults
 	random *rand.Rand
+	// runners is held while the world's runners are used: it is not safe for concurrent use.
+	runners sync.Mutex
 
 	// mutex guards the fields below. live are the runners by name.
 	mutex sync.Mutex
@@ -135,8 +137,7 @@
 			name := fmt.Sprintf("runner-%d", number)
 			options := engineOptions(s.world, name, zones[number%len(zones)])
 			options.Build = build
-			_, err := s.world.StartRunner(options)
-			assert.Check(t, err == nil, "%v", err)
+			s.startRunner(t, options)
 			s.begin(name, build)
 			running.Go(func() { s.retire(t, pause) })
 		case 4:
@@ -177,9 +178,23 @@
 	life.gone = time.Now()
 	s.live[oldest] = life
 	s.mutex.Unlock()
-	assert.Check(t, s.world.DrainRunner(oldest) == nil)
+	s.useRunner(func() { assert.Check(t, s.world.DrainRunner(oldest) == nil) })
 	time.Sleep(pause)
-	assert.Check(t, s.world.KillRunner(oldest) == nil)
+	s.useRunner(func() { assert.Check(t, s.world.KillRunner(oldest) == nil) })
+}
+
+func (s *buildsSoak) startRunner(t *testing.T, options world.RunnerOptions) {
+	s.useRunner(func() {
+		_, err := s.world.StartRunner(options)
+		assert.Check(t, err == nil, "%v", err)
+	})
+}
+
+// useRunner runs a call that uses the world's runners.
+func (s *buildsSoak) useRunner(call func()) {
+	s.runners.Lock()
+	defer s.runners.Unlock()
+	call()
 }
 
 // breakStreams makes a runner break streams off for a while.
@@ -199,9 +214,9 @@
 	name := names[s.random.IntN(len(names))]
 	running.Go(func() {
 		// The runner may have ended.
-		_ = s.world.SetRunnerFaults(name, runnerstub.Faults{BreakShare: 1})
+		s.useRunner(func() { _ = s.world.SetRunnerFaults(name, runnerstub.Faults{BreakShare: 1}) })
 		time.Sleep(pause)
-		_ = s.world.SetRunnerFaults(name, runnerstub.Faults{})
+		s.useRunner(func() { _ = s.world.SetRunnerFaults(name, runnerstub.Faults{}) })
 	})
 }
 
--- a/test/poison_spread_test.go
+++ b/test/poison_spread_test.go
@@ -57,15 +57,9 @@
 	return time.Time{}, false
 }
 
-// checkSpread sends a request that crashes runners to the nodes in turn for a while after the first
-// of them refuses it, and checks that none is sent later than spreadBound.
-func (p *poisonWorld) checkSpread(t *testing.T, observed time.Duration) {
+// waitRefused waits until a node refuses the request, and returns since when the first does.
+func (p *poisonWorld) waitRefused(t *testing.T) (known time.Time) {
 	t.Helper()
-	ctx, end := context.WithCancel(t.Context())
-	defer end()
-	var senders sync.WaitGroup
-	senders.Go(func() { p.sendPoison(ctx) })
-	var known time.Time
 	waitUntil(t, "a node refuses the request", func() error {
 		for _, node := range p.nodes {
 			if since, refused := refusedSince(t, p.world, node); refused && (known.IsZero() || since.Before(known)) {
@@ -77,6 +71,18 @@
 		}
 		return nil
 	})
+	return known
+}
+
+// checkSpread sends a request that crashes runners to the nodes in turn for a while after the first
+// of them refuses it, and checks that none is sent later than spreadBound.
+func (p *poisonWorld) checkSpread(t *testing.T, observed time.Duration) {
+	t.Helper()
+	ctx, end := context.WithCancel(t.Context())
+	defer end()
+	var senders sync.WaitGroup
+	senders.Go(func() { p.sendPoison(ctx) })
+	known := p.waitRefused(t)
 	time.Sleep(time.Until(known.Add(observed)))
 	end()
 	senders.Wait()
@@ -150,6 +156,8 @@
 		}
 		p.nodes = witnesses
 	}
+	known := p.waitRefused(t)
+	time.Sleep(time.Until(known.Add(spreadBound)))
 	before := len(eventTimes(readHistory(t, p.world), journal.EventPoison))
 	for range 5 {
 		for _, node := range witnesses {
