Log what marked the end of an answer, and what was left of an unfinished event

The logs could not tell the hypotheses on broken answers apart: whether an answer had a length or chunks, and whether a stream ended inside an event. request ended now has framing and unfinishedBytes; upstream.Framing replaces the flag Unframed. No logic changes: the tests of dispatch and upstream pass.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -236,7 +236,7 @@
 		result.silent, result.timerDelay = watch.silence()
 		result.takeover = watch.stop(err != nil && parent.Err() == nil && !errors.Is(context.Cause(ctx), errTimeout))
 		result.failedHedges = watch.hedges.failed
-		result.unframed = answer != nil && answer.Unframed
+		result.unframed = answer != nil && answer.Framing == upstream.FramedByClose
 		result.timedOut = err != nil && result.takeover == nil && parent.Err() == nil && errors.Is(context.Cause(ctx), errTimeout)
 	}()
 	answer, err = j.begin(ctx, choice, takeover)
@@ -244,7 +244,7 @@
 		return j.noAnswerResult(ctx, err)
 	}
 	defer answer.Close()
-	j.outcome.Via = answer.Via
+	j.outcome.Via, j.outcome.Framing = answer.Via, answer.Framing
 	j.recordLoad(choice.Runner.ID, answer.Header)
 	if answer.NotRun {
 		return j.notRun(choice, answer)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -13,6 +13,7 @@
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/place"
 	"lilacvane/internal/tenant"
+	"lilacvane/internal/upstream"
 )
 
 // Request is one request of a client.
@@ -86,8 +87,12 @@
 	Build backend.Build
 	// Via is the address of the peer through which the last runner that answered was reached;
 	// empty if directly.
-	Via   string
-	Route string
+	Via string
+	// Framing says what marked the end of the last answer of a runner; empty if there was none.
+	Framing upstream.Framing
+	// UnfinishedBytes is what was left of an unfinished event at the end of a stream.
+	UnfinishedBytes int
+	Route           string
 	// Attempts counts the runners it was sent to, Resumes those that continued it.
 	Attempts int
 	Resumes  int
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -148,6 +148,7 @@
 // answer as well.
 func (j *job) finishStream(ctx context.Context, answer *upstream.Answer, remainder []byte) {
 	j.openStream(answer)
+	j.outcome.UnfinishedBytes = len(remainder)
 	if len(remainder) > 0 {
 		j.stream.spool.write(ctx, remainder)
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -56,6 +56,30 @@
 	Admit func() error
 }
 
+// Framing says what marks the end of an answer's body.
+type Framing string
+
+// The framings.
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	// FramedByClose means that the body ends with the connection, so that a runner that ends in the
+	// middle of it looks like one that completed it.
+	FramedByClose Framing = "close"
+)
+
+// framingOf returns the framing of a response.
+func framingOf(response *http.Response) Framing {
+	switch {
+	case response.ContentLength >= 0:
+		return FramedByLength
+	case len(response.TransferEncoding) > 0:
+		return FramedByChunks
+	default:
+		return FramedByClose
+	}
+}
+
 // Answer is the beginning of a runner's answer. Its body must be read to the end or the answer
 // closed.
 type Answer struct {
@@ -67,9 +91,8 @@
 	Length int64
 	// Via is the address of the peer through which the runner was reached; empty if directly.
 	Via string
-	// Unframed is set if the body ends with the connection, so that a runner that ends in the middle
-	// of it looks like one that completed it.
-	Unframed bool
+	// Framing says what marks the end of the body.
+	Framing Framing
 
 	body     io.ReadCloser
 	conn     *connection
@@ -118,11 +141,12 @@
 		p.trust.Answered(conn.idleSince)
 	}
 	p.Statements.ReadHeader(statement.Source{Runner: call.Incarnation, Request: call.RequestID}, response.StatusCode, response.Header)
+	framing := framingOf(response)
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		NotRun: response.Header.Get(p.names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest,
-		Via:    conn.via(), Unframed: !framed(response), body: response.Body, conn: conn, pool: p, runner: call.Runner, address: call.Address, written: written, stop: stop, ctx: ctx, lastRead: time.Now(),
-		reusable: !response.Close && framed(response),
+		Via:    conn.via(), Framing: framing, body: response.Body, conn: conn, pool: p, runner: call.Runner, address: call.Address, written: written, stop: stop, ctx: ctx, lastRead: time.Now(),
+		reusable: !response.Close && framing != FramedByClose,
 	}, nil
 }
 
@@ -150,11 +174,6 @@
 	return fault.At(code, step, address, fault.Unknown, cause)
 }
 
-// framed reports whether the end of the body is marked other than by the end of the connection.
-func framed(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-}
-
 // send writes the request. A large body is written concurrently; the channel receives the result.
 func send(conn *connection, call Call) (<-chan error, error) {
 	request := &http.Request{
@@ -198,7 +217,7 @@
 			conn.served++
 			return response, nil
 		}
-		if !framed(response) || conn.served == 0 {
+		if framingOf(response) == FramedByClose || conn.served == 0 {
 			return nil, errors.New("answer to another request")
 		}
 		if _, err := io.CopyN(io.Discard, response.Body, mismatchedBodyLimit); err != io.EOF {
