--- a/internal/lab/runnerstub/http.go
+++ b/internal/lab/runnerstub/http.go
@@ -333,32 +333,40 @@
 }
 
 func (r *Runner) stream(ctx context.Context, w http.ResponseWriter, j *job, finished *bool) {
-	control := http.NewResponseController(w)
 	w.Header().Set("Content-Type", "text/event-stream")
-	breakAt := -1
-	if r.chance(j.faults.BreakShare) {
-		breakAt = j.firstEvent + (j.eventCount-j.firstEvent)/2
+	answer, err := j.beginAnswer(w)
+	if err != nil {
+		return
 	}
+	defer answer.end()
+	half := j.firstEvent + (j.eventCount-j.firstEvent)/2
+	breaks, ends := r.chance(j.faults.BreakShare), r.drawEarly(j)
 	for index := j.firstEvent; index < j.eventCount; index++ {
 		r.mutex.Lock()
 		pause := r.slowed(r.settings.TokenTime)
 		r.mutex.Unlock()
-		if index == j.firstEvent+(j.eventCount-j.firstEvent)/2 {
+		if index == half {
 			pause += time.Duration(j.faults.RestMs) * time.Millisecond
 		}
 		if !r.sleep(ctx, pause) {
 			return
 		}
 		event := j.event(index)
-		if index == breakAt {
-			_, _ = w.Write([]byte(event[:len(event)/2]))
-			_ = control.Flush()
-			panic(http.ErrAbortHandler)
+		if index == half && (breaks || ends != earlyNot) {
+			if breaks || j.faults.InEvent {
+				_, _ = answer.Write([]byte(event[:len(event)/2]))
+			}
+			if breaks {
+				answer.flush()
+				panic(http.ErrAbortHandler)
+			}
+			r.endEarly(j, answer, ends)
+			return
 		}
-		if _, err := w.Write([]byte(event)); err != nil {
+		if _, err := answer.Write([]byte(event)); err != nil {
 			return
 		}
-		_ = control.Flush()
+		answer.flush()
 	}
 	*finished = true
 }
@@ -401,13 +409,35 @@
 	r.writeResponse(w, j, content)
 }
 
-// writeResponse writes a response that is not streamed, with the faults of its framing.
+// writeResponse writes a response that is not streamed, with the faults of its framing. Without a
+// length, only completions have a content type by which a caller can tell a part from the whole.
 func (r *Runner) writeResponse(w http.ResponseWriter, j *job, content string) {
-	if !j.faults.Unframed && !j.faults.Extra {
+	if j.isCompletion || !j.faults.Unframed {
 		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write([]byte(content))
+	}
+	ends := r.drawEarly(j)
+	if j.faults.Extra {
+		r.writeTwice(w, j, content)
+		return
+	}
+	if ends != earlyNot && !j.faults.Unframed {
+		w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	}
+	answer, err := j.beginAnswer(w)
+	if err != nil {
+		return
+	}
+	if ends != earlyNot {
+		_, _ = answer.Write([]byte(content[:len(content)/2]))
+		r.endEarly(j, answer, ends)
 		return
 	}
+	_, _ = answer.Write([]byte(content))
+	answer.end()
+}
+
+// writeTwice writes a response and, once its connection is idle, a second time.
+func (r *Runner) writeTwice(w http.ResponseWriter, j *job, content string) {
 	conn, buffer, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -416,12 +446,6 @@
 	if value := w.Header().Get(protocol.HeaderLeaving); value != "" {
 		head += protocol.HeaderLeaving + ": " + value + "\r\n"
 	}
-	if j.faults.Unframed {
-		_, _ = buffer.WriteString(head + "Connection: close\r\n\r\n" + content)
-		_ = buffer.Flush()
-		_ = conn.Close()
-		return
-	}
 	response := head + "Content-Length: " + strconv.Itoa(len(content)) + "\r\n\r\n" + content
 	_, _ = buffer.WriteString(response)
 	_ = buffer.Flush()
--- a/internal/lab/runnerstub/runner.go
+++ b/internal/lab/runnerstub/runner.go
@@ -93,8 +93,13 @@
 	BreakShare float64 `json:"breakShare,omitempty"`
 	// RestMs is how long streams pause halfway, in milliseconds.
 	RestMs int `json:"restMs,omitempty"`
-	// Extra sends each response that is not streamed twice, Unframed sends it without a
-	// length, Early responds with 500 before the body of a request is read.
+	// CutShare of the answers end halfway as if they were complete, CrashShare end halfway with the
+	// runner's process. Streams end between two events or, with InEvent, in the middle of one.
+	CutShare   float64 `json:"cutShare,omitempty"`
+	CrashShare float64 `json:"crashShare,omitempty"`
+	InEvent    bool    `json:"inEvent,omitempty"`
+	// Extra sends each response that is not streamed twice, Unframed sends all without a length or
+	// chunks, Early responds with 500 before the body of a request is read.
 	Extra    bool `json:"extra,omitempty"`
 	Unframed bool `json:"unframed,omitempty"`
 	Early    bool `json:"early,omitempty"`
