Take a stream that ends inside an event for broken off

Callers saw a stream whose last event was cut off end as a complete one.

Cause: what followed the last complete event was passed on and the stream was ended, however it had ended.

Change: unless nothing but white space is left, or the answer states that it does not consist of events, such a stream failed at its runner: it goes on after its last complete event where it may be resumed, and else ends visibly early.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -244,7 +244,7 @@
 		return j.noAnswerResult(ctx, err)
 	}
 	defer answer.Close()
-	j.outcome.Via, j.outcome.Framing = answer.Via, answer.Framing
+	j.outcome.Via, j.outcome.Framing, j.outcome.UnfinishedBytes = answer.Via, answer.Framing, 0
 	j.recordLoad(choice.Runner.ID, answer.Header)
 	if answer.NotRun {
 		return j.notRun(choice, answer)
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
+	"mime"
+	"net/http"
 	"strings"
 	"time"
 
@@ -59,6 +62,10 @@
 			pending = pending[:copy(pending, pending[complete:])]
 		}
 		if err == io.EOF {
+			if err := j.checkLastEvent(choice, answer, pending); err != nil {
+				result.fleet = fleet.Failed
+				return result, err
+			}
 			j.finishStream(ctx, answer, pending)
 			result.fleet = fleet.Served
 			return result, nil
@@ -74,6 +81,25 @@
 	}
 }
 
+// errUnfinishedEvent is the error of a stream that ended inside an event.
+var errUnfinishedEvent = errors.New("the stream ended inside an event")
+
+// checkLastEvent returns the error of a stream that broke off inside an event, however its end was
+// marked. remainder is what follows the last complete event.
+func (j *job) checkLastEvent(choice fleet.Choice, answer *upstream.Answer, remainder []byte) error {
+	if !hasEvents(answer.Header) || len(bytes.TrimSpace(remainder)) == 0 {
+		return nil
+	}
+	j.outcome.UnfinishedBytes = len(remainder)
+	return fault.At(fault.CodeInterrupted, "read answer", choice.Runner.ID, fault.Unknown, errUnfinishedEvent)
+}
+
+// hasEvents reports whether an answer consists of events. One without a type does.
+func hasEvents(header http.Header) bool {
+	kind, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err != nil || kind == "text/event-stream"
+}
+
 // grow makes room for more of an incomplete event.
 func grow(pending []byte) ([]byte, error) {
 	if len(pending) < cap(pending) {
@@ -145,10 +171,9 @@
 }
 
 // finishStream ends a stream that its runner completed. What follows its last event belongs to the
-// answer as well.
+// answer as well: blank lines, or all of an answer that does not consist of events.
 func (j *job) finishStream(ctx context.Context, answer *upstream.Answer, remainder []byte) {
 	j.openStream(answer)
-	j.outcome.UnfinishedBytes = len(remainder)
 	if len(remainder) > 0 {
 		j.stream.spool.write(ctx, remainder)
 	}
