Reset the connection of an HTTP/1.0 client whose answer broke off

A client that speaks HTTP/1.0 saw a stream that broke off end as a complete one.

Cause: an answer that broke off was marked by the missing last chunk alone. Without chunks, the end of the connection is the end of the answer.

Change: such a connection is reset. With chunks it is closed as before, as a reset may cost the client events that it has not read.

--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -25,6 +25,19 @@
 	return count, err
 }
 
+// resetOnClose makes the connection of a request end with a reset instead of a close, where the close
+// would complete the answer.
+func resetOnClose(request context.Context) error {
+	conn, ok := request.Value(connectionKey{}).(*connection)
+	if !ok {
+		return nil
+	}
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(0)
+	}
+	return nil
+}
+
 // listener wraps the connections that it accepts.
 type listener struct{ net.Listener }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -90,10 +90,21 @@
 	defer release()
 	outcome := s.dispatcher.Serve(ctx, w, request)
 	if outcome.Broken() || outcome.Result == dispatch.ResultCanceled {
-		panic(http.ErrAbortHandler)
+		s.abort(r)
 	}
 }
 
+// abort ends the connection of a request so that its answer looks incomplete. Without chunks only a
+// reset does; with them, a close leaves the client all that was sent.
+func (s *Server) abort(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		if err := resetOnClose(r.Context()); err != nil {
+			s.log.Info("connection not reset", "step", "abort answer", "peer", r.RemoteAddr, "error", err.Error())
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // read reads a whole request.
 func (s *Server) read(w http.ResponseWriter, r *http.Request) (*dispatch.Request, error) {
 	request := &dispatch.Request{
