Do not mark the end of an answer that its runner did not mark

Callers saw a part of an answer, 200 and framed as complete, where its runner had crashed in the middle of it.

Cause: the end of the connection counted as the end of an answer that has neither a length nor chunks. A crash ends the connection as well, and the node then added a framing of its own: a computed length, or the last chunk.

Change: what shows that an answer is complete has a type. The framing does, or the form of the content (JSON that can be parsed, the last event of a completion). If the runner is there, the client gets the answer as the runner gave it, without a length and with its connection closed, and one that breaks off is reset. A stream whose head went out in chunks and that goes on at a runner without framing is not ended as complete. Such an answer clears crashes of its request if its runner is there, and makes the detector ask only if nothing is known.

TestCrashWithoutLengthCountedAsSuccess had a runner that went on running and counted as a suspected crash: it now ends, as its name says, and the caller must get 502; the runner that goes on is the case of the test before.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -23,8 +23,13 @@
 	status int
 	header http.Header
 	body   []byte
+	// framing is that of the runner.
+	framing upstream.Framing
 }
 
+// framed reports whether the runner marked the end of the answer.
+func (b *bufferedAnswer) framed() bool { return b.framing != upstream.FramedByClose }
+
 // connectionHeaders apply to a single connection and are not forwarded.
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
@@ -56,7 +61,7 @@
 	if len(body) > maxBufferedAnswer {
 		return nil, fault.At(fault.CodeTooLarge, "read answer", choice.Runner.ID, fault.Unknown, nil)
 	}
-	return &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}, nil
+	return &bufferedAnswer{status: answer.Status, header: answer.Header, body: body, framing: answer.Framing}, nil
 }
 
 // forwardBuffered reads a complete answer and forwards it. A failure of an idempotent request is
@@ -72,7 +77,10 @@
 	if buffered.status >= http.StatusInternalServerError {
 		return j.runnerFailed(choice, buffered)
 	}
-	j.writeBuffered(buffered, ResultServed)
+	if j.outcome.Completeness, err = j.completeness(ctx, choice, answer, func() form { return j.bodyForm(buffered) }); err != nil {
+		return attemptResult{fleet: fleet.Failed}, err
+	}
+	j.writeBuffered(buffered, ResultServed, j.outcome.Completeness.proven())
 	return attemptResult{fleet: fleet.Served}, nil
 }
 
@@ -89,7 +97,7 @@
 		j.heldFailure = buffered
 		return result, problem
 	}
-	j.writeBuffered(buffered, ResultPassed)
+	j.writeBuffered(buffered, ResultPassed, buffered.framed())
 	return result, nil
 }
 
@@ -129,10 +137,15 @@
 	}
 }
 
-// writeBuffered sends a runner's complete answer to the client.
-func (j *job) writeBuffered(buffered *bufferedAnswer, result string) {
+// writeBuffered sends a runner's answer to the client. It gets a length only if it is proven to be
+// complete.
+func (j *job) writeBuffered(buffered *bufferedAnswer, result string, proven bool) {
 	j.copyHeader(buffered.header)
-	j.writer.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
+	if proven {
+		j.writer.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
+	} else {
+		j.endWithConnection()
+	}
 	j.outcome.First = time.Since(j.request.Arrived)
 	j.outcome.Result, j.outcome.Status = result, buffered.status
 	j.writer.WriteHeader(buffered.status)
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -63,7 +63,7 @@
 	j.dispatcher.Fleet.Done(choice, j.query, result.fleet, time.Since(start), result.started)
 	j.recordHedges(result.failedHedges)
 	if err == nil {
-		j.reportSuccess(choice.Runner, result)
+		j.reportSuccess(choice.Runner)
 		return false
 	}
 	j.outcome.Endings = append(j.outcome.Endings, result.ending)
@@ -206,8 +206,6 @@
 type attemptResult struct {
 	fleet   fleet.Result
 	started bool
-	// unframed is set for an answer whose end does not show that the runner completed it.
-	unframed bool
 	// timedOut is set when the request's deadline passed during the attempt.
 	timedOut bool
 	// ending says who ended a failed attempt.
@@ -236,7 +234,6 @@
 		result.silent, result.timerDelay = watch.silence()
 		result.takeover = watch.stop(err != nil && parent.Err() == nil && !errors.Is(context.Cause(ctx), errTimeout))
 		result.failedHedges = watch.hedges.failed
-		result.unframed = answer != nil && answer.Framing == upstream.FramedByClose
 		result.timedOut = err != nil && result.takeover == nil && parent.Err() == nil && errors.Is(context.Cause(ctx), errTimeout)
 	}()
 	answer, err = j.begin(ctx, choice, takeover)
--- /dev/null
+++ b/internal/dispatch/completeness.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"mime"
+	"net/http"
+
+	"lilacvane/internal/fault"
+	"lilacvane/internal/fleet"
+	"lilacvane/internal/upstream"
+)
+
+// Completeness says what shows that an answer is complete.
+type Completeness string
+
+// The kinds of evidence, the strongest first.
+const (
+	// CompleteByFraming means that a length or a last chunk marked the end.
+	CompleteByFraming Completeness = "framing"
+	// CompleteByForm means that the content itself has an end.
+	CompleteByForm Completeness = "form"
+	// CompleteByPresence means that the answer ended with its connection, and that its runner was still
+	// there afterwards. It may have stopped in the middle all the same.
+	CompleteByPresence Completeness = "presence"
+	// CompletenessUnknown means that nothing more than the end of the connection is known.
+	CompletenessUnknown Completeness = "unknown"
+)
+
+// proven reports whether the node may mark the end of the answer by itself. Otherwise its client must
+// see the same as the node: an answer that ends with its connection.
+func (c Completeness) proven() bool { return c == CompleteByFraming || c == CompleteByForm }
+
+// form says what the content of an answer shows about its end.
+type form uint8
+
+const (
+	formUnknown form = iota
+	formWhole
+	formCut
+)
+
+var (
+	errCut   = errors.New("the answer ended with its connection before its last part")
+	errEnded = errors.New("the answer ended with its connection, and its runner has ended")
+)
+
+// completeness finds out whether an answer that was read to its end is complete. An error means that it
+// broke off. content is only called if the framing shows nothing.
+func (j *job) completeness(ctx context.Context, choice fleet.Choice, answer *upstream.Answer, content func() form) (Completeness, error) {
+	if answer.Framing != upstream.FramedByClose {
+		return CompleteByFraming, nil
+	}
+	switch content() {
+	case formWhole:
+		return CompleteByForm, nil
+	case formCut:
+		return "", brokenOff(choice, errCut)
+	}
+	presence, err := answer.Presence(ctx)
+	if err != nil {
+		j.log.Info("runner checked after an answer without framing", "runner", choice.Runner.ID, "presence", string(presence), "error", err.Error())
+	}
+	replaced := j.dispatcher.Fleet.Replaced(choice.Runner)
+	switch {
+	case j.dispatcher.Fleet.Leaves(choice.Runner):
+		// A runner that stops may refuse connections while it completes its last answers.
+		return CompletenessUnknown, nil
+	case presence == upstream.Ended || replaced:
+		return "", brokenOff(choice, errEnded)
+	case presence == upstream.Present:
+		return CompleteByPresence, nil
+	default:
+		return CompletenessUnknown, nil
+	}
+}
+
+// brokenOff returns the error of an answer that broke off.
+func brokenOff(choice fleet.Choice, cause error) error {
+	return fault.At(fault.CodeInterrupted, "read answer", choice.Runner.ID, fault.Unknown, cause)
+}
+
+// bodyForm returns what the body of an answer shows about its end. A JSON text is whole if it can be
+// parsed, unless it is a plain number.
+func (j *job) bodyForm(buffered *bufferedAnswer) form {
+	kind, _, _ := mime.ParseMediaType(buffered.header.Get("Content-Type"))
+	if kind != "application/json" && !j.request.OwnErrors {
+		return formUnknown
+	}
+	switch body := bytes.TrimSpace(buffered.body); {
+	case !json.Valid(body):
+		return formCut
+	case body[0] == '{' || body[0] == '[' || body[0] == '"':
+		return formWhole
+	default:
+		return formUnknown
+	}
+}
+
+// streamForm returns what the last event of a stream shows about the stream's end.
+func (j *job) streamForm() form {
+	if j.request.EndsStream == nil {
+		return formUnknown
+	}
+	if j.stream != nil && j.request.EndsStream(j.stream.lastEvent) {
+		return formWhole
+	}
+	return formCut
+}
+
+// endWithConnection makes an answer end with the client's connection. It must be called before the head
+// is sent.
+func (j *job) endWithConnection() {
+	j.outcome.EndsWithConnection = true
+	j.writer.Header().Set("Transfer-Encoding", "identity")
+}
+
+// errNoProof is the error of a stream whose end cannot be passed on as its runner gave it.
+var errNoProof = errors.New("the stream ended with its connection, which does not show that it is complete")
+
+// hasEvents reports whether an answer consists of events. One without a type does.
+func hasEvents(header http.Header) bool {
+	kind, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err != nil || kind == "text/event-stream"
+}
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -127,13 +127,13 @@
 	return j.dispatcher.Quarantine != nil && !j.dispatcher.Quarantine.Idle()
 }
 
-// reportSuccess reports a request that succeeded to the quarantine. An answer whose end does not show
-// that its runner completed it may be a crash: the runner is asked instead.
-func (j *job) reportSuccess(runner backend.Runner, result attemptResult) {
+// reportSuccess reports a request that succeeded to the quarantine. An answer that nothing shows to be
+// complete may be a crash: the runner is asked instead.
+func (j *job) reportSuccess(runner backend.Runner) {
 	if j.outcome.Result != ResultServed || j.outcome.Status >= http.StatusMultipleChoices {
 		return
 	}
-	if result.unframed {
+	if j.outcome.Completeness == CompletenessUnknown {
 		if j.dispatcher.Crashes != nil {
 			j.dispatcher.Crashes.Interrupted(runner, j.contentIdentity(), j.probeMethod(EndedByRunner))
 		}
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/config"
 	"lilacvane/internal/crash"
 	"lilacvane/internal/poison"
 )
@@ -76,21 +77,13 @@
 // TestCrashWithoutLengthCountedAsSuccess: an answer without a length ends with its connection, also
 // when its runner crashes. It cleared the crashes under its request.
 func TestCrashWithoutLengthCountedAsSuccess(t *testing.T) {
-	unframed := func(w http.ResponseWriter, r *http.Request) {
-		conn, buffered, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nX-Signature: s\r\n\r\npart")
-		_ = buffered.Flush()
-		_ = conn.Close()
-	}
-	j, written := hedgedJob(t, unframed, answers("second"))
-	quarantine, crashes := &quarantineStub{}, &crashesStub{}
-	j.dispatcher.Quarantine, j.dispatcher.Crashes = &activeQuarantine{quarantine}, crashes
+	j, written, crashes := unframedJob(t, crashesAfter("part"))
+	j.route.Kind = config.Unsafe
+	quarantine := &quarantineStub{}
+	j.dispatcher.Quarantine = &activeQuarantine{quarantine}
 	for j.attempt(t.Context()) {
 	}
-	assert.Equal(t, written.Code, http.StatusOK)
+	assert.Equal(t, written.Code, http.StatusBadGateway)
 	assert.Equal(t, quarantine.succeeded.Load(), int64(0))
 	assert.Equal(t, crashes.interrupted.Load(), int64(1))
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -49,6 +49,9 @@
 	OwnErrors bool
 	// StartWithin is how long the answer may take to begin; zero when only Patience bounds it.
 	StartWithin time.Duration
+	// EndsStream reports whether an event is the last one of a whole stream; nil where events do not
+	// show that.
+	EndsStream func(event []byte) bool
 	// Unit is the requested model or adapter; empty for other services.
 	Unit backend.Unit
 	// Prompt holds the parts of the prompt in order.
@@ -90,6 +93,10 @@
 	Via string
 	// Framing says what marked the end of the last answer of a runner; empty if there was none.
 	Framing upstream.Framing
+	// Completeness says what showed that an answer with ResultServed is complete.
+	Completeness Completeness
+	// EndsWithConnection is set if the answer to the client has neither a length nor chunks.
+	EndsWithConnection bool
 	// UnfinishedBytes is what was left of an unfinished event at the end of a stream.
 	UnfinishedBytes int
 	Route           string
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -357,7 +357,7 @@
 		return
 	}
 	if j.heldFailure != nil {
-		j.writeBuffered(j.heldFailure, ResultPassed)
+		j.writeBuffered(j.heldFailure, ResultPassed, j.heldFailure.framed())
 		return
 	}
 	if j.ran == 0 {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -5,8 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"mime"
-	"net/http"
 	"strings"
 	"time"
 
@@ -28,8 +26,10 @@
 	resumable bool
 	// spool forwards the events to the client.
 	spool *spool
-	// lastEventID identifies the last complete event that was forwarded.
+	// lastEventID identifies the last complete event that was forwarded, lastEvent is that event; it is
+	// kept only if its form shows the end of the stream.
 	lastEventID string
+	lastEvent   []byte
 	// forwarded counts how many times events were forwarded.
 	forwarded int
 	// forwardedAt is when events were last forwarded.
@@ -62,11 +62,10 @@
 			pending = pending[:copy(pending, pending[complete:])]
 		}
 		if err == io.EOF {
-			if err := j.checkLastEvent(choice, answer, pending); err != nil {
+			if err := j.finishStream(ctx, choice, answer, pending); err != nil {
 				result.fleet = fleet.Failed
 				return result, err
 			}
-			j.finishStream(ctx, answer, pending)
 			result.fleet = fleet.Served
 			return result, nil
 		}
@@ -91,13 +90,7 @@
 		return nil
 	}
 	j.outcome.UnfinishedBytes = len(remainder)
-	return fault.At(fault.CodeInterrupted, "read answer", choice.Runner.ID, fault.Unknown, errUnfinishedEvent)
-}
-
-// hasEvents reports whether an answer consists of events. One without a type does.
-func hasEvents(header http.Header) bool {
-	kind, _, err := mime.ParseMediaType(header.Get("Content-Type"))
-	return err != nil || kind == "text/event-stream"
+	return brokenOff(choice, errUnfinishedEvent)
 }
 
 // grow makes room for more of an incomplete event.
@@ -119,6 +112,9 @@
 	if id, ok := parseLastEventID(events); ok {
 		j.stream.lastEventID = id
 	}
+	if event := lastEvent(events); j.request.EndsStream != nil && len(event) > 0 {
+		j.stream.lastEvent = append(j.stream.lastEvent[:0], event...)
+	}
 	j.recordPause(time.Now())
 	j.stream.forwarded++
 	j.stream.spool.write(ctx, events)
@@ -158,6 +154,9 @@
 	j.outcome.Status = answer.Status
 	j.copyHeader(answer.Header)
 	j.writer.Header().Del("Content-Length")
+	if answer.Framing == upstream.FramedByClose && j.request.EndsStream == nil {
+		j.endWithConnection()
+	}
 	j.writer.WriteHeader(answer.Status)
 	j.stream.spool = newSpool(j.writer, &j.dispatcher.spooled)
 }
@@ -171,9 +170,21 @@
 }
 
 // finishStream ends a stream that its runner completed. What follows its last event belongs to the
-// answer as well: blank lines, or all of an answer that does not consist of events.
-func (j *job) finishStream(ctx context.Context, answer *upstream.Answer, remainder []byte) {
+// answer as well: blank lines, or all of an answer that does not consist of events. An error means that
+// the stream broke off.
+func (j *job) finishStream(ctx context.Context, choice fleet.Choice, answer *upstream.Answer, remainder []byte) error {
+	if err := j.checkLastEvent(choice, answer, remainder); err != nil {
+		return err
+	}
+	completeness, err := j.completeness(ctx, choice, answer, j.streamForm)
+	if err != nil {
+		return err
+	}
 	j.openStream(answer)
+	if !completeness.proven() && !j.outcome.EndsWithConnection {
+		return brokenOff(choice, errNoProof)
+	}
+	j.outcome.Completeness = completeness
 	if len(remainder) > 0 {
 		j.stream.spool.write(ctx, remainder)
 	}
@@ -182,6 +193,7 @@
 	if j.dispatcher.Origins != nil && j.begins() {
 		j.dispatcher.Origins.Ended(origin.NewStream(j.callerID(), j.request.ID))
 	}
+	return nil
 }
 
 // abortStream ends an answer that cannot be completed so that it looks incomplete: the connection
@@ -208,6 +220,18 @@
 	return end
 }
 
+// lastEvent returns the last of some complete events that has data; empty if there is none.
+func lastEvent(events []byte) []byte {
+	for len(events) > 0 {
+		start := lastEventEnd(bytes.TrimRight(events, "\r\n"))
+		if event := events[start:]; bytes.HasPrefix(event, []byte("data:")) || bytes.Contains(event, []byte("\ndata:")) {
+			return event
+		}
+		events = events[:start]
+	}
+	return nil
+}
+
 // parseLastEventID returns the last event identifier in complete events.
 func parseLastEventID(events []byte) (string, bool) {
 	at := bytes.LastIndex(events, []byte("\nid:"))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -302,6 +302,19 @@
 	return known.listed, true
 }
 
+// Replaced reports whether another runner, or another incarnation of it, is listed at a runner's
+// address.
+func (f *Fleet) Replaced(runner backend.Runner) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for id, known := range f.runners {
+		if id != runner.ID && known.present && known.listed.Address == runner.Address {
+			return true
+		}
+	}
+	return false
+}
+
 // Sample returns up to count listed runners of all services, other than the one with that name,
 // beginning anywhere.
 func (f *Fleet) Sample(count int, except string) []reach.Runner {
--- a/internal/fleet/statements.go
+++ b/internal/fleet/statements.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"lilacvane/internal/backend"
 	"lilacvane/internal/eligible"
 )
 
@@ -13,6 +14,14 @@
 	return known.listed.Draining || f.statements.State(known.listed.ID).Leaving
 }
 
+// Leaves reports whether a runner stated that it is leaving.
+func (f *Fleet) Leaves(runner backend.Runner) bool {
+	if listed, present := f.Find(runner.ID); present {
+		runner = listed
+	}
+	return runner.Draining || f.statements.State(runner.ID).Leaving
+}
+
 // AllDraining reports whether there are runners of the query's service in its homes and all of
 // them are draining, so that none can take the request, whatever it holds.
 func (f *Fleet) AllDraining(query Query) bool {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"encoding/json"
 	"math"
 	"net/http"
 	"strconv"
@@ -79,10 +81,49 @@
 
 // finish ends a complete stream. The comment line holds the request's timings.
 func (s *streamedResponse) finish(outcome *dispatch.Outcome) {
-	_, _ = s.Write([]byte(": lilacvane " + encode(newTimings(outcome)) + "\n\ndata: [DONE]\n\n"))
+	_, _ = s.Write([]byte(": lilacvane " + encode(newTimings(outcome)) + "\n\ndata: " + endMarker + "\n\n"))
 }
 
 // fail ends an incomplete stream with an error event and no [DONE].
 func (s *streamedResponse) fail(problem *fault.Error) {
 	_, _ = s.Write([]byte("event: error\ndata: " + encode(fault.ToBody(problem)) + "\n\n"))
 }
+
+// completionChunk holds the fields of an event of a completion that show whether it is the last one.
+type completionChunk struct {
+	Choices []struct {
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage json.RawMessage `json:"usage"`
+}
+
+// endMarker is the data of the event that ends a stream of completions.
+const endMarker = "[DONE]"
+
+// endsCompletion reports whether an event is the last one of a runner's stream: the end marker, a chunk
+// that says why the completion ended, or the usage, which follows it.
+func endsCompletion(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		data, found := bytes.CutPrefix(line, []byte("data:"))
+		if !found {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if string(data) == endMarker {
+			return true
+		}
+		var chunk completionChunk
+		if json.Unmarshal(data, &chunk) != nil {
+			continue
+		}
+		for _, choice := range chunk.Choices {
+			if choice.FinishReason != nil {
+				return true
+			}
+		}
+		if len(chunk.Choices) == 0 && len(chunk.Usage) > 0 && string(chunk.Usage) != "null" {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,6 +164,9 @@
 	}
 	request := &call.request
 	request.Route, request.Service, request.Unit, request.OwnErrors = route, target.Service, target.Unit, true
+	if call.completion.Stream {
+		request.EndsStream = endsCompletion
+	}
 	request.Header.Set(s.Headers.Tokens, strconv.Itoa(request.TokensIn)+","+strconv.Itoa(request.TokensOut))
 	for _, part := range request.Prompt {
 		request.Header.Set(s.Headers.Prompt, part.ID+":"+strconv.Itoa(part.Tokens))
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -90,14 +90,14 @@
 	defer release()
 	outcome := s.dispatcher.Serve(ctx, w, request)
 	if outcome.Broken() || outcome.Result == dispatch.ResultCanceled {
-		s.abort(r)
+		s.abort(r, !r.ProtoAtLeast(1, 1) || outcome.EndsWithConnection)
 	}
 }
 
-// abort ends the connection of a request so that its answer looks incomplete. Without chunks only a
-// reset does; with them, a close leaves the client all that was sent.
-func (s *Server) abort(r *http.Request) {
-	if !r.ProtoAtLeast(1, 1) {
+// abort ends the connection of a request so that its answer looks incomplete. Where the connection ends
+// the answer only a reset does; with chunks, a close leaves the client all that was sent.
+func (s *Server) abort(r *http.Request, reset bool) {
+	if reset {
 		if err := resetOnClose(r.Context()); err != nil {
 			s.log.Info("connection not reset", "step", "abort answer", "peer", r.RemoteAddr, "error", err.Error())
 		}
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -16,9 +16,10 @@
 var (
 	// ErrRefused means that the peer sent nothing of the exchange to the runner.
 	ErrRefused = errors.New("the peer stops and passed nothing on")
-	errBroken  = errors.New("the peer's connection to the runner broke off")
-	errFrame   = errors.New("the peer sent a frame that only clients send")
-	errNoRaw   = errors.New("the connection to the peer has no descriptor")
+	// ErrBroken means that the connection from the peer to the runner was reset.
+	ErrBroken = errors.New("the peer's connection to the runner broke off")
+	errFrame  = errors.New("the peer sent a frame that only clients send")
+	errNoRaw  = errors.New("the connection to the peer has no descriptor")
 )
 
 // Conn is a connection to a runner through a peer. Like any connection of the pool, it has
@@ -115,7 +116,7 @@
 	case frameEnd:
 		return io.EOF
 	case frameReset:
-		return errBroken
+		return ErrBroken
 	case frameRefused:
 		return ErrRefused
 	case frameClosing:
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -51,6 +51,8 @@
 
 	names HeaderNames
 	trust *link.Trust
+	// presenceSettle is how long the first connection of a check for presence must stay open.
+	presenceSettle time.Duration
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
@@ -78,7 +80,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(names HeaderNames) *Pool {
-	return &Pool{Dial: link.Runner.Dialer().DialContext, names: names, trust: link.NewTrust(time.Now), idle: make(map[string][]*connection)}
+	return &Pool{Dial: link.Runner.Dialer().DialContext, names: names, trust: link.NewTrust(time.Now), presenceSettle: presenceSettle, idle: make(map[string][]*connection)}
 }
 
 // acquire returns an idle connection that is still usable, or a new one.
--- a/test/broken_answer_test.go
+++ b/test/broken_answer_test.go
@@ -206,7 +206,7 @@
 // at a node that reaches the runners through another one.
 func TestCarriedAnswerOfCrashedRunnerLookedComplete(t *testing.T) {
 	t.Parallel()
-	w := startCarriedWorld(t)
+	w := startCarriedWorldWith(t, statementTest{direct: true})
 	for id := range w.world.Runners {
 		assert.NilError(t, w.world.SetRunnerFaults(id, runnerstub.Faults{Unframed: true, CrashShare: 1}))
 	}
--- a/test/carried_test.go
+++ b/test/carried_test.go
@@ -25,7 +25,12 @@
 // startCarriedWorld starts a carriedWorld and waits until the node that is cut off serves.
 func startCarriedWorld(t *testing.T) *carriedWorld {
 	t.Helper()
-	w := &carriedWorld{cutWorld: startCutWorld(t)}
+	return startCarriedWorldWith(t, statementTest{})
+}
+
+func startCarriedWorldWith(t *testing.T, test statementTest) *carriedWorld {
+	t.Helper()
+	w := &carriedWorld{cutWorld: startCutWorldWith(t, test, world.RestartPolicy{})}
 	holder := leaseHolder(t, w.world, w.nodes[0])
 	w.cutNode = anyNodeExcept(w.nodes, holder)
 	w.cutOff(t, linkfault.Hang, w.cutNode)
--- a/test/cut_test.go
+++ b/test/cut_test.go
@@ -59,7 +59,7 @@
 // startCutWorldWith starts a cutWorld; restart determines how its runners are restarted.
 func startCutWorldWith(t *testing.T, test statementTest, restart world.RestartPolicy) *cutWorld {
 	t.Helper()
-	w := &cutWorld{statementWorld: startStatementWorldWith(t, test, restart, func(o *world.Options) { o.FaultyLinks = true })}
+	w := &cutWorld{statementWorld: startStatementWorldWith(t, test, restart, func(o *world.Options) { o.FaultyLinks, o.DirectRunners = true, test.direct })}
 	routes := world.DefaultRoutes()
 	for index := range routes {
 		if routes[index].Name == "reply" {
--- a/test/statements_test.go
+++ b/test/statements_test.go
@@ -65,6 +65,8 @@
 	full  bool
 	// nodes is the number of nodes; zero means defaultNodes.
 	nodes int
+	// direct leaves out the proxies in front of runners.
+	direct bool
 }
 
 // defaultNodes is the number of nodes of most tests.
