Tell incarnations apart where the end of an answer is read late

Callers of a node that had stood still saw a part of an answer without framing as complete: its runner had crashed meanwhile and was back, so it accepted the connection of the check.

Cause: that a runner is there says nothing about the incarnation that answered, once there was time to start again.

Change: if the last read that had to wait began 200 ms ago or more, or the process was paused since the request was sent, the runner is asked for its report, which only the same incarnation answers. Where runners give none, the list is waited for if the process was paused.

--- a/internal/dispatch/completeness.go
+++ b/internal/dispatch/completeness.go
@@ -7,6 +7,8 @@
 	"errors"
 	"mime"
 	"net/http"
+	"syscall"
+	"time"
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
@@ -29,8 +31,10 @@
 	CompletenessUnknown Completeness = "unknown"
 )
 
-// proven reports whether the node may mark the end of the answer by itself. Otherwise its client must
-// see the same as the node: an answer that ends with its connection.
+// proven reports whether the node may give the answer a length. Otherwise its client must see the same
+// as the node: an answer that ends with its connection. A stream is sent in chunks all the same, as
+// the end of this node must not look like that of the stream, and is ended as complete unless
+// CompletenessUnknown.
 func (c Completeness) proven() bool { return c == CompleteByFraming || c == CompleteByForm }
 
 // form says what the content of an answer shows about its end.
@@ -59,16 +63,11 @@
 	case formCut:
 		return "", brokenOff(choice, errCut)
 	}
-	presence, err := answer.Presence(ctx)
-	if err != nil {
-		j.log.Info("runner checked after an answer without framing", "runner", choice.Runner.ID, "presence", string(presence), "error", err.Error())
-	}
-	replaced := j.dispatcher.Fleet.Replaced(choice.Runner)
-	switch {
+	switch presence := j.presence(ctx, choice, answer); {
 	case j.dispatcher.Fleet.Leaves(choice.Runner):
 		// A runner that stops may refuse connections while it completes its last answers.
 		return CompletenessUnknown, nil
-	case presence == upstream.Ended || replaced:
+	case presence == upstream.Ended:
 		return "", brokenOff(choice, errEnded)
 	case presence == upstream.Present:
 		return CompleteByPresence, nil
@@ -77,6 +76,58 @@
 	}
 }
 
+// minRestartTime is less than the time in which a runner that has ended serves again.
+const minRestartTime = 200 * time.Millisecond
+
+// presence finds out whether the incarnation that sent an answer is still there.
+func (j *job) presence(ctx context.Context, choice fleet.Choice, answer *upstream.Answer) upstream.Presence {
+	presence, err := answer.Presence(ctx)
+	if presence == upstream.Present && j.mayHaveRestarted(answer) {
+		presence, err = j.presenceByIdentity(ctx, choice)
+	}
+	if j.dispatcher.Fleet.Replaced(choice.Runner) {
+		presence = upstream.Ended
+	}
+	if err != nil {
+		j.log.Info("runner checked after an answer without framing", "runner", choice.Runner.ID, "presence", string(presence), "error", err.Error())
+	}
+	return presence
+}
+
+// mayHaveRestarted reports whether the answer may have ended so long ago that another incarnation is
+// there.
+func (j *job) mayHaveRestarted(answer *upstream.Answer) bool {
+	if time.Since(answer.WaitedAt()) >= minRestartTime {
+		return true
+	}
+	return j.dispatcher.PausedSince != nil && j.dispatcher.PausedSince(answer.SentAt())
+}
+
+// presenceByIdentity asks the runner for its report, which tells incarnations apart. Where runners give
+// none, the platform's list does, once it was read after a pause of the process.
+func (j *job) presenceByIdentity(ctx context.Context, choice fleet.Choice) (upstream.Presence, error) {
+	if !j.engine || j.dispatcher.Report == nil {
+		if j.dispatcher.AwaitFresh != nil {
+			j.dispatcher.AwaitFresh(ctx)
+		}
+		return upstream.Present, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, identityTimeout)
+	defer cancel()
+	_, err := j.dispatcher.Report(ctx, choice.Runner)
+	switch {
+	case err == nil:
+		return upstream.Present, nil
+	case fault.IsCode(err, fault.CodeNotFound), errors.Is(err, syscall.ECONNREFUSED):
+		return upstream.Ended, err
+	default:
+		return upstream.PresenceUnknown, err
+	}
+}
+
+// identityTimeout bounds the call for a report.
+const identityTimeout = 400 * time.Millisecond
+
 // brokenOff returns the error of an answer that broke off.
 func brokenOff(choice fleet.Choice, cause error) error {
 	return fault.At(fault.CodeInterrupted, "read answer", choice.Runner.ID, fault.Unknown, cause)
@@ -117,8 +168,8 @@
 	j.writer.Header().Set("Transfer-Encoding", "identity")
 }
 
-// errNoProof is the error of a stream whose end cannot be passed on as its runner gave it.
-var errNoProof = errors.New("the stream ended with its connection, which does not show that it is complete")
+// errNoProof is the error of a stream that nothing but the end of its connection shows to be complete.
+var errNoProof = errors.New("the stream ended with its connection, and its runner was not found afterwards")
 
 // hasEvents reports whether an answer consists of events. One without a type does.
 func hasEvents(header http.Header) bool {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -47,7 +47,10 @@
 	// AwaitPendingReads returns once everything that arrived while the node was stalled has been
 	// read; nil where the node never stalls.
 	AwaitPendingReads func()
-	Retries           retry.Limits
+	// PausedSince reports whether the process was paused since a time, so that what it reads may have
+	// arrived long before; nil where it never is.
+	PausedSince func(t time.Time) bool
+	Retries     retry.Limits
 	// MaxPropagationDelay is how long it takes at most until this node learns of operators'
 	// decisions.
 	MaxPropagationDelay time.Duration
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -175,7 +175,7 @@
 	n.pool.Wrap = func(runner string, conn net.Conn) net.Conn { return meter.Connection(conn, n.fleet.RegionOf(runner)) }
 	n.dispatcher = &dispatch.Dispatcher{
 		Node: s.Node, Fleet: n.fleet, Pool: n.pool, Demand: n.demand, Headers: platform.Headers,
-		Configuration: n.activeConfiguration, ConfigurationOrigin: n.configurationOrigin, AwaitFresh: n.awaitFresh, AwaitPendingReads: n.pauses.awaitPendingReads, Retries: retryLimits(s.Retries), Report: platform.Control.Report, MaxPropagationDelay: s.Configuration.Within, Log: log.Logger, Observe: n.observe, Closing: n.closing,
+		Configuration: n.activeConfiguration, ConfigurationOrigin: n.configurationOrigin, AwaitFresh: n.awaitFresh, AwaitPendingReads: n.pauses.awaitPendingReads, PausedSince: n.pauses.pausedSince, Retries: retryLimits(s.Retries), Report: platform.Control.Report, MaxPropagationDelay: s.Configuration.Within, Log: log.Logger, Observe: n.observe, Closing: n.closing,
 	}
 	n.crashes = crash.NewDetector(crash.Prober{Report: platform.Control.Report, Connect: n.pool.Connect, Leaves: n.isLeaving}, n.recordCrash, log.Logger)
 	n.dispatcher.Crashes = n.crashes
--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -75,6 +75,14 @@
 	}
 }
 
+// pausedSince reports whether the process was paused for longer than shortPauseThreshold since t. It
+// checks the clock itself, as a read may return before the first tick after a pause.
+func (p *pauseDetector) pausedSince(t time.Time) bool {
+	p.tick()
+	end := p.shortPauseEnd.Load()
+	return end != 0 && p.start.Add(time.Duration(end)).After(t)
+}
+
 // recordSuspension records a suspension of the machine, during which the clock used by tick stood
 // still.
 func (p *pauseDetector) recordSuspension(suspended time.Duration) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -25,6 +25,8 @@
 	mismatchedBodyLimit = 1 << 20
 	// maxMismatched bounds how many answers to other requests are skipped.
 	maxMismatched = 2
+	// minReadWait is how long a read takes at least if no bytes had arrived before it.
+	minReadWait = 5 * time.Millisecond
 	// idleMargin is how long before the runner's own limit an idle connection is no longer used.
 	idleMargin = time.Second
 )
@@ -103,9 +105,12 @@
 	stop     func() bool
 	reusable bool
 	ended    bool
-	// ctx is the request's context, lastRead is when the last bytes of the answer were read.
+	// ctx is the request's context, lastRead is when the last bytes of the answer were read. sent is
+	// when the request was about to be sent, waited when the last read that had to wait for bytes began.
 	ctx      context.Context
 	lastRead time.Time
+	sent     time.Time
+	waited   time.Time
 }
 
 // Do sends a call and returns the beginning of its answer. The error's outcome is NotDone only if
@@ -129,6 +134,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { conn.expire(context.Cause(ctx)) })
 	conn.beginExchange(call.RequestID)
+	sent := time.Now()
 	written, err := send(conn, call)
 	if err != nil {
 		return nil, p.failed(ctx, conn, stop, "send request", call, err)
@@ -145,7 +151,7 @@
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		NotRun: response.Header.Get(p.names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest,
-		Via:    conn.via(), Framing: framing, body: response.Body, conn: conn, pool: p, runner: call.Runner, address: call.Address, written: written, stop: stop, ctx: ctx, lastRead: time.Now(),
+		Via:    conn.via(), Framing: framing, body: response.Body, conn: conn, pool: p, runner: call.Runner, address: call.Address, written: written, stop: stop, ctx: ctx, lastRead: time.Now(), sent: sent, waited: sent,
 		reusable: !response.Close && framing != FramedByClose,
 	}, nil
 }
@@ -254,7 +260,11 @@
 
 // Read reads the body. io.EOF means that the answer is complete.
 func (a *Answer) Read(buffer []byte) (int, error) {
+	start := time.Now()
 	count, err := a.body.Read(buffer)
+	if time.Since(start) >= minReadWait {
+		a.waited = start
+	}
 	if err == io.EOF {
 		a.finish()
 		return count, io.EOF
--- a/internal/upstream/presence.go
+++ b/internal/upstream/presence.go
@@ -100,6 +100,13 @@
 // errUnasked is the error of a new connection on which a runner sent bytes before a request.
 var errUnasked = errors.New("bytes before a request")
 
+// SentAt returns when the request was about to be sent.
+func (a *Answer) SentAt() time.Time { return a.sent }
+
+// WaitedAt returns when the last read that had to wait for bytes began. What was read since has not
+// arrived before, so a runner that ended did so later.
+func (a *Answer) WaitedAt() time.Time { return a.waited }
+
 // dialSameWay connects to a runner directly or through a peer.
 func (p *Pool) dialSameWay(ctx context.Context, runner reach.Runner, viaPeer bool) (*connection, error) {
 	if viaPeer {
