--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -154,9 +154,6 @@
 	j.outcome.Status = answer.Status
 	j.copyHeader(answer.Header)
 	j.writer.Header().Del("Content-Length")
-	if answer.Framing == upstream.FramedByClose && j.request.EndsStream == nil {
-		j.endWithConnection()
-	}
 	j.writer.WriteHeader(answer.Status)
 	j.stream.spool = newSpool(j.writer, &j.dispatcher.spooled)
 }
@@ -180,10 +177,10 @@
 	if err != nil {
 		return err
 	}
-	j.openStream(answer)
-	if !completeness.proven() && !j.outcome.EndsWithConnection {
+	if completeness == CompletenessUnknown {
 		return brokenOff(choice, errNoProof)
 	}
+	j.openStream(answer)
 	j.outcome.Completeness = completeness
 	if len(remainder) > 0 {
 		j.stream.spool.write(ctx, remainder)
--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -25,17 +25,21 @@
 	return count, err
 }
 
-// resetOnClose makes the connection of a request end with a reset instead of a close, where the close
-// would complete the answer.
-func resetOnClose(request context.Context) error {
+// setReset makes the connection of a request end with a reset instead of a close, also if this process
+// ends, or undoes that. It is for answers that a close would complete.
+func setReset(request context.Context, reset bool) error {
 	conn, ok := request.Value(connectionKey{}).(*connection)
 	if !ok {
 		return nil
 	}
-	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+	tcp, ok := conn.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	if reset {
 		return tcp.SetLinger(0)
 	}
-	return nil
+	return tcp.SetLinger(-1)
 }
 
 // listener wraps the connections that it accepts.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -88,21 +88,26 @@
 	}
 	ctx, release := withDisconnectCause(r.Context())
 	defer release()
+	// Without chunks, only a reset shows that an answer is incomplete. With them, a close leaves the
+	// client all that was sent.
+	unchunked := !r.ProtoAtLeast(1, 1)
+	if unchunked {
+		s.setReset(r, true)
+	}
 	outcome := s.dispatcher.Serve(ctx, w, request)
 	if outcome.Broken() || outcome.Result == dispatch.ResultCanceled {
-		s.abort(r, !r.ProtoAtLeast(1, 1) || outcome.EndsWithConnection)
+		panic(http.ErrAbortHandler)
+	}
+	if unchunked {
+		s.setReset(r, false)
 	}
 }
 
-// abort ends the connection of a request so that its answer looks incomplete. Where the connection ends
-// the answer only a reset does; with chunks, a close leaves the client all that was sent.
-func (s *Server) abort(r *http.Request, reset bool) {
-	if reset {
-		if err := resetOnClose(r.Context()); err != nil {
-			s.log.Info("connection not reset", "step", "abort answer", "peer", r.RemoteAddr, "error", err.Error())
-		}
+// setReset calls setReset for the connection of a request.
+func (s *Server) setReset(r *http.Request, reset bool) {
+	if err := setReset(r.Context(), reset); err != nil {
+		s.log.Info("end of connection not changed", "step", "serve request", "peer", r.RemoteAddr, "error", err.Error())
 	}
-	panic(http.ErrAbortHandler)
 }
 
 // read reads a whole request.
--- a/test/client_test.go
+++ b/test/client_test.go
@@ -37,6 +37,9 @@
 	Body       string
 	Complete   bool
 	RetryAfter string
+	// CloseDelimited is set if the body has neither a length nor chunks, so that the end of the
+	// connection ends it.
+	CloseDelimited bool
 	// Events counts the complete events received.
 	Events int
 }
--- a/test/persistent_client_test.go
+++ b/test/persistent_client_test.go
@@ -119,5 +119,6 @@
 	a.Status, a.Body, a.Complete = response.StatusCode, string(content), err == nil
 	a.Signature = response.Header.Get(protocol.HeaderSignature)
 	a.RetryAfter = response.Header.Get("Retry-After")
+	a.CloseDelimited = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	a.Events = strings.Count(a.Body, "\n\n")
 }
