Report a watch that breaks off

Operators saw a watch end as if it were complete where its connection broke off.

Cause: the error of the reader was not looked at. The same class as answers that end with their connection.

Change: Watch returns it.

Evidence: TestBrokenWatchLookedComplete failed before and passes.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -142,8 +142,8 @@
 	return progress, err
 }
 
-// Watch calls each for every log entry after a revision, until ctx ends, the
-// connection ends or each returns an error.
+// Watch calls each for every log entry after a revision, until ctx ends, the node ends the
+// list or each returns an error. A list that breaks off is an error.
 func (c *Client) Watch(ctx context.Context, after uint64, each func(wire.Entry) error) error {
 	const step = "watch"
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+"/v1/watch?after="+strconv.FormatUint(after, 10), nil)
@@ -172,7 +172,13 @@
 			return err
 		}
 	}
-	return ctx.Err()
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if err := scanner.Err(); err != nil {
+		return transportError(err, step, c.address)
+	}
+	return nil
 }
 
 func (c *Client) call(ctx context.Context, method, path string, body, result any, step string) error {
