Log the parts of the prompt of a request whose runner may have crashed

The logs could not tell what the requests under which runners end have in common, nor which sound ones share it: attempt failed now has parts, all but the last. No logic changes: the tests of dispatch pass.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -135,7 +135,7 @@
 func (j *job) recordFailure(choice fleet.Choice, result attemptResult, err error, elapsed time.Duration) {
 	log := j.log
 	if j.reportPossibleCrash(choice.Runner, result, err) {
-		log = log.WithValues("content", j.contentIdentity().Short())
+		log = log.WithValues("content", j.contentIdentity().Short(), "parts", j.sharedParts())
 	}
 	log.Info("attempt failed", "runner", choice.Runner.ID, "build", string(choice.Runner.Build), "attempt", j.sent, "error", err.Error(), "ran", fault.OutcomeOf(err).String(),
 		"elapsedMs", elapsed.Milliseconds(), "endedBy", string(result.ending), "events", j.forwarded(),
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -56,6 +56,16 @@
 	return "key " + j.request.Key
 }
 
+// sharedParts returns the parts of the prompt that other requests may share, by their names: all but the
+// last one.
+func (j *job) sharedParts() []string {
+	var names []string
+	for _, part := range j.request.Prompt[:max(len(j.request.Prompt)-1, 0)] {
+		names = append(names, part.ID)
+	}
+	return names
+}
+
 // minSilenceBeforeCancel is how long a runner must have been silent before its client left to count
 // as possibly crashed: clients leave for other reasons earlier.
 const minSilenceBeforeCancel = time.Second
