--- a/internal/lab/runnerstub/http.go
+++ b/internal/lab/runnerstub/http.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -117,6 +118,8 @@
 	// firstEvent is the index of the first event to send; above zero in a resumed stream.
 	firstEvent int
 	faults     Faults
+	// crashes is set if the runner crashes as it begins to write an answer.
+	crashes bool
 	// isCompletion is set for the paths of the completion API.
 	isCompletion bool
 }
@@ -143,7 +146,8 @@
 	j := r.parseJob(request, body)
 	j.faults = faults
 	crashes := r.crashesBy(request, body)
-	if crashes {
+	j.crashes = r.crashesByPart(request)
+	if crashes || j.crashes {
 		r.record(journal.Record{Event: journal.EventPoison, Unit: j.model, Request: j.id})
 	}
 	status := r.start(j)
@@ -175,6 +179,18 @@
 	return text != "" && (strings.Contains(request.URL.Path, text) || strings.Contains(string(body), text))
 }
 
+// crashesByPart reports whether a request holds a part that crashes the runner.
+func (r *Runner) crashesByPart(request *http.Request) bool {
+	if r.settings.CrashByParts == "" {
+		return false
+	}
+	parts := strings.Split(request.Header.Get(protocol.HeaderPrompt), ",")
+	return slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool {
+		id, _, _ := strings.Cut(part, ":")
+		return slices.Contains(strings.Split(r.settings.CrashByParts, ","), id)
+	})
+}
+
 func (r *Runner) parseJob(request *http.Request, body []byte) *job {
 	j := &job{runner: r, id: request.Header.Get(protocol.HeaderRequestID), tenant: request.Header.Get(protocol.HeaderTenant), eventCount: defaultEvents}
 	j.isCompletion = strings.HasPrefix(request.URL.Path, completionsPrefix)
@@ -352,6 +368,11 @@
 			return
 		}
 		event := j.event(index)
+		if j.crashes {
+			_, _ = answer.Write([]byte(event))
+			r.endEarly(j, answer, earlyCrash)
+			return
+		}
 		if index == half && (breaks || ends != earlyNot) {
 			if breaks || j.faults.InEvent {
 				_, _ = answer.Write([]byte(event[:len(event)/2]))
@@ -420,6 +441,9 @@
 		r.writeTwice(w, j, content)
 		return
 	}
+	if j.crashes {
+		ends = earlyCrash
+	}
 	if ends != earlyNot && !j.faults.Unframed {
 		w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	}
--- a/internal/lab/runnerstub/runner.go
+++ b/internal/lab/runnerstub/runner.go
@@ -57,6 +57,9 @@
 	// the process.
 	CrashBy string
 	Crash   func()
+	// CrashByParts are parts of prompts, by commas: a request with one of them that is not its last one
+	// crashes the runner as it begins to write an answer.
+	CrashByParts string
 }
 
 // Faults are the faults injected into a runner. Shares are 0 to 1.
--- a/internal/lab/world/runners.go
+++ b/internal/lab/world/runners.go
@@ -48,6 +48,9 @@
 	// the process is restarted.
 	CrashBy string
 	Restart RestartPolicy
+	// CrashByParts are parts of prompts, by commas, that crash the process as it begins to write an
+	// answer; empty for none.
+	CrashByParts string
 	// Build is the version of its software; empty for none.
 	Build string
 }
@@ -101,7 +104,7 @@
 		"--zone", options.Zone, "--listen", runner.address, "--advertise", advertise, "--store", w.address(hostStore, portStore),
 		"--memory-mb", fmt.Sprint(options.MemoryMB), "--model-mb", fmt.Sprint(options.ModelMB), "--slots", fmt.Sprint(options.Slots),
 		"--adapter-slots", fmt.Sprint(options.AdapterSlots), "--token-time", options.TokenTime.String(), "--load-time", options.LoadTime.String(),
-		"--journal", runner.Journal, "--seed", fmt.Sprint(runner.seed), "--crash-by", options.CrashBy, "--build", options.Build)
+		"--journal", runner.Journal, "--seed", fmt.Sprint(runner.seed), "--crash-by", options.CrashBy, "--crash-by-parts", options.CrashByParts, "--build", options.Build)
 	runner.Process = process
 	return err
 }
--- a/internal/labcommand/serve.go
+++ b/internal/labcommand/serve.go
@@ -42,6 +42,7 @@
 	LoadTime     time.Duration `default:"1s" help:"Time of a load from the weight store."`
 	ReportLag    time.Duration `default:"100ms" help:"Age of reports."`
 	CrashBy      string        `help:"Text in a request's path or body, or in a model's name, by which it ends the process as it begins to run or is loaded."`
+	CrashByParts string        `help:"Parts of prompts, by commas, by which it ends the process as it begins to write an answer."`
 	Build        string        `help:"Version of its software, which its row states and its events carry."`
 	Journal      string        `help:"File to journal to."`
 	Seed         uint64        `default:"1" help:"Seed of the faults."`
@@ -76,7 +77,7 @@
 			SizeMB: c.ModelMB, Load: c.LoadTime, DiskLoad: c.LoadTime / diskSpeedup, HostLoad: c.LoadTime / hostMemorySpeedup,
 		},
 		TokenTime: c.TokenTime, PromptTime: c.PromptTime, AdapterTime: adapterTime, ReportLag: c.ReportLag, Seed: c.Seed,
-		Born: time.Now().UnixMilli(), CrashBy: c.CrashBy, Build: c.Build, Crash: func() { os.Exit(exitCrashed) },
+		Born: time.Now().UnixMilli(), CrashBy: c.CrashBy, CrashByParts: c.CrashByParts, Build: c.Build, Crash: func() { os.Exit(exitCrashed) },
 	}, journal.NewWriter(output), c.publish)
 	go runner.Announce()
 	return http.ListenAndServe(c.Listen, runner.Handler())
--- a/test/client_test.go
+++ b/test/client_test.go
@@ -23,6 +23,8 @@
 	Body     []byte
 	Events   int
 	Deadline time.Duration
+	// Parts are those of the prompt before its last one, which is the request's own; "aa" if empty.
+	Parts []string
 	// Key is the client's API key, Header holds additional headers.
 	Key    string
 	Header http.Header
--- a/test/persistent_client_test.go
+++ b/test/persistent_client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -110,10 +111,19 @@
 	if c.Model != "" && (strings.HasPrefix(c.Path, "/draft/") || strings.HasPrefix(c.Path, "/reply/")) {
 		request.Header.Set(protocol.HeaderModel, c.Model)
 		request.Header.Set(protocol.HeaderTokens, "20,"+strconv.Itoa(max(c.Events, 1)))
-		request.Header.Set(protocol.HeaderPrompt, "aa:10,"+c.ID+":10")
+		request.Header.Set(protocol.HeaderPrompt, c.prompt())
 	}
 }
 
+// prompt returns the parts of the prompt as they are sent.
+func (c *clientRequest) prompt() string {
+	parts := c.Parts
+	if len(parts) == 0 {
+		parts = []string{"aa"}
+	}
+	return strings.Join(append(slices.Clone(parts), c.ID), ":10,") + ":10"
+}
+
 // record stores what a client read.
 func (a *clientAnswer) record(response *http.Response, content []byte, err error) {
 	a.Status, a.Body, a.Complete = response.StatusCode, string(content), err == nil
