Allow the call for a report after an answer without framing

TestNothingBypassesCheck failed since dispatch asks a runner for its report once its answer has ended.

--- a/internal/eligible/callers_test.go
+++ b/internal/eligible/callers_test.go
@@ -43,12 +43,13 @@
 
 // allowedSenders are the files that may call what sends something to a runner.
 var allowedSenders = map[string]string{
-	"internal/dispatch/attempt.go": "a request to a runner that fleet chose",
-	"internal/dispatch/hedge.go":   "a hedged request to a runner that fleet chose and still allows",
-	"internal/dispatch/probe.go":   "a load query to the runners that fleet returned",
-	"internal/control/ordering.go": "an order that mayOrder allowed",
-	"internal/control/reports.go":  "a report that mayReport allowed",
-	"internal/node/node.go":        "passes it to dispatch",
+	"internal/dispatch/attempt.go":      "a request to a runner that fleet chose",
+	"internal/dispatch/hedge.go":        "a hedged request to a runner that fleet chose and still allows",
+	"internal/dispatch/probe.go":        "a load query to the runners that fleet returned",
+	"internal/dispatch/completeness.go": "a question to the runner that has just answered",
+	"internal/control/ordering.go":      "an order that mayOrder allowed",
+	"internal/control/reports.go":       "a report that mayReport allowed",
+	"internal/node/node.go":             "passes it to dispatch",
 }
 
 // sendingCalls are the calls that reach a runner, by the name of the field or variable they
