Do not take a connection that a process accepted as it ended for its presence

Of requests that crash runners, a crash was not counted: its node took the runner for one that goes on, and the runner was back, unlisted as the store was away, by the next probe.

Cause: the check of a runner without reports was content with an accepted connection. A process that ends closes its sockets one after the other, and may still accept one after the connection of its request is closed.

Change: the connection must stay open for 20 ms; else the runner is probed again.

TestRunnerThatEndedHadAcceptedAConnection failed before and passes.

--- a/internal/upstream/confirm.go
+++ b/internal/upstream/confirm.go
@@ -82,7 +82,7 @@
 	runner := reach.Runner{Address: address}
 	conn, err := p.dial(ctx, runner)
 	if err == nil {
-		return closeProbe(conn, address)
+		return p.closeProbe(conn, address)
 	}
 	if p.Tunnels == nil {
 		return err
@@ -91,7 +91,7 @@
 	if peerErr != nil {
 		return p.conclude(ctx, runner, err, peerErr)
 	}
-	if closeErr := closeProbe(carried, address); closeErr != nil {
+	if closeErr := p.closeProbe(carried, address); closeErr != nil {
 		return closeErr
 	}
 	if !errors.Is(err, syscall.ECONNREFUSED) {
@@ -102,14 +102,19 @@
 		// The path from this node is broken.
 		return nil
 	}
-	if closeErr := closeProbe(again, address); closeErr != nil {
+	if closeErr := p.closeProbe(again, address); closeErr != nil {
 		return closeErr
 	}
 	return err
 }
 
-// closeProbe closes a connection that nothing was sent on.
-func closeProbe(conn *connection, address string) error {
+// closeProbe closes a connection that nothing was sent on. It must have stayed open for presenceSettle: a
+// process that ends may still accept it.
+func (p *Pool) closeProbe(conn *connection, address string) error {
+	if err := conn.settle(p.presenceSettle); err != nil {
+		_ = conn.Close()
+		return fault.At(fault.CodeInterrupted, "keep connection", address, fault.NotDone, err)
+	}
 	if err := conn.Close(); err != nil {
 		return fault.At(fault.CodeUnreachable, "close connection", address, fault.NotDone, err)
 	}
--- a/internal/upstream/paths_test.go
+++ b/internal/upstream/paths_test.go
@@ -214,6 +214,16 @@
 	assert.NilError(t, w.pool.Connect(t.Context(), s.call("a").Address))
 }
 
+// TestRunnerThatEndedHadAcceptedAConnection: a process that ended accepted a connection before it closed
+// its listener, and counted as one that goes on.
+func TestRunnerThatEndedHadAcceptedAConnection(t *testing.T) {
+	s := serveScript(t, func(s *scriptedRunner, _ int, _ net.Conn) { _ = s.listener.Close() })
+	pool := NewPool(testNames)
+	pool.presenceSettle = 200 * time.Millisecond
+	assert.Assert(t, pool.Connect(t.Context(), s.call("a").Address) != nil)
+	assert.Assert(t, errors.Is(pool.Connect(t.Context(), s.call("a").Address), syscall.ECONNREFUSED))
+}
+
 // TestRunnerThatEndedIsNotWaitedFor: where nobody reaches a runner, a call fails soon after the
 // direct attempt, and peers are not asked for each further call.
 func TestRunnerThatEndedIsNotWaitedFor(t *testing.T) {
