--- a/internal/lab/journal/journal.go
+++ b/internal/lab/journal/journal.go
@@ -91,7 +91,8 @@
 	_, _ = w.output.Write(append(content, '\n'))
 }
 
-// Read returns the records of the journal file at path.
+// Read returns the records of the journal file at path. A last line that is still being written is left
+// out.
 func Read(path string) ([]Record, error) {
 	file, err := os.Open(path)
 	if err != nil {
@@ -99,13 +100,19 @@
 	}
 	defer file.Close()
 	var records []Record
-	scanner := bufio.NewScanner(file)
-	for scanner.Scan() {
+	reader := bufio.NewReader(file)
+	for {
+		line, err := reader.ReadBytes('\n')
+		if err == io.EOF {
+			return records, nil
+		}
+		if err != nil {
+			return nil, err
+		}
 		var record Record
-		if err := json.Unmarshal(scanner.Bytes(), &record); err != nil {
+		if err := json.Unmarshal(line, &record); err != nil {
 			return nil, err
 		}
 		records = append(records, record)
 	}
-	return records, scanner.Err()
 }
