Count the ends of runners by the parts of prompts as well

Cause: what was counted under a crash was the whole request, and no two were alike. An identity was that of an instance, not of what the instances have in common.

Change: each part but the last is one more identity for the counts, marks, rows, strikes, spread and lifting that stand. As many requests share a part, three things are different. Ends that may have one cause count once: the part must have been sent to a runner after the ends that count. A mark applies only once a request without the part has succeeded since, or shortly before: else everything fails. And it does not apply to a request if marks that the request does not hold explain the ends. Nodes are told of suspected requests too, not of refused ones only, so that a success anywhere clears what sound requests share. Callers and models are not part of the identity, the service is. The refusal names the part.

--- a/internal/crash/detector.go
+++ b/internal/crash/detector.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -42,6 +43,17 @@
 	// How describes how the end was detected.
 	How      string
 	Requests []poison.Identity
+	// Parts are the parts of their prompts that other requests share, each once.
+	Parts []poison.PartRun
+}
+
+// Request is a request that a runner was running.
+type Request struct {
+	// Content identifies it, Parts the parts of its prompt that other requests share.
+	Content poison.Identity
+	Parts   []poison.Identity
+	// Sent is when it was sent to the runner.
+	Sent time.Time
 }
 
 // Prober holds the functions that check whether a runner is still there.
@@ -101,23 +113,38 @@
 
 // interruption is a request whose answer broke off, or never came.
 type interruption struct {
-	request poison.Identity
+	request Request
 	at      time.Time
 }
 
 // lastInterruption returns when the last answer broke off.
 func (i *inquiry) lastInterruption() time.Time { return i.requests[len(i.requests)-1].at }
 
-// recentRequests returns the requests whose answers broke off within the last inquiryTimeout.
-// Earlier ones are not connected with an end of the runner now.
-func (i *inquiry) recentRequests() []poison.Identity {
-	var requests []poison.Identity
-	for _, interrupted := range i.requests {
-		if time.Since(interrupted.at) <= inquiryTimeout {
-			requests = append(requests, interrupted.request)
+// recent returns the requests whose answers broke off within the last inquiryTimeout. Earlier ones
+// are not connected with an end of the runner now.
+func (i *inquiry) recent() []interruption {
+	return slices.DeleteFunc(slices.Clone(i.requests), func(interrupted interruption) bool { return time.Since(interrupted.at) > inquiryTimeout })
+}
+
+// newCrash returns the crash of a runner under requests.
+func newCrash(runner, how string, interrupted []interruption) Crash {
+	c := Crash{Runner: runner, How: how}
+	last := make(map[poison.Identity]int)
+	for _, one := range interrupted {
+		c.Requests = append(c.Requests, one.request.Content)
+		for _, part := range one.request.Parts {
+			run := poison.PartRun{Part: part, Sent: one.request.Sent, Ended: one.at}
+			at, known := last[part]
+			switch {
+			case !known:
+				last[part] = len(c.Parts)
+				c.Parts = append(c.Parts, run)
+			case run.Sent.After(c.Parts[at].Sent):
+				c.Parts[at] = run
+			}
 		}
 	}
-	return requests
+	return c
 }
 
 // endedRunner records how and when the end of a runner was detected.
@@ -143,15 +170,16 @@
 // Interrupted records that the answer to a request from a runner broke off, or never came, and by
 // which method to find out whether the runner ended. The end of a runner that leaves is planned
 // and is not a crash.
-func (d *Detector) Interrupted(runner backend.Runner, request poison.Identity, method ProbeMethod) {
+func (d *Detector) Interrupted(runner backend.Runner, request Request, method ProbeMethod) {
 	if d.prober.leaves(runner) {
 		return
 	}
 	d.mutex.Lock()
 	d.dropExpired()
+	interrupted := interruption{request: request, at: time.Now()}
 	if past, ended := d.ended[runner.ID]; ended {
 		d.mutex.Unlock()
-		d.onCrash(Crash{Runner: runner.ID, How: past.how, Requests: []poison.Identity{request}})
+		d.onCrash(newCrash(runner.ID, past.how, []interruption{interrupted}))
 		return
 	}
 	defer d.mutex.Unlock()
@@ -167,7 +195,7 @@
 	if len(inq.requests) == maxPendingRequests {
 		inq.requests = inq.requests[1:]
 	}
-	inq.requests = append(inq.requests, interruption{request: request, at: time.Now()})
+	inq.requests = append(inq.requests, interrupted)
 	inq.method = max(inq.method, method)
 	if method != ProbeNone {
 		inq.due = true
@@ -338,12 +366,12 @@
 	if inq == nil {
 		return
 	}
-	requests := inq.recentRequests()
-	if len(requests) == 0 {
+	recent := inq.recent()
+	if len(recent) == 0 {
 		return
 	}
-	d.log.Info("runner ended under requests", "runner", id, "how", how, "requests", len(requests))
-	d.onCrash(Crash{Runner: id, How: how, Requests: requests})
+	d.log.Info("runner ended under requests", "runner", id, "how", how, "requests", len(recent))
+	d.onCrash(newCrash(id, how, recent))
 }
 
 // dropExpired removes runners that ended longer than endedRetention ago. mutex is held.
--- a/internal/crash/detector_test.go
+++ b/internal/crash/detector_test.go
@@ -50,7 +50,7 @@
 	var crashes []Crash
 	synctest.Test(t, func(*testing.T) {
 		d := NewDetector(Prober{Report: a.report}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
-		d.Interrupted(runner, request, ProbeReport)
+		d.Interrupted(runner, Request{Content: request}, ProbeReport)
 		if then != nil {
 			then(d)
 		}
@@ -94,7 +94,7 @@
 		time.Sleep(3 * time.Second)
 		d.Gone(runner, HowUnlisted)
 		d.Gone(runner, HowUnlisted)
-		d.Interrupted(runner, later, ProbeReport)
+		d.Interrupted(runner, Request{Content: later}, ProbeReport)
 	})
 	assert.DeepEqual(t, crashes, []Crash{
 		{Runner: runner.ID, How: HowUnlisted, Requests: []poison.Identity{request}},
@@ -119,7 +119,7 @@
 		}
 		synctest.Test(t, func(*testing.T) {
 			d := NewDetector(Prober{Connect: connect}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
-			d.Interrupted(runner, request, ProbeConnect)
+			d.Interrupted(runner, Request{Content: request}, ProbeConnect)
 			time.Sleep(time.Second)
 			synctest.Wait()
 			assert.Equal(t, len(crashes) == 1, gone)
@@ -144,12 +144,12 @@
 		}
 		synctest.Test(t, func(t *testing.T) {
 			d := NewDetector(Prober{Connect: connect}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
-			d.Interrupted(runner, poison.Identity{9}, first)
+			d.Interrupted(runner, Request{Content: poison.Identity{9}}, first)
 			time.Sleep(inquiryTimeout - time.Second)
 			synctest.Wait()
 			gone = true
 			start := time.Now()
-			d.Interrupted(runner, request, ProbeConnect)
+			d.Interrupted(runner, Request{Content: request}, ProbeConnect)
 			synctest.Wait()
 			assert.Assert(t, time.Since(start) < time.Millisecond)
 			assert.Equal(t, len(crashes), 1)
@@ -166,7 +166,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := NewDetector(Prober{Connect: func(context.Context, string) error { return nil }}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
 		for number := range 8 {
-			d.Interrupted(runner, poison.Identity{byte(number)}, ProbeNone)
+			d.Interrupted(runner, Request{Content: poison.Identity{byte(number)}}, ProbeNone)
 			time.Sleep(inquiryTimeout / 4)
 		}
 		d.Gone(runner, HowUnlisted)
@@ -184,9 +184,9 @@
 		d := NewDetector(Prober{Connect: noConnection}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
 		other := backend.Runner{ID: "other"}
 		d.Refused(other.ID)
-		d.Interrupted(runner, request, ProbeConnect)
+		d.Interrupted(runner, Request{Content: request}, ProbeConnect)
 		d.Refused(runner.ID)
-		d.Interrupted(other, request, ProbeConnect)
+		d.Interrupted(other, Request{Content: request}, ProbeConnect)
 		d.Close()
 	})
 	assert.DeepEqual(t, crashes, []Crash{{Runner: runner.ID, How: howRefused, Requests: []poison.Identity{request}}})
@@ -198,8 +198,8 @@
 		d := NewDetector(Prober{Connect: noConnection}, func(c Crash) { t.Errorf("unexpected crash: %+v", c) }, logr.Discard())
 		leaving := runner
 		leaving.Draining = true
-		d.Interrupted(leaving, request, ProbeConnect)
-		d.Interrupted(runner, request, ProbeConnect)
+		d.Interrupted(leaving, Request{Content: request}, ProbeConnect)
+		d.Interrupted(runner, Request{Content: request}, ProbeConnect)
 		d.Gone(leaving, HowUnlisted)
 		d.Close()
 	})
@@ -218,11 +218,11 @@
 				return backend.Report{}, errGone
 			}
 			time.Sleep(time.Millisecond)
-			d.Interrupted(runner, poison.Identity{2}, ProbeReport)
+			d.Interrupted(runner, Request{Content: poison.Identity{2}}, ProbeReport)
 			return backend.Report{}, nil
 		}
 		d = NewDetector(Prober{Report: report}, func(c Crash) { crashes = append(crashes, c) }, logr.Discard())
-		d.Interrupted(runner, request, ProbeReport)
+		d.Interrupted(runner, Request{Content: request}, ProbeReport)
 		time.Sleep(time.Second)
 		d.Close()
 	})
@@ -234,7 +234,7 @@
 func TestPendingRequestsAreBounded(t *testing.T) {
 	crashes := detect(t, &answers{list: []answer{{err: errReset}}}, func(d *Detector) {
 		for number := range 2 * maxPendingRequests {
-			d.Interrupted(runner, poison.Identity{byte(number), byte(number >> 8), 1}, ProbeReport)
+			d.Interrupted(runner, Request{Content: poison.Identity{byte(number), byte(number >> 8), 1}}, ProbeReport)
 		}
 		d.Gone(runner, HowUnlisted)
 	})
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -57,13 +57,14 @@
 		start = takeover.start
 	}
 	result, err := j.exchange(ctx, choice, takeover)
+	result.sent = start
 	if errors.Is(err, errNotAdmitted) {
 		return j.endUnsent(ctx, choice, result, err)
 	}
 	j.dispatcher.Fleet.Done(choice, j.query, result.fleet, time.Since(start), result.started)
 	j.recordHedges(result.failedHedges)
 	if err == nil {
-		j.reportSuccess(choice.Runner)
+		j.reportSuccess(choice.Runner, result)
 		return false
 	}
 	j.outcome.Endings = append(j.outcome.Endings, result.ending)
@@ -206,6 +207,8 @@
 type attemptResult struct {
 	fleet   fleet.Result
 	started bool
+	// sent is when the request was about to be sent.
+	sent time.Time
 	// timedOut is set when the request's deadline passed during the attempt.
 	timedOut bool
 	// ending says who ended a failed attempt.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -85,6 +85,12 @@
 	Idle() bool
 	// Refused returns the mark of a request that is not to be run.
 	Refused(request poison.Identity) (poison.Mark, bool)
+	// Blamed reports whether the mark of a part of a prompt applies to a request that holds the given
+	// content and parts.
+	Blamed(part poison.Mark, holds []poison.Identity) bool
+	// Controlled reports a request of a service that succeeded, with the names of the parts of its
+	// prompt that others share.
+	Controlled(service string, parts []string)
 	// Succeeded reports a request that succeeded. It returns whether crashes under it were known,
 	// which no longer count.
 	Succeeded(request poison.Identity) (cleared bool)
@@ -94,7 +100,7 @@
 type Crashes interface {
 	// Interrupted reports a request whose answer broke off or never came, and how to find out
 	// whether its runner crashed.
-	Interrupted(runner backend.Runner, request poison.Identity, method crash.ProbeMethod)
+	Interrupted(runner backend.Runner, request crash.Request, method crash.ProbeMethod)
 	// Refused reports a runner whose address refused a connection.
 	Refused(runner string)
 }
@@ -237,6 +243,9 @@
 	identityMutex sync.Mutex
 	identity      poison.Identity
 	identityUnit  *backend.Unit
+	// parts are the identities of the shared parts of the prompt, once computed; guarded by
+	// identityMutex.
+	parts []poison.Identity
 }
 
 // run serves the request until its final answer.
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -174,7 +174,7 @@
 // fail records a hedge that does not take over the request.
 func (h *hedges) fail(failed *hedge) {
 	failed.result.ending = endingOf(failed.ctx)
-	failed.result.silent = time.Since(failed.start)
+	failed.result.silent, failed.result.sent = time.Since(failed.start), failed.start
 	failed.cancel(nil)
 	if fault.OutcomeOf(failed.err) != fault.NotDone {
 		h.ran++
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -37,12 +38,20 @@
 	return j.identity
 }
 
+// partIdentities returns the identities of the parts of the prompt that other requests may share. It is
+// called before the request is sent first, and by its hedges beside the job's goroutine.
+func (j *job) partIdentities() []poison.Identity {
+	j.identityMutex.Lock()
+	defer j.identityMutex.Unlock()
+	if j.parts == nil {
+		j.parts = poison.PartIdentities(j.query.Service, j.sharedParts())
+	}
+	return j.parts
+}
+
 // refusedNow reports whether the request must not be sent to a runner of the unit.
 func (j *job) refusedNow(unit backend.Unit) bool {
-	if !j.quarantineActive() {
-		return false
-	}
-	_, refused := j.dispatcher.Quarantine.Refused(j.identityFor(unit))
+	_, _, refused := j.quarantineMark(unit)
 	return refused
 }
 
@@ -91,10 +100,15 @@
 	default:
 		return false
 	}
-	j.dispatcher.Crashes.Interrupted(runner, j.contentIdentity(), j.probeMethod(result.ending))
+	j.dispatcher.Crashes.Interrupted(runner, j.crashRequest(result), j.probeMethod(result.ending))
 	return true
 }
 
+// crashRequest returns the request as one that its runner may have crashed by.
+func (j *job) crashRequest(result attemptResult) crash.Request {
+	return crash.Request{Content: j.contentIdentity(), Parts: j.partIdentities(), Sent: result.sent}
+}
+
 // probeMethod returns how to find out whether a runner crashed: runners of engine services are
 // asked for a report. Of the others, only one that broke off the connection itself is worth a new
 // connection, as many are just slow.
@@ -109,27 +123,39 @@
 	}
 }
 
-// quarantined returns the refusal of a request that crashed runners: at first with a retry time, as
-// attempts that are still running may end well, then for good.
+// quarantined returns the refusal of a request that crashed runners, or that holds a part by which others
+// did: at first with a retry time, as attempts that are still running may end well, then for good.
 func (j *job) quarantined() *fault.Error {
-	mark, refused := j.quarantineMark()
+	mark, common, refused := j.quarantineMark(j.query.Unit)
 	if !refused {
 		return nil
 	}
 	const step = "check quarantine"
 	now := time.Now()
 	if mark.Provisional(now) {
-		return fault.New(fault.CodeCrashSuspected, step, "%s", mark.Finding).WithRetryAfter(poison.ProvisionalPeriod - now.Sub(mark.Since))
+		return fault.New(fault.CodeCrashSuspected, step, "%s", mark.Describe(common)).WithRetryAfter(poison.ProvisionalPeriod - now.Sub(mark.Since))
 	}
-	return fault.New(fault.CodeCrashesRunners, step, "%s", mark.Finding)
+	return fault.New(fault.CodeCrashesRunners, step, "%s", mark.Describe(common))
 }
 
-// quarantineMark returns the quarantine mark of the request, if it is not to be run.
-func (j *job) quarantineMark() (poison.Mark, bool) {
+// quarantineMark returns the quarantine mark by which the request is not to be run by a runner of the
+// unit, and what it shares with the requests that crashed runners.
+func (j *job) quarantineMark(unit backend.Unit) (mark poison.Mark, common string, refused bool) {
 	if !j.quarantineActive() {
-		return poison.Mark{}, false
+		return poison.Mark{}, "", false
 	}
-	return j.dispatcher.Quarantine.Refused(j.contentIdentity())
+	content := j.identityFor(unit)
+	if mark, refused = j.dispatcher.Quarantine.Refused(content); refused {
+		return mark, "this content", true
+	}
+	parts := j.partIdentities()
+	for i, part := range parts {
+		mark, refused = j.dispatcher.Quarantine.Refused(part)
+		if refused && j.dispatcher.Quarantine.Blamed(mark, append(slices.Clone(parts), content)) {
+			return mark, "part " + j.request.Prompt[i].ID + " of their prompts", true
+		}
+	}
+	return poison.Mark{}, "", false
 }
 
 // quarantineActive reports whether any request is known that crashed runners.
@@ -139,21 +165,25 @@
 
 // reportSuccess reports a request that succeeded to the quarantine. An answer that nothing shows to be
 // complete may be a crash: the runner is asked instead.
-func (j *job) reportSuccess(runner backend.Runner) {
+func (j *job) reportSuccess(runner backend.Runner, result attemptResult) {
 	if j.outcome.Result != ResultServed || j.outcome.Status >= http.StatusMultipleChoices {
 		return
 	}
 	if j.outcome.Completeness == CompletenessUnknown {
 		if j.dispatcher.Crashes != nil {
-			j.dispatcher.Crashes.Interrupted(runner, j.contentIdentity(), j.probeMethod(EndedByRunner))
+			j.dispatcher.Crashes.Interrupted(runner, j.crashRequest(result), j.probeMethod(EndedByRunner))
 		}
 		return
 	}
+	if j.dispatcher.Quarantine != nil && j.engine {
+		j.dispatcher.Quarantine.Controlled(j.query.Service, j.sharedParts())
+	}
 	if !j.quarantineActive() {
 		return
 	}
-	content := j.contentIdentity()
-	if j.dispatcher.Quarantine.Succeeded(content) {
-		j.log.Info("crashes under request cleared by its success", "content", content.Short(), "runner", j.outcome.Runner, "via", j.outcome.Via)
+	for _, identity := range append([]poison.Identity{j.contentIdentity()}, j.partIdentities()...) {
+		if j.dispatcher.Quarantine.Succeeded(identity) {
+			j.log.Info("crashes under request cleared by its success", "content", identity.Short(), "runner", j.outcome.Runner, "via", j.outcome.Via)
+		}
 	}
 }
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -24,6 +24,10 @@
 
 func (q *quarantineStub) Idle() bool { return !q.refuses.Load() }
 
+func (q *quarantineStub) Controlled(string, []string) {}
+
+func (q *quarantineStub) Blamed(poison.Mark, []poison.Identity) bool { return true }
+
 func (q *quarantineStub) Refused(poison.Identity) (poison.Mark, bool) {
 	return poison.Mark{Since: time.Now()}, q.refuses.Load()
 }
@@ -68,7 +72,7 @@
 // crashesStub counts the signs of crashes.
 type crashesStub struct{ interrupted atomic.Int64 }
 
-func (c *crashesStub) Interrupted(backend.Runner, poison.Identity, crash.ProbeMethod) {
+func (c *crashesStub) Interrupted(backend.Runner, crash.Request, crash.ProbeMethod) {
 	c.interrupted.Add(1)
 }
 
--- a/internal/poison/marks.go
+++ b/internal/poison/marks.go
@@ -95,7 +95,7 @@
 		if after.Refused() && !before.Refused() {
 			after.Since = now
 		}
-		if !known || after.Refused() != before.Refused() {
+		if !known || after.Refused() != before.Refused() || after.Controlled != before.Controlled {
 			updated = append(updated, after)
 		}
 		changed[finding.Request] = after
@@ -109,15 +109,55 @@
 	if !known {
 		return Mark{Finding: finding, first: now.Add(-finding.Age)}
 	}
-	before.Runners = slices.Clone(before.Runners)
+	before.Runners, before.Beside = slices.Clone(before.Runners), slices.Clone(before.Beside)
+	before.Controlled = before.Controlled || finding.Controlled
 	for _, runner := range finding.Runners {
-		if !slices.Contains(before.Runners, runner) && len(before.Runners) < maxRunners {
+		if !slices.Contains(before.All(), runner) && len(before.Runners) < maxRunners {
 			before.Runners = append(before.Runners, runner)
 		}
 	}
+	for _, runner := range finding.Beside {
+		if !slices.Contains(before.All(), runner) && len(before.Beside) < maxBeside {
+			before.Beside = append(before.Beside, runner)
+		}
+	}
 	return before
 }
 
+// Blamed reports whether a request that holds a part is to be refused, though a part may be on all
+// runners that end because it comes with the one that ends them, or because all do: requests without it
+// must have succeeded since, and enough of its ends must not be explained by marks that the request does not hold. A content explains any end, as it is one request
+// alone. A part explains those of one that is at no more ends, or that cleared says has once succeeded.
+func (m *Marks) Blamed(part Mark, holds []Identity, cleared bool) bool {
+	if !part.Controlled {
+		return false
+	}
+	left := slices.Clone(part.Runners)
+	for _, other := range *m.current.Load() {
+		explains := cleared || !other.Request.IsPart() || len(other.Runners) >= len(part.Runners)
+		if !explains || !other.Refused() || slices.Contains(holds, other.Request) {
+			continue
+		}
+		explained := other.All()
+		left = slices.DeleteFunc(left, func(runner string) bool { return slices.Contains(explained, runner) })
+	}
+	return len(left) >= RefuseThreshold
+}
+
+// Control notes that a request of a service succeeded that holds these parts, and returns findings of the
+// suspected parts that it does not hold and that were not controlled before.
+func (m *Marks) Control(service string, holds []Identity) []Finding {
+	var controlled []Finding
+	for identity, mark := range *m.current.Load() {
+		if !mark.Controlled && identity.isPartOf(service) && !slices.Contains(holds, identity) {
+			finding := mark.Finding
+			finding.Controlled = true
+			controlled = append(controlled, finding)
+		}
+	}
+	return controlled
+}
+
 // Drop removes the mark of a request.
 func (m *Marks) Drop(request Identity) {
 	m.mutex.Lock()
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -20,8 +20,10 @@
 	RefuseThreshold = 3
 	// evidenceLifetime is how long the crashes of a request count if no further one follows.
 	evidenceLifetime = 30 * time.Minute
-	// maxRunners bounds the runners kept per request.
+	// maxRunners bounds the runners kept per request, maxBeside those that ended at the same time as one
+	// of them.
 	maxRunners = 16
+	maxBeside  = 64
 	// maxEntries bounds the requests in a tally: 64 crashes with 64 requests each. Requests with
 	// the fewest crashes are evicted first, the oldest of them before the others.
 	maxEntries = 4096
@@ -30,8 +32,14 @@
 // Finding is a request that was running on runners when these ended.
 type Finding struct {
 	Request Identity
-	// Runners are the incarnations that ended while running the request, in order.
+	// Runners are the incarnations that ended while running the request, in order. Of a part of prompts
+	// only those that ended one after the other count; Beside are others that ended at the same time as
+	// one of them.
 	Runners []string
+	Beside  []string
+	// Controlled is set for a part once a request without it has succeeded in its service since it became
+	// suspected: it is not that nothing succeeds.
+	Controlled bool
 	// Age is how long the finding had been known to the node that sent it; zero for an own one.
 	Age time.Duration
 }
@@ -42,9 +50,15 @@
 	return f
 }
 
+// All returns the runners that count and those beside them.
+func (f Finding) All() []string { return slices.Concat(f.Runners, f.Beside) }
+
 // String describes the finding for operators and callers.
-func (f Finding) String() string {
-	return fmt.Sprintf("%d runners ended under requests with this content (%s): %s", len(f.Runners), f.Request.Short(), strings.Join(f.Runners, ", "))
+func (f Finding) String() string { return f.Describe("this content") }
+
+// Describe is String for requests that have something in common, such as a part of their prompts.
+func (f Finding) Describe(common string) string {
+	return fmt.Sprintf("%d runners ended under requests with %s (%s): %s", len(f.Runners), common, f.Request.Short(), strings.Join(f.Runners, ", "))
 }
 
 // Tally counts, by request, the runners that ended while running it. It is not safe for
@@ -60,6 +74,20 @@
 	runners   []string
 	struck    []string
 	lastCrash time.Time
+	// runs are, for a part, when it ran on runners that this tally has a report of, and beside the
+	// runners that ended at the same time as one in runners.
+	runs   map[string]PartRun
+	beside []string
+}
+
+// finding returns what the entry holds of a request.
+func (e *entry) finding(request Identity) Finding {
+	return Finding{Request: request, Runners: slices.Clone(e.runners), Beside: slices.Clone(e.beside)}
+}
+
+// knows reports whether the end of a runner is recorded, whether or not it counts.
+func (e *entry) knows(runner string) bool {
+	return slices.Contains(e.runners, runner) || slices.Contains(e.struck, runner) || slices.Contains(e.beside, runner)
 }
 
 // NewTally returns an empty tally.
@@ -73,21 +101,71 @@
 	var findings []Finding
 	for _, request := range requests {
 		if t.add(request, runner, now) && len(t.entries[request].runners) >= SuspectThreshold {
-			findings = append(findings, Finding{Request: request, Runners: slices.Clone(t.entries[request].runners)})
+			findings = append(findings, t.entries[request].finding(request))
 		}
 	}
 	t.trim(now)
 	return findings
 }
 
-// add records one crash for a request and reports whether it was not known before.
-func (t *Tally) add(request Identity, runner string, now time.Time) bool {
+// RecordParts is RecordCrash for the parts of prompts that a runner was running. Many requests share
+// them, so that one cause which ends many runners at once must count once: the end of a runner counts
+// only if the part was sent there after the ends that count, or before all of it.
+func (t *Tally) RecordParts(runner string, parts []PartRun, now time.Time) []Finding {
+	var findings []Finding
+	for _, run := range parts {
+		if t.addPart(run, runner, now) && len(t.entries[run.Part].runners) >= SuspectThreshold {
+			findings = append(findings, t.entries[run.Part].finding(run.Part))
+		}
+	}
+	t.trim(now)
+	return findings
+}
+
+// addPart records one crash for a part and reports whether it counts and was not known before.
+func (t *Tally) addPart(run PartRun, runner string, now time.Time) bool {
+	known := t.live(run.Part, now)
+	if known.knows(runner) {
+		return false
+	}
+	if known.runs == nil {
+		known.runs = make(map[string]PartRun)
+	}
+	for _, counted := range known.runners {
+		if other, timed := known.runs[counted]; timed && run.overlaps(other) {
+			known.runs[runner] = run
+			known.addBeside(runner)
+			return false
+		}
+	}
+	if !t.add(run.Part, runner, now) {
+		return false
+	}
+	known.runs[runner] = run
+	return true
+}
+
+// addBeside records a runner that ended at the same time as one that counts.
+func (e *entry) addBeside(runner string) {
+	if len(e.beside) < maxBeside && !e.knows(runner) {
+		e.beside = append(e.beside, runner)
+	}
+}
+
+// live returns the entry of a request, a new one if there is none or it has expired.
+func (t *Tally) live(request Identity, now time.Time) *entry {
 	known := t.entries[request]
 	if known == nil || known.expired(now) {
-		known = &entry{}
+		known = &entry{lastCrash: now}
 		t.entries[request] = known
 	}
-	if slices.Contains(known.runners, runner) || slices.Contains(known.struck, runner) || len(known.runners) >= maxRunners {
+	return known
+}
+
+// add records one crash for a request and reports whether it was not known before.
+func (t *Tally) add(request Identity, runner string, now time.Time) bool {
+	known := t.live(request, now)
+	if known.knows(runner) || len(known.runners) >= maxRunners {
 		return false
 	}
 	known.runners = append(known.runners, runner)
@@ -97,6 +175,10 @@
 
 // Merge adds another tally's finding, and returns it combined with what this tally knew.
 func (t *Tally) Merge(finding Finding, now time.Time) Finding {
+	if known := t.entries[finding.Request]; known != nil && len(finding.Beside) > 0 {
+		// What ended beside a runner that counts elsewhere does not count here as well.
+		known.runners = slices.DeleteFunc(known.runners, func(runner string) bool { return slices.Contains(finding.Beside, runner) })
+	}
 	for _, runner := range finding.Runners {
 		t.add(finding.Request, runner, now)
 	}
@@ -104,7 +186,10 @@
 	if known == nil {
 		return finding
 	}
-	return Finding{Request: finding.Request, Runners: slices.Clone(known.runners)}
+	for _, runner := range finding.Beside {
+		known.addBeside(runner)
+	}
+	return known.finding(finding.Request)
 }
 
 // Strike makes the ends of some runners no longer count for a request, because an attempt of it
@@ -124,7 +209,10 @@
 		}
 	}
 	known.struck = known.struck[max(len(known.struck)-maxRunners, 0):]
-	known.runners = slices.DeleteFunc(known.runners, func(runner string) bool { return slices.Contains(runners, runner) })
+	struck := func(runner string) bool { return slices.Contains(runners, runner) }
+	known.runners = slices.DeleteFunc(known.runners, struck)
+	known.beside = slices.DeleteFunc(known.beside, struck)
+	maps.DeleteFunc(known.runs, func(runner string, _ PartRun) bool { return struck(runner) })
 	known.lastCrash = now
 	t.trim(now)
 }
@@ -156,12 +244,26 @@
 	crashes := make(map[string][]Identity)
 	for request, known := range t.entries {
 		for _, runner := range known.runners {
-			crashes[runner] = append(crashes[runner], request)
+			if known.runs == nil {
+				crashes[runner] = append(crashes[runner], request)
+			}
 		}
 	}
 	return crashes
 }
 
+// PartRuns returns the runs of parts that this tally has a report of, by runner, for transfer to another
+// tally.
+func (t *Tally) PartRuns() map[string][]PartRun {
+	runs := make(map[string][]PartRun)
+	for _, known := range t.entries {
+		for runner, run := range known.runs {
+			runs[runner] = append(runs[runner], run)
+		}
+	}
+	return runs
+}
+
 // Expire removes expired entries and returns how many are left.
 func (t *Tally) Expire(now time.Time) int {
 	maps.DeleteFunc(t.entries, func(_ Identity, known *entry) bool { return known.expired(now) })
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -84,11 +84,13 @@
 	witnessed []witnessedCrash
 	// pendingWrites are the rows to write, with nil for those to remove. written are the rows in
 	// the table.
-	pendingWrites map[poison.Identity][]string
+	pendingWrites map[poison.Identity]*wire.PoisonRecord
 	written       map[poison.Identity]bool
 	// due is signalled when there is something to write.
 	due chan struct{}
 
+	successes successes
+
 	// calls are the calls to other nodes in progress. They end with ctx.
 	calls  sync.WaitGroup
 	ctx    context.Context
@@ -99,7 +101,7 @@
 func New(options Options) *Quarantine {
 	q := &Quarantine{
 		Options: options, marks: poison.NewMarks(), tally: poison.NewTally(),
-		pendingWrites: make(map[poison.Identity][]string), written: make(map[poison.Identity]bool), due: make(chan struct{}, 1),
+		pendingWrites: make(map[poison.Identity]*wire.PoisonRecord), written: make(map[poison.Identity]bool), due: make(chan struct{}, 1),
 	}
 	q.ctx, q.cancel = context.WithCancel(context.Background())
 	none := ""
@@ -131,6 +133,15 @@
 	return mark, known && mark.Refused() && !mark.Expired(time.Now())
 }
 
+// Blamed reports whether the mark of a part of a prompt applies to a request that holds the given
+// contents and parts.
+func (q *Quarantine) Blamed(part poison.Mark, holds []poison.Identity) bool {
+	q.mutex.Lock()
+	cleared := len(q.tally.Struck(part.Request)) > 0
+	q.mutex.Unlock()
+	return q.marks.Blamed(part, holds, cleared)
+}
+
 // CountRefused returns the number of refused requests.
 func (q *Quarantine) CountRefused() int {
 	count := 0
@@ -151,7 +162,7 @@
 	if !q.tally.Contains(request) && !marked {
 		return false
 	}
-	struck := wire.CrashesStruck{Request: request, Runners: q.tally.Merge(mark.Finding.For(request), time.Now()).Runners}
+	struck := wire.CrashesStruck{Request: request, Runners: q.tally.Merge(mark.Finding.For(request), time.Now()).All()}
 	q.unreported.Struck = newest(append(q.unreported.Struck, struck))
 	if marked {
 		q.Log.Info("request no longer suspected of ending runners", "content", request.Short(), "reason", "an attempt of it succeeded")
@@ -169,10 +180,11 @@
 func (q *Quarantine) Crashed(c crash.Crash) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	report := wire.CrashReport{Runner: c.Runner, Requests: c.Requests}
-	q.witnessed = newest(append(q.witnessed, witnessedCrash{CrashReport: report, at: time.Now()}))
+	now := time.Now()
+	report := wire.CrashReport{Runner: c.Runner, Requests: c.Requests, Parts: wireRuns(c.Parts, now), At: now}
+	q.witnessed = newest(append(q.witnessed, witnessedCrash{CrashReport: report, at: now}))
 	q.unreported.Crashes = newest(append(q.unreported.Crashes, report))
-	q.add(c.Runner, c.Requests)
+	q.add(c.Runner, c.Requests, c.Parts)
 	q.tellAggregators(wire.PoisonReport{Crashes: []wire.CrashReport{report}})
 	q.ReportNow(*q.service.Load())
 }
@@ -194,23 +206,32 @@
 			q.tally.Strike(request, q.tally.Runners(request), time.Now())
 		}
 	}
+	now := time.Now()
 	for _, c := range report.Crashes {
-		q.add(c.Runner, c.Requests)
+		q.add(c.Runner, c.Requests, partRuns(c.Parts, now))
 	}
 	q.learnMarks(report.Marks)
 }
 
-// add counts a crash, together with what the table says about the requests, and marks those that
-// are suspected. mutex is held.
-func (q *Quarantine) add(runner string, requests []poison.Identity) {
+// add counts a crash, together with what the table says about the requests and the parts of their
+// prompts, and marks those that are suspected. mutex is held.
+func (q *Quarantine) add(runner string, requests []poison.Identity, parts []poison.PartRun) {
 	now := time.Now()
 	q.tracking.Store(true)
 	for _, request := range requests {
-		if mark, known := q.marks.Find(request); known {
-			q.tally.Merge(mark.Finding, now)
-		}
+		q.mergeMark(request, now)
+	}
+	for _, run := range parts {
+		q.mergeMark(run.Part, now)
+	}
+	q.publish(append(q.tally.RecordCrash(runner, requests, now), q.tally.RecordParts(runner, parts, now)...))
+}
+
+// mergeMark adds what a mark says to the tally. mutex is held.
+func (q *Quarantine) mergeMark(request poison.Identity, now time.Time) {
+	if mark, known := q.marks.Find(request); known {
+		q.tally.Merge(mark.Finding, now)
 	}
-	q.publish(q.tally.RecordCrash(runner, requests, now))
 }
 
 // publish applies findings and queues them to be written. mutex is held.
@@ -220,28 +241,36 @@
 	}
 	q.apply(findings, SourceCount)
 	for _, finding := range findings {
-		q.pendingWrites[finding.Request] = finding.Runners
+		q.pendingWrites[finding.Request] = &wire.PoisonRecord{Runners: finding.Runners, Beside: finding.Beside}
 	}
 	q.signal()
 }
 
-// apply marks the requests of findings, without crashes that no longer count. If one of them becomes
-// refused, the neighbors are told and requests that wait for a runner check again. mutex is held.
+// apply marks the requests of findings, without crashes that no longer count. The neighbors are told of
+// those that become suspected, so that an attempt that succeeds anywhere clears them, or refused. If one
+// becomes refused, requests that wait for a runner check again. mutex is held.
 func (q *Quarantine) apply(findings []poison.Finding, source Source) {
 	q.tracking.Store(true)
-	var refused []poison.Mark
-	for _, mark := range q.marks.Put(q.countable(findings), time.Now()) {
+	updated := q.marks.Put(q.countable(findings), time.Now())
+	if len(updated) > 0 {
+		updated = append(updated, q.marks.Put(q.successes.control(q.marks, time.Now()), time.Now())...)
+	}
+	refused := false
+	for _, mark := range updated {
+		log := q.Log.WithValues("content", mark.Request.Short(), "part", mark.Request.IsPart(), "controlled", mark.Controlled, "runners", mark.Runners, "source", source)
 		if !mark.Refused() {
-			q.Log.Info("request suspected of ending runners", "content", mark.Request.Short(), "runners", mark.Runners, "source", source)
+			log.Info("request suspected of ending runners")
 			continue
 		}
-		refused = append(refused, mark)
-		q.Log.Info("request refused as runners end under it", "content", mark.Request.Short(), "runners", mark.Runners, "source", source)
+		refused = true
+		log.Info("request refused as runners end under it")
 		q.RecordDecision("content/"+mark.Request.Short(), "refuse request", mark.Finding.String())
 	}
-	if len(refused) > 0 {
+	if refused {
 		q.Wake()
-		q.tellNeighbors(wire.PoisonReport{Marks: wireMarks(refused)})
+	}
+	if len(updated) > 0 {
+		q.tellNeighbors(wire.PoisonReport{Marks: wireMarks(updated)})
 	}
 }
 
@@ -251,7 +280,9 @@
 	var counted []poison.Finding
 	for _, finding := range findings {
 		struck := q.tally.Struck(finding.Request)
-		finding.Runners = slices.DeleteFunc(slices.Clone(finding.Runners), func(runner string) bool { return slices.Contains(struck, runner) })
+		isStruck := func(runner string) bool { return slices.Contains(struck, runner) }
+		finding.Runners = slices.DeleteFunc(slices.Clone(finding.Runners), isStruck)
+		finding.Beside = slices.DeleteFunc(slices.Clone(finding.Beside), isStruck)
 		if len(finding.Runners) >= poison.SuspectThreshold {
 			counted = append(counted, finding)
 		}
@@ -271,7 +302,7 @@
 // is held.
 func (q *Quarantine) forget(request poison.Identity) wire.CrashesStruck {
 	mark, _ := q.marks.Find(request)
-	struck := wire.CrashesStruck{Request: request, Runners: q.tally.Merge(mark.Finding.For(request), time.Now()).Runners}
+	struck := wire.CrashesStruck{Request: request, Runners: q.tally.Merge(mark.Finding.For(request), time.Now()).All()}
 	delete(q.pendingWrites, request)
 	q.strike(struck)
 	return struck
@@ -322,7 +353,10 @@
 	q.unreported = wire.PoisonReport{}
 	if token != q.reportedToken {
 		q.reportedToken = token
-		report.Crashes = allCrashes(q.tally)
+		report.Crashes = allCrashes(q.tally, time.Now())
+	}
+	for i, c := range report.Crashes {
+		report.Crashes[i] = c.Aged(time.Now())
 	}
 	for _, struck := range report.Struck {
 		report.Cleared = append(report.Cleared, struck.Request)
@@ -350,11 +384,37 @@
 func newest[T any](list []T) []T { return list[max(len(list)-maxUnreported, 0):] }
 
 // allCrashes returns all crashes in a tally, ordered by runner.
-func allCrashes(tally *poison.Tally) []wire.CrashReport {
-	crashes := tally.Crashes()
-	reports := make([]wire.CrashReport, 0, len(crashes))
-	for _, runner := range slices.Sorted(maps.Keys(crashes)) {
-		reports = append(reports, wire.CrashReport{Runner: runner, Requests: crashes[runner]})
+func allCrashes(tally *poison.Tally, now time.Time) []wire.CrashReport {
+	crashes, runs := tally.Crashes(), tally.PartRuns()
+	runners := slices.Sorted(maps.Keys(crashes))
+	for _, runner := range slices.Sorted(maps.Keys(runs)) {
+		if len(crashes[runner]) == 0 {
+			runners = append(runners, runner)
+		}
+	}
+	reports := make([]wire.CrashReport, 0, len(runners))
+	for _, runner := range runners {
+		reports = append(reports, wire.CrashReport{Runner: runner, Requests: crashes[runner], Parts: wireRuns(runs[runner], now), At: now})
 	}
 	return reports
 }
+
+// wireRuns returns runs with their ages.
+func wireRuns(runs []poison.PartRun, now time.Time) []wire.PartRun {
+	encoded := make([]wire.PartRun, 0, len(runs))
+	for _, run := range runs {
+		encoded = append(encoded, wire.PartRun{Part: run.Part, SentMs: now.Sub(run.Sent).Milliseconds(), EndedMs: now.Sub(run.Ended).Milliseconds()})
+	}
+	return encoded
+}
+
+// partRuns returns the runs that another node reported.
+func partRuns(encoded []wire.PartRun, now time.Time) []poison.PartRun {
+	runs := make([]poison.PartRun, 0, len(encoded))
+	for _, run := range encoded {
+		runs = append(runs, poison.PartRun{
+			Part: run.Part, Sent: now.Add(-time.Duration(run.SentMs) * time.Millisecond), Ended: now.Add(-time.Duration(run.EndedMs) * time.Millisecond),
+		})
+	}
+	return runs
+}
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -144,7 +144,7 @@
 		}
 	}
 	for _, c := range report.Crashes {
-		for _, request := range c.Requests {
+		for _, request := range identities(c) {
 			if mark, known := q.marks.Find(request); known {
 				answer.Marks = append(answer.Marks, wireMark(mark, time.Now()))
 			}
@@ -167,7 +167,7 @@
 	findings := make([]poison.Finding, 0, len(marks))
 	for _, mark := range marks {
 		age := time.Duration(max(mark.AgeMs, 0)) * time.Millisecond
-		findings = append(findings, poison.Finding{Request: mark.Request, Runners: mark.Runners, Age: age})
+		findings = append(findings, poison.Finding{Request: mark.Request, Runners: mark.Runners, Beside: mark.Beside, Controlled: mark.Controlled, Age: age})
 	}
 	q.apply(findings, SourcePeer)
 	q.publish(q.merge(findings))
@@ -221,19 +221,33 @@
 func (q *Quarantine) recentCrashes() []wire.CrashReport {
 	var recent []wire.CrashReport
 	q.witnessed = slices.DeleteFunc(q.witnessed, func(c witnessedCrash) bool {
-		requests := slices.DeleteFunc(slices.Clone(c.Requests), func(request poison.Identity) bool {
-			_, refused := q.Refused(request)
-			return refused || !slices.Contains(q.tally.Runners(request), c.Runner)
-		})
-		if len(requests) == 0 || time.Since(c.at) > witnessPeriod {
+		c.Requests = slices.DeleteFunc(slices.Clone(c.Requests), func(request poison.Identity) bool { return !q.counts(request, c.Runner) })
+		c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(run wire.PartRun) bool { return !q.counts(run.Part, c.Runner) })
+		if len(c.Requests)+len(c.Parts) == 0 || time.Since(c.at) > witnessPeriod {
 			return true
 		}
-		recent = append(recent, wire.CrashReport{Runner: c.Runner, Requests: requests})
+		recent = append(recent, c.Aged(time.Now()))
 		return false
 	})
 	return recent
 }
 
+// counts reports whether a crash still counts for a request or part that is not refused yet. mutex is
+// held.
+func (q *Quarantine) counts(request poison.Identity, runner string) bool {
+	_, refused := q.Refused(request)
+	return !refused && slices.Contains(q.tally.Runners(request), runner)
+}
+
+// identities returns the requests of a report and the parts of their prompts.
+func identities(report wire.CrashReport) []poison.Identity {
+	all := slices.Clone(report.Requests)
+	for _, run := range report.Parts {
+		all = append(all, run.Part)
+	}
+	return all
+}
+
 // refused returns the marks of the requests that are refused.
 func (q *Quarantine) refused() []poison.Mark {
 	return slices.DeleteFunc(q.marks.All(), func(mark poison.Mark) bool { return !mark.Refused() || mark.Expired(time.Now()) })
@@ -258,5 +272,5 @@
 }
 
 func wireMark(mark poison.Mark, now time.Time) wire.PoisonMark {
-	return wire.PoisonMark{Request: mark.Request, Runners: mark.Runners, AgeMs: mark.Known(now).Milliseconds()}
+	return wire.PoisonMark{Request: mark.Request, Runners: mark.Runners, Beside: mark.Beside, Controlled: mark.Controlled, AgeMs: mark.Known(now).Milliseconds()}
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -71,7 +71,7 @@
 		}
 		q.written[request] = true
 		requests = append(requests, request)
-		findings = append(findings, poison.Finding{Request: request, Runners: record.Runners})
+		findings = append(findings, poison.Finding{Request: request, Runners: record.Runners, Beside: record.Beside})
 	}
 	if len(findings) > 0 {
 		q.apply(findings, SourceTable)
@@ -162,7 +162,7 @@
 func (q *Quarantine) repair() {
 	for _, mark := range q.refused() {
 		if _, pending := q.pendingWrites[mark.Request]; !pending && !q.written[mark.Request] {
-			q.pendingWrites[mark.Request] = mark.Runners
+			q.pendingWrites[mark.Request] = &wire.PoisonRecord{Runners: mark.Runners, Beside: mark.Beside}
 			q.signal()
 		}
 	}
@@ -190,10 +190,10 @@
 		return false, nil
 	}
 	var transaction table.Transaction
-	for request, runners := range writes {
-		row := table.Write{Key: request.String(), Delete: runners == nil}
-		if runners != nil {
-			if row.Value, err = wire.Encode(wire.PoisonRecord{Runners: runners}); err != nil {
+	for request, record := range writes {
+		row := table.Write{Key: request.String(), Delete: record == nil}
+		if record != nil {
+			if row.Value, err = wire.Encode(*record); err != nil {
 				return false, err
 			}
 		}
@@ -209,27 +209,27 @@
 }
 
 // takeWrites removes at most batchSize pending writes from the queue and returns them.
-func (q *Quarantine) takeWrites() map[poison.Identity][]string {
+func (q *Quarantine) takeWrites() map[poison.Identity]*wire.PoisonRecord {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	writes := make(map[poison.Identity][]string)
-	for request, runners := range q.pendingWrites {
+	writes := make(map[poison.Identity]*wire.PoisonRecord)
+	for request, record := range q.pendingWrites {
 		if len(writes) == batchSize {
 			break
 		}
-		writes[request] = runners
+		writes[request] = record
 		delete(q.pendingWrites, request)
 	}
 	return writes
 }
 
 // requeue queues failed writes again, unless newer ones for the same request are pending.
-func (q *Quarantine) requeue(writes map[poison.Identity][]string) {
+func (q *Quarantine) requeue(writes map[poison.Identity]*wire.PoisonRecord) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	for request, runners := range writes {
+	for request, record := range writes {
 		if _, newer := q.pendingWrites[request]; !newer {
-			q.pendingWrites[request] = runners
+			q.pendingWrites[request] = record
 		}
 	}
 }
--- a/internal/wire/poison.go
+++ b/internal/wire/poison.go
@@ -1,6 +1,11 @@
 package wire
 
-import "lilacvane/internal/poison"
+import (
+	"slices"
+	"time"
+
+	"lilacvane/internal/poison"
+)
 
 // MethodPoison exchanges a PoisonReport for a PoisonAnswer with a node other than the holder.
 const MethodPoison = "poison/report"
@@ -37,6 +42,10 @@
 	Runners []string `cbor:"2,keyasint"`
 	// AgeMs is how long the request has been marked, in milliseconds.
 	AgeMs int64 `cbor:"3,keyasint,omitempty"`
+	// Beside are runners that ended at the same time as one of Runners, which do not count.
+	Beside []string `cbor:"4,keyasint,omitempty"`
+	// Controlled is as in poison.Finding.
+	Controlled bool `cbor:"5,keyasint,omitempty"`
 }
 
 // CrashesStruck are crashes of a request that no longer count, as an attempt of it succeeded or an
@@ -52,12 +61,39 @@
 	// Runner identifies the incarnation that crashed.
 	Runner   string            `cbor:"1,keyasint"`
 	Requests []poison.Identity `cbor:"2,keyasint"`
+	// Parts are the parts of their prompts.
+	Parts []PartRun `cbor:"3,keyasint,omitempty"`
+	// At is when the ages of Parts were taken, at the node that keeps the report.
+	At time.Time `cbor:"-"`
+}
+
+// Aged returns the report with the ages of now.
+func (r CrashReport) Aged(now time.Time) CrashReport {
+	later := now.Sub(r.At).Milliseconds()
+	r.Parts = slices.Clone(r.Parts)
+	for i := range r.Parts {
+		r.Parts[i].SentMs += later
+		r.Parts[i].EndedMs += later
+	}
+	r.At = now
+	return r
+}
+
+// PartRun is a part of a prompt that a runner was running when it ended.
+type PartRun struct {
+	Part poison.Identity `cbor:"1,keyasint"`
+	// SentMs is how long ago the last request with the part was sent to the runner, EndedMs how long ago
+	// its answer broke off, in milliseconds.
+	SentMs  int64 `cbor:"2,keyasint"`
+	EndedMs int64 `cbor:"3,keyasint"`
 }
 
 // PoisonRecord is the value of a row for a request under which runners crashed. The request is the
 // key of the row.
 type PoisonRecord struct {
 	Runners []string `cbor:"1,keyasint"`
+	// Beside is as in PoisonMark.
+	Beside []string `cbor:"2,keyasint,omitempty"`
 }
 
 // PoisonStatus is what a node knows about a request under which runners crashed.
