Play parts that crash runners in the soak of requests that do

Seeds with even numbers send requests that share a part, no two alike, beside the two contents and all faults. Once all nodes may know of the fifth crash they reach runners no more often than allowed, undisturbed nodes do not send them 0.5 s after one refuses them, and no harmless request is refused as one that crashes runners.

--- a/test/poison_soak_test.go
+++ b/test/poison_soak_test.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -22,15 +23,16 @@
 
 var (
 	poisonSeed  = flag.Uint64("poison.seed", 1, "first seed of the soak of requests that crash their runners")
-	poisonSeeds = flag.Int("poison.seeds", 1, "number of seeds that it runs, one after the other")
+	poisonSeeds = flag.Int("poison.seeds", 2, "number of seeds that it runs, one after the other")
 	poisonNodes = flag.Int("poison.nodes", 0, "nodes of its world; 0 lets the seed draw them")
 )
 
 // TestPoisonSoak: two requests that crash their runners are sent again and again together
-// with harmless ones, while runners crash for other reasons, nodes are killed and restarted,
+// with harmless ones and, in a part of the seeds, with ones that share a part of their prompts by which
+// they crash them, no two alike, while runners crash for other reasons, nodes are killed and restarted,
 // several at once, or frozen, and the store is down, silent or lost for some, all overlapping as
-// drawn by the seed. Once all nodes may know of the third crash under a request, it reaches
-// runners no more often than allowed, undisturbed nodes do not send it spreadBound after one of
+// drawn by the seed. Once all nodes may know of the third crash under a request, or the fifth under the
+// part, it reaches runners no more often than allowed, undisturbed nodes do not send it spreadBound after one of
 // them refuses it, and no harmless request is refused as one that crashes runners. To run more
 // seeds: go test
 // ./test -run TestPoisonSoak -poison.seed=100 -poison.seeds=50 -timeout 1h
@@ -75,7 +77,10 @@
 	defer end()
 	var running sync.WaitGroup
 	for _, word := range []string{"first", "second"} {
-		running.Go(func() { s.sendRepeatedly(ctx, word) })
+		running.Go(func() { s.sendRepeatedly(ctx, word, func() clientRequest { return s.poison(word) }) })
+	}
+	if s.request.Model != "" && seed%2 == 0 {
+		running.Go(func() { s.sendRepeatedly(ctx, partGuilty, s.withPart) })
 	}
 	running.Go(func() { s.sendHarmless(ctx) })
 	s.injectFaults(ctx, t)
@@ -83,13 +88,20 @@
 	s.check(t)
 }
 
-// sendRepeatedly sends a request that crashes runners to the nodes in turn, without waiting
-// for answers.
-func (s *poisonSoak) sendRepeatedly(ctx context.Context, word string) {
+// withPart returns a request like no other that holds a part by which it crashes runners.
+func (s *poisonSoak) withPart() clientRequest {
+	request := s.request
+	request.ID, request.Method, request.Deadline = newID(), http.MethodPost, 4*time.Second
+	request.Body, request.Parts = []byte(request.ID), []string{"aa", partGuilty}
+	return request
+}
+
+// sendRepeatedly sends requests that crash runners to the nodes in turn, without waiting for answers.
+func (s *poisonSoak) sendRepeatedly(ctx context.Context, word string, next func() clientRequest) {
 	var tries sync.WaitGroup
 	defer tries.Wait()
 	for number := 0; ctx.Err() == nil; number++ {
-		request := s.poison(word)
+		request := next()
 		node := s.nodes[number%len(s.nodes)]
 		s.mutex.Lock()
 		s.sent[request.ID], s.sentTo[request.ID] = word, node
@@ -147,10 +159,11 @@
 	for _, node := range s.nodes {
 		for _, line := range linesContaining(readFile(t, s.world.LogPath(node)), "request refused as runners end under it") {
 			var entry struct {
-				Time    time.Time
-				Content string
+				Time             time.Time
+				Content          string
+				Part, Controlled bool
 			}
-			if json.Unmarshal([]byte(line), &entry) != nil || entry.Content != content {
+			if json.Unmarshal([]byte(line), &entry) != nil || entry.Content != content || entry.Part && !entry.Controlled {
 				continue
 			}
 			if (!known || entry.Time.Before(since)) && s.faults.undisturbed(node, entry.Time.Add(-contactTime), entry.Time.Add(spreadBound)) {
@@ -161,8 +174,11 @@
 	return since, known
 }
 
-// contentOf returns the identity in logs of one of the two contents.
+// contentOf returns the identity in logs of one of the two contents, or of the part.
 func (s *poisonSoak) contentOf(word string) string {
+	if word == partGuilty {
+		return poison.PartIdentity(world.EngineService, partGuilty).Short()
+	}
 	request := s.poison(word)
 	content := poison.Content{Method: request.Method, Host: world.RouteHost, Path: request.Path, Caller: "key ", Body: request.Body}
 	return content.Identity().Short()
@@ -189,7 +205,7 @@
 func (s *poisonSoak) check(t *testing.T) {
 	t.Helper()
 	h := readHistory(t, s.world)
-	for _, word := range []string{"first", "second"} {
+	for word, counting := range map[string]int{"first": maxCrashes, "second": maxCrashes, partGuilty: maxPartCrashes} {
 		var crashes, reached []time.Time
 		for _, record := range h.records {
 			switch {
@@ -200,14 +216,14 @@
 				reached = append(reached, record.Time)
 			}
 		}
-		if len(crashes) < maxCrashes {
+		if len(crashes) < counting {
 			t.Logf("%s: %d crashes", word, len(crashes))
 			continue
 		}
-		third := crashes[maxCrashes-1]
+		last := crashes[counting-1]
 		// A node that was restarted or frozen may not know of the crashes: it may send once
 		// more.
-		allowed, late := maxSendsAfterCrashes+s.faults.countEndedAfter(third), countAfter(reached, laterTime(third, s.faults.storeBackAt).Add(propagationBound))
+		allowed, late := maxSendsAfterCrashes+s.faults.countEndedAfter(last), countAfter(reached, laterTime(last, s.faults.storeBackAt).Add(propagationBound))
 		t.Logf("%s: %d crashes, %d sends after the bound of at most %d; harmless: %v", word, len(crashes), late, allowed, s.harmlessAnswers)
 		assert.Check(t, late <= allowed)
 		s.checkSpread(t, word, h.records)
--- a/test/poison_test.go
+++ b/test/poison_test.go
@@ -167,7 +167,7 @@
 	restart := world.RestartPolicy{After: cmp.Or(test.downtime, time.Second), Renamed: test.renamed}
 	for index := range runners {
 		options := engineOptions(w, fmt.Sprintf("runner-%d", index+1), zones[index%len(zones)])
-		options.CrashBy, options.Restart = poisonText, restart
+		options.CrashBy, options.CrashByParts, options.Restart = poisonText, partGuilty, restart
 		_, err := w.StartRunner(options)
 		assert.NilError(t, err)
 	}
