Refuse a part of prompts after two ends that no other mark explains

Cause: the requests of a second cause were at the same three ends, and explained them. Three further ends that they did not explain were asked for.

Change: two suffice for a part that has never succeeded. The soak takes as known what a node refuses in fact, as a mark of a part alone does not mean that it applies.

--- a/internal/poison/marks.go
+++ b/internal/poison/marks.go
@@ -124,10 +124,11 @@
 	return before
 }
 
-// Blamed reports whether a request that holds a part is to be refused, though a part may be on all
-// runners that end because it comes with the one that ends them, or because all do: requests without it
-// must have succeeded since, and enough of its ends must not be explained by marks that the request does not hold. A content explains any end, as it is one request
-// alone. A part explains those of one that is at no more ends, or that cleared says has once succeeded.
+// Blamed reports whether a request that holds a part is to be refused. A part may be at all ends because it
+// comes with the one that causes them, or because all runners end: requests without it must have
+// succeeded since, and marks that the request does not hold must not explain its ends. A content explains
+// any, as it is one request alone; a part explains those of another that is at no more ends. If cleared
+// says that the part has once succeeded, any mark explains its ends, and more of them must be left.
 func (m *Marks) Blamed(part Mark, holds []Identity, cleared bool) bool {
 	if !part.Controlled {
 		return false
@@ -141,7 +142,10 @@
 		explained := other.All()
 		left = slices.DeleteFunc(left, func(runner string) bool { return slices.Contains(explained, runner) })
 	}
-	return len(left) >= RefuseThreshold
+	if cleared {
+		return len(left) >= RefuseThreshold
+	}
+	return len(left) >= SuspectThreshold
 }
 
 // Control notes that a request of a service succeeded that holds these parts, and returns findings of the
