Take each message of a conversation for a part of its prompt

Callers of chat completions had no protection from a part of prompts that crashes runners: the first 256 bytes of a conversation were its only part, and the last part never counts. Each message is a part now, whatever the model; a runner's cache of the system message is known to be shared as well. A prompt without messages is one part as before.

Evidence: TestConversationsShareParts; the tests of the gateway pass. That the protection works through this interface is not tested with processes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,9 +168,7 @@
 		request.EndsStream = endsCompletion
 	}
 	request.Header.Set(s.Headers.Tokens, strconv.Itoa(request.TokensIn)+","+strconv.Itoa(request.TokensOut))
-	for _, part := range request.Prompt {
-		request.Header.Set(s.Headers.Prompt, part.ID+":"+strconv.Itoa(part.Tokens))
-	}
+	request.Header.Set(s.Headers.Prompt, formatParts(request.Prompt))
 	model := call.completion.Model
 	request.Resolve = func() (backend.Unit, error) {
 		target, err := s.resolve(model)
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -85,8 +85,9 @@
 // defaultAnswerTokens is the assumed length of an answer without a limit.
 const defaultAnswerTokens = 256
 
-// describePrompt estimates the token counts of the prompt and the answer. It also identifies the
-// beginning of the prompt, which routes requests with the same beginning to the same runner.
+// describePrompt estimates the token counts of the prompt and the answer. It also identifies the parts of
+// the prompt, which route requests with the same beginning to the same runner, and by which requests
+// that crash runners are recognized.
 func describePrompt(call *parsedCall) {
 	words := len(strings.Fields(call.completion.Prompt))
 	for _, message := range call.completion.Messages {
@@ -97,8 +98,38 @@
 	if call.request.TokensOut == 0 {
 		call.request.TokensOut = defaultAnswerTokens
 	}
-	hash := xxhash.Sum64String(promptPrefix(call.completion))
-	call.request.Prompt = []fleet.Part{{ID: strconv.FormatUint(hash, 16), Tokens: call.request.TokensIn}}
+	call.request.Prompt = promptParts(call.completion, call.request.TokensIn)
+}
+
+// promptParts returns the parts of a prompt: the messages of a conversation, or else all of it as one part
+// by its beginning.
+func promptParts(completion api.Completion, tokens int) []fleet.Part {
+	if len(completion.Messages) < 2 {
+		return []fleet.Part{newPart(promptPrefix(completion), tokens)}
+	}
+	messages := completion.Messages[:min(len(completion.Messages), maxPromptParts)]
+	parts := make([]fleet.Part, 0, len(messages))
+	for _, message := range messages {
+		parts = append(parts, newPart(message.Role+"\x00"+message.Content, max(len(strings.Fields(message.Content)), 1)))
+	}
+	return parts
+}
+
+// maxPromptParts bounds the parts of a prompt: a runner's caches are told apart by the first ones.
+const maxPromptParts = 64
+
+// newPart returns the part with this text.
+func newPart(text string, tokens int) fleet.Part {
+	return fleet.Part{ID: strconv.FormatUint(xxhash.Sum64String(text), 16), Tokens: tokens}
+}
+
+// formatParts returns the parts of a prompt as runners read them.
+func formatParts(parts []fleet.Part) string {
+	texts := make([]string, 0, len(parts))
+	for _, part := range parts {
+		texts = append(texts, part.ID+":"+strconv.Itoa(part.Tokens))
+	}
+	return strings.Join(texts, ",")
 }
 
 // rejectRepeatedHeaders rejects headers of this API that are given more than once.
--- a/internal/gateway/parse_test.go
+++ b/internal/gateway/parse_test.go
@@ -11,6 +11,7 @@
 
 	"lilacvane/internal/api"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/fleet"
 )
 
 func callWith(body string, headers map[string][]string) *http.Request {
@@ -56,3 +57,18 @@
 	assert.Equal(t, call.key, "k")
 	assert.Assert(t, call.completion.Stream)
 }
+
+// TestConversationsShareParts checks that conversations with the same system message share its part, that
+// the last message is a part of its own, and that a prompt without messages is one part.
+func TestConversationsShareParts(t *testing.T) {
+	conversation := func(question string) []fleet.Part {
+		return promptParts(api.Completion{Model: "m", Messages: []api.Message{{Role: "system", Content: "be brief"}, {Role: "user", Content: question}}}, 5)
+	}
+	first, second := conversation("why is it"), conversation("what is it")
+	assert.Equal(t, len(first), 2)
+	assert.Equal(t, first[0], second[0])
+	assert.Equal(t, first[0].Tokens, 2)
+	assert.Assert(t, first[1].ID != second[1].ID)
+	assert.Equal(t, formatParts(first), first[0].ID+":2,"+first[1].ID+":3")
+	assert.Equal(t, len(promptParts(api.Completion{Model: "m", Prompt: "p"}, 1)), 1)
+}
