--- a/test/answers_soak_test.go
+++ b/test/answers_soak_test.go
@@ -35,6 +35,30 @@
 
 	mutex   sync.Mutex
 	results []requestResult
+	// target is the node that all new connections go to; nil if each client keeps to its own.
+	target *world.Node
+}
+
+// nodeOf returns the node to which a client of a node connects now.
+func (s *answersSoak) nodeOf(own *world.Node) *world.Node {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.target != nil {
+		return s.target
+	}
+	return own
+}
+
+// concentrate makes all new connections go to one node for a while.
+func (s *answersSoak) concentrate(node *world.Node, d time.Duration) {
+	set := func(target *world.Node) {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.target = target
+	}
+	set(node)
+	time.Sleep(d)
+	set(nil)
 }
 
 // answersDuration is how long the soak sends requests and injects faults.
@@ -42,7 +66,7 @@
 
 // TestUnframedAnswersSoak: runners answer without a length or chunks, and end answers early, either all
 // by crashes or all by going on, while others fail, refuse, are mute or slow; nodes are stopped, killed
-// and frozen, and the store fails, all overlapping as drawn by the seed. Clients keep their connections until
+// and frozen, the store fails, and all new connections go to one node, all overlapping as drawn by the seed. Clients keep their connections until
 // the node ends them. No part of an answer gets a length, none that ends inside an event or that a crash
 // cut off looks complete, and requests that may not be repeated run once at most and are not said to have been
 // refused if they ran. To run more seeds: go test ./test -run
@@ -89,6 +113,9 @@
 		if request.Method == "" {
 			request.Method = http.MethodGet
 		}
+		if client.conn == nil {
+			client.node = s.nodeOf(node)
+		}
 		if result, sent := client.do(request); sent {
 			s.mutex.Lock()
 			s.results = append(s.results, result)
@@ -143,7 +170,9 @@
 		time.Sleep(time.Duration(300+s.random.IntN(900)) * time.Millisecond)
 		node := s.nodes[s.random.IntN(len(s.nodes))]
 		pause := time.Duration(200+s.random.IntN(2000)) * time.Millisecond
-		switch s.random.IntN(6) {
+		switch s.random.IntN(7) {
+		case 6:
+			running.Go(func() { s.concentrate(node, pause) })
 		case 0:
 			running.Go(func() { s.faults.kill(t, node) })
 		case 1, 2:
