Ask a leaving runner too whether it is there after an answer without framing

Streams without framing of a runner that says it is leaving ended as broken though it was still there: whatever the check found counted as unknown. Only a refusal does now, as such a runner may refuse connections while it completes its last answers.

Evidence: the case that accepts in TestLeavingRunnerMayRefuseConnections failed with the condition as it was.

--- a/internal/dispatch/completeness.go
+++ b/internal/dispatch/completeness.go
@@ -64,7 +64,7 @@
 		return "", brokenOff(choice, errCut)
 	}
 	switch presence := j.presence(ctx, choice, answer); {
-	case j.dispatcher.Fleet.Leaves(choice.Runner):
+	case presence == upstream.Ended && j.dispatcher.Fleet.Leaves(choice.Runner):
 		// A runner that stops may refuse connections while it completes its last answers.
 		return CompletenessUnknown, nil
 	case presence == upstream.Ended:
--- a/internal/dispatch/completeness_test.go
+++ b/internal/dispatch/completeness_test.go
@@ -131,24 +131,33 @@
 }
 
 // TestLeavingRunnerMayRefuseConnections checks that a refused connection shows nothing of a runner that is
-// leaving: it may complete its last answers with its listener closed.
+// leaving, as it may complete its last answers with its listener closed, and that an accepted one does.
 func TestLeavingRunnerMayRefuseConnections(t *testing.T) {
-	var j *job
-	first := crashesAfter("whole")
-	j, written := hedgedJob(t, func(w http.ResponseWriter, r *http.Request) {
-		for _, id := range []string{"r1", "r2"} {
-			listed, _ := j.dispatcher.Fleet.Find(id)
-			listed.Draining = true
-			j.dispatcher.Fleet.Apply([]backend.Runner{listed}, nil, false)
-		}
-		first(w, r)
-	}, answers("second"))
-	j.route.Kind = config.Unsafe
-	for j.attempt(t.Context()) {
+	for name, test := range map[string]struct {
+		first http.HandlerFunc
+		want  Completeness
+	}{
+		"refuses": {crashesAfter("whole"), CompletenessUnknown},
+		"accepts": {ends("", "whole"), CompleteByPresence},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var j *job
+			j, written := hedgedJob(t, func(w http.ResponseWriter, r *http.Request) {
+				for _, id := range []string{"r1", "r2"} {
+					listed, _ := j.dispatcher.Fleet.Find(id)
+					listed.Draining = true
+					j.dispatcher.Fleet.Apply([]backend.Runner{listed}, nil, false)
+				}
+				test.first(w, r)
+			}, answers("second"))
+			j.route.Kind = config.Unsafe
+			for j.attempt(t.Context()) {
+			}
+			assert.Equal(t, written.Body.String(), "whole")
+			assert.Equal(t, j.outcome.Completeness, test.want)
+			assert.Assert(t, j.outcome.EndsWithConnection)
+		})
 	}
-	assert.Equal(t, written.Body.String(), "whole")
-	assert.Equal(t, j.outcome.Completeness, CompletenessUnknown)
-	assert.Assert(t, j.outcome.EndsWithConnection)
 }
 
 // countRetries spends the retry budget of a service and returns how many retries it had.
