--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -108,50 +108,6 @@
 	return findings
 }
 
-// RecordParts is RecordCrash for the parts of prompts that a runner was running. Many requests share
-// them, so that one cause which ends many runners at once must count once: the end of a runner counts
-// only if the part was sent there after the ends that count, or before all of it.
-func (t *Tally) RecordParts(runner string, parts []PartRun, now time.Time) []Finding {
-	var findings []Finding
-	for _, run := range parts {
-		if t.addPart(run, runner, now) && len(t.entries[run.Part].runners) >= SuspectThreshold {
-			findings = append(findings, t.entries[run.Part].finding(run.Part))
-		}
-	}
-	t.trim(now)
-	return findings
-}
-
-// addPart records one crash for a part and reports whether it counts and was not known before.
-func (t *Tally) addPart(run PartRun, runner string, now time.Time) bool {
-	known := t.live(run.Part, now)
-	if known.knows(runner) {
-		return false
-	}
-	if known.runs == nil {
-		known.runs = make(map[string]PartRun)
-	}
-	for _, counted := range known.runners {
-		if other, timed := known.runs[counted]; timed && run.overlaps(other) {
-			known.runs[runner] = run
-			known.addBeside(runner)
-			return false
-		}
-	}
-	if !t.add(run.Part, runner, now) {
-		return false
-	}
-	known.runs[runner] = run
-	return true
-}
-
-// addBeside records a runner that ended at the same time as one that counts.
-func (e *entry) addBeside(runner string) {
-	if len(e.beside) < maxBeside && !e.knows(runner) {
-		e.beside = append(e.beside, runner)
-	}
-}
-
 // live returns the entry of a request, a new one if there is none or it has expired.
 func (t *Tally) live(request Identity, now time.Time) *entry {
 	known := t.entries[request]
@@ -252,18 +208,6 @@
 	return crashes
 }
 
-// PartRuns returns the runs of parts that this tally has a report of, by runner, for transfer to another
-// tally.
-func (t *Tally) PartRuns() map[string][]PartRun {
-	runs := make(map[string][]PartRun)
-	for _, known := range t.entries {
-		for runner, run := range known.runs {
-			runs[runner] = append(runs[runner], run)
-		}
-	}
-	return runs
-}
-
 // Expire removes expired entries and returns how many are left.
 func (t *Tally) Expire(now time.Time) int {
 	maps.DeleteFunc(t.entries, func(_ Identity, known *entry) bool { return known.expired(now) })
