Tell when a part ran with its mark, so that ends at once are not added up

Where all runners end at once three times, nodes that told each other counted 15 ends of a part that all requests hold, in place of three, and it would have been refused once a request without it succeeds.

Cause: a mark named the runners that count and not when the part ran there, so ends that two nodes had counted one of each were added up.

Change: marks and rows carry the times, as ages, and ends are compared wherever they are brought together.

Evidence: TestPartIsNotRefusedWhereAllRunnersEnd failed before and passes. TestPartIsRefusedAtAllNodes (new, virtual time, store away): all of 7, 86 and 985 nodes refuse the part, and none the sound one beside it.

--- a/internal/poison/marks.go
+++ b/internal/poison/marks.go
@@ -109,21 +109,39 @@
 	if !known {
 		return Mark{Finding: finding, first: now.Add(-finding.Age)}
 	}
-	before.Runners, before.Beside = slices.Clone(before.Runners), slices.Clone(before.Beside)
+	before.Runners, before.Beside, before.Runs = slices.Clone(before.Runners), slices.Clone(before.Beside), slices.Clone(before.Runs)
 	before.Controlled = before.Controlled || finding.Controlled
-	for _, runner := range finding.Runners {
-		if !slices.Contains(before.All(), runner) && len(before.Runners) < maxRunners {
+	for i, runner := range finding.Runners {
+		if slices.Contains(before.All(), runner) {
+			continue
+		}
+		var run PartRun
+		if i < len(finding.Runs) {
+			run = finding.Runs[i]
+		}
+		switch {
+		case slices.ContainsFunc(before.Runs, run.overlaps):
+			before.addBeside(runner)
+		case len(before.Runners) < maxRunners:
 			before.Runners = append(before.Runners, runner)
+			if len(finding.Runs) > 0 {
+				before.Runs = append(before.Runs, run)
+			}
 		}
 	}
 	for _, runner := range finding.Beside {
-		if !slices.Contains(before.All(), runner) && len(before.Beside) < maxBeside {
-			before.Beside = append(before.Beside, runner)
-		}
+		before.addBeside(runner)
 	}
 	return before
 }
 
+// addBeside adds a runner that ended at the same time as one that counts.
+func (f *Finding) addBeside(runner string) {
+	if !slices.Contains(f.All(), runner) && len(f.Beside) < maxBeside {
+		f.Beside = append(f.Beside, runner)
+	}
+}
+
 // Blamed reports whether a request that holds a part is to be refused. A part may be at all ends because it
 // comes with the one that causes them, or because all runners end: requests without it must have
 // succeeded since, and marks that the request does not hold must not explain its ends. A content explains
--- a/internal/poison/part_test.go
+++ b/internal/poison/part_test.go
@@ -49,7 +49,7 @@
 	assert.Assert(t, len(first.Merge(finding, start).Runners) <= SuspectThreshold)
 	marks := NewMarks()
 	marks.Put([]Finding{finding}, start)
-	marks.Put([]Finding{{Request: part, Runners: []string{"r1", "r3"}, Beside: []string{"r2"}}}, start)
+	marks.Put([]Finding{{Request: part, Runners: []string{"r1", "r3"}, Runs: []PartRun{runs["r1"], runs["r3"]}, Beside: []string{"r2"}}}, start)
 	mark, _ := marks.Find(part)
 	assert.Assert(t, !mark.Refused())
 }
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -37,6 +37,8 @@
 	// one of them.
 	Runners []string
 	Beside  []string
+	// Runs are, for a part, when it ran on Runners, in their order; empty for a content.
+	Runs []PartRun
 	// Controlled is set for a part once a request without it has succeeded in its service since it became
 	// suspected: it is not that nothing succeeds.
 	Controlled bool
@@ -53,6 +55,22 @@
 // All returns the runners that count and those beside them.
 func (f Finding) All() []string { return slices.Concat(f.Runners, f.Beside) }
 
+// Without returns the finding without the ends of some runners.
+func (f Finding) Without(left func(runner string) bool) Finding {
+	kept := f
+	kept.Runners, kept.Runs, kept.Beside = nil, nil, slices.DeleteFunc(slices.Clone(f.Beside), left)
+	for i, runner := range f.Runners {
+		if left(runner) {
+			continue
+		}
+		kept.Runners = append(kept.Runners, runner)
+		if i < len(f.Runs) {
+			kept.Runs = append(kept.Runs, f.Runs[i])
+		}
+	}
+	return kept
+}
+
 // String describes the finding for operators and callers.
 func (f Finding) String() string { return f.Describe("this content") }
 
@@ -82,7 +100,13 @@
 
 // finding returns what the entry holds of a request.
 func (e *entry) finding(request Identity) Finding {
-	return Finding{Request: request, Runners: slices.Clone(e.runners), Beside: slices.Clone(e.beside)}
+	f := Finding{Request: request, Runners: slices.Clone(e.runners), Beside: slices.Clone(e.beside)}
+	if e.runs != nil {
+		for _, runner := range e.runners {
+			f.Runs = append(f.Runs, e.runs[runner])
+		}
+	}
+	return f
 }
 
 // knows reports whether the end of a runner is recorded, whether or not it counts.
@@ -131,12 +155,14 @@
 
 // Merge adds another tally's finding, and returns it combined with what this tally knew.
 func (t *Tally) Merge(finding Finding, now time.Time) Finding {
-	if known := t.entries[finding.Request]; known != nil && len(finding.Beside) > 0 {
-		// What ended beside a runner that counts elsewhere does not count here as well.
-		known.runners = slices.DeleteFunc(known.runners, func(runner string) bool { return slices.Contains(finding.Beside, runner) })
-	}
-	for _, runner := range finding.Runners {
-		t.add(finding.Request, runner, now)
+	for i, runner := range finding.Runners {
+		if i < len(finding.Runs) {
+			run := finding.Runs[i]
+			run.Part = finding.Request
+			t.addPart(run, runner, now)
+		} else {
+			t.add(finding.Request, runner, now)
+		}
 	}
 	known := t.entries[finding.Request]
 	if known == nil {
--- /dev/null
+++ b/internal/quarantine/part_spread_test.go
@@ -0,0 +1,87 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/crash"
+	"lilacvane/internal/poison"
+)
+
+// crashUnderParts reports a runner that crashed at one node under a request with these parts, sent half a
+// second before.
+func (g *group) crashUnderParts(node int, runner string, parts ...poison.Identity) {
+	now := time.Now()
+	c := crash.Crash{Runner: runner, Requests: []poison.Identity{poison.Content{Path: runner}.Identity()}}
+	for _, part := range parts {
+		c.Parts = append(c.Parts, poison.PartRun{Part: part, Sent: now.Add(-500 * time.Millisecond), Ended: now})
+	}
+	g.nodes[g.order[node]].Crashed(c)
+}
+
+// blamed reports whether a node refuses a request that holds these parts.
+func blamed(q *Quarantine, holds ...poison.Identity) bool {
+	for _, part := range holds {
+		if mark, refused := q.Refused(part); refused && q.Blamed(mark, holds) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestPartIsRefusedAtAllNodes: three nodes see one crash each under requests that share two parts, and a
+// sound request with the first of them succeeds at a fourth node between. All nodes refuse requests with
+// the other part, and none refuses the first alone. The store is away.
+func TestPartIsRefusedAtAllNodes(t *testing.T) {
+	first, guilty := poison.PartIdentity("s", "first"), poison.PartIdentity("s", "guilty")
+	for _, count := range []int{7, 86, 985} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(t, count)
+				g.calls.Store(0)
+				g.bytes.Store(0)
+				for number, node := range []int{1, 2, count - 1} {
+					g.crashUnderParts(node, fmt.Sprint("r", number), first, guilty)
+					synctest.Wait()
+					if number == 1 {
+						sound := g.nodes[g.order[3]]
+						sound.Controlled("s", []string{"first", "c"})
+						assert.Assert(t, sound.Succeeded(first))
+						synctest.Wait()
+					}
+					time.Sleep(time.Second)
+				}
+				for _, address := range g.order {
+					assert.Assert(t, blamed(g.nodes[address], first, guilty), "%s of %d", address, count)
+					assert.Assert(t, !blamed(g.nodes[address], first), "%s of %d", address, count)
+				}
+				t.Logf("%d nodes: %d calls, %d bytes", count, g.calls.Load(), g.bytes.Load())
+			})
+		})
+	}
+}
+
+// TestPartIsNotRefusedWhereAllRunnersEnd: all runners end at once, three times, with requests that all hold
+// a part, and none succeeds between. Nobody refuses the part, however each end is told.
+func TestPartIsNotRefusedWhereAllRunnersEnd(t *testing.T) {
+	part := poison.PartIdentity("s", "first")
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 12)
+		for outage := range 3 {
+			for node := range g.order {
+				g.crashUnderParts(node, fmt.Sprint("r", outage, "-", node), part)
+			}
+			synctest.Wait()
+			time.Sleep(5 * time.Second)
+		}
+		for _, address := range g.order {
+			assert.Assert(t, !blamed(g.nodes[address], part), "%s", address)
+			mark, _ := g.nodes[address].marks.Find(part)
+			assert.Assert(t, len(mark.Runners) <= 3, "%s counts %d ends: %v", address, len(mark.Runners), mark.Runners)
+		}
+	})
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -241,11 +241,16 @@
 	}
 	q.apply(findings, SourceCount)
 	for _, finding := range findings {
-		q.pendingWrites[finding.Request] = &wire.PoisonRecord{Runners: finding.Runners, Beside: finding.Beside}
+		q.pendingWrites[finding.Request] = newRecord(finding)
 	}
 	q.signal()
 }
 
+// newRecord returns the row of a finding.
+func newRecord(finding poison.Finding) *wire.PoisonRecord {
+	return &wire.PoisonRecord{Runners: finding.Runners, Beside: finding.Beside, Runs: wireRuns(finding.Runs, time.Now())}
+}
+
 // apply marks the requests of findings, without crashes that no longer count. The neighbors are told of
 // those that become suspected, so that an attempt that succeeds anywhere clears them, or refused. If one
 // becomes refused, requests that wait for a runner check again. mutex is held.
@@ -281,8 +286,7 @@
 	for _, finding := range findings {
 		struck := q.tally.Struck(finding.Request)
 		isStruck := func(runner string) bool { return slices.Contains(struck, runner) }
-		finding.Runners = slices.DeleteFunc(slices.Clone(finding.Runners), isStruck)
-		finding.Beside = slices.DeleteFunc(slices.Clone(finding.Beside), isStruck)
+		finding = finding.Without(isStruck)
 		if len(finding.Runners) >= poison.SuspectThreshold {
 			counted = append(counted, finding)
 		}
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -164,10 +164,11 @@
 	if len(marks) == 0 {
 		return
 	}
+	now := time.Now()
 	findings := make([]poison.Finding, 0, len(marks))
 	for _, mark := range marks {
 		age := time.Duration(max(mark.AgeMs, 0)) * time.Millisecond
-		findings = append(findings, poison.Finding{Request: mark.Request, Runners: mark.Runners, Beside: mark.Beside, Controlled: mark.Controlled, Age: age})
+		findings = append(findings, poison.Finding{Request: mark.Request, Runners: mark.Runners, Beside: mark.Beside, Controlled: mark.Controlled, Runs: partRuns(mark.Runs, now), Age: age})
 	}
 	q.apply(findings, SourcePeer)
 	q.publish(q.merge(findings))
@@ -272,5 +273,5 @@
 }
 
 func wireMark(mark poison.Mark, now time.Time) wire.PoisonMark {
-	return wire.PoisonMark{Request: mark.Request, Runners: mark.Runners, Beside: mark.Beside, Controlled: mark.Controlled, AgeMs: mark.Known(now).Milliseconds()}
+	return wire.PoisonMark{Request: mark.Request, Runners: mark.Runners, Beside: mark.Beside, Controlled: mark.Controlled, Runs: wireRuns(mark.Runs, now), AgeMs: mark.Known(now).Milliseconds()}
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -53,6 +53,7 @@
 // applyRows applies rows and returns the requests they contain. Unreadable rows are skipped.
 // mutex is held.
 func (q *Quarantine) applyRows(rows []feed.Row) []poison.Identity {
+	now := time.Now()
 	var findings []poison.Finding
 	var requests []poison.Identity
 	for _, row := range rows {
@@ -71,7 +72,7 @@
 		}
 		q.written[request] = true
 		requests = append(requests, request)
-		findings = append(findings, poison.Finding{Request: request, Runners: record.Runners, Beside: record.Beside})
+		findings = append(findings, poison.Finding{Request: request, Runners: record.Runners, Beside: record.Beside, Runs: partRuns(record.Runs, now)})
 	}
 	if len(findings) > 0 {
 		q.apply(findings, SourceTable)
@@ -162,7 +163,7 @@
 func (q *Quarantine) repair() {
 	for _, mark := range q.refused() {
 		if _, pending := q.pendingWrites[mark.Request]; !pending && !q.written[mark.Request] {
-			q.pendingWrites[mark.Request] = &wire.PoisonRecord{Runners: mark.Runners, Beside: mark.Beside}
+			q.pendingWrites[mark.Request] = newRecord(mark.Finding)
 			q.signal()
 		}
 	}
--- a/internal/wire/poison.go
+++ b/internal/wire/poison.go
@@ -46,6 +46,8 @@
 	Beside []string `cbor:"4,keyasint,omitempty"`
 	// Controlled is as in poison.Finding.
 	Controlled bool `cbor:"5,keyasint,omitempty"`
+	// Runs are, for a part, when it ran on Runners, in their order.
+	Runs []PartRun `cbor:"6,keyasint,omitempty"`
 }
 
 // CrashesStruck are crashes of a request that no longer count, as an attempt of it succeeded or an
@@ -92,8 +94,9 @@
 // key of the row.
 type PoisonRecord struct {
 	Runners []string `cbor:"1,keyasint"`
-	// Beside is as in PoisonMark.
-	Beside []string `cbor:"2,keyasint,omitempty"`
+	// Beside and Runs are as in PoisonMark; the ages are those of when the row was written.
+	Beside []string  `cbor:"2,keyasint,omitempty"`
+	Runs   []PartRun `cbor:"3,keyasint,omitempty"`
 }
 
 // PoisonStatus is what a node knows about a request under which runners crashed.
