--- a/internal/poison/marks.go
+++ b/internal/poison/marks.go
@@ -144,16 +144,15 @@
 
 // Blamed reports whether a request that holds a part is to be refused. A part may be at all ends because it
 // comes with the one that causes them, or because all runners end: requests without it must have
-// succeeded since, and marks that the request does not hold must not explain its ends. A content explains
-// any, as it is one request alone; a part explains those of another that is at no more ends. If cleared
-// says that the part has once succeeded, any mark explains its ends, and more of them must be left.
+// succeeded since, and marks that the request does not hold must not explain its ends. Marks at no fewer
+// ends do; if cleared says that the part has once succeeded, any mark does, and more ends must be left.
 func (m *Marks) Blamed(part Mark, holds []Identity, cleared bool) bool {
 	if !part.Controlled {
 		return false
 	}
 	left := slices.Clone(part.Runners)
 	for _, other := range *m.current.Load() {
-		explains := cleared || !other.Request.IsPart() || len(other.Runners) >= len(part.Runners)
+		explains := cleared || len(other.Runners) >= len(part.Runners)
 		if !explains || !other.Refused() || slices.Contains(holds, other.Request) {
 			continue
 		}
--- a/internal/poison/part_test.go
+++ b/internal/poison/part_test.go
@@ -70,17 +70,17 @@
 		cleared  bool
 		blamed   bool
 	}{
-		"the guilty part":                       {[]Finding{{Request: guilty, Runners: ends(0, 3)}}, []Identity{first, guilty}, false, true},
-		"both at all ends":                      {[]Finding{{Request: guilty, Runners: ends(0, 3)}, {Request: first, Runners: ends(0, 3)}}, []Identity{first, guilty}, false, true},
-		"the first part at the same ends":       {[]Finding{{Request: guilty, Runners: ends(0, 3)}, {Request: first, Runners: ends(0, 3)}}, []Identity{first, other}, false, false},
-		"the first part at ends beside":         {[]Finding{{Request: guilty, Runners: ends(0, 3), Beside: ends(3, 4)}, {Request: first, Runners: ends(1, 4)}}, []Identity{first, other}, false, false},
-		"the guilty part with another first":    {[]Finding{{Request: guilty, Runners: ends(0, 5)}, {Request: first, Runners: ends(0, 3)}}, []Identity{other, guilty}, false, true},
-		"two guilty parts":                      {[]Finding{{Request: guilty, Runners: ends(0, 3)}, {Request: other, Runners: ends(5, 8)}}, []Identity{first, other}, false, true},
-		"the content alone is guilty":           {[]Finding{{Request: content, Runners: ends(0, 3)}, {Request: first, Runners: ends(0, 3)}}, []Identity{first}, false, false},
-		"fewer ends of a content":               {[]Finding{{Request: content, Runners: ends(0, 3)}, {Request: first, Runners: ends(0, 4)}}, []Identity{first}, false, false},
-		"two more ends than those of a content": {[]Finding{{Request: content, Runners: ends(0, 3)}, {Request: first, Runners: ends(0, 5)}}, []Identity{first}, false, true},
-		"a part that has succeeded once":        {[]Finding{{Request: guilty, Runners: ends(0, 3)}, {Request: first, Runners: ends(0, 5)}}, []Identity{first}, true, false},
-		"more ends than are explained":          {[]Finding{{Request: guilty, Runners: ends(0, 3)}, {Request: first, Runners: ends(0, 6)}}, []Identity{first, other}, false, true},
+		"the guilty part":                    {[]Finding{{Request: guilty, Runners: ends(0, 3)}}, []Identity{first, guilty}, false, true},
+		"both at all ends":                   {[]Finding{{Request: guilty, Runners: ends(0, 3)}, {Request: first, Runners: ends(0, 3)}}, []Identity{first, guilty}, false, true},
+		"the first part at the same ends":    {[]Finding{{Request: guilty, Runners: ends(0, 3)}, {Request: first, Runners: ends(0, 3)}}, []Identity{first, other}, false, false},
+		"the first part at ends beside":      {[]Finding{{Request: guilty, Runners: ends(0, 3), Beside: ends(3, 4)}, {Request: first, Runners: ends(1, 4)}}, []Identity{first, other}, false, false},
+		"the guilty part with another first": {[]Finding{{Request: guilty, Runners: ends(0, 5)}, {Request: first, Runners: ends(0, 3)}}, []Identity{other, guilty}, false, true},
+		"two guilty parts":                   {[]Finding{{Request: guilty, Runners: ends(0, 3)}, {Request: other, Runners: ends(5, 8)}}, []Identity{first, other}, false, true},
+		"the content alone is guilty":        {[]Finding{{Request: content, Runners: ends(0, 3)}, {Request: first, Runners: ends(0, 3)}}, []Identity{first}, false, false},
+		"fewer ends of a content":            {[]Finding{{Request: content, Runners: ends(0, 3)}, {Request: guilty, Runners: ends(0, 4)}}, []Identity{guilty}, false, true},
+		"fewer ends of a content, cleared":   {[]Finding{{Request: content, Runners: ends(0, 3)}, {Request: first, Runners: ends(0, 5)}}, []Identity{first}, true, false},
+		"a part that has succeeded once":     {[]Finding{{Request: guilty, Runners: ends(0, 3)}, {Request: first, Runners: ends(0, 5)}}, []Identity{first}, true, false},
+		"more ends than are explained":       {[]Finding{{Request: guilty, Runners: ends(0, 3)}, {Request: first, Runners: ends(0, 6)}}, []Identity{first, other}, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			marks := NewMarks()
