Draw the changes of runners of the soak of answers before it runs

The whole check failed with the race detector: two goroutines of TestUnframedAnswersSoak drew from one source of random numbers. Each has its own now.

--- a/test/answers_soak_test.go
+++ b/test/answers_soak_test.go
@@ -96,7 +96,8 @@
 			running.Go(func() { s.use(ctx, node, clients) })
 		}
 	}
-	running.Go(func() { s.changeRunners(ctx, t) })
+	changes := rand.New(rand.NewPCG(random.Uint64(), 2))
+	running.Go(func() { s.changeRunners(ctx, changes) })
 	s.injectFaults(ctx, t)
 	running.Wait()
 	s.check(t, seed)
@@ -126,8 +127,7 @@
 }
 
 // changeRunners draws new faults of runners until ctx ends.
-func (s *answersSoak) changeRunners(ctx context.Context, t *testing.T) {
-	random := rand.New(rand.NewPCG(s.random.Uint64(), 2))
+func (s *answersSoak) changeRunners(ctx context.Context, random *rand.Rand) {
 	ids := make([]string, 0, len(s.world.Runners))
 	for number := range answerRunners {
 		ids = append(ids, fmt.Sprintf("runner-%d", number+1), fmt.Sprintf("mailer-%d", number+1))
