Take a runner that accepts a connection after a pause of the node for ended

Its node stood still for two seconds, and its runner had crashed meanwhile and was back.

Cause: the call for its report was not answered (traced: the end came 40 ms after the last event, which is the time of the check by connection, and that reports no error), and the connection that stood in for it was accepted by the new incarnation. The list was not waited for, as a pause of less than 1.2 s is not, nor is the list of runners.

Change: after a pause only a report shows that a runner is there.

Evidence: TestPausedNodeTookANewIncarnationForTheOld failed before and passes.

--- a/internal/dispatch/completeness.go
+++ b/internal/dispatch/completeness.go
@@ -47,7 +47,10 @@
 )
 
 var (
-	errCut   = errors.New("the answer ended with its connection before its last part")
+	errCut = errors.New("the answer ended with its connection before its last part")
+	// errMaybeRestarted is why a runner counts as ended that accepts a connection.
+	errMaybeRestarted = errors.New("the process was paused, and another incarnation may be there")
+
 	errEnded = errors.New("the answer ended with its connection, and its runner has ended")
 )
 
@@ -81,9 +84,9 @@
 	presence, err := j.presenceByReport(ctx, choice)
 	if presence == upstream.PresenceUnknown {
 		presence, err = answer.Presence(ctx)
-		if j.dispatcher.PausedSince != nil && j.dispatcher.PausedSince(answer.SentAt()) {
-			// Another incarnation may be there, which the list shows once it was read.
-			j.dispatcher.AwaitFresh(ctx)
+		if presence == upstream.Present && j.dispatcher.PausedSince != nil && j.dispatcher.PausedSince(answer.SentAt()) {
+			// There was time for another incarnation to start, which accepts connections as well.
+			presence, err = upstream.Ended, errMaybeRestarted
 		}
 	}
 	if j.dispatcher.Fleet.Replaced(choice.Runner) {
--- a/internal/dispatch/completeness_test.go
+++ b/internal/dispatch/completeness_test.go
@@ -167,3 +167,14 @@
 	}
 	return count
 }
+
+// TestPausedNodeTookANewIncarnationForTheOld: a node stood still while the runner of an answer without framing
+// crashed and started again. It took a part for the whole, as the runner accepted its connection.
+func TestPausedNodeTookANewIncarnationForTheOld(t *testing.T) {
+	j, written, _ := unframedJob(t, ends("", "part"))
+	j.route.Kind = config.Unsafe
+	j.dispatcher.PausedSince = func(time.Time) bool { return true }
+	for j.attempt(t.Context()) {
+	}
+	assert.Equal(t, written.Code, http.StatusBadGateway)
+}
