Log the epoch of the store and how old its news are when applied

Change: the epoch that the store names in each answer, also in refusals, is observed and each newer one logged; a store that names none is in the oldest. Each applied configuration, and each runner that drains or is gone, is logged with its maximum age and the margin to the bound; both are metrics. No decision depends on either.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -53,6 +53,8 @@
 	Store func(value func(wire.StoreStatus) float64) float64
 	// LeasesHeld is the number of control leases that the node holds.
 	LeasesHeld func() int
+	// StoreEpoch is the newest epoch of the store; zero if it names none.
+	StoreEpoch func() uint64
 	// Links counts connections.
 	Links *link.Record
 }
@@ -81,6 +83,7 @@
 	firstByte     *prometheus.HistogramVec
 	waitTime      prometheus.Histogram
 	loadTimeError prometheus.Histogram
+	newsAge       *prometheus.HistogramVec
 	tenants       *tenantMetrics
 }
 
@@ -128,10 +131,13 @@
 		Name: "lilacvane_load_time_error_ratio", Buckets: errorBuckets,
 		Help: "How far loads from the weight store were from the time that was told, as a part of it.",
 	})
+	m.newsAge = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "lilacvane_news_age_seconds", Help: "How old changes of the store's tables were at most when this node applied them.", Buckets: latencyBuckets,
+	}, []string{"kind"})
 	m.tenants = newTenantMetrics(m.registry)
 	m.refused = newRefusalCounter()
 	m.statements = newStatementCounter()
-	m.registry.MustRegister(newRunnerCollector(sources.RunnersByState), m.refused, m.loadTimeError, m.requests, m.outsideHomes, m.regionBytes, m.attempts, m.failed, m.broken, m.crashes, m.undeliveredCrashReports, m.statements, m.resumes, m.firstByte, m.waitTime)
+	m.registry.MustRegister(newRunnerCollector(sources.RunnersByState), m.refused, m.loadTimeError, m.requests, m.outsideHomes, m.regionBytes, m.attempts, m.failed, m.broken, m.crashes, m.undeliveredCrashReports, m.statements, m.resumes, m.firstByte, m.waitTime, m.newsAge)
 	m.registry.MustRegister(newLinkCollector(sources.Links))
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
@@ -168,6 +174,7 @@
 		store(func(s wire.StoreStatus) float64 { return float64(s.UnderWay) }))
 	gauge("lilacvane_models_planned", "Models waited for that nothing loads yet, at the holder.",
 		store(func(s wire.StoreStatus) float64 { return float64(s.Planned) }))
+	gauge("lilacvane_store_epoch", "Newest epoch of the store; it rises when the store returns with an older copy.", func() float64 { return float64(sources.StoreEpoch()) })
 	count("lilacvane_leases_held", "Control leases held.", sources.LeasesHeld)
 	return m
 }
@@ -193,6 +200,21 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
+// News is a kind of change that nodes learn from the store's tables.
+type News string
+
+// The kinds of changes whose age is measured.
+const (
+	// NewsConfiguration is a configuration, NewsLeaving a runner that drains or is gone.
+	NewsConfiguration News = "configuration"
+	NewsLeaving       News = "leaving"
+)
+
+// ObserveNews records the maximum age of a change when this node applied it.
+func (m *Metrics) ObserveNews(kind News, maxAge time.Duration) {
+	m.newsAge.WithLabelValues(string(kind)).Observe(maxAge.Seconds())
+}
+
 // ObserveLoad records how far a load's duration was from the expected one.
 func (m *Metrics) ObserveLoad(took, expected time.Duration) {
 	if expected > 0 {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -11,6 +11,7 @@
 	"lilacvane/internal/evacuation"
 	"lilacvane/internal/feed"
 	"lilacvane/internal/fleet"
+	"lilacvane/internal/metrics"
 	"lilacvane/internal/place"
 	"lilacvane/internal/quarantine"
 	"lilacvane/internal/relay"
@@ -146,6 +147,7 @@
 	}
 	n.followers.base = decoded
 	n.compose()
+	n.recordNews(metrics.NewsConfiguration, n.followers.configuration)
 }
 
 // objectHandler applies operator objects.
@@ -236,12 +238,16 @@
 	h.origins.Change(changed, deletedKeys(rows))
 	h.fleet.Apply(changed, append(removed, unusable...), doubtful)
 	// One line per batch, as each of hundreds of nodes reports hundreds of runners.
-	if draining := drainingRunners(changed); len(draining) > 0 {
+	draining := drainingRunners(changed)
+	if len(draining) > 0 {
 		h.log.Info("runners leaving", "runners", draining)
 	}
 	if len(removed) > 0 {
 		h.log.Info("runners gone", "runners", removed, "doubtful", doubtful)
 	}
+	if len(draining)+len(removed) > 0 {
+		(*Node)(h).recordNews(metrics.NewsLeaving, h.followers.runners)
+	}
 	h.afterListChange()
 	if h.fleet.NeedsFullList() {
 		h.log.Info("kept runners lost, reading the full list again", "kept", h.fleet.Count())
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -24,6 +24,7 @@
 		Cold:        n.fleet.ColdFigures, LogDropped: n.log.Dropped, Revision: n.activeRevision,
 		Store:      func(value func(wire.StoreStatus) float64) float64 { return n.controls.sumStores(value) },
 		LeasesHeld: func() int { return n.controls.countHeld() },
+		StoreEpoch: func() uint64 { return uint64(n.platform.Epochs.Newest()) },
 		Links:      n.platform.Links,
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,6 +75,8 @@
 	Limits  table.Table
 	// Poison is the table of quarantined requests, which are not run because they crash runners.
 	Poison Table
+	// Epochs tracks the epoch of the store behind these tables.
+	Epochs *table.Epochs
 	// Control sends orders to runners.
 	Control backend.Control
 	// Pool holds the connections to runners, including those of Control.
@@ -155,6 +157,7 @@
 		decisions: decision.NewLog(s.Node, maxDecisions), claims: claim.New(platform.Claims), pauses: newPauseDetector(),
 	}
 	n.settings.Store(&s)
+	platform.Epochs.OnChange(n.logEpoch)
 	n.initStatements()
 	n.reach = reach.New(time.Now, log.Logger)
 	n.pool.Reach = n.reach
