Play the return of the store with an older copy in its stand-in, and list what fails

Cause: callers were served by a configuration 2.4 s after a newer one was acknowledged, and by runners over 2 s after these had said that they leave. No test of ours could show it: the stand-in never lost what it had acknowledged.

Change: the stand-in can go away and return with a copy of some time ago, as a new epoch that all its answers name; it gives versions out again, answers 410 to positions that it does not have, and operators and runners write again.

--- a/internal/lab/storestub/http.go
+++ b/internal/lab/storestub/http.go
@@ -13,11 +13,12 @@
 
 // The paths of calls that only the lab makes.
 const (
-	PathFaults = "/lab/faults"
-	PathForget = "/lab/forget"
-	PathLapse  = "/lab/lapse"
-	PathPut    = "/lab/rows"
-	PathCounts = "/lab/counts"
+	PathFaults  = "/lab/faults"
+	PathForget  = "/lab/forget"
+	PathLapse   = "/lab/lapse"
+	PathRestore = "/lab/restore"
+	PathPut     = "/lab/rows"
+	PathCounts  = "/lab/counts"
 )
 
 // Late writes are executed after minLateDelay plus a random part of lateDelayRange.
@@ -45,6 +46,12 @@
 			s.Lapse(table)
 		}
 	})
+	mux.HandleFunc("POST "+PathRestore, func(w http.ResponseWriter, r *http.Request) {
+		var restore Restore
+		if decodeJSON(w, r, &restore) {
+			s.Restore(restore)
+		}
+	})
 	mux.HandleFunc("POST "+PathPut, func(w http.ResponseWriter, r *http.Request) {
 		var rows []protocol.Row
 		if decodeJSON(w, r, &rows) {
@@ -60,7 +67,8 @@
 func (s *Store) withFaults(writes bool, call http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mutex.Lock()
-		faults := s.faults
+		faults, away := s.faults, s.away
+		w.Header().Set(protocol.HeaderStoreEpoch, strconv.FormatUint(s.epoch, 10))
 		allowed := s.takeToken()
 		if writes {
 			s.counts.Writes++
@@ -73,6 +81,8 @@
 		}
 		rejection := faults.rejection(r)
 		switch {
+		case away:
+			panic(http.ErrAbortHandler)
 		case rejection == Busy:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		case rejection == TooManyRequests:
@@ -116,19 +126,19 @@
 		<-r.Context().Done()
 		return
 	}
-	status, answer := s.transact(t)
+	status, done := s.transact(t)
 	if unanswered {
 		// The caller gets no response although the write is done.
 		<-r.Context().Done()
 		return
 	}
-	writeJSON(w, status, answer)
+	writeAnswer(w, status, done)
 }
 
 func (s *Store) handleRead(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	limit, _ := strconv.Atoi(query.Get(protocol.QueryLimit))
-	writeJSON(w, http.StatusOK, s.read(query.Get(protocol.QueryTable), query.Get(protocol.QueryFrom), query.Get(protocol.QueryTo), limit))
+	writeAnswer(w, http.StatusOK, s.read(query.Get(protocol.QueryTable), query.Get(protocol.QueryFrom), query.Get(protocol.QueryTo), limit))
 }
 
 func (s *Store) handleFeed(w http.ResponseWriter, r *http.Request) {
@@ -139,24 +149,29 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	s.mutex.Lock()
+	left := s.left
+	s.mutex.Unlock()
 	timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maximumWait))
 	defer timer.Stop()
 	for {
-		answer, kept, changed := s.changesSince(query.Get(protocol.QueryTable), after)
+		changes, kept, changed := s.changesSince(query.Get(protocol.QueryTable), after)
 		if !kept {
-			w.WriteHeader(http.StatusGone)
+			writeAnswer(w, http.StatusGone, changes)
 			return
 		}
-		if len(answer.Rows) > 0 {
-			writeJSON(w, http.StatusOK, answer)
+		if len(changes.Rows) > 0 {
+			writeAnswer(w, http.StatusOK, changes)
 			return
 		}
 		select {
 		case <-r.Context().Done():
 			return
+		case <-left:
+			panic(http.ErrAbortHandler)
 		case <-changed:
 		case <-timer.C:
-			writeJSON(w, http.StatusOK, answer)
+			writeAnswer(w, http.StatusOK, changes)
 			return
 		}
 	}
@@ -170,6 +185,11 @@
 	return true
 }
 
+func writeAnswer(w http.ResponseWriter, status int, a answer) {
+	w.Header().Set(protocol.HeaderStoreEpoch, strconv.FormatUint(a.epoch, 10))
+	writeJSON(w, status, a)
+}
+
 func writeJSON(w http.ResponseWriter, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/lab/storestub/store.go
+++ b/internal/lab/storestub/store.go
@@ -84,6 +84,13 @@
 	// may still have it.
 	forgotten uint64
 	changed   chan struct{}
+	// epoch counts the restores; see restore.go. away is set while one is under way, and left is
+	// closed when it begins. written are the rows that operators and runners wrote last, whether or
+	// not the store still has them; deleted rows included.
+	epoch     uint64
+	away      bool
+	left      chan struct{}
+	written   map[rowKey]protocol.Row
 	faults    Faults
 	counts    Counts
 	tokens    float64
@@ -97,6 +104,7 @@
 	now := time.Now()
 	return &Store{
 		callsPerSecond: callsPerSecond, random: rand.New(rand.NewPCG(seed, seed)), rows: make(map[rowKey]protocol.Row),
+		left: make(chan struct{}), written: make(map[rowKey]protocol.Row),
 		changed: make(chan struct{}), tokens: callsPerSecond, refilled: now, startedAt: now,
 	}
 }
@@ -148,13 +156,15 @@
 }
 
 // Put writes rows without conditions or faults and returns the new version. It stands for
-// the writes of operators and runners.
+// the writes of operators and runners. It waits while the store is away.
 func (s *Store) Put(rows []protocol.Row) uint64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.awaitReturn()
 	s.version++
 	for _, row := range rows {
 		s.writeRow(row)
+		s.written[rowKey{row.Table, row.Key}] = row
 	}
 	s.notify()
 	return s.version
@@ -199,15 +209,15 @@
 
 // transact executes a transaction and returns the HTTP status and the body of its
 // response.
-func (s *Store) transact(t protocol.Transaction) (int, protocol.RowsAnswer) {
+func (s *Store) transact(t protocol.Transaction) (int, answer) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if len(t.Expected)+len(t.Write)+len(t.Remove) > maximumChanges {
-		return http.StatusBadRequest, protocol.RowsAnswer{}
+		return http.StatusBadRequest, s.newAnswer(nil)
 	}
 	for _, written := range t.Write {
 		if written.Table == protocol.RunnerTable {
-			return http.StatusForbidden, protocol.RowsAnswer{}
+			return http.StatusForbidden, s.newAnswer(nil)
 		}
 	}
 	for _, expected := range t.Expected {
@@ -236,15 +246,21 @@
 	return rows
 }
 
-func (s *Store) newAnswer(rows []protocol.Row) protocol.RowsAnswer {
+// answer is the body of an answer and the epoch that it is of.
+type answer struct {
+	protocol.RowsAnswer
+	epoch uint64
+}
+
+func (s *Store) newAnswer(rows []protocol.Row) answer {
 	if rows == nil {
 		rows = []protocol.Row{}
 	}
-	return protocol.RowsAnswer{Rows: rows, Version: s.version, NowMs: time.Since(s.startedAt).Milliseconds()}
+	return answer{RowsAnswer: protocol.RowsAnswer{Rows: rows, Version: s.version, NowMs: time.Since(s.startedAt).Milliseconds()}, epoch: s.epoch}
 }
 
 // read returns a page of a table, as of now or of StaleMs ago.
-func (s *Store) read(table, from, to string, limit int) protocol.RowsAnswer {
+func (s *Store) read(table, from, to string, limit int) answer {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	rows, version := s.asOf(time.Duration(s.faults.StaleMs) * time.Millisecond)
@@ -258,10 +274,10 @@
 	if limit <= 0 || limit > maximumPage {
 		limit = maximumPage
 	}
-	answer := s.newAnswer(page[:min(limit, len(page))])
-	answer.More = len(page) > limit
-	answer.Version = version
-	return answer
+	read := s.newAnswer(page[:min(limit, len(page))])
+	read.More = len(page) > limit
+	read.Version = version
+	return read
 }
 
 // asOf returns the rows and the version of some time ago, as far as the history reaches
@@ -297,11 +313,11 @@
 
 // changesSince returns the changes of a table after a version, whether the history still
 // has them, and a channel that is closed at the next change.
-func (s *Store) changesSince(table string, after uint64) (answer protocol.RowsAnswer, kept bool, changed <-chan struct{}) {
+func (s *Store) changesSince(table string, after uint64) (changes answer, kept bool, changed <-chan struct{}) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if after < max(s.compacted, s.forgotten) {
-		return protocol.RowsAnswer{}, false, nil
+	if after < max(s.compacted, s.forgotten) || after > s.version {
+		return s.newAnswer(nil), false, nil
 	}
 	var rows []protocol.Row
 	for _, c := range s.history {
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -238,6 +238,11 @@
 	return w.post(w.address(hostStore, portStore), storestub.PathFaults, faults)
 }
 
+// RestoreStore makes the store return with an older copy of its content.
+func (w *World) RestoreStore(restore storestub.Restore) error {
+	return w.post(w.address(hostStore, portStore), storestub.PathRestore, restore)
+}
+
 // ForgetHistory makes the store drop the history of its feed.
 func (w *World) ForgetHistory() error {
 	return w.post(w.address(hostStore, portStore), storestub.PathForget, nil)
--- /dev/null
+++ b/test/restored_test.go
@@ -0,0 +1,111 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/lab/journal"
+	"lilacvane/internal/lab/storestub"
+	"lilacvane/internal/lab/world"
+	"lilacvane/internal/settings"
+	"lilacvane/platform/protocol"
+)
+
+const (
+	// newsBound is the time within which a change must be in effect at every node.
+	newsBound = 2 * time.Second
+	// newsMargin is what must be left of it.
+	newsMargin = newsBound / 2
+	// restoredNodes is the number of nodes in these tests.
+	restoredNodes = 3
+	// writesBeforeRestore is how many writes the copy of a restored store lacks at least: more than
+	// happen in the bound afterwards.
+	writesBeforeRestore = 300
+)
+
+// startRestoredWorld starts nodes that serve the safe route by two runners, and makes the store's
+// counter rise by writes that a copy taken before does not have.
+func startRestoredWorld(t *testing.T) (*world.World, []*world.Node) {
+	t.Helper()
+	w := newWorld(t, func(o *world.Options) {
+		adjust := o.Adjust
+		o.Adjust = func(s *settings.Settings) {
+			adjust(s)
+			s.Configuration.Within = newsBound
+		}
+	})
+	startMailers(t, w, 2)
+	nodes := startNodes(t, w, restoredNodes)
+	for _, node := range nodes {
+		awaitServed(t, node, "/read/", waitTimeout)
+	}
+	time.Sleep(time.Second)
+	for i := range writesBeforeRestore {
+		assert.NilError(t, w.PutRows(protocol.Row{Table: protocol.OperatorTable, Key: "unrelated", Value: fmt.Append(nil, i)}))
+	}
+	time.Sleep(time.Second)
+	return w, nodes
+}
+
+// awaitServed waits until a node serves a path.
+func awaitServed(t *testing.T, node *world.Node, path string, bound time.Duration) {
+	t.Helper()
+	for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		answer := send(t.Context(), node, clientRequest{Path: path, Deadline: time.Second})
+		if answer.Status == http.StatusOK {
+			return
+		}
+		if time.Since(began) > bound {
+			t.Fatalf("%s answers %d to %s after %v", node.Name, answer.Status, path, bound)
+		}
+	}
+}
+
+// restoreStore makes the store return, after a second, with a copy that lacks the writes of the last
+// two seconds.
+func restoreStore(t *testing.T, w *world.World) {
+	t.Helper()
+	assert.NilError(t, w.RestoreStore(storestub.Restore{AgeMs: 2000, AwayMs: 1000, RewriteMs: 100}))
+}
+
+// TestConfigurationOfRestoredStoreWasNotInForce: nodes took a configuration for stale that was written
+// after the store had returned with an older copy.
+func TestConfigurationOfRestoredStoreWasNotInForce(t *testing.T) {
+	t.Parallel()
+	w, nodes := startRestoredWorld(t)
+	restoreStore(t, w)
+	added := world.DefaultRoutes()[3]
+	added.Name, added.PathPrefix = "added", "/added/"
+	assert.NilError(t, w.Configure(append(world.DefaultRoutes(), added)))
+	for _, node := range nodes {
+		awaitServed(t, node, "/added/", newsMargin)
+	}
+}
+
+// TestRunnerThatLeftAfterRestoreGotRequests: nodes did not hear that a runner leaves which said so after
+// the store had returned with an older copy.
+func TestRunnerThatLeftAfterRestoreGotRequests(t *testing.T) {
+	t.Parallel()
+	w, nodes := startRestoredWorld(t)
+	restoreStore(t, w)
+	const leaving = "mailer-1"
+	assert.NilError(t, w.DrainRunner(leaving))
+	time.Sleep(newsMargin)
+	var ids []string
+	for range 20 {
+		for _, node := range nodes {
+			request := clientRequest{ID: newID(), Path: "/read/", Deadline: time.Second}
+			ids = append(ids, request.ID)
+			send(t.Context(), node, request)
+		}
+	}
+	for _, record := range readHistory(t, w).records {
+		ran := record.Event == journal.EventRun && record.Runner == leaving && slices.Contains(ids, record.Request)
+		assert.Assert(t, !ran, "request %s ran at the leaving runner", record.Request)
+	}
+}
