--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"lilacvane/internal/table"
 )
 
 // Runner is one incarnation of a runner as the platform lists it.
@@ -39,7 +41,7 @@
 	// Sequence is the number of orders it had accepted by then.
 	Sequence uint64
 	// Revision is the revision of the runner's row in the platform's list; zero if not known.
-	Revision uint64
+	Revision table.Revision
 	// Missing is set if the platform dropped the runner without reporting that it left, at a
 	// time when absence from the list does not prove that it did.
 	Missing bool
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return unavailable(err, fault.NotDone)
 	}
-	if row.Revision == 0 {
+	if !row.Revision.Exists() {
 		return unavailable(errors.New("the claim is not there"), fault.NotDone)
 	}
 	var held record
--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -94,7 +94,7 @@
 // not in the table; a transaction under way may still commit it later.
 func (c *Committer) Find(ctx context.Context, id string) (Result, bool, error) {
 	row, err := c.table.Get(ctx, prefixOperation+id)
-	if err != nil || row.Revision == 0 {
+	if err != nil || !row.Revision.Exists() {
 		return Result{}, false, err
 	}
 	var result Result
@@ -226,7 +226,7 @@
 }
 
 func headRevision(head table.Row) (uint64, error) {
-	if head.Revision == 0 {
+	if !head.Revision.Exists() {
 		return 0, nil
 	}
 	var revision uint64
@@ -285,7 +285,7 @@
 		return err
 	}
 	var current api.Object
-	if row.Revision != 0 {
+	if row.Revision.Exists() {
 		if err := json.Unmarshal(row.Value, &current); err != nil {
 			return fault.New(fault.CodeInternal, step, "object row %s: %v", row.Key, err)
 		}
--- a/internal/commit/commit_test.go
+++ b/internal/commit/commit_test.go
@@ -20,7 +20,7 @@
 // without effect, carried out with the answer lost, or carried out later.
 type faultyTable struct {
 	rows     map[string]table.Row
-	revision uint64
+	revision table.Revision
 	script   []string
 	delayed  []table.Transaction
 	// stale, if not nil, is what reads return.
@@ -56,7 +56,7 @@
 	return nil, nil
 }
 
-func (f *faultyTable) Commit(_ context.Context, transaction table.Transaction) (uint64, error) {
+func (f *faultyTable) Commit(_ context.Context, transaction table.Transaction) (table.Revision, error) {
 	switch f.next() {
 	case "refused":
 		return 0, unavailable(fault.NotDone)
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -23,6 +23,7 @@
 	"lilacvane/internal/reach"
 	"lilacvane/internal/scheduler"
 	"lilacvane/internal/statement"
+	"lilacvane/internal/table"
 	"lilacvane/internal/wait"
 	"lilacvane/internal/weightstore"
 	"lilacvane/internal/wire"
@@ -86,7 +87,7 @@
 	NeedList func(needed bool)
 	// ListRevision returns the revision up to which all changes of the runner list are in
 	// Fleet; it may be nil.
-	ListRevision  func() uint64
+	ListRevision  func() table.Revision
 	Configuration func() *config.Configuration
 	Policies      Policies
 	Sleeper       Sleeper
--- a/internal/control/lend_test.go
+++ b/internal/control/lend_test.go
@@ -25,7 +25,7 @@
 
 func (s *freeLease) List(context.Context, string, string, int) ([]table.Row, error) { return nil, nil }
 
-func (s *freeLease) Commit(_ context.Context, change table.Transaction) (uint64, error) {
+func (s *freeLease) Commit(_ context.Context, change table.Transaction) (table.Revision, error) {
 	s.row.Value, s.row.Revision = change.Writes[0].Value, s.row.Revision+1
 	return s.row.Revision, nil
 }
--- a/internal/control/listed.go
+++ b/internal/control/listed.go
@@ -37,7 +37,8 @@
 		return
 	}
 	// Read before the list, so that the list is at least as new as this revision.
-	response.ListRevision = c.ListRevision()
+	revision := c.ListRevision()
+	response.ListRevision, response.ListEpoch = revision.Number(), revision.Epoch()
 	holders := make(map[string]int)
 	included := make(map[string]bool)
 	for i := range response.Runners {
@@ -104,6 +105,6 @@
 		return nil
 	}
 	return &wire.ListedRunner{
-		Born: runner.Born, Address: runner.Address, Zone: runner.Zone, Region: runner.Region, Build: runner.Build, Slots: runner.Slots, Revision: runner.Revision,
+		Born: runner.Born, Address: runner.Address, Zone: runner.Zone, Region: runner.Region, Build: runner.Build, Slots: runner.Slots, Revision: runner.Revision.Number(), Epoch: runner.Revision.Epoch(),
 	}
 }
--- a/internal/control/listed_test.go
+++ b/internal/control/listed_test.go
@@ -12,6 +12,7 @@
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/lease"
 	"lilacvane/internal/orders"
+	"lilacvane/internal/table"
 	"lilacvane/internal/weightstore"
 	"lilacvane/internal/wire"
 )
@@ -26,7 +27,7 @@
 	}
 	known.Replace(list, false)
 	c := NewController(Options{
-		Service: "s", Rules: zoneOut(""), Fleet: known, ListRevision: func() uint64 { return 77 }, Log: logr.Discard(),
+		Service: "s", Rules: zoneOut(""), Fleet: known, ListRevision: func() table.Revision { return 77 }, Log: logr.Discard(),
 		Elector: lease.New(nil, "key", "node", "address", "process", lease.Options{}, logr.Discard()),
 	})
 	c.token, c.version, c.ledgers, c.store = 1, 1, make(map[string]*orders.Ledger), weightstore.New(weightstore.Estimate{})
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -15,6 +15,7 @@
 	"lilacvane/internal/limit"
 	"lilacvane/internal/peer"
 	"lilacvane/internal/place"
+	"lilacvane/internal/table"
 	"lilacvane/internal/wait"
 	"lilacvane/internal/weightstore"
 	"lilacvane/internal/wire"
@@ -373,7 +374,7 @@
 		views = append(views, fleetView(s.service, runner))
 	}
 	s.fleet.ApplyPlanned(s.service, plannedUnits(response.Planned))
-	s.fleet.ApplyViews(views, response.ListRevision)
+	s.fleet.ApplyViews(views, table.NewRevision(response.ListEpoch, response.ListRevision))
 }
 
 func plannedUnits(planned []wire.PendingUnit) []fleet.PendingUnit {
@@ -412,7 +413,7 @@
 	if listed := runner.Listed; listed != nil {
 		view.Listed = &backend.Runner{
 			ID: runner.Runner, Born: listed.Born, Service: service, Address: listed.Address, Zone: listed.Zone, Region: listed.Region, Build: listed.Build,
-			Slots: listed.Slots, Revision: listed.Revision, Models: view.Ready,
+			Slots: listed.Slots, Revision: table.NewRevision(listed.Epoch, listed.Revision), Models: view.Ready,
 		}
 	}
 	for _, pending := range runner.Pending {
--- a/internal/control/tick_bench_test.go
+++ b/internal/control/tick_bench_test.go
@@ -14,6 +14,7 @@
 	"lilacvane/internal/lease"
 	"lilacvane/internal/orders"
 	"lilacvane/internal/scheduler"
+	"lilacvane/internal/table"
 	"lilacvane/internal/weightstore"
 	"lilacvane/internal/wire"
 )
@@ -40,7 +41,7 @@
 	list := make([]backend.Runner, runners)
 	for i := range list {
 		list[i] = backend.Runner{
-			ID: fmt.Sprintf("i-%010x", i), Service: "s", Address: fmt.Sprint("address-", i), Zone: fmt.Sprint("zone-", i%6), Slots: 64, Revision: uint64(i + 1),
+			ID: fmt.Sprintf("i-%010x", i), Service: "s", Address: fmt.Sprint("address-", i), Zone: fmt.Sprint("zone-", i%6), Slots: 64, Revision: table.Revision(i + 1),
 			Models: []backend.Holding{{Model: fmt.Sprint("m", i%models)}, {Model: fmt.Sprint("m", (i+7)%models)}},
 		}
 	}
--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lilacvane/internal/place"
+	"lilacvane/internal/table"
 )
 
 const (
@@ -66,7 +67,7 @@
 // Row is an operator's change of a zone.
 type Row struct {
 	Zone     place.Zone
-	Revision uint64
+	Revision table.Revision
 	// Returned is set if the zone was taken back.
 	Returned bool
 }
@@ -80,7 +81,7 @@
 // entry is a zone that was taken out at least once.
 type entry struct {
 	// revision is the revision of the latest row of the zone.
-	revision uint64
+	revision table.Revision
 	out      bool
 	// learnedAt is when this node learned that the zone is out. leftAt is when the zone becomes
 	// Out.
@@ -158,7 +159,7 @@
 }
 
 // markReturned returns the entry with its zone taken back at now.
-func (e entry) markReturned(revision uint64, now time.Time) entry {
+func (e entry) markReturned(revision table.Revision, now time.Time) entry {
 	e.revision, e.out, e.returnedAt = revision, false, now
 	return e
 }
@@ -222,7 +223,7 @@
 type Status struct {
 	Zone     place.Zone
 	State    State
-	Revision uint64
+	Revision table.Revision
 	// LearnedAt is when this node learned that the zone is out, LeftAt when it becomes Out,
 	// and ReturnedAt when this node learned that it was taken back. They are zero if that
 	// did not happen.
--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"lilacvane/internal/place"
+	"lilacvane/internal/table"
 )
 
 var (
@@ -214,7 +215,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(1, 2500).Draw(t, "ms")) * time.Millisecond)
 			switch rapid.SampledFrom([]string{"write", "write", "watch", "watch", "whole", "restart", "old"}).Draw(t, "step") {
 			case "write":
-				row := Row{Zone: rapid.SampledFrom(zones).Draw(t, "zone"), Revision: uint64(len(history) + 1), Returned: rapid.Bool().Draw(t, "back")}
+				row := Row{Zone: rapid.SampledFrom(zones).Draw(t, "zone"), Revision: table.Revision(len(history) + 1), Returned: rapid.Bool().Draw(t, "back")}
 				history = append(history, tableChange{row: row, at: now})
 			case "watch":
 				if node.table.Read() {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/table"
 	"lilacvane/internal/wait"
 )
 
@@ -18,7 +19,7 @@
 type Row struct {
 	Key      string
 	Value    []byte
-	Revision uint64
+	Revision table.Revision
 	// Deleted is set in changes that remove the row.
 	Deleted bool
 }
@@ -27,7 +28,7 @@
 // tables.
 type Batch struct {
 	Rows     []Row
-	Revision uint64
+	Revision table.Revision
 	// Age is the time since the store provided the data; zero if the store itself answered.
 	Age time.Duration
 }
@@ -38,7 +39,7 @@
 	Read(ctx context.Context) (Batch, error)
 	// Watch returns the changes after a revision as soon as there are any, and an empty batch after
 	// wait. It fails with fault.CodeCompacted if the changes are no longer kept.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+	Watch(ctx context.Context, after table.Revision, wait time.Duration) (Batch, error)
 }
 
 // Handler processes the data of a followed table.
@@ -85,10 +86,10 @@
 	log     logr.Logger
 
 	// newestRevision is the newest revision seen; older data is not applied.
-	newestRevision uint64
+	newestRevision table.Revision
 	// position is the revision up to which snapshot and changes were applied. It is valid if
 	// hasSnapshot is set; otherwise the whole table is read next.
-	position    uint64
+	position    table.Revision
 	hasSnapshot bool
 	// mutex guards the fields up to cancelCall. lastResponse is when the source last answered, and
 	// asOf when the store provided that answer. applied is the revision up to which the handler has
@@ -97,8 +98,8 @@
 	mutex        sync.Mutex
 	lastResponse time.Time
 	asOf         time.Time
-	applied      uint64
-	delivering   uint64
+	applied      table.Revision
+	delivering   table.Revision
 	reread       bool
 	cancelCall   context.CancelFunc
 	// sourceLost is set while calls fail, backoff is the current pause after an error.
@@ -221,7 +222,7 @@
 		return err
 	}
 	if batch.Revision < f.newestRevision {
-		return fault.New(fault.CodeStale, "read table", "revision %d is older than %d", batch.Revision, f.newestRevision)
+		return fault.New(fault.CodeStale, "read table", "revision %v is older than %v", batch.Revision, f.newestRevision)
 	}
 	gap := time.Duration(0)
 	if last := f.LastResponse(); !last.IsZero() {
@@ -248,7 +249,7 @@
 		return err
 	}
 	if batch.Revision < f.position {
-		return fault.New(fault.CodeStale, "watch table", "revision %d is older than %d", batch.Revision, f.position)
+		return fault.New(fault.CodeStale, "watch table", "revision %v is older than %v", batch.Revision, f.position)
 	}
 	if len(batch.Rows) > 0 {
 		f.setDelivering(batch.Revision)
@@ -286,14 +287,14 @@
 }
 
 // setDelivering records the revision of rows that are about to be passed to the handler.
-func (f *Follower) setDelivering(revision uint64) {
+func (f *Follower) setDelivering(revision table.Revision) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.delivering = revision
 }
 
 // AppliedRevision returns the revision up to which the handler has processed all changes.
-func (f *Follower) AppliedRevision() uint64 {
+func (f *Follower) AppliedRevision() table.Revision {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.applied
@@ -301,7 +302,7 @@
 
 // DeliveringRevision returns a revision up to which all changes have been passed to the handler.
 // The handler may still be processing them.
-func (f *Follower) DeliveringRevision() uint64 {
+func (f *Follower) DeliveringRevision() table.Revision {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.delivering
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/table"
 )
 
 // scriptedSource returns prepared answers in order.
@@ -26,7 +27,7 @@
 	return batch, nil
 }
 
-func (s *scriptedSource) Watch(context.Context, uint64, time.Duration) (Batch, error) {
+func (s *scriptedSource) Watch(context.Context, table.Revision, time.Duration) (Batch, error) {
 	err := s.errs[0]
 	s.errs = s.errs[1:]
 	if err != nil {
@@ -118,7 +119,7 @@
 	held chan struct{}
 }
 
-func (s *heldSource) Watch(ctx context.Context, _ uint64, _ time.Duration) (Batch, error) {
+func (s *heldSource) Watch(ctx context.Context, _ table.Revision, _ time.Duration) (Batch, error) {
 	s.held <- struct{}{}
 	<-ctx.Done()
 	return Batch{}, ctx.Err()
@@ -176,7 +177,7 @@
 	return Batch{Revision: 1}, nil
 }
 
-func (s *failingSource) Watch(ctx context.Context, after uint64, _ time.Duration) (Batch, error) {
+func (s *failingSource) Watch(ctx context.Context, after table.Revision, _ time.Duration) (Batch, error) {
 	<-ctx.Done()
 	return Batch{Revision: after}, nil
 }
--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -67,7 +67,7 @@
 // cold, only if its identifier, which is unique to one incarnation, was not listed before and
 // this node cannot have skipped it. mutex must be held.
 func (f *Fleet) recordColdState(known *runner, row backend.Runner, isNew bool) {
-	if !isNew && row.Revision != 0 && row.Revision == known.listed.Revision {
+	if !isNew && row.Revision.Exists() && row.Revision == known.listed.Revision {
 		return
 	}
 	_, relisted := f.departedAt[row.ID]
--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -9,6 +9,7 @@
 	"lilacvane/internal/backend"
 	"lilacvane/internal/coldstart"
 	"lilacvane/internal/place"
+	"lilacvane/internal/table"
 )
 
 var (
@@ -85,7 +86,7 @@
 // allow none.
 func TestNewerRowMakesRunnerCold(t *testing.T) {
 	f, c := coldFleet(listed("r1", "m"))
-	for revision := uint64(1); revision <= 3; revision++ {
+	for revision := table.Revision(1); revision <= 3; revision++ {
 		_, ok := f.Choose(coldQuery)
 		assert.Assert(t, ok)
 		row := coldFor(listed("r1", "m"), time.Second)
--- a/internal/fleet/retention.go
+++ b/internal/fleet/retention.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/table"
 )
 
 // A node among hundreds sends requests to few of thousands of runners. Unless it controls a
@@ -55,7 +56,7 @@
 	// tracked counts the present runners by group.
 	tracked map[boundGroup]int
 	// listRevision is the newest revision of the list that this node may have applied.
-	listRevision uint64
+	listRevision table.Revision
 }
 
 // forEachGroup calls visit with each group to which a runner belongs.
@@ -165,7 +166,7 @@
 }
 
 // SetListRevision sets the revision of changes of the list before they are applied.
-func (f *Fleet) SetListRevision(revision uint64) {
+func (f *Fleet) SetListRevision(revision table.Revision) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.retention.listRevision = revision
@@ -174,7 +175,8 @@
 // trackFromHolder tracks a skipped runner as listed by another node. If that node's list is
 // older than this one's, a change that only this node has applied may be the removal of the
 // runner, so the runner stays skipped. mutex must be held.
-func (f *Fleet) trackFromHolder(listed *backend.Runner, listRevision uint64) {
+func (f *Fleet) trackFromHolder(listed *backend.Runner, listRevision table.Revision) {
+	listRevision = listRevision.InEpoch(f.retention.listRevision.Epoch())
 	if listed == nil || f.runners[listed.ID] != nil || f.incarnations[listed.Name()] != "" || listRevision < f.retention.listRevision {
 		return
 	}
--- a/internal/fleet/retention_test.go
+++ b/internal/fleet/retention_test.go
@@ -10,6 +10,7 @@
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/place"
+	"lilacvane/internal/table"
 )
 
 const (
@@ -30,7 +31,7 @@
 		runners[i] = listed(fmt.Sprintf("i-%010x", i), model, fmt.Sprint("busy-", (i+7)%busyModels))
 		runners[i].Zone = fmt.Sprint("zone-", i%largeZones)
 		runners[i].Address = fmt.Sprintf("10.128.%d.%d:8080", i/250, i%250)
-		runners[i].Revision = uint64(i + 1)
+		runners[i].Revision = table.Revision(i + 1)
 	}
 	return runners
 }
@@ -200,7 +201,7 @@
 func TestHolderTellsOfPassedOverRunner(t *testing.T) {
 	list := largeList(10_000)
 	for _, c := range []struct {
-		holder, own uint64
+		holder, own table.Revision
 		known       bool
 	}{{holder: 9, own: 9, known: true}, {holder: 9, own: 8, known: true}, {holder: 9, own: 10}} {
 		f := boundedFleet("node")
--- a/internal/fleet/views.go
+++ b/internal/fleet/views.go
@@ -5,6 +5,7 @@
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/place"
+	"lilacvane/internal/table"
 )
 
 // View is the lease holder's report on a runner.
@@ -40,7 +41,7 @@
 
 // ApplyViews applies the views of a service's lease holder, whose list has revision
 // listRevision.
-func (f *Fleet) ApplyViews(views []View, listRevision uint64) {
+func (f *Fleet) ApplyViews(views []View, listRevision table.Revision) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, view := range views {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -78,7 +78,7 @@
 	// false if this node must read the store itself. The row may be stale: it is handled like
 	// a stale answer of the store, and a node that only reads from peers never takes the
 	// lease.
-	ReadFromPeer func(ctx context.Context) (value []byte, revision uint64, ok bool)
+	ReadFromPeer func(ctx context.Context) (value []byte, revision table.Revision, ok bool)
 	// Nodes returns the number of nodes that contend for the lease, as far as is known; nil
 	// means few. The more there are, the less often each reads the row of a store that does not
 	// answer.
@@ -102,7 +102,7 @@
 	mutex sync.Mutex
 	// latest is the newest record known; seenAt is when its revision was first seen.
 	latest   Record
-	revision uint64
+	revision table.Revision
 	seenAt   time.Time
 	rowKnown bool
 	// earliestAct is the earliest time at which this process could act if it took the lease:
@@ -263,9 +263,9 @@
 
 // applyRow records a row that was read. It ignores rows that are no newer than the known
 // one, and returns an error if the value cannot be decoded.
-func (l *Elector) applyRow(value []byte, revision uint64) error {
+func (l *Elector) applyRow(value []byte, revision table.Revision) error {
 	var record Record
-	if revision != 0 {
+	if revision.Exists() {
 		if err := json.Unmarshal(value, &record); err != nil {
 			return fault.New(fault.CodeInvalid, "read lease", "%v", err)
 		}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -25,7 +25,7 @@
 // test requires.
 type fakeTable struct {
 	rows     []table.Row
-	revision uint64
+	revision table.Revision
 	late     []table.Transaction
 	// next is the outcome of the next write: "" (written), "lost" (written, but the answer is
 	// lost), "late" (written later) or "refused".
@@ -56,7 +56,7 @@
 
 func (f *fakeTable) List(context.Context, string, string, int) ([]table.Row, error) { return nil, nil }
 
-func (f *fakeTable) Commit(_ context.Context, t table.Transaction) (uint64, error) {
+func (f *fakeTable) Commit(_ context.Context, t table.Transaction) (table.Revision, error) {
 	if f.during != nil {
 		f.during()
 	}
--- a/internal/lease/peer_test.go
+++ b/internal/lease/peer_test.go
@@ -25,7 +25,7 @@
 
 func (s *oneRow) List(context.Context, string, string, int) ([]table.Row, error) { return nil, nil }
 
-func (s *oneRow) Commit(_ context.Context, change table.Transaction) (uint64, error) {
+func (s *oneRow) Commit(_ context.Context, change table.Transaction) (table.Revision, error) {
 	s.calls++
 	s.row.Value, s.row.Revision = change.Writes[0].Value, s.row.Revision+1
 	return s.row.Revision, nil
@@ -43,7 +43,7 @@
 func newPeerReader(store *oneRow, first bool) *Elector {
 	return New(store, "lease", "self", "10.0.0.1:1", "now", Options{
 		Validity: 2 * time.Second, Interval: 500 * time.Millisecond, TurnGap: 3 * time.Second, CallTimeout: time.Second, ReadStoreOnce: first,
-		ReadFromPeer: func(context.Context) ([]byte, uint64, bool) { return store.row.Value, store.row.Revision, true },
+		ReadFromPeer: func(context.Context) ([]byte, table.Revision, bool) { return store.row.Value, store.row.Revision, true },
 	}, logr.Discard())
 }
 
--- a/internal/lease/release.go
+++ b/internal/lease/release.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/table"
 )
 
 // releaseTries is how often a release is attempted in total when it conflicts.
@@ -58,7 +59,7 @@
 }
 
 // recordReleased records the row with which this process gave the lease up.
-func (l *Elector) recordReleased(record Record, revision uint64) {
+func (l *Elector) recordReleased(record Record, revision table.Revision) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if revision > l.revision {
@@ -68,7 +69,7 @@
 
 // releaseRecord returns the record that releases the lease and the revision it replaces.
 // own is false if another process holds the lease.
-func (l *Elector) releaseRecord() (record Record, revision uint64, own bool) {
+func (l *Elector) releaseRecord() (record Record, revision table.Revision, own bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	record = l.latest
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -139,22 +139,29 @@
 	if !ok {
 		return false
 	}
-	if revision == 0 {
+	if !revision.Exists() {
 		return true
 	}
-	if err := l.applyRow(value, revision); err != nil {
+	if err := l.applyRow(value, revision.InEpoch(l.epoch())); err != nil {
 		l.log.Info("lease row from a peer is unreadable", "revision", revision, "error", err.Error())
 		return false
 	}
 	return true
 }
 
+// epoch returns the epoch of the newest row known; zero if it is not known.
+func (l *Elector) epoch() table.Epoch {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.revision.Epoch()
+}
+
 // Row returns the newest row that this process knows, encoded as in the store. A revision of
 // zero means that it knows none.
-func (l *Elector) Row() (value []byte, revision uint64, err error) {
+func (l *Elector) Row() (value []byte, revision table.Revision, err error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if !l.rowKnown || l.revision == 0 {
+	if !l.rowKnown || !l.revision.Exists() {
 		return nil, 0, nil
 	}
 	value, err = json.Marshal(l.latest)
@@ -184,7 +191,7 @@
 
 // writeRow writes the record if the row still has the expected revision. It returns the new
 // revision and the time right before the write was sent.
-func (l *Elector) writeRow(ctx context.Context, record Record, expected uint64) (uint64, time.Time, error) {
+func (l *Elector) writeRow(ctx context.Context, record Record, expected table.Revision) (table.Revision, time.Time, error) {
 	value, err := json.Marshal(record)
 	if err != nil {
 		return 0, time.Time{}, fault.From(err, "encode lease")
@@ -201,7 +208,7 @@
 
 // setHeld records that the store confirmed a record of this process that was sent at the
 // given time.
-func (l *Elector) setHeld(record Record, revision uint64, sent, actsFrom time.Time) {
+func (l *Elector) setHeld(record Record, revision table.Revision, sent, actsFrom time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.latest, l.revision, l.seenAt, l.held = record, revision, l.options.Now(), true
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -10,6 +10,7 @@
 
 	"lilacvane/internal/config"
 	"lilacvane/internal/feed"
+	"lilacvane/internal/table"
 )
 
 // emptyTable is a table without rows that never changes.
@@ -17,7 +18,7 @@
 
 func (emptyTable) Read(context.Context) (feed.Batch, error) { return feed.Batch{Revision: 1}, nil }
 
-func (emptyTable) Watch(ctx context.Context, after uint64, _ time.Duration) (feed.Batch, error) {
+func (emptyTable) Watch(ctx context.Context, after table.Revision, _ time.Duration) (feed.Batch, error) {
 	<-ctx.Done()
 	return feed.Batch{Revision: after}, ctx.Err()
 }
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -11,6 +11,7 @@
 	"lilacvane/internal/fault"
 	"lilacvane/internal/lease"
 	"lilacvane/internal/peer"
+	"lilacvane/internal/table"
 	"lilacvane/internal/wire"
 )
 
@@ -140,9 +141,9 @@
 
 // peerLeaseReader returns a function that reads a service's lease from another node. A node that
 // reads the store itself does not ask peers. The function must be used by one goroutine only.
-func (c *controls) peerLeaseReader(service string) func(context.Context) ([]byte, uint64, bool) {
+func (c *controls) peerLeaseReader(service string) func(context.Context) ([]byte, table.Revision, bool) {
 	lastAnswer := time.Now()
-	return func(ctx context.Context) ([]byte, uint64, bool) {
+	return func(ctx context.Context) ([]byte, table.Revision, bool) {
 		address := c.node.relay.LeaseQueryPeer()
 		if address == "" {
 			return nil, 0, false
@@ -159,7 +160,7 @@
 		if response.Free {
 			return nil, 0, false
 		}
-		return response.Value, response.Revision, true
+		return response.Value, table.NewRevision(response.Epoch, response.Revision), true
 	}
 }
 
@@ -173,7 +174,7 @@
 	value, revision, err := s.elector.Row()
 	_, held := s.elector.Holder()
 	free := !held && request.Spare >= c.node.settings.Load().Capacity.Spare()
-	return wire.LeaseResponse{Value: value, Revision: revision, Free: free}, err
+	return wire.LeaseResponse{Value: value, Revision: revision.Number(), Epoch: revision.Epoch(), Free: free}, err
 }
 
 func (c *controls) get(service string) *serviceControl {
--- a/internal/node/division.go
+++ b/internal/node/division.go
@@ -118,7 +118,7 @@
 	}
 	record := limit.NewRecord()
 	l.revision = row.Revision
-	if row.Revision == 0 {
+	if !row.Revision.Exists() {
 		return record, row.ReadAt, nil
 	}
 	if err := wire.Decode(row.Value, "store", record); err != nil {
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -35,7 +35,7 @@
 	// divider is set while this node divides limits. revision is that of the row it works on and is
 	// used by run only.
 	divider  *limit.Divider
-	revision uint64
+	revision table.Revision
 }
 
 func newLimits(n *Node, s settings.Limits) *limits {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -200,7 +200,7 @@
 	n.controls = newControls(n)
 	n.relay = relay.New(relay.Options{
 		Group: relayGroup(s), Node: s.Node, Leases: platform.Leases, Address: s.Listen.PeerAddress(), Process: n.process,
-		Client: n.client, TakeoverDelay: n.takeoverDelay, FirstStart: s.Relay.FirstStart, Log: log.Logger,
+		Client: n.client, Epochs: platform.Epochs, TakeoverDelay: n.takeoverDelay, FirstStart: s.Relay.FirstStart, Log: log.Logger,
 	})
 	n.initPaths()
 	peer.Handle(n.peers, wire.MethodFollow, n.relay.Follow)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -21,7 +21,7 @@
 	rows map[string]bool
 }
 
-func (w *tableStub) Commit(_ context.Context, transaction table.Transaction) (uint64, error) {
+func (w *tableStub) Commit(_ context.Context, transaction table.Transaction) (table.Revision, error) {
 	if w.down {
 		return 0, fmt.Errorf("down")
 	}
--- a/internal/relay/changes.go
+++ b/internal/relay/changes.go
@@ -6,11 +6,12 @@
 	"sort"
 
 	"lilacvane/internal/feed"
+	"lilacvane/internal/table"
 )
 
 // change is a row change that a mirror has applied.
 type change struct {
-	revision uint64
+	revision table.Revision
 	key      string
 }
 
@@ -26,7 +27,7 @@
 const minCompactLength = 256
 
 // add appends a change.
-func (l *changeLog) add(key string, revision uint64) {
+func (l *changeLog) add(key string, revision table.Revision) {
 	if last := len(l.changes) - 1; last >= 0 && l.changes[last].revision > revision {
 		l.unordered = true
 	}
@@ -35,7 +36,7 @@
 
 // after returns the changes after a revision, oldest first. Some may be superseded by later ones.
 // The slice is valid until the next call of add or compact.
-func (l *changeLog) after(revision uint64) []change {
+func (l *changeLog) after(revision table.Revision) []change {
 	l.order()
 	from := sort.Search(len(l.changes), func(i int) bool { return l.changes[i].revision > revision })
 	return l.changes[from:]
--- a/internal/relay/changes_test.go
+++ b/internal/relay/changes_test.go
@@ -7,14 +7,15 @@
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/feed"
+	"lilacvane/internal/table"
 )
 
 // largeMirror returns a mirror of a table with the given number of rows.
 func largeMirror(rows int) *mirror {
 	m := newMirror()
-	batch := feed.Batch{Revision: uint64(rows)}
+	batch := feed.Batch{Revision: table.Revision(rows)}
 	for i := range rows {
-		batch.Rows = append(batch.Rows, feed.Row{Key: fmt.Sprint("runner-", i), Revision: uint64(i + 1), Value: []byte("v")})
+		batch.Rows = append(batch.Rows, feed.Row{Key: fmt.Sprint("runner-", i), Revision: table.Revision(i + 1), Value: []byte("v")})
 	}
 	m.replace(batch)
 	return m
@@ -25,7 +26,7 @@
 func TestReaderCostDependsOnChanges(t *testing.T) {
 	const rows, written = 10_000, 3
 	m := largeMirror(rows)
-	revision := uint64(rows)
+	revision := table.Revision(rows)
 	for range 20 {
 		batch := feed.Batch{}
 		for i := range rows / 4 {
@@ -62,7 +63,7 @@
 // rows.
 func BenchmarkReaderAtLargeTable(b *testing.B) {
 	m := largeMirror(10_000)
-	for i := range uint64(3) {
+	for i := range table.Revision(3) {
 		m.apply(feed.Batch{Revision: 10_001 + i, Rows: []feed.Row{{Key: fmt.Sprint("runner-", i), Revision: 10_001 + i}}})
 	}
 	b.ReportAllocs()
--- a/internal/relay/held_test.go
+++ b/internal/relay/held_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/feed"
+	"lilacvane/internal/table"
 )
 
 // hungSource gets no answer to its first call.
@@ -20,7 +21,7 @@
 	calls atomic.Int64
 }
 
-func (s *hungSource) Watch(ctx context.Context, after uint64, _ time.Duration) (feed.Batch, error) {
+func (s *hungSource) Watch(ctx context.Context, after table.Revision, _ time.Duration) (feed.Batch, error) {
 	if s.calls.Add(1) == 1 {
 		<-ctx.Done()
 		return feed.Batch{}, ctx.Err()
@@ -34,7 +35,7 @@
 	failed bool
 }
 
-func (s *onceFailingSource) Watch(_ context.Context, after uint64, _ time.Duration) (feed.Batch, error) {
+func (s *onceFailingSource) Watch(_ context.Context, after table.Revision, _ time.Duration) (feed.Batch, error) {
 	if !s.failed {
 		s.failed = true
 		return feed.Batch{}, errors.New("down")
@@ -47,7 +48,7 @@
 func TestHeldCallHungAfterStoreHadReturned(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const hold = 10 * time.Second
-		r := New(Options{Group: "group", Address: "10.0.0.1:1", Leases: &fakeStore{}, Log: logr.Discard()})
+		r := New(Options{Group: "group", Address: "10.0.0.1:1", Leases: &fakeStore{}, Epochs: &table.Epochs{}, Log: logr.Discard()})
 		r.SetNodes(1)
 		time.Sleep(leaseRowTimeout)
 		hung, flaky := r.Source("hung", &hungSource{}), r.Source("flaky", &onceFailingSource{})
--- a/internal/relay/mirror.go
+++ b/internal/relay/mirror.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"maps"
 	"slices"
@@ -9,6 +10,7 @@
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/feed"
+	"lilacvane/internal/table"
 )
 
 const (
@@ -32,7 +34,7 @@
 	// rows are the current rows; removed maps the keys of deleted rows to the revisions of their
 	// deletion.
 	rows    map[string]feed.Row
-	removed map[string]uint64
+	removed map[string]table.Revision
 	// log lists the changes of rows and removed.
 	log changeLog
 	// size is the size of the rows in bytes.
@@ -43,17 +45,17 @@
 	// position is the revision up to which all changes are applied. Deletions below floor are not
 	// known. If the table was read anew after a gap, a reader whose revision lies between gapStart
 	// and gapEnd may have rows that were added and deleted in that range; their deletion is unknown.
-	position uint64
-	floor    uint64
-	gapStart uint64
-	gapEnd   uint64
+	position table.Revision
+	floor    table.Revision
+	gapStart table.Revision
+	gapEnd   table.Revision
 	read     bool
 	// changed is closed when rows change.
 	changed chan struct{}
 }
 
 func newMirror() *mirror {
-	return &mirror{rows: make(map[string]feed.Row), removed: make(map[string]uint64), changed: make(chan struct{})}
+	return &mirror{rows: make(map[string]feed.Row), removed: make(map[string]table.Revision), changed: make(chan struct{})}
 }
 
 // replace applies a snapshot of all rows. A snapshot older than the mirror is ignored.
@@ -70,7 +72,9 @@
 	present := make(map[string]bool, len(batch.Rows))
 	for _, row := range batch.Rows {
 		present[row.Key] = true
-		m.put(row)
+		if !m.keeps(row) {
+			m.put(row)
+		}
 	}
 	for key := range m.rows {
 		if !present[key] {
@@ -85,8 +89,15 @@
 	m.advance(batch.Revision)
 }
 
+// keeps reports whether the mirror has a row of a later epoch, unchanged, from an earlier one. Readers
+// of the earlier epoch then need not be sent it. The caller holds mu.
+func (m *mirror) keeps(row feed.Row) bool {
+	known, ok := m.rows[row.Key]
+	return ok && known.Revision.Epoch() < row.Revision.Epoch() && known.Revision.Number() == row.Revision.Number() && bytes.Equal(known.Value, row.Value)
+}
+
 // knowsChangesAfter reports whether all changes after a revision are known. The caller holds mu.
-func (m *mirror) knowsChangesAfter(revision uint64) bool {
+func (m *mirror) knowsChangesAfter(revision table.Revision) bool {
 	return revision >= m.floor && (revision <= m.gapStart || revision >= m.gapEnd)
 }
 
@@ -138,6 +149,13 @@
 	m.rows, m.log = make(map[string]feed.Row), changeLog{}
 }
 
+// epoch returns the epoch of the mirror; zero if it was not read.
+func (m *mirror) epoch() table.Epoch {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.position.Epoch()
+}
+
 // hasRows reports whether the mirror has the rows of the table.
 func (m *mirror) hasRows() bool {
 	m.mu.Lock()
@@ -154,12 +172,16 @@
 
 // fill restores the rows of a mirror that dropped them. Deletions after the position of the mirror
 // still have to be applied; rows may be newer than the position, and are sent to readers again
-// then. It fails with fault.CodeStale if the batch is older than the mirror.
+// then. It fails with fault.CodeStale if the batch is older than the mirror, and with
+// fault.CodeCompacted if it is of a later epoch, so that the table has to be read anew.
 func (m *mirror) fill(batch feed.Batch) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if batch.Revision < m.position {
-		return fault.New(fault.CodeStale, "fill mirror", "revision %d is older than %d", batch.Revision, m.position)
+		return fault.New(fault.CodeStale, "fill mirror", "revision %v is older than %v", batch.Revision, m.position)
+	}
+	if batch.Revision.Epoch() != m.position.Epoch() {
+		return fault.New(fault.CodeCompacted, "fill mirror", "the store is in epoch %d, the mirror in %d", batch.Revision.Epoch(), m.position.Epoch())
 	}
 	m.rowsDropped, m.log = false, changeLog{}
 	for key, revision := range m.removed {
@@ -173,7 +195,7 @@
 }
 
 // advance sets the position and wakes waiting readers. The caller holds mu.
-func (m *mirror) advance(revision uint64) {
+func (m *mirror) advance(revision table.Revision) {
 	m.position = revision
 	if len(m.removed) > maxRemoved {
 		m.trimRemoved()
@@ -190,7 +212,7 @@
 func (m *mirror) trimRemoved() {
 	revisions := slices.Sorted(maps.Values(m.removed))
 	m.floor = max(m.floor, revisions[len(revisions)/2])
-	maps.DeleteFunc(m.removed, func(_ string, revision uint64) bool { return revision <= m.floor })
+	maps.DeleteFunc(m.removed, func(_ string, revision table.Revision) bool { return revision <= m.floor })
 }
 
 // errNotRead returns the error of a mirror without rows.
@@ -237,7 +259,7 @@
 // after returns the changes after a revision, in order, as soon as there are any, and an empty
 // batch if ctx ends first. It fails with fault.CodeCompacted if some of them are not known, and
 // with fault.CodeNotReady if the table is not read before ctx ends.
-func (m *mirror) after(ctx context.Context, revision uint64) (feed.Batch, error) {
+func (m *mirror) after(ctx context.Context, revision table.Revision) (feed.Batch, error) {
 	for {
 		batch, changed, err := m.since(revision)
 		if err != nil || len(batch.Rows) > 0 {
@@ -254,11 +276,11 @@
 	}
 }
 
-func (m *mirror) since(revision uint64) (feed.Batch, <-chan struct{}, error) {
+func (m *mirror) since(revision table.Revision) (feed.Batch, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.read && !m.knowsChangesAfter(revision) {
-		return feed.Batch{}, nil, fault.New(fault.CodeCompacted, "relay table", "not all changes after %d are known", revision)
+		return feed.Batch{}, nil, fault.New(fault.CodeCompacted, "relay table", "not all changes after %v are known", revision)
 	}
 	// A reader ahead of the mirror gets no changes until the mirror has caught up.
 	batch := feed.Batch{Revision: max(revision, m.position)}
--- a/internal/relay/mirror_test.go
+++ b/internal/relay/mirror_test.go
@@ -11,6 +11,7 @@
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/feed"
+	"lilacvane/internal/table"
 )
 
 // endedContext returns a canceled context, for requests that must not wait for a change.
@@ -22,16 +23,43 @@
 
 // storeModel is a table with its whole history.
 type storeModel struct {
-	revision uint64
+	revision table.Revision
 	changes  []feed.Row
+	// past holds the changes of the epochs before.
+	past map[table.Epoch][]feed.Row
 }
 
 func (s *storeModel) write(key string, deleted bool) {
 	s.revision++
-	s.changes = append(s.changes, feed.Row{Key: key, Revision: s.revision, Deleted: deleted, Value: []byte(fmt.Sprint(s.revision))})
+	s.changes = append(s.changes, feed.Row{Key: key, Revision: s.revision, Deleted: deleted, Value: []byte(s.revision.String())})
 }
 
-func (s *storeModel) since(revision uint64) feed.Batch {
+// restore returns to a number as a new epoch, in which the rows of the copy have their old numbers.
+func (s *storeModel) restore(number uint64) {
+	if s.past == nil {
+		s.past = make(map[table.Epoch][]feed.Row)
+	}
+	epoch := s.revision.Epoch()
+	s.past[epoch] = s.changes
+	s.revision, s.changes = table.NewRevision(epoch+1, number), nil
+	for _, row := range s.past[epoch] {
+		if row.Revision.Number() <= number {
+			row.Revision = table.NewRevision(epoch+1, row.Revision.Number())
+			s.changes = append(s.changes, row)
+		}
+	}
+}
+
+// history returns the changes of an epoch.
+func (s *storeModel) history(epoch table.Epoch) []feed.Row {
+	if epoch == s.revision.Epoch() {
+		return s.changes
+	}
+	return s.past[epoch]
+}
+
+// since returns the changes after a revision of the store's epoch.
+func (s *storeModel) since(revision table.Revision) feed.Batch {
 	batch := feed.Batch{Revision: s.revision}
 	for _, row := range s.changes {
 		if row.Revision > revision {
@@ -41,10 +69,10 @@
 	return batch
 }
 
-// present returns the revisions of the rows as of a revision.
-func (s *storeModel) present(revision uint64) map[string]uint64 {
-	rows := make(map[string]uint64)
-	for _, row := range s.changes {
+// present returns the rows as of a revision.
+func (s *storeModel) present(revision table.Revision) map[string]feed.Row {
+	rows := make(map[string]feed.Row)
+	for _, row := range s.history(revision.Epoch()) {
 		if row.Revision > revision {
 			break
 		}
@@ -53,18 +81,21 @@
 	return rows
 }
 
-func applyRow(rows map[string]uint64, row feed.Row) {
+// applyRow applies a row without its epoch: an unchanged row may keep that of an earlier one.
+func applyRow(rows map[string]feed.Row, row feed.Row) {
 	if row.Deleted {
 		delete(rows, row.Key)
 		return
 	}
-	rows[row.Key] = row.Revision
+	row.Revision = table.NewRevision(0, row.Revision.Number())
+	rows[row.Key] = row
 }
 
-func (s *storeModel) snapshot(revision uint64) feed.Batch {
+func (s *storeModel) snapshot(revision table.Revision) feed.Batch {
 	batch := feed.Batch{Revision: revision}
-	for key, at := range s.present(revision) {
-		batch.Rows = append(batch.Rows, feed.Row{Key: key, Revision: at, Value: s.changes[at-1].Value})
+	for _, row := range s.present(revision) {
+		row.Revision = table.NewRevision(revision.Epoch(), row.Revision.Number())
+		batch.Rows = append(batch.Rows, row)
 	}
 	return batch
 }
@@ -73,7 +104,8 @@
 // change batches of any size and a mirror that lags behind its reader, and checks that the reader
 // always has the table as of its position. It guards against a mirror that does not send a reader
 // the deletion of a row which was added and deleted between the position of the mirror and a new
-// read, although the reader has the row. That failed in one of five runs of a hundred schedules.
+// read, although the reader has the row, and against one that takes the rows of a restored store for
+// those of the epoch before.
 func TestMirrorTellsReadersTheTable(t *testing.T) {
 	const rounds = 30
 	for range rounds {
@@ -85,28 +117,37 @@
 	rapid.Check(t, func(t *rapid.T) {
 		store := &storeModel{}
 		m := newMirror()
-		reader := make(map[string]uint64)
-		position, read := uint64(0), false
+		reader := make(map[string]feed.Row)
+		position, read := table.Revision(0), false
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			switch rapid.SampledFrom([]string{"write", "write", "read", "watch", "watch", "ask", "ask", "direct", "lighten", "fill"}).Draw(t, "what") {
+			switch rapid.SampledFrom([]string{"write", "write", "read", "watch", "watch", "ask", "ask", "direct", "lighten", "fill", "restore"}).Draw(t, "what") {
 			case "write":
 				store.write(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key"), rapid.Bool().Draw(t, "deleted"))
 			case "read":
-				m.replace(store.snapshot(rapid.Uint64Range(0, store.revision).Draw(t, "as of")))
+				m.replace(store.snapshot(table.NewRevision(store.revision.Epoch(), rapid.Uint64Range(0, store.revision.Number()).Draw(t, "as of"))))
+			case "restore":
+				store.restore(rapid.Uint64Range(0, store.revision.Number()).Draw(t, "copy"))
 			case "watch":
-				m.apply(store.since(m.position))
+				if store.revision.Epoch() == m.position.Epoch() {
+					m.apply(store.since(m.position))
+				}
 			case "lighten":
 				m.dropRows(0)
 			case "fill":
 				// Rows may be newer than the position of the mirror until the changes arrive, which
 				// are requested at once.
-				if m.rowsDropped {
-					assert.NilError(t, m.fill(store.snapshot(store.revision)))
+				if m.rowsDropped && m.fill(store.snapshot(store.revision)) == nil {
+					assert.Equal(t, m.position.Epoch(), store.revision.Epoch())
 					m.apply(store.since(m.position))
 				}
 			case "direct":
 				// The reader called the store and may now be ahead of the mirror.
-				for _, row := range store.since(position).Rows {
+				changes := store.since(position)
+				if position.Epoch() != store.revision.Epoch() {
+					clear(reader)
+					changes = store.snapshot(store.revision)
+				}
+				for _, row := range changes.Rows {
 					applyRow(reader, row)
 				}
 				position, read = store.revision, true
@@ -121,7 +162,7 @@
 }
 
 // readMirror applies to the reader what the mirror returns.
-func readMirror(t *rapid.T, m *mirror, reader map[string]uint64, position uint64, read bool) (uint64, bool) {
+func readMirror(t *rapid.T, m *mirror, reader map[string]feed.Row, position table.Revision, read bool) (table.Revision, bool) {
 	batch, err := m.after(endedContext(), position)
 	if m.rowsDropped {
 		assert.Assert(t, err != nil, "a mirror without rows returned changes")
@@ -147,7 +188,7 @@
 	m := newMirror()
 	m.replace(feed.Batch{Revision: 1})
 	const changes = 3 * maxRemoved
-	for revision := uint64(2); revision < changes; revision++ {
+	for revision := table.Revision(2); revision < changes; revision++ {
 		m.apply(feed.Batch{Revision: revision, Rows: []feed.Row{{Key: fmt.Sprint(revision), Revision: revision, Deleted: true}}})
 	}
 	assert.Assert(t, len(m.removed) <= maxRemoved)
--- a/internal/relay/pack.go
+++ b/internal/relay/pack.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"cmp"
 	"sync"
 
 	"lilacvane/internal/feed"
+	"lilacvane/internal/table"
 	"lilacvane/internal/wire"
 )
 
@@ -14,8 +16,8 @@
 // another revision.
 type packKey struct {
 	whole    bool
-	after    uint64
-	revision uint64
+	after    table.Revision
+	revision table.Revision
 }
 
 // packer caches the last compressed rows of a table, because readers at the same revision get the
@@ -29,14 +31,14 @@
 // put sets the rows of a response, compressed if they are large.
 func (p *packer) put(response *wire.FollowResponse, request wire.FollowRequest, batch feed.Batch) error {
 	if sizeOfAll(batch.Rows) < minPackedSize {
-		response.Rows = wireRows(batch.Rows)
+		response.Rows = wireRows(batch.Rows, batch.Revision.Epoch())
 		return nil
 	}
-	key := packKey{whole: request.Whole, after: request.After, revision: batch.Revision}
+	key := packKey{whole: request.Whole, after: table.NewRevision(request.Epoch, request.After), revision: batch.Revision}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.key != key || p.packed == nil {
-		packed, err := wire.PackRows(wireRows(batch.Rows))
+		packed, err := wire.PackRows(wireRows(batch.Rows, batch.Revision.Epoch()))
 		if err != nil {
 			return err
 		}
@@ -57,10 +59,15 @@
 	return size
 }
 
-func wireRows(rows []feed.Row) []wire.TableRow {
+// wireRows returns the rows of a message of an epoch.
+func wireRows(rows []feed.Row, epoch table.Epoch) []wire.TableRow {
 	var converted []wire.TableRow
 	for _, row := range rows {
-		converted = append(converted, wire.TableRow(row))
+		sent := wire.TableRow{Key: row.Key, Value: row.Value, Revision: row.Revision.Number(), Deleted: row.Deleted}
+		if row.Revision.Epoch() != epoch {
+			sent.Epoch = row.Revision.Epoch()
+		}
+		converted = append(converted, sent)
 	}
 	return converted
 }
@@ -76,7 +83,8 @@
 	}
 	var rows []feed.Row
 	for _, row := range received {
-		rows = append(rows, feed.Row(row))
+		revision := table.NewRevision(cmp.Or(row.Epoch, response.Epoch), row.Revision)
+		rows = append(rows, feed.Row{Key: row.Key, Value: row.Value, Revision: revision, Deleted: row.Deleted})
 	}
 	return rows, nil
 }
--- a/internal/relay/pages.go
+++ b/internal/relay/pages.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lilacvane/internal/feed"
+	"lilacvane/internal/table"
 	"lilacvane/internal/wire"
 )
 
@@ -32,7 +33,7 @@
 // pages holds all rows of a table as of a revision. Hundreds of readers that start at the same
 // moment are served the same pages.
 type pages struct {
-	revision uint64
+	revision table.Revision
 	// at is when the rows were split into pages.
 	at   time.Time
 	list []page
@@ -59,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cut, err := cutPages(batch.Rows)
+	cut, err := cutPages(batch.Rows, batch.Revision.Epoch())
 	if err != nil {
 		return nil, err
 	}
@@ -69,14 +70,14 @@
 
 // canServe reports whether pages as of a revision may be served: nothing has changed since, or they
 // are fresh and all later changes can be sent next.
-func (m *mirror) canServe(revision uint64, fresh bool) bool {
+func (m *mirror) canServe(revision table.Revision, fresh bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return !m.rowsDropped && (revision == m.position || fresh && m.knowsChangesAfter(revision))
 }
 
-// cutPages splits rows into pages. There is at least one page.
-func cutPages(rows []feed.Row) ([]page, error) {
+// cutPages splits the rows of a table in an epoch into pages. There is at least one page.
+func cutPages(rows []feed.Row, epoch table.Epoch) ([]page, error) {
 	slices.SortFunc(rows, func(a, b feed.Row) int { return cmp.Compare(a.Key, b.Key) })
 	var cut []page
 	for start := 0; start < len(rows) || start == 0; {
@@ -85,7 +86,7 @@
 			size += sizeOf(rows[end])
 			end++
 		}
-		next, err := newPage(rows[start:end], size)
+		next, err := newPage(rows[start:end], size, epoch)
 		if err != nil {
 			return nil, err
 		}
@@ -96,7 +97,7 @@
 }
 
 // newPage returns a page of rows, compressed if they are large.
-func newPage(rows []feed.Row, size int) (page, error) {
+func newPage(rows []feed.Row, size int, epoch table.Epoch) (page, error) {
 	p := page{}
 	if len(rows) > 0 {
 		p.first = rows[0].Key
@@ -106,7 +107,7 @@
 		return p, nil
 	}
 	var err error
-	p.packed, err = wire.PackRows(wireRows(rows))
+	p.packed, err = wire.PackRows(wireRows(rows, epoch))
 	return p, err
 }
 
@@ -118,7 +119,8 @@
 		index = max(index-1, 0)
 	}
 	selected := p.list[index]
-	response.Revision, response.Rows, response.Packed = p.revision, wireRows(selected.rows), selected.packed
+	response.Revision, response.Epoch = p.revision.Number(), p.revision.Epoch()
+	response.Rows, response.Packed = wireRows(selected.rows, response.Epoch), selected.packed
 	if index+1 < len(p.list) {
 		response.Next = p.list[index+1].first
 	}
--- a/internal/relay/pages_test.go
+++ b/internal/relay/pages_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/feed"
+	"lilacvane/internal/table"
 	"lilacvane/internal/wire"
 )
 
@@ -40,12 +41,12 @@
 	m := newMirror()
 	batch := feed.Batch{Revision: rows}
 	for i := range rows {
-		batch.Rows = append(batch.Rows, feed.Row{Key: fmt.Sprint("k", i), Revision: uint64(i + 1), Value: make([]byte, pageSize/4)})
+		batch.Rows = append(batch.Rows, feed.Row{Key: fmt.Sprint("k", i), Revision: table.Revision(i + 1), Value: make([]byte, pageSize/4)})
 	}
 	m.replace(batch)
-	got := make(map[string]uint64)
-	from, oldest := "", uint64(rows)
-	for number := uint64(0); ; number++ {
+	got := make(map[string]feed.Row)
+	from, oldest := "", table.Revision(rows)
+	for number := table.Revision(0); ; number++ {
 		served, err := m.pager.get(endedContext(), m)
 		assert.NilError(t, err)
 		var response wire.FollowResponse
@@ -53,9 +54,9 @@
 		read, err := rowsOf(response, Peer{Address: "relay"})
 		assert.NilError(t, err)
 		for _, row := range read {
-			got[row.Key] = row.Revision
+			applyRow(got, row)
 		}
-		oldest = min(oldest, response.Revision)
+		oldest = min(oldest, table.Revision(response.Revision))
 		at := rows + 4*number
 		m.apply(feed.Batch{Revision: at + 4, Rows: []feed.Row{
 			{Key: fmt.Sprint("k", number), Revision: at + 1}, {Key: fmt.Sprint("k", 9-number), Revision: at + 2, Deleted: true},
@@ -72,9 +73,9 @@
 	for _, row := range changes.Rows {
 		applyRow(got, row)
 	}
-	want := make(map[string]uint64)
-	for key, row := range m.rows {
-		want[key] = row.Revision
+	want := make(map[string]feed.Row)
+	for _, row := range m.rows {
+		applyRow(want, row)
 	}
 	assert.DeepEqual(t, got, want)
 }
@@ -104,5 +105,5 @@
 	m.replace(feed.Batch{Revision: 20})
 	anew, err := m.pager.get(endedContext(), m)
 	assert.NilError(t, err)
-	assert.Equal(t, anew.revision, uint64(20))
+	assert.Equal(t, anew.revision, table.Revision(20))
 }
--- a/internal/relay/propagation_test.go
+++ b/internal/relay/propagation_test.go
@@ -133,3 +133,53 @@
 	})
 	assert.Assert(t, delay < maxDelay, "%v", delay)
 }
+
+// restoredDelay is the maximum time that a change may take after a restored store has returned: half
+// of the time within which changes must be in effect.
+const restoredDelay = time.Second
+
+// writeMany changes all tables.
+func (g *simulatedGroup) writeMany(count int) {
+	for range count {
+		for name := range simulatedTables {
+			g.store.write(name)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestChangeInTimeAfterRestore covers a store that is away for a time and returns with an older copy.
+func TestChangeInTimeAfterRestore(t *testing.T) {
+	for _, away := range []time.Duration{0, 200 * time.Millisecond, time.Second, 5 * time.Second} {
+		delay := maxPropagation(t, func(g *simulatedGroup) {
+			g.writeMany(100)
+			g.store.silent.Store(away > 0)
+			time.Sleep(away)
+			g.store.restore(50, 6)
+			g.store.silent.Store(false)
+		})
+		assert.Check(t, delay < restoredDelay, "away for %v: %v", away, delay)
+	}
+}
+
+// TestChangeInTimeAfterTwoRestores covers a second return within the recovery from the first, with an
+// even older copy.
+func TestChangeInTimeAfterTwoRestores(t *testing.T) {
+	delay := maxPropagation(t, func(g *simulatedGroup) {
+		g.writeMany(100)
+		g.store.restore(50, 6)
+		g.writeMany(rand.IntN(20))
+		g.store.restore(70, 6)
+	})
+	assert.Check(t, delay < restoredDelay, "%v", delay)
+}
+
+// TestChangeInTimeAfterRestoreThoughRelayIsGone covers a relay that ends as the store returns.
+func TestChangeInTimeAfterRestoreThoughRelayIsGone(t *testing.T) {
+	delay := maxPropagation(t, func(g *simulatedGroup) {
+		g.writeMany(100)
+		g.holder().gone.Store(true)
+		g.store.restore(50, 6)
+	})
+	assert.Check(t, delay < maxDelay, "%v", delay)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -109,6 +109,8 @@
 	Address string
 	Process string
 	Client  Caller
+	// Epochs tracks the epoch of the store. Nil means that only this Relay does.
+	Epochs *table.Epochs
 	// TakeoverDelay returns how much later than others this node becomes the relay.
 	TakeoverDelay func() time.Duration
 	// FirstStart is set when the whole system starts for the first time, so that no requests wait
@@ -124,6 +126,7 @@
 type Relay struct {
 	elector *lease.Elector
 	client  Caller
+	epochs  *table.Epochs
 	address string
 	log     logr.Logger
 
@@ -174,14 +177,18 @@
 
 // New returns the member of a group for one node. Run starts it.
 func New(o Options) *Relay {
+	if o.Epochs == nil {
+		o.Epochs = &table.Epochs{}
+	}
 	r := &Relay{
-		client: o.Client, address: o.Address, log: o.Log.WithValues("group", o.Group), mirrors: make(map[Table]*mirror), upstreamLost: make(chan struct{}), found: make(chan struct{}),
+		client: o.Client, epochs: o.Epochs, address: o.Address, log: o.Log.WithValues("group", o.Group), mirrors: make(map[Table]*mirror), upstreamLost: make(chan struct{}), found: make(chan struct{}),
 		firstStart: o.FirstStart, processStarted: time.Now(),
 	}
 	r.elector = lease.New(o.Leases, o.Group.LeaseKey(), o.Node, o.Address, o.Process, lease.Options{
 		Validity: leaseValidity, Interval: leaseInterval, CallTimeout: leaseTimeout, TakeoverDelay: o.TakeoverDelay, HolderAnswered: r.skipLeaseCheck,
 		Nodes: r.Nodes, ReadStoreOnce: true, ReadAtStart: !o.FirstStart, Regained: r.storeRecovered, Now: o.Now,
 	}, o.Log)
+	r.epochs.OnChange(r.epochChanged)
 	return r
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -41,7 +41,7 @@
 
 func (s *fakeStore) List(context.Context, string, string, int) ([]table.Row, error) { return nil, nil }
 
-func (s *fakeStore) Commit(_ context.Context, change table.Transaction) (uint64, error) {
+func (s *fakeStore) Commit(_ context.Context, change table.Transaction) (table.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if change.Conditions[0].Revision != s.lease.Revision {
@@ -61,7 +61,7 @@
 	return s.model.snapshot(s.model.revision), nil
 }
 
-func (s *fakeStore) Watch(_ context.Context, after uint64, _ time.Duration) (feed.Batch, error) {
+func (s *fakeStore) Watch(_ context.Context, after table.Revision, _ time.Duration) (feed.Batch, error) {
 	s.reads.Add(1)
 	if s.down.Load() {
 		return feed.Batch{}, errors.New("down")
@@ -129,7 +129,7 @@
 	assert.NilError(t, err)
 	m := &member{listener: &resettableListener{Listener: listener}}
 	options := Options{
-		Group: "group", Node: name, Leases: store, Address: listener.Addr().String(), Process: name, Client: peer.NewClient(name, nil), Log: logr.Discard(),
+		Group: "group", Node: name, Leases: store, Address: listener.Addr().String(), Process: name, Client: peer.NewClient(name, nil), Epochs: &table.Epochs{}, Log: logr.Discard(),
 	}
 	for _, apply := range change {
 		apply(&options)
--- a/internal/relay/search_test.go
+++ b/internal/relay/search_test.go
@@ -14,6 +14,7 @@
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/peer"
+	"lilacvane/internal/table"
 	"lilacvane/internal/wait"
 )
 
@@ -30,7 +31,7 @@
 }
 
 // keepWatching watches the table on a node until stop is called, and counts the watches.
-func keepWatching(t *testing.T, m *member, after uint64) (stop func(), watches *atomic.Int64) {
+func keepWatching(t *testing.T, m *member, after table.Revision) (stop func(), watches *atomic.Int64) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	watches = &atomic.Int64{}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -6,6 +6,7 @@
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/feed"
+	"lilacvane/internal/table"
 	"lilacvane/internal/wire"
 )
 
@@ -34,7 +35,7 @@
 	if err != nil {
 		return wire.FollowResponse{}, err
 	}
-	response := wire.FollowResponse{Revision: batch.Revision, AgeMs: r.age().Milliseconds()}
+	response := wire.FollowResponse{Revision: batch.Revision.Number(), Epoch: batch.Revision.Epoch(), AgeMs: r.age().Milliseconds()}
 	if err := m.packer.put(&response, request, batch); err != nil {
 		return wire.FollowResponse{}, err
 	}
@@ -56,12 +57,13 @@
 	return response, nil
 }
 
-// read returns all rows of a mirror, or its changes after the revision in the request.
+// read returns all rows of a mirror, or its changes after the revision in the request. A reader that
+// does not know epochs is taken to be in that of the mirror.
 func read(ctx context.Context, m *mirror, request wire.FollowRequest) (feed.Batch, error) {
 	if request.Whole {
 		return m.awaitSnapshot(ctx)
 	}
-	return m.after(ctx, request.After)
+	return m.after(ctx, table.NewRevision(request.Epoch, request.After).InEpoch(m.epoch()))
 }
 
 func (r *Relay) isStopped() bool {
--- a/internal/relay/simulation_test.go
+++ b/internal/relay/simulation_test.go
@@ -29,8 +29,10 @@
 
 // simulatedStore is a store with a lease and some tables. Single nodes can be cut off from it.
 type simulatedStore struct {
-	mu      sync.Mutex
-	lease   table.Row
+	mu    sync.Mutex
+	lease table.Row
+	// leases is the history of the lease row.
+	leases  []table.Row
 	tables  map[Table]*storeModel
 	changed chan struct{}
 	// silent is set while no call is answered.
@@ -40,16 +42,16 @@
 }
 
 func newSimulatedStore(names ...Table) *simulatedStore {
-	s := &simulatedStore{tables: make(map[Table]*storeModel), changed: make(chan struct{})}
+	s := &simulatedStore{lease: table.Row{Revision: table.NewRevision(1, 0)}, tables: make(map[Table]*storeModel), changed: make(chan struct{})}
 	for _, name := range names {
-		s.tables[name] = &storeModel{}
+		s.tables[name] = &storeModel{revision: table.NewRevision(1, 0)}
 		s.tables[name].write("first", false)
 	}
 	return s
 }
 
 // write changes a table and returns the new revision.
-func (s *simulatedStore) write(name Table) uint64 {
+func (s *simulatedStore) write(name Table) table.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tables[name].write("changed", false)
@@ -58,12 +60,36 @@
 	return s.tables[name].revision
 }
 
+// epoch returns the epoch of the store.
+func (s *simulatedStore) epoch() table.Epoch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease.Revision.Epoch()
+}
+
+// restore returns with a copy that lacks the newest changes of each table and the newest renewals of
+// the lease. Calls that wait for changes are not ended by that.
+func (s *simulatedStore) restore(changes, renewals uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, model := range s.tables {
+		number := model.revision.Number()
+		model.restore(number - min(changes, number))
+	}
+	epoch := s.lease.Revision.Epoch() + 1
+	s.lease = s.leases[max(len(s.leases)-int(renewals), 1)-1]
+	s.lease.Revision = table.NewRevision(epoch, s.lease.Revision.Number())
+	s.leases = []table.Row{s.lease}
+}
+
 // storeView is the lease table and one data table of the store as seen by one node.
 type storeView struct {
 	*simulatedStore
 	table Table
 	// cut is set while no call of the node is answered.
 	cut *atomic.Bool
+	// epochs observes the epoch of each answer.
+	epochs *table.Epochs
 }
 
 // reach waits for the store. It fails if the store does not answer before ctx ends.
@@ -75,6 +101,7 @@
 	if ctx.Err() != nil {
 		return fault.At(fault.CodeStoreUnavailable, "call store", "store", fault.Unknown, ctx.Err())
 	}
+	v.epochs.Observe(v.epoch())
 	return nil
 }
 
@@ -89,7 +116,7 @@
 
 func (v storeView) List(context.Context, string, string, int) ([]table.Row, error) { return nil, nil }
 
-func (v storeView) Commit(ctx context.Context, change table.Transaction) (uint64, error) {
+func (v storeView) Commit(ctx context.Context, change table.Transaction) (table.Revision, error) {
 	if err := v.reach(ctx); err != nil {
 		return 0, err
 	}
@@ -99,6 +126,7 @@
 		return 0, fault.New(fault.CodeConflict, "commit", "changed")
 	}
 	v.lease = table.Row{Value: change.Writes[0].Value, Revision: v.lease.Revision + 1}
+	v.leases = append(v.leases, v.lease)
 	return v.lease.Revision, nil
 }
 
@@ -112,7 +140,7 @@
 	return model.snapshot(model.revision), nil
 }
 
-func (v storeView) Watch(ctx context.Context, after uint64, hold time.Duration) (feed.Batch, error) {
+func (v storeView) Watch(ctx context.Context, after table.Revision, hold time.Duration) (feed.Batch, error) {
 	if err := v.reach(ctx); err != nil {
 		return feed.Batch{}, err
 	}
@@ -121,6 +149,9 @@
 		v.mu.Lock()
 		batch, changed := v.tables[v.table].since(after), v.changed
 		v.mu.Unlock()
+		if batch.Revision.Epoch() != after.Epoch() {
+			return feed.Batch{}, fault.New(fault.CodeCompacted, "watch table", "another epoch")
+		}
 		if len(batch.Rows) > 0 {
 			return batch, v.reach(ctx)
 		}
@@ -169,13 +200,14 @@
 			takeoverDelay = time.Second
 		}
 		address := fmt.Sprintf("10.0.0.%d:1", i)
+		epochs := &table.Epochs{}
 		n.Relay = New(Options{
-			Group: "group", Node: fmt.Sprint("node-", i), Leases: storeView{simulatedStore: g.store, cut: &n.cut}, Address: address, Process: fmt.Sprint("process-", i),
-			Client: n, TakeoverDelay: func() time.Duration { return takeoverDelay }, Now: time.Now, Log: logr.Discard(),
+			Group: "group", Node: fmt.Sprint("node-", i), Leases: storeView{simulatedStore: g.store, cut: &n.cut, epochs: epochs}, Address: address, Process: fmt.Sprint("process-", i),
+			Client: n, Epochs: epochs, TakeoverDelay: func() time.Duration { return takeoverDelay }, Now: time.Now, Log: logr.Discard(),
 		})
 		for name, options := range simulatedTables {
 			options.Name, options.Pace, options.RetrySignal = string(name), n.Pace, n.UpstreamFound
-			source := n.Source(name, storeView{simulatedStore: g.store, table: name, cut: &n.cut})
+			source := n.Source(name, storeView{simulatedStore: g.store, table: name, cut: &n.cut, epochs: epochs})
 			n.followers[name] = feed.NewFollower(source, discardHandler{}, options, logr.Discard())
 		}
 		g.nodes, g.address[address] = append(g.nodes, n), n
@@ -255,7 +287,7 @@
 	return time.Since(written)
 }
 
-func (g *simulatedGroup) allHave(revision uint64) bool {
+func (g *simulatedGroup) allHave(revision table.Revision) bool {
 	for _, n := range g.nodes {
 		connected := !n.cut.Load() && !n.gone.Load() && !n.mute.Load()
 		if connected && n.followers["configuration"].AppliedRevision() < revision {
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -9,6 +9,7 @@
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/feed"
+	"lilacvane/internal/table"
 	"lilacvane/internal/wire"
 )
 
@@ -38,8 +39,8 @@
 
 // Watch returns the changes after a revision, from the store if no relay provides them. It fails
 // with fault.CodeCompacted if they are no longer kept.
-func (s *Source) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Batch, error) {
-	request := wire.FollowRequest{After: after, HoldMs: wait.Milliseconds()}
+func (s *Source) Watch(ctx context.Context, after table.Revision, wait time.Duration) (feed.Batch, error) {
+	request := wire.FollowRequest{After: after.Number(), Epoch: after.Epoch(), HoldMs: wait.Milliseconds()}
 	batch, err := s.fetch(ctx, request, func(ctx context.Context) (feed.Batch, error) {
 		if err := s.fill(ctx); err != nil {
 			return feed.Batch{}, err
@@ -58,7 +59,7 @@
 
 // probe reads the changes from a store that failed the last call of this node. It does not wait for
 // changes, so that it is soon known whether the store answers again.
-func (s *Source) probe(ctx context.Context, after uint64) (feed.Batch, error) {
+func (s *Source) probe(ctx context.Context, after table.Revision) (feed.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	return s.store.Watch(ctx, after, 0)
@@ -179,6 +180,10 @@
 		var more feed.Batch
 		request.FromKey = next
 		more, next, err = s.requestPage(ctx, relay, request)
+		if err == nil && more.Revision.Epoch() != batch.Revision.Epoch() {
+			return feed.Batch{}, fault.At(fault.CodeStale, "follow relay", relay.Address, fault.NotDone,
+				fault.New(fault.CodeStale, "read pages", "the epoch changed from %d to %d", batch.Revision.Epoch(), more.Revision.Epoch()))
+		}
 		batch.Rows = append(batch.Rows, more.Rows...)
 		batch.Revision = min(batch.Revision, more.Revision)
 		batch.Age = max(batch.Age, more.Age)
@@ -202,6 +207,9 @@
 	if err := s.relay.client.Call(ctx, relay.Address, wire.MethodFollow, request, &response); err != nil {
 		return feed.Batch{}, "", err
 	}
+	if err := s.relay.checkEpoch(&response, relay, request.Epoch); err != nil {
+		return feed.Batch{}, "", err
+	}
 	age := time.Duration(response.AgeMs) * time.Millisecond
 	if age > maxAge {
 		return feed.Batch{}, "", fault.At(fault.CodeStale, "follow relay", relay.Address, fault.NotDone,
@@ -210,5 +218,5 @@
 	s.relay.recordRelayAnswer()
 	s.relay.addPeers(response.Peers...)
 	rows, err := rowsOf(response, relay)
-	return feed.Batch{Rows: rows, Revision: response.Revision, Age: age}, response.Next, err
+	return feed.Batch{Rows: rows, Revision: table.NewRevision(response.Epoch, response.Revision), Age: age}, response.Next, err
 }
--- a/internal/table/bounded.go
+++ b/internal/table/bounded.go
@@ -28,7 +28,7 @@
 	return t.table.List(ctx, prefix, after, limit)
 }
 
-func (t timeoutTable) Commit(ctx context.Context, transaction Transaction) (uint64, error) {
+func (t timeoutTable) Commit(ctx context.Context, transaction Transaction) (Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, t.timeout)
 	defer cancel()
 	return t.table.Commit(ctx, transaction)
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -8,20 +8,21 @@
 	"time"
 )
 
-// Row is one row. Revision is zero if the row does not exist.
+// Row is one row. If the row does not exist, Revision names only the epoch of the answer.
 type Row struct {
 	Key      string
 	Value    []byte
-	Revision uint64
+	Revision Revision
 	// ReadAt is the time of the read on the monotonic clock of the table, which is the same for all
 	// nodes.
 	ReadAt time.Duration
 }
 
-// Condition requires that a row has a revision; zero requires that the row does not exist.
+// Condition requires that a row has a revision, or that it does not exist if the revision has no
+// number.
 type Condition struct {
 	Key      string
-	Revision uint64
+	Revision Revision
 }
 
 // Write sets or deletes a row.
@@ -39,7 +40,7 @@
 
 // Table is one table of the service.
 type Table interface {
-	// Get reads one row. A row that does not exist has revision zero. The result may be older than
+	// Get reads one row. The result may be older than
 	// that of an earlier read.
 	Get(ctx context.Context, key string) (Row, error)
 	// List reads up to limit rows with the prefix and a key above after, in key order.
@@ -48,5 +49,5 @@
 	// fault.CodeConflict if a condition does not hold. The outcome of any other error states
 	// whether the transaction took effect; with an unknown outcome it may take effect later, as
 	// long as its conditions hold.
-	Commit(ctx context.Context, transaction Transaction) (uint64, error)
+	Commit(ctx context.Context, transaction Transaction) (Revision, error)
 }
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -1,5 +1,7 @@
 package wire
 
+import "lilacvane/internal/table"
+
 // MethodFollow is the call by which a node reads tables of the store from the node that relays them
 // to its group.
 const MethodFollow = "relay/follow"
@@ -10,6 +12,8 @@
 	// Whole asks for all rows; otherwise the rows that changed after revision After are requested.
 	Whole bool   `cbor:"2,keyasint,omitempty"`
 	After uint64 `cbor:"3,keyasint,omitempty"`
+	// Epoch is the epoch of After; zero if not known.
+	Epoch table.Epoch `cbor:"8,keyasint,omitempty"`
 	// HoldMs is how long the answer may wait for a change, in milliseconds.
 	HoldMs int64 `cbor:"4,keyasint"`
 	// From is the address of the reader for peers (ip:port).
@@ -27,6 +31,8 @@
 	// Packed replaces Rows if there are many; see PackRows.
 	Packed   []byte `cbor:"5,keyasint,omitempty"`
 	Revision uint64 `cbor:"2,keyasint"`
+	// Epoch is the epoch of Revision, and of the rows that name none; zero if not known.
+	Epoch table.Epoch `cbor:"7,keyasint,omitempty"`
 	// Next is the first key of the next page; empty for the last page.
 	Next string `cbor:"6,keyasint,omitempty"`
 	// AgeMs is the time since the store last answered the relay, in milliseconds.
@@ -63,6 +69,8 @@
 type LeaseResponse struct {
 	Value    []byte `cbor:"1,keyasint,omitempty"`
 	Revision uint64 `cbor:"2,keyasint,omitempty"`
+	// Epoch is the epoch of Revision; zero if not known.
+	Epoch table.Epoch `cbor:"4,keyasint,omitempty"`
 	// Free is set when no holder of the lease is known and the asking node has as much spare
 	// capacity as the answering one: the asking node may read the row itself and take the lease.
 	Free bool `cbor:"3,keyasint,omitempty"`
@@ -74,4 +82,6 @@
 	Value    []byte `cbor:"2,keyasint,omitempty"`
 	Revision uint64 `cbor:"3,keyasint"`
 	Deleted  bool   `cbor:"4,keyasint,omitempty"`
+	// Epoch is the epoch of Revision; zero if it is that of the message.
+	Epoch table.Epoch `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -5,6 +5,7 @@
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/limit"
+	"lilacvane/internal/table"
 )
 
 // MethodSync is the call by which a node reports the demand of its requests to the holder of the
@@ -137,6 +138,8 @@
 	// ListRevision is the revision of the list of the platform up to which the holder has applied
 	// all changes; see RunnerView.Listed.
 	ListRevision uint64 `cbor:"19,keyasint,omitempty"`
+	// ListEpoch is the epoch of ListRevision; zero if not known.
+	ListEpoch table.Epoch `cbor:"25,keyasint,omitempty"`
 	// Planned are the models that requests at the node wait for and that are not being loaded yet,
 	// with the time until they are expected.
 	Planned []PendingUnit `cbor:"9,keyasint,omitempty"`
@@ -221,8 +224,9 @@
 	Slots   int    `cbor:"5,keyasint,omitempty"`
 	// Build is the version of its software.
 	Build backend.Build `cbor:"7,keyasint,omitempty"`
-	// Revision is the revision of its row.
-	Revision uint64 `cbor:"6,keyasint,omitempty"`
+	// Revision is the revision of its row, Epoch the epoch of that.
+	Revision uint64      `cbor:"6,keyasint,omitempty"`
+	Epoch    table.Epoch `cbor:"8,keyasint,omitempty"`
 }
 
 // UnitHeld is a loaded model with its adapters.
