Keep what is known while a restored store lacks what is yet to be written again

What callers saw: nothing yet; with the revisions ordered, a runner that had said that it leaves would have come back as ready with the copy, a zone taken out would have been back in, and a runner that the copy lacks would have been gone.

Cause: a table read after a return was taken for the whole truth, as any table that is read anew.

The handler applies what does not go back and returns the rest, which is applied at the end of the period unless the row changes before. An incarnation that drains stays so for good; one that has left, or whose later one is listed, does not come back before the end; a runner that is missing stays until then; a zone stays as it was; marks of requests that crash runners stay and are written again.

Why it works: the platform says that operators and runners write again what the copy lacks within two seconds, so what still differs then is the truth.

--- a/internal/commit/read.go
+++ b/internal/commit/read.go
@@ -73,6 +73,15 @@
 // writes one.
 func (f *Follower) ApplyChanges(rows []feed.Row) { f.Catalog.Apply(f.entries(rows)) }
 
+// ApplyRestored processes rows of a restored table. The catalog does not go back.
+func (f *Follower) ApplyRestored(rows []feed.Row) []feed.Row {
+	f.ApplyChanges(rows)
+	return nil
+}
+
+// Keys returns nothing: rows that vanish change no object.
+func (f *Follower) Keys() []string { return nil }
+
 func (f *Follower) entries(rows []feed.Row) []wire.Entry {
 	var entries []wire.Entry
 	for _, row := range rows {
--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -135,6 +135,15 @@
 	return next
 }
 
+// Contradicts reports whether a row tells the opposite of what is known of its zone.
+func (t *Table) Contradicts(row Row) bool {
+	if t == nil {
+		return false
+	}
+	known, seen := t.zones[row.Zone]
+	return seen && known.out == row.Returned
+}
+
 // copy returns a table that may be changed; an empty one for a nil Table.
 func (t *Table) copy() *Table {
 	if t == nil {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -50,6 +50,13 @@
 	// ApplyChanges processes changed rows in the order of their changes. Each key occurs once, with
 	// its state at the end of the batch.
 	ApplyChanges(rows []Row)
+	// ApplyRestored processes rows that differ, or may differ, after the store returned with an older
+	// copy. They may go back, and those that the copy lacks are Deleted, until operators and runners
+	// have written them again. It returns those that it does not apply yet. What has not changed when
+	// the settling period ends is passed to ApplyChanges then.
+	ApplyRestored(rows []Row) (deferred []Row)
+	// Keys returns the keys of the applied rows that a restored table may lack.
+	Keys() []string
 }
 
 // Options configures a Follower.
@@ -102,6 +109,7 @@
 	delivering   table.Revision
 	reread       bool
 	cancelCall   context.CancelFunc
+	settling     settling
 	// sourceLost is set while calls fail, backoff is the current pause after an error.
 	sourceLost bool
 	backoff    time.Duration
@@ -116,6 +124,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		started, retry := time.Now(), f.retrySignal()
+		f.settle()
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -156,8 +165,10 @@
 	}
 }
 
-// wait returns how long a watch call currently waits for a change.
-func (f *Follower) wait() time.Duration { return max(f.options.Wait, f.pace()) }
+// wait returns how long a watch call currently waits for a change: no longer than the settling period.
+func (f *Follower) wait() time.Duration {
+	return f.settling.limit(max(f.options.Wait, f.pace()))
+}
 
 // interval returns the current minimum time between two watch calls.
 func (f *Follower) interval() time.Duration {
@@ -230,7 +241,11 @@
 	}
 	f.log.Info("table read", "revision", batch.Revision, "rows", len(batch.Rows), "gapMs", gap.Milliseconds())
 	f.setDelivering(batch.Revision)
-	f.handler.ApplySnapshot(batch.Rows, gap)
+	if f.isRestored(batch) || f.settling.active() {
+		f.applyRestored(f.withMissing(batch))
+	} else {
+		f.handler.ApplySnapshot(batch.Rows, gap)
+	}
 	f.hasSnapshot = true
 	f.advance(batch)
 	return nil
@@ -251,9 +266,15 @@
 	if batch.Revision < f.position {
 		return fault.New(fault.CodeStale, "watch table", "revision %v is older than %v", batch.Revision, f.position)
 	}
-	if len(batch.Rows) > 0 {
+	rows := latestPerKey(batch.Rows)
+	switch {
+	case f.isRestored(batch):
+		f.setDelivering(batch.Revision)
+		f.applyRestored(rows)
+	case len(rows) > 0:
 		f.setDelivering(batch.Revision)
-		f.handler.ApplyChanges(latestPerKey(batch.Rows))
+		f.settling.forget(rows)
+		f.handler.ApplyChanges(rows)
 	}
 	f.advance(batch)
 	return nil
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -43,6 +43,9 @@
 	snapshots int
 	changed   []string
 	last      []Row
+	// deferred is what ApplyRestored returns, keys what Keys does.
+	deferred []Row
+	keys     []string
 }
 
 func (r *recorder) ApplySnapshot(rows []Row, _ time.Duration) {
@@ -57,6 +60,13 @@
 	}
 }
 
+func (r *recorder) ApplyRestored(rows []Row) []Row {
+	r.ApplyChanges(rows)
+	return r.deferred
+}
+
+func (r *recorder) Keys() []string { return r.keys }
+
 func follow(source Source, handler Handler) *Follower {
 	return NewFollower(source, handler, Options{Name: "test", Wait: time.Second, Timeout: time.Second}, logr.Discard())
 }
@@ -131,6 +141,10 @@
 func (h snapshotHandler) ApplySnapshot([]Row, time.Duration) { h.snapshots <- struct{}{} }
 func (h snapshotHandler) ApplyChanges([]Row)                 {}
 
+func (h snapshotHandler) ApplyRestored([]Row) []Row { return nil }
+
+func (h snapshotHandler) Keys() []string { return nil }
+
 // TestTableIsReadAnewAtOnce checks that Reread interrupts a watch call.
 func TestTableIsReadAnewAtOnce(t *testing.T) {
 	source := &heldSource{scriptedSource: scriptedSource{reads: []Batch{{Revision: 1}, {Revision: 1}}}, held: make(chan struct{})}
--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -67,11 +67,11 @@
 // cold, only if its identifier, which is unique to one incarnation, was not listed before and
 // this node cannot have skipped it. mutex must be held.
 func (f *Fleet) recordColdState(known *runner, row backend.Runner, isNew bool) {
-	if !isNew && row.Revision.Exists() && row.Revision == known.listed.Revision {
+	if !isNew && row.Revision.Exists() && row.Revision.Number() == known.listed.Revision.Number() && row.ColdFor == known.listed.ColdFor {
 		return
 	}
-	_, relisted := f.departedAt[row.ID]
-	delete(f.departedAt, row.ID)
+	_, relisted := f.departures[row.ID]
+	delete(f.departures, row.ID)
 	known.cold.ApplyStatus(coldstart.Status{ColdFor: row.ColdFor, Conclusive: !isNew || relisted || !f.listRead || len(f.retention.skipped) > 0}, f.now())
 }
 
@@ -79,13 +79,20 @@
 // rows may vanish while the store is down and come back.
 const departureLifetime = coldstart.MaxDuration
 
+// departure is a runner that was forgotten. left is set if it left, and did not merely vanish while the
+// platform could not be reached.
+type departure struct {
+	at   time.Time
+	left bool
+}
+
 // recordDeparture remembers a runner that is forgotten. mutex must be held.
-func (f *Fleet) recordDeparture(id string) {
+func (f *Fleet) recordDeparture(id string, left bool) {
 	now := f.now()
-	f.departedAt[id] = now
-	for earlier, at := range f.departedAt {
-		if now.Sub(at) > departureLifetime {
-			delete(f.departedAt, earlier)
+	f.departures[id] = departure{at: now, left: left}
+	for earlier, departed := range f.departures {
+		if now.Sub(departed.at) > departureLifetime {
+			delete(f.departures, earlier)
 		}
 	}
 }
--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -130,7 +130,7 @@
 	c.now = c.now.Add(departureLifetime + time.Second)
 	f.Apply([]backend.Runner{listed("r2")}, nil, false)
 	f.Apply(nil, []string{"r2"}, false)
-	assert.Equal(t, len(f.departedAt), 1, "only the last departure is remembered")
+	assert.Equal(t, len(f.departures), 1, "only the last departure is remembered")
 	f.Apply([]backend.Runner{listed("r1", "m")}, nil, false)
 	_, ok = f.Choose(coldQuery)
 	assert.Assert(t, !ok)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -86,9 +86,9 @@
 	nodes int
 	// brittleServices caches what the runners of services stated about being brittle.
 	brittleServices map[string]brittleness
-	// listRead is set once the whole list was read; departedAt is when runners were forgotten.
+	// listRead is set once the whole list was read; departures are the runners forgotten since.
 	listRead   bool
-	departedAt map[string]time.Time
+	departures map[string]departure
 	// changed is closed and replaced whenever a waiting request may find a runner that it did
 	// not find before.
 	changed chan struct{}
@@ -150,7 +150,7 @@
 // New returns an empty fleet for a node in zone; rules are the decisions of operators.
 func New(zone string, now func() time.Time, rules eligible.Rules) *Fleet {
 	return &Fleet{zone: zone, now: now, rules: rules, runners: make(map[string]*runner), departed: make(map[string]*runner), incarnations: make(map[string]string), planned: make(map[string]map[modelInHomes]time.Time), firm: make(map[string]map[string]bool),
-		ordersAt: make(map[string]time.Time), lenderSeenAt: make(map[string]time.Time), obstacles: make(map[requestKey]cachedObstacles), restWaiters: make(map[requestKey]int), brittleServices: make(map[string]brittleness), departedAt: make(map[string]time.Time), changed: make(chan struct{})}
+		ordersAt: make(map[string]time.Time), lenderSeenAt: make(map[string]time.Time), obstacles: make(map[requestKey]cachedObstacles), restWaiters: make(map[requestKey]int), brittleServices: make(map[string]brittleness), departures: make(map[string]departure), changed: make(chan struct{})}
 }
 
 // SetZones sets how zones weigh on choices. It must be called before the fleet is used.
--- a/internal/fleet/incarnations_test.go
+++ b/internal/fleet/incarnations_test.go
@@ -58,3 +58,29 @@
 		}
 	}
 }
+
+// TestRunnerThatLeftCameBackFromCopy: a list from a copy of the store named a runner ready that had said
+// that it leaves, or listed one that had left.
+func TestRunnerThatLeftCameBackFromCopy(t *testing.T) {
+	f, _ := testFleet()
+	leaving, gone, restarted := listed("leaving", "m"), listed("gone", "m"), incarnation(2000, "m")
+	f.Replace([]backend.Runner{listed("leaving", "m"), gone, incarnation(1000, "m")}, false)
+	leaving.Draining = true
+	f.Apply([]backend.Runner{leaving, restarted}, []string{"gone"}, false)
+	assert.Assert(t, f.Outdated(gone) && f.Outdated(incarnation(1000, "m")))
+	assert.Assert(t, !f.Outdated(leaving) && !f.Outdated(restarted) && !f.Outdated(listed("new")))
+	f.Apply([]backend.Runner{listed("leaving", "m")}, nil, false)
+	found, ok := f.Find("leaving")
+	assert.Assert(t, ok && found.Draining)
+}
+
+// TestRunnerThatVanishedInAnOutageIsNotOutdated covers a row that lapsed while the store was away.
+func TestRunnerThatVanishedInAnOutageIsNotOutdated(t *testing.T) {
+	f, c := testFleet()
+	f.Replace([]backend.Runner{listed("r", "m")}, false)
+	f.Replace(nil, true)
+	assert.Assert(t, !f.Outdated(listed("r", "m")))
+	c.now = c.now.Add(missingLifetime + time.Second)
+	f.Apply(nil, nil, false)
+	assert.Assert(t, !f.Outdated(listed("r", "m")))
+}
--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -55,6 +55,10 @@
 		f.retention.recordSkipped(&listed)
 		return
 	}
+	if !isNew {
+		// An incarnation that drains ends. A restored list may have an earlier state of it.
+		listed.Draining = listed.Draining || known.listed.Draining
+	}
 	f.upsert(listed, known)
 	if !isNew && f.idle(known) && f.retention.canDrop(&listed, len(f.runners)-1) {
 		f.drop(listed.ID)
@@ -90,6 +94,31 @@
 	}
 }
 
+// Outdated reports whether an entry of a restored list contradicts what this node knew: the incarnation
+// has left, or a later one was listed.
+func (f *Fleet) Outdated(listed backend.Runner) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if known := f.runners[listed.ID]; known != nil {
+		return !known.present && !known.listed.Missing
+	}
+	later := f.runners[f.incarnations[listed.Name()]]
+	return f.departures[listed.ID].left || later != nil && later.listed.Born > listed.Born
+}
+
+// Names returns the names of the listed runners.
+func (f *Fleet) Names() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	names := make([]string, 0, len(f.runners))
+	for _, known := range f.runners {
+		if known.present {
+			names = append(names, known.listed.Name())
+		}
+	}
+	return names
+}
+
 // remove removes a runner from the list. Its entry stays until the last request in flight
 // there has ended.
 func (f *Fleet) remove(id string, doubtful bool) {
@@ -110,7 +139,7 @@
 		expired := !known.listed.Missing || f.now().Sub(known.removedAt) > missingLifetime
 		if known.inFlight == 0 && expired {
 			f.forget(id)
-			f.recordDeparture(id)
+			f.recordDeparture(id, !known.listed.Missing)
 		}
 	}
 }
--- a/internal/fleet/retention_test.go
+++ b/internal/fleet/retention_test.go
@@ -45,7 +45,7 @@
 
 // state returns the number of entries of all kinds that a fleet keeps.
 func (f *Fleet) state() int {
-	return len(f.runners) + len(f.incarnations) + len(f.departed) + len(f.departedAt) + len(f.retention.tracked)
+	return len(f.runners) + len(f.incarnations) + len(f.departed) + len(f.departures) + len(f.retention.tracked)
 }
 
 // TestStateDoesNotGrowWithUnusedRunners checks that a node does not keep more state for twice
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -29,6 +29,10 @@
 
 func (noHandler) ApplyChanges([]feed.Row) {}
 
+func (noHandler) ApplyRestored([]feed.Row) []feed.Row { return nil }
+
+func (noHandler) Keys() []string { return nil }
+
 func emptyFollower() *feed.Follower {
 	return feed.NewFollower(emptyTable{}, noHandler{}, feed.Options{Name: "empty", Wait: time.Hour, Timeout: time.Hour}, logr.Discard())
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -100,6 +100,32 @@
 	h.configure(rows)
 }
 
+// ApplyRestored applies what does not go back: the configuration by its own revision, and zones of which
+// the opposite is not known.
+func (h *configurationHandler) ApplyRestored(rows []feed.Row) []feed.Row {
+	deferred, applied := partition(rows, func(row feed.Row) bool {
+		zone, ok := h.platform.EvacuatedZone(row.Key)
+		return ok && h.zones.contradicts(evacuation.Row{Zone: zone, Returned: row.Deleted})
+	})
+	h.ApplyChanges(applied)
+	return deferred
+}
+
+// Keys returns the keys of the rows that evacuate zones.
+func (h *configurationHandler) Keys() []string { return h.zones.keysOut() }
+
+// partition splits rows by a condition.
+func partition(rows []feed.Row, condition func(feed.Row) bool) (fulfilling, others []feed.Row) {
+	for _, row := range rows {
+		if condition(row) {
+			fulfilling = append(fulfilling, row)
+		} else {
+			others = append(others, row)
+		}
+	}
+	return fulfilling, others
+}
+
 // evacuationRows returns the rows that evacuate zones or end an evacuation.
 func (h *configurationHandler) evacuationRows(rows []feed.Row) []evacuation.Row {
 	var evacuationRows []evacuation.Row
@@ -110,6 +136,7 @@
 		case zone == "":
 			h.log.Info("evacuation row has no zone", "step", "follow zones", "key", row.Key, "revision", row.Revision)
 		default:
+			h.zones.keys[row.Key] = zone
 			evacuationRows = append(evacuationRows, evacuation.Row{Zone: zone, Revision: row.Revision, Returned: row.Deleted})
 		}
 	}
@@ -168,6 +195,13 @@
 	h.node.objectsChanged()
 }
 
+// ApplyRestored applies rows of a restored table.
+func (h *objectHandler) ApplyRestored(rows []feed.Row) []feed.Row {
+	deferred := h.Follower.ApplyRestored(rows)
+	h.node.objectsChanged()
+	return deferred
+}
+
 // objectsChanged activates the newest objects.
 func (n *Node) objectsChanged() {
 	n.policies.Refresh()
@@ -255,6 +289,23 @@
 	}
 }
 
+// ApplyRestored applies what does not go back. Runners that the list lacks stay until the settling period
+// ends, and those that have left do not return before.
+func (h *runnerHandler) ApplyRestored(rows []feed.Row) []feed.Row {
+	deferred, applied := partition(rows, func(row feed.Row) bool {
+		if row.Deleted {
+			return true
+		}
+		runner, err := h.platform.DecodeRunner(row.Key, row.Value)
+		return err == nil && h.fleet.Outdated(runner)
+	})
+	h.ApplyChanges(applied)
+	return deferred
+}
+
+// Keys returns the names of the listed runners.
+func (h *runnerHandler) Keys() []string { return h.fleet.Names() }
+
 // configurationPace is how long this node waits for a change of the configuration. It is at most
 // half of the time within which a change must arrive, so that the configuration's age shows whether
 // one may have been missed.
--- a/internal/node/zones.go
+++ b/internal/node/zones.go
@@ -17,12 +17,14 @@
 	table atomic.Pointer[evacuation.Table]
 	// updated is signaled when the table changed.
 	updated chan struct{}
+	// keys maps the keys of the rows that evacuated zones to these.
+	keys map[string]place.Zone
 	// reported is the state of each zone that run last reported.
 	reported map[place.Zone]evacuation.State
 }
 
 func newZones(n *Node) *zones {
-	return &zones{node: n, updated: make(chan struct{}, 1), reported: make(map[place.Zone]evacuation.State)}
+	return &zones{node: n, updated: make(chan struct{}, 1), keys: make(map[string]place.Zone), reported: make(map[place.Zone]evacuation.State)}
 }
 
 // applySnapshot replaces the set of evacuated zones.
@@ -37,6 +39,20 @@
 	z.replaceTable(z.table.Load().ApplyChanges(rows, gap, bounds, time.Now()))
 }
 
+// contradicts reports whether a row tells the opposite of what is known of its zone.
+func (z *zones) contradicts(row evacuation.Row) bool { return z.table.Load().Contradicts(row) }
+
+// keysOut returns the keys of the rows by which zones are out.
+func (z *zones) keysOut() []string {
+	var keys []string
+	for key, zone := range z.keys {
+		if !z.contradicts(evacuation.Row{Zone: zone}) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 func (z *zones) replaceTable(table *evacuation.Table) {
 	z.table.Store(table)
 	select {
--- a/internal/node/zones_test.go
+++ b/internal/node/zones_test.go
@@ -11,6 +11,7 @@
 	"lilacvane/internal/feed"
 	"lilacvane/internal/place"
 	"lilacvane/internal/settings"
+	"lilacvane/internal/table"
 )
 
 // evacuationNode returns a node that follows only zone evacuations. The key of a row is the name of
@@ -49,3 +50,22 @@
 	assert.Assert(t, !(*operatorRules)(n).ZoneOut("a"))
 	assert.Assert(t, placementRules{(*operatorRules)(n)}.ZoneOut("a"))
 }
+
+// TestZoneThatWasOutCameBackFromCopy: a restored table that lacks the row of a zone counted as the
+// operator's return of the zone.
+func TestZoneThatWasOutCameBackFromCopy(t *testing.T) {
+	n := evacuationNode()
+	handler := (*configurationHandler)(n)
+	handler.ApplySnapshot([]feed.Row{{Key: "out", Revision: 7}, {Key: "back", Revision: 8}}, 0)
+	handler.ApplyChanges([]feed.Row{{Key: "back", Revision: 9, Deleted: true}})
+	assert.DeepEqual(t, handler.Keys(), []string{"out"})
+	restored := []feed.Row{{Key: "back", Revision: table.NewRevision(2, 3)}, {Key: "out", Revision: table.NewRevision(2, 5), Deleted: true}, {Key: "third", Revision: table.NewRevision(2, 4)}}
+	deferred := handler.ApplyRestored(restored)
+	assert.Equal(t, n.zones.state("out"), evacuation.Out)
+	assert.Equal(t, n.zones.state("back"), evacuation.Returning)
+	assert.Assert(t, n.zones.state("third") == evacuation.Leaving || n.zones.state("third") == evacuation.Out)
+	assert.DeepEqual(t, deferred, restored[:2])
+	handler.ApplyChanges(deferred)
+	assert.Equal(t, n.zones.state("out"), evacuation.Returning)
+	assert.Assert(t, n.zones.state("back") == evacuation.Leaving || n.zones.state("back") == evacuation.Out)
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -42,6 +42,36 @@
 	}
 }
 
+// ApplyRestored applies the rows that a restored table has. Rows that it lacks are lost and not lifted;
+// see repair.
+func (h *Handler) ApplyRestored(rows []feed.Row) []feed.Row {
+	q := (*Quarantine)(h)
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	var present []feed.Row
+	for _, row := range rows {
+		if !row.Deleted {
+			present = append(present, row)
+		} else if request, err := poison.ParseIdentity(row.Key); err == nil {
+			delete(q.written, request)
+		}
+	}
+	q.applyRows(present)
+	return nil
+}
+
+// Keys returns the keys of the rows in the table.
+func (h *Handler) Keys() []string {
+	q := (*Quarantine)(h)
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	keys := make([]string, 0, len(q.written))
+	for request := range q.written {
+		keys = append(keys, request.String())
+	}
+	return keys
+}
+
 // ApplyChanges applies changed rows.
 func (h *Handler) ApplyChanges(rows []feed.Row) {
 	q := (*Quarantine)(h)
--- a/internal/relay/simulation_test.go
+++ b/internal/relay/simulation_test.go
@@ -237,6 +237,10 @@
 func (discardHandler) ApplySnapshot([]feed.Row, time.Duration) {}
 func (discardHandler) ApplyChanges([]feed.Row)                 {}
 
+func (discardHandler) ApplyRestored([]feed.Row) []feed.Row { return nil }
+
+func (discardHandler) Keys() []string { return nil }
+
 func (n *simulatedNode) address() string { return n.Relay.address }
 
 // Call passes a call to another node of the group.
