Bind transactions to the epoch of the store in which they were prepared

Cause: a condition names a row by its version, and versions are assigned again. A write without an answer may also be done seconds later, in the next epoch.

Change: table.Fenced adds to each transaction that the marker row of the next epoch is absent; the first transaction of a process in an epoch writes the markers of the last four. A condition of an ended epoch is refused before it is sent, and a transaction that was answered in a later epoch has an unknown outcome. All tables of nodes' own rows are fenced.

Why it works: a late transaction takes effect in a later epoch only before any node has written there, when the rows that its conditions name are those of the copy.

--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -9,6 +9,7 @@
 	"lilacvane/internal/peer"
 	"lilacvane/internal/poison"
 	"lilacvane/internal/quarantine"
+	"lilacvane/internal/table"
 	"lilacvane/internal/wire"
 )
 
@@ -52,7 +53,7 @@
 // runners.
 func newQuarantine(n *Node) *quarantine.Quarantine {
 	q := quarantine.New(quarantine.Options{
-		Rows: n.platform.Poison, Wake: n.fleet.Wake, ReportNow: n.demand.RequestReport, RecordDecision: n.recordDecision, Log: n.log.Logger,
+		Rows: table.NewFenced(n.platform.Poison, n.platform.Epochs), Wake: n.fleet.Wake, ReportNow: n.demand.RequestReport, RecordDecision: n.recordDecision, Log: n.log.Logger,
 		Self: func() string { return n.settings.Load().Listen.PeerAddress() },
 		SendReport: func(ctx context.Context, address string, report wire.PoisonReport) (answer wire.PoisonAnswer, err error) {
 			err = n.client.Call(ctx, address, wire.MethodPoison, report, &answer)
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -39,7 +39,7 @@
 }
 
 func newLimits(n *Node, s settings.Limits) *limits {
-	l := &limits{node: n, keeper: limit.NewKeeper(tolerance(s), time.Now), rows: n.platform.Limits, log: n.log.Logger, backoff: newPeerBackoff(lenderBackoff, maxLenderBackoff, time.Now)}
+	l := &limits{node: n, keeper: limit.NewKeeper(tolerance(s), time.Now), rows: table.NewFenced(n.platform.Limits, n.platform.Epochs), log: n.log.Logger, backoff: newPeerBackoff(lenderBackoff, maxLenderBackoff, time.Now)}
 	none := ""
 	l.service.Store(&none)
 	peer.Handle(n.peers, wire.MethodSpend, l.handleSpend)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,34 +105,36 @@
 	followers     *followers
 	zones         *zones
 	relay         *relay.Relay
-	fleet         *fleet.Fleet
-	pool          *upstream.Pool
-	statements    *statement.Registry
-	reach         *reach.Tracker
-	tunnels       *tunnel.Server
-	tunnelDialer  *tunnel.Dialer
-	demand        *demand.Tracker
-	dispatcher    *dispatch.Dispatcher
-	crashes       *crash.Detector
-	quarantine    *quarantine.Quarantine
-	origins       *origin.Registry
-	catalog       *catalog.Catalog
-	committer     *commit.Committer
-	claims        *claim.Claims
-	policies      *policy.Set
-	decisions     *decision.Log
-	ingress       *ingress.Server
-	gateway       *gateway.Server
-	operator      *operator.Server
-	peers         *peer.Server
-	client        *peer.Client
-	metrics       *metrics.Metrics
-	controls      *controls
-	limits        *limits
-	cold          *coldMonitor
-	pauses        *pauseDetector
-	closing       context.Context
-	close         context.CancelFunc
+	// leases is the table of leases.
+	leases       *table.Fenced
+	fleet        *fleet.Fleet
+	pool         *upstream.Pool
+	statements   *statement.Registry
+	reach        *reach.Tracker
+	tunnels      *tunnel.Server
+	tunnelDialer *tunnel.Dialer
+	demand       *demand.Tracker
+	dispatcher   *dispatch.Dispatcher
+	crashes      *crash.Detector
+	quarantine   *quarantine.Quarantine
+	origins      *origin.Registry
+	catalog      *catalog.Catalog
+	committer    *commit.Committer
+	claims       *claim.Claims
+	policies     *policy.Set
+	decisions    *decision.Log
+	ingress      *ingress.Server
+	gateway      *gateway.Server
+	operator     *operator.Server
+	peers        *peer.Server
+	client       *peer.Client
+	metrics      *metrics.Metrics
+	controls     *controls
+	limits       *limits
+	cold         *coldMonitor
+	pauses       *pauseDetector
+	closing      context.Context
+	close        context.CancelFunc
 	// bestSpare holds the float64 bits of the largest spare capacity of any node but the lease
 	// holder that reported it, or zero if unknown.
 	bestSpare atomic.Uint64
@@ -154,8 +156,9 @@
 	n := &Node{
 		platform: platform, log: log, process: strconv.Itoa(os.Getpid()) + "-" + strconv.FormatInt(time.Now().UnixNano(), 36),
 		pool: platform.Pool, demand: demand.NewTracker(), catalog: catalog.New(),
-		decisions: decision.NewLog(s.Node, maxDecisions), claims: claim.New(platform.Claims), pauses: newPauseDetector(),
+		decisions: decision.NewLog(s.Node, maxDecisions), claims: claim.New(table.NewFenced(platform.Claims, platform.Epochs)), pauses: newPauseDetector(),
 	}
+	n.leases = table.NewFenced(platform.Leases, platform.Epochs)
 	n.settings.Store(&s)
 	platform.Epochs.OnChange(n.logEpoch)
 	n.initStatements()
@@ -170,7 +173,7 @@
 	n.cold = newColdMonitor(n)
 	n.fleet.SetColdStarts(fleet.ColdStarts{Terms: n.coldTerms, Limit: n.limitTerms, Returned: n.zones.returnedAt})
 	n.fleet.SetRegion(place.Region(s.Region))
-	n.committer = commit.New(platform.Objects, n.catalog)
+	n.committer = commit.New(table.NewFenced(platform.Objects, platform.Epochs), n.catalog)
 	n.policies = policy.NewSet(n.catalog, s.Region, timeZone)
 	n.closing, n.close = context.WithCancel(context.Background())
 	n.metrics = newMetrics(n)
@@ -199,7 +202,7 @@
 	n.client.SetMeter(meter)
 	n.controls = newControls(n)
 	n.relay = relay.New(relay.Options{
-		Group: relayGroup(s), Node: s.Node, Leases: platform.Leases, Address: s.Listen.PeerAddress(), Process: n.process,
+		Group: relayGroup(s), Node: s.Node, Leases: n.leases, Address: s.Listen.PeerAddress(), Process: n.process,
 		Client: n.client, Epochs: platform.Epochs, TakeoverDelay: n.takeoverDelay, FirstStart: s.Relay.FirstStart, Log: log.Logger,
 	})
 	n.initPaths()
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -20,8 +20,8 @@
 	writeRetry   = 300 * time.Millisecond
 	// sweepInterval is how often the holder looks for expired marks.
 	sweepInterval = time.Minute
-	// batchSize bounds the rows of one transaction: the store accepts a hundred.
-	batchSize = 100
+	// batchSize bounds the rows of one transaction.
+	batchSize = table.MaxEntries - table.FenceEntries
 )
 
 // Handler applies the rows of the table of quarantined requests.
@@ -87,6 +87,9 @@
 	var findings []poison.Finding
 	var requests []poison.Identity
 	for _, row := range rows {
+		if table.IsMarker(row.Key) {
+			continue
+		}
 		request, err := poison.ParseIdentity(row.Key)
 		if err == nil && row.Deleted {
 			q.removeRow(request)
