Claim no key while claims that a restored store lost are written again

What callers saw: nothing yet; found by looking for the cause elsewhere. A request that may run once under its key could run a second time: the copy with which the store returned lacked the claim.

Cause: an absent row was taken for a key that nobody claimed, in a store that has just lost rows.

Change: each node remembers its claims of the last minute and writes them again when it hears of a return. For the settling period of 3 s no key is claimed; such a request is refused at once, not run, to come back when the period is over. A claim that was under way when the epoch changed is released and refused too. A node that hears after the period writes only keys that nobody else has claimed, and logs the others.

Not covered: a node that ended, or was cut off for longer than the period, before it wrote its claims again.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -10,6 +10,8 @@
 	"errors"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"lilacvane/internal/fault"
 	"lilacvane/internal/table"
 )
@@ -37,17 +39,40 @@
 
 // Claims claims idempotency keys. It is safe for concurrent use.
 type Claims struct {
-	table table.Table
+	table  table.Table
+	epochs *table.Epochs
+	log    logr.Logger
+	recent recent
+	// restored is signaled when the store has returned with an older copy.
+	restored chan struct{}
 }
 
-// New returns claims stored in a table.
-func New(rows table.Table) *Claims { return &Claims{table: rows} }
+// New returns claims stored in a table; epochs tracks the epoch of its store. Run restores them.
+func New(rows table.Table, epochs *table.Epochs, log logr.Logger) *Claims {
+	c := &Claims{table: rows, epochs: epochs, log: log, restored: make(chan struct{}, 1)}
+	epochs.OnChange(c.epochChanged)
+	return c
+}
 
 // Take claims a key for an attempt. It fails with fault.CodeDuplicate if another attempt holds the
 // key (it ran, or may run), and with fault.CodeClaimsUnavailable if the table cannot tell: the
 // attempt must then not be made.
 func (c *Claims) Take(ctx context.Context, key, attempt string) error {
+	if c.epochs.SettlingLeft() > 0 {
+		return c.unsettled()
+	}
 	rowKey := keyOf(key)
+	err := c.claim(ctx, rowKey, attempt)
+	if err == nil && c.epochs.SettlingLeft() > 0 {
+		// Another node may have claimed the key in the epoch that ended.
+		c.release(ctx, rowKey, attempt)
+		return c.unsettled()
+	}
+	return err
+}
+
+// claim writes the claim of a key.
+func (c *Claims) claim(ctx context.Context, rowKey, attempt string) error {
 	value, err := json.Marshal(record{Attempt: attempt, At: time.Now().UTC()})
 	if err != nil {
 		return fault.From(err, step)
@@ -57,9 +82,18 @@
 		Conditions: []table.Condition{{Key: rowKey}}, Writes: []table.Write{{Key: rowKey, Value: value}},
 	})
 	cancel()
+	if err != nil {
+		err = c.resolve(ctx, rowKey, attempt, err)
+	}
+	if err == nil {
+		c.recent.add(row{key: rowKey, value: value}, time.Now())
+	}
+	return err
+}
+
+// resolve determines the result of a claim whose write failed.
+func (c *Claims) resolve(ctx context.Context, rowKey, attempt string, err error) error {
 	switch {
-	case err == nil:
-		return nil
 	case fault.IsCode(err, fault.CodeConflict):
 		return c.checkHolder(ctx, rowKey, attempt)
 	case fault.OutcomeOf(err) == fault.NotDone:
--- a/internal/feed/restored.go
+++ b/internal/feed/restored.go
@@ -4,11 +4,9 @@
 	"maps"
 	"slices"
 	"time"
-)
 
-// SettlingPeriod is the time after a store returned with an older copy in which its table may lack what
-// operators and runners have yet to write again: 2 s, and some time to hear of it.
-const SettlingPeriod = 3 * time.Second
+	"lilacvane/internal/table"
+)
 
 // minSettlingWait is the minimum wait of a call at the end of a settling period.
 const minSettlingWait = 10 * time.Millisecond
@@ -33,7 +31,7 @@
 
 // begin starts the period anew, with further deferred rows.
 func (s *settling) begin(deferred []Row) {
-	s.until = time.Now().Add(SettlingPeriod)
+	s.until = time.Now().Add(table.SettlingPeriod)
 	if s.deferred == nil {
 		s.deferred = make(map[string]Row)
 	}
--- a/internal/feed/restored_test.go
+++ b/internal/feed/restored_test.go
@@ -88,7 +88,7 @@
 		_, handler := followRestored(t)
 		began := time.Now()
 		assert.DeepEqual(t, <-handler.changed, []Row{{Key: "lost", Revision: table.NewRevision(2, 2), Deleted: true}})
-		assert.Assert(t, time.Since(began) >= SettlingPeriod)
+		assert.Assert(t, time.Since(began) >= table.SettlingPeriod)
 	})
 	synctest.Test(t, func(t *testing.T) {
 		source, handler := followRestored(t)
@@ -98,7 +98,7 @@
 		select {
 		case rows := <-handler.changed:
 			t.Errorf("%v applied though it was written again", rows)
-		case <-time.After(2 * SettlingPeriod):
+		case <-time.After(2 * table.SettlingPeriod):
 		}
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -156,7 +156,7 @@
 	n := &Node{
 		platform: platform, log: log, process: strconv.Itoa(os.Getpid()) + "-" + strconv.FormatInt(time.Now().UnixNano(), 36),
 		pool: platform.Pool, demand: demand.NewTracker(), catalog: catalog.New(),
-		decisions: decision.NewLog(s.Node, maxDecisions), claims: claim.New(table.NewFenced(platform.Claims, platform.Epochs)), pauses: newPauseDetector(),
+		decisions: decision.NewLog(s.Node, maxDecisions), claims: claim.New(table.NewFenced(platform.Claims, platform.Epochs), platform.Epochs, log.Logger), pauses: newPauseDetector(),
 	}
 	n.leases = table.NewFenced(platform.Leases, platform.Epochs)
 	n.settings.Store(&s)
@@ -271,6 +271,7 @@
 	work.Go(func() { n.zones.run(background) })
 	work.Go(func() { n.watchSettings(background, reload, settingsPath) })
 	work.Go(func() { n.sweepClaims(background) })
+	work.Go(func() { n.claims.Run(background) })
 	work.Go(func() { n.limits.run(background) })
 	work.Go(func() { n.cold.run(background) })
 	work.Go(func() { n.quarantine.Run(background) })
--- a/internal/table/epoch.go
+++ b/internal/table/epoch.go
@@ -10,6 +10,10 @@
 // time again. Zero means that the epoch is not known.
 type Epoch uint32
 
+// SettlingPeriod is the time after a store returned with an older copy in which it may lack what operators,
+// runners and nodes have yet to write again: 2 s, and some time to hear of it.
+const SettlingPeriod = 3 * time.Second
+
 // Epochs tracks the newest epoch in which the store answered this process. It is safe for concurrent
 // use.
 type Epochs struct {
@@ -55,6 +59,15 @@
 	return e.newest
 }
 
+// SettlingLeft returns the rest of the settling period of the newest epoch; zero if it is over.
+func (e *Epochs) SettlingLeft() time.Duration {
+	changedAt := e.ChangedAt()
+	if changedAt.IsZero() {
+		return 0
+	}
+	return max(SettlingPeriod-time.Since(changedAt), 0)
+}
+
 // ChangedAt returns when a newer epoch followed a known one; the zero time if none did.
 func (e *Epochs) ChangedAt() time.Time {
 	e.mu.Lock()
