Commit the entries of the object log again that a restored store lost

What callers saw: nothing yet; found by looking for the cause elsewhere. A change that an operator was told is accepted would have been gone with the next restart of all nodes, and its revision given to another change, which nodes that knew the lost one would have passed over for good.

Cause: the log's revisions are positions in one history too, and the store that kept it lost some.

Change: a node whose log has entries that a restored table lacks commits them again, in order and under the same revisions; the operation's row makes it harmless that several do. Nothing else is committed during the settling period, nor at a node that restores. If something was all the same, the lost operations get new revisions; one whose object has changed meanwhile is dropped and logged. Changes of the table are kept back until the logs were compared, as an entry of another history must not follow one that it does not know.

Not covered: entries from before a node's start whose log was trimmed.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -98,6 +98,29 @@
 	return true
 }
 
+// Reset replaces the content with that of another history, of which entries are the newest entries. The
+// revision may decrease.
+func (c *Catalog) Reset(revision uint64, objects []api.Object, entries []wire.Entry) {
+	c.mutex.Lock()
+	c.revision = revision
+	c.objects = make(map[api.Kind]map[string]api.Object)
+	c.entries, c.entryBytes = nil, 0
+	for _, object := range objects {
+		c.put(object)
+	}
+	for _, entry := range entries {
+		c.appendEntry(entry)
+	}
+	c.unlockAndNotify(true)
+}
+
+// Entries returns the kept log entries, oldest first.
+func (c *Catalog) Entries() []wire.Entry {
+	c.mutex.RLock()
+	defer c.mutex.RUnlock()
+	return append([]wire.Entry(nil), c.entries...)
+}
+
 func (c *Catalog) applyEntry(entry wire.Entry) {
 	for _, change := range entry.Changes {
 		key := change.Object.Key()
--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -8,8 +8,11 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"lilacvane/internal/api"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/table"
@@ -82,12 +85,16 @@
 	// time between two attempts.
 	timeout    time.Duration
 	retryDelay time.Duration
+	epochs     *table.Epochs
+	log        logr.Logger
+	// restoring is set while entries of this node are committed again.
+	restoring atomic.Bool
 }
 
-// New returns a committer for a table. Where local, the node's copy of the
-// configuration, is up to date, the committer does not read rows.
-func New(t table.Table, local LocalCopy) *Committer {
-	return &Committer{table: table.WithTimeout(t, callTimeout), local: local, timeout: applyTimeout, retryDelay: defaultRetryDelay}
+// New returns a committer for a table; epochs tracks the epoch of its store. Where local, the node's
+// copy of the configuration, is up to date, the committer does not read rows.
+func New(t table.Table, local LocalCopy, epochs *table.Epochs, log logr.Logger) *Committer {
+	return &Committer{table: table.WithTimeout(t, callTimeout), local: local, timeout: applyTimeout, retryDelay: defaultRetryDelay, epochs: epochs, log: log}
 }
 
 // Find returns the result of an operation. It reports false if the operation is
@@ -108,11 +115,17 @@
 // fault.NotDone, which is definite, or fault.Unknown; in the second case the caller
 // may submit the operation again under the same ID.
 func (c *Committer) Apply(ctx context.Context, operation Operation) (Result, error) {
+	return c.retry(ctx, operation, c.held)
+}
+
+// retry attempts an operation until it succeeds, its error is final or the time is over. Nothing is
+// committed while held returns true.
+func (c *Committer) retry(ctx context.Context, operation Operation, held func() bool) (Result, error) {
 	unresolved := false
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	for {
-		result, err := c.attempt(ctx, operation)
+		result, err := c.attempt(ctx, operation, held)
 		if err == nil {
 			return result, nil
 		}
@@ -159,11 +172,18 @@
 
 // attempt reads the log head, then the operation's row, then the objects, and
 // commits on the condition that none of them has changed.
-func (c *Committer) attempt(ctx context.Context, operation Operation) (Result, error) {
+func (c *Committer) attempt(ctx context.Context, operation Operation, held func() bool) (Result, error) {
+	if held() {
+		return Result{}, errHeld()
+	}
 	head, err := c.table.Get(ctx, keyHead)
 	if err != nil {
 		return Result{}, notDone(err)
 	}
+	// The read may have shown that the store has returned with an older copy.
+	if held() {
+		return Result{}, errHeld()
+	}
 	earlier, found, err := c.Find(ctx, operation.ID)
 	if err != nil {
 		return Result{}, notDone(err)
@@ -257,11 +277,7 @@
 		}
 	}
 	result.Entry = &entry
-	transaction.Writes = append(transaction.Writes,
-		table.Write{Key: keyHead, Value: mustJSON(revision)},
-		table.Write{Key: logKey(revision), Value: mustJSON(entry)},
-		table.Write{Key: prefixOperation + operation.ID, Value: mustJSON(result)},
-	)
+	transaction.Writes = append(transaction.Writes, logWrites(entry)...)
 	return transaction, result, nil
 }
 
@@ -277,7 +293,7 @@
 // condition on the head protects the transaction. Otherwise it reads the object's
 // row and adds a condition on it.
 func (c *Committer) checkCurrent(ctx context.Context, transaction *table.Transaction, head uint64, key api.Key, expected uint64) error {
-	if generation, exact := c.local.GenerationAt(head, key); exact {
+	if generation, exact := c.local.GenerationAt(head, key); exact && !c.held() {
 		return checkGeneration(key, expected, generation)
 	}
 	row, err := c.table.Get(ctx, prefixObject+key.String())
--- a/internal/commit/commit_test.go
+++ b/internal/commit/commit_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -113,7 +114,7 @@
 			}
 		}
 		f := &faultyTable{rows: make(map[string]table.Row), script: steps}
-		c := New(f, f)
+		c := New(f, f, &table.Epochs{}, logr.Discard())
 		c.timeout, c.retryDelay = 5*time.Millisecond, time.Millisecond
 		operations := []Operation{
 			{ID: "a", Changes: []Change{{Key: key, Spec: []byte("1")}}},
@@ -145,7 +146,7 @@
 // longer had.
 func TestStaleReadIsNoConflict(t *testing.T) {
 	f := &faultyTable{rows: make(map[string]table.Row)}
-	c := New(f, f)
+	c := New(f, f, &table.Epochs{}, logr.Discard())
 	c.timeout, c.retryDelay = 20*time.Millisecond, time.Millisecond
 	key := api.Key{Kind: api.KindPolicy, Name: "p"}
 	first, err := c.Apply(context.Background(), Operation{ID: "a", Changes: []Change{{Key: key, Spec: []byte("1")}}})
@@ -179,7 +180,7 @@
 // answered other calls.
 func TestSilentCallLeavesTimeForAnother(t *testing.T) {
 	f := &faultyTable{rows: make(map[string]table.Row)}
-	c := New(&silentTable{faultyTable: f, silent: 2}, f)
+	c := New(&silentTable{faultyTable: f, silent: 2}, f, &table.Epochs{}, logr.Discard())
 	_, err := c.Apply(t.Context(), Operation{ID: "a", Changes: []Change{{Key: api.Key{Kind: api.KindPolicy, Name: "p"}, Spec: []byte("1")}}})
 	assert.NilError(t, err)
 }
--- a/internal/commit/read.go
+++ b/internal/commit/read.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -34,18 +35,44 @@
 	// ApplySnapshot replaces the content with a snapshot and reports whether the
 	// snapshot was newer.
 	ApplySnapshot(revision uint64, objects []api.Object) bool
+	// Reset replaces the content with a table of another history.
+	Reset(revision uint64, objects []api.Object, entries []wire.Entry)
 }
 
 // Follower is a feed.Handler that updates a catalog from the rows of the table.
 type Follower struct {
 	Catalog Catalog
 	Log     logr.Logger
+	// behind is signaled when a restored table lacks entries or has others.
+	behind chan struct{}
+
+	// mu guards keptBack, the changes that are not applied while keepsBack is set.
+	mu        sync.Mutex
+	keepsBack bool
+	keptBack  []feed.Row
+}
+
+// NewFollower returns a Follower of a catalog.
+func NewFollower(catalog Catalog, log logr.Logger) *Follower {
+	return &Follower{Catalog: catalog, Log: log, behind: make(chan struct{}, 1)}
 }
 
 // ApplySnapshot processes all rows of the table: objects, and log entries as history.
 func (f *Follower) ApplySnapshot(rows []feed.Row, _ time.Duration) {
-	var objects []api.Object
-	var head uint64
+	if f.keepBack(rows) {
+		return
+	}
+	head, objects := f.parse(rows)
+	entries := f.entries(rows)
+	// If the log is complete from its first revision, no snapshot is needed.
+	if len(entries) == 0 || f.Catalog.Apply(entries) == 0 {
+		f.Catalog.ApplySnapshot(head, objects)
+	}
+	f.Catalog.Apply(entries)
+}
+
+// parse returns the revision and the objects of a table.
+func (f *Follower) parse(rows []feed.Row) (head uint64, objects []api.Object) {
 	for _, row := range rows {
 		var err error
 		switch {
@@ -61,27 +88,17 @@
 			f.Log.Error(err, "row unreadable", "step", "read configuration", "row", row.Key)
 		}
 	}
-	entries := f.entries(rows)
-	// If the log is complete from its first revision, no snapshot is needed.
-	if len(entries) == 0 || f.Catalog.Apply(entries) == 0 {
-		f.Catalog.ApplySnapshot(head, objects)
-	}
-	f.Catalog.Apply(entries)
+	return head, objects
 }
 
 // ApplyChanges processes changed rows. Only log entries matter, as every operation
 // writes one.
-func (f *Follower) ApplyChanges(rows []feed.Row) { f.Catalog.Apply(f.entries(rows)) }
-
-// ApplyRestored processes rows of a restored table. The catalog does not go back.
-func (f *Follower) ApplyRestored(rows []feed.Row) []feed.Row {
-	f.ApplyChanges(rows)
-	return nil
+func (f *Follower) ApplyChanges(rows []feed.Row) {
+	if !f.keepBack(rows) {
+		f.Catalog.Apply(f.entries(rows))
+	}
 }
 
-// Keys returns nothing: rows that vanish change no object.
-func (f *Follower) Keys() []string { return nil }
-
 func (f *Follower) entries(rows []feed.Row) []wire.Entry {
 	var entries []wire.Entry
 	for _, row := range rows {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -52,6 +52,8 @@
 	objects       *feed.Follower
 	runners       *feed.Follower
 	poison        *feed.Follower
+	// objectLog restores the log of operator objects.
+	objectLog *commit.Restorer
 
 	// mutex orders changes of the active configuration.
 	mutex sync.Mutex
@@ -63,10 +65,12 @@
 	configuration := n.relay.Source(tableConfiguration, n.platform.Configuration)
 	objects := n.relay.Source(tableObjects, n.platform.Objects)
 	runners := n.relay.Source(tableRunners, n.platform.Runners)
+	objectFollower := commit.NewFollower(n.catalog, log)
 	return &followers{
+		objectLog: &commit.Restorer{Committer: n.committer, Follower: objectFollower, Entries: n.catalog.Entries, Applied: n.objectsRestored},
 		configuration: feed.NewFollower(configuration, (*configurationHandler)(n),
 			feed.Options{Name: string(tableConfiguration), Wait: configurationWait, Pace: n.configurationPace, RetrySignal: n.relay.UpstreamFound, Timeout: feedTimeout}, log),
-		objects: feed.NewFollower(objects, &objectHandler{Follower: commit.Follower{Catalog: n.catalog, Log: log}, node: n},
+		objects: feed.NewFollower(objects, &objectHandler{Follower: objectFollower, node: n},
 			feed.Options{Name: string(tableObjects), Wait: objectWait, RetrySignal: n.relay.UpstreamFound, Timeout: feedTimeout}, log),
 		runners: feed.NewFollower(runners, (*runnerHandler)(n),
 			feed.Options{Name: string(tableRunners), Wait: runnerWait, Interval: runnerInterval, Pace: n.listPace, RetrySignal: n.relay.UpstreamFound, Timeout: feedTimeout, ReadTimeout: listTimeout}, log),
@@ -179,7 +183,7 @@
 
 // objectHandler applies operator objects.
 type objectHandler struct {
-	commit.Follower
+	*commit.Follower
 	node *Node
 }
 
@@ -217,6 +221,14 @@
 	n.compose()
 }
 
+// objectsRestored activates the objects of a restored log, whose revision may have decreased.
+func (n *Node) objectsRestored() {
+	n.policies.Refresh()
+	n.followers.mutex.Lock()
+	defer n.followers.mutex.Unlock()
+	n.compose()
+}
+
 // activeConfiguration returns the configuration for requests. It is nil until both the platform's
 // part and the operator objects were read. With objects alone, requests for the platform's routes
 // were answered with 404: 7 of 820 in a run in which nodes were restarted again and again.
--- a/test/restored_test.go
+++ b/test/restored_test.go
@@ -12,6 +12,7 @@
 	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/storestub"
 	"lilacvane/internal/lab/world"
+	"lilacvane/internal/operator"
 	"lilacvane/internal/settings"
 	"lilacvane/platform/protocol"
 )
@@ -109,3 +110,35 @@
 		assert.Assert(t, !ran, "request %s ran at the leaving runner", record.Request)
 	}
 }
+
+// TestAppliedObjectWasLostByRestore: an object whose change the store had acknowledged was gone after it
+// returned with an older copy and all nodes had started again.
+func TestAppliedObjectWasLostByRestore(t *testing.T) {
+	t.Parallel()
+	w, nodes := startRestoredWorld(t)
+	apply(t, nodes[0], model("earlier", 1)...)
+	waitKnown(t, "earlier", nodes...)
+	time.Sleep(2 * time.Second)
+	revision := apply(t, nodes[1], model("alpha", 1)...)
+	waitKnown(t, "alpha", nodes...)
+	assert.NilError(t, w.RestoreStore(storestub.Restore{AgeMs: 1000, AwayMs: 500, RewriteMs: 100}))
+	for _, node := range nodes {
+		status, err := node.Client().Status(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, slices.ContainsFunc(status.Models, func(m operator.ModelStatus) bool { return m.Name == "alpha" }), "%s went back", node.Name)
+	}
+	assert.Assert(t, apply(t, nodes[2], model("later", 1)...) > revision)
+	for _, node := range nodes {
+		node.Kill()
+		<-node.Done()
+	}
+	for _, node := range nodes {
+		assert.NilError(t, w.RestartNode(node))
+	}
+	for _, node := range nodes {
+		assert.NilError(t, node.WaitReady())
+	}
+	for _, name := range []string{"earlier", "alpha", "later"} {
+		waitKnown(t, name, nodes...)
+	}
+}
