Divide no limit by a record that is older than what nodes have in force

What callers saw: nothing yet; found by looking for the cause elsewhere. A tenant could have got more than its limit after a return of the store: the copy lacked parts that nodes had in force, and the next divider gave them to other nodes as well, under versions that nodes took for known.

Cause: the row was taken for an upper bound of what is in force, whatever the store had lost.

Change: a record names the epoch in which it was written. If later ones are lost, a divider that has divided without a break writes its own again. Any other one divides nothing until the lost parts have expired (21 s), and then begins anew, under versions above all earlier ones and without initial tokens. Nodes use the parts that they have until these expire.

Not measured: how long tenants go without parts after a return whose holder lost its lease (by design up to 21 s with what nodes have, then a second).

--- a/internal/limit/record.go
+++ b/internal/limit/record.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lilacvane/internal/table"
 	"lilacvane/internal/tenant"
 )
 
@@ -17,6 +18,8 @@
 	FilledAt time.Duration `cbor:"4,keyasint,omitempty"`
 	// Reserve is how the reserve of each tenant is divided; the same for all tenants.
 	Reserve Pool `cbor:"3,keyasint,omitempty"`
+	// Epoch is the epoch of the store in which the record was written; zero if not known.
+	Epoch table.Epoch `cbor:"5,keyasint,omitempty"`
 }
 
 // Division describes how one tenant's limit is divided.
@@ -74,7 +77,7 @@
 }
 
 func (r *Record) clone() *Record {
-	copied := &Record{Version: r.Version, FilledAt: r.FilledAt, Tenants: make(map[tenant.Name]*Division, len(r.Tenants)), Reserve: r.Reserve.clone()}
+	copied := &Record{Version: r.Version, Epoch: r.Epoch, FilledAt: r.FilledAt, Tenants: make(map[tenant.Name]*Division, len(r.Tenants)), Reserve: r.Reserve.clone()}
 	for name, division := range r.Tenants {
 		copied.Tenants[name] = &Division{Lenders: division.Lenders, LendersSince: division.LendersSince, Nodes: division.Nodes.clone()}
 	}
--- a/internal/node/division.go
+++ b/internal/node/division.go
@@ -65,6 +65,7 @@
 		l.mutex.Lock()
 		l.divider = nil
 		l.mutex.Unlock()
+		l.confirmed, l.lostSince = nil, time.Time{}
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, divideTimeout)
@@ -87,6 +88,7 @@
 		return err
 	}
 	l.divider.Confirmed()
+	l.confirmed = next
 	return nil
 }
 
@@ -97,11 +99,16 @@
 	if err != nil {
 		return err
 	}
+	record, ok := l.resume(record, readAt)
+	if !ok {
+		return nil
+	}
 	tolerance := tolerance(l.node.settings.Load().Limits)
 	begun := limit.Begin(record)
 	if err := l.write(ctx, begun); err != nil {
 		return err
 	}
+	l.confirmed, l.lostSince = begun, time.Time{}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.divider = limit.NewDivider(begun, readAt, tolerance, time.Now())
@@ -109,6 +116,17 @@
 	return nil
 }
 
+// resume returns the record from which this node continues. ok is false while parts of lost records may
+// be in force.
+func (l *limits) resume(read *limit.Record, readAt time.Duration) (record *limit.Record, ok bool) {
+	epoch := l.revision.Epoch()
+	if read.IsLost(epoch) && l.lostSince.IsZero() {
+		l.lostSince = time.Now()
+		l.log.Info("division of limits restored", "version", read.Version, "epoch", read.Epoch, "storeEpoch", epoch, "continues", l.confirmed != nil)
+	}
+	return limit.Resume(read, l.confirmed, epoch, time.Since(l.lostSince), readAt)
+}
+
 // read returns the row, or an empty record if there is none, and the time of the read on the
 // table's clock.
 func (l *limits) read(ctx context.Context) (*limit.Record, time.Duration, error) {
@@ -119,6 +137,10 @@
 	record := limit.NewRecord()
 	l.revision = row.Revision
 	if !row.Revision.Exists() {
+		if changed := l.node.platform.Epochs.ChangedAt(); time.Since(changed) < limit.LostRecordLifetime {
+			// The copy may be from before the first record.
+			record.Epoch = max(row.Revision.Epoch(), 1) - 1
+		}
 		return record, row.ReadAt, nil
 	}
 	if err := wire.Decode(row.Value, "store", record); err != nil {
@@ -132,6 +154,7 @@
 
 // write writes the row on condition that no other node has written it since.
 func (l *limits) write(ctx context.Context, record *limit.Record) error {
+	record.Epoch = l.revision.Epoch()
 	content, err := wire.Encode(record)
 	if err != nil {
 		return err
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -36,6 +36,11 @@
 	// used by run only.
 	divider  *limit.Divider
 	revision table.Revision
+	// confirmed is the record that this node wrote last while it has divided limits without a break.
+	// lostSince is when it found that the row is of a copy of the store; zero if it is not. Both are
+	// used by run only.
+	confirmed *limit.Record
+	lostSince time.Time
 }
 
 func newLimits(n *Node, s settings.Limits) *limits {
