Play returns of the store with older copies in a soak of their own

Cause: no soak of ours let the store lose what it had acknowledged.

Change: TestRestoreSoak draws returns (copies 0.2 to 15 s old, away 0 to 2.5 s, abrupt or not, two in a row, rewritten after up to 1.5 s) among changes of routes and objects, leaving runners, nodes stopped, killed and frozen, answers of the store lost, late, stale or slow, and histories dropped. At the end all nodes lose their power up to 1.5 s after a return. It checks from outside: configurations and leaving runners within 2 s and never back at undisturbed nodes, keys once, acknowledged objects kept, tokens of one node, the turn gap, memory.

--- /dev/null
+++ b/test/restored_soak_test.go
@@ -0,0 +1,508 @@
+package test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"regexp"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/api"
+	"lilacvane/internal/lab/journal"
+	"lilacvane/internal/lab/storestub"
+	"lilacvane/internal/lab/world"
+	"lilacvane/internal/operator"
+	"lilacvane/internal/settings"
+)
+
+var (
+	restoreSeed     = flag.Uint64("restore.seed", 1, "first seed of the soak of a store that returns with older copies")
+	restoreSeeds    = flag.Int("restore.seeds", 1, "number of seeds that it runs, one after the other")
+	restoreDuration = flag.Duration("restore.duration", 14*time.Second, "how long disturbances of each seed overlap")
+	restoreNodes    = flag.Int("restore.nodes", 4, "nodes of its world")
+)
+
+const (
+	// unreadTime is how long before a return a change may have been acknowledged without nodes having read it.
+	unreadTime = time.Second
+	// keptRoutes is how many of the newest probe routes a configuration has.
+	keptRoutes = 30
+	// keyAttempts is how many attempts are made under each key.
+	keyAttempts = 3
+)
+
+// TestRestoreSoak: the store goes away and returns with copies of different ages, in series and within the
+// recovery from the one before, while the operator changes routes and objects, runners leave, nodes are
+// stopped, killed and frozen, the store loses and delays answers and its history, and clients keep their
+// connections. At the end all nodes lose their power right after a return. At undisturbed nodes a change is in
+// effect within its bound and never goes back, also for a runner that leaves; a key runs once, acknowledged
+// changes stay, tokens are of one node each and nodes' orders are the turn gap apart. To run more seeds:
+// go test ./test -run TestRestoreSoak -restore.seed=100 -restore.seeds=50 -timeout 1h
+func TestRestoreSoak(t *testing.T) {
+	t.Parallel()
+	for seed := *restoreSeed; seed < *restoreSeed+uint64(*restoreSeeds); seed++ {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { runRestoreSoak(t, seed) })
+	}
+}
+
+// restoreInterval is a return of the store: when it went away, when it was back, and when all that
+// operators and runners had written was written again. Changes after since may be missing in the copy.
+type restoreInterval struct {
+	since, began, returned, rewritten time.Time
+}
+
+// change is an acknowledged change: a version of the configuration, or a runner that leaves.
+type acknowledgedChange struct {
+	version int
+	runner  string
+	at      time.Time
+}
+
+// probe is a request for the route of a version, or any other one.
+type probe struct {
+	node    *world.Node
+	version int
+	id      string
+	sent    time.Time
+	status  int
+	// serving is set if the node served another route right after.
+	serving bool
+}
+
+// restoreSoak is a world whose store returns with older copies.
+type restoreSoak struct {
+	t      *testing.T
+	w      *world.World
+	seed   uint64
+	nodes  []*world.Node
+	until  time.Time
+	counts map[string]int
+
+	// worldMutex guards changes of the world.
+	worldMutex sync.Mutex
+	mailers    []string
+	versions   int
+
+	mutex     sync.Mutex
+	restores  []restoreInterval
+	versionAt []acknowledgedChange
+	leavingAt []acknowledgedChange
+	probes    []probe
+	// disturbed are the times in which a node was not in touch, by name, and those of the store.
+	disturbed map[string][]interval
+	unstable  []interval
+	applied   []acknowledgedObject
+	// keys are the prompts of keyed requests, by the time of the first attempt.
+	keys map[string]time.Time
+}
+
+// acknowledgedObject is an object that an operator was told is accepted.
+type acknowledgedObject struct {
+	name string
+	at   time.Time
+}
+
+func runRestoreSoak(t *testing.T, seed uint64) {
+	w := newWorld(t, func(o *world.Options) {
+		o.Seed = seed
+		adjust := o.Adjust
+		o.Adjust = func(s *settings.Settings) {
+			adjust(s)
+			s.Configuration.Within = newsBound
+			s.Log.Level = "info"
+		}
+	})
+	startRunners(t, w, 3)
+	startMailers(t, w, 3)
+	s := &restoreSoak{t: t, w: w, seed: seed, nodes: startNodes(t, w, *restoreNodes), counts: make(map[string]int), mailers: []string{"mailer-1", "mailer-2", "mailer-3"},
+		disturbed: make(map[string][]interval), keys: make(map[string]time.Time)}
+	apply(t, s.nodes[0], append(model("alpha", 2), readyPolicy("alpha", 2))...)
+	waitKnown(t, "alpha", s.nodes...)
+	s.until = time.Now().Add(*restoreDuration)
+	var running sync.WaitGroup
+	for index, one := range restoreDisturbances {
+		running.Go(func() { s.repeat(rand.New(rand.NewPCG(seed, uint64(index))), one.pause, one.name, one.run) })
+	}
+	for index, node := range s.nodes {
+		running.Go(func() { s.probeNode(node) })
+		running.Go(func() { s.useKeys(rand.New(rand.NewPCG(seed, uint64(1000+index)))) })
+	}
+	running.Wait()
+	s.losePower(rand.New(rand.NewPCG(seed, 2000)))
+	s.verify()
+}
+
+// restoreDisturbances run concurrently, each with its own pauses.
+var restoreDisturbances = []struct {
+	name  string
+	pause time.Duration
+	run   func(s *restoreSoak, random *rand.Rand)
+}{
+	{"return of the store", 2500 * time.Millisecond, (*restoreSoak).restore},
+	{"configuration", 300 * time.Millisecond, (*restoreSoak).configure},
+	{"runner that leaves", 2500 * time.Millisecond, (*restoreSoak).replaceMailer},
+	{"object", 900 * time.Millisecond, (*restoreSoak).applyObject},
+	{"stop, kill or freeze", 3500 * time.Millisecond, (*restoreSoak).disturbNode},
+	{"store's faults", 5 * time.Second, (*restoreSoak).disturbStore},
+}
+
+// repeat runs a disturbance again and again until the end.
+func (s *restoreSoak) repeat(random *rand.Rand, pause time.Duration, name string, run func(*restoreSoak, *rand.Rand)) {
+	for {
+		time.Sleep(pause/2 + time.Duration(random.Int64N(int64(pause))))
+		if time.Now().After(s.until) {
+			return
+		}
+		run(s, random)
+		s.mutex.Lock()
+		s.counts[name]++
+		s.mutex.Unlock()
+	}
+}
+
+// restore makes the store return with a copy, sometimes twice in a row.
+func (s *restoreSoak) restore(random *rand.Rand) {
+	s.restoreOnce(random)
+	if random.IntN(3) == 0 {
+		time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+		s.restoreOnce(random)
+	}
+}
+
+func (s *restoreSoak) restoreOnce(random *rand.Rand) restoreInterval {
+	drill := storestub.Restore{
+		AgeMs: []int{200, 1000, 5000, 15000}[random.IntN(4)], AwayMs: []int{0, 200, 1000, 2500}[random.IntN(4)], Abrupt: random.IntN(2) == 0, RewriteMs: random.IntN(1500),
+	}
+	one := restoreInterval{began: time.Now()}
+	one.since = one.began.Add(-time.Duration(drill.AgeMs) * time.Millisecond)
+	one.rewritten = one.began.Add(waitTimeout)
+	s.mutex.Lock()
+	index := len(s.restores)
+	s.restores = append(s.restores, one)
+	s.mutex.Unlock()
+	assert.Check(s.t, s.w.RestoreStore(drill) == nil)
+	one.returned = time.Now()
+	one.rewritten = one.returned.Add(time.Duration(drill.RewriteMs)*time.Millisecond + 20*time.Millisecond)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.restores[index] = one
+	return one
+}
+
+// probePath is the path of the route that a version of the configuration adds.
+func probePath(version int) string { return fmt.Sprintf("/probe-%d/", version) }
+
+// configure adds a route and removes the oldest added one.
+func (s *restoreSoak) configure(*rand.Rand) {
+	s.worldMutex.Lock()
+	defer s.worldMutex.Unlock()
+	s.versions++
+	routes := world.DefaultRoutes()
+	for version := max(1, s.versions-keptRoutes); version <= s.versions; version++ {
+		added := world.DefaultRoutes()[3]
+		added.Name, added.PathPrefix = fmt.Sprint("probe-", version), probePath(version)
+		routes = append(routes, added)
+	}
+	assert.Check(s.t, s.w.Configure(routes) == nil)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.versionAt = append(s.versionAt, acknowledgedChange{version: s.versions, at: time.Now()})
+}
+
+// replaceMailer starts a runner and lets another one leave.
+func (s *restoreSoak) replaceMailer(random *rand.Rand) {
+	s.worldMutex.Lock()
+	defer s.worldMutex.Unlock()
+	name := fmt.Sprintf("mailer-%d", len(s.leavingAt)+4)
+	_, err := s.w.StartRunner(mailerOptions(name, zones[random.IntN(len(zones))]))
+	assert.Check(s.t, err == nil, "%v", err)
+	index := random.IntN(len(s.mailers))
+	leaving := s.mailers[index]
+	s.mailers[index] = name
+	assert.Check(s.t, s.w.DrainRunner(leaving) == nil)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.leavingAt = append(s.leavingAt, acknowledgedChange{runner: leaving, at: time.Now()})
+}
+
+// applyObject applies an object through some node.
+func (s *restoreSoak) applyObject(random *rand.Rand) {
+	node := s.nodes[random.IntN(len(s.nodes))]
+	s.mutex.Lock()
+	name := fmt.Sprintf("object-%d", s.counts["object"])
+	s.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	_, err := node.Client().Submit(ctx, operator.Submission{Operation: "soak-" + name, Author: "soak", Apply: []api.Object{
+		api.NewObject(api.KindPolicy, name, api.Policy{Models: []string{"alpha"}, Ready: "1"}),
+	}})
+	if err != nil {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.applied = append(s.applied, acknowledgedObject{name: name, at: time.Now()})
+}
+
+// disturbNode stops, kills or freezes a node.
+func (s *restoreSoak) disturbNode(random *rand.Rand) {
+	node := s.nodes[random.IntN(len(s.nodes))]
+	one := interval{from: time.Now()}
+	switch random.IntN(3) {
+	case 0:
+		node.Kill()
+		one.killed = true
+		assert.Check(s.t, s.w.RestartNode(node) == nil)
+	case 1:
+		assert.Check(s.t, node.Terminate() == nil)
+		assert.Check(s.t, node.Wait(stopGrace+answerMargin) == nil, "%s did not stop", node.Name)
+		assert.Check(s.t, s.w.RestartNode(node) == nil)
+	default:
+		assert.Check(s.t, node.Freeze() == nil)
+		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+		assert.Check(s.t, node.Thaw() == nil)
+	}
+	one.to = time.Now()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.disturbed[node.Name] = append(s.disturbed[node.Name], one)
+}
+
+// disturbStore lets the store lose or delay answers, drop its history or answer stale reads.
+func (s *restoreSoak) disturbStore(random *rand.Rand) {
+	one := interval{from: time.Now()}
+	faults := []storestub.Faults{{LostShare: 0.3}, {LateShare: 0.3}, {StaleMs: 1500}, {DelayMs: 150}, {Down: storestub.Reset, Only: []string{s.nodes[random.IntN(len(s.nodes))].StoreHost()}}}[random.IntN(5)]
+	assert.Check(s.t, s.w.SetStoreFaults(faults) == nil)
+	if random.IntN(2) == 0 {
+		assert.Check(s.t, s.w.ForgetHistory() == nil)
+	}
+	time.Sleep(time.Duration(200+random.IntN(1000)) * time.Millisecond)
+	assert.Check(s.t, s.w.SetStoreFaults(storestub.Faults{}) == nil)
+	one.to = time.Now()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.unstable = append(s.unstable, one)
+}
+
+// newestVersion returns the newest acknowledged version that must be in effect at a time, by newsBound alone.
+func (s *restoreSoak) newestVersion(at time.Time) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	newest := 0
+	for _, one := range s.versionAt {
+		if s.effective(one.at).Add(newsBound).Before(at) {
+			newest = one.version
+		}
+	}
+	return newest
+}
+
+// effective returns when an acknowledged change was to be had from the store for good: a return within
+// unreadTime of it may have taken it away before nodes had read it. mutex is held.
+func (s *restoreSoak) effective(at time.Time) time.Time {
+	for _, one := range s.restores {
+		if at.After(one.began.Add(-unreadTime)) && at.Before(one.rewritten) {
+			at = one.rewritten
+		}
+	}
+	return at
+}
+
+// probeNode sends requests to a node on one connection: for the newest route that must be in effect, and
+// others.
+func (s *restoreSoak) probeNode(node *world.Node) {
+	client := &persistentClient{node: node}
+	defer client.close()
+	for ; time.Now().Before(s.until); time.Sleep(30 * time.Millisecond) {
+		version := s.newestVersion(time.Now())
+		if version == 0 {
+			continue
+		}
+		result, sent := client.do(clientRequest{ID: newID(), Path: probePath(version), Method: http.MethodGet, Deadline: 2 * time.Second})
+		if !sent {
+			continue
+		}
+		one := probe{node: node, version: version, id: result.answer.ID, sent: result.sent, status: result.answer.Status}
+		if one.status != http.StatusOK {
+			other, _ := client.do(clientRequest{ID: newID(), Path: "/read/", Method: http.MethodGet, Deadline: 2 * time.Second})
+			one.serving = other.answer.Status == http.StatusOK
+		}
+		s.mutex.Lock()
+		s.probes = append(s.probes, one)
+		s.mutex.Unlock()
+	}
+}
+
+// useKeys makes attempts under the same key at several nodes, one after the other.
+func (s *restoreSoak) useKeys(random *rand.Rand) {
+	for time.Now().Before(s.until) {
+		key := "key-" + newID()
+		s.mutex.Lock()
+		s.keys[key] = time.Now()
+		s.mutex.Unlock()
+		for range keyAttempts {
+			node := s.nodes[random.IntN(len(s.nodes))]
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			ask(ctx, node, call{Model: "alpha", Prompt: key, Tokens: 2, Key: key, Deadline: 2 * time.Second}, nil)
+			cancel()
+			time.Sleep(time.Duration(random.IntN(1200)) * time.Millisecond)
+		}
+	}
+}
+
+// losePower kills all nodes at once right after a return of the store, starts them again and checks that they
+// serve.
+func (s *restoreSoak) losePower(random *rand.Rand) {
+	last := s.restoreOnce(random)
+	time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+	for _, node := range s.nodes {
+		node.Kill()
+	}
+	lost := time.Now()
+	for _, node := range s.nodes {
+		<-node.Done()
+		assert.NilError(s.t, s.w.RestartNode(node))
+	}
+	for _, node := range s.nodes {
+		assert.NilError(s.t, node.WaitReady())
+		awaitServed(s.t, node, probePath(s.versions), waitTimeout)
+	}
+	s.applied = slices.DeleteFunc(s.applied, func(one acknowledgedObject) bool {
+		// Nodes that knew it lost their power before they could commit it again.
+		return one.at.After(last.since.Add(-unreadTime)) && lost.Before(last.rewritten.Add(newsBound))
+	})
+}
+
+// inTouch reports whether neither a node nor the store's answers were disturbed for a time before. mutex is
+// held.
+func (s *restoreSoak) inTouch(node *world.Node, at time.Time) bool {
+	near := func(one interval) bool {
+		return at.After(one.from.Add(-20*time.Millisecond)) && at.Before(one.to.Add(contactTime+500*time.Millisecond))
+	}
+	if slices.ContainsFunc(s.unstable, near) || slices.ContainsFunc(s.disturbed[node.Name], near) {
+		return false
+	}
+	for _, one := range s.disturbed[node.Name] {
+		for _, restored := range s.restores {
+			// A process that started from the copy knows what is in it.
+			if one.to.After(restored.began.Add(-unreadTime)) && one.from.Before(restored.rewritten) && at.After(one.from) && at.Before(restored.rewritten.Add(newsBound)) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (s *restoreSoak) verify() {
+	s.t.Logf("seed %d: %v, %d probes, %d keys, %d objects", s.seed, s.counts, len(s.probes), len(s.keys), len(s.applied))
+	history := readHistory(s.t, s.w)
+	s.verifyVersions()
+	s.verifyLeavers(history)
+	s.verifyKeys(history)
+	s.verifyObjects()
+	s.verifyTokens()
+	history.assertOrderGap(s.t, turnGap)
+	history.assertMemoryNeverExceeded(s.t)
+	if s.t.Failed() {
+		for _, one := range s.restores {
+			s.t.Logf("store went away at %s, returned at %s, rewritten at %s", clock(one.began), clock(one.returned), clock(one.rewritten))
+		}
+		for name, spans := range s.disturbed {
+			for _, one := range spans {
+				s.t.Logf("%s disturbed from %s to %s, killed %v", name, clock(one.from), clock(one.to), one.killed)
+			}
+		}
+	}
+}
+
+func clock(at time.Time) string { return at.Format("15:04:05.000") }
+
+// verifyVersions checks that each route was served within its bound.
+func (s *restoreSoak) verifyVersions() {
+	for _, one := range s.probes {
+		if one.status == http.StatusOK || !one.serving || !s.inTouch(one.node, one.sent) {
+			continue
+		}
+		s.t.Errorf("%s answered %d to version %d at %s, acknowledged at %s", one.node.Name, one.status, one.version, clock(one.sent), clock(s.versionAt[one.version-1].at))
+	}
+}
+
+// verifyLeavers checks that a runner got no request after its bound from a node in touch.
+func (s *restoreSoak) verifyLeavers(h history) {
+	sent := make(map[string]probe)
+	for _, one := range s.probes {
+		sent[one.id] = one
+	}
+	for _, leaving := range s.leavingAt {
+		bound := s.effective(leaving.at).Add(newsBound)
+		for _, record := range h.records {
+			one, known := sent[record.Request]
+			if record.Event == journal.EventRun && record.Runner == leaving.runner && known && record.Time.After(bound) && s.inTouch(one.node, one.sent) {
+				s.t.Errorf("%s sent a request to %s at %s, which said at %s that it leaves", one.node.Name, leaving.runner, clock(record.Time), clock(leaving.at))
+			}
+		}
+	}
+}
+
+// verifyKeys checks that each key ran once, unless a node that may have claimed it was killed before it could
+// write the claim again.
+func (s *restoreSoak) verifyKeys(h history) {
+	for key, began := range s.keys {
+		if runs := h.runsOfPrompt(key); runs > 1 && !s.killedNear(began) {
+			s.t.Errorf("%s ran %d times, first attempt at %s", key, runs, clock(began))
+		}
+	}
+}
+
+// killedNear reports whether a node was killed or stopped in the time of the attempts under a key.
+func (s *restoreSoak) killedNear(at time.Time) bool {
+	for _, spans := range s.disturbed {
+		for _, one := range spans {
+			if one.to.After(at) && one.from.Before(at.Add(10*time.Second)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// verifyObjects checks that all acknowledged objects are there.
+func (s *restoreSoak) verifyObjects() {
+	for _, node := range s.nodes {
+		waitUntil(s.t, "acknowledged objects at "+node.Name, func() error {
+			objects, err := node.Client().List(s.t.Context(), api.KindPolicy)
+			if err != nil {
+				return err
+			}
+			for _, one := range s.applied {
+				if !slices.ContainsFunc(objects, func(o api.Object) bool { return o.Name == one.name }) {
+					return fmt.Errorf("%s, acknowledged at %s, is missing", one.name, clock(one.at))
+				}
+			}
+			return nil
+		})
+	}
+}
+
+// orderToken finds the token in a log line of an order.
+var orderToken = regexp.MustCompile(`"msg":"order".*"token":(\d+)`)
+
+// verifyTokens checks that no two nodes ordered under one token.
+func (s *restoreSoak) verifyTokens() {
+	owners := make(map[string]string)
+	for _, node := range s.nodes {
+		for _, found := range orderToken.FindAllStringSubmatch(readLog(s.t, s.w, node), -1) {
+			if owner, used := owners[found[1]]; used && owner != node.Name {
+				s.t.Errorf("%s and %s ordered under token %s", owner, node.Name, found[1])
+			}
+			owners[found[1]] = node.Name
+		}
+	}
+}
