--- a/internal/relay/propagation_test.go
+++ b/internal/relay/propagation_test.go
@@ -186,3 +186,20 @@
 	})
 	assert.Check(t, delay < maxDelay, "%v", delay)
 }
+
+// TestFewNodesReadRestoredStore checks that the nodes of a group do not all read the tables of a restored store.
+func TestFewNodesReadRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		g, done := newSimulatedGroup(ctx, simulatedNodes)
+		time.Sleep(8 * time.Second)
+		g.writeLost()
+		g.store.restore(lostChanges, 6)
+		before := g.store.reads.Load()
+		time.Sleep(restoredDelay)
+		reads := g.store.reads.Load() - before
+		assert.Check(t, reads <= int64(storeProbers*len(simulatedTables)), "%d reads", reads)
+		cancel()
+		done()
+	})
+}
--- a/internal/relay/simulation_test.go
+++ b/internal/relay/simulation_test.go
@@ -37,6 +37,8 @@
 	changed chan struct{}
 	// silent is set while no call is answered.
 	silent atomic.Bool
+	// reads counts the reads of whole tables.
+	reads atomic.Int64
 	// slow is the additional latency of each direction of a call, in nanoseconds.
 	slow atomic.Int64
 }
@@ -131,6 +133,7 @@
 }
 
 func (v storeView) Read(ctx context.Context) (feed.Batch, error) {
+	v.reads.Add(1)
 	if err := v.reach(ctx); err != nil {
 		return feed.Batch{}, err
 	}
--- a/test/restored_test.go
+++ b/test/restored_test.go
@@ -111,6 +111,28 @@
 	}
 }
 
+// TestNodesThatLostPowerAfterRestoreDoNotServe: all nodes lost their power while the store had yet to be
+// written again.
+func TestNodesThatLostPowerAfterRestoreDoNotServe(t *testing.T) {
+	t.Parallel()
+	w, nodes := startRestoredWorld(t)
+	added := world.DefaultRoutes()[3]
+	added.Name, added.PathPrefix = "added", "/added/"
+	assert.NilError(t, w.Configure(append(world.DefaultRoutes(), added)))
+	assert.NilError(t, w.RestoreStore(storestub.Restore{AgeMs: 1000, AwayMs: 200, RewriteMs: 1000}))
+	for _, node := range nodes {
+		node.Kill()
+	}
+	for _, node := range nodes {
+		<-node.Done()
+		assert.NilError(t, w.RestartNode(node))
+	}
+	time.Sleep(newsBound)
+	for _, node := range nodes {
+		awaitServed(t, node, "/added/", newsBound)
+	}
+}
+
 // TestAppliedObjectWasLostByRestore: an object whose change the store had acknowledged was gone after it
 // returned with an older copy and all nodes had started again.
 func TestAppliedObjectWasLostByRestore(t *testing.T) {
