Read the object log anew where its entries cannot be restored

Cause: a node whose kept entries do not reach back to the copy tried to restore the log for good, ten times a second, with an error each. Found by reading the change.

Change: such a node takes the table for the truth and logs what is lost, as where the logs diverged. Failed attempts are repeated after pauses that grow to 5 s.

--- a/internal/commit/restore.go
+++ b/internal/commit/restore.go
@@ -12,6 +12,7 @@
 	"lilacvane/internal/fault"
 	"lilacvane/internal/feed"
 	"lilacvane/internal/table"
+	"lilacvane/internal/wait"
 	"lilacvane/internal/wire"
 )
 
@@ -34,7 +35,8 @@
 }
 
 // Restore commits those of a node's entries that the table lacks. diverged is set if the table has other
-// entries in their place: then the node has to read the table anew. If it fails it may be called again.
+// entries in their place, or lacks earlier ones that the node no longer keeps: then the node has to read the
+// table anew. If it fails it may be called again.
 func (c *Committer) Restore(ctx context.Context, entries []wire.Entry) (restored int, diverged bool, err error) {
 	for {
 		head, err := c.table.Get(ctx, keyHead)
@@ -55,7 +57,8 @@
 			return restored + count, true, err
 		}
 		if missing[0].Revision != revision+1 {
-			return restored, false, fault.New(fault.CodeInternal, stepRestore, "the log ends at revision %d, this node knows it from %d on", revision, missing[0].Revision)
+			c.log.Info("entries lost", "step", stepRestore, "head", revision, "knownFrom", missing[0].Revision)
+			return restored, true, nil
 		}
 		_, err = c.table.Commit(ctx, entryTransaction(missing[0], head))
 		if err != nil && !fault.IsCode(err, fault.CodeConflict) {
@@ -188,7 +191,9 @@
 const (
 	// restoreJitter spreads the attempts of many nodes, so that most find the work done.
 	restoreJitter = 500 * time.Millisecond
-	restoreRetry  = 100 * time.Millisecond
+	// restoreRetry is the pause after the first failed attempt, maxRestoreRetry that after many.
+	restoreRetry    = 100 * time.Millisecond
+	maxRestoreRetry = 5 * time.Second
 )
 
 // Run restores the log whenever the table has returned with an older copy, until ctx ends.
@@ -207,13 +212,8 @@
 
 // restore restores the log, with retries.
 func (r *Restorer) restore(ctx context.Context) {
-	pause := rand.N(restoreJitter)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(pause):
-		}
+	wait.For(ctx, rand.N(restoreJitter))
+	for pause := restoreRetry; ctx.Err() == nil; pause = min(2*pause, maxRestoreRetry) {
 		callCtx, cancel := context.WithTimeout(ctx, applyTimeout)
 		count, diverged, err := r.Committer.Restore(callCtx, r.Entries())
 		if err == nil && diverged {
@@ -229,7 +229,7 @@
 			return
 		}
 		r.Follower.Log.Error(err, "log not restored")
-		pause = restoreRetry
+		wait.For(ctx, pause)
 	}
 }
 
--- a/internal/commit/restore_test.go
+++ b/internal/commit/restore_test.go
@@ -130,3 +130,16 @@
 	n.restoring.Store(false)
 	n.write(t, "free", "x", 0)
 }
+
+// TestLogThatIsNotKeptBackToTheCopyIsReadAnew covers a copy that is older than the entries that a node keeps.
+func TestLogThatIsNotKeptBackToTheCopyIsReadAnew(t *testing.T) {
+	rows := &faultyTable{rows: make(map[string]table.Row)}
+	n := newRestorableNode(rows)
+	older := rows.copyRows()
+	n.write(t, "a", "x", 0)
+	n.write(t, "b", "y", 0)
+	rows.rows = older
+	restored, diverged, err := n.Restore(t.Context(), n.catalog.Entries()[1:])
+	assert.NilError(t, err)
+	assert.Assert(t, restored == 0 && diverged)
+}
--- a/internal/table/revision.go
+++ b/internal/table/revision.go
@@ -10,9 +10,10 @@
 const (
 	// numberBits is the size of the store's number in a Revision.
 	numberBits = 44
-	// MaxNumber is the largest number of a Revision, MaxEpoch the largest epoch.
+	// MaxNumber is the largest number of a Revision.
 	MaxNumber = 1<<numberBits - 1
-	MaxEpoch  = Epoch(1<<(64-numberBits) - 1)
+	// MaxEpoch is the largest epoch of a Revision.
+	MaxEpoch = Epoch(1<<(64-numberBits) - 1)
 )
 
 // NewRevision returns the revision with a number, at most MaxNumber, in an epoch, at most MaxEpoch.
