--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -56,8 +56,7 @@
 		return
 	}
 	if !isNew {
-		// An incarnation that drains ends. A restored list may have an earlier state of it.
-		listed.Draining = listed.Draining || known.listed.Draining
+		keepDraining(&listed, &known.listed)
 	}
 	f.upsert(listed, known)
 	if !isNew && f.idle(known) && f.retention.canDrop(&listed, len(f.runners)-1) {
--- a/internal/fleet/statements.go
+++ b/internal/fleet/statements.go
@@ -146,3 +146,9 @@
 	first.deferred++
 	return in + time.Duration(first.deferred-1)*each
 }
+
+// keepDraining lets a runner drain if it did in the entry before. An incarnation that drains ends; a restored
+// list may have an earlier state of it.
+func keepDraining(listed, before *backend.Runner) {
+	listed.Draining = listed.Draining || before.Draining
+}
