Let the mirror's model fail on a fill that fails within an epoch again

Cause: with returns of the store the model's check passed over every error of a fill; before, any failed it.

Change: a fill may fail only where the store is in another epoch than the mirror, and then with fault.CodeCompacted; within one epoch it must succeed.

--- a/internal/relay/mirror_test.go
+++ b/internal/relay/mirror_test.go
@@ -136,10 +136,16 @@
 			case "fill":
 				// Rows may be newer than the position of the mirror until the changes arrive, which
 				// are requested at once.
-				if m.rowsDropped && m.fill(store.snapshot(store.revision)) == nil {
-					assert.Equal(t, m.position.Epoch(), store.revision.Epoch())
-					m.apply(store.since(m.position))
+				if !m.rowsDropped {
+					break
+				}
+				err := m.fill(store.snapshot(store.revision))
+				if m.position.Epoch() != store.revision.Epoch() {
+					assert.Assert(t, fault.IsCode(err, fault.CodeCompacted), "%v", err)
+					break
 				}
+				assert.NilError(t, err)
+				m.apply(store.since(m.position))
 			case "direct":
 				// The reader called the store and may now be ahead of the mirror.
 				changes := store.since(position)
