Test that a mark which the copy lacks is kept and written again

Cause: of what nodes write, the quarantine alone had no test of a restored store.

Change: TestMarkThatTheCopyLacksWasLifted.

--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/crash"
+	"lilacvane/internal/feed"
 	"lilacvane/internal/poison"
 	"lilacvane/internal/table"
 	"lilacvane/internal/wire"
@@ -65,3 +66,30 @@
 	_, refused = q.Refused(request)
 	assert.Assert(t, !refused && !rows.rows[request.String()])
 }
+
+// TestMarkThatTheCopyLacksWasLifted: a row that a restored store had lost counted as lifted by an operator.
+func TestMarkThatTheCopyLacksWasLifted(t *testing.T) {
+	rows := &tableStub{rows: make(map[string]bool)}
+	q := testQuarantine(rows)
+	request := poison.Content{Path: "/x"}.Identity()
+	for number := range 3 {
+		q.Crashed(crash.Crash{Runner: fmt.Sprint("r", number), Requests: []poison.Identity{request}})
+	}
+	_, err := q.write(t.Context())
+	assert.NilError(t, err)
+	q.mutex.Lock()
+	q.written[request] = true
+	q.mutex.Unlock()
+	handler := (*Handler)(q)
+	assert.DeepEqual(t, handler.Keys(), []string{request.String()})
+	delete(rows.rows, request.String())
+	handler.ApplyRestored([]feed.Row{{Key: request.String(), Revision: table.NewRevision(2, 3), Deleted: true}})
+	_, refused := q.Refused(request)
+	assert.Assert(t, refused)
+	q.mutex.Lock()
+	q.repair()
+	q.mutex.Unlock()
+	_, err = q.write(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, rows.rows[request.String()])
+}
