Give an error where no peer was asked for a connection in time

What callers saw: a node that reached a runner only through peers ended by itself, and all that it was serving was cut.

Cause: Dial returned neither a connection nor an error where its context ended before a peer was asked. The pool took that for a connection, and the first write ended the process.

Change: Dial returns why its context ended.

Result: TestNodeEndedByConnectionThatNoPeerOpened fails before and passes now.

--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -104,7 +104,8 @@
 }
 
 // Dial connects to a runner through a peer. It returns an UnreachedError if peers answered that
-// they do not reach the runner, and another error if no peer answered that.
+// they do not reach the runner, and another error if no peer answered that or none was asked before
+// ctx ended.
 func (d *Dialer) Dial(ctx context.Context, runner, address string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, OpenTimeout)
 	defer cancel()
@@ -151,10 +152,14 @@
 			s.askNext()
 		}
 	}
-	if s.unreached {
+	switch {
+	case s.unreached:
 		return nil, &UnreachedError{Refused: s.refused}
+	case s.asked == 0:
+		return nil, context.Cause(s.ctx)
+	default:
+		return nil, s.last
 	}
-	return nil, s.last
 }
 
 // askNext asks the next peer, if there is one and the search goes on.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -226,6 +226,16 @@
 	assert.Assert(t, errors.Is(err, ErrNoPeer), "%v", err)
 }
 
+// TestNodeEndedByConnectionThatNoPeerOpened: a context that had ended before a peer was asked gave neither
+// a connection nor an error, and the node ended on its first write.
+func TestNodeEndedByConnectionThatNoPeerOpened(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	conn, err := testDialer("127.0.0.1:1").Dial(ctx, "r1", "127.0.0.1:1")
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.Assert(t, conn == nil)
+}
+
 // TestOneWorkingPeerIsEnough: a peer that is gone, one of an older build, one that does not answer
 // and one that does not reach the runner do not keep another one from being used.
 func TestOneWorkingPeerIsEnough(t *testing.T) {
