Let a node that starts in a later epoch of the store wait as the others do

A request that may run once under its key could run a second time at a node that started within the settling period, and such a node could commit a change of an operator in place of a lost one.

Cause: only a process that saw the epoch change took the store for unsettled. One that started after the return heard of one epoch alone and took the copy for the truth.

Change: the first epoch that a process hears of counts as having begun just now, unless the store names none. So that a node which starts long after a return does not wait, the marker of an epoch holds the time of its first transaction; a starting node reads it from the table of leases, one call, two if the marker is missing. The first transaction of a process in an epoch reads the marker and writes it only where it is missing.

--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -240,9 +240,7 @@
 
 // notDone marks an error of a read: the attempt had no effect.
 func notDone(err error) error {
-	failure := *fault.From(err, step)
-	failure.Ran = fault.NotDone
-	return &failure
+	return fault.From(err, step).WithOutcome(fault.NotDone)
 }
 
 func headRevision(head table.Row) (uint64, error) {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -122,6 +122,13 @@
 	return &copied
 }
 
+// WithOutcome returns a copy of the error with another outcome.
+func (e *Error) WithOutcome(ran Outcome) *Error {
+	copied := *e
+	copied.Ran = ran
+	return &copied
+}
+
 // From returns err as an *Error. An error of another type becomes an internal error of the given
 // step with an unknown outcome.
 func From(err error, step string) *Error {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -49,10 +49,13 @@
 	return f.rows[len(f.rows)-1]
 }
 
-func (f *fakeTable) Get(context.Context, string) (table.Row, error) {
+func (f *fakeTable) Get(_ context.Context, key string) (table.Row, error) {
 	if f.down {
 		return table.Row{}, fault.At(fault.CodeStoreUnavailable, "read", "table", fault.NotDone, errors.New("down"))
 	}
+	if table.IsMarker(key) {
+		return table.Row{Revision: table.NewRevision(f.epoch, f.markers[key].Number())}, nil
+	}
 	if index := len(f.rows) - 1 - f.behind; index >= 0 {
 		row := f.rows[index]
 		row.Revision = table.NewRevision(f.epoch, row.Revision.Number())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -266,6 +266,7 @@
 	defer end()
 	var work sync.WaitGroup
 	n.followers.run(background, &work)
+	work.Go(func() { n.learnEpoch(background) })
 	work.Go(func() { n.relay.Run(background) })
 	work.Go(func() { n.pauses.run(background) })
 	work.Go(func() { n.zones.run(background) })
--- a/internal/table/fenced.go
+++ b/internal/table/fenced.go
@@ -29,7 +29,7 @@
 // Fenced is a table whose transactions take effect only in the epoch in which they were prepared. In a
 // later epoch the store assigns the same numbers to other rows, so conditions alone do not protect them.
 //
-// The first transaction of an epoch writes a marker row for it, and each transaction requires that the
+// The first transaction of an epoch writes a marker row for it, with the time, and each transaction requires that the
 // marker of the next epoch is absent. A late transaction can thus take effect in a later epoch only
 // before any other one does, while the rows are still those of the copy, which its conditions name.
 type Fenced struct {
@@ -37,7 +37,7 @@
 	epochs *Epochs
 
 	mu sync.Mutex
-	// marked is the epoch whose marker this process has written.
+	// marked is the epoch whose marker this process has written or found.
 	marked Epoch
 }
 
@@ -61,7 +61,11 @@
 		if err != nil {
 			return 0, err
 		}
-		revision, err := f.table.Commit(ctx, f.fence(transaction, epoch))
+		fenced, err := f.fence(ctx, transaction, epoch)
+		if err != nil {
+			return 0, err
+		}
+		revision, err := f.table.Commit(ctx, fenced)
 		ended := f.epochs.Newest() > epoch
 		switch {
 		case err == nil && !ended:
@@ -94,20 +98,31 @@
 }
 
 // fence returns the transaction with what binds it to an epoch.
-func (f *Fenced) fence(transaction Transaction, epoch Epoch) Transaction {
+func (f *Fenced) fence(ctx context.Context, transaction Transaction, epoch Epoch) (Transaction, error) {
 	fenced := Transaction{
 		Conditions: append([]Condition{{Key: marker(epoch + 1)}}, transaction.Conditions...),
 		Writes:     append([]Write(nil), transaction.Writes...),
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.marked == epoch {
-		return fenced
+	if f.isMarked(epoch) {
+		return fenced, nil
+	}
+	written, err := f.table.Get(ctx, marker(epoch))
+	if err != nil {
+		return fenced, fault.From(err, "read epoch marker").WithOutcome(fault.NotDone)
+	}
+	if written.Revision.Exists() {
+		return fenced, nil
 	}
 	for marked := max(epoch, markedEpochs) - markedEpochs + 1; marked <= epoch; marked++ {
-		fenced.Writes = append(fenced.Writes, Write{Key: marker(marked), Value: []byte("1")})
+		fenced.Writes = append(fenced.Writes, Write{Key: marker(marked), Value: markerValue(written.ReadAt)})
 	}
-	return fenced
+	return fenced, nil
+}
+
+func (f *Fenced) isMarked(epoch Epoch) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.marked == epoch
 }
 
 func (f *Fenced) setMarked(epoch Epoch) {
