Release only a node's own claim of a key

What callers saw: nothing yet; found by reading. A request that may run once under its key could run a second time after the store had returned.

Cause: a node that had claimed a key while the epoch changed gave the claim back by deleting the row of the key, whoever had written it. Between its reading and that, the node whose claim was lost may have written it again.

Change: the row is deleted only while it names the attempt that is given back.

Result: TestReleaseDeletedClaimOfAnotherNode fails before (another node claims the key) and passes.

--- a/internal/claim/restore.go
+++ b/internal/claim/restore.go
@@ -148,17 +148,30 @@
 // release deletes the claim of an attempt that is not made. If that fails, the key stays claimed.
 func (c *Claims) release(ctx context.Context, rowKey, attempt string) {
 	c.recent.forget(rowKey)
+	if err := c.deleteOwn(ctx, rowKey, attempt); err != nil {
+		c.log.Info("claim not released", "attempt", attempt, "error", err.Error())
+	}
+}
+
+// deleteOwn deletes the claim of an attempt, unless another node has written one in its place.
+func (c *Claims) deleteOwn(ctx context.Context, rowKey, attempt string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	held, err := c.table.Get(ctx, rowKey)
-	if err == nil && held.Revision.Exists() {
-		_, err = c.table.Commit(ctx, table.Transaction{
-			Conditions: []table.Condition{{Key: rowKey, Revision: held.Revision}}, Writes: []table.Write{{Key: rowKey, Delete: true}},
-		})
+	row, err := c.table.Get(ctx, rowKey)
+	if err != nil || !row.Revision.Exists() {
+		return err
 	}
-	if err != nil {
-		c.log.Info("claim not released", "attempt", attempt, "error", err.Error())
+	var held record
+	if err := json.Unmarshal(row.Value, &held); err != nil {
+		return fault.From(err, step)
+	}
+	if held.Attempt != attempt {
+		return nil
 	}
+	_, err = c.table.Commit(ctx, table.Transaction{
+		Conditions: []table.Condition{{Key: rowKey, Revision: row.Revision}}, Writes: []table.Write{{Key: rowKey, Delete: true}},
+	})
+	return err
 }
 
 // forget drops the claim of a key.
