Repeat the late restoration of a claim that the store refused

What callers saw: nothing; found by reading. A claim that a node could write again only after the settling period was given up at the first error, so its key could run a second time.

Cause: the claim counted as handled together with the error. A claim of another node that could not be decoded would now have been repeated for good, so it is refused when it is told.

Result: TestClaimThatCouldNotBeRestoredWasDropped fails before and passes now.

--- a/internal/claim/peers.go
+++ b/internal/claim/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -105,8 +106,8 @@
 func (c *Claims) Keep(request wire.ClaimRequest) error {
 	now := time.Now()
 	for _, told := range request.Claims {
-		if !strings.HasPrefix(told.Key, prefix) {
-			return fault.New(fault.CodeInvalid, "keep claims", "%q is not the key of a claim", told.Key)
+		if !strings.HasPrefix(told.Key, prefix) || json.Unmarshal(told.Value, new(record)) != nil {
+			return fault.New(fault.CodeInvalid, "keep claims", "%q is not a claim", told.Key)
 		}
 		c.recent.add(row{key: told.Key, value: told.Value}, now.Add(-time.Duration(told.AgeMs)*time.Millisecond))
 	}
--- a/internal/claim/restore.go
+++ b/internal/claim/restore.go
@@ -64,7 +64,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if c.Epochs.SettlingLeft() == 0 {
-		return 1, c.restoreLate(ctx, rows[0])
+		if err := c.restoreLate(ctx, rows[0]); err != nil {
+			return 0, err
+		}
+		return 1, nil
 	}
 	rows = rows[:min(len(rows), restoreBatch)]
 	var transaction table.Transaction
