Use one loop for retries of what a restored store lost

Cause: claims and the object log each had a loop of retries with pauses, and the log's said "log restored" for failures too.

Change: wait.Retry. Pauses of claims grow from 0.1 to 0.4 s now, where the store refuses writes of many nodes at once; those of the log are as they were. A failure of the log has one line.

--- a/internal/claim/restore.go
+++ b/internal/claim/restore.go
@@ -18,9 +18,11 @@
 const (
 	// restoreBatch is the maximum number of claims in one transaction.
 	restoreBatch = table.MaxEntries - table.FenceEntries
-	// restoreJitter spreads the writes of many nodes, restoreRetry is the pause after one that failed.
+	// restoreJitter spreads the writes of many nodes.
 	restoreJitter = 300 * time.Millisecond
-	restoreRetry  = 100 * time.Millisecond
+	// restoreRetry is the pause after the first write that failed, maxRestoreRetry that after many.
+	restoreRetry    = 100 * time.Millisecond
+	maxRestoreRetry = 400 * time.Millisecond
 )
 
 // epochChanged makes Run restore the claims of this node.
@@ -47,16 +49,24 @@
 		case <-c.restored:
 		}
 		wait.For(ctx, rand.N(restoreJitter))
-		rows := c.recent.newestFirst(time.Now())
-		for len(rows) > 0 && ctx.Err() == nil {
+		c.restoreAll(ctx)
+	}
+}
+
+// restoreAll writes all recent claims again, with retries.
+func (c *Claims) restoreAll(ctx context.Context) {
+	rows := c.recent.newestFirst(time.Now())
+	wait.Retry(ctx, restoreRetry, maxRestoreRetry, func() error {
+		for len(rows) > 0 {
 			written, err := c.restore(ctx, rows)
 			rows = rows[written:]
 			if err != nil {
 				c.Log.Info("claims not restored", "left", len(rows), "error", err.Error())
-				wait.For(ctx, restoreRetry)
+				return err
 			}
 		}
-	}
+		return nil
+	})
 }
 
 // restore writes claims again and returns how many it handled.
--- a/internal/commit/restore.go
+++ b/internal/commit/restore.go
@@ -213,24 +213,22 @@
 // restore restores the log, with retries.
 func (r *Restorer) restore(ctx context.Context) {
 	wait.For(ctx, rand.N(restoreJitter))
-	for pause := restoreRetry; ctx.Err() == nil; pause = min(2*pause, maxRestoreRetry) {
-		callCtx, cancel := context.WithTimeout(ctx, applyTimeout)
-		count, diverged, err := r.Committer.Restore(callCtx, r.Entries())
+	wait.Retry(ctx, restoreRetry, maxRestoreRetry, func() error {
+		ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+		defer cancel()
+		count, diverged, err := r.Committer.Restore(ctx, r.Entries())
 		if err == nil && diverged {
-			err = r.rebuild(callCtx)
+			err = r.rebuild(ctx)
 		}
-		if err == nil {
-			r.Follower.release()
-			r.Applied()
-		}
-		cancel()
-		r.Follower.Log.Info("log restored", "entries", count, "diverged", diverged, "done", err == nil)
-		if err == nil {
-			return
+		if err != nil {
+			r.Follower.Log.Error(err, "log not restored", "entries", count, "diverged", diverged)
+			return err
 		}
-		r.Follower.Log.Error(err, "log not restored")
-		wait.For(ctx, pause)
-	}
+		r.Follower.release()
+		r.Applied()
+		r.Follower.Log.Info("log restored", "entries", count, "diverged", diverged)
+		return nil
+	})
 }
 
 // rebuild reads the catalog anew.
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -1,4 +1,4 @@
-// Package wait provides a pause that ends early when a context is done.
+// Package wait provides pauses that end early when a context is done, and retries with such pauses.
 package wait
 
 import (
@@ -15,3 +15,11 @@
 	case <-timer.C:
 	}
 }
+
+// Retry calls attempt until it succeeds or ctx is done. The pause after a failure is first, and doubles with each
+// further one up to longest. attempt reports its failures itself.
+func Retry(ctx context.Context, first, longest time.Duration, attempt func() error) {
+	for pause := first; ctx.Err() == nil && attempt() != nil; pause = min(2*pause, longest) {
+		For(ctx, pause)
+	}
+}
