Keep a runner that has left out of use until the platform removes its row again

What callers saw: nothing yet; found by asking until when an entry of a copy is doubted. A runner whose row had been removed, and which served on, got requests again from 3.4 s after the return on.

Cause: all that was deferred of a restored table was applied at the end of the settling period, 3 s. The row of a runner that has left is removed only after three missed heartbeats (3.6 s), as a runner that is gone writes nothing again.

Change: a handler says for how long it defers each row. Rows of runners that have left wait 6 s, all others the settling period as before; a second return makes none due before its own period ends.

Result: TestRunnerThatLeftWasUsedAgainByCopy (processes) fails before, with a request 3.38 s after the return, and passes now; TestRunnerThatLeftWasListedUntilItsRowLapsed needs the new type.

--- a/internal/commit/restore.go
+++ b/internal/commit/restore.go
@@ -245,7 +245,7 @@
 // ApplyRestored processes rows of a restored table. The catalog does not go back. If the table lacks
 // entries, its rows are kept back until the Restorer has compared the logs: an entry of another history
 // must not follow one that it does not know.
-func (f *Follower) ApplyRestored(rows []feed.Row) []feed.Row {
+func (f *Follower) ApplyRestored(rows []feed.Row) []feed.Deferred {
 	if slices.ContainsFunc(rows, func(row feed.Row) bool { return row.Key == keyHead || strings.HasPrefix(row.Key, prefixLog) }) {
 		f.mu.Lock()
 		f.keepsBack = true
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -53,8 +53,8 @@
 	// ApplyRestored processes rows that differ, or may differ, after the store returned with an older
 	// copy. They may go back, and those that the copy lacks are Deleted, until operators and runners
 	// have written them again. It returns those that it does not apply yet. What has not changed when
-	// the settling period ends is passed to ApplyChanges then.
-	ApplyRestored(rows []Row) (deferred []Row)
+	// its time is over is passed to ApplyChanges then.
+	ApplyRestored(rows []Row) (deferred []Deferred)
 	// Keys returns the keys of the applied rows that a restored table may lack.
 	Keys() []string
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-func (r *recorder) ApplyRestored(rows []Row) []Row {
+func (r *recorder) ApplyRestored(rows []Row) []Deferred {
 	r.ApplyChanges(rows)
 	return nil
 }
@@ -138,7 +138,7 @@
 func (h snapshotHandler) ApplySnapshot([]Row, time.Duration) { h.snapshots <- struct{}{} }
 func (h snapshotHandler) ApplyChanges([]Row)                 {}
 
-func (h snapshotHandler) ApplyRestored([]Row) []Row { return nil }
+func (h snapshotHandler) ApplyRestored([]Row) []Deferred { return nil }
 
 func (h snapshotHandler) Keys() []string { return nil }
 
--- a/internal/feed/restored.go
+++ b/internal/feed/restored.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -11,32 +10,73 @@
 // minSettlingWait is the minimum wait of a call at the end of a settling period.
 const minSettlingWait = 10 * time.Millisecond
 
+// Deferred is a row of a restored table that is applied only after a time, unless it changes before.
+type Deferred struct {
+	Row
+	For time.Duration
+}
+
+// Defer defers rows for a time.
+func Defer(rows []Row, wait time.Duration) []Deferred {
+	deferred := make([]Deferred, 0, len(rows))
+	for _, row := range rows {
+		deferred = append(deferred, Deferred{Row: row, For: wait})
+	}
+	return deferred
+}
+
 // settling is the state of a follower after a store returned with an older copy.
 type settling struct {
-	// until is the end of the period; zero if there is none.
+	// until is the end of the settling period; zero if none has begun or all deferred rows were applied since.
 	until time.Time
 	// deferred are the rows that the handler has not applied, by key.
-	deferred map[string]Row
+	deferred map[string]deferredRow
+}
+
+// deferredRow is a row with the time at which it is applied.
+type deferredRow struct {
+	Row
+	due time.Time
 }
 
 func (s *settling) active() bool { return !s.until.IsZero() }
 
-// limit returns the wait of a call, reduced so that it ends with the period.
+// next returns when the next deferred row is due or the period ends.
+func (s *settling) next() time.Time {
+	var next time.Time
+	for _, row := range s.deferred {
+		if next.IsZero() || row.due.Before(next) {
+			next = row.due
+		}
+	}
+	if time.Now().Before(s.until) && (next.IsZero() || s.until.Before(next)) {
+		next = s.until
+	}
+	return next
+}
+
+// limit returns the wait of a call, reduced so that it ends when something is due.
 func (s *settling) limit(wait time.Duration) time.Duration {
 	if !s.active() {
 		return wait
 	}
-	return min(wait, max(time.Until(s.until), minSettlingWait))
+	return min(wait, max(time.Until(s.next()), minSettlingWait))
 }
 
-// begin starts the period anew, with further deferred rows.
-func (s *settling) begin(deferred []Row) {
-	s.until = time.Now().Add(table.SettlingPeriod)
+// begin starts the period anew, with further deferred rows. None is due before it ends.
+func (s *settling) begin(deferred []Deferred) {
+	now := time.Now()
+	s.until = now.Add(table.SettlingPeriod)
+	for key, row := range s.deferred {
+		if row.due.Before(s.until) {
+			s.deferred[key] = deferredRow{Row: row.Row, due: s.until}
+		}
+	}
 	if s.deferred == nil {
-		s.deferred = make(map[string]Row)
+		s.deferred = make(map[string]deferredRow)
 	}
 	for _, row := range deferred {
-		s.deferred[row.Key] = row
+		s.deferred[row.Key] = deferredRow{Row: row.Row, due: now.Add(max(row.For, table.SettlingPeriod))}
 	}
 }
 
@@ -47,11 +87,21 @@
 	}
 }
 
-// end ends the period and returns the rows that are still deferred, ordered by revision.
-func (s *settling) end() []Row {
-	rows := slices.SortedFunc(maps.Values(s.deferred), byRevision)
-	*s = settling{}
-	return rows
+// takeDue returns the deferred rows that are due, ordered by revision. It ends the period after the last.
+func (s *settling) takeDue() []Row {
+	now := time.Now()
+	var due []Row
+	for key, row := range s.deferred {
+		if !now.Before(row.due) {
+			due = append(due, row.Row)
+			delete(s.deferred, key)
+		}
+	}
+	slices.SortFunc(due, byRevision)
+	if len(s.deferred) == 0 && !now.Before(s.until) {
+		*s = settling{}
+	}
+	return due
 }
 
 func byRevision(a, b Row) int {
@@ -95,13 +145,15 @@
 	f.log.Info("restored table applied", "rows", len(rows), "deferred", len(deferred))
 }
 
-// settle ends a settling period whose time is over.
+// settle applies the deferred rows that are due.
 func (f *Follower) settle() {
-	if !f.settling.active() || time.Now().Before(f.settling.until) {
+	if !f.settling.active() {
 		return
 	}
-	rows := f.settling.end()
-	f.log.Info("restored table settled", "rows", len(rows))
+	rows := f.settling.takeDue()
+	if !f.settling.active() {
+		f.log.Info("restored table settled", "rows", len(rows))
+	}
 	if len(rows) > 0 {
 		f.handler.ApplyChanges(rows)
 	}
--- a/internal/feed/restored_test.go
+++ b/internal/feed/restored_test.go
@@ -51,22 +51,25 @@
 // restoredHandler defers the deletion of the row "lost" and sends what it is given then.
 type restoredHandler struct {
 	recorder
+	// defers is how long the deletion is deferred.
+	defers            time.Duration
 	restored, changed chan []Row
 }
 
-func (h *restoredHandler) ApplyRestored(rows []Row) []Row {
+func (h *restoredHandler) ApplyRestored(rows []Row) []Deferred {
 	h.restored <- rows
-	return rows[len(rows)-1:]
+	return Defer(rows[len(rows)-1:], h.defers)
 }
 
 func (h *restoredHandler) ApplyChanges(rows []Row) { h.changed <- rows }
 
 func (h *restoredHandler) Keys() []string { return []string{"kept", "lost"} }
 
-// followRestored follows a table until the handler was given the rows of a restored one, which lack "lost".
-func followRestored(t *testing.T) (source *restoredSource, handler *restoredHandler) {
+// followRestored follows a table until the handler was given the rows of a restored one, which lack "lost". It
+// defers that for a time.
+func followRestored(t *testing.T, defers time.Duration) (source *restoredSource, handler *restoredHandler) {
 	source = &restoredSource{written: make(chan []Row)}
-	handler = &restoredHandler{restored: make(chan []Row), changed: make(chan []Row)}
+	handler = &restoredHandler{defers: defers, restored: make(chan []Row), changed: make(chan []Row)}
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	running.Go(func() { follow(source, handler).Run(ctx) })
@@ -85,13 +88,13 @@
 // TestRowMissingFromRestoredTableWasTakenForGone: rows that the copy lacked counted as deleted at once.
 func TestRowMissingFromRestoredTableWasTakenForGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		_, handler := followRestored(t)
+		_, handler := followRestored(t, table.SettlingPeriod)
 		began := time.Now()
 		assert.DeepEqual(t, <-handler.changed, []Row{{Key: "lost", Revision: table.NewRevision(2, 2), Deleted: true}})
 		assert.Assert(t, time.Since(began) >= table.SettlingPeriod)
 	})
 	synctest.Test(t, func(t *testing.T) {
-		source, handler := followRestored(t)
+		source, handler := followRestored(t, table.SettlingPeriod)
 		again := []Row{{Key: "lost", Revision: table.NewRevision(2, 5)}}
 		source.written <- again
 		assert.DeepEqual(t, <-handler.changed, again)
@@ -102,3 +105,29 @@
 		}
 	})
 }
+
+// TestRunnerThatLeftWasListedUntilItsRowLapsed: what was deferred of a restored table was applied at the end of
+// the settling period, before the platform had removed the rows of runners that had left.
+func TestRunnerThatLeftWasListedUntilItsRowLapsed(t *testing.T) {
+	const lapse = 2 * table.SettlingPeriod
+	synctest.Test(t, func(t *testing.T) {
+		source, handler := followRestored(t, lapse)
+		began := time.Now()
+		for time.Since(began) < lapse-time.Second {
+			select {
+			case rows := <-handler.changed:
+				t.Fatalf("%v applied after %v", rows, time.Since(began))
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+		again := []Row{{Key: "lost", Revision: table.NewRevision(2, 5)}}
+		source.written <- again
+		assert.DeepEqual(t, <-handler.changed, again)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		_, handler := followRestored(t, lapse)
+		began := time.Now()
+		assert.DeepEqual(t, <-handler.changed, []Row{{Key: "lost", Revision: table.NewRevision(2, 2), Deleted: true}})
+		assert.Assert(t, time.Since(began) >= lapse && time.Since(began) < lapse+time.Second, "%v", time.Since(began))
+	})
+}
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -29,7 +29,7 @@
 
 func (noHandler) ApplyChanges([]feed.Row) {}
 
-func (noHandler) ApplyRestored([]feed.Row) []feed.Row { return nil }
+func (noHandler) ApplyRestored([]feed.Row) []feed.Deferred { return nil }
 
 func (noHandler) Keys() []string { return nil }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -15,6 +15,7 @@
 	"lilacvane/internal/place"
 	"lilacvane/internal/quarantine"
 	"lilacvane/internal/relay"
+	"lilacvane/internal/table"
 )
 
 // Names under which the nodes relay tables to each other.
@@ -44,6 +45,9 @@
 	// doubtfulCount is the minimum number.
 	doubtfulShare = 0.3
 	doubtfulCount = 3
+	// departedPeriod is how long a runner that has left may be in a restored list: the platform removes its row
+	// after three missed heartbeats, which begin anew with the store's return.
+	departedPeriod = 6 * time.Second
 )
 
 // followers follows the platform's tables.
@@ -106,13 +110,13 @@
 
 // ApplyRestored applies what does not go back: the configuration by its own revision, and zones of which
 // the opposite is not known.
-func (h *configurationHandler) ApplyRestored(rows []feed.Row) []feed.Row {
+func (h *configurationHandler) ApplyRestored(rows []feed.Row) []feed.Deferred {
 	deferred, applied := partition(rows, func(row feed.Row) bool {
 		zone, ok := h.platform.EvacuatedZone(row.Key)
 		return ok && h.zones.contradicts(evacuation.Row{Zone: zone, Returned: row.Deleted})
 	})
 	h.ApplyChanges(applied)
-	return deferred
+	return feed.Defer(deferred, table.SettlingPeriod)
 }
 
 // Keys returns the keys of the rows that evacuate zones.
@@ -200,7 +204,7 @@
 }
 
 // ApplyRestored applies rows of a restored table.
-func (h *objectHandler) ApplyRestored(rows []feed.Row) []feed.Row {
+func (h *objectHandler) ApplyRestored(rows []feed.Row) []feed.Deferred {
 	deferred := h.Follower.ApplyRestored(rows)
 	h.node.objectsChanged()
 	return deferred
@@ -302,17 +306,15 @@
 }
 
 // ApplyRestored applies what does not go back. Runners that the list lacks stay until the settling period
-// ends, and those that have left do not return before.
-func (h *runnerHandler) ApplyRestored(rows []feed.Row) []feed.Row {
-	deferred, applied := partition(rows, func(row feed.Row) bool {
-		if row.Deleted {
-			return true
-		}
+// ends. Those that have left do not return before the platform had the time to remove them again.
+func (h *runnerHandler) ApplyRestored(rows []feed.Row) []feed.Deferred {
+	missing, present := partition(rows, func(row feed.Row) bool { return row.Deleted })
+	departed, applied := partition(present, func(row feed.Row) bool {
 		runner, err := h.platform.DecodeRunner(row.Key, row.Value)
 		return err == nil && h.fleet.Outdated(runner)
 	})
 	h.ApplyChanges(applied)
-	return deferred
+	return append(feed.Defer(missing, table.SettlingPeriod), feed.Defer(departed, departedPeriod)...)
 }
 
 // Keys returns the names of the listed runners.
--- a/internal/node/zones_test.go
+++ b/internal/node/zones_test.go
@@ -64,8 +64,8 @@
 	assert.Equal(t, n.zones.state("out"), evacuation.Out)
 	assert.Equal(t, n.zones.state("back"), evacuation.Returning)
 	assert.Assert(t, n.zones.state("third") == evacuation.Leaving || n.zones.state("third") == evacuation.Out)
-	assert.DeepEqual(t, deferred, restored[:2])
-	handler.ApplyChanges(deferred)
+	assert.DeepEqual(t, deferred, feed.Defer(restored[:2], table.SettlingPeriod))
+	handler.ApplyChanges(restored[:2])
 	assert.Equal(t, n.zones.state("out"), evacuation.Returning)
 	assert.Assert(t, n.zones.state("back") == evacuation.Leaving || n.zones.state("back") == evacuation.Out)
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -44,7 +44,7 @@
 
 // ApplyRestored applies the rows that a restored table has. Rows that it lacks are lost and not lifted;
 // see repair.
-func (h *Handler) ApplyRestored(rows []feed.Row) []feed.Row {
+func (h *Handler) ApplyRestored(rows []feed.Row) []feed.Deferred {
 	q := (*Quarantine)(h)
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
--- a/internal/relay/simulation_test.go
+++ b/internal/relay/simulation_test.go
@@ -240,7 +240,7 @@
 func (discardHandler) ApplySnapshot([]feed.Row, time.Duration) {}
 func (discardHandler) ApplyChanges([]feed.Row)                 {}
 
-func (discardHandler) ApplyRestored([]feed.Row) []feed.Row { return nil }
+func (discardHandler) ApplyRestored([]feed.Row) []feed.Deferred { return nil }
 
 func (discardHandler) Keys() []string { return nil }
 
--- a/test/restored_kept_test.go
+++ b/test/restored_kept_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/storestub"
 	"lilacvane/internal/lab/world"
 	"lilacvane/internal/table"
@@ -68,6 +70,30 @@
 	assertAnswers(t, "", http.StatusOK, nodes)
 }
 
+// TestRunnerThatLeftWasUsedAgainByCopy: the copy of a restored store had the row of a runner that had left and
+// served on, and the row was removed again only after the settling period.
+func TestRunnerThatLeftWasUsedAgainByCopy(t *testing.T) {
+	t.Parallel()
+	const left, removed = "mailer-1", table.SettlingPeriod + 1500*time.Millisecond
+	w, nodes := startRestoredWorld(t)
+	assert.NilError(t, w.Unlist(left))
+	time.Sleep(keptCopyAge)
+	assert.NilError(t, w.RestoreStore(storestub.Restore{AgeMs: int(2 * keptCopyAge.Milliseconds()), AwayMs: 200, RewriteMs: int(removed.Milliseconds())}))
+	began := time.Now()
+	var ids []string
+	for time.Since(began) < removed {
+		for _, node := range nodes {
+			request := clientRequest{ID: newID(), Path: "/read/", Deadline: time.Second}
+			ids = append(ids, request.ID)
+			send(t.Context(), node, request)
+		}
+	}
+	for _, record := range readHistory(t, w).records {
+		ran := record.Event == journal.EventRun && record.Runner == left && slices.Contains(ids, record.Request)
+		assert.Assert(t, !ran, "request %s ran at the runner %v after the return", record.Request, record.Time.Sub(began))
+	}
+}
+
 // TestNodeOutOfTouchThroughRestoresStayedBehind: a node heard of no return of the store while it happened, and kept
 // to what it had known.
 func TestNodeOutOfTouchThroughRestoresStayedBehind(t *testing.T) {
