Test that a lifted mark in a copy stays lifted

Cause: of what operators do through nodes, lifting a mark alone had no test of a restored store.

Change: TestLiftedMarkCameBackFromCopy.

Result: passes; the code is unchanged.

--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -93,3 +93,27 @@
 	assert.NilError(t, err)
 	assert.Assert(t, rows.rows[request.String()])
 }
+
+// TestLiftedMarkCameBackFromCopy: the copy of a restored store had the row of a mark that an operator had lifted.
+func TestLiftedMarkCameBackFromCopy(t *testing.T) {
+	rows := &tableStub{rows: make(map[string]bool)}
+	q := testQuarantine(rows)
+	request := poison.Content{Path: "/x"}.Identity()
+	for number := range 3 {
+		q.Crashed(crash.Crash{Runner: fmt.Sprint("r", number), Requests: []poison.Identity{request}})
+	}
+	mark, _ := q.marks.Find(request)
+	value, err := wire.Encode(wire.PoisonRecord{Runners: mark.Runners})
+	assert.NilError(t, err)
+	assert.NilError(t, q.Lift(t.Context(), request))
+	rows.rows[request.String()] = true
+	(*Handler)(q).ApplyRestored([]feed.Row{{Key: request.String(), Value: value, Revision: table.NewRevision(2, 3)}})
+	_, refused := q.Refused(request)
+	assert.Assert(t, !refused)
+	q.mutex.Lock()
+	q.repair()
+	q.mutex.Unlock()
+	_, err = q.write(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, !rows.rows[request.String()], "the row is not removed again")
+}
