Let the soak of a restored store lose objects and keys that were accepted

Change: after the overlapping disturbances three objects are accepted in a calm time, the store returns with a copy, and all objects accepted so far must be at all nodes; the loss of power follows as before. The log says how many keys ran. What is drawn before is as it was.

--- a/test/restored_soak_test.go
+++ b/test/restored_soak_test.go
@@ -37,6 +37,8 @@
 	// keyAttempts is how many attempts are made under each key, keyUsers how many clients make them per node.
 	keyAttempts = 3
 	keyUsers    = 4
+	// calmObjects is how many objects are accepted before a return in a calm time.
+	calmObjects = 3
 )
 
 // TestRestoreSoak: the store goes away and returns with copies of different ages, in series and within the
@@ -138,6 +140,8 @@
 		}
 	}
 	running.Wait()
+	s.loseAcknowledged(rand.New(rand.NewPCG(seed, 3000)))
+	s.verifyObjects()
 	s.losePower(rand.New(rand.NewPCG(seed, 2000)))
 	s.verify()
 }
@@ -362,6 +366,20 @@
 	}
 }
 
+// loseAcknowledged lets the store return with a copy after objects were accepted in a calm time.
+func (s *restoreSoak) loseAcknowledged(random *rand.Rand) {
+	for until, accepted := time.Now().Add(waitTimeout), len(s.applied)+calmObjects; len(s.applied) < accepted; s.counts["object"]++ {
+		if time.Now().After(until) {
+			s.t.Error("no object was accepted in a calm time")
+			return
+		}
+		s.applyObject(random)
+	}
+	time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+	s.restoreOnce(random)
+	time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+}
+
 // losePower kills all nodes at once right after a return of the store, starts them again and checks that they
 // serve.
 func (s *restoreSoak) losePower(random *rand.Rand) {
@@ -417,9 +435,13 @@
 }
 
 func (s *restoreSoak) verify() {
-	s.t.Logf("seed %d: %v, %d probes, %d keys, %d objects", s.seed, s.counts, len(s.probes), len(s.keys), len(s.applied))
-	s.logDisturbances()
 	history := readHistory(s.t, s.w)
+	ran := 0
+	for key := range s.keys {
+		ran += min(history.runsOfPrompt(key), 1)
+	}
+	s.t.Logf("seed %d: %v, %d probes, %d keys of which %d ran", s.seed, s.counts, len(s.probes), len(s.keys), ran)
+	s.logDisturbances()
 	s.verifyVersions()
 	s.verifyLeavers(history)
 	s.verifyKeys(history)
@@ -501,6 +523,7 @@
 
 // verifyObjects checks that all acknowledged objects are there.
 func (s *restoreSoak) verifyObjects() {
+	s.t.Logf("%d acknowledged objects", len(s.applied))
 	for _, node := range s.nodes {
 		waitUntil(s.t, "acknowledged objects at "+node.Name, func() error {
 			objects, err := node.Client().List(s.t.Context(), api.KindPolicy)
