Fail with a reason where nothing was sent to nodes that reach all runners

Cause: the check of served requests ended the test process with a nil pointer where no request had been sent to such a node in a window, as seen with three processes of the tests at once.

Change: it fails with that reason. As strict as before.

--- a/test/cut_test.go
+++ b/test/cut_test.go
@@ -140,6 +140,7 @@
 func (w *cutWorld) checkServed(t *testing.T, from, to time.Time) {
 	t.Helper()
 	cut, sound := w.countServed(from, to)
+	assert.Assert(t, sound[""] != nil, "nothing was sent to nodes that reach all runners")
 	for path, at := range cut {
 		others := sound[path]
 		assert.Assert(t, others != nil, "no %s was sent to a node that reaches the runners", path)
