Do not let the marker of an epoch keep transactions back

Cause: since markers hold a time, the first transaction of a process in an epoch reads the marker first. A store that is slow for a while would have used up the time of that transaction, such as the renewal of a lease, and a marker with another value would have failed all.

Change: the read may take 200 ms; without it the transaction is sent all the same, with a marker that tells no time. What a marker tells is computed apart from reading it.

--- a/internal/table/beginning.go
+++ b/internal/table/beginning.go
@@ -8,38 +8,56 @@
 	"lilacvane/internal/fault"
 )
 
-// markerValue returns the value of a marker that is written at a time of the table's clock.
+// beginningUnknown is the value of a marker whose writer could not read whether there was one.
+const beginningUnknown = "unknown"
+
+// markerValue returns the value of a marker: the time of the first transaction of its epoch on the table's clock,
+// or zero if the table was empty then.
 func markerValue(at time.Duration) []byte { return strconv.AppendInt(nil, at.Milliseconds(), 10) }
 
-// beginning is what is known of the beginning of an epoch.
+// beginning is what a table tells of the beginning of an epoch.
 type beginning struct {
-	// at is when the first transaction of the epoch was prepared, on the table's clock: now if there is none yet,
-	// and zero if the table had no rows then, so that none was lost.
-	at, now time.Duration
-	// marked is set if the marker exists.
-	marked bool
+	// marker is the row of the epoch's marker, which may not exist.
+	marker Row
+	// empty is set if there is no marker and no other row either, so that none was lost.
+	empty bool
+}
+
+// value returns the value of a marker that is written now.
+func (b beginning) value() []byte {
+	if b.empty {
+		return markerValue(0)
+	}
+	return markerValue(b.marker.ReadAt)
+}
+
+// age returns how long ago the epoch began at least.
+func (b beginning) age() (time.Duration, error) {
+	switch {
+	case b.empty:
+		return SettlingPeriod, nil
+	case !b.marker.Revision.Exists(), string(b.marker.Value) == beginningUnknown:
+		return 0, nil
+	}
+	written, err := strconv.ParseInt(string(b.marker.Value), 10, 64)
+	switch {
+	case err != nil:
+		return 0, fault.From(err, "read epoch marker")
+	case written == 0:
+		return SettlingPeriod, nil
+	default:
+		return b.marker.ReadAt - time.Duration(written)*time.Millisecond, nil
+	}
 }
 
 // readBeginning reads the marker of an epoch.
 func (f *Fenced) readBeginning(ctx context.Context, epoch Epoch) (beginning, error) {
 	row, err := f.table.Get(ctx, marker(epoch))
-	if err != nil {
-		return beginning{}, err
-	}
-	read := beginning{at: row.ReadAt, now: row.ReadAt, marked: row.Revision.Exists()}
-	if read.marked {
-		written, err := strconv.ParseInt(string(row.Value), 10, 64)
-		if err != nil {
-			return read, fault.From(err, "read epoch marker")
-		}
-		read.at = time.Duration(written) * time.Millisecond
-		return read, nil
+	if err != nil || row.Revision.Exists() {
+		return beginning{marker: row}, err
 	}
 	rows, err := f.table.List(ctx, "", "", 1)
-	if len(rows) == 0 {
-		read.at = 0
-	}
-	return read, err
+	return beginning{marker: row, empty: err == nil && len(rows) == 0}, err
 }
 
 // LearnBeginning finds out when the epoch of the store began, so that a process that starts long after it does
@@ -49,14 +67,14 @@
 	if err != nil {
 		return err
 	}
-	read, err := f.readBeginning(ctx, epoch)
+	begun, err := f.readBeginning(ctx, epoch)
 	if err != nil {
 		return err
 	}
-	since := read.now - read.at
-	if read.at == 0 {
-		since = SettlingPeriod
+	age, err := begun.age()
+	if err != nil {
+		return err
 	}
-	f.epochs.setSettling(epoch, since)
+	f.epochs.setSettling(epoch, age)
 	return nil
 }
--- a/internal/table/fenced.go
+++ b/internal/table/fenced.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"lilacvane/internal/fault"
 )
@@ -17,6 +18,8 @@
 	// markedEpochs is the number of epochs, including the current one, whose markers are written. A
 	// write of an older epoch, which would have to be late by several restores, is not fenced.
 	markedEpochs = 4
+	// markerTimeout bounds reading a marker, so that a slow store leaves time for the transaction itself.
+	markerTimeout = 200 * time.Millisecond
 	// markerPrefix is the prefix of the keys of markers; the number of the epoch follows.
 	markerPrefix = "epoch/"
 )
@@ -61,11 +64,7 @@
 		if err != nil {
 			return 0, err
 		}
-		fenced, err := f.fence(ctx, transaction, epoch)
-		if err != nil {
-			return 0, err
-		}
-		revision, err := f.table.Commit(ctx, fenced)
+		revision, err := f.table.Commit(ctx, f.fence(ctx, transaction, epoch))
 		ended := f.epochs.Newest() > epoch
 		switch {
 		case err == nil && !ended:
@@ -98,25 +97,28 @@
 }
 
 // fence returns the transaction with what binds it to an epoch.
-func (f *Fenced) fence(ctx context.Context, transaction Transaction, epoch Epoch) (Transaction, error) {
+func (f *Fenced) fence(ctx context.Context, transaction Transaction, epoch Epoch) Transaction {
 	fenced := Transaction{
 		Conditions: append([]Condition{{Key: marker(epoch + 1)}}, transaction.Conditions...),
 		Writes:     append([]Write(nil), transaction.Writes...),
 	}
 	if f.isMarked(epoch) {
-		return fenced, nil
+		return fenced
 	}
-	began, err := f.readBeginning(ctx, epoch)
-	if err != nil {
-		return fenced, fault.From(err, "read epoch marker").WithOutcome(fault.NotDone)
+	ctx, cancel := context.WithTimeout(ctx, markerTimeout)
+	defer cancel()
+	begun, err := f.readBeginning(ctx, epoch)
+	if err == nil && begun.marker.Revision.Exists() {
+		return fenced
 	}
-	if began.marked {
-		return fenced, nil
+	value := []byte(beginningUnknown)
+	if err == nil {
+		value = begun.value()
 	}
 	for marked := max(epoch, markedEpochs) - markedEpochs + 1; marked <= epoch; marked++ {
-		fenced.Writes = append(fenced.Writes, Write{Key: marker(marked), Value: markerValue(began.at)})
+		fenced.Writes = append(fenced.Writes, Write{Key: marker(marked), Value: value})
 	}
-	return fenced, nil
+	return fenced
 }
 
 func (f *Fenced) isMarked(epoch Epoch) bool {
