Pass on the error by which a node ends a watch

What callers saw: `lilacvane watch` ended without an error where the node no longer kept the entries.

Cause: the client took the line with the error for a heartbeat, as it names no operation.

Change: a line with an error ends the watch with it.

Result: TestWatchWithoutItsEntriesEndedWithoutError fails before and passes now.

--- a/internal/fault/http.go
+++ b/internal/fault/http.go
@@ -82,6 +82,11 @@
 	if err := json.Unmarshal(content, &body); err != nil || body.Error.Code == "" {
 		return &Error{Code: CodeInternal, Step: step, Peer: peer, Ran: Unknown, Message: "status " + response.Status}
 	}
+	return FromBody(body, step, peer)
+}
+
+// FromBody returns the error that a peer stated in JSON.
+func FromBody(body Body, step, peer string) *Error {
 	return &Error{
 		Code: body.Error.Code, Step: step, Peer: peer, Ran: ParseOutcome(body.Error.Ran),
 		Message: body.Error.Message, RetryAfter: time.Duration(body.Error.RetryAfterSeconds * float64(time.Second)),
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -142,6 +142,13 @@
 	return progress, err
 }
 
+// watchLine is a line of a watch: an entry, a heartbeat, which has only a revision, or the error that ends the
+// watch.
+type watchLine struct {
+	wire.Entry
+	fault.Body
+}
+
 // Watch calls each for every log entry after a revision, until ctx ends, the node ends the
 // list or each returns an error. A list that breaks off is an error.
 func (c *Client) Watch(ctx context.Context, after uint64, each func(wire.Entry) error) error {
@@ -161,14 +168,17 @@
 	scanner := bufio.NewScanner(response.Body)
 	scanner.Buffer(nil, maximumBody)
 	for scanner.Scan() {
-		var entry wire.Entry
-		if err := json.Unmarshal(scanner.Bytes(), &entry); err != nil {
+		var line watchLine
+		if err := json.Unmarshal(scanner.Bytes(), &line); err != nil {
 			return fault.At(fault.CodeInternal, step, c.address, fault.Unknown, err)
 		}
-		if entry.Operation == "" { // a heartbeat
+		if line.Error.Code != "" {
+			return fault.FromBody(line.Body, step, c.address)
+		}
+		if line.Operation == "" { // a heartbeat
 			continue
 		}
-		if err := each(entry); err != nil {
+		if err := each(line.Entry); err != nil {
 			return err
 		}
 	}
--- a/internal/operator/client_test.go
+++ b/internal/operator/client_test.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -8,6 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"lilacvane/internal/catalog"
+	"lilacvane/internal/fault"
 	"lilacvane/internal/wire"
 )
 
@@ -24,3 +28,31 @@
 	err := client.Watch(t.Context(), 0, func(wire.Entry) error { return nil })
 	assert.Assert(t, err != nil)
 }
+
+// watchCatalog watches the entries of a catalog from the first on. Entries and the error that ends the watch are
+// sent to the channels.
+func watchCatalog(t *testing.T, c *catalog.Catalog) (entries <-chan wire.Entry, ended <-chan error) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := New(nil, c, "node", http.NotFoundHandler())
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Shutdown(context.Background()) })
+	got, end := make(chan wire.Entry), make(chan error, 1)
+	go func() {
+		end <- NewClient(listener.Addr().String()).Watch(t.Context(), 0, func(entry wire.Entry) error {
+			got <- entry
+			return nil
+		})
+	}()
+	return got, end
+}
+
+// TestWatchWithoutItsEntriesEndedWithoutError: the error by which a node ends a watch whose entries it does not
+// keep was taken for a heartbeat.
+func TestWatchWithoutItsEntriesEndedWithoutError(t *testing.T) {
+	c := catalog.New()
+	c.ApplySnapshot(7, nil)
+	_, ended := watchCatalog(t, c)
+	assert.Assert(t, fault.IsCode(<-ended, fault.CodeNotFound))
+}
