End watches of a log that another history has replaced

A watch of the operators would have passed over the changes that got the revisions of lost ones.

Cause: the position of a watch is a revision too, and was compared with those of the log that replaced the one it was of.

Change: the catalog counts its replacements. A watch from before one ends with the error that its entries are not kept, so that the client reads the objects anew. A client that connects with a revision of the earlier log cannot be told from one that is ahead of the node.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -25,6 +25,8 @@
 type Catalog struct {
 	mutex    sync.RWMutex
 	revision uint64
+	// resets counts how often the content was replaced with that of another history.
+	resets int
 	// objects maps kinds and names to objects.
 	objects map[api.Kind]map[string]api.Object
 	entries []wire.Entry
@@ -102,6 +104,7 @@
 // revision may decrease.
 func (c *Catalog) Reset(revision uint64, objects []api.Object, entries []wire.Entry) {
 	c.mutex.Lock()
+	c.resets++
 	c.revision = revision
 	c.objects = make(map[api.Kind]map[string]api.Object)
 	c.entries, c.entryBytes = nil, 0
@@ -114,6 +117,14 @@
 	c.unlockAndNotify(true)
 }
 
+// Resets returns how often the content was replaced with that of another history. Revisions from before a reset
+// name no entries after it.
+func (c *Catalog) Resets() int {
+	c.mutex.RLock()
+	defer c.mutex.RUnlock()
+	return c.resets
+}
+
 // Entries returns the kept log entries, oldest first.
 func (c *Catalog) Entries() []wire.Entry {
 	c.mutex.RLock()
--- a/internal/operator/client_test.go
+++ b/internal/operator/client_test.go
@@ -56,3 +56,15 @@
 	_, ended := watchCatalog(t, c)
 	assert.Assert(t, fault.IsCode(<-ended, fault.CodeNotFound))
 }
+
+// TestWatchPassedOverEntriesOfAnotherHistory: a watch went on from its revision after the log had been replaced by
+// that of a restored store, and passed over the entries up to that revision.
+func TestWatchPassedOverEntriesOfAnotherHistory(t *testing.T) {
+	c := catalog.New()
+	c.Apply([]wire.Entry{{Revision: 1, Operation: "first"}, {Revision: 2, Operation: "lost"}})
+	entries, ended := watchCatalog(t, c)
+	assert.Equal(t, (<-entries).Operation, "first")
+	assert.Equal(t, (<-entries).Operation, "lost")
+	c.Reset(2, nil, []wire.Entry{{Revision: 1, Operation: "first"}, {Revision: 2, Operation: "another"}})
+	assert.Assert(t, fault.IsCode(<-ended, fault.CodeNotFound))
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -300,10 +300,11 @@
 	w.Header().Set("Content-Type", "application/jsonl")
 	control := http.NewResponseController(w)
 	encoder := json.NewEncoder(w)
+	resets := s.catalog.Resets()
 	for {
 		changed := s.catalog.Changed()
 		entries, kept := s.catalog.Since(after, watchPageSize)
-		if !kept {
+		if !kept || s.catalog.Resets() != resets {
 			_ = encoder.Encode(fault.ToBody(fault.New(fault.CodeNotFound, "watch", "entries after %d are no longer kept; read the objects", after)))
 			return
 		}
