Say of which epoch a relay's response may be

Cause: the comment of checkEpoch named the store's epoch where the code compares that of the reader's position.

Change: the comment.

Result: not applicable.

--- a/internal/relay/epoch.go
+++ b/internal/relay/epoch.go
@@ -17,9 +17,10 @@
 	r.elector.Retry()
 }
 
-// checkEpoch observes the epoch of a relay's response. A response that names none is taken to be of the
-// reader's epoch. It fails with fault.CodeStale if the response is of an earlier epoch than the store is in:
-// a relay that does not know epochs may then stay behind for good.
+// checkEpoch observes the epoch of a relay's response. One that names none is taken to be of the store's epoch
+// until the store has returned with an older copy: a relay that does not know epochs may then stay behind for
+// good. It fails with fault.CodeStale then, and if the response is of an earlier epoch than reader, the
+// epoch of the position of the reader.
 func (r *Relay) checkEpoch(response *wire.FollowResponse, relay Peer, reader table.Epoch) error {
 	newest := r.epochs.Newest()
 	if response.Epoch == 0 && r.epochs.ChangedAt().IsZero() {
