Wait for the tenant to be served in place of a fixed time

Cause: the test of a tenant's limit after a return ended after a fixed time, two seconds after the tenant is served again: a slow machine would have failed it, though only that the limit is kept has a bound.

Change: it waits until the tenant is served, as other tests do.

--- a/test/restored_limit_test.go
+++ b/test/restored_limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -31,9 +32,9 @@
 			others = append(others, node)
 		}
 	}
-	served := make([]int, int((limit.LostRecordLifetime+10*time.Second)/time.Second))
+	served := make([]int, int(waitTimeout/time.Second))
 	began := time.Now()
-	ctx, cancel := context.WithDeadline(t.Context(), began.Add(time.Duration(len(served))*time.Second))
+	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	var group sync.WaitGroup
 	var mutex sync.Mutex
@@ -54,9 +55,15 @@
 	holder.Kill()
 	assert.NilError(t, w.RestoreStore(storestub.Restore{AgeMs: 2500, AwayMs: 500, RewriteMs: 100}))
 	assert.NilError(t, w.RestartNode(holder))
-	<-ctx.Done()
+	time.Sleep(limit.LostRecordLifetime + hotWindow)
+	waitUntil(t, "the tenant is served after the lifetime of lost parts", func() error {
+		if status := send(t.Context(), others[1], clientRequest{Path: "/read/x", Key: "hot-key"}).Status; status != http.StatusOK {
+			return fmt.Errorf("status %d", status)
+		}
+		return nil
+	})
+	cancel()
 	group.Wait()
-	t.Logf("served by second: %v", served)
+	t.Logf("served by second: %v", served[:min(int(time.Since(began)/time.Second)+1, len(served))])
 	readHistory(t, w).assertWithinLimit(t, "hot")
-	assert.Assert(t, served[len(served)-1] > 0, "nothing is served after the lifetime of lost parts")
 }
