Say that the store may have returned where that is not known

Cause: a node that has just started refuses keys and changes because it cannot know, and said that it does.

Change: the two messages.

--- a/internal/claim/restore.go
+++ b/internal/claim/restore.go
@@ -142,6 +142,6 @@
 
 // unsettled returns the error of an attempt that is not made because claims may be lost.
 func (c *Claims) unsettled() error {
-	failed := fault.At(fault.CodeClaimsUnavailable, step, fault.Self, fault.NotDone, errors.New("the store has just returned with an older copy"))
+	failed := fault.At(fault.CodeClaimsUnavailable, step, fault.Self, fault.NotDone, errors.New("the store may have just returned with an older copy"))
 	return failed.WithRetryAfter(max(c.Epochs.SettlingLeft(), restoreRetry))
 }
--- a/internal/commit/restore.go
+++ b/internal/commit/restore.go
@@ -31,7 +31,7 @@
 
 // errHeld is the error of an attempt that is not made yet.
 func errHeld() error {
-	return &fault.Error{Code: fault.CodeStoreUnavailable, Step: step, Peer: fault.Self, Ran: fault.NotDone, Message: "the store has just returned with an older copy"}
+	return &fault.Error{Code: fault.CodeStoreUnavailable, Step: step, Peer: fault.Self, Ran: fault.NotDone, Message: "the store may have just returned with an older copy"}
 }
 
 // Restore commits those of a node's entries that the table lacks. diverged is set if the table has other
