Introduce simulated nodes to each other only once all are there

A node compares notes with a neighbor as soon as it is told the others; where the scheduler ran that before the neighbor was started, it asked another one as well.

Change: the simulated nodes are all there before any is told the others, as in a fleet. The check and its bound are as they were.

--- a/internal/quarantine/spread_test.go
+++ b/internal/quarantine/spread_test.go
@@ -36,7 +36,10 @@
 		g.order = append(g.order, fmt.Sprintf("10.0.%03d.%03d:1", number/250, number%250))
 	}
 	for _, address := range g.order {
-		g.start(t, address)
+		g.add(t, address)
+	}
+	for _, address := range g.order {
+		g.introduce(address)
 	}
 	synctest.Wait()
 	return g
@@ -44,6 +47,12 @@
 
 // start starts a node that knows nothing yet but the other nodes.
 func (g *group) start(t *testing.T, address string) {
+	g.add(t, address)
+	g.introduce(address)
+}
+
+// add adds a node that answers others and knows none.
+func (g *group) add(t *testing.T, address string) {
 	q := New(Options{
 		Rows: &tableStub{rows: make(map[string]bool), down: true}, Self: func() string { return address }, ReportNow: func(string) {}, Wake: func() {},
 		RecordDecision: func(_, _, _ string) {}, SendReport: g.send, Holds: func(string) bool { return false }, CountUndelivered: func() {}, Log: logr.Discard(),
@@ -52,8 +61,12 @@
 	g.mutex.Lock()
 	g.nodes[address] = q
 	g.mutex.Unlock()
+}
+
+// introduce tells a node the others.
+func (g *group) introduce(address string) {
 	const standbys = 8
-	q.SetNodes(len(g.order), g.order[:min(standbys, len(g.order))], ring.Neighbors(g.order, address))
+	g.nodes[address].SetNodes(len(g.order), g.order[:min(standbys, len(g.order))], ring.Neighbors(g.order, address))
 }
 
 func (g *group) send(_ context.Context, address string, report wire.PoisonReport) (wire.PoisonAnswer, error) {
