Show a cut answer that arrives as a success

Cause: an answer without a length that ends as its runner is taken away at short notice is taken for whole, as a runner that leaves may refuse connections while it completes its last answers.

Done: review/2 is a script with a claim; its runner is a process of its own, which is killed when its notice is over. Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,7 @@
 // cases are the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(w *world) (bool, error){
 	"order": truncatedStream,
+	"spot":  cutAnswer,
 }
 
 func main() { os.Exit(play()) }
@@ -34,6 +35,9 @@
 // play plays the case that the first argument names, and writes the record into the folder that the second
 // one names.
 func play() int {
+	if len(os.Args) == 3 && os.Args[1] == "runner" {
+		return runRunner(os.Args[2])
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
 		return notRan
