Show a popular request that is denied after one crash

Cause: the ends of runners under a content are counted by runner, so that one crash of the runners of a model marks the content that they were running, and a marked content is not sent any more, which is what would clear it.

The stand-in of the store no longer sends a header that the users' pages do not name. Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,8 +26,9 @@
 
 // cases are the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(w *world) (bool, error){
-	"order": truncatedStream,
-	"spot":  cutAnswer,
+	"order":  truncatedStream,
+	"spot":   cutAnswer,
+	"denied": deniedRequests,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -26,7 +26,8 @@
 	// ordered is called with each order that arrives, before it is judged.
 	ordered func(o protocol.Order, r *http.Request)
 
-	runs atomic.Int64
+	runs   atomic.Int64
+	server *http.Server
 
 	mutex  sync.Mutex
 	models []protocol.LoadedModel
@@ -54,10 +55,23 @@
 	mux.HandleFunc("GET /report", r.report)
 	mux.HandleFunc("POST /order", r.order)
 	mux.HandleFunc("/", r.request)
-	go func() { _ = http.Serve(listener, mux) }()
+	r.server = &http.Server{Handler: mux}
+	go func() { _ = r.server.Serve(listener) }()
 	return r.publish()
 }
 
+// crash ends the runner as the end of its process does: its address refuses connections, those that are open
+// close, and it states nothing. Its row goes after three heartbeats.
+func (r *runner) crash() {
+	_ = r.server.Close()
+	time.AfterFunc(3*heartbeat, func() {
+		r.world.store.Put([]protocol.Row{{Table: protocol.RunnerTable, Key: r.id, Deleted: true}})
+	})
+}
+
+// heartbeat is heartbeatMs of the deployment.
+const heartbeat = 1200 * time.Millisecond
+
 // publish writes the runner's row.
 func (r *runner) publish() error {
 	r.mutex.Lock()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -84,10 +84,23 @@
 		return nil, err
 	}
 	w := &world{directory: directory, store: storestub.New(2600, 1), address: listener.Addr().String(), record: record}
-	go func() { _ = http.Serve(listener, w.store.Handler()) }()
+	go func() { _ = http.Serve(listener, plain(w.store.Handler())) }()
 	return w, nil
 }
 
+// plain takes the header that PROTOCOL.md does not name out of the answers of the project's store.
+func plain(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler.ServeHTTP(plainWriter{w}, r) })
+}
+
+type plainWriter struct{ http.ResponseWriter }
+
+// WriteHeader sends the head without the header.
+func (w plainWriter) WriteHeader(status int) {
+	w.Header().Del(protocol.HeaderStoreEpoch)
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // configure writes a configuration as the operator does.
 func (w *world) configure(configuration protocol.Configuration) error {
 	w.version += 3
