Show the truncated stream at the pace of an engine

Cause: the case sent 4 MB at once, as loopback holds more on its way than a link between machines does.

Done: its client has segments and a buffer of such a link, and the runner writes 800 events of 1 KB in 4 s. Rule and check are the same.

--- a/review/standin/order.go
+++ b/review/standin/order.go
@@ -17,17 +17,19 @@
 
 const (
 	// streamEvents is how many events a stream has, eventBytes the size of one, and eventPause the time
-	// between two.
-	streamEvents = 1000
-	eventBytes   = 4 << 10
-	eventPause   = time.Millisecond
+	// between two: a step of the engine.
+	streamEvents = 800
+	eventBytes   = 1 << 10
+	eventPause   = 5 * time.Millisecond
 	// streamTimeout is the route's timeoutMs, clientPatience the client's deadline, and readingPause how
 	// long the client reads nothing.
-	streamTimeout  = 5 * time.Second
+	streamTimeout  = 6 * time.Second
 	clientPatience = 10 * time.Second
-	readingPause   = 6 * time.Second
-	// clientWindow is the size of the client's receive buffer: links have small windows.
-	clientWindow = 16 << 10
+	readingPause   = 7 * time.Second
+	// clientWindow is the size of the client's receive buffer, clientSegment that of its segments: those of
+	// a link between machines, not of loopback.
+	clientWindow  = 16 << 10
+	clientSegment = 1460
 	// streams is how many clients ask for one each.
 	streams = 3
 )
@@ -89,7 +91,8 @@
 
 // event returns an event of a stream.
 func event(index int) string {
-	return fmt.Sprintf("id: %d\ndata: %s\n\n", index, strings.Repeat("t", eventBytes))
+	text := fmt.Sprintf("id: %d\ndata: ", index)
+	return text + strings.Repeat("t", eventBytes-len(text)-2) + "\n\n"
 }
 
 // streamResult is what a client of a stream saw. err means that the case could not run.
@@ -104,6 +107,7 @@
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(descriptor uintptr) {
 			_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, clientWindow)
+			_ = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, clientSegment)
 		})
 	}}
 	conn, err := dialer.DialContext(context.Background(), "tcp", n.clients)
@@ -112,7 +116,7 @@
 	}
 	defer conn.Close()
 	w.record.add("client: sends %s to %s, will wait %v", id, n.name, clientPatience)
-	_, err = fmt.Fprintf(conn, "POST /draft/2f HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: daka510000\r\n%s: 60,4000\r\n%s: 5c1e07a2:60\r\n%s: %d\r\nContent-Length: 2\r\n\r\nhi",
+	_, err = fmt.Fprintf(conn, "POST /draft/2f HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: daka510000\r\n%s: 60,6000\r\n%s: 5c1e07a2:60\r\n%s: %d\r\nContent-Length: 2\r\n\r\nhi",
 		routeHost, protocol.HeaderRequestID, id, protocol.HeaderModel, protocol.HeaderTokens, protocol.HeaderPrompt, protocol.HeaderDeadline, clientPatience.Milliseconds())
 	if err != nil {
 		return streamResult{err: err}
