Record each request of the third case

Cause: its record held the first of each kind and the counts only.

Done: the record names each request as it is sent, run and answered.

--- a/review/standin/denied.go
+++ b/review/standin/denied.go
@@ -42,6 +42,7 @@
 		return false, err
 	}
 	run := func(writer http.ResponseWriter, request *http.Request) {
+		w.record.note("runner: runs %s", request.Header.Get(protocol.HeaderRequestID))
 		_, _ = io.Copy(io.Discard, request.Body)
 		sleep(request.Context(), runTime)
 		_, _ = io.WriteString(writer, "served")
@@ -126,14 +127,17 @@
 	request.Header.Set(protocol.HeaderModel, model)
 	request.Header.Set(protocol.HeaderTokens, "60,40")
 	request.Header.Set(protocol.HeaderDeadline, "5000")
+	t.record.note("client: sends %s, %q, to %s", id, body, n.name)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
+		t.record.note("client: %s failed: %v", id, err)
 		t.count(body, 0, "", "failed: "+err.Error())
 		time.Sleep(100 * time.Millisecond)
 		return
 	}
 	content, _ := io.ReadAll(response.Body)
 	_ = response.Body.Close()
+	t.record.note("client: %s got %d", id, response.StatusCode)
 	t.count(body, response.StatusCode, response.Header.Get(protocol.HeaderSignature), string(content))
 	if response.StatusCode != http.StatusOK {
 		time.Sleep(250 * time.Millisecond)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -60,6 +60,13 @@
 	_, _ = fmt.Fprintln(r.file, line)
 }
 
+// note adds a line to the record alone.
+func (r *record) note(format string, values ...any) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_, _ = fmt.Fprintf(r.file, "%8.3f s  "+format+"\n", append([]any{time.Since(r.start).Seconds()}, values...)...)
+}
+
 // listen listens on a free port.
 func listen() (net.Listener, error) { return net.Listen("tcp", host+":0") }
 
