Log what tells the hypotheses of DENIED and REFUSED apart

Cause: a mark named runners without times, a line that cleared it named nothing, a node's own 4xx were not counted, and nothing told whether a refusal may have been the answer to an earlier send of the same request on its connection. No decision reads them.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -208,7 +208,7 @@
 	}
 	log.Info("request ended", "request", request.ID, "result", o.Result, "status", o.Status, "step", o.Step,
 		"reason", o.Reason, "route", o.Route, "tenant", string(o.Tenant), "homes", o.Homes.String(), "cost", o.Cost, "admittedBy", o.AdmittedBy, "revision", o.Revision, "unit", request.Unit.String(), "runner", o.Runner, "build", string(o.Build), "continues", request.Resumes, "via", o.Via,
-		"framing", string(o.Framing), "completeness", string(o.Completeness), "unfinishedBytes", o.UnfinishedBytes,
+		"framing", string(o.Framing), "signed", o.Signed, "completeness", string(o.Completeness), "unfinishedBytes", o.UnfinishedBytes,
 		"attempts", o.Attempts, "endings", o.Endings, "resumes", o.Resumes, "events", o.Events, "waitedMs", o.Waited.Milliseconds(), "firstMs", o.First.Milliseconds(),
 		"totalMs", o.Total.Milliseconds(), "pauseMs", o.Pause.Milliseconds(), "patienceMs", request.Patience.Milliseconds(), "keptTokens", o.KeptTokens,
 		"tokensIn", request.TokensIn)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -97,6 +97,10 @@
 	Via string
 	// Framing says what marked the end of the last answer of a runner; empty if there was none.
 	Framing upstream.Framing
+	// Signed is set if the last answer of a runner carried its signature; Carried is as in
+	// upstream.Answer.
+	Signed  bool
+	Carried bool
 	// Completeness says what showed that an answer with ResultServed is complete.
 	Completeness Completeness
 	// EndsWithConnection is set if the answer to the client has neither a length nor chunks.
@@ -143,6 +147,10 @@
 	KeptTokens int
 }
 
+// Denied reports whether the node itself ended the request as wrong, so that its client has no reason to
+// come back.
+func (o Outcome) Denied() bool { return o.Result == ResultRefused && permanent(o.Status) }
+
 // ConfigurationOrigin says where a node's configuration came from.
 type ConfigurationOrigin struct {
 	// Age is the time since the store last reported it.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -69,7 +70,9 @@
 	refused  *prometheus.CounterVec
 	// outsideHomes counts requests refused because no runner was listed in their home regions.
 	outsideHomes *prometheus.CounterVec
-	attempts     prometheus.Counter
+	// denied counts requests that this node ended with a 4xx of its own that promises nothing.
+	denied   *prometheus.CounterVec
+	attempts prometheus.Counter
 	// failed counts failed attempts by who ended them. broken counts requests whose answer started
 	// but did not complete, by who ended the last attempt.
 	failed *prometheus.CounterVec
@@ -137,10 +140,13 @@
 	m.newsAge = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "lilacvane_news_age_seconds", Help: "How old changes of the store's tables were at most when this node applied them.", Buckets: latencyBuckets,
 	}, []string{"kind"})
+	m.denied = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "lilacvane_requests_denied_total", Help: "Requests that this node ended as wrong, by code and status.",
+	}, []string{"code", "status"})
 	m.tenants = newTenantMetrics(m.registry)
 	m.refused = newRefusalCounter()
 	m.statements = newStatementCounter()
-	m.registry.MustRegister(newRunnerCollector(sources.RunnersByState), m.refused, m.loadTimeError, m.requests, m.outsideHomes, m.regionBytes, m.attempts, m.failed, m.broken, m.crashes, m.undeliveredCrashReports, m.statements, m.resumes, m.firstByte, m.waitTime, m.newsAge)
+	m.registry.MustRegister(newRunnerCollector(sources.RunnersByState), m.refused, m.denied, m.loadTimeError, m.requests, m.outsideHomes, m.regionBytes, m.attempts, m.failed, m.broken, m.crashes, m.undeliveredCrashReports, m.statements, m.resumes, m.firstByte, m.waitTime, m.newsAge)
 	m.registry.MustRegister(newLinkCollector(sources.Links))
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
@@ -245,6 +251,9 @@
 	if o.Result == dispatch.ResultRefused {
 		m.refused.WithLabelValues(refusalReason(o)).Inc()
 	}
+	if o.Denied() {
+		m.denied.WithLabelValues(string(o.Problem.Code), strconv.Itoa(o.Status)).Inc()
+	}
 	m.attempts.Add(float64(o.Attempts))
 	m.countEndings(o)
 	m.resumes.Add(float64(o.Resumes))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,6 +118,7 @@
 	dispatcher   *dispatch.Dispatcher
 	crashes      *crash.Detector
 	quarantine   *quarantine.Quarantine
+	denials      denials
 	origins      *origin.Registry
 	catalog      *catalog.Catalog
 	committer    *commit.Committer
@@ -188,6 +189,7 @@
 		Node: s.Node, Fleet: n.fleet, Pool: n.pool, Demand: n.demand, Headers: platform.Headers,
 		Configuration: n.activeConfiguration, ConfigurationOrigin: n.configurationOrigin, AwaitFresh: n.awaitFresh, AwaitPendingReads: n.pauses.awaitPendingReads, PausedSince: n.pauses.pausedSince, Retries: retryLimits(s.Retries), Report: platform.Control.Report, MaxPropagationDelay: s.Configuration.Within, Log: log.Logger, Observe: n.observe, Closing: n.closing,
 	}
+	n.denials.log = log.Logger
 	n.crashes = crash.NewDetector(crash.Prober{Report: platform.Control.Report, Connect: n.pool.Connect, Leaves: n.isLeaving}, n.recordCrash, log.Logger)
 	n.dispatcher.Crashes = n.crashes
 	n.dispatcher.Allowance, n.pool.Allowance = n.load.Allowance, n.load.Allowance
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -43,6 +43,7 @@
 func (n *Node) observe(id string, o dispatch.Outcome) {
 	n.metrics.Observe(o)
 	n.load.ObserveEnd(o.Result == dispatch.ResultServed, o.First)
+	n.denials.observe(o, time.Now())
 	ended := wire.Decision{Subject: "request/" + id, Step: "end request", Reason: describeOutcome(o), Revision: n.catalog.Revision()}
 	if o.Unplaced != nil {
 		ended.Obstacles = o.Unplaced.Obstacles.Wire()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -165,7 +165,7 @@
 	struck := wire.CrashesStruck{Request: request, Runners: q.tally.Merge(mark.Finding.For(request), time.Now()).All()}
 	q.unreported.Struck = newest(append(q.unreported.Struck, struck))
 	if marked {
-		q.Log.Info("request no longer suspected of ending runners", "content", request.Short(), "reason", "an attempt of it succeeded")
+		q.Log.Info("request no longer suspected of ending runners", "content", request.Short(), "reason", "an attempt of it succeeded", "runners", struck.Runners)
 		q.pendingWrites[request] = nil
 		q.signal()
 		q.tellNeighbors(wire.PoisonReport{Struck: []wire.CrashesStruck{struck}})
@@ -262,7 +262,7 @@
 	}
 	refused := false
 	for _, mark := range updated {
-		log := q.Log.WithValues("content", mark.Request.Short(), "part", mark.Request.IsPart(), "controlled", mark.Controlled, "runners", mark.Runners, "source", source)
+		log := q.Log.WithValues("content", mark.Request.Short(), "part", mark.Request.IsPart(), "controlled", mark.Controlled, "runners", mark.Runners, "endedMsAgo", endAges(mark.Finding, time.Now()), "beside", len(mark.Beside), "source", source)
 		if !mark.Refused() {
 			log.Info("request suspected of ending runners")
 			continue
@@ -279,6 +279,16 @@
 	}
 }
 
+// endAges returns how long ago the runners of a finding ended, in milliseconds and in their order; empty if
+// that is not known.
+func endAges(finding poison.Finding, now time.Time) []int64 {
+	ages := make([]int64, 0, len(finding.Runs))
+	for _, run := range finding.Runs {
+		ages = append(ages, now.Sub(run.Ended).Milliseconds())
+	}
+	return ages
+}
+
 // countable returns findings without the crashes that no longer count, if enough are left. mutex is
 // held.
 func (q *Quarantine) countable(findings []poison.Finding) []poison.Finding {
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -181,7 +181,7 @@
 	counted := slices.ContainsFunc(struck.Runners, func(runner string) bool { return slices.Contains(mark.Runners, runner) })
 	q.strike(struck)
 	if counted {
-		q.Log.Info("request no longer suspected of ending runners", "content", struck.Request.Short(), "reason", "another node cleared it")
+		q.Log.Info("request no longer suspected of ending runners", "content", struck.Request.Short(), "reason", "another node cleared it", "runners", struck.Runners)
 		q.tellNeighbors(wire.PoisonReport{Struck: []wire.CrashesStruck{struck}})
 	}
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -135,7 +135,7 @@
 // removeRow handles the removal of a row. mutex is held.
 func (q *Quarantine) removeRow(request poison.Identity) {
 	if mark, known := q.marks.Find(request); known && mark.Refused() {
-		q.Log.Info("request no longer refused", "content", request.Short())
+		q.Log.Info("request no longer refused", "content", request.Short(), "reason", "its row was removed", "runners", mark.Runners)
 	}
 	delete(q.written, request)
 	q.forget(request)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -82,6 +82,8 @@
 	idleSince time.Time
 	// idleUntil is when it may no longer be reused.
 	idleUntil time.Time
+	// lastRequest is the identifier of the last request that was sent on it; empty for none.
+	lastRequest string
 	// send bounds how long the bytes of a request may stay unacknowledged.
 	send link.SendBound
 }
