Send no request twice on one connection

What callers saw: a request that was refused as not run ran (REFUSED), or ran twice. Cause: a runner may send an answer once more, in the place of the next one, and only the request's identifier tells which it is. A request that its runner refused is sent there again under the same identifier, so the second refusal passed for the answer. Since time hid it: a request that may run once is sent again after 250 ms, and only on a connection that rested for less than 50 ms. A rest that the runner states, or traffic on the connection, undoes that. Change: a connection keeps the identifiers of its last 32 requests and is not used for one of them again. The log field that showed the case goes, as it cannot occur. Three tests used one identifier for several requests; they use different ones, their checks are as they were.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -140,7 +140,7 @@
 	}
 	log.Info("attempt failed", "runner", choice.Runner.ID, "build", string(choice.Runner.Build), "attempt", j.sent, "error", err.Error(), "ran", fault.OutcomeOf(err).String(),
 		"elapsedMs", elapsed.Milliseconds(), "endedBy", string(result.ending), "events", j.forwarded(),
-		"silentMs", result.silent.Milliseconds(), "lateMs", result.timerDelay.Milliseconds(), "connectionCarriedIt", j.outcome.Carried)
+		"silentMs", result.silent.Milliseconds(), "lateMs", result.timerDelay.Milliseconds())
 }
 
 // nextChoice returns the hedge that takes over the request, or waits for a runner.
@@ -245,7 +245,7 @@
 	}
 	defer answer.Close()
 	j.outcome.Via, j.outcome.Framing, j.outcome.UnfinishedBytes = answer.Via, answer.Framing, 0
-	j.outcome.Signed, j.outcome.Carried = answer.Header.Get(j.dispatcher.Headers.Signature) != "", answer.Carried
+	j.outcome.Signed = answer.Header.Get(j.dispatcher.Headers.Signature) != ""
 	j.recordLoad(choice.Runner.ID, answer.Header)
 	if answer.NotRun {
 		return j.notRun(choice, answer)
--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -155,6 +155,9 @@
 // proven to work.
 func idleAtEach(t *testing.T, j *job) {
 	t.Helper()
+	own := j.request.ID
+	j.request.ID = "earlier"
+	defer func() { j.request.ID = own }()
 	for _, id := range []string{"r1", "r2"} {
 		listed, known := j.dispatcher.Fleet.Find(id)
 		if !known {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -97,10 +97,8 @@
 	Via string
 	// Framing says what marked the end of the last answer of a runner; empty if there was none.
 	Framing upstream.Framing
-	// Signed is set if the last answer of a runner carried its signature; Carried is as in
-	// upstream.Answer.
-	Signed  bool
-	Carried bool
+	// Signed is set if the last answer of a runner carried its signature.
+	Signed bool
 	// Completeness says what showed that an answer with ResultServed is complete.
 	Completeness Completeness
 	// EndsWithConnection is set if the answer to the client has neither a length nor chunks.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -93,9 +93,6 @@
 	Via string
 	// Framing says what marks the end of the body.
 	Framing Framing
-	// Carried is set if the connection had carried this request before, so that an answer to that
-	// exchange may be taken for the one to this exchange.
-	Carried bool
 
 	body     io.ReadCloser
 	conn     *connection
@@ -133,7 +130,6 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { conn.expire(context.Cause(ctx)) })
-	carried := call.RequestID != "" && conn.lastRequest == call.RequestID
 	conn.beginExchange(call.RequestID)
 	sent := time.Now()
 	written, err := send(conn, call)
@@ -152,7 +148,7 @@
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		NotRun: response.Header.Get(p.names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest,
-		Via:    conn.via(), Framing: framing, Carried: carried, body: response.Body, conn: conn, pool: p, runner: call.Runner, address: call.Address, written: written, stop: stop, ctx: ctx, lastRead: time.Now(), sent: sent,
+		Via:    conn.via(), Framing: framing, body: response.Body, conn: conn, pool: p, runner: call.Runner, address: call.Address, written: written, stop: stop, ctx: ctx, lastRead: time.Now(), sent: sent,
 		reusable: !response.Close && framing != FramedByClose,
 	}, nil
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -29,6 +29,9 @@
 	maxIdle          = 96
 	// bufferSize is the size of a connection's read buffer and of its write buffer, in bytes.
 	bufferSize = 4 << 10
+	// keptRequests bounds the identifiers that a connection keeps: a request is sent again within
+	// seconds, if at all.
+	keptRequests = 32
 )
 
 // Pool keeps idle connections by runner. Its methods may be called concurrently.
@@ -82,8 +85,8 @@
 	idleSince time.Time
 	// idleUntil is when it may no longer be reused.
 	idleUntil time.Time
-	// lastRequest is the identifier of the last request that was sent on it; empty for none.
-	lastRequest string
+	// requests are the identifiers of the last requests that were sent on it, at most keptRequests.
+	requests []string
 	// send bounds how long the bytes of a request may stay unacknowledged.
 	send link.SendBound
 }
@@ -99,7 +102,7 @@
 		return p.connect(ctx, call)
 	}
 	for {
-		conn := p.popIdle(call.Runner, call.Direct)
+		conn := p.popIdle(call)
 		if conn == nil {
 			return p.connect(ctx, call)
 		}
@@ -140,21 +143,33 @@
 	}
 }
 
-// popIdle takes the connection to a runner that became idle last; nil for none. direct takes none
-// through a peer.
-func (p *Pool) popIdle(runner string, direct bool) *connection {
+// popIdle takes the connection that became idle last of those that a call may use; nil for none. A direct
+// call uses none through a peer, and no request uses one that has carried it before: a late answer to the
+// earlier exchange bears the same identifier.
+func (p *Pool) popIdle(call Call) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	idle := p.idle[runner]
+	idle := p.idle[call.Runner]
 	for at := len(idle) - 1; at >= 0; at-- {
-		if last := idle[at]; last.tunnel == nil || !direct {
-			p.setIdle(runner, slices.Delete(idle, at, at+1))
+		if last := idle[at]; (last.tunnel == nil || !call.Direct) && !last.hasCarried(call.RequestID) {
+			p.setIdle(call.Runner, slices.Delete(idle, at, at+1))
 			return last
 		}
 	}
 	return nil
 }
 
+// recordRequest records the identifier of a request that is about to be sent; it may be empty.
+func (c *connection) recordRequest(id string) {
+	if len(c.requests) == keptRequests {
+		c.requests = slices.Delete(c.requests, 0, 1)
+	}
+	c.requests = append(c.requests, id)
+}
+
+// hasCarried reports whether the request with an identifier was sent on the connection before.
+func (c *connection) hasCarried(id string) bool { return id != "" && slices.Contains(c.requests, id) }
+
 // release keeps a connection idle for at most the time that the runner gave.
 func (p *Pool) release(runner string, conn *connection, idle time.Duration) {
 	if idle <= 0 {
--- a/internal/upstream/roundtrip_test.go
+++ b/internal/upstream/roundtrip_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -80,7 +81,7 @@
 	s := serveAll(t, `{"queued":3}  `)
 	pool := NewPool(internalNames)
 	client := &http.Client{Transport: pool}
-	for range 3 {
+	for number := range 3 {
 		response := post(t, client, s)
 		var report struct{ Queued int }
 		assert.Equal(t, response.StatusCode, http.StatusOK)
@@ -89,7 +90,7 @@
 		assert.Equal(t, report.Queued, 3)
 		unread := post(t, client, s)
 		assert.NilError(t, unread.Body.Close())
-		_, err := exchange(pool, s.call("1"))
+		_, err := exchange(pool, s.call(strconv.Itoa(number)))
 		assert.NilError(t, err)
 	}
 	assert.Equal(t, s.accepted.Load(), int32(1))
--- a/internal/upstream/silent.go
+++ b/internal/upstream/silent.go
@@ -17,7 +17,7 @@
 
 // beginExchange prepares a connection for a request.
 func (c *connection) beginExchange(request string) {
-	c.lastRequest = request
+	c.recordRequest(request)
 	c.send.Start(c.Conn)
 	if c.tunnel != nil {
 		c.tunnel.Begin(request)
