Pass on no 3xx or 4xx that its runner did not sign

What callers saw: a 302, 400, 403 or 404 that looks like the node's own, for a proper request (DENIED). Cause: only a success had to carry the runner's signature. Any other status with the request's identifier was passed on as the runner's word, though a runner in trouble sends bytes that are no answer of its. Change: a status below 500 is the runner's only if it is signed; else the attempt failed and may have run, so the request is repeated where it may be, or ends with 502. An unsigned 5xx is still passed on: it denies nothing.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// errUnsigned is the error of a success that does not carry the runner's signature.
-var errUnsigned = errors.New("success without the runner's signature")
+// errUnsigned is the error of an answer that does not carry the runner's signature though it must.
+var errUnsigned = errors.New("answer without the runner's signature")
 
 // readBuffered reads a complete answer.
 func readBuffered(choice fleet.Choice, answer *upstream.Answer) (*bufferedAnswer, error) {
@@ -111,12 +111,13 @@
 	}
 }
 
-// authentic reports whether an answer may be forwarded as the runner's.
+// authentic reports whether an answer may be forwarded as the runner's. A 3xx or 4xx must be signed like a
+// success: clients give up a request after one.
 func (j *job) authentic(buffered *bufferedAnswer) bool {
 	if buffered.header.Get("Content-Encoding") != "" {
 		return false
 	}
-	return buffered.status >= http.StatusMultipleChoices || buffered.header.Get(j.dispatcher.Headers.Signature) != ""
+	return buffered.status >= http.StatusInternalServerError || buffered.header.Get(j.dispatcher.Headers.Signature) != ""
 }
 
 // copyHeader copies a runner's headers to the client's answer, except those of a single connection.
