Bound the head of an answer

Cause: the head of an answer was read until it ended. A status line, header, or interim answers without end were kept in memory or skipped until the request's deadline. Change: until the head of the answer is complete, with interim ones before it, 64 KiB are read of its connection. After that the request has failed and may have run, the connection is closed, and the runner counts as failed, as with any other garbage.

--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -186,7 +185,7 @@
 	if p.Wrap != nil {
 		conn = p.Wrap(runner.Name, conn)
 	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize), acquired: time.Now()}, nil
+	return newConnection(conn), nil
 }
 
 // recordReach records the outcome of a direct connection attempt and how long it took. One that its
@@ -226,7 +225,9 @@
 	if err != nil {
 		return nil, fault.At(fault.CodeUnreachable, "connect through a peer", runner.Address, fault.NotDone, err)
 	}
-	return &connection{Conn: conn, tunnel: conn, reader: bufio.NewReaderSize(conn, bufferSize), acquired: time.Now()}, nil
+	through := newConnection(conn)
+	through.tunnel = conn
+	return through, nil
 }
 
 // DialRunner opens a direct connection to a runner for a peer.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -212,7 +212,7 @@
 // must begin with that one.
 func (p *Pool) readMatching(conn *connection, call Call) (*http.Response, error) {
 	for range maxMismatched + 1 {
-		response, err := readFinal(conn.reader, call.Method)
+		response, err := readFinal(conn, call.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -230,10 +230,12 @@
 	return nil, errors.New("answers to other requests only")
 }
 
-// readFinal reads an answer, skipping interim ones.
-func readFinal(reader *bufio.Reader, method string) (*http.Response, error) {
+// readFinal reads the head of an answer, skipping interim ones.
+func readFinal(conn *connection, method string) (*http.Response, error) {
+	conn.heads.expectHead()
+	defer conn.heads.endHead()
 	for {
-		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -345,7 +345,8 @@
 		pool := NewPool(testNames)
 		near, far := net.Pipe()
 		_ = far.Close()
-		conn := &connection{Conn: near, reader: bufio.NewReader(strings.NewReader(string(content)))}
+		conn := newConnection(near)
+		conn.reader = bufio.NewReader(strings.NewReader(string(content)))
 		response, err := pool.readMatching(conn, Call{Method: http.MethodGet, RequestID: "1"})
 		if err == nil && response.Header.Get(testNames.RequestID) != "1" {
 			t.Fatal("an answer to another request was accepted")
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -76,7 +76,9 @@
 	net.Conn
 	// tunnel is Conn if that leads through a peer; nil for a direct one.
 	tunnel *tunnel.Conn
+	// reader reads through heads.
 	reader *bufio.Reader
+	heads  *headLimiter
 	// served counts the answers read from it.
 	served int
 	// acquired is when it was last taken from the pool or dialed, idleSince when it last became
@@ -91,6 +93,12 @@
 	send link.SendBound
 }
 
+// newConnection returns a connection that was just opened.
+func newConnection(conn net.Conn) *connection {
+	heads := &headLimiter{source: conn}
+	return &connection{Conn: conn, heads: heads, reader: bufio.NewReaderSize(heads, bufferSize), acquired: time.Now()}
+}
+
 // NewPool returns an empty pool.
 func NewPool(names HeaderNames) *Pool {
 	return &Pool{Dial: link.Runner.Dialer().DialContext, names: names, trust: link.NewTrust(time.Now), presenceSettle: presenceSettle, idle: make(map[string][]*connection)}
