Name runs of contents and of parts alike

Cause: when a runner ran a content is needed next, and the type for that was named after parts of prompts alone. No behaviour changes.

--- a/internal/crash/detector.go
+++ b/internal/crash/detector.go
@@ -44,7 +44,7 @@
 	How      string
 	Requests []poison.Identity
 	// Parts are the parts of their prompts that other requests share, each once.
-	Parts []poison.PartRun
+	Parts []poison.Run
 }
 
 // Request is a request that a runner was running.
@@ -133,7 +133,7 @@
 	for _, one := range interrupted {
 		c.Requests = append(c.Requests, one.request.Content)
 		for _, part := range one.request.Parts {
-			run := poison.PartRun{Part: part, Sent: one.request.Sent, Ended: one.at}
+			run := poison.Run{Request: part, Sent: one.request.Sent, Ended: one.at}
 			at, known := last[part]
 			switch {
 			case !known:
--- a/internal/poison/marks.go
+++ b/internal/poison/marks.go
@@ -115,7 +115,7 @@
 		if slices.Contains(before.All(), runner) {
 			continue
 		}
-		var run PartRun
+		var run Run
 		if i < len(finding.Runs) {
 			run = finding.Runs[i]
 		}
--- a/internal/poison/part_test.go
+++ b/internal/poison/part_test.go
@@ -9,8 +9,8 @@
 )
 
 // runFrom returns a run of a part that was sent and ended at these times after start.
-func runFrom(part Identity, sent, ended time.Duration) PartRun {
-	return PartRun{Part: part, Sent: start.Add(sent), Ended: start.Add(ended)}
+func runFrom(part Identity, sent, ended time.Duration) Run {
+	return Run{Request: part, Sent: start.Add(sent), Ended: start.Add(ended)}
 }
 
 // TestEndsAtOnceCountOnceForAPart checks that runners that end at the same time count once for a part,
@@ -20,14 +20,14 @@
 	tally := NewTally()
 	for number := range 2 * RefuseThreshold {
 		sent := time.Duration(number) * time.Millisecond
-		assert.Equal(t, len(tally.RecordParts(fmt.Sprint("at once ", number), []PartRun{runFrom(part, sent, time.Second+sent)}, start)), 0)
+		assert.Equal(t, len(tally.RecordRuns(fmt.Sprint("at once ", number), []Run{runFrom(part, sent, time.Second+sent)}, start)), 0)
 	}
 	assert.Equal(t, len(tally.Runners(part)), 1)
-	found := tally.RecordParts("later", []PartRun{runFrom(part, 2*time.Second, 3*time.Second)}, start)
+	found := tally.RecordRuns("later", []Run{runFrom(part, 2*time.Second, 3*time.Second)}, start)
 	assert.Equal(t, len(found), 1)
 	assert.DeepEqual(t, found[0].Runners, []string{"at once 0", "later"})
 	assert.Equal(t, len(found[0].Beside), 2*RefuseThreshold-1)
-	assert.Equal(t, len(tally.RecordParts("earlier", []PartRun{runFrom(part, -3*time.Second, -2*time.Second)}, start)[0].Runners), RefuseThreshold)
+	assert.Equal(t, len(tally.RecordRuns("earlier", []Run{runFrom(part, -3*time.Second, -2*time.Second)}, start)[0].Runners), RefuseThreshold)
 }
 
 // TestFindingsOfTwoTalliesDoNotAddUpEndsAtOnce checks that two tallies that count another one of the runners
@@ -35,13 +35,13 @@
 func TestFindingsOfTwoTalliesDoNotAddUpEndsAtOnce(t *testing.T) {
 	part := PartIdentity("s", "a")
 	first, second := NewTally(), NewTally()
-	runs := map[string]PartRun{"r1": runFrom(part, 0, time.Second), "r2": runFrom(part, 0, time.Second), "r3": runFrom(part, 2*time.Second, 3*time.Second)}
+	runs := map[string]Run{"r1": runFrom(part, 0, time.Second), "r2": runFrom(part, 0, time.Second), "r3": runFrom(part, 2*time.Second, 3*time.Second)}
 	for _, runner := range []string{"r1", "r2", "r3"} {
-		first.RecordParts(runner, []PartRun{runs[runner]}, start)
+		first.RecordRuns(runner, []Run{runs[runner]}, start)
 	}
 	var finding Finding
 	for _, runner := range []string{"r2", "r1", "r3"} {
-		if found := second.RecordParts(runner, []PartRun{runs[runner]}, start); len(found) > 0 {
+		if found := second.RecordRuns(runner, []Run{runs[runner]}, start); len(found) > 0 {
 			finding = found[0]
 		}
 	}
@@ -49,7 +49,7 @@
 	assert.Assert(t, len(first.Merge(finding, start).Runners) <= SuspectThreshold)
 	marks := NewMarks()
 	marks.Put([]Finding{finding}, start)
-	marks.Put([]Finding{{Request: part, Runners: []string{"r1", "r3"}, Runs: []PartRun{runs["r1"], runs["r3"]}, Beside: []string{"r2"}}}, start)
+	marks.Put([]Finding{{Request: part, Runners: []string{"r1", "r3"}, Runs: []Run{runs["r1"], runs["r3"]}, Beside: []string{"r2"}}}, start)
 	mark, _ := marks.Find(part)
 	assert.Assert(t, !mark.Refused())
 }
@@ -103,16 +103,16 @@
 func TestSuccessClearsAPart(t *testing.T) {
 	part := PartIdentity("s", "a")
 	tally := NewTally()
-	run := func(number int) []PartRun {
-		return []PartRun{runFrom(part, time.Duration(2*number)*time.Second, time.Duration(2*number+1)*time.Second)}
+	run := func(number int) []Run {
+		return []Run{runFrom(part, time.Duration(2*number)*time.Second, time.Duration(2*number+1)*time.Second)}
 	}
 	for number := range 2 {
-		tally.RecordParts(fmt.Sprint("r", number), run(number), start)
+		tally.RecordRuns(fmt.Sprint("r", number), run(number), start)
 	}
 	tally.Strike(part, Finding{Runners: tally.Runners(part)}.All(), start)
 	assert.Equal(t, len(tally.Runners(part)), 0)
-	assert.Equal(t, len(tally.RecordParts("r1", run(1), start)), 0)
-	assert.Equal(t, len(tally.RecordParts("r2", run(2), start)), 0, "one end since")
+	assert.Equal(t, len(tally.RecordRuns("r1", run(1), start)), 0)
+	assert.Equal(t, len(tally.RecordRuns("r2", run(2), start)), 0, "one end since")
 }
 
 // TestPartIsNotBlamedIfNothingSucceeds checks that the mark of a part applies only once a request without it
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -38,7 +38,7 @@
 	Runners []string
 	Beside  []string
 	// Runs are, for a part, when it ran on Runners, in their order; empty for a content.
-	Runs []PartRun
+	Runs []Run
 	// Controlled is set for a part once a request without it has succeeded in its service since it became
 	// suspected: it is not that nothing succeeds.
 	Controlled bool
@@ -94,7 +94,7 @@
 	lastCrash time.Time
 	// runs are, for a part, when it ran on runners that this tally has a report of, and beside the
 	// runners that ended at the same time as one in runners.
-	runs   map[string]PartRun
+	runs   map[string]Run
 	beside []string
 }
 
@@ -158,8 +158,8 @@
 	for i, runner := range finding.Runners {
 		if i < len(finding.Runs) {
 			run := finding.Runs[i]
-			run.Part = finding.Request
-			t.addPart(run, runner, now)
+			run.Request = finding.Request
+			t.addRun(run, runner, now)
 		} else {
 			t.add(finding.Request, runner, now)
 		}
@@ -194,7 +194,7 @@
 	struck := func(runner string) bool { return slices.Contains(runners, runner) }
 	known.runners = slices.DeleteFunc(known.runners, struck)
 	known.beside = slices.DeleteFunc(known.beside, struck)
-	maps.DeleteFunc(known.runs, func(runner string, _ PartRun) bool { return struck(runner) })
+	maps.DeleteFunc(known.runs, func(runner string, _ Run) bool { return struck(runner) })
 	known.lastCrash = now
 	t.trim(now)
 }
--- a/internal/quarantine/part_spread_test.go
+++ b/internal/quarantine/part_spread_test.go
@@ -18,7 +18,7 @@
 	now := time.Now()
 	c := crash.Crash{Runner: runner, Requests: []poison.Identity{poison.Content{Path: runner}.Identity()}}
 	for _, part := range parts {
-		c.Parts = append(c.Parts, poison.PartRun{Part: part, Sent: now.Add(-500 * time.Millisecond), Ended: now})
+		c.Parts = append(c.Parts, poison.Run{Request: part, Sent: now.Add(-500 * time.Millisecond), Ended: now})
 	}
 	g.nodes[g.order[node]].Crashed(c)
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -208,23 +208,23 @@
 	}
 	now := time.Now()
 	for _, c := range report.Crashes {
-		q.add(c.Runner, c.Requests, partRuns(c.Parts, now))
+		q.add(c.Runner, c.Requests, parseRuns(c.Parts, now))
 	}
 	q.learnMarks(report.Marks)
 }
 
 // add counts a crash, together with what the table says about the requests and the parts of their
 // prompts, and marks those that are suspected. mutex is held.
-func (q *Quarantine) add(runner string, requests []poison.Identity, parts []poison.PartRun) {
+func (q *Quarantine) add(runner string, requests []poison.Identity, parts []poison.Run) {
 	now := time.Now()
 	q.tracking.Store(true)
 	for _, request := range requests {
 		q.mergeMark(request, now)
 	}
 	for _, run := range parts {
-		q.mergeMark(run.Part, now)
+		q.mergeMark(run.Request, now)
 	}
-	q.publish(append(q.tally.RecordCrash(runner, requests, now), q.tally.RecordParts(runner, parts, now)...))
+	q.publish(append(q.tally.RecordCrash(runner, requests, now), q.tally.RecordRuns(runner, parts, now)...))
 }
 
 // mergeMark adds what a mark says to the tally. mutex is held.
@@ -399,7 +399,7 @@
 
 // allCrashes returns all crashes in a tally, ordered by runner.
 func allCrashes(tally *poison.Tally, now time.Time) []wire.CrashReport {
-	crashes, runs := tally.Crashes(), tally.PartRuns()
+	crashes, runs := tally.Crashes(), tally.Runs()
 	runners := slices.Sorted(maps.Keys(crashes))
 	for _, runner := range slices.Sorted(maps.Keys(runs)) {
 		if len(crashes[runner]) == 0 {
@@ -414,20 +414,20 @@
 }
 
 // wireRuns returns runs with their ages.
-func wireRuns(runs []poison.PartRun, now time.Time) []wire.PartRun {
-	encoded := make([]wire.PartRun, 0, len(runs))
+func wireRuns(runs []poison.Run, now time.Time) []wire.Run {
+	encoded := make([]wire.Run, 0, len(runs))
 	for _, run := range runs {
-		encoded = append(encoded, wire.PartRun{Part: run.Part, SentMs: now.Sub(run.Sent).Milliseconds(), EndedMs: now.Sub(run.Ended).Milliseconds()})
+		encoded = append(encoded, wire.Run{Request: run.Request, SentMs: now.Sub(run.Sent).Milliseconds(), EndedMs: now.Sub(run.Ended).Milliseconds()})
 	}
 	return encoded
 }
 
-// partRuns returns the runs that another node reported.
-func partRuns(encoded []wire.PartRun, now time.Time) []poison.PartRun {
-	runs := make([]poison.PartRun, 0, len(encoded))
+// parseRuns returns the runs that another node reported.
+func parseRuns(encoded []wire.Run, now time.Time) []poison.Run {
+	runs := make([]poison.Run, 0, len(encoded))
 	for _, run := range encoded {
-		runs = append(runs, poison.PartRun{
-			Part: run.Part, Sent: now.Add(-time.Duration(run.SentMs) * time.Millisecond), Ended: now.Add(-time.Duration(run.EndedMs) * time.Millisecond),
+		runs = append(runs, poison.Run{
+			Request: run.Request, Sent: now.Add(-time.Duration(run.SentMs) * time.Millisecond), Ended: now.Add(-time.Duration(run.EndedMs) * time.Millisecond),
 		})
 	}
 	return runs
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -168,7 +168,7 @@
 	findings := make([]poison.Finding, 0, len(marks))
 	for _, mark := range marks {
 		age := time.Duration(max(mark.AgeMs, 0)) * time.Millisecond
-		findings = append(findings, poison.Finding{Request: mark.Request, Runners: mark.Runners, Beside: mark.Beside, Controlled: mark.Controlled, Runs: partRuns(mark.Runs, now), Age: age})
+		findings = append(findings, poison.Finding{Request: mark.Request, Runners: mark.Runners, Beside: mark.Beside, Controlled: mark.Controlled, Runs: parseRuns(mark.Runs, now), Age: age})
 	}
 	q.apply(findings, SourcePeer)
 	q.publish(q.merge(findings))
@@ -223,7 +223,7 @@
 	var recent []wire.CrashReport
 	q.witnessed = slices.DeleteFunc(q.witnessed, func(c witnessedCrash) bool {
 		c.Requests = slices.DeleteFunc(slices.Clone(c.Requests), func(request poison.Identity) bool { return !q.counts(request, c.Runner) })
-		c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(run wire.PartRun) bool { return !q.counts(run.Part, c.Runner) })
+		c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(run wire.Run) bool { return !q.counts(run.Request, c.Runner) })
 		if len(c.Requests)+len(c.Parts) == 0 || time.Since(c.at) > witnessPeriod {
 			return true
 		}
@@ -244,7 +244,7 @@
 func identities(report wire.CrashReport) []poison.Identity {
 	all := slices.Clone(report.Requests)
 	for _, run := range report.Parts {
-		all = append(all, run.Part)
+		all = append(all, run.Request)
 	}
 	return all
 }
--- a/internal/quarantine/waves_test.go
+++ b/internal/quarantine/waves_test.go
@@ -152,7 +152,7 @@
 	}
 	endedAt := time.Now()
 	time.Sleep(time.Duration(20+w.draw(130)) * time.Millisecond)
-	q.Crashed(crash.Crash{Runner: incarnation, Requests: []poison.Identity{content}, Parts: []poison.PartRun{{Part: identity, Sent: sentAt, Ended: endedAt}}})
+	q.Crashed(crash.Crash{Runner: incarnation, Requests: []poison.Identity{content}, Parts: []poison.Run{{Request: identity, Sent: sentAt, Ended: endedAt}}})
 }
 
 // refuses reports whether a node does not send a request, and counts it if it is denied for good.
--- a/internal/wire/poison.go
+++ b/internal/wire/poison.go
@@ -47,7 +47,7 @@
 	// Controlled is as in poison.Finding.
 	Controlled bool `cbor:"5,keyasint,omitempty"`
 	// Runs are, for a part, when it ran on Runners, in their order.
-	Runs []PartRun `cbor:"6,keyasint,omitempty"`
+	Runs []Run `cbor:"6,keyasint,omitempty"`
 }
 
 // CrashesStruck are crashes of a request that no longer count, as an attempt of it succeeded or an
@@ -64,7 +64,7 @@
 	Runner   string            `cbor:"1,keyasint"`
 	Requests []poison.Identity `cbor:"2,keyasint"`
 	// Parts are the parts of their prompts.
-	Parts []PartRun `cbor:"3,keyasint,omitempty"`
+	Parts []Run `cbor:"3,keyasint,omitempty"`
 	// At is when the ages of Parts were taken, at the node that keeps the report.
 	At time.Time `cbor:"-"`
 }
@@ -81,10 +81,10 @@
 	return r
 }
 
-// PartRun is a part of a prompt that a runner was running when it ended.
-type PartRun struct {
-	Part poison.Identity `cbor:"1,keyasint"`
-	// SentMs is how long ago the last request with the part was sent to the runner, EndedMs how long ago
+// Run is a content, or a part of prompts, that a runner was running when it ended.
+type Run struct {
+	Request poison.Identity `cbor:"1,keyasint"`
+	// SentMs is how long ago the last request with it was sent to the runner, EndedMs how long ago
 	// its answer broke off, in milliseconds.
 	SentMs  int64 `cbor:"2,keyasint"`
 	EndedMs int64 `cbor:"3,keyasint"`
@@ -95,8 +95,8 @@
 type PoisonRecord struct {
 	Runners []string `cbor:"1,keyasint"`
 	// Beside and Runs are as in PoisonMark; the ages are those of when the row was written.
-	Beside []string  `cbor:"2,keyasint,omitempty"`
-	Runs   []PartRun `cbor:"3,keyasint,omitempty"`
+	Beside []string `cbor:"2,keyasint,omitempty"`
+	Runs   []Run    `cbor:"3,keyasint,omitempty"`
 }
 
 // PoisonStatus is what a node knows about a request under which runners crashed.
