Hold what was at two ends, and try it alone before it is refused

What callers saw: proper requests denied with 400 (DENIED) for half an hour: after one crash of the runners of a popular content, or after three crashes, whatever their cause. Cause: guilt was counted by ends alone. Three runners that one cause ended at once were three findings against a content, and nothing was sent any more that could have shown that it is harmless. Class: a verdict by coincidence, with no way to be disproved. Change: ends under a content count like those under a part: of those that overlap, one counts. Which count follows from the ends alone (a node adds what it learns and takes the earlier of two reports of one end), so that nodes agree. At two ends a content is held, and a part at two that count: an attempt is sent only as a trial, one in the whole fleet at a time, granted by the first node of those that all nodes ask in the same order. A success clears it; the end of the trial's runner is the third end. Requests that are held wait as long as they would for a runner. What once succeeded needs one end more.

--- a/internal/crash/detector.go
+++ b/internal/crash/detector.go
@@ -43,6 +43,8 @@
 	// How describes how the end was detected.
 	How      string
 	Requests []poison.Identity
+	// Contents are when those of Requests ran of which it is known when they were sent, each once.
+	Contents []poison.Run
 	// Parts are the parts of their prompts that other requests share, each once.
 	Parts []poison.Run
 }
@@ -52,8 +54,9 @@
 	// Content identifies it, Parts the parts of its prompt that other requests share.
 	Content poison.Identity
 	Parts   []poison.Identity
-	// Sent is when it was sent to the runner.
-	Sent time.Time
+	// Sent is when it was sent to the runner, Trial whether as a trial, see poison.Held.
+	Sent  time.Time
+	Trial bool
 }
 
 // Prober holds the functions that check whether a runner is still there.
@@ -129,24 +132,35 @@
 // newCrash returns the crash of a runner under requests.
 func newCrash(runner, how string, interrupted []interruption) Crash {
 	c := Crash{Runner: runner, How: how}
-	last := make(map[poison.Identity]int)
 	for _, one := range interrupted {
 		c.Requests = append(c.Requests, one.request.Content)
+		if !one.request.Sent.IsZero() {
+			c.Contents = addLatest(c.Contents, one.runOf(one.request.Content))
+		}
 		for _, part := range one.request.Parts {
-			run := poison.Run{Request: part, Sent: one.request.Sent, Ended: one.at}
-			at, known := last[part]
-			switch {
-			case !known:
-				last[part] = len(c.Parts)
-				c.Parts = append(c.Parts, run)
-			case run.Sent.After(c.Parts[at].Sent):
-				c.Parts[at] = run
-			}
+			c.Parts = addLatest(c.Parts, one.runOf(part))
 		}
 	}
 	return c
 }
 
+// runOf returns the run of the request's content, or of a part of its prompt.
+func (i interruption) runOf(identity poison.Identity) poison.Run {
+	return poison.Run{Request: identity, Sent: i.request.Sent, Ended: i.at, Trial: i.request.Trial}
+}
+
+// addLatest adds a run to those of a runner, of which the one that was sent last is kept for each request.
+func addLatest(runs []poison.Run, run poison.Run) []poison.Run {
+	at := slices.IndexFunc(runs, func(known poison.Run) bool { return known.Request == run.Request })
+	switch {
+	case at < 0:
+		return append(runs, run)
+	case run.Sent.After(runs[at].Sent):
+		runs[at] = run
+	}
+	return runs
+}
+
 // endedRunner records how and when the end of a runner was detected.
 type endedRunner struct {
 	how string
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -40,10 +40,15 @@
 		j.end(ctx, err)
 		return false
 	}
-	if problem := j.quarantined(); problem != nil && takeover == nil {
-		j.dispatcher.Fleet.Release(choice, j.query)
-		j.end(ctx, problem)
-		return false
+	if takeover == nil {
+		if problem := j.quarantined(); problem != nil {
+			j.dispatcher.Fleet.Release(choice, j.query)
+			j.end(ctx, problem)
+			return false
+		}
+		if ready, again := j.beginTrial(ctx, choice); !ready {
+			return again
+		}
 	}
 	if j.sent == 0 {
 		j.outcome.Placed = time.Since(j.request.Arrived)
@@ -57,7 +62,8 @@
 		start = takeover.start
 	}
 	result, err := j.exchange(ctx, choice, takeover)
-	result.sent = start
+	result.sent, result.trial = start, j.trial != nil
+	j.endTrial(err)
 	if errors.Is(err, errNotAdmitted) {
 		return j.endUnsent(ctx, choice, result, err)
 	}
@@ -207,8 +213,9 @@
 type attemptResult struct {
 	fleet   fleet.Result
 	started bool
-	// sent is when the request was about to be sent.
-	sent time.Time
+	// sent is when the request was about to be sent, trial whether as a trial.
+	sent  time.Time
+	trial bool
 	// timedOut is set when the request's deadline passed during the attempt.
 	timedOut bool
 	// ending says who ended a failed attempt.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -17,6 +17,7 @@
 	"lilacvane/internal/origin"
 	"lilacvane/internal/overload"
 	"lilacvane/internal/poison"
+	"lilacvane/internal/quarantine"
 	"lilacvane/internal/retry"
 	"lilacvane/internal/tenant"
 	"lilacvane/internal/upstream"
@@ -89,11 +90,12 @@
 type Quarantine interface {
 	// Idle reports that no such request is known, so that no content identity needs to be computed.
 	Idle() bool
-	// Refused returns the mark of a request that is not to be run.
-	Refused(request poison.Identity) (poison.Mark, bool)
-	// Blamed reports whether the mark of a part of a prompt applies to a request that holds the given
-	// content and parts.
-	Blamed(part poison.Mark, holds []poison.Identity) bool
+	// Check decides whether a request with a content and the parts of its prompt may be sent to a runner.
+	Check(content poison.Identity, parts []poison.Identity) quarantine.Decision
+	// Trial asks to send a request that is held to one runner. If that is not granted, retryAfter is when
+	// to ask again. TrialEnded says that the trial is over and showed nothing.
+	Trial(ctx context.Context, held []poison.Identity) (granted bool, retryAfter time.Duration)
+	TrialEnded(held []poison.Identity)
 	// Controlled reports a request of a service that succeeded, with the names of the parts of its
 	// prompt that others share.
 	Controlled(service string, parts []string)
@@ -247,6 +249,8 @@
 	sent int
 	// takeover is the hedge that takes over from a silent runner.
 	takeover *hedge
+	// trial are the content and the parts that are held, while the request is tried alone; nil if it is not.
+	trial []poison.Identity
 	// heldFailure is a runner's failure held back while another runner is tried.
 	heldFailure *bufferedAnswer
 	// queuedAhead is how many requests waited for the end of a runner's rest before this one,
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -65,7 +65,7 @@
 // mayHedge reports whether the request may go to one more runner. The attempt beside the hedge
 // counts as a run, as it may be one.
 func (h *hedges) mayHedge() bool {
-	return !h.job.refusedNow(h.query.Unit) && h.sent < maxSends && h.ran+1 < h.job.route.Attempts && h.ctx.Err() == nil && time.Until(h.job.deadline) >= minAttemptTime
+	return h.job.trial == nil && !h.job.refusedNow(h.query.Unit) && h.sent < maxSends && h.ran+1 < h.job.route.Attempts && h.ctx.Err() == nil && time.Until(h.job.deadline) >= minAttemptTime
 }
 
 // reserve chooses a runner and takes a retry from the budget; false when there is none now.
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"slices"
@@ -11,7 +12,9 @@
 	"lilacvane/internal/backend"
 	"lilacvane/internal/crash"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/fleet"
 	"lilacvane/internal/poison"
+	"lilacvane/internal/quarantine"
 )
 
 // contentIdentity returns the digest of what all attempts of the request have in common. It is
@@ -49,10 +52,10 @@
 	return j.parts
 }
 
-// refusedNow reports whether the request must not be sent to a runner of the unit.
+// refusedNow reports whether the request must not be sent to a runner of the unit, but for a trial.
 func (j *job) refusedNow(unit backend.Unit) bool {
-	_, _, refused := j.quarantineMark(unit)
-	return refused
+	verdict := j.quarantineDecision(unit).Verdict
+	return verdict == poison.Refused || (verdict == poison.Held && j.trial == nil)
 }
 
 // callerID identifies the caller: by its tenant, as that keeps its name when it gets another key,
@@ -106,7 +109,7 @@
 
 // crashRequest returns the request as one that its runner may have crashed by.
 func (j *job) crashRequest(result attemptResult) crash.Request {
-	return crash.Request{Content: j.contentIdentity(), Parts: j.partIdentities(), Sent: result.sent}
+	return crash.Request{Content: j.contentIdentity(), Parts: j.partIdentities(), Sent: result.sent, Trial: result.trial}
 }
 
 // probeMethod returns how to find out whether a runner crashed: runners of engine services are
@@ -126,36 +129,85 @@
 // quarantined returns the refusal of a request that crashed runners, or that holds a part by which others
 // did: at first with a retry time, as attempts that are still running may end well, then for good.
 func (j *job) quarantined() *fault.Error {
-	mark, common, refused := j.quarantineMark(j.query.Unit)
-	if !refused {
+	decision := j.quarantineDecision(j.query.Unit)
+	if decision.Verdict != poison.Refused {
 		return nil
 	}
-	const step = "check quarantine"
 	now := time.Now()
-	if mark.Provisional(now) {
-		return fault.New(fault.CodeCrashSuspected, step, "%s", mark.Describe(common)).WithRetryAfter(poison.ProvisionalPeriod - now.Sub(mark.Since))
+	if decision.Mark.Provisional(now) {
+		return j.crashSuspected(decision, poison.ProvisionalPeriod-now.Sub(decision.Mark.Since))
 	}
-	return fault.New(fault.CodeCrashesRunners, step, "%s", mark.Describe(common))
+	return fault.New(fault.CodeCrashesRunners, stepQuarantine, "%s", decision.Mark.Describe(j.common(decision.Mark)))
 }
 
-// quarantineMark returns the quarantine mark by which the request is not to be run by a runner of the
-// unit, and what it shares with the requests that crashed runners.
-func (j *job) quarantineMark(unit backend.Unit) (mark poison.Mark, common string, refused bool) {
-	if !j.quarantineActive() {
-		return poison.Mark{}, "", false
+// stepQuarantine is the step of refusals by the quarantine.
+const stepQuarantine = "check quarantine"
+
+// crashSuspected returns the refusal of a request that may be cleared by then.
+func (j *job) crashSuspected(decision quarantine.Decision, retryAfter time.Duration) *fault.Error {
+	return fault.New(fault.CodeCrashSuspected, stepQuarantine, "%s", decision.Mark.Describe(j.common(decision.Mark))).WithRetryAfter(retryAfter)
+}
+
+// common describes what the request shares with those under which runners ended.
+func (j *job) common(mark poison.Mark) string {
+	if part := slices.Index(j.partIdentities(), mark.Request); part >= 0 {
+		return "part " + j.request.Prompt[part].ID + " of their prompts"
 	}
-	content := j.identityFor(unit)
-	if mark, refused = j.dispatcher.Quarantine.Refused(content); refused {
-		return mark, "this content", true
+	return "this content"
+}
+
+// quarantineDecision returns whether the request may be sent to a runner of the unit.
+func (j *job) quarantineDecision(unit backend.Unit) quarantine.Decision {
+	if !j.quarantineActive() {
+		return quarantine.Decision{}
 	}
-	parts := j.partIdentities()
-	for i, part := range parts {
-		mark, refused = j.dispatcher.Quarantine.Refused(part)
-		if refused && j.dispatcher.Quarantine.Blamed(mark, append(slices.Clone(parts), content)) {
-			return mark, "part " + j.request.Prompt[i].ID + " of their prompts", true
-		}
+	return j.dispatcher.Quarantine.Check(j.identityFor(unit), j.partIdentities())
+}
+
+// beginTrial prepares an attempt at a runner that was chosen: a request that is held needs a trial. Without
+// one the runner is released, and the request waits for the outcome of the trial that is under way, as long
+// as it would for a runner.
+func (j *job) beginTrial(ctx context.Context, choice fleet.Choice) (ready, again bool) {
+	decision := j.quarantineDecision(j.query.Unit)
+	if decision.Verdict != poison.Held {
+		return true, false
+	}
+	// What clears the request meanwhile must not be missed.
+	changed := j.dispatcher.Fleet.Changed()
+	granted, retryAfter := j.dispatcher.Quarantine.Trial(ctx, decision.Held)
+	if granted {
+		j.trial = decision.Held
+		j.log.Info("held request tried alone", "content", decision.Mark.Request.Short(), "runner", choice.Runner.ID, "ended", decision.Mark.Runners)
+		return true, false
+	}
+	j.dispatcher.Fleet.Release(choice, j.query)
+	if retryAfter > time.Until(j.latestStart()) {
+		j.end(ctx, j.crashSuspected(decision, retryAfter))
+		return false, false
+	}
+	j.request.Start.End()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-time.After(retryAfter):
+	}
+	return false, true
+}
+
+// endTrial ends the trial of an attempt, if it was one. Unless the request succeeded or may have crashed its
+// runner, another one may be tried at once.
+func (j *job) endTrial(err error) {
+	held := j.trial
+	j.trial = nil
+	if held == nil || fault.OutcomeOf(err) == fault.Unknown || (err == nil && j.succeeded()) {
+		return
 	}
-	return poison.Mark{}, "", false
+	j.dispatcher.Quarantine.TrialEnded(held)
+}
+
+// succeeded reports whether the client got a runner's success.
+func (j *job) succeeded() bool {
+	return j.outcome.Result == ResultServed && j.outcome.Status < http.StatusMultipleChoices
 }
 
 // quarantineActive reports whether any request is known that crashed runners.
@@ -166,7 +218,7 @@
 // reportSuccess reports a request that succeeded to the quarantine. An answer that nothing shows to be
 // complete may be a crash: the runner is asked instead.
 func (j *job) reportSuccess(runner backend.Runner, result attemptResult) {
-	if j.outcome.Result != ResultServed || j.outcome.Status >= http.StatusMultipleChoices {
+	if !j.succeeded() {
 		return
 	}
 	if j.outcome.Completeness == CompletenessUnknown {
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -59,12 +59,19 @@
 			err = n.client.Call(ctx, address, wire.MethodPoison, report, &answer)
 			return answer, err
 		},
+		AskTrial: func(ctx context.Context, address string, request wire.TrialRequest) (answer wire.TrialAnswer, err error) {
+			err = n.client.Call(ctx, address, wire.MethodTrial, request, &answer)
+			return answer, err
+		},
 		Holds:            func(service string) bool { return n.controls.holds(service) },
 		CountUndelivered: n.metrics.CountUndeliveredCrashReport,
 	})
 	peer.Handle(n.peers, wire.MethodPoison, func(_ context.Context, report wire.PoisonReport) (wire.PoisonAnswer, error) {
 		return q.Answer(report), nil
 	})
+	peer.Handle(n.peers, wire.MethodTrial, func(_ context.Context, request wire.TrialRequest) (wire.TrialAnswer, error) {
+		return q.GrantTrial(request), nil
+	})
 	return q
 }
 
--- a/internal/poison/marks.go
+++ b/internal/poison/marks.go
@@ -109,39 +109,13 @@
 	if !known {
 		return Mark{Finding: finding, first: now.Add(-finding.Age)}
 	}
-	before.Runners, before.Beside, before.Runs = slices.Clone(before.Runners), slices.Clone(before.Beside), slices.Clone(before.Runs)
 	before.Controlled = before.Controlled || finding.Controlled
-	for i, runner := range finding.Runners {
-		if slices.Contains(before.All(), runner) {
-			continue
-		}
-		var run Run
-		if i < len(finding.Runs) {
-			run = finding.Runs[i]
-		}
-		switch {
-		case slices.ContainsFunc(before.Runs, run.overlaps):
-			before.addBeside(runner)
-		case len(before.Runners) < maxRunners:
-			before.Runners = append(before.Runners, runner)
-			if len(finding.Runs) > 0 {
-				before.Runs = append(before.Runs, run)
-			}
-		}
-	}
-	for _, runner := range finding.Beside {
-		before.addBeside(runner)
+	for _, one := range finding.ends() {
+		before.add(one.runner, one.run)
 	}
 	return before
 }
 
-// addBeside adds a runner that ended at the same time as one that counts.
-func (f *Finding) addBeside(runner string) {
-	if !slices.Contains(f.All(), runner) && len(f.Beside) < maxBeside {
-		f.Beside = append(f.Beside, runner)
-	}
-}
-
 // Blamed reports whether a request that holds a part is to be refused. A part may be at all ends because it
 // comes with the one that causes them, or because all runners end: requests without it must have
 // succeeded since, and marks that the request does not hold must not explain its ends. Marks at no fewer
@@ -165,6 +139,45 @@
 	return len(left) >= SuspectThreshold
 }
 
+// Verdict says whether a request may be sent to a runner.
+type Verdict uint8
+
+// The verdicts, each stricter than the one before.
+const (
+	// Allowed means that it may be sent.
+	Allowed Verdict = iota
+	// Held means that it may be sent to one runner, while nothing else with the same content or part is
+	// under way: the end of that runner is no coincidence, and a success clears it.
+	Held
+	// Refused means that it must not be sent.
+	Refused
+)
+
+// Judge returns the verdict on a request that holds the given contents and parts by one of their marks.
+// cleared is as in Blamed: such a request needs one end more.
+func (m *Marks) Judge(mark Mark, holds []Identity, cleared bool) Verdict {
+	isPart := mark.Request.IsPart()
+	if isPart && !m.Blamed(mark, holds, cleared) {
+		return Allowed
+	}
+	refuse := RefuseThreshold
+	if cleared {
+		refuse++
+	}
+	suspicious := len(mark.Runners)
+	if !isPart {
+		suspicious += len(mark.Beside)
+	}
+	switch {
+	case len(mark.Runners) >= refuse:
+		return Refused
+	case suspicious >= refuse-1:
+		return Held
+	default:
+		return Allowed
+	}
+}
+
 // Control notes that a request of a service succeeded that holds these parts, and returns findings of the
 // suspected parts that it does not hold and that were not controlled before.
 func (m *Marks) Control(service string, holds []Identity) []Finding {
--- a/internal/poison/run.go
+++ b/internal/poison/run.go
@@ -9,69 +9,39 @@
 	// are zero if that is not known.
 	Sent  time.Time
 	Ended time.Time
+	// Trial is set if the request was held and tried alone, see Held: the end of its runner counts though
+	// runs that began before may have ended at the same time.
+	Trial bool
 }
 
-// overlaps reports whether two runs went on at the same time, so that one cause may have ended both.
-func (r Run) overlaps(other Run) bool {
-	return r.Sent.Before(other.Ended) && other.Sent.Before(r.Ended)
-}
+const (
+	// transferError is how much later a run may seem to have been at a node that was told of it.
+	transferError = 25 * time.Millisecond
+	// atOnce is the time between two ends below which one cause may have brought both about, even if one
+	// request was sent right after the other runner ended.
+	atOnce = 2 * transferError
+)
 
-// RecordRuns is RecordCrash for the parts of prompts that a runner was running. Many requests share
-// them, so that one cause which ends many runners at once must count once: the end of a runner counts
-// only if the part was sent there after the ends that count, or before all of it.
-func (t *Tally) RecordRuns(runner string, parts []Run, now time.Time) []Finding {
-	var findings []Finding
-	for _, run := range parts {
-		if t.addRun(run, runner, now) && len(t.entries[run.Request].runners) >= SuspectThreshold {
-			findings = append(findings, t.entries[run.Request].finding(run.Request))
-		}
-	}
-	t.trim(now)
-	return findings
-}
-
-// addRun records one crash for a part and reports whether it counts and was not known before.
-func (t *Tally) addRun(run Run, runner string, now time.Time) bool {
-	known := t.live(run.Request, now)
-	if known.knows(runner) {
+// besides reports whether the end of a run counts only beside that of another one: both went on at the same
+// time, so that one cause may have ended them.
+func (r Run) besides(other Run) bool {
+	if r.Trial || !r.known() || !other.known() {
 		return false
 	}
-	if known.runs == nil {
-		known.runs = make(map[string]Run)
-	}
-	for _, counted := range known.runners {
-		if other, timed := known.runs[counted]; timed && run.overlaps(other) {
-			if known.addBeside(runner) {
-				known.runs[runner] = run
-			}
-			return false
-		}
+	if r.Ended.Sub(other.Ended).Abs() < atOnce {
+		return true
 	}
-	if !t.add(run.Request, runner, now) {
-		return false
-	}
-	known.runs[runner] = run
-	return true
+	return r.Sent.Add(transferError).Before(other.Ended) && other.Sent.Add(transferError).Before(r.Ended)
 }
 
-// addBeside records a runner that ended at the same time as one that counts, and reports whether there was
-// room for it.
-func (e *entry) addBeside(runner string) (added bool) {
-	if len(e.beside) >= maxBeside || e.knows(runner) {
-		return false
+// earlier returns the run with the earlier times of two reports of the same end: the more a report was
+// delayed, the later the run seems to have been.
+func (r Run) earlier(other Run) Run {
+	if !r.known() || (other.known() && other.Ended.Before(r.Ended)) {
+		return other
 	}
-	e.beside = append(e.beside, runner)
-	return true
+	return r
 }
 
-// Runs returns the runs of parts that this tally has a report of, by runner, for transfer to another
-// tally.
-func (t *Tally) Runs() map[string][]Run {
-	runs := make(map[string][]Run)
-	for _, known := range t.entries {
-		for runner, run := range known.runs {
-			runs[runner] = append(runs[runner], run)
-		}
-	}
-	return runs
-}
+// known reports whether it is known when the run was.
+func (r Run) known() bool { return !r.Ended.IsZero() }
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -20,10 +20,6 @@
 	RefuseThreshold = 3
 	// evidenceLifetime is how long the crashes of a request count if no further one follows.
 	evidenceLifetime = 30 * time.Minute
-	// maxRunners bounds the runners kept per request, maxBeside those that ended at the same time as one
-	// of them.
-	maxRunners = 16
-	maxBeside  = 64
 	// maxEntries bounds the requests in a tally: 64 crashes with 64 requests each. Requests with
 	// the fewest crashes are evicted first, the oldest of them before the others.
 	maxEntries = 4096
@@ -32,13 +28,14 @@
 // Finding is a request that was running on runners when these ended.
 type Finding struct {
 	Request Identity
-	// Runners are the incarnations that ended while running the request, in order. Of a part of prompts
-	// only those that ended one after the other count; Beside are others that ended at the same time as
-	// one of them.
+	// Runners are the incarnations that ended while running the request, in order. Only those that ended
+	// one after the other count; Beside are others that ended at the same time as one of them.
 	Runners []string
 	Beside  []string
-	// Runs are, for a part, when it ran on Runners, in their order; empty for a content.
-	Runs []Run
+	// Runs are when the request ran on Runners, BesideRuns when on those of Beside, in their order; empty if
+	// that is not known.
+	Runs       []Run
+	BesideRuns []Run
 	// Controlled is set for a part once a request without it has succeeded in its service since it became
 	// suspected: it is not that nothing succeeds.
 	Controlled bool
@@ -52,25 +49,18 @@
 	return f
 }
 
-// All returns the runners that count and those beside them.
-func (f Finding) All() []string { return slices.Concat(f.Runners, f.Beside) }
-
-// Without returns the finding without the ends of some runners.
-func (f Finding) Without(left func(runner string) bool) Finding {
-	kept := f
-	kept.Runners, kept.Runs, kept.Beside = nil, nil, slices.DeleteFunc(slices.Clone(f.Beside), left)
-	for i, runner := range f.Runners {
-		if left(runner) {
-			continue
-		}
-		kept.Runners = append(kept.Runners, runner)
-		if i < len(f.Runs) {
-			kept.Runs = append(kept.Runs, f.Runs[i])
-		}
+// Suspected reports whether enough runners ended under the request for all nodes to watch it. Many sound
+// requests share a part, so that runners beside one that counts say nothing of it.
+func (f Finding) Suspected() bool {
+	if f.Request.IsPart() {
+		return len(f.Runners) >= SuspectThreshold
 	}
-	return kept
+	return len(f.Runners)+len(f.Beside) >= SuspectThreshold
 }
 
+// All returns the runners that count and those beside them.
+func (f Finding) All() []string { return slices.Concat(f.Runners, f.Beside) }
+
 // String describes the finding for operators and callers.
 func (f Finding) String() string { return f.Describe("this content") }
 
@@ -85,33 +75,24 @@
 	entries map[Identity]*entry
 }
 
-// entry is what a tally records of one request: the runners whose ends count, those whose ends no
-// longer do, and when the last end was recorded or struck. A runner in struck stays out of runners,
-// so that nodes agree in whichever order they learn of an end and of what strikes it.
+// entry is what a tally records of one request: the runners whose ends are known, those whose ends no longer
+// count, and when the last end was recorded or struck. A runner in struck stays out of found, so that
+// nodes agree in whichever order they learn of an end and of what strikes it.
 type entry struct {
-	runners   []string
+	found     Finding
 	struck    []string
 	lastCrash time.Time
-	// runs are, for a part, when it ran on runners that this tally has a report of, and beside the
-	// runners that ended at the same time as one in runners.
-	runs   map[string]Run
-	beside []string
+	// cleared is set once ends were struck as the request succeeded, or an operator lifted it.
+	cleared bool
 }
 
-// finding returns what the entry holds of a request.
-func (e *entry) finding(request Identity) Finding {
-	f := Finding{Request: request, Runners: slices.Clone(e.runners), Beside: slices.Clone(e.beside)}
-	if e.runs != nil {
-		for _, runner := range e.runners {
-			f.Runs = append(f.Runs, e.runs[runner])
-		}
+// add records an end, or when it was, and reports whether that changed which ends are known or count.
+func (e *entry) add(runner string, run Run, now time.Time) bool {
+	if slices.Contains(e.struck, runner) || !e.found.add(runner, run) {
+		return false
 	}
-	return f
-}
-
-// knows reports whether the end of a runner is recorded, whether or not it counts.
-func (e *entry) knows(runner string) bool {
-	return slices.Contains(e.runners, runner) || slices.Contains(e.struck, runner) || slices.Contains(e.beside, runner)
+	e.lastCrash = now
+	return true
 }
 
 // NewTally returns an empty tally.
@@ -122,10 +103,21 @@
 // per request, however many nodes report it and however many attempts of the request were
 // running there.
 func (t *Tally) RecordCrash(runner string, requests []Identity, now time.Time) []Finding {
-	var findings []Finding
+	runs := make([]Run, 0, len(requests))
 	for _, request := range requests {
-		if t.add(request, runner, now) && len(t.entries[request].runners) >= SuspectThreshold {
-			findings = append(findings, t.entries[request].finding(request))
+		runs = append(runs, Run{Request: request})
+	}
+	return t.RecordRuns(runner, runs, now)
+}
+
+// RecordRuns is RecordCrash for runs of which it is known when they were. One cause may end many runners at
+// once and must count once: of ends that overlap, one counts.
+func (t *Tally) RecordRuns(runner string, runs []Run, now time.Time) []Finding {
+	var findings []Finding
+	for _, run := range runs {
+		known := t.live(run.Request, now)
+		if known.add(runner, run, now) && known.found.Suspected() {
+			findings = append(findings, known.found)
 		}
 	}
 	t.trim(now)
@@ -136,42 +128,21 @@
 func (t *Tally) live(request Identity, now time.Time) *entry {
 	known := t.entries[request]
 	if known == nil || known.expired(now) {
-		known = &entry{lastCrash: now}
+		known = &entry{found: Finding{Request: request}, lastCrash: now}
 		t.entries[request] = known
 	}
 	return known
 }
 
-// add records one crash for a request and reports whether it was not known before.
-func (t *Tally) add(request Identity, runner string, now time.Time) bool {
-	known := t.live(request, now)
-	if known.knows(runner) || len(known.runners) >= maxRunners {
-		return false
-	}
-	known.runners = append(known.runners, runner)
-	known.lastCrash = now
-	return true
-}
-
 // Merge adds another tally's finding, and returns it combined with what this tally knew.
 func (t *Tally) Merge(finding Finding, now time.Time) Finding {
-	for i, runner := range finding.Runners {
-		if i < len(finding.Runs) {
-			run := finding.Runs[i]
-			run.Request = finding.Request
-			t.addRun(run, runner, now)
-		} else {
-			t.add(finding.Request, runner, now)
-		}
-	}
-	known := t.entries[finding.Request]
-	if known == nil {
-		return finding
+	for _, one := range finding.ends() {
+		t.live(finding.Request, now).add(one.runner, one.run, now)
 	}
-	for _, runner := range finding.Beside {
-		known.addBeside(runner)
+	if known := t.entries[finding.Request]; known != nil {
+		return known.found
 	}
-	return known.finding(finding.Request)
+	return finding
 }
 
 // Strike makes the ends of some runners no longer count for a request, because an attempt of it
@@ -180,9 +151,29 @@
 	if len(runners) == 0 {
 		return
 	}
+	t.discount(request, runners, now).cleared = true
+	t.trim(now)
+}
+
+// Cleared reports whether the request has succeeded since an end under it was known, or an operator lifted
+// it.
+func (t *Tally) Cleared(request Identity) bool {
+	known := t.entries[request]
+	return known != nil && known.cleared
+}
+
+// Discount makes the ends of some runners no longer count for a request, because something else explains
+// them.
+func (t *Tally) Discount(request Identity, runners []string, now time.Time) {
+	t.discount(request, runners, now)
+	t.trim(now)
+}
+
+// discount is Discount for a caller that needs the request's entry.
+func (t *Tally) discount(request Identity, runners []string, now time.Time) *entry {
 	known := t.entries[request]
 	if known == nil {
-		known = &entry{}
+		known = &entry{found: Finding{Request: request}}
 		t.entries[request] = known
 	}
 	for _, runner := range runners {
@@ -190,19 +181,16 @@
 			known.struck = append(known.struck, runner)
 		}
 	}
-	known.struck = known.struck[max(len(known.struck)-maxRunners, 0):]
-	struck := func(runner string) bool { return slices.Contains(runners, runner) }
-	known.runners = slices.DeleteFunc(known.runners, struck)
-	known.beside = slices.DeleteFunc(known.beside, struck)
-	maps.DeleteFunc(known.runs, func(runner string, _ Run) bool { return struck(runner) })
+	known.struck = known.struck[max(len(known.struck)-maxEnds, 0):]
+	known.found = known.found.Without(func(runner string) bool { return slices.Contains(runners, runner) })
 	known.lastCrash = now
-	t.trim(now)
+	return known
 }
 
 // Runners returns the runners whose ends count for a request.
 func (t *Tally) Runners(request Identity) []string {
 	if known := t.entries[request]; known != nil {
-		return slices.Clone(known.runners)
+		return slices.Clone(known.found.Runners)
 	}
 	return nil
 }
@@ -218,22 +206,36 @@
 // Contains reports whether an end counts for a request.
 func (t *Tally) Contains(request Identity) bool {
 	known := t.entries[request]
-	return known != nil && len(known.runners) > 0
+	return known != nil && len(known.found.Runners) > 0
 }
 
-// Crashes returns all recorded crashes by runner, for transfer to another tally.
+// Crashes returns the recorded crashes by runner of which it is not known when they were, for transfer to
+// another tally.
 func (t *Tally) Crashes() map[string][]Identity {
 	crashes := make(map[string][]Identity)
 	for request, known := range t.entries {
-		for _, runner := range known.runners {
-			if known.runs == nil {
-				crashes[runner] = append(crashes[runner], request)
+		for _, one := range known.found.ends() {
+			if !one.run.known() {
+				crashes[one.runner] = append(crashes[one.runner], request)
 			}
 		}
 	}
 	return crashes
 }
 
+// Runs returns the other recorded crashes by runner, for transfer to another tally.
+func (t *Tally) Runs() map[string][]Run {
+	runs := make(map[string][]Run)
+	for _, known := range t.entries {
+		for _, one := range known.found.ends() {
+			if one.run.known() {
+				runs[one.runner] = append(runs[one.runner], one.run)
+			}
+		}
+	}
+	return runs
+}
+
 // Expire removes expired entries and returns how many are left.
 func (t *Tally) Expire(now time.Time) int {
 	maps.DeleteFunc(t.entries, func(_ Identity, known *entry) bool { return known.expired(now) })
@@ -249,7 +251,7 @@
 	}
 	requests := slices.SortedFunc(maps.Keys(t.entries), func(a, b Identity) int {
 		left, right := t.entries[a], t.entries[b]
-		return cmp.Or(cmp.Compare(len(left.runners), len(right.runners)), left.lastCrash.Compare(right.lastCrash))
+		return cmp.Or(cmp.Compare(len(left.found.Runners), len(right.found.Runners)), left.lastCrash.Compare(right.lastCrash))
 	})
 	for _, request := range requests[:len(requests)-maxEntries*3/4] {
 		delete(t.entries, request)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -32,6 +32,8 @@
 	Self func() string
 	// SendReport sends a report to the node at an address.
 	SendReport func(ctx context.Context, address string, report wire.PoisonReport) (wire.PoisonAnswer, error)
+	// AskTrial asks the node at an address for a trial.
+	AskTrial func(ctx context.Context, address string, request wire.TrialRequest) (wire.TrialAnswer, error)
 	// ReportNow causes the demand for a service, and the reports sent along with it, to be sent to
 	// the service's holder immediately.
 	ReportNow func(service string)
@@ -90,6 +92,7 @@
 	due chan struct{}
 
 	successes successes
+	trials    trials
 
 	// calls are the calls to other nodes in progress. They end with ctx.
 	calls  sync.WaitGroup
@@ -136,10 +139,43 @@
 // Blamed reports whether the mark of a part of a prompt applies to a request that holds the given
 // contents and parts.
 func (q *Quarantine) Blamed(part poison.Mark, holds []poison.Identity) bool {
+	return q.marks.Blamed(part, holds, q.cleared(part.Request))
+}
+
+// cleared reports whether a request has once succeeded since an end under it was known.
+func (q *Quarantine) cleared(request poison.Identity) bool {
 	q.mutex.Lock()
-	cleared := len(q.tally.Struck(part.Request)) > 0
-	q.mutex.Unlock()
-	return q.marks.Blamed(part, holds, cleared)
+	defer q.mutex.Unlock()
+	return q.tally.Cleared(request)
+}
+
+// Decision is what the marks say of a request.
+type Decision struct {
+	Verdict poison.Verdict
+	// Mark is the one that the verdict is by.
+	Mark poison.Mark
+	// Held are the content and the parts that are held.
+	Held []poison.Identity
+}
+
+// Check decides whether a request with a content and the parts of its prompt may be sent to a runner.
+func (q *Quarantine) Check(content poison.Identity, parts []poison.Identity) Decision {
+	var decision Decision
+	holds := append([]poison.Identity{content}, parts...)
+	for _, identity := range holds {
+		mark, known := q.marks.Find(identity)
+		if !known || mark.Expired(time.Now()) {
+			continue
+		}
+		verdict := q.marks.Judge(mark, holds, q.cleared(identity))
+		if verdict == poison.Held {
+			decision.Held = append(decision.Held, identity)
+		}
+		if verdict > decision.Verdict {
+			decision.Verdict, decision.Mark = verdict, mark
+		}
+	}
+	return decision
 }
 
 // CountRefused returns the number of refused requests.
@@ -181,10 +217,10 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	now := time.Now()
-	report := wire.CrashReport{Runner: c.Runner, Requests: c.Requests, Parts: wireRuns(c.Parts, now), At: now}
+	report := wire.CrashReport{Runner: c.Runner, Requests: c.Requests, Contents: wireRuns(c.Contents, now), Parts: wireRuns(c.Parts, now), At: now}
 	q.witnessed = newest(append(q.witnessed, witnessedCrash{CrashReport: report, at: now}))
 	q.unreported.Crashes = newest(append(q.unreported.Crashes, report))
-	q.add(c.Runner, c.Requests, c.Parts)
+	q.add(c)
 	q.tellAggregators(wire.PoisonReport{Crashes: []wire.CrashReport{report}})
 	q.ReportNow(*q.service.Load())
 }
@@ -208,23 +244,27 @@
 	}
 	now := time.Now()
 	for _, c := range report.Crashes {
-		q.add(c.Runner, c.Requests, parseRuns(c.Parts, now))
+		q.add(crash.Crash{Runner: c.Runner, Requests: c.Requests, Contents: parseRuns(c.Contents, now), Parts: parseRuns(c.Parts, now)})
 	}
 	q.learnMarks(report.Marks)
 }
 
 // add counts a crash, together with what the table says about the requests and the parts of their
 // prompts, and marks those that are suspected. mutex is held.
-func (q *Quarantine) add(runner string, requests []poison.Identity, parts []poison.Run) {
+func (q *Quarantine) add(c crash.Crash) {
 	now := time.Now()
 	q.tracking.Store(true)
-	for _, request := range requests {
+	for _, request := range c.Requests {
 		q.mergeMark(request, now)
 	}
-	for _, run := range parts {
+	for _, run := range c.Parts {
 		q.mergeMark(run.Request, now)
 	}
-	q.publish(append(q.tally.RecordCrash(runner, requests, now), q.tally.RecordRuns(runner, parts, now)...))
+	untimed := slices.DeleteFunc(slices.Clone(c.Requests), func(request poison.Identity) bool {
+		return slices.ContainsFunc(c.Contents, func(run poison.Run) bool { return run.Request == request })
+	})
+	found := q.tally.RecordCrash(c.Runner, untimed, now)
+	q.publish(append(found, q.tally.RecordRuns(c.Runner, slices.Concat(c.Contents, c.Parts), now)...))
 }
 
 // mergeMark adds what a mark says to the tally. mutex is held.
@@ -234,8 +274,9 @@
 	}
 }
 
-// publish applies findings and queues them to be written. mutex is held.
+// publish applies findings and queues those that count to be written. mutex is held.
 func (q *Quarantine) publish(findings []poison.Finding) {
+	findings = q.countable(findings)
 	if len(findings) == 0 {
 		return
 	}
@@ -248,7 +289,8 @@
 
 // newRecord returns the row of a finding.
 func newRecord(finding poison.Finding) *wire.PoisonRecord {
-	return &wire.PoisonRecord{Runners: finding.Runners, Beside: finding.Beside, Runs: wireRuns(finding.Runs, time.Now())}
+	now := time.Now()
+	return &wire.PoisonRecord{Runners: finding.Runners, Beside: finding.Beside, Runs: wireRuns(finding.Runs, now), BesideRuns: wireRuns(finding.BesideRuns, now)}
 }
 
 // apply marks the requests of findings, without crashes that no longer count. The neighbors are told of
@@ -297,7 +339,7 @@
 		struck := q.tally.Struck(finding.Request)
 		isStruck := func(runner string) bool { return slices.Contains(struck, runner) }
 		finding = finding.Without(isStruck)
-		if len(finding.Runners) >= poison.SuspectThreshold {
+		if finding.Suspected() {
 			counted = append(counted, finding)
 		}
 	}
@@ -325,10 +367,12 @@
 // strike makes crashes no longer count at this node. mutex is held.
 func (q *Quarantine) strike(struck wire.CrashesStruck) {
 	q.tally.Strike(struck.Request, struck.Runners, time.Now())
+	q.trials.end(struck.Request)
 	mark, marked := q.marks.Find(struck.Request)
 	if !marked {
 		return
 	}
+	defer q.Wake()
 	q.marks.Drop(struck.Request)
 	mark.Age = mark.Known(time.Now())
 	q.marks.Put(q.countable([]poison.Finding{mark.Finding}), time.Now())
@@ -408,16 +452,37 @@
 	}
 	reports := make([]wire.CrashReport, 0, len(runners))
 	for _, runner := range runners {
-		reports = append(reports, wire.CrashReport{Runner: runner, Requests: crashes[runner], Parts: wireRuns(runs[runner], now), At: now})
+		reports = append(reports, newReport(runner, crashes[runner], runs[runner], now))
 	}
 	return reports
 }
 
+// newReport returns the report of a crash by the requests of which it is not known when they ran, and the
+// runs of the others and of parts.
+func newReport(runner string, untimed []poison.Identity, runs []poison.Run, now time.Time) wire.CrashReport {
+	report := wire.CrashReport{Runner: runner, Requests: untimed, At: now}
+	for _, run := range wireRuns(runs, now) {
+		if run.Request.IsPart() {
+			report.Parts = append(report.Parts, run)
+			continue
+		}
+		report.Requests, report.Contents = append(report.Requests, run.Request), append(report.Contents, run)
+	}
+	return report
+}
+
+// unknownAge is the age of a run of which it is not known when it was, in milliseconds.
+const unknownAge = -1
+
 // wireRuns returns runs with their ages.
 func wireRuns(runs []poison.Run, now time.Time) []wire.Run {
 	encoded := make([]wire.Run, 0, len(runs))
 	for _, run := range runs {
-		encoded = append(encoded, wire.Run{Request: run.Request, SentMs: now.Sub(run.Sent).Milliseconds(), EndedMs: now.Sub(run.Ended).Milliseconds()})
+		if run.Ended.IsZero() {
+			encoded = append(encoded, wire.Run{Request: run.Request, SentMs: unknownAge, EndedMs: unknownAge})
+			continue
+		}
+		encoded = append(encoded, wire.Run{Request: run.Request, SentMs: now.Sub(run.Sent).Milliseconds(), EndedMs: now.Sub(run.Ended).Milliseconds(), Trial: run.Trial})
 	}
 	return encoded
 }
@@ -426,8 +491,12 @@
 func parseRuns(encoded []wire.Run, now time.Time) []poison.Run {
 	runs := make([]poison.Run, 0, len(encoded))
 	for _, run := range encoded {
+		if run.EndedMs < 0 {
+			runs = append(runs, poison.Run{Request: run.Request})
+			continue
+		}
 		runs = append(runs, poison.Run{
-			Request: run.Request, Sent: now.Add(-time.Duration(run.SentMs) * time.Millisecond), Ended: now.Add(-time.Duration(run.EndedMs) * time.Millisecond),
+			Request: run.Request, Sent: now.Add(-time.Duration(run.SentMs) * time.Millisecond), Ended: now.Add(-time.Duration(run.EndedMs) * time.Millisecond), Trial: run.Trial,
 		})
 	}
 	return runs
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -168,7 +168,7 @@
 	findings := make([]poison.Finding, 0, len(marks))
 	for _, mark := range marks {
 		age := time.Duration(max(mark.AgeMs, 0)) * time.Millisecond
-		findings = append(findings, poison.Finding{Request: mark.Request, Runners: mark.Runners, Beside: mark.Beside, Controlled: mark.Controlled, Runs: parseRuns(mark.Runs, now), Age: age})
+		findings = append(findings, poison.Finding{Request: mark.Request, Runners: mark.Runners, Beside: mark.Beside, Controlled: mark.Controlled, Runs: parseRuns(mark.Runs, now), BesideRuns: parseRuns(mark.BesideRuns, now), Age: age})
 	}
 	q.apply(findings, SourcePeer)
 	q.publish(q.merge(findings))
@@ -223,7 +223,8 @@
 	var recent []wire.CrashReport
 	q.witnessed = slices.DeleteFunc(q.witnessed, func(c witnessedCrash) bool {
 		c.Requests = slices.DeleteFunc(slices.Clone(c.Requests), func(request poison.Identity) bool { return !q.counts(request, c.Runner) })
-		c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(run wire.Run) bool { return !q.counts(run.Request, c.Runner) })
+		ignored := func(run wire.Run) bool { return !q.counts(run.Request, c.Runner) }
+		c.Parts, c.Contents = slices.DeleteFunc(slices.Clone(c.Parts), ignored), slices.DeleteFunc(slices.Clone(c.Contents), ignored)
 		if len(c.Requests)+len(c.Parts) == 0 || time.Since(c.at) > witnessPeriod {
 			return true
 		}
@@ -273,5 +274,5 @@
 }
 
 func wireMark(mark poison.Mark, now time.Time) wire.PoisonMark {
-	return wire.PoisonMark{Request: mark.Request, Runners: mark.Runners, Beside: mark.Beside, Controlled: mark.Controlled, Runs: wireRuns(mark.Runs, now), AgeMs: mark.Known(now).Milliseconds()}
+	return wire.PoisonMark{Request: mark.Request, Runners: mark.Runners, Beside: mark.Beside, Controlled: mark.Controlled, Runs: wireRuns(mark.Runs, now), BesideRuns: wireRuns(mark.BesideRuns, now), AgeMs: mark.Known(now).Milliseconds()}
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -105,7 +105,7 @@
 		}
 		q.written[request] = true
 		requests = append(requests, request)
-		findings = append(findings, poison.Finding{Request: request, Runners: record.Runners, Beside: record.Beside, Runs: parseRuns(record.Runs, now)})
+		findings = append(findings, poison.Finding{Request: request, Runners: record.Runners, Beside: record.Beside, Runs: parseRuns(record.Runs, now), BesideRuns: parseRuns(record.BesideRuns, now)})
 	}
 	if len(findings) > 0 {
 		q.apply(findings, SourceTable)
--- a/internal/wire/poison.go
+++ b/internal/wire/poison.go
@@ -10,6 +10,22 @@
 // MethodPoison exchanges a PoisonReport for a PoisonAnswer with a node other than the holder.
 const MethodPoison = "poison/report"
 
+// MethodTrial asks a node for a trial with a TrialRequest; the answer is a TrialAnswer.
+const MethodTrial = "poison/trial"
+
+// TrialRequest asks to send a request that is held to one runner.
+type TrialRequest struct {
+	// Requests are the content and the parts that are held.
+	Requests []poison.Identity `cbor:"1,keyasint"`
+	// Ended says that the trial that was granted before is over and showed nothing.
+	Ended bool `cbor:"2,keyasint,omitempty"`
+}
+
+// TrialAnswer says whether a trial may begin.
+type TrialAnswer struct {
+	Granted bool `cbor:"1,keyasint,omitempty"`
+}
+
 // PoisonReport is what a node tells another one about requests that crash runners.
 type PoisonReport struct {
 	Crashes []CrashReport `cbor:"1,keyasint,omitempty"`
@@ -46,8 +62,10 @@
 	Beside []string `cbor:"4,keyasint,omitempty"`
 	// Controlled is as in poison.Finding.
 	Controlled bool `cbor:"5,keyasint,omitempty"`
-	// Runs are, for a part, when it ran on Runners, in their order.
+	// Runs are when the request ran on Runners, in their order; empty if that is not known.
 	Runs []Run `cbor:"6,keyasint,omitempty"`
+	// BesideRuns is the same for Beside.
+	BesideRuns []Run `cbor:"7,keyasint,omitempty"`
 }
 
 // CrashesStruck are crashes of a request that no longer count, as an attempt of it succeeded or an
@@ -65,22 +83,30 @@
 	Requests []poison.Identity `cbor:"2,keyasint"`
 	// Parts are the parts of their prompts.
 	Parts []Run `cbor:"3,keyasint,omitempty"`
-	// At is when the ages of Parts were taken, at the node that keeps the report.
+	// Contents are when those of Requests ran of which that is known.
+	Contents []Run `cbor:"4,keyasint,omitempty"`
+	// At is when the ages of Parts and Contents were taken, at the node that keeps the report.
 	At time.Time `cbor:"-"`
 }
 
 // Aged returns the report with the ages of now.
 func (r CrashReport) Aged(now time.Time) CrashReport {
 	later := now.Sub(r.At).Milliseconds()
-	r.Parts = slices.Clone(r.Parts)
-	for i := range r.Parts {
-		r.Parts[i].SentMs += later
-		r.Parts[i].EndedMs += later
-	}
+	r.Parts, r.Contents = aged(r.Parts, later), aged(r.Contents, later)
 	r.At = now
 	return r
 }
 
+// aged returns runs with ages that are larger by some milliseconds.
+func aged(runs []Run, laterMs int64) []Run {
+	older := slices.Clone(runs)
+	for i := range older {
+		older[i].SentMs += laterMs
+		older[i].EndedMs += laterMs
+	}
+	return older
+}
+
 // Run is a content, or a part of prompts, that a runner was running when it ended.
 type Run struct {
 	Request poison.Identity `cbor:"1,keyasint"`
@@ -88,6 +114,8 @@
 	// its answer broke off, in milliseconds.
 	SentMs  int64 `cbor:"2,keyasint"`
 	EndedMs int64 `cbor:"3,keyasint"`
+	// Trial is as in poison.Run.
+	Trial bool `cbor:"4,keyasint,omitempty"`
 }
 
 // PoisonRecord is the value of a row for a request under which runners crashed. The request is the
@@ -97,6 +125,8 @@
 	// Beside and Runs are as in PoisonMark; the ages are those of when the row was written.
 	Beside []string `cbor:"2,keyasint,omitempty"`
 	Runs   []Run    `cbor:"3,keyasint,omitempty"`
+	// BesideRuns is as in PoisonMark.
+	BesideRuns []Run `cbor:"4,keyasint,omitempty"`
 }
 
 // PoisonStatus is what a node knows about a request under which runners crashed.
