Let a success disprove ends that its node does not know of

What callers saw: proper requests with a shared part refused (DENIED): ends of three waves added up within 3 ms although thousands of requests with the part had succeeded between them. Cause: a success struck only the ends known where it happened. A single end is known to a few nodes, and the others cleared nothing; ends counted for 30 minutes, whatever ended well elsewhere. Change: while crashes are known, each node keeps when contents and parts last succeeded there (8,192), or were cleared elsewhere. An end before that does not count, in a finding of its own or of another node, which learns it from the answer. Only findings that still count are written.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -78,6 +78,8 @@
 	mutex sync.Mutex
 	// tally counts the crashes known to this node: those of all nodes if it aggregates.
 	tally *poison.Tally
+	// succeeded is when contents and parts last succeeded, here or at a node that told of it.
+	succeeded *poison.Successes
 	// unreported is what was not reported to the holder yet. reportedToken is the lease token of
 	// the holder that got a full report.
 	unreported    wire.PoisonReport
@@ -103,7 +105,7 @@
 // New returns a quarantine without any crashes.
 func New(options Options) *Quarantine {
 	q := &Quarantine{
-		Options: options, marks: poison.NewMarks(), tally: poison.NewTally(),
+		Options: options, marks: poison.NewMarks(), tally: poison.NewTally(), succeeded: poison.NewSuccesses(),
 		pendingWrites: make(map[poison.Identity]*wire.PoisonRecord), written: make(map[poison.Identity]bool), due: make(chan struct{}, 1),
 	}
 	q.ctx, q.cancel = context.WithCancel(context.Background())
@@ -195,6 +197,7 @@
 	mark, marked := q.marks.Find(request)
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	q.succeeded.Record(request, time.Now())
 	if !q.tally.Contains(request) && !marked {
 		return false
 	}
@@ -331,11 +334,12 @@
 	return ages
 }
 
-// countable returns findings without the crashes that no longer count, if enough are left. mutex is
-// held.
+// countable returns findings without the crashes that no longer count, and without those before a success
+// that is known here, if enough are left. mutex is held.
 func (q *Quarantine) countable(findings []poison.Finding) []poison.Finding {
 	var counted []poison.Finding
 	for _, finding := range findings {
+		q.tally.Strike(finding.Request, q.succeeded.Disproved(finding), time.Now())
 		struck := q.tally.Struck(finding.Request)
 		isStruck := func(runner string) bool { return slices.Contains(struck, runner) }
 		finding = finding.Without(isStruck)
@@ -367,6 +371,7 @@
 // strike makes crashes no longer count at this node. mutex is held.
 func (q *Quarantine) strike(struck wire.CrashesStruck) {
 	q.tally.Strike(struck.Request, struck.Runners, time.Now())
+	q.succeeded.Record(struck.Request, time.Now())
 	q.trials.end(struck.Request)
 	mark, marked := q.marks.Find(struck.Request)
 	if !marked {
