Say to all nodes how much speaks against a request that once succeeded

What callers saw: nothing; a check of the trials found it. Cause: a mark was told on when it was new, refused at three ends, or controlled. What once succeeded is refused at the fourth, of which only the nodes that counted it knew. A trial's end also hid an attempt that overlapped it, so that two ends counted as one. Change: a mark knows whether its request once succeeded, and is told on whenever it has more ends that count, up to those that refuse it.

--- a/internal/poison/ends.go
+++ b/internal/poison/ends.go
@@ -53,18 +53,10 @@
 
 // with returns the finding with these ends. Which of them count follows from the ends alone, so that nodes that
 // know the same ends agree, in whichever order they learned of them: of those that overlap, the first one
-// counts. An end of which it is not known when it was counts, and so does that of a trial.
+// counts. An end of which it is not known when it was counts.
 func (f Finding) with(ends []end) Finding {
 	ordered := slices.Clone(ends)
-	slices.SortStableFunc(ordered, func(a, b end) int {
-		if a.run.Trial != b.run.Trial {
-			if a.run.Trial {
-				return -1
-			}
-			return 1
-		}
-		return a.run.Ended.Compare(b.run.Ended)
-	})
+	slices.SortStableFunc(ordered, func(a, b end) int { return a.run.Ended.Compare(b.run.Ended) })
 	counted := make(map[string]Run, len(ends))
 	for _, one := range ordered {
 		beside := false
--- a/internal/poison/marks.go
+++ b/internal/poison/marks.go
@@ -33,6 +33,27 @@
 // Refused reports whether the request must not run.
 func (m Mark) Refused() bool { return len(m.Runners) >= RefuseThreshold }
 
+// evidence is how many ends of a mark count, and, of a content, how many are known.
+type evidence struct{ counted, all int }
+
+// evidence returns the ends of the mark, up to the most that matter.
+func (m Mark) evidence() evidence {
+	e := evidence{counted: min(len(m.Runners), m.threshold())}
+	if !m.Request.IsPart() {
+		e.all = min(len(m.All()), m.threshold())
+	}
+	return e
+}
+
+// threshold returns how many ends must count for the request to be refused: one more if it has once
+// succeeded.
+func (m Mark) threshold() int {
+	if m.Cleared {
+		return RefuseThreshold + 1
+	}
+	return RefuseThreshold
+}
+
 // Provisional reports whether running attempts may still lift the mark.
 func (m Mark) Provisional(now time.Time) bool { return now.Sub(m.Since) < ProvisionalPeriod }
 
@@ -75,8 +96,7 @@
 	})
 }
 
-// Put adds findings to the marks and returns the marks of requests that thereby became suspected
-// or refused.
+// Put adds findings to the marks and returns the marks that are new or have more evidence than before.
 func (m *Marks) Put(findings []Finding, now time.Time) []Mark {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -95,7 +115,7 @@
 		if after.Refused() && !before.Refused() {
 			after.Since = now
 		}
-		if !known || after.Refused() != before.Refused() || after.Controlled != before.Controlled {
+		if !known || after.evidence() != before.evidence() || after.Controlled != before.Controlled {
 			updated = append(updated, after)
 		}
 		changed[finding.Request] = after
@@ -109,7 +129,7 @@
 	if !known {
 		return Mark{Finding: finding, first: now.Add(-finding.Age)}
 	}
-	before.Controlled = before.Controlled || finding.Controlled
+	before.Controlled, before.Cleared = before.Controlled || finding.Controlled, before.Cleared || finding.Cleared
 	for _, one := range finding.ends() {
 		before.add(one.runner, one.run)
 	}
@@ -154,24 +174,15 @@
 )
 
 // Judge returns the verdict on a request that holds the given contents and parts by one of their marks.
-// cleared is as in Blamed: such a request needs one end more.
-func (m *Marks) Judge(mark Mark, holds []Identity, cleared bool) Verdict {
-	isPart := mark.Request.IsPart()
-	if isPart && !m.Blamed(mark, holds, cleared) {
+func (m *Marks) Judge(mark Mark, holds []Identity) Verdict {
+	if mark.Request.IsPart() && !m.Blamed(mark, holds, mark.Cleared) {
 		return Allowed
 	}
-	refuse := RefuseThreshold
-	if cleared {
-		refuse++
-	}
-	suspicious := len(mark.Runners)
-	if !isPart {
-		suspicious += len(mark.Beside)
-	}
+	ends := mark.evidence()
 	switch {
-	case len(mark.Runners) >= refuse:
+	case ends.counted >= mark.threshold():
 		return Refused
-	case suspicious >= refuse-1:
+	case max(ends.counted, ends.all) >= mark.threshold()-1:
 		return Held
 	default:
 		return Allowed
--- a/internal/poison/run.go
+++ b/internal/poison/run.go
@@ -10,7 +10,7 @@
 	Sent  time.Time
 	Ended time.Time
 	// Trial is set if the request was held and tried alone, see Held: the end of its runner counts though
-	// runs that began before may have ended at the same time.
+	// attempts that began before may have overlapped it.
 	Trial bool
 }
 
@@ -25,11 +25,13 @@
 // besides reports whether the end of a run counts only beside that of another one: both went on at the same
 // time, so that one cause may have ended them.
 func (r Run) besides(other Run) bool {
-	if r.Trial || !r.known() || !other.known() {
+	switch {
+	case !r.known() || !other.known():
 		return false
-	}
-	if r.Ended.Sub(other.Ended).Abs() < atOnce {
+	case r.Ended.Sub(other.Ended).Abs() < atOnce:
 		return true
+	case r.Trial || other.Trial:
+		return false
 	}
 	return r.Sent.Add(transferError).Before(other.Ended) && other.Sent.Add(transferError).Before(r.Ended)
 }
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -39,6 +39,9 @@
 	// Controlled is set for a part once a request without it has succeeded in its service since it became
 	// suspected: it is not that nothing succeeds.
 	Controlled bool
+	// Cleared is set if the request has once succeeded, as far as the node knows that made the finding. It
+	// is not told to others.
+	Cleared bool
 	// Age is how long the finding had been known to the node that sent it; zero for an own one.
 	Age time.Duration
 }
--- a/internal/quarantine/part_spread_test.go
+++ b/internal/quarantine/part_spread_test.go
@@ -25,12 +25,7 @@
 
 // blamed reports whether a node refuses a request that holds these parts.
 func blamed(q *Quarantine, holds ...poison.Identity) bool {
-	for _, part := range holds {
-		if mark, refused := q.Refused(part); refused && q.Blamed(mark, holds) {
-			return true
-		}
-	}
-	return false
+	return q.Check(poison.Content{}.Identity(), holds).Verdict == poison.Refused
 }
 
 // TestPartIsRefusedAtAllNodes: three nodes see one crash each under requests that share two parts, and a
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -138,19 +138,6 @@
 	return mark, known && mark.Refused() && !mark.Expired(time.Now())
 }
 
-// Blamed reports whether the mark of a part of a prompt applies to a request that holds the given
-// contents and parts.
-func (q *Quarantine) Blamed(part poison.Mark, holds []poison.Identity) bool {
-	return q.marks.Blamed(part, holds, q.cleared(part.Request))
-}
-
-// cleared reports whether a request has once succeeded since an end under it was known.
-func (q *Quarantine) cleared(request poison.Identity) bool {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	return q.tally.Cleared(request)
-}
-
 // Decision is what the marks say of a request.
 type Decision struct {
 	Verdict poison.Verdict
@@ -169,7 +156,7 @@
 		if !known || mark.Expired(time.Now()) {
 			continue
 		}
-		verdict := q.marks.Judge(mark, holds, q.cleared(identity))
+		verdict := q.marks.Judge(mark, holds)
 		if verdict == poison.Held {
 			decision.Held = append(decision.Held, identity)
 		}
@@ -343,6 +330,7 @@
 		struck := q.tally.Struck(finding.Request)
 		isStruck := func(runner string) bool { return slices.Contains(struck, runner) }
 		finding = finding.Without(isStruck)
+		finding.Cleared = q.tally.Cleared(finding.Request)
 		if finding.Suspected() {
 			counted = append(counted, finding)
 		}
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -146,7 +146,7 @@
 		if !known {
 			continue
 		}
-		if mark.Known(time.Now()) < trialDelay || q.marks.Judge(mark, request.Requests, q.cleared(identity)) == poison.Refused {
+		if mark.Known(time.Now()) < trialDelay || q.marks.Judge(mark, request.Requests) == poison.Refused {
 			return wire.TrialAnswer{}
 		}
 	}
