Log a mark as refused only if requests are refused by it

Cause: a request that once succeeded is held at three ends and refused at four, but its mark was logged as refused at three. Change: the line follows the verdict, and says whether the request was cleared before.

--- a/internal/poison/marks.go
+++ b/internal/poison/marks.go
@@ -30,7 +30,7 @@
 	first time.Time
 }
 
-// Refused reports whether the request must not run.
+// Refused reports whether enough ends count for a request to be refused that has never succeeded.
 func (m Mark) Refused() bool { return len(m.Runners) >= RefuseThreshold }
 
 // evidence is how many ends of a mark count, and, of a content, how many are known.
@@ -178,11 +178,19 @@
 	if mark.Request.IsPart() && !m.Blamed(mark, holds, mark.Cleared) {
 		return Allowed
 	}
-	ends := mark.evidence()
+	return mark.verdict()
+}
+
+// Denies reports whether the mark by itself refuses requests.
+func (m Mark) Denies() bool { return m.verdict() == Refused }
+
+// verdict is Judge without other marks.
+func (m Mark) verdict() Verdict {
+	ends := m.evidence()
 	switch {
-	case ends.counted >= mark.threshold():
+	case ends.counted >= m.threshold():
 		return Refused
-	case max(ends.counted, ends.all) >= mark.threshold()-1:
+	case max(ends.counted, ends.all) >= m.threshold()-1:
 		return Held
 	default:
 		return Allowed
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -294,8 +294,8 @@
 	}
 	refused := false
 	for _, mark := range updated {
-		log := q.Log.WithValues("content", mark.Request.Short(), "part", mark.Request.IsPart(), "controlled", mark.Controlled, "runners", mark.Runners, "endedMsAgo", endAges(mark.Finding, time.Now()), "beside", len(mark.Beside), "source", source)
-		if !mark.Refused() {
+		log := q.Log.WithValues("content", mark.Request.Short(), "part", mark.Request.IsPart(), "controlled", mark.Controlled, "runners", mark.Runners, "cleared", mark.Cleared, "endedMsAgo", endAges(mark.Finding, time.Now()), "beside", len(mark.Beside), "source", source)
+		if !mark.Denies() {
 			log.Info("request suspected of ending runners")
 			continue
 		}
