--- a/internal/lab/runnerstub/http.go
+++ b/internal/lab/runnerstub/http.go
@@ -299,6 +299,10 @@
 	if !r.sleep(ctx, r.promptTime(request)) {
 		return
 	}
+	if j.faults.Endless != "" {
+		writeEndless(w, j)
+		return
+	}
 	if r.wantsStream(request, body) {
 		r.stream(ctx, w, j, finished)
 		return
--- a/internal/lab/runnerstub/runner.go
+++ b/internal/lab/runnerstub/runner.go
@@ -106,6 +106,8 @@
 	Extra    bool `json:"extra,omitempty"`
 	Unframed bool `json:"unframed,omitempty"`
 	Early    bool `json:"early,omitempty"`
+	// Endless makes answers begin with bytes that have no end, until the caller closes the connection.
+	Endless Endless `json:"endless,omitempty"`
 	// SlowFactor multiplies the time of loads and responses; zero means 1.
 	SlowFactor float64 `json:"slowFactor,omitempty"`
 }
