Let the end of a trial stand beside other causes, and try twice what once succeeded

Cause: the end of a trial was explained away like any other by contents that crash runners as well, at nodes that knew of these. And a part that once succeeded was refused after one trial, which a wave of crashes may end. Change: the end of a trial is explained only by what was tried with it, and suffices to blame a part.

--- a/internal/poison/ends.go
+++ b/internal/poison/ends.go
@@ -25,6 +25,11 @@
 	return all
 }
 
+// endedTrial reports whether a runner ended under a trial.
+func (f Finding) endedTrial(runner string) bool {
+	return slices.ContainsFunc(f.ends(), func(one end) bool { return one.runner == runner && one.run.Trial })
+}
+
 // runAt returns a run of a list that may lack it.
 func runAt(runs []Run, i int) Run {
 	if i < len(runs) {
--- a/internal/poison/marks.go
+++ b/internal/poison/marks.go
@@ -45,15 +45,23 @@
 	return e
 }
 
-// threshold returns how many ends must count for the request to be refused: one more if it has once
-// succeeded.
+// threshold returns how many ends must count for the request to be refused. One that has once succeeded must
+// have failed two trials.
 func (m Mark) threshold() int {
 	if m.Cleared {
-		return RefuseThreshold + 1
+		return RefuseThreshold + 2
 	}
 	return RefuseThreshold
 }
 
+// holdThreshold returns how many ends must be known for the request to be held.
+func (m Mark) holdThreshold() int {
+	if m.Cleared {
+		return RefuseThreshold
+	}
+	return SuspectThreshold
+}
+
 // Provisional reports whether running attempts may still lift the mark.
 func (m Mark) Provisional(now time.Time) bool { return now.Sub(m.Since) < ProvisionalPeriod }
 
@@ -139,7 +147,8 @@
 // Blamed reports whether a request that holds a part is to be refused. A part may be at all ends because it
 // comes with the one that causes them, or because all runners end: requests without it must have
 // succeeded since, and marks that the request does not hold must not explain its ends. Marks at no fewer
-// ends do; if cleared says that the part has once succeeded, any mark does, and more ends must be left.
+// ends do; if cleared says that the part has once succeeded, any mark does, and more ends must be left. The
+// end of a trial is explained only by what was tried with it, and suffices.
 func (m *Marks) Blamed(part Mark, holds []Identity, cleared bool) bool {
 	if !part.Controlled {
 		return false
@@ -150,8 +159,12 @@
 		if !explains || !other.Refused() || slices.Contains(holds, other.Request) {
 			continue
 		}
-		explained := other.All()
-		left = slices.DeleteFunc(left, func(runner string) bool { return slices.Contains(explained, runner) })
+		left = slices.DeleteFunc(left, func(runner string) bool {
+			return slices.Contains(other.All(), runner) && (!part.endedTrial(runner) || other.endedTrial(runner))
+		})
+	}
+	if slices.ContainsFunc(left, part.endedTrial) {
+		return true
 	}
 	if cleared {
 		return len(left) >= RefuseThreshold
@@ -190,7 +203,7 @@
 	switch {
 	case ends.counted >= m.threshold():
 		return Refused
-	case max(ends.counted, ends.all) >= m.threshold()-1:
+	case max(ends.counted, ends.all) >= m.holdThreshold():
 		return Held
 	default:
 		return Allowed
