Let a stream that has begun wait while it is held

What callers saw: nothing yet; found by reading what the hold does to streams. Cause: a held request waits until it would no longer be started. A stream that goes on at another runner after a crash is past that time, so it was broken off at once, though its content or a part may be cleared within milliseconds. Change: such a stream waits as long as its client does, as for a runner. Measured: TestBegunStreamWasAbortedWhileHeld failed before and passes.

--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -181,7 +181,12 @@
 		return true, false
 	}
 	j.dispatcher.Fleet.Release(choice, j.query)
-	if retryAfter > time.Until(j.latestStart()) {
+	until := j.latestStart()
+	if j.stream != nil {
+		// A stream that has begun waits as long as its client does.
+		until = j.deadline
+	}
+	if retryAfter > time.Until(until) {
 		j.end(ctx, j.crashSuspected(decision, retryAfter))
 		return false, false
 	}
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -104,3 +104,36 @@
 type activeQuarantine struct{ *quarantineStub }
 
 func (q *activeQuarantine) Idle() bool { return false }
+
+// heldQuarantine holds all requests and grants no trial.
+type heldQuarantine struct{ *activeQuarantine }
+
+func (q *heldQuarantine) Check(content poison.Identity, _ []poison.Identity) quarantine.Decision {
+	return quarantine.Decision{Verdict: poison.Held, Held: []poison.Identity{content}}
+}
+
+func (q *heldQuarantine) Trial(context.Context, []poison.Identity) (bool, time.Duration) {
+	return false, 10 * time.Millisecond
+}
+
+// TestBegunStreamWasAbortedWhileHeld: a stream that has begun and is held when it is to go on elsewhere waits as long
+// as its client does, also after the time in which requests are started; others are refused then.
+func TestBegunStreamWasAbortedWhileHeld(t *testing.T) {
+	for _, begun := range []bool{true, false} {
+		j, written := hedgedJob(t, answers("first"), answers("second"))
+		j.dispatcher.Quarantine = &heldQuarantine{&activeQuarantine{&quarantineStub{}}}
+		j.deadline = time.Now().Add(time.Second)
+		j.request.Arrived = j.deadline.Add(-time.Minute)
+		if begun {
+			j.stream = &clientStream{}
+		}
+		choice, chosen := j.choose(t.Context())
+		assert.Assert(t, chosen)
+		ready, again := j.beginTrial(t.Context(), choice)
+		assert.Assert(t, !ready)
+		assert.Equal(t, again, begun)
+		if !begun {
+			assert.Equal(t, written.Code, http.StatusServiceUnavailable)
+		}
+	}
+}
