Put verdicts of marks into a file of their own, and take out what nothing uses

Cause: reading the change as a newcomer: marks.go did two jobs, the dispatcher knew the quarantine only for a type, Tally.Discount had no caller, and a test set up by hand what another one had a function for. Change: poison.Decision, Verdict, Marks.Check and Judge in verdict.go; Discount is part of Strike; the test of refusals uses oneRunnerJob. No behaviour changes.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -17,7 +17,6 @@
 	"lilacvane/internal/origin"
 	"lilacvane/internal/overload"
 	"lilacvane/internal/poison"
-	"lilacvane/internal/quarantine"
 	"lilacvane/internal/retry"
 	"lilacvane/internal/tenant"
 	"lilacvane/internal/upstream"
@@ -91,7 +90,7 @@
 	// Idle reports that no such request is known, so that no content identity needs to be computed.
 	Idle() bool
 	// Check decides whether a request with a content and the parts of its prompt may be sent to a runner.
-	Check(content poison.Identity, parts []poison.Identity) quarantine.Decision
+	Check(content poison.Identity, parts []poison.Identity) poison.Decision
 	// Trial asks to send a request that is held to one runner. If that is not granted, retryAfter is when
 	// to ask again. TrialEnded says that the trial is over and showed nothing.
 	Trial(ctx context.Context, held []poison.Identity) (granted bool, retryAfter time.Duration)
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -14,7 +14,6 @@
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/poison"
-	"lilacvane/internal/quarantine"
 )
 
 // contentIdentity returns the digest of what all attempts of the request have in common. It is
@@ -144,7 +143,7 @@
 const stepQuarantine = "check quarantine"
 
 // crashSuspected returns the refusal of a request that may be cleared by then.
-func (j *job) crashSuspected(decision quarantine.Decision, retryAfter time.Duration) *fault.Error {
+func (j *job) crashSuspected(decision poison.Decision, retryAfter time.Duration) *fault.Error {
 	return fault.New(fault.CodeCrashSuspected, stepQuarantine, "%s", decision.Mark.Describe(j.common(decision.Mark))).WithRetryAfter(retryAfter)
 }
 
@@ -157,9 +156,9 @@
 }
 
 // quarantineDecision returns whether the request may be sent to a runner of the unit.
-func (j *job) quarantineDecision(unit backend.Unit) quarantine.Decision {
+func (j *job) quarantineDecision(unit backend.Unit) poison.Decision {
 	if !j.quarantineActive() {
-		return quarantine.Decision{}
+		return poison.Decision{}
 	}
 	return j.dispatcher.Quarantine.Check(j.identityFor(unit), j.partIdentities())
 }
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -14,7 +14,6 @@
 	"lilacvane/internal/config"
 	"lilacvane/internal/crash"
 	"lilacvane/internal/poison"
-	"lilacvane/internal/quarantine"
 )
 
 // quarantineStub refuses all requests once refuses is set.
@@ -27,11 +26,11 @@
 
 func (q *quarantineStub) Controlled(string, []string) {}
 
-func (q *quarantineStub) Check(poison.Identity, []poison.Identity) quarantine.Decision {
+func (q *quarantineStub) Check(poison.Identity, []poison.Identity) poison.Decision {
 	if !q.refuses.Load() {
-		return quarantine.Decision{}
+		return poison.Decision{}
 	}
-	return quarantine.Decision{Verdict: poison.Refused, Mark: poison.Mark{Since: time.Now()}}
+	return poison.Decision{Verdict: poison.Refused, Mark: poison.Mark{Since: time.Now()}}
 }
 
 func (q *quarantineStub) Trial(context.Context, []poison.Identity) (bool, time.Duration) {
@@ -108,8 +107,8 @@
 // heldQuarantine holds all requests and grants no trial.
 type heldQuarantine struct{ *activeQuarantine }
 
-func (q *heldQuarantine) Check(content poison.Identity, _ []poison.Identity) quarantine.Decision {
-	return quarantine.Decision{Verdict: poison.Held, Held: []poison.Identity{content}}
+func (q *heldQuarantine) Check(content poison.Identity, _ []poison.Identity) poison.Decision {
+	return poison.Decision{Verdict: poison.Held, Held: []poison.Identity{content}}
 }
 
 func (q *heldQuarantine) Trial(context.Context, []poison.Identity) (bool, time.Duration) {
--- a/internal/dispatch/retry_test.go
+++ b/internal/dispatch/retry_test.go
@@ -6,15 +6,8 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
-
-	"lilacvane/internal/backend"
-	"lilacvane/internal/config"
-	"lilacvane/internal/fleet"
-	"lilacvane/internal/retry"
-	"lilacvane/internal/upstream"
 )
 
 // TestOnlyRunnerIsTriedAgainAfterItsRefusal: the only runner of a model states that it did not run
@@ -46,16 +39,7 @@
 				_, _ = w.Write([]byte("whole"))
 			}))
 			defer runner.Close()
-			runnerFleet := fleet.New("zone", time.Now, noRules{})
-			runnerFleet.Replace([]backend.Runner{{ID: "r1", Service: "s", Slots: 1, Address: strings.TrimPrefix(runner.URL, "http://"), Models: []backend.Holding{{Model: "alpha"}}}}, false)
-			names := upstream.HeaderNames{RequestID: "X-Id", Deadline: "X-Deadline", ExpectRunner: "X-Runner", Signature: "X-Signature", NotRun: "X-Not-Run", Urgency: "X-Urgency"}
-			written := httptest.NewRecorder()
-			j := waitingFor(runnerFleet, 10*time.Second)
-			j.dispatcher.Pool, j.dispatcher.Headers = upstream.NewPool(names), names
-			j.dispatcher.Retries = retry.Limits{Ratio: 1, Slack: 100, Window: time.Second}
-			j.writer = written
-			j.route = &config.Route{Kind: config.Unsafe, Attempts: 2, Objective: 3 * time.Second}
-			j.request = &Request{ID: "1", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Arrived: time.Now()}
+			j, written := oneRunnerJob(strings.TrimPrefix(runner.URL, "http://"))
 			for j.attempt(t.Context()) {
 			}
 			assert.Equal(t, written.Code, test.status, "%s", written.Body)
--- a/internal/poison/marks.go
+++ b/internal/poison/marks.go
@@ -33,35 +33,6 @@
 // Refused reports whether enough ends count for a request to be refused that has never succeeded.
 func (m Mark) Refused() bool { return len(m.Runners) >= RefuseThreshold }
 
-// evidence is how many ends of a mark count, and, of a content, how many are known.
-type evidence struct{ counted, all int }
-
-// evidence returns the ends of the mark, up to the most that matter.
-func (m Mark) evidence() evidence {
-	e := evidence{counted: min(len(m.Runners), m.threshold())}
-	if !m.Request.IsPart() {
-		e.all = min(len(m.All()), m.threshold())
-	}
-	return e
-}
-
-// threshold returns how many ends must count for the request to be refused. One that has once succeeded must
-// have failed two trials.
-func (m Mark) threshold() int {
-	if m.Cleared {
-		return RefuseThreshold + 2
-	}
-	return RefuseThreshold
-}
-
-// holdThreshold returns how many ends must be known for the request to be held.
-func (m Mark) holdThreshold() int {
-	if m.Cleared {
-		return RefuseThreshold
-	}
-	return SuspectThreshold
-}
-
 // Provisional reports whether running attempts may still lift the mark.
 func (m Mark) Provisional(now time.Time) bool { return now.Sub(m.Since) < ProvisionalPeriod }
 
@@ -172,44 +143,6 @@
 	return len(left) >= SuspectThreshold
 }
 
-// Verdict says whether a request may be sent to a runner.
-type Verdict uint8
-
-// The verdicts, each stricter than the one before.
-const (
-	// Allowed means that it may be sent.
-	Allowed Verdict = iota
-	// Held means that it may be sent to one runner, while nothing else with the same content or part is
-	// under way: the end of that runner is no coincidence, and a success clears it.
-	Held
-	// Refused means that it must not be sent.
-	Refused
-)
-
-// Judge returns the verdict on a request that holds the given contents and parts by one of their marks.
-func (m *Marks) Judge(mark Mark, holds []Identity) Verdict {
-	if mark.Request.IsPart() && !m.Blamed(mark, holds, mark.Cleared) {
-		return Allowed
-	}
-	return mark.verdict()
-}
-
-// Denies reports whether the mark by itself refuses requests.
-func (m Mark) Denies() bool { return m.verdict() == Refused }
-
-// verdict is Judge without other marks.
-func (m Mark) verdict() Verdict {
-	ends := m.evidence()
-	switch {
-	case ends.counted >= m.threshold():
-		return Refused
-	case max(ends.counted, ends.all) >= m.holdThreshold():
-		return Held
-	default:
-		return Allowed
-	}
-}
-
 // Control notes that a request of a service succeeded that holds these parts, and returns findings of the
 // suspected parts that it does not hold and that were not controlled before.
 func (m *Marks) Control(service string, holds []Identity) []Finding {
--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -154,26 +154,6 @@
 	if len(runners) == 0 {
 		return
 	}
-	t.discount(request, runners, now).cleared = true
-	t.trim(now)
-}
-
-// Cleared reports whether the request has succeeded since an end under it was known, or an operator lifted
-// it.
-func (t *Tally) Cleared(request Identity) bool {
-	known := t.entries[request]
-	return known != nil && known.cleared
-}
-
-// Discount makes the ends of some runners no longer count for a request, because something else explains
-// them.
-func (t *Tally) Discount(request Identity, runners []string, now time.Time) {
-	t.discount(request, runners, now)
-	t.trim(now)
-}
-
-// discount is Discount for a caller that needs the request's entry.
-func (t *Tally) discount(request Identity, runners []string, now time.Time) *entry {
 	known := t.entries[request]
 	if known == nil {
 		known = &entry{found: Finding{Request: request}}
@@ -186,8 +166,15 @@
 	}
 	known.struck = known.struck[max(len(known.struck)-maxEnds, 0):]
 	known.found = known.found.Without(func(runner string) bool { return slices.Contains(runners, runner) })
-	known.lastCrash = now
-	return known
+	known.cleared, known.lastCrash = true, now
+	t.trim(now)
+}
+
+// Cleared reports whether the request has succeeded since an end under it was known, or an operator lifted
+// it.
+func (t *Tally) Cleared(request Identity) bool {
+	known := t.entries[request]
+	return known != nil && known.cleared
 }
 
 // Runners returns the runners whose ends count for a request.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -138,33 +138,9 @@
 	return mark, known && mark.Refused() && !mark.Expired(time.Now())
 }
 
-// Decision is what the marks say of a request.
-type Decision struct {
-	Verdict poison.Verdict
-	// Mark is the one that the verdict is by.
-	Mark poison.Mark
-	// Held are the content and the parts that are held.
-	Held []poison.Identity
-}
-
 // Check decides whether a request with a content and the parts of its prompt may be sent to a runner.
-func (q *Quarantine) Check(content poison.Identity, parts []poison.Identity) Decision {
-	var decision Decision
-	holds := append([]poison.Identity{content}, parts...)
-	for _, identity := range holds {
-		mark, known := q.marks.Find(identity)
-		if !known || mark.Expired(time.Now()) {
-			continue
-		}
-		verdict := q.marks.Judge(mark, holds)
-		if verdict == poison.Held {
-			decision.Held = append(decision.Held, identity)
-		}
-		if verdict > decision.Verdict {
-			decision.Verdict, decision.Mark = verdict, mark
-		}
-	}
-	return decision
+func (q *Quarantine) Check(content poison.Identity, parts []poison.Identity) poison.Decision {
+	return q.marks.Check(append([]poison.Identity{content}, parts...), time.Now())
 }
 
 // CountRefused returns the number of refused requests.
