--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -63,7 +63,7 @@
 	}
 	result, err := j.exchange(ctx, choice, takeover)
 	result.sent, result.trial = start, j.trial != nil
-	j.endTrial(err)
+	j.endTrial(choice.Runner.ID, err)
 	if errors.Is(err, errNotAdmitted) {
 		return j.endUnsent(ctx, choice, result, err)
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -91,10 +91,10 @@
 	Idle() bool
 	// Check decides whether a request with a content and the parts of its prompt may be sent to a runner.
 	Check(content poison.Identity, parts []poison.Identity) poison.Decision
-	// Trial asks to send a request that is held to one runner. If that is not granted, retryAfter is when
-	// to ask again. TrialEnded says that the trial is over and showed nothing.
-	Trial(ctx context.Context, held []poison.Identity) (granted bool, retryAfter time.Duration)
-	TrialEnded(held []poison.Identity)
+	// Trial asks to send a request that is held to a runner. If that is not granted, retryAfter is when to
+	// ask again. TrialEnded says that the trial is over, and its runner goes on.
+	Trial(ctx context.Context, held []poison.Identity, runner string) (granted bool, retryAfter time.Duration)
+	TrialEnded(held []poison.Identity, runner string)
 	// Controlled reports a request of a service that succeeded, with the names of the parts of its
 	// prompt that others share.
 	Controlled(service string, parts []string)
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -173,7 +173,7 @@
 	}
 	// What clears the request meanwhile must not be missed.
 	changed := j.dispatcher.Fleet.Changed()
-	granted, retryAfter := j.dispatcher.Quarantine.Trial(ctx, decision.Held)
+	granted, retryAfter := j.dispatcher.Quarantine.Trial(ctx, decision.Held, choice.Runner.ID)
 	if granted {
 		j.trial = decision.Held
 		j.log.Info("held request tried alone", "content", decision.Mark.Request.Short(), "runner", choice.Runner.ID, "ended", decision.Mark.Runners)
@@ -198,15 +198,15 @@
 	return false, true
 }
 
-// endTrial ends the trial of an attempt, if it was one. Unless the request succeeded or may have crashed its
-// runner, another one may be tried at once.
-func (j *job) endTrial(err error) {
+// endTrial ends the trial of an attempt, if it was one. Unless the request may have crashed its runner, others
+// may be tried at once.
+func (j *job) endTrial(runner string, err error) {
 	held := j.trial
 	j.trial = nil
-	if held == nil || fault.OutcomeOf(err) == fault.Unknown || (err == nil && j.succeeded()) {
+	if held == nil || fault.OutcomeOf(err) == fault.Unknown {
 		return
 	}
-	j.dispatcher.Quarantine.TrialEnded(held)
+	j.dispatcher.Quarantine.TrialEnded(held, runner)
 }
 
 // succeeded reports whether the client got a runner's success.
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -33,11 +33,11 @@
 	return poison.Decision{Verdict: poison.Refused, Mark: poison.Mark{Since: time.Now()}}
 }
 
-func (q *quarantineStub) Trial(context.Context, []poison.Identity) (bool, time.Duration) {
+func (q *quarantineStub) Trial(context.Context, []poison.Identity, string) (bool, time.Duration) {
 	return false, time.Second
 }
 
-func (q *quarantineStub) TrialEnded([]poison.Identity) {}
+func (q *quarantineStub) TrialEnded([]poison.Identity, string) {}
 
 func (q *quarantineStub) Succeeded(poison.Identity) bool {
 	q.succeeded.Add(1)
@@ -111,7 +111,7 @@
 	return poison.Decision{Verdict: poison.Held, Held: []poison.Identity{content}}
 }
 
-func (q *heldQuarantine) Trial(context.Context, []poison.Identity) (bool, time.Duration) {
+func (q *heldQuarantine) Trial(context.Context, []poison.Identity, string) (bool, time.Duration) {
 	return false, 10 * time.Millisecond
 }
 
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -31,19 +31,29 @@
 // concurrently.
 type trials struct {
 	mutex sync.Mutex
-	// granted is when a trial was granted, asked when one was last asked for.
+	// granted is when a trial was granted, asked when one was last asked for; runners is when one was granted
+	// at a runner.
 	granted map[poison.Identity]time.Time
 	asked   map[poison.Identity]time.Time
+	runners map[string]time.Time
 }
 
-// grant grants a trial unless one with the same content or part is under way.
-func (t *trials) grant(held []poison.Identity, now time.Time) bool {
+// grant grants a trial unless one with the same content or part, or at the same runner, is under way.
+func (t *trials) grant(request wire.TrialRequest, now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.granted == nil {
-		t.granted = make(map[poison.Identity]time.Time)
+		t.granted, t.runners = make(map[poison.Identity]time.Time), make(map[string]time.Time)
 	}
-	return begin(t.granted, held, now, trialPeriod)
+	if at, taken := t.runners[request.Runner]; taken && now.Sub(at) < trialPeriod {
+		return false
+	}
+	if !begin(t.granted, request.Requests, now, trialPeriod) {
+		return false
+	}
+	maps.DeleteFunc(t.runners, func(_ string, at time.Time) bool { return now.Sub(at) >= trialPeriod })
+	t.runners[request.Runner] = now
+	return true
 }
 
 // ask reports whether a trial may be asked for now; if not, after which time.
@@ -74,6 +84,13 @@
 	return true
 }
 
+// leave ends the trial at a runner that goes on.
+func (t *trials) leave(runner string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	delete(t.runners, runner)
+}
+
 // end ends the trial of a request, whose outcome is known.
 func (t *trials) end(request poison.Identity) {
 	t.mutex.Lock()
@@ -82,23 +99,24 @@
 	delete(t.asked, request)
 }
 
-// Trial asks to send a request to one runner whose content or parts are held. Of all requests with them, one
-// may be under way. If it is not granted, retryAfter is when to ask again.
-func (q *Quarantine) Trial(ctx context.Context, held []poison.Identity) (granted bool, retryAfter time.Duration) {
+// Trial asks to send a request to a runner whose content or parts are held. Of all requests with them, one may
+// be under way, and one trial at a runner: its end would be blamed on each. If it is not granted, retryAfter
+// is when to ask again.
+func (q *Quarantine) Trial(ctx context.Context, held []poison.Identity, runner string) (granted bool, retryAfter time.Duration) {
 	if after, ok := q.trials.ask(held, time.Now()); !ok {
 		return false, after
 	}
-	return q.askTrial(ctx, wire.TrialRequest{Requests: held}).Granted, trialPause
+	return q.askTrial(ctx, wire.TrialRequest{Requests: held, Runner: runner}).Granted, trialPause
 }
 
-// TrialEnded says that a trial is over that showed nothing.
-func (q *Quarantine) TrialEnded(held []poison.Identity) {
+// TrialEnded says that a trial is over whose runner goes on.
+func (q *Quarantine) TrialEnded(held []poison.Identity, runner string) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if q.ctx.Err() != nil {
 		return
 	}
-	q.calls.Go(func() { q.askTrial(q.ctx, wire.TrialRequest{Requests: held, Ended: true}) })
+	q.calls.Go(func() { q.askTrial(q.ctx, wire.TrialRequest{Requests: held, Runner: runner, Ended: true}) })
 }
 
 // askTrial sends the question to the first node that answers of those that all nodes ask in the same order.
@@ -136,6 +154,7 @@
 // GrantTrial decides on the trial that a node asks for.
 func (q *Quarantine) GrantTrial(request wire.TrialRequest) wire.TrialAnswer {
 	if request.Ended {
+		q.trials.leave(request.Runner)
 		for _, identity := range request.Requests {
 			q.trials.end(identity)
 		}
@@ -150,5 +169,5 @@
 			return wire.TrialAnswer{}
 		}
 	}
-	return wire.TrialAnswer{Granted: q.trials.grant(request.Requests, time.Now())}
+	return wire.TrialAnswer{Granted: q.trials.grant(request, time.Now())}
 }
--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -27,7 +27,7 @@
 		if decision.Verdict != poison.Held {
 			continue
 		}
-		if ok, _ := g.nodes[address].Trial(t.Context(), decision.Held); ok {
+		if ok, _ := g.nodes[address].Trial(t.Context(), decision.Held, "trial at "+address); ok {
 			granted++
 		}
 	}
@@ -52,7 +52,7 @@
 				assert.Equal(t, g.tryAll(t), 1)
 				time.Sleep(trialPause)
 				assert.Equal(t, g.tryAll(t), 0)
-				g.nodes[g.order[7]].TrialEnded([]poison.Identity{request})
+				g.nodes[g.order[7]].TrialEnded([]poison.Identity{request}, "any")
 				synctest.Wait()
 				time.Sleep(trialPause)
 				assert.Equal(t, g.tryAll(t), 1, "a trial that showed nothing")
@@ -99,3 +99,24 @@
 		assert.Equal(t, g.nodes[g.order[9]].Check(request, nil).Verdict, poison.Refused)
 	})
 }
+
+// TestTrialsAtOneRunnerWereAllBlamed: two contents were tried at the same runner at the same time, which one of them
+// crashed, and both were refused. One trial at a runner may be under way.
+func TestTrialsAtOneRunnerWereAllBlamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 12)
+		other := poison.Content{Path: "/other"}.Identity()
+		first, second := g.nodes[g.order[5]], g.nodes[g.order[6]]
+		ask := func(q *Quarantine, request poison.Identity, runner string) bool {
+			time.Sleep(trialPause)
+			granted, _ := q.Trial(t.Context(), []poison.Identity{request}, runner)
+			return granted
+		}
+		assert.Assert(t, ask(first, request, "r1"))
+		assert.Assert(t, !ask(second, other, "r1"))
+		assert.Assert(t, ask(second, other, "r2"))
+		first.TrialEnded([]poison.Identity{request}, "r1")
+		synctest.Wait()
+		assert.Assert(t, ask(first, request, "r1"))
+	})
+}
--- a/internal/quarantine/waves_test.go
+++ b/internal/quarantine/waves_test.go
@@ -125,12 +125,14 @@
 	q := w.nodes[w.order[random.IntN(waveNodes)]]
 	content, identity := poison.Content{Path: name}.Identity(), poison.PartIdentity("s", part.name)
 	runner := random.IntN(waveRunners)
-	trial, refused := w.refuses(q, part, identity, content)
+	w.mutex.Lock()
+	ended, incarnation := w.ended[runner], w.names[runner]
+	w.mutex.Unlock()
+	trial, refused := w.refuses(q, part, identity, content, incarnation)
 	if refused {
 		return
 	}
 	w.mutex.Lock()
-	ended, incarnation := w.ended[runner], w.names[runner]
 	w.sent[part.name]++
 	w.mutex.Unlock()
 	sentAt := time.Now()
@@ -142,6 +144,9 @@
 	case <-ended:
 	case <-time.After(duration):
 		if !part.guilty {
+			if trial {
+				q.TrialEnded([]poison.Identity{content, identity}, incarnation)
+			}
 			q.Controlled("s", []string{part.name})
 			q.Succeeded(content)
 			q.Succeeded(identity)
@@ -164,11 +169,11 @@
 
 // refuses reports whether a node does not send a request, and counts it if it is denied for good. trial is set
 // if it is sent as a trial.
-func (w *waves) refuses(q *Quarantine, part wavePart, identity, content poison.Identity) (trial, refused bool) {
+func (w *waves) refuses(q *Quarantine, part wavePart, identity, content poison.Identity, runner string) (trial, refused bool) {
 	decision := q.Check(content, []poison.Identity{identity})
 	switch decision.Verdict {
 	case poison.Held:
-		granted, _ := q.Trial(context.Background(), decision.Held)
+		granted, _ := q.Trial(context.Background(), decision.Held, runner)
 		return granted, !granted
 	case poison.Refused:
 		if !decision.Mark.Provisional(time.Now()) {
--- a/internal/wire/poison.go
+++ b/internal/wire/poison.go
@@ -17,8 +17,10 @@
 type TrialRequest struct {
 	// Requests are the content and the parts that are held.
 	Requests []poison.Identity `cbor:"1,keyasint"`
-	// Ended says that the trial that was granted before is over and showed nothing.
+	// Ended says that the trial that was granted before is over, and its runner goes on.
 	Ended bool `cbor:"2,keyasint,omitempty"`
+	// Runner identifies the incarnation that it is sent to.
+	Runner string `cbor:"3,keyasint"`
 }
 
 // TrialAnswer says whether a trial may begin.
