--- a/test/endless_test.go
+++ b/test/endless_test.go
@@ -19,8 +19,9 @@
 const (
 	// endlessRequests is how many requests get bytes without end at a node at the same time.
 	endlessRequests = 24
-	// endlessMemory is how much more memory its process may take for them, in bytes.
-	endlessMemory = 160 << 20
+	// endlessMemory is how much more memory its process may take for them, in bytes; the programs are built
+	// with the race detector if the test is.
+	endlessMemory = memoryFactor * 160 << 20
 	// endlessDeadline is how long their clients wait.
 	endlessDeadline = 4 * time.Second
 )
