Send what was held for long, as nothing proves that it is to be refused

Cause, by reading; the logs of these requests were not kept: a request that is held is refused once it has waited as long as it would for a runner, though two ends prove nothing. A trial that was lost, or granted elsewhere for long, is enough for that. Change: it is sent like any other then, as all suspects were before there were trials; its own end is the third at most. The log says so.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -250,6 +250,8 @@
 	takeover *hedge
 	// trial are the content and the parts that are held, while the request is tried alone; nil if it is not.
 	trial []poison.Identity
+	// heldLong is set once the request was held for as long as it may wait.
+	heldLong bool
 	// heldFailure is a runner's failure held back while another runner is tried.
 	heldFailure *bufferedAnswer
 	// queuedAhead is how many requests waited for the end of a runner's rest before this one,
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -54,7 +54,7 @@
 // refusedNow reports whether the request must not be sent to a runner of the unit, but for a trial.
 func (j *job) refusedNow(unit backend.Unit) bool {
 	verdict := j.quarantineDecision(unit).Verdict
-	return verdict == poison.Refused || (verdict == poison.Held && j.trial == nil)
+	return verdict == poison.Refused || (verdict == poison.Held && j.trial == nil && !j.heldLong)
 }
 
 // callerID identifies the caller: by its tenant, as that keeps its name when it gets another key,
@@ -164,11 +164,11 @@
 }
 
 // beginTrial prepares an attempt at a runner that was chosen: a request that is held needs a trial. Without
-// one the runner is released, and the request waits for the outcome of the trial that is under way, as long
-// as it would for a runner.
+// one the runner is released, and the request waits for the outcome of the trial that is under way. Once it has
+// waited as long as it would for a runner, it is sent like any other: nothing proves that it is to be refused.
 func (j *job) beginTrial(ctx context.Context, choice fleet.Choice) (ready, again bool) {
 	decision := j.quarantineDecision(j.query.Unit)
-	if decision.Verdict != poison.Held {
+	if decision.Verdict != poison.Held || j.heldLong {
 		return true, false
 	}
 	// What clears the request meanwhile must not be missed.
@@ -179,16 +179,17 @@
 		j.log.Info("held request tried alone", "content", decision.Mark.Request.Short(), "runner", choice.Runner.ID, "ended", decision.Mark.Runners)
 		return true, false
 	}
-	j.dispatcher.Fleet.Release(choice, j.query)
 	until := j.latestStart()
 	if j.stream != nil {
 		// A stream that has begun waits as long as its client does.
 		until = j.deadline
 	}
 	if retryAfter > time.Until(until) {
-		j.end(ctx, j.crashSuspected(decision, retryAfter))
-		return false, false
+		j.log.Info("held request sent without a trial", "content", decision.Mark.Request.Short(), "runner", choice.Runner.ID, "ended", decision.Mark.Runners)
+		j.heldLong = true
+		return true, false
 	}
+	j.dispatcher.Fleet.Release(choice, j.query)
 	j.request.Start.End()
 	select {
 	case <-ctx.Done():
