Go by the refusal of a node that reckons other times

Callers saw: none directly; a request that ends its runners was refused at some nodes and held at others, which tried it at a fourth runner and sent it on.

Cause: ends less than 50 ms apart count once, by times that shift with the delay of each report. Ends some 50 ms apart count at one node and not at another, and no node went by the refusal of another one.

Change: the ends that a refusing node counts are marked so (Run.Counted, from Finding.Adopted); two of them count unless the times known here are less than 25 ms apart, or overlap by 50 ms.

--- a/internal/poison/ends.go
+++ b/internal/poison/ends.go
@@ -86,6 +86,19 @@
 	return f
 }
 
+// Adopted returns a finding of another node as one for this node: what that node refuses is refused here as
+// well, unless the times that are known here rule it out.
+func (f Finding) Adopted() Finding {
+	if len(f.Runners) < RefuseThreshold {
+		return f
+	}
+	f.Runs = slices.Clone(f.Runs)
+	for i := range f.Runs {
+		f.Runs[i].Counted = true
+	}
+	return f
+}
+
 // Without returns the finding without the ends of some runners.
 func (f Finding) Without(left func(runner string) bool) Finding {
 	return f.with(slices.DeleteFunc(f.ends(), func(one end) bool { return left(one.runner) }))
--- a/internal/poison/marks_test.go
+++ b/internal/poison/marks_test.go
@@ -80,3 +80,32 @@
 		marks.Empty()
 	}
 }
+
+// TestRefusalOfALateNodeWasAdopted: a node to which reports took long counted ends that others know to have been
+// at the same time. They may not refuse the request by its word; where their times leave it open, they do.
+func TestRefusalOfALateNodeWasAdopted(t *testing.T) {
+	content := Content{Path: "/x"}.Identity()
+	ended := func(ends ...time.Duration) Finding {
+		finding := Finding{Request: content}
+		for number, end := range ends {
+			finding.add([]string{"r1", "r2", "r3"}[number], runFrom(content, end-30*time.Millisecond, end))
+		}
+		return finding
+	}
+	late := ended(0, 70*time.Millisecond, 140*time.Millisecond).Adopted()
+	for name, test := range map[string]struct {
+		known Finding
+		want  Verdict
+	}{
+		"at the same time": {ended(0, 5*time.Millisecond, 10*time.Millisecond), Held},
+		"left open":        {ended(0, 45*time.Millisecond, 90*time.Millisecond), Refused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, order := range [][]Finding{{test.known, late}, {late, test.known}} {
+				marks := NewMarks()
+				marks.Put(order, start)
+				assert.Equal(t, marks.Check([]Identity{content}, start).Verdict, test.want)
+			}
+		})
+	}
+}
--- a/internal/poison/run.go
+++ b/internal/poison/run.go
@@ -12,6 +12,8 @@
 	// Trial is set if the request was held and tried alone, see Held: the end of its runner counts though
 	// attempts that began before may have overlapped it.
 	Trial bool
+	// Counted is set if a node counts the end that refuses the request: its times may be the better ones.
+	Counted bool
 }
 
 const (
@@ -23,25 +25,31 @@
 )
 
 // besides reports whether the end of a run counts only beside that of another one: both went on at the same
-// time, so that one cause may have ended them.
+// time, so that one cause may have ended them. If another node counts both, they must have done so for certain.
 func (r Run) besides(other Run) bool {
+	least, overlap := atOnce, transferError
+	if r.Counted && other.Counted {
+		least, overlap = least-transferError, overlap+transferError
+	}
 	switch {
 	case !r.known() || !other.known():
 		return false
-	case r.Ended.Sub(other.Ended).Abs() < atOnce:
+	case r.Ended.Sub(other.Ended).Abs() < least:
 		return true
 	case r.Trial || other.Trial:
 		return false
 	}
-	return r.Sent.Add(transferError).Before(other.Ended) && other.Sent.Add(transferError).Before(r.Ended)
+	return r.Sent.Add(overlap).Before(other.Ended) && other.Sent.Add(overlap).Before(r.Ended)
 }
 
 // earlier returns the run with the earlier times of two reports of the same end: the more a report was
 // delayed, the later the run seems to have been.
 func (r Run) earlier(other Run) Run {
+	counted := r.Counted || other.Counted
 	if !r.known() || (other.known() && other.Ended.Before(r.Ended)) {
-		return other
+		r = other
 	}
+	r.Counted = counted
 	return r
 }
 
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -168,7 +168,8 @@
 	findings := make([]poison.Finding, 0, len(marks))
 	for _, mark := range marks {
 		age := time.Duration(max(mark.AgeMs, 0)) * time.Millisecond
-		findings = append(findings, poison.Finding{Request: mark.Request, Runners: mark.Runners, Beside: mark.Beside, Controlled: mark.Controlled, Runs: parseRuns(mark.Runs, now), BesideRuns: parseRuns(mark.BesideRuns, now), Age: age})
+		finding := poison.Finding{Request: mark.Request, Runners: mark.Runners, Beside: mark.Beside, Controlled: mark.Controlled, Runs: parseRuns(mark.Runs, now), BesideRuns: parseRuns(mark.BesideRuns, now), Age: age}
+		findings = append(findings, finding.Adopted())
 	}
 	q.apply(findings, SourcePeer)
 	q.publish(q.merge(findings))
--- a/internal/quarantine/spread_test.go
+++ b/internal/quarantine/spread_test.go
@@ -27,6 +27,8 @@
 	gone  map[string]bool
 	calls atomic.Int64
 	bytes atomic.Int64
+	// delay returns how long a report takes to arrive; nil if it takes no time.
+	delay func() time.Duration
 }
 
 // newGroup returns a group whose nodes know each other as those of a fleet do.
@@ -79,6 +81,9 @@
 	}
 	g.calls.Add(1)
 	g.bytes.Add(int64(len(content)))
+	if g.delay != nil {
+		time.Sleep(g.delay())
+	}
 	if gone || q == nil {
 		return wire.PoisonAnswer{}, fault.New(fault.CodeNotReady, "call peer", "gone")
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -105,7 +105,8 @@
 		}
 		q.written[request] = true
 		requests = append(requests, request)
-		findings = append(findings, poison.Finding{Request: request, Runners: record.Runners, Beside: record.Beside, Runs: parseRuns(record.Runs, now), BesideRuns: parseRuns(record.BesideRuns, now)})
+		finding := poison.Finding{Request: request, Runners: record.Runners, Beside: record.Beside, Runs: parseRuns(record.Runs, now), BesideRuns: parseRuns(record.BesideRuns, now)}
+		findings = append(findings, finding.Adopted())
 	}
 	if len(findings) > 0 {
 		q.apply(findings, SourceTable)
