Keep it in the table that a part was controlled

Callers saw: none directly; runners were ended by requests with a part that other nodes refused, sent by nodes that had started again.

Cause: a part is refused only once a request without it has succeeded (Controlled). The row of a part did not say so, the digest that nodes compare did not hold it, and nobody wrote the row again: a node that started read the three ends and sent requests with the part, and told the next node that started the same.

Measured: TestStartedNodeSentPartThatOthersRefuse, three cases, failed before and pass.

--- a/internal/quarantine/control.go
+++ b/internal/quarantine/control.go
@@ -68,4 +68,5 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.apply(findings, SourceCount)
+	q.queue(findings)
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -89,7 +89,7 @@
 	// pendingWrites are the rows to write, with nil for those to remove. written are the rows in
 	// the table.
 	pendingWrites map[poison.Identity]*wire.PoisonRecord
-	written       map[poison.Identity]bool
+	written       map[poison.Identity]writtenRow
 	// due is signalled when there is something to write.
 	due chan struct{}
 
@@ -106,7 +106,7 @@
 func New(options Options) *Quarantine {
 	q := &Quarantine{
 		Options: options, marks: poison.NewMarks(), tally: poison.NewTally(), succeeded: poison.NewSuccesses(),
-		pendingWrites: make(map[poison.Identity]*wire.PoisonRecord), written: make(map[poison.Identity]bool), due: make(chan struct{}, 1),
+		pendingWrites: make(map[poison.Identity]*wire.PoisonRecord), written: make(map[poison.Identity]writtenRow), due: make(chan struct{}, 1),
 	}
 	q.ctx, q.cancel = context.WithCancel(context.Background())
 	none := ""
@@ -247,8 +247,15 @@
 		return
 	}
 	q.apply(findings, SourceCount)
+	q.queue(findings)
+}
+
+// queue queues the marks of some requests to be written. mutex is held.
+func (q *Quarantine) queue(findings []poison.Finding) {
 	for _, finding := range findings {
-		q.pendingWrites[finding.Request] = newRecord(finding)
+		if mark, known := q.marks.Find(finding.Request); known {
+			q.pendingWrites[finding.Request] = newRecord(mark.Finding)
+		}
 	}
 	q.signal()
 }
@@ -256,7 +263,7 @@
 // newRecord returns the row of a finding.
 func newRecord(finding poison.Finding) *wire.PoisonRecord {
 	now := time.Now()
-	return &wire.PoisonRecord{Runners: finding.Runners, Beside: finding.Beside, Runs: wireRuns(finding.Runs, now), BesideRuns: wireRuns(finding.BesideRuns, now)}
+	return &wire.PoisonRecord{Runners: finding.Runners, Beside: finding.Beside, Runs: wireRuns(finding.Runs, now), BesideRuns: wireRuns(finding.BesideRuns, now), Controlled: finding.Controlled}
 }
 
 // apply marks the requests of findings, without crashes that no longer count. The neighbors are told of
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -78,7 +78,7 @@
 	_, err := q.write(t.Context())
 	assert.NilError(t, err)
 	q.mutex.Lock()
-	q.written[request] = true
+	q.written[request] = writtenRow{}
 	q.mutex.Unlock()
 	handler := (*Handler)(q)
 	assert.DeepEqual(t, handler.Keys(), []string{request.String()})
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -24,6 +24,12 @@
 	batchSize = table.MaxEntries - table.FenceEntries
 )
 
+// writtenRow is what a node remembers of a row in the table.
+type writtenRow struct {
+	// controlled is set if the row says of a part that it was controlled, see poison.Finding.
+	controlled bool
+}
+
 // Handler applies the rows of the table of quarantined requests.
 type Handler Quarantine
 
@@ -33,7 +39,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	lifted := q.written
-	q.written = make(map[poison.Identity]bool)
+	q.written = make(map[poison.Identity]writtenRow)
 	for _, request := range q.applyRows(rows) {
 		delete(lifted, request)
 	}
@@ -103,9 +109,9 @@
 			q.Log.Error(err, "row unreadable", "step", "follow quarantine", "key", row.Key, "revision", row.Revision)
 			continue
 		}
-		q.written[request] = true
+		q.written[request] = writtenRow{controlled: record.Controlled}
 		requests = append(requests, request)
-		finding := poison.Finding{Request: request, Runners: record.Runners, Beside: record.Beside, Runs: parseRuns(record.Runs, now), BesideRuns: parseRuns(record.BesideRuns, now)}
+		finding := poison.Finding{Request: request, Runners: record.Runners, Beside: record.Beside, Runs: parseRuns(record.Runs, now), BesideRuns: parseRuns(record.BesideRuns, now), Controlled: record.Controlled}
 		findings = append(findings, finding.Adopted())
 	}
 	if len(findings) > 0 {
@@ -193,12 +199,13 @@
 }
 
 // repair writes the marks that the table lacks, as the node that found them may have ended before it
-// wrote them, and removes rows whose crashes no longer count. mutex is held.
+// wrote them, and those whose rows don't say that they were controlled, and removes rows whose crashes no longer count. mutex is held.
 func (q *Quarantine) repair() {
 	for _, mark := range q.refused() {
-		if _, pending := q.pendingWrites[mark.Request]; !pending && !q.written[mark.Request] {
-			q.pendingWrites[mark.Request] = newRecord(mark.Finding)
-			q.signal()
+		_, pending := q.pendingWrites[mark.Request]
+		before, written := q.written[mark.Request]
+		if !pending && (!written || before.controlled != mark.Controlled) {
+			q.queue([]poison.Finding{mark.Finding})
 		}
 	}
 	for request := range q.written {
--- a/internal/wire/poison.go
+++ b/internal/wire/poison.go
@@ -129,6 +129,8 @@
 	Runs   []Run    `cbor:"3,keyasint,omitempty"`
 	// BesideRuns is as in PoisonMark.
 	BesideRuns []Run `cbor:"4,keyasint,omitempty"`
+	// Controlled is as in poison.Finding.
+	Controlled bool `cbor:"5,keyasint,omitempty"`
 }
 
 // PoisonStatus is what a node knows about a request under which runners crashed.
