Write rows of refused requests as known when they are written

Callers saw: none directly; a node that had started sent requests with a part that had been held.

Cause: a node encoded a row when it queued it. If the store took its time, the row overwrote one that said more: that a part was controlled, or which ends count; its ages were those of the queueing.

Change: the queue holds what to do; the row is made from the mark when it is written.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -86,9 +86,9 @@
 	reportedToken uint64
 	// witnessed are the recent crashes under this node's own requests.
 	witnessed []witnessedCrash
-	// pendingWrites are the rows to write, with nil for those to remove. written are the rows in
+	// pendingWrites are the rows to write or to remove. written are the rows in
 	// the table.
-	pendingWrites map[poison.Identity]*wire.PoisonRecord
+	pendingWrites map[poison.Identity]change
 	written       map[poison.Identity]writtenRow
 	// due is signalled when there is something to write.
 	due chan struct{}
@@ -106,7 +106,7 @@
 func New(options Options) *Quarantine {
 	q := &Quarantine{
 		Options: options, marks: poison.NewMarks(), tally: poison.NewTally(), succeeded: poison.NewSuccesses(),
-		pendingWrites: make(map[poison.Identity]*wire.PoisonRecord), written: make(map[poison.Identity]writtenRow), due: make(chan struct{}, 1),
+		pendingWrites: make(map[poison.Identity]change), written: make(map[poison.Identity]writtenRow), due: make(chan struct{}, 1),
 	}
 	q.ctx, q.cancel = context.WithCancel(context.Background())
 	none := ""
@@ -168,7 +168,7 @@
 	q.unreported.Struck = newest(append(q.unreported.Struck, struck))
 	if marked {
 		q.Log.Info("request no longer suspected of ending runners", "content", request.Short(), "reason", "an attempt of it succeeded", "runners", struck.Runners)
-		q.pendingWrites[request] = nil
+		q.pendingWrites[request] = remove
 		q.signal()
 		q.tellNeighbors(wire.PoisonReport{Struck: []wire.CrashesStruck{struck}})
 	}
@@ -253,17 +253,15 @@
 // queue queues the marks of some requests to be written. mutex is held.
 func (q *Quarantine) queue(findings []poison.Finding) {
 	for _, finding := range findings {
-		if mark, known := q.marks.Find(finding.Request); known {
-			q.pendingWrites[finding.Request] = newRecord(mark.Finding)
-		}
+		q.pendingWrites[finding.Request] = put
 	}
 	q.signal()
 }
 
 // newRecord returns the row of a finding.
-func newRecord(finding poison.Finding) *wire.PoisonRecord {
+func newRecord(finding poison.Finding) wire.PoisonRecord {
 	now := time.Now()
-	return &wire.PoisonRecord{Runners: finding.Runners, Beside: finding.Beside, Runs: wireRuns(finding.Runs, now), BesideRuns: wireRuns(finding.BesideRuns, now), Controlled: finding.Controlled}
+	return wire.PoisonRecord{Runners: finding.Runners, Beside: finding.Beside, Runs: wireRuns(finding.Runs, now), BesideRuns: wireRuns(finding.BesideRuns, now), Controlled: finding.Controlled}
 }
 
 // apply marks the requests of findings, without crashes that no longer count. The neighbors are told of
@@ -324,7 +322,7 @@
 // lift removes a request at all nodes. mutex is held.
 func (q *Quarantine) lift(request poison.Identity) {
 	struck := q.forget(request)
-	q.pendingWrites[request] = nil
+	q.pendingWrites[request] = remove
 	q.signal()
 	q.tellNeighbors(wire.PoisonReport{Struck: []wire.CrashesStruck{struck}})
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -20,6 +20,8 @@
 	table.Table
 	down bool
 	rows map[string]bool
+	// values are the values of the rows that were written.
+	values map[string][]byte
 }
 
 func (w *tableStub) Commit(_ context.Context, transaction table.Transaction) (table.Revision, error) {
@@ -28,6 +30,10 @@
 	}
 	for _, row := range transaction.Writes {
 		w.rows[row.Key] = !row.Delete
+		if w.values == nil {
+			w.values = make(map[string][]byte)
+		}
+		w.values[row.Key] = row.Value
 	}
 	return 1, nil
 }
--- a/internal/quarantine/restart_test.go
+++ b/internal/quarantine/restart_test.go
@@ -25,6 +25,32 @@
 	}
 }
 
+// written lets the nodes write the rows that they queued, and returns that of a request by each node that wrote it.
+func (g *group) written(t *testing.T, request poison.Identity) (values [][]byte) {
+	t.Helper()
+	for _, address := range g.order {
+		rows := g.nodes[address].Rows.(*tableStub)
+		rows.down = false
+		_, err := g.nodes[address].write(t.Context())
+		assert.NilError(t, err)
+		if rows.rows[request.String()] {
+			values = append(values, rows.values[request.String()])
+		}
+	}
+	assert.Assert(t, len(values) > 0)
+	return values
+}
+
+// checkControlled checks that all rows say that a part was controlled.
+func checkControlled(t *testing.T, values [][]byte) {
+	t.Helper()
+	for _, value := range values {
+		var row wire.PoisonRecord
+		assert.NilError(t, wire.Decode(value, "store", &row))
+		assert.Assert(t, row.Controlled)
+	}
+}
+
 // TestStartedNodeSentPartThatOthersRefuse: a node that started read from the table, or was told by another one
 // that had done so, that a part is at the ends of three runners, but not that requests without it succeed. It
 // sent what the other nodes refuse.
@@ -34,10 +60,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			g := newGroup(t, 12)
 			g.guiltyPart(part)
-			row := g.nodes[g.order[0]].pendingWrites[part]
-			assert.Assert(t, row != nil)
-			value, err := wire.Encode(*row)
-			assert.NilError(t, err)
+			value := g.written(t, part)[0]
 			started := testQuarantine(&tableStub{rows: make(map[string]bool)})
 			(*Handler)(started).ApplySnapshot([]feed.Row{{Key: part.String(), Value: value}}, 0)
 			assert.Assert(t, blamed(started, part))
@@ -67,9 +90,25 @@
 			delete(holder.pendingWrites, part)
 			holder.written[part] = writtenRow{}
 			holder.repair()
-			row := holder.pendingWrites[part]
 			holder.mutex.Unlock()
-			assert.Assert(t, row != nil && row.Controlled)
+			checkControlled(t, g.written(t, part))
 		})
 	})
 }
+
+// TestLateRowForgotThatAPartWasControlled: a node wrote the row of a part once the store was back, as the part was known
+// when the row was queued, over the row of a node that had seen it controlled.
+func TestLateRowForgotThatAPartWasControlled(t *testing.T) {
+	part := poison.PartIdentity("s", "guilty")
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 12)
+		for node := range 2 {
+			g.crashUnderParts(1+node, []string{"r1", "r2"}[node], part)
+			synctest.Wait()
+			time.Sleep(time.Second)
+		}
+		g.nodes[g.order[5]].Controlled("s", []string{"other"})
+		synctest.Wait()
+		checkControlled(t, g.written(t, part))
+	})
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -24,6 +24,15 @@
 	batchSize = table.MaxEntries - table.FenceEntries
 )
 
+// change is what to do with a row.
+type change uint8
+
+// The changes.
+const (
+	put change = iota
+	remove
+)
+
 // writtenRow is what a node remembers of a row in the table.
 type writtenRow struct {
 	// controlled is set if the row says of a part that it was controlled, see poison.Finding.
@@ -210,7 +219,7 @@
 	}
 	for request := range q.written {
 		if _, marked := q.marks.Find(request); !marked && len(q.tally.Struck(request)) > 0 {
-			q.pendingWrites[request] = nil
+			q.pendingWrites[request] = remove
 			q.signal()
 		}
 	}
@@ -231,47 +240,62 @@
 	if len(writes) == 0 {
 		return false, nil
 	}
-	var transaction table.Transaction
-	for request, record := range writes {
-		row := table.Write{Key: request.String(), Delete: record == nil}
-		if record != nil {
-			if row.Value, err = wire.Encode(*record); err != nil {
-				return false, err
-			}
-		}
-		transaction.Writes = append(transaction.Writes, row)
+	rows, err := q.rows(writes)
+	if err != nil || len(rows) == 0 {
+		return err == nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	if _, err := q.Rows.Commit(ctx, transaction); err != nil {
+	if _, err := q.Rows.Commit(ctx, table.Transaction{Writes: rows}); err != nil {
 		q.requeue(writes)
 		return true, fault.From(err, "write quarantine")
 	}
 	return true, nil
 }
 
+// rows returns the rows to write, by what is known now: a write may have waited for the store.
+func (q *Quarantine) rows(writes map[poison.Identity]change) ([]table.Write, error) {
+	rows := make([]table.Write, 0, len(writes))
+	for request, change := range writes {
+		if change == remove {
+			rows = append(rows, table.Write{Key: request.String(), Delete: true})
+			continue
+		}
+		mark, known := q.marks.Find(request)
+		if !known {
+			continue
+		}
+		value, err := wire.Encode(newRecord(mark.Finding))
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, table.Write{Key: request.String(), Value: value})
+	}
+	return rows, nil
+}
+
 // takeWrites removes at most batchSize pending writes from the queue and returns them.
-func (q *Quarantine) takeWrites() map[poison.Identity]*wire.PoisonRecord {
+func (q *Quarantine) takeWrites() map[poison.Identity]change {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	writes := make(map[poison.Identity]*wire.PoisonRecord)
-	for request, record := range q.pendingWrites {
+	writes := make(map[poison.Identity]change)
+	for request, change := range q.pendingWrites {
 		if len(writes) == batchSize {
 			break
 		}
-		writes[request] = record
+		writes[request] = change
 		delete(q.pendingWrites, request)
 	}
 	return writes
 }
 
 // requeue queues failed writes again, unless newer ones for the same request are pending.
-func (q *Quarantine) requeue(writes map[poison.Identity]*wire.PoisonRecord) {
+func (q *Quarantine) requeue(writes map[poison.Identity]change) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	for request, record := range writes {
+	for request, change := range writes {
 		if _, newer := q.pendingWrites[request]; !newer {
-			q.pendingWrites[request] = record
+			q.pendingWrites[request] = change
 		}
 	}
 }
