Hold a part whose ends contents explain only in part

Callers saw: runners that ended under their requests: a part that was refused became allowed again, and all requests with it that waited were sent at once.

Cause: a mark did not apply at all while other marks explained its ends but for one. Contents that were refused later lifted the refusal of a part that shared two of its three ends.

Change: Judge holds such a part: one trial at a time decides. A part all of whose ends are explained is allowed as before.

--- a/internal/poison/marks.go
+++ b/internal/poison/marks.go
@@ -124,6 +124,18 @@
 	if !part.Controlled {
 		return false
 	}
+	left := m.unexplained(part, holds, cleared)
+	if slices.ContainsFunc(left, part.endedTrial) {
+		return true
+	}
+	if cleared {
+		return len(left) >= RefuseThreshold
+	}
+	return len(left) >= SuspectThreshold
+}
+
+// unexplained returns the ends of a part that marks which a request does not hold leave unexplained, see Blamed.
+func (m *Marks) unexplained(part Mark, holds []Identity, cleared bool) []string {
 	left := slices.Clone(part.Runners)
 	for _, other := range *m.current.Load() {
 		explains := cleared || len(other.Runners) >= len(part.Runners)
@@ -134,13 +146,7 @@
 			return slices.Contains(other.All(), runner) && (!part.endedTrial(runner) || other.endedTrial(runner))
 		})
 	}
-	if slices.ContainsFunc(left, part.endedTrial) {
-		return true
-	}
-	if cleared {
-		return len(left) >= RefuseThreshold
-	}
-	return len(left) >= SuspectThreshold
+	return left
 }
 
 // Control notes that a request of a service succeeded that holds these parts, and returns findings of the
--- a/internal/poison/trial_test.go
+++ b/internal/poison/trial_test.go
@@ -44,3 +44,24 @@
 		})
 	}
 }
+
+// TestRefusedPartWasSentOnceContentsExplainedIt: a part was refused by three ends, two of which two contents explained
+// once they were refused as well. All requests with the part that waited were sent at once.
+func TestRefusedPartWasSentOnceContentsExplainedIt(t *testing.T) {
+	part, content := PartIdentity("s", "guilty"), Content{Path: "/x"}.Identity()
+	ends := func(request Identity, runners ...string) Finding {
+		finding := Finding{Request: request, Controlled: true}
+		for number, runner := range runners {
+			finding.add(runner, runFrom(request, time.Duration(2*number)*time.Second, time.Duration(2*number+1)*time.Second))
+		}
+		return finding
+	}
+	marks := NewMarks()
+	check := func() Verdict { return marks.Check([]Identity{part}, start).Verdict }
+	marks.Put([]Finding{ends(part, "r1", "r2", "r3")}, start)
+	assert.Equal(t, check(), Refused)
+	marks.Put([]Finding{ends(content, "r1", "r2", "r4")}, start)
+	assert.Equal(t, check(), Held, "one end is left")
+	marks.Put([]Finding{ends(content, "r1", "r2", "r3")}, start)
+	assert.Equal(t, check(), Allowed, "none is left")
+}
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -44,12 +44,17 @@
 	return decision
 }
 
-// Judge returns the verdict on a request that holds the given contents and parts by one of their marks.
+// Judge returns the verdict on a request that holds the given contents and parts by one of their marks. A part
+// of whose ends others explain some is tried alone: the rest may be a coincidence, or the first ones were its own.
 func (m *Marks) Judge(mark Mark, holds []Identity) Verdict {
-	if mark.Request.IsPart() && !m.Blamed(mark, holds, mark.Cleared) {
+	switch {
+	case !mark.Request.IsPart() || m.Blamed(mark, holds, mark.Cleared):
+		return mark.verdict()
+	case mark.Controlled && len(m.unexplained(mark, holds, mark.Cleared)) > 0:
+		return min(mark.verdict(), Held)
+	default:
 		return Allowed
 	}
-	return mark.verdict()
 }
 
 // Denies reports whether the mark by itself refuses requests.
