Tell all nodes of later ends of a refused part

Callers saw: none directly; runners were ended by requests with a part that other nodes refused.

Cause: a mark was told on only up to the third end, and the digest that nodes compare held no ends. A part needs more where contents explain the first ones: only the nodes that counted the fourth end refused it then.

Change: all ends that count are evidence for a part; the digest holds how many a part has.

Measured: TestLaterEndOfARefusedPartWasNotTold and TestNodesThatKnowOtherEndsComparedEqual failed before (3 ends instead of 4) and pass.

--- a/internal/poison/tally_test.go
+++ b/internal/poison/tally_test.go
@@ -13,7 +13,7 @@
 var start = time.Unix(1000, 0)
 
 func testIdentity(number int) Identity {
-	return Identity{byte(number), byte(number >> 8), byte(number >> 16), byte(number >> 24), 1}
+	return Identity{byte(number), byte(number >> 8), byte(number >> 16), byte(number >> 24), 1, partTag: 1}
 }
 
 // TestRepeatedCrashesAreFound: each crash counts once, and a request involved in a single
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -78,13 +78,13 @@
 // evidence is how many ends of a mark count, and, of a content, how many are known.
 type evidence struct{ counted, all int }
 
-// evidence returns the ends of the mark, up to the most that matter.
+// evidence returns the ends of the mark, up to the most that matter: all that count of a part, as other marks may
+// explain some of them.
 func (m Mark) evidence() evidence {
-	e := evidence{counted: min(len(m.Runners), m.threshold())}
-	if !m.Request.IsPart() {
-		e.all = min(len(m.All()), m.threshold())
+	if m.Request.IsPart() {
+		return evidence{counted: len(m.Runners)}
 	}
-	return e
+	return evidence{counted: min(len(m.Runners), m.threshold()), all: min(len(m.All()), m.threshold())}
 }
 
 // threshold returns how many ends must count for the request to be refused. One that has once succeeded must
--- a/internal/quarantine/part_spread_test.go
+++ b/internal/quarantine/part_spread_test.go
@@ -80,3 +80,37 @@
 		}
 	})
 }
+
+// TestLaterEndOfARefusedPartWasNotTold: a fourth end under a part that is refused was known only to the nodes that
+// counted it. If contents explained the first ones, these refused the part, and the others sent it on.
+func TestLaterEndOfARefusedPartWasNotTold(t *testing.T) {
+	part := poison.PartIdentity("s", "guilty")
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 12)
+		g.guiltyPart(part)
+		g.crashUnderParts(6, "r4", part)
+		synctest.Wait()
+		for _, address := range g.order {
+			mark, _ := g.nodes[address].marks.Find(part)
+			assert.Equal(t, len(mark.Runners), 4, address)
+		}
+	})
+}
+
+// TestNodesThatKnowOtherEndsComparedEqual: two nodes that refuse the same part by other ends told each other nothing.
+func TestNodesThatKnowOtherEndsComparedEqual(t *testing.T) {
+	part := poison.PartIdentity("s", "guilty")
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 12)
+		g.guiltyPart(part)
+		away := g.order[8]
+		g.gone[away] = true
+		g.crashUnderParts(6, "r4", part)
+		synctest.Wait()
+		g.gone[away] = false
+		g.nodes[away].exchange()
+		synctest.Wait()
+		mark, _ := g.nodes[away].marks.Find(part)
+		assert.Equal(t, len(mark.Runners), 4)
+	})
+}
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -256,13 +256,14 @@
 	return slices.DeleteFunc(q.marks.All(), func(mark poison.Mark) bool { return !mark.Refused() || mark.Expired(time.Now()) })
 }
 
-// digest returns the digest of the set of refused requests and of which were controlled; zero if it is empty.
+// digest returns the digest of the set of refused requests, of which were controlled, and of how many ends of
+// a part count; zero if it is empty.
 func (q *Quarantine) digest() uint64 {
 	digest := uint64(0)
 	for _, mark := range q.refused() {
 		digest ^= binary.BigEndian.Uint64(mark.Request[:])
 		if mark.Controlled {
-			digest ^= binary.BigEndian.Uint64(mark.Request[8:])
+			digest ^= uint64(len(mark.Runners)) * binary.BigEndian.Uint64(mark.Request[8:])
 		}
 	}
 	return digest
