Revert "Try a part alone while contents that are held may explain it"

Cause: any content at two ends makes a part doubtful. Held requests that have waited out their time are sent without a trial, and while the doubt lasts each of them ends a runner more.

--- a/internal/poison/marks.go
+++ b/internal/poison/marks.go
@@ -124,40 +124,22 @@
 	if !part.Controlled {
 		return false
 	}
-	return part.suffices(m.unexplained(part, holds, cleared), cleared)
-}
-
-// doubted reports whether marks that are held, and may yet be refused, explain a part that is refused without
-// them.
-func (m *Marks) doubted(part Mark, holds []Identity) bool {
-	left := m.left(part, holds, func(other Mark) bool { return other.verdict() >= Held })
-	return !part.suffices(left, part.Cleared)
-}
-
-// suffices reports whether the ends that others leave unexplained are enough to blame a part.
-func (m Mark) suffices(left []string, cleared bool) bool {
-	switch {
-	case slices.ContainsFunc(left, m.endedTrial):
+	left := m.unexplained(part, holds, cleared)
+	if slices.ContainsFunc(left, part.endedTrial) {
 		return true
-	case cleared:
+	}
+	if cleared {
 		return len(left) >= RefuseThreshold
-	default:
-		return len(left) >= SuspectThreshold
 	}
+	return len(left) >= SuspectThreshold
 }
 
 // unexplained returns the ends of a part that marks which a request does not hold leave unexplained, see Blamed.
 func (m *Marks) unexplained(part Mark, holds []Identity, cleared bool) []string {
-	return m.left(part, holds, func(other Mark) bool {
-		return other.Refused() && (cleared || len(other.Runners) >= len(part.Runners))
-	})
-}
-
-// left returns the ends of a part at which none of some other marks is that the request does not hold.
-func (m *Marks) left(part Mark, holds []Identity, explains func(other Mark) bool) []string {
 	left := slices.Clone(part.Runners)
 	for _, other := range *m.current.Load() {
-		if other.Request == part.Request || slices.Contains(holds, other.Request) || !explains(other) {
+		explains := cleared || len(other.Runners) >= len(part.Runners)
+		if !explains || !other.Refused() || slices.Contains(holds, other.Request) {
 			continue
 		}
 		left = slices.DeleteFunc(left, func(runner string) bool {
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -48,9 +48,7 @@
 // of whose ends others explain some is tried alone: the rest may be a coincidence, or the first ones were its own.
 func (m *Marks) Judge(mark Mark, holds []Identity) Verdict {
 	switch {
-	case !mark.Request.IsPart():
-		return mark.verdict()
-	case m.Blamed(mark, holds, mark.Cleared) && !m.doubted(mark, holds):
+	case !mark.Request.IsPart() || m.Blamed(mark, holds, mark.Cleared):
 		return mark.verdict()
 	case mark.Controlled && len(m.unexplained(mark, holds, mark.Cleared)) > 0:
 		return min(mark.verdict(), Held)
