Name the changes of quarantine rows after rows

Cause: put and remove said nothing of rows at package level.

Change: rowChange, putRow and deleteRow; two comments wrapped. No behavior changes.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -86,9 +86,8 @@
 	reportedToken uint64
 	// witnessed are the recent crashes under this node's own requests.
 	witnessed []witnessedCrash
-	// pendingWrites are the rows to write or to remove. written are the rows in
-	// the table.
-	pendingWrites map[poison.Identity]change
+	// pendingWrites are the rows to write or to delete. written are the rows in the table.
+	pendingWrites map[poison.Identity]rowChange
 	written       map[poison.Identity]writtenRow
 	// due is signalled when there is something to write.
 	due chan struct{}
@@ -106,7 +105,7 @@
 func New(options Options) *Quarantine {
 	q := &Quarantine{
 		Options: options, marks: poison.NewMarks(), tally: poison.NewTally(), succeeded: poison.NewSuccesses(),
-		pendingWrites: make(map[poison.Identity]change), written: make(map[poison.Identity]writtenRow), due: make(chan struct{}, 1),
+		pendingWrites: make(map[poison.Identity]rowChange), written: make(map[poison.Identity]writtenRow), due: make(chan struct{}, 1),
 	}
 	q.ctx, q.cancel = context.WithCancel(context.Background())
 	none := ""
@@ -168,7 +167,7 @@
 	q.unreported.Struck = newest(append(q.unreported.Struck, struck))
 	if marked {
 		q.Log.Info("request no longer suspected of ending runners", "content", request.Short(), "reason", "an attempt of it succeeded", "runners", struck.Runners)
-		q.pendingWrites[request] = remove
+		q.pendingWrites[request] = deleteRow
 		q.signal()
 		q.tellNeighbors(wire.PoisonReport{Struck: []wire.CrashesStruck{struck}})
 	}
@@ -253,7 +252,7 @@
 // queue queues the marks of some requests to be written. mutex is held.
 func (q *Quarantine) queue(findings []poison.Finding) {
 	for _, finding := range findings {
-		q.pendingWrites[finding.Request] = put
+		q.pendingWrites[finding.Request] = putRow
 	}
 	q.signal()
 }
@@ -322,7 +321,7 @@
 // lift removes a request at all nodes. mutex is held.
 func (q *Quarantine) lift(request poison.Identity) {
 	struck := q.forget(request)
-	q.pendingWrites[request] = remove
+	q.pendingWrites[request] = deleteRow
 	q.signal()
 	q.tellNeighbors(wire.PoisonReport{Struck: []wire.CrashesStruck{struck}})
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -24,13 +24,13 @@
 	batchSize = table.MaxEntries - table.FenceEntries
 )
 
-// change is what to do with a row.
-type change uint8
+// rowChange is what to do with a row.
+type rowChange uint8
 
 // The changes.
 const (
-	put change = iota
-	remove
+	putRow rowChange = iota
+	deleteRow
 )
 
 // writtenRow is what a node remembers of a row in the table.
@@ -208,7 +208,8 @@
 }
 
 // repair writes the marks that the table lacks, as the node that found them may have ended before it
-// wrote them, and those whose rows don't say that they were controlled, and removes rows whose crashes no longer count. mutex is held.
+// wrote them, and those whose rows don't say that they were controlled. It removes rows whose crashes no longer
+// count. mutex is held.
 func (q *Quarantine) repair() {
 	for _, mark := range q.refused() {
 		_, pending := q.pendingWrites[mark.Request]
@@ -219,7 +220,7 @@
 	}
 	for request := range q.written {
 		if _, marked := q.marks.Find(request); !marked && len(q.tally.Struck(request)) > 0 {
-			q.pendingWrites[request] = remove
+			q.pendingWrites[request] = deleteRow
 			q.signal()
 		}
 	}
@@ -254,10 +255,10 @@
 }
 
 // rows returns the rows to write, by what is known now: a write may have waited for the store.
-func (q *Quarantine) rows(writes map[poison.Identity]change) ([]table.Write, error) {
+func (q *Quarantine) rows(writes map[poison.Identity]rowChange) ([]table.Write, error) {
 	rows := make([]table.Write, 0, len(writes))
 	for request, change := range writes {
-		if change == remove {
+		if change == deleteRow {
 			rows = append(rows, table.Write{Key: request.String(), Delete: true})
 			continue
 		}
@@ -275,10 +276,10 @@
 }
 
 // takeWrites removes at most batchSize pending writes from the queue and returns them.
-func (q *Quarantine) takeWrites() map[poison.Identity]change {
+func (q *Quarantine) takeWrites() map[poison.Identity]rowChange {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	writes := make(map[poison.Identity]change)
+	writes := make(map[poison.Identity]rowChange)
 	for request, change := range q.pendingWrites {
 		if len(writes) == batchSize {
 			break
@@ -290,7 +291,7 @@
 }
 
 // requeue queues failed writes again, unless newer ones for the same request are pending.
-func (q *Quarantine) requeue(writes map[poison.Identity]change) {
+func (q *Quarantine) requeue(writes map[poison.Identity]rowChange) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	for request, change := range writes {
