Tell all nodes of later ends of a refused content

Callers saw: none directly; runners were ended by requests with a part that other nodes refused.

Cause: ends of a content beyond the third were not told on, yet marks explain the ends of a part. A node that knew of a fourth end took one of the part's for explained and tried the part, which others refused.

Change: all ends that count are evidence of a content as well. TestMarkLifecycle took a fourth end for known; it wants it told now, and checks twice instead of once that what is known is not told again.

--- a/internal/poison/marks_test.go
+++ b/internal/poison/marks_test.go
@@ -27,6 +27,8 @@
 	assert.Assert(t, known && !mark.Refused())
 	later := start.Add(time.Minute)
 	assert.Equal(t, len(marks.Put([]Finding{{Request: testIdentity(0), Runners: []string{"r0", "other"}}}, later)), 1)
+	assert.Equal(t, len(marks.Put([]Finding{finding(0, 2)}, later)), 0, "already known")
+	assert.Equal(t, len(marks.Put([]Finding{finding(0, 3)}, later)), 1, "one more end, which may explain one of a part")
 	assert.Equal(t, len(marks.Put([]Finding{finding(0, 3)}, later)), 0, "already known")
 	mark, _ = marks.Find(testIdentity(0))
 	assert.Assert(t, mark.Refused() && mark.Provisional(later) && !mark.Provisional(later.Add(ProvisionalPeriod)))
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -76,13 +76,14 @@
 // evidence is how many ends of a mark count, and, of a content, how many are known.
 type evidence struct{ counted, all int }
 
-// evidence returns the ends of the mark, up to the most that matter: all that count of a part, as other marks may
-// explain some of them.
+// evidence returns the ends of the mark. All that count matter, as marks may explain those of others; of the rest as
+// many as a verdict needs.
 func (m Mark) evidence() evidence {
-	if m.Request.IsPart() {
-		return evidence{counted: len(m.Runners)}
+	e := evidence{counted: len(m.Runners)}
+	if !m.Request.IsPart() {
+		e.all = min(len(m.All()), m.threshold())
 	}
-	return evidence{counted: min(len(m.Runners), m.threshold()), all: min(len(m.All()), m.threshold())}
+	return e
 }
 
 // threshold returns how many ends must count for the request to be refused. One that has once succeeded must
--- a/internal/quarantine/part_spread_test.go
+++ b/internal/quarantine/part_spread_test.go
@@ -97,6 +97,22 @@
 	})
 }
 
+// TestLaterEndOfARefusedContentWasNotTold: a fourth end under a content that is refused was known only to the nodes
+// that counted it. It explained a part's end there, and not at others, which refused the part.
+func TestLaterEndOfARefusedContentWasNotTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 12)
+		for number := range 4 {
+			g.ended(5+number, []string{"r1", "r2", "r3", "r4"}[number], request, false)
+			time.Sleep(time.Second)
+		}
+		for _, address := range g.order {
+			mark, _ := g.nodes[address].marks.Find(request)
+			assert.Equal(t, len(mark.Runners), 4, address)
+		}
+	})
+}
+
 // TestNodesThatKnowOtherEndsComparedEqual: two nodes that refuse the same part by other ends told each other nothing.
 func TestNodesThatKnowOtherEndsComparedEqual(t *testing.T) {
 	part := poison.PartIdentity("s", "guilty")
