Log how requests and answers relate to the stop of their node

Change: "request ended" says so while the node stops, "node stop continues" names each step, and lilacvane_answers_cut_by_stop_total counts by phase. No logic is changed; internal/stop holds the begin of a stop.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -18,6 +18,7 @@
 	"lilacvane/internal/overload"
 	"lilacvane/internal/poison"
 	"lilacvane/internal/retry"
+	"lilacvane/internal/stop"
 	"lilacvane/internal/tenant"
 	"lilacvane/internal/upstream"
 )
@@ -73,6 +74,8 @@
 	// Observe is called at the end of each request.
 	Observe func(request string, outcome Outcome)
 
+	// Stop says whether the node stops, and by which schedule.
+	Stop stop.State
 	// Closing ends when the node is about to stop: requests in progress get their final answer.
 	Closing context.Context
 
@@ -194,6 +197,7 @@
 	j.heldFailure.release()
 	j.outcome.Total = time.Since(j.request.Arrived)
 	j.outcome.Events = j.forwarded()
+	j.recordStop(time.Now())
 	d.logOutcome(&j.outcome, j.request)
 	if d.Observe != nil {
 		d.Observe(j.request.ID, j.outcome)
@@ -201,6 +205,18 @@
 	return j.outcome
 }
 
+// recordStop records how the request relates to the stop of the node, if that stops.
+func (j *job) recordStop(now time.Time) {
+	schedule, stopping := j.dispatcher.Stop.Schedule()
+	if !stopping {
+		return
+	}
+	j.outcome.Stop = &StopOutcome{Phase: schedule.PhaseAt(j.request.Read), Read: j.request.Read.Sub(schedule.Begin), Ended: now.Sub(schedule.Begin)}
+	if j.forwarded() > 0 {
+		j.outcome.Stop.Idle = now.Sub(j.stream.forwardedAt)
+	}
+}
+
 // logOutcome writes the log line of a request that ended.
 func (d *Dispatcher) logOutcome(o *Outcome, request *Request) {
 	log := d.Log
@@ -210,6 +226,10 @@
 	if o.ConfigurationOrigin != nil {
 		log = log.WithValues("configurationAgeMs", o.ConfigurationOrigin.Age.Milliseconds(), "upstream", o.ConfigurationOrigin.Source)
 	}
+	if o.Stop != nil {
+		log = log.WithValues("readInStop", string(o.Stop.Phase), "readAfterStopMs", o.Stop.Read.Milliseconds(), "endedAfterStopMs", o.Stop.Ended.Milliseconds(),
+			"idleMs", o.Stop.Idle.Milliseconds(), "cut", o.Cut())
+	}
 	log.Info("request ended", "request", request.ID, "result", o.Result, "status", o.Status, "step", o.Step,
 		"reason", o.Reason, "route", o.Route, "tenant", string(o.Tenant), "homes", o.Homes.String(), "cost", o.Cost, "admittedBy", o.AdmittedBy, "revision", o.Revision, "unit", request.Unit.String(), "runner", o.Runner, "build", string(o.Build), "continues", request.Resumes, "via", o.Via,
 		"framing", string(o.Framing), "signed", o.Signed, "completeness", string(o.Completeness), "unfinishedBytes", o.UnfinishedBytes,
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -13,6 +13,7 @@
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/overload"
 	"lilacvane/internal/place"
+	"lilacvane/internal/stop"
 	"lilacvane/internal/tenant"
 	"lilacvane/internal/upstream"
 )
@@ -29,8 +30,9 @@
 	// Header holds the headers to forward.
 	Header http.Header
 	Body   []byte
-	// Arrived is when its header was read.
+	// Arrived is when its header was read, Read when it was read whole.
 	Arrived time.Time
+	Read    time.Time
 	// ResumeAfter is the last event that the client has of a stream that it resumes; empty for a new
 	// one. Resumes is the ID of the request that brought the stream's first event; empty if the client
 	// did not say.
@@ -118,6 +120,8 @@
 	Endings []Ending
 	// Events is how many times complete events of a stream were forwarded.
 	Events int
+	// Stop is set if the node was stopping when the request ended.
+	Stop *StopOutcome
 	// Problem is the error of a request that was not served.
 	Problem *fault.Error
 	// Placed is the time until a runner was first chosen.
@@ -149,6 +153,23 @@
 // come back.
 func (o Outcome) Denied() bool { return o.Result == ResultRefused && permanent(o.Status) }
 
+// StopOutcome relates a request to the stop of its node.
+type StopOutcome struct {
+	// Phase is the phase in which it was read.
+	Phase stop.Phase
+	// Read is when it was read and Ended when it ended, after the begin of the stop; Read is negative
+	// if it was read before.
+	Read  time.Duration
+	Ended time.Duration
+	// Idle is the time since a stream's last event; zero if there was none.
+	Idle time.Duration
+}
+
+// Cut reports whether the answer had begun and was cut off by the node's stop.
+func (o *Outcome) Cut() bool {
+	return o.Stop != nil && o.Broken() && len(o.Endings) > 0 && o.Endings[len(o.Endings)-1] == EndedByStop
+}
+
 // ConfigurationOrigin says where a node's configuration came from.
 type ConfigurationOrigin struct {
 	// Age is the time since the store last reported it.
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -62,7 +62,7 @@
 	}
 	call.class, call.key = class, key
 	call.request = dispatch.Request{
-		ID: id, Method: http.MethodPost, Target: r.URL.Path, Path: r.URL.Path, Host: r.Host, Body: content, Arrived: now,
+		ID: id, Method: http.MethodPost, Target: r.URL.Path, Path: r.URL.Path, Host: r.Host, Body: content, Arrived: now, Read: time.Now(),
 		Header: http.Header{"Content-Type": {"application/json"}}, StartWithin: startWithin,
 		Key: bearerToken(r.Header), Counts: dispatch.CountsGiven,
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -148,7 +148,7 @@
 	if err != nil {
 		return nil, bodyError(err)
 	}
-	request.Body = body
+	request.Body, request.Read = body, time.Now()
 	dispatch.StripConnectionHeaders(r.Header)
 	for _, name := range s.headers.Reserved {
 		r.Header.Del(name)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -77,6 +77,8 @@
 	// but did not complete, by who ended the last attempt.
 	failed *prometheus.CounterVec
 	broken *prometheus.CounterVec
+	// cut counts answers that the node's stop cut off, by the phase in which their requests were read.
+	cut *prometheus.CounterVec
 	// crashes counts runners that ended under requests of this node.
 	crashes prometheus.Counter
 	// undeliveredCrashReports counts reports of crashes that a node did not accept.
@@ -143,10 +145,13 @@
 	m.denied = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "lilacvane_requests_denied_total", Help: "Requests that this node ended as wrong, by code and status.",
 	}, []string{"code", "status"})
+	m.cut = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "lilacvane_answers_cut_by_stop_total", Help: "Answers that the stop of the node cut off, by the phase of the stop in which their requests were read.",
+	}, []string{"read"})
 	m.tenants = newTenantMetrics(m.registry)
 	m.refused = newRefusalCounter()
 	m.statements = newStatementCounter()
-	m.registry.MustRegister(newRunnerCollector(sources.RunnersByState), m.refused, m.denied, m.loadTimeError, m.requests, m.outsideHomes, m.regionBytes, m.attempts, m.failed, m.broken, m.crashes, m.undeliveredCrashReports, m.statements, m.resumes, m.firstByte, m.waitTime, m.newsAge)
+	m.registry.MustRegister(newRunnerCollector(sources.RunnersByState), m.refused, m.denied, m.loadTimeError, m.requests, m.outsideHomes, m.regionBytes, m.attempts, m.failed, m.broken, m.cut, m.crashes, m.undeliveredCrashReports, m.statements, m.resumes, m.firstByte, m.waitTime, m.newsAge)
 	m.registry.MustRegister(newLinkCollector(sources.Links))
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
@@ -256,6 +261,7 @@
 	}
 	m.attempts.Add(float64(o.Attempts))
 	m.countEndings(o)
+	m.countCut(o)
 	m.resumes.Add(float64(o.Resumes))
 	m.waitTime.Observe(o.Waited.Seconds())
 	if o.First > 0 {
@@ -284,6 +290,13 @@
 	}
 }
 
+// countCut counts an answer that the node's stop cut off.
+func (m *Metrics) countCut(o dispatch.Outcome) {
+	if o.Cut() {
+		m.cut.WithLabelValues(string(o.Stop.Phase)).Inc()
+	}
+}
+
 // registerCold registers the metrics of cold runners and of the permits to use them.
 func registerCold(registry *prometheus.Registry, cold func() fleet.ColdFigures) {
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -11,6 +11,7 @@
 
 	"lilacvane/internal/link"
 	"lilacvane/internal/settings"
+	"lilacvane/internal/stop"
 )
 
 const (
@@ -72,6 +73,7 @@
 // balancer time to notice, then waits for active requests.
 func (n *Node) stop(limits settings.Stop) {
 	start := time.Now()
+	n.dispatcher.Stop.Start(stop.NewSchedule(start, limits))
 	n.stopping.Store(true)
 	n.ingress.DisableKeepAlives()
 	n.log.Info("node stopping", "active", n.ingress.Active(), "graceMs", limits.Grace.Milliseconds())
@@ -80,9 +82,14 @@
 	var ends sync.WaitGroup
 	ends.Go(func() { n.tunnels.Shutdown(ctx) })
 	n.releaseLeases()
+	n.logStopStep("leases released", start)
 	time.Sleep(limits.Notice - time.Since(start))
 	n.refusing.Store(true)
-	timer := time.AfterFunc(time.Until(start.Add(limits.Grace-stopMargin-answerMargin)), n.close)
+	n.logStopStep("notice ended", start)
+	timer := time.AfterFunc(time.Until(start.Add(limits.Grace-stopMargin-answerMargin)), func() {
+		n.logStopStep("last answers end", start)
+		n.close()
+	})
 	defer timer.Stop()
 	ends.Go(func() { n.ingress.Shutdown(ctx) })
 	ends.Go(func() {
@@ -96,5 +103,12 @@
 		}
 	})
 	ends.Wait()
+	n.logStopStep("requests ended", start)
 	n.claims.HandOver(ctx)
+	n.logStopStep("claims handed over", start)
+}
+
+// logStopStep logs a step of a stop that began at a time.
+func (n *Node) logStopStep(done string, start time.Time) {
+	n.log.Info("node stop continues", "done", done, "active", n.ingress.Active(), "carried", n.tunnels.Count(), "afterMs", time.Since(start).Milliseconds())
 }
