Refuse what a stopping node could not finish

Callers saw answers that began and ended with a closed connection around the SIGTERM of their node.

Cause: a stopping node weighed nothing. First requests on connections that were open and requests whose bodies ended after the notice time went to runners although they lasted longer than the stop.

Change: a request begins only if its final answer is due before the last answers of the stop or, within the notice, if it is expected to end by then, by the latest durations of its route. Requests that wait are asked again as the notice ends. The settings in force when the stop begins count, not those of the start.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -41,7 +42,7 @@
 		return false
 	}
 	if takeover == nil {
-		if problem := j.quarantined(); problem != nil {
+		if problem := cmp.Or(j.quarantined(), j.checkStop()); problem != nil {
 			j.dispatcher.Fleet.Release(choice, j.query)
 			j.end(ctx, problem)
 			return false
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -83,7 +83,8 @@
 	budgets   map[string]*retry.Budget
 	splitters map[string]*splitter
 	// spooled counts the bytes kept for clients that read slowly.
-	spooled spoolUsage
+	spooled   spoolUsage
+	durations durations
 	// answers counts the memory of answers that are not complete.
 	answers answerMemory
 }
@@ -197,6 +198,9 @@
 	j.heldFailure.release()
 	j.outcome.Total = time.Since(j.request.Arrived)
 	j.outcome.Events = j.forwarded()
+	if j.outcome.Result == ResultServed {
+		d.durations.observe(j.outcome.Route, j.outcome.Total-j.outcome.Placed)
+	}
 	j.recordStop(time.Now())
 	d.logOutcome(&j.outcome, j.request)
 	if d.Observe != nil {
@@ -205,18 +209,6 @@
 	return j.outcome
 }
 
-// recordStop records how the request relates to the stop of the node, if that stops.
-func (j *job) recordStop(now time.Time) {
-	schedule, stopping := j.dispatcher.Stop.Schedule()
-	if !stopping {
-		return
-	}
-	j.outcome.Stop = &StopOutcome{Phase: schedule.PhaseAt(j.request.Read), Read: j.request.Read.Sub(schedule.Begin), Ended: now.Sub(schedule.Begin)}
-	if j.forwarded() > 0 {
-		j.outcome.Stop.Idle = now.Sub(j.stream.forwardedAt)
-	}
-}
-
 // logOutcome writes the log line of a request that ended.
 func (d *Dispatcher) logOutcome(o *Outcome, request *Request) {
 	log := d.Log
@@ -326,6 +318,11 @@
 		j.refuse(problem)
 		return
 	}
+	j.deadline = j.request.due(j.route)
+	if problem := j.checkStop(); problem != nil {
+		j.refuse(problem)
+		return
+	}
 	if err := j.admit(ctx); err != nil {
 		j.end(ctx, err)
 		return
@@ -335,7 +332,6 @@
 		j.query.Prompt = j.request.Prompt
 		j.dispatcher.Demand.Use(demand.Key{Service: service, Unit: j.request.Unit, Homes: j.query.Homes}, j.request.TokensIn)
 	}
-	j.deadline = j.answerDeadline()
 	j.dispatcher.retryBudget(service).RecordRequest()
 	ctx, cancel := context.WithDeadlineCause(ctx, j.deadline, errTimeout)
 	defer cancel()
@@ -375,18 +371,3 @@
 	}
 	return j.dispatcher.pickService(j.route), true
 }
-
-// answerDeadline returns when the request must have its final answer.
-func (j *job) answerDeadline() time.Time {
-	limit := j.request.Patience
-	if limit == 0 {
-		limit = defaultPatience
-	}
-	if j.request.StartWithin > 0 {
-		limit = j.request.StartWithin + maxAnswerTime
-	}
-	if j.route.Timeout > 0 && j.route.Timeout < limit {
-		limit = j.route.Timeout
-	}
-	return j.request.Arrived.Add(limit)
-}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -71,6 +71,21 @@
 	Key string
 }
 
+// due returns when the request must have its final answer.
+func (r *Request) due(route *config.Route) time.Time {
+	limit := r.Patience
+	if limit == 0 {
+		limit = defaultPatience
+	}
+	if r.StartWithin > 0 {
+		limit = r.StartWithin + maxAnswerTime
+	}
+	if route.Timeout > 0 && route.Timeout < limit {
+		limit = route.Timeout
+	}
+	return r.Arrived.Add(limit)
+}
+
 // Counts says what a client sent as token counts.
 type Counts uint8
 
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -106,6 +107,7 @@
 	defer timer.Stop()
 	defer j.leaveRestQueue()
 	since := time.Now()
+	stopBegun := j.dispatcher.Stop.Begun()
 	for {
 		if ctx.Err() != nil {
 			return fleet.Choice{}, 0, fault.At(fault.CodeCanceled, "wait for a runner", fault.Self, fault.NotDone, context.Cause(ctx))
@@ -127,7 +129,7 @@
 		if err := j.checkLeaving(); err != nil {
 			return fleet.Choice{}, 0, err
 		}
-		if problem := j.quarantined(); problem != nil {
+		if problem := cmp.Or(j.quarantined(), j.checkStop()); problem != nil {
 			return fleet.Choice{}, 0, problem
 		}
 		if problem := j.checkHomes(); problem != nil {
@@ -156,10 +158,16 @@
 		if buildWait > 0 {
 			recheck = min(recheck, buildWait)
 		}
+		if left, stopping := j.untilStopRefuses(); stopping {
+			stopBegun, recheck = nil, min(recheck, left)
+		}
 		timer.Reset(recheck)
 		select {
 		case <-ctx.Done():
 			continue
+		case <-stopBegun:
+			stopBegun = nil
+			continue
 		case <-changed:
 		case <-timer.C:
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,8 +127,8 @@
 
 // prepare reads a call, resolves its model and claims its idempotency key.
 func (s *Server) prepare(r *http.Request, id string) (*parsedCall, error) {
-	if err := s.Accept(); err != nil {
-		return nil, fault.From(err, "accept").WithRetryAfter(retryAfterNotReady)
+	if err := s.accept(); err != nil {
+		return nil, err
 	}
 	call, err := parse(r, id, time.Now())
 	if err != nil {
@@ -138,15 +138,35 @@
 	if err != nil {
 		return nil, err
 	}
+	s.setRoute(&call, target)
+	// Reading the body may have taken long. What is refused must not have its key claimed.
+	if err := s.accept(); err != nil {
+		return nil, err
+	}
+	if problem := s.Dispatcher.CheckStop(&call.request); problem != nil {
+		return nil, problem
+	}
 	if call.key != "" {
 		if err := s.Claims.Take(r.Context(), call.key, id); err != nil {
 			return nil, err
 		}
 	}
-	s.setRoute(&call, target)
 	return &call, nil
 }
 
+// accept returns the refusal of a call while the node takes none. A node that leaves is not the only one.
+func (s *Server) accept() error {
+	err := s.Accept()
+	if err == nil {
+		return nil
+	}
+	problem := fault.From(err, "accept")
+	if problem.Code == fault.CodeDraining {
+		return problem.WithRetryAfter(dispatch.RetryElsewhere)
+	}
+	return problem.WithRetryAfter(retryAfterNotReady)
+}
+
 // resolve returns what serves a model name.
 func (s *Server) resolve(model string) (config.ModelTarget, error) {
 	const step = "resolve model"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -291,7 +291,7 @@
 	work.Go(func() { n.pool.RetryBrokenPaths(background) })
 	n.serve(open)
 	<-ctx.Done()
-	n.stop(s.Stop)
+	n.stop()
 	end()
 	work.Go(n.controls.stop)
 	work.Go(n.crashes.Close)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -10,15 +10,10 @@
 	"time"
 
 	"lilacvane/internal/link"
-	"lilacvane/internal/settings"
 	"lilacvane/internal/stop"
 )
 
 const (
-	// stopMargin is the part of the grace period reserved for the final cleanup. answerMargin is
-	// the time before that in which the last requests get their answers.
-	stopMargin   = 700 * time.Millisecond
-	answerMargin = 500 * time.Millisecond
 	pathReady    = "/readyz"
 	pathMetrics  = "/metrics"
 	pathProfiles = "/debug/pprof/"
@@ -71,23 +66,24 @@
 
 // stop stops the node within its grace period. It releases leases first, then gives the load
 // balancer time to notice, then waits for active requests.
-func (n *Node) stop(limits settings.Stop) {
-	start := time.Now()
-	n.dispatcher.Stop.Start(stop.NewSchedule(start, limits))
+func (n *Node) stop() {
+	limits := n.settings.Load().Stop
+	schedule := stop.NewSchedule(time.Now(), limits)
+	n.dispatcher.Stop.Start(schedule)
 	n.stopping.Store(true)
 	n.ingress.DisableKeepAlives()
 	n.log.Info("node stopping", "active", n.ingress.Active(), "graceMs", limits.Grace.Milliseconds())
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(limits.Grace-stopMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.ConnectionsEnd)
 	defer cancel()
 	var ends sync.WaitGroup
 	ends.Go(func() { n.tunnels.Shutdown(ctx) })
 	n.releaseLeases()
-	n.logStopStep("leases released", start)
-	time.Sleep(limits.Notice - time.Since(start))
+	n.logStopStep("leases released", schedule)
+	time.Sleep(time.Until(schedule.NoticeEnd))
 	n.refusing.Store(true)
-	n.logStopStep("notice ended", start)
-	timer := time.AfterFunc(time.Until(start.Add(limits.Grace-stopMargin-answerMargin)), func() {
-		n.logStopStep("last answers end", start)
+	n.logStopStep("notice ended", schedule)
+	timer := time.AfterFunc(time.Until(schedule.LastAnswers), func() {
+		n.logStopStep("last answers end", schedule)
 		n.close()
 	})
 	defer timer.Stop()
@@ -103,12 +99,12 @@
 		}
 	})
 	ends.Wait()
-	n.logStopStep("requests ended", start)
+	n.logStopStep("requests ended", schedule)
 	n.claims.HandOver(ctx)
-	n.logStopStep("claims handed over", start)
+	n.logStopStep("claims handed over", schedule)
 }
 
-// logStopStep logs a step of a stop that began at a time.
-func (n *Node) logStopStep(done string, start time.Time) {
-	n.log.Info("node stop continues", "done", done, "active", n.ingress.Active(), "carried", n.tunnels.Count(), "afterMs", time.Since(start).Milliseconds())
+// logStopStep logs a step of a stop.
+func (n *Node) logStopStep(done string, schedule stop.Schedule) {
+	n.log.Info("node stop continues", "done", done, "active", n.ingress.Active(), "carried", n.tunnels.Count(), "afterMs", time.Since(schedule.Begin).Milliseconds())
 }
--- a/internal/stop/stop.go
+++ b/internal/stop/stop.go
@@ -1,23 +1,54 @@
-// Package stop derives the moments of a node's planned stop from its settings.
+// Package stop derives the moments of a node's planned stop from its settings, and decides what a node that
+// stops still takes on.
 package stop
 
 import (
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"lilacvane/internal/settings"
 )
 
-// Schedule holds the moments of a planned stop.
+const (
+	// stopMargin is the part of the grace period reserved for the final cleanup. answerMargin is
+	// the time before that in which the last requests get their answers.
+	stopMargin   = 700 * time.Millisecond
+	answerMargin = 500 * time.Millisecond
+	// noticeMargin is the part of the notice, as one in noticeMargin, by which clients may count it from an
+	// earlier moment: the signal is handled late.
+	noticeMargin = 12
+)
+
+// Schedule holds the moments of a planned stop, in their order.
 type Schedule struct {
-	// Begin is when the stop began, NoticeEnd when clients have stopped sending new requests.
-	Begin     time.Time
+	// Begin is when the stop began.
+	Begin time.Time
+	// LatestOpen is until when requests are taken on that need not end before LastAnswers.
+	LatestOpen time.Time
+	// NoticeEnd is when clients have stopped sending new requests.
 	NoticeEnd time.Time
+	// LastAnswers is when requests under way get their final answers or are cut off.
+	LastAnswers time.Time
+	// ConnectionsEnd is when connections are closed, whatever was not written to them.
+	ConnectionsEnd time.Time
 }
 
 // NewSchedule returns the schedule of a stop that begins at a time.
 func NewSchedule(begin time.Time, limits settings.Stop) Schedule {
-	return Schedule{Begin: begin, NoticeEnd: begin.Add(limits.Notice)}
+	end := begin.Add(limits.Grace - stopMargin)
+	return Schedule{
+		Begin: begin, LatestOpen: begin.Add(limits.Notice - limits.Notice/noticeMargin), NoticeEnd: begin.Add(limits.Notice),
+		LastAnswers: end.Add(-answerMargin), ConnectionsEnd: end,
+	}
+}
+
+// Accepts reports whether a request may begin whose final answer is due at a time, and which is expected to
+// take a time; zero if that is not known.
+func (s Schedule) Accepts(now, due time.Time, expected time.Duration) bool {
+	if !due.After(s.LastAnswers) {
+		return true
+	}
+	return now.Before(s.LatestOpen) && !now.Add(expected).After(s.LastAnswers)
 }
 
 // Phase is a part of a stop.
@@ -44,15 +75,41 @@
 
 // State is whether a node stops. Its methods may be called concurrently; the zero value is that of a node
 // that does not stop.
-type State struct{ schedule atomic.Pointer[Schedule] }
+type State struct {
+	mutex    sync.Mutex
+	schedule *Schedule
+	begun    chan struct{}
+}
+
+// Start records that the node stops. Later calls change nothing.
+func (s *State) Start(schedule Schedule) {
+	begun := s.begunChannel()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.schedule == nil {
+		s.schedule = &schedule
+		close(begun)
+	}
+}
 
-// Start records that the node stops.
-func (s *State) Start(schedule Schedule) { s.schedule.Store(&schedule) }
+// Begun returns a channel that is closed once the node stops.
+func (s *State) Begun() <-chan struct{} { return s.begunChannel() }
+
+func (s *State) begunChannel() chan struct{} {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.begun == nil {
+		s.begun = make(chan struct{})
+	}
+	return s.begun
+}
 
 // Schedule returns the schedule of the stop; false if the node does not stop.
 func (s *State) Schedule() (Schedule, bool) {
-	if schedule := s.schedule.Load(); schedule != nil {
-		return *schedule, true
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.schedule == nil {
+		return Schedule{}, false
 	}
-	return Schedule{}, false
+	return *s.schedule, true
 }
