Derive the end of answers from the grace of a stop

Callers of a node with a grace below 7.2 s lost streams that were sent in time; with 8 s the margin was 0.13 s, in which a stream between two runners, or put back by its runner, counts as lost.

Cause: the last answers came a fixed time before the end of the grace, while a stop may cut requests off from the last sixth of the grace. Evidence: of TestStopEndedAnswersBeforeTheLastPart all eight streams were cut before that sixth: at 2.79 s of 4 s, at 0.31 s of 1.5 s. Also, claims were handed over within a context that had ended where the stop used all of its time ("claims handed over" at 7.3 s with the deadline of 7.3 s in the log).

Change: stop.NewSchedule derives all moments as shares of the grace. The last answers come in the middle of the last sixth (7.33 s of 8 s), what has ended is written for half of what is left, and claims have their own time.

Measured: the test failed before (8 of 8 streams) and passes, with TestStoppingNodeTookOnWhatItCannotFinish (one run each).

--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -100,6 +100,13 @@
 	})
 	ends.Wait()
 	n.logStopStep("requests ended", schedule)
+	n.handOverClaims(schedule)
+}
+
+// handOverClaims passes on the claims of requests that this node ran.
+func (n *Node) handOverClaims(schedule stop.Schedule) {
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.End)
+	defer cancel()
 	n.claims.HandOver(ctx)
 	n.logStopStep("claims handed over", schedule)
 }
--- a/internal/stop/stop.go
+++ b/internal/stop/stop.go
@@ -10,10 +10,9 @@
 )
 
 const (
-	// stopMargin is the part of the grace period reserved for the final cleanup. answerMargin is
-	// the time before that in which the last requests get their answers.
-	stopMargin   = 700 * time.Millisecond
-	answerMargin = 500 * time.Millisecond
+	// lastPart is the part of the grace, as one in lastPart, in which requests that still run may be cut
+	// off, if they were sent within the notice.
+	lastPart = 6
 	// noticeMargin is the part of the notice, as one in noticeMargin, by which clients may count it from an
 	// earlier moment: the signal is handled late.
 	noticeMargin = 12
@@ -31,14 +30,18 @@
 	LastAnswers time.Time
 	// ConnectionsEnd is when connections are closed, whatever was not written to them.
 	ConnectionsEnd time.Time
+	// End is when the process is about to end.
+	End time.Time
 }
 
-// NewSchedule returns the schedule of a stop that begins at a time.
+// NewSchedule returns the schedule of a stop that begins at a time. Requests under way are cut off in the
+// middle of the last part of the grace; what is left of it is for their answers and for the clean-up.
 func NewSchedule(begin time.Time, limits settings.Stop) Schedule {
-	end := begin.Add(limits.Grace - stopMargin)
+	part := limits.Grace / lastPart
+	notice := min(limits.Notice, limits.Grace-part)
 	return Schedule{
-		Begin: begin, LatestOpen: begin.Add(limits.Notice - limits.Notice/noticeMargin), NoticeEnd: begin.Add(limits.Notice),
-		LastAnswers: end.Add(-answerMargin), ConnectionsEnd: end,
+		Begin: begin, LatestOpen: begin.Add(notice - notice/noticeMargin), NoticeEnd: begin.Add(notice),
+		LastAnswers: begin.Add(limits.Grace - part/2), ConnectionsEnd: begin.Add(limits.Grace - part/4), End: begin.Add(limits.Grace - part/8),
 	}
 }
 
--- a/internal/stop/stop_test.go
+++ b/internal/stop/stop_test.go
@@ -1,6 +1,7 @@
 package stop
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -47,3 +48,18 @@
 	assert.Assert(t, stopping)
 	assert.Equal(t, got, first)
 }
+
+// TestStopEndedAnswersBeforeTheLastPart: whatever the settings, the moments of a stop are in their order, the
+// last answers in the last part of the grace, and the end is within the grace.
+func TestStopEndedAnswersBeforeTheLastPart(t *testing.T) {
+	begin := time.Now()
+	for _, grace := range []time.Duration{time.Second, 8 * time.Second, time.Minute, time.Hour} {
+		for _, notice := range []time.Duration{0, grace / 3, grace - 1} {
+			s := NewSchedule(begin, settings.Stop{Grace: grace, Notice: notice})
+			moments := []time.Time{s.Begin, s.LatestOpen, s.NoticeEnd, s.LastAnswers, s.ConnectionsEnd, s.End, begin.Add(grace)}
+			assert.Assert(t, slices.IsSortedFunc(moments, time.Time.Compare), "grace %s, notice %s: %v", grace, notice, s)
+			assert.Assert(t, s.LastAnswers.Sub(begin) > grace*(lastPart-1)/lastPart)
+			assert.Assert(t, !s.NoticeEnd.After(s.LastAnswers))
+		}
+	}
+}
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -13,19 +13,18 @@
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/lab/world"
+	"lilacvane/internal/settings"
 )
 
-const (
-	// longGrace and longNotice are the intervals of a stop in which load balancers and
-	// clients have the time that they are promised.
-	longGrace  = 8 * time.Second
-	longNotice = 3 * time.Second
-	// lastPartBegin is when the last sixth of the grace begins, in which a stop may cut off a
-	// request that its runner still works on, if it was sent within the notice.
-	lastPartBegin = longGrace * 5 / 6
-	// endlessEvents is the length of a stream that lasts longer than a stop.
-	endlessEvents = 1500
-)
+// longStop has the intervals in which load balancers and clients are promised to notice a stop.
+var longStop = settings.Stop{Grace: 8 * time.Second, Notice: 3 * time.Second}
+
+// endlessEvents is the length of a stream that lasts longer than a stop.
+const endlessEvents = 1500
+
+// lastPartOf returns when the last sixth of a stop begins, in which it may cut off a request that its
+// runner still works on, if that was sent within the notice.
+func lastPartOf(limits settings.Stop) time.Duration { return limits.Grace * 5 / 6 }
 
 // slowRequest is a request to a node that stops. Times are relative to the signal.
 type slowRequest struct {
@@ -110,16 +109,16 @@
 	return encoded.Bytes()[:split], encoded.Bytes()[split:]
 }
 
-// problemOf returns what is wrong with the answer to a request that a node with longGrace read
-// whole: it is to be whole or refused as not run. A stop may cut off a stream that was sent
-// within the notice and that its runner still works on in the last part of the grace.
-func (a *slowAnswer) problemOf(r slowRequest, runs int) string {
+// problemOf returns what is wrong with the answer to a request that a stopping node read whole: it
+// is to be whole or refused as not run. A stop may cut off a stream that was sent within the
+// notice and that its runner still works on in the last part of the grace.
+func (a *slowAnswer) problemOf(r slowRequest, runs int, limits settings.Stop) string {
 	switch {
 	case a.Complete && a.Status == http.StatusOK && a.Body == expectedEvents(a.ID, r.events):
 		return ""
 	case a.Complete && a.Status == http.StatusServiceUnavailable && runs == 0:
 		return ""
-	case a.Status == http.StatusOK && a.sent <= longNotice && a.lastRead >= lastPartBegin:
+	case a.Status == http.StatusOK && a.sent <= limits.Notice && a.lastRead >= lastPartOf(limits):
 		return ""
 	default:
 		return fmt.Sprintf("sent %.2f s after the signal, last read %.2f s after it: status %d, %d of %d events, ran %d times: %v",
@@ -127,14 +126,14 @@
 	}
 }
 
-// startStopWorld starts nodes with longGrace and longNotice, and runners that hold a model.
-func startStopWorld(t *testing.T, nodes, runners int) (*world.World, []*world.Node) {
+// startStopWorld starts nodes that stop within limits, and runners that hold a model.
+func startStopWorld(t *testing.T, limits settings.Stop, nodes, runners int) (*world.World, []*world.Node) {
 	t.Helper()
 	w := newWorld(t, func(o *world.Options) {
 		adjust := o.Adjust
 		o.Adjust = func(s *settingsType) {
 			adjust(s)
-			s.Stop.Grace, s.Stop.Notice = longGrace, longNotice
+			s.Stop = limits
 		}
 	})
 	startRunners(t, w, runners)
@@ -152,7 +151,7 @@
 // sent within the notice, not before the last part of the grace.
 func TestStoppingNodeTookOnWhatItCannotFinish(t *testing.T) {
 	t.Parallel()
-	w, nodes := startStopWorld(t, 2, 3)
+	w, nodes := startStopWorld(t, longStop, 2, 3)
 	var requests []slowRequest
 	for _, path := range []string{"/draft/x", "/reply/x"} {
 		requests = append(requests,
@@ -166,18 +165,44 @@
 			slowRequest{"short, body that ends at the end", path, 3, 2500 * time.Millisecond, 2600 * time.Millisecond, 7100 * time.Millisecond},
 		)
 	}
+	checkStop(t, w, nodes[0], requests, longStop)
+}
+
+// TestStopEndedAnswersBeforeTheLastPart: streams that end within the grace are not cut off, however
+// short the grace is.
+func TestStopEndedAnswersBeforeTheLastPart(t *testing.T) {
+	t.Parallel()
+	for _, limits := range []settings.Stop{{Grace: 4 * time.Second, Notice: 500 * time.Millisecond}, {Grace: 1500 * time.Millisecond, Notice: 200 * time.Millisecond}} {
+		t.Run(limits.Grace.String(), func(t *testing.T) {
+			t.Parallel()
+			w, nodes := startStopWorld(t, limits, 1, 2)
+			var requests []slowRequest
+			for _, path := range []string{"/draft/x", "/reply/x"} {
+				requests = append(requests,
+					slowRequest{"begun before the signal", path, endlessEvents, -time.Second, -time.Second, 0},
+					slowRequest{"sent in the notice", path, endlessEvents, 0, limits.Notice / 2, 0},
+				)
+			}
+			checkStop(t, w, nodes[0], requests, limits)
+		})
+	}
+}
+
+// checkStop stops a node while requests are sent to it, and checks their answers.
+func checkStop(t *testing.T, w *world.World, node *world.Node, requests []slowRequest, limits settings.Stop) {
+	t.Helper()
 	answers := make([]chan slowAnswer, len(requests))
 	signal := time.Now().Add(2 * time.Second)
 	for index, r := range requests {
 		answers[index] = make(chan slowAnswer, 1)
-		go func() { answers[index] <- r.run(nodes[0], signal) }()
+		go func() { answers[index] <- r.run(node, signal) }()
 	}
 	time.Sleep(time.Until(signal))
-	assert.NilError(t, nodes[0].Terminate())
-	assert.NilError(t, nodes[0].Wait(waitTimeout))
+	assert.NilError(t, node.Terminate())
+	assert.NilError(t, node.Wait(waitTimeout))
 	for index, r := range requests {
 		answer := <-answers[index]
-		problem := answer.problemOf(r, runsOfRequest(readHistory(t, w), answer.ID))
+		problem := answer.problemOf(r, runsOfRequest(readHistory(t, w), answer.ID), limits)
 		assert.Check(t, problem == "", "%s, %s: %s", r.path, r.name, problem)
 	}
 }
