--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lilacvane/internal/lab/runnerstub"
 	"lilacvane/internal/lab/world"
 	"lilacvane/internal/settings"
 )
@@ -206,3 +207,27 @@
 		assert.Check(t, problem == "", "%s, %s: %s", r.path, r.name, problem)
 	}
 }
+
+// TestStopAnswersRunningRequests: a request whose runner is mute until the stop ends gets a
+// whole answer, which does not claim that it did not run.
+func TestStopAnswersRunningRequests(t *testing.T) {
+	t.Parallel()
+	limits := settings.Stop{Grace: 4 * time.Second, Notice: 500 * time.Millisecond}
+	w, nodes := startStopWorld(t, limits, 1, 1)
+	assert.NilError(t, w.SetRunnerFaults("runner-1", runnerstub.Faults{MuteShare: 1}))
+	result := make(chan clientAnswer, 1)
+	go func() {
+		result <- send(t.Context(), nodes[0], clientRequest{Path: "/draft/x", Model: "alpha", Events: 3})
+	}()
+	waitUntil(t, "the request is running", func() error {
+		if at := runningByRunner(readHistory(t, w)); at["runner-1"] == 0 {
+			return fmt.Errorf("running by runner: %v", at)
+		}
+		return nil
+	})
+	assert.NilError(t, nodes[0].Terminate())
+	got := <-result
+	assert.Assert(t, got.Complete, "%+v", got)
+	assert.Equal(t, got.Status, http.StatusBadGateway)
+	assert.NilError(t, nodes[0].Wait(waitTimeout))
+}
