Guard the refusal of requests that wait at a stopping node

Cause: the process test of the fix sends requests that run at once; nothing showed when one that waits for a runner is refused.

--- /dev/null
+++ b/internal/dispatch/stopping_test.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/fault"
+	"lilacvane/internal/settings"
+	"lilacvane/internal/stop"
+)
+
+// TestWaitingRequestWasHeldUntilItsNodeStopped: a request that waits for a runner is refused as soon as the node, which
+// stops, could no longer finish it.
+func TestWaitingRequestWasHeldUntilItsNodeStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := zonedJob(zonesOut{})
+		j.query.Unit.Model = "beta"
+		ended := make(chan error, 1)
+		go func() {
+			_, err := j.selectRunner(t.Context())
+			ended <- err
+		}()
+		time.Sleep(time.Second)
+		schedule := stop.NewSchedule(time.Now(), settings.Stop{Grace: 8 * time.Second, Notice: 3 * time.Second})
+		j.dispatcher.Stop.Start(schedule)
+		err := <-ended
+		assert.Assert(t, fault.IsCode(err, fault.CodeDraining), "%v", err)
+		assert.Equal(t, fault.OutcomeOf(err), fault.NotDone)
+		assert.Equal(t, fault.From(err, "").RetryAfter, RetryElsewhere)
+		assert.Equal(t, time.Now(), schedule.LatestOpen)
+	})
+}
+
+// TestStopRefusesOnlyWhatHasNotBegun: a request that may have run, or a stream that has begun, is not refused as not run.
+func TestStopRefusesOnlyWhatHasNotBegun(t *testing.T) {
+	for name, begin := range map[string]func(*job){
+		"has run":   func(j *job) { j.ran = 1 },
+		"has begun": func(j *job) { j.stream = &clientStream{} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			j := zonedJob(zonesOut{})
+			j.dispatcher.Stop.Start(stop.NewSchedule(time.Now().Add(-4*time.Second), settings.Stop{Grace: 8 * time.Second, Notice: 3 * time.Second}))
+			j.deadline = time.Now().Add(time.Hour)
+			assert.Assert(t, j.checkStop() != nil)
+			begin(j)
+			assert.Assert(t, j.checkStop() == nil)
+		})
+	}
+}
