Let a stopping node keep what waits for a load that comes in time

Change: what was read within the notice may begin later, and wait, as long as what it waits for is expected in time for nine tenths of its route's latest requests to end. stop.Work describes a request that has not begun.

The tests of stop, dispatch and gateway pass.

--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -129,7 +128,7 @@
 		if err := j.checkLeaving(); err != nil {
 			return fleet.Choice{}, 0, err
 		}
-		if problem := cmp.Or(j.quarantined(), j.checkStop()); problem != nil {
+		if problem := j.quarantined(); problem != nil {
 			return fleet.Choice{}, 0, problem
 		}
 		if problem := j.checkHomes(); problem != nil {
@@ -141,6 +140,10 @@
 			}
 		}
 		w := j.currentWait()
+		stopRecheck, refusal := j.checkStopWaiting(w)
+		if refusal != nil {
+			return fleet.Choice{}, 0, refusal
+		}
 		decision, delay, recheck := w.decide()
 		if w.exact && decision != keepWaiting {
 			delay = max(delay, j.dispatcher.Fleet.RetryAfterRest(j.query))
@@ -158,8 +161,8 @@
 		if buildWait > 0 {
 			recheck = min(recheck, buildWait)
 		}
-		if left, stopping := j.untilStopRefuses(); stopping {
-			stopBegun, recheck = nil, min(recheck, left)
+		if stopRecheck > 0 {
+			recheck = min(recheck, stopRecheck)
 		}
 		timer.Reset(recheck)
 		select {
--- a/internal/dispatch/stopping.go
+++ b/internal/dispatch/stopping.go
@@ -5,6 +5,7 @@
 
 	"lilacvane/internal/config"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/stop"
 )
 
 // RetryElsewhere is the retry time of a request that other nodes can serve at once.
@@ -13,12 +14,18 @@
 // CheckStop returns the refusal of a request with a route that has not run and that this node, which stops,
 // could not finish; nil if the request may begin.
 func (d *Dispatcher) CheckStop(request *Request) *fault.Error {
-	return d.checkStop(request.Route, request.due(request.Route))
+	return d.checkStop(d.work(request, request.Route))
 }
 
-func (d *Dispatcher) checkStop(route *config.Route, due time.Time) *fault.Error {
+// work describes a request that can begin now.
+func (d *Dispatcher) work(request *Request, route *config.Route) stop.Work {
+	duration := d.durations.expect(route.Name)
+	return stop.Work{Read: request.Read, Due: request.due(route), Duration: duration, Known: duration > 0}
+}
+
+func (d *Dispatcher) checkStop(work stop.Work) *fault.Error {
 	schedule, stopping := d.Stop.Schedule()
-	if !stopping || schedule.Accepts(time.Now(), due, d.durations.expect(route.Name)) {
+	if !stopping || schedule.Accepts(time.Now(), work) {
 		return nil
 	}
 	return fault.New(fault.CodeDraining, "accept request", "the node is leaving").WithRetryAfter(RetryElsewhere)
@@ -29,15 +36,19 @@
 	if j.ran > 0 || j.stream != nil {
 		return nil
 	}
-	return j.dispatcher.checkStop(j.route, j.deadline)
+	return j.dispatcher.checkStop(j.dispatcher.work(j.request, j.route))
 }
 
-// untilStopRefuses returns the time until a waiting request of a node that stops is to be checked again;
-// false if the node does not stop.
-func (j *job) untilStopRefuses() (time.Duration, bool) {
+// checkStopWaiting is checkStop for a request that waits. It also returns the time after which to check again; zero for
+// any time.
+func (j *job) checkStopWaiting(w wait) (recheck time.Duration, refusal *fault.Error) {
 	schedule, stopping := j.dispatcher.Stop.Schedule()
-	left := time.Until(schedule.LatestOpen)
-	return left, stopping && left > 0
+	if !stopping || j.ran > 0 || j.stream != nil {
+		return 0, nil
+	}
+	work := j.dispatcher.work(j.request, j.route)
+	work.Delay, work.Known = w.expected, work.Known && w.known
+	return schedule.RecheckAfter(time.Now(), work), j.dispatcher.checkStop(work)
 }
 
 // recordStop records how the request relates to the stop of the node, if that stops.
--- a/internal/dispatch/stopping_test.go
+++ b/internal/dispatch/stopping_test.go
@@ -30,7 +30,7 @@
 		assert.Assert(t, fault.IsCode(err, fault.CodeDraining), "%v", err)
 		assert.Equal(t, fault.OutcomeOf(err), fault.NotDone)
 		assert.Equal(t, fault.From(err, "").RetryAfter, RetryElsewhere)
-		assert.Equal(t, time.Now(), schedule.LatestOpen)
+		assert.Assert(t, time.Since(schedule.LatestOpen) <= time.Millisecond)
 	})
 }
 
--- a/internal/stop/stop.go
+++ b/internal/stop/stop.go
@@ -45,13 +45,41 @@
 	}
 }
 
-// Accepts reports whether a request may begin whose final answer is due at a time, and which is expected to
-// take a time; zero if that is not known.
-func (s Schedule) Accepts(now, due time.Time, expected time.Duration) bool {
-	if !due.After(s.LastAnswers) {
+// Work is a request that has not begun.
+type Work struct {
+	// Read is when the request was read whole, Due when its final answer must be sent.
+	Read time.Time
+	Due  time.Time
+	// Duration is how long it is expected to run, and Delay the time until it can begin; both are known only
+	// if Known is set.
+	Duration time.Duration
+	Delay    time.Duration
+	Known    bool
+}
+
+// Accepts reports whether a request may begin, or wait to begin. What was read too late begins only if its answer is due
+// before the last answers, as expectations may be wrong.
+func (s Schedule) Accepts(now time.Time, w Work) bool {
+	switch {
+	case !w.Due.After(s.LastAnswers):
 		return true
+	case !w.Read.Before(s.LatestOpen):
+		return false
+	case w.Known:
+		return !now.Add(w.Delay + w.Duration).After(s.LastAnswers)
+	default:
+		return now.Before(s.LatestOpen)
+	}
+}
+
+// RecheckAfter returns the time after which a request that waits may no longer be accepted, though nothing else changes;
+// zero if there is none.
+func (s Schedule) RecheckAfter(now time.Time, w Work) time.Duration {
+	latest := s.LatestOpen
+	if w.Known {
+		latest = s.LastAnswers.Add(-w.Delay - w.Duration)
 	}
-	return now.Before(s.LatestOpen) && !now.Add(expected).After(s.LastAnswers)
+	return max(latest.Sub(now)+time.Millisecond, 0)
 }
 
 // Phase is a part of a stop.
--- a/internal/stop/stop_test.go
+++ b/internal/stop/stop_test.go
@@ -17,20 +17,26 @@
 	s := NewSchedule(begin, settings.Stop{Grace: 8 * time.Second, Notice: 3 * time.Second})
 	left := s.LastAnswers.Sub(begin)
 	for name, one := range map[string]struct {
-		now, due, expected time.Duration
-		want               bool
+		read, now, due  time.Duration
+		duration, delay time.Duration
+		known, want     bool
 	}{
-		"due in time":                       {6 * time.Second, left, 0, true},
-		"due in time, expected to be late":  {6 * time.Second, left, time.Hour, true},
-		"in the notice, nothing known":      {time.Second, time.Hour, 0, true},
-		"in the notice, expected in time":   {time.Second, time.Hour, left - time.Second, true},
-		"in the notice, expected late":      {time.Second, time.Hour, left, false},
-		"when clients may end the notice":   {2900 * time.Millisecond, time.Hour, 0, false},
-		"after the notice":                  {3 * time.Second, time.Hour, time.Millisecond, false},
-		"after the notice, due a bit later": {3 * time.Second, left + time.Millisecond, 0, false},
+		"due in time":                      {read: 6 * time.Second, now: 6 * time.Second, due: left, want: true},
+		"due in time, expected to be late": {read: 6 * time.Second, now: 6 * time.Second, due: left, duration: time.Hour, known: true, want: true},
+		"in the notice, nothing known":     {read: time.Second, now: time.Second, due: time.Hour, want: true},
+		"in the notice, expected in time":  {read: time.Second, now: time.Second, due: time.Hour, duration: left - time.Second, known: true, want: true},
+		"in the notice, expected late":     {read: time.Second, now: time.Second, due: time.Hour, duration: left, known: true},
+		"waits for what comes in time":     {read: time.Second, now: time.Second, due: time.Hour, duration: time.Second, delay: left - 2*time.Second, known: true, want: true},
+		"waits for what comes late":        {read: time.Second, now: time.Second, due: time.Hour, duration: time.Second, delay: left - time.Second, known: true},
+		"waited, expected in time":         {read: time.Second, now: 4 * time.Second, due: time.Hour, duration: left - 4*time.Second, known: true, want: true},
+		"waited, nothing known":            {read: time.Second, now: 3 * time.Second, due: time.Hour},
+		"when clients may end the notice":  {read: 2900 * time.Millisecond, now: 2900 * time.Millisecond, due: time.Hour},
+		"after the notice":                 {read: 3 * time.Second, now: 3 * time.Second, due: time.Hour, duration: time.Millisecond, known: true},
+		"after the notice, due a bit late": {read: 3 * time.Second, now: 3 * time.Second, due: left + time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, s.Accepts(begin.Add(one.now), begin.Add(one.due), one.expected), one.want)
+			w := Work{Read: begin.Add(one.read), Due: begin.Add(one.due), Duration: one.duration, Delay: one.delay, Known: one.known}
+			assert.Equal(t, s.Accepts(begin.Add(one.now), w), one.want)
 		})
 	}
 }
