--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -162,7 +162,7 @@
 			recheck = min(recheck, buildWait)
 		}
 		if stopRecheck > 0 {
-			recheck = min(recheck, stopRecheck)
+			recheck = min(recheck, max(stopRecheck, minRecheck))
 		}
 		timer.Reset(recheck)
 		select {
