Relate refused requests to the stop by their arrival

Cause: a request that is refused before its body was read has no time at which it was read, and its log line named a time of centuries.

Change: its arrival counts. Found by reading; no run showed it.

--- a/internal/dispatch/stopping.go
+++ b/internal/dispatch/stopping.go
@@ -57,7 +57,12 @@
 	if !stopping {
 		return
 	}
-	j.outcome.Stop = &StopOutcome{Phase: schedule.PhaseAt(j.request.Read), Read: j.request.Read.Sub(schedule.Begin), Ended: now.Sub(schedule.Begin)}
+	read := j.request.Read
+	if read.IsZero() {
+		// It was refused before its body was read.
+		read = j.request.Arrived
+	}
+	j.outcome.Stop = &StopOutcome{Phase: schedule.PhaseAt(read), Read: read.Sub(schedule.Begin), Ended: now.Sub(schedule.Begin)}
 	if j.forwarded() > 0 {
 		j.outcome.Stop.Idle = now.Sub(j.stream.forwardedAt)
 	}
