Give back the keys of calls that a stopping node refuses

Callers whose calls carried an Idempotency-Key and waited for a runner as their node was asked to stop were refused as not run, "draining", which tells them to ask another node. That answered 409, an attempt was made before, for eight hours.

Cause: the key is claimed before the call waits for a runner, and the claim outlived the refusal. The same happened to a call whose claim took long enough for the stop to begin meanwhile. Evidence: two of two keyed calls that waited for a cold model were refused with "ran" "no", and under the same keys with 409 by the other node.

Change: a stopping node deletes the claim before it writes the refusal, on condition that it is still that of this attempt. Other refusals keep the key, as before.

--- a/internal/claim/restore.go
+++ b/internal/claim/restore.go
@@ -111,6 +111,11 @@
 	return err
 }
 
+// Release gives back the key of an attempt that is not made.
+func (c *Claims) Release(ctx context.Context, key, attempt string) {
+	c.release(ctx, keyOf(key), attempt)
+}
+
 // release deletes the claim of an attempt that is not made. If that fails, the key stays claimed.
 func (c *Claims) release(ctx context.Context, rowKey, attempt string) {
 	c.recent.forget(rowKey)
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -185,6 +185,9 @@
 
 // refuse answers a request that did not run and will not, with a retry time.
 func (j *job) refuse(problem *fault.Error) {
+	if j.request.Refused != nil {
+		j.request.Refused()
+	}
 	problem.Ran = fault.NotDone
 	status := fault.Status(problem.Code)
 	if !promisesNotRun(status) && !permanent(status) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,8 @@
 type Claims interface {
 	// Take claims a key for an attempt.
 	Take(ctx context.Context, key, attempt string) error
+	// Release gives back the key of an attempt that is not made.
+	Release(ctx context.Context, key, attempt string)
 }
 
 // Options are the dependencies of a Server.
@@ -150,10 +152,19 @@
 		if err := s.Claims.Take(r.Context(), call.key, id); err != nil {
 			return nil, err
 		}
+		call.request.Refused = func() { s.releaseKey(r.Context(), call.key, id) }
 	}
 	return &call, nil
 }
 
+// releaseKey gives back the key of a call that a stopping node refuses: the caller is to send it to another
+// node under the same key.
+func (s *Server) releaseKey(ctx context.Context, key, id string) {
+	if _, stopping := s.Dispatcher.Stop.Schedule(); stopping {
+		s.Claims.Release(context.WithoutCancel(ctx), key, id)
+	}
+}
+
 // accept returns the refusal of a call while the node takes none. A node that leaves is not the only one.
 func (s *Server) accept() error {
 	err := s.Accept()
