Check the stop again right before a request is sent

What callers saw: nothing yet; found by reading. A request that its node could not finish could still be sent to a runner.

Cause: whether a stopping node may begin a request was asked when a runner was found. After that come a trial of a held request and the connection, which may take seconds.

Change: the first send of a request asks once more, with a connection at hand. What may not begin is put back, and refused as not run. Hedges and resumed streams are not asked, as something of them runs already.

Measured: TestStoppingNodeSentWhatItCannotFinishAfterConnecting failed before (the runner got the request) and passes, as do the tests of dispatch.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -281,6 +281,16 @@
 	call := j.call(choice, j.query, j.lastEventID())
 	// If a connection that had been idle turns out to be silent, no other runner is tried.
 	call.Proved = j.silenceLimit() == 0 || choice.Candidates == 1
+	admit := call.Admit
+	call.Admit = func() error {
+		if err := admit(); err != nil {
+			return err
+		}
+		if j.checkStop() != nil {
+			return errNotAdmitted
+		}
+		return nil
+	}
 	return j.dispatcher.Pool.Do(ctx, call)
 }
 
--- a/internal/dispatch/stopping_test.go
+++ b/internal/dispatch/stopping_test.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,3 +53,19 @@
 		})
 	}
 }
+
+// taking on such requests while it connects to that. The request is refused as not run.
+func TestStoppingNodeSentWhatItCannotFinishAfterConnecting(t *testing.T) {
+	var received atomic.Int64
+	runner := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
+	defer runner.Close()
+	j, written := oneRunnerJob(runner.Listener.Addr().String())
+	j.dispatcher.AwaitPendingReads = func() {
+		j.dispatcher.Stop.Start(stop.NewSchedule(time.Now(), settings.Stop{Grace: time.Second}))
+	}
+	for j.attempt(t.Context()) {
+	}
+	assert.Equal(t, received.Load(), int64(0))
+	assert.Equal(t, written.Code, http.StatusServiceUnavailable, "%s", written.Body)
+	assert.Equal(t, j.outcome.Attempts, 0)
+}
