End a request's wait for its tenant's limit with the stop

What callers saw: nothing yet; found by reading. A request that was being decided on by the lenders of its tenant's limit as its node's connections ended got a closed connection.

Cause: the request's deadline and the end of the stop bound the request only once it was within its limit. Before that, each lender that does not answer takes 250 ms, which is more than is left between the last answers and the end of connections for a grace of 6 s or less.

Change: both bound the wait for the limit too. The request is refused as not run.

Measured: TestStopEndedWithoutAnswerToLimitedRequest failed before (no answer for 5 s) and passes, as do the tests of dispatch and node.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -323,6 +323,11 @@
 		j.refuse(problem)
 		return
 	}
+	ctx, cancel := context.WithDeadlineCause(ctx, j.deadline, errTimeout)
+	defer cancel()
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	defer context.AfterFunc(j.dispatcher.Closing, func() { stop(errClosing) })()
 	if err := j.admit(ctx); err != nil {
 		j.end(ctx, err)
 		return
@@ -333,11 +338,6 @@
 		j.dispatcher.Demand.Use(demand.Key{Service: service, Unit: j.request.Unit, Homes: j.query.Homes}, j.request.TokensIn)
 	}
 	j.dispatcher.retryBudget(service).RecordRequest()
-	ctx, cancel := context.WithDeadlineCause(ctx, j.deadline, errTimeout)
-	defer cancel()
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
-	defer context.AfterFunc(j.dispatcher.Closing, func() { stop(errClosing) })()
 	for j.attempt(ctx) {
 	}
 }
--- a/internal/dispatch/stopping_test.go
+++ b/internal/dispatch/stopping_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -8,11 +9,15 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
+	"lilacvane/internal/config"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/fleet"
 	"lilacvane/internal/settings"
 	"lilacvane/internal/stop"
+	"lilacvane/internal/tenant"
 )
 
 // TestWaitingRequestWasHeldUntilItsNodeStopped: a request that waits for a runner is refused as soon as the node, which
@@ -69,3 +74,34 @@
 	assert.Equal(t, written.Code, http.StatusServiceUnavailable, "%s", written.Body)
 	assert.Equal(t, j.outcome.Attempts, 0)
 }
+
+// blockedLimiter answers once nobody waits for the answer any more.
+type blockedLimiter struct{}
+
+func (blockedLimiter) RecordDemand(*tenant.Tenant, float64) {}
+
+func (blockedLimiter) Admit(ctx context.Context, _ *tenant.Tenant, _ float64, _ int) Admission {
+	<-ctx.Done()
+	return Admission{Verdict: LimitUnknown}
+}
+
+// are due. It is refused then, before connections end.
+func TestStopEndedWithoutAnswerToLimitedRequest(t *testing.T) {
+	ctx, leave := context.WithTimeout(t.Context(), 5*time.Second)
+	defer leave()
+	closing, end := context.WithCancel(t.Context())
+	tenants, err := tenant.NewDirectory([]tenant.Tenant{{Name: "t", Keys: []tenant.Digest{tenant.DigestOf("k")}, Limit: tenant.Limit{Rate: 1, Burst: 1}}})
+	assert.NilError(t, err)
+	d := &Dispatcher{
+		Fleet: fleet.New("zone", time.Now, noRules{}), Log: logr.Discard(), Limits: blockedLimiter{}, Closing: closing, AwaitFresh: func(context.Context) {},
+		Configuration: func() *config.Configuration {
+			return &config.Configuration{Services: map[string]*config.Service{"s": {}}, Tenants: tenants}
+		},
+	}
+	time.AfterFunc(50*time.Millisecond, end)
+	answer := httptest.NewRecorder()
+	outcome := d.Serve(ctx, answer, &Request{Key: "k", Arrived: time.Now(), Service: "s", Route: &config.Route{Kind: config.Safe, Attempts: 1, Timeout: time.Hour}})
+	assert.NilError(t, ctx.Err())
+	assert.Equal(t, outcome.Result, ResultRefused)
+	assert.Equal(t, answer.Code, http.StatusServiceUnavailable)
+}
