--- a/internal/lab/world/process.go
+++ b/internal/lab/world/process.go
@@ -77,6 +77,9 @@
 // Terminate asks the process to shut down gracefully.
 func (p *Process) Terminate() error { return p.command.Process.Signal(syscall.SIGTERM) }
 
+// Interrupt asks the process to shut down as a terminal does.
+func (p *Process) Interrupt() error { return p.command.Process.Signal(syscall.SIGINT) }
+
 // Reload asks the process to read its settings again.
 func (p *Process) Reload() error { return p.command.Process.Signal(syscall.SIGHUP) }
 
