--- a/internal/lab/journal/journal.go
+++ b/internal/lab/journal/journal.go
@@ -49,6 +49,9 @@
 	EventFall Event = "fall"
 )
 
+// DetailBrokeOff is the detail of EventCanceled if the runner itself broke the answer off.
+const DetailBrokeOff = "broke off"
+
 // Record is one line of a journal. MemoryMiB is the memory of Unit, TotalMiB all memory
 // in use on the runner after the event.
 type Record struct {
--- a/internal/lab/runnerstub/http.go
+++ b/internal/lab/runnerstub/http.go
@@ -120,6 +120,8 @@
 	faults     Faults
 	// crashes is set if the runner crashes as it begins to write an answer.
 	crashes bool
+	// brokeOff is set if the runner itself ended the answer before its end.
+	brokeOff bool
 	// isCompletion is set for the paths of the completion API.
 	isCompletion bool
 }
@@ -263,7 +265,11 @@
 	if finished {
 		event = journal.EventFinished
 	}
-	r.record(journal.Record{Event: event, Unit: j.model, Request: j.id})
+	detail := ""
+	if j.brokeOff {
+		detail = journal.DetailBrokeOff
+	}
+	r.record(journal.Record{Event: event, Unit: j.model, Request: j.id, Detail: detail})
 	if m := r.models[j.model]; m != nil {
 		m.active--
 		r.removeIfIdle(j.model)
@@ -383,6 +389,7 @@
 			}
 			if breaks {
 				answer.flush()
+				j.brokeOff = true
 				panic(http.ErrAbortHandler)
 			}
 			r.endEarly(j, answer, ends)
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -315,13 +315,12 @@
 	return text.String()
 }
 
-// ask sends a request and reads it to its final outcome. If progress is not nil, it is
-// called after each chunk.
-func ask(ctx context.Context, node *world.Node, c call, progress func(outcome)) outcome {
+// request returns the call as it is sent to a node.
+func (c call) request(ctx context.Context, node *world.Node) (*http.Request, error) {
 	body, _ := json.Marshal(api.Completion{Model: c.Model, Prompt: c.Prompt, Stream: !c.Unstreamed, MaxTokens: c.Tokens})
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node.Callers+"/v1/completions", bytes.NewReader(body))
 	if err != nil {
-		return outcome{Broken: true}
+		return nil, err
 	}
 	setHeader := func(name, value string) {
 		if value != "" {
@@ -336,6 +335,16 @@
 	if c.Deadline > 0 {
 		setHeader(api.HeaderDeadline, strconv.FormatFloat(c.Deadline.Seconds(), 'f', 3, 64))
 	}
+	return request, nil
+}
+
+// ask sends a request and reads it to its final outcome. If progress is not nil, it is
+// called after each chunk.
+func ask(ctx context.Context, node *world.Node, c call, progress func(outcome)) outcome {
+	request, err := c.request(ctx, node)
+	if err != nil {
+		return outcome{Broken: true}
+	}
 	// Each request uses its own connection, so that the HTTP client never retries one on a
 	// broken connection.
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
--- a/test/persistent_soak_test.go
+++ b/test/persistent_soak_test.go
@@ -44,6 +44,9 @@
 	runners      []string
 	replacements int
 
+	// settingsMutex guards changes of settings files.
+	settingsMutex sync.Mutex
+
 	mutex   sync.Mutex
 	results []requestResult
 	// stops are the intervals in which nodes were being stopped or killed, by name; pauses
@@ -129,28 +132,7 @@
 }
 
 func runPersistentSoak(t *testing.T, seed uint64) {
-	w := newWorld(t, func(o *world.Options) {
-		o.Seed = seed
-		adjust := o.Adjust
-		o.Adjust = func(s *settings.Settings) {
-			adjust(s)
-			s.Log.Level = "info"
-		}
-	})
-	startRunners(t, w, *persistentRunners)
-	startMailers(t, w, 2)
-	s := &persistentSoak{t: t, w: w, seed: seed, nodes: startNodes(t, w, *persistentNodes), stops: make(map[string][]interval), pauses: make(map[string][]interval), changeCounts: make(map[string]int)}
-	for index := range *persistentRunners {
-		s.runners = append(s.runners, fmt.Sprintf("runner-%d", index+1))
-	}
-	apply(t, s.nodes[0], append(model("alpha", *persistentRunners), readyPolicy("alpha", *persistentRunners))...)
-	waitKnown(t, "alpha", s.nodes...)
-	waitUntil(t, "all runners hold the model", func() error {
-		if got := len(runnersHolding(t, s.nodes[0], "alpha")); got < *persistentRunners {
-			return fmt.Errorf("%d hold it", got)
-		}
-		return nil
-	})
+	s := startPersistentSoak(t, seed, *persistentNodes, *persistentRunners, useShortIntervals)
 	s.until = time.Now().Add(*persistentDuration)
 	var running, clients sync.WaitGroup
 	for index, node := range s.nodes {
@@ -173,6 +155,32 @@
 	s.verify()
 }
 
+// startPersistentSoak starts nodes and runners, all of which hold a model.
+func startPersistentSoak(t *testing.T, seed uint64, nodes, runners int, adjust func(*settings.Settings)) *persistentSoak {
+	w := newWorld(t, func(o *world.Options) {
+		o.Seed = seed
+		o.Adjust = func(s *settings.Settings) {
+			adjust(s)
+			s.Log.Level = "info"
+		}
+	})
+	startRunners(t, w, runners)
+	startMailers(t, w, 2)
+	s := &persistentSoak{t: t, w: w, seed: seed, nodes: startNodes(t, w, nodes), stops: make(map[string][]interval), pauses: make(map[string][]interval), changeCounts: make(map[string]int)}
+	for index := range runners {
+		s.runners = append(s.runners, fmt.Sprintf("runner-%d", index+1))
+	}
+	apply(t, s.nodes[0], append(model("alpha", runners), readyPolicy("alpha", runners))...)
+	waitKnown(t, "alpha", s.nodes...)
+	waitUntil(t, "all runners hold the model", func() error {
+		if got := len(runnersHolding(t, s.nodes[0], "alpha")); got < runners {
+			return fmt.Errorf("%d hold it", got)
+		}
+		return nil
+	})
+	return s
+}
+
 func (s *persistentSoak) count(what string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -301,21 +309,28 @@
 // changeSettings changes a node's settings file, and signals the node in half of the cases.
 func (s *persistentSoak) changeSettings(random *rand.Rand) {
 	node := s.nodes[random.IntN(len(s.nodes))]
-	content := readFile(s.t, node.SettingsPath())
-	changed := strings.Replace(content, "level: info", "level: debug", 1)
-	if changed == content {
-		changed = strings.Replace(content, "level: debug", "level: info", 1)
-	}
-	// The file is replaced atomically: a process that starts reads the old file or the new
-	// one, never a part.
-	newPath := node.SettingsPath() + ".new"
-	writeTo(s.t, newPath, changed)
-	assert.Check(s.t, os.Rename(newPath, node.SettingsPath()))
+	s.editSettings(node, func(content string) string {
+		changed := strings.Replace(content, "level: info", "level: debug", 1)
+		if changed == content {
+			changed = strings.Replace(content, "level: debug", "level: info", 1)
+		}
+		return changed
+	})
 	if random.IntN(2) == 0 {
 		_ = node.Current().Reload() // The process may just have ended.
 	}
 }
 
+// editSettings replaces the content of a node's settings file. The file is replaced atomically: a process
+// that starts reads the old file or the new one, never a part.
+func (s *persistentSoak) editSettings(node *world.Node, edit func(content string) string) {
+	s.settingsMutex.Lock()
+	defer s.settingsMutex.Unlock()
+	newPath := node.SettingsPath() + ".new"
+	writeTo(s.t, newPath, edit(readFile(s.t, node.SettingsPath())))
+	assert.Check(s.t, os.Rename(newPath, node.SettingsPath()))
+}
+
 // changeRunner makes one runner pause, refuse, slow down, or serve normally again.
 func (s *persistentSoak) changeRunner(random *rand.Rand) {
 	s.worldMutex.Lock()
@@ -327,7 +342,7 @@
 
 // replaceRunner drains a runner and starts a new one in its place.
 func (s *persistentSoak) replaceRunner(random *rand.Rand) {
-	index := random.IntN(*persistentRunners)
+	index := random.IntN(len(s.runners))
 	s.worldMutex.Lock()
 	leaving := s.runners[index]
 	s.replacements++
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,16 +37,38 @@
 	events int
 	// dial is when its connection is opened, send when its head is sent.
 	dial, send time.Duration
-	// bodyEnd is when the end of its body is sent, in chunks; zero if that follows the head.
+	// bodyEnd is when the end of its body is sent; zero if that follows the head. The body is sent in chunks
+	// then, or with a length if sized is set.
 	bodyEnd time.Duration
+	sized   bool
+	// deadline is how long its client waits; zero for slowDeadline.
+	deadline time.Duration
+	// pause is how long the client waits before each read of the answer after the first one.
+	pause time.Duration
+	// key is the caller's key of a completion; empty for none.
+	key string
 }
 
+// slowDeadline is how long the client of a slowRequest waits if it does not say.
+const slowDeadline = 20 * time.Second
+
+// completionPath is the path of the callers' completions, streamPath that of those that are streamed, as a
+// slowRequest names them.
+const (
+	completionPath = "/v1/completions"
+	streamPath     = "/v1/completions?stream"
+)
+
 // slowAnswer is what the client of a slowRequest got. Times are relative to the signal.
 type slowAnswer struct {
 	clientAnswer
-	// sent is when the last byte of the request was sent, lastRead when something of the
-	// answer was last read.
-	sent, lastRead time.Duration
+	// whole is set if all of the answer came, and is the expected one.
+	whole bool
+	// dialed is set if a connection was opened, read if the request was sent whole.
+	dialed, read bool
+	// opened is when its connection was opened, headSent when the head of the request was sent, sent when the last byte of it was, lastRead
+	// when something of the answer was last read, ended when the client had done.
+	opened, headSent, sent, lastRead, ended time.Duration
 	// problem is why no whole answer came, or nil if one did.
 	problem error
 }
@@ -51,29 +76,56 @@
 // run sends a request to a node that gets its signal at a time.
 func (r slowRequest) run(node *world.Node, signal time.Time) (answer slowAnswer) {
 	at := func(after time.Duration) { time.Sleep(time.Until(signal.Add(after))) }
+	answer.ID = newID()
+	defer func() { answer.ended = time.Since(signal) }()
+	request := r.request(node, answer.ID)
+	head, rest := r.encode(request)
 	at(r.dial)
-	conn, err := net.Dial("tcp", node.Clients)
-	if err != nil {
-		return slowAnswer{problem: err}
+	answer.opened = time.Since(signal)
+	conn, err := net.Dial("tcp", request.URL.Host)
+	if answer.problem = err; err != nil {
+		return answer
 	}
 	defer conn.Close()
-	c := clientRequest{ID: newID(), Path: r.path, Method: http.MethodPost, Model: "alpha", Events: r.events, Deadline: 20 * time.Second, Body: []byte("0123456789")}
-	answer.ID = c.ID
-	head, rest := r.encode(c, node)
+	answer.dialed = true
 	at(r.send)
+	answer.headSent = time.Since(signal)
 	if _, answer.problem = conn.Write(head); answer.problem != nil {
 		return answer
 	}
-	if r.bodyEnd != 0 {
-		at(r.bodyEnd)
-	}
-	if _, answer.problem = conn.Write(rest); answer.problem != nil {
+	if answer.problem = r.sendRest(conn, rest, signal); answer.problem != nil {
 		return answer
 	}
-	answer.sent = time.Since(signal)
+	answer.read, answer.sent = true, time.Since(signal)
+	r.readAnswer(conn, signal, &answer)
+	return answer
+}
+
+// slowPieces is in how many pieces a body is sent until bodyEnd.
+const slowPieces = 4
+
+// sendRest sends the rest of a request: all at once, or in pieces of which the last one is sent at bodyEnd.
+func (r slowRequest) sendRest(conn net.Conn, rest []byte, signal time.Time) error {
+	for index := 0; r.bodyEnd != 0 && index < slowPieces-1; index++ {
+		time.Sleep(time.Until(signal.Add(r.send + (r.bodyEnd-r.send)*time.Duration(index+1)/slowPieces)))
+		size := len(rest) / slowPieces
+		if _, err := conn.Write(rest[:size]); err != nil {
+			return err
+		}
+		rest = rest[size:]
+	}
+	if r.bodyEnd != 0 {
+		time.Sleep(time.Until(signal.Add(r.bodyEnd)))
+	}
+	_, err := conn.Write(rest)
+	return err
+}
+
+// readAnswer reads the answer to a request that was sent whole.
+func (r slowRequest) readAnswer(conn net.Conn, signal time.Time, answer *slowAnswer) {
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if answer.problem = err; err != nil {
-		return answer
+		return
 	}
 	defer response.Body.Close()
 	var content bytes.Buffer
@@ -83,6 +135,7 @@
 		count, err = response.Body.Read(buffer)
 		if content.Write(buffer[:count]); count > 0 {
 			answer.lastRead = time.Since(signal)
+			time.Sleep(r.pause)
 		}
 	}
 	if err == io.EOF {
@@ -90,14 +143,52 @@
 	}
 	answer.problem = err
 	answer.record(response, content.Bytes(), err)
-	return answer
+	answer.whole = answer.Complete && answer.Status == http.StatusOK && r.isExpected(answer)
+}
+
+// isExpected reports whether the body of an answer is the whole expected one.
+func (r slowRequest) isExpected(answer *slowAnswer) bool {
+	switch {
+	case r.isCompletion():
+		response := &http.Response{Body: io.NopCloser(strings.NewReader(answer.Body))}
+		read := readCompletion
+		if r.path == streamPath {
+			read = func(response *http.Response, result outcome) outcome { return readStream(response, result, nil) }
+		}
+		got := read(response, outcome{})
+		return got.Served && got.Text == expectedText(answer.ID, r.events)
+	case r.events > 0:
+		return answer.Body == expectedEvents(answer.ID, r.events)
+	default:
+		return strings.Contains(answer.Body, answer.ID)
+	}
+}
+
+// isCompletion reports whether the request is one of the callers' API.
+func (r slowRequest) isCompletion() bool { return strings.HasPrefix(r.path, completionPath) }
+
+// request returns the request as it is sent, with an identifier that begins the text of its answer.
+func (r slowRequest) request(node *world.Node, id string) *http.Request {
+	deadline := cmp.Or(r.deadline, slowDeadline)
+	if !r.isCompletion() {
+		c := clientRequest{ID: id, Path: r.path, Method: http.MethodPost, Events: r.events, Deadline: deadline, Body: []byte("0123456789")}
+		if r.events > 0 {
+			c.Model = "alpha"
+		}
+		return newRequest(c, node)
+	}
+	c := call{Model: "alpha", Prompt: id, Tokens: r.events, Key: r.key, Deadline: deadline, Unstreamed: r.path != streamPath}
+	request, err := c.request(context.Background(), node)
+	if err != nil {
+		// Tests only use valid requests.
+		panic(err)
+	}
+	return request
 }
 
 // encode returns a request in two parts, of which the second one is sent at bodyEnd.
-func (r slowRequest) encode(c clientRequest, node *world.Node) (head, rest []byte) {
-	request := newRequest(c, node)
-	if r.bodyEnd != 0 {
-		request.Body = io.NopCloser(bytes.NewReader(c.Body))
+func (r slowRequest) encode(request *http.Request) (head, rest []byte) {
+	if r.bodyEnd != 0 && !r.sized {
 		request.ContentLength, request.TransferEncoding = -1, []string{"chunked"}
 	}
 	var encoded bytes.Buffer
@@ -105,8 +196,9 @@
 		// Tests only use valid requests.
 		panic(err)
 	}
-	// The size of the first chunk is sent with the head.
-	split := bytes.Index(encoded.Bytes(), []byte("\r\n\r\n")) + 6
+	// The begin of the body, which is the size of the first chunk, is sent with the head.
+	const headEnd = "\r\n\r\n"
+	split := min(bytes.Index(encoded.Bytes(), []byte(headEnd))+len(headEnd)+2, encoded.Len())
 	return encoded.Bytes()[:split], encoded.Bytes()[split:]
 }
 
@@ -115,7 +207,7 @@
 // notice and that its runner still works on in the last part of the grace.
 func (a *slowAnswer) problemOf(r slowRequest, runs int, limits settings.Stop) string {
 	switch {
-	case a.Complete && a.Status == http.StatusOK && a.Body == expectedEvents(a.ID, r.events):
+	case a.whole:
 		return ""
 	case a.Complete && a.Status == http.StatusServiceUnavailable && runs == 0:
 		return ""
@@ -156,14 +248,14 @@
 	var requests []slowRequest
 	for _, path := range []string{"/draft/x", "/reply/x"} {
 		requests = append(requests,
-			slowRequest{"begun before the signal", path, endlessEvents, -time.Second, -time.Second, 0},
-			slowRequest{"sent in the notice", path, endlessEvents, 100 * time.Millisecond, time.Second, 0},
-			slowRequest{"sent at the end of the notice", path, endlessEvents, 100 * time.Millisecond, 2900 * time.Millisecond, 0},
-			slowRequest{"first request of an old connection", path, endlessEvents, -time.Second, 3300 * time.Millisecond, 0},
-			slowRequest{"first request of a new connection", path, endlessEvents, 2900 * time.Millisecond, 3300 * time.Millisecond, 0},
-			slowRequest{"body that ends soon after the notice", path, endlessEvents, 500 * time.Millisecond, 600 * time.Millisecond, 3500 * time.Millisecond},
-			slowRequest{"body that ends late", path, endlessEvents, 2500 * time.Millisecond, 2600 * time.Millisecond, 6 * time.Second},
-			slowRequest{"short, body that ends at the end", path, 3, 2500 * time.Millisecond, 2600 * time.Millisecond, 7100 * time.Millisecond},
+			slowRequest{name: "begun before the signal", path: path, events: endlessEvents, dial: -time.Second, send: -time.Second},
+			slowRequest{name: "sent in the notice", path: path, events: endlessEvents, dial: 100 * time.Millisecond, send: time.Second},
+			slowRequest{name: "sent at the end of the notice", path: path, events: endlessEvents, dial: 100 * time.Millisecond, send: 2900 * time.Millisecond},
+			slowRequest{name: "first request of an old connection", path: path, events: endlessEvents, dial: -time.Second, send: 3300 * time.Millisecond},
+			slowRequest{name: "first request of a new connection", path: path, events: endlessEvents, dial: 2900 * time.Millisecond, send: 3300 * time.Millisecond},
+			slowRequest{name: "body that ends soon after the notice", path: path, events: endlessEvents, dial: 500 * time.Millisecond, send: 600 * time.Millisecond, bodyEnd: 3500 * time.Millisecond},
+			slowRequest{name: "body that ends late", path: path, events: endlessEvents, dial: 2500 * time.Millisecond, send: 2600 * time.Millisecond, bodyEnd: 6 * time.Second},
+			slowRequest{name: "short, body that ends at the end", path: path, events: 3, dial: 2500 * time.Millisecond, send: 2600 * time.Millisecond, bodyEnd: 7100 * time.Millisecond},
 		)
 	}
 	checkStop(t, w, nodes[0], requests, longStop)
@@ -180,8 +272,8 @@
 			var requests []slowRequest
 			for _, path := range []string{"/draft/x", "/reply/x"} {
 				requests = append(requests,
-					slowRequest{"begun before the signal", path, endlessEvents, -time.Second, -time.Second, 0},
-					slowRequest{"sent in the notice", path, endlessEvents, 0, limits.Notice / 2, 0},
+					slowRequest{name: "begun before the signal", path: path, events: endlessEvents, dial: -time.Second, send: -time.Second},
+					slowRequest{name: "sent in the notice", path: path, events: endlessEvents, dial: 0, send: limits.Notice / 2},
 				)
 			}
 			checkStop(t, w, nodes[0], requests, limits)
