End the process of a stop within its grace

A platform kills a process at the end of its grace. Operators would see a node that is killed though it had nothing left to do, and its last log lines lost.

Cause: after the last moment of the schedule, the grace less a 48th, a stop waited up to 100 ms for background work and 50 ms for its log: fixed times that are more than a 48th of any grace below 7.2 s. Work that asks a store that is away, and peers that do not answer as they are told of claims, use up both. Evidence: of a process with a grace of 3 s, "claims handed over" at 2.938 s, "node stopped" 0.1 s later, gone at 3.042 s.

Change: stop.Schedule has these moments too, as shares of the grace: claims until a 32nd before its end (before: a 48th), background work until a 48th, the log until a 96th. Work that is left behind is logged.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,13 +86,8 @@
 	Links *link.Record
 }
 
-const (
-	// maxDecisions is how many decisions a node keeps for operators' queries.
-	maxDecisions    = 2000
-	logCloseTimeout = 50 * time.Millisecond
-	// backgroundStopTimeout bounds the wait for background work after a stop.
-	backgroundStopTimeout = 100 * time.Millisecond
-)
+// maxDecisions is how many decisions a node keeps for operators' queries.
+const maxDecisions = 2000
 
 // Node is one process of the serving system.
 type Node struct {
@@ -291,18 +286,20 @@
 	work.Go(func() { n.pool.RetryBrokenPaths(background) })
 	n.serve(open)
 	<-ctx.Done()
-	n.stop()
+	schedule := n.stop()
 	end()
 	work.Go(n.controls.stop)
 	work.Go(n.crashes.Close)
-	waitWithTimeout(&work, backgroundStopTimeout)
+	if !waitUntil(&work, schedule.BackgroundEnd) {
+		n.log.Info("background work aborted at end of shutdown", "step", "stop node")
+	}
 	n.log.Info("node stopped", "node", s.Node)
-	n.log.Close(logCloseTimeout)
+	n.log.Close(time.Until(schedule.LogEnd))
 	return nil
 }
 
-// waitWithTimeout waits for work, but no longer than limit.
-func waitWithTimeout(work *sync.WaitGroup, limit time.Duration) {
+// waitUntil waits for work, but no longer than to the end. It returns whether the work is done.
+func waitUntil(work *sync.WaitGroup, end time.Time) bool {
 	done := make(chan struct{})
 	go func() {
 		work.Wait()
@@ -310,7 +307,9 @@
 	}()
 	select {
 	case <-done:
-	case <-time.After(limit):
+		return true
+	case <-time.After(time.Until(end)):
+		return false
 	}
 }
 
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -65,8 +65,8 @@
 }
 
 // stop stops the node within its grace period. It releases leases first, then gives the load
-// balancer time to notice, then waits for active requests.
-func (n *Node) stop() {
+// balancer time to notice, then waits for active requests. It returns the schedule of what is left to do.
+func (n *Node) stop() stop.Schedule {
 	limits := n.settings.Load().Stop
 	schedule := stop.NewSchedule(time.Now(), limits)
 	n.dispatcher.Stop.Start(schedule)
@@ -101,11 +101,12 @@
 	ends.Wait()
 	n.logStopStep("requests ended", schedule)
 	n.handOverClaims(schedule)
+	return schedule
 }
 
 // handOverClaims passes on the claims of requests that this node ran.
 func (n *Node) handOverClaims(schedule stop.Schedule) {
-	ctx, cancel := context.WithDeadline(context.Background(), schedule.End)
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.ClaimsEnd)
 	defer cancel()
 	n.claims.HandOver(ctx)
 	n.logStopStep("claims handed over", schedule)
--- a/internal/stop/stop.go
+++ b/internal/stop/stop.go
@@ -30,8 +30,12 @@
 	LastAnswers time.Time
 	// ConnectionsEnd is when connections are closed, whatever was not written to them.
 	ConnectionsEnd time.Time
-	// End is when the process is about to end.
-	End time.Time
+	// ClaimsEnd is when claims are handed over no longer.
+	ClaimsEnd time.Time
+	// BackgroundEnd is when background work is waited for no longer.
+	BackgroundEnd time.Time
+	// LogEnd is when the process ends, whatever of its log was not written.
+	LogEnd time.Time
 }
 
 // NewSchedule returns the schedule of a stop that begins at a time. Requests under way are cut off in the
@@ -41,7 +45,8 @@
 	notice := min(limits.Notice, limits.Grace-part)
 	return Schedule{
 		Begin: begin, LatestOpen: begin.Add(notice - notice/noticeMargin), NoticeEnd: begin.Add(notice),
-		LastAnswers: begin.Add(limits.Grace - part/2), ConnectionsEnd: begin.Add(limits.Grace - part/4), End: begin.Add(limits.Grace - part/8),
+		LastAnswers: begin.Add(limits.Grace - part/2), ConnectionsEnd: begin.Add(limits.Grace - part/4),
+		ClaimsEnd: begin.Add(limits.Grace - part*3/16), BackgroundEnd: begin.Add(limits.Grace - part/8), LogEnd: begin.Add(limits.Grace - part/16),
 	}
 }
 
--- a/internal/stop/stop_test.go
+++ b/internal/stop/stop_test.go
@@ -62,7 +62,7 @@
 	for _, grace := range []time.Duration{time.Second, 8 * time.Second, time.Minute, time.Hour} {
 		for _, notice := range []time.Duration{0, grace / 3, grace - 1} {
 			s := NewSchedule(begin, settings.Stop{Grace: grace, Notice: notice})
-			moments := []time.Time{s.Begin, s.LatestOpen, s.NoticeEnd, s.LastAnswers, s.ConnectionsEnd, s.End, begin.Add(grace)}
+			moments := []time.Time{s.Begin, s.LatestOpen, s.NoticeEnd, s.LastAnswers, s.ConnectionsEnd, s.ClaimsEnd, s.BackgroundEnd, s.LogEnd, begin.Add(grace)}
 			assert.Assert(t, slices.IsSortedFunc(moments, time.Time.Compare), "grace %s, notice %s: %v", grace, notice, s)
 			assert.Assert(t, s.LastAnswers.Sub(begin) > grace*(lastPart-1)/lastPart)
 			assert.Assert(t, !s.NoticeEnd.After(s.LastAnswers))
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/lab/runnerstub"
+	"lilacvane/internal/lab/storestub"
 	"lilacvane/internal/lab/world"
 	"lilacvane/internal/settings"
 )
@@ -323,3 +324,39 @@
 	assert.Equal(t, got.Status, http.StatusBadGateway)
 	assert.NilError(t, nodes[0].Wait(waitTimeout))
 }
+
+// TestStopLastedLongerThanItsGrace: the peers that a stopping node tells of its claims and the store do not
+// answer, and streams run to the end of its stop. Its process is gone within the grace, however short that is.
+func TestStopLastedLongerThanItsGrace(t *testing.T) {
+	t.Parallel()
+	for _, limits := range []settings.Stop{{Grace: 1500 * time.Millisecond, Notice: 200 * time.Millisecond}, {Grace: 3 * time.Second, Notice: 500 * time.Millisecond}} {
+		t.Run(limits.Grace.String(), func(t *testing.T) {
+			t.Parallel()
+			w, nodes := startStopWorld(t, limits, 3, 2)
+			once := call{Model: "alpha", Prompt: "once", Tokens: 4, Key: "once", Deadline: 30 * time.Second}
+			waitUntil(t, "a request with a key is served", func() error {
+				if got := ask(t.Context(), nodes[0], once, nil); !got.Served {
+					return fmt.Errorf("%+v", got)
+				}
+				return nil
+			})
+			signal := time.Now().Add(time.Second)
+			for range 4 {
+				r := slowRequest{path: "/reply/x", events: endlessEvents, dial: -time.Second, send: -time.Second}
+				go r.run(nodes[0], signal)
+			}
+			time.Sleep(time.Until(signal))
+			assert.NilError(t, w.SetStoreFaults(storestub.Faults{Down: storestub.Silent}))
+			for _, peer := range nodes[1:] {
+				assert.NilError(t, peer.Freeze())
+			}
+			begun := time.Now()
+			assert.NilError(t, nodes[0].Terminate())
+			assert.NilError(t, nodes[0].Wait(waitTimeout))
+			took := time.Since(begun)
+			assert.Check(t, took <= limits.Grace, "the process was gone after %s:\n%s", took,
+				strings.Join(linesContaining(readFile(t, w.LogPath(nodes[0])), `"node stop`), ""))
+			t.Logf("the process was gone after %s", took)
+		})
+	}
+}
