Name the fields of requests in the test of disturbed stops

Cause: the soak of stops gave requests more fields, while this test listed them by position, so that the two did not build together.

Change: fields are named. The checks are the same.

--- a/test/stop_disturbed_test.go
+++ b/test/stop_disturbed_test.go
@@ -42,11 +42,11 @@
 			var requests []slowRequest
 			for _, path := range []string{"/draft/x", "/reply/x"} {
 				requests = append(requests,
-					slowRequest{"begun before the signal", path, endlessEvents, -time.Second, -time.Second, 0},
-					slowRequest{"sent in the notice", path, endlessEvents, 100 * time.Millisecond, 2 * time.Second, 0},
-					slowRequest{"short, sent in the notice", path, 100, 100 * time.Millisecond, 2500 * time.Millisecond, 0},
-					slowRequest{"body that ends soon after the notice", path, endlessEvents, 500 * time.Millisecond, 600 * time.Millisecond, 3500 * time.Millisecond},
-					slowRequest{"body that ends late", path, endlessEvents, 2500 * time.Millisecond, 2600 * time.Millisecond, 6 * time.Second},
+					slowRequest{name: "begun before the signal", path: path, events: endlessEvents, dial: -time.Second, send: -time.Second},
+					slowRequest{name: "sent in the notice", path: path, events: endlessEvents, dial: 100 * time.Millisecond, send: 2 * time.Second},
+					slowRequest{name: "short, sent in the notice", path: path, events: 100, dial: 100 * time.Millisecond, send: 2500 * time.Millisecond},
+					slowRequest{name: "body that ends soon after the notice", path: path, events: endlessEvents, dial: 500 * time.Millisecond, send: 600 * time.Millisecond, bodyEnd: 3500 * time.Millisecond},
+					slowRequest{name: "body that ends late", path: path, events: endlessEvents, dial: 2500 * time.Millisecond, send: 2600 * time.Millisecond, bodyEnd: 6 * time.Second},
 				)
 			}
 			// The signal is sent 2 s after the begin of the check.
