Close the connections on which a stopping node refuses

Callers of a stopping node that were refused kept their connections to it, and were told to come back after a second.

Cause: the header that closes a connection was set as a request arrives, so requests that waited before the signal had none, and the callers' API set it at no time. Retry times were rounded up to whole seconds, also of 10 ms.

Change: what a stopping node answers itself closes the connection, in both interfaces; a retry time of up to 50 ms is 0 where whole seconds are due.

Measured: TestRefusalOfStoppingNodeKeptItsConnection failed before (both connections, and the caller's retry time) and passes.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -236,6 +236,10 @@
 		body = nil
 	}
 	header := j.writer.Header()
+	if _, stopping := j.dispatcher.Stop.Schedule(); stopping {
+		// The client is to turn to another node.
+		header.Set("Connection", "close")
+	}
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	if problem.RetryAfter > 0 {
--- a/internal/fault/http.go
+++ b/internal/fault/http.go
@@ -60,12 +60,23 @@
 	return http.StatusServiceUnavailable
 }
 
+// momentary is the retry time up to which callers come back at once.
+const momentary = 50 * time.Millisecond
+
+// WholeSeconds formats a retry time in whole seconds, as the HTTP standard requires. It is rounded up, but for a
+// moment.
+func WholeSeconds(retryAfter time.Duration) string {
+	if retryAfter <= momentary {
+		return "0"
+	}
+	return strconv.Itoa(int(math.Ceil(retryAfter.Seconds())))
+}
+
 // Write responds to an HTTP request with the error, including Retry-After.
 func Write(w http.ResponseWriter, e *Error) {
 	w.Header().Set("Content-Type", "application/json")
 	if e.RetryAfter > 0 {
-		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
-		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+		w.Header().Set("Retry-After", WholeSeconds(e.RetryAfter))
 	}
 	w.WriteHeader(Status(e.Code))
 	_ = json.NewEncoder(w).Encode(ToBody(e))
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -37,11 +36,11 @@
 }
 
 // callerHeaders are the response headers that callers see. Headers about runners are not among
-// them.
-var callerHeaders = []string{"Content-Type", "Content-Length", "Cache-Control"}
+// them; Connection is that of this node.
+var callerHeaders = []string{"Connection", "Content-Type", "Content-Length", "Cache-Control"}
 
-// copyCallerHeaders copies the response headers that callers see. Retry-After is rounded up to
-// whole seconds, as the HTTP standard requires.
+// copyCallerHeaders copies the response headers that callers see. Retry-After is rounded to whole
+// seconds.
 func copyCallerHeaders(target, source http.Header) {
 	for _, name := range callerHeaders {
 		if values := source[name]; len(values) > 0 {
@@ -50,7 +49,7 @@
 	}
 	seconds, err := strconv.ParseFloat(source.Get(api.HeaderRetryAfter), 64)
 	if err == nil {
-		target.Set(api.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(seconds))))
+		target.Set(api.HeaderRetryAfter, fault.WholeSeconds(time.Duration(seconds*float64(time.Second))))
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,9 @@
 func (s *Server) handleCompletion(w http.ResponseWriter, r *http.Request) {
 	id := s.Node + "-" + rand.Text()
 	w.Header().Set(api.HeaderRequest, id)
+	if _, stopping := s.Dispatcher.Stop.Schedule(); stopping {
+		w.Header().Set("Connection", "close")
+	}
 	start, ok := s.Load.Begin()
 	if !ok {
 		s.refuse(w, r)
