End waits for tables and origins with the stop

Callers of a node that was paused shortly before the end of its stop could get a closed connection: found by a review, no run of processes showed it.

Cause: the last answers ended a request only once it was within its tenant's limit. Before that it may wait 0.7 s for fresh tables and 0.6 s for the origin of a stream, where 0.33 s are left of a grace of 8 s.

Change: the last answers end each wait of a request.

Measured: TestStopEndedWithoutAnswerToRequestThatWaitsForTables failed before (no end of the wait) and passes, as do the tests of dispatch.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -76,7 +76,8 @@
 
 	// Stop says whether the node stops, and by which schedule.
 	Stop stop.State
-	// Closing ends when the node is about to stop: requests in progress get their final answer.
+	// Closing ends when the node is about to stop: requests in progress get their final answer. It is nil
+	// where that is not told.
 	Closing context.Context
 
 	mutex     sync.Mutex
@@ -284,6 +285,11 @@
 
 // run serves the request until its final answer.
 func (j *job) run(ctx context.Context) {
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	if closing := j.dispatcher.Closing; closing != nil {
+		defer context.AfterFunc(closing, func() { stop(errClosing) })()
+	}
 	j.dispatcher.AwaitFresh(ctx)
 	configuration := j.dispatcher.Configuration()
 	if configuration == nil {
@@ -325,9 +331,6 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, j.deadline, errTimeout)
 	defer cancel()
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
-	defer context.AfterFunc(j.dispatcher.Closing, func() { stop(errClosing) })()
 	if err := j.admit(ctx); err != nil {
 		j.end(ctx, err)
 		return
--- a/internal/dispatch/stopping_test.go
+++ b/internal/dispatch/stopping_test.go
@@ -105,3 +105,21 @@
 	assert.Equal(t, outcome.Result, ResultRefused)
 	assert.Equal(t, answer.Code, http.StatusServiceUnavailable)
 }
+
+// TestStopEndedWithoutAnswerToRequestThatWaitsForTables: a request waits for fresh tables, as after a pause of its node, when the
+// last answers are due. It is refused then.
+func TestStopEndedWithoutAnswerToRequestThatWaitsForTables(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		closing, end := context.WithCancel(t.Context())
+		d := &Dispatcher{
+			Log: logr.Discard(), Closing: closing, AwaitFresh: func(ctx context.Context) { <-ctx.Done() },
+			Configuration: func() *config.Configuration { return nil },
+		}
+		time.AfterFunc(time.Second, end)
+		begun, answer := time.Now(), httptest.NewRecorder()
+		outcome := d.Serve(t.Context(), answer, &Request{Arrived: begun})
+		assert.Equal(t, time.Since(begun), time.Second)
+		assert.Equal(t, outcome.Result, ResultRefused)
+		assert.Equal(t, answer.Code, http.StatusServiceUnavailable)
+	})
+}
