Count all answers that a stop cuts off

Cause: an answer counted as cut off by the stop only if its last attempt ended by it. A stream between two runners, the case that may still be lost, was not counted. The counter rises so late that it can hardly be scraped, and refusals of a stopping node counted as "other" or by a runner's obstacle.

Change: what has begun and ends broken from the last answers on is cut off; "node stopped" has the number, and such refusals have a reason of their own. The decision asks first whether the node stops, before it looks at durations.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -221,7 +221,7 @@
 	}
 	if o.Stop != nil {
 		log = log.WithValues("readInStop", string(o.Stop.Phase), "readAfterStopMs", o.Stop.Read.Milliseconds(), "endedAfterStopMs", o.Stop.Ended.Milliseconds(),
-			"idleMs", o.Stop.Idle.Milliseconds(), "cut", o.Cut())
+			"idleMs", o.Stop.Idle.Milliseconds(), "cut", o.Stop.Cut)
 	}
 	log.Info("request ended", "request", request.ID, "result", o.Result, "status", o.Status, "step", o.Step,
 		"reason", o.Reason, "route", o.Route, "tenant", string(o.Tenant), "homes", o.Homes.String(), "cost", o.Cost, "admittedBy", o.AdmittedBy, "revision", o.Revision, "unit", request.Unit.String(), "runner", o.Runner, "build", string(o.Build), "continues", request.Resumes, "via", o.Via,
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -18,6 +18,6 @@
 			j.outcome.Route, priority = route.Name, max(route.Priority, 0)
 		}
 	}
-	j.refuse(fault.New(fault.CodeOverloaded, "accept request", "this node has no room for more requests").WithRetryAfter(load.RetryAfter(priority)))
+	j.refuse(fault.New(fault.CodeOverloaded, StepAccept, "this node has no room for more requests").WithRetryAfter(load.RetryAfter(priority)))
 	return j.finish()
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -180,11 +180,8 @@
 	Ended time.Duration
 	// Idle is the time since a stream's last event; zero if there was none.
 	Idle time.Duration
-}
-
-// Cut reports whether the answer had begun and was cut off by the node's stop.
-func (o *Outcome) Cut() bool {
-	return o.Stop != nil && o.Broken() && len(o.Endings) > 0 && o.Endings[len(o.Endings)-1] == EndedByStop
+	// Cut is set if the answer had begun and the stop cut it off.
+	Cut bool
 }
 
 // ConfigurationOrigin says where a node's configuration came from.
--- a/internal/dispatch/stopping.go
+++ b/internal/dispatch/stopping.go
@@ -8,13 +8,20 @@
 	"lilacvane/internal/stop"
 )
 
+// StepAccept is the step in the refusals of requests that a node does not take on.
+const StepAccept = "accept request"
+
 // RetryElsewhere is the retry time of a request that other nodes can serve at once.
 const RetryElsewhere = 10 * time.Millisecond
 
 // CheckStop returns the refusal of a request with a route that has not run and that this node, which stops,
 // could not finish; nil if the request may begin.
 func (d *Dispatcher) CheckStop(request *Request) *fault.Error {
-	return d.checkStop(d.work(request, request.Route))
+	schedule, stopping := d.Stop.Schedule()
+	if !stopping || schedule.Accepts(time.Now(), d.work(request, request.Route)) {
+		return nil
+	}
+	return refusedByStop()
 }
 
 // work describes a request that can begin now.
@@ -23,32 +30,36 @@
 	return stop.Work{Read: request.Read, Due: request.due(route), Duration: duration, Known: duration > 0}
 }
 
-func (d *Dispatcher) checkStop(work stop.Work) *fault.Error {
-	schedule, stopping := d.Stop.Schedule()
-	if !stopping || schedule.Accepts(time.Now(), work) {
-		return nil
-	}
-	return fault.New(fault.CodeDraining, "accept request", "the node is leaving").WithRetryAfter(RetryElsewhere)
+// refusedByStop returns the refusal of a request that a stopping node could not finish.
+func refusedByStop() *fault.Error {
+	return fault.New(fault.CodeDraining, StepAccept, "the node is leaving").WithRetryAfter(RetryElsewhere)
 }
 
+// begun reports whether something of the request may have run.
+func (j *job) begun() bool { return j.ran > 0 || j.stream != nil }
+
 // checkStop returns the refusal of the job's request if that has not begun and must not any more.
 func (j *job) checkStop() *fault.Error {
-	if j.ran > 0 || j.stream != nil {
+	schedule, stopping := j.dispatcher.Stop.Schedule()
+	if !stopping || j.begun() || schedule.Accepts(time.Now(), j.dispatcher.work(j.request, j.route)) {
 		return nil
 	}
-	return j.dispatcher.checkStop(j.dispatcher.work(j.request, j.route))
+	return refusedByStop()
 }
 
 // checkStopWaiting is checkStop for a request that waits. It also returns the time after which to check again; zero for
 // any time.
 func (j *job) checkStopWaiting(w wait) (recheck time.Duration, refusal *fault.Error) {
 	schedule, stopping := j.dispatcher.Stop.Schedule()
-	if !stopping || j.ran > 0 || j.stream != nil {
+	if !stopping || j.begun() {
 		return 0, nil
 	}
-	work := j.dispatcher.work(j.request, j.route)
+	now, work := time.Now(), j.dispatcher.work(j.request, j.route)
 	work.Delay, work.Known = w.expected, work.Known && w.known
-	return schedule.RecheckAfter(time.Now(), work), j.dispatcher.checkStop(work)
+	if !schedule.Accepts(now, work) {
+		return 0, refusedByStop()
+	}
+	return schedule.RecheckAfter(now, work), nil
 }
 
 // recordStop records how the request relates to the stop of the node, if that stops.
@@ -63,6 +74,8 @@
 		read = j.request.Arrived
 	}
 	j.outcome.Stop = &StopOutcome{Phase: schedule.PhaseAt(read), Read: read.Sub(schedule.Begin), Ended: now.Sub(schedule.Begin)}
+	// All answers that have begun end by then, also those that have no runner at that moment.
+	j.outcome.Stop.Cut = j.outcome.Broken() && !now.Before(schedule.LastAnswers)
 	if j.forwarded() > 0 {
 		j.outcome.Stop.Idle = now.Sub(j.stream.forwardedAt)
 	}
--- a/internal/dispatch/stopping_test.go
+++ b/internal/dispatch/stopping_test.go
@@ -123,3 +123,22 @@
 		assert.Equal(t, answer.Code, http.StatusServiceUnavailable)
 	})
 }
+
+// TestStreamCutBetweenRunnersWasNotCounted: a stream that the stop cuts off while it waits for its next runner counts as
+// cut off by the stop.
+func TestStreamCutBetweenRunnersWasNotCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := zonedJob(zonesOut{})
+		j.query.Unit.Model = "beta"
+		j.stream = &clientStream{resumable: true, forwarded: 3, forwardedAt: time.Now()}
+		j.outcome.Endings = []Ending{EndedByRunner}
+		schedule := stop.NewSchedule(time.Now(), settings.Stop{Grace: 4 * time.Second, Notice: time.Second})
+		j.dispatcher.Stop.Start(schedule)
+		ctx, end := context.WithCancelCause(t.Context())
+		time.AfterFunc(time.Until(schedule.LastAnswers), func() { end(errClosing) })
+		assert.Assert(t, !j.attempt(ctx))
+		j.recordStop(time.Now())
+		assert.Assert(t, j.outcome.Stop.Cut)
+		assert.Equal(t, j.outcome.Stop.Idle, schedule.LastAnswers.Sub(schedule.Begin))
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,7 +126,7 @@
 	// An unknown class is an ordinary one here, as the call is not parsed.
 	class, _ := api.ParseClass(r.Header.Get(api.HeaderClass))
 	w.Header().Set("Connection", "close")
-	refusal := fault.New(fault.CodeOverloaded, "accept request", "this node has no room for more requests")
+	refusal := fault.New(fault.CodeOverloaded, dispatch.StepAccept, "this node has no room for more requests")
 	fault.Write(w, s.withNodeName(refusal.WithRetryAfter(s.Load.Load().RetryAfter(int(class)))))
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -292,7 +292,7 @@
 
 // countCut counts an answer that the node's stop cut off.
 func (m *Metrics) countCut(o dispatch.Outcome) {
-	if o.Cut() {
+	if o.Stop != nil && o.Stop.Cut {
 		m.cut.WithLabelValues(string(o.Stop.Phase)).Inc()
 	}
 }
--- a/internal/metrics/runners.go
+++ b/internal/metrics/runners.go
@@ -21,6 +21,9 @@
 // quarantinedReason is the reason of requests refused because runners ended under the same content.
 const quarantinedReason = "quarantined"
 
+// stoppingReason is the reason of requests that a stopping node could not finish.
+const stoppingReason = "stopping"
+
 // otherReason is the reason of refusals unrelated to the state of runners, such as unknown keys.
 const otherReason = "other"
 
@@ -65,16 +68,19 @@
 func newRefusalCounter() *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "lilacvane_requests_refused_total",
-		Help: "Requests refused, by what kept most of the runners that hold what they name; other: nothing of runners.",
+		Help: "Requests refused, by what kept most of the runners that hold what they name; stopping: nothing of runners, the node stops; other: nothing of runners.",
 	}, []string{"reason"})
 }
 
 // refusalReason returns why a request was refused. The number of reasons is bounded: those of the
-// fleet, quarantined and other.
+// fleet, quarantined, stopping and other.
 func refusalReason(o dispatch.Outcome) string {
 	if o.Problem != nil && (o.Problem.Code == fault.CodeCrashSuspected || o.Problem.Code == fault.CodeCrashesRunners) {
 		return quarantinedReason
 	}
+	if o.Problem != nil && o.Problem.Code == fault.CodeDraining && o.Problem.Step == dispatch.StepAccept {
+		return stoppingReason
+	}
 	if o.Unplaced == nil {
 		return otherReason
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,6 +140,8 @@
 	nodes atomic.Int64
 	// runnersListed is set once the list of runners was read.
 	runnersListed atomic.Bool
+	// cut counts the answers that the stop cut off.
+	cut atomic.Int64
 	// stopping is set when a stop begins, and refusing when the load balancer had time to notice.
 	stopping atomic.Bool
 	refusing atomic.Bool
@@ -293,7 +295,7 @@
 	if !waitUntil(&work, schedule.BackgroundEnd) {
 		n.log.Info("background work aborted at end of shutdown", "step", "stop node")
 	}
-	n.log.Info("node stopped", "node", s.Node)
+	n.log.Info("node stopped", "node", s.Node, "cut", n.cut.Load())
 	n.log.Close(time.Until(schedule.LogEnd))
 	return nil
 }
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -43,6 +43,9 @@
 // observe counts a completed request and records its outcome.
 func (n *Node) observe(id string, o dispatch.Outcome) {
 	n.metrics.Observe(o)
+	if o.Stop != nil && o.Stop.Cut {
+		n.cut.Add(1)
+	}
 	n.load.ObserveEnd(o.Result == dispatch.ResultServed, o.First)
 	n.denials.observe(o, time.Now())
 	ended := wire.Decision{Subject: "request/" + id, Step: "end request", Reason: describeOutcome(o), Revision: n.catalog.Revision()}
