Count no answer as served that its client did not get

Cause: a stream counted as served once its runner had completed it, also if its connection ended before its client had read it.

Change: what could not be written ends as canceled, step "write answer".

Measured: TestAnswerThatItsClientDidNotReadCountedAsServed failed before ("served") and passes; tests of dispatch, gateway and ingress pass.

--- a/internal/dispatch/spool.go
+++ b/internal/dispatch/spool.go
@@ -118,8 +118,8 @@
 }
 
 // close waits until the client has read everything, or left, which ends clientCtx. A client that
-// reads nothing for spoolDrainTimeout is given up.
-func (s *spool) close(clientCtx context.Context) {
+// reads nothing for spoolDrainTimeout is given up. It reports whether everything was written.
+func (s *spool) close(clientCtx context.Context) (written bool) {
 	s.mutex.Lock()
 	s.ended = true
 	s.mutex.Unlock()
@@ -129,7 +129,7 @@
 	for {
 		select {
 		case <-s.done:
-			return
+			return s.allWritten()
 		case <-s.spaceReady:
 			timer.Reset(spoolDrainTimeout)
 			continue
@@ -139,10 +139,17 @@
 		// Ends a blocked write at once.
 		_ = http.NewResponseController(s.writer).SetWriteDeadline(time.Now())
 		<-s.done
-		return
+		return s.allWritten()
 	}
 }
 
+// allWritten reports whether no write to the client has failed.
+func (s *spool) allWritten() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.failed
+}
+
 // notify wakes a goroutine that waits on the channel, or the next one that does.
 func notify(ready chan<- struct{}) {
 	select {
--- a/internal/dispatch/spool_test.go
+++ b/internal/dispatch/spool_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -99,3 +100,18 @@
 	s.write(t.Context(), []byte("data: more\n\n"))
 	assert.Equal(t, client.Body.Len(), 0)
 }
+
+// TestAnswerThatItsClientDidNotReadCountedAsServed: a stream that its runner completed, and of which the client had not read all
+// when its connection ended, was not served.
+func TestAnswerThatItsClientDidNotReadCountedAsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := zonedJob(zonesOut{})
+		j.stream = &clientStream{spool: newSpool(newSlowClient(), &spoolUsage{}), forwarded: 1, forwardedAt: time.Now()}
+		j.stream.spool.write(t.Context(), []byte("data: word\n\n"))
+		j.outcome.Result = ResultServed
+		ctx, end := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, end)
+		j.closeStream(ctx)
+		assert.Equal(t, j.finish().Result, ResultCanceled)
+	})
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -142,11 +142,12 @@
 }
 
 // closeStream waits until the client has read what is spooled of a stream; it ends early when ctx
-// does, as the client left.
+// does, as the client left or its connection was closed. What the client did not get was not served.
 func (j *job) closeStream(ctx context.Context) {
-	if j.stream != nil {
-		j.stream.spool.close(ctx)
+	if j.stream == nil || j.stream.spool.close(ctx) || j.outcome.Result != ResultServed {
+		return
 	}
+	j.outcome.Result, j.outcome.Step, j.outcome.Reason = ResultCanceled, "write answer", "the client did not read the whole answer"
 }
 
 // finishStream ends a stream that its runner completed. What follows its last event belongs to the
