--- a/internal/dispatch/stopping.go
+++ b/internal/dispatch/stopping.go
@@ -14,11 +14,11 @@
 // RetryElsewhere is the retry time of a request that other nodes can serve at once.
 const RetryElsewhere = 10 * time.Millisecond
 
-// CheckStop returns the refusal of a request with a route that has not run and that this node, which stops,
-// could not finish; nil if the request may begin.
-func (d *Dispatcher) CheckStop(request *Request) *fault.Error {
+// CheckStop returns the refusal of a request that has not run and that this node, which stops, could not
+// finish; nil if the request may begin.
+func (d *Dispatcher) CheckStop(request *Request, route *config.Route) *fault.Error {
 	schedule, stopping := d.Stop.Schedule()
-	if !stopping || schedule.Accepts(time.Now(), d.work(request, request.Route)) {
+	if !stopping || schedule.Accepts(time.Now(), d.work(request, route)) {
 		return nil
 	}
 	return refusedByStop()
@@ -40,11 +40,10 @@
 
 // checkStop returns the refusal of the job's request if that has not begun and must not any more.
 func (j *job) checkStop() *fault.Error {
-	schedule, stopping := j.dispatcher.Stop.Schedule()
-	if !stopping || j.begun() || schedule.Accepts(time.Now(), j.dispatcher.work(j.request, j.route)) {
+	if j.begun() {
 		return nil
 	}
-	return refusedByStop()
+	return j.dispatcher.CheckStop(j.request, j.route)
 }
 
 // checkStopWaiting is checkStop for a request that waits. It also returns the time after which to check again; zero for
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,7 +148,7 @@
 	if err := s.accept(); err != nil {
 		return nil, err
 	}
-	if problem := s.Dispatcher.CheckStop(&call.request); problem != nil {
+	if problem := s.Dispatcher.CheckStop(&call.request, call.request.Route); problem != nil {
 		return nil, problem
 	}
 	if call.key != "" {
