--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -51,8 +51,8 @@
 // have no order. What two of them write does not fit together.
 type Build string
 
-// incarnationSeparator separates a runner's name from its start time in the identifier.
-const incarnationSeparator = "@"
+// IncarnationSeparator separates a runner's name from its start time in the identifier.
+const IncarnationSeparator = "@"
 
 // IncarnationID returns the identifier of one incarnation of a runner: its name on the
 // platform, followed by its start time if it reported one. Everything known about a runner is
@@ -62,7 +62,7 @@
 	if born == 0 {
 		return name
 	}
-	return name + incarnationSeparator + strconv.FormatInt(born, 10)
+	return name + IncarnationSeparator + strconv.FormatInt(born, 10)
 }
 
 // Name returns the runner's name on the platform, which several incarnations may share.
@@ -70,7 +70,7 @@
 	if r.Born == 0 {
 		return r.ID
 	}
-	return strings.TrimSuffix(r.ID, incarnationSeparator+strconv.FormatInt(r.Born, 10))
+	return strings.TrimSuffix(r.ID, IncarnationSeparator+strconv.FormatInt(r.Born, 10))
 }
 
 // SupersededBy reports whether a runner of the same name that reports this start time is a
