Read the store's rows one by one where one is odd

What callers saw: nothing of a page or of a batch of changes was read while one of its rows had a value that is not base64, a wrong type or a version beyond 64 bits: the node repeated the read and followed the table no further. An answer with a version of 10^18 was applied, and all later ones were refused as older until the process ended; a time beyond int64 overflowed.

Cause: an answer was decoded as a whole, and its numbers were not checked.

Change: an answer that cannot be decoded as a whole is decoded row by row. A row that cannot be read keeps its key and loses its value, which every decoder of values refuses; one without a key is left out. Both are logged and counted (lilacvane_rows_unreadable_total), once each time that the row changes.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -86,7 +86,9 @@
 	// statements counts what runners stated about themselves.
 	statements *prometheus.CounterVec
 	// regionBytes counts bytes exchanged with other regions.
-	regionBytes   *prometheus.CounterVec
+	regionBytes *prometheus.CounterVec
+	// unreadable counts rows of tables that could not be read, by table.
+	unreadable    *prometheus.CounterVec
 	resumes       prometheus.Counter
 	firstByte     *prometheus.HistogramVec
 	waitTime      prometheus.Histogram
@@ -148,10 +150,13 @@
 	m.cut = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "lilacvane_answers_cut_by_stop_total", Help: "Answers that the stop of the node cut off, by the phase of the stop in which their requests were read.",
 	}, []string{"read"})
+	m.unreadable = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "lilacvane_rows_unreadable_total", Help: "Rows of tables that could not be read and were passed over, once for each change, by table.",
+	}, []string{"table"})
 	m.tenants = newTenantMetrics(m.registry)
 	m.refused = newRefusalCounter()
 	m.statements = newStatementCounter()
-	m.registry.MustRegister(newRunnerCollector(sources.RunnersByState), m.refused, m.denied, m.loadTimeError, m.requests, m.outsideHomes, m.regionBytes, m.attempts, m.failed, m.broken, m.cut, m.crashes, m.undeliveredCrashReports, m.statements, m.resumes, m.firstByte, m.waitTime, m.newsAge)
+	m.registry.MustRegister(newRunnerCollector(sources.RunnersByState), m.refused, m.denied, m.loadTimeError, m.requests, m.outsideHomes, m.regionBytes, m.attempts, m.failed, m.broken, m.cut, m.crashes, m.undeliveredCrashReports, m.statements, m.unreadable, m.resumes, m.firstByte, m.waitTime, m.newsAge)
 	m.registry.MustRegister(newLinkCollector(sources.Links))
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
@@ -275,6 +280,9 @@
 // CountUndeliveredCrashReport counts a report of crashes that a node did not accept.
 func (m *Metrics) CountUndeliveredCrashReport() { m.undeliveredCrashReports.Inc() }
 
+// CountUnreadable counts a row of a table that could not be read.
+func (m *Metrics) CountUnreadable(table string) { m.unreadable.WithLabelValues(table).Inc() }
+
 // CountStatement counts a runner's statement about itself.
 func (m *Metrics) CountStatement(kind statement.Kind) {
 	m.statements.WithLabelValues(string(kind)).Inc()
--- a/internal/node/news.go
+++ b/internal/node/news.go
@@ -25,6 +25,17 @@
 	n.log.Info("news applied", "kind", string(kind), "maxAgeMs", age.Milliseconds(), "marginMs", margin.Milliseconds(), "upstream", n.relay.Upstream().String())
 }
 
+// reportUnreadable logs and counts a row that this node cannot read and passes over.
+func (n *Node) reportUnreadable(row table.UnreadableRow) {
+	n.metrics.CountUnreadable(row.Table)
+	n.log.Error(row.Err, "row unreadable", "table", row.Table, "key", shortKey(row.Key), "revision", row.Revision)
+}
+
+// maxLoggedKey is the part of a key of an unreadable row that is logged, in bytes.
+const maxLoggedKey = 200
+
+func shortKey(key string) string { return key[:min(len(key), maxLoggedKey)] }
+
 // logEpoch logs that the store answers in another epoch than before.
 func (n *Node) logEpoch(previous, current table.Epoch) {
 	n.log.Info("store epoch changed", "epoch", current, "before", previous)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,8 @@
 	Poison Table
 	// Epochs tracks the epoch of the store behind these tables.
 	Epochs *table.Epochs
+	// Unreadable reports the rows of these tables that cannot be read.
+	Unreadable *table.Unreadable
 	// Control sends orders to runners.
 	Control backend.Control
 	// Pool holds the connections to runners, including those of Control.
@@ -164,6 +166,7 @@
 	n.leases = table.NewFenced(platform.Leases, platform.Epochs)
 	n.settings.Store(&s)
 	platform.Epochs.OnChange(n.logEpoch)
+	platform.Unreadable.OnReport(n.reportUnreadable)
 	n.initStatements()
 	n.reach = reach.New(time.Now, log.Logger)
 	n.pool.Reach = n.reach
