Read a table anew when its changes exceed a message of a peer

What callers saw: with six rows of 1 MB, or 70,000 small ones, among the changes that a node had missed, its relay sent more than the codec accepts; the node refused the message, asked for the same again and followed the table no further. Pages of more than 65,536 small rows were refused as well.

Cause: changes were put into one message whatever their size, and pages had a bound in bytes only.

Change: a relay answers that such changes are no longer kept, so that the table is read page by page; a page has at most 32,768 rows. TestChangesLargerThanAMessageWereSentForever failed before for both sizes.

--- a/internal/relay/pages.go
+++ b/internal/relay/pages.go
@@ -16,6 +16,10 @@
 	// pageSize is the size of the rows of a page, in bytes, above which the next page begins. It is
 	// well below the largest message.
 	pageSize = 512 << 10
+	// maxChangesSize is the maximum size of the changes in a message, in bytes, and maxSentRows the
+	// maximum number of rows in a page or of changes. Both are well below the limits of the codec.
+	maxChangesSize = 2 << 20
+	maxSentRows    = 1 << 15
 	// pagesLifetime is how long the pages of a table are served although rows have changed since.
 	// Readers ask for these changes next.
 	pagesLifetime = time.Second
@@ -82,7 +86,7 @@
 	var cut []page
 	for start := 0; start < len(rows) || start == 0; {
 		end, size := start, 0
-		for end < len(rows) && size < pageSize {
+		for end < len(rows) && end-start < maxSentRows && size < pageSize {
 			size += sizeOf(rows[end])
 			end++
 		}
--- a/internal/relay/pages_test.go
+++ b/internal/relay/pages_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"lilacvane/internal/fault"
 	"lilacvane/internal/feed"
 	"lilacvane/internal/table"
 	"lilacvane/internal/wire"
@@ -107,3 +109,44 @@
 	assert.NilError(t, err)
 	assert.Equal(t, anew.revision, table.Revision(20))
 }
+
+// TestChangesLargerThanAMessageWereSentForever checks that a reader that missed changes beyond the limits of
+// a message, in bytes or in rows, is told to read the table, of which each page is within them.
+func TestChangesLargerThanAMessageWereSentForever(t *testing.T) {
+	for _, missed := range []struct{ rows, size int }{{6, 1 << 20}, {70_000, 0}} {
+		m := newMirror()
+		m.replace(feed.Batch{Revision: 1})
+		batch := feed.Batch{Revision: table.Revision(1 + missed.rows)}
+		for i := range missed.rows {
+			value := make([]byte, missed.size)
+			batch.Rows = append(batch.Rows, feed.Row{Key: strconv.Itoa(i), Revision: table.Revision(2 + i), Value: value})
+		}
+		m.apply(batch)
+		got, err := read(endedContext(), m, wire.FollowRequest{After: 1})
+		if err == nil {
+			var response wire.FollowResponse
+			assert.NilError(t, new(packer).put(&response, wire.FollowRequest{After: 1}, got))
+			_, err = rowsOf(response, Peer{Address: "relay"})
+			t.Logf("what the reader makes of the changes: %v", err)
+		}
+		assert.Check(t, fault.IsCode(err, fault.CodeCompacted), "%d rows: %v", missed.rows, err)
+		served, err := m.pager.get(endedContext(), m)
+		assert.NilError(t, err)
+		rows := 0
+		for from := ""; ; {
+			var response wire.FollowResponse
+			served.put(&response, from)
+			content, err := wire.Encode(response)
+			assert.NilError(t, err)
+			var received wire.FollowResponse
+			assert.NilError(t, wire.Decode(content, "relay", &received))
+			page, err := rowsOf(received, Peer{Address: "relay"})
+			assert.NilError(t, err)
+			rows += len(page)
+			if from = received.Next; from == "" {
+				break
+			}
+		}
+		assert.Equal(t, rows, missed.rows)
+	}
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -61,12 +61,17 @@
 }
 
 // read returns all rows of a mirror, or its changes after the revision in the request. A reader that
-// does not know epochs is taken to be in that of the mirror.
+// does not know epochs is taken to be in that of the mirror. It fails with fault.CodeCompacted if the
+// changes do not fit a message: the reader then reads the table page by page.
 func read(ctx context.Context, m *mirror, request wire.FollowRequest) (feed.Batch, error) {
 	if request.Whole {
 		return m.awaitSnapshot(ctx)
 	}
-	return m.after(ctx, table.NewRevision(request.Epoch, request.After).InEpoch(m.epoch()))
+	batch, err := m.after(ctx, table.NewRevision(request.Epoch, request.After).InEpoch(m.epoch()))
+	if err == nil && (len(batch.Rows) > maxSentRows || sizeOfAll(batch.Rows) > maxChangesSize) {
+		return feed.Batch{}, fault.New(fault.CodeCompacted, "relay table", "%d changed rows do not fit a message", len(batch.Rows))
+	}
+	return batch, err
 }
 
 // awaitStore waits until the store has answered this node lately, or until ctx ends.
