Log and count an unreadable row once for each change

What operators saw: each read of a whole table logged the same rows of other writers again, at each node; no counter showed them.

Change: handlers of all followed tables pass rows that they cannot use to one place, which logs and counts each (lilacvane_rows_unreadable_total) once for each revision. A configuration is still logged as refused, too.

--- a/internal/commit/read.go
+++ b/internal/commit/read.go
@@ -43,6 +43,8 @@
 type Follower struct {
 	Catalog Catalog
 	Log     logr.Logger
+	// unreadable is called with each row that cannot be read.
+	unreadable func(feed.Row, error)
 	// behind is signaled when a restored table lacks entries or has others.
 	behind chan struct{}
 
@@ -52,9 +54,9 @@
 	keptBack  []feed.Row
 }
 
-// NewFollower returns a Follower of a catalog.
-func NewFollower(catalog Catalog, log logr.Logger) *Follower {
-	return &Follower{Catalog: catalog, Log: log, behind: make(chan struct{}, 1)}
+// NewFollower returns a Follower of a catalog that passes rows it cannot read to unreadable.
+func NewFollower(catalog Catalog, unreadable func(feed.Row, error), log logr.Logger) *Follower {
+	return &Follower{Catalog: catalog, Log: log, unreadable: unreadable, behind: make(chan struct{}, 1)}
 }
 
 // ApplySnapshot processes all rows of the table: objects, and log entries as history.
@@ -85,7 +87,7 @@
 			}
 		}
 		if err != nil {
-			f.Log.Error(err, "row unreadable", "step", "read configuration", "row", row.Key)
+			f.unreadable(row, fault.From(err, "read configuration"))
 		}
 	}
 	return head, objects
@@ -107,7 +109,7 @@
 		}
 		var entry wire.Entry
 		if err := json.Unmarshal(row.Value, &entry); err != nil {
-			f.Log.Error(err, "row unreadable", "step", "read log", "row", row.Key)
+			f.unreadable(row, fault.From(err, "read log"))
 			continue
 		}
 		entries = append(entries, entry)
--- a/internal/commit/restore_test.go
+++ b/internal/commit/restore_test.go
@@ -34,7 +34,7 @@
 func newRestorableNode(rows *faultyTable) *restorableNode {
 	n := &restorableNode{catalog: catalog.New()}
 	n.Committer = New(rows, n.catalog, &table.Epochs{}, logr.Discard())
-	n.follower = NewFollower(n.catalog, logr.Discard())
+	n.follower = NewFollower(n.catalog, func(feed.Row, error) {}, logr.Discard())
 	n.follower.ApplySnapshot(rows.list(), 0)
 	return n
 }
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -65,6 +65,7 @@
 		},
 		Holds:            func(service string) bool { return n.controls.holds(service) },
 		CountUndelivered: n.metrics.CountUndeliveredCrashReport,
+		Unreadable:       n.reportRow(tablePoison),
 	})
 	peer.Handle(n.peers, wire.MethodPoison, func(_ context.Context, report wire.PoisonReport) (wire.PoisonAnswer, error) {
 		return q.Answer(report), nil
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -9,6 +9,7 @@
 	"lilacvane/internal/commit"
 	"lilacvane/internal/config"
 	"lilacvane/internal/evacuation"
+	"lilacvane/internal/fault"
 	"lilacvane/internal/feed"
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/metrics"
@@ -69,7 +70,7 @@
 	configuration := n.relay.Source(tableConfiguration, n.platform.Configuration)
 	objects := n.relay.Source(tableObjects, n.platform.Objects)
 	runners := n.relay.Source(tableRunners, n.platform.Runners)
-	objectFollower := commit.NewFollower(n.catalog, log)
+	objectFollower := commit.NewFollower(n.catalog, n.reportRow(tableObjects), log)
 	return &followers{
 		objectLog: &commit.Restorer{Committer: n.committer, Follower: objectFollower, Entries: n.catalog.Entries, Applied: n.objectsRestored},
 		configuration: feed.NewFollower(configuration, (*configurationHandler)(n),
@@ -142,7 +143,7 @@
 		switch {
 		case !ok:
 		case zone == "":
-			h.log.Info("evacuation row has no zone", "step", "follow zones", "key", row.Key, "revision", row.Revision)
+			(*Node)(h).passOver(tableConfiguration, row, fault.New(fault.CodeInvalid, "follow zones", "evacuation row has no zone"))
 		default:
 			h.zones.keys[row.Key] = zone
 			evacuationRows = append(evacuationRows, evacuation.Row{Zone: zone, Revision: row.Revision, Returned: row.Deleted})
@@ -155,20 +156,21 @@
 func (h *configurationHandler) configure(rows []feed.Row) {
 	for _, row := range rows {
 		if row.Key == h.platform.ConfigurationKey && !row.Deleted {
-			(*Node)(h).applyBase(row.Value)
+			(*Node)(h).applyBase(row)
 		}
 	}
 }
 
 // applyBase activates a configuration of the platform. If it is invalid or older, the last valid
 // one stays active.
-func (n *Node) applyBase(content []byte) {
-	decoded, unknown, err := n.platform.DecodeConfiguration(content)
+func (n *Node) applyBase(row feed.Row) {
+	decoded, unknown, err := n.platform.DecodeConfiguration(row.Value)
 	if err == nil {
 		err = decoded.Validate()
 	}
 	if err != nil {
-		n.log.Error(err, "configuration refused", "bytes", len(content))
+		n.log.Error(err, "configuration refused", "bytes", len(row.Value))
+		n.passOver(tableConfiguration, row, err)
 		return
 	}
 	if unknown != "" {
@@ -185,6 +187,16 @@
 	n.recordNews(metrics.NewsConfiguration, n.followers.configuration)
 }
 
+// reportRow returns a function that reports a row of a table that this node cannot use.
+func (n *Node) reportRow(of relay.Table) func(feed.Row, error) {
+	return func(row feed.Row, err error) { n.passOver(of, row, err) }
+}
+
+// passOver reports a row that this node cannot use.
+func (n *Node) passOver(of relay.Table, row feed.Row, err error) {
+	n.platform.Unreadable.Report(table.UnreadableRow{Table: string(of), Key: row.Key, Revision: row.Revision, Err: err})
+}
+
 // objectHandler applies operator objects.
 type objectHandler struct {
 	*commit.Follower
@@ -377,7 +389,7 @@
 		}
 		runner, err := h.platform.DecodeRunner(row.Key, row.Value)
 		if err != nil {
-			h.log.Error(err, "runner's row unreadable", "runner", row.Key, "revision", row.Revision)
+			(*Node)(h).passOver(tableRunners, row, err)
 			if listed, known := h.fleet.Listed(row.Key); known {
 				unusable = append(unusable, listed.ID)
 			}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -19,6 +19,7 @@
 
 	"lilacvane/internal/config"
 	"lilacvane/internal/crash"
+	"lilacvane/internal/feed"
 	"lilacvane/internal/poison"
 	"lilacvane/internal/table"
 	"lilacvane/internal/wire"
@@ -45,7 +46,9 @@
 	RecordDecision func(subject, step, reason string)
 	// CountUndelivered counts reports that a node did not accept.
 	CountUndelivered func()
-	Log              logr.Logger
+	// Unreadable is called with each row of the table that cannot be read.
+	Unreadable func(feed.Row, error)
+	Log        logr.Logger
 }
 
 // Source is how a node learned of a crash or of a refused request.
--- a/internal/quarantine/spread_test.go
+++ b/internal/quarantine/spread_test.go
@@ -14,6 +14,7 @@
 
 	"lilacvane/internal/crash"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/feed"
 	"lilacvane/internal/poison"
 	"lilacvane/internal/ring"
 	"lilacvane/internal/wire"
@@ -57,7 +58,7 @@
 func (g *group) add(t *testing.T, address string) {
 	q := New(Options{
 		Rows: &tableStub{rows: make(map[string]bool), down: true}, Self: func() string { return address }, ReportNow: func(string) {}, Wake: func() {},
-		RecordDecision: func(_, _, _ string) {}, SendReport: g.send, AskTrial: g.askTrial, Holds: func(string) bool { return false }, CountUndelivered: func() {}, Log: logr.Discard(),
+		RecordDecision: func(_, _, _ string) {}, SendReport: g.send, AskTrial: g.askTrial, Holds: func(string) bool { return false }, CountUndelivered: func() {}, Unreadable: func(feed.Row, error) {}, Log: logr.Discard(),
 	})
 	t.Cleanup(q.close)
 	g.mutex.Lock()
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -115,7 +115,7 @@
 			err = wire.Decode(row.Value, "store", &record)
 		}
 		if err != nil {
-			q.Log.Error(err, "row unreadable", "step", "follow quarantine", "key", row.Key, "revision", row.Revision)
+			q.Unreadable(row, fault.From(err, "follow quarantine"))
 			continue
 		}
 		q.written[request] = writtenRow{controlled: record.Controlled}
