Refuse configurations with weights and numbers out of range

What callers saw: with two backends of weight 2^62 each request of the route panicked (rand.IntN of a negative sum), so that its connection closed without an answer. Negative rates, times, sizes and limits, and 9*10^18 slots, came into force.

Cause: weights only had not to be negative, and their sum not to be zero; other numbers were not checked.

Change: weights are at most 10^9, slots at most 2^20, rates, times, sizes and limits not negative; otherwise the last valid configuration stays in force, and operators' routes are refused with the same bound.

--- a/internal/api/validate.go
+++ b/internal/api/validate.go
@@ -144,11 +144,14 @@
 	return validateBackends(r.Backends)
 }
 
+// maximumWeight is the maximum weight of a backend, so that sums of weights are exact.
+const maximumWeight = 1_000_000_000
+
 func validateBackends(backends []Backend) string {
 	total := 0
 	for _, backend := range backends {
-		if !ValidName(backend.Service) || backend.Weight < 0 {
-			return "backends must name services with weights of at least 0"
+		if !ValidName(backend.Service) || backend.Weight < 0 || backend.Weight > maximumWeight {
+			return "backends must name services with weights of 0 to 1000000000"
 		}
 		total += backend.Weight
 	}
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -9,11 +9,21 @@
 
 const stepValidate = "validate configuration"
 
+const (
+	// maximumWeight is the maximum weight of a route's backend, so that sums of weights are exact.
+	maximumWeight = 1_000_000_000
+	// maximumSlots is the maximum number of requests that a runner runs concurrently.
+	maximumSlots = 1 << 20
+)
+
 // Validate returns an error for the first problem found; it names the field.
 func (c *Configuration) Validate() error {
 	if c.Revision == 0 {
 		return invalid("revision", "must not be zero")
 	}
+	if c.Limits.MaximumHeaderBytes < 0 || c.Limits.MaximumBodyBytes < 0 || min(c.Limits.HeaderTimeout, c.Limits.IdleTimeout) < 0 {
+		return invalid("limits", "must not be negative")
+	}
 	for i := range c.Routes {
 		if err := c.validateRoute(&c.Routes[i]); err != nil {
 			return err
@@ -48,8 +58,8 @@
 		if c.Services[backend.Service] == nil {
 			return invalid(field, fmt.Sprintf("unknown service %q", backend.Service))
 		}
-		if backend.Weight < 0 {
-			return invalid(field, "weights must not be negative")
+		if backend.Weight < 0 || backend.Weight > maximumWeight {
+			return invalid(field, fmt.Sprintf("weights must be 0 to %d", maximumWeight))
 		}
 		total += backend.Weight
 	}
@@ -66,8 +76,11 @@
 	if s.Engine == nil {
 		return nil
 	}
-	if s.Engine.Slots < 1 {
-		return invalid("engine.slots", "must be at least 1")
+	if s.Engine.Slots < 1 || s.Engine.Slots > maximumSlots {
+		return invalid("engine.slots", fmt.Sprintf("must be 1 to %d", maximumSlots))
+	}
+	if s.Engine.LoadsPerSecond < 0 {
+		return invalid("engine.loadsPerSecond", "must not be negative")
 	}
 	if s.Engine.ModelMemory <= 0 {
 		return invalid("engine.modelMemory", "must be above zero")
@@ -76,6 +89,9 @@
 		if model.Size <= 0 || model.Size > s.Engine.ModelMemory {
 			return invalid("model "+name, "size must be above zero and fit a runner")
 		}
+		if min(model.LoadTime, model.HostLoadTime, model.DiskLoadTime) < 0 || model.AdapterSize < 0 {
+			return invalid("model "+name, "times and sizes must not be negative")
+		}
 	}
 	return nil
 }
