Accept texts that are not UTF-8 in messages of peers

What callers saw: a request that named an adapter with bytes that are not UTF-8 made the holder refuse the whole report of its node, so that models which other requests of the node waited for were not loaded.

Cause: headers of callers can have any bytes, the codec sends them as texts, and its decoder refused a message with such a text.

Change: the decoder accepts them. TestOddNameLostTheReport failed before with "cbor: invalid UTF-8 string".

--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -47,6 +47,8 @@
 		MaxArrayElements: maximumElements,
 		MaxMapPairs:      maximumElements,
 		IndefLength:      cbor.IndefLengthForbidden,
+		// Texts may be from headers of callers, which can have any bytes.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err)
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -88,3 +88,19 @@
 		}
 	})
 }
+
+// TestOddNameLostTheReport checks that texts which callers choose freely, as names of adapters in headers, reach a
+// peer though they are not UTF-8: the rest of the report must not be lost with them.
+func TestOddNameLostTheReport(t *testing.T) {
+	sent := SyncRequest{Service: "s", Node: "n", Waiting: []UnitWaiting{{Model: "m", Adapter: "\xff\xfe", Count: 1}, {Model: "other", Count: 2}}}
+	content, err := Encode(sent)
+	assert.NilError(t, err)
+	var received SyncRequest
+	assert.NilError(t, Decode(content, "peer", &received))
+	assert.DeepEqual(t, received, sent)
+	packed, err := PackRows([]TableRow{{Key: "\xff"}, {Key: "k"}})
+	assert.NilError(t, err)
+	rows, err := UnpackRows(packed, "peer")
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 2)
+}
