Follow the log of objects past a damaged entry

What callers saw: with one entry of the operators' log unreadable, or with another revision than its key, nodes that read it applied no later change of a Model, Policy, Drain or Route until they started again, and a node that started stayed at the entry before. A head of the log beyond its entries, as 2^64-1, left a node that started without any later change, and a damaged entry among the oldest ended the trimming of the log.

Cause: entries apply without gaps only; the head and the revisions in entries were believed; the trim stopped at the first row that it could not read.

Change: the catalog is taken from the objects' rows where the log is damaged, at once when the entry comes with changes, by reading the table anew; entries and head are checked against the keys; the trim deletes unreadable entries.

--- a/internal/commit/read.go
+++ b/internal/commit/read.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -45,6 +46,8 @@
 	Log     logr.Logger
 	// unreadable is called with each row that cannot be read.
 	unreadable func(feed.Row, error)
+	// damaged is set once changes had an unreadable log entry.
+	damaged atomic.Bool
 	// behind is signaled when a restored table lacks entries or has others.
 	behind chan struct{}
 
@@ -65,9 +68,9 @@
 		return
 	}
 	head, objects := f.parse(rows)
-	entries := f.entries(rows)
+	entries, damaged := f.entries(rows)
 	// If the log is complete from its first revision, no snapshot is needed.
-	if len(entries) == 0 || f.Catalog.Apply(entries) == 0 {
+	if len(entries) == 0 || f.Catalog.Apply(entries) == 0 || damaged {
 		f.Catalog.ApplySnapshot(head, objects)
 	}
 	f.Catalog.Apply(entries)
@@ -79,7 +82,7 @@
 		var err error
 		switch {
 		case row.Key == keyHead:
-			err = json.Unmarshal(row.Value, &head)
+			head, err = parseHead(row, rows)
 		case strings.HasPrefix(row.Key, prefixObject):
 			var object api.Object
 			if err = json.Unmarshal(row.Value, &object); err == nil {
@@ -93,29 +96,62 @@
 	return head, objects
 }
 
+// parseHead returns the revision in the row of the head. It is read before the entries, so that it is no
+// later than the last of them; a catalog at a later one would apply no entry any more.
+func parseHead(row feed.Row, rows []feed.Row) (uint64, error) {
+	var head uint64
+	if err := json.Unmarshal(row.Value, &head); err != nil {
+		return 0, err
+	}
+	newest := ""
+	for _, other := range rows {
+		if strings.HasPrefix(other.Key, prefixLog) {
+			newest = max(newest, other.Key)
+		}
+	}
+	if newest != "" && logKey(head) > newest {
+		return 0, fault.New(fault.CodeInvalid, "read log", "head %d is beyond the last entry, %.40q", head, newest)
+	}
+	return head, nil
+}
+
 // ApplyChanges processes changed rows. Only log entries matter, as every operation
 // writes one.
 func (f *Follower) ApplyChanges(rows []feed.Row) {
-	if !f.keepBack(rows) {
-		f.Catalog.Apply(f.entries(rows))
+	if f.keepBack(rows) {
+		return
+	}
+	entries, damaged := f.entries(rows)
+	f.Catalog.Apply(entries)
+	if damaged {
+		f.damaged.Store(true)
 	}
 }
 
-func (f *Follower) entries(rows []feed.Row) []wire.Entry {
-	var entries []wire.Entry
+// TakeDamaged reports, once, that changes had an unreadable entry. The entries after it apply only once the
+// whole table was read.
+func (f *Follower) TakeDamaged() bool { return f.damaged.Swap(false) }
+
+// entries returns the entries of the log among rows, in order, and whether others are unreadable.
+func (f *Follower) entries(rows []feed.Row) (entries []wire.Entry, damaged bool) {
 	for _, row := range rows {
 		if row.Deleted || !strings.HasPrefix(row.Key, prefixLog) {
 			continue
 		}
 		var entry wire.Entry
-		if err := json.Unmarshal(row.Value, &entry); err != nil {
+		err := json.Unmarshal(row.Value, &entry)
+		if err == nil && logKey(entry.Revision) != row.Key {
+			err = fault.New(fault.CodeInvalid, "read log", "the entry is of revision %d", entry.Revision)
+		}
+		if err != nil {
 			f.unreadable(row, fault.From(err, "read log"))
+			damaged = true
 			continue
 		}
 		entries = append(entries, entry)
 	}
 	slices.SortFunc(entries, func(a, b wire.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
-	return entries
+	return entries, damaged
 }
 
 // Trim deletes the oldest log entries beyond MaximumLogEntries and their operation
@@ -136,12 +172,12 @@
 			break
 		}
 		var entry wire.Entry
+		transaction.Writes = append(transaction.Writes, table.Write{Key: row.Key, Delete: true})
 		if err := json.Unmarshal(row.Value, &entry); err != nil {
-			return fault.New(fault.CodeInternal, "trim log", "row %s: %v", row.Key, err)
+			c.log.Error(err, "unreadable log entry deleted", "step", "trim log", "key", row.Key)
+			continue
 		}
-		transaction.Writes = append(transaction.Writes,
-			table.Write{Key: row.Key, Delete: true},
-			table.Write{Key: prefixOperation + entry.Operation, Delete: true})
+		transaction.Writes = append(transaction.Writes, table.Write{Key: prefixOperation + entry.Operation, Delete: true})
 	}
 	if len(transaction.Writes) == 0 {
 		return nil
--- a/internal/commit/restore.go
+++ b/internal/commit/restore.go
@@ -238,7 +238,8 @@
 		return err
 	}
 	head, objects := r.Follower.parse(rows)
-	r.Follower.Catalog.Reset(head, objects, r.Follower.entries(rows))
+	entries, _ := r.Follower.entries(rows)
+	r.Follower.Catalog.Reset(head, objects, entries)
 	return nil
 }
 
@@ -275,7 +276,11 @@
 	rows := f.keptBack
 	f.keepsBack, f.keptBack = false, nil
 	f.mu.Unlock()
-	f.Catalog.Apply(f.entries(rows))
+	entries, damaged := f.entries(rows)
+	f.Catalog.Apply(entries)
+	if damaged {
+		f.damaged.Store(true)
+	}
 }
 
 // Keys returns the key of the log's head: a table without it lacks the whole log.
--- a/internal/commit/restore_test.go
+++ b/internal/commit/restore_test.go
@@ -113,7 +113,8 @@
 	third := newRestorableNode(rows)
 	assert.DeepEqual(t, specs(third.catalog), map[string]string{"x": `"later"`, "y": `"lost"`})
 	head, objects := first.follower.parse(rows.list())
-	first.catalog.Reset(head, objects, first.follower.entries(rows.list()))
+	entries, _ := first.follower.entries(rows.list())
+	first.catalog.Reset(head, objects, entries)
 	assert.DeepEqual(t, specs(first.catalog), specs(third.catalog))
 }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -212,6 +212,9 @@
 // ApplyChanges applies changed rows.
 func (h *objectHandler) ApplyChanges(rows []feed.Row) {
 	h.Follower.ApplyChanges(rows)
+	if h.Follower.TakeDamaged() {
+		h.node.followers.objects.Reread()
+	}
 	h.node.objectsChanged()
 }
 
