Take a lease again whose row cannot be read

What callers saw: with a lease's row overwritten by something that is no record, its holder lost the lease at its next renewal, and no node ever took it again: no model was loaded or unloaded until an operator repaired the row.

Cause: a row that could not be decoded was an error of each read; what could be decoded was believed.

Change: such a row of the store counts as that of an unknown process that has just renewed: the lease is taken once its validity and the turn gap have passed, under a token that is no smaller than any used in the epoch, as each take is a write. A row from a peer is still ignored.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math"
 	"sync"
 	"time"
@@ -207,9 +206,9 @@
 // setGap records whether the holder still waits out a turn gap, and for how long. It is
 // called right before the record is sent.
 func (l *Elector) setGap(record *Record, actsFrom time.Time) {
-	wait := actsFrom.Sub(l.options.Now())
-	record.Settled = wait <= 0
-	record.GapLeftMs = max(-floorMs(-wait), 0)
+	wait := max(actsFrom.Sub(l.options.Now()), 0)
+	record.Settled = wait == 0
+	record.GapLeftMs = -floorMs(-wait)
 }
 
 // nodes returns how many nodes contend for the lease; zero if unknown.
@@ -263,27 +262,41 @@
 	if err != nil {
 		return err
 	}
-	return l.applyRow(row.Value, row.Revision)
+	l.applyRow(row)
+	return nil
 }
 
-// applyRow records a row that was read. It ignores rows that are no newer than the known
-// one, and returns an error if the value cannot be decoded. The record of a restored row does not
-// replace a later one, which is lost: its holder may still act.
-func (l *Elector) applyRow(value []byte, revision table.Revision) error {
-	var record Record
-	if revision.Exists() {
-		if err := json.Unmarshal(value, &record); err != nil {
-			return fault.New(fault.CodeInvalid, "read lease", "%v", err)
+// applyRow records a row of the store. If its value cannot be read, the lease is free only once any holder
+// that it may name no longer acts.
+func (l *Elector) applyRow(row table.Row) {
+	if !row.Revision.Exists() {
+		l.applyRecord(Record{}, row.Revision)
+		return
+	}
+	record, err := decodeRecord(row.Value)
+	if err == nil && record.Holder == "" {
+		err = fault.New(fault.CodeInvalid, "read lease", "no holder")
+	}
+	if err != nil {
+		if l.isNewer(row.Revision) {
+			l.log.Error(err, "lease row unreadable", "key", l.key, "revision", row.Revision)
 		}
+		record = unknownRecord(row.Revision)
 	}
+	l.applyRecord(record, row.Revision)
+}
+
+// applyRecord records the record of a row. It ignores rows that are no newer than the known
+// one. The record of a restored row does not replace a later one, which is lost: its holder may still act.
+func (l *Elector) applyRecord(record Record, revision table.Revision) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.rowKnown && revision <= l.revision {
-		return nil
+		return
 	}
 	if l.isRestored(record, revision) {
 		l.applyRestored(record, revision)
-		return nil
+		return
 	}
 	l.restoredAt = time.Time{}
 	if record.Holder != l.latest.Holder || record.Token != l.latest.Token || record.Released != l.latest.Released {
@@ -291,7 +304,6 @@
 	}
 	l.latest, l.revision, l.seenAt, l.rowKnown = record, revision, l.knownSince(record), true
 	l.updateEarliestAct()
-	return nil
 }
 
 // updateEarliestAct computes from the newest record how long this process must wait before
--- a/internal/lease/run.go
+++ b/internal/lease/run.go
@@ -142,10 +142,12 @@
 	if !revision.Exists() {
 		return true
 	}
-	if err := l.applyRow(value, revision.InEpoch(l.epoch())); err != nil {
+	record, err := decodeRecord(value)
+	if err != nil {
 		l.log.Info("lease row from a peer is unreadable", "revision", revision, "error", err.Error())
 		return false
 	}
+	l.applyRecord(record, revision.InEpoch(l.epoch()))
 	return true
 }
 
