Bound the numbers of tokens of callers

What callers saw: a completion call with max_tokens of -10^9 was taken. By the code its negative cost was subtracted from what its tenant had used, which raises what the tenant may use at once; 2^63-1 overflows the sum of tokens. Neither was measured beyond the parsing.

Cause: max_tokens was not checked; the cost is a sum of token counts that is taken from the tenant's part as it is.

Change: max_tokens is 0 to 2^30, otherwise the call is refused as invalid, not run. Parts of prompts with more tokens than the header of counts allows end the list, and lenders refuse costs that are no finite number.

TestOddAnswerLengthsPaidTenants failed before for -10^9 and 2^63-1; the others (1e18, 1e400, a text, a million opening brackets) were refused before.

--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -21,6 +21,9 @@
 const (
 	stepParse          = "read request"
 	promptPrefixLength = 256
+	// maximumAnswerTokens bounds the number of tokens that a caller may ask for, so that sums of token
+	// counts are exact.
+	maximumAnswerTokens = 1 << 30
 )
 
 // parsedCall is a call as parsed from its HTTP request.
@@ -48,6 +51,9 @@
 	if call.completion.Model == "" {
 		return call, fault.New(fault.CodeInvalid, stepParse, "body: model is missing")
 	}
+	if call.completion.MaxTokens < 0 || call.completion.MaxTokens > maximumAnswerTokens {
+		return call, fault.New(fault.CodeInvalid, stepParse, "body: max_tokens must be 0 to %d", maximumAnswerTokens)
+	}
 	class, ok := api.ParseClass(r.Header.Get(api.HeaderClass))
 	if !ok {
 		return call, fault.New(fault.CodeInvalid, stepParse, "%s must be urgent, interactive, ordinary or patient", api.HeaderClass)
--- a/internal/gateway/parse_test.go
+++ b/internal/gateway/parse_test.go
@@ -72,3 +72,14 @@
 	assert.Equal(t, formatParts(first), first[0].ID+":2,"+first[1].ID+":3")
 	assert.Equal(t, len(promptParts(api.Completion{Model: "m", Prompt: "p"}, 1)), 1)
 }
+
+// TestOddAnswerLengthsPaidTenants checks that numbers of tokens which would make a request cost less than nothing, or
+// overflow, are refused, as are bodies that are nested too deeply.
+func TestOddAnswerLengthsPaidTenants(t *testing.T) {
+	for _, odd := range []string{
+		`"max_tokens":-1000000000`, `"max_tokens":9223372036854775807`, `"max_tokens":1e400`, `"max_tokens":1e18`, `"max_tokens":"1"`, `"x":` + strings.Repeat("[", 1_000_000),
+	} {
+		_, err := parse(callWith(`{"model":"m",`+odd+`}`, nil), "id", time.Now())
+		assert.Check(t, fault.IsCode(err, fault.CodeInvalid), "%.40s: %v", odd, err)
+	}
+}
--- a/internal/ingress/parse.go
+++ b/internal/ingress/parse.go
@@ -82,7 +82,7 @@
 	for field := range strings.SplitSeq(text, ",") {
 		id, size, ok := strings.Cut(strings.TrimSpace(field), ":")
 		tokens, err := strconv.Atoi(size)
-		if !ok || err != nil || tokens < 0 || len(parts) == maximumPromptParts {
+		if !ok || err != nil || tokens < 0 || tokens > maximumTokens || len(parts) == maximumPromptParts {
 			break
 		}
 		parts = append(parts, fleet.Part{ID: id, Tokens: tokens})
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"strings"
 	"time"
 
@@ -31,7 +32,7 @@
 		return wire.SpendResponse{}, fault.New(fault.CodeNotReady, wire.MethodSpend, "no configuration is known yet")
 	}
 	t, known := configuration.Tenants.Find(request.Tenant)
-	if !known || request.Cost < 0 {
+	if !known || !(request.Cost >= 0) || math.IsInf(request.Cost, 1) {
 		return wire.SpendResponse{}, fault.New(fault.CodeInvalid, wire.MethodSpend, "tenant %q, cost %g", request.Tenant, request.Cost)
 	}
 	return l.spendLocally(t, request), nil
