Divide limits again after their row is damaged

What callers saw (by the code, not measured): with the row that divides limits unreadable, each step of the divider ended with the error of the read; parts expired after 20 s and were not assigned again, so tenants had the reserve alone, for ever. A version of 2^64-1 was accepted, after which versions began at 0.

Cause: a row that could not be decoded was an error of each read.

The row is logged and counted once.

No process test waits for parts to expire.

--- a/internal/limit/record.go
+++ b/internal/limit/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -20,6 +21,8 @@
 	Reserve Pool `cbor:"3,keyasint,omitempty"`
 	// Epoch is the epoch of the store in which the record was written; zero if not known.
 	Epoch table.Epoch `cbor:"5,keyasint,omitempty"`
+	// unreadable is set if the row of the record could not be read.
+	unreadable bool
 }
 
 // Division describes how one tenant's limit is divided.
@@ -66,8 +69,11 @@
 }
 
 // Check reports whether a record that was read is valid: no node is assigned more than its
-// bound, and the bounds of each pool add up to at most the whole.
+// bound, the bounds of each pool add up to at most the whole, and later versions are greater.
 func (r *Record) Check() bool {
+	if r.Version > math.MaxInt64 {
+		return false
+	}
 	for _, division := range r.Tenants {
 		if division == nil || !division.Nodes.check() {
 			return false
--- a/internal/node/division.go
+++ b/internal/node/division.go
@@ -143,11 +143,13 @@
 		}
 		return record, row.ReadAt, nil
 	}
-	if err := wire.Decode(row.Value, "store", record); err != nil {
-		return nil, 0, err
+	err = wire.Decode(row.Value, "store", record)
+	if err == nil && !record.Check() {
+		err = fault.New(fault.CodeInvalid, "read division of limits", "parts add up to more than the whole")
 	}
-	if !record.Check() {
-		return nil, 0, fault.New(fault.CodeInvalid, "read division of limits", "parts add up to more than the whole")
+	if err != nil {
+		l.node.platform.Unreadable.Report(table.UnreadableRow{Table: "limits", Key: divisionKey, Revision: row.Revision, Err: err})
+		return limit.NewUnreadable(row.Revision), row.ReadAt, nil
 	}
 	return record, row.ReadAt, nil
 }
