--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"reflect"
 	"testing"
 
@@ -70,6 +71,9 @@
 		SyncRequest{Service: "s", Waiting: []UnitWaiting{{Model: "m"}}, Running: []RunnerUsage{{Runner: "r", Models: map[string]int{"m": 1}}}},
 		SyncResponse{Runners: []RunnerView{{Runner: "r", Ready: []UnitHeld{{Model: "m"}}}}},
 		FleetResponse{Members: []Member{{Node: "n"}}, Runners: []RunnerStatus{{Runner: "r"}}}, ExplainResponse{Decisions: []Decision{{Node: "n"}}},
+		FollowResponse{Rows: []TableRow{{Key: "\xff", Revision: math.MaxUint64}}, Revision: math.MaxUint64, AgeMs: math.MinInt64, Next: "k"},
+		SpendRequest{Tenant: "t", Cost: math.NaN(), Rank: math.MinInt}, PoisonReport{}, PoisonRecord{}, DivisionResponse{Tenants: []TenantDivision{{AskedPerSecond: math.Inf(1)}}},
+		SyncRequest{HoldMs: math.MaxInt64, Waiting: []UnitWaiting{{Adapter: "\xff", Count: math.MinInt, LeftMs: math.MinInt64}}},
 	} {
 		content, err := Encode(message)
 		if err != nil {
@@ -77,8 +81,12 @@
 		}
 		f.Add(content)
 	}
+	f.Add(bytes.Repeat([]byte{0x81}, 10_000))
+	f.Add(bytes.Repeat([]byte{0xa1, 0x01}, 10_000))
+	f.Add([]byte{0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0x5b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, content []byte) {
-		for _, target := range []any{&SyncRequest{}, &SyncResponse{}, &FleetResponse{}, &ExplainResponse{}, &Entry{}} {
+		for _, target := range []any{&SyncRequest{}, &SyncResponse{}, &FleetResponse{}, &ExplainResponse{}, &Entry{}, &FollowResponse{}, &SpendRequest{}, &DivisionResponse{}, &PoisonReport{}, &PoisonRecord{}} {
 			if Decode(content, "fuzz", target) != nil {
 				continue
 			}
