Check ages, revisions and epochs in responses of relays

What could happen: a node that was told a revision of 2^64-1, or a later epoch than any store has, took it for the newest and refused all later changes as older until it ended; an age beyond int64 overflowed and passed for new. Only a peer with a damaged answer sends these; none was seen.

Cause: revisions are cut to the largest one, and the age was multiplied before it was compared.

Change: such a response is an error before anything of it is noted, so the node turns to another relay or to the store.

--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"sync"
 	"syscall"
 	"time"
@@ -226,6 +227,9 @@
 	if err := s.relay.client.Call(ctx, relay.Address, wire.MethodFollow, request, &response); err != nil {
 		return feed.Batch{}, "", err
 	}
+	if err := checkNumbers(&response, relay); err != nil {
+		return feed.Batch{}, "", err
+	}
 	if err := s.relay.checkEpoch(&response, relay, request.Epoch); err != nil {
 		return feed.Batch{}, "", err
 	}
@@ -239,3 +243,16 @@
 	rows, err := rowsOf(response, relay)
 	return feed.Batch{Rows: rows, Revision: table.NewRevision(response.Epoch, response.Revision), Age: age}, response.Next, err
 }
+
+// maxAgeMs is the largest age that a time.Duration holds, in milliseconds.
+const maxAgeMs = math.MaxInt64 / int64(time.Millisecond)
+
+// checkNumbers returns an error if a response has an age or a revision that no relay has. A revision that is too
+// large would be newer than all later ones.
+func checkNumbers(response *wire.FollowResponse, relay Peer) error {
+	if response.AgeMs >= 0 && response.AgeMs <= maxAgeMs && response.Revision <= table.MaxNumber && response.Epoch <= table.MaxEpoch {
+		return nil
+	}
+	return fault.At(fault.CodeInvalid, "follow relay", relay.Address, fault.NotDone,
+		fault.New(fault.CodeInvalid, "read response", "age of %d ms, revision %d, epoch %d", response.AgeMs, response.Revision, response.Epoch))
+}
