Cut answers of runners after each of their bytes

Operators of a system like this one saw a runner that stopped in the middle of its answer's head; clients got a 200 with an empty or short body.

The tests cut 13 answers after each byte, by a close and by a reset, directly and through a peer, and on a connection that had answered before: no part passes for an answer, nor for a refusal, and no connection is kept. They ask the same of lengths, encodings, chunk sizes, extensions and trailers that contradict themselves or have no end, of forged trailers and of bytes after an answer. All of them pass on the code as it is: they are guards. FuzzAnswer starts from these heads and demands that an accepted head ends.

--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -341,6 +342,10 @@
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + answerText("1", "x")))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"))
 	f.Add([]byte("garbage"))
+	for _, whole := range wholeAnswers {
+		f.Add([]byte(whole.head + whole.body))
+		f.Add([]byte(whole.head[:len(whole.head)/2]))
+	}
 	f.Fuzz(func(t *testing.T, content []byte) {
 		pool := NewPool(testNames)
 		near, far := net.Pipe()
@@ -351,6 +356,9 @@
 		if err == nil && response.Header.Get(testNames.RequestID) != "1" {
 			t.Fatal("an answer to another request was accepted")
 		}
+		if err == nil && !bytes.Contains(content, []byte("\n\n")) && !bytes.Contains(content, []byte("\n\r\n")) {
+			t.Fatal("a head without an end was accepted")
+		}
 	})
 }
 
--- /dev/null
+++ b/internal/upstream/heads_test.go
@@ -0,0 +1,234 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/fault"
+)
+
+// wholeAnswers are answers to the request "1", whole up to their last byte; a cut in any place but the last
+// leaves a part.
+var wholeAnswers = map[string]struct{ head, body string }{
+	"length":           {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 12\r\n\r\n", "twelve bytes"},
+	"length first":     {"HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-Id: 1\r\n\r\n", "twelve bytes"},
+	"chunks":           {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "6;name=value\r\ntwelve\r\n6\r\n bytes\r\n0\r\n\r\n"},
+	"trailer":          {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTrailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n", "c\r\ntwelve bytes\r\n0\r\nX-Sum: 7\r\n\r\n"},
+	"no framing":       {"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n", ""},
+	"HTTP/1.0":         {"HTTP/1.0 200 OK\r\nX-Id: 1\r\nContent-Length: 12\r\n\r\n", "twelve bytes"},
+	"interim answers":  {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-Id: 1\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 12\r\n\r\n", "twelve bytes"},
+	"folded line":      {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Long: a\r\n  b\r\n\tc\r\nContent-Length: 12\r\n\r\n", "twelve bytes"},
+	"bare line feeds":  {"HTTP/1.1 200 OK\nX-Id: 1\nContent-Length: 12\n\n", "twelve bytes"},
+	"no reason":        {"HTTP/1.1 200\r\nX-Id: 1\r\nContent-Length: 12\r\n\r\n", "twelve bytes"},
+	"not run":          {"HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\nX-Not-Run: 1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n", ""},
+	"no content":       {"HTTP/1.1 204 No Content\r\nX-Id: 1\r\n\r\n", ""},
+	"stream of events": {"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", "f\r\nid: 0\ndata: a\n\n\r\n0\r\n\r\n"},
+}
+
+// connectionEnds are the ways in which a runner ends a connection.
+var connectionEnds = map[string]func(net.Conn){
+	"close": func(net.Conn) {},
+	"reset": func(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) },
+}
+
+// serveBytes starts a runner that answers the first request on each connection with the bytes that content
+// returns, and ends the connection.
+func serveBytes(t *testing.T, content func() string, end func(net.Conn)) *scriptedRunner {
+	t.Helper()
+	return serveScript(t, func(s *scriptedRunner, _ int, conn net.Conn) {
+		if _, err := s.next(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, content())
+		end(conn)
+	})
+}
+
+// checkCuts cuts each answer after each of its bytes and checks that no part passes for a whole answer, nor for
+// one that did not run.
+func checkCuts(t *testing.T, poolOf func(t *testing.T) *Pool) {
+	t.Helper()
+	for name, whole := range wholeAnswers {
+		for how, end := range connectionEnds {
+			t.Run(name+", "+how, func(t *testing.T) {
+				t.Parallel()
+				var sent string
+				s := serveBytes(t, func() string { return sent }, end)
+				pool := poolOf(t)
+				content := whole.head + whole.body
+				for cut := range len(content) {
+					sent = content[:cut]
+					answer, err := pool.Do(t.Context(), s.call("1"))
+					if err == nil {
+						assert.Assert(t, cut >= len(whole.head), "a head of %d bytes of %d was taken for whole", cut, len(whole.head))
+						_, err = io.ReadAll(answer)
+					}
+					assert.Assert(t, err != nil, "%d bytes of %d were taken for whole", cut, len(content))
+					assert.Equal(t, fault.OutcomeOf(err), fault.Unknown, "%d bytes of %d: %v", cut, len(content), err)
+					assert.Equal(t, len(idleOf(pool, "r")), 0, "kept after %d bytes of %d", cut, len(content))
+				}
+			})
+		}
+	}
+}
+
+// TestAnswerWithACutHeadLookedWhole: a runner stopped in the middle of an answer, in its head too, and ended the
+// connection. No part may look like an answer, nor like a refusal, and its connection is not used again.
+func TestAnswerWithACutHeadLookedWhole(t *testing.T) {
+	checkCuts(t, func(*testing.T) *Pool { return NewPool(testNames) })
+}
+
+// TestCarriedAnswerWithACutHeadLookedWhole: the same through a peer.
+func TestCarriedAnswerWithACutHeadLookedWhole(t *testing.T) {
+	checkCuts(t, func(t *testing.T) *Pool {
+		w := startPathWorld(t)
+		lose(&w.lost, net.ErrClosed)
+		return w.pool
+	})
+}
+
+// TestCutHeadOnAKeptConnectionLookedWhole: the second answer on a connection is cut after each byte of its head.
+func TestCutHeadOnAKeptConnectionLookedWhole(t *testing.T) {
+	whole := answerText("2", "second")
+	head := strings.Index(whole, "second")
+	var cut int
+	s := serveScript(t, func(s *scriptedRunner, _ int, conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		if id, err := s.next(reader); err != nil || id != "1" {
+			return
+		}
+		_, _ = io.WriteString(conn, answerText("1", "first"))
+		if _, err := s.next(reader); err == nil {
+			_, _ = io.WriteString(conn, whole[:cut])
+		}
+	})
+	pool := NewPool(testNames)
+	for cut = range head {
+		content, err := exchange(pool, s.call("1"))
+		assert.NilError(t, err)
+		assert.Equal(t, content, "first")
+		_, err = exchange(pool, s.call("2"))
+		assert.Assert(t, err != nil, "%d bytes of %d", cut, head)
+		assert.Equal(t, fault.OutcomeOf(err), fault.Unknown)
+		assert.Equal(t, len(idleOf(pool, "r")), 0)
+	}
+}
+
+// oddAnswerTime bounds how long an answer that is out of order may take, in tests whose runner keeps the
+// connection open.
+const oddAnswerTime = 3 * time.Second
+
+// oddHead returns a head with these lines, and a body.
+func oddHead(lines ...string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + strings.Join(lines, "\r\n") + "\r\n\r\n"
+}
+
+// TestAnswerOutOfOrderLookedWhole: answers whose framing contradicts itself, or has no end, are errors.
+func TestAnswerOutOfOrderLookedWhole(t *testing.T) {
+	chunked := oddHead("Transfer-Encoding: chunked")
+	for name, content := range map[string]string{
+		"different lengths":          oddHead("Content-Length: 3", "Content-Length: 2") + "abc",
+		"list of different lengths":  oddHead("Content-Length: 3, 2") + "abc",
+		"negative length":            oddHead("Content-Length: -3") + "abc",
+		"length with a sign":         oddHead("Content-Length: +3") + "abc",
+		"empty length":               oddHead("Content-Length: ") + "abc",
+		"length in hex":              oddHead("Content-Length: 0x3") + "abc",
+		"length of 9e18":             oddHead("Content-Length: 9000000000000000000") + "abc",
+		"length of 1e30":             oddHead("Content-Length: 1000000000000000000000000000000") + "abc",
+		"length and a cut chunk":     oddHead("Content-Length: 3", "Transfer-Encoding: chunked") + "3\r\nab",
+		"unknown encoding":           oddHead("Transfer-Encoding: gzip, chunked") + "3\r\nabc\r\n0\r\n\r\n",
+		"two encodings":              oddHead("Transfer-Encoding: chunked", "Transfer-Encoding: chunked") + "3\r\nabc\r\n0\r\n\r\n",
+		"identity":                   oddHead("Transfer-Encoding: identity") + "abc",
+		"line without a colon":       oddHead("Content-Length 3") + "abc",
+		"folded line at the begin":   "HTTP/1.1 200 OK\r\n X-Id: 1\r\nContent-Length: 3\r\n\r\nabc",
+		"null byte in a name":        oddHead("X-\x00: a", "Content-Length: 3") + "abc",
+		"status of two digits":       "HTTP/1.1 20 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nabc",
+		"status of four digits":      "HTTP/1.1 2000 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nabc",
+		"negative status":            "HTTP/1.1 -20 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nabc",
+		"negative chunk":             chunked + "-3\r\nabc\r\n0\r\n\r\n",
+		"chunk without a size":       chunked + "\r\nabc\r\n0\r\n\r\n",
+		"chunk size of 17 digits":    chunked + "10000000000000003\r\nabc\r\n0\r\n\r\n",
+		"chunk size of 16 digits":    chunked + "ffffffffffffffff\r\nabc",
+		"chunk size is no number":    chunked + "three\r\nabc\r\n0\r\n\r\n",
+		"chunk longer than its size": chunked + "2\r\nabc\r\n0\r\n\r\n",
+		"extension without end":      chunked + "3;" + strings.Repeat("x", 64<<10),
+		"extensions without end":     chunked + strings.Repeat("1;xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\na\r\n", 8<<10),
+		"trailer without end":        chunked + "3\r\nabc\r\n0\r\nX-Sum: " + strings.Repeat("x", 64<<10),
+		"trailers without end":       chunked + "3\r\nabc\r\n0\r\n" + strings.Repeat("X-Sum: 1\r\n", 8<<10),
+		"interim answers only":       strings.Repeat("HTTP/1.1 103 Early Hints\r\nX-Id: 1\r\n\r\n", 100),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkNoAnswer(t, content)
+		})
+	}
+}
+
+// checkNoAnswer checks that bytes of a runner are no whole answer.
+func checkNoAnswer(t *testing.T, content string) {
+	t.Helper()
+	s := serveBytes(t, func() string { return content }, connectionEnds["close"])
+	pool := NewPool(testNames)
+	ctx, cancel := context.WithTimeout(t.Context(), oddAnswerTime)
+	defer cancel()
+	answer, err := pool.Do(ctx, s.call("1"))
+	if err == nil {
+		_, err = io.Copy(io.Discard, answer)
+	}
+	assert.Assert(t, err != nil, "the answer was taken for whole")
+	assert.Equal(t, fault.OutcomeOf(err), fault.Unknown)
+	assert.Equal(t, len(idleOf(pool, "r")), 0)
+}
+
+// TestTrailersChangedTheHeadOfAnAnswer: what a trailer says, such as that the request did not run, changes nothing
+// of an answer that began otherwise.
+func TestTrailersChangedTheHeadOfAnAnswer(t *testing.T) {
+	s := serveBytes(t, func() string {
+		return oddHead("Trailer: X-Not-Run, X-Id", "Transfer-Encoding: chunked") + "3\r\nabc\r\n0\r\nX-Not-Run: 1\r\nX-Id: 2\r\nContent-Length: 1\r\n\r\n"
+	}, connectionEnds["close"])
+	answer, err := NewPool(testNames).Do(t.Context(), s.call("1"))
+	assert.NilError(t, err)
+	content, err := io.ReadAll(answer)
+	assert.NilError(t, err)
+	assert.Equal(t, string(content), "abc")
+	assert.Equal(t, answer.NotRun, false)
+	assert.Equal(t, answer.Header.Get("X-Id"), "1")
+	assert.Equal(t, answer.Header.Get("X-Not-Run"), "")
+}
+
+// TestBytesAfterAnAnswerBeganTheNext: a body that is longer than its length ends at the length, and its connection
+// is not used again, whether the rest comes with the body or later.
+func TestBytesAfterAnAnswerBeganTheNext(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"at once": 0, "later": 5 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := serveScript(t, func(s *scriptedRunner, _ int, conn net.Conn) {
+				reader := bufio.NewReader(conn)
+				id, err := s.next(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, answerText(id, "abc"))
+				time.Sleep(pause)
+				_, _ = io.WriteString(conn, answerText("2", "forged"))
+				_, _ = s.next(reader)
+			})
+			pool := NewPool(testNames)
+			content, err := exchange(pool, s.call("1"))
+			assert.NilError(t, err)
+			assert.Equal(t, content, "abc")
+			time.Sleep(4 * pause)
+			content, err = exchange(pool, s.call("2"))
+			assert.NilError(t, err)
+			assert.Equal(t, content, "abc")
+			assert.Equal(t, s.accepted.Load(), int32(2))
+		})
+	}
+}
