Take no change of protocol for an answer

Seen: a runner that answered with 101, which no request of a node asks for, was taken for a runner with a whole answer: a signed one went to the client as a 101 without a body, took no retry, and its connection was kept and used for the next request, though what follows on it is of another protocol. Cause: the reader of heads counted 101 among final answers. Change: such an answer is an error whose request may have run; its connection is closed. Requests never carry Upgrade to runners. Evidence: TestAnswerThatChangesTheProtocolWasPassedOn failed before with "the answer was taken for whole" and passes; FuzzAnswer demands a final status.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -230,6 +230,9 @@
 	return nil, errors.New("answers to other requests only")
 }
 
+// errSwitched is the error of a runner that changes the protocol of a connection, which no request asks for.
+var errSwitched = errors.New("the runner changes the protocol of the connection")
+
 // readFinal reads the head of an answer, skipping interim ones.
 func readFinal(conn *connection, method string) (*http.Response, error) {
 	conn.heads.expectHead()
@@ -239,8 +242,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case response.StatusCode >= http.StatusOK:
 			return response, nil
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errSwitched
 		}
 	}
 }
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -359,6 +359,9 @@
 		if err == nil && !bytes.Contains(content, []byte("\n\n")) && !bytes.Contains(content, []byte("\n\r\n")) {
 			t.Fatal("a head without an end was accepted")
 		}
+		if err == nil && response.StatusCode < http.StatusOK {
+			t.Fatal("an interim answer was accepted")
+		}
 	})
 }
 
--- a/internal/upstream/heads_test.go
+++ b/internal/upstream/heads_test.go
@@ -232,3 +232,10 @@
 		})
 	}
 }
+
+// TestAnswerThatChangesTheProtocolWasPassedOn: an answer with 101, which no request asks for, is no answer; what
+// follows on its connection is of another protocol.
+func TestAnswerThatChangesTheProtocolWasPassedOn(t *testing.T) {
+	checkNoAnswer(t, "HTTP/1.1 101 Switching Protocols\r\nX-Id: 1\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n")
+	checkNoAnswer(t, "HTTP/1.1 101 Switching Protocols\r\nX-Id: 1\r\n\r\n"+oddHead("Content-Length: 3")+"abc")
+}
