Take no head with a space in a name for whole

Seen: an answer with "Content-Length : 30" and three bytes was a whole answer: the library keeps such a name as a name of its own, the answer had neither length nor chunks, and the end of its connection was its end. Change: a head with a space in a name is no answer. HTTP lets a proxy drop the space, which needs the head before it is parsed; runners that write so are not known, and a refused head may be tried elsewhere. Evidence: TestLengthWithASpaceBeforeItsColonWasPassedOver failed before with "the answer was taken for whole" and passes.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -242,6 +242,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkHead(response); err != nil {
+			return nil, err
+		}
 		switch {
 		case response.StatusCode >= http.StatusOK:
 			return response, nil
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"net/http"
+	"strings"
 )
 
 // maxAnswerHead bounds what is read of a connection until the head of an answer is complete, in bytes,
@@ -37,3 +40,14 @@
 	l.left -= count
 	return count, err
 }
+
+// checkHead returns why a head that could be read is none. The library keeps a name with a space as a name of
+// its own, so that an answer would lose its length.
+func checkHead(response *http.Response) error {
+	for name := range response.Header {
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("header name %q with a space", name)
+		}
+	}
+	return nil
+}
--- a/internal/upstream/heads_test.go
+++ b/internal/upstream/heads_test.go
@@ -239,3 +239,11 @@
 	checkNoAnswer(t, "HTTP/1.1 101 Switching Protocols\r\nX-Id: 1\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n")
 	checkNoAnswer(t, "HTTP/1.1 101 Switching Protocols\r\nX-Id: 1\r\n\r\n"+oddHead("Content-Length: 3")+"abc")
 }
+
+// TestLengthWithASpaceBeforeItsColonWasPassedOver: a name that is no token, such as one with a space before its colon, was
+// another name than the one that it names: an answer lost its length, and a part looked whole.
+func TestLengthWithASpaceBeforeItsColonWasPassedOver(t *testing.T) {
+	for _, line := range []string{"Content-Length : 30", "Content-Length\t: 30", "Transfer-Encoding : chunked", "Content Length: 30", "X-\x01: a"} {
+		checkNoAnswer(t, oddHead(line)+"abc")
+	}
+}
