Take no answer of another major version

Seen: bytes that begin with "HTTP/2.0 200 OK" or "HTTP/0.9 200 OK" were read as an answer of HTTP/1.1, whose rules for the end of a body they need not follow. Change: such a head is no answer. Evidence: TestAnswerOfAnotherProtocolWasTakenForHTTP1 failed before with "the answer was taken for whole" and passes.

--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -41,9 +41,15 @@
 	return count, err
 }
 
-// checkHead returns why a head that could be read is none. The library keeps a name with a space as a name of
-// its own, so that an answer would lose its length.
+// protocolMajor is the major version of the protocol that runners speak.
+const protocolMajor = 1
+
+// checkHead returns why a head that could be read is none. The library accepts any version, and keeps a name
+// with a space as a name of its own, so that an answer would lose its length.
 func checkHead(response *http.Response) error {
+	if response.ProtoMajor != protocolMajor {
+		return fmt.Errorf("the answer is of %s", response.Proto)
+	}
 	for name := range response.Header {
 		if strings.Contains(name, " ") {
 			return fmt.Errorf("header name %q with a space", name)
--- a/internal/upstream/heads_test.go
+++ b/internal/upstream/heads_test.go
@@ -247,3 +247,10 @@
 		checkNoAnswer(t, oddHead(line)+"abc")
 	}
 }
+
+// TestAnswerOfAnotherProtocolWasTakenForHTTP1: an answer that names another major version is no answer.
+func TestAnswerOfAnotherProtocolWasTakenForHTTP1(t *testing.T) {
+	for _, version := range []string{"HTTP/2.0", "HTTP/0.9", "HTTP/9.1"} {
+		checkNoAnswer(t, version+" 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nabc")
+	}
+}
