End answers to HEAD with their heads

Seen: an answer to HEAD counted as one without framing where its head had no length: its connection was closed, its runner asked whether it is still there, and a JSON answer failed as cut, as an empty body is no JSON. Where it had a length, a hedge waited for a body that never comes, until its time ended. Cause: the framing and length of an answer were taken from its head without regard to the method. Change: an answer to HEAD has the length 0, and its end is marked.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -68,10 +68,19 @@
 	FramedByClose Framing = "close"
 )
 
-// framingOf returns the framing of a response.
+// bodyLength returns the length of a response's body, or -1. The length in a response to HEAD is that of a body
+// which does not follow.
+func bodyLength(response *http.Response) int64 {
+	if response.Request.Method == http.MethodHead {
+		return 0
+	}
+	return response.ContentLength
+}
+
+// framingOf returns the framing of a response. One to HEAD ends with its head.
 func framingOf(response *http.Response) Framing {
 	switch {
-	case response.ContentLength >= 0:
+	case response.ContentLength >= 0, response.Request.Method == http.MethodHead:
 		return FramedByLength
 	case len(response.TransferEncoding) > 0:
 		return FramedByChunks
@@ -146,7 +155,7 @@
 	p.Statements.ReadHeader(statement.Source{Runner: call.Incarnation, Request: call.RequestID}, response.StatusCode, response.Header)
 	framing := framingOf(response)
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
+		Status: response.StatusCode, Header: response.Header, Length: bodyLength(response),
 		NotRun: response.Header.Get(p.names.NotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest,
 		Via:    conn.via(), Framing: framing, body: response.Body, conn: conn, pool: p, runner: call.Runner, address: call.Address, written: written, stop: stop, ctx: ctx, lastRead: time.Now(), sent: sent,
 		reusable: !response.Close && framing != FramedByClose,
--- a/internal/upstream/heads_test.go
+++ b/internal/upstream/heads_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -254,3 +256,48 @@
 		checkNoAnswer(t, version+" 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nabc")
 	}
 }
+
+// TestAnswerWithoutABodyWaitedForOne: an answer to HEAD, or with 204 or 304, has no body whatever its length says.
+// It is whole with its head, and its connection is used again.
+func TestAnswerWithoutABodyWaitedForOne(t *testing.T) {
+	for name, test := range map[string]struct{ method, status, line string }{
+		"HEAD, length":    {http.MethodHead, "200 OK", "Content-Length: 12\r\n"},
+		"HEAD, chunks":    {http.MethodHead, "200 OK", "Transfer-Encoding: chunked\r\n"},
+		"HEAD, none":      {http.MethodHead, "200 OK", ""},
+		"204, length":     {http.MethodPost, "204 No Content", "Content-Length: 12\r\n"},
+		"204, chunks":     {http.MethodPost, "204 No Content", "Transfer-Encoding: chunked\r\n"},
+		"304, length":     {http.MethodGet, "304 Not Modified", "Content-Length: 12\r\n"},
+		"304, none":       {http.MethodGet, "304 Not Modified", ""},
+		"HEAD, 9e18":      {http.MethodHead, "200 OK", "Content-Length: 9000000000000000000\r\n"},
+		"HEAD, not found": {http.MethodHead, "404 Not Found", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := serveScript(t, func(s *scriptedRunner, _ int, conn net.Conn) {
+				reader := bufio.NewReader(conn)
+				for {
+					id, err := s.next(reader)
+					if err != nil {
+						return
+					}
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nX-Id: %s\r\n%s\r\n", test.status, id, test.line)
+				}
+			})
+			pool := NewPool(testNames)
+			for _, id := range []string{"1", "2"} {
+				ctx, cancel := context.WithTimeout(t.Context(), oddAnswerTime)
+				defer cancel()
+				call := s.call(id)
+				call.Method = test.method
+				answer, err := pool.Do(ctx, call)
+				assert.NilError(t, err)
+				assert.NilError(t, answer.AwaitBody())
+				content, err := io.ReadAll(answer)
+				assert.NilError(t, err)
+				assert.Equal(t, string(content), "")
+				assert.Assert(t, answer.Framing != FramedByClose)
+			}
+			assert.Equal(t, s.accepted.Load(), int32(1))
+		})
+	}
+}
