Pass the length in an answer to HEAD on

Seen: a client that asked with HEAD got "Content-Length: 0" whatever its runner said. Cause: the length was set to that of the body that was read. Change: an answer to HEAD keeps the length of its runner, or has none. Evidence: TestAnswerToHeadLostItsLength failed before ("" or "12" wanted, "0" given) and passes.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -172,10 +172,12 @@
 // complete.
 func (j *job) writeBuffered(buffered *bufferedAnswer, result string, proven bool) {
 	j.copyHeader(buffered.header)
-	if proven {
-		j.writer.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
-	} else {
+	switch {
+	case !proven:
 		j.endWithConnection()
+	case j.request.Method != http.MethodHead:
+		// The length in an answer to HEAD is that of a body which does not follow.
+		j.writer.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
 	}
 	j.outcome.First = time.Since(j.request.Arrived)
 	j.outcome.Result, j.outcome.Status = result, buffered.status
--- a/internal/dispatch/answer_test.go
+++ b/internal/dispatch/answer_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/config"
 	"lilacvane/internal/fleet"
+	"lilacvane/internal/upstream"
 )
 
 // TestHeldFailures checks that only a failure that may reach the client is held back while another
@@ -33,3 +35,27 @@
 		})
 	}
 }
+
+// TestAnswerToHeadLostItsLength: the length in an answer to HEAD is that of a body which does not follow, and
+// reaches the client as the runner gave it.
+func TestAnswerToHeadLostItsLength(t *testing.T) {
+	for name, test := range map[string]struct{ method, given, want string }{
+		"HEAD":            {http.MethodHead, "12", "12"},
+		"HEAD, no length": {http.MethodHead, "", ""},
+		"GET":             {http.MethodGet, "12", "4"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			recorder := httptest.NewRecorder()
+			j := &job{request: &Request{Method: test.method}, writer: recorder}
+			buffered := &bufferedAnswer{status: http.StatusOK, header: http.Header{}, framing: upstream.FramedByLength}
+			if test.given != "" {
+				buffered.header.Set("Content-Length", test.given)
+			}
+			if test.method != http.MethodHead {
+				buffered.body = []byte("body")
+			}
+			j.writeBuffered(buffered, ResultServed, true)
+			assert.Equal(t, recorder.Result().Header.Get("Content-Length"), test.want)
+		})
+	}
+}
