Take no success that ended with its head for whole

Seen: a runner that went on running sent the head of a 200, neither a length nor chunks, and closed the connection. Its client got a 200 with an empty body, a stream even with its last chunk; a safe request took no other runner. So did a stream that was resumed at such a runner: what came before looked whole. Cause: of an answer without framing, only the runner's presence was asked for, and a runner that stops after its head is still there. Change: a success without framing that brought no byte, of a stream no event but blank lines, broke off with its head: another attempt where allowed, else 502. A runner with nothing to say can send a length of 0, or 204. Evidence: TestAnswerThatEndedWithItsHeadLookedWhole failed before in all eight cases (200 for 502, or an empty body for that of the second runner) and passes; internal/dispatch and the tests of unframed answers in test/ pass.

--- a/internal/dispatch/completeness.go
+++ b/internal/dispatch/completeness.go
@@ -126,8 +126,11 @@
 }
 
 // bodyForm returns what the body of an answer shows about its end. A JSON text is whole if it can be
-// parsed, unless it is a plain number.
+// parsed, unless it is a plain number. A success that ended with its head brought nothing.
 func (j *job) bodyForm(buffered *bufferedAnswer) form {
+	if len(buffered.body) == 0 && isSuccess(buffered.status) {
+		return formCut
+	}
 	kind, _, _ := mime.ParseMediaType(buffered.header.Get("Content-Type"))
 	if kind != "application/json" && !j.request.OwnErrors {
 		return formUnknown
@@ -142,8 +145,17 @@
 	}
 }
 
-// streamForm returns what the last event of a stream shows about the stream's end.
-func (j *job) streamForm() form {
+// isSuccess reports whether clients take a status for a success.
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
+// streamForm returns what a runner's part of a stream shows about the stream's end: whether it brought anything,
+// and its last event.
+func (j *job) streamForm(brought bool) form {
+	if !brought {
+		return formCut
+	}
 	if j.request.EndsStream == nil {
 		return formUnknown
 	}
--- a/internal/dispatch/completeness_test.go
+++ b/internal/dispatch/completeness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -178,3 +179,36 @@
 	}
 	assert.Equal(t, written.Code, http.StatusBadGateway)
 }
+
+// TestAnswerThatEndedWithItsHeadLookedWhole: an answer without a length or chunks ended right after its head, of a
+// runner that goes on running. A client got a success with nothing in it, ended as complete.
+func TestAnswerThatEndedWithItsHeadLookedWhole(t *testing.T) {
+	const events = "Content-Type: text/event-stream\r\n"
+	for name, test := range map[string]struct {
+		header string
+		kind   config.Kind
+		status int
+	}{
+		"safe":            {"", config.Safe, http.StatusOK},
+		"unsafe":          {"", config.Unsafe, http.StatusBadGateway},
+		"stream":          {events, config.Stream, http.StatusBadGateway},
+		"unknown content": {"Content-Type: a/b\r\n", config.Stream, http.StatusBadGateway},
+	} {
+		for _, content := range []string{"", "\n", "\r\n"} {
+			if content != "" && test.kind != config.Stream {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s %q", name, content), func(t *testing.T) {
+				t.Parallel()
+				j, written, _ := unframedJob(t, ends(test.header, content))
+				j.route.Kind = test.kind
+				for j.attempt(t.Context()) {
+				}
+				assert.Equal(t, written.Code, test.status, "%s", written.Body)
+				if test.status == http.StatusOK {
+					assert.Equal(t, written.Body.String(), "second")
+				}
+			})
+		}
+	}
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -62,7 +62,7 @@
 			pending.drop(complete)
 		}
 		if err == io.EOF {
-			if err := j.finishStream(ctx, choice, answer, pending.content); err != nil {
+			if err := j.finishStream(ctx, choice, answer, pending.content, result.started); err != nil {
 				result.fleet = fleet.Failed
 				return result, err
 			}
@@ -151,13 +151,15 @@
 }
 
 // finishStream ends a stream that its runner completed. What follows its last event belongs to the
-// answer as well: blank lines, or all of an answer that does not consist of events. An error means that
-// the stream broke off.
-func (j *job) finishStream(ctx context.Context, choice fleet.Choice, answer *upstream.Answer, remainder []byte) error {
+// answer as well: blank lines, or all of an answer that does not consist of events. started is set if the runner
+// sent events. An error means that the stream broke off.
+func (j *job) finishStream(ctx context.Context, choice fleet.Choice, answer *upstream.Answer, remainder []byte, started bool) error {
 	if err := j.checkLastEvent(choice, answer, remainder); err != nil {
 		return err
 	}
-	completeness, err := j.completeness(ctx, choice, answer, j.streamForm)
+	completeness, err := j.completeness(ctx, choice, answer, func() form {
+		return j.streamForm(started || len(bytes.TrimSpace(remainder)) > 0)
+	})
 	if err != nil {
 		return err
 	}
