Stop runners in the heads of their answers

Emulated runners stop in a part of their answers and close or reset the connection: in the status, a name, a value, a length, an encoding, between CR and LF, before and in the end of the head, after interim answers, after the head, in a chunk's size, the first event, a trailer, after a 101.

--- a/internal/lab/runnerstub/http.go
+++ b/internal/lab/runnerstub/http.go
@@ -309,6 +309,10 @@
 		writeEndless(w, j)
 		return
 	}
+	if j.faults.StopIn != "" {
+		writeStopped(w, j)
+		return
+	}
 	if r.wantsStream(request, body) {
 		r.stream(ctx, w, j, finished)
 		return
--- a/internal/lab/runnerstub/runner.go
+++ b/internal/lab/runnerstub/runner.go
@@ -108,6 +108,9 @@
 	Early    bool `json:"early,omitempty"`
 	// Endless makes answers begin with bytes that have no end, until the caller closes the connection.
 	Endless Endless `json:"endless,omitempty"`
+	// StopIn makes answers stop in this part and end with their connections, by a reset with Reset.
+	StopIn StopIn `json:"stopIn,omitempty"`
+	Reset  bool   `json:"reset,omitempty"`
 	// SlowFactor multiplies the time of loads and responses; zero means 1.
 	SlowFactor float64 `json:"slowFactor,omitempty"`
 }
