--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -98,6 +98,8 @@
 	// ObserveLoad is called with the actual and the expected duration of each load from the
 	// weight store; it may be nil.
 	ObserveLoad func(took, expected time.Duration)
+	// CountInvalidReport counts a report that a runner gave and that was passed over; it may be nil.
+	CountInvalidReport func()
 	// Divide answers a node's report on shared limits while this node holds the lease. It is
 	// nil where the holder of another service divides the limits.
 	Divide func(report limit.Report) *limit.Grant
--- a/internal/control/late_report_test.go
+++ b/internal/control/late_report_test.go
@@ -7,10 +7,12 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
+	"lilacvane/internal/fault"
 	"lilacvane/internal/orders"
 )
 
@@ -58,3 +60,33 @@
 		})
 	}
 }
+
+// TestInvalidReportWasNotCounted: a report that is none is passed over with one line and counted, and what the holder
+// believes of the runner stays.
+func TestInvalidReportWasNotCounted(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		code  fault.Code
+		count int
+	}{{"invalid", fault.CodeInvalid, 1}, {"cut", fault.CodeInterrupted, 0}} {
+		t.Run(test.name, func(t *testing.T) {
+			count, lines := 0, 0
+			c := NewController(Options{
+				Runners: slowRunners{err: fault.New(test.code, "read report", "not a report")}, Configuration: func() *config.Configuration { return nil },
+				Log: funcr.New(func(_, _ string) { lines++ }, funcr.Options{}), Allowance: func() time.Duration { return 0 },
+				CountInvalidReport: func() { count++ },
+			})
+			runner := backend.Runner{ID: "r"}
+			ledger := orders.NewLedger(runner)
+			now := time.Now()
+			ledger.Reported(backend.Report{Sequence: 3, Models: []backend.Holding{{Model: "m"}}}, now, now)
+			c.token, c.ledgers = 1, map[string]*orders.Ledger{"r": ledger}
+			c.inFlight.Add(1)
+			c.requestReport(t.Context(), 1, runner)
+			assert.Equal(t, count, test.count)
+			assert.Equal(t, lines, 1)
+			assert.Equal(t, ledger.Sequence(), uint64(3))
+			assert.Equal(t, len(ledger.Models()), 1)
+		})
+	}
+}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -10,6 +10,7 @@
 
 	"lilacvane/internal/backend"
 	"lilacvane/internal/config"
+	"lilacvane/internal/fault"
 	"lilacvane/internal/orders"
 )
 
@@ -107,6 +108,9 @@
 		c.Log.Info("report late", "runner", runner.ID, "error", err.Error())
 		return
 	}
+	if fault.IsCode(err, fault.CodeInvalid) && c.CountInvalidReport != nil {
+		c.CountInvalidReport()
+	}
 	if err != nil {
 		if ledger.ReportFailed(time.Now(), reportRetry) {
 			c.publishLedger(ledger)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -83,6 +83,8 @@
 	crashes prometheus.Counter
 	// undeliveredCrashReports counts reports of crashes that a node did not accept.
 	undeliveredCrashReports prometheus.Counter
+	// invalidReports counts reports of runners that are no reports, or whose numbers are out of range.
+	invalidReports prometheus.Counter
 	// statements counts what runners stated about themselves.
 	statements *prometheus.CounterVec
 	// regionBytes counts bytes exchanged with other regions.
@@ -129,6 +131,9 @@
 		undeliveredCrashReports: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lilacvane_crash_reports_undelivered_total", Help: "Reports of runners that ended that another node did not accept.",
 		}),
+		invalidReports: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lilacvane_reports_invalid_total", Help: "Reports of runners that were passed over, as they are no reports or out of range.",
+		}),
 		resumes: prometheus.NewCounter(prometheus.CounterOpts{Name: "lilacvane_resumes_total", Help: "Streams resumed at another runner."}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "lilacvane_first_byte_seconds", Help: "Time to the first byte of the answer.", Buckets: latencyBuckets,
@@ -156,7 +161,7 @@
 	m.tenants = newTenantMetrics(m.registry)
 	m.refused = newRefusalCounter()
 	m.statements = newStatementCounter()
-	m.registry.MustRegister(newRunnerCollector(sources.RunnersByState), m.refused, m.denied, m.loadTimeError, m.requests, m.outsideHomes, m.regionBytes, m.attempts, m.failed, m.broken, m.cut, m.crashes, m.undeliveredCrashReports, m.statements, m.unreadable, m.resumes, m.firstByte, m.waitTime, m.newsAge)
+	m.registry.MustRegister(newRunnerCollector(sources.RunnersByState), m.refused, m.denied, m.loadTimeError, m.requests, m.outsideHomes, m.regionBytes, m.attempts, m.failed, m.broken, m.cut, m.crashes, m.undeliveredCrashReports, m.invalidReports, m.statements, m.unreadable, m.resumes, m.firstByte, m.waitTime, m.newsAge)
 	m.registry.MustRegister(newLinkCollector(sources.Links))
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
@@ -283,6 +288,9 @@
 // CountUnreadable counts a row of a table that could not be read.
 func (m *Metrics) CountUnreadable(table string) { m.unreadable.WithLabelValues(table).Inc() }
 
+// CountInvalidReport counts a report of a runner that was passed over.
+func (m *Metrics) CountInvalidReport() { m.invalidReports.Inc() }
+
 // CountStatement counts a runner's statement about itself.
 func (m *Metrics) CountStatement(kind statement.Kind) {
 	m.statements.WithLabelValues(string(kind)).Inc()
--- a/internal/node/controls.go
+++ b/internal/node/controls.go
@@ -85,7 +85,7 @@
 	elector := lease.New(n.leases, leasePrefix+service, s.Node, s.Listen.PeerAddress(), n.process, options, n.log.Logger)
 	controller := control.NewController(control.Options{
 		Service: service, Node: s.Node, Elector: elector, Runners: n.platform.Control, Fleet: n.fleet, Rules: placementRules{(*operatorRules)(n)}, Reach: n.reach, Allowance: n.load.Allowance, CheckPath: n.checkPath, Statements: n.statements, StatementExchange: (*statementExchange)(n), NeedList: n.requireFullList, ListRevision: n.followers.runners.AppliedRevision, Configuration: n.configuration.Load,
-		Policies: n.policies, Sleeper: newSleeper(s.Sleep, n.policies.Zone()), ObserveLoad: n.metrics.ObserveLoad, Divide: n.limits.divide, CountCrashes: n.quarantine.AddReport, Terms: n.coldTerms, RecordDecision: n.recordDecision, Log: n.log.Logger,
+		Policies: n.policies, Sleeper: newSleeper(s.Sleep, n.policies.Zone()), ObserveLoad: n.metrics.ObserveLoad, CountInvalidReport: n.metrics.CountInvalidReport, Divide: n.limits.divide, CountCrashes: n.quarantine.AddReport, Terms: n.coldTerms, RecordDecision: n.recordDecision, Log: n.log.Logger,
 	})
 	self := wire.Member{Node: s.Node, Zone: s.Zone, Region: s.Region, Address: s.Listen.PeerAddress()}
 	syncer = control.NewSyncer(service, self, s.Capacity.Spare(), elector, controller, n.client, n.demand, n.fleet, n.limits.forService(service), n.quarantine.ReportsFor(service), (*statementExchange)(n), n.observeFleet, n.log.Logger)
