Take no answer of HTTP/1.0 with a transfer encoding

Seen: an answer of HTTP/1.0 with "Transfer-Encoding: chunked" reached its client as a body with the sizes of its chunks in it, cut or not, ended by its connection. Cause: the library drops the encoding of such an answer without an error. Change: its head is looked at before it is read; one with an encoding, or that does not fit into the 4 KB of the reader's buffer, is no answer.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -247,6 +247,9 @@
 	conn.heads.expectHead()
 	defer conn.heads.endHead()
 	for {
+		if err := checkOldHead(conn.reader); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -57,3 +59,69 @@
 	}
 	return nil
 }
+
+var (
+	oldProtocol    = []byte("HTTP/1.0")
+	encodingHeader = []byte("transfer-encoding:")
+
+	errOldEncoding = errors.New("an answer of HTTP/1.0 has a transfer encoding")
+)
+
+// checkOldHead returns an error if the next answer is of HTTP/1.0 and has a transfer encoding, which that version
+// does not know: the library drops the encoding, and would take the chunks for the body. The head of an answer of
+// HTTP/1.0 must fit into the reader's buffer.
+func checkOldHead(reader *bufio.Reader) error {
+	begin, err := reader.Peek(len(oldProtocol))
+	if err != nil {
+		return unexpected(err)
+	}
+	if !bytes.Equal(begin, oldProtocol) {
+		return nil
+	}
+	head, err := peekHead(reader)
+	if err != nil {
+		return unexpected(err)
+	}
+	for line := range bytes.Lines(head) {
+		if len(line) >= len(encodingHeader) && bytes.EqualFold(line[:len(encodingHeader)], encodingHeader) {
+			return errOldEncoding
+		}
+	}
+	return nil
+}
+
+// peekHead returns the next head without reading it.
+func peekHead(reader *bufio.Reader) ([]byte, error) {
+	for size := 1; ; size = reader.Buffered() + 1 {
+		if _, err := reader.Peek(size); err != nil {
+			return nil, err
+		}
+		buffered, err := reader.Peek(reader.Buffered())
+		if err != nil {
+			return nil, err
+		}
+		if end := headEnd(buffered); end > 0 {
+			return buffered[:end], nil
+		}
+	}
+}
+
+// headEnd returns the length of the head at the begin of content; zero if it has no end yet.
+func headEnd(content []byte) int {
+	end := 0
+	for line := range bytes.Lines(content) {
+		end += len(line)
+		if text := bytes.TrimRight(line, "\r\n"); len(text) == 0 && line[len(line)-1] == '\n' {
+			return end
+		}
+	}
+	return 0
+}
+
+// unexpected returns err as the error of an answer that ended before its end.
+func unexpected(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- a/internal/upstream/heads_test.go
+++ b/internal/upstream/heads_test.go
@@ -301,3 +301,25 @@
 		})
 	}
 }
+
+// TestChunksOfAnOldAnswerWerePassedOn: HTTP/1.0 knows no chunks, and an answer of it that has an encoding all the same has no
+// end that can be trusted: what frames its chunks was taken for its body, and the end of its connection for its end.
+func TestChunksOfAnOldAnswerWerePassedOn(t *testing.T) {
+	const begin = "HTTP/1.0 200 OK\r\nX-Id: 1\r\n"
+	for name, content := range map[string]string{
+		"chunks":            begin + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"cut chunk":         begin + "transfer-encoding:chunked\r\n\r\n3\r\na",
+		"bare line feeds":   "HTTP/1.0 200 OK\nX-Id: 1\nTransfer-Encoding: chunked\n\n3\r\nabc\r\n0\r\n\r\n",
+		"with a length":     begin + "Content-Length: 3\r\nTRANSFER-ENCODING: chunked\r\n\r\nabc",
+		"interim answer":    "HTTP/1.1 100 Continue\r\n\r\n" + begin + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"head without end":  begin + strings.Repeat("X-Filler: 1\r\n", 4<<10),
+		"end of the header": begin + "X-Last: 1\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { checkNoAnswer(t, content) })
+	}
+	content := begin + "X-Note: transfer-encoding: none\r\n\r\nabc\r\nTransfer-Encoding: chunked\r\n"
+	s := serveBytes(t, func() string { return content }, connectionEnds["close"])
+	got, err := exchange(NewPool(testNames), s.call("1"))
+	assert.NilError(t, err)
+	assert.Equal(t, got, "abc\r\nTransfer-Encoding: chunked\r\n")
+}
