Read no content of a tunnel's frame as further frames

Seen: a frame that has no content, such as that for a peer which takes no further exchange, but states a length: what followed was read as frames, so that three bytes of content ended a runner's answer. Change: such a frame is an error, on both sides.

--- a/internal/tunnel/frame.go
+++ b/internal/tunnel/frame.go
@@ -41,7 +41,8 @@
 	return append(buffer, content...)
 }
 
-// readFrame reads the type of the next frame and the length of its content, which follows.
+// readFrame reads the type of the next frame and the length of its content, which follows. Frames without content
+// must state none: it would be read as further frames.
 func readFrame(reader *bufio.Reader) (kind frameType, length int, err error) {
 	var header [frameHeaderSize]byte
 	if _, err := io.ReadFull(reader, header[:]); err != nil {
@@ -51,5 +52,9 @@
 	if kind < frameData || kind > frameClosing {
 		return 0, 0, fmt.Errorf("frame of unknown type %d", kind)
 	}
-	return kind, int(binary.BigEndian.Uint16(header[1:])), nil
+	length = int(binary.BigEndian.Uint16(header[1:]))
+	if length > 0 && kind != frameData && kind != frameBegin {
+		return 0, 0, fmt.Errorf("frame of type %d with %d bytes of content", kind, length)
+	}
+	return kind, length, nil
 }
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -367,3 +367,43 @@
 		}
 	})
 }
+
+// TestCutFrameEndedAnAnswer: a peer stops after any byte of its frames. Only a whole frame for the end of the runner's
+// connection is that end, and bytes of an unfinished data frame are followed by an error.
+func TestCutFrameEndedAnAnswer(t *testing.T) {
+	whole := appendFrame(nil, frameData, []byte("HTTP/1.1 200 OK\r\n"))
+	whole = appendFrame(whole, frameData, []byte("\r\nbody"))
+	whole = appendFrame(whole, frameEnd, nil)
+	for cut := range len(whole) {
+		conn := newConn(nil, bufio.NewReader(bytes.NewReader(whole[:cut])), "peer")
+		_, err := io.ReadAll(conn)
+		assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%d bytes of %d: %v", cut, len(whole), err)
+		_, err = conn.Read(make([]byte, 1))
+		assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%d bytes of %d, read again: %v", cut, len(whole), err)
+	}
+	content, err := io.ReadAll(newConn(nil, bufio.NewReader(bytes.NewReader(whole)), "peer"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(content), "HTTP/1.1 200 OK\r\n\r\nbody")
+}
+
+// TestOddFramesEndedAnAnswer: frames that only clients send, of unknown types, or with content where there is none do not
+// end the answer of a runner.
+func TestOddFramesEndedAnAnswer(t *testing.T) {
+	data := appendFrame(nil, frameData, []byte("part"))
+	for name, frame := range map[string][]byte{
+		"begin":            appendFrame(nil, frameBegin, []byte("id")),
+		"done":             appendFrame(nil, frameDone, nil),
+		"type 0":           {0, 0, 0},
+		"type 255":         {255, 0, 0},
+		"reset":            appendFrame(nil, frameReset, nil),
+		"refused":          appendFrame(nil, frameRefused, nil),
+		"end with content": appendFrame(nil, frameEnd, []byte("more")),
+		"closing, cut":     appendFrame(nil, frameClosing, nil),
+		"closing, content": appendFrame(appendFrame(nil, frameClosing, []byte{byte(frameEnd), 0, 0}), frameEnd, nil),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := io.ReadAll(newConn(nil, bufio.NewReader(bytes.NewReader(append(bytes.Clone(data), frame...))), "peer"))
+			assert.Assert(t, err != nil)
+		})
+	}
+}
