--- a/internal/upstream/heads_test.go
+++ b/internal/upstream/heads_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,12 +62,12 @@
 		for how, end := range connectionEnds {
 			t.Run(name+", "+how, func(t *testing.T) {
 				t.Parallel()
-				var sent string
-				s := serveBytes(t, func() string { return sent }, end)
-				pool := poolOf(t)
 				content := whole.head + whole.body
+				var sent atomic.Int32
+				s := serveBytes(t, func() string { return content[:sent.Load()] }, end)
+				pool := poolOf(t)
 				for cut := range len(content) {
-					sent = content[:cut]
+					sent.Store(int32(cut))
 					answer, err := pool.Do(t.Context(), s.call("1"))
 					if err == nil {
 						assert.Assert(t, cut >= len(whole.head), "a head of %d bytes of %d was taken for whole", cut, len(whole.head))
@@ -100,7 +101,7 @@
 func TestCutHeadOnAKeptConnectionLookedWhole(t *testing.T) {
 	whole := answerText("2", "second")
 	head := strings.Index(whole, "second")
-	var cut int
+	var sent atomic.Int32
 	s := serveScript(t, func(s *scriptedRunner, _ int, conn net.Conn) {
 		reader := bufio.NewReader(conn)
 		if id, err := s.next(reader); err != nil || id != "1" {
@@ -108,11 +109,12 @@
 		}
 		_, _ = io.WriteString(conn, answerText("1", "first"))
 		if _, err := s.next(reader); err == nil {
-			_, _ = io.WriteString(conn, whole[:cut])
+			_, _ = io.WriteString(conn, whole[:sent.Load()])
 		}
 	})
 	pool := NewPool(testNames)
-	for cut = range head {
+	for cut := range head {
+		sent.Store(int32(cut))
 		content, err := exchange(pool, s.call("1"))
 		assert.NilError(t, err)
 		assert.Equal(t, content, "first")
