--- a/test/cut_heads_test.go
+++ b/test/cut_heads_test.go
@@ -67,3 +67,39 @@
 	w := startCarriedWorldWith(t, statementTest{direct: true})
 	checkStopped(t, w.world, w.cutNode)
 }
+
+// TestCutHeadEndedARequestThatMayBeRepeated: one runner of each service stops in the heads of its answers. Requests that
+// may be repeated are served by another one, whole.
+func TestCutHeadEndedARequestThatMayBeRepeated(t *testing.T) {
+	t.Parallel()
+	for _, part := range []runnerstub.StopIn{runnerstub.StopInLength, runnerstub.StopAfterHead, runnerstub.StopAfterSwitched} {
+		t.Run(string(part), func(t *testing.T) {
+			t.Parallel()
+			w := startAnswerWorldOf(t, 1, runnerstub.Faults{})
+			for _, id := range []string{"runner-1", "mailer-1"} {
+				assert.NilError(t, w.world.SetRunnerFaults(id, runnerstub.Faults{StopIn: part}))
+			}
+			repeated := 0
+			for range cutHeadRounds {
+				// Others would reach the runner first, which gets fewer requests from then on.
+				repeated += w.sendRepeatable(t, "safe") + w.sendRepeatable(t, "resumable stream")
+			}
+			assert.Check(t, repeated > 0, "no request that may be repeated reached a runner that stops")
+		})
+	}
+}
+
+// cutHeadRounds is how many requests of each kind are sent to runners of which one stops in its heads.
+const cutHeadRounds = 24
+
+// sendRepeatable sends a request of a kind that may be repeated, checks that it is served whole, and returns 1 if it ran
+// more than once.
+func (w *answerWorld) sendRepeatable(t *testing.T, kind string) int {
+	t.Helper()
+	request := answerKinds()[kind]
+	request.ID, request.Deadline = newID(), cutHeadDeadline
+	got, err := sendRaw(t.Context(), w.nodes[0], 1, request)
+	assert.NilError(t, err)
+	assert.Check(t, got.Status == http.StatusOK && got.Complete && got.wholeBody(request), "%s: %+v", kind, got)
+	return min(1, max(0, runsOfRequest(readHistory(t, w.world), request.ID)-1))
+}
