Write the streams that begin while several builds serve

Callers that took streams up after all nodes had died at once were refused, all of them, as long as two builds served: truthful, and of no use to them.

Cause: which build began a stream was in the memory of the node that began it and of its keepers.

Change: while several builds serve, the first two keepers of a stream write it to a table that keepers read as they start; other nodes ask the keepers, as before. Rows are bounded in number (four a place among the keepers) and size, calls to two a second a keeper; none while one build serves. What is not written in time, or has no room, stays unknown and is refused. Builds that served are also looked up by service, so that the begin of a stream does not pass over all of them.

Not measured at hundreds of nodes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,7 +69,7 @@
 	// Runners is the table of runners by identifier.
 	Runners      feed.Source
 	DecodeRunner func(id string, content []byte) (backend.Runner, error)
-	// Objects, Leases, Claims, Limits, Poison and Builds are lilacvane's own tables.
+	// Objects, Leases, Claims, Limits, Poison, Builds and Streams are lilacvane's own tables.
 	Objects Table
 	Leases  table.Table
 	Claims  table.Table
@@ -78,6 +78,8 @@
 	Poison Table
 	// Builds is the table of the builds of runners that serve or served lately.
 	Builds Table
+	// Streams is the table of streams under way and the builds that began them.
+	Streams table.Table
 	// Epochs tracks the epoch of the store behind these tables.
 	Epochs *table.Epochs
 	// Unreadable reports the rows of these tables that cannot be read.
@@ -291,6 +293,7 @@
 	work.Go(func() { n.quarantine.Run(background) })
 	work.Go(func() { n.origins.Run(background) })
 	work.Go(func() { n.origins.Record(background) })
+	work.Go(func() { n.origins.Save(background) })
 	work.Go(func() { n.pool.RetryBrokenPaths(background) })
 	n.serve(open)
 	<-ctx.Done()
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -20,7 +20,7 @@
 			err = n.client.Call(ctx, address, wire.MethodOrigin, request, &answer)
 			return answer, err
 		},
-		Rows: table.NewFenced(n.platform.Builds, n.platform.Epochs), Term: n.recorderTerm,
+		Rows: table.NewFenced(n.platform.Builds, n.platform.Epochs), Streams: n.platform.Streams, Term: n.recorderTerm,
 		Peers: func() []string { return n.relay.Peers() }, Now: time.Now, Log: n.log.Logger,
 	})
 	peer.Handle(n.peers, wire.MethodOrigin, func(ctx context.Context, request wire.OriginRequest) (wire.OriginAnswer, error) {
--- a/internal/origin/builds.go
+++ b/internal/origin/builds.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"iter"
 	"time"
 
 	"lilacvane/internal/backend"
@@ -92,33 +93,45 @@
 	}
 }
 
-// servedLately returns the builds of a service that serve, or served lately, as far as known. mutex is held.
-func (r *Registry) servedLately(service string) map[backend.Build]bool {
-	served := make(map[backend.Build]bool)
-	for known := range r.served.builds {
-		if known.service == service {
-			served[known.build] = true
+// servedLately returns the builds of a service that serve, or served lately, as far as known; one may be repeated.
+// mutex is held.
+func (r *Registry) servedLately(service string) iter.Seq[backend.Build] {
+	return func(yield func(backend.Build) bool) {
+		for _, build := range r.served.ofService[service] {
+			if !yield(build) {
+				return
+			}
 		}
-	}
-	builds := r.builds[service]
-	if builds == nil {
-		return served
-	}
-	for build, at := range builds.leftAt {
-		if r.Now().Sub(at) >= recordLifetime {
-			delete(builds.leftAt, build)
-		} else {
-			served[build] = true
+		builds := r.builds[service]
+		if builds == nil {
+			return
+		}
+		for build := range builds.runners {
+			if !yield(build) {
+				return
+			}
+		}
+		for build, at := range builds.leftAt {
+			if r.Now().Sub(at) >= recordLifetime {
+				delete(builds.leftAt, build)
+			} else if !yield(build) {
+				return
+			}
 		}
 	}
-	for build := range builds.runners {
-		served[build] = true
-	}
-	return served
 }
 
 // several reports whether runners of more than one build serve, or served lately. mutex is held.
-func (r *Registry) several(service string) bool { return len(r.servedLately(service)) > 1 }
+func (r *Registry) several(service string) bool {
+	first, found := backend.Build(""), false
+	for build := range r.servedLately(service) {
+		if found && build != first {
+			return true
+		}
+		first, found = build, true
+	}
+	return false
+}
 
 // sure reports whether this node has followed the list for long enough to have been told of streams that clients
 // resume now. mutex is held.
@@ -129,11 +142,10 @@
 // only returns the one build of a service that serves, or served lately; false if there is none or several.
 // mutex is held.
 func (r *Registry) only(service string) (backend.Build, bool) {
-	served := r.servedLately(service)
-	if len(served) != 1 {
+	if r.several(service) {
 		return "", false
 	}
-	for build := range served {
+	for build := range r.servedLately(service) {
 		return build, true
 	}
 	return "", false
--- a/internal/origin/keepers.go
+++ b/internal/origin/keepers.go
@@ -183,9 +183,12 @@
 	return groups
 }
 
-// tellKeeper sends records to one keeper. It does nothing if that is this node.
+// tellKeeper sends records to one keeper, which may be this node.
 func (r *Registry) tellKeeper(ctx context.Context, address string, records []wire.OriginRecord) error {
 	if address == r.Self() {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		r.save(records...)
 		return nil
 	}
 	for batch := range slices.Chunk(records, maxBatch) {
@@ -276,6 +279,7 @@
 			r.put(Stream(told.Stream), record{service: told.Service, build: told.Build, at: r.Now()})
 		}
 	}
+	r.save(request.Records...)
 	answer = wire.OriginAnswer{Several: r.several(request.Service), Sure: r.served.complete}
 	if len(request.Asked) == len(Stream{}) {
 		if known, found := r.find(request.Service, Stream(request.Asked)); found {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -3,7 +3,8 @@
 // records it. While runners of several builds serve, it also tells a few nodes, chosen by the stream,
 // that every node asks; so it does for a while after its start, when others may not know it. Streams that came to
 // their end are forgotten. Which builds serve, or served lately, is also kept in a table, so that it is known after
-// all nodes have ended.
+// all nodes have ended. While there are several builds, keepers also write the streams to a table, which keepers that
+// start read.
 package origin
 
 import (
@@ -55,6 +56,8 @@
 	Peers func() []string
 	// Rows is the table of builds that served.
 	Rows table.Table
+	// Streams is the table of streams that keepers write while several builds serve.
+	Streams table.Table
 	// Term returns this process's tenure of the lease whose holder records which builds served.
 	Term func() lease.Term
 	Now  func() time.Time
@@ -83,6 +86,8 @@
 	// table was read.
 	served     servedState
 	servedRead chan struct{}
+	// saved are the streams that this node writes as a keeper.
+	saved savedStreams
 	// untold are the records to tell keepers; due is signalled when there are any.
 	untold []Stream
 	due    chan struct{}
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -47,6 +47,7 @@
 		g.nodes[address], term = r, lease.Term{}
 		go r.Run(ctx)
 		go r.Record(ctx)
+		go r.Save(ctx)
 	}
 	for _, r := range g.nodes {
 		r.SetKeepers(g.order[:min(count, 8)])
@@ -66,7 +67,7 @@
 func (g *group) options(address string, term lease.Term) Options {
 	return Options{
 		Self: func() string { return address }, Send: g.send, Peers: g.peers, Now: time.Now, Log: logr.Discard(),
-		Rows: g.store, Term: func() lease.Term { return term },
+		Rows: g.store, Streams: g.store.streams, Term: func() lease.Term { return term },
 	}
 }
 
--- /dev/null
+++ b/internal/origin/saved_test.go
@@ -0,0 +1,161 @@
+package origin
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lilacvane/internal/backend"
+	"lilacvane/internal/fault"
+	"lilacvane/internal/lease"
+	"lilacvane/internal/table"
+)
+
+// streamsStub is a table of rows that are written without conditions.
+type streamsStub struct {
+	table.Table
+	mutex sync.Mutex
+	rows  map[string][]byte
+	calls int
+	down  bool
+}
+
+// List implements table.Table, a few rows a page.
+func (s *streamsStub) List(_ context.Context, prefix, after string, limit int) ([]table.Row, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	if s.down {
+		return nil, fault.New(fault.CodeStoreUnavailable, "list", "down")
+	}
+	const page = 3
+	var rows []table.Row
+	for _, key := range slices.Sorted(maps.Keys(s.rows)) {
+		if strings.HasPrefix(key, prefix) && key > after && len(rows) < min(limit, page) {
+			rows = append(rows, table.Row{Key: key, Value: s.rows[key]})
+		}
+	}
+	return rows, nil
+}
+
+// Commit implements table.Table.
+func (s *streamsStub) Commit(_ context.Context, transaction table.Transaction) (table.Revision, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	if s.down {
+		return 0, fault.New(fault.CodeStoreUnavailable, "commit", "down")
+	}
+	for _, write := range transaction.Writes {
+		s.rows[write.Key] = write.Value
+	}
+	return 1, nil
+}
+
+func (s *streamsStub) setDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+}
+
+// size returns the rows, the bytes of the longest one, and the calls.
+func (s *streamsStub) size() (rows, longest, calls int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, value := range s.rows {
+		longest = max(longest, len(value))
+	}
+	return len(s.rows), longest, s.calls
+}
+
+// begin begins streams at all nodes and returns the build of each.
+func (g *group) begin(name string, count int) map[Stream]backend.Build {
+	begun := make(map[Stream]backend.Build, count)
+	for number := range count {
+		s, build := NewStream(name, fmt.Sprint(number)), backend.Build(fmt.Sprint("b", 1+number%2))
+		begun[s] = build
+		g.nodes[g.order[number%len(g.order)]].Began("s", s, build)
+	}
+	return begun
+}
+
+// checkKnown checks that any node finds the builds of streams.
+func (g *group) checkKnown(t *testing.T, begun map[Stream]backend.Build) {
+	t.Helper()
+	number := 0
+	for s, build := range begun {
+		number++
+		asking := g.nodes[g.order[number%len(g.order)]]
+		assert.Equal(t, asking.Find(t.Context(), "s", s), Origin{Build: build, Known: true, Several: true})
+	}
+}
+
+// TestStreamsWereForgottenAsAllNodesDied: while several builds serve, the builds of streams are known after all nodes
+// have started, also for the second time, and with the store away meanwhile.
+func TestStreamsWereForgottenAsAllNodesDied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 12, runnersOf("b1", "b2")...)
+		begun := g.begin("first", 100)
+		time.Sleep(2 * saveInterval)
+		for life := range 3 {
+			g.store.streams.setDown(life == 1)
+			g = g.restartAll(t, lease.Term{Held: true}, runnersOf("b1", "b2")...)
+			time.Sleep(time.Second)
+			g.store.streams.setDown(false)
+			time.Sleep(overlap + loadPause)
+			g.checkKnown(t, begun)
+			maps.Copy(begun, g.begin(fmt.Sprint("life ", life), 100))
+			time.Sleep(2 * saveInterval)
+		}
+		assert.Equal(t, g.nodes[g.order[0]].Find(t.Context(), "s", NewStream("other", "0")), Origin{Several: true})
+	})
+}
+
+// TestStreamsAreKeptAsKeepersChange: streams outlive all nodes though the keepers had other places before.
+func TestStreamsAreKeptAsKeepersChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 12, runnersOf("b1", "b2")...)
+		begun := g.begin("first", 100)
+		time.Sleep(2 * saveInterval)
+		moved := slices.Concat(g.order[3:8], g.order[:3])
+		for _, r := range g.nodes {
+			r.SetKeepers(moved)
+		}
+		maps.Copy(begun, g.begin("second", 100))
+		time.Sleep(2 * saveInterval)
+		g = g.restartAll(t, lease.Term{Held: true}, runnersOf("b1", "b2")...)
+		time.Sleep(overlap)
+		g.checkKnown(t, begun)
+	})
+}
+
+// TestSavedStreamsAreBounded: a flood of streams makes neither calls, rows nor their size grow, and one build makes
+// no call.
+func TestSavedStreamsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 12, runnersOf("b1")...)
+		g.begin("one build", 100)
+		time.Sleep(10 * time.Second)
+		_, _, calls := g.store.streams.size()
+		assert.Equal(t, calls, 0)
+		for _, r := range g.nodes {
+			r.Change(runnersOf("b1", "b2"), nil)
+		}
+		const seconds = 6
+		for second := range seconds {
+			g.begin(fmt.Sprint(second), 4000)
+			time.Sleep(time.Second)
+		}
+		rows, longest, calls := g.store.streams.size()
+		t.Logf("%d rows of %d bytes at most, %d calls", rows, longest, calls)
+		assert.Assert(t, rows <= 8*savedRows && longest <= maxRowBytes && calls <= 8*(seconds*int(time.Second/saveInterval)+3))
+	})
+}
--- a/internal/origin/served.go
+++ b/internal/origin/served.go
@@ -37,6 +37,8 @@
 	// set if there are no others.
 	builds   map[serviceBuild]bool
 	complete bool
+	// ofService are the builds by service.
+	ofService map[string][]backend.Build
 }
 
 // apply applies the row as of a revision, unless a newer one was applied. A row of an earlier epoch is of a copy
@@ -55,6 +57,10 @@
 	for _, served := range row.Builds {
 		s.builds[serviceBuild{served.Service, served.Build}] = served.LeftMs != 0
 	}
+	s.ofService = make(map[string][]backend.Build)
+	for known := range s.builds {
+		s.ofService[known.service] = append(s.ofService[known.service], known.build)
+	}
 }
 
 // lacks reports whether the row differs from what is listed. A process that does not hold the lease only cares
--- a/internal/origin/table_test.go
+++ b/internal/origin/table_test.go
@@ -28,9 +28,12 @@
 	calls     int
 	writes    int
 	followers []*Handler
+	streams   *streamsStub
 }
 
-func newStoreStub() *storeStub { return &storeStub{started: time.Now(), epoch: table.FirstEpoch} }
+func newStoreStub() *storeStub {
+	return &storeStub{started: time.Now(), epoch: table.FirstEpoch, streams: &streamsStub{rows: make(map[string][]byte)}}
+}
 
 // follow makes a handler read the table and follow it.
 func (s *storeStub) follow(h *Handler) {
--- a/test/joined_test.go
+++ b/test/joined_test.go
@@ -14,8 +14,12 @@
 	"lilacvane/platform/protocol"
 )
 
-// returnPeriod is for how long clients try to take their streams up again.
-const returnPeriod = 6 * time.Second
+const (
+	// returnPeriod is for how long clients try to take their streams up again.
+	returnPeriod = 6 * time.Second
+	// savePeriod is within what time a stream is known beyond the loss of all nodes.
+	savePeriod = time.Second
+)
 
 // beginAtAll begins streams at all nodes in turn.
 func (w *buildWorld) beginAtAll(t *testing.T) []begunStream {
@@ -46,9 +50,10 @@
 	t.Helper()
 	var mutex sync.Mutex
 	var clients sync.WaitGroup
-	statuses := make(map[int]int)
+	statuses, begun := make(map[int]int), make(map[string]int)
 	until := time.Now().Add(returnPeriod)
 	for number, s := range streams {
+		begun[s.build]++
 		clients.Go(func() {
 			for time.Now().Before(until) {
 				got := s.retake(t, w.nodes[number%len(w.nodes)], named)
@@ -70,7 +75,7 @@
 		})
 	}
 	clients.Wait()
-	t.Logf("%d of %d go on, %d joined, by status %v", whole, len(streams), joined, statuses)
+	t.Logf("of %v %d go on, %d joined, by status %v", begun, whole, joined, statuses)
 	return whole, joined
 }
 
@@ -111,6 +116,19 @@
 	}
 }
 
+// TestStreamsOfTwoBuildsWereRefusedAfterAllNodesDied: both builds still served, and no stream went on, as nobody knew
+// which of them had begun it.
+func TestStreamsOfTwoBuildsWereRefusedAfterAllNodesDied(t *testing.T) {
+	t.Parallel()
+	w := startBuildWorld(t, 4, "b1", "b2")
+	streams := w.beginAtAll(t)
+	time.Sleep(savePeriod)
+	w.restartAll(t)
+	whole, joined := w.retakeAll(t, streams, true)
+	assert.Equal(t, joined, 0)
+	assert.Check(t, float64(whole) >= leastResumedShare*float64(len(streams)))
+}
+
 // TestStreamsOfTheOnlyBuildWereRefusedAfterAllNodesDied: no other build had served, and streams that clients took
 // up were refused, named or not.
 func TestStreamsOfTheOnlyBuildWereRefusedAfterAllNodesDied(t *testing.T) {
