--- a/test/stop_keys_test.go
+++ b/test/stop_keys_test.go
@@ -69,7 +69,7 @@
 		}
 		return nil
 	})
-	stream := slowRequest{"begun before the signal", "/reply/x", endlessEvents, 0, 0, 0}
+	stream := slowRequest{name: "begun before the signal", path: "/reply/x", events: endlessEvents, dial: 0, send: 0}
 	streamed := make(chan slowAnswer, 1)
 	go func() { streamed <- stream.run(nodes[0], time.Now()) }()
 	assert.NilError(t, nodes[0].Terminate())
