Wait for a whole pause in the test of recorded builds

Cause: a node that failed to record builds pauses for up to twice recordPause, and looks every recordInterval.

Change: the test waits recordInterval longer. What it demands is the same: three writes, no more.

--- a/internal/origin/table_test.go
+++ b/internal/origin/table_test.go
@@ -255,7 +255,7 @@
 		time.Sleep(10 * time.Second)
 		assert.Assert(t, g.store.countCalls() <= 4+20, "%d", g.store.countCalls())
 		g.store.setDown(false)
-		time.Sleep(2 * recordPause)
+		time.Sleep(2*recordPause + recordInterval)
 		assert.Equal(t, g.store.countWrites(), 3)
 	})
 }
