--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -282,6 +282,7 @@
 	// If a connection that had been idle turns out to be silent, no other runner is tried.
 	call.Proved = j.silenceLimit() == 0 || choice.Candidates == 1
 	admit := call.Admit
+	// Connecting may take seconds, in which the node may have begun to stop.
 	call.Admit = func() error {
 		if err := admit(); err != nil {
 			return err
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -84,7 +84,8 @@
 	budgets   map[string]*retry.Budget
 	splitters map[string]*splitter
 	// spooled counts the bytes kept for clients that read slowly.
-	spooled   spoolUsage
+	spooled spoolUsage
+	// durations holds how long the latest requests of each route took.
 	durations durations
 	// answers counts the memory of answers that are not complete.
 	answers answerMemory
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -87,7 +87,7 @@
 		n.close()
 	})
 	defer timer.Stop()
-	// After the last requests, peers that hang would take all of the time that is left.
+	// What is known now is handed over now: once the last requests have ended, little time is left for peers that hang.
 	ends.Go(func() { n.claims.HandOver(ctx) })
 	ends.Go(func() { n.ingress.Shutdown(ctx) })
 	ends.Go(func() {
