Let programs with the race detector end when they have ended

Cause: the detector sleeps for a second before a process exits, so tests that take the time until a process is gone saw 8.53 s of 8 s, and 9.04 s of 8.53 s, for each stop of a whole run with the detector: TestStopSoak and TestStopLastedLongerThanItsGrace failed there.

Change: the tests set the detector's option for no such sleep for the programs that they start. Their bounds stay, and a race still ends a program.

--- a/test/main_test.go
+++ b/test/main_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"runtime"
+	"strings"
 	"testing"
 
 	"lilacvane/internal/command"
@@ -18,6 +19,14 @@
 // return a cached test result.
 var linked = [...]any{command.Main, labcommand.Main}
 
+const (
+	// raceOptions is the variable that holds the options of the race detector.
+	raceOptions = "GORACE"
+	// noExitSleep ends programs with the race detector as soon as they have ended their work. By default it sleeps for
+	// a second before the process exits, which is not a part of the program.
+	noExitSleep = "atexit_sleep_ms=0"
+)
+
 // programs is the directory of the binaries under test.
 var programs string
 
@@ -34,6 +43,10 @@
 	}
 	programs = directory
 	runtime.KeepAlive(linked)
+	if err := os.Setenv(raceOptions, strings.TrimSpace(os.Getenv(raceOptions)+" "+noExitSleep)); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 	code := m.Run()
 	_ = os.RemoveAll(directory)
 	os.Exit(code)
