Make odd rows from the platform's types

The test of odd rows spelled names of the platform, which stand in platform/ alone. Rows are encoded from the types and damaged afterwards: the same kinds of damage, each now to an otherwise sound row, and each odd address for both services.

--- a/test/odd_test.go
+++ b/test/odd_test.go
@@ -1,9 +1,12 @@
 package test
 
 import (
+	"encoding/json"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -42,46 +45,87 @@
 // port returns the port of the trap.
 func (c *trap) port() int { return c.Addr().(*net.TCPAddr).Port }
 
+// standIn is a number in a row that is replaced by one that no Go number holds.
+const standIn = 987654321
+
+// encodeRow encodes the value of a row, and replaces a part of its text.
+func encodeRow(value any, old, replacement string) string {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		// Tests only encode plain values.
+		panic(err)
+	}
+	return strings.Replace(string(encoded), old, replacement, 1)
+}
+
+// oddRunners returns values of rows of runners of which no node may use one, made from a sound runner.
+func oddRunners(sound protocol.ListedRunner) []string {
+	const largest = 700 << 10
+	number := strconv.Itoa(standIn)
+	odd := func(old, replacement string, change func(*protocol.ListedRunner)) string {
+		changed := sound
+		change(&changed)
+		return encodeRow(changed, old, replacement)
+	}
+	asIs := func(*protocol.ListedRunner) {}
+	unnamed := encodeRow(protocol.LoadedModel{}, "", "")
+	return []string{
+		odd("", "", func(r *protocol.ListedRunner) { r.Slots = 1e18 }), odd("", "", func(r *protocol.ListedRunner) { r.Slots = -1 }),
+		odd("", "", func(r *protocol.ListedRunner) { r.Sequence = math.MaxUint64 }),
+		odd(number, "1e400", func(r *protocol.ListedRunner) { r.Slots = standIn }), odd(number, "1e400", func(r *protocol.ListedRunner) { r.ColdLeftMs = standIn }),
+		odd("{", `{"x":`+strings.Repeat("[", 10_001)+strings.Repeat("]", 10_001)+",", asIs), odd("{", `{"x":`+strings.Repeat("[", largest), asIs),
+		odd("", "", func(r *protocol.ListedRunner) { r.Build = strings.Repeat("x", largest) }),
+		odd(unnamed, strings.Repeat("{},", largest/3)+"{}", func(r *protocol.ListedRunner) { r.Models = make([]protocol.LoadedModel, 1) }),
+		odd(strconv.Quote(sound.Service), "{}", asIs), "\xff\xfe", "null", "[]", "7", "",
+	}
+}
+
 // oddRunnerRows returns rows of runners of which no node may use one. Most would lead to the trap.
 func oddRunnerRows(caught *trap) []protocol.Row {
-	const largest = 700 << 10
-	address := caught.Addr().String()
-	good := fmt.Sprintf(`"svc":"engines","address":%q,"az":"zone-a","state":"ready"`, address)
-	holding := `,"models":[{"name":"alpha","adapters":[]},{"name":"beta","adapters":[]}]`
-	values := []string{
-		fmt.Sprintf(`{"svc":"engines","address":"localhost:%d","az":"zone-a","slots":8,"state":"ready"%s}`, caught.port(), holding),
-		fmt.Sprintf(`{"svc":"engines","address":"0.0.0.0:%d","az":"zone-a","slots":8,"state":"ready"%s}`, caught.port(), holding),
-		fmt.Sprintf(`{"svc":"mail","address":"localhost:%d","az":"zone-a","slots":8,"state":"ready"}`, caught.port()),
-		"{" + good + `,"slots":1000000000000000000` + holding + "}", "{" + good + `,"slots":1e400` + holding + "}", "{" + good + `,"slots":-1` + holding + "}",
-		"{" + good + `,"slots":8,"coldLeftMs":1e400` + holding + "}", "{" + good + `,"slots":8,"seqno":18446744073709551615` + holding + "}",
-		"{" + good + `,"slots":8,"x":` + strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001) + holding + "}",
-		"{" + good + `,"slots":8,"x":` + strings.Repeat("[", largest), "{" + good + `,"slots":8` + holding + `,"ver":"` + strings.Repeat("x", largest) + `"}`,
-		"{" + good + `,"slots":8,"models":[` + strings.Repeat("{},", largest/3) + "{}]}", "\xff\xfe", "null", "[]", "7", "", `{"svc":{}}`,
+	sound := protocol.ListedRunner{
+		Service: world.EngineService, Address: caught.Addr().String(), Zone: "zone-a", Slots: 8, State: protocol.StateReady,
+		Models: []protocol.LoadedModel{{Name: "alpha"}, {Name: "beta"}},
 	}
-	for _, host := range []string{"127.0.0.1:0", "127.0.0.1:99999", "127.0.0.1:http", ":80", "127.0.0.1", "runner.invalid:80", "[::1", "2001:db8::1:80"} {
-		values = append(values, fmt.Sprintf(`{"svc":"engines","address":%q,"az":"zone-a","slots":8,"state":"ready"%s}`, host, holding))
+	values := oddRunners(sound)
+	for _, host := range []string{
+		fmt.Sprintf("localhost:%d", caught.port()), fmt.Sprintf("0.0.0.0:%d", caught.port()),
+		"127.0.0.1:0", "127.0.0.1:99999", "127.0.0.1:http", ":80", "127.0.0.1", "runner.invalid:80", "[::1", "2001:db8::1:80",
+	} {
+		for _, service := range []string{world.EngineService, world.MailService} {
+			elsewhere := sound
+			elsewhere.Address, elsewhere.Service = host, service
+			values = append(values, encodeRow(elsewhere, "", ""))
+		}
 	}
 	var rows []protocol.Row
 	for number, value := range values {
 		rows = append(rows, protocol.Row{Table: protocol.RunnerTable, Key: fmt.Sprintf("odd-%02d", number), Value: []byte(value)})
 	}
-	whole := []byte("{" + good + `,"slots":8` + holding + "}")
+	whole := []byte(encodeRow(sound, "", ""))
 	for _, key := range []string{strings.Repeat("k", 201), "odd key", "odd\r\nkey: x", "runner-1@7", "odd-\u00e9"} {
 		rows = append(rows, protocol.Row{Table: protocol.RunnerTable, Key: key, Value: whole})
 	}
 	return rows
 }
 
+// oddConfiguration returns a configuration whose weights add up to more than a number holds.
+func oddConfiguration() string {
+	routes := world.DefaultRoutes()[:1]
+	routes[0].Split = []protocol.Split{{Service: world.EngineService, Weight: 1 << 62}, {Service: world.MailService, Weight: 1 << 62}}
+	return encodeRow(protocol.Configuration{
+		Version: 900, Routes: routes, Services: []protocol.Service{{Name: world.EngineService}, {Name: world.MailService}},
+	}, "", "")
+}
+
 // oddOtherRows returns rows that are not read as what their tables hold.
 func oddOtherRows() []protocol.Row {
 	row := func(table, key, value string) protocol.Row {
 		return protocol.Row{Table: table, Key: key, Value: []byte(value)}
 	}
 	deep := strings.Repeat("[", 100_000)
-	split := `[{"svc":"engines","weight":4611686018427387904},{"svc":"mail","weight":4611686018427387904}]`
 	return []protocol.Row{
 		row(protocol.OperatorTable, protocol.ConfigurationKey, deep),
-		row(protocol.OperatorTable, protocol.ConfigurationKey, `{"ver":900,"routes":[{"name":"r","host":"h","pathPrefix":"/","type":"safe","split":`+split+`}],"svcs":[{"name":"engines"},{"name":"mail"}]}`),
+		row(protocol.OperatorTable, protocol.ConfigurationKey, oddConfiguration()),
 		row(protocol.OperatorTable, protocol.EvacuationPrefix, "x"), row(protocol.OperatorTable, "other", deep),
 		row(protocol.ObjectTable, "log/00000000000000000001", "\xff"), row(protocol.ObjectTable, "log/9", deep), row(protocol.ObjectTable, "object/Model/odd", `{"generation":-1}`),
 		row(protocol.PoisonTable, "odd", deep), row(protocol.PoisonTable, strings.Repeat("ab", 32), strings.Repeat("\x81", 1000)),
