--- a/test/persistent_soak_test.go
+++ b/test/persistent_soak_test.go
@@ -83,14 +83,31 @@
 // reportRange is how far from the start of a request intervals are reported.
 const reportRange = 5 * time.Second
 
+// soakChange is a kind of change that a soak makes again and again, with a mean pause.
+type soakChange[S any] struct {
+	name  string
+	pause time.Duration
+	run   func(soak S, random *rand.Rand)
+}
+
+// startChanges makes changes of each kind, as drawn by the seed of a soak, until its requests end.
+func startChanges[S any](running *sync.WaitGroup, s *persistentSoak, soak S, changes []soakChange[S]) {
+	for index, one := range changes {
+		running.Go(func() {
+			random := rand.New(rand.NewPCG(s.seed, uint64(index)))
+			for time.Now().Before(s.until) {
+				time.Sleep(one.pause/2 + time.Duration(random.Int64N(int64(one.pause))))
+				one.run(soak, random)
+				s.count(one.name)
+			}
+		})
+	}
+}
+
 // disturbances are the kinds of changes that run concurrently, each with its own pauses.
 // None of them may lose a request: only clients of a killed node may remain without an
 // answer.
-var disturbances = []struct {
-	name  string
-	pause time.Duration
-	run   func(s *persistentSoak, random *rand.Rand)
-}{
+var disturbances = []soakChange[*persistentSoak]{
 	{"stop and start a node", 900 * time.Millisecond, (*persistentSoak).stopNode},
 	{"stop and start another node", 1300 * time.Millisecond, (*persistentSoak).stopNode},
 	{"kill and start a node", 2500 * time.Millisecond, (*persistentSoak).killNode},
@@ -140,16 +157,7 @@
 			clients.Go(func() { s.useConnection(node, rand.New(rand.NewPCG(seed, uint64(1000+100*index+number)))) })
 		}
 	}
-	for index, one := range disturbances {
-		running.Go(func() {
-			random := rand.New(rand.NewPCG(seed, uint64(index)))
-			for time.Now().Before(s.until) {
-				time.Sleep(one.pause/2 + time.Duration(random.Int64N(int64(one.pause))))
-				one.run(s, random)
-				s.count(one.name)
-			}
-		})
-	}
+	startChanges(&running, s, s, disturbances)
 	running.Wait()
 	clients.Wait()
 	s.verify()
--- a/test/stop_soak_test.go
+++ b/test/stop_soak_test.go
@@ -93,11 +93,7 @@
 }
 
 // stopChanges are the kinds of changes that overlap with stops, each with its own pauses.
-var stopChanges = []struct {
-	name  string
-	pause time.Duration
-	run   func(s *stopSoak, random *rand.Rand)
-}{
+var stopChanges = []soakChange[*stopSoak]{
 	{"stop and start a node", 300 * time.Millisecond, (*stopSoak).stopUnderRequests},
 	{"stop and start another node", 900 * time.Millisecond, (*stopSoak).stopUnderRequests},
 	{"stop and start a third node", 1500 * time.Millisecond, (*stopSoak).stopUnderRequests},
@@ -140,16 +136,7 @@
 			running.Go(func() { s.useConnection(node, rand.New(rand.NewPCG(seed, uint64(1000+100*index+number)))) })
 		}
 	}
-	for index, one := range stopChanges {
-		running.Go(func() {
-			random := rand.New(rand.NewPCG(seed, uint64(index)))
-			for time.Now().Before(s.until) {
-				time.Sleep(one.pause/2 + time.Duration(random.Int64N(int64(one.pause))))
-				one.run(s, random)
-				s.count(one.name)
-			}
-		})
-	}
+	startChanges(&running, s.persistentSoak, s, stopChanges)
 	running.Wait()
 	s.verifyStops()
 }
