--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -245,7 +245,17 @@
 // sent within the notice, not before the last part of the grace.
 func TestStoppingNodeTookOnWhatItCannotFinish(t *testing.T) {
 	t.Parallel()
-	w, nodes := startStopWorld(t, longStop, 2, 3)
+	for _, limits := range []settings.Stop{longStop, {Grace: 4 * time.Second, Notice: 1500 * time.Millisecond}, {Grace: 12 * time.Second, Notice: 4500 * time.Millisecond}} {
+		t.Run(limits.Grace.String(), func(t *testing.T) {
+			t.Parallel()
+			w, nodes := startStopWorld(t, limits, 2, 3)
+			checkStop(t, w, nodes[0], requestsAround(limits), limits)
+		})
+	}
+}
+
+// requestsAround returns requests at all moments of a stop, most of which outlast it.
+func requestsAround(limits settings.Stop) []slowRequest {
 	var requests []slowRequest
 	for _, path := range []string{"/draft/x", "/reply/x"} {
 		requests = append(requests,
@@ -259,7 +269,14 @@
 			slowRequest{name: "short, body that ends at the end", path: path, events: 3, dial: 2500 * time.Millisecond, send: 2600 * time.Millisecond, bodyEnd: 7100 * time.Millisecond},
 		)
 	}
-	checkStop(t, w, nodes[0], requests, longStop)
+	for index := range requests {
+		r := &requests[index]
+		for _, moment := range []*time.Duration{&r.dial, &r.send, &r.bodyEnd} {
+			// The moments above are those of longStop.
+			*moment = time.Duration(float64(*moment) * limits.Grace.Seconds() / longStop.Grace.Seconds())
+		}
+	}
+	return requests
 }
 
 // TestStopEndedAnswersBeforeTheLastPart: streams that end within the grace are not cut off, however
