Answer what is read while an HTTP server shuts down

A client's connection was closed without an answer although its request had been read whole, 0.5 s and more after the notice of a stop. The cause: once the library's own shutdown has begun, it returns right after it has read a request. The wrapper waited for first requests and then began that shutdown, with connections open that might still bring one. A process that lacks processor time reads late, so that a request sent in time was read and dropped too.

Now, before the library's shutdown, the connections from which no request was read are closed by a read deadline that has passed. A read that has taken bytes returns them, one that has not fails: so each request is either answered (by a stopping node mostly with a refusal as not run), or was never read. Then the requests that were read reach the handler, and only then the library shuts down.

Ruled out: half-closing the connections, as the library takes the end of reading for a client that left, and cancels the request.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -28,17 +28,30 @@
 	// served is closed once no more connections are accepted.
 	served   chan struct{}
 	stopping bool
-	// unread holds the connections whose newest request has not reached the handler, or that have
-	// not sent one yet.
-	unread map[net.Conn]bool
+	// phases holds the phases of connections on which no request is being handled. closing is set once
+	// no further requests are read from them.
+	phases  map[net.Conn]phase
+	closing bool
 }
 
+// phase is what a connection waits for while no request of it is being handled.
+type phase uint8
+
+const (
+	// phaseNew and phaseIdle mean that no request was read since the connection was accepted, and since the
+	// last answer.
+	phaseNew phase = iota
+	phaseIdle
+	// phaseRead means that a request was read that has not reached the handler.
+	phaseRead
+)
+
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
 // New wraps a server that has a handler. The caller must not use the wrapped server any more.
 func New(server *http.Server) *Server {
-	s := &Server{http: server, served: make(chan struct{}), unread: make(map[net.Conn]bool)}
+	s := &Server{http: server, served: make(chan struct{}), phases: make(map[net.Conn]phase)}
 	handler, connContext := server.Handler, server.ConnContext
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok && s.markRead(conn) {
@@ -61,22 +74,39 @@
 func (s *Server) markRead(conn net.Conn) (last bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	delete(s.unread, conn)
+	delete(s.phases, conn)
 	return s.stopping
 }
 
-// trackState updates the unread connections when the state of one changes.
+// trackState updates the phase of a connection when its state changes.
 func (s *Server) trackState(conn net.Conn, state http.ConnState) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	switch state {
-	case http.StateNew, http.StateActive:
-		s.unread[conn] = true
+	case http.StateNew:
+		s.phases[conn] = phaseNew
+	case http.StateIdle:
+		s.phases[conn] = phaseIdle
+	case http.StateActive:
+		s.phases[conn] = phaseRead
+		if s.closing {
+			s.allowReads(conn)
+		}
 	case http.StateClosed, http.StateHijacked:
-		delete(s.unread, conn)
+		delete(s.phases, conn)
 	}
 }
 
+// allowReads undoes endReads for a connection from which a request was read.
+func (s *Server) allowReads(conn net.Conn) {
+	var deadline time.Time
+	if s.http.ReadTimeout > 0 {
+		deadline = time.Now().Add(s.http.ReadTimeout)
+	}
+	// An error means that the connection is closed.
+	_ = conn.SetReadDeadline(deadline)
+}
+
 // ServeHTTP passes a request to the handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.http.Handler.ServeHTTP(w, r) }
 
@@ -113,6 +143,7 @@
 		// An error means that it is closed already.
 		_ = listener.Close()
 		s.awaitFirstRequests(ctx)
+		s.endReads(ctx)
 	}
 	return s.http.Shutdown(ctx)
 }
@@ -126,9 +157,36 @@
 	case <-s.served:
 	case <-ctx.Done():
 	}
+	pollUntil(ctx, func() bool { return s.unreadCount() == 0 })
+}
+
+// endReads closes the connections from which no request was read, and waits until the requests that were read
+// have reached the handler: the library closes connections without an answer if it reads a request after its
+// own shutdown began. A read returns what has arrived or fails, so no request is read and dropped.
+func (s *Server) endReads(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
+	pollUntil(ctx, func() bool {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.closing = true
+		for conn, p := range s.phases {
+			if p != phaseRead {
+				// The library may have set another deadline since the last time. An error means that the
+				// connection is closed.
+				_ = conn.SetReadDeadline(time.Unix(1, 0))
+			}
+		}
+		return len(s.phases) == 0
+	})
+}
+
+// pollUntil calls done each pollInterval until it returns true or ctx ends.
+func pollUntil(ctx context.Context, done func() bool) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
-	for s.unreadCount() > 0 {
+	for !done() {
 		select {
 		case <-ctx.Done():
 			return
@@ -137,10 +195,18 @@
 	}
 }
 
+// unreadCount returns the number of connections whose newest request has not reached the handler, or that
+// have not sent one yet.
 func (s *Server) unreadCount() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return len(s.unread)
+	count := 0
+	for _, p := range s.phases {
+		if p != phaseIdle {
+			count++
+		}
+	}
+	return count
 }
 
 // Close closes the listener and all connections immediately.
