Expect what nine tenths of the latest requests take

A stopping node took on streams for which the time left was too short: the index of the expected duration was rounded down, so that of four durations the third was expected, which one in four exceeds. Found by a review.

Now it is rounded up. TestExpectedDurationFollowsTheLatest stated the rule and pinned two values that break it (3 of 4 s, 27 of 0 to 31 ms); it wants 4 s and 28 ms now, which is stricter. TestExpectationOfFewDurationsIsLow holds the rule for each count from 4 to 32.

--- a/internal/dispatch/durations.go
+++ b/internal/dispatch/durations.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -59,5 +60,5 @@
 		return 0
 	}
 	sorted := slices.Sorted(slices.Values(known.latest))
-	return sorted[int(expectedShare*float64(len(sorted)-1))]
+	return sorted[int(math.Ceil(expectedShare*float64(len(sorted))))-1]
 }
--- a/internal/dispatch/durations_test.go
+++ b/internal/dispatch/durations_test.go
@@ -17,11 +17,11 @@
 		d.observe("a", time.Duration(n+1)*time.Second)
 	}
 	d.observe("b", time.Hour)
-	assert.Equal(t, d.expect("a"), 3*time.Second)
+	assert.Equal(t, d.expect("a"), 4*time.Second)
 	for n := range maxDurations {
 		d.observe("a", time.Duration(n)*time.Millisecond)
 	}
-	assert.Equal(t, d.expect("a"), 27*time.Millisecond)
+	assert.Equal(t, d.expect("a"), 28*time.Millisecond)
 }
 
 // TestTimedRoutesAreBounded: routes that come and go take a bounded part of the memory.
@@ -32,3 +32,14 @@
 	}
 	assert.Assert(t, len(d.routes) <= maxTimedRoutes)
 }
+
+// TestExpectationOfFewDurationsIsLow: the expected duration was too short if few durations were kept.
+func TestExpectationOfFewDurationsIsLow(t *testing.T) {
+	for count := minDurations; count <= maxDurations; count++ {
+		var d durations
+		for n := range count {
+			d.observe("a", time.Duration(n+1))
+		}
+		assert.Check(t, float64(d.expect("a")) >= expectedShare*float64(count), "%d of %d", d.expect("a"), count)
+	}
+}
