Count only whole successes as durations of a route

A stopping node expected streams to last 0.28 ms after four runners' refusals or streams that were resumed near their ends: each request that ended as "served" counted. So it could take on, within the notice, what it can't finish.

Now only successes that began at their first event count. Streams that clients gave up or that a deadline ended still don't, as before: the expectation may be too short for a route of which many end so.

Measured: TestEndsOfResumedStreamsAndDenialsCountedAsDurations failed in both cases before (one run), and passes now, 2 of 2.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -200,7 +200,7 @@
 	j.heldFailure.release()
 	j.outcome.Total = time.Since(j.request.Arrived)
 	j.outcome.Events = j.forwarded()
-	if j.outcome.Result == ResultServed {
+	if j.outcome.Result == ResultServed && isSuccess(j.outcome.Status) && j.request.ResumeAfter == "" {
 		d.durations.observe(j.outcome.Route, j.outcome.Total-j.outcome.Placed)
 	}
 	j.recordStop(time.Now())
