Count deadlines from the last byte as a stop weighs requests

A request whose body came in chunks, from 0.5 to 3.5 s after the signal, with a deadline of 6 s, was passed to a runner and cut at 6.5 s: it was taken on, as its deadline, counted from its head, passes before the last answers. Found by a review.

A stopping node now counts the deadline from the last byte as it decides whether to take a request on, and refuses this one at once as not run: right by either reading, as other nodes are there. The deadline that ends an answer, and that runners get, is counted from the head as before.

--- a/internal/dispatch/stopping.go
+++ b/internal/dispatch/stopping.go
@@ -24,10 +24,15 @@
 	return refusedByStop()
 }
 
-// work describes a request that can begin now.
+// work describes a request that can begin now. A client may count its deadline from the last byte of its body, so that
+// the answer is due by that.
 func (d *Dispatcher) work(request *Request, route *config.Route) stop.Work {
 	duration := d.durations.expect(route.Name)
-	return stop.Work{Read: request.Read, Due: request.due(route), Duration: duration, Known: duration > 0}
+	due := request.due(route)
+	if request.Read.After(request.Arrived) {
+		due = due.Add(request.Read.Sub(request.Arrived))
+	}
+	return stop.Work{Read: request.Read, Due: due, Duration: duration, Known: duration > 0}
 }
 
 // refusedByStop returns the refusal of a request that a stopping node could not finish.
