--- a/internal/dispatch/stopping_test.go
+++ b/internal/dispatch/stopping_test.go
@@ -59,6 +59,7 @@
 	}
 }
 
+// TestStoppingNodeSentWhatItCannotFinishAfterConnecting: a request's runner is found, and the node begins a stop and is no longer
 // taking on such requests while it connects to that. The request is refused as not run.
 func TestStoppingNodeSentWhatItCannotFinishAfterConnecting(t *testing.T) {
 	var received atomic.Int64
@@ -85,6 +86,7 @@
 	return Admission{Verdict: LimitUnknown}
 }
 
+// TestStopEndedWithoutAnswerToLimitedRequest: a request is being decided on by its tenant's limit when the last answers
 // are due. It is refused then, before connections end.
 func TestStopEndedWithoutAnswerToLimitedRequest(t *testing.T) {
 	ctx, leave := context.WithTimeout(t.Context(), 5*time.Second)
