Count a stop from when the process last ran

A node whose process had no processor time for 0.5 s when its signal came took on streams that were sent 3.05 s after it, and cut them: it counted all moments of the stop from when it handled the signal, and the margin for that is 0.25 s. Its process ended later than the grace allows, too. Found by a review.

The detector of pauses now also keeps the last period in which a tick was due and did not come. If that ended a moment ago, the stop is counted from its begin, at most the notice earlier: a longer pause may have had another reason, and requests need some time.

Ruled out: a wider margin, which refuses more at each stop of a process that is not late.

"node stopping" logs the lateness.

--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -16,6 +16,8 @@
 	// shortPauseThreshold is the time between two ticks above which the process may not have read
 	// answers in which runners ask for fewer requests.
 	shortPauseThreshold = 400 * time.Millisecond
+	// lateTick is how late a tick is, at the least, of a process that did not run when it was due.
+	lateTick = 50 * time.Millisecond
 	// pendingReadTime suffices to read such answers after a pause.
 	pendingReadTime = 50 * time.Millisecond
 	// freshTimeout bounds how long a request waits for fresh tables after a pause.
@@ -31,12 +33,17 @@
 	pauseEnd atomic.Int64
 	// shortPauseEnd is like pauseEnd for pauses above shortPauseThreshold.
 	shortPauseEnd atomic.Int64
-	start         time.Time
+	// late is the last time in which the process did not run though a tick was due.
+	late  atomic.Pointer[latePeriod]
+	start time.Time
 	// suspended is how long the machine had been suspended by the last tick, in nanoseconds. It is
 	// used by run only.
 	suspended time.Duration
 }
 
+// latePeriod is a period, in times since the detector's start.
+type latePeriod struct{ begin, end time.Duration }
+
 func newPauseDetector() *pauseDetector { return &pauseDetector{start: time.Now()} }
 
 // run ticks until ctx ends.
@@ -63,9 +70,22 @@
 	if last != 0 && now-last > shortPauseThreshold {
 		p.shortPauseEnd.Store(int64(now))
 	}
+	if due := last + pauseCheckInterval; last != 0 && now-due > lateTick {
+		p.late.Store(&latePeriod{begin: due, end: now})
+	}
 	p.lastTick.Store(int64(now))
 }
 
+// lateness returns for how long the process did not run until a moment ago, though a tick was due; zero if it ran.
+func (p *pauseDetector) lateness() time.Duration {
+	p.tick()
+	late := p.late.Load()
+	if late == nil || time.Since(p.start)-late.end > pauseCheckInterval {
+		return 0
+	}
+	return time.Since(p.start) - late.begin
+}
+
 // awaitPendingReads waits, after a pause, until the answers that arrived meanwhile are read. In
 // one of them, a runner may ask for no requests for a while.
 func (p *pauseDetector) awaitPendingReads() {
--- a/internal/node/pause_test.go
+++ b/internal/node/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -36,3 +37,22 @@
 	p.awaitPendingReads()
 	assert.Assert(t, time.Since(start) >= pendingReadTime)
 }
+
+// TestLatenessIsThatOfTheLastMoment: a process that did not run until a moment ago is late by the time since its
+// tick was due; a tick in between changes nothing, and later it is not late any more.
+func TestLatenessIsThatOfTheLastMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPauseDetector()
+		time.Sleep(time.Second)
+		p.tick()
+		time.Sleep(pauseCheckInterval + lateTick)
+		assert.Equal(t, p.lateness(), time.Duration(0))
+		time.Sleep(pauseCheckInterval + 500*time.Millisecond)
+		assert.Equal(t, p.lateness(), 500*time.Millisecond)
+		p.tick()
+		time.Sleep(pauseCheckInterval / 2)
+		assert.Equal(t, p.lateness(), 500*time.Millisecond+pauseCheckInterval/2)
+		time.Sleep(pauseCheckInterval)
+		assert.Equal(t, p.lateness(), time.Duration(0))
+	})
+}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -68,11 +68,13 @@
 // balancer time to notice, then waits for active requests. It returns the schedule of what is left to do.
 func (n *Node) stop() stop.Schedule {
 	limits := n.settings.Load().Stop
-	schedule := stop.NewSchedule(time.Now(), limits)
+	// The signal may have come when the process did not run. A longer pause may have had another reason.
+	late := min(n.pauses.lateness(), limits.Notice)
+	schedule := stop.NewSchedule(time.Now().Add(-late), limits)
 	n.dispatcher.Stop.Start(schedule)
 	n.stopping.Store(true)
 	n.ingress.DisableKeepAlives()
-	n.log.Info("node stopping", "active", n.ingress.Active(), "graceMs", limits.Grace.Milliseconds())
+	n.log.Info("node stopping", "active", n.ingress.Active(), "graceMs", limits.Grace.Milliseconds(), "lateMs", late.Milliseconds())
 	ctx, cancel := context.WithDeadline(context.Background(), schedule.ConnectionsEnd)
 	defer cancel()
 	var ends sync.WaitGroup
