Let the default notice of a stop follow a short grace

A settings file that sets a grace of 3 s or less and no notice was refused, as the default notice of 3 s is not below it: such a node did not start. Found by a review. A notice that a file does not set is now at most 5/6 of the grace, which is what counts of it anyway. One that it sets must be below the grace, as before.

Measured: TestShortGraceEndedTheStart fails on the code before at a grace of 3 s, and passes now; TestAllInvalidSettingsAreReported is unchanged.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"slices"
 	"strings"
@@ -258,9 +259,27 @@
 	}
 }
 
+// unsetNotice stands for a notice that a file does not set.
+const unsetNotice = time.Duration(math.MinInt64)
+
+// parseDefaults are the settings that a file overrides as it is read.
+func parseDefaults() Settings {
+	s := Default()
+	s.Stop.Notice = unsetNotice
+	return s
+}
+
+// complete sets a notice that a file does not set: the default, or the most that counts of a shorter grace.
+func (s *Stop) complete() {
+	if s.Notice == unsetNotice {
+		s.Notice = max(min(Default().Stop.Notice, s.Grace/6*5), 0)
+	}
+}
+
 // Parse reads settings on top of the defaults. unknown lists unknown fields, which are ignored.
 func Parse(content []byte) (settings Settings, unknown []string, err error) {
-	settings = Default()
+	defer func() { settings.Stop.complete() }()
+	settings = parseDefaults()
 	decoder := yaml.NewDecoder(bytes.NewReader(content))
 	decoder.KnownFields(true)
 	err = decoder.Decode(&settings)
@@ -271,7 +290,7 @@
 	if !errors.As(err, &typed) {
 		return settings, nil, fault.New(fault.CodeInvalid, "read settings", "%v", err)
 	}
-	settings = Default()
+	settings = parseDefaults()
 	if err := yaml.Unmarshal(content, &settings); err != nil {
 		return settings, nil, fault.New(fault.CodeInvalid, "read settings", "%v", err)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -24,6 +25,24 @@
 	}
 }
 
+// TestShortGraceEndedTheStart: a file that sets a grace below the default notice, and no notice, was refused.
+func TestShortGraceEndedTheStart(t *testing.T) {
+	for text, notice := range map[string]time.Duration{
+		"":                                 3 * time.Second,
+		"stop: {grace: 4s}\n":              3 * time.Second,
+		"stop: {grace: 3s}\n":              2500 * time.Millisecond,
+		"stop: {grace: 1200ms}\n":          time.Second,
+		"stop: {grace: 1200ms, odd: 1}\n":  time.Second,
+		"stop: {grace: 4s, notice: 0s}\n":  0,
+		"stop: {grace: 20s, notice: 5s}\n": 5 * time.Second,
+	} {
+		read, _, err := Parse([]byte(minimalSettings + text))
+		assert.NilError(t, err)
+		assert.NilError(t, read.Validate(), text)
+		assert.Equal(t, read.Stop.Notice, notice, text)
+	}
+}
+
 // An unknown field is reported, and the other fields apply.
 func TestUnknownFieldsChangeNothing(t *testing.T) {
 	read, unknown, err := Parse([]byte(minimalSettings + "relay: {scope: zone, radius: 3}\n"))
