End the wait for a claim with the stop

Cause: the stop was asked before the claim of the key and after it, not meanwhile. A claim waits for 0.8 s, and its reading back as long again. The release of the key before a refusal waits for the store too, for 0.8 s.

Change: the wait for a claim ends as soon as the call may not begin any more, at the last answers at the latest, and the call is refused as not run. A refusal waits for the release for 0.3 s at most; after that it names 1 s as the time to come back. A caller that leaves while its key is claimed has it given back in the same way. What is left: if the store is away until the process ends, the key stays claimed and answers 409 (nothing runs twice).

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -60,8 +60,8 @@
 	restored chan struct{}
 	// peers are the nodes that are told of claims first.
 	peers atomic.Pointer[[]string]
-	// telling are the calls to peers that are under way.
-	telling sync.WaitGroup
+	// calls are the calls to peers and the releases that are under way.
+	calls sync.WaitGroup
 }
 
 // New returns claims. Run restores them.
@@ -73,7 +73,8 @@
 
 // Take claims a key for an attempt. It fails with fault.CodeDuplicate if another attempt holds the
 // key (it ran, or may run), and with fault.CodeClaimsUnavailable if the table cannot tell: the
-// attempt must then not be made.
+// attempt must then not be made. If ctx ends meanwhile, Take fails too and gives back the key, for which
+// it does not wait.
 func (c *Claims) Take(ctx context.Context, key, attempt string) error {
 	if c.Epochs.SettlingLeft() > 0 {
 		return c.unsettled()
@@ -81,6 +82,9 @@
 	claimed := row{key: keyOf(key)}
 	err := c.claim(ctx, &claimed, attempt)
 	if err != nil {
+		if ctx.Err() != nil && !fault.IsCode(err, fault.CodeDuplicate) {
+			c.giveBack(ctx, claimed.key, attempt)
+		}
 		return err
 	}
 	if c.Epochs.SettlingLeft() > 0 {
@@ -89,6 +93,10 @@
 		return c.unsettled()
 	}
 	c.tellPeers(ctx, claimed)
+	if err := ctx.Err(); err != nil {
+		c.giveBack(ctx, claimed.key, attempt)
+		return unavailable(err, fault.NotDone)
+	}
 	return nil
 }
 
--- a/internal/claim/peers.go
+++ b/internal/claim/peers.go
@@ -48,19 +48,24 @@
 	return targets
 }
 
-// tellPeers tells copies other nodes of a claim and returns as soon as one has accepted it. If none does, the
-// attempt is made all the same: the store has the claim.
+// tellPeers tells copies other nodes of a claim and returns as soon as one has accepted it or ctx ends. If none does,
+// the attempt is made all the same: the store has the claim.
 func (c *Claims) tellPeers(ctx context.Context, claimed row) {
 	peers := c.targets()
 	request := c.request([]recentRow{{row: claimed, at: time.Now()}})
 	var next atomic.Int64
 	accepted := make(chan bool, copies)
-	ctx = context.WithoutCancel(ctx)
+	call := context.WithoutCancel(ctx)
 	for range copies {
-		c.telling.Go(func() { accepted <- c.tellOne(ctx, peers, &next, request) })
+		c.calls.Go(func() { accepted <- c.tellOne(call, peers, &next, request) })
 	}
 	for range copies {
-		if <-accepted {
+		select {
+		case done := <-accepted:
+			if done {
+				return
+			}
+		case <-ctx.Done():
 			return
 		}
 	}
--- a/internal/claim/restore.go
+++ b/internal/claim/restore.go
@@ -41,7 +41,7 @@
 
 // Run writes the newest claims again whenever the store has returned with an older copy, until ctx ends.
 func (c *Claims) Run(ctx context.Context) {
-	defer c.telling.Wait()
+	defer c.calls.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -111,40 +111,6 @@
 	return err
 }
 
-// Release gives back the key of an attempt that is not made.
-func (c *Claims) Release(ctx context.Context, key, attempt string) {
-	c.release(ctx, keyOf(key), attempt)
-}
-
-// release deletes the claim of an attempt that is not made. If that fails, the key stays claimed.
-func (c *Claims) release(ctx context.Context, rowKey, attempt string) {
-	c.recent.forget(rowKey)
-	if err := c.deleteOwn(ctx, rowKey, attempt); err != nil {
-		c.Log.Info("claim not released", "attempt", attempt, "error", err.Error())
-	}
-}
-
-// deleteOwn deletes the claim of an attempt, unless another node has written one in its place.
-func (c *Claims) deleteOwn(ctx context.Context, rowKey, attempt string) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	row, err := c.Table.Get(ctx, rowKey)
-	if err != nil || !row.Revision.Exists() {
-		return err
-	}
-	var held record
-	if err := json.Unmarshal(row.Value, &held); err != nil {
-		return fault.From(err, step)
-	}
-	if held.Attempt != attempt {
-		return nil
-	}
-	_, err = c.Table.Commit(ctx, table.Transaction{
-		Conditions: []table.Condition{{Key: rowKey, Revision: row.Revision}}, Writes: []table.Write{{Key: rowKey, Delete: true}},
-	})
-	return err
-}
-
 // unsettled returns the error of an attempt that is not made because claims may be lost.
 func (c *Claims) unsettled() error {
 	failed := fault.At(fault.CodeClaimsUnavailable, step, fault.Self, fault.NotDone, errors.New("the store may have just returned with an older copy"))
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -188,7 +188,7 @@
 // refuse answers a request that did not run and will not, with a retry time.
 func (j *job) refuse(problem *fault.Error) {
 	if j.request.Refused != nil {
-		j.request.Refused()
+		problem = problem.WithRetryAfter(max(j.request.Refused(), problem.RetryAfter))
 	}
 	problem.Ran = fault.NotDone
 	status := fault.Status(problem.Code)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -50,8 +50,9 @@
 	// Resolve returns the unit that serves the request now; it is called before a runner is
 	// selected and while the request waits. Its error ends the wait.
 	Resolve func() (backend.Unit, error)
-	// Refused is called right before the request is refused as not run; it may be nil.
-	Refused func()
+	// Refused is called right before the request is refused as not run, and returns the least time after which it may
+	// come back; it may be nil.
+	Refused func() time.Duration
 	// OwnErrors is set when a runner's failure is answered with an error of this node instead of
 	// the runner's answer.
 	OwnErrors bool
--- a/internal/dispatch/stopping.go
+++ b/internal/dispatch/stopping.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"context"
+	"sync"
 	"time"
 
 	"lilacvane/internal/config"
@@ -24,6 +26,41 @@
 	return refusedByStop()
 }
 
+// UntilRefused returns a context that ends as soon as this node stops and a request that has not run may not begin any
+// more, at the last answers at the latest. release must be called when the request no longer waits.
+func (d *Dispatcher) UntilRefused(ctx context.Context, request *Request, route *config.Route) (bound context.Context, release func()) {
+	bound, cancel := context.WithCancel(ctx)
+	var watching sync.WaitGroup
+	watching.Go(func() {
+		defer cancel()
+		d.awaitRefusal(bound, request, route)
+	})
+	return bound, func() {
+		cancel()
+		watching.Wait()
+	}
+}
+
+// awaitRefusal returns once a request that has not run may not begin any more, or ctx ends.
+func (d *Dispatcher) awaitRefusal(ctx context.Context, request *Request, route *config.Route) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-d.Stop.Begun():
+	}
+	schedule, _ := d.Stop.Schedule()
+	for ctx.Err() == nil && time.Now().Before(schedule.LastAnswers) && d.CheckStop(request, route) == nil {
+		next := time.Until(schedule.LastAnswers)
+		if recheck := schedule.RecheckAfter(time.Now(), d.work(request, route)); recheck > 0 {
+			next = min(next, recheck)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(next):
+		}
+	}
+}
+
 // work describes a request that can begin now. A client may count its deadline from the last byte of its body, so that
 // the answer is due by that.
 func (d *Dispatcher) work(request *Request, route *config.Route) stop.Work {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,10 @@
 	pathChat            = "/v1/chat/completions"
 	pathComplete        = "/v1/completions"
 	pathModels          = "/v1/models"
+	// releaseWait is how long a refusal waits until the call's key is given back; after it, the caller is told to come
+	// back after retryAfterRelease.
+	releaseWait       = 300 * time.Millisecond
+	retryAfterRelease = time.Second
 	// maxAttempts is the number of runners that a repeatable call is sent to.
 	maxAttempts = 3
 	// startObjective is the latency objective for the first part of a response, pauseObjective
@@ -43,8 +47,9 @@
 type Claims interface {
 	// Take claims a key for an attempt.
 	Take(ctx context.Context, key, attempt string) error
-	// Release gives back the key of an attempt that is not made.
-	Release(ctx context.Context, key, attempt string)
+	// Release gives back the key of an attempt that is not made. It reports whether the key is free; if ctx ends
+	// before, it is given back later.
+	Release(ctx context.Context, key, attempt string) bool
 }
 
 // Options are the dependencies of a Server.
@@ -152,20 +157,41 @@
 		return nil, problem
 	}
 	if call.key != "" {
-		if err := s.Claims.Take(r.Context(), call.key, id); err != nil {
+		if err := s.claimKey(r.Context(), &call, id); err != nil {
 			return nil, err
 		}
-		call.request.Refused = func() { s.releaseKey(r.Context(), call.key, id) }
+		call.request.Refused = func() time.Duration { return s.releaseKey(r.Context(), call.key, id) }
 	}
 	return &call, nil
 }
 
+// claimKey claims the key of a call, but not for longer than the call may begin at a node that stops.
+func (s *Server) claimKey(ctx context.Context, call *parsedCall, id string) error {
+	request := &call.request
+	bound, release := s.Dispatcher.UntilRefused(ctx, request, request.Route)
+	defer release()
+	err := s.Claims.Take(bound, call.key, id)
+	if err == nil || fault.IsCode(err, fault.CodeDuplicate) {
+		return err
+	}
+	if refusal := s.Dispatcher.CheckStop(request, request.Route); refusal != nil {
+		return refusal.WithRetryAfter(retryAfterRelease)
+	}
+	return err
+}
+
 // releaseKey gives back the key of a call that a stopping node refuses: the caller is to send it to another
-// node under the same key.
-func (s *Server) releaseKey(ctx context.Context, key, id string) {
-	if _, stopping := s.Dispatcher.Stop.Schedule(); stopping {
-		s.Claims.Release(context.WithoutCancel(ctx), key, id)
+// node under the same key. It returns the time after which the key is free.
+func (s *Server) releaseKey(ctx context.Context, key, id string) time.Duration {
+	if _, stopping := s.Dispatcher.Stop.Schedule(); !stopping {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseWait)
+	defer cancel()
+	if s.Claims.Release(ctx, key, id) {
+		return 0
 	}
+	return retryAfterRelease
 }
 
 // accept returns the refusal of a call while the node takes none. A node that leaves is not the only one.
