Derive what a node that stops takes on from one state

Cause: the node's flags stopping and refusing, and the client server's own, said what the state of the stop says by its schedule, and were set at other moments.

Change: they are gone. The state tells whether the node stops and whether its notice has ended. One moment moves: calls are refused as the notice ends, where the flag was set only after the leases were released, up to 0.6 s later for a notice shorter than that. Such calls were held to the schedule before, too.

Measured: unit tests of stop, node, ingress, gateway and dispatch pass, TestStateFollowsItsSchedule is new. Of the tests of stops in ./test (one run, load 50) one failed, TestStopAnswersRunningRequests: its node had both timers of the last answers and of the end of connections fire at once, 0.09 s late.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -238,7 +238,7 @@
 		body = nil
 	}
 	header := j.writer.Header()
-	if _, stopping := j.dispatcher.Stop.Schedule(); stopping {
+	if j.dispatcher.Stop.Stopping() {
 		// The client is to turn to another node.
 		header.Set("Connection", "close")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,7 +104,7 @@
 func (s *Server) handleCompletion(w http.ResponseWriter, r *http.Request) {
 	id := s.Node + "-" + rand.Text()
 	w.Header().Set(api.HeaderRequest, id)
-	if _, stopping := s.Dispatcher.Stop.Schedule(); stopping {
+	if s.Dispatcher.Stop.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	start, ok := s.Load.Begin()
@@ -183,7 +183,7 @@
 // releaseKey gives back the key of a call that a stopping node refuses: the caller is to send it to another
 // node under the same key. It returns the time after which the key is free.
 func (s *Server) releaseKey(ctx context.Context, key, id string) time.Duration {
-	if _, stopping := s.Dispatcher.Stop.Schedule(); !stopping {
+	if !s.Dispatcher.Stop.Stopping() {
 		return 0
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseWait)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -37,8 +37,7 @@
 	http          *httpserver.Server
 	monitor       *overload.Monitor
 
-	stopping atomic.Bool
-	active   atomic.Int64
+	active atomic.Int64
 }
 
 // New returns a server that is not serving yet.
@@ -61,10 +60,6 @@
 	return err
 }
 
-// DisableKeepAlives makes responses announce that their connection closes. Requests are still
-// accepted.
-func (s *Server) DisableKeepAlives() { s.stopping.Store(true) }
-
 // Shutdown stops accepting connections, waits for first requests on new ones and for active
 // requests until ctx ends, and then aborts the rest.
 func (s *Server) Shutdown(ctx context.Context) {
@@ -87,7 +82,7 @@
 		return
 	}
 	defer start.End()
-	if s.stopping.Load() {
+	if s.dispatcher.Stop.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	request, err := s.read(w, r)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -148,9 +148,6 @@
 	runnersListed atomic.Bool
 	// cut counts the answers that the stop cut off.
 	cut atomic.Int64
-	// stopping is set when a stop begins, and refusing when the load balancer had time to notice.
-	stopping atomic.Bool
-	refusing atomic.Bool
 }
 
 // New returns a node that is not running yet.
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -140,7 +140,7 @@
 // Ready returns nil if the node is ready to serve.
 func (n *Node) Ready() error {
 	switch {
-	case n.stopping.Load():
+	case n.dispatcher.Stop.Stopping():
 		return fault.New(fault.CodeDraining, "ready", "the node is leaving")
 	case n.activeConfiguration() == nil || !n.zones.table.Load().Read():
 		return fault.New(fault.CodeNotReady, "ready", "no configuration is known yet")
@@ -156,7 +156,7 @@
 // accept returns an error while the node takes no new calls. A stopping node takes calls until the
 // load balancer had time to notice.
 func (n *Node) accept() error {
-	if n.stopping.Load() && !n.refusing.Load() {
+	if n.dispatcher.Stop.InNotice(time.Now()) {
 		return nil
 	}
 	return n.Ready()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -72,8 +72,6 @@
 	late := min(n.pauses.lateness(), limits.Notice)
 	schedule := stop.NewSchedule(time.Now().Add(-late), limits)
 	n.dispatcher.Stop.Start(schedule)
-	n.stopping.Store(true)
-	n.ingress.DisableKeepAlives()
 	n.log.Info("node stopping", "active", n.ingress.Active(), "graceMs", limits.Grace.Milliseconds(), "lateMs", late.Milliseconds())
 	ctx, cancel := context.WithDeadline(context.Background(), schedule.ConnectionsEnd)
 	defer cancel()
@@ -82,7 +80,6 @@
 	n.releaseLeases()
 	n.logStopStep("leases released", schedule)
 	time.Sleep(time.Until(schedule.NoticeEnd))
-	n.refusing.Store(true)
 	n.logStopStep("notice ended", schedule)
 	timer := time.AfterFunc(time.Until(schedule.LastAnswers), func() {
 		n.logStopStep("last answers end", schedule)
--- a/internal/stop/stop.go
+++ b/internal/stop/stop.go
@@ -129,6 +129,18 @@
 	}
 }
 
+// Stopping reports whether the node stops.
+func (s *State) Stopping() bool {
+	_, stopping := s.Schedule()
+	return stopping
+}
+
+// InNotice reports whether the node stops and its notice has not ended.
+func (s *State) InNotice(now time.Time) bool {
+	schedule, stopping := s.Schedule()
+	return stopping && now.Before(schedule.NoticeEnd)
+}
+
 // Begun returns a channel that is closed once the node stops.
 func (s *State) Begun() <-chan struct{} { return s.begunChannel() }
 
--- a/internal/stop/stop_test.go
+++ b/internal/stop/stop_test.go
@@ -69,3 +69,16 @@
 		}
 	}
 }
+
+// TestStateFollowsItsSchedule: a node stops from the begin of its stop on, and is in its notice until that ends.
+func TestStateFollowsItsSchedule(t *testing.T) {
+	var state State
+	begin := time.Now()
+	assert.Assert(t, !state.Stopping())
+	assert.Assert(t, !state.InNotice(begin))
+	state.Start(NewSchedule(begin, settings.Stop{Grace: 8 * time.Second, Notice: 3 * time.Second}))
+	assert.Assert(t, state.Stopping())
+	assert.Assert(t, state.InNotice(begin.Add(3*time.Second-1)))
+	assert.Assert(t, !state.InNotice(begin.Add(3*time.Second)))
+	assert.Assert(t, state.Stopping())
+}
