Let late processes write their last answers before connections end

What callers saw: TestStopAnswersRunningRequests failed once beside load (about 50): a request that was running got a closed connection instead of its answer.

Cause: the last answers and the end of connections were two timers of the schedule. They are a 48th of the grace apart, 83 ms for 4 s. The process was 0.09 s late, so both fired at 3.757 s (log of its node), and the connection was closed before the answer was written.

Change: connections end as long after the last answers as the schedule has it, counted from when these are given, and no later than background work.

--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -11,6 +11,7 @@
 
 	"lilacvane/internal/link"
 	"lilacvane/internal/stop"
+	"lilacvane/internal/wait"
 )
 
 const (
@@ -73,7 +74,7 @@
 	schedule := stop.NewSchedule(time.Now().Add(-late), limits)
 	n.dispatcher.Stop.Start(schedule)
 	n.log.Info("node stopping", "active", n.ingress.Active(), "graceMs", limits.Grace.Milliseconds(), "lateMs", late.Milliseconds())
-	ctx, cancel := context.WithDeadline(context.Background(), schedule.ConnectionsEnd)
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var ends sync.WaitGroup
 	ends.Go(func() { n.tunnels.Shutdown(ctx) })
@@ -84,6 +85,8 @@
 	timer := time.AfterFunc(time.Until(schedule.LastAnswers), func() {
 		n.logStopStep("last answers end", schedule)
 		n.close()
+		wait.For(ctx, time.Until(schedule.ConnectionsEndAfter(time.Now())))
+		cancel()
 	})
 	defer timer.Stop()
 	// What is known now is handed over now: once the last requests have ended, little time is left for peers that hang.
--- a/internal/stop/stop.go
+++ b/internal/stop/stop.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// ConnectionsEndAfter returns when connections end if the last answers were given at a time. If the process is late,
+// writing them gets the same time, as far as background work leaves it.
+func (s Schedule) ConnectionsEndAfter(answers time.Time) time.Time {
+	end := answers.Add(s.ConnectionsEnd.Sub(s.LastAnswers))
+	if end.After(s.BackgroundEnd) {
+		return s.BackgroundEnd
+	}
+	return end
+}
+
 // Work is a request that has not begun.
 type Work struct {
 	// Read is when the request was read whole, Due when its final answer must be sent.
--- a/internal/stop/stop_test.go
+++ b/internal/stop/stop_test.go
@@ -82,3 +82,13 @@
 	assert.Assert(t, !state.InNotice(begin.Add(3*time.Second)))
 	assert.Assert(t, state.Stopping())
 }
+
+// TestLateProcessEndedConnectionsBeforeAnswers: a process that is late has as long to write its last answers as any, but not beyond
+// the end of background work.
+func TestLateProcessEndedConnectionsBeforeAnswers(t *testing.T) {
+	s := NewSchedule(time.Now(), settings.Stop{Grace: 8 * time.Second, Notice: 3 * time.Second})
+	assert.Equal(t, s.ConnectionsEndAfter(s.LastAnswers), s.ConnectionsEnd)
+	late := s.ConnectionsEnd.Sub(s.LastAnswers)
+	assert.Equal(t, s.ConnectionsEndAfter(s.LastAnswers.Add(late/2)), s.ConnectionsEnd.Add(late/2))
+	assert.Equal(t, s.ConnectionsEndAfter(s.BackgroundEnd), s.BackgroundEnd)
+}
