Wait for the written streams at nodes that start

Cause: a keeper reads the rows of streams once the holder has named the keepers. Until then a stream that is written there was refused with 421 build_unknown, at once and for good where the client begins anew.

Change: a keeper says in its answer whether it has read the rows. Clients that don't name their stream are refused at once, as nothing that is written tells of it. The deadline is set before the question, as it bounds the wait.

--- a/internal/dispatch/builds.go
+++ b/internal/dispatch/builds.go
@@ -27,6 +27,8 @@
 	if j.request.Resumes != "" {
 		stream = origin.NewStream(j.callerID(), j.request.Resumes)
 	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
 	found := j.dispatcher.Origins.Find(ctx, j.query.Service, stream)
 	switch {
 	case found.Known:
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -321,11 +321,11 @@
 		j.refuse(problem)
 		return
 	}
+	j.deadline = j.request.due(j.route)
 	if problem := j.bindToOrigin(ctx); problem != nil {
 		j.refuse(problem)
 		return
 	}
-	j.deadline = j.request.due(j.route)
 	if problem := j.checkStop(); problem != nil {
 		j.refuse(problem)
 		return
--- a/internal/origin/keepers.go
+++ b/internal/origin/keepers.go
@@ -205,30 +205,44 @@
 // Find returns what this node or a keeper knows of the origin of a stream. If nobody knows the stream, or the client
 // did not name it, the build is known only where no other one served lately.
 func (r *Registry) Find(ctx context.Context, service string, stream Stream) Origin {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	origin, read := r.findNow(ctx, service, stream)
+	if origin.Known || !origin.Several || read || stream == (Stream{}) || !r.awaitRead(ctx) {
+		return origin
+	}
+	origin, _ = r.findNow(ctx, service, stream)
+	return origin
+}
+
+// findNow is Find by what is known now. read is set if that includes the streams that were written.
+func (r *Registry) findNow(ctx context.Context, service string, stream Stream) (origin Origin, read bool) {
 	r.mutex.Lock()
 	known, found := r.find(service, stream)
-	origin := Origin{Build: known.build, Known: found, Several: r.several(service)}
+	origin = Origin{Build: known.build, Known: found, Several: r.several(service)}
+	read = r.hasRead() || r.nobodyReads()
 	r.mutex.Unlock()
 	if found {
-		return origin
+		return origin, read
 	}
 	addresses, forward := r.nodesToAsk(ctx)
 	asked := r.ask(ctx, addresses, wire.OriginRequest{Asked: stream[:], Service: service, Forward: forward})
 	origin.Build, origin.Known, origin.Several = asked.Build, asked.Known, origin.Several || asked.Several
+	read = read || asked.Read
 	if origin.Known || origin.Several {
-		return origin
+		return origin, read
 	}
 	awaitNews(ctx, r.servedRead)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	switch {
 	case r.several(service):
-		return Origin{Several: true}
+		return Origin{Several: true}, read
 	case !r.served.complete:
-		return Origin{Unsure: true}
+		return Origin{Unsure: true}, read
 	}
 	origin.Build, origin.Known = r.only(service)
-	return origin
+	return origin, read
 }
 
 // ask asks keepers until one knows the stream or all have answered.
@@ -251,7 +265,7 @@
 	var all wire.OriginAnswer
 	for range keepers {
 		answer := <-answers
-		all.Several, all.Sure = all.Several || answer.Several, all.Sure || answer.Sure
+		all.Several, all.Sure, all.Read = all.Several || answer.Several, all.Sure || answer.Sure, all.Read || answer.Read
 		if answer.Known {
 			return wire.OriginAnswer{Build: answer.Build, Known: true, Several: true}
 		}
@@ -266,7 +280,7 @@
 		return answer
 	}
 	asked := r.ask(ctx, keepers, wire.OriginRequest{Asked: request.Asked, Service: request.Service})
-	asked.Several, asked.Sure = asked.Several || answer.Several, asked.Sure || answer.Sure
+	asked.Several, asked.Sure, asked.Read = asked.Several || answer.Several, asked.Sure || answer.Sure, asked.Read || answer.Read
 	return asked
 }
 
@@ -280,7 +294,7 @@
 		}
 	}
 	r.save(request.Records...)
-	answer = wire.OriginAnswer{Several: r.several(request.Service), Sure: r.served.complete}
+	answer = wire.OriginAnswer{Several: r.several(request.Service), Sure: r.served.complete, Read: r.hasRead()}
 	if len(request.Asked) == len(Stream{}) {
 		if known, found := r.find(request.Service, Stream(request.Asked)); found {
 			answer.Build, answer.Known = known.build, true
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -88,6 +88,10 @@
 	servedRead chan struct{}
 	// saved are the streams that this node writes as a keeper.
 	saved savedStreams
+	// read is closed, and replaced, once a keeper is known to have read the streams that were written. readAsked holds
+	// an element while one of the questions that wait for it asks.
+	read      chan struct{}
+	readAsked chan struct{}
 	// untold are the records to tell keepers; due is signalled when there are any.
 	untold []Stream
 	due    chan struct{}
@@ -107,6 +111,7 @@
 	return &Registry{
 		Options: options, records: make(map[Stream]record), builds: make(map[string]*serviceBuilds), listed: make(map[string]listedRunner), due: make(chan struct{}, 1),
 		keepersKnown: make(chan struct{}), servedRead: make(chan struct{}),
+		read: make(chan struct{}), readAsked: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/origin/saved_test.go
+++ b/internal/origin/saved_test.go
@@ -119,6 +119,65 @@
 	})
 }
 
+// TestStreamsWereRefusedWhileKeepersRead: all nodes started, and no keeper had read the streams yet. Questions wait for
+// that, and many that wait cost few calls.
+func TestStreamsWereRefusedWhileKeepersRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 12, runnersOf("b1", "b2")...)
+		begun := g.begin("first", 1000)
+		time.Sleep(2 * saveInterval)
+		g.store.streams.setDown(true)
+		g = g.restartAll(t, lease.Term{Held: true}, runnersOf("b1", "b2")...)
+		g.store.streams.setDown(false)
+		asking := g.nodes[g.order[11]]
+		var questions sync.WaitGroup
+		for s, build := range begun {
+			questions.Go(func() {
+				assert.Check(t, asking.Find(t.Context(), "s", s) == Origin{Build: build, Known: true, Several: true})
+			})
+		}
+		questions.Wait()
+		const callsEach = 8 + 8*7 // eight keepers, each of which asks the others
+		most := 2*callsEach*len(begun) + readAskedNodes*int(readTimeout/readInterval+1)
+		assert.Check(t, g.calls.Load() <= int64(most), "%d calls, %d at most", g.calls.Load(), most)
+	})
+}
+
+// TestQuestionsEndThoughNoKeeperReads: while the store is away, questions about unknown streams end in time, and before
+// their deadline; those of clients that do not name their stream end at once.
+func TestQuestionsEndThoughNoKeeperReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 12, runnersOf("b1", "b2")...)
+		g.store.streams.setDown(true)
+		g = g.restartAll(t, lease.Term{Held: true}, runnersOf("b1", "b2")...)
+		asking, deadline := g.nodes[g.order[11]], readTimeout/2
+		short, cancel := context.WithTimeout(t.Context(), deadline)
+		defer cancel()
+		for _, question := range []struct {
+			ctx    context.Context
+			stream Stream
+			most   time.Duration
+		}{{short, stream, deadline}, {t.Context(), stream, readTimeout}, {t.Context(), Stream{}, 0}} {
+			begin := time.Now()
+			assert.Equal(t, asking.Find(question.ctx, "s", question.stream), Origin{Several: true})
+			assert.Assert(t, time.Since(begin) <= question.most, "%v", time.Since(begin))
+		}
+	})
+}
+
+// TestNodeAloneRefusesUnknownStreamsAtOnce: without keepers nothing was written, and nothing is awaited.
+func TestNodeAloneRefusesUnknownStreamsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &group{store: newStoreStub(), order: []string{"alone", "alone"}, nodes: make(map[string]*Registry)}
+		r := g.newNode("alone", lease.Term{}, runnersOf("b1", "b2")...)
+		g.nodes["alone"] = r
+		time.Sleep(returnTime)
+		begin := time.Now()
+		assert.Equal(t, r.Find(t.Context(), "s", stream), Origin{Several: true})
+		assert.Equal(t, time.Since(begin), time.Duration(0))
+	})
+}
+
 // TestStreamsAreKeptAsKeepersChange: streams outlive all nodes though the keepers had other places before.
 func TestStreamsAreKeptAsKeepersChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/wire/origin.go
+++ b/internal/wire/origin.go
@@ -31,4 +31,6 @@
 	// Sure is set if the node knows of all builds that served lately. Only nodes of earlier builds, which do not
 	// follow the table of builds, look at it.
 	Sure bool `cbor:"4,keyasint,omitempty"`
+	// Read is set if the node keeps streams and has read those that keepers wrote before it started.
+	Read bool `cbor:"5,keyasint,omitempty"`
 }
--- a/test/joined_test.go
+++ b/test/joined_test.go
@@ -143,3 +143,44 @@
 		})
 	}
 }
+
+// takeUpOnce takes streams up at nodes that start, and returns how many go on of those that are not told to begin anew.
+func (w *buildWorld) takeUpOnce(t *testing.T, streams []begunStream) (whole int) {
+	t.Helper()
+	var mutex sync.Mutex
+	var clients sync.WaitGroup
+	statuses := make(map[int]int)
+	until := time.Now().Add(returnPeriod)
+	for number, s := range streams {
+		clients.Go(func() {
+			for time.Now().Before(until) {
+				got := s.retake(t, w.nodes[number%len(w.nodes)], true)
+				mutex.Lock()
+				statuses[got.Status]++
+				if got.Complete && buildsIn(got.Body)[s.build] {
+					whole++
+				}
+				mutex.Unlock()
+				if got.Status == http.StatusOK || got.Status == http.StatusMisdirectedRequest {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+	clients.Wait()
+	t.Logf("of %d %d go on, by status %v", len(streams), whole, statuses)
+	return whole
+}
+
+// TestWrittenStreamsWereRefusedAsNodesStarted: nodes that had just started refused streams for good which keepers
+// were about to read.
+func TestWrittenStreamsWereRefusedAsNodesStarted(t *testing.T) {
+	t.Parallel()
+	w := startBuildWorld(t, 4, "b1", "b2")
+	streams := w.beginAtAll(t)
+	time.Sleep(savePeriod)
+	w.restartAll(t)
+	whole := w.takeUpOnce(t, streams)
+	assert.Check(t, float64(whole) >= leastResumedShare*float64(len(streams)))
+}
