Record builds that left before they were recorded

Cause: the row of builds was compared with the builds that are listed now. A build that came and left between two comparisons, in the pause after a write, while nobody held the lease or while the store was away was never recorded, though nodes remember for 5 minutes that it served. When all nodes had ended, the row was complete without it, and its streams went on at another build.

Change: what nodes remember is compared and recorded as well, as builds that left. A row that is full and incomplete takes none of them, as it stays incomplete for as long as they count. A build is added for 4.5 minutes after it left, so that none comes back which the holder has removed.

--- a/internal/origin/served.go
+++ b/internal/origin/served.go
@@ -18,6 +18,9 @@
 	// incompleteStep is the granularity of the time until which a row with too many builds is incomplete, so that
 	// it is not written again all the time.
 	incompleteStep = time.Minute
+	// unrecordedLifetime is how long a node has a build recorded that left before it was. It is shorter than
+	// recordLifetime, as nodes see a build leave at different moments and one that was removed is not to come back.
+	unrecordedLifetime = recordLifetime - returnTime
 )
 
 // serviceBuild is a build of a service's runners.
@@ -63,19 +66,21 @@
 	}
 }
 
-// lacks reports whether the row differs from what is listed. A process that does not hold the lease only cares
-// for builds that the row lacks: it can neither tell that the row is complete nor that a build has left.
-func (s *servedState) lacks(listed map[serviceBuild]bool, term lease.Term) bool {
+// lacks reports whether the row differs from what this node has seen: builds, with whether they serve now. A process
+// that does not hold the lease only cares for builds that the row lacks: it can neither tell that the row is complete
+// nor that a build of the row has left.
+func (s *servedState) lacks(seen map[serviceBuild]bool, term lease.Term) bool {
 	if !s.current || !term.Held && len(s.builds) >= maxServed {
 		return term.Held
 	}
-	for build := range listed {
-		if left, recorded := s.builds[build]; left || !recorded {
+	for build, serves := range seen {
+		left, recorded := s.builds[build]
+		if serves && (left || !recorded) || !recorded && takesLeft(len(s.builds), s.complete) {
 			return true
 		}
 	}
 	for build, left := range s.builds {
-		if term.Held && !left && !listed[build] {
+		if term.Held && !left && !seen[build] {
 			return true
 		}
 	}
@@ -83,8 +88,8 @@
 }
 
 // revise returns the row that is due at a time of the store's clock in an epoch. Only the process that holds the
-// lease records that builds left and removes them.
-func (s *servedState) revise(row wire.ServedBuilds, epoch table.Epoch, listed map[serviceBuild]bool, term lease.Term, now time.Duration) wire.ServedBuilds {
+// lease records that builds of the row left and removes them.
+func (s *servedState) revise(row wire.ServedBuilds, epoch table.Epoch, seen map[serviceBuild]bool, term lease.Term, now time.Duration) wire.ServedBuilds {
 	nowMs := max(now.Milliseconds(), 1)
 	left := make(map[serviceBuild]int64)
 	for _, served := range row.Builds {
@@ -99,11 +104,18 @@
 			}
 		}
 	}
-	for build := range listed {
-		left[build] = 0
+	for build, serves := range seen {
+		if serves {
+			left[build] = 0
+		}
+	}
+	for build, serves := range seen {
+		if _, recorded := left[build]; !serves && !recorded && takesLeft(len(left), revised.Complete) {
+			left[build] = nowMs
+		}
 	}
 	if term.Held {
-		recordLeft(left, listed, nowMs)
+		recordLeft(left, seen, nowMs)
 		revised.SinceMs = min(revised.SinceMs, nowMs+incompleteStep.Milliseconds())
 		revised.Complete = revised.Complete || nowMs-revised.SinceMs >= recordLifetime.Milliseconds()
 	}
@@ -115,11 +127,15 @@
 	return revised
 }
 
+// takesLeft reports whether a row of so many builds gets one more that has left. A full row that is incomplete stays so
+// for as long as that build counts.
+func takesLeft(builds int, complete bool) bool { return builds < maxServed || complete }
+
 // recordLeft records which builds left by now, and removes those that left recordLifetime ago.
-func recordLeft(left map[serviceBuild]int64, listed map[serviceBuild]bool, nowMs int64) {
+func recordLeft(left map[serviceBuild]int64, seen map[serviceBuild]bool, nowMs int64) {
 	for build, leftMs := range left {
 		switch {
-		case listed[build]:
+		case seen[build]:
 		case leftMs == 0 || leftMs > nowMs:
 			left[build] = nowMs
 		case nowMs-leftMs >= recordLifetime.Milliseconds():
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -106,15 +106,20 @@
 	}
 }
 
-// listedBuilds returns the builds of all listed runners. mutex is held.
-func (r *Registry) listedBuilds() map[serviceBuild]bool {
-	listed := make(map[serviceBuild]bool)
+// seenBuilds returns the builds that this node has seen lately, with whether runners of them are listed. mutex is held.
+func (r *Registry) seenBuilds() map[serviceBuild]bool {
+	seen := make(map[serviceBuild]bool)
 	for service, builds := range r.builds {
+		for build, leftAt := range builds.leftAt {
+			if r.Now().Sub(leftAt) < unrecordedLifetime {
+				seen[serviceBuild{service, build}] = false
+			}
+		}
 		for build := range builds.runners {
-			listed[serviceBuild{service, build}] = true
+			seen[serviceBuild{service, build}] = true
 		}
 	}
-	return listed
+	return seen
 }
 
 // Record writes the builds that serve, or served lately, to the table until ctx ends.
@@ -139,7 +144,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	ready = r.served.read && !r.listedSince.IsZero()
-	return ready, ready && r.served.lacks(r.listedBuilds(), term)
+	return ready, ready && r.served.lacks(r.seenBuilds(), term)
 }
 
 // recordSchedule decides when a node reads the row to revise it.
@@ -208,7 +213,7 @@
 	term := r.Term()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.served.revise(served, row.Revision.Epoch(), r.listedBuilds(), term, row.ReadAt)
+	return r.served.revise(served, row.Revision.Epoch(), r.seenBuilds(), term, row.ReadAt)
 }
 
 // write writes the row on condition that it is the one that was read.
--- a/internal/origin/table_test.go
+++ b/internal/origin/table_test.go
@@ -271,6 +271,36 @@
 	})
 }
 
+// TestBuildThatLeftUnrecordedWasForgotten: a build came and left before anybody recorded it, as it was gone at once, as
+// nobody held the lease, or as the store was away. Its streams were joined once all nodes had started.
+func TestBuildThatLeftUnrecordedWasForgotten(t *testing.T) {
+	for name, held := range map[string]bool{"at once": true, "store away": true, "no holder": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(t, 5, runnersOf("b1")...).restartAll(t, lease.Term{Held: held}, runnersOf("b1")...)
+				g.store.setDown(name == "store away")
+				for _, r := range g.nodes {
+					r.Change(runnersOf("b1", "b2"), nil)
+				}
+				time.Sleep(recordInterval / 2)
+				for _, r := range g.nodes {
+					r.Change(nil, []string{"r1"})
+				}
+				left := time.Now()
+				time.Sleep(5 * time.Second)
+				g.store.setDown(false)
+				time.Sleep(standInDelay + standInSpread)
+				g = g.restartAll(t, lease.Term{Held: true}, runnersOf("b1")...)
+				r := g.nodes[g.order[1]]
+				assert.Equal(t, r.Find(t.Context(), "s", Stream{}), Origin{Several: true})
+				time.Sleep(recordLifetime - time.Since(left) + standInDelay + 2*standInSpread)
+				assert.Equal(t, r.Find(t.Context(), "s", Stream{}), Origin{Build: "b1", Known: true})
+				assert.Equal(t, g.store.countWrites(), 3)
+			})
+		})
+	}
+}
+
 // TestManyBuildsAreBounded: a row has maxServed builds at most, and is not complete then; with fewer it is complete
 // again after recordLifetime.
 func TestManyBuildsAreBounded(t *testing.T) {
