Measure what the rows of streams cost at 100 nodes

A test with simulated time begins 10 to 4,000 streams a second at 100 nodes with nine keepers while two builds serve, and holds calls, bytes and rows against the bounds of the constants. No change of the code.

--- a/internal/origin/saved_test.go
+++ b/internal/origin/saved_test.go
@@ -25,7 +25,9 @@
 	mutex sync.Mutex
 	rows  map[string][]byte
 	calls int
-	down  bool
+	// written are the bytes of all rows that were written.
+	written int
+	down    bool
 }
 
 // List implements table.Table, a few rows a page.
@@ -56,6 +58,7 @@
 	}
 	for _, write := range transaction.Writes {
 		s.rows[write.Key] = write.Value
+		s.written += len(write.Value)
 	}
 	return 1, nil
 }
@@ -196,6 +199,37 @@
 	})
 }
 
+// TestCostOfStreamsAtManyNodes: what streams that begin at 100 nodes while two builds serve cost the store in calls and
+// bytes: no more than the keepers' rows, however many streams begin.
+func TestCostOfStreamsAtManyNodes(t *testing.T) {
+	const nodes, keepers, seconds = 100, 9, 10
+	for _, perSecond := range []int{10, 100, 1000, 4000} {
+		t.Run(fmt.Sprint(perSecond, " streams a second"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(t, nodes, runnersOf("b1", "b2")...)
+				for _, r := range g.nodes {
+					r.SetKeepers(g.order[:keepers])
+				}
+				time.Sleep(time.Second)
+				_, _, before := g.store.streams.size()
+				told := g.calls.Load()
+				for step := range 10 * seconds {
+					g.begin(fmt.Sprint(step), perSecond/10)
+					time.Sleep(time.Second / 10)
+				}
+				rows, longest, calls := g.store.streams.size()
+				calls -= before
+				t.Logf("store: %.1f calls and %d bytes a second, %d rows of %d bytes at most; nodes: %.1f messages a second",
+					float64(calls)/seconds, g.store.streams.written/seconds, rows, longest, float64(g.calls.Load()-told)/seconds)
+				most := keepers * int(seconds*time.Second/saveInterval+1)
+				assert.Check(t, calls <= most, "%d calls, %d at most", calls, most)
+				assert.Check(t, g.store.streams.written <= most*savedRows*maxRowBytes)
+				assert.Check(t, rows <= keepers*savedRows && longest <= maxRowBytes)
+			})
+		})
+	}
+}
+
 // TestSavedStreamsAreBounded: a flood of streams makes neither calls, rows nor their size grow, and one build makes
 // no call.
 func TestSavedStreamsAreBounded(t *testing.T) {
