Start runners of the lab with the faults of the process before

Cause: a runner that was started again got its faults by a call once it served. A request that came before was answered whole, and TestAnswerOfCrashedRunnerLookedComplete took that for a part that looked complete: its check wants no success at all, as each answer is to crash.

Change: the process gets its faults when it starts; what was set meanwhile is still sent once it serves. The check is unchanged; the test now prints its node's lines on the request when it fails.

--- a/internal/lab/world/runners.go
+++ b/internal/lab/world/runners.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"encoding/json"
 	"fmt"
 	"path/filepath"
 	"sync"
@@ -26,6 +27,8 @@
 	mutex  sync.Mutex
 	ended  bool
 	faults runnerstub.Faults
+	// startFaults are those that its process started with.
+	startFaults runnerstub.Faults
 }
 
 // RunnerOptions are the options of a runner to start.
@@ -93,9 +96,13 @@
 	return runner, waitForURL("http://" + runner.address + protocol.PathReport)
 }
 
-// startRunnerProcess starts a runner's process with an identifier.
+// startRunnerProcess starts a runner's process with an identifier and the runner's faults.
 func (w *World) startRunnerProcess(runner *Runner, id string) error {
 	options := runner.options
+	faults, err := json.Marshal(runner.faults)
+	if err != nil {
+		return err
+	}
 	advertise := runner.address
 	if runner.Proxy != nil {
 		advertise = runner.Proxy.Address()
@@ -104,8 +111,8 @@
 		"--zone", options.Zone, "--listen", runner.address, "--advertise", advertise, "--store", w.address(hostStore, portStore),
 		"--memory-mb", fmt.Sprint(options.MemoryMB), "--model-mb", fmt.Sprint(options.ModelMB), "--slots", fmt.Sprint(options.Slots),
 		"--adapter-slots", fmt.Sprint(options.AdapterSlots), "--token-time", options.TokenTime.String(), "--load-time", options.LoadTime.String(),
-		"--journal", runner.Journal, "--seed", fmt.Sprint(runner.seed), "--crash-by", options.CrashBy, "--crash-by-parts", options.CrashByParts, "--build", options.Build)
-	runner.Process = process
+		"--journal", runner.Journal, "--seed", fmt.Sprint(runner.seed), "--crash-by", options.CrashBy, "--crash-by-parts", options.CrashByParts, "--build", options.Build, "--faults", string(faults))
+	runner.Process, runner.startFaults = process, runner.faults
 	return err
 }
 
@@ -127,12 +134,15 @@
 	}
 }
 
-// restoreFaults gives a runner's new process the faults of the one before.
+// restoreFaults gives a runner's new process the faults that were set while it started.
 func (w *World) restoreFaults(runner *Runner) {
+	if waitUntilServing(runner.currentProcess().Done(), "http://"+runner.address+protocol.PathReport) != nil {
+		return
+	}
 	runner.mutex.Lock()
-	faults := runner.faults
+	faults, began := runner.faults, runner.startFaults
 	runner.mutex.Unlock()
-	if faults == (runnerstub.Faults{}) || waitUntilServing(runner.currentProcess().Done(), "http://"+runner.address+protocol.PathReport) != nil {
+	if faults == began {
 		return
 	}
 	// A process that has ended again gets them with its next start.
--- a/internal/labcommand/serve.go
+++ b/internal/labcommand/serve.go
@@ -46,6 +46,7 @@
 	Build        string        `help:"Version of its software, which its row states and its events carry."`
 	Journal      string        `help:"File to journal to."`
 	Seed         uint64        `default:"1" help:"Seed of the faults."`
+	Faults       string        `help:"Faults from its start, as JSON."`
 }
 
 const (
@@ -62,6 +63,12 @@
 
 // Run serves an emulated runner until the process ends.
 func (c *runnerCommand) Run() error {
+	var faults runnerstub.Faults
+	if c.Faults != "" {
+		if err := json.Unmarshal([]byte(c.Faults), &faults); err != nil {
+			return err
+		}
+	}
 	var output io.Writer
 	if c.Journal != "" {
 		file, err := os.OpenFile(c.Journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -79,6 +86,7 @@
 		TokenTime: c.TokenTime, PromptTime: c.PromptTime, AdapterTime: adapterTime, ReportLag: c.ReportLag, Seed: c.Seed,
 		Born: time.Now().UnixMilli(), CrashBy: c.CrashBy, CrashByParts: c.CrashByParts, Build: c.Build, Crash: func() { os.Exit(exitCrashed) },
 	}, journal.NewWriter(output), c.publish)
+	runner.SetFaults(faults)
 	go runner.Announce()
 	return http.ListenAndServe(c.Listen, runner.Handler())
 }
--- a/test/broken_answer_test.go
+++ b/test/broken_answer_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -130,7 +131,9 @@
 					request.ID = newID()
 					got, err := sendRaw(t.Context(), w.nodes[minor], minor, request)
 					assert.NilError(t, err)
-					assert.Check(t, got.Status != http.StatusOK || !got.Complete, "%s, HTTP/1.%d: %+v", name, minor, got)
+					if !assert.Check(t, got.Status != http.StatusOK || !got.Complete, "%s, HTTP/1.%d: %+v", name, minor, got) {
+						t.Logf("log of %s: %s", w.nodes[minor].Name, strings.Join(linesContaining(readFile(t, w.world.LogPath(w.nodes[minor])), request.ID), ""))
+					}
 				}
 			}
 		})
