Ask a runner for its health after an answer without framing

Cause: a node took a new connection that stayed open for 20 ms as a sign that the runner of an answer without framing lives. A process that ends closes its sockets one after the other, and until its listener is closed the kernel completes connections that nobody accepts. In TestAnswerOfCrashedRunnerLookedComplete nodes passed on parts as served, completeness "presence", without an error of the check.

Change: runners other than those of engines, which have the report, are asked for their health at the service's path, with the incarnation they are to be. An answer that names it shows that the process lives, whatever its status; one that names another, or 421, that it ended. No answer within 150 ms, an error or an answer that names none leaves the connection as evidence, as before. Runners that are cold, rest or state limits get no check. The stub of the lab answers health checks.

--- a/internal/dispatch/completeness.go
+++ b/internal/dispatch/completeness.go
@@ -7,6 +7,7 @@
 	"errors"
 	"mime"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -83,11 +84,7 @@
 func (j *job) presence(ctx context.Context, choice fleet.Choice, answer *upstream.Answer) upstream.Presence {
 	presence, err := j.presenceByReport(ctx, choice)
 	if presence == upstream.PresenceUnknown {
-		presence, err = answer.Presence(ctx)
-		if presence == upstream.Present && j.dispatcher.PausedSince != nil && j.dispatcher.PausedSince(answer.SentAt()) {
-			// There was time for another incarnation to start, which accepts connections as well.
-			presence, err = upstream.Ended, errMaybeRestarted
-		}
+		presence, err = j.presenceUnreported(ctx, choice, answer)
 	}
 	if j.dispatcher.Fleet.Replaced(choice.Runner) {
 		presence = upstream.Ended
@@ -98,6 +95,20 @@
 	return presence
 }
 
+// presenceUnreported is presence without a report: by a health check, else by a connection. The kernel
+// accepts connections until a process that ends has closed its listener.
+func (j *job) presenceUnreported(ctx context.Context, choice fleet.Choice, answer *upstream.Answer) (upstream.Presence, error) {
+	presence, err := j.presenceByHealth(ctx, choice)
+	if presence == upstream.PresenceUnknown {
+		presence, err = answer.Presence(ctx)
+	}
+	if presence == upstream.Present && j.dispatcher.PausedSince != nil && j.dispatcher.PausedSince(answer.SentAt()) {
+		// There was time for another incarnation to start, which answers as well.
+		return upstream.Ended, errMaybeRestarted
+	}
+	return presence, err
+}
+
 // presenceByReport asks the runner for its report, which only the same incarnation answers. It is unknown
 // where runners give none.
 func (j *job) presenceByReport(ctx context.Context, choice fleet.Choice) (upstream.Presence, error) {
@@ -107,18 +118,42 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	_, err := j.dispatcher.Report(ctx, choice.Runner)
+	return presenceByCall(err), err
+}
+
+// presenceByHealth asks the runner for its health. It is unknown where runners have no health checks, and of
+// a runner that states limits, to which the check would add.
+func (j *job) presenceByHealth(ctx context.Context, choice fleet.Choice) (upstream.Presence, error) {
+	if j.engine || !strings.HasPrefix(j.healthPath, "/") || j.dispatcher.Alive == nil || j.dispatcher.Fleet.StatesLimits(choice.Runner) {
+		return upstream.PresenceUnknown, nil
+	}
+	// A cancellation says nothing of the connection: the check may wait for a slot of the runner.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(healthTimeout, cancel)
+	defer timer.Stop()
+	err := j.dispatcher.Alive(ctx, choice.Runner, j.healthPath)
+	return presenceByCall(err), err
+}
+
+// presenceByCall returns what the error of a call shows that only the same incarnation answers.
+func presenceByCall(err error) upstream.Presence {
 	switch {
 	case err == nil:
-		return upstream.Present, nil
+		return upstream.Present
 	case fault.IsCode(err, fault.CodeNotFound), errors.Is(err, syscall.ECONNREFUSED):
-		return upstream.Ended, err
+		return upstream.Ended
 	default:
-		return upstream.PresenceUnknown, err
+		return upstream.PresenceUnknown
 	}
 }
 
-// reportTimeout bounds the call for a report.
-const reportTimeout = 400 * time.Millisecond
+const (
+	// reportTimeout bounds the call for a report.
+	reportTimeout = 400 * time.Millisecond
+	// healthTimeout bounds a health check. A full runner may let it wait, and callers wait with it.
+	healthTimeout = 150 * time.Millisecond
+)
 
 // brokenOff returns the error of an answer that broke off.
 func brokenOff(choice fleet.Choice, cause error) error {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -64,6 +64,9 @@
 	Limits Limiter
 	// Report reads a runner's report; nil where runners give none.
 	Report func(ctx context.Context, runner backend.Runner) (backend.Report, error)
+	// Alive asks for a runner's health at a path, as the configuration gives it. It returns nil if the incarnation
+	// answers and fault.CodeNotFound if another one does; nil where runners have no health checks.
+	Alive func(ctx context.Context, runner backend.Runner, path string) error
 	// Quarantine decides which requests must not run; nil where all may.
 	Quarantine Quarantine
 	// Crashes receives possible signs of a runner's crash; nil for none.
@@ -255,8 +258,10 @@
 	// keysRequired is set when callers have keys, which must not reach runners.
 	keysRequired bool
 	engine       bool
-	query        fleet.Query
-	deadline     time.Time
+	// healthPath is the path of the service's health checks; empty for none.
+	healthPath string
+	query      fleet.Query
+	deadline   time.Time
 	// ran counts attempts that ran or may have run, sent all of them.
 	ran  int
 	sent int
@@ -313,7 +318,7 @@
 		j.refuse(problem)
 		return
 	}
-	j.engine = configuration.Services[service].Engine != nil
+	j.engine, j.healthPath = configuration.Services[service].Engine != nil, configuration.Services[service].HealthPath
 	if j.engine {
 		j.query.Unit = j.request.Unit
 	}
--- a/internal/fleet/statements.go
+++ b/internal/fleet/statements.go
@@ -22,6 +22,18 @@
 	return runner.Draining || f.statements.State(runner.ID).Leaving
 }
 
+// StatesLimits reports whether a runner is cold, or stated that it wants no or few requests for now.
+func (f *Fleet) StatesLimits(runner backend.Runner) bool {
+	stated := f.statements.State(runner.ID)
+	if stated.Rest > 0 || stated.Window > 0 || stated.Rate > 0 || stated.Brittle {
+		return true
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	known := f.runners[runner.ID]
+	return known != nil && f.isCold(known, f.terms(known))
+}
+
 // AllDraining reports whether there are runners of the query's service in its homes and all of
 // them are draining, so that none can take the request, whatever it holds.
 func (f *Fleet) AllDraining(query Query) bool {
--- a/internal/lab/runnerstub/http.go
+++ b/internal/lab/runnerstub/http.go
@@ -37,6 +37,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+protocol.PathReport, r.handleReport)
 	mux.HandleFunc("POST "+protocol.PathOrder, r.handleOrder)
+	mux.HandleFunc("GET "+PathHealth, r.handleHealth)
 	mux.HandleFunc("POST "+PathFaults, func(w http.ResponseWriter, request *http.Request) {
 		var faults Faults
 		if err := json.NewDecoder(request.Body).Decode(&faults); err != nil {
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -17,6 +17,7 @@
 	"lilacvane/internal/lab/httpcall"
 	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/linkfault"
+	"lilacvane/internal/lab/runnerstub"
 	"lilacvane/internal/lab/storestub"
 	"lilacvane/internal/operator"
 	"lilacvane/internal/place"
@@ -191,8 +192,8 @@
 	content, err := json.Marshal(protocol.Configuration{
 		Version: w.version, Routes: w.routes, Tenants: w.tenants,
 		Services: []protocol.Service{
-			{Name: EngineService, HealthPath: "/healthz", ColdStartS: w.ColdStart.Seconds(), ColdPerS: w.ColdRate, Engine: &engine},
-			{Name: MailService, HealthPath: "/healthz"},
+			{Name: EngineService, HealthPath: runnerstub.PathHealth, ColdStartS: w.ColdStart.Seconds(), ColdPerS: w.ColdRate, Engine: &engine},
+			{Name: MailService, HealthPath: runnerstub.PathHealth},
 		},
 	})
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,6 +86,8 @@
 	Unreadable *table.Unreadable
 	// Control sends orders to runners.
 	Control backend.Control
+	// Alive asks for a runner's health at a path; nil where runners have no health checks.
+	Alive func(ctx context.Context, runner backend.Runner, path string) error
 	// Pool holds the connections to runners, including those of Control.
 	Pool *upstream.Pool
 	// Links counts the connections of the fields above and the node's own. It may be nil.
@@ -188,7 +190,7 @@
 	n.pool.Wrap = func(runner string, conn net.Conn) net.Conn { return meter.Connection(conn, n.fleet.RegionOf(runner)) }
 	n.dispatcher = &dispatch.Dispatcher{
 		Node: s.Node, Fleet: n.fleet, Pool: n.pool, Demand: n.demand, Headers: platform.Headers,
-		Configuration: n.activeConfiguration, ConfigurationOrigin: n.configurationOrigin, AwaitFresh: n.awaitFresh, AwaitPendingReads: n.pauses.awaitPendingReads, PausedSince: n.pauses.pausedSince, Retries: retryLimits(s.Retries), Report: platform.Control.Report, MaxPropagationDelay: s.Configuration.Within, Log: log.Logger, Observe: n.observe, Closing: n.closing,
+		Configuration: n.activeConfiguration, ConfigurationOrigin: n.configurationOrigin, AwaitFresh: n.awaitFresh, AwaitPendingReads: n.pauses.awaitPendingReads, PausedSince: n.pauses.pausedSince, Retries: retryLimits(s.Retries), Report: platform.Control.Report, Alive: platform.Alive, MaxPropagationDelay: s.Configuration.Within, Log: log.Logger, Observe: n.observe, Closing: n.closing,
 	}
 	n.denials.log = log.Logger
 	n.crashes = crash.NewDetector(crash.Prober{Report: platform.Control.Report, Connect: n.pool.Connect, Leaves: n.isLeaving}, n.recordCrash, log.Logger)
