Let a runner that takes over end the check of an answer without framing

Cause: while a node checks whether the runner of an answer without framing is still there, a hedge of the request may begin its answer. It cancels the attempt, and the check ends with "operation was canceled", which counted as unknown: the node passed the part on as its runner gave it, and discarded the answer that took over.

Change: the attempt fails if another runner takes over before the check has shown something, and the request goes on with that runner's answer.

--- a/internal/dispatch/completeness.go
+++ b/internal/dispatch/completeness.go
@@ -75,6 +75,9 @@
 		return "", brokenOff(choice, errEnded)
 	case presence == upstream.Present:
 		return CompleteByPresence, nil
+	case errors.Is(context.Cause(ctx), errSilent):
+		// Another runner answered and takes over, which cut the check off.
+		return "", fault.At(fault.CodeCanceled, "check runner", choice.Runner.ID, fault.Unknown, errSilent)
 	default:
 		return CompletenessUnknown, nil
 	}
