--- a/internal/origin/saved_test.go
+++ b/internal/origin/saved_test.go
@@ -146,6 +146,25 @@
 	})
 }
 
+// TestNodeThatKnowsNoOtherRefusedStreams: a node that starts beside others which serve is told of them late, and
+// waits for that as well.
+func TestNodeThatKnowsNoOtherRefusedStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 12, runnersOf("b1", "b2")...)
+		begun := g.begin("first", 24)
+		time.Sleep(2 * saveInterval)
+		options := g.options("started", lease.Term{})
+		options.Peers = func() []string { return nil }
+		started := New(options)
+		started.SetListed(runnersOf("b1", "b2"))
+		g.store.follow((*Handler)(started))
+		time.AfterFunc(keepersTimeout+keepersTimeout/2, func() { started.SetKeepers(g.order[:8]) })
+		for s, build := range begun {
+			assert.Equal(t, started.Find(t.Context(), "s", s), Origin{Build: build, Known: true, Several: true})
+		}
+	})
+}
+
 // TestQuestionsEndThoughNoKeeperReads: while the store is away, questions about unknown streams end in time, and before
 // their deadline; those of clients that do not name their stream end at once.
 func TestQuestionsEndThoughNoKeeperReads(t *testing.T) {
