Check runners reached through a peer by a connection alone

Where only peers reach a runner, it also tried the direct path, which hangs, and was told nothing of the peer's refused connection; the peer was then asked no more, and the connection after it showed "peers do not reach the runner" instead of a refusal. The part was passed on as "unknown".

Change: an answer that came through a peer is checked by a connection through peers, as before. What an accepted connection shows of a process that ends stays as weak there as it was.

--- a/internal/dispatch/completeness.go
+++ b/internal/dispatch/completeness.go
@@ -101,7 +101,7 @@
 // presenceUnreported is presence without a report: by a health check, else by a connection. The kernel
 // accepts connections until a process that ends has closed its listener.
 func (j *job) presenceUnreported(ctx context.Context, choice fleet.Choice, answer *upstream.Answer) (upstream.Presence, error) {
-	presence, err := j.presenceByHealth(ctx, choice)
+	presence, err := j.presenceByHealth(ctx, choice, answer)
 	if presence == upstream.PresenceUnknown {
 		presence, err = answer.Presence(ctx)
 	}
@@ -124,10 +124,11 @@
 	return presenceByCall(err), err
 }
 
-// presenceByHealth asks the runner for its health. It is unknown where runners have no health checks, and of
-// a runner that states limits, to which the check would add.
-func (j *job) presenceByHealth(ctx context.Context, choice fleet.Choice) (upstream.Presence, error) {
-	if j.engine || !strings.HasPrefix(j.healthPath, "/") || j.dispatcher.Alive == nil || j.dispatcher.Fleet.StatesLimits(choice.Runner) {
+// presenceByHealth asks the runner for its health. It is unknown where runners have no health checks, of a runner
+// that states limits, to which the check would add, and of one that was reached through a peer: a call would
+// also try the direct path, which may hang, and keep from the check by a connection what the peer finds.
+func (j *job) presenceByHealth(ctx context.Context, choice fleet.Choice, answer *upstream.Answer) (upstream.Presence, error) {
+	if j.engine || answer.Via != "" || !strings.HasPrefix(j.healthPath, "/") || j.dispatcher.Alive == nil || j.dispatcher.Fleet.StatesLimits(choice.Runner) {
 		return upstream.PresenceUnknown, nil
 	}
 	// A cancellation says nothing of the connection: the check may wait for a slot of the runner.
