Log why a runner's report did not show that it is there

The check of a runner after an answer without framing asks for its report or its health and then connects. The error of the first was dropped if the connection stayed open, so that logs of a failed run of TestUnframedAnswersSoak don't say which of the two answered. The line names both errors now. The package's tests pass; nothing else changes.

--- a/internal/dispatch/completeness.go
+++ b/internal/dispatch/completeness.go
@@ -87,7 +87,8 @@
 func (j *job) presence(ctx context.Context, choice fleet.Choice, answer *upstream.Answer) upstream.Presence {
 	presence, err := j.presenceByReport(ctx, choice)
 	if presence == upstream.PresenceUnknown {
-		presence, err = j.presenceUnreported(ctx, choice, answer)
+		unreported, unreportedErr := j.presenceUnreported(ctx, choice, answer)
+		presence, err = unreported, errors.Join(err, unreportedErr)
 	}
 	if j.dispatcher.Fleet.Replaced(choice.Runner) {
 		presence = upstream.Ended
@@ -103,7 +104,8 @@
 func (j *job) presenceUnreported(ctx context.Context, choice fleet.Choice, answer *upstream.Answer) (upstream.Presence, error) {
 	presence, err := j.presenceByHealth(ctx, choice, answer)
 	if presence == upstream.PresenceUnknown {
-		presence, err = answer.Presence(ctx)
+		connected, connectErr := answer.Presence(ctx)
+		presence, err = connected, errors.Join(err, connectErr)
 	}
 	if presence == upstream.Present && j.dispatcher.PausedSince != nil && j.dispatcher.PausedSince(answer.SentAt()) {
 		// There was time for another incarnation to start, which answers as well.
