Count a stop from an earlier moment only where its signal may have come then

Now a period counts only if it ended within 50 ms, in which a process that runs again handles its signals, and if it was longer than 0.2 s: less is covered by the margin of 0.25 s.

--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -16,8 +16,11 @@
 	// shortPauseThreshold is the time between two ticks above which the process may not have read
 	// answers in which runners ask for fewer requests.
 	shortPauseThreshold = 400 * time.Millisecond
-	// lateTick is how late a tick is, at the least, of a process that did not run when it was due.
-	lateTick = 50 * time.Millisecond
+	// lateTick is how late a tick is, at the least, of a process that did not run when it was due. It is below the
+	// margin that a stop leaves for a late signal.
+	lateTick = 200 * time.Millisecond
+	// signalDelay is how long after a process runs again it handles the signals that came meanwhile.
+	signalDelay = 50 * time.Millisecond
 	// pendingReadTime suffices to read such answers after a pause.
 	pendingReadTime = 50 * time.Millisecond
 	// freshTimeout bounds how long a request waits for fresh tables after a pause.
@@ -80,7 +83,7 @@
 func (p *pauseDetector) lateness() time.Duration {
 	p.tick()
 	late := p.late.Load()
-	if late == nil || time.Since(p.start)-late.end > pauseCheckInterval {
+	if late == nil || time.Since(p.start)-late.end > signalDelay {
 		return 0
 	}
 	return time.Since(p.start) - late.begin
