--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -28,6 +28,8 @@
 	model storeModel
 	down  atomic.Bool
 	reads atomic.Int64
+	// wholeReads counts the reads of all rows among them.
+	wholeReads atomic.Int64
 	// leaseReads counts the reads of the lease row.
 	leaseReads atomic.Int64
 }
@@ -53,6 +55,7 @@
 
 func (s *fakeStore) Read(context.Context) (feed.Batch, error) {
 	s.reads.Add(1)
+	s.wholeReads.Add(1)
 	if s.down.Load() {
 		return feed.Batch{}, errors.New("down")
 	}
