Write the streams that begin while several builds serve each 0.1 s

What callers saw: while two builds served, most nodes lost power at once, and of the streams that clients took up again most were refused with build_unknown, though runners of their build were there.

Cause: a keeper wrote what it had been told 0.5 s after its last write at the earliest, so that streams of the last half second were known nowhere once all keepers had died. Half of the streams of that class last less than 0.4 s, so that these are most of what a loss of power cuts.

Change: a keeper writes each 0.1 s, and 0.5 s after a write that failed.

Tried and taken back: three of the keepers write, for a third of the calls.

Measured: TestLatestStreamsWereForgottenAsAllNodesDied fails on the code before and passes.

--- a/internal/origin/saved.go
+++ b/internal/origin/saved.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	// saveInterval is the minimum time between two writes of a keeper.
-	saveInterval = 500 * time.Millisecond
+	// saveInterval is the minimum time between two writes of a keeper. What began since the last write is lost
+	// with all nodes.
+	saveInterval = 100 * time.Millisecond
+	// savePause is the pause after a write that failed.
+	savePause = 500 * time.Millisecond
 	// saveTimeout bounds a write of a keeper, loadTimeout the read of all rows.
 	saveTimeout = 800 * time.Millisecond
 	loadTimeout = 3 * time.Second
@@ -85,18 +88,18 @@
 // Save writes the streams that this node keeps to the table of streams, and reads the table if this node keeps
 // streams and has started lately, until ctx ends.
 func (r *Registry) Save(ctx context.Context) {
-	var savedAt, loadAt time.Time
-	for wait.For(ctx, recordInterval); ctx.Err() == nil; wait.For(ctx, recordInterval) {
+	var saveAt, loadAt time.Time
+	for wait.For(ctx, saveInterval); ctx.Err() == nil; wait.For(ctx, saveInterval) {
 		if now := r.Now(); !now.Before(loadAt) && r.loadDue() {
 			if err := r.load(ctx); err != nil {
 				r.Log.Info("streams begun before the start not read", "error", err.Error())
 				loadAt = now.Add(loadPause)
 			}
 		}
-		if now := r.Now(); now.Sub(savedAt) >= saveInterval && r.saveDue() {
-			savedAt = now
+		if now := r.Now(); !now.Before(saveAt) && r.saveDue() {
 			if err := r.saveOnce(ctx); err != nil {
 				r.Log.Info("begun streams not saved", "error", err.Error())
+				saveAt = r.Now().Add(savePause)
 			}
 		}
 	}
--- a/internal/origin/saved_test.go
+++ b/internal/origin/saved_test.go
@@ -122,6 +122,29 @@
 	})
 }
 
+// TestLatestStreamsWereForgottenAsAllNodesDied: streams begin all the time, and all nodes die. What began 150 ms before
+// that is known, whenever the last writes were.
+func TestLatestStreamsWereForgottenAsAllNodesDied(t *testing.T) {
+	const latest = 150 * time.Millisecond
+	for offset := time.Duration(0); offset < 500*time.Millisecond; offset += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			g := newGroup(t, 12, runnersOf("b1", "b2")...)
+			begun := make(map[Stream]backend.Build)
+			died := time.Now().Add(time.Second + offset)
+			for step := 0; time.Until(died) > 0; step++ {
+				streams := g.begin(fmt.Sprint(step), 10)
+				if time.Until(died) >= latest {
+					maps.Copy(begun, streams)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			g = g.restartAll(t, lease.Term{Held: true}, runnersOf("b1", "b2")...)
+			time.Sleep(overlap)
+			g.checkKnown(t, begun)
+		})
+	}
+}
+
 // TestStreamsWereRefusedWhileKeepersRead: all nodes started, and no keeper had read the streams yet. Questions wait for
 // that, and many that wait cost few calls.
 func TestStreamsWereRefusedWhileKeepersRead(t *testing.T) {
