--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -112,6 +112,7 @@
 	Clients   string
 	Callers   string
 	Operators string
+	Peers     string
 	Ready     string
 	Metrics   string
 	// Proxy is in front of the node's interface for peers, StoreProxy between the node and the
@@ -291,7 +292,7 @@
 	w.nextNode++
 	node := &Node{
 		Name: name, Zone: zone, Clients: w.address(host, portClients), Callers: w.address(host, portCallers),
-		Operators: w.address(host, portOperators), Ready: w.address(host, portReady), Metrics: w.address(host, portMetrics),
+		Operators: w.address(host, portOperators), Peers: w.address(host, portPeers), Ready: w.address(host, portReady), Metrics: w.address(host, portMetrics),
 		links: w.address(host, portLinks),
 	}
 	s := settings.Default()
@@ -299,7 +300,7 @@
 	s.Region, s.Zones = string(w.RegionOf(place.Zone(zone))), w.Zones
 	s.Listen = settings.Listen{
 		Clients: node.Clients, Callers: node.Callers, Operators: node.Operators, Ready: node.Ready, Metrics: node.Metrics,
-		Peers: w.address(host, portPeers),
+		Peers: node.Peers,
 	}
 	s.Store.Address = w.address(hostStore, portStore)
 	if w.Proxied {
