Hold the bodies of requests in pieces

Cause: a body was read into a buffer that grows by doubling, so that it took up to two and a half times its size while it arrived.

Identities and requests on the wire stay what they were.

--- a/internal/dispatch/caller_test.go
+++ b/internal/dispatch/caller_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lilacvane/internal/body"
 	"lilacvane/internal/config"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/poison"
@@ -172,7 +173,7 @@
 	content := func(key string) poison.Identity {
 		j, _ := caller(t, key, true)
 		j.request.Target, j.request.Path = "/p?try=1", "/p"
-		j.request.Body = []byte("b")
+		j.request.Body = body.New([]byte("b"))
 		return j.contentIdentity()
 	}
 	first, second := content("k1"), content("k2")
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/body"
 	"lilacvane/internal/config"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
@@ -29,7 +30,7 @@
 	Host   string
 	// Header holds the headers to forward.
 	Header http.Header
-	Body   []byte
+	Body   body.Body
 	// Arrived is when its header was read, Read when it was read whole.
 	Arrived time.Time
 	Read    time.Time
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lilacvane/internal/api"
+	"lilacvane/internal/body"
 	"lilacvane/internal/dispatch"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
@@ -68,7 +69,7 @@
 	}
 	call.class, call.key = class, key
 	call.request = dispatch.Request{
-		ID: id, Method: http.MethodPost, Target: r.URL.Path, Path: r.URL.Path, Host: r.Host, Body: content, Arrived: now, Read: time.Now(),
+		ID: id, Method: http.MethodPost, Target: r.URL.Path, Path: r.URL.Path, Host: r.Host, Body: body.New(content), Arrived: now, Read: time.Now(),
 		Header: http.Header{"Content-Type": {"application/json"}}, StartWithin: startWithin,
 		Key: bearerToken(r.Header), Counts: dispatch.CountsGiven,
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 
+	"lilacvane/internal/body"
 	"lilacvane/internal/config"
 	"lilacvane/internal/dispatch"
 	"lilacvane/internal/fault"
@@ -139,11 +140,11 @@
 	if err := parseHeaders(r.Header, s.headers, request); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.bodyLimit()))
+	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.bodyLimit()))
 	if err != nil {
 		return nil, bodyError(err)
 	}
-	request.Body, request.Read = body, time.Now()
+	request.Body, request.Read = body.New(content), time.Now()
 	dispatch.StripConnectionHeaders(r.Header)
 	for _, name := range s.headers.Reserved {
 		r.Header.Del(name)
--- a/internal/poison/identity.go
+++ b/internal/poison/identity.go
@@ -10,6 +10,7 @@
 	"encoding/hex"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/body"
 	"lilacvane/internal/fault"
 )
 
@@ -34,13 +35,13 @@
 	// Unit is what runs the request, if the node and not the client chose it: a new version of a
 	// model may handle what the previous one did not.
 	Unit backend.Unit
-	Body []byte
+	Body body.Body
 }
 
 // Identity returns the content's digest.
 func (c Content) Identity() Identity {
 	query := c.Query
-	if len(c.Body) > 0 {
+	if c.Body.Len() > 0 {
 		query = ""
 	}
 	digest := sha256.New()
@@ -51,7 +52,8 @@
 		digest.Write(length[:])
 		digest.Write([]byte(part))
 	}
-	digest.Write(c.Body)
+	// Writing to a digest does not fail.
+	_, _ = c.Body.WriteTo(digest)
 	return Identity(digest.Sum(nil))
 }
 
--- a/internal/poison/identity_test.go
+++ b/internal/poison/identity_test.go
@@ -1,20 +1,20 @@
 package poison
 
 import (
-	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"lilacvane/internal/backend"
+	"lilacvane/internal/body"
 )
 
 // TestAttemptsHaveTheSameIdentity: what clients change between attempts does not count, and
 // content moved from one part into another changes the identity.
 func TestAttemptsHaveTheSameIdentity(t *testing.T) {
-	first := Content{Method: "POST", Host: "a.example", Path: "/x/y", Query: "try=1", Caller: "c", Unit: backend.Unit{Model: "m"}, Body: []byte("b")}
+	first := Content{Method: "POST", Host: "a.example", Path: "/x/y", Query: "try=1", Caller: "c", Unit: backend.Unit{Model: "m"}, Body: body.New([]byte("b"))}
 	again := first
-	again.Query, again.Body = "try=2", slices.Clone(first.Body)
+	again.Query, again.Body = "try=2", body.New([]byte("b"))
 	assert.Equal(t, first.Identity(), again.Identity())
 
 	for name, change := range map[string]func(*Content){
@@ -24,9 +24,9 @@
 		"caller":  func(c *Content) { c.Caller = "" },
 		"model":   func(c *Content) { c.Unit.Model = "m2" },
 		"adapter": func(c *Content) { c.Unit.Adapter = "a" },
-		"body":    func(c *Content) { c.Body = []byte("bb") },
+		"body":    func(c *Content) { c.Body = body.New([]byte("bb")) },
 		"moved":   func(c *Content) { c.Host, c.Path = c.Host+"/x", "/y" },
-		"no body": func(c *Content) { c.Body = nil },
+		"no body": func(c *Content) { c.Body = body.Body{} },
 	} {
 		other := first
 		change(&other)
@@ -51,7 +51,7 @@
 // BenchmarkIdentity measures the digest of a request: 22 us for a body of 30 kB on an Intel
 // Xeon.
 func BenchmarkIdentity(b *testing.B) {
-	content := Content{Method: "POST", Host: "a.example", Path: "/x/y", Body: make([]byte, 30_000)}
+	content := Content{Method: "POST", Host: "a.example", Path: "/x/y", Body: body.New(make([]byte, 30_000))}
 	for b.Loop() {
 		content.Identity()
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -12,6 +11,7 @@
 	"strings"
 	"time"
 
+	"lilacvane/internal/body"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/statement"
 	"lilacvane/internal/tunnel"
@@ -41,7 +41,7 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   body.Body
 	// RequestID is the identifier that the answer must carry.
 	RequestID string
 	// Fresh requires a new connection.
@@ -191,15 +191,15 @@
 	request := &http.Request{
 		Method: call.Method, Host: call.Host, Header: call.Header,
 		URL:           &url.URL{Scheme: "http", Host: call.Host, Opaque: call.Target},
-		ContentLength: int64(len(call.Body)),
+		ContentLength: int64(call.Body.Len()),
 	}
-	if len(call.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(call.Body))
+	if call.Body.Len() > 0 {
+		request.Body = io.NopCloser(call.Body.Reader())
 	} else if call.Method == http.MethodPost || call.Method == http.MethodPut {
 		request.Body = http.NoBody
 	}
 	written := make(chan error, 1)
-	if len(call.Body) <= maxInlineBody {
+	if call.Body.Len() <= maxInlineBody {
 		err := write(conn, request)
 		written <- err
 		return written, err
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -17,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lilacvane/internal/body"
 	"lilacvane/internal/fault"
 )
 
@@ -87,7 +88,7 @@
 	address := s.listener.Addr().String()
 	return Call{
 		Runner: "r", Address: address, Method: http.MethodPost, Target: "/a/b?c=%2f", Host: "h.example", Header: http.Header{testNames.RequestID: {id}},
-		Body: []byte("body"), RequestID: id,
+		Body: body.New([]byte("body")), RequestID: id,
 	}
 }
 
@@ -264,7 +265,7 @@
 	})
 	pool := NewPool(testNames)
 	call := s.call("1")
-	call.Body = []byte(strings.Repeat("x", 16<<20))
+	call.Body = body.New([]byte(strings.Repeat("x", 16<<20)))
 	content, err := exchange(pool, call)
 	assert.NilError(t, err)
 	assert.Equal(t, content, "early")
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"strconv"
+
+	"lilacvane/internal/body"
 )
 
 // drainLimit bounds, in bytes, what is read of an answer after its reader is done, so that its
@@ -43,13 +45,13 @@
 // names. A GET that failed on a connection that had been idle is sent once more, on a new one;
 // others, such as orders, are sent once, on one that is known to work and leads through no peer.
 func (p *Pool) RoundTrip(request *http.Request) (*http.Response, error) {
-	body, err := readBody(request)
+	content, err := readBody(request)
 	if err != nil {
 		return nil, err
 	}
 	call := Call{
 		Runner: request.Header.Get(p.names.ExpectRunner), Incarnation: incarnationOf(request.Context()), Address: request.URL.Host, Method: request.Method,
-		Target: request.URL.RequestURI(), Host: request.URL.Host, Header: request.Header, Body: body,
+		Target: request.URL.RequestURI(), Host: request.URL.Host, Header: request.Header, Body: body.New(content),
 	}
 	call.Proved = request.Method != http.MethodGet
 	call.Direct = request.Method != http.MethodGet
--- a/test/poison_soak_test.go
+++ b/test/poison_soak_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lilacvane/internal/body"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/storestub"
@@ -177,7 +178,7 @@
 		return `"request ended"`, "with part " + partGuilty
 	}
 	request := s.poison(word)
-	content := poison.Content{Method: request.Method, Host: world.RouteHost, Path: request.Path, Caller: "key ", Body: request.Body}
+	content := poison.Content{Method: request.Method, Host: world.RouteHost, Path: request.Path, Caller: "key ", Body: body.New(request.Body)}
 	return "request refused as runners end under it", content.Identity().Short()
 }
 
