Bound the memory of all clients' requests together

What callers saw: with 128 bodies of 4 MiB one byte short of their end, or 2,000 of 100 kB, or heads of 60 kB without an end, a process took 187 to 964 MB on a machine of 144 MB, where it would have ended for all callers. A body far over the limit was read to the limit before its 413.

Cause: each body and head was bounded for itself and nothing was over the process; the collector let the heap grow with whatever was live.

Change: memory.Budget is the one owner of what requests may take: half of the machine's memory beyond the 48 MB that a node needs for itself. Each connection has an account. Heads and bodies are charged as they arrive. Large requests share half of the budget, moderate ones three quarters, so that small ones find room. Without room, one that has received less than 64 KiB for a second gives way, and a small newcomer may displace a larger one that is not whole; a whole one never gives way, as it may have reached a runner. What finds no room is refused at once with 503 and Retry-After, and its connection closes after the client had time to read that. Announced bodies over the limit are refused unread. The collector runs more often beyond 0.8 of the machine's memory.

Why it works: every byte that a client sends passes Conn.Read or ReadBody, which take room before they keep it; what one gives up is released before the budget is exceeded by a quarter.

--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -66,6 +66,9 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(node.HeapLimit(parsed.Capacity))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	running, err := node.New(parsed, hooks.Platform(parsed), log)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -197,8 +197,15 @@
 	return &job{dispatcher: d, request: request, writer: w, log: d.Log.WithValues("request", request.ID)}
 }
 
-// finish records the end of the request.
+// finish records and logs the end of the request.
 func (j *job) finish() Outcome {
+	j.record()
+	j.dispatcher.logOutcome(&j.outcome, j.request)
+	return j.outcome
+}
+
+// record records the end of the request.
+func (j *job) record() {
 	d := j.dispatcher
 	j.heldFailure.release()
 	j.outcome.Total = time.Since(j.request.Arrived)
@@ -207,11 +214,9 @@
 		d.durations.observe(j.outcome.Route, j.outcome.Total-j.outcome.Placed)
 	}
 	j.recordStop(time.Now())
-	d.logOutcome(&j.outcome, j.request)
 	if d.Observe != nil {
 		d.Observe(j.request.ID, j.outcome)
 	}
-	return j.outcome
 }
 
 // logOutcome writes the log line of a request that ended.
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -52,7 +52,7 @@
 // New wraps a server that has a handler. The caller must not use the wrapped server any more.
 func New(server *http.Server) *Server {
 	s := &Server{http: server, served: make(chan struct{}), phases: make(map[net.Conn]phase)}
-	handler, connContext := server.Handler, server.ConnContext
+	handler, connContext, connState := server.Handler, server.ConnContext, server.ConnState
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok && s.markRead(conn) {
 			w.Header().Set("Connection", "close")
@@ -65,7 +65,12 @@
 		}
 		return context.WithValue(ctx, connKey{}, conn)
 	}
-	server.ConnState = s.trackState
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if connState != nil {
+			connState(conn, state)
+		}
+		s.trackState(conn, state)
+	}
 	return s
 }
 
--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync/atomic"
 
+	"lilacvane/internal/inbound"
 	"lilacvane/internal/overload"
 )
 
@@ -19,6 +20,9 @@
 	start atomic.Pointer[overload.Start]
 }
 
+// NetConn returns the connection that this one wraps.
+func (c *connection) NetConn() net.Conn { return c.Conn }
+
 // Close closes the connection.
 func (c *connection) Close() error {
 	c.start.Swap(nil).End()
@@ -42,7 +46,7 @@
 	if !ok {
 		return nil
 	}
-	tcp, ok := conn.Conn.(*net.TCPConn)
+	tcp, ok := inbound.TCP(conn)
 	if !ok {
 		return nil
 	}
@@ -52,18 +56,28 @@
 	return tcp.SetLinger(-1)
 }
 
-// listener wraps the connections that its gate accepts.
-type listener struct{ *overload.Gate }
+// listener wraps the connections that its gate accepts and its guard admits.
+type listener struct {
+	*overload.Gate
+	guard *inbound.Guard
+}
 
 // Accept accepts and wraps a connection.
 func (l listener) Accept() (net.Conn, error) {
-	conn, start, err := l.Gate.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, start, err := l.Gate.Accept()
+		if err != nil {
+			return nil, err
+		}
+		guarded, ok := l.guard.Wrap(conn)
+		if !ok {
+			start.End()
+			continue
+		}
+		accepted := &connection{Conn: guarded}
+		accepted.start.Store(start)
+		return accepted, nil
 	}
-	accepted := &connection{Conn: conn}
-	accepted.start.Store(start)
-	return accepted, nil
 }
 
 // beginRequest returns the start of a request, which is that of its connection for the first one. It
--- a/internal/ingress/connection_test.go
+++ b/internal/ingress/connection_test.go
@@ -27,7 +27,7 @@
 		reasons <- context.Cause(ctx)
 	}))
 	server.Config.ConnContext = withConnection
-	server.Listener = listener{overload.NewGate(server.Listener, nil, overload.NewMonitor(logr.Discard()), logr.Discard())}
+	server.Listener = listener{Gate: overload.NewGate(server.Listener, nil, overload.NewMonitor(logr.Discard()), logr.Discard())}
 	server.Start()
 	for _, test := range []struct {
 		name string
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,19 +5,19 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
 
-	"lilacvane/internal/body"
 	"lilacvane/internal/config"
 	"lilacvane/internal/dispatch"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/httpserver"
+	"lilacvane/internal/inbound"
 	"lilacvane/internal/overload"
 	"lilacvane/internal/upstream"
 )
@@ -27,6 +27,8 @@
 	defaultIdleTimeout   = 75 * time.Second
 	defaultHeaderBytes   = 64 << 10
 	defaultBodyBytes     = 8 << 20
+	// rejectionInterval is the least time between two log lines about rejected requests.
+	rejectionInterval = time.Second
 )
 
 // Server serves client requests.
@@ -37,24 +39,31 @@
 	log           logr.Logger
 	http          *httpserver.Server
 	monitor       *overload.Monitor
+	guard         *inbound.Guard
 
 	active atomic.Int64
+	// rejected counts requests with errors of their clients, rejections bounds the log lines about them.
+	rejected   atomic.Int64
+	rejections rate.Sometimes
 }
 
 // New returns a server that is not serving yet.
-func New(headers upstream.HeaderNames, dispatcher *dispatch.Dispatcher, monitor *overload.Monitor, log logr.Logger) *Server {
-	s := &Server{headers: headers, dispatcher: dispatcher, configuration: dispatcher.Configuration, monitor: monitor, log: log}
-	s.http = httpserver.New(&http.Server{
+func New(headers upstream.HeaderNames, dispatcher *dispatch.Dispatcher, monitor *overload.Monitor, guard *inbound.Guard, log logr.Logger) *Server {
+	s := &Server{
+		headers: headers, dispatcher: dispatcher, configuration: dispatcher.Configuration, monitor: monitor, guard: guard, log: log,
+		rejections: rate.Sometimes{Interval: rejectionInterval},
+	}
+	s.http = httpserver.New(guard.Attach(&http.Server{
 		Handler: s, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		MaxHeaderBytes: defaultHeaderBytes, DisableGeneralOptionsHandler: true, ConnContext: withConnection,
-	})
+	}, s.refuseUnread))
 	return s
 }
 
 // Serve serves requests from the listener until Shutdown. While this node has no room for more
 // requests, the listener is closed, and then opened again by open.
 func (s *Server) Serve(l net.Listener, open overload.Open) error {
-	err := s.http.Serve(listener{overload.NewGate(l, open, s.monitor, s.log)})
+	err := s.http.Serve(listener{Gate: overload.NewGate(l, open, s.monitor, s.log), guard: s.guard})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -86,9 +95,10 @@
 	if s.dispatcher.Stop.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	request, err := s.read(w, r)
+	request, err := s.read(r)
 	if err != nil {
-		s.reject(w, fault.From(err, "read request"))
+		problem := fault.From(err, "read request")
+		inbound.Refuse(w, r, func(w http.ResponseWriter) { s.reject(w, r, problem) })
 		return
 	}
 	request.Start = start
@@ -120,7 +130,12 @@
 // so that the client turns to another node.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Connection", "close")
-	s.dispatcher.RefuseOverloaded(w, s.newRequest(r), s.monitor.Load())
+	inbound.Refuse(w, r, func(w http.ResponseWriter) { s.dispatcher.RefuseOverloaded(w, s.newRequest(r), s.monitor.Load()) })
+}
+
+// refuseUnread refuses a request for which there is no memory.
+func (s *Server) refuseUnread(w http.ResponseWriter, r *http.Request, problem *fault.Error) {
+	s.dispatcher.RefuseUnread(w, s.newRequest(r), problem)
 }
 
 // newRequest returns a request without its body and what its headers describe.
@@ -132,7 +147,7 @@
 }
 
 // read reads a whole request.
-func (s *Server) read(w http.ResponseWriter, r *http.Request) (*dispatch.Request, error) {
+func (s *Server) read(r *http.Request) (*dispatch.Request, error) {
 	request := s.newRequest(r)
 	if request.ID == "" {
 		return nil, fault.New(fault.CodeInvalid, "read request", "header %s is missing", s.headers.RequestID)
@@ -140,11 +155,11 @@
 	if err := parseHeaders(r.Header, s.headers, request); err != nil {
 		return nil, err
 	}
-	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.bodyLimit()))
+	content, err := inbound.ReadBody(r, s.bodyLimit(), 1)
 	if err != nil {
-		return nil, bodyError(err)
+		return nil, err
 	}
-	request.Body, request.Read = body.New(content), time.Now()
+	request.Body, request.Read = content, time.Now()
 	dispatch.StripConnectionHeaders(r.Header)
 	for _, name := range s.headers.Reserved {
 		r.Header.Del(name)
@@ -153,14 +168,6 @@
 	return request, nil
 }
 
-func bodyError(err error) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return fault.New(fault.CodeTooLarge, "read request", "body is larger than %d bytes", tooLarge.Limit)
-	}
-	return fault.New(fault.CodeInvalid, "read request", "body: %v", err)
-}
-
 func (s *Server) bodyLimit() int64 {
 	if configuration := s.configuration(); configuration != nil && configuration.Limits.MaximumBodyBytes > 0 {
 		return configuration.Limits.MaximumBodyBytes
@@ -168,8 +175,16 @@
 	return defaultBodyBytes
 }
 
-func (s *Server) reject(w http.ResponseWriter, problem *fault.Error) {
-	s.log.Info("request rejected", "step", problem.Step, "error", problem.Error())
+// reject answers a request that was not read whole.
+func (s *Server) reject(w http.ResponseWriter, r *http.Request, problem *fault.Error) {
+	if problem.Code == fault.CodeOverloaded {
+		s.refuseUnread(w, r, problem)
+		return
+	}
+	rejected := s.rejected.Add(1)
+	s.rejections.Do(func() {
+		s.log.Info("requests rejected", "step", problem.Step, "peer", r.RemoteAddr, "error", problem.Error(), "total", rejected)
+	})
 	http.Error(w, problem.Error(), fault.Status(problem.Code))
 }
 
--- /dev/null
+++ b/internal/memory/budget.go
@@ -0,0 +1,198 @@
+// Package memory bounds the memory that the connections and requests of others take in this process. Each
+// connection has an account in a budget. When the budget is spent, accounts that do not receive anything
+// give way to others: clients that stop sending must not keep out the rest.
+package memory
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"lilacvane/internal/fault"
+)
+
+// Bytes is an amount of memory.
+type Bytes int64
+
+const (
+	// smallSize is the size up to which an account may use the whole budget, mediumSize that up to which it
+	// may use mediumShare of it. Larger ones may use largeShare. So small requests find room while large
+	// ones do not.
+	smallSize   Bytes = 64 << 10
+	mediumSize  Bytes = 512 << 10
+	mediumShare       = 0.75
+	largeShare        = 0.5
+	// overdraft is the part of the budget by which it may be exceeded while accounts that give way have not
+	// released their memory yet.
+	overdraft = 0.25
+	// stallTimeout is how long an account may receive less than progressSize until it gives way if there is no
+	// room for another one.
+	stallTimeout       = time.Second
+	progressSize Bytes = 64 << 10
+	// searchPause is how long no account is looked for that could give way after none was found.
+	searchPause = 20 * time.Millisecond
+)
+
+// Budget is the memory that accounts may use together. It is safe for concurrent use.
+type Budget struct {
+	limit Bytes
+	now   func() time.Time
+	start time.Time
+
+	mutex sync.Mutex
+	// used is what accounts hold, without yielding, which those hold that give way.
+	used, yielding Bytes
+	// receiving are the accounts that may give way.
+	receiving []*Account
+	// large counts the large accounts that do not give way.
+	large int
+	// failed and failedSmall are when no account was found that could give way to a request, and to a small one.
+	failed, failedSmall time.Time
+	figures             Figures
+}
+
+// Figures describe the use of a budget since the start.
+type Figures struct {
+	Limit, Used, Peak Bytes
+	// Refused counts the accounts that got no room, Yielded those that gave way.
+	Refused, Yielded int64
+}
+
+// NewBudget returns a budget of which nothing is used.
+func NewBudget(limit Bytes) *Budget { return newBudget(limit, time.Now) }
+
+func newBudget(limit Bytes, now func() time.Time) *Budget {
+	return &Budget{limit: limit, now: now, start: now(), figures: Figures{Limit: limit}}
+}
+
+// elapsed returns the steady time since the start.
+func (b *Budget) elapsed() time.Duration { return b.now().Sub(b.start) }
+
+// Figures returns the current figures.
+func (b *Budget) Figures() Figures {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	figures := b.figures
+	figures.Used = b.used + b.yielding
+	return figures
+}
+
+// fullError returns the error of an account for which there is no room.
+func fullError() error {
+	return fault.New(fault.CodeOverloaded, "take memory", "this node has no memory left for the request")
+}
+
+// RetryAfter returns when a request of a size that got no room is to be sent again: small ones earlier,
+// because they find room first. Times are spread so that requests do not return together.
+func RetryAfter(size Bytes) time.Duration {
+	if size <= smallSize {
+		return stallTimeout/4 + rand.N(stallTimeout/2)
+	}
+	return stallTimeout + rand.N(2*stallTimeout)
+}
+
+// share returns what may be used with an account of a size beside a number of other large ones. The only large one may
+// use everything, as the largest request must find room on any machine.
+func (b *Budget) share(size Bytes, otherLarge int) Bytes {
+	switch {
+	case size <= smallSize || (size > mediumSize && otherLarge == 0):
+		return b.limit
+	case size <= mediumSize:
+		return Bytes(float64(b.limit) * mediumShare)
+	default:
+		return Bytes(float64(b.limit) * largeShare)
+	}
+}
+
+// demand is what an account asks for: to take more memory, with a size in the end.
+type demand struct {
+	account    *Account
+	size, more Bytes
+}
+
+// small reports whether it is a small account that asks.
+func (d demand) small() bool { return d.size <= smallSize }
+
+// fits reports whether a demand is met if others free memory, of which some are large. mutex must be held.
+func (b *Budget) fits(d demand, freed Bytes, freedLarge int) bool {
+	otherLarge := b.large - freedLarge
+	if d.account.isLarge() {
+		otherLarge--
+	}
+	return b.used-freed+d.more <= b.share(d.size, otherLarge)
+}
+
+// admit reports whether a demand is met. It returns the accounts that have to give way for that; their interrupt is to
+// be called without the mutex. mutex must be held.
+func (b *Budget) admit(d demand) (yielding []*Account, ok bool) {
+	if d.account.yields || d.account.state == closed {
+		return nil, false
+	}
+	if !b.fits(d, 0, 0) {
+		if yielding, ok = b.yieldFor(d); !ok {
+			return nil, false
+		}
+	}
+	return yielding, b.used+b.yielding+d.more <= Bytes(float64(b.limit)*(1+overdraft))
+}
+
+// yieldFor lets accounts that may give way do so until a demand is met: stalled ones first, and of these the largest.
+// It returns false if they do not suffice. mutex must be held.
+func (b *Budget) yieldFor(d demand) (yielding []*Account, ok bool) {
+	failed := &b.failed
+	if d.small() {
+		failed = &b.failedSmall
+	}
+	if b.now().Sub(*failed) < searchPause {
+		return nil, false
+	}
+	now, freed, freedLarge := b.elapsed(), Bytes(0), 0
+	for _, other := range b.receiving {
+		if other.mayYieldTo(d, now) {
+			freed += other.held
+			if other.isLarge() {
+				freedLarge++
+			}
+		}
+	}
+	if !b.fits(d, freed, freedLarge) {
+		*failed = b.now()
+		return nil, false
+	}
+	for !b.fits(d, 0, 0) {
+		first := b.firstToYield(d, now)
+		first.yield()
+		yielding = append(yielding, first)
+	}
+	return yielding, true
+}
+
+// firstToYield returns the account that gives way to a demand before all others. mutex must be held.
+func (b *Budget) firstToYield(d demand, now time.Duration) *Account {
+	var first *Account
+	for _, other := range b.receiving {
+		if other.mayYieldTo(d, now) && (first == nil || other.yieldsBefore(first, now)) {
+			first = other
+		}
+	}
+	return first
+}
+
+// resize changes what an account holds and expects. mutex must be held.
+func (b *Budget) resize(a *Account, held, expected Bytes) {
+	before := a.isLarge()
+	if a.yields {
+		b.yielding += held - a.held
+	} else {
+		b.used += held - a.held
+	}
+	a.held, a.expected = held, expected
+	if after := a.isLarge(); after != before {
+		if after {
+			b.large++
+		} else {
+			b.large--
+		}
+	}
+	b.figures.Peak = max(b.figures.Peak, b.used+b.yielding)
+}
--- /dev/null
+++ b/internal/memory/budget_test.go
@@ -0,0 +1,172 @@
+package memory
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lilacvane/internal/fault"
+)
+
+const mebi Bytes = 1 << 20
+
+// fixture is a budget with a clock of its own.
+type fixture struct {
+	*Budget
+	clock time.Time
+	// interrupted are the accounts that had to give way, in order.
+	interrupted []*Account
+}
+
+func newFixture(limit Bytes) *fixture {
+	f := &fixture{clock: time.Unix(1000, 0)}
+	f.Budget = newBudget(limit, func() time.Time { return f.clock })
+	return f
+}
+
+// open opens an account that takes an amount.
+func (f *fixture) open(t assert.TestingT, amount Bytes) *Account {
+	var a *Account
+	a, err := f.Open(1, func() { f.interrupted = append(f.interrupted, a) })
+	assert.NilError(t, err)
+	assert.NilError(t, a.Take(amount-1))
+	return a
+}
+
+func isFull(err error) bool { return fault.IsCode(err, fault.CodeOverloaded) }
+
+// Large requests share a part of the budget, so that smaller ones find room.
+func TestLargeRequestsKeepOutSmallOnes(t *testing.T) {
+	f := newFixture(100 * mebi)
+	for range 12 {
+		f.open(t, 4*mebi)
+	}
+	large, err := f.Open(1, func() {})
+	assert.NilError(t, err)
+	assert.Assert(t, isFull(large.Expect(4*mebi)))
+	medium := f.open(t, 20*smallSize/10)
+	assert.NilError(t, medium.Take(mediumSize/2))
+	f.open(t, smallSize)
+	assert.Equal(t, len(f.interrupted), 0)
+}
+
+// The only large request may use the whole budget.
+func TestLargestRequestFindsRoomAlone(t *testing.T) {
+	f := newFixture(10 * mebi)
+	a := f.open(t, 1)
+	assert.NilError(t, a.Expect(9*mebi))
+	for range 9 {
+		assert.NilError(t, a.Take(mebi))
+	}
+	other := f.open(t, 1)
+	assert.Assert(t, isFull(other.Expect(mebi)))
+}
+
+// Where there is no room, accounts that stopped receiving give way, the largest first, and those that go on do
+// not.
+func TestStalledAccountsGiveWay(t *testing.T) {
+	f := newFixture(10 * mebi)
+	stalled, larger, going := f.open(t, mebi), f.open(t, 2*mebi), f.open(t, 2*mebi-1)
+	newcomer := f.open(t, 1)
+	assert.Assert(t, isFull(newcomer.Expect(2*mebi)))
+	f.clock = f.clock.Add(stallTimeout)
+	going.Received(progressSize)
+	assert.NilError(t, newcomer.Expect(2*mebi))
+	assert.DeepEqual(t, len(f.interrupted), 1)
+	assert.Assert(t, f.interrupted[0] == larger)
+	assert.Assert(t, larger.Yields() && !stalled.Yields() && !going.Yields())
+	assert.Assert(t, isFull(larger.Take(1)))
+	assert.Assert(t, isFull(larger.Settle()))
+}
+
+// A request that is whole never gives way.
+func TestWholeRequestsDoNotGiveWay(t *testing.T) {
+	f := newFixture(10 * mebi)
+	whole := f.open(t, 10*mebi)
+	assert.NilError(t, whole.Settle())
+	f.clock = f.clock.Add(time.Hour)
+	_, err := f.Open(1, func() {})
+	assert.Assert(t, isFull(err))
+	assert.Equal(t, len(f.interrupted), 0)
+	whole.Release()
+	f.open(t, 1)
+}
+
+// A small request needs not wait until large ones stall, but does not displace small ones that go on.
+func TestSmallRequestsDisplaceLargerOnes(t *testing.T) {
+	f := newFixture(10 * smallSize)
+	large := f.open(t, 4*smallSize)
+	var small []*Account
+	for range 6 {
+		small = append(small, f.open(t, smallSize))
+	}
+	f.open(t, smallSize)
+	assert.Assert(t, large.Yields())
+	for _, a := range small {
+		assert.Assert(t, !a.Yields())
+	}
+}
+
+// Whatever accounts do, the books agree with what they hold, and the budget is exceeded by what gives way alone.
+func TestBudgetIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Bytes(rapid.IntRange(1, 64).Draw(t, "limit")) * mebi
+		f := newFixture(limit)
+		var accounts []*Account
+		for range 200 {
+			f.clock = f.clock.Add(time.Duration(rapid.IntRange(0, 600).Draw(t, "ms")) * time.Millisecond)
+			size := Bytes(rapid.IntRange(1, int(4*mebi)).Draw(t, "size"))
+			if len(accounts) == 0 || rapid.IntRange(0, 3).Draw(t, "open") == 0 {
+				if a, err := f.Open(size%smallSize+1, func() {}); err == nil {
+					accounts = append(accounts, a)
+				}
+				continue
+			}
+			a := accounts[rapid.IntRange(0, len(accounts)-1).Draw(t, "account")]
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			case 0:
+				_ = a.Expect(size)
+			case 1, 2, 3:
+				_ = a.Take(size)
+			case 4:
+				a.Received(size)
+			case 5:
+				_ = a.Settle()
+			case 6:
+				a.Release()
+			case 7:
+				a.Close()
+			}
+			f.check(t, accounts)
+		}
+	})
+}
+
+// check compares the sums with the accounts.
+func (f *fixture) check(t assert.TestingT, accounts []*Account) {
+	var used, yielding Bytes
+	large, listed := 0, 0
+	for _, a := range accounts {
+		if a.yields {
+			yielding += a.held
+		} else {
+			used += a.held
+		}
+		if a.isLarge() {
+			large++
+		}
+		if a.index >= 0 {
+			listed++
+			assert.Assert(t, f.receiving[a.index] == a)
+			assert.Assert(t, a.state != busy && a.state != closed && !a.yields)
+		}
+	}
+	assert.Equal(t, f.used, used)
+	assert.Equal(t, f.yielding, yielding)
+	assert.Equal(t, f.large, large)
+	assert.Equal(t, len(f.receiving), listed)
+	assert.Assert(t, used <= f.limit, "%d of %d", used, f.limit)
+	assert.Assert(t, float64(used+yielding) <= float64(f.limit)*(1+overdraft))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"lilacvane/internal/feed"
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/gateway"
+	"lilacvane/internal/inbound"
 	"lilacvane/internal/ingress"
 	"lilacvane/internal/link"
 	"lilacvane/internal/logging"
@@ -139,8 +140,10 @@
 	cold         *coldMonitor
 	pauses       *pauseDetector
 	load         *overload.Monitor
-	closing      context.Context
-	close        context.CancelFunc
+	// guard bounds the memory of clients.
+	guard   *inbound.Guard
+	closing context.Context
+	close   context.CancelFunc
 	// bestSpare holds the float64 bits of the largest spare capacity of any node but the lease
 	// holder that reported it, or zero if unknown.
 	bestSpare atomic.Uint64
@@ -196,6 +199,7 @@
 	n.crashes = crash.NewDetector(crash.Prober{Report: platform.Control.Report, Connect: n.pool.Connect, Leaves: n.isLeaving}, n.recordCrash, log.Logger)
 	n.dispatcher.Crashes = n.crashes
 	n.dispatcher.Allowance, n.pool.Allowance = n.load.Allowance, n.load.Allowance
+	n.initMemory(s.Capacity)
 	n.peers = peer.NewServer(s.Node)
 	n.peers.SetRegion(place.Region(s.Region))
 	n.quarantine = newQuarantine(n)
@@ -205,7 +209,7 @@
 	n.dispatcher.Origins = n.origins
 	n.limits = newLimits(n, s.Limits)
 	n.dispatcher.Limits = n.limits
-	n.ingress = ingress.New(platform.Headers, n.dispatcher, n.load, log.Logger)
+	n.ingress = ingress.New(platform.Headers, n.dispatcher, n.load, n.guard, log.Logger)
 	n.gateway = gateway.New(gateway.Options{
 		Node: s.Node, Headers: platform.Headers, Dispatcher: n.dispatcher, Configuration: n.activeConfiguration, Claims: n.claims, Load: n.load, Accept: n.accept,
 	})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -118,6 +118,25 @@
 // keeps, and some hundred requests.
 const MinMemoryMB = 48
 
+const (
+	// requestShare is the part of a machine's memory beyond MinMemoryMB that requests may take. The rest is for
+	// memory that is not collected yet, and for the buffers of sockets.
+	requestShare = 0.5
+	// minRequestMB suffices for one request of the largest size.
+	minRequestMB = 32
+	// heapShare is the part of a machine's memory beyond which the collector runs more often. The program's own
+	// code and the buffers of sockets are not in it.
+	heapShare = 0.8
+)
+
+// RequestMB returns how much memory requests may take together, in megabytes, on a machine with memoryMB.
+func RequestMB(memoryMB float64) float64 {
+	return max((memoryMB-MinMemoryMB)*requestShare, minRequestMB)
+}
+
+// HeapMB returns how much memory the heap is to take at most, in megabytes, on a machine with memoryMB.
+func HeapMB(memoryMB float64) float64 { return max(memoryMB, MinMemoryMB) * heapShare }
+
 // Fits reports whether the machine has at least MinMemoryMB of memory, as far as that is known.
 func (c Capacity) Fits() bool { return c.MemoryMB == 0 || c.MemoryMB >= MinMemoryMB }
 
