Bound the memory of calls with that of clients' requests

What callers saw: 64 calls of 8 MiB, one byte short, whole or waiting for a model, took 440 to 874 MB on a machine of 144 MB.

Cause: the callers' API read each body up to its own limit, held it three times as it parsed it, and kept the texts as long as the call.

Change: its connections have accounts in the budget of the clients; a call is charged three times its body until it is parsed, and once afterwards, as the request keeps the body alone. What finds no room gets 503 and Retry-After, also where the rest of the body does not come.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"lilacvane/internal/dispatch"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/httpserver"
+	"lilacvane/internal/inbound"
 	"lilacvane/internal/overload"
 	"lilacvane/internal/upstream"
 )
@@ -59,6 +60,8 @@
 	Dispatcher    *dispatch.Dispatcher
 	Configuration func() *config.Configuration
 	Claims        Claims
+	// Guard bounds the memory of calls.
+	Guard *inbound.Guard
 	// Load measures and bounds the work of this node.
 	Load *overload.Monitor
 	// Accept returns an error while the node takes no new requests.
@@ -80,14 +83,16 @@
 	mux.HandleFunc("POST "+pathComplete, s.handleCompletion)
 	mux.HandleFunc("GET "+pathModels, s.handleModels)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		fault.Write(w, s.withNodeName(fault.New(fault.CodeNotFound, stepParse, "no such path or method: %s %s", r.Method, r.URL.Path)))
+		s.reject(w, r, fault.New(fault.CodeNotFound, stepParse, "no such path or method: %s %s", r.Method, r.URL.Path))
 	})
-	s.http = httpserver.New(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout})
+	s.http = httpserver.New(s.Guard.Attach(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout}, s.writeError))
 	return s
 }
 
 // Serve serves callers on the listener until Shutdown.
-func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
+func (s *Server) Serve(listener net.Listener) error {
+	return s.http.Serve(s.Guard.Listener(listener))
+}
 
 // Shutdown closes the listener and waits for active calls.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
@@ -115,7 +120,7 @@
 	defer start.End()
 	call, err := s.prepare(r, id)
 	if err != nil {
-		fault.Write(w, s.withNodeName(fault.From(err, stepParse)))
+		s.reject(w, r, fault.From(err, stepParse))
 		return
 	}
 	call.request.Start = start
@@ -132,7 +137,17 @@
 	class, _ := api.ParseClass(r.Header.Get(api.HeaderClass))
 	w.Header().Set("Connection", "close")
 	refusal := fault.New(fault.CodeOverloaded, dispatch.StepAccept, "this node has no room for more requests")
-	fault.Write(w, s.withNodeName(refusal.WithRetryAfter(s.Load.Load().RetryAfter(int(class)))))
+	s.reject(w, r, refusal.WithRetryAfter(s.Load.Load().RetryAfter(int(class))))
+}
+
+// reject answers a call that may not have been read to its end.
+func (s *Server) reject(w http.ResponseWriter, r *http.Request, problem *fault.Error) {
+	inbound.Refuse(w, r, func(w http.ResponseWriter) { s.writeError(w, r, problem) })
+}
+
+// writeError answers a call with an error.
+func (s *Server) writeError(w http.ResponseWriter, _ *http.Request, problem *fault.Error) {
+	fault.Write(w, s.withNodeName(problem))
 }
 
 // prepare reads a call, resolves its model and claims its idempotency key.
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,6 +16,8 @@
 	"lilacvane/internal/dispatch"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
+	"lilacvane/internal/inbound"
+	"lilacvane/internal/memory"
 )
 
 const (
@@ -25,6 +26,9 @@
 	// maximumAnswerTokens bounds the number of tokens that a caller may ask for, so that sums of token
 	// counts are exact.
 	maximumAnswerTokens = 1 << 30
+	// parseCopies is how many times the memory of a body its parsing takes: as it arrives, in one piece, and
+	// as texts.
+	parseCopies = 3
 )
 
 // parsedCall is a call as parsed from its HTTP request.
@@ -42,10 +46,11 @@
 	if err := rejectRepeatedHeaders(r.Header); err != nil {
 		return call, err
 	}
-	content, err := readBody(r)
+	received, err := inbound.ReadBody(r, api.MaximumBodyBytes, parseCopies)
 	if err != nil {
 		return call, err
 	}
+	content := received.Bytes()
 	if err := json.Unmarshal(content, &call.completion); err != nil {
 		return call, fault.New(fault.CodeInvalid, stepParse, "body: %v", err)
 	}
@@ -74,6 +79,9 @@
 		Key: bearerToken(r.Header), Counts: dispatch.CountsGiven,
 	}
 	describePrompt(&call)
+	// The request keeps the body alone.
+	call.completion.Prompt, call.completion.Messages = "", nil
+	inbound.Give(r, (parseCopies-1)*memory.Bytes(len(content)))
 	return call, nil
 }
 
@@ -149,17 +157,6 @@
 	return nil
 }
 
-func readBody(r *http.Request) ([]byte, error) {
-	content, err := io.ReadAll(io.LimitReader(r.Body, api.MaximumBodyBytes+1))
-	if err != nil {
-		return nil, fault.New(fault.CodeInvalid, stepParse, "body: %v", err)
-	}
-	if len(content) > api.MaximumBodyBytes {
-		return nil, fault.New(fault.CodeTooLarge, stepParse, "body has more than %d bytes", api.MaximumBodyBytes)
-	}
-	return content, nil
-}
-
 // parseDeadline parses the seconds within which the answer must start.
 func parseDeadline(text string) (time.Duration, error) {
 	if text == "" {
