Bound the memory of operations with that of clients' requests

What callers saw: 128 operations of 4 MiB, one byte short, took 935 MB on a machine of 144 MB, for ever.

Cause: the operators' API read each body up to its own limit.

Change: its connections have accounts in the budget of the clients.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,7 +140,7 @@
 	cold         *coldMonitor
 	pauses       *pauseDetector
 	load         *overload.Monitor
-	// guard bounds the memory of clients and callers.
+	// guard bounds the memory of clients, callers and operators.
 	guard   *inbound.Guard
 	closing context.Context
 	close   context.CancelFunc
@@ -213,7 +213,7 @@
 	n.gateway = gateway.New(gateway.Options{
 		Node: s.Node, Headers: platform.Headers, Dispatcher: n.dispatcher, Configuration: n.activeConfiguration, Claims: n.claims, Guard: n.guard, Load: n.load, Accept: n.accept,
 	})
-	n.operator = operator.New(n, n.catalog, s.Node, n.metrics.Handler())
+	n.operator = operator.New(n, n.catalog, s.Node, n.guard, n.metrics.Handler())
 	n.client = peer.NewClient(s.Node, n.platform.Links)
 	n.client.SetMeter(meter)
 	n.controls = newControls(n)
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"encoding/json"
 	"net/http"
 	"slices"
 	"time"
@@ -143,8 +142,7 @@
 func (s *Server) evaluate(w http.ResponseWriter, r *http.Request) {
 	const step = "evaluate policy"
 	var evaluation Evaluation
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maximumBody)).Decode(&evaluation); err != nil {
-		s.writeError(w, fault.New(fault.CodeInvalid, step, "body: %v", err), step)
+	if !s.decodeBody(w, r, step, &evaluation) {
 		return
 	}
 	result, err := Evaluate(evaluation)
--- a/internal/operator/client_test.go
+++ b/internal/operator/client_test.go
@@ -35,7 +35,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := New(nil, c, "node", http.NotFoundHandler())
+	server := New(nil, c, "node", nil, http.NotFoundHandler())
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Shutdown(context.Background()) })
 	got, end := make(chan wire.Entry), make(chan error, 1)
--- a/internal/operator/fleet_test.go
+++ b/internal/operator/fleet_test.go
@@ -36,7 +36,7 @@
 
 func getPath(t *testing.T, path string) (int, string) {
 	t.Helper()
-	s := New(zoneBackend{}, catalog.New(), "n1", http.NotFoundHandler())
+	s := New(zoneBackend{}, catalog.New(), "n1", nil, http.NotFoundHandler())
 	recorder := httptest.NewRecorder()
 	s.http.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
 	return recorder.Code, recorder.Body.String()
@@ -59,7 +59,7 @@
 // TestQuarantineCalls checks the quarantine calls: unknown and malformed requests are
 // refused, and the error names the step.
 func TestQuarantineCalls(t *testing.T) {
-	s := New(quarantineBackend{}, catalog.New(), "n1", http.NotFoundHandler())
+	s := New(quarantineBackend{}, catalog.New(), "n1", nil, http.NotFoundHandler())
 	for _, test := range []struct {
 		method, path string
 		status       int
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,13 +16,16 @@
 	"lilacvane/internal/commit"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/httpserver"
+	"lilacvane/internal/inbound"
 	"lilacvane/internal/place"
 	"lilacvane/internal/poison"
 	"lilacvane/internal/wire"
 )
 
 const (
-	maximumBody       = 4 << 20
+	maximumBody = 4 << 20
+	// parseCopies is how many times the memory of a body its parsing takes.
+	parseCopies       = 3
 	headerTimeout     = 10 * time.Second
 	heartbeatInterval = 10 * time.Second
 	forceTimeout      = 5 * time.Second
@@ -150,15 +152,16 @@
 	backend Backend
 	catalog *catalog.Catalog
 	node    string
+	guard   *inbound.Guard
 	http    *httpserver.Server
 	// stopping is canceled by stop; this ends all watches.
 	stopping context.Context
 	stop     context.CancelFunc
 }
 
-// New returns a server for a node; metrics handles GET /metrics.
-func New(backend Backend, c *catalog.Catalog, node string, metrics http.Handler) *Server {
-	s := &Server{backend: backend, catalog: c, node: node}
+// New returns a server for a node; guard bounds the memory of calls, metrics handles GET /metrics.
+func New(backend Backend, c *catalog.Catalog, node string, guard *inbound.Guard, metrics http.Handler) *Server {
+	s := &Server{backend: backend, catalog: c, node: node, guard: guard}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metrics)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
@@ -179,13 +182,13 @@
 	mux.HandleFunc("GET /v1/quarantine", func(w http.ResponseWriter, _ *http.Request) { s.writeJSON(w, backend.Quarantine()) })
 	mux.HandleFunc("DELETE /v1/quarantine/{request}", s.liftQuarantine)
 	mux.HandleFunc("GET /v1/drains/{name}", s.drainProgress)
-	s.http = httpserver.New(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
+	s.http = httpserver.New(guard.Attach(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, s.refuse))
 	s.stopping, s.stop = context.WithCancel(context.Background())
 	return s
 }
 
 // Serve accepts calls on the listener until Shutdown is called.
-func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
+func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(s.guard.Listener(listener)) }
 
 // Shutdown closes the listener, ends all watches and waits for other calls in progress
 // until ctx ends, so that operators get the result of changes being committed.
@@ -207,6 +210,26 @@
 	fault.Write(w, &failure)
 }
 
+// refuse answers a call for which there is no memory.
+func (s *Server) refuse(w http.ResponseWriter, _ *http.Request, problem *fault.Error) {
+	s.writeError(w, problem, problem.Step)
+}
+
+// decodeBody decodes the body of a call into target, a pointer. It returns false if it has answered the call with an
+// error.
+func (s *Server) decodeBody(w http.ResponseWriter, r *http.Request, step string, target any) bool {
+	content, err := inbound.ReadBody(r, maximumBody, parseCopies)
+	if err != nil {
+		inbound.Refuse(w, r, func(w http.ResponseWriter) { s.writeError(w, err, step) })
+		return false
+	}
+	if err := json.Unmarshal(content.Bytes(), target); err != nil {
+		s.writeError(w, fault.New(fault.CodeInvalid, step, "body: %v", err), step)
+		return false
+	}
+	return true
+}
+
 func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
 	if err := s.backend.Ready(); err != nil {
 		s.writeError(w, err, "ready")
@@ -217,14 +240,8 @@
 
 func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
 	const step = "submit"
-	content, err := io.ReadAll(io.LimitReader(r.Body, maximumBody+1))
-	if err != nil || len(content) > maximumBody {
-		s.writeError(w, fault.New(fault.CodeTooLarge, step, "body cannot be read or has more than %d bytes", maximumBody), step)
-		return
-	}
 	var submission Submission
-	if err := json.Unmarshal(content, &submission); err != nil {
-		s.writeError(w, fault.New(fault.CodeInvalid, step, "body: %v", err), step)
+	if !s.decodeBody(w, r, step, &submission) {
 		return
 	}
 	operation, err := s.toOperation(submission)
