Bound the memory of messages between nodes

What was seen: 128 messages of 4 MiB to a node, one byte short, took 905 to 938 MB on a machine of 144 MB until their time-out of 30 s.

Cause: each message was bounded for itself, not all of them together.

Change: a quarter of the memory for requests is kept for messages of other nodes, so that clients cannot keep these out. Connections and calls of other nodes cost nothing there, as a node needs them for itself and they grow with the fleet.

--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// peerShare is the part of the memory for requests that is kept for the messages of other nodes, so that
+	// clients cannot keep them out.
+	peerShare = 0.25
 	// connectionCost is the memory of an open connection and its buffers, requestCost that of a request that is
 	// processed, without its head and body.
 	connectionCost memory.Bytes = 8 << 10
@@ -22,7 +25,9 @@
 func (n *Node) initMemory(capacity settings.Capacity) {
 	total := settings.RequestMB(memoryMB(capacity)) * bytesPerMB
 	costs := inbound.Costs{Connection: connectionCost, Request: requestCost, Unread: link.ClientReceiveBuffer}
-	n.guard = inbound.NewGuard(memory.NewBudget(memory.Bytes(total)), costs, n.log.Logger)
+	n.guard = inbound.NewGuard(memory.NewBudget(memory.Bytes(total*(1-peerShare))), costs, n.log.Logger)
+	// The connections and calls of other nodes grow with the fleet, and are a part of what a node needs for itself.
+	n.peerGuard = inbound.NewGuard(memory.NewBudget(memory.Bytes(total*peerShare)), inbound.Costs{}, n.log.Logger)
 }
 
 // HeapLimit returns the size of the heap, in bytes, beyond which the collector is to run more often.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,10 +140,10 @@
 	cold         *coldMonitor
 	pauses       *pauseDetector
 	load         *overload.Monitor
-	// guard bounds the memory of clients, callers and operators.
-	guard   *inbound.Guard
-	closing context.Context
-	close   context.CancelFunc
+	// guard bounds the memory of clients, callers and operators, peerGuard that of other nodes.
+	guard, peerGuard *inbound.Guard
+	closing          context.Context
+	close            context.CancelFunc
 	// bestSpare holds the float64 bits of the largest spare capacity of any node but the lease
 	// holder that reported it, or zero if unknown.
 	bestSpare atomic.Uint64
@@ -200,7 +200,7 @@
 	n.dispatcher.Crashes = n.crashes
 	n.dispatcher.Allowance, n.pool.Allowance = n.load.Allowance, n.load.Allowance
 	n.initMemory(s.Capacity)
-	n.peers = peer.NewServer(s.Node)
+	n.peers = peer.NewServer(s.Node, n.peerGuard)
 	n.peers.SetRegion(place.Region(s.Region))
 	n.quarantine = newQuarantine(n)
 	n.dispatcher.Quarantine = n.quarantine
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/inbound"
 	"lilacvane/internal/link"
 	"lilacvane/internal/place"
 	"lilacvane/internal/traffic"
@@ -28,6 +29,8 @@
 	idlePerHost = 8
 	idleTimeout = 30 * time.Second
 	readTimeout = 30 * time.Second
+	// messageCopies is how many times the memory of a message its decoding takes.
+	messageCopies = 2
 	// statusPeerFailed is the status of a response whose body is a failure.
 	statusPeerFailed = http.StatusUnprocessableEntity
 )
@@ -48,16 +51,16 @@
 	mux    *http.ServeMux
 	node   string
 	region place.Region
+	guard  *inbound.Guard
 	server *http.Server
 }
 
-// NewServer returns a server that uses node as its name in errors.
-func NewServer(node string) *Server {
+// NewServer returns a server that uses node as its name in errors. guard bounds the memory of messages.
+func NewServer(node string, guard *inbound.Guard) *Server {
 	mux := http.NewServeMux()
-	return &Server{
-		mux: mux, node: node,
-		server: &http.Server{Handler: mux, ReadTimeout: readTimeout, IdleTimeout: idleTimeout},
-	}
+	s := &Server{mux: mux, node: node, guard: guard}
+	s.server = guard.Attach(&http.Server{Handler: mux, ReadTimeout: readTimeout, IdleTimeout: idleTimeout}, s.refuse)
+	return s
 }
 
 // SetRegion sets the region of the node. It must be called before Serve.
@@ -68,8 +71,7 @@
 	s.mux.HandleFunc("POST "+pathPrefix+method, func(w http.ResponseWriter, r *http.Request) {
 		s.answerRegion(w, r)
 		var request Request
-		if err := readMessage(r.Body, r.Header.Get(headerFrom), &request); err != nil {
-			writeFailure(w, s.node, fault.From(err, method))
+		if !s.readRequest(w, r, method, &request) {
 			return
 		}
 		response, err := handler(r.Context(), request)
@@ -81,6 +83,25 @@
 	})
 }
 
+// readRequest decodes the message of a call into target, a pointer. It returns false if it has answered the call with an
+// error.
+func (s *Server) readRequest(w http.ResponseWriter, r *http.Request, method string, target any) bool {
+	content, err := inbound.ReadBody(r, wire.MaximumMessageBytes, messageCopies)
+	if err == nil {
+		err = wire.Decode(content.Bytes(), r.Header.Get(headerFrom), target)
+	}
+	if err != nil {
+		inbound.Refuse(w, r, func(w http.ResponseWriter) { s.refuse(w, r, fault.From(err, method)) })
+		return false
+	}
+	return true
+}
+
+// refuse answers a call with an error.
+func (s *Server) refuse(w http.ResponseWriter, _ *http.Request, problem *fault.Error) {
+	writeFailure(w, s.node, problem)
+}
+
 // readMessage decodes a body received from a peer into target.
 func readMessage(body io.Reader, from string, target any) error {
 	content, err := io.ReadAll(io.LimitReader(body, wire.MaximumMessageBytes+1))
@@ -121,7 +142,7 @@
 
 // Serve answers calls on the listener until Close.
 func (s *Server) Serve(listener net.Listener) error {
-	return s.server.Serve(listener)
+	return s.server.Serve(s.guard.Listener(listener))
 }
 
 // Close closes the server and its connections.
--- a/internal/peer/region_test.go
+++ b/internal/peer/region_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := NewServer("there")
+	server := NewServer("there", nil)
 	server.SetRegion(region)
 	Handle(server, wire.MethodSpend, func(context.Context, wire.SpendRequest) (wire.SpendResponse, error) {
 		if fails {
--- a/internal/peer/upgrade.go
+++ b/internal/peer/upgrade.go
@@ -32,8 +32,7 @@
 		s.answerRegion(w, r)
 		var request Request
 		from := r.Header.Get(headerFrom)
-		if err := readMessage(r.Body, from, &request); err != nil {
-			writeFailure(w, s.node, fault.From(err, method))
+		if !s.readRequest(w, r, method, &request) {
 			return
 		}
 		takeover, response, err := handler(r.Context(), Caller(from), request)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -139,7 +139,7 @@
 	}
 	m.Relay = New(options)
 	m.source = m.Relay.Source(testTable, store)
-	server := peer.NewServer(name)
+	server := peer.NewServer(name, nil)
 	peer.Handle(server, wire.MethodFollow, func(ctx context.Context, request wire.FollowRequest) (wire.FollowResponse, error) {
 		m.followCalls.Add(1)
 		return m.Follow(ctx, request)
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -43,7 +43,7 @@
 	t.Helper()
 	runner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	c := &carrier{peers: peer.NewServer("carrier"), runner: runner, requests: make(chan string, 10)}
+	c := &carrier{peers: peer.NewServer("carrier", nil), runner: runner, requests: make(chan string, 10)}
 	c.Server = NewServer(ServerOptions{
 		Connect: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return link.Runner.Dialer().DialContext(ctx, "tcp", address)
@@ -248,7 +248,7 @@
 func TestOneWorkingPeerIsEnough(t *testing.T) {
 	working, cut := startCarrier(t), startCarrier(t)
 	cut.options.Fails = func(string) bool { return true }
-	older := peer.NewServer("older")
+	older := peer.NewServer("older", nil)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	go func() { _ = older.Serve(listener) }()
--- a/internal/upstream/paths_test.go
+++ b/internal/upstream/paths_test.go
@@ -56,7 +56,7 @@
 		},
 		Fails: func(string) bool { return false }, ReachesOthers: func(context.Context, string) bool { return true }, AddressOf: func(string) (string, bool) { return "", false }, Begin: func() (func(), bool) { return func() {}, true }, Log: logr.Discard(),
 	})
-	peers := peer.NewServer("peer")
+	peers := peer.NewServer("peer", nil)
 	peer.HandleUpgrade(peers, wire.MethodTunnel, server.Open)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
