Bound the connections of clients by the descriptors of the process

What callers saw: with 1,000 connections on which nothing is sent and 600 descriptors, an ordinary request was served only after these had timed out: no descriptor was left to accept it, or to reach a runner.

Cause: nothing bounded the number of connections.

--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -32,7 +32,7 @@
 // startServer starts a server with a budget that answers with the length of each body, after release is closed.
 func startServer(t *testing.T, limit memory.Bytes, release <-chan struct{}) (*Guard, string) {
 	t.Helper()
-	guard := NewGuard(memory.NewBudget(limit), testCosts, logr.Discard())
+	guard := NewGuard(memory.NewBudget(limit, 0), testCosts, logr.Discard())
 	writeError := func(w http.ResponseWriter, _ *http.Request, problem *fault.Error) { fault.Write(w, problem) }
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		content, err := ReadBody(r, bodyLimit, 1)
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -47,12 +47,24 @@
 func (b *Budget) Open(base Bytes, interrupt func()) (*Account, error) {
 	a := &Account{budget: b, interrupt: interrupt, base: base, index: -1}
 	a.progressed.Store(int64(b.elapsed()))
-	if err := a.grow(base, 0); err != nil {
+	b.mutex.Lock()
+	yielding, ok := b.makePlace()
+	if ok && base > 0 {
+		var more []*Account
+		more, ok = b.admit(demand{account: a, size: base, more: base})
+		yielding = append(yielding, more...)
+	}
+	if ok {
+		b.resize(a, base, 0)
+		b.open++
+		a.setState(receiving)
+	} else {
+		b.figures.Refused++
+	}
+	b.mutex.Unlock()
+	if err := finish(yielding, ok); err != nil {
 		return nil, err
 	}
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	a.setState(receiving)
 	return a, nil
 }
 
@@ -118,7 +130,7 @@
 	}
 	a.budget.mutex.Lock()
 	defer a.budget.mutex.Unlock()
-	a.budget.resize(a, a.held-less, a.expected)
+	a.budget.resize(a, max(a.held-less, 0), a.expected)
 }
 
 // Received records that bytes have arrived.
@@ -151,14 +163,14 @@
 }
 
 // Settle records that the request is whole: from now on the account does not give way. The error,
-// fault.CodeOverloaded, means that it has to already.
+// fault.CodeOverloaded, means that it has to already, or is closed.
 func (a *Account) Settle() error {
 	if a == nil {
 		return nil
 	}
 	a.budget.mutex.Lock()
 	defer a.budget.mutex.Unlock()
-	if a.yields {
+	if a.yields || a.state == closed {
 		return fullError()
 	}
 	a.setState(busy)
@@ -196,6 +208,9 @@
 		return
 	}
 	a.budget.resize(a, 0, 0)
+	if !a.yields {
+		a.budget.open--
+	}
 	a.setState(closed)
 }
 
@@ -232,6 +247,7 @@
 		b.large--
 	}
 	a.yields = true
+	b.open--
 	b.used -= a.held
 	b.yielding += a.held
 	b.figures.Yielded++
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -36,14 +36,18 @@
 // Budget is the memory that accounts may use together. It is safe for concurrent use.
 type Budget struct {
 	limit Bytes
-	now   func() time.Time
-	start time.Time
+	// maxOpen is the largest number of open accounts that do not give way; zero for any number.
+	maxOpen int
+	now     func() time.Time
+	start   time.Time
 
 	mutex sync.Mutex
 	// used is what accounts hold, without yielding, which those hold that give way.
 	used, yielding Bytes
 	// receiving are the accounts that may give way.
 	receiving []*Account
+	// open counts the open accounts that do not give way.
+	open int
 	// large counts the large accounts that do not give way.
 	large int
 	// failed and failedSmall are when no account was found that could give way to a request, and to a small one.
@@ -54,15 +58,17 @@
 // Figures describe the use of a budget since the start.
 type Figures struct {
 	Limit, Used, Peak Bytes
+	// Open is the number of connections.
+	Open int
 	// Refused counts the accounts that got no room, Yielded those that gave way.
 	Refused, Yielded int64
 }
 
-// NewBudget returns a budget of which nothing is used.
-func NewBudget(limit Bytes) *Budget { return newBudget(limit, time.Now) }
+// NewBudget returns a budget for at most maxOpen accounts, zero for any number, of which nothing is used.
+func NewBudget(limit Bytes, maxOpen int) *Budget { return newBudget(limit, maxOpen, time.Now) }
 
-func newBudget(limit Bytes, now func() time.Time) *Budget {
-	return &Budget{limit: limit, now: now, start: now(), figures: Figures{Limit: limit}}
+func newBudget(limit Bytes, maxOpen int, now func() time.Time) *Budget {
+	return &Budget{limit: limit, maxOpen: maxOpen, now: now, start: now(), figures: Figures{Limit: limit}}
 }
 
 // elapsed returns the steady time since the start.
@@ -73,7 +79,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	figures := b.figures
-	figures.Used = b.used + b.yielding
+	figures.Used, figures.Open = b.used+b.yielding, b.open
 	return figures
 }
 
@@ -178,6 +184,26 @@
 	return first
 }
 
+// makePlace lets the account that has received nothing for the longest time give way if there are too many. It returns
+// false if none is stalled. mutex must be held.
+func (b *Budget) makePlace() (yielding []*Account, ok bool) {
+	if b.maxOpen == 0 || b.open < b.maxOpen {
+		return nil, true
+	}
+	now := b.elapsed()
+	var oldest *Account
+	for _, other := range b.receiving {
+		if other.stalled(now) && (oldest == nil || other.progressed.Load() < oldest.progressed.Load()) {
+			oldest = other
+		}
+	}
+	if oldest == nil {
+		return nil, false
+	}
+	oldest.yield()
+	return []*Account{oldest}, true
+}
+
 // resize changes what an account holds and expects. mutex must be held.
 func (b *Budget) resize(a *Account, held, expected Bytes) {
 	before := a.isLarge()
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -20,21 +20,28 @@
 	interrupted []*Account
 }
 
-func newFixture(limit Bytes) *fixture {
+func newFixture(limit Bytes) *fixture { return newFixtureOf(limit, 0) }
+
+func newFixtureOf(limit Bytes, maxOpen int) *fixture {
 	f := &fixture{clock: time.Unix(1000, 0)}
-	f.Budget = newBudget(limit, func() time.Time { return f.clock })
+	f.Budget = newBudget(limit, maxOpen, func() time.Time { return f.clock })
 	return f
 }
 
 // open opens an account that takes an amount.
 func (f *fixture) open(t assert.TestingT, amount Bytes) *Account {
-	var a *Account
-	a, err := f.Open(1, func() { f.interrupted = append(f.interrupted, a) })
+	a, err := f.tryOpen(1)
 	assert.NilError(t, err)
 	assert.NilError(t, a.Take(amount-1))
 	return a
 }
 
+// tryOpen opens an account that takes base.
+func (f *fixture) tryOpen(base Bytes) (a *Account, err error) {
+	a, err = f.Open(base, func() { f.interrupted = append(f.interrupted, a) })
+	return a, err
+}
+
 func isFull(err error) bool { return fault.IsCode(err, fault.CodeOverloaded) }
 
 // Large requests share a part of the budget, so that smaller ones find room.
@@ -109,11 +116,27 @@
 	}
 }
 
+// Beyond the number of accounts, the one that has received nothing for the longest time gives way to a new one.
+func TestTooManyAccounts(t *testing.T) {
+	f := newFixtureOf(mebi, 3)
+	first, whole := f.open(t, 1), f.open(t, 1)
+	assert.NilError(t, whole.Settle())
+	f.clock = f.clock.Add(stallTimeout / 2)
+	f.open(t, 1)
+	_, err := f.tryOpen(1)
+	assert.Assert(t, isFull(err))
+	f.clock = f.clock.Add(stallTimeout / 2)
+	f.open(t, 1)
+	assert.Assert(t, first.Yields() && !whole.Yields())
+	first.Close()
+	assert.Equal(t, f.Figures().Open, 3)
+}
+
 // Whatever accounts do, the books agree with what they hold, and the budget is exceeded by what gives way alone.
 func TestBudgetIsKept(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := Bytes(rapid.IntRange(1, 64).Draw(t, "limit")) * mebi
-		f := newFixture(limit)
+		f := newFixtureOf(limit, rapid.IntRange(0, 20).Draw(t, "places"))
 		var accounts []*Account
 		for range 200 {
 			f.clock = f.clock.Add(time.Duration(rapid.IntRange(0, 600).Draw(t, "ms")) * time.Millisecond)
@@ -147,7 +170,7 @@
 // check compares the sums with the accounts.
 func (f *fixture) check(t assert.TestingT, accounts []*Account) {
 	var used, yielding Bytes
-	large, listed := 0, 0
+	large, listed, open := 0, 0, 0
 	for _, a := range accounts {
 		if a.yields {
 			yielding += a.held
@@ -157,6 +180,9 @@
 		if a.isLarge() {
 			large++
 		}
+		if a.state != closed && !a.yields {
+			open++
+		}
 		if a.index >= 0 {
 			listed++
 			assert.Assert(t, f.receiving[a.index] == a)
@@ -166,6 +192,8 @@
 	assert.Equal(t, f.used, used)
 	assert.Equal(t, f.yielding, yielding)
 	assert.Equal(t, f.large, large)
+	assert.Equal(t, f.Budget.open, open)
+	assert.Assert(t, f.maxOpen == 0 || open <= f.maxOpen)
 	assert.Equal(t, len(f.receiving), listed)
 	assert.Assert(t, used <= f.limit, "%d of %d", used, f.limit)
 	assert.Assert(t, float64(used+yielding) <= float64(f.limit)*(1+overdraft))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -103,6 +103,8 @@
 	LinkMbps float64 `yaml:"linkMbps"`
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB float64 `yaml:"memoryMB"`
+	// Files is the number of descriptors that the process may have open.
+	Files int `yaml:"files"`
 }
 
 // Recommended capacity of a node that works for other nodes.
@@ -340,6 +342,7 @@
 	check(s.Capacity.Cores >= 0, "capacity.cores: must not be negative")
 	check(s.Capacity.LinkMbps >= 0, "capacity.linkMbps: must not be negative")
 	check(s.Capacity.MemoryMB >= 0, "capacity.memoryMB: must not be negative")
+	check(s.Capacity.Files >= 0, "capacity.files: must not be negative")
 	check(s.Relay.Scope == ScopeZone || s.Relay.Scope == ScopeRegion, "relay.scope: zone or region")
 	check(s.Configuration.Within > 0, "configuration.within: must be above zero")
 	check(s.Evacuation.Within > 0, "evacuation.within: must be above zero")
--- a/test/crowd_client_test.go
+++ b/test/crowd_client_test.go
@@ -43,6 +43,8 @@
 	whole bool
 	// then is sent after the request on the same connection.
 	then string
+	// files is the number of descriptors that the node may have open; zero for the usual one.
+	files int
 	// headOnly leaves out the end of the head and all that follows it.
 	headOnly bool
 }
--- a/test/crowd_harness_test.go
+++ b/test/crowd_harness_test.go
@@ -10,8 +10,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
+	"unsafe"
 
 	"gotest.tools/v3/assert"
 
@@ -37,7 +39,10 @@
 // has run.
 func testCrowd(t *testing.T, kind crowdKind) {
 	t.Helper()
-	w, node := startCrowdWorld(t)
+	w, node := startCrowdWorld(t, kind.files)
+	if kind.files > 0 {
+		limitFiles(t, node, kind.files)
+	}
 	files := openFiles(t, node)
 	memory := watchMemory(node)
 	c := startCrowd(node, kind)
@@ -64,15 +69,16 @@
 	checkRefusedNotRun(t, w, c)
 }
 
-// startCrowdWorld starts a node on a machine with little memory, and a runner.
-func startCrowdWorld(t *testing.T) (*world.World, *world.Node) {
+// startCrowdWorld starts a node on a machine with little memory, and runners. files is the number of descriptors that its
+// settings name.
+func startCrowdWorld(t *testing.T, files int) (*world.World, *world.Node) {
 	t.Helper()
 	w := newWorld(t, func(options *world.Options) {
 		options.Proxied = false
 		options.Adjust = func(s *settings.Settings) {
 			useShortIntervals(s)
 			s.Log.Level = settings.Default().Log.Level
-			s.Capacity.MemoryMB = crowdMachineMB
+			s.Capacity.MemoryMB, s.Capacity.Files = crowdMachineMB, files
 		}
 	})
 	startMailers(t, w, 1)
@@ -105,6 +111,14 @@
 	return len(entries)
 }
 
+// limitFiles sets how many descriptors the process of a node may have open.
+func limitFiles(t *testing.T, node *world.Node, files int) {
+	t.Helper()
+	limit := syscall.Rlimit{Cur: uint64(files), Max: uint64(files)}
+	_, _, errno := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(node.Current().ID()), syscall.RLIMIT_NOFILE, uintptr(unsafe.Pointer(&limit)), 0, 0, 0)
+	assert.Equal(t, errno, syscall.Errno(0))
+}
+
 // answers counts the members of a crowd by the status of their answer.
 func (c *crowd) answers() map[int]int {
 	counts := make(map[int]int)
--- a/test/crowd_soak_test.go
+++ b/test/crowd_soak_test.go
@@ -151,7 +151,7 @@
 		"bit by bit, slowly": {length: 50, piece: 25, pieces: 2, pause: crowdPause},
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, node := startCrowdWorld(t)
+			_, node := startCrowdWorld(t, 0)
 			kind.members, kind.address, kind.head, kind.whole = 1, clientEntrance, clientHead, true
 			c := startCrowd(node, kind)
 			waitUntil(t, "the request has its answer", func() error {
--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -134,6 +134,13 @@
 	})
 }
 
+// Connections on which nothing is sent, more than the node may have descriptors.
+func TestCrowdWithoutDescriptors(t *testing.T) {
+	testCrowd(t, crowdKind{
+		members: 1000, address: clientEntrance, head: noHead, headOnly: true, files: 600,
+	})
+}
+
 // Bytes behind a request that waits for a model.
 func TestCrowdSecondRequest(t *testing.T) {
 	testCrowd(t, crowdKind{
