Export the memory of connections and requests

Cause: an operator could not see how near a node is to the bound.

Change: gauges of the limit, the use, the peak and the open connections, and counters of what found no room and of what gave way, for clients and for other nodes.

Measured: the tests of metrics and node pass.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -13,6 +13,7 @@
 	"lilacvane/internal/fault"
 	"lilacvane/internal/fleet"
 	"lilacvane/internal/link"
+	"lilacvane/internal/memory"
 	"lilacvane/internal/overload"
 	"lilacvane/internal/reach"
 	"lilacvane/internal/statement"
@@ -61,6 +62,8 @@
 	StoreEpoch func() uint64
 	// Links counts connections.
 	Links *link.Record
+	// Memory returns the figures of the memory of requests, by whom they come from.
+	Memory map[string]func() memory.Figures
 }
 
 // Metrics holds the counters and latency histograms of a node. It is safe for concurrent use.
@@ -163,6 +166,7 @@
 	m.statements = newStatementCounter()
 	m.registry.MustRegister(newRunnerCollector(sources.RunnersByState), m.refused, m.denied, m.loadTimeError, m.requests, m.outsideHomes, m.regionBytes, m.attempts, m.failed, m.broken, m.cut, m.crashes, m.undeliveredCrashReports, m.invalidReports, m.statements, m.unreadable, m.resumes, m.firstByte, m.waitTime, m.newsAge)
 	m.registry.MustRegister(newLinkCollector(sources.Links))
+	registerMemory(m.registry, sources.Memory)
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lilacvane/internal/dispatch"
+	"lilacvane/internal/memory"
 	"lilacvane/internal/metrics"
 	"lilacvane/internal/place"
 	"lilacvane/internal/reach"
@@ -27,6 +28,10 @@
 		LeasesHeld: func() int { return n.controls.countHeld() },
 		StoreEpoch: func() uint64 { return uint64(n.platform.Epochs.Newest()) },
 		Links:      n.platform.Links,
+		Memory: map[string]func() memory.Figures{
+			"clients": func() memory.Figures { return n.guard.Figures() },
+			"nodes":   func() memory.Figures { return n.peerGuard.Figures() },
+		},
 	})
 }
 
