Bound the heads of readiness, metrics and profile requests

What was seen: 400 heads of 900 kB without an end at the readiness check took 442 MB on a machine of 144 MB.

Cause: these servers had the library's limit of 1 MB for each head, and no bound over all of them. Nothing that asks there needs more than a line.

Change: heads of 4 KiB (8 with the library's margin), 431 beyond. The test's heads are built without copying them for each line.

--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -20,6 +20,8 @@
 	pathProfiles = "/debug/pprof/"
 	// statusTimeout bounds readiness, metrics and profile requests.
 	statusTimeout = 5 * time.Second
+	// statusHeaderBytes bounds the heads of such requests, in bytes. The library adds 4 KiB.
+	statusHeaderBytes = 4 << 10
 )
 
 // serve starts serving on all listeners.
@@ -52,7 +54,7 @@
 func serveStatus(listener net.Listener, path string, handler http.HandlerFunc) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, handler)
-	server := &http.Server{Handler: mux, ReadTimeout: statusTimeout, WriteTimeout: statusTimeout}
+	server := &http.Server{Handler: mux, ReadTimeout: statusTimeout, WriteTimeout: statusTimeout, MaxHeaderBytes: statusHeaderBytes}
 	return server.Serve(listener)
 }
 
--- a/test/crowd_client_test.go
+++ b/test/crowd_client_test.go
@@ -229,11 +229,12 @@
 // longHead returns a function that returns the beginning of a head of some bytes.
 func longHead(size int) func(id string) string {
 	return func(id string) string {
-		head := clientHead(id)
-		for index := 0; len(head) < size; index++ {
-			head += fmt.Sprintf("X-Part-%d: %s\r\n", index, strings.Repeat("x", 512))
+		var head strings.Builder
+		head.WriteString(clientHead(id))
+		for index := 0; head.Len() < size; index++ {
+			fmt.Fprintf(&head, "X-Part-%d: %s\r\n", index, strings.Repeat("x", 512))
 		}
-		return head
+		return head.String()
 	}
 }
 
@@ -242,3 +243,4 @@
 func callerEntrance(n *world.Node) string   { return n.Callers }
 func operatorEntrance(n *world.Node) string { return n.Operators }
 func peerEntrance(n *world.Node) string     { return n.Peers }
+func readyEntrance(n *world.Node) string    { return n.Ready }
--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -127,6 +127,13 @@
 	})
 }
 
+// Heads of 900 kB without an end to the readiness check.
+func TestCrowdReady(t *testing.T) {
+	testCrowd(t, crowdKind{
+		members: 400, address: readyEntrance, head: longHead(900_000), headOnly: true,
+	})
+}
+
 // Connections on which nothing is sent.
 func TestCrowdSilent(t *testing.T) {
 	testCrowd(t, crowdKind{
