Read what an account expects under the budget's mutex

Cause: Take read it without the mutex, while a server that closes all its connections at the end of a stop writes it.

Change: Open, Expect and Take ask for memory in the same three steps under the mutex; demands that are not met are counted where their error is made.

Measured: the tests of memory and inbound pass with the race detector.

--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"lilacvane/internal/fault"
 )
 
 // state is what the connection of an account does.
@@ -46,7 +48,7 @@
 // way, and must not block. The error is fault.CodeOverloaded.
 func (b *Budget) Open(base Bytes, interrupt func()) (*Account, error) {
 	a := &Account{budget: b, interrupt: interrupt, base: base, index: -1}
-	a.progressed.Store(int64(b.elapsed()))
+	a.Begin()
 	b.mutex.Lock()
 	yielding, ok := b.makePlace()
 	if ok && base > 0 {
@@ -58,11 +60,9 @@
 		b.resize(a, base, 0)
 		b.open++
 		a.setState(receiving)
-	} else {
-		b.figures.Refused++
 	}
 	b.mutex.Unlock()
-	if err := finish(yielding, ok); err != nil {
+	if err := b.finish(yielding, ok); err != nil {
 		return nil, err
 	}
 	return a, nil
@@ -71,7 +71,7 @@
 // Expect reports with an error, fault.CodeOverloaded, that there is no room now for a request that takes
 // more memory in the end. It takes nothing: what is announced may never come.
 func (a *Account) Expect(more Bytes) error {
-	if a == nil {
+	if a == nil || more == 0 {
 		return nil
 	}
 	b := a.budget
@@ -80,47 +80,37 @@
 	yielding, ok := b.admit(demand{account: a, size: expected, more: more})
 	if ok {
 		b.resize(a, a.held, expected)
-	} else {
-		b.figures.Refused++
 	}
 	b.mutex.Unlock()
-	return finish(yielding, ok)
+	return b.finish(yielding, ok)
 }
 
 // Take takes more memory. The error, fault.CodeOverloaded, means that there is no room, or that the account
 // has to give way.
 func (a *Account) Take(more Bytes) error {
-	if a == nil {
-		return nil
-	}
-	return a.grow(more, a.expected)
-}
-
-func (a *Account) grow(more, expected Bytes) error {
-	if more == 0 {
+	if a == nil || more == 0 {
 		return nil
 	}
 	b := a.budget
 	b.mutex.Lock()
-	yielding, ok := b.admit(demand{account: a, size: max(a.held+more, expected), more: more})
+	yielding, ok := b.admit(demand{account: a, size: max(a.held+more, a.expected), more: more})
 	if ok {
-		b.resize(a, a.held+more, expected)
-	} else {
-		b.figures.Refused++
+		b.resize(a, a.held+more, a.expected)
 	}
 	b.mutex.Unlock()
-	return finish(yielding, ok)
+	return b.finish(yielding, ok)
 }
 
-// finish interrupts the accounts that give way.
-func finish(yielding []*Account, ok bool) error {
+// finish interrupts the accounts that give way, and returns the error of a demand that was not met.
+func (b *Budget) finish(yielding []*Account, ok bool) error {
 	for _, other := range yielding {
 		other.interrupt()
 	}
-	if !ok {
-		return fullError()
+	if ok {
+		return nil
 	}
-	return nil
+	b.refused.Add(1)
+	return fault.New(fault.CodeOverloaded, "take memory", "this node has no memory left for the request")
 }
 
 // Give gives back memory.
@@ -171,7 +161,7 @@
 	a.budget.mutex.Lock()
 	defer a.budget.mutex.Unlock()
 	if a.yields || a.state == closed {
-		return fullError()
+		return fault.New(fault.CodeOverloaded, "take memory", "the request gave way to others")
 	}
 	a.setState(busy)
 	return nil
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -6,9 +6,8 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
-
-	"lilacvane/internal/fault"
 )
 
 // Bytes is an amount of memory.
@@ -53,6 +52,8 @@
 	// failed and failedSmall are when no account was found that could give way to a request, and to a small one.
 	failed, failedSmall time.Time
 	figures             Figures
+	// refused counts the demands that were not met.
+	refused atomic.Int64
 }
 
 // Figures describe the use of a budget since the start.
@@ -60,7 +61,7 @@
 	Limit, Used, Peak Bytes
 	// Open is the number of connections.
 	Open int
-	// Refused counts the accounts that got no room, Yielded those that gave way.
+	// Refused counts the demands that were not met, Yielded the accounts that gave way.
 	Refused, Yielded int64
 }
 
@@ -79,15 +80,10 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	figures := b.figures
-	figures.Used, figures.Open = b.used+b.yielding, b.open
+	figures.Used, figures.Open, figures.Refused = b.used+b.yielding, b.open, b.refused.Load()
 	return figures
 }
 
-// fullError returns the error of an account for which there is no room.
-func fullError() error {
-	return fault.New(fault.CodeOverloaded, "take memory", "this node has no memory left for the request")
-}
-
 // RetryAfter returns when a request of a size that got no room is to be sent again: small ones earlier,
 // because they find room first. Times are spread so that requests do not return together.
 func RetryAfter(size Bytes) time.Duration {
