Call it eviction where memory of a request is needed for others

Cause: "yield" is what a lease holder does, and "give way" was a second term for the same thing.

No behaviour changes.

Measured: the tests of memory, inbound, metrics and node pass.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -49,13 +49,13 @@
 	if c.serving.Load() {
 		return c.readServing(buffer)
 	}
-	if c.account.Yields() {
+	if c.account.Evicted() {
 		return 0, c.refuseHead()
 	}
 	count, err := c.Conn.Read(buffer)
 	c.head += count
 	c.account.Received(memory.Bytes(count))
-	if problem := c.chargeHead(); problem != nil || err != nil && c.account.Yields() {
+	if problem := c.chargeHead(); problem != nil || err != nil && c.account.Evicted() {
 		return 0, c.refuseHead()
 	}
 	return count, err
@@ -164,7 +164,7 @@
 		_ = tcp.CloseWrite()
 	}
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	if !c.account.Yields() {
+	if !c.account.Evicted() {
 		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 	}
 	c.interrupt()
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -178,12 +178,12 @@
 	awaitUsed(t, guard, 0)
 }
 
-// Connections beyond the budget close, and those that rest give way to new ones.
+// Connections beyond the budget close, and those that rest are evicted for new ones.
 func TestConnectionsWithoutRoom(t *testing.T) {
 	guard, address := startServer(t, 2, nil)
 	resting := []*client{connect(t, address), connect(t, address)}
 	awaitUsed(t, guard, 2)
-	for guard.Figures().Yielded == 0 {
+	for guard.Figures().Evicted == 0 {
 		connect(t, address)
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/internal/inbound/report.go
+++ b/internal/inbound/report.go
@@ -52,7 +52,7 @@
 	}
 	figures := r.budget.Figures()
 	r.log.Info("requests refused for lack of memory", "step", stepRead, "refused", r.count, "peer", top, "refusedOfPeer", r.peers[top], "peers", len(r.peers),
-		"usedBytes", int64(figures.Used), "limitBytes", int64(figures.Limit), "yielded", figures.Yielded)
+		"usedBytes", int64(figures.Used), "limitBytes", int64(figures.Limit), "evicted", figures.Evicted)
 	r.last, r.count = time.Now(), 0
 	clear(r.peers)
 }
--- a/internal/inbound/request.go
+++ b/internal/inbound/request.go
@@ -32,7 +32,7 @@
 	switch {
 	case fault.IsCode(err, fault.CodeOverloaded):
 		return full(err)
-	case err != nil && account.Yields():
+	case err != nil && account.Evicted():
 		return full(conn.settle())
 	case err != nil:
 		return body.Body{}, fault.New(fault.CodeInvalid, stepRead, "body: %v", err)
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -13,7 +13,7 @@
 const (
 	// receiving is a connection that waits for a request or reads one.
 	receiving state = iota
-	// busy is one whose request is whole. It may have reached a runner, so it never gives way.
+	// busy is one whose request is whole. It may have reached a runner, so it is never evicted.
 	busy
 	// leaving is one that is about to close.
 	leaving
@@ -40,21 +40,21 @@
 	index int
 	// held is what it takes, expected what it may take in the end.
 	held, expected Bytes
-	// yields is set once it has to give way.
-	yields bool
+	// evicted is set once its memory is needed for others: its request must be refused, or its connection closed.
+	evicted bool
 }
 
-// Open opens the account of a connection that itself takes base. interrupt is called when the account has to give
-// way, and must not block. The error is fault.CodeOverloaded.
+// Open opens the account of a connection that itself takes base. interrupt is called when the account is evicted,
+// and must not block. The error is fault.CodeOverloaded.
 func (b *Budget) Open(base Bytes, interrupt func()) (*Account, error) {
 	a := &Account{budget: b, interrupt: interrupt, base: base, index: -1}
 	a.Begin()
 	b.mutex.Lock()
-	yielding, ok := b.makePlace()
+	evicted, ok := b.makePlace()
 	if ok && base > 0 {
 		var more []*Account
 		more, ok = b.admit(demand{account: a, size: base, more: base})
-		yielding = append(yielding, more...)
+		evicted = append(evicted, more...)
 	}
 	if ok {
 		b.resize(a, base, 0)
@@ -62,7 +62,7 @@
 		a.setState(receiving)
 	}
 	b.mutex.Unlock()
-	if err := b.finish(yielding, ok); err != nil {
+	if err := b.finish(evicted, ok); err != nil {
 		return nil, err
 	}
 	return a, nil
@@ -77,33 +77,33 @@
 	b := a.budget
 	b.mutex.Lock()
 	expected := a.held + more
-	yielding, ok := b.admit(demand{account: a, size: expected, more: more})
+	evicted, ok := b.admit(demand{account: a, size: expected, more: more})
 	if ok {
 		b.resize(a, a.held, expected)
 	}
 	b.mutex.Unlock()
-	return b.finish(yielding, ok)
+	return b.finish(evicted, ok)
 }
 
 // Take takes more memory. The error, fault.CodeOverloaded, means that there is no room, or that the account
-// has to give way.
+// is evicted.
 func (a *Account) Take(more Bytes) error {
 	if a == nil || more == 0 {
 		return nil
 	}
 	b := a.budget
 	b.mutex.Lock()
-	yielding, ok := b.admit(demand{account: a, size: max(a.held+more, a.expected), more: more})
+	evicted, ok := b.admit(demand{account: a, size: max(a.held+more, a.expected), more: more})
 	if ok {
 		b.resize(a, a.held+more, a.expected)
 	}
 	b.mutex.Unlock()
-	return b.finish(yielding, ok)
+	return b.finish(evicted, ok)
 }
 
-// finish interrupts the accounts that give way, and returns the error of a demand that was not met.
-func (b *Budget) finish(yielding []*Account, ok bool) error {
-	for _, other := range yielding {
+// finish interrupts the accounts that are evicted, and returns the error of a demand that was not met.
+func (b *Budget) finish(evicted []*Account, ok bool) error {
+	for _, other := range evicted {
 		other.interrupt()
 	}
 	if ok {
@@ -135,14 +135,14 @@
 	}
 }
 
-// Yields reports whether the account has to give way.
-func (a *Account) Yields() bool {
+// Evicted reports whether the memory of the account is needed for others.
+func (a *Account) Evicted() bool {
 	if a == nil {
 		return false
 	}
 	a.budget.mutex.Lock()
 	defer a.budget.mutex.Unlock()
-	return a.yields
+	return a.evicted
 }
 
 // Begin records that a request begins to arrive.
@@ -152,16 +152,16 @@
 	}
 }
 
-// Settle records that the request is whole: from now on the account does not give way. The error,
-// fault.CodeOverloaded, means that it has to already, or is closed.
+// Settle records that the request is whole: from now on the account is not evicted. The error,
+// fault.CodeOverloaded, means that it is evicted already, or closed.
 func (a *Account) Settle() error {
 	if a == nil {
 		return nil
 	}
 	a.budget.mutex.Lock()
 	defer a.budget.mutex.Unlock()
-	if a.yields || a.state == closed {
-		return fault.New(fault.CodeOverloaded, "take memory", "the request gave way to others")
+	if a.evicted || a.state == closed {
+		return fault.New(fault.CodeOverloaded, "take memory", "the memory of the request was needed for others")
 	}
 	a.setState(busy)
 	return nil
@@ -198,7 +198,7 @@
 		return
 	}
 	a.budget.resize(a, 0, 0)
-	if !a.yields {
+	if !a.evicted {
 		a.budget.open--
 	}
 	a.setState(closed)
@@ -212,51 +212,51 @@
 	return a.state == leaving || now-time.Duration(a.progressed.Load()) >= stallTimeout
 }
 
-// isLarge reports whether the account is a large one that does not give way. mutex must be held.
-func (a *Account) isLarge() bool { return !a.yields && a.size() > mediumSize }
+// isLarge reports whether the account is a large one that is not evicted. mutex must be held.
+func (a *Account) isLarge() bool { return !a.evicted && a.size() > mediumSize }
 
-// mayYieldTo reports whether the account may give way to a demand of another one. Small ones need not wait until
+// evictableFor reports whether the account may be evicted for a demand of another one. Small ones need not wait until
 // larger ones stall. mutex must be held.
-func (a *Account) mayYieldTo(d demand, now time.Duration) bool {
+func (a *Account) evictableFor(d demand, now time.Duration) bool {
 	return a != d.account && a.held > 0 && (a.stalled(now) || d.small() && a.held > smallSize)
 }
 
-// yieldsBefore reports whether the account gives way before another one. mutex must be held.
-func (a *Account) yieldsBefore(other *Account, now time.Duration) bool {
+// evictedBefore reports whether the account is evicted before another one. mutex must be held.
+func (a *Account) evictedBefore(other *Account, now time.Duration) bool {
 	if stalled := a.stalled(now); stalled != other.stalled(now) {
 		return stalled
 	}
 	return a.held > other.held
 }
 
-// yield marks the account as one that gives way. mutex must be held.
-func (a *Account) yield() {
+// evict marks the account as evicted. mutex must be held.
+func (a *Account) evict() {
 	b := a.budget
 	a.remove()
 	if a.isLarge() {
 		b.large--
 	}
-	a.yields = true
+	a.evicted = true
 	b.open--
 	b.used -= a.held
-	b.yielding += a.held
-	b.figures.Yielded++
+	b.evicting += a.held
+	b.figures.Evicted++
 }
 
 // setState changes the state. mutex must be held.
 func (a *Account) setState(next state) {
 	a.state = next
-	mayYield := (next == receiving || next == leaving) && !a.yields
+	evictable := (next == receiving || next == leaving) && !a.evicted
 	switch {
-	case mayYield && a.index < 0:
+	case evictable && a.index < 0:
 		a.index = len(a.budget.receiving)
 		a.budget.receiving = append(a.budget.receiving, a)
-	case !mayYield:
+	case !evictable:
 		a.remove()
 	}
 }
 
-// remove removes the account from those that may give way. mutex must be held.
+// remove removes the account from those that may be evicted. mutex must be held.
 func (a *Account) remove() {
 	if a.index < 0 {
 		return
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -1,6 +1,6 @@
 // Package memory bounds the memory that the connections and requests of others take in this process. Each
 // connection has an account in a budget. When the budget is spent, accounts that do not receive anything
-// give way to others: clients that stop sending must not keep out the rest.
+// are evicted: clients that stop sending must not keep out the rest.
 package memory
 
 import (
@@ -21,35 +21,35 @@
 	mediumSize  Bytes = 512 << 10
 	mediumShare       = 0.75
 	largeShare        = 0.5
-	// overdraft is the part of the budget by which it may be exceeded while accounts that give way have not
-	// released their memory yet.
+	// overdraft is the part of the budget by which it may be exceeded while evicted accounts have not released
+	// their memory yet.
 	overdraft = 0.25
-	// stallTimeout is how long an account may receive less than progressSize until it gives way if there is no
-	// room for another one.
+	// stallTimeout is how long an account may receive less than progressSize until it is evicted if there is
+	// no room for another one.
 	stallTimeout       = time.Second
 	progressSize Bytes = 64 << 10
-	// searchPause is how long no account is looked for that could give way after none was found.
+	// searchPause is how long no account to evict is looked for after none was found.
 	searchPause = 20 * time.Millisecond
 )
 
 // Budget is the memory that accounts may use together. It is safe for concurrent use.
 type Budget struct {
 	limit Bytes
-	// maxOpen is the largest number of open accounts that do not give way; zero for any number.
+	// maxOpen is the largest number of open accounts that are not evicted; zero for any number.
 	maxOpen int
 	now     func() time.Time
 	start   time.Time
 
 	mutex sync.Mutex
-	// used is what accounts hold, without yielding, which those hold that give way.
-	used, yielding Bytes
-	// receiving are the accounts that may give way.
+	// used is what accounts hold that are not evicted, evicting what the evicted ones have not released.
+	used, evicting Bytes
+	// receiving are the accounts that may be evicted.
 	receiving []*Account
-	// open counts the open accounts that do not give way.
+	// open counts the open accounts that are not evicted.
 	open int
-	// large counts the large accounts that do not give way.
+	// large counts the large accounts that are not evicted.
 	large int
-	// failed and failedSmall are when no account was found that could give way to a request, and to a small one.
+	// failed and failedSmall are when no account to evict was found for a request, and for a small one.
 	failed, failedSmall time.Time
 	figures             Figures
 	// refused counts the demands that were not met.
@@ -61,8 +61,8 @@
 	Limit, Used, Peak Bytes
 	// Open is the number of connections.
 	Open int
-	// Refused counts the demands that were not met, Yielded the accounts that gave way.
-	Refused, Yielded int64
+	// Refused counts the demands that were not met, Evicted the accounts that were evicted.
+	Refused, Evicted int64
 }
 
 // NewBudget returns a budget for at most maxOpen accounts, zero for any number, of which nothing is used.
@@ -80,7 +80,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	figures := b.figures
-	figures.Used, figures.Open, figures.Refused = b.used+b.yielding, b.open, b.refused.Load()
+	figures.Used, figures.Open, figures.Refused = b.used+b.evicting, b.open, b.refused.Load()
 	return figures
 }
 
@@ -124,23 +124,23 @@
 	return b.used-freed+d.more <= b.share(d.size, otherLarge)
 }
 
-// admit reports whether a demand is met. It returns the accounts that have to give way for that; their interrupt is to
-// be called without the mutex. mutex must be held.
-func (b *Budget) admit(d demand) (yielding []*Account, ok bool) {
-	if d.account.yields || d.account.state == closed {
+// admit reports whether a demand is met. It returns the accounts that are evicted for that; their interrupt is to be
+// called without the mutex. mutex must be held.
+func (b *Budget) admit(d demand) (evicted []*Account, ok bool) {
+	if d.account.evicted || d.account.state == closed {
 		return nil, false
 	}
 	if !b.fits(d, 0, 0) {
-		if yielding, ok = b.yieldFor(d); !ok {
+		if evicted, ok = b.evictFor(d); !ok {
 			return nil, false
 		}
 	}
-	return yielding, b.used+b.yielding+d.more <= Bytes(float64(b.limit)*(1+overdraft))
+	return evicted, b.used+b.evicting+d.more <= Bytes(float64(b.limit)*(1+overdraft))
 }
 
-// yieldFor lets accounts that may give way do so until a demand is met: stalled ones first, and of these the largest.
+// evictFor evicts accounts until a demand is met: stalled ones first, and of these the largest.
 // It returns false if they do not suffice. mutex must be held.
-func (b *Budget) yieldFor(d demand) (yielding []*Account, ok bool) {
+func (b *Budget) evictFor(d demand) (evicted []*Account, ok bool) {
 	failed := &b.failed
 	if d.small() {
 		failed = &b.failedSmall
@@ -150,7 +150,7 @@
 	}
 	now, freed, freedLarge := b.elapsed(), Bytes(0), 0
 	for _, other := range b.receiving {
-		if other.mayYieldTo(d, now) {
+		if other.evictableFor(d, now) {
 			freed += other.held
 			if other.isLarge() {
 				freedLarge++
@@ -162,27 +162,27 @@
 		return nil, false
 	}
 	for !b.fits(d, 0, 0) {
-		first := b.firstToYield(d, now)
-		first.yield()
-		yielding = append(yielding, first)
+		first := b.firstToEvict(d, now)
+		first.evict()
+		evicted = append(evicted, first)
 	}
-	return yielding, true
+	return evicted, true
 }
 
-// firstToYield returns the account that gives way to a demand before all others. mutex must be held.
-func (b *Budget) firstToYield(d demand, now time.Duration) *Account {
+// firstToEvict returns the account to evict first for a demand. mutex must be held.
+func (b *Budget) firstToEvict(d demand, now time.Duration) *Account {
 	var first *Account
 	for _, other := range b.receiving {
-		if other.mayYieldTo(d, now) && (first == nil || other.yieldsBefore(first, now)) {
+		if other.evictableFor(d, now) && (first == nil || other.evictedBefore(first, now)) {
 			first = other
 		}
 	}
 	return first
 }
 
-// makePlace lets the account that has received nothing for the longest time give way if there are too many. It returns
+// makePlace evicts the account that has received nothing for the longest time if there are too many. It returns
 // false if none is stalled. mutex must be held.
-func (b *Budget) makePlace() (yielding []*Account, ok bool) {
+func (b *Budget) makePlace() (evicted []*Account, ok bool) {
 	if b.maxOpen == 0 || b.open < b.maxOpen {
 		return nil, true
 	}
@@ -196,15 +196,15 @@
 	if oldest == nil {
 		return nil, false
 	}
-	oldest.yield()
+	oldest.evict()
 	return []*Account{oldest}, true
 }
 
 // resize changes what an account holds and expects. mutex must be held.
 func (b *Budget) resize(a *Account, held, expected Bytes) {
 	before := a.isLarge()
-	if a.yields {
-		b.yielding += held - a.held
+	if a.evicted {
+		b.evicting += held - a.held
 	} else {
 		b.used += held - a.held
 	}
@@ -216,5 +216,5 @@
 			b.large--
 		}
 	}
-	b.figures.Peak = max(b.figures.Peak, b.used+b.yielding)
+	b.figures.Peak = max(b.figures.Peak, b.used+b.evicting)
 }
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -16,7 +16,7 @@
 type fixture struct {
 	*Budget
 	clock time.Time
-	// interrupted are the accounts that had to give way, in order.
+	// interrupted are the accounts that were evicted, in order.
 	interrupted []*Account
 }
 
@@ -71,9 +71,9 @@
 	assert.Assert(t, isFull(other.Expect(mebi)))
 }
 
-// Where there is no room, accounts that stopped receiving give way, the largest first, and those that go on do
+// Where there is no room, accounts that stopped receiving are evicted, the largest first, and those that go on are
 // not.
-func TestStalledAccountsGiveWay(t *testing.T) {
+func TestStalledAccountsAreEvicted(t *testing.T) {
 	f := newFixture(10 * mebi)
 	stalled, larger, going := f.open(t, mebi), f.open(t, 2*mebi), f.open(t, 2*mebi-1)
 	newcomer := f.open(t, 1)
@@ -83,13 +83,13 @@
 	assert.NilError(t, newcomer.Expect(2*mebi))
 	assert.DeepEqual(t, len(f.interrupted), 1)
 	assert.Assert(t, f.interrupted[0] == larger)
-	assert.Assert(t, larger.Yields() && !stalled.Yields() && !going.Yields())
+	assert.Assert(t, larger.Evicted() && !stalled.Evicted() && !going.Evicted())
 	assert.Assert(t, isFull(larger.Take(1)))
 	assert.Assert(t, isFull(larger.Settle()))
 }
 
-// A request that is whole never gives way.
-func TestWholeRequestsDoNotGiveWay(t *testing.T) {
+// A request that is whole is never evicted.
+func TestWholeRequestsAreNotEvicted(t *testing.T) {
 	f := newFixture(10 * mebi)
 	whole := f.open(t, 10*mebi)
 	assert.NilError(t, whole.Settle())
@@ -110,13 +110,13 @@
 		small = append(small, f.open(t, smallSize))
 	}
 	f.open(t, smallSize)
-	assert.Assert(t, large.Yields())
+	assert.Assert(t, large.Evicted())
 	for _, a := range small {
-		assert.Assert(t, !a.Yields())
+		assert.Assert(t, !a.Evicted())
 	}
 }
 
-// Beyond the number of accounts, the one that has received nothing for the longest time gives way to a new one.
+// Beyond the number of accounts, the one that has received nothing for the longest time is evicted for a new one.
 func TestTooManyAccounts(t *testing.T) {
 	f := newFixtureOf(mebi, 3)
 	first, whole := f.open(t, 1), f.open(t, 1)
@@ -127,12 +127,12 @@
 	assert.Assert(t, isFull(err))
 	f.clock = f.clock.Add(stallTimeout / 2)
 	f.open(t, 1)
-	assert.Assert(t, first.Yields() && !whole.Yields())
+	assert.Assert(t, first.Evicted() && !whole.Evicted())
 	first.Close()
 	assert.Equal(t, f.Figures().Open, 3)
 }
 
-// Whatever accounts do, the books agree with what they hold, and the budget is exceeded by what gives way alone.
+// Whatever accounts do, the books agree with what they hold, and the budget is exceeded by evicted accounts alone.
 func TestBudgetIsKept(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := Bytes(rapid.IntRange(1, 64).Draw(t, "limit")) * mebi
@@ -169,32 +169,32 @@
 
 // check compares the sums with the accounts.
 func (f *fixture) check(t assert.TestingT, accounts []*Account) {
-	var used, yielding Bytes
+	var used, evicting Bytes
 	large, listed, open := 0, 0, 0
 	for _, a := range accounts {
-		if a.yields {
-			yielding += a.held
+		if a.evicted {
+			evicting += a.held
 		} else {
 			used += a.held
 		}
 		if a.isLarge() {
 			large++
 		}
-		if a.state != closed && !a.yields {
+		if a.state != closed && !a.evicted {
 			open++
 		}
 		if a.index >= 0 {
 			listed++
 			assert.Assert(t, f.receiving[a.index] == a)
-			assert.Assert(t, a.state != busy && a.state != closed && !a.yields)
+			assert.Assert(t, a.state != busy && a.state != closed && !a.evicted)
 		}
 	}
 	assert.Equal(t, f.used, used)
-	assert.Equal(t, f.yielding, yielding)
+	assert.Equal(t, f.evicting, evicting)
 	assert.Equal(t, f.large, large)
 	assert.Equal(t, f.Budget.open, open)
 	assert.Assert(t, f.maxOpen == 0 || open <= f.maxOpen)
 	assert.Equal(t, len(f.receiving), listed)
 	assert.Assert(t, used <= f.limit, "%d of %d", used, f.limit)
-	assert.Assert(t, float64(used+yielding) <= float64(f.limit)*(1+overdraft))
+	assert.Assert(t, float64(used+evicting) <= float64(f.limit)*(1+overdraft))
 }
--- a/internal/metrics/memory.go
+++ b/internal/metrics/memory.go
@@ -21,6 +21,6 @@
 		gauge("lilacvane_request_memory_peak_bytes", "Most memory that connections and requests took since the start.", func(f memory.Figures) float64 { return float64(f.Peak) })
 		gauge("lilacvane_connections_open", "Open connections.", func(f memory.Figures) float64 { return float64(f.Open) })
 		counter("lilacvane_request_memory_refused_total", "Connections and requests that found no room.", func(f memory.Figures) int64 { return f.Refused })
-		counter("lilacvane_request_memory_yielded_total", "Connections that gave way to others.", func(f memory.Figures) int64 { return f.Yielded })
+		counter("lilacvane_request_memory_evicted_total", "Connections whose memory was needed for others.", func(f memory.Figures) int64 { return f.Evicted })
 	}
 }
