Tell the reader of an answer of a reset that a write was told of

What callers saw: a runner answered a long upload at once with a 200 that had no length, sent a part and reset the connection while the body was still being written. The client got the part as a complete answer.

Cause: the kernel reports the error of a socket once, to the call that comes first. Where that was the write of the body, the read returned an orderly end. Nobody asked the write how it had ended. In the same way a node that carries a connection for another told it of an end instead of a reset.

Evidence: a trace of 40 resets, 5 ms after the part, with a body of 4 MiB: 30 reads returned EOF beside a write told "connection reset", 10 reads were told and the write got "broken pipe". Where the runner had closed its side in order before, 38 writes of 40 got "broken pipe" and none "connection reset".

Change: link.Conn, of all connections that nodes open, interrupts the write that is under way when a read ends, and returns the error that a write was told in place of the end. A broken pipe is no such error: after an end in order the answer is whole, also if the runner resets the connection later. A node that carries a connection goes on reading what the caller sends once the runner takes no more: closing at once would reset the caller's connection before the answer has been read.

--- a/internal/lab/linkfault/connection.go
+++ b/internal/lab/linkfault/connection.go
@@ -56,7 +56,11 @@
 	c.mutex.Lock()
 	c.ended = &net.OpError{Op: "read", Net: "tcp", Err: cause}
 	c.mutex.Unlock()
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	conn := c.Conn
+	if dialed, ok := conn.(*link.Conn); ok {
+		conn = dialed.Conn
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.Conn.Close()
--- a/internal/lab/runnerstub/http.go
+++ b/internal/lab/runnerstub/http.go
@@ -142,6 +142,10 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if faults.ResetUpload && request.ContentLength > 0 {
+		writePartAndReset(w, request, time.Duration(faults.ResetMs)*time.Millisecond)
+		return
+	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
--- a/internal/lab/runnerstub/runner.go
+++ b/internal/lab/runnerstub/runner.go
@@ -106,6 +106,10 @@
 	Extra    bool `json:"extra,omitempty"`
 	Unframed bool `json:"unframed,omitempty"`
 	Early    bool `json:"early,omitempty"`
+	// ResetUpload answers with a part of a success before the body of a request is read, and resets the
+	// connection ResetMs later, in milliseconds.
+	ResetUpload bool `json:"resetUpload,omitempty"`
+	ResetMs     int  `json:"resetMs,omitempty"`
 	// Endless makes answers begin with bytes that have no end, until the caller closes the connection.
 	Endless Endless `json:"endless,omitempty"`
 	// StopIn makes answers stop in this part and end with their connections, by a reset with Reset.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -111,8 +111,8 @@
 	return net.KeepAliveConfig{Enable: true, Idle: b.ProbeIdle, Interval: b.ProbeInterval, Count: maxProbes}
 }
 
-// Dialer returns a dialer with the bounds of the kind.
-func (k Kind) Dialer() *net.Dialer {
+// dialer returns a dialer with the bounds of the kind.
+func (k Kind) dialer() *net.Dialer {
 	b := k.Bounds()
 	return &net.Dialer{Timeout: b.ConnectTimeout, KeepAliveConfig: b.keepAlive(), Control: b.control}
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -37,7 +37,7 @@
 	for _, kind := range []Kind{Runner, Store, Peer, Client} {
 		listener, err := kind.Listen(t.Context(), "127.0.0.1:0")
 		assert.NilError(t, err)
-		near, err := kind.Dialer().DialContext(t.Context(), "tcp", listener.Addr().String())
+		near, err := kind.Dial(t.Context(), "tcp", listener.Addr().String())
 		assert.NilError(t, err)
 		far, err := listener.Accept()
 		assert.NilError(t, err)
@@ -79,7 +79,7 @@
 	listener, err := Peer.Listen(t.Context(), "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer listener.Close()
-	conn, err := Runner.Dialer().DialContext(t.Context(), "tcp", listener.Addr().String())
+	conn, err := Runner.Dial(t.Context(), "tcp", listener.Addr().String())
 	assert.NilError(t, err)
 	timeout := func() int { return option(t, conn, syscall.IPPROTO_TCP, tcpUserTimeout) }
 	var bound SendBound
--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -30,9 +30,8 @@
 // for each peer, for the MaxIdle of the kind. record may be nil.
 func NewTransport(kind Kind, record *Record, idleAll, idlePerPeer int) *Transport {
 	t := &Transport{kind: kind, record: record}
-	dialer := kind.Dialer()
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
+		conn, err := kind.Dial(ctx, network, address)
 		if err == nil {
 			record.Dialed(kind)
 		}
--- a/internal/peer/upgrade.go
+++ b/internal/peer/upgrade.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	conn, err := link.Peer.Dialer().DialContext(ctx, "tcp", address)
+	conn, err := link.Peer.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, nil, fault.At(fault.CodeNotReady, method, address, fault.NotDone, err)
 	}
--- a/internal/tunnel/carry.go
+++ b/internal/tunnel/carry.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
+	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +27,9 @@
 	reader *bufio.Reader
 	runner net.Conn
 	send   link.SendBound
+	// content is reused for what is sent to the runner. unwritable is set once that has failed.
+	content    []byte
+	unwritable bool
 
 	// writing is held while a frame is written to the caller; buffer is reused for frames.
 	writing sync.Mutex
@@ -84,13 +90,25 @@
 // end of the caller's connection goes unnoticed.
 const forwardTimeout = 10 * time.Second
 
-// forward copies the content of a data frame to the runner.
+// forward copies the content of a data frame to the runner. Once the runner takes no more of a request, the rest is
+// discarded: the caller still reads the answer, and closing with unread bytes would reset its connection.
 func (t *tunnel) forward(length int) error {
+	t.content = slices.Grow(t.content[:0], length)[:length]
+	if _, err := io.ReadFull(t.reader, t.content); err != nil || t.unwritable {
+		return err
+	}
 	if err := t.runner.SetWriteDeadline(time.Now().Add(forwardTimeout)); err != nil {
 		return err
 	}
-	_, err := io.CopyN(t.runner, t.reader, int64(length))
-	return err
+	_, err := t.runner.Write(t.content)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	if err != nil {
+		t.unwritable = true
+		t.server.options.Log.Info("request not taken to its end", "step", "forward request", "peer", t.name, "error", err.Error())
+	}
+	return nil
 }
 
 // begin begins an exchange unless the node stops; nothing of it is sent to the runner then.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -46,7 +46,7 @@
 	c := &carrier{peers: peer.NewServer("carrier", nil), runner: runner, requests: make(chan string, 10)}
 	c.Server = NewServer(ServerOptions{
 		Connect: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return link.Runner.Dialer().DialContext(ctx, "tcp", address)
+			return link.Runner.Dial(ctx, "tcp", address)
 		},
 		Begin:         c.begin,
 		Fails:         func(string) bool { return false },
--- a/internal/upstream/paths_test.go
+++ b/internal/upstream/paths_test.go
@@ -44,7 +44,7 @@
 			return nil, err
 		}
 		w.direct.Add(1)
-		return link.Runner.Dialer().DialContext(ctx, network, address)
+		return link.Runner.Dial(ctx, network, address)
 	}
 	server := tunnel.NewServer(tunnel.ServerOptions{
 		Connect: func(ctx context.Context, _, address string) (net.Conn, error) {
@@ -52,7 +52,7 @@
 				return nil, err
 			}
 			w.carried.Add(1)
-			return link.Runner.Dialer().DialContext(ctx, "tcp", address)
+			return link.Runner.Dial(ctx, "tcp", address)
 		},
 		Fails: func(string) bool { return false }, ReachesOthers: func(context.Context, string) bool { return true }, AddressOf: func(string) (string, bool) { return "", false }, Begin: func() (func(), bool) { return func() {}, true }, Log: logr.Discard(),
 	})
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -101,7 +101,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(names HeaderNames) *Pool {
-	return &Pool{Dial: link.Runner.Dialer().DialContext, names: names, trust: link.NewTrust(time.Now), presenceSettle: presenceSettle, idle: make(map[string][]*connection)}
+	return &Pool{Dial: link.Runner.Dial, names: names, trust: link.NewTrust(time.Now), presenceSettle: presenceSettle, idle: make(map[string][]*connection)}
 }
 
 // acquire returns an idle connection that is still usable, or a new one.
