Read the heads of answers in a package of their own

Cause: package upstream reads the heads of runners' answers with checks of its own, the first answer of a peer is read without them, and the text of a head could only be looked at up to the size of the connection's buffer.

Change: internal/answer reads heads. Its buffer grows, up to the bound of a head, until a head is there as a whole, so that its text can be checked before the library reads it. What is accepted stays the same.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -244,26 +244,14 @@
 
 // readFinal reads the head of an answer, skipping interim ones.
 func readFinal(conn *connection, method string) (*http.Response, error) {
-	conn.heads.expectHead()
-	defer conn.heads.endHead()
-	for {
-		if err := checkOldHead(conn.reader); err != nil {
-			return nil, err
-		}
-		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if err := checkHead(response); err != nil {
-			return nil, err
-		}
-		switch {
-		case response.StatusCode >= http.StatusOK:
-			return response, nil
-		case response.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errSwitched
-		}
+	response, err := conn.reader.ReadHead(method)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return nil, errSwitched
 	}
+	return response, nil
 }
 
 // AwaitBody waits until the first byte of the body has arrived, if there is a body. It returns an
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -17,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lilacvane/internal/answer"
 	"lilacvane/internal/body"
 	"lilacvane/internal/fault"
 )
@@ -352,7 +353,7 @@
 		near, far := net.Pipe()
 		_ = far.Close()
 		conn := newConnection(near)
-		conn.reader = bufio.NewReader(strings.NewReader(string(content)))
+		conn.reader = answer.NewReader(strings.NewReader(string(content)))
 		response, err := pool.readMatching(conn, Call{Method: http.MethodGet, RequestID: "1"})
 		if err == nil && response.Header.Get(testNames.RequestID) != "1" {
 			t.Fatal("an answer to another request was accepted")
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,7 +4,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"slices"
@@ -14,6 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"lilacvane/internal/answer"
 	"lilacvane/internal/link"
 	"lilacvane/internal/overload"
 	"lilacvane/internal/reach"
@@ -29,7 +29,7 @@
 	// connections.
 	maxIdlePerRunner = 8
 	maxIdle          = 96
-	// bufferSize is the size of a connection's read buffer and of its write buffer, in bytes.
+	// bufferSize is the size of the buffer for writing a request, in bytes.
 	bufferSize = 4 << 10
 	// keptRequests bounds the identifiers that a connection keeps: a request is sent again within
 	// seconds, if at all.
@@ -78,9 +78,7 @@
 	net.Conn
 	// tunnel is Conn if that leads through a peer; nil for a direct one.
 	tunnel *tunnel.Conn
-	// reader reads through heads.
-	reader *bufio.Reader
-	heads  *headLimiter
+	reader *answer.Reader
 	// served counts the answers read from it.
 	served int
 	// acquired is when it was last taken from the pool or dialed, idleSince when it last became
@@ -97,8 +95,7 @@
 
 // newConnection returns a connection that was just opened.
 func newConnection(conn net.Conn) *connection {
-	heads := &headLimiter{source: conn}
-	return &connection{Conn: conn, heads: heads, reader: bufio.NewReaderSize(heads, bufferSize), acquired: time.Now()}
+	return &connection{Conn: conn, reader: answer.NewReader(conn), acquired: time.Now()}
 }
 
 // NewPool returns an empty pool.
