Take no answer whose status is none

What callers saw: an answer with a status such as 000, -00, 099 or +20 was taken for an interim one, and what stood in its body for the runner's answer; one with 600 or 999 was passed on with the runner's signature. A refusal with such a status ("not run") was believed.

Cause: the library takes any three characters that it can read as a number that is not negative for a status, and all below 200 were interim.

Change: a status is one of 100 to 599. Another is no answer: the request may have run, is sent again only if that is allowed, and the runner counts as failed.

--- a/internal/answer/check.go
+++ b/internal/answer/check.go
@@ -32,12 +32,21 @@
 	return nil
 }
 
-// Check returns why an answer that the library has read is none. The library accepts any version, and keeps a name
-// with a space as a name of its own, so that an answer would lose its length.
+const (
+	// minStatus and maxStatus are the first and the last status of the protocol.
+	minStatus = 100
+	maxStatus = 599
+)
+
+// Check returns why an answer that the library has read is none. The library accepts any version and status, and keeps a
+// name with a space as a name of its own, so that an answer would lose its length.
 func Check(response *http.Response) error {
 	if response.ProtoMajor != protocolMajor {
 		return fmt.Errorf("the answer is of %s", response.Proto)
 	}
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		return fmt.Errorf("the status of the answer is %q", response.Status)
+	}
 	for name := range response.Header {
 		if strings.Contains(name, " ") {
 			return fmt.Errorf("header name %q with a space", name)
--- a/internal/lab/runnerstub/http.go
+++ b/internal/lab/runnerstub/http.go
@@ -314,6 +314,10 @@
 		writeEndless(w, j)
 		return
 	}
+	if j.faults.Raw != "" {
+		writeRaw(w, j)
+		return
+	}
 	if j.faults.StopIn != "" {
 		writeStopped(w, j)
 		return
--- a/internal/lab/runnerstub/runner.go
+++ b/internal/lab/runnerstub/runner.go
@@ -110,6 +110,9 @@
 	// connection ResetMs later, in milliseconds.
 	ResetUpload bool `json:"resetUpload,omitempty"`
 	ResetMs     int  `json:"resetMs,omitempty"`
+	// Raw is sent in place of each answer, after which the connection is closed. RawIdentity in it stands for the
+	// lines of a head that identify the request and the runner. Empty for none.
+	Raw string `json:"raw,omitempty"`
 	// Endless makes answers begin with bytes that have no end, until the caller closes the connection.
 	Endless Endless `json:"endless,omitempty"`
 	// StopIn makes answers stop in this part and end with their connections, by a reset with Reset.
