--- a/test/odd_heads_test.go
+++ b/test/odd_heads_test.go
@@ -32,6 +32,43 @@
 	return odd
 }
 
+// oddLines are answers whose head holds a line that is none of the protocol, each with a length that is not that of
+// its body.
+func oddLines() map[string]string {
+	const cut = "id: 0\ndata: a\n\n"
+	begin := "HTTP/1.1 200 OK\r\n" + runnerstub.RawIdentity
+	odd := make(map[string]string)
+	for what, line := range map[string]string{
+		"space before the colon": "Content-Length : 90", "tab before the colon": "Content-Length\t: 90", "space in a name": "Content Length: 90",
+		"control byte in a name": "X-\x01: a", "null byte in a name": "X-\x00: a", "delete in a name": "X-\x7f: a", "high byte in a name": "X-\xe9: a",
+		"empty name": ": a", "no colon": "Content-Length 90", "carriage return in a name": "X-\rA: a", "separator in a name": "X(A): a",
+		"control byte in a value": "X-A: \x01", "null byte in a value": "X-A: \x00", "carriage return in a value": "X-A: a\rContent-Length: 90",
+		"folded line": "X-A: 1\r\n Content-Length: 90", "folded by a tab": "X-A: 1\r\n\tContent-Length: 90", "folded and empty": "X-A: 1\r\n ",
+	} {
+		odd[what] = begin + line + "\r\n\r\n" + cut
+	}
+	odd["folded first line"] = "HTTP/1.1 200 OK\r\n X-A: 1\r\n" + runnerstub.RawIdentity + "\r\n" + cut
+	odd["control byte in the reason"] = framed("200 O\x01K", "", cut)
+	odd["interim answer with a length"] = framed("100 Continue", "", framed("200 OK", "", cut))
+	odd["interim answer in chunks"] = "HTTP/1.1 103 Early Hints\r\n" + runnerstub.RawIdentity + "Transfer-Encoding: chunked\r\n\r\n" + framed("200 OK", "", cut)
+	return odd
+}
+
+// TestAnswerWithAnOddHeadReachedClients: runners answered with a head that holds a line which is none of the protocol.
+// Clients got such lines, or a body that was not the runner's.
+func TestAnswerWithAnOddHeadReachedClients(t *testing.T) {
+	t.Parallel()
+	w := startAnswerWorldOf(t, 1, runnerstub.Faults{})
+	checkRefused(t, w.world, w.nodes[0], oddLines())
+}
+
+// TestCarriedAnswerWithAnOddHeadReachedClients: the same at a node that reaches the runners through another one.
+func TestCarriedAnswerWithAnOddHeadReachedClients(t *testing.T) {
+	t.Parallel()
+	w := startCarriedWorldWith(t, statementTest{direct: true})
+	checkRefused(t, w.world, w.cutNode, oddLines())
+}
+
 // checkRefused lets all runners answer with bytes that are no answer, and checks at a node that each client gets an
 // error of the node, once its request may have run, and that the node serves once the runners are sound.
 func checkRefused(t *testing.T, w *world.World, node *world.Node, answers map[string]string) {
