Take no answer that bears several identifiers or signatures

What callers saw: an answer with two signatures that differ was passed on with both, and one with the identifiers of two requests to the first of them.

Cause: the first value counted alone.

Change: such an answer shows neither whose it is nor who wrote it, so it is none. The same value twice does.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -225,6 +227,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := p.checkIdentity(response.Header); err != nil {
+			return nil, err
+		}
 		if response.Header.Get(p.names.RequestID) == call.RequestID {
 			conn.served++
 			return response, nil
@@ -239,6 +244,18 @@
 	return nil, errors.New("answers to other requests only")
 }
 
+// checkIdentity returns an error if an answer shows neither whose it is nor who wrote it, as it bears several identifiers
+// or signatures.
+func (p *Pool) checkIdentity(header http.Header) error {
+	for _, name := range []string{p.names.RequestID, p.names.Signature} {
+		values := header.Values(name)
+		if slices.ContainsFunc(values, func(value string) bool { return value != values[0] }) {
+			return fmt.Errorf("the answer has several values of %s", name)
+		}
+	}
+	return nil
+}
+
 // errSwitched is the error of a runner that changes the protocol of a connection, which no request asks for.
 var errSwitched = errors.New("the runner changes the protocol of the connection")
 
--- a/internal/upstream/status_test.go
+++ b/internal/upstream/status_test.go
@@ -43,6 +43,32 @@
 	}
 }
 
+// identityNames are those of a runner that signs its answers.
+var identityNames = HeaderNames{RequestID: "X-Id", NotRun: "X-Not-Run", Signature: "X-Signature"}
+
+// TestAnswerOfTwoRequestsOrRunnersWasPassedOn: an answer that bears two identifiers of requests, or two signatures, shows
+// neither whose it is nor who wrote it. One that bears the same twice does.
+func TestAnswerOfTwoRequestsOrRunnersWasPassedOn(t *testing.T) {
+	for _, test := range []struct {
+		lines string
+		whole bool
+	}{
+		{"X-Id: 1\r\nX-Signature: a\r\n", true},
+		{"X-Id: 1\r\nX-Signature: a\r\nX-Signature: a\r\nX-Id: 1\r\n", true},
+		{"X-Id: 1\r\n", true},
+		{"X-Id: 1\r\nX-Signature: a\r\nX-Signature: b\r\n", false},
+		{"X-Id: 1\r\nX-Signature: a\r\nX-Signature: \r\n", false},
+		{"X-Id: 1\r\nX-Id: 2\r\nX-Signature: a\r\n", false},
+		{"X-Id: 2\r\nX-Id: 1\r\nX-Signature: a\r\n", false},
+		{"X-Id: 1\r\nX-Id: \r\nX-Signature: a\r\n", false},
+	} {
+		s := serveBytes(t, func() string { return "HTTP/1.1 200 OK\r\n" + test.lines + "Content-Length: 3\r\n\r\nabc" }, connectionEnds["close"])
+		_, err := exchange(NewPool(identityNames), s.call("1"))
+		assert.Equal(t, err == nil, test.whole, "%q: %v", test.lines, err)
+		assert.Assert(t, err == nil || fault.OutcomeOf(err) == fault.Unknown)
+	}
+}
+
 // TestBrokenHeadSaidThatTheRequestDidNotRun: an answer to a call of the node itself, such as for a report, a health
 // check or an order, is held to the same. What a head out of order says of the request counts for nothing.
 func TestBrokenHeadSaidThatTheRequestDidNotRun(t *testing.T) {
--- a/test/odd_heads_test.go
+++ b/test/odd_heads_test.go
@@ -10,6 +10,7 @@
 
 	"lilacvane/internal/lab/runnerstub"
 	"lilacvane/internal/lab/world"
+	"lilacvane/platform/protocol"
 )
 
 // oddHeadDeadline is how long the clients of the tests below wait.
@@ -48,6 +49,8 @@
 		odd[what] = begin + line + "\r\n\r\n" + cut
 	}
 	odd["folded first line"] = "HTTP/1.1 200 OK\r\n X-A: 1\r\n" + runnerstub.RawIdentity + "\r\n" + cut
+	odd["two signatures"] = framed("200 OK", protocol.HeaderSignature+": another\r\n", cut)
+	odd["two identifiers"] = framed("200 OK", protocol.HeaderRequestID+": another\r\n", cut)
 	odd["control byte in the reason"] = framed("200 O\x01K", "", cut)
 	odd["interim answer with a length"] = framed("100 Continue", "", framed("200 OK", "", cut))
 	odd["interim answer in chunks"] = "HTTP/1.1 103 Early Hints\r\n" + runnerstub.RawIdentity + "Transfer-Encoding: chunked\r\n\r\n" + framed("200 OK", "", cut)
