Read the first answer of a peer as those of runners

What callers saw: none is known. A peer that begins its answer to the call for a connection and never ends it was read until the call's deadline, 0.9 s, and all of it was kept. One whose head was out of order (another version of the protocol, a name with a space) was taken for an answer, also for the one that hands the connection over.

Cause: that answer was read by the library alone, which bounds no head.

Change: answer.Reader reads it, with its bound of 64 KiB and its checks.

Measured: TestFirstAnswerOfAPeerHadNoEnd failed before for a status line, a header and bytes that are no answer, and passes; bodies were bounded already. TestBrokenHeadOfAPeerWasTakenForItsAnswer failed before for 4 of 9 heads and passes.

--- a/internal/peer/upgrade.go
+++ b/internal/peer/upgrade.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"lilacvane/internal/answer"
 	"lilacvane/internal/fault"
 	"lilacvane/internal/link"
 	"lilacvane/internal/place"
@@ -62,21 +63,21 @@
 		writeFailure(w, s.node, fault.From(err, method))
 		return
 	}
-	answer := "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + protocolTunnel + "\r\n"
+	head := "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + protocolTunnel + "\r\n"
 	if r.Header.Get(headerRegion) != "" {
-		answer += headerRegion + ": " + region + "\r\n"
+		head += headerRegion + ": " + region + "\r\n"
 	}
 	// The server's timeout for the request does not apply any more. Errors show up at the next use
 	// of the connection.
 	_ = conn.SetDeadline(time.Time{})
-	_, _ = conn.Write([]byte(answer + "\r\n"))
+	_, _ = conn.Write([]byte(head + "\r\n"))
 	takeover(conn, buffered.Reader)
 }
 
 // Upgrade makes a call after which the connection is used for something else. If the peer does
-// not take part, conn is nil and its answer is decoded into response, a pointer. A peer that
+// not take part, conn is nil and its answer is decoded into declined, a pointer. A peer that
 // does not know the method gives the code fault.CodeUnsupportedVersion.
-func (c *Client) Upgrade(ctx context.Context, address, method string, request, response any) (net.Conn, *bufio.Reader, error) {
+func (c *Client) Upgrade(ctx context.Context, address, method string, request, declined any) (net.Conn, *bufio.Reader, error) {
 	content, err := wire.Encode(request)
 	if err != nil {
 		return nil, nil, err
@@ -86,9 +87,9 @@
 		return nil, nil, fault.At(fault.CodeNotReady, method, address, fault.NotDone, err)
 	}
 	c.links.Dialed(link.Peer)
-	reader := bufio.NewReader(conn)
+	reader := answer.NewReader(conn)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	answer, err := c.exchange(conn, reader, address, method, content)
+	response, err := c.exchange(conn, reader, address, method, content)
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
 	}
@@ -98,29 +99,29 @@
 		failed.Code = fault.CodeNotReady
 		return nil, nil, failed
 	}
-	if answer.StatusCode == http.StatusSwitchingProtocols {
-		return c.meter.PeerConnection(address, conn), reader, nil
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return c.meter.PeerConnection(address, conn), reader.Reader, nil
 	}
 	defer conn.Close()
-	return nil, nil, readDeclined(answer, address, method, response)
+	return nil, nil, readDeclined(response, address, method, declined)
 }
 
 // readDeclined reads the answer of a peer that did not let its connection be taken over.
-func readDeclined(answer *http.Response, address, method string, response any) error {
-	switch answer.StatusCode {
+func readDeclined(response *http.Response, address, method string, declined any) error {
+	switch response.StatusCode {
 	case http.StatusOK:
-		return readMessage(answer.Body, address, response)
+		return readMessage(response.Body, address, declined)
 	case statusPeerFailed:
-		return readFailure(answer.Body, address)
+		return readFailure(response.Body, address)
 	case http.StatusNotFound:
-		return &fault.Error{Code: fault.CodeUnsupportedVersion, Step: method, Peer: address, Ran: fault.NotDone, Message: answer.Status}
+		return &fault.Error{Code: fault.CodeUnsupportedVersion, Step: method, Peer: address, Ran: fault.NotDone, Message: response.Status}
 	default:
-		return &fault.Error{Code: fault.CodeInternal, Step: method, Peer: address, Ran: fault.NotDone, Message: answer.Status}
+		return &fault.Error{Code: fault.CodeInternal, Step: method, Peer: address, Ran: fault.NotDone, Message: response.Status}
 	}
 }
 
 // exchange sends a call that may take its connection over and reads the head of the answer.
-func (c *Client) exchange(conn net.Conn, reader *bufio.Reader, address, method string, content []byte) (*http.Response, error) {
+func (c *Client) exchange(conn net.Conn, reader *answer.Reader, address, method string, content []byte) (*http.Response, error) {
 	call, err := http.NewRequest(http.MethodPost, "http://"+address+pathPrefix+method, bytes.NewReader(content))
 	if err != nil {
 		return nil, err
@@ -136,9 +137,9 @@
 	if err := call.Write(conn); err != nil {
 		return nil, err
 	}
-	answer, err := http.ReadResponse(reader, call)
+	response, err := reader.ReadHead(call.Method)
 	if err == nil && learn {
-		c.meter.Learn(address, place.Region(answer.Header.Get(headerRegion)))
+		c.meter.Learn(address, place.Region(response.Header.Get(headerRegion)))
 	}
-	return answer, err
+	return response, err
 }
