Take no answer of the store or a peer whose head is out of order

What callers saw: none is known. A 412, 429 or 503 of the store whose head was out of order said that a transaction had not been done, and one of 200 without its length, or of another version of the protocol, was read as rows; the same for messages of peers.

Cause: the standard client keeps a name with a space as a name of its own, and takes any version and any status.

Change: link.Transport holds answers to the checks of package answer, as far as they can be made of what the library has read: folded lines and control characters of the status line are not seen there. What is cut in a body can't be decoded, as before.

--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -8,6 +8,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"lilacvane/internal/answer"
 )
 
 // minSilence is the minimum time without an answer that indicates a silent connection. A working
@@ -71,15 +73,22 @@
 	}
 }
 
-// RoundTrip sends a request. It implements http.RoundTripper.
+// RoundTrip sends a request. It implements http.RoundTripper. An answer whose head the protocol does not allow is an
+// error, after which the request may have run.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	ctx := request.Context()
 	u := &connectionUse{}
 	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, u.trace())))
 	if err != nil {
 		t.checkSilence(ctx, request, u, err)
+		return nil, err
+	}
+	if err := answer.Check(response); err != nil {
+		// The head is the error that counts.
+		_ = response.Body.Close()
+		return nil, err
 	}
-	return response, err
+	return response, nil
 }
 
 // checkSilence determines from a failed call whether its connection was silent, and if so drops the
--- a/internal/peer/heads_test.go
+++ b/internal/peer/heads_test.go
@@ -71,8 +71,8 @@
 	}
 }
 
-// TestBrokenHeadOfAPeerWasTakenForItsAnswer: an answer of a peer whose head is out of order says nothing, also to a call
-// that takes its connection over.
+// TestBrokenHeadOfAPeerWasTakenForItsAnswer: an answer of a peer whose head is out of order says nothing, neither to a
+// call nor to one that takes its connection over.
 func TestBrokenHeadOfAPeerWasTakenForItsAnswer(t *testing.T) {
 	client := NewClient("here", nil)
 	for name, head := range brokenHeads(t) {
@@ -81,6 +81,8 @@
 			ctx, cancel := context.WithTimeout(t.Context(), headTime)
 			defer cancel()
 			var response wire.TunnelResponse
+			err := client.Call(ctx, address, wire.MethodTunnel, wire.TunnelRequest{}, &response)
+			assert.Check(t, err != nil, "call")
 			conn, _, err := client.Upgrade(ctx, address, wire.MethodTunnel, wire.TunnelRequest{}, &response)
 			assert.Check(t, err != nil, "upgrade")
 			assert.Check(t, conn == nil)
