Bound the heads of answers of the store and of peers

What callers saw: none is known. The store, or a peer, that sends a head without end was read for 10 MB, in each of up to a hundred calls.

Cause: the standard client's own bound.

Change: the bound of all other heads, 64 KiB.

Measured: TestAnswerWithoutEndWasKept fails before for the six heads of the store's calls, and passes. Bodies of the store, and heads and bodies of reports, health checks and orders, were bounded before and have their test.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -11,14 +11,14 @@
 )
 
 const (
-	// maxHead bounds what is read of a connection until the head of an answer is complete, in bytes, with the
+	// MaxHead bounds what is read of a connection until the head of an answer is complete, in bytes, with the
 	// heads of interim answers before it.
-	maxHead = 64 << 10
+	MaxHead = 64 << 10
 	// bufferSize is the size of a reader's buffer, in bytes, until a head needs more.
 	bufferSize = 4 << 10
 )
 
-// errHeadTooLong is the error of a connection that brings more than maxHead and no complete head.
+// errHeadTooLong is the error of a connection that brings more than MaxHead and no complete head.
 var errHeadTooLong = errors.New("the head of the answer has no end")
 
 // Reader reads the answers that a connection brings, one after the other. It is used by one goroutine.
@@ -124,7 +124,7 @@
 }
 
 // expectHead begins the limit, endHead ends it.
-func (l *limitedSource) expectHead() { l.limited, l.left = true, maxHead }
+func (l *limitedSource) expectHead() { l.limited, l.left = true, MaxHead }
 func (l *limitedSource) endHead()    { l.limited = false }
 
 // Read reads from the connection, at most what is left of the limit.
--- a/internal/link/transport.go
+++ b/internal/link/transport.go
@@ -41,6 +41,7 @@
 	}
 	t.base = &http.Transport{
 		MaxIdleConns: idleAll, MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: kind.Bounds().MaxIdle, DisableCompression: true, DialContext: dial,
+		MaxResponseHeaderBytes: answer.MaxHead,
 	}
 	return t
 }
