--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -302,20 +303,27 @@
 // checkStop stops a node while requests are sent to it, and checks their answers.
 func checkStop(t *testing.T, w *world.World, node *world.Node, requests []slowRequest, limits settings.Stop) {
 	t.Helper()
-	answers := make([]chan slowAnswer, len(requests))
-	signal := time.Now().Add(2 * time.Second)
+	for index, answer := range stopUnder(t, node, requests, time.Now().Add(2*time.Second)) {
+		r := requests[index]
+		problem := answer.problemOf(r, runsOfRequest(readHistory(t, w), answer.ID), limits)
+		assert.Check(t, problem == "", "%s, %s: %s", r.path, r.name, problem)
+	}
+}
+
+// stopUnder stops a node at the time of signal while requests are sent to it, and returns their answers once all have
+// ended.
+func stopUnder(t *testing.T, node *world.Node, requests []slowRequest, signal time.Time) []slowAnswer {
+	t.Helper()
+	answers := make([]slowAnswer, len(requests))
+	var running sync.WaitGroup
 	for index, r := range requests {
-		answers[index] = make(chan slowAnswer, 1)
-		go func() { answers[index] <- r.run(node, signal) }()
+		running.Go(func() { answers[index] = r.run(node, signal) })
 	}
 	time.Sleep(time.Until(signal))
 	assert.NilError(t, node.Terminate())
 	assert.NilError(t, node.Wait(waitTimeout))
-	for index, r := range requests {
-		answer := <-answers[index]
-		problem := answer.problemOf(r, runsOfRequest(readHistory(t, w), answer.ID), limits)
-		assert.Check(t, problem == "", "%s, %s: %s", r.path, r.name, problem)
-	}
+	running.Wait()
+	return answers
 }
 
 // TestStopAnswersRunningRequests: a request whose runner is mute until the stop ends gets a
