Add a soak of broken answers

Cause: broken answers were tested one kind at a time, in calm.

Change: tests alone. The part of a reset upload is the event that is due, so that a stream which goes on elsewhere is whole. Runners have no proxy, which would turn their resets into ends.

--- a/internal/lab/runnerstub/http.go
+++ b/internal/lab/runnerstub/http.go
@@ -143,7 +143,9 @@
 		return
 	}
 	if faults.ResetUpload && request.ContentLength > 0 {
-		writePartAndReset(w, request, time.Duration(faults.ResetMs)*time.Millisecond)
+		j := r.parseJob(request, nil)
+		j.faults = faults
+		writePartAndReset(w, j)
 		return
 	}
 	body, err := io.ReadAll(request.Body)
--- a/test/persistent_soak_test.go
+++ b/test/persistent_soak_test.go
@@ -165,7 +165,13 @@
 
 // startPersistentSoak starts nodes and runners, all of which hold a model.
 func startPersistentSoak(t *testing.T, seed uint64, nodes, runners int, adjust func(*settings.Settings)) *persistentSoak {
+	return startPersistentSoakIn(t, seed, nodes, runners, func(*world.Options) {}, adjust)
+}
+
+// startPersistentSoakIn is startPersistentSoak in a world with other options.
+func startPersistentSoakIn(t *testing.T, seed uint64, nodes, runners int, options func(*world.Options), adjust func(*settings.Settings)) *persistentSoak {
 	w := newWorld(t, func(o *world.Options) {
+		options(o)
 		o.Seed = seed
 		o.Adjust = func(s *settings.Settings) {
 			adjust(s)
