Test releases beside nodes that are out of step

Cause: reports tell of a machine that was out of step for seconds while runners of a new version joined, and at which streams of that version went on at the other one. Tests had a node that is stopped and takes streams up as it goes on.

Change: tests alone.

--- a/test/builds_test.go
+++ b/test/builds_test.go
@@ -42,7 +42,14 @@
 // startBuildWorld starts runnersPerBuild runners of each build, which all hold a model.
 func startBuildWorld(t *testing.T, nodes int, builds ...string) *buildWorld {
 	t.Helper()
-	w := &buildWorld{world: newWorld(t, nil)}
+	return startBuildWorldWith(t, nodes, len(builds)*runnersPerBuild, nil, builds...)
+}
+
+// startBuildWorldWith is startBuildWorld in a world with other options, in which the model has replicas, of which some may
+// find no runner yet.
+func startBuildWorldWith(t *testing.T, nodes, replicas int, adjust func(*world.Options), builds ...string) *buildWorld {
+	t.Helper()
+	w := &buildWorld{world: newWorld(t, adjust)}
 	runners := 0
 	for _, build := range builds {
 		for range runnersPerBuild {
@@ -54,7 +61,7 @@
 		}
 	}
 	w.nodes = startNodes(t, w.world, nodes)
-	apply(t, w.nodes[0], append(model("alpha", runners), readyPolicy("alpha", runners))...)
+	apply(t, w.nodes[0], append(model("alpha", replicas), readyPolicy("alpha", replicas))...)
 	waitKnown(t, "alpha", w.nodes...)
 	waitUntil(t, "all runners hold the model", func() error {
 		if got := len(runnersHolding(t, w.nodes[0], "alpha")); got != runners {
@@ -118,9 +125,15 @@
 
 // begin begins a stream and leaves it after some events.
 func begin(t *testing.T, node *world.Node) begunStream {
+	t.Helper()
+	return beginWith(t, node, draftRequest(60))
+}
+
+// beginWith is begin for a request.
+func beginWith(t *testing.T, node *world.Node, request clientRequest) begunStream {
 	t.Helper()
 	const eventsRead = 4
-	s := begunStream{clientRequest: draftRequest(60)}
+	s := begunStream{clientRequest: request}
 	ctx, leave := context.WithCancel(t.Context())
 	defer leave()
 	response, err := http.DefaultClient.Do(newRequest(s.clientRequest, node).WithContext(ctx))
