Test hedges whose runner answers without a status

Cause: tests of broken answers had one runner at a time; of two that have the request, the first to answer serves it.

Change: tests alone, two cases: the hedge, or the first runner, answers with status 000 and an answer in its body.

--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -93,6 +93,17 @@
 	}
 }
 
+// answersWithoutStatus answers with a status that is none, and with an answer in its body.
+func answersWithoutStatus(w http.ResponseWriter, r *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	identity := "X-Id: " + r.Header.Get("X-Id") + "\r\nX-Signature: s\r\n"
+	_, _ = io.WriteString(conn, "HTTP/1.1 000 None\r\n"+identity+"\r\nHTTP/1.1 200 OK\r\n"+identity+"Content-Length: 6\r\n\r\nforged")
+}
+
 func breaksOff(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
 // TestSilentRunnerIsKeptUntilAnotherAnswers checks that whichever of a silent runner and its hedge
@@ -109,6 +120,8 @@
 	}{
 		{"the other refuses", after(late, answers("first")), refuses, http.StatusOK, "first", []Ending{EndedByRunner}},
 		{"the other fails", after(late, answers("first")), fails, http.StatusOK, "first", []Ending{EndedByRunner}},
+		{"the other answers without a status", after(late, answers("first")), answersWithoutStatus, http.StatusOK, "first", []Ending{EndedByRunner}},
+		{"the first answers without a status", after(2*minSilence, answersWithoutStatus), after(late, answers("second")), http.StatusOK, "second", []Ending{EndedByRunner}},
 		{"the other breaks off", after(late, answers("first")), breaksOff, http.StatusOK, "first", []Ending{EndedByRunner}},
 		{"the other is silent too", after(late, answers("first")), never, http.StatusOK, "first", []Ending{EndedByAnswer}},
 		{"the other answers", never, answers("second"), http.StatusOK, "second", []Ending{EndedBySilence}},
