--- a/internal/upstream/heads_test.go
+++ b/internal/upstream/heads_test.go
@@ -88,13 +88,17 @@
 	checkCuts(t, func(*testing.T) *Pool { return NewPool(testNames) })
 }
 
+// carriedPool returns a pool that reaches runners through a peer alone.
+func carriedPool(t *testing.T) *Pool {
+	t.Helper()
+	w := startPathWorld(t)
+	lose(&w.lost, net.ErrClosed)
+	return w.pool
+}
+
 // TestCarriedAnswerWithACutHeadLookedWhole: the same through a peer.
 func TestCarriedAnswerWithACutHeadLookedWhole(t *testing.T) {
-	checkCuts(t, func(t *testing.T) *Pool {
-		w := startPathWorld(t)
-		lose(&w.lost, net.ErrClosed)
-		return w.pool
-	})
+	checkCuts(t, carriedPool)
 }
 
 // TestCutHeadOnAKeptConnectionLookedWhole: the second answer on a connection is cut after each byte of its head.
--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -113,11 +113,7 @@
 
 // TestCarriedPartOfAnAnswerResetDuringTheUploadLookedWhole: the same through a peer.
 func TestCarriedPartOfAnAnswerResetDuringTheUploadLookedWhole(t *testing.T) {
-	checkResets(t, func(t *testing.T) *Pool {
-		w := startPathWorld(t)
-		lose(&w.lost, net.ErrClosed)
-		return w.pool
-	})
+	checkResets(t, carriedPool)
 }
 
 // TestPartOfAnAnswerResetByItsDeadlineLookedWhole: the deadline of a request passed after its runner had reset the
@@ -183,11 +179,7 @@
 
 // TestCarriedEarlyAnswerThatEndedInOrderIsWhole: the same through a peer.
 func TestCarriedEarlyAnswerThatEndedInOrderIsWhole(t *testing.T) {
-	checkEarlyEnds(t, func(t *testing.T) *Pool {
-		w := startPathWorld(t)
-		lose(&w.lost, net.ErrClosed)
-		return w.pool
-	})
+	checkEarlyEnds(t, carriedPool)
 }
 
 // TestAnswerClosedWithTheBodyHalfReadIsNotWhole: a runner that closes with a part of the body unread resets the
