--- a/review/standin-2/homes.go
+++ b/review/standin-2/homes.go
@@ -14,9 +14,11 @@
 	caseHost  = "case.example"
 	home      = "north"
 	elsewhere = "south"
-	// homeTries is how many requests a case of homes sends, homePause the time between two.
-	homeTries = 8
-	homePause = 6 * time.Second
+	// homeTries is how often opening packets are lost, calmRequests how many requests are sent after each time while none
+	// are, calmPause the time after each of these.
+	homeTries    = 8
+	calmRequests = 25
+	calmPause    = 220 * time.Millisecond
 	// lossTime is how long opening packets are lost at the begin of a try.
 	lossTime = 150 * time.Millisecond
 )
@@ -108,34 +110,44 @@
 	time.Sleep(5 * time.Second)
 	client := http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for try := range homeTries {
-		if err := s.tryHome(&client, nodes[0], local, fmt.Sprintf("attempt-%d", try)); err != nil {
-			return nil, err
+		if s.trouble {
+			if err := s.loseOpenings(local); err != nil {
+				return nil, err
+			}
+		}
+		for number := range 1 + calmRequests {
+			s.sendHome(&client, nodes[0], fmt.Sprintf("attempt-%d-%d", try, number))
+			time.Sleep(calmPause)
 		}
-		time.Sleep(homePause)
 	}
 	mutex.Lock()
 	defer mutex.Unlock()
 	return broken, nil
 }
 
-// tryHome sends one request to a node; with trouble, the opening packets of connections to the runners are lost meanwhile.
-func (s *stage) tryHome(client *http.Client, n *node, runners []*runner, id string) error {
-	if s.trouble {
-		s.record.add("opening packets to the runners in %s are lost for %v", home, lossTime)
-		for _, r := range runners {
-			if err := r.shut(); err != nil {
-				return err
-			}
+// loseOpenings makes the opening packets of connections to runners get lost for lossTime from now on.
+func (s *stage) loseOpenings(runners []*runner) error {
+	s.record.add("opening packets to the runners in %s are lost", home)
+	for _, r := range runners {
+		if err := r.shut(); err != nil {
+			return err
 		}
-		time.AfterFunc(lossTime, func() {
-			for _, r := range runners {
-				_ = r.open()
-			}
-		})
 	}
+	time.AfterFunc(lossTime, func() {
+		for _, r := range runners {
+			_ = r.open()
+		}
+		s.record.add("opening packets to the runners in %s get through", home)
+	})
+	return nil
+}
+
+// sendHome sends a request that may be served in the home region only.
+func (s *stage) sendHome(client *http.Client, n *node, id string) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+n.clients+"/book/1", strings.NewReader("personal data of "+id))
 	if err != nil {
-		return err
+		s.record.add("%s: %v", id, err)
+		return
 	}
 	request.Host = caseHost
 	request.Header.Set(protocol.HeaderRequestID, id)
@@ -144,9 +156,8 @@
 	response, err := client.Do(request)
 	if err != nil {
 		s.record.add("%s: %v", id, err)
-		return nil
+		return
 	}
 	_ = response.Body.Close()
 	s.record.add("%s is answered %d", id, response.StatusCode)
-	return nil
 }
