--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,7 +18,7 @@
 var cases = map[string]func(*stage) ([]string, error){
 	"homes":  playHomes,
 	"keys":   playKeys,
-	"slow":   playSlow,
+	"path":   playPath,
 	"upload": playUpload,
 }
 
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -34,9 +34,6 @@
 	address  string
 	listener *net.TCPListener
 
-	// answer writes the answer to a request that runs; by default a short one.
-	answer func(w io.Writer, a arrival) error
-
 	// gate is held while no connection is accepted.
 	gate    sync.Mutex
 	fillers []net.Conn
@@ -50,21 +47,15 @@
 // startRunner starts a runner of a service; arrived gets the requests that it runs.
 func (s *stage) startRunner(id, service, zone string, arrived func(r *runner, a arrival)) (*runner, error) {
 	r := &runner{stage: s, id: id, zone: zone, address: s.address(s.host(), portRunner)}
-	r.answer = r.answerShortly
-	return r, s.listRunner(r, service, arrived)
-}
-
-// listRunner starts a runner and keeps its row in the store.
-func (s *stage) listRunner(r *runner, service string, arrived func(r *runner, a arrival)) error {
 	listener, err := net.Listen("tcp", r.address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	r.listener = listener.(*net.TCPListener)
 	go r.accept(arrived)
 	row := protocol.ListedRunner{Service: service, Address: r.address, Zone: r.zone, Build: "1", Slots: 6, State: protocol.StateReady}
 	if err := s.put(protocol.RunnerTable, r.id, row); err != nil {
-		return err
+		return nil, err
 	}
 	go func() {
 		for range time.Tick(1200 * time.Millisecond) {
@@ -72,7 +63,7 @@
 			_ = s.put(protocol.RunnerTable, r.id, row)
 		}
 	}()
-	return nil
+	return r, nil
 }
 
 // head returns the headers of an answer by which it is known as this runner's.
@@ -80,9 +71,9 @@
 	return fmt.Sprintf("%s: %s\r\n%s: %s\r\n", protocol.HeaderRequestID, id, protocol.HeaderRunner, r.id)
 }
 
-// answerShortly answers a request with two bytes.
-func (r *runner) answerShortly(w io.Writer, a arrival) error {
-	_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s%s: stamp-%s\r\nContent-Length: 2\r\n\r\nok", r.head(a.id), protocol.HeaderSignature, r.id)
+// answer answers a request.
+func (r *runner) answer(conn net.Conn, a arrival) error {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s%s: stamp-%s\r\nContent-Length: 2\r\n\r\nok", r.head(a.id), protocol.HeaderSignature, r.id)
 	return err
 }
 
@@ -118,7 +109,7 @@
 			_, err = io.WriteString(conn, "HTTP/1.1 421 Misdirected Request\r\n"+r.head(a.id)+"Content-Length: 0\r\n\r\n")
 		case a.id == "":
 			// A check of the runner's health.
-			err = r.answerShortly(conn, a)
+			err = r.answer(conn, a)
 		default:
 			arrived(r, a)
 			err = r.answer(conn, a)
