Keep requests in their homes where connections lead through peers

What callers saw: nothing; each request was answered 200.

Cause: homes are kept where runners are chosen. Peers, through which a node connects to runners that it does not reach, are chosen in the pool of connections, and a call did not carry its homes. All ways through a peer had it: the race, a path known to be broken, a connection that was kept for the next call.

Change: a call names its homes. The pool uses a connection through a peer, new or kept, only if the peer's region is in them. The region is the one that the peer states as it takes the connection over, before anything of a request is sent; one that states none is in no homes. Lease holders name peers with their regions, two of each other region. Where only peers outside the homes reach the runners, the request is refused at once with no_path_in_homes, not run.

--- a/internal/control/paths.go
+++ b/internal/control/paths.go
@@ -2,11 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lilacvane/internal/orders"
 	"lilacvane/internal/place"
 	"lilacvane/internal/statement"
+	"lilacvane/internal/tunnel"
 	"lilacvane/internal/wire"
 )
 
@@ -15,9 +17,11 @@
 	// longer than a load elsewhere takes.
 	brokenPathPause = 10 * time.Second
 	// tunnelPeersNear is how many nodes of its own zone a node is told to reach runners through,
-	// tunnelPeersFar how many of other zones.
-	tunnelPeersNear = 3
-	tunnelPeersFar  = 3
+	// tunnelPeersFar how many of other zones of its region, tunnelPeersAbroad how many of each other
+	// region: requests whose homes lie there may go through no others.
+	tunnelPeersNear   = 3
+	tunnelPeersFar    = 3
+	tunnelPeersAbroad = 2
 )
 
 // pauseOf returns how long a runner accepts nothing from this node: it asked for a rest, or this
@@ -50,19 +54,48 @@
 	return places
 }
 
-// tunnelPeers draws nodes through which a node may reach runners: of its own zone first, then of
-// others, as all of a zone may be cut off, those of its region first.
-func (p nodePlaces) tunnelPeers(asker wire.SyncRequest) []string {
+// tunnelPeers draws nodes through which a node may reach runners, and returns their addresses and
+// regions: of its own zone first, then of other zones, as all of a zone may be cut off, those of its
+// region first.
+func (p nodePlaces) tunnelPeers(asker wire.SyncRequest) (addresses, regions []string) {
 	own := nodePlace{region: place.Region(asker.Region), zone: place.Zone(asker.Zone)}
-	peers := draw(p[own], tunnelPeersNear, asker.Address)
-	for _, inRegion := range []bool{true, false} {
-		for at, addresses := range p {
-			if len(peers) == tunnelPeersNear+tunnelPeersFar {
-				return peers
-			}
-			if at != own && (at.region == own.region) == inRegion {
-				peers = append(peers, draw(addresses, 1, asker.Address)...)
-			}
+	peers := tunnelPeersAt(own, draw(p[own], tunnelPeersNear, asker.Address))
+	// The zones come in another order each time.
+	drawn := make(map[place.Region]int)
+	var far, abroad []tunnel.Peer
+	for at, nodes := range p {
+		switch {
+		case at == own:
+		case at.region == own.region && len(far) < tunnelPeersFar:
+			far = append(far, tunnelPeersAt(at, draw(nodes, 1, asker.Address))...)
+		case at.region != own.region && drawn[at.region] < tunnelPeersAbroad:
+			found := draw(nodes, 1, asker.Address)
+			drawn[at.region] += len(found)
+			abroad = append(abroad, tunnelPeersAt(at, found)...)
+		}
+	}
+	for _, peer := range slices.Concat(peers, far, abroad) {
+		addresses, regions = append(addresses, peer.Address), append(regions, string(peer.Region))
+	}
+	return addresses, regions
+}
+
+// tunnelPeersAt returns the nodes of a place as peers.
+func tunnelPeersAt(at nodePlace, addresses []string) []tunnel.Peer {
+	peers := make([]tunnel.Peer, 0, len(addresses))
+	for _, address := range addresses {
+		peers = append(peers, tunnel.Peer{Address: address, Region: at.region})
+	}
+	return peers
+}
+
+// tunnelPeersOf returns the peers that a response names. An older holder states no regions.
+func tunnelPeersOf(response wire.SyncResponse) []tunnel.Peer {
+	peers := make([]tunnel.Peer, len(response.TunnelPeers))
+	for i, address := range response.TunnelPeers {
+		peers[i].Address = address
+		if i < len(response.TunnelRegions) {
+			peers[i].Region = place.Region(response.TunnelRegions[i])
 		}
 	}
 	return peers
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -96,7 +96,7 @@
 	}
 	if request.Report {
 		response.Standbys, response.LoadCrashes = nodes.standbys, c.loadCrashCounts(now)
-		response.TunnelPeers = nodes.reaching.tunnelPeers(request)
+		response.TunnelPeers, response.TunnelRegions = nodes.reaching.tunnelPeers(request)
 		response.Neighbors = nodes.changedNeighbors(request)
 	}
 	known := request.Version
--- a/internal/control/syncer.go
+++ b/internal/control/syncer.go
@@ -16,6 +16,7 @@
 	"lilacvane/internal/peer"
 	"lilacvane/internal/place"
 	"lilacvane/internal/table"
+	"lilacvane/internal/tunnel"
 	"lilacvane/internal/wait"
 	"lilacvane/internal/weightstore"
 	"lilacvane/internal/wire"
@@ -76,9 +77,9 @@
 	// BestSpare is the largest fraction of a holder's desired capacity that any of them has,
 	// except the holder itself.
 	BestSpare float64
-	// TunnelPeers are addresses of nodes through which runners may be reached; empty if the answer
+	// TunnelPeers are nodes through which runners may be reached; empty if the answer
 	// did not contain any.
-	TunnelPeers []string
+	TunnelPeers []tunnel.Peer
 	// Standbys are addresses of the nodes that turn to the store first when a holder is lost;
 	// empty if the answer did not contain them.
 	Standbys []string
@@ -367,7 +368,7 @@
 		s.neighborsDigest = wire.NeighborsDigest(response.Neighbors)
 	}
 	record, _ := s.elector.Holder()
-	s.observe(Observed{Holder: record.Address, Nodes: response.Nodes, BestSpare: response.BestSpare, Standbys: response.Standbys, TunnelPeers: response.TunnelPeers, Neighbors: response.Neighbors})
+	s.observe(Observed{Holder: record.Address, Nodes: response.Nodes, BestSpare: response.BestSpare, Standbys: response.Standbys, TunnelPeers: tunnelPeersOf(response), Neighbors: response.Neighbors})
 	s.controller.LearnStore(weightstore.Estimate{Limit: response.StoreLimit, Capacity: response.StoreCapacity})
 	views := make([]fleet.View, 0, len(response.Runners))
 	for _, runner := range response.Runners {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -65,7 +65,7 @@
 	result, err := j.exchange(ctx, choice, takeover)
 	result.sent, result.trial = start, j.trial != nil
 	j.endTrial(choice.Runner.ID, err)
-	if errors.Is(err, errNotAdmitted) {
+	if errors.Is(err, errNotAdmitted) || j.noPathInHomes(choice, err) {
 		return j.endUnsent(ctx, choice, result, err)
 	}
 	j.dispatcher.Fleet.Done(choice, j.query, result.fleet, time.Since(start), result.started)
@@ -100,8 +100,8 @@
 	return false
 }
 
-// endUnsent ends an attempt whose request was not sent, as errNotAdmitted says, and reports whether to
-// try again. Hedges may have been sent while the attempt waited for a connection.
+// endUnsent ends an attempt whose request was not sent, as it may not go to the runner or on the way to
+// it, and reports whether to try again. Hedges may have been sent while the attempt waited for a connection.
 func (j *job) endUnsent(ctx context.Context, choice fleet.Choice, result attemptResult, err error) (again bool) {
 	j.dispatcher.Fleet.Release(choice, j.query)
 	j.sent--
@@ -300,6 +300,9 @@
 	if fault.IsCode(err, fault.CodeUnreachable) && ctx.Err() == nil {
 		return attemptResult{fleet: fleet.Unreachable}, err
 	}
+	if fault.IsCode(err, fault.CodeNoPathInHomes) {
+		return attemptResult{fleet: fleet.Canceled}, err
+	}
 	return attemptResult{fleet: j.failureResult(ctx)}, err
 }
 
@@ -359,7 +362,7 @@
 	}
 	return upstream.Call{
 		Runner: choice.Runner.Name(), Incarnation: choice.Runner.ID, Address: choice.Runner.Address, Method: j.request.Method, Target: j.request.Target,
-		Host: j.request.Host, Header: header, Body: j.request.Body, RequestID: j.request.ID,
+		Host: j.request.Host, Header: header, Body: j.request.Body, RequestID: j.request.ID, Homes: query.Homes,
 		Admit: func() error {
 			if j.dispatcher.AwaitPendingReads != nil {
 				j.dispatcher.AwaitPendingReads()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -270,6 +270,8 @@
 	// ran counts attempts that ran or may have run, sent all of them.
 	ran  int
 	sent int
+	// pathsOutside is set once a runner was reached only through nodes outside the request's homes.
+	pathsOutside bool
 	// takeover is the hedge that takes over from a silent runner.
 	takeover *hedge
 	// trial are the content and the parts that are held, while the request is tried alone; nil if it is not.
--- a/internal/dispatch/homes.go
+++ b/internal/dispatch/homes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/fleet"
 	"lilacvane/internal/place"
 )
 
@@ -32,3 +33,25 @@
 	return fault.New(fault.CodeOutsideHomes, "check homes", "no runner of service %s is listed in the homes of the request: %s", j.query.Service, homes).
 		WithRetryAfter(unlistedRetryAfter)
 }
+
+// noPathInHomes reports whether an attempt ended because the runner is reached only through nodes outside
+// the request's homes, and excludes the runner then. Nothing is wrong with it: requests without homes
+// are served there.
+func (j *job) noPathInHomes(choice fleet.Choice, err error) bool {
+	if !fault.IsCode(err, fault.CodeNoPathInHomes) {
+		return false
+	}
+	j.query.Exclude = append(j.query.Exclude, choice.Runner.ID)
+	j.pathsOutside = true
+	return true
+}
+
+// checkPathsInHomes returns an error if a runner is reached only through nodes outside the request's homes,
+// and no other one is left. The request does not wait then: another node may reach the runner.
+func (j *job) checkPathsInHomes() *fault.Error {
+	if !j.pathsOutside || j.dispatcher.Fleet.HasOther(j.query) {
+		return nil
+	}
+	return fault.New(fault.CodeNoPathInHomes, "check homes", "runners of service %s in the homes of the request are reached only through nodes outside them: %s", j.query.Service, j.query.Homes).
+		WithRetryAfter(defaultRetryAfter)
+}
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -131,7 +132,7 @@
 		if problem := j.quarantined(); problem != nil {
 			return fleet.Choice{}, 0, problem
 		}
-		if problem := j.checkHomes(); problem != nil {
+		if problem := cmp.Or(j.checkHomes(), j.checkPathsInHomes()); problem != nil {
 			return fleet.Choice{}, 0, problem
 		}
 		if j.learnLoads(ctx) {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -67,6 +67,7 @@
 	CodeUnauthorized       Code = "unauthorized"
 	CodeOverLimit          Code = "over_limit"
 	CodeOutsideHomes       Code = "outside_homes"
+	CodeNoPathInHomes      Code = "no_path_in_homes"
 	CodeCrashSuspected     Code = "crash_suspected"
 	CodeCrashesRunners     Code = "crashes_runners"
 	CodeBuildUnknown       Code = "build_unknown"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -211,6 +212,22 @@
 	return false
 }
 
+// HasOther reports whether a runner that the query does not exclude is listed in its homes and holds its
+// unit, whether or not it has room.
+func (f *Fleet) HasOther(query Query) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for id, known := range f.runners {
+		if !known.present || !known.belongsTo(query.Service, query.Homes) || slices.Contains(query.Exclude, id) {
+			continue
+		}
+		if query.Unit == (backend.Unit{}) || f.holds(known, query.Unit) {
+			return true
+		}
+	}
+	return false
+}
+
 // belongsTo reports whether the runner belongs to the service and its region is in the homes.
 func (r *runner) belongsTo(service string, homes place.Homes) bool {
 	return r.listed.Service == service && homes.Allows(place.Region(r.listed.Region))
--- a/internal/fleet/homes_test.go
+++ b/internal/fleet/homes_test.go
@@ -105,3 +105,17 @@
 	f.Replace([]backend.Runner{listedIn("", "r2")}, true)
 	assert.Assert(t, f.Serves("s", north), "a missing runner counts while the list is doubtful")
 }
+
+// TestOtherRunnerInHomes checks that a runner counts as another one if it is in the homes, not excluded and
+// holds the unit.
+func TestOtherRunnerInHomes(t *testing.T) {
+	f, _ := testFleet()
+	first, second := listedIn("north", "r1"), listedIn("north", "r2")
+	f.Replace([]backend.Runner{first, second, listedIn("south", "r3")}, false)
+	query := Query{Service: "s", Homes: north, Exclude: []string{first.ID}}
+	assert.Assert(t, f.HasOther(query))
+	query.Exclude = append(query.Exclude, second.ID)
+	assert.Assert(t, !f.HasOther(query))
+	query.Exclude, query.Unit = nil, backend.Unit{Model: "not held"}
+	assert.Assert(t, !f.HasOther(query))
+}
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -88,8 +88,8 @@
 }
 
 // setTunnelPeers replaces the nodes through which runners are reached, if any are named.
-func (n *Node) setTunnelPeers(addresses []string) {
-	if len(addresses) > 0 {
-		n.tunnelDialer.SetPeers(addresses)
+func (n *Node) setTunnelPeers(peers []tunnel.Peer) {
+	if len(peers) > 0 {
+		n.tunnelDialer.SetPeers(peers)
 	}
 }
--- a/internal/peer/heads_test.go
+++ b/internal/peer/heads_test.go
@@ -83,7 +83,7 @@
 			var response wire.TunnelResponse
 			err := client.Call(ctx, address, wire.MethodTunnel, wire.TunnelRequest{}, &response)
 			assert.Check(t, err != nil, "call")
-			conn, _, err := client.Upgrade(ctx, address, wire.MethodTunnel, wire.TunnelRequest{}, &response)
+			conn, err := client.Upgrade(ctx, address, wire.MethodTunnel, wire.TunnelRequest{}, &response)
 			assert.Check(t, err != nil, "upgrade")
 			assert.Check(t, conn == nil)
 			assert.Check(t, !response.Refused, "the answer was read")
@@ -104,7 +104,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), headTime)
 			defer cancel()
 			var response wire.TunnelResponse
-			_, _, err := NewClient("here", nil).Upgrade(ctx, address, wire.MethodTunnel, wire.TunnelRequest{}, &response)
+			_, err := NewClient("here", nil).Upgrade(ctx, address, wire.MethodTunnel, wire.TunnelRequest{}, &response)
 			assert.Assert(t, err != nil)
 			assert.NilError(t, ctx.Err(), "the caller read until its deadline")
 			err = NewClient("here", nil).Call(ctx, address, wire.MethodTunnel, wire.TunnelRequest{}, &response)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -21,7 +21,8 @@
 const (
 	pathPrefix = "/peer/"
 	headerFrom = "From-Node"
-	// headerRegion asks a peer for its region, and carries the answer, in the first call to it.
+	// headerRegion asks a peer for its region, and carries the answer: in the first call to it, and in
+	// each whose connection it takes over.
 	headerRegion = "Node-Region"
 	// maximumIdle is the maximum number of idle connections of a client, idlePerHost that to one
 	// node. It is enough for the calls that one node holds open at another.
--- a/internal/peer/upgrade.go
+++ b/internal/peer/upgrade.go
@@ -26,6 +26,15 @@
 // buffered what arrived.
 type Takeover func(conn net.Conn, reader *bufio.Reader)
 
+// Upgraded is a connection that its peer has taken over.
+type Upgraded struct {
+	net.Conn
+	// Reader reads from Conn; it may have buffered what arrived.
+	Reader *bufio.Reader
+	// Region is the region that the peer stated; empty if it stated none.
+	Region place.Region
+}
+
 // HandleUpgrade registers the handler of a method whose connection is used for something else
 // after the call. If the handler returns no Takeover, its response is sent instead.
 func HandleUpgrade[Request, Response any](s *Server, method string, handler func(context.Context, Caller, Request) (Takeover, Response, error)) {
@@ -75,16 +84,16 @@
 }
 
 // Upgrade makes a call after which the connection is used for something else. If the peer does
-// not take part, conn is nil and its answer is decoded into declined, a pointer. A peer that
-// does not know the method gives the code fault.CodeUnsupportedVersion.
-func (c *Client) Upgrade(ctx context.Context, address, method string, request, declined any) (net.Conn, *bufio.Reader, error) {
+// not take part, it returns nil, and the peer's answer is decoded into declined, a pointer. A peer
+// that does not know the method gives the code fault.CodeUnsupportedVersion.
+func (c *Client) Upgrade(ctx context.Context, address, method string, request, declined any) (*Upgraded, error) {
 	content, err := wire.Encode(request)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	conn, err := link.Peer.Dial(ctx, "tcp", address)
 	if err != nil {
-		return nil, nil, fault.At(fault.CodeNotReady, method, address, fault.NotDone, err)
+		return nil, fault.At(fault.CodeNotReady, method, address, fault.NotDone, err)
 	}
 	c.links.Dialed(link.Peer)
 	reader := answer.NewReader(conn)
@@ -97,13 +106,14 @@
 		_ = conn.Close()
 		failed := fault.FromTransport(err, method, address)
 		failed.Code = fault.CodeNotReady
-		return nil, nil, failed
+		return nil, failed
 	}
 	if response.StatusCode == http.StatusSwitchingProtocols {
-		return c.meter.PeerConnection(address, conn), reader.Reader, nil
+		region := place.Region(response.Header.Get(headerRegion))
+		return &Upgraded{Conn: c.meter.PeerConnection(address, conn), Reader: reader.Reader, Region: region}, nil
 	}
 	defer conn.Close()
-	return nil, nil, readDeclined(response, address, method, declined)
+	return nil, readDeclined(response, address, method, declined)
 }
 
 // readDeclined reads the answer of a peer that did not let its connection be taken over.
@@ -130,15 +140,12 @@
 	call.Header.Set(headerFrom, c.node)
 	call.Header.Set("Connection", "Upgrade")
 	call.Header.Set("Upgrade", protocolTunnel)
-	learn := c.meter != nil && !c.meter.Knows(address)
-	if learn {
-		call.Header.Set(headerRegion, "?")
-	}
+	call.Header.Set(headerRegion, "?")
 	if err := call.Write(conn); err != nil {
 		return nil, err
 	}
 	response, err := reader.ReadHead(call.Method)
-	if err == nil && learn {
+	if err == nil && c.meter != nil {
 		c.meter.Learn(address, place.Region(response.Header.Get(headerRegion)))
 	}
 	return response, err
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -11,6 +11,9 @@
 	"net"
 	"sync"
 	"syscall"
+
+	"lilacvane/internal/peer"
+	"lilacvane/internal/place"
 )
 
 var (
@@ -26,8 +29,9 @@
 // one reader, and writers that take turns.
 type Conn struct {
 	net.Conn
-	// Peer is the address of the peer.
+	// Peer is the address of the peer, Region the region that it stated; empty if it stated none.
 	Peer   string
+	Region place.Region
 	reader *bufio.Reader
 	// unread is what is left of the content of the current data frame; err ends all reads.
 	unread int
@@ -41,9 +45,9 @@
 	begin  []byte
 }
 
-// newConn returns a connection over one to a peer; reader may have buffered what arrived.
-func newConn(conn net.Conn, reader *bufio.Reader, peer string) *Conn {
-	return &Conn{Conn: conn, Peer: peer, reader: reader}
+// newConn returns a connection over one to the peer at an address.
+func newConn(upgraded *peer.Upgraded, address string) *Conn {
+	return &Conn{Conn: upgraded.Conn, Peer: address, Region: upgraded.Region, reader: upgraded.Reader}
 }
 
 // maxIdentifier bounds the identifier of a request that is sent to a peer, in bytes.
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -1,11 +1,9 @@
 package tunnel
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"sync"
 	"syscall"
@@ -14,6 +12,8 @@
 	"github.com/go-logr/logr"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/peer"
+	"lilacvane/internal/place"
 	"lilacvane/internal/wire"
 )
 
@@ -32,13 +32,21 @@
 	unsupportedPause = time.Minute
 	// preferredPeers is among how many peers, nearest first, the first one is drawn.
 	preferredPeers = 3
-	// maxRemembered bounds the runners for which it is remembered which peers reach them.
+	// maxRemembered bounds the runners for which it is remembered which peers reach them, and the peers
+	// whose regions are remembered.
 	maxRemembered = 1024
 )
 
 // Upgrade makes a call to a peer after which the connection belongs to the caller; see
 // peer.Client.Upgrade.
-type Upgrade func(ctx context.Context, address, method string, request, response any) (net.Conn, *bufio.Reader, error)
+type Upgrade func(ctx context.Context, address, method string, request, response any) (*peer.Upgraded, error)
+
+// Peer is a node that may carry connections to runners.
+type Peer struct {
+	Address string
+	// Region is its region; empty if not known.
+	Region place.Region
+}
 
 // Dialer connects to runners through peers. It is safe for concurrent use.
 type Dialer struct {
@@ -48,8 +56,10 @@
 	log      logr.Logger
 
 	mutex sync.Mutex
-	// peers are the addresses of nodes that are believed to reach the runners, nearest first.
-	peers []string
+	// peers are nodes that are believed to reach the runners, nearest first.
+	peers []Peer
+	// stated holds the regions that peers stated when they were asked, by address.
+	stated map[string]place.Region
 	// paused maps peers that did not help to the end of their pause.
 	paused map[string]time.Time
 	// refused maps peers that refused connections, as their processes have ended, to when they are asked
@@ -72,14 +82,14 @@
 // NewDialer returns a Dialer that asks peers by upgrade. fallback returns the addresses of some
 // peers, for as long as SetPeers was not called.
 func NewDialer(upgrade Upgrade, fallback func() []string, log logr.Logger) *Dialer {
-	return &Dialer{upgrade: upgrade, fallback: fallback, log: log, paused: make(map[string]time.Time), refused: make(map[string]time.Time), reached: make(map[string]*knownPeers), helped: make(map[string]time.Time)}
+	return &Dialer{upgrade: upgrade, fallback: fallback, log: log, stated: make(map[string]place.Region), paused: make(map[string]time.Time), refused: make(map[string]time.Time), reached: make(map[string]*knownPeers), helped: make(map[string]time.Time)}
 }
 
-// SetPeers replaces the addresses of the peers to ask, nearest first.
-func (d *Dialer) SetPeers(addresses []string) {
+// SetPeers replaces the peers to ask, nearest first.
+func (d *Dialer) SetPeers(peers []Peer) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.peers = addresses
+	d.peers = peers
 }
 
 // UnreachedError means that peers do not reach the runner either.
@@ -96,8 +106,12 @@
 	return "peers do not reach the runner"
 }
 
-// ErrNoPeer means that this node knows no other node.
-var ErrNoPeer error = fault.New(fault.CodeNotReady, wire.MethodTunnel, "no peer is known")
+var (
+	// ErrNoPeer means that this node knows no other node.
+	ErrNoPeer error = fault.New(fault.CodeNotReady, wire.MethodTunnel, "no peer is known")
+	// ErrNoPeerInHomes means that this node knows no other node in the homes of a request.
+	ErrNoPeerInHomes error = fault.New(fault.CodeNotReady, wire.MethodTunnel, "no peer is known in the homes")
+)
 
 // attempt is the outcome of asking one peer.
 type attempt struct {
@@ -108,14 +122,18 @@
 	err              error
 }
 
-// Dial connects to a runner through a peer. It returns an UnreachedError if peers answered that
-// they do not reach the runner, and another error if no peer answered that or none was asked before
-// ctx ended.
-func (d *Dialer) Dial(ctx context.Context, runner, address string) (*Conn, error) {
+// Dial connects to a runner through a peer in one of the homes. It returns an UnreachedError if peers
+// answered that they do not reach the runner, and another error if no peer answered that or none was
+// asked before ctx ended.
+func (d *Dialer) Dial(ctx context.Context, runner, address string, homes place.Homes) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, OpenTimeout)
 	defer cancel()
-	search := &search{dialer: d, ctx: ctx, request: wire.TunnelRequest{Runner: runner, Address: address}, order: d.order(runner), results: make(chan attempt, maxPeers)}
-	if len(search.order) == 0 {
+	search := &search{dialer: d, ctx: ctx, request: wire.TunnelRequest{Runner: runner, Address: address}, homes: homes, order: d.order(runner, homes), results: make(chan attempt, maxPeers)}
+	switch {
+	case len(search.order) > 0:
+	case homes.Restricted():
+		return nil, ErrNoPeerInHomes
+	default:
 		return nil, ErrNoPeer
 	}
 	// The attempts that are still open end with ctx.
@@ -128,6 +146,7 @@
 	dialer  *Dialer
 	ctx     context.Context
 	request wire.TunnelRequest
+	homes   place.Homes
 	// order are the peers to ask; asked counts those that were, open those that did not answer yet.
 	order       []string
 	asked, open int
@@ -149,7 +168,7 @@
 			s.askNext()
 		case result := <-s.results:
 			s.open--
-			if result.conn != nil {
+			if result.conn != nil && s.admits(result.conn) {
 				s.dialer.remember(s.request.Runner, result.peer)
 				return result.conn, nil
 			}
@@ -178,9 +197,22 @@
 	go func() { s.results <- s.dialer.ask(s.ctx, peer, s.request) }()
 }
 
-// record records a peer's answer without a connection.
+// admits reports whether a connection leads through the homes, and closes it if not: only the peer
+// itself states its region with certainty.
+func (s *search) admits(conn *Conn) bool {
+	s.dialer.learnRegion(conn)
+	if s.homes.Allows(conn.Region) {
+		return true
+	}
+	_ = conn.Close()
+	return false
+}
+
+// record records a peer's answer without a connection that can be used.
 func (s *search) record(result attempt) {
 	switch {
+	case result.conn != nil:
+		s.last = ErrNoPeerInHomes
 	case result.reached:
 		s.unreached, s.refused = true, s.refused || result.refused
 		s.dialer.avoid(s.request.Runner, result.peer)
@@ -193,16 +225,16 @@
 }
 
 // ask asks one peer for a connection to a runner.
-func (d *Dialer) ask(ctx context.Context, peer string, request wire.TunnelRequest) attempt {
+func (d *Dialer) ask(ctx context.Context, address string, request wire.TunnelRequest) attempt {
 	var response wire.TunnelResponse
-	conn, reader, err := d.upgrade(ctx, peer, wire.MethodTunnel, request, &response)
+	upgraded, err := d.upgrade(ctx, address, wire.MethodTunnel, request, &response)
 	switch {
 	case err != nil:
-		return attempt{peer: peer, err: err}
-	case conn == nil:
-		return attempt{peer: peer, reached: true, refused: response.Refused}
+		return attempt{peer: address, err: err}
+	case upgraded == nil:
+		return attempt{peer: address, reached: true, refused: response.Refused}
 	default:
-		return attempt{peer: peer, reached: true, conn: newConn(conn, reader, peer)}
+		return attempt{peer: address, reached: true, conn: newConn(upgraded, address)}
 	}
 }
 
@@ -216,16 +248,18 @@
 }
 
 // order returns the peers to ask for a runner, in this order: the one that reached it last, those that
-// reached others lately, one of the nearest, one of the others, and last those that did not help.
-func (d *Dialer) order(runner string) []string {
+// reached others lately, one of the nearest, one of the others, and last those that did not help. Peers
+// outside the homes are not among them; those whose regions are not known are.
+func (d *Dialer) order(runner string, homes place.Homes) []string {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	peers := slices.Clone(d.peers)
-	if len(peers) == 0 {
-		peers = slices.Clone(d.fallback())
-	}
 	now := time.Now()
-	peers = slices.DeleteFunc(peers, func(peer string) bool { return now.Before(d.refused[peer]) })
+	var peers []string
+	for _, peer := range d.known() {
+		if !now.Before(d.refused[peer.Address]) && d.mayBeIn(peer, homes) {
+			peers = append(peers, peer.Address)
+		}
+	}
 	near := peers[:min(preferredPeers, len(peers))]
 	far := peers[len(near):]
 	shuffle(near)
@@ -239,6 +273,38 @@
 	return peers[:min(maxPeers, len(peers))]
 }
 
+// known returns the peers that were set, or those of fallback. mutex must be held.
+func (d *Dialer) known() []Peer {
+	if len(d.peers) > 0 {
+		return d.peers
+	}
+	var peers []Peer
+	for _, address := range d.fallback() {
+		peers = append(peers, Peer{Address: address})
+	}
+	return peers
+}
+
+// mayBeIn reports whether a peer may be in one of the homes: it is, or its region is not known. mutex
+// must be held.
+func (d *Dialer) mayBeIn(peer Peer, homes place.Homes) bool {
+	if peer.Region != "" {
+		return homes.Allows(peer.Region)
+	}
+	region, stated := d.stated[peer.Address]
+	return !stated || homes.Allows(region)
+}
+
+// learnRegion remembers the region that the peer of a connection stated.
+func (d *Dialer) learnRegion(conn *Conn) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if len(d.stated) >= maxRemembered {
+		clear(d.stated)
+	}
+	d.stated[conn.Peer] = conn.Region
+}
+
 // helpedLifetime is how long a peer that reached a runner is asked before others, also for others.
 const helpedLifetime = 5 * time.Second
 
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -21,6 +21,7 @@
 	"lilacvane/internal/fault"
 	"lilacvane/internal/link"
 	"lilacvane/internal/peer"
+	"lilacvane/internal/place"
 	"lilacvane/internal/wire"
 )
 
@@ -77,7 +78,7 @@
 // connect returns both ends of a connection to the carrier's runner.
 func (c *carrier) connect(t *testing.T) (near *Conn, far net.Conn) {
 	t.Helper()
-	near, err := testDialer(c.address).Dial(t.Context(), "r1", c.runner.Addr().String())
+	near, err := testDialer(c.address).Dial(t.Context(), "r1", c.runner.Addr().String(), place.Homes{})
 	assert.NilError(t, err)
 	assert.Equal(t, near.Peer, c.address)
 	far, err = c.runner.Accept()
@@ -195,7 +196,7 @@
 	assert.NilError(t, idle.Close())
 	content, _ := io.ReadAll(idleFar)
 	assert.Equal(t, len(content), 0)
-	_, err = testDialer(c.address).Dial(t.Context(), "r1", c.runner.Addr().String())
+	_, err = testDialer(c.address).Dial(t.Context(), "r1", c.runner.Addr().String(), place.Homes{})
 	assert.Assert(t, fault.IsCode(err, fault.CodeDraining), "%v", err)
 	select {
 	case <-stopped:
@@ -217,19 +218,19 @@
 	refusing := first.runner.Addr().String()
 	assert.NilError(t, first.runner.Close())
 	var unreached *UnreachedError
-	_, err := testDialer(first.address, second.address).Dial(t.Context(), "r1", refusing)
+	_, err := testDialer(first.address, second.address).Dial(t.Context(), "r1", refusing, place.Homes{})
 	assert.Assert(t, errors.As(err, &unreached), "%v", err)
 	assert.Assert(t, unreached.Refused)
 	first.options.ReachesOthers = func(context.Context, string) bool { return false }
-	_, err = testDialer(first.address).Dial(t.Context(), "r1", refusing)
+	_, err = testDialer(first.address).Dial(t.Context(), "r1", refusing, place.Homes{})
 	assert.Assert(t, errors.As(err, &unreached) && !unreached.Refused, "the peer may be cut off: %v", err)
 	first.options.Fails = func(string) bool { return true }
-	_, err = testDialer(first.address).Dial(t.Context(), "r1", refusing)
+	_, err = testDialer(first.address).Dial(t.Context(), "r1", refusing, place.Homes{})
 	assert.Assert(t, errors.As(err, &unreached), "%v", err)
 	assert.Assert(t, !unreached.Refused)
-	_, err = testDialer(refusing).Dial(t.Context(), "r1", refusing)
+	_, err = testDialer(refusing).Dial(t.Context(), "r1", refusing, place.Homes{})
 	assert.Assert(t, err != nil && !errors.As(err, &unreached), "%v", err)
-	_, err = testDialer().Dial(t.Context(), "r1", refusing)
+	_, err = testDialer().Dial(t.Context(), "r1", refusing, place.Homes{})
 	assert.Assert(t, errors.Is(err, ErrNoPeer), "%v", err)
 }
 
@@ -238,7 +239,7 @@
 func TestNodeEndedByConnectionThatNoPeerOpened(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	conn, err := testDialer("127.0.0.1:1").Dial(ctx, "r1", "127.0.0.1:1")
+	conn, err := testDialer("127.0.0.1:1").Dial(ctx, "r1", "127.0.0.1:1", place.Homes{})
 	assert.ErrorIs(t, err, context.Canceled)
 	assert.Assert(t, conn == nil)
 }
@@ -263,12 +264,12 @@
 		t.Run(name, func(t *testing.T) {
 			dialer := testDialer(other, working.address)
 			for number := range 10 {
-				conn, err := dialer.Dial(t.Context(), strconv.Itoa(number), working.runner.Addr().String())
+				conn, err := dialer.Dial(t.Context(), strconv.Itoa(number), working.runner.Addr().String(), place.Homes{})
 				assert.NilError(t, err)
 				assert.NilError(t, conn.Close())
 			}
 			if name == "older" || name == "gone" {
-				assert.Equal(t, dialer.order("new")[0], working.address)
+				assert.Equal(t, dialer.order("new", place.Homes{})[0], working.address)
 			}
 		})
 	}
@@ -281,13 +282,13 @@
 	dialer.avoid("r2", "c")
 	dialer.avoid("r2", "d")
 	for range 20 {
-		assert.Equal(t, dialer.order("r1")[0], "c")
-		assert.Equal(t, dialer.order("r3")[0], "c", "it reached another one")
-		order := dialer.order("r2")
+		assert.Equal(t, dialer.order("r1", place.Homes{})[0], "c")
+		assert.Equal(t, dialer.order("r3", place.Homes{})[0], "c", "it reached another one")
+		order := dialer.order("r2", place.Homes{})
 		assert.Assert(t, order[0] != "c" && order[0] != "d", "%v", order)
 	}
 	dialer.avoid("r1", "c")
-	assert.Equal(t, dialer.order("r1")[3], "c")
+	assert.Equal(t, dialer.order("r1", place.Homes{})[3], "c")
 	for number := range 2 * maxRemembered {
 		dialer.remember(strconv.Itoa(number), "a")
 		assert.Assert(t, len(dialer.reached) <= maxRemembered)
@@ -300,7 +301,7 @@
 	c.mutex.Lock()
 	c.opening = maxCarried
 	c.mutex.Unlock()
-	_, err := testDialer(c.address).Dial(t.Context(), "r1", c.runner.Addr().String())
+	_, err := testDialer(c.address).Dial(t.Context(), "r1", c.runner.Addr().String(), place.Homes{})
 	assert.Assert(t, fault.IsCode(err, fault.CodeOverloaded), "%v", err)
 }
 
@@ -308,7 +309,7 @@
 func TestBusyNodeCarriedForAllOthers(t *testing.T) {
 	c := startCarrier(t)
 	c.full.Store(true)
-	_, err := testDialer(c.address).Dial(t.Context(), "r1", c.runner.Addr().String())
+	_, err := testDialer(c.address).Dial(t.Context(), "r1", c.runner.Addr().String(), place.Homes{})
 	assert.Assert(t, fault.IsCode(err, fault.CodeOverloaded), "%v", err)
 	c.full.Store(false)
 	c.connect(t)
@@ -317,13 +318,13 @@
 // TestPeersThatEndedWereAskedByEveryRequest: a peer that refuses connections is asked once in a while.
 func TestPeersThatEndedWereAskedByEveryRequest(t *testing.T) {
 	asked := make(map[string]int)
-	refuse := func(_ context.Context, address, _ string, _, _ any) (net.Conn, *bufio.Reader, error) {
+	refuse := func(_ context.Context, address, _ string, _, _ any) (*peer.Upgraded, error) {
 		asked[address]++
-		return nil, nil, fault.At(fault.CodeNotReady, wire.MethodTunnel, address, fault.NotDone, syscall.ECONNREFUSED)
+		return nil, fault.At(fault.CodeNotReady, wire.MethodTunnel, address, fault.NotDone, syscall.ECONNREFUSED)
 	}
 	d := NewDialer(refuse, func() []string { return []string{"1.1.1.1:1", "1.1.1.2:1"} }, logr.Discard())
 	for range 3 {
-		_, err := d.Dial(t.Context(), "r1", "1.1.1.9:1")
+		_, err := d.Dial(t.Context(), "r1", "1.1.1.9:1", place.Homes{})
 		assert.Assert(t, err != nil)
 	}
 	assert.DeepEqual(t, asked, map[string]int{"1.1.1.1:1": 1, "1.1.1.2:1": 1})
@@ -333,7 +334,7 @@
 func TestPeersOfOtherZonesAreAskedToo(t *testing.T) {
 	dialer := testDialer("near-1", "near-2", "near-3", "far-1", "far-2")
 	for range 50 {
-		order := dialer.order("r1")
+		order := dialer.order("r1", place.Homes{})
 		assert.Equal(t, len(order), maxPeers)
 		assert.Assert(t, strings.HasPrefix(order[0], "near"), "%v", order)
 		assert.Assert(t, strings.HasPrefix(order[1], "far"), "%v", order)
@@ -347,7 +348,7 @@
 		return nil, &net.OpError{Op: "dial", Err: syscall.ETIMEDOUT}
 	}
 	var unreached *UnreachedError
-	_, err := testDialer(c.address).Dial(t.Context(), "r1", c.runner.Addr().String())
+	_, err := testDialer(c.address).Dial(t.Context(), "r1", c.runner.Addr().String(), place.Homes{})
 	assert.Assert(t, errors.As(err, &unreached) && !unreached.Refused, "%v", err)
 }
 
@@ -357,7 +358,7 @@
 	f.Add([]byte{0, 0, 0})
 	f.Add([]byte{byte(frameData), 255, 255, 1})
 	f.Fuzz(func(t *testing.T, content []byte) {
-		conn := newConn(nil, bufio.NewReader(bytes.NewReader(content)), "peer")
+		conn := newConn(&peer.Upgraded{Reader: bufio.NewReader(bytes.NewReader(content))}, "peer")
 		read, err := io.Copy(io.Discard, conn)
 		if read > int64(len(content)) {
 			t.Fatalf("%d bytes read of %d", read, len(content))
@@ -375,13 +376,13 @@
 	whole = appendFrame(whole, frameData, []byte("\r\nbody"))
 	whole = appendFrame(whole, frameEnd, nil)
 	for cut := range len(whole) {
-		conn := newConn(nil, bufio.NewReader(bytes.NewReader(whole[:cut])), "peer")
+		conn := newConn(&peer.Upgraded{Reader: bufio.NewReader(bytes.NewReader(whole[:cut]))}, "peer")
 		_, err := io.ReadAll(conn)
 		assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%d bytes of %d: %v", cut, len(whole), err)
 		_, err = conn.Read(make([]byte, 1))
 		assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%d bytes of %d, read again: %v", cut, len(whole), err)
 	}
-	content, err := io.ReadAll(newConn(nil, bufio.NewReader(bytes.NewReader(whole)), "peer"))
+	content, err := io.ReadAll(newConn(&peer.Upgraded{Reader: bufio.NewReader(bytes.NewReader(whole))}, "peer"))
 	assert.NilError(t, err)
 	assert.Equal(t, string(content), "HTTP/1.1 200 OK\r\n\r\nbody")
 }
@@ -402,7 +403,7 @@
 		"closing, content": appendFrame(appendFrame(nil, frameClosing, []byte{byte(frameEnd), 0, 0}), frameEnd, nil),
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, err := io.ReadAll(newConn(nil, bufio.NewReader(bytes.NewReader(append(bytes.Clone(data), frame...))), "peer"))
+			_, err := io.ReadAll(newConn(&peer.Upgraded{Reader: bufio.NewReader(bytes.NewReader(append(bytes.Clone(data), frame...)))}, "peer"))
 			assert.Assert(t, err != nil)
 		})
 	}
--- a/internal/upstream/confirm.go
+++ b/internal/upstream/confirm.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lilacvane/internal/fault"
+	"lilacvane/internal/place"
 	"lilacvane/internal/reach"
 	"lilacvane/internal/tunnel"
 )
@@ -87,7 +88,7 @@
 	if p.Tunnels == nil {
 		return err
 	}
-	carried, peerErr := p.dialPeer(ctx, runner)
+	carried, peerErr := p.dialPeer(ctx, runner, place.Homes{})
 	if peerErr != nil {
 		return p.conclude(ctx, runner, err, peerErr)
 	}
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -9,6 +9,7 @@
 
 	"lilacvane/internal/fault"
 	"lilacvane/internal/link"
+	"lilacvane/internal/place"
 	"lilacvane/internal/reach"
 	"lilacvane/internal/tunnel"
 )
@@ -26,7 +27,12 @@
 func (p *Pool) connect(ctx context.Context, call Call) (*connection, error) {
 	runner := reach.Runner{Name: call.Runner, Address: call.Address}
 	if !call.Direct && p.Tunnels != nil {
-		return p.connectAnyWay(ctx, runner)
+		conn, err := p.connectAnyWay(ctx, runner, call.Homes)
+		if err != nil && call.Homes.Restricted() && !fault.IsCode(err, fault.CodeNoPathInHomes) {
+			// Peers that may not pass the call on still tell whether only the path is broken.
+			go p.Check(runner)
+		}
+		return conn, err
 	}
 	conn, err := p.dial(ctx, runner)
 	if err != nil {
@@ -35,9 +41,9 @@
 	return conn, err
 }
 
-// connectAnyWay opens a connection to a runner, directly or through a peer, in the way that is
-// expected to work.
-func (p *Pool) connectAnyWay(ctx context.Context, runner reach.Runner) (*connection, error) {
+// connectAnyWay opens a connection to a runner, directly or through a peer in one of the homes, in the
+// way that is expected to work.
+func (p *Pool) connectAnyWay(ctx context.Context, runner reach.Runner, homes place.Homes) (*connection, error) {
 	switch p.Reach.Way(runner) {
 	case reach.Alone:
 		if p.Reach.Fails(runner.Name) {
@@ -49,10 +55,13 @@
 		}
 		return conn, err
 	case reach.ViaPeer:
-		conn, peerErr := p.dialPeer(ctx, runner)
+		conn, peerErr := p.dialPeer(ctx, runner, homes)
 		if peerErr == nil || ctx.Err() != nil {
 			return conn, peerErr
 		}
+		if homes.Restricted() && p.Reach.Fails(runner.Name) {
+			return nil, fault.At(fault.CodeNoPathInHomes, "connect", runner.Address, fault.NotDone, peerErr)
+		}
 		// The path may work again.
 		conn, err := p.dial(ctx, runner)
 		if err != nil {
@@ -60,9 +69,9 @@
 		}
 		return conn, nil
 	case reach.Either:
-		return p.race(ctx, runner, 0, tunnel.OpenTimeout)
+		return p.race(ctx, runner, homes, 0, tunnel.OpenTimeout)
 	default:
-		return p.race(ctx, runner, fallbackDelay, peerGrace)
+		return p.race(ctx, runner, homes, fallbackDelay, peerGrace)
 	}
 }
 
@@ -72,11 +81,11 @@
 	err  error
 }
 
-// race connects directly and, once that has failed or taken delay, through a peer as well, and
-// returns the connection that is there first. If the direct attempt has failed, peers get grace to
+// race connects directly and, once that has failed or taken delay, through a peer in one of the homes as
+// well, and returns the connection that is there first. If the direct attempt has failed, peers get grace to
 // do better. Attempts that are left go on: their outcomes show whether the path is broken, and their
 // connections are kept for the next call.
-func (p *Pool) race(ctx context.Context, runner reach.Runner, delay, grace time.Duration) (*connection, error) {
+func (p *Pool) race(ctx context.Context, runner reach.Runner, homes place.Homes, delay, grace time.Duration) (*connection, error) {
 	start := time.Now()
 	aside := context.WithoutCancel(ctx)
 	direct := p.dialAside(aside, runner)
@@ -112,7 +121,7 @@
 			case directErr == nil && wait > 0:
 				askPeer.Reset(wait)
 			default:
-				peer = p.dialPeerAside(aside, runner)
+				peer = p.dialPeerAside(aside, runner, homes)
 			}
 		case result := <-peer:
 			peer = nil
@@ -141,10 +150,10 @@
 }
 
 // dialPeerAside connects to a runner through a peer and sends the outcome.
-func (p *Pool) dialPeerAside(ctx context.Context, runner reach.Runner) <-chan dialing {
+func (p *Pool) dialPeerAside(ctx context.Context, runner reach.Runner, homes place.Homes) <-chan dialing {
 	outcome := make(chan dialing, 1)
 	go func() {
-		conn, err := p.dialPeer(ctx, runner)
+		conn, err := p.dialPeer(ctx, runner, homes)
 		outcome <- dialing{conn: conn, err: err}
 	}()
 	return outcome
@@ -211,15 +220,16 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// dialPeer connects to a runner through a peer.
-func (p *Pool) dialPeer(ctx context.Context, runner reach.Runner) (*connection, error) {
-	conn, err := p.Tunnels.Dial(ctx, runner.Name, runner.Address)
+// dialPeer connects to a runner through a peer in one of the homes. That peers of some regions do not
+// reach the runner says nothing of the others.
+func (p *Pool) dialPeer(ctx context.Context, runner reach.Runner, homes place.Homes) (*connection, error) {
+	conn, err := p.Tunnels.Dial(ctx, runner.Name, runner.Address, homes)
 	var unreached *tunnel.UnreachedError
 	switch {
 	case runner.Name == "":
 	case err == nil:
 		p.Reach.PeerConnected(runner)
-	case errors.As(err, &unreached):
+	case errors.As(err, &unreached) && !homes.Restricted():
 		p.Reach.PeersFailed(runner, unreached.Refused)
 	}
 	if err != nil {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -15,6 +15,7 @@
 
 	"lilacvane/internal/body"
 	"lilacvane/internal/fault"
+	"lilacvane/internal/place"
 	"lilacvane/internal/statement"
 	"lilacvane/internal/tunnel"
 )
@@ -53,6 +54,8 @@
 	Proved bool
 	// Direct allows only a connection of this node itself: orders of a service come from one machine.
 	Direct bool
+	// Homes are the only regions in which a peer may pass the call on.
+	Homes place.Homes
 	// Admit is called once there is a connection, right before the request is written; an error
 	// ends the call. It may be nil, then the request is sent in any case.
 	Admit func() error
--- a/internal/upstream/paths.go
+++ b/internal/upstream/paths.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"lilacvane/internal/place"
 	"lilacvane/internal/reach"
 )
 
@@ -23,7 +24,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
-	conn, err := p.connectAnyWay(ctx, runner)
+	conn, err := p.connectAnyWay(ctx, runner, place.Homes{})
 	if err == nil {
 		p.returnUnused(runner.Name, conn)
 	}
--- a/internal/upstream/paths_test.go
+++ b/internal/upstream/paths_test.go
@@ -21,6 +21,7 @@
 	"lilacvane/internal/fault"
 	"lilacvane/internal/link"
 	"lilacvane/internal/peer"
+	"lilacvane/internal/place"
 	"lilacvane/internal/reach"
 	"lilacvane/internal/tunnel"
 	"lilacvane/internal/wire"
@@ -46,6 +47,15 @@
 		w.direct.Add(1)
 		return link.Runner.Dial(ctx, network, address)
 	}
+	address := w.startPeer(t, "")
+	w.pool.Reach = reach.New(time.Now, logr.Discard())
+	w.pool.Tunnels = tunnel.NewDialer(peer.NewClient("self", nil).Upgrade, func() []string { return []string{address} }, logr.Discard())
+	return w
+}
+
+// startPeer starts a peer in a region, empty for one that states none, and returns its address.
+func (w *pathWorld) startPeer(t *testing.T, region place.Region) string {
+	t.Helper()
 	server := tunnel.NewServer(tunnel.ServerOptions{
 		Connect: func(ctx context.Context, _, address string) (net.Conn, error) {
 			if err := waitLost(&w.peerLost); err != nil {
@@ -57,14 +67,13 @@
 		Fails: func(string) bool { return false }, ReachesOthers: func(context.Context, string) bool { return true }, AddressOf: func(string) (string, bool) { return "", false }, Begin: func() (func(), bool) { return func() {}, true }, Log: logr.Discard(),
 	})
 	peers := peer.NewServer("peer", nil)
+	peers.SetRegion(region)
 	peer.HandleUpgrade(peers, wire.MethodTunnel, server.Open)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	go func() { _ = peers.Serve(listener) }()
 	t.Cleanup(func() { _ = peers.Close() })
-	w.pool.Reach = reach.New(time.Now, logr.Discard())
-	w.pool.Tunnels = tunnel.NewDialer(peer.NewClient("self", nil).Upgrade, func() []string { return []string{listener.Addr().String()} }, logr.Discard())
-	return w
+	return listener.Addr().String()
 }
 
 // keepsDirect reports whether the pool keeps an idle connection that leads through no peer.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -150,15 +150,15 @@
 	}
 }
 
-// popIdle takes the connection that became idle last of those that a call may use; nil for none. A direct
-// call uses none through a peer, and no request uses one that has carried it before: a late answer to the
-// earlier exchange bears the same identifier.
+// popIdle takes the connection that became idle last of those that a call may use; nil for none. No
+// request uses one that has carried it before: a late answer to the earlier exchange bears the same
+// identifier.
 func (p *Pool) popIdle(call Call) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	idle := p.idle[call.Runner]
 	for at := len(idle) - 1; at >= 0; at-- {
-		if last := idle[at]; (last.tunnel == nil || !call.Direct) && !last.hasCarried(call.RequestID) {
+		if last := idle[at]; call.admits(last) && !last.hasCarried(call.RequestID) {
 			p.setIdle(call.Runner, slices.Delete(idle, at, at+1))
 			return last
 		}
@@ -166,6 +166,12 @@
 	return nil
 }
 
+// admits reports whether a call may go the way that a connection leads: directly, or through a peer in its
+// homes. The connection may have been opened for another call.
+func (c Call) admits(conn *connection) bool {
+	return conn.tunnel == nil || !c.Direct && c.Homes.Allows(conn.tunnel.Region)
+}
+
 // recordRequest records the identifier of a request that is about to be sent; it may be empty.
 func (c *connection) recordRequest(id string) {
 	if len(c.requests) == keptRequests {
--- a/internal/upstream/presence.go
+++ b/internal/upstream/presence.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"lilacvane/internal/place"
 	"lilacvane/internal/reach"
 	"lilacvane/internal/tunnel"
 )
@@ -106,7 +107,7 @@
 // dialSameWay connects to a runner directly or through a peer.
 func (p *Pool) dialSameWay(ctx context.Context, runner reach.Runner, viaPeer bool) (*connection, error) {
 	if viaPeer {
-		return p.dialPeer(ctx, runner)
+		return p.dialPeer(ctx, runner, place.Homes{})
 	}
 	return p.dial(ctx, runner)
 }
--- a/internal/wire/sync.go
+++ b/internal/wire/sync.go
@@ -179,6 +179,8 @@
 	// TunnelPeers are the addresses of nodes through which the node may reach runners, nearest first.
 	// Sent in answer to reports.
 	TunnelPeers []string `cbor:"22,keyasint,omitempty"`
+	// TunnelRegions are the regions of TunnelPeers, in the same order; an empty one is not known.
+	TunnelRegions []string `cbor:"26,keyasint,omitempty"`
 	// Neighbors are the addresses of the nodes to which the node passes urgent news on. Sent in answer
 	// to reports whose NeighborsDigest is another one.
 	Neighbors []string `cbor:"24,keyasint,omitempty"`
