Count no end of a runner against a request that an outage explains

What callers saw: proper requests got 400 crashes_runners, for half an hour or until such a request succeeded, which the refusal forbids, while a quarter of the runners crashed for half a second each 0.6 s.

Cause: a request, or a part of a prompt, is refused after three ends of runners, whatever else ended then.

Change: nodes keep which runners ended lately, when and under which requests. An end at the same moment (50 ms) as three other runners, and one in 32 of all, without the request counts only beside two ends that have no such explanation. Ends that were counted before the reports of the others came are struck at all nodes while the refusal is still provisional. They are struck apart from those before a success: an outage says nothing of the other ends.

--- a/internal/poison/tally.go
+++ b/internal/poison/tally.go
@@ -79,19 +79,20 @@
 }
 
 // entry is what a tally records of one request: the runners whose ends are known, those whose ends no longer
-// count, and when the last end was recorded or struck. A runner in struck stays out of found, so that
-// nodes agree in whichever order they learn of an end and of what strikes it.
+// count, and when the last end was recorded or struck. A runner in struck or discounted stays out of found, so
+// that nodes agree in whichever order they learn of an end and of what strikes it.
 type entry struct {
-	found     Finding
-	struck    []string
-	lastCrash time.Time
+	found Finding
+	// struck are those that a success or an operator struck, discounted those that an outage explains.
+	struck, discounted []string
+	lastCrash          time.Time
 	// cleared is set once ends were struck as the request succeeded, or an operator lifted it.
 	cleared bool
 }
 
 // add records an end, or when it was, and reports whether that changed which ends are known or count.
 func (e *entry) add(runner string, run Run, now time.Time) bool {
-	if slices.Contains(e.struck, runner) || !e.found.add(runner, run) {
+	if slices.Contains(e.struck, runner) || slices.Contains(e.discounted, runner) || !e.found.add(runner, run) {
 		return false
 	}
 	e.lastCrash = now
@@ -151,23 +152,42 @@
 // Strike makes the ends of some runners no longer count for a request, because an attempt of it
 // succeeded or an operator asked for it.
 func (t *Tally) Strike(request Identity, runners []string, now time.Time) {
-	if len(runners) == 0 {
-		return
+	if len(runners) > 0 {
+		known := t.without(request, runners, now)
+		known.struck, known.cleared = addRunners(known.struck, runners), true
+	}
+}
+
+// Discount makes the ends of some runners no longer count for a request, because an outage explains them. It
+// says nothing of the other ends.
+func (t *Tally) Discount(request Identity, runners []string, now time.Time) {
+	if len(runners) > 0 {
+		known := t.without(request, runners, now)
+		known.discounted = addRunners(known.discounted, runners)
 	}
+}
+
+// without drops the ends of some runners from the entry of a request and returns the entry.
+func (t *Tally) without(request Identity, runners []string, now time.Time) *entry {
 	known := t.entries[request]
 	if known == nil {
 		known = &entry{found: Finding{Request: request}}
 		t.entries[request] = known
 	}
+	known.found = known.found.Without(func(runner string) bool { return slices.Contains(runners, runner) })
+	known.lastCrash = now
+	t.trim(now)
+	return known
+}
+
+// addRunners adds runners to those of a list that it lacks. The last maxEnds are kept.
+func addRunners(list, runners []string) []string {
 	for _, runner := range runners {
-		if !slices.Contains(known.struck, runner) {
-			known.struck = append(known.struck, runner)
+		if !slices.Contains(list, runner) {
+			list = append(list, runner)
 		}
 	}
-	known.struck = known.struck[max(len(known.struck)-maxEnds, 0):]
-	known.found = known.found.Without(func(runner string) bool { return slices.Contains(runners, runner) })
-	known.cleared, known.lastCrash = true, now
-	t.trim(now)
+	return list[max(len(list)-maxEnds, 0):]
 }
 
 // Cleared reports whether the request has succeeded since an end under it was known, or an operator lifted
@@ -185,12 +205,13 @@
 	return nil
 }
 
-// Struck returns the runners whose ends no longer count for a request.
-func (t *Tally) Struck(request Identity) []string {
+// Struck returns the runners whose ends no longer count for a request: those that a success or an operator
+// struck, and those that an outage explains.
+func (t *Tally) Struck(request Identity) (struck, discounted []string) {
 	if known := t.entries[request]; known != nil {
-		return slices.Clone(known.struck)
+		return slices.Clone(known.struck), slices.Clone(known.discounted)
 	}
-	return nil
+	return nil, nil
 }
 
 // Contains reports whether an end counts for a request.
--- a/internal/poison/tally_test.go
+++ b/internal/poison/tally_test.go
@@ -42,7 +42,9 @@
 		assert.Equal(t, len(tally.RecordCrash(runner, []Identity{testIdentity(0)}, start)), 0, runner)
 	}
 	assert.DeepEqual(t, tally.Runners(testIdentity(0)), []string{"r3"})
-	assert.DeepEqual(t, tally.Struck(testIdentity(0)), []string{"r1", "r2", "late"})
+	struck, discounted := tally.Struck(testIdentity(0))
+	assert.DeepEqual(t, struck, []string{"r1", "r2", "late"})
+	assert.Equal(t, len(discounted), 0)
 }
 
 // TestTallyTransfer: a tally that gets the crashes of another one has the same counts.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -40,6 +40,8 @@
 	ReportNow func(service string)
 	// Holds reports whether this node holds the control lease of a service.
 	Holds func(service string) bool
+	// CountRunners returns how many runners a service has.
+	CountRunners func(service string) int
 	// Wake makes requests that wait for a runner check again.
 	Wake func()
 	// RecordDecision records a decision about a subject for operators to query.
@@ -83,6 +85,10 @@
 	tally *poison.Tally
 	// succeeded is when contents and parts last succeeded, here or at a node that told of it.
 	succeeded *poison.Successes
+	// outages are the recent ends of runners, whichever requests ran there.
+	outages *poison.Outages
+	// disputed are refusals of other nodes that an outage explains, until the nodes are told.
+	disputed map[poison.Identity]poison.Finding
 	// unreported is what was not reported to the holder yet. reportedToken is the lease token of
 	// the holder that got a full report.
 	unreported    wire.PoisonReport
@@ -107,7 +113,7 @@
 // New returns a quarantine without any crashes.
 func New(options Options) *Quarantine {
 	q := &Quarantine{
-		Options: options, marks: poison.NewMarks(), tally: poison.NewTally(), succeeded: poison.NewSuccesses(),
+		Options: options, marks: poison.NewMarks(), tally: poison.NewTally(), succeeded: poison.NewSuccesses(), outages: poison.NewOutages(), disputed: make(map[poison.Identity]poison.Finding),
 		pendingWrites: make(map[poison.Identity]rowChange), written: make(map[poison.Identity]writtenRow), due: make(chan struct{}, 1),
 	}
 	q.ctx, q.cancel = context.WithCancel(context.Background())
@@ -231,8 +237,10 @@
 	untimed := slices.DeleteFunc(slices.Clone(c.Requests), func(request poison.Identity) bool {
 		return slices.ContainsFunc(c.Contents, func(run poison.Run) bool { return run.Request == request })
 	})
+	runs := slices.Concat(c.Contents, c.Parts)
+	q.outages.Record(c.Runner, runs, now)
 	found := q.tally.RecordCrash(c.Runner, untimed, now)
-	q.publish(append(found, q.tally.RecordRuns(c.Runner, slices.Concat(c.Contents, c.Parts), now)...))
+	q.publish(append(found, q.tally.RecordRuns(c.Runner, runs, now)...))
 }
 
 // mergeMark adds what a mark says to the tally. mutex is held.
@@ -304,15 +312,21 @@
 	return ages
 }
 
-// countable returns findings without the crashes that no longer count, and without those before a success
-// that is known here, if enough are left. mutex is held.
+// countable returns findings without the crashes that no longer count, those before a success that is known
+// here and those that an outage explains, if enough are left. mutex is held.
 func (q *Quarantine) countable(findings []poison.Finding) []poison.Finding {
 	var counted []poison.Finding
 	for _, finding := range findings {
 		q.tally.Strike(finding.Request, q.succeeded.Disproved(finding), time.Now())
-		struck := q.tally.Struck(finding.Request)
-		isStruck := func(runner string) bool { return slices.Contains(struck, runner) }
+		struck, discounted := q.tally.Struck(finding.Request)
+		isStruck := func(runner string) bool {
+			return slices.Contains(struck, runner) || slices.Contains(discounted, runner)
+		}
 		finding = finding.Without(isStruck)
+		if finding.Suspected() {
+			explained := q.explained(finding, 0)
+			finding = finding.Without(func(runner string) bool { return slices.Contains(explained, runner) })
+		}
 		finding.Cleared = q.tally.Cleared(finding.Request)
 		if finding.Suspected() {
 			counted = append(counted, finding)
@@ -341,8 +355,12 @@
 
 // strike makes crashes no longer count at this node. mutex is held.
 func (q *Quarantine) strike(struck wire.CrashesStruck) {
-	q.tally.Strike(struck.Request, struck.Runners, time.Now())
-	q.succeeded.Record(struck.Request, time.Now())
+	if struck.Outage {
+		q.tally.Discount(struck.Request, struck.Runners, time.Now())
+	} else {
+		q.tally.Strike(struck.Request, struck.Runners, time.Now())
+		q.succeeded.Record(struck.Request, time.Now())
+	}
 	q.trials.end(struck.Request)
 	mark, marked := q.marks.Find(struck.Request)
 	if !marked {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -43,7 +43,7 @@
 		Rows: rows, Self: func() string { return "self" }, ReportNow: func(string) {}, Wake: func() {}, RecordDecision: func(_, _, _ string) {},
 		SendReport: func(context.Context, string, wire.PoisonReport) (wire.PoisonAnswer, error) {
 			return wire.PoisonAnswer{}, nil
-		}, Holds: func(string) bool { return true }, CountUndelivered: func() {}, Unreadable: func(feed.Row, error) {}, Log: logr.Discard(),
+		}, Holds: func(string) bool { return true }, CountRunners: func(string) int { return 0 }, CountUndelivered: func() {}, Unreadable: func(feed.Row, error) {}, Log: logr.Discard(),
 	})
 }
 
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -138,10 +138,14 @@
 	q.addReport(report)
 	var answer wire.PoisonAnswer
 	for _, told := range report.Marks {
-		struck := slices.DeleteFunc(q.tally.Struck(told.Request), func(runner string) bool { return !slices.Contains(told.Runners, runner) })
-		if len(struck) > 0 {
+		struck, discounted := q.tally.Struck(told.Request)
+		untold := func(runner string) bool { return !slices.Contains(told.Runners, runner) }
+		if struck = slices.DeleteFunc(struck, untold); len(struck) > 0 {
 			answer.Struck = append(answer.Struck, wire.CrashesStruck{Request: told.Request, Runners: struck})
 		}
+		if discounted = slices.DeleteFunc(discounted, untold); len(discounted) > 0 {
+			answer.Struck = append(answer.Struck, wire.CrashesStruck{Request: told.Request, Runners: discounted, Outage: true})
+		}
 	}
 	for _, c := range report.Crashes {
 		for _, request := range identities(c) {
@@ -171,6 +175,7 @@
 		finding := poison.Finding{Request: mark.Request, Runners: mark.Runners, Beside: mark.Beside, Controlled: mark.Controlled, Runs: parseRuns(mark.Runs, now), BesideRuns: parseRuns(mark.BesideRuns, now), Age: age}
 		findings = append(findings, finding.Adopted())
 	}
+	q.dispute(findings)
 	q.apply(findings, SourcePeer)
 	q.publish(q.merge(findings))
 }
@@ -182,7 +187,7 @@
 	counted := slices.ContainsFunc(struck.Runners, func(runner string) bool { return slices.Contains(mark.Runners, runner) })
 	q.strike(struck)
 	if counted {
-		q.Log.Info("request no longer suspected of ending runners", "content", struck.Request.Short(), "reason", "another node cleared it", "runners", struck.Runners)
+		q.Log.Info("request no longer suspected of ending runners", "content", struck.Request.Short(), "reason", "another node cleared it", "outage", struck.Outage, "runners", struck.Runners)
 		q.tellNeighbors(wire.PoisonReport{Struck: []wire.CrashesStruck{struck}})
 	}
 }
@@ -199,6 +204,7 @@
 	if len(q.refused()) > 0 {
 		q.compareLocked()
 	}
+	q.discountOutages()
 	if q.Holds(*q.service.Load()) {
 		q.repair()
 	}
--- a/internal/quarantine/spread_test.go
+++ b/internal/quarantine/spread_test.go
@@ -26,8 +26,10 @@
 	nodes map[string]*Quarantine
 	order []string
 	gone  map[string]bool
-	calls atomic.Int64
-	bytes atomic.Int64
+	// runners is how many runners the nodes list.
+	runners int
+	calls   atomic.Int64
+	bytes   atomic.Int64
 	// delay returns how long a report takes to arrive; nil if it takes no time.
 	delay func() time.Duration
 }
@@ -58,7 +60,7 @@
 func (g *group) add(t *testing.T, address string) {
 	q := New(Options{
 		Rows: &tableStub{rows: make(map[string]bool), down: true}, Self: func() string { return address }, ReportNow: func(string) {}, Wake: func() {},
-		RecordDecision: func(_, _, _ string) {}, SendReport: g.send, AskTrial: g.askTrial, Holds: func(string) bool { return false }, CountUndelivered: func() {}, Unreadable: func(feed.Row, error) {}, Log: logr.Discard(),
+		RecordDecision: func(_, _, _ string) {}, SendReport: g.send, AskTrial: g.askTrial, Holds: func(string) bool { return false }, CountRunners: func(string) int { return g.runners }, CountUndelivered: func() {}, Unreadable: func(feed.Row, error) {}, Log: logr.Discard(),
 	})
 	t.Cleanup(q.close)
 	g.mutex.Lock()
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -124,6 +124,7 @@
 		findings = append(findings, finding.Adopted())
 	}
 	if len(findings) > 0 {
+		q.dispute(findings)
 		q.apply(findings, SourceTable)
 		q.publish(q.merge(findings))
 	}
@@ -219,7 +220,8 @@
 		}
 	}
 	for request := range q.written {
-		if _, marked := q.marks.Find(request); !marked && len(q.tally.Struck(request)) > 0 {
+		struck, discounted := q.tally.Struck(request)
+		if _, marked := q.marks.Find(request); !marked && (len(struck) > 0 || len(discounted) > 0 && !q.tally.Contains(request)) {
 			q.pendingWrites[request] = deleteRow
 			q.signal()
 		}
--- a/internal/quarantine/waves_test.go
+++ b/internal/quarantine/waves_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -33,6 +34,8 @@
 	spreadTime = 500 * time.Millisecond
 	// guiltyRunners is how many runners requests with one part may crash.
 	guiltyRunners = 3
+	// atOnce is the time between an end and a wave within which one can't be told from the other.
+	atOnce = 50 * time.Millisecond
 )
 
 // waves is a fleet whose runners crash in waves that no request causes, while requests of several parts of
@@ -40,12 +43,16 @@
 type waves struct {
 	*group
 	seed uint64
+	// least is the shortest time between two waves, spread how much longer it may be.
+	least, spread time.Duration
 	// mutex guards the fields below. ended is closed when a runner ends, by runner; running are the requests of
 	// the guilty part that are under way.
-	mutex   sync.Mutex
-	ended   map[int]chan struct{}
-	names   map[int]string
-	crashed int
+	mutex sync.Mutex
+	ended map[int]chan struct{}
+	names map[int]string
+	// crashed are the times at which the guilty part crashed runners, struck those of the waves.
+	crashed []time.Time
+	struck  []time.Time
 	denied  map[string]int
 	sent    map[string]int
 	running sync.WaitGroup
@@ -61,7 +68,8 @@
 }
 
 func newWaves(t *testing.T, seed uint64) *waves {
-	w := &waves{group: newGroup(t, waveNodes), seed: seed, ended: make(map[int]chan struct{}), names: make(map[int]string), denied: make(map[string]int), sent: make(map[string]int)}
+	w := &waves{group: newGroup(t, waveNodes), seed: seed, least: time.Second, spread: 5 * time.Second, ended: make(map[int]chan struct{}), names: make(map[int]string), denied: make(map[string]int), sent: make(map[string]int)}
+	w.runners = waveRunners
 	for runner := range waveRunners {
 		w.start(runner)
 	}
@@ -94,7 +102,10 @@
 func (w *waves) strike(until time.Time) {
 	random := w.draws("waves")
 	for time.Now().Before(until) {
-		time.Sleep(time.Duration(1000+random.IntN(5000)) * time.Millisecond)
+		time.Sleep(w.least + time.Duration(random.Int64N(int64(w.spread))))
+		w.mutex.Lock()
+		w.struck = append(w.struck, time.Now())
+		w.mutex.Unlock()
 		for runner := range waveRunners {
 			if random.IntN(4) == 0 {
 				w.crash(runner)
@@ -158,7 +169,7 @@
 		if !again {
 			w.crash(runner)
 			w.mutex.Lock()
-			w.crashed++
+			w.crashed = append(w.crashed, time.Now())
 			w.mutex.Unlock()
 		}
 	}
@@ -194,10 +205,32 @@
 		w.running.Go(func() { w.sendAll(part, until) })
 	}
 	w.running.Go(func() { w.strike(until) })
+	w.running.Go(func() { w.exchangeAll(until) })
 	w.running.Wait()
 	synctest.Wait()
 }
 
+// beside returns how many runners the guilty part crashed at the time of a wave.
+func (w *waves) beside() int {
+	count := 0
+	for _, crashed := range w.crashed {
+		if slices.ContainsFunc(w.struck, func(wave time.Time) bool { return wave.Sub(crashed).Abs() < atOnce }) {
+			count++
+		}
+	}
+	return count
+}
+
+// exchangeAll lets all nodes exchange what they know until the time is over.
+func (w *waves) exchangeAll(until time.Time) {
+	for time.Now().Before(until) {
+		time.Sleep(exchangeInterval)
+		for _, address := range w.order {
+			w.nodes[address].exchange()
+		}
+	}
+}
+
 // innocentParts are one popular part and rare ones, quick and slow.
 func innocentParts() []wavePart {
 	parts := []wavePart{{name: "popular", rate: 20, duration: time.Second}}
@@ -221,6 +254,43 @@
 	}
 }
 
+// newSeries returns waves that follow each other so closely that slow requests meet one or two each.
+func newSeries(t *testing.T, seed uint64) *waves {
+	w := newWaves(t, seed)
+	w.least, w.spread = 600*time.Millisecond, time.Millisecond
+	return w
+}
+
+// TestInnocentPartWasDeniedInSeriesOfWaves: a quarter of the runners crashed each 0.6 s, so that each third
+// attempt ended, and parts that had met three waves in a row were denied until the end.
+func TestInnocentPartWasDeniedInSeriesOfWaves(t *testing.T) {
+	for seed := *wavesSeed; seed < *wavesSeed+uint64(*wavesSeeds); seed++ {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newSeries(t, seed)
+				w.play(innocentParts())
+				assert.Equal(t, len(w.denied), 0, "denied: %v of %v", w.denied, w.sent)
+			})
+		})
+	}
+}
+
+// TestGuiltyPartIsFoundInSeriesOfWaves: beside a series of waves, a part that crashes each runner is denied
+// after three crashes. Those that fall together with a wave can't be told from it.
+func TestGuiltyPartIsFoundInSeriesOfWaves(t *testing.T) {
+	for seed := *wavesSeed; seed < *wavesSeed+uint64(*wavesSeeds); seed++ {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newSeries(t, seed)
+				w.play(append(innocentParts(), wavePart{name: "guilty", rate: 2, guilty: true}))
+				t.Logf("crashed %d (%d beside a wave), denied %v of %v sent", len(w.crashed), w.beside(), w.denied, w.sent)
+				assert.Assert(t, w.denied["guilty"] > 0)
+				assert.Assert(t, len(w.crashed)-w.beside() <= guiltyRunners, "%d runners crashed, %d of them beside a wave", len(w.crashed), w.beside())
+			})
+		})
+	}
+}
+
 // TestGuiltyPartCrashedMoreThanThreeRunners: beside waves of crashes and innocent parts, one part crashes each
 // runner that runs it. It may crash three.
 func TestGuiltyPartCrashedMoreThanThreeRunners(t *testing.T) {
@@ -229,8 +299,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				w := newWaves(t, seed)
 				w.play(append(innocentParts(), wavePart{name: "guilty", rate: 2, guilty: true}))
-				t.Logf("crashed %d, denied %v of %v sent", w.crashed, w.denied, w.sent)
-				assert.Assert(t, w.crashed <= guiltyRunners, "%d runners crashed", w.crashed)
+				t.Logf("crashed %d (%d beside a wave), denied %v of %v sent", len(w.crashed), w.beside(), w.denied, w.sent)
+				assert.Assert(t, len(w.crashed) <= guiltyRunners, "%d runners crashed", len(w.crashed))
 			})
 		})
 	}
--- a/internal/wire/poison.go
+++ b/internal/wire/poison.go
@@ -70,12 +70,15 @@
 	BesideRuns []Run `cbor:"7,keyasint,omitempty"`
 }
 
-// CrashesStruck are crashes of a request that no longer count, as an attempt of it succeeded or an
-// operator lifted its quarantine.
+// CrashesStruck are crashes of a request that no longer count, as an attempt of it succeeded, an operator
+// lifted its quarantine, or an outage explains them.
 type CrashesStruck struct {
 	Request poison.Identity `cbor:"1,keyasint"`
 	// Runners identify the incarnations that had crashed.
 	Runners []string `cbor:"2,keyasint"`
+	// Outage is set if many runners ended at the same time as each of Runners: that says nothing of the
+	// request's other crashes.
+	Outage bool `cbor:"3,keyasint,omitempty"`
 }
 
 // CrashReport is a crashed runner and the requests of the node that were running there.
