Send each neighbor one report of crashes at a time

Cause: each change of a mark, and each end that no longer counts, was a call of its own to each neighbor, at once, however many calls were under way already.

Change: what a neighbor is yet to be told is kept in an outbox. It gets one report at a time, and what comes meanwhile goes into the next one, marks as they are then.

Measured: TestNewsOfManyEndsDrownedTheNodes failed before (50 reports at once to one neighbor) and passes.

--- a/internal/quarantine/outage.go
+++ b/internal/quarantine/outage.go
@@ -56,7 +56,7 @@
 	struck := wire.CrashesStruck{Request: finding.Request, Runners: explained, Outage: true}
 	q.strike(struck)
 	q.Log.Info("ends of runners explained by an outage", "content", finding.Request.Short(), "part", finding.Request.IsPart(), "runners", explained)
-	q.tellNeighbors(wire.PoisonReport{Struck: []wire.CrashesStruck{struck}})
+	q.tellStruck(struck)
 	switch _, marked := q.marks.Find(finding.Request); {
 	case marked:
 		q.pendingWrites[finding.Request] = putRow
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -89,6 +89,8 @@
 	outages *poison.Outages
 	// disputed are refusals of other nodes that an outage explains, until the nodes are told.
 	disputed map[poison.Identity]poison.Finding
+	// outboxes are the neighbors to which reports are under way, by address.
+	outboxes map[string]*outbox
 	// unreported is what was not reported to the holder yet. reportedToken is the lease token of
 	// the holder that got a full report.
 	unreported    wire.PoisonReport
@@ -113,7 +115,7 @@
 // New returns a quarantine without any crashes.
 func New(options Options) *Quarantine {
 	q := &Quarantine{
-		Options: options, marks: poison.NewMarks(), tally: poison.NewTally(), succeeded: poison.NewSuccesses(), outages: poison.NewOutages(), disputed: make(map[poison.Identity]poison.Finding),
+		Options: options, marks: poison.NewMarks(), tally: poison.NewTally(), succeeded: poison.NewSuccesses(), outages: poison.NewOutages(), outboxes: make(map[string]*outbox), disputed: make(map[poison.Identity]poison.Finding),
 		pendingWrites: make(map[poison.Identity]rowChange), written: make(map[poison.Identity]writtenRow), due: make(chan struct{}, 1),
 	}
 	q.ctx, q.cancel = context.WithCancel(context.Background())
@@ -178,7 +180,7 @@
 		q.Log.Info("request no longer suspected of ending runners", "content", request.Short(), "reason", "an attempt of it succeeded", "runners", struck.Runners)
 		q.pendingWrites[request] = deleteRow
 		q.signal()
-		q.tellNeighbors(wire.PoisonReport{Struck: []wire.CrashesStruck{struck}})
+		q.tellStruck(struck)
 	}
 	q.strike(struck)
 	q.tellAggregators(wire.PoisonReport{Struck: []wire.CrashesStruck{struck}})
@@ -298,7 +300,7 @@
 		q.Wake()
 	}
 	if len(updated) > 0 {
-		q.tellNeighbors(wire.PoisonReport{Marks: wireMarks(updated)})
+		q.tellMarks(updated)
 	}
 }
 
@@ -340,7 +342,7 @@
 	struck := q.forget(request)
 	q.pendingWrites[request] = deleteRow
 	q.signal()
-	q.tellNeighbors(wire.PoisonReport{Struck: []wire.CrashesStruck{struck}})
+	q.tellStruck(struck)
 }
 
 // forget makes all known crashes of a request no longer count at this node, and returns them. mutex
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -78,12 +78,6 @@
 	q.tell(report, targets, wanted)
 }
 
-// tellNeighbors sends a report to all neighbors. mutex is held.
-func (q *Quarantine) tellNeighbors(report wire.PoisonReport) {
-	neighbors := q.nodes.Load().neighbors
-	q.tell(report, neighbors, len(neighbors))
-}
-
 // tell sends a report until the wanted number of the targets have accepted it, in their order. mutex
 // is held.
 func (q *Quarantine) tell(report wire.PoisonReport, targets []string, wanted int) {
@@ -188,7 +182,7 @@
 	q.strike(struck)
 	if counted {
 		q.Log.Info("request no longer suspected of ending runners", "content", struck.Request.Short(), "reason", "another node cleared it", "outage", struck.Outage, "runners", struck.Runners)
-		q.tellNeighbors(wire.PoisonReport{Struck: []wire.CrashesStruck{struck}})
+		q.tellStruck(struck)
 	}
 }
 
