Take four other runners for an outage where there are few

Cause: in a fleet of 12 runners, three requests that crash runners at one moment would excuse a fourth.

Change: four others are needed, which changes nothing for 128 runners or more.

Tests of poison and quarantine pass.

--- a/internal/poison/outages.go
+++ b/internal/poison/outages.go
@@ -13,7 +13,7 @@
 	maxOutageEnds = 1024
 	// minOutage and outageShare are how many other runners must end at once for an outage: at least
 	// minOutage, and one of outageShare runners.
-	minOutage   = 3
+	minOutage   = 4
 	outageShare = 32
 )
 
