Let marks and rows tell what ran on runners that ended

Cause: only reports of crashes told a node what had run on a runner that ended. One that knew of a guilty part by marks of others or by rows alone, and had reports of another part at the same runners, counted these as others beside each end: it took two ends of six runners each for outages, and told all nodes so.

Change: a finding's own runners are no others beside its ends. What marks and rows tell is recorded with the ends before it is asked whether an outage explains them.

TestRunnersOfAFindingAreNoOthers failed before. The tests of poison and quarantine pass.

--- a/internal/poison/outages.go
+++ b/internal/poison/outages.go
@@ -51,6 +51,19 @@
 	}
 }
 
+// Learn records the ends of a finding of another node, and what ran on runners whose ends are known though the
+// finding doesn't say when.
+func (o *Outages) Learn(finding Finding, now time.Time) {
+	for _, one := range finding.ends() {
+		if known := o.ends[one.runner]; known != nil {
+			known.requests[finding.Request] = true
+		}
+		run := one.run
+		run.Request = finding.Request
+		o.Record(one.runner, []Run{run}, now)
+	}
+}
+
 // trim drops ends that are too old or too many.
 func (o *Outages) trim(now time.Time) {
 	maps.DeleteFunc(o.ends, func(_ string, known *runnerEnd) bool { return now.Sub(known.at) > outageLifetime })
@@ -72,23 +85,25 @@
 func (o *Outages) Explained(finding Finding, runners int, now time.Time, settle time.Duration) []string {
 	var explained []string
 	least := max(minOutage, runners/outageShare)
+	found := finding.All()
 	for _, one := range finding.ends() {
 		at := one.run.Ended
 		if known := o.ends[one.runner]; known != nil {
 			at = known.at
 		}
-		if !at.IsZero() && now.Sub(at) >= settle && o.besides(finding.Request, at, least) {
+		if !at.IsZero() && now.Sub(at) >= settle && o.besides(finding.Request, found, at, least) {
 			explained = append(explained, one.runner)
 		}
 	}
 	return explained
 }
 
-// besides reports whether at least the given number of runners ended at a time without a request.
-func (o *Outages) besides(request Identity, at time.Time, least int) bool {
+// besides reports whether at least the given number of runners ended at a time without a request, which was
+// found to have run on some of them.
+func (o *Outages) besides(request Identity, found []string, at time.Time, least int) bool {
 	count := 0
-	for _, known := range o.ends {
-		if known.at.Sub(at).Abs() < atOnce && !known.requests[request] {
+	for runner, known := range o.ends {
+		if known.at.Sub(at).Abs() < atOnce && !known.requests[request] && !slices.Contains(found, runner) {
 			if count++; count == least {
 				return true
 			}
--- a/internal/poison/outages_test.go
+++ b/internal/poison/outages_test.go
@@ -65,6 +65,27 @@
 	assert.Equal(t, len(outages.Explained(found, 0, epoch, 0)), 0)
 }
 
+// TestRunnersOfAFindingAreNoOthers: a node that knows by a finding alone that a request ran on runners doesn't count
+// them as others, though the reports that it has tell of another request there.
+func TestRunnersOfAFindingAreNoOthers(t *testing.T) {
+	epoch := time.Now()
+	request, other := testIdentity(0), testIdentity(1)
+	for name, timed := range map[string]bool{"times known": true, "times not known": false} {
+		outages := NewOutages()
+		found := Finding{Request: request}
+		for number := range minOutage + 1 {
+			runner := fmt.Sprint(number)
+			outages.Record(runner, []Run{endAt(epoch, other, 0)}, epoch)
+			run := Run{Request: request}
+			if timed {
+				run = endAt(epoch, request, 0)
+			}
+			found.add(runner, run)
+		}
+		assert.Equal(t, len(outages.Explained(found, 0, epoch, 0)), 0, name)
+	}
+}
+
 // TestOutagesAreBounded: ends that are too old or too many are dropped.
 func TestOutagesAreBounded(t *testing.T) {
 	epoch := time.Now()
--- a/internal/quarantine/outage.go
+++ b/internal/quarantine/outage.go
@@ -24,8 +24,11 @@
 }
 
 // dispute keeps the refusals of other nodes that an outage explains: those nodes may not know of the other
-// runners that ended. mutex is held.
+// runners that ended. What the findings tell of the runners is learned first. mutex is held.
 func (q *Quarantine) dispute(findings []poison.Finding) {
+	for _, finding := range findings {
+		q.outages.Learn(finding, time.Now())
+	}
 	for _, finding := range findings {
 		if len(finding.Runners) >= poison.RefuseThreshold && len(q.disputed) < poison.MaxMarks && len(q.explained(finding, 0)) > 0 {
 			q.disputed[finding.Request] = finding
