Count the runs of requests in one place

Cause: five tests had their own copy of the loop that counts how often each request ran, and a sixth was about to get one.

Change: history.countRuns; no check changed.

--- a/test/answers_soak_test.go
+++ b/test/answers_soak_test.go
@@ -13,7 +13,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/runnerstub"
 	"lilacvane/internal/lab/storestub"
 	"lilacvane/internal/lab/world"
@@ -189,12 +188,7 @@
 // check checks every answer against what runners did.
 func (s *answersSoak) check(t *testing.T, seed uint64) {
 	t.Helper()
-	runs := make(map[string]int)
-	for _, record := range readHistory(t, s.world).records {
-		if record.Event == journal.EventRun {
-			runs[record.Request]++
-		}
-	}
+	runs := readHistory(t, s.world).countRuns()
 	counts := make(map[string]int)
 	for _, result := range s.results {
 		kind, problem := s.classify(result, runs[result.request.ID])
--- a/test/broken_soak_test.go
+++ b/test/broken_soak_test.go
@@ -15,7 +15,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/runnerstub"
 	"lilacvane/internal/lab/world"
 )
@@ -139,12 +138,7 @@
 
 // verifyBroken checks each answer against what runners did.
 func (s *brokenSoak) verifyBroken() {
-	runs := make(map[string]int)
-	for _, record := range readHistory(s.t, s.w).records {
-		if record.Event == journal.EventRun {
-			runs[record.Request]++
-		}
-	}
+	runs := readHistory(s.t, s.w).countRuns()
 	counts := make(map[string]int)
 	for _, result := range s.results {
 		kind, problem := classifyBroken(result, runs[result.request.ID])
--- a/test/cut_test.go
+++ b/test/cut_test.go
@@ -11,7 +11,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/linkfault"
 	"lilacvane/internal/lab/world"
 )
@@ -153,13 +152,7 @@
 // countRuns returns how often runners ran each request.
 func (w *cutWorld) countRuns(t *testing.T) map[string]int {
 	t.Helper()
-	runs := make(map[string]int)
-	for _, record := range readHistory(t, w.world).records {
-		if record.Event == journal.EventRun {
-			runs[record.Request]++
-		}
-	}
-	return runs
+	return readHistory(t, w.world).countRuns()
 }
 
 // checkRuns checks that requests that may not be repeated ran at most once, and that no
--- a/test/few_nodes_soak_test.go
+++ b/test/few_nodes_soak_test.go
@@ -12,7 +12,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/storestub"
 	"lilacvane/internal/lab/world"
 )
@@ -176,13 +175,7 @@
 	t.Logf("%d tries on new connections, %d on kept ones; undisturbed nodes read %d and served %d, %.3f", len(s.tries), len(s.results), read, served, float64(served)/float64(max(read, 1)))
 	assert.Check(t, float64(served) >= leastOneNodeShare*float64(read), "%d of %d", served, read)
 	assert.Check(t, late == 0, "%d requests got no answer", late)
-	h := readHistory(t, s.w)
-	runs := make(map[string]int)
-	for _, record := range h.records {
-		if record.Event == journal.EventRun {
-			runs[record.Request]++
-		}
-	}
+	runs := readHistory(t, s.w).countRuns()
 	for _, try := range s.tries {
 		assert.Check(t, !try.unsafe || runs[try.answer.ID] <= 1, "%s ran %d times", try.answer.ID, runs[try.answer.ID])
 	}
--- a/test/history_test.go
+++ b/test/history_test.go
@@ -125,6 +125,17 @@
 	return count
 }
 
+// countRuns returns how often runners ran each request.
+func (h history) countRuns() map[string]int {
+	runs := make(map[string]int)
+	for _, record := range h.records {
+		if record.Event == journal.EventRun {
+			runs[record.Request]++
+		}
+	}
+	return runs
+}
+
 // ranRequest reports whether any attempt of a request ran.
 func (h history) ranRequest(id string) bool {
 	return slices.ContainsFunc(h.records, func(record journal.Record) bool {
--- a/test/persistent_soak_test.go
+++ b/test/persistent_soak_test.go
@@ -14,7 +14,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"lilacvane/internal/lab/journal"
 	"lilacvane/internal/lab/runnerstub"
 	"lilacvane/internal/lab/world"
 	"lilacvane/internal/settings"
@@ -368,13 +367,7 @@
 
 // verify checks the result of every request against what runners did.
 func (s *persistentSoak) verify() {
-	h := readHistory(s.t, s.w)
-	runs := make(map[string]int)
-	for _, record := range h.records {
-		if record.Event == journal.EventRun {
-			runs[record.Request]++
-		}
-	}
+	runs := readHistory(s.t, s.w).countRuns()
 	counts := make(map[string]int)
 	for _, result := range s.results {
 		kind, problem := s.classify(result, runs[result.request.ID])
