--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -115,7 +115,8 @@
 // New returns a quarantine without any crashes.
 func New(options Options) *Quarantine {
 	q := &Quarantine{
-		Options: options, marks: poison.NewMarks(), tally: poison.NewTally(), succeeded: poison.NewSuccesses(), outages: poison.NewOutages(), outboxes: make(map[string]*outbox), disputed: make(map[poison.Identity]poison.Finding),
+		Options: options, marks: poison.NewMarks(), tally: poison.NewTally(), succeeded: poison.NewSuccesses(), outages: poison.NewOutages(),
+		outboxes: make(map[string]*outbox), disputed: make(map[poison.Identity]poison.Finding),
 		pendingWrites: make(map[poison.Identity]rowChange), written: make(map[poison.Identity]writtenRow), due: make(chan struct{}, 1),
 	}
 	q.ctx, q.cancel = context.WithCancel(context.Background())
